Add the core types: ids, result codes, ranked locks, configuration, calls, views, peer messages

Cause: parts that are built side by side need the same value types and narrow interfaces. Ruled out: bare strings and maps for ids and messages; HTTP or protobuf types in the decisions. Before: none. Conclusion: decisions can be written and tested without sockets.

--- /dev/null
+++ b/calls/src/main/java/org/turmericspan/calls/CallRequest.java
@@ -0,0 +1,68 @@
+package org.turmericspan.calls;
+
+import java.util.List;
+import java.util.Optional;
+import org.turmericspan.ids.CallerId;
+import org.turmericspan.ids.OfficeId;
+import org.turmericspan.ids.RequestId;
+import org.turmericspan.ids.RunToken;
+import org.turmericspan.ids.ServiceId;
+
+/**
+ * One request of a caller, whole.
+ *
+ * @param requestId identifier the answer must echo
+ * @param office account the caller works under
+ * @param caller the caller within the office
+ * @param service service called
+ * @param method HTTP method in capital letters
+ * @param path path and query within the service, beginning with a slash
+ * @param headers header fields to pass on
+ * @param body the whole body
+ * @param deadlineNanos monotonic time after which the caller no longer waits
+ * @param depth number of balanced calls above this one
+ * @param retried whether this call or one above it was already retried
+ * @param idempotent whether the request may be repeated
+ * @param runToken right to run a non-idempotent request once
+ */
+public record CallRequest(
+        RequestId requestId,
+        OfficeId office,
+        CallerId caller,
+        ServiceId service,
+        String method,
+        String path,
+        List<Header> headers,
+        Payload body,
+        long deadlineNanos,
+        int depth,
+        boolean retried,
+        boolean idempotent,
+        Optional<RunToken> runToken) {
+    /** Copies the header fields. */
+    public CallRequest {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Returns the same call marked as a repeat.
+     *
+     * @return a copy whose {@code retried} is true
+     */
+    public CallRequest asRetried() {
+        return new CallRequest(
+                requestId,
+                office,
+                caller,
+                service,
+                method,
+                path,
+                headers,
+                body,
+                deadlineNanos,
+                depth,
+                true,
+                idempotent,
+                runToken);
+    }
+}
--- /dev/null
+++ b/calls/src/main/java/org/turmericspan/calls/UpstreamExchange.java
@@ -0,0 +1,16 @@
+package org.turmericspan.calls;
+
+import java.util.concurrent.CompletionStage;
+
+/** One attempt under way. */
+public interface UpstreamExchange {
+    /**
+     * Returns how the attempt ends.
+     *
+     * @return the reply; the stage never completes exceptionally
+     */
+    CompletionStage<UpstreamReply> reply();
+
+    /** Cancels the attempt; the reply then tells whether bytes were sent. */
+    void cancel();
+}
--- /dev/null
+++ b/ids/src/main/java/org/turmericspan/ids/AvailabilityZoneId.java
@@ -0,0 +1,23 @@
+package org.turmericspan.ids;
+
+/**
+ * Name of an availability zone.
+ *
+ * @param value lower-case letters, digits and hyphens, 1 to 63 characters
+ */
+public record AvailabilityZoneId(String value) implements Comparable<AvailabilityZoneId> {
+    /** Checks the form of the identifier. */
+    public AvailabilityZoneId {
+        IdFormat.requireName("AvailabilityZoneId", value);
+    }
+
+    @Override
+    public int compareTo(AvailabilityZoneId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/ids/src/main/java/org/turmericspan/ids/RequestId.java
@@ -0,0 +1,23 @@
+package org.turmericspan.ids;
+
+/**
+ * Identifier a request carries on its whole path.
+ *
+ * @param value visible ASCII, 1 to 128 characters
+ */
+public record RequestId(String value) implements Comparable<RequestId> {
+    /** Checks the form of the identifier. */
+    public RequestId {
+        IdFormat.requireToken("RequestId", value);
+    }
+
+    @Override
+    public int compareTo(RequestId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/ids/src/main/java/org/turmericspan/ids/ServiceId.java
@@ -0,0 +1,23 @@
+package org.turmericspan.ids;
+
+/**
+ * Name of a service, as the operators published it.
+ *
+ * @param value lower-case letters, digits and hyphens, 1 to 63 characters
+ */
+public record ServiceId(String value) implements Comparable<ServiceId> {
+    /** Checks the form of the identifier. */
+    public ServiceId {
+        IdFormat.requireName("ServiceId", value);
+    }
+
+    @Override
+    public int compareTo(ServiceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/turmericspan/membership/FleetView.java
@@ -0,0 +1,52 @@
+package org.turmericspan.membership;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.turmericspan.ids.VmId;
+
+/**
+ * One published list of VMs.
+ *
+ * @param revision grows with each change on the platform; 0 stands for no list
+ * @param vms by name
+ */
+public record FleetView(long revision, Map<VmId, Vm> vms) {
+    /** View before any was accepted. */
+    public static final FleetView EMPTY = new FleetView(0, Map.of());
+
+    /** Copies the map. */
+    public FleetView {
+        vms = Map.copyOf(vms);
+    }
+
+    /**
+     * Builds a view from a list.
+     *
+     * @param revision revision of the list
+     * @param vms the VMs
+     * @return the view
+     */
+    public static FleetView of(long revision, List<Vm> vms) {
+        return new FleetView(
+                revision,
+                vms.stream()
+                        .collect(Collectors.toMap(
+                                Vm::id, Function.identity(), (first, second) -> second, TreeMap::new)));
+    }
+
+    /**
+     * Returns the entry VMs in the order of their names.
+     *
+     * @return the entry VMs, leaving ones among them
+     */
+    public List<Vm> entryVms() {
+        return vms.values().stream()
+                .filter(vm -> vm.role() == Vm.Role.ENTRY)
+                .sorted(Comparator.comparing(Vm::id))
+                .toList();
+    }
+}
--- /dev/null
+++ b/tables/src/main/java/org/turmericspan/tables/Workers.java
@@ -0,0 +1,76 @@
+package org.turmericspan.tables;
+
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The node's one pool of workers. Tasks are short; waiting is parked state, never a blocked worker. */
+public final class Workers implements AutoCloseable {
+    private static final long STOP_TIMEOUT_SECONDS = 5;
+
+    private final ScheduledExecutorService executor;
+
+    /**
+     * Starts the pool.
+     *
+     * @param threads number of worker threads, from 1
+     */
+    public Workers(int threads) {
+        AtomicInteger sequence = new AtomicInteger();
+        ThreadFactory factory = task -> {
+            Thread thread = new Thread(task, "worker-" + sequence.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+        this.executor = Executors.newScheduledThreadPool(threads, factory);
+    }
+
+    /**
+     * Runs a task on a worker.
+     *
+     * @param task a short task that does not block
+     */
+    public void execute(Runnable task) {
+        executor.execute(task);
+    }
+
+    /**
+     * Runs a task once after a delay.
+     *
+     * @param delay time to wait
+     * @param task a short task that does not block
+     * @return handle that cancels the task
+     */
+    public ScheduledFuture<?> schedule(Duration delay, Runnable task) {
+        return executor.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Runs a task again and again with a pause between its end and its next start.
+     *
+     * @param pause time between two runs
+     * @param task a short task that does not block and does not throw
+     * @return handle that cancels the task
+     */
+    public ScheduledFuture<?> repeat(Duration pause, Runnable task) {
+        return executor.scheduleWithFixedDelay(task, pause.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Stops the pool and waits a few seconds for running tasks. */
+    @Override
+    public void close() {
+        executor.shutdown();
+        try {
+            if (!executor.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+                executor.shutdownNow();
+            }
+        } catch (InterruptedException e) {
+            executor.shutdownNow();
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/tables/src/main/java/org/turmericspan/tables/package-info.java
@@ -0,0 +1,2 @@
+/** Ranked locks that guard the shared tables, and the pool of workers that use them. */
+package org.turmericspan.tables;
--- /dev/null
+++ b/testkit/src/main/java/org/turmericspan/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Hand-written fakes and test extensions that several modules share. */
+package org.turmericspan.testkit;
