Serve one request end to end through real processes

Ruled out: a simulator; stand-ins are small processes with a witness. Before: no process. Conclusion: the path stands in its final shape; lending, cold starts, run tokens and the rest hang on its interfaces.

--- /dev/null
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Takes a call from its arrival through its attempts to its result. */
+package org.turmericspan.dispatch;
--- /dev/null
+++ b/front/src/main/java/org/turmericspan/front/ResultEncoder.java
@@ -0,0 +1,67 @@
+package org.turmericspan.front;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.javalin.http.Context;
+import java.time.Duration;
+import java.util.Locale;
+import org.turmericspan.calls.CallResult;
+import org.turmericspan.calls.Header;
+
+/** Writes a result as an HTTP response. A refusal is JSON with its numbered code. */
+final class ResultEncoder {
+    private static final String JSON = "application/json";
+
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    void encode(Context context, String requestId, CallResult result) {
+        if (result instanceof CallResult.Answered answered) {
+            answered.headers().forEach(header -> addHeader(context, header));
+            context.res().setHeader(CallerHeaders.REQUEST_ID, requestId);
+            context.status(answered.status());
+            context.result(answered.body().bytes());
+        } else if (result instanceof CallResult.Refused refused) {
+            context.header(CallerHeaders.REQUEST_ID, requestId);
+            refuse(context, refused);
+        }
+    }
+
+    void refuse(Context context, CallResult.Refused refused) {
+        refused.retryAfter()
+                .ifPresent(span -> context.header(CallerHeaders.RETRY_AFTER, Long.toString(wholeSeconds(span))));
+        context.status(refused.code().httpStatus());
+        context.contentType(JSON);
+        context.result(json(new RefusalBody(
+                refused.code().number(),
+                refused.code().ran().name().toLowerCase(Locale.ROOT),
+                refused.code().sentence(),
+                refused.detail(),
+                refused.retryAfter().map(Duration::toMillis).orElse(null))));
+    }
+
+    String json(Object value) {
+        try {
+            return mapper.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("Every value of the front end can be written as JSON", e);
+        }
+    }
+
+    private static void addHeader(Context context, Header header) {
+        context.res().addHeader(header.name(), header.value());
+    }
+
+    private static long wholeSeconds(Duration span) {
+        return span.plusSeconds(1).minusNanos(1).toSeconds();
+    }
+
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    private record RefusalBody(
+            @JsonProperty("code") int code,
+            @JsonProperty("ran") String ran,
+            @JsonProperty("message") String message,
+            @JsonProperty("detail") String detail,
+            @JsonProperty("retry_after_ms") Long retryAfterMillis) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/turmericspan/node/CoreModule.java
@@ -0,0 +1,69 @@
+package org.turmericspan.node;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.Module;
+import dagger.Provides;
+import java.security.SecureRandom;
+import java.util.random.RandomGenerator;
+import javax.inject.Singleton;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.membership.ConfigurationTable;
+import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.ViewTable;
+import org.turmericspan.platform.HttpPlatformReader;
+import org.turmericspan.tables.Workers;
+
+/** Wires identity, time, workers and the tables of accepted knowledge. */
+@Module
+final class CoreModule {
+    private CoreModule() {}
+
+    @Provides
+    @Singleton
+    static RandomGenerator random() {
+        return new SecureRandom();
+    }
+
+    @Provides
+    @Singleton
+    static MonotonicClock clock() {
+        return MonotonicClock.system();
+    }
+
+    @Provides
+    @Singleton
+    static MetricRegistry metrics() {
+        return new MetricRegistry();
+    }
+
+    @Provides
+    @Singleton
+    static NodeIdentity identity(NodeSettings settings, RandomGenerator random) {
+        return new NodeIdentity(settings.vm(), settings.availabilityZone(), Incarnation.draw(random));
+    }
+
+    @Provides
+    @Singleton
+    static Workers workers(NodeSettings settings) {
+        return new Workers(settings.workerThreads());
+    }
+
+    @Provides
+    @Singleton
+    static ConfigurationTable configurations(MonotonicClock clock) {
+        return new ConfigurationTable(clock);
+    }
+
+    @Provides
+    @Singleton
+    static ViewTable views(MonotonicClock clock) {
+        return new ViewTable(clock);
+    }
+
+    @Provides
+    @Singleton
+    static HttpPlatformReader platform(NodeSettings settings) {
+        return new HttpPlatformReader(settings.platformAddress());
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/turmericspan/routing/Candidates.java
@@ -0,0 +1,26 @@
+package org.turmericspan.routing;
+
+import java.util.List;
+import org.turmericspan.config.Configuration;
+import org.turmericspan.membership.FleetView;
+import org.turmericspan.membership.Vm;
+
+/** Entry VMs that may keep upstreams and take new callers. */
+public final class Candidates {
+    private Candidates() {}
+
+    /**
+     * Lists the candidates.
+     *
+     * @param configuration the configuration in force
+     * @param view the accepted view
+     * @return entry VMs that neither leave nor are out of service, in the order of their names
+     */
+    public static List<Vm> of(Configuration configuration, FleetView view) {
+        return view.entryVms().stream()
+                .filter(vm -> !vm.leaving())
+                .filter(vm -> vm.callerAddress().isPresent())
+                .filter(vm -> configuration.isInService(vm.availabilityZone(), vm.id()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/turmericspan/routing/GrantedSlot.java
@@ -0,0 +1,14 @@
+package org.turmericspan.routing;
+
+import org.turmericspan.ids.LeaseId;
+import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.UpstreamId;
+
+/**
+ * A slot that the table granted.
+ *
+ * @param lease identifier of the lease
+ * @param upstream upstream it belongs to
+ * @param address where the upstream listens
+ */
+public record GrantedSlot(LeaseId lease, UpstreamId upstream, SocketAddress address) {}
--- /dev/null
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -0,0 +1,176 @@
+package org.turmericspan.upstream;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import okio.BufferedSource;
+import org.turmericspan.calls.CallRequest;
+import org.turmericspan.calls.CallResult;
+import org.turmericspan.calls.Header;
+import org.turmericspan.calls.Payload;
+import org.turmericspan.calls.SlotLease;
+import org.turmericspan.calls.UpstreamExchange;
+import org.turmericspan.calls.UpstreamReply;
+import org.turmericspan.calls.UpstreamSignals;
+import org.turmericspan.ids.MonotonicClock;
+
+/** One attempt over HTTP. */
+final class HttpExchange implements UpstreamExchange, Callback {
+    private static final CallResult.Answered NO_ANSWER = new CallResult.Answered(0, List.of(), Payload.EMPTY);
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final Set<String> HOP_HEADERS =
+            Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "host", "te", "upgrade");
+    private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
+
+    private final MonotonicClock clock;
+    private final SendProof proof;
+    private final String requestId;
+    private final long deadlineNanos;
+    private final int answerLimitBytes;
+    private final CompletableFuture<UpstreamReply> reply = new CompletableFuture<>();
+    private Call call;
+    private volatile boolean cancelled;
+
+    private HttpExchange(MonotonicClock clock, SlotLease lease, CallRequest request, int answerLimitBytes) {
+        this.clock = clock;
+        this.proof = new SendProof(lease, clock);
+        this.requestId = request.requestId().value();
+        this.deadlineNanos = request.deadlineNanos();
+        this.answerLimitBytes = answerLimitBytes;
+    }
+
+    static HttpExchange start(
+            OkHttpClient client, MonotonicClock clock, SlotLease lease, CallRequest request, int answerLimitBytes) {
+        HttpExchange exchange = new HttpExchange(clock, lease, request, answerLimitBytes);
+        long remainingNanos = request.deadlineNanos() - clock.nowNanos();
+        if (remainingNanos <= 0) {
+            exchange.finish(UpstreamReply.Kind.CANCELLED_UNSENT, UpstreamSignals.NONE);
+            return exchange;
+        }
+        exchange.call = client.newCall(exchange.encode(lease, request, remainingNanos));
+        exchange.call.timeout().timeout(remainingNanos, TimeUnit.NANOSECONDS);
+        exchange.call.enqueue(exchange);
+        return exchange;
+    }
+
+    @Override
+    public CompletionStage<UpstreamReply> reply() {
+        return reply;
+    }
+
+    @Override
+    public void cancel() {
+        cancelled = true;
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    @Override
+    public void onFailure(Call failedCall, IOException failure) {
+        finish(classify(failure), UpstreamSignals.NONE);
+    }
+
+    @Override
+    public void onResponse(Call answeredCall, Response response) {
+        try (response) {
+            read(response);
+        } catch (IOException e) {
+            finish(classify(e), UpstreamSignals.NONE);
+        }
+    }
+
+    private Request encode(SlotLease lease, CallRequest request, long remainingNanos) {
+        Request.Builder builder = new Request.Builder()
+                .url("http://" + lease.address() + request.path())
+                .tag(SendProof.class, proof);
+        for (Header header : request.headers()) {
+            if (!HOP_HEADERS.contains(header.name().toLowerCase(Locale.ROOT))) {
+                builder.addHeader(header.name(), header.value());
+            }
+        }
+        builder.header(UpstreamHeaders.REQUEST_ID, requestId)
+                .header(UpstreamHeaders.DEADLINE_MS, Long.toString(TimeUnit.NANOSECONDS.toMillis(remainingNanos)))
+                .header(UpstreamHeaders.DEPTH, Integer.toString(request.depth() + 1));
+        if (request.retried()) {
+            builder.header(UpstreamHeaders.RETRIED, UpstreamHeaders.YES);
+        }
+        boolean hasBody = request.body().length() > 0 || METHODS_WITH_BODY.contains(request.method());
+        RequestBody body = hasBody ? RequestBody.create(request.body().bytes(), null) : null;
+        return builder.method(request.method(), body).build();
+    }
+
+    private void read(Response response) throws IOException {
+        UpstreamSignals signals = UpstreamHeaders.signals(response);
+        boolean refused = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
+        if (refused && response.code() == STATUS_UNAVAILABLE) {
+            finish(UpstreamReply.Kind.SHED, signals);
+            return;
+        }
+        if (!requestId.equals(response.header(UpstreamHeaders.REQUEST_ID))) {
+            finish(UpstreamReply.Kind.BROKEN, signals);
+            return;
+        }
+        ResponseBody body = response.body();
+        BufferedSource source = body.source();
+        if (source.request(answerLimitBytes + 1L)) {
+            finish(UpstreamReply.Kind.ANSWER_TOO_LARGE, signals);
+            return;
+        }
+        Payload payload = Payload.wrap(source.readByteArray());
+        complete(new UpstreamReply(
+                UpstreamReply.Kind.WHOLE,
+                new CallResult.Answered(response.code(), headers(response), payload),
+                elapsed(),
+                signals));
+    }
+
+    private static List<Header> headers(Response response) {
+        List<Header> headers = new ArrayList<>();
+        response.headers().forEach(pair -> {
+            if (!HOP_HEADERS.contains(pair.getFirst().toLowerCase(Locale.ROOT))) {
+                headers.add(new Header(pair.getFirst(), pair.getSecond()));
+            }
+        });
+        return headers;
+    }
+
+    private UpstreamReply.Kind classify(IOException failure) {
+        if (failure instanceof SendProof.LeaseVoidException) {
+            return UpstreamReply.Kind.LEASE_VOID;
+        }
+        boolean pastDeadline = clock.nowNanos() >= deadlineNanos;
+        if (!proof.isSent()) {
+            return cancelled || pastDeadline ? UpstreamReply.Kind.CANCELLED_UNSENT : UpstreamReply.Kind.NOT_CONNECTED;
+        }
+        if (cancelled) {
+            return UpstreamReply.Kind.CANCELLED_SENT;
+        }
+        return pastDeadline ? UpstreamReply.Kind.TIMED_OUT : UpstreamReply.Kind.BROKEN;
+    }
+
+    private Duration elapsed() {
+        return proof.isSent() ? Duration.ofNanos(clock.nowNanos() - proof.sentNanos()) : Duration.ZERO;
+    }
+
+    private void finish(UpstreamReply.Kind kind, UpstreamSignals signals) {
+        complete(new UpstreamReply(kind, NO_ANSWER, elapsed(), signals));
+    }
+
+    private void complete(UpstreamReply result) {
+        reply.complete(result);
+    }
+}
