--- a/errors/src/main/java/org/turmericspan/errors/ResultCode.java
+++ b/errors/src/main/java/org/turmericspan/errors/ResultCode.java
@@ -1,5 +1,8 @@
 package org.turmericspan.errors;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 /** Every refusal and failure the balancer reports. Numbers are stable; {@code docs/ERRORS.md} lists them. */
 public enum ResultCode {
     /** No service, path or object of that name is configured. */
@@ -73,6 +76,16 @@
         this.sentence = sentence;
     }
 
+    /**
+     * Finds the code of a number.
+     *
+     * @param number a stable number
+     * @return the code, or empty when no code has that number
+     */
+    public static Optional<ResultCode> ofNumber(int number) {
+        return Arrays.stream(values()).filter(code -> code.number == number).findFirst();
+    }
+
     /**
      * Returns the stable number.
      *
--- a/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
@@ -31,12 +31,13 @@
     record Unreachable(boolean sent) implements PeerMessage {}
 
     /**
-     * State that every node sends to its peers at short intervals.
+     * State that every node sends to its peers at short intervals, and answers with.
      *
      * @param incarnation life of the sender
      * @param configurationNumber number of the configuration in force at the sender
      * @param configurationDigest digest of the configuration in force at the sender
      * @param viewRevision revision of the sender's view
+     * @param viewAge time since the platform confirmed that view, to the sender or to one that told it
      * @param leaving whether the sender is about to stop
      * @param idleSlots slots idle at the sender, per service it keeps upstreams of
      */
@@ -45,6 +46,7 @@
             long configurationNumber,
             String configurationDigest,
             long viewRevision,
+            Duration viewAge,
             boolean leaving,
             List<IdleSlots> idleSlots)
             implements PeerMessage {}
@@ -68,6 +70,17 @@
      */
     record ConfigurationDocument(Optional<String> document) implements PeerMessage {}
 
+    /** Asks for the accepted list of VMs. */
+    record FetchView() implements PeerMessage {}
+
+    /**
+     * Answer to {@link FetchView}.
+     *
+     * @param revision revision of the list; 0 when none was accepted
+     * @param text the list as the platform holds it, or empty when none was accepted
+     */
+    record ViewDocument(long revision, Optional<String> text) implements PeerMessage {}
+
     /**
      * Asks a keeper for a slot.
      *
--- /dev/null
+++ b/wire/src/main/java/org/turmericspan/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Protobuf encoding of the frames and messages between nodes. */
+package org.turmericspan.wire;
