--- /dev/null
+++ b/peer/src/main/java/org/turmericspan/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Authenticated Netty connections between nodes. */
+package org.turmericspan.peer;
