--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -9,6 +9,7 @@
 import org.turmericspan.front.OperatorServer;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.ViewTable;
+import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.platform.HttpPlatformReader;
 import org.turmericspan.platform.PlatformFeed;
 import org.turmericspan.platform.VmListParser;
@@ -24,6 +25,7 @@
 
     private final NodeSettings settings;
     private final Workers workers;
+    private final NettyPeerLinks links;
     private final HttpPlatformReader platform;
     private final HttpUpstreamSender upstreams;
     private final CallerServer callers;
@@ -36,6 +38,7 @@
     Node(
             NodeSettings settings,
             Workers workers,
+            NettyPeerLinks links,
             HttpPlatformReader platform,
             HttpUpstreamSender upstreams,
             CallerServer callers,
@@ -46,6 +49,7 @@
             RandomGenerator random) {
         this.settings = settings;
         this.workers = workers;
+        this.links = links;
         this.platform = platform;
         this.upstreams = upstreams;
         this.callers = callers;
@@ -60,6 +64,7 @@
 
     void start() {
         keptUpstreams.start();
+        links.start();
         configurationFeed.start();
         viewFeed.start();
         operators.start(settings.operatorAddress());
@@ -74,6 +79,7 @@
         configurationFeed.close();
         viewFeed.close();
         operators.close();
+        links.close();
         platform.close();
         upstreams.close();
         workers.close();
