--- /dev/null
+++ b/admission/src/main/java/org/turmericspan/admission/FairQueue.java
@@ -0,0 +1,177 @@
+package org.turmericspan.admission;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.turmericspan.calls.SlotWish;
+import org.turmericspan.ids.OfficeId;
+
+/**
+ * Bounded queue of the wishes of one service that wait for a slot. Offices take turns, and within an office its
+ * callers; within one turn the older wish goes first, and a wish deep in a chain of calls counts as older. Every
+ * operation takes logarithmic time, but for wishes that {@link #poll} passes over. The queue has no lock: its owner
+ * guards it.
+ *
+ * @param <W> what the owner parks with a wish
+ */
+public final class FairQueue<W> {
+    private final int limit;
+    private final Rounds<OfficeId, W, OfficeLine<W>> offices = new Rounds<>(OfficeLine::new);
+    private final TreeSet<WaitTicket<W>> byDeadline = new TreeSet<>(WaitTicket.byDeadline());
+    private final Set<WaitTicket<W>> byArrival = new LinkedHashSet<>();
+    private long nextSequence;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param limit largest number of waiting wishes
+     */
+    public FairQueue(int limit) {
+        this.limit = limit;
+    }
+
+    /**
+     * Queues a wish. When the queue is full, the newest wish of the largest line makes room for one of a smaller line,
+     * or for a deeper one of the same office.
+     *
+     * @param wish what is wished for
+     * @param waiter what is parked with it
+     * @param nowNanos current monotonic time
+     * @return its place and what was displaced, or that the queue is full
+     */
+    public QueueOffer<W> offer(SlotWish wish, W waiter, long nowNanos) {
+        Optional<WaitTicket<W>> displaced = Optional.empty();
+        if (byArrival.size() >= limit) {
+            displaced = victim(wish);
+            if (displaced.isEmpty()) {
+                return new QueueOffer.Full<>();
+            }
+            remove(displaced.get());
+        }
+        WaitTicket<W> ticket = new WaitTicket<>(wish, waiter, nowNanos, nextSequence);
+        nextSequence++;
+        offices.add(wish.office(), ticket);
+        byDeadline.add(ticket);
+        byArrival.add(ticket);
+        return new QueueOffer.Queued<>(ticket, displaced);
+    }
+
+    /**
+     * Takes out the next wish.
+     *
+     * @param accepts whether a wish can be served now; wishes that cannot are passed over and keep their places
+     * @return the first accepted wish in order, or empty
+     */
+    public Optional<WaitTicket<W>> poll(Predicate<WaitTicket<W>> accepts) {
+        Optional<WaitTicket<W>> found = offices.find(accepts);
+        found.ifPresent(ticket -> {
+            forget(ticket);
+            offices.serve(ticket.wish().office(), ticket);
+        });
+        return found;
+    }
+
+    /**
+     * Removes a wish that is no longer wanted.
+     *
+     * @param ticket its place
+     * @return false when it had left the queue before
+     */
+    public boolean remove(WaitTicket<W> ticket) {
+        if (!byArrival.contains(ticket)) {
+            return false;
+        }
+        forget(ticket);
+        offices.withdraw(ticket.wish().office(), ticket);
+        return true;
+    }
+
+    /**
+     * Removes the wishes whose deadline has passed.
+     *
+     * @param nowNanos current monotonic time
+     * @return the removed wishes, the earliest deadline first
+     */
+    public List<WaitTicket<W>> expire(long nowNanos) {
+        List<WaitTicket<W>> expired = new ArrayList<>();
+        while (!byDeadline.isEmpty() && byDeadline.first().wish().deadlineNanos() <= nowNanos) {
+            WaitTicket<W> ticket = byDeadline.first();
+            remove(ticket);
+            expired.add(ticket);
+        }
+        return expired;
+    }
+
+    /**
+     * Counts the waiting wishes.
+     *
+     * @return the size
+     */
+    public int size() {
+        return byArrival.size();
+    }
+
+    /**
+     * Tells since when the longest waiting wish waits.
+     *
+     * @return monotonic time, or empty when none waits
+     */
+    public OptionalLong oldestEnqueuedNanos() {
+        return byArrival.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(byArrival.iterator().next().enqueuedNanos());
+    }
+
+    /**
+     * Tells when the next deadline passes.
+     *
+     * @return monotonic time, or empty when none waits
+     */
+    public OptionalLong nextDeadlineNanos() {
+        return byDeadline.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(byDeadline.first().wish().deadlineNanos());
+    }
+
+    /**
+     * Counts the waiting wishes that would be served before a new one, by the turns of offices and callers.
+     *
+     * @param wish a wish that is not yet queued
+     * @return number of wishes ahead of it
+     */
+    public int aheadOf(SlotWish wish) {
+        int aheadInOffice = offices.line(wish.office())
+                .map(office -> office.aheadOf(wish.caller()))
+                .orElse(0);
+        return offices.aheadInRounds(wish.office(), aheadInOffice, size());
+    }
+
+    private Optional<WaitTicket<W>> victim(SlotWish wish) {
+        if (byArrival.isEmpty()) {
+            return Optional.empty();
+        }
+        Line<W> largest = offices.largest();
+        WaitTicket<W> last = largest.last();
+        boolean isSmallerOffice = offices.sizeOf(wish.office()) + 1 < largest.size();
+        if (isSmallerOffice || last.wish().office().equals(wish.office()) && outranks(wish, last)) {
+            return Optional.of(last);
+        }
+        return Optional.empty();
+    }
+
+    private boolean outranks(SlotWish wish, WaitTicket<W> last) {
+        OfficeLine<W> office = offices.line(wish.office()).orElseThrow();
+        boolean isSmallerCaller = office.sizeOf(wish.caller()) + 1 < office.largestCallerSize();
+        return isSmallerCaller || wish.depth() > last.wish().depth();
+    }
+
+    private void forget(WaitTicket<W> ticket) {
+        byArrival.remove(ticket);
+        byDeadline.remove(ticket);
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/org/turmericspan/admission/Line.java
@@ -0,0 +1,60 @@
+package org.turmericspan.admission;
+
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Waiting wishes of one party, which takes turns with other parties of its level.
+ *
+ * @param <W> what the owner parks with a wish
+ */
+abstract class Line<W> {
+    private final long sequence;
+    private long turn;
+
+    Line(long sequence, long turn) {
+        this.sequence = sequence;
+        this.turn = turn;
+    }
+
+    final long turn() {
+        return turn;
+    }
+
+    final void setTurn(long newTurn) {
+        turn = newTurn;
+    }
+
+    /** Counts the waiting wishes. */
+    abstract int size();
+
+    /** Returns the wish to serve next; the line is not empty. */
+    abstract WaitTicket<W> first();
+
+    /** Returns the wish to shed first; the line is not empty. */
+    abstract WaitTicket<W> last();
+
+    /** Finds the first wish in order that is accepted. */
+    abstract Optional<WaitTicket<W>> find(Predicate<WaitTicket<W>> accepts);
+
+    abstract void add(WaitTicket<W> ticket);
+
+    /** Removes a wish that got its slot, which uses up a turn. */
+    abstract void serve(WaitTicket<W> ticket);
+
+    /** Removes a wish that got no slot. */
+    abstract void withdraw(WaitTicket<W> ticket);
+
+    /** Orders lines by turn, then by the rank of their first wishes. */
+    static <W> Comparator<Line<W>> byTurn() {
+        return Comparator.<Line<W>>comparingLong(line -> line.turn)
+                .thenComparing(Line::first, WaitTicket.byRank())
+                .thenComparingLong(line -> line.sequence);
+    }
+
+    /** Orders lines by the number of their wishes. */
+    static <W> Comparator<Line<W>> bySize() {
+        return Comparator.<Line<W>>comparingInt(Line::size).thenComparingLong(line -> line.sequence);
+    }
+}
--- /dev/null
+++ b/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
@@ -0,0 +1,163 @@
+package org.turmericspan.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.calls.SlotWish;
+import org.turmericspan.ids.CallerId;
+import org.turmericspan.ids.OfficeId;
+import org.turmericspan.ids.ServiceId;
+
+/** Order, bounds and expiry of the fair queue. */
+final class FairQueueTest {
+    private static final long MILLI = 1_000_000;
+
+    private final FairQueue<String> queue = new FairQueue<>(10);
+
+    @Test
+    void officesTakeTurnsWhenOneHasManyWishes() {
+        for (int i = 0; i < 4; i++) {
+            offer("greedy", "g" + i, 0, i);
+        }
+        offer("quiet", "q", 0, 10);
+
+        assertThat(drain()).containsExactly("greedy/g0", "quiet/q", "greedy/g1", "greedy/g2", "greedy/g3");
+    }
+
+    @Test
+    void callersOfOneOfficeTakeTurns() {
+        offer("office", "a", 0, 1);
+        offer("office", "a", 0, 2);
+        offer("office", "b", 0, 3);
+
+        assertThat(drain()).containsExactly("office/a", "office/b", "office/a");
+    }
+
+    @Test
+    void officeThatComesBackAtOnceDoesNotStarveAnother() {
+        offer("waiting", "w", 0, 0);
+        offer("waiting", "w", 0, 0);
+        List<String> served = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            offer("returning", "r", 0, i);
+            served.add(queue.poll(ticket -> true).orElseThrow().waiter());
+        }
+
+        assertThat(served.subList(0, 4)).containsExactly("waiting/w", "returning/r", "waiting/w", "returning/r");
+    }
+
+    @Test
+    void deepWishGoesBeforeAnOlderShallowOne() {
+        offer("office", "shallow", 0, 0);
+        offer("office", "deep", 3, 5 * MILLI);
+
+        assertThat(drain()).containsExactly("office/deep", "office/shallow");
+    }
+
+    @Test
+    void shallowWishThatWaitedLongGoesBeforeADeepOne() {
+        offer("office", "shallow", 0, 0);
+        offer("office", "deep", 1, WaitTicket.DEPTH_CREDIT.toNanos() + 1);
+
+        assertThat(drain()).containsExactly("office/shallow", "office/deep");
+    }
+
+    @Test
+    void fullQueueDisplacesTheNewestOfTheLargestOffice() {
+        for (int i = 0; i < 10; i++) {
+            offer("greedy", "g" + i, 0, i);
+        }
+
+        QueueOffer<String> offer = offer("quiet", "q", 0, 20);
+
+        assertThat(offer).isInstanceOf(QueueOffer.Queued.class);
+        QueueOffer.Queued<String> queued = (QueueOffer.Queued<String>) offer;
+        assertThat(queued.displaced()).map(WaitTicket::waiter).hasValue("greedy/g9");
+        assertThat(queue.size()).isEqualTo(10);
+    }
+
+    @Test
+    void fullQueueRefusesTheLargestOffice() {
+        for (int i = 0; i < 10; i++) {
+            offer("greedy", "g", 0, i);
+        }
+
+        assertThat(offer("greedy", "g", 0, 20)).isInstanceOf(QueueOffer.Full.class);
+    }
+
+    @Test
+    void fullQueueTakesADeeperWishOfTheSameOffice() {
+        for (int i = 0; i < 10; i++) {
+            offer("greedy", "g", 0, i);
+        }
+
+        assertThat(offer("greedy", "deep", 2, 20)).isInstanceOf(QueueOffer.Queued.class);
+    }
+
+    @Test
+    void passedOverWishKeepsItsPlace() {
+        offer("office", "a", 0, 0);
+        offer("office", "b", 0, 1);
+
+        assertThat(queue.poll(ticket -> ticket.waiter().equals("office/b"))).isPresent();
+        assertThat(drain()).containsExactly("office/a");
+    }
+
+    @Test
+    void expiredWishesLeaveInTheOrderOfTheirDeadlines() {
+        queue.offer(wish("office", "late", 0, 30), "late", 0);
+        queue.offer(wish("office", "early", 0, 10), "early", 0);
+        queue.offer(wish("office", "middle", 0, 20), "middle", 0);
+
+        assertThat(queue.expire(20)).extracting(WaitTicket::waiter).containsExactly("early", "middle");
+        assertThat(queue.nextDeadlineNanos()).hasValue(30);
+        assertThat(queue.size()).isEqualTo(1);
+    }
+
+    @Test
+    void wishLeavesOnlyOnce() {
+        offer("office", "a", 0, 7);
+        assertThat(queue.oldestEnqueuedNanos()).hasValue(7);
+        WaitTicket<String> ticket = queue.poll(any -> true).orElseThrow();
+
+        assertThat(queue.remove(ticket)).isFalse();
+        assertThat(queue.oldestEnqueuedNanos()).isEmpty();
+    }
+
+    @Test
+    void quietOfficeCountsOnlyOneWishOfEachOtherOfficeAheadOfIt() {
+        for (int i = 0; i < 5; i++) {
+            offer("greedy", "g", 0, i);
+        }
+
+        assertThat(queue.aheadOf(wish("quiet", "q", 0, 100))).isEqualTo(1);
+        assertThat(queue.aheadOf(wish("greedy", "g", 0, 100))).isEqualTo(5);
+    }
+
+    private QueueOffer<String> offer(String office, String caller, int depth, long nowNanos) {
+        return queue.offer(wish(office, caller, depth, Long.MAX_VALUE), office + "/" + caller, nowNanos);
+    }
+
+    private static SlotWish wish(String office, String caller, int depth, long deadlineNanos) {
+        return new SlotWish(
+                new ServiceId("ordering"),
+                new OfficeId(office),
+                new CallerId(caller),
+                deadlineNanos,
+                depth,
+                true,
+                Set.of(),
+                false);
+    }
+
+    private List<String> drain() {
+        List<String> served = new ArrayList<>();
+        while (queue.size() > 0) {
+            served.add(queue.poll(ticket -> true).orElseThrow().waiter());
+        }
+        return served;
+    }
+}
