--- a/ids/src/main/java/org/turmericspan/ids/SocketAddress.java
+++ b/ids/src/main/java/org/turmericspan/ids/SocketAddress.java
@@ -8,31 +8,46 @@
  */
 public record SocketAddress(String host, int port) {
     private static final int MAX_PORT = 65_535;
+    private static final int MAX_HOST_LENGTH = 41;
+    private static final int MAX_PORT_DIGITS = 5;
+    private static final String FORM = "SocketAddress takes IP:PORT with an IP number and a port from 1 to " + MAX_PORT;
 
     /** Checks the range of the port. */
     public SocketAddress {
         if (host.isEmpty() || port < 1 || port > MAX_PORT) {
-            throw new IllegalArgumentException("SocketAddress takes HOST:PORT with a port from 1 to " + MAX_PORT);
+            throw new IllegalArgumentException(FORM);
         }
     }
 
     /**
-     * Reads the text form.
+     * Reads the text form. Names are refused, so that no connection waits for a name server.
      *
-     * @param text {@code HOST:PORT}
+     * @param text {@code IP:PORT}; an IPv6 number stands in brackets
      * @return the address
      * @throws IllegalArgumentException when the text has another form
      */
     public static SocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon < 1) {
-            throw new IllegalArgumentException("SocketAddress takes HOST:PORT");
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        String port = text.substring(colon + 1);
+        if (host.length() > MAX_HOST_LENGTH || !isIpNumber(host) || !isPortNumber(port)) {
+            throw new IllegalArgumentException(FORM);
         }
-        try {
-            return new SocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("SocketAddress takes HOST:PORT", e);
+        return new SocketAddress(host, Integer.parseInt(port));
+    }
+
+    private static boolean isIpNumber(String host) {
+        if (host.startsWith("[") && host.endsWith("]")) {
+            return host.indexOf(':') > 0 && host.substring(1, host.length() - 1).matches("[0-9a-fA-F:.]+");
         }
+        return host.matches(
+                "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])(\\.(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])){3}");
+    }
+
+    private static boolean isPortNumber(String port) {
+        return !port.isEmpty()
+                && port.length() <= MAX_PORT_DIGITS
+                && port.chars().allMatch(character -> character >= '0' && character <= '9');
     }
 
     @Override
--- a/node/src/main/java/org/turmericspan/node/Main.java
+++ b/node/src/main/java/org/turmericspan/node/Main.java
@@ -1,9 +1,13 @@
 package org.turmericspan.node;
 
 import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
 
 /** Entry point of the binary {@code turmericspan}. */
 public final class Main {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
     private Main() {}
@@ -15,15 +19,27 @@
      * @throws InterruptedException when the main thread is interrupted
      */
     public static void main(String[] arguments) throws InterruptedException {
-        SettingsReader reader = new SettingsReader(System.getenv());
-        NodeSettings settings;
         try {
-            settings = reader.read(arguments);
-        } catch (SettingsReader.StopException e) {
-            System.exit(e.exitCode());
-            return;
+            CommandLine commandLine = CommandLine.parse(arguments);
+            NodeSettings settings = new SettingsReader(System.getenv()).read(commandLine);
+            if (commandLine.checkOnly()) {
+                System.out.println("The settings are valid.");
+                System.exit(EXIT_OK);
+            }
+            LogSettings.apply(settings);
+            run(settings);
+        } catch (HelpScreenException e) {
+            System.exit(EXIT_OK);
+        } catch (ArgumentParserException e) {
+            e.getParser().handleError(e);
+            System.exit(EXIT_USAGE);
+        } catch (InvalidSettingsException e) {
+            e.faults().forEach(System.err::println);
+            System.exit(EXIT_USAGE);
+        } catch (RuntimeException e) {
+            System.err.println("node: cannot run: " + e.getMessage());
+            System.exit(EXIT_FAILED);
         }
-        run(settings);
     }
 
     private static void run(NodeSettings settings) throws InterruptedException {
@@ -39,8 +55,4 @@
         node.start();
         stopped.await();
     }
-
-    static int usageExitCode() {
-        return EXIT_USAGE;
-    }
 }
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -15,6 +15,8 @@
  * @param platformAddress where the platform listens
  * @param deploymentKey shared key that tells this deployment's nodes from others
  * @param workerThreads threads of the worker pool
+ * @param logFormat plain or json
+ * @param logLevel least severe level that is logged
  */
 public record NodeSettings(
         VmId vm,
@@ -24,4 +26,26 @@
         SocketAddress peerAddress,
         SocketAddress platformAddress,
         String deploymentKey,
-        int workerThreads) {}
+        int workerThreads,
+        String logFormat,
+        String logLevel) {
+    static NodeSettings of(SettingValues values) {
+        return new NodeSettings(
+                values.get(Setting.VM, VmId.class),
+                values.get(Setting.AVAILABILITY_ZONE, AvailabilityZoneId.class),
+                values.get(Setting.CALLER_ADDRESS, SocketAddress.class),
+                values.get(Setting.OPERATOR_ADDRESS, SocketAddress.class),
+                values.get(Setting.PEER_ADDRESS, SocketAddress.class),
+                values.get(Setting.PLATFORM_ADDRESS, SocketAddress.class),
+                values.get(Setting.DEPLOYMENT_KEY, String.class),
+                values.get(Setting.WORKER_THREADS, Integer.class),
+                values.get(Setting.LOG_FORMAT, String.class),
+                values.get(Setting.LOG_LEVEL, String.class));
+    }
+
+    /** Leaves the deployment key out. */
+    @Override
+    public String toString() {
+        return "NodeSettings of " + vm + " in " + availabilityZone;
+    }
+}
--- a/node/src/main/java/org/turmericspan/node/Setting.java
+++ b/node/src/main/java/org/turmericspan/node/Setting.java
@@ -2,24 +2,56 @@
 
 import java.util.Locale;
 
-/** Every setting of a node: a flag, an environment variable, a default and a description. */
+/**
+ * Every setting of a node: a flag, an environment variable, what it takes, its default and a description. A new
+ * setting is one constant here, one component of {@link NodeSettings}, and one line in {@link NodeSettings#of}.
+ */
 enum Setting {
-    VM("vm", "", "name of the VM the node runs on"),
-    AVAILABILITY_ZONE("availability-zone", "", "availability zone of the VM"),
-    CALLER_ADDRESS("caller-address", "127.0.0.1:8080", "HOST:PORT where callers connect"),
-    OPERATOR_ADDRESS("operator-address", "127.0.0.1:8081", "HOST:PORT where operators connect"),
-    PEER_ADDRESS("peer-address", "127.0.0.1:8082", "HOST:PORT where other nodes connect"),
-    PLATFORM_ADDRESS("platform-address", "127.0.0.1:8090", "HOST:PORT of the platform service"),
-    DEPLOYMENT_KEY("deployment-key", "", "key shared by the nodes of a deployment, 16 characters or more"),
-    WORKER_THREADS("worker-threads", "4", "threads of the worker pool, 1 to 64"),
-    LOG_FORMAT("log-format", "plain", "plain or json");
+    /** Name of the VM. */
+    VM("vm", SettingType.VM_NAME, "", "name of the VM the node runs on, as the platform lists it"),
+    /** Availability zone of the VM. */
+    AVAILABILITY_ZONE("availability-zone", SettingType.ZONE_NAME, "", "availability zone of the VM"),
+    /** Address for callers. */
+    CALLER_ADDRESS("caller-address", SettingType.ADDRESS, "127.0.0.1:8080", "where callers connect"),
+    /** Address for operators. */
+    OPERATOR_ADDRESS("operator-address", SettingType.ADDRESS, "127.0.0.1:8081", "where operators connect"),
+    /** Address for other nodes. */
+    PEER_ADDRESS("peer-address", SettingType.ADDRESS, "127.0.0.1:8082", "where other nodes connect"),
+    /** Address of the platform. */
+    PLATFORM_ADDRESS("platform-address", SettingType.ADDRESS, "127.0.0.1:8090", "where the platform service listens"),
+    /** Shared key of the deployment. */
+    DEPLOYMENT_KEY(
+            "deployment-key",
+            SettingType.secret(Setting.MIN_KEY_LENGTH),
+            "",
+            "key shared by the nodes of a deployment; better given by the variable, since flags show in process lists"),
+    /** Size of the worker pool. */
+    WORKER_THREADS(
+            "worker-threads",
+            SettingType.wholeNumber(1, Setting.MAX_THREADS, "threads"),
+            "4",
+            "threads of the worker pool"),
+    /** Form of log lines. */
+    LOG_FORMAT("log-format", SettingType.oneOf("plain", "json"), "plain", "form of the lines logged to standard error"),
+    /** Least level that is logged. */
+    LOG_LEVEL(
+            "log-level",
+            SettingType.oneOf("error", "warn", "info", "debug"),
+            "info",
+            "least severe level of the node's own lines that is logged");
+
+    private static final int MIN_KEY_LENGTH = 16;
+    private static final int MAX_THREADS = 64;
+    private static final String VARIABLE_PREFIX = "TURMERICSPAN_";
 
     private final String flag;
+    private final SettingType<?> type;
     private final String defaultValue;
     private final String description;
 
-    Setting(String flag, String defaultValue, String description) {
+    Setting(String flag, SettingType<?> type, String defaultValue, String description) {
         this.flag = flag;
+        this.type = type;
         this.defaultValue = defaultValue;
         this.description = description;
     }
@@ -33,13 +65,22 @@
     }
 
     String environmentVariable() {
-        return "TURMERICSPAN_" + flag.toUpperCase(Locale.ROOT).replace('-', '_');
+        return VARIABLE_PREFIX + flag.toUpperCase(Locale.ROOT).replace('-', '_');
+    }
+
+    SettingType<?> type() {
+        return type;
     }
 
+    /** Returns the default as text; empty when the setting must be given. */
     String defaultValue() {
         return defaultValue;
     }
 
+    boolean isRequired() {
+        return defaultValue.isEmpty();
+    }
+
     String description() {
         return description;
     }
--- a/node/src/main/java/org/turmericspan/node/SettingsReader.java
+++ b/node/src/main/java/org/turmericspan/node/SettingsReader.java
@@ -2,128 +2,69 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Function;
-import net.sourceforge.argparse4j.ArgumentParsers;
-import net.sourceforge.argparse4j.helper.HelpScreenException;
-import net.sourceforge.argparse4j.impl.Arguments;
-import net.sourceforge.argparse4j.inf.ArgumentParser;
-import net.sourceforge.argparse4j.inf.ArgumentParserException;
-import net.sourceforge.argparse4j.inf.Namespace;
-import org.turmericspan.errors.ResultCode;
-import org.turmericspan.ids.AvailabilityZoneId;
-import org.turmericspan.ids.SocketAddress;
-import org.turmericspan.ids.VmId;
 
-/** Reads settings from flags and environment variables. A flag goes before its variable. */
+/** Reads and checks settings from the command line and the environment. A flag goes before its variable. */
 final class SettingsReader {
-    private static final int MAX_THREADS = 64;
-    private static final int MIN_KEY_LENGTH = 16;
-    private static final String CHECK_FLAG = "check";
+    private static final List<Setting> LISTENING =
+            List.of(Setting.CALLER_ADDRESS, Setting.OPERATOR_ADDRESS, Setting.PEER_ADDRESS);
 
     private final Map<String, String> environment;
-    private final List<String> faults = new ArrayList<>();
-    private final Map<Setting, String> values = new EnumMap<>(Setting.class);
 
     SettingsReader(Map<String, String> environment) {
         this.environment = environment;
     }
 
-    NodeSettings read(String... arguments) {
-        Namespace flags = parse(arguments);
+    /**
+     * Reads and checks all settings.
+     *
+     * @param commandLine the parsed command line
+     * @return checked settings
+     * @throws InvalidSettingsException with every fault found
+     */
+    NodeSettings read(CommandLine commandLine) {
+        List<SettingFault> faults = new ArrayList<>();
+        Map<Setting, Object> values = new EnumMap<>(Setting.class);
         for (Setting setting : Setting.values()) {
-            values.put(setting, value(setting, flags));
+            readOne(setting, commandLine, values, faults);
         }
-        NodeSettings settings = new NodeSettings(
-                take(Setting.VM, VmId::new),
-                take(Setting.AVAILABILITY_ZONE, AvailabilityZoneId::new),
-                take(Setting.CALLER_ADDRESS, SocketAddress::parse),
-                take(Setting.OPERATOR_ADDRESS, SocketAddress::parse),
-                take(Setting.PEER_ADDRESS, SocketAddress::parse),
-                take(Setting.PLATFORM_ADDRESS, SocketAddress::parse),
-                take(Setting.DEPLOYMENT_KEY, SettingsReader::parseKey),
-                threads());
+        requireDistinctAddresses(values, faults);
+        commandLine.unknown().forEach(argument -> faults.add(SettingFault.unknownArgument(argument)));
         if (!faults.isEmpty()) {
-            faults.forEach(System.err::println);
-            throw new StopException(Main.usageExitCode());
+            throw new InvalidSettingsException(faults);
         }
-        if (flags.getBoolean(CHECK_FLAG)) {
-            System.out.println("The settings are valid.");
-            throw new StopException(0);
-        }
-        return settings;
+        return NodeSettings.of(new SettingValues(values));
     }
 
-    private static Namespace parse(String... arguments) {
-        ArgumentParser parser = ArgumentParsers.newFor("turmericspan")
-                .build()
-                .defaultHelp(false)
-                .description("A load balancer for servers whose load shifts in milliseconds.");
-        for (Setting setting : Setting.values()) {
-            parser.addArgument(setting.flag())
-                    .dest(setting.destination())
-                    .help(setting.description() + " (default: "
-                            + (setting.defaultValue().isEmpty() ? "none" : setting.defaultValue()) + ", variable "
-                            + setting.environmentVariable() + ")");
+    private void readOne(
+            Setting setting, CommandLine commandLine, Map<Setting, Object> values, List<SettingFault> faults) {
+        String text = text(setting, commandLine);
+        if (text.isEmpty()) {
+            faults.add(SettingFault.missing(setting));
+            return;
         }
-        parser.addArgument("--" + CHECK_FLAG).action(Arguments.storeTrue()).help("check the settings and exit");
-        try {
-            return parser.parseArgs(arguments);
-        } catch (HelpScreenException e) {
-            throw new StopException(0);
-        } catch (ArgumentParserException e) {
-            parser.handleError(e);
-            throw new StopException(Main.usageExitCode());
-        }
-    }
-
-    private String value(Setting setting, Namespace flags) {
-        String flag = flags.getString(setting.destination());
-        return flag != null ? flag : environment.getOrDefault(setting.environmentVariable(), setting.defaultValue());
-    }
-
-    private <T> T take(Setting setting, Function<String, T> parse) {
         try {
-            return parse.apply(values.get(setting));
+            values.put(setting, setting.type().parse().apply(text));
         } catch (IllegalArgumentException e) {
-            faults.add(ResultCode.INVALID_SETTING.number() + " " + setting.flag() + " is '" + values.get(setting)
-                    + "': " + e.getMessage());
-            return null;
-        }
-    }
-
-    private int threads() {
-        Integer threads = take(Setting.WORKER_THREADS, SettingsReader::parseThreads);
-        return threads == null ? 1 : threads;
-    }
-
-    private static Integer parseThreads(String text) {
-        if (!text.matches("[0-9]{1,2}") || Integer.parseInt(text) < 1 || Integer.parseInt(text) > MAX_THREADS) {
-            throw new IllegalArgumentException("takes a whole number from 1 to " + MAX_THREADS);
+            faults.add(SettingFault.notAllowed(setting, text));
         }
-        return Integer.valueOf(text);
     }
 
-    private static String parseKey(String text) {
-        if (text.length() < MIN_KEY_LENGTH) {
-            throw new IllegalArgumentException("takes " + MIN_KEY_LENGTH + " characters or more");
-        }
-        return text;
+    private String text(Setting setting, CommandLine commandLine) {
+        String flag = commandLine.flags().get(setting);
+        return flag != null ? flag : environment.getOrDefault(setting.environmentVariable(), setting.defaultValue());
     }
 
-    /** Says that the process must not run, and how it exits. */
-    static final class StopException extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-
-        private final int exitCode;
-
-        StopException(int exitCode) {
-            this.exitCode = exitCode;
-        }
-
-        int exitCode() {
-            return exitCode;
+    private static void requireDistinctAddresses(Map<Setting, Object> values, List<SettingFault> faults) {
+        Map<Object, Setting> users = new HashMap<>();
+        for (Setting setting : LISTENING) {
+            Object address = values.get(setting);
+            Setting first = address == null ? null : users.putIfAbsent(address, setting);
+            if (first != null) {
+                faults.add(SettingFault.sameAddress(first, setting));
+            }
         }
     }
 }
