--- a/node/src/main/java/org/turmericspan/node/CallModule.java
+++ b/node/src/main/java/org/turmericspan/node/CallModule.java
@@ -12,12 +12,7 @@
 import org.turmericspan.ids.Epoch;
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
-import org.turmericspan.membership.ViewTable;
-import org.turmericspan.routing.HomeSets;
-import org.turmericspan.routing.LocalSlotSource;
-import org.turmericspan.routing.SlotTable;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
 /** Wires the path of a call: front end, attempts, slots, upstream client. */
@@ -25,18 +20,6 @@
 final class CallModule {
     private CallModule() {}
 
-    @Provides
-    @Singleton
-    static SlotTable slotTable(NodeIdentity identity, MonotonicClock clock) {
-        return new SlotTable(identity.incarnation(), clock);
-    }
-
-    @Provides
-    @Singleton
-    static SlotSource slotSource(SlotTable table) {
-        return new LocalSlotSource(table);
-    }
-
     @Provides
     @Singleton
     static HttpUpstreamSender upstreamSender(MonotonicClock clock) {
@@ -49,12 +32,6 @@
         return new AttemptHandler(catalog, slots, sender);
     }
 
-    @Provides
-    @Singleton
-    static Locator locator(ConfigurationTable configurations, ViewTable views) {
-        return new HomeSets(configurations::current, views::current);
-    }
-
     @Provides
     @Singleton
     static TokenIssuer tokenIssuer(NodeIdentity identity) {
--- /dev/null
+++ b/routing/src/main/java/org/turmericspan/routing/FleetMap.java
@@ -0,0 +1,101 @@
+package org.turmericspan.routing;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.turmericspan.config.Configuration;
+import org.turmericspan.config.Upstream;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.RegionId;
+import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.membership.FleetView;
+import org.turmericspan.membership.Vm;
+
+/**
+ * Who keeps what, computed once for a configuration and a view.
+ *
+ * @param configuration the configuration in force
+ * @param view the accepted view
+ * @param candidates entry VMs that may keep upstreams, by name
+ * @param keepers keeper by upstream, over all configured upstreams, so that taking some out moves no others
+ * @param inService upstreams that are in service, by service
+ */
+public record FleetMap(
+        Configuration configuration,
+        FleetView view,
+        Map<VmId, Vm> candidates,
+        Map<UpstreamId, VmId> keepers,
+        Map<ServiceId, List<Upstream>> inService) {
+    private static final RegionId NO_REGION = new RegionId("none");
+
+    /**
+     * Computes the map.
+     *
+     * @param configuration the configuration in force
+     * @param view the accepted view
+     * @return the map
+     */
+    public static FleetMap of(Configuration configuration, FleetView view) {
+        Map<VmId, Vm> candidates = new TreeMap<>();
+        Candidates.of(configuration, view).forEach(vm -> candidates.put(vm.id(), vm));
+        Map<UpstreamId, VmId> keepers = KeeperAssignment.assign(
+                configuration.upstreams().values(), candidates.values(), zone -> region(configuration, zone));
+        Map<ServiceId, List<Upstream>> inService = configuration.upstreams().values().stream()
+                .filter(upstream -> configuration.isInService(upstream.availabilityZone(), upstream.vm()))
+                .collect(Collectors.groupingBy(Upstream::service));
+        return new FleetMap(configuration, view, candidates, keepers, inService);
+    }
+
+    /**
+     * Builds a source that computes the map anew only after the configuration or the view has changed.
+     *
+     * @param configuration the configuration in force
+     * @param view the accepted view
+     * @return the source
+     */
+    public static Supplier<FleetMap> cached(Supplier<Configuration> configuration, Supplier<FleetView> view) {
+        return new Cache(configuration, view);
+    }
+
+    /**
+     * Lists the upstreams of a service that are in service.
+     *
+     * @param service the service
+     * @return the upstreams, none when the service is unknown
+     */
+    public List<Upstream> upstreamsOf(ServiceId service) {
+        return inService.getOrDefault(service, List.of());
+    }
+
+    private static RegionId region(Configuration configuration, AvailabilityZoneId zone) {
+        var found = configuration.availabilityZones().get(zone);
+        return found == null ? NO_REGION : found.region();
+    }
+
+    private static final class Cache implements Supplier<FleetMap> {
+        private final Supplier<Configuration> configuration;
+        private final Supplier<FleetView> view;
+        private volatile FleetMap last;
+
+        Cache(Supplier<Configuration> configuration, Supplier<FleetView> view) {
+            this.configuration = configuration;
+            this.view = view;
+        }
+
+        @Override
+        public FleetMap get() {
+            FleetMap current = last;
+            Configuration inForce = configuration.get();
+            FleetView accepted = view.get();
+            if (current == null || current.configuration() != inForce || current.view() != accepted) {
+                current = of(inForce, accepted);
+                last = current;
+            }
+            return current;
+        }
+    }
+}
--- a/routing/src/main/java/org/turmericspan/routing/HomeSets.java
+++ b/routing/src/main/java/org/turmericspan/routing/HomeSets.java
@@ -6,59 +6,122 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.turmericspan.calls.Located;
 import org.turmericspan.calls.Locator;
-import org.turmericspan.config.Configuration;
+import org.turmericspan.config.Service;
 import org.turmericspan.config.Upstream;
+import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.ServiceId;
-import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.ids.VmId;
-import org.turmericspan.membership.FleetView;
 import org.turmericspan.membership.Vm;
 
-/** Names the keepers of a service's upstreams, so that a call arrives where its slot is kept. */
+/**
+ * Names the keepers of a service's upstreams, so that a call arrives where its slot is kept. Each answer is in a random
+ * order in which a node comes first as often as its weight says, so that callers spread evenly. A node that has just
+ * returned starts with a small weight that rises to its full one.
+ */
 public final class HomeSets implements Locator {
     private static final Duration TIME_TO_LIVE = Duration.ofSeconds(5);
+    private static final Duration FULL_WEIGHT_AFTER = Duration.ofSeconds(20);
+    private static final int RISE_STEPS = 4;
 
-    private final Supplier<Configuration> configuration;
-    private final Supplier<FleetView> view;
+    private final Supplier<FleetMap> map;
+    private final MonotonicClock clock;
+    private final DoubleSupplier random;
+    private final Map<VmId, Long> candidateSinceNanos = new ConcurrentHashMap<>();
+    private volatile Computed computed = new Computed(null, Map.of());
 
     /**
      * Creates a locator.
      *
-     * @param configuration the configuration in force
-     * @param view the accepted view
+     * @param map who keeps what
+     * @param clock measures how long a node has been back
+     * @param random draws from 0 to 1
      */
-    public HomeSets(Supplier<Configuration> configuration, Supplier<FleetView> view) {
-        this.configuration = configuration;
-        this.view = view;
+    public HomeSets(Supplier<FleetMap> map, MonotonicClock clock, DoubleSupplier random) {
+        this.map = map;
+        this.clock = clock;
+        this.random = random;
     }
 
     @Override
     public Optional<Located> locate(ServiceId service) {
-        Configuration inForce = configuration.get();
-        if (!inForce.services().containsKey(service)) {
+        Computed current = current();
+        List<Home> homes = current.homes().get(service);
+        if (homes == null) {
             return Optional.empty();
         }
-        FleetView current = view.get();
-        List<Vm> candidates = Candidates.of(inForce, current);
-        List<Upstream> upstreams = inForce.upstreams().values().stream()
-                .filter(upstream -> upstream.service().equals(service))
-                .filter(upstream -> inForce.isInService(upstream.availabilityZone(), upstream.vm()))
-                .toList();
-        Map<UpstreamId, VmId> keepers = KeeperAssignment.assign(upstreams, candidates);
-        Map<VmId, Long> kept =
-                keepers.values().stream().collect(Collectors.groupingBy(vm -> vm, Collectors.counting()));
-        List<Located.Address> addresses = new ArrayList<>();
-        for (Vm vm : candidates) {
-            Long weight = kept.get(vm.id());
-            if (weight != null) {
-                addresses.add(new Located.Address(vm.id(), vm.callerAddress().orElseThrow(), weight.intValue()));
+        long nowNanos = clock.nowNanos();
+        List<Drawn> drawn = new ArrayList<>(homes.size());
+        for (Home home : homes) {
+            int weight = home.fullWeight() * steps(home.sinceNanos(), nowNanos);
+            double key = Math.log(1 - random.getAsDouble()) / weight;
+            drawn.add(new Drawn(
+                    key,
+                    new Located.Address(
+                            home.vm().id(), home.vm().callerAddress().orElseThrow(), weight)));
+        }
+        Collections.sort(drawn);
+        return Optional.of(new Located(drawn.stream().map(Drawn::address).toList(), TIME_TO_LIVE));
+    }
+
+    private Computed current() {
+        FleetMap now = map.get();
+        Computed current = computed;
+        if (current.source() != now) {
+            current = compute(current, now);
+            computed = current;
+        }
+        return current;
+    }
+
+    private Computed compute(Computed previous, FleetMap now) {
+        boolean isFirst =
+                previous.source() == null || previous.source().candidates().isEmpty();
+        long sinceNanos = isFirst ? clock.nowNanos() - FULL_WEIGHT_AFTER.toNanos() : clock.nowNanos();
+        candidateSinceNanos.keySet().retainAll(now.candidates().keySet());
+        now.candidates().keySet().forEach(vm -> candidateSinceNanos.putIfAbsent(vm, sinceNanos));
+        Map<ServiceId, List<Home>> homes = new TreeMap<>();
+        for (Service service : now.configuration().services().values()) {
+            homes.put(service.id(), homesOf(now, service));
+        }
+        return new Computed(now, homes);
+    }
+
+    private List<Home> homesOf(FleetMap now, Service service) {
+        Map<VmId, Integer> slots = new TreeMap<>();
+        for (Upstream upstream : now.upstreamsOf(service.id())) {
+            VmId keeper = now.keepers().get(upstream.id());
+            if (keeper != null) {
+                slots.merge(keeper, service.slotsPerUpstream(), Integer::sum);
             }
         }
-        Collections.shuffle(addresses);
-        return Optional.of(new Located(addresses, TIME_TO_LIVE));
+        if (slots.isEmpty()) {
+            now.candidates().keySet().forEach(vm -> slots.put(vm, 1));
+        }
+        List<Home> homes = new ArrayList<>();
+        slots.forEach((vm, weight) ->
+                homes.add(new Home(now.candidates().get(vm), weight, candidateSinceNanos.getOrDefault(vm, 0L))));
+        return homes;
+    }
+
+    private static int steps(long sinceNanos, long nowNanos) {
+        long risen = (nowNanos - sinceNanos) * RISE_STEPS / FULL_WEIGHT_AFTER.toNanos();
+        return (int) Math.max(1, Math.min(RISE_STEPS, risen));
+    }
+
+    private record Home(Vm vm, int fullWeight, long sinceNanos) {}
+
+    private record Computed(FleetMap source, Map<ServiceId, List<Home>> homes) {}
+
+    private record Drawn(double key, Located.Address address) implements Comparable<Drawn> {
+        @Override
+        public int compareTo(Drawn other) {
+            return Double.compare(other.key, key);
+        }
     }
 }
