Add the bench: load, witnesses and scenarios over real processes

Cause: every claim is to be one command over real processes. Ruled out: closed-loop load (a slow answer would hide the ones behind it) and single-policy runs (what else the machine does would fall on one policy). Before: none.

--- /dev/null
+++ b/bench/src/main/java/org/turmericspan/bench/Scenario.java
@@ -0,0 +1,13 @@
+package org.turmericspan.bench;
+
+/** One experiment over real processes. */
+@FunctionalInterface
+public interface Scenario {
+    /**
+     * Runs the experiment.
+     *
+     * @param settings settings of the run
+     * @return what it measured
+     */
+    Report run(BenchSettings settings);
+}
--- /dev/null
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/ControlScenario.java
@@ -0,0 +1,111 @@
+package org.turmericspan.bench.scenario;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import org.turmericspan.bench.BenchSettings;
+import org.turmericspan.bench.Bound;
+import org.turmericspan.bench.Measure;
+import org.turmericspan.bench.Measures;
+import org.turmericspan.bench.Report;
+import org.turmericspan.standins.fleet.FleetNode;
+
+/** Measures what one node spends without calls, at several sizes of the fleet. */
+final class ControlScenario {
+    private static final double LARGEST_CPU_PERCENT = 1.5;
+    private static final double LARGEST_BYTES_PER_SECOND = 18_000;
+    private static final Duration SETTLE = Duration.ofSeconds(8);
+    private static final long TICKS_PER_SECOND = 100;
+    private static final int USER_TICKS_FIELD = 11;
+    private static final double PERCENT = 100;
+    private static final int SIZES = 3;
+    private static final Duration PARK = Duration.ofMillis(100);
+
+    Report run(BenchSettings settings) {
+        Report report = new Report();
+        report.addNote("no calls; each column is one size: nodes x upstreams");
+        for (int part = 1; part <= SIZES; part++) {
+            int nodes = Math.max(2, settings.nodes() * part / SIZES);
+            int upstreams = Math.max(2, settings.upstreams() * part / SIZES);
+            measure(sized(settings, nodes, upstreams), nodes + "x" + upstreams, report);
+        }
+        return report;
+    }
+
+    private static BenchSettings sized(BenchSettings settings, int nodes, int upstreams) {
+        return new BenchSettings(
+                settings.scenario(),
+                settings.duration(),
+                settings.seed(),
+                nodes,
+                upstreams,
+                settings.policies(),
+                settings.preset(),
+                settings.out());
+    }
+
+    private static void measure(BenchSettings settings, String title, Report report) {
+        try (PolicyFleet fleet = PolicyFleet.start(settings, settings.policies().get(0))) {
+            park(SETTLE);
+            long ticksBefore = ticks(fleet);
+            double bytesBefore = peerBytes(fleet);
+            double probesBefore = fleet.fleet().witnessSum("probes");
+            double readsBefore = reads(fleet);
+            park(settings.duration());
+            double seconds = settings.duration().toSeconds();
+            double nodes = settings.nodes();
+            Measures measures = report.of(title);
+            double cpu = PERCENT * (ticks(fleet) - ticksBefore) / TICKS_PER_SECOND / seconds / nodes;
+            double bytes = (peerBytes(fleet) - bytesBefore) / seconds / nodes;
+            measures.put(Measure.CONTROL_CPU_PCT, cpu);
+            measures.put(Measure.CONTROL_BYTES_PER_S, bytes);
+            measures.put(Measure.PROBES_PER_S, (fleet.fleet().witnessSum("probes") - probesBefore) / seconds);
+            measures.put(Measure.PLATFORM_READS_PER_S, (reads(fleet) - readsBefore) / seconds);
+            report.addBound(Bound.atMost(title + ": processor, % of a core", LARGEST_CPU_PERCENT, cpu));
+            report.addBound(Bound.atMost(title + ": bytes/s to and from peers", LARGEST_BYTES_PER_SECOND, bytes));
+        }
+    }
+
+    private static long ticks(PolicyFleet fleet) {
+        return fleet.fleet().nodes().stream().mapToLong(ControlScenario::ticks).sum();
+    }
+
+    private static long ticks(FleetNode node) {
+        try {
+            String stat = Files.readString(
+                    Path.of("/proc", Long.toString(node.process().pid()), "stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            return Long.parseLong(fields[USER_TICKS_FIELD]) + Long.parseLong(fields[USER_TICKS_FIELD + 1]);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static double peerBytes(PolicyFleet fleet) {
+        return fleet.fleet().nodes().stream()
+                .mapToDouble(node -> peerBytes(fleet.fleet().http().get(node.operatorUrl() + "/v1/metrics")))
+                .sum();
+    }
+
+    private static double peerBytes(String metrics) {
+        return List.of(metrics.split("\n")).stream()
+                .filter(line -> line.startsWith("turmericspan_peer_bytes_"))
+                .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
+    private static double reads(PolicyFleet fleet) {
+        return Double.parseDouble(fleet.fleet().http().get(fleet.fleet().platformUrl() + "/control/reads"));
+    }
+
+    private static void park(Duration span) {
+        long endNanos = System.nanoTime() + span.toNanos();
+        while (System.nanoTime() < endNanos) {
+            LockSupport.parkNanos(PARK.toNanos());
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/OverheadScenario.java
@@ -0,0 +1,68 @@
+package org.turmericspan.bench.scenario;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.turmericspan.bench.BenchSettings;
+import org.turmericspan.bench.Bound;
+import org.turmericspan.bench.Measure;
+import org.turmericspan.bench.Report;
+import org.turmericspan.bench.load.Caller;
+import org.turmericspan.bench.load.LoadPlan;
+import org.turmericspan.bench.load.LoadResult;
+import org.turmericspan.bench.load.OpenLoop;
+import org.turmericspan.standins.fleet.FleetUpstream;
+
+/** Measures what a node adds to a call: the same calls made directly and through a node, in turns. */
+final class OverheadScenario {
+    private static final int ROUNDS = 4;
+    private static final double RATE_PER_SECOND = 400;
+    private static final double P50 = 50.0;
+    private static final double P99 = 99.0;
+    private static final double LARGEST_ADDED_P99_MICROS = 310;
+    private static final String DIRECT = "direct";
+    private static final String THROUGH = "keepers";
+
+    Report run(BenchSettings settings) {
+        Report report = new Report();
+        report.addNote("load " + RATE_PER_SECOND + " requests/s of no work, direct and through a node in turns");
+        try (PolicyFleet fleet = PolicyFleet.start(settings, THROUGH)) {
+            fleet.fleet().warmUpstreams();
+            fleet.warmUp(RATE_PER_SECOND, Duration.ZERO);
+            Caller direct = directCaller(fleet);
+            OpenLoop.run(plan(settings, 0), direct);
+            LoadResult directSum = new LoadResult();
+            LoadResult throughSum = new LoadResult();
+            for (int round = 0; round < ROUNDS; round++) {
+                directSum.add(OpenLoop.run(plan(settings, round), direct));
+                throughSum.add(OpenLoop.run(plan(settings, round), fleet.caller()));
+            }
+            report.of(DIRECT).put(directSum);
+            report.of(THROUGH).put(throughSum);
+            double addedP50 = throughSum.micros(P50) - directSum.micros(P50);
+            double addedP99 = throughSum.micros(P99) - directSum.micros(P99);
+            report.of(THROUGH).put(Measure.ADDED_P50_US, addedP50);
+            report.of(THROUGH).put(Measure.ADDED_P99_US, addedP99);
+            report.addBound(Bound.atMost("added at the 99th percentile, us", LARGEST_ADDED_P99_MICROS, addedP99));
+        }
+        return report;
+    }
+
+    private static LoadPlan plan(BenchSettings settings, int round) {
+        return LoadPlan.lookups(
+                PolicyFleet.SERVICE,
+                RATE_PER_SECOND,
+                settings.duration().dividedBy(2 * ROUNDS),
+                Duration.ZERO,
+                settings.seed() + round);
+    }
+
+    private static Caller directCaller(PolicyFleet fleet) {
+        List<FleetUpstream> upstreams = fleet.fleet().upstreams();
+        AtomicInteger next = new AtomicInteger();
+        return spec -> {
+            FleetUpstream upstream = upstreams.get(Math.floorMod(next.getAndIncrement(), upstreams.size()));
+            return fleet.calls().send("http://127.0.0.1:" + upstream.port(), spec, "");
+        };
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** The experiments, each in a class of its own. */
+package org.turmericspan.bench.scenario;
--- a/standins/src/main/java/org/turmericspan/standins/network/FaultProxyMain.java
+++ b/standins/src/main/java/org/turmericspan/standins/network/FaultProxyMain.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -63,10 +64,14 @@
         return new LinkFault(
                 Boolean.parseBoolean(context.queryParam("refuse")),
                 Boolean.parseBoolean(context.queryParam("silent")),
-                Duration.ofMillis(number(context, "delay_ms")),
+                delay(context),
                 (int) number(context, "bytes_per_second"));
     }
 
+    private static Duration delay(Context context) {
+        return Duration.ofMillis(number(context, "delay_ms")).plus(number(context, "delay_us"), ChronoUnit.MICROS);
+    }
+
     private static long number(Context context, String name) {
         return Optional.ofNullable(context.queryParam(name))
                 .map(Long::parseLong)
