--- /dev/null
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatSource.java
@@ -0,0 +1,55 @@
+package org.turmericspan.membership;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+import org.turmericspan.config.ConfigurationVersion;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.messages.PeerMessage;
+
+/** Writes this node's heartbeat from its tables. */
+public final class HeartbeatSource implements Supplier<PeerMessage.Heartbeat> {
+    private final NodeIdentity identity;
+    private final ConfigurationTable configurations;
+    private final ViewTable views;
+    private final LeavingNotice leaving;
+    private final IdleSlotsReport idleSlots;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates a source.
+     *
+     * @param identity who this node is
+     * @param configurations the configuration in force
+     * @param views the accepted view
+     * @param leaving whether this node is about to stop
+     * @param idleSlots slots idle at this node
+     * @param clock tells the age of the view
+     */
+    public HeartbeatSource(
+            NodeIdentity identity,
+            ConfigurationTable configurations,
+            ViewTable views,
+            LeavingNotice leaving,
+            IdleSlotsReport idleSlots,
+            MonotonicClock clock) {
+        this.identity = identity;
+        this.configurations = configurations;
+        this.views = views;
+        this.leaving = leaving;
+        this.idleSlots = idleSlots;
+        this.clock = clock;
+    }
+
+    @Override
+    public PeerMessage.Heartbeat get() {
+        ConfigurationVersion version = configurations.version();
+        return new PeerMessage.Heartbeat(
+                identity.incarnation(),
+                version.number(),
+                version.digest(),
+                views.current().revision(),
+                Duration.ofNanos(clock.nowNanos() - views.confirmedNanos()),
+                leaving.isGiven(),
+                idleSlots.read());
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/turmericspan/membership/PeerTable.java
@@ -0,0 +1,57 @@
+package org.turmericspan.membership;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.tables.LockRank;
+import org.turmericspan.tables.RankedLock;
+
+/** Table of the other nodes, filled by heartbeats. */
+public final class PeerTable implements Peers {
+    private final RankedLock lock = new RankedLock(LockRank.PEERS);
+    private final MonotonicClock clock;
+    private final Map<VmId, PeerState> peers = new TreeMap<>();
+
+    /**
+     * Creates an empty table.
+     *
+     * @param clock tells when a node was heard
+     */
+    public PeerTable(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    /**
+     * Notes a heartbeat.
+     *
+     * @param from VM of the sender
+     * @param heartbeat what it said
+     */
+    public void heard(VmId from, PeerMessage.Heartbeat heartbeat) {
+        lock.run(() -> peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos())));
+    }
+
+    /**
+     * Forgets every node that is not listed any more.
+     *
+     * @param listed VMs of the accepted view
+     */
+    public void retain(Collection<VmId> listed) {
+        lock.run(() -> peers.keySet().retainAll(listed));
+    }
+
+    @Override
+    public Optional<PeerState> find(VmId vm) {
+        return lock.compute(() -> Optional.ofNullable(peers.get(vm)));
+    }
+
+    @Override
+    public List<PeerState> all() {
+        return lock.compute(() -> List.copyOf(peers.values()));
+    }
+}
--- a/membership/src/main/java/org/turmericspan/membership/ViewTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewTable.java
@@ -1,5 +1,6 @@
 package org.turmericspan.membership;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -35,7 +36,8 @@
     }
 
     /**
-     * Returns when the platform or a peer last confirmed the view.
+     * Returns when the accepted view was last known to be the newest: the platform said so to this node or to one that
+     * told it, or every listed node held it.
      *
      * @return monotonic time
      */
@@ -43,25 +45,40 @@
         return confirmedNanos;
     }
 
-    /** Notes that the platform or a peer still holds the accepted view to be the newest. */
-    public void confirm() {
-        confirmedNanos = clock.nowNanos();
+    /**
+     * Notes that the accepted view was the newest at some time.
+     *
+     * @param atNanos monotonic time; an earlier one than known has no effect
+     */
+    public void confirm(long atNanos) {
+        lock.run(() -> confirmedNanos = Math.max(confirmedNanos, atNanos));
     }
 
     /**
-     * Offers a view. It is accepted only when its revision is higher than the accepted one's.
+     * Offers a view. It is accepted only when its revision is higher than the accepted one's; an equal one confirms.
      *
      * @param offered a view
+     * @param age time since the platform confirmed the offered view
      * @return true when it was accepted
      */
-    public boolean offer(FleetView offered) {
-        boolean accepted = lock.compute(() -> replace(offered));
+    public boolean offer(FleetView offered, Duration age) {
+        boolean accepted = lock.compute(() -> replace(offered, clock.nowNanos() - age.toNanos()));
         if (accepted) {
             listeners.forEach(listener -> listener.accept(offered));
         }
         return accepted;
     }
 
+    /**
+     * Offers a view that the platform holds now.
+     *
+     * @param offered a view
+     * @return true when it was accepted
+     */
+    public boolean offer(FleetView offered) {
+        return offer(offered, Duration.ZERO);
+    }
+
     /**
      * Adds a listener that is told of each accepted view, outside any lock.
      *
@@ -71,11 +88,11 @@
         listeners.add(listener);
     }
 
-    private boolean replace(FleetView offered) {
+    private boolean replace(FleetView offered, long atNanos) {
         if (offered.revision() < current.revision()) {
             return false;
         }
-        confirmedNanos = clock.nowNanos();
+        confirmedNanos = Math.max(confirmedNanos, atNanos);
         if (offered.revision() == current.revision()) {
             return false;
         }
--- a/node/src/main/java/org/turmericspan/node/PeerModule.java
+++ b/node/src/main/java/org/turmericspan/node/PeerModule.java
@@ -40,10 +40,10 @@
     @Provides
     @Singleton
     static PeerTraffic traffic(MetricRegistry metrics) {
-        Meter sentBytes = metrics.meter("peer.sent.bytes");
-        Meter sentMessages = metrics.meter("peer.sent.messages");
-        Meter receivedBytes = metrics.meter("peer.received.bytes");
-        Meter receivedMessages = metrics.meter("peer.received.messages");
+        Meter sentBytes = metrics.meter("peer.bytes.sent");
+        Meter sentMessages = metrics.meter("peer.messages.sent");
+        Meter receivedBytes = metrics.meter("peer.bytes.received");
+        Meter receivedMessages = metrics.meter("peer.messages.received");
         return new PeerTraffic() {
             @Override
             public void sent(int bytes) {
