--- a/calls/src/main/java/org/turmericspan/calls/CallRequest.java
+++ b/calls/src/main/java/org/turmericspan/calls/CallRequest.java
@@ -65,4 +65,49 @@
                 idempotent,
                 runToken);
     }
+
+    /**
+     * Returns the same call with another deadline.
+     *
+     * @param newDeadlineNanos monotonic time after which the caller no longer waits
+     * @return a copy with that deadline
+     */
+    public CallRequest withDeadline(long newDeadlineNanos) {
+        return new CallRequest(
+                requestId,
+                office,
+                caller,
+                service,
+                method,
+                path,
+                headers,
+                body,
+                newDeadlineNanos,
+                depth,
+                retried,
+                idempotent,
+                runToken);
+    }
+
+    /**
+     * Returns the same call marked as one that must not be repeated.
+     *
+     * @return a copy whose {@code idempotent} is false
+     */
+    public CallRequest asNonIdempotent() {
+        return new CallRequest(
+                requestId,
+                office,
+                caller,
+                service,
+                method,
+                path,
+                headers,
+                body,
+                deadlineNanos,
+                depth,
+                retried,
+                false,
+                runToken);
+    }
 }
--- a/errors/src/main/java/org/turmericspan/errors/ResultCode.java
+++ b/errors/src/main/java/org/turmericspan/errors/ResultCode.java
@@ -20,6 +20,10 @@
     RUN_TOKEN_REUSED(1008, Ran.NO, 409, "The run token was used for a different request."),
     /** The caller is not known to the office, or lacks the right for an operator call. */
     FORBIDDEN(1009, Ran.NO, 403, "The call is not permitted."),
+    /** A request with this run token was refused as not run, which is final for the token. */
+    RUN_TOKEN_SPENT(1010, Ran.NO, 409, "A request with this run token was refused and not run; stamp a new one."),
+    /** The run token names an epoch that the node has not begun. */
+    RUN_TOKEN_NOT_ISSUED(1011, Ran.UNKNOWN, 400, "The run token names an epoch that was not given out."),
     /** No upstream can take the request now. */
     NO_CAPACITY(1101, Ran.NO, 503, "No upstream has capacity."),
     /** The wait queue is full. */
@@ -46,6 +50,8 @@
     ANSWER_TOO_LARGE(1203, Ran.YES, 502, "The answer is too large."),
     /** The node that may run the request cannot be reached. */
     OWNER_UNREACHABLE(1204, Ran.UNKNOWN, 502, "The node that owns the run token cannot be reached."),
+    /** The request ran and its answer was too large to be stored for repeats. */
+    ANSWER_NOT_STORED(1205, Ran.YES, 410, "The request ran; its answer is no longer stored."),
     /** A setting is missing or out of range. */
     INVALID_SETTING(2001, Ran.NO, 500, "A setting is invalid."),
     /** The published configuration does not hold together. */
--- /dev/null
+++ b/runs/src/main/java/org/turmericspan/runs/RelayedCalls.java
@@ -0,0 +1,37 @@
+package org.turmericspan.runs;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.turmericspan.calls.CallHandler;
+import org.turmericspan.calls.CallRequest;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerHandler;
+import org.turmericspan.messages.PeerMessage;
+
+/** Handles calls that other nodes relay because this node owns their run token. */
+public final class RelayedCalls implements PeerHandler {
+    private final CallHandler owner;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates a handler.
+     *
+     * @param owner handles a call whose token this node should own, and never relays it again
+     * @param clock turns the span that remains into a deadline of this process
+     */
+    public RelayedCalls(CallHandler owner, MonotonicClock clock) {
+        this.owner = owner;
+        this.clock = clock;
+    }
+
+    @Override
+    public CompletionStage<PeerMessage> handle(VmId from, PeerMessage message) {
+        if (!(message instanceof PeerMessage.RelayCall relayed)) {
+            return CompletableFuture.completedFuture(new PeerMessage.Done());
+        }
+        CallRequest request = relayed.request();
+        return owner.handle(request.withDeadline(clock.nowNanos() + request.deadlineNanos()))
+                .thenApply(PeerMessage.RelayResult::new);
+    }
+}
--- /dev/null
+++ b/runs/src/main/java/org/turmericspan/runs/RequestDigest.java
@@ -0,0 +1,42 @@
+package org.turmericspan.runs;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import org.turmericspan.calls.CallRequest;
+
+/**
+ * Digest of a request's service, method, path and body, by which a repeat is told from another request.
+ *
+ * @param first first 64 bits
+ * @param second second 64 bits
+ * @param third third 64 bits
+ * @param fourth last 64 bits
+ */
+record RequestDigest(long first, long second, long third, long fourth) {
+    private static final String ALGORITHM = "SHA-256";
+    private static final byte SEPARATOR = 0;
+
+    static RequestDigest of(CallRequest request) {
+        MessageDigest digest = newDigest();
+        update(digest, request.service().value());
+        update(digest, request.method());
+        update(digest, request.path());
+        ByteBuffer bytes = ByteBuffer.wrap(digest.digest(request.body().bytes()));
+        return new RequestDigest(bytes.getLong(), bytes.getLong(), bytes.getLong(), bytes.getLong());
+    }
+
+    private static void update(MessageDigest digest, String text) {
+        digest.update(text.getBytes(StandardCharsets.UTF_8));
+        digest.update(SEPARATOR);
+    }
+
+    private static MessageDigest newDigest() {
+        try {
+            return MessageDigest.getInstance(ALGORITHM);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("Every Java runtime offers " + ALGORITHM, e);
+        }
+    }
+}
--- /dev/null
+++ b/runs/src/main/java/org/turmericspan/runs/RunRelay.java
@@ -0,0 +1,64 @@
+package org.turmericspan.runs;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.turmericspan.calls.CallRequest;
+import org.turmericspan.calls.CallResult;
+import org.turmericspan.errors.ResultCode;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerLinks;
+import org.turmericspan.messages.PeerMessage;
+
+/**
+ * Relays requests to the node that owns their run token. Whatever fails on the way, the outcome is unknown and never
+ * "not run": an earlier copy of the request may have reached the owner by another way.
+ */
+public final class RunRelay {
+    private static final Duration ANSWER_ALLOWANCE = Duration.ofMillis(100);
+
+    private final TokenOwners owners;
+    private final PeerLinks links;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates a relay.
+     *
+     * @param owners finds the owner of a token
+     * @param links links to the other nodes
+     * @param clock measures what remains of deadlines
+     */
+    public RunRelay(TokenOwners owners, PeerLinks links, MonotonicClock clock) {
+        this.owners = owners;
+        this.links = links;
+        this.clock = clock;
+    }
+
+    CompletionStage<CallResult> relay(CallRequest request, Incarnation owner) {
+        return owners.find(owner)
+                .map(vm -> ask(vm, request))
+                .orElseGet(() -> refused(ResultCode.OWNER_UNREACHABLE, "No node with that incarnation is known."));
+    }
+
+    private CompletionStage<CallResult> ask(VmId owner, CallRequest request) {
+        Duration remaining = Duration.ofNanos(request.deadlineNanos() - clock.nowNanos());
+        if (remaining.isNegative() || remaining.isZero()) {
+            return refused(ResultCode.DEADLINE_AFTER_SEND, "The deadline passed before the request was relayed.");
+        }
+        PeerMessage message = new PeerMessage.RelayCall(request.withDeadline(remaining.toNanos()));
+        return links.ask(owner, message, remaining.plus(ANSWER_ALLOWANCE)).thenApply(RunRelay::result);
+    }
+
+    private static CallResult result(PeerMessage answer) {
+        if (answer instanceof PeerMessage.RelayResult relayed) {
+            return relayed.result();
+        }
+        return CallResult.Refused.of(ResultCode.OWNER_UNREACHABLE, "The owner gave no answer.");
+    }
+
+    private static CompletionStage<CallResult> refused(ResultCode code, String detail) {
+        return CompletableFuture.completedFuture(CallResult.Refused.of(code, detail));
+    }
+}
