Start each run token at most once, and stop a node without cutting calls

Cause: a repeat of a non-idempotent request could run twice, and SIGTERM cut what was in flight. A refusal as not run is final for its token: freeing the token was ruled out, since a copy of the request that arrives late would then run after its caller was told that it did not. A Bloom filter remembers the refused tokens in fixed memory, and a token it mistakes is refused as not run, which is true as well. Planned stop: leave the locate answers, serve until they expire, finish the calls, exit with code 0.

--- a/front/src/main/java/org/turmericspan/front/CallerServer.java
+++ b/front/src/main/java/org/turmericspan/front/CallerServer.java
@@ -5,8 +5,11 @@
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
 import io.javalin.http.HandlerType;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.turmericspan.calls.CallHandler;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
@@ -23,6 +26,7 @@
 public final class CallerServer implements AutoCloseable {
     private static final String SERVICE_ROUTE = "/v1/services/{service}/<path>";
     private static final String SERVICE_PREFIX = "/v1/services/";
+    private static final Duration RESPONSE_WRITE_LIMIT = Duration.ofSeconds(10);
     private static final List<HandlerType> METHODS = List.of(
             HandlerType.GET,
             HandlerType.HEAD,
@@ -66,6 +70,7 @@
         server.start(address.host(), address.port());
     }
 
+    /** Stops to accept connections, lets every response in flight end, and closes the rest. */
     @Override
     public void close() {
         server.stop();
@@ -75,6 +80,7 @@
         config.startup.showJavalinBanner = false;
         config.startup.showOldJavalinVersionWarning = false;
         config.router.treatMultipleSlashesAsSingleSlash = false;
+        config.jetty.modifyServer(CallerServer::stopGracefully);
         config.http.asyncTimeout = 0;
         config.http.compressionStrategy = CompressionStrategy.NONE;
         config.routes.get("/v1/locate", this::locate);
@@ -83,6 +89,11 @@
         config.routes.exception(Exception.class, this::fail);
     }
 
+    private static void stopGracefully(Server jetty) {
+        jetty.setHandler(new GracefulHandler());
+        jetty.setStopTimeout(RESPONSE_WRITE_LIMIT.toMillis());
+    }
+
     private void locate(Context context) {
         ServiceId service = serviceParameter(context);
         Located located = locator.locate(service)
--- a/membership/src/main/java/org/turmericspan/membership/StopState.java
+++ b/membership/src/main/java/org/turmericspan/membership/StopState.java
@@ -1,8 +1,14 @@
 package org.turmericspan.membership;
 
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
 /** Whether this node is about to stop. Heartbeats and locate answers read it. It never goes back. */
 public final class StopState {
-    private volatile Phase phase = Phase.SERVING;
+    private final List<Consumer<Phase>> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.SERVING);
 
     /** How far a planned stop has come. */
     public enum Phase {
@@ -15,23 +21,33 @@
     }
 
     /**
-     * Moves on to a later phase. A step back has no effect.
+     * Moves on to a later phase and tells the listeners. A step back has no effect.
      *
      * @param next the phase that begins
      */
-    public synchronized void enter(Phase next) {
-        if (next.compareTo(phase) > 0) {
-            phase = next;
+    public void enter(Phase next) {
+        Phase before = phase.getAndAccumulate(next, (old, offered) -> offered.compareTo(old) > 0 ? offered : old);
+        if (next.compareTo(before) > 0) {
+            listeners.forEach(listener -> listener.accept(next));
         }
     }
 
+    /**
+     * Adds a listener that is told of each phase that begins.
+     *
+     * @param listener told on the thread that stops the node
+     */
+    public void addListener(Consumer<Phase> listener) {
+        listeners.add(listener);
+    }
+
     /**
      * Returns how far the stop has come.
      *
      * @return the phase
      */
     public Phase phase() {
-        return phase;
+        return phase.get();
     }
 
     /**
@@ -40,6 +56,6 @@
      * @return true from the beginning of a planned stop
      */
     public boolean isLeaving() {
-        return phase != Phase.SERVING;
+        return phase.get() != Phase.SERVING;
     }
 }
--- a/node/src/main/java/org/turmericspan/node/CallModule.java
+++ b/node/src/main/java/org/turmericspan/node/CallModule.java
@@ -2,6 +2,7 @@
 
 import dagger.Module;
 import dagger.Provides;
+import javax.inject.Named;
 import javax.inject.Singleton;
 import org.turmericspan.calls.CallHandler;
 import org.turmericspan.calls.Locator;
@@ -9,11 +10,10 @@
 import org.turmericspan.dispatch.AttemptHandler;
 import org.turmericspan.front.CallerServer;
 import org.turmericspan.front.TokenIssuer;
-import org.turmericspan.ids.Epoch;
-import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.StopState;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.routing.HomeSets;
 import org.turmericspan.routing.LocalSlotSource;
@@ -23,6 +23,9 @@
 /** Wires the path of a call: front end, attempts, slots, upstream client. */
 @Module
 final class CallModule {
+    /** Names the part of the path that sends attempts, behind the gate for run tokens. */
+    static final String ATTEMPTS = "attempts";
+
     private CallModule() {}
 
     @Provides
@@ -45,36 +48,27 @@
 
     @Provides
     @Singleton
-    static CallHandler callHandler(ConfiguredCatalog catalog, SlotSource slots, HttpUpstreamSender sender) {
+    @Named(ATTEMPTS)
+    static CallHandler attempts(ConfiguredCatalog catalog, SlotSource slots, HttpUpstreamSender sender) {
         return new AttemptHandler(catalog, slots, sender);
     }
 
     @Provides
     @Singleton
-    static Locator locator(ConfigurationTable configurations, ViewTable views) {
-        return new HomeSets(configurations::current, views::current);
-    }
-
-    @Provides
-    @Singleton
-    static TokenIssuer tokenIssuer(NodeIdentity identity) {
-        return new TokenIssuer() {
-            @Override
-            public Incarnation incarnation() {
-                return identity.incarnation();
-            }
-
-            @Override
-            public Epoch epoch() {
-                return new Epoch(0);
-            }
-        };
+    static Locator locator(
+            NodeIdentity identity, ConfigurationTable configurations, ViewTable views, StopState stopState) {
+        Locator homeSets = new HomeSets(configurations::current, views::current);
+        return new StoppingLocator(homeSets, identity.vm(), stopState);
     }
 
     @Provides
     @Singleton
     static CallerServer callerServer(
-            CallHandler handler, Locator locator, TokenIssuer issuer, ConfiguredCatalog catalog, MonotonicClock clock) {
+            InFlightCalls handler,
+            Locator locator,
+            TokenIssuer issuer,
+            ConfiguredCatalog catalog,
+            MonotonicClock clock) {
         return new CallerServer(handler, locator, issuer, catalog, clock);
     }
 }
--- a/node/src/main/java/org/turmericspan/node/Main.java
+++ b/node/src/main/java/org/turmericspan/node/Main.java
@@ -27,17 +27,16 @@
     }
 
     private static void run(NodeSettings settings) throws InterruptedException {
-        CountDownLatch stopped = new CountDownLatch(1);
         Node node = DaggerNodeComponent.builder().settings(settings).build().node();
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            node.close();
-                            stopped.countDown();
-                        },
-                        "stop"));
         node.start();
-        stopped.await();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
+        new CountDownLatch(1).await();
+    }
+
+    /** Ends the process with code 0, where a plain return would leave the code of the signal. */
+    private static void stop(Node node) {
+        node.close();
+        Runtime.getRuntime().halt(0);
     }
 
     static int usageExitCode() {
--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -31,6 +31,7 @@
     private final PlatformFeed configurationFeed;
     private final PlatformFeed viewFeed;
     private final KeptUpstreams keptUpstreams;
+    private final PlannedStop plannedStop;
 
     @Inject
     Node(
@@ -43,6 +44,7 @@
             ConfigurationTable configurations,
             ViewTable views,
             KeptUpstreams keptUpstreams,
+            PlannedStop plannedStop,
             RandomGenerator random) {
         this.settings = settings;
         this.workers = workers;
@@ -51,6 +53,7 @@
         this.callers = callers;
         this.operators = operators;
         this.keptUpstreams = keptUpstreams;
+        this.plannedStop = plannedStop;
         ConfigurationReader reader = new ConfigurationReader();
         VmListParser parser = new VmListParser();
         this.configurationFeed = new PlatformFeed(
@@ -67,9 +70,11 @@
         logger.atInfo().log("node: %s serves callers on %s", settings.vm(), settings.callerAddress());
     }
 
+    /** Stops the node as planned: it cuts off no request in flight unless the limit of the stop passes. */
     @Override
     public void close() {
         logger.atInfo().log("node: %s stops", settings.vm());
+        plannedStop.run().join();
         callers.close();
         configurationFeed.close();
         viewFeed.close();
@@ -77,5 +82,6 @@
         platform.close();
         upstreams.close();
         workers.close();
+        logger.atInfo().log("node: %s has stopped", settings.vm());
     }
 }
--- a/node/src/main/java/org/turmericspan/node/NodeComponent.java
+++ b/node/src/main/java/org/turmericspan/node/NodeComponent.java
@@ -6,7 +6,7 @@
 
 /** Dagger component that builds a node from its settings. */
 @Singleton
-@Component(modules = {CoreModule.class, CallModule.class, StateModule.class})
+@Component(modules = {CoreModule.class, CallModule.class, RunModule.class, StateModule.class})
 interface NodeComponent {
     /**
      * Returns the node.
--- a/routing/src/main/java/org/turmericspan/routing/HomeSets.java
+++ b/routing/src/main/java/org/turmericspan/routing/HomeSets.java
@@ -20,7 +20,8 @@
 
 /** Names the keepers of a service's upstreams, so that a call arrives where its slot is kept. */
 public final class HomeSets implements Locator {
-    private static final Duration TIME_TO_LIVE = Duration.ofSeconds(5);
+    /** How long callers may keep an answer. */
+    public static final Duration TIME_TO_LIVE = Duration.ofSeconds(5);
 
     private final Supplier<Configuration> configuration;
     private final Supplier<FleetView> view;
--- a/runs/src/main/java/org/turmericspan/runs/RunLimits.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunLimits.java
@@ -8,7 +8,7 @@
  * @param epochLength how long one epoch's tokens are given out
  * @param liveEpochs number of epochs, the current one among them, whose tokens are valid
  * @param maxEntries runs remembered at most
- * @param maxBytes bytes of stored answers beyond which no new run begins
+ * @param maxBytes bytes of stored answers beyond which no new run begins and no further answer is stored
  */
 public record RunLimits(Duration epochLength, int liveEpochs, int maxEntries, long maxBytes) {
     /** Checks the ranges. */
--- a/runs/src/main/java/org/turmericspan/runs/RunTable.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunTable.java
@@ -144,8 +144,8 @@
     }
 
     private void store(EpochRuns epoch, Run run, CallResult result) {
-        long bytes = bytes(result);
-        if (storedBytes + bytes <= limits.maxBytes()) {
+        if (storedBytes < limits.maxBytes()) {
+            long bytes = bytes(result);
             epoch.storedBytes += bytes;
             storedBytes += bytes;
             return;
--- /dev/null
+++ b/runs/src/test/java/org/turmericspan/runs/RefusedTokenFilterTest.java
@@ -0,0 +1,39 @@
+package org.turmericspan.runs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.CallerId;
+import org.turmericspan.ids.Epoch;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.RunToken;
+
+final class RefusedTokenFilterTest {
+    private static final int TOKENS = 20_000;
+
+    private final Random random = new Random(5);
+
+    @Test
+    void everyAddedTokenIsFoundAndFewOthersAre() {
+        RefusedTokenFilter filter = new RefusedTokenFilter();
+        int foundBefore = 0;
+        for (int i = 0; i < TOKENS; i++) {
+            RunToken token = draw();
+            foundBefore += filter.mayContain(token) ? 1 : 0;
+            filter.add(token);
+            assertThat(filter.mayContain(token)).isTrue();
+        }
+        assertThat(foundBefore).isLessThan(TOKENS / 1000);
+    }
+
+    @Test
+    void emptyFilterContainsNothing() {
+        assertThat(new RefusedTokenFilter().mayContain(draw())).isFalse();
+    }
+
+    private RunToken draw() {
+        String nonce = String.format("%016x%016x", random.nextLong(), random.nextLong());
+        return new RunToken(new Incarnation(7), new Epoch(0), new CallerId("mari"), nonce);
+    }
+}
--- /dev/null
+++ b/runs/src/test/java/org/turmericspan/runs/RunTableTest.java
@@ -0,0 +1,139 @@
+package org.turmericspan.runs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.calls.CallResult;
+import org.turmericspan.calls.Payload;
+import org.turmericspan.errors.ResultCode;
+import org.turmericspan.ids.CallerId;
+import org.turmericspan.ids.Epoch;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.OfficeId;
+import org.turmericspan.ids.RunToken;
+import org.turmericspan.testkit.ManualClock;
+
+final class RunTableTest {
+    private static final OfficeId OFFICE = new OfficeId("pressroom");
+    private static final RequestDigest DIGEST = new RequestDigest(1, 2, 3, 4);
+    private static final CallResult ANSWER = new CallResult.Answered(200, List.of(), Payload.wrap(new byte[1000]));
+    private static final CallResult NOT_RUN = CallResult.Refused.of(ResultCode.SHED_BY_UPSTREAM, "");
+    private static final CallResult UNKNOWN = CallResult.Refused.of(ResultCode.OUTCOME_UNKNOWN, "");
+
+    private final ManualClock clock = new ManualClock();
+    private final RunTable table = new RunTable(new RunLimits(Duration.ofSeconds(10), 3, 2, 1500), clock);
+
+    @Test
+    void firstRequestOfATokenIsStarted() {
+        assertThat(admit(token(1))).isInstanceOf(RunDecision.Start.class);
+    }
+
+    @Test
+    void repeatInFlightJoinsTheRun() {
+        Run run = start(token(1));
+        RunDecision.Repeat repeat = (RunDecision.Repeat) admit(token(1));
+        assertThat(repeat.outcome()).isSameAs(run.outcome());
+    }
+
+    @Test
+    void repeatAfterTheOutcomeGetsIt() {
+        finish(start(token(1)), UNKNOWN);
+        RunDecision.Repeat repeat = (RunDecision.Repeat) admit(token(1));
+        assertThat(repeat.outcome().toCompletableFuture()).isCompletedWithValue(UNKNOWN);
+    }
+
+    @Test
+    void tokenOfARefusedRequestIsSpent() {
+        finish(start(token(1)), NOT_RUN);
+        assertThat(admit(token(1))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_SPENT));
+        assertThat(table.counts().stored()).isZero();
+    }
+
+    @Test
+    void tokenWithAnotherRequestIsRefused() {
+        start(token(1));
+        assertThat(table.admit(token(1), OFFICE, new RequestDigest(1, 2, 3, 5)))
+                .isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_REUSED));
+    }
+
+    @Test
+    void tokenFromAnotherOfficeIsRefused() {
+        start(token(1));
+        assertThat(table.admit(token(1), new OfficeId("workshop"), DIGEST))
+                .isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER));
+    }
+
+    @Test
+    void fullTableRefusesAndTheTokenStaysRefusedWhenThereIsRoomAgain() {
+        start(token(1));
+        Run second = start(token(2));
+        assertThat(admit(token(3))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TABLE_FULL));
+        finish(second, NOT_RUN);
+        assertThat(admit(token(3))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_SPENT));
+        assertThat(admit(token(4))).isInstanceOf(RunDecision.Start.class);
+    }
+
+    @Test
+    void tableFullOfBytesRefusesNewRunsAndStoresNoFurtherAnswer() {
+        RunTable wide = new RunTable(new RunLimits(Duration.ofSeconds(10), 3, 9, 1500), clock);
+        Run second = ((RunDecision.Start) wide.admit(token(2), OFFICE, DIGEST)).run();
+        wide.finish(((RunDecision.Start) wide.admit(token(1), OFFICE, DIGEST)).run(), ANSWER);
+        assertThat(wide.admit(token(3), OFFICE, DIGEST)).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TABLE_FULL));
+        wide.finish(second, ANSWER);
+        RunDecision.Repeat repeat = (RunDecision.Repeat) wide.admit(token(2), OFFICE, DIGEST);
+        assertThat(repeat.outcome().toCompletableFuture().join())
+                .isEqualTo(CallResult.Refused.of(ResultCode.ANSWER_NOT_STORED, ""));
+        assertThat(wide.counts().storedBytes()).isBetween(1500L, 1600L);
+    }
+
+    @Test
+    void tokenOfALiveEpochIsNeverForgotten() {
+        finish(start(token(1)), UNKNOWN);
+        clock.advance(Duration.ofSeconds(29));
+        assertThat(admit(token(1))).isInstanceOf(RunDecision.Repeat.class);
+    }
+
+    @Test
+    void tokenOfAnExpiredEpochHasAnUnknownOutcome() {
+        start(token(1));
+        clock.advance(Duration.ofSeconds(30));
+        assertThat(admit(token(1))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_EXPIRED));
+        RunCounts counts = table.counts();
+        assertThat(counts.inFlight() + counts.stored()).isZero();
+        assertThat(counts.oldestEpoch()).isEqualTo(new Epoch(1));
+    }
+
+    @Test
+    void outcomeOfAnExpiredRunIsDropped() {
+        Run run = start(token(1));
+        clock.advance(Duration.ofSeconds(30));
+        table.counts();
+        finish(run, ANSWER);
+        assertThat(table.counts().storedBytes()).isZero();
+    }
+
+    @Test
+    void tokenOfAFutureEpochIsRefused() {
+        RunToken forged = new RunToken(new Incarnation(7), new Epoch(1), new CallerId("mari"), "0".repeat(32));
+        assertThat(admit(forged)).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_NOT_ISSUED));
+    }
+
+    private RunDecision admit(RunToken token) {
+        return table.admit(token, OFFICE, DIGEST);
+    }
+
+    private Run start(RunToken token) {
+        return ((RunDecision.Start) admit(token)).run();
+    }
+
+    private void finish(Run run, CallResult result) {
+        table.finish(run, result);
+        run.outcome().complete(result);
+    }
+
+    private static RunToken token(int number) {
+        return new RunToken(new Incarnation(7), new Epoch(0), new CallerId("mari"), String.format("%032x", number));
+    }
+}
