Refuse answers that may be short or another request's, and send each attempt once

Cause: an answer that ends with its connection looked whole; two colleagues may use the same request id; OkHttp follows 503 with Retry-After: 0 by sending the request again on its own, also when its retries are off. Ruled out: dropping Retry-After from such answers, which the caller needs.

--- a/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamServer.java
+++ b/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamServer.java
@@ -26,6 +26,7 @@
 final class UpstreamServer {
     private static final String HOST = "127.0.0.1";
     private static final String REQUEST_ID = "Turmericspan-Request-Id";
+    private static final String ATTEMPT_ID = "Turmericspan-Attempt-Id";
     private static final String POISON = "poison";
     private static final int STATUS_UNAVAILABLE = 503;
     private static final int TIMER_THREADS = 2;
@@ -104,6 +105,8 @@
         UpstreamModel model = models.get(context.req().getLocalPort());
         String body = context.body();
         String requestId = Optional.ofNullable(context.header(REQUEST_ID)).orElse("none");
+        context.header(REQUEST_ID, requestId);
+        Optional.ofNullable(context.header(ATTEMPT_ID)).ifPresent(id -> context.header(ATTEMPT_ID, id));
         Duration work = Duration.ofMillis(number(context, "work_ms", 0));
         int size = (int) number(context, "size", 0);
         if (body.contains(POISON)) {
@@ -120,7 +123,6 @@
         }
         context.future(() -> finished.thenRun(() -> {
             describe(context, model);
-            context.header(REQUEST_ID, requestId);
             context.result(answer(requestId, size));
         }));
     }
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
 import okhttp3.Callback;
@@ -31,13 +32,22 @@
 final class HttpExchange implements UpstreamExchange, Callback {
     private static final CallResult.Answered NO_ANSWER = new CallResult.Answered(0, List.of(), Payload.EMPTY);
     private static final int STATUS_UNAVAILABLE = 503;
-    private static final Set<String> HOP_HEADERS =
-            Set.of("connection", "transfer-encoding", "content-length", "keep-alive", "host", "te", "upgrade");
+    private static final Set<String> HOP_HEADERS = Set.of(
+            "connection",
+            "transfer-encoding",
+            "content-length",
+            "keep-alive",
+            "host",
+            "te",
+            "upgrade",
+            "accept-encoding");
     private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
     private final MonotonicClock clock;
     private final SendProof proof;
     private final String requestId;
+    private final String attemptId =
+            Long.toHexString(ThreadLocalRandom.current().nextLong());
     private final long deadlineNanos;
     private final int answerLimitBytes;
     private final CompletableFuture<UpstreamReply> reply = new CompletableFuture<>();
@@ -96,13 +106,15 @@
     private Request encode(SlotLease lease, CallRequest request, long remainingNanos) {
         Request.Builder builder = new Request.Builder()
                 .url("http://" + lease.address() + request.path())
-                .tag(SendProof.class, proof);
+                .tag(SendProof.class, proof)
+                .header(UpstreamHeaders.ACCEPT_ENCODING, UpstreamHeaders.IDENTITY);
         for (Header header : request.headers()) {
             if (!HOP_HEADERS.contains(header.name().toLowerCase(Locale.ROOT))) {
                 builder.addHeader(header.name(), header.value());
             }
         }
         builder.header(UpstreamHeaders.REQUEST_ID, requestId)
+                .header(UpstreamHeaders.ATTEMPT_ID, attemptId)
                 .header(UpstreamHeaders.DEADLINE_MS, Long.toString(TimeUnit.NANOSECONDS.toMillis(remainingNanos)))
                 .header(UpstreamHeaders.DEPTH, Integer.toString(request.depth() + 1));
         if (request.retried()) {
@@ -115,15 +127,15 @@
 
     private void read(Response response) throws IOException {
         UpstreamSignals signals = UpstreamHeaders.signals(response);
+        if (!AnswerCheck.belongsTo(response, requestId, attemptId) || !AnswerCheck.showsItsEnd(response)) {
+            finish(UpstreamReply.Kind.BROKEN, signals);
+            return;
+        }
         boolean refused = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
         if (refused && response.code() == STATUS_UNAVAILABLE) {
             finish(UpstreamReply.Kind.SHED, signals);
             return;
         }
-        if (!requestId.equals(response.header(UpstreamHeaders.REQUEST_ID))) {
-            finish(UpstreamReply.Kind.BROKEN, signals);
-            return;
-        }
         ResponseBody body = response.body();
         BufferedSource source = body.source();
         if (source.request(answerLimitBytes + 1L)) {
@@ -141,8 +153,11 @@
     private static List<Header> headers(Response response) {
         List<Header> headers = new ArrayList<>();
         response.headers().forEach(pair -> {
-            if (!HOP_HEADERS.contains(pair.getFirst().toLowerCase(Locale.ROOT))) {
-                headers.add(new Header(pair.getFirst(), pair.getSecond()));
+            String name = pair.getFirst();
+            if (name.equalsIgnoreCase(UpstreamHeaders.HELD_RETRY_AFTER)) {
+                headers.add(new Header(UpstreamHeaders.RETRY_AFTER, pair.getSecond()));
+            } else if (!HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+                headers.add(new Header(name, pair.getSecond()));
             }
         });
         return headers;
--- a/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
@@ -29,6 +29,9 @@
     }
 
     private void beforeFirstByte() throws IOException {
+        if (sent) {
+            throw new IOException("An attempt is sent once");
+        }
         if (!lease.isValid()) {
             throw new LeaseVoidException();
         }
@@ -41,7 +44,10 @@
         private static final long serialVersionUID = 1L;
     }
 
-    /** Runs on the connection that will carry the attempt. */
+    /**
+     * Runs on the connection that will carry the attempt. It holds the field {@code Retry-After} of an answer back from
+     * the client library, which would send the request again on its own when the field says 0.
+     */
     static final class Interceptor implements okhttp3.Interceptor {
         @Override
         public Response intercept(Chain chain) throws IOException {
@@ -49,7 +55,18 @@
             if (proof != null) {
                 proof.beforeFirstByte();
             }
-            return chain.proceed(chain.request());
+            return holdRetryAfter(chain.proceed(chain.request()));
+        }
+
+        private static Response holdRetryAfter(Response response) {
+            String value = response.header(UpstreamHeaders.RETRY_AFTER);
+            if (value == null) {
+                return response;
+            }
+            return response.newBuilder()
+                    .removeHeader(UpstreamHeaders.RETRY_AFTER)
+                    .header(UpstreamHeaders.HELD_RETRY_AFTER, value)
+                    .build();
         }
     }
 }
--- a/upstream/src/main/java/org/turmericspan/upstream/UpstreamHeaders.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/UpstreamHeaders.java
@@ -8,6 +8,7 @@
 /** Header fields through which an upstream speaks of itself. */
 final class UpstreamHeaders {
     static final String REQUEST_ID = "Turmericspan-Request-Id";
+    static final String ATTEMPT_ID = "Turmericspan-Attempt-Id";
     static final String DEADLINE_MS = "Turmericspan-Deadline-Ms";
     static final String DEPTH = "Turmericspan-Depth";
     static final String RETRIED = "Turmericspan-Retried";
@@ -17,6 +18,10 @@
     static final String INCARNATION = "Turmericspan-Incarnation";
     static final String NOT_RUN = "Turmericspan-Not-Run";
     static final String YES = "1";
+    static final String RETRY_AFTER = "Retry-After";
+    static final String HELD_RETRY_AFTER = "Turmericspan-Held-Retry-After";
+    static final String ACCEPT_ENCODING = "Accept-Encoding";
+    static final String IDENTITY = "identity";
 
     private UpstreamHeaders() {}
 
