--- a/routing/src/main/java/org/turmericspan/routing/HomeSets.java
+++ b/routing/src/main/java/org/turmericspan/routing/HomeSets.java
@@ -25,7 +25,9 @@
  * returned starts with a small weight that rises to its full one.
  */
 public final class HomeSets implements Locator {
-    private static final Duration TIME_TO_LIVE = Duration.ofSeconds(5);
+    /** How long callers may keep an answer. */
+    public static final Duration TIME_TO_LIVE = Duration.ofSeconds(5);
+
     private static final Duration FULL_WEIGHT_AFTER = Duration.ofSeconds(20);
     private static final int RISE_STEPS = 4;
 
