Check configurations strictly and load directories of YAML

Cause: wrong types were read as text, duplicate keys and unknown root fields passed, and only JSON could be read. Ruled out: a schema library beside the checks, which would state each range twice. Before: {"kind": "Service", "name": 7} was accepted. After: refused with object and field; deep nesting, aliases, duplicate keys, two upstreams at one address and two rules for one path are faults; faults are bounded in number. Conclusion: a set is accepted whole or refused with every fault.

--- a/config/src/main/java/org/turmericspan/config/ConfigurationAssembler.java
+++ b/config/src/main/java/org/turmericspan/config/ConfigurationAssembler.java
@@ -1,10 +1,12 @@
 package org.turmericspan.config;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.RegionId;
@@ -22,6 +24,7 @@
     private static final int MAX_PROBES_PER_SECOND = 10_000;
     private static final int MAX_QUEUE = 100_000;
     private static final int MAX_DEADLINE_MILLIS = 600_000;
+    private static final int MAX_PREFIX_LENGTH = 200;
     private static final int MAX_PERCENT = 100;
     private static final int MAX_BUFFER_BYTES = 16 * 1024 * 1024;
     private static final int DEFAULT_SLOTS = 3;
@@ -33,40 +36,47 @@
     private static final int DEFAULT_RETRY_PERCENT = 10;
     private static final int DEFAULT_BUFFER_BYTES = 1024 * 1024;
 
-    private final List<Fault> faults;
+    private final FaultCollector faults;
     private final Map<AvailabilityZoneId, AvailabilityZone> zones = new LinkedHashMap<>();
     private final Map<ServiceId, Service> services = new LinkedHashMap<>();
     private final Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
     private final Map<RuleId, Rule> rules = new LinkedHashMap<>();
     private final Map<VmId, Boolean> vms = new LinkedHashMap<>();
+    private final Map<Object, String> claims = new HashMap<>();
     private final List<Runnable> references = new ArrayList<>();
 
-    ConfigurationAssembler(List<Fault> faults) {
+    ConfigurationAssembler(FaultCollector faults) {
         this.faults = faults;
     }
 
     Configuration assemble(ConfigurationVersion version, String document, List<ObjectSource> objects) {
         objects.forEach(this::read);
         references.forEach(Runnable::run);
-        if (!faults.isEmpty()) {
-            throw new InvalidConfigurationException(faults);
+        if (faults.count() > 0) {
+            throw new InvalidConfigurationException(faults.toList());
         }
         Set<VmId> out = new HashSet<>(vms.keySet());
         out.removeIf(vms::get);
         return new Configuration(version, document, zones, services, upstreams, List.copyOf(rules.values()), out);
     }
 
-    private void read(ObjectSource object) {
+    FieldReader read(ObjectSource object) {
         FieldReader reader = new FieldReader(object, faults);
-        int faultsBefore = faults.size();
-        switch (reader.kind()) {
-            case "AvailabilityZone" -> readZone(reader, faultsBefore);
-            case "Service" -> readService(reader, faultsBefore);
-            case "Upstream" -> readUpstream(reader, faultsBefore);
-            case "Rule" -> readRule(reader, faultsBefore);
-            case "Vm" -> readVm(reader, faultsBefore);
-            default -> reader.fault("kind", "takes AvailabilityZone, Service, Upstream, Rule or Vm");
+        int faultsBefore = faults.count();
+        Optional<ObjectKind> kind = ObjectKind.of(reader.kind());
+        if (kind.isEmpty()) {
+            reader.fault("kind", "takes one of " + ObjectKind.allTitles());
+            return reader;
         }
+        switch (kind.get()) {
+            case AVAILABILITY_ZONE -> readZone(reader, faultsBefore);
+            case SERVICE -> readService(reader, faultsBefore);
+            case UPSTREAM -> readUpstream(reader, faultsBefore);
+            case RULE -> readRule(reader, faultsBefore);
+            case VM -> readVm(reader, faultsBefore);
+            default -> throw new IllegalStateException("Every kind is read");
+        }
+        return reader;
     }
 
     private void readZone(FieldReader reader, int faultsBefore) {
@@ -74,7 +84,7 @@
         RegionId region = reader.required("region", RegionId::new);
         Boolean inService = readState(reader);
         reader.rejectUnknownFields();
-        if (faults.size() == faultsBefore) {
+        if (faults.count() == faultsBefore) {
             put(zones, id, new AvailabilityZone(id, region, inService), reader);
         }
     }
@@ -85,7 +95,7 @@
         Service service = new Service(
                 id,
                 slots,
-                reader.number("cold_requests", 1, 1, slots),
+                reader.number("cold_requests", 1, 1, MAX_SLOTS),
                 reader.number("extra_depth", 1, 0, MAX_SLOTS),
                 reader.number("ramp_successes", DEFAULT_RAMP_SUCCESSES, 1, MAX_SLOTS),
                 reader.number("probes_per_second", DEFAULT_PROBES_PER_SECOND, 0, MAX_PROBES_PER_SECOND),
@@ -95,11 +105,14 @@
                 reader.number("retry_percent", DEFAULT_RETRY_PERCENT, 0, MAX_PERCENT),
                 reader.number("body_limit_bytes", DEFAULT_BUFFER_BYTES, 0, MAX_BUFFER_BYTES),
                 reader.number("answer_limit_bytes", DEFAULT_BUFFER_BYTES, 1, MAX_BUFFER_BYTES));
+        if (service.coldRequests() > slots) {
+            reader.fault("cold_requests", "must not exceed slots_per_upstream");
+        }
         if (service.defaultDeadline().compareTo(service.longestLease()) > 0) {
             reader.fault("default_deadline_ms", "must not exceed longest_lease_ms");
         }
         reader.rejectUnknownFields();
-        if (faults.size() == faultsBefore) {
+        if (faults.count() == faultsBefore) {
             put(services, id, service, reader);
         }
     }
@@ -111,10 +124,11 @@
         SocketAddress address = reader.required("address", SocketAddress::parse);
         VmId vm = reader.optional("vm", id == null ? null : new VmId(id.value()), VmId::new);
         reader.rejectUnknownFields();
-        if (faults.size() == faultsBefore) {
+        if (faults.count() == faultsBefore) {
             put(upstreams, id, new Upstream(id, service, zone, vm, address), reader);
             refer(reader, "service", services, service);
             refer(reader, "availability_zone", zones, zone);
+            claim(reader, "address", address);
         }
     }
 
@@ -126,9 +140,10 @@
         boolean idempotent = reader.flag("idempotent", false);
         boolean tokenRequired = reader.flag("token_required", true);
         reader.rejectUnknownFields();
-        if (faults.size() == faultsBefore) {
+        if (faults.count() == faultsBefore) {
             put(rules, id, new Rule(id, service, method, prefix, idempotent, tokenRequired), reader);
             refer(reader, "service", services, service);
+            claim(reader, "path_prefix", service + " " + method + " " + prefix);
         }
     }
 
@@ -136,7 +151,7 @@
         VmId id = reader.name(VmId::new);
         Boolean inService = readState(reader);
         reader.rejectUnknownFields();
-        if (faults.size() == faultsBefore) {
+        if (faults.count() == faultsBefore) {
             put(vms, id, inService, reader);
         }
     }
@@ -160,8 +175,9 @@
     }
 
     private static String parsePrefix(String text) {
-        if (!text.startsWith("/")) {
-            throw new IllegalArgumentException("takes a path that begins with a slash");
+        if (!text.matches("/[A-Za-z0-9/_.~:@!$&'()*+,=-]{0," + MAX_PREFIX_LENGTH + "}")) {
+            throw new IllegalArgumentException(
+                    "takes a path that begins with a slash, of unescaped path characters, up to " + MAX_PREFIX_LENGTH);
         }
         return text;
     }
@@ -172,6 +188,14 @@
         }
     }
 
+    /** Lets one object alone hold a value that must be unique in the whole set. */
+    private void claim(FieldReader reader, String field, Object value) {
+        String holder = claims.putIfAbsent(value, reader.title());
+        if (holder != null) {
+            reader.fault(field, "is taken by " + holder);
+        }
+    }
+
     private <K> void refer(FieldReader reader, String field, Map<K, ?> targets, K target) {
         references.add(() -> {
             if (!targets.containsKey(target)) {
--- a/config/src/main/java/org/turmericspan/config/ConfigurationReader.java
+++ b/config/src/main/java/org/turmericspan/config/ConfigurationReader.java
@@ -1,23 +1,24 @@
 package org.turmericspan.config;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HexFormat;
+import java.util.Iterator;
 import java.util.List;
 
-/** Reads a published document and checks it as one piece. */
+/** Reads a published document or a set of objects, and checks it as one piece. Nothing is accepted in part. */
 public final class ConfigurationReader {
     /** Largest document the platform holds, in bytes. */
-    public static final int MAX_DOCUMENT_BYTES = 1024 * 1024;
+    public static final int MAX_DOCUMENT_BYTES = DocumentParser.MAX_DOCUMENT_BYTES;
 
     private static final String DOCUMENT = "document";
+    private static final String VERSION_FIELD = "version";
+    private static final String OBJECTS_FIELD = "objects";
 
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final DocumentParser parser = new DocumentParser();
 
     /**
      * Reads a document as {@code turmericspanctl bundle} writes it.
@@ -27,22 +28,55 @@
      * @throws InvalidConfigurationException with every fault found
      */
     public Configuration read(String document) {
-        List<Fault> faults = new ArrayList<>();
-        if (document.getBytes(StandardCharsets.UTF_8).length > MAX_DOCUMENT_BYTES) {
-            throw invalid("is larger than " + MAX_DOCUMENT_BYTES + " bytes");
+        ObjectSet set = objects(document);
+        return check(set, document);
+    }
+
+    /**
+     * Reads the objects of a document without checking them.
+     *
+     * @param document JSON with the fields {@code version} and {@code objects}
+     * @return the objects
+     * @throws InvalidConfigurationException when the document has another form
+     */
+    public ObjectSet objects(String document) {
+        if (document.length() > MAX_DOCUMENT_BYTES
+                || document.getBytes(StandardCharsets.UTF_8).length > MAX_DOCUMENT_BYTES) {
+            throw invalid("", "is larger than " + MAX_DOCUMENT_BYTES + " bytes");
         }
         JsonNode root = parse(document);
-        long number = root.path("version").asLong(0);
-        if (number < 1) {
-            throw invalid("version takes a whole number from 1");
+        Iterator<String> names = root.fieldNames();
+        while (names.hasNext()) {
+            String name = names.next();
+            if (!name.equals(VERSION_FIELD) && !name.equals(OBJECTS_FIELD)) {
+                throw invalid("", "has a field other than version and objects");
+            }
+        }
+        JsonNode version = root.path(VERSION_FIELD);
+        if (!version.isIntegralNumber() || !version.canConvertToLong() || version.longValue() < 1) {
+            throw invalid(VERSION_FIELD, "takes a whole number from 1");
         }
-        if (!root.path("objects").isArray()) {
-            throw invalid("objects takes a list");
+        if (!root.path(OBJECTS_FIELD).isArray()) {
+            throw invalid(OBJECTS_FIELD, "takes a list");
         }
         List<ObjectSource> objects = new ArrayList<>();
-        root.path("objects").forEach(node -> objects.add(new ObjectSource(DOCUMENT, node)));
-        ConfigurationVersion version = new ConfigurationVersion(number, digest(document));
-        return new ConfigurationAssembler(faults).assemble(version, document, objects);
+        root.path(OBJECTS_FIELD).forEach(node -> objects.add(new ObjectSource(DOCUMENT, node)));
+        return new ObjectSet(version.longValue(), objects, List.of());
+    }
+
+    /**
+     * Checks a set of objects as one piece.
+     *
+     * @param set the objects
+     * @param document the document that holds them
+     * @return the checked set
+     * @throws InvalidConfigurationException with every fault found
+     */
+    public Configuration check(ObjectSet set, String document) {
+        FaultCollector faults = new FaultCollector();
+        set.faults().forEach(faults::add);
+        ConfigurationVersion version = new ConfigurationVersion(set.version(), digest(document));
+        return new ConfigurationAssembler(faults).assemble(version, document, set.objects());
     }
 
     /**
@@ -62,14 +96,13 @@
 
     private JsonNode parse(String document) {
         try {
-            JsonNode root = mapper.readTree(document);
-            return root == null ? mapper.nullNode() : root;
-        } catch (JsonProcessingException e) {
-            throw invalid("is not JSON: " + e.getOriginalMessage());
+            return parser.parseJson(document);
+        } catch (IllegalArgumentException e) {
+            throw invalid("", e.getMessage());
         }
     }
 
-    private static InvalidConfigurationException invalid(String message) {
-        return new InvalidConfigurationException(List.of(new Fault(DOCUMENT, DOCUMENT, "", message)));
+    private static InvalidConfigurationException invalid(String field, String message) {
+        return new InvalidConfigurationException(List.of(new Fault(DOCUMENT, DOCUMENT, field, message)));
     }
 }
