--- a/node/src/main/java/org/turmericspan/node/SlotModule.java
+++ b/node/src/main/java/org/turmericspan/node/SlotModule.java
@@ -10,6 +10,7 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.StopState;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.routing.FleetMap;
 import org.turmericspan.routing.HomeSets;
@@ -41,7 +42,9 @@
 
     @Provides
     @Singleton
-    static Locator locator(Supplier<FleetMap> map, MonotonicClock clock) {
-        return new HomeSets(map, clock, () -> ThreadLocalRandom.current().nextDouble());
+    static Locator locator(NodeIdentity identity, Supplier<FleetMap> map, MonotonicClock clock, StopState stopState) {
+        Locator homeSets =
+                new HomeSets(map, clock, () -> ThreadLocalRandom.current().nextDouble());
+        return new StoppingLocator(homeSets, identity.vm(), stopState);
     }
 }
