Relay run tokens over the peer links

Ruled out: keeping the unlinked stand-in, which nothing needs any more. Before: mvn -B verify fails to compile node. After: mvn -B verify passes. Conclusion: relays use the Netty links.

--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -69,12 +69,6 @@
         return workers::schedule;
     }
 
-    @Provides
-    @Singleton
-    static PeerLinks peerLinks() {
-        return new UnlinkedPeers();
-    }
-
     @Provides
     @Singleton
     static TokenOwners tokenOwners() {
