--- a/node/src/main/java/org/turmericspan/node/CallModule.java
+++ b/node/src/main/java/org/turmericspan/node/CallModule.java
@@ -5,19 +5,11 @@
 import javax.inject.Named;
 import javax.inject.Singleton;
 import org.turmericspan.calls.CallHandler;
-import org.turmericspan.calls.Locator;
 import org.turmericspan.calls.SlotSource;
 import org.turmericspan.dispatch.AttemptHandler;
 import org.turmericspan.front.CallerServer;
 import org.turmericspan.front.TokenIssuer;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.membership.ConfigurationTable;
-import org.turmericspan.membership.NodeIdentity;
-import org.turmericspan.membership.StopState;
-import org.turmericspan.membership.ViewTable;
-import org.turmericspan.routing.HomeSets;
-import org.turmericspan.routing.LocalSlotSource;
-import org.turmericspan.routing.SlotTable;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
 /** Wires the path of a call: front end, attempts, slots, upstream client. */
@@ -28,18 +20,6 @@
 
     private CallModule() {}
 
-    @Provides
-    @Singleton
-    static SlotTable slotTable(NodeIdentity identity, MonotonicClock clock) {
-        return new SlotTable(identity.incarnation(), clock);
-    }
-
-    @Provides
-    @Singleton
-    static SlotSource slotSource(SlotTable table) {
-        return new LocalSlotSource(table);
-    }
-
     @Provides
     @Singleton
     static HttpUpstreamSender upstreamSender(MonotonicClock clock) {
@@ -53,19 +33,11 @@
         return new AttemptHandler(catalog, slots, sender);
     }
 
-    @Provides
-    @Singleton
-    static Locator locator(
-            NodeIdentity identity, ConfigurationTable configurations, ViewTable views, StopState stopState) {
-        Locator homeSets = new HomeSets(configurations::current, views::current);
-        return new StoppingLocator(homeSets, identity.vm(), stopState);
-    }
-
     @Provides
     @Singleton
     static CallerServer callerServer(
             InFlightCalls handler,
-            Locator locator,
+            StoppingLocator locator,
             TokenIssuer issuer,
             ConfiguredCatalog catalog,
             MonotonicClock clock) {
--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -16,6 +16,7 @@
 import javax.inject.Singleton;
 import org.turmericspan.calls.CallHandler;
 import org.turmericspan.calls.CallResult;
+import org.turmericspan.calls.Locator;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.front.StateSection;
 import org.turmericspan.front.TokenIssuer;
@@ -111,6 +112,12 @@
         return calls;
     }
 
+    @Provides
+    @Singleton
+    static StoppingLocator locator(Locator homeSets, NodeIdentity identity, StopState state) {
+        return new StoppingLocator(homeSets, identity.vm(), state);
+    }
+
     @Provides
     @Singleton
     static PlannedStop plannedStop(
