Say nothing of other copies when a request with a token is refused early; add stop and run settings

Cause: a copy refused before its token was looked up (malformed, passed deadline, unknown service at this node) was told 'ran: no' while another copy could be running.

--- a/front/src/main/java/org/turmericspan/front/CallerServer.java
+++ b/front/src/main/java/org/turmericspan/front/CallerServer.java
@@ -127,11 +127,11 @@
     }
 
     private void refuse(BalancerException failure, Context context) {
-        encoder.refuse(context, CallResult.Refused.of(failure.code(), failure.getMessage()));
+        encoder.refuseEarly(context, CallResult.Refused.of(failure.code(), failure.getMessage()));
     }
 
     private void fail(Exception failure, Context context) {
-        encoder.refuse(
+        encoder.refuseEarly(
                 context,
                 CallResult.Refused.of(ResultCode.INTERNAL, failure.getClass().getSimpleName()));
     }
--- a/front/src/main/java/org/turmericspan/front/ResultEncoder.java
+++ b/front/src/main/java/org/turmericspan/front/ResultEncoder.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.Header;
+import org.turmericspan.errors.Ran;
 
 /** Writes a result as an HTTP response. A refusal is JSON with its numbered code. */
 final class ResultEncoder {
@@ -28,14 +29,28 @@
         }
     }
 
+    /** Writes a refusal of a request that was looked up. */
     void refuse(Context context, CallResult.Refused refused) {
+        write(context, refused, refused.code().ran());
+    }
+
+    /**
+     * Writes a refusal of a request that was not looked up. When it carries a run token, another copy of it may have
+     * run, so nothing is known of whether it ran.
+     */
+    void refuseEarly(Context context, CallResult.Refused refused) {
+        boolean otherCopiesMayRun = context.header(CallerHeaders.RUN_TOKEN) != null;
+        write(context, refused, otherCopiesMayRun ? Ran.UNKNOWN : refused.code().ran());
+    }
+
+    private void write(Context context, CallResult.Refused refused, Ran ran) {
         refused.retryAfter()
                 .ifPresent(span -> context.header(CallerHeaders.RETRY_AFTER, Long.toString(wholeSeconds(span))));
         context.status(refused.code().httpStatus());
         context.contentType(JSON);
         context.result(json(new RefusalBody(
                 refused.code().number(),
-                refused.code().ran().name().toLowerCase(Locale.ROOT),
+                ran.name().toLowerCase(Locale.ROOT),
                 refused.code().sentence(),
                 refused.detail(),
                 refused.retryAfter().map(Duration::toMillis).orElse(null))));
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -1,8 +1,10 @@
 package org.turmericspan.node;
 
+import java.time.Duration;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.VmId;
+import org.turmericspan.runs.RunLimits;
 
 /**
  * Settings of a node.
@@ -15,6 +17,8 @@
  * @param platformAddress where the platform listens
  * @param deploymentKey shared key that tells this deployment's nodes from others
  * @param workerThreads threads of the worker pool
+ * @param stopLimit longest planned stop
+ * @param runLimits bounds of the table of runs
  * @param logFormat plain or json
  * @param logLevel least severe level that is logged
  */
@@ -27,8 +31,13 @@
         SocketAddress platformAddress,
         String deploymentKey,
         int workerThreads,
+        Duration stopLimit,
+        RunLimits runLimits,
         String logFormat,
         String logLevel) {
+    private static final int LIVE_EPOCHS = 10;
+    private static final int MEGABYTE_SHIFT = 20;
+
     static NodeSettings of(SettingValues values) {
         return new NodeSettings(
                 values.get(Setting.VM, VmId.class),
@@ -39,10 +48,20 @@
                 values.get(Setting.PLATFORM_ADDRESS, SocketAddress.class),
                 values.get(Setting.DEPLOYMENT_KEY, String.class),
                 values.get(Setting.WORKER_THREADS, Integer.class),
+                Duration.ofSeconds(values.get(Setting.STOP_LIMIT, Integer.class)),
+                runLimits(values),
                 values.get(Setting.LOG_FORMAT, String.class),
                 values.get(Setting.LOG_LEVEL, String.class));
     }
 
+    private static RunLimits runLimits(SettingValues values) {
+        return new RunLimits(
+                Duration.ofSeconds(values.get(Setting.RUN_EPOCH, Integer.class)),
+                LIVE_EPOCHS,
+                values.get(Setting.RUN_TABLE_ENTRIES, Integer.class),
+                (long) values.get(Setting.RUN_TABLE_SIZE, Integer.class) << MEGABYTE_SHIFT);
+    }
+
     /** Leaves the deployment key out. */
     @Override
     public String toString() {
--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -30,7 +30,6 @@
 import org.turmericspan.runs.DelayedTasks;
 import org.turmericspan.runs.RunCounts;
 import org.turmericspan.runs.RunGate;
-import org.turmericspan.runs.RunLimits;
 import org.turmericspan.runs.RunRelay;
 import org.turmericspan.runs.RunTable;
 import org.turmericspan.runs.TokenOwners;
@@ -39,8 +38,6 @@
 /** Wires run tokens and the planned stop. */
 @Module
 abstract class RunModule {
-    private static final RunLimits LIMITS = new RunLimits(Duration.ofSeconds(30), 10, 100_000, 32L << 20);
-    private static final Duration STOP_LIMIT = Duration.ofSeconds(60);
     private static final Duration SPREAD_ALLOWANCE = Duration.ofSeconds(1);
 
     private RunModule() {}
@@ -56,8 +53,8 @@
 
     @Provides
     @Singleton
-    static RunTable runTable(MonotonicClock clock, MetricRegistry metrics) {
-        RunTable table = new RunTable(LIMITS, clock);
+    static RunTable runTable(NodeSettings settings, MonotonicClock clock, MetricRegistry metrics) {
+        RunTable table = new RunTable(settings.runLimits(), clock);
         metrics.register("runs.in_flight", (Gauge<Integer>) () -> table.counts().inFlight());
         metrics.register("runs.stored", (Gauge<Integer>) () -> table.counts().stored());
         metrics.register("runs.stored_bytes", (Gauge<Long>) () -> table.counts().storedBytes());
@@ -121,9 +118,13 @@
     @Provides
     @Singleton
     static PlannedStop plannedStop(
-            StopState state, InFlightCalls calls, Set<StopStep> steps, DelayedTasks delayedTasks) {
+            NodeSettings settings,
+            StopState state,
+            InFlightCalls calls,
+            Set<StopStep> steps,
+            DelayedTasks delayedTasks) {
         return new PlannedStop(
-                state, calls, steps, delayedTasks, HomeSets.TIME_TO_LIVE.plus(SPREAD_ALLOWANCE), STOP_LIMIT);
+                state, calls, steps, delayedTasks, HomeSets.TIME_TO_LIVE.plus(SPREAD_ALLOWANCE), settings.stopLimit());
     }
 
     @Provides
--- a/node/src/main/java/org/turmericspan/node/Setting.java
+++ b/node/src/main/java/org/turmericspan/node/Setting.java
@@ -31,6 +31,30 @@
             SettingType.wholeNumber(1, Setting.MAX_THREADS, "threads"),
             "4",
             "threads of the worker pool"),
+    /** Longest planned stop. */
+    STOP_LIMIT(
+            "stop-limit",
+            SettingType.wholeNumber(Setting.MIN_STOP_LIMIT_SECONDS, Setting.MAX_STOP_LIMIT_SECONDS, "seconds"),
+            "60",
+            "longest planned stop, after which calls still in flight are cut off"),
+    /** Length of an epoch. */
+    RUN_EPOCH(
+            "run-epoch",
+            SettingType.wholeNumber(1, Setting.MAX_EPOCH_SECONDS, "seconds"),
+            "30",
+            "length of an epoch of run tokens; a token is valid for ten epochs"),
+    /** Bound on remembered runs. */
+    RUN_TABLE_ENTRIES(
+            "run-table-entries",
+            SettingType.wholeNumber(1, Setting.MAX_RUN_ENTRIES, "runs"),
+            "50000",
+            "runs remembered at a time, beyond which new non-idempotent requests are refused"),
+    /** Bound on stored answers. */
+    RUN_TABLE_SIZE(
+            "run-table-size",
+            SettingType.wholeNumber(1, Setting.MAX_RUN_MEGABYTES, "MB"),
+            "16",
+            "size of stored answers, beyond which new non-idempotent requests are refused"),
     /** Form of log lines. */
     LOG_FORMAT("log-format", SettingType.oneOf("plain", "json"), "plain", "form of the lines logged to standard error"),
     /** Least level that is logged. */
@@ -42,6 +66,11 @@
 
     private static final int MIN_KEY_LENGTH = 16;
     private static final int MAX_THREADS = 64;
+    private static final int MIN_STOP_LIMIT_SECONDS = 10;
+    private static final int MAX_STOP_LIMIT_SECONDS = 3_600;
+    private static final int MAX_EPOCH_SECONDS = 3_600;
+    private static final int MAX_RUN_ENTRIES = 10_000_000;
+    private static final int MAX_RUN_MEGABYTES = 1_024;
     private static final String VARIABLE_PREFIX = "TURMERICSPAN_";
 
     private final String flag;
--- /dev/null
+++ b/runs/src/test/java/org/turmericspan/runs/RunGateTest.java
@@ -0,0 +1,226 @@
+package org.turmericspan.runs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.calls.CallRequest;
+import org.turmericspan.calls.CallResult;
+import org.turmericspan.calls.Payload;
+import org.turmericspan.calls.ServiceCatalog;
+import org.turmericspan.calls.ServiceLimits;
+import org.turmericspan.errors.ResultCode;
+import org.turmericspan.ids.CallerId;
+import org.turmericspan.ids.Epoch;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.OfficeId;
+import org.turmericspan.ids.RequestId;
+import org.turmericspan.ids.RunToken;
+import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerLinks;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.testkit.ManualClock;
+
+final class RunGateTest {
+    private static final Incarnation OWN = new Incarnation(1);
+    private static final Incarnation OTHER = new Incarnation(2);
+    private static final Incarnation GONE = new Incarnation(3);
+    private static final CallerId MARI = new CallerId("mari");
+    private static final Duration DEADLINE = Duration.ofSeconds(2);
+    private static final CallResult ANSWER = new CallResult.Answered(200, List.of(), Payload.EMPTY);
+
+    private final ManualClock clock = new ManualClock();
+    private final List<CallRequest> started = new ArrayList<>();
+    private final CompletableFuture<CallResult> outcome = new CompletableFuture<>();
+    private final List<Runnable> timers = new ArrayList<>();
+    private final RecordingLinks links = new RecordingLinks();
+    private final RunGate gate = new RunGate(
+            OWN,
+            new OrdersNeedTokens(),
+            new RunTable(new RunLimits(Duration.ofSeconds(10), 3, 5, 5_000), clock),
+            new RunRelay(
+                    owner -> owner.equals(OTHER) ? Optional.of(new VmId("entry-01")) : Optional.empty(), links, clock),
+            request -> {
+                started.add(request);
+                return outcome;
+            },
+            clock,
+            (delay, task) -> timers.add(task));
+
+    @Test
+    void idempotentRequestPassesUntouched() {
+        CallRequest lookup = request("GET", "/stock", true, Optional.empty());
+        assertThat(gate.handle(lookup)).isSameAs(outcome);
+        assertThat(started).containsExactly(lookup);
+    }
+
+    @Test
+    void orderWithoutTokenIsRefused() {
+        assertThat(codeOf(gate.handle(request("POST", "/orders", false, Optional.empty()))))
+                .isEqualTo(ResultCode.RUN_TOKEN_MISSING);
+        assertThat(started).isEmpty();
+    }
+
+    @Test
+    void orderWithoutTokenPassesWhereARuleAllowsIt() {
+        gate.handle(request("POST", "/drafts", false, Optional.empty()));
+        assertThat(started).hasSize(1);
+    }
+
+    @Test
+    void tokenOfAnotherCallerIsRefused() {
+        RunToken token = new RunToken(OWN, new Epoch(0), new CallerId("jaan"), "0".repeat(32));
+        assertThat(codeOf(gate.handle(order(token)))).isEqualTo(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER);
+    }
+
+    @Test
+    void repeatsShareOneRunAndItsAnswer() {
+        CompletionStage<CallResult> first = gate.handle(order(token(OWN)));
+        CompletionStage<CallResult> second = gate.handle(order(token(OWN)));
+        outcome.complete(ANSWER);
+        CompletionStage<CallResult> third = gate.handle(order(token(OWN)));
+        assertThat(List.of(first, second, third)).allMatch(stage -> join(stage).equals(ANSWER));
+        assertThat(started).hasSize(1);
+    }
+
+    @Test
+    void tokenOnAnIdempotentRequestMakesItRunOnce() {
+        gate.handle(request("GET", "/stock", true, Optional.of(token(OWN))));
+        gate.handle(request("GET", "/stock", true, Optional.of(token(OWN))));
+        assertThat(started).hasSize(1).noneMatch(CallRequest::idempotent);
+    }
+
+    @Test
+    void repeatWaitsNoLongerThanItsOwnDeadline() {
+        gate.handle(order(token(OWN)));
+        CompletionStage<CallResult> repeat = gate.handle(order(token(OWN)));
+        timers.forEach(Runnable::run);
+        assertThat(codeOf(repeat)).isEqualTo(ResultCode.DEADLINE_AFTER_SEND);
+        outcome.complete(ANSWER);
+        assertThat(join(gate.handle(order(token(OWN))))).isEqualTo(ANSWER);
+    }
+
+    @Test
+    void runThatEndsWithAnExceptionHasAnUnknownOutcome() {
+        CompletionStage<CallResult> first = gate.handle(order(token(OWN)));
+        outcome.completeExceptionally(new IllegalStateException("broken"));
+        assertThat(codeOf(first)).isEqualTo(ResultCode.INTERNAL);
+        assertThat(codeOf(gate.handle(order(token(OWN))))).isEqualTo(ResultCode.INTERNAL);
+    }
+
+    @Test
+    void tokenOfAnotherNodeIsRelayedWithTheSpanThatRemains() {
+        CompletionStage<CallResult> result = gate.handle(order(token(OTHER)));
+        PeerMessage.RelayCall relayed = (PeerMessage.RelayCall) links.asked.get(0);
+        assertThat(relayed.request().deadlineNanos()).isEqualTo(DEADLINE.toNanos());
+        links.answer.complete(new PeerMessage.RelayResult(ANSWER));
+        assertThat(join(result)).isEqualTo(ANSWER);
+        assertThat(started).isEmpty();
+    }
+
+    @Test
+    void relayThatWasNotSentStillHasAnUnknownOutcome() {
+        CompletionStage<CallResult> result = gate.handle(order(token(OTHER)));
+        links.answer.complete(new PeerMessage.Unreachable(false));
+        assertThat(codeOf(result)).isEqualTo(ResultCode.OWNER_UNREACHABLE);
+        assertThat(started).isEmpty();
+    }
+
+    @Test
+    void tokenOfALifeNobodyKnowsIsNeverRun() {
+        assertThat(codeOf(gate.handle(order(token(GONE))))).isEqualTo(ResultCode.OWNER_UNREACHABLE);
+        assertThat(started).isEmpty();
+    }
+
+    @Test
+    void relayedCallOfAnotherLifeIsNotRelayedAgain() {
+        RelayedCalls relayed = new RelayedCalls(gate::handleRelayed, clock);
+        PeerMessage answer = relayed.handle(new VmId("entry-01"), new PeerMessage.RelayCall(order(token(OTHER))))
+                .toCompletableFuture()
+                .join();
+        assertThat(((PeerMessage.RelayResult) answer).result())
+                .isEqualTo(CallResult.Refused.of(ResultCode.OWNER_UNREACHABLE, "The owner has restarted."));
+        assertThat(links.asked).isEmpty();
+    }
+
+    @Test
+    void relayedCallRunsUnderADeadlineOfThisProcess() {
+        clock.advance(Duration.ofSeconds(25));
+        CallRequest request = order(token(OWN)).withDeadline(DEADLINE.toNanos());
+        new RelayedCalls(gate::handleRelayed, clock).handle(new VmId("entry-01"), new PeerMessage.RelayCall(request));
+        assertThat(started.get(0).deadlineNanos()).isEqualTo(clock.nowNanos() + DEADLINE.toNanos());
+    }
+
+    private CallRequest order(RunToken token) {
+        return request("POST", "/orders", false, Optional.of(token));
+    }
+
+    private CallRequest request(String method, String path, boolean idempotent, Optional<RunToken> token) {
+        return new CallRequest(
+                new RequestId("request-1"),
+                new OfficeId("pressroom"),
+                MARI,
+                new ServiceId("ordering"),
+                method,
+                path,
+                List.of(),
+                Payload.EMPTY,
+                clock.nowNanos() + DEADLINE.toNanos(),
+                0,
+                false,
+                idempotent,
+                token);
+    }
+
+    private static RunToken token(Incarnation incarnation) {
+        return new RunToken(incarnation, new Epoch(0), MARI, "0".repeat(32));
+    }
+
+    private static CallResult join(CompletionStage<CallResult> stage) {
+        assertThat(stage.toCompletableFuture()).isCompleted();
+        return stage.toCompletableFuture().join();
+    }
+
+    private static ResultCode codeOf(CompletionStage<CallResult> stage) {
+        return ((CallResult.Refused) join(stage)).code();
+    }
+
+    private static final class RecordingLinks implements PeerLinks {
+        private final List<PeerMessage> asked = new ArrayList<>();
+        private final CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+
+        @Override
+        public void tell(VmId peer, PeerMessage message) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public CompletionStage<PeerMessage> ask(VmId peer, PeerMessage message, Duration timeout) {
+            asked.add(message);
+            return answer;
+        }
+    }
+
+    private static final class OrdersNeedTokens implements ServiceCatalog {
+        @Override
+        public Optional<ServiceLimits> limits(ServiceId service) {
+            return Optional.empty();
+        }
+
+        @Override
+        public boolean isIdempotent(ServiceId service, String method, String path) {
+            return method.equals("GET");
+        }
+
+        @Override
+        public boolean requiresRunToken(ServiceId service, String method, String path) {
+            return path.startsWith("/orders");
+        }
+    }
+}
