--- a/node/src/main/java/org/turmericspan/node/CallModule.java
+++ b/node/src/main/java/org/turmericspan/node/CallModule.java
@@ -5,6 +5,7 @@
 import javax.inject.Named;
 import javax.inject.Singleton;
 import org.turmericspan.calls.CallHandler;
+import org.turmericspan.calls.Locator;
 import org.turmericspan.calls.SlotSource;
 import org.turmericspan.dispatch.AttemptHandler;
 import org.turmericspan.front.CallerServer;
@@ -37,7 +38,7 @@
     @Singleton
     static CallerServer callerServer(
             InFlightCalls handler,
-            StoppingLocator locator,
+            Locator locator,
             TokenIssuer issuer,
             ConfiguredCatalog catalog,
             MonotonicClock clock) {
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -17,6 +17,7 @@
  * @param platformAddress where the platform listens
  * @param deploymentKey shared key that tells this deployment's nodes from others
  * @param workerThreads threads of the worker pool
+ * @param locateTimeToLive how long callers may keep a locate answer
  * @param stopLimit longest planned stop
  * @param runLimits bounds of the table of runs
  * @param logFormat plain or json
@@ -31,6 +32,7 @@
         SocketAddress platformAddress,
         String deploymentKey,
         int workerThreads,
+        Duration locateTimeToLive,
         Duration stopLimit,
         RunLimits runLimits,
         String logFormat,
@@ -48,6 +50,7 @@
                 values.get(Setting.PLATFORM_ADDRESS, SocketAddress.class),
                 values.get(Setting.DEPLOYMENT_KEY, String.class),
                 values.get(Setting.WORKER_THREADS, Integer.class),
+                Duration.ofSeconds(values.get(Setting.LOCATE_TIME_TO_LIVE, Integer.class)),
                 Duration.ofSeconds(values.get(Setting.STOP_LIMIT, Integer.class)),
                 runLimits(values),
                 values.get(Setting.LOG_FORMAT, String.class),
--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -16,7 +16,6 @@
 import javax.inject.Singleton;
 import org.turmericspan.calls.CallHandler;
 import org.turmericspan.calls.CallResult;
-import org.turmericspan.calls.Locator;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.front.StateSection;
 import org.turmericspan.front.TokenIssuer;
@@ -26,8 +25,10 @@
 import org.turmericspan.membership.NodeIdentity;
 import org.turmericspan.membership.StopState;
 import org.turmericspan.messages.PeerLinks;
-import org.turmericspan.routing.HomeSets;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.peer.PeerHandlers;
 import org.turmericspan.runs.DelayedTasks;
+import org.turmericspan.runs.RelayedCalls;
 import org.turmericspan.runs.RunCounts;
 import org.turmericspan.runs.RunGate;
 import org.turmericspan.runs.RunRelay;
@@ -67,12 +68,6 @@
         return workers::schedule;
     }
 
-    @Provides
-    @Singleton
-    static PeerLinks peerLinks() {
-        return new UnlinkedPeers();
-    }
-
     @Provides
     @Singleton
     static TokenOwners tokenOwners() {
@@ -103,18 +98,14 @@
 
     @Provides
     @Singleton
-    static InFlightCalls inFlightCalls(RunGate gate, MetricRegistry metrics) {
+    static InFlightCalls inFlightCalls(
+            RunGate gate, PeerHandlers handlers, MonotonicClock clock, MetricRegistry metrics) {
         InFlightCalls calls = new InFlightCalls(gate);
+        handlers.register(PeerMessage.RelayCall.class, new RelayedCalls(calls.counting(gate::handleRelayed), clock));
         metrics.register("calls.in_flight", (Gauge<Integer>) calls::inFlight);
         return calls;
     }
 
-    @Provides
-    @Singleton
-    static StoppingLocator locator(Locator homeSets, NodeIdentity identity, StopState state) {
-        return new StoppingLocator(homeSets, identity.vm(), state);
-    }
-
     @Provides
     @Singleton
     static PlannedStop plannedStop(
@@ -124,7 +115,12 @@
             Set<StopStep> steps,
             DelayedTasks delayedTasks) {
         return new PlannedStop(
-                state, calls, steps, delayedTasks, HomeSets.TIME_TO_LIVE.plus(SPREAD_ALLOWANCE), settings.stopLimit());
+                state,
+                calls,
+                steps,
+                delayedTasks,
+                settings.locateTimeToLive().plus(SPREAD_ALLOWANCE),
+                settings.stopLimit());
     }
 
     @Provides
--- a/node/src/main/java/org/turmericspan/node/Setting.java
+++ b/node/src/main/java/org/turmericspan/node/Setting.java
@@ -31,6 +31,12 @@
             SettingType.wholeNumber(1, Setting.MAX_THREADS, "threads"),
             "4",
             "threads of the worker pool"),
+    /** Life of a locate answer. */
+    LOCATE_TIME_TO_LIVE(
+            "locate-ttl",
+            SettingType.wholeNumber(1, Setting.MAX_LOCATE_TTL_SECONDS, "seconds"),
+            "5",
+            "how long callers may keep a locate answer; the same on all nodes, since a stopping node serves that long"),
     /** Longest planned stop. */
     STOP_LIMIT(
             "stop-limit",
@@ -66,6 +72,7 @@
 
     private static final int MIN_KEY_LENGTH = 16;
     private static final int MAX_THREADS = 64;
+    private static final int MAX_LOCATE_TTL_SECONDS = 60;
     private static final int MIN_STOP_LIMIT_SECONDS = 10;
     private static final int MAX_STOP_LIMIT_SECONDS = 3_600;
     private static final int MAX_EPOCH_SECONDS = 3_600;
