--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -25,11 +25,12 @@
 import org.turmericspan.membership.NodeIdentity;
 import org.turmericspan.membership.StopState;
 import org.turmericspan.messages.PeerLinks;
-import org.turmericspan.routing.HomeSets;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.peer.PeerHandlers;
 import org.turmericspan.runs.DelayedTasks;
+import org.turmericspan.runs.RelayedCalls;
 import org.turmericspan.runs.RunCounts;
 import org.turmericspan.runs.RunGate;
-import org.turmericspan.runs.RunLimits;
 import org.turmericspan.runs.RunRelay;
 import org.turmericspan.runs.RunTable;
 import org.turmericspan.runs.TokenOwners;
@@ -38,8 +39,6 @@
 /** Wires run tokens and the planned stop. */
 @Module
 abstract class RunModule {
-    private static final RunLimits LIMITS = new RunLimits(Duration.ofSeconds(30), 10, 100_000, 32L << 20);
-    private static final Duration STOP_LIMIT = Duration.ofSeconds(60);
     private static final Duration SPREAD_ALLOWANCE = Duration.ofSeconds(1);
 
     private RunModule() {}
@@ -55,8 +54,8 @@
 
     @Provides
     @Singleton
-    static RunTable runTable(MonotonicClock clock, MetricRegistry metrics) {
-        RunTable table = new RunTable(LIMITS, clock);
+    static RunTable runTable(NodeSettings settings, MonotonicClock clock, MetricRegistry metrics) {
+        RunTable table = new RunTable(settings.runLimits(), clock);
         metrics.register("runs.in_flight", (Gauge<Integer>) () -> table.counts().inFlight());
         metrics.register("runs.stored", (Gauge<Integer>) () -> table.counts().stored());
         metrics.register("runs.stored_bytes", (Gauge<Long>) () -> table.counts().storedBytes());
@@ -99,8 +98,10 @@
 
     @Provides
     @Singleton
-    static InFlightCalls inFlightCalls(RunGate gate, MetricRegistry metrics) {
+    static InFlightCalls inFlightCalls(
+            RunGate gate, PeerHandlers handlers, MonotonicClock clock, MetricRegistry metrics) {
         InFlightCalls calls = new InFlightCalls(gate);
+        handlers.register(PeerMessage.RelayCall.class, new RelayedCalls(calls.counting(gate::handleRelayed), clock));
         metrics.register("calls.in_flight", (Gauge<Integer>) calls::inFlight);
         return calls;
     }
@@ -108,9 +109,18 @@
     @Provides
     @Singleton
     static PlannedStop plannedStop(
-            StopState state, InFlightCalls calls, Set<StopStep> steps, DelayedTasks delayedTasks) {
+            NodeSettings settings,
+            StopState state,
+            InFlightCalls calls,
+            Set<StopStep> steps,
+            DelayedTasks delayedTasks) {
         return new PlannedStop(
-                state, calls, steps, delayedTasks, HomeSets.TIME_TO_LIVE.plus(SPREAD_ALLOWANCE), STOP_LIMIT);
+                state,
+                calls,
+                steps,
+                delayedTasks,
+                settings.locateTimeToLive().plus(SPREAD_ALLOWANCE),
+                settings.stopLimit());
     }
 
     @Provides
