Repeat attempts within a budget, on another upstream and on idle slots only

Cause: a call whose attempt fails came back as a refusal at once, also where a second attempt was safe. What it does: a call's progress is a pure state machine (events in, actions out); a run of the call carries the actions out without holding a lock. Retries and hedges are policies chosen at wiring; a token bucket per service bounds both. A non-idempotent call is repeated only with proof that it did not run and never hedged; a result never says "not run" once any attempt may have run. Ruled out: a lock per call (policies and slots would be called under it); repeats that wait in the queue (they would add load where load is the cause). Conclusion: hedges stay off until they are measured (`--repeat-policy hedges`).

--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptHandler.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptHandler.java
@@ -5,55 +5,30 @@
 import org.turmericspan.calls.CallHandler;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
-import org.turmericspan.calls.ServiceCatalog;
-import org.turmericspan.calls.SlotDecision;
-import org.turmericspan.calls.SlotLease;
-import org.turmericspan.calls.SlotSource;
-import org.turmericspan.calls.SlotWish;
-import org.turmericspan.calls.UpstreamReply;
-import org.turmericspan.calls.UpstreamSender;
 import org.turmericspan.errors.ResultCode;
 
-/** Takes a slot, sends one attempt under it, gives the slot back and turns the reply into a result. */
+/** Makes the attempts of calls: takes a slot, sends under it, repeats where that is safe, and answers once. */
 public final class AttemptHandler implements CallHandler {
-    private final ServiceCatalog catalog;
-    private final SlotSource slots;
-    private final UpstreamSender sender;
+    private final AttemptParts parts;
+    private final RepeatPolicies policies;
 
     /**
      * Creates a handler.
      *
-     * @param catalog limits of the services
-     * @param slots grants slots
-     * @param sender sends attempts
+     * @param parts what attempts are made with
+     * @param policies decides on repeats
      */
-    public AttemptHandler(ServiceCatalog catalog, SlotSource slots, UpstreamSender sender) {
-        this.catalog = catalog;
-        this.slots = slots;
-        this.sender = sender;
+    public AttemptHandler(AttemptParts parts, RepeatPolicies policies) {
+        this.parts = parts;
+        this.policies = policies;
     }
 
     @Override
     public CompletionStage<CallResult> handle(CallRequest request) {
-        return slots.acquire(SlotWish.first(request)).thenCompose(decision -> attempt(decision, request));
-    }
-
-    private CompletionStage<CallResult> attempt(SlotDecision decision, CallRequest request) {
-        if (decision instanceof SlotDecision.Denied denied) {
-            return CompletableFuture.completedFuture(
-                    new CallResult.Refused(denied.code(), "No slot was granted.", denied.retryAfter()));
-        }
-        SlotLease lease = ((SlotDecision.Granted) decision).lease();
-        return catalog.limits(request.service())
-                .map(limits -> sender.send(lease, request, limits.answerLimitBytes())
-                        .reply()
-                        .thenApply(reply -> finish(lease, reply)))
+        return parts.catalog()
+                .limits(request.service())
+                .map(limits -> new CallRun(parts, policies, request, limits.answerLimitBytes()).start())
                 .orElseGet(() -> CompletableFuture.completedFuture(
                         CallResult.Refused.of(ResultCode.NOT_CONFIGURED, "The service has gone.")));
     }
-
-    private static CallResult finish(SlotLease lease, UpstreamReply reply) {
-        lease.release(ReplyOutcome.slotReturn(reply));
-        return ReplyOutcome.result(reply);
-    }
 }
--- /dev/null
+++ b/node/src/main/java/org/turmericspan/node/AttemptModule.java
@@ -0,0 +1,125 @@
+package org.turmericspan.node;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import dagger.Module;
+import dagger.Provides;
+import dagger.multibindings.IntoSet;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import javax.inject.Named;
+import javax.inject.Singleton;
+import org.turmericspan.calls.CallHandler;
+import org.turmericspan.calls.SlotSource;
+import org.turmericspan.config.Service;
+import org.turmericspan.dispatch.AttemptHandler;
+import org.turmericspan.dispatch.AttemptParts;
+import org.turmericspan.dispatch.DeathWatch;
+import org.turmericspan.dispatch.RepeatPolicies;
+import org.turmericspan.front.StateSection;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.membership.ConfigurationTable;
+import org.turmericspan.retry.HedgePolicy;
+import org.turmericspan.retry.LatencyTable;
+import org.turmericspan.retry.RepeatBudgetTable;
+import org.turmericspan.retry.RetryPolicy;
+import org.turmericspan.tables.Workers;
+import org.turmericspan.upstream.HttpUpstreamSender;
+
+/** Wires the attempts of calls: the client towards upstreams, retries and hedges within their budget. */
+@Module
+final class AttemptModule {
+    /** Name of the handler that makes attempts. */
+    static final String ATTEMPTS = "attempts";
+
+    private static final String NO_REPEATS = "none";
+    private static final String HEDGES = "hedges";
+    private static final double TYPICAL = 0.5;
+    private static final double HEDGE_AFTER = 0.95;
+
+    private AttemptModule() {}
+
+    @Provides
+    @Singleton
+    static HttpUpstreamSender upstreamSender(MonotonicClock clock) {
+        return new HttpUpstreamSender(clock);
+    }
+
+    @Provides
+    @Singleton
+    static RepeatBudgetTable repeatBudgets(ConfigurationTable configurations) {
+        return new RepeatBudgetTable(service -> Optional.ofNullable(
+                        configurations.current().services().get(service))
+                .map(Service::retryPercent)
+                .orElse(0));
+    }
+
+    @Provides
+    @Singleton
+    static LatencyTable latencies() {
+        return new LatencyTable();
+    }
+
+    @Provides
+    @Singleton
+    static RepeatPolicies repeatPolicies(NodeSettings settings, RepeatBudgetTable budgets, LatencyTable latencies) {
+        if (settings.repeatPolicy().equals(NO_REPEATS)) {
+            return RepeatPolicies.none();
+        }
+        HedgePolicy hedge = settings.repeatPolicy().equals(HEDGES)
+                ? HedgePolicy.slowerThan(latencies.source(HEDGE_AFTER))
+                : HedgePolicy.none();
+        return new RepeatPolicies(RetryPolicy.safe(latencies.source(TYPICAL)), hedge, budgets);
+    }
+
+    @Provides
+    @Singleton
+    @Named(ATTEMPTS)
+    static CallHandler attempts(
+            ConfiguredCatalog catalog,
+            SlotSource slots,
+            HttpUpstreamSender sender,
+            RepeatPolicies policies,
+            CallMetrics metrics,
+            Workers workers,
+            MonotonicClock clock) {
+        AttemptParts parts = new AttemptParts(
+                catalog,
+                slots,
+                sender,
+                DeathWatch.none(),
+                (delay, task) -> {
+                    ScheduledFuture<?> scheduled = workers.schedule(delay, task);
+                    return () -> scheduled.cancel(false);
+                },
+                metrics,
+                clock);
+        return new AttemptHandler(parts, policies);
+    }
+
+    @Provides
+    @Singleton
+    static CallMetrics callMetrics(MetricRegistry metrics, RepeatBudgetTable budgets, LatencyTable latencies) {
+        return new CallMetrics(metrics, budgets, latencies);
+    }
+
+    @Provides
+    @IntoSet
+    static StateSection budgets(RepeatBudgetTable table) {
+        return NamedSection.of(
+                "repeat_budgets",
+                () -> table.dump().stream().map(BudgetState::of).toList());
+    }
+
+    private record BudgetState(
+            String service,
+            long calls,
+            long repeats,
+            @JsonProperty("refused_repeats") long refusedRepeats,
+            @JsonProperty("repeats_left") double repeatsLeft) {
+        static BudgetState of(RepeatBudgetTable.BudgetState state) {
+            return new BudgetState(
+                    state.service().value(), state.calls(), state.spent(), state.refused(), state.left());
+        }
+    }
+}
--- a/node/src/main/java/org/turmericspan/node/NodeComponent.java
+++ b/node/src/main/java/org/turmericspan/node/NodeComponent.java
@@ -6,7 +6,15 @@
 
 /** Dagger component that builds a node from its settings. */
 @Singleton
-@Component(modules = {CoreModule.class, CallModule.class, SlotModule.class, RunModule.class, StateModule.class})
+@Component(
+        modules = {
+            CoreModule.class,
+            AttemptModule.class,
+            CallModule.class,
+            SlotModule.class,
+            RunModule.class,
+            StateModule.class
+        })
 interface NodeComponent {
     /**
      * Returns the node.
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -15,6 +15,7 @@
  * @param platformAddress where the platform listens
  * @param deploymentKey shared key that tells this deployment's nodes from others
  * @param workerThreads threads of the worker pool
+ * @param repeatPolicy which repeats of calls are made
  * @param logFormat plain or json
  * @param logLevel least severe level that is logged
  */
@@ -27,6 +28,7 @@
         SocketAddress platformAddress,
         String deploymentKey,
         int workerThreads,
+        String repeatPolicy,
         String logFormat,
         String logLevel) {
     static NodeSettings of(SettingValues values) {
@@ -39,6 +41,7 @@
                 values.get(Setting.PLATFORM_ADDRESS, SocketAddress.class),
                 values.get(Setting.DEPLOYMENT_KEY, String.class),
                 values.get(Setting.WORKER_THREADS, Integer.class),
+                values.get(Setting.REPEAT_POLICY, String.class),
                 values.get(Setting.LOG_FORMAT, String.class),
                 values.get(Setting.LOG_LEVEL, String.class));
     }
--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -94,7 +94,7 @@
             ConfiguredCatalog catalog,
             RunTable table,
             RunRelay relay,
-            @Named(CallModule.ATTEMPTS) CallHandler attempts,
+            @Named(AttemptModule.ATTEMPTS) CallHandler attempts,
             StopState stopState,
             MonotonicClock clock,
             DelayedTasks delayedTasks) {
--- a/node/src/main/java/org/turmericspan/node/Setting.java
+++ b/node/src/main/java/org/turmericspan/node/Setting.java
@@ -31,6 +31,12 @@
             SettingType.wholeNumber(1, Setting.MAX_THREADS, "threads"),
             "4",
             "threads of the worker pool"),
+    /** Policy on retries and hedges. */
+    REPEAT_POLICY(
+            "repeat-policy",
+            SettingType.oneOf("retries", "hedges", "none"),
+            "retries",
+            "repeats of calls within their budget: retries, retries and hedges, or none"),
     /** Form of log lines. */
     LOG_FORMAT("log-format", SettingType.oneOf("plain", "json"), "plain", "form of the lines logged to standard error"),
     /** Least level that is logged. */
--- /dev/null
+++ b/retry/src/main/java/org/turmericspan/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Decides on retries, hedges and requests suspected of crashing upstreams. */
+package org.turmericspan.retry;
