--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -20,6 +20,7 @@
  * @param locateTimeToLive how long callers may keep a locate answer
  * @param stopLimit longest planned stop
  * @param runLimits bounds of the table of runs
+ * @param repeatPolicy which repeats of calls are made
  * @param logFormat plain or json
  * @param logLevel least severe level that is logged
  */
@@ -35,6 +36,7 @@
         Duration locateTimeToLive,
         Duration stopLimit,
         RunLimits runLimits,
+        String repeatPolicy,
         String logFormat,
         String logLevel) {
     private static final int LIVE_EPOCHS = 10;
@@ -53,6 +55,7 @@
                 Duration.ofSeconds(values.get(Setting.LOCATE_TIME_TO_LIVE, Integer.class)),
                 Duration.ofSeconds(values.get(Setting.STOP_LIMIT, Integer.class)),
                 runLimits(values),
+                values.get(Setting.REPEAT_POLICY, String.class),
                 values.get(Setting.LOG_FORMAT, String.class),
                 values.get(Setting.LOG_LEVEL, String.class));
     }
--- a/node/src/main/java/org/turmericspan/node/Setting.java
+++ b/node/src/main/java/org/turmericspan/node/Setting.java
@@ -61,6 +61,12 @@
             SettingType.wholeNumber(1, Setting.MAX_RUN_MEGABYTES, "MB"),
             "16",
             "size of stored answers, beyond which new non-idempotent requests are refused"),
+    /** Policy on retries and hedges. */
+    REPEAT_POLICY(
+            "repeat-policy",
+            SettingType.oneOf("retries", "hedges", "none"),
+            "retries",
+            "repeats of calls within their budget: retries, retries and hedges, or none"),
     /** Form of log lines. */
     LOG_FORMAT("log-format", SettingType.oneOf("plain", "json"), "plain", "form of the lines logged to standard error"),
     /** Least level that is logged. */
