--- a/node/src/main/java/org/turmericspan/node/NodeComponent.java
+++ b/node/src/main/java/org/turmericspan/node/NodeComponent.java
@@ -10,6 +10,7 @@
         modules = {
             CoreModule.class,
             PeerModule.class,
+            AttemptModule.class,
             CallModule.class,
             SlotModule.class,
             RunModule.class,
