Exchange heartbeats and fetch documents from the node that is ahead

Cause: a node cut from the platform kept its old configuration, and a fresh process trusted a stale platform.

--- a/membership/src/main/java/org/turmericspan/membership/ConfigurationIntake.java
+++ b/membership/src/main/java/org/turmericspan/membership/ConfigurationIntake.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.turmericspan.config.Configuration;
 import org.turmericspan.config.ConfigurationReader;
@@ -28,6 +29,7 @@
     private final Consumer<Refusal> refusalListener;
     private final Deque<Refusal> refusals = new ArrayDeque<>();
     private Configuration held = Configuration.EMPTY;
+    private OptionalLong knownSinceNanos = OptionalLong.empty();
     private boolean open;
 
     /** What became of an offered document. */
@@ -109,6 +111,15 @@
         return heldVersion.isAfter(inForce) ? heldVersion : inForce;
     }
 
+    /**
+     * Returns when the first checked document was known.
+     *
+     * @return monotonic time, or empty before the first
+     */
+    public OptionalLong knownSinceNanos() {
+        return lock.compute(() -> knownSinceNanos);
+    }
+
     /**
      * Tells whether a document was refused.
      *
@@ -130,14 +141,9 @@
     }
 
     private Outcome take(Configuration checked, String source) {
-        boolean mayComeIntoForce = lock.compute(() -> {
-            if (!open && checked.version().isAfter(held.version())) {
-                held = checked;
-            }
-            return open;
-        });
-        if (!mayComeIntoForce) {
-            return Outcome.HELD;
+        Outcome outcome = lock.compute(() -> holdUnlessOpen(checked));
+        if (outcome != Outcome.ACCEPTED) {
+            return outcome;
         }
         if (!table.offer(checked)) {
             return Outcome.NOT_HIGHER;
@@ -148,6 +154,20 @@
         return Outcome.ACCEPTED;
     }
 
+    private Outcome holdUnlessOpen(Configuration checked) {
+        if (knownSinceNanos.isEmpty()) {
+            knownSinceNanos = OptionalLong.of(clock.nowNanos());
+        }
+        if (open) {
+            return Outcome.ACCEPTED;
+        }
+        if (!checked.version().isAfter(held.version())) {
+            return Outcome.NOT_HIGHER;
+        }
+        held = checked;
+        return Outcome.HELD;
+    }
+
     private void refuse(Refusal refusal) {
         lock.run(() -> {
             refusals.addFirst(refusal);
--- /dev/null
+++ b/membership/src/main/java/org/turmericspan/membership/DocumentFetch.java
@@ -0,0 +1,85 @@
+package org.turmericspan.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerLinks;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.tables.Workers;
+
+/**
+ * Fetches one kind of document from the peer that has the highest version of it, after a random pause that spreads the
+ * fetches of many nodes.
+ *
+ * @param <V> version of the document
+ */
+public final class DocumentFetch<V extends Comparable<? super V>> {
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(150);
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+    private final FetchPlan<V> plan = new FetchPlan<>();
+    private final Document<V> document;
+    private final PeerLinks links;
+    private final Workers workers;
+    private final RandomGenerator random;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates a fetch that does not run yet.
+     *
+     * @param document what is fetched
+     * @param links links to the peers
+     * @param workers runs the fetch
+     * @param random spreads the fetches
+     * @param clock tells how long a failing peer rests
+     */
+    public DocumentFetch(
+            Document<V> document, PeerLinks links, Workers workers, RandomGenerator random, MonotonicClock clock) {
+        this.document = document;
+        this.links = links;
+        this.workers = workers;
+        this.random = random;
+        this.clock = clock;
+    }
+
+    /** Begins a fetch when a peer has a higher version and no fetch runs. */
+    public void beginIfBehind() {
+        List<FetchPlan.Offer<V>> offers = new ArrayList<>(document.offers().get());
+        Collections.shuffle(offers, new Random(random.nextLong()));
+        plan.begin(document.current().get(), offers, clock.nowNanos())
+                .ifPresent(peer -> workers.schedule(pause(), () -> fetch(peer)));
+    }
+
+    private void fetch(VmId peer) {
+        links.ask(peer, document.question(), TIMEOUT).thenAccept(answer -> {
+            plan.end(peer, document.taker().test(peer, answer), clock.nowNanos());
+            beginIfBehind();
+        });
+    }
+
+    private Duration pause() {
+        return Duration.ofNanos(random.nextLong(LONGEST_PAUSE.toNanos()));
+    }
+
+    /**
+     * One kind of document.
+     *
+     * @param question message that asks a peer for it
+     * @param current highest version known here
+     * @param offers versions at the peers, those not worth fetching left out
+     * @param taker takes an answer of a peer and tells whether it brought a higher version; does not throw
+     * @param <V> version of the document
+     */
+    public record Document<V>(
+            PeerMessage question,
+            Supplier<V> current,
+            Supplier<List<FetchPlan.Offer<V>>> offers,
+            BiPredicate<VmId, PeerMessage> taker) {}
+}
--- a/membership/src/main/java/org/turmericspan/membership/FetchPlan.java
+++ b/membership/src/main/java/org/turmericspan/membership/FetchPlan.java
@@ -27,7 +27,7 @@
      * Chooses the peer to fetch from and marks the fetch as running.
      *
      * @param current version in force here
-     * @param offers versions in force at the peers; those not worth fetching left out
+     * @param offers versions in force at the peers, in random order; of equal ones the first is taken
      * @param nowNanos monotonic time
      * @return the peer with the highest version above the current one, or empty when there is nothing to fetch now
      */
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatSource.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatSource.java
@@ -11,7 +11,7 @@
     private final NodeIdentity identity;
     private final ConfigurationTable configurations;
     private final ViewTable views;
-    private final LeavingNotice leaving;
+    private final StopState stopState;
     private final IdleSlotsReport idleSlots;
     private final MonotonicClock clock;
 
@@ -21,7 +21,7 @@
      * @param identity who this node is
      * @param configurations the configuration in force
      * @param views the accepted view
-     * @param leaving whether this node is about to stop
+     * @param stopState whether this node is about to stop
      * @param idleSlots slots idle at this node
      * @param clock tells the age of the view
      */
@@ -29,13 +29,13 @@
             NodeIdentity identity,
             ConfigurationTable configurations,
             ViewTable views,
-            LeavingNotice leaving,
+            StopState stopState,
             IdleSlotsReport idleSlots,
             MonotonicClock clock) {
         this.identity = identity;
         this.configurations = configurations;
         this.views = views;
-        this.leaving = leaving;
+        this.stopState = stopState;
         this.idleSlots = idleSlots;
         this.clock = clock;
     }
@@ -49,7 +49,7 @@
                 version.digest(),
                 views.current().revision(),
                 Duration.ofNanos(clock.nowNanos() - views.confirmedNanos()),
-                leaving.isGiven(),
+                stopState.isLeaving(),
                 idleSlots.read());
     }
 }
--- /dev/null
+++ b/membership/src/main/java/org/turmericspan/membership/Heartbeats.java
@@ -0,0 +1,154 @@
+package org.turmericspan.membership;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerLinks;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.tables.Workers;
+
+/** Exchanges heartbeats: with one node after the other, with a few at once after a change, with all at the start. */
+public final class Heartbeats implements AutoCloseable {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration IDLE_STEP = Duration.ofMillis(200);
+    private static final int TOLD_AT_ONCE = 3;
+    private static final double LEAST_JITTER = 0.8;
+    private static final double JITTER_RANGE = 0.4;
+
+    private final Plan plan;
+    private final PeerTable peers;
+    private final PeerLinks links;
+    private final Workers workers;
+    private final RandomGenerator random;
+    private final MonotonicClock clock;
+    private final HeartbeatRotation rotation;
+    private final AtomicBoolean greeted = new AtomicBoolean();
+    private volatile Runnable listener = () -> {};
+    private volatile boolean closed;
+
+    /**
+     * Creates an exchange that does not run yet.
+     *
+     * @param plan what is exchanged with whom, and how often
+     * @param peers takes what the others say
+     * @param links links to them
+     * @param workers runs the exchange
+     * @param random spreads the exchanges
+     * @param clock tells when a node was asked
+     */
+    public Heartbeats(
+            Plan plan,
+            PeerTable peers,
+            PeerLinks links,
+            Workers workers,
+            RandomGenerator random,
+            MonotonicClock clock) {
+        this.plan = plan;
+        this.peers = peers;
+        this.links = links;
+        this.workers = workers;
+        this.random = random;
+        this.clock = clock;
+        this.rotation = new HeartbeatRotation(random);
+    }
+
+    /**
+     * Starts the exchange.
+     *
+     * @param newsListener told after each heartbeat heard and at each step, outside any lock
+     */
+    public void start(Runnable newsListener) {
+        listener = newsListener;
+        workers.schedule(IDLE_STEP, this::step);
+    }
+
+    /** Tells a few nodes of a change at once; the others follow in their turn or hear it from those. */
+    public void announce() {
+        rotation.sample(plan.members().get(), TOLD_AT_ONCE).forEach(this::exchange);
+    }
+
+    /**
+     * Handles a heartbeat of another node.
+     *
+     * @param from its VM
+     * @param message the heartbeat
+     * @return this node's own
+     */
+    public CompletionStage<PeerMessage> handle(VmId from, PeerMessage message) {
+        if (message instanceof PeerMessage.Heartbeat heartbeat) {
+            peers.heard(from, heartbeat);
+            workers.execute(listener);
+        }
+        return CompletableFuture.completedFuture(plan.source().get());
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+
+    private void step() {
+        if (closed) {
+            return;
+        }
+        try {
+            List<VmId> now = plan.members().get();
+            if (!now.isEmpty() && greeted.compareAndSet(false, true)) {
+                now.forEach(this::exchange);
+            } else {
+                rotation.next(now).ifPresent(this::exchange);
+            }
+            listener.run();
+        } catch (RuntimeException e) {
+            logger.atWarning().withCause(e).log("membership: a heartbeat failed");
+        }
+        workers.schedule(pause(), this::step);
+    }
+
+    private Duration pause() {
+        int count = plan.members().get().size();
+        Duration step =
+                count == 0 ? IDLE_STEP : plan.pace().step(count, plan.source().get());
+        return Duration.ofNanos((long) (step.toNanos() * (LEAST_JITTER + JITTER_RANGE * random.nextDouble())));
+    }
+
+    private void exchange(VmId peer) {
+        long askedNanos = clock.nowNanos();
+        links.ask(peer, plan.source().get(), TIMEOUT).thenAccept(answer -> {
+            if (answer instanceof PeerMessage.Heartbeat heartbeat) {
+                peers.answered(peer, heartbeat, askedNanos);
+                workers.execute(listener);
+            }
+        });
+    }
+
+    /**
+     * What is exchanged with whom, and how often.
+     *
+     * @param source writes this node's heartbeat
+     * @param members lists the nodes to exchange with
+     * @param pace decides the time between two exchanges
+     */
+    public record Plan(Supplier<PeerMessage.Heartbeat> source, Supplier<List<VmId>> members, Pace pace) {}
+
+    /** Decides the time between two exchanges. */
+    @FunctionalInterface
+    public interface Pace {
+        /**
+         * Computes the pause before the next exchange.
+         *
+         * @param peers number of nodes to exchange with, from 1
+         * @param heartbeat what is sent now
+         * @return time until the next exchange, before jitter
+         */
+        Duration step(int peers, PeerMessage.Heartbeat heartbeat);
+    }
+}
--- a/membership/src/main/java/org/turmericspan/membership/PeerState.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerState.java
@@ -1,6 +1,7 @@
 package org.turmericspan.membership;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.turmericspan.config.ConfigurationVersion;
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.VmId;
@@ -13,10 +14,11 @@
  * @param incarnation its life
  * @param configuration version in force there
  * @param viewRevision revision of the view accepted there
- * @param viewConfirmedNanos monotonic time here at which the platform confirmed that view
+ * @param viewConfirmedNanos monotonic time here at which that view was known to be the newest, or earlier
  * @param leaving whether it is about to stop
  * @param idleSlots slots idle there, by service
  * @param heardNanos monotonic time here at which it was last heard
+ * @param answeredNanos monotonic time here of the last question that it answered; what it said was true later than this
  */
 public record PeerState(
         VmId vm,
@@ -26,21 +28,23 @@
         long viewConfirmedNanos,
         boolean leaving,
         List<PeerMessage.IdleSlots> idleSlots,
-        long heardNanos) {
+        long heardNanos,
+        OptionalLong answeredNanos) {
     /** Copies the list. */
     public PeerState {
         idleSlots = List.copyOf(idleSlots);
     }
 
-    static PeerState of(VmId vm, PeerMessage.Heartbeat heartbeat, long nowNanos) {
+    static PeerState of(VmId vm, PeerMessage.Heartbeat heartbeat, long nowNanos, OptionalLong answeredNanos) {
         return new PeerState(
                 vm,
                 heartbeat.incarnation(),
                 new ConfigurationVersion(heartbeat.configurationNumber(), heartbeat.configurationDigest()),
                 heartbeat.viewRevision(),
-                nowNanos - heartbeat.viewAge().toNanos(),
+                answeredNanos.orElse(nowNanos) - heartbeat.viewAge().toNanos(),
                 heartbeat.leaving(),
                 heartbeat.idleSlots(),
-                nowNanos);
+                nowNanos,
+                answeredNanos);
     }
 }
--- a/membership/src/main/java/org/turmericspan/membership/PeerTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerTable.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
+import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
@@ -27,13 +29,29 @@
     }
 
     /**
-     * Notes a heartbeat.
+     * Notes a heartbeat that a node sent of itself. It may have waited in a buffer for long.
      *
      * @param from VM of the sender
      * @param heartbeat what it said
      */
     public void heard(VmId from, PeerMessage.Heartbeat heartbeat) {
-        lock.run(() -> peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos())));
+        lock.run(() -> {
+            PeerState before = peers.get(from);
+            boolean isSameLife = before != null && before.incarnation().equals(heartbeat.incarnation());
+            OptionalLong answered = isSameLife ? before.answeredNanos() : OptionalLong.empty();
+            peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), answered));
+        });
+    }
+
+    /**
+     * Notes a heartbeat that answered one of this node's own.
+     *
+     * @param from VM of the sender
+     * @param heartbeat what it said
+     * @param askedNanos monotonic time at which this node asked
+     */
+    public void answered(VmId from, PeerMessage.Heartbeat heartbeat, long askedNanos) {
+        lock.run(() -> peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), OptionalLong.of(askedNanos))));
     }
 
     /**
@@ -50,6 +68,14 @@
         return lock.compute(() -> Optional.ofNullable(peers.get(vm)));
     }
 
+    @Override
+    public Optional<VmId> findByIncarnation(Incarnation incarnation) {
+        return lock.compute(() -> peers.values().stream()
+                .filter(peer -> peer.incarnation().equals(incarnation))
+                .map(PeerState::vm)
+                .findFirst());
+    }
+
     @Override
     public List<PeerState> all() {
         return lock.compute(() -> List.copyOf(peers.values()));
--- a/membership/src/main/java/org/turmericspan/membership/Peers.java
+++ b/membership/src/main/java/org/turmericspan/membership/Peers.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.VmId;
 
 /** What the other nodes last said of themselves. It is always old by some moments; see {@link PeerState#heardNanos}. */
@@ -14,6 +15,14 @@
      */
     Optional<PeerState> find(VmId vm);
 
+    /**
+     * Looks up one node by its life.
+     *
+     * @param incarnation a life
+     * @return VM of the node that last said to be in that life, or empty when none did
+     */
+    Optional<VmId> findByIncarnation(Incarnation incarnation);
+
     /**
      * Lists the nodes heard.
      *
--- a/membership/src/main/java/org/turmericspan/membership/ViewIntake.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewIntake.java
@@ -2,13 +2,15 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import org.turmericspan.messages.PeerMessage;
 
 /** Checks every offered list of VMs, whichever way it came, and keeps the accepted one as published for the peers. */
 public final class ViewIntake {
     private final ViewReader reader;
     private final ViewTable table;
-    private volatile PeerMessage.ViewDocument document = new PeerMessage.ViewDocument(0, Optional.empty());
+    private final AtomicReference<PeerMessage.ViewDocument> document =
+            new AtomicReference<>(new PeerMessage.ViewDocument(0, Optional.empty()));
 
     /**
      * Creates an intake.
@@ -33,7 +35,9 @@
     public boolean offer(long revision, String text, Duration age) {
         boolean accepted = table.offer(reader.read(revision, text), age);
         if (accepted) {
-            keep(new PeerMessage.ViewDocument(revision, Optional.of(text)));
+            document.accumulateAndGet(
+                    new PeerMessage.ViewDocument(revision, Optional.of(text)),
+                    (kept, newer) -> newer.revision() > kept.revision() ? newer : kept);
         }
         return accepted;
     }
@@ -44,12 +48,6 @@
      * @return the list with its revision
      */
     public PeerMessage.ViewDocument document() {
-        return document;
-    }
-
-    private synchronized void keep(PeerMessage.ViewDocument newer) {
-        if (newer.revision() > document.revision()) {
-            document = newer;
-        }
+        return document.get();
     }
 }
--- /dev/null
+++ b/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
@@ -0,0 +1,104 @@
+package org.turmericspan.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.config.ConfigurationVersion;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.testkit.ManualClock;
+
+/** The peer table and the decisions that read it. */
+final class PeerTableTest {
+    private static final VmId FIRST = new VmId("entry-01");
+    private static final VmId SECOND = new VmId("entry-02");
+    private static final List<VmId> LISTED = List.of(FIRST, SECOND);
+    private static final ConfigurationVersion KNOWN = new ConfigurationVersion(4, "a");
+
+    private final ManualClock clock = new ManualClock();
+    private final PeerTable table = new PeerTable(clock);
+
+    @Test
+    void nodeIsFoundByItsPresentLifeOnly() {
+        table.heard(FIRST, heartbeat(7, 4, 1));
+        table.heard(FIRST, heartbeat(8, 4, 1));
+
+        assertThat(table.findByIncarnation(new Incarnation(8))).contains(FIRST);
+        assertThat(table.findByIncarnation(new Incarnation(7))).isEmpty();
+    }
+
+    @Test
+    void viewIsAgreedSinceTheEarliestAnswer() {
+        table.answered(FIRST, heartbeat(1, 4, 5), 100);
+        table.answered(SECOND, heartbeat(2, 4, 5), 200);
+
+        assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEqualTo(OptionalLong.of(100));
+    }
+
+    @Test
+    void viewIsNotAgreedWhileOneNodeHoldsAnother() {
+        table.answered(FIRST, heartbeat(1, 4, 5), 100);
+        table.answered(SECOND, heartbeat(2, 4, 6), 200);
+
+        assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEmpty();
+    }
+
+    @Test
+    void heartbeatThatAnsweredNothingDoesNotAgree() {
+        table.answered(FIRST, heartbeat(1, 4, 5), 100);
+        table.heard(SECOND, heartbeat(2, 4, 5));
+
+        assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEmpty();
+    }
+
+    @Test
+    void freshProcessWaitsForANodeThatHasNotAnswered() {
+        table.answered(FIRST, heartbeat(1, 4, 5), 100);
+
+        assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isFalse();
+    }
+
+    @Test
+    void freshProcessWaitsForAHigherVersionOfAPeer() {
+        table.answered(FIRST, heartbeat(1, 4, 5), 100);
+        table.answered(SECOND, heartbeat(2, 5, 5), 100);
+
+        assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isFalse();
+    }
+
+    @Test
+    void freshProcessGoesOnOnceAllHaveAnsweredAndNoneIsHigher() {
+        table.answered(FIRST, heartbeat(1, 4, 5), 100);
+        table.answered(SECOND, heartbeat(2, 0, 5), 100);
+
+        assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isTrue();
+    }
+
+    @Test
+    void freshProcessGoesOnAfterTheLimit() {
+        long sinceNanos = clock.nowNanos();
+        clock.advance(StartupWait.LIMIT);
+
+        assertThat(isWaitOver(OptionalLong.of(sinceNanos))).isTrue();
+    }
+
+    @Test
+    void freshProcessThatKnowsNothingWaits() {
+        clock.advance(Duration.ofMinutes(1));
+
+        assertThat(isWaitOver(OptionalLong.empty())).isFalse();
+    }
+
+    private boolean isWaitOver(OptionalLong knownSinceNanos) {
+        return StartupWait.isOver(KNOWN, knownSinceNanos, LISTED, table, clock.nowNanos());
+    }
+
+    private static PeerMessage.Heartbeat heartbeat(long incarnation, long configuration, long revision) {
+        return new PeerMessage.Heartbeat(
+                new Incarnation(incarnation), configuration, "a", revision, Duration.ZERO, false, List.of());
+    }
+}
--- a/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
@@ -49,7 +49,17 @@
             Duration viewAge,
             boolean leaving,
             List<IdleSlots> idleSlots)
-            implements PeerMessage {}
+            implements PeerMessage {
+        /**
+         * Leaves out what other regions have no use for.
+         *
+         * @return a copy without idle slots
+         */
+        public Heartbeat withoutIdleSlots() {
+            return new Heartbeat(
+                    incarnation, configurationNumber, configurationDigest, viewRevision, viewAge, leaving, List.of());
+        }
+    }
 
     /**
      * Slots that are idle at a keeper.
--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -1,18 +1,12 @@
 package org.turmericspan.node;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.random.RandomGenerator;
 import javax.inject.Inject;
 import javax.inject.Singleton;
-import org.turmericspan.config.ConfigurationReader;
 import org.turmericspan.front.CallerServer;
 import org.turmericspan.front.OperatorServer;
-import org.turmericspan.membership.ConfigurationTable;
-import org.turmericspan.membership.ViewTable;
 import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.platform.HttpPlatformReader;
-import org.turmericspan.platform.PlatformFeed;
-import org.turmericspan.platform.VmListParser;
 import org.turmericspan.tables.Workers;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
@@ -20,8 +14,6 @@
 @Singleton
 final class Node implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final String CONFIGURATION_KEY = "configuration";
-    private static final String VMS_KEY = "vms";
 
     private final NodeSettings settings;
     private final Workers workers;
@@ -30,8 +22,7 @@
     private final HttpUpstreamSender upstreams;
     private final CallerServer callers;
     private final OperatorServer operators;
-    private final PlatformFeed configurationFeed;
-    private final PlatformFeed viewFeed;
+    private final MembershipRunner membership;
     private final KeptUpstreams keptUpstreams;
     private final PlannedStop plannedStop;
 
@@ -44,11 +35,9 @@
             HttpUpstreamSender upstreams,
             CallerServer callers,
             OperatorServer operators,
-            ConfigurationTable configurations,
-            ViewTable views,
+            MembershipRunner membership,
             KeptUpstreams keptUpstreams,
-            PlannedStop plannedStop,
-            RandomGenerator random) {
+            PlannedStop plannedStop) {
         this.settings = settings;
         this.workers = workers;
         this.links = links;
@@ -56,20 +45,15 @@
         this.upstreams = upstreams;
         this.callers = callers;
         this.operators = operators;
+        this.membership = membership;
         this.keptUpstreams = keptUpstreams;
         this.plannedStop = plannedStop;
-        ConfigurationReader reader = new ConfigurationReader();
-        VmListParser parser = new VmListParser();
-        this.configurationFeed = new PlatformFeed(
-                CONFIGURATION_KEY, platform, value -> configurations.offer(reader.read(value.text())), workers, random);
-        this.viewFeed = new PlatformFeed(VMS_KEY, platform, value -> views.offer(parser.parse(value)), workers, random);
     }
 
     void start() {
         keptUpstreams.start();
         links.start();
-        configurationFeed.start();
-        viewFeed.start();
+        membership.start();
         operators.start(settings.operatorAddress());
         callers.start(settings.callerAddress());
         logger.atInfo().log("node: %s serves callers on %s", settings.vm(), settings.callerAddress());
@@ -81,8 +65,7 @@
         logger.atInfo().log("node: %s stops", settings.vm());
         plannedStop.run().join();
         callers.close();
-        configurationFeed.close();
-        viewFeed.close();
+        membership.close();
         operators.close();
         links.close();
         platform.close();
--- a/node/src/main/java/org/turmericspan/node/NodeComponent.java
+++ b/node/src/main/java/org/turmericspan/node/NodeComponent.java
@@ -10,6 +10,7 @@
         modules = {
             CoreModule.class,
             PeerModule.class,
+            MembershipModule.class,
             AttemptModule.class,
             CallModule.class,
             SlotModule.class,
--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -9,7 +9,6 @@
 import dagger.multibindings.Multibinds;
 import java.time.Duration;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import javax.inject.Named;
@@ -23,6 +22,7 @@
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.Peers;
 import org.turmericspan.membership.StopState;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
@@ -70,8 +70,8 @@
 
     @Provides
     @Singleton
-    static TokenOwners tokenOwners() {
-        return incarnation -> Optional.empty();
+    static TokenOwners tokenOwners(Peers peers) {
+        return peers::findByIncarnation;
     }
 
     @Provides
