Bound reads of the platform and date what they confirm

Cause: a failing or answering platform was read without a bound across keys, and an answer read late after a pause confirmed the view as new.

--- a/node/src/main/java/org/turmericspan/node/MembershipModule.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipModule.java
@@ -26,6 +26,7 @@
 import org.turmericspan.membership.ViewIntake;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.messages.PeerLinks;
+import org.turmericspan.platform.PlatformFeed;
 import org.turmericspan.platform.PlatformValue;
 import org.turmericspan.platform.VmListParser;
 import org.turmericspan.tables.Workers;
@@ -120,6 +121,14 @@
                         .toList());
     }
 
+    @Provides
+    @IntoSet
+    static StateSection platform(MembershipRunner runner) {
+        return NamedSection.of(
+                "platform",
+                () -> runner.platformStatus().stream().map(PlatformLine::of).toList());
+    }
+
     private static long millisSince(long thenNanos, long nowNanos) {
         return Duration.ofNanos(nowNanos - thenNanos).toMillis();
     }
@@ -155,4 +164,14 @@
                     millisSince(refusal.refusedNanos(), nowNanos));
         }
     }
+
+    private record PlatformLine(
+            String key,
+            boolean failing,
+            boolean regressed,
+            @JsonProperty("confirmed_age_ms") long confirmedAgeMillis) {
+        static PlatformLine of(PlatformFeed.Status status) {
+            return new PlatformLine(status.key(), status.failing(), status.regressed(), status.confirmedAgeMillis());
+        }
+    }
 }
--- a/node/src/main/java/org/turmericspan/node/MembershipRunner.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipRunner.java
@@ -19,6 +19,9 @@
 import org.turmericspan.peer.PeerHandlers;
 import org.turmericspan.platform.HttpPlatformReader;
 import org.turmericspan.platform.PlatformFeed;
+import org.turmericspan.platform.PlatformSink;
+import org.turmericspan.platform.PlatformValue;
+import org.turmericspan.platform.ReadBudget;
 import org.turmericspan.tables.Workers;
 
 /** Keeps the configuration and the view up to date while the node runs: from the platform and from the other nodes. */
@@ -83,18 +86,10 @@
                 workers,
                 random,
                 clock);
+        ReadBudget budget = new ReadBudget(clock);
         this.configurationFeed = new PlatformFeed(
-                CONFIGURATION_KEY,
-                platform,
-                value -> accepted.intake().offer(value.text(), "the platform"),
-                workers,
-                random);
-        this.viewFeed = new PlatformFeed(
-                VMS_KEY,
-                platform,
-                value -> accepted.viewIntake().offer(value.revision(), value.text(), Duration.ZERO),
-                workers,
-                random);
+                CONFIGURATION_KEY, platform, configurationSink(accepted), budget, workers, random, clock);
+        this.viewFeed = new PlatformFeed(VMS_KEY, platform, viewSink(accepted, clock), budget, workers, random, clock);
     }
 
     void start() {
@@ -118,4 +113,38 @@
         heartbeats.close();
         otherRegions.close();
     }
+
+    /** Returns the state of the watches of the platform. */
+    List<PlatformFeed.Status> platformStatus() {
+        return List.of(configurationFeed.status(), viewFeed.status());
+    }
+
+    private static PlatformSink configurationSink(Membership.Accepted accepted) {
+        return new PlatformSink() {
+            @Override
+            public void value(PlatformValue value, long askedNanos) {
+                accepted.intake().offer(value.text(), "the platform");
+            }
+
+            @Override
+            public void confirmed(long revision, long atNanos) {}
+        };
+    }
+
+    private static PlatformSink viewSink(Membership.Accepted accepted, MonotonicClock clock) {
+        return new PlatformSink() {
+            @Override
+            public void value(PlatformValue value, long askedNanos) {
+                Duration age = Duration.ofNanos(clock.nowNanos() - askedNanos);
+                accepted.viewIntake().offer(value.revision(), value.text(), age);
+            }
+
+            @Override
+            public void confirmed(long revision, long atNanos) {
+                if (revision >= accepted.views().current().revision()) {
+                    accepted.views().confirm(atNanos);
+                }
+            }
+        };
+    }
 }
