--- /dev/null
+++ b/tables/src/test/java/org/turmericspan/tables/RankedLockTest.java
@@ -0,0 +1,64 @@
+package org.turmericspan.tables;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Order of the locks. */
+final class RankedLockTest {
+    private static final Pattern ROW = Pattern.compile("^\\| `([A-Z]+)` \\|.*", Pattern.MULTILINE);
+
+    @Test
+    void laterRankMayBeTakenUnderAnEarlierOne() {
+        RankedLock view = new RankedLock(LockRank.VIEW);
+        RankedLock slots = new RankedLock(LockRank.SLOTS);
+
+        assertThat(view.<String>compute(() -> slots.compute(() -> "taken"))).isEqualTo("taken");
+    }
+
+    @Test
+    void earlierRankIsRefusedUnderALaterOne() {
+        RankedLock view = new RankedLock(LockRank.VIEW);
+        RankedLock slots = new RankedLock(LockRank.SLOTS);
+
+        assertThatThrownBy(() -> slots.run(() -> view.run(() -> {})))
+                .isInstanceOf(IllegalStateException.class)
+                .hasMessage("Lock VIEW must not be taken while SLOTS is held");
+    }
+
+    @Test
+    void sameRankIsRefused() {
+        RankedLock slots = new RankedLock(LockRank.SLOTS);
+
+        assertThatThrownBy(() -> slots.run(() -> slots.run(() -> {}))).isInstanceOf(IllegalStateException.class);
+    }
+
+    @Test
+    void lockIsFreeAgainAfterItsActionThrew() {
+        RankedLock slots = new RankedLock(LockRank.SLOTS);
+
+        assertThatThrownBy(() -> slots.run(() -> {
+                    throw new IllegalArgumentException("the action's own");
+                }))
+                .isInstanceOf(IllegalArgumentException.class);
+        assertThat(slots.<String>compute(() -> "taken")).isEqualTo("taken");
+    }
+
+    @Test
+    void designPageListsTheRanksInTheirOrder() throws IOException {
+        String page = Files.readString(Path.of(System.getProperty("turmericspan.root", ".."), "docs", "DESIGN.md"));
+        Matcher rows = ROW.matcher(page.substring(page.indexOf("## Lock order")));
+        List<String> listed = rows.results().map(row -> row.group(1)).toList();
+
+        assertThat(listed)
+                .isEqualTo(Stream.of(LockRank.values()).map(Enum::name).toList());
+    }
+}
