--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -7,7 +7,9 @@
 import org.turmericspan.front.OperatorServer;
 import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.platform.HttpPlatformReader;
+import org.turmericspan.probing.Prober;
 import org.turmericspan.tables.Workers;
+import org.turmericspan.upstream.HttpUpstreamProbe;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
 /** One running node: starts its parts in order and stops them in reverse. */
@@ -23,6 +25,8 @@
     private final CallerServer callers;
     private final OperatorServer operators;
     private final MembershipRunner membership;
+    private final Prober prober;
+    private final HttpUpstreamProbe probe;
     private final KeptUpstreams keptUpstreams;
     private final PlannedStop plannedStop;
 
@@ -36,6 +40,8 @@
             CallerServer callers,
             OperatorServer operators,
             MembershipRunner membership,
+            Prober prober,
+            HttpUpstreamProbe probe,
             KeptUpstreams keptUpstreams,
             PlannedStop plannedStop) {
         this.settings = settings;
@@ -46,6 +52,8 @@
         this.callers = callers;
         this.operators = operators;
         this.membership = membership;
+        this.prober = prober;
+        this.probe = probe;
         this.keptUpstreams = keptUpstreams;
         this.plannedStop = plannedStop;
     }
@@ -54,6 +62,7 @@
         keptUpstreams.start();
         links.start();
         membership.start();
+        prober.start(workers);
         operators.start(settings.operatorAddress());
         callers.start(settings.callerAddress());
         logger.atInfo().log("node: %s serves callers on %s", settings.vm(), settings.callerAddress());
@@ -66,6 +75,8 @@
         plannedStop.run().join();
         callers.close();
         membership.close();
+        prober.close();
+        probe.close();
         operators.close();
         links.close();
         platform.close();
--- a/node/src/main/java/org/turmericspan/node/NodeComponent.java
+++ b/node/src/main/java/org/turmericspan/node/NodeComponent.java
@@ -11,6 +11,7 @@
             CoreModule.class,
             PeerModule.class,
             MembershipModule.class,
+            ProbeModule.class,
             AttemptModule.class,
             CallModule.class,
             SlotModule.class,
