Decide on slots in one pure engine: phases, leases, guard and handover

Cause: a node granted only what it kept, without regard to cold starts, restarts, changes of keeper or pauses. Ruled out: a table that locks for each decision, since recorded traces could not be replayed through it; never lending a cold slot, since a request away from home could then wait for traffic that does not come.

--- /dev/null
+++ b/routing/src/main/java/org/turmericspan/routing/DepthRule.java
@@ -0,0 +1,29 @@
+package org.turmericspan.routing;
+
+import org.turmericspan.config.Service;
+
+/** Decides how many requests an upstream may hold at a time. */
+@FunctionalInterface
+public interface DepthRule {
+    /** A cold upstream holds what it bears, a ramping one its allowance, a warm one its slots and the extra depth. */
+    DepthRule BY_PHASE = (phase, allowance, service) -> switch (phase) {
+        case COLD -> service.coldRequests();
+        case RAMPING -> allowance;
+        case WARM -> service.slotsPerUpstream() + service.extraDepth();
+        case RESTING, LEAVING, OUT -> 0;
+    };
+
+    /** Treats every upstream that may be granted as warm. */
+    DepthRule ALWAYS_WARM =
+            (phase, allowance, service) -> phase.isGranting() ? service.slotsPerUpstream() + service.extraDepth() : 0;
+
+    /**
+     * Decides.
+     *
+     * @param phase state of the upstream
+     * @param allowance slots it has gained so far
+     * @param service limits of its service
+     * @return the limit
+     */
+    int limit(Phase phase, int allowance, Service service);
+}
--- a/routing/src/main/java/org/turmericspan/routing/FleetMap.java
+++ b/routing/src/main/java/org/turmericspan/routing/FleetMap.java
@@ -71,6 +71,16 @@
         return inService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Finds the region of an availability zone.
+     *
+     * @param zone the availability zone
+     * @return its region, or a name that no region bears when the availability zone is unknown
+     */
+    public RegionId regionOf(AvailabilityZoneId zone) {
+        return region(configuration, zone);
+    }
+
     private static RegionId region(Configuration configuration, AvailabilityZoneId zone) {
         var found = configuration.availabilityZones().get(zone);
         return found == null ? NO_REGION : found.region();
--- a/routing/src/main/java/org/turmericspan/routing/GrantedSlot.java
+++ b/routing/src/main/java/org/turmericspan/routing/GrantedSlot.java
@@ -5,10 +5,11 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * A slot that the table granted.
+ * A slot that a keeper granted.
  *
  * @param lease identifier of the lease
  * @param upstream upstream it belongs to
  * @param address where the upstream listens
+ * @param deadlineNanos monotonic time at which the lease ends
  */
-public record GrantedSlot(LeaseId lease, UpstreamId upstream, SocketAddress address) {}
+public record GrantedSlot(LeaseId lease, UpstreamId upstream, SocketAddress address, long deadlineNanos) {}
--- /dev/null
+++ b/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
@@ -0,0 +1,84 @@
+package org.turmericspan.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Kept upstreams of one service and the wishes that wait for them, oldest first. */
+final class ServiceSlots {
+    private static final long OVERDUE_PATIENCE_NANOS = Duration.ofMillis(20).toNanos();
+
+    private final Map<WishKey, Waiter> waiters = new LinkedHashMap<>();
+    private List<UpstreamSlots> upstreams = new ArrayList<>();
+
+    Map<WishKey, Waiter> waiters() {
+        return waiters;
+    }
+
+    List<UpstreamSlots> upstreams() {
+        return upstreams;
+    }
+
+    void replace(List<UpstreamSlots> kept) {
+        upstreams = kept;
+    }
+
+    /**
+     * Chooses the upstream with the least cost for a wish, or null. One whose oldest request is overdue is passed over
+     * until the wish has waited for a while.
+     */
+    UpstreamSlots best(Waiter waiter, boolean mayUseCold, long nowNanos) {
+        boolean isPatient = nowNanos - waiter.sinceNanos() >= OVERDUE_PATIENCE_NANOS;
+        boolean mayTakeCold = mayUseCold && !waiter.wish().idleOnly() && (waiter.isOwn() || !hasPlain());
+        UpstreamSlots best = null;
+        long bestCost = Long.MAX_VALUE;
+        for (UpstreamSlots slots : upstreams) {
+            if (!isEligible(slots, waiter, mayTakeCold, mayUseCold, nowNanos)
+                    || (!isPatient && slots.isOverdue(nowNanos))) {
+                continue;
+            }
+            long cost = slots.cost();
+            if (cost < bestCost) {
+                best = slots;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    int idle(long nowNanos) {
+        int idle = 0;
+        for (UpstreamSlots slots : upstreams) {
+            if (slots.hasIdleSlot() && slots.hasRoom(nowNanos) && !slots.isOverdue(nowNanos)) {
+                idle += slots.service().slotsPerUpstream() - slots.running().size();
+            }
+        }
+        return idle;
+    }
+
+    private static boolean isEligible(
+            UpstreamSlots slots, Waiter waiter, boolean mayTakeCold, boolean mayUseCold, long nowNanos) {
+        if (!slots.hasRoom(nowNanos) || waiter.wish().avoid().contains(slots.upstream().id())) {
+            return false;
+        }
+        if (waiter.wish().idleOnly() && !slots.hasIdleSlot()) {
+            return false;
+        }
+        return switch (slots.phase()) {
+            case COLD -> mayTakeCold;
+            case RAMPING -> mayUseCold;
+            default -> true;
+        };
+    }
+
+    private boolean hasPlain() {
+        for (UpstreamSlots slots : upstreams) {
+            if (slots.isPlain()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
