--- a/calls/src/main/java/org/turmericspan/calls/SlotWish.java
+++ b/calls/src/main/java/org/turmericspan/calls/SlotWish.java
@@ -53,6 +53,16 @@
         return of(request, avoid, true);
     }
 
+    /**
+     * Returns the same wish with another deadline.
+     *
+     * @param newDeadlineNanos monotonic time, or the remaining span inside a message between nodes
+     * @return a copy
+     */
+    public SlotWish withDeadlineNanos(long newDeadlineNanos) {
+        return new SlotWish(service, office, caller, newDeadlineNanos, depth, idempotent, avoid, idleOnly);
+    }
+
     private static SlotWish of(CallRequest request, Set<UpstreamId> avoid, boolean idleOnly) {
         return new SlotWish(
                 request.service(),
--- a/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
@@ -145,9 +145,10 @@
     /**
      * Asks whether a node holds or has granted leases on upstreams.
      *
+     * @param asker life of the sender, by which the other node tells a restart
      * @param upstreams the upstreams
      */
-    record QueryLeases(List<UpstreamId> upstreams) implements PeerMessage {}
+    record QueryLeases(Incarnation asker, List<UpstreamId> upstreams) implements PeerMessage {}
 
     /**
      * Answer to {@link QueryLeases}.
--- /dev/null
+++ b/routing/src/main/java/org/turmericspan/routing/BaselineSlotSource.java
@@ -0,0 +1,122 @@
+package org.turmericspan.routing;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.turmericspan.calls.SlotDecision;
+import org.turmericspan.calls.SlotLease;
+import org.turmericspan.calls.SlotReturn;
+import org.turmericspan.calls.SlotSource;
+import org.turmericspan.calls.SlotWish;
+import org.turmericspan.config.Upstream;
+import org.turmericspan.errors.ResultCode;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.LeaseId;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.membership.Vm;
+
+/** Grants any upstream in service at once, by what this node alone knows: last reports and its own requests. */
+public final class BaselineSlotSource implements SlotSource {
+    private final Supplier<FleetMap> map;
+    private final Incarnation incarnation;
+    private final MonotonicClock clock;
+    private final UpstreamChoice choice;
+    private final Map<UpstreamId, Load> loads = new ConcurrentHashMap<>();
+    private final AtomicLong nextSequence = new AtomicLong();
+
+    /**
+     * Creates a source.
+     *
+     * @param map what is in service
+     * @param incarnation this life of the process, which marks the leases
+     * @param clock ends leases at their deadline
+     * @param choice chooses among the upstreams
+     */
+    public BaselineSlotSource(
+            Supplier<FleetMap> map, Incarnation incarnation, MonotonicClock clock, UpstreamChoice choice) {
+        this.map = map;
+        this.incarnation = incarnation;
+        this.clock = clock;
+        this.choice = choice;
+    }
+
+    @Override
+    public CompletionStage<SlotDecision> acquire(SlotWish wish) {
+        FleetMap current = map.get();
+        List<Upstream> candidates = current.upstreamsOf(wish.service()).stream()
+                .filter(upstream -> !wish.avoid().contains(upstream.id()))
+                .filter(upstream -> !isLeaving(current, upstream))
+                .toList();
+        SlotDecision decision = choice.choose(
+                        candidates, upstream -> load(upstream.id()).total())
+                .<SlotDecision>map(upstream -> new SlotDecision.Granted(new CountedLease(upstream, wish)))
+                .orElseGet(() -> new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.empty()));
+        return CompletableFuture.completedFuture(decision);
+    }
+
+    private static boolean isLeaving(FleetMap map, Upstream upstream) {
+        Vm vm = map.view().vms().get(upstream.vm());
+        return vm != null && vm.leaving();
+    }
+
+    private Load load(UpstreamId upstream) {
+        return loads.computeIfAbsent(upstream, id -> new Load(new AtomicInteger(), new AtomicInteger()));
+    }
+
+    private record Load(AtomicInteger inFlight, AtomicInteger reported) {
+        int total() {
+            return inFlight.get() + reported.get();
+        }
+    }
+
+    private final class CountedLease implements SlotLease {
+        private final Upstream upstream;
+        private final long deadlineNanos;
+        private final LeaseId id = new LeaseId(incarnation, nextSequence.incrementAndGet());
+        private final AtomicBoolean released = new AtomicBoolean();
+
+        CountedLease(Upstream upstream, SlotWish wish) {
+            this.upstream = upstream;
+            this.deadlineNanos = wish.deadlineNanos();
+            load(upstream.id()).inFlight().incrementAndGet();
+        }
+
+        @Override
+        public LeaseId id() {
+            return id;
+        }
+
+        @Override
+        public UpstreamId upstream() {
+            return upstream.id();
+        }
+
+        @Override
+        public SocketAddress address() {
+            return upstream.address();
+        }
+
+        @Override
+        public boolean isValid() {
+            return !released.get() && clock.nowNanos() < deadlineNanos;
+        }
+
+        @Override
+        public void release(SlotReturn slotReturn) {
+            if (released.compareAndSet(false, true)) {
+                Load load = load(upstream.id());
+                load.inFlight().decrementAndGet();
+                slotReturn.signals().running().ifPresent(load.reported()::set);
+            }
+        }
+    }
+}
--- a/routing/src/main/java/org/turmericspan/routing/Departures.java
+++ b/routing/src/main/java/org/turmericspan/routing/Departures.java
@@ -46,7 +46,8 @@
         map.keepers().forEach((upstream, keeper) -> {
             if (keeper.equals(gone)) {
                 long until = nowNanos
-                        + extra.plus(longestLease(map.configuration(), upstream)).toNanos();
+                        + extra.plus(longestLease(map.configuration(), upstream))
+                                .toNanos();
                 untilNanos.merge(upstream, until, Math::max);
             }
         });
--- a/routing/src/main/java/org/turmericspan/routing/FleetMap.java
+++ b/routing/src/main/java/org/turmericspan/routing/FleetMap.java
@@ -81,6 +81,20 @@
         return region(configuration, zone);
     }
 
+    /**
+     * Tells whether two VMs run in one region.
+     *
+     * @param first name of a VM
+     * @param second name of a VM
+     * @return true when both are in the same region or the first is not in the view
+     */
+    public boolean sharesRegion(VmId first, VmId second) {
+        Vm one = view.vms().get(first);
+        Vm other = view.vms().get(second);
+        return one == null
+                || (other != null && regionOf(one.availabilityZone()).equals(regionOf(other.availabilityZone())));
+    }
+
     private static RegionId region(Configuration configuration, AvailabilityZoneId zone) {
         var found = configuration.availabilityZones().get(zone);
         return found == null ? NO_REGION : found.region();
--- a/routing/src/main/java/org/turmericspan/routing/Guard.java
+++ b/routing/src/main/java/org/turmericspan/routing/Guard.java
@@ -17,7 +17,7 @@
  * the list and the longest lease, or once every other listed node has answered that it holds nothing of the upstream.
  */
 final class Guard {
-    private static final long QUERY_PAUSE_NANOS = Duration.ofMillis(200).toNanos();
+    private static final Duration QUERY_PAUSE = Duration.ofMillis(200);
 
     private final Map<UpstreamId, Rest> rests = new HashMap<>();
 
@@ -61,7 +61,7 @@
         Map<VmId, List<UpstreamId>> due = new TreeMap<>();
         rests.forEach((upstream, rest) -> {
             if (nowNanos >= rest.nextQueryNanos) {
-                rest.nextQueryNanos = nowNanos + QUERY_PAUSE_NANOS;
+                rest.nextQueryNanos = nowNanos + QUERY_PAUSE.toNanos();
                 rest.awaited.forEach(
                         vm -> due.computeIfAbsent(vm, key -> new ArrayList<>()).add(upstream));
             }
--- a/routing/src/main/java/org/turmericspan/routing/Handovers.java
+++ b/routing/src/main/java/org/turmericspan/routing/Handovers.java
@@ -12,7 +12,7 @@
 
 /** Handovers that came before the view that explains them, and leases that run on after one was given. */
 final class Handovers {
-    private static final long KEPT_NANOS = Duration.ofSeconds(30).toNanos();
+    private static final Duration KEPT = Duration.ofSeconds(30);
 
     private final VmId self;
     private final Map<UpstreamId, Received> received = new HashMap<>();
@@ -27,8 +27,7 @@
     }
 
     Optional<Received> take(UpstreamId upstream, long nowNanos) {
-        return Optional.ofNullable(received.remove(upstream))
-                .filter(one -> nowNanos - one.atNanos() < KEPT_NANOS);
+        return Optional.ofNullable(received.remove(upstream)).filter(one -> nowNanos - one.atNanos() < KEPT.toNanos());
     }
 
     PeerMessage.Handover give(UpstreamSlots slots, List<Lease> running, VmId next, long nowNanos) {
@@ -59,7 +58,7 @@
 
     void expire(long nowNanos) {
         given.values().removeIf(one -> nowNanos >= one.deadlineNanos());
-        received.values().removeIf(one -> nowNanos - one.atNanos() >= KEPT_NANOS);
+        received.values().removeIf(one -> nowNanos - one.atNanos() >= KEPT.toNanos());
     }
 
     /** A handover and when it came. */
@@ -85,7 +84,9 @@
                     handover.upstreamIncarnation(),
                     handover.leases().stream()
                             .map(lease -> new PeerMessage.RunningLease(
-                                    lease.lease(), lease.holder(), lease.remaining().minus(passed)))
+                                    lease.lease(),
+                                    lease.holder(),
+                                    lease.remaining().minus(passed)))
                             .filter(lease -> !lease.remaining().isNegative())
                             .toList());
         }
--- a/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
@@ -8,7 +8,7 @@
 
 /** Kept upstreams of one service and the wishes that wait for them, oldest first. */
 final class ServiceSlots {
-    private static final long OVERDUE_PATIENCE_NANOS = Duration.ofMillis(20).toNanos();
+    private static final Duration OVERDUE_PATIENCE = Duration.ofMillis(20);
 
     private final Map<WishKey, Waiter> waiters = new LinkedHashMap<>();
     private List<UpstreamSlots> upstreams = new ArrayList<>();
@@ -30,7 +30,7 @@
      * until the wish has waited for a while.
      */
     UpstreamSlots best(Waiter waiter, boolean mayUseCold, long nowNanos) {
-        boolean isPatient = nowNanos - waiter.sinceNanos() >= OVERDUE_PATIENCE_NANOS;
+        boolean isPatient = nowNanos - waiter.sinceNanos() >= OVERDUE_PATIENCE.toNanos();
         boolean mayTakeCold = mayUseCold && !waiter.wish().idleOnly() && (waiter.isOwn() || !hasPlain());
         UpstreamSlots best = null;
         long bestCost = Long.MAX_VALUE;
@@ -60,7 +60,8 @@
 
     private static boolean isEligible(
             UpstreamSlots slots, Waiter waiter, boolean mayTakeCold, boolean mayUseCold, long nowNanos) {
-        if (!slots.hasRoom(nowNanos) || waiter.wish().avoid().contains(slots.upstream().id())) {
+        if (!slots.hasRoom(nowNanos)
+                || waiter.wish().avoid().contains(slots.upstream().id())) {
             return false;
         }
         if (waiter.wish().idleOnly() && !slots.hasIdleSlot()) {
--- a/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
@@ -21,8 +21,8 @@
 import org.turmericspan.messages.PeerMessage;
 
 /**
- * Decisions of a keeper: an event goes in, a list of actions comes out. It calls nothing, reads no clock and is not safe
- * for threads; {@link SlotTable} puts its lock around it.
+ * Decisions of a keeper: an event goes in, a list of actions comes out. It calls nothing, reads no clock and is not
+ * safe for threads; {@link SlotTable} puts its lock around it.
  */
 public final class SlotEngine {
     private static final long LENT_GRACE_NANOS = LeaseReuse.WINDOW.toNanos();
@@ -138,7 +138,8 @@
             takeOver(handedOver);
         } else if (event instanceof SlotEvent.PeerSeen seen && map != null) {
             departures.seen(seen.peer(), seen.incarnation(), map, nowNanos);
-        } else if (event instanceof SlotEvent.LeasesQueried queried) {
+        } else if (event instanceof SlotEvent.LeasesQueried queried && map != null) {
+            departures.seen(queried.from(), queried.asker(), map, nowNanos);
             actions.add(new SlotAction.Held(
                     queried.upstreams().stream().filter(this::mayStillRun).toList()));
         } else if (event instanceof SlotEvent.LeasesAnswered answered) {
@@ -165,7 +166,7 @@
     }
 
     private UpstreamSlots choose(ServiceSlots slots, Waiter waiter) {
-        if (wakefulness.isSuspended()) {
+        if (wakefulness.isSuspended() || wakefulness.isLate(nowNanos)) {
             return null;
         }
         return slots.best(waiter, others.isEmpty() || wakefulness.isViewFresh(nowNanos), nowNanos);
@@ -235,8 +236,8 @@
         if (lease == null) {
             handovers
                     .forward(returned.lease())
-                    .ifPresent(next ->
-                            actions.add(new SlotAction.Forward(next, returned.lease(), returned.slotReturn())));
+                    .ifPresent(
+                            next -> actions.add(new SlotAction.Forward(next, returned.lease(), returned.slotReturn())));
             return;
         }
         UpstreamSlots slots = kept.get(lease.upstream());
@@ -344,8 +345,8 @@
         map = next;
         others = new HashSet<>();
         next.view().entryVms().stream()
-                .filter(vm -> sharesRegion(next, vm))
                 .map(Vm::id)
+                .filter(vm -> next.sharesRegion(self, vm))
                 .filter(vm -> !vm.equals(self))
                 .forEach(others::add);
         for (UpstreamId id : List.copyOf(kept.keySet())) {
@@ -357,8 +358,10 @@
             if (keeper.equals(self)) {
                 keep(next.configuration().upstreams().get(id));
             } else {
-                handovers.take(id, nowNanos)
-                        .ifPresent(received -> actions.add(new SlotAction.HandOver(keeper, received.remaining(nowNanos))));
+                handovers
+                        .take(id, nowNanos)
+                        .ifPresent(
+                                received -> actions.add(new SlotAction.HandOver(keeper, received.remaining(nowNanos))));
             }
         });
         regroup();
@@ -366,17 +369,13 @@
         services.values().forEach(this::dispatch);
     }
 
-    private boolean sharesRegion(FleetMap next, Vm vm) {
-        Vm own = next.view().vms().get(self);
-        return own == null || next.regionOf(vm.availabilityZone()).equals(next.regionOf(own.availabilityZone()));
-    }
-
     private void keep(Upstream upstream) {
         UpstreamListing listing = UpstreamListing.of(map, upstream);
         var service = map.configuration().services().get(upstream.service());
         UpstreamSlots known = kept.get(upstream.id());
         if (known != null) {
-            if (known.update(upstream, service, listing, nowNanos) || !known.phase().isGranting()) {
+            if (known.update(upstream, service, listing, nowNanos)
+                    || !known.phase().isGranting()) {
                 recallLeases(known);
             }
             return;
@@ -413,9 +412,10 @@
 
     private void regroup() {
         Map<ServiceId, List<UpstreamSlots>> byService = new HashMap<>();
-        kept.values().forEach(slots -> byService
-                .computeIfAbsent(slots.upstream().service(), service -> new ArrayList<>())
-                .add(slots));
+        kept.values()
+                .forEach(slots -> byService
+                        .computeIfAbsent(slots.upstream().service(), service -> new ArrayList<>())
+                        .add(slots));
         byService.keySet().forEach(service -> services.computeIfAbsent(service, key -> new ServiceSlots()));
         services.forEach((service, slots) -> slots.replace(byService.getOrDefault(service, new ArrayList<>())));
     }
--- a/routing/src/main/java/org/turmericspan/routing/SlotEvent.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEvent.java
@@ -80,9 +80,10 @@
      * Another node asks whether leases may still run on upstreams that it is to keep.
      *
      * @param from VM of the node
+     * @param asker life of the node
      * @param upstreams the upstreams
      */
-    record LeasesQueried(VmId from, List<UpstreamId> upstreams) implements SlotEvent {}
+    record LeasesQueried(VmId from, Incarnation asker, List<UpstreamId> upstreams) implements SlotEvent {}
 
     /**
      * Another node answered the query of this one.
--- a/routing/src/main/java/org/turmericspan/routing/SlotRules.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotRules.java
@@ -29,11 +29,6 @@
      */
     public static SlotRules usual(Duration viewLagBound) {
         return new SlotRules(
-                viewLagBound,
-                true,
-                PAUSE_BOUND,
-                OverdueRule.BY_DEVIATION,
-                DepthRule.BY_PHASE,
-                RestartRule.ANY_SIGN);
+                viewLagBound, true, PAUSE_BOUND, OverdueRule.BY_DEVIATION, DepthRule.BY_PHASE, RestartRule.ANY_SIGN);
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/SlotTable.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotTable.java
@@ -1,129 +1,65 @@
 package org.turmericspan.routing;
 
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
-import org.turmericspan.config.Service;
-import org.turmericspan.config.Upstream;
-import org.turmericspan.ids.Incarnation;
-import org.turmericspan.ids.LeaseId;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.ids.ServiceId;
-import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
 /** Slots of the upstreams this node keeps: the one place that knows what runs on them now. */
 public final class SlotTable {
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
-    private final Map<UpstreamId, Entry> entries = new HashMap<>();
-    private final Incarnation incarnation;
+    private final SlotEngine engine;
     private final MonotonicClock clock;
-    private long nextSequence;
 
     /**
-     * Creates an empty table.
+     * Creates a table.
      *
-     * @param incarnation this life of the process, which marks the leases
-     * @param clock measures how long leases run
+     * @param engine decisions of the keeper, used by this table alone
+     * @param clock tells when events happen
      */
-    public SlotTable(Incarnation incarnation, MonotonicClock clock) {
-        this.incarnation = incarnation;
+    public SlotTable(SlotEngine engine, MonotonicClock clock) {
+        this.engine = engine;
         this.clock = clock;
     }
 
     /**
-     * Replaces the set of kept upstreams.
+     * Decides on one event.
      *
-     * @param kept upstreams this node keeps, in service
-     * @param services their services
+     * @param event what happened
+     * @return what to do, in this order, outside the lock
      */
-    public void keep(Collection<Upstream> kept, Map<ServiceId, Service> services) {
-        lock.run(() -> {
-            Map<UpstreamId, Entry> previous = new HashMap<>(entries);
-            entries.clear();
-            for (Upstream upstream : kept) {
-                int limit = services.get(upstream.service()).slotsPerUpstream();
-                Entry before = previous.get(upstream.id());
-                entries.put(
-                        upstream.id(), new Entry(upstream, limit, before == null ? new HashMap<>() : before.running));
-            }
-        });
+    public List<SlotAction> apply(SlotEvent event) {
+        return lock.compute(() -> engine.on(event, clock.nowNanos()));
     }
 
     /**
-     * Grants the least loaded idle slot.
+     * Describes the idle slots for the other nodes.
      *
-     * @param wish what is wished for
-     * @return a lease, or empty when no slot is idle
+     * @return one entry for each service of which this node keeps upstreams
      */
-    public Optional<GrantedSlot> grant(SlotWish wish) {
-        return lock.compute(() -> entries.values().stream()
-                .filter(entry -> entry.upstream.service().equals(wish.service()))
-                .filter(entry -> !wish.avoid().contains(entry.upstream.id()))
-                .filter(Entry::hasIdleSlot)
-                .min(Comparator.comparingInt(entry -> entry.running.size()))
-                .map(this::start));
-    }
-
-    /**
-     * Takes a slot back.
-     *
-     * @param lease identifier of the lease
-     * @param upstream upstream it belongs to
-     * @param slotReturn what the attempt showed
-     */
-    public void release(LeaseId lease, UpstreamId upstream, SlotReturn slotReturn) {
-        lock.run(() -> {
-            Entry entry = entries.get(upstream);
-            if (entry != null) {
-                entry.running.remove(lease);
-            }
-        });
+    public List<PeerMessage.IdleSlots> idleSlots() {
+        return lock.compute(() -> engine.idleSlots(clock.nowNanos()));
     }
 
     /**
      * Describes the kept upstreams.
      *
-     * @return one line of state each, in the order of their names
+     * @return their states in the order of their names
      */
     public List<UpstreamState> dump() {
-        return lock.compute(() -> {
-            List<UpstreamState> states = new ArrayList<>();
-            entries.values()
-                    .forEach(entry -> states.add(new UpstreamState(
-                            entry.upstream.id(), entry.upstream.service(), entry.limit, entry.running.size())));
-            states.sort(Comparator.comparing(UpstreamState::upstream));
-            return states;
-        });
-    }
-
-    private GrantedSlot start(Entry entry) {
-        nextSequence++;
-        LeaseId lease = new LeaseId(incarnation, nextSequence);
-        entry.running.put(lease, clock.nowNanos());
-        return new GrantedSlot(lease, entry.upstream.id(), entry.upstream.address());
+        return lock.compute(() -> engine.describe(clock.nowNanos())).stream()
+                .sorted(Comparator.comparing(UpstreamState::upstream))
+                .toList();
     }
 
     /**
-     * State of one kept upstream.
+     * Counts leases, waiting wishes and cold transitions.
      *
-     * @param upstream its name
-     * @param service its service
-     * @param limit requests it may run at a time
-     * @param running requests that run now
+     * @return the counts
      */
-    public record UpstreamState(UpstreamId upstream, ServiceId service, int limit, int running) {}
-
-    private record Entry(Upstream upstream, int limit, Map<LeaseId, Long> running) {
-        boolean hasIdleSlot() {
-            return running.size() < limit;
-        }
+    public SlotCounts counts() {
+        return lock.compute(engine::counts);
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamSlots.java
@@ -17,9 +17,9 @@
 final class UpstreamSlots {
     private static final int JUMP_FACTOR = 10;
     private static final int JUMPS_FOR_RESTART = 3;
-    private static final long SHORTEST_JUMP_NANOS = Duration.ofMillis(50).toNanos();
-    private static final long COLD_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
-    private static final long SHED_PAUSE_NANOS = Duration.ofMillis(5).toNanos();
+    private static final Duration SHORTEST_JUMP = Duration.ofMillis(50);
+    private static final Duration COLD_PAUSE = Duration.ofMillis(100);
+    private static final Duration SHED_PAUSE = Duration.ofMillis(5);
     private static final int MAX_DOUBLINGS = 4;
 
     private final SlotRules rules;
@@ -254,7 +254,7 @@
     private void fail(ColdReason reason, long nowNanos) {
         becomeCold(reason, nowNanos);
         if (reason != ColdReason.REPORTED_COLD) {
-            notBeforeNanos = nowNanos + (COLD_PAUSE_NANOS << Math.min(failures, MAX_DOUBLINGS));
+            notBeforeNanos = nowNanos + (COLD_PAUSE.toNanos() << Math.min(failures, MAX_DOUBLINGS));
             failures++;
         }
     }
@@ -281,14 +281,14 @@
 
     private boolean isJump(long elapsedNanos) {
         boolean isSlow = latency.meanNanos() > 0
-                && elapsedNanos > SHORTEST_JUMP_NANOS
+                && elapsedNanos > SHORTEST_JUMP.toNanos()
                 && elapsedNanos > JUMP_FACTOR * latency.meanNanos();
         jumps = isSlow ? jumps + 1 : 0;
         return jumps >= JUMPS_FOR_RESTART && rules.restart() != RestartRule.NO_SIGN;
     }
 
     private boolean shed(long nowNanos) {
-        notBeforeNanos = nowNanos + SHED_PAUSE_NANOS;
+        notBeforeNanos = nowNanos + SHED_PAUSE.toNanos();
         if (isPlain()) {
             allowance = Math.max(service.coldRequests(), Math.min(allowance(), running.size()));
             successes = 0;
@@ -299,7 +299,7 @@
 
     private boolean rest(long nowNanos) {
         if (phase == Phase.COLD) {
-            notBeforeNanos = nowNanos + COLD_PAUSE_NANOS;
+            notBeforeNanos = nowNanos + COLD_PAUSE.toNanos();
         }
         return false;
     }
--- a/routing/src/main/java/org/turmericspan/routing/Wakefulness.java
+++ b/routing/src/main/java/org/turmericspan/routing/Wakefulness.java
@@ -7,7 +7,7 @@
  * has been confirmed anew, some time after the wake-up, so that messages received before the gap do not count.
  */
 final class Wakefulness {
-    private static final long SETTLE_NANOS = Duration.ofMillis(300).toNanos();
+    private static final Duration SETTLE = Duration.ofMillis(300);
 
     private final SlotRules rules;
     private boolean suspended;
@@ -21,19 +21,24 @@
 
     /** Notes a tick; returns whether the process has just woken up late. */
     boolean tick(long nowNanos, long confirmedNanos, boolean hasOthers) {
-        boolean wokeLate =
-                lastTickNanos != 0 && nowNanos - lastTickNanos > rules.pauseBound().toNanos();
+        boolean wokeLate = isLate(nowNanos);
         lastTickNanos = nowNanos;
         viewConfirmedNanos = confirmedNanos;
         if (wokeLate) {
             suspended = hasOthers;
             wokeNanos = nowNanos;
         } else if (suspended) {
-            suspended = hasOthers && confirmedNanos - wokeNanos < SETTLE_NANOS;
+            suspended = hasOthers && confirmedNanos - wokeNanos < SETTLE.toNanos();
         }
         return wokeLate;
     }
 
+    /** Tells whether the last tick is so long ago that the process must have slept. */
+    boolean isLate(long nowNanos) {
+        return lastTickNanos != 0
+                && nowNanos - lastTickNanos > rules.pauseBound().toNanos();
+    }
+
     boolean isSuspended() {
         return suspended;
     }
