--- /dev/null
+++ b/routing/src/test/java/org/turmericspan/routing/MemoryNode.java
@@ -0,0 +1,98 @@
+package org.turmericspan.routing;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.turmericspan.calls.SlotDecision;
+import org.turmericspan.calls.SlotLease;
+import org.turmericspan.calls.SlotReturn;
+import org.turmericspan.calls.UpstreamSignals;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.testkit.ManualClock;
+
+/** The slots of one node, joined to others by links in memory. */
+final class MemoryNode {
+    private final VmId vm;
+    private final Incarnation incarnation;
+    private final ManualClock clock;
+    private final LoopbackLinks links;
+    private final SlotTable table;
+    private final SlotCoordinator coordinator;
+    private FleetMap map;
+
+    MemoryNode(VmId vm, long incarnation, ManualClock clock, LoopbackLinks links, FleetMap map) {
+        this.vm = vm;
+        this.incarnation = new Incarnation(incarnation);
+        this.clock = clock;
+        this.links = links;
+        this.map = map;
+        SlotRules rules = SlotRules.usual(EngineDriver.LAG);
+        this.table = new SlotTable(new SlotEngine(vm, this.incarnation, rules), clock);
+        IdleBoard board = new IdleBoard(vm, () -> this.map, clock, new Random(1));
+        this.coordinator = new SlotCoordinator(
+                table,
+                new SlotNetwork(vm, this.incarnation, links.of(vm), (delay, task) -> {}),
+                () -> this.map,
+                board,
+                clock,
+                rules.pauseBound(),
+                clock::nowNanos,
+                new MetricRegistry());
+        links.join(vm, new SlotPeerHandler(coordinator, board, clock));
+    }
+
+    void change(FleetMap newMap) {
+        map = newMap;
+        coordinator.mapChanged();
+    }
+
+    void tick() {
+        coordinator.tick();
+    }
+
+    CompletableFuture<SlotDecision> acquire() {
+        return acquire(false);
+    }
+
+    CompletableFuture<SlotDecision> acquire(boolean idleOnly) {
+        return coordinator
+                .acquire(Fixtures.wish(clock.nowNanos() + Duration.ofSeconds(1).toNanos(), idleOnly))
+                .toCompletableFuture();
+    }
+
+    /** Acquires a slot that must be granted at once. */
+    SlotLease lease() {
+        return leaseOf(acquire());
+    }
+
+    static SlotLease leaseOf(CompletableFuture<SlotDecision> decision) {
+        return ((SlotDecision.Granted) decision.getNow(null)).lease();
+    }
+
+    void heartbeatTo(VmId peer) {
+        links.of(vm).tell(peer, new PeerMessage.Heartbeat(incarnation, 1, "", 1, false, table.idleSlots()));
+    }
+
+    /** Uses and returns slots one after the other until every kept upstream is warm. */
+    void warmUp() {
+        while (table.dump().stream().anyMatch(state -> state.phase() != Phase.WARM)) {
+            lease().release(new SlotReturn(SlotReturn.Outcome.ANSWERED, Duration.ofMillis(10), UpstreamSignals.NONE));
+        }
+    }
+
+    List<UpstreamState> states() {
+        return table.dump();
+    }
+
+    SlotCounts counts() {
+        return table.counts();
+    }
+
+    int borrowed() {
+        return coordinator.borrowed();
+    }
+}
