Wire keepers, lending and the baseline into the node

Cause: the node still granted from the first table. The query for leases carries the asker's incarnation, so that a node which came back is told from one that never went.

--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -9,6 +9,7 @@
 import org.turmericspan.front.OperatorServer;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.ViewTable;
+import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.platform.HttpPlatformReader;
 import org.turmericspan.platform.PlatformFeed;
 import org.turmericspan.platform.VmListParser;
@@ -24,35 +25,38 @@
 
     private final NodeSettings settings;
     private final Workers workers;
+    private final NettyPeerLinks links;
     private final HttpPlatformReader platform;
     private final HttpUpstreamSender upstreams;
     private final CallerServer callers;
     private final OperatorServer operators;
     private final PlatformFeed configurationFeed;
     private final PlatformFeed viewFeed;
-    private final KeptUpstreams keptUpstreams;
+    private final SlotUpkeep slotUpkeep;
     private final PlannedStop plannedStop;
 
     @Inject
     Node(
             NodeSettings settings,
             Workers workers,
+            NettyPeerLinks links,
             HttpPlatformReader platform,
             HttpUpstreamSender upstreams,
             CallerServer callers,
             OperatorServer operators,
             ConfigurationTable configurations,
             ViewTable views,
-            KeptUpstreams keptUpstreams,
+            SlotUpkeep slotUpkeep,
             PlannedStop plannedStop,
             RandomGenerator random) {
         this.settings = settings;
         this.workers = workers;
+        this.links = links;
         this.platform = platform;
         this.upstreams = upstreams;
         this.callers = callers;
         this.operators = operators;
-        this.keptUpstreams = keptUpstreams;
+        this.slotUpkeep = slotUpkeep;
         this.plannedStop = plannedStop;
         ConfigurationReader reader = new ConfigurationReader();
         VmListParser parser = new VmListParser();
@@ -62,7 +66,8 @@
     }
 
     void start() {
-        keptUpstreams.start();
+        slotUpkeep.start();
+        links.start();
         configurationFeed.start();
         viewFeed.start();
         operators.start(settings.operatorAddress());
@@ -79,6 +84,8 @@
         configurationFeed.close();
         viewFeed.close();
         operators.close();
+        slotUpkeep.close();
+        links.close();
         platform.close();
         upstreams.close();
         workers.close();
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -1,5 +1,6 @@
 package org.turmericspan.node;
 
+import java.time.Duration;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.VmId;
@@ -15,6 +16,8 @@
  * @param platformAddress where the platform listens
  * @param deploymentKey shared key that tells this deployment's nodes from others
  * @param workerThreads threads of the worker pool
+ * @param slotPolicy keepers or baseline
+ * @param viewLagBound longest time by which the list of VMs may lag
  * @param logFormat plain or json
  * @param logLevel least severe level that is logged
  */
@@ -27,6 +30,8 @@
         SocketAddress platformAddress,
         String deploymentKey,
         int workerThreads,
+        String slotPolicy,
+        Duration viewLagBound,
         String logFormat,
         String logLevel) {
     static NodeSettings of(SettingValues values) {
@@ -39,6 +44,8 @@
                 values.get(Setting.PLATFORM_ADDRESS, SocketAddress.class),
                 values.get(Setting.DEPLOYMENT_KEY, String.class),
                 values.get(Setting.WORKER_THREADS, Integer.class),
+                values.get(Setting.SLOT_POLICY, String.class),
+                Duration.ofMillis(values.get(Setting.VIEW_LAG_BOUND, Integer.class)),
                 values.get(Setting.LOG_FORMAT, String.class),
                 values.get(Setting.LOG_LEVEL, String.class));
     }
--- a/node/src/main/java/org/turmericspan/node/Setting.java
+++ b/node/src/main/java/org/turmericspan/node/Setting.java
@@ -31,6 +31,18 @@
             SettingType.wholeNumber(1, Setting.MAX_THREADS, "threads"),
             "4",
             "threads of the worker pool"),
+    /** Policy by which slots are granted. */
+    SLOT_POLICY(
+            "slot-policy",
+            SettingType.oneOf(Setting.KEEPERS, "baseline"),
+            Setting.KEEPERS,
+            "keepers divides the upstreams among the nodes; baseline lets each node take the less loaded of two"),
+    /** Longest lag of the list of VMs. */
+    VIEW_LAG_BOUND(
+            "view-lag-bound-ms",
+            SettingType.wholeNumber(Setting.LEAST_LAG_MILLIS, Setting.MAX_LAG_MILLIS, "milliseconds"),
+            "5000",
+            "longest time by which the platform's list of VMs may lag; beyond it a cold upstream may be overrun"),
     /** Form of log lines. */
     LOG_FORMAT("log-format", SettingType.oneOf("plain", "json"), "plain", "form of the lines logged to standard error"),
     /** Least level that is logged. */
@@ -42,6 +54,9 @@
 
     private static final int MIN_KEY_LENGTH = 16;
     private static final int MAX_THREADS = 64;
+    private static final int LEAST_LAG_MILLIS = 100;
+    private static final int MAX_LAG_MILLIS = 600_000;
+    private static final String KEEPERS = "keepers";
     private static final String VARIABLE_PREFIX = "TURMERICSPAN_";
 
     private final String flag;
--- a/node/src/main/java/org/turmericspan/node/SlotModule.java
+++ b/node/src/main/java/org/turmericspan/node/SlotModule.java
@@ -1,25 +1,41 @@
 package org.turmericspan.node;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import dagger.Module;
 import dagger.Provides;
+import dagger.multibindings.IntoSet;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
 import org.turmericspan.calls.Locator;
 import org.turmericspan.calls.SlotSource;
+import org.turmericspan.front.StateSection;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
 import org.turmericspan.membership.StopState;
 import org.turmericspan.membership.ViewTable;
+import org.turmericspan.messages.PeerLinks;
+import org.turmericspan.routing.BaselineSlotSource;
 import org.turmericspan.routing.FleetMap;
 import org.turmericspan.routing.HomeSets;
-import org.turmericspan.routing.LocalSlotSource;
+import org.turmericspan.routing.IdleBoard;
+import org.turmericspan.routing.SlotCoordinator;
+import org.turmericspan.routing.SlotEngine;
+import org.turmericspan.routing.SlotNetwork;
+import org.turmericspan.routing.SlotPeerHandler;
+import org.turmericspan.routing.SlotRules;
 import org.turmericspan.routing.SlotTable;
+import org.turmericspan.routing.UpstreamChoice;
+import org.turmericspan.tables.Workers;
 
 /** Wires keepers, slots and address answers. */
 @Module
 final class SlotModule {
+    private static final String BASELINE = "baseline";
+
     private SlotModule() {}
 
     @Provides
@@ -30,14 +46,68 @@
 
     @Provides
     @Singleton
-    static SlotTable slotTable(NodeIdentity identity, MonotonicClock clock) {
-        return new SlotTable(identity.incarnation(), clock);
+    static SlotRules slotRules(NodeSettings settings) {
+        return SlotRules.usual(settings.viewLagBound());
+    }
+
+    @Provides
+    @Singleton
+    static SlotTable slotTable(NodeIdentity identity, SlotRules rules, MonotonicClock clock, MetricRegistry metrics) {
+        SlotTable table = new SlotTable(new SlotEngine(identity.vm(), identity.incarnation(), rules), clock);
+        metrics.register("slots.own", (Gauge<Integer>) () -> table.counts().own());
+        metrics.register("slots.lent", (Gauge<Integer>) () -> table.counts().lent());
+        metrics.register("slots.waiting", (Gauge<Integer>) () -> table.counts().waiting());
+        metrics.register(
+                "slots.cold_transitions", (Gauge<Long>) () -> table.counts().coldTransitions());
+        return table;
+    }
+
+    @Provides
+    @Singleton
+    static IdleBoard idleBoard(
+            NodeIdentity identity, Supplier<FleetMap> map, MonotonicClock clock, RandomGenerator random) {
+        return new IdleBoard(identity.vm(), map, clock, random);
     }
 
     @Provides
     @Singleton
-    static SlotSource slotSource(SlotTable table) {
-        return new LocalSlotSource(table);
+    static SlotNetwork slotNetwork(NodeIdentity identity, PeerLinks links, Workers workers) {
+        return new SlotNetwork(identity.vm(), identity.incarnation(), links, SlotNetwork.Timer.on(workers));
+    }
+
+    @Provides
+    @Singleton
+    static SlotCoordinator slotCoordinator(
+            SlotTable table,
+            SlotRules rules,
+            SlotNetwork network,
+            Supplier<FleetMap> map,
+            IdleBoard board,
+            MonotonicClock clock,
+            ViewTable views,
+            MetricRegistry metrics) {
+        return new SlotCoordinator(table, network, map, board, clock, rules.pauseBound(), clock::nowNanos, metrics);
+    }
+
+    @Provides
+    @Singleton
+    static SlotPeerHandler slotPeerHandler(SlotCoordinator coordinator, IdleBoard board, MonotonicClock clock) {
+        return new SlotPeerHandler(coordinator, board, clock);
+    }
+
+    @Provides
+    @Singleton
+    static SlotSource slotSource(
+            NodeSettings settings,
+            SlotCoordinator coordinator,
+            Supplier<FleetMap> map,
+            NodeIdentity identity,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        if (settings.slotPolicy().equals(BASELINE)) {
+            return new BaselineSlotSource(map, identity.incarnation(), clock, UpstreamChoice.powerOfTwo(random));
+        }
+        return coordinator;
     }
 
     @Provides
@@ -47,4 +117,16 @@
                 new HomeSets(map, clock, () -> ThreadLocalRandom.current().nextDouble());
         return new StoppingLocator(homeSets, identity.vm(), stopState);
     }
+
+    @Provides
+    @IntoSet
+    static StateSection upstreams(SlotTable table) {
+        return NamedSection.of("upstreams", () -> SlotDump.upstreams(table));
+    }
+
+    @Provides
+    @IntoSet
+    static StateSection slots(NodeSettings settings, SlotTable table, SlotCoordinator coordinator) {
+        return NamedSection.of("slots", () -> SlotDump.of(settings.slotPolicy(), table, coordinator));
+    }
 }
--- a/routing/src/test/java/org/turmericspan/routing/MemoryNode.java
+++ b/routing/src/test/java/org/turmericspan/routing/MemoryNode.java
@@ -74,7 +74,8 @@
     }
 
     void heartbeatTo(VmId peer) {
-        links.of(vm).tell(peer, new PeerMessage.Heartbeat(incarnation, 1, "", 1, false, table.idleSlots()));
+        links.of(vm)
+                .tell(peer, new PeerMessage.Heartbeat(incarnation, 1, "", 1, Duration.ZERO, false, table.idleSlots()));
     }
 
     /** Uses and returns slots one after the other until every kept upstream is warm. */
