--- a/node/src/main/java/org/turmericspan/node/Setting.java
+++ b/node/src/main/java/org/turmericspan/node/Setting.java
@@ -39,10 +39,40 @@
             "keepers divides the upstreams among the nodes; baseline lets each node take the less loaded of two"),
     /** Longest lag of the list of VMs. */
     VIEW_LAG_BOUND(
-            "view-lag-bound-ms",
+            "view-lag-bound",
             SettingType.wholeNumber(Setting.LEAST_LAG_MILLIS, Setting.MAX_LAG_MILLIS, "milliseconds"),
             "5000",
             "longest time by which the platform's list of VMs may lag; beyond it a cold upstream may be overrun"),
+    /** Life of a locate answer. */
+    LOCATE_TIME_TO_LIVE(
+            "locate-ttl",
+            SettingType.wholeNumber(1, Setting.MAX_LOCATE_TTL_SECONDS, "seconds"),
+            "5",
+            "how long callers may keep a locate answer; the same on all nodes, since a stopping node serves that long"),
+    /** Longest planned stop. */
+    STOP_LIMIT(
+            "stop-limit",
+            SettingType.wholeNumber(Setting.MIN_STOP_LIMIT_SECONDS, Setting.MAX_STOP_LIMIT_SECONDS, "seconds"),
+            "60",
+            "longest planned stop, after which calls still in flight are cut off"),
+    /** Length of an epoch. */
+    RUN_EPOCH(
+            "run-epoch",
+            SettingType.wholeNumber(1, Setting.MAX_EPOCH_SECONDS, "seconds"),
+            "30",
+            "length of an epoch of run tokens; a token is valid for ten epochs"),
+    /** Bound on remembered runs. */
+    RUN_TABLE_ENTRIES(
+            "run-table-entries",
+            SettingType.wholeNumber(1, Setting.MAX_RUN_ENTRIES, "runs"),
+            "50000",
+            "runs remembered at a time, beyond which new non-idempotent requests are refused"),
+    /** Bound on stored answers. */
+    RUN_TABLE_SIZE(
+            "run-table-size",
+            SettingType.wholeNumber(1, Setting.MAX_RUN_MEGABYTES, "MB"),
+            "16",
+            "size of stored answers, beyond which new non-idempotent requests are refused"),
     /** Form of log lines. */
     LOG_FORMAT("log-format", SettingType.oneOf("plain", "json"), "plain", "form of the lines logged to standard error"),
     /** Least level that is logged. */
@@ -57,6 +87,12 @@
     private static final int LEAST_LAG_MILLIS = 100;
     private static final int MAX_LAG_MILLIS = 600_000;
     private static final String KEEPERS = "keepers";
+    private static final int MAX_LOCATE_TTL_SECONDS = 60;
+    private static final int MIN_STOP_LIMIT_SECONDS = 10;
+    private static final int MAX_STOP_LIMIT_SECONDS = 3_600;
+    private static final int MAX_EPOCH_SECONDS = 3_600;
+    private static final int MAX_RUN_ENTRIES = 10_000_000;
+    private static final int MAX_RUN_MEGABYTES = 1_024;
     private static final String VARIABLE_PREFIX = "TURMERICSPAN_";
 
     private final String flag;
--- a/node/src/main/java/org/turmericspan/node/SlotModule.java
+++ b/node/src/main/java/org/turmericspan/node/SlotModule.java
@@ -112,9 +112,17 @@
 
     @Provides
     @Singleton
-    static Locator locator(NodeIdentity identity, Supplier<FleetMap> map, MonotonicClock clock, StopState stopState) {
-        Locator homeSets =
-                new HomeSets(map, clock, () -> ThreadLocalRandom.current().nextDouble());
+    static Locator locator(
+            NodeSettings settings,
+            NodeIdentity identity,
+            Supplier<FleetMap> map,
+            MonotonicClock clock,
+            StopState stopState) {
+        Locator homeSets = new HomeSets(
+                map,
+                settings.locateTimeToLive(),
+                clock,
+                () -> ThreadLocalRandom.current().nextDouble());
         return new StoppingLocator(homeSets, identity.vm(), stopState);
     }
 
