--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -22,6 +22,7 @@
  * @param locateTimeToLive how long callers may keep a locate answer
  * @param stopLimit longest planned stop
  * @param runLimits bounds of the table of runs
+ * @param repeatPolicy which repeats of calls are made
  * @param logFormat plain or json
  * @param logLevel least severe level that is logged
  */
@@ -39,6 +40,7 @@
         Duration locateTimeToLive,
         Duration stopLimit,
         RunLimits runLimits,
+        String repeatPolicy,
         String logFormat,
         String logLevel) {
     private static final int LIVE_EPOCHS = 10;
@@ -59,6 +61,7 @@
                 Duration.ofSeconds(values.get(Setting.LOCATE_TIME_TO_LIVE, Integer.class)),
                 Duration.ofSeconds(values.get(Setting.STOP_LIMIT, Integer.class)),
                 runLimits(values),
+                values.get(Setting.REPEAT_POLICY, String.class),
                 values.get(Setting.LOG_FORMAT, String.class),
                 values.get(Setting.LOG_LEVEL, String.class));
     }
