--- a/node/src/main/java/org/turmericspan/node/SlotModule.java
+++ b/node/src/main/java/org/turmericspan/node/SlotModule.java
@@ -14,7 +14,9 @@
 import org.turmericspan.front.StateSection;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
+import org.turmericspan.membership.IdleSlotsReport;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.Peers;
 import org.turmericspan.membership.StopState;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.messages.PeerLinks;
@@ -65,8 +67,8 @@
     @Provides
     @Singleton
     static IdleBoard idleBoard(
-            NodeIdentity identity, Supplier<FleetMap> map, MonotonicClock clock, RandomGenerator random) {
-        return new IdleBoard(identity.vm(), map, clock, random);
+            NodeIdentity identity, Supplier<FleetMap> map, Peers peers, MonotonicClock clock, RandomGenerator random) {
+        return new IdleBoard(identity.vm(), map, peers, clock, random);
     }
 
     @Provides
@@ -86,13 +88,20 @@
             MonotonicClock clock,
             ViewTable views,
             MetricRegistry metrics) {
-        return new SlotCoordinator(table, network, map, board, clock, rules.pauseBound(), clock::nowNanos, metrics);
+        return new SlotCoordinator(
+                table, network, map, board, clock, rules.pauseBound(), views::confirmedNanos, metrics);
     }
 
     @Provides
     @Singleton
-    static SlotPeerHandler slotPeerHandler(SlotCoordinator coordinator, IdleBoard board, MonotonicClock clock) {
-        return new SlotPeerHandler(coordinator, board, clock);
+    static IdleSlotsReport idleSlotsReport(SlotTable table) {
+        return table::idleSlots;
+    }
+
+    @Provides
+    @Singleton
+    static SlotPeerHandler slotPeerHandler(SlotCoordinator coordinator, MonotonicClock clock) {
+        return new SlotPeerHandler(coordinator, clock);
     }
 
     @Provides
--- a/node/src/main/java/org/turmericspan/node/SlotUpkeep.java
+++ b/node/src/main/java/org/turmericspan/node/SlotUpkeep.java
@@ -7,6 +7,7 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.turmericspan.membership.ConfigurationTable;
+import org.turmericspan.membership.Peers;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.peer.PeerHandlers;
@@ -19,6 +20,7 @@
 final class SlotUpkeep implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration TICK = Duration.ofMillis(10);
+    private static final Duration SIGHTING = Duration.ofMillis(500);
     private static final List<Class<? extends PeerMessage>> MESSAGES = List.of(
             PeerMessage.BorrowSlot.class,
             PeerMessage.WithdrawWish.class,
@@ -32,8 +34,10 @@
     private final SlotCoordinator slots;
     private final SlotPeerHandler handler;
     private final PeerHandlers handlers;
+    private final Peers peers;
     private final Workers workers;
     private ScheduledFuture<?> ticks;
+    private ScheduledFuture<?> sightings;
 
     @Inject
     SlotUpkeep(
@@ -42,12 +46,14 @@
             SlotCoordinator slots,
             SlotPeerHandler handler,
             PeerHandlers handlers,
+            Peers peers,
             Workers workers) {
         this.configurations = configurations;
         this.views = views;
         this.slots = slots;
         this.handler = handler;
         this.handlers = handlers;
+        this.peers = peers;
         this.workers = workers;
     }
 
@@ -56,15 +62,21 @@
         configurations.addListener(configuration -> slots.mapChanged());
         views.addListener(view -> slots.mapChanged());
         ticks = workers.repeat(TICK, this::tick);
+        sightings = workers.repeat(SIGHTING, this::notePeers);
     }
 
     @Override
     public void close() {
         if (ticks != null) {
             ticks.cancel(false);
+            sightings.cancel(false);
         }
     }
 
+    private void notePeers() {
+        peers.all().forEach(peer -> slots.peerSeen(peer.vm(), peer.incarnation()));
+    }
+
     private void tick() {
         try {
             slots.tick();
--- a/routing/src/main/java/org/turmericspan/routing/Borrower.java
+++ b/routing/src/main/java/org/turmericspan/routing/Borrower.java
@@ -149,8 +149,6 @@
         if (answer instanceof PeerMessage.SlotLent lent) {
             borrowedMeter.mark();
             take(search, keeper, lent);
-        } else if (answer instanceof PeerMessage.Unreachable) {
-            board.lost(keeper);
         }
         denyWhenOver(search);
     }
--- a/routing/src/main/java/org/turmericspan/routing/IdleBoard.java
+++ b/routing/src/main/java/org/turmericspan/routing/IdleBoard.java
@@ -5,15 +5,16 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.VmId;
+import org.turmericspan.membership.PeerState;
+import org.turmericspan.membership.Peers;
 import org.turmericspan.messages.PeerMessage;
 
 /** What the other nodes last reported of their idle slots, and whom to ask for one. */
@@ -22,46 +23,29 @@
     private static final int ASKED_WITH_IDLE = 2;
     private static final int ASKED_WITHOUT_IDLE = 3;
 
-    private final Map<VmId, Report> reports = new ConcurrentHashMap<>();
     private final VmId self;
     private final Supplier<FleetMap> map;
+    private final Peers peers;
     private final MonotonicClock clock;
     private final RandomGenerator random;
 
     /**
-     * Creates an empty board.
+     * Creates a board.
      *
      * @param self VM of this node, which is never asked
      * @param map who keeps what
+     * @param peers what the other nodes said of themselves
      * @param clock tells how old a report is
      * @param random spreads the wishes over equal nodes
      */
-    public IdleBoard(VmId self, Supplier<FleetMap> map, MonotonicClock clock, RandomGenerator random) {
+    public IdleBoard(VmId self, Supplier<FleetMap> map, Peers peers, MonotonicClock clock, RandomGenerator random) {
         this.self = self;
         this.map = map;
+        this.peers = peers;
         this.clock = clock;
         this.random = random;
     }
 
-    /**
-     * Takes the report of another node.
-     *
-     * @param from VM of the node
-     * @param idleSlots slots idle there, by service
-     */
-    public void heard(VmId from, List<PeerMessage.IdleSlots> idleSlots) {
-        reports.put(from, new Report(List.copyOf(idleSlots), clock.nowNanos()));
-    }
-
-    /**
-     * Forgets a node.
-     *
-     * @param peer VM of a node that cannot be reached
-     */
-    public void lost(VmId peer) {
-        reports.remove(peer);
-    }
-
     /**
      * Chooses keepers to ask: one or two that reported idle slots, or else up to three keepers of the service.
      *
@@ -108,9 +92,10 @@
     }
 
     private Offer offer(VmId keeper, ServiceId service, long nowNanos) {
-        Report report = reports.get(keeper);
-        if (report != null && nowNanos - report.atNanos() <= FRESH.toNanos()) {
-            for (PeerMessage.IdleSlots slots : report.idleSlots()) {
+        Optional<PeerState> report =
+                peers.find(keeper).filter(state -> nowNanos - state.heardNanos() <= FRESH.toNanos());
+        if (report.isPresent()) {
+            for (PeerMessage.IdleSlots slots : report.get().idleSlots()) {
                 if (slots.service().equals(service)) {
                     return new Offer(keeper, slots.idle(), slots.waiting());
                 }
@@ -119,8 +104,6 @@
         return new Offer(keeper, 0, 0);
     }
 
-    private record Report(List<PeerMessage.IdleSlots> idleSlots, long atNanos) {}
-
     private record Offer(VmId keeper, int idle, int waiting) {
         static final Comparator<Offer> BEST_FIRST =
                 Comparator.comparingInt(Offer::idle).reversed().thenComparingInt(Offer::waiting);
--- a/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
@@ -17,6 +17,7 @@
 import org.turmericspan.calls.SlotWish;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.errors.ResultCode;
+import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.LeaseId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.UpstreamId;
@@ -108,6 +109,16 @@
         apply(new SlotEvent.Observed(upstream, signals));
     }
 
+    /**
+     * Notes the life of another node.
+     *
+     * @param peer its VM
+     * @param incarnation the life it said it is in
+     */
+    public void peerSeen(VmId peer, Incarnation incarnation) {
+        apply(new SlotEvent.PeerSeen(peer, incarnation));
+    }
+
     /**
      * Counts the slots this node has borrowed.
      *
--- a/routing/src/main/java/org/turmericspan/routing/SlotPeerHandler.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotPeerHandler.java
@@ -18,19 +18,16 @@
     private static final PeerMessage DONE = new PeerMessage.Done();
 
     private final SlotCoordinator coordinator;
-    private final IdleBoard board;
     private final MonotonicClock clock;
 
     /**
      * Creates a handler.
      *
      * @param coordinator grants the slots kept here
-     * @param board takes reports of idle slots
      * @param clock turns spans into deadlines
      */
-    public SlotPeerHandler(SlotCoordinator coordinator, IdleBoard board, MonotonicClock clock) {
+    public SlotPeerHandler(SlotCoordinator coordinator, MonotonicClock clock) {
         this.coordinator = coordinator;
-        this.board = board;
         this.clock = clock;
     }
 
@@ -52,9 +49,6 @@
             coordinator.recallHeld(recall.lease());
         } else if (message instanceof PeerMessage.Handover handover) {
             coordinator.apply(new SlotEvent.HandedOver(from, handover));
-        } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
-            board.heard(from, heartbeat.idleSlots());
-            coordinator.apply(new SlotEvent.PeerSeen(from, heartbeat.incarnation()));
         }
         return CompletableFuture.completedFuture(DONE);
     }
--- a/routing/src/test/java/org/turmericspan/routing/LendingTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/LendingTest.java
@@ -152,7 +152,7 @@
     @Test
     void hedgeBorrowsOnlyAnIdleSlot() {
         startWarm();
-        keeper.heartbeatTo(BORROWER.id());
+        keeper.heartbeatTo(borrower);
         SlotLease lent = MemoryNode.leaseOf(borrower.acquire(true));
         assertThat(lent.isValid()).isTrue();
         fill();
--- a/routing/src/test/java/org/turmericspan/routing/MemoryNode.java
+++ b/routing/src/test/java/org/turmericspan/routing/MemoryNode.java
@@ -11,6 +11,7 @@
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.VmId;
+import org.turmericspan.membership.PeerTable;
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.testkit.ManualClock;
 
@@ -19,7 +20,7 @@
     private final VmId vm;
     private final Incarnation incarnation;
     private final ManualClock clock;
-    private final LoopbackLinks links;
+    private final PeerTable peers;
     private final SlotTable table;
     private final SlotCoordinator coordinator;
     private FleetMap map;
@@ -28,11 +29,11 @@
         this.vm = vm;
         this.incarnation = new Incarnation(incarnation);
         this.clock = clock;
-        this.links = links;
         this.map = map;
+        this.peers = new PeerTable(clock);
         SlotRules rules = SlotRules.usual(EngineDriver.LAG);
         this.table = new SlotTable(new SlotEngine(vm, this.incarnation, rules), clock);
-        IdleBoard board = new IdleBoard(vm, () -> this.map, clock, new Random(1));
+        IdleBoard board = new IdleBoard(vm, () -> this.map, peers, clock, new Random(1));
         this.coordinator = new SlotCoordinator(
                 table,
                 new SlotNetwork(vm, this.incarnation, links.of(vm), (delay, task) -> {}),
@@ -42,7 +43,7 @@
                 rules.pauseBound(),
                 clock::nowNanos,
                 new MetricRegistry());
-        links.join(vm, new SlotPeerHandler(coordinator, board, clock));
+        links.join(vm, new SlotPeerHandler(coordinator, clock));
     }
 
     void change(FleetMap newMap) {
@@ -73,9 +74,9 @@
         return ((SlotDecision.Granted) decision.getNow(null)).lease();
     }
 
-    void heartbeatTo(VmId peer) {
-        links.of(vm)
-                .tell(peer, new PeerMessage.Heartbeat(incarnation, 1, "", 1, Duration.ZERO, false, table.idleSlots()));
+    void heartbeatTo(MemoryNode other) {
+        other.peers.heard(
+                vm, new PeerMessage.Heartbeat(incarnation, 1, "", 1, Duration.ZERO, false, table.idleSlots()));
     }
 
     /** Uses and returns slots one after the other until every kept upstream is warm. */
