--- a/node/src/main/java/org/turmericspan/node/MembershipModule.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipModule.java
@@ -7,7 +7,6 @@
 import dagger.Provides;
 import dagger.multibindings.IntoSet;
 import java.time.Duration;
-import java.util.List;
 import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
 import org.turmericspan.front.StateSection;
@@ -47,12 +46,6 @@
         return table;
     }
 
-    @Provides
-    @Singleton
-    static IdleSlotsReport idleSlotsReport() {
-        return List::of;
-    }
-
     @Provides
     @Singleton
     static HeartbeatSource heartbeatSource(
--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -23,7 +23,7 @@
     private final CallerServer callers;
     private final OperatorServer operators;
     private final MembershipRunner membership;
-    private final KeptUpstreams keptUpstreams;
+    private final SlotUpkeep slotUpkeep;
     private final PlannedStop plannedStop;
 
     @Inject
@@ -36,7 +36,7 @@
             CallerServer callers,
             OperatorServer operators,
             MembershipRunner membership,
-            KeptUpstreams keptUpstreams,
+            SlotUpkeep slotUpkeep,
             PlannedStop plannedStop) {
         this.settings = settings;
         this.workers = workers;
@@ -46,12 +46,12 @@
         this.callers = callers;
         this.operators = operators;
         this.membership = membership;
-        this.keptUpstreams = keptUpstreams;
+        this.slotUpkeep = slotUpkeep;
         this.plannedStop = plannedStop;
     }
 
     void start() {
-        keptUpstreams.start();
+        slotUpkeep.start();
         links.start();
         membership.start();
         operators.start(settings.operatorAddress());
@@ -67,6 +67,7 @@
         callers.close();
         membership.close();
         operators.close();
+        slotUpkeep.close();
         links.close();
         platform.close();
         upstreams.close();
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -17,6 +17,8 @@
  * @param platformAddress where the platform listens
  * @param deploymentKey shared key that tells this deployment's nodes from others
  * @param workerThreads threads of the worker pool
+ * @param slotPolicy keepers or baseline
+ * @param viewLagBound longest time by which the list of VMs may lag
  * @param locateTimeToLive how long callers may keep a locate answer
  * @param stopLimit longest planned stop
  * @param runLimits bounds of the table of runs
@@ -33,6 +35,8 @@
         SocketAddress platformAddress,
         String deploymentKey,
         int workerThreads,
+        String slotPolicy,
+        Duration viewLagBound,
         Duration locateTimeToLive,
         Duration stopLimit,
         RunLimits runLimits,
@@ -52,6 +56,8 @@
                 values.get(Setting.PLATFORM_ADDRESS, SocketAddress.class),
                 values.get(Setting.DEPLOYMENT_KEY, String.class),
                 values.get(Setting.WORKER_THREADS, Integer.class),
+                values.get(Setting.SLOT_POLICY, String.class),
+                Duration.ofMillis(values.get(Setting.VIEW_LAG_BOUND, Integer.class)),
                 Duration.ofSeconds(values.get(Setting.LOCATE_TIME_TO_LIVE, Integer.class)),
                 Duration.ofSeconds(values.get(Setting.STOP_LIMIT, Integer.class)),
                 runLimits(values),
--- /dev/null
+++ b/node/src/main/java/org/turmericspan/node/SlotUpkeep.java
@@ -0,0 +1,87 @@
+package org.turmericspan.node;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledFuture;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.turmericspan.membership.ConfigurationTable;
+import org.turmericspan.membership.Peers;
+import org.turmericspan.membership.ViewTable;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.peer.PeerHandlers;
+import org.turmericspan.routing.SlotCoordinator;
+import org.turmericspan.routing.SlotPeerHandler;
+import org.turmericspan.tables.Workers;
+
+/** Lets the slots know of time, of changes of the configuration and the view, and of the other nodes' messages. */
+@Singleton
+final class SlotUpkeep implements AutoCloseable {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration TICK = Duration.ofMillis(10);
+    private static final Duration SIGHTING = Duration.ofMillis(500);
+    private static final List<Class<? extends PeerMessage>> MESSAGES = List.of(
+            PeerMessage.BorrowSlot.class,
+            PeerMessage.WithdrawWish.class,
+            PeerMessage.ReturnSlot.class,
+            PeerMessage.RecallSlot.class,
+            PeerMessage.Handover.class,
+            PeerMessage.QueryLeases.class);
+
+    private final ConfigurationTable configurations;
+    private final ViewTable views;
+    private final SlotCoordinator slots;
+    private final SlotPeerHandler handler;
+    private final PeerHandlers handlers;
+    private final Peers peers;
+    private final Workers workers;
+    private ScheduledFuture<?> ticks;
+    private ScheduledFuture<?> sightings;
+
+    @Inject
+    SlotUpkeep(
+            ConfigurationTable configurations,
+            ViewTable views,
+            SlotCoordinator slots,
+            SlotPeerHandler handler,
+            PeerHandlers handlers,
+            Peers peers,
+            Workers workers) {
+        this.configurations = configurations;
+        this.views = views;
+        this.slots = slots;
+        this.handler = handler;
+        this.handlers = handlers;
+        this.peers = peers;
+        this.workers = workers;
+    }
+
+    void start() {
+        MESSAGES.forEach(type -> handlers.register(type, handler));
+        configurations.addListener(configuration -> slots.mapChanged());
+        views.addListener(view -> slots.mapChanged());
+        ticks = workers.repeat(TICK, this::tick);
+        sightings = workers.repeat(SIGHTING, this::notePeers);
+    }
+
+    @Override
+    public void close() {
+        if (ticks != null) {
+            ticks.cancel(false);
+            sightings.cancel(false);
+        }
+    }
+
+    private void notePeers() {
+        peers.all().forEach(peer -> slots.peerSeen(peer.vm(), peer.incarnation()));
+    }
+
+    private void tick() {
+        try {
+            slots.tick();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("slots: a tick failed");
+        }
+    }
+}
