Measure processor time a call and live heap of a node

Ruled out: resident size, which is the size of the JVM and not of the state. Before: none. After: call_cpu_us in overhead, control_heap_bytes in control (after a full collection).

--- a/bench/src/main/java/org/turmericspan/bench/Measure.java
+++ b/bench/src/main/java/org/turmericspan/bench/Measure.java
@@ -50,6 +50,8 @@
     ADDED_P50_US,
     /** Latency added by the node at the 99th percentile, in microseconds. */
     ADDED_P99_US,
+    /** Processor time of all nodes for one call, in microseconds. */
+    CALL_CPU_US,
     /** 99th percentile during an event against before it. */
     P99_RATIO_EVENT,
     /** Goodput at twice the capacity against at the capacity. */
--- a/bench/src/main/java/org/turmericspan/bench/scenario/ControlScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/ControlScenario.java
@@ -1,9 +1,5 @@
 package org.turmericspan.bench.scenario;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
@@ -12,15 +8,12 @@
 import org.turmericspan.bench.Measure;
 import org.turmericspan.bench.Measures;
 import org.turmericspan.bench.Report;
-import org.turmericspan.standins.fleet.FleetNode;
 
 /** Measures what one node spends without calls, at several sizes of the fleet. */
 final class ControlScenario {
     private static final double LARGEST_CPU_PERCENT = 1.5;
     private static final double LARGEST_BYTES_PER_SECOND = 18_000;
     private static final Duration SETTLE = Duration.ofSeconds(8);
-    private static final long TICKS_PER_SECOND = 100;
-    private static final int USER_TICKS_FIELD = 11;
     private static final double PERCENT = 100;
     private static final int SIZES = 3;
     private static final Duration PARK = Duration.ofMillis(100);
@@ -51,7 +44,7 @@
     private static void measure(BenchSettings settings, String title, Report report) {
         try (PolicyFleet fleet = PolicyFleet.start(settings, settings.policies().get(0))) {
             park(SETTLE);
-            long ticksBefore = ticks(fleet);
+            Duration processorBefore = ProcessorTime.of(fleet.fleet());
             double bytesBefore = peerBytes(fleet);
             double probesBefore = fleet.fleet().witnessSum("probes");
             double readsBefore = reads(fleet);
@@ -59,10 +52,12 @@
             double seconds = settings.duration().toSeconds();
             double nodes = settings.nodes();
             Measures measures = report.of(title);
-            double cpu = PERCENT * (ticks(fleet) - ticksBefore) / TICKS_PER_SECOND / seconds / nodes;
+            Duration processor = ProcessorTime.of(fleet.fleet()).minus(processorBefore);
+            double cpu = PERCENT * processor.toNanos() / settings.duration().toNanos() / nodes;
             double bytes = (peerBytes(fleet) - bytesBefore) / seconds / nodes;
             measures.put(Measure.CONTROL_CPU_PCT, cpu);
             measures.put(Measure.CONTROL_BYTES_PER_S, bytes);
+            measures.put(Measure.CONTROL_HEAP_BYTES, heapBytes(fleet) / nodes);
             measures.put(Measure.PROBES_PER_S, (fleet.fleet().witnessSum("probes") - probesBefore) / seconds);
             measures.put(Measure.PLATFORM_READS_PER_S, (reads(fleet) - readsBefore) / seconds);
             report.addBound(Bound.atMost(title + ": processor, % of a core", LARGEST_CPU_PERCENT, cpu));
@@ -70,27 +65,18 @@
         }
     }
 
-    private static long ticks(PolicyFleet fleet) {
-        return fleet.fleet().nodes().stream().mapToLong(ControlScenario::ticks).sum();
-    }
-
-    private static long ticks(FleetNode node) {
-        try {
-            String stat = Files.readString(
-                    Path.of("/proc", Long.toString(node.process().pid()), "stat"));
-            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-            return Long.parseLong(fields[USER_TICKS_FIELD]) + Long.parseLong(fields[USER_TICKS_FIELD + 1]);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     private static double peerBytes(PolicyFleet fleet) {
         return fleet.fleet().nodes().stream()
                 .mapToDouble(node -> peerBytes(fleet.fleet().http().get(node.operatorUrl() + "/v1/metrics")))
                 .sum();
     }
 
+    private static double heapBytes(PolicyFleet fleet) {
+        return fleet.fleet().nodes().stream()
+                .mapToDouble(node -> LiveHeap.bytes(node.process().pid()))
+                .sum();
+    }
+
     private static double peerBytes(String metrics) {
         return List.of(metrics.split("\n")).stream()
                 .filter(line -> line.startsWith("turmericspan_peer_") && line.contains("bytes"))
--- a/bench/src/main/java/org/turmericspan/bench/scenario/OverheadScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/OverheadScenario.java
@@ -20,6 +20,7 @@
     private static final double P50 = 50.0;
     private static final double P99 = 99.0;
     private static final double LARGEST_ADDED_P99_MICROS = 310;
+    private static final double NANOS_PER_MICRO = 1_000;
     private static final String DIRECT = "direct";
     private static final String THROUGH = "keepers";
 
@@ -33,10 +34,14 @@
             OpenLoop.run(plan(settings, 0), direct);
             LoadResult directSum = new LoadResult();
             LoadResult throughSum = new LoadResult();
+            Duration processorBefore = ProcessorTime.of(fleet.fleet());
             for (int round = 0; round < ROUNDS; round++) {
                 directSum.add(OpenLoop.run(plan(settings, round), direct));
                 throughSum.add(OpenLoop.run(plan(settings, round), fleet.caller()));
             }
+            Duration processor = ProcessorTime.of(fleet.fleet()).minus(processorBefore);
+            report.of(THROUGH)
+                    .put(Measure.CALL_CPU_US, (double) processor.toNanos() / NANOS_PER_MICRO / throughSum.total());
             report.of(DIRECT).put(directSum);
             report.of(THROUGH).put(throughSum);
             double addedP50 = throughSum.micros(P50) - directSum.micros(P50);
