--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -27,7 +27,7 @@
     private final MembershipRunner membership;
     private final Prober prober;
     private final HttpUpstreamProbe probe;
-    private final KeptUpstreams keptUpstreams;
+    private final SlotUpkeep slotUpkeep;
     private final PlannedStop plannedStop;
 
     @Inject
@@ -42,7 +42,7 @@
             MembershipRunner membership,
             Prober prober,
             HttpUpstreamProbe probe,
-            KeptUpstreams keptUpstreams,
+            SlotUpkeep slotUpkeep,
             PlannedStop plannedStop) {
         this.settings = settings;
         this.workers = workers;
@@ -54,12 +54,12 @@
         this.membership = membership;
         this.prober = prober;
         this.probe = probe;
-        this.keptUpstreams = keptUpstreams;
+        this.slotUpkeep = slotUpkeep;
         this.plannedStop = plannedStop;
     }
 
     void start() {
-        keptUpstreams.start();
+        slotUpkeep.start();
         links.start();
         membership.start();
         prober.start(workers);
@@ -78,6 +78,7 @@
         prober.close();
         probe.close();
         operators.close();
+        slotUpkeep.close();
         links.close();
         platform.close();
         upstreams.close();
--- a/node/src/main/java/org/turmericspan/node/ProbeModule.java
+++ b/node/src/main/java/org/turmericspan/node/ProbeModule.java
@@ -26,7 +26,9 @@
 import org.turmericspan.probing.ProbeShare;
 import org.turmericspan.probing.ProbeTarget;
 import org.turmericspan.probing.Prober;
+import org.turmericspan.routing.SlotCoordinator;
 import org.turmericspan.routing.SlotTable;
+import org.turmericspan.routing.UpstreamState;
 import org.turmericspan.upstream.HttpUpstreamProbe;
 
 /** Wires the probes of kept upstreams. */
@@ -36,8 +38,8 @@
 
     @Provides
     @Singleton
-    static Consumer<ProbeResult> probeResults() {
-        return result -> {};
+    static Consumer<ProbeResult> probeResults(SlotCoordinator slots) {
+        return result -> result.report().ifPresent(report -> slots.observe(result.upstream(), report.signals()));
     }
 
     @Provides
@@ -64,7 +66,7 @@
             MonotonicClock clock) {
         Supplier<List<ProbeTarget>> targets = () -> ProbeShare.targets(
                 configurations.current(),
-                slots.dump().stream().map(SlotTable.UpstreamState::upstream).toList());
+                slots.dump().stream().map(UpstreamState::upstream).toList());
         Consumer<ProbeResult> counting = counting(metrics);
         return new Prober(schedule, targets, probe, counting.andThen(results), clock);
     }
--- a/node/src/main/java/org/turmericspan/node/StateModule.java
+++ b/node/src/main/java/org/turmericspan/node/StateModule.java
@@ -6,7 +6,6 @@
 import dagger.Provides;
 import dagger.multibindings.IntoSet;
 import java.time.Duration;
-import java.util.List;
 import java.util.Set;
 import javax.inject.Singleton;
 import org.turmericspan.config.ConfigurationVersion;
@@ -16,7 +15,6 @@
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
 import org.turmericspan.membership.ViewTable;
-import org.turmericspan.routing.SlotTable;
 
 /** Wires the operator port and the parts of the state dump. */
 @Module
@@ -66,19 +64,6 @@
                                 .toMillis()));
     }
 
-    @Provides
-    @IntoSet
-    static StateSection upstreams(SlotTable table) {
-        return NamedSection.of("upstreams", () -> upstreamStates(table));
-    }
-
-    private static List<UpstreamState> upstreamStates(SlotTable table) {
-        return table.dump().stream()
-                .map(state -> new UpstreamState(
-                        state.upstream().value(), state.service().value(), state.limit(), state.running()))
-                .toList();
-    }
-
     private record NodeState(
             String vm, @JsonProperty("availability_zone") String availabilityZone, String incarnation) {}
 
@@ -91,6 +76,4 @@
             long revision,
             int vms,
             @JsonProperty("confirmed_age_ms") long confirmedAgeMillis) {}
-
-    private record UpstreamState(String upstream, String service, int limit, int running) {}
 }
--- a/wire/src/main/java/org/turmericspan/wire/SlotFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/SlotFormat.java
@@ -140,14 +140,16 @@
 
     Message.Builder encode(Message.Builder builder, PeerMessage.QueryLeases message) {
         PeerProto.QueryLeases.Builder query = builder.getQueryLeasesBuilder();
+        query.setAsker(message.asker().value());
         message.upstreams().forEach(upstream -> query.addUpstreams(upstream.value()));
         return builder;
     }
 
     PeerMessage.QueryLeases queryLeases(Message message) {
-        return new PeerMessage.QueryLeases(message.getQueryLeases().getUpstreamsList().stream()
-                .map(UpstreamId::new)
-                .toList());
+        PeerProto.QueryLeases query = message.getQueryLeases();
+        return new PeerMessage.QueryLeases(
+                new Incarnation(query.getAsker()),
+                query.getUpstreamsList().stream().map(UpstreamId::new).toList());
     }
 
     Message.Builder encode(Message.Builder builder, PeerMessage.LeasesHeld message) {
--- a/wire/src/test/java/org/turmericspan/wire/PeerFrameCodecTest.java
+++ b/wire/src/test/java/org/turmericspan/wire/PeerFrameCodecTest.java
@@ -103,8 +103,8 @@
                         4,
                         Optional.of("a1"),
                         List.of(new PeerMessage.RunningLease(LEASE, new VmId("entry-00"), Duration.ofMillis(1)))),
-                new PeerMessage.QueryLeases(List.of()),
-                new PeerMessage.QueryLeases(List.of(new UpstreamId("u1"))),
+                new PeerMessage.QueryLeases(new Incarnation(-7), List.of()),
+                new PeerMessage.QueryLeases(new Incarnation(7), List.of(new UpstreamId("u1"))),
                 new PeerMessage.LeasesHeld(List.of(new UpstreamId("u1"))));
     }
 
