--- a/integration/src/test/java/org/turmericspan/integration/ConfigurationSpreadTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/ConfigurationSpreadTest.java
@@ -67,6 +67,22 @@
         assertThat(fleet.versionAt(fresh)).isEqualTo(newest);
     }
 
+    @Test
+    void frozenNodeFollowsWithinFiveSecondsOfItsWakeUp() {
+        FleetNode frozen = fleet.nodes().get(1);
+        frozen.process().freeze();
+        try {
+            fleet.publish();
+            long version = fleet.published().version();
+            fleet.nodes().stream()
+                    .filter(node -> !node.equals(frozen))
+                    .forEach(node -> awaitVersion(node, version, GENEROUS));
+        } finally {
+            frozen.process().thaw();
+        }
+        fleet.awaitInForce(IN_FORCE_LIMIT);
+    }
+
     @Test
     void brokenDocumentIsRefusedEverywhereAndTheOldStays() {
         fleet.publish();
--- a/membership/src/main/java/org/turmericspan/membership/DocumentFetch.java
+++ b/membership/src/main/java/org/turmericspan/membership/DocumentFetch.java
@@ -1,5 +1,6 @@
 package org.turmericspan.membership;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -21,6 +22,7 @@
  * @param <V> version of the document
  */
 public final class DocumentFetch<V extends Comparable<? super V>> {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(150);
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
@@ -59,11 +61,22 @@
 
     private void fetch(VmId peer) {
         links.ask(peer, document.question(), TIMEOUT).thenAccept(answer -> {
-            plan.end(peer, document.taker().test(peer, answer), clock.nowNanos());
+            take(peer, answer);
             beginIfBehind();
         });
     }
 
+    private void take(VmId peer, PeerMessage answer) {
+        boolean succeeded = false;
+        try {
+            succeeded = document.taker().test(peer, answer);
+        } catch (RuntimeException e) {
+            logger.atWarning().withCause(e).log("membership: cannot take a document from %s", peer);
+        } finally {
+            plan.end(peer, succeeded, clock.nowNanos());
+        }
+    }
+
     private Duration pause() {
         return Duration.ofNanos(random.nextLong(LONGEST_PAUSE.toNanos()));
     }
@@ -74,7 +87,7 @@
      * @param question message that asks a peer for it
      * @param current highest version known here
      * @param offers versions at the peers, those not worth fetching left out
-     * @param taker takes an answer of a peer and tells whether it brought a higher version; does not throw
+     * @param taker takes an answer of a peer and tells whether it brought a higher version
      * @param <V> version of the document
      */
     public record Document<V>(
