--- /dev/null
+++ b/ctl/src/main/java/org/turmericspan/ctl/SetDifference.java
@@ -0,0 +1,62 @@
+package org.turmericspan.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.turmericspan.config.ObjectSet;
+import org.turmericspan.config.ObjectSource;
+
+/** Compares two sets object by object and field by field. */
+final class SetDifference {
+    private static final String DEFAULT = "default";
+
+    private SetDifference() {}
+
+    static List<ObjectChange> between(ObjectSet before, ObjectSet after) {
+        Map<String, JsonNode> first = byName(before);
+        Map<String, JsonNode> second = byName(after);
+        TreeSet<String> names = new TreeSet<>(first.keySet());
+        names.addAll(second.keySet());
+        List<ObjectChange> changes = new ArrayList<>();
+        for (String name : names) {
+            compare(name, first.get(name), second.get(name), changes);
+        }
+        return changes;
+    }
+
+    private static void compare(String name, JsonNode before, JsonNode after, List<ObjectChange> changes) {
+        if (before == null) {
+            changes.add(new ObjectChange(name, ObjectChange.Type.ADDED, List.of()));
+        } else if (after == null) {
+            changes.add(new ObjectChange(name, ObjectChange.Type.REMOVED, List.of()));
+        } else if (!before.equals(after)) {
+            changes.add(new ObjectChange(name, ObjectChange.Type.CHANGED, fields(before, after)));
+        }
+    }
+
+    private static List<ObjectChange.FieldChange> fields(JsonNode before, JsonNode after) {
+        TreeSet<String> names = new TreeSet<>();
+        before.fieldNames().forEachRemaining(names::add);
+        after.fieldNames().forEachRemaining(names::add);
+        return names.stream()
+                .filter(name -> !before.path(name).equals(after.path(name)))
+                .map(name -> new ObjectChange.FieldChange(name, text(before.get(name)), text(after.get(name))))
+                .toList();
+    }
+
+    private static String text(JsonNode value) {
+        return value == null ? DEFAULT : value.toString();
+    }
+
+    private static Map<String, JsonNode> byName(ObjectSet set) {
+        Map<String, JsonNode> objects = new TreeMap<>();
+        for (ObjectSource object : set.objects()) {
+            JsonNode node = object.node();
+            objects.put(node.path("kind").asText() + " " + node.path("name").asText(), node);
+        }
+        return objects;
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/turmericspan/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The binary {@code turmericspanctl}: checks, bundles and compares configurations, and reads the state of nodes. */
+package org.turmericspan.ctl;
