Bound what a hostile caller can cost and refuse it with a number

Cause: bodies were read on a server thread, header values and paths went to the upstream unchecked, and refusals of the HTTP library had no number. A path escaped as /%6Frders passed by the rule for /orders. Ruled out: a minimum data rate alone, since a body that drips above it still holds a thread. After: bodies are read as they arrive, limited in bytes and time (1011); one spelling of each path; at most 64 plain-text header fields; control fields once; hop-by-hop fields end here; metrics carry HELP and TYPE lines and the process's own cost. Conclusion: every refusal of the front end is JSON with a number.

--- a/errors/src/main/java/org/turmericspan/errors/BalancerException.java
+++ b/errors/src/main/java/org/turmericspan/errors/BalancerException.java
@@ -3,6 +3,7 @@
 /** Unchecked exception of the balancer. It always carries a {@link ResultCode}. */
 public final class BalancerException extends RuntimeException {
     private final ResultCode code;
+    private final String detail;
 
     /**
      * Creates an exception.
@@ -24,6 +25,7 @@
     public BalancerException(ResultCode code, String detail, Throwable cause) {
         super(code.number() + " " + code.sentence() + " " + detail, cause);
         this.code = code;
+        this.detail = detail;
     }
 
     /**
@@ -34,4 +36,13 @@
     public ResultCode code() {
         return code;
     }
+
+    /**
+     * Returns the particulars alone.
+     *
+     * @return text without callers' data or tokens
+     */
+    public String detail() {
+        return detail;
+    }
 }
--- a/errors/src/main/java/org/turmericspan/errors/ResultCode.java
+++ b/errors/src/main/java/org/turmericspan/errors/ResultCode.java
@@ -20,6 +20,10 @@
     RUN_TOKEN_REUSED(1008, Ran.NO, 409, "The run token was used for a different request."),
     /** The caller is not known to the office, or lacks the right for an operator call. */
     FORBIDDEN(1009, Ran.NO, 403, "The call is not permitted."),
+    /** The path takes other HTTP methods. */
+    METHOD_NOT_ALLOWED(1010, Ran.NO, 405, "The path does not take this method."),
+    /** The body did not arrive whole in time. */
+    SLOW_REQUEST(1011, Ran.NO, 408, "The request arrived too slowly."),
     /** No upstream can take the request now. */
     NO_CAPACITY(1101, Ran.NO, 503, "No upstream has capacity."),
     /** The wait queue is full. */
--- a/front/src/main/java/org/turmericspan/front/CallerHeaders.java
+++ b/front/src/main/java/org/turmericspan/front/CallerHeaders.java
@@ -2,33 +2,44 @@
 
 import java.util.Set;
 
-/** Header fields that callers send and get. */
+/** Header fields that callers send and get, in the spelling of responses and, for matching, in lower case. */
 final class CallerHeaders {
-    static final String OFFICE = "Turmericspan-Office";
-    static final String CALLER = "Turmericspan-Caller";
     static final String REQUEST_ID = "Turmericspan-Request-Id";
-    static final String DEADLINE_MS = "Turmericspan-Deadline-Ms";
-    static final String RUN_TOKEN = "Turmericspan-Run-Token";
-    static final String DEPTH = "Turmericspan-Depth";
-    static final String RETRIED = "Turmericspan-Retried";
     static final String RETRY_AFTER = "Retry-After";
+    static final String CONNECTION = "Connection";
+    static final String CLOSE = "close";
 
-    /** Header fields, in lower case, that end at this node. */
-    static final Set<String> NOT_PASSED_ON = Set.of(
-            "connection",
+    static final String CONTROL_PREFIX = "turmericspan-";
+    static final String OFFICE_LOWER = "turmericspan-office";
+    static final String CALLER_LOWER = "turmericspan-caller";
+    static final String REQUEST_ID_LOWER = "turmericspan-request-id";
+    static final String DEADLINE_MS_LOWER = "turmericspan-deadline-ms";
+    static final String RUN_TOKEN_LOWER = "turmericspan-run-token";
+    static final String DEPTH_LOWER = "turmericspan-depth";
+    static final String RETRIED_LOWER = "turmericspan-retried";
+    static final String CONNECTION_LOWER = "connection";
+
+    /** Header fields, in lower case, that belong to the connection or are written anew towards the upstream. */
+    private static final Set<String> NOT_PASSED_ON = Set.of(
+            CONNECTION_LOWER,
             "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
             "transfer-encoding",
             "te",
             "trailer",
             "upgrade",
             "host",
             "content-length",
-            "expect",
-            "turmericspan-deadline-ms",
-            "turmericspan-run-token",
-            "turmericspan-depth",
-            "turmericspan-retried",
-            "turmericspan-request-id");
+            "expect");
 
     private CallerHeaders() {}
+
+    static boolean isPassedOn(String lowerName) {
+        if (lowerName.startsWith(CONTROL_PREFIX)) {
+            return lowerName.equals(OFFICE_LOWER) || lowerName.equals(CALLER_LOWER);
+        }
+        return !NOT_PASSED_ON.contains(lowerName);
+    }
 }
--- a/front/src/main/java/org/turmericspan/front/CallerServer.java
+++ b/front/src/main/java/org/turmericspan/front/CallerServer.java
@@ -1,17 +1,23 @@
 package org.turmericspan.front;
 
+import com.google.common.flogger.FluentLogger;
 import io.javalin.Javalin;
 import io.javalin.compression.CompressionStrategy;
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
 import io.javalin.http.HandlerType;
+import io.javalin.http.HttpResponseException;
+import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeoutException;
 import org.turmericspan.calls.CallHandler;
-import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.Located;
 import org.turmericspan.calls.Locator;
+import org.turmericspan.calls.Payload;
 import org.turmericspan.calls.ServiceCatalog;
 import org.turmericspan.errors.BalancerException;
 import org.turmericspan.errors.ResultCode;
@@ -21,8 +27,10 @@
 
 /** HTTP server for callers: {@code /v1/locate} and {@code /v1/services/SERVICE/PATH}. */
 public final class CallerServer implements AutoCloseable {
-    private static final String SERVICE_ROUTE = "/v1/services/{service}/<path>";
-    private static final String SERVICE_PREFIX = "/v1/services/";
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String SERVICE_ROUTE = "/v1/services/<path>";
+    private static final int MAX_CONNECTIONS = 8_192;
+    private static final Duration LONGEST_BODY = Duration.ofSeconds(30);
     private static final List<HandlerType> METHODS = List.of(
             HandlerType.GET,
             HandlerType.HEAD,
@@ -35,6 +43,7 @@
     private final RequestDecoder decoder;
     private final ResultEncoder encoder = new ResultEncoder();
     private final CallHandler handler;
+    private final MonotonicClock clock;
     private final Locator locator;
     private final TokenIssuer issuer;
     private final Javalin server;
@@ -52,6 +61,7 @@
             CallHandler handler, Locator locator, TokenIssuer issuer, ServiceCatalog catalog, MonotonicClock clock) {
         this.decoder = new RequestDecoder(catalog, clock);
         this.handler = handler;
+        this.clock = clock;
         this.locator = locator;
         this.issuer = issuer;
         this.server = Javalin.create(this::configure);
@@ -72,13 +82,13 @@
     }
 
     private void configure(JavalinConfig config) {
-        config.startup.showJavalinBanner = false;
-        config.startup.showOldJavalinVersionWarning = false;
+        HttpLimits.apply(config, MAX_CONNECTIONS);
         config.router.treatMultipleSlashesAsSingleSlash = false;
         config.http.asyncTimeout = 0;
         config.http.compressionStrategy = CompressionStrategy.NONE;
         config.routes.get("/v1/locate", this::locate);
         METHODS.forEach(method -> config.routes.addHttpHandler(method, SERVICE_ROUTE, this::call));
+        config.routes.exception(HttpResponseException.class, this::refuse);
         config.routes.exception(BalancerException.class, this::refuse);
         config.routes.exception(Exception.class, this::fail);
     }
@@ -101,27 +111,57 @@
     }
 
     private void call(Context context) {
-        CallRequest request = decoder.decode(context, context.pathParam("service"), rawPath(context));
-        CompletableFuture<CallResult> result = handler.handle(request).toCompletableFuture();
-        context.future(() -> result.thenAccept(
-                outcome -> encoder.encode(context, request.requestId().value(), outcome)));
+        RequestHead head = decoder.decode(context.req());
+        context.future(() -> body(context, head)
+                .thenCompose(body -> handler.handle(head.withBody(body)))
+                .handle((result, failure) -> answer(context, head, result, failure)));
     }
 
-    private static String rawPath(Context context) {
-        String uri = context.req().getRequestURI();
-        int slash = uri.indexOf('/', SERVICE_PREFIX.length());
-        String query = context.queryString();
-        String path = slash < 0 ? "/" : uri.substring(slash);
-        return query == null ? path : path + "?" + query;
+    private CompletableFuture<Payload> body(Context context, RequestHead head) {
+        if (!RequestDecoder.hasBody(context.req())) {
+            return CompletableFuture.completedFuture(Payload.EMPTY);
+        }
+        Duration remaining = Duration.ofNanos(head.deadlineNanos() - clock.nowNanos());
+        Duration limit = remaining.compareTo(LONGEST_BODY) < 0 ? remaining : LONGEST_BODY;
+        try {
+            return BodyReader.read(context.req().getInputStream(), head.bodyLimitBytes(), limit);
+        } catch (IOException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private Void answer(Context context, RequestHead head, CallResult result, Throwable failure) {
+        String requestId = head.requestId().value();
+        if (failure == null) {
+            encoder.encode(context, requestId, result);
+            return null;
+        }
+        CallResult.Refused refused = refusal(failure instanceof CompletionException ? failure.getCause() : failure);
+        context.header(CallerHeaders.CONNECTION, CallerHeaders.CLOSE);
+        encoder.encode(context, requestId, refused);
+        return null;
+    }
+
+    private static CallResult.Refused refusal(Throwable failure) {
+        if (failure instanceof BalancerException known) {
+            return CallResult.Refused.of(known.code(), known.detail());
+        }
+        if (failure instanceof TimeoutException) {
+            return CallResult.Refused.of(ResultCode.SLOW_REQUEST, "The body was not whole in time");
+        }
+        logger.atWarning().withCause(failure).log("front: a call failed");
+        return CallResult.Refused.of(ResultCode.INTERNAL, failure.getClass().getSimpleName());
+    }
+
+    private void refuse(HttpResponseException failure, Context context) {
+        encoder.refuse(context, HttpRefusals.refusal(failure.getStatus()));
     }
 
     private void refuse(BalancerException failure, Context context) {
-        encoder.refuse(context, CallResult.Refused.of(failure.code(), failure.getMessage()));
+        encoder.refuse(context, refusal(failure));
     }
 
     private void fail(Exception failure, Context context) {
-        encoder.refuse(
-                context,
-                CallResult.Refused.of(ResultCode.INTERNAL, failure.getClass().getSimpleName()));
+        encoder.refuse(context, refusal(failure));
     }
 }
--- a/front/src/main/java/org/turmericspan/front/MetricsText.java
+++ b/front/src/main/java/org/turmericspan/front/MetricsText.java
@@ -1,38 +1,76 @@
 package org.turmericspan.front;
 
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Sampling;
 import com.codahale.metrics.Snapshot;
-import com.codahale.metrics.Timer;
+import java.util.List;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
-/** Writes metrics as text, one sample a line, in the usual form for scraping. */
+/** Writes metrics in the text form that scrapers read: a HELP and a TYPE line, then the samples, ordered by name. */
 final class MetricsText {
-    private static final double P99 = 0.99;
+    private static final String PREFIX = "turmericspan_";
+    private static final List<Double> QUANTILES = List.of(0.5, 0.9, 0.99, 0.999);
+
+    private final TreeMap<String, String> families = new TreeMap<>();
 
     private MetricsText() {}
 
     static String format(MetricRegistry metrics) {
-        StringBuilder text = new StringBuilder();
-        metrics.getGauges().forEach((name, gauge) -> sample(text, name, "", gauge.getValue()));
-        metrics.getCounters().forEach((name, counter) -> sample(text, name, "", counter.getCount()));
-        metrics.getMeters().forEach((name, meter) -> sample(text, name + "_total", "", meter.getCount()));
-        metrics.getTimers().forEach((name, timer) -> timer(text, name, timer));
-        return text.toString();
+        MetricsText text = new MetricsText();
+        metrics.getGauges().forEach((name, gauge) -> text.gauge(name, gauge.getValue()));
+        metrics.getCounters().forEach((name, counter) -> text.single(name, "gauge", counter.getCount()));
+        metrics.getMeters().forEach((name, meter) -> text.single(name + "_total", "counter", meter.getCount()));
+        metrics.getHistograms().forEach((name, histogram) -> text.summary(name, histogram, histogram.getCount(), 1));
+        metrics.getTimers()
+                .forEach((name, timer) ->
+                        text.summary(name + "_seconds", timer, timer.getCount(), TimeUnit.SECONDS.toNanos(1)));
+        return String.join("", text.families.values());
+    }
+
+    private void gauge(String name, Object value) {
+        if (value instanceof Number number) {
+            single(name, "gauge", number);
+        }
+    }
+
+    private void single(String name, String type, Number value) {
+        String family = familyName(name);
+        put(family, name, type, family + " " + value + "\n");
+    }
+
+    private void summary(String name, Sampling sampling, long count, double unit) {
+        String family = familyName(name);
+        Snapshot snapshot = sampling.getSnapshot();
+        StringBuilder samples = new StringBuilder();
+        for (double quantile : QUANTILES) {
+            samples.append(family).append("{quantile=\"").append(quantile).append("\"} ");
+            samples.append(snapshot.getValue(quantile) / unit).append('\n');
+        }
+        samples.append(family).append("_count ").append(count).append('\n');
+        put(family, name, "summary", samples.toString());
     }
 
-    private static void timer(StringBuilder text, String name, Timer timer) {
-        Snapshot snapshot = timer.getSnapshot();
-        sample(text, name + "_count", "", timer.getCount());
-        sample(text, name + "_seconds", "{quantile=\"0.5\"}", seconds(snapshot.getMedian()));
-        sample(text, name + "_seconds", "{quantile=\"0.99\"}", seconds(snapshot.getValue(P99)));
+    /** Adds a family of samples; of two names that are spelled alike the first is kept. */
+    private void put(String family, String name, String type, String samples) {
+        families.putIfAbsent(
+                family,
+                "# HELP " + family + " Metric " + escape(name) + ".\n# TYPE " + family + " " + type + "\n" + samples);
     }
 
-    private static double seconds(double nanos) {
-        return nanos / TimeUnit.SECONDS.toNanos(1);
+    private static String escape(String help) {
+        return help.replace("\\", "\\\\").replace("\n", "\\n");
     }
 
-    private static void sample(StringBuilder text, String name, String labels, Object value) {
-        text.append("turmericspan_").append(name.replace('.', '_').replace('-', '_'));
-        text.append(labels).append(' ').append(value).append('\n');
+    private static String familyName(String name) {
+        StringBuilder family = new StringBuilder(PREFIX);
+        for (int i = 0; i < name.length(); i++) {
+            char character = name.charAt(i);
+            boolean isAllowed = character >= 'a' && character <= 'z'
+                    || character >= 'A' && character <= 'Z'
+                    || character >= '0' && character <= '9';
+            family.append(isAllowed ? character : '_');
+        }
+        return family.toString();
     }
 }
--- /dev/null
+++ b/front/src/main/java/org/turmericspan/front/RefusalBody.java
@@ -0,0 +1,33 @@
+package org.turmericspan.front;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.time.Duration;
+import java.util.Locale;
+import org.turmericspan.calls.CallResult;
+
+/**
+ * A refusal as JSON.
+ *
+ * @param code stable number of the result code
+ * @param ran whether the request ran: no, yes or unknown
+ * @param message sentence of the code
+ * @param detail particulars
+ * @param retryAfterMillis when a new try makes sense, in milliseconds; left out when there is no advice
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+record RefusalBody(
+        @JsonProperty("code") int code,
+        @JsonProperty("ran") String ran,
+        @JsonProperty("message") String message,
+        @JsonProperty("detail") String detail,
+        @JsonProperty("retry_after_ms") Long retryAfterMillis) {
+    static RefusalBody of(CallResult.Refused refused) {
+        return new RefusalBody(
+                refused.code().number(),
+                refused.code().ran().name().toLowerCase(Locale.ROOT),
+                refused.code().sentence(),
+                refused.detail(),
+                refused.retryAfter().map(Duration::toMillis).orElse(null));
+    }
+}
--- a/front/src/main/java/org/turmericspan/front/RequestDecoder.java
+++ b/front/src/main/java/org/turmericspan/front/RequestDecoder.java
@@ -1,18 +1,9 @@
 package org.turmericspan.front;
 
-import io.javalin.http.Context;
 import jakarta.servlet.http.HttpServletRequest;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
-import org.turmericspan.calls.CallRequest;
-import org.turmericspan.calls.Header;
-import org.turmericspan.calls.Payload;
+import java.util.Set;
 import org.turmericspan.calls.ServiceCatalog;
 import org.turmericspan.calls.ServiceLimits;
 import org.turmericspan.errors.BalancerException;
@@ -24,10 +15,13 @@
 import org.turmericspan.ids.RunToken;
 import org.turmericspan.ids.ServiceId;
 
-/** Turns an HTTP request into a {@link CallRequest}, or refuses it with a numbered code. */
+/** Turns the head of an HTTP request into a {@link RequestHead}, or refuses it with a numbered code. */
 final class RequestDecoder {
     private static final String YES = "1";
     private static final int MAX_DEPTH = 9;
+    private static final int MAX_DIGITS = 9;
+    private static final int DECIMAL = 10;
+    private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
 
     private final ServiceCatalog catalog;
     private final MonotonicClock clock;
@@ -37,80 +31,102 @@
         this.clock = clock;
     }
 
-    CallRequest decode(Context context, String serviceName, String path) {
+    RequestHead decode(HttpServletRequest request) {
         try {
-            return decodeChecked(context, serviceName, path);
+            return decodeChecked(request);
         } catch (IllegalArgumentException e) {
             throw new BalancerException(ResultCode.MALFORMED_REQUEST, e.getMessage(), e);
         }
     }
 
-    private CallRequest decodeChecked(Context context, String serviceName, String path) {
-        ServiceId service = new ServiceId(serviceName);
+    static boolean hasBody(HttpServletRequest request) {
+        return request.getContentLengthLong() > 0 || request.getHeader("Transfer-Encoding") != null;
+    }
+
+    private RequestHead decodeChecked(HttpServletRequest request) {
+        HeaderFields fields = HeaderFields.of(request);
+        RequestPath path = RequestPath.parse(request.getRequestURI(), request.getQueryString());
+        ServiceId service = path.service();
         ServiceLimits limits = catalog.limits(service)
                 .orElseThrow(() -> new BalancerException(ResultCode.NOT_CONFIGURED, "Service " + service));
-        String method = context.req().getMethod();
-        int depth =
-                optional(context, CallerHeaders.DEPTH).map(Integer::parseInt).orElse(0);
-        if (depth < 0 || depth >= MAX_DEPTH) {
-            throw new BalancerException(ResultCode.TOO_DEEP, "Depth " + depth);
-        }
-        return new CallRequest(
-                new RequestId(required(context, CallerHeaders.REQUEST_ID)),
-                new OfficeId(required(context, CallerHeaders.OFFICE)),
-                new CallerId(required(context, CallerHeaders.CALLER)),
-                service,
-                method,
+        String method = request.getMethod();
+        requireBodyAllowed(request, method, limits.bodyLimitBytes());
+        return new RequestHead(
+                new RequestId(fields.requiredControl(CallerHeaders.REQUEST_ID_LOWER)),
+                new OfficeId(fields.requiredControl(CallerHeaders.OFFICE_LOWER)),
+                new CallerId(fields.requiredControl(CallerHeaders.CALLER_LOWER)),
                 path,
-                headers(context.req()),
-                body(context.req(), limits.bodyLimitBytes()),
-                clock.nowNanos() + deadline(context, limits).toNanos(),
-                depth,
-                YES.equals(context.header(CallerHeaders.RETRIED)),
-                catalog.isIdempotent(service, method, path),
-                optional(context, CallerHeaders.RUN_TOKEN).map(RunToken::parse));
+                method,
+                fields.passedOn(),
+                limits.bodyLimitBytes(),
+                clock.nowNanos() + deadline(fields, limits).toNanos(),
+                depth(fields),
+                YES.equals(fields.control(CallerHeaders.RETRIED_LOWER)),
+                catalog.isIdempotent(service, method, path.path()),
+                token(fields));
     }
 
-    private static Duration deadline(Context context, ServiceLimits limits) {
-        Duration wanted = optional(context, CallerHeaders.DEADLINE_MS)
-                .map(Long::parseLong)
-                .map(Duration::ofMillis)
-                .orElse(limits.defaultDeadline());
-        if (wanted.isNegative() || wanted.isZero()) {
-            throw new BalancerException(ResultCode.DEADLINE_BEFORE_SEND, "The request came with a passed deadline");
+    private static void requireBodyAllowed(HttpServletRequest request, String method, int limitBytes) {
+        if (METHODS_WITHOUT_BODY.contains(method) && hasBody(request)) {
+            throw new IllegalArgumentException(method + " takes no body");
+        }
+        if (request.getContentLengthLong() > limitBytes) {
+            throw BodyReader.tooLarge(limitBytes);
         }
-        return wanted.compareTo(limits.longestDeadline()) < 0 ? wanted : limits.longestDeadline();
     }
 
-    private static List<Header> headers(HttpServletRequest request) {
-        List<Header> headers = new ArrayList<>();
-        for (String name : Collections.list(request.getHeaderNames())) {
-            if (!CallerHeaders.NOT_PASSED_ON.contains(name.toLowerCase(Locale.ROOT))) {
-                Collections.list(request.getHeaders(name)).forEach(value -> headers.add(new Header(name, value)));
-            }
+    private static int depth(HeaderFields fields) {
+        int depth = (int) number(fields, CallerHeaders.DEPTH_LOWER, 0);
+        if (depth >= MAX_DEPTH) {
+            throw new BalancerException(ResultCode.TOO_DEEP, "The depth limit is " + MAX_DEPTH);
         }
-        return headers;
+        return depth;
     }
 
-    private static Payload body(HttpServletRequest request, int limitBytes) {
+    private static Duration deadline(HeaderFields fields, ServiceLimits limits) {
+        Duration wanted = Duration.ofMillis(number(
+                fields,
+                CallerHeaders.DEADLINE_MS_LOWER,
+                limits.defaultDeadline().toMillis()));
+        if (wanted.isZero()) {
+            throw new BalancerException(ResultCode.DEADLINE_BEFORE_SEND, "The request came with a passed deadline");
+        }
+        return wanted.compareTo(limits.longestDeadline()) < 0 ? wanted : limits.longestDeadline();
+    }
+
+    private static Optional<RunToken> token(HeaderFields fields) {
+        String text = fields.control(CallerHeaders.RUN_TOKEN_LOWER);
+        if (text == null) {
+            return Optional.empty();
+        }
         try {
-            byte[] bytes = request.getInputStream().readNBytes(limitBytes + 1);
-            if (bytes.length > limitBytes) {
-                throw new BalancerException(ResultCode.TOO_LARGE, "The body limit is " + limitBytes + " bytes");
-            }
-            return Payload.wrap(bytes);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            return Optional.of(RunToken.parse(text));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("RunToken takes incarnation.epoch.nonce.caller", e);
         }
     }
 
-    private static String required(Context context, String name) {
-        return optional(context, name)
-                .orElseThrow(
-                        () -> new BalancerException(ResultCode.MALFORMED_REQUEST, "Header " + name + " is missing"));
+    /** Reads up to nine digits; nothing else is a number. */
+    private static long number(HeaderFields fields, String name, long fallback) {
+        String text = fields.control(name);
+        if (text == null) {
+            return fallback;
+        }
+        long number = 0;
+        for (int i = 0; i < text.length(); i++) {
+            int digit = text.charAt(i) - '0';
+            if (digit < 0 || digit >= DECIMAL) {
+                throw notANumber(name);
+            }
+            number = number * DECIMAL + digit;
+        }
+        if (text.isEmpty() || text.length() > MAX_DIGITS) {
+            throw notANumber(name);
+        }
+        return number;
     }
 
-    private static Optional<String> optional(Context context, String name) {
-        return Optional.ofNullable(context.header(name));
+    private static IllegalArgumentException notANumber(String name) {
+        return new IllegalArgumentException("Header " + name + " takes 1 to " + MAX_DIGITS + " digits");
     }
 }
--- a/front/src/main/java/org/turmericspan/front/ResultEncoder.java
+++ b/front/src/main/java/org/turmericspan/front/ResultEncoder.java
@@ -1,12 +1,9 @@
 package org.turmericspan.front;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.javalin.http.Context;
 import java.time.Duration;
-import java.util.Locale;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.Header;
 
@@ -33,12 +30,7 @@
                 .ifPresent(span -> context.header(CallerHeaders.RETRY_AFTER, Long.toString(wholeSeconds(span))));
         context.status(refused.code().httpStatus());
         context.contentType(JSON);
-        context.result(json(new RefusalBody(
-                refused.code().number(),
-                refused.code().ran().name().toLowerCase(Locale.ROOT),
-                refused.code().sentence(),
-                refused.detail(),
-                refused.retryAfter().map(Duration::toMillis).orElse(null))));
+        context.result(json(RefusalBody.of(refused)));
     }
 
     String json(Object value) {
@@ -56,12 +48,4 @@
     private static long wholeSeconds(Duration span) {
         return span.plusSeconds(1).minusNanos(1).toSeconds();
     }
-
-    @JsonInclude(JsonInclude.Include.NON_NULL)
-    private record RefusalBody(
-            @JsonProperty("code") int code,
-            @JsonProperty("ran") String ran,
-            @JsonProperty("message") String message,
-            @JsonProperty("detail") String detail,
-            @JsonProperty("retry_after_ms") Long retryAfterMillis) {}
 }
--- a/node/src/main/java/org/turmericspan/node/CoreModule.java
+++ b/node/src/main/java/org/turmericspan/node/CoreModule.java
@@ -34,7 +34,9 @@
     @Provides
     @Singleton
     static MetricRegistry metrics() {
-        return new MetricRegistry();
+        MetricRegistry metrics = new MetricRegistry();
+        JvmGauges.register(metrics);
+        return metrics;
     }
 
     @Provides
