--- a/front/src/main/java/org/turmericspan/front/CallerServer.java
+++ b/front/src/main/java/org/turmericspan/front/CallerServer.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.turmericspan.calls.CallHandler;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.Located;
@@ -31,6 +33,7 @@
     private static final String SERVICE_ROUTE = "/v1/services/<path>";
     private static final int MAX_CONNECTIONS = 8_192;
     private static final Duration LONGEST_BODY = Duration.ofSeconds(30);
+    private static final Duration RESPONSE_WRITE_LIMIT = Duration.ofSeconds(10);
     private static final List<HandlerType> METHODS = List.of(
             HandlerType.GET,
             HandlerType.HEAD,
@@ -76,6 +79,7 @@
         server.start(address.host(), address.port());
     }
 
+    /** Stops to accept connections, lets every response in flight end, and closes the rest. */
     @Override
     public void close() {
         server.stop();
@@ -84,6 +88,7 @@
     private void configure(JavalinConfig config) {
         HttpLimits.apply(config, MAX_CONNECTIONS);
         config.router.treatMultipleSlashesAsSingleSlash = false;
+        config.jetty.modifyServer(CallerServer::stopGracefully);
         config.http.asyncTimeout = 0;
         config.http.compressionStrategy = CompressionStrategy.NONE;
         config.routes.get("/v1/locate", this::locate);
@@ -93,6 +98,11 @@
         config.routes.exception(Exception.class, this::fail);
     }
 
+    private static void stopGracefully(Server jetty) {
+        jetty.setHandler(new GracefulHandler());
+        jetty.setStopTimeout(RESPONSE_WRITE_LIMIT.toMillis());
+    }
+
     private void locate(Context context) {
         ServiceId service = serviceParameter(context);
         Located located = locator.locate(service)
--- a/front/src/test/java/org/turmericspan/front/CallerServerTest.java
+++ b/front/src/test/java/org/turmericspan/front/CallerServerTest.java
@@ -61,8 +61,8 @@
     @CsvSource({
         "GET /v1/services/other/a, 1001, 404",
         "GET /v1/nothing, 1001, 404",
-        "POST /v1/locate, 1010, 405",
-        "TRACE /v1/services/mixing/a, 1010, 405",
+        "POST /v1/locate, 1012, 405",
+        "TRACE /v1/services/mixing/a, 1012, 405",
         "GET /v1/services/mixing/a//b, 1002, 400",
         "GET /v1/services/mixing/a/../b, 1002, 400",
         "GET /v1/services/mixing/a/./b, 1002, 400",
@@ -147,7 +147,7 @@
             assertThat(front.exchange(FrontEnd.head("GET /v1/services/mixing/a")))
                     .startsWith("HTTP/1.1 200");
             for (Socket socket : slow) {
-                assertRefused(FrontEnd.readAnswer(socket), 1011, 408);
+                assertRefused(FrontEnd.readAnswer(socket), 1013, 408);
             }
             assertThat(front.calls()).hasSize(1);
         } finally {
--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -9,6 +9,7 @@
 import org.turmericspan.front.OperatorServer;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.ViewTable;
+import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.platform.HttpPlatformReader;
 import org.turmericspan.platform.PlatformFeed;
 import org.turmericspan.platform.VmListParser;
@@ -24,6 +25,7 @@
 
     private final NodeSettings settings;
     private final Workers workers;
+    private final NettyPeerLinks links;
     private final HttpPlatformReader platform;
     private final HttpUpstreamSender upstreams;
     private final CallerServer callers;
@@ -31,11 +33,13 @@
     private final PlatformFeed configurationFeed;
     private final PlatformFeed viewFeed;
     private final KeptUpstreams keptUpstreams;
+    private final PlannedStop plannedStop;
 
     @Inject
     Node(
             NodeSettings settings,
             Workers workers,
+            NettyPeerLinks links,
             HttpPlatformReader platform,
             HttpUpstreamSender upstreams,
             CallerServer callers,
@@ -43,14 +47,17 @@
             ConfigurationTable configurations,
             ViewTable views,
             KeptUpstreams keptUpstreams,
+            PlannedStop plannedStop,
             RandomGenerator random) {
         this.settings = settings;
         this.workers = workers;
+        this.links = links;
         this.platform = platform;
         this.upstreams = upstreams;
         this.callers = callers;
         this.operators = operators;
         this.keptUpstreams = keptUpstreams;
+        this.plannedStop = plannedStop;
         ConfigurationReader reader = new ConfigurationReader();
         VmListParser parser = new VmListParser();
         this.configurationFeed = new PlatformFeed(
@@ -60,6 +67,7 @@
 
     void start() {
         keptUpstreams.start();
+        links.start();
         configurationFeed.start();
         viewFeed.start();
         operators.start(settings.operatorAddress());
@@ -67,15 +75,19 @@
         logger.atInfo().log("node: %s serves callers on %s", settings.vm(), settings.callerAddress());
     }
 
+    /** Stops the node as planned: it cuts off no request in flight unless the limit of the stop passes. */
     @Override
     public void close() {
         logger.atInfo().log("node: %s stops", settings.vm());
+        plannedStop.run().join();
         callers.close();
         configurationFeed.close();
         viewFeed.close();
         operators.close();
+        links.close();
         platform.close();
         upstreams.close();
         workers.close();
+        logger.atInfo().log("node: %s has stopped", settings.vm());
     }
 }
