--- a/front/src/main/java/org/turmericspan/front/CallerHeaders.java
+++ b/front/src/main/java/org/turmericspan/front/CallerHeaders.java
@@ -5,6 +5,7 @@
 /** Header fields that callers send and get, in the spelling of responses and, for matching, in lower case. */
 final class CallerHeaders {
     static final String REQUEST_ID = "Turmericspan-Request-Id";
+    static final String RUN_TOKEN = "Turmericspan-Run-Token";
     static final String RETRY_AFTER = "Retry-After";
     static final String CONNECTION = "Connection";
     static final String CLOSE = "close";
--- a/front/src/main/java/org/turmericspan/front/CallerServer.java
+++ b/front/src/main/java/org/turmericspan/front/CallerServer.java
@@ -148,7 +148,8 @@
         }
         CallResult.Refused refused = refusal(failure instanceof CompletionException ? failure.getCause() : failure);
         context.header(CallerHeaders.CONNECTION, CallerHeaders.CLOSE);
-        encoder.encode(context, requestId, refused);
+        context.header(CallerHeaders.REQUEST_ID, requestId);
+        encoder.refuseEarly(context, refused);
         return null;
     }
 
@@ -164,14 +165,14 @@
     }
 
     private void refuse(HttpResponseException failure, Context context) {
-        encoder.refuse(context, HttpRefusals.refusal(failure.getStatus()));
+        encoder.refuseEarly(context, HttpRefusals.refusal(failure.getStatus()));
     }
 
     private void refuse(BalancerException failure, Context context) {
-        encoder.refuse(context, refusal(failure));
+        encoder.refuseEarly(context, refusal(failure));
     }
 
     private void fail(Exception failure, Context context) {
-        encoder.refuse(context, refusal(failure));
+        encoder.refuseEarly(context, refusal(failure));
     }
 }
--- a/front/src/main/java/org/turmericspan/front/HttpRefusals.java
+++ b/front/src/main/java/org/turmericspan/front/HttpRefusals.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.Callback;
 import org.turmericspan.calls.CallResult;
+import org.turmericspan.errors.Ran;
 import org.turmericspan.errors.ResultCode;
 
 /** Gives refusals of the HTTP library the same JSON form and numbers as every other refusal. */
@@ -51,12 +52,14 @@
         CallResult.Refused refused = refusal(status);
         response.setStatus(refused.code().httpStatus());
         response.getHeaders().put(JSON);
-        response.write(true, ByteBuffer.wrap(json(refused)), callback);
+        boolean otherCopiesMayRun = request.getHeaders().contains(CallerHeaders.RUN_TOKEN);
+        Ran ran = otherCopiesMayRun ? Ran.UNKNOWN : refused.code().ran();
+        response.write(true, ByteBuffer.wrap(json(RefusalBody.of(refused, ran))), callback);
     }
 
-    private byte[] json(CallResult.Refused refused) {
+    private byte[] json(RefusalBody body) {
         try {
-            return mapper.writeValueAsString(RefusalBody.of(refused)).getBytes(StandardCharsets.UTF_8);
+            return mapper.writeValueAsString(body).getBytes(StandardCharsets.UTF_8);
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("Every refusal can be written as JSON", e);
         }
--- a/front/src/main/java/org/turmericspan/front/RefusalBody.java
+++ b/front/src/main/java/org/turmericspan/front/RefusalBody.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.turmericspan.calls.CallResult;
+import org.turmericspan.errors.Ran;
 
 /**
  * A refusal as JSON.
@@ -22,10 +23,10 @@
         @JsonProperty("message") String message,
         @JsonProperty("detail") String detail,
         @JsonProperty("retry_after_ms") Long retryAfterMillis) {
-    static RefusalBody of(CallResult.Refused refused) {
+    static RefusalBody of(CallResult.Refused refused, Ran ran) {
         return new RefusalBody(
                 refused.code().number(),
-                refused.code().ran().name().toLowerCase(Locale.ROOT),
+                ran.name().toLowerCase(Locale.ROOT),
                 refused.code().sentence(),
                 refused.detail(),
                 refused.retryAfter().map(Duration::toMillis).orElse(null));
--- a/routing/src/main/java/org/turmericspan/routing/HomeSets.java
+++ b/routing/src/main/java/org/turmericspan/routing/HomeSets.java
@@ -25,13 +25,11 @@
  * returned starts with a small weight that rises to its full one.
  */
 public final class HomeSets implements Locator {
-    /** How long callers may keep an answer. */
-    public static final Duration TIME_TO_LIVE = Duration.ofSeconds(5);
-
     private static final Duration FULL_WEIGHT_AFTER = Duration.ofSeconds(20);
     private static final int RISE_STEPS = 4;
 
     private final Supplier<FleetMap> map;
+    private final Duration timeToLive;
     private final MonotonicClock clock;
     private final DoubleSupplier random;
     private final Map<VmId, Long> candidateSinceNanos = new ConcurrentHashMap<>();
@@ -41,11 +39,13 @@
      * Creates a locator.
      *
      * @param map who keeps what
+     * @param timeToLive how long callers may keep an answer
      * @param clock measures how long a node has been back
      * @param random draws from 0 to 1
      */
-    public HomeSets(Supplier<FleetMap> map, MonotonicClock clock, DoubleSupplier random) {
+    public HomeSets(Supplier<FleetMap> map, Duration timeToLive, MonotonicClock clock, DoubleSupplier random) {
         this.map = map;
+        this.timeToLive = timeToLive;
         this.clock = clock;
         this.random = random;
     }
@@ -68,7 +68,7 @@
                             home.vm().id(), home.vm().callerAddress().orElseThrow(), weight)));
         }
         Collections.sort(drawn);
-        return Optional.of(new Located(drawn.stream().map(Drawn::address).toList(), TIME_TO_LIVE));
+        return Optional.of(new Located(drawn.stream().map(Drawn::address).toList(), timeToLive));
     }
 
     private Computed current() {
