--- a/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
@@ -49,7 +49,17 @@
             Duration viewAge,
             boolean leaving,
             List<IdleSlots> idleSlots)
-            implements PeerMessage {}
+            implements PeerMessage {
+        /**
+         * Leaves out what other regions have no use for.
+         *
+         * @return a copy without idle slots
+         */
+        public Heartbeat withoutIdleSlots() {
+            return new Heartbeat(
+                    incarnation, configurationNumber, configurationDigest, viewRevision, viewAge, leaving, List.of());
+        }
+    }
 
     /**
      * Slots that are idle at a keeper.
@@ -158,9 +168,10 @@
     /**
      * Asks whether a node holds or has granted leases on upstreams.
      *
+     * @param asker life of the sender, by which the other node tells a restart
      * @param upstreams the upstreams
      */
-    record QueryLeases(List<UpstreamId> upstreams) implements PeerMessage {}
+    record QueryLeases(Incarnation asker, List<UpstreamId> upstreams) implements PeerMessage {}
 
     /**
      * Answer to {@link QueryLeases}.
