--- a/standins/src/main/java/org/turmericspan/standins/demo/DemoCaller.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/DemoCaller.java
@@ -100,9 +100,8 @@
 
     private JsonNode locate() throws IOException {
         if (located == null || System.nanoTime() - locatedUntilNanos >= 0) {
-            try (Response response = client.newCall(
-                            new Request.Builder().url(locateUrl).build())
-                    .execute()) {
+            try (Response response =
+                    client.newCall(new Request.Builder().url(locateUrl).build()).execute()) {
                 located = mapper.readTree(response.body().string());
             }
             long keepMillis = located.path("ttl_ms").asLong();
--- a/standins/src/main/java/org/turmericspan/standins/demo/Main.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/Main.java
@@ -30,8 +30,7 @@
     private final Fleet fleet;
     private final AtomicReference<Phase> phase = new AtomicReference<>();
     private final CountDownLatch never = new CountDownLatch(1);
-    private final ScheduledExecutorService callers =
-            Executors.newScheduledThreadPool(2 * CALLERS_PER_SERVICE);
+    private final ScheduledExecutorService callers = Executors.newScheduledThreadPool(2 * CALLERS_PER_SERVICE);
 
     private Main(Fleet fleet) {
         this.fleet = fleet;
