--- /dev/null
+++ b/front/src/test/java/org/turmericspan/front/ErrorsPageTest.java
@@ -0,0 +1,34 @@
+package org.turmericspan.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.errors.ResultCode;
+
+/** Compares the page of result codes with the code. */
+final class ErrorsPageTest {
+    @Test
+    void pageListsEveryCodeWithWhatToDo() throws IOException {
+        List<String> expected =
+                Arrays.stream(ResultCode.values()).map(ErrorsPageTest::row).toList();
+
+        Path page = Path.of(System.getProperty("turmericspan.root"), "docs", "ERRORS.md");
+        List<String> rows = Files.readAllLines(page).stream()
+                .filter(line -> line.matches("\\| [0-9]{4} .*"))
+                .toList();
+        assertThat(rows).allMatch(row -> row.matches(".*\\| [^|]{10,} \\|"));
+        assertThat(rows.stream().map(row -> row.replaceFirst("\\| [^|]+ \\|$", "|")))
+                .containsExactlyElementsOf(expected);
+    }
+
+    private static String row(ResultCode code) {
+        return "| " + code.number() + " | `" + code.name() + "` | " + code.httpStatus() + " | "
+                + code.ran().name().toLowerCase(Locale.ROOT) + " | " + code.sentence() + " |";
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/turmericspan/node/SettingsPageTest.java
@@ -0,0 +1,30 @@
+package org.turmericspan.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Compares the page of settings with the code. */
+final class SettingsPageTest {
+    @Test
+    void pageListsEverySettingAsTheCodeReadsIt() throws IOException {
+        List<String> expected =
+                Arrays.stream(Setting.values()).map(SettingsPageTest::row).toList();
+
+        Path page = Path.of(System.getProperty("turmericspan.root"), "docs", "SETTINGS.md");
+        assertThat(Files.readAllLines(page).stream().filter(line -> line.startsWith("| `--")))
+                .containsExactlyElementsOf(expected);
+    }
+
+    private static String row(Setting setting) {
+        SettingType<?> type = setting.type();
+        String value = setting.isRequired() ? "required" : "`" + setting.defaultValue() + "`";
+        return "| `" + setting.flag() + "` | `" + setting.environmentVariable() + "` | " + type.allowed() + " | "
+                + (type.unit().isEmpty() ? "-" : type.unit()) + " | " + value + " | " + setting.description() + " |";
+    }
+}
