--- a/front/src/test/java/org/turmericspan/front/RefusalBeforeLookupTest.java
+++ b/front/src/test/java/org/turmericspan/front/RefusalBeforeLookupTest.java
@@ -45,10 +45,10 @@
             server.start(address);
             HttpRequest.Builder request = HttpRequest.newBuilder(
                             URI.create("http://" + address + "/v1/services/ordering/orders"))
-                    .header(CallerHeaders.DEADLINE_MS, "0")
+                    .header(CallerHeaders.DEADLINE_MS_LOWER, "0")
                     .header(CallerHeaders.REQUEST_ID, "request-1")
-                    .header(CallerHeaders.OFFICE, "pressroom")
-                    .header(CallerHeaders.CALLER, "mari");
+                    .header(CallerHeaders.OFFICE_LOWER, "pressroom")
+                    .header(CallerHeaders.CALLER_LOWER, "mari");
             token.ifPresent(value -> request.header(CallerHeaders.RUN_TOKEN, value));
             return HttpClient.newHttpClient()
                     .send(request.build(), HttpResponse.BodyHandlers.ofString())
