--- a/errors/src/main/java/org/turmericspan/errors/ResultCode.java
+++ b/errors/src/main/java/org/turmericspan/errors/ResultCode.java
@@ -27,6 +27,10 @@
     RUN_TOKEN_SPENT(1010, Ran.NO, 409, "A request with this run token was refused and not run; stamp a new one."),
     /** The run token names an epoch that the node has not begun. */
     RUN_TOKEN_NOT_ISSUED(1011, Ran.UNKNOWN, 400, "The run token names an epoch that was not given out."),
+    /** The path takes other HTTP methods. */
+    METHOD_NOT_ALLOWED(1012, Ran.NO, 405, "The path does not take this method."),
+    /** The body did not arrive whole in time. */
+    SLOW_REQUEST(1013, Ran.NO, 408, "The request arrived too slowly."),
     /** No upstream can take the request now. */
     NO_CAPACITY(1101, Ran.NO, 503, "No upstream has capacity."),
     /** The wait queue is full. */
