--- a/standins/src/main/java/org/turmericspan/standins/fleet/ChildProcess.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/ChildProcess.java
@@ -76,6 +76,15 @@
         return process.isAlive();
     }
 
+    /**
+     * Returns how the process ended.
+     *
+     * @return its exit code
+     */
+    public int exitCode() {
+        return process.exitValue();
+    }
+
     /** Asks the process to stop as planned, and waits until it has. */
     public void stop() {
         process.destroy();
--- a/tables/src/main/java/org/turmericspan/tables/Workers.java
+++ b/tables/src/main/java/org/turmericspan/tables/Workers.java
@@ -1,9 +1,9 @@
 package org.turmericspan.tables;
 
 import java.time.Duration;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -26,7 +26,9 @@
             thread.setDaemon(true);
             return thread;
         };
-        this.executor = Executors.newScheduledThreadPool(threads, factory);
+        ScheduledThreadPoolExecutor pool = new ScheduledThreadPoolExecutor(threads, factory);
+        pool.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        this.executor = pool;
     }
 
     /**
@@ -60,7 +62,7 @@
         return executor.scheduleWithFixedDelay(task, pause.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    /** Stops the pool and waits a few seconds for running tasks. */
+    /** Stops the pool, drops tasks that are not yet due, and waits a few seconds for running ones. */
     @Override
     public void close() {
         executor.shutdown();
