--- a/membership/src/main/java/org/turmericspan/membership/StopState.java
+++ b/membership/src/main/java/org/turmericspan/membership/StopState.java
@@ -5,13 +5,15 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 
-/** Whether this node is about to stop. Heartbeats and locate answers read it. It never goes back. */
+/** Whether this node starts, serves or is about to stop. Heartbeats and locate answers read it. It never goes back. */
 public final class StopState {
     private final List<Consumer<Phase>> listeners = new CopyOnWriteArrayList<>();
-    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.SERVING);
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
 
-    /** How far a planned stop has come. */
+    /** How far the life of the node has come. */
     public enum Phase {
+        /** The node does not listen for callers yet. */
+        STARTING,
         /** The node takes calls. */
         SERVING,
         /** The node takes calls until the locate answers that name it have expired. */
@@ -42,7 +44,7 @@
     }
 
     /**
-     * Returns how far the stop has come.
+     * Returns how far the life of the node has come.
      *
      * @return the phase
      */
@@ -51,9 +53,9 @@
     }
 
     /**
-     * Tells whether the node is about to stop.
+     * Tells whether locate answers must leave the node out.
      *
-     * @return true from the beginning of a planned stop
+     * @return true before the node listens for callers and from the beginning of a planned stop
      */
     public boolean isLeaving() {
         return phase.get() != Phase.SERVING;
--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -6,6 +6,7 @@
 import org.turmericspan.front.CallerServer;
 import org.turmericspan.front.OperatorServer;
 import org.turmericspan.peer.NettyPeerLinks;
+import org.turmericspan.membership.StopState;
 import org.turmericspan.platform.HttpPlatformReader;
 import org.turmericspan.tables.Workers;
 import org.turmericspan.upstream.HttpUpstreamSender;
@@ -25,6 +26,7 @@
     private final MembershipRunner membership;
     private final KeptUpstreams keptUpstreams;
     private final PlannedStop plannedStop;
+    private final StopState stopState;
 
     @Inject
     Node(
@@ -37,7 +39,8 @@
             OperatorServer operators,
             MembershipRunner membership,
             KeptUpstreams keptUpstreams,
-            PlannedStop plannedStop) {
+            PlannedStop plannedStop,
+            StopState stopState) {
         this.settings = settings;
         this.workers = workers;
         this.links = links;
@@ -48,6 +51,7 @@
         this.membership = membership;
         this.keptUpstreams = keptUpstreams;
         this.plannedStop = plannedStop;
+        this.stopState = stopState;
     }
 
     void start() {
@@ -56,6 +60,7 @@
         membership.start();
         operators.start(settings.operatorAddress());
         callers.start(settings.callerAddress());
+        stopState.enter(StopState.Phase.SERVING);
         logger.atInfo().log("node: %s serves callers on %s", settings.vm(), settings.callerAddress());
     }
 
--- a/node/src/main/java/org/turmericspan/node/SlotModule.java
+++ b/node/src/main/java/org/turmericspan/node/SlotModule.java
@@ -10,6 +10,8 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.PeerState;
+import org.turmericspan.membership.Peers;
 import org.turmericspan.membership.StopState;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.routing.FleetMap;
@@ -47,12 +49,17 @@
             NodeIdentity identity,
             Supplier<FleetMap> map,
             MonotonicClock clock,
-            StopState stopState) {
+            StopState stopState,
+            Peers peers) {
         Locator homeSets = new HomeSets(
                 map,
                 settings.locateTimeToLive(),
                 clock,
                 () -> ThreadLocalRandom.current().nextDouble());
-        return new StoppingLocator(homeSets, identity.vm(), stopState);
+        return new StoppingLocator(
+                homeSets,
+                vm -> vm.equals(identity.vm())
+                        ? stopState.isLeaving()
+                        : peers.find(vm).filter(PeerState::leaving).isPresent());
     }
 }
--- a/node/src/main/java/org/turmericspan/node/StateModule.java
+++ b/node/src/main/java/org/turmericspan/node/StateModule.java
@@ -15,6 +15,7 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.StopState;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.routing.SlotTable;
 
@@ -26,9 +27,13 @@
     @Provides
     @Singleton
     static OperatorServer operatorServer(
-            Set<StateSection> sections, MetricRegistry metrics, ConfigurationTable configurations) {
+            Set<StateSection> sections,
+            MetricRegistry metrics,
+            ConfigurationTable configurations,
+            StopState stopState) {
         return new OperatorServer(
-                sections, metrics, () -> !configurations.version().equals(ConfigurationVersion.NONE));
+                sections, metrics, () -> stopState.phase() != StopState.Phase.STARTING
+                        && !configurations.version().equals(ConfigurationVersion.NONE));
     }
 
     @Provides
--- a/node/src/main/java/org/turmericspan/node/StoppingLocator.java
+++ b/node/src/main/java/org/turmericspan/node/StoppingLocator.java
@@ -2,34 +2,31 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.turmericspan.calls.Located;
 import org.turmericspan.calls.Locator;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.VmId;
-import org.turmericspan.membership.StopState;
 
-/** Leaves this node out of its own locate answers from the moment it begins to stop. */
+/** Leaves out of locate answers the nodes that are about to stop, before the platform's list does. */
 final class StoppingLocator implements Locator {
     private final Locator next;
-    private final VmId self;
-    private final StopState stopState;
+    private final Predicate<VmId> isLeaving;
 
-    StoppingLocator(Locator next, VmId self, StopState stopState) {
+    StoppingLocator(Locator next, Predicate<VmId> isLeaving) {
         this.next = next;
-        this.self = self;
-        this.stopState = stopState;
+        this.isLeaving = isLeaving;
     }
 
     @Override
     public Optional<Located> locate(ServiceId service) {
-        Optional<Located> located = next.locate(service);
-        return stopState.isLeaving() ? located.map(this::withoutSelf) : located;
+        return next.locate(service).map(this::withoutLeaving);
     }
 
-    private Located withoutSelf(Located located) {
-        List<Located.Address> others = located.addresses().stream()
-                .filter(address -> !address.vm().equals(self))
+    private Located withoutLeaving(Located located) {
+        List<Located.Address> staying = located.addresses().stream()
+                .filter(address -> !isLeaving.test(address.vm()))
                 .toList();
-        return new Located(others, located.timeToLive());
+        return new Located(staying, located.timeToLive());
     }
 }
