--- /dev/null
+++ b/integration/src/test/java/org/turmericspan/integration/ColdUpstreamTest.java
@@ -0,0 +1,141 @@
+package org.turmericspan.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.standins.fleet.Await;
+import org.turmericspan.standins.fleet.Fleet;
+import org.turmericspan.standins.fleet.FleetNode;
+import org.turmericspan.standins.fleet.FleetPlan;
+
+/** No cold upstream gets more than it bears, and nothing new starts where it must not. */
+final class ColdUpstreamTest {
+    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final long DEPARTURE_MILLIS = 3_000;
+
+    @Test
+    void coldUpstreamsAreNotOverrunWhileAllNodesAreReplacedAndTheListLags() {
+        try (Fleet fleet = Fleet.start(plan("keepers"));
+                Traffic traffic = Traffic.start(fleet)) {
+            traffic.awaitAnswers(100, LIMIT);
+            for (FleetNode node : fleet.nodes()) {
+                node.process().kill();
+                node.process().start();
+                Await.until(
+                        node + " is back",
+                        LIMIT,
+                        () -> fleet.http()
+                                .get(node.operatorUrl() + "/v1/health")
+                                .equals("ready"));
+            }
+            traffic.awaitAnswers(100, LIMIT);
+
+            assertThat(fleet.witnessSum("cold_overruns")).isZero();
+            assertThat(fleet.witnessSum("crashes")).isZero();
+        }
+    }
+
+    @Test
+    void coldUpstreamsAreOverrunByTheBaseline() {
+        try (Fleet fleet = Fleet.start(plan("baseline"));
+                Traffic traffic = Traffic.start(fleet)) {
+            Await.until("an upstream falls over", LIMIT, () -> fleet.witnessSum("cold_overruns") > 0);
+            assertThat(traffic.sent()).isPositive();
+        }
+    }
+
+    @Test
+    void nothingStartsInAnAvailabilityZoneThreeSecondsAfterItWasTakenOut() {
+        try (Fleet fleet = Fleet.start(plan("keepers"));
+                Traffic traffic = Traffic.start(fleet)) {
+            traffic.awaitAnswers(100, LIMIT);
+            long outMillis = System.currentTimeMillis();
+            fleet.setZone("zone-a", false);
+            fleet.awaitInForce(LIMIT);
+            traffic.awaitUntil(outMillis + 2 * DEPARTURE_MILLIS);
+            traffic.awaitAnswers(100, LIMIT);
+
+            assertThat(lastStartedMillis(fleet, "zone-a")).isLessThan(outMillis + DEPARTURE_MILLIS);
+            fleet.setZone("zone-a", true);
+            Await.until(
+                    "the zone serves again",
+                    LIMIT,
+                    () -> lastStartedMillis(fleet, "zone-a") > outMillis + 2 * DEPARTURE_MILLIS);
+            assertThat(fleet.witnessSum("cold_overruns")).isZero();
+        }
+    }
+
+    @Test
+    void nothingStartsOnAnUpstreamThreeSecondsAfterItSaysThatItLeaves() {
+        try (Fleet fleet = Fleet.start(plan("keepers"));
+                Traffic traffic = Traffic.start(fleet)) {
+            traffic.awaitAnswers(100, LIMIT);
+            int port = fleet.upstreams().get(0).port();
+            long shedBefore = witness(fleet, port).path("shed").asLong();
+            long leavingMillis = System.currentTimeMillis();
+            fleet.http().post(fleet.upstreamControlUrl() + "/control/leaving?on=true&port=" + port);
+            traffic.awaitUntil(leavingMillis + DEPARTURE_MILLIS);
+            long shedAtBound = witness(fleet, port).path("shed").asLong();
+            traffic.awaitAnswers(100, LIMIT);
+
+            assertThat(shedAtBound).isLessThanOrEqualTo(shedBefore + 4);
+            assertThat(witness(fleet, port).path("shed").asLong()).isEqualTo(shedAtBound);
+            assertThat(witness(fleet, port).path("last_started_ms").asLong())
+                    .isLessThan(leavingMillis + DEPARTURE_MILLIS);
+        }
+    }
+
+    @Test
+    void frozenNodeThatWakesLateStartsNothingOnUpstreamsItNoLongerKeeps() {
+        try (Fleet fleet = Fleet.start(plan("keepers"));
+                Traffic traffic = Traffic.start(fleet)) {
+            traffic.awaitAnswers(100, LIMIT);
+            FleetNode frozen = fleet.nodes().get(0);
+            frozen.process().freeze();
+            fleet.setLeaving(frozen.name(), true);
+            long frozenMillis = System.currentTimeMillis();
+            traffic.awaitUntil(frozenMillis + 2 * DEPARTURE_MILLIS);
+            frozen.process().thaw();
+            traffic.awaitUntil(frozenMillis + 3 * DEPARTURE_MILLIS);
+
+            assertThat(fleet.witnessSum("cold_overruns")).isZero();
+            Await.until(
+                    "the node keeps nothing",
+                    LIMIT,
+                    () -> fleet.http()
+                            .getJson(frozen.operatorUrl() + "/v1/state")
+                            .path("upstreams")
+                            .isEmpty());
+        }
+    }
+
+    private static FleetPlan plan(String policy) {
+        List<String> service =
+                List.of("\"default_deadline_ms\": 1000", "\"longest_lease_ms\": 1000", "\"probes_per_second\": 0");
+        FleetPlan.ServicePlan ordering = new FleetPlan.ServicePlan("ordering", 8, service);
+        return new FleetPlan(
+                List.of("zone-a", "zone-b", "zone-c", "zone-d"),
+                4,
+                List.of(ordering),
+                false,
+                List.of("--slot-policy", policy, "--view-lag-bound", "2000"));
+    }
+
+    private static long lastStartedMillis(Fleet fleet, String zone) {
+        JsonNode witness = fleet.witness();
+        return fleet.upstreams().stream()
+                .filter(upstream -> upstream.zone().equals(zone))
+                .mapToLong(upstream -> witness.path(Integer.toString(upstream.port()))
+                        .path("last_started_ms")
+                        .asLong())
+                .max()
+                .orElse(0);
+    }
+
+    private static JsonNode witness(Fleet fleet, int port) {
+        return fleet.witness().path(Integer.toString(port));
+    }
+}
--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -5,8 +5,8 @@
 import javax.inject.Singleton;
 import org.turmericspan.front.CallerServer;
 import org.turmericspan.front.OperatorServer;
-import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.membership.StopState;
+import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.platform.HttpPlatformReader;
 import org.turmericspan.tables.Workers;
 import org.turmericspan.upstream.HttpUpstreamSender;
@@ -24,7 +24,7 @@
     private final CallerServer callers;
     private final OperatorServer operators;
     private final MembershipRunner membership;
-    private final KeptUpstreams keptUpstreams;
+    private final SlotUpkeep slotUpkeep;
     private final PlannedStop plannedStop;
     private final StopState stopState;
 
@@ -38,7 +38,7 @@
             CallerServer callers,
             OperatorServer operators,
             MembershipRunner membership,
-            KeptUpstreams keptUpstreams,
+            SlotUpkeep slotUpkeep,
             PlannedStop plannedStop,
             StopState stopState) {
         this.settings = settings;
@@ -49,13 +49,13 @@
         this.callers = callers;
         this.operators = operators;
         this.membership = membership;
-        this.keptUpstreams = keptUpstreams;
+        this.slotUpkeep = slotUpkeep;
         this.plannedStop = plannedStop;
         this.stopState = stopState;
     }
 
     void start() {
-        keptUpstreams.start();
+        slotUpkeep.start();
         links.start();
         membership.start();
         operators.start(settings.operatorAddress());
@@ -72,6 +72,7 @@
         callers.close();
         membership.close();
         operators.close();
+        slotUpkeep.close();
         links.close();
         platform.close();
         upstreams.close();
