--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -5,6 +5,7 @@
 import javax.inject.Singleton;
 import org.turmericspan.front.CallerServer;
 import org.turmericspan.front.OperatorServer;
+import org.turmericspan.membership.StopState;
 import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.platform.HttpPlatformReader;
 import org.turmericspan.probing.Prober;
@@ -29,6 +30,7 @@
     private final HttpUpstreamProbe probe;
     private final SlotUpkeep slotUpkeep;
     private final PlannedStop plannedStop;
+    private final StopState stopState;
 
     @Inject
     Node(
@@ -43,7 +45,8 @@
             Prober prober,
             HttpUpstreamProbe probe,
             SlotUpkeep slotUpkeep,
-            PlannedStop plannedStop) {
+            PlannedStop plannedStop,
+            StopState stopState) {
         this.settings = settings;
         this.workers = workers;
         this.links = links;
@@ -56,6 +59,7 @@
         this.probe = probe;
         this.slotUpkeep = slotUpkeep;
         this.plannedStop = plannedStop;
+        this.stopState = stopState;
     }
 
     void start() {
@@ -65,6 +69,7 @@
         prober.start(workers);
         operators.start(settings.operatorAddress());
         callers.start(settings.callerAddress());
+        stopState.enter(StopState.Phase.SERVING);
         logger.atInfo().log("node: %s serves callers on %s", settings.vm(), settings.callerAddress());
     }
 
--- a/node/src/main/java/org/turmericspan/node/StateModule.java
+++ b/node/src/main/java/org/turmericspan/node/StateModule.java
@@ -14,6 +14,7 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.StopState;
 import org.turmericspan.membership.ViewTable;
 
 /** Wires the operator port and the parts of the state dump. */
@@ -24,9 +25,15 @@
     @Provides
     @Singleton
     static OperatorServer operatorServer(
-            Set<StateSection> sections, MetricRegistry metrics, ConfigurationTable configurations) {
+            Set<StateSection> sections,
+            MetricRegistry metrics,
+            ConfigurationTable configurations,
+            StopState stopState) {
         return new OperatorServer(
-                sections, metrics, () -> !configurations.version().equals(ConfigurationVersion.NONE));
+                sections,
+                metrics,
+                () -> stopState.phase() != StopState.Phase.STARTING
+                        && !configurations.version().equals(ConfigurationVersion.NONE));
     }
 
     @Provides
