--- /dev/null
+++ b/routing/src/test/java/org/turmericspan/routing/HomeSetsTest.java
@@ -0,0 +1,119 @@
+package org.turmericspan.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.calls.Located;
+import org.turmericspan.config.Upstream;
+import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.membership.FleetView;
+import org.turmericspan.membership.Vm;
+import org.turmericspan.testkit.ManualClock;
+
+/** Which nodes an address answer names, in what order and with what weight. */
+final class HomeSetsTest {
+    private static final List<Upstream> UPSTREAMS = Fixtures.upstreams(8);
+
+    private final ManualClock clock = new ManualClock();
+    private final Random random = new Random(1);
+    private FleetMap map = map(Fixtures.entryVms(4), Set.of());
+    private final HomeSets homes = new HomeSets(() -> map, Duration.ofSeconds(5), clock, random::nextDouble);
+
+    @Test
+    void unknownServiceIsNotLocated() {
+        assertThat(homes.locate(new ServiceId("unknown"))).isEmpty();
+    }
+
+    @Test
+    void everyKeeperIsNamedWithAWeightOfItsSlots() {
+        assertThat(locate()).hasSize(4).allMatch(address -> address.weight() > 0);
+        assertThat(locate().stream().mapToInt(Located.Address::weight).sum()).isEqualTo(8 * 3 * 4);
+    }
+
+    @Test
+    void nodeThatLeavesOrIsOutIsNotNamed() {
+        map = map(Fixtures.entryVms(4), Set.of(new VmId("entry-2")));
+
+        assertThat(locate()).extracting(Located.Address::vm).doesNotContain(new VmId("entry-2"));
+    }
+
+    @Test
+    void upstreamsOutOfServiceAddNoWeight() {
+        int before = weight();
+        map = map(Fixtures.entryVms(4), Set.of(UPSTREAMS.get(0).vm()));
+
+        assertThat(weight()).isEqualTo(before - 3 * 4);
+    }
+
+    @Test
+    void weightOfANodeThatReturnsRises() {
+        map = map(Fixtures.entryVms(3), Set.of());
+        locate();
+        map = map(Fixtures.entryVms(4), Set.of());
+        VmId back = new VmId("entry-3");
+        int atReturn = weightOf(back);
+        clock.advance(Duration.ofSeconds(20));
+
+        assertThat(weightOf(back)).isEqualTo(4 * atReturn);
+    }
+
+    @Test
+    void callersSpreadEvenlyOverNodesOfEqualWeight() {
+        Map<VmId, Integer> first = new HashMap<>();
+        for (int i = 0; i < 4_000; i++) {
+            first.merge(locate().get(0).vm(), 1, Integer::sum);
+        }
+
+        assertThat(first).hasSize(4);
+        assertThat(first.values()).allMatch(count -> count > 800 && count < 1_200);
+    }
+
+    @Test
+    void everyNodeIsNamedWhenNoUpstreamIsInService() {
+        map = map(
+                Fixtures.entryVms(4),
+                Set.copyOf(UPSTREAMS.stream().map(Upstream::vm).toList()));
+
+        assertThat(locate()).hasSize(4);
+    }
+
+    @Test
+    void mapIsComputedAnewOnlyAfterAChange() {
+        var configuration = Fixtures.configuration(1, UPSTREAMS, Fixtures.service(3, 1));
+        List<FleetView> views = new ArrayList<>(List.of(Fixtures.view(1, Fixtures.entryVms(4))));
+        var cached = FleetMap.cached(() -> configuration, () -> views.get(views.size() - 1));
+        FleetMap first = cached.get();
+
+        assertThat(cached.get()).isSameAs(first);
+        views.add(Fixtures.view(2, Fixtures.entryVms(3)));
+        assertThat(cached.get()).isNotSameAs(first);
+    }
+
+    private List<Located.Address> locate() {
+        return homes.locate(Fixtures.SERVICE).orElseThrow().addresses();
+    }
+
+    private int weight() {
+        return locate().stream().mapToInt(Located.Address::weight).sum();
+    }
+
+    private int weightOf(VmId vm) {
+        return locate().stream()
+                .filter(address -> address.vm().equals(vm))
+                .mapToInt(Located.Address::weight)
+                .sum();
+    }
+
+    private static FleetMap map(List<Vm> entryVms, Set<VmId> outOfService) {
+        return FleetMap.of(
+                Fixtures.configuration(1, UPSTREAMS, Fixtures.service(3, 1), outOfService), Fixtures.view(1, entryVms));
+    }
+}
