Let the waiting wishes of a service choose and expire themselves

Ruled out: splitting off the change of keepers, which shares most of the engine's state. Conclusion: the engine keeps the order of events, the service its queue.

--- a/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** Kept upstreams of one service and the wishes that wait for them, oldest first. */
 final class ServiceSlots {
@@ -48,6 +49,34 @@
         return best;
     }
 
+    /** Removes and returns the wish that an offered slot serves: the preferred one, else this node's oldest. */
+    Optional<WishKey> takeWaiterFor(SlotEvent.Offered offered) {
+        if (waiters.remove(offered.preferred()) != null) {
+            return Optional.of(offered.preferred());
+        }
+        for (Waiter waiter : waiters.values()) {
+            boolean endsInTime = waiter.wish().deadlineNanos() <= offered.deadlineNanos();
+            if (waiter.isOwn() && waiter.takesAnyUpstream() && endsInTime) {
+                waiters.remove(waiter.key());
+                return Optional.of(waiter.key());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Removes and returns the wishes whose deadline has passed. */
+    List<WishKey> takeLateWaiters(long nowNanos) {
+        List<WishKey> late = new ArrayList<>();
+        waiters.values().removeIf(waiter -> {
+            boolean isLate = nowNanos >= waiter.wish().deadlineNanos();
+            if (isLate) {
+                late.add(waiter.key());
+            }
+            return isLate;
+        });
+        return late;
+    }
+
     int idle(long nowNanos) {
         int idle = 0;
         for (UpstreamSlots slots : upstreams) {
--- a/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
@@ -211,23 +211,8 @@
 
     private void offer(SlotEvent.Offered offered) {
         ServiceSlots slots = services.get(offered.service());
-        if (slots == null) {
-            return;
-        }
-        Waiter chosen = slots.waiters().get(offered.preferred());
-        if (chosen == null) {
-            for (Waiter waiter : slots.waiters().values()) {
-                if (waiter.isOwn()
-                        && waiter.takesAnyUpstream()
-                        && waiter.wish().deadlineNanos() <= offered.deadlineNanos()) {
-                    chosen = waiter;
-                    break;
-                }
-            }
-        }
-        if (chosen != null) {
-            slots.waiters().remove(chosen.key());
-            actions.add(new SlotAction.Match(chosen.key()));
+        if (slots != null) {
+            slots.takeWaiterFor(offered).ifPresent(key -> actions.add(new SlotAction.Match(key)));
         }
     }
 
@@ -268,7 +253,9 @@
             leases.values().forEach(lease -> actions.add(new SlotAction.Recall(lease.holder(), lease.id())));
         }
         expireLeases();
-        expireWaiters();
+        services.values()
+                .forEach(slots -> slots.takeLateWaiters(nowNanos)
+                        .forEach(key -> actions.add(new SlotAction.Deny(key, ResultCode.DEADLINE_BEFORE_SEND))));
         endRests();
         handovers.expire(nowNanos);
         guard.dueQueries(nowNanos).forEach((vm, upstreams) -> actions.add(new SlotAction.Query(vm, upstreams)));
@@ -289,18 +276,6 @@
         }
     }
 
-    private void expireWaiters() {
-        for (ServiceSlots slots : services.values()) {
-            slots.waiters().values().removeIf(waiter -> {
-                boolean isLate = nowNanos >= waiter.wish().deadlineNanos();
-                if (isLate) {
-                    actions.add(new SlotAction.Deny(waiter.key(), ResultCode.DEADLINE_BEFORE_SEND));
-                }
-                return isLate;
-            });
-        }
-    }
-
     private void endRests() {
         for (UpstreamId upstream : guard.takeEnded(nowNanos)) {
             UpstreamSlots slots = kept.get(upstream);
