End the search for a lender whose wish was met before the search began

Cause: a wish parked under the lock may be met on another thread before its search is noted; the search then stayed in memory and its requests were never withdrawn. Ruled out: noting the search before the wish is parked, which costs every granted call. Check: `mvn -B -ntp verify -pl routing -am` passes; the race itself has no test. Conclusion: the tick ends searches whose wish no longer waits.

--- a/routing/src/main/java/org/turmericspan/routing/Borrower.java
+++ b/routing/src/main/java/org/turmericspan/routing/Borrower.java
@@ -72,10 +72,6 @@
         denyWhenOver(search);
     }
 
-    boolean wasAsked(WishKey key) {
-        return searches.containsKey(key);
-    }
-
     /** Ends the search of a wish that was answered. */
     void met(WishKey key) {
         Search search = searches.remove(key);
@@ -84,14 +80,18 @@
         }
     }
 
-    /** Asks again for wishes whose keepers have all said no. */
+    /**
+     * Asks again for wishes whose keepers have all said no, and ends searches whose wish was met on another thread
+     * before they began.
+     */
     void tick() {
         long nowNanos = clock.nowNanos();
         for (Search search : searches.values()) {
-            if (!search.wish.idleOnly()
-                    && search.asked.isEmpty()
-                    && nowNanos - search.askedNanos >= RETRY.toNanos()
-                    && wishes.waits(search.key)) {
+            if (!wishes.waits(search.key)) {
+                met(search.key);
+            } else if (search.asked.isEmpty()
+                    && !search.wish.idleOnly()
+                    && nowNanos - search.askedNanos >= RETRY.toNanos()) {
                 ask(search, board.lenders(search.wish.service(), false));
             }
         }
--- a/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
@@ -222,6 +222,7 @@
         private final WishKey key;
         private final SlotWish wish;
         private final CompletableFuture<SlotDecision> decision = new CompletableFuture<>();
+        private volatile boolean askedOthers;
 
         OwnReply(WishKey key, SlotWish wish) {
             this.key = key;
@@ -241,7 +242,8 @@
 
         @Override
         public void denied(ResultCode code) {
-            if (wish.idleOnly() && code == ResultCode.NO_CAPACITY && !borrower.wasAsked(key)) {
+            if (wish.idleOnly() && code == ResultCode.NO_CAPACITY && !askedOthers) {
+                askedOthers = true;
                 wishes.put(key, this);
                 borrower.borrowIdle(key, wish);
                 return;
