Show the fleet's probing cost against the budgets

Cause: the budget is agreed for a service, and each node shows only its own share. Before: no command summed the shares. After: turmericspanctl probes ADDR... does, and exits 1 when a budget is exceeded. Not shown: against a running fleet, whose nodes do not yet have the part of the state that it reads.

--- a/ctl/src/main/java/org/turmericspan/ctl/Main.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/Main.java
@@ -57,6 +57,7 @@
         StateCommand.register(commands);
         VersionsCommand.register(commands);
         LocateCommand.register(commands);
+        ProbesCommand.register(commands);
         return parser;
     }
 }
--- a/ctl/src/test/java/org/turmericspan/ctl/MainTest.java
+++ b/ctl/src/test/java/org/turmericspan/ctl/MainTest.java
@@ -106,6 +106,16 @@
         assertThat(results.toString(StandardCharsets.UTF_8)).contains("\"digest\" : \"bb\"");
     }
 
+    @Test
+    void probesOfAllNodesAreHeldAgainstTheBudget() throws IOException {
+        try (FakeNode one = new FakeNode("aa");
+                FakeNode other = new FakeNode("aa")) {
+            assertThat(run("probes", one.address())).isEqualTo(ExitCode.OK);
+            assertThat(run("probes", one.address(), other.address())).isEqualTo(ExitCode.NO);
+        }
+        assertThat(results.toString(StandardCharsets.UTF_8)).contains("within", "EXCEEDED");
+    }
+
     @Test
     void unreachableNodeIsNamed() {
         assertThat(run("state", "127.0.0.1:1")).isEqualTo(ExitCode.UNREADABLE);
@@ -126,7 +136,9 @@
 
         FakeNode(String digest) throws IOException {
             server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-            byte[] state = ("{\"configuration\": {\"version\": 4, \"digest\": \"" + digest + "\"}}")
+            byte[] state = ("{\"configuration\": {\"version\": 4, \"digest\": \"" + digest + "\"}, \"probing\": "
+                            + "[{\"service\": \"mixing\", \"upstreams\": 2, \"most_per_second\": 6.0, "
+                            + "\"service_budget_per_second\": 10}]}")
                     .getBytes(StandardCharsets.UTF_8);
             server.createContext("/", exchange -> {
                 exchange.sendResponseHeaders(200, state.length);
