Quarantine requests that crash upstreams, and drop pools of silent connections

Cause: a request that crashes its upstream took down one upstream for each time it was sent; a non-idempotent request could be lost on a silent connection. What it does: the first death makes suspects of what ran there, shared with all nodes before the caller is answered. A suspect runs alone under one right of the region; a second death quarantines it, an answer clears it. Each upstream has a pool of its own, dropped on a timeout; non-idempotent requests go on a new connection; a stalled idempotent call is tried on another upstream. Ruled out: telling peers without waiting (3 and 4 upstreams lost in PoisonTest). Before and after: `mvn -B -ntp verify -pl integration -am -Dtest=PoisonTest -Dsurefire.failIfNoSpecifiedTests=false`: at most 2 lost, more than 2 with `--suspect-policy none`.

--- a/dispatch/src/main/java/org/turmericspan/dispatch/CallRun.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CallRun.java
@@ -111,7 +111,7 @@
         }
         if (reply.kind() == UpstreamReply.Kind.WHOLE) {
             parts.metrics().answer(request.service(), reply.elapsed());
-            parts.deaths().answered(request);
+            parts.deaths().answered(request, send.lease(), reply);
         }
         post(new AttemptEvent.Replied(send.attempt(), reply, false));
     }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/DeathWatch.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/DeathWatch.java
@@ -22,8 +22,10 @@
      * Takes in an attempt that brought a whole answer.
      *
      * @param request what was sent
+     * @param lease slot under which it ran
+     * @param reply the answer
      */
-    void answered(CallRequest request);
+    void answered(CallRequest request, SlotLease lease, UpstreamReply reply);
 
     /**
      * Returns the watch that suspects nothing, for tests and comparisons.
@@ -38,7 +40,7 @@
             }
 
             @Override
-            public void answered(CallRequest request) {
+            public void answered(CallRequest request, SlotLease lease, UpstreamReply reply) {
                 // Nothing is suspected, so nothing is cleared.
             }
         };
--- a/dispatch/src/test/java/org/turmericspan/dispatch/AttemptPropertyTest.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/AttemptPropertyTest.java
@@ -118,7 +118,7 @@
             }
 
             @Override
-            public void answered(CallRequest request) {
+            public void answered(CallRequest request, SlotLease lease, UpstreamReply reply) {
                 assertThat(request.service().value()).isEqualTo("ordering");
             }
         }
--- a/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
@@ -204,9 +204,32 @@
     /**
      * One suspected kind of request.
      *
-     * @param fingerprint digest of method, path and body
-     * @param deaths upstreams that died while they ran it
+     * @param fingerprint digest of service, method, path and body
+     * @param lost upstreams that died while they ran it; empty when it is cleared
+     * @param diedAlone whether an upstream died that ran it alone
      * @param remaining how long the suspicion lasts
      */
-    record Suspect(long fingerprint, int deaths, Duration remaining) {}
+    record Suspect(long fingerprint, List<UpstreamId> lost, boolean diedAlone, Duration remaining) {}
+
+    /**
+     * Asks the node that keeps the right for the right to run a suspected request alone.
+     *
+     * @param fingerprint digest of the request
+     * @param longest how long the run may take
+     */
+    record BeginTrial(long fingerprint, Duration longest) implements PeerMessage {}
+
+    /**
+     * Answer to {@link BeginTrial}.
+     *
+     * @param granted false when another suspect runs
+     */
+    record TrialDecision(boolean granted) implements PeerMessage {}
+
+    /**
+     * Gives the right of {@link BeginTrial} back.
+     *
+     * @param fingerprint digest of the request
+     */
+    record EndTrial(long fingerprint) implements PeerMessage {}
 }
--- a/node/src/main/java/org/turmericspan/node/AttemptModule.java
+++ b/node/src/main/java/org/turmericspan/node/AttemptModule.java
@@ -7,13 +7,12 @@
 import dagger.multibindings.IntoSet;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
-import javax.inject.Named;
 import javax.inject.Singleton;
-import org.turmericspan.calls.CallHandler;
 import org.turmericspan.calls.SlotSource;
 import org.turmericspan.config.Service;
 import org.turmericspan.dispatch.AttemptHandler;
 import org.turmericspan.dispatch.AttemptParts;
+import org.turmericspan.dispatch.AttemptTimer;
 import org.turmericspan.dispatch.DeathWatch;
 import org.turmericspan.dispatch.RepeatPolicies;
 import org.turmericspan.front.StateSection;
@@ -29,13 +28,11 @@
 /** Wires the attempts of calls: the client towards upstreams, retries and hedges within their budget. */
 @Module
 final class AttemptModule {
-    /** Name of the handler that makes attempts. */
-    static final String ATTEMPTS = "attempts";
-
     private static final String NO_REPEATS = "none";
     private static final String HEDGES = "hedges";
     private static final double TYPICAL = 0.5;
     private static final double HEDGE_AFTER = 0.95;
+    private static final double STALLED_BEYOND = 0.99;
 
     private AttemptModule() {}
 
@@ -68,33 +65,31 @@
         }
         HedgePolicy hedge = settings.repeatPolicy().equals(HEDGES)
                 ? HedgePolicy.slowerThan(latencies.source(HEDGE_AFTER))
-                : HedgePolicy.none();
+                : HedgePolicy.whenStalled(latencies.source(STALLED_BEYOND));
         return new RepeatPolicies(RetryPolicy.safe(latencies.source(TYPICAL)), hedge, budgets);
     }
 
     @Provides
     @Singleton
-    @Named(ATTEMPTS)
-    static CallHandler attempts(
+    static AttemptTimer attemptTimer(Workers workers) {
+        return (delay, task) -> {
+            ScheduledFuture<?> scheduled = workers.schedule(delay, task);
+            return () -> scheduled.cancel(false);
+        };
+    }
+
+    @Provides
+    @Singleton
+    static AttemptHandler attemptHandler(
             ConfiguredCatalog catalog,
             SlotSource slots,
             HttpUpstreamSender sender,
+            DeathWatch deaths,
             RepeatPolicies policies,
             CallMetrics metrics,
-            Workers workers,
+            AttemptTimer timer,
             MonotonicClock clock) {
-        AttemptParts parts = new AttemptParts(
-                catalog,
-                slots,
-                sender,
-                DeathWatch.none(),
-                (delay, task) -> {
-                    ScheduledFuture<?> scheduled = workers.schedule(delay, task);
-                    return () -> scheduled.cancel(false);
-                },
-                metrics,
-                clock);
-        return new AttemptHandler(parts, policies);
+        return new AttemptHandler(new AttemptParts(catalog, slots, sender, deaths, timer, metrics, clock), policies);
     }
 
     @Provides
--- a/node/src/main/java/org/turmericspan/node/NodeComponent.java
+++ b/node/src/main/java/org/turmericspan/node/NodeComponent.java
@@ -12,6 +12,7 @@
             PeerModule.class,
             MembershipModule.class,
             AttemptModule.class,
+            SuspectModule.class,
             CallModule.class,
             SlotModule.class,
             RunModule.class,
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -23,6 +23,7 @@
  * @param stopLimit longest planned stop
  * @param runLimits bounds of the table of runs
  * @param repeatPolicy which repeats of calls are made
+ * @param suspectPolicy what happens to requests that crash upstreams
  * @param logFormat plain or json
  * @param logLevel least severe level that is logged
  */
@@ -41,6 +42,7 @@
         Duration stopLimit,
         RunLimits runLimits,
         String repeatPolicy,
+        String suspectPolicy,
         String logFormat,
         String logLevel) {
     private static final int LIVE_EPOCHS = 10;
@@ -62,6 +64,7 @@
                 Duration.ofSeconds(values.get(Setting.STOP_LIMIT, Integer.class)),
                 runLimits(values),
                 values.get(Setting.REPEAT_POLICY, String.class),
+                values.get(Setting.SUSPECT_POLICY, String.class),
                 values.get(Setting.LOG_FORMAT, String.class),
                 values.get(Setting.LOG_LEVEL, String.class));
     }
--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -87,7 +87,7 @@
             ConfiguredCatalog catalog,
             RunTable table,
             RunRelay relay,
-            @Named(AttemptModule.ATTEMPTS) CallHandler attempts,
+            @Named(SuspectModule.ATTEMPTS) CallHandler attempts,
             StopState stopState,
             MonotonicClock clock,
             DelayedTasks delayedTasks) {
--- a/node/src/main/java/org/turmericspan/node/Setting.java
+++ b/node/src/main/java/org/turmericspan/node/Setting.java
@@ -79,6 +79,12 @@
             SettingType.oneOf("retries", "hedges", "none"),
             "retries",
             "repeats of calls within their budget: retries, retries and hedges, or none"),
+    /** Policy on requests that crash upstreams. */
+    SUSPECT_POLICY(
+            "suspect-policy",
+            SettingType.oneOf("quarantine", "none"),
+            "quarantine",
+            "requests on which upstreams died: run alone once and then quarantined, or nothing"),
     /** Form of log lines. */
     LOG_FORMAT("log-format", SettingType.oneOf("plain", "json"), "plain", "form of the lines logged to standard error"),
     /** Least level that is logged. */
--- /dev/null
+++ b/node/src/main/java/org/turmericspan/node/SuspectModule.java
@@ -0,0 +1,126 @@
+package org.turmericspan.node;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import dagger.Module;
+import dagger.Provides;
+import dagger.multibindings.IntoSet;
+import java.util.function.Supplier;
+import javax.inject.Named;
+import javax.inject.Singleton;
+import org.turmericspan.calls.CallHandler;
+import org.turmericspan.dispatch.AttemptHandler;
+import org.turmericspan.dispatch.AttemptTimer;
+import org.turmericspan.dispatch.DeathWatch;
+import org.turmericspan.dispatch.SuspectGate;
+import org.turmericspan.dispatch.SuspectWatch;
+import org.turmericspan.front.StateSection;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.ViewTable;
+import org.turmericspan.messages.PeerLinks;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.peer.PeerHandlers;
+import org.turmericspan.retry.LostConnections;
+import org.turmericspan.retry.SuspectTable;
+import org.turmericspan.retry.Suspicion;
+import org.turmericspan.retry.TrialRight;
+import org.turmericspan.upstream.HttpUpstreamSender;
+
+/** Wires what is done about requests that crash upstreams. */
+@Module
+final class SuspectModule {
+    /** Name of the handler that makes attempts. */
+    static final String ATTEMPTS = "attempts";
+
+    private static final String NO_SUSPECTS = "none";
+
+    private SuspectModule() {}
+
+    @Provides
+    @Singleton
+    static SuspectTable suspects(MonotonicClock clock, MetricRegistry metrics) {
+        SuspectTable table = new SuspectTable(clock);
+        metrics.register("suspects", (Gauge<Integer>) () -> table.dump().size());
+        metrics.register("suspects.quarantined", (Gauge<Long>) () -> quarantined(table));
+        return table;
+    }
+
+    @Provides
+    @Singleton
+    static LostConnections lostConnections(MonotonicClock clock) {
+        return new LostConnections(clock);
+    }
+
+    @Provides
+    @Singleton
+    static PeerSuspects peerSuspects(
+            NodeIdentity identity,
+            ViewTable views,
+            PeerLinks links,
+            PeerHandlers handlers,
+            SuspectTable table,
+            MonotonicClock clock) {
+        PeerSuspects peers = new PeerSuspects(identity.vm(), views::current, links, table, new TrialRight(clock));
+        handlers.register(PeerMessage.ShareSuspects.class, peers);
+        handlers.register(PeerMessage.BeginTrial.class, peers);
+        handlers.register(PeerMessage.EndTrial.class, peers);
+        return peers;
+    }
+
+    @Provides
+    @Singleton
+    static DeathWatch deathWatch(
+            NodeSettings settings,
+            SuspectTable table,
+            LostConnections lostConnections,
+            PeerSuspects peers,
+            HttpUpstreamSender sender) {
+        return settings.suspectPolicy().equals(NO_SUSPECTS)
+                ? DeathWatch.none()
+                : new SuspectWatch(table, lostConnections, peers, sender::isRefused);
+    }
+
+    @Provides
+    @Singleton
+    @Named(ATTEMPTS)
+    static CallHandler attempts(
+            NodeSettings settings,
+            AttemptHandler attempts,
+            SuspectTable table,
+            LostConnections lostConnections,
+            PeerSuspects peers,
+            AttemptTimer timer,
+            MonotonicClock clock) {
+        return settings.suspectPolicy().equals(NO_SUSPECTS)
+                ? attempts
+                : new SuspectGate(attempts, table, lostConnections, peers, timer, clock);
+    }
+
+    @Provides
+    @IntoSet
+    static StateSection suspectSection(SuspectTable table) {
+        Supplier<Object> source =
+                () -> table.dump().stream().map(SuspectState::of).toList();
+        return NamedSection.of("suspects", source);
+    }
+
+    private static long quarantined(SuspectTable table) {
+        return table.dump().stream().filter(Suspicion::isQuarantined).count();
+    }
+
+    private record SuspectState(
+            String fingerprint,
+            @JsonProperty("upstreams_lost") int upstreamsLost,
+            boolean quarantined,
+            @JsonProperty("expires_in_ms") long expiresInMillis) {
+        static SuspectState of(Suspicion suspicion) {
+            return new SuspectState(
+                    suspicion.fingerprint().toString(),
+                    suspicion.lost().size(),
+                    suspicion.isQuarantined(),
+                    suspicion.remaining().toMillis());
+        }
+    }
+}
--- a/retry/src/main/java/org/turmericspan/retry/HedgePolicy.java
+++ b/retry/src/main/java/org/turmericspan/retry/HedgePolicy.java
@@ -1,11 +1,21 @@
 package org.turmericspan.retry;
 
+import java.time.Duration;
 import java.util.OptionalLong;
 import org.turmericspan.calls.CallRequest;
 
 /** Decides when a call that has no answer yet is sent to a second upstream as well. */
 @FunctionalInterface
 public interface HedgePolicy {
+    /** Shortest time without an answer that counts as a stall. */
+    Duration SHORTEST_STALL = Duration.ofMillis(200);
+
+    /** Latency assumed while too few calls were seen. */
+    Duration UNKNOWN_LATENCY = Duration.ofMillis(250);
+
+    /** Multiple of the usual latency that counts as a stall. */
+    int STALL_FACTOR = 4;
+
     /**
      * Decides at the moment the first attempt is sent. The budget is asked when the delay has passed.
      *
@@ -34,4 +44,21 @@
                 ? latencies.quantileNanos(request.service())
                 : OptionalLong.empty();
     }
+
+    /**
+     * Returns the policy that tries another upstream only when an idempotent call has had no answer for so long that
+     * its connection may be silent.
+     *
+     * @param latencies latencies that hardly any call exceeds
+     * @return the policy
+     */
+    static HedgePolicy whenStalled(LatencySource latencies) {
+        return request -> {
+            if (!request.idempotent() || request.retried()) {
+                return OptionalLong.empty();
+            }
+            long usualNanos = latencies.quantileNanos(request.service()).orElse(UNKNOWN_LATENCY.toNanos());
+            return OptionalLong.of(Math.max(SHORTEST_STALL.toNanos(), STALL_FACTOR * usualNanos));
+        };
+    }
 }
--- a/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamServer.java
+++ b/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamServer.java
@@ -111,6 +111,7 @@
         int size = (int) number(context, "size", 0);
         if (body.contains(POISON)) {
             model.crash();
+            context.future(CompletableFuture::new);
             return;
         }
         String order = Optional.ofNullable(context.header("Order-Id")).orElse("");
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -27,10 +27,12 @@
 import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.SocketAddress;
 
 /** One attempt over HTTP. */
 final class HttpExchange implements UpstreamExchange, Callback {
     private static final CallResult.Answered NO_ANSWER = new CallResult.Answered(0, List.of(), Payload.EMPTY);
+    private static final Duration SILENCE = Duration.ofMillis(200);
     private static final int STATUS_UNAVAILABLE = 503;
     private static final Set<String> HOP_HEADERS = Set.of(
             "connection",
@@ -43,6 +45,8 @@
             "accept-encoding");
     private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
+    private final UpstreamClients clients;
+    private final SocketAddress address;
     private final MonotonicClock clock;
     private final SendProof proof;
     private final String requestId;
@@ -54,7 +58,10 @@
     private Call call;
     private volatile boolean cancelled;
 
-    private HttpExchange(MonotonicClock clock, SlotLease lease, CallRequest request, int answerLimitBytes) {
+    private HttpExchange(
+            UpstreamClients clients, MonotonicClock clock, SlotLease lease, CallRequest request, int answerLimitBytes) {
+        this.clients = clients;
+        this.address = lease.address();
         this.clock = clock;
         this.proof = new SendProof(lease, clock);
         this.requestId = request.requestId().value();
@@ -63,13 +70,14 @@
     }
 
     static HttpExchange start(
-            OkHttpClient client, MonotonicClock clock, SlotLease lease, CallRequest request, int answerLimitBytes) {
-        HttpExchange exchange = new HttpExchange(clock, lease, request, answerLimitBytes);
+            UpstreamClients clients, MonotonicClock clock, SlotLease lease, CallRequest request, int answerLimitBytes) {
+        HttpExchange exchange = new HttpExchange(clients, clock, lease, request, answerLimitBytes);
         long remainingNanos = request.deadlineNanos() - clock.nowNanos();
         if (remainingNanos <= 0) {
             exchange.finish(UpstreamReply.Kind.CANCELLED_UNSENT, UpstreamSignals.NONE);
             return exchange;
         }
+        OkHttpClient client = request.idempotent() ? clients.reusing(lease.address()) : clients.fresh();
         exchange.call = client.newCall(exchange.encode(lease, request, remainingNanos));
         exchange.call.timeout().timeout(remainingNanos, TimeUnit.NANOSECONDS);
         exchange.call.enqueue(exchange);
@@ -91,7 +99,11 @@
 
     @Override
     public void onFailure(Call failedCall, IOException failure) {
-        finish(classify(failure), UpstreamSignals.NONE);
+        UpstreamReply.Kind kind = classify(failure);
+        if (mayBeSilent(kind)) {
+            clients.distrust(address);
+        }
+        finish(kind, UpstreamSignals.NONE);
     }
 
     @Override
@@ -177,6 +189,12 @@
         return pastDeadline ? UpstreamReply.Kind.TIMED_OUT : UpstreamReply.Kind.BROKEN;
     }
 
+    /** Tells whether no byte of an answer came for so long that the connection itself is in doubt. */
+    private boolean mayBeSilent(UpstreamReply.Kind kind) {
+        boolean gaveUp = kind == UpstreamReply.Kind.TIMED_OUT || kind == UpstreamReply.Kind.CANCELLED_SENT;
+        return gaveUp && elapsed().compareTo(SILENCE) >= 0;
+    }
+
     private Duration elapsed() {
         return proof.isSent() ? Duration.ofNanos(clock.nowNanos() - proof.sentNanos()) : Duration.ZERO;
     }
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
@@ -1,11 +1,15 @@
 package org.turmericspan.upstream;
 
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
 import okhttp3.OkHttpClient;
 import org.turmericspan.calls.CallRequest;
@@ -13,17 +17,18 @@
 import org.turmericspan.calls.UpstreamExchange;
 import org.turmericspan.calls.UpstreamSender;
 import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.SocketAddress;
 
 /** Sends attempts over HTTP. Its thread pool is bounded by the slots, since each attempt needs one. */
 public final class HttpUpstreamSender implements UpstreamSender, AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration IDLE_CONNECTION_AGE = Duration.ofSeconds(30);
-    private static final int MAX_IDLE_CONNECTIONS = 512;
+    private static final int CHECK_TIMEOUT_MILLIS = 200;
     private static final int MAX_REQUESTS = 4_096;
 
     private final MonotonicClock clock;
     private final ExecutorService executor;
-    private final OkHttpClient client;
+    private final Dispatcher dispatcher;
+    private final UpstreamClients clients;
 
     /**
      * Creates a sender.
@@ -38,13 +43,11 @@
             thread.setDaemon(true);
             return thread;
         });
-        Dispatcher dispatcher = new Dispatcher(executor);
+        this.dispatcher = new Dispatcher(executor);
         dispatcher.setMaxRequests(MAX_REQUESTS);
         dispatcher.setMaxRequestsPerHost(MAX_REQUESTS);
-        this.client = new OkHttpClient.Builder()
+        OkHttpClient template = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
-                .connectionPool(
-                        new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_AGE.toSeconds(), TimeUnit.SECONDS))
                 .connectTimeout(CONNECT_TIMEOUT)
                 .readTimeout(Duration.ZERO)
                 .writeTimeout(Duration.ZERO)
@@ -52,17 +55,41 @@
                 .retryOnConnectionFailure(false)
                 .addNetworkInterceptor(new SendProof.Interceptor())
                 .build();
+        this.clients = new UpstreamClients(template, clock);
     }
 
     @Override
     public UpstreamExchange send(SlotLease lease, CallRequest request, int answerLimitBytes) {
-        return HttpExchange.start(client, clock, lease, request, answerLimitBytes);
+        return HttpExchange.start(clients, clock, lease, request, answerLimitBytes);
+    }
+
+    /**
+     * Finds out whether an upstream refuses connections.
+     *
+     * @param address where the upstream listens
+     * @return true when it does; false when it takes one or says nothing for a while
+     */
+    public CompletionStage<Boolean> isRefused(SocketAddress address) {
+        CompletableFuture<Boolean> refused = new CompletableFuture<>();
+        executor.execute(() -> refused.complete(refuses(address)));
+        return refused;
     }
 
     @Override
     public void close() {
-        client.dispatcher().cancelAll();
+        dispatcher.cancelAll();
         executor.shutdown();
-        client.connectionPool().evictAll();
+        clients.close();
+    }
+
+    private static boolean refuses(SocketAddress address) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(address.host(), address.port()), CHECK_TIMEOUT_MILLIS);
+            return false;
+        } catch (ConnectException e) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
     }
 }
--- a/upstream/src/test/java/org/turmericspan/upstream/AnswerWholenessTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/AnswerWholenessTest.java
@@ -12,18 +12,13 @@
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.Header;
 import org.turmericspan.calls.Payload;
-import org.turmericspan.calls.SlotLease;
-import org.turmericspan.calls.SlotReturn;
 import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.ids.CallerId;
-import org.turmericspan.ids.Incarnation;
-import org.turmericspan.ids.LeaseId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.OfficeId;
 import org.turmericspan.ids.RequestId;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
-import org.turmericspan.ids.UpstreamId;
 
 final class AnswerWholenessTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nTurmericspan-Request-Id: request-1\r\n";
@@ -156,29 +151,9 @@
                 false,
                 true,
                 Optional.empty());
-        return sender.send(new FixedLease(address), request, ANSWER_LIMIT)
+        return sender.send(new ValidLease(address), request, ANSWER_LIMIT)
                 .reply()
                 .toCompletableFuture()
                 .join();
     }
-
-    private record FixedLease(SocketAddress address) implements SlotLease {
-        @Override
-        public LeaseId id() {
-            return new LeaseId(new Incarnation(1), 1);
-        }
-
-        @Override
-        public UpstreamId upstream() {
-            return new UpstreamId("ordering-000");
-        }
-
-        @Override
-        public boolean isValid() {
-            return true;
-        }
-
-        @Override
-        public void release(SlotReturn slotReturn) {}
-    }
 }
--- a/wire/src/main/java/org/turmericspan/wire/CallFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/CallFormat.java
@@ -18,7 +18,7 @@
 import org.turmericspan.wire.proto.PeerProto;
 import org.turmericspan.wire.proto.PeerProto.Message;
 
-/** Format of the messages that carry calls, their results and suspects. */
+/** Format of the messages that carry calls and their results. */
 final class CallFormat {
     Message.Builder encode(Message.Builder builder, PeerMessage.RelayCall message) {
         CallRequest request = message.request();
@@ -93,23 +93,6 @@
                 });
     }
 
-    Message.Builder encode(Message.Builder builder, PeerMessage.ShareSuspects message) {
-        PeerProto.ShareSuspects.Builder share = builder.getShareSuspectsBuilder();
-        message.suspects()
-                .forEach(suspect -> share.addSuspectsBuilder()
-                        .setFingerprint(suspect.fingerprint())
-                        .setDeaths(suspect.deaths())
-                        .setRemainingNanos(suspect.remaining().toNanos()));
-        return builder;
-    }
-
-    PeerMessage.ShareSuspects shareSuspects(Message message) {
-        return new PeerMessage.ShareSuspects(message.getShareSuspects().getSuspectsList().stream()
-                .map(suspect -> new PeerMessage.Suspect(
-                        suspect.getFingerprint(), suspect.getDeaths(), Duration.ofNanos(suspect.getRemainingNanos())))
-                .toList());
-    }
-
     static ResultCode code(int number) {
         return ResultCode.ofNumber(number)
                 .orElseThrow(() -> new IllegalArgumentException("No result code has the number " + number));
--- a/wire/src/main/java/org/turmericspan/wire/PeerMessageFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/PeerMessageFormat.java
@@ -72,7 +72,11 @@
         CallFormat calls = new CallFormat();
         add(PeerMessage.RelayCall.class, BodyCase.RELAY_CALL, calls::encode, calls::relayCall);
         add(PeerMessage.RelayResult.class, BodyCase.RELAY_RESULT, calls::encode, calls::relayResult);
-        add(PeerMessage.ShareSuspects.class, BodyCase.SHARE_SUSPECTS, calls::encode, calls::shareSuspects);
+        SuspectFormat suspects = new SuspectFormat();
+        add(PeerMessage.ShareSuspects.class, BodyCase.SHARE_SUSPECTS, suspects::encode, suspects::shareSuspects);
+        add(PeerMessage.BeginTrial.class, BodyCase.BEGIN_TRIAL, suspects::encode, suspects::beginTrial);
+        add(PeerMessage.TrialDecision.class, BodyCase.TRIAL_DECISION, suspects::encode, suspects::trialDecision);
+        add(PeerMessage.EndTrial.class, BodyCase.END_TRIAL, suspects::encode, suspects::endTrial);
     }
 
     private <M extends PeerMessage> void add(
--- a/wire/src/test/java/org/turmericspan/wire/PeerFrameCodecTest.java
+++ b/wire/src/test/java/org/turmericspan/wire/PeerFrameCodecTest.java
@@ -128,7 +128,11 @@
                 new PeerMessage.RelayResult(
                         new CallResult.Refused(ResultCode.QUEUE_FULL, "full", Optional.of(Duration.ofSeconds(2)))),
                 new PeerMessage.RelayResult(CallResult.Refused.of(ResultCode.STOPPING, "")),
-                new PeerMessage.ShareSuspects(List.of(new PeerMessage.Suspect(-3, 1, Duration.ofMinutes(1)))));
+                new PeerMessage.ShareSuspects(List.of(new PeerMessage.Suspect(
+                        -3, List.of(new UpstreamId("ordering-001")), true, Duration.ofMinutes(1)))),
+                new PeerMessage.BeginTrial(-4, Duration.ofSeconds(2)),
+                new PeerMessage.TrialDecision(true),
+                new PeerMessage.EndTrial(5));
     }
 
     static Stream<PeerFrame> controlFrames() {
