--- a/node/src/main/java/org/turmericspan/node/NodeComponent.java
+++ b/node/src/main/java/org/turmericspan/node/NodeComponent.java
@@ -13,6 +13,7 @@
             MembershipModule.class,
             ProbeModule.class,
             AttemptModule.class,
+            SuspectModule.class,
             CallModule.class,
             SlotModule.class,
             RunModule.class,
