Ask an upstream that was idle for proof before it gets more than one request

Ruled out: a probe before each burst (the budget forbids it); a fixed freshness of every answer (long work would be held to one slot though its open connection shows that the upstream lives). Before: all slots after any idle time. After: one request until it answers, when the upstream was idle and unseen for more than 100 ms; SlotEngineTest#idleWarmUpstreamGetsOneRequestUntilItAnswers, and its counterpart without the rule. Conclusion: a restart that takes longer than 100 ms cannot go unseen; a shorter one still can.

--- a/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
@@ -202,7 +202,7 @@
         long startedNanos = waiter.isOwn() ? nowNanos : nowNanos + LENT_GRACE_NANOS;
         Lease lease = new Lease(
                 id, slots.upstream().id(), waiter.key().requester(), startedNanos, deadlineNanos, slots.life());
-        slots.start(lease);
+        slots.start(lease, nowNanos);
         leases.put(id, lease);
         actions.add(new SlotAction.Grant(
                 waiter.key(),
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamSlots.java
@@ -19,6 +19,7 @@
     private static final int JUMPS_FOR_RESTART = 3;
     private static final Duration SHORTEST_JUMP = Duration.ofMillis(50);
     private static final Duration COLD_PAUSE = Duration.ofMillis(100);
+    private static final Duration PROOF_LIFETIME = Duration.ofMillis(100);
     private static final Duration SHED_PAUSE = Duration.ofMillis(5);
     private static final int MAX_DOUBLINGS = 4;
 
@@ -41,6 +42,8 @@
     private int foreignLoad;
     private long life;
     private long notBeforeNanos;
+    private long provenNanos;
+    private boolean unproven;
 
     UpstreamSlots(SlotRules rules, Upstream upstream, Service service, Phase phase) {
         this.rules = rules;
@@ -67,7 +70,8 @@
     }
 
     int limit() {
-        return rules.depth().limit(phase, allowance, service);
+        int limit = rules.depth().limit(phase, allowance, service);
+        return unproven ? Math.min(limit, service.coldRequests()) : limit;
     }
 
     boolean isPlain() {
@@ -149,7 +153,13 @@
         return running.size() < service.slotsPerUpstream() ? cost : cost + Long.MAX_VALUE / 2;
     }
 
-    void start(Lease lease) {
+    /**
+     * Notes a lease that starts. An upstream that was idle may have restarted without a broken connection to show it;
+     * it gets no more than a cold one bears until it answers.
+     */
+    void start(Lease lease, long nowNanos) {
+        boolean wasUnseen = running.isEmpty() && nowNanos - provenNanos > PROOF_LIFETIME.toNanos();
+        unproven = unproven || wasUnseen && rules.restart() != RestartRule.NO_SIGN;
         running.put(lease.id(), lease);
     }
 
@@ -178,6 +188,9 @@
             fail(sign.get(), nowNanos);
             return true;
         }
+        if (slotReturn.outcome() == SlotReturn.Outcome.ANSWERED) {
+            prove(nowNanos);
+        }
         return switch (slotReturn.outcome()) {
             case ANSWERED -> succeed(slotReturn.elapsed().toNanos(), nowNanos);
             case SHED -> shed(nowNanos);
@@ -206,6 +219,9 @@
                 return true;
             }
         }
+        if (isCurrent && signals.incarnation().isPresent()) {
+            prove(nowNanos);
+        }
         if (isCurrent && signals.cold() && isPlain() && rules.restart() != RestartRule.NO_SIGN) {
             becomeCold(ColdReason.REPORTED_COLD, nowNanos);
             return true;
@@ -247,6 +263,11 @@
         return leases;
     }
 
+    private void prove(long nowNanos) {
+        provenNanos = nowNanos;
+        unproven = false;
+    }
+
     private boolean isOtherIncarnation(UpstreamSignals signals) {
         return signals.incarnation().isPresent() && !signals.incarnation().equals(incarnation);
     }
--- a/routing/src/test/java/org/turmericspan/routing/SlotEngineTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/SlotEngineTest.java
@@ -112,6 +112,33 @@
         assertThat(driver.state().phase()).isEqualTo(Phase.WARM);
     }
 
+    @Test
+    void idleWarmUpstreamGetsOneRequestUntilItAnswers() {
+        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
+        driver.pass(Duration.ofMillis(200));
+        LeaseId first = grantOf(driver.wish());
+
+        assertThat(grants(driver.wish())).isZero();
+        assertThat(grants(driver.finish(first, Fixtures.answered(WORK)))).isEqualTo(1);
+        assertThat(grants(driver.wish())).isEqualTo(1);
+    }
+
+    @Test
+    void idleWarmUpstreamGetsAllItsSlotsAtOnceWithoutTheRestartRule() {
+        SlotRules usual = SlotRules.usual(EngineDriver.LAG);
+        EngineDriver driver = EngineDriver.with(new SlotRules(
+                        usual.viewLagBound(),
+                        true,
+                        usual.pauseBound(),
+                        usual.overdue(),
+                        usual.depth(),
+                        RestartRule.NO_SIGN))
+                .warm(UPSTREAM);
+        driver.pass(Duration.ofMillis(200));
+
+        assertThat(grants(driver.wish()) + grants(driver.wish())).isEqualTo(2);
+    }
+
     @Test
     void requestsOfTheLifeBeforeDoNotWarmTheNextOne() {
         EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
