Warm the measured fleets up before they are compared, and end every child with the bench

An interrupted bench left its fleet running. Ruled out: comparing during cold starts, which the cold scenario does. Conclusion: upstreams start warm and 16 s of load go before the measured turns.

--- a/bench/src/main/java/org/turmericspan/bench/Main.java
+++ b/bench/src/main/java/org/turmericspan/bench/Main.java
@@ -8,6 +8,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.turmericspan.bench.scenario.Scenarios;
+import org.turmericspan.standins.fleet.ChildProcess;
 
 /** Command line of the bench. It exits 0 when all bounds are met, 1 when one is missed, 2 when it could not run. */
 public final class Main {
@@ -24,6 +25,7 @@
      */
     public static void main(String[] arguments) {
         BenchSettings settings = parse(arguments);
+        Runtime.getRuntime().addShutdownHook(new Thread(ChildProcess::endAll, "end-children"));
         try {
             Report report = Scenarios.byName(settings.scenario()).run(settings);
             ReportPrinter.print(settings, report, System.out);
--- a/bench/src/main/java/org/turmericspan/bench/scenario/ControlScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/ControlScenario.java
@@ -13,7 +13,7 @@
 final class ControlScenario {
     private static final double LARGEST_CPU_PERCENT = 1.5;
     private static final double LARGEST_BYTES_PER_SECOND = 18_000;
-    private static final Duration SETTLE = Duration.ofSeconds(8);
+    private static final Duration SETTLE = Duration.ofSeconds(30);
     private static final double PERCENT = 100;
     private static final int SIZES = 3;
     private static final Duration PARK = Duration.ofMillis(100);
--- a/bench/src/main/java/org/turmericspan/bench/scenario/OverheadScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/OverheadScenario.java
@@ -17,6 +17,8 @@
 final class OverheadScenario {
     private static final int ROUNDS = 4;
     private static final double RATE_PER_SECOND = 400;
+    private static final double WARM_UP_RATE_PER_SECOND = 1_500;
+    private static final Duration WARM_UP = Duration.ofSeconds(12);
     private static final double P50 = 50.0;
     private static final double P99 = 99.0;
     private static final double LARGEST_ADDED_P99_MICROS = 310;
@@ -29,9 +31,9 @@
         report.addNote("load " + RATE_PER_SECOND + " requests/s of no work, direct and through a node in turns");
         try (PolicyFleet fleet = PolicyFleet.start(settings, THROUGH)) {
             fleet.fleet().warmUpstreams();
-            fleet.warmUp(RATE_PER_SECOND, Duration.ZERO);
             Caller direct = directCaller(fleet);
-            OpenLoop.run(plan(settings, 0), direct);
+            warmUp(settings, direct);
+            warmUp(settings, fleet.caller());
             LoadResult directSum = new LoadResult();
             LoadResult throughSum = new LoadResult();
             Duration processorBefore = ProcessorTime.of(fleet.fleet());
@@ -53,6 +55,13 @@
         return report;
     }
 
+    /** Runs until the runtimes on the path have compiled what they run. */
+    private static void warmUp(BenchSettings settings, Caller caller) {
+        OpenLoop.run(
+                LoadPlan.lookups(PolicyFleet.SERVICE, WARM_UP_RATE_PER_SECOND, WARM_UP, Duration.ZERO, settings.seed()),
+                caller);
+    }
+
     private static LoadPlan plan(BenchSettings settings, int round) {
         return LoadPlan.lookups(
                 PolicyFleet.SERVICE,
--- a/bench/src/main/java/org/turmericspan/bench/scenario/PolicyFleet.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/PolicyFleet.java
@@ -19,7 +19,7 @@
     static final int SLOTS = 3;
 
     private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c", "zone-d");
-    private static final Duration WARM_UP = Duration.ofSeconds(3);
+    private static final Duration WARM_UP = Duration.ofSeconds(8);
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final String policy;
@@ -71,6 +71,7 @@
 
     /** Runs a short unmeasured load, so that code is compiled, connections stand and upstreams are warm. */
     void warmUp(double ratePerSecond, Duration work) {
+        fleet.warmUpstreams();
         OpenLoop.run(LoadPlan.lookups(SERVICE, ratePerSecond / 2, WARM_UP, work, 0), caller);
         OpenLoop.run(LoadPlan.lookups(SERVICE, ratePerSecond, WARM_UP, work, 0), caller);
     }
--- a/standins/src/main/java/org/turmericspan/standins/demo/Main.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/Main.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import okhttp3.OkHttpClient;
+import org.turmericspan.standins.fleet.ChildProcess;
 import org.turmericspan.standins.fleet.Fleet;
 import org.turmericspan.standins.fleet.FleetPlan;
 import org.turmericspan.standins.fleet.FleetUpstream;
@@ -43,7 +44,7 @@
      * @throws InterruptedException when the main thread is interrupted
      */
     public static void main(String[] arguments) throws InterruptedException {
-        Runtime.getRuntime().addShutdownHook(new Thread(Main::endChildren, "end-children"));
+        Runtime.getRuntime().addShutdownHook(new Thread(ChildProcess::endAll, "end-children"));
         System.out.println("Starting a platform, 12 upstreams of 2 services in 4 availability zones, and 4 nodes ...");
         boolean isSound;
         FleetPlan plan = FleetPlan.simple(NODES, ORDERING_UPSTREAMS)
@@ -133,7 +134,4 @@
     }
 
     /** Ends the processes that this one started. */
-    private static void endChildren() {
-        ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly);
-    }
 }
--- a/standins/src/main/java/org/turmericspan/standins/fleet/ChildProcess.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/ChildProcess.java
@@ -46,6 +46,11 @@
         return new ChildProcess(name, command, logFile(name));
     }
 
+    /** Ends every process that this one has started, for use in a shutdown hook. */
+    public static void endAll() {
+        ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly);
+    }
+
     /** Starts the process, or starts it again with the same command line after it has ended. */
     public void start() {
         try {
