--- a/bench/src/main/java/org/turmericspan/bench/Main.java
+++ b/bench/src/main/java/org/turmericspan/bench/Main.java
@@ -49,7 +49,9 @@
         parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of load and faults (default: 1)");
         parser.addArgument("--nodes").type(Integer.class).help("number of nodes (default: the preset's)");
         parser.addArgument("--upstreams").type(Integer.class).help("number of upstreams (default: the preset's)");
-        parser.addArgument("--policy").setDefault("keepers,baseline").help("slot policies, separated by commas");
+        parser.addArgument("--policy")
+                .setDefault("keepers,baseline")
+                .help("policies, separated by commas: keepers, hedges (keepers with hedges), baseline");
         parser.addArgument("--preset")
                 .choices("small", "virumaa", "inkingi")
                 .setDefault("small")
--- a/bench/src/main/java/org/turmericspan/bench/scenario/PolicyFleet.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/PolicyFleet.java
@@ -19,6 +19,7 @@
     static final int SLOTS = 3;
 
     private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c", "zone-d");
+    private static final String HEDGES = "hedges";
     private static final Duration WARM_UP = Duration.ofSeconds(8);
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -47,7 +48,7 @@
                 settings.nodes(),
                 List.of(new FleetPlan.ServicePlan(SERVICE, settings.upstreams(), List.of())),
                 isProxied,
-                List.of("--slot-policy", policy));
+                flags(policy));
         PolicyFleet fleet = new PolicyFleet(policy, Fleet.start(plan));
         fleet.setDelay(settings.preset().zoneDelay());
         return fleet;
@@ -76,6 +77,13 @@
         OpenLoop.run(LoadPlan.lookups(SERVICE, ratePerSecond, WARM_UP, work, 0), caller);
     }
 
+    /** Returns the node flags of a policy; {@code hedges} stands for the keepers with hedges. */
+    private static List<String> flags(String policy) {
+        return policy.equals(HEDGES)
+                ? List.of("--slot-policy", "keepers", "--repeat-policy", HEDGES)
+                : List.of("--slot-policy", policy);
+    }
+
     /** Computes the rate that keeps a share of all slots busy. */
     static double rateFor(BenchSettings settings, double share, Duration work) {
         double slots = (double) settings.upstreams() * SLOTS;
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -77,7 +77,8 @@
             exchange.finish(UpstreamReply.Kind.CANCELLED_UNSENT, UpstreamSignals.NONE);
             return exchange;
         }
-        OkHttpClient client = request.idempotent() ? clients.reusing(lease.address()) : clients.fresh();
+        boolean mayReuse = request.idempotent() && !request.retried();
+        OkHttpClient client = mayReuse ? clients.reusing(lease.address()) : clients.fresh();
         exchange.call = client.newCall(exchange.encode(lease, request, remainingNanos));
         exchange.call.timeout().timeout(remainingNanos, TimeUnit.NANOSECONDS);
         exchange.call.enqueue(exchange);
