--- a/bench/src/main/java/org/turmericspan/bench/Main.java
+++ b/bench/src/main/java/org/turmericspan/bench/Main.java
@@ -8,6 +8,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.turmericspan.bench.scenario.Scenarios;
+import org.turmericspan.standins.fleet.ChildProcess;
 
 /** Command line of the bench. It exits 0 when all bounds are met, 1 when one is missed, 2 when it could not run. */
 public final class Main {
@@ -24,6 +25,7 @@
      */
     public static void main(String[] arguments) {
         BenchSettings settings = parse(arguments);
+        Runtime.getRuntime().addShutdownHook(new Thread(ChildProcess::endAll, "end-children"));
         try {
             Report report = Scenarios.byName(settings.scenario()).run(settings);
             ReportPrinter.print(settings, report, System.out);
@@ -47,7 +49,9 @@
         parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of load and faults (default: 1)");
         parser.addArgument("--nodes").type(Integer.class).help("number of nodes (default: the preset's)");
         parser.addArgument("--upstreams").type(Integer.class).help("number of upstreams (default: the preset's)");
-        parser.addArgument("--policy").setDefault("keepers,baseline").help("slot policies, separated by commas");
+        parser.addArgument("--policy")
+                .setDefault("keepers,baseline")
+                .help("policies, separated by commas: keepers, hedges (keepers with hedges), baseline");
         parser.addArgument("--preset")
                 .choices("small", "virumaa", "inkingi")
                 .setDefault("small")
