--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/ChoiceRequest.java
@@ -0,0 +1,20 @@
+package org.turmericspan.balancing;
+
+import java.util.Set;
+import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.UpstreamId;
+
+/**
+ * What a choice of upstream must respect.
+ *
+ * @param service service of the request
+ * @param excluded upstreams that were tried already
+ * @param queueAllowance requests beyond the slots that the request may find at the upstream
+ * @param maxCost highest predicted cost that is worth an attempt
+ */
+public record ChoiceRequest(ServiceId service, Set<UpstreamId> excluded, int queueAllowance, double maxCost) {
+    /** Copies the set. */
+    public ChoiceRequest {
+        excluded = Set.copyOf(excluded);
+    }
+}
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetSink.java
@@ -0,0 +1,43 @@
+package org.turmericspan.balancing;
+
+import java.util.Set;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.UpstreamId;
+
+/** Takes what operators and upstreams publish. */
+public interface FleetSink {
+    /**
+     * Takes a published configuration.
+     *
+     * @param configuration the configuration, which may be older than the one in force
+     */
+    void configured(RoutingConfiguration configuration);
+
+    /**
+     * Takes what an upstream published.
+     *
+     * @param registration the newest registration
+     */
+    void registered(Registration registration);
+
+    /**
+     * Learns that an upstream is no longer registered.
+     *
+     * @param id the upstream
+     */
+    void removed(UpstreamId id);
+
+    /**
+     * Learns which upstreams are registered at all.
+     *
+     * @param ids all of them
+     */
+    void retained(Set<UpstreamId> ids);
+
+    /**
+     * Learns which availability zones are to get nothing.
+     *
+     * @param zones all of them
+     */
+    void evacuated(Set<AvailabilityZoneId> zones);
+}
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetState.java
@@ -0,0 +1,69 @@
+package org.turmericspan.balancing;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.turmericspan.events.Event;
+import org.turmericspan.events.EventLog;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.UpstreamId;
+
+/** Puts what was published into the tables and logs each change of belief. */
+public final class FleetState implements FleetSink {
+    private static final String PART = "fleet";
+
+    private final ConfigurationHolder configuration;
+    private final UpstreamTable upstreams;
+    private final EventLog log;
+
+    /**
+     * Creates the state.
+     *
+     * @param configuration the configuration in force
+     * @param upstreams beliefs about upstreams
+     * @param log takes changes of belief
+     */
+    public FleetState(ConfigurationHolder configuration, UpstreamTable upstreams, EventLog log) {
+        this.configuration = configuration;
+        this.upstreams = upstreams;
+        this.log = log;
+    }
+
+    @Override
+    public void configured(RoutingConfiguration candidate) {
+        if (configuration.accept(candidate)) {
+            log.write(Event.notice(PART, "Configuration in force.").with("version", candidate.version()));
+        }
+    }
+
+    @Override
+    public void registered(Registration registration) {
+        if (upstreams.register(registration)) {
+            log.write(Event.notice(PART, registration.draining() ? "Upstream drains." : "Upstream registered.")
+                    .with("upstream", registration.id())
+                    .with("service", registration.service())
+                    .with("zone", registration.availabilityZone())
+                    .with("address", registration.address()));
+        }
+    }
+
+    @Override
+    public void removed(UpstreamId id) {
+        if (upstreams.remove(id)) {
+            log.write(Event.notice(PART, "Upstream gone.").with("upstream", id));
+        }
+    }
+
+    @Override
+    public void retained(Set<UpstreamId> ids) {
+        Set<UpstreamId> gone = new HashSet<>(upstreams.ids());
+        gone.removeAll(ids);
+        gone.forEach(this::removed);
+    }
+
+    @Override
+    public void evacuated(Set<AvailabilityZoneId> zones) {
+        if (upstreams.setEvacuated(zones)) {
+            log.write(Event.notice(PART, "Evacuated zones changed.").with("zones", zones));
+        }
+    }
+}
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/Placement.java
@@ -0,0 +1,29 @@
+package org.turmericspan.balancing;
+
+import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.UpstreamId;
+
+/**
+ * One attempt's place at an upstream. It counts there until it is finished.
+ *
+ * @param upstream the upstream
+ * @param service its service
+ * @param address where it listens
+ * @param startedNanos monotonic time of the choice
+ * @param cost predicted cost, 1 for a request on an idle upstream at its usual speed
+ * @param slowPercent slowness on which the choice rests
+ * @param load requests believed to be there
+ * @param ageNanos age of the observation on which the choice rests
+ * @param cold whether the upstream was cold
+ */
+public record Placement(
+        UpstreamId upstream,
+        ServiceId service,
+        SocketAddress address,
+        long startedNanos,
+        double cost,
+        int slowPercent,
+        int load,
+        long ageNanos,
+        boolean cold) {}
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
@@ -0,0 +1,82 @@
+package org.turmericspan.balancing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.turmericspan.ids.ServiceId;
+
+/** One accepted configuration. It never changes; a newer one replaces it as a whole. */
+public final class RoutingConfiguration {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<ServiceId, ServiceSpec> services;
+    private final RequestLimits limits;
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version number that grows with each publication
+     * @param routes all routes
+     * @param services all services by name
+     * @param limits bounds on requests
+     */
+    public RoutingConfiguration(
+            long version, List<Route> routes, Map<ServiceId, ServiceSpec> services, RequestLimits limits) {
+        this.version = version;
+        this.services = Map.copyOf(services);
+        this.limits = limits;
+        for (Route route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.prefix().length())
+                .reversed();
+        routesByHost.values().forEach(list -> list.sort(longestFirst));
+    }
+
+    /**
+     * Finds the route of a request: the longest prefix of the host that begins the path.
+     *
+     * @param host host without a port
+     * @param path path without its query
+     * @return the route; empty when none matches
+     */
+    public Optional<Route> find(String host, String path) {
+        List<Route> routes = routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of());
+        return routes.stream().filter(route -> path.startsWith(route.prefix())).findFirst();
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return a number that grows with each publication
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the bounds on requests.
+     *
+     * @return the limits
+     */
+    public RequestLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Looks a service up.
+     *
+     * @param service its name
+     * @return what the configuration says of it
+     */
+    public Optional<ServiceSpec> service(ServiceId service) {
+        return Optional.ofNullable(services.get(service));
+    }
+}
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
@@ -0,0 +1,64 @@
+package org.turmericspan.balancing;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Predicts how long a request takes at an upstream, in units of a request on an idle upstream at its usual speed. Lower
+ * is better.
+ */
+final class UpstreamCost {
+    /** Time over which an observed speed loses its meaning; speeds change many times a second. */
+    private static final double SPEED_MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    /** Share of the slots above which upstreams of many kinds slow down. */
+    private static final double NEARLY_FULL = 0.8;
+    /** Factor on the work of a request that makes an upstream nearly full. */
+    private static final double NEARLY_FULL_FACTOR = 1.6;
+    /** Cost of each request already there, which keeps equal upstreams evenly loaded. */
+    private static final double NEIGHBOUR_COST = 0.04;
+    /** Factor for a cold upstream, which works slowly. */
+    private static final double COLD_FACTOR = 2.5;
+    /** Weight of failures: an upstream that fails a tenth of its requests costs twice as much. */
+    private static final double FAILURE_WEIGHT = 10;
+    /** Factor for an upstream whose health check fails though it answers. */
+    private static final double UNHEALTHY_FACTOR = 3;
+    /** Factor for an upstream at which a request of this node is overdue. */
+    private static final double OVERDUE_FACTOR = 2;
+
+    private static final double PERCENT = 100.0;
+
+    private UpstreamCost() {}
+
+    static double of(UpstreamState state, double meanSlowness, long typicalNanos, long nowNanos) {
+        int load = state.load(nowNanos);
+        int slots = Math.max(1, state.registration().slots());
+        double cost = slowness(state.observation(), meanSlowness, nowNanos) * crowding(load, slots);
+        cost *= 1 + FAILURE_WEIGHT * state.failShare(nowNanos);
+        if (state.isCold(nowNanos)) {
+            cost *= COLD_FACTOR;
+        }
+        if (state.observation() != null && !state.observation().healthy()) {
+            cost *= UNHEALTHY_FACTOR;
+        }
+        if (typicalNanos > 0 && state.oldestOwnAgeNanos(nowNanos) > OVERDUE_FACTOR * typicalNanos * meanSlowness) {
+            cost *= OVERDUE_FACTOR;
+        }
+        return cost;
+    }
+
+    /** Moves an observed speed towards the mean as the observation ages. */
+    private static double slowness(Observation observation, double meanSlowness, long nowNanos) {
+        if (observation == null) {
+            return meanSlowness;
+        }
+        double weight = Math.exp(-(nowNanos - observation.atNanos()) / SPEED_MEMORY_NANOS);
+        return weight * observation.slowPercent() / PERCENT + (1 - weight) * meanSlowness;
+    }
+
+    private static double crowding(int load, int slots) {
+        if (load >= slots) {
+            return NEARLY_FULL_FACTOR * (1 + (load - slots + 1.0) / slots);
+        }
+        double factor = load + 1 > NEARLY_FULL * slots && slots > 1 ? NEARLY_FULL_FACTOR : 1;
+        return factor + NEIGHBOUR_COST * load;
+    }
+}
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -0,0 +1,402 @@
+package org.turmericspan.balancing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.tables.LockRank;
+import org.turmericspan.tables.RankedLock;
+
+/** Registered upstreams, what is believed of each, and the choice among them. */
+public final class UpstreamTable {
+    /** Age at which an observation no longer shows that an upstream is warm. */
+    private static final long OBSERVATION_LIFE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** Cost of an upstream of the zone that another node owns, so that nodes rarely meet at one. */
+    private static final double NOT_OWNED_COST = 0.08;
+    /** Cost of an upstream in another zone: the longer way and the price of its bytes. */
+    private static final double OTHER_ZONE_COST = 0.3;
+    /** Range of a random cost that breaks ties among nodes. */
+    private static final double TIE_COST = 0.04;
+    /** Weight of a new observation in the mean slowness. */
+    private static final double MEAN_WEIGHT = 0.02;
+    /** Weight of a new answer in the typical latency of a service. */
+    private static final double LATENCY_WEIGHT = 0.05;
+
+    private static final double PERCENT = 100.0;
+
+    private final RankedLock lock = new RankedLock(LockRank.SLOTS);
+    private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
+    private final Map<Long, UpstreamId> byHash = new HashMap<>();
+    private final Map<ServiceId, Double> typicalNanos = new HashMap<>();
+    private final AvailabilityZoneId home;
+    private final Ownership ownership;
+    private final BalancingRules rules;
+    private final ConfigurationHolder configuration;
+    private final MonotonicClock clock;
+    private final RandomGenerator random;
+    private Set<AvailabilityZoneId> evacuated = Set.of();
+    private double meanSlowness = 1;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param home availability zone of this node
+     * @param ownership tells which upstreams this node owns; called under the table's lock, must take none itself
+     * @param rules agreed bounds
+     * @param configuration names the services
+     * @param clock monotonic time
+     * @param random breaks ties
+     */
+    public UpstreamTable(
+            AvailabilityZoneId home,
+            Ownership ownership,
+            BalancingRules rules,
+            ConfigurationHolder configuration,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        this.home = home;
+        this.ownership = ownership;
+        this.rules = rules;
+        this.configuration = configuration;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    /**
+     * Takes what an upstream published.
+     *
+     * @param registration the newest registration
+     * @return whether it is new or changed in more than its warm-up time
+     */
+    public boolean register(Registration registration) {
+        return lock.compute(() -> {
+            UpstreamState state = states.get(registration.id());
+            if (state == null) {
+                states.put(registration.id(), new UpstreamState(registration));
+                byHash.put(StableHash.of(registration.id().value()), registration.id());
+                return true;
+            }
+            Registration old = state.registration();
+            state.register(registration);
+            return old.draining() != registration.draining() || old.startedMillis() != registration.startedMillis();
+        });
+    }
+
+    /**
+     * Forgets an upstream that is gone.
+     *
+     * @param id the upstream
+     * @return whether it was known
+     */
+    public boolean remove(UpstreamId id) {
+        return lock.compute(() -> {
+            byHash.remove(StableHash.of(id.value()));
+            return states.remove(id) != null;
+        });
+    }
+
+    /**
+     * Returns the identifiers of all registered upstreams.
+     *
+     * @return a copy
+     */
+    public Set<UpstreamId> ids() {
+        return lock.compute(() -> Set.copyOf(states.keySet()));
+    }
+
+    /**
+     * Looks an upstream up.
+     *
+     * @param id the upstream
+     * @return its registration; empty when it is gone
+     */
+    public Optional<Registration> registration(UpstreamId id) {
+        return lock.compute(() -> Optional.ofNullable(states.get(id)).map(UpstreamState::registration));
+    }
+
+    /**
+     * Sets the zones whose upstreams get nothing.
+     *
+     * @param zones evacuated availability zones
+     * @return whether the set changed
+     */
+    public boolean setEvacuated(Set<AvailabilityZoneId> zones) {
+        return lock.compute(() -> {
+            boolean changed = !evacuated.equals(zones);
+            evacuated = Set.copyOf(zones);
+            return changed;
+        });
+    }
+
+    /**
+     * Takes an observation of an upstream.
+     *
+     * @param id the upstream
+     * @param observation what it showed
+     */
+    public void observe(UpstreamId id, Observation observation) {
+        lock.run(() -> observeLocked(states.get(id), observation));
+    }
+
+    private void observeLocked(UpstreamState state, Observation observation) {
+        if (state != null && state.observe(observation)) {
+            meanSlowness += MEAN_WEIGHT * (observation.slowPercent() / PERCENT - meanSlowness);
+        }
+    }
+
+    /**
+     * Takes the load figures that came with an answer. They say nothing of warmth or health, which stay as they were.
+     *
+     * @param id the upstream
+     * @param figures its load at this moment
+     */
+    public void observeLoad(UpstreamId id, LoadFigures figures) {
+        long now = clock.nowNanos();
+        lock.run(() -> {
+            UpstreamState state = states.get(id);
+            if (state != null && state.observation() != null) {
+                observeLocked(state, state.withLoad(figures, now));
+            }
+        });
+    }
+
+    /**
+     * Notes that an upstream could be reached, or could not.
+     *
+     * @param id the upstream
+     * @param reached whether a connection succeeded
+     */
+    public void noteReachable(UpstreamId id, boolean reached) {
+        lock.run(() -> {
+            UpstreamState state = states.get(id);
+            if (state != null && reached) {
+                state.reached();
+            } else if (state != null) {
+                state.rest(clock.nowNanos());
+            }
+        });
+    }
+
+    /**
+     * Takes what another node reports.
+     *
+     * @param peer the node
+     * @param reports one for each upstream that it speaks of
+     */
+    public void acceptReports(String peer, Collection<PeerReport> reports) {
+        lock.run(() -> reports.forEach(report -> acceptReport(peer, report)));
+    }
+
+    private void acceptReport(String peer, PeerReport report) {
+        UpstreamId id = byHash.get(report.upstreamHash());
+        if (id == null) {
+            return;
+        }
+        UpstreamState state = states.get(id);
+        observeLocked(state, report.observation());
+        state.peerReported(peer, report.inFlight(), report.failPercent(), clock.nowNanos());
+    }
+
+    /**
+     * Lists what this node knows, for other nodes.
+     *
+     * @param filter chooses the upstreams to speak of
+     * @return one report for each upstream with a fresh observation
+     */
+    public List<PeerReport> reports(Predicate<Registration> filter) {
+        long now = clock.nowNanos();
+        return lock.compute(() -> {
+            List<PeerReport> reports = new ArrayList<>();
+            for (UpstreamState state : states.values()) {
+                if (filter.test(state.registration()) && isFresh(state, now)) {
+                    reports.add(new PeerReport(
+                            StableHash.of(state.registration().id().value()),
+                            state.observation(),
+                            state.ownInFlight(),
+                            (int) (PERCENT * state.ownFailShare(now))));
+                }
+            }
+            return reports;
+        });
+    }
+
+    /**
+     * Lists the upstreams that this node is to probe.
+     *
+     * @return owned registrations, draining ones left out
+     */
+    public List<Registration> probeTargets() {
+        return lock.compute(() -> states.values().stream()
+                .map(UpstreamState::registration)
+                .filter(registration -> !registration.draining() && ownership.owns(registration))
+                .toList());
+    }
+
+    /**
+     * Chooses the upstream of lowest predicted cost and counts the attempt there.
+     *
+     * @param request what the choice must respect
+     * @return the place; empty when no upstream can take the request now
+     */
+    public Optional<Placement> choose(ChoiceRequest request) {
+        long now = clock.nowNanos();
+        return lock.compute(() -> {
+            UpstreamState best = null;
+            double bestCost = request.maxCost();
+            for (UpstreamState state : states.values()) {
+                if (!isUsable(state, request, now)) {
+                    continue;
+                }
+                double cost = UpstreamCost.of(state, meanSlowness, typicalLocked(request.service()), now)
+                        + distance(state.registration());
+                if (cost < bestCost) {
+                    best = state;
+                    bestCost = cost;
+                }
+            }
+            return best == null ? Optional.empty() : Optional.of(place(best, bestCost, now));
+        });
+    }
+
+    private boolean isUsable(UpstreamState state, ChoiceRequest request, long now) {
+        Registration registration = state.registration();
+        if (!registration.service().equals(request.service())
+                || registration.draining()
+                || evacuated.contains(registration.availabilityZone())
+                || request.excluded().contains(registration.id())
+                || state.rests(now)
+                || !isFresh(state, now)) {
+            return false;
+        }
+        if (state.isCold(now)) {
+            return ownership.owns(registration)
+                    && state.load(now) < registration.slots()
+                    && state.coldPace().allows(coldPerSecond(registration.service()), now);
+        }
+        return state.load(now) < registration.slots() + request.queueAllowance();
+    }
+
+    private static boolean isFresh(UpstreamState state, long now) {
+        return state.observation() != null && now - state.observation().atNanos() <= OBSERVATION_LIFE_NANOS;
+    }
+
+    private int coldPerSecond(ServiceId service) {
+        double bearable = configuration
+                .current()
+                .flatMap(current -> current.service(service))
+                .map(ServiceSpec::warmupPerSecond)
+                .orElse(1.0);
+        return bearable <= 0 ? Integer.MAX_VALUE : ColdPace.perSecond(bearable, rules);
+    }
+
+    private double distance(Registration registration) {
+        double tie = random.nextDouble() * TIE_COST;
+        if (!registration.availabilityZone().equals(home)) {
+            return OTHER_ZONE_COST + tie;
+        }
+        return ownership.owns(registration) ? 0 : NOT_OWNED_COST + tie;
+    }
+
+    private Placement place(UpstreamState state, double cost, long now) {
+        Registration registration = state.registration();
+        boolean cold = state.isCold(now);
+        int load = state.load(now);
+        state.started(now);
+        if (cold) {
+            state.coldPace().record(now);
+        }
+        return new Placement(
+                registration.id(),
+                registration.service(),
+                registration.address(),
+                now,
+                cost,
+                state.observation().slowPercent(),
+                load,
+                now - state.observation().atNanos(),
+                cold);
+    }
+
+    /**
+     * Ends an attempt.
+     *
+     * @param placement its place
+     * @param result how it ended
+     */
+    public void finish(Placement placement, AttemptResult result) {
+        long now = clock.nowNanos();
+        lock.run(() -> {
+            UpstreamState state = states.get(placement.upstream());
+            if (state != null) {
+                state.finished(placement.startedNanos(), result, now);
+            }
+            if (result == AttemptResult.SUCCESS) {
+                learnLatency(placement, now);
+            }
+        });
+    }
+
+    private void learnLatency(Placement placement, long now) {
+        double usual = (now - placement.startedNanos()) / Math.max(1, placement.cost());
+        typicalNanos.merge(placement.service(), usual, (old, fresh) -> old + LATENCY_WEIGHT * (fresh - old));
+    }
+
+    /**
+     * Returns how long a request to a service typically takes on an idle upstream.
+     *
+     * @param service the service
+     * @return nanoseconds; 0 when nothing is known
+     */
+    public long typicalNanos(ServiceId service) {
+        return lock.compute(() -> typicalLocked(service));
+    }
+
+    private long typicalLocked(ServiceId service) {
+        return typicalNanos.getOrDefault(service, 0.0).longValue();
+    }
+
+    /**
+     * Tells whether an upstream still takes requests.
+     *
+     * @param id the upstream
+     * @return false when it is draining, gone or in an evacuated zone
+     */
+    public boolean accepts(UpstreamId id) {
+        return lock.compute(() -> {
+            UpstreamState state = states.get(id);
+            return state != null
+                    && !state.registration().draining()
+                    && !evacuated.contains(state.registration().availabilityZone());
+        });
+    }
+
+    /**
+     * Describes all upstreams.
+     *
+     * @return one line each
+     */
+    public List<String> describe() {
+        long now = clock.nowNanos();
+        return lock.compute(() -> states.values().stream()
+                .map(state -> state.registration().id() + " service="
+                        + state.registration().service()
+                        + " zone=" + state.registration().availabilityZone()
+                        + " draining=" + state.registration().draining()
+                        + " cold=" + state.isCold(now)
+                        + " resting=" + state.rests(now)
+                        + " load=" + state.load(now)
+                        + " owned=" + ownership.owns(state.registration()))
+                .sorted()
+                .toList());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -0,0 +1,79 @@
+package org.turmericspan.entry;
+
+import dagger.Module;
+import dagger.Provides;
+import java.util.random.RandomGenerator;
+import javax.inject.Singleton;
+import org.turmericspan.balancing.ConfigurationHolder;
+import org.turmericspan.balancing.CrashSuspects;
+import org.turmericspan.balancing.FleetSink;
+import org.turmericspan.balancing.FleetState;
+import org.turmericspan.balancing.RepeatWindow;
+import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.balancing.WeightedRotation;
+import org.turmericspan.events.EventLog;
+import org.turmericspan.gossip.Member;
+import org.turmericspan.gossip.MemberTable;
+import org.turmericspan.ids.MonotonicClock;
+
+/** Provides the tables and the decisions over them. */
+@Module
+final class BalancingModule {
+    private BalancingModule() {}
+
+    @Provides
+    @Singleton
+    static ConfigurationHolder configuration() {
+        return new ConfigurationHolder();
+    }
+
+    @Provides
+    @Singleton
+    static MemberTable members(EntrySettings settings, MonotonicClock clock, RandomGenerator random, EventLog log) {
+        Member self = new Member(
+                settings.gossipAddress(),
+                settings.callerAddress(),
+                settings.availabilityZone(),
+                random.nextInt(),
+                false,
+                false,
+                clock.nowNanos());
+        return new MemberTable(self, clock, log);
+    }
+
+    @Provides
+    @Singleton
+    static UpstreamTable upstreams(
+            EntrySettings settings,
+            MemberTable members,
+            ConfigurationHolder configuration,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        return new UpstreamTable(
+                settings.availabilityZone(), members.ownership(), settings.rules(), configuration, clock, random);
+    }
+
+    @Provides
+    @Singleton
+    static RepeatWindow repeats(EntrySettings settings, MemberTable members, MonotonicClock clock) {
+        return new RepeatWindow(settings.rules(), members::fleetSize, clock);
+    }
+
+    @Provides
+    @Singleton
+    static CrashSuspects suspects(MonotonicClock clock) {
+        return new CrashSuspects(clock);
+    }
+
+    @Provides
+    @Singleton
+    static WeightedRotation rotation(RandomGenerator random) {
+        return new WeightedRotation(random);
+    }
+
+    @Provides
+    @Singleton
+    static FleetSink fleet(ConfigurationHolder configuration, UpstreamTable upstreams, EventLog log) {
+        return new FleetState(configuration, upstreams, log);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -0,0 +1,230 @@
+package org.turmericspan.entry;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.turmericspan.balancing.ConfigurationHolder;
+import org.turmericspan.balancing.RequestLimits;
+import org.turmericspan.balancing.RoutingConfiguration;
+import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.events.Event;
+import org.turmericspan.events.EventLog;
+import org.turmericspan.forwarding.ForwardingParts;
+import org.turmericspan.forwarding.ForwardingService;
+import org.turmericspan.forwarding.UpstreamProber;
+import org.turmericspan.gossip.Gossip;
+import org.turmericspan.gossip.GossipLink;
+import org.turmericspan.gossip.Member;
+import org.turmericspan.gossip.MemberTable;
+import org.turmericspan.http.HttpClient;
+import org.turmericspan.http.HttpListener;
+import org.turmericspan.http.HttpService;
+import org.turmericspan.http.ListenerLimits;
+import org.turmericspan.http.ResponseMessage;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.platform.DirectoryService;
+import org.turmericspan.platform.StoreFeed;
+
+/** An entry node: starts its parts, says when it is ready, and stops without cutting requests off. */
+@Singleton
+final class EntryNode implements AutoCloseable {
+    /** Pause between looks at whether the node is ready. */
+    private static final long CHECK_MILLIS = 50;
+    /** Time after the first contact with another node in which news of the fleet arrives. */
+    private static final long JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+    /** Time after which a node that hears of no other begins alone. */
+    private static final long ALONE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+    /** Addresses named to a caller, if so many nodes are ready, before nodes of its own zone suffice. */
+    private static final int LEAST_NAMED = 2;
+    /** Most addresses a caller takes. */
+    private static final int MOST_NAMED = 64;
+    /** Time kept of the grace period for the end of the process itself. */
+    private static final long EXIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** Time for which a stopping node keeps connections that callers may be about to use. */
+    private static final long KEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+    private static final String PART = "node";
+
+    private final EntrySettings settings;
+    private final ConfigurationHolder configuration;
+    private final UpstreamTable upstreams;
+    private final MemberTable members;
+    private final Gossip gossip;
+    private final StoreFeed feed;
+    private final UpstreamProber prober;
+    private final HttpClient client;
+    private final ForwardingParts forwarding;
+    private final EntryMetrics metrics;
+    private final EventLoopGroup workers;
+    private final MonotonicClock clock;
+    private final EventLog log;
+    private SettingsFile settingsFile;
+    private HttpListener callers;
+    private ScheduledFuture<?> readinessCheck;
+    private long startedNanos;
+    private long joinedNanos;
+    private volatile boolean able;
+    private volatile boolean leaving;
+
+    @Inject
+    EntryNode(
+            EntrySettings settings,
+            ConfigurationHolder configuration,
+            UpstreamTable upstreams,
+            MemberTable members,
+            Gossip gossip,
+            StoreFeed feed,
+            UpstreamProber prober,
+            HttpClient client,
+            ForwardingParts forwarding,
+            EntryMetrics metrics,
+            EventLoopGroup workers,
+            MonotonicClock clock,
+            EventLog log) {
+        this.settings = settings;
+        this.configuration = configuration;
+        this.upstreams = upstreams;
+        this.members = members;
+        this.gossip = gossip;
+        this.feed = feed;
+        this.prober = prober;
+        this.client = client;
+        this.forwarding = forwarding;
+        this.metrics = metrics;
+        this.workers = workers;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /** Starts listening at once and becomes ready when the fleet is known. */
+    void start(SettingsFile file) {
+        settingsFile = file;
+        startedNanos = clock.nowNanos();
+        DirectoryService directory = new DirectoryService(this::locate, this::isReady, settings.answerLifeSeconds());
+        listen(settings.directoryAddress(), directory);
+        listen(settings.readinessAddress(), directory);
+        listen(settings.metricsAddress(), operators());
+        callers = listen(settings.callerAddress(), new ForwardingService(forwarding));
+        feed.start();
+        gossip.start(new GossipLink(workers, settings.gossipAddress(), gossip::receive, clock, log));
+        readinessCheck =
+                workers.scheduleWithFixedDelay(this::checkReadiness, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        log.write(Event.notice(PART, "Started.").with("callers", settings.callerAddress()));
+    }
+
+    private HttpListener listen(SocketAddress address, HttpService service) {
+        return new HttpListener(workers, address, service, this::limits, clock, log);
+    }
+
+    private ListenerLimits limits() {
+        RequestLimits current =
+                configuration.current().map(RoutingConfiguration::limits).orElse(RequestLimits.DEFAULT);
+        return new ListenerLimits(
+                current.maxHeaderBytes(),
+                current.maxBodyBytes(),
+                current.headerTimeoutNanos(),
+                current.idleTimeoutNanos());
+    }
+
+    private HttpService operators() {
+        return (request, reply) -> reply.send(
+                request.path().endsWith("/state")
+                        ? ResponseMessage.text(200, "text/plain", state())
+                        : ResponseMessage.text(200, "text/plain", metrics.text(feed, prober, client, members)));
+    }
+
+    private String state() {
+        List<String> lines = new ArrayList<>();
+        lines.add("version "
+                + configuration.current().map(RoutingConfiguration::version).orElse(0L));
+        members.alive().forEach(member -> lines.add("member " + member));
+        upstreams.describe().forEach(line -> lines.add("upstream " + line));
+        return String.join("\n", lines) + "\n";
+    }
+
+    private void checkReadiness() {
+        long now = clock.nowNanos();
+        if (joinedNanos == 0 && members.alive().size() > 1) {
+            joinedNanos = now;
+        }
+        boolean joined = joinedNanos != 0 && now - joinedNanos > JOIN_NANOS || now - startedNanos > ALONE_NANOS;
+        if (joined && feed.isComplete() && configuration.current().isPresent()) {
+            able = true;
+            members.setSelf(true, leaving);
+            gossip.tellAll();
+            prober.start(settings.probeIntervalMillis());
+            readinessCheck.cancel(false);
+            log.write(Event.notice(PART, "Ready.")
+                    .with("members", members.alive().size())
+                    .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now - startedNanos)));
+        }
+    }
+
+    private boolean isReady() {
+        return able && !leaving;
+    }
+
+    /** Names ready nodes of the caller's zone, and of others when it has too few. */
+    private List<SocketAddress> locate(String zone) {
+        List<Member> ready = members.alive().stream()
+                .filter(member -> member.ready() && !member.leaving())
+                .toList();
+        List<Member> named = new ArrayList<>(ready.stream()
+                .filter(member -> member.availabilityZone().value().equals(zone))
+                .toList());
+        for (Member member : ready) {
+            if (named.size() < LEAST_NAMED && !named.contains(member)) {
+                named.add(member);
+            }
+        }
+        return named.stream().limit(MOST_NAMED).map(Member::callerAddress).toList();
+    }
+
+    /** Reads the settings file anew. Addresses and agreed bounds hold for the life of the process. */
+    void reload() {
+        try {
+            EntrySettings newer = settingsFile.read();
+            log.write(Event.notice(PART, "Settings read.").with("changed", !newer.equals(settings)));
+        } catch (IOException | InvalidEntrySettingsException e) {
+            log.write(Event.failure(PART, "Settings not readable, the old ones stay.")
+                    .with("reason", e.getMessage()));
+        }
+    }
+
+    @Override
+    public void close() {
+        long deadlineNanos = clock.nowNanos() + settings.graceNanos() - EXIT_NANOS;
+        long keepUntilNanos = clock.nowNanos() + KEEP_NANOS;
+        leaving = true;
+        members.setSelf(able, true);
+        gossip.tellAll();
+        callers.drain();
+        log.write(Event.notice(PART, "Stopping.").with("requests", callers.requests()));
+        while (deadlineNanos - clock.nowNanos() > 0
+                && (callers.connections() > 0 || keepUntilNanos - clock.nowNanos() > 0)) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(CHECK_MILLIS));
+            if (keepUntilNanos - clock.nowNanos() <= 0) {
+                callers.closeIdle();
+            }
+        }
+        log.write(Event.notice(PART, "Stopped.").with("requests", callers.requests()));
+        closeLog();
+    }
+
+    private void closeLog() {
+        if (log instanceof AutoCloseable closeable) {
+            try {
+                closeable.close();
+            } catch (Exception e) {
+                System.err.println("node: log not closed: " + e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -0,0 +1,145 @@
+package org.turmericspan.entry;
+
+import dagger.Module;
+import dagger.Provides;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import javax.inject.Singleton;
+import org.turmericspan.balancing.ConfigurationHolder;
+import org.turmericspan.balancing.CrashSuspects;
+import org.turmericspan.balancing.FleetSink;
+import org.turmericspan.balancing.RepeatWindow;
+import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.balancing.WeightedRotation;
+import org.turmericspan.events.EventLog;
+import org.turmericspan.events.JsonEventLog;
+import org.turmericspan.forwarding.CallProtocol;
+import org.turmericspan.forwarding.ForwardingParts;
+import org.turmericspan.forwarding.UpstreamProber;
+import org.turmericspan.gossip.Gossip;
+import org.turmericspan.gossip.MemberTable;
+import org.turmericspan.http.HttpClient;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.platform.PlatformCallProtocol;
+import org.turmericspan.platform.StoreFeed;
+
+/** Provides workers, clients and what runs over them. */
+@Module
+final class TransportModule {
+    /** Workers of the pool: the VMs of the users have one core. */
+    private static final int WORKERS = 1;
+
+    private TransportModule() {}
+
+    @Provides
+    @Singleton
+    static MonotonicClock clock() {
+        return MonotonicClock.system();
+    }
+
+    @Provides
+    @Singleton
+    static RandomGenerator random() {
+        return new SplittableRandom();
+    }
+
+    @Provides
+    @Singleton
+    static EventLog log(EntrySettings settings, MonotonicClock clock) {
+        return new JsonEventLog(settings.vm(), clock, System::currentTimeMillis, System.out);
+    }
+
+    @Provides
+    @Singleton
+    static EventLoopGroup workers() {
+        return new MultiThreadIoEventLoopGroup(WORKERS, NioIoHandler.newFactory());
+    }
+
+    @Provides
+    @Singleton
+    static HttpClient client(EventLoopGroup workers, MonotonicClock clock) {
+        return new HttpClient(workers, clock);
+    }
+
+    @Provides
+    @Singleton
+    static CallProtocol protocol() {
+        return new PlatformCallProtocol();
+    }
+
+    @Provides
+    @Singleton
+    static UpstreamProber prober(
+            UpstreamTable upstreams,
+            ConfigurationHolder configuration,
+            CrashSuspects suspects,
+            HttpClient client,
+            CallProtocol protocol,
+            EventLoopGroup workers,
+            MonotonicClock clock,
+            EventLog log) {
+        return new UpstreamProber(upstreams, configuration, suspects, client, protocol, workers.next(), clock, log);
+    }
+
+    @Provides
+    @Singleton
+    static Gossip gossip(
+            EntrySettings settings,
+            MemberTable members,
+            UpstreamTable upstreams,
+            CrashSuspects suspects,
+            EventLoopGroup workers,
+            RandomGenerator random) {
+        int port = settings.gossipAddress().port();
+        List<SocketAddress> seeds = settings.seedHosts().stream()
+                .map(host -> new SocketAddress(host, port))
+                .toList();
+        return new Gossip(members, upstreams, suspects, () -> seeds, workers.next(), random);
+    }
+
+    @Provides
+    @Singleton
+    static StoreFeed feed(
+            EntrySettings settings,
+            HttpClient client,
+            FleetSink sink,
+            EventLoopGroup workers,
+            MonotonicClock clock,
+            RandomGenerator random,
+            EventLog log) {
+        return new StoreFeed(settings.storeAddress(), client, sink, workers.next(), clock, random, log);
+    }
+
+    @Provides
+    @Singleton
+    static ForwardingParts forwarding(
+            ConfigurationHolder configuration,
+            UpstreamTable upstreams,
+            WeightedRotation rotation,
+            RepeatWindow repeats,
+            CrashSuspects suspects,
+            HttpClient client,
+            CallProtocol protocol,
+            UpstreamProber prober,
+            EntryMetrics metrics,
+            MonotonicClock clock,
+            EventLog log) {
+        return new ForwardingParts(
+                configuration,
+                upstreams,
+                rotation,
+                repeats,
+                suspects,
+                client,
+                protocol,
+                id -> upstreams.registration(id).ifPresent(prober::recheck),
+                metrics,
+                clock,
+                log);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/turmericspan/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry node on the users' platform. */
+package org.turmericspan.entry;
--- /dev/null
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -0,0 +1,91 @@
+package org.turmericspan.forwarding;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.turmericspan.balancing.Route;
+import org.turmericspan.balancing.RoutingConfiguration;
+import org.turmericspan.balancing.StableHash;
+import org.turmericspan.errors.ResultCode;
+import org.turmericspan.events.Event;
+import org.turmericspan.http.HttpService;
+import org.turmericspan.http.Reply;
+import org.turmericspan.http.RequestMessage;
+import org.turmericspan.ids.ServiceId;
+
+/** Finds the route of each request and forwards it to an upstream. */
+public final class ForwardingService implements HttpService {
+    /** Pause advised to a caller while no configuration is known; about the time a node takes to read one. */
+    private static final long NOT_READY_RETRY_MILLIS = 300;
+    /** Pause advised for a quarantined request. */
+    private static final long QUARANTINE_RETRY_MILLIS = 10_000;
+
+    private final ForwardingParts parts;
+
+    /**
+     * Creates the service.
+     *
+     * @param parts what the path of a request uses
+     */
+    public ForwardingService(ForwardingParts parts) {
+        this.parts = parts;
+    }
+
+    @Override
+    public void handle(RequestMessage request, Reply reply) {
+        Optional<RoutingConfiguration> configuration = parts.configuration().current();
+        if (configuration.isEmpty()) {
+            refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, 0);
+            return;
+        }
+        long version = configuration.get().version();
+        Optional<Route> route = configuration.get().find(hostOf(request), request.path());
+        if (route.isEmpty()) {
+            refuse(request, reply, ResultCode.NOT_CONFIGURED, 0, version);
+            return;
+        }
+        long fingerprint = fingerprint(request);
+        if (parts.suspects().isQuarantined(fingerprint)) {
+            refuse(request, reply, ResultCode.QUARANTINED, QUARANTINE_RETRY_MILLIS, version);
+            return;
+        }
+        ServiceId service = parts.rotation().next(route.get());
+        parts.repeats().recordRequest(service);
+        new RequestRun(
+                        parts,
+                        request,
+                        reply,
+                        new RunTarget(route.get(), service, fingerprint, version),
+                        deadline(request, route.get()))
+                .start();
+    }
+
+    private long deadline(RequestMessage request, Route route) {
+        long timeoutNanos = route.timeoutNanos();
+        long statedMillis = parts.protocol().deadlineMillis(request.headers()).orElse(Long.MAX_VALUE);
+        long waitNanos = Math.min(timeoutNanos, TimeUnit.MILLISECONDS.toNanos(statedMillis));
+        return parts.clock().nowNanos() + waitNanos;
+    }
+
+    private static String hostOf(RequestMessage request) {
+        String host = request.headers().first("Host").orElse("");
+        int colon = host.lastIndexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+
+    private static long fingerprint(RequestMessage request) {
+        return StableHash.of(StableHash.of(request.method() + " " + request.target()), request.body());
+    }
+
+    private void refuse(RequestMessage request, Reply reply, ResultCode code, long retryAfterMillis, long version) {
+        parts.log()
+                .write(Event.failure("forward", "Request refused.")
+                        .with(
+                                "request",
+                                parts.protocol().requestId(request.headers()).orElse("-"))
+                        .with("code", code.number())
+                        .with("target", request.target())
+                        .with("version", version));
+        parts.outcomes().answered(code.httpStatus(), 0);
+        reply.send(Refusal.of(code, retryAfterMillis));
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -0,0 +1,359 @@
+package org.turmericspan.forwarding;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.turmericspan.balancing.AttemptResult;
+import org.turmericspan.balancing.ChoiceRequest;
+import org.turmericspan.balancing.Placement;
+import org.turmericspan.balancing.Route;
+import org.turmericspan.errors.ResultCode;
+import org.turmericspan.events.Event;
+import org.turmericspan.forwarding.ForwardingOutcomes.AttemptKind;
+import org.turmericspan.http.CallEnd;
+import org.turmericspan.http.HeaderList;
+import org.turmericspan.http.Reply;
+import org.turmericspan.http.RequestMessage;
+import org.turmericspan.http.ResponseMessage;
+import org.turmericspan.ids.UpstreamId;
+
+/** One request from its arrival to its one answer. All of it runs on the worker of the caller's connection. */
+final class RequestRun {
+    /** Part of the target latency for which a request may wait for an upstream before it is refused. */
+    private static final int WAIT_PART = 8;
+    /** Pause between looks for an upstream while a request waits. */
+    private static final long WAIT_STEP_MILLIS = 10;
+    /** Time beyond the deadline that is left to an answer on its way, well below what callers hold against a node. */
+    private static final long ANSWER_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Time after which an abandoned attempt of a non-idempotent request is cut off. */
+    private static final long ABANDON_MILLIS = 1_000;
+    /** Shortest time left with which an attempt is worth making. */
+    private static final long LEAST_LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    /** Factor on the typical latency after which an answer is late. */
+    private static final double LATE_FACTOR = 1.5;
+    /** Factor on the typical latency that a hedge needs before the target latency. */
+    private static final double HEDGE_NEEDS_FACTOR = 1.25;
+    /** Highest predicted cost of an upstream that takes a hedge: fast now, and nearly idle. */
+    private static final double HEDGE_MAX_COST = 1.6;
+    /** Requests beyond the slots that a request of the highest priority may find; lower ones find less. */
+    private static final int QUEUE_ALLOWANCE = 3;
+    /** Part of the target latency advised as pause to a caller that was refused. */
+    private static final int RETRY_AFTER_PART = 4;
+
+    private static final double PERCENT = 100.0;
+
+    private final ForwardingParts parts;
+    private final RequestMessage request;
+    private final Reply reply;
+    private final RunTarget target;
+    private final Route route;
+    private final long deadlineNanos;
+    private final long startedNanos;
+    private final String requestId;
+    private final HeaderList headers;
+    private final Set<UpstreamId> tried = new HashSet<>();
+    private final Set<Attempt> active = new HashSet<>();
+    private ScheduledFuture<?> deadlineTimer;
+    private ScheduledFuture<?> hedgeTimer;
+    private ResponseMessage serverError;
+    private int sent;
+    private int attempts;
+    private boolean mayHaveRun;
+    private boolean ended;
+
+    RequestRun(ForwardingParts parts, RequestMessage request, Reply reply, RunTarget target, long deadlineNanos) {
+        this.parts = parts;
+        this.request = request;
+        this.reply = reply;
+        this.target = target;
+        this.route = target.route();
+        this.deadlineNanos = deadlineNanos;
+        this.startedNanos = parts.clock().nowNanos();
+        this.requestId = parts.protocol().requestId(request.headers()).orElse("-");
+        this.headers = request.headers().endToEnd();
+    }
+
+    void start() {
+        reply.onCallerGone(this::callerGone);
+        long leftNanos = deadlineNanos + ANSWER_GRACE_NANOS - startedNanos;
+        deadlineTimer = reply.worker().schedule(this::deadlinePassed, leftNanos, TimeUnit.NANOSECONDS);
+        place(AttemptKind.FIRST);
+    }
+
+    private void place(AttemptKind kind) {
+        if (ended) {
+            return;
+        }
+        long now = parts.clock().nowNanos();
+        int allowance = Math.max(0, QUEUE_ALLOWANCE - route.priority());
+        Optional<Placement> placement = deadlineNanos - now < LEAST_LEFT_NANOS
+                ? Optional.empty()
+                : parts.upstreams().choose(new ChoiceRequest(target.service(), tried, allowance, Double.MAX_VALUE));
+        if (placement.isPresent()) {
+            attempt(placement.get(), kind);
+        } else if (now - startedNanos < route.targetLatencyNanos() / WAIT_PART
+                && deadlineNanos - now > LEAST_LEFT_NANOS) {
+            reply.worker().schedule(() -> place(kind), WAIT_STEP_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            giveUp(ResultCode.NO_CAPACITY);
+        }
+    }
+
+    private void attempt(Placement placement, AttemptKind kind) {
+        Attempt attempt = new Attempt(placement);
+        active.add(attempt);
+        tried.add(placement.upstream());
+        attempts++;
+        sent++;
+        parts.outcomes().attempted(kind);
+        logChoice(placement, kind);
+        long leftMillis =
+                TimeUnit.NANOSECONDS.toMillis(deadlineNanos - parts.clock().nowNanos());
+        RequestMessage message = new RequestMessage(
+                request.method(),
+                request.target(),
+                parts.protocol().forAttempt(headers, Math.max(1, leftMillis), placement.upstream()),
+                request.body());
+        attempt.started(parts.caller()
+                .call(
+                        placement.address(),
+                        message,
+                        AttemptOptions.of(route.idempotent(), parts.protocol().echoHeader()),
+                        end -> reply.worker().execute(() -> ended(attempt, end))));
+        if (route.idempotent() && kind != AttemptKind.HEDGE) {
+            scheduleHedge(hedgeDelayNanos());
+        }
+    }
+
+    private void logChoice(Placement placement, AttemptKind kind) {
+        parts.log()
+                .write(Event.routine("forward", "Upstream chosen.")
+                        .with("request", requestId)
+                        .with("kind", kind)
+                        .with("upstream", placement.upstream())
+                        .with("route", route.name())
+                        .with("version", target.version())
+                        .with("costPercent", Math.round(placement.cost() * PERCENT))
+                        .with("slowPercent", placement.slowPercent())
+                        .with("load", placement.load())
+                        .with("ageMs", TimeUnit.NANOSECONDS.toMillis(placement.ageNanos()))
+                        .with("cold", placement.cold()));
+    }
+
+    /** Computes when a second attempt is worth making: late, but early enough to be answered within the target. */
+    private long hedgeDelayNanos() {
+        long typical = parts.upstreams().typicalNanos(target.service());
+        if (typical == 0) {
+            return route.targetLatencyNanos() / 2;
+        }
+        double latest = route.targetLatencyNanos() - HEDGE_NEEDS_FACTOR * typical;
+        return (long) Math.max(LATE_FACTOR * typical, latest);
+    }
+
+    private void scheduleHedge(long delayNanos) {
+        cancelTimer(hedgeTimer);
+        hedgeTimer = reply.worker().schedule(this::hedge, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void hedge() {
+        if (ended
+                || sent >= route.maxAttempts()
+                || deadlineNanos - parts.clock().nowNanos() < LEAST_LEFT_NANOS) {
+            return;
+        }
+        Optional<Placement> placement =
+                parts.upstreams().choose(new ChoiceRequest(target.service(), tried, 0, HEDGE_MAX_COST));
+        if (placement.isEmpty()) {
+            scheduleHedge(TimeUnit.MILLISECONDS.toNanos(WAIT_STEP_MILLIS));
+        } else if (parts.repeats().trySpend(target.service())) {
+            attempt(placement.get(), AttemptKind.HEDGE);
+        } else {
+            parts.upstreams().finish(placement.get(), AttemptResult.CANCELLED);
+        }
+    }
+
+    private void ended(Attempt attempt, CallEnd end) {
+        active.remove(attempt);
+        if (end instanceof CallEnd.Answered answered) {
+            answered(attempt, answered.response());
+        } else if (end instanceof CallEnd.NotSent notSent) {
+            notSent(attempt, notSent);
+        } else if (end instanceof CallEnd.Broken broken) {
+            broken(attempt, broken);
+        }
+    }
+
+    private void answered(Attempt attempt, ResponseMessage response) {
+        parts.protocol()
+                .load(response)
+                .ifPresent(load ->
+                        parts.upstreams().observeLoad(attempt.placement().upstream(), load));
+        if (parts.protocol().isWrongInstance(response)) {
+            finish(attempt, AttemptResult.WRONG_INSTANCE, "another upstream at the address");
+            retry(true);
+        } else if (parts.protocol().provesNotExecuted(response)) {
+            finish(attempt, AttemptResult.SHED, "not executed, status " + response.status());
+            retry(true);
+        } else if (response.isServerError()) {
+            finish(attempt, AttemptResult.SERVER_ERROR, "status " + response.status());
+            serverError = response;
+            mayHaveRun = true;
+            retry(route.idempotent());
+        } else {
+            parts.upstreams().finish(attempt.placement(), AttemptResult.SUCCESS);
+            answer(response);
+        }
+    }
+
+    private void notSent(Attempt attempt, CallEnd.NotSent end) {
+        sent--;
+        if (end.unreachable()) {
+            finish(attempt, AttemptResult.CONNECT_FAILED, end.reason());
+            parts.suspects().upstreamLost(attempt.placement().upstream());
+        } else {
+            finish(attempt, AttemptResult.CANCELLED, end.reason());
+            tried.remove(attempt.placement().upstream());
+        }
+        if (!ended && active.isEmpty()) {
+            place(AttemptKind.RETRY);
+        }
+    }
+
+    private void broken(Attempt attempt, CallEnd.Broken end) {
+        finish(attempt, AttemptResult.BROKEN, end.reason());
+        mayHaveRun = true;
+        parts.suspects().attemptBroken(target.fingerprint(), attempt.placement().upstream());
+        parts.recheck().accept(attempt.placement().upstream());
+        retry(route.idempotent());
+    }
+
+    private void finish(Attempt attempt, AttemptResult result, String reason) {
+        parts.upstreams().finish(attempt.placement(), result);
+        parts.log()
+                .write(Event.failure("forward", "Attempt failed.")
+                        .with("request", requestId)
+                        .with("upstream", attempt.placement().upstream())
+                        .with("result", result)
+                        .with("reason", reason)
+                        .with("elapsedMs", elapsedMillis()));
+    }
+
+    /** Tries another upstream if the request may run again, or says what is known. */
+    private void retry(boolean permitted) {
+        if (ended || !active.isEmpty()) {
+            return;
+        }
+        if (permitted
+                && sent < route.maxAttempts()
+                && !parts.suspects().isQuarantined(target.fingerprint())
+                && parts.repeats().trySpend(target.service())) {
+            place(AttemptKind.RETRY);
+        } else {
+            giveUp(ResultCode.SHED_BY_UPSTREAM);
+        }
+    }
+
+    private void giveUp(ResultCode whenNotRun) {
+        if (!active.isEmpty()) {
+            return;
+        }
+        if (serverError != null) {
+            answer(serverError);
+        } else if (mayHaveRun) {
+            refuse(ResultCode.OUTCOME_UNKNOWN);
+        } else {
+            refuse(whenNotRun);
+        }
+    }
+
+    private void deadlinePassed() {
+        if (ended) {
+            return;
+        }
+        if (active.isEmpty() && !mayHaveRun) {
+            refuse(ResultCode.DEADLINE_BEFORE_SEND);
+        } else {
+            refuse(ResultCode.DEADLINE_AFTER_SEND);
+        }
+    }
+
+    private void refuse(ResultCode code) {
+        parts.log()
+                .write(Event.failure("forward", "Request refused.")
+                        .with("request", requestId)
+                        .with("code", code.number())
+                        .with("route", route.name())
+                        .with("version", target.version())
+                        .with("attempts", attempts)
+                        .with("elapsedMs", elapsedMillis()));
+        long pauseMillis = TimeUnit.NANOSECONDS.toMillis(route.targetLatencyNanos() / RETRY_AFTER_PART);
+        conclude(Refusal.of(code, pauseMillis));
+    }
+
+    private void answer(ResponseMessage response) {
+        if (ended) {
+            return;
+        }
+        parts.log()
+                .write(Event.routine("forward", "Request answered.")
+                        .with("request", requestId)
+                        .with("status", response.status())
+                        .with("attempts", attempts)
+                        .with("elapsedMs", elapsedMillis()));
+        conclude(new ResponseMessage(response.status(), response.headers().endToEnd(), response.body()));
+    }
+
+    private void conclude(ResponseMessage response) {
+        end();
+        parts.outcomes().answered(response.status(), parts.clock().nowNanos() - startedNanos);
+        reply.send(response);
+    }
+
+    private void callerGone() {
+        if (!ended) {
+            end();
+            parts.log()
+                    .write(Event.notice("forward", "Caller left.")
+                            .with("request", requestId)
+                            .with("attempts", attempts)
+                            .with("elapsedMs", elapsedMillis()));
+        }
+    }
+
+    private void end() {
+        ended = true;
+        cancelTimer(deadlineTimer);
+        cancelTimer(hedgeTimer);
+        for (Attempt attempt : Set.copyOf(active)) {
+            abandon(attempt);
+        }
+    }
+
+    /** Stops an idempotent attempt at once. Another one may have an effect, so it gets a moment to end by itself. */
+    private void abandon(Attempt attempt) {
+        if (route.idempotent()) {
+            cut(attempt);
+        } else {
+            reply.worker().schedule(() -> cut(attempt), ABANDON_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void cut(Attempt attempt) {
+        if (active.remove(attempt)) {
+            parts.upstreams().finish(attempt.placement(), AttemptResult.CANCELLED);
+            attempt.cancel();
+        }
+    }
+
+    private static void cancelTimer(ScheduledFuture<?> timer) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(parts.clock().nowNanos() - startedNanos);
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/package-info.java
@@ -0,0 +1,2 @@
+/** Takes a request through its attempts to its one answer. */
+package org.turmericspan.forwarding;
--- /dev/null
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -0,0 +1,147 @@
+package org.turmericspan.gossip;
+
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.turmericspan.balancing.CrashSuspects;
+import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.ids.SocketAddress;
+
+/**
+ * Tells other nodes what this one knows: often all nodes of its zone, less often one node elsewhere, drawn at random. A
+ * node's cost thus depends on the size of its zone and not on the fleet's.
+ */
+public final class Gossip {
+    /** Pause between digests within the zone; a fraction of the time in which speeds change. */
+    private static final long NEAR_MILLIS = 50;
+    /** Digests a second within the zone on which a node spends; larger zones slow down. */
+    private static final int NEAR_PER_SECOND = 200;
+    /** Rounds within the zone for each digest to another zone. */
+    private static final int FAR_ROUNDS = 3;
+    /** Rounds between digests to the seeds, which bring together parts of the fleet that lost each other. */
+    private static final int SEED_ROUNDS = 20;
+    /** Crashes told in each digest. */
+    private static final int MAX_CRASHES = 20;
+
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    private final MemberTable members;
+    private final UpstreamTable upstreams;
+    private final CrashSuspects suspects;
+    private final Supplier<List<SocketAddress>> seeds;
+    private final ScheduledExecutorService worker;
+    private final RandomGenerator random;
+    private GossipLink link;
+    private long round;
+
+    /**
+     * Creates a gossip that has not begun.
+     *
+     * @param members nodes known
+     * @param upstreams beliefs to share
+     * @param suspects requests that took upstreams down
+     * @param seeds addresses to join through, which may be stale
+     * @param worker runs the rounds
+     * @param random draws nodes of other zones
+     */
+    public Gossip(
+            MemberTable members,
+            UpstreamTable upstreams,
+            CrashSuspects suspects,
+            Supplier<List<SocketAddress>> seeds,
+            ScheduledExecutorService worker,
+            RandomGenerator random) {
+        this.members = members;
+        this.upstreams = upstreams;
+        this.suspects = suspects;
+        this.seeds = seeds;
+        this.worker = worker;
+        this.random = random;
+    }
+
+    /**
+     * Starts the rounds.
+     *
+     * @param over sends the digests
+     */
+    public void start(GossipLink over) {
+        link = over;
+        worker.execute(this::runRound);
+    }
+
+    private void runRound() {
+        members.refresh();
+        List<Member> others = members.alive().stream()
+                .filter(member -> !member.address().equals(members.self().address()))
+                .toList();
+        List<Member> near = others.stream().filter(this::isNear).toList();
+        List<Member> far = others.stream().filter(member -> !isNear(member)).toList();
+        if (!near.isEmpty()) {
+            Digest digest = nearDigest();
+            near.forEach(member -> link.send(digest, member.address()));
+        }
+        if (round % FAR_ROUNDS == 0 && !far.isEmpty()) {
+            link.send(farDigest(), far.get(random.nextInt(far.size())).address());
+        }
+        if (round % SEED_ROUNDS == 0 || others.isEmpty()) {
+            sendToSeeds();
+        }
+        round++;
+        long pauseMillis = Math.max(NEAR_MILLIS, (long) near.size() * MILLIS_PER_SECOND / NEAR_PER_SECOND);
+        worker.schedule(this::runRound, pauseMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void sendToSeeds() {
+        Digest digest = new Digest(members.rows(), List.of(), List.of());
+        for (SocketAddress seed : seeds.get()) {
+            boolean isKnown =
+                    members.alive().stream().anyMatch(member -> member.address().equals(seed));
+            if (!isKnown) {
+                link.send(digest, seed);
+            }
+        }
+    }
+
+    /** Tells everyone at once, because this node's own state changed. */
+    public void tellAll() {
+        worker.execute(() -> {
+            Digest digest = new Digest(members.rows(), List.of(), List.of());
+            members.alive().stream()
+                    .filter(member -> !member.address().equals(members.self().address()))
+                    .forEach(member -> link.send(digest, member.address()));
+        });
+    }
+
+    private boolean isNear(Member member) {
+        return member.availabilityZone().equals(members.self().availabilityZone());
+    }
+
+    private Digest nearDigest() {
+        return new Digest(members.rows(), upstreams.reports(registration -> true), suspects.recent(MAX_CRASHES));
+    }
+
+    private Digest farDigest() {
+        return new Digest(
+                members.rows(),
+                upstreams.reports(registration ->
+                        registration.availabilityZone().equals(members.self().availabilityZone())),
+                suspects.recent(MAX_CRASHES));
+    }
+
+    /**
+     * Takes a digest. A sender that was not known gets one back at once.
+     *
+     * @param sender where it came from
+     * @param digest what it says
+     */
+    public void receive(SocketAddress sender, Digest digest) {
+        boolean isNew = members.accept(digest.members());
+        upstreams.acceptReports(sender.toString(), digest.reports());
+        digest.crashes().forEach(suspects::accept);
+        if (isNew && link != null) {
+            link.send(nearDigest(), digest.members().get(0).address());
+        }
+    }
+}
--- /dev/null
+++ b/gossip/src/main/java/org/turmericspan/gossip/Member.java
@@ -0,0 +1,34 @@
+package org.turmericspan.gossip;
+
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.SocketAddress;
+
+/**
+ * What is known of a node.
+ *
+ * @param address where it listens for digests, which also identifies its VM
+ * @param callerAddress where callers connect
+ * @param availabilityZone where it runs
+ * @param incarnation number drawn at its start
+ * @param ready whether it can serve
+ * @param leaving whether it is stopping; it stays so within an incarnation
+ * @param heardNanos monotonic time, on this node's clock, at which anyone last heard of it
+ */
+public record Member(
+        SocketAddress address,
+        SocketAddress callerAddress,
+        AvailabilityZoneId availabilityZone,
+        int incarnation,
+        boolean ready,
+        boolean leaving,
+        long heardNanos) {
+    /**
+     * Copies the member with another time.
+     *
+     * @param nanos when it was heard of
+     * @return the copy
+     */
+    Member heardAt(long nanos) {
+        return new Member(address, callerAddress, availabilityZone, incarnation, ready, leaving, nanos);
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -0,0 +1,141 @@
+package org.turmericspan.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.SocketAddress;
+
+/** Client with kept connections. It proves whether a byte of a request was sent. */
+public final class HttpClient implements HttpCaller {
+    private static final int MAX_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final EventLoopGroup workers;
+    private final MonotonicClock clock;
+    private final ConnectionPool pool;
+    private final AtomicLong opened = new AtomicLong();
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param workers the worker pool
+     * @param clock monotonic time
+     */
+    public HttpClient(EventLoopGroup workers, MonotonicClock clock) {
+        this.workers = workers;
+        this.clock = clock;
+        this.pool = new ConnectionPool(clock);
+    }
+
+    @Override
+    public CallHandle call(
+            SocketAddress address, RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
+        Once once = new Once(listener);
+        Optional<ServerConnection> kept = pool.take(address, options);
+        if (kept.isPresent()) {
+            kept.get().start(request, options, once);
+            return () -> once.cancel(kept.get());
+        }
+        ServerConnection fresh = new ServerConnection(address, pool, clock);
+        ChannelFuture connecting = connect(address, fresh, options);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                once.accept(new CallEnd.NotSent(String.valueOf(done.cause().getMessage()), true));
+            } else if (once.isDone()) {
+                connecting.channel().close();
+            } else {
+                opened.incrementAndGet();
+                fresh.connected(connecting.channel());
+                fresh.start(request, options, once);
+            }
+        });
+        return () -> cancelNew(once, fresh, connecting);
+    }
+
+    private static void cancelNew(Once once, ServerConnection fresh, ChannelFuture connecting) {
+        if (connecting.isSuccess()) {
+            once.cancel(fresh);
+        } else if (once.finish()) {
+            connecting.channel().close();
+        }
+    }
+
+    private ChannelFuture connect(SocketAddress address, ServerConnection connection, CallOptions options) {
+        return new Bootstrap()
+                .group(workers)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                        Math.max(1, TimeUnit.NANOSECONDS.toMillis(options.connectTimeoutNanos())))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel created) {
+                        created.pipeline()
+                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection);
+                    }
+                })
+                .connect(new InetSocketAddress(address.host(), address.port()));
+    }
+
+    /**
+     * Closes the idle connections to an address, because they can no longer be trusted.
+     *
+     * @param address the address
+     */
+    public void dropIdle(SocketAddress address) {
+        pool.drop(address).forEach(ServerConnection::closeLater);
+    }
+
+    /**
+     * Counts the connections opened so far.
+     *
+     * @return the count
+     */
+    public long opened() {
+        return opened.get();
+    }
+
+    /** Passes on the first end only, and none after a cancellation. */
+    private static final class Once implements Consumer<CallEnd> {
+        private final Consumer<CallEnd> listener;
+        private final AtomicBoolean done = new AtomicBoolean();
+
+        Once(Consumer<CallEnd> listener) {
+            this.listener = listener;
+        }
+
+        boolean finish() {
+            return done.compareAndSet(false, true);
+        }
+
+        boolean isDone() {
+            return done.get();
+        }
+
+        void cancel(ServerConnection connection) {
+            if (finish()) {
+                connection.cancel();
+            }
+        }
+
+        @Override
+        public void accept(CallEnd end) {
+            if (finish()) {
+                listener.accept(end);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/turmericspan/http/ListenerState.java
@@ -0,0 +1,45 @@
+package org.turmericspan.http;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Connections and requests of one listener. */
+final class ListenerState {
+    private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger requests = new AtomicInteger();
+    private volatile boolean draining;
+
+    void add(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void remove(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    List<CallerConnection> connections() {
+        return List.copyOf(connections);
+    }
+
+    void begin() {
+        requests.incrementAndGet();
+    }
+
+    void end() {
+        requests.decrementAndGet();
+    }
+
+    int requests() {
+        return requests.get();
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/turmericspan/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP/1.1 server and client with exact connection life. */
+package org.turmericspan.http;
