--- a/balancing/src/main/java/org/turmericspan/balancing/Registration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Registration.java
@@ -25,4 +25,22 @@
         int slots,
         boolean draining,
         long startedMillis,
-        long coldUntilNanos) {}
+        long coldUntilNanos) {
+    /**
+     * Compares everything but the warm-up time, which runs down by itself.
+     *
+     * @param other another registration
+     * @return whether they say the same
+     */
+    public boolean isSameAs(Registration other) {
+        return equals(new Registration(
+                other.id,
+                other.service,
+                other.address,
+                other.availabilityZone,
+                other.slots,
+                other.draining,
+                other.startedMillis,
+                coldUntilNanos));
+    }
+}
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
@@ -23,6 +23,7 @@
     private final Map<String, PeerShare> peers = new HashMap<>();
     private final DecayingRate failures = new DecayingRate(FAILURE_HALF_LIFE_NANOS);
     private final ColdPace coldPace = new ColdPace();
+    private final long hash;
     private Registration registration;
     private Observation observation;
     private long coldUntilNanos;
@@ -31,10 +32,16 @@
 
     UpstreamState(Registration registration) {
         this.registration = registration;
+        this.hash = StableHash.of(registration.id().value());
         this.coldUntilNanos = registration.coldUntilNanos();
         this.restUntilNanos = Long.MIN_VALUE;
     }
 
+    /** Returns the stable hash of the identifier. */
+    long hash() {
+        return hash;
+    }
+
     Registration registration() {
         return registration;
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -88,7 +88,7 @@
             }
             Registration old = state.registration();
             state.register(registration);
-            return old.draining() != registration.draining() || old.startedMillis() != registration.startedMillis();
+            return !registration.isSameAs(old);
         });
     }
 
@@ -219,11 +219,8 @@
             List<PeerReport> reports = new ArrayList<>();
             for (UpstreamState state : states.values()) {
                 if (filter.test(state.registration()) && isFresh(state, now)) {
-                    reports.add(new PeerReport(
-                            StableHash.of(state.registration().id().value()),
-                            state.observation(),
-                            state.ownInFlight(),
-                            (int) (PERCENT * state.ownFailShare(now))));
+                    reports.add(new PeerReport(state.hash(), state.observation(), state.ownInFlight(), (int)
+                            (PERCENT * state.ownFailShare(now))));
                 }
             }
             return reports;
--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -37,6 +37,7 @@
                 random.nextInt(),
                 false,
                 false,
+                false,
                 clock.nowNanos());
         return new MemberTable(self, clock, log);
     }
--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -30,6 +30,7 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.platform.DirectoryService;
+import org.turmericspan.platform.FeedRelay;
 import org.turmericspan.platform.StoreFeed;
 
 /** An entry node: starts its parts, says when it is ready, and stops without cutting requests off. */
@@ -111,6 +112,7 @@
         listen(settings.directoryAddress(), directory);
         listen(settings.readinessAddress(), directory);
         listen(settings.metricsAddress(), operators());
+        listen(settings.gossipAddress(), new FeedRelay(feed));
         callers = listen(settings.callerAddress(), new ForwardingService(forwarding));
         feed.start();
         gossip.start(new GossipLink(workers, settings.gossipAddress(), gossip::receive, clock, log));
@@ -157,16 +159,24 @@
         boolean joined = joinedNanos != 0 && now - joinedNanos > JOIN_NANOS || now - startedNanos > ALONE_NANOS;
         if (joined && feed.isComplete() && configuration.current().isPresent()) {
             able = true;
-            members.setSelf(true, leaving);
+            members.setSelf(true, leaving, feed.isDirect());
             gossip.tellAll();
             prober.start(settings.probeIntervalMillis());
             readinessCheck.cancel(false);
+            workers.scheduleWithFixedDelay(this::publishReading, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
             log.write(Event.notice(PART, "Ready.")
                     .with("members", members.alive().size())
                     .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now - startedNanos)));
         }
     }
 
+    /** Tells other nodes whether they can read from this one. */
+    private void publishReading() {
+        if (!leaving && members.self().reading() != feed.isDirect()) {
+            members.setSelf(true, false, feed.isDirect());
+        }
+    }
+
     private boolean isReady() {
         return able && !leaving;
     }
@@ -203,7 +213,7 @@
         long deadlineNanos = clock.nowNanos() + settings.graceNanos() - EXIT_NANOS;
         long keepUntilNanos = clock.nowNanos() + KEEP_NANOS;
         leaving = true;
-        members.setSelf(able, true);
+        members.setSelf(able, true, false);
         gossip.tellAll();
         callers.drain();
         log.write(Event.notice(PART, "Stopping.").with("requests", callers.requests()));
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -40,10 +40,8 @@
         long graceNanos,
         long answerLifeSeconds,
         long probeIntervalMillis) {
-    /** Longest life of a directory answer, so that callers learn of a lost node soon. */
-    private static final long MAX_ANSWER_LIFE_SECONDS = 2;
     /** Pause between probes when the agreed budget allows it; speeds change several times a second. */
-    private static final long PROBE_INTERVAL_MILLIS = 60;
+    private static final long PROBE_INTERVAL_MILLIS = 80;
     /** Part of the agreed probes that is spent, since two nodes may own an upstream for a moment. */
     private static final double PROBE_PART = 0.5;
 
@@ -82,7 +80,7 @@
                         reader.number("retry-slack"),
                         (long) (reader.number("retry-window-seconds") * NANOS_PER_SECOND)),
                 (long) (reader.number("grace-seconds") * NANOS_PER_SECOND),
-                Math.max(1, Math.min(MAX_ANSWER_LIFE_SECONDS, (long) reader.number("max-answer-life-seconds"))),
+                Math.max(1, (long) reader.number("max-answer-life-seconds")),
                 Math.max(PROBE_INTERVAL_MILLIS, (long) Math.ceil(MILLIS_PER_SECOND / (PROBE_PART * probesPerSecond))));
         if (!reader.faults.isEmpty()) {
             throw new InvalidEntrySettingsException(reader.faults);
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -25,6 +25,7 @@
 import org.turmericspan.http.HttpClient;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.platform.FeedSources;
 import org.turmericspan.platform.PlatformCallProtocol;
 import org.turmericspan.platform.StoreFeed;
 
@@ -102,17 +103,25 @@
         return new Gossip(members, upstreams, suspects, () -> seeds, workers.next(), random);
     }
 
+    @Provides
+    @Singleton
+    static FeedSources sources(
+            EntrySettings settings, MemberTable members, MonotonicClock clock, RandomGenerator random) {
+        return new ReaderSelection(settings.storeAddress(), members, clock, random);
+    }
+
     @Provides
     @Singleton
     static StoreFeed feed(
             EntrySettings settings,
+            FeedSources sources,
             HttpClient client,
             FleetSink sink,
             EventLoopGroup workers,
             MonotonicClock clock,
             RandomGenerator random,
             EventLog log) {
-        return new StoreFeed(settings.storeAddress(), client, sink, workers.next(), clock, random, log);
+        return new StoreFeed(settings.storeAddress(), sources, client, sink, workers.next(), clock, random, log);
     }
 
     @Provides
--- a/gossip/src/main/java/org/turmericspan/gossip/DigestFormat.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/DigestFormat.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.balancing.CrashSuspects.Crash;
 import org.turmericspan.balancing.Observation;
@@ -20,10 +22,14 @@
     private static final int FORMAT = 1;
     private static final int READY = 1;
     private static final int LEAVING = 2;
+    private static final int READING = 4;
     private static final int MAX_ROWS = 4_096;
     private static final int OCTETS = 4;
     private static final int OCTET_BITS = 8;
     private static final int OCTET_MASK = 0xff;
+    private static final int DECIMAL = 10;
+    /** Text of the addresses seen, which come again in every digest. */
+    private static final Map<Integer, String> HOSTS = new ConcurrentHashMap<>();
 
     private DigestFormat() {}
 
@@ -59,11 +65,15 @@
             writeAddress(member.callerAddress(), output);
             output.writeUInt32NoTag(zones.indexOf(member.availabilityZone()));
             output.writeFixed32NoTag(member.incarnation());
-            output.writeUInt32NoTag((member.ready() ? READY : 0) | (member.leaving() ? LEAVING : 0));
+            output.writeUInt32NoTag(flags(member));
             output.writeUInt64NoTag(age(member.heardNanos(), nowNanos));
         }
     }
 
+    private static int flags(Member member) {
+        return (member.ready() ? READY : 0) | (member.leaving() ? LEAVING : 0) | (member.reading() ? READING : 0);
+    }
+
     private static void writeReports(List<PeerReport> reports, CodedOutputStream output, long nowNanos)
             throws IOException {
         output.writeUInt32NoTag(reports.size());
@@ -123,6 +133,7 @@
                     incarnation,
                     (flags & READY) != 0,
                     (flags & LEAVING) != 0,
+                    (flags & READING) != 0,
                     heardNanos));
         }
         if (members.isEmpty()) {
@@ -167,20 +178,42 @@
     }
 
     private static void writeAddress(SocketAddress address, CodedOutputStream output) throws IOException {
+        output.writeFixed32NoTag(pack(address.host()));
+        output.writeUInt32NoTag(address.port());
+    }
+
+    private static int pack(String host) {
         int packed = 0;
-        for (String octet : address.host().split("\\.")) {
-            packed = packed << OCTET_BITS | Integer.parseInt(octet);
+        int octet = 0;
+        for (int i = 0; i < host.length(); i++) {
+            char character = host.charAt(i);
+            if (character == '.') {
+                packed = packed << OCTET_BITS | octet;
+                octet = 0;
+            } else {
+                octet = octet * DECIMAL + character - '0';
+            }
         }
-        output.writeFixed32NoTag(packed);
-        output.writeUInt32NoTag(address.port());
+        return packed << OCTET_BITS | octet;
     }
 
     private static SocketAddress readAddress(CodedInputStream input) throws IOException {
         int packed = input.readFixed32();
+        String host = HOSTS.get(packed);
+        if (host == null) {
+            host = unpack(packed);
+            if (HOSTS.size() < MAX_ROWS) {
+                HOSTS.put(packed, host);
+            }
+        }
+        return new SocketAddress(host, input.readUInt32());
+    }
+
+    private static String unpack(int packed) {
         StringBuilder host = new StringBuilder();
         for (int i = OCTETS - 1; i >= 0; i--) {
             host.append(packed >> i * OCTET_BITS & OCTET_MASK).append(i > 0 ? "." : "");
         }
-        return new SocketAddress(host.toString(), input.readUInt32());
+        return host.toString();
     }
 }
--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -15,13 +15,13 @@
  */
 public final class Gossip {
     /** Pause between digests within the zone; a fraction of the time in which speeds change. */
-    private static final long NEAR_MILLIS = 50;
+    private static final long NEAR_MILLIS = 80;
     /** Digests a second within the zone on which a node spends; larger zones slow down. */
-    private static final int NEAR_PER_SECOND = 200;
+    private static final int NEAR_PER_SECOND = 100;
     /** Rounds within the zone for each digest to another zone. */
-    private static final int FAR_ROUNDS = 3;
+    private static final int FAR_ROUNDS = 2;
     /** Rounds between digests to the seeds, which bring together parts of the fleet that lost each other. */
-    private static final int SEED_ROUNDS = 20;
+    private static final int SEED_ROUNDS = 12;
     /** Crashes told in each digest. */
     private static final int MAX_CRASHES = 20;
 
--- a/gossip/src/main/java/org/turmericspan/gossip/Member.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Member.java
@@ -12,6 +12,7 @@
  * @param incarnation number drawn at its start
  * @param ready whether it can serve
  * @param leaving whether it is stopping; it stays so within an incarnation
+ * @param reading whether it reads the platform's store itself and can pass on what it reads
  * @param heardNanos monotonic time, on this node's clock, at which anyone last heard of it
  */
 public record Member(
@@ -21,6 +22,7 @@
         int incarnation,
         boolean ready,
         boolean leaving,
+        boolean reading,
         long heardNanos) {
     /**
      * Copies the member with another time.
@@ -29,6 +31,6 @@
      * @return the copy
      */
     Member heardAt(long nanos) {
-        return new Member(address, callerAddress, availabilityZone, incarnation, ready, leaving, nanos);
+        return new Member(address, callerAddress, availabilityZone, incarnation, ready, leaving, reading, nanos);
     }
 }
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -30,6 +30,9 @@
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private static final String PART = "members";
+    private static final Comparator<Member> BY_ADDRESS = Comparator.comparing(
+                    (Member member) -> member.address().host())
+            .thenComparingInt(member -> member.address().port());
 
     private final RankedLock lock = new RankedLock(LockRank.PEERS);
     private final Map<SocketAddress, Member> members = new HashMap<>();
@@ -57,8 +60,9 @@
      *
      * @param ready whether it can serve
      * @param leaving whether it is stopping
+     * @param reading whether it reads the platform's store itself
      */
-    public void setSelf(boolean ready, boolean leaving) {
+    public void setSelf(boolean ready, boolean leaving, boolean reading) {
         Member old = self;
         self = new Member(
                 old.address(),
@@ -67,6 +71,7 @@
                 old.incarnation(),
                 ready,
                 leaving,
+                reading,
                 clock.nowNanos());
         refresh();
     }
@@ -94,7 +99,9 @@
             rows.forEach(row -> merge(row, events));
             return old == null || !isAlive(old);
         });
-        refresh();
+        if (!events.isEmpty()) {
+            refresh();
+        }
         events.forEach(log::write);
         return isNew;
     }
@@ -111,6 +118,9 @@
             }
         } else if (row.heardNanos() - old.heardNanos() > 0) {
             boolean leaving = old.leaving() || row.leaving();
+            if (row.ready() != old.ready()) {
+                events.add(event(row.ready() ? "Node is ready." : "Node is not ready.", row));
+            }
             members.put(
                     row.address(),
                     new Member(
@@ -120,6 +130,7 @@
                             row.incarnation(),
                             row.ready(),
                             leaving,
+                            row.reading(),
                             row.heardNanos()));
             if (leaving && !old.leaving()) {
                 events.add(event("Node is leaving.", row));
@@ -143,7 +154,7 @@
             List<Member> alive = new ArrayList<>(
                     members.values().stream().filter(this::isAlive).toList());
             alive.add(self);
-            alive.sort(Comparator.comparing(member -> member.address().toString()));
+            alive.sort(BY_ADDRESS);
             Snapshot old = snapshot;
             if (!old.isSame(alive)) {
                 old.alive.stream()
@@ -201,6 +212,15 @@
         return registration -> snapshot.owner(registration).equals(Optional.of(self.address()));
     }
 
+    /**
+     * Chooses the node of this node's zone that reads the platform's store for the others.
+     *
+     * @return the reader; empty while no node of the zone is ready
+     */
+    public Optional<Member> reader() {
+        return snapshot.reader(self.availabilityZone());
+    }
+
     /** The nodes alive at one moment, with the owners worked out so far. */
     private static final class Snapshot {
         private final List<Member> alive;
@@ -227,6 +247,13 @@
                     registration.id().value(), id -> compute(id, registration.availabilityZone()));
         }
 
+        Optional<Member> reader(AvailabilityZoneId zone) {
+            return alive.stream()
+                    .filter(member -> member.ready() && !member.leaving())
+                    .filter(member -> member.availabilityZone().equals(zone))
+                    .max(Comparator.comparingLong(member -> StableHash.of("reader/" + member.address())));
+        }
+
         private Optional<SocketAddress> compute(String id, AvailabilityZoneId zone) {
             List<Member> able = alive.stream()
                     .filter(member -> member.ready() && !member.leaving())
