--- a/balancing/src/main/java/org/turmericspan/balancing/Observation.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Observation.java
@@ -9,6 +9,24 @@
  * @param slowPercent how long work takes now, 100 as usual
  * @param coldForNanos how long it stays cold, 0 when warm
  * @param healthy whether its health check was good
+ * @param reachable whether it answered at all
  */
 public record Observation(
-        long atNanos, int running, int waiting, int slowPercent, long coldForNanos, boolean healthy) {}
+        long atNanos,
+        int running,
+        int waiting,
+        int slowPercent,
+        long coldForNanos,
+        boolean healthy,
+        boolean reachable) {
+    /**
+     * Describes an upstream that does not answer, or at whose address another one answers.
+     *
+     * @param atNanos monotonic time of the observation
+     * @param coldForNanos how long it stays cold, since what returns has probably restarted
+     * @return the observation
+     */
+    public static Observation unreachable(long atNanos, long coldForNanos) {
+        return new Observation(atNanos, 0, 0, LoadFigures.USUAL.slowPercent(), coldForNanos, false, false);
+    }
+}
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
@@ -74,7 +74,8 @@
                 figures.waiting(),
                 figures.slowPercent(),
                 Math.max(0, coldUntilNanos - nowNanos),
-                observation.healthy());
+                observation.healthy(),
+                true);
     }
 
     Observation observation() {
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -149,7 +149,7 @@
     }
 
     private void observeLocked(UpstreamState state, Observation observation) {
-        if (state != null && state.observe(observation)) {
+        if (state != null && state.observe(observation) && observation.reachable()) {
             meanSlowness += MEAN_WEIGHT * (observation.slowPercent() / PERCENT - meanSlowness);
         }
     }
@@ -164,7 +164,9 @@
         long now = clock.nowNanos();
         lock.run(() -> {
             UpstreamState state = states.get(id);
-            if (state != null && state.observation() != null) {
+            if (state != null
+                    && state.observation() != null
+                    && state.observation().reachable()) {
                 observeLocked(state, state.withLoad(figures, now));
             }
         });
@@ -272,7 +274,8 @@
                 || evacuated.contains(registration.availabilityZone())
                 || request.excluded().contains(registration.id())
                 || state.rests(now)
-                || !isFresh(state, now)) {
+                || !isFresh(state, now)
+                || !state.observation().reachable()) {
             return false;
         }
         if (state.isCold(now)) {
@@ -363,17 +366,17 @@
     }
 
     /**
-     * Tells whether an upstream still takes requests.
+     * Returns how slow an upstream was last seen.
      *
      * @param id the upstream
-     * @return false when it is draining, gone or in an evacuated zone
+     * @return percent, 100 as usual; 100 when nothing is known
      */
-    public boolean accepts(UpstreamId id) {
+    public int slowPercent(UpstreamId id) {
         return lock.compute(() -> {
             UpstreamState state = states.get(id);
-            return state != null
-                    && !state.registration().draining()
-                    && !evacuated.contains(state.registration().availabilityZone());
+            return state == null || state.observation() == null
+                    ? LoadFigures.USUAL.slowPercent()
+                    : state.observation().slowPercent();
         });
     }
 
--- /dev/null
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -0,0 +1,157 @@
+package org.turmericspan.balancing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.testkit.ManualClock;
+
+class UpstreamTableTest {
+    private final ManualClock clock = new ManualClock();
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+    private boolean owner = true;
+    private final UpstreamTable table = new UpstreamTable(
+            Samples.HOME, registration -> owner, Samples.RULES, configuration, clock, new SplittableRandom(1));
+
+    UpstreamTableTest() {
+        configuration.accept(Samples.configuration(1));
+    }
+
+    private UpstreamId add(String id, int slowPercent) {
+        Registration registration = Samples.registration(id, Samples.HOME);
+        table.register(registration);
+        table.observe(registration.id(), Samples.observation(clock.nowNanos(), slowPercent));
+        return registration.id();
+    }
+
+    private Optional<UpstreamId> chosen() {
+        return table.choose(Samples.choice()).map(Placement::upstream);
+    }
+
+    @Test
+    void upstreamThatNobodyObservedGetsNothing() {
+        table.register(Samples.registration("u-1", Samples.HOME));
+        assertThat(chosen()).isEmpty();
+    }
+
+    @Test
+    void slowUpstreamIsPassedOver() {
+        add("u-slow", 400);
+        UpstreamId fast = add("u-fast", 100);
+        assertThat(chosen()).hasValue(fast);
+    }
+
+    @Test
+    void requestsSpreadOverEqualUpstreams() {
+        UpstreamId first = add("u-1", 100);
+        UpstreamId second = add("u-2", 100);
+        assertThat(Set.of(chosen().orElseThrow(), chosen().orElseThrow())).containsExactlyInAnyOrder(first, second);
+    }
+
+    @Test
+    void drainingUpstreamGetsNothing() {
+        UpstreamId id = add("u-1", 100);
+        Registration old = table.registration(id).orElseThrow();
+        table.register(new Registration(
+                id, old.service(), old.address(), old.availabilityZone(), 3, true, 1, old.coldUntilNanos()));
+        assertThat(chosen()).isEmpty();
+    }
+
+    @Test
+    void evacuatedZoneGetsNothingUntilItIsTakenBack() {
+        UpstreamId id = add("u-1", 100);
+        table.setEvacuated(Set.of(Samples.HOME));
+        assertThat(chosen()).isEmpty();
+        table.setEvacuated(Set.of());
+        assertThat(chosen()).hasValue(id);
+    }
+
+    @Test
+    void coldUpstreamIsLeftToItsOwner() {
+        UpstreamId id = add("u-1", 100);
+        clock.advance(Duration.ofMillis(1));
+        table.observe(id, new Observation(clock.nowNanos(), 0, 0, 100, 2_000_000_000L, true, true));
+        owner = false;
+        assertThat(chosen()).isEmpty();
+        owner = true;
+        assertThat(chosen()).hasValue(id);
+    }
+
+    @Test
+    void ownerKeepsHalfOfTheColdBoundInAnySecond() {
+        UpstreamId id = add("u-1", 100);
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            clock.advance(Duration.ofMillis(10));
+            table.observe(id, new Observation(clock.nowNanos(), 0, 0, 100, 2_000_000_000L, true, true));
+            Optional<Placement> placement = table.choose(Samples.choice());
+            sent += placement.isPresent() ? 1 : 0;
+            placement.ifPresent(place -> table.finish(place, AttemptResult.SUCCESS));
+        }
+        assertThat(sent).isBetween(1, (int) ((8 * 1.5 + 5) / 2));
+    }
+
+    @Test
+    void observationThatAgedTooMuchNoLongerProvesWarmth() {
+        add("u-1", 100);
+        clock.advance(Duration.ofSeconds(4));
+        assertThat(chosen()).isEmpty();
+    }
+
+    @Test
+    void restartUnderTheSameIdentifierForgetsWhatWasKnown() {
+        UpstreamId id = add("u-1", 100);
+        Registration old = table.registration(id).orElseThrow();
+        table.register(new Registration(
+                id, old.service(), old.address(), old.availabilityZone(), 3, false, 2, old.coldUntilNanos()));
+        assertThat(chosen()).isEmpty();
+    }
+
+    @Test
+    void upstreamThatCannotBeReachedRests() {
+        UpstreamId id = add("u-1", 100);
+        table.noteReachable(id, false);
+        assertThat(chosen()).isEmpty();
+        table.noteReachable(id, true);
+        assertThat(chosen()).hasValue(id);
+    }
+
+    @Test
+    void failingUpstreamIsAvoided() {
+        UpstreamId bad = add("u-bad", 100);
+        for (int i = 0; i < 5; i++) {
+            table.finish(table.choose(Samples.choice()).orElseThrow(), AttemptResult.SERVER_ERROR);
+        }
+        UpstreamId good = add("u-good", 200);
+        assertThat(chosen()).hasValue(good).isNotEqualTo(Optional.of(bad));
+    }
+
+    @Test
+    void upstreamThatItsOwnerCannotReachGetsNothing() {
+        UpstreamId id = add("u-1", 100);
+        clock.advance(Duration.ofMillis(1));
+        table.acceptReports(
+                "10.0.0.9:1",
+                List.of(new PeerReport(StableHash.of(id.value()), Observation.unreachable(clock.nowNanos(), 0), 0, 0)));
+        assertThat(chosen()).isEmpty();
+        clock.advance(Duration.ofMillis(1));
+        table.observe(id, Samples.observation(clock.nowNanos(), 100));
+        assertThat(chosen()).hasValue(id);
+    }
+
+    @Test
+    void requestsOfPeersCountAsLoad() {
+        UpstreamId busy = add("u-1", 100);
+        UpstreamId idle = add("u-2", 100);
+        table.acceptReports(
+                "10.0.0.9:1",
+                List.of(new PeerReport(
+                        StableHash.of(busy.value()), Samples.observation(clock.nowNanos() - 1, 100), 3, 0)));
+        assertThat(chosen()).hasValue(idle);
+    }
+}
--- /dev/null
+++ b/balancing/src/test/java/org/turmericspan/balancing/WeightedRotationTest.java
@@ -0,0 +1,21 @@
+package org.turmericspan.balancing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.ServiceId;
+
+class WeightedRotationTest {
+    @Test
+    void sharesAreKeptToWithinOneRequest() {
+        ServiceId other = new ServiceId("floor");
+        Route route = Samples.route("/a/", new Backend(Samples.SERVICE, 7), new Backend(other, 3));
+        WeightedRotation rotation = new WeightedRotation(new SplittableRandom(3));
+        int count = 0;
+        for (int i = 1; i <= 100; i++) {
+            count += rotation.next(route).equals(other) ? 1 : 0;
+            assertThat(Math.abs(count - 0.3 * i)).isLessThanOrEqualTo(1.5);
+        }
+    }
+}
--- a/entry/src/main/java/org/turmericspan/entry/EntryMain.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMain.java
@@ -1,5 +1,7 @@
 package org.turmericspan.entry;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
@@ -26,18 +28,14 @@
      */
     public static void main(String[] arguments) throws InterruptedException {
         try {
-            Namespace parsed = parser().parseArgs(arguments);
-            String file = parsed.getString("settings_file");
-            if (file == null) {
-                file = System.getenv().getOrDefault(SETTINGS_VARIABLE, "");
+            String variable = System.getenv(SETTINGS_VARIABLE);
+            if (arguments.length == 0 && variable != null) {
+                // The usual start spares the command line's library, which costs a tenth of a second.
+                SettingsFile file = new SettingsFile(Path.of(variable));
+                run(file.read(), file);
+            } else {
+                runCommandLine(arguments, variable == null ? "" : variable);
             }
-            SettingsFile settingsFile = new SettingsFile(Path.of(file));
-            EntrySettings settings = settingsFile.read();
-            if (parsed.getBoolean("check")) {
-                System.out.println("The settings are valid.");
-                return;
-            }
-            run(settings, settingsFile);
         } catch (HelpScreenException e) {
             System.exit(0);
         } catch (ArgumentParserException e) {
@@ -52,8 +50,22 @@
         }
     }
 
+    private static void runCommandLine(String[] arguments, String defaultFile)
+            throws ArgumentParserException, IOException, InterruptedException {
+        Namespace parsed = parser().parseArgs(arguments);
+        String path = parsed.getString("settings_file");
+        SettingsFile file = new SettingsFile(Path.of(path == null ? defaultFile : path));
+        EntrySettings settings = file.read();
+        if (parsed.getBoolean("check")) {
+            System.out.println("The settings are valid.");
+        } else {
+            run(settings, file);
+        }
+    }
+
     private static ArgumentParser parser() {
         ArgumentParser parser = ArgumentParsers.newFor("turmericspan entry")
+                .terminalWidthDetection(false)
                 .build()
                 .description("An entry node that reads its fleet from the platform's store.")
                 .epilog("Exit codes: 0 stopped as planned or settings valid, 1 failed, 2 invalid settings.");
@@ -65,6 +77,7 @@
     }
 
     private static void run(EntrySettings settings, SettingsFile file) throws InterruptedException {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         EntryNode node = DaggerEntryComponent.factory().create(settings).node();
         node.start(file);
         Signals.onHangUp(node::reload);
--- a/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
+++ b/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -47,6 +49,7 @@
      * @throws Exception when the rehearsal does not come to its end
      */
     public static void main(String[] arguments) throws Exception {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         MonotonicClock clock = MonotonicClock.system();
         SocketAddress platform = freeAddress();
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.turmericspan.balancing.Route;
 import org.turmericspan.balancing.RoutingConfiguration;
 import org.turmericspan.balancing.StableHash;
@@ -14,6 +15,10 @@
 
 /** Finds the route of each request and forwards it to an upstream. */
 public final class ForwardingService implements HttpService {
+    /** Time for which a starting node keeps requests until it knows a configuration. */
+    private static final long START_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    /** Pause between looks for a configuration. */
+    private static final long START_STEP_MILLIS = 20;
     /** Pause advised to a caller while no configuration is known; about the time a node takes to read one. */
     private static final long NOT_READY_RETRY_MILLIS = 300;
     /** Pause advised for a quarantined request. */
@@ -32,11 +37,34 @@
 
     @Override
     public void handle(RequestMessage request, Reply reply) {
-        Optional<RoutingConfiguration> configuration = parts.configuration().current();
-        if (configuration.isEmpty()) {
-            refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, 0);
+        if (parts.configuration().current().isPresent()) {
+            forward(request, reply);
+        } else {
+            AtomicBoolean gone = new AtomicBoolean();
+            reply.onCallerGone(() -> gone.set(true));
+            awaitConfiguration(request, reply, gone, parts.clock().nowNanos() + START_WAIT_NANOS);
+        }
+    }
+
+    private void awaitConfiguration(RequestMessage request, Reply reply, AtomicBoolean gone, long untilNanos) {
+        if (gone.get()) {
             return;
         }
+        if (parts.configuration().current().isPresent()) {
+            forward(request, reply);
+        } else if (untilNanos - parts.clock().nowNanos() <= 0) {
+            refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, 0);
+        } else {
+            reply.worker()
+                    .schedule(
+                            () -> awaitConfiguration(request, reply, gone, untilNanos),
+                            START_STEP_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void forward(RequestMessage request, Reply reply) {
+        Optional<RoutingConfiguration> configuration = parts.configuration().current();
         long version = configuration.get().version();
         Optional<Route> route = configuration.get().find(hostOf(request), request.path());
         if (route.isEmpty()) {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -32,9 +32,13 @@
     /** Shortest time left with which an attempt is worth making. */
     private static final long LEAST_LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
     /** Factor on the typical latency after which an answer is late. */
-    private static final double LATE_FACTOR = 1.5;
-    /** Factor on the typical latency that a hedge needs before the target latency. */
-    private static final double HEDGE_NEEDS_FACTOR = 1.25;
+    private static final double LATE_FACTOR = 1.35;
+    /** Part of the typical latency after which an answer from an upstream that turned slow is given up on. */
+    private static final double TURNED_SLOW_FACTOR = 0.4;
+    /** Slowness, in percent, at which an upstream counts as slow. */
+    private static final int SLOW_PERCENT = 180;
+    /** Pause between looks at whether an attempt is late. */
+    private static final long HEDGE_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Highest predicted cost of an upstream that takes a hedge: fast now, and nearly idle. */
     private static final double HEDGE_MAX_COST = 1.6;
     /** Requests beyond the slots that a request of the highest priority may find; lower ones find less. */
@@ -123,7 +127,7 @@
                         AttemptOptions.of(route.idempotent(), parts.protocol().echoHeader()),
                         end -> reply.worker().execute(() -> ended(attempt, end))));
         if (route.idempotent() && kind != AttemptKind.HEDGE) {
-            scheduleHedge(hedgeDelayNanos());
+            watchForHedge(attempt);
         }
     }
 
@@ -142,31 +146,37 @@
                         .with("cold", placement.cold()));
     }
 
-    /** Computes when a second attempt is worth making: late, but early enough to be answered within the target. */
-    private long hedgeDelayNanos() {
+    private void watchForHedge(Attempt attempt) {
+        long typical = typicalNanos();
+        scheduleHedge(attempt, (long) (TURNED_SLOW_FACTOR * typical));
+    }
+
+    private long typicalNanos() {
         long typical = parts.upstreams().typicalNanos(target.service());
-        if (typical == 0) {
-            return route.targetLatencyNanos() / 2;
-        }
-        double latest = route.targetLatencyNanos() - HEDGE_NEEDS_FACTOR * typical;
-        return (long) Math.max(LATE_FACTOR * typical, latest);
+        return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
     }
 
-    private void scheduleHedge(long delayNanos) {
+    private void scheduleHedge(Attempt attempt, long delayNanos) {
         cancelTimer(hedgeTimer);
-        hedgeTimer = reply.worker().schedule(this::hedge, delayNanos, TimeUnit.NANOSECONDS);
+        hedgeTimer = reply.worker().schedule(() -> hedge(attempt), delayNanos, TimeUnit.NANOSECONDS);
     }
 
-    private void hedge() {
-        if (ended
-                || sent >= route.maxAttempts()
-                || deadlineNanos - parts.clock().nowNanos() < LEAST_LEFT_NANOS) {
+    /** Sends a second attempt when the first is late, or its upstream has turned slow, and a fast one is idle. */
+    private void hedge(Attempt attempt) {
+        if (ended || sent >= route.maxAttempts() || !active.contains(attempt)) {
+            return;
+        }
+        long now = parts.clock().nowNanos();
+        boolean turnedSlow = parts.upstreams().slowPercent(attempt.placement().upstream()) >= SLOW_PERCENT;
+        boolean late = now - attempt.placement().startedNanos() >= LATE_FACTOR * typicalNanos();
+        if (deadlineNanos - now < LEAST_LEFT_NANOS) {
             return;
         }
-        Optional<Placement> placement =
-                parts.upstreams().choose(new ChoiceRequest(target.service(), tried, 0, HEDGE_MAX_COST));
+        Optional<Placement> placement = turnedSlow || late
+                ? parts.upstreams().choose(new ChoiceRequest(target.service(), tried, 0, HEDGE_MAX_COST))
+                : Optional.empty();
         if (placement.isEmpty()) {
-            scheduleHedge(TimeUnit.MILLISECONDS.toNanos(WAIT_STEP_MILLIS));
+            scheduleHedge(attempt, HEDGE_STEP_NANOS);
         } else if (parts.repeats().trySpend(target.service())) {
             attempt(placement.get(), AttemptKind.HEDGE);
         } else {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -171,7 +171,8 @@
                         load.waiting(),
                         load.slowPercent(),
                         coldNanos,
-                        response.status() == OK));
+                        response.status() == OK,
+                        true));
     }
 
     private void noteWarmth(UpstreamId id, long coldNanos) {
@@ -187,6 +188,7 @@
         int count = failures.merge(target.id(), 1, Integer::sum);
         if (unreachable || count >= SILENT_PROBES) {
             upstreams.noteReachable(target.id(), false);
+            upstreams.observe(target.id(), Observation.unreachable(clock.nowNanos(), warmupNanos(target)));
             suspects.upstreamLost(target.id());
         }
         if (count == 1) {
@@ -197,6 +199,14 @@
         }
     }
 
+    private long warmupNanos(Registration target) {
+        return configuration
+                .current()
+                .flatMap(current -> current.service(target.service()))
+                .map(service -> service.warmupNanos())
+                .orElse(0L);
+    }
+
     private static final class Probe {
         private final Registration target;
         private CallHandle handle = () -> {};
--- /dev/null
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeProtocol.java
@@ -0,0 +1,61 @@
+package org.turmericspan.forwarding;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.turmericspan.balancing.LoadFigures;
+import org.turmericspan.http.HeaderList;
+import org.turmericspan.http.ResponseMessage;
+import org.turmericspan.ids.UpstreamId;
+
+/** Headers with short names. */
+final class FakeProtocol implements CallProtocol {
+    static final String LEFT = "left";
+    static final String EXPECTED = "expected";
+
+    @Override
+    public Optional<String> requestId(HeaderList headers) {
+        return headers.first("id");
+    }
+
+    @Override
+    public OptionalLong deadlineMillis(HeaderList headers) {
+        return headers.first(LEFT)
+                .map(text -> OptionalLong.of(Long.parseLong(text)))
+                .orElse(OptionalLong.empty());
+    }
+
+    @Override
+    public HeaderList forAttempt(HeaderList headers, long leftMillis, UpstreamId expected) {
+        return headers.with(LEFT, Long.toString(leftMillis)).with(EXPECTED, expected.value());
+    }
+
+    @Override
+    public boolean provesNotExecuted(ResponseMessage response) {
+        return response.headers().first("not-run").isPresent();
+    }
+
+    @Override
+    public boolean isWrongInstance(ResponseMessage response) {
+        return response.status() == 421;
+    }
+
+    @Override
+    public Optional<LoadFigures> load(ResponseMessage response) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<String> instance(ResponseMessage response) {
+        return response.headers().first("instance");
+    }
+
+    @Override
+    public long coldMillis(ResponseMessage response) {
+        return 0;
+    }
+
+    @Override
+    public String echoHeader() {
+        return "id";
+    }
+}
--- /dev/null
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -0,0 +1,249 @@
+package org.turmericspan.forwarding;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.balancing.Backend;
+import org.turmericspan.balancing.BalancingRules;
+import org.turmericspan.balancing.ConfigurationHolder;
+import org.turmericspan.balancing.CrashSuspects;
+import org.turmericspan.balancing.Observation;
+import org.turmericspan.balancing.Registration;
+import org.turmericspan.balancing.RepeatWindow;
+import org.turmericspan.balancing.RequestLimits;
+import org.turmericspan.balancing.Route;
+import org.turmericspan.balancing.RoutingConfiguration;
+import org.turmericspan.balancing.ServiceSpec;
+import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.balancing.WeightedRotation;
+import org.turmericspan.events.EventLog;
+import org.turmericspan.http.HeaderList;
+import org.turmericspan.http.RequestMessage;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.testkit.ManualClock;
+import org.turmericspan.testkit.ManualExecutor;
+
+class ForwardingServiceTest {
+    private static final ServiceId SERVICE = new ServiceId("desk");
+    private static final AvailabilityZoneId ZONE = new AvailabilityZoneId("zone-a");
+    private static final BalancingRules RULES = new BalancingRules(1.5, 5, 0.2, 60, TimeUnit.SECONDS.toNanos(10));
+
+    private final ManualClock clock = new ManualClock();
+    private final ManualExecutor worker = new ManualExecutor(clock);
+    private final FakeCaller caller = new FakeCaller();
+    private final FakeReply reply = new FakeReply(worker);
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+    private final SplittableRandom random = new SplittableRandom(1);
+    private final UpstreamTable upstreams =
+            new UpstreamTable(ZONE, registration -> true, RULES, configuration, clock, random);
+    private final ForwardingService service = new ForwardingService(new ForwardingParts(
+            configuration,
+            upstreams,
+            new WeightedRotation(random),
+            new RepeatWindow(RULES, () -> 1, clock),
+            new CrashSuspects(clock),
+            caller,
+            new FakeProtocol(),
+            id -> {},
+            new NoOutcomes(),
+            clock,
+            EventLog.none()));
+
+    private static final class NoOutcomes implements ForwardingOutcomes {
+        @Override
+        public void answered(int status, long latencyNanos) {}
+
+        @Override
+        public void attempted(AttemptKind kind) {}
+    }
+
+    private void configure() {
+        List<Backend> backends = List.of(new Backend(SERVICE, 1));
+        long timeout = TimeUnit.SECONDS.toNanos(1);
+        long target = TimeUnit.MILLISECONDS.toNanos(300);
+        configuration.accept(new RoutingConfiguration(
+                1,
+                List.of(
+                        new Route("s", "h", "/safe/", backends, true, 2, timeout, target, 0),
+                        new Route("o", "h", "/once/", backends, false, 2, timeout, target, 0)),
+                Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 10, 0, 8)),
+                RequestLimits.DEFAULT));
+    }
+
+    private void start(int upstreamCount, String path) {
+        configure();
+        for (int i = 0; i < upstreamCount; i++) {
+            add("u-" + i);
+        }
+        send(path);
+    }
+
+    private void add(String id) {
+        upstreams.register(new Registration(
+                new UpstreamId(id), SERVICE, new SocketAddress("10.0.0.1", 80), ZONE, 3, false, 1, Long.MIN_VALUE / 2));
+        upstreams.observe(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, 100, 0, true, true));
+    }
+
+    private void send(String path) {
+        HeaderList headers =
+                HeaderList.EMPTY.with("Host", "h:80").with("id", "r-1").with(FakeProtocol.LEFT, "800");
+        service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), reply);
+    }
+
+    @Test
+    void answerIsPassedOnWhole() {
+        start(1, "/once/1");
+        caller.call(0).answer(200);
+        assertThat(reply.status()).isEqualTo(200);
+        assertThat(reply.response().body()).asString().isEqualTo("answer 200");
+    }
+
+    @Test
+    void upstreamGetsTheTimeThatIsLeft() {
+        start(1, "/once/1");
+        assertThat(caller.call(0).request().headers().first(FakeProtocol.LEFT)).hasValue("800");
+    }
+
+    @Test
+    void unknownRouteIsNotFound() {
+        start(1, "/other/1");
+        assertThat(reply.status()).isEqualTo(404);
+    }
+
+    @Test
+    void withoutConfigurationNothingIsDenied() {
+        send("/once/1");
+        worker.advance(Duration.ofSeconds(1));
+        assertThat(reply.status()).isEqualTo(503);
+        assertThat(reply.response().headers().first("Retry-After")).isPresent();
+    }
+
+    @Test
+    void requestThatArrivesBeforeTheConfigurationWaitsForIt() {
+        send("/once/1");
+        start(1, "/none");
+        worker.advance(Duration.ofMillis(100));
+        assertThat(caller.count()).isEqualTo(1);
+    }
+
+    @Test
+    void nonIdempotentRequestIsNotRepeatedAfterABrokenConnection() {
+        start(2, "/once/1");
+        caller.call(0).breakOff();
+        assertThat(caller.count()).isEqualTo(1);
+        assertThat(reply.status()).isEqualTo(502);
+    }
+
+    @Test
+    void nonIdempotentRequestIsRepeatedAfterProof() {
+        start(2, "/once/1");
+        caller.call(0).refuse(503);
+        assertThat(caller.count()).isEqualTo(2);
+        assertThat(caller.call(1).upstream()).isNotEqualTo(caller.call(0).upstream());
+        caller.call(1).answer(200);
+        assertThat(reply.status()).isEqualTo(200);
+    }
+
+    @Test
+    void nonIdempotentFailureOfTheUpstreamIsItsAnswer() {
+        start(2, "/once/1");
+        caller.call(0).answer(500);
+        assertThat(caller.count()).isEqualTo(1);
+        assertThat(reply.status()).isEqualTo(500);
+    }
+
+    @Test
+    void nonIdempotentRequestIsNeverHedged() {
+        start(2, "/once/1");
+        worker.advance(Duration.ofMillis(700));
+        assertThat(caller.count()).isEqualTo(1);
+    }
+
+    @Test
+    void nonIdempotentRequestThatTimesOutHasAnUnknownOutcome() {
+        start(2, "/once/1");
+        worker.advance(Duration.ofMillis(950));
+        assertThat(reply.status()).isEqualTo(504);
+        assertThat(caller.call(0).isCancelled()).isFalse();
+    }
+
+    @Test
+    void idempotentRequestIsRepeatedAfterABrokenConnection() {
+        start(2, "/safe/1");
+        caller.call(0).breakOff();
+        caller.call(1).answer(200);
+        assertThat(reply.status()).isEqualTo(200);
+    }
+
+    @Test
+    void attemptsStayWithinTheRoutesMaximum() {
+        start(4, "/safe/1");
+        caller.call(0).breakOff();
+        caller.call(1).breakOff();
+        assertThat(caller.count()).isEqualTo(2);
+        assertThat(reply.status()).isEqualTo(502);
+    }
+
+    @Test
+    void refusedConnectionCountsAsNoAttempt() {
+        start(4, "/once/1");
+        caller.call(0).failToConnect();
+        caller.call(1).failToConnect();
+        caller.call(2).answer(200);
+        assertThat(reply.status()).isEqualTo(200);
+    }
+
+    @Test
+    void refusalByAllIsToldAsNotRun() {
+        start(2, "/once/1");
+        caller.call(0).refuse(503);
+        caller.call(1).refuse(503);
+        assertThat(reply.status()).isEqualTo(503);
+        assertThat(reply.response().headers().first("Retry-After")).isPresent();
+    }
+
+    @Test
+    void lateIdempotentRequestIsHedgedAndTheLoserCancelled() {
+        start(2, "/safe/1");
+        worker.advance(Duration.ofMillis(400));
+        assertThat(caller.count()).isEqualTo(2);
+        caller.call(1).answer(200);
+        assertThat(reply.status()).isEqualTo(200);
+        assertThat(caller.call(0).isCancelled()).isTrue();
+    }
+
+    @Test
+    void upstreamThatTurnsSlowIsHedgedEarly() {
+        start(2, "/safe/1");
+        worker.advance(Duration.ofMillis(10));
+        upstreams.observe(
+                new UpstreamId(caller.call(0).upstream()), new Observation(clock.nowNanos(), 1, 0, 400, 0, true, true));
+        worker.advance(Duration.ofMillis(100));
+        assertThat(caller.count()).isEqualTo(2);
+    }
+
+    @Test
+    void callerThatLeavesEndsAnIdempotentAttemptAtOnce() {
+        start(2, "/safe/1");
+        reply.leave();
+        assertThat(caller.call(0).isCancelled()).isTrue();
+        worker.advance(Duration.ofSeconds(2));
+        assertThat(caller.count()).isEqualTo(1);
+        assertThat(reply.isAnswered()).isFalse();
+    }
+
+    @Test
+    void noUpstreamIsToldSoonAsNotRun() {
+        start(0, "/once/1");
+        worker.advance(Duration.ofMillis(60));
+        assertThat(reply.status()).isEqualTo(503);
+    }
+}
--- a/gossip/src/main/java/org/turmericspan/gossip/DigestFormat.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/DigestFormat.java
@@ -23,6 +23,8 @@
     private static final int READY = 1;
     private static final int LEAVING = 2;
     private static final int READING = 4;
+    private static final int HEALTHY = 1;
+    private static final int REACHABLE = 2;
     private static final int MAX_ROWS = 4_096;
     private static final int OCTETS = 4;
     private static final int OCTET_BITS = 8;
@@ -85,7 +87,7 @@
             output.writeUInt32NoTag(observation.waiting());
             output.writeUInt32NoTag(observation.slowPercent());
             output.writeUInt64NoTag(TimeUnit.NANOSECONDS.toMillis(observation.coldForNanos()));
-            output.writeUInt32NoTag(observation.healthy() ? 1 : 0);
+            output.writeUInt32NoTag((observation.healthy() ? HEALTHY : 0) | (observation.reachable() ? REACHABLE : 0));
             output.writeUInt32NoTag(report.inFlight());
             output.writeUInt32NoTag(report.failPercent());
         }
@@ -148,13 +150,19 @@
         for (int i = 0; i < count; i++) {
             long hash = input.readFixed64();
             long atNanos = moment(input.readUInt64(), nowNanos);
+            int running = input.readUInt32();
+            int waiting = input.readUInt32();
+            int slowPercent = input.readUInt32();
+            long coldNanos = TimeUnit.MILLISECONDS.toNanos(input.readUInt64());
+            int flags = input.readUInt32();
             Observation observation = new Observation(
                     atNanos,
-                    input.readUInt32(),
-                    input.readUInt32(),
-                    input.readUInt32(),
-                    TimeUnit.MILLISECONDS.toNanos(input.readUInt64()),
-                    input.readUInt32() != 0);
+                    running,
+                    waiting,
+                    slowPercent,
+                    coldNanos,
+                    (flags & HEALTHY) != 0,
+                    (flags & REACHABLE) != 0);
             reports.add(new PeerReport(hash, observation, input.readUInt32(), input.readUInt32()));
         }
         return reports;
--- /dev/null
+++ b/http/src/test/java/org/turmericspan/http/HttpClientTest.java
@@ -0,0 +1,140 @@
+package org.turmericspan.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.SocketAddress;
+
+class HttpClientTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok";
+    private static final CallOptions OPTIONS =
+            new CallOptions(TimeUnit.SECONDS.toNanos(5), TimeUnit.SECONDS.toNanos(60), false, Optional.of("X-Id"));
+
+    private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpClient client = new HttpClient(workers, MonotonicClock.system());
+
+    @AfterEach
+    void stopWorkers() {
+        workers.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private CallEnd call(SocketAddress address) throws Exception {
+        CompletableFuture<CallEnd> end = new CompletableFuture<>();
+        RequestMessage request = RequestMessage.get("/x", "host");
+        client.call(
+                address,
+                new RequestMessage("GET", "/x", request.headers().with("X-Id", "1"), request.body()),
+                OPTIONS,
+                end::complete);
+        return end.get(20, TimeUnit.SECONDS);
+    }
+
+    private static String bodyOf(CallEnd end) {
+        return new String(((CallEnd.Answered) end).response().body(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void wholeAnswerKeepsTheConnection() throws Exception {
+        try (RawServer server = new RawServer(RawServer.sending(OK))) {
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+            assertThat(server.connections()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void truncatedAnswerIsBroken() throws Exception {
+        try (RawServer server = new RawServer((head, connection) -> {
+            RawServer.sending("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok").answer(head, connection);
+            connection.close();
+        })) {
+            assertThat(call(server.address())).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
+
+    @Test
+    void answerWithoutLengthEndsWithItsConnection() throws Exception {
+        try (RawServer server = new RawServer((head, connection) -> {
+            RawServer.sending("HTTP/1.1 200 OK\r\n\r\nwhole").answer(head, connection);
+            connection.close();
+        })) {
+            assertThat(bodyOf(call(server.address()))).isEqualTo("whole");
+        }
+    }
+
+    @Test
+    void answerWithoutLengthThatIsResetIsBroken() throws Exception {
+        try (RawServer server = new RawServer((head, connection) -> {
+            RawServer.sending("HTTP/1.1 200 OK\r\n\r\npart").answer(head, connection);
+            connection.setSoLinger(true, 0);
+            connection.close();
+        })) {
+            assertThat(call(server.address())).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
+
+    @Test
+    void bytesThatAreNoAnswerAreBroken() throws Exception {
+        try (RawServer server = new RawServer(RawServer.sending("garbage garbage\r\n\r\n"))) {
+            assertThat(call(server.address())).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
+
+    @Test
+    void extraAnswerIsNeverTakenForTheNext() throws Exception {
+        String stale = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 5\r\n\r\nstale";
+        try (RawServer server = new RawServer(RawServer.sending(stale + OK))) {
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+            assertThat(server.connections()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void bytesAfterAnAnswerEndTheConnection() throws Exception {
+        try (RawServer server = new RawServer(RawServer.sending(OK + OK))) {
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+            assertThat(server.connections()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void refusedConnectionProvesThatNothingWasSent() throws Exception {
+        int port;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            port = socket.getLocalPort();
+        }
+        CallEnd end = call(new SocketAddress("127.0.0.1", port));
+        assertThat(end)
+                .isInstanceOfSatisfying(
+                        CallEnd.NotSent.class,
+                        notSent -> assertThat(notSent.unreachable()).isTrue());
+    }
+
+    @Test
+    void cancelledCallClosesItsConnection() throws IOException {
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        CompletableFuture<Boolean> arrived = new CompletableFuture<>();
+        try (RawServer server = new RawServer((head, connection) -> {
+            arrived.complete(true);
+            closed.complete(connection.getInputStream().read() < 0);
+        })) {
+            CallHandle handle = client.call(server.address(), RequestMessage.get("/x", "host"), OPTIONS, end -> {});
+            arrived.join();
+            handle.cancel();
+            assertThat(closed.orTimeout(20, TimeUnit.SECONDS).join()).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -0,0 +1,149 @@
+package org.turmericspan.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.events.EventLog;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.SocketAddress;
+
+class HttpListenerTest {
+    private static final ListenerLimits LIMITS =
+            new ListenerLimits(1_000, 100, TimeUnit.SECONDS.toNanos(1), TimeUnit.SECONDS.toNanos(2));
+    private static final String GET = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+    private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private HttpListener listener;
+
+    @AfterEach
+    void stop() {
+        listener.close();
+        workers.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private Socket connect(HttpService service) throws IOException {
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        listener = new HttpListener(
+                workers,
+                new SocketAddress("127.0.0.1", port),
+                service,
+                () -> LIMITS,
+                MonotonicClock.system(),
+                EventLog.none());
+        Socket socket = new Socket("127.0.0.1", listener.port());
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
+    private static void echo(RequestMessage request, Reply reply) {
+        reply.send(ResponseMessage.text(
+                200, "text/plain", request.target() + "=" + new String(request.body(), StandardCharsets.UTF_8) + ";"));
+    }
+
+    private static String exchange(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        socket.shutdownOutput();
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    private static String closing(String start, String body) {
+        return start + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body;
+    }
+
+    private static String send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            String first = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na";
+            String answers = send(socket, first + closing("POST /2", "b"));
+            assertThat(answers.indexOf("/1=a;")).isBetween(0, answers.indexOf("/2=b;"));
+        }
+    }
+
+    @Test
+    void chunkedBodyArrivesWhole() throws IOException {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            String request = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+            assertThat(send(socket, request)).contains("/x=abc;");
+        }
+    }
+
+    @Test
+    void bodyBeyondTheLimitIsRefused() throws IOException {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            assertThat(send(socket, closing("POST /x", "a".repeat(101)))).startsWith("HTTP/1.1 413");
+        }
+    }
+
+    @Test
+    void headBeyondTheLimitIsRefused() throws IOException {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            String request = "GET /x HTTP/1.1\r\nHost: h\r\nX: " + "a".repeat(1_100) + "\r\n\r\n";
+            assertThat(send(socket, request)).startsWith("HTTP/1.1 431");
+        }
+    }
+
+    @Test
+    void headThatDoesNotArriveInTimeIsRefused() throws IOException {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            assertThat(send(socket, "GET /x HTTP/1.1\r\nHo")).startsWith("HTTP/1.1 408");
+        }
+    }
+
+    @Test
+    void idleConnectionIsClosedAfterItsTime() throws IOException {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    @Test
+    void callerThatLeavesIsNoticed() throws Exception {
+        CompletableFuture<Boolean> gone = new CompletableFuture<>();
+        CompletableFuture<Boolean> arrived = new CompletableFuture<>();
+        try (Socket socket = connect((request, reply) -> {
+            reply.onCallerGone(() -> gone.complete(true));
+            arrived.complete(true);
+        })) {
+            socket.getOutputStream().write(GET.getBytes(StandardCharsets.UTF_8));
+            arrived.get(20, TimeUnit.SECONDS);
+            socket.close();
+            assertThat(gone.get(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    @Test
+    void drainingListenerAnswersAndAsksToLeave() throws IOException {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            listener.drain();
+            assertThat(send(socket, GET)).contains("200 OK").containsIgnoringCase("connection: close");
+        }
+    }
+
+    @Test
+    void conflictingLengthsAreRefused() throws IOException {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            String request = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 5\r\n\r\nabcde";
+            assertThat(exchange(socket, request)).doesNotContain("200 OK");
+        }
+    }
+}
--- a/ids/src/main/java/org/turmericspan/ids/AvailabilityZoneId.java
+++ b/ids/src/main/java/org/turmericspan/ids/AvailabilityZoneId.java
@@ -16,6 +16,17 @@
         return value.compareTo(other.value);
     }
 
+    // Written out because the generated methods are linked at run time, which slows starts down.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof AvailabilityZoneId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/ids/src/main/java/org/turmericspan/ids/ServiceId.java
+++ b/ids/src/main/java/org/turmericspan/ids/ServiceId.java
@@ -16,6 +16,17 @@
         return value.compareTo(other.value);
     }
 
+    // Written out because the generated methods are linked at run time, which slows starts down.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/ids/src/main/java/org/turmericspan/ids/SocketAddress.java
+++ b/ids/src/main/java/org/turmericspan/ids/SocketAddress.java
@@ -8,6 +8,7 @@
  */
 public record SocketAddress(String host, int port) {
     private static final int MAX_PORT = 65_535;
+    private static final int HASH_FACTOR = 31;
     private static final int MAX_HOST_LENGTH = 41;
     private static final int MAX_PORT_DIGITS = 5;
     private static final String FORM = "SocketAddress takes IP:PORT with an IP number and a port from 1 to " + MAX_PORT;
@@ -50,6 +51,17 @@
                 && port.chars().allMatch(character -> character >= '0' && character <= '9');
     }
 
+    // Written out because the generated methods are linked at run time, which slows starts down.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SocketAddress that && port == that.port && host.equals(that.host);
+    }
+
+    @Override
+    public int hashCode() {
+        return host.hashCode() * HASH_FACTOR + port;
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
--- /dev/null
+++ b/testkit/src/main/java/org/turmericspan/testkit/ManualExecutor.java
@@ -0,0 +1,130 @@
+package org.turmericspan.testkit;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.AbstractExecutorService;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Delayed;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Scheduler that runs tasks at once or when a test moves its clock, always on the test's own thread. */
+public final class ManualExecutor extends AbstractExecutorService implements ScheduledExecutorService {
+    private final ManualClock clock;
+    private final List<Task<?>> tasks = new ArrayList<>();
+
+    /**
+     * Creates a scheduler without tasks.
+     *
+     * @param clock moved by {@link #advance}
+     */
+    public ManualExecutor(ManualClock clock) {
+        this.clock = clock;
+    }
+
+    /**
+     * Moves the clock in steps of a millisecond and runs what falls due.
+     *
+     * @param span how far
+     */
+    public void advance(Duration span) {
+        for (long passed = 0; passed < span.toMillis(); passed++) {
+            clock.advance(Duration.ofMillis(1));
+            runDue();
+        }
+    }
+
+    private void runDue() {
+        List<Task<?>> due = tasks.stream()
+                .filter(task -> task.dueNanos - clock.nowNanos() <= 0)
+                .sorted(Comparator.comparingLong(task -> task.dueNanos))
+                .toList();
+        tasks.removeAll(due);
+        due.forEach(Task::run);
+    }
+
+    @Override
+    public void execute(Runnable command) {
+        command.run();
+    }
+
+    @Override
+    public ScheduledFuture<?> schedule(Runnable command, long delay, TimeUnit unit) {
+        return add(new Task<>(command, unit.toNanos(delay)));
+    }
+
+    @Override
+    public <V> ScheduledFuture<V> schedule(Callable<V> callable, long delay, TimeUnit unit) {
+        throw new UnsupportedOperationException("Only runnables are scheduled");
+    }
+
+    private <V> Task<V> add(Task<V> task) {
+        tasks.add(task);
+        return task;
+    }
+
+    @Override
+    public ScheduledFuture<?> scheduleAtFixedRate(Runnable command, long initial, long period, TimeUnit unit) {
+        return scheduleWithFixedDelay(command, initial, period, unit);
+    }
+
+    @Override
+    public ScheduledFuture<?> scheduleWithFixedDelay(Runnable command, long initial, long delay, TimeUnit unit) {
+        return schedule(
+                () -> {
+                    command.run();
+                    scheduleWithFixedDelay(command, delay, delay, unit);
+                },
+                initial,
+                unit);
+    }
+
+    @Override
+    public void shutdown() {
+        tasks.clear();
+    }
+
+    @Override
+    public List<Runnable> shutdownNow() {
+        tasks.clear();
+        return List.of();
+    }
+
+    @Override
+    public boolean isShutdown() {
+        return false;
+    }
+
+    @Override
+    public boolean isTerminated() {
+        return false;
+    }
+
+    @Override
+    public boolean awaitTermination(long timeout, TimeUnit unit) {
+        return true;
+    }
+
+    private final class Task<V> extends FutureTask<V> implements ScheduledFuture<V> {
+        private final long dueNanos;
+
+        Task(Runnable command, long delayNanos) {
+            super(command, null);
+            this.dueNanos = clock.nowNanos() + delayNanos;
+        }
+
+        @Override
+        public long getDelay(TimeUnit unit) {
+            return unit.convert(dueNanos - clock.nowNanos(), TimeUnit.NANOSECONDS);
+        }
+
+        @Override
+        public int compareTo(Delayed other) {
+            return Long.compare(getDelay(TimeUnit.NANOSECONDS), other.getDelay(TimeUnit.NANOSECONDS));
+        }
+    }
+}
