Serve sooner after a restart: probe with the fleet's list, join afterwards

Cause: after a loss of power of all nodes the first answers came 2.0 s after its return: 0.5 s until the node listens, 0.3 s until it has the configuration, then up to 0.7 s of waiting for other nodes before the first probe. Ruled out: listening later (requests that arrive early wait up to 400 ms and are served). Change: the command line's library is loaded only with arguments; a starting node probes its own zone as soon as it knows it and serves what it has seen warm; it owns upstreams, and so sends to cold ones, only after it has joined.

--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -232,15 +232,33 @@
     /**
      * Lists the upstreams that this node is to probe.
      *
-     * @return owned registrations, draining ones left out
+     * @param starting whether this node has not joined yet and looks at its own zone, whoever owns what
+     * @return registrations, draining ones left out
      */
-    public List<Registration> probeTargets() {
+    public List<Registration> probeTargets(boolean starting) {
         return lock.compute(() -> states.values().stream()
                 .map(UpstreamState::registration)
-                .filter(registration -> !registration.draining() && ownership.owns(registration))
+                .filter(registration -> !registration.draining())
+                .filter(registration -> starting ? isHome(registration) : ownership.owns(registration))
                 .toList());
     }
 
+    /**
+     * Tells whether most upstreams of this node's zone were observed lately.
+     *
+     * @return true also when none is registered
+     */
+    public boolean isMostlyObserved() {
+        long now = clock.nowNanos();
+        return lock.compute(() -> {
+            List<UpstreamState> near = states.values().stream()
+                    .filter(state -> isHome(state.registration()))
+                    .toList();
+            long fresh = near.stream().filter(state -> isFresh(state, now)).count();
+            return 2 * fresh >= near.size();
+        });
+    }
+
     /**
      * Chooses the upstream of lowest predicted cost and counts the attempt there.
      *
@@ -299,9 +317,13 @@
         return bearable <= 0 ? Integer.MAX_VALUE : ColdPace.perSecond(bearable, rules);
     }
 
+    private boolean isHome(Registration registration) {
+        return registration.availabilityZone().equals(home);
+    }
+
     private double distance(Registration registration) {
         double tie = random.nextDouble() * TIE_COST;
-        if (!registration.availabilityZone().equals(home)) {
+        if (!isHome(registration)) {
             return OTHER_ZONE_COST + tie;
         }
         return ownership.owns(registration) ? 0 : NOT_OWNED_COST + tie;
--- /dev/null
+++ b/entry/src/main/java/org/turmericspan/entry/EntryCommandLine.java
@@ -0,0 +1,54 @@
+package org.turmericspan.entry;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/** The command line of an entry node. */
+final class EntryCommandLine {
+    private static final int EXIT_USAGE = 2;
+    private static final String FILE = "settings_file";
+    private static final String CHECK = "check";
+
+    private EntryCommandLine() {}
+
+    static void run(String[] arguments, String defaultFile) throws IOException, InterruptedException {
+        try {
+            Namespace parsed = parser().parseArgs(arguments);
+            String path = parsed.getString(FILE);
+            SettingsFile file = new SettingsFile(Path.of(path == null ? defaultFile : path));
+            if (parsed.getBoolean(CHECK)) {
+                file.read();
+                System.out.println("The settings are valid.");
+            } else {
+                EntryMain.run(file);
+            }
+        } catch (HelpScreenException e) {
+            System.exit(0);
+        } catch (ArgumentParserException e) {
+            e.getParser().handleError(e);
+            System.exit(EXIT_USAGE);
+        }
+    }
+
+    private static ArgumentParser parser() {
+        // Detecting the terminal's width would start a process, which the platform forbids.
+        ArgumentParser parser = ArgumentParsers.newFor("turmericspan entry")
+                .terminalWidthDetection(false)
+                .build()
+                .description("An entry node that reads its fleet from the platform's store.")
+                .epilog("Exit codes: 0 stopped as planned or settings valid, 1 failed, 2 invalid settings.");
+        parser.addArgument("--settings-file")
+                .dest(FILE)
+                .metavar("PATH")
+                .help("settings as name=value lines; the variable " + EntryMain.SETTINGS_VARIABLE
+                        + " names it otherwise");
+        parser.addArgument("--" + CHECK).action(Arguments.storeTrue()).help("check the settings and exit");
+        return parser;
+    }
+}
--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -37,11 +37,15 @@
 @Singleton
 final class EntryNode implements AutoCloseable {
     /** Pause between looks at whether the node is ready. */
-    private static final long CHECK_MILLIS = 50;
+    private static final long CHECK_MILLIS = 20;
+    /** Pause between looks at whether the node still reads the store itself. */
+    private static final long READING_MILLIS = 100;
+    /** Time after which a node serves although few upstreams answered its probes. */
+    private static final long OBSERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Time after the first contact with another node in which news of the fleet arrives. */
-    private static final long JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+    private static final long JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     /** Time after which a node that hears of no other begins alone. */
-    private static final long ALONE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+    private static final long ALONE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     /** Addresses named to a caller, if so many nodes are ready, before nodes of its own zone suffice. */
     private static final int LEAST_NAMED = 2;
     /** Most addresses a caller takes. */
@@ -71,6 +75,7 @@
     private ScheduledFuture<?> readinessCheck;
     private long startedNanos;
     private long joinedNanos;
+    private long probingNanos;
     private volatile boolean able;
     private volatile boolean leaving;
 
@@ -151,25 +156,38 @@
         return String.join("\n", lines) + "\n";
     }
 
+    /** Takes the node through its start: it probes when it knows the fleet, serves when probes answer, then joins. */
     private void checkReadiness() {
         long now = clock.nowNanos();
         if (joinedNanos == 0 && members.alive().size() > 1) {
             joinedNanos = now;
         }
-        boolean joined = joinedNanos != 0 && now - joinedNanos > JOIN_NANOS || now - startedNanos > ALONE_NANOS;
-        if (joined && feed.isComplete() && configuration.current().isPresent()) {
+        if (probingNanos == 0 && feed.isComplete() && configuration.current().isPresent()) {
+            probingNanos = now;
+            prober.start(settings.probeIntervalMillis());
+        }
+        if (!able && probingNanos != 0 && (upstreams.isMostlyObserved() || now - probingNanos > OBSERVE_NANOS)) {
             able = true;
             members.setSelf(true, leaving, feed.isDirect());
             gossip.tellAll();
-            prober.start(settings.probeIntervalMillis());
+            logStep("Ready.", now);
+        }
+        boolean heard = joinedNanos != 0 && now - joinedNanos > JOIN_NANOS || now - startedNanos > ALONE_NANOS;
+        if (able && heard) {
+            members.join();
+            prober.joined();
             readinessCheck.cancel(false);
-            workers.scheduleWithFixedDelay(this::publishReading, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
-            log.write(Event.notice(PART, "Ready.")
-                    .with("members", members.alive().size())
-                    .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now - startedNanos)));
+            workers.scheduleWithFixedDelay(this::publishReading, READING_MILLIS, READING_MILLIS, TimeUnit.MILLISECONDS);
+            logStep("Joined.", now);
         }
     }
 
+    private void logStep(String message, long now) {
+        log.write(Event.notice(PART, message)
+                .with("members", members.alive().size())
+                .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now - startedNanos)));
+    }
+
     /** Tells other nodes whether they can read from this one. */
     private void publishReading() {
         if (!leaving && members.self().reading() != feed.isDirect()) {
--- a/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
+++ b/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
@@ -62,7 +62,8 @@
                 workers, platform, new RehearsalPlatform(platform.toString()), () -> limits, clock, EventLog.none());
         SocketAddress callers = freeAddress();
         EntrySettings settings = EntrySettings.of(values(platform, callers));
-        DaggerEntryComponent.factory().create(settings).node().start(new SettingsFile(Path.of("none")));
+        NodeLauncher.launch(settings, new SettingsFile(Path.of("none")));
+        Class.forName("org.turmericspan.entry.EntryMain");
         int served = sendRequests(workers, clock, callers);
         System.out.println("rehearsal: " + served + " of " + REQUESTS + " requests served");
         System.exit(served > 0 ? 0 : 1);
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -15,9 +15,9 @@
 
 /** Finds the route of each request and forwards it to an upstream. */
 public final class ForwardingService implements HttpService {
-    /** Time for which a starting node keeps requests until it knows a configuration. */
+    /** Time for which a starting node keeps requests until it knows the configuration and the upstreams. */
     private static final long START_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-    /** Pause between looks for a configuration. */
+    /** Pause between looks whether it does. */
     private static final long START_STEP_MILLIS = 20;
     /** Pause advised to a caller while no configuration is known; about the time a node takes to read one. */
     private static final long NOT_READY_RETRY_MILLIS = 300;
@@ -25,6 +25,7 @@
     private static final long QUARANTINE_RETRY_MILLIS = 10_000;
 
     private final ForwardingParts parts;
+    private volatile boolean fleetKnown;
 
     /**
      * Creates the service.
@@ -37,7 +38,7 @@
 
     @Override
     public void handle(RequestMessage request, Reply reply) {
-        if (parts.configuration().current().isPresent()) {
+        if (knowsFleet()) {
             forward(request, reply);
         } else {
             AtomicBoolean gone = new AtomicBoolean();
@@ -50,9 +51,10 @@
         if (gone.get()) {
             return;
         }
-        if (parts.configuration().current().isPresent()) {
+        boolean hasWaited = untilNanos - parts.clock().nowNanos() <= 0;
+        if (knowsFleet() || hasWaited && parts.configuration().current().isPresent()) {
             forward(request, reply);
-        } else if (untilNanos - parts.clock().nowNanos() <= 0) {
+        } else if (hasWaited) {
             refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, 0);
         } else {
             reply.worker()
@@ -63,6 +65,16 @@
         }
     }
 
+    private boolean knowsFleet() {
+        return fleetKnown || learnFleet();
+    }
+
+    private boolean learnFleet() {
+        fleetKnown =
+                parts.configuration().current().isPresent() && parts.upstreams().isMostlyObserved();
+        return fleetKnown;
+    }
+
     private void forward(RequestMessage request, Reply reply) {
         Optional<RoutingConfiguration> configuration = parts.configuration().current();
         long version = configuration.get().version();
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -47,7 +47,8 @@
     private final Set<UpstreamId> underWay = new HashSet<>();
     private final Map<UpstreamId, Integer> failures = new HashMap<>();
     private final Set<UpstreamId> cold = new HashSet<>();
-    private long sent;
+    private volatile boolean joined;
+    private volatile long sent;
 
     /**
      * Creates a prober that has not begun.
@@ -81,7 +82,7 @@
     }
 
     /**
-     * Starts probing.
+     * Starts probing all upstreams, until this node has joined the others.
      *
      * @param intervalMillis pause between probes of one upstream
      */
@@ -90,7 +91,12 @@
     }
 
     private void probeOwned() {
-        upstreams.probeTargets().forEach(this::probe);
+        upstreams.probeTargets(!joined).forEach(this::probe);
+    }
+
+    /** Leaves the upstreams of other owners to them from now on. */
+    public void joined() {
+        joined = true;
     }
 
     /**
--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -15,7 +15,7 @@
  */
 public final class Gossip {
     /** Pause between digests within the zone; a fraction of the time in which speeds change. */
-    private static final long NEAR_MILLIS = 80;
+    private static final long NEAR_MILLIS = 100;
     /** Digests a second within the zone on which a node spends; larger zones slow down. */
     private static final int NEAR_PER_SECOND = 100;
     /** Rounds within the zone for each digest to another zone. */
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -39,6 +39,7 @@
     private final MonotonicClock clock;
     private final EventLog log;
     private volatile Member self;
+    private volatile boolean joined;
     private volatile Snapshot snapshot;
 
     /**
@@ -209,7 +210,12 @@
      * @return the rule, which takes no lock
      */
     public Ownership ownership() {
-        return registration -> snapshot.owner(registration).equals(Optional.of(self.address()));
+        return registration -> joined && snapshot.owner(registration).equals(Optional.of(self.address()));
+    }
+
+    /** Lets this node own upstreams, now that it has had time to hear of the other nodes. */
+    public void join() {
+        joined = true;
     }
 
     /**
--- a/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
@@ -80,7 +80,9 @@
     @Test
     void exactlyOneReadyNodeOfTheZoneOwnsAnUpstream() {
         table.accept(List.of(member("10.0.0.2", HOME, 5, true), member("10.0.0.3", AWAY, 5, true)));
+        table.join();
         MemberTable other = new MemberTable(member("10.0.0.2", HOME, 5, true), clock, EventLog.none());
+        other.join();
         other.accept(List.of(member("10.0.0.1", HOME, 1, true), member("10.0.0.3", AWAY, 5, true)));
         table.refresh();
         other.refresh();
@@ -92,8 +94,17 @@
         }
     }
 
+    @Test
+    void nodeOwnsNothingBeforeItHasJoined() {
+        table.refresh();
+        assertThat(table.ownership().owns(registration("u-1", HOME))).isFalse();
+        table.join();
+        assertThat(table.ownership().owns(registration("u-1", HOME))).isTrue();
+    }
+
     @Test
     void nodeThatIsNotReadyOwnsNothing() {
+        table.join();
         table.accept(List.of(member("10.0.0.2", HOME, 5, false)));
         for (int i = 0; i < 20; i++) {
             assertThat(table.ownership().owns(registration("u-" + i, HOME))).isTrue();
