--- a/balancing/src/main/java/org/turmericspan/balancing/FleetSink.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetSink.java
@@ -27,13 +27,6 @@
      */
     void removed(UpstreamId id);
 
-    /**
-     * Learns which upstreams are registered at all.
-     *
-     * @param ids all of them
-     */
-    void retained(Set<UpstreamId> ids);
-
     /**
      * Learns which availability zones are to get nothing.
      *
--- a/balancing/src/main/java/org/turmericspan/balancing/FleetState.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetState.java
@@ -1,6 +1,5 @@
 package org.turmericspan.balancing;
 
-import java.util.HashSet;
 import java.util.Set;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
@@ -53,13 +52,6 @@
         }
     }
 
-    @Override
-    public void retained(Set<UpstreamId> ids) {
-        Set<UpstreamId> gone = new HashSet<>(upstreams.ids());
-        gone.removeAll(ids);
-        gone.forEach(this::removed);
-    }
-
     @Override
     public void evacuated(Set<AvailabilityZoneId> zones) {
         if (upstreams.setEvacuated(zones)) {
--- a/balancing/src/main/java/org/turmericspan/balancing/RepeatWindow.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/RepeatWindow.java
@@ -11,8 +11,8 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * This node's part of the repeats that the fleet may make within a sliding window: the agreed ratio of its own requests,
- * and an equal part of the slack.
+ * This node's part of the repeats that the fleet may make within a sliding window: the agreed ratio of its own
+ * requests, and an equal part of the slack.
  */
 public final class RepeatWindow {
     /**
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -0,0 +1,113 @@
+package org.turmericspan.balancing;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.ServiceId;
+
+/** Chooses among upstreams from what is believed of each. The table's lock guards what it reads. */
+final class UpstreamSelection {
+    /** Age at which an observation no longer shows that an upstream is warm. */
+    private static final long OBSERVATION_LIFE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** Cost of an upstream of the zone that another node owns, so that nodes rarely meet at one. */
+    private static final double NOT_OWNED_COST = 0.08;
+    /** Cost of an upstream in another zone: the longer way and the price of its bytes. */
+    private static final double OTHER_ZONE_COST = 0.3;
+    /** Range of a random cost that breaks ties among nodes. */
+    private static final double TIE_COST = 0.04;
+
+    private final AvailabilityZoneId home;
+    private final Ownership ownership;
+    private final BalancingRules rules;
+    private final ConfigurationHolder configuration;
+    private final RandomGenerator random;
+
+    UpstreamSelection(
+            AvailabilityZoneId home,
+            Ownership ownership,
+            BalancingRules rules,
+            ConfigurationHolder configuration,
+            RandomGenerator random) {
+        this.home = home;
+        this.ownership = ownership;
+        this.rules = rules;
+        this.configuration = configuration;
+        this.random = random;
+    }
+
+    /** What a choice depends on beside the request and the upstreams. */
+    record Circumstances(Set<AvailabilityZoneId> evacuated, double meanSlowness, long typicalNanos, long nowNanos) {}
+
+    /** An upstream and its predicted cost. */
+    record Choice(UpstreamState state, double cost) {}
+
+    Optional<Choice> choose(Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
+        UpstreamState best = null;
+        double bestCost = request.maxCost();
+        for (UpstreamState state : states) {
+            if (!isUsable(state, request, circumstances)) {
+                continue;
+            }
+            double cost = UpstreamCost.of(
+                            state, circumstances.meanSlowness(), circumstances.typicalNanos(), circumstances.nowNanos())
+                    + distance(state.registration());
+            if (cost < bestCost) {
+                best = state;
+                bestCost = cost;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(new Choice(best, bestCost));
+    }
+
+    private boolean isUsable(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
+        long now = circumstances.nowNanos();
+        Registration registration = state.registration();
+        if (!registration.service().equals(request.service())
+                || registration.draining()
+                || circumstances.evacuated().contains(registration.availabilityZone())
+                || request.excluded().contains(registration.id())
+                || state.rests(now)
+                || !isFresh(state, now)
+                || !state.observation().reachable()) {
+            return false;
+        }
+        if (state.isCold(now)) {
+            return ownership.owns(registration)
+                    && state.load(now) < registration.slots()
+                    && state.coldPace().allows(coldPerSecond(registration.service()), now);
+        }
+        return state.load(now) < RoomRule.limit(registration.slots(), request.priority());
+    }
+
+    static boolean isFresh(UpstreamState state, long now) {
+        return state.observation() != null && now - state.observation().atNanos() <= OBSERVATION_LIFE_NANOS;
+    }
+
+    private int coldPerSecond(ServiceId service) {
+        double bearable = configuration
+                .current()
+                .flatMap(current -> current.service(service))
+                .map(ServiceSpec::warmupPerSecond)
+                .orElse(1.0);
+        return bearable <= 0 ? Integer.MAX_VALUE : ColdPace.perSecond(bearable, rules);
+    }
+
+    boolean isHome(Registration registration) {
+        return registration.availabilityZone().equals(home);
+    }
+
+    boolean owns(Registration registration) {
+        return ownership.owns(registration);
+    }
+
+    private double distance(Registration registration) {
+        double tie = random.nextDouble() * TIE_COST;
+        if (!isHome(registration)) {
+            return OTHER_ZONE_COST + tie;
+        }
+        return owns(registration) ? 0 : NOT_OWNED_COST + tie;
+    }
+}
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.turmericspan.balancing.UpstreamSelection.Circumstances;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.ServiceId;
@@ -19,14 +19,6 @@
 
 /** Registered upstreams, what is believed of each, and the choice among them. */
 public final class UpstreamTable {
-    /** Age at which an observation no longer shows that an upstream is warm. */
-    private static final long OBSERVATION_LIFE_NANOS = TimeUnit.SECONDS.toNanos(3);
-    /** Cost of an upstream of the zone that another node owns, so that nodes rarely meet at one. */
-    private static final double NOT_OWNED_COST = 0.08;
-    /** Cost of an upstream in another zone: the longer way and the price of its bytes. */
-    private static final double OTHER_ZONE_COST = 0.3;
-    /** Range of a random cost that breaks ties among nodes. */
-    private static final double TIE_COST = 0.04;
     /** Weight of a new observation in the mean slowness. */
     private static final double MEAN_WEIGHT = 0.02;
     /** Weight of a new answer in the typical latency of a service. */
@@ -38,12 +30,8 @@
     private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
     private final Map<Long, UpstreamId> byHash = new HashMap<>();
     private final Map<ServiceId, Double> typicalNanos = new HashMap<>();
-    private final AvailabilityZoneId home;
-    private final Ownership ownership;
-    private final BalancingRules rules;
-    private final ConfigurationHolder configuration;
+    private final UpstreamSelection selection;
     private final MonotonicClock clock;
-    private final RandomGenerator random;
     private Set<AvailabilityZoneId> evacuated = Set.of();
     private double meanSlowness = 1;
 
@@ -64,12 +52,8 @@
             ConfigurationHolder configuration,
             MonotonicClock clock,
             RandomGenerator random) {
-        this.home = home;
-        this.ownership = ownership;
-        this.rules = rules;
-        this.configuration = configuration;
+        this.selection = new UpstreamSelection(home, ownership, rules, configuration, random);
         this.clock = clock;
-        this.random = random;
     }
 
     /**
@@ -105,15 +89,6 @@
         });
     }
 
-    /**
-     * Returns the identifiers of all registered upstreams.
-     *
-     * @return a copy
-     */
-    public Set<UpstreamId> ids() {
-        return lock.compute(() -> Set.copyOf(states.keySet()));
-    }
-
     /**
      * Looks an upstream up.
      *
@@ -220,7 +195,7 @@
         return lock.compute(() -> {
             List<PeerReport> reports = new ArrayList<>();
             for (UpstreamState state : states.values()) {
-                if (filter.test(state.registration()) && isFresh(state, now)) {
+                if (filter.test(state.registration()) && UpstreamSelection.isFresh(state, now)) {
                     reports.add(new PeerReport(state.hash(), state.observation(), state.ownInFlight(), (int)
                             (PERCENT * state.ownFailShare(now))));
                 }
@@ -239,7 +214,7 @@
         return lock.compute(() -> states.values().stream()
                 .map(UpstreamState::registration)
                 .filter(registration -> !registration.draining())
-                .filter(registration -> starting ? isHome(registration) : ownership.owns(registration))
+                .filter(registration -> starting ? selection.isHome(registration) : selection.owns(registration))
                 .toList());
     }
 
@@ -252,9 +227,11 @@
         long now = clock.nowNanos();
         return lock.compute(() -> {
             List<UpstreamState> near = states.values().stream()
-                    .filter(state -> isHome(state.registration()))
+                    .filter(state -> selection.isHome(state.registration()))
                     .toList();
-            long fresh = near.stream().filter(state -> isFresh(state, now)).count();
+            long fresh = near.stream()
+                    .filter(state -> UpstreamSelection.isFresh(state, now))
+                    .count();
             return 2 * fresh >= near.size();
         });
     }
@@ -268,67 +245,14 @@
     public Optional<Placement> choose(ChoiceRequest request) {
         long now = clock.nowNanos();
         return lock.compute(() -> {
-            UpstreamState best = null;
-            double bestCost = request.maxCost();
-            for (UpstreamState state : states.values()) {
-                if (!isUsable(state, request, now)) {
-                    continue;
-                }
-                double cost = UpstreamCost.of(state, meanSlowness, typicalLocked(request.service()), now)
-                        + distance(state.registration());
-                if (cost < bestCost) {
-                    best = state;
-                    bestCost = cost;
-                }
-            }
-            return best == null ? Optional.empty() : Optional.of(place(best, bestCost, now));
+            Circumstances circumstances =
+                    new Circumstances(evacuated, meanSlowness, typicalLocked(request.service()), now);
+            return selection
+                    .choose(states.values(), request, circumstances)
+                    .map(choice -> place(choice.state(), choice.cost(), now));
         });
     }
 
-    private boolean isUsable(UpstreamState state, ChoiceRequest request, long now) {
-        Registration registration = state.registration();
-        if (!registration.service().equals(request.service())
-                || registration.draining()
-                || evacuated.contains(registration.availabilityZone())
-                || request.excluded().contains(registration.id())
-                || state.rests(now)
-                || !isFresh(state, now)
-                || !state.observation().reachable()) {
-            return false;
-        }
-        if (state.isCold(now)) {
-            return ownership.owns(registration)
-                    && state.load(now) < registration.slots()
-                    && state.coldPace().allows(coldPerSecond(registration.service()), now);
-        }
-        return state.load(now) < RoomRule.limit(registration.slots(), request.priority());
-    }
-
-    private static boolean isFresh(UpstreamState state, long now) {
-        return state.observation() != null && now - state.observation().atNanos() <= OBSERVATION_LIFE_NANOS;
-    }
-
-    private int coldPerSecond(ServiceId service) {
-        double bearable = configuration
-                .current()
-                .flatMap(current -> current.service(service))
-                .map(ServiceSpec::warmupPerSecond)
-                .orElse(1.0);
-        return bearable <= 0 ? Integer.MAX_VALUE : ColdPace.perSecond(bearable, rules);
-    }
-
-    private boolean isHome(Registration registration) {
-        return registration.availabilityZone().equals(home);
-    }
-
-    private double distance(Registration registration) {
-        double tie = random.nextDouble() * TIE_COST;
-        if (!isHome(registration)) {
-            return OTHER_ZONE_COST + tie;
-        }
-        return ownership.owns(registration) ? 0 : NOT_OWNED_COST + tie;
-    }
-
     private Placement place(UpstreamState state, double cost, long now) {
         Registration registration = state.registration();
         boolean cold = state.isCold(now);
@@ -417,7 +341,7 @@
                         + " cold=" + state.isCold(now)
                         + " resting=" + state.rests(now)
                         + " load=" + state.load(now)
-                        + " owned=" + ownership.owns(state.registration()))
+                        + " owned=" + selection.owns(state.registration()))
                 .sorted()
                 .toList());
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/package-info.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/package-info.java
@@ -1,2 +1,5 @@
-/** Decisions of the entry nodes: routes, beliefs about upstreams, choice, cold starts, repeat budgets and crash suspects. */
+/**
+ * Decisions of the entry nodes: routes, beliefs about upstreams, choice, cold starts, repeat budgets and crash
+ * suspects.
+ */
 package org.turmericspan.balancing;
--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -12,6 +12,7 @@
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.balancing.WeightedRotation;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.forwarding.ForwardingTables;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.ids.MonotonicClock;
@@ -72,6 +73,17 @@
         return new WeightedRotation(random);
     }
 
+    @Provides
+    @Singleton
+    static ForwardingTables tables(
+            ConfigurationHolder configuration,
+            UpstreamTable upstreams,
+            WeightedRotation rotation,
+            RepeatWindow repeats,
+            CrashSuspects suspects) {
+        return new ForwardingTables(configuration, upstreams, rotation, repeats, suspects);
+    }
+
     @Provides
     @Singleton
     static FleetSink fleet(ConfigurationHolder configuration, UpstreamTable upstreams, EventLog log) {
--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -55,6 +55,7 @@
     /** Time for which a stopping node keeps connections that callers may be about to use. */
     private static final long KEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+    private static final int OK = 200;
     private static final String PART = "node";
 
     private final EntrySettings settings;
@@ -143,8 +144,8 @@
     private HttpService operators() {
         return (request, reply) -> reply.send(
                 request.path().endsWith("/state")
-                        ? ResponseMessage.text(200, "text/plain", state())
-                        : ResponseMessage.text(200, "text/plain", metrics.text(feed, prober, client, members)));
+                        ? ResponseMessage.text(OK, "text/plain", state())
+                        : ResponseMessage.text(OK, "text/plain", metrics.text(feed, prober, client, members)));
     }
 
     private String state() {
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -12,13 +12,12 @@
 import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.FleetSink;
-import org.turmericspan.balancing.RepeatWindow;
 import org.turmericspan.balancing.UpstreamTable;
-import org.turmericspan.balancing.WeightedRotation;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.events.JsonEventLog;
 import org.turmericspan.forwarding.CallProtocol;
 import org.turmericspan.forwarding.ForwardingParts;
+import org.turmericspan.forwarding.ForwardingTables;
 import org.turmericspan.forwarding.UpstreamProber;
 import org.turmericspan.gossip.Gossip;
 import org.turmericspan.gossip.MemberTable;
@@ -127,11 +126,7 @@
     @Provides
     @Singleton
     static ForwardingParts forwarding(
-            ConfigurationHolder configuration,
-            UpstreamTable upstreams,
-            WeightedRotation rotation,
-            RepeatWindow repeats,
-            CrashSuspects suspects,
+            ForwardingTables tables,
             HttpClient client,
             CallProtocol protocol,
             UpstreamProber prober,
@@ -139,14 +134,10 @@
             MonotonicClock clock,
             EventLog log) {
         return new ForwardingParts(
-                configuration,
-                upstreams,
-                rotation,
-                repeats,
-                suspects,
+                tables,
                 client,
                 protocol,
-                id -> upstreams.registration(id).ifPresent(prober::recheck),
+                id -> tables.upstreams().registration(id).ifPresent(prober::recheck),
                 metrics,
                 clock,
                 log);
--- a/events/src/main/java/org/turmericspan/events/Event.java
+++ b/events/src/main/java/org/turmericspan/events/Event.java
@@ -92,5 +92,6 @@
         FAILURE
     }
 
+    /** One named value. */
     record Field(String name, Object value) {}
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingParts.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingParts.java
@@ -1,11 +1,6 @@
 package org.turmericspan.forwarding;
 
 import java.util.function.Consumer;
-import org.turmericspan.balancing.ConfigurationHolder;
-import org.turmericspan.balancing.CrashSuspects;
-import org.turmericspan.balancing.RepeatWindow;
-import org.turmericspan.balancing.UpstreamTable;
-import org.turmericspan.balancing.WeightedRotation;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.http.HttpCaller;
 import org.turmericspan.ids.MonotonicClock;
@@ -14,11 +9,7 @@
 /**
  * What the path of a request uses.
  *
- * @param configuration the configuration in force
- * @param upstreams beliefs about upstreams
- * @param rotation spreads requests over backends
- * @param repeats budget of repeats
- * @param suspects requests that took upstreams down
+ * @param tables what decides
  * @param caller client towards the upstreams
  * @param protocol header names and forms
  * @param recheck asked to look at an upstream whose connection broke
@@ -27,11 +18,7 @@
  * @param log takes decisions
  */
 public record ForwardingParts(
-        ConfigurationHolder configuration,
-        UpstreamTable upstreams,
-        WeightedRotation rotation,
-        RepeatWindow repeats,
-        CrashSuspects suspects,
+        ForwardingTables tables,
         HttpCaller caller,
         CallProtocol protocol,
         Consumer<UpstreamId> recheck,
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -52,7 +52,8 @@
             return;
         }
         boolean hasWaited = untilNanos - parts.clock().nowNanos() <= 0;
-        if (knowsFleet() || hasWaited && parts.configuration().current().isPresent()) {
+        if (knowsFleet()
+                || hasWaited && parts.tables().configuration().current().isPresent()) {
             forward(request, reply);
         } else if (hasWaited) {
             refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, 0);
@@ -70,13 +71,14 @@
     }
 
     private boolean learnFleet() {
-        fleetKnown =
-                parts.configuration().current().isPresent() && parts.upstreams().isMostlyObserved();
+        fleetKnown = parts.tables().configuration().current().isPresent()
+                && parts.tables().upstreams().isMostlyObserved();
         return fleetKnown;
     }
 
     private void forward(RequestMessage request, Reply reply) {
-        Optional<RoutingConfiguration> configuration = parts.configuration().current();
+        Optional<RoutingConfiguration> configuration =
+                parts.tables().configuration().current();
         long version = configuration.get().version();
         Optional<Route> route = configuration.get().find(hostOf(request), request.path());
         if (route.isEmpty()) {
@@ -84,12 +86,12 @@
             return;
         }
         long fingerprint = fingerprint(request);
-        if (parts.suspects().isQuarantined(fingerprint)) {
+        if (parts.tables().suspects().isQuarantined(fingerprint)) {
             refuse(request, reply, ResultCode.QUARANTINED, QUARANTINE_RETRY_MILLIS, version);
             return;
         }
-        ServiceId service = parts.rotation().next(route.get());
-        parts.repeats().recordRequest(service);
+        ServiceId service = parts.tables().rotation().next(route.get());
+        parts.tables().repeats().recordRequest(service);
         new RequestRun(
                         parts,
                         request,
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -93,7 +93,8 @@
         long now = parts.clock().nowNanos();
         Optional<Placement> placement = deadlineNanos - now < LEAST_LEFT_NANOS
                 ? Optional.empty()
-                : parts.upstreams()
+                : parts.tables()
+                        .upstreams()
                         .choose(new ChoiceRequest(target.service(), tried, route.priority(), Double.MAX_VALUE));
         if (placement.isPresent()) {
             attempt(placement.get(), kind);
@@ -152,7 +153,7 @@
     }
 
     private long typicalNanos() {
-        long typical = parts.upstreams().typicalNanos(target.service());
+        long typical = parts.tables().upstreams().typicalNanos(target.service());
         return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
     }
 
@@ -167,20 +168,23 @@
             return;
         }
         long now = parts.clock().nowNanos();
-        boolean turnedSlow = parts.upstreams().slowPercent(attempt.placement().upstream()) >= SLOW_PERCENT;
+        boolean turnedSlow =
+                parts.tables().upstreams().slowPercent(attempt.placement().upstream()) >= SLOW_PERCENT;
         boolean late = now - attempt.placement().startedNanos() >= LATE_FACTOR * typicalNanos();
         if (deadlineNanos - now < LEAST_LEFT_NANOS) {
             return;
         }
         Optional<Placement> placement = turnedSlow || late
-                ? parts.upstreams().choose(new ChoiceRequest(target.service(), tried, route.priority(), HEDGE_MAX_COST))
+                ? parts.tables()
+                        .upstreams()
+                        .choose(new ChoiceRequest(target.service(), tried, route.priority(), HEDGE_MAX_COST))
                 : Optional.empty();
         if (placement.isEmpty()) {
             scheduleHedge(attempt, HEDGE_STEP_NANOS);
-        } else if (parts.repeats().trySpend(target.service(), route.priority())) {
+        } else if (parts.tables().repeats().trySpend(target.service(), route.priority())) {
             attempt(placement.get(), AttemptKind.HEDGE);
         } else {
-            parts.upstreams().finish(placement.get(), AttemptResult.CANCELLED);
+            parts.tables().upstreams().finish(placement.get(), AttemptResult.CANCELLED);
         }
     }
 
@@ -198,8 +202,9 @@
     private void answered(Attempt attempt, ResponseMessage response) {
         parts.protocol()
                 .load(response)
-                .ifPresent(load ->
-                        parts.upstreams().observeLoad(attempt.placement().upstream(), load));
+                .ifPresent(load -> parts.tables()
+                        .upstreams()
+                        .observeLoad(attempt.placement().upstream(), load));
         if (parts.protocol().isWrongInstance(response)) {
             finish(attempt, AttemptResult.WRONG_INSTANCE, "another upstream at the address");
             retry(true);
@@ -212,7 +217,7 @@
             mayHaveRun = true;
             retry(route.idempotent());
         } else {
-            parts.upstreams().finish(attempt.placement(), AttemptResult.SUCCESS);
+            parts.tables().upstreams().finish(attempt.placement(), AttemptResult.SUCCESS);
             answer(response);
         }
     }
@@ -221,7 +226,7 @@
         sent--;
         if (end.unreachable()) {
             finish(attempt, AttemptResult.CONNECT_FAILED, end.reason());
-            parts.suspects().upstreamLost(attempt.placement().upstream());
+            parts.tables().suspects().upstreamLost(attempt.placement().upstream());
         } else {
             finish(attempt, AttemptResult.CANCELLED, end.reason());
             tried.remove(attempt.placement().upstream());
@@ -234,13 +239,15 @@
     private void broken(Attempt attempt, CallEnd.Broken end) {
         finish(attempt, AttemptResult.BROKEN, end.reason());
         mayHaveRun = true;
-        parts.suspects().attemptBroken(target.fingerprint(), attempt.placement().upstream());
+        parts.tables()
+                .suspects()
+                .attemptBroken(target.fingerprint(), attempt.placement().upstream());
         parts.recheck().accept(attempt.placement().upstream());
         retry(route.idempotent());
     }
 
     private void finish(Attempt attempt, AttemptResult result, String reason) {
-        parts.upstreams().finish(attempt.placement(), result);
+        parts.tables().upstreams().finish(attempt.placement(), result);
         parts.log()
                 .write(Event.failure("forward", "Attempt failed.")
                         .with("request", requestId)
@@ -257,8 +264,8 @@
         }
         if (permitted
                 && sent < route.maxAttempts()
-                && !parts.suspects().isQuarantined(target.fingerprint())
-                && parts.repeats().trySpend(target.service(), route.priority())) {
+                && !parts.tables().suspects().isQuarantined(target.fingerprint())
+                && parts.tables().repeats().trySpend(target.service(), route.priority())) {
             place(AttemptKind.RETRY);
         } else {
             giveUp(ResultCode.SHED_BY_UPSTREAM);
@@ -354,7 +361,7 @@
 
     private void cut(Attempt attempt) {
         if (active.remove(attempt)) {
-            parts.upstreams().finish(attempt.placement(), AttemptResult.CANCELLED);
+            parts.tables().upstreams().finish(attempt.placement(), AttemptResult.CANCELLED);
             attempt.cancel();
         }
     }
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -45,11 +45,12 @@
     private final UpstreamTable upstreams =
             new UpstreamTable(ZONE, registration -> true, RULES, configuration, clock, random);
     private final ForwardingService service = new ForwardingService(new ForwardingParts(
-            configuration,
-            upstreams,
-            new WeightedRotation(random),
-            new RepeatWindow(RULES, () -> 1, clock),
-            new CrashSuspects(clock),
+            new ForwardingTables(
+                    configuration,
+                    upstreams,
+                    new WeightedRotation(random),
+                    new RepeatWindow(RULES, () -> 1, clock),
+                    new CrashSuspects(clock)),
             caller,
             new FakeProtocol(),
             id -> {},
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -249,8 +249,9 @@
         }
 
         Optional<SocketAddress> owner(Registration registration) {
-            return owners.computeIfAbsent(
-                    registration.id().value(), id -> compute(id, registration.availabilityZone()));
+            String id = registration.id().value();
+            AvailabilityZoneId zone = registration.availabilityZone();
+            return owners.computeIfAbsent(id + "/" + zone.value(), key -> compute(id, zone));
         }
 
         Optional<Member> reader(AvailabilityZoneId zone) {
--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -46,11 +46,25 @@
         Once once = new Once(listener);
         Optional<ServerConnection> kept = pool.take(address, options);
         if (kept.isPresent()) {
-            kept.get().start(request, options, once);
-            return () -> once.cancel(kept.get());
+            once.onCancel(kept.get()::cancel);
+            kept.get().start(request, options, end -> {
+                if (end instanceof CallEnd.NotSent) {
+                    // The server closed the kept connection before it was used; a new one may still be made.
+                    callOnNewConnection(address, request, options, once);
+                } else {
+                    once.accept(end);
+                }
+            });
+        } else {
+            callOnNewConnection(address, request, options, once);
         }
+        return once::cancel;
+    }
+
+    private void callOnNewConnection(SocketAddress address, RequestMessage request, CallOptions options, Once once) {
         ServerConnection fresh = new ServerConnection(address, pool, clock);
         ChannelFuture connecting = connect(address, fresh, options);
+        once.onCancel(() -> connecting.channel().close());
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
                 once.accept(new CallEnd.NotSent(String.valueOf(done.cause().getMessage()), true));
@@ -59,18 +73,10 @@
             } else {
                 opened.incrementAndGet();
                 fresh.connected(connecting.channel());
+                once.onCancel(fresh::cancel);
                 fresh.start(request, options, once);
             }
         });
-        return () -> cancelNew(once, fresh, connecting);
-    }
-
-    private static void cancelNew(Once once, ServerConnection fresh, ChannelFuture connecting) {
-        if (connecting.isSuccess()) {
-            once.cancel(fresh);
-        } else if (once.finish()) {
-            connecting.channel().close();
-        }
     }
 
     private ChannelFuture connect(SocketAddress address, ServerConnection connection, CallOptions options) {
@@ -112,28 +118,29 @@
     private static final class Once implements Consumer<CallEnd> {
         private final Consumer<CallEnd> listener;
         private final AtomicBoolean done = new AtomicBoolean();
+        private volatile Runnable cancellation = () -> {};
 
         Once(Consumer<CallEnd> listener) {
             this.listener = listener;
         }
 
-        boolean finish() {
-            return done.compareAndSet(false, true);
+        void onCancel(Runnable action) {
+            cancellation = action;
         }
 
         boolean isDone() {
             return done.get();
         }
 
-        void cancel(ServerConnection connection) {
-            if (finish()) {
-                connection.cancel();
+        void cancel() {
+            if (done.compareAndSet(false, true)) {
+                cancellation.run();
             }
         }
 
         @Override
         public void accept(CallEnd end) {
-            if (finish()) {
+            if (done.compareAndSet(false, true)) {
                 listener.accept(end);
             }
         }
