Use the seeds of changed settings, with or without a signal

Cause: a reload only checked the file; the platform may change it without a signal. Change: SeedList holds the seeds, the file is compared every 2 s. Ruled out: file notifications, which the platform refuses.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -40,6 +40,8 @@
     private static final long CHECK_MILLIS = 20;
     /** Pause between looks at whether the node still reads the store itself. */
     private static final long READING_MILLIS = 100;
+    /** Pause between looks at whether the settings file has changed without a signal. */
+    private static final long SETTINGS_MILLIS = 2_000;
     /** Time after which a node serves although few upstreams answered its probes. */
     private static final long OBSERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Time after the first contact with another node in which news of the fleet arrives. */
@@ -59,6 +61,7 @@
     private static final String PART = "node";
 
     private final EntrySettings settings;
+    private final SeedList seeds;
     private final ConfigurationHolder configuration;
     private final UpstreamTable upstreams;
     private final MemberTable members;
@@ -83,6 +86,7 @@
     @Inject
     EntryNode(
             EntrySettings settings,
+            SeedList seeds,
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
             MemberTable members,
@@ -96,6 +100,7 @@
             MonotonicClock clock,
             EventLog log) {
         this.settings = settings;
+        this.seeds = seeds;
         this.configuration = configuration;
         this.upstreams = upstreams;
         this.members = members;
@@ -179,6 +184,8 @@
             prober.joined();
             readinessCheck.cancel(false);
             workers.scheduleWithFixedDelay(this::publishReading, READING_MILLIS, READING_MILLIS, TimeUnit.MILLISECONDS);
+            workers.scheduleWithFixedDelay(
+                    this::reloadIfChanged, SETTINGS_MILLIS, SETTINGS_MILLIS, TimeUnit.MILLISECONDS);
             logStep("Joined.", now);
         }
     }
@@ -216,17 +223,30 @@
         return named.stream().limit(MOST_NAMED).map(Member::callerAddress).toList();
     }
 
-    /** Reads the settings file anew. Addresses and agreed bounds hold for the life of the process. */
+    /** Reads the settings file anew and takes its seeds. Addresses and agreed bounds hold for the process's life. */
     void reload() {
         try {
             EntrySettings newer = settingsFile.read();
-            log.write(Event.notice(PART, "Settings read.").with("changed", !newer.equals(settings)));
+            seeds.replace(newer);
+            log.write(Event.notice(PART, "Settings read.")
+                    .with("changed", !newer.equals(settings))
+                    .with("seeds", newer.seedHosts()));
         } catch (IOException | InvalidEntrySettingsException e) {
             log.write(Event.failure(PART, "Settings not readable, the old ones stay.")
                     .with("reason", e.getMessage()));
         }
     }
 
+    private void reloadIfChanged() {
+        try {
+            if (settingsFile.hasChanged()) {
+                reload();
+            }
+        } catch (IOException e) {
+            log.write(Event.notice(PART, "Settings file not readable.").with("reason", e.getMessage()));
+        }
+    }
+
     @Override
     public void close() {
         long deadlineNanos = clock.nowNanos() + settings.graceNanos() - EXIT_NANOS;
--- a/entry/src/main/java/org/turmericspan/entry/SettingsFile.java
+++ b/entry/src/main/java/org/turmericspan/entry/SettingsFile.java
@@ -1,8 +1,7 @@
 package org.turmericspan.entry;
 
 import java.io.IOException;
-import java.io.Reader;
-import java.nio.charset.StandardCharsets;
+import java.io.StringReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Properties;
@@ -10,6 +9,7 @@
 /** The file from which settings are read, at the start and whenever it changes. */
 public final class SettingsFile {
     private final Path path;
+    private String content = "";
 
     /**
      * Names the file.
@@ -27,10 +27,19 @@
      * @throws IOException when the file cannot be read
      */
     public EntrySettings read() throws IOException {
+        content = Files.readString(path);
         Properties values = new Properties();
-        try (Reader reader = Files.newBufferedReader(path, StandardCharsets.UTF_8)) {
-            values.load(reader);
-        }
+        values.load(new StringReader(content));
         return EntrySettings.of(values);
     }
+
+    /**
+     * Tells whether the file has changed since it was read last.
+     *
+     * @return whether its text differs
+     * @throws IOException when the file cannot be read
+     */
+    public boolean hasChanged() throws IOException {
+        return !Files.readString(path).equals(content);
+    }
 }
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -5,7 +5,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.util.List;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
@@ -23,7 +22,6 @@
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.http.HttpClient;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.platform.FeedSources;
 import org.turmericspan.platform.PlatformCallProtocol;
 import org.turmericspan.platform.StoreFeed;
@@ -89,17 +87,13 @@
     @Provides
     @Singleton
     static Gossip gossip(
-            EntrySettings settings,
             MemberTable members,
             UpstreamTable upstreams,
             CrashSuspects suspects,
+            SeedList seeds,
             EventLoopGroup workers,
             RandomGenerator random) {
-        int port = settings.gossipAddress().port();
-        List<SocketAddress> seeds = settings.seedHosts().stream()
-                .map(host -> new SocketAddress(host, port))
-                .toList();
-        return new Gossip(members, upstreams, suspects, () -> seeds, workers.next(), random);
+        return new Gossip(members, upstreams, suspects, seeds, workers.next(), random);
     }
 
     @Provides
--- a/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
@@ -208,4 +208,12 @@
         await("read", () -> nodes.get(0).logContains("Settings read."));
         assertThat(nodes.get(0).request("GET", "/a/1", "h").status()).isEqualTo(200);
     }
+
+    @Test
+    void settingsThatChangeWithoutASignalAreRead() throws Exception {
+        startNodes(1);
+        nodes.get(0).changeSeeds("127.0.7.50:1");
+        await("read", () -> nodes.get(0).logContains("127.0.7.50"));
+        assertThat(nodes.get(0).request("GET", "/a/1", "c").status()).isEqualTo(200);
+    }
 }
--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -134,6 +134,12 @@
 
     record Answer(int status, String body) {}
 
+    void changeSeeds(String seeds) throws IOException {
+        List<String> lines = Files.readAllLines(settings);
+        lines.replaceAll(line -> line.startsWith("seeds=") ? "seeds=" + seeds : line);
+        Files.write(settings, lines);
+    }
+
     void terminate() {
         process.destroy();
     }
