--- a/balancing/src/main/java/org/turmericspan/balancing/CrashSuspects.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/CrashSuspects.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.StableHash;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
--- a/balancing/src/main/java/org/turmericspan/balancing/PeerReport.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/PeerReport.java
@@ -3,7 +3,7 @@
 /**
  * What another node knows of an upstream.
  *
- * @param upstreamHash stable hash of the upstream's identifier, see {@link StableHash}
+ * @param upstreamHash stable hash of the upstream's identifier, see {@link org.turmericspan.ids.StableHash}
  * @param observation newest observation it has; its time is given on the receiver's clock
  * @param inFlight requests the node itself has at the upstream
  * @param failPercent share of its own recent attempts there that failed
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.turmericspan.ids.StableHash;
 
 /** Beliefs about one upstream. The table's lock guards it. */
 final class UpstreamState {
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -13,6 +13,7 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.StableHash;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.StableHash;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.testkit.ManualClock;
 
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -5,13 +5,13 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.turmericspan.balancing.Route;
 import org.turmericspan.balancing.RoutingConfiguration;
-import org.turmericspan.balancing.StableHash;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.events.Event;
 import org.turmericspan.http.HttpService;
 import org.turmericspan.http.Reply;
 import org.turmericspan.http.RequestMessage;
 import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.StableHash;
 
 /** Finds the route of each request and forwards it to an upstream. */
 public final class ForwardingService implements HttpService {
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -11,12 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.balancing.Ownership;
 import org.turmericspan.balancing.Registration;
-import org.turmericspan.balancing.StableHash;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StableHash;
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
--- a/balancing/src/main/java/org/turmericspan/balancing/StableHash.java
+++ b/ids/src/main/java/org/turmericspan/ids/StableHash.java
@@ -1,4 +1,4 @@
-package org.turmericspan.balancing;
+package org.turmericspan.ids;
 
 /** Hash that is equal on every node and in every process. */
 public final class StableHash {
