Pass no success on that lacks the upstream's signature

Change: such a success counts as broken. Test: two cases of ForwardingServiceTest fail before and pass after.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
@@ -51,6 +51,14 @@
      */
     boolean isWrongInstance(ResponseMessage response);
 
+    /**
+     * Tells whether a response bears the mark of the upstream that made it. A success without it is spoiled.
+     *
+     * @param response the response
+     * @return whether the mark is there
+     */
+    boolean isSigned(ResponseMessage response);
+
     /**
      * Reads the load that a response states.
      *
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -216,6 +216,8 @@
             serverError = response;
             mayHaveRun = true;
             retry(route.idempotent());
+        } else if (response.isSuccess() && !parts.protocol().isSigned(response)) {
+            broken(attempt, new CallEnd.Broken("success without a signature"));
         } else {
             parts.tables().upstreams().finish(attempt.placement(), AttemptResult.SUCCESS);
             answer(response);
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeCaller.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeCaller.java
@@ -56,6 +56,12 @@
         }
 
         void answer(int status) {
+            ResponseMessage plain = ResponseMessage.text(status, "text/plain", "answer " + status);
+            listener.accept(new CallEnd.Answered(
+                    new ResponseMessage(status, plain.headers().with("signed", "1"), plain.body())));
+        }
+
+        void answerUnsigned(int status) {
             listener.accept(new CallEnd.Answered(ResponseMessage.text(status, "text/plain", "answer " + status)));
         }
 
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeProtocol.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeProtocol.java
@@ -39,6 +39,11 @@
         return response.status() == 421;
     }
 
+    @Override
+    public boolean isSigned(ResponseMessage response) {
+        return response.headers().first("signed").isPresent();
+    }
+
     @Override
     public Optional<LoadFigures> load(ResponseMessage response) {
         return Optional.empty();
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -161,6 +161,22 @@
         assertThat(reply.status()).isEqualTo(500);
     }
 
+    @Test
+    void successWithoutASignatureIsNeverPassedOn() {
+        start(2, "/once/1");
+        caller.call(0).answerUnsigned(200);
+        assertThat(caller.count()).isEqualTo(1);
+        assertThat(reply.status()).isEqualTo(502);
+    }
+
+    @Test
+    void idempotentRequestIsRepeatedAfterASuccessWithoutASignature() {
+        start(2, "/safe/1");
+        caller.call(0).answerUnsigned(200);
+        caller.call(1).answer(200);
+        assertThat(reply.status()).isEqualTo(200);
+    }
+
     @Test
     void nonIdempotentRequestIsNeverHedged() {
         start(2, "/once/1");
--- a/http/src/main/java/org/turmericspan/http/ResponseMessage.java
+++ b/http/src/main/java/org/turmericspan/http/ResponseMessage.java
@@ -10,6 +10,8 @@
  * @param body the body; not copied, must not be changed
  */
 public record ResponseMessage(int status, HeaderList headers, byte[] body) {
+    private static final int LEAST_SUCCESS = 200;
+    private static final int MOST_SUCCESS = 299;
     private static final int LEAST_FAILURE = 500;
     private static final int MOST_FAILURE = 599;
 
@@ -26,6 +28,15 @@
                 status, HeaderList.EMPTY.with("Content-Type", contentType), text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Tells whether the status is a success.
+     *
+     * @return true from 200 to 299
+     */
+    public boolean isSuccess() {
+        return status >= LEAST_SUCCESS && status <= MOST_SUCCESS;
+    }
+
     /**
      * Tells whether the status is a failure of the server.
      *
