Ask upstreams for their load right before a choice

Requests chosen on load younger than 40 ms took 166 ms at p95, all together 328 ms (recipe lookups at an idle upstream of usual speed); up to 8 requests met at upstreams believed to hold one at most. Ruled out: processor time of the node (0.027 cores) and the way to the callers, which are the same for both groups. Change: FreshLoad asks the three best candidates before a choice where their load is older than 12 ms, within a part of the agreed probes (ProbeBudget); hedges follow HedgeRule, which looks at the upstream first; typical latencies are kept by route. Regular probes slow down from 80 to 250 ms, digests from 100 to 200 ms.

--- a/balancing/src/main/java/org/turmericspan/balancing/ChoiceRequest.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ChoiceRequest.java
@@ -1,18 +1,20 @@
 package org.turmericspan.balancing;
 
 import java.util.Set;
+import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.UpstreamId;
 
 /**
  * What a choice of upstream must respect.
  *
+ * @param route route of the request
  * @param service service of the request
  * @param excluded upstreams that were tried already
  * @param priority rank of the request, 0 is the highest; lower ranks find less room
  * @param maxCost highest predicted cost that is worth an attempt
  */
-public record ChoiceRequest(ServiceId service, Set<UpstreamId> excluded, int priority, double maxCost) {
+public record ChoiceRequest(RouteId route, ServiceId service, Set<UpstreamId> excluded, int priority, double maxCost) {
     /** Copies the set. */
     public ChoiceRequest {
         excluded = Set.copyOf(excluded);
--- a/balancing/src/main/java/org/turmericspan/balancing/Placement.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Placement.java
@@ -1,6 +1,6 @@
 package org.turmericspan.balancing;
 
-import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 
@@ -8,7 +8,7 @@
  * One attempt's place at an upstream. It counts there until it is finished.
  *
  * @param upstream the upstream
- * @param service its service
+ * @param route route of the request
  * @param address where it listens
  * @param startedNanos monotonic time of the choice
  * @param cost predicted cost, 1 for a request on an idle upstream at its usual speed
@@ -19,7 +19,7 @@
  */
 public record Placement(
         UpstreamId upstream,
-        ServiceId service,
+        RouteId route,
         SocketAddress address,
         long startedNanos,
         double cost,
--- a/balancing/src/main/java/org/turmericspan/balancing/Route.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Route.java
@@ -1,11 +1,12 @@
 package org.turmericspan.balancing;
 
 import java.util.List;
+import org.turmericspan.ids.RouteId;
 
 /**
  * One route of the configuration.
  *
- * @param name name, unique in the configuration
+ * @param id name, unique in the configuration
  * @param host host the route belongs to
  * @param prefix path prefix that begins and ends with a slash
  * @param backends services that run the requests; at least one
@@ -16,7 +17,7 @@
  * @param priority rank, 0 is the highest
  */
 public record Route(
-        String name,
+        RouteId id,
         String host,
         String prefix,
         List<Backend> backends,
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -1,6 +1,8 @@
 package org.turmericspan.balancing;
 
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,12 @@
     private static final double NOT_OWNED_COST = 0.08;
     /** Cost of an upstream in another zone: the longer way and the price of its bytes. */
     private static final double OTHER_ZONE_COST = 0.3;
+    /** Candidates asked for their load before a choice; three are rarely all slowed down by their neighbours. */
+    private static final int ASKED_CANDIDATES = 3;
+    /** Age up to which an observation need not be renewed; work changes its speed every few hundred milliseconds. */
+    private static final long JUST_OBSERVED_NANOS = TimeUnit.MILLISECONDS.toNanos(12);
+    /** Cost up to which an upstream is taken without asking others: at its usual speed, and not crowded. */
+    private static final double GOOD_COST = 1.25;
     /** Range of a random cost that breaks ties among nodes. */
     private static final double TIE_COST = 0.04;
 
@@ -51,9 +59,7 @@
             if (!isUsable(state, request, circumstances)) {
                 continue;
             }
-            double cost = UpstreamCost.of(
-                            state, circumstances.meanSlowness(), circumstances.typicalNanos(), circumstances.nowNanos())
-                    + distance(state.registration());
+            double cost = cost(state, circumstances);
             if (cost < bestCost) {
                 best = state;
                 bestCost = cost;
@@ -62,6 +68,36 @@
         return best == null ? Optional.empty() : Optional.of(new Choice(best, bestCost));
     }
 
+    /** Lists the best candidates whose load is not fresh, unless the best of all is fresh and nearly free. */
+    List<UpstreamState> worthAsking(
+            Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
+        List<Choice> ranked = states.stream()
+                .filter(state -> isUsable(state, request, circumstances))
+                .map(state -> new Choice(state, cost(state, circumstances)))
+                .sorted(Comparator.comparingDouble(Choice::cost))
+                .limit(ASKED_CANDIDATES)
+                .toList();
+        if (!ranked.isEmpty()
+                && ranked.get(0).cost() <= GOOD_COST
+                && isJustObserved(ranked.get(0).state(), circumstances.nowNanos())) {
+            return List.of();
+        }
+        return ranked.stream()
+                .map(Choice::state)
+                .filter(state -> !isJustObserved(state, circumstances.nowNanos()))
+                .toList();
+    }
+
+    private static boolean isJustObserved(UpstreamState state, long now) {
+        return now - state.observation().atNanos() <= JUST_OBSERVED_NANOS;
+    }
+
+    private double cost(UpstreamState state, Circumstances circumstances) {
+        return UpstreamCost.of(
+                        state, circumstances.meanSlowness(), circumstances.typicalNanos(), circumstances.nowNanos())
+                + distance(state.registration());
+    }
+
     private boolean isUsable(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
         long now = circumstances.nowNanos();
         Registration registration = state.registration();
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -12,7 +12,7 @@
 import org.turmericspan.balancing.UpstreamSelection.Circumstances;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.StableHash;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.tables.LockRank;
@@ -22,7 +22,7 @@
 public final class UpstreamTable {
     /** Weight of a new observation in the mean slowness. */
     private static final double MEAN_WEIGHT = 0.02;
-    /** Weight of a new answer in the typical latency of a service. */
+    /** Weight of a new answer in the typical latency of a route. */
     private static final double LATENCY_WEIGHT = 0.05;
 
     private static final double PERCENT = 100.0;
@@ -30,7 +30,7 @@
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
     private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
     private final Map<Long, UpstreamId> byHash = new HashMap<>();
-    private final Map<ServiceId, Double> typicalNanos = new HashMap<>();
+    private final Map<RouteId, Double> typicalNanos = new HashMap<>();
     private final UpstreamSelection selection;
     private final MonotonicClock clock;
     private Set<AvailabilityZoneId> evacuated = Set.of();
@@ -100,6 +100,15 @@
         return lock.compute(() -> Optional.ofNullable(states.get(id)).map(UpstreamState::registration));
     }
 
+    /**
+     * Counts the registered upstreams.
+     *
+     * @return the count
+     */
+    public int size() {
+        return lock.compute(states::size);
+    }
+
     /**
      * Sets the zones whose upstreams get nothing.
      *
@@ -246,15 +255,31 @@
     public Optional<Placement> choose(ChoiceRequest request) {
         long now = clock.nowNanos();
         return lock.compute(() -> {
-            Circumstances circumstances =
-                    new Circumstances(evacuated, meanSlowness, typicalLocked(request.service()), now);
+            Circumstances circumstances = circumstances(request, now);
             return selection
                     .choose(states.values(), request, circumstances)
-                    .map(choice -> place(choice.state(), choice.cost(), now));
+                    .map(choice -> place(choice.state(), request.route(), choice.cost(), now));
         });
     }
 
-    private Placement place(UpstreamState state, double cost, long now) {
+    private Circumstances circumstances(ChoiceRequest request, long now) {
+        return new Circumstances(evacuated, meanSlowness, typicalLocked(request.route()), now);
+    }
+
+    /**
+     * Lists the upstreams whose load is worth asking for before {@link #choose}.
+     *
+     * @param request what the choice must respect
+     * @return the best candidates of which nothing fresh is known; empty when the choice is good as it stands
+     */
+    public List<Registration> worthAsking(ChoiceRequest request) {
+        long now = clock.nowNanos();
+        return lock.compute(() -> selection.worthAsking(states.values(), request, circumstances(request, now)).stream()
+                .map(UpstreamState::registration)
+                .toList());
+    }
+
+    private Placement place(UpstreamState state, RouteId route, double cost, long now) {
         Registration registration = state.registration();
         boolean cold = state.isCold(now);
         int load = state.load(now);
@@ -264,7 +289,7 @@
         }
         return new Placement(
                 registration.id(),
-                registration.service(),
+                route,
                 registration.address(),
                 now,
                 cost,
@@ -295,21 +320,21 @@
 
     private void learnLatency(Placement placement, long now) {
         double usual = (now - placement.startedNanos()) / Math.max(1, placement.cost());
-        typicalNanos.merge(placement.service(), usual, (old, fresh) -> old + LATENCY_WEIGHT * (fresh - old));
+        typicalNanos.merge(placement.route(), usual, (old, fresh) -> old + LATENCY_WEIGHT * (fresh - old));
     }
 
     /**
-     * Returns how long a request to a service typically takes on an idle upstream.
+     * Returns how long a request of a route typically takes on an idle upstream.
      *
-     * @param service the service
+     * @param route the route
      * @return nanoseconds; 0 when nothing is known
      */
-    public long typicalNanos(ServiceId service) {
-        return lock.compute(() -> typicalLocked(service));
+    public long typicalNanos(RouteId route) {
+        return lock.compute(() -> typicalLocked(route));
     }
 
-    private long typicalLocked(ServiceId service) {
-        return typicalNanos.getOrDefault(service, 0.0).longValue();
+    private long typicalLocked(RouteId route) {
+        return typicalNanos.getOrDefault(route, 0.0).longValue();
     }
 
     /**
--- a/balancing/src/test/java/org/turmericspan/balancing/Samples.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/Samples.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
@@ -20,7 +21,15 @@
 
     static Route route(String prefix, Backend... backends) {
         return new Route(
-                "r" + prefix, "shop.example", prefix, List.of(backends), true, 3, 1_000_000_000L, 300_000_000L, 1);
+                new RouteId("r" + prefix),
+                "shop.example",
+                prefix,
+                List.of(backends),
+                true,
+                3,
+                1_000_000_000L,
+                300_000_000L,
+                1);
     }
 
     static RoutingConfiguration configuration(long version, Route... routes) {
@@ -38,6 +47,6 @@
     }
 
     static ChoiceRequest choice() {
-        return new ChoiceRequest(SERVICE, Set.of(), 2, Double.MAX_VALUE);
+        return new ChoiceRequest(new RouteId("r"), SERVICE, Set.of(), 2, Double.MAX_VALUE);
     }
 }
--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -8,6 +8,7 @@
 import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.FleetSink;
 import org.turmericspan.balancing.FleetState;
+import org.turmericspan.balancing.ProbeBudget;
 import org.turmericspan.balancing.RepeatWindow;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.balancing.WeightedRotation;
@@ -61,6 +62,13 @@
         return new RepeatWindow(settings.rules(), members::fleetSize, clock);
     }
 
+    @Provides
+    @Singleton
+    static ProbeBudget probeBudget(
+            EntrySettings settings, UpstreamTable upstreams, MemberTable members, MonotonicClock clock) {
+        return new ProbeBudget(settings.probesPerSecond(), upstreams::size, members::fleetSize, clock);
+    }
+
     @Provides
     @Singleton
     static CrashSuspects suspects(MonotonicClock clock) {
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -24,6 +24,7 @@
  * @param rules agreed bounds that decisions keep
  * @param graceNanos time from the stop signal to the kill
  * @param answerLifeSeconds how long callers may keep a directory answer
+ * @param probesPerSecond agreed probes of one upstream a second, by all nodes
  * @param probeIntervalMillis pause between probes of one upstream
  */
 public record EntrySettings(
@@ -39,11 +40,12 @@
         BalancingRules rules,
         long graceNanos,
         long answerLifeSeconds,
+        double probesPerSecond,
         long probeIntervalMillis) {
-    /** Pause between probes when the agreed budget allows it; speeds change several times a second. */
-    private static final long PROBE_INTERVAL_MILLIS = 80;
-    /** Part of the agreed probes that is spent, since two nodes may own an upstream for a moment. */
-    private static final double PROBE_PART = 0.5;
+    /** Pause between probes when the agreed budget allows it; requests ask for fresher load where they need it. */
+    private static final long PROBE_INTERVAL_MILLIS = 250;
+    /** Part of the agreed probes that owners spend, since two nodes may own an upstream for a moment. */
+    private static final double PROBE_PART = 0.2;
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -81,6 +83,7 @@
                         (long) (reader.number("retry-window-seconds") * NANOS_PER_SECOND)),
                 (long) (reader.number("grace-seconds") * NANOS_PER_SECOND),
                 Math.max(1, (long) reader.number("max-answer-life-seconds")),
+                probesPerSecond,
                 Math.max(PROBE_INTERVAL_MILLIS, (long) Math.ceil(MILLIS_PER_SECOND / (PROBE_PART * probesPerSecond))));
         if (!reader.faults.isEmpty()) {
             throw new InvalidEntrySettingsException(reader.faults);
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -11,6 +11,7 @@
 import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.FleetSink;
+import org.turmericspan.balancing.ProbeBudget;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.events.JsonEventLog;
@@ -78,10 +79,12 @@
             CrashSuspects suspects,
             HttpClient client,
             CallProtocol protocol,
+            ProbeBudget budget,
             EventLoopGroup workers,
             MonotonicClock clock,
             EventLog log) {
-        return new UpstreamProber(upstreams, configuration, suspects, client, protocol, workers.next(), clock, log);
+        return new UpstreamProber(
+                upstreams, configuration, suspects, client, protocol, budget, workers.next(), clock, log);
     }
 
     @Provides
@@ -127,13 +130,6 @@
             EntryMetrics metrics,
             MonotonicClock clock,
             EventLog log) {
-        return new ForwardingParts(
-                tables,
-                client,
-                protocol,
-                id -> tables.upstreams().registration(id).ifPresent(prober::recheck),
-                metrics,
-                clock,
-                log);
+        return new ForwardingParts(tables, client, protocol, prober, metrics, clock, log);
     }
 }
--- /dev/null
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/FreshLoad.java
@@ -0,0 +1,81 @@
+package org.turmericspan.forwarding;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.turmericspan.balancing.ChoiceRequest;
+import org.turmericspan.balancing.Registration;
+import org.turmericspan.balancing.UpstreamTable;
+
+/**
+ * Lets a step of a request wait until the load it decides on is a few milliseconds old. All of it runs on the worker of
+ * the request.
+ */
+final class FreshLoad {
+    private final UpstreamTable upstreams;
+    private final LoadLookup lookup;
+    private final ScheduledExecutorService worker;
+
+    FreshLoad(UpstreamTable upstreams, LoadLookup lookup, ScheduledExecutorService worker) {
+        this.upstreams = upstreams;
+        this.lookup = lookup;
+        this.worker = worker;
+    }
+
+    /** Runs a step when the best candidates have said what they bear, or the limit has passed. */
+    void beforeChoice(ChoiceRequest request, long limitNanos, Runnable step) {
+        Collection<Registration> asked = upstreams.worthAsking(request);
+        if (asked.isEmpty()) {
+            step.run();
+        } else {
+            new Wait(asked.size(), () -> upstreams.worthAsking(request).isEmpty(), step).ask(asked, limitNanos);
+        }
+    }
+
+    /** Runs a step when an upstream has said how it does, or the limit has passed. */
+    void of(Registration upstream, long limitNanos, Runnable step) {
+        new Wait(1, () -> false, step).ask(List.of(upstream), limitNanos);
+    }
+
+    /** Whether a wait may end before all have answered. */
+    @FunctionalInterface
+    private interface Enough {
+        boolean isKnown();
+    }
+
+    private final class Wait {
+        private final Enough enough;
+        private final Runnable step;
+        private ScheduledFuture<?> limit;
+        private int pending;
+        private boolean over;
+
+        Wait(int pending, Enough enough, Runnable step) {
+            this.pending = pending;
+            this.enough = enough;
+            this.step = step;
+        }
+
+        void ask(Collection<Registration> asked, long limitNanos) {
+            limit = worker.schedule(this::finish, limitNanos, TimeUnit.NANOSECONDS);
+            asked.forEach(upstream -> lookup.ask(upstream, () -> worker.execute(this::answered)));
+        }
+
+        private void answered() {
+            pending--;
+            if (!over && (pending == 0 || enough.isKnown())) {
+                finish();
+            }
+        }
+
+        private void finish() {
+            if (!over) {
+                over = true;
+                limit.cancel(false);
+                step.run();
+            }
+        }
+    }
+}
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -31,14 +31,8 @@
     private static final long ABANDON_MILLIS = 1_000;
     /** Shortest time left with which an attempt is worth making. */
     private static final long LEAST_LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
-    /** Factor on the typical latency after which an answer is late. */
-    private static final double LATE_FACTOR = 1.35;
-    /** Part of the typical latency after which an answer from an upstream that turned slow is given up on. */
-    private static final double TURNED_SLOW_FACTOR = 0.4;
-    /** Slowness, in percent, at which an upstream counts as slow. */
-    private static final int SLOW_PERCENT = 180;
-    /** Pause between looks at whether an attempt is late. */
-    private static final long HEDGE_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** Part of the target latency for which a choice may wait for the load of upstreams. */
+    private static final int LOOKUP_PART = 16;
     /** Highest predicted cost of an upstream that takes a hedge: fast now, and nearly idle. */
     private static final double HEDGE_MAX_COST = 1.6;
     /** Part of the target latency advised as pause to a caller that found no room. */
@@ -57,6 +51,7 @@
     private final long startedNanos;
     private final String requestId;
     private final HeaderList headers;
+    private final FreshLoad freshLoad;
     private final Set<UpstreamId> tried = new HashSet<>();
     private final Set<Attempt> active = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
@@ -77,6 +72,7 @@
         this.startedNanos = parts.clock().nowNanos();
         this.requestId = parts.protocol().requestId(request.headers()).orElse("-");
         this.headers = request.headers().endToEnd();
+        this.freshLoad = new FreshLoad(parts.tables().upstreams(), parts.lookup(), reply.worker());
     }
 
     void start() {
@@ -87,15 +83,25 @@
     }
 
     private void place(AttemptKind kind) {
+        freshLoad.beforeChoice(choice(Double.MAX_VALUE), lookupNanos(), () -> choose(kind));
+    }
+
+    private ChoiceRequest choice(double maxCost) {
+        return new ChoiceRequest(route.id(), target.service(), tried, route.priority(), maxCost);
+    }
+
+    private long lookupNanos() {
+        return route.targetLatencyNanos() / LOOKUP_PART;
+    }
+
+    private void choose(AttemptKind kind) {
         if (ended) {
             return;
         }
         long now = parts.clock().nowNanos();
         Optional<Placement> placement = deadlineNanos - now < LEAST_LEFT_NANOS
                 ? Optional.empty()
-                : parts.tables()
-                        .upstreams()
-                        .choose(new ChoiceRequest(target.service(), tried, route.priority(), Double.MAX_VALUE));
+                : parts.tables().upstreams().choose(choice(Double.MAX_VALUE));
         if (placement.isPresent()) {
             attempt(placement.get(), kind);
         } else if (now - startedNanos < route.targetLatencyNanos() / WAIT_PART
@@ -128,7 +134,7 @@
                         AttemptOptions.of(route.idempotent(), parts.protocol().echoHeader()),
                         end -> reply.worker().execute(() -> ended(attempt, end))));
         if (route.idempotent() && kind != AttemptKind.HEDGE) {
-            watchForHedge(attempt);
+            scheduleHedge(attempt, HedgeRule.firstLook());
         }
     }
 
@@ -138,7 +144,7 @@
                         .with("request", requestId)
                         .with("kind", kind)
                         .with("upstream", placement.upstream())
-                        .with("route", route.name())
+                        .with("route", route.id())
                         .with("version", target.version())
                         .with("costPercent", Math.round(placement.cost() * PERCENT))
                         .with("slowPercent", placement.slowPercent())
@@ -147,40 +153,57 @@
                         .with("cold", placement.cold()));
     }
 
-    private void watchForHedge(Attempt attempt) {
-        long typical = typicalNanos();
-        scheduleHedge(attempt, (long) (TURNED_SLOW_FACTOR * typical));
-    }
-
     private long typicalNanos() {
-        long typical = parts.tables().upstreams().typicalNanos(target.service());
+        long typical = parts.tables().upstreams().typicalNanos(route.id());
         return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
     }
 
-    private void scheduleHedge(Attempt attempt, long delayNanos) {
+    /** Looks at an attempt again at a time that is given in units of the typical latency. */
+    private void scheduleHedge(Attempt attempt, double atTypical) {
         cancelTimer(hedgeTimer);
-        hedgeTimer = reply.worker().schedule(() -> hedge(attempt), delayNanos, TimeUnit.NANOSECONDS);
+        long atNanos = attempt.placement().startedNanos() + (long) (atTypical * typicalNanos());
+        long delayNanos = Math.max(0, atNanos - parts.clock().nowNanos());
+        hedgeTimer = reply.worker().schedule(() -> look(attempt), delayNanos, TimeUnit.NANOSECONDS);
     }
 
-    /** Sends a second attempt when the first is late, or its upstream has turned slow, and a fast one is idle. */
-    private void hedge(Attempt attempt) {
-        if (ended || sent >= route.maxAttempts() || !active.contains(attempt)) {
-            return;
+    private void look(Attempt attempt) {
+        if (mayHedge(attempt)) {
+            parts.tables()
+                    .upstreams()
+                    .registration(attempt.placement().upstream())
+                    .ifPresentOrElse(
+                            upstream -> freshLoad.of(upstream, lookupNanos(), () -> considerHedge(attempt)),
+                            () -> considerHedge(attempt));
         }
-        long now = parts.clock().nowNanos();
-        boolean turnedSlow =
-                parts.tables().upstreams().slowPercent(attempt.placement().upstream()) >= SLOW_PERCENT;
-        boolean late = now - attempt.placement().startedNanos() >= LATE_FACTOR * typicalNanos();
-        if (deadlineNanos - now < LEAST_LEFT_NANOS) {
+    }
+
+    private boolean mayHedge(Attempt attempt) {
+        return !ended
+                && sent < route.maxAttempts()
+                && active.contains(attempt)
+                && deadlineNanos - parts.clock().nowNanos() >= LEAST_LEFT_NANOS;
+    }
+
+    private void considerHedge(Attempt attempt) {
+        double elapsed =
+                (double) (parts.clock().nowNanos() - attempt.placement().startedNanos()) / typicalNanos();
+        int slowPercent =
+                parts.tables().upstreams().slowPercent(attempt.placement().upstream());
+        if (HedgeRule.isWorthwhile(elapsed, slowPercent)) {
+            freshLoad.beforeChoice(choice(HEDGE_MAX_COST), lookupNanos(), () -> hedge(attempt, elapsed));
+        } else {
+            scheduleHedge(attempt, HedgeRule.nextLook(elapsed));
+        }
+    }
+
+    /** Sends a second attempt if a fast upstream is idle and the budget of repeats allows it. */
+    private void hedge(Attempt attempt, double elapsed) {
+        if (!mayHedge(attempt)) {
             return;
         }
-        Optional<Placement> placement = turnedSlow || late
-                ? parts.tables()
-                        .upstreams()
-                        .choose(new ChoiceRequest(target.service(), tried, route.priority(), HEDGE_MAX_COST))
-                : Optional.empty();
+        Optional<Placement> placement = parts.tables().upstreams().choose(choice(HEDGE_MAX_COST));
         if (placement.isEmpty()) {
-            scheduleHedge(attempt, HEDGE_STEP_NANOS);
+            scheduleHedge(attempt, HedgeRule.nextLook(elapsed));
         } else if (parts.tables().repeats().trySpend(target.service(), route.priority())) {
             attempt(placement.get(), AttemptKind.HEDGE);
         } else {
@@ -244,7 +267,10 @@
         parts.tables()
                 .suspects()
                 .attemptBroken(target.fingerprint(), attempt.placement().upstream());
-        parts.recheck().accept(attempt.placement().upstream());
+        parts.tables()
+                .upstreams()
+                .registration(attempt.placement().upstream())
+                .ifPresent(upstream -> parts.lookup().ask(upstream, () -> {}));
         retry(route.idempotent());
     }
 
@@ -303,7 +329,7 @@
                 .write(Event.failure("forward", "Request refused.")
                         .with("request", requestId)
                         .with("code", code.number())
-                        .with("route", route.name())
+                        .with("route", route.id())
                         .with("version", target.version())
                         .with("attempts", attempts)
                         .with("elapsedMs", elapsedMillis()));
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -1,16 +1,20 @@
 package org.turmericspan.forwarding;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.LoadFigures;
 import org.turmericspan.balancing.Observation;
+import org.turmericspan.balancing.ProbeBudget;
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.Event;
@@ -25,7 +29,7 @@
 import org.turmericspan.ids.UpstreamId;
 
 /** Asks the upstreams that this node owns for their health, load and warmth. It runs on one worker. */
-public final class UpstreamProber {
+public final class UpstreamProber implements LoadLookup {
     /** Longest wait for an answer; probes are answered at once or not at all. */
     private static final long TIMEOUT_MILLIS = 300;
     /** Longest idle time of a connection that a probe uses; a probe that fails costs nothing but the connection. */
@@ -41,10 +45,11 @@
     private final CrashSuspects suspects;
     private final HttpClient client;
     private final CallProtocol protocol;
+    private final ProbeBudget budget;
     private final ScheduledExecutorService worker;
     private final MonotonicClock clock;
     private final EventLog log;
-    private final Set<UpstreamId> underWay = new HashSet<>();
+    private final Map<UpstreamId, Probe> underWay = new HashMap<>();
     private final Map<UpstreamId, Integer> failures = new HashMap<>();
     private final Set<UpstreamId> cold = new HashSet<>();
     private volatile boolean joined;
@@ -58,6 +63,7 @@
      * @param suspects told of upstreams that are down
      * @param client client whose kept connections are proved alive by probes
      * @param protocol header names and forms
+     * @param budget allows the probes that requests ask for
      * @param worker runs the probes
      * @param clock monotonic time
      * @param log takes changes of belief
@@ -68,6 +74,7 @@
             CrashSuspects suspects,
             HttpClient client,
             CallProtocol protocol,
+            ProbeBudget budget,
             ScheduledExecutorService worker,
             MonotonicClock clock,
             EventLog log) {
@@ -76,6 +83,7 @@
         this.suspects = suspects;
         this.client = client;
         this.protocol = protocol;
+        this.budget = budget;
         this.worker = worker;
         this.clock = clock;
         this.log = log;
@@ -99,13 +107,19 @@
         joined = true;
     }
 
-    /**
-     * Looks at one upstream soon.
-     *
-     * @param registration the upstream
-     */
-    public void recheck(Registration registration) {
-        worker.execute(() -> probe(registration));
+    @Override
+    public void ask(Registration upstream, Runnable ended) {
+        worker.execute(() -> {
+            Probe probe = underWay.get(upstream.id());
+            if (probe == null && budget.trySpend()) {
+                probe = probe(upstream);
+            }
+            if (probe == null || probe.done) {
+                ended.run();
+            } else {
+                probe.listeners.add(ended);
+            }
+        });
     }
 
     /**
@@ -117,21 +131,24 @@
         return sent;
     }
 
-    private void probe(Registration target) {
+    /** Starts a probe unless one is under way; returns the one that is, or null when the service has no health path. */
+    private Probe probe(Registration target) {
         Optional<String> path = configuration
                 .current()
                 .flatMap(current -> current.service(target.service()))
                 .map(service -> service.healthPath());
-        if (path.isEmpty() || !underWay.add(target.id())) {
-            return;
+        if (path.isEmpty() || underWay.containsKey(target.id())) {
+            return underWay.get(target.id());
         }
         sent++;
         CallOptions options =
                 new CallOptions(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), MAX_IDLE_NANOS, true, Optional.empty());
         RequestMessage request = RequestMessage.get(path.get(), target.address().toString());
         Probe probe = new Probe(target);
+        underWay.put(target.id(), probe);
         probe.handle = client.call(target.address(), request, options, end -> worker.execute(() -> ended(probe, end)));
-        worker.schedule(() -> timedOut(probe), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        probe.limit = worker.schedule(() -> timedOut(probe), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        return probe;
     }
 
     private void timedOut(Probe probe) {
@@ -146,6 +163,9 @@
             return;
         }
         probe.done = true;
+        if (probe.limit != null) {
+            probe.limit.cancel(false);
+        }
         underWay.remove(probe.target.id());
         if (end instanceof CallEnd.Answered answered) {
             answered(probe.target, answered.response());
@@ -155,6 +175,7 @@
             client.dropIdle(probe.target.address());
             failed(probe.target, broken.reason(), false);
         }
+        probe.listeners.forEach(Runnable::run);
     }
 
     private void answered(Registration target, ResponseMessage response) {
@@ -215,7 +236,9 @@
 
     private static final class Probe {
         private final Registration target;
+        private final List<Runnable> listeners = new ArrayList<>();
         private CallHandle handle = () -> {};
+        private ScheduledFuture<?> limit;
         private boolean done;
 
         Probe(Registration target) {
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -25,6 +25,7 @@
 import org.turmericspan.http.HeaderList;
 import org.turmericspan.http.RequestMessage;
 import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
@@ -39,6 +40,7 @@
     private final ManualClock clock = new ManualClock();
     private final ManualExecutor worker = new ManualExecutor(clock);
     private final FakeCaller caller = new FakeCaller();
+    private final FakeLookup lookup = new FakeLookup();
     private final FakeReply reply = new FakeReply(worker);
     private final ConfigurationHolder configuration = new ConfigurationHolder();
     private final SplittableRandom random = new SplittableRandom(1);
@@ -53,7 +55,7 @@
                     new CrashSuspects(clock)),
             caller,
             new FakeProtocol(),
-            id -> {},
+            lookup,
             new NoOutcomes(),
             clock,
             EventLog.none()));
@@ -73,8 +75,8 @@
         configuration.accept(new RoutingConfiguration(
                 1,
                 List.of(
-                        new Route("s", "h", "/safe/", backends, true, 2, timeout, target, 0),
-                        new Route("o", "h", "/once/", backends, false, 2, timeout, target, 0)),
+                        new Route(new RouteId("s"), "h", "/safe/", backends, true, 2, timeout, target, 0),
+                        new Route(new RouteId("o"), "h", "/once/", backends, false, 2, timeout, target, 0)),
                 Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 10, 0, 8)),
                 RequestLimits.DEFAULT));
     }
@@ -263,4 +265,65 @@
         worker.advance(Duration.ofMillis(60));
         assertThat(reply.status()).isEqualTo(503);
     }
+
+    private void observe(String id, int slowPercent) {
+        upstreams.observe(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, slowPercent, 0, true, true));
+    }
+
+    /** Makes what is known of all upstreams old, and leaves questions to them open. */
+    private void ageKnowledge() {
+        worker.advance(Duration.ofMillis(200));
+        lookup.hold();
+    }
+
+    @Test
+    void upstreamsAreAskedForTheirLoadBeforeTheChoice() {
+        configure();
+        add("u-0");
+        add("u-1");
+        ageKnowledge();
+        send("/once/1");
+        assertThat(caller.count()).isZero();
+        observe("u-0", 400);
+        lookup.end(new UpstreamId("u-0"));
+        observe("u-1", 100);
+        lookup.end(new UpstreamId("u-1"));
+        assertThat(caller.call(0).upstream()).isEqualTo("u-1");
+    }
+
+    @Test
+    void firstGoodAnswerEndsTheWait() {
+        configure();
+        add("u-0");
+        add("u-1");
+        ageKnowledge();
+        send("/once/1");
+        observe("u-1", 100);
+        lookup.end(new UpstreamId("u-1"));
+        assertThat(caller.call(0).upstream()).isEqualTo("u-1");
+        lookup.end(new UpstreamId("u-0"));
+        assertThat(caller.count()).isEqualTo(1);
+    }
+
+    @Test
+    void silentUpstreamsDoNotHoldARequestUp() {
+        configure();
+        add("u-0");
+        ageKnowledge();
+        send("/once/1");
+        worker.advance(Duration.ofMillis(20));
+        assertThat(caller.count()).isEqualTo(1);
+    }
+
+    @Test
+    void callerThatLeavesWhileUpstreamsAreAskedCausesNoAttempt() {
+        configure();
+        add("u-0");
+        ageKnowledge();
+        send("/once/1");
+        reply.leave();
+        lookup.end(new UpstreamId("u-0"));
+        worker.advance(Duration.ofMillis(20));
+        assertThat(caller.count()).isZero();
+    }
 }
--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -14,14 +14,12 @@
  * node's cost thus depends on the size of its zone and not on the fleet's.
  */
 public final class Gossip {
-    /** Pause between digests within the zone; a fraction of the time in which speeds change. */
-    private static final long NEAR_MILLIS = 100;
+    /** Pause between digests within the zone; several must be lost before a node counts as gone. */
+    private static final long NEAR_MILLIS = 200;
     /** Digests a second within the zone on which a node spends; larger zones slow down. */
     private static final int NEAR_PER_SECOND = 100;
-    /** Rounds within the zone for each digest to another zone. */
-    private static final int FAR_ROUNDS = 2;
     /** Rounds between digests to the seeds, which bring together parts of the fleet that lost each other. */
-    private static final int SEED_ROUNDS = 12;
+    private static final int SEED_ROUNDS = 6;
     /** Crashes told in each digest. */
     private static final int MAX_CRASHES = 20;
 
@@ -82,7 +80,7 @@
             Digest digest = nearDigest();
             near.forEach(member -> link.send(digest, member.address()));
         }
-        if (round % FAR_ROUNDS == 0 && !far.isEmpty()) {
+        if (!far.isEmpty()) {
             link.send(farDigest(), far.get(random.nextInt(far.size())).address());
         }
         if (round % SEED_ROUNDS == 0 || others.isEmpty()) {
