--- a/balancing/src/main/java/org/turmericspan/balancing/Registration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Registration.java
@@ -33,14 +33,12 @@
      * @return whether they say the same
      */
     public boolean isSameAs(Registration other) {
-        return equals(new Registration(
-                other.id,
-                other.service,
-                other.address,
-                other.availabilityZone,
-                other.slots,
-                other.draining,
-                other.startedMillis,
-                coldUntilNanos));
+        return id.equals(other.id)
+                && service.equals(other.service)
+                && address.equals(other.address)
+                && availabilityZone.equals(other.availabilityZone)
+                && slots == other.slots
+                && draining == other.draining
+                && startedMillis == other.startedMillis;
     }
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
@@ -34,9 +34,8 @@
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
                     .add(route);
         }
-        Comparator<Route> longestFirst = Comparator.comparingInt(
-                        (Route route) -> route.prefix().length())
-                .reversed();
+        Comparator<Route> longestFirst = (one, other) ->
+                Integer.compare(other.prefix().length(), one.prefix().length());
         routesByHost.values().forEach(list -> list.sort(longestFirst));
     }
 
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -1,7 +1,6 @@
 package org.turmericspan.balancing;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -74,7 +73,7 @@
         List<Choice> ranked = states.stream()
                 .filter(state -> isUsable(state, request, circumstances))
                 .map(state -> new Choice(state, cost(state, circumstances)))
-                .sorted(Comparator.comparingDouble(Choice::cost))
+                .sorted((one, other) -> Double.compare(one.cost(), other.cost()))
                 .limit(ASKED_CANDIDATES)
                 .toList();
         if (!ranked.isEmpty()
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -42,6 +42,25 @@
         long answerLifeSeconds,
         double probesPerSecond,
         long probeIntervalMillis) {
+    private static final String COLD_OVERAGE = "cold-overage";
+    private static final String COLD_SLACK = "cold-slack";
+    private static final String RETRY_RATIO = "retry-ratio";
+    private static final String RETRY_SLACK = "retry-slack";
+    private static final String RETRY_WINDOW_SECONDS = "retry-window-seconds";
+    private static final String GRACE_SECONDS = "grace-seconds";
+    private static final String MAX_ANSWER_LIFE_SECONDS = "max-answer-life-seconds";
+    private static final String PROBES_PER_SECOND = "probes-per-second";
+    /** Names of the settings whose numbers the operators agree on. */
+    static final List<String> AGREED_NUMBERS = List.of(
+            COLD_OVERAGE,
+            COLD_SLACK,
+            RETRY_RATIO,
+            RETRY_SLACK,
+            RETRY_WINDOW_SECONDS,
+            GRACE_SECONDS,
+            MAX_ANSWER_LIFE_SECONDS,
+            PROBES_PER_SECOND);
+
     /** Pause between probes when the agreed budget allows it; requests ask for fresher load where they need it. */
     private static final long PROBE_INTERVAL_MILLIS = 250;
     /** Part of the agreed probes that owners spend, since two nodes may own an upstream for a moment. */
@@ -64,7 +83,7 @@
      */
     public static EntrySettings of(Properties values) {
         Reader reader = new Reader(values);
-        double probesPerSecond = reader.number("probes-per-second");
+        double probesPerSecond = reader.number(PROBES_PER_SECOND);
         EntrySettings settings = new EntrySettings(
                 reader.text("vm"),
                 reader.value("availability-zone", AvailabilityZoneId::new, new AvailabilityZoneId("none")),
@@ -76,13 +95,13 @@
                 reader.hosts("seeds"),
                 reader.address("store-address"),
                 new BalancingRules(
-                        reader.number("cold-overage"),
-                        reader.number("cold-slack"),
-                        reader.number("retry-ratio"),
-                        reader.number("retry-slack"),
-                        (long) (reader.number("retry-window-seconds") * NANOS_PER_SECOND)),
-                (long) (reader.number("grace-seconds") * NANOS_PER_SECOND),
-                Math.max(1, (long) reader.number("max-answer-life-seconds")),
+                        reader.number(COLD_OVERAGE),
+                        reader.number(COLD_SLACK),
+                        reader.number(RETRY_RATIO),
+                        reader.number(RETRY_SLACK),
+                        (long) (reader.number(RETRY_WINDOW_SECONDS) * NANOS_PER_SECOND)),
+                (long) (reader.number(GRACE_SECONDS) * NANOS_PER_SECOND),
+                Math.max(1, (long) reader.number(MAX_ANSWER_LIFE_SECONDS)),
                 probesPerSecond,
                 Math.max(PROBE_INTERVAL_MILLIS, (long) Math.ceil(MILLIS_PER_SECOND / (PROBE_PART * probesPerSecond))));
         if (!reader.faults.isEmpty()) {
--- a/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
+++ b/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
@@ -6,9 +6,12 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
+import java.io.StringWriter;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Properties;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -19,15 +22,18 @@
 import org.turmericspan.http.CallOptions;
 import org.turmericspan.http.HttpClient;
 import org.turmericspan.http.HttpListener;
+import org.turmericspan.http.HttpService;
 import org.turmericspan.http.ListenerLimits;
 import org.turmericspan.http.RequestMessage;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.platform.RehearsalPlatform;
+import org.turmericspan.platform.RehearsalServer;
 
 /**
- * Runs a node against a platform of its own on loopback, so that the JDK can archive the classes it loads. A start with
- * the archive takes about half the processor time.
+ * Runs a small fleet of nodes against a platform of its own on loopback, so that the JDK can list the classes and lambdas
+ * that a start and the first requests need. A start from an archive of them takes about half the processor time; what
+ * the rehearsal leaves out is loaded in the slow way at run time.
  */
 public final class Rehearsal {
     /** Requests sent; enough for every class on the path to be loaded. */
@@ -36,10 +42,19 @@
     private static final long LIMIT_SECONDS = 20;
     /** Pause between requests. */
     private static final long PAUSE_MILLIS = 40;
+    /** Time in which the nodes join each other and read the store. */
+    private static final long START_MILLIS = 1_500;
 
     private static final String LOOPBACK = "127.0.0.1";
+    /** Hosts of the other nodes, which share the first one's gossip port. */
+    private static final String SECOND_HOST = "127.0.0.2";
+
+    private static final String THIRD_HOST = "127.0.0.3";
     private static final int OK = 200;
 
+    private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MonotonicClock clock = MonotonicClock.system();
+
     private Rehearsal() {}
 
     /**
@@ -50,27 +65,57 @@
      */
     public static void main(String[] arguments) throws Exception {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        MonotonicClock clock = MonotonicClock.system();
+        int served = new Rehearsal().run();
+        System.out.println("rehearsal: " + served + " of " + REQUESTS + " requests served");
+        Runtime.getRuntime().halt(served > 0 ? 0 : 1);
+    }
+
+    private int run() throws IOException, InterruptedException {
         SocketAddress platform = freeAddress();
+        List<SocketAddress> servers = List.of(freeAddress(), freeAddress(), freeAddress());
+        listen(platform, new RehearsalPlatform(servers));
+        servers.forEach(address -> listen(address, new RehearsalServer(address)));
+        SocketAddress callers = freeAddress();
+        SocketAddress gossip = freeAddress();
+        startNode(values(platform, callers, gossip, RehearsalPlatform.ZONE));
+        startNode(
+                values(platform, freeAddress(), new SocketAddress(SECOND_HOST, gossip.port()), RehearsalPlatform.ZONE));
+        startNode(values(platform, freeAddress(), new SocketAddress(THIRD_HOST, gossip.port()), "elsewhere"));
+        TimeUnit.MILLISECONDS.sleep(START_MILLIS);
+        return sendRequests(callers);
+    }
+
+    private void listen(SocketAddress address, HttpService service) {
         ListenerLimits limits = new ListenerLimits(
                 RequestLimits.DEFAULT.maxHeaderBytes(),
                 RequestLimits.DEFAULT.maxBodyBytes(),
                 RequestLimits.DEFAULT.headerTimeoutNanos(),
                 RequestLimits.DEFAULT.idleTimeoutNanos());
-        new HttpListener(
-                workers, platform, new RehearsalPlatform(platform.toString()), () -> limits, clock, EventLog.none());
-        SocketAddress callers = freeAddress();
-        EntrySettings settings = EntrySettings.of(values(platform, callers));
-        NodeLauncher.launch(settings, new SettingsFile(Path.of("none")));
-        Class.forName("org.turmericspan.entry.EntryMain");
-        int served = sendRequests(workers, clock, callers);
-        System.out.println("rehearsal: " + served + " of " + REQUESTS + " requests served");
-        System.exit(served > 0 ? 0 : 1);
+        new HttpListener(workers, address, service, () -> limits, clock, EventLog.none());
+    }
+
+    /** Starts a node the way a process does, on a thread of its own. */
+    private static void startNode(Properties values) throws IOException {
+        StringWriter text = new StringWriter();
+        values.store(text, null);
+        Path file = Files.createTempFile("rehearsal", ".properties");
+        Files.writeString(file, text.toString());
+        Thread thread = new Thread(() -> runNode(file), "rehearsal-node");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void runNode(Path file) {
+        try {
+            EntryMain.run(new SettingsFile(file));
+        } catch (IOException e) {
+            System.err.println("rehearsal: node not started: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
-    private static int sendRequests(EventLoopGroup workers, MonotonicClock clock, SocketAddress callers)
-            throws InterruptedException {
+    private int sendRequests(SocketAddress callers) throws InterruptedException {
         HttpClient client = new HttpClient(workers, clock);
         CountDownLatch ended = new CountDownLatch(REQUESTS);
         AtomicInteger served = new AtomicInteger();
@@ -92,26 +137,19 @@
         return served.get();
     }
 
-    private static Properties values(SocketAddress platform, SocketAddress callers) throws IOException {
+    private static Properties values(SocketAddress platform, SocketAddress callers, SocketAddress gossip, String zone)
+            throws IOException {
         Properties values = new Properties();
         values.setProperty("vm", "rehearsal");
-        values.setProperty("availability-zone", "rehearsal");
+        values.setProperty("availability-zone", zone);
         values.setProperty("caller-address", callers.toString());
         values.setProperty("readiness-address", freeAddress().toString());
         values.setProperty("directory-address", freeAddress().toString());
         values.setProperty("metrics-address", freeAddress().toString());
-        values.setProperty("gossip-address", freeAddress().toString());
+        values.setProperty("gossip-address", gossip.toString());
+        values.setProperty("seeds", LOOPBACK + ":" + gossip.port());
         values.setProperty("store-address", platform.toString());
-        for (String name : new String[] {
-            "cold-overage",
-            "cold-slack",
-            "retry-ratio",
-            "retry-slack",
-            "retry-window-seconds",
-            "grace-seconds",
-            "max-answer-life-seconds",
-            "probes-per-second"
-        }) {
+        for (String name : EntrySettings.AGREED_NUMBERS) {
             values.setProperty(name, "10");
         }
         return values;
--- a/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
@@ -14,16 +14,7 @@
         for (String name : new String[] {"caller", "readiness", "directory", "metrics", "gossip", "store"}) {
             values.setProperty(name + "-address", "10.0.0.1:80");
         }
-        for (String name : new String[] {
-            "cold-overage",
-            "cold-slack",
-            "retry-ratio",
-            "retry-slack",
-            "retry-window-seconds",
-            "grace-seconds",
-            "max-answer-life-seconds",
-            "probes-per-second"
-        }) {
+        for (String name : EntrySettings.AGREED_NUMBERS) {
             values.setProperty(name, "4");
         }
         values.setProperty("seeds", "10.0.0.7:1,10.0.0.8:1");
--- a/gossip/src/main/java/org/turmericspan/gossip/Member.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Member.java
@@ -33,4 +33,20 @@
     Member heardAt(long nanos) {
         return new Member(address, callerAddress, availabilityZone, incarnation, ready, leaving, reading, nanos);
     }
+
+    /**
+     * Compares everything but the time.
+     *
+     * @param other another row
+     * @return whether they say the same
+     */
+    boolean isSameAs(Member other) {
+        return address.equals(other.address)
+                && callerAddress.equals(other.callerAddress)
+                && availabilityZone.equals(other.availabilityZone)
+                && incarnation == other.incarnation
+                && ready == other.ready
+                && leaving == other.leaving
+                && reading == other.reading;
+    }
 }
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -30,9 +30,12 @@
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private static final String PART = "members";
-    private static final Comparator<Member> BY_ADDRESS = Comparator.comparing(
-                    (Member member) -> member.address().host())
-            .thenComparingInt(member -> member.address().port());
+    private static final Comparator<Member> BY_ADDRESS = (one, other) -> {
+        int byHost = one.address().host().compareTo(other.address().host());
+        return byHost != 0
+                ? byHost
+                : Integer.compare(one.address().port(), other.address().port());
+    };
 
     private final RankedLock lock = new RankedLock(LockRank.PEERS);
     private final Map<SocketAddress, Member> members = new HashMap<>();
@@ -241,7 +244,7 @@
                 return false;
             }
             for (int i = 0; i < others.size(); i++) {
-                if (!alive.get(i).heardAt(0).equals(others.get(i).heardAt(0))) {
+                if (!alive.get(i).isSameAs(others.get(i))) {
                     return false;
                 }
             }
@@ -258,7 +261,12 @@
             return alive.stream()
                     .filter(member -> member.ready() && !member.leaving())
                     .filter(member -> member.availabilityZone().equals(zone))
-                    .max(Comparator.comparingLong(member -> StableHash.of("reader/" + member.address())));
+                    .max(byHash("reader/"));
+        }
+
+        private static Comparator<Member> byHash(String prefix) {
+            return (one, other) ->
+                    Long.compare(StableHash.of(prefix + one.address()), StableHash.of(prefix + other.address()));
         }
 
         private Optional<SocketAddress> compute(String id, AvailabilityZoneId zone) {
@@ -268,10 +276,7 @@
             List<Member> near = able.stream()
                     .filter(member -> member.availabilityZone().equals(zone))
                     .toList();
-            return (near.isEmpty() ? able : near)
-                    .stream()
-                            .max(Comparator.comparingLong(member -> StableHash.of(id + "/" + member.address())))
-                            .map(Member::address);
+            return (near.isEmpty() ? able : near).stream().max(byHash(id + "/")).map(Member::address);
         }
     }
 }
