Bind callers' sockets first, and wait a moment for an upstream that is in time

Cause, sockets: connections that came while a node started were refused for about half a second, though they can wait. Change: StartSockets binds before anything else is set up; HttpListener takes the connections of a ListeningSocket. Ruled out: answering directory questions that early, since nothing is known yet. Cause, waiting: in bursts the fast upstreams are full for a few milliseconds at a time, and a request went to a slow one at once.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -26,6 +26,7 @@
 import org.turmericspan.http.HttpListener;
 import org.turmericspan.http.HttpService;
 import org.turmericspan.http.ListenerLimits;
+import org.turmericspan.http.ListeningSocket;
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
@@ -115,16 +116,16 @@
         this.log = log;
     }
 
-    /** Starts listening at once and becomes ready when the fleet is known. */
-    void start(SettingsFile file) {
+    /** Takes the connections that wait already, and becomes ready when the fleet is known. */
+    void start(SettingsFile file, StartSockets sockets) {
         settingsFile = file;
         startedNanos = clock.nowNanos();
         DirectoryService directory = new DirectoryService(this::locate, this::isReady, settings.answerLifeSeconds());
-        listen(settings.directoryAddress(), directory);
-        listen(settings.readinessAddress(), directory);
-        listen(settings.metricsAddress(), operators());
-        listen(settings.gossipAddress(), new FeedRelay(feed));
-        callers = listen(settings.callerAddress(), new ForwardingService(forwarding));
+        listen(sockets.directory(), directory);
+        listen(sockets.readiness(), directory);
+        listen(ListeningSocket.bind(settings.metricsAddress()), operators());
+        listen(ListeningSocket.bind(settings.gossipAddress()), new FeedRelay(feed));
+        callers = listen(sockets.callers(), new ForwardingService(forwarding));
         feed.start();
         gossip.start(new GossipLink(workers, settings.gossipAddress(), gossip::receive, clock, log));
         readinessCheck =
@@ -132,8 +133,8 @@
         log.write(Event.notice(PART, "Started.").with("callers", settings.callerAddress()));
     }
 
-    private HttpListener listen(SocketAddress address, HttpService service) {
-        return new HttpListener(workers, address, service, this::limits, clock, log);
+    private HttpListener listen(ListeningSocket socket, HttpService service) {
+        return new HttpListener(workers, socket, service, this::limits, clock, log);
     }
 
     private ListenerLimits limits() {
--- a/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
+++ b/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
@@ -8,9 +8,10 @@
     private NodeLauncher() {}
 
     static EntryNode launch(EntrySettings settings, SettingsFile file) {
+        StartSockets sockets = StartSockets.bind(settings);
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         EntryNode node = DaggerEntryComponent.factory().create(settings).node();
-        node.start(file);
+        node.start(file, sockets);
         Signals.onHangUp(node::reload);
         return node;
     }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -31,6 +31,8 @@
     private static final long ABANDON_MILLIS = 1_000;
     /** Shortest time left with which an attempt is worth making. */
     private static final long LEAST_LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    /** Part of the target latency within which an attempt is expected to end; the rest is for its spread and the way. */
+    private static final double IN_TIME_PART = 0.8;
     /** Part of the target latency for which a choice may wait for the load of upstreams. */
     private static final int LOOKUP_PART = 16;
     /** Highest predicted cost of an upstream that takes a hedge: fast now, and nearly idle. */
@@ -90,6 +92,11 @@
         return new ChoiceRequest(route.id(), target.service(), tried, route.priority(), maxCost);
     }
 
+    /** Returns the highest cost at which an answer is expected in time; a slot on a better upstream is soon free. */
+    private double inTimeCost() {
+        return IN_TIME_PART * route.targetLatencyNanos() / typicalNanos();
+    }
+
     private long lookupNanos() {
         return route.targetLatencyNanos() / LOOKUP_PART;
     }
@@ -99,13 +106,13 @@
             return;
         }
         long now = parts.clock().nowNanos();
+        boolean mayWait = now - startedNanos < route.targetLatencyNanos() / WAIT_PART;
         Optional<Placement> placement = deadlineNanos - now < LEAST_LEFT_NANOS
                 ? Optional.empty()
-                : parts.tables().upstreams().choose(choice(Double.MAX_VALUE));
+                : parts.tables().upstreams().choose(choice(mayWait ? inTimeCost() : Double.MAX_VALUE));
         if (placement.isPresent()) {
             attempt(placement.get(), kind);
-        } else if (now - startedNanos < route.targetLatencyNanos() / WAIT_PART
-                && deadlineNanos - now > LEAST_LEFT_NANOS) {
+        } else if (mayWait && deadlineNanos - now > LEAST_LEFT_NANOS) {
             reply.worker().schedule(() -> place(kind), WAIT_STEP_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             giveUp(ResultCode.NO_CAPACITY);
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -326,4 +326,29 @@
         worker.advance(Duration.ofMillis(20));
         assertThat(caller.count()).isZero();
     }
+
+    @Test
+    void requestWaitsAMomentForAnUpstreamThatIsInTime() {
+        configure();
+        add("u-0");
+        worker.advance(Duration.ofMillis(1));
+        observe("u-0", 900);
+        send("/once/1");
+        assertThat(caller.count()).isZero();
+        worker.advance(Duration.ofMillis(1));
+        observe("u-0", 100);
+        worker.advance(Duration.ofMillis(10));
+        assertThat(caller.count()).isEqualTo(1);
+    }
+
+    @Test
+    void slowUpstreamIsUsedWhenNoOtherHasComeFree() {
+        configure();
+        add("u-0");
+        worker.advance(Duration.ofMillis(1));
+        observe("u-0", 900);
+        send("/once/1");
+        worker.advance(Duration.ofMillis(50));
+        assertThat(caller.count()).isEqualTo(1);
+    }
 }
