Explain a request from nodes' log lines, and write all metrics in one form

Cause: an id led to its cause only by hand, and the entry node wrote metrics of its own form, without types. Change: turmericspanctl explain ID FILE... tells one request's lines and the changes of belief around it; MetricsText moved to a library of its own that both programs use; latencies by service, refusals by code and the age of what choices rest on are counted. Ruled out: histograms by route, which would take 100 KB for each of 350 routes. Tests: RequestStoryTest; MetricsTextTest moved with its class.

--- a/ctl/src/main/java/org/turmericspan/ctl/Main.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/Main.java
@@ -46,7 +46,8 @@
         ArgumentParser parser = ArgumentParsers.newFor("turmericspanctl")
                 .defaultFormatWidth(HELP_WIDTH)
                 .build()
-                .description("Checks, bundles and compares configurations, and reads the state of nodes.")
+                .description(
+                        "Checks, bundles and compares configurations, reads the state of nodes, and explains requests.")
                 .epilog("Exit codes: 0 done, 1 faults or differences were found, 2 wrong command line, "
                         + "3 a file or a node could not be read.");
         Subparsers commands =
@@ -58,6 +59,7 @@
         VersionsCommand.register(commands);
         LocateCommand.register(commands);
         ProbesCommand.register(commands);
+        ExplainCommand.register(commands);
         return parser;
     }
 }
--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -125,6 +125,7 @@
         listen(sockets.readiness(), directory);
         listen(ListeningSocket.bind(settings.metricsAddress()), operators());
         listen(ListeningSocket.bind(settings.gossipAddress()), new FeedRelay(feed));
+        watchFigures();
         callers = listen(sockets.callers(), new ForwardingService(forwarding));
         feed.start();
         gossip.start(new GossipLink(workers, settings.gossipAddress(), gossip::receive, clock, log));
@@ -133,6 +134,22 @@
         log.write(Event.notice(PART, "Started.").with("callers", settings.callerAddress()));
     }
 
+    private void watchFigures() {
+        metrics.watch("store_calls", feed::calls);
+        metrics.watch("probes", prober::sent);
+        metrics.watch("connections_opened", client::opened);
+        metrics.watch("members_alive", () -> members.alive().size());
+        metrics.watch("members_known", members::fleetSize);
+        metrics.watch("upstreams_known", upstreams::size);
+        metrics.watch("requests_under_way", () -> callers.requests());
+        metrics.watch(
+                "configuration_version",
+                () -> configuration.current().map(RoutingConfiguration::version).orElse(0L));
+        metrics.watch(
+                "memory_used_bytes",
+                () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+    }
+
     private HttpListener listen(ListeningSocket socket, HttpService service) {
         return new HttpListener(workers, socket, service, this::limits, clock, log);
     }
@@ -151,7 +168,7 @@
         return (request, reply) -> reply.send(
                 request.path().endsWith("/state")
                         ? ResponseMessage.text(OK, "text/plain", state())
-                        : ResponseMessage.text(OK, "text/plain", metrics.text(feed, prober, client, members)));
+                        : ResponseMessage.text(OK, "text/plain", metrics.text()));
     }
 
     private String state() {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -127,7 +127,7 @@
                         .with("code", code.number())
                         .with("target", request.target())
                         .with("version", version));
-        parts.outcomes().answered(code.httpStatus(), 0);
+        parts.outcomes().refused(code);
         reply.send(Refusal.of(code, retryAfterMillis));
     }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -125,7 +125,7 @@
         tried.add(placement.upstream());
         attempts++;
         sent++;
-        parts.outcomes().attempted(kind);
+        parts.outcomes().attempted(kind, placement.ageNanos());
         logChoice(placement, kind);
         long leftMillis =
                 TimeUnit.NANOSECONDS.toMillis(deadlineNanos - parts.clock().nowNanos());
@@ -332,6 +332,7 @@
     }
 
     private void refuse(ResultCode code) {
+        parts.outcomes().refused(code);
         parts.log()
                 .write(Event.failure("forward", "Request refused.")
                         .with("request", requestId)
@@ -361,7 +362,8 @@
 
     private void conclude(ResponseMessage response) {
         end();
-        parts.outcomes().answered(response.status(), parts.clock().nowNanos() - startedNanos);
+        parts.outcomes()
+                .answered(target.service(), response.status(), parts.clock().nowNanos() - startedNanos);
         reply.send(response);
     }
 
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -21,6 +21,7 @@
 import org.turmericspan.balancing.ServiceSpec;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.balancing.WeightedRotation;
+import org.turmericspan.errors.ResultCode;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.http.HeaderList;
 import org.turmericspan.http.RequestMessage;
@@ -62,10 +63,13 @@
 
     private static final class NoOutcomes implements ForwardingOutcomes {
         @Override
-        public void answered(int status, long latencyNanos) {}
+        public void answered(ServiceId service, int status, long latencyNanos) {}
 
         @Override
-        public void attempted(AttemptKind kind) {}
+        public void refused(ResultCode code) {}
+
+        @Override
+        public void attempted(AttemptKind kind, long ageNanos) {}
     }
 
     private void configure() {
--- a/front/src/main/java/org/turmericspan/front/OperatorServer.java
+++ b/front/src/main/java/org/turmericspan/front/OperatorServer.java
@@ -15,6 +15,7 @@
 import java.util.function.BooleanSupplier;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.metrics.MetricsText;
 
 /** HTTP server for operators: {@code /v1/state}, {@code /v1/metrics} and {@code /v1/health}. */
 public final class OperatorServer implements AutoCloseable {
--- a/front/src/main/java/org/turmericspan/front/MetricsText.java
+++ b/metrics/src/main/java/org/turmericspan/metrics/MetricsText.java
@@ -1,4 +1,4 @@
-package org.turmericspan.front;
+package org.turmericspan.metrics;
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Sampling;
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Writes metrics in the text form that scrapers read: a HELP and a TYPE line, then the samples, ordered by name. */
-final class MetricsText {
+public final class MetricsText {
     private static final String PREFIX = "turmericspan_";
     private static final List<Double> QUANTILES = List.of(0.5, 0.9, 0.99, 0.999);
 
@@ -16,7 +16,13 @@
 
     private MetricsText() {}
 
-    static String format(MetricRegistry metrics) {
+    /**
+     * Writes all metrics of a registry.
+     *
+     * @param metrics the registry
+     * @return the text
+     */
+    public static String format(MetricRegistry metrics) {
         MetricsText text = new MetricsText();
         metrics.getGauges().forEach((name, gauge) -> text.gauge(name, gauge.getValue()));
         metrics.getCounters().forEach((name, counter) -> text.single(name, "gauge", counter.getCount()));
--- /dev/null
+++ b/metrics/src/main/java/org/turmericspan/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics in the text form that scrapers read. */
+package org.turmericspan.metrics;
--- a/front/src/test/java/org/turmericspan/front/MetricsTextTest.java
+++ b/metrics/src/test/java/org/turmericspan/metrics/MetricsTextTest.java
@@ -1,4 +1,4 @@
-package org.turmericspan.front;
+package org.turmericspan.metrics;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
