--- a/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
@@ -202,9 +202,7 @@
     @Test
     void hangUpSignalReadsTheSettingsAndKeepsServing() throws Exception {
         startNodes(1);
-        new ProcessBuilder("kill", "-HUP", Long.toString(nodes.get(0).pid()))
-                .start()
-                .waitFor();
+        nodes.get(0).signal("HUP");
         await("read", () -> nodes.get(0).logContains("Settings read."));
         assertThat(nodes.get(0).request("GET", "/a/1", "h").status()).isEqualTo(200);
     }
--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -108,31 +108,40 @@
 
     /** Sends a request that ends within the test's patience, whatever the node does. */
     Answer request(String method, String path, String id) {
-        return send(HttpRequest.newBuilder(URI.create("http://" + callers + path))
-                .method(method, HttpRequest.BodyPublishers.ofString("GET".equals(method) ? "" : "body"))
-                .header("Host", "h.example")
-                .header("Turmericspan-Request-Id", id)
-                .header("Turmericspan-Deadline-Ms", "1500"));
+        return request(method, path, id, PATIENCE);
+    }
+
+    Answer request(String method, String path, String id, Duration patience) {
+        return send(
+                HttpRequest.newBuilder(URI.create("http://" + callers + path))
+                        .method(method, HttpRequest.BodyPublishers.ofString("GET".equals(method) ? "" : "body"))
+                        .header("Host", "h.example")
+                        .header("Turmericspan-Request-Id", id)
+                        .header("Turmericspan-Deadline-Ms", "1500"),
+                patience);
     }
 
     private Answer get(String uri) {
-        return send(HttpRequest.newBuilder(URI.create(uri)));
+        return send(HttpRequest.newBuilder(URI.create(uri)), PATIENCE);
     }
 
-    private static Answer send(HttpRequest.Builder request) {
+    private static Answer send(HttpRequest.Builder request, Duration patience) {
         try {
             HttpResponse<String> response =
-                    CLIENT.send(request.timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
-            return new Answer(response.statusCode(), response.body());
+                    CLIENT.send(request.timeout(patience).build(), HttpResponse.BodyHandlers.ofString());
+            return new Answer(
+                    response.statusCode(),
+                    response.body(),
+                    response.headers().firstValue("Turmericspan-Request-Id").orElse("-"));
         } catch (IOException e) {
-            return new Answer(0, e.toString());
+            return new Answer(0, e.toString(), "-");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return new Answer(0, e.toString());
+            return new Answer(0, e.toString(), "-");
         }
     }
 
-    record Answer(int status, String body) {}
+    record Answer(int status, String body, String requestId) {}
 
     void changeSeeds(String seeds) throws IOException {
         List<String> lines = Files.readAllLines(settings);
@@ -140,6 +149,15 @@
         Files.write(settings, lines);
     }
 
+    /** Sends a signal by its name, such as STOP. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     void terminate() {
         process.destroy();
     }
--- a/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
@@ -3,11 +3,14 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -29,6 +32,10 @@
             new ListenerLimits(16_384, 1_048_576, TimeUnit.SECONDS.toNanos(30), TimeUnit.SECONDS.toNanos(30));
     private static final int POLL_MILLIS = 10;
 
+    static {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
     private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final Map<String, Item> items = new TreeMap<>();
     private final Map<String, ServerStandIn> servers = new ConcurrentHashMap<>();
@@ -77,11 +84,19 @@
     }
 
     void configure(long version, String prefix, String type) {
+        configure(version, List.of(route(prefix, type)));
+    }
+
+    static String route(String prefix, String type) {
+        return "{\"Name\":\"r" + prefix + "\",\"Host\":\"h.example\",\"Prefix\":\"" + prefix
+                + "\",\"Service\":\"desk\",\"Type\":\"" + type + "\",\"TimeoutS\":2,"
+                + "\"TargetLatencyS\":0.5,\"MaxAttempts\":3,\"Priority\":0}";
+    }
+
+    void configure(long version, List<String> routes) {
         put(
                 "op/config",
-                "{\"Version\":" + version + ",\"Routes\":[{\"Name\":\"r\",\"Host\":\"h.example\",\"Prefix\":\"" + prefix
-                        + "\",\"Service\":\"desk\",\"Type\":\"" + type + "\",\"TimeoutS\":2,"
-                        + "\"TargetLatencyS\":0.5,\"MaxAttempts\":3,\"Priority\":0}],"
+                "{\"Version\":" + version + ",\"Routes\":[" + String.join(",", routes) + "],"
                         + "\"Services\":[{\"Name\":\"desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":100,"
                         + "\"WarmupS\":1,\"WarmupPerS\":5}],"
                         + "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":65536,\"HeaderTimeoutS\":5,"
@@ -96,9 +111,14 @@
     }
 
     void register(ServerStandIn server, String zone, String state) {
+        register(server, server.address(), zone, state);
+    }
+
+    /** Registers a server at another address than its own, such as a link to it. */
+    void register(ServerStandIn server, SocketAddress at, String zone, String state) {
         put(
                 "servers/" + server.id(),
-                "{\"Service\":\"desk\",\"Address\":\"" + server.address() + "\",\"Zone\":\"" + zone
+                "{\"Service\":\"desk\",\"Address\":\"" + at + "\",\"Zone\":\"" + zone
                         + "\",\"Version\":\"v1\",\"Capacity\":3,\"State\":\"" + state
                         + "\",\"WarmupLeftS\":0,\"Sequence\":" + revision + ",\"born\":1}");
     }
--- a/entry/src/test/java/org/turmericspan/entry/ServerStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/ServerStandIn.java
@@ -20,6 +20,7 @@
     private final SocketAddress address;
     private final HttpListener listener;
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private volatile long lastRunNanos = Long.MIN_VALUE;
     private final AtomicInteger running = new AtomicInteger();
     private volatile long workMillis = 20;
     private volatile long coldMillis;
@@ -44,6 +45,10 @@
         return runs;
     }
 
+    long lastRunNanos() {
+        return lastRunNanos;
+    }
+
     void workFor(long millis) {
         workMillis = millis;
     }
@@ -76,6 +81,7 @@
             reply.send(new ResponseMessage(503, answerHeaders.with("Turmericspan-Not-Executed", "1"), new byte[0]));
         } else {
             runs.merge(requestId, 1, Integer::sum);
+            lastRunNanos = System.nanoTime();
             running.incrementAndGet();
             reply.worker().schedule(() -> finish(reply, answerHeaders), workMillis, TimeUnit.MILLISECONDS);
         }
--- a/standins/src/main/java/org/turmericspan/standins/network/Link.java
+++ b/standins/src/main/java/org/turmericspan/standins/network/Link.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.turmericspan.ids.SocketAddress;
 
-/** One forwarded port. */
-final class Link {
+/** One forwarded port on loopback, whose faults are set while it runs. */
+public final class Link implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
 
     private final int listenPort;
@@ -21,15 +21,28 @@
     private final EventLoopGroup group;
     private final Set<LinkPipe> pipes = ConcurrentHashMap.newKeySet();
     private volatile LinkFault fault = LinkFault.NONE;
+    private Channel listener;
 
-    Link(int listenPort, SocketAddress target, EventLoopGroup group) {
+    /**
+     * Names the two ends.
+     *
+     * @param listenPort port on loopback to listen on
+     * @param target where bytes go
+     * @param group runs the link
+     */
+    public Link(int listenPort, SocketAddress target, EventLoopGroup group) {
         this.listenPort = listenPort;
         this.target = target;
         this.group = group;
     }
 
-    void start() throws InterruptedException {
-        new ServerBootstrap()
+    /**
+     * Starts listening.
+     *
+     * @throws InterruptedException when the thread is interrupted while the port is bound
+     */
+    public void start() throws InterruptedException {
+        listener = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.AUTO_READ, false)
@@ -41,23 +54,35 @@
                     }
                 })
                 .bind(HOST, listenPort)
-                .sync();
+                .sync()
+                .channel();
     }
 
-    void setFault(LinkFault newFault) {
+    /**
+     * Sets what happens to bytes and new connections from now on.
+     *
+     * @param newFault the fault
+     */
+    public void setFault(LinkFault newFault) {
         fault = newFault;
     }
 
     /** Closes every open connection. */
-    void cut() {
+    public void cut() {
         pipes.forEach(LinkPipe::close);
     }
 
     /** Makes every open connection carry nothing from now on, while new ones work. */
-    void silenceOpen() {
+    public void silenceOpen() {
         pipes.forEach(LinkPipe::silence);
     }
 
+    @Override
+    public void close() {
+        listener.close();
+        cut();
+    }
+
     private void accept(Channel inbound) {
         LinkFault current = fault;
         if (current.refuseNew()) {
--- a/standins/src/main/java/org/turmericspan/standins/network/LinkFault.java
+++ b/standins/src/main/java/org/turmericspan/standins/network/LinkFault.java
@@ -10,6 +10,7 @@
  * @param delay one-way delay of every byte
  * @param bytesPerSecond rate of each direction; 0 stands for no limit
  */
-record LinkFault(boolean refuseNew, boolean silentNew, Duration delay, int bytesPerSecond) {
-    static final LinkFault NONE = new LinkFault(false, false, Duration.ZERO, 0);
+public record LinkFault(boolean refuseNew, boolean silentNew, Duration delay, int bytesPerSecond) {
+    /** No fault. */
+    public static final LinkFault NONE = new LinkFault(false, false, Duration.ZERO, 0);
 }
