Count a request's deadline from its arrival, and give its log lines a class of their own

CallEnd.NotSent said whether a new connection could be made, which is always so since the client replaces a kept connection itself. Change: deadline and target latency count from the arrival; the flag and its dead branch are gone (HttpClientTest checks the type, which now says the same); RunLog writes the lines.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -38,29 +38,30 @@
 
     @Override
     public void handle(RequestMessage request, Reply reply) {
+        long arrivedNanos = parts.clock().nowNanos();
         if (knowsFleet()) {
-            forward(request, reply);
+            forward(request, reply, arrivedNanos);
         } else {
             AtomicBoolean gone = new AtomicBoolean();
             reply.onCallerGone(() -> gone.set(true));
-            awaitConfiguration(request, reply, gone, parts.clock().nowNanos() + START_WAIT_NANOS);
+            awaitConfiguration(request, reply, gone, arrivedNanos);
         }
     }
 
-    private void awaitConfiguration(RequestMessage request, Reply reply, AtomicBoolean gone, long untilNanos) {
+    private void awaitConfiguration(RequestMessage request, Reply reply, AtomicBoolean gone, long arrivedNanos) {
         if (gone.get()) {
             return;
         }
-        boolean hasWaited = untilNanos - parts.clock().nowNanos() <= 0;
+        boolean hasWaited = parts.clock().nowNanos() - arrivedNanos >= START_WAIT_NANOS;
         if (knowsFleet()
                 || hasWaited && parts.tables().configuration().current().isPresent()) {
-            forward(request, reply);
+            forward(request, reply, arrivedNanos);
         } else if (hasWaited) {
             refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, 0);
         } else {
             reply.worker()
                     .schedule(
-                            () -> awaitConfiguration(request, reply, gone, untilNanos),
+                            () -> awaitConfiguration(request, reply, gone, arrivedNanos),
                             START_STEP_MILLIS,
                             TimeUnit.MILLISECONDS);
         }
@@ -76,7 +77,7 @@
         return fleetKnown;
     }
 
-    private void forward(RequestMessage request, Reply reply) {
+    private void forward(RequestMessage request, Reply reply, long arrivedNanos) {
         Optional<RoutingConfiguration> configuration =
                 parts.tables().configuration().current();
         long version = configuration.get().version();
@@ -97,15 +98,15 @@
                         request,
                         reply,
                         new RunTarget(route.get(), service, fingerprint, version),
-                        deadline(request, route.get()))
+                        arrivedNanos,
+                        arrivedNanos + waitNanos(request, route.get()))
                 .start();
     }
 
-    private long deadline(RequestMessage request, Route route) {
-        long timeoutNanos = route.timeoutNanos();
+    /** Returns how long the caller waits, from the arrival of its request. */
+    private long waitNanos(RequestMessage request, Route route) {
         long statedMillis = parts.protocol().deadlineMillis(request.headers()).orElse(Long.MAX_VALUE);
-        long waitNanos = Math.min(timeoutNanos, TimeUnit.MILLISECONDS.toNanos(statedMillis));
-        return parts.clock().nowNanos() + waitNanos;
+        return Math.min(route.timeoutNanos(), TimeUnit.MILLISECONDS.toNanos(statedMillis));
     }
 
     private static String hostOf(RequestMessage request) {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/LoadLookup.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/LoadLookup.java
@@ -9,8 +9,8 @@
      * Asks one upstream, or joins a question to it that is under way.
      *
      * @param upstream whom to ask
-     * @param ended runs once, on any worker, when the upstream answered or failed, and at once when the budget of probes
-     *     is spent
+     * @param ended runs once, on any worker, when the upstream answered or failed, and at once when the budget of
+     *     probes is spent
      */
     void ask(Registration upstream, Runnable ended);
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -9,8 +9,8 @@
 import org.turmericspan.balancing.ChoiceRequest;
 import org.turmericspan.balancing.Placement;
 import org.turmericspan.balancing.Route;
+import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.errors.ResultCode;
-import org.turmericspan.events.Event;
 import org.turmericspan.forwarding.ForwardingOutcomes.AttemptKind;
 import org.turmericspan.http.CallEnd;
 import org.turmericspan.http.HeaderList;
@@ -31,7 +31,7 @@
     private static final long ABANDON_MILLIS = 1_000;
     /** Shortest time left with which an attempt is worth making. */
     private static final long LEAST_LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
-    /** Part of the target latency within which an attempt is expected to end; the rest is for its spread and the way. */
+    /** Part of the target latency in which an attempt is expected to end; the rest is for its spread and the way. */
     private static final double IN_TIME_PART = 0.8;
     /** Part of the target latency for which a choice may wait for the load of upstreams. */
     private static final int LOOKUP_PART = 16;
@@ -42,16 +42,15 @@
     /** Pause advised after upstreams turned the request away, which says little about the next moment. */
     private static final long SHED_RETRY_MILLIS = 20;
 
-    private static final double PERCENT = 100.0;
-
     private final ForwardingParts parts;
     private final RequestMessage request;
     private final Reply reply;
     private final RunTarget target;
     private final Route route;
     private final long deadlineNanos;
-    private final long startedNanos;
-    private final String requestId;
+    private final long arrivedNanos;
+    private final RunLog log;
+    private final UpstreamTable upstreams;
     private final HeaderList headers;
     private final FreshLoad freshLoad;
     private final Set<UpstreamId> tried = new HashSet<>();
@@ -60,26 +59,33 @@
     private ScheduledFuture<?> hedgeTimer;
     private ResponseMessage serverError;
     private int sent;
-    private int attempts;
     private boolean mayHaveRun;
     private boolean ended;
 
-    RequestRun(ForwardingParts parts, RequestMessage request, Reply reply, RunTarget target, long deadlineNanos) {
+    RequestRun(
+            ForwardingParts parts,
+            RequestMessage request,
+            Reply reply,
+            RunTarget target,
+            long arrivedNanos,
+            long deadlineNanos) {
         this.parts = parts;
         this.request = request;
         this.reply = reply;
         this.target = target;
         this.route = target.route();
         this.deadlineNanos = deadlineNanos;
-        this.startedNanos = parts.clock().nowNanos();
-        this.requestId = parts.protocol().requestId(request.headers()).orElse("-");
+        this.arrivedNanos = arrivedNanos;
+        String requestId = parts.protocol().requestId(request.headers()).orElse("-");
+        this.log = new RunLog(parts.log(), parts.clock(), requestId, target, arrivedNanos);
+        this.upstreams = parts.tables().upstreams();
         this.headers = request.headers().endToEnd();
-        this.freshLoad = new FreshLoad(parts.tables().upstreams(), parts.lookup(), reply.worker());
+        this.freshLoad = new FreshLoad(upstreams, parts.lookup(), reply.worker());
     }
 
     void start() {
         reply.onCallerGone(this::callerGone);
-        long leftNanos = deadlineNanos + ANSWER_GRACE_NANOS - startedNanos;
+        long leftNanos = deadlineNanos + ANSWER_GRACE_NANOS - parts.clock().nowNanos();
         deadlineTimer = reply.worker().schedule(this::deadlinePassed, leftNanos, TimeUnit.NANOSECONDS);
         place(AttemptKind.FIRST);
     }
@@ -106,10 +112,10 @@
             return;
         }
         long now = parts.clock().nowNanos();
-        boolean mayWait = now - startedNanos < route.targetLatencyNanos() / WAIT_PART;
+        boolean mayWait = now - arrivedNanos < route.targetLatencyNanos() / WAIT_PART;
         Optional<Placement> placement = deadlineNanos - now < LEAST_LEFT_NANOS
                 ? Optional.empty()
-                : parts.tables().upstreams().choose(choice(mayWait ? inTimeCost() : Double.MAX_VALUE));
+                : upstreams.choose(choice(mayWait ? inTimeCost() : Double.MAX_VALUE));
         if (placement.isPresent()) {
             attempt(placement.get(), kind);
         } else if (mayWait && deadlineNanos - now > LEAST_LEFT_NANOS) {
@@ -123,10 +129,9 @@
         Attempt attempt = new Attempt(placement);
         active.add(attempt);
         tried.add(placement.upstream());
-        attempts++;
         sent++;
         parts.outcomes().attempted(kind, placement.ageNanos());
-        logChoice(placement, kind);
+        log.chosen(placement, kind);
         long leftMillis =
                 TimeUnit.NANOSECONDS.toMillis(deadlineNanos - parts.clock().nowNanos());
         RequestMessage message = new RequestMessage(
@@ -145,23 +150,8 @@
         }
     }
 
-    private void logChoice(Placement placement, AttemptKind kind) {
-        parts.log()
-                .write(Event.routine("forward", "Upstream chosen.")
-                        .with("request", requestId)
-                        .with("kind", kind)
-                        .with("upstream", placement.upstream())
-                        .with("route", route.id())
-                        .with("version", target.version())
-                        .with("costPercent", Math.round(placement.cost() * PERCENT))
-                        .with("slowPercent", placement.slowPercent())
-                        .with("load", placement.load())
-                        .with("ageMs", TimeUnit.NANOSECONDS.toMillis(placement.ageNanos()))
-                        .with("cold", placement.cold()));
-    }
-
     private long typicalNanos() {
-        long typical = parts.tables().upstreams().typicalNanos(route.id());
+        long typical = upstreams.typicalNanos(route.id());
         return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
     }
 
@@ -175,8 +165,7 @@
 
     private void look(Attempt attempt) {
         if (mayHedge(attempt)) {
-            parts.tables()
-                    .upstreams()
+            upstreams
                     .registration(attempt.placement().upstream())
                     .ifPresentOrElse(
                             upstream -> freshLoad.of(upstream, lookupNanos(), () -> considerHedge(attempt)),
@@ -194,8 +183,7 @@
     private void considerHedge(Attempt attempt) {
         double elapsed =
                 (double) (parts.clock().nowNanos() - attempt.placement().startedNanos()) / typicalNanos();
-        int slowPercent =
-                parts.tables().upstreams().slowPercent(attempt.placement().upstream());
+        int slowPercent = upstreams.slowPercent(attempt.placement().upstream());
         if (HedgeRule.isWorthwhile(elapsed, slowPercent)) {
             freshLoad.beforeChoice(choice(HEDGE_MAX_COST), lookupNanos(), () -> hedge(attempt, elapsed));
         } else {
@@ -208,13 +196,13 @@
         if (!mayHedge(attempt)) {
             return;
         }
-        Optional<Placement> placement = parts.tables().upstreams().choose(choice(HEDGE_MAX_COST));
+        Optional<Placement> placement = upstreams.choose(choice(HEDGE_MAX_COST));
         if (placement.isEmpty()) {
             scheduleHedge(attempt, HedgeRule.nextLook(elapsed));
         } else if (parts.tables().repeats().trySpend(target.service(), route.priority())) {
             attempt(placement.get(), AttemptKind.HEDGE);
         } else {
-            parts.tables().upstreams().finish(placement.get(), AttemptResult.CANCELLED);
+            upstreams.finish(placement.get(), AttemptResult.CANCELLED);
         }
     }
 
@@ -232,9 +220,7 @@
     private void answered(Attempt attempt, ResponseMessage response) {
         parts.protocol()
                 .load(response)
-                .ifPresent(load -> parts.tables()
-                        .upstreams()
-                        .observeLoad(attempt.placement().upstream(), load));
+                .ifPresent(load -> upstreams.observeLoad(attempt.placement().upstream(), load));
         if (parts.protocol().isWrongInstance(response)) {
             finish(attempt, AttemptResult.WRONG_INSTANCE, "another upstream at the address");
             retry(true);
@@ -249,20 +235,15 @@
         } else if (response.isSuccess() && !parts.protocol().isSigned(response)) {
             broken(attempt, new CallEnd.Broken("success without a signature"));
         } else {
-            parts.tables().upstreams().finish(attempt.placement(), AttemptResult.SUCCESS);
+            upstreams.finish(attempt.placement(), AttemptResult.SUCCESS);
             answer(response);
         }
     }
 
     private void notSent(Attempt attempt, CallEnd.NotSent end) {
         sent--;
-        if (end.unreachable()) {
-            finish(attempt, AttemptResult.CONNECT_FAILED, end.reason());
-            parts.tables().suspects().upstreamLost(attempt.placement().upstream());
-        } else {
-            finish(attempt, AttemptResult.CANCELLED, end.reason());
-            tried.remove(attempt.placement().upstream());
-        }
+        finish(attempt, AttemptResult.CONNECT_FAILED, end.reason());
+        parts.tables().suspects().upstreamLost(attempt.placement().upstream());
         if (!ended && active.isEmpty()) {
             place(AttemptKind.RETRY);
         }
@@ -274,22 +255,15 @@
         parts.tables()
                 .suspects()
                 .attemptBroken(target.fingerprint(), attempt.placement().upstream());
-        parts.tables()
-                .upstreams()
+        upstreams
                 .registration(attempt.placement().upstream())
                 .ifPresent(upstream -> parts.lookup().ask(upstream, () -> {}));
         retry(route.idempotent());
     }
 
     private void finish(Attempt attempt, AttemptResult result, String reason) {
-        parts.tables().upstreams().finish(attempt.placement(), result);
-        parts.log()
-                .write(Event.failure("forward", "Attempt failed.")
-                        .with("request", requestId)
-                        .with("upstream", attempt.placement().upstream())
-                        .with("result", result)
-                        .with("reason", reason)
-                        .with("elapsedMs", elapsedMillis()));
+        upstreams.finish(attempt.placement(), result);
+        log.failed(attempt.placement().upstream(), result, reason);
     }
 
     /** Tries another upstream if the request may run again, or says what is known. */
@@ -333,14 +307,7 @@
 
     private void refuse(ResultCode code) {
         parts.outcomes().refused(code);
-        parts.log()
-                .write(Event.failure("forward", "Request refused.")
-                        .with("request", requestId)
-                        .with("code", code.number())
-                        .with("route", route.id())
-                        .with("version", target.version())
-                        .with("attempts", attempts)
-                        .with("elapsedMs", elapsedMillis()));
+        log.refused(code);
         long pauseMillis = code == ResultCode.SHED_BY_UPSTREAM
                 ? SHED_RETRY_MILLIS
                 : TimeUnit.NANOSECONDS.toMillis(route.targetLatencyNanos() / RETRY_AFTER_PART);
@@ -351,30 +318,21 @@
         if (ended) {
             return;
         }
-        parts.log()
-                .write(Event.routine("forward", "Request answered.")
-                        .with("request", requestId)
-                        .with("status", response.status())
-                        .with("attempts", attempts)
-                        .with("elapsedMs", elapsedMillis()));
+        log.answered(response.status());
         conclude(new ResponseMessage(response.status(), response.headers().endToEnd(), response.body()));
     }
 
     private void conclude(ResponseMessage response) {
         end();
         parts.outcomes()
-                .answered(target.service(), response.status(), parts.clock().nowNanos() - startedNanos);
+                .answered(target.service(), response.status(), parts.clock().nowNanos() - arrivedNanos);
         reply.send(response);
     }
 
     private void callerGone() {
         if (!ended) {
             end();
-            parts.log()
-                    .write(Event.notice("forward", "Caller left.")
-                            .with("request", requestId)
-                            .with("attempts", attempts)
-                            .with("elapsedMs", elapsedMillis()));
+            log.callerLeft();
         }
     }
 
@@ -398,7 +356,7 @@
 
     private void cut(Attempt attempt) {
         if (active.remove(attempt)) {
-            parts.tables().upstreams().finish(attempt.placement(), AttemptResult.CANCELLED);
+            upstreams.finish(attempt.placement(), AttemptResult.CANCELLED);
             attempt.cancel();
         }
     }
@@ -408,8 +366,4 @@
             timer.cancel(false);
         }
     }
-
-    private long elapsedMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(parts.clock().nowNanos() - startedNanos);
-    }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -170,7 +170,7 @@
         if (end instanceof CallEnd.Answered answered) {
             answered(probe.target, answered.response());
         } else if (end instanceof CallEnd.NotSent notSent) {
-            failed(probe.target, notSent.reason(), notSent.unreachable());
+            failed(probe.target, notSent.reason(), true);
         } else if (end instanceof CallEnd.Broken broken) {
             client.dropIdle(probe.target.address());
             failed(probe.target, broken.reason(), false);
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -355,4 +355,15 @@
         worker.advance(Duration.ofMillis(50));
         assertThat(caller.count()).isEqualTo(1);
     }
+
+    @Test
+    void timeSpentWaitingForTheConfigurationIsTakenFromTheDeadline() {
+        send("/once/1");
+        worker.advance(Duration.ofMillis(100));
+        configure();
+        add("u-0");
+        worker.advance(Duration.ofMillis(100));
+        assertThat(caller.call(0).request().headers().first(FakeProtocol.LEFT))
+                .hasValueSatisfying(left -> assertThat(Long.parseLong(left)).isLessThanOrEqualTo(700));
+    }
 }
--- a/http/src/main/java/org/turmericspan/http/CallEnd.java
+++ b/http/src/main/java/org/turmericspan/http/CallEnd.java
@@ -10,12 +10,11 @@
     record Answered(ResponseMessage response) implements CallEnd {}
 
     /**
-     * No byte of the request was sent.
+     * No byte of the request was sent: a kept connection was closed, and no new one could be made.
      *
      * @param reason what prevented it
-     * @param unreachable whether a new connection could not be made
      */
-    record NotSent(String reason, boolean unreachable) implements CallEnd {}
+    record NotSent(String reason) implements CallEnd {}
 
     /**
      * The request was sent, and no whole response came. It may have run.
--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -67,7 +67,7 @@
         once.onCancel(() -> connecting.channel().close());
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
-                once.accept(new CallEnd.NotSent(String.valueOf(done.cause().getMessage()), true));
+                once.accept(new CallEnd.NotSent(String.valueOf(done.cause().getMessage())));
             } else if (once.isDone()) {
                 connecting.channel().close();
             } else {
--- a/http/src/main/java/org/turmericspan/http/ListeningSocket.java
+++ b/http/src/main/java/org/turmericspan/http/ListeningSocket.java
@@ -7,8 +7,8 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * A bound socket. The system keeps its connections until a listener takes them, so that a process that is still starting
- * does not refuse callers.
+ * A bound socket. The system keeps its connections until a listener takes them, so that a process that is still
+ * starting does not refuse callers.
  */
 public final class ListeningSocket implements AutoCloseable {
     /** Connections that may wait to be accepted. */
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -81,7 +81,7 @@
 
     private void startOnWorker(RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
         if (spoiled || !channel.isActive()) {
-            listener.accept(new CallEnd.NotSent("connection closed before use", false));
+            listener.accept(new CallEnd.NotSent("connection closed before use"));
             return;
         }
         Optional<String> echo = options.echo().flatMap(name -> request.headers().first(name));
