Part the decisions of the store's feed from its form

Cause: platform/ held decisions (outages, backoff, lapsed entries, the mirror) beside names and forms, and the reader of the project's own interface. Change: the library feed follows a store through StoreReader and PublicationDecoder and knows no name of the platform; platform/ implements both and keeps StoreClient as its one client; publication holds what the node binary reads. UpstreamProber takes the tables as one. Ruled out: removing the project's own interface, which its binary and its tests use.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -15,6 +15,7 @@
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.feed.StoreFeed;
 import org.turmericspan.forwarding.ForwardingParts;
 import org.turmericspan.forwarding.ForwardingService;
 import org.turmericspan.forwarding.UpstreamProber;
@@ -32,7 +33,6 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.platform.DirectoryService;
 import org.turmericspan.platform.FeedRelay;
-import org.turmericspan.platform.StoreFeed;
 
 /** An entry node: starts its parts, says when it is ready, and stops without cutting requests off. */
 @Singleton
--- a/entry/src/main/java/org/turmericspan/entry/ReaderSelection.java
+++ b/entry/src/main/java/org/turmericspan/entry/ReaderSelection.java
@@ -7,11 +7,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.turmericspan.feed.FeedSources;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
-import org.turmericspan.platform.FeedSources;
 
 /**
  * Chooses from where this node learns what was published: one node a zone reads the store, the others read from it, and
--- a/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
+++ b/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
@@ -31,9 +31,9 @@
 import org.turmericspan.platform.RehearsalServer;
 
 /**
- * Runs a small fleet of nodes against a platform of its own on loopback, so that the JDK can list the classes and lambdas
- * that a start and the first requests need. A start from an archive of them takes about half the processor time; what
- * the rehearsal leaves out is loaded in the slow way at run time.
+ * Runs a small fleet of nodes against a platform of its own on loopback, so that the JDK can list the classes and
+ * lambdas that a start and the first requests need. A start from an archive of them takes about half the processor
+ * time; what the rehearsal leaves out is loaded in the slow way at run time.
  */
 public final class Rehearsal {
     /** Requests sent; enough for every class on the path to be loaded. */
--- a/entry/src/main/java/org/turmericspan/entry/StartSockets.java
+++ b/entry/src/main/java/org/turmericspan/entry/StartSockets.java
@@ -3,8 +3,8 @@
 import org.turmericspan.http.ListeningSocket;
 
 /**
- * Sockets towards callers. They are bound before anything else is set up, which takes most of a start: callers that come
- * meanwhile wait for a moment instead of being refused.
+ * Sockets towards callers. They are bound before anything else is set up, which takes most of a start: callers that
+ * come meanwhile wait for a moment instead of being refused.
  *
  * @param callers where callers connect
  * @param directory where callers ask for nodes
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -8,13 +8,14 @@
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
-import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.FleetSink;
 import org.turmericspan.balancing.ProbeBudget;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.events.JsonEventLog;
+import org.turmericspan.feed.FeedSources;
+import org.turmericspan.feed.StoreFeed;
 import org.turmericspan.forwarding.CallProtocol;
 import org.turmericspan.forwarding.ForwardingParts;
 import org.turmericspan.forwarding.ForwardingTables;
@@ -23,9 +24,9 @@
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.http.HttpClient;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.platform.FeedSources;
+import org.turmericspan.platform.DocumentDecoder;
 import org.turmericspan.platform.PlatformCallProtocol;
-import org.turmericspan.platform.StoreFeed;
+import org.turmericspan.platform.StoreClient;
 
 /** Provides workers, clients and what runs over them. */
 @Module
@@ -74,17 +75,14 @@
     @Provides
     @Singleton
     static UpstreamProber prober(
-            UpstreamTable upstreams,
-            ConfigurationHolder configuration,
-            CrashSuspects suspects,
+            ForwardingTables tables,
             HttpClient client,
             CallProtocol protocol,
             ProbeBudget budget,
             EventLoopGroup workers,
             MonotonicClock clock,
             EventLog log) {
-        return new UpstreamProber(
-                upstreams, configuration, suspects, client, protocol, budget, workers.next(), clock, log);
+        return new UpstreamProber(tables, client, protocol, budget, workers.next(), clock, log);
     }
 
     @Provides
@@ -117,7 +115,16 @@
             MonotonicClock clock,
             RandomGenerator random,
             EventLog log) {
-        return new StoreFeed(settings.storeAddress(), sources, client, sink, workers.next(), clock, random, log);
+        return new StoreFeed(
+                settings.storeAddress(),
+                sources,
+                new StoreClient(client, workers.next()),
+                DocumentDecoder::decode,
+                sink,
+                workers.next(),
+                clock,
+                random,
+                log);
     }
 
     @Provides
--- a/platform/src/main/java/org/turmericspan/platform/FeedSources.java
+++ b/feed/src/main/java/org/turmericspan/feed/FeedSources.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.feed;
 
 import org.turmericspan.ids.SocketAddress;
 
--- a/platform/src/main/java/org/turmericspan/platform/StoreAnswer.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreAnswer.java
@@ -1,7 +1,7 @@
-package org.turmericspan.platform;
+package org.turmericspan.feed;
 
 /** How a read of the store ended. */
-sealed interface StoreAnswer {
+public sealed interface StoreAnswer {
     /**
      * The store answered.
      *
@@ -9,10 +9,13 @@
      */
     record Page(StorePage page) implements StoreAnswer {}
 
+    /** The store no longer remembers the changes that were asked for, so everything has to be read anew. */
+    record HistoryGone() implements StoreAnswer {}
+
     /**
      * The store turned the read away.
      *
-     * @param status 410 when the history is gone, 429 or 503 when it is busy
+     * @param status status of its answer
      */
     record Refused(int status) implements StoreAnswer {
         // Written out because generated methods are linked at run time, which slows starts without the store down.
--- a/platform/src/main/java/org/turmericspan/platform/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.feed;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -14,7 +14,6 @@
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
-import org.turmericspan.http.HttpCaller;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
@@ -39,13 +38,10 @@
     /** Length of an outage in which entries can lapse; shorter ones remove nothing by themselves. */
     private static final long OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private static final int HISTORY_GONE = 410;
-    private static final String CONFIGURATION_KEY = "op/config";
-    private static final String EVACUATION_PREFIX = "op/evacuate/";
-    private static final String SERVER_PREFIX = "servers/";
     private static final String PART = "store";
 
-    private final StoreClient client;
+    private final StoreReader reader;
+    private final PublicationDecoder decoder;
     private final SocketAddress store;
     private final FeedSources sources;
     private final FleetSink sink;
@@ -55,7 +51,7 @@
     private final EventLog log;
     private final Set<AvailabilityZoneId> evacuated = new HashSet<>();
     private final Set<UpstreamId> lapsed = new HashSet<>();
-    private final Map<UpstreamId, Registration> registered = new HashMap<>();
+    private final Map<UpstreamId, Registration> registrations = new HashMap<>();
     private final StoreMirror mirror = new StoreMirror();
     private final Set<String> unreadable = new HashSet<>();
     private long revision;
@@ -74,7 +70,8 @@
      *
      * @param store where the store listens
      * @param sources chooses between the store and nodes that read it
-     * @param caller HTTP client
+     * @param reader reads the sources
+     * @param decoder tells what items say
      * @param sink takes what was published, on the worker
      * @param worker runs the feed
      * @param clock monotonic time
@@ -84,13 +81,15 @@
     public StoreFeed(
             SocketAddress store,
             FeedSources sources,
-            HttpCaller caller,
+            StoreReader reader,
+            PublicationDecoder decoder,
             FleetSink sink,
             ScheduledExecutorService worker,
             MonotonicClock clock,
             RandomGenerator random,
             EventLog log) {
-        this.client = new StoreClient(caller, worker);
+        this.reader = reader;
+        this.decoder = decoder;
         this.store = store;
         this.sources = sources;
         this.sink = sink;
@@ -134,13 +133,21 @@
         return hasBeenDirect && complete && clock.nowNanos() - directNanos < DIRECT_NANOS;
     }
 
-    /** Registers what happens after changes were read. */
-    void onChange(Runnable listener) {
+    /**
+     * Registers what happens after changes were read.
+     *
+     * @param listener runs on the worker
+     */
+    public void onChange(Runnable listener) {
         changeListener = listener;
     }
 
-    /** Returns what was read. */
-    StoreMirror mirror() {
+    /**
+     * Returns what was read, for nodes that read from this one.
+     *
+     * @return the mirror
+     */
+    public StoreMirror mirror() {
         return mirror;
     }
 
@@ -158,7 +165,7 @@
 
     private void loadPage(String after, List<StoreItem> items, long firstRevision) {
         SocketAddress source = chooseSource();
-        client.range(source, after, answer -> {
+        reader.range(source, after, answer -> {
             if (!(answer instanceof StoreAnswer.Page read)) {
                 retryLater(source, answer, this::load);
                 return;
@@ -178,15 +185,15 @@
     private void loaded(List<StoreItem> items, long begin) {
         revision = begin;
         mirror.clear(begin);
-        Set<UpstreamId> old = new HashSet<>(registered.keySet());
-        registered.clear();
+        Set<UpstreamId> old = new HashSet<>(registrations.keySet());
+        registrations.clear();
         Set<AvailabilityZoneId> oldZones = Set.copyOf(evacuated);
         evacuated.clear();
         items.forEach(this::apply);
         if (!oldZones.equals(evacuated)) {
             sink.evacuated(Set.copyOf(evacuated));
         }
-        old.removeAll(registered.keySet());
+        old.removeAll(registrations.keySet());
         old.forEach(this::remove);
         complete = true;
         advance(begin);
@@ -196,14 +203,14 @@
     private void watch() {
         SocketAddress source = chooseSource();
         boolean fromStore = source.equals(store);
-        client.watch(source, revision, fromStore ? WATCH_MILLIS : RELAY_WATCH_MILLIS, answer -> {
+        reader.watch(source, revision, fromStore ? WATCH_MILLIS : RELAY_WATCH_MILLIS, answer -> {
             if (answer instanceof StoreAnswer.Page read) {
                 answered(source);
                 read.page().items().forEach(this::apply);
                 advance(read.page().revision());
                 long pauseMillis = fromStore && !read.page().items().isEmpty() ? GATHER_MILLIS : 0;
                 worker.schedule(this::watch, pauseMillis, TimeUnit.MILLISECONDS);
-            } else if (answer instanceof StoreAnswer.Refused refused && refused.status() == HISTORY_GONE) {
+            } else if (answer instanceof StoreAnswer.HistoryGone) {
                 log.write(Event.notice(PART, "History gone, reading anew.").with("revision", revision));
                 load();
             } else {
@@ -257,16 +264,8 @@
 
     private void apply(StoreItem item) {
         try {
-            if (item.key().equals(CONFIGURATION_KEY) && !item.isRemoved()) {
-                sink.configured(DocumentDecoder.configuration(item.value()));
-                mirror.put(item, true);
-            } else if (item.key().startsWith(EVACUATION_PREFIX)) {
-                applyEvacuation(item);
-                mirror.put(item, true);
-            } else if (item.key().startsWith(SERVER_PREFIX)) {
-                applyServer(item);
-            }
-        } catch (IOException | IllegalArgumentException e) {
+            apply(item, decoder.decode(item, clock.nowNanos()));
+        } catch (IOException e) {
             if (unreadable.add(item.key())) {
                 log.write(Event.notice(PART, "Item not readable, ignored.")
                         .with("key", item.key())
@@ -275,27 +274,33 @@
         }
     }
 
-    private void applyEvacuation(StoreItem item) {
-        AvailabilityZoneId zone = new AvailabilityZoneId(item.key().substring(EVACUATION_PREFIX.length()));
-        boolean changed = item.isRemoved() ? evacuated.remove(zone) : evacuated.add(zone);
+    private void apply(StoreItem item, Published published) {
+        if (published instanceof Published.Configuration next) {
+            mirror.put(item, true);
+            sink.configured(next.configuration());
+        } else if (published instanceof Published.Evacuation evacuation) {
+            mirror.put(item, true);
+            evacuate(evacuation);
+        } else if (published instanceof Published.Registered registered) {
+            register(item, registered.registration());
+        } else if (published instanceof Published.Unregistered gone) {
+            registrations.remove(gone.upstream());
+            mirror.put(item, true);
+            remove(gone.upstream());
+        }
+    }
+
+    private void evacuate(Published.Evacuation evacuation) {
+        boolean changed = evacuation.isOut() ? evacuated.add(evacuation.zone()) : evacuated.remove(evacuation.zone());
         if (changed) {
             sink.evacuated(Set.copyOf(evacuated));
         }
     }
 
-    private void applyServer(StoreItem item) throws IOException {
-        String name = item.key().substring(SERVER_PREFIX.length());
-        UpstreamId id = new UpstreamId(name);
-        if (item.isRemoved()) {
-            registered.remove(id);
-            mirror.put(item, true);
-            remove(id);
-            return;
-        }
-        Registration registration = DocumentDecoder.registration(name, item.value(), clock.nowNanos());
-        Registration old = registered.put(id, registration);
+    private void register(StoreItem item, Registration registration) {
+        Registration old = registrations.put(registration.id(), registration);
         mirror.put(item, old == null || !registration.isSameAs(old));
-        lapsed.remove(id);
+        lapsed.remove(registration.id());
         sink.registered(registration);
     }
 
--- a/platform/src/main/java/org/turmericspan/platform/StoreItem.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreItem.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.feed;
 
 /**
  * One item of the store, or its removal.
@@ -8,4 +8,4 @@
  * @param revision the store's revision of its last change
  * @param isRemoved whether it was removed
  */
-record StoreItem(String key, byte[] value, long revision, boolean isRemoved) {}
+public record StoreItem(String key, byte[] value, long revision, boolean isRemoved) {}
--- a/platform/src/main/java/org/turmericspan/platform/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.feed;
 
 import java.util.Comparator;
 import java.util.HashMap;
@@ -8,7 +8,7 @@
 import org.turmericspan.tables.RankedLock;
 
 /** Newest state of each item that was read, removals included, in the order of the store's revisions. */
-final class StoreMirror {
+public final class StoreMirror {
     private static final Comparator<StoreItem> BY_REVISION =
             (one, other) -> Long.compare(one.revision(), other.revision());
     /** Removals kept for readers that lag; more than a fleet changes within the life of a watch. */
@@ -54,16 +54,32 @@
         }
     }
 
-    long revision() {
+    /**
+     * Returns the newest revision read.
+     *
+     * @return the revision
+     */
+    public long revision() {
         return lock.compute(() -> revision);
     }
 
-    /** Tells whether changes after a revision can be told one by one. */
-    boolean remembers(long after) {
+    /**
+     * Tells whether changes after a revision can be told one by one.
+     *
+     * @param after the revision
+     * @return false when they are no longer known
+     */
+    public boolean remembers(long after) {
         return lock.compute(() -> after >= oldestRevision);
     }
 
-    StorePage changes(long after) {
+    /**
+     * Lists the changes after a revision.
+     *
+     * @param after the revision
+     * @return items and removals in the order of their revisions
+     */
+    public StorePage changes(long after) {
         return lock.compute(() -> new StorePage(
                 items.values().stream()
                         .filter(item -> item.revision() > after)
@@ -73,7 +89,12 @@
                 false));
     }
 
-    StorePage all() {
+    /**
+     * Lists all items.
+     *
+     * @return items, removals left out
+     */
+    public StorePage all() {
         return lock.compute(() -> new StorePage(
                 items.values().stream().filter(item -> !item.isRemoved()).toList(), revision, false));
     }
--- a/platform/src/main/java/org/turmericspan/platform/StorePage.java
+++ b/feed/src/main/java/org/turmericspan/feed/StorePage.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.feed;
 
 import java.util.List;
 
@@ -9,4 +9,4 @@
  * @param revision the store's revision
  * @param isTruncated whether more items follow after the last key
  */
-record StorePage(List<StoreItem> items, long revision, boolean isTruncated) {}
+public record StorePage(List<StoreItem> items, long revision, boolean isTruncated) {}
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -58,9 +58,7 @@
     /**
      * Creates a prober that has not begun.
      *
-     * @param upstreams takes what probes show
-     * @param configuration names the health paths
-     * @param suspects told of upstreams that are down
+     * @param tables name the health paths, and take what probes show
      * @param client client whose kept connections are proved alive by probes
      * @param protocol header names and forms
      * @param budget allows the probes that requests ask for
@@ -69,18 +67,16 @@
      * @param log takes changes of belief
      */
     public UpstreamProber(
-            UpstreamTable upstreams,
-            ConfigurationHolder configuration,
-            CrashSuspects suspects,
+            ForwardingTables tables,
             HttpClient client,
             CallProtocol protocol,
             ProbeBudget budget,
             ScheduledExecutorService worker,
             MonotonicClock clock,
             EventLog log) {
-        this.upstreams = upstreams;
-        this.configuration = configuration;
-        this.suspects = suspects;
+        this.upstreams = tables.upstreams();
+        this.configuration = tables.configuration();
+        this.suspects = tables.suspects();
         this.client = client;
         this.protocol = protocol;
         this.budget = budget;
--- a/node/src/main/java/org/turmericspan/node/CoreModule.java
+++ b/node/src/main/java/org/turmericspan/node/CoreModule.java
@@ -11,7 +11,7 @@
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
 import org.turmericspan.membership.ViewTable;
-import org.turmericspan.platform.HttpPlatformReader;
+import org.turmericspan.publication.HttpPlatformReader;
 import org.turmericspan.tables.Workers;
 
 /** Wires identity, time, workers and the tables of accepted knowledge. */
--- a/node/src/main/java/org/turmericspan/node/MembershipModule.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipModule.java
@@ -25,9 +25,9 @@
 import org.turmericspan.membership.ViewIntake;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.messages.PeerLinks;
-import org.turmericspan.platform.PlatformFeed;
-import org.turmericspan.platform.PlatformValue;
-import org.turmericspan.platform.VmListParser;
+import org.turmericspan.publication.PlatformFeed;
+import org.turmericspan.publication.PlatformValue;
+import org.turmericspan.publication.VmListParser;
 import org.turmericspan.tables.Workers;
 
 /** Wires the exchange of heartbeats and documents between nodes. */
--- a/node/src/main/java/org/turmericspan/node/MembershipRunner.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipRunner.java
@@ -17,11 +17,11 @@
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.peer.PeerHandlers;
-import org.turmericspan.platform.HttpPlatformReader;
-import org.turmericspan.platform.PlatformFeed;
-import org.turmericspan.platform.PlatformSink;
-import org.turmericspan.platform.PlatformValue;
-import org.turmericspan.platform.ReadBudget;
+import org.turmericspan.publication.HttpPlatformReader;
+import org.turmericspan.publication.PlatformFeed;
+import org.turmericspan.publication.PlatformSink;
+import org.turmericspan.publication.PlatformValue;
+import org.turmericspan.publication.ReadBudget;
 import org.turmericspan.tables.Workers;
 
 /** Keeps the configuration and the view up to date while the node runs: from the platform and from the other nodes. */
--- a/platform/src/main/java/org/turmericspan/platform/PlatformFeed.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.publication;
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
--- a/platform/src/main/java/org/turmericspan/platform/PlatformSink.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformSink.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.publication;
 
 /** Takes what a watch of one key learns. */
 public interface PlatformSink {
--- a/platform/src/main/java/org/turmericspan/platform/PlatformValue.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformValue.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.publication;
 
 /**
  * One value as the platform holds it.
--- a/platform/src/main/java/org/turmericspan/platform/ReadBackoff.java
+++ b/publication/src/main/java/org/turmericspan/publication/ReadBackoff.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.publication;
 
 import java.time.Duration;
 import java.util.random.RandomGenerator;
--- a/platform/src/main/java/org/turmericspan/platform/VmListParser.java
+++ b/publication/src/main/java/org/turmericspan/publication/VmListParser.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.publication;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/test/java/org/turmericspan/platform/ReadPaceTest.java
+++ b/publication/src/test/java/org/turmericspan/publication/ReadPaceTest.java
@@ -1,4 +1,4 @@
-package org.turmericspan.platform;
+package org.turmericspan.publication;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
