Bound what a node tells the others, whatever the size of its zone

Cause: each digest within the zone named every node and every upstream known; with the grown deployments' 137 nodes and 220 upstreams that is 9 KB, about 96 times a second to a zone of 27, where some links bear 7 Mbit/s. Change: at most 20 nodes a digest, in turns; within the zone only what the sender found out itself; eight nodes of the zone a round; nodes of larger zones are given the silence limit of far ones, since they are heard less often directly. Ruled out: a longer pause for large zones, which would pass the silence limit. By the same sum now: 40 digests a second of about 0.8 KB. Today's sites (zones of 3 to 6) are told as before but for echoes.

--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
@@ -27,6 +27,7 @@
     private final long hash;
     private Registration registration;
     private Observation observation;
+    private long ownObservedNanos = Long.MIN_VALUE / 2;
     private long coldUntilNanos;
     private long restUntilNanos;
     private long restNanos = FIRST_REST_NANOS;
@@ -68,6 +69,15 @@
         return true;
     }
 
+    /** Notes that this node itself observed the upstream. */
+    void ownObserved(long atNanos) {
+        ownObservedNanos = Math.max(ownObservedNanos, atNanos);
+    }
+
+    long ownObservedNanos() {
+        return ownObservedNanos;
+    }
+
     Observation withLoad(LoadFigures figures, long nowNanos) {
         return new Observation(
                 nowNanos,
@@ -165,6 +175,16 @@
         return worst;
     }
 
+    /** Writes what is believed as one line of a state dump. */
+    String describe(long nowNanos) {
+        return registration.id() + " service=" + registration.service()
+                + " zone=" + registration.availabilityZone()
+                + " draining=" + registration.draining()
+                + " cold=" + isCold(nowNanos)
+                + " resting=" + rests(nowNanos)
+                + " load=" + load(nowNanos);
+    }
+
     ColdPace coldPace() {
         return coldPace;
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.turmericspan.balancing.UpstreamSelection.Circumstances;
@@ -25,6 +26,9 @@
     /** Weight of a new answer in the typical latency of a route. */
     private static final double LATENCY_WEIGHT = 0.05;
 
+    /** Share of failures from which on other nodes are told of it, also without a fresh observation. */
+    private static final double TOLD_FAIL_SHARE = 0.05;
+
     private static final double PERCENT = 100.0;
 
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
@@ -130,7 +134,14 @@
      * @param observation what it showed
      */
     public void observe(UpstreamId id, Observation observation) {
-        lock.run(() -> observeLocked(states.get(id), observation));
+        lock.run(() -> observeOwn(states.get(id), observation));
+    }
+
+    private void observeOwn(UpstreamState state, Observation observation) {
+        if (state != null) {
+            state.ownObserved(observation.atNanos());
+            observeLocked(state, observation);
+        }
     }
 
     private void observeLocked(UpstreamState state, Observation observation) {
@@ -152,7 +163,7 @@
             if (state != null
                     && state.observation() != null
                     && state.observation().reachable()) {
-                observeLocked(state, state.withLoad(figures, now));
+                observeOwn(state, state.withLoad(figures, now));
             }
         });
     }
@@ -201,11 +212,27 @@
      * @return one report for each upstream with a fresh observation
      */
     public List<PeerReport> reports(Predicate<Registration> filter) {
+        return reportsOf((state, now) -> filter.test(state.registration()));
+    }
+
+    /**
+     * Lists what this node found out itself, for nodes that hear from the others directly.
+     *
+     * @param maxAgeNanos age up to which its observations count
+     * @return one report for each upstream that it observed lately, or at which its requests run or failed
+     */
+    public List<PeerReport> ownReports(long maxAgeNanos) {
+        return reportsOf((state, now) -> now - state.ownObservedNanos() <= maxAgeNanos
+                || state.ownInFlight() > 0
+                || state.ownFailShare(now) >= TOLD_FAIL_SHARE);
+    }
+
+    private List<PeerReport> reportsOf(BiPredicate<UpstreamState, Long> filter) {
         long now = clock.nowNanos();
         return lock.compute(() -> {
             List<PeerReport> reports = new ArrayList<>();
             for (UpstreamState state : states.values()) {
-                if (filter.test(state.registration()) && UpstreamSelection.isFresh(state, now)) {
+                if (UpstreamSelection.isFresh(state, now) && filter.test(state, now)) {
                     reports.add(new PeerReport(state.hash(), state.observation(), state.ownInFlight(), (int)
                             (PERCENT * state.ownFailShare(now))));
                 }
@@ -360,14 +387,7 @@
     public List<String> describe() {
         long now = clock.nowNanos();
         return lock.compute(() -> states.values().stream()
-                .map(state -> state.registration().id() + " service="
-                        + state.registration().service()
-                        + " zone=" + state.registration().availabilityZone()
-                        + " draining=" + state.registration().draining()
-                        + " cold=" + state.isCold(now)
-                        + " resting=" + state.rests(now)
-                        + " load=" + state.load(now)
-                        + " owned=" + selection.owns(state.registration()))
+                .map(state -> state.describe(now) + " owned=" + selection.owns(state.registration()))
                 .sorted()
                 .toList());
     }
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -155,4 +155,30 @@
                         StableHash.of(busy.value()), Samples.observation(clock.nowNanos() - 1, 100), 3, 0)));
         assertThat(chosen()).hasValue(idle);
     }
+
+    @Test
+    void onlyOwnFindingsAreToldWithinTheZone() {
+        UpstreamId own = add("u-own", 100);
+        Registration other = Samples.registration("u-other", Samples.HOME);
+        table.register(other);
+        table.acceptReports(
+                "peer",
+                List.of(new PeerReport(StableHash.of("u-other"), Samples.observation(clock.nowNanos(), 100), 2, 0)));
+        long second = Duration.ofSeconds(1).toNanos();
+        assertThat(table.ownReports(second))
+                .extracting(PeerReport::upstreamHash)
+                .containsExactly(StableHash.of(own.value()));
+        assertThat(table.reports(registration -> true)).hasSize(2);
+    }
+
+    @Test
+    void requestUnderWayIsToldThoughItsUpstreamWasSeenByOthersOnly() {
+        Registration other = Samples.registration("u-other", Samples.HOME);
+        table.register(other);
+        table.acceptReports(
+                "peer",
+                List.of(new PeerReport(StableHash.of("u-other"), Samples.observation(clock.nowNanos(), 100), 0, 0)));
+        assertThat(chosen()).hasValue(other.id());
+        assertThat(table.ownReports(1)).extracting(PeerReport::inFlight).containsExactly(1);
+    }
 }
--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -10,21 +10,24 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * Tells other nodes what this one knows: often all nodes of its zone, less often one node elsewhere, drawn at random. A
- * node's cost thus depends on the size of its zone and not on the fleet's.
+ * Tells other nodes what this one knows: often nodes of its zone, less often one node elsewhere, drawn at random. What
+ * a node sends is bounded, whatever the size of its zone and of the fleet.
  */
 public final class Gossip {
-    /** Pause between digests within the zone; several must be lost before a node counts as gone. */
-    private static final long NEAR_MILLIS = 200;
-    /** Digests a second within the zone on which a node spends; larger zones slow down. */
-    private static final int NEAR_PER_SECOND = 100;
+    /** Nodes of the zone that are told in each round; in a small zone all of them. */
+    static final int NEAR_FANOUT = 8;
+
+    /** Pause between rounds; several must be lost before a node counts as gone. */
+    private static final long ROUND_MILLIS = 200;
+    /** Other nodes named in a digest; the rest takes its turn. */
+    private static final int MAX_ROWS = 20;
+    /** Age up to which this node's own observations are told within the zone. */
+    private static final long OWN_REPORT_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** Rounds between digests to the seeds, which bring together parts of the fleet that lost each other. */
     private static final int SEED_ROUNDS = 6;
     /** Crashes told in each digest. */
     private static final int MAX_CRASHES = 20;
 
-    private static final int MILLIS_PER_SECOND = 1_000;
-
     private final MemberTable members;
     private final UpstreamTable upstreams;
     private final CrashSuspects suspects;
@@ -33,6 +36,7 @@
     private final RandomGenerator random;
     private GossipLink link;
     private long round;
+    private int nextNear;
 
     /**
      * Creates a gossip that has not begun.
@@ -78,7 +82,10 @@
         List<Member> far = others.stream().filter(member -> !isNear(member)).toList();
         if (!near.isEmpty()) {
             Digest digest = nearDigest();
-            near.forEach(member -> link.send(digest, member.address()));
+            for (int i = 0; i < Math.min(NEAR_FANOUT, near.size()); i++) {
+                link.send(digest, near.get((nextNear + i) % near.size()).address());
+            }
+            nextNear = (nextNear + NEAR_FANOUT) % near.size();
         }
         if (!far.isEmpty()) {
             link.send(farDigest(), far.get(random.nextInt(far.size())).address());
@@ -87,12 +94,11 @@
             sendToSeeds();
         }
         round++;
-        long pauseMillis = Math.max(NEAR_MILLIS, (long) near.size() * MILLIS_PER_SECOND / NEAR_PER_SECOND);
-        worker.schedule(this::runRound, pauseMillis, TimeUnit.MILLISECONDS);
+        worker.schedule(this::runRound, ROUND_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void sendToSeeds() {
-        Digest digest = new Digest(members.rows(), List.of(), List.of());
+        Digest digest = new Digest(members.rows(MAX_ROWS), List.of(), List.of());
         for (SocketAddress seed : seeds.get()) {
             boolean isKnown =
                     members.alive().stream().anyMatch(member -> member.address().equals(seed));
@@ -105,7 +111,7 @@
     /** Tells everyone at once, because this node's own state changed. */
     public void tellAll() {
         worker.execute(() -> {
-            Digest digest = new Digest(members.rows(), List.of(), List.of());
+            Digest digest = new Digest(members.rows(MAX_ROWS), List.of(), List.of());
             members.alive().stream()
                     .filter(member -> !member.address().equals(members.self().address()))
                     .forEach(member -> link.send(digest, member.address()));
@@ -117,12 +123,12 @@
     }
 
     private Digest nearDigest() {
-        return new Digest(members.rows(), upstreams.reports(registration -> true), suspects.recent(MAX_CRASHES));
+        return new Digest(members.rows(MAX_ROWS), upstreams.ownReports(OWN_REPORT_NANOS), suspects.recent(MAX_CRASHES));
     }
 
     private Digest farDigest() {
         return new Digest(
-                members.rows(),
+                members.rows(MAX_ROWS),
                 upstreams.reports(registration ->
                         registration.availabilityZone().equals(members.self().availabilityZone())),
                 suspects.recent(MAX_CRASHES));
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -22,9 +22,9 @@
 
 /** Nodes of the fleet, learned from digests. A node that nobody has heard of lately counts as gone. */
 public final class MemberTable {
-    /** Silence after which a node of the same zone counts as gone; many digests must have been lost by then. */
+    /** Silence after which a node of a small zone counts as gone; several digests must have been lost by then. */
     private static final long NEAR_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
-    /** The same for nodes of other zones, of which this node hears less often and by others. */
+    /** The same for nodes of large or other zones, of which this node hears less often and by others. */
     private static final long FAR_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
     /** Time after which a silent node is forgotten and no longer counted in the fleet's size. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -41,7 +41,9 @@
     private final Map<SocketAddress, Member> members = new HashMap<>();
     private final MonotonicClock clock;
     private final EventLog log;
+    private int nextRow;
     private volatile Member self;
+    private volatile int zoneSize;
     private volatile boolean joined;
     private volatile Snapshot snapshot;
 
@@ -155,6 +157,10 @@
         long now = clock.nowNanos();
         lock.run(() -> {
             members.values().removeIf(member -> now - member.heardNanos() > FORGET_NANOS);
+            zoneSize = (int) members.values().stream()
+                    .filter(member -> member.availabilityZone().equals(self.availabilityZone()))
+                    .filter(member -> now - member.heardNanos() <= FAR_SILENCE_NANOS)
+                    .count();
             List<Member> alive = new ArrayList<>(
                     members.values().stream().filter(this::isAlive).toList());
             alive.add(self);
@@ -172,7 +178,9 @@
     }
 
     private boolean isAlive(Member member) {
-        long limit = member.availabilityZone().equals(self.availabilityZone()) ? NEAR_SILENCE_NANOS : FAR_SILENCE_NANOS;
+        boolean isHeardDirectly =
+                member.availabilityZone().equals(self.availabilityZone()) && zoneSize <= Gossip.NEAR_FANOUT;
+        long limit = isHeardDirectly ? NEAR_SILENCE_NANOS : FAR_SILENCE_NANOS;
         return clock.nowNanos() - member.heardNanos() <= limit;
     }
 
@@ -186,14 +194,24 @@
     }
 
     /**
-     * Lists all nodes with the time at which they were last heard of, this one first.
+     * Lists this node and some others with the time at which they were last heard of. Where there are more than fit,
+     * they take turns, so that each is told of in time.
      *
-     * @return nodes that are not forgotten
+     * @param most how many others at most
+     * @return this node first, then others that are alive
      */
-    public List<Member> rows() {
+    public List<Member> rows(int most) {
         List<Member> rows = new ArrayList<>();
         rows.add(self());
-        lock.run(() -> members.values().stream().filter(this::isAlive).forEach(rows::add));
+        lock.run(() -> {
+            List<Member> others =
+                    members.values().stream().filter(this::isAlive).toList();
+            int count = Math.min(most, others.size());
+            for (int i = 0; i < count; i++) {
+                rows.add(others.get((nextRow + i) % others.size()));
+            }
+            nextRow = others.isEmpty() ? 0 : (nextRow + count) % others.size();
+        });
         return rows;
     }
 
--- a/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.events.EventLog;
@@ -71,10 +73,10 @@
         table.accept(List.of(leaving));
         clock.advance(Duration.ofMillis(1));
         table.accept(List.of(member("10.0.0.2", HOME, 5, true)));
-        assertThat(table.rows()).anyMatch(Member::leaving);
+        assertThat(table.rows(20)).anyMatch(Member::leaving);
         clock.advance(Duration.ofMillis(1));
         table.accept(List.of(member("10.0.0.2", HOME, 9, true)));
-        assertThat(table.rows()).noneMatch(Member::leaving);
+        assertThat(table.rows(20)).noneMatch(Member::leaving);
     }
 
     @Test
@@ -115,4 +117,33 @@
         return new Registration(
                 new UpstreamId(id), new ServiceId("desk"), new SocketAddress("10.9.0.1", 80), zone, 3, false, 1, 0);
     }
+
+    private void joinMany(AvailabilityZoneId zone, int count) {
+        for (int i = 0; i < count; i++) {
+            table.accept(List.of(member("10.0.1." + i, zone, 5, true)));
+        }
+        table.refresh();
+    }
+
+    @Test
+    void rowsAreBoundedAndTakeTurns() {
+        joinMany(AWAY, 30);
+        Set<String> told = new HashSet<>();
+        for (int call = 0; call < 3; call++) {
+            List<Member> rows = table.rows(10);
+            assertThat(rows).hasSize(11);
+            assertThat(rows.get(0).address().host()).isEqualTo("10.0.0.1");
+            rows.forEach(row -> told.add(row.address().host()));
+        }
+        assertThat(told).hasSize(31);
+    }
+
+    @Test
+    void nodesOfALargeZoneAreHeardLessOftenBeforeTheyCountAsGone() {
+        joinMany(HOME, 30);
+        clock.advance(Duration.ofMillis(1_500));
+        assertThat(alive()).hasSize(31);
+        clock.advance(Duration.ofMillis(1_500));
+        assertThat(alive()).hasSize(1);
+    }
 }
