Bind callers' sockets with the rest of the start again

Most callers whose connections waited had given up when the node got to them; reading their requests cost the first moments of a start.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -27,7 +27,6 @@
 import org.turmericspan.http.HttpListener;
 import org.turmericspan.http.HttpService;
 import org.turmericspan.http.ListenerLimits;
-import org.turmericspan.http.ListeningSocket;
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
@@ -116,17 +115,17 @@
         this.log = log;
     }
 
-    /** Takes the connections that wait already, and becomes ready when the fleet is known. */
-    void start(SettingsFile file, StartSockets sockets) {
+    /** Starts listening at once and becomes ready when the fleet is known. */
+    void start(SettingsFile file) {
         settingsFile = file;
         startedNanos = clock.nowNanos();
         DirectoryService directory = new DirectoryService(this::locate, this::isReady, settings.answerLifeSeconds());
-        listen(sockets.directory(), directory);
-        listen(sockets.readiness(), directory);
-        listen(ListeningSocket.bind(settings.metricsAddress()), operators());
-        listen(ListeningSocket.bind(settings.gossipAddress()), new FeedRelay(feed));
+        listen(settings.directoryAddress(), directory);
+        listen(settings.readinessAddress(), directory);
+        listen(settings.metricsAddress(), operators());
+        listen(settings.gossipAddress(), new FeedRelay(feed));
         watchFigures();
-        callers = listen(sockets.callers(), new ForwardingService(forwarding));
+        callers = listen(settings.callerAddress(), new ForwardingService(forwarding));
         feed.start();
         gossip.start(new GossipLink(workers, settings.gossipAddress(), gossip::receive, clock, log));
         readinessCheck =
@@ -150,8 +149,8 @@
                 () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
     }
 
-    private HttpListener listen(ListeningSocket socket, HttpService service) {
-        return new HttpListener(workers, socket, service, this::limits, clock, log);
+    private HttpListener listen(SocketAddress address, HttpService service) {
+        return new HttpListener(workers, address, service, this::limits, clock, log);
     }
 
     private ListenerLimits limits() {
--- a/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
+++ b/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
@@ -8,10 +8,9 @@
     private NodeLauncher() {}
 
     static EntryNode launch(EntrySettings settings, SettingsFile file) {
-        StartSockets sockets = StartSockets.bind(settings);
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         EntryNode node = DaggerEntryComponent.factory().create(settings).node();
-        node.start(file, sockets);
+        node.start(file);
         Signals.onHangUp(node::reload);
         return node;
     }
--- a/http/src/main/java/org/turmericspan/http/HttpListener.java
+++ b/http/src/main/java/org/turmericspan/http/HttpListener.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -22,13 +23,15 @@
 public final class HttpListener implements AutoCloseable {
     /** How often timeouts of connections are checked. */
     private static final long CHECK_MILLIS = 1_000;
+    /** Connections that may wait to be accepted. */
+    private static final int BACKLOG = 1_024;
 
     private final ListenerState state = new ListenerState();
     private final Channel channel;
     private final ScheduledFuture<?> checks;
 
     /**
-     * Binds an address and takes its connections.
+     * Binds the address.
      *
      * @param workers the worker pool
      * @param address where to listen
@@ -44,30 +47,11 @@
             Supplier<ListenerLimits> limits,
             MonotonicClock clock,
             EventLog log) {
-        this(workers, ListeningSocket.bind(address), service, limits, clock, log);
-    }
-
-    /**
-     * Takes the connections of a socket.
-     *
-     * @param workers the worker pool
-     * @param socket the socket, which is closed with the listener
-     * @param service answers the requests
-     * @param limits bounds that hold for connections accepted from now on
-     * @param clock monotonic time
-     * @param log takes refused requests
-     */
-    public HttpListener(
-            EventLoopGroup workers,
-            ListeningSocket socket,
-            HttpService service,
-            Supplier<ListenerLimits> limits,
-            MonotonicClock clock,
-            EventLog log) {
         ServerBootstrap bootstrap = new ServerBootstrap();
         bootstrap
                 .group(workers)
-                .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel accepted) {
@@ -82,7 +66,10 @@
                                 .addLast(connection);
                     }
                 });
-        channel = bootstrap.register().syncUninterruptibly().channel();
+        channel = bootstrap
+                .bind(new InetSocketAddress(address.host(), address.port()))
+                .syncUninterruptibly()
+                .channel();
         checks = workers.scheduleWithFixedDelay(
                 () -> checkTimeouts(clock), CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
