Take an upstream that dies while it is checked as one that refuses connections

A process that ends closes its sockets one after the other: a connection may be accepted in the moment before its listening socket goes, and is then broken off.

Ruled out: suspicions lost between nodes (both were known at all nodes within 40 ms), a restart before the check (it came 0.6 s later).

Change: an accepted check has to stay open for 40 ms; one that is broken off is made again, three times at most.

--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
@@ -4,6 +4,8 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -23,6 +25,11 @@
 public final class HttpUpstreamSender implements UpstreamSender, AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final int CHECK_TIMEOUT_MILLIS = 200;
+    /** Time for which an accepted check must stay open; a process that ends closes its sockets within less. */
+    private static final int CHECK_HOLD_MILLIS = 40;
+    /** Connections of one check; each one that is broken off may have met the last moment of a process. */
+    private static final int CHECK_CONNECTIONS = 3;
+
     private static final int MAX_REQUESTS = 4_096;
 
     private final MonotonicClock clock;
@@ -83,12 +90,29 @@
     }
 
     private static boolean refuses(SocketAddress address) {
-        try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(address.host(), address.port()), CHECK_TIMEOUT_MILLIS);
-            return false;
-        } catch (ConnectException e) {
+        for (int i = 0; i < CHECK_CONNECTIONS; i++) {
+            try (Socket socket = new Socket()) {
+                socket.connect(new InetSocketAddress(address.host(), address.port()), CHECK_TIMEOUT_MILLIS);
+                if (staysOpen(socket)) {
+                    return false;
+                }
+            } catch (ConnectException e) {
+                return true;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+        return false;
+    }
+
+    /** Tells whether the other side keeps an accepted connection, which a process that is ending does not. */
+    private static boolean staysOpen(Socket socket) throws IOException {
+        socket.setSoTimeout(CHECK_HOLD_MILLIS);
+        try {
+            return socket.getInputStream().read() >= 0;
+        } catch (SocketTimeoutException e) {
             return true;
-        } catch (IOException e) {
+        } catch (SocketException e) {
             return false;
         }
     }
