Write the lines that wait when the event log closes

Cause: a line that the writer had taken and held back to gather more was lost when the log was closed in that moment, and so were lines written while a batch was on its way; among them could be the last ones of a stop.

Change: the writer adds to one batch, writes it also when it is interrupted, and writes what is left once more at its end.

--- a/events/src/main/java/org/turmericspan/events/JsonEventLog.java
+++ b/events/src/main/java/org/turmericspan/events/JsonEventLog.java
@@ -135,19 +135,20 @@
     }
 
     private void drain() {
-        try {
-            while (!closed) {
-                String first = lines.take();
+        while (!closed) {
+            StringBuilder batch = new StringBuilder();
+            try {
+                batch.append(lines.take());
                 TimeUnit.MILLISECONDS.sleep(GATHER_MILLIS);
-                writeBatch(first);
+            } catch (InterruptedException e) {
+                closed = true;
             }
-        } catch (InterruptedException e) {
-            writeBatch("");
+            writeBatch(batch);
         }
+        writeBatch(new StringBuilder());
     }
 
-    private void writeBatch(String first) {
-        StringBuilder batch = new StringBuilder(first);
+    private void writeBatch(StringBuilder batch) {
         for (String line = lines.poll(); line != null; line = lines.poll()) {
             batch.append(line);
         }
