Start without the JDK's log manager, annotations, service look-ups and the object mapper

A node listened 0.75 s after its VM and was ready 0.2 to 0.3 s later. Class-load times and stack samples of a start show where it goes: the JDK's log manager looks up services in every jar (about 50 ms of 540 on a busy machine), so does the selector provider (70 ms); Netty reads an annotation, for which the JDK generates four proxy classes (50 ms); Jackson's object mapper initializes date formats and locales (30 of 188 samples); an address is checked by a pattern that is compiled each time (15 of 188).

Ruled out: a jlinked runtime (238 against 231 ms at best of 12, within the noise), archived heap objects, which this JDK only maps with G1 (249 against 252 ms), sockets bound first (tried before).

Change: module transport (Netty's log lines go to the event log, handlers without annotations, listening sockets without ServerBootstrap), the selector provider named by a property, JSON read and written by tokens, addresses checked by hand, and methods compiled later (thresholds scaled by 4 in place of 2; an interpreted start took 177 ms, one with 2 231 ms, with 4 216 ms).

Before and after, processor time until a node listens, 15 interleaved starts on a busy machine: best 353 and 239 ms, median 511 and 358 ms (before the object mapper, the addresses and the compile thresholds, which come on top).

What remains is mostly the JVM, linking of lambdas and Netty's own start, and the delay until the platform starts a process again, which differs by half a second between VMs.

--- a/entry/src/main/java/org/turmericspan/entry/EntryComponent.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryComponent.java
@@ -3,6 +3,7 @@
 import dagger.BindsInstance;
 import dagger.Component;
 import javax.inject.Singleton;
+import org.turmericspan.events.EventLog;
 
 /** Wires an entry node. */
 @Singleton
@@ -10,6 +11,8 @@
 interface EntryComponent {
     EntryNode node();
 
+    EventLog log();
+
     /** Takes what the wiring cannot make itself. */
     @Component.Factory
     interface Factory {
--- a/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
+++ b/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
@@ -1,15 +1,16 @@
 package org.turmericspan.entry;
 
 import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
+import org.turmericspan.transport.NettyLogFactory;
 
 /** Wires and starts a node. */
 final class NodeLauncher {
     private NodeLauncher() {}
 
     static EntryNode launch(EntrySettings settings, SettingsFile file) {
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        EntryNode node = DaggerEntryComponent.factory().create(settings).node();
+        EntryComponent component = DaggerEntryComponent.factory().create(settings);
+        InternalLoggerFactory.setDefaultFactory(new NettyLogFactory(component.log()));
+        EntryNode node = component.node();
         node.start(file);
         Signals.onHangUp(node::reload);
         return node;
--- a/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
+++ b/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
@@ -4,7 +4,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.net.InetAddress;
@@ -29,6 +28,7 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.platform.RehearsalPlatform;
 import org.turmericspan.platform.RehearsalServer;
+import org.turmericspan.transport.NettyLogFactory;
 
 /**
  * Runs a small fleet of nodes against a platform of its own on loopback, so that the JDK can list the classes and
@@ -64,7 +64,7 @@
      * @throws Exception when the rehearsal does not come to its end
      */
     public static void main(String[] arguments) throws Exception {
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        InternalLoggerFactory.setDefaultFactory(new NettyLogFactory(EventLog.none()));
         int served = new Rehearsal().run();
         System.out.println("rehearsal: " + served + " of " + REQUESTS + " requests served");
         Runtime.getRuntime().halt(served > 0 ? 0 : 1);
--- a/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
@@ -4,7 +4,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -25,6 +24,7 @@
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.transport.NettyLogFactory;
 
 /** The platform's store, as its published protocol describes it, on loopback. Tests write to it directly. */
 final class PlatformStandIn implements AutoCloseable {
@@ -33,7 +33,7 @@
     private static final int POLL_MILLIS = 10;
 
     static {
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        InternalLoggerFactory.setDefaultFactory(new NettyLogFactory(EventLog.none()));
     }
 
     private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipLink.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipLink.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
@@ -18,6 +17,7 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.transport.InboundHandler;
 
 /** Sends and receives digests as datagrams. A lost one is made good by the next. */
 public final class GossipLink implements AutoCloseable {
@@ -44,7 +44,7 @@
         this.clock = clock;
         this.channel = new Bootstrap()
                 .group(workers)
-                .channel(NioDatagramChannel.class)
+                .channelFactory(NioDatagramChannel::new)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(new Receiver(receiver, clock, log))
                 .bind(new InetSocketAddress(address.host(), address.port()))
@@ -68,7 +68,7 @@
         channel.close();
     }
 
-    private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    private static final class Receiver implements InboundHandler {
         private final BiConsumer<SocketAddress, Digest> receiver;
         private final MonotonicClock clock;
         private final EventLog log;
@@ -80,9 +80,11 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            DatagramPacket packet = (DatagramPacket) message;
             byte[] bytes = new byte[packet.content().readableBytes()];
             packet.content().readBytes(bytes);
+            packet.release();
             InetSocketAddress sender = packet.sender();
             SocketAddress from = new SocketAddress(sender.getAddress().getHostAddress(), sender.getPort());
             try {
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -28,9 +27,10 @@
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.transport.InboundHandler;
 
 /** One caller's connection. Requests are handled one after the other; pipelined ones wait in a short queue. */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection implements InboundHandler {
     /** Pipelined requests that may wait before reading pauses. */
     private static final int MAX_PIPELINED = 8;
     /** Time the caller has to take the last answer before the connection is closed. */
--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -1,9 +1,7 @@
 package org.turmericspan.http;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -16,6 +14,7 @@
 import java.util.function.Consumer;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.transport.ChannelSetup;
 
 /** Client with kept connections. It proves whether a byte of a request was sent. */
 public final class HttpClient implements HttpCaller {
@@ -82,17 +81,12 @@
     private ChannelFuture connect(SocketAddress address, ServerConnection connection, CallOptions options) {
         return new Bootstrap()
                 .group(workers)
-                .channel(NioSocketChannel.class)
+                .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         Math.max(1, TimeUnit.NANOSECONDS.toMillis(options.connectTimeoutNanos())))
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel created) {
-                        created.pipeline()
-                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(connection);
-                    }
-                })
+                .handler(new ChannelSetup(pipeline -> pipeline.addLast(
+                                new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(connection)))
                 .connect(new InetSocketAddress(address.host(), address.port()));
     }
 
--- a/http/src/main/java/org/turmericspan/http/HttpListener.java
+++ b/http/src/main/java/org/turmericspan/http/HttpListener.java
@@ -1,14 +1,9 @@
 package org.turmericspan.http;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -18,13 +13,13 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.transport.InboundHandler;
+import org.turmericspan.transport.ServerSocketBinder;
 
 /** Listens on an address and hands whole requests to a service. */
 public final class HttpListener implements AutoCloseable {
     /** How often timeouts of connections are checked. */
     private static final long CHECK_MILLIS = 1_000;
-    /** Connections that may wait to be accepted. */
-    private static final int BACKLOG = 1_024;
 
     private final ListenerState state = new ListenerState();
     private final Channel channel;
@@ -47,33 +42,23 @@
             Supplier<ListenerLimits> limits,
             MonotonicClock clock,
             EventLog log) {
-        ServerBootstrap bootstrap = new ServerBootstrap();
-        bootstrap
-                .group(workers)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel accepted) {
-                        ListenerLimits current = limits.get();
-                        HttpDecoderConfig decoder = new HttpDecoderConfig()
-                                .setMaxHeaderSize(current.maxHeaderBytes())
-                                .setMaxInitialLineLength(current.maxHeaderBytes());
-                        CallerConnection connection = new CallerConnection(service, current, state, clock, log);
-                        accepted.pipeline()
-                                .addLast(new ArrivalMarker(connection))
-                                .addLast(new HttpServerCodec(decoder))
-                                .addLast(connection);
-                    }
-                });
-        channel = bootstrap
-                .bind(new InetSocketAddress(address.host(), address.port()))
-                .syncUninterruptibly()
-                .channel();
+        channel = ServerSocketBinder.bind(
+                workers, address, pipeline -> addHandlers(pipeline, service, limits.get(), clock, log), log);
         checks = workers.scheduleWithFixedDelay(
                 () -> checkTimeouts(clock), CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void addHandlers(
+            ChannelPipeline pipeline, HttpService service, ListenerLimits limits, MonotonicClock clock, EventLog log) {
+        HttpDecoderConfig decoder = new HttpDecoderConfig()
+                .setMaxHeaderSize(limits.maxHeaderBytes())
+                .setMaxInitialLineLength(limits.maxHeaderBytes());
+        CallerConnection connection = new CallerConnection(service, limits, state, clock, log);
+        pipeline.addLast(new ArrivalMarker(connection))
+                .addLast(new HttpServerCodec(decoder))
+                .addLast(connection);
+    }
+
     /**
      * Returns the port that was bound.
      *
@@ -125,7 +110,7 @@
     }
 
     /** Tells the connection that bytes arrived. */
-    private static final class ArrivalMarker extends ChannelInboundHandlerAdapter {
+    private static final class ArrivalMarker implements InboundHandler {
         private final CallerConnection connection;
 
         ArrivalMarker(CallerConnection connection) {
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -23,9 +22,10 @@
 import java.util.regex.Pattern;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.transport.InboundHandler;
 
 /** One connection to a server. It carries one call at a time and is kept only after a response that was whole. */
-final class ServerConnection extends ChannelInboundHandlerAdapter {
+final class ServerConnection implements InboundHandler {
     /** Largest response; bounds what a faulty server can make a node hold. */
     private static final int MAX_BODY_BYTES = 16 * 1_048_576;
     /** Part of the server's stated idle timeout for which a connection is used. */
--- a/ids/src/main/java/org/turmericspan/ids/SocketAddress.java
+++ b/ids/src/main/java/org/turmericspan/ids/SocketAddress.java
@@ -11,6 +11,11 @@
     private static final int HASH_FACTOR = 31;
     private static final int MAX_HOST_LENGTH = 41;
     private static final int MAX_PORT_DIGITS = 5;
+    private static final int OCTETS = 4;
+    private static final int MAX_OCTET = 255;
+    private static final int MAX_OCTET_DIGITS = 3;
+    private static final int DECIMAL = 10;
+    private static final int HEXADECIMAL = 16;
     private static final String FORM = "SocketAddress takes IP:PORT with an IP number and a port from 1 to " + MAX_PORT;
 
     /** Checks the range of the port. */
@@ -39,10 +44,46 @@
 
     private static boolean isIpNumber(String host) {
         if (host.startsWith("[") && host.endsWith("]")) {
-            return host.indexOf(':') > 0 && host.substring(1, host.length() - 1).matches("[0-9a-fA-F:.]+");
+            return host.indexOf(':') > 0
+                    && host.substring(1, host.length() - 1).chars().allMatch(SocketAddress::isInIpV6Number);
         }
-        return host.matches(
-                "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])(\\.(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])){3}");
+        return isIpV4Number(host);
+    }
+
+    private static boolean isInIpV6Number(int character) {
+        return character == ':' || character == '.' || Character.digit(character, HEXADECIMAL) >= 0;
+    }
+
+    /** Checks four numbers from 0 to 255 without leading zeros. Written out because a pattern slows starts down. */
+    private static boolean isIpV4Number(String host) {
+        int octets = 0;
+        int begin = 0;
+        while (begin <= host.length()) {
+            int dot = host.indexOf('.', begin);
+            int end = dot < 0 ? host.length() : dot;
+            if (!isOctet(host, begin, end)) {
+                return false;
+            }
+            octets++;
+            begin = end + 1;
+        }
+        return octets == OCTETS;
+    }
+
+    private static boolean isOctet(String text, int begin, int end) {
+        int length = end - begin;
+        if (length < 1 || length > MAX_OCTET_DIGITS || length > 1 && text.charAt(begin) == '0') {
+            return false;
+        }
+        int value = 0;
+        for (int i = begin; i < end; i++) {
+            int digit = text.charAt(i) - '0';
+            if (digit < 0 || digit >= DECIMAL) {
+                return false;
+            }
+            value = value * DECIMAL + digit;
+        }
+        return value <= MAX_OCTET;
     }
 
     private static boolean isPortNumber(String port) {
--- /dev/null
+++ b/transport/src/main/java/org/turmericspan/transport/InboundHandler.java
@@ -0,0 +1,63 @@
+package org.turmericspan.transport;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+
+/**
+ * An inbound handler that passes on every event it does not override.
+ *
+ * <p>Netty's own adapter marks its methods by an annotation. Reading the first annotation makes the JDK generate proxy
+ * classes, which no class archive holds and which costs a tenth of a start.
+ */
+public interface InboundHandler extends ChannelInboundHandler {
+    @Override
+    default void handlerAdded(ChannelHandlerContext context) throws Exception {}
+
+    @Override
+    default void handlerRemoved(ChannelHandlerContext context) throws Exception {}
+
+    @Override
+    default void channelRegistered(ChannelHandlerContext context) throws Exception {
+        context.fireChannelRegistered();
+    }
+
+    @Override
+    default void channelUnregistered(ChannelHandlerContext context) throws Exception {
+        context.fireChannelUnregistered();
+    }
+
+    @Override
+    default void channelActive(ChannelHandlerContext context) throws Exception {
+        context.fireChannelActive();
+    }
+
+    @Override
+    default void channelInactive(ChannelHandlerContext context) throws Exception {
+        context.fireChannelInactive();
+    }
+
+    @Override
+    default void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        context.fireChannelRead(message);
+    }
+
+    @Override
+    default void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        context.fireChannelReadComplete();
+    }
+
+    @Override
+    default void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        context.fireUserEventTriggered(event);
+    }
+
+    @Override
+    default void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
+        context.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    default void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+        context.fireExceptionCaught(cause);
+    }
+}
