Ask upstreams that nobody observed lately where the known ones are full or slow

A node that has just started knows the load of its own zone only; the others' come with digests later, and what is unknown was never asked.

Change: an upstream without a fresh observation counts among the candidates that are asked before a choice, at a cost above that of a good one. It is still chosen only when its own answer says that it is warm and has room.

Before: UpstreamTableTest#upstreamThatNobodyObservedIsAskedWhereTheKnownAreFull fails. After: it passes, with its counterpart that nothing is asked where a known one is free.

--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -23,6 +23,8 @@
     private static final long JUST_OBSERVED_NANOS = TimeUnit.MILLISECONDS.toNanos(12);
     /** Cost up to which an upstream is taken without asking others: at its usual speed, and not crowded. */
     private static final double GOOD_COST = 1.25;
+    /** Least cost presumed of an upstream that nobody observed lately; above that of a good one. */
+    private static final double UNKNOWN_COST = 1.5;
     /** Range of a random cost that breaks ties among nodes. */
     private static final double TIE_COST = 0.04;
 
@@ -67,12 +69,15 @@
         return best == null ? Optional.empty() : Optional.of(new Choice(best, bestCost));
     }
 
-    /** Lists the best candidates whose load is not fresh, unless the best of all is fresh and nearly free. */
+    /**
+     * Lists the best candidates whose load is not fresh, unless the best of all is fresh and nearly free. Upstreams that
+     * nobody observed lately count as usual ones, so that a node that has just started finds those of other zones too.
+     */
     List<UpstreamState> worthAsking(
             Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
         List<Choice> ranked = states.stream()
-                .filter(state -> isUsable(state, request, circumstances))
-                .map(state -> new Choice(state, cost(state, circumstances)))
+                .filter(state -> isUsable(state, request, circumstances) || isUnknown(state, request, circumstances))
+                .map(state -> new Choice(state, presumedCost(state, circumstances)))
                 .sorted((one, other) -> Double.compare(one.cost(), other.cost()))
                 .limit(ASKED_CANDIDATES)
                 .toList();
@@ -88,7 +93,7 @@
     }
 
     private static boolean isJustObserved(UpstreamState state, long now) {
-        return now - state.observation().atNanos() <= JUST_OBSERVED_NANOS;
+        return state.observation() != null && now - state.observation().atNanos() <= JUST_OBSERVED_NANOS;
     }
 
     private double cost(UpstreamState state, Circumstances circumstances) {
@@ -97,18 +102,20 @@
                 + distance(state.registration());
     }
 
+    /** Returns the cost at which an upstream is worth asking; one that nobody observed lately is never the best. */
+    private double presumedCost(UpstreamState state, Circumstances circumstances) {
+        double cost = cost(state, circumstances);
+        return isFresh(state, circumstances.nowNanos()) ? cost : Math.max(cost, UNKNOWN_COST);
+    }
+
     private boolean isUsable(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
         long now = circumstances.nowNanos();
-        Registration registration = state.registration();
-        if (!registration.service().equals(request.service())
-                || registration.draining()
-                || circumstances.evacuated().contains(registration.availabilityZone())
-                || request.excluded().contains(registration.id())
-                || state.rests(now)
+        if (!isCandidate(state, request, circumstances)
                 || !isFresh(state, now)
                 || !state.observation().reachable()) {
             return false;
         }
+        Registration registration = state.registration();
         if (state.isCold(now)) {
             return ownership.owns(registration)
                     && state.load(now) < registration.slots()
@@ -117,6 +124,20 @@
         return state.load(now) < RoomRule.limit(registration.slots(), request.priority());
     }
 
+    /** Tells whether an upstream may turn out usable when it is asked. */
+    private static boolean isUnknown(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
+        return isCandidate(state, request, circumstances) && !isFresh(state, circumstances.nowNanos());
+    }
+
+    private static boolean isCandidate(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
+        Registration registration = state.registration();
+        return registration.service().equals(request.service())
+                && !registration.draining()
+                && !circumstances.evacuated().contains(registration.availabilityZone())
+                && !request.excluded().contains(registration.id())
+                && !state.rests(circumstances.nowNanos());
+    }
+
     static boolean isFresh(UpstreamState state, long now) {
         return state.observation() != null && now - state.observation().atNanos() <= OBSERVATION_LIFE_NANOS;
     }
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -40,6 +40,25 @@
         assertThat(chosen()).isEmpty();
     }
 
+    @Test
+    void upstreamThatNobodyObservedIsAskedWhereTheKnownAreFull() {
+        UpstreamId full = add("u-full", 100);
+        table.observe(full, new Observation(clock.nowNanos() + 1, 9, 9, 100, 0, true, true));
+        table.register(Samples.registration("u-unknown", Samples.HOME));
+
+        assertThat(table.worthAsking(Samples.choice()))
+                .extracting(Registration::id)
+                .containsExactly(new UpstreamId("u-unknown"));
+    }
+
+    @Test
+    void upstreamThatNobodyObservedIsNotAskedWhereAKnownOneIsFree() {
+        add("u-free", 100);
+        table.register(Samples.registration("u-unknown", Samples.HOME));
+
+        assertThat(table.worthAsking(Samples.choice())).isEmpty();
+    }
+
     @Test
     void slowUpstreamIsPassedOver() {
         add("u-slow", 400);
