Give log lines their form on the writer's thread

Cause: a node that starts writes some sixty lines about upstreams and nodes before it is ready, and a request waits for the form of each of its lines. In the first second after a start that code is not compiled yet and the processor is what limits the node.

Change: the queue holds events with their time of day; the writer, which wakes up 200 ms later anyway, gives them their form.

--- a/events/src/main/java/org/turmericspan/events/Event.java
+++ b/events/src/main/java/org/turmericspan/events/Event.java
@@ -53,7 +53,7 @@
      * Adds a field.
      *
      * @param name name with its unit
-     * @param value a number, a truth value, or something whose text is written
+     * @param value a number, a truth value, or something whose text is written later and must not change until then
      * @return this line
      */
     public Event with(String name, Object value) {
--- a/events/src/main/java/org/turmericspan/events/JsonEventLog.java
+++ b/events/src/main/java/org/turmericspan/events/JsonEventLog.java
@@ -33,7 +33,7 @@
     private static final long CLOSE_MILLIS = 500;
 
     private final JsonFactory factory = new JsonFactory();
-    private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final ArrayBlockingQueue<Line> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final Map<Event.Severity, Integer> written = new EnumMap<>(Event.Severity.class);
     private final String node;
     private final MonotonicClock clock;
@@ -67,7 +67,7 @@
     public synchronized void write(Event event) {
         renewWindow();
         int count = written.merge(event.severity(), 1, Integer::sum);
-        if (count > budget(event.severity()) || !lines.offer(format(event))) {
+        if (count > budget(event.severity()) || !lines.offer(new Line(wallMillis.getAsLong(), event))) {
             dropped++;
         }
     }
@@ -91,7 +91,9 @@
         windowStartNanos = now;
         written.clear();
         if (dropped > 0
-                && lines.offer(format(Event.notice("log", "Lines dropped.").with("lines", dropped)))) {
+                && lines.offer(new Line(
+                        wallMillis.getAsLong(),
+                        Event.notice("log", "Lines dropped.").with("lines", dropped)))) {
             dropped = 0;
         }
     }
@@ -104,15 +106,15 @@
         };
     }
 
-    private String format(Event event) {
+    private String format(Line line) {
         StringWriter text = new StringWriter();
         try (JsonGenerator json = factory.createGenerator(text)) {
             json.writeStartObject();
-            json.writeNumberField("t", wallMillis.getAsLong());
+            json.writeNumberField("t", line.atMillis());
             json.writeStringField("node", node);
-            json.writeStringField("part", event.part());
-            json.writeStringField("event", event.message());
-            for (Event.Field field : event.fields()) {
+            json.writeStringField("part", line.event().part());
+            json.writeStringField("event", line.event().message());
+            for (Event.Field field : line.event().fields()) {
                 writeField(json, field);
             }
             json.writeEndObject();
@@ -138,7 +140,7 @@
         while (!closed) {
             StringBuilder batch = new StringBuilder();
             try {
-                batch.append(lines.take());
+                batch.append(format(lines.take()));
                 TimeUnit.MILLISECONDS.sleep(GATHER_MILLIS);
             } catch (InterruptedException e) {
                 closed = true;
@@ -149,8 +151,8 @@
     }
 
     private void writeBatch(StringBuilder batch) {
-        for (String line = lines.poll(); line != null; line = lines.poll()) {
-            batch.append(line);
+        for (Line line = lines.poll(); line != null; line = lines.poll()) {
+            batch.append(format(line));
         }
         try {
             output.write(batch.toString().getBytes(StandardCharsets.UTF_8));
@@ -160,4 +162,7 @@
             closed = true;
         }
     }
+
+    /** An event and its time of day. It gets its form on the writer's thread, away from the path of requests. */
+    private record Line(long atMillis, Event event) {}
 }
