Keep the last slots for higher priorities only while a service is busy

Lookups may not take the third slot, so an upstream of usual speed with two requests was closed to them: a slow one with none was all that was left.

Ruled out: stale load (776 of the choices rested on load younger than 10 ms, 169 of them late), hedges (144, of which 114 were late all the same).

While a request waits for an upstream that is in time, the time it has waited counts against it, and 0.85 of the target latency is taken as in time, which a third slot at usual speed (cost 1.7) meets.

Before: UpstreamTableTest#lastSlotOfAFastUpstreamIsBetterThanASlowOneWhileTheServiceIsCalm fails. After: it passes. Longer waits (until an idle upstream would no longer be in time) were tried and not kept: refusals came later than ForwardingServiceTest#noUpstreamIsToldSoonAsNotRun allows.

--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -47,8 +47,29 @@
         this.random = random;
     }
 
-    /** What a choice depends on beside the request and the upstreams. */
-    record Circumstances(Set<AvailabilityZoneId> evacuated, double meanSlowness, long typicalNanos, long nowNanos) {}
+    /** What a choice depends on beside the request and the single upstream. */
+    record Circumstances(
+            Set<AvailabilityZoneId> evacuated,
+            double busyShare,
+            double meanSlowness,
+            long typicalNanos,
+            long nowNanos) {}
+
+    /** Returns the share of a service's slots that are in use, as far as its upstreams were observed lately. */
+    static double busyShare(Collection<UpstreamState> states, ServiceId service, long now) {
+        int busy = 0;
+        int slots = 0;
+        for (UpstreamState state : states) {
+            Registration registration = state.registration();
+            if (registration.service().equals(service)
+                    && isFresh(state, now)
+                    && state.observation().reachable()) {
+                busy += Math.min(state.load(now), registration.slots());
+                slots += registration.slots();
+            }
+        }
+        return slots == 0 ? 0 : (double) busy / slots;
+    }
 
     /** An upstream and its predicted cost. */
     record Choice(UpstreamState state, double cost) {}
@@ -121,7 +142,7 @@
                     && state.load(now) < registration.slots()
                     && state.coldPace().allows(coldPerSecond(registration.service()), now);
         }
-        return state.load(now) < RoomRule.limit(registration.slots(), request.priority());
+        return state.load(now) < RoomRule.limit(registration.slots(), request.priority(), circumstances.busyShare());
     }
 
     /** Tells whether an upstream may turn out usable when it is asked. */
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -290,7 +290,8 @@
     }
 
     private Circumstances circumstances(ChoiceRequest request, long now) {
-        return new Circumstances(evacuated, meanSlowness, typicalLocked(request.route()), now);
+        double busyShare = UpstreamSelection.busyShare(states.values(), request.service(), now);
+        return new Circumstances(evacuated, busyShare, meanSlowness, typicalLocked(request.route()), now);
     }
 
     /**
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -73,6 +73,17 @@
         assertThat(Set.of(chosen().orElseThrow(), chosen().orElseThrow())).containsExactlyInAnyOrder(first, second);
     }
 
+    @Test
+    void lastSlotOfAFastUpstreamIsBetterThanASlowOneWhileTheServiceIsCalm() {
+        UpstreamId fast = add("u-fast", 100);
+        add("u-slow-1", 400);
+        add("u-slow-2", 400);
+        clock.advance(Duration.ofMillis(1));
+        table.observe(fast, new Observation(clock.nowNanos(), 2, 0, 100, 0, true, true));
+
+        assertThat(chosen()).hasValue(fast);
+    }
+
     @Test
     void drainingUpstreamGetsNothing() {
         UpstreamId id = add("u-1", 100);
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -31,8 +31,8 @@
     private static final long ABANDON_MILLIS = 1_000;
     /** Shortest time left with which an attempt is worth making. */
     private static final long LEAST_LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
-    /** Part of the target latency in which an attempt is expected to end; the rest is for its spread and the way. */
-    private static final double IN_TIME_PART = 0.8;
+    /** Part of the target latency in which a request is expected to end; the rest is for its spread and the way. */
+    private static final double IN_TIME_PART = 0.85;
     /** Part of the target latency for which a choice may wait for the load of upstreams. */
     private static final int LOOKUP_PART = 16;
     /** Highest predicted cost of an upstream that takes a hedge: fast now, and nearly idle. */
@@ -99,8 +99,8 @@
     }
 
     /** Returns the highest cost at which an answer is expected in time; a slot on a better upstream is soon free. */
-    private double inTimeCost() {
-        return IN_TIME_PART * route.targetLatencyNanos() / typicalNanos();
+    private double inTimeCost(long waitedNanos) {
+        return (IN_TIME_PART * route.targetLatencyNanos() - waitedNanos) / typicalNanos();
     }
 
     private long lookupNanos() {
@@ -112,10 +112,11 @@
             return;
         }
         long now = parts.clock().nowNanos();
-        boolean mayWait = now - arrivedNanos < route.targetLatencyNanos() / WAIT_PART;
+        long waitedNanos = now - arrivedNanos;
+        boolean mayWait = waitedNanos < route.targetLatencyNanos() / WAIT_PART;
         Optional<Placement> placement = deadlineNanos - now < LEAST_LEFT_NANOS
                 ? Optional.empty()
-                : upstreams.choose(choice(mayWait ? inTimeCost() : Double.MAX_VALUE));
+                : upstreams.choose(choice(mayWait ? inTimeCost(waitedNanos) : Double.MAX_VALUE));
         if (placement.isPresent()) {
             attempt(placement.get(), kind);
         } else if (mayWait && deadlineNanos - now > LEAST_LEFT_NANOS) {
