--- a/balancing/src/main/java/org/turmericspan/balancing/RoomRule.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/RoomRule.java
@@ -2,8 +2,8 @@
 
 /**
  * Decides how many requests an upstream may hold before one of a given priority is sent there. A nearly full upstream
- * serves fewer requests in all, so while its service is busy its last slots are kept for what matters most, and the rest
- * waits or is refused.
+ * serves fewer requests in all, so while its service is busy its last slots are kept for what matters most, and the
+ * rest waits or is refused.
  */
 final class RoomRule {
     /** Share of the slots up to which upstreams of many kinds keep their speed. */
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -1,5 +1,6 @@
 package org.turmericspan.balancing;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -91,17 +92,12 @@
     }
 
     /**
-     * Lists the best candidates whose load is not fresh, unless the best of all is fresh and nearly free. Upstreams that
-     * nobody observed lately count as usual ones, so that a node that has just started finds those of other zones too.
+     * Lists the best candidates whose load is not fresh, unless the best of all is fresh and nearly free. Upstreams
+     * that nobody observed lately count as usual ones, so that a node that has just started finds those of other zones.
      */
     List<UpstreamState> worthAsking(
             Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
-        List<Choice> ranked = states.stream()
-                .filter(state -> isUsable(state, request, circumstances) || isUnknown(state, request, circumstances))
-                .map(state -> new Choice(state, presumedCost(state, circumstances)))
-                .sorted((one, other) -> Double.compare(one.cost(), other.cost()))
-                .limit(ASKED_CANDIDATES)
-                .toList();
+        List<Choice> ranked = best(states, request, circumstances);
         if (!ranked.isEmpty()
                 && ranked.get(0).cost() <= GOOD_COST
                 && isJustObserved(ranked.get(0).state(), circumstances.nowNanos())) {
@@ -113,6 +109,25 @@
                 .toList();
     }
 
+    /** Ranks the few best candidates, the best first, without sorting all of them. */
+    private List<Choice> best(Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
+        List<Choice> ranked = new ArrayList<>(ASKED_CANDIDATES + 1);
+        for (UpstreamState state : states) {
+            if (isUsable(state, request, circumstances) || isUnknown(state, request, circumstances)) {
+                double cost = presumedCost(state, circumstances);
+                int place = ranked.size();
+                while (place > 0 && ranked.get(place - 1).cost() > cost) {
+                    place--;
+                }
+                ranked.add(place, new Choice(state, cost));
+                if (ranked.size() > ASKED_CANDIDATES) {
+                    ranked.remove(ASKED_CANDIDATES);
+                }
+            }
+        }
+        return ranked;
+    }
+
     private static boolean isJustObserved(UpstreamState state, long now) {
         return state.observation() != null && now - state.observation().atNanos() <= JUST_OBSERVED_NANOS;
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -14,7 +14,6 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.RouteId;
-import org.turmericspan.ids.StableHash;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
@@ -71,8 +70,9 @@
         return lock.compute(() -> {
             UpstreamState state = states.get(registration.id());
             if (state == null) {
-                states.put(registration.id(), new UpstreamState(registration));
-                byHash.put(StableHash.of(registration.id().value()), registration.id());
+                UpstreamState added = new UpstreamState(registration);
+                states.put(registration.id(), added);
+                byHash.put(added.hash(), registration.id());
                 return true;
             }
             Registration old = state.registration();
@@ -89,8 +89,11 @@
      */
     public boolean remove(UpstreamId id) {
         return lock.compute(() -> {
-            byHash.remove(StableHash.of(id.value()));
-            return states.remove(id) != null;
+            UpstreamState removed = states.remove(id);
+            if (removed != null) {
+                byHash.remove(removed.hash());
+            }
+            return removed != null;
         });
     }
 
--- a/forwarding/src/main/java/org/turmericspan/forwarding/FreshLoad.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/FreshLoad.java
@@ -5,9 +5,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.turmericspan.balancing.ChoiceRequest;
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.ids.UpstreamId;
 
 /**
  * Lets a step of a request wait until the load it decides on is a few milliseconds old. All of it runs on the worker of
@@ -35,24 +37,21 @@
     }
 
     /** Runs a step when an upstream has said how it does, or the limit has passed. */
-    void of(Registration upstream, long limitNanos, Runnable step) {
-        new Wait(1, () -> false, step).ask(List.of(upstream), limitNanos);
-    }
-
-    /** Whether a wait may end before all have answered. */
-    @FunctionalInterface
-    private interface Enough {
-        boolean isKnown();
+    void of(UpstreamId upstream, long limitNanos, Runnable step) {
+        upstreams
+                .registration(upstream)
+                .ifPresentOrElse(
+                        registered -> new Wait(1, () -> false, step).ask(List.of(registered), limitNanos), step);
     }
 
     private final class Wait {
-        private final Enough enough;
+        private final BooleanSupplier enough;
         private final Runnable step;
         private ScheduledFuture<?> limit;
         private int pending;
         private boolean over;
 
-        Wait(int pending, Enough enough, Runnable step) {
+        Wait(int pending, BooleanSupplier enough, Runnable step) {
             this.pending = pending;
             this.enough = enough;
             this.step = step;
@@ -65,7 +64,7 @@
 
         private void answered() {
             pending--;
-            if (!over && (pending == 0 || enough.isKnown())) {
+            if (!over && (pending == 0 || enough.getAsBoolean())) {
                 finish();
             }
         }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -166,11 +166,7 @@
 
     private void look(Attempt attempt) {
         if (mayHedge(attempt)) {
-            upstreams
-                    .registration(attempt.placement().upstream())
-                    .ifPresentOrElse(
-                            upstream -> freshLoad.of(upstream, lookupNanos(), () -> considerHedge(attempt)),
-                            () -> considerHedge(attempt));
+            freshLoad.of(attempt.placement().upstream(), lookupNanos(), () -> considerHedge(attempt));
         }
     }
 
@@ -256,9 +252,7 @@
         parts.tables()
                 .suspects()
                 .attemptBroken(target.fingerprint(), attempt.placement().upstream());
-        upstreams
-                .registration(attempt.placement().upstream())
-                .ifPresent(upstream -> parts.lookup().ask(upstream, () -> {}));
+        freshLoad.of(attempt.placement().upstream(), lookupNanos(), () -> {});
         retry(route.idempotent());
     }
 
