--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -122,7 +122,7 @@
         DirectoryService directory = new DirectoryService(this::locate, this::isReady, settings.answerLifeSeconds());
         listen(settings.directoryAddress(), directory);
         listen(settings.readinessAddress(), directory);
-        listen(settings.metricsAddress(), operators());
+        listenForOperators();
         listen(settings.gossipAddress(), new FeedRelay(feed));
         watchFigures();
         callers = listen(settings.callerAddress(), new ForwardingService(forwarding));
@@ -133,6 +133,17 @@
         log.write(Event.notice(PART, "Started.").with("callers", settings.callerAddress()));
     }
 
+    /** Serves the metrics and the state dump if it can; callers are served without them too. */
+    private void listenForOperators() {
+        try {
+            listen(settings.metricsAddress(), operators());
+        } catch (Exception e) {
+            log.write(Event.failure(PART, "Metrics not served.")
+                    .with("address", settings.metricsAddress())
+                    .with("cause", e));
+        }
+    }
+
     private void watchFigures() {
         metrics.watch("store_calls", feed::calls);
         metrics.watch("probes", prober::sent);
--- a/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -79,6 +81,19 @@
                 .sum();
     }
 
+    @Test
+    void takenMetricsAddressDoesNotKeepANodeFromServing() throws Exception {
+        NodeProcess node = new NodeProcess("127.0.7.1", "zone-a", freePorts(), "127.0.7.1:1", platform.address());
+        nodes.add(node);
+        try (ServerSocket taken = new ServerSocket(
+                node.metrics().port(), 1, InetAddress.getByName(node.metrics().host()))) {
+            node.start();
+
+            await("serves", () -> node.request("GET", "/a/1", "m").status() == 200);
+            assertThat(taken.isBound()).isTrue();
+        }
+    }
+
     @Test
     void fleetServesAndNamesNodesOfTheCallersZone() throws Exception {
         startNodes(4);
--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -89,6 +89,10 @@
         return callers;
     }
 
+    SocketAddress metrics() {
+        return metrics;
+    }
+
     long pid() {
         return process.pid();
     }
