--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -56,13 +56,15 @@
             long typicalNanos,
             long nowNanos) {}
 
-    /** Returns the share of a service's slots that are in use, as far as its upstreams were observed lately. */
-    static double busyShare(Collection<UpstreamState> states, ServiceId service, long now) {
+    /** Returns the share of a service's slots in use, of the upstreams that take requests and were observed lately. */
+    static double busyShare(
+            Collection<UpstreamState> states, ServiceId service, Set<AvailabilityZoneId> evacuated, long now) {
         int busy = 0;
         int slots = 0;
         for (UpstreamState state : states) {
             Registration registration = state.registration();
             if (registration.service().equals(service)
+                    && takesRequests(registration, evacuated)
                     && isFresh(state, now)
                     && state.observation().reachable()) {
                 busy += Math.min(state.load(now), registration.slots());
@@ -168,12 +170,15 @@
     private static boolean isCandidate(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
         Registration registration = state.registration();
         return registration.service().equals(request.service())
-                && !registration.draining()
-                && !circumstances.evacuated().contains(registration.availabilityZone())
+                && takesRequests(registration, circumstances.evacuated())
                 && !request.excluded().contains(registration.id())
                 && !state.rests(circumstances.nowNanos());
     }
 
+    private static boolean takesRequests(Registration registration, Set<AvailabilityZoneId> evacuated) {
+        return !registration.draining() && !evacuated.contains(registration.availabilityZone());
+    }
+
     static boolean isFresh(UpstreamState state, long now) {
         return state.observation() != null && now - state.observation().atNanos() <= OBSERVATION_LIFE_NANOS;
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -293,7 +293,7 @@
     }
 
     private Circumstances circumstances(ChoiceRequest request, long now) {
-        double busyShare = UpstreamSelection.busyShare(states.values(), request.service(), now);
+        double busyShare = UpstreamSelection.busyShare(states.values(), request.service(), evacuated, now);
         return new Circumstances(evacuated, busyShare, meanSlowness, typicalLocked(request.route()), now);
     }
 
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.StableHash;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.testkit.ManualClock;
@@ -84,6 +85,21 @@
         assertThat(chosen()).hasValue(fast);
     }
 
+    @Test
+    void evacuatedUpstreamsDoNotMakeABusyServiceLookCalm() {
+        UpstreamId busy = add("u-busy", 100);
+        for (int i = 0; i < 3; i++) {
+            Registration away = Samples.registration("u-away-" + i, new AvailabilityZoneId("away"));
+            table.register(away);
+            table.observe(away.id(), Samples.observation(clock.nowNanos(), 100));
+        }
+        table.setEvacuated(Set.of(new AvailabilityZoneId("away")));
+        clock.advance(Duration.ofMillis(1));
+        table.observe(busy, new Observation(clock.nowNanos(), 2, 0, 100, 0, true, true));
+
+        assertThat(chosen()).isEmpty();
+    }
+
     @Test
     void drainingUpstreamGetsNothing() {
         UpstreamId id = add("u-1", 100);
