State in refusals what the service had to offer

Change: "Request refused." states service, registered, usable and busyPercent (UpstreamTableTest#roomTellsWhyARequest...).

Decisions are unchanged.

--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -74,6 +74,17 @@
         return slots == 0 ? 0 : (double) busy / slots;
     }
 
+    /** Counts what a service has to offer a request. */
+    Room room(Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
+        int registered = 0;
+        int usable = 0;
+        for (UpstreamState state : states) {
+            registered += state.registration().service().equals(request.service()) ? 1 : 0;
+            usable += isUsable(state, request, circumstances) ? 1 : 0;
+        }
+        return new Room(registered, usable, circumstances.busyShare());
+    }
+
     /** An upstream and its predicted cost. */
     record Choice(UpstreamState state, double cost) {}
 
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -22,8 +22,6 @@
 public final class UpstreamTable {
     /** Weight of a new observation in the mean slowness. */
     private static final double MEAN_WEIGHT = 0.02;
-    /** Weight of a new answer in the typical latency of a route. */
-    private static final double LATENCY_WEIGHT = 0.05;
 
     /** Share of failures from which on other nodes are told of it, also without a fresh observation. */
     private static final double TOLD_FAIL_SHARE = 0.05;
@@ -33,7 +31,7 @@
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
     private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
     private final Map<Long, UpstreamId> byHash = new HashMap<>();
-    private final Map<RouteId, Double> typicalNanos = new HashMap<>();
+    private final TypicalLatencies latencies = new TypicalLatencies();
     private final UpstreamSelection selection;
     private final MonotonicClock clock;
     private Set<AvailabilityZoneId> evacuated = Set.of();
@@ -292,9 +290,20 @@
         });
     }
 
+    /**
+     * Tells what a service has to offer a request, whatever its cost.
+     *
+     * @param request what is needed
+     * @return the counts of this moment
+     */
+    public Room room(ChoiceRequest request) {
+        long now = clock.nowNanos();
+        return lock.compute(() -> selection.room(states.values(), request, circumstances(request, now)));
+    }
+
     private Circumstances circumstances(ChoiceRequest request, long now) {
         double busyShare = UpstreamSelection.busyShare(states.values(), request.service(), evacuated, now);
-        return new Circumstances(evacuated, busyShare, meanSlowness, typicalLocked(request.route()), now);
+        return new Circumstances(evacuated, busyShare, meanSlowness, latencies.nanos(request.route()), now);
     }
 
     /**
@@ -344,16 +353,11 @@
                 state.finished(placement.startedNanos(), result, now);
             }
             if (result == AttemptResult.SUCCESS) {
-                learnLatency(placement, now);
+                latencies.learn(placement, now);
             }
         });
     }
 
-    private void learnLatency(Placement placement, long now) {
-        double usual = (now - placement.startedNanos()) / Math.max(1, placement.cost());
-        typicalNanos.merge(placement.route(), usual, (old, fresh) -> old + LATENCY_WEIGHT * (fresh - old));
-    }
-
     /**
      * Returns how long a request of a route typically takes on an idle upstream.
      *
@@ -361,11 +365,7 @@
      * @return nanoseconds; 0 when nothing is known
      */
     public long typicalNanos(RouteId route) {
-        return lock.compute(() -> typicalLocked(route));
-    }
-
-    private long typicalLocked(RouteId route) {
-        return typicalNanos.getOrDefault(route, 0.0).longValue();
+        return lock.compute(() -> latencies.nanos(route));
     }
 
     /**
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -100,6 +100,16 @@
         assertThat(chosen()).isEmpty();
     }
 
+    @Test
+    void roomTellsWhyARequestFindsNoUpstream() {
+        UpstreamId full = add("u-full", 100);
+        table.register(Samples.registration("u-unknown", Samples.HOME));
+        clock.advance(Duration.ofMillis(1));
+        table.observe(full, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
+
+        assertThat(table.room(Samples.choice())).isEqualTo(new Room(2, 0, 1.0));
+    }
+
     @Test
     void drainingUpstreamGetsNothing() {
         UpstreamId id = add("u-1", 100);
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -302,7 +302,7 @@
 
     private void refuse(ResultCode code) {
         parts.outcomes().refused(code);
-        log.refused(code);
+        log.refused(code, upstreams.room(choice(Double.MAX_VALUE)));
         long pauseMillis = code == ResultCode.SHED_BY_UPSTREAM
                 ? SHED_RETRY_MILLIS
                 : TimeUnit.NANOSECONDS.toMillis(route.targetLatencyNanos() / RETRY_AFTER_PART);
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RunLog.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RunLog.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.balancing.AttemptResult;
 import org.turmericspan.balancing.Placement;
+import org.turmericspan.balancing.Room;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
@@ -54,12 +55,16 @@
                 .with("elapsedMs", elapsedMillis()));
     }
 
-    void refused(ResultCode code) {
+    void refused(ResultCode code, Room room) {
         log.write(Event.failure(PART, "Request refused.")
                 .with("request", requestId)
                 .with("code", code.number())
                 .with("route", target.route().id())
                 .with("version", target.version())
+                .with("service", target.service())
+                .with("registered", room.registered())
+                .with("usable", room.usable())
+                .with("busyPercent", Math.round(room.busyShare() * PERCENT))
                 .with("attempts", attempts)
                 .with("elapsedMs", elapsedMillis()));
     }
