--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -190,7 +190,8 @@
     @Override
     public void close() throws IOException {
         if (process != null) {
-            process.destroyForcibly();
+            // The next test takes the same ports.
+            process.destroyForcibly().onExit().join();
         }
         Files.deleteIfExists(settings);
         Files.deleteIfExists(output);
