Reset the connection of an attempt that is given up

The connection was closed in order, so its bytes waited in the socket until the cut healed.

Change: linger time 0 before the close, so that the socket drops what it holds.

--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -102,11 +103,12 @@
         return "GET".equals(method) || "HEAD".equals(method) || "DELETE".equals(method);
     }
 
-    /** Gives the current call up. */
+    /** Gives the current call up. Its connection is reset, so that bytes held up on the way are not delivered later. */
     void cancel() {
         channel.eventLoop().execute(() -> {
             current = null;
             spoiled = true;
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
         });
     }
