Tell in the failure what became of a node that does not come back

Change: the fleet waits for a node in one place, and the failure holds the state of the process, its exit code and the last lines of its log. Conclusion: the next failure names its cause.

--- a/integration/src/test/java/org/turmericspan/integration/ColdUpstreamTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/ColdUpstreamTest.java
@@ -24,12 +24,7 @@
             for (FleetNode node : fleet.nodes()) {
                 node.process().kill();
                 node.process().start();
-                Await.until(
-                        node + " is back",
-                        LIMIT,
-                        () -> fleet.http()
-                                .get(node.operatorUrl() + "/v1/health")
-                                .equals("ready"));
+                fleet.awaitReady(node, LIMIT);
             }
             traffic.awaitAnswers(100, LIMIT);
 
--- a/integration/src/test/java/org/turmericspan/integration/PlannedStopUnderLoadTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/PlannedStopUnderLoadTest.java
@@ -72,10 +72,7 @@
         assertThat(longCall.join()).isIn(TestCaller.Told.ANSWERED, TestCaller.Told.NOT_RUN);
         assertThat(node.process().exitCode()).isZero();
         node.process().start();
-        Await.until(
-                node.name() + " is ready again",
-                DEADLINE,
-                () -> fleet.http().get(node.operatorUrl() + "/v1/health").equals("ready"));
+        fleet.awaitReady(node, DEADLINE);
     }
 
     private static int inFlight(Fleet fleet, FleetNode node) {
--- a/standins/src/main/java/org/turmericspan/standins/fleet/ChildProcess.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/ChildProcess.java
@@ -13,6 +13,8 @@
 public final class ChildProcess implements AutoCloseable {
     private static final long STOP_TIMEOUT_SECONDS = 20;
     private static final String HEAP = "-Xmx128m";
+    /** Lines of a log that a diagnosis shows; enough for a stack trace and what led to it. */
+    private static final int DIAGNOSIS_LINES = 40;
 
     private final String name;
     private final List<String> command;
@@ -90,6 +92,22 @@
         return process.exitValue();
     }
 
+    /**
+     * Describes the process for the message of a failed test.
+     *
+     * @return whether it runs or how it ended, and the last lines of its log
+     */
+    public String diagnosis() {
+        String state = process.isAlive() ? "runs" : "ended with code " + process.exitValue();
+        try {
+            List<String> lines = Files.readAllLines(log);
+            List<String> last = lines.subList(Math.max(0, lines.size() - DIAGNOSIS_LINES), lines.size());
+            return name + " " + state + ", its log ends:\n" + String.join("\n", last);
+        } catch (IOException e) {
+            return name + " " + state + ", its log cannot be read: " + e;
+        }
+    }
+
     /** Asks the process to stop as planned, and waits until it has. */
     public void stop() {
         process.destroy();
--- a/standins/src/main/java/org/turmericspan/standins/fleet/Fleet.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/Fleet.java
@@ -152,6 +152,24 @@
         }
     }
 
+    /**
+     * Waits until a node says that it is ready; a failure tells what became of its process and its last log lines.
+     *
+     * @param node the node
+     * @param limit how long to wait
+     */
+    public void awaitReady(FleetNode node, Duration limit) {
+        try {
+            Await.until(
+                    node.name() + " is ready",
+                    limit,
+                    () -> http.get(node.operatorUrl() + "/v1/health").equals("ready"));
+        } catch (IllegalStateException e) {
+            throw new IllegalStateException(
+                    e.getMessage() + "; " + node.process().diagnosis(), e);
+        }
+    }
+
     /**
      * Reads the number of the configuration in force at a node.
      *
@@ -260,10 +278,7 @@
         publishVms();
         nodes.forEach(node -> node.process().start());
         Await.until("upstreams answer", START_LIMIT, () -> witness() != null);
-        nodes.forEach(node -> Await.until(
-                node.name() + " is ready",
-                START_LIMIT,
-                () -> http.get(node.operatorUrl() + "/v1/health").equals("ready")));
+        nodes.forEach(node -> awaitReady(node, START_LIMIT));
     }
 
     private void planObjects() {
