Count the busy share and the room only where a decision or a log line needs them

Each question and choice passed over all upstreams once more to count the busy share, though only the lowest priority's room depends on it; each refusal counted the room, though it explains only "no capacity"; a broken attempt renewed the load of its upstream with a step that does nothing and a timer for it; a datagram was released after its read, not in a finally. Ruled out: one pass for share and choice; the share must be known before the first upstream is judged. Conclusion: kept for the shorter path and the truer names.

--- a/balancing/src/main/java/org/turmericspan/balancing/RoomRule.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/RoomRule.java
@@ -13,6 +13,11 @@
 
     private RoomRule() {}
 
+    /** Tells whether the room for a priority depends on how busy the service is. */
+    static boolean dependsOnBusyShare(int priority) {
+        return priority > 1;
+    }
+
     static int limit(int slots, int priority, double busyShare) {
         return switch (priority) {
             case 0 -> slots + 1;
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -48,7 +48,7 @@
         this.random = random;
     }
 
-    /** What a choice depends on beside the request and the single upstream. */
+    /** What a choice depends on beside the request and the single upstream; the busy share only where room does. */
     record Circumstances(
             Set<AvailabilityZoneId> evacuated,
             double busyShare,
@@ -82,7 +82,8 @@
             registered += state.registration().service().equals(request.service()) ? 1 : 0;
             usable += isUsable(state, request, circumstances) ? 1 : 0;
         }
-        return new Room(registered, usable, circumstances.busyShare());
+        double busyShare = busyShare(states, request.service(), circumstances.evacuated(), circumstances.nowNanos());
+        return new Room(registered, usable, busyShare);
     }
 
     /** An upstream and its predicted cost. */
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -302,7 +302,9 @@
     }
 
     private Circumstances circumstances(ChoiceRequest request, long now) {
-        double busyShare = UpstreamSelection.busyShare(states.values(), request.service(), evacuated, now);
+        double busyShare = RoomRule.dependsOnBusyShare(request.priority())
+                ? UpstreamSelection.busyShare(states.values(), request.service(), evacuated, now)
+                : 0;
         return new Circumstances(evacuated, busyShare, meanSlowness, latencies.nanos(request.route()), now);
     }
 
--- a/forwarding/src/main/java/org/turmericspan/forwarding/FreshLoad.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/FreshLoad.java
@@ -44,6 +44,11 @@
                         registered -> new Wait(1, () -> false, step).ask(List.of(registered), limitNanos), step);
     }
 
+    /** Asks an upstream how it does, for later choices. */
+    void renew(UpstreamId upstream) {
+        upstreams.registration(upstream).ifPresent(registered -> lookup.ask(registered, () -> {}));
+    }
+
     private final class Wait {
         private final BooleanSupplier enough;
         private final Runnable step;
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -252,7 +252,7 @@
         parts.tables()
                 .suspects()
                 .attemptBroken(target.fingerprint(), attempt.placement().upstream());
-        freshLoad.of(attempt.placement().upstream(), lookupNanos(), () -> {});
+        freshLoad.renew(attempt.placement().upstream());
         retry(route.idempotent());
     }
 
@@ -302,7 +302,11 @@
 
     private void refuse(ResultCode code) {
         parts.outcomes().refused(code);
-        log.refused(code, upstreams.room(choice(Double.MAX_VALUE)));
+        if (code == ResultCode.NO_CAPACITY) {
+            log.refused(code, upstreams.room(choice(Double.MAX_VALUE)));
+        } else {
+            log.refused(code);
+        }
         long pauseMillis = code == ResultCode.SHED_BY_UPSTREAM
                 ? SHED_RETRY_MILLIS
                 : TimeUnit.NANOSECONDS.toMillis(route.targetLatencyNanos() / RETRY_AFTER_PART);
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RunLog.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RunLog.java
@@ -55,18 +55,27 @@
                 .with("elapsedMs", elapsedMillis()));
     }
 
+    void refused(ResultCode code) {
+        log.write(refusal(code));
+    }
+
+    /** Writes a refusal that the room in the service explains. */
     void refused(ResultCode code, Room room) {
-        log.write(Event.failure(PART, "Request refused.")
+        log.write(refusal(code)
+                .with("registered", room.registered())
+                .with("usable", room.usable())
+                .with("busyPercent", Math.round(room.busyShare() * PERCENT)));
+    }
+
+    private Event refusal(ResultCode code) {
+        return Event.failure(PART, "Request refused.")
                 .with("request", requestId)
                 .with("code", code.number())
                 .with("route", target.route().id())
                 .with("version", target.version())
                 .with("service", target.service())
-                .with("registered", room.registered())
-                .with("usable", room.usable())
-                .with("busyPercent", Math.round(room.busyShare() * PERCENT))
                 .with("attempts", attempts)
-                .with("elapsedMs", elapsedMillis()));
+                .with("elapsedMs", elapsedMillis());
     }
 
     void answered(int status) {
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipLink.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipLink.java
@@ -82,11 +82,18 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             DatagramPacket packet = (DatagramPacket) message;
-            byte[] bytes = new byte[packet.content().readableBytes()];
-            packet.content().readBytes(bytes);
-            packet.release();
+            try {
+                receive(packet);
+            } finally {
+                packet.release();
+            }
+        }
+
+        private void receive(DatagramPacket packet) {
             InetSocketAddress sender = packet.sender();
             SocketAddress from = new SocketAddress(sender.getAddress().getHostAddress(), sender.getPort());
+            byte[] bytes = new byte[packet.content().readableBytes()];
+            packet.content().readBytes(bytes);
             try {
                 receiver.accept(from, DigestFormat.read(bytes, clock.nowNanos()));
             } catch (IOException e) {
