--- a/testkit/src/test/java/org/turmericspan/testkit/KnownRedTest.java
+++ b/testkit/src/test/java/org/turmericspan/testkit/KnownRedTest.java
@@ -40,6 +40,25 @@
                 .hasMessage("red");
     }
 
+    @Test
+    void testListedAsFailingAtTimesMayPass() {
+        assertThatCode(() -> run(listWith("at times: KnownRedTest#toString: red"), () -> null))
+                .doesNotThrowAnyException();
+    }
+
+    @Test
+    void testListedAsFailingAtTimesIsPassedOverWithItsMessage() throws IOException {
+        assertThatThrownBy(() -> run(listWith("at times: KnownRedTest#toString: red"), KnownRedTest::fail))
+                .isInstanceOf(TestAbortedException.class);
+    }
+
+    @Test
+    void testListedAsFailingAtTimesMayNotFailInAnotherWay() throws IOException {
+        assertThatThrownBy(() -> run(listWith("at times: KnownRedTest#toString: not back"), KnownRedTest::fail))
+                .isInstanceOf(AssertionError.class)
+                .hasMessage("red");
+    }
+
     @Test
     void everyTestIsUnlistedWhenThereIsNoList() {
         assertThatCode(() -> run(folder.resolve("none"), () -> null)).doesNotThrowAnyException();
