Keep a watch and the heartbeats going when what they tell or ask fails

Cause: read while the node that did not come back was traced. A sink that fails on a confirmation ended the watch of its key for good, and a pace or member list that cannot be read ended the heartbeats, both without a log line, since the step that schedules the next one was skipped. Ruled out as the cause of that failure: the node would have got its configuration from the other watch, the other heartbeats or its peers, and the sinks of today do not fail there.

--- a/membership/src/main/java/org/turmericspan/membership/Heartbeats.java
+++ b/membership/src/main/java/org/turmericspan/membership/Heartbeats.java
@@ -113,10 +113,17 @@
         workers.schedule(pause(), this::step);
     }
 
+    /** Returns the time to the next step, also when what it depends on cannot be read, so that the steps go on. */
     private Duration pause() {
-        int count = plan.members().get().size();
-        Duration step =
-                count == 0 ? IDLE_STEP : plan.pace().step(count, plan.source().get());
+        Duration step = IDLE_STEP;
+        try {
+            int count = plan.members().get().size();
+            if (count > 0) {
+                step = plan.pace().step(count, plan.source().get());
+            }
+        } catch (RuntimeException e) {
+            logger.atWarning().withCause(e).log("membership: no pace can be read");
+        }
         return Duration.ofNanos((long) (step.toNanos() * (LEAST_JITTER + JITTER_RANGE * random.nextDouble())));
     }
 
--- /dev/null
+++ b/membership/src/test/java/org/turmericspan/membership/HeartbeatsTest.java
@@ -0,0 +1,61 @@
+package org.turmericspan.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.Incarnation;
+import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.VmId;
+import org.turmericspan.messages.PeerLinks;
+import org.turmericspan.messages.PeerMessage;
+import org.turmericspan.tables.Workers;
+
+/** What keeps the exchange of heartbeats going. */
+final class HeartbeatsTest {
+    private static final long LIMIT_SECONDS = 20;
+
+    @Test
+    void exchangeGoesOnWhenNoPaceCanBeRead() throws InterruptedException {
+        MonotonicClock clock = MonotonicClock.system();
+        CountingLinks links = new CountingLinks();
+        Heartbeats.Plan plan =
+                new Heartbeats.Plan(HeartbeatsTest::heartbeat, () -> List.of(new VmId("entry-01")), (count, sent) -> {
+                    throw new IllegalStateException("no pace");
+                });
+        try (Workers workers = new Workers(1);
+                Heartbeats heartbeats =
+                        new Heartbeats(plan, new PeerTable(clock), links, workers, new SplittableRandom(7), clock)) {
+            heartbeats.start(() -> {});
+
+            assertThat(links.asked.await(LIMIT_SECONDS, TimeUnit.SECONDS))
+                    .as("asked again")
+                    .isTrue();
+        }
+    }
+
+    private static PeerMessage.Heartbeat heartbeat() {
+        return new PeerMessage.Heartbeat(
+                Incarnation.draw(new SplittableRandom(1)), 1, "", 1, Duration.ZERO, false, List.of());
+    }
+
+    /** Counts the questions and reaches nobody. */
+    private static final class CountingLinks implements PeerLinks {
+        private final CountDownLatch asked = new CountDownLatch(3);
+
+        @Override
+        public void tell(VmId peer, PeerMessage message) {}
+
+        @Override
+        public CompletionStage<PeerMessage> ask(VmId peer, PeerMessage message, Duration timeout) {
+            asked.countDown();
+            return CompletableFuture.completedFuture(new PeerMessage.Unreachable(false));
+        }
+    }
+}
--- a/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
@@ -95,10 +95,11 @@
         failing = false;
         if (value.isPresent()) {
             state.value(value.get(), askedNanos);
-            hand(value.get(), askedNanos);
+            reportRegression();
+            tell("value", () -> sink.value(value.get(), askedNanos));
         } else {
             state.noNews(askedNanos, WAIT);
-            sink.confirmed(state.revision(), state.confirmedNanos());
+            tell("confirmation", () -> sink.confirmed(state.revision(), state.confirmedNanos()));
         }
         return backoff.afterAnswer();
     }
@@ -109,14 +110,19 @@
         return backoff.afterFailure();
     }
 
-    private void hand(PlatformValue value, long askedNanos) {
+    private void reportRegression() {
         if (state.isRegressed()) {
-            logger.atWarning().log("platform: %s went back to revision %d", key, value.revision());
+            logger.atWarning().log("platform: %s went back to revision %d", key, state.revision());
         }
+    }
+
+    /** Tells the sink; one that fails must not end the watch. */
+    private void tell(String what, Runnable telling) {
         try {
-            sink.value(value, askedNanos);
+            telling.run();
         } catch (RuntimeException e) {
-            logger.atWarning().log("platform: refused %s revision %d: %s", key, value.revision(), e.getMessage());
+            logger.atWarning().log(
+                    "platform: refused the %s of %s at revision %d: %s", what, key, state.revision(), e.getMessage());
         }
     }
 
