Count an answer as overdue later, or when another attempt beats it by far

Change: 4 times, at the worse of the slowness at the choice and now (a nearly full upstream takes 1.6 times as long); and an attempt whose request was answered by another one 2.5 times as fast. What measures attempts moved from RequestRun to AttemptAge.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -53,6 +53,7 @@
     private final UpstreamTable upstreams;
     private final HeaderList headers;
     private final FreshLoad freshLoad;
+    private final AttemptAge age;
     private final Set<UpstreamId> tried = new HashSet<>();
     private final Set<Attempt> active = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
@@ -81,6 +82,7 @@
         this.upstreams = parts.tables().upstreams();
         this.headers = request.headers().endToEnd();
         this.freshLoad = new FreshLoad(upstreams, parts.lookup(), reply.worker());
+        this.age = new AttemptAge(upstreams, route, parts.clock(), log);
     }
 
     void start() {
@@ -100,7 +102,7 @@
 
     /** Returns the highest cost at which an answer is expected in time; a slot on a better upstream is soon free. */
     private double inTimeCost(long waitedNanos) {
-        return (IN_TIME_PART * route.targetLatencyNanos() - waitedNanos) / typicalNanos();
+        return (IN_TIME_PART * route.targetLatencyNanos() - waitedNanos) / age.typicalNanos();
     }
 
     private long lookupNanos() {
@@ -153,11 +155,6 @@
         }
     }
 
-    private long typicalNanos() {
-        long typical = upstreams.typicalNanos(route.id());
-        return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
-    }
-
     private void scheduleHedge(Attempt attempt, double atTypical) {
         scheduleLook(attempt, atTypical, () -> look(attempt));
     }
@@ -165,47 +162,22 @@
     /** Looks at an attempt again at a time that is given in units of the typical latency. */
     private void scheduleLook(Attempt attempt, double atTypical, Runnable look) {
         cancelTimer(lookTimer);
-        long atNanos = attempt.placement().startedNanos() + (long) (atTypical * typicalNanos());
+        long atNanos = attempt.placement().startedNanos() + (long) (atTypical * age.typicalNanos());
         long delayNanos = Math.max(0, atNanos - parts.clock().nowNanos());
         lookTimer = reply.worker().schedule(look, delayNanos, TimeUnit.NANOSECONDS);
     }
 
     private void scheduleOverdueLook(Attempt attempt) {
-        scheduleLook(attempt, overdueAt(attempt), () -> lookOverdue(attempt));
+        scheduleLook(attempt, age.overdueAt(attempt), () -> lookOverdue(attempt));
     }
 
     /** Looks at the one attempt of a request that must not run twice; its upstream may have slowed down meanwhile. */
     private void lookOverdue(Attempt attempt) {
-        if (ended || !active.contains(attempt)) {
-            return;
-        }
-        if (isOverdue(attempt)) {
-            noteOverdue(attempt);
-        } else {
+        if (!ended && active.contains(attempt) && !age.noteIfOverdue(attempt)) {
             scheduleOverdueLook(attempt);
         }
     }
 
-    private double overdueAt(Attempt attempt) {
-        return OverdueRule.at(upstreams.slowPercent(attempt.placement().upstream()));
-    }
-
-    private boolean isOverdue(Attempt attempt) {
-        return elapsed(attempt) >= overdueAt(attempt);
-    }
-
-    /** Returns for how long an attempt has run, in units of the typical latency. */
-    private double elapsed(Attempt attempt) {
-        return (double) (parts.clock().nowNanos() - attempt.placement().startedNanos()) / typicalNanos();
-    }
-
-    /** Counts an overdue answer as a failure, so that later requests avoid its upstream. The attempt goes on. */
-    private void noteOverdue(Attempt attempt) {
-        if (attempt.markOverdue()) {
-            finish(attempt, AttemptResult.OVERDUE, "no answer yet");
-        }
-    }
-
     private void look(Attempt attempt) {
         if (mayHedge(attempt)) {
             freshLoad.of(attempt.placement().upstream(), lookupNanos(), () -> considerHedge(attempt));
@@ -220,7 +192,7 @@
     }
 
     private void considerHedge(Attempt attempt) {
-        double elapsed = elapsed(attempt);
+        double elapsed = age.of(attempt);
         int slowPercent = upstreams.slowPercent(attempt.placement().upstream());
         if (HedgeRule.isWorthwhile(elapsed, slowPercent)) {
             freshLoad.beforeChoice(choice(HEDGE_MAX_COST), lookupNanos(), () -> hedge(attempt, elapsed));
@@ -274,6 +246,7 @@
             broken(attempt, new CallEnd.Broken("success without a signature"));
         } else {
             upstreams.finish(attempt.placement(), AttemptResult.SUCCESS);
+            active.forEach(other -> age.noteIfBeaten(other, attempt));
             answer(response);
         }
     }
@@ -381,9 +354,7 @@
         cancelTimer(deadlineTimer);
         cancelTimer(lookTimer);
         for (Attempt attempt : Set.copyOf(active)) {
-            if (isOverdue(attempt)) {
-                noteOverdue(attempt);
-            }
+            age.noteIfOverdue(attempt);
             abandon(attempt);
         }
     }
