Send no request to an upstream that cannot end it before its deadline

Cause: after the wait for an upstream that is in time a request went to any that had room. Second cause, found beside it: the typical latency of a route was learned from answers divided by the cost of their choice, which holds failures, distance and ties too. Failures made a route look quick, so that more answers counted as overdue, as failures again. Change: a choice leaves out upstreams whose predicted duration passes the time left, once something is known of the route, and a request that finds no other is refused as not run. A placement states its predicted duration apart from its cost, and the typical latency is learned by the duration. Ruled out: a bound on the cost, since an upstream that loses three answers in ten costs four times as much but is no slower. Before: ForwardingServiceTest#requestThatNoUpstreamCanEnd... and UpstreamTableTest#failuresOfAnUpstream... fail.

--- a/balancing/src/main/java/org/turmericspan/balancing/Placement.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Placement.java
@@ -11,7 +11,9 @@
  * @param route route of the request
  * @param address where it listens
  * @param startedNanos monotonic time of the choice
- * @param cost predicted cost, 1 for a request on an idle upstream at its usual speed
+ * @param cost predicted cost, 1 for a request on an idle upstream at its usual speed; what speaks against the upstream
+ *     beside its speed counts too
+ * @param duration predicted duration in units of the typical latency
  * @param slowPercent slowness on which the choice rests
  * @param load requests believed to be there
  * @param ageNanos age of the observation on which the choice rests
@@ -23,6 +25,7 @@
         SocketAddress address,
         long startedNanos,
         double cost,
+        double duration,
         int slowPercent,
         int load,
         long ageNanos,
--- a/balancing/src/main/java/org/turmericspan/balancing/TypicalLatencies.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/TypicalLatencies.java
@@ -11,9 +11,9 @@
 
     private final Map<RouteId, Double> nanosByRoute = new HashMap<>();
 
-    /** Takes in a whole answer. What its upstream was expected to add does not count. */
+    /** Takes in a whole answer. What its upstream's speed and load were expected to add does not count. */
     void learn(Placement placement, long nowNanos) {
-        double usual = (nowNanos - placement.startedNanos()) / Math.max(1, placement.cost());
+        double usual = (nowNanos - placement.startedNanos()) / Math.max(1, placement.duration());
         nanosByRoute.merge(placement.route(), usual, (old, fresh) -> old + WEIGHT * (fresh - old));
     }
 
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
@@ -27,13 +27,7 @@
     private UpstreamCost() {}
 
     static double of(UpstreamState state, double meanSlowness, long typicalNanos, long nowNanos) {
-        int load = state.load(nowNanos);
-        int slots = Math.max(1, state.registration().slots());
-        double cost = slowness(state.observation(), meanSlowness, nowNanos) * crowding(load, slots);
-        cost *= 1 + FAILURE_WEIGHT * state.failShare(nowNanos);
-        if (state.isCold(nowNanos)) {
-            cost *= COLD_FACTOR;
-        }
+        double cost = duration(state, meanSlowness, nowNanos) * (1 + FAILURE_WEIGHT * state.failShare(nowNanos));
         if (state.observation() != null && !state.observation().healthy()) {
             cost *= UNHEALTHY_FACTOR;
         }
@@ -43,6 +37,13 @@
         return cost;
     }
 
+    /** Predicts the duration alone, without what else speaks against an upstream. */
+    static double duration(UpstreamState state, double meanSlowness, long nowNanos) {
+        int slots = Math.max(1, state.registration().slots());
+        double duration = slowness(state.observation(), meanSlowness, nowNanos) * crowding(state.load(nowNanos), slots);
+        return state.isCold(nowNanos) ? duration * COLD_FACTOR : duration;
+    }
+
     /** Moves an observed speed towards the mean as the observation ages. */
     private static double slowness(Observation observation, double meanSlowness, long nowNanos) {
         if (observation == null) {
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.ServiceId;
 
 /** Chooses among upstreams from what is believed of each. The table's lock guards what it reads. */
@@ -87,7 +88,28 @@
     }
 
     /** An upstream and its predicted cost. */
-    record Choice(UpstreamState state, double cost) {}
+    record Choice(UpstreamState state, double cost) {
+        /** Describes the place of a request that starts there now. */
+        Placement placement(RouteId route, Circumstances circumstances) {
+            long now = circumstances.nowNanos();
+            return new Placement(
+                    state.registration().id(),
+                    route,
+                    state.registration().address(),
+                    now,
+                    cost,
+                    duration(state, circumstances),
+                    state.observation().slowPercent(),
+                    state.load(now),
+                    now - state.observation().atNanos(),
+                    state.isCold(now));
+        }
+    }
+
+    /** Returns how long a request is predicted to take at an upstream, in units of the typical latency. */
+    private static double duration(UpstreamState state, Circumstances circumstances) {
+        return UpstreamCost.duration(state, circumstances.meanSlowness(), circumstances.nowNanos());
+    }
 
     Optional<Choice> choose(Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
         UpstreamState best = null;
@@ -171,6 +193,9 @@
                     && state.load(now) < registration.slots()
                     && state.coldPace().allows(coldPerSecond(registration.service()), now);
         }
+        if (duration(state, circumstances) > request.maxDuration()) {
+            return false;
+        }
         return state.load(now) < RoomRule.limit(registration.slots(), request.priority(), circumstances.busyShare());
     }
 
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -10,6 +10,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.turmericspan.balancing.UpstreamSelection.Choice;
 import org.turmericspan.balancing.UpstreamSelection.Circumstances;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
@@ -286,7 +287,7 @@
             Circumstances circumstances = circumstances(request, now);
             return selection
                     .choose(states.values(), request, circumstances)
-                    .map(choice -> place(choice.state(), request.route(), choice.cost(), now));
+                    .map(choice -> place(choice, request.route(), circumstances));
         });
     }
 
@@ -321,24 +322,13 @@
                 .toList());
     }
 
-    private Placement place(UpstreamState state, RouteId route, double cost, long now) {
-        Registration registration = state.registration();
-        boolean cold = state.isCold(now);
-        int load = state.load(now);
-        state.started(now);
-        if (cold) {
-            state.coldPace().record(now);
+    private Placement place(Choice choice, RouteId route, Circumstances circumstances) {
+        Placement placement = choice.placement(route, circumstances);
+        choice.state().started(placement.startedNanos());
+        if (placement.cold()) {
+            choice.state().coldPace().record(placement.startedNanos());
         }
-        return new Placement(
-                registration.id(),
-                route,
-                registration.address(),
-                now,
-                cost,
-                state.observation().slowPercent(),
-                load,
-                now - state.observation().atNanos(),
-                cold);
+        return placement;
     }
 
     /**
--- a/balancing/src/test/java/org/turmericspan/balancing/Samples.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/Samples.java
@@ -47,6 +47,6 @@
     }
 
     static ChoiceRequest choice() {
-        return new ChoiceRequest(new RouteId("r"), SERVICE, Set.of(), 2, Double.MAX_VALUE);
+        return new ChoiceRequest(new RouteId("r"), SERVICE, Set.of(), 2, Double.MAX_VALUE, Double.MAX_VALUE);
     }
 }
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -237,4 +237,18 @@
         assertThat(chosen()).hasValue(other.id());
         assertThat(table.ownReports(1)).extracting(PeerReport::inFlight).containsExactly(1);
     }
+
+    @Test
+    void failuresOfAnUpstreamDoNotMakeItsRouteLookQuick() {
+        add("u-1", 100);
+        for (int i = 0; i < 3; i++) {
+            table.finish(table.choose(Samples.choice()).orElseThrow(), AttemptResult.SERVER_ERROR);
+        }
+        Placement placement = table.choose(Samples.choice()).orElseThrow();
+        clock.advance(Duration.ofMillis(100));
+        table.finish(placement, AttemptResult.SUCCESS);
+
+        assertThat(table.typicalNanos(placement.route()))
+                .isEqualTo(Duration.ofMillis(100).toNanos());
+    }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/AttemptAge.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/AttemptAge.java
@@ -29,6 +29,12 @@
         return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
     }
 
+    /** Returns a time left in these units; without bound while nothing is known of the route. */
+    double inTypical(long leftNanos) {
+        long typical = upstreams.typicalNanos(route.id());
+        return typical == 0 ? Double.MAX_VALUE : (double) leftNanos / typical;
+    }
+
     /** Returns for how long an attempt has run. */
     double of(Attempt attempt) {
         return (double) (clock.nowNanos() - attempt.placement().startedNanos()) / typicalNanos();
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -97,7 +97,8 @@
     }
 
     private ChoiceRequest choice(double maxCost) {
-        return new ChoiceRequest(route.id(), target.service(), tried, route.priority(), maxCost);
+        double maxDuration = age.inTypical(deadlineNanos - parts.clock().nowNanos());
+        return new ChoiceRequest(route.id(), target.service(), tried, route.priority(), maxCost, maxDuration);
     }
 
     /** Returns the highest cost at which an answer is expected in time; a slot on a better upstream is soon free. */
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -100,9 +100,13 @@
     }
 
     private void send(String path) {
+        send(path, reply);
+    }
+
+    private void send(String path, FakeReply to) {
         HeaderList headers =
                 HeaderList.EMPTY.with("Host", "h:80").with("id", "r-1").with(FakeProtocol.LEFT, "800");
-        service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), reply);
+        service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), to);
     }
 
     @Test
@@ -435,4 +439,32 @@
         worker.advance(Duration.ofMillis(700));
         assertThat(nextChoice("/once/2", 300)).isEqualTo("u-0");
     }
+
+    /** Lets the table learn that a request of the route takes 100 ms. */
+    private void learnLatency(String path) {
+        start(1, path);
+        worker.advance(Duration.ofMillis(100));
+        caller.call(0).answer(200);
+    }
+
+    @Test
+    void requestThatNoUpstreamCanEndBeforeItsDeadlineIsRefusedAsNotRun() {
+        learnLatency("/once/1");
+        observe("u-0", 1_200);
+        FakeReply second = new FakeReply(worker);
+        send("/once/2", second);
+        worker.advance(Duration.ofMillis(60));
+        assertThat(caller.count()).isEqualTo(1);
+        assertThat(second.status()).isEqualTo(503);
+        assertThat(second.response().headers().first("Retry-After")).isPresent();
+    }
+
+    @Test
+    void requestThatASlowUpstreamEndsBeforeItsDeadlineIsSent() {
+        learnLatency("/once/1");
+        observe("u-0", 600);
+        send("/once/2", new FakeReply(worker));
+        worker.advance(Duration.ofMillis(60));
+        assertThat(caller.count()).isEqualTo(2);
+    }
 }
