Always try an upstream at its usual speed, whatever time is left

A route that was slow once, or whose callers leave less time than it typically takes, found every upstream too slow for the deadline; with no answers the typical latency would never have been learned anew, so the route would have been refused for good. Before: ForwardingServiceTest#upstreamAtItsUsualSpeed... fails with the bound at 0. After: passes. Ruled out: forgetting the typical latency after a while; until then the route would be refused.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/AttemptAge.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/AttemptAge.java
@@ -11,6 +11,9 @@
  * overdue answer as a failure of its upstream. All of it runs on the worker of the request.
  */
 final class AttemptAge {
+    /** Longest duration at the usual speed: 1.6 on an upstream that is nearly full, and a little for each neighbour. */
+    private static final double USUAL_DURATION = 2;
+
     private final UpstreamTable upstreams;
     private final Route route;
     private final MonotonicClock clock;
@@ -29,10 +32,14 @@
         return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
     }
 
-    /** Returns a time left in these units; without bound while nothing is known of the route. */
-    double inTypical(long leftNanos) {
+    /**
+     * Returns the longest predicted duration that is worth an attempt; without bound while nothing is known of the
+     * route. An upstream at its usual speed is always worth one, else a route that was slow once would never be tried
+     * again.
+     */
+    double longestDuration(long leftNanos) {
         long typical = upstreams.typicalNanos(route.id());
-        return typical == 0 ? Double.MAX_VALUE : (double) leftNanos / typical;
+        return typical == 0 ? Double.MAX_VALUE : Math.max(USUAL_DURATION, (double) leftNanos / typical);
     }
 
     /** Returns for how long an attempt has run. */
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -97,7 +97,7 @@
     }
 
     private ChoiceRequest choice(double maxCost) {
-        double maxDuration = age.inTypical(deadlineNanos - parts.clock().nowNanos());
+        double maxDuration = age.longestDuration(deadlineNanos - parts.clock().nowNanos());
         return new ChoiceRequest(route.id(), target.service(), tried, route.priority(), maxCost, maxDuration);
     }
 
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -104,8 +104,12 @@
     }
 
     private void send(String path, FakeReply to) {
+        send(path, "800", to);
+    }
+
+    private void send(String path, String leftMillis, FakeReply to) {
         HeaderList headers =
-                HeaderList.EMPTY.with("Host", "h:80").with("id", "r-1").with(FakeProtocol.LEFT, "800");
+                HeaderList.EMPTY.with("Host", "h:80").with("id", "r-1").with(FakeProtocol.LEFT, leftMillis);
         service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), to);
     }
 
@@ -467,4 +471,17 @@
         worker.advance(Duration.ofMillis(60));
         assertThat(caller.count()).isEqualTo(2);
     }
+
+    @Test
+    void upstreamAtItsUsualSpeedIsTriedThoughTheRouteWasSlowerThanTheDeadline() {
+        start(1, "/safe/1");
+        worker.advance(Duration.ofMillis(790));
+        caller.call(0).answer(200);
+        observe("u-0", 100);
+        worker.advance(Duration.ofMillis(100));
+        observe("u-0", 110);
+        send("/safe/2", "400", new FakeReply(worker));
+        worker.advance(Duration.ofMillis(60));
+        assertThat(caller.count()).isEqualTo(2);
+    }
 }
