Leave an upstream out for its speed only, not because it is full

The bound on the predicted duration holds what a full upstream adds, so that the last slots, which the room rule grants to the highest priority, were refused where the deadline is near twice the typical latency. Change: the bound is on the slowness of an upstream alone. Room is the room rule's matter. Before: UpstreamTableTest#fullUpstreamIsNoSlowOne fails on the bound of the duration. After: passes, as EntryFleetTest does.

--- a/balancing/src/main/java/org/turmericspan/balancing/ChoiceRequest.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ChoiceRequest.java
@@ -13,10 +13,10 @@
  * @param excluded upstreams that were tried already
  * @param priority rank of the request, 0 is the highest; lower ranks find less room
  * @param maxCost highest predicted cost that is worth an attempt
- * @param maxDuration longest predicted duration that ends before the deadline, in units of the typical latency
+ * @param maxSlowness highest slowness at which the request is expected to end before its deadline; 1 as usual
  */
 public record ChoiceRequest(
-        RouteId route, ServiceId service, Set<UpstreamId> excluded, int priority, double maxCost, double maxDuration) {
+        RouteId route, ServiceId service, Set<UpstreamId> excluded, int priority, double maxCost, double maxSlowness) {
     /** Copies the set. */
     public ChoiceRequest {
         excluded = Set.copyOf(excluded);
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
@@ -40,12 +40,13 @@
     /** Predicts the duration alone, without what else speaks against an upstream. */
     static double duration(UpstreamState state, double meanSlowness, long nowNanos) {
         int slots = Math.max(1, state.registration().slots());
-        double duration = slowness(state.observation(), meanSlowness, nowNanos) * crowding(state.load(nowNanos), slots);
+        double duration = slowness(state, meanSlowness, nowNanos) * crowding(state.load(nowNanos), slots);
         return state.isCold(nowNanos) ? duration * COLD_FACTOR : duration;
     }
 
     /** Moves an observed speed towards the mean as the observation ages. */
-    private static double slowness(Observation observation, double meanSlowness, long nowNanos) {
+    static double slowness(UpstreamState state, double meanSlowness, long nowNanos) {
+        Observation observation = state.observation();
         if (observation == null) {
             return meanSlowness;
         }
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -193,7 +193,7 @@
                     && state.load(now) < registration.slots()
                     && state.coldPace().allows(coldPerSecond(registration.service()), now);
         }
-        if (duration(state, circumstances) > request.maxDuration()) {
+        if (UpstreamCost.slowness(state, circumstances.meanSlowness(), now) > request.maxSlowness()) {
             return false;
         }
         return state.load(now) < RoomRule.limit(registration.slots(), request.priority(), circumstances.busyShare());
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.StableHash;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.testkit.ManualClock;
@@ -251,4 +252,22 @@
         assertThat(table.typicalNanos(placement.route()))
                 .isEqualTo(Duration.ofMillis(100).toNanos());
     }
+
+    @Test
+    void fullUpstreamIsNoSlowOne() {
+        UpstreamId id = add("u-1", 100);
+        clock.advance(Duration.ofMillis(1));
+        table.observe(id, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
+        ChoiceRequest urgent = new ChoiceRequest(new RouteId("r"), Samples.SERVICE, Set.of(), 0, Double.MAX_VALUE, 1.5);
+
+        assertThat(table.choose(urgent)).isPresent();
+    }
+
+    @Test
+    void upstreamTooSlowForTheDeadlineGetsNothing() {
+        add("u-1", 1_200);
+        ChoiceRequest request = new ChoiceRequest(new RouteId("r"), Samples.SERVICE, Set.of(), 0, Double.MAX_VALUE, 11);
+
+        assertThat(table.choose(request)).isEmpty();
+    }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/AttemptAge.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/AttemptAge.java
@@ -11,8 +11,8 @@
  * overdue answer as a failure of its upstream. All of it runs on the worker of the request.
  */
 final class AttemptAge {
-    /** Longest duration at the usual speed: 1.6 on an upstream that is nearly full, and a little for each neighbour. */
-    private static final double USUAL_DURATION = 2;
+    /** Slowness up to which an upstream counts as near its usual speed; slow ones work several times as long. */
+    private static final double NEAR_USUAL = 2;
 
     private final UpstreamTable upstreams;
     private final Route route;
@@ -33,13 +33,13 @@
     }
 
     /**
-     * Returns the longest predicted duration that is worth an attempt; without bound while nothing is known of the
-     * route. An upstream at its usual speed is always worth one, else a route that was slow once would never be tried
-     * again.
+     * Returns the highest slowness of an upstream that is worth an attempt in the time left; without bound while
+     * nothing is known of the route. An upstream near its usual speed is always worth one, else a route that was slow
+     * once would never be tried again.
      */
-    double longestDuration(long leftNanos) {
+    double maxSlowness(long leftNanos) {
         long typical = upstreams.typicalNanos(route.id());
-        return typical == 0 ? Double.MAX_VALUE : Math.max(USUAL_DURATION, (double) leftNanos / typical);
+        return typical == 0 ? Double.MAX_VALUE : Math.max(NEAR_USUAL, (double) leftNanos / typical);
     }
 
     /** Returns for how long an attempt has run. */
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -97,8 +97,8 @@
     }
 
     private ChoiceRequest choice(double maxCost) {
-        double maxDuration = age.longestDuration(deadlineNanos - parts.clock().nowNanos());
-        return new ChoiceRequest(route.id(), target.service(), tried, route.priority(), maxCost, maxDuration);
+        double maxSlowness = age.maxSlowness(deadlineNanos - parts.clock().nowNanos());
+        return new ChoiceRequest(route.id(), target.service(), tried, route.priority(), maxCost, maxSlowness);
     }
 
     /** Returns the highest cost at which an answer is expected in time; a slot on a better upstream is soon free. */
