--- a/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
@@ -165,7 +165,8 @@
         nodes.get(0).terminate();
         await("not ready", () -> !nodes.get(0).isReady());
         for (CompletableFuture<Answer> answer : answers) {
-            assertThat(answer.get(30, TimeUnit.SECONDS).status()).isEqualTo(200);
+            Answer told = answer.get(30, TimeUnit.SECONDS);
+            assertThat(told.status()).as(told.body()).isEqualTo(200);
         }
         assertThat(nodes.get(0).awaitExit()).isTrue();
     }
