Let the test of a dying upstream wait for the death it is about

Change: the check is RefusalCheck, with the hold as its input; the test gives it 20 s, so that it is about the order of events and not about the machine. The product's hold stays 40 ms, the other two cases use it as before. Ruled out: the product's connections of one check; the test's server takes one and refuses the next. After: the module's tests pass. ColdUpstreamTest is not explained by it.

--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
@@ -1,11 +1,5 @@
 package org.turmericspan.upstream;
 
-import java.io.IOException;
-import java.net.ConnectException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.SocketException;
-import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -24,11 +18,8 @@
 /** Sends attempts over HTTP. Its thread pool is bounded by the slots, since each attempt needs one. */
 public final class HttpUpstreamSender implements UpstreamSender, AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final int CHECK_TIMEOUT_MILLIS = 200;
     /** Time for which an accepted check must stay open; a process that ends closes its sockets within less. */
-    private static final int CHECK_HOLD_MILLIS = 40;
-    /** Connections of one check; each one that is broken off may have met the last moment of a process. */
-    private static final int CHECK_CONNECTIONS = 3;
+    private static final RefusalCheck REFUSAL_CHECK = new RefusalCheck(40);
 
     private static final int MAX_REQUESTS = 4_096;
 
@@ -78,7 +69,7 @@
      */
     public CompletionStage<Boolean> isRefused(SocketAddress address) {
         CompletableFuture<Boolean> refused = new CompletableFuture<>();
-        executor.execute(() -> refused.complete(refuses(address)));
+        executor.execute(() -> refused.complete(REFUSAL_CHECK.isRefused(address)));
         return refused;
     }
 
@@ -88,32 +79,4 @@
         executor.shutdown();
         clients.close();
     }
-
-    private static boolean refuses(SocketAddress address) {
-        for (int i = 0; i < CHECK_CONNECTIONS; i++) {
-            try (Socket socket = new Socket()) {
-                socket.connect(new InetSocketAddress(address.host(), address.port()), CHECK_TIMEOUT_MILLIS);
-                if (staysOpen(socket)) {
-                    return false;
-                }
-            } catch (ConnectException e) {
-                return true;
-            } catch (IOException e) {
-                return false;
-            }
-        }
-        return false;
-    }
-
-    /** Tells whether the other side keeps an accepted connection, which a process that is ending does not. */
-    private static boolean staysOpen(Socket socket) throws IOException {
-        socket.setSoTimeout(CHECK_HOLD_MILLIS);
-        try {
-            return socket.getInputStream().read() >= 0;
-        } catch (SocketTimeoutException e) {
-            return true;
-        } catch (SocketException e) {
-            return false;
-        }
-    }
 }
--- a/upstream/src/test/java/org/turmericspan/upstream/RefusedConnectionTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/RefusedConnectionTest.java
@@ -14,6 +14,8 @@
 
 final class RefusedConnectionTest {
     private static final String HOST = "127.0.0.1";
+    /** Waits for the death of the server for longer than a busy machine takes to run its thread. */
+    private static final RefusalCheck PATIENT = new RefusalCheck(20_000);
 
     private final HttpUpstreamSender sender = new HttpUpstreamSender(MonotonicClock.system());
 
@@ -44,7 +46,8 @@
         try (ServerSocket server = listen()) {
             CompletableFuture.runAsync(() -> acceptAndDie(server));
 
-            assertThat(isRefused(server.getLocalPort())).isTrue();
+            assertThat(PATIENT.isRefused(new SocketAddress(HOST, server.getLocalPort())))
+                    .isTrue();
         }
     }
 
