--- a/errors/src/main/java/org/turmericspan/errors/BalancerException.java
+++ b/errors/src/main/java/org/turmericspan/errors/BalancerException.java
@@ -1,6 +1,6 @@
 package org.turmericspan.errors;
 
-/** Unchecked exception of the balancer. It always carries a {@link ResultCode}. */
+/** Unchecked exception that carries a {@link ResultCode} and the details of the failure. */
 public final class BalancerException extends RuntimeException {
     private final ResultCode code;
     private final String detail;
@@ -8,8 +8,8 @@
     /**
      * Creates an exception.
      *
-     * @param code what went wrong
-     * @param detail the particulars, without callers' data or tokens
+     * @param code kind of the failure
+     * @param detail details of this failure, without callers' data or tokens
      */
     public BalancerException(ResultCode code, String detail) {
         this(code, detail, null);
@@ -18,8 +18,8 @@
     /**
      * Creates an exception with its cause.
      *
-     * @param code what went wrong
-     * @param detail the particulars, without callers' data or tokens
+     * @param code kind of the failure
+     * @param detail details of this failure, without callers' data or tokens
      * @param cause the underlying failure
      */
     public BalancerException(ResultCode code, String detail, Throwable cause) {
@@ -29,7 +29,7 @@
     }
 
     /**
-     * Returns what went wrong.
+     * Returns the kind of the failure.
      *
      * @return the result code
      */
@@ -38,9 +38,9 @@
     }
 
     /**
-     * Returns the particulars alone.
+     * Returns the details of this failure, without the number and the sentence of the code.
      *
-     * @return text without callers' data or tokens
+     * @return details, without callers' data or tokens
      */
     public String detail() {
         return detail;
--- a/errors/src/main/java/org/turmericspan/errors/Ran.java
+++ b/errors/src/main/java/org/turmericspan/errors/Ran.java
@@ -1,11 +1,11 @@
 package org.turmericspan.errors;
 
-/** What is known about whether the upstream ran a request that got no answer of its own. */
+/** Whether an upstream executed a request for which the balancer sends a local reply. */
 public enum Ran {
-    /** No byte of the request can have started work, or the upstream said that it refused. */
+    /** The request was not executed: no upstream can have started on it, or the upstream reported that it refused. */
     NO,
-    /** The upstream ran the request. */
+    /** The request was executed. */
     YES,
-    /** The request may have run. */
+    /** The request may have been executed. */
     UNKNOWN
 }
