Name the parts of the event log in usual terms

Cause: comments spoke of the part that speaks, belief, and lines that displace others; fields and methods had vague names (written, drain, budget, renewWindow, truth). Change, all private: Line -> QueuedEvent, lines -> queue, written -> windowCounts, dropped -> droppedEvents, renewWindow -> startWindowIfDue, budget -> maxPerSecond, drain -> writeUntilClosed, QUEUE_LINES -> QUEUE_CAPACITY, GATHER_MILLIS -> BATCH_MILLIS, CLOSE_MILLIS -> CLOSE_TIMEOUT_MILLIS, *_PER_SECOND -> MAX_*_PER_SECOND. The message of an exception for output that cannot fail says what was being done. Log keys and log sentences are the same.

--- a/events/src/main/java/org/turmericspan/events/Event.java
+++ b/events/src/main/java/org/turmericspan/events/Event.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One log line: the part that speaks, what happened, and its inputs and outcome as named fields. */
+/** Structured log event: the component that logs it, what happened, and its inputs and outcome as named fields. */
 public final class Event {
     private final Severity severity;
     private final String part;
@@ -17,33 +17,33 @@
     }
 
     /**
-     * Begins a line about ordinary work, the first to be dropped.
+     * Creates an event about normal operation. Such events have the lowest rate limit.
      *
-     * @param part prefix of the part that speaks
-     * @param message short sentence
-     * @return the line
+     * @param part name of the component that logs the event
+     * @param message short sentence that says what happened
+     * @return an event without fields
      */
     public static Event routine(String part, String message) {
         return new Event(Severity.ROUTINE, part, message);
     }
 
     /**
-     * Begins a line about a change of belief or of state.
+     * Creates an event about a change of state or of an observed state.
      *
-     * @param part prefix of the part that speaks
-     * @param message short sentence
-     * @return the line
+     * @param part name of the component that logs the event
+     * @param message short sentence that says what happened
+     * @return an event without fields
      */
     public static Event notice(String part, String message) {
         return new Event(Severity.NOTICE, part, message);
     }
 
     /**
-     * Begins a line about a failure.
+     * Creates an event about a failure.
      *
-     * @param part prefix of the part that speaks
-     * @param message short sentence
-     * @return the line
+     * @param part name of the component that logs the event
+     * @param message short sentence that says what happened
+     * @return an event without fields
      */
     public static Event failure(String part, String message) {
         return new Event(Severity.FAILURE, part, message);
@@ -52,9 +52,10 @@
     /**
      * Adds a field.
      *
-     * @param name name with its unit
-     * @param value a number, a truth value, or something whose text is written later and must not change until then
-     * @return this line
+     * @param name name, with a unit suffix if the value has a unit
+     * @param value an {@code Integer}, {@code Long} or {@code Boolean}, or an object that is written as its string; the
+     *     string is built later on another thread, so the object must not change
+     * @return this event
      */
     public Event with(String name, Object value) {
         fields.add(new Field(name, value));
@@ -62,7 +63,7 @@
     }
 
     /**
-     * Returns how important the line is.
+     * Returns the severity, which selects the rate limit.
      *
      * @return the severity
      */
@@ -82,16 +83,16 @@
         return fields;
     }
 
-    /** Importance of a line. Lines of lower importance are dropped first. */
+    /** Severity of an event. Each severity has its own rate limit, which is lowest for {@link #ROUTINE}. */
     public enum Severity {
-        /** Ordinary work. */
+        /** Normal operation. */
         ROUTINE,
-        /** A change of belief or of state. */
+        /** A change of state or of an observed state. */
         NOTICE,
         /** A failure. */
         FAILURE
     }
 
-    /** One named value. */
+    /** A named value of an event. */
     record Field(String name, Object value) {}
 }
--- a/events/src/main/java/org/turmericspan/events/EventLog.java
+++ b/events/src/main/java/org/turmericspan/events/EventLog.java
@@ -1,19 +1,19 @@
 package org.turmericspan.events;
 
-/** Log of decisions and changes of belief, one structured line each. Logging never blocks and never fails. */
+/** Log of decisions and state changes, one structured line each. Logging never waits for output and never throws. */
 @FunctionalInterface
 public interface EventLog {
     /**
-     * Writes a line, or counts it as dropped when too many were written lately.
+     * Writes an event, or drops and counts it when a rate or queue limit is exceeded.
      *
-     * @param event the line
+     * @param event the event
      */
     void write(Event event);
 
     /**
-     * Returns a log that drops every line.
+     * Returns a log that discards every event.
      *
-     * @return a log for tests
+     * @return a log without output, for tests
      */
     static EventLog none() {
         return event -> {};
--- a/events/src/main/java/org/turmericspan/events/JsonEventLog.java
+++ b/events/src/main/java/org/turmericspan/events/JsonEventLog.java
@@ -14,27 +14,28 @@
 import org.turmericspan.ids.MonotonicClock;
 
 /**
- * Writes events as JSON lines from one thread of its own. Each severity has a budget of lines a second, so that routine
- * lines never displace failures; lines beyond it, or beyond the bounded queue, are counted and the count is written.
+ * Writes events as JSON lines on its own thread. Each severity has its own limit of events per second, so that many
+ * routine events never suppress failures. Events that exceed the limit or the bounded queue are dropped; their number
+ * is logged with the first event of a later second.
  */
 public final class JsonEventLog implements EventLog, AutoCloseable {
-    /** Lines waiting for the writer; bounds memory to about 1 MB. */
-    private static final int QUEUE_LINES = 2_000;
-    /** Routine lines a second; about four lines for each of 50 requests a second on a small VM. */
-    private static final int ROUTINE_PER_SECOND = 200;
-    /** Notices a second; a configuration with every upstream changed fits. */
-    private static final int NOTICES_PER_SECOND = 300;
-    /** Failures a second. */
-    private static final int FAILURES_PER_SECOND = 300;
-    /** Time by which the writer gathers lines, so that it wakes up seldom. */
-    private static final long GATHER_MILLIS = 200;
+    /** Events that wait for the writer thread; bounds memory to about 1 MB. */
+    private static final int QUEUE_CAPACITY = 2_000;
+    /** Allows about four events for each of 50 requests per second on a small VM. */
+    private static final int MAX_ROUTINE_EVENTS_PER_SECOND = 200;
+    /** Allows for a configuration that changes every upstream. */
+    private static final int MAX_NOTICES_PER_SECOND = 300;
+
+    private static final int MAX_FAILURES_PER_SECOND = 300;
+    /** Time for which the writer thread collects events before a write, so that it wakes up rarely. */
+    private static final long BATCH_MILLIS = 200;
 
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
-    private static final long CLOSE_MILLIS = 500;
+    private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
-    private final JsonFactory factory = new JsonFactory();
-    private final ArrayBlockingQueue<Line> lines = new ArrayBlockingQueue<>(QUEUE_LINES);
-    private final Map<Event.Severity, Integer> written = new EnumMap<>(Event.Severity.class);
+    private final JsonFactory jsonFactory = new JsonFactory();
+    private final ArrayBlockingQueue<QueuedEvent> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+    private final Map<Event.Severity, Integer> windowCounts = new EnumMap<>(Event.Severity.class);
     private final String node;
     private final MonotonicClock clock;
     private final LongSupplier wallMillis;
@@ -42,15 +43,15 @@
     private final Thread writer;
     private volatile boolean closed;
     private long windowStartNanos;
-    private long dropped;
+    private long droppedEvents;
 
     /**
-     * Starts the writer.
+     * Creates a log and starts its writer thread.
      *
-     * @param node name written in each line
-     * @param clock monotonic time
+     * @param node name of this node, written in each line
+     * @param clock clock of the rate limits
      * @param wallMillis time of day written in each line, in Unix milliseconds
-     * @param output where lines go
+     * @param output stream that receives the lines in UTF-8
      */
     public JsonEventLog(String node, MonotonicClock clock, LongSupplier wallMillis, OutputStream output) {
         this.node = node;
@@ -58,17 +59,17 @@
         this.wallMillis = wallMillis;
         this.output = output;
         this.windowStartNanos = clock.nowNanos();
-        this.writer = new Thread(this::drain, "event-log");
+        this.writer = new Thread(this::writeUntilClosed, "event-log");
         writer.setDaemon(true);
         writer.start();
     }
 
     @Override
     public synchronized void write(Event event) {
-        renewWindow();
-        int count = written.merge(event.severity(), 1, Integer::sum);
-        if (count > budget(event.severity()) || !lines.offer(new Line(wallMillis.getAsLong(), event))) {
-            dropped++;
+        startWindowIfDue();
+        int count = windowCounts.merge(event.severity(), 1, Integer::sum);
+        if (count > maxPerSecond(event.severity()) || !queue.offer(new QueuedEvent(wallMillis.getAsLong(), event))) {
+            droppedEvents++;
         }
     }
 
@@ -77,49 +78,49 @@
         closed = true;
         writer.interrupt();
         try {
-            writer.join(CLOSE_MILLIS);
+            writer.join(CLOSE_TIMEOUT_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private void renewWindow() {
+    private void startWindowIfDue() {
         long now = clock.nowNanos();
         if (now - windowStartNanos < WINDOW_NANOS) {
             return;
         }
         windowStartNanos = now;
-        written.clear();
-        if (dropped > 0
-                && lines.offer(new Line(
+        windowCounts.clear();
+        if (droppedEvents > 0
+                && queue.offer(new QueuedEvent(
                         wallMillis.getAsLong(),
-                        Event.notice("log", "Lines dropped.").with("lines", dropped)))) {
-            dropped = 0;
+                        Event.notice("log", "Lines dropped.").with("lines", droppedEvents)))) {
+            droppedEvents = 0;
         }
     }
 
-    private static int budget(Event.Severity severity) {
+    private static int maxPerSecond(Event.Severity severity) {
         return switch (severity) {
-            case ROUTINE -> ROUTINE_PER_SECOND;
-            case NOTICE -> NOTICES_PER_SECOND;
-            case FAILURE -> FAILURES_PER_SECOND;
+            case ROUTINE -> MAX_ROUTINE_EVENTS_PER_SECOND;
+            case NOTICE -> MAX_NOTICES_PER_SECOND;
+            case FAILURE -> MAX_FAILURES_PER_SECOND;
         };
     }
 
-    private String format(Line line) {
+    private String format(QueuedEvent queued) {
         StringWriter text = new StringWriter();
-        try (JsonGenerator json = factory.createGenerator(text)) {
+        try (JsonGenerator json = jsonFactory.createGenerator(text)) {
             json.writeStartObject();
-            json.writeNumberField("t", line.atMillis());
+            json.writeNumberField("t", queued.timeMillis());
             json.writeStringField("node", node);
-            json.writeStringField("part", line.event().part());
-            json.writeStringField("event", line.event().message());
-            for (Event.Field field : line.event().fields()) {
+            json.writeStringField("part", queued.event().part());
+            json.writeStringField("event", queued.event().message());
+            for (Event.Field field : queued.event().fields()) {
                 writeField(json, field);
             }
             json.writeEndObject();
         } catch (IOException e) {
-            throw new IllegalStateException("A string writer does not fail", e);
+            throw new IllegalStateException("Cannot format a log event as JSON", e);
         }
         return text.append('\n').toString();
     }
@@ -129,19 +130,19 @@
             json.writeNumberField(field.name(), number);
         } else if (field.value() instanceof Long number) {
             json.writeNumberField(field.name(), number);
-        } else if (field.value() instanceof Boolean truth) {
-            json.writeBooleanField(field.name(), truth);
+        } else if (field.value() instanceof Boolean bool) {
+            json.writeBooleanField(field.name(), bool);
         } else {
             json.writeStringField(field.name(), String.valueOf(field.value()));
         }
     }
 
-    private void drain() {
+    private void writeUntilClosed() {
         while (!closed) {
             StringBuilder batch = new StringBuilder();
             try {
-                batch.append(format(lines.take()));
-                TimeUnit.MILLISECONDS.sleep(GATHER_MILLIS);
+                batch.append(format(queue.take()));
+                TimeUnit.MILLISECONDS.sleep(BATCH_MILLIS);
             } catch (InterruptedException e) {
                 closed = true;
             }
@@ -151,18 +152,18 @@
     }
 
     private void writeBatch(StringBuilder batch) {
-        for (Line line = lines.poll(); line != null; line = lines.poll()) {
-            batch.append(format(line));
+        for (QueuedEvent queued = queue.poll(); queued != null; queued = queue.poll()) {
+            batch.append(format(queued));
         }
         try {
             output.write(batch.toString().getBytes(StandardCharsets.UTF_8));
             output.flush();
         } catch (IOException e) {
-            // Standard output is the only place to report to, and it is gone.
+            // The failure cannot be logged, since the output of the log itself failed. The writer thread stops.
             closed = true;
         }
     }
 
-    /** An event and its time of day. It gets its form on the writer's thread, away from the path of requests. */
-    private record Line(long atMillis, Event event) {}
+    /** An event and its Unix time. The writer thread formats it, to keep that work off the request path. */
+    private record QueuedEvent(long timeMillis, Event event) {}
 }
--- a/events/src/main/java/org/turmericspan/events/package-info.java
+++ b/events/src/main/java/org/turmericspan/events/package-info.java
@@ -1,2 +1,2 @@
-/** Structured log lines on standard output, bounded and never blocking. */
+/** Structured, rate-limited log of JSON lines that is written by its own thread and never blocks its users. */
 package org.turmericspan.events;
