Say that metrics are in the Prometheus text format

Change, all private: single -> addSample, gauge -> addGauge, summary -> addSummary, put -> addFamily, unit -> divisor; the test everyFamilyHasHelpTypeAndSamplesInTheOrderOfNames -> numericMetricsAreWrittenAsFamiliesSortedByName, same assertion.

--- a/metrics/src/main/java/org/turmericspan/metrics/MetricsText.java
+++ b/metrics/src/main/java/org/turmericspan/metrics/MetricsText.java
@@ -7,7 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
-/** Writes metrics in the text form that scrapers read: a HELP and a TYPE line, then the samples, ordered by name. */
+/** Formats metrics in the Prometheus text format: families sorted by name, each with HELP, TYPE and its samples. */
 public final class MetricsText {
     private static final String PREFIX = "turmericspan_";
     private static final List<Double> QUANTILES = List.of(0.5, 0.9, 0.99, 0.999);
@@ -17,48 +17,48 @@
     private MetricsText() {}
 
     /**
-     * Writes all metrics of a registry.
+     * Formats all metrics of a registry. Gauges whose value is not a number are left out.
      *
      * @param metrics the registry
-     * @return the text
+     * @return the text of a scrape response
      */
     public static String format(MetricRegistry metrics) {
         MetricsText text = new MetricsText();
-        metrics.getGauges().forEach((name, gauge) -> text.gauge(name, gauge.getValue()));
-        metrics.getCounters().forEach((name, counter) -> text.single(name, "gauge", counter.getCount()));
-        metrics.getMeters().forEach((name, meter) -> text.single(name + "_total", "counter", meter.getCount()));
-        metrics.getHistograms().forEach((name, histogram) -> text.summary(name, histogram, histogram.getCount(), 1));
+        metrics.getGauges().forEach((name, gauge) -> text.addGauge(name, gauge.getValue()));
+        metrics.getCounters().forEach((name, counter) -> text.addSample(name, "gauge", counter.getCount()));
+        metrics.getMeters().forEach((name, meter) -> text.addSample(name + "_total", "counter", meter.getCount()));
+        metrics.getHistograms().forEach((name, histogram) -> text.addSummary(name, histogram, histogram.getCount(), 1));
         metrics.getTimers()
                 .forEach((name, timer) ->
-                        text.summary(name + "_seconds", timer, timer.getCount(), TimeUnit.SECONDS.toNanos(1)));
+                        text.addSummary(name + "_seconds", timer, timer.getCount(), TimeUnit.SECONDS.toNanos(1)));
         return String.join("", text.families.values());
     }
 
-    private void gauge(String name, Object value) {
+    private void addGauge(String name, Object value) {
         if (value instanceof Number number) {
-            single(name, "gauge", number);
+            addSample(name, "gauge", number);
         }
     }
 
-    private void single(String name, String type, Number value) {
+    private void addSample(String name, String type, Number value) {
         String family = familyName(name);
-        put(family, name, type, family + " " + value + "\n");
+        addFamily(family, name, type, family + " " + value + "\n");
     }
 
-    private void summary(String name, Sampling sampling, long count, double unit) {
+    private void addSummary(String name, Sampling sampling, long count, double divisor) {
         String family = familyName(name);
         Snapshot snapshot = sampling.getSnapshot();
         StringBuilder samples = new StringBuilder();
         for (double quantile : QUANTILES) {
             samples.append(family).append("{quantile=\"").append(quantile).append("\"} ");
-            samples.append(snapshot.getValue(quantile) / unit).append('\n');
+            samples.append(snapshot.getValue(quantile) / divisor).append('\n');
         }
         samples.append(family).append("_count ").append(count).append('\n');
-        put(family, name, "summary", samples.toString());
+        addFamily(family, name, "summary", samples.toString());
     }
 
-    /** Adds a family of samples; of two names that are spelled alike the first is kept. */
-    private void put(String family, String name, String type, String samples) {
+    /** Adds a metric family. If two metric names map to the same family name, the first is kept. */
+    private void addFamily(String family, String name, String type, String samples) {
         families.putIfAbsent(
                 family,
                 "# HELP " + family + " Metric " + escape(name) + ".\n# TYPE " + family + " " + type + "\n" + samples);
--- a/metrics/src/main/java/org/turmericspan/metrics/package-info.java
+++ b/metrics/src/main/java/org/turmericspan/metrics/package-info.java
@@ -1,2 +1,2 @@
-/** Metrics in the text form that scrapers read. */
+/** Metrics in the Prometheus text format. */
 package org.turmericspan.metrics;
--- a/metrics/src/test/java/org/turmericspan/metrics/MetricsTextTest.java
+++ b/metrics/src/test/java/org/turmericspan/metrics/MetricsTextTest.java
@@ -6,10 +6,10 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
-/** Tests the text form of metrics. */
+/** Guards against output that a Prometheus server cannot parse or that changes its order between scrapes. */
 final class MetricsTextTest {
     @Test
-    void everyFamilyHasHelpTypeAndSamplesInTheOrderOfNames() {
+    void numericMetricsAreWrittenAsFamiliesSortedByName() {
         MetricRegistry metrics = new MetricRegistry();
         metrics.registerGauge("peers.live", () -> 3);
         metrics.registerGauge("text", () -> "not a number");
