Describe the shared test fakes and the list of known failures plainly

Cause: comments of KnownRed put both kinds of entry into one paragraph, and names such as messageAtTimes, passedOver and list did not say what they stand for; the fakes' comments were figures of speech (when a test says so, how far). Change: messageAtTimes -> allowedMessage, passedOver -> abortKnownFailure, list -> listFile, ALWAYS_PREFIX -> FAILING_PREFIX, AT_TIMES_PREFIX -> FLAKY_PREFIX, add -> enqueue, NamedTest -> FakeInvocationContext; tests say case and outcome (testListedAsFailingAtTimesMayPass -> flakyTestMayPass). Three exception messages are whole sentences; "remove its entry", which a test compares, and the printed "KNOWN-RED" line are the same. No assertion changed.

--- a/testkit/src/main/java/org/turmericspan/testkit/KnownRed.java
+++ b/testkit/src/main/java/org/turmericspan/testkit/KnownRed.java
@@ -13,25 +13,30 @@
 import org.opentest4j.TestAbortedException;
 
 /**
- * Lets exactly the tests listed in {@code KNOWN-RED.txt} fail. A listed test that fails is printed and skipped; a
- * listed test that passes fails the build, so that its entry is removed. An entry is a line {@code test: Class#method}.
- * A line {@code at times: Class#method: message} lists a test that failed once and was not traced: it may pass, and it
- * may fail in no other way than with that message.
+ * JUnit extension that tolerates failures of only the tests listed in {@code KNOWN-RED.txt}.
+ *
+ * <ul>
+ *   <li>{@code test: Class#method} lists a test that always fails. Its failure is printed, and the test is reported as
+ *       aborted. If it passes, the build fails, so that the entry is removed.
+ *   <li>{@code at times: Class#method: message} lists a test that failed at least once for a cause not yet found. It
+ *       may pass. A failure whose message contains the given text is printed, and the test is reported as aborted; any
+ *       other failure fails the build.
+ * </ul>
  */
 public final class KnownRed implements InvocationInterceptor {
     private static final String ROOT_PROPERTY = "turmericspan.root";
-    private static final String ALWAYS_PREFIX = "test: ";
-    private static final String AT_TIMES_PREFIX = "at times: ";
+    private static final String FAILING_PREFIX = "test: ";
+    private static final String FLAKY_PREFIX = "at times: ";
 
-    private final Path list;
+    private final Path listFile;
 
-    /** Creates the check for the list at the root of the workspace. */
+    /** Creates an extension that reads the list at the root of the workspace. */
     public KnownRed() {
         this(Path.of(System.getProperty(ROOT_PROPERTY, "."), "KNOWN-RED.txt"));
     }
 
-    KnownRed(Path list) {
-        this.list = list;
+    KnownRed(Path listFile) {
+        this.listFile = listFile;
     }
 
     @Override
@@ -40,19 +45,19 @@
             throws Throwable {
         String name = method.getTargetClass().getSimpleName() + "#"
                 + method.getExecutable().getName();
-        List<String> entries = entries();
-        Optional<String> message = messageAtTimes(entries, name);
+        List<String> entries = readEntries();
+        Optional<String> message = allowedMessage(entries, name);
         if (message.isPresent()) {
             allowFailure(invocation, name, message.get());
-        } else if (entries.contains(ALWAYS_PREFIX + name)) {
+        } else if (entries.contains(FAILING_PREFIX + name)) {
             expectFailure(invocation, name);
         } else {
             invocation.proceed();
         }
     }
 
-    private static Optional<String> messageAtTimes(List<String> entries, String name) {
-        String prefix = AT_TIMES_PREFIX + name + ": ";
+    private static Optional<String> allowedMessage(List<String> entries, String name) {
+        String prefix = FLAKY_PREFIX + name + ": ";
         return entries.stream()
                 .filter(entry -> entry.startsWith(prefix))
                 .map(entry -> entry.substring(prefix.length()))
@@ -66,7 +71,7 @@
             if (e.getMessage() == null || !e.getMessage().contains(message)) {
                 throw e;
             }
-            throw passedOver(name, e);
+            throw abortKnownFailure(name, e);
         }
     }
 
@@ -74,22 +79,22 @@
         try {
             invocation.proceed();
         } catch (Throwable e) {
-            throw passedOver(name, e);
+            throw abortKnownFailure(name, e);
         }
-        throw new AssertionError(name + " passes: remove its entry from KNOWN-RED.txt");
+        throw new AssertionError(name + " passed but is listed as failing: remove its entry from KNOWN-RED.txt");
     }
 
-    private static TestAbortedException passedOver(String name, Throwable failure) {
+    private static TestAbortedException abortKnownFailure(String name, Throwable failure) {
         System.out.println("KNOWN-RED " + name + ": " + failure.getMessage());
-        return new TestAbortedException("listed in KNOWN-RED.txt", failure);
+        return new TestAbortedException("The failure is listed in KNOWN-RED.txt", failure);
     }
 
-    private List<String> entries() {
-        if (!Files.exists(list)) {
+    private List<String> readEntries() {
+        if (!Files.exists(listFile)) {
             return List.of();
         }
         try {
-            return Files.readAllLines(list).stream().map(String::strip).toList();
+            return Files.readAllLines(listFile).stream().map(String::strip).toList();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/testkit/src/main/java/org/turmericspan/testkit/ManualClock.java
+++ b/testkit/src/main/java/org/turmericspan/testkit/ManualClock.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.turmericspan.ids.MonotonicClock;
 
-/** Clock that moves only when a test says so. */
+/** Monotonic clock that advances only by calls of {@link #advance}. */
 public final class ManualClock implements MonotonicClock {
     private final AtomicLong nowNanos = new AtomicLong(1);
 
@@ -14,11 +14,11 @@
     }
 
     /**
-     * Moves the clock forward.
+     * Advances the clock.
      *
-     * @param span how far
+     * @param duration time to add
      */
-    public void advance(Duration span) {
-        nowNanos.addAndGet(span.toNanos());
+    public void advance(Duration duration) {
+        nowNanos.addAndGet(duration.toNanos());
     }
 }
--- a/testkit/src/main/java/org/turmericspan/testkit/ManualExecutor.java
+++ b/testkit/src/main/java/org/turmericspan/testkit/ManualExecutor.java
@@ -12,27 +12,30 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
-/** Scheduler that runs tasks at once or when a test moves its clock, always on the test's own thread. */
+/**
+ * Executor that runs submitted tasks immediately, and scheduled tasks when a test advances the clock, always on the
+ * calling thread. Tasks at a fixed rate are run with a fixed delay.
+ */
 public final class ManualExecutor extends AbstractExecutorService implements ScheduledExecutorService {
     private final ManualClock clock;
     private final List<Task<?>> tasks = new ArrayList<>();
 
     /**
-     * Creates a scheduler without tasks.
+     * Creates an executor without tasks.
      *
-     * @param clock moved by {@link #advance}
+     * @param clock clock that {@link #advance} advances
      */
     public ManualExecutor(ManualClock clock) {
         this.clock = clock;
     }
 
     /**
-     * Moves the clock in steps of a millisecond and runs what falls due.
+     * Advances the clock in steps of one millisecond, and runs the tasks that are due after each step.
      *
-     * @param span how far
+     * @param duration time to add, truncated to whole milliseconds
      */
-    public void advance(Duration span) {
-        for (long passed = 0; passed < span.toMillis(); passed++) {
+    public void advance(Duration duration) {
+        for (long elapsedMillis = 0; elapsedMillis < duration.toMillis(); elapsedMillis++) {
             clock.advance(Duration.ofMillis(1));
             runDue();
         }
@@ -54,32 +57,32 @@
 
     @Override
     public ScheduledFuture<?> schedule(Runnable command, long delay, TimeUnit unit) {
-        return add(new Task<>(command, unit.toNanos(delay)));
+        return enqueue(new Task<>(command, unit.toNanos(delay)));
     }
 
     @Override
     public <V> ScheduledFuture<V> schedule(Callable<V> callable, long delay, TimeUnit unit) {
-        throw new UnsupportedOperationException("Only runnables are scheduled");
+        throw new UnsupportedOperationException("Scheduling a Callable is not supported");
     }
 
-    private <V> Task<V> add(Task<V> task) {
+    private <V> Task<V> enqueue(Task<V> task) {
         tasks.add(task);
         return task;
     }
 
     @Override
-    public ScheduledFuture<?> scheduleAtFixedRate(Runnable command, long initial, long period, TimeUnit unit) {
-        return scheduleWithFixedDelay(command, initial, period, unit);
+    public ScheduledFuture<?> scheduleAtFixedRate(Runnable command, long initialDelay, long period, TimeUnit unit) {
+        return scheduleWithFixedDelay(command, initialDelay, period, unit);
     }
 
     @Override
-    public ScheduledFuture<?> scheduleWithFixedDelay(Runnable command, long initial, long delay, TimeUnit unit) {
+    public ScheduledFuture<?> scheduleWithFixedDelay(Runnable command, long initialDelay, long delay, TimeUnit unit) {
         return schedule(
                 () -> {
                     command.run();
                     scheduleWithFixedDelay(command, delay, delay, unit);
                 },
-                initial,
+                initialDelay,
                 unit);
     }
 
--- a/testkit/src/main/java/org/turmericspan/testkit/package-info.java
+++ b/testkit/src/main/java/org/turmericspan/testkit/package-info.java
@@ -1,2 +1,2 @@
-/** Hand-written fakes and test extensions that several modules share. */
+/** Hand-written fakes and a JUnit extension that the tests of several modules share. */
 package org.turmericspan.testkit;
--- a/testkit/src/test/java/org/turmericspan/testkit/KnownRedTest.java
+++ b/testkit/src/test/java/org/turmericspan/testkit/KnownRedTest.java
@@ -15,53 +15,56 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.opentest4j.TestAbortedException;
 
-/** The list of tests that may fail. */
+/**
+ * Guards against known failures that fail the build, and against entries in the list that hide other failures or stay
+ * after the test was fixed.
+ */
 final class KnownRedTest {
     @TempDir
-    private Path folder;
+    private Path directory;
 
     @Test
-    void listedTestThatFailsIsPassedOver() throws IOException {
+    void failingListedTestIsAborted() throws IOException {
         assertThatThrownBy(() -> run(listWith("test: KnownRedTest#toString"), KnownRedTest::fail))
                 .isInstanceOf(TestAbortedException.class);
     }
 
     @Test
-    void listedTestThatPassesFailsTheBuild() throws IOException {
+    void passingListedTestFailsTheBuild() throws IOException {
         assertThatThrownBy(() -> run(listWith("test: KnownRedTest#toString"), () -> null))
                 .isInstanceOf(AssertionError.class)
                 .hasMessageContaining("remove its entry");
     }
 
     @Test
-    void unlistedTestThatFailsStaysAFailure() throws IOException {
+    void failingUnlistedTestFailsTheBuild() throws IOException {
         assertThatThrownBy(() -> run(listWith("test: KnownRedTest#another"), KnownRedTest::fail))
                 .isInstanceOf(AssertionError.class)
                 .hasMessage("red");
     }
 
     @Test
-    void testListedAsFailingAtTimesMayPass() {
+    void flakyTestMayPass() {
         assertThatCode(() -> run(listWith("at times: KnownRedTest#toString: red"), () -> null))
                 .doesNotThrowAnyException();
     }
 
     @Test
-    void testListedAsFailingAtTimesIsPassedOverWithItsMessage() throws IOException {
+    void flakyTestThatFailsWithListedMessageIsAborted() throws IOException {
         assertThatThrownBy(() -> run(listWith("at times: KnownRedTest#toString: red"), KnownRedTest::fail))
                 .isInstanceOf(TestAbortedException.class);
     }
 
     @Test
-    void testListedAsFailingAtTimesMayNotFailInAnotherWay() throws IOException {
+    void flakyTestThatFailsWithOtherMessageFailsTheBuild() throws IOException {
         assertThatThrownBy(() -> run(listWith("at times: KnownRedTest#toString: not back"), KnownRedTest::fail))
                 .isInstanceOf(AssertionError.class)
                 .hasMessage("red");
     }
 
     @Test
-    void everyTestIsUnlistedWhenThereIsNoList() {
-        assertThatCode(() -> run(folder.resolve("none"), () -> null)).doesNotThrowAnyException();
+    void passingTestPassesWithoutListFile() {
+        assertThatCode(() -> run(directory.resolve("none"), () -> null)).doesNotThrowAnyException();
     }
 
     private static Void fail() {
@@ -69,15 +72,15 @@
     }
 
     private Path listWith(String entry) throws IOException {
-        return Files.writeString(folder.resolve("KNOWN-RED.txt"), entry + "\n  seed: 1\n");
+        return Files.writeString(directory.resolve("KNOWN-RED.txt"), entry + "\n  seed: 1\n");
     }
 
-    private static void run(Path list, Invocation<Void> test) throws Throwable {
-        new KnownRed(list).interceptTestMethod(test, new NamedTest(), null);
+    private static void run(Path listFile, Invocation<Void> test) throws Throwable {
+        new KnownRed(listFile).interceptTestMethod(test, new FakeInvocationContext(), null);
     }
 
-    /** Says that the running test is {@code KnownRedTest#toString}. */
-    private static final class NamedTest implements ReflectiveInvocationContext<Method> {
+    /** Invocation context that names {@code KnownRedTest#toString} as the running test. */
+    private static final class FakeInvocationContext implements ReflectiveInvocationContext<Method> {
         @Override
         public Class<?> getTargetClass() {
             return KnownRedTest.class;
