--- a/http/src/main/java/org/turmericspan/http/CallEnd.java
+++ b/http/src/main/java/org/turmericspan/http/CallEnd.java
@@ -1,25 +1,25 @@
 package org.turmericspan.http;
 
-/** How a call over the client ended. */
+/** Outcome of a call made by the client. */
 public sealed interface CallEnd {
     /**
-     * A whole response came.
+     * A complete response was received.
      *
      * @param response the response
      */
     record Answered(ResponseMessage response) implements CallEnd {}
 
     /**
-     * No byte of the request was sent: a kept connection was closed, and no new one could be made.
+     * No byte of the request was sent: the connection was closed before use, or could not be established.
      *
-     * @param reason what prevented it
+     * @param reason why the request was not sent
      */
     record NotSent(String reason) implements CallEnd {}
 
     /**
-     * The request was sent, and no whole response came. It may have run.
+     * The request was sent, but no complete response was received. The server may have executed the request.
      *
-     * @param reason what ended the wait
+     * @param reason why no complete response was received
      */
     record Broken(String reason) implements CallEnd {}
 }
--- a/http/src/main/java/org/turmericspan/http/CallHandle.java
+++ b/http/src/main/java/org/turmericspan/http/CallHandle.java
@@ -1,8 +1,8 @@
 package org.turmericspan.http;
 
-/** A call under way. */
+/** Handle of a call in progress. */
 @FunctionalInterface
 public interface CallHandle {
-    /** Gives the call up: its connection is closed and its listener is not called any more. */
+    /** Cancels the call: closes its connection; the listener is no longer called. */
     void cancel();
 }
--- a/http/src/main/java/org/turmericspan/http/CallOptions.java
+++ b/http/src/main/java/org/turmericspan/http/CallOptions.java
@@ -4,18 +4,21 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * How a call is made.
+ * Options of a call.
  *
- * @param connectTimeoutNanos longest wait for a new connection
- * @param maxIdleNanos longest idle time of a kept connection that may be used
- * @param takesOldest whether the connection idle for longest is taken, which proves it alive; else the newest
- * @param echo header that the response repeats from the request; responses with another value are skipped
+ * @param connectTimeoutNanos maximum time to establish a new connection
+ * @param maxIdleNanos maximum idle time of a pooled connection that may be reused
+ * @param preferOldest whether to use the connection that has been idle longest, which verifies that it still works,
+ *     instead of the most recently used one
+ * @param correlationHeader header that the server copies from the request to the response; a response with
+ *     another value is skipped
  */
-public record CallOptions(long connectTimeoutNanos, long maxIdleNanos, boolean takesOldest, Optional<String> echo) {
+public record CallOptions(
+        long connectTimeoutNanos, long maxIdleNanos, boolean preferOldest, Optional<String> correlationHeader) {
     /**
-     * Returns options of a call on a connection of its own.
+     * Returns the options of a call that uses no pooled connection.
      *
-     * @param connectTimeoutMillis longest wait for the connection
+     * @param connectTimeoutMillis maximum time to establish the connection
      * @return the options
      */
     public static CallOptions onNewConnection(long connectTimeoutMillis) {
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -29,16 +29,16 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.transport.InboundHandler;
 
-/** One caller's connection. Requests are handled one after the other; pipelined ones wait in a short queue. */
+/** Connection of one caller. Handles requests sequentially; pipelined requests wait in a bounded queue. */
 final class CallerConnection implements InboundHandler {
-    /** Pipelined requests that may wait before reading pauses. */
+    /** Number of queued pipelined requests at which reading from the connection pauses. */
     private static final int MAX_PIPELINED = 8;
-    /** Time the caller has to take the last answer before the connection is closed. */
+    /** Time that the caller has to read the last response before the connection is closed. */
     private static final long LINGER_MILLIS = 1_000;
 
     private static final String PART = "front";
 
-    private final Deque<RequestMessage> waiting = new ArrayDeque<>();
+    private final Deque<RequestMessage> pipelined = new ArrayDeque<>();
     private final HttpService service;
     private final ListenerLimits limits;
     private final ListenerState state;
@@ -47,11 +47,11 @@
     private ChannelHandlerContext context;
     private HttpRequest head;
     private ByteArrayOutputStream body;
-    private CurrentReply current;
+    private CurrentReply currentReply;
     private boolean closing;
     private long idleSinceNanos;
-    private long messageSinceNanos;
-    private boolean messageBegun;
+    private long messageStartNanos;
+    private boolean receivingMessage;
 
     CallerConnection(
             HttpService service, ListenerLimits limits, ListenerState state, MonotonicClock clock, EventLog log) {
@@ -64,16 +64,16 @@
     }
 
     @Override
-    public void handlerAdded(ChannelHandlerContext added) {
-        context = added;
+    public void handlerAdded(ChannelHandlerContext handlerContext) {
+        context = handlerContext;
         state.add(this);
     }
 
-    /** Notes that bytes arrived, before they are decoded. */
-    void bytesArrived() {
-        if (!messageBegun) {
-            messageBegun = true;
-            messageSinceNanos = clock.nowNanos();
+    /** Records the start of a message. Called for received bytes before they are decoded. */
+    void onBytesReceived() {
+        if (!receivingMessage) {
+            receivingMessage = true;
+            messageStartNanos = clock.nowNanos();
         }
     }
 
@@ -81,23 +81,23 @@
     public void channelRead(ChannelHandlerContext ignored, Object message) {
         try {
             if (!closing) {
-                read(message);
+                handle(message);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void read(Object message) {
+    private void handle(Object message) {
         if (message instanceof HttpRequest request) {
-            begin(request);
+            beginRequest(request);
         }
         if (head != null && message instanceof HttpContent content) {
-            append(content);
+            appendBody(content);
         }
     }
 
-    private void begin(HttpRequest request) {
+    private void beginRequest(HttpRequest request) {
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
@@ -110,14 +110,14 @@
         head = request;
         body = new ByteArrayOutputStream();
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "declared length");
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "Content-Length exceeds the body limit");
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
-    private void append(HttpContent content) {
+    private void appendBody(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             reject(
                     HttpResponseStatus.BAD_REQUEST,
@@ -133,22 +133,22 @@
         bytes.readBytes(chunk);
         body.writeBytes(chunk);
         if (content instanceof LastHttpContent) {
-            messageBegun = false;
-            waiting.addLast(new RequestMessage(
+            receivingMessage = false;
+            pipelined.addLast(new RequestMessage(
                     head.method().name(), head.uri(), NettyHeaders.read(head.headers()), body.toByteArray()));
             head = null;
             body = null;
-            serveNext();
+            handleNext();
         }
     }
 
-    private void serveNext() {
-        if (current == null && !waiting.isEmpty()) {
-            RequestMessage request = waiting.removeFirst();
-            current = new CurrentReply(request);
-            service.handle(request, current);
+    private void handleNext() {
+        if (currentReply == null && !pipelined.isEmpty()) {
+            RequestMessage request = pipelined.removeFirst();
+            currentReply = new CurrentReply(request);
+            service.handle(request, currentReply);
         }
-        context.channel().config().setAutoRead(waiting.size() < MAX_PIPELINED);
+        context.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED);
     }
 
     private void reject(HttpResponseStatus status, String reason) {
@@ -156,8 +156,8 @@
                 .with("status", status.code())
                 .with("reason", reason));
         head = null;
-        waiting.clear();
-        if (current == null) {
+        pipelined.clear();
+        if (currentReply == null) {
             write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status), true);
         } else {
             closing = true;
@@ -169,14 +169,18 @@
         if (close) {
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.writeAndFlush(response).addListener((ChannelFutureListener) sent -> linger(sent.channel()));
+            context.writeAndFlush(response)
+                    .addListener((ChannelFutureListener) sent -> closeGracefully(sent.channel()));
         } else {
             context.writeAndFlush(response);
         }
     }
 
-    /** Ends the writing side first, so that bytes of the caller on their way do not reset the answer. */
-    private void linger(Channel channel) {
+    /**
+     * Shuts down output before closing, since closing with input still arriving would reset the connection, and the
+     * response could be lost.
+     */
+    private void closeGracefully(Channel channel) {
         if (channel instanceof SocketChannel socket && socket.isActive()) {
             socket.shutdownOutput();
             channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
@@ -185,28 +189,28 @@
         }
     }
 
-    /** Closes the connection when it was idle, or a message was under way, for too long. */
+    /** Rejects a request head that exceeded its timeout; closes a connection that was idle or receiving too long. */
     void checkTimeouts(long nowNanos) {
-        if (closing || current != null) {
+        if (closing || currentReply != null) {
             return;
         }
-        if (messageBegun && head == null && nowNanos - messageSinceNanos > limits.headTimeoutNanos()) {
-            reject(HttpResponseStatus.REQUEST_TIMEOUT, "head incomplete");
-        } else if (nowNanos - Math.max(idleSinceNanos, messageSinceNanos) > limits.idleTimeoutNanos()) {
+        if (receivingMessage && head == null && nowNanos - messageStartNanos > limits.headTimeoutNanos()) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT, "request head not complete within its timeout");
+        } else if (nowNanos - Math.max(idleSinceNanos, messageStartNanos) > limits.idleTimeoutNanos()) {
             closing = true;
             context.close();
         }
     }
 
-    /** Closes the connection if nothing is under way. */
+    /** Closes the connection if it has no request in progress. */
     void closeIfIdle() {
-        if (current == null && waiting.isEmpty() && !messageBegun) {
+        if (currentReply == null && pipelined.isEmpty() && !receivingMessage) {
             closing = true;
-            linger(context.channel());
+            closeGracefully(context.channel());
         }
     }
 
-    void onWorker(Runnable action) {
+    void runOnWorker(Runnable action) {
         context.executor().execute(action);
     }
 
@@ -214,8 +218,8 @@
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
         state.remove(this);
-        if (current != null) {
-            current.callerGone();
+        if (currentReply != null) {
+            currentReply.onDisconnect();
         }
     }
 
@@ -225,52 +229,53 @@
         context.close();
     }
 
+    /** Reply to the request in progress. */
     private final class CurrentReply implements Reply {
         private final RequestMessage request;
-        private Runnable goneAction = () -> {};
-        private boolean ended;
+        private Runnable disconnectAction = () -> {};
+        private boolean completed;
 
         CurrentReply(RequestMessage request) {
             this.request = request;
-            state.begin();
+            state.requestStarted();
         }
 
         @Override
         public void send(ResponseMessage response) {
-            if (ended) {
+            if (completed) {
                 return;
             }
-            end();
+            complete();
             FullHttpResponse message = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(response.status()),
                     Unpooled.wrappedBuffer(response.body()));
             NettyHeaders.write(response.headers(), message.headers());
-            boolean keep = request.headers()
+            boolean keepAlive = request.headers()
                     .first("Connection")
                     .map(value -> !value.equalsIgnoreCase("close"))
                     .orElse(true);
-            write(message, closing || !keep || state.isDraining());
-            serveNext();
+            write(message, closing || !keepAlive || state.isDraining());
+            handleNext();
         }
 
-        private void end() {
-            ended = true;
-            current = null;
+        private void complete() {
+            completed = true;
+            currentReply = null;
             idleSinceNanos = clock.nowNanos();
-            state.end();
+            state.requestEnded();
         }
 
-        void callerGone() {
-            if (!ended) {
-                end();
-                goneAction.run();
+        void onDisconnect() {
+            if (!completed) {
+                complete();
+                disconnectAction.run();
             }
         }
 
         @Override
         public void onCallerGone(Runnable action) {
-            goneAction = action;
+            disconnectAction = action;
         }
 
         @Override
--- a/http/src/main/java/org/turmericspan/http/ConnectionPool.java
+++ b/http/src/main/java/org/turmericspan/http/ConnectionPool.java
@@ -12,7 +12,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Idle connections by address. */
+/** Idle connections by server address. */
 final class ConnectionPool {
     private final RankedLock lock = new RankedLock(LockRank.CONNECTIONS);
     private final Map<SocketAddress, Deque<ServerConnection>> idle = new HashMap<>();
@@ -28,11 +28,11 @@
             Deque<ServerConnection> connections = idle.get(address);
             while (connections != null && !connections.isEmpty()) {
                 ServerConnection candidate =
-                        options.takesOldest() ? connections.removeFirst() : connections.removeLast();
+                        options.preferOldest() ? connections.removeFirst() : connections.removeLast();
                 if (candidate.isUsable(now, options.maxIdleNanos())) {
                     return Optional.of(candidate);
                 }
-                candidate.closeLater();
+                candidate.closeAsync();
             }
             return Optional.empty();
         });
@@ -56,7 +56,7 @@
     }
 
     /** Removes and returns all idle connections to an address. */
-    List<ServerConnection> drop(SocketAddress address) {
+    List<ServerConnection> removeAll(SocketAddress address) {
         return lock.compute(() -> {
             Deque<ServerConnection> connections = idle.remove(address);
             return connections == null ? List.of() : new ArrayList<>(connections);
--- a/http/src/main/java/org/turmericspan/http/HeaderField.java
+++ b/http/src/main/java/org/turmericspan/http/HeaderField.java
@@ -1,9 +1,9 @@
 package org.turmericspan.http;
 
 /**
- * One header line.
+ * One header field.
  *
- * @param name name as it was spelled
- * @param value value without surrounding space
+ * @param name the name, in its original case
+ * @param value the value, without surrounding whitespace
  */
 public record HeaderField(String name, String value) {}
--- a/http/src/main/java/org/turmericspan/http/HeaderList.java
+++ b/http/src/main/java/org/turmericspan/http/HeaderList.java
@@ -9,15 +9,16 @@
 import java.util.stream.Collectors;
 
 /**
- * Header lines in their order.
+ * Header fields in the order of the message.
  *
- * @param fields the lines
+ * @param fields the fields
  */
 public record HeaderList(List<HeaderField> fields) {
-    /** No header lines. */
+    /** The list without fields. */
     public static final HeaderList EMPTY = new HeaderList(List.of());
 
     private static final String CONNECTION = "connection";
+    /** Headers that are not forwarded: hop-by-hop ones, and Content-Length and Expect, which each hop handles. */
     private static final Set<String> HOP_BY_HOP = Set.of(
             CONNECTION,
             "keep-alive",
@@ -31,7 +32,7 @@
             "content-length",
             "expect");
 
-    /** Copies the list. */
+    /** Copies the fields. */
     public HeaderList {
         fields = List.copyOf(fields);
     }
@@ -39,8 +40,8 @@
     /**
      * Returns the first value of a header.
      *
-     * @param name name in any case
-     * @return empty when there is none
+     * @param name the name, in any case
+     * @return the value; empty if the header is absent
      */
     public Optional<String> first(String name) {
         for (HeaderField field : fields) {
@@ -52,27 +53,28 @@
     }
 
     /**
-     * Leaves out what concerns one connection only, and the length, which is written anew with the body.
+     * Removes the hop-by-hop headers, also those that the Connection header names (RFC 9110, section 7.6.1). Removes
+     * Content-Length too, which is set again when the body is written, and Expect.
      *
-     * @return the other lines
+     * @return the end-to-end headers
      */
     public HeaderList endToEnd() {
-        Set<String> named = fields.stream()
+        Set<String> connectionOptions = fields.stream()
                 .filter(field -> field.name().equalsIgnoreCase(CONNECTION))
                 .flatMap(field -> List.of(field.value().split(",")).stream())
                 .map(name -> name.trim().toLowerCase(Locale.ROOT))
                 .collect(Collectors.toSet());
         return filter(field -> {
             String name = field.name().toLowerCase(Locale.ROOT);
-            return !HOP_BY_HOP.contains(name) && !named.contains(name);
+            return !HOP_BY_HOP.contains(name) && !connectionOptions.contains(name);
         });
     }
 
     /**
-     * Replaces a header, or adds it.
+     * Sets a header, replacing all fields of that name.
      *
-     * @param name the header
-     * @param value its one value
+     * @param name the name, in any case
+     * @param value the value
      * @return the new list
      */
     public HeaderList with(String name, String value) {
@@ -82,16 +84,16 @@
     }
 
     /**
-     * Leaves a header out.
+     * Removes a header.
      *
-     * @param name the header, in any case
+     * @param name the name, in any case
      * @return the new list
      */
     public HeaderList without(String name) {
         return filter(field -> !field.name().equalsIgnoreCase(name));
     }
 
-    private HeaderList filter(Predicate<HeaderField> kept) {
-        return new HeaderList(fields.stream().filter(kept).toList());
+    private HeaderList filter(Predicate<HeaderField> predicate) {
+        return new HeaderList(fields.stream().filter(predicate).toList());
     }
 }
--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -16,7 +16,7 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.transport.ChannelSetup;
 
-/** Client with kept connections. It proves whether a byte of a request was sent. */
+/** HTTP/1.1 client with a connection pool. Reports whether any byte of a request may have been sent. */
 public final class HttpClient implements HttpCaller {
     private static final int MAX_LINE_BYTES = 4_096;
     private static final int MAX_HEADER_BYTES = 65_536;
@@ -28,10 +28,10 @@
     private final AtomicLong opened = new AtomicLong();
 
     /**
-     * Creates a client without connections.
+     * Creates a client with an empty connection pool.
      *
      * @param workers the worker pool
-     * @param clock monotonic time
+     * @param clock source of monotonic time
      */
     public HttpClient(EventLoopGroup workers, MonotonicClock clock) {
         this.workers = workers;
@@ -42,38 +42,40 @@
     @Override
     public CallHandle call(
             SocketAddress address, RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
-        Once once = new Once(listener);
-        Optional<ServerConnection> kept = pool.take(address, options);
-        if (kept.isPresent()) {
-            once.onCancel(kept.get()::cancel);
-            kept.get().start(request, options, end -> {
+        OneShotListener oneShot = new OneShotListener(listener);
+        Optional<ServerConnection> pooled = pool.take(address, options);
+        if (pooled.isPresent()) {
+            oneShot.setCancelAction(pooled.get()::cancel);
+            pooled.get().start(request, options, end -> {
                 if (end instanceof CallEnd.NotSent) {
-                    // The server closed the kept connection before it was used; a new one may still be made.
-                    callOnNewConnection(address, request, options, once);
+                    // The server closed the pooled connection before it was used. Nothing was sent, so a new one is
+                    // opened.
+                    callOnNewConnection(address, request, options, oneShot);
                 } else {
-                    once.accept(end);
+                    oneShot.accept(end);
                 }
             });
         } else {
-            callOnNewConnection(address, request, options, once);
+            callOnNewConnection(address, request, options, oneShot);
         }
-        return once::cancel;
+        return oneShot::cancel;
     }
 
-    private void callOnNewConnection(SocketAddress address, RequestMessage request, CallOptions options, Once once) {
-        ServerConnection fresh = new ServerConnection(address, pool, clock);
-        ChannelFuture connecting = connect(address, fresh, options);
-        once.onCancel(() -> connecting.channel().close());
-        connecting.addListener(done -> {
+    private void callOnNewConnection(
+            SocketAddress address, RequestMessage request, CallOptions options, OneShotListener oneShot) {
+        ServerConnection connection = new ServerConnection(address, pool, clock);
+        ChannelFuture connectFuture = connect(address, connection, options);
+        oneShot.setCancelAction(() -> connectFuture.channel().close());
+        connectFuture.addListener(done -> {
             if (!done.isSuccess()) {
-                once.accept(new CallEnd.NotSent(String.valueOf(done.cause().getMessage())));
-            } else if (once.isDone()) {
-                connecting.channel().close();
+                oneShot.accept(new CallEnd.NotSent(String.valueOf(done.cause().getMessage())));
+            } else if (oneShot.isDone()) {
+                connectFuture.channel().close();
             } else {
                 opened.incrementAndGet();
-                fresh.connected(connecting.channel());
-                once.onCancel(fresh::cancel);
-                fresh.start(request, options, once);
+                connection.onConnected(connectFuture.channel());
+                oneShot.setCancelAction(connection::cancel);
+                connection.start(request, options, oneShot);
             }
         });
     }
@@ -91,16 +93,16 @@
     }
 
     /**
-     * Closes the idle connections to an address, because they can no longer be trusted.
+     * Closes the idle connections to an address that may no longer be usable, such as after a failed call.
      *
-     * @param address the address
+     * @param address the server
      */
     public void dropIdle(SocketAddress address) {
-        pool.drop(address).forEach(ServerConnection::closeLater);
+        pool.removeAll(address).forEach(ServerConnection::closeAsync);
     }
 
     /**
-     * Counts the connections opened so far.
+     * Counts the connections opened since the client was created.
      *
      * @return the count
      */
@@ -108,18 +110,18 @@
         return opened.get();
     }
 
-    /** Passes on the first end only, and none after a cancellation. */
-    private static final class Once implements Consumer<CallEnd> {
+    /** Passes at most one outcome to the listener, and none after a cancellation. */
+    private static final class OneShotListener implements Consumer<CallEnd> {
         private final Consumer<CallEnd> listener;
         private final AtomicBoolean done = new AtomicBoolean();
-        private volatile Runnable cancellation = () -> {};
+        private volatile Runnable cancelAction = () -> {};
 
-        Once(Consumer<CallEnd> listener) {
+        OneShotListener(Consumer<CallEnd> listener) {
             this.listener = listener;
         }
 
-        void onCancel(Runnable action) {
-            cancellation = action;
+        void setCancelAction(Runnable action) {
+            cancelAction = action;
         }
 
         boolean isDone() {
@@ -128,7 +130,7 @@
 
         void cancel() {
             if (done.compareAndSet(false, true)) {
-                cancellation.run();
+                cancelAction.run();
             }
         }
 
--- a/http/src/main/java/org/turmericspan/http/HttpListener.java
+++ b/http/src/main/java/org/turmericspan/http/HttpListener.java
@@ -16,24 +16,24 @@
 import org.turmericspan.transport.InboundHandler;
 import org.turmericspan.transport.ServerSocketBinder;
 
-/** Listens on an address and hands whole requests to a service. */
+/** Listens on an address and passes complete requests to a service. */
 public final class HttpListener implements AutoCloseable {
-    /** How often timeouts of connections are checked. */
-    private static final long CHECK_MILLIS = 1_000;
+    /** Interval between two checks of the connection timeouts. */
+    private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 1_000;
 
     private final ListenerState state = new ListenerState();
     private final Channel channel;
-    private final ScheduledFuture<?> checks;
+    private final ScheduledFuture<?> timeoutChecks;
 
     /**
      * Binds the address.
      *
      * @param workers the worker pool
-     * @param address where to listen
-     * @param service answers the requests
-     * @param limits bounds that hold for connections accepted from now on
-     * @param clock monotonic time
-     * @param log takes refused requests
+     * @param address the address to listen on
+     * @param service handles the requests
+     * @param limits supplies the limits; read once for each accepted connection
+     * @param clock source of monotonic time
+     * @param log receives rejected requests and failed connections
      */
     public HttpListener(
             EventLoopGroup workers,
@@ -44,8 +44,11 @@
             EventLog log) {
         channel = ServerSocketBinder.bind(
                 workers, address, pipeline -> addHandlers(pipeline, service, limits.get(), clock, log), log);
-        checks = workers.scheduleWithFixedDelay(
-                () -> checkTimeouts(clock), CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        timeoutChecks = workers.scheduleWithFixedDelay(
+                () -> checkTimeouts(clock),
+                TIMEOUT_CHECK_INTERVAL_MILLIS,
+                TIMEOUT_CHECK_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void addHandlers(
@@ -54,15 +57,15 @@
                 .setMaxHeaderSize(limits.maxHeaderBytes())
                 .setMaxInitialLineLength(limits.maxHeaderBytes());
         CallerConnection connection = new CallerConnection(service, limits, state, clock, log);
-        pipeline.addLast(new ArrivalMarker(connection))
+        pipeline.addLast(new ReceiveNotifier(connection))
                 .addLast(new HttpServerCodec(decoder))
                 .addLast(connection);
     }
 
     /**
-     * Returns the port that was bound.
+     * Returns the bound port.
      *
-     * @return the port, useful when port 0 was asked for
+     * @return the actual port, also when port 0 was requested
      */
     public int port() {
         return ((InetSocketAddress) channel.localAddress()).getPort();
@@ -71,22 +74,22 @@
     private void checkTimeouts(MonotonicClock clock) {
         long now = clock.nowNanos();
         for (CallerConnection connection : state.connections()) {
-            connection.onWorker(() -> connection.checkTimeouts(now));
+            connection.runOnWorker(() -> connection.checkTimeouts(now));
         }
     }
 
-    /** Asks callers to leave: answers from now on close their connections. */
+    /** Starts draining: each response sent from now on closes its connection. */
     public void drain() {
         state.drain();
     }
 
-    /** Closes the connections on which nothing is under way. */
+    /** Closes the connections that have no request in progress. */
     public void closeIdle() {
-        state.connections().forEach(connection -> connection.onWorker(connection::closeIfIdle));
+        state.connections().forEach(connection -> connection.runOnWorker(connection::closeIfIdle));
     }
 
     /**
-     * Counts requests that have no answer yet.
+     * Counts the requests in progress, which have no response yet.
      *
      * @return the count
      */
@@ -95,7 +98,7 @@
     }
 
     /**
-     * Counts open connections.
+     * Counts the open connections.
      *
      * @return the count
      */
@@ -105,21 +108,21 @@
 
     @Override
     public void close() {
-        checks.cancel(false);
+        timeoutChecks.cancel(false);
         channel.close();
     }
 
-    /** Tells the connection that bytes arrived. */
-    private static final class ArrivalMarker implements InboundHandler {
+    /** Notifies the connection of received bytes before they are decoded. */
+    private static final class ReceiveNotifier implements InboundHandler {
         private final CallerConnection connection;
 
-        ArrivalMarker(CallerConnection connection) {
+        ReceiveNotifier(CallerConnection connection) {
             this.connection = connection;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            connection.bytesArrived();
+            connection.onBytesReceived();
             context.fireChannelRead(message);
         }
     }
--- a/http/src/main/java/org/turmericspan/http/HttpService.java
+++ b/http/src/main/java/org/turmericspan/http/HttpService.java
@@ -1,13 +1,13 @@
 package org.turmericspan.http;
 
-/** Answers requests. */
+/** Handles the requests that a listener receives. */
 @FunctionalInterface
 public interface HttpService {
     /**
-     * Handles a request without blocking. It is called on the worker of the connection.
+     * Handles a request without blocking. Called on the worker of the connection.
      *
-     * @param request the whole request
-     * @param reply takes the one answer, now or later
+     * @param request the complete request
+     * @param reply sends the response, during this call or later
      */
     void handle(RequestMessage request, Reply reply);
 }
--- a/http/src/main/java/org/turmericspan/http/ListenerLimits.java
+++ b/http/src/main/java/org/turmericspan/http/ListenerLimits.java
@@ -1,11 +1,11 @@
 package org.turmericspan.http;
 
 /**
- * Bounds on what a listener accepts.
+ * Limits of a connection that a listener accepts.
  *
- * @param maxHeaderBytes largest request head
- * @param maxBodyBytes largest body
- * @param headTimeoutNanos longest time a head may take
- * @param idleTimeoutNanos longest time a kept connection may stay idle
+ * @param maxHeaderBytes maximum size of the header section, and of the request line
+ * @param maxBodyBytes maximum size of a request body
+ * @param headTimeoutNanos time within which a request head must be complete
+ * @param idleTimeoutNanos time after which an idle connection, or one whose request is incomplete, is closed
  */
 public record ListenerLimits(int maxHeaderBytes, int maxBodyBytes, long headTimeoutNanos, long idleTimeoutNanos) {}
--- a/http/src/main/java/org/turmericspan/http/ListenerState.java
+++ b/http/src/main/java/org/turmericspan/http/ListenerState.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Connections and requests of one listener. */
+/** Open connections, requests in progress and drain state of one listener. */
 final class ListenerState {
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger requests = new AtomicInteger();
@@ -23,11 +23,11 @@
         return List.copyOf(connections);
     }
 
-    void begin() {
+    void requestStarted() {
         requests.incrementAndGet();
     }
 
-    void end() {
+    void requestEnded() {
         requests.decrementAndGet();
     }
 
--- a/http/src/main/java/org/turmericspan/http/NettyHeaders.java
+++ b/http/src/main/java/org/turmericspan/http/NettyHeaders.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Moves header lines between Netty's messages and the project's. */
+/** Converts between Netty headers and {@link HeaderList}. */
 final class NettyHeaders {
     private NettyHeaders() {}
 
--- a/http/src/main/java/org/turmericspan/http/Reply.java
+++ b/http/src/main/java/org/turmericspan/http/Reply.java
@@ -2,24 +2,24 @@
 
 import java.util.concurrent.ScheduledExecutorService;
 
-/** Takes the one answer of a request. All methods are called on the connection's worker. */
+/** Sends the response to one request. All methods are called on the worker of the connection. */
 public interface Reply {
     /**
-     * Sends the answer. Later calls have no effect.
+     * Sends the response. Later calls have no effect.
      *
-     * @param response the answer
+     * @param response the response
      */
     void send(ResponseMessage response);
 
     /**
-     * Registers what happens when the caller closes its connection before the answer was sent.
+     * Registers an action for a caller that disconnects before the response is sent. It replaces an earlier one.
      *
-     * @param action runs at most once, on the connection's worker
+     * @param action runs at most once, on the worker of the connection
      */
     void onCallerGone(Runnable action);
 
     /**
-     * Returns the worker of the connection, on which all events of the request run one after the other.
+     * Returns the worker of the connection, which runs all events of the request sequentially.
      *
      * @return the worker
      */
--- a/http/src/main/java/org/turmericspan/http/RequestMessage.java
+++ b/http/src/main/java/org/turmericspan/http/RequestMessage.java
@@ -1,34 +1,34 @@
 package org.turmericspan.http;
 
 /**
- * A whole request.
+ * A complete HTTP request.
  *
- * @param method method as it was spelled
- * @param target request target as it was spelled
- * @param headers header lines
- * @param body the body; not copied, must not be changed
+ * @param method the method, in its original case
+ * @param target the request target, not normalized
+ * @param headers the header fields
+ * @param body the body; not copied, must not be modified
  */
 public record RequestMessage(String method, String target, HeaderList headers, byte[] body) {
-    private static final byte[] NO_BODY = new byte[0];
+    private static final byte[] EMPTY_BODY = new byte[0];
 
     /**
-     * Creates a request without a body.
+     * Creates a GET request without a body.
      *
-     * @param target request target
-     * @param host value of the host header
+     * @param target the request target
+     * @param host the value of the Host header
      * @return the request
      */
     public static RequestMessage get(String target, String host) {
-        return new RequestMessage("GET", target, HeaderList.EMPTY.with("Host", host), NO_BODY);
+        return new RequestMessage("GET", target, HeaderList.EMPTY.with("Host", host), EMPTY_BODY);
     }
 
     /**
      * Returns the path of the target.
      *
-     * @return the target without its query
+     * @return the target without the query
      */
     public String path() {
-        int query = target.indexOf('?');
-        return query < 0 ? target : target.substring(0, query);
+        int queryIndex = target.indexOf('?');
+        return queryIndex < 0 ? target : target.substring(0, queryIndex);
     }
 }
--- a/http/src/main/java/org/turmericspan/http/ResponseMessage.java
+++ b/http/src/main/java/org/turmericspan/http/ResponseMessage.java
@@ -3,23 +3,23 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * A whole response.
+ * A complete HTTP response.
  *
- * @param status status code
- * @param headers header lines
- * @param body the body; not copied, must not be changed
+ * @param status the status code
+ * @param headers the header fields
+ * @param body the body; not copied, must not be modified
  */
 public record ResponseMessage(int status, HeaderList headers, byte[] body) {
-    private static final int LEAST_SUCCESS = 200;
-    private static final int MOST_SUCCESS = 299;
-    private static final int LEAST_FAILURE = 500;
-    private static final int MOST_FAILURE = 599;
+    private static final int MIN_SUCCESS_STATUS = 200;
+    private static final int MAX_SUCCESS_STATUS = 299;
+    private static final int MIN_SERVER_ERROR_STATUS = 500;
+    private static final int MAX_SERVER_ERROR_STATUS = 599;
 
     /**
-     * Creates a response with a text.
+     * Creates a response with a text body, encoded as UTF-8.
      *
-     * @param status status code
-     * @param contentType type of the text
+     * @param status the status code
+     * @param contentType the value of the Content-Type header
      * @param text the body
      * @return the response
      */
@@ -29,20 +29,20 @@
     }
 
     /**
-     * Tells whether the status is a success.
+     * Returns whether the status is successful.
      *
-     * @return true from 200 to 299
+     * @return true for 200 to 299
      */
     public boolean isSuccess() {
-        return status >= LEAST_SUCCESS && status <= MOST_SUCCESS;
+        return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
     }
 
     /**
-     * Tells whether the status is a failure of the server.
+     * Returns whether the status is a server error.
      *
-     * @return true from 500 to 599
+     * @return true for 500 to 599
      */
     public boolean isServerError() {
-        return status >= LEAST_FAILURE && status <= MOST_FAILURE;
+        return status >= MIN_SERVER_ERROR_STATUS && status <= MAX_SERVER_ERROR_STATUS;
     }
 }
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -25,26 +25,26 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.transport.InboundHandler;
 
-/** One connection to a server. It carries one call at a time and is kept only after a response that was whole. */
+/** One connection to a server. Carries one call at a time and is reused only after a complete response. */
 final class ServerConnection implements InboundHandler {
-    /** Largest response; bounds what a faulty server can make a node hold. */
+    /** Maximum response body; limits the memory that a faulty server can make a node use. */
     private static final int MAX_BODY_BYTES = 16 * 1_048_576;
-    /** Part of the server's stated idle timeout for which a connection is used. */
-    private static final double KEEP_PART = 0.7;
-    /** Longest idle time of a connection whose server states none. */
-    private static final long DEFAULT_KEEP_NANOS = TimeUnit.SECONDS.toNanos(4);
+    /** Fraction of the idle timeout in the Keep-Alive header within which a connection is reused. */
+    private static final double IDLE_TIMEOUT_FRACTION = 0.7;
+    /** Maximum idle time of a connection whose server sends no Keep-Alive timeout. */
+    private static final long DEFAULT_IDLE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-    private static final Pattern TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
-    private static final int FIRST_FINAL_STATUS = 200;
+    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
+    private static final int MIN_FINAL_STATUS = 200;
 
     private final SocketAddress address;
     private final ConnectionPool pool;
     private final MonotonicClock clock;
     private Channel channel;
-    private Exchange current;
+    private Exchange exchange;
     private volatile long idleSinceNanos;
-    private volatile long keepNanos = DEFAULT_KEEP_NANOS;
-    private volatile boolean spoiled;
+    private volatile long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
+    private volatile boolean notReusable;
 
     ServerConnection(SocketAddress address, ConnectionPool pool, MonotonicClock clock) {
         this.address = address;
@@ -56,22 +56,22 @@
         return address;
     }
 
-    void connected(Channel active) {
+    void onConnected(Channel active) {
         channel = active;
         idleSinceNanos = clock.nowNanos();
     }
 
     boolean isUsable(long nowNanos, long maxIdleNanos) {
         long idleNanos = nowNanos - idleSinceNanos;
-        return !spoiled && channel.isActive() && idleNanos <= maxIdleNanos && idleNanos <= keepNanos;
+        return !notReusable && channel.isActive() && idleNanos <= maxIdleNanos && idleNanos <= idleTimeoutNanos;
     }
 
-    void closeLater() {
-        spoiled = true;
+    void closeAsync() {
+        notReusable = true;
         channel.eventLoop().execute(() -> channel.close());
     }
 
-    /** Starts a call on the connection's worker. */
+    /** Starts a call on the worker of the connection. */
     void start(RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
         if (channel.eventLoop().inEventLoop()) {
             startOnWorker(request, options, listener);
@@ -81,12 +81,13 @@
     }
 
     private void startOnWorker(RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
-        if (spoiled || !channel.isActive()) {
+        if (notReusable || !channel.isActive()) {
             listener.accept(new CallEnd.NotSent("connection closed before use"));
             return;
         }
-        Optional<String> echo = options.echo().flatMap(name -> request.headers().first(name));
-        current = new Exchange(listener, options.echo().orElse(""), echo);
+        Optional<String> correlationId =
+                options.correlationHeader().flatMap(name -> request.headers().first(name));
+        exchange = new Exchange(listener, options.correlationHeader().orElse(""), correlationId);
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(request.method()),
@@ -96,18 +97,18 @@
         if (request.body().length > 0 || !isBodiless(request.method())) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
         }
-        current.written = channel.writeAndFlush(message);
+        exchange.writeFuture = channel.writeAndFlush(message);
     }
 
     private static boolean isBodiless(String method) {
         return "GET".equals(method) || "HEAD".equals(method) || "DELETE".equals(method);
     }
 
-    /** Gives the current call up. Its connection is reset, so that bytes held up on the way are not delivered later. */
+    /** Cancels the current call and resets the connection, so that bytes delayed in the network are not delivered. */
     void cancel() {
         channel.eventLoop().execute(() -> {
-            current = null;
-            spoiled = true;
+            exchange = null;
+            notReusable = true;
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
         });
@@ -116,79 +117,84 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (current == null) {
-                spoiled = true;
+            if (exchange == null) {
+                notReusable = true;
                 pool.remove(this);
                 context.close();
             } else {
-                read((HttpObject) message);
+                handle((HttpObject) message);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void read(HttpObject message) {
+    private void handle(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            fail("response cannot be read: " + message.decoderResult().cause());
+            fail("malformed response: " + message.decoderResult().cause());
             return;
         }
         if (message instanceof HttpResponse response) {
-            current.begin(response);
+            exchange.beginResponse(response);
         }
         if (message instanceof HttpContent content) {
-            current.append(content);
-            if (current.body.size() > MAX_BODY_BYTES) {
-                fail("response too large");
+            exchange.append(content);
+            if (exchange.body.size() > MAX_BODY_BYTES) {
+                fail("response body exceeds the size limit");
             } else if (content instanceof LastHttpContent) {
-                endMessage();
+                completeResponse();
             }
         }
     }
 
-    private void endMessage() {
-        if (current.isSkipped()) {
-            // The response belongs to an earlier request; the awaited one may still follow.
-            spoiled = true;
+    private void completeResponse() {
+        if (exchange.isNotExpected()) {
+            // An informational response, or one to an earlier request; the expected response may still follow.
+            notReusable = true;
             return;
         }
-        Exchange ended = current;
-        current = null;
-        HttpResponse head = ended.head;
-        ResponseMessage response =
-                new ResponseMessage(head.status().code(), NettyHeaders.read(head.headers()), ended.body.toByteArray());
-        boolean isKept = !spoiled && HttpUtil.isKeepAlive(head) && ended.written.isSuccess() && isFramed(head);
-        if (isKept) {
-            keep(response);
+        Exchange completed = exchange;
+        exchange = null;
+        HttpResponse head = completed.head;
+        ResponseMessage response = new ResponseMessage(
+                head.status().code(), NettyHeaders.read(head.headers()), completed.body.toByteArray());
+        boolean isReusable = !notReusable
+                && HttpUtil.isKeepAlive(head)
+                && completed.writeFuture.isSuccess()
+                && hasSelfDefinedLength(head);
+        if (isReusable) {
+            returnToPool(response);
         } else {
-            spoiled = true;
+            notReusable = true;
             channel.close();
         }
-        ended.listener.accept(new CallEnd.Answered(response));
+        completed.listener.accept(new CallEnd.Answered(response));
     }
 
-    private static boolean isFramed(HttpResponse head) {
+    /** Returns whether the response states where it ends; otherwise it ends with its connection. */
+    private static boolean hasSelfDefinedLength(HttpResponse head) {
         return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
     }
 
-    private void keep(ResponseMessage response) {
+    private void returnToPool(ResponseMessage response) {
         idleSinceNanos = clock.nowNanos();
         response.headers().first("Keep-Alive").ifPresent(value -> {
-            Matcher matcher = TIMEOUT.matcher(value);
+            Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(value);
             if (matcher.find()) {
-                keepNanos = (long) (KEEP_PART * TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1))));
+                idleTimeoutNanos =
+                        (long) (IDLE_TIMEOUT_FRACTION * TimeUnit.SECONDS.toNanos(Long.parseLong(matcher.group(1))));
             }
         });
         pool.put(this);
     }
 
     private void fail(String reason) {
-        Exchange ended = current;
-        current = null;
-        spoiled = true;
+        Exchange completed = exchange;
+        exchange = null;
+        notReusable = true;
         channel.close();
-        if (ended != null) {
-            ended.listener.accept(new CallEnd.Broken(reason));
+        if (completed != null) {
+            completed.listener.accept(new CallEnd.Broken(reason));
         }
     }
 
@@ -204,21 +210,22 @@
         fail("connection failed: " + cause.getMessage());
     }
 
+    /** The call in progress and the part of its response that was received. */
     private static final class Exchange {
         private final Consumer<CallEnd> listener;
-        private final String echoName;
-        private final Optional<String> echo;
+        private final String correlationHeader;
+        private final Optional<String> correlationId;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private ChannelFuture written;
+        private ChannelFuture writeFuture;
         private HttpResponse head;
 
-        Exchange(Consumer<CallEnd> listener, String echoName, Optional<String> echo) {
+        Exchange(Consumer<CallEnd> listener, String correlationHeader, Optional<String> correlationId) {
             this.listener = listener;
-            this.echoName = echoName;
-            this.echo = echo;
+            this.correlationHeader = correlationHeader;
+            this.correlationId = correlationId;
         }
 
-        void begin(HttpResponse response) {
+        void beginResponse(HttpResponse response) {
             head = response;
             body.reset();
         }
@@ -229,13 +236,13 @@
             body.writeBytes(bytes);
         }
 
-        /** Tells whether the message is informational or answers another request. */
-        boolean isSkipped() {
-            if (head.status().code() < FIRST_FINAL_STATUS) {
+        /** Returns whether the message is informational or the response to another request. */
+        boolean isNotExpected() {
+            if (head.status().code() < MIN_FINAL_STATUS) {
                 return true;
             }
-            String answered = head.headers().get(echoName);
-            return echo.isPresent() && answered != null && !answered.equals(echo.get());
+            String receivedId = head.headers().get(correlationHeader);
+            return correlationId.isPresent() && receivedId != null && !receivedId.equals(correlationId.get());
         }
     }
 }
--- a/http/src/test/java/org/turmericspan/http/HttpClientTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpClientTest.java
@@ -17,6 +17,13 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
+/**
+ * Tests that a call reports its actual outcome and never receives the response of another call.
+ *
+ * <p>A truncated response, or a connection reused after unexpected bytes, would otherwise yield a wrong response; a
+ * wrong {@code NotSent} would make a retry execute the request twice. A cancelled call resets its connection, so that
+ * bytes delayed in the network are not delivered later.
+ */
 class HttpClientTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok";
     private static final CallOptions OPTIONS =
@@ -46,7 +53,7 @@
     }
 
     @Test
-    void wholeAnswerKeepsTheConnection() throws Exception {
+    void completeResponseKeepsConnectionForReuse() throws Exception {
         try (RawServer server = new RawServer(RawServer.sending(OK))) {
             assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
             assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
@@ -55,9 +62,9 @@
     }
 
     @Test
-    void truncatedAnswerIsBroken() throws Exception {
+    void truncatedResponseIsBroken() throws Exception {
         try (RawServer server = new RawServer((head, connection) -> {
-            RawServer.sending("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok").answer(head, connection);
+            RawServer.sending("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok").respond(head, connection);
             connection.close();
         })) {
             assertThat(call(server.address())).isInstanceOf(CallEnd.Broken.class);
@@ -65,9 +72,9 @@
     }
 
     @Test
-    void answerWithoutLengthEndsWithItsConnection() throws Exception {
+    void responseWithoutLengthEndsWithConnection() throws Exception {
         try (RawServer server = new RawServer((head, connection) -> {
-            RawServer.sending("HTTP/1.1 200 OK\r\n\r\nwhole").answer(head, connection);
+            RawServer.sending("HTTP/1.1 200 OK\r\n\r\nwhole").respond(head, connection);
             connection.close();
         })) {
             assertThat(bodyOf(call(server.address()))).isEqualTo("whole");
@@ -75,9 +82,9 @@
     }
 
     @Test
-    void answerWithoutLengthThatIsResetIsBroken() throws Exception {
+    void responseWithoutLengthIsBrokenAfterReset() throws Exception {
         try (RawServer server = new RawServer((head, connection) -> {
-            RawServer.sending("HTTP/1.1 200 OK\r\n\r\npart").answer(head, connection);
+            RawServer.sending("HTTP/1.1 200 OK\r\n\r\npart").respond(head, connection);
             connection.setSoLinger(true, 0);
             connection.close();
         })) {
@@ -86,14 +93,14 @@
     }
 
     @Test
-    void bytesThatAreNoAnswerAreBroken() throws Exception {
+    void malformedResponseIsBroken() throws Exception {
         try (RawServer server = new RawServer(RawServer.sending("garbage garbage\r\n\r\n"))) {
             assertThat(call(server.address())).isInstanceOf(CallEnd.Broken.class);
         }
     }
 
     @Test
-    void extraAnswerIsNeverTakenForTheNext() throws Exception {
+    void responseWithOtherCorrelationIdIsSkipped() throws Exception {
         String stale = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 5\r\n\r\nstale";
         try (RawServer server = new RawServer(RawServer.sending(stale + OK))) {
             assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
@@ -103,7 +110,7 @@
     }
 
     @Test
-    void bytesAfterAnAnswerEndTheConnection() throws Exception {
+    void bytesAfterResponseCloseConnection() throws Exception {
         try (RawServer server = new RawServer(RawServer.sending(OK + OK))) {
             assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
             assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
@@ -112,7 +119,7 @@
     }
 
     @Test
-    void refusedConnectionProvesThatNothingWasSent() throws Exception {
+    void refusedConnectionIsReportedAsNotSent() throws Exception {
         int port;
         try (ServerSocket socket = new ServerSocket(0)) {
             port = socket.getLocalPort();
@@ -122,7 +129,7 @@
     }
 
     @Test
-    void cancelledCallResetsItsConnectionSoThatHeldUpBytesAreDropped() throws IOException {
+    void cancelledCallResetsConnection() throws IOException {
         CompletableFuture<Boolean> reset = new CompletableFuture<>();
         CompletableFuture<Boolean> arrived = new CompletableFuture<>();
         try (RawServer server = new RawServer((head, connection) -> {
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -53,97 +53,98 @@
                 200, "text/plain", request.target() + "=" + new String(request.body(), StandardCharsets.UTF_8) + ";"));
     }
 
-    private static String exchange(Socket socket, String text) throws IOException {
+    private static String sendAndShutDownOutput(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         socket.shutdownOutput();
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
 
-    private static String closing(String start, String body) {
-        return start + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n"
-                + body;
+    private static String requestWithConnectionClose(String methodAndTarget, String body) {
+        return methodAndTarget + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + body.length()
+                + "\r\n\r\n" + body;
     }
 
-    private static String send(Socket socket, String text) throws IOException {
+    private static String sendAndReadAll(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
 
     @Test
-    void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+    void pipelinedRequestsGetResponsesInOrder() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
             String first = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na";
-            String answers = send(socket, first + closing("POST /2", "b"));
-            assertThat(answers.indexOf("/1=a;")).isBetween(0, answers.indexOf("/2=b;"));
+            String responses = sendAndReadAll(socket, first + requestWithConnectionClose("POST /2", "b"));
+            assertThat(responses.indexOf("/1=a;")).isBetween(0, responses.indexOf("/2=b;"));
         }
     }
 
     @Test
-    void chunkedBodyArrivesWhole() throws IOException {
+    void chunkedBodyIsAssembled() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
             String request = "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
                     + "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
-            assertThat(send(socket, request)).contains("/x=abc;");
+            assertThat(sendAndReadAll(socket, request)).contains("/x=abc;");
         }
     }
 
     @Test
-    void bodyBeyondTheLimitIsRefused() throws IOException {
+    void bodyAboveLimitIsRejected() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
-            assertThat(send(socket, closing("POST /x", "a".repeat(101)))).startsWith("HTTP/1.1 413");
+            assertThat(sendAndReadAll(socket, requestWithConnectionClose("POST /x", "a".repeat(101))))
+                    .startsWith("HTTP/1.1 413");
         }
     }
 
     @Test
-    void headBeyondTheLimitIsRefused() throws IOException {
+    void headAboveLimitIsRejected() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
             String request = "GET /x HTTP/1.1\r\nHost: h\r\nX: " + "a".repeat(1_100) + "\r\n\r\n";
-            assertThat(send(socket, request)).startsWith("HTTP/1.1 431");
+            assertThat(sendAndReadAll(socket, request)).startsWith("HTTP/1.1 431");
         }
     }
 
     @Test
-    void headThatDoesNotArriveInTimeIsRefused() throws IOException {
+    void headNotCompleteWithinTimeoutIsRejected() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
-            assertThat(send(socket, "GET /x HTTP/1.1\r\nHo")).startsWith("HTTP/1.1 408");
+            assertThat(sendAndReadAll(socket, "GET /x HTTP/1.1\r\nHo")).startsWith("HTTP/1.1 408");
         }
     }
 
     @Test
-    void idleConnectionIsClosedAfterItsTime() throws IOException {
+    void idleConnectionIsClosedAfterTimeout() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
             assertThat(socket.getInputStream().read()).isEqualTo(-1);
         }
     }
 
     @Test
-    void callerThatLeavesIsNoticed() throws Exception {
-        CompletableFuture<Boolean> gone = new CompletableFuture<>();
+    void callerDisconnectRunsRegisteredAction() throws Exception {
+        CompletableFuture<Boolean> disconnected = new CompletableFuture<>();
         CompletableFuture<Boolean> arrived = new CompletableFuture<>();
         try (Socket socket = connect((request, reply) -> {
-            reply.onCallerGone(() -> gone.complete(true));
+            reply.onCallerGone(() -> disconnected.complete(true));
             arrived.complete(true);
         })) {
             socket.getOutputStream().write(GET.getBytes(StandardCharsets.UTF_8));
             arrived.get(20, TimeUnit.SECONDS);
             socket.close();
-            assertThat(gone.get(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(disconnected.get(20, TimeUnit.SECONDS)).isTrue();
         }
     }
 
     @Test
-    void drainingListenerAnswersAndAsksToLeave() throws IOException {
+    void drainingListenerRespondsAndClosesConnection() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
             listener.drain();
-            assertThat(send(socket, GET)).contains("200 OK").containsIgnoringCase("connection: close");
+            assertThat(sendAndReadAll(socket, GET)).contains("200 OK").containsIgnoringCase("connection: close");
         }
     }
 
     @Test
-    void conflictingLengthsAreRefused() throws IOException {
+    void conflictingContentLengthsAreRejected() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
             String request = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 5\r\n\r\nabcde";
-            assertThat(exchange(socket, request)).doesNotContain("200 OK");
+            assertThat(sendAndShutDownOutput(socket, request)).doesNotContain("200 OK");
         }
     }
 }
--- a/http/src/test/java/org/turmericspan/http/RawServer.java
+++ b/http/src/test/java/org/turmericspan/http/RawServer.java
@@ -11,23 +11,23 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.turmericspan.ids.SocketAddress;
 
-/** Server that answers each request head with the bytes that a script gives it. */
+/** Plain socket server whose script decides the bytes sent for each request head. */
 final class RawServer implements AutoCloseable {
     private final ServerSocket socket;
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final AtomicInteger connections = new AtomicInteger();
 
-    /** What the server does with one request. */
+    /** Reaction of the server to one request. */
     @FunctionalInterface
     interface Script {
         /**
-         * Answers a request.
+         * Responds to a request.
          *
          * @param head the request head
-         * @param connection where to answer
-         * @throws IOException when the connection ends
+         * @param connection the socket to respond on
+         * @throws IOException if the connection was closed
          */
-        void answer(String head, Socket connection) throws IOException;
+        void respond(String head, Socket connection) throws IOException;
     }
 
     RawServer(Script script) throws IOException {
@@ -58,12 +58,12 @@
             for (int next = input.read(); next >= 0; next = input.read()) {
                 head.append((char) next);
                 if (head.toString().endsWith("\r\n\r\n")) {
-                    script.answer(head.toString(), connection);
+                    script.respond(head.toString(), connection);
                     head.setLength(0);
                 }
             }
         } catch (IOException e) {
-            // The client has gone, which ends this connection's script.
+            // The client disconnected, which ends the script of this connection.
             return;
         }
     }
