Make the ids readable

Comments spoke of lives, keepers, stamped requests and hostile input, and called IP addresses numbers. They now use incarnation, owner, idempotency key and untrusted input, and name the hash: FNV-1a with the finalizer of MurmurHash3. Public names are unchanged, since other folders use them.

SocketAddress: isIpNumber -> isIpLiteral, isIpV4Number -> isIpv4Literal, isInIpV6Number -> isIpv6Character, FORM -> EXPECTED_FORM. StableHash: mix -> fmix64. IdFormat: requireToken -> requireVisibleAscii, since a token is a run token elsewhere.

--- a/ids/src/main/java/org/turmericspan/ids/AvailabilityZoneId.java
+++ b/ids/src/main/java/org/turmericspan/ids/AvailabilityZoneId.java
@@ -16,7 +16,7 @@
         return value.compareTo(other.value);
     }
 
-    // Written out because the generated methods are linked at run time, which slows starts down.
+    // Explicit because a record's generated methods are linked at run time, which slows down startup.
     @Override
     public boolean equals(Object other) {
         return other instanceof AvailabilityZoneId that && value.equals(that.value);
--- a/ids/src/main/java/org/turmericspan/ids/CallerId.java
+++ b/ids/src/main/java/org/turmericspan/ids/CallerId.java
@@ -1,14 +1,14 @@
 package org.turmericspan.ids;
 
 /**
- * One caller within an office.
+ * Identifier of a caller within an office.
  *
  * @param value visible ASCII, 1 to 128 characters
  */
 public record CallerId(String value) implements Comparable<CallerId> {
     /** Checks the form of the identifier. */
     public CallerId {
-        IdFormat.requireToken("CallerId", value);
+        IdFormat.requireVisibleAscii("CallerId", value);
     }
 
     @Override
--- a/ids/src/main/java/org/turmericspan/ids/Epoch.java
+++ b/ids/src/main/java/org/turmericspan/ids/Epoch.java
@@ -1,7 +1,7 @@
 package org.turmericspan.ids;
 
 /**
- * Period of a node's life during which the run tokens it gave out stay valid.
+ * Numbered interval of a node incarnation. The age of a run token is counted in epochs, so it expires with its epoch.
  *
  * @param number counted from 0 at process start
  */
--- a/ids/src/main/java/org/turmericspan/ids/IdFormat.java
+++ b/ids/src/main/java/org/turmericspan/ids/IdFormat.java
@@ -1,9 +1,9 @@
 package org.turmericspan.ids;
 
-/** Checks the form of textual identifiers, so that hostile input is bounded where it enters. */
+/** Checks the length and characters of textual identifiers, so that untrusted input is bounded where it enters. */
 final class IdFormat {
     private static final int MAX_NAME_LENGTH = 63;
-    private static final int MAX_TOKEN_LENGTH = 128;
+    private static final int MAX_VISIBLE_ASCII_LENGTH = 128;
 
     private IdFormat() {}
 
@@ -16,12 +16,12 @@
         }
     }
 
-    static void requireToken(String type, String value) {
+    static void requireVisibleAscii(String type, String value) {
         if (value.isEmpty()
-                || value.length() > MAX_TOKEN_LENGTH
+                || value.length() > MAX_VISIBLE_ASCII_LENGTH
                 || !value.chars().allMatch(IdFormat::isVisibleAscii)) {
             throw new IllegalArgumentException(
-                    type + " takes 1 to " + MAX_TOKEN_LENGTH + " visible ASCII characters without space");
+                    type + " takes 1 to " + MAX_VISIBLE_ASCII_LENGTH + " visible ASCII characters without space");
         }
     }
 
--- a/ids/src/main/java/org/turmericspan/ids/Incarnation.java
+++ b/ids/src/main/java/org/turmericspan/ids/Incarnation.java
@@ -3,7 +3,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * One life of a process: a random number drawn at each start, so that a restart is never mistaken for its predecessor.
+ * Identifies one incarnation of a process by a random number drawn at each start, so that a restarted process is not
+ * mistaken for its predecessor.
  *
  * @param value any 64-bit number
  */
@@ -11,7 +12,7 @@
     private static final int RADIX = 16;
 
     /**
-     * Draws a fresh incarnation.
+     * Draws the identifier of a new incarnation.
      *
      * @param random source of randomness
      * @return a new incarnation
@@ -21,7 +22,7 @@
     }
 
     /**
-     * Reads the text form.
+     * Parses the text form.
      *
      * @param text hexadecimal digits as {@link #toString()} writes them
      * @return the incarnation
--- a/ids/src/main/java/org/turmericspan/ids/LeaseId.java
+++ b/ids/src/main/java/org/turmericspan/ids/LeaseId.java
@@ -1,10 +1,10 @@
 package org.turmericspan.ids;
 
 /**
- * Identifier of a slot lease, unique over all lives of all keepers.
+ * Identifier of a slot lease, unique across all incarnations of all nodes.
  *
- * @param keeper incarnation of the keeper that granted the lease
- * @param sequence counted up by that keeper
+ * @param keeper incarnation of the owner of the upstream that granted the lease
+ * @param sequence number that this owner increments with each lease
  */
 public record LeaseId(Incarnation keeper, long sequence) {
     @Override
--- a/ids/src/main/java/org/turmericspan/ids/MonotonicClock.java
+++ b/ids/src/main/java/org/turmericspan/ids/MonotonicClock.java
@@ -1,12 +1,12 @@
 package org.turmericspan.ids;
 
-/** Source of monotonic time, which no clock step moves. Spans and deadlines are measured with it. */
+/** Source of monotonic time for durations and deadlines. Changes of the wall clock do not affect it. */
 @FunctionalInterface
 public interface MonotonicClock {
     /**
      * Returns the current monotonic time.
      *
-     * @return nanoseconds since an arbitrary origin fixed for the life of the process
+     * @return nanoseconds since an arbitrary origin that is fixed while the process runs
      */
     long nowNanos();
 
--- a/ids/src/main/java/org/turmericspan/ids/OfficeId.java
+++ b/ids/src/main/java/org/turmericspan/ids/OfficeId.java
@@ -1,14 +1,14 @@
 package org.turmericspan.ids;
 
 /**
- * Account that many callers share.
+ * Identifier of an office, the account that many callers share.
  *
  * @param value visible ASCII, 1 to 128 characters
  */
 public record OfficeId(String value) implements Comparable<OfficeId> {
     /** Checks the form of the identifier. */
     public OfficeId {
-        IdFormat.requireToken("OfficeId", value);
+        IdFormat.requireVisibleAscii("OfficeId", value);
     }
 
     @Override
--- a/ids/src/main/java/org/turmericspan/ids/RegionId.java
+++ b/ids/src/main/java/org/turmericspan/ids/RegionId.java
@@ -1,7 +1,7 @@
 package org.turmericspan.ids;
 
 /**
- * Name of a region, which holds availability zones.
+ * Name of a region, which groups availability zones.
  *
  * @param value lower-case letters, digits and hyphens, 1 to 63 characters
  */
--- a/ids/src/main/java/org/turmericspan/ids/RequestId.java
+++ b/ids/src/main/java/org/turmericspan/ids/RequestId.java
@@ -1,14 +1,14 @@
 package org.turmericspan.ids;
 
 /**
- * Identifier a request carries on its whole path.
+ * Identifier of a request, the same on every hop between caller and upstream.
  *
  * @param value visible ASCII, 1 to 128 characters
  */
 public record RequestId(String value) implements Comparable<RequestId> {
     /** Checks the form of the identifier. */
     public RequestId {
-        IdFormat.requireToken("RequestId", value);
+        IdFormat.requireVisibleAscii("RequestId", value);
     }
 
     @Override
--- a/ids/src/main/java/org/turmericspan/ids/RouteId.java
+++ b/ids/src/main/java/org/turmericspan/ids/RouteId.java
@@ -1,7 +1,7 @@
 package org.turmericspan.ids;
 
 /**
- * Name of a route, unique in a configuration. Its form is the operators'; only its length is bounded.
+ * Name of a route, unique in a configuration. Operators choose its form; only its length is limited.
  *
  * @param value the name, 1 to 200 characters
  */
@@ -15,7 +15,7 @@
         }
     }
 
-    // Written out because the generated methods are linked at run time, which slows starts down.
+    // Explicit because a record's generated methods are linked at run time, which slows down startup.
     @Override
     public boolean equals(Object other) {
         return other instanceof RouteId that && value.equals(that.value);
--- a/ids/src/main/java/org/turmericspan/ids/RunToken.java
+++ b/ids/src/main/java/org/turmericspan/ids/RunToken.java
@@ -1,16 +1,16 @@
 package org.turmericspan.ids;
 
 /**
- * Right to run one non-idempotent request, bound to one life of one node. Only the process with that incarnation may
- * ever start the run.
+ * Idempotency key of one non-idempotent request, bound to one incarnation of one node, its token owner. Only the
+ * process of that incarnation may ever start the run.
  *
- * @param incarnation life of the node that may start the run
- * @param epoch period in which the token is valid
- * @param caller caller that stamped the request
- * @param nonce 32 hexadecimal digits, fresh for each intended run
+ * @param incarnation incarnation of the node that may start the run
+ * @param epoch epoch of that node in which the token was issued; it determines when the token expires
+ * @param caller caller that attached the token to the request
+ * @param nonce 32 lower-case hexadecimal digits, different for each intended run
  */
 public record RunToken(Incarnation incarnation, Epoch epoch, CallerId caller, String nonce) {
-    private static final int PARTS = 4;
+    private static final int PART_COUNT = 4;
     private static final int NONCE_LENGTH = 32;
     private static final String SEPARATOR = ".";
 
@@ -22,21 +22,21 @@
     }
 
     /**
-     * Reads the text form {@code incarnation.epoch.nonce.caller}.
+     * Parses the text form {@code incarnation.epoch.nonce.caller}.
      *
      * @param text the header value
      * @return the token
      * @throws IllegalArgumentException when the text has another form
      */
     public static RunToken parse(String text) {
-        String[] parts = text.split("\\.", PARTS);
-        if (parts.length != PARTS) {
+        String[] parts = text.split("\\.", PART_COUNT);
+        if (parts.length != PART_COUNT) {
             throw new IllegalArgumentException("RunToken takes incarnation.epoch.nonce.caller");
         }
         return new RunToken(
                 Incarnation.parse(parts[0]),
                 new Epoch(Long.parseLong(parts[1])),
-                new CallerId(parts[PARTS - 1]),
+                new CallerId(parts[PART_COUNT - 1]),
                 parts[2]);
     }
 
--- a/ids/src/main/java/org/turmericspan/ids/ServiceId.java
+++ b/ids/src/main/java/org/turmericspan/ids/ServiceId.java
@@ -1,7 +1,7 @@
 package org.turmericspan.ids;
 
 /**
- * Name of a service, as the operators published it.
+ * Name of a service in the published configuration.
  *
  * @param value lower-case letters, digits and hyphens, 1 to 63 characters
  */
@@ -16,7 +16,7 @@
         return value.compareTo(other.value);
     }
 
-    // Written out because the generated methods are linked at run time, which slows starts down.
+    // Explicit because a record's generated methods are linked at run time, which slows down startup.
     @Override
     public boolean equals(Object other) {
         return other instanceof ServiceId that && value.equals(that.value);
--- a/ids/src/main/java/org/turmericspan/ids/SocketAddress.java
+++ b/ids/src/main/java/org/turmericspan/ids/SocketAddress.java
@@ -1,34 +1,36 @@
 package org.turmericspan.ids;
 
 /**
- * IP number and port of a process.
+ * IP address and port on which a process listens.
  *
- * @param host IP number in text form
+ * @param host IP address in text form; an IPv6 address is in brackets
  * @param port 1 to 65535
  */
 public record SocketAddress(String host, int port) {
     private static final int MAX_PORT = 65_535;
     private static final int HASH_FACTOR = 31;
+    // An IPv6 address of eight groups of four digits, in brackets.
     private static final int MAX_HOST_LENGTH = 41;
     private static final int MAX_PORT_DIGITS = 5;
-    private static final int OCTETS = 4;
+    private static final int IPV4_OCTETS = 4;
     private static final int MAX_OCTET = 255;
     private static final int MAX_OCTET_DIGITS = 3;
-    private static final int DECIMAL = 10;
-    private static final int HEXADECIMAL = 16;
-    private static final String FORM = "SocketAddress takes IP:PORT with an IP number and a port from 1 to " + MAX_PORT;
+    private static final int DECIMAL_RADIX = 10;
+    private static final int HEXADECIMAL_RADIX = 16;
+    private static final String EXPECTED_FORM =
+            "SocketAddress takes IP:PORT with an IP number and a port from 1 to " + MAX_PORT;
 
-    /** Checks the range of the port. */
+    /** Checks that the host is not empty and that the port is in range. */
     public SocketAddress {
         if (host.isEmpty() || port < 1 || port > MAX_PORT) {
-            throw new IllegalArgumentException(FORM);
+            throw new IllegalArgumentException(EXPECTED_FORM);
         }
     }
 
     /**
-     * Reads the text form. Names are refused, so that no connection waits for a name server.
+     * Parses the text form. Host names are rejected, so that no connection waits for a DNS lookup.
      *
-     * @param text {@code IP:PORT}; an IPv6 number stands in brackets
+     * @param text {@code IP:PORT}; an IPv6 address is in brackets
      * @return the address
      * @throws IllegalArgumentException when the text has another form
      */
@@ -36,26 +38,29 @@
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon);
         String port = text.substring(colon + 1);
-        if (host.length() > MAX_HOST_LENGTH || !isIpNumber(host) || !isPortNumber(port)) {
-            throw new IllegalArgumentException(FORM);
+        if (host.length() > MAX_HOST_LENGTH || !isIpLiteral(host) || !isPortNumber(port)) {
+            throw new IllegalArgumentException(EXPECTED_FORM);
         }
         return new SocketAddress(host, Integer.parseInt(port));
     }
 
-    private static boolean isIpNumber(String host) {
+    private static boolean isIpLiteral(String host) {
         if (host.startsWith("[") && host.endsWith("]")) {
             return host.indexOf(':') > 0
-                    && host.substring(1, host.length() - 1).chars().allMatch(SocketAddress::isInIpV6Number);
+                    && host.substring(1, host.length() - 1).chars().allMatch(SocketAddress::isIpv6Character);
         }
-        return isIpV4Number(host);
+        return isIpv4Literal(host);
     }
 
-    private static boolean isInIpV6Number(int character) {
-        return character == ':' || character == '.' || Character.digit(character, HEXADECIMAL) >= 0;
+    private static boolean isIpv6Character(int character) {
+        return character == ':' || character == '.' || Character.digit(character, HEXADECIMAL_RADIX) >= 0;
     }
 
-    /** Checks four numbers from 0 to 255 without leading zeros. Written out because a pattern slows starts down. */
-    private static boolean isIpV4Number(String host) {
+    /**
+     * Returns whether a host is four numbers from 0 to 255 without leading zeros. A regular expression would slow down
+     * startup.
+     */
+    private static boolean isIpv4Literal(String host) {
         int octets = 0;
         int begin = 0;
         while (begin <= host.length()) {
@@ -67,7 +72,7 @@
             octets++;
             begin = end + 1;
         }
-        return octets == OCTETS;
+        return octets == IPV4_OCTETS;
     }
 
     private static boolean isOctet(String text, int begin, int end) {
@@ -78,10 +83,10 @@
         int value = 0;
         for (int i = begin; i < end; i++) {
             int digit = text.charAt(i) - '0';
-            if (digit < 0 || digit >= DECIMAL) {
+            if (digit < 0 || digit >= DECIMAL_RADIX) {
                 return false;
             }
-            value = value * DECIMAL + digit;
+            value = value * DECIMAL_RADIX + digit;
         }
         return value <= MAX_OCTET;
     }
@@ -92,7 +97,7 @@
                 && port.chars().allMatch(character -> character >= '0' && character <= '9');
     }
 
-    // Written out because the generated methods are linked at run time, which slows starts down.
+    // Explicit because a record's generated methods are linked at run time, which slows down startup.
     @Override
     public boolean equals(Object other) {
         return other instanceof SocketAddress that && port == that.port && host.equals(that.host);
--- a/ids/src/main/java/org/turmericspan/ids/StableHash.java
+++ b/ids/src/main/java/org/turmericspan/ids/StableHash.java
@@ -1,47 +1,50 @@
 package org.turmericspan.ids;
 
-/** Hash that is equal on every node and in every process. */
+/**
+ * 64-bit hash that is the same on every node and in every process: FNV-1a followed by the finalizer of MurmurHash3. It
+ * hashes UTF-16 code units and sign-extended bytes, so it differs from other implementations of FNV-1a.
+ */
 public final class StableHash {
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
-    private static final long MIX_FIRST = 0xff51afd7ed558ccdL;
-    private static final long MIX_SECOND = 0xc4ceb9fe1a85ec53L;
-    private static final int MIX_SHIFT = 33;
+    private static final long FMIX64_FIRST_MULTIPLIER = 0xff51afd7ed558ccdL;
+    private static final long FMIX64_SECOND_MULTIPLIER = 0xc4ceb9fe1a85ec53L;
+    private static final int FMIX64_SHIFT = 33;
 
     private StableHash() {}
 
     /**
-     * Hashes a text.
+     * Hashes a character sequence.
      *
      * @param text any text
-     * @return a well-mixed number
+     * @return the 64-bit hash
      */
     public static long of(CharSequence text) {
-        long hash = FNV_OFFSET;
+        long hash = FNV_OFFSET_BASIS;
         for (int i = 0; i < text.length(); i++) {
             hash = (hash ^ text.charAt(i)) * FNV_PRIME;
         }
-        return mix(hash);
+        return fmix64(hash);
     }
 
     /**
-     * Hashes bytes into an earlier hash.
+     * Hashes bytes, seeded with an earlier hash.
      *
      * @param seed the earlier hash
      * @param bytes any bytes
-     * @return a well-mixed number
+     * @return the 64-bit hash
      */
     public static long of(long seed, byte[] bytes) {
-        long hash = seed ^ FNV_OFFSET;
+        long hash = seed ^ FNV_OFFSET_BASIS;
         for (byte each : bytes) {
             hash = (hash ^ each) * FNV_PRIME;
         }
-        return mix(hash);
+        return fmix64(hash);
     }
 
-    private static long mix(long value) {
-        long mixed = (value ^ value >>> MIX_SHIFT) * MIX_FIRST;
-        mixed = (mixed ^ mixed >>> MIX_SHIFT) * MIX_SECOND;
-        return mixed ^ mixed >>> MIX_SHIFT;
+    private static long fmix64(long value) {
+        long mixed = (value ^ value >>> FMIX64_SHIFT) * FMIX64_FIRST_MULTIPLIER;
+        mixed = (mixed ^ mixed >>> FMIX64_SHIFT) * FMIX64_SECOND_MULTIPLIER;
+        return mixed ^ mixed >>> FMIX64_SHIFT;
     }
 }
--- a/ids/src/main/java/org/turmericspan/ids/UpstreamId.java
+++ b/ids/src/main/java/org/turmericspan/ids/UpstreamId.java
@@ -1,7 +1,7 @@
 package org.turmericspan.ids;
 
 /**
- * Name of an upstream, unique over all services.
+ * Name of an upstream, unique across all services.
  *
  * @param value lower-case letters, digits and hyphens, 1 to 63 characters
  */
@@ -16,7 +16,7 @@
         return value.compareTo(other.value);
     }
 
-    // Written out because the generated methods are linked at run time, which slows starts down.
+    // Explicit because a record's generated methods are linked at run time, which slows down startup.
     @Override
     public boolean equals(Object other) {
         return other instanceof UpstreamId that && value.equals(that.value);
--- a/ids/src/main/java/org/turmericspan/ids/VmId.java
+++ b/ids/src/main/java/org/turmericspan/ids/VmId.java
@@ -1,7 +1,7 @@
 package org.turmericspan.ids;
 
 /**
- * Name of a VM as the platform lists it.
+ * Name of a VM, as the platform lists it.
  *
  * @param value lower-case letters, digits and hyphens, 1 to 63 characters
  */
--- a/ids/src/main/java/org/turmericspan/ids/package-info.java
+++ b/ids/src/main/java/org/turmericspan/ids/package-info.java
@@ -1,2 +1,2 @@
-/** Value types for identifiers and the interfaces through which time is read. */
+/** Value types for identifiers and addresses, a hash that is the same on all nodes, and the monotonic clock. */
 package org.turmericspan.ids;
