Make the configuration classes readable

Comments described the code from the operators' point of view ("as they were read", "goes before another in force", "hostile") and some names were vague (claim, refer, title, known, used). They now say validate, active, supersede, untrusted, retry budget and slow start.

ObjectKind.title -> kindName. ConfigurationAssembler: read -> readObject, claim -> requireUnique, refer -> requireReference, claims -> holdersByUniqueValue, references -> referenceChecks, MAX_QUEUE -> MAX_QUEUE_LIMIT. FieldReader: title -> displayName, text -> textOrEmpty, shorten -> truncate, known -> described. DocumentParser: refuseAliases -> rejectAliases, strict -> strictMapper, reason -> describe. Bundle: ordered -> withOrderedFields. Tests: refusal -> rejection, FaultMessage -> YamlParse.

--- a/config/src/main/java/org/turmericspan/config/Bundle.java
+++ b/config/src/main/java/org/turmericspan/config/Bundle.java
@@ -8,10 +8,10 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 
-/** Writes the single document to publish. The same objects and version always give the same bytes. */
+/** Writes the document to publish. The same objects and version always give the same bytes. */
 public final class Bundle {
-    private static final List<String> FIRST_FIELDS = List.of("kind", "name");
-    private static final Comparator<JsonNode> ORDER = Comparator.comparing(
+    private static final List<String> LEADING_FIELDS = List.of("kind", "name");
+    private static final Comparator<JsonNode> BY_KIND_AND_NAME = Comparator.comparing(
                     (JsonNode node) -> node.path("kind").asText())
             .thenComparing(node -> node.path("name").asText());
 
@@ -20,25 +20,25 @@
     /**
      * Writes a document.
      *
-     * @param set objects that were checked
+     * @param set objects that have been validated
      * @param version number of the document, from 1
-     * @return JSON, one object a line, ordered by kind and name
+     * @return JSON with one object per line, ordered by kind and name
      */
     public static String write(ObjectSet set, long version) {
         return set.objects().stream()
                 .map(ObjectSource::node)
-                .sorted(ORDER)
-                .map(node -> ordered(node).toString())
+                .sorted(BY_KIND_AND_NAME)
+                .map(node -> withOrderedFields(node).toString())
                 .collect(Collectors.joining(",\n", "{\"version\": " + version + ", \"objects\": [\n", "\n]}\n"));
     }
 
-    private static ObjectNode ordered(JsonNode node) {
+    private static ObjectNode withOrderedFields(JsonNode node) {
         ObjectNode result = JsonNodeFactory.instance.objectNode();
-        FIRST_FIELDS.forEach(field -> result.set(field, node.get(field)));
-        TreeMap<String, JsonNode> rest = new TreeMap<>();
-        node.fields().forEachRemaining(field -> rest.put(field.getKey(), field.getValue()));
-        FIRST_FIELDS.forEach(rest::remove);
-        rest.forEach(result::set);
+        LEADING_FIELDS.forEach(field -> result.set(field, node.get(field)));
+        TreeMap<String, JsonNode> otherFields = new TreeMap<>();
+        node.fields().forEachRemaining(field -> otherFields.put(field.getKey(), field.getValue()));
+        LEADING_FIELDS.forEach(otherFields::remove);
+        otherFields.forEach(result::set);
         return result;
     }
 }
--- a/config/src/main/java/org/turmericspan/config/Configuration.java
+++ b/config/src/main/java/org/turmericspan/config/Configuration.java
@@ -11,15 +11,15 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * One whole set of published objects, checked as one piece.
+ * A complete set of published objects that was validated as a whole.
  *
- * @param version place in the total order
- * @param document the document the set was read from
- * @param availabilityZones by name
- * @param services by name
- * @param upstreams by name
- * @param rules in the order of the document
- * @param vmsOutOfService VMs that operators have taken out
+ * @param version version, by which configurations are ordered
+ * @param document document that the objects were read from
+ * @param availabilityZones availability zones by name
+ * @param services services by name
+ * @param upstreams upstreams by name
+ * @param rules rules in the order of the document
+ * @param vmsOutOfService VMs that operators have taken out of service
  */
 public record Configuration(
         ConfigurationVersion version,
@@ -29,13 +29,13 @@
         Map<UpstreamId, Upstream> upstreams,
         List<Rule> rules,
         Set<VmId> vmsOutOfService) {
-    /** Configuration in force before any was accepted. */
+    /** Configuration that is active until the first one is accepted. */
     public static final Configuration EMPTY =
             new Configuration(ConfigurationVersion.NONE, "", Map.of(), Map.of(), Map.of(), List.of(), Set.of());
 
     private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
-    /** Copies the collections, so that the set cannot change. */
+    /** Copies the collections, so that the configuration is immutable. */
     public Configuration {
         availabilityZones = Map.copyOf(availabilityZones);
         services = Map.copyOf(services);
@@ -45,10 +45,10 @@
     }
 
     /**
-     * Finds the rule that governs a request.
+     * Finds the rule that applies to a request.
      *
-     * @param service service called
-     * @param method HTTP method in capital letters
+     * @param service service that the request calls
+     * @param method HTTP method in upper case
      * @param path path within the service
      * @return the rule with the longest matching prefix, or empty when none matches
      */
@@ -60,10 +60,11 @@
     }
 
     /**
-     * Tells whether a request may be repeated. Without a rule, only safe methods may.
+     * Returns whether a request is idempotent, so that it may run more than once. Without a matching rule, only
+     * requests with a safe method are.
      *
-     * @param service service called
-     * @param method HTTP method in capital letters
+     * @param service service that the request calls
+     * @param method HTTP method in upper case
      * @param path path within the service
      * @return true when the request is idempotent
      */
@@ -72,11 +73,11 @@
     }
 
     /**
-     * Tells whether a VM in an availability zone may get new work.
+     * Returns whether a VM in an availability zone may receive new requests.
      *
-     * @param availabilityZone where it runs
-     * @param vm its name
-     * @return true when neither the availability zone nor the VM is out of service
+     * @param availabilityZone availability zone in which the VM runs
+     * @param vm name of the VM
+     * @return true when the availability zone is known and neither it nor the VM is out of service
      */
     public boolean isInService(AvailabilityZoneId availabilityZone, VmId vm) {
         AvailabilityZone zone = availabilityZones.get(availabilityZone);
--- a/config/src/main/java/org/turmericspan/config/ConfigurationAssembler.java
+++ b/config/src/main/java/org/turmericspan/config/ConfigurationAssembler.java
@@ -16,15 +16,15 @@
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.ids.VmId;
 
-/** Builds the typed set from the objects as they were read, and checks names and references over the whole set. */
+/** Builds a configuration from parsed objects, and checks uniqueness and references across the whole set. */
 final class ConfigurationAssembler {
     private static final String STATE_IN = "in";
     private static final String STATE_OUT = "out";
     private static final int MAX_SLOTS = 1_000;
     private static final int MAX_PROBES_PER_SECOND = 10_000;
-    private static final int MAX_QUEUE = 100_000;
+    private static final int MAX_QUEUE_LIMIT = 100_000;
     private static final int MAX_DEADLINE_MILLIS = 600_000;
-    private static final int MAX_PREFIX_LENGTH = 200;
+    private static final int MAX_PATH_PREFIX_LENGTH = 200;
     private static final int MAX_PERCENT = 100;
     private static final int MAX_BUFFER_BYTES = 16 * 1024 * 1024;
     private static final int DEFAULT_SLOTS = 3;
@@ -42,30 +42,31 @@
     private final Map<UpstreamId, Upstream> upstreams = new LinkedHashMap<>();
     private final Map<RuleId, Rule> rules = new LinkedHashMap<>();
     private final Map<VmId, Boolean> vms = new LinkedHashMap<>();
-    private final Map<Object, String> claims = new HashMap<>();
-    private final List<Runnable> references = new ArrayList<>();
+    private final Map<Object, String> holdersByUniqueValue = new HashMap<>();
+    private final List<Runnable> referenceChecks = new ArrayList<>();
 
     ConfigurationAssembler(FaultCollector faults) {
         this.faults = faults;
     }
 
     Configuration assemble(ConfigurationVersion version, String document, List<ObjectSource> objects) {
-        objects.forEach(this::read);
-        references.forEach(Runnable::run);
+        objects.forEach(this::readObject);
+        referenceChecks.forEach(Runnable::run);
         if (faults.count() > 0) {
             throw new InvalidConfigurationException(faults.toList());
         }
-        Set<VmId> out = new HashSet<>(vms.keySet());
-        out.removeIf(vms::get);
-        return new Configuration(version, document, zones, services, upstreams, List.copyOf(rules.values()), out);
+        Set<VmId> vmsOutOfService = new HashSet<>(vms.keySet());
+        vmsOutOfService.removeIf(vms::get);
+        return new Configuration(
+                version, document, zones, services, upstreams, List.copyOf(rules.values()), vmsOutOfService);
     }
 
-    FieldReader read(ObjectSource object) {
+    FieldReader readObject(ObjectSource object) {
         FieldReader reader = new FieldReader(object, faults);
         int faultsBefore = faults.count();
         Optional<ObjectKind> kind = ObjectKind.of(reader.kind());
         if (kind.isEmpty()) {
-            reader.fault("kind", "takes one of " + ObjectKind.allTitles());
+            reader.fault("kind", "takes one of " + ObjectKind.allKindNames());
             return reader;
         }
         switch (kind.get()) {
@@ -74,7 +75,7 @@
             case UPSTREAM -> readUpstream(reader, faultsBefore);
             case RULE -> readRule(reader, faultsBefore);
             case VM -> readVm(reader, faultsBefore);
-            default -> throw new IllegalStateException("Every kind is read");
+            default -> throw new IllegalStateException("An object kind has no reader");
         }
         return reader;
     }
@@ -99,7 +100,7 @@
                 reader.number("extra_depth", 1, 0, MAX_SLOTS),
                 reader.number("ramp_successes", DEFAULT_RAMP_SUCCESSES, 1, MAX_SLOTS),
                 reader.number("probes_per_second", DEFAULT_PROBES_PER_SECOND, 0, MAX_PROBES_PER_SECOND),
-                reader.number("queue_limit", DEFAULT_QUEUE_LIMIT, 0, MAX_QUEUE),
+                reader.number("queue_limit", DEFAULT_QUEUE_LIMIT, 0, MAX_QUEUE_LIMIT),
                 reader.millis("default_deadline_ms", DEFAULT_DEADLINE_MILLIS, 1, MAX_DEADLINE_MILLIS),
                 reader.millis("longest_lease_ms", DEFAULT_LONGEST_LEASE_MILLIS, 1, MAX_DEADLINE_MILLIS),
                 reader.number("retry_percent", DEFAULT_RETRY_PERCENT, 0, MAX_PERCENT),
@@ -126,9 +127,9 @@
         reader.rejectUnknownFields();
         if (faults.count() == faultsBefore) {
             put(upstreams, id, new Upstream(id, service, zone, vm, address), reader);
-            refer(reader, "service", services, service);
-            refer(reader, "availability_zone", zones, zone);
-            claim(reader, "address", address);
+            requireReference(reader, "service", services, service);
+            requireReference(reader, "availability_zone", zones, zone);
+            requireUnique(reader, "address", address);
         }
     }
 
@@ -136,14 +137,14 @@
         RuleId id = reader.name(RuleId::new);
         ServiceId service = reader.required("service", ServiceId::new);
         String method = reader.required("method", ConfigurationAssembler::parseMethod);
-        String prefix = reader.optional("path_prefix", "/", ConfigurationAssembler::parsePrefix);
+        String pathPrefix = reader.optional("path_prefix", "/", ConfigurationAssembler::parsePathPrefix);
         boolean idempotent = reader.flag("idempotent", false);
         boolean tokenRequired = reader.flag("token_required", true);
         reader.rejectUnknownFields();
         if (faults.count() == faultsBefore) {
-            put(rules, id, new Rule(id, service, method, prefix, idempotent, tokenRequired), reader);
-            refer(reader, "service", services, service);
-            claim(reader, "path_prefix", service + " " + method + " " + prefix);
+            put(rules, id, new Rule(id, service, method, pathPrefix, idempotent, tokenRequired), reader);
+            requireReference(reader, "service", services, service);
+            requireUnique(reader, "path_prefix", service + " " + method + " " + pathPrefix);
         }
     }
 
@@ -169,15 +170,15 @@
 
     private static String parseMethod(String text) {
         if (!text.matches("[A-Z]{3,10}")) {
-            throw new IllegalArgumentException("takes an HTTP method in capital letters");
+            throw new IllegalArgumentException("takes an HTTP method in upper case");
         }
         return text;
     }
 
-    private static String parsePrefix(String text) {
-        if (!text.matches("/[A-Za-z0-9/_.~:@!$&'()*+,=-]{0," + MAX_PREFIX_LENGTH + "}")) {
+    private static String parsePathPrefix(String text) {
+        if (!text.matches("/[A-Za-z0-9/_.~:@!$&'()*+,=-]{0," + MAX_PATH_PREFIX_LENGTH + "}")) {
             throw new IllegalArgumentException(
-                    "takes a path that begins with a slash, of unescaped path characters, up to " + MAX_PREFIX_LENGTH);
+                    "takes a slash followed by unescaped path characters, at most " + MAX_PATH_PREFIX_LENGTH);
         }
         return text;
     }
@@ -188,16 +189,16 @@
         }
     }
 
-    /** Lets one object alone hold a value that must be unique in the whole set. */
-    private void claim(FieldReader reader, String field, Object value) {
-        String holder = claims.putIfAbsent(value, reader.title());
+    /** Records a fault when another object of the set already uses a value that must be unique. */
+    private void requireUnique(FieldReader reader, String field, Object value) {
+        String holder = holdersByUniqueValue.putIfAbsent(value, reader.displayName());
         if (holder != null) {
-            reader.fault(field, "is taken by " + holder);
+            reader.fault(field, "is already used by " + holder);
         }
     }
 
-    private <K> void refer(FieldReader reader, String field, Map<K, ?> targets, K target) {
-        references.add(() -> {
+    private <K> void requireReference(FieldReader reader, String field, Map<K, ?> targets, K target) {
+        referenceChecks.add(() -> {
             if (!targets.containsKey(target)) {
                 reader.fault(field, "names " + target + ", which is not in the set");
             }
--- a/config/src/main/java/org/turmericspan/config/ConfigurationReader.java
+++ b/config/src/main/java/org/turmericspan/config/ConfigurationReader.java
@@ -9,9 +9,9 @@
 import java.util.Iterator;
 import java.util.List;
 
-/** Reads a published document or a set of objects, and checks it as one piece. Nothing is accepted in part. */
+/** Reads a published document or a set of objects and validates it as a whole. A set with any fault is rejected. */
 public final class ConfigurationReader {
-    /** Largest document the platform holds, in bytes. */
+    /** Largest document that the platform stores, in bytes. */
     public static final int MAX_DOCUMENT_BYTES = DocumentParser.MAX_DOCUMENT_BYTES;
 
     private static final String DOCUMENT = "document";
@@ -21,10 +21,10 @@
     private final DocumentParser parser = new DocumentParser();
 
     /**
-     * Reads a document as {@code turmericspanctl bundle} writes it.
+     * Reads and validates a document in the format that {@code turmericspanctl bundle} writes.
      *
      * @param document JSON with the fields {@code version} and {@code objects}
-     * @return the checked set
+     * @return the validated configuration
      * @throws InvalidConfigurationException with every fault found
      */
     public Configuration read(String document) {
@@ -33,11 +33,11 @@
     }
 
     /**
-     * Reads the objects of a document without checking them.
+     * Reads the objects of a document without validating them.
      *
      * @param document JSON with the fields {@code version} and {@code objects}
      * @return the objects
-     * @throws InvalidConfigurationException when the document has another form
+     * @throws InvalidConfigurationException when the document does not have this form
      */
     public ObjectSet objects(String document) {
         if (document.length() > MAX_DOCUMENT_BYTES
@@ -65,11 +65,11 @@
     }
 
     /**
-     * Checks a set of objects as one piece.
+     * Validates a set of objects as a whole.
      *
      * @param set the objects
-     * @param document the document that holds them
-     * @return the checked set
+     * @param document the document that contains them
+     * @return the validated configuration
      * @throws InvalidConfigurationException with every fault found
      */
     public Configuration check(ObjectSet set, String document) {
@@ -83,12 +83,12 @@
      * Computes the digest of a document.
      *
      * @param document the document
-     * @return SHA-256 in hexadecimal digits
+     * @return its SHA-256 in lower-case hexadecimal digits
      */
     public static String digest(String document) {
         try {
-            MessageDigest sha = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(sha.digest(document.getBytes(StandardCharsets.UTF_8)));
+            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(sha256.digest(document.getBytes(StandardCharsets.UTF_8)));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("Every Java runtime has SHA-256", e);
         }
--- a/config/src/main/java/org/turmericspan/config/ConfigurationVersion.java
+++ b/config/src/main/java/org/turmericspan/config/ConfigurationVersion.java
@@ -3,14 +3,14 @@
 import java.util.Comparator;
 
 /**
- * Place of a configuration in the total order. Two operators who publish the same number at once are told apart by the
- * digest, on every node in the same way.
+ * Version of a configuration. Versions are totally ordered by number and then by digest, so that all nodes choose the
+ * same document when two operators publish one number at the same time.
  *
- * @param number chosen by the operator, from 0; 0 stands for no configuration
- * @param digest SHA-256 of the document in hexadecimal digits
+ * @param number chosen by the operator, at least 1; 0 stands for no configuration
+ * @param digest SHA-256 of the document in hexadecimal digits; empty without a configuration
  */
 public record ConfigurationVersion(long number, String digest) implements Comparable<ConfigurationVersion> {
-    /** Version below every published one. */
+    /** Version lower than every published one. */
     public static final ConfigurationVersion NONE = new ConfigurationVersion(0, "");
 
     private static final Comparator<ConfigurationVersion> ORDER =
@@ -22,9 +22,9 @@
     }
 
     /**
-     * Tells whether this version goes before another in force.
+     * Returns whether this version supersedes another.
      *
-     * @param other the version in force
+     * @param other the active version
      * @return true when this version is higher
      */
     public boolean isAfter(ConfigurationVersion other) {
--- a/config/src/main/java/org/turmericspan/config/DocumentParser.java
+++ b/config/src/main/java/org/turmericspan/config/DocumentParser.java
@@ -16,27 +16,30 @@
 import java.util.List;
 import org.yaml.snakeyaml.LoaderOptions;
 
-/** Parses hostile text within fixed limits on size, nesting, keys and aliases. */
+/**
+ * Parses untrusted JSON and YAML within fixed limits on size and nesting depth. Duplicate keys are rejected, and so are
+ * aliases, with which a short YAML text can expand exponentially.
+ */
 final class DocumentParser {
-    /** Largest document the platform holds, in bytes. */
+    /** Largest document that the platform stores, in bytes. */
     static final int MAX_DOCUMENT_BYTES = 1024 * 1024;
 
-    private static final int MAX_NESTING = 16;
+    private static final int MAX_NESTING_DEPTH = 16;
     private static final int MAX_STRING_LENGTH = 65_536;
     private static final int MAX_NUMBER_LENGTH = 20;
     private static final StreamReadConstraints CONSTRAINTS = StreamReadConstraints.builder()
-            .maxNestingDepth(MAX_NESTING)
+            .maxNestingDepth(MAX_NESTING_DEPTH)
             .maxStringLength(MAX_STRING_LENGTH)
             .maxNameLength(MAX_STRING_LENGTH)
             .maxNumberLength(MAX_NUMBER_LENGTH)
             .maxDocumentLength(MAX_DOCUMENT_BYTES)
             .build();
 
-    private final ObjectMapper json = strict(JsonFactory.builder()
+    private final ObjectMapper jsonMapper = strictMapper(JsonFactory.builder()
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .streamReadConstraints(CONSTRAINTS)
             .build());
-    private final ObjectMapper yaml = strict(YAMLFactory.builder()
+    private final ObjectMapper yamlMapper = strictMapper(YAMLFactory.builder()
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .streamReadConstraints(CONSTRAINTS)
             .loaderOptions(loaderOptions())
@@ -46,14 +49,14 @@
      * Parses one JSON value.
      *
      * @param text the document
-     * @return its root
+     * @return the root node
      * @throws IllegalArgumentException when the text is not one JSON value within the limits
      */
     JsonNode parseJson(String text) {
         try {
-            return json.readTree(text);
+            return jsonMapper.readTree(text);
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException("is not JSON: " + reason(e), e);
+            throw new IllegalArgumentException("is not JSON: " + describe(e), e);
         }
     }
 
@@ -61,27 +64,27 @@
      * Parses a file of YAML documents.
      *
      * @param text the file
-     * @return root of each document
+     * @return the root node of each document
      * @throws IllegalArgumentException when the text is not YAML within the limits
      */
     List<JsonNode> parseYaml(String text) {
         try {
-            refuseAliases(text);
+            rejectAliases(text);
             List<JsonNode> roots = new ArrayList<>();
             try (MappingIterator<JsonNode> documents =
-                    yaml.readerFor(JsonNode.class).readValues(text)) {
+                    yamlMapper.readerFor(JsonNode.class).readValues(text)) {
                 documents.forEachRemaining(roots::add);
             }
             return roots;
         } catch (IOException e) {
-            throw new IllegalArgumentException("is not YAML: " + reason(e), e);
+            throw new IllegalArgumentException("is not YAML: " + describe(e), e);
         } catch (RuntimeException e) {
             throw new IllegalArgumentException("is not YAML: " + firstLine(e.getMessage()), e);
         }
     }
 
-    private void refuseAliases(String text) throws IOException {
-        try (JsonParser parser = yaml.getFactory().createParser(text)) {
+    private void rejectAliases(String text) throws IOException {
+        try (JsonParser parser = yamlMapper.getFactory().createParser(text)) {
             while (parser.nextToken() != null) {
                 if (parser instanceof YAMLParser yamlParser && yamlParser.isCurrentAlias()) {
                     throw new IllegalArgumentException("aliases are not accepted");
@@ -90,12 +93,13 @@
         }
     }
 
-    private static String reason(IOException failure) {
-        if (failure instanceof JsonProcessingException parsing && parsing.getLocation() != null) {
-            return firstLine(parsing.getOriginalMessage()) + " at line "
-                    + parsing.getLocation().getLineNr();
+    private static String describe(IOException exception) {
+        if (exception instanceof JsonProcessingException processingException
+                && processingException.getLocation() != null) {
+            return firstLine(processingException.getOriginalMessage()) + " at line "
+                    + processingException.getLocation().getLineNr();
         }
-        return firstLine(failure.getMessage());
+        return firstLine(exception.getMessage());
     }
 
     private static String firstLine(String message) {
@@ -104,7 +108,7 @@
         return end < 0 ? text : text.substring(0, end);
     }
 
-    private static ObjectMapper strict(JsonFactory factory) {
+    private static ObjectMapper strictMapper(JsonFactory factory) {
         return new ObjectMapper(factory)
                 .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
                 .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
@@ -115,7 +119,7 @@
         options.setAllowDuplicateKeys(false);
         options.setAllowRecursiveKeys(false);
         options.setMaxAliasesForCollections(0);
-        options.setNestingDepthLimit(MAX_NESTING);
+        options.setNestingDepthLimit(MAX_NESTING_DEPTH);
         options.setCodePointLimit(MAX_DOCUMENT_BYTES);
         return options;
     }
--- a/config/src/main/java/org/turmericspan/config/FieldDescription.java
+++ b/config/src/main/java/org/turmericspan/config/FieldDescription.java
@@ -1,9 +1,9 @@
 package org.turmericspan.config;
 
 /**
- * What one field of a kind takes.
+ * Describes the values that one field of an object kind accepts.
  *
- * @param field its name
+ * @param field name of the field
  * @param allowed {@code text}, {@code true or false}, or the range of a whole number
  * @param presence {@code required}, {@code optional}, or the default
  */
--- a/config/src/main/java/org/turmericspan/config/FieldReader.java
+++ b/config/src/main/java/org/turmericspan/config/FieldReader.java
@@ -12,11 +12,11 @@
 final class FieldReader {
     private static final String KIND_FIELD = "kind";
     private static final String NAME_FIELD = "name";
-    private static final int MAX_SHOWN_LENGTH = 80;
+    private static final int MAX_QUOTED_LENGTH = 80;
 
     private final ObjectSource object;
     private final FaultCollector faults;
-    private final Map<String, FieldDescription> known = new LinkedHashMap<>();
+    private final Map<String, FieldDescription> described = new LinkedHashMap<>();
 
     FieldReader(ObjectSource object, FaultCollector faults) {
         this.object = object;
@@ -25,110 +25,107 @@
     }
 
     String kind() {
-        return text(KIND_FIELD);
+        return textOrEmpty(KIND_FIELD);
     }
 
-    String title() {
-        return shorten(kind() + " " + text(NAME_FIELD));
+    String displayName() {
+        return truncate(kind() + " " + textOrEmpty(NAME_FIELD));
     }
 
-    /** Returns every field asked for so far, in the order of asking. */
+    /** Returns a description of every field read so far, in the order of reading. */
     List<FieldDescription> descriptions() {
-        return List.copyOf(known.values());
+        return List.copyOf(described.values());
     }
 
-    <T> T name(Function<String, T> parse) {
-        return required(NAME_FIELD, parse);
+    <T> T name(Function<String, T> parser) {
+        return required(NAME_FIELD, parser);
     }
 
-    /** Reads a text field that must be there; on a fault the value is null and the fault is recorded. */
-    <T> T required(String field, Function<String, T> parse) {
+    /** Reads a required text field. If it is missing or invalid, records a fault and returns null. */
+    <T> T required(String field, Function<String, T> parser) {
         describe(field, "text", "required");
         JsonNode value = object.node().get(field);
         if (value == null) {
             fault(field, "is missing");
             return null;
         }
-        return parse(field, value, parse);
+        return parse(field, value, parser);
     }
 
-    <T> T optional(String field, T fallback, Function<String, T> parse) {
+    <T> T optional(String field, T defaultValue, Function<String, T> parser) {
         describe(field, "text", "optional");
         JsonNode value = object.node().get(field);
-        return value == null ? fallback : parse(field, value, parse);
+        return value == null ? defaultValue : parse(field, value, parser);
     }
 
-    boolean flag(String field, boolean fallback) {
-        describe(field, "true or false", Boolean.toString(fallback));
+    boolean flag(String field, boolean defaultValue) {
+        describe(field, "true or false", Boolean.toString(defaultValue));
         JsonNode value = object.node().get(field);
         if (value == null) {
-            return fallback;
+            return defaultValue;
         }
         if (!value.isBoolean()) {
-            fault(field, "takes true or false, not " + shorten(value.toString()));
-            return fallback;
+            fault(field, "takes true or false, not " + truncate(value.toString()));
+            return defaultValue;
         }
         return value.booleanValue();
     }
 
-    int number(String field, int fallback, int least, int most) {
-        describe(field, least + " to " + most, Integer.toString(fallback));
+    int number(String field, int defaultValue, int min, int max) {
+        describe(field, min + " to " + max, Integer.toString(defaultValue));
         JsonNode value = object.node().get(field);
         if (value == null) {
-            return fallback;
+            return defaultValue;
         }
-        if (!value.isIntegralNumber()
-                || !value.canConvertToInt()
-                || value.intValue() < least
-                || value.intValue() > most) {
-            fault(field, "takes a whole number from " + least + " to " + most + ", not " + shorten(value.toString()));
-            return fallback;
+        if (!value.isIntegralNumber() || !value.canConvertToInt() || value.intValue() < min || value.intValue() > max) {
+            fault(field, "takes a whole number from " + min + " to " + max + ", not " + truncate(value.toString()));
+            return defaultValue;
         }
         return value.intValue();
     }
 
-    Duration millis(String field, int fallback, int least, int most) {
-        return Duration.ofMillis(number(field, fallback, least, most));
+    Duration millis(String field, int defaultValue, int min, int max) {
+        return Duration.ofMillis(number(field, defaultValue, min, max));
     }
 
-    /** Records a fault for every field that was never asked for. */
+    /** Records a fault for every field of the object that no earlier call has read. */
     void rejectUnknownFields() {
         Iterator<String> names = object.node().fieldNames();
         while (names.hasNext()) {
             String name = names.next();
-            if (!known.containsKey(name)) {
-                fault(shorten(name), "is not a field of " + kind());
+            if (!described.containsKey(name)) {
+                fault(truncate(name), "is not a field of " + kind());
             }
         }
     }
 
     void fault(String field, String message) {
-        faults.add(new Fault(object.source(), title(), field, message));
+        faults.add(new Fault(object.source(), displayName(), field, message));
     }
 
     private void describe(String field, String allowed, String presence) {
-        known.putIfAbsent(field, new FieldDescription(field, allowed, presence));
+        described.putIfAbsent(field, new FieldDescription(field, allowed, presence));
     }
 
-    private String text(String field) {
+    private String textOrEmpty(String field) {
         JsonNode value = object.node().get(field);
         return value != null && value.isTextual() ? value.textValue() : "";
     }
 
-    private <T> T parse(String field, JsonNode value, Function<String, T> parse) {
+    private <T> T parse(String field, JsonNode value, Function<String, T> parser) {
         if (!value.isTextual()) {
-            fault(field, "takes text, not " + shorten(value.toString()));
+            fault(field, "takes text, not " + truncate(value.toString()));
             return null;
         }
         try {
-            return parse.apply(value.textValue());
+            return parser.apply(value.textValue());
         } catch (IllegalArgumentException e) {
             fault(field, e.getMessage());
             return null;
         }
     }
 
-    private static String shorten(String text) {
-        return text.length() <= MAX_SHOWN_LENGTH ? text : text.substring(0, MAX_SHOWN_LENGTH) + "...";
+    private static String truncate(String text) {
+        return text.length() <= MAX_QUOTED_LENGTH ? text : text.substring(0, MAX_QUOTED_LENGTH) + "...";
     }
 }
--- a/config/src/main/java/org/turmericspan/config/InvalidConfigurationException.java
+++ b/config/src/main/java/org/turmericspan/config/InvalidConfigurationException.java
@@ -4,7 +4,7 @@
 import java.util.stream.Collectors;
 import org.turmericspan.errors.ResultCode;
 
-/** Says that a set of objects is not accepted, with every fault found in it. */
+/** Thrown when a set of objects is rejected. Names every fault found in it. */
 public final class InvalidConfigurationException extends RuntimeException {
     private final transient List<Fault> faults;
 
--- a/config/src/main/java/org/turmericspan/config/ObjectKind.java
+++ b/config/src/main/java/org/turmericspan/config/ObjectKind.java
@@ -12,31 +12,33 @@
     SERVICE("Service"),
     /** An upstream. */
     UPSTREAM("Upstream"),
-    /** A rule on the requests of a service. */
+    /** A rule for requests to a service. */
     RULE("Rule"),
-    /** A VM that operators take out of service. */
+    /** A VM that operators may take out of service. */
     VM("Vm");
 
-    private final String title;
+    private final String kindName;
 
-    ObjectKind(String title) {
-        this.title = title;
+    ObjectKind(String kindName) {
+        this.kindName = kindName;
     }
 
     /**
-     * Returns the kind as documents name it.
+     * Returns the name of the kind in documents.
      *
-     * @return value of the field {@code kind}
+     * @return the value of the field {@code kind}
      */
-    public String title() {
-        return title;
+    public String kindName() {
+        return kindName;
     }
 
-    static Optional<ObjectKind> of(String title) {
-        return Arrays.stream(values()).filter(kind -> kind.title.equals(title)).findFirst();
+    static Optional<ObjectKind> of(String kindName) {
+        return Arrays.stream(values())
+                .filter(kind -> kind.kindName.equals(kindName))
+                .findFirst();
     }
 
-    static String allTitles() {
-        return Arrays.stream(values()).map(ObjectKind::title).collect(Collectors.joining(", "));
+    static String allKindNames() {
+        return Arrays.stream(values()).map(ObjectKind::kindName).collect(Collectors.joining(", "));
     }
 }
--- a/config/src/main/java/org/turmericspan/config/ObjectSet.java
+++ b/config/src/main/java/org/turmericspan/config/ObjectSet.java
@@ -3,11 +3,11 @@
 import java.util.List;
 
 /**
- * Objects as they were read, with the faults found while reading them.
+ * Parsed objects that have not been validated, with the faults found while parsing them.
  *
  * @param version number of the document, or 0 when the objects come from files
- * @param objects the objects in the order of reading
- * @param faults what could not be read
+ * @param objects objects in the order in which they were read
+ * @param faults a fault for each source that could not be read
  */
 public record ObjectSet(long version, List<ObjectSource> objects, List<Fault> faults) {
     /** Copies the lists. */
--- a/config/src/main/java/org/turmericspan/config/ObjectSource.java
+++ b/config/src/main/java/org/turmericspan/config/ObjectSource.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * One object as it was read, before it is checked.
+ * A parsed object that has not been validated.
  *
- * @param source file or document that holds it
- * @param node the object's fields
+ * @param source file or document that contains it
+ * @param node fields of the object
  */
 public record ObjectSource(String source, JsonNode node) {}
--- a/config/src/main/java/org/turmericspan/config/Service.java
+++ b/config/src/main/java/org/turmericspan/config/Service.java
@@ -4,20 +4,20 @@
 import org.turmericspan.ids.ServiceId;
 
 /**
- * A service and the limits its operators agreed.
+ * A service and its configured limits.
  *
  * @param id name of the service
- * @param slotsPerUpstream requests one warm upstream runs at a time
- * @param coldRequests requests one cold upstream bears at a time
+ * @param slotsPerUpstream requests that one warm upstream runs at a time
+ * @param coldRequests requests that one cold upstream runs at a time
  * @param extraDepth requests beyond its slots that a warm upstream may hold, to hide the network round trip
- * @param rampSuccesses successes after which a cold upstream gains one slot
- * @param probesPerSecond probe budget of the whole service
- * @param queueLimit requests one node lets wait
- * @param defaultDeadline deadline of a request that names none
+ * @param rampSuccesses successful requests after which a cold upstream gains one slot during its slow start
+ * @param probesPerSecond rate limit of the probes to all upstreams of the service
+ * @param queueLimit requests that may be queued on one node
+ * @param defaultDeadline deadline of a request that does not carry one
  * @param longestLease longest deadline of a request, and so of a lease
- * @param retryPercent retries and hedges allowed, in percent of calls
- * @param bodyLimitBytes largest request body
- * @param answerLimitBytes largest answer
+ * @param retryPercent retry budget: retries and hedges allowed, in percent of calls
+ * @param bodyLimitBytes largest request body, in bytes
+ * @param answerLimitBytes largest response, in bytes
  */
 public record Service(
         ServiceId id,
--- a/config/src/main/java/org/turmericspan/config/Upstream.java
+++ b/config/src/main/java/org/turmericspan/config/Upstream.java
@@ -10,10 +10,10 @@
  * A server that runs requests of one service.
  *
  * @param id name of the upstream
- * @param service service it belongs to
- * @param availabilityZone where it runs
- * @param vm VM it runs on, as the platform lists it
- * @param address where it listens
+ * @param service service that the upstream belongs to
+ * @param availabilityZone availability zone in which it runs
+ * @param vm VM on which it runs, as the platform lists it
+ * @param address address on which it listens
  */
 public record Upstream(
         UpstreamId id, ServiceId service, AvailabilityZoneId availabilityZone, VmId vm, SocketAddress address) {}
--- a/config/src/test/java/org/turmericspan/config/ConfigurationPageTest.java
+++ b/config/src/test/java/org/turmericspan/config/ConfigurationPageTest.java
@@ -9,15 +9,15 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Compares the page of configuration objects, and the example set, with the checks. */
+/** Tests that the documentation of the configuration objects and the example set agree with the validation code. */
 final class ConfigurationPageTest {
     private static final Path DOCS = Path.of(System.getProperty("turmericspan.root"), "docs");
 
     @Test
-    void pageListsEveryKindAndFieldAsTheChecksReadIt() throws IOException {
+    void pageListsEveryFieldOfEveryKind() throws IOException {
         List<String> expected = new ArrayList<>();
         for (ObjectKind kind : ObjectKind.values()) {
-            expected.add("## " + kind.title());
+            expected.add("## " + kind.kindName());
             ConfigurationFields.of(kind)
                     .forEach(field -> expected.add(
                             "| `" + field.field() + "` | " + field.allowed() + " | " + field.presence() + " |"));
@@ -30,7 +30,7 @@
     }
 
     @Test
-    void exampleSetIsAcceptedWithoutWarning() {
+    void exampleSetIsValidWithoutWarnings() {
         ObjectSet set = new DirectoryLoader().load(DOCS.resolve("examples"));
 
         assertThat(ConfigurationWarnings.find(new ConfigurationReader().check(set, "")))
--- a/config/src/test/java/org/turmericspan/config/ConfigurationReaderTest.java
+++ b/config/src/test/java/org/turmericspan/config/ConfigurationReaderTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.turmericspan.ids.ServiceId;
 
-/** Tests which documents are accepted and how faults are named. */
+/** Tests which documents are accepted, and which object and field each fault names. */
 final class ConfigurationReaderTest {
     private static final String ZONE = "{\"kind\": \"AvailabilityZone\", \"name\": \"zone-a\", \"region\": \"one\"}";
     private static final String SERVICE = "{\"kind\": \"Service\", \"name\": \"mixing\"}";
@@ -16,13 +16,13 @@
     private final ConfigurationReader reader = new ConfigurationReader();
 
     @Test
-    void wholeSetIsAccepted() {
-        Configuration set = reader.read(document(ZONE, SERVICE, upstream("mixing-1", "10.0.0.1:80")));
+    void validSetIsAccepted() {
+        Configuration configuration = reader.read(document(ZONE, SERVICE, upstream("mixing-1", "10.0.0.1:80")));
 
-        assertThat(set.version().number()).isEqualTo(3);
-        assertThat(set.services().get(new ServiceId("mixing")).slotsPerUpstream())
+        assertThat(configuration.version().number()).isEqualTo(3);
+        assertThat(configuration.services().get(new ServiceId("mixing")).slotsPerUpstream())
                 .isEqualTo(3);
-        assertThat(ConfigurationWarnings.find(set)).isEmpty();
+        assertThat(ConfigurationWarnings.find(configuration)).isEmpty();
     }
 
     @ParameterizedTest
@@ -47,21 +47,21 @@
                         + " | Rule r | path_prefix",
                 "{'kind': 'AvailabilityZone', 'name': 'z'} | AvailabilityZone z | region",
             })
-    void oneFaultIsNamedByObjectAndField(String object, String title, String field) {
-        assertThat(refusal(document(object.replace('\'', '"'))).faults())
+    void faultNamesItsObjectAndField(String object, String displayName, String field) {
+        assertThat(rejection(document(object.replace('\'', '"'))).faults())
                 .first()
                 .satisfies(fault -> {
-                    assertThat(fault.object().strip()).isEqualTo(title.strip());
+                    assertThat(fault.object().strip()).isEqualTo(displayName.strip());
                     assertThat(fault.field()).isEqualTo(field);
                 });
     }
 
     @Test
-    void everyFaultOfTheSetIsListedAtOnce() {
-        InvalidConfigurationException refusal = refusal(
+    void allFaultsOfASetAreListedTogether() {
+        InvalidConfigurationException rejection = rejection(
                 document(ZONE, ZONE, upstream("a", "10.0.0.1:80"), upstream("b", "10.0.0.1:80"), "{\"kind\": \"Vm\"}"));
 
-        assertThat(refusal.faults().stream().map(fault -> fault.object().strip() + "/" + fault.field()))
+        assertThat(rejection.faults().stream().map(fault -> fault.object().strip() + "/" + fault.field()))
                 .containsExactlyInAnyOrder(
                         "AvailabilityZone zone-a/name",
                         "Upstream a/service",
@@ -83,26 +83,26 @@
                 "[]",
                 "''",
             })
-    void documentOfAnotherFormIsRefused(String document) {
-        assertThat(refusal(document.replace('\'', '"')).faults()).hasSize(1);
+    void malformedDocumentIsRejected(String document) {
+        assertThat(rejection(document.replace('\'', '"')).faults()).hasSize(1);
     }
 
     @Test
-    void documentOverAMegabyteIsRefused() {
-        assertThat(refusal(" ".repeat(ConfigurationReader.MAX_DOCUMENT_BYTES + 1))
+    void documentOverOneMebibyteIsRejected() {
+        assertThat(rejection(" ".repeat(ConfigurationReader.MAX_DOCUMENT_BYTES + 1))
                         .getMessage())
                 .contains("is larger than 1048576 bytes");
     }
 
     @Test
-    void serviceWithoutUpstreamIsAWarning() {
+    void serviceWithoutUpstreamGivesAWarning() {
         assertThat(ConfigurationWarnings.find(reader.read(document(SERVICE))))
                 .extracting(Fault::object)
                 .containsExactly("Service mixing");
     }
 
     @Test
-    void bundleOfTheSameObjectsIsTheSameInAnyOrder() {
+    void bundleDoesNotDependOnTheOrderOfObjects() {
         String first = Bundle.write(reader.objects(document(ZONE, SERVICE)), 9);
         String second = Bundle.write(reader.objects(document(SERVICE, ZONE)), 9);
 
@@ -110,7 +110,7 @@
         assertThat(reader.read(first).version().number()).isEqualTo(9);
     }
 
-    private InvalidConfigurationException refusal(String document) {
+    private InvalidConfigurationException rejection(String document) {
         return catchThrowableOfType(InvalidConfigurationException.class, () -> reader.read(document));
     }
 
--- a/config/src/test/java/org/turmericspan/config/DirectoryLoaderTest.java
+++ b/config/src/test/java/org/turmericspan/config/DirectoryLoaderTest.java
@@ -16,7 +16,7 @@
     private final DirectoryLoader loader = new DirectoryLoader();
 
     @Test
-    void objectsOfAllFilesAreLoadedWithTheirFile() throws IOException {
+    void objectsOfAllFilesAreLoadedWithTheirFileName() throws IOException {
         write("b.yaml", "kind: Vm\nname: one\n---\nkind: Vm\nname: two\n");
         write("a.yml", "kind: Vm\nname: three\n");
         write("notes.txt", "not read");
@@ -28,7 +28,7 @@
     }
 
     @Test
-    void unreadableFilesAreAllNamedAndTheRestIsLoaded() throws IOException {
+    void everyUnreadableFileIsReportedAndOtherFilesAreLoaded() throws IOException {
         write("a.yaml", "kind: Vm\nkind: Vm\n");
         write("b.yaml", "kind: [");
         write("c.yaml", "kind: Vm\nname: ok\n");
@@ -42,7 +42,7 @@
     }
 
     @Test
-    void emptyDirectoryIsAFault() {
+    void emptyDirectoryGivesAFault() {
         assertThat(loader.load(directory).faults()).hasSize(1);
     }
 
--- a/config/src/test/java/org/turmericspan/config/HostileDocumentTest.java
+++ b/config/src/test/java/org/turmericspan/config/HostileDocumentTest.java
@@ -17,9 +17,12 @@
 import net.jqwik.api.Provide;
 import org.junit.jupiter.api.Assertions;
 
-/** Feeds hostile documents: each is either accepted or refused with faults, within a bounded time. */
+/**
+ * Tests that any document, however malformed, is accepted or rejected with faults within a bounded time. Deep nesting,
+ * aliases that expand exponentially and many faults with long names must not exhaust the stack, memory or time.
+ */
 final class HostileDocumentTest {
-    private static final Duration LIMIT = Duration.ofSeconds(10);
+    private static final Duration TIME_LIMIT = Duration.ofSeconds(10);
     private static final List<String> FIELDS = List.of(
             "name",
             "region",
@@ -38,42 +41,42 @@
     private final ConfigurationReader reader = new ConfigurationReader();
 
     @Property(seed = "20261204", tries = 500)
-    void anyTextIsAcceptedOrRefusedWithFaults(@ForAll String text) {
-        assertAcceptedOrRefused(text);
-        assertYamlReadOrRefused(text);
+    void anyTextIsAcceptedOrRejected(@ForAll String text) {
+        assertAcceptedOrRejected(text);
+        assertYamlParsedOrRejected(text);
     }
 
     @Property(seed = "20261205", tries = 500)
-    void anyTextOfStructureCharactersIsRefusedWithFaults(@ForAll("structureText") String text) {
-        assertAcceptedOrRefused(text);
-        assertYamlReadOrRefused(text);
+    void anyTextOfStructuralCharactersIsAcceptedOrRejected(@ForAll("structureText") String text) {
+        assertAcceptedOrRejected(text);
+        assertYamlParsedOrRejected(text);
     }
 
     @Property(seed = "20261206", tries = 500)
-    void anyObjectsAreAcceptedOrRefusedWithFaults(@ForAll("documents") String document) {
-        assertAcceptedOrRefused(document);
+    void anyObjectsAreAcceptedOrRejected(@ForAll("documents") String document) {
+        assertAcceptedOrRejected(document);
     }
 
     @Example
-    void deepNestingIsRefused() {
-        assertAcceptedOrRefused("{\"version\": 1, \"objects\": " + "[".repeat(300_000));
-        assertAcceptedOrRefused("{\"a\":".repeat(100_000));
-        assertYamlReadOrRefused("[".repeat(300_000));
-        assertYamlReadOrRefused("- ".repeat(300_000));
+    void deepNestingDoesNotOverflowTheStack() {
+        assertAcceptedOrRejected("{\"version\": 1, \"objects\": " + "[".repeat(300_000));
+        assertAcceptedOrRejected("{\"a\":".repeat(100_000));
+        assertYamlParsedOrRejected("[".repeat(300_000));
+        assertYamlParsedOrRejected("- ".repeat(300_000));
     }
 
     @Example
-    void aliasBombIsRefused() {
-        StringBuilder bomb = new StringBuilder("a0: &a0 [x, x, x, x, x, x, x, x, x]\n");
+    void exponentialAliasExpansionIsRejected() {
+        StringBuilder yaml = new StringBuilder("a0: &a0 [x, x, x, x, x, x, x, x, x]\n");
         for (int i = 1; i < 30; i++) {
-            bomb.append("a").append(i).append(": &a").append(i).append(" [");
-            bomb.append(("*a" + (i - 1) + ", ").repeat(9)).append("x]\n");
+            yaml.append("a").append(i).append(": &a").append(i).append(" [");
+            yaml.append(("*a" + (i - 1) + ", ").repeat(9)).append("x]\n");
         }
-        assertThat(new FaultMessage(bomb.toString()).text()).isEqualTo("is not YAML: aliases are not accepted");
+        assertThat(new YamlParse(yaml.toString()).errorMessage()).isEqualTo("is not YAML: aliases are not accepted");
     }
 
     @Example
-    void manyFaultsWithLongNamesAreListedInBoundedSpace() {
+    void manyFaultsWithLongNamesGiveABoundedList() {
         ObjectNode object =
                 JsonNodeFactory.instance.objectNode().put("kind", "Vm").put("name", "n".repeat(60_000));
         for (int i = 0; i < 50_000; i++) {
@@ -131,8 +134,8 @@
         return JsonNodeFactory.instance.textNode(value);
     }
 
-    private void assertAcceptedOrRefused(String document) {
-        Assertions.assertTimeout(LIMIT, () -> {
+    private void assertAcceptedOrRejected(String document) {
+        Assertions.assertTimeout(TIME_LIMIT, () -> {
             try {
                 assertThat(reader.read(document).version().number()).isPositive();
             } catch (InvalidConfigurationException e) {
@@ -141,13 +144,13 @@
         });
     }
 
-    private static void assertYamlReadOrRefused(String text) {
-        Assertions.assertTimeout(LIMIT, () -> new FaultMessage(text).text());
+    private static void assertYamlParsedOrRejected(String text) {
+        Assertions.assertTimeout(TIME_LIMIT, () -> new YamlParse(text).errorMessage());
     }
 
-    /** Message of the refusal of a YAML text, or empty when it was read. */
-    private record FaultMessage(String yaml) {
-        String text() {
+    /** Parses a YAML text and returns the message of the error, or an empty text when it is valid. */
+    private record YamlParse(String yaml) {
+        String errorMessage() {
             try {
                 new DocumentParser().parseYaml(yaml);
                 return "";
