Say in Epoch when run tokens expire

The comment said that a token expires with its epoch; it outlives it, and the tokens of one epoch expire together.

--- a/ids/src/main/java/org/turmericspan/ids/Epoch.java
+++ b/ids/src/main/java/org/turmericspan/ids/Epoch.java
@@ -1,7 +1,7 @@
 package org.turmericspan.ids;
 
 /**
- * Numbered interval of a node incarnation. The age of a run token is counted in epochs, so it expires with its epoch.
+ * Numbered interval of a node incarnation. Run tokens that are issued in the same epoch expire together.
  *
  * @param number counted from 0 at process start
  */
