--- a/admission/src/main/java/org/turmericspan/admission/FairQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/FairQueue.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-import org.turmericspan.calls.SlotWish;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.ids.OfficeId;
 
 /**
@@ -39,23 +39,23 @@
      * Queues a wish. When the queue is full, the newest wish of the largest line makes room for one of a smaller line,
      * or for a deeper one of the same office.
      *
-     * @param wish what is wished for
+     * @param request what is wished for
      * @param waiter what is parked with it
      * @param nowNanos current monotonic time
      * @return its place and what was displaced, or that the queue is full
      */
-    public QueueOffer<W> offer(SlotWish wish, W waiter, long nowNanos) {
+    public QueueOffer<W> offer(SlotRequest request, W waiter, long nowNanos) {
         Optional<WaitTicket<W>> displaced = Optional.empty();
         if (byArrival.size() >= limit) {
-            displaced = victim(wish);
+            displaced = victim(request);
             if (displaced.isEmpty()) {
                 return new QueueOffer.Full<>();
             }
             remove(displaced.get());
         }
-        WaitTicket<W> ticket = new WaitTicket<>(wish, waiter, nowNanos, nextSequence);
+        WaitTicket<W> ticket = new WaitTicket<>(request, waiter, nowNanos, nextSequence);
         nextSequence++;
-        offices.add(wish.office(), ticket);
+        offices.add(request.office(), ticket);
         byDeadline.add(ticket);
         byArrival.add(ticket);
         return new QueueOffer.Queued<>(ticket, displaced);
@@ -141,33 +141,33 @@
     /**
      * Counts the waiting wishes that would be served before a new one, by the turns of offices and callers.
      *
-     * @param wish a wish that is not yet queued
+     * @param request a wish that is not yet queued
      * @return number of wishes ahead of it
      */
-    public int aheadOf(SlotWish wish) {
-        int aheadInOffice = offices.line(wish.office())
-                .map(office -> office.aheadOf(wish.caller()))
+    public int aheadOf(SlotRequest request) {
+        int aheadInOffice = offices.line(request.office())
+                .map(office -> office.aheadOf(request.caller()))
                 .orElse(0);
-        return offices.aheadInRounds(wish.office(), aheadInOffice, size());
+        return offices.aheadInRounds(request.office(), aheadInOffice, size());
     }
 
-    private Optional<WaitTicket<W>> victim(SlotWish wish) {
+    private Optional<WaitTicket<W>> victim(SlotRequest request) {
         if (byArrival.isEmpty()) {
             return Optional.empty();
         }
         Line<W> largest = offices.largest();
         WaitTicket<W> last = largest.last();
-        boolean isSmallerOffice = offices.sizeOf(wish.office()) + 1 < largest.size();
-        if (isSmallerOffice || last.wish().office().equals(wish.office()) && outranks(wish, last)) {
+        boolean isSmallerOffice = offices.sizeOf(request.office()) + 1 < largest.size();
+        if (isSmallerOffice || last.wish().office().equals(request.office()) && outranks(request, last)) {
             return Optional.of(last);
         }
         return Optional.empty();
     }
 
-    private boolean outranks(SlotWish wish, WaitTicket<W> last) {
-        OfficeLine<W> office = offices.line(wish.office()).orElseThrow();
-        boolean isSmallerCaller = office.sizeOf(wish.caller()) + 1 < office.largestCallerSize();
-        return isSmallerCaller || wish.depth() > last.wish().depth();
+    private boolean outranks(SlotRequest request, WaitTicket<W> last) {
+        OfficeLine<W> office = offices.line(request.office()).orElseThrow();
+        boolean isSmallerCaller = office.sizeOf(request.caller()) + 1 < office.largestCallerSize();
+        return isSmallerCaller || request.depth() > last.wish().depth();
     }
 
     private void forget(WaitTicket<W> ticket) {
--- a/admission/src/main/java/org/turmericspan/admission/WaitTicket.java
+++ b/admission/src/main/java/org/turmericspan/admission/WaitTicket.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.Comparator;
-import org.turmericspan.calls.SlotWish;
+import org.turmericspan.calls.SlotRequest;
 
 /**
  * Place of one waiting wish in a {@link FairQueue}; also the handle by which it is removed.
@@ -13,17 +13,17 @@
     /** Span by which a wish counts as older for each call above it, whose cost is already paid. */
     static final Duration DEPTH_CREDIT = Duration.ofMillis(20);
 
-    private final SlotWish wish;
+    private final SlotRequest request;
     private final W waiter;
     private final long enqueuedNanos;
     private final long rankNanos;
     private final long sequence;
 
-    WaitTicket(SlotWish wish, W waiter, long enqueuedNanos, long sequence) {
-        this.wish = wish;
+    WaitTicket(SlotRequest request, W waiter, long enqueuedNanos, long sequence) {
+        this.request = request;
         this.waiter = waiter;
         this.enqueuedNanos = enqueuedNanos;
-        this.rankNanos = enqueuedNanos - wish.depth() * DEPTH_CREDIT.toNanos();
+        this.rankNanos = enqueuedNanos - request.depth() * DEPTH_CREDIT.toNanos();
         this.sequence = sequence;
     }
 
@@ -32,8 +32,8 @@
      *
      * @return the wish
      */
-    public SlotWish wish() {
-        return wish;
+    public SlotRequest wish() {
+        return request;
     }
 
     /**
@@ -66,7 +66,7 @@
 
     /** Orders tickets by the deadline of their wishes. */
     static <W> Comparator<WaitTicket<W>> byDeadline() {
-        return Comparator.<WaitTicket<W>>comparingLong(ticket -> ticket.wish.deadlineNanos())
+        return Comparator.<WaitTicket<W>>comparingLong(ticket -> ticket.request.deadlineNanos())
                 .thenComparingLong(ticket -> ticket.sequence);
     }
 }
--- a/admission/src/test/java/org/turmericspan/admission/FairQueuePropertyTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/FairQueuePropertyTest.java
@@ -11,7 +11,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.turmericspan.calls.SlotWish;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.ids.CallerId;
 import org.turmericspan.ids.OfficeId;
 import org.turmericspan.ids.ServiceId;
@@ -83,12 +83,12 @@
                 .containsExactlyInAnyOrder(0, 1);
     }
 
-    private static SlotWish wish(Random random, long deadlineNanos) {
+    private static SlotRequest wish(Random random, long deadlineNanos) {
         return wish(random.nextInt(4), random.nextInt(3), random.nextInt(9), deadlineNanos);
     }
 
-    private static SlotWish wish(int office, int caller, int depth, long deadlineNanos) {
-        return new SlotWish(
+    private static SlotRequest wish(int office, int caller, int depth, long deadlineNanos) {
+        return new SlotRequest(
                 new ServiceId("ordering"),
                 new OfficeId("office-" + office),
                 new CallerId("caller-" + caller),
--- a/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.turmericspan.calls.SlotWish;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.ids.CallerId;
 import org.turmericspan.ids.OfficeId;
 import org.turmericspan.ids.ServiceId;
@@ -141,8 +141,8 @@
         return queue.offer(wish(office, caller, depth, Long.MAX_VALUE), office + "/" + caller, nowNanos);
     }
 
-    private static SlotWish wish(String office, String caller, int depth, long deadlineNanos) {
-        return new SlotWish(
+    private static SlotRequest wish(String office, String caller, int depth, long deadlineNanos) {
+        return new SlotRequest(
                 new ServiceId("ordering"),
                 new OfficeId(office),
                 new CallerId(caller),
--- a/balancing/src/main/java/org/turmericspan/balancing/CrashSuspects.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/CrashSuspects.java
@@ -47,7 +47,7 @@
      * @param fingerprint hash of the request
      * @param upstream where it ran
      */
-    public void attemptBroken(long fingerprint, UpstreamId upstream) {
+    public void recordConnectionLoss(long fingerprint, UpstreamId upstream) {
         long now = clock.nowNanos();
         lock.run(() -> {
             if (broken.size() > MAX_ENTRIES) {
@@ -63,7 +63,7 @@
      * @param upstream the upstream
      * @return fingerprints that are now quarantined
      */
-    public List<Long> upstreamLost(UpstreamId upstream) {
+    public List<Long> recordUpstreamLoss(UpstreamId upstream) {
         long now = clock.nowNanos();
         return lock.compute(() -> {
             Map<Long, Long> ended = broken.remove(upstream);
@@ -81,7 +81,7 @@
      *
      * @param crash the crash
      */
-    public void accept(Crash crash) {
+    public void recordPeerCrash(Crash crash) {
         long now = clock.nowNanos();
         lock.run(() -> blame(crash.fingerprint(), crash.upstreamHash(), now));
     }
@@ -124,7 +124,7 @@
      * @param most how many at most
      * @return crashes, each a request and an upstream
      */
-    public List<Crash> recent(int most) {
+    public List<Crash> recentCrashes(int most) {
         return lock.compute(() -> suspects.entrySet().stream()
                 .flatMap(entry -> entry.getValue().upstreams.stream().map(hash -> new Crash(entry.getKey(), hash)))
                 .limit(most)
--- a/balancing/src/main/java/org/turmericspan/balancing/FleetSink.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetListener.java
@@ -5,32 +5,32 @@
 import org.turmericspan.ids.UpstreamId;
 
 /** Takes what operators and upstreams publish. */
-public interface FleetSink {
+public interface FleetListener {
     /**
      * Takes a published configuration.
      *
      * @param configuration the configuration, which may be older than the one in force
      */
-    void configured(RoutingConfiguration configuration);
+    void onConfiguration(RoutingConfiguration configuration);
 
     /**
      * Takes what an upstream published.
      *
      * @param registration the newest registration
      */
-    void registered(Registration registration);
+    void onRegistration(Registration registration);
 
     /**
      * Learns that an upstream is no longer registered.
      *
      * @param id the upstream
      */
-    void removed(UpstreamId id);
+    void onRemoval(UpstreamId id);
 
     /**
      * Learns which availability zones are to get nothing.
      *
      * @param zones all of them
      */
-    void evacuated(Set<AvailabilityZoneId> zones);
+    void onEvacuation(Set<AvailabilityZoneId> zones);
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/FleetState.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetUpdater.java
@@ -7,7 +7,7 @@
 import org.turmericspan.ids.UpstreamId;
 
 /** Puts what was published into the tables and logs each change of belief. */
-public final class FleetState implements FleetSink {
+public final class FleetUpdater implements FleetListener {
     private static final String PART = "fleet";
 
     private final ConfigurationHolder configuration;
@@ -21,21 +21,21 @@
      * @param upstreams beliefs about upstreams
      * @param log takes changes of belief
      */
-    public FleetState(ConfigurationHolder configuration, UpstreamTable upstreams, EventLog log) {
+    public FleetUpdater(ConfigurationHolder configuration, UpstreamTable upstreams, EventLog log) {
         this.configuration = configuration;
         this.upstreams = upstreams;
         this.log = log;
     }
 
     @Override
-    public void configured(RoutingConfiguration candidate) {
+    public void onConfiguration(RoutingConfiguration candidate) {
         if (configuration.accept(candidate)) {
             log.write(Event.notice(PART, "Configuration in force.").with("version", candidate.version()));
         }
     }
 
     @Override
-    public void registered(Registration registration) {
+    public void onRegistration(Registration registration) {
         if (upstreams.register(registration)) {
             log.write(Event.notice(PART, registration.draining() ? "Upstream drains." : "Upstream registered.")
                     .with("upstream", registration.id())
@@ -46,14 +46,14 @@
     }
 
     @Override
-    public void removed(UpstreamId id) {
+    public void onRemoval(UpstreamId id) {
         if (upstreams.remove(id)) {
             log.write(Event.notice(PART, "Upstream gone.").with("upstream", id));
         }
     }
 
     @Override
-    public void evacuated(Set<AvailabilityZoneId> zones) {
+    public void onEvacuation(Set<AvailabilityZoneId> zones) {
         if (upstreams.setEvacuated(zones)) {
             log.write(Event.notice(PART, "Evacuated zones changed.").with("zones", zones));
         }
--- a/balancing/src/main/java/org/turmericspan/balancing/LoadFigures.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/LoadReport.java
@@ -5,9 +5,9 @@
  *
  * @param running requests running
  * @param waiting requests waiting
- * @param slowPercent how long work takes now, 100 as usual
+ * @param slowdownPercent how long work takes now, 100 as usual
  */
-public record LoadFigures(int running, int waiting, int slowPercent) {
+public record LoadReport(int running, int waiting, int slowdownPercent) {
     /** Figures of an upstream that states none. */
-    public static final LoadFigures USUAL = new LoadFigures(0, 0, 100);
+    public static final LoadReport NORMAL = new LoadReport(0, 0, 100);
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/Observation.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Observation.java
@@ -6,8 +6,8 @@
  * @param atNanos monotonic time of the observation
  * @param running requests running
  * @param waiting requests waiting
- * @param slowPercent how long work takes now, 100 as usual
- * @param coldForNanos how long it stays cold, 0 when warm
+ * @param slowdownPercent how long work takes now, 100 as usual
+ * @param coldRemainingNanos how long it stays cold, 0 when warm
  * @param healthy whether its health check was good
  * @param reachable whether it answered at all
  */
@@ -15,18 +15,18 @@
         long atNanos,
         int running,
         int waiting,
-        int slowPercent,
-        long coldForNanos,
+        int slowdownPercent,
+        long coldRemainingNanos,
         boolean healthy,
         boolean reachable) {
     /**
      * Describes an upstream that does not answer, or at whose address another one answers.
      *
      * @param atNanos monotonic time of the observation
-     * @param coldForNanos how long it stays cold, since what returns has probably restarted
+     * @param coldRemainingNanos how long it stays cold, since what returns has probably restarted
      * @return the observation
      */
     public static Observation unreachable(long atNanos, long coldForNanos) {
-        return new Observation(atNanos, 0, 0, LoadFigures.USUAL.slowPercent(), coldForNanos, false, false);
+        return new Observation(atNanos, 0, 0, LoadReport.NORMAL.slowdownPercent(), coldForNanos, false, false);
     }
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/PeerReport.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/PeerReport.java
@@ -6,6 +6,6 @@
  * @param upstreamHash stable hash of the upstream's identifier, see {@link org.turmericspan.ids.StableHash}
  * @param observation newest observation it has; its time is given on the receiver's clock
  * @param inFlight requests the node itself has at the upstream
- * @param failPercent share of its own recent attempts there that failed
+ * @param failurePercent share of its own recent attempts there that failed
  */
-public record PeerReport(long upstreamHash, Observation observation, int inFlight, int failPercent) {}
+public record PeerReport(long upstreamHash, Observation observation, int inFlight, int failurePercent) {}
--- a/balancing/src/main/java/org/turmericspan/balancing/Placement.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Placement.java
@@ -13,10 +13,10 @@
  * @param startedNanos monotonic time of the choice
  * @param cost predicted cost, 1 for a request on an idle upstream at its usual speed; what speaks against the upstream
  *     beside its speed counts too
- * @param duration predicted duration in units of the typical latency
- * @param slowPercent slowness on which the choice rests
+ * @param relativeDuration predicted duration in units of the typical latency
+ * @param slowdownPercent slowness on which the choice rests
  * @param load requests believed to be there
- * @param ageNanos age of the observation on which the choice rests
+ * @param observationAgeNanos age of the observation on which the choice rests
  * @param cold whether the upstream was cold
  */
 public record Placement(
@@ -25,8 +25,8 @@
         SocketAddress address,
         long startedNanos,
         double cost,
-        double duration,
-        int slowPercent,
+        double relativeDuration,
+        int slowdownPercent,
         int load,
-        long ageNanos,
+        long observationAgeNanos,
         boolean cold) {}
--- a/balancing/src/main/java/org/turmericspan/balancing/ProbeBudget.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ProbeBudget.java
@@ -47,7 +47,7 @@
      *
      * @return whether the probe may be sent
      */
-    public boolean trySpend() {
+    public boolean tryAcquire() {
         double perSecond = ASKED_PART * agreedPerSecond * upstreams.getAsInt() / Math.max(1, nodes.getAsInt());
         long now = clock.nowNanos();
         return lock.compute(() -> {
--- a/balancing/src/main/java/org/turmericspan/balancing/Registration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Registration.java
@@ -32,7 +32,7 @@
      * @param other another registration
      * @return whether they say the same
      */
-    public boolean isSameAs(Registration other) {
+    public boolean equalsIgnoringWarmUp(Registration other) {
         return id.equals(other.id)
                 && service.equals(other.service)
                 && address.equals(other.address)
--- a/balancing/src/main/java/org/turmericspan/balancing/Route.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Route.java
@@ -9,7 +9,7 @@
  * @param id name, unique in the configuration
  * @param host host the route belongs to
  * @param prefix path prefix that begins and ends with a slash
- * @param backends services that run the requests; at least one
+ * @param services services that run the requests; at least one
  * @param idempotent whether a request may run more than once
  * @param maxAttempts most upstreams to which one request may be sent
  * @param timeoutNanos longest time a caller is kept waiting
@@ -20,7 +20,7 @@
         RouteId id,
         String host,
         String prefix,
-        List<Backend> backends,
+        List<WeightedService> services,
         boolean idempotent,
         int maxAttempts,
         long timeoutNanos,
@@ -28,6 +28,6 @@
         int priority) {
     /** Copies the list. */
     public Route {
-        backends = List.copyOf(backends);
+        services = List.copyOf(services);
     }
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
@@ -46,7 +46,7 @@
      * @param path path without its query
      * @return the route; empty when none matches
      */
-    public Optional<Route> find(String host, String path) {
+    public Optional<Route> findRoute(String host, String path) {
         List<Route> routes = routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of());
         return routes.stream().filter(route -> path.startsWith(route.prefix())).findFirst();
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/ChoiceRequest.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/SelectionCriteria.java
@@ -13,12 +13,12 @@
  * @param excluded upstreams that were tried already
  * @param priority rank of the request, 0 is the highest; lower ranks find less room
  * @param maxCost highest predicted cost that is worth an attempt
- * @param maxSlowness highest slowness at which the request is expected to end before its deadline; 1 as usual
+ * @param maxSlowdown highest slowness at which the request is expected to end before its deadline; 1 as usual
  */
-public record ChoiceRequest(
-        RouteId route, ServiceId service, Set<UpstreamId> excluded, int priority, double maxCost, double maxSlowness) {
+public record SelectionCriteria(
+        RouteId route, ServiceId service, Set<UpstreamId> excluded, int priority, double maxCost, double maxSlowdown) {
     /** Copies the set. */
-    public ChoiceRequest {
+    public SelectionCriteria {
         excluded = Set.copyOf(excluded);
     }
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/Room.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ServiceCapacity.java
@@ -5,6 +5,6 @@
  *
  * @param registered upstreams of the service
  * @param usable upstreams with room for the request
- * @param busyShare share of the slots in use, of the upstreams that take requests; 0 to 1
+ * @param utilization share of the slots in use, of the upstreams that take requests; 0 to 1
  */
-public record Room(int registered, int usable, double busyShare) {}
+public record ServiceCapacity(int registered, int usable, double utilization) {}
--- a/balancing/src/main/java/org/turmericspan/balancing/TypicalLatencies.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/TypicalLatencies.java
@@ -13,7 +13,7 @@
 
     /** Takes in a whole answer. What its upstream's speed and load were expected to add does not count. */
     void learn(Placement placement, long nowNanos) {
-        double usual = (nowNanos - placement.startedNanos()) / Math.max(1, placement.duration());
+        double usual = (nowNanos - placement.startedNanos()) / Math.max(1, placement.relativeDuration());
         nanosByRoute.merge(placement.route(), usual, (old, fresh) -> old + WEIGHT * (fresh - old));
     }
 
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
@@ -51,7 +51,7 @@
             return meanSlowness;
         }
         double weight = Math.exp(-(nowNanos - observation.atNanos()) / SPEED_MEMORY_NANOS);
-        return weight * observation.slowPercent() / PERCENT + (1 - weight) * meanSlowness;
+        return weight * observation.slowdownPercent() / PERCENT + (1 - weight) * meanSlowness;
     }
 
     private static double crowding(int load, int slots) {
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelection.java
@@ -76,15 +76,15 @@
     }
 
     /** Counts what a service has to offer a request. */
-    Room room(Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
+    ServiceCapacity room(Collection<UpstreamState> states, SelectionCriteria criteria, Circumstances circumstances) {
         int registered = 0;
         int usable = 0;
         for (UpstreamState state : states) {
-            registered += state.registration().service().equals(request.service()) ? 1 : 0;
-            usable += isUsable(state, request, circumstances) ? 1 : 0;
+            registered += state.registration().service().equals(criteria.service()) ? 1 : 0;
+            usable += isUsable(state, criteria, circumstances) ? 1 : 0;
         }
-        double busyShare = busyShare(states, request.service(), circumstances.evacuated(), circumstances.nowNanos());
-        return new Room(registered, usable, busyShare);
+        double busyShare = busyShare(states, criteria.service(), circumstances.evacuated(), circumstances.nowNanos());
+        return new ServiceCapacity(registered, usable, busyShare);
     }
 
     /** An upstream and its predicted cost. */
@@ -99,7 +99,7 @@
                     now,
                     cost,
                     duration(state, circumstances),
-                    state.observation().slowPercent(),
+                    state.observation().slowdownPercent(),
                     state.load(now),
                     now - state.observation().atNanos(),
                     state.isCold(now));
@@ -111,11 +111,11 @@
         return UpstreamCost.duration(state, circumstances.meanSlowness(), circumstances.nowNanos());
     }
 
-    Optional<Choice> choose(Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
+    Optional<Choice> choose(Collection<UpstreamState> states, SelectionCriteria criteria, Circumstances circumstances) {
         UpstreamState best = null;
-        double bestCost = request.maxCost();
+        double bestCost = criteria.maxCost();
         for (UpstreamState state : states) {
-            if (!isUsable(state, request, circumstances)) {
+            if (!isUsable(state, criteria, circumstances)) {
                 continue;
             }
             double cost = cost(state, circumstances);
@@ -132,8 +132,8 @@
      * that nobody observed lately count as usual ones, so that a node that has just started finds those of other zones.
      */
     List<UpstreamState> worthAsking(
-            Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
-        List<Choice> ranked = best(states, request, circumstances);
+            Collection<UpstreamState> states, SelectionCriteria criteria, Circumstances circumstances) {
+        List<Choice> ranked = best(states, criteria, circumstances);
         if (!ranked.isEmpty()
                 && ranked.get(0).cost() <= GOOD_COST
                 && isJustObserved(ranked.get(0).state(), circumstances.nowNanos())) {
@@ -146,10 +146,11 @@
     }
 
     /** Ranks the few best candidates, the best first, without sorting all of them. */
-    private List<Choice> best(Collection<UpstreamState> states, ChoiceRequest request, Circumstances circumstances) {
+    private List<Choice> best(
+            Collection<UpstreamState> states, SelectionCriteria criteria, Circumstances circumstances) {
         List<Choice> ranked = new ArrayList<>(ASKED_CANDIDATES + 1);
         for (UpstreamState state : states) {
-            if (isUsable(state, request, circumstances) || isUnknown(state, request, circumstances)) {
+            if (isUsable(state, criteria, circumstances) || isUnknown(state, criteria, circumstances)) {
                 double cost = presumedCost(state, circumstances);
                 int place = ranked.size();
                 while (place > 0 && ranked.get(place - 1).cost() > cost) {
@@ -180,9 +181,9 @@
         return isFresh(state, circumstances.nowNanos()) ? cost : Math.max(cost, UNKNOWN_COST);
     }
 
-    private boolean isUsable(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
+    private boolean isUsable(UpstreamState state, SelectionCriteria criteria, Circumstances circumstances) {
         long now = circumstances.nowNanos();
-        if (!isCandidate(state, request, circumstances)
+        if (!isCandidate(state, criteria, circumstances)
                 || !isFresh(state, now)
                 || !state.observation().reachable()) {
             return false;
@@ -193,22 +194,22 @@
                     && state.load(now) < registration.slots()
                     && state.coldPace().allows(coldPerSecond(registration.service()), now);
         }
-        if (UpstreamCost.slowness(state, circumstances.meanSlowness(), now) > request.maxSlowness()) {
+        if (UpstreamCost.slowness(state, circumstances.meanSlowness(), now) > criteria.maxSlowdown()) {
             return false;
         }
-        return state.load(now) < RoomRule.limit(registration.slots(), request.priority(), circumstances.busyShare());
+        return state.load(now) < RoomRule.limit(registration.slots(), criteria.priority(), circumstances.busyShare());
     }
 
     /** Tells whether an upstream may turn out usable when it is asked. */
-    private static boolean isUnknown(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
-        return isCandidate(state, request, circumstances) && !isFresh(state, circumstances.nowNanos());
+    private static boolean isUnknown(UpstreamState state, SelectionCriteria criteria, Circumstances circumstances) {
+        return isCandidate(state, criteria, circumstances) && !isFresh(state, circumstances.nowNanos());
     }
 
-    private static boolean isCandidate(UpstreamState state, ChoiceRequest request, Circumstances circumstances) {
+    private static boolean isCandidate(UpstreamState state, SelectionCriteria criteria, Circumstances circumstances) {
         Registration registration = state.registration();
-        return registration.service().equals(request.service())
+        return registration.service().equals(criteria.service())
                 && takesRequests(registration, circumstances.evacuated())
-                && !request.excluded().contains(registration.id())
+                && !criteria.excluded().contains(registration.id())
                 && !state.rests(circumstances.nowNanos());
     }
 
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamState.java
@@ -65,7 +65,7 @@
             return false;
         }
         observation = newer;
-        coldUntilNanos = newer.atNanos() + newer.coldForNanos();
+        coldUntilNanos = newer.atNanos() + newer.coldRemainingNanos();
         return true;
     }
 
@@ -78,12 +78,12 @@
         return ownObservedNanos;
     }
 
-    Observation withLoad(LoadFigures figures, long nowNanos) {
+    Observation withLoad(LoadReport report, long nowNanos) {
         return new Observation(
                 nowNanos,
-                figures.running(),
-                figures.waiting(),
-                figures.slowPercent(),
+                report.running(),
+                report.waiting(),
+                report.slowdownPercent(),
                 Math.max(0, coldUntilNanos - nowNanos),
                 observation.healthy(),
                 true);
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -76,7 +76,7 @@
             }
             Registration old = state.registration();
             state.register(registration);
-            return !registration.isSameAs(old);
+            return !registration.equalsIgnoringWarmUp(old);
         });
     }
 
@@ -148,7 +148,7 @@
 
     private void observeLocked(UpstreamState state, Observation observation) {
         if (state != null && state.observe(observation) && observation.reachable()) {
-            meanSlowness += MEAN_WEIGHT * (observation.slowPercent() / PERCENT - meanSlowness);
+            meanSlowness += MEAN_WEIGHT * (observation.slowdownPercent() / PERCENT - meanSlowness);
         }
     }
 
@@ -156,16 +156,16 @@
      * Takes the load figures that came with an answer. They say nothing of warmth or health, which stay as they were.
      *
      * @param id the upstream
-     * @param figures its load at this moment
+     * @param report its load at this moment
      */
-    public void observeLoad(UpstreamId id, LoadFigures figures) {
+    public void observeLoad(UpstreamId id, LoadReport report) {
         long now = clock.nowNanos();
         lock.run(() -> {
             UpstreamState state = states.get(id);
             if (state != null
                     && state.observation() != null
                     && state.observation().reachable()) {
-                observeOwn(state, state.withLoad(figures, now));
+                observeOwn(state, state.withLoad(report, now));
             }
         });
     }
@@ -176,7 +176,7 @@
      * @param id the upstream
      * @param reached whether a connection succeeded
      */
-    public void noteReachable(UpstreamId id, boolean reached) {
+    public void recordReachability(UpstreamId id, boolean reached) {
         lock.run(() -> {
             UpstreamState state = states.get(id);
             if (state != null && reached) {
@@ -193,7 +193,7 @@
      * @param peer the node
      * @param reports one for each upstream that it speaks of
      */
-    public void acceptReports(String peer, Collection<PeerReport> reports) {
+    public void applyPeerReports(String peer, Collection<PeerReport> reports) {
         lock.run(() -> reports.forEach(report -> acceptReport(peer, report)));
     }
 
@@ -204,7 +204,7 @@
         }
         UpstreamState state = states.get(id);
         observeLocked(state, report.observation());
-        state.peerReported(peer, report.inFlight(), report.failPercent(), clock.nowNanos());
+        state.peerReported(peer, report.inFlight(), report.failurePercent(), clock.nowNanos());
     }
 
     /**
@@ -223,7 +223,7 @@
      * @param maxAgeNanos age up to which its observations count
      * @return one report for each upstream that it observed lately, or at which its requests run or failed
      */
-    public List<PeerReport> ownReports(long maxAgeNanos) {
+    public List<PeerReport> localReports(long maxAgeNanos) {
         return reportsOf((state, now) -> now - state.ownObservedNanos() <= maxAgeNanos
                 || state.ownInFlight() > 0
                 || state.ownFailShare(now) >= TOLD_FAIL_SHARE);
@@ -262,7 +262,7 @@
      *
      * @return true also when none is registered
      */
-    public boolean isMostlyObserved() {
+    public boolean hasRecentObservations() {
         long now = clock.nowNanos();
         return lock.compute(() -> {
             List<UpstreamState> near = states.values().stream()
@@ -278,48 +278,49 @@
     /**
      * Chooses the upstream of lowest predicted cost and counts the attempt there.
      *
-     * @param request what the choice must respect
+     * @param criteria what the choice must respect
      * @return the place; empty when no upstream can take the request now
      */
-    public Optional<Placement> choose(ChoiceRequest request) {
+    public Optional<Placement> choose(SelectionCriteria criteria) {
         long now = clock.nowNanos();
         return lock.compute(() -> {
-            Circumstances circumstances = circumstances(request, now);
+            Circumstances circumstances = circumstances(criteria, now);
             return selection
-                    .choose(states.values(), request, circumstances)
-                    .map(choice -> place(choice, request.route(), circumstances));
+                    .choose(states.values(), criteria, circumstances)
+                    .map(choice -> place(choice, criteria.route(), circumstances));
         });
     }
 
     /**
      * Tells what a service has to offer a request, whatever its cost.
      *
-     * @param request what is needed
+     * @param criteria what is needed
      * @return the counts of this moment
      */
-    public Room room(ChoiceRequest request) {
+    public ServiceCapacity capacity(SelectionCriteria criteria) {
         long now = clock.nowNanos();
-        return lock.compute(() -> selection.room(states.values(), request, circumstances(request, now)));
+        return lock.compute(() -> selection.room(states.values(), criteria, circumstances(criteria, now)));
     }
 
-    private Circumstances circumstances(ChoiceRequest request, long now) {
-        double busyShare = RoomRule.dependsOnBusyShare(request.priority())
-                ? UpstreamSelection.busyShare(states.values(), request.service(), evacuated, now)
+    private Circumstances circumstances(SelectionCriteria criteria, long now) {
+        double busyShare = RoomRule.dependsOnBusyShare(criteria.priority())
+                ? UpstreamSelection.busyShare(states.values(), criteria.service(), evacuated, now)
                 : 0;
-        return new Circumstances(evacuated, busyShare, meanSlowness, latencies.nanos(request.route()), now);
+        return new Circumstances(evacuated, busyShare, meanSlowness, latencies.nanos(criteria.route()), now);
     }
 
     /**
      * Lists the upstreams whose load is worth asking for before {@link #choose}.
      *
-     * @param request what the choice must respect
+     * @param criteria what the choice must respect
      * @return the best candidates of which nothing fresh is known; empty when the choice is good as it stands
      */
-    public List<Registration> worthAsking(ChoiceRequest request) {
+    public List<Registration> candidatesToProbe(SelectionCriteria criteria) {
         long now = clock.nowNanos();
-        return lock.compute(() -> selection.worthAsking(states.values(), request, circumstances(request, now)).stream()
-                .map(UpstreamState::registration)
-                .toList());
+        return lock.compute(
+                () -> selection.worthAsking(states.values(), criteria, circumstances(criteria, now)).stream()
+                        .map(UpstreamState::registration)
+                        .toList());
     }
 
     private Placement place(Choice choice, RouteId route, Circumstances circumstances) {
@@ -356,7 +357,7 @@
      * @param route the route
      * @return nanoseconds; 0 when nothing is known
      */
-    public long typicalNanos(RouteId route) {
+    public long typicalLatencyNanos(RouteId route) {
         return lock.compute(() -> latencies.nanos(route));
     }
 
@@ -366,12 +367,12 @@
      * @param id the upstream
      * @return percent, 100 as usual; 100 when nothing is known
      */
-    public int slowPercent(UpstreamId id) {
+    public int slowdownPercent(UpstreamId id) {
         return lock.compute(() -> {
             UpstreamState state = states.get(id);
             return state == null || state.observation() == null
-                    ? LoadFigures.USUAL.slowPercent()
-                    : state.observation().slowPercent();
+                    ? LoadReport.NORMAL.slowdownPercent()
+                    : state.observation().slowdownPercent();
         });
     }
 
--- a/balancing/src/main/java/org/turmericspan/balancing/WeightedRotation.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WeightedRoundRobin.java
@@ -12,9 +12,9 @@
  * Spreads the requests of each route over its backends by smooth weighted round robin, so that every share is kept to
  * within one request on each node. The start is drawn, so that nodes do not all begin with the same backend.
  */
-public final class WeightedRotation {
+public final class WeightedRoundRobin {
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
-    private final Map<List<Backend>, double[]> credits = new HashMap<>();
+    private final Map<List<WeightedService>, double[]> credits = new HashMap<>();
     private final RandomGenerator random;
 
     /**
@@ -22,7 +22,7 @@
      *
      * @param random draws the start
      */
-    public WeightedRotation(RandomGenerator random) {
+    public WeightedRoundRobin(RandomGenerator random) {
         this.random = random;
     }
 
@@ -33,20 +33,20 @@
      * @return service of the chosen backend
      */
     public ServiceId next(Route route) {
-        List<Backend> backends = route.backends();
-        if (backends.size() == 1) {
-            return backends.get(0).service();
+        List<WeightedService> services = route.services();
+        if (services.size() == 1) {
+            return services.get(0).service();
         }
-        return lock.compute(() -> advance(backends, credits.computeIfAbsent(backends, this::start)));
+        return lock.compute(() -> advance(services, credits.computeIfAbsent(services, this::start)));
     }
 
-    private double[] start(List<Backend> backends) {
+    private double[] start(List<WeightedService> backends) {
         return backends.stream()
-                .mapToDouble(backend -> random.nextDouble() * backend.weight())
+                .mapToDouble(weightedService -> random.nextDouble() * weightedService.weight())
                 .toArray();
     }
 
-    private static ServiceId advance(List<Backend> backends, double[] credit) {
+    private static ServiceId advance(List<WeightedService> backends, double[] credit) {
         int best = 0;
         double total = 0;
         for (int i = 0; i < credit.length; i++) {
--- a/balancing/src/main/java/org/turmericspan/balancing/Backend.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WeightedService.java
@@ -8,4 +8,4 @@
  * @param service service that runs the requests
  * @param weight share of the route's requests, relative to the other backends; above 0
  */
-public record Backend(ServiceId service, double weight) {}
+public record WeightedService(ServiceId service, double weight) {}
--- a/balancing/src/main/java/org/turmericspan/balancing/RepeatWindow.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
@@ -14,7 +14,7 @@
  * This node's part of the repeats that the fleet may make within a sliding window: the agreed ratio of its own
  * requests, and an equal part of the slack.
  */
-public final class RepeatWindow {
+public final class WindowedRetryBudget {
     /**
      * Part of the agreed budget that requests of each priority may use up, so that what matters most still finds some
      * when servers fail. The rest is a margin for requests at the window's edges.
@@ -34,7 +34,7 @@
      * @param nodes nodes that share the slack
      * @param clock monotonic time
      */
-    public RepeatWindow(BalancingRules rules, IntSupplier nodes, MonotonicClock clock) {
+    public WindowedRetryBudget(BalancingRules rules, IntSupplier nodes, MonotonicClock clock) {
         this.rules = rules;
         this.nodes = nodes;
         this.clock = clock;
@@ -57,7 +57,7 @@
      * @param priority rank of the request, 0 is the highest
      * @return whether the repeat may be made
      */
-    public boolean trySpend(ServiceId service, int priority) {
+    public boolean tryAcquire(ServiceId service, int priority) {
         double part = USED_PARTS[Math.min(priority, USED_PARTS.length - 1)];
         long now = clock.nowNanos();
         double slack = rules.retrySlack() / Math.max(1, nodes.getAsInt());
--- a/balancing/src/test/java/org/turmericspan/balancing/CrashSuspectsTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/CrashSuspectsTest.java
@@ -14,8 +14,8 @@
     private final CrashSuspects suspects = new CrashSuspects(clock);
 
     private void crash(String upstream) {
-        suspects.attemptBroken(REQUEST, new UpstreamId(upstream));
-        suspects.upstreamLost(new UpstreamId(upstream));
+        suspects.recordConnectionLoss(REQUEST, new UpstreamId(upstream));
+        suspects.recordUpstreamLoss(new UpstreamId(upstream));
     }
 
     @Test
@@ -38,7 +38,7 @@
     @Test
     void brokenConnectionAloneIsNoCrash() {
         for (int i = 0; i < 5; i++) {
-            suspects.attemptBroken(REQUEST, new UpstreamId("u-" + i));
+            suspects.recordConnectionLoss(REQUEST, new UpstreamId("u-" + i));
         }
         assertThat(suspects.isQuarantined(REQUEST)).isFalse();
     }
@@ -46,8 +46,8 @@
     @Test
     void crashesSeenByOtherNodesCount() {
         crash("u-1");
-        suspects.accept(new CrashSuspects.Crash(REQUEST, 7));
-        suspects.accept(new CrashSuspects.Crash(REQUEST, 8));
+        suspects.recordPeerCrash(new CrashSuspects.Crash(REQUEST, 7));
+        suspects.recordPeerCrash(new CrashSuspects.Crash(REQUEST, 8));
         assertThat(suspects.isQuarantined(REQUEST)).isTrue();
     }
 
--- a/balancing/src/test/java/org/turmericspan/balancing/ProbeBudgetTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/ProbeBudgetTest.java
@@ -16,7 +16,7 @@
 
     private int spendAll() {
         int spent = 0;
-        while (budget.trySpend()) {
+        while (budget.tryAcquire()) {
             spent++;
         }
         return spent;
@@ -42,6 +42,6 @@
 
     @Test
     void nothingIsSavedUpAtTheStart() {
-        assertThat(budget.trySpend()).isFalse();
+        assertThat(budget.tryAcquire()).isFalse();
     }
 }
--- a/balancing/src/test/java/org/turmericspan/balancing/RoutingConfigurationTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/RoutingConfigurationTest.java
@@ -7,31 +7,31 @@
 class RoutingConfigurationTest {
     private final RoutingConfiguration configuration = Samples.configuration(
             1,
-            Samples.route("/a/", new Backend(Samples.SERVICE, 1)),
-            Samples.route("/a/b/", new Backend(Samples.SERVICE, 1)));
+            Samples.route("/a/", new WeightedService(Samples.SERVICE, 1)),
+            Samples.route("/a/b/", new WeightedService(Samples.SERVICE, 1)));
 
     @Test
     void longestPrefixWins() {
-        assertThat(configuration.find("shop.example", "/a/b/c"))
+        assertThat(configuration.findRoute("shop.example", "/a/b/c"))
                 .map(Route::prefix)
                 .hasValue("/a/b/");
     }
 
     @Test
     void prefixEndsAtItsSlash() {
-        assertThat(configuration.find("shop.example", "/a/bc"))
+        assertThat(configuration.findRoute("shop.example", "/a/bc"))
                 .map(Route::prefix)
                 .hasValue("/a/");
     }
 
     @Test
     void hostIsComparedWithoutCase() {
-        assertThat(configuration.find("SHOP.example", "/a/x")).isPresent();
+        assertThat(configuration.findRoute("SHOP.example", "/a/x")).isPresent();
     }
 
     @Test
     void unknownPathHasNoRoute() {
-        assertThat(configuration.find("shop.example", "/z/x")).isEmpty();
+        assertThat(configuration.findRoute("shop.example", "/z/x")).isEmpty();
     }
 
     @Test
--- a/balancing/src/test/java/org/turmericspan/balancing/Samples.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/Samples.java
@@ -19,7 +19,7 @@
 
     private Samples() {}
 
-    static Route route(String prefix, Backend... backends) {
+    static Route route(String prefix, WeightedService... backends) {
         return new Route(
                 new RouteId("r" + prefix),
                 "shop.example",
@@ -46,7 +46,7 @@
         return new Observation(atNanos, 0, 0, slowPercent, 0, true, true);
     }
 
-    static ChoiceRequest choice() {
-        return new ChoiceRequest(new RouteId("r"), SERVICE, Set.of(), 2, Double.MAX_VALUE, Double.MAX_VALUE);
+    static SelectionCriteria choice() {
+        return new SelectionCriteria(new RouteId("r"), SERVICE, Set.of(), 2, Double.MAX_VALUE, Double.MAX_VALUE);
     }
 }
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -48,7 +48,7 @@
         table.observe(full, new Observation(clock.nowNanos() + 1, 9, 9, 100, 0, true, true));
         table.register(Samples.registration("u-unknown", Samples.HOME));
 
-        assertThat(table.worthAsking(Samples.choice()))
+        assertThat(table.candidatesToProbe(Samples.choice()))
                 .extracting(Registration::id)
                 .containsExactly(new UpstreamId("u-unknown"));
     }
@@ -58,7 +58,7 @@
         add("u-free", 100);
         table.register(Samples.registration("u-unknown", Samples.HOME));
 
-        assertThat(table.worthAsking(Samples.choice())).isEmpty();
+        assertThat(table.candidatesToProbe(Samples.choice())).isEmpty();
     }
 
     @Test
@@ -108,7 +108,7 @@
         clock.advance(Duration.ofMillis(1));
         table.observe(full, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
 
-        assertThat(table.room(Samples.choice())).isEqualTo(new Room(2, 0, 1.0));
+        assertThat(table.capacity(Samples.choice())).isEqualTo(new ServiceCapacity(2, 0, 1.0));
     }
 
     @Test
@@ -173,9 +173,9 @@
     @Test
     void upstreamThatCannotBeReachedRests() {
         UpstreamId id = add("u-1", 100);
-        table.noteReachable(id, false);
+        table.recordReachability(id, false);
         assertThat(chosen()).isEmpty();
-        table.noteReachable(id, true);
+        table.recordReachability(id, true);
         assertThat(chosen()).hasValue(id);
     }
 
@@ -193,7 +193,7 @@
     void upstreamThatItsOwnerCannotReachGetsNothing() {
         UpstreamId id = add("u-1", 100);
         clock.advance(Duration.ofMillis(1));
-        table.acceptReports(
+        table.applyPeerReports(
                 "10.0.0.9:1",
                 List.of(new PeerReport(StableHash.of(id.value()), Observation.unreachable(clock.nowNanos(), 0), 0, 0)));
         assertThat(chosen()).isEmpty();
@@ -206,7 +206,7 @@
     void requestsOfPeersCountAsLoad() {
         UpstreamId busy = add("u-1", 100);
         UpstreamId idle = add("u-2", 100);
-        table.acceptReports(
+        table.applyPeerReports(
                 "10.0.0.9:1",
                 List.of(new PeerReport(
                         StableHash.of(busy.value()), Samples.observation(clock.nowNanos() - 1, 100), 3, 0)));
@@ -218,11 +218,11 @@
         UpstreamId own = add("u-own", 100);
         Registration other = Samples.registration("u-other", Samples.HOME);
         table.register(other);
-        table.acceptReports(
+        table.applyPeerReports(
                 "peer",
                 List.of(new PeerReport(StableHash.of("u-other"), Samples.observation(clock.nowNanos(), 100), 2, 0)));
         long second = Duration.ofSeconds(1).toNanos();
-        assertThat(table.ownReports(second))
+        assertThat(table.localReports(second))
                 .extracting(PeerReport::upstreamHash)
                 .containsExactly(StableHash.of(own.value()));
         assertThat(table.reports(registration -> true)).hasSize(2);
@@ -232,11 +232,11 @@
     void requestUnderWayIsToldThoughItsUpstreamWasSeenByOthersOnly() {
         Registration other = Samples.registration("u-other", Samples.HOME);
         table.register(other);
-        table.acceptReports(
+        table.applyPeerReports(
                 "peer",
                 List.of(new PeerReport(StableHash.of("u-other"), Samples.observation(clock.nowNanos(), 100), 0, 0)));
         assertThat(chosen()).hasValue(other.id());
-        assertThat(table.ownReports(1)).extracting(PeerReport::inFlight).containsExactly(1);
+        assertThat(table.localReports(1)).extracting(PeerReport::inFlight).containsExactly(1);
     }
 
     @Test
@@ -249,7 +249,7 @@
         clock.advance(Duration.ofMillis(100));
         table.finish(placement, AttemptResult.SUCCESS);
 
-        assertThat(table.typicalNanos(placement.route()))
+        assertThat(table.typicalLatencyNanos(placement.route()))
                 .isEqualTo(Duration.ofMillis(100).toNanos());
     }
 
@@ -258,7 +258,8 @@
         UpstreamId id = add("u-1", 100);
         clock.advance(Duration.ofMillis(1));
         table.observe(id, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
-        ChoiceRequest urgent = new ChoiceRequest(new RouteId("r"), Samples.SERVICE, Set.of(), 0, Double.MAX_VALUE, 1.5);
+        SelectionCriteria urgent =
+                new SelectionCriteria(new RouteId("r"), Samples.SERVICE, Set.of(), 0, Double.MAX_VALUE, 1.5);
 
         assertThat(table.choose(urgent)).isPresent();
     }
@@ -266,8 +267,9 @@
     @Test
     void upstreamTooSlowForTheDeadlineGetsNothing() {
         add("u-1", 1_200);
-        ChoiceRequest request = new ChoiceRequest(new RouteId("r"), Samples.SERVICE, Set.of(), 0, Double.MAX_VALUE, 11);
+        SelectionCriteria criteria =
+                new SelectionCriteria(new RouteId("r"), Samples.SERVICE, Set.of(), 0, Double.MAX_VALUE, 11);
 
-        assertThat(table.choose(request)).isEmpty();
+        assertThat(table.choose(criteria)).isEmpty();
     }
 }
--- a/balancing/src/test/java/org/turmericspan/balancing/WeightedRotationTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/WeightedRoundRobinTest.java
@@ -6,15 +6,15 @@
 import org.junit.jupiter.api.Test;
 import org.turmericspan.ids.ServiceId;
 
-class WeightedRotationTest {
+class WeightedRoundRobinTest {
     @Test
     void sharesAreKeptToWithinOneRequest() {
         ServiceId other = new ServiceId("floor");
-        Route route = Samples.route("/a/", new Backend(Samples.SERVICE, 7), new Backend(other, 3));
-        WeightedRotation rotation = new WeightedRotation(new SplittableRandom(3));
+        Route route = Samples.route("/a/", new WeightedService(Samples.SERVICE, 7), new WeightedService(other, 3));
+        WeightedRoundRobin roundRobin = new WeightedRoundRobin(new SplittableRandom(3));
         int count = 0;
         for (int i = 1; i <= 100; i++) {
-            count += rotation.next(route).equals(other) ? 1 : 0;
+            count += roundRobin.next(route).equals(other) ? 1 : 0;
             assertThat(Math.abs(count - 0.3 * i)).isLessThanOrEqualTo(1.5);
         }
     }
--- a/calls/src/main/java/org/turmericspan/calls/UpstreamReply.java
+++ b/calls/src/main/java/org/turmericspan/calls/AttemptOutcome.java
@@ -6,29 +6,29 @@
  * How one attempt on one upstream ended.
  *
  * @param kind what came back
- * @param answer the whole answer when {@code kind} is {@link Kind#WHOLE}, else an empty one
+ * @param answer the whole answer when {@code kind} is {@link Kind#COMPLETE}, else an empty one
  * @param elapsed from the first byte sent; zero when nothing was sent
  * @param signals what the upstream said of itself
  */
-public record UpstreamReply(Kind kind, CallResult.Answered answer, Duration elapsed, UpstreamSignals signals) {
+public record AttemptOutcome(Kind kind, CallResult.Answered answer, Duration elapsed, UpstreamSignals signals) {
     /** What came back. */
     public enum Kind {
         /** A whole answer. */
-        WHOLE,
+        COMPLETE,
         /** The upstream said that it did not run the request. */
         SHED,
         /** The connection was refused or could not be made; no byte was sent. */
-        NOT_CONNECTED,
+        CONNECT_FAILED,
         /** The lease no longer held when the first byte was to be written; no byte was sent. */
-        LEASE_VOID,
+        LEASE_INVALID,
         /** Bytes were sent and no whole answer came back. */
-        BROKEN,
+        CONNECTION_LOST,
         /** Bytes were sent and the deadline passed. */
         TIMED_OUT,
         /** The deadline passed or the attempt was cancelled before any byte was sent. */
-        CANCELLED_UNSENT,
+        CANCELLED_BEFORE_SEND,
         /** The attempt was cancelled by the balancer after bytes were sent. */
-        CANCELLED_SENT,
+        CANCELLED_AFTER_SEND,
         /** The answer exceeded the limit. */
         ANSWER_TOO_LARGE
     }
@@ -40,7 +40,7 @@
      */
     public boolean mayHaveRun() {
         return switch (kind) {
-            case SHED, NOT_CONNECTED, LEASE_VOID, CANCELLED_UNSENT -> false;
+            case SHED, CONNECT_FAILED, LEASE_INVALID, CANCELLED_BEFORE_SEND -> false;
             default -> true;
         };
     }
--- a/calls/src/main/java/org/turmericspan/calls/Located.java
+++ b/calls/src/main/java/org/turmericspan/calls/LocateResult.java
@@ -11,9 +11,9 @@
  * @param addresses in order of preference
  * @param timeToLive how long the caller may keep the answer
  */
-public record Located(List<Address> addresses, Duration timeToLive) {
+public record LocateResult(List<Endpoint> addresses, Duration timeToLive) {
     /** Copies the list. */
-    public Located {
+    public LocateResult {
         addresses = List.copyOf(addresses);
     }
 
@@ -24,5 +24,5 @@
      * @param address where callers connect
      * @param weight share of the service's slots it keeps
      */
-    public record Address(VmId vm, SocketAddress address, int weight) {}
+    public record Endpoint(VmId vm, SocketAddress address, int weight) {}
 }
--- a/calls/src/main/java/org/turmericspan/calls/Locator.java
+++ b/calls/src/main/java/org/turmericspan/calls/Locator.java
@@ -12,5 +12,5 @@
      * @param service service to be called
      * @return the answer, or empty when the service is not configured
      */
-    Optional<Located> locate(ServiceId service);
+    Optional<LocateResult> locate(ServiceId service);
 }
--- a/calls/src/main/java/org/turmericspan/calls/ServiceLimits.java
+++ b/calls/src/main/java/org/turmericspan/calls/ServiceLimits.java
@@ -6,9 +6,8 @@
  * Limits on the requests of one service.
  *
  * @param defaultDeadline deadline of a request that names none
- * @param longestDeadline longest deadline a request may name
+ * @param maxDeadline longest deadline a request may name
  * @param bodyLimitBytes largest request body
  * @param answerLimitBytes largest answer
  */
-public record ServiceLimits(
-        Duration defaultDeadline, Duration longestDeadline, int bodyLimitBytes, int answerLimitBytes) {}
+public record ServiceLimits(Duration defaultDeadline, Duration maxDeadline, int bodyLimitBytes, int answerLimitBytes) {}
--- a/calls/src/main/java/org/turmericspan/calls/SlotDecision.java
+++ b/calls/src/main/java/org/turmericspan/calls/SlotDecision.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import org.turmericspan.errors.ResultCode;
 
-/** Answer to a {@link SlotWish}. */
+/** Answer to a {@link SlotRequest}. */
 public sealed interface SlotDecision {
     /**
      * A slot was granted.
--- a/calls/src/main/java/org/turmericspan/calls/SlotWish.java
+++ b/calls/src/main/java/org/turmericspan/calls/SlotRequest.java
@@ -15,21 +15,21 @@
  * @param deadlineNanos monotonic time after which the slot is of no use
  * @param depth number of balanced calls above this one
  * @param idempotent whether the request may be repeated
- * @param avoid upstreams that must not be chosen
+ * @param excludedUpstreams upstreams that must not be chosen
  * @param idleOnly whether only a slot idle now will do, as for a hedge or a retry
  */
-public record SlotWish(
+public record SlotRequest(
         ServiceId service,
         OfficeId office,
         CallerId caller,
         long deadlineNanos,
         int depth,
         boolean idempotent,
-        Set<UpstreamId> avoid,
+        Set<UpstreamId> excludedUpstreams,
         boolean idleOnly) {
     /** Copies the set. */
-    public SlotWish {
-        avoid = Set.copyOf(avoid);
+    public SlotRequest {
+        excludedUpstreams = Set.copyOf(excludedUpstreams);
     }
 
     /**
@@ -38,7 +38,7 @@
      * @param request the call
      * @return a wish that may wait
      */
-    public static SlotWish first(CallRequest request) {
+    public static SlotRequest forFirstAttempt(CallRequest request) {
         return of(request, Set.of(), false);
     }
 
@@ -46,10 +46,10 @@
      * Builds the wish of a retry or hedge, which takes idle slots only.
      *
      * @param request the call
-     * @param avoid upstreams already tried
+     * @param excludedUpstreams upstreams already tried
      * @return a wish that does not wait
      */
-    public static SlotWish repeat(CallRequest request, Set<UpstreamId> avoid) {
+    public static SlotRequest forExtraAttempt(CallRequest request, Set<UpstreamId> avoid) {
         return of(request, avoid, true);
     }
 
@@ -59,12 +59,13 @@
      * @param newDeadlineNanos monotonic time, or the remaining span inside a message between nodes
      * @return a copy
      */
-    public SlotWish withDeadlineNanos(long newDeadlineNanos) {
-        return new SlotWish(service, office, caller, newDeadlineNanos, depth, idempotent, avoid, idleOnly);
+    public SlotRequest withDeadlineNanos(long newDeadlineNanos) {
+        return new SlotRequest(
+                service, office, caller, newDeadlineNanos, depth, idempotent, excludedUpstreams, idleOnly);
     }
 
-    private static SlotWish of(CallRequest request, Set<UpstreamId> avoid, boolean idleOnly) {
-        return new SlotWish(
+    private static SlotRequest of(CallRequest request, Set<UpstreamId> avoid, boolean idleOnly) {
+        return new SlotRequest(
                 request.service(),
                 request.office(),
                 request.caller(),
--- a/calls/src/main/java/org/turmericspan/calls/SlotSource.java
+++ b/calls/src/main/java/org/turmericspan/calls/SlotSource.java
@@ -8,8 +8,8 @@
     /**
      * Asks for a slot without blocking; the wish waits as parked state.
      *
-     * @param wish what is wished for
+     * @param request what is wished for
      * @return the decision; the stage never completes exceptionally
      */
-    CompletionStage<SlotDecision> acquire(SlotWish wish);
+    CompletionStage<SlotDecision> acquire(SlotRequest request);
 }
--- a/calls/src/main/java/org/turmericspan/calls/UpstreamExchange.java
+++ b/calls/src/main/java/org/turmericspan/calls/UpstreamExchange.java
@@ -9,7 +9,7 @@
      *
      * @return the reply; the stage never completes exceptionally
      */
-    CompletionStage<UpstreamReply> reply();
+    CompletionStage<AttemptOutcome> outcome();
 
     /** Cancels the attempt; the reply then tells whether bytes were sent. */
     void cancel();
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptAction.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptAction.java
@@ -3,8 +3,8 @@
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.SlotLease;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
 
 /** Something to do for a call. */
 sealed interface AttemptAction {
@@ -12,9 +12,9 @@
      * Wish for a slot.
      *
      * @param attempt number of the attempt
-     * @param wish what to wish for
+     * @param slotRequest what to wish for
      */
-    record Acquire(int attempt, SlotWish wish) implements AttemptAction {}
+    record Acquire(int attempt, SlotRequest slotRequest) implements AttemptAction {}
 
     /**
      * Send an attempt.
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptParts.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptDependencies.java
@@ -11,16 +11,16 @@
  * @param catalog limits of the services
  * @param slots grants slots
  * @param sender sends attempts
- * @param deaths finds out whether an upstream died
+ * @param crashDetector finds out whether an upstream died
  * @param timer delays hedges
  * @param metrics counts
  * @param clock measures deadlines
  */
-public record AttemptParts(
+public record AttemptDependencies(
         ServiceCatalog catalog,
         SlotSource slots,
         UpstreamSender sender,
-        DeathWatch deaths,
+        CrashDetector crashDetector,
         AttemptTimer timer,
         AttemptMetrics metrics,
         MonotonicClock clock) {}
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptEvent.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptEvent.java
@@ -1,7 +1,7 @@
 package org.turmericspan.dispatch;
 
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.SlotDecision;
-import org.turmericspan.calls.UpstreamReply;
 
 /** Something that happened to a call. */
 sealed interface AttemptEvent {
@@ -20,10 +20,10 @@
      * An attempt ended.
      *
      * @param attempt its number
-     * @param reply how it ended
+     * @param outcome how it ended
      * @param upstreamDied whether its upstream died while it ran there
      */
-    record Replied(int attempt, UpstreamReply reply, boolean upstreamDied) implements AttemptEvent {}
+    record Replied(int attempt, AttemptOutcome outcome, boolean upstreamDied) implements AttemptEvent {}
 
     /** The hedge delay passed. */
     record HedgeDue() implements AttemptEvent {}
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptHandler.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptHandler.java
@@ -9,25 +9,26 @@
 
 /** Makes the attempts of calls: takes a slot, sends under it, repeats where that is safe, and answers once. */
 public final class AttemptHandler implements CallHandler {
-    private final AttemptParts parts;
-    private final RepeatPolicies policies;
+    private final AttemptDependencies dependencies;
+    private final RetryPolicies policies;
 
     /**
      * Creates a handler.
      *
-     * @param parts what attempts are made with
+     * @param dependencies what attempts are made with
      * @param policies decides on repeats
      */
-    public AttemptHandler(AttemptParts parts, RepeatPolicies policies) {
-        this.parts = parts;
+    public AttemptHandler(AttemptDependencies dependencies, RetryPolicies policies) {
+        this.dependencies = dependencies;
         this.policies = policies;
     }
 
     @Override
     public CompletionStage<CallResult> handle(CallRequest request) {
-        return parts.catalog()
+        return dependencies
+                .catalog()
                 .limits(request.service())
-                .map(limits -> new CallRun(parts, policies, request, limits.answerLimitBytes()).start())
+                .map(limits -> new CallRun(dependencies, policies, request, limits.answerLimitBytes()).start())
                 .orElseGet(() -> CompletableFuture.completedFuture(
                         CallResult.Refused.of(ResultCode.NOT_CONFIGURED, "The service has gone.")));
     }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptMetrics.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptMetrics.java
@@ -10,7 +10,7 @@
      *
      * @param service service called
      */
-    void call(ServiceId service);
+    void recordCall(ServiceId service);
 
     /**
      * Counts a whole answer.
@@ -18,15 +18,15 @@
      * @param service service called
      * @param elapsed from the first byte sent to the whole answer
      */
-    void answer(ServiceId service, Duration elapsed);
+    void recordResponse(ServiceId service, Duration elapsed);
 
     /** Counts a hedge or retry that was sent. */
-    void repeat();
+    void recordExtraAttempt();
 
     /**
      * Counts a slot decision.
      *
      * @param waited time from the wish to its decision
      */
-    void decided(Duration waited);
+    void recordSlotWait(Duration waited);
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CallProgress.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CallProgress.java
@@ -6,13 +6,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.SlotDecision;
 import org.turmericspan.calls.SlotLease;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
-import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.retry.FailedAttempt;
 
@@ -25,17 +25,17 @@
     private static final int MAX_VOID_LEASES = 2;
 
     private final CallRequest request;
-    private final RepeatPolicies policies;
+    private final RetryPolicies policies;
     private final List<Attempt> attempts = new ArrayList<>(1);
     private final Set<UpstreamId> tried = new HashSet<>();
-    private Optional<UpstreamReply> failure = Optional.empty();
+    private Optional<AttemptOutcome> failure = Optional.empty();
     private boolean finished;
     private boolean upstreamDied;
     private int open;
     private int repeats;
     private int voidLeases;
 
-    CallProgress(CallRequest request, RepeatPolicies policies) {
+    CallProgress(CallRequest request, RetryPolicies policies) {
         this.request = request;
         this.policies = policies;
     }
@@ -49,7 +49,7 @@
      */
     List<AttemptAction> handle(AttemptEvent event, long nowNanos) {
         if (event instanceof AttemptEvent.Started) {
-            return List.of(acquire(SlotWish.first(request), Kind.FIRST));
+            return List.of(acquire(SlotRequest.forFirstAttempt(request), Kind.FIRST));
         }
         if (event instanceof AttemptEvent.Decided decided) {
             return decided(decided);
@@ -64,10 +64,10 @@
         return repeats;
     }
 
-    private AttemptAction acquire(SlotWish wish, Kind kind) {
+    private AttemptAction acquire(SlotRequest request, Kind kind) {
         attempts.add(new Attempt(kind));
         open++;
-        return new AttemptAction.Acquire(attempts.size() - 1, wish);
+        return new AttemptAction.Acquire(attempts.size() - 1, request);
     }
 
     private List<AttemptAction> decided(AttemptEvent.Decided event) {
@@ -106,7 +106,7 @@
         if (!isOfUse || request.deadlineNanos() <= nowNanos) {
             return List.of();
         }
-        return spendRepeat() ? List.of(acquire(SlotWish.repeat(request, tried), Kind.REPEAT)) : List.of();
+        return spendRepeat() ? List.of(acquire(SlotRequest.forExtraAttempt(request, tried), Kind.REPEAT)) : List.of();
     }
 
     private boolean isFirstUnderWay() {
@@ -115,7 +115,7 @@
     }
 
     private boolean spendRepeat() {
-        boolean granted = policies.budget().trySpend(request.service());
+        boolean granted = policies.budget().tryAcquire(request.service());
         if (granted) {
             repeats++;
         }
@@ -124,26 +124,26 @@
 
     private List<AttemptAction> replied(AttemptEvent.Replied event, long nowNanos) {
         Attempt attempt = attempts.get(event.attempt());
-        UpstreamReply reply = event.reply();
+        AttemptOutcome outcome = event.outcome();
         open--;
         List<AttemptAction> actions = new ArrayList<>(2);
-        actions.add(new AttemptAction.Release(attempt.lease.orElseThrow(), ReplyOutcome.slotReturn(reply)));
+        actions.add(new AttemptAction.Release(attempt.lease.orElseThrow(), ReplyOutcome.slotReturn(outcome)));
         attempt.lease = Optional.empty();
         if (finished) {
             return actions;
         }
         upstreamDied |= event.upstreamDied();
-        if (isFinal(reply)) {
+        if (isFinal(outcome)) {
             cancelOthers(actions);
-            actions.add(finish(ReplyOutcome.result(reply)));
+            actions.add(finish(ReplyOutcome.result(outcome)));
         } else {
-            failed(reply, nowNanos, actions);
+            failed(outcome, nowNanos, actions);
         }
         return actions;
     }
 
-    private static boolean isFinal(UpstreamReply reply) {
-        return reply.kind() == UpstreamReply.Kind.WHOLE || reply.kind() == UpstreamReply.Kind.ANSWER_TOO_LARGE;
+    private static boolean isFinal(AttemptOutcome outcome) {
+        return outcome.kind() == AttemptOutcome.Kind.COMPLETE || outcome.kind() == AttemptOutcome.Kind.ANSWER_TOO_LARGE;
     }
 
     private void cancelOthers(List<AttemptAction> actions) {
@@ -154,10 +154,10 @@
         }
     }
 
-    private void failed(UpstreamReply reply, long nowNanos, List<AttemptAction> actions) {
-        boolean isVoid = reply.kind() == UpstreamReply.Kind.LEASE_VOID;
+    private void failed(AttemptOutcome outcome, long nowNanos, List<AttemptAction> actions) {
+        boolean isVoid = outcome.kind() == AttemptOutcome.Kind.LEASE_INVALID;
         if (!isVoid) {
-            failure = Optional.of(worse(reply));
+            failure = Optional.of(worse(outcome));
         }
         if (open > 0) {
             return;
@@ -165,26 +165,26 @@
         long remainingNanos = request.deadlineNanos() - nowNanos;
         if (isVoid && failure.isEmpty() && voidLeases < MAX_VOID_LEASES && remainingNanos > 0) {
             voidLeases++;
-            actions.add(acquire(SlotWish.first(request), Kind.FIRST));
-        } else if (mayRetry(reply, remainingNanos)) {
-            actions.add(acquire(SlotWish.repeat(request, tried), Kind.REPEAT));
+            actions.add(acquire(SlotRequest.forFirstAttempt(request), Kind.FIRST));
+        } else if (mayRetry(outcome, remainingNanos)) {
+            actions.add(acquire(SlotRequest.forExtraAttempt(request, tried), Kind.REPEAT));
         } else {
-            actions.add(finish(ReplyOutcome.result(failure.orElse(reply))));
+            actions.add(finish(ReplyOutcome.result(failure.orElse(outcome))));
         }
     }
 
     /** Keeps the failure that says most about whether the call ran. */
-    private UpstreamReply worse(UpstreamReply reply) {
-        return failure.filter(UpstreamReply::mayHaveRun)
-                .filter(earlier -> !reply.mayHaveRun())
-                .orElse(reply);
+    private AttemptOutcome worse(AttemptOutcome outcome) {
+        return failure.filter(AttemptOutcome::mayHaveRun)
+                .filter(earlier -> !outcome.mayHaveRun())
+                .orElse(outcome);
     }
 
-    private boolean mayRetry(UpstreamReply reply, long remainingNanos) {
-        FailedAttempt failed = new FailedAttempt(request, reply, remainingNanos, repeats);
+    private boolean mayRetry(AttemptOutcome outcome, long remainingNanos) {
+        FailedAttempt failed = new FailedAttempt(request, outcome, remainingNanos, repeats);
         return !upstreamDied
                 && remainingNanos > 0
-                && (request.idempotent() || failure.stream().noneMatch(UpstreamReply::mayHaveRun))
+                && (request.idempotent() || failure.stream().noneMatch(AttemptOutcome::mayHaveRun))
                 && policies.retry().allows(failed)
                 && spendRepeat();
     }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CallRun.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CallRun.java
@@ -9,11 +9,11 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
-import org.turmericspan.calls.SlotWish;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.UpstreamExchange;
-import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.errors.ResultCode;
 
 /**
@@ -24,7 +24,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Runnable NOTHING_SCHEDULED = () -> {};
 
-    private final AttemptParts parts;
+    private final AttemptDependencies dependencies;
     private final CallRequest request;
     private final int answerLimitBytes;
     private final CallProgress progress;
@@ -34,15 +34,15 @@
     private final CompletableFuture<CallResult> result = new CompletableFuture<>();
     private Runnable cancelHedge = NOTHING_SCHEDULED;
 
-    CallRun(AttemptParts parts, RepeatPolicies policies, CallRequest request, int answerLimitBytes) {
-        this.parts = parts;
+    CallRun(AttemptDependencies dependencies, RetryPolicies policies, CallRequest request, int answerLimitBytes) {
+        this.dependencies = dependencies;
         this.request = request;
         this.answerLimitBytes = answerLimitBytes;
         this.progress = new CallProgress(request, policies);
     }
 
     CompletionStage<CallResult> start() {
-        parts.metrics().call(request.service());
+        dependencies.metrics().recordCall(request.service());
         post(new AttemptEvent.Started());
         return result;
     }
@@ -59,7 +59,7 @@
 
     private void handle(AttemptEvent event) {
         try {
-            progress.handle(event, parts.clock().nowNanos()).forEach(this::perform);
+            progress.handle(event, dependencies.clock().nowNanos()).forEach(this::perform);
         } catch (RuntimeException e) {
             logger.atSevere().withCause(e).log("attempts: a call failed inside the balancer");
             result.complete(
@@ -69,7 +69,7 @@
 
     private void perform(AttemptAction action) {
         if (action instanceof AttemptAction.Acquire acquire) {
-            acquire(acquire.attempt(), acquire.wish());
+            acquire(acquire.attempt(), acquire.slotRequest());
         } else if (action instanceof AttemptAction.Send send) {
             send(send);
         } else if (action instanceof AttemptAction.Release release) {
@@ -77,7 +77,8 @@
         } else if (action instanceof AttemptAction.Cancel cancel) {
             exchanges.get(cancel.attempt()).cancel();
         } else if (action instanceof AttemptAction.ScheduleHedge hedge) {
-            cancelHedge = parts.timer()
+            cancelHedge = dependencies
+                    .timer()
                     .schedule(Duration.ofNanos(hedge.delayNanos()), () -> post(new AttemptEvent.HedgeDue()));
         } else if (action instanceof AttemptAction.Finish finish) {
             cancelHedge.run();
@@ -85,34 +86,37 @@
         }
     }
 
-    private void acquire(int attempt, SlotWish wish) {
-        long wishedNanos = parts.clock().nowNanos();
-        parts.slots().acquire(wish).thenAccept(decision -> {
-            parts.metrics().decided(Duration.ofNanos(parts.clock().nowNanos() - wishedNanos));
+    private void acquire(int attempt, SlotRequest request) {
+        long wishedNanos = dependencies.clock().nowNanos();
+        dependencies.slots().acquire(request).thenAccept(decision -> {
+            dependencies
+                    .metrics()
+                    .recordSlotWait(Duration.ofNanos(dependencies.clock().nowNanos() - wishedNanos));
             post(new AttemptEvent.Decided(attempt, decision));
         });
     }
 
     private void send(AttemptAction.Send send) {
         if (send.request() != request) {
-            parts.metrics().repeat();
+            dependencies.metrics().recordExtraAttempt();
         }
-        UpstreamExchange exchange = parts.sender().send(send.lease(), send.request(), answerLimitBytes);
+        UpstreamExchange exchange = dependencies.sender().send(send.lease(), send.request(), answerLimitBytes);
         exchanges.put(send.attempt(), exchange);
-        exchange.reply().thenAccept(reply -> ended(send, reply));
+        exchange.outcome().thenAccept(outcome -> ended(send, outcome));
     }
 
-    private void ended(AttemptAction.Send send, UpstreamReply reply) {
-        if (reply.kind() == UpstreamReply.Kind.BROKEN) {
-            parts.deaths()
-                    .lost(request, send.lease(), reply)
-                    .thenAccept(died -> post(new AttemptEvent.Replied(send.attempt(), reply, died)));
+    private void ended(AttemptAction.Send send, AttemptOutcome outcome) {
+        if (outcome.kind() == AttemptOutcome.Kind.CONNECTION_LOST) {
+            dependencies
+                    .crashDetector()
+                    .connectionLost(request, send.lease(), outcome)
+                    .thenAccept(died -> post(new AttemptEvent.Replied(send.attempt(), outcome, died)));
             return;
         }
-        if (reply.kind() == UpstreamReply.Kind.WHOLE) {
-            parts.metrics().answer(request.service(), reply.elapsed());
-            parts.deaths().answered(request, send.lease(), reply);
+        if (outcome.kind() == AttemptOutcome.Kind.COMPLETE) {
+            dependencies.metrics().recordResponse(request.service(), outcome.elapsed());
+            dependencies.crashDetector().responseReceived(request, send.lease(), outcome);
         }
-        post(new AttemptEvent.Replied(send.attempt(), reply, false));
+        post(new AttemptEvent.Replied(send.attempt(), outcome, false));
     }
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/RepeatPolicies.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/RetryPolicies.java
@@ -1,7 +1,7 @@
 package org.turmericspan.dispatch;
 
 import org.turmericspan.retry.HedgePolicy;
-import org.turmericspan.retry.RepeatBudget;
+import org.turmericspan.retry.RetryBudget;
 import org.turmericspan.retry.RetryPolicy;
 
 /**
@@ -11,13 +11,13 @@
  * @param hedge when a second upstream is tried beside the first
  * @param budget bounds both
  */
-public record RepeatPolicies(RetryPolicy retry, HedgePolicy hedge, RepeatBudget budget) {
+public record RetryPolicies(RetryPolicy retry, HedgePolicy hedge, RetryBudget budget) {
     /**
      * Returns the policies that send every call at most once.
      *
      * @return the policies
      */
-    public static RepeatPolicies none() {
-        return new RepeatPolicies(RetryPolicy.none(), HedgePolicy.none(), RepeatBudget.unbounded());
+    public static RetryPolicies none() {
+        return new RetryPolicies(RetryPolicy.none(), HedgePolicy.none(), RetryBudget.unbounded());
     }
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectSharing.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectCoordinator.java
@@ -6,7 +6,7 @@
 import org.turmericspan.retry.Suspicion;
 
 /** Shares suspicions with the other nodes, and the right to run a suspected request. */
-public interface SuspectSharing {
+public interface SuspectCoordinator {
     /**
      * Tells the other nodes.
      *
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectGate.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectHandler.java
@@ -21,7 +21,7 @@
  * Lets suspected requests run one at a time in the region, and refuses quarantined ones. An idempotent request that
  * was on an upstream when it died is run again here, on trial, so that the innocent ones get their answers.
  */
-public final class SuspectGate implements CallHandler {
+public final class SuspectHandler implements CallHandler {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_WAITING = 64;
     private static final Duration ASK_AGAIN = Duration.ofMillis(20);
@@ -30,7 +30,7 @@
     private final CallHandler next;
     private final SuspectTable table;
     private final LostConnections lostConnections;
-    private final SuspectSharing sharing;
+    private final SuspectCoordinator coordinator;
     private final AttemptTimer timer;
     private final MonotonicClock clock;
     private final AtomicInteger waiting = new AtomicInteger();
@@ -41,21 +41,21 @@
      * @param next makes attempts
      * @param table what is suspected
      * @param lostConnections is told which suspect is on trial
-     * @param sharing gives the right to run a suspect
+     * @param coordinator gives the right to run a suspect
      * @param timer delays the next request for that right
      * @param clock measures deadlines
      */
-    public SuspectGate(
+    public SuspectHandler(
             CallHandler next,
             SuspectTable table,
             LostConnections lostConnections,
-            SuspectSharing sharing,
+            SuspectCoordinator coordinator,
             AttemptTimer timer,
             MonotonicClock clock) {
         this.next = next;
         this.table = table;
         this.lostConnections = lostConnections;
-        this.sharing = sharing;
+        this.coordinator = coordinator;
         this.timer = timer;
         this.clock = clock;
     }
@@ -100,12 +100,13 @@
                     ResultCode.DEADLINE_BEFORE_SEND, "The request waited for another suspect to finish."));
         }
         Fingerprint fingerprint = suspicion.fingerprint();
-        return sharing.requestTrial(fingerprint, Duration.ofNanos(remainingNanos))
+        return coordinator
+                .requestTrial(fingerprint, Duration.ofNanos(remainingNanos))
                 .thenCompose(answer -> answered(request, fingerprint, answer));
     }
 
     private CompletionStage<CallResult> answered(
-            CallRequest request, Fingerprint fingerprint, SuspectSharing.TrialAnswer answer) {
+            CallRequest request, Fingerprint fingerprint, SuspectCoordinator.TrialAnswer answer) {
         return switch (answer) {
             case GRANTED -> trial(request, fingerprint);
             case BUSY -> waitForTurn(request);
@@ -116,14 +117,14 @@
     private CompletionStage<CallResult> trial(CallRequest request, Fingerprint fingerprint) {
         Optional<Suspicion> suspicion = table.find(fingerprint);
         if (suspicion.isEmpty() || suspicion.get().isQuarantined()) {
-            sharing.endTrial(fingerprint);
+            coordinator.endTrial(fingerprint);
             return handle(request);
         }
         logger.atInfo().log("suspects: request %s runs alone", fingerprint);
         lostConnections.beginTrial(fingerprint);
         return next.handle(request.asRetried()).thenCompose(result -> {
             lostConnections.endTrial();
-            sharing.endTrial(fingerprint);
+            coordinator.endTrial(fingerprint);
             return wasNotConnected(result) ? waitForTurn(request) : CompletableFuture.completedFuture(result);
         });
     }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectWatch.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectTracker.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.SlotLease;
-import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.retry.Fingerprint;
 import org.turmericspan.retry.LostConnections;
@@ -20,12 +20,12 @@
  * Suspects the requests that ran on an upstream when it died. An upstream died when it broke connections and then
  * refuses new ones or shows a new incarnation; an answer that merely failed or came late suspects nothing.
  */
-public final class SuspectWatch implements DeathWatch {
+public final class SuspectTracker implements CrashDetector {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final SuspectTable table;
     private final LostConnections lostConnections;
-    private final SuspectSharing sharing;
+    private final SuspectCoordinator coordinator;
     private final ConnectionCheck check;
     private final Map<UpstreamId, String> incarnations = new ConcurrentHashMap<>();
 
@@ -34,19 +34,22 @@
      *
      * @param table what is suspected
      * @param lostConnections requests whose upstream may have died
-     * @param sharing tells the other nodes
+     * @param coordinator tells the other nodes
      * @param check finds out whether an upstream refuses connections
      */
-    public SuspectWatch(
-            SuspectTable table, LostConnections lostConnections, SuspectSharing sharing, ConnectionCheck check) {
+    public SuspectTracker(
+            SuspectTable table,
+            LostConnections lostConnections,
+            SuspectCoordinator coordinator,
+            ConnectionCheck check) {
         this.table = table;
         this.lostConnections = lostConnections;
-        this.sharing = sharing;
+        this.coordinator = coordinator;
         this.check = check;
     }
 
     @Override
-    public CompletionStage<Boolean> lost(CallRequest request, SlotLease lease, UpstreamReply reply) {
+    public CompletionStage<Boolean> connectionLost(CallRequest request, SlotLease lease, AttemptOutcome outcome) {
         return check.isRefused(lease.address()).thenCompose(refused -> {
             Fingerprint fingerprint = Fingerprint.of(request);
             if (refused) {
@@ -59,16 +62,16 @@
     }
 
     @Override
-    public void answered(CallRequest request, SlotLease lease, UpstreamReply reply) {
-        reply.signals().incarnation().ifPresent(incarnation -> seen(lease.upstream(), incarnation));
+    public void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome) {
+        outcome.signals().incarnation().ifPresent(incarnation -> seen(lease.upstream(), incarnation));
         if (table.isEmpty()) {
             return;
         }
         Fingerprint fingerprint = Fingerprint.of(request);
-        Optional<Suspicion> news = table.answered(fingerprint);
+        Optional<Suspicion> news = table.recordResponse(fingerprint);
         news.ifPresent(cleared -> {
             logger.atInfo().log("suspects: request %s ran fine and is cleared", fingerprint);
-            sharing.share(cleared);
+            coordinator.share(cleared);
         });
     }
 
@@ -77,7 +80,7 @@
             return;
         }
         String before = incarnations.put(upstream, incarnation);
-        List<LostConnections.Lost> lost = lostConnections.take(upstream);
+        List<LostConnections.LostRequest> lost = lostConnections.drain(upstream);
         if (before != null) {
             lost.forEach(one -> suspect(one.fingerprint(), upstream, one.wasOnTrial()));
         }
@@ -85,10 +88,10 @@
 
     /** Ends when the other nodes know, so that the caller cannot be quicker with the next try through one of them. */
     private CompletionStage<Void> suspect(Fingerprint fingerprint, UpstreamId upstream, boolean wasAlone) {
-        Suspicion suspicion = table.died(fingerprint, upstream, wasAlone);
+        Suspicion suspicion = table.recordCrash(fingerprint, upstream, wasAlone);
         logger.atWarning().log(
                 "suspects: %s died while it ran request %s, %s",
                 upstream, fingerprint, suspicion.isQuarantined() ? "which is now quarantined" : "now suspected");
-        return sharing.share(suspicion);
+        return coordinator.share(suspicion);
     }
 }
--- a/dispatch/src/test/java/org/turmericspan/dispatch/AttemptPropertyTest.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/AttemptPropertyTest.java
@@ -11,24 +11,24 @@
 import java.util.concurrent.CompletionStage;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.SlotDecision;
 import org.turmericspan.calls.SlotLease;
 import org.turmericspan.calls.UpstreamExchange;
-import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.errors.Ran;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.retry.HedgePolicy;
-import org.turmericspan.retry.RepeatBudget;
+import org.turmericspan.retry.RetryBudget;
 import org.turmericspan.retry.RetryPolicy;
 
 /** What holds for a call whatever its slots and upstreams do, over the code that runs in a node. */
 final class AttemptPropertyTest {
-    private static final RepeatPolicies POLICIES = new RepeatPolicies(
-            RetryPolicy.safe(service -> OptionalLong.empty()),
-            HedgePolicy.slowerThan(service -> OptionalLong.of(1)),
-            RepeatBudget.unbounded());
+    private static final RetryPolicies POLICIES = new RetryPolicies(
+            RetryPolicy.whenSafe(service -> OptionalLong.empty()),
+            HedgePolicy.afterQuantile(service -> OptionalLong.of(1)),
+            RetryBudget.unbounded());
 
     @Property(tries = 2_000, seed = "20261204")
     void everyCallEndsOnceGivesEverySlotBackAndTellsTheTruth(@ForAll boolean idempotent, @ForAll long seed) {
@@ -56,9 +56,9 @@
         }
 
         CompletionStage<CallResult> run(CallRequest request) {
-            AttemptParts parts = new AttemptParts(
+            AttemptDependencies dependencies = new AttemptDependencies(
                     new FakeCatalog(),
-                    wish -> answer(decision()),
+                    slotRequest -> answer(decision()),
                     (lease, sent, limit) -> exchange(),
                     new RandomDeaths(),
                     (delay, task) -> {
@@ -67,7 +67,7 @@
                     },
                     new FakeMetrics(),
                     () -> 0);
-            CompletionStage<CallResult> result = new AttemptHandler(parts, POLICIES).handle(request);
+            CompletionStage<CallResult> result = new AttemptHandler(dependencies, POLICIES).handle(request);
             while (!later.isEmpty()) {
                 later.remove(random.nextInt(later.size())).run();
             }
@@ -94,13 +94,13 @@
         }
 
         private UpstreamExchange exchange() {
-            UpstreamReply.Kind[] kinds = UpstreamReply.Kind.values();
-            UpstreamReply reply = TestCalls.reply(kinds[random.nextInt(kinds.length)]);
-            mayHaveRun += reply.mayHaveRun() ? 1 : 0;
-            CompletableFuture<UpstreamReply> stage = answer(reply);
+            AttemptOutcome.Kind[] kinds = AttemptOutcome.Kind.values();
+            AttemptOutcome outcome = TestCalls.reply(kinds[random.nextInt(kinds.length)]);
+            mayHaveRun += outcome.mayHaveRun() ? 1 : 0;
+            CompletableFuture<AttemptOutcome> stage = answer(outcome);
             return new UpstreamExchange() {
                 @Override
-                public CompletionStage<UpstreamReply> reply() {
+                public CompletionStage<AttemptOutcome> outcome() {
                     return stage;
                 }
 
@@ -111,14 +111,15 @@
             };
         }
 
-        private final class RandomDeaths implements DeathWatch {
+        private final class RandomDeaths implements CrashDetector {
             @Override
-            public CompletionStage<Boolean> lost(CallRequest request, SlotLease lease, UpstreamReply reply) {
+            public CompletionStage<Boolean> connectionLost(
+                    CallRequest request, SlotLease lease, AttemptOutcome outcome) {
                 return answer(random.nextBoolean());
             }
 
             @Override
-            public void answered(CallRequest request, SlotLease lease, UpstreamReply reply) {
+            public void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome) {
                 assertThat(request.service().value()).isEqualTo("ordering");
             }
         }
--- a/dispatch/src/test/java/org/turmericspan/dispatch/CallProgressTest.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/CallProgressTest.java
@@ -7,47 +7,47 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.calls.AttemptOutcome.Kind;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.SlotDecision;
-import org.turmericspan.calls.UpstreamReply.Kind;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.retry.HedgePolicy;
-import org.turmericspan.retry.RepeatBudget;
+import org.turmericspan.retry.RetryBudget;
 import org.turmericspan.retry.RetryPolicy;
 
 /** What a call does after each event. */
 final class CallProgressTest {
-    private static final RetryPolicy SAFE = RetryPolicy.safe(service -> OptionalLong.empty());
-    private static final HedgePolicy HEDGE = HedgePolicy.slowerThan(service -> OptionalLong.of(5));
+    private static final RetryPolicy SAFE = RetryPolicy.whenSafe(service -> OptionalLong.empty());
+    private static final HedgePolicy HEDGE = HedgePolicy.afterQuantile(service -> OptionalLong.of(5));
 
-    private final RepeatPolicies policies = new RepeatPolicies(SAFE, HedgePolicy.none(), RepeatBudget.unbounded());
-    private final RepeatPolicies hedging = new RepeatPolicies(SAFE, HEDGE, RepeatBudget.unbounded());
+    private final RetryPolicies policies = new RetryPolicies(SAFE, HedgePolicy.none(), RetryBudget.unbounded());
+    private final RetryPolicies hedging = new RetryPolicies(SAFE, HEDGE, RetryBudget.unbounded());
 
     @Test
     void idempotentCallIsRetriedOnAnotherUpstreamAndMarked() {
         CallProgress progress = sent(TestCalls.request(true), policies);
 
-        List<AttemptAction> actions = replied(progress, 0, Kind.BROKEN);
+        List<AttemptAction> actions = replied(progress, 0, Kind.CONNECTION_LOST);
 
         assertThat(acquires(actions)).singleElement().satisfies(acquire -> {
-            assertThat(acquire.wish().avoid()).containsExactly(new UpstreamId("first"));
-            assertThat(acquire.wish().idleOnly()).isTrue();
+            assertThat(acquire.slotRequest().excludedUpstreams()).containsExactly(new UpstreamId("first"));
+            assertThat(acquire.slotRequest().idleOnly()).isTrue();
         });
         assertThat(granted(progress, 1, "second"))
                 .singleElement()
                 .isInstanceOfSatisfying(
                         AttemptAction.Send.class,
                         send -> assertThat(send.request().retried()).isTrue());
-        assertThat(result(replied(progress, 1, Kind.WHOLE))).isInstanceOf(CallResult.Answered.class);
+        assertThat(result(replied(progress, 1, Kind.COMPLETE))).isInstanceOf(CallResult.Answered.class);
     }
 
     @Test
     void otherCallIsNotRetriedWhenItMayHaveRun() {
         CallProgress progress = sent(TestCalls.request(false), policies);
 
-        assertThat(code(replied(progress, 0, Kind.BROKEN))).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        assertThat(code(replied(progress, 0, Kind.CONNECTION_LOST))).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
     }
 
     @Test
@@ -67,7 +67,7 @@
     @Test
     void callIsNotRetriedWhenTheBudgetIsUsedUp() {
         CallProgress progress =
-                sent(TestCalls.request(true), new RepeatPolicies(SAFE, HedgePolicy.none(), service -> false));
+                sent(TestCalls.request(true), new RetryPolicies(SAFE, HedgePolicy.none(), service -> false));
 
         assertThat(code(replied(progress, 0, Kind.SHED))).isEqualTo(ResultCode.SHED_BY_UPSTREAM);
     }
@@ -76,7 +76,7 @@
     void callIsNotRetriedAfterItsUpstreamDied() {
         CallProgress progress = sent(TestCalls.request(true), policies);
         List<AttemptAction> actions =
-                progress.handle(new AttemptEvent.Replied(0, TestCalls.reply(Kind.BROKEN), true), 10);
+                progress.handle(new AttemptEvent.Replied(0, TestCalls.reply(Kind.CONNECTION_LOST), true), 10);
 
         assertThat(code(actions)).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
     }
@@ -84,7 +84,7 @@
     @Test
     void refusedRetryNeverTurnsAnUnknownOutcomeIntoNotRun() {
         CallProgress progress = sent(TestCalls.request(true), policies);
-        replied(progress, 0, Kind.BROKEN);
+        replied(progress, 0, Kind.CONNECTION_LOST);
         granted(progress, 1, "second");
         replied(progress, 1, Kind.SHED);
         SlotDecision denied = new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.empty());
@@ -95,11 +95,12 @@
 
     @Test
     void voidLeaseIsReplacedWithoutCountingAsARetry() {
-        CallProgress progress = sent(TestCalls.request(false), RepeatPolicies.none());
+        CallProgress progress = sent(TestCalls.request(false), RetryPolicies.none());
 
-        assertThat(acquires(replied(progress, 0, Kind.LEASE_VOID)))
+        assertThat(acquires(replied(progress, 0, Kind.LEASE_INVALID)))
                 .singleElement()
-                .satisfies(acquire -> assertThat(acquire.wish().idleOnly()).isFalse());
+                .satisfies(
+                        acquire -> assertThat(acquire.slotRequest().idleOnly()).isFalse());
         assertThat(progress.repeats()).isZero();
     }
 
@@ -109,18 +110,18 @@
         assertThat(acquires(progress.handle(new AttemptEvent.HedgeDue(), 10))).hasSize(1);
         granted(progress, 1, "second");
 
-        List<AttemptAction> actions = replied(progress, 1, Kind.WHOLE);
+        List<AttemptAction> actions = replied(progress, 1, Kind.COMPLETE);
 
         assertThat(actions).contains(new AttemptAction.Cancel(0));
         assertThat(result(actions)).isInstanceOf(CallResult.Answered.class);
-        assertThat(replied(progress, 0, Kind.WHOLE)).noneMatch(AttemptAction.Finish.class::isInstance);
+        assertThat(replied(progress, 0, Kind.COMPLETE)).noneMatch(AttemptAction.Finish.class::isInstance);
     }
 
     @Test
     void slotGrantedAfterTheAnswerIsGivenBackUnused() {
         CallProgress progress = sent(TestCalls.request(true), hedging);
         progress.handle(new AttemptEvent.HedgeDue(), 10);
-        replied(progress, 0, Kind.WHOLE);
+        replied(progress, 0, Kind.COMPLETE);
 
         assertThat(granted(progress, 1, "second")).singleElement().isInstanceOf(AttemptAction.Release.class);
     }
@@ -131,8 +132,8 @@
         progress.handle(new AttemptEvent.HedgeDue(), 10);
         granted(progress, 1, "second");
 
-        assertThat(replied(progress, 0, Kind.BROKEN)).noneMatch(AttemptAction.Finish.class::isInstance);
-        assertThat(result(replied(progress, 1, Kind.WHOLE))).isInstanceOf(CallResult.Answered.class);
+        assertThat(replied(progress, 0, Kind.CONNECTION_LOST)).noneMatch(AttemptAction.Finish.class::isInstance);
+        assertThat(result(replied(progress, 1, Kind.COMPLETE))).isInstanceOf(CallResult.Answered.class);
     }
 
     @Test
@@ -143,7 +144,7 @@
         assertThat(granted(progress, 0, "first")).noneMatch(AttemptAction.ScheduleHedge.class::isInstance);
     }
 
-    private static CallProgress sent(CallRequest request, RepeatPolicies policies) {
+    private static CallProgress sent(CallRequest request, RetryPolicies policies) {
         CallProgress progress = new CallProgress(request, policies);
         progress.handle(new AttemptEvent.Started(), 0);
         granted(progress, 0, "first");
--- a/dispatch/src/test/java/org/turmericspan/dispatch/FakeMetrics.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/FakeMetrics.java
@@ -6,14 +6,14 @@
 /** Counts nothing. */
 final class FakeMetrics implements AttemptMetrics {
     @Override
-    public void call(ServiceId service) {}
+    public void recordCall(ServiceId service) {}
 
     @Override
-    public void answer(ServiceId service, Duration elapsed) {}
+    public void recordResponse(ServiceId service, Duration elapsed) {}
 
     @Override
-    public void repeat() {}
+    public void recordExtraAttempt() {}
 
     @Override
-    public void decided(Duration waited) {}
+    public void recordSlotWait(Duration waited) {}
 }
--- a/dispatch/src/test/java/org/turmericspan/dispatch/TestCalls.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/TestCalls.java
@@ -4,12 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.Payload;
 import org.turmericspan.calls.SlotLease;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.ids.CallerId;
 import org.turmericspan.ids.Incarnation;
@@ -47,8 +47,8 @@
                 Optional.empty());
     }
 
-    static UpstreamReply reply(UpstreamReply.Kind kind) {
-        return new UpstreamReply(
+    static AttemptOutcome reply(AttemptOutcome.Kind kind) {
+        return new AttemptOutcome(
                 kind, new CallResult.Answered(200, List.of(), Payload.EMPTY), Duration.ZERO, UpstreamSignals.NONE);
     }
 
--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -6,12 +6,12 @@
 import javax.inject.Singleton;
 import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
-import org.turmericspan.balancing.FleetSink;
-import org.turmericspan.balancing.FleetState;
+import org.turmericspan.balancing.FleetListener;
+import org.turmericspan.balancing.FleetUpdater;
 import org.turmericspan.balancing.ProbeBudget;
-import org.turmericspan.balancing.RepeatWindow;
 import org.turmericspan.balancing.UpstreamTable;
-import org.turmericspan.balancing.WeightedRotation;
+import org.turmericspan.balancing.WeightedRoundRobin;
+import org.turmericspan.balancing.WindowedRetryBudget;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.forwarding.ForwardingTables;
 import org.turmericspan.gossip.Member;
@@ -58,8 +58,8 @@
 
     @Provides
     @Singleton
-    static RepeatWindow repeats(EntrySettings settings, MemberTable members, MonotonicClock clock) {
-        return new RepeatWindow(settings.rules(), members::fleetSize, clock);
+    static WindowedRetryBudget repeats(EntrySettings settings, MemberTable members, MonotonicClock clock) {
+        return new WindowedRetryBudget(settings.rules(), members::fleetSize, clock);
     }
 
     @Provides
@@ -77,8 +77,8 @@
 
     @Provides
     @Singleton
-    static WeightedRotation rotation(RandomGenerator random) {
-        return new WeightedRotation(random);
+    static WeightedRoundRobin rotation(RandomGenerator random) {
+        return new WeightedRoundRobin(random);
     }
 
     @Provides
@@ -86,15 +86,15 @@
     static ForwardingTables tables(
             ConfigurationHolder configuration,
             UpstreamTable upstreams,
-            WeightedRotation rotation,
-            RepeatWindow repeats,
+            WeightedRoundRobin roundRobin,
+            WindowedRetryBudget repeats,
             CrashSuspects suspects) {
-        return new ForwardingTables(configuration, upstreams, rotation, repeats, suspects);
+        return new ForwardingTables(configuration, upstreams, roundRobin, repeats, suspects);
     }
 
     @Provides
     @Singleton
-    static FleetSink fleet(ConfigurationHolder configuration, UpstreamTable upstreams, EventLog log) {
-        return new FleetState(configuration, upstreams, log);
+    static FleetListener fleet(ConfigurationHolder configuration, UpstreamTable upstreams, EventLog log) {
+        return new FleetUpdater(configuration, upstreams, log);
     }
 }
--- a/entry/src/main/java/org/turmericspan/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMetrics.java
@@ -7,13 +7,13 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.turmericspan.errors.ResultCode;
-import org.turmericspan.forwarding.ForwardingOutcomes;
+import org.turmericspan.forwarding.ForwardingMetrics;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.metrics.MetricsText;
 
 /** Counters and latencies of an entry node. */
 @Singleton
-final class EntryMetrics implements ForwardingOutcomes {
+final class EntryMetrics implements ForwardingMetrics {
     private final MetricRegistry registry = new MetricRegistry();
 
     @Inject
--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -16,11 +16,11 @@
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.feed.StoreFeed;
-import org.turmericspan.forwarding.ForwardingParts;
+import org.turmericspan.forwarding.ForwardingDependencies;
 import org.turmericspan.forwarding.ForwardingService;
 import org.turmericspan.forwarding.UpstreamProber;
 import org.turmericspan.gossip.Gossip;
-import org.turmericspan.gossip.GossipLink;
+import org.turmericspan.gossip.GossipTransport;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.http.HttpClient;
@@ -69,7 +69,7 @@
     private final StoreFeed feed;
     private final UpstreamProber prober;
     private final HttpClient client;
-    private final ForwardingParts forwarding;
+    private final ForwardingDependencies forwarding;
     private final EntryMetrics metrics;
     private final EventLoopGroup workers;
     private final MonotonicClock clock;
@@ -94,7 +94,7 @@
             StoreFeed feed,
             UpstreamProber prober,
             HttpClient client,
-            ForwardingParts forwarding,
+            ForwardingDependencies forwarding,
             EntryMetrics metrics,
             EventLoopGroup workers,
             MonotonicClock clock,
@@ -127,7 +127,7 @@
         watchFigures();
         callers = listen(settings.callerAddress(), new ForwardingService(forwarding));
         feed.start();
-        gossip.start(new GossipLink(workers, settings.gossipAddress(), gossip::receive, clock, log));
+        gossip.start(new GossipTransport(workers, settings.gossipAddress(), gossip::receive, clock, log));
         readinessCheck =
                 workers.scheduleWithFixedDelay(this::checkReadiness, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         log.write(Event.notice(PART, "Started.").with("callers", settings.callerAddress()));
@@ -146,9 +146,9 @@
 
     private void watchFigures() {
         metrics.watch("store_calls", feed::calls);
-        metrics.watch("probes", prober::sent);
+        metrics.watch("probes", prober::probesSent);
         metrics.watch("connections_opened", client::opened);
-        metrics.watch("members_alive", () -> members.alive().size());
+        metrics.watch("members_alive", () -> members.aliveMembers().size());
         metrics.watch("members_known", members::fleetSize);
         metrics.watch("upstreams_known", upstreams::size);
         metrics.watch("requests_under_way", () -> callers.requests());
@@ -185,7 +185,7 @@
         List<String> lines = new ArrayList<>();
         lines.add("version "
                 + configuration.current().map(RoutingConfiguration::version).orElse(0L));
-        members.alive().forEach(member -> lines.add("member " + member));
+        members.aliveMembers().forEach(member -> lines.add("member " + member));
         upstreams.describe().forEach(line -> lines.add("upstream " + line));
         return String.join("\n", lines) + "\n";
     }
@@ -193,23 +193,23 @@
     /** Takes the node through its start: it probes when it knows the fleet, serves when probes answer, then joins. */
     private void checkReadiness() {
         long now = clock.nowNanos();
-        if (joinedNanos == 0 && members.alive().size() > 1) {
+        if (joinedNanos == 0 && members.aliveMembers().size() > 1) {
             joinedNanos = now;
         }
         if (probingNanos == 0 && feed.isComplete() && configuration.current().isPresent()) {
             probingNanos = now;
             prober.start(settings.probeIntervalMillis());
         }
-        if (!able && probingNanos != 0 && (upstreams.isMostlyObserved() || now - probingNanos > OBSERVE_NANOS)) {
+        if (!able && probingNanos != 0 && (upstreams.hasRecentObservations() || now - probingNanos > OBSERVE_NANOS)) {
             able = true;
-            members.setSelf(true, leaving, feed.isDirect());
-            gossip.tellAll();
+            members.updateSelf(true, leaving, feed.hasStoreContact());
+            gossip.broadcast();
             logStep("Ready.", now);
         }
         boolean heard = joinedNanos != 0 && now - joinedNanos > JOIN_NANOS || now - startedNanos > ALONE_NANOS;
         if (able && heard) {
-            members.join();
-            prober.joined();
+            members.enableOwnership();
+            prober.probeOwnedOnly();
             readinessCheck.cancel(false);
             workers.scheduleWithFixedDelay(this::publishReading, READING_MILLIS, READING_MILLIS, TimeUnit.MILLISECONDS);
             workers.scheduleWithFixedDelay(
@@ -220,14 +220,14 @@
 
     private void logStep(String message, long now) {
         log.write(Event.notice(PART, message)
-                .with("members", members.alive().size())
+                .with("members", members.aliveMembers().size())
                 .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now - startedNanos)));
     }
 
     /** Tells other nodes whether they can read from this one. */
     private void publishReading() {
-        if (!leaving && members.self().reading() != feed.isDirect()) {
-            members.setSelf(true, false, feed.isDirect());
+        if (!leaving && members.self().reading() != feed.hasStoreContact()) {
+            members.updateSelf(true, false, feed.hasStoreContact());
         }
     }
 
@@ -237,7 +237,7 @@
 
     /** Names ready nodes of the caller's zone, and of others when it has too few. */
     private List<SocketAddress> locate(String zone) {
-        List<Member> ready = members.alive().stream()
+        List<Member> ready = members.aliveMembers().stream()
                 .filter(member -> member.ready() && !member.leaving())
                 .toList();
         List<Member> named = new ArrayList<>(ready.stream()
@@ -280,8 +280,8 @@
         long deadlineNanos = clock.nowNanos() + settings.graceNanos() - EXIT_NANOS;
         long keepUntilNanos = clock.nowNanos() + KEEP_NANOS;
         leaving = true;
-        members.setSelf(able, true, false);
-        gossip.tellAll();
+        members.updateSelf(able, true, false);
+        gossip.broadcast();
         callers.drain();
         log.write(Event.notice(PART, "Stopping.").with("requests", callers.requests()));
         while (deadlineNanos - clock.nowNanos() > 0
--- a/entry/src/main/java/org/turmericspan/entry/ReaderSelection.java
+++ b/entry/src/main/java/org/turmericspan/entry/ReaderSelection.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import org.turmericspan.feed.FeedSources;
+import org.turmericspan.feed.StoreSourceSelector;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.ids.MonotonicClock;
@@ -17,7 +17,7 @@
  * Chooses from where this node learns what was published: one node a zone reads the store, the others read from it, and
  * read the store themselves when it does not answer. A node that the store turns away reads from any node it serves.
  */
-final class ReaderSelection implements FeedSources {
+final class ReaderSelection implements StoreSourceSelector {
     /** Time for which a source that gave no answer is passed over. */
     private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -35,8 +35,8 @@
     }
 
     @Override
-    public SocketAddress next() {
-        Optional<SocketAddress> reader = members.reader()
+    public SocketAddress select() {
+        Optional<SocketAddress> reader = members.storeReader()
                 .filter(member -> !isSelf(member) && member.reading())
                 .map(Member::address)
                 .filter(this::isTrusted);
@@ -52,7 +52,7 @@
     }
 
     private Optional<SocketAddress> other(Predicate<Member> filter) {
-        List<SocketAddress> candidates = members.alive().stream()
+        List<SocketAddress> candidates = members.aliveMembers().stream()
                 .filter(member -> !isSelf(member) && member.reading())
                 .filter(filter)
                 .map(Member::address)
@@ -71,7 +71,7 @@
     }
 
     @Override
-    public void failed(SocketAddress source) {
+    public void reportFailure(SocketAddress source) {
         failedNanos.put(source, clock.nowNanos());
     }
 }
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -9,15 +9,15 @@
 import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
 import org.turmericspan.balancing.CrashSuspects;
-import org.turmericspan.balancing.FleetSink;
+import org.turmericspan.balancing.FleetListener;
 import org.turmericspan.balancing.ProbeBudget;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.events.JsonEventLog;
-import org.turmericspan.feed.FeedSources;
 import org.turmericspan.feed.StoreFeed;
+import org.turmericspan.feed.StoreSourceSelector;
 import org.turmericspan.forwarding.CallProtocol;
-import org.turmericspan.forwarding.ForwardingParts;
+import org.turmericspan.forwarding.ForwardingDependencies;
 import org.turmericspan.forwarding.ForwardingTables;
 import org.turmericspan.forwarding.UpstreamProber;
 import org.turmericspan.gossip.Gossip;
@@ -99,7 +99,7 @@
 
     @Provides
     @Singleton
-    static FeedSources sources(
+    static StoreSourceSelector sources(
             EntrySettings settings, MemberTable members, MonotonicClock clock, RandomGenerator random) {
         return new ReaderSelection(settings.storeAddress(), members, clock, random);
     }
@@ -108,19 +108,19 @@
     @Singleton
     static StoreFeed feed(
             EntrySettings settings,
-            FeedSources sources,
+            StoreSourceSelector sourceSelector,
             HttpClient client,
-            FleetSink sink,
+            FleetListener listener,
             EventLoopGroup workers,
             MonotonicClock clock,
             RandomGenerator random,
             EventLog log) {
         return new StoreFeed(
                 settings.storeAddress(),
-                sources,
+                sourceSelector,
                 new StoreClient(client, workers.next()),
                 DocumentDecoder::decode,
-                sink,
+                listener,
                 workers.next(),
                 clock,
                 random,
@@ -129,7 +129,7 @@
 
     @Provides
     @Singleton
-    static ForwardingParts forwarding(
+    static ForwardingDependencies forwarding(
             ForwardingTables tables,
             HttpClient client,
             CallProtocol protocol,
@@ -137,6 +137,6 @@
             EntryMetrics metrics,
             MonotonicClock clock,
             EventLog log) {
-        return new ForwardingParts(tables, client, protocol, prober, metrics, clock, log);
+        return new ForwardingDependencies(tables, client, protocol, prober, metrics, clock, log);
     }
 }
--- a/feed/src/main/java/org/turmericspan/feed/PublicationDecoder.java
+++ b/feed/src/main/java/org/turmericspan/feed/PublicationDecoder.java
@@ -13,5 +13,5 @@
      * @return what it says
      * @throws IOException when it cannot be read; it then names nothing to use
      */
-    Published decode(StoreItem item, long nowNanos) throws IOException;
+    StoreUpdate decode(StoreItem item, long nowNanos) throws IOException;
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.turmericspan.balancing.FleetSink;
+import org.turmericspan.balancing.FleetListener;
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
@@ -43,8 +43,8 @@
     private final StoreReader reader;
     private final PublicationDecoder decoder;
     private final SocketAddress store;
-    private final FeedSources sources;
-    private final FleetSink sink;
+    private final StoreSourceSelector sourceSelector;
+    private final FleetListener sink;
     private final ScheduledExecutorService worker;
     private final MonotonicClock clock;
     private final RandomGenerator random;
@@ -69,10 +69,10 @@
      * Creates a feed that has not begun.
      *
      * @param store where the store listens
-     * @param sources chooses between the store and nodes that read it
+     * @param sourceSelector chooses between the store and nodes that read it
      * @param reader reads the sources
      * @param decoder tells what items say
-     * @param sink takes what was published, on the worker
+     * @param listener takes what was published, on the worker
      * @param worker runs the feed
      * @param clock monotonic time
      * @param random spreads pauses
@@ -80,10 +80,10 @@
      */
     public StoreFeed(
             SocketAddress store,
-            FeedSources sources,
+            StoreSourceSelector sourceSelector,
             StoreReader reader,
             PublicationDecoder decoder,
-            FleetSink sink,
+            FleetListener listener,
             ScheduledExecutorService worker,
             MonotonicClock clock,
             RandomGenerator random,
@@ -91,8 +91,8 @@
         this.reader = reader;
         this.decoder = decoder;
         this.store = store;
-        this.sources = sources;
-        this.sink = sink;
+        this.sourceSelector = sourceSelector;
+        this.sink = listener;
         this.worker = worker;
         this.clock = clock;
         this.random = random;
@@ -129,7 +129,7 @@
      *
      * @return whether the store answered lately
      */
-    public boolean isDirect() {
+    public boolean hasStoreContact() {
         return hasBeenDirect && complete && clock.nowNanos() - directNanos < DIRECT_NANOS;
     }
 
@@ -156,7 +156,7 @@
     }
 
     private SocketAddress chooseSource() {
-        SocketAddress source = sources.next();
+        SocketAddress source = sourceSelector.select();
         if (source.equals(store)) {
             calls++;
         }
@@ -165,9 +165,9 @@
 
     private void loadPage(String after, List<StoreItem> items, long firstRevision) {
         SocketAddress source = chooseSource();
-        reader.range(source, after, answer -> {
-            if (!(answer instanceof StoreAnswer.Page read)) {
-                retryLater(source, answer, this::load);
+        reader.range(source, after, result -> {
+            if (!(result instanceof StoreReadResult.Page read)) {
+                retryLater(source, result, this::load);
                 return;
             }
             answered(source);
@@ -191,7 +191,7 @@
         evacuated.clear();
         items.forEach(this::apply);
         if (!oldZones.equals(evacuated)) {
-            sink.evacuated(Set.copyOf(evacuated));
+            sink.onEvacuation(Set.copyOf(evacuated));
         }
         old.removeAll(registrations.keySet());
         old.forEach(this::remove);
@@ -203,18 +203,18 @@
     private void watch() {
         SocketAddress source = chooseSource();
         boolean fromStore = source.equals(store);
-        reader.watch(source, revision, fromStore ? WATCH_MILLIS : RELAY_WATCH_MILLIS, answer -> {
-            if (answer instanceof StoreAnswer.Page read) {
+        reader.watch(source, revision, fromStore ? WATCH_MILLIS : RELAY_WATCH_MILLIS, result -> {
+            if (result instanceof StoreReadResult.Page read) {
                 answered(source);
                 read.page().items().forEach(this::apply);
                 advance(read.page().revision());
                 long pauseMillis = fromStore && !read.page().items().isEmpty() ? GATHER_MILLIS : 0;
                 worker.schedule(this::watch, pauseMillis, TimeUnit.MILLISECONDS);
-            } else if (answer instanceof StoreAnswer.HistoryGone) {
+            } else if (result instanceof StoreReadResult.RevisionCompacted) {
                 log.write(Event.notice(PART, "History gone, reading anew.").with("revision", revision));
                 load();
             } else {
-                retryLater(source, answer, this::watch);
+                retryLater(source, result, this::watch);
             }
         });
     }
@@ -243,19 +243,19 @@
         backoffMillis = FIRST_BACKOFF_MILLIS;
     }
 
-    private void retryLater(SocketAddress source, StoreAnswer answer, Runnable step) {
-        sources.failed(source);
+    private void retryLater(SocketAddress source, StoreReadResult result, Runnable step) {
+        sourceSelector.reportFailure(source);
         if (!source.equals(store)) {
             log.write(Event.notice(PART, "Reader gave no answer.")
                     .with("reader", source)
-                    .with("reason", answer));
+                    .with("reason", result));
             worker.execute(step);
             return;
         }
         if (!lost) {
             lost = true;
             log.write(
-                    Event.failure(PART, "Contact lost.").with("reason", answer).with("revision", revision));
+                    Event.failure(PART, "Contact lost.").with("reason", result).with("revision", revision));
         }
         long pauseMillis = backoffMillis / 2 + random.nextLong(backoffMillis / 2 + 1);
         backoffMillis = Math.min(backoffMillis * 2, LONGEST_BACKOFF_MILLIS);
@@ -274,48 +274,49 @@
         }
     }
 
-    private void apply(StoreItem item, Published published) {
-        if (published instanceof Published.Configuration next) {
+    private void apply(StoreItem item, StoreUpdate update) {
+        if (update instanceof StoreUpdate.Configuration next) {
             mirror.put(item, true);
-            sink.configured(next.configuration());
-        } else if (published instanceof Published.Evacuation evacuation) {
+            sink.onConfiguration(next.configuration());
+        } else if (update instanceof StoreUpdate.Evacuation evacuation) {
             mirror.put(item, true);
             evacuate(evacuation);
-        } else if (published instanceof Published.Registered registered) {
+        } else if (update instanceof StoreUpdate.Registered registered) {
             register(item, registered.registration());
-        } else if (published instanceof Published.Unregistered gone) {
+        } else if (update instanceof StoreUpdate.Unregistered gone) {
             registrations.remove(gone.upstream());
             mirror.put(item, true);
             remove(gone.upstream());
         }
     }
 
-    private void evacuate(Published.Evacuation evacuation) {
-        boolean changed = evacuation.isOut() ? evacuated.add(evacuation.zone()) : evacuated.remove(evacuation.zone());
+    private void evacuate(StoreUpdate.Evacuation evacuation) {
+        boolean changed =
+                evacuation.isEvacuated() ? evacuated.add(evacuation.zone()) : evacuated.remove(evacuation.zone());
         if (changed) {
-            sink.evacuated(Set.copyOf(evacuated));
+            sink.onEvacuation(Set.copyOf(evacuated));
         }
     }
 
     private void register(StoreItem item, Registration registration) {
         Registration old = registrations.put(registration.id(), registration);
-        mirror.put(item, old == null || !registration.isSameAs(old));
+        mirror.put(item, old == null || !registration.equalsIgnoringWarmUp(old));
         lapsed.remove(registration.id());
-        sink.registered(registration);
+        sink.onRegistration(registration);
     }
 
     /** Removes a server, but after an outage only when it has not registered again within the agreed time. */
     private void remove(UpstreamId id) {
         long now = clock.nowNanos();
         if (lapseUntilNanos - now <= 0) {
-            sink.removed(id);
+            sink.onRemoval(id);
             return;
         }
         lapsed.add(id);
         worker.schedule(
                 () -> {
                     if (lapsed.remove(id)) {
-                        sink.removed(id);
+                        sink.onRemoval(id);
                     }
                 },
                 lapseUntilNanos - now,
--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -69,7 +69,7 @@
      * @param after the revision
      * @return false when they are no longer known
      */
-    public boolean remembers(long after) {
+    public boolean hasHistoryAfter(long after) {
         return lock.compute(() -> after >= oldestRevision);
     }
 
@@ -79,7 +79,7 @@
      * @param after the revision
      * @return items and removals in the order of their revisions
      */
-    public StorePage changes(long after) {
+    public StorePage changesAfter(long after) {
         return lock.compute(() -> new StorePage(
                 items.values().stream()
                         .filter(item -> item.revision() > after)
@@ -94,7 +94,7 @@
      *
      * @return items, removals left out
      */
-    public StorePage all() {
+    public StorePage snapshot() {
         return lock.compute(() -> new StorePage(
                 items.values().stream().filter(item -> !item.isRemoved()).toList(), revision, false));
     }
--- a/feed/src/main/java/org/turmericspan/feed/StoreAnswer.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReadResult.java
@@ -1,23 +1,23 @@
 package org.turmericspan.feed;
 
 /** How a read of the store ended. */
-public sealed interface StoreAnswer {
+public sealed interface StoreReadResult {
     /**
      * The store answered.
      *
      * @param page what it said
      */
-    record Page(StorePage page) implements StoreAnswer {}
+    record Page(StorePage page) implements StoreReadResult {}
 
     /** The store no longer remembers the changes that were asked for, so everything has to be read anew. */
-    record HistoryGone() implements StoreAnswer {}
+    record RevisionCompacted() implements StoreReadResult {}
 
     /**
      * The store turned the read away.
      *
      * @param status status of its answer
      */
-    record Refused(int status) implements StoreAnswer {
+    record HttpError(int status) implements StoreReadResult {
         // Written out because generated methods are linked at run time, which slows starts without the store down.
         @Override
         public String toString() {
@@ -30,7 +30,7 @@
      *
      * @param reason what went wrong
      */
-    record Failed(String reason) implements StoreAnswer {
+    record Failed(String reason) implements StoreReadResult {
         @Override
         public String toString() {
             return reason;
--- a/feed/src/main/java/org/turmericspan/feed/StoreReader.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReader.java
@@ -12,7 +12,7 @@
      * @param after key after which to begin; empty for the first page
      * @param listener takes the answer, on the feed's worker
      */
-    void range(SocketAddress source, String after, Consumer<StoreAnswer> listener);
+    void range(SocketAddress source, String after, Consumer<StoreReadResult> listener);
 
     /**
      * Waits for changes.
@@ -22,5 +22,5 @@
      * @param waitMillis longest wait for the first change
      * @param listener takes the answer, on the feed's worker
      */
-    void watch(SocketAddress source, long afterRevision, long waitMillis, Consumer<StoreAnswer> listener);
+    void watch(SocketAddress source, long afterRevision, long waitMillis, Consumer<StoreReadResult> listener);
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/AttemptAge.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/AttemptAge.java
@@ -27,8 +27,8 @@
     }
 
     /** Returns the typical time; before anything is known half the target, which leaves room for a second attempt. */
-    long typicalNanos() {
-        long typical = upstreams.typicalNanos(route.id());
+    long typicalLatencyNanos() {
+        long typical = upstreams.typicalLatencyNanos(route.id());
         return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
     }
 
@@ -37,19 +37,19 @@
      * nothing is known of the route. An upstream near its usual speed is always worth one, else a route that was slow
      * once would never be tried again.
      */
-    double maxSlowness(long leftNanos) {
-        long typical = upstreams.typicalNanos(route.id());
+    double maxSlowdown(long leftNanos) {
+        long typical = upstreams.typicalLatencyNanos(route.id());
         return typical == 0 ? Double.MAX_VALUE : Math.max(NEAR_USUAL, (double) leftNanos / typical);
     }
 
     /** Returns for how long an attempt has run. */
     double of(Attempt attempt) {
-        return (double) (clock.nowNanos() - attempt.placement().startedNanos()) / typicalNanos();
+        return (double) (clock.nowNanos() - attempt.placement().startedNanos()) / typicalLatencyNanos();
     }
 
     /** Returns the age from which the answer of an attempt is overdue, by what is known of its upstream now. */
     double overdueAt(Attempt attempt) {
-        return OverdueRule.at(slowPercent(attempt));
+        return OverdueRule.at(slowdownPercent(attempt));
     }
 
     /** Counts the answer of an attempt as overdue if it is; returns whether it is. */
@@ -63,7 +63,7 @@
 
     /** Counts the answer of an attempt as overdue if another attempt of the request was answered so much sooner. */
     void noteIfBeaten(Attempt attempt, Attempt answered) {
-        if (OverdueRule.isBeaten(of(attempt), slowPercent(attempt), of(answered))) {
+        if (OverdueRule.isBeaten(of(attempt), slowdownPercent(attempt), of(answered))) {
             note(attempt);
         }
     }
@@ -76,8 +76,8 @@
     }
 
     /** Returns the slowness of an attempt's upstream at the choice or now, whichever is worse. */
-    private int slowPercent(Attempt attempt) {
+    private int slowdownPercent(Attempt attempt) {
         Placement placement = attempt.placement();
-        return Math.max(placement.slowPercent(), upstreams.slowPercent(placement.upstream()));
+        return Math.max(placement.slowdownPercent(), upstreams.slowdownPercent(placement.upstream()));
     }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.turmericspan.balancing.LoadFigures;
+import org.turmericspan.balancing.LoadReport;
 import org.turmericspan.http.HeaderList;
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.UpstreamId;
@@ -33,7 +33,7 @@
      * @param expected upstream that alone may run the request
      * @return the headers to send
      */
-    HeaderList forAttempt(HeaderList headers, long leftMillis, UpstreamId expected);
+    HeaderList attemptHeaders(HeaderList headers, long leftMillis, UpstreamId expected);
 
     /**
      * Tells whether an upstream proved that it did not run the request.
@@ -65,7 +65,7 @@
      * @param response the response
      * @return empty when it states none
      */
-    Optional<LoadFigures> load(ResponseMessage response);
+    Optional<LoadReport> reportedLoad(ResponseMessage response);
 
     /**
      * Reads the identifier of the upstream that answered a health check.
@@ -73,7 +73,7 @@
      * @param response the response
      * @return empty when it states none
      */
-    Optional<String> instance(ResponseMessage response);
+    Optional<String> instanceId(ResponseMessage response);
 
     /**
      * Reads how long the upstream says it stays cold.
@@ -81,7 +81,7 @@
      * @param response the response to a health check
      * @return milliseconds, 0 when warm
      */
-    long coldMillis(ResponseMessage response);
+    long warmupRemainingMillis(ResponseMessage response);
 
     /**
      * Names the header that a response repeats from its request.
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingParts.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingDependencies.java
@@ -8,18 +8,18 @@
  * What the path of a request uses.
  *
  * @param tables what decides
- * @param caller client towards the upstreams
+ * @param client client towards the upstreams
  * @param protocol header names and forms
- * @param lookup asks upstreams for their load
- * @param outcomes counts of what happened
+ * @param loadProber asks upstreams for their load
+ * @param metrics counts of what happened
  * @param clock monotonic time
  * @param log takes decisions
  */
-public record ForwardingParts(
+public record ForwardingDependencies(
         ForwardingTables tables,
-        HttpCaller caller,
+        HttpCaller client,
         CallProtocol protocol,
-        LoadLookup lookup,
-        ForwardingOutcomes outcomes,
+        LoadProber loadProber,
+        ForwardingMetrics metrics,
         MonotonicClock clock,
         EventLog log) {}
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingOutcomes.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingMetrics.java
@@ -4,7 +4,7 @@
 import org.turmericspan.ids.ServiceId;
 
 /** Counts what happened to requests. */
-public interface ForwardingOutcomes {
+public interface ForwardingMetrics {
     /**
      * Counts a request that was answered, by an upstream or by this node.
      *
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -24,21 +24,21 @@
     /** Pause advised for a quarantined request. */
     private static final long QUARANTINE_RETRY_MILLIS = 10_000;
 
-    private final ForwardingParts parts;
+    private final ForwardingDependencies dependencies;
     private volatile boolean fleetKnown;
 
     /**
      * Creates the service.
      *
-     * @param parts what the path of a request uses
+     * @param dependencies what the path of a request uses
      */
-    public ForwardingService(ForwardingParts parts) {
-        this.parts = parts;
+    public ForwardingService(ForwardingDependencies dependencies) {
+        this.dependencies = dependencies;
     }
 
     @Override
     public void handle(RequestMessage request, Reply reply) {
-        long arrivedNanos = parts.clock().nowNanos();
+        long arrivedNanos = dependencies.clock().nowNanos();
         if (knowsFleet()) {
             forward(request, reply, arrivedNanos);
         } else {
@@ -52,9 +52,9 @@
         if (gone.get()) {
             return;
         }
-        boolean hasWaited = parts.clock().nowNanos() - arrivedNanos >= START_WAIT_NANOS;
+        boolean hasWaited = dependencies.clock().nowNanos() - arrivedNanos >= START_WAIT_NANOS;
         if (knowsFleet()
-                || hasWaited && parts.tables().configuration().current().isPresent()) {
+                || hasWaited && dependencies.tables().configuration().current().isPresent()) {
             forward(request, reply, arrivedNanos);
         } else if (hasWaited) {
             refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, 0);
@@ -72,29 +72,29 @@
     }
 
     private boolean learnFleet() {
-        fleetKnown = parts.tables().configuration().current().isPresent()
-                && parts.tables().upstreams().isMostlyObserved();
+        fleetKnown = dependencies.tables().configuration().current().isPresent()
+                && dependencies.tables().upstreams().hasRecentObservations();
         return fleetKnown;
     }
 
     private void forward(RequestMessage request, Reply reply, long arrivedNanos) {
         Optional<RoutingConfiguration> configuration =
-                parts.tables().configuration().current();
+                dependencies.tables().configuration().current();
         long version = configuration.get().version();
-        Optional<Route> route = configuration.get().find(hostOf(request), request.path());
+        Optional<Route> route = configuration.get().findRoute(hostOf(request), request.path());
         if (route.isEmpty()) {
             refuse(request, reply, ResultCode.NOT_CONFIGURED, 0, version);
             return;
         }
         long fingerprint = fingerprint(request);
-        if (parts.tables().suspects().isQuarantined(fingerprint)) {
+        if (dependencies.tables().suspects().isQuarantined(fingerprint)) {
             refuse(request, reply, ResultCode.QUARANTINED, QUARANTINE_RETRY_MILLIS, version);
             return;
         }
-        ServiceId service = parts.tables().rotation().next(route.get());
-        parts.tables().repeats().recordRequest(service);
+        ServiceId service = dependencies.tables().roundRobin().next(route.get());
+        dependencies.tables().retryBudget().recordRequest(service);
         new RequestRun(
-                        parts,
+                        dependencies,
                         request,
                         reply,
                         new RunTarget(route.get(), service, fingerprint, version),
@@ -105,7 +105,8 @@
 
     /** Returns how long the caller waits, from the arrival of its request. */
     private long waitNanos(RequestMessage request, Route route) {
-        long statedMillis = parts.protocol().deadlineMillis(request.headers()).orElse(Long.MAX_VALUE);
+        long statedMillis =
+                dependencies.protocol().deadlineMillis(request.headers()).orElse(Long.MAX_VALUE);
         return Math.min(route.timeoutNanos(), TimeUnit.MILLISECONDS.toNanos(statedMillis));
     }
 
@@ -120,15 +121,19 @@
     }
 
     private void refuse(RequestMessage request, Reply reply, ResultCode code, long retryAfterMillis, long version) {
-        parts.log()
+        dependencies
+                .log()
                 .write(Event.failure("forward", "Request refused.")
                         .with(
                                 "request",
-                                parts.protocol().requestId(request.headers()).orElse("-"))
+                                dependencies
+                                        .protocol()
+                                        .requestId(request.headers())
+                                        .orElse("-"))
                         .with("code", code.number())
                         .with("target", request.target())
                         .with("version", version));
-        parts.outcomes().refused(code);
+        dependencies.metrics().refused(code);
         reply.send(Refusal.of(code, retryAfterMillis));
     }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/FreshLoad.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/FreshLoad.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.turmericspan.balancing.ChoiceRequest;
 import org.turmericspan.balancing.Registration;
+import org.turmericspan.balancing.SelectionCriteria;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.ids.UpstreamId;
 
@@ -17,22 +17,22 @@
  */
 final class FreshLoad {
     private final UpstreamTable upstreams;
-    private final LoadLookup lookup;
+    private final LoadProber loadProber;
     private final ScheduledExecutorService worker;
 
-    FreshLoad(UpstreamTable upstreams, LoadLookup lookup, ScheduledExecutorService worker) {
+    FreshLoad(UpstreamTable upstreams, LoadProber loadProber, ScheduledExecutorService worker) {
         this.upstreams = upstreams;
-        this.lookup = lookup;
+        this.loadProber = loadProber;
         this.worker = worker;
     }
 
     /** Runs a step when the best candidates have said what they bear, or the limit has passed. */
-    void beforeChoice(ChoiceRequest request, long limitNanos, Runnable step) {
-        Collection<Registration> asked = upstreams.worthAsking(request);
+    void beforeChoice(SelectionCriteria criteria, long limitNanos, Runnable step) {
+        Collection<Registration> asked = upstreams.candidatesToProbe(criteria);
         if (asked.isEmpty()) {
             step.run();
         } else {
-            new Wait(asked.size(), () -> upstreams.worthAsking(request).isEmpty(), step).ask(asked, limitNanos);
+            new Wait(asked.size(), () -> upstreams.candidatesToProbe(criteria).isEmpty(), step).ask(asked, limitNanos);
         }
     }
 
@@ -46,7 +46,7 @@
 
     /** Asks an upstream how it does, for later choices. */
     void renew(UpstreamId upstream) {
-        upstreams.registration(upstream).ifPresent(registered -> lookup.ask(registered, () -> {}));
+        upstreams.registration(upstream).ifPresent(registered -> loadProber.probe(registered, () -> {}));
     }
 
     private final class Wait {
@@ -64,7 +64,7 @@
 
         void ask(Collection<Registration> asked, long limitNanos) {
             limit = worker.schedule(this::finish, limitNanos, TimeUnit.NANOSECONDS);
-            asked.forEach(upstream -> lookup.ask(upstream, () -> worker.execute(this::answered)));
+            asked.forEach(upstream -> loadProber.probe(upstream, () -> worker.execute(this::answered)));
         }
 
         private void answered() {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/LoadLookup.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/LoadProber.java
@@ -4,7 +4,7 @@
 
 /** Asks upstreams for their load at this moment. What they say is found in the table of upstreams. */
 @FunctionalInterface
-public interface LoadLookup {
+public interface LoadProber {
     /**
      * Asks one upstream, or joins a question to it that is under way.
      *
@@ -12,5 +12,5 @@
      * @param ended runs once, on any worker, when the upstream answered or failed, and at once when the budget of
      *     probes is spent
      */
-    void ask(Registration upstream, Runnable ended);
+    void probe(Registration upstream, Runnable ended);
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestRun.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.balancing.AttemptResult;
-import org.turmericspan.balancing.ChoiceRequest;
 import org.turmericspan.balancing.Placement;
 import org.turmericspan.balancing.Route;
+import org.turmericspan.balancing.SelectionCriteria;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.errors.ResultCode;
-import org.turmericspan.forwarding.ForwardingOutcomes.AttemptKind;
+import org.turmericspan.forwarding.ForwardingMetrics.AttemptKind;
 import org.turmericspan.http.CallEnd;
 import org.turmericspan.http.HeaderList;
 import org.turmericspan.http.Reply;
@@ -42,7 +42,7 @@
     /** Pause advised after upstreams turned the request away, which says little about the next moment. */
     private static final long SHED_RETRY_MILLIS = 20;
 
-    private final ForwardingParts parts;
+    private final ForwardingDependencies dependencies;
     private final RequestMessage request;
     private final Reply reply;
     private final RunTarget target;
@@ -64,30 +64,31 @@
     private boolean ended;
 
     RequestRun(
-            ForwardingParts parts,
+            ForwardingDependencies dependencies,
             RequestMessage request,
             Reply reply,
             RunTarget target,
             long arrivedNanos,
             long deadlineNanos) {
-        this.parts = parts;
+        this.dependencies = dependencies;
         this.request = request;
         this.reply = reply;
         this.target = target;
         this.route = target.route();
         this.deadlineNanos = deadlineNanos;
         this.arrivedNanos = arrivedNanos;
-        String requestId = parts.protocol().requestId(request.headers()).orElse("-");
-        this.log = new RunLog(parts.log(), parts.clock(), requestId, target, arrivedNanos);
-        this.upstreams = parts.tables().upstreams();
+        String requestId = dependencies.protocol().requestId(request.headers()).orElse("-");
+        this.log = new RunLog(dependencies.log(), dependencies.clock(), requestId, target, arrivedNanos);
+        this.upstreams = dependencies.tables().upstreams();
         this.headers = request.headers().endToEnd();
-        this.freshLoad = new FreshLoad(upstreams, parts.lookup(), reply.worker());
-        this.age = new AttemptAge(upstreams, route, parts.clock(), log);
+        this.freshLoad = new FreshLoad(upstreams, dependencies.loadProber(), reply.worker());
+        this.age = new AttemptAge(upstreams, route, dependencies.clock(), log);
     }
 
     void start() {
         reply.onCallerGone(this::callerGone);
-        long leftNanos = deadlineNanos + ANSWER_GRACE_NANOS - parts.clock().nowNanos();
+        long leftNanos =
+                deadlineNanos + ANSWER_GRACE_NANOS - dependencies.clock().nowNanos();
         deadlineTimer = reply.worker().schedule(this::deadlinePassed, leftNanos, TimeUnit.NANOSECONDS);
         place(AttemptKind.FIRST);
     }
@@ -96,14 +97,15 @@
         freshLoad.beforeChoice(choice(Double.MAX_VALUE), lookupNanos(), () -> choose(kind));
     }
 
-    private ChoiceRequest choice(double maxCost) {
-        double maxSlowness = age.maxSlowness(deadlineNanos - parts.clock().nowNanos());
-        return new ChoiceRequest(route.id(), target.service(), tried, route.priority(), maxCost, maxSlowness);
+    private SelectionCriteria choice(double maxCost) {
+        double maxSlowdown =
+                age.maxSlowdown(deadlineNanos - dependencies.clock().nowNanos());
+        return new SelectionCriteria(route.id(), target.service(), tried, route.priority(), maxCost, maxSlowdown);
     }
 
     /** Returns the highest cost at which an answer is expected in time; a slot on a better upstream is soon free. */
     private double inTimeCost(long waitedNanos) {
-        return (IN_TIME_PART * route.targetLatencyNanos() - waitedNanos) / age.typicalNanos();
+        return (IN_TIME_PART * route.targetLatencyNanos() - waitedNanos) / age.typicalLatencyNanos();
     }
 
     private long lookupNanos() {
@@ -114,7 +116,7 @@
         if (ended) {
             return;
         }
-        long now = parts.clock().nowNanos();
+        long now = dependencies.clock().nowNanos();
         long waitedNanos = now - arrivedNanos;
         boolean mayWait = waitedNanos < route.targetLatencyNanos() / WAIT_PART;
         Optional<Placement> placement = deadlineNanos - now < LEAST_LEFT_NANOS
@@ -134,20 +136,22 @@
         active.add(attempt);
         tried.add(placement.upstream());
         sent++;
-        parts.outcomes().attempted(kind, placement.ageNanos());
+        dependencies.metrics().attempted(kind, placement.observationAgeNanos());
         log.chosen(placement, kind);
-        long leftMillis =
-                TimeUnit.NANOSECONDS.toMillis(deadlineNanos - parts.clock().nowNanos());
+        long leftMillis = TimeUnit.NANOSECONDS.toMillis(
+                deadlineNanos - dependencies.clock().nowNanos());
         RequestMessage message = new RequestMessage(
                 request.method(),
                 request.target(),
-                parts.protocol().forAttempt(headers, Math.max(1, leftMillis), placement.upstream()),
+                dependencies.protocol().attemptHeaders(headers, Math.max(1, leftMillis), placement.upstream()),
                 request.body());
-        attempt.started(parts.caller()
+        attempt.started(dependencies
+                .client()
                 .call(
                         placement.address(),
                         message,
-                        AttemptOptions.of(route.idempotent(), parts.protocol().echoHeader()),
+                        AttemptOptions.of(
+                                route.idempotent(), dependencies.protocol().echoHeader()),
                         end -> reply.worker().execute(() -> ended(attempt, end))));
         if (!route.idempotent()) {
             scheduleOverdueLook(attempt);
@@ -163,8 +167,8 @@
     /** Looks at an attempt again at a time that is given in units of the typical latency. */
     private void scheduleLook(Attempt attempt, double atTypical, Runnable look) {
         cancelTimer(lookTimer);
-        long atNanos = attempt.placement().startedNanos() + (long) (atTypical * age.typicalNanos());
-        long delayNanos = Math.max(0, atNanos - parts.clock().nowNanos());
+        long atNanos = attempt.placement().startedNanos() + (long) (atTypical * age.typicalLatencyNanos());
+        long delayNanos = Math.max(0, atNanos - dependencies.clock().nowNanos());
         lookTimer = reply.worker().schedule(look, delayNanos, TimeUnit.NANOSECONDS);
     }
 
@@ -189,13 +193,13 @@
         return !ended
                 && sent < route.maxAttempts()
                 && active.contains(attempt)
-                && deadlineNanos - parts.clock().nowNanos() >= LEAST_LEFT_NANOS;
+                && deadlineNanos - dependencies.clock().nowNanos() >= LEAST_LEFT_NANOS;
     }
 
     private void considerHedge(Attempt attempt) {
         double elapsed = age.of(attempt);
-        int slowPercent = upstreams.slowPercent(attempt.placement().upstream());
-        if (HedgeRule.isWorthwhile(elapsed, slowPercent)) {
+        int slowdownPercent = upstreams.slowdownPercent(attempt.placement().upstream());
+        if (HedgeRule.isWorthwhile(elapsed, slowdownPercent)) {
             freshLoad.beforeChoice(choice(HEDGE_MAX_COST), lookupNanos(), () -> hedge(attempt, elapsed));
         } else {
             scheduleHedge(attempt, HedgeRule.nextLook(elapsed));
@@ -210,7 +214,7 @@
         Optional<Placement> placement = upstreams.choose(choice(HEDGE_MAX_COST));
         if (placement.isEmpty()) {
             scheduleHedge(attempt, HedgeRule.nextLook(elapsed));
-        } else if (parts.tables().repeats().trySpend(target.service(), route.priority())) {
+        } else if (dependencies.tables().retryBudget().tryAcquire(target.service(), route.priority())) {
             attempt(placement.get(), AttemptKind.HEDGE);
         } else {
             upstreams.finish(placement.get(), AttemptResult.CANCELLED);
@@ -229,13 +233,14 @@
     }
 
     private void answered(Attempt attempt, ResponseMessage response) {
-        parts.protocol()
-                .load(response)
+        dependencies
+                .protocol()
+                .reportedLoad(response)
                 .ifPresent(load -> upstreams.observeLoad(attempt.placement().upstream(), load));
-        if (parts.protocol().isWrongInstance(response)) {
+        if (dependencies.protocol().isWrongInstance(response)) {
             finish(attempt, AttemptResult.WRONG_INSTANCE, "another upstream at the address");
             retry(true);
-        } else if (parts.protocol().provesNotExecuted(response)) {
+        } else if (dependencies.protocol().provesNotExecuted(response)) {
             finish(attempt, AttemptResult.SHED, "not executed, status " + response.status());
             retry(true);
         } else if (response.isServerError()) {
@@ -243,7 +248,7 @@
             serverError = response;
             mayHaveRun = true;
             retry(route.idempotent());
-        } else if (response.isSuccess() && !parts.protocol().isSigned(response)) {
+        } else if (response.isSuccess() && !dependencies.protocol().isSigned(response)) {
             broken(attempt, new CallEnd.Broken("success without a signature"));
         } else {
             upstreams.finish(attempt.placement(), AttemptResult.SUCCESS);
@@ -255,7 +260,7 @@
     private void notSent(Attempt attempt, CallEnd.NotSent end) {
         sent--;
         finish(attempt, AttemptResult.CONNECT_FAILED, end.reason());
-        parts.tables().suspects().upstreamLost(attempt.placement().upstream());
+        dependencies.tables().suspects().recordUpstreamLoss(attempt.placement().upstream());
         if (!ended && active.isEmpty()) {
             place(AttemptKind.RETRY);
         }
@@ -264,9 +269,10 @@
     private void broken(Attempt attempt, CallEnd.Broken end) {
         finish(attempt, AttemptResult.BROKEN, end.reason());
         mayHaveRun = true;
-        parts.tables()
+        dependencies
+                .tables()
                 .suspects()
-                .attemptBroken(target.fingerprint(), attempt.placement().upstream());
+                .recordConnectionLoss(target.fingerprint(), attempt.placement().upstream());
         freshLoad.renew(attempt.placement().upstream());
         retry(route.idempotent());
     }
@@ -283,8 +289,8 @@
         }
         if (permitted
                 && sent < route.maxAttempts()
-                && !parts.tables().suspects().isQuarantined(target.fingerprint())
-                && parts.tables().repeats().trySpend(target.service(), route.priority())) {
+                && !dependencies.tables().suspects().isQuarantined(target.fingerprint())
+                && dependencies.tables().retryBudget().tryAcquire(target.service(), route.priority())) {
             place(AttemptKind.RETRY);
         } else {
             giveUp(ResultCode.SHED_BY_UPSTREAM);
@@ -316,9 +322,9 @@
     }
 
     private void refuse(ResultCode code) {
-        parts.outcomes().refused(code);
+        dependencies.metrics().refused(code);
         if (code == ResultCode.NO_CAPACITY) {
-            log.refused(code, upstreams.room(choice(Double.MAX_VALUE)));
+            log.refused(code, upstreams.capacity(choice(Double.MAX_VALUE)));
         } else {
             log.refused(code);
         }
@@ -338,8 +344,12 @@
 
     private void conclude(ResponseMessage response) {
         end();
-        parts.outcomes()
-                .answered(target.service(), response.status(), parts.clock().nowNanos() - arrivedNanos);
+        dependencies
+                .metrics()
+                .answered(
+                        target.service(),
+                        response.status(),
+                        dependencies.clock().nowNanos() - arrivedNanos);
         reply.send(response);
     }
 
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RunLog.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RunLog.java
@@ -3,11 +3,11 @@
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.balancing.AttemptResult;
 import org.turmericspan.balancing.Placement;
-import org.turmericspan.balancing.Room;
+import org.turmericspan.balancing.ServiceCapacity;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
-import org.turmericspan.forwarding.ForwardingOutcomes.AttemptKind;
+import org.turmericspan.forwarding.ForwardingMetrics.AttemptKind;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.UpstreamId;
 
@@ -40,9 +40,9 @@
                 .with("route", target.route().id())
                 .with("version", target.version())
                 .with("costPercent", Math.round(placement.cost() * PERCENT))
-                .with("slowPercent", placement.slowPercent())
+                .with("slowPercent", placement.slowdownPercent())
                 .with("load", placement.load())
-                .with("ageMs", TimeUnit.NANOSECONDS.toMillis(placement.ageNanos()))
+                .with("ageMs", TimeUnit.NANOSECONDS.toMillis(placement.observationAgeNanos()))
                 .with("cold", placement.cold()));
     }
 
@@ -60,11 +60,11 @@
     }
 
     /** Writes a refusal that the room in the service explains. */
-    void refused(ResultCode code, Room room) {
+    void refused(ResultCode code, ServiceCapacity capacity) {
         log.write(refusal(code)
-                .with("registered", room.registered())
-                .with("usable", room.usable())
-                .with("busyPercent", Math.round(room.busyShare() * PERCENT)));
+                .with("registered", capacity.registered())
+                .with("usable", capacity.usable())
+                .with("busyPercent", Math.round(capacity.utilization() * PERCENT)));
     }
 
     private Event refusal(ResultCode code) {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
-import org.turmericspan.balancing.LoadFigures;
+import org.turmericspan.balancing.LoadReport;
 import org.turmericspan.balancing.Observation;
 import org.turmericspan.balancing.ProbeBudget;
 import org.turmericspan.balancing.Registration;
@@ -29,7 +29,7 @@
 import org.turmericspan.ids.UpstreamId;
 
 /** Asks the upstreams that this node owns for their health, load and warmth. It runs on one worker. */
-public final class UpstreamProber implements LoadLookup {
+public final class UpstreamProber implements LoadProber {
     /** Longest wait for an answer; probes are answered at once or not at all. */
     private static final long TIMEOUT_MILLIS = 300;
     /** Longest idle time of a connection that a probe uses; a probe that fails costs nothing but the connection. */
@@ -52,8 +52,8 @@
     private final Map<UpstreamId, Probe> underWay = new HashMap<>();
     private final Map<UpstreamId, Integer> failures = new HashMap<>();
     private final Set<UpstreamId> cold = new HashSet<>();
-    private volatile boolean joined;
-    private volatile long sent;
+    private volatile boolean probeOwnedOnly;
+    private volatile long probesSent;
 
     /**
      * Creates a prober that has not begun.
@@ -95,19 +95,19 @@
     }
 
     private void probeOwned() {
-        upstreams.probeTargets(!joined).forEach(this::probe);
+        upstreams.probeTargets(!probeOwnedOnly).forEach(this::probe);
     }
 
     /** Leaves the upstreams of other owners to them from now on. */
-    public void joined() {
-        joined = true;
+    public void probeOwnedOnly() {
+        probeOwnedOnly = true;
     }
 
     @Override
-    public void ask(Registration upstream, Runnable ended) {
+    public void probe(Registration upstream, Runnable ended) {
         worker.execute(() -> {
             Probe probe = underWay.get(upstream.id());
-            if (probe == null && budget.trySpend()) {
+            if (probe == null && budget.tryAcquire()) {
                 probe = probe(upstream);
             }
             if (probe == null || probe.done) {
@@ -123,8 +123,8 @@
      *
      * @return the count
      */
-    public long sent() {
-        return sent;
+    public long probesSent() {
+        return probesSent;
     }
 
     /** Starts a probe unless one is under way; returns the one that is, or null when the service has no health path. */
@@ -136,7 +136,7 @@
         if (path.isEmpty() || underWay.containsKey(target.id())) {
             return underWay.get(target.id());
         }
-        sent++;
+        probesSent++;
         CallOptions options =
                 new CallOptions(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), MAX_IDLE_NANOS, true, Optional.empty());
         RequestMessage request = RequestMessage.get(path.get(), target.address().toString());
@@ -175,24 +175,24 @@
     }
 
     private void answered(Registration target, ResponseMessage response) {
-        if (protocol.instance(response).filter(target.id().value()::equals).isEmpty()) {
+        if (protocol.instanceId(response).filter(target.id().value()::equals).isEmpty()) {
             failed(target, "another instance answers", true);
             return;
         }
         if (failures.remove(target.id()) != null) {
             log.write(Event.notice(PART, "Upstream answers again.").with("upstream", target.id()));
         }
-        LoadFigures load = protocol.load(response).orElse(LoadFigures.USUAL);
-        long coldNanos = TimeUnit.MILLISECONDS.toNanos(protocol.coldMillis(response));
+        LoadReport load = protocol.reportedLoad(response).orElse(LoadReport.NORMAL);
+        long coldNanos = TimeUnit.MILLISECONDS.toNanos(protocol.warmupRemainingMillis(response));
         noteWarmth(target.id(), coldNanos);
-        upstreams.noteReachable(target.id(), true);
+        upstreams.recordReachability(target.id(), true);
         upstreams.observe(
                 target.id(),
                 new Observation(
                         clock.nowNanos(),
                         load.running(),
                         load.waiting(),
-                        load.slowPercent(),
+                        load.slowdownPercent(),
                         coldNanos,
                         response.status() == OK,
                         true));
@@ -210,9 +210,9 @@
     private void failed(Registration target, String reason, boolean unreachable) {
         int count = failures.merge(target.id(), 1, Integer::sum);
         if (unreachable || count >= SILENT_PROBES) {
-            upstreams.noteReachable(target.id(), false);
+            upstreams.recordReachability(target.id(), false);
             upstreams.observe(target.id(), Observation.unreachable(clock.nowNanos(), warmupNanos(target)));
-            suspects.upstreamLost(target.id());
+            suspects.recordUpstreamLoss(target.id());
         }
         if (count == 1) {
             log.write(Event.notice(PART, "Upstream does not answer.")
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeLookup.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeLookup.java
@@ -6,12 +6,12 @@
 import org.turmericspan.ids.UpstreamId;
 
 /** Keeps the questions, so that a test decides what each upstream says and when. */
-final class FakeLookup implements LoadLookup {
+final class FakeLookup implements LoadProber {
     private final List<Question> questions = new ArrayList<>();
     private boolean isHeld;
 
     @Override
-    public void ask(Registration upstream, Runnable ended) {
+    public void probe(Registration upstream, Runnable ended) {
         if (isHeld) {
             questions.add(new Question(upstream.id(), ended));
         } else {
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeProtocol.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeProtocol.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.turmericspan.balancing.LoadFigures;
+import org.turmericspan.balancing.LoadReport;
 import org.turmericspan.http.HeaderList;
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.UpstreamId;
@@ -25,7 +25,7 @@
     }
 
     @Override
-    public HeaderList forAttempt(HeaderList headers, long leftMillis, UpstreamId expected) {
+    public HeaderList attemptHeaders(HeaderList headers, long leftMillis, UpstreamId expected) {
         return headers.with(LEFT, Long.toString(leftMillis)).with(EXPECTED, expected.value());
     }
 
@@ -45,17 +45,17 @@
     }
 
     @Override
-    public Optional<LoadFigures> load(ResponseMessage response) {
+    public Optional<LoadReport> reportedLoad(ResponseMessage response) {
         return Optional.empty();
     }
 
     @Override
-    public Optional<String> instance(ResponseMessage response) {
+    public Optional<String> instanceId(ResponseMessage response) {
         return response.headers().first("instance");
     }
 
     @Override
-    public long coldMillis(ResponseMessage response) {
+    public long warmupRemainingMillis(ResponseMessage response) {
         return 0;
     }
 
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -8,19 +8,19 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
-import org.turmericspan.balancing.Backend;
 import org.turmericspan.balancing.BalancingRules;
 import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.Observation;
 import org.turmericspan.balancing.Registration;
-import org.turmericspan.balancing.RepeatWindow;
 import org.turmericspan.balancing.RequestLimits;
 import org.turmericspan.balancing.Route;
 import org.turmericspan.balancing.RoutingConfiguration;
 import org.turmericspan.balancing.ServiceSpec;
 import org.turmericspan.balancing.UpstreamTable;
-import org.turmericspan.balancing.WeightedRotation;
+import org.turmericspan.balancing.WeightedRoundRobin;
+import org.turmericspan.balancing.WeightedService;
+import org.turmericspan.balancing.WindowedRetryBudget;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.http.HeaderList;
@@ -47,12 +47,12 @@
     private final SplittableRandom random = new SplittableRandom(1);
     private final UpstreamTable upstreams =
             new UpstreamTable(ZONE, registration -> true, RULES, configuration, clock, random);
-    private final ForwardingService service = new ForwardingService(new ForwardingParts(
+    private final ForwardingService service = new ForwardingService(new ForwardingDependencies(
             new ForwardingTables(
                     configuration,
                     upstreams,
-                    new WeightedRotation(random),
-                    new RepeatWindow(RULES, () -> 1, clock),
+                    new WeightedRoundRobin(random),
+                    new WindowedRetryBudget(RULES, () -> 1, clock),
                     new CrashSuspects(clock)),
             caller,
             new FakeProtocol(),
@@ -61,7 +61,7 @@
             clock,
             EventLog.none()));
 
-    private static final class NoOutcomes implements ForwardingOutcomes {
+    private static final class NoOutcomes implements ForwardingMetrics {
         @Override
         public void answered(ServiceId service, int status, long latencyNanos) {}
 
@@ -73,7 +73,7 @@
     }
 
     private void configure() {
-        List<Backend> backends = List.of(new Backend(SERVICE, 1));
+        List<WeightedService> backends = List.of(new WeightedService(SERVICE, 1));
         long timeout = TimeUnit.SECONDS.toNanos(1);
         long target = TimeUnit.MILLISECONDS.toNanos(300);
         configuration.accept(new RoutingConfiguration(
--- a/front/src/main/java/org/turmericspan/front/CallerServer.java
+++ b/front/src/main/java/org/turmericspan/front/CallerServer.java
@@ -17,7 +17,7 @@
 import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.turmericspan.calls.CallHandler;
 import org.turmericspan.calls.CallResult;
-import org.turmericspan.calls.Located;
+import org.turmericspan.calls.LocateResult;
 import org.turmericspan.calls.Locator;
 import org.turmericspan.calls.Payload;
 import org.turmericspan.calls.ServiceCatalog;
@@ -105,10 +105,10 @@
 
     private void locate(Context context) {
         ServiceId service = serviceParameter(context);
-        Located located = locator.locate(service)
+        LocateResult locateResult = locator.locate(service)
                 .orElseThrow(() -> new BalancerException(ResultCode.NOT_CONFIGURED, "Service " + service));
         context.contentType("application/json");
-        context.result(encoder.json(LocateBody.of(service.value(), located, issuer)));
+        context.result(encoder.json(LocateBody.of(service.value(), locateResult, issuer)));
     }
 
     private static ServiceId serviceParameter(Context context) {
--- a/front/src/main/java/org/turmericspan/front/LocateBody.java
+++ b/front/src/main/java/org/turmericspan/front/LocateBody.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
-import org.turmericspan.calls.Located;
+import org.turmericspan.calls.LocateResult;
 
 /**
  * Answer to a locate request as JSON.
@@ -19,11 +19,11 @@
         @JsonProperty("ttl_ms") long timeToLiveMillis,
         @JsonProperty("incarnation") String incarnation,
         @JsonProperty("epoch") long epoch) {
-    static LocateBody of(String service, Located located, TokenIssuer issuer) {
+    static LocateBody of(String service, LocateResult locateResult, TokenIssuer issuer) {
         return new LocateBody(
                 service,
-                located.addresses().stream().map(AddressBody::of).toList(),
-                located.timeToLive().toMillis(),
+                locateResult.addresses().stream().map(AddressBody::of).toList(),
+                locateResult.timeToLive().toMillis(),
                 issuer.incarnation().toString(),
                 issuer.epoch().number());
     }
@@ -39,8 +39,8 @@
             @JsonProperty("vm") String vm,
             @JsonProperty("address") String address,
             @JsonProperty("weight") int weight) {
-        static AddressBody of(Located.Address address) {
-            return new AddressBody(address.vm().value(), address.address().toString(), address.weight());
+        static AddressBody of(LocateResult.Endpoint endpoint) {
+            return new AddressBody(endpoint.vm().value(), endpoint.address().toString(), endpoint.weight());
         }
     }
 }
--- a/front/src/main/java/org/turmericspan/front/RequestDecoder.java
+++ b/front/src/main/java/org/turmericspan/front/RequestDecoder.java
@@ -91,7 +91,7 @@
         if (wanted.isZero()) {
             throw new BalancerException(ResultCode.DEADLINE_BEFORE_SEND, "The request came with a passed deadline");
         }
-        return wanted.compareTo(limits.longestDeadline()) < 0 ? wanted : limits.longestDeadline();
+        return wanted.compareTo(limits.maxDeadline()) < 0 ? wanted : limits.maxDeadline();
     }
 
     private static Optional<RunToken> token(HeaderFields fields) {
--- a/gossip/src/main/java/org/turmericspan/gossip/DigestFormat.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/DigestFormat.java
@@ -85,11 +85,11 @@
             output.writeUInt64NoTag(age(observation.atNanos(), nowNanos));
             output.writeUInt32NoTag(observation.running());
             output.writeUInt32NoTag(observation.waiting());
-            output.writeUInt32NoTag(observation.slowPercent());
-            output.writeUInt64NoTag(TimeUnit.NANOSECONDS.toMillis(observation.coldForNanos()));
+            output.writeUInt32NoTag(observation.slowdownPercent());
+            output.writeUInt64NoTag(TimeUnit.NANOSECONDS.toMillis(observation.coldRemainingNanos()));
             output.writeUInt32NoTag((observation.healthy() ? HEALTHY : 0) | (observation.reachable() ? REACHABLE : 0));
             output.writeUInt32NoTag(report.inFlight());
-            output.writeUInt32NoTag(report.failPercent());
+            output.writeUInt32NoTag(report.failurePercent());
         }
     }
 
--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -34,7 +34,7 @@
     private final Supplier<List<SocketAddress>> seeds;
     private final ScheduledExecutorService worker;
     private final RandomGenerator random;
-    private GossipLink link;
+    private GossipTransport transport;
     private long round;
     private int nextNear;
 
@@ -68,14 +68,14 @@
      *
      * @param over sends the digests
      */
-    public void start(GossipLink over) {
-        link = over;
+    public void start(GossipTransport over) {
+        transport = over;
         worker.execute(this::runRound);
     }
 
     private void runRound() {
         members.refresh();
-        List<Member> others = members.alive().stream()
+        List<Member> others = members.aliveMembers().stream()
                 .filter(member -> !member.address().equals(members.self().address()))
                 .toList();
         List<Member> near = others.stream().filter(this::isNear).toList();
@@ -83,12 +83,12 @@
         if (!near.isEmpty()) {
             Digest digest = nearDigest();
             for (int i = 0; i < Math.min(NEAR_FANOUT, near.size()); i++) {
-                link.send(digest, near.get((nextNear + i) % near.size()).address());
+                transport.send(digest, near.get((nextNear + i) % near.size()).address());
             }
             nextNear = (nextNear + NEAR_FANOUT) % near.size();
         }
         if (!far.isEmpty()) {
-            link.send(farDigest(), far.get(random.nextInt(far.size())).address());
+            transport.send(farDigest(), far.get(random.nextInt(far.size())).address());
         }
         if (round % SEED_ROUNDS == 0 || others.isEmpty()) {
             sendToSeeds();
@@ -100,21 +100,21 @@
     private void sendToSeeds() {
         Digest digest = new Digest(members.rows(MAX_ROWS), List.of(), List.of());
         for (SocketAddress seed : seeds.get()) {
-            boolean isKnown =
-                    members.alive().stream().anyMatch(member -> member.address().equals(seed));
+            boolean isKnown = members.aliveMembers().stream()
+                    .anyMatch(member -> member.address().equals(seed));
             if (!isKnown) {
-                link.send(digest, seed);
+                transport.send(digest, seed);
             }
         }
     }
 
     /** Tells everyone at once, because this node's own state changed. */
-    public void tellAll() {
+    public void broadcast() {
         worker.execute(() -> {
             Digest digest = new Digest(members.rows(MAX_ROWS), List.of(), List.of());
-            members.alive().stream()
+            members.aliveMembers().stream()
                     .filter(member -> !member.address().equals(members.self().address()))
-                    .forEach(member -> link.send(digest, member.address()));
+                    .forEach(member -> transport.send(digest, member.address()));
         });
     }
 
@@ -123,7 +123,8 @@
     }
 
     private Digest nearDigest() {
-        return new Digest(members.rows(MAX_ROWS), upstreams.ownReports(OWN_REPORT_NANOS), suspects.recent(MAX_CRASHES));
+        return new Digest(
+                members.rows(MAX_ROWS), upstreams.localReports(OWN_REPORT_NANOS), suspects.recentCrashes(MAX_CRASHES));
     }
 
     private Digest farDigest() {
@@ -131,7 +132,7 @@
                 members.rows(MAX_ROWS),
                 upstreams.reports(registration ->
                         registration.availabilityZone().equals(members.self().availabilityZone())),
-                suspects.recent(MAX_CRASHES));
+                suspects.recentCrashes(MAX_CRASHES));
     }
 
     /**
@@ -142,10 +143,10 @@
      */
     public void receive(SocketAddress sender, Digest digest) {
         boolean isNew = members.accept(digest.members());
-        upstreams.acceptReports(sender.toString(), digest.reports());
-        digest.crashes().forEach(suspects::accept);
-        if (isNew && link != null) {
-            link.send(nearDigest(), digest.members().get(0).address());
+        upstreams.applyPeerReports(sender.toString(), digest.reports());
+        digest.crashes().forEach(suspects::recordPeerCrash);
+        if (isNew && transport != null) {
+            transport.send(nearDigest(), digest.members().get(0).address());
         }
     }
 }
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipLink.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipTransport.java
@@ -20,7 +20,7 @@
 import org.turmericspan.transport.InboundHandler;
 
 /** Sends and receives digests as datagrams. A lost one is made good by the next. */
-public final class GossipLink implements AutoCloseable {
+public final class GossipTransport implements AutoCloseable {
     private static final int MAX_DATAGRAM_BYTES = 65_507;
 
     private final Channel channel;
@@ -35,7 +35,7 @@
      * @param clock monotonic time
      * @param log takes datagrams that cannot be read
      */
-    public GossipLink(
+    public GossipTransport(
             EventLoopGroup workers,
             SocketAddress address,
             BiConsumer<SocketAddress, Digest> receiver,
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -68,7 +68,7 @@
      * @param leaving whether it is stopping
      * @param reading whether it reads the platform's store itself
      */
-    public void setSelf(boolean ready, boolean leaving, boolean reading) {
+    public void updateSelf(boolean ready, boolean leaving, boolean reading) {
         Member old = self;
         self = new Member(
                 old.address(),
@@ -189,7 +189,7 @@
      *
      * @return nodes ordered by address
      */
-    public List<Member> alive() {
+    public List<Member> aliveMembers() {
         return snapshot.alive;
     }
 
@@ -235,7 +235,7 @@
     }
 
     /** Lets this node own upstreams, now that it has had time to hear of the other nodes. */
-    public void join() {
+    public void enableOwnership() {
         joined = true;
     }
 
@@ -244,7 +244,7 @@
      *
      * @return the reader; empty while no node of the zone is ready
      */
-    public Optional<Member> reader() {
+    public Optional<Member> storeReader() {
         return snapshot.reader(self.availabilityZone());
     }
 
--- a/gossip/src/test/java/org/turmericspan/gossip/DigestFormatTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/DigestFormatTest.java
@@ -38,7 +38,7 @@
         assertThat(read.members().get(0).heardAt(0))
                 .isEqualTo(sample().members().get(0).heardAt(0));
         assertThat(read.reports().get(0).inFlight()).isEqualTo(2);
-        assertThat(read.reports().get(0).observation().slowPercent()).isEqualTo(400);
+        assertThat(read.reports().get(0).observation().slowdownPercent()).isEqualTo(400);
         assertThat(read.crashes()).isEqualTo(sample().crashes());
     }
 
--- a/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
@@ -30,7 +30,9 @@
 
     private List<String> alive() {
         table.refresh();
-        return table.alive().stream().map(member -> member.address().host()).toList();
+        return table.aliveMembers().stream()
+                .map(member -> member.address().host())
+                .toList();
     }
 
     @Test
@@ -82,9 +84,9 @@
     @Test
     void exactlyOneReadyNodeOfTheZoneOwnsAnUpstream() {
         table.accept(List.of(member("10.0.0.2", HOME, 5, true), member("10.0.0.3", AWAY, 5, true)));
-        table.join();
+        table.enableOwnership();
         MemberTable other = new MemberTable(member("10.0.0.2", HOME, 5, true), clock, EventLog.none());
-        other.join();
+        other.enableOwnership();
         other.accept(List.of(member("10.0.0.1", HOME, 1, true), member("10.0.0.3", AWAY, 5, true)));
         table.refresh();
         other.refresh();
@@ -100,13 +102,13 @@
     void nodeOwnsNothingBeforeItHasJoined() {
         table.refresh();
         assertThat(table.ownership().owns(registration("u-1", HOME))).isFalse();
-        table.join();
+        table.enableOwnership();
         assertThat(table.ownership().owns(registration("u-1", HOME))).isTrue();
     }
 
     @Test
     void nodeThatIsNotReadyOwnsNothing() {
-        table.join();
+        table.enableOwnership();
         table.accept(List.of(member("10.0.0.2", HOME, 5, false)));
         for (int i = 0; i < 20; i++) {
             assertThat(table.ownership().owns(registration("u-" + i, HOME))).isTrue();
--- a/membership/src/main/java/org/turmericspan/membership/ConfigurationIntake.java
+++ b/membership/src/main/java/org/turmericspan/membership/ConfigurationReceiver.java
@@ -18,7 +18,7 @@
  * Checks every offered document as a whole before it may come into force, whichever way it came. Until the intake is
  * opened the highest checked document is held back, so that a fresh process can first ask its peers.
  */
-public final class ConfigurationIntake {
+public final class ConfigurationReceiver {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int REFUSALS_KEPT = 8;
 
@@ -26,8 +26,8 @@
     private final ConfigurationReader reader = new ConfigurationReader();
     private final ConfigurationTable table;
     private final MonotonicClock clock;
-    private final Consumer<Refusal> refusalListener;
-    private final Deque<Refusal> refusals = new ArrayDeque<>();
+    private final Consumer<RejectedConfiguration> refusalListener;
+    private final Deque<RejectedConfiguration> rejected = new ArrayDeque<>();
     private Configuration held = Configuration.EMPTY;
     private OptionalLong knownSinceNanos = OptionalLong.empty();
     private boolean open;
@@ -51,7 +51,8 @@
      * @param clock tells when something was refused
      * @param refusalListener told of each document refused for the first time, outside any lock
      */
-    public ConfigurationIntake(ConfigurationTable table, MonotonicClock clock, Consumer<Refusal> refusalListener) {
+    public ConfigurationReceiver(
+            ConfigurationTable table, MonotonicClock clock, Consumer<RejectedConfiguration> refusalListener) {
         this.table = table;
         this.clock = clock;
         this.refusalListener = refusalListener;
@@ -76,7 +77,7 @@
         try {
             checked = reader.read(document);
         } catch (InvalidConfigurationException e) {
-            refuse(new Refusal(digest, source, e.getMessage(), clock.nowNanos()));
+            refuse(new RejectedConfiguration(digest, source, e.getMessage(), clock.nowNanos()));
             return Outcome.REFUSED;
         }
         return take(checked, source);
@@ -128,7 +129,7 @@
      */
     public boolean isRefused(String digest) {
         return lock.compute(
-                () -> refusals.stream().anyMatch(refusal -> refusal.digest().equals(digest)));
+                () -> rejected.stream().anyMatch(refusal -> refusal.digest().equals(digest)));
     }
 
     /**
@@ -136,8 +137,8 @@
      *
      * @return the latest first
      */
-    public List<Refusal> refusals() {
-        return lock.compute(() -> List.copyOf(refusals));
+    public List<RejectedConfiguration> rejected() {
+        return lock.compute(() -> List.copyOf(rejected));
     }
 
     private Outcome take(Configuration checked, String source) {
@@ -168,11 +169,11 @@
         return Outcome.HELD;
     }
 
-    private void refuse(Refusal refusal) {
+    private void refuse(RejectedConfiguration refusal) {
         lock.run(() -> {
-            refusals.addFirst(refusal);
-            if (refusals.size() > REFUSALS_KEPT) {
-                refusals.removeLast();
+            rejected.addFirst(refusal);
+            if (rejected.size() > REFUSALS_KEPT) {
+                rejected.removeLast();
             }
         });
         logger.atWarning().log("membership: refused a configuration from %s: %s", refusal.source(), refusal.message());
--- a/membership/src/main/java/org/turmericspan/membership/DocumentFetch.java
+++ b/membership/src/main/java/org/turmericspan/membership/DocumentFetch.java
@@ -13,7 +13,7 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /**
  * Fetches one kind of document from the peer that has the highest version of it, after a random pause that spreads the
@@ -29,7 +29,7 @@
     private final FetchPlan<V> plan = new FetchPlan<>();
     private final Document<V> document;
     private final PeerLinks links;
-    private final Workers workers;
+    private final WorkerPool workerPool;
     private final RandomGenerator random;
     private final MonotonicClock clock;
 
@@ -38,15 +38,19 @@
      *
      * @param document what is fetched
      * @param links links to the peers
-     * @param workers runs the fetch
+     * @param workerPool runs the fetch
      * @param random spreads the fetches
      * @param clock tells how long a failing peer rests
      */
     public DocumentFetch(
-            Document<V> document, PeerLinks links, Workers workers, RandomGenerator random, MonotonicClock clock) {
+            Document<V> document,
+            PeerLinks links,
+            WorkerPool workerPool,
+            RandomGenerator random,
+            MonotonicClock clock) {
         this.document = document;
         this.links = links;
-        this.workers = workers;
+        this.workerPool = workerPool;
         this.random = random;
         this.clock = clock;
     }
@@ -56,7 +60,7 @@
         List<FetchPlan.Offer<V>> offers = new ArrayList<>(document.offers().get());
         Collections.shuffle(offers, new Random(random.nextLong()));
         plan.begin(document.current().get(), offers, clock.nowNanos())
-                .ifPresent(peer -> workers.schedule(pause(), () -> fetch(peer)));
+                .ifPresent(peer -> workerPool.schedule(pause(), () -> fetch(peer)));
     }
 
     private void fetch(VmId peer) {
--- a/membership/src/main/java/org/turmericspan/membership/Heartbeats.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatExchange.java
@@ -12,10 +12,10 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Exchanges heartbeats: with one node after the other, with a few at once after a change, with all at the start. */
-public final class Heartbeats implements AutoCloseable {
+public final class HeartbeatExchange implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final Duration IDLE_STEP = Duration.ofMillis(200);
@@ -26,7 +26,7 @@
     private final Plan plan;
     private final PeerTable peers;
     private final PeerLinks links;
-    private final Workers workers;
+    private final WorkerPool workerPool;
     private final RandomGenerator random;
     private final MonotonicClock clock;
     private final HeartbeatRotation rotation;
@@ -40,21 +40,21 @@
      * @param plan what is exchanged with whom, and how often
      * @param peers takes what the others say
      * @param links links to them
-     * @param workers runs the exchange
+     * @param workerPool runs the exchange
      * @param random spreads the exchanges
      * @param clock tells when a node was asked
      */
-    public Heartbeats(
+    public HeartbeatExchange(
             Plan plan,
             PeerTable peers,
             PeerLinks links,
-            Workers workers,
+            WorkerPool workerPool,
             RandomGenerator random,
             MonotonicClock clock) {
         this.plan = plan;
         this.peers = peers;
         this.links = links;
-        this.workers = workers;
+        this.workerPool = workerPool;
         this.random = random;
         this.clock = clock;
         this.rotation = new HeartbeatRotation(random);
@@ -67,11 +67,11 @@
      */
     public void start(Runnable newsListener) {
         listener = newsListener;
-        workers.schedule(IDLE_STEP, this::step);
+        workerPool.schedule(IDLE_STEP, this::step);
     }
 
     /** Tells a few nodes of a change at once; the others follow in their turn or hear it from those. */
-    public void announce() {
+    public void exchangeWithSample() {
         rotation.sample(plan.members().get(), TOLD_AT_ONCE).forEach(this::exchange);
     }
 
@@ -84,8 +84,8 @@
      */
     public CompletionStage<PeerMessage> handle(VmId from, PeerMessage message) {
         if (message instanceof PeerMessage.Heartbeat heartbeat) {
-            peers.heard(from, heartbeat);
-            workers.execute(listener);
+            peers.recordHeartbeat(from, heartbeat);
+            workerPool.execute(listener);
         }
         return CompletableFuture.completedFuture(plan.source().get());
     }
@@ -110,7 +110,7 @@
         } catch (RuntimeException e) {
             logger.atWarning().withCause(e).log("membership: a heartbeat failed");
         }
-        workers.schedule(pause(), this::step);
+        workerPool.schedule(pause(), this::step);
     }
 
     /** Returns the time to the next step, also when what it depends on cannot be read, so that the steps go on. */
@@ -119,7 +119,7 @@
         try {
             int count = plan.members().get().size();
             if (count > 0) {
-                step = plan.pace().step(count, plan.source().get());
+                step = plan.intervalPolicy().interval(count, plan.source().get());
             }
         } catch (RuntimeException e) {
             logger.atWarning().withCause(e).log("membership: no pace can be read");
@@ -131,8 +131,8 @@
         long askedNanos = clock.nowNanos();
         links.ask(peer, plan.source().get(), TIMEOUT).thenAccept(answer -> {
             if (answer instanceof PeerMessage.Heartbeat heartbeat) {
-                peers.answered(peer, heartbeat, askedNanos);
-                workers.execute(listener);
+                peers.recordReply(peer, heartbeat, askedNanos);
+                workerPool.execute(listener);
             }
         });
     }
@@ -142,13 +142,14 @@
      *
      * @param source writes this node's heartbeat
      * @param members lists the nodes to exchange with
-     * @param pace decides the time between two exchanges
+     * @param intervalPolicy decides the time between two exchanges
      */
-    public record Plan(Supplier<PeerMessage.Heartbeat> source, Supplier<List<VmId>> members, Pace pace) {}
+    public record Plan(
+            Supplier<PeerMessage.Heartbeat> source, Supplier<List<VmId>> members, IntervalPolicy intervalPolicy) {}
 
     /** Decides the time between two exchanges. */
     @FunctionalInterface
-    public interface Pace {
+    public interface IntervalPolicy {
         /**
          * Computes the pause before the next exchange.
          *
@@ -156,6 +157,6 @@
          * @param heartbeat what is sent now
          * @return time until the next exchange, before jitter
          */
-        Duration step(int peers, PeerMessage.Heartbeat heartbeat);
+        Duration interval(int peers, PeerMessage.Heartbeat heartbeat);
     }
 }
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatSource.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatFactory.java
@@ -7,11 +7,11 @@
 import org.turmericspan.messages.PeerMessage;
 
 /** Writes this node's heartbeat from its tables. */
-public final class HeartbeatSource implements Supplier<PeerMessage.Heartbeat> {
+public final class HeartbeatFactory implements Supplier<PeerMessage.Heartbeat> {
     private final NodeIdentity identity;
     private final ConfigurationTable configurations;
     private final ViewTable views;
-    private final StopState stopState;
+    private final NodeLifecycle nodeLifecycle;
     private final IdleSlotsReport idleSlots;
     private final MonotonicClock clock;
 
@@ -21,21 +21,21 @@
      * @param identity who this node is
      * @param configurations the configuration in force
      * @param views the accepted view
-     * @param stopState whether this node is about to stop
+     * @param nodeLifecycle whether this node is about to stop
      * @param idleSlots slots idle at this node
      * @param clock tells the age of the view
      */
-    public HeartbeatSource(
+    public HeartbeatFactory(
             NodeIdentity identity,
             ConfigurationTable configurations,
             ViewTable views,
-            StopState stopState,
+            NodeLifecycle nodeLifecycle,
             IdleSlotsReport idleSlots,
             MonotonicClock clock) {
         this.identity = identity;
         this.configurations = configurations;
         this.views = views;
-        this.stopState = stopState;
+        this.nodeLifecycle = nodeLifecycle;
         this.idleSlots = idleSlots;
         this.clock = clock;
     }
@@ -49,7 +49,7 @@
                 version.digest(),
                 views.current().revision(),
                 Duration.ofNanos(clock.nowNanos() - views.confirmedNanos()),
-                stopState.isLeaving(),
+                nodeLifecycle.isLeaving(),
                 idleSlots.read());
     }
 }
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatPace.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatInterval.java
@@ -7,7 +7,7 @@
  * Decides how often a node starts an exchange of heartbeats. The byte rate is bounded whatever the size of the fleet:
  * a larger fleet or a longer heartbeat makes each peer's turn come later.
  */
-public final class HeartbeatPace {
+public final class HeartbeatInterval {
     /** Bytes a second that heartbeats may take at one node, both directions together. */
     static final int BYTES_PER_SECOND = 9_000;
 
@@ -19,7 +19,7 @@
     private static final int EXCHANGES_PER_STEP = 2;
     private static final long NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
-    private HeartbeatPace() {}
+    private HeartbeatInterval() {}
 
     /**
      * Computes the pause before the next exchange.
@@ -28,7 +28,7 @@
      * @param heartbeat what is sent now
      * @return time until the next exchange, before jitter
      */
-    public static Duration step(int peers, PeerMessage.Heartbeat heartbeat) {
+    public static Duration compute(int peers, PeerMessage.Heartbeat heartbeat) {
         int bytes = FIXED_BYTES
                 + heartbeat.idleSlots().stream()
                         .mapToInt(slots ->
