--- a/membership/src/main/java/org/turmericspan/membership/Membership.java
+++ b/membership/src/main/java/org/turmericspan/membership/Membership.java
@@ -14,14 +14,14 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Spreads the configuration and the list of VMs between the nodes, and brings them into force. */
 public final class Membership {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final NodeIdentity identity;
-    private final Accepted accepted;
+    private final Documents documents;
     private final PeerTable peers;
     private final MonotonicClock clock;
     private final DocumentFetch<ConfigurationVersion> configurationFetch;
@@ -31,37 +31,37 @@
      * Creates the spreading of documents.
      *
      * @param identity who this node is
-     * @param accepted tables and intakes of documents
+     * @param documents tables and intakes of documents
      * @param peers what the other nodes last said
      * @param links links to them
-     * @param workers runs the fetches
+     * @param workerPool runs the fetches
      * @param random spreads the fetches
      * @param clock measures waits
      */
     public Membership(
             NodeIdentity identity,
-            Accepted accepted,
+            Documents documents,
             PeerTable peers,
             PeerLinks links,
-            Workers workers,
+            WorkerPool workerPool,
             RandomGenerator random,
             MonotonicClock clock) {
         this.identity = identity;
-        this.accepted = accepted;
+        this.documents = documents;
         this.peers = peers;
         this.clock = clock;
-        this.configurationFetch = new DocumentFetch<>(configurations(), links, workers, random, clock);
-        this.viewFetch = new DocumentFetch<>(views(), links, workers, random, clock);
+        this.configurationFetch = new DocumentFetch<>(configurations(), links, workerPool, random, clock);
+        this.viewFetch = new DocumentFetch<>(views(), links, workerPool, random, clock);
     }
 
     /** Fetches what is behind, and brings into force what has waited long enough. Called after each heartbeat. */
-    public void review() {
+    public void reconcile() {
         configurationFetch.beginIfBehind();
         viewFetch.beginIfBehind();
-        FleetView view = accepted.views().current();
+        FleetView view = documents.views().current();
         List<VmId> listed = PeerSelection.sameRegion(view, configuration(), identity);
-        ViewAgreement.agreedNanos(view.revision(), listed, peers).ifPresent(accepted.views()::confirm);
-        if (!accepted.intake().isOpen()) {
+        ViewAgreement.agreedNanos(view.revision(), listed, peers).ifPresent(documents.views()::confirm);
+        if (!documents.configurationReceiver().isOpen()) {
             openIfWaited(listed);
         }
     }
@@ -71,7 +71,7 @@
      *
      * @return the document
      */
-    public CompletionStage<PeerMessage> configurationInForce() {
+    public CompletionStage<PeerMessage> activeConfigurationDocument() {
         String document = configuration().document();
         return CompletableFuture.completedFuture(
                 new PeerMessage.ConfigurationDocument(document.isEmpty() ? Optional.empty() : Optional.of(document)));
@@ -82,31 +82,31 @@
      *
      * @return the list
      */
-    public CompletionStage<PeerMessage> acceptedView() {
-        return CompletableFuture.completedFuture(accepted.viewIntake().document());
+    public CompletionStage<PeerMessage> acceptedViewDocument() {
+        return CompletableFuture.completedFuture(documents.viewReceiver().document());
     }
 
     private void openIfWaited(List<VmId> listed) {
-        ConfigurationIntake intake = accepted.intake();
-        if (StartupWait.isOver(intake.highest(), intake.knownSinceNanos(), listed, peers, clock.nowNanos())) {
+        ConfigurationReceiver receiver = documents.configurationReceiver();
+        if (StartupWait.isOver(receiver.highest(), receiver.knownSinceNanos(), listed, peers, clock.nowNanos())) {
             logger.atInfo().log(
                     "membership: takes configuration %d as the highest known",
-                    intake.highest().number());
-            intake.open();
+                    receiver.highest().number());
+            receiver.open();
         }
     }
 
     private Configuration configuration() {
-        return accepted.configurations().current();
+        return documents.configurations().current();
     }
 
     private DocumentFetch.Document<ConfigurationVersion> configurations() {
-        ConfigurationIntake intake = accepted.intake();
+        ConfigurationReceiver receiver = documents.configurationReceiver();
         return new DocumentFetch.Document<>(
                 new PeerMessage.FetchConfiguration(),
-                intake::highest,
+                receiver::highest,
                 () -> peers.all().stream()
-                        .filter(peer -> !intake.isRefused(peer.configuration().digest()))
+                        .filter(peer -> !receiver.isRefused(peer.configuration().digest()))
                         .map(peer -> new FetchPlan.Offer<>(peer.vm(), peer.configuration()))
                         .toList(),
                 this::takeConfiguration);
@@ -115,7 +115,7 @@
     private DocumentFetch.Document<Long> views() {
         return new DocumentFetch.Document<>(
                 new PeerMessage.FetchView(),
-                () -> accepted.views().current().revision(),
+                () -> documents.views().current().revision(),
                 () -> peers.all().stream()
                         .map(peer -> new FetchPlan.Offer<>(peer.vm(), peer.viewRevision()))
                         .toList(),
@@ -125,9 +125,9 @@
     private boolean takeConfiguration(VmId peer, PeerMessage answer) {
         if (answer instanceof PeerMessage.ConfigurationDocument fetched
                 && fetched.document().isPresent()) {
-            ConfigurationIntake.Outcome outcome =
-                    accepted.intake().offer(fetched.document().get(), peer.value());
-            return outcome == ConfigurationIntake.Outcome.ACCEPTED || outcome == ConfigurationIntake.Outcome.HELD;
+            ConfigurationReceiver.Outcome outcome =
+                    documents.configurationReceiver().offer(fetched.document().get(), peer.value());
+            return outcome == ConfigurationReceiver.Outcome.ACCEPTED || outcome == ConfigurationReceiver.Outcome.HELD;
         }
         return false;
     }
@@ -141,7 +141,8 @@
                 .map(state -> Duration.ofNanos(clock.nowNanos() - state.viewConfirmedNanos()))
                 .orElse(Duration.ZERO);
         try {
-            return accepted.viewIntake()
+            return documents
+                    .viewReceiver()
                     .offer(fetched.revision(), fetched.text().get(), age);
         } catch (BalancerException e) {
             logger.atWarning().log("membership: refused the list of VMs from %s: %s", peer, e.getMessage());
@@ -153,10 +154,13 @@
      * Tables and intakes of documents.
      *
      * @param configurations the configuration in force
-     * @param intake checks offered configurations
+     * @param configurationReceiver checks offered configurations
      * @param views the accepted view
-     * @param viewIntake checks offered lists
+     * @param viewReceiver checks offered lists
      */
-    public record Accepted(
-            ConfigurationTable configurations, ConfigurationIntake intake, ViewTable views, ViewIntake viewIntake) {}
+    public record Documents(
+            ConfigurationTable configurations,
+            ConfigurationReceiver configurationReceiver,
+            ViewTable views,
+            ViewReceiver viewReceiver) {}
 }
--- a/membership/src/main/java/org/turmericspan/membership/StopState.java
+++ b/membership/src/main/java/org/turmericspan/membership/NodeLifecycle.java
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 
 /** Whether this node starts, serves or is about to stop. Heartbeats and locate answers read it. It never goes back. */
-public final class StopState {
+public final class NodeLifecycle {
     private final List<Consumer<Phase>> listeners = new CopyOnWriteArrayList<>();
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
 
--- a/membership/src/main/java/org/turmericspan/membership/PeerState.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerState.java
@@ -17,8 +17,9 @@
  * @param viewConfirmedNanos monotonic time here at which that view was known to be the newest, or earlier
  * @param leaving whether it is about to stop
  * @param idleSlots slots idle there, by service
- * @param heardNanos monotonic time here at which it was last heard
- * @param answeredNanos monotonic time here of the last question that it answered; what it said was true later than this
+ * @param lastHeardNanos monotonic time here at which it was last heard
+ * @param answeredRequestNanos monotonic time here of the last question that it answered; what it said was true later
+ *     than this
  */
 public record PeerState(
         VmId vm,
@@ -28,8 +29,8 @@
         long viewConfirmedNanos,
         boolean leaving,
         List<PeerMessage.IdleSlots> idleSlots,
-        long heardNanos,
-        OptionalLong answeredNanos) {
+        long lastHeardNanos,
+        OptionalLong answeredRequestNanos) {
     /** Copies the list. */
     public PeerState {
         idleSlots = List.copyOf(idleSlots);
--- a/membership/src/main/java/org/turmericspan/membership/PeerTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerTable.java
@@ -34,11 +34,11 @@
      * @param from VM of the sender
      * @param heartbeat what it said
      */
-    public void heard(VmId from, PeerMessage.Heartbeat heartbeat) {
+    public void recordHeartbeat(VmId from, PeerMessage.Heartbeat heartbeat) {
         lock.run(() -> {
             PeerState before = peers.get(from);
             boolean isSameLife = before != null && before.incarnation().equals(heartbeat.incarnation());
-            OptionalLong answered = isSameLife ? before.answeredNanos() : OptionalLong.empty();
+            OptionalLong answered = isSameLife ? before.answeredRequestNanos() : OptionalLong.empty();
             peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), answered));
         });
     }
@@ -50,7 +50,7 @@
      * @param heartbeat what it said
      * @param askedNanos monotonic time at which this node asked
      */
-    public void answered(VmId from, PeerMessage.Heartbeat heartbeat, long askedNanos) {
+    public void recordReply(VmId from, PeerMessage.Heartbeat heartbeat, long askedNanos) {
         lock.run(() -> peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), OptionalLong.of(askedNanos))));
     }
 
@@ -59,7 +59,7 @@
      *
      * @param listed VMs of the accepted view
      */
-    public void retain(Collection<VmId> listed) {
+    public void retainOnly(Collection<VmId> listed) {
         lock.run(() -> peers.keySet().retainAll(listed));
     }
 
--- a/membership/src/main/java/org/turmericspan/membership/Peers.java
+++ b/membership/src/main/java/org/turmericspan/membership/Peers.java
@@ -5,7 +5,10 @@
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.VmId;
 
-/** What the other nodes last said of themselves. It is always old by some moments; see {@link PeerState#heardNanos}. */
+/**
+ * What the other nodes last said of themselves. It is always old by some moments; see
+ * {@link PeerState#lastHeardNanos}.
+ */
 public interface Peers {
     /**
      * Looks up one node.
--- a/membership/src/main/java/org/turmericspan/membership/Refusal.java
+++ b/membership/src/main/java/org/turmericspan/membership/RejectedConfiguration.java
@@ -6,6 +6,6 @@
  * @param digest digest of the document
  * @param source where it came from
  * @param message every fault found
- * @param refusedNanos monotonic time of the refusal
+ * @param rejectedNanos monotonic time of the refusal
  */
-public record Refusal(String digest, String source, String message, long refusedNanos) {}
+public record RejectedConfiguration(String digest, String source, String message, long rejectedNanos) {}
--- a/membership/src/main/java/org/turmericspan/membership/StartupWait.java
+++ b/membership/src/main/java/org/turmericspan/membership/StartupWait.java
@@ -41,7 +41,7 @@
 
     private static boolean isNoHigher(ConfigurationVersion known, VmId vm, Peers peers) {
         return peers.find(vm)
-                .filter(peer -> peer.answeredNanos().isPresent())
+                .filter(peer -> peer.answeredRequestNanos().isPresent())
                 .filter(peer -> !peer.configuration().isAfter(known))
                 .isPresent();
     }
--- a/membership/src/main/java/org/turmericspan/membership/ViewAgreement.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewAgreement.java
@@ -24,7 +24,7 @@
         for (VmId vm : listed) {
             OptionalLong answeredNanos = peers.find(vm)
                     .filter(peer -> peer.viewRevision() == revision)
-                    .map(PeerState::answeredNanos)
+                    .map(PeerState::answeredRequestNanos)
                     .orElse(OptionalLong.empty());
             if (answeredNanos.isEmpty()) {
                 return OptionalLong.empty();
--- a/membership/src/main/java/org/turmericspan/membership/ViewIntake.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewReceiver.java
@@ -6,7 +6,7 @@
 import org.turmericspan.messages.PeerMessage;
 
 /** Checks every offered list of VMs, whichever way it came, and keeps the accepted one as published for the peers. */
-public final class ViewIntake {
+public final class ViewReceiver {
     private final ViewReader reader;
     private final ViewTable table;
     private final AtomicReference<PeerMessage.ViewDocument> document =
@@ -18,7 +18,7 @@
      * @param reader reads lists
      * @param table takes what is accepted
      */
-    public ViewIntake(ViewReader reader, ViewTable table) {
+    public ViewReceiver(ViewReader reader, ViewTable table) {
         this.reader = reader;
         this.table = table;
     }
--- a/membership/src/test/java/org/turmericspan/membership/ConfigurationIntakeTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/ConfigurationIntakeTest.java
@@ -16,38 +16,38 @@
 
     private final ManualClock clock = new ManualClock();
     private final ConfigurationTable table = new ConfigurationTable(clock);
-    private final List<Refusal> refused = new ArrayList<>();
-    private final ConfigurationIntake intake = new ConfigurationIntake(table, clock, refused::add);
+    private final List<RejectedConfiguration> refused = new ArrayList<>();
+    private final ConfigurationReceiver receiver = new ConfigurationReceiver(table, clock, refused::add);
 
     @Test
     void closedIntakeHoldsTheHighestDocumentBack() {
-        assertThat(intake.offer(SECOND, "peer")).isEqualTo(ConfigurationIntake.Outcome.HELD);
-        assertThat(intake.offer(FIRST, "platform")).isEqualTo(ConfigurationIntake.Outcome.NOT_HIGHER);
+        assertThat(receiver.offer(SECOND, "peer")).isEqualTo(ConfigurationReceiver.Outcome.HELD);
+        assertThat(receiver.offer(FIRST, "platform")).isEqualTo(ConfigurationReceiver.Outcome.NOT_HIGHER);
 
         assertThat(table.version().number()).isZero();
-        intake.open();
+        receiver.open();
         assertThat(table.version().number()).isEqualTo(2);
     }
 
     @Test
     void stalePlatformDoesNotTurnBackWhatIsInForce() {
-        intake.open();
-        intake.offer(SECOND, "peer");
+        receiver.open();
+        receiver.offer(SECOND, "peer");
 
-        assertThat(intake.offer(FIRST, "platform")).isEqualTo(ConfigurationIntake.Outcome.NOT_HIGHER);
+        assertThat(receiver.offer(FIRST, "platform")).isEqualTo(ConfigurationReceiver.Outcome.NOT_HIGHER);
         assertThat(table.version().number()).isEqualTo(2);
     }
 
     @Test
     void brokenDocumentIsRefusedOnceAndTheOldStays() {
-        intake.open();
-        intake.offer(FIRST, "platform");
+        receiver.open();
+        receiver.offer(FIRST, "platform");
 
-        assertThat(intake.offer(BROKEN, "platform")).isEqualTo(ConfigurationIntake.Outcome.REFUSED);
-        assertThat(intake.offer(BROKEN, "peer")).isEqualTo(ConfigurationIntake.Outcome.REFUSED);
+        assertThat(receiver.offer(BROKEN, "platform")).isEqualTo(ConfigurationReceiver.Outcome.REFUSED);
+        assertThat(receiver.offer(BROKEN, "peer")).isEqualTo(ConfigurationReceiver.Outcome.REFUSED);
         assertThat(refused).hasSize(1);
-        assertThat(intake.refusals()).hasSize(1);
-        assertThat(intake.isRefused(ConfigurationReader.digest(BROKEN))).isTrue();
+        assertThat(receiver.rejected()).hasSize(1);
+        assertThat(receiver.isRefused(ConfigurationReader.digest(BROKEN))).isTrue();
         assertThat(table.version().number()).isEqualTo(1);
     }
 
@@ -58,12 +58,12 @@
                 .max((a, b) -> ConfigurationReader.digest(a).compareTo(ConfigurationReader.digest(b)))
                 .orElseThrow();
         ConfigurationTable reverse = new ConfigurationTable(clock);
-        ConfigurationIntake reverseIntake = new ConfigurationIntake(reverse, clock, refused::add);
-        intake.open();
+        ConfigurationReceiver reverseIntake = new ConfigurationReceiver(reverse, clock, refused::add);
+        receiver.open();
         reverseIntake.open();
 
-        intake.offer(SECOND, "one");
-        intake.offer(other, "two");
+        receiver.offer(SECOND, "one");
+        receiver.offer(other, "two");
         reverseIntake.offer(other, "two");
         reverseIntake.offer(SECOND, "one");
 
--- a/membership/src/test/java/org/turmericspan/membership/HeartbeatsTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/HeartbeatExchangeTest.java
@@ -15,24 +15,24 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** What keeps the exchange of heartbeats going. */
-final class HeartbeatsTest {
+final class HeartbeatExchangeTest {
     private static final long LIMIT_SECONDS = 20;
 
     @Test
     void exchangeGoesOnWhenNoPaceCanBeRead() throws InterruptedException {
         MonotonicClock clock = MonotonicClock.system();
         CountingLinks links = new CountingLinks();
-        Heartbeats.Plan plan =
-                new Heartbeats.Plan(HeartbeatsTest::heartbeat, () -> List.of(new VmId("entry-01")), (count, sent) -> {
+        HeartbeatExchange.Plan plan = new HeartbeatExchange.Plan(
+                HeartbeatExchangeTest::heartbeat, () -> List.of(new VmId("entry-01")), (count, sent) -> {
                     throw new IllegalStateException("no pace");
                 });
-        try (Workers workers = new Workers(1);
-                Heartbeats heartbeats =
-                        new Heartbeats(plan, new PeerTable(clock), links, workers, new SplittableRandom(7), clock)) {
-            heartbeats.start(() -> {});
+        try (WorkerPool workerPool = new WorkerPool(1);
+                HeartbeatExchange heartbeatExchange = new HeartbeatExchange(
+                        plan, new PeerTable(clock), links, workerPool, new SplittableRandom(7), clock)) {
+            heartbeatExchange.start(() -> {});
 
             assertThat(links.asked.await(LIMIT_SECONDS, TimeUnit.SECONDS))
                     .as("asked again")
--- a/membership/src/test/java/org/turmericspan/membership/HeartbeatPaceTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/HeartbeatIntervalTest.java
@@ -9,20 +9,21 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.messages.PeerMessage;
 
-final class HeartbeatPaceTest {
+final class HeartbeatIntervalTest {
     @Test
     void roundOfTodaysFleetEndsWithinOneAndAHalfSeconds() {
-        assertThat(HeartbeatPace.step(18, heartbeat(2)).multipliedBy(18)).isLessThan(Duration.ofMillis(1_500));
+        assertThat(HeartbeatInterval.compute(18, heartbeat(2)).multipliedBy(18)).isLessThan(Duration.ofMillis(1_500));
     }
 
     @Test
     void heartbeatWithManyServicesComesLater() {
-        assertThat(HeartbeatPace.step(18, heartbeat(140))).isGreaterThan(HeartbeatPace.step(18, heartbeat(2)));
+        assertThat(HeartbeatInterval.compute(18, heartbeat(140)))
+                .isGreaterThan(HeartbeatInterval.compute(18, heartbeat(2)));
     }
 
     @Test
     void fewPeersAreNotAskedWithoutPause() {
-        assertThat(HeartbeatPace.step(1, heartbeat(0))).isGreaterThanOrEqualTo(Duration.ofMillis(400));
+        assertThat(HeartbeatInterval.compute(1, heartbeat(0))).isGreaterThanOrEqualTo(Duration.ofMillis(400));
     }
 
     private static PeerMessage.Heartbeat heartbeat(int services) {
--- a/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
@@ -24,8 +24,8 @@
 
     @Test
     void nodeIsFoundByItsPresentLifeOnly() {
-        table.heard(FIRST, heartbeat(7, 4, 1));
-        table.heard(FIRST, heartbeat(8, 4, 1));
+        table.recordHeartbeat(FIRST, heartbeat(7, 4, 1));
+        table.recordHeartbeat(FIRST, heartbeat(8, 4, 1));
 
         assertThat(table.findByIncarnation(new Incarnation(8))).contains(FIRST);
         assertThat(table.findByIncarnation(new Incarnation(7))).isEmpty();
@@ -33,47 +33,47 @@
 
     @Test
     void viewIsAgreedSinceTheEarliestAnswer() {
-        table.answered(FIRST, heartbeat(1, 4, 5), 100);
-        table.answered(SECOND, heartbeat(2, 4, 5), 200);
+        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
+        table.recordReply(SECOND, heartbeat(2, 4, 5), 200);
 
         assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEqualTo(OptionalLong.of(100));
     }
 
     @Test
     void viewIsNotAgreedWhileOneNodeHoldsAnother() {
-        table.answered(FIRST, heartbeat(1, 4, 5), 100);
-        table.answered(SECOND, heartbeat(2, 4, 6), 200);
+        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
+        table.recordReply(SECOND, heartbeat(2, 4, 6), 200);
 
         assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEmpty();
     }
 
     @Test
     void heartbeatThatAnsweredNothingDoesNotAgree() {
-        table.answered(FIRST, heartbeat(1, 4, 5), 100);
-        table.heard(SECOND, heartbeat(2, 4, 5));
+        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
+        table.recordHeartbeat(SECOND, heartbeat(2, 4, 5));
 
         assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEmpty();
     }
 
     @Test
     void freshProcessWaitsForANodeThatHasNotAnswered() {
-        table.answered(FIRST, heartbeat(1, 4, 5), 100);
+        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
 
         assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isFalse();
     }
 
     @Test
     void freshProcessWaitsForAHigherVersionOfAPeer() {
-        table.answered(FIRST, heartbeat(1, 4, 5), 100);
-        table.answered(SECOND, heartbeat(2, 5, 5), 100);
+        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
+        table.recordReply(SECOND, heartbeat(2, 5, 5), 100);
 
         assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isFalse();
     }
 
     @Test
     void freshProcessGoesOnOnceAllHaveAnsweredAndNoneIsHigher() {
-        table.answered(FIRST, heartbeat(1, 4, 5), 100);
-        table.answered(SECOND, heartbeat(2, 0, 5), 100);
+        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
+        table.recordReply(SECOND, heartbeat(2, 0, 5), 100);
 
         assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isTrue();
     }
--- a/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.LeaseId;
@@ -94,17 +94,17 @@
     /**
      * Asks a keeper for a slot.
      *
-     * @param wish what is wished for
-     * @param wishNumber number by which the borrower can withdraw the wish
+     * @param request what is wished for
+     * @param requestNumber number by which the borrower can withdraw the wish
      */
-    record BorrowSlot(SlotWish wish, long wishNumber) implements PeerMessage {}
+    record BorrowSlot(SlotRequest request, long requestNumber) implements PeerMessage {}
 
     /**
      * Withdraws a wish that was met elsewhere.
      *
-     * @param wishNumber number of the wish
+     * @param requestNumber number of the wish
      */
-    record WithdrawWish(long wishNumber) implements PeerMessage {}
+    record CancelSlotRequest(long requestNumber) implements PeerMessage {}
 
     /**
      * Answer to {@link BorrowSlot} with a lent slot.
@@ -168,10 +168,10 @@
     /**
      * Asks whether a node holds or has granted leases on upstreams.
      *
-     * @param asker life of the sender, by which the other node tells a restart
+     * @param requesterIncarnation life of the sender, by which the other node tells a restart
      * @param upstreams the upstreams
      */
-    record QueryLeases(Incarnation asker, List<UpstreamId> upstreams) implements PeerMessage {}
+    record QueryLeases(Incarnation requesterIncarnation, List<UpstreamId> upstreams) implements PeerMessage {}
 
     /**
      * Answer to {@link QueryLeases}.
@@ -205,11 +205,12 @@
      * One suspected kind of request.
      *
      * @param fingerprint digest of service, method, path and body
-     * @param lost upstreams that died while they ran it; empty when it is cleared
-     * @param diedAlone whether an upstream died that ran it alone
+     * @param crashedUpstreams upstreams that died while they ran it; empty when it is cleared
+     * @param crashedInIsolation whether an upstream died that ran it alone
      * @param remaining how long the suspicion lasts
      */
-    record Suspect(long fingerprint, List<UpstreamId> lost, boolean diedAlone, Duration remaining) {}
+    record Suspect(
+            long fingerprint, List<UpstreamId> crashedUpstreams, boolean crashedInIsolation, Duration remaining) {}
 
     /**
      * Asks the node that keeps the right for the right to run a suspected request alone.
--- a/node/src/main/java/org/turmericspan/node/AttemptModule.java
+++ b/node/src/main/java/org/turmericspan/node/AttemptModule.java
@@ -10,19 +10,19 @@
 import javax.inject.Singleton;
 import org.turmericspan.calls.SlotSource;
 import org.turmericspan.config.Service;
+import org.turmericspan.dispatch.AttemptDependencies;
 import org.turmericspan.dispatch.AttemptHandler;
-import org.turmericspan.dispatch.AttemptParts;
 import org.turmericspan.dispatch.AttemptTimer;
-import org.turmericspan.dispatch.DeathWatch;
-import org.turmericspan.dispatch.RepeatPolicies;
+import org.turmericspan.dispatch.CrashDetector;
+import org.turmericspan.dispatch.RetryPolicies;
 import org.turmericspan.front.StateSection;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.retry.HedgePolicy;
 import org.turmericspan.retry.LatencyTable;
-import org.turmericspan.retry.RepeatBudgetTable;
+import org.turmericspan.retry.RetryBudgetTable;
 import org.turmericspan.retry.RetryPolicy;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
 /** Wires the attempts of calls: the client towards upstreams, retries and hedges within their budget. */
@@ -44,8 +44,8 @@
 
     @Provides
     @Singleton
-    static RepeatBudgetTable repeatBudgets(ConfigurationTable configurations) {
-        return new RepeatBudgetTable(service -> Optional.ofNullable(
+    static RetryBudgetTable repeatBudgets(ConfigurationTable configurations) {
+        return new RetryBudgetTable(service -> Optional.ofNullable(
                         configurations.current().services().get(service))
                 .map(Service::retryPercent)
                 .orElse(0));
@@ -59,21 +59,21 @@
 
     @Provides
     @Singleton
-    static RepeatPolicies repeatPolicies(NodeSettings settings, RepeatBudgetTable budgets, LatencyTable latencies) {
+    static RetryPolicies repeatPolicies(NodeSettings settings, RetryBudgetTable budgets, LatencyTable latencies) {
         if (settings.repeatPolicy().equals(NO_REPEATS)) {
-            return RepeatPolicies.none();
+            return RetryPolicies.none();
         }
         HedgePolicy hedge = settings.repeatPolicy().equals(HEDGES)
-                ? HedgePolicy.slowerThan(latencies.source(HEDGE_AFTER))
-                : HedgePolicy.whenStalled(latencies.source(STALLED_BEYOND));
-        return new RepeatPolicies(RetryPolicy.safe(latencies.source(TYPICAL)), hedge, budgets);
+                ? HedgePolicy.afterQuantile(latencies.quantile(HEDGE_AFTER))
+                : HedgePolicy.whenStalled(latencies.quantile(STALLED_BEYOND));
+        return new RetryPolicies(RetryPolicy.whenSafe(latencies.quantile(TYPICAL)), hedge, budgets);
     }
 
     @Provides
     @Singleton
-    static AttemptTimer attemptTimer(Workers workers) {
+    static AttemptTimer attemptTimer(WorkerPool workerPool) {
         return (delay, task) -> {
-            ScheduledFuture<?> scheduled = workers.schedule(delay, task);
+            ScheduledFuture<?> scheduled = workerPool.schedule(delay, task);
             return () -> scheduled.cancel(false);
         };
     }
@@ -84,23 +84,24 @@
             ConfiguredCatalog catalog,
             SlotSource slots,
             HttpUpstreamSender sender,
-            DeathWatch deaths,
-            RepeatPolicies policies,
+            CrashDetector crashDetector,
+            RetryPolicies policies,
             CallMetrics metrics,
             AttemptTimer timer,
             MonotonicClock clock) {
-        return new AttemptHandler(new AttemptParts(catalog, slots, sender, deaths, timer, metrics, clock), policies);
+        return new AttemptHandler(
+                new AttemptDependencies(catalog, slots, sender, crashDetector, timer, metrics, clock), policies);
     }
 
     @Provides
     @Singleton
-    static CallMetrics callMetrics(MetricRegistry metrics, RepeatBudgetTable budgets, LatencyTable latencies) {
+    static CallMetrics callMetrics(MetricRegistry metrics, RetryBudgetTable budgets, LatencyTable latencies) {
         return new CallMetrics(metrics, budgets, latencies);
     }
 
     @Provides
     @IntoSet
-    static StateSection budgets(RepeatBudgetTable table) {
+    static StateSection budgets(RetryBudgetTable table) {
         return NamedSection.of(
                 "repeat_budgets",
                 () -> table.dump().stream().map(BudgetState::of).toList());
@@ -112,9 +113,9 @@
             long repeats,
             @JsonProperty("refused_repeats") long refusedRepeats,
             @JsonProperty("repeats_left") double repeatsLeft) {
-        static BudgetState of(RepeatBudgetTable.BudgetState state) {
+        static BudgetState of(RetryBudgetTable.BudgetState state) {
             return new BudgetState(
-                    state.service().value(), state.calls(), state.spent(), state.refused(), state.left());
+                    state.service().value(), state.calls(), state.admitted(), state.rejected(), state.available());
         }
     }
 }
--- a/node/src/main/java/org/turmericspan/node/CallMetrics.java
+++ b/node/src/main/java/org/turmericspan/node/CallMetrics.java
@@ -7,18 +7,18 @@
 import org.turmericspan.dispatch.AttemptMetrics;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.retry.LatencyTable;
-import org.turmericspan.retry.RepeatBudgetTable;
+import org.turmericspan.retry.RetryBudgetTable;
 
 /** Counts calls into the metrics, the budgets of repeats and the recent latencies. */
 final class CallMetrics implements AttemptMetrics {
-    private final RepeatBudgetTable budgets;
+    private final RetryBudgetTable budgets;
     private final LatencyTable latencies;
     private final Meter calls;
     private final Meter repeats;
     private final Timer answers;
     private final Timer slotWaits;
 
-    CallMetrics(MetricRegistry metrics, RepeatBudgetTable budgets, LatencyTable latencies) {
+    CallMetrics(MetricRegistry metrics, RetryBudgetTable budgets, LatencyTable latencies) {
         this.budgets = budgets;
         this.latencies = latencies;
         this.calls = metrics.meter("calls");
@@ -28,24 +28,24 @@
     }
 
     @Override
-    public void call(ServiceId service) {
+    public void recordCall(ServiceId service) {
         calls.mark();
         budgets.recordCall(service);
     }
 
     @Override
-    public void answer(ServiceId service, Duration elapsed) {
+    public void recordResponse(ServiceId service, Duration elapsed) {
         answers.update(elapsed);
         latencies.record(service, elapsed);
     }
 
     @Override
-    public void repeat() {
+    public void recordExtraAttempt() {
         repeats.mark();
     }
 
     @Override
-    public void decided(Duration waited) {
+    public void recordSlotWait(Duration waited) {
         slotWaits.update(waited);
     }
 }
--- a/node/src/main/java/org/turmericspan/node/CoreModule.java
+++ b/node/src/main/java/org/turmericspan/node/CoreModule.java
@@ -12,7 +12,7 @@
 import org.turmericspan.membership.NodeIdentity;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.publication.HttpPlatformReader;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Wires identity, time, workers and the tables of accepted knowledge. */
 @Module
@@ -47,8 +47,8 @@
 
     @Provides
     @Singleton
-    static Workers workers(NodeSettings settings) {
-        return new Workers(settings.workerThreads());
+    static WorkerPool workers(NodeSettings settings) {
+        return new WorkerPool(settings.workerThreads());
     }
 
     @Provides
--- a/node/src/main/java/org/turmericspan/node/MembershipModule.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipModule.java
@@ -11,24 +11,24 @@
 import javax.inject.Singleton;
 import org.turmericspan.front.StateSection;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.membership.ConfigurationIntake;
+import org.turmericspan.membership.ConfigurationReceiver;
 import org.turmericspan.membership.ConfigurationTable;
-import org.turmericspan.membership.HeartbeatSource;
+import org.turmericspan.membership.HeartbeatFactory;
 import org.turmericspan.membership.IdleSlotsReport;
 import org.turmericspan.membership.Membership;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.NodeLifecycle;
 import org.turmericspan.membership.PeerState;
 import org.turmericspan.membership.PeerTable;
 import org.turmericspan.membership.Peers;
-import org.turmericspan.membership.Refusal;
-import org.turmericspan.membership.StopState;
-import org.turmericspan.membership.ViewIntake;
+import org.turmericspan.membership.RejectedConfiguration;
+import org.turmericspan.membership.ViewReceiver;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.publication.PlatformFeed;
 import org.turmericspan.publication.PlatformValue;
 import org.turmericspan.publication.VmListParser;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Wires the exchange of heartbeats and documents between nodes. */
 @Module
@@ -49,49 +49,52 @@
 
     @Provides
     @Singleton
-    static HeartbeatSource heartbeatSource(
+    static HeartbeatFactory heartbeatSource(
             NodeIdentity identity,
             ConfigurationTable configurations,
             ViewTable views,
-            StopState stopState,
+            NodeLifecycle nodeLifecycle,
             IdleSlotsReport idleSlots,
             MonotonicClock clock) {
-        return new HeartbeatSource(identity, configurations, views, stopState, idleSlots, clock);
+        return new HeartbeatFactory(identity, configurations, views, nodeLifecycle, idleSlots, clock);
     }
 
     @Provides
     @Singleton
-    static ConfigurationIntake configurationIntake(
+    static ConfigurationReceiver configurationIntake(
             ConfigurationTable table, MonotonicClock clock, MetricRegistry metrics) {
         Counter refused = metrics.counter("configuration.refused");
-        return new ConfigurationIntake(table, clock, refusal -> refused.inc());
+        return new ConfigurationReceiver(table, clock, rejected -> refused.inc());
     }
 
     @Provides
     @Singleton
-    static ViewIntake viewIntake(ViewTable views) {
+    static ViewReceiver viewIntake(ViewTable views) {
         VmListParser parser = new VmListParser();
-        return new ViewIntake((revision, text) -> parser.parse(new PlatformValue(revision, text)), views);
+        return new ViewReceiver((revision, text) -> parser.parse(new PlatformValue(revision, text)), views);
     }
 
     @Provides
     @Singleton
-    static Membership.Accepted accepted(
-            ConfigurationTable configurations, ConfigurationIntake intake, ViewTable views, ViewIntake viewIntake) {
-        return new Membership.Accepted(configurations, intake, views, viewIntake);
+    static Membership.Documents accepted(
+            ConfigurationTable configurations,
+            ConfigurationReceiver receiver,
+            ViewTable views,
+            ViewReceiver viewReceiver) {
+        return new Membership.Documents(configurations, receiver, views, viewReceiver);
     }
 
     @Provides
     @Singleton
     static Membership membership(
             NodeIdentity identity,
-            Membership.Accepted accepted,
+            Membership.Documents documents,
             PeerTable peers,
             PeerLinks links,
-            Workers workers,
+            WorkerPool workerPool,
             RandomGenerator random,
             MonotonicClock clock) {
-        return new Membership(identity, accepted, peers, links, workers, random, clock);
+        return new Membership(identity, documents, peers, links, workerPool, random, clock);
     }
 
     @Provides
@@ -106,11 +109,11 @@
 
     @Provides
     @IntoSet
-    static StateSection refusals(ConfigurationIntake intake, MonotonicClock clock) {
+    static StateSection refusals(ConfigurationReceiver receiver, MonotonicClock clock) {
         return NamedSection.of(
                 "refused_configurations",
-                () -> intake.refusals().stream()
-                        .map(refusal -> RefusalLine.of(refusal, clock.nowNanos()))
+                () -> receiver.rejected().stream()
+                        .map(rejected -> RefusalLine.of(rejected, clock.nowNanos()))
                         .toList());
     }
 
@@ -140,7 +143,7 @@
                     peer.configuration().number(),
                     peer.viewRevision(),
                     peer.leaving(),
-                    millisSince(peer.heardNanos(), nowNanos));
+                    millisSince(peer.lastHeardNanos(), nowNanos));
         }
     }
 
@@ -149,12 +152,12 @@
             String source,
             String message,
             @JsonProperty("age_ms") long ageMillis) {
-        static RefusalLine of(Refusal refusal, long nowNanos) {
+        static RefusalLine of(RejectedConfiguration rejected, long nowNanos) {
             return new RefusalLine(
-                    refusal.digest(),
-                    refusal.source(),
-                    refusal.message(),
-                    millisSince(refusal.refusedNanos(), nowNanos));
+                    rejected.digest(),
+                    rejected.source(),
+                    rejected.message(),
+                    millisSince(rejected.rejectedNanos(), nowNanos));
         }
     }
 
--- a/node/src/main/java/org/turmericspan/node/MembershipRunner.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipRunner.java
@@ -6,14 +6,14 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.membership.HeartbeatPace;
-import org.turmericspan.membership.HeartbeatSource;
-import org.turmericspan.membership.Heartbeats;
+import org.turmericspan.membership.HeartbeatExchange;
+import org.turmericspan.membership.HeartbeatFactory;
+import org.turmericspan.membership.HeartbeatInterval;
 import org.turmericspan.membership.Membership;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.NodeLifecycle;
 import org.turmericspan.membership.PeerSelection;
 import org.turmericspan.membership.PeerTable;
-import org.turmericspan.membership.StopState;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.peer.PeerHandlers;
@@ -22,7 +22,7 @@
 import org.turmericspan.publication.PlatformSink;
 import org.turmericspan.publication.PlatformValue;
 import org.turmericspan.publication.ReadBudget;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Keeps the configuration and the view up to date while the node runs: from the platform and from the other nodes. */
 @Singleton
@@ -32,12 +32,12 @@
     private static final Duration OTHER_REGION_STEP = Duration.ofSeconds(1);
 
     private final Membership membership;
-    private final Membership.Accepted accepted;
+    private final Membership.Documents documents;
     private final PeerTable peers;
-    private final StopState stopState;
+    private final NodeLifecycle nodeLifecycle;
     private final PeerHandlers handlers;
-    private final Heartbeats heartbeats;
-    private final Heartbeats otherRegions;
+    private final HeartbeatExchange heartbeatExchange;
+    private final HeartbeatExchange otherRegions;
     private final PlatformFeed configurationFeed;
     private final PlatformFeed viewFeed;
 
@@ -45,63 +45,67 @@
     MembershipRunner(
             NodeIdentity identity,
             Membership membership,
-            Membership.Accepted accepted,
-            HeartbeatSource source,
+            Membership.Documents documents,
+            HeartbeatFactory source,
             PeerTable peers,
-            StopState stopState,
+            NodeLifecycle nodeLifecycle,
             PeerHandlers handlers,
             PeerLinks links,
             HttpPlatformReader platform,
-            Workers workers,
+            WorkerPool workerPool,
             RandomGenerator random,
             MonotonicClock clock) {
         this.membership = membership;
-        this.accepted = accepted;
+        this.documents = documents;
         this.peers = peers;
-        this.stopState = stopState;
+        this.nodeLifecycle = nodeLifecycle;
         this.handlers = handlers;
-        this.heartbeats = new Heartbeats(
-                new Heartbeats.Plan(
+        this.heartbeatExchange = new HeartbeatExchange(
+                new HeartbeatExchange.Plan(
                         source,
                         () -> PeerSelection.sameRegion(
-                                accepted.views().current(),
-                                accepted.configurations().current(),
+                                documents.views().current(),
+                                documents.configurations().current(),
                                 identity),
-                        HeartbeatPace::step),
+                        HeartbeatInterval::compute),
                 peers,
                 links,
-                workers,
+                workerPool,
                 random,
                 clock);
-        this.otherRegions = new Heartbeats(
-                new Heartbeats.Plan(
+        this.otherRegions = new HeartbeatExchange(
+                new HeartbeatExchange.Plan(
                         () -> source.get().withoutIdleSlots(),
                         () -> PeerSelection.otherRegions(
-                                accepted.views().current(),
-                                accepted.configurations().current(),
+                                documents.views().current(),
+                                documents.configurations().current(),
                                 identity),
                         (count, heartbeat) -> OTHER_REGION_STEP),
                 peers,
                 links,
-                workers,
+                workerPool,
                 random,
                 clock);
         ReadBudget budget = new ReadBudget(clock);
         this.configurationFeed = new PlatformFeed(
-                CONFIGURATION_KEY, platform, configurationSink(accepted), budget, workers, random, clock);
-        this.viewFeed = new PlatformFeed(VMS_KEY, platform, viewSink(accepted, clock), budget, workers, random, clock);
+                CONFIGURATION_KEY, platform, configurationSink(documents), budget, workerPool, random, clock);
+        this.viewFeed =
+                new PlatformFeed(VMS_KEY, platform, viewSink(documents, clock), budget, workerPool, random, clock);
     }
 
     void start() {
-        handlers.register(PeerMessage.Heartbeat.class, heartbeats::handle);
-        handlers.register(PeerMessage.FetchConfiguration.class, (from, message) -> membership.configurationInForce());
-        handlers.register(PeerMessage.FetchView.class, (from, message) -> membership.acceptedView());
-        accepted.views().addListener(view -> peers.retain(List.copyOf(view.vms().keySet())));
-        accepted.views().addListener(view -> heartbeats.announce());
-        accepted.configurations().addListener(configuration -> heartbeats.announce());
-        stopState.addListener(phase -> heartbeats.announce());
-        heartbeats.start(membership::review);
-        otherRegions.start(membership::review);
+        handlers.register(PeerMessage.Heartbeat.class, heartbeatExchange::handle);
+        handlers.register(
+                PeerMessage.FetchConfiguration.class, (from, message) -> membership.activeConfigurationDocument());
+        handlers.register(PeerMessage.FetchView.class, (from, message) -> membership.acceptedViewDocument());
+        documents
+                .views()
+                .addListener(view -> peers.retainOnly(List.copyOf(view.vms().keySet())));
+        documents.views().addListener(view -> heartbeatExchange.exchangeWithSample());
+        documents.configurations().addListener(configuration -> heartbeatExchange.exchangeWithSample());
+        nodeLifecycle.addListener(phase -> heartbeatExchange.exchangeWithSample());
+        heartbeatExchange.start(membership::reconcile);
+        otherRegions.start(membership::reconcile);
         configurationFeed.start();
         viewFeed.start();
     }
@@ -110,7 +114,7 @@
     public void close() {
         configurationFeed.close();
         viewFeed.close();
-        heartbeats.close();
+        heartbeatExchange.close();
         otherRegions.close();
     }
 
@@ -119,11 +123,11 @@
         return List.of(configurationFeed.status(), viewFeed.status());
     }
 
-    private static PlatformSink configurationSink(Membership.Accepted accepted) {
+    private static PlatformSink configurationSink(Membership.Documents documents) {
         return new PlatformSink() {
             @Override
             public void value(PlatformValue value, long askedNanos) {
-                accepted.intake().offer(value.text(), "the platform");
+                documents.configurationReceiver().offer(value.text(), "the platform");
             }
 
             @Override
@@ -131,18 +135,18 @@
         };
     }
 
-    private static PlatformSink viewSink(Membership.Accepted accepted, MonotonicClock clock) {
+    private static PlatformSink viewSink(Membership.Documents documents, MonotonicClock clock) {
         return new PlatformSink() {
             @Override
             public void value(PlatformValue value, long askedNanos) {
                 Duration age = Duration.ofNanos(clock.nowNanos() - askedNanos);
-                accepted.viewIntake().offer(value.revision(), value.text(), age);
+                documents.viewReceiver().offer(value.revision(), value.text(), age);
             }
 
             @Override
             public void confirmed(long revision, long atNanos) {
-                if (revision >= accepted.views().current().revision()) {
-                    accepted.views().confirm(atNanos);
+                if (revision >= documents.views().current().revision()) {
+                    documents.views().confirm(atNanos);
                 }
             }
         };
--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -5,11 +5,11 @@
 import javax.inject.Singleton;
 import org.turmericspan.front.CallerServer;
 import org.turmericspan.front.OperatorServer;
-import org.turmericspan.membership.StopState;
+import org.turmericspan.membership.NodeLifecycle;
 import org.turmericspan.peer.NettyPeerLinks;
 import org.turmericspan.probing.Prober;
 import org.turmericspan.publication.HttpPlatformReader;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 import org.turmericspan.upstream.HttpUpstreamProbe;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
@@ -19,7 +19,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final NodeSettings settings;
-    private final Workers workers;
+    private final WorkerPool workerPool;
     private final NettyPeerLinks links;
     private final HttpPlatformReader platform;
     private final HttpUpstreamSender upstreams;
@@ -30,12 +30,12 @@
     private final HttpUpstreamProbe probe;
     private final SlotUpkeep slotUpkeep;
     private final PlannedStop plannedStop;
-    private final StopState stopState;
+    private final NodeLifecycle nodeLifecycle;
 
     @Inject
     Node(
             NodeSettings settings,
-            Workers workers,
+            WorkerPool workerPool,
             NettyPeerLinks links,
             HttpPlatformReader platform,
             HttpUpstreamSender upstreams,
@@ -46,9 +46,9 @@
             HttpUpstreamProbe probe,
             SlotUpkeep slotUpkeep,
             PlannedStop plannedStop,
-            StopState stopState) {
+            NodeLifecycle nodeLifecycle) {
         this.settings = settings;
-        this.workers = workers;
+        this.workerPool = workerPool;
         this.links = links;
         this.platform = platform;
         this.upstreams = upstreams;
@@ -59,17 +59,17 @@
         this.probe = probe;
         this.slotUpkeep = slotUpkeep;
         this.plannedStop = plannedStop;
-        this.stopState = stopState;
+        this.nodeLifecycle = nodeLifecycle;
     }
 
     void start() {
         slotUpkeep.start();
         links.start();
         membership.start();
-        prober.start(workers);
+        prober.start(workerPool);
         operators.start(settings.operatorAddress());
         callers.start(settings.callerAddress());
-        stopState.enter(StopState.Phase.SERVING);
+        nodeLifecycle.enter(NodeLifecycle.Phase.SERVING);
         logger.atInfo().log("node: %s serves callers on %s", settings.vm(), settings.callerAddress());
     }
 
@@ -87,7 +87,7 @@
         links.close();
         platform.close();
         upstreams.close();
-        workers.close();
+        workerPool.close();
         logger.atInfo().log("node: %s has stopped", settings.vm());
     }
 }
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -4,7 +4,7 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.VmId;
-import org.turmericspan.runs.RunLimits;
+import org.turmericspan.runs.RunTableLimits;
 
 /**
  * Settings of a node.
@@ -21,7 +21,7 @@
  * @param viewLagBound longest time by which the list of VMs may lag
  * @param locateTimeToLive how long callers may keep a locate answer
  * @param stopLimit longest planned stop
- * @param runLimits bounds of the table of runs
+ * @param runTableLimits bounds of the table of runs
  * @param repeatPolicy which repeats of calls are made
  * @param suspectPolicy what happens to requests that crash upstreams
  * @param logFormat plain or json
@@ -40,7 +40,7 @@
         Duration viewLagBound,
         Duration locateTimeToLive,
         Duration stopLimit,
-        RunLimits runLimits,
+        RunTableLimits runTableLimits,
         String repeatPolicy,
         String suspectPolicy,
         String logFormat,
@@ -69,8 +69,8 @@
                 values.get(Setting.LOG_LEVEL, String.class));
     }
 
-    private static RunLimits runLimits(SettingValues values) {
-        return new RunLimits(
+    private static RunTableLimits runLimits(SettingValues values) {
+        return new RunTableLimits(
                 Duration.ofSeconds(values.get(Setting.RUN_EPOCH, Integer.class)),
                 LIVE_EPOCHS,
                 values.get(Setting.RUN_TABLE_ENTRIES, Integer.class),
--- a/node/src/main/java/org/turmericspan/node/PeerModule.java
+++ b/node/src/main/java/org/turmericspan/node/PeerModule.java
@@ -18,7 +18,7 @@
 import org.turmericspan.peer.PeerHandlers;
 import org.turmericspan.peer.PeerSettings;
 import org.turmericspan.peer.PeerTraffic;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Wires the links between nodes. */
 @Module
@@ -66,14 +66,14 @@
             NodeIdentity identity,
             PeerDirectory directory,
             PeerHandlers handlers,
-            Workers workers,
+            WorkerPool workerPool,
             MonotonicClock clock,
             RandomGenerator random,
             PeerTraffic traffic) {
         PeerSettings peerSettings = new PeerSettings(
                 identity.vm(), identity.incarnation(), settings.peerAddress(), settings.deploymentKey());
         return new NettyPeerLinks(
-                new LinkContext(peerSettings, directory, handlers, workers::execute, clock, random, traffic));
+                new LinkContext(peerSettings, directory, handlers, workerPool::execute, clock, random, traffic));
     }
 
     @Provides
--- a/node/src/main/java/org/turmericspan/node/PeerSuspects.java
+++ b/node/src/main/java/org/turmericspan/node/PeerSuspects.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
-import org.turmericspan.dispatch.SuspectSharing;
+import org.turmericspan.dispatch.SuspectCoordinator;
 import org.turmericspan.ids.VmId;
 import org.turmericspan.membership.FleetView;
 import org.turmericspan.membership.Vm;
@@ -17,13 +17,13 @@
 import org.turmericspan.retry.Fingerprint;
 import org.turmericspan.retry.SuspectTable;
 import org.turmericspan.retry.Suspicion;
-import org.turmericspan.retry.TrialRight;
+import org.turmericspan.retry.TrialPermit;
 
 /**
  * Shares suspicions over the links between nodes. The right to run a suspect is kept by the first entry VM of the
  * accepted view by name, so every node asks the same one.
  */
-final class PeerSuspects implements SuspectSharing, PeerHandler {
+final class PeerSuspects implements SuspectCoordinator, PeerHandler {
     private static final Duration ASK_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration SHARE_TIMEOUT = Duration.ofSeconds(1);
     private static final PeerMessage DONE = new PeerMessage.Done();
@@ -32,14 +32,14 @@
     private final Supplier<FleetView> view;
     private final PeerLinks links;
     private final SuspectTable table;
-    private final TrialRight right;
+    private final TrialPermit permit;
 
-    PeerSuspects(VmId self, Supplier<FleetView> view, PeerLinks links, SuspectTable table, TrialRight right) {
+    PeerSuspects(VmId self, Supplier<FleetView> view, PeerLinks links, SuspectTable table, TrialPermit permit) {
         this.self = self;
         this.view = view;
         this.links = links;
         this.table = table;
-        this.right = right;
+        this.permit = permit;
     }
 
     @Override
@@ -64,7 +64,7 @@
     public CompletionStage<TrialAnswer> requestTrial(Fingerprint fingerprint, Duration longest) {
         VmId keeper = keeper();
         if (keeper.equals(self)) {
-            return CompletableFuture.completedFuture(answer(right.tryTake(fingerprint, longest.toNanos())));
+            return CompletableFuture.completedFuture(answer(permit.tryAcquire(fingerprint, longest.toNanos())));
         }
         return links.ask(keeper, new PeerMessage.BeginTrial(fingerprint.value(), longest), ASK_TIMEOUT)
                 .thenApply(PeerSuspects::answer);
@@ -74,7 +74,7 @@
     public void endTrial(Fingerprint fingerprint) {
         VmId keeper = keeper();
         if (keeper.equals(self)) {
-            right.end(fingerprint);
+            permit.release(fingerprint);
         } else {
             links.tell(keeper, new PeerMessage.EndTrial(fingerprint.value()));
         }
@@ -85,9 +85,9 @@
         if (message instanceof PeerMessage.ShareSuspects share) {
             share.suspects().forEach(suspect -> table.merge(decode(suspect)));
         } else if (message instanceof PeerMessage.EndTrial end) {
-            right.end(new Fingerprint(end.fingerprint()));
+            permit.release(new Fingerprint(end.fingerprint()));
         } else if (message instanceof PeerMessage.BeginTrial begin) {
-            boolean granted = right.tryTake(
+            boolean granted = permit.tryAcquire(
                     new Fingerprint(begin.fingerprint()), begin.longest().toNanos());
             return CompletableFuture.completedFuture(new PeerMessage.TrialDecision(granted));
         }
@@ -115,16 +115,16 @@
     private static PeerMessage.Suspect encode(Suspicion suspicion) {
         return new PeerMessage.Suspect(
                 suspicion.fingerprint().value(),
-                List.copyOf(suspicion.lost()),
-                suspicion.diedAlone(),
+                List.copyOf(suspicion.crashedUpstreams()),
+                suspicion.crashedInIsolation(),
                 suspicion.remaining());
     }
 
     private static Suspicion decode(PeerMessage.Suspect suspect) {
         return new Suspicion(
                 new Fingerprint(suspect.fingerprint()),
-                Set.copyOf(suspect.lost()),
-                suspect.diedAlone(),
+                Set.copyOf(suspect.crashedUpstreams()),
+                suspect.crashedInIsolation(),
                 suspect.remaining());
     }
 }
--- a/node/src/main/java/org/turmericspan/node/PlannedStop.java
+++ b/node/src/main/java/org/turmericspan/node/PlannedStop.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.turmericspan.membership.StopState;
-import org.turmericspan.runs.DelayedTasks;
+import org.turmericspan.membership.NodeLifecycle;
+import org.turmericspan.runs.TaskScheduler;
 
 /**
  * Order of a planned stop: leave the locate answers, serve until those already given have expired, finish the calls in
@@ -15,24 +15,24 @@
 final class PlannedStop {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    private final StopState state;
+    private final NodeLifecycle lifecycle;
     private final InFlightCalls calls;
     private final Set<StopStep> steps;
-    private final DelayedTasks delayedTasks;
+    private final TaskScheduler taskScheduler;
     private final Duration serveLocated;
     private final Duration limit;
 
     PlannedStop(
-            StopState state,
+            NodeLifecycle lifecycle,
             InFlightCalls calls,
             Set<StopStep> steps,
-            DelayedTasks delayedTasks,
+            TaskScheduler taskScheduler,
             Duration serveLocated,
             Duration limit) {
-        this.state = state;
+        this.lifecycle = lifecycle;
         this.calls = calls;
         this.steps = Set.copyOf(steps);
-        this.delayedTasks = delayedTasks;
+        this.taskScheduler = taskScheduler;
         this.serveLocated = serveLocated;
         this.limit = limit;
     }
@@ -44,14 +44,14 @@
      */
     CompletableFuture<Void> run() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        state.enter(StopState.Phase.LEAVING);
-        delayedTasks.schedule(serveLocated, () -> finishCalls(stopped));
-        delayedTasks.schedule(limit, () -> giveUp(stopped));
+        lifecycle.enter(NodeLifecycle.Phase.LEAVING);
+        taskScheduler.schedule(serveLocated, () -> finishCalls(stopped));
+        taskScheduler.schedule(limit, () -> giveUp(stopped));
         return stopped;
     }
 
     private void finishCalls(CompletableFuture<Void> stopped) {
-        state.enter(StopState.Phase.FINISHING);
+        lifecycle.enter(NodeLifecycle.Phase.FINISHING);
         logger.atInfo().log("node: finishes %s calls in flight", calls.inFlight());
         calls.whenIdle().thenCompose(idle -> takeSteps()).whenComplete((done, failure) -> {
             if (failure != null) {
--- a/node/src/main/java/org/turmericspan/node/ProbeModule.java
+++ b/node/src/main/java/org/turmericspan/node/ProbeModule.java
@@ -21,9 +21,9 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.membership.ConfigurationTable;
+import org.turmericspan.probing.ProbeAllocation;
 import org.turmericspan.probing.ProbeResult;
 import org.turmericspan.probing.ProbeSchedule;
-import org.turmericspan.probing.ProbeShare;
 import org.turmericspan.probing.ProbeTarget;
 import org.turmericspan.probing.Prober;
 import org.turmericspan.routing.SlotCoordinator;
@@ -39,7 +39,7 @@
     @Provides
     @Singleton
     static Consumer<ProbeResult> probeResults(SlotCoordinator slots) {
-        return result -> result.report().ifPresent(report -> slots.observe(result.upstream(), report.signals()));
+        return result -> result.report().ifPresent(report -> slots.onProbeResult(result.upstream(), report.signals()));
     }
 
     @Provides
@@ -64,9 +64,9 @@
             Consumer<ProbeResult> results,
             MetricRegistry metrics,
             MonotonicClock clock) {
-        Supplier<List<ProbeTarget>> targets = () -> ProbeShare.targets(
+        Supplier<List<ProbeTarget>> targets = () -> ProbeAllocation.allocate(
                 configurations.current(),
-                slots.dump().stream().map(UpstreamState::upstream).toList());
+                slots.upstreamStates().stream().map(UpstreamState::upstream).toList());
         Consumer<ProbeResult> counting = counting(metrics);
         return new Prober(schedule, targets, probe, counting.andThen(results), clock);
     }
--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -22,19 +22,19 @@
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.NodeLifecycle;
 import org.turmericspan.membership.Peers;
-import org.turmericspan.membership.StopState;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.peer.PeerHandlers;
-import org.turmericspan.runs.DelayedTasks;
-import org.turmericspan.runs.RelayedCalls;
-import org.turmericspan.runs.RunCounts;
-import org.turmericspan.runs.RunGate;
+import org.turmericspan.runs.RelayedCallHandler;
 import org.turmericspan.runs.RunRelay;
 import org.turmericspan.runs.RunTable;
-import org.turmericspan.runs.TokenOwners;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.runs.RunTableStats;
+import org.turmericspan.runs.RunTokenHandler;
+import org.turmericspan.runs.TaskScheduler;
+import org.turmericspan.runs.TokenOwnerLookup;
+import org.turmericspan.tables.WorkerPool;
 
 /** Wires run tokens and the planned stop. */
 @Module
@@ -48,60 +48,63 @@
 
     @Provides
     @Singleton
-    static StopState stopState() {
-        return new StopState();
+    static NodeLifecycle stopState() {
+        return new NodeLifecycle();
     }
 
     @Provides
     @Singleton
     static RunTable runTable(NodeSettings settings, MonotonicClock clock, MetricRegistry metrics) {
-        RunTable table = new RunTable(settings.runLimits(), clock);
-        metrics.register("runs.in_flight", (Gauge<Integer>) () -> table.counts().inFlight());
-        metrics.register("runs.stored", (Gauge<Integer>) () -> table.counts().stored());
-        metrics.register("runs.stored_bytes", (Gauge<Long>) () -> table.counts().storedBytes());
+        RunTable table = new RunTable(settings.runTableLimits(), clock);
+        metrics.register("runs.in_flight", (Gauge<Integer>) () -> table.stats().inFlight());
+        metrics.register("runs.stored", (Gauge<Integer>) () -> table.stats().stored());
+        metrics.register("runs.stored_bytes", (Gauge<Long>) () -> table.stats().storedBytes());
         return table;
     }
 
     @Provides
     @Singleton
-    static DelayedTasks delayedTasks(Workers workers) {
-        return workers::schedule;
+    static TaskScheduler delayedTasks(WorkerPool workerPool) {
+        return workerPool::schedule;
     }
 
     @Provides
     @Singleton
-    static TokenOwners tokenOwners(Peers peers) {
+    static TokenOwnerLookup tokenOwners(Peers peers) {
         return peers::findByIncarnation;
     }
 
     @Provides
     @Singleton
-    static RunRelay runRelay(TokenOwners owners, PeerLinks links, MonotonicClock clock) {
+    static RunRelay runRelay(TokenOwnerLookup owners, PeerLinks links, MonotonicClock clock) {
         return new RunRelay(owners, links, clock);
     }
 
     @Provides
     @Singleton
-    static RunGate runGate(
+    static RunTokenHandler runGate(
             NodeIdentity identity,
             ConfiguredCatalog catalog,
             RunTable table,
             RunRelay relay,
             @Named(SuspectModule.ATTEMPTS) CallHandler attempts,
-            StopState stopState,
+            NodeLifecycle nodeLifecycle,
             MonotonicClock clock,
-            DelayedTasks delayedTasks) {
-        CallHandler unlessFinishing =
-                request -> stopState.phase() == StopState.Phase.FINISHING ? stopping() : attempts.handle(request);
-        return new RunGate(identity.incarnation(), catalog, table, relay, unlessFinishing, clock, delayedTasks);
+            TaskScheduler taskScheduler) {
+        CallHandler unlessFinishing = request ->
+                nodeLifecycle.phase() == NodeLifecycle.Phase.FINISHING ? stopping() : attempts.handle(request);
+        return new RunTokenHandler(
+                identity.incarnation(), catalog, table, relay, unlessFinishing, clock, taskScheduler);
     }
 
     @Provides
     @Singleton
     static InFlightCalls inFlightCalls(
-            RunGate gate, PeerHandlers handlers, MonotonicClock clock, MetricRegistry metrics) {
-        InFlightCalls calls = new InFlightCalls(gate);
-        handlers.register(PeerMessage.RelayCall.class, new RelayedCalls(calls.counting(gate::handleRelayed), clock));
+            RunTokenHandler runTokenHandler, PeerHandlers handlers, MonotonicClock clock, MetricRegistry metrics) {
+        InFlightCalls calls = new InFlightCalls(runTokenHandler);
+        handlers.register(
+                PeerMessage.RelayCall.class,
+                new RelayedCallHandler(calls.counting(runTokenHandler::handleRelayed), clock));
         metrics.register("calls.in_flight", (Gauge<Integer>) calls::inFlight);
         return calls;
     }
@@ -110,15 +113,15 @@
     @Singleton
     static PlannedStop plannedStop(
             NodeSettings settings,
-            StopState state,
+            NodeLifecycle lifecycle,
             InFlightCalls calls,
             Set<StopStep> steps,
-            DelayedTasks delayedTasks) {
+            TaskScheduler taskScheduler) {
         return new PlannedStop(
-                state,
+                lifecycle,
                 calls,
                 steps,
-                delayedTasks,
+                taskScheduler,
                 settings.locateTimeToLive().plus(SPREAD_ALLOWANCE),
                 settings.stopLimit());
     }
@@ -142,14 +145,14 @@
     @Provides
     @IntoSet
     static StateSection runs(RunTable table) {
-        return NamedSection.of("runs", () -> RunState.of(table.counts()));
+        return NamedSection.of("runs", () -> RunState.of(table.stats()));
     }
 
     @Provides
     @IntoSet
-    static StateSection stop(StopState state, InFlightCalls calls) {
+    static StateSection stop(NodeLifecycle lifecycle, InFlightCalls calls) {
         return NamedSection.of(
-                "stop", () -> new StopSection(state.phase().name().toLowerCase(Locale.ROOT), calls.inFlight()));
+                "stop", () -> new StopSection(lifecycle.phase().name().toLowerCase(Locale.ROOT), calls.inFlight()));
     }
 
     private static CompletableFuture<CallResult> stopping() {
@@ -165,13 +168,13 @@
             @JsonProperty("in_flight") int inFlight,
             int stored,
             @JsonProperty("stored_bytes") long storedBytes) {
-        static RunState of(RunCounts counts) {
+        static RunState of(RunTableStats stats) {
             return new RunState(
-                    counts.currentEpoch().number(),
-                    counts.oldestEpoch().number(),
-                    counts.inFlight(),
-                    counts.stored(),
-                    counts.storedBytes());
+                    stats.currentEpoch().number(),
+                    stats.oldestEpoch().number(),
+                    stats.inFlight(),
+                    stats.stored(),
+                    stats.storedBytes());
         }
     }
 }
--- a/node/src/main/java/org/turmericspan/node/SlotDump.java
+++ b/node/src/main/java/org/turmericspan/node/SlotDump.java
@@ -34,14 +34,14 @@
                 policy,
                 counts.own(),
                 counts.lent(),
-                coordinator.borrowed(),
+                coordinator.borrowedCount(),
                 counts.waiting(),
                 counts.coldTransitions(),
                 counts.isSuspended());
     }
 
     static List<UpstreamEntry> upstreams(SlotTable table) {
-        return table.dump().stream().map(UpstreamEntry::of).toList();
+        return table.upstreamStates().stream().map(UpstreamEntry::of).toList();
     }
 
     /**
--- a/node/src/main/java/org/turmericspan/node/SlotModule.java
+++ b/node/src/main/java/org/turmericspan/node/SlotModule.java
@@ -16,15 +16,15 @@
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.IdleSlotsReport;
 import org.turmericspan.membership.NodeIdentity;
+import org.turmericspan.membership.NodeLifecycle;
 import org.turmericspan.membership.PeerState;
 import org.turmericspan.membership.Peers;
-import org.turmericspan.membership.StopState;
 import org.turmericspan.membership.ViewTable;
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.routing.BaselineSlotSource;
-import org.turmericspan.routing.FleetMap;
-import org.turmericspan.routing.HomeSets;
-import org.turmericspan.routing.IdleBoard;
+import org.turmericspan.routing.LenderSelector;
+import org.turmericspan.routing.OwnerLocator;
+import org.turmericspan.routing.OwnershipMap;
 import org.turmericspan.routing.SlotCoordinator;
 import org.turmericspan.routing.SlotEngine;
 import org.turmericspan.routing.SlotNetwork;
@@ -32,7 +32,7 @@
 import org.turmericspan.routing.SlotRules;
 import org.turmericspan.routing.SlotTable;
 import org.turmericspan.routing.UpstreamChoice;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Wires keepers, slots and address answers. */
 @Module
@@ -43,14 +43,14 @@
 
     @Provides
     @Singleton
-    static Supplier<FleetMap> fleetMap(ConfigurationTable configurations, ViewTable views) {
-        return FleetMap.cached(configurations::current, views::current);
+    static Supplier<OwnershipMap> fleetMap(ConfigurationTable configurations, ViewTable views) {
+        return OwnershipMap.cached(configurations::current, views::current);
     }
 
     @Provides
     @Singleton
     static SlotRules slotRules(NodeSettings settings) {
-        return SlotRules.usual(settings.viewLagBound());
+        return SlotRules.defaults(settings.viewLagBound());
     }
 
     @Provides
@@ -67,15 +67,19 @@
 
     @Provides
     @Singleton
-    static IdleBoard idleBoard(
-            NodeIdentity identity, Supplier<FleetMap> map, Peers peers, MonotonicClock clock, RandomGenerator random) {
-        return new IdleBoard(identity.vm(), map, peers, clock, random);
+    static LenderSelector idleBoard(
+            NodeIdentity identity,
+            Supplier<OwnershipMap> map,
+            Peers peers,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        return new LenderSelector(identity.vm(), map, peers, clock, random);
     }
 
     @Provides
     @Singleton
-    static SlotNetwork slotNetwork(NodeIdentity identity, PeerLinks links, Workers workers) {
-        return new SlotNetwork(identity.vm(), identity.incarnation(), links, SlotNetwork.Timer.on(workers));
+    static SlotNetwork slotNetwork(NodeIdentity identity, PeerLinks links, WorkerPool workerPool) {
+        return new SlotNetwork(identity.vm(), identity.incarnation(), links, SlotNetwork.Timer.on(workerPool));
     }
 
     @Provides
@@ -84,13 +88,13 @@
             SlotTable table,
             SlotRules rules,
             SlotNetwork network,
-            Supplier<FleetMap> map,
-            IdleBoard board,
+            Supplier<OwnershipMap> map,
+            LenderSelector board,
             MonotonicClock clock,
             ViewTable views,
             MetricRegistry metrics) {
         return new SlotCoordinator(
-                table, network, map, board, clock, rules.pauseBound(), views::confirmedNanos, metrics);
+                table, network, map, board, clock, rules.maxTickGap(), views::confirmedNanos, metrics);
     }
 
     @Provides
@@ -110,7 +114,7 @@
     static SlotSource slotSource(
             NodeSettings settings,
             SlotCoordinator coordinator,
-            Supplier<FleetMap> map,
+            Supplier<OwnershipMap> map,
             NodeIdentity identity,
             MonotonicClock clock,
             RandomGenerator random) {
@@ -125,11 +129,11 @@
     static Locator locator(
             NodeSettings settings,
             NodeIdentity identity,
-            Supplier<FleetMap> map,
+            Supplier<OwnershipMap> map,
             MonotonicClock clock,
-            StopState stopState,
+            NodeLifecycle nodeLifecycle,
             Peers peers) {
-        Locator homeSets = new HomeSets(
+        Locator homeSets = new OwnerLocator(
                 map,
                 settings.locateTimeToLive(),
                 clock,
@@ -137,7 +141,7 @@
         return new StoppingLocator(
                 homeSets,
                 vm -> vm.equals(identity.vm())
-                        ? stopState.isLeaving()
+                        ? nodeLifecycle.isLeaving()
                         : peers.find(vm).filter(PeerState::leaving).isPresent());
     }
 
--- a/node/src/main/java/org/turmericspan/node/SlotUpkeep.java
+++ b/node/src/main/java/org/turmericspan/node/SlotUpkeep.java
@@ -13,7 +13,7 @@
 import org.turmericspan.peer.PeerHandlers;
 import org.turmericspan.routing.SlotCoordinator;
 import org.turmericspan.routing.SlotPeerHandler;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Lets the slots know of time, of changes of the configuration and the view, and of the other nodes' messages. */
 @Singleton
@@ -23,7 +23,7 @@
     private static final Duration SIGHTING = Duration.ofMillis(500);
     private static final List<Class<? extends PeerMessage>> MESSAGES = List.of(
             PeerMessage.BorrowSlot.class,
-            PeerMessage.WithdrawWish.class,
+            PeerMessage.CancelSlotRequest.class,
             PeerMessage.ReturnSlot.class,
             PeerMessage.RecallSlot.class,
             PeerMessage.Handover.class,
@@ -35,7 +35,7 @@
     private final SlotPeerHandler handler;
     private final PeerHandlers handlers;
     private final Peers peers;
-    private final Workers workers;
+    private final WorkerPool workerPool;
     private ScheduledFuture<?> ticks;
     private ScheduledFuture<?> sightings;
 
@@ -47,22 +47,22 @@
             SlotPeerHandler handler,
             PeerHandlers handlers,
             Peers peers,
-            Workers workers) {
+            WorkerPool workerPool) {
         this.configurations = configurations;
         this.views = views;
         this.slots = slots;
         this.handler = handler;
         this.handlers = handlers;
         this.peers = peers;
-        this.workers = workers;
+        this.workerPool = workerPool;
     }
 
     void start() {
         MESSAGES.forEach(type -> handlers.register(type, handler));
-        configurations.addListener(configuration -> slots.mapChanged());
-        views.addListener(view -> slots.mapChanged());
-        ticks = workers.repeat(TICK, this::tick);
-        sightings = workers.repeat(SIGHTING, this::notePeers);
+        configurations.addListener(configuration -> slots.onOwnershipChanged());
+        views.addListener(view -> slots.onOwnershipChanged());
+        ticks = workerPool.scheduleWithFixedDelay(TICK, this::tick);
+        sightings = workerPool.scheduleWithFixedDelay(SIGHTING, this::notePeers);
     }
 
     @Override
@@ -74,7 +74,7 @@
     }
 
     private void notePeers() {
-        peers.all().forEach(peer -> slots.peerSeen(peer.vm(), peer.incarnation()));
+        peers.all().forEach(peer -> slots.onPeerIncarnation(peer.vm(), peer.incarnation()));
     }
 
     private void tick() {
--- a/node/src/main/java/org/turmericspan/node/StateModule.java
+++ b/node/src/main/java/org/turmericspan/node/StateModule.java
@@ -14,7 +14,7 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.ConfigurationTable;
 import org.turmericspan.membership.NodeIdentity;
-import org.turmericspan.membership.StopState;
+import org.turmericspan.membership.NodeLifecycle;
 import org.turmericspan.membership.ViewTable;
 
 /** Wires the operator port and the parts of the state dump. */
@@ -28,11 +28,11 @@
             Set<StateSection> sections,
             MetricRegistry metrics,
             ConfigurationTable configurations,
-            StopState stopState) {
+            NodeLifecycle nodeLifecycle) {
         return new OperatorServer(
                 sections,
                 metrics,
-                () -> stopState.phase() != StopState.Phase.STARTING
+                () -> nodeLifecycle.phase() != NodeLifecycle.Phase.STARTING
                         && !configurations.version().equals(ConfigurationVersion.NONE));
     }
 
--- a/node/src/main/java/org/turmericspan/node/StoppingLocator.java
+++ b/node/src/main/java/org/turmericspan/node/StoppingLocator.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
-import org.turmericspan.calls.Located;
+import org.turmericspan.calls.LocateResult;
 import org.turmericspan.calls.Locator;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.VmId;
@@ -19,14 +19,14 @@
     }
 
     @Override
-    public Optional<Located> locate(ServiceId service) {
+    public Optional<LocateResult> locate(ServiceId service) {
         return next.locate(service).map(this::withoutLeaving);
     }
 
-    private Located withoutLeaving(Located located) {
-        List<Located.Address> staying = located.addresses().stream()
-                .filter(address -> !isLeaving.test(address.vm()))
+    private LocateResult withoutLeaving(LocateResult locateResult) {
+        List<LocateResult.Endpoint> staying = locateResult.addresses().stream()
+                .filter(endpoint -> !isLeaving.test(endpoint.vm()))
                 .toList();
-        return new Located(staying, located.timeToLive());
+        return new LocateResult(staying, locateResult.timeToLive());
     }
 }
--- a/node/src/main/java/org/turmericspan/node/SuspectModule.java
+++ b/node/src/main/java/org/turmericspan/node/SuspectModule.java
@@ -12,9 +12,9 @@
 import org.turmericspan.calls.CallHandler;
 import org.turmericspan.dispatch.AttemptHandler;
 import org.turmericspan.dispatch.AttemptTimer;
-import org.turmericspan.dispatch.DeathWatch;
-import org.turmericspan.dispatch.SuspectGate;
-import org.turmericspan.dispatch.SuspectWatch;
+import org.turmericspan.dispatch.CrashDetector;
+import org.turmericspan.dispatch.SuspectHandler;
+import org.turmericspan.dispatch.SuspectTracker;
 import org.turmericspan.front.StateSection;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.membership.NodeIdentity;
@@ -25,7 +25,7 @@
 import org.turmericspan.retry.LostConnections;
 import org.turmericspan.retry.SuspectTable;
 import org.turmericspan.retry.Suspicion;
-import org.turmericspan.retry.TrialRight;
+import org.turmericspan.retry.TrialPermit;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
 /** Wires what is done about requests that crash upstreams. */
@@ -62,7 +62,7 @@
             PeerHandlers handlers,
             SuspectTable table,
             MonotonicClock clock) {
-        PeerSuspects peers = new PeerSuspects(identity.vm(), views::current, links, table, new TrialRight(clock));
+        PeerSuspects peers = new PeerSuspects(identity.vm(), views::current, links, table, new TrialPermit(clock));
         handlers.register(PeerMessage.ShareSuspects.class, peers);
         handlers.register(PeerMessage.BeginTrial.class, peers);
         handlers.register(PeerMessage.EndTrial.class, peers);
@@ -71,15 +71,15 @@
 
     @Provides
     @Singleton
-    static DeathWatch deathWatch(
+    static CrashDetector deathWatch(
             NodeSettings settings,
             SuspectTable table,
             LostConnections lostConnections,
             PeerSuspects peers,
             HttpUpstreamSender sender) {
         return settings.suspectPolicy().equals(NO_SUSPECTS)
-                ? DeathWatch.none()
-                : new SuspectWatch(table, lostConnections, peers, sender::isRefused);
+                ? CrashDetector.none()
+                : new SuspectTracker(table, lostConnections, peers, sender::isRefused);
     }
 
     @Provides
@@ -95,7 +95,7 @@
             MonotonicClock clock) {
         return settings.suspectPolicy().equals(NO_SUSPECTS)
                 ? attempts
-                : new SuspectGate(attempts, table, lostConnections, peers, timer, clock);
+                : new SuspectHandler(attempts, table, lostConnections, peers, timer, clock);
     }
 
     @Provides
@@ -118,7 +118,7 @@
         static SuspectState of(Suspicion suspicion) {
             return new SuspectState(
                     suspicion.fingerprint().toString(),
-                    suspicion.lost().size(),
+                    suspicion.crashedUpstreams().size(),
                     suspicion.isQuarantined(),
                     suspicion.remaining().toMillis());
         }
--- a/node/src/test/java/org/turmericspan/node/PlannedStopTest.java
+++ b/node/src/test/java/org/turmericspan/node/PlannedStopTest.java
@@ -10,18 +10,18 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.turmericspan.calls.CallResult;
-import org.turmericspan.calls.Located;
+import org.turmericspan.calls.LocateResult;
 import org.turmericspan.calls.Payload;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.VmId;
-import org.turmericspan.membership.StopState;
+import org.turmericspan.membership.NodeLifecycle;
 
 final class PlannedStopTest {
     private static final Duration SERVE_LOCATED = Duration.ofSeconds(6);
     private static final Duration LIMIT = Duration.ofSeconds(60);
 
-    private final StopState state = new StopState();
+    private final NodeLifecycle lifecycle = new NodeLifecycle();
     private final CompletableFuture<CallResult> call = new CompletableFuture<>();
     private final InFlightCalls calls = new InFlightCalls(request -> call);
     private final CompletableFuture<Void> step = new CompletableFuture<>();
@@ -32,7 +32,7 @@
     @Test
     void nodeServesUntilItsLocateAnswersHaveExpired() {
         CompletableFuture<Void> stopped = stop();
-        assertThat(state.phase()).isEqualTo(StopState.Phase.LEAVING);
+        assertThat(lifecycle.phase()).isEqualTo(NodeLifecycle.Phase.LEAVING);
         assertThat(delays).containsExactly(SERVE_LOCATED, LIMIT);
         assertThat(stopped).isNotDone();
     }
@@ -42,7 +42,7 @@
         calls.handle(null);
         CompletableFuture<Void> stopped = stop();
         timers.get(0).run();
-        assertThat(state.phase()).isEqualTo(StopState.Phase.FINISHING);
+        assertThat(lifecycle.phase()).isEqualTo(NodeLifecycle.Phase.FINISHING);
         assertThat(begun).isEmpty();
         call.complete(new CallResult.Answered(200, List.of(), Payload.EMPTY));
         assertThat(begun).hasSize(1);
@@ -70,10 +70,10 @@
 
     @Test
     void leavingNodeIsNotInLocateAnswers() {
-        Located.Address leaving = address("entry-00");
-        Located.Address staying = address("entry-01");
+        LocateResult.Endpoint leaving = address("entry-00");
+        LocateResult.Endpoint staying = address("entry-01");
         StoppingLocator locator = new StoppingLocator(
-                service -> Optional.of(new Located(List.of(leaving, staying), Duration.ofSeconds(5))),
+                service -> Optional.of(new LocateResult(List.of(leaving, staying), Duration.ofSeconds(5))),
                 vm -> vm.equals(leaving.vm()));
         assertThat(locator.locate(new ServiceId("ordering")).orElseThrow().addresses())
                 .containsExactly(staying);
@@ -81,12 +81,12 @@
 
     @Test
     void stopStateNeverGoesBack() {
-        List<StopState.Phase> seen = new ArrayList<>();
-        state.addListener(seen::add);
-        state.enter(StopState.Phase.FINISHING);
-        state.enter(StopState.Phase.LEAVING);
-        assertThat(seen).containsExactly(StopState.Phase.FINISHING);
-        assertThat(state.phase()).isEqualTo(StopState.Phase.FINISHING);
+        List<NodeLifecycle.Phase> seen = new ArrayList<>();
+        lifecycle.addListener(seen::add);
+        lifecycle.enter(NodeLifecycle.Phase.FINISHING);
+        lifecycle.enter(NodeLifecycle.Phase.LEAVING);
+        assertThat(seen).containsExactly(NodeLifecycle.Phase.FINISHING);
+        assertThat(lifecycle.phase()).isEqualTo(NodeLifecycle.Phase.FINISHING);
     }
 
     private CompletableFuture<Void> stop() {
@@ -95,7 +95,7 @@
             return step;
         };
         PlannedStop plannedStop = new PlannedStop(
-                state,
+                lifecycle,
                 calls,
                 Set.of(recorded),
                 (delay, task) -> {
@@ -107,7 +107,7 @@
         return plannedStop.run();
     }
 
-    private static Located.Address address(String vm) {
-        return new Located.Address(new VmId(vm), new SocketAddress("127.0.0.1", 1), 1);
+    private static LocateResult.Endpoint address(String vm) {
+        return new LocateResult.Endpoint(new VmId(vm), new SocketAddress("127.0.0.1", 1), 1);
     }
 }
--- a/peer/src/test/java/org/turmericspan/peer/NettyPeerLinksTest.java
+++ b/peer/src/test/java/org/turmericspan/peer/NettyPeerLinksTest.java
@@ -26,16 +26,16 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 final class NettyPeerLinksTest {
     private static final String KEY = "sixteen-characters-and-more";
     private static final VmId FIRST = new VmId("entry-00");
     private static final VmId SECOND = new VmId("entry-01");
     private static final Duration LONG = Duration.ofSeconds(20);
-    private static final PeerMessage QUESTION = new PeerMessage.WithdrawWish(1);
+    private static final PeerMessage QUESTION = new PeerMessage.CancelSlotRequest(1);
 
-    private final Workers workers = new Workers(4);
+    private final WorkerPool workerPool = new WorkerPool(4);
     private final Map<VmId, SocketAddress> addresses = new ConcurrentHashMap<>();
     private final Map<VmId, PeerHandlers> handlers = new HashMap<>();
     private final List<NettyPeerLinks> opened = new ArrayList<>();
@@ -43,19 +43,19 @@
     @AfterEach
     void close() {
         opened.forEach(NettyPeerLinks::close);
-        workers.close();
+        workerPool.close();
     }
 
     @Test
     void questionGetsTheHandlersAnswer() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
-        handlers.get(SECOND).register(PeerMessage.WithdrawWish.class, (from, message) -> {
+        handlers.get(SECOND).register(PeerMessage.CancelSlotRequest.class, (from, message) -> {
             boolean isRight = from.equals(FIRST) && message.equals(QUESTION);
-            return CompletableFuture.completedFuture(new PeerMessage.WithdrawWish(isRight ? 2 : 0));
+            return CompletableFuture.completedFuture(new PeerMessage.CancelSlotRequest(isRight ? 2 : 0));
         });
 
-        assertThat(ask(links)).isEqualTo(new PeerMessage.WithdrawWish(2));
+        assertThat(ask(links)).isEqualTo(new PeerMessage.CancelSlotRequest(2));
     }
 
     @Test
@@ -63,12 +63,12 @@
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
         List<Long> seen = Collections.synchronizedList(new ArrayList<>());
-        handlers.get(SECOND).register(PeerMessage.WithdrawWish.class, (from, message) -> {
-            seen.add(((PeerMessage.WithdrawWish) message).wishNumber());
+        handlers.get(SECOND).register(PeerMessage.CancelSlotRequest.class, (from, message) -> {
+            seen.add(((PeerMessage.CancelSlotRequest) message).requestNumber());
             return CompletableFuture.completedFuture(new PeerMessage.Done());
         });
-        LongStream.range(0, 500).forEach(number -> links.tell(SECOND, new PeerMessage.WithdrawWish(number)));
-        links.ask(SECOND, new PeerMessage.WithdrawWish(500), LONG)
+        LongStream.range(0, 500).forEach(number -> links.tell(SECOND, new PeerMessage.CancelSlotRequest(number)));
+        links.ask(SECOND, new PeerMessage.CancelSlotRequest(500), LONG)
                 .toCompletableFuture()
                 .join();
 
@@ -89,7 +89,8 @@
     void lateAnswerEndsAsMayHaveArrived() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
-        handlers.get(SECOND).register(PeerMessage.WithdrawWish.class, (from, message) -> new CompletableFuture<>());
+        handlers.get(SECOND)
+                .register(PeerMessage.CancelSlotRequest.class, (from, message) -> new CompletableFuture<>());
 
         PeerMessage answer = links.ask(SECOND, QUESTION, Duration.ofMillis(300))
                 .toCompletableFuture()
@@ -103,7 +104,7 @@
         NettyPeerLinks links = open(FIRST, KEY);
         NettyPeerLinks second = open(SECOND, KEY);
         CompletableFuture<Void> arrived = new CompletableFuture<>();
-        handlers.get(SECOND).register(PeerMessage.WithdrawWish.class, (from, message) -> {
+        handlers.get(SECOND).register(PeerMessage.CancelSlotRequest.class, (from, message) -> {
             arrived.complete(null);
             return new CompletableFuture<>();
         });
@@ -142,7 +143,7 @@
     void nodeWithAnotherKeyIsRefusedAndHandlesNothing() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, "another-deployment-altogether");
-        handlers.get(SECOND).register(PeerMessage.WithdrawWish.class, (from, message) -> {
+        handlers.get(SECOND).register(PeerMessage.CancelSlotRequest.class, (from, message) -> {
             throw new IllegalStateException("must not be reached");
         });
 
@@ -182,7 +183,7 @@
         open(SECOND, KEY);
         handlers.get(SECOND)
                 .register(
-                        PeerMessage.WithdrawWish.class,
+                        PeerMessage.CancelSlotRequest.class,
                         (from, message) -> CompletableFuture.completedFuture(new PeerMessage.Done()));
         Random random = new Random(20261204);
         for (int i = 0; i < 20; i++) {
@@ -221,7 +222,7 @@
                 new PeerSettings(vm, new Incarnation(1), address, key),
                 peer -> Optional.ofNullable(addresses.get(peer)),
                 handlers.get(vm),
-                workers::execute,
+                workerPool::execute,
                 MonotonicClock.system(),
                 new SecureRandom(),
                 PeerTraffic.IGNORED));
--- a/probing/src/main/java/org/turmericspan/probing/ProbeShare.java
+++ b/probing/src/main/java/org/turmericspan/probing/ProbeAllocation.java
@@ -16,12 +16,12 @@
  * Divides the probe budget of each service evenly over its upstreams. A part of the budget is left for view changes,
  * while the old keeper of an upstream may still probe it beside the new one.
  */
-public final class ProbeShare {
+public final class ProbeAllocation {
     private static final int USED_PERCENT = 80;
     private static final int WHOLE_PERCENT = 100;
     private static final long NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
-    private ProbeShare() {}
+    private ProbeAllocation() {}
 
     /**
      * Computes what a node probes.
@@ -30,7 +30,7 @@
      * @param kept upstreams that the node keeps
      * @return one target for each kept upstream whose service has a budget
      */
-    public static List<ProbeTarget> targets(Configuration configuration, Collection<UpstreamId> kept) {
+    public static List<ProbeTarget> allocate(Configuration configuration, Collection<UpstreamId> kept) {
         Map<ServiceId, Integer> counts = new HashMap<>();
         configuration.upstreams().values().forEach(upstream -> counts.merge(upstream.service(), 1, Integer::sum));
         List<ProbeTarget> targets = new ArrayList<>();
--- a/probing/src/main/java/org/turmericspan/probing/Prober.java
+++ b/probing/src/main/java/org/turmericspan/probing/Prober.java
@@ -10,7 +10,7 @@
 import org.turmericspan.calls.ProbeReport;
 import org.turmericspan.calls.UpstreamProbe;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Sends the probes whose turn has come and hands the results on. */
 public final class Prober implements AutoCloseable {
@@ -54,10 +54,10 @@
     /**
      * Starts to probe.
      *
-     * @param workers runs the prober
+     * @param workerPool runs the prober
      */
-    public void start(Workers workers) {
-        workers.repeat(TICK, this::tick);
+    public void start(WorkerPool workerPool) {
+        workerPool.scheduleWithFixedDelay(TICK, this::tick);
     }
 
     @Override
--- a/probing/src/test/java/org/turmericspan/probing/ProbeScheduleTest.java
+++ b/probing/src/test/java/org/turmericspan/probing/ProbeScheduleTest.java
@@ -37,7 +37,7 @@
 
     @Test
     void newKeeperDoesNotProbeAtOnce() {
-        schedule.setTargets(ProbeShare.targets(configuration, all), clock.nowNanos());
+        schedule.setTargets(ProbeAllocation.allocate(configuration, all), clock.nowNanos());
 
         assertThat(schedule.takeDue(clock.nowNanos())).isEmpty();
     }
@@ -46,8 +46,8 @@
     void keeperChangeEverySecondStaysUnderTheBudget() {
         int sent = 0;
         for (int second = 0; second < 10; second++) {
-            schedule.setTargets(ProbeShare.targets(configuration, List.of()), clock.nowNanos());
-            schedule.setTargets(ProbeShare.targets(configuration, all), clock.nowNanos());
+            schedule.setTargets(ProbeAllocation.allocate(configuration, List.of()), clock.nowNanos());
+            schedule.setTargets(ProbeAllocation.allocate(configuration, all), clock.nowNanos());
             sent += probes(Duration.ofSeconds(1));
         }
         assertThat(sent).isLessThanOrEqualTo(BUDGET * 10);
@@ -56,7 +56,7 @@
     @Test
     void unansweredProbeIsNotFollowedByAnother() {
         List<UpstreamId> one = all.subList(0, 1);
-        schedule.setTargets(ProbeShare.targets(configuration, one), clock.nowNanos());
+        schedule.setTargets(ProbeAllocation.allocate(configuration, one), clock.nowNanos());
         clock.advance(Duration.ofMinutes(1));
         assertThat(schedule.takeDue(clock.nowNanos())).hasSize(1);
         clock.advance(Duration.ofMinutes(1));
@@ -71,7 +71,7 @@
         Configuration none = new ConfigurationReader()
                 .read(document().replace("\"probes_per_second\": " + BUDGET, "\"probes_per_second\": 0"));
 
-        assertThat(ProbeShare.targets(none, all)).isEmpty();
+        assertThat(ProbeAllocation.allocate(none, all)).isEmpty();
     }
 
     @Test
@@ -82,8 +82,8 @@
             probed.add(address);
             return CompletableFuture.completedFuture(Optional.<ProbeReport>empty());
         };
-        List<ProbeTarget> targets = ProbeShare.targets(configuration, all);
-        Prober prober = new Prober(schedule, () -> targets, silent, results::add, clock);
+        List<ProbeTarget> allocate = ProbeAllocation.allocate(configuration, all);
+        Prober prober = new Prober(schedule, () -> allocate, silent, results::add, clock);
 
         prober.tick();
         clock.advance(Duration.ofSeconds(10));
@@ -96,7 +96,7 @@
     }
 
     private int probesInTenSeconds() {
-        schedule.setTargets(ProbeShare.targets(configuration, all), clock.nowNanos());
+        schedule.setTargets(ProbeAllocation.allocate(configuration, all), clock.nowNanos());
         return probes(Duration.ofSeconds(10));
     }
 
--- a/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** Keeps one watch open on one key and hands every newer value on. */
 public final class PlatformFeed implements AutoCloseable {
@@ -16,7 +16,7 @@
     private final PlatformReader reader;
     private final PlatformSink sink;
     private final ReadBudget budget;
-    private final Workers workers;
+    private final WorkerPool workerPool;
     private final MonotonicClock clock;
     private final WatchState state;
     private final ReadBackoff backoff;
@@ -30,7 +30,7 @@
      * @param reader reads the platform
      * @param sink takes what is learned; its exceptions are logged and the value is skipped
      * @param budget bounds the reads of all feeds of this node
-     * @param workers runs the feed
+     * @param workerPool runs the feed
      * @param random spreads the reads of many nodes
      * @param clock measures the reads
      */
@@ -39,14 +39,14 @@
             PlatformReader reader,
             PlatformSink sink,
             ReadBudget budget,
-            Workers workers,
+            WorkerPool workerPool,
             RandomGenerator random,
             MonotonicClock clock) {
         this.key = key;
         this.reader = reader;
         this.sink = sink;
         this.budget = budget;
-        this.workers = workers;
+        this.workerPool = workerPool;
         this.clock = clock;
         this.state = new WatchState(clock);
         this.backoff = new ReadBackoff(random);
@@ -77,7 +77,7 @@
 
     private void watchAfter(Duration pause) {
         if (!closed) {
-            workers.schedule(pause.plus(budget.take()), this::watch);
+            workerPool.schedule(pause.plus(budget.take()), this::watch);
         }
     }
 
--- a/publication/src/test/java/org/turmericspan/publication/PlatformFeedTest.java
+++ b/publication/src/test/java/org/turmericspan/publication/PlatformFeedTest.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /** What keeps a feed watching. */
 final class PlatformFeedTest {
@@ -33,21 +33,21 @@
             watches.countDown();
             return CompletableFuture.completedFuture(answer);
         };
-        try (Workers workers = new Workers(1);
-                PlatformFeed feed = feed(reader, workers)) {
+        try (WorkerPool workerPool = new WorkerPool(1);
+                PlatformFeed feed = feed(reader, workerPool)) {
             feed.start();
             return watches.await(LIMIT_SECONDS, TimeUnit.SECONDS);
         }
     }
 
-    private static PlatformFeed feed(PlatformReader reader, Workers workers) {
+    private static PlatformFeed feed(PlatformReader reader, WorkerPool workerPool) {
         MonotonicClock clock = MonotonicClock.system();
         return new PlatformFeed(
                 "configuration",
                 reader,
                 new FailingSink(),
                 new ReadBudget(clock),
-                workers,
+                workerPool,
                 new SplittableRandom(7),
                 clock);
     }
--- a/retry/src/main/java/org/turmericspan/retry/FailedAttempt.java
+++ b/retry/src/main/java/org/turmericspan/retry/FailedAttempt.java
@@ -1,14 +1,14 @@
 package org.turmericspan.retry;
 
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
-import org.turmericspan.calls.UpstreamReply;
 
 /**
  * An attempt that brought no answer of its own.
  *
  * @param request the call
- * @param reply how the attempt ended
+ * @param outcome how the attempt ended
  * @param remainingNanos time left until the call's deadline
- * @param repeats retries and hedges the call has had
+ * @param extraAttempts retries and hedges the call has had
  */
-public record FailedAttempt(CallRequest request, UpstreamReply reply, long remainingNanos, int repeats) {}
+public record FailedAttempt(CallRequest request, AttemptOutcome outcome, long remainingNanos, int extraAttempts) {}
--- a/retry/src/main/java/org/turmericspan/retry/HedgePolicy.java
+++ b/retry/src/main/java/org/turmericspan/retry/HedgePolicy.java
@@ -36,12 +36,12 @@
     /**
      * Returns the policy that hedges an idempotent call that is slower than most of its service.
      *
-     * @param latencies says what most are
+     * @param quantile says what most are
      * @return the policy
      */
-    static HedgePolicy slowerThan(LatencySource latencies) {
+    static HedgePolicy afterQuantile(LatencyQuantile quantile) {
         return request -> request.idempotent() && !request.retried()
-                ? latencies.quantileNanos(request.service())
+                ? quantile.quantileNanos(request.service())
                 : OptionalLong.empty();
     }
 
@@ -49,15 +49,15 @@
      * Returns the policy that tries another upstream only when an idempotent call has had no answer for so long that
      * its connection may be silent.
      *
-     * @param latencies latencies that hardly any call exceeds
+     * @param quantile latencies that hardly any call exceeds
      * @return the policy
      */
-    static HedgePolicy whenStalled(LatencySource latencies) {
+    static HedgePolicy whenStalled(LatencyQuantile quantile) {
         return request -> {
             if (!request.idempotent() || request.retried()) {
                 return OptionalLong.empty();
             }
-            long usualNanos = latencies.quantileNanos(request.service()).orElse(UNKNOWN_LATENCY.toNanos());
+            long usualNanos = quantile.quantileNanos(request.service()).orElse(UNKNOWN_LATENCY.toNanos());
             return OptionalLong.of(Math.max(SHORTEST_STALL.toNanos(), STALL_FACTOR * usualNanos));
         };
     }
--- a/retry/src/main/java/org/turmericspan/retry/LatencySource.java
+++ b/retry/src/main/java/org/turmericspan/retry/LatencyQuantile.java
@@ -5,7 +5,7 @@
 
 /** Tells a quantile of the recent latencies of a service. */
 @FunctionalInterface
-public interface LatencySource {
+public interface LatencyQuantile {
     /**
      * Returns the quantile the source was built for.
      *
--- a/retry/src/main/java/org/turmericspan/retry/LatencyTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/LatencyTable.java
@@ -31,7 +31,7 @@
      * @param quantile between 0 and 1
      * @return the source
      */
-    public LatencySource source(double quantile) {
+    public LatencyQuantile quantile(double quantile) {
         return service -> lock.compute(() -> {
             LatencyWindow window = windows.get(service);
             return window == null ? OptionalLong.empty() : window.quantileNanos(quantile);
--- a/retry/src/main/java/org/turmericspan/retry/LostConnections.java
+++ b/retry/src/main/java/org/turmericspan/retry/LostConnections.java
@@ -64,7 +64,7 @@
         long nowNanos = clock.nowNanos();
         lock.run(() -> {
             boolean wasOnTrial = onTrial.filter(fingerprint::equals).isPresent();
-            entries.add(new Entry(upstream, new Lost(fingerprint, wasOnTrial), nowNanos + MEMORY.toNanos()));
+            entries.add(new Entry(upstream, new LostRequest(fingerprint, wasOnTrial), nowNanos + MEMORY.toNanos()));
             if (entries.size() > MAX_LOST) {
                 entries.remove(0);
             }
@@ -77,16 +77,16 @@
      * @param upstream the upstream
      * @return requests lost there of late
      */
-    public List<Lost> take(UpstreamId upstream) {
+    public List<LostRequest> drain(UpstreamId upstream) {
         long nowNanos = clock.nowNanos();
         return lock.compute(() -> {
-            List<Lost> taken = new ArrayList<>();
+            List<LostRequest> taken = new ArrayList<>();
             Iterator<Entry> iterator = entries.iterator();
             while (iterator.hasNext()) {
                 Entry entry = iterator.next();
                 boolean isFresh = nowNanos < entry.untilNanos;
                 if (isFresh && entry.upstream.equals(upstream)) {
-                    taken.add(entry.lost);
+                    taken.add(entry.lostRequest);
                 }
                 if (!isFresh || entry.upstream.equals(upstream)) {
                     iterator.remove();
@@ -102,7 +102,7 @@
      * @param fingerprint its kind
      * @param wasOnTrial whether it ran as a suspect
      */
-    public record Lost(Fingerprint fingerprint, boolean wasOnTrial) {}
+    public record LostRequest(Fingerprint fingerprint, boolean wasOnTrial) {}
 
-    private record Entry(UpstreamId upstream, Lost lost, long untilNanos) {}
+    private record Entry(UpstreamId upstream, LostRequest lostRequest, long untilNanos) {}
 }
--- a/retry/src/main/java/org/turmericspan/retry/RepeatBudgetTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryBudgetTable.java
@@ -9,7 +9,7 @@
 import org.turmericspan.tables.RankedLock;
 
 /** Token buckets of the services: each call earns the agreed share of a repeat, each repeat spends a whole one. */
-public final class RepeatBudgetTable implements RepeatBudget {
+public final class RetryBudgetTable implements RetryBudget {
     private static final int PERCENT = 100;
     private static final int MAX_SAVED_REPEATS = 10;
 
@@ -22,7 +22,7 @@
      *
      * @param share what the operators allow
      */
-    public RepeatBudgetTable(RetryShare share) {
+    public RetryBudgetTable(RetryShare share) {
         this.share = share;
     }
 
@@ -37,8 +37,8 @@
     }
 
     @Override
-    public boolean trySpend(ServiceId service) {
-        return lock.compute(() -> bucket(service).trySpend());
+    public boolean tryAcquire(ServiceId service) {
+        return lock.compute(() -> bucket(service).tryAcquire());
     }
 
     /**
@@ -62,11 +62,11 @@
      *
      * @param service its service
      * @param calls calls counted
-     * @param spent repeats made
-     * @param refused repeats refused because the budget was used up
-     * @param left repeats that could be made now
+     * @param admitted repeats made
+     * @param rejected repeats refused because the budget was used up
+     * @param available repeats that could be made now
      */
-    public record BudgetState(ServiceId service, long calls, long spent, long refused, double left) {}
+    public record BudgetState(ServiceId service, long calls, long admitted, long rejected, double available) {}
 
     private static final class Bucket {
         private long savedPercent;
@@ -79,7 +79,7 @@
             savedPercent = Math.min(savedPercent + percent, (long) MAX_SAVED_REPEATS * PERCENT);
         }
 
-        boolean trySpend() {
+        boolean tryAcquire() {
             if (savedPercent < PERCENT) {
                 refused++;
                 return false;
--- a/retry/src/main/java/org/turmericspan/retry/RetryPolicy.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryPolicy.java
@@ -1,12 +1,12 @@
 package org.turmericspan.retry;
 
-import org.turmericspan.calls.UpstreamReply;
+import org.turmericspan.calls.AttemptOutcome;
 
 /** Decides whether a failed attempt is tried again on another upstream, as far as the call itself allows. */
 @FunctionalInterface
 public interface RetryPolicy {
     /** Retries and hedges one call may have. */
-    int MAX_REPEATS = 2;
+    int MAX_EXTRA_ATTEMPTS = 2;
 
     /**
      * Decides on one failed attempt. The budget is asked afterwards.
@@ -30,26 +30,26 @@
      * one only with proof that it did not run. A call retried above is not retried again, nor is one that failed on a
      * cold upstream, since its next attempt would go where the cold upstream's share went.
      *
-     * @param latencies recent latencies, which say whether the time left is enough
+     * @param quantile recent latencies, which say whether the time left is enough
      * @return the policy
      */
-    static RetryPolicy safe(LatencySource latencies) {
+    static RetryPolicy whenSafe(LatencyQuantile quantile) {
         return failed -> isSafe(failed)
                 && failed.remainingNanos()
-                        > latencies.quantileNanos(failed.request().service()).orElse(0);
+                        > quantile.quantileNanos(failed.request().service()).orElse(0);
     }
 
     private static boolean isSafe(FailedAttempt failed) {
-        UpstreamReply reply = failed.reply();
-        boolean isFirst = !failed.request().retried() && failed.repeats() < MAX_REPEATS;
-        boolean mayRepeat = failed.request().idempotent() || !reply.mayHaveRun();
-        return isFirst && mayRepeat && !reply.signals().cold() && isTransient(reply.kind());
+        AttemptOutcome outcome = failed.outcome();
+        boolean isFirst = !failed.request().retried() && failed.extraAttempts() < MAX_EXTRA_ATTEMPTS;
+        boolean mayRepeat = failed.request().idempotent() || !outcome.mayHaveRun();
+        return isFirst && mayRepeat && !outcome.signals().cold() && isTransient(outcome.kind());
     }
 
-    private static boolean isTransient(UpstreamReply.Kind kind) {
+    private static boolean isTransient(AttemptOutcome.Kind kind) {
         return switch (kind) {
-            case SHED, NOT_CONNECTED, BROKEN, TIMED_OUT -> true;
-            case WHOLE, LEASE_VOID, CANCELLED_UNSENT, CANCELLED_SENT, ANSWER_TOO_LARGE -> false;
+            case SHED, CONNECT_FAILED, CONNECTION_LOST, TIMED_OUT -> true;
+            case COMPLETE, LEASE_INVALID, CANCELLED_BEFORE_SEND, CANCELLED_AFTER_SEND, ANSWER_TOO_LARGE -> false;
         };
     }
 }
--- a/retry/src/main/java/org/turmericspan/retry/SuspectTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/SuspectTable.java
@@ -64,7 +64,7 @@
      * @param wasAlone whether the request was on trial
      * @return the suspicion to share
      */
-    public Suspicion died(Fingerprint fingerprint, UpstreamId upstream, boolean wasAlone) {
+    public Suspicion recordCrash(Fingerprint fingerprint, UpstreamId upstream, boolean wasAlone) {
         return merge(new Suspicion(fingerprint, Set.of(upstream), wasAlone, SUSPICION))
                 .orElseThrow();
     }
@@ -75,7 +75,7 @@
      * @param fingerprint the kind of request
      * @return the news to share, or empty when there is none
      */
-    public Optional<Suspicion> answered(Fingerprint fingerprint) {
+    public Optional<Suspicion> recordResponse(Fingerprint fingerprint) {
         return lock.compute(() -> {
             Entry entry = entries.get(fingerprint);
             if (entry == null || entry.diedAlone) {
@@ -95,7 +95,7 @@
      */
     public Optional<Suspicion> merge(Suspicion news) {
         if (news.isCleared()) {
-            answered(news.fingerprint());
+            recordResponse(news.fingerprint());
             return Optional.empty();
         }
         long nowNanos = clock.nowNanos();
@@ -143,8 +143,8 @@
         private long untilNanos = Long.MIN_VALUE;
 
         void add(Suspicion news, long nowNanos) {
-            lost.addAll(news.lost());
-            diedAlone |= news.diedAlone();
+            lost.addAll(news.crashedUpstreams());
+            diedAlone |= news.crashedInIsolation();
             boolean isQuarantined = describe(news.fingerprint(), nowNanos).isQuarantined();
             Duration span = isQuarantined && news.remaining().compareTo(SUSPICION) <= 0 ? QUARANTINE : news.remaining();
             untilNanos = Math.max(untilNanos, nowNanos + min(span, QUARANTINE).toNanos());
--- a/retry/src/main/java/org/turmericspan/retry/Suspicion.java
+++ b/retry/src/main/java/org/turmericspan/retry/Suspicion.java
@@ -8,16 +8,17 @@
  * What is known of one suspected kind of request, as nodes share it.
  *
  * @param fingerprint the kind of request
- * @param lost upstreams that died while they ran it; empty when it is cleared
- * @param diedAlone whether an upstream died that ran it alone
+ * @param crashedUpstreams upstreams that died while they ran it; empty when it is cleared
+ * @param crashedInIsolation whether an upstream died that ran it alone
  * @param remaining how long the suspicion lasts
  */
-public record Suspicion(Fingerprint fingerprint, Set<UpstreamId> lost, boolean diedAlone, Duration remaining) {
+public record Suspicion(
+        Fingerprint fingerprint, Set<UpstreamId> crashedUpstreams, boolean crashedInIsolation, Duration remaining) {
     private static final int MOST_LOST = 2;
 
     /** Copies the set. */
     public Suspicion {
-        lost = Set.copyOf(lost);
+        crashedUpstreams = Set.copyOf(crashedUpstreams);
     }
 
     /**
@@ -36,7 +37,7 @@
      * @return true when no upstream was lost
      */
     public boolean isCleared() {
-        return lost.isEmpty();
+        return crashedUpstreams.isEmpty();
     }
 
     /**
@@ -45,6 +46,6 @@
      * @return true after the second death, or a death without company
      */
     public boolean isQuarantined() {
-        return diedAlone || lost.size() >= MOST_LOST;
+        return crashedInIsolation || crashedUpstreams.size() >= MOST_LOST;
     }
 }
--- a/retry/src/main/java/org/turmericspan/retry/TrialRight.java
+++ b/retry/src/main/java/org/turmericspan/retry/TrialPermit.java
@@ -9,7 +9,7 @@
  * The one right of a region to run a suspected request, kept by one node. A second suspect that ran beside the first
  * could not be told from it.
  */
-public final class TrialRight {
+public final class TrialPermit {
     private final RankedLock lock = new RankedLock(LockRank.SUSPECTS);
     private final MonotonicClock clock;
     private Optional<Fingerprint> running = Optional.empty();
@@ -20,7 +20,7 @@
      *
      * @param clock measures how long the right is held
      */
-    public TrialRight(MonotonicClock clock) {
+    public TrialPermit(MonotonicClock clock) {
         this.clock = clock;
     }
 
@@ -31,7 +31,7 @@
      * @param spanNanos how long it is held at most
      * @return false when another trial runs
      */
-    public boolean tryTake(Fingerprint fingerprint, long spanNanos) {
+    public boolean tryAcquire(Fingerprint fingerprint, long spanNanos) {
         long nowNanos = clock.nowNanos();
         return lock.compute(() -> {
             if (running.isPresent() && nowNanos < untilNanos) {
@@ -48,7 +48,7 @@
      *
      * @param fingerprint the suspect whose trial ended; another one changes nothing
      */
-    public void end(Fingerprint fingerprint) {
+    public void release(Fingerprint fingerprint) {
         lock.run(() -> running = running.filter(held -> !held.equals(fingerprint)));
     }
 }
--- a/retry/src/test/java/org/turmericspan/retry/LatencyTableTest.java
+++ b/retry/src/test/java/org/turmericspan/retry/LatencyTableTest.java
@@ -17,7 +17,7 @@
     void quantileIsUnknownWithFewSamples() {
         table.record(SERVICE, Duration.ofMillis(1));
 
-        assertThat(table.source(0.5).quantileNanos(SERVICE)).isEmpty();
+        assertThat(table.quantile(0.5).quantileNanos(SERVICE)).isEmpty();
     }
 
     @Test
@@ -26,7 +26,7 @@
             table.record(SERVICE, Duration.ofMillis(i));
         }
 
-        assertThat(table.source(0.95).quantileNanos(SERVICE).orElseThrow())
+        assertThat(table.quantile(0.95).quantileNanos(SERVICE).orElseThrow())
                 .isCloseTo(Duration.ofMillis(950).toNanos(), Percentage.withPercentage(13));
     }
 
@@ -39,7 +39,7 @@
             table.record(SERVICE, Duration.ofMillis(100));
         }
 
-        assertThat(table.source(0.05).quantileNanos(SERVICE).orElseThrow())
+        assertThat(table.quantile(0.05).quantileNanos(SERVICE).orElseThrow())
                 .isGreaterThan(Duration.ofMillis(90).toNanos());
     }
 }
--- a/retry/src/test/java/org/turmericspan/retry/RepeatBudgetTableTest.java
+++ b/retry/src/test/java/org/turmericspan/retry/RetryBudgetTableTest.java
@@ -6,17 +6,17 @@
 import org.turmericspan.ids.ServiceId;
 
 /** Share of repeats that the budget lets through. */
-final class RepeatBudgetTableTest {
+final class RetryBudgetTableTest {
     private static final ServiceId SERVICE = new ServiceId("ordering");
 
-    private final RepeatBudgetTable budgets = new RepeatBudgetTable(service -> 10);
+    private final RetryBudgetTable budgets = new RetryBudgetTable(service -> 10);
 
     @Test
     void repeatsStayWithinTheirShareOfCalls() {
         int repeats = 0;
         for (int call = 0; call < 1_000; call++) {
             budgets.recordCall(SERVICE);
-            repeats += budgets.trySpend(SERVICE) ? 1 : 0;
+            repeats += budgets.tryAcquire(SERVICE) ? 1 : 0;
         }
 
         assertThat(repeats).isEqualTo(100);
@@ -28,18 +28,18 @@
             budgets.recordCall(SERVICE);
         }
         int repeats = 0;
-        while (budgets.trySpend(SERVICE)) {
+        while (budgets.tryAcquire(SERVICE)) {
             repeats++;
         }
 
         assertThat(repeats).isEqualTo(10);
-        assertThat(budgets.dump()).containsExactly(new RepeatBudgetTable.BudgetState(SERVICE, 100_000, 10, 1, 0));
+        assertThat(budgets.dump()).containsExactly(new RetryBudgetTable.BudgetState(SERVICE, 100_000, 10, 1, 0));
     }
 
     @Test
     void firstCallHasNoRepeat() {
         budgets.recordCall(SERVICE);
 
-        assertThat(budgets.trySpend(SERVICE)).isFalse();
+        assertThat(budgets.tryAcquire(SERVICE)).isFalse();
     }
 }
--- a/retry/src/test/java/org/turmericspan/retry/SuspectTableTest.java
+++ b/retry/src/test/java/org/turmericspan/retry/SuspectTableTest.java
@@ -19,7 +19,7 @@
 
     @Test
     void firstDeathMakesASuspect() {
-        table.died(POISON, FIRST, false);
+        table.recordCrash(POISON, FIRST, false);
 
         assertThat(table.isEmpty()).isFalse();
         assertThat(table.find(POISON))
@@ -28,7 +28,7 @@
 
     @Test
     void sameDeathSeenByTwoNodesCountsOnce() {
-        table.died(POISON, FIRST, false);
+        table.recordCrash(POISON, FIRST, false);
         table.merge(new Suspicion(POISON, Set.of(FIRST), false, Duration.ofSeconds(60)));
 
         assertThat(table.find(POISON).orElseThrow().isQuarantined()).isFalse();
@@ -36,7 +36,7 @@
 
     @Test
     void secondUpstreamLostQuarantines() {
-        table.died(POISON, FIRST, false);
+        table.recordCrash(POISON, FIRST, false);
         table.merge(new Suspicion(POISON, Set.of(SECOND), false, Duration.ofSeconds(60)));
 
         assertThat(table.find(POISON).orElseThrow().isQuarantined()).isTrue();
@@ -44,23 +44,23 @@
 
     @Test
     void deathOfTheSameUpstreamOnTrialQuarantines() {
-        table.died(POISON, FIRST, false);
-        table.died(POISON, FIRST, true);
+        table.recordCrash(POISON, FIRST, false);
+        table.recordCrash(POISON, FIRST, true);
 
         assertThat(table.find(POISON).orElseThrow().isQuarantined()).isTrue();
     }
 
     @Test
     void suspectThatRunsFineIsCleared() {
-        table.died(POISON, FIRST, false);
+        table.recordCrash(POISON, FIRST, false);
 
-        assertThat(table.answered(POISON)).hasValue(Suspicion.cleared(POISON));
+        assertThat(table.recordResponse(POISON)).hasValue(Suspicion.cleared(POISON));
         assertThat(table.isEmpty()).isTrue();
     }
 
     @Test
     void newsOfAClearedSuspectClearsItHere() {
-        table.died(POISON, FIRST, false);
+        table.recordCrash(POISON, FIRST, false);
         table.merge(Suspicion.cleared(POISON));
 
         assertThat(table.find(POISON)).isEmpty();
@@ -68,15 +68,15 @@
 
     @Test
     void deathOnTrialIsNotClearedByALateAnswer() {
-        table.died(POISON, FIRST, true);
+        table.recordCrash(POISON, FIRST, true);
 
-        assertThat(table.answered(POISON)).isEmpty();
+        assertThat(table.recordResponse(POISON)).isEmpty();
         assertThat(table.find(POISON)).isPresent();
     }
 
     @Test
     void suspicionExpires() {
-        table.died(POISON, FIRST, false);
+        table.recordCrash(POISON, FIRST, false);
         clock.advance(Duration.ofMinutes(2));
 
         assertThat(table.find(POISON)).isEmpty();
@@ -85,7 +85,7 @@
 
     @Test
     void quarantineLastsLongerThanSuspicion() {
-        table.died(POISON, FIRST, true);
+        table.recordCrash(POISON, FIRST, true);
         clock.advance(Duration.ofMinutes(2));
 
         assertThat(table.find(POISON)).isPresent();
@@ -94,7 +94,7 @@
     @Test
     void tableIsBounded() {
         for (int i = 0; i < 1_000; i++) {
-            table.died(new Fingerprint(i), FIRST, false);
+            table.recordCrash(new Fingerprint(i), FIRST, false);
         }
 
         assertThat(table.dump()).hasSize(256);
--- a/routing/src/main/java/org/turmericspan/routing/BaselineSlotSource.java
+++ b/routing/src/main/java/org/turmericspan/routing/BaselineSlotSource.java
@@ -12,9 +12,9 @@
 import java.util.function.Supplier;
 import org.turmericspan.calls.SlotDecision;
 import org.turmericspan.calls.SlotLease;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
 import org.turmericspan.calls.SlotSource;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.config.Upstream;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.Incarnation;
@@ -26,7 +26,7 @@
 
 /** Grants any upstream in service at once, by what this node alone knows: last reports and its own requests. */
 public final class BaselineSlotSource implements SlotSource {
-    private final Supplier<FleetMap> map;
+    private final Supplier<OwnershipMap> map;
     private final Incarnation incarnation;
     private final MonotonicClock clock;
     private final UpstreamChoice choice;
@@ -42,7 +42,7 @@
      * @param choice chooses among the upstreams
      */
     public BaselineSlotSource(
-            Supplier<FleetMap> map, Incarnation incarnation, MonotonicClock clock, UpstreamChoice choice) {
+            Supplier<OwnershipMap> map, Incarnation incarnation, MonotonicClock clock, UpstreamChoice choice) {
         this.map = map;
         this.incarnation = incarnation;
         this.clock = clock;
@@ -50,20 +50,20 @@
     }
 
     @Override
-    public CompletionStage<SlotDecision> acquire(SlotWish wish) {
-        FleetMap current = map.get();
-        List<Upstream> candidates = current.upstreamsOf(wish.service()).stream()
-                .filter(upstream -> !wish.avoid().contains(upstream.id()))
+    public CompletionStage<SlotDecision> acquire(SlotRequest request) {
+        OwnershipMap current = map.get();
+        List<Upstream> candidates = current.upstreamsOf(request.service()).stream()
+                .filter(upstream -> !request.excludedUpstreams().contains(upstream.id()))
                 .filter(upstream -> !isLeaving(current, upstream))
                 .toList();
         SlotDecision decision = choice.choose(
                         candidates, upstream -> load(upstream.id()).total())
-                .<SlotDecision>map(upstream -> new SlotDecision.Granted(new CountedLease(upstream, wish)))
+                .<SlotDecision>map(upstream -> new SlotDecision.Granted(new CountedLease(upstream, request)))
                 .orElseGet(() -> new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.empty()));
         return CompletableFuture.completedFuture(decision);
     }
 
-    private static boolean isLeaving(FleetMap map, Upstream upstream) {
+    private static boolean isLeaving(OwnershipMap map, Upstream upstream) {
         Vm vm = map.view().vms().get(upstream.vm());
         return vm != null && vm.leaving();
     }
@@ -84,9 +84,9 @@
         private final LeaseId id = new LeaseId(incarnation, nextSequence.incrementAndGet());
         private final AtomicBoolean released = new AtomicBoolean();
 
-        CountedLease(Upstream upstream, SlotWish wish) {
+        CountedLease(Upstream upstream, SlotRequest request) {
             this.upstream = upstream;
-            this.deadlineNanos = wish.deadlineNanos();
+            this.deadlineNanos = request.deadlineNanos();
             load(upstream.id()).inFlight().incrementAndGet();
         }
 
--- a/routing/src/main/java/org/turmericspan/routing/Borrower.java
+++ b/routing/src/main/java/org/turmericspan/routing/Borrower.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.LeaseId;
 import org.turmericspan.ids.MonotonicClock;
@@ -29,7 +29,7 @@
 
     private final SlotTable table;
     private final SlotNetwork network;
-    private final IdleBoard board;
+    private final LenderSelector board;
     private final MonotonicClock clock;
     private final WishBook wishes;
     private final HeldLeases held;
@@ -42,7 +42,7 @@
     Borrower(
             SlotTable table,
             SlotNetwork network,
-            IdleBoard board,
+            LenderSelector board,
             MonotonicClock clock,
             WishBook wishes,
             HeldLeases held,
@@ -58,17 +58,17 @@
     }
 
     /** Asks keepers on behalf of a wish that waits here. */
-    void borrow(WishKey key, SlotWish wish) {
-        Search search = new Search(key, wish);
+    void borrow(WishKey key, SlotRequest request) {
+        Search search = new Search(key, request);
         searches.put(key, search);
-        ask(search, board.lenders(wish.service(), false));
+        ask(search, board.lenders(request.service(), false));
     }
 
     /** Asks keepers that reported idle slots on behalf of a wish that does not wait. */
-    void borrowIdle(WishKey key, SlotWish wish) {
-        Search search = new Search(key, wish);
+    void borrowIdle(WishKey key, SlotRequest request) {
+        Search search = new Search(key, request);
         searches.put(key, search);
-        ask(search, board.lenders(wish.service(), true));
+        ask(search, board.lenders(request.service(), true));
         denyWhenOver(search);
     }
 
@@ -76,7 +76,8 @@
     void met(WishKey key) {
         Search search = searches.remove(key);
         if (search != null) {
-            search.asked.forEach(keeper -> network.links().tell(keeper, new PeerMessage.WithdrawWish(key.number())));
+            search.asked.forEach(
+                    keeper -> network.links().tell(keeper, new PeerMessage.CancelSlotRequest(key.number())));
         }
     }
 
@@ -90,9 +91,9 @@
             if (!wishes.waits(search.key)) {
                 met(search.key);
             } else if (search.asked.isEmpty()
-                    && !search.wish.idleOnly()
+                    && !search.request.idleOnly()
                     && nowNanos - search.askedNanos >= RETRY.toNanos()) {
-                ask(search, board.lenders(search.wish.service(), false));
+                ask(search, board.lenders(search.request.service(), false));
             }
         }
     }
@@ -113,13 +114,13 @@
         if (requests.get() >= MAX_REQUESTS) {
             return;
         }
-        search.leaseDeadlineNanos = latestDeadlineNanos(search.wish);
+        search.leaseDeadlineNanos = latestDeadlineNanos(search.request);
         long remainingNanos = search.leaseDeadlineNanos - nowNanos;
         if (remainingNanos <= 0) {
             return;
         }
         PeerMessage message =
-                new PeerMessage.BorrowSlot(search.wish.withDeadlineNanos(remainingNanos), search.key.number());
+                new PeerMessage.BorrowSlot(search.request.withDeadlineNanos(remainingNanos), search.key.number());
         search.asked.addAll(keepers);
         for (VmId keeper : keepers) {
             requests.incrementAndGet();
@@ -130,14 +131,14 @@
     }
 
     /** Finds the latest deadline among the wishes that the slot may serve. */
-    private long latestDeadlineNanos(SlotWish wish) {
-        long latestNanos = wish.deadlineNanos();
-        if (wish.idleOnly()) {
+    private long latestDeadlineNanos(SlotRequest request) {
+        long latestNanos = request.deadlineNanos();
+        if (request.idleOnly()) {
             return latestNanos;
         }
         for (Search search : searches.values()) {
-            if (search.wish.service().equals(wish.service())) {
-                latestNanos = Math.max(latestNanos, search.wish.deadlineNanos());
+            if (search.request.service().equals(request.service())) {
+                latestNanos = Math.max(latestNanos, search.request.deadlineNanos());
             }
         }
         return latestNanos;
@@ -154,7 +155,7 @@
     }
 
     private void denyWhenOver(Search search) {
-        if (search.wish.idleOnly() && search.asked.isEmpty()) {
+        if (search.request.idleOnly() && search.asked.isEmpty()) {
             wishes.take(search.key).ifPresent(reply -> reply.denied(ResultCode.NO_CAPACITY));
         }
     }
@@ -163,11 +164,11 @@
     private void take(Search search, VmId keeper, PeerMessage.SlotLent lent) {
         long nowNanos = clock.nowNanos();
         long deadlineNanos = Math.min(
-                search.wish.deadlineNanos(), nowNanos + lent.remaining().toNanos());
+                search.request.deadlineNanos(), nowNanos + lent.remaining().toNanos());
         GrantedSlot slot = new GrantedSlot(lent.lease(), lent.upstream(), lent.address(), deadlineNanos);
-        Loan loan = new Loan(keeper, search.wish.service(), slot, nowNanos + LeaseReuse.WINDOW.toNanos());
+        Loan loan = new Loan(keeper, search.request.service(), slot, nowNanos + LeaseReuse.WINDOW.toNanos());
         borrowed.put(lent.lease(), lent.upstream());
-        if (search.wish.idleOnly()) {
+        if (search.request.idleOnly()) {
             var reply = wishes.take(search.key);
             if (reply.isPresent()) {
                 met(search.key);
@@ -229,14 +230,14 @@
 
     private static final class Search {
         private final WishKey key;
-        private final SlotWish wish;
+        private final SlotRequest request;
         private final Set<VmId> asked = ConcurrentHashMap.newKeySet();
         private volatile long askedNanos;
         private volatile long leaseDeadlineNanos;
 
-        Search(WishKey key, SlotWish wish) {
+        Search(WishKey key, SlotRequest request) {
             this.key = key;
-            this.wish = wish;
+            this.request = request;
         }
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/Departures.java
+++ b/routing/src/main/java/org/turmericspan/routing/Departures.java
@@ -18,7 +18,7 @@
     private final Map<UpstreamId, Long> untilNanos = new HashMap<>();
 
     /** Notes the life of a node; a new life means that the one before went. */
-    void seen(VmId peer, Incarnation incarnation, FleetMap map, long nowNanos) {
+    void seen(VmId peer, Incarnation incarnation, OwnershipMap map, long nowNanos) {
         Incarnation before = incarnations.put(peer, incarnation);
         if (before != null && !before.equals(incarnation)) {
             mark(peer, map, Duration.ZERO, nowNanos);
@@ -26,7 +26,7 @@
     }
 
     /** Notes which nodes are no longer in the list. */
-    void listChanged(FleetMap before, FleetMap after, Duration viewLagBound, long nowNanos) {
+    void listChanged(OwnershipMap before, OwnershipMap after, Duration viewLagBound, long nowNanos) {
         before.view().entryVms().forEach(vm -> {
             if (!after.view().vms().containsKey(vm.id())) {
                 mark(vm.id(), before, viewLagBound, nowNanos);
@@ -42,8 +42,8 @@
         return until != null && nowNanos < until;
     }
 
-    private void mark(VmId gone, FleetMap map, Duration extra, long nowNanos) {
-        map.keepers().forEach((upstream, keeper) -> {
+    private void mark(VmId gone, OwnershipMap map, Duration extra, long nowNanos) {
+        map.owners().forEach((upstream, keeper) -> {
             if (keeper.equals(gone)) {
                 long until = nowNanos
                         + extra.plus(longestLease(map.configuration(), upstream))
--- a/routing/src/main/java/org/turmericspan/routing/IdleBoard.java
+++ b/routing/src/main/java/org/turmericspan/routing/LenderSelector.java
@@ -18,13 +18,13 @@
 import org.turmericspan.messages.PeerMessage;
 
 /** What the other nodes last reported of their idle slots, and whom to ask for one. */
-public final class IdleBoard {
+public final class LenderSelector {
     private static final Duration FRESH = Duration.ofSeconds(3);
     private static final int ASKED_WITH_IDLE = 2;
     private static final int ASKED_WITHOUT_IDLE = 3;
 
     private final VmId self;
-    private final Supplier<FleetMap> map;
+    private final Supplier<OwnershipMap> map;
     private final Peers peers;
     private final MonotonicClock clock;
     private final RandomGenerator random;
@@ -38,7 +38,8 @@
      * @param clock tells how old a report is
      * @param random spreads the wishes over equal nodes
      */
-    public IdleBoard(VmId self, Supplier<FleetMap> map, Peers peers, MonotonicClock clock, RandomGenerator random) {
+    public LenderSelector(
+            VmId self, Supplier<OwnershipMap> map, Peers peers, MonotonicClock clock, RandomGenerator random) {
         this.self = self;
         this.map = map;
         this.peers = peers;
@@ -74,10 +75,10 @@
     }
 
     private Set<VmId> keepersOf(ServiceId service) {
-        FleetMap current = map.get();
+        OwnershipMap current = map.get();
         Set<VmId> keepers = new TreeSet<>();
         current.upstreamsOf(service).forEach(upstream -> {
-            VmId keeper = current.keepers().get(upstream.id());
+            VmId keeper = current.owners().get(upstream.id());
             if (keeper != null && !keeper.equals(self) && current.sharesRegion(self, keeper)) {
                 keepers.add(keeper);
             }
@@ -93,7 +94,7 @@
 
     private Offer offer(VmId keeper, ServiceId service, long nowNanos) {
         Optional<PeerState> report =
-                peers.find(keeper).filter(state -> nowNanos - state.heardNanos() <= FRESH.toNanos());
+                peers.find(keeper).filter(state -> nowNanos - state.lastHeardNanos() <= FRESH.toNanos());
         if (report.isPresent()) {
             for (PeerMessage.IdleSlots slots : report.get().idleSlots()) {
                 if (slots.service().equals(service)) {
--- a/routing/src/main/java/org/turmericspan/routing/HomeSets.java
+++ b/routing/src/main/java/org/turmericspan/routing/OwnerLocator.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
-import org.turmericspan.calls.Located;
+import org.turmericspan.calls.LocateResult;
 import org.turmericspan.calls.Locator;
 import org.turmericspan.config.Service;
 import org.turmericspan.config.Upstream;
@@ -24,11 +24,11 @@
  * order in which a node comes first as often as its weight says, so that callers spread evenly. A node that has just
  * returned starts with a small weight that rises to its full one.
  */
-public final class HomeSets implements Locator {
+public final class OwnerLocator implements Locator {
     private static final Duration FULL_WEIGHT_AFTER = Duration.ofSeconds(20);
     private static final int RISE_STEPS = 4;
 
-    private final Supplier<FleetMap> map;
+    private final Supplier<OwnershipMap> map;
     private final Duration timeToLive;
     private final MonotonicClock clock;
     private final DoubleSupplier random;
@@ -43,7 +43,7 @@
      * @param clock measures how long a node has been back
      * @param random draws from 0 to 1
      */
-    public HomeSets(Supplier<FleetMap> map, Duration timeToLive, MonotonicClock clock, DoubleSupplier random) {
+    public OwnerLocator(Supplier<OwnershipMap> map, Duration timeToLive, MonotonicClock clock, DoubleSupplier random) {
         this.map = map;
         this.timeToLive = timeToLive;
         this.clock = clock;
@@ -51,7 +51,7 @@
     }
 
     @Override
-    public Optional<Located> locate(ServiceId service) {
+    public Optional<LocateResult> locate(ServiceId service) {
         Computed current = current();
         List<Home> homes = current.homes().get(service);
         if (homes == null) {
@@ -64,15 +64,15 @@
             double key = Math.log(1 - random.getAsDouble()) / weight;
             drawn.add(new Drawn(
                     key,
-                    new Located.Address(
+                    new LocateResult.Endpoint(
                             home.vm().id(), home.vm().callerAddress().orElseThrow(), weight)));
         }
         Collections.sort(drawn);
-        return Optional.of(new Located(drawn.stream().map(Drawn::address).toList(), timeToLive));
+        return Optional.of(new LocateResult(drawn.stream().map(Drawn::endpoint).toList(), timeToLive));
     }
 
     private Computed current() {
-        FleetMap now = map.get();
+        OwnershipMap now = map.get();
         Computed current = computed;
         if (current.source() != now) {
             current = compute(current, now);
@@ -81,7 +81,7 @@
         return current;
     }
 
-    private Computed compute(Computed previous, FleetMap now) {
+    private Computed compute(Computed previous, OwnershipMap now) {
         boolean isFirst =
                 previous.source() == null || previous.source().candidates().isEmpty();
         long sinceNanos = isFirst ? clock.nowNanos() - FULL_WEIGHT_AFTER.toNanos() : clock.nowNanos();
@@ -94,10 +94,10 @@
         return new Computed(now, homes);
     }
 
-    private List<Home> homesOf(FleetMap now, Service service) {
+    private List<Home> homesOf(OwnershipMap now, Service service) {
         Map<VmId, Integer> slots = new TreeMap<>();
         for (Upstream upstream : now.upstreamsOf(service.id())) {
-            VmId keeper = now.keepers().get(upstream.id());
+            VmId keeper = now.owners().get(upstream.id());
             if (keeper != null) {
                 slots.merge(keeper, service.slotsPerUpstream(), Integer::sum);
             }
@@ -118,9 +118,9 @@
 
     private record Home(Vm vm, int fullWeight, long sinceNanos) {}
 
-    private record Computed(FleetMap source, Map<ServiceId, List<Home>> homes) {}
+    private record Computed(OwnershipMap source, Map<ServiceId, List<Home>> homes) {}
 
-    private record Drawn(double key, Located.Address address) implements Comparable<Drawn> {
+    private record Drawn(double key, LocateResult.Endpoint endpoint) implements Comparable<Drawn> {
         @Override
         public int compareTo(Drawn other) {
             return Double.compare(other.key, key);
--- a/routing/src/main/java/org/turmericspan/routing/FleetMap.java
+++ b/routing/src/main/java/org/turmericspan/routing/OwnershipMap.java
@@ -21,14 +21,14 @@
  * @param configuration the configuration in force
  * @param view the accepted view
  * @param candidates entry VMs that may keep upstreams, by name
- * @param keepers keeper by upstream, over all configured upstreams, so that taking some out moves no others
+ * @param owners keeper by upstream, over all configured upstreams, so that taking some out moves no others
  * @param inService upstreams that are in service, by service
  */
-public record FleetMap(
+public record OwnershipMap(
         Configuration configuration,
         FleetView view,
         Map<VmId, Vm> candidates,
-        Map<UpstreamId, VmId> keepers,
+        Map<UpstreamId, VmId> owners,
         Map<ServiceId, List<Upstream>> inService) {
     private static final RegionId NO_REGION = new RegionId("none");
 
@@ -39,7 +39,7 @@
      * @param view the accepted view
      * @return the map
      */
-    public static FleetMap of(Configuration configuration, FleetView view) {
+    public static OwnershipMap of(Configuration configuration, FleetView view) {
         Map<VmId, Vm> candidates = new TreeMap<>();
         Candidates.of(configuration, view).forEach(vm -> candidates.put(vm.id(), vm));
         Map<UpstreamId, VmId> keepers = KeeperAssignment.assign(
@@ -47,7 +47,7 @@
         Map<ServiceId, List<Upstream>> inService = configuration.upstreams().values().stream()
                 .filter(upstream -> configuration.isInService(upstream.availabilityZone(), upstream.vm()))
                 .collect(Collectors.groupingBy(Upstream::service));
-        return new FleetMap(configuration, view, candidates, keepers, inService);
+        return new OwnershipMap(configuration, view, candidates, keepers, inService);
     }
 
     /**
@@ -57,7 +57,7 @@
      * @param view the accepted view
      * @return the source
      */
-    public static Supplier<FleetMap> cached(Supplier<Configuration> configuration, Supplier<FleetView> view) {
+    public static Supplier<OwnershipMap> cached(Supplier<Configuration> configuration, Supplier<FleetView> view) {
         return new Cache(configuration, view);
     }
 
@@ -100,10 +100,10 @@
         return found == null ? NO_REGION : found.region();
     }
 
-    private static final class Cache implements Supplier<FleetMap> {
+    private static final class Cache implements Supplier<OwnershipMap> {
         private final Supplier<Configuration> configuration;
         private final Supplier<FleetView> view;
-        private volatile FleetMap last;
+        private volatile OwnershipMap last;
 
         Cache(Supplier<Configuration> configuration, Supplier<FleetView> view) {
             this.configuration = configuration;
@@ -111,8 +111,8 @@
         }
 
         @Override
-        public FleetMap get() {
-            FleetMap current = last;
+        public OwnershipMap get() {
+            OwnershipMap current = last;
             Configuration inForce = configuration.get();
             FleetView accepted = view.get();
             if (current == null || current.configuration() != inForce || current.view() != accepted) {
--- a/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
@@ -32,7 +32,7 @@
      */
     UpstreamSlots best(Waiter waiter, boolean mayUseCold, long nowNanos) {
         boolean isPatient = nowNanos - waiter.sinceNanos() >= OVERDUE_PATIENCE.toNanos();
-        boolean mayTakeCold = mayUseCold && !waiter.wish().idleOnly() && (waiter.isOwn() || !hasPlain());
+        boolean mayTakeCold = mayUseCold && !waiter.slotRequest().idleOnly() && (waiter.isOwn() || !hasPlain());
         UpstreamSlots best = null;
         long bestCost = Long.MAX_VALUE;
         for (UpstreamSlots slots : upstreams) {
@@ -55,7 +55,7 @@
             return Optional.of(offered.preferred());
         }
         for (Waiter waiter : waiters.values()) {
-            boolean endsInTime = waiter.wish().deadlineNanos() <= offered.deadlineNanos();
+            boolean endsInTime = waiter.slotRequest().deadlineNanos() <= offered.deadlineNanos();
             if (waiter.isOwn() && waiter.takesAnyUpstream() && endsInTime) {
                 waiters.remove(waiter.key());
                 return Optional.of(waiter.key());
@@ -68,7 +68,7 @@
     List<WishKey> takeLateWaiters(long nowNanos) {
         List<WishKey> late = new ArrayList<>();
         waiters.values().removeIf(waiter -> {
-            boolean isLate = nowNanos >= waiter.wish().deadlineNanos();
+            boolean isLate = nowNanos >= waiter.slotRequest().deadlineNanos();
             if (isLate) {
                 late.add(waiter.key());
             }
@@ -90,10 +90,12 @@
     private static boolean isEligible(
             UpstreamSlots slots, Waiter waiter, boolean mayTakeCold, boolean mayUseCold, long nowNanos) {
         if (!slots.hasRoom(nowNanos)
-                || waiter.wish().avoid().contains(slots.upstream().id())) {
+                || waiter.slotRequest()
+                        .excludedUpstreams()
+                        .contains(slots.upstream().id())) {
             return false;
         }
-        if (waiter.wish().idleOnly() && !slots.hasIdleSlot()) {
+        if (waiter.slotRequest().idleOnly() && !slots.hasIdleSlot()) {
             return false;
         }
         return switch (slots.phase()) {
--- a/routing/src/main/java/org/turmericspan/routing/SlotAction.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotAction.java
@@ -1,8 +1,8 @@
 package org.turmericspan.routing;
 
 import java.util.List;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.LeaseId;
 import org.turmericspan.ids.UpstreamId;
@@ -31,9 +31,9 @@
      * Lets a wish of this node wait; a slot may be borrowed for it.
      *
      * @param key the wish
-     * @param wish what is wished for
+     * @param slotRequest what is wished for
      */
-    record Park(WishKey key, SlotWish wish) implements SlotAction {}
+    record Park(WishKey key, SlotRequest slotRequest) implements SlotAction {}
 
     /**
      * Gives an offered slot to a wish that waited here.
--- a/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
@@ -12,9 +12,9 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.turmericspan.calls.SlotDecision;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
 import org.turmericspan.calls.SlotSource;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.Incarnation;
@@ -34,7 +34,7 @@
 
     private final SlotTable table;
     private final SlotNetwork network;
-    private final Supplier<FleetMap> map;
+    private final Supplier<OwnershipMap> map;
     private final LongSupplier viewConfirmedNanos;
     private final WishBook wishes = new WishBook();
     private final HeldLeases held;
@@ -58,8 +58,8 @@
     public SlotCoordinator(
             SlotTable table,
             SlotNetwork network,
-            Supplier<FleetMap> map,
-            IdleBoard board,
+            Supplier<OwnershipMap> map,
+            LenderSelector board,
             MonotonicClock clock,
             Duration pauseBound,
             LongSupplier viewConfirmedNanos,
@@ -75,14 +75,14 @@
     }
 
     @Override
-    public CompletionStage<SlotDecision> acquire(SlotWish wish) {
-        if (map.get().upstreamsOf(wish.service()).isEmpty()) {
+    public CompletionStage<SlotDecision> acquire(SlotRequest request) {
+        if (map.get().upstreamsOf(request.service()).isEmpty()) {
             return CompletableFuture.completedFuture(new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.empty()));
         }
         WishKey key = new WishKey(network.self(), nextWish.incrementAndGet());
-        OwnReply reply = new OwnReply(key, wish);
+        OwnReply reply = new OwnReply(key, request);
         wishes.put(key, reply);
-        apply(new SlotEvent.Wished(key, wish));
+        apply(new SlotEvent.Wished(key, request));
         return reply.decision;
     }
 
@@ -95,7 +95,7 @@
     }
 
     /** Takes over a change of the configuration or the view. */
-    public void mapChanged() {
+    public void onOwnershipChanged() {
         apply(new SlotEvent.MapChanged(map.get()));
     }
 
@@ -105,7 +105,7 @@
      * @param upstream the upstream
      * @param signals its answer
      */
-    public void observe(UpstreamId upstream, UpstreamSignals signals) {
+    public void onProbeResult(UpstreamId upstream, UpstreamSignals signals) {
         apply(new SlotEvent.Observed(upstream, signals));
     }
 
@@ -115,7 +115,7 @@
      * @param peer its VM
      * @param incarnation the life it said it is in
      */
-    public void peerSeen(VmId peer, Incarnation incarnation) {
+    public void onPeerIncarnation(VmId peer, Incarnation incarnation) {
         apply(new SlotEvent.PeerSeen(peer, incarnation));
     }
 
@@ -124,7 +124,7 @@
      *
      * @return number of leases of other keepers held now
      */
-    public int borrowed() {
+    public int borrowedCount() {
         return borrower.borrowed();
     }
 
@@ -161,7 +161,7 @@
         } else if (action instanceof SlotAction.Deny deny) {
             wishes.take(deny.key()).ifPresent(reply -> reply.denied(deny.code()));
         } else if (action instanceof SlotAction.Park park) {
-            borrower.borrow(park.key(), park.wish());
+            borrower.borrow(park.key(), park.slotRequest());
         } else if (action instanceof SlotAction.Recall recall) {
             recall(recall.holder(), recall.lease());
         } else if (action instanceof SlotAction.HandOver handOver) {
@@ -220,13 +220,13 @@
 
     private final class OwnReply implements WishReply {
         private final WishKey key;
-        private final SlotWish wish;
+        private final SlotRequest request;
         private final CompletableFuture<SlotDecision> decision = new CompletableFuture<>();
         private volatile boolean askedOthers;
 
-        OwnReply(WishKey key, SlotWish wish) {
+        OwnReply(WishKey key, SlotRequest request) {
             this.key = key;
-            this.wish = wish;
+            this.request = request;
         }
 
         @Override
@@ -242,10 +242,10 @@
 
         @Override
         public void denied(ResultCode code) {
-            if (wish.idleOnly() && code == ResultCode.NO_CAPACITY && !askedOthers) {
+            if (request.idleOnly() && code == ResultCode.NO_CAPACITY && !askedOthers) {
                 askedOthers = true;
                 wishes.put(key, this);
-                borrower.borrowIdle(key, wish);
+                borrower.borrowIdle(key, request);
                 return;
             }
             borrower.met(key);
--- a/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.turmericspan.calls.SlotWish;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.config.Upstream;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.Incarnation;
@@ -38,7 +38,7 @@
     private final Handovers handovers;
     private final Wakefulness wakefulness;
     private final List<SlotAction> actions = new ArrayList<>();
-    private FleetMap map;
+    private OwnershipMap map;
     private Set<VmId> others = Set.of();
     private long nextSequence;
     private long nowNanos;
@@ -70,7 +70,7 @@
         nowNanos = atNanos;
         actions.clear();
         if (event instanceof SlotEvent.Wished wished) {
-            wish(wished.key(), wished.wish());
+            wish(wished.key(), wished.slotRequest());
         } else if (event instanceof SlotEvent.Returned returned) {
             takeBack(returned);
         } else if (event instanceof SlotEvent.Ticked ticked) {
@@ -148,19 +148,19 @@
         }
     }
 
-    private void wish(WishKey key, SlotWish wish) {
-        ServiceSlots slots = services.computeIfAbsent(wish.service(), service -> new ServiceSlots());
-        Waiter waiter = new Waiter(key, wish, key.requester().equals(self), nowNanos);
-        UpstreamSlots best = slots.waiters().isEmpty() || wish.idleOnly() ? choose(slots, waiter) : null;
+    private void wish(WishKey key, SlotRequest request) {
+        ServiceSlots slots = services.computeIfAbsent(request.service(), service -> new ServiceSlots());
+        Waiter waiter = new Waiter(key, request, key.requester().equals(self), nowNanos);
+        UpstreamSlots best = slots.waiters().isEmpty() || request.idleOnly() ? choose(slots, waiter) : null;
         if (best != null) {
             grant(best, waiter);
-        } else if (wish.idleOnly() || (!waiter.isOwn() && slots.upstreams().isEmpty())) {
+        } else if (request.idleOnly() || (!waiter.isOwn() && slots.upstreams().isEmpty())) {
             actions.add(new SlotAction.Deny(key, ResultCode.NO_CAPACITY));
         } else {
             slots.waiters().put(key, waiter);
             dispatch(slots);
             if (waiter.isOwn() && slots.waiters().containsKey(key)) {
-                actions.add(new SlotAction.Park(key, wish));
+                actions.add(new SlotAction.Park(key, request));
             }
         }
     }
@@ -197,7 +197,7 @@
         nextSequence++;
         LeaseId id = new LeaseId(incarnation, nextSequence);
         long deadlineNanos = Math.min(
-                waiter.wish().deadlineNanos(),
+                waiter.slotRequest().deadlineNanos(),
                 nowNanos + slots.service().longestLease().toNanos());
         long startedNanos = waiter.isOwn() ? nowNanos : nowNanos + LENT_GRACE_NANOS;
         Lease lease = new Lease(
@@ -313,7 +313,7 @@
         slots.takeOver(handover.warm(), handover.allowance(), handover.upstreamIncarnation(), running);
     }
 
-    private void changeMap(FleetMap next) {
+    private void changeMap(OwnershipMap next) {
         if (map != null) {
             departures.listChanged(map, next, rules.viewLagBound(), nowNanos);
         }
@@ -325,11 +325,11 @@
                 .filter(vm -> !vm.equals(self))
                 .forEach(others::add);
         for (UpstreamId id : List.copyOf(kept.keySet())) {
-            if (!self.equals(next.keepers().get(id))) {
-                letGo(kept.remove(id), Optional.ofNullable(next.keepers().get(id)));
+            if (!self.equals(next.owners().get(id))) {
+                letGo(kept.remove(id), Optional.ofNullable(next.owners().get(id)));
             }
         }
-        next.keepers().forEach((id, keeper) -> {
+        next.owners().forEach((id, keeper) -> {
             if (keeper.equals(self)) {
                 keep(next.configuration().upstreams().get(id));
             } else {
--- a/routing/src/main/java/org/turmericspan/routing/SlotEvent.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEvent.java
@@ -1,8 +1,8 @@
 package org.turmericspan.routing;
 
 import java.util.List;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.LeaseId;
@@ -18,15 +18,15 @@
      *
      * @param map who keeps what now
      */
-    record MapChanged(FleetMap map) implements SlotEvent {}
+    record MapChanged(OwnershipMap map) implements SlotEvent {}
 
     /**
      * A node wishes for a slot.
      *
      * @param key identifies the wish
-     * @param wish what is wished for
+     * @param slotRequest what is wished for
      */
-    record Wished(WishKey key, SlotWish wish) implements SlotEvent {}
+    record Wished(WishKey key, SlotRequest slotRequest) implements SlotEvent {}
 
     /**
      * A wish is of no use any more.
--- a/routing/src/main/java/org/turmericspan/routing/SlotNetwork.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotNetwork.java
@@ -4,7 +4,7 @@
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerLinks;
-import org.turmericspan.tables.Workers;
+import org.turmericspan.tables.WorkerPool;
 
 /**
  * What the parts of lending need of the node.
@@ -29,11 +29,11 @@
         /**
          * Builds a timer on the node's workers.
          *
-         * @param workers runs the tasks
+         * @param workerPool runs the tasks
          * @return the timer
          */
-        static Timer on(Workers workers) {
-            return workers::schedule;
+        static Timer on(WorkerPool workerPool) {
+            return workerPool::schedule;
         }
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/SlotPeerHandler.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotPeerHandler.java
@@ -39,8 +39,8 @@
         if (message instanceof PeerMessage.QueryLeases query) {
             return CompletableFuture.completedFuture(new PeerMessage.LeasesHeld(held(from, query)));
         }
-        if (message instanceof PeerMessage.WithdrawWish withdraw) {
-            WishKey key = new WishKey(from, withdraw.wishNumber());
+        if (message instanceof PeerMessage.CancelSlotRequest withdraw) {
+            WishKey key = new WishKey(from, withdraw.requestNumber());
             coordinator.wishes().take(key).ifPresent(reply -> reply.denied(ResultCode.NO_CAPACITY));
             coordinator.apply(new SlotEvent.Withdrawn(key));
         } else if (message instanceof PeerMessage.ReturnSlot returned) {
@@ -54,17 +54,17 @@
     }
 
     private CompletionStage<PeerMessage> lend(VmId from, PeerMessage.BorrowSlot borrow) {
-        WishKey key = new WishKey(from, borrow.wishNumber());
+        WishKey key = new WishKey(from, borrow.requestNumber());
         CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
         coordinator.wishes().put(key, new LentReply(answer));
-        long deadlineNanos = clock.nowNanos() + borrow.wish().deadlineNanos();
-        coordinator.apply(new SlotEvent.Wished(key, borrow.wish().withDeadlineNanos(deadlineNanos)));
+        long deadlineNanos = clock.nowNanos() + borrow.request().deadlineNanos();
+        coordinator.apply(new SlotEvent.Wished(key, borrow.request().withDeadlineNanos(deadlineNanos)));
         return answer;
     }
 
     private List<UpstreamId> held(VmId from, PeerMessage.QueryLeases query) {
         List<UpstreamId> held = new ArrayList<>(coordinator.borrower().holdsOf(query.upstreams()));
-        SlotEvent event = new SlotEvent.LeasesQueried(from, query.asker(), query.upstreams());
+        SlotEvent event = new SlotEvent.LeasesQueried(from, query.requesterIncarnation(), query.upstreams());
         for (SlotAction action : coordinator.apply(event)) {
             if (action instanceof SlotAction.Held known) {
                 held.addAll(known.upstreams());
--- a/routing/src/main/java/org/turmericspan/routing/SlotRules.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotRules.java
@@ -7,7 +7,7 @@
  *
  * @param viewLagBound longest time by which the list of VMs may lag
  * @param guarded whether a new keeper waits until leases of others have ended
- * @param pauseBound longest gap between two ticks of a process that is awake
+ * @param maxTickGap longest gap between two ticks of a process that is awake
  * @param overdue when an upstream is passed over
  * @param depth how much an upstream may hold
  * @param restart what shows a restart
@@ -15,7 +15,7 @@
 public record SlotRules(
         Duration viewLagBound,
         boolean guarded,
-        Duration pauseBound,
+        Duration maxTickGap,
         OverdueRule overdue,
         DepthRule depth,
         RestartRule restart) {
@@ -27,7 +27,7 @@
      * @param viewLagBound longest time by which the list of VMs may lag
      * @return the rules
      */
-    public static SlotRules usual(Duration viewLagBound) {
+    public static SlotRules defaults(Duration viewLagBound) {
         return new SlotRules(
                 viewLagBound, true, PAUSE_BOUND, OverdueRule.BY_DEVIATION, DepthRule.BY_PHASE, RestartRule.ANY_SIGN);
     }
--- a/routing/src/main/java/org/turmericspan/routing/SlotTable.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotTable.java
@@ -48,7 +48,7 @@
      *
      * @return their states in the order of their names
      */
-    public List<UpstreamState> dump() {
+    public List<UpstreamState> upstreamStates() {
         return lock.compute(() -> engine.describe(clock.nowNanos())).stream()
                 .sorted(Comparator.comparing(UpstreamState::upstream))
                 .toList();
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamListing.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamListing.java
@@ -11,7 +11,7 @@
  * @param leaving whether the list says that its VM is about to stop
  */
 record UpstreamListing(boolean inService, boolean listed, boolean leaving) {
-    static UpstreamListing of(FleetMap map, Upstream upstream) {
+    static UpstreamListing of(OwnershipMap map, Upstream upstream) {
         Vm vm = map.view().vms().get(upstream.vm());
         return new UpstreamListing(
                 map.configuration().isInService(upstream.availabilityZone(), upstream.vm()),
--- a/routing/src/main/java/org/turmericspan/routing/Wakefulness.java
+++ b/routing/src/main/java/org/turmericspan/routing/Wakefulness.java
@@ -36,7 +36,7 @@
     /** Tells whether the last tick is so long ago that the process must have slept. */
     boolean isLate(long nowNanos) {
         return lastTickNanos != 0
-                && nowNanos - lastTickNanos > rules.pauseBound().toNanos();
+                && nowNanos - lastTickNanos > rules.maxTickGap().toNanos();
     }
 
     boolean isSuspended() {
--- a/routing/src/test/java/org/turmericspan/routing/BaselineSlotSourceTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/BaselineSlotSourceTest.java
@@ -21,7 +21,7 @@
     private static final List<Upstream> UPSTREAMS = Fixtures.upstreams(2);
 
     private final ManualClock clock = new ManualClock();
-    private final FleetMap map = FleetMap.of(
+    private final OwnershipMap map = OwnershipMap.of(
             Fixtures.configuration(1, UPSTREAMS, Fixtures.service(3, 1)),
             Fixtures.view(1, List.of(Fixtures.upstreamVm(UPSTREAMS.get(0), false))));
     private final BaselineSlotSource source =
--- a/routing/src/test/java/org/turmericspan/routing/EngineDriver.java
+++ b/routing/src/test/java/org/turmericspan/routing/EngineDriver.java
@@ -33,7 +33,7 @@
     }
 
     static EngineDriver usual() {
-        return new EngineDriver(SlotRules.usual(LAG), Fixtures.service(3, 1));
+        return new EngineDriver(SlotRules.defaults(LAG), Fixtures.service(3, 1));
     }
 
     static EngineDriver with(SlotRules rules) {
@@ -50,7 +50,7 @@
         revision++;
         List<Vm> vms = new ArrayList<>(entryVms);
         upstreams.forEach(upstream -> vms.add(Fixtures.upstreamVm(upstream, leavingUpstreams.contains(upstream.vm()))));
-        return on(new SlotEvent.MapChanged(FleetMap.of(
+        return on(new SlotEvent.MapChanged(OwnershipMap.of(
                 Fixtures.configuration(revision, upstreams, service, outOfService), Fixtures.view(revision, vms))));
     }
 
--- a/routing/src/test/java/org/turmericspan/routing/Fixtures.java
+++ b/routing/src/test/java/org/turmericspan/routing/Fixtures.java
@@ -8,8 +8,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.config.AvailabilityZone;
 import org.turmericspan.config.Configuration;
@@ -103,12 +103,12 @@
         return FleetView.of(revision, vms);
     }
 
-    static SlotWish wish(long deadlineNanos) {
+    static SlotRequest wish(long deadlineNanos) {
         return wish(deadlineNanos, false);
     }
 
-    static SlotWish wish(long deadlineNanos, boolean idleOnly) {
-        return new SlotWish(
+    static SlotRequest wish(long deadlineNanos, boolean idleOnly) {
+        return new SlotRequest(
                 SERVICE, new OfficeId("pressroom"), new CallerId("mari"), deadlineNanos, 0, true, Set.of(), idleOnly);
     }
 
--- a/routing/src/test/java/org/turmericspan/routing/KeeperChangeTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/KeeperChangeTest.java
@@ -41,9 +41,14 @@
 
     @Test
     void newKeeperDoesNotRestWithoutTheGuard() {
-        SlotRules usual = SlotRules.usual(EngineDriver.LAG);
+        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
         EngineDriver driver = EngineDriver.with(new SlotRules(
-                usual.viewLagBound(), false, usual.pauseBound(), usual.overdue(), usual.depth(), usual.restart()));
+                defaults.viewLagBound(),
+                false,
+                defaults.maxTickGap(),
+                defaults.overdue(),
+                defaults.depth(),
+                defaults.restart()));
         driver.map(List.of(UPSTREAM), List.of(SELF, OTHER));
 
         assertThat(grants(driver.wish())).isEqualTo(1);
@@ -161,9 +166,14 @@
 
     @Test
     void lateWakeUpGoesUnnoticedWithoutAPauseBound() {
-        SlotRules usual = SlotRules.usual(EngineDriver.LAG);
+        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
         EngineDriver driver = EngineDriver.with(new SlotRules(
-                usual.viewLagBound(), true, Duration.ofDays(1), usual.overdue(), usual.depth(), usual.restart()));
+                defaults.viewLagBound(),
+                true,
+                Duration.ofDays(1),
+                defaults.overdue(),
+                defaults.depth(),
+                defaults.restart()));
         driver.map(List.of(UPSTREAM), List.of(SELF, OTHER));
         driver.on(new SlotEvent.HandedOver(EngineDriver.OTHER, handover(true)));
         driver.pass(Duration.ofSeconds(1));
--- a/routing/src/test/java/org/turmericspan/routing/LendingTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/LendingTest.java
@@ -24,7 +24,7 @@
 
     private final ManualClock clock = new ManualClock();
     private final LoopbackLinks links = new LoopbackLinks();
-    private final FleetMap map = FleetMap.of(
+    private final OwnershipMap map = OwnershipMap.of(
             Fixtures.configuration(1, List.of(UPSTREAM), Fixtures.service(3, 1)),
             Fixtures.view(1, List.of(KEEPER, BORROWER, Fixtures.upstreamVm(UPSTREAM, false))));
     private final MemoryNode keeper = new MemoryNode(KEEPER.id(), 1, clock, links, map);
--- a/routing/src/test/java/org/turmericspan/routing/MemoryNode.java
+++ b/routing/src/test/java/org/turmericspan/routing/MemoryNode.java
@@ -23,32 +23,32 @@
     private final PeerTable peers;
     private final SlotTable table;
     private final SlotCoordinator coordinator;
-    private FleetMap map;
+    private OwnershipMap map;
 
-    MemoryNode(VmId vm, long incarnation, ManualClock clock, LoopbackLinks links, FleetMap map) {
+    MemoryNode(VmId vm, long incarnation, ManualClock clock, LoopbackLinks links, OwnershipMap map) {
         this.vm = vm;
         this.incarnation = new Incarnation(incarnation);
         this.clock = clock;
         this.map = map;
         this.peers = new PeerTable(clock);
-        SlotRules rules = SlotRules.usual(EngineDriver.LAG);
+        SlotRules rules = SlotRules.defaults(EngineDriver.LAG);
         this.table = new SlotTable(new SlotEngine(vm, this.incarnation, rules), clock);
-        IdleBoard board = new IdleBoard(vm, () -> this.map, peers, clock, new Random(1));
+        LenderSelector board = new LenderSelector(vm, () -> this.map, peers, clock, new Random(1));
         this.coordinator = new SlotCoordinator(
                 table,
                 new SlotNetwork(vm, this.incarnation, links.of(vm), (delay, task) -> {}),
                 () -> this.map,
                 board,
                 clock,
-                rules.pauseBound(),
+                rules.maxTickGap(),
                 clock::nowNanos,
                 new MetricRegistry());
         links.join(vm, new SlotPeerHandler(coordinator, clock));
     }
 
-    void change(FleetMap newMap) {
+    void change(OwnershipMap newMap) {
         map = newMap;
-        coordinator.mapChanged();
+        coordinator.onOwnershipChanged();
     }
 
     void tick() {
@@ -75,19 +75,19 @@
     }
 
     void heartbeatTo(MemoryNode other) {
-        other.peers.heard(
+        other.peers.recordHeartbeat(
                 vm, new PeerMessage.Heartbeat(incarnation, 1, "", 1, Duration.ZERO, false, table.idleSlots()));
     }
 
     /** Uses and returns slots one after the other until every kept upstream is warm. */
     void warmUp() {
-        while (table.dump().stream().anyMatch(state -> state.phase() != Phase.WARM)) {
+        while (table.upstreamStates().stream().anyMatch(state -> state.phase() != Phase.WARM)) {
             lease().release(new SlotReturn(SlotReturn.Outcome.ANSWERED, Duration.ofMillis(10), UpstreamSignals.NONE));
         }
     }
 
     List<UpstreamState> states() {
-        return table.dump();
+        return table.upstreamStates();
     }
 
     SlotCounts counts() {
@@ -95,6 +95,6 @@
     }
 
     int borrowed() {
-        return coordinator.borrowed();
+        return coordinator.borrowedCount();
     }
 }
--- a/routing/src/test/java/org/turmericspan/routing/HomeSetsTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/OwnerLocatorTest.java
@@ -10,7 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.turmericspan.calls.Located;
+import org.turmericspan.calls.LocateResult;
 import org.turmericspan.config.Upstream;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.VmId;
@@ -19,13 +19,13 @@
 import org.turmericspan.testkit.ManualClock;
 
 /** Which nodes an address answer names, in what order and with what weight. */
-final class HomeSetsTest {
+final class OwnerLocatorTest {
     private static final List<Upstream> UPSTREAMS = Fixtures.upstreams(8);
 
     private final ManualClock clock = new ManualClock();
     private final Random random = new Random(1);
-    private FleetMap map = map(Fixtures.entryVms(4), Set.of());
-    private final HomeSets homes = new HomeSets(() -> map, Duration.ofSeconds(5), clock, random::nextDouble);
+    private OwnershipMap map = map(Fixtures.entryVms(4), Set.of());
+    private final OwnerLocator homes = new OwnerLocator(() -> map, Duration.ofSeconds(5), clock, random::nextDouble);
 
     @Test
     void unknownServiceIsNotLocated() {
@@ -34,15 +34,16 @@
 
     @Test
     void everyKeeperIsNamedWithAWeightOfItsSlots() {
-        assertThat(locate()).hasSize(4).allMatch(address -> address.weight() > 0);
-        assertThat(locate().stream().mapToInt(Located.Address::weight).sum()).isEqualTo(8 * 3 * 4);
+        assertThat(locate()).hasSize(4).allMatch(endpoint -> endpoint.weight() > 0);
+        assertThat(locate().stream().mapToInt(LocateResult.Endpoint::weight).sum())
+                .isEqualTo(8 * 3 * 4);
     }
 
     @Test
     void nodeThatLeavesOrIsOutIsNotNamed() {
         map = map(Fixtures.entryVms(4), Set.of(new VmId("entry-2")));
 
-        assertThat(locate()).extracting(Located.Address::vm).doesNotContain(new VmId("entry-2"));
+        assertThat(locate()).extracting(LocateResult.Endpoint::vm).doesNotContain(new VmId("entry-2"));
     }
 
     @Test
@@ -89,31 +90,31 @@
     void mapIsComputedAnewOnlyAfterAChange() {
         var configuration = Fixtures.configuration(1, UPSTREAMS, Fixtures.service(3, 1));
         List<FleetView> views = new ArrayList<>(List.of(Fixtures.view(1, Fixtures.entryVms(4))));
-        var cached = FleetMap.cached(() -> configuration, () -> views.get(views.size() - 1));
-        FleetMap first = cached.get();
+        var cached = OwnershipMap.cached(() -> configuration, () -> views.get(views.size() - 1));
+        OwnershipMap first = cached.get();
 
         assertThat(cached.get()).isSameAs(first);
         views.add(Fixtures.view(2, Fixtures.entryVms(3)));
         assertThat(cached.get()).isNotSameAs(first);
     }
 
-    private List<Located.Address> locate() {
+    private List<LocateResult.Endpoint> locate() {
         return homes.locate(Fixtures.SERVICE).orElseThrow().addresses();
     }
 
     private int weight() {
-        return locate().stream().mapToInt(Located.Address::weight).sum();
+        return locate().stream().mapToInt(LocateResult.Endpoint::weight).sum();
     }
 
     private int weightOf(VmId vm) {
         return locate().stream()
-                .filter(address -> address.vm().equals(vm))
-                .mapToInt(Located.Address::weight)
+                .filter(endpoint -> endpoint.vm().equals(vm))
+                .mapToInt(LocateResult.Endpoint::weight)
                 .sum();
     }
 
-    private static FleetMap map(List<Vm> entryVms, Set<VmId> outOfService) {
-        return FleetMap.of(
+    private static OwnershipMap map(List<Vm> entryVms, Set<VmId> outOfService) {
+        return OwnershipMap.of(
                 Fixtures.configuration(1, UPSTREAMS, Fixtures.service(3, 1), outOfService), Fixtures.view(1, entryVms));
     }
 }
--- a/routing/src/test/java/org/turmericspan/routing/SlotEngineTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/SlotEngineTest.java
@@ -36,14 +36,14 @@
 
     @Test
     void coldUpstreamIsOverrunWhenTheDepthIgnoresThePhase() {
-        SlotRules usual = SlotRules.usual(EngineDriver.LAG);
+        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
         EngineDriver driver = EngineDriver.with(new SlotRules(
-                usual.viewLagBound(),
+                defaults.viewLagBound(),
                 true,
-                usual.pauseBound(),
-                usual.overdue(),
+                defaults.maxTickGap(),
+                defaults.overdue(),
                 DepthRule.ALWAYS_WARM,
-                usual.restart()));
+                defaults.restart()));
         driver.map(List.of(UPSTREAM), ALONE);
 
         assertThat(grants(driver.wish()) + grants(driver.wish())).isEqualTo(2);
@@ -98,13 +98,13 @@
 
     @Test
     void lostConnectionIsOverlookedWithoutTheRestartRule() {
-        SlotRules usual = SlotRules.usual(EngineDriver.LAG);
+        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
         EngineDriver driver = EngineDriver.with(new SlotRules(
-                        usual.viewLagBound(),
+                        defaults.viewLagBound(),
                         true,
-                        usual.pauseBound(),
-                        usual.overdue(),
-                        usual.depth(),
+                        defaults.maxTickGap(),
+                        defaults.overdue(),
+                        defaults.depth(),
                         RestartRule.NO_SIGN))
                 .warm(UPSTREAM);
         driver.finish(grantOf(driver.wish()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
@@ -125,13 +125,13 @@
 
     @Test
     void idleWarmUpstreamGetsAllItsSlotsAtOnceWithoutTheRestartRule() {
-        SlotRules usual = SlotRules.usual(EngineDriver.LAG);
+        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
         EngineDriver driver = EngineDriver.with(new SlotRules(
-                        usual.viewLagBound(),
+                        defaults.viewLagBound(),
                         true,
-                        usual.pauseBound(),
-                        usual.overdue(),
-                        usual.depth(),
+                        defaults.maxTickGap(),
+                        defaults.overdue(),
+                        defaults.depth(),
                         RestartRule.NO_SIGN))
                 .warm(UPSTREAM);
         driver.pass(Duration.ofMillis(200));
@@ -203,7 +203,7 @@
 
     @Test
     void upstreamWithAnOverdueRequestIsPassedOver() {
-        EngineDriver driver = twoWarm(SlotRules.usual(EngineDriver.LAG));
+        EngineDriver driver = twoWarm(SlotRules.defaults(EngineDriver.LAG));
         LeaseId stuck = grantOf(driver.wish());
         driver.pass(Duration.ofMillis(100));
 
@@ -212,9 +212,14 @@
 
     @Test
     void upstreamWithAnOverdueRequestIsUsedWithoutTheRule() {
-        SlotRules usual = SlotRules.usual(EngineDriver.LAG);
+        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
         EngineDriver driver = twoWarm(new SlotRules(
-                usual.viewLagBound(), true, usual.pauseBound(), OverdueRule.NEVER, usual.depth(), usual.restart()));
+                defaults.viewLagBound(),
+                true,
+                defaults.maxTickGap(),
+                OverdueRule.NEVER,
+                defaults.depth(),
+                defaults.restart()));
         grantOf(driver.wish());
         driver.pass(Duration.ofMillis(100));
 
@@ -265,7 +270,7 @@
 
     @Test
     void idleUpstreamThatReportsOthersWorkComesLast() {
-        EngineDriver driver = twoWarm(SlotRules.usual(EngineDriver.LAG));
+        EngineDriver driver = twoWarm(SlotRules.defaults(EngineDriver.LAG));
         LeaseId lease = grantOf(driver.wish());
         var busy = upstreamOf(driver, lease);
         driver.finish(
--- a/routing/src/test/java/org/turmericspan/routing/TraceReplay.java
+++ b/routing/src/test/java/org/turmericspan/routing/TraceReplay.java
@@ -107,7 +107,7 @@
         };
     }
 
-    private FleetMap map(JsonNode line) {
+    private OwnershipMap map(JsonNode line) {
         revision++;
         Set<VmId> out = vms(line.path("out"));
         Set<VmId> leaving = vms(line.path("leaving"));
@@ -116,7 +116,7 @@
         line.path("upstreams").forEach(name -> upstreams.add(Fixtures.upstream(name.asText(), Fixtures.zone(0))));
         line.path("entry_vms").forEach(name -> listed.add(Fixtures.entryVm(name.asText(), zoneOf(name.asText()))));
         upstreams.forEach(upstream -> listed.add(Fixtures.upstreamVm(upstream, leaving.contains(upstream.vm()))));
-        return FleetMap.of(
+        return OwnershipMap.of(
                 Fixtures.configuration(revision, upstreams, Fixtures.service(3, 1), out),
                 Fixtures.view(revision, listed));
     }
--- a/routing/src/test/java/org/turmericspan/routing/TraceReplayTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/TraceReplayTest.java
@@ -9,7 +9,7 @@
 
 /** Recorded events lead to the stated outcomes, and to others when the mechanism is off. */
 final class TraceReplayTest {
-    private static final SlotRules USUAL = SlotRules.usual(Duration.ofSeconds(3));
+    private static final SlotRules USUAL = SlotRules.defaults(Duration.ofSeconds(3));
 
     @ParameterizedTest
     @ValueSource(
@@ -27,7 +27,7 @@
     @Test
     void silentRestartOverrunsTheUpstreamWithoutTheRestartRule() {
         SlotRules off = new SlotRules(
-                USUAL.viewLagBound(), true, USUAL.pauseBound(), USUAL.overdue(), USUAL.depth(), RestartRule.NO_SIGN);
+                USUAL.viewLagBound(), true, USUAL.maxTickGap(), USUAL.overdue(), USUAL.depth(), RestartRule.NO_SIGN);
 
         assertThat(new TraceReplay(off).run("silent-restart.jsonl")).isNotEmpty();
     }
@@ -35,7 +35,7 @@
     @Test
     void lostKeepersUpstreamIsClaimedTooEarlyWithoutTheGuard() {
         SlotRules off = new SlotRules(
-                USUAL.viewLagBound(), false, USUAL.pauseBound(), USUAL.overdue(), USUAL.depth(), USUAL.restart());
+                USUAL.viewLagBound(), false, USUAL.maxTickGap(), USUAL.overdue(), USUAL.depth(), USUAL.restart());
 
         assertThat(new TraceReplay(off).run("keeper-lost.jsonl")).isNotEmpty();
     }
--- a/runs/src/main/java/org/turmericspan/runs/RelayedCalls.java
+++ b/runs/src/main/java/org/turmericspan/runs/RelayedCallHandler.java
@@ -10,7 +10,7 @@
 import org.turmericspan.messages.PeerMessage;
 
 /** Handles calls that other nodes relay because this node owns their run token. */
-public final class RelayedCalls implements PeerHandler {
+public final class RelayedCallHandler implements PeerHandler {
     private final CallHandler owner;
     private final MonotonicClock clock;
 
@@ -20,7 +20,7 @@
      * @param owner handles a call whose token this node should own, and never relays it again
      * @param clock turns the span that remains into a deadline of this process
      */
-    public RelayedCalls(CallHandler owner, MonotonicClock clock) {
+    public RelayedCallHandler(CallHandler owner, MonotonicClock clock) {
         this.owner = owner;
         this.clock = clock;
     }
--- a/runs/src/main/java/org/turmericspan/runs/RunRelay.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunRelay.java
@@ -19,7 +19,7 @@
 public final class RunRelay {
     private static final Duration ANSWER_ALLOWANCE = Duration.ofMillis(100);
 
-    private final TokenOwners owners;
+    private final TokenOwnerLookup owners;
     private final PeerLinks links;
     private final MonotonicClock clock;
 
@@ -30,7 +30,7 @@
      * @param links links to the other nodes
      * @param clock measures what remains of deadlines
      */
-    public RunRelay(TokenOwners owners, PeerLinks links, MonotonicClock clock) {
+    public RunRelay(TokenOwnerLookup owners, PeerLinks links, MonotonicClock clock) {
         this.owners = owners;
         this.links = links;
         this.clock = clock;
--- a/runs/src/main/java/org/turmericspan/runs/RunTable.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunTable.java
@@ -25,7 +25,7 @@
 
     private final RankedLock lock = new RankedLock(LockRank.RUNS);
     private final TreeMap<Epoch, EpochRuns> epochs = new TreeMap<>();
-    private final RunLimits limits;
+    private final RunTableLimits limits;
     private final MonotonicClock clock;
     private final long startNanos;
     private final Supplier<RefusedTokens> newRefusedTokens;
@@ -39,11 +39,11 @@
      * @param limits bounds of the table
      * @param clock moves the epochs on
      */
-    public RunTable(RunLimits limits, MonotonicClock clock) {
+    public RunTable(RunTableLimits limits, MonotonicClock clock) {
         this(limits, clock, RefusedTokenFilter::new);
     }
 
-    RunTable(RunLimits limits, MonotonicClock clock, Supplier<RefusedTokens> newRefusedTokens) {
+    RunTable(RunTableLimits limits, MonotonicClock clock, Supplier<RefusedTokens> newRefusedTokens) {
         this.limits = limits;
         this.clock = clock;
         this.startNanos = clock.nowNanos();
@@ -64,11 +64,11 @@
      *
      * @return counts, without tokens or callers' data
      */
-    public RunCounts counts() {
+    public RunTableStats stats() {
         return lock.compute(() -> {
             Epoch current = currentEpoch();
             expireBefore(oldestLive(current));
-            return new RunCounts(current, oldestLive(current), inFlight, entries - inFlight, storedBytes);
+            return new RunTableStats(current, oldestLive(current), inFlight, entries - inFlight, storedBytes);
         });
     }
 
@@ -167,7 +167,7 @@
     }
 
     private Epoch oldestLive(Epoch current) {
-        return new Epoch(Math.max(0, current.number() - limits.liveEpochs() + 1));
+        return new Epoch(Math.max(0, current.number() - limits.validEpochs() + 1));
     }
 
     private void expireBefore(Epoch oldest) {
--- a/runs/src/main/java/org/turmericspan/runs/RunCounts.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunTableStats.java
@@ -11,4 +11,4 @@
  * @param stored runs whose outcome is stored
  * @param storedBytes bytes of the stored outcomes
  */
-public record RunCounts(Epoch currentEpoch, Epoch oldestEpoch, int inFlight, int stored, long storedBytes) {}
+public record RunTableStats(Epoch currentEpoch, Epoch oldestEpoch, int inFlight, int stored, long storedBytes) {}
--- a/runs/src/main/java/org/turmericspan/runs/RunGate.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunTokenHandler.java
@@ -17,7 +17,7 @@
  * Lets each request with a run token start at most once, and only on the node that owns the token. Idempotent requests
  * without a token pass untouched.
  */
-public final class RunGate implements CallHandler {
+public final class RunTokenHandler implements CallHandler {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final Incarnation incarnation;
@@ -26,7 +26,7 @@
     private final RunRelay relay;
     private final CallHandler next;
     private final MonotonicClock clock;
-    private final DelayedTasks delayedTasks;
+    private final TaskScheduler taskScheduler;
 
     /**
      * Creates a gate.
@@ -37,23 +37,23 @@
      * @param relay relays requests to the owners of their tokens
      * @param next starts a run
      * @param clock measures deadlines
-     * @param delayedTasks ends the wait of a repeat at its deadline
+     * @param taskScheduler ends the wait of a repeat at its deadline
      */
-    public RunGate(
+    public RunTokenHandler(
             Incarnation incarnation,
             ServiceCatalog catalog,
             RunTable table,
             RunRelay relay,
             CallHandler next,
             MonotonicClock clock,
-            DelayedTasks delayedTasks) {
+            TaskScheduler taskScheduler) {
         this.incarnation = incarnation;
         this.catalog = catalog;
         this.table = table;
         this.relay = relay;
         this.next = next;
         this.clock = clock;
-        this.delayedTasks = delayedTasks;
+        this.taskScheduler = taskScheduler;
     }
 
     @Override
@@ -126,7 +126,7 @@
         CompletableFuture<CallResult> waiting = outcome.toCompletableFuture().copy();
         if (!waiting.isDone()) {
             Duration remaining = Duration.ofNanos(Math.max(0, deadlineNanos - clock.nowNanos()));
-            delayedTasks.schedule(remaining, () -> waiting.complete(deadlinePassed()));
+            taskScheduler.schedule(remaining, () -> waiting.complete(deadlinePassed()));
         }
         return waiting;
     }
--- a/runs/src/main/java/org/turmericspan/runs/DelayedTasks.java
+++ b/runs/src/main/java/org/turmericspan/runs/TaskScheduler.java
@@ -4,7 +4,7 @@
 
 /** Runs tasks later on a worker. */
 @FunctionalInterface
-public interface DelayedTasks {
+public interface TaskScheduler {
     /**
      * Runs a task once after a delay.
      *
--- a/runs/src/main/java/org/turmericspan/runs/TokenOwners.java
+++ b/runs/src/main/java/org/turmericspan/runs/TokenOwnerLookup.java
@@ -6,7 +6,7 @@
 
 /** Finds the node that owns a run token. */
 @FunctionalInterface
-public interface TokenOwners {
+public interface TokenOwnerLookup {
     /**
      * Looks up a node by its life.
      *
--- a/runs/src/test/java/org/turmericspan/runs/RunModelTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunModelTest.java
@@ -78,15 +78,15 @@
 
     private static RunWorld.Gates gate(RunWorld.Parts parts, Supplier<RefusedTokens> refusedTokens) {
         RunTable table = new RunTable(RunWorld.LIMITS, parts.clock(), refusedTokens);
-        RunGate gate = new RunGate(
+        RunTokenHandler runTokenHandler = new RunTokenHandler(
                 parts.incarnation(),
                 new StrictCatalog(),
                 table,
                 parts.relay(),
                 parts.next(),
                 parts.clock(),
-                parts.delayedTasks());
-        return new RunWorld.Gates(gate, gate::handleRelayed, table);
+                parts.taskScheduler());
+        return new RunWorld.Gates(runTokenHandler, runTokenHandler::handleRelayed, table);
     }
 
     /** Replays every sequence of choices up to the depth, and returns the first broken rule. */
--- a/runs/src/test/java/org/turmericspan/runs/RunTableTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunTableTest.java
@@ -23,7 +23,7 @@
     private static final CallResult UNKNOWN = CallResult.Refused.of(ResultCode.OUTCOME_UNKNOWN, "");
 
     private final ManualClock clock = new ManualClock();
-    private final RunTable table = new RunTable(new RunLimits(Duration.ofSeconds(10), 3, 2, 1500), clock);
+    private final RunTable table = new RunTable(new RunTableLimits(Duration.ofSeconds(10), 3, 2, 1500), clock);
 
     @Test
     void firstRequestOfATokenIsStarted() {
@@ -48,7 +48,7 @@
     void tokenOfARefusedRequestIsSpent() {
         finish(start(token(1)), NOT_RUN);
         assertThat(admit(token(1))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_SPENT));
-        assertThat(table.counts().stored()).isZero();
+        assertThat(table.stats().stored()).isZero();
     }
 
     @Test
@@ -77,7 +77,7 @@
 
     @Test
     void tableFullOfBytesRefusesNewRunsAndStoresNoFurtherAnswer() {
-        RunTable wide = new RunTable(new RunLimits(Duration.ofSeconds(10), 3, 9, 1500), clock);
+        RunTable wide = new RunTable(new RunTableLimits(Duration.ofSeconds(10), 3, 9, 1500), clock);
         Run second = ((RunDecision.Start) wide.admit(token(2), OFFICE, DIGEST)).run();
         wide.finish(((RunDecision.Start) wide.admit(token(1), OFFICE, DIGEST)).run(), ANSWER);
         assertThat(wide.admit(token(3), OFFICE, DIGEST)).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TABLE_FULL));
@@ -85,7 +85,7 @@
         RunDecision.Repeat repeat = (RunDecision.Repeat) wide.admit(token(2), OFFICE, DIGEST);
         assertThat(repeat.outcome().toCompletableFuture().join())
                 .isEqualTo(CallResult.Refused.of(ResultCode.ANSWER_NOT_STORED, ""));
-        assertThat(wide.counts().storedBytes()).isBetween(1500L, 1600L);
+        assertThat(wide.stats().storedBytes()).isBetween(1500L, 1600L);
     }
 
     @Test
@@ -100,18 +100,18 @@
         start(token(1));
         clock.advance(Duration.ofSeconds(30));
         assertThat(admit(token(1))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_EXPIRED));
-        RunCounts counts = table.counts();
-        assertThat(counts.inFlight() + counts.stored()).isZero();
-        assertThat(counts.oldestEpoch()).isEqualTo(new Epoch(1));
+        RunTableStats stats = table.stats();
+        assertThat(stats.inFlight() + stats.stored()).isZero();
+        assertThat(stats.oldestEpoch()).isEqualTo(new Epoch(1));
     }
 
     @Test
     void outcomeOfAnExpiredRunIsDropped() {
         Run run = start(token(1));
         clock.advance(Duration.ofSeconds(30));
-        table.counts();
+        table.stats();
         finish(run, ANSWER);
-        assertThat(table.counts().storedBytes()).isZero();
+        assertThat(table.stats().storedBytes()).isZero();
     }
 
     @Test
