--- a/runs/src/test/java/org/turmericspan/runs/RunGateTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunTokenHandlerTest.java
@@ -27,7 +27,7 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.testkit.ManualClock;
 
-final class RunGateTest {
+final class RunTokenHandlerTest {
     private static final Incarnation OWN = new Incarnation(1);
     private static final Incarnation OTHER = new Incarnation(2);
     private static final Incarnation GONE = new Incarnation(3);
@@ -40,10 +40,10 @@
     private final CompletableFuture<CallResult> outcome = new CompletableFuture<>();
     private final List<Runnable> timers = new ArrayList<>();
     private final RecordingLinks links = new RecordingLinks();
-    private final RunGate gate = new RunGate(
+    private final RunTokenHandler runTokenHandler = new RunTokenHandler(
             OWN,
             new OrdersNeedTokens(),
-            new RunTable(new RunLimits(Duration.ofSeconds(10), 3, 5, 5_000), clock),
+            new RunTable(new RunTableLimits(Duration.ofSeconds(10), 3, 5, 5_000), clock),
             new RunRelay(
                     owner -> owner.equals(OTHER) ? Optional.of(new VmId("entry-01")) : Optional.empty(), links, clock),
             request -> {
@@ -56,67 +56,67 @@
     @Test
     void idempotentRequestPassesUntouched() {
         CallRequest lookup = request("GET", "/stock", true, Optional.empty());
-        assertThat(gate.handle(lookup)).isSameAs(outcome);
+        assertThat(runTokenHandler.handle(lookup)).isSameAs(outcome);
         assertThat(started).containsExactly(lookup);
     }
 
     @Test
     void orderWithoutTokenIsRefused() {
-        assertThat(codeOf(gate.handle(request("POST", "/orders", false, Optional.empty()))))
+        assertThat(codeOf(runTokenHandler.handle(request("POST", "/orders", false, Optional.empty()))))
                 .isEqualTo(ResultCode.RUN_TOKEN_MISSING);
         assertThat(started).isEmpty();
     }
 
     @Test
     void orderWithoutTokenPassesWhereARuleAllowsIt() {
-        gate.handle(request("POST", "/drafts", false, Optional.empty()));
+        runTokenHandler.handle(request("POST", "/drafts", false, Optional.empty()));
         assertThat(started).hasSize(1);
     }
 
     @Test
     void tokenOfAnotherCallerIsRefused() {
         RunToken token = new RunToken(OWN, new Epoch(0), new CallerId("jaan"), "0".repeat(32));
-        assertThat(codeOf(gate.handle(order(token)))).isEqualTo(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER);
+        assertThat(codeOf(runTokenHandler.handle(order(token)))).isEqualTo(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER);
     }
 
     @Test
     void repeatsShareOneRunAndItsAnswer() {
-        CompletionStage<CallResult> first = gate.handle(order(token(OWN)));
-        CompletionStage<CallResult> second = gate.handle(order(token(OWN)));
+        CompletionStage<CallResult> first = runTokenHandler.handle(order(token(OWN)));
+        CompletionStage<CallResult> second = runTokenHandler.handle(order(token(OWN)));
         outcome.complete(ANSWER);
-        CompletionStage<CallResult> third = gate.handle(order(token(OWN)));
+        CompletionStage<CallResult> third = runTokenHandler.handle(order(token(OWN)));
         assertThat(List.of(first, second, third)).allMatch(stage -> join(stage).equals(ANSWER));
         assertThat(started).hasSize(1);
     }
 
     @Test
     void tokenOnAnIdempotentRequestMakesItRunOnce() {
-        gate.handle(request("GET", "/stock", true, Optional.of(token(OWN))));
-        gate.handle(request("GET", "/stock", true, Optional.of(token(OWN))));
+        runTokenHandler.handle(request("GET", "/stock", true, Optional.of(token(OWN))));
+        runTokenHandler.handle(request("GET", "/stock", true, Optional.of(token(OWN))));
         assertThat(started).hasSize(1).noneMatch(CallRequest::idempotent);
     }
 
     @Test
     void repeatWaitsNoLongerThanItsOwnDeadline() {
-        gate.handle(order(token(OWN)));
-        CompletionStage<CallResult> repeat = gate.handle(order(token(OWN)));
+        runTokenHandler.handle(order(token(OWN)));
+        CompletionStage<CallResult> repeat = runTokenHandler.handle(order(token(OWN)));
         timers.forEach(Runnable::run);
         assertThat(codeOf(repeat)).isEqualTo(ResultCode.DEADLINE_AFTER_SEND);
         outcome.complete(ANSWER);
-        assertThat(join(gate.handle(order(token(OWN))))).isEqualTo(ANSWER);
+        assertThat(join(runTokenHandler.handle(order(token(OWN))))).isEqualTo(ANSWER);
     }
 
     @Test
     void runThatEndsWithAnExceptionHasAnUnknownOutcome() {
-        CompletionStage<CallResult> first = gate.handle(order(token(OWN)));
+        CompletionStage<CallResult> first = runTokenHandler.handle(order(token(OWN)));
         outcome.completeExceptionally(new IllegalStateException("broken"));
         assertThat(codeOf(first)).isEqualTo(ResultCode.INTERNAL);
-        assertThat(codeOf(gate.handle(order(token(OWN))))).isEqualTo(ResultCode.INTERNAL);
+        assertThat(codeOf(runTokenHandler.handle(order(token(OWN))))).isEqualTo(ResultCode.INTERNAL);
     }
 
     @Test
     void tokenOfAnotherNodeIsRelayedWithTheSpanThatRemains() {
-        CompletionStage<CallResult> result = gate.handle(order(token(OTHER)));
+        CompletionStage<CallResult> result = runTokenHandler.handle(order(token(OTHER)));
         PeerMessage.RelayCall relayed = (PeerMessage.RelayCall) links.asked.get(0);
         assertThat(relayed.request().deadlineNanos()).isEqualTo(DEADLINE.toNanos());
         links.answer.complete(new PeerMessage.RelayResult(ANSWER));
@@ -126,7 +126,7 @@
 
     @Test
     void relayThatWasNotSentStillHasAnUnknownOutcome() {
-        CompletionStage<CallResult> result = gate.handle(order(token(OTHER)));
+        CompletionStage<CallResult> result = runTokenHandler.handle(order(token(OTHER)));
         links.answer.complete(new PeerMessage.Unreachable(false));
         assertThat(codeOf(result)).isEqualTo(ResultCode.OWNER_UNREACHABLE);
         assertThat(started).isEmpty();
@@ -134,13 +134,13 @@
 
     @Test
     void tokenOfALifeNobodyKnowsIsNeverRun() {
-        assertThat(codeOf(gate.handle(order(token(GONE))))).isEqualTo(ResultCode.OWNER_UNREACHABLE);
+        assertThat(codeOf(runTokenHandler.handle(order(token(GONE))))).isEqualTo(ResultCode.OWNER_UNREACHABLE);
         assertThat(started).isEmpty();
     }
 
     @Test
     void relayedCallOfAnotherLifeIsNotRelayedAgain() {
-        RelayedCalls relayed = new RelayedCalls(gate::handleRelayed, clock);
+        RelayedCallHandler relayed = new RelayedCallHandler(runTokenHandler::handleRelayed, clock);
         PeerMessage answer = relayed.handle(new VmId("entry-01"), new PeerMessage.RelayCall(order(token(OTHER))))
                 .toCompletableFuture()
                 .join();
@@ -153,7 +153,8 @@
     void relayedCallRunsUnderADeadlineOfThisProcess() {
         clock.advance(Duration.ofSeconds(25));
         CallRequest request = order(token(OWN)).withDeadline(DEADLINE.toNanos());
-        new RelayedCalls(gate::handleRelayed, clock).handle(new VmId("entry-01"), new PeerMessage.RelayCall(request));
+        new RelayedCallHandler(runTokenHandler::handleRelayed, clock)
+                .handle(new VmId("entry-01"), new PeerMessage.RelayCall(request));
         assertThat(started.get(0).deadlineNanos()).isEqualTo(clock.nowNanos() + DEADLINE.toNanos());
     }
 
--- a/runs/src/test/java/org/turmericspan/runs/RunWorld.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunWorld.java
@@ -30,7 +30,7 @@
  * picks one of the things that could happen next; after each the rules are checked.
  */
 final class RunWorld {
-    static final RunLimits LIMITS = new RunLimits(Duration.ofSeconds(10), 2, 2, 1 << 20);
+    static final RunTableLimits LIMITS = new RunTableLimits(Duration.ofSeconds(10), 2, 2, 1 << 20);
 
     private static final OfficeId OFFICE = new OfficeId("pressroom");
     private static final CallerId CALLER = new CallerId("mari");
@@ -66,7 +66,11 @@
 
     /** What a gate is built from. */
     record Parts(
-            Incarnation incarnation, ManualClock clock, RunRelay relay, CallHandler next, DelayedTasks delayedTasks) {}
+            Incarnation incarnation,
+            ManualClock clock,
+            RunRelay relay,
+            CallHandler next,
+            TaskScheduler taskScheduler) {}
 
     /** Entry points of a call path: from callers and from other nodes. */
     record Gates(CallHandler callers, CallHandler relayed, RunTable table) {}
@@ -152,7 +156,7 @@
                 .findFirst()
                 .orElseThrow();
         Incarnation life = receiver.incarnation;
-        new RelayedCalls(receiver.gates.relayed(), clock)
+        new RelayedCallHandler(receiver.gates.relayed(), clock)
                 .handle(message.to, message.content)
                 .thenAccept(answer -> message.answered.complete(
                         receiver.incarnation.equals(life) ? answer : new PeerMessage.Unreachable(true)));
--- a/tables/src/main/java/org/turmericspan/tables/Workers.java
+++ b/tables/src/main/java/org/turmericspan/tables/WorkerPool.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** The node's one pool of workers. Tasks are short; waiting is parked state, never a blocked worker. */
-public final class Workers implements AutoCloseable {
+public final class WorkerPool implements AutoCloseable {
     private static final long STOP_TIMEOUT_SECONDS = 5;
 
     private final ScheduledExecutorService executor;
@@ -19,7 +19,7 @@
      *
      * @param threads number of worker threads, from 1
      */
-    public Workers(int threads) {
+    public WorkerPool(int threads) {
         AtomicInteger sequence = new AtomicInteger();
         ThreadFactory factory = task -> {
             Thread thread = new Thread(task, "worker-" + sequence.incrementAndGet());
@@ -58,7 +58,7 @@
      * @param task a short task that does not block and does not throw
      * @return handle that cancels the task
      */
-    public ScheduledFuture<?> repeat(Duration pause, Runnable task) {
+    public ScheduledFuture<?> scheduleWithFixedDelay(Duration pause, Runnable task) {
         return executor.scheduleWithFixedDelay(task, pause.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
     }
 
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -18,13 +18,13 @@
 import okhttp3.Response;
 import okhttp3.ResponseBody;
 import okio.BufferedSource;
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.Header;
 import org.turmericspan.calls.Payload;
 import org.turmericspan.calls.SlotLease;
 import org.turmericspan.calls.UpstreamExchange;
-import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
@@ -54,7 +54,7 @@
             Long.toHexString(ThreadLocalRandom.current().nextLong());
     private final long deadlineNanos;
     private final int answerLimitBytes;
-    private final CompletableFuture<UpstreamReply> reply = new CompletableFuture<>();
+    private final CompletableFuture<AttemptOutcome> reply = new CompletableFuture<>();
     private Call call;
     private volatile boolean cancelled;
 
@@ -74,7 +74,7 @@
         HttpExchange exchange = new HttpExchange(clients, clock, lease, request, answerLimitBytes);
         long remainingNanos = request.deadlineNanos() - clock.nowNanos();
         if (remainingNanos <= 0) {
-            exchange.finish(UpstreamReply.Kind.CANCELLED_UNSENT, UpstreamSignals.NONE);
+            exchange.finish(AttemptOutcome.Kind.CANCELLED_BEFORE_SEND, UpstreamSignals.NONE);
             return exchange;
         }
         boolean mayReuse = request.idempotent() && !request.retried();
@@ -86,7 +86,7 @@
     }
 
     @Override
-    public CompletionStage<UpstreamReply> reply() {
+    public CompletionStage<AttemptOutcome> outcome() {
         return reply;
     }
 
@@ -100,7 +100,7 @@
 
     @Override
     public void onFailure(Call failedCall, IOException failure) {
-        UpstreamReply.Kind kind = classify(failure);
+        AttemptOutcome.Kind kind = classify(failure);
         if (mayBeSilent(kind)) {
             clients.distrust(address);
         }
@@ -141,23 +141,23 @@
     private void read(Response response) throws IOException {
         UpstreamSignals signals = UpstreamHeaders.signals(response);
         if (!AnswerCheck.belongsTo(response, requestId, attemptId) || !AnswerCheck.showsItsEnd(response)) {
-            finish(UpstreamReply.Kind.BROKEN, signals);
+            finish(AttemptOutcome.Kind.CONNECTION_LOST, signals);
             return;
         }
         boolean refused = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
         if (refused && response.code() == STATUS_UNAVAILABLE) {
-            finish(UpstreamReply.Kind.SHED, signals);
+            finish(AttemptOutcome.Kind.SHED, signals);
             return;
         }
         ResponseBody body = response.body();
         BufferedSource source = body.source();
         if (source.request(answerLimitBytes + 1L)) {
-            finish(UpstreamReply.Kind.ANSWER_TOO_LARGE, signals);
+            finish(AttemptOutcome.Kind.ANSWER_TOO_LARGE, signals);
             return;
         }
         Payload payload = Payload.wrap(source.readByteArray());
-        complete(new UpstreamReply(
-                UpstreamReply.Kind.WHOLE,
+        complete(new AttemptOutcome(
+                AttemptOutcome.Kind.COMPLETE,
                 new CallResult.Answered(response.code(), headers(response), payload),
                 elapsed(),
                 signals));
@@ -176,23 +176,25 @@
         return headers;
     }
 
-    private UpstreamReply.Kind classify(IOException failure) {
+    private AttemptOutcome.Kind classify(IOException failure) {
         if (failure instanceof SendProof.LeaseVoidException) {
-            return UpstreamReply.Kind.LEASE_VOID;
+            return AttemptOutcome.Kind.LEASE_INVALID;
         }
         boolean pastDeadline = clock.nowNanos() >= deadlineNanos;
         if (!proof.isSent()) {
-            return cancelled || pastDeadline ? UpstreamReply.Kind.CANCELLED_UNSENT : UpstreamReply.Kind.NOT_CONNECTED;
+            return cancelled || pastDeadline
+                    ? AttemptOutcome.Kind.CANCELLED_BEFORE_SEND
+                    : AttemptOutcome.Kind.CONNECT_FAILED;
         }
         if (cancelled) {
-            return UpstreamReply.Kind.CANCELLED_SENT;
+            return AttemptOutcome.Kind.CANCELLED_AFTER_SEND;
         }
-        return pastDeadline ? UpstreamReply.Kind.TIMED_OUT : UpstreamReply.Kind.BROKEN;
+        return pastDeadline ? AttemptOutcome.Kind.TIMED_OUT : AttemptOutcome.Kind.CONNECTION_LOST;
     }
 
     /** Tells whether no byte of an answer came for so long that the connection itself is in doubt. */
-    private boolean mayBeSilent(UpstreamReply.Kind kind) {
-        boolean gaveUp = kind == UpstreamReply.Kind.TIMED_OUT || kind == UpstreamReply.Kind.CANCELLED_SENT;
+    private boolean mayBeSilent(AttemptOutcome.Kind kind) {
+        boolean gaveUp = kind == AttemptOutcome.Kind.TIMED_OUT || kind == AttemptOutcome.Kind.CANCELLED_AFTER_SEND;
         return gaveUp && elapsed().compareTo(SILENCE) >= 0;
     }
 
@@ -200,11 +202,11 @@
         return proof.isSent() ? Duration.ofNanos(clock.nowNanos() - proof.sentNanos()) : Duration.ZERO;
     }
 
-    private void finish(UpstreamReply.Kind kind, UpstreamSignals signals) {
-        complete(new UpstreamReply(kind, NO_ANSWER, elapsed(), signals));
+    private void finish(AttemptOutcome.Kind kind, UpstreamSignals signals) {
+        complete(new AttemptOutcome(kind, NO_ANSWER, elapsed(), signals));
     }
 
-    private void complete(UpstreamReply result) {
+    private void complete(AttemptOutcome result) {
         reply.complete(result);
     }
 }
--- a/upstream/src/test/java/org/turmericspan/upstream/AnswerWholenessTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/AnswerWholenessTest.java
@@ -9,10 +9,10 @@
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.Header;
 import org.turmericspan.calls.Payload;
-import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.ids.CallerId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.OfficeId;
@@ -35,49 +35,49 @@
 
     @Test
     void answerWithItsLengthIsWhole() throws IOException {
-        UpstreamReply reply = replyTo(OK + "Content-Length: 5\r\n\r\nwhole");
-        assertThat(reply.kind()).isEqualTo(UpstreamReply.Kind.WHOLE);
-        assertThat(new String(reply.answer().body().bytes())).isEqualTo("whole");
+        AttemptOutcome outcome = replyTo(OK + "Content-Length: 5\r\n\r\nwhole");
+        assertThat(outcome.kind()).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+        assertThat(new String(outcome.answer().body().bytes())).isEqualTo("whole");
     }
 
     @Test
     void chunkedAnswerWithItsEndIsWhole() throws IOException {
         assertThat(kindOf(OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"))
-                .isEqualTo(UpstreamReply.Kind.WHOLE);
+                .isEqualTo(AttemptOutcome.Kind.COMPLETE);
     }
 
     @Test
     void answerThatEndsWithItsConnectionIsRefused() throws IOException {
-        assertThat(kindOf(OK + "Connection: close\r\n\r\nsho")).isEqualTo(UpstreamReply.Kind.BROKEN);
+        assertThat(kindOf(OK + "Connection: close\r\n\r\nsho")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
     void answerShorterThanItsLengthIsRefused() throws IOException {
-        assertThat(kindOf(OK + "Content-Length: 5\r\n\r\nsho")).isEqualTo(UpstreamReply.Kind.BROKEN);
+        assertThat(kindOf(OK + "Content-Length: 5\r\n\r\nsho")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
     void chunkedAnswerWithoutItsEndIsRefused() throws IOException {
         assertThat(kindOf(OK + "Transfer-Encoding: chunked\r\n\r\n3\r\nsho\r\n"))
-                .isEqualTo(UpstreamReply.Kind.BROKEN);
+                .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
     void answerWithoutLengthToACallWithoutBodyStatusIsWhole() throws IOException {
         assertThat(kindOf("HTTP/1.1 204 None\r\nTurmericspan-Request-Id: request-1\r\n\r\n"))
-                .isEqualTo(UpstreamReply.Kind.WHOLE);
+                .isEqualTo(AttemptOutcome.Kind.COMPLETE);
     }
 
     @Test
     void answerOfAnotherRequestIsRefused() throws IOException {
         assertThat(kindOf("HTTP/1.1 200 OK\r\nTurmericspan-Request-Id: request-2\r\nContent-Length: 0\r\n\r\n"))
-                .isEqualTo(UpstreamReply.Kind.BROKEN);
+                .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
     void answerOfAnotherAttemptUnderTheSameRequestIdIsRefused() throws IOException {
         assertThat(kindOf(OK + "Turmericspan-Attempt-Id: 0\r\nContent-Length: 0\r\n\r\n"))
-                .isEqualTo(UpstreamReply.Kind.BROKEN);
+                .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
@@ -85,24 +85,24 @@
         UnaryOperator<String> echo =
                 attempt -> OK + "Turmericspan-Attempt-Id: " + attempt + "\r\nContent-Length: 0\r\n\r\n";
         try (ScriptedUpstream upstream = new ScriptedUpstream(echo)) {
-            assertThat(send(upstream.address()).kind()).isEqualTo(UpstreamReply.Kind.WHOLE);
+            assertThat(send(upstream.address()).kind()).isEqualTo(AttemptOutcome.Kind.COMPLETE);
         }
     }
 
     @Test
     void answerBeyondTheLimitIsRefused() throws IOException {
         assertThat(kindOf(OK + "Content-Length: 101\r\n\r\n" + "x".repeat(101)))
-                .isEqualTo(UpstreamReply.Kind.ANSWER_TOO_LARGE);
+                .isEqualTo(AttemptOutcome.Kind.ANSWER_TOO_LARGE);
     }
 
     @Test
     void refusalThatEchoesTheRequestWasNotRun() throws IOException {
-        assertThat(kindOf(SHED + "Turmericspan-Request-Id: request-1\r\n\r\n")).isEqualTo(UpstreamReply.Kind.SHED);
+        assertThat(kindOf(SHED + "Turmericspan-Request-Id: request-1\r\n\r\n")).isEqualTo(AttemptOutcome.Kind.SHED);
     }
 
     @Test
     void refusalOfAnotherRequestProvesNothing() throws IOException {
-        assertThat(kindOf(SHED + "\r\n")).isEqualTo(UpstreamReply.Kind.BROKEN);
+        assertThat(kindOf(SHED + "\r\n")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
@@ -110,9 +110,9 @@
         String answer = "HTTP/1.1 503 Busy\r\nTurmericspan-Request-Id: request-1\r\n"
                 + "Retry-After: 0\r\nContent-Length: 0\r\n\r\n";
         try (ScriptedUpstream upstream = new ScriptedUpstream(attempt -> answer)) {
-            UpstreamReply reply = send(upstream.address());
-            assertThat(reply.kind()).isEqualTo(UpstreamReply.Kind.WHOLE);
-            assertThat(reply.answer().headers()).contains(new Header("Retry-After", "0"));
+            AttemptOutcome outcome = send(upstream.address());
+            assertThat(outcome.kind()).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+            assertThat(outcome.answer().headers()).contains(new Header("Retry-After", "0"));
             assertThat(upstream.requests()).isEqualTo(1);
         }
     }
@@ -126,17 +126,17 @@
         assertThat(send(closed).mayHaveRun()).isFalse();
     }
 
-    private UpstreamReply.Kind kindOf(String answer) throws IOException {
+    private AttemptOutcome.Kind kindOf(String answer) throws IOException {
         return replyTo(answer).kind();
     }
 
-    private UpstreamReply replyTo(String answer) throws IOException {
+    private AttemptOutcome replyTo(String answer) throws IOException {
         try (ScriptedUpstream upstream = new ScriptedUpstream(attempt -> answer)) {
             return send(upstream.address());
         }
     }
 
-    private UpstreamReply send(SocketAddress address) {
+    private AttemptOutcome send(SocketAddress address) {
         CallRequest request = new CallRequest(
                 new RequestId("request-1"),
                 new OfficeId("pressroom"),
@@ -152,7 +152,7 @@
                 true,
                 Optional.empty());
         return sender.send(new ValidLease(address), request, ANSWER_LIMIT)
-                .reply()
+                .outcome()
                 .toCompletableFuture()
                 .join();
     }
--- a/upstream/src/test/java/org/turmericspan/upstream/SilentConnectionTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/SilentConnectionTest.java
@@ -16,9 +16,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.calls.AttemptOutcome;
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.Payload;
-import org.turmericspan.calls.UpstreamReply;
 import org.turmericspan.ids.CallerId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.OfficeId;
@@ -51,23 +51,23 @@
 
     @Test
     void requestThatMayRunOnlyOnceGoesOnANewConnection() {
-        assertThat(send(true, LONG)).isEqualTo(UpstreamReply.Kind.WHOLE);
+        assertThat(send(true, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
 
-        assertThat(send(false, LONG)).isEqualTo(UpstreamReply.Kind.WHOLE);
-        assertThat(send(false, LONG)).isEqualTo(UpstreamReply.Kind.WHOLE);
+        assertThat(send(false, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+        assertThat(send(false, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
         assertThat(connections).hasValue(3);
     }
 
     @Test
     void timeoutOnASilentConnectionDropsThePool() {
-        assertThat(send(true, LONG)).isEqualTo(UpstreamReply.Kind.WHOLE);
-        assertThat(send(true, Duration.ofMillis(500))).isEqualTo(UpstreamReply.Kind.TIMED_OUT);
+        assertThat(send(true, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+        assertThat(send(true, Duration.ofMillis(500))).isEqualTo(AttemptOutcome.Kind.TIMED_OUT);
 
-        assertThat(send(true, LONG)).isEqualTo(UpstreamReply.Kind.WHOLE);
+        assertThat(send(true, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
         assertThat(connections).hasValue(2);
     }
 
-    private UpstreamReply.Kind send(boolean idempotent, Duration deadline) {
+    private AttemptOutcome.Kind send(boolean idempotent, Duration deadline) {
         CallRequest request = new CallRequest(
                 new RequestId("request-1"),
                 new OfficeId("pressroom"),
@@ -84,7 +84,7 @@
                 Optional.empty());
         SocketAddress address = new SocketAddress("127.0.0.1", server.getLocalPort());
         return sender.send(new ValidLease(address), request, 100)
-                .reply()
+                .outcome()
                 .toCompletableFuture()
                 .join()
                 .kind();
--- a/wire/src/main/java/org/turmericspan/wire/PeerMessageFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/PeerMessageFormat.java
@@ -58,7 +58,7 @@
     private void addSlots() {
         SlotFormat slots = new SlotFormat();
         add(PeerMessage.BorrowSlot.class, BodyCase.BORROW_SLOT, slots::encode, slots::borrowSlot);
-        add(PeerMessage.WithdrawWish.class, BodyCase.WITHDRAW_WISH, slots::encode, slots::withdrawWish);
+        add(PeerMessage.CancelSlotRequest.class, BodyCase.WITHDRAW_WISH, slots::encode, slots::withdrawWish);
         add(PeerMessage.SlotLent.class, BodyCase.SLOT_LENT, slots::encode, slots::slotLent);
         add(PeerMessage.SlotDenied.class, BodyCase.SLOT_DENIED, slots::encode, slots::slotDenied);
         add(PeerMessage.ReturnSlot.class, BodyCase.RETURN_SLOT, slots::encode, slots::returnSlot);
--- a/wire/src/main/java/org/turmericspan/wire/SlotFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/SlotFormat.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.stream.Collectors;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.ids.CallerId;
 import org.turmericspan.ids.Incarnation;
@@ -23,24 +23,24 @@
 /** Format of the messages about slots and leases. */
 final class SlotFormat {
     Message.Builder encode(Message.Builder builder, PeerMessage.BorrowSlot message) {
-        SlotWish wish = message.wish();
+        SlotRequest request = message.request();
         PeerProto.SlotWish.Builder encoded = PeerProto.SlotWish.newBuilder()
-                .setService(wish.service().value())
-                .setOffice(wish.office().value())
-                .setCaller(wish.caller().value())
-                .setRemainingNanos(wish.deadlineNanos())
-                .setDepth(wish.depth())
-                .setIdempotent(wish.idempotent())
-                .setIdleOnly(wish.idleOnly());
-        wish.avoid().forEach(upstream -> encoded.addAvoid(upstream.value()));
-        builder.getBorrowSlotBuilder().setWish(encoded).setWishNumber(message.wishNumber());
+                .setService(request.service().value())
+                .setOffice(request.office().value())
+                .setCaller(request.caller().value())
+                .setRemainingNanos(request.deadlineNanos())
+                .setDepth(request.depth())
+                .setIdempotent(request.idempotent())
+                .setIdleOnly(request.idleOnly());
+        request.excludedUpstreams().forEach(upstream -> encoded.addAvoid(upstream.value()));
+        builder.getBorrowSlotBuilder().setWish(encoded).setWishNumber(message.requestNumber());
         return builder;
     }
 
     PeerMessage.BorrowSlot borrowSlot(Message message) {
         PeerProto.SlotWish wish = message.getBorrowSlot().getWish();
         return new PeerMessage.BorrowSlot(
-                new SlotWish(
+                new SlotRequest(
                         new ServiceId(wish.getService()),
                         new OfficeId(wish.getOffice()),
                         new CallerId(wish.getCaller()),
@@ -52,13 +52,13 @@
                 message.getBorrowSlot().getWishNumber());
     }
 
-    Message.Builder encode(Message.Builder builder, PeerMessage.WithdrawWish message) {
-        builder.getWithdrawWishBuilder().setWishNumber(message.wishNumber());
+    Message.Builder encode(Message.Builder builder, PeerMessage.CancelSlotRequest message) {
+        builder.getWithdrawWishBuilder().setWishNumber(message.requestNumber());
         return builder;
     }
 
-    PeerMessage.WithdrawWish withdrawWish(Message message) {
-        return new PeerMessage.WithdrawWish(message.getWithdrawWish().getWishNumber());
+    PeerMessage.CancelSlotRequest withdrawWish(Message message) {
+        return new PeerMessage.CancelSlotRequest(message.getWithdrawWish().getWishNumber());
     }
 
     Message.Builder encode(Message.Builder builder, PeerMessage.SlotLent message) {
@@ -140,7 +140,7 @@
 
     Message.Builder encode(Message.Builder builder, PeerMessage.QueryLeases message) {
         PeerProto.QueryLeases.Builder query = builder.getQueryLeasesBuilder();
-        query.setAsker(message.asker().value());
+        query.setAsker(message.requesterIncarnation().value());
         message.upstreams().forEach(upstream -> query.addUpstreams(upstream.value()));
         return builder;
     }
--- a/wire/src/main/java/org/turmericspan/wire/SuspectFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/SuspectFormat.java
@@ -54,8 +54,10 @@
     private static PeerProto.Suspect encode(PeerMessage.Suspect suspect) {
         return PeerProto.Suspect.newBuilder()
                 .setFingerprint(suspect.fingerprint())
-                .addAllLost(suspect.lost().stream().map(UpstreamId::value).toList())
-                .setDiedAlone(suspect.diedAlone())
+                .addAllLost(suspect.crashedUpstreams().stream()
+                        .map(UpstreamId::value)
+                        .toList())
+                .setDiedAlone(suspect.crashedInIsolation())
                 .setRemainingNanos(suspect.remaining().toNanos())
                 .build();
     }
--- a/wire/src/test/java/org/turmericspan/wire/PeerFrameCodecTest.java
+++ b/wire/src/test/java/org/turmericspan/wire/PeerFrameCodecTest.java
@@ -22,8 +22,8 @@
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.calls.Header;
 import org.turmericspan.calls.Payload;
+import org.turmericspan.calls.SlotRequest;
 import org.turmericspan.calls.SlotReturn;
-import org.turmericspan.calls.SlotWish;
 import org.turmericspan.calls.UpstreamSignals;
 import org.turmericspan.errors.BalancerException;
 import org.turmericspan.errors.ResultCode;
@@ -75,7 +75,7 @@
     private static List<PeerMessage> slotMessages() {
         return List.of(
                 new PeerMessage.BorrowSlot(
-                        new SlotWish(
+                        new SlotRequest(
                                 SERVICE,
                                 new OfficeId("pressroom"),
                                 new CallerId("mari"),
@@ -85,7 +85,7 @@
                                 Set.of(new UpstreamId("u1")),
                                 true),
                         11),
-                new PeerMessage.WithdrawWish(11),
+                new PeerMessage.CancelSlotRequest(11),
                 new PeerMessage.SlotLent(
                         LEASE, new UpstreamId("u1"), new SocketAddress("127.0.0.1", 80), Duration.ofSeconds(1)),
                 new PeerMessage.SlotDenied(ResultCode.NO_CAPACITY),
