--- a/transport/src/main/java/org/turmericspan/transport/ChannelSetup.java
+++ b/transport/src/main/java/org/turmericspan/transport/ChannelSetup.java
@@ -4,22 +4,22 @@
 import io.netty.channel.ChannelPipeline;
 import java.util.function.Consumer;
 
-/** Adds the handlers of a channel when it is registered, and leaves. */
+/** Adds the handlers of a channel to its pipeline, then removes itself, as Netty's {@code ChannelInitializer} does. */
 public final class ChannelSetup implements InboundHandler {
-    private final Consumer<ChannelPipeline> handlers;
+    private final Consumer<ChannelPipeline> initializer;
 
     /**
-     * Creates the first handler of one channel.
+     * Creates the initial handler of one channel.
      *
-     * @param handlers adds the handlers that stay
+     * @param initializer adds the handlers that remain in the pipeline
      */
-    public ChannelSetup(Consumer<ChannelPipeline> handlers) {
-        this.handlers = handlers;
+    public ChannelSetup(Consumer<ChannelPipeline> initializer) {
+        this.initializer = initializer;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
-        handlers.accept(context.pipeline());
+        initializer.accept(context.pipeline());
         context.pipeline().remove(this);
     }
 }
--- a/transport/src/main/java/org/turmericspan/transport/InboundHandler.java
+++ b/transport/src/main/java/org/turmericspan/transport/InboundHandler.java
@@ -4,10 +4,11 @@
 import io.netty.channel.ChannelInboundHandler;
 
 /**
- * An inbound handler that passes on every event it does not override.
+ * An inbound handler that forwards every event whose method is not overridden.
  *
- * <p>Netty's own adapter marks its methods by an annotation. Reading the first annotation makes the JDK generate proxy
- * classes, which no class archive holds and which costs a tenth of a start.
+ * <p>It replaces Netty's {@code ChannelInboundHandlerAdapter}, whose methods carry an annotation that Netty reads at
+ * run time. The first such read makes the JDK generate proxy classes, which no class data sharing archive contains and
+ * which take a tenth of the start-up time.
  */
 public interface InboundHandler extends ChannelInboundHandler {
     @Override
--- a/transport/src/main/java/org/turmericspan/transport/NettyLogFactory.java
+++ b/transport/src/main/java/org/turmericspan/transport/NettyLogFactory.java
@@ -4,14 +4,18 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import org.turmericspan.events.EventLog;
 
-/** Brings Netty's warnings and errors into the log. The JDK's log manager would cost a tenth of a start. */
+/**
+ * Routes Netty's warnings and errors to the event log.
+ *
+ * <p>The JDK's log manager, which Netty would use otherwise, takes a tenth of the start-up time.
+ */
 public final class NettyLogFactory extends InternalLoggerFactory {
     private final EventLog log;
 
     /**
-     * Creates a factory, to be set before any other class of Netty is used.
+     * Creates a factory, which must be installed before any other Netty class is used.
      *
-     * @param log takes the lines
+     * @param log receives the warnings and errors
      */
     public NettyLogFactory(EventLog log) {
         this.log = log;
@@ -19,6 +23,6 @@
 
     @Override
     protected InternalLogger newInstance(String name) {
-        return new NettyLog(name, log);
+        return new NettyLogger(name, log);
     }
 }
--- a/transport/src/main/java/org/turmericspan/transport/NettyLog.java
+++ b/transport/src/main/java/org/turmericspan/transport/NettyLogger.java
@@ -5,14 +5,14 @@
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 
-/** One of Netty's loggers. Lines below a warning are dropped. */
-final class NettyLog extends AbstractInternalLogger {
+/** Writes the warnings and errors of one Netty logger to the event log and drops all lower levels. */
+final class NettyLogger extends AbstractInternalLogger {
     private static final long serialVersionUID = 1L;
     private static final String PART = "netty";
 
     private final transient EventLog log;
 
-    NettyLog(String name, EventLog log) {
+    NettyLogger(String name, EventLog log) {
         super(name);
         this.log = log;
     }
--- a/transport/src/main/java/org/turmericspan/transport/ServerSocketBinder.java
+++ b/transport/src/main/java/org/turmericspan/transport/ServerSocketBinder.java
@@ -14,54 +14,54 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.SocketAddress;
 
-/** Binds listening sockets. */
+/** Binds listening sockets and accepts their connections. */
 public final class ServerSocketBinder {
-    /** Connections that may wait to be accepted. */
-    private static final int BACKLOG = 1_024;
-    /** Pause after a failure to accept, mostly for want of descriptors. */
-    private static final long ACCEPT_PAUSE_MILLIS = 200;
+    /** Maximum number of connections waiting to be accepted. */
+    private static final int ACCEPT_BACKLOG = 1_024;
+    /** Backoff after a failed accept, which is mostly caused by a lack of file descriptors. */
+    private static final long ACCEPT_BACKOFF_MILLIS = 200;
 
     private ServerSocketBinder() {}
 
     /**
-     * Binds a socket and hands over the connections that it accepts.
+     * Binds a socket and registers every accepted connection with the event loops.
      *
-     * @param workers run the socket and its connections
-     * @param address where to listen
-     * @param handlers adds the handlers of an accepted connection
-     * @param log takes failures to accept
+     * @param eventLoops event loops of the socket and of its connections
+     * @param address address to listen on
+     * @param initializer adds the handlers of an accepted connection to its pipeline
+     * @param log receives failures to accept or to register a connection
      * @return the bound channel
      */
     public static Channel bind(
-            EventLoopGroup workers, SocketAddress address, Consumer<ChannelPipeline> handlers, EventLog log) {
+            EventLoopGroup eventLoops, SocketAddress address, Consumer<ChannelPipeline> initializer, EventLog log) {
         return new Bootstrap()
-                .group(workers)
+                .group(eventLoops)
                 .channelFactory(NioServerSocketChannel::new)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .handler(new Acceptor(workers, handlers, log))
+                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                .handler(new Acceptor(eventLoops, initializer, log))
                 .bind(new InetSocketAddress(address.host(), address.port()))
                 .syncUninterruptibly()
                 .channel();
     }
 
     private static final class Acceptor implements InboundHandler {
-        private final EventLoopGroup workers;
-        private final Consumer<ChannelPipeline> handlers;
+        private final EventLoopGroup eventLoops;
+        private final Consumer<ChannelPipeline> initializer;
         private final EventLog log;
 
-        Acceptor(EventLoopGroup workers, Consumer<ChannelPipeline> handlers, EventLog log) {
-            this.workers = workers;
-            this.handlers = handlers;
+        Acceptor(EventLoopGroup eventLoops, Consumer<ChannelPipeline> initializer, EventLog log) {
+            this.eventLoops = eventLoops;
+            this.initializer = initializer;
             this.log = log;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             Channel accepted = (Channel) message;
-            accepted.pipeline().addLast(new ChannelSetup(handlers));
-            workers.register(accepted).addListener(registered -> {
+            accepted.pipeline().addLast(new ChannelSetup(initializer));
+            eventLoops.register(accepted).addListener(registered -> {
                 if (!registered.isSuccess()) {
-                    log.write(Event.failure("transport", "Connection not registered.")
+                    log.write(Event.failure("transport", "Registering a connection failed; it is closed.")
                             .with("cause", registered.cause()));
                     accepted.unsafe().closeForcibly();
                 }
@@ -70,12 +70,13 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            log.write(Event.failure("transport", "Connection not accepted.").with("cause", cause));
+            log.write(Event.failure("transport", "Accepting a connection failed; accepting pauses.")
+                    .with("cause", cause));
             context.channel().config().setAutoRead(false);
             context.executor()
                     .schedule(
                             () -> context.channel().config().setAutoRead(true),
-                            ACCEPT_PAUSE_MILLIS,
+                            ACCEPT_BACKOFF_MILLIS,
                             TimeUnit.MILLISECONDS);
         }
     }
--- a/transport/src/test/java/org/turmericspan/transport/InboundHandlerTest.java
+++ b/transport/src/test/java/org/turmericspan/transport/InboundHandlerTest.java
@@ -10,50 +10,53 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
+/** Tests the default methods of {@link InboundHandler}, and {@link ChannelSetup}. */
 final class InboundHandlerTest {
-    private final List<Object> read = new ArrayList<>();
+    private final List<Object> received = new ArrayList<>();
 
-    /** Passes everything on. */
-    private static final class Passing implements InboundHandler {}
+    /** Overrides nothing. */
+    private static final class ForwardingHandler implements InboundHandler {}
 
-    private final class Reading implements InboundHandler {
+    /** Records every message and exception that reaches it. */
+    private final class RecordingHandler implements InboundHandler {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            read.add(message);
+            received.add(message);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            read.add(cause);
+            received.add(cause);
         }
     }
 
     @Test
-    void eventsArePassedOn() {
-        EmbeddedChannel channel = new EmbeddedChannel(new Passing(), new Reading());
+    void eventsAreForwardedByDefault() {
+        EmbeddedChannel channel = new EmbeddedChannel(new ForwardingHandler(), new RecordingHandler());
         RuntimeException failure = new RuntimeException("failure");
 
         channel.writeInbound("message");
         channel.pipeline().fireExceptionCaught(failure);
 
-        assertThat(read).containsExactly("message", failure);
+        assertThat(received).containsExactly("message", failure);
     }
 
+    /** An annotation retained at run time would bring back the slow start that {@link InboundHandler} avoids. */
     @Test
-    void methodsBearNoAnnotationsThatAreReadAtRunTime() {
+    void methodsHaveNoRuntimeAnnotations() {
         for (Method method : InboundHandler.class.getDeclaredMethods()) {
             assertThat(method.getAnnotations()).as(method.getName()).isEqualTo(new Annotation[0]);
         }
     }
 
     @Test
-    void setupLeavesTheHandlersThatItAdded() {
-        Reading reading = new Reading();
-        EmbeddedChannel channel = new EmbeddedChannel(new ChannelSetup(pipeline -> pipeline.addLast(reading)));
+    void setupAddsHandlersAndRemovesItself() {
+        RecordingHandler recorder = new RecordingHandler();
+        EmbeddedChannel channel = new EmbeddedChannel(new ChannelSetup(pipeline -> pipeline.addLast(recorder)));
 
         channel.writeInbound("message");
 
-        assertThat(read).containsExactly("message");
+        assertThat(received).containsExactly("message");
         assertThat(channel.pipeline().get(ChannelSetup.class)).isNull();
     }
 }
--- a/transport/src/test/java/org/turmericspan/transport/NettyLogFactoryTest.java
+++ b/transport/src/test/java/org/turmericspan/transport/NettyLogFactoryTest.java
@@ -9,13 +9,14 @@
 import org.turmericspan.events.JsonEventLog;
 import org.turmericspan.testkit.ManualClock;
 
+/** Tests which of Netty's log lines reach the event log. */
 final class NettyLogFactoryTest {
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final JsonEventLog log = new JsonEventLog("n1", new ManualClock(), () -> 0, output);
     private final InternalLogger logger = new NettyLogFactory(log).newInstance("a.Logger");
 
     @Test
-    void warningIsWrittenWithItsLoggerAndArguments() {
+    void warningIsWrittenWithLoggerAndArguments() {
         logger.warn("Unexpected {}", "thing");
 
         assertThat(lines())
@@ -25,7 +26,7 @@
     }
 
     @Test
-    void errorIsWrittenWithItsCause() {
+    void errorIsWrittenWithCause() {
         logger.error("Failed", new IllegalStateException("why"));
 
         assertThat(lines())
@@ -34,7 +35,7 @@
     }
 
     @Test
-    void linesBelowAWarningAreDropped() {
+    void levelsBelowWarningAreDropped() {
         logger.info("started");
         logger.debug("value {}", 1);
 
