Say in plain terms what turmericspanctl does and prints

Cause: help sentences and errors spoke in figures ("no line speaks of", "hold them against the budgets"), some did not say what exit code 1 means ("1 if they differ"), a failed write was reported as "cannot read", and types and methods had private names (story, belief, answer, complain, judge, in force). Change: NodeAnswer -> NodeResponse, ProbeCost -> ProbeRate, RequestStory -> RequestTimeline, Flags -> CommonArguments, VersionsCommand.InForce -> ActiveConfiguration, ExitCode.NO -> NEGATIVE, complain -> diagnostic or printDiagnostics, judge -> exitCode, isBelief -> isStateChange, inputs -> formatFields, mostPerSecond -> maxPerSecond; 14 tests have names of case and outcome. Options, metavars, columns, keys, exit codes and the sentences that a page or test compares stay. RequestStoryTest keeps its name, since docs/PROOFS.md names it.

--- a/ctl/src/main/java/org/turmericspan/ctl/BundleCommand.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/BundleCommand.java
@@ -8,7 +8,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 
-/** Writes the single document to publish. */
+/** Validates a directory of YAML files and writes it as the JSON document to publish. */
 final class BundleCommand {
     private static final String DIRECTORY = "directory";
     private static final String VERSION = "version";
@@ -17,13 +17,14 @@
     private BundleCommand() {}
 
     static void register(Subparsers commands) {
-        Subparser parser = commands.addParser("bundle").help("write the single document to publish");
+        Subparser parser = commands.addParser("bundle")
+                .help("validate a configuration and write it as the JSON document to publish");
         parser.addArgument(DIRECTORY).metavar("DIR").help("directory of YAML files");
         parser.addArgument("--" + VERSION)
                 .metavar("N")
                 .required(true)
-                .type(Flags.parsed(BundleCommand::parseVersion))
-                .help("number of the document, higher than any published before");
+                .type(CommonArguments.argumentType(BundleCommand::parseVersion))
+                .help("version number of the document, higher than any published before");
         parser.addArgument("--" + OUT).metavar("FILE").help("file to write; default: standard output");
         parser.setDefault(Command.KEY, (Command) BundleCommand::run);
     }
@@ -31,9 +32,9 @@
     private static ExitCode run(Namespace arguments, Output output) {
         long version = arguments.getLong(VERSION);
         CheckedSet set = CheckedSet.read(Path.of(arguments.getString(DIRECTORY)), version);
-        set.complain(output);
+        set.printDiagnostics(output);
         if (!set.isValid()) {
-            return ExitCode.NO;
+            return ExitCode.NEGATIVE;
         }
         String file = arguments.getString(OUT);
         if (file == null) {
@@ -41,7 +42,7 @@
         } else {
             write(Path.of(file), set.document());
         }
-        output.complain("version " + version + ", digest " + set.digest() + ", " + set.objects() + " objects");
+        output.diagnostic("version " + version + ", digest " + set.digest() + ", " + set.objects() + " objects");
         return ExitCode.OK;
     }
 
--- a/ctl/src/main/java/org/turmericspan/ctl/CheckCommand.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/CheckCommand.java
@@ -7,40 +7,40 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.turmericspan.config.Fault;
 
-/** Checks a directory or a bundle as one set and names every fault. */
+/** Validates a configuration set, given as a directory or a bundle, and reports every fault. */
 final class CheckCommand {
     private static final String PATH = "path";
 
     private CheckCommand() {}
 
     static void register(Subparsers commands) {
-        Subparser parser = commands.addParser("check").help("check a set and name every fault");
+        Subparser parser = commands.addParser("check").help("validate a configuration and report every fault");
         parser.addArgument(PATH).metavar("DIR").help("directory of YAML files, or a bundle");
-        Flags.addJson(parser);
+        CommonArguments.addJson(parser);
         parser.setDefault(Command.KEY, (Command) CheckCommand::run);
     }
 
     private static ExitCode run(Namespace arguments, Output output) {
         CheckedSet set = CheckedSet.read(Path.of(arguments.getString(PATH)), 1);
-        if (Flags.isJson(arguments)) {
+        if (CommonArguments.isJson(arguments)) {
             output.json(Report.of(set));
         } else {
-            set.complain(output);
+            set.printDiagnostics(output);
             output.line(
                     set.isValid()
                             ? "valid: " + set.objects() + " objects"
                             : "invalid: " + set.faults().size() + " faults");
         }
-        return set.isValid() ? ExitCode.OK : ExitCode.NO;
+        return set.isValid() ? ExitCode.OK : ExitCode.NEGATIVE;
     }
 
     /**
-     * Result as JSON.
+     * The JSON output; its keys are the names of the components.
      *
-     * @param valid whether the set is accepted
+     * @param valid whether nodes would accept the set
      * @param objects number of objects
-     * @param faults every fault
-     * @param warnings what the set probably does not mean
+     * @param faults every fault found
+     * @param warnings valid settings that are probably mistakes
      */
     private record Report(boolean valid, int objects, List<Fault> faults, List<Fault> warnings) {
         static Report of(CheckedSet set) {
--- a/ctl/src/main/java/org/turmericspan/ctl/CheckedSet.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/CheckedSet.java
@@ -11,22 +11,22 @@
 import org.turmericspan.config.ObjectSet;
 
 /**
- * A set after its checks.
+ * Result of validating a configuration set.
  *
  * @param document the bundle, empty when the set has faults
  * @param digest digest of the bundle, empty when the set has faults
  * @param objects number of objects
- * @param faults every fault
- * @param warnings what the set probably does not mean
+ * @param faults every fault found
+ * @param warnings valid settings that are probably mistakes
  */
 record CheckedSet(String document, String digest, int objects, List<Fault> faults, List<Fault> warnings) {
-    /** Bundles and checks what a path holds, as nodes will check it. */
+    /** Bundles the set at a path and validates it with the checks that nodes apply. */
     static CheckedSet read(Path path, long version) {
         ObjectSet set;
         try {
             set = SetSource.read(path);
         } catch (InvalidConfigurationException e) {
-            return refused(0, e.faults());
+            return rejected(0, e.faults());
         }
         try {
             ConfigurationReader reader = new ConfigurationReader();
@@ -40,11 +40,11 @@
                     List.of(),
                     ConfigurationWarnings.find(configuration));
         } catch (InvalidConfigurationException e) {
-            return refused(set.objects().size(), e.faults());
+            return rejected(set.objects().size(), e.faults());
         }
     }
 
-    private static CheckedSet refused(int objects, List<Fault> faults) {
+    private static CheckedSet rejected(int objects, List<Fault> faults) {
         return new CheckedSet("", "", objects, faults, List.of());
     }
 
@@ -52,8 +52,8 @@
         return faults.isEmpty();
     }
 
-    void complain(Output output) {
-        faults.forEach(fault -> output.complain("fault: " + fault));
-        warnings.forEach(warning -> output.complain("warning: " + warning));
+    void printDiagnostics(Output output) {
+        faults.forEach(fault -> output.diagnostic("fault: " + fault));
+        warnings.forEach(warning -> output.diagnostic("warning: " + warning));
     }
 }
--- a/ctl/src/main/java/org/turmericspan/ctl/Command.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/Command.java
@@ -2,18 +2,18 @@
 
 import net.sourceforge.argparse4j.inf.Namespace;
 
-/** What one subcommand does. */
+/** Action of one subcommand. */
 @FunctionalInterface
 interface Command {
-    /** Key under which the parser hands on the chosen command. */
+    /** Key of the selected command in the parsed arguments. */
     String KEY = "command";
 
     /**
      * Runs the command.
      *
      * @param arguments the parsed command line
-     * @param output where results go
-     * @return how the process exits
+     * @param output receives results and diagnostics
+     * @return exit code of the process
      */
     ExitCode run(Namespace arguments, Output output);
 }
--- a/ctl/src/main/java/org/turmericspan/ctl/Flags.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/CommonArguments.java
@@ -9,16 +9,16 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.turmericspan.ids.SocketAddress;
 
-/** Arguments that several commands take. */
-final class Flags {
+/** Arguments that several commands share. */
+final class CommonArguments {
     private static final String JSON = "json";
     private static final String ADDRESSES = "addresses";
     private static final String ADDRESS = "address";
 
-    private Flags() {}
+    private CommonArguments() {}
 
     static void addJson(ArgumentParser parser) {
-        parser.addArgument("--" + JSON).action(Arguments.storeTrue()).help("write JSON, for scripts");
+        parser.addArgument("--" + JSON).action(Arguments.storeTrue()).help("print the result as JSON");
     }
 
     static boolean isJson(Namespace arguments) {
@@ -29,7 +29,7 @@
         parser.addArgument(ADDRESSES)
                 .metavar("ADDR")
                 .nargs("+")
-                .type(parsed(SocketAddress::parse))
+                .type(argumentType(SocketAddress::parse))
                 .help("operator address of a node, as IP:PORT");
     }
 
@@ -40,7 +40,7 @@
     static void addCallerAddress(ArgumentParser parser) {
         parser.addArgument(ADDRESS)
                 .metavar("ADDR")
-                .type(parsed(SocketAddress::parse))
+                .type(argumentType(SocketAddress::parse))
                 .help("caller address of a node, as IP:PORT");
     }
 
@@ -48,8 +48,8 @@
         return arguments.get(ADDRESS);
     }
 
-    /** Turns a parse function into an argument type whose refusals are usage errors. */
-    static <T> net.sourceforge.argparse4j.inf.ArgumentType<T> parsed(Function<String, T> parse) {
+    /** Returns an argument type that reports an {@code IllegalArgumentException} of the parser as a usage error. */
+    static <T> net.sourceforge.argparse4j.inf.ArgumentType<T> argumentType(Function<String, T> parse) {
         return (ArgumentParser parser, Argument argument, String value) -> {
             try {
                 return parse.apply(value);
--- a/ctl/src/main/java/org/turmericspan/ctl/DiffCommand.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/DiffCommand.java
@@ -9,7 +9,7 @@
 import org.turmericspan.config.InvalidConfigurationException;
 import org.turmericspan.config.ObjectSet;
 
-/** Shows how two sets differ. */
+/** Compares two configuration sets, each given as a directory or a bundle. */
 final class DiffCommand {
     private static final String BEFORE = "before";
     private static final String AFTER = "after";
@@ -17,10 +17,11 @@
     private DiffCommand() {}
 
     static void register(Subparsers commands) {
-        Subparser parser = commands.addParser("diff").help("show how two sets differ");
+        Subparser parser = commands.addParser("diff")
+                .help("show the objects and fields in which two configurations differ; exits with 1 if any");
         parser.addArgument(BEFORE).metavar("A").help("directory of YAML files, or a bundle");
         parser.addArgument(AFTER).metavar("B").help("directory of YAML files, or a bundle");
-        Flags.addJson(parser);
+        CommonArguments.addJson(parser);
         parser.setDefault(Command.KEY, (Command) DiffCommand::run);
     }
 
@@ -28,22 +29,22 @@
         ObjectSet before;
         ObjectSet after;
         try {
-            before = readWhole(arguments.getString(BEFORE));
-            after = readWhole(arguments.getString(AFTER));
+            before = readOrThrow(arguments.getString(BEFORE));
+            after = readOrThrow(arguments.getString(AFTER));
         } catch (InvalidConfigurationException e) {
-            e.faults().forEach(fault -> output.complain("fault: " + fault));
+            e.faults().forEach(fault -> output.diagnostic("fault: " + fault));
             return ExitCode.UNREADABLE;
         }
         List<ObjectChange> changes = SetDifference.between(before, after);
-        if (Flags.isJson(arguments)) {
+        if (CommonArguments.isJson(arguments)) {
             output.json(changes);
         } else {
             changes.forEach(change -> print(change, output));
         }
-        return changes.isEmpty() ? ExitCode.OK : ExitCode.NO;
+        return changes.isEmpty() ? ExitCode.OK : ExitCode.NEGATIVE;
     }
 
-    private static ObjectSet readWhole(String path) {
+    private static ObjectSet readOrThrow(String path) {
         ObjectSet set = SetSource.read(Path.of(path));
         if (!set.faults().isEmpty()) {
             throw new InvalidConfigurationException(set.faults());
--- a/ctl/src/main/java/org/turmericspan/ctl/ExitCode.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/ExitCode.java
@@ -1,14 +1,16 @@
 package org.turmericspan.ctl;
 
-/** How {@code turmericspanctl} exits. */
+/** Exit codes of {@code turmericspanctl}. */
 enum ExitCode {
-    /** The command did what it says. */
+    /** The command completed without a negative result. */
     OK(0),
-    /** The answer is no: faults were found, or the two sides or the nodes differ. */
-    NO(1),
-    /** The command line is wrong. */
+    /**
+     * The result is negative: faults, differences or an exceeded budget were found, or no log line mentions a request.
+     */
+    NEGATIVE(1),
+    /** The command line is invalid. */
     USAGE(2),
-    /** A file or a node could not be read. */
+    /** A file could not be read or written, or a node could not be read. */
     UNREADABLE(3);
 
     private final int number;
--- a/ctl/src/main/java/org/turmericspan/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/ExplainCommand.java
@@ -12,7 +12,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 
-/** Tells the story of one request from the log lines of nodes. */
+/** Reconstructs the course of one request from the log lines of nodes. */
 final class ExplainCommand {
     private static final String REQUEST = "request";
     private static final String FILES = "file";
@@ -20,9 +20,10 @@
     private ExplainCommand() {}
 
     static void register(Subparsers commands) {
-        Subparser parser = commands.addParser("explain").help("tell what happened to a request, from nodes' log lines");
+        Subparser parser =
+                commands.addParser("explain").help("show what happened to a request, from the log lines of nodes");
         parser.addArgument(REQUEST).metavar("ID").help("identifier of the request");
-        parser.addArgument(FILES).metavar("FILE").nargs("+").help("standard output of one or more nodes");
+        parser.addArgument(FILES).metavar("FILE").nargs("+").help("file with the log lines of one or more nodes");
         parser.setDefault(Command.KEY, (Command) ExplainCommand::run);
     }
 
@@ -31,19 +32,19 @@
         for (String file : arguments.<String>getList(FILES)) {
             read(Path.of(file), lines);
         }
-        RequestStory story = RequestStory.of(arguments.getString(REQUEST), lines);
-        if (!story.isKnown()) {
-            output.complain("no line speaks of request " + arguments.getString(REQUEST)
-                    + "; lines of served requests are dropped first when there are many");
-            return ExitCode.NO;
+        RequestTimeline timeline = RequestTimeline.of(arguments.getString(REQUEST), lines);
+        if (!timeline.isFound()) {
+            output.diagnostic("no log line mentions request " + arguments.getString(REQUEST)
+                    + "; under heavy load, nodes drop the log lines of served requests first");
+            return ExitCode.NEGATIVE;
         }
-        story.text().forEach(output::line);
+        timeline.text().forEach(output::line);
         return ExitCode.OK;
     }
 
     private static void read(Path file, List<LogLine> lines) {
-        try (Stream<String> texts = Files.lines(file, StandardCharsets.UTF_8)) {
-            texts.forEach(text -> LogLine.parse(text).ifPresent(lines::add));
+        try (Stream<String> rawLines = Files.lines(file, StandardCharsets.UTF_8)) {
+            rawLines.forEach(text -> LogLine.parse(text).ifPresent(lines::add));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/ctl/src/main/java/org/turmericspan/ctl/LocateCommand.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/LocateCommand.java
@@ -6,37 +6,38 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.turmericspan.ids.ServiceId;
 
-/** Asks a node, as a caller would, which addresses to use for a service. */
+/** Requests the addresses of a service from a node, as a caller does. */
 final class LocateCommand {
     private static final String SERVICE = "service";
 
     private LocateCommand() {}
 
     static void register(Subparsers commands) {
-        Subparser parser = commands.addParser("locate").help("ask a node which addresses callers use for a service");
-        Flags.addCallerAddress(parser);
+        Subparser parser =
+                commands.addParser("locate").help("show the addresses that a node gives to callers of a service");
+        CommonArguments.addCallerAddress(parser);
         parser.addArgument(SERVICE)
                 .metavar("SERVICE")
-                .type(Flags.parsed(ServiceId::new))
+                .type(CommonArguments.argumentType(ServiceId::new))
                 .help("name of the service");
-        Flags.addJson(parser);
+        CommonArguments.addJson(parser);
         parser.setDefault(Command.KEY, (Command) LocateCommand::run);
     }
 
     private static ExitCode run(Namespace arguments, Output output) {
         ServiceId service = arguments.get(SERVICE);
-        NodeAnswer answer;
+        NodeResponse response;
         try (NodeClient client = new NodeClient()) {
-            answer = client.get(Flags.address(arguments), "/v1/locate?service=" + service);
+            response = client.get(CommonArguments.address(arguments), "/v1/locate?service=" + service);
         }
-        if (!answer.isRead()) {
-            output.complain(answer.address() + ": " + answer.failure());
+        if (!response.isSuccess()) {
+            output.diagnostic(response.address() + ": " + response.failure());
             return ExitCode.UNREADABLE;
         }
-        if (Flags.isJson(arguments)) {
-            output.json(answer.body());
+        if (CommonArguments.isJson(arguments)) {
+            output.json(response.body());
         } else {
-            print(answer.body(), output);
+            print(response.body(), output);
         }
         return ExitCode.OK;
     }
--- a/ctl/src/main/java/org/turmericspan/ctl/LogLine.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/LogLine.java
@@ -8,19 +8,19 @@
 import java.util.TreeMap;
 
 /**
- * One structured line that a node wrote.
+ * One structured log line of a node.
  *
- * @param wallMillis Unix time on the node's own clock, which may differ from other nodes'
- * @param node the node
- * @param part part of the node that wrote it
- * @param event what happened
- * @param fields the inputs and the outcome
+ * @param wallMillis Unix time in milliseconds by the clock of the node, which may differ from the clocks of other nodes
+ * @param node name of the node
+ * @param part part of the node that wrote the line
+ * @param event sentence that says what happened
+ * @param fields the whole JSON object, including the header fields
  */
 record LogLine(long wallMillis, String node, String part, String event, JsonNode fields) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final Set<String> HEAD = Set.of("t", "node", "part", "event");
+    private static final Set<String> HEADER_FIELDS = Set.of("t", "node", "part", "event");
 
-    /** Parses a line; what stands before the first brace, such as a collector's own time, is passed over. */
+    /** Parses a line, ignoring text before the first brace, such as a timestamp added by a log collector. */
     static Optional<LogLine> parse(String text) {
         int start = text.indexOf('{');
         if (start < 0) {
@@ -37,12 +37,12 @@
                             json))
                     : Optional.empty();
         } catch (JsonProcessingException e) {
-            // Other programs may write to the same file; their lines are none of this project's.
+            // Other programs, such as the JVM, may write to the same file; their lines are ignored.
             return Optional.empty();
         }
     }
 
-    boolean isOfRequest(String request) {
+    boolean belongsTo(String request) {
         return request.equals(fields.path("request").asText());
     }
 
@@ -50,16 +50,16 @@
         return Optional.ofNullable(fields.path("upstream").textValue());
     }
 
-    /** Tells whether the line speaks of a change of belief rather than of a request. */
-    boolean isBelief() {
+    /** Returns whether the line reports a change of state rather than an event of a request. */
+    boolean isStateChange() {
         return !fields.has("request");
     }
 
-    /** Writes the inputs and the outcome as one text. */
-    String inputs() {
+    /** Formats all fields but those of the header as {@code name=value}, sorted by name. */
+    String formatFields() {
         TreeMap<String, String> texts = new TreeMap<>();
         fields.properties().stream()
-                .filter(entry -> !HEAD.contains(entry.getKey()))
+                .filter(entry -> !HEADER_FIELDS.contains(entry.getKey()))
                 .forEach(entry -> texts.put(entry.getKey(), entry.getValue().asText()));
         StringBuilder text = new StringBuilder();
         texts.forEach((name, value) -> text.append(' ').append(name).append('=').append(value));
--- a/ctl/src/main/java/org/turmericspan/ctl/Main.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/Main.java
@@ -34,10 +34,11 @@
         } catch (HelpScreenException e) {
             return ExitCode.OK;
         } catch (ArgumentParserException e) {
-            output.complain(e.getParser().formatUsage() + "turmericspanctl: " + e.getMessage());
+            output.diagnostic(e.getParser().formatUsage() + "turmericspanctl: " + e.getMessage());
             return ExitCode.USAGE;
         } catch (UncheckedIOException e) {
-            output.complain("turmericspanctl: cannot read " + e.getCause().getMessage());
+            output.diagnostic(
+                    "turmericspanctl: cannot read or write " + e.getCause().getMessage());
             return ExitCode.UNREADABLE;
         }
     }
@@ -50,8 +51,10 @@
                         "Checks, bundles and compares configurations, reads the state of nodes, and explains requests.")
                 .epilog("Exit codes: 0 done, 1 faults or differences were found, 2 wrong command line, "
                         + "3 a file or a node could not be read.");
-        Subparsers commands =
-                parser.addSubparsers().metavar("COMMAND").title("commands").help("--help after a command says more");
+        Subparsers commands = parser.addSubparsers()
+                .metavar("COMMAND")
+                .title("commands")
+                .help("COMMAND --help shows the arguments of a command");
         CheckCommand.register(commands);
         BundleCommand.register(commands);
         DiffCommand.register(commands);
--- a/ctl/src/main/java/org/turmericspan/ctl/NodeClient.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/NodeClient.java
@@ -12,25 +12,25 @@
 import okhttp3.Response;
 import org.turmericspan.ids.SocketAddress;
 
-/** Asks nodes over HTTP, all at once, each within a time limit. */
+/** Sends HTTP requests to several nodes in parallel, each with a timeout. */
 final class NodeClient implements AutoCloseable {
-    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
 
     private final ObjectMapper mapper = new ObjectMapper();
     private final OkHttpClient client = new OkHttpClient.Builder()
-            .callTimeout(TIMEOUT)
+            .callTimeout(REQUEST_TIMEOUT)
             .followRedirects(false)
             .build();
 
-    NodeAnswer get(SocketAddress address, String path) {
+    NodeResponse get(SocketAddress address, String path) {
         return getAll(List.of(address), path).get(0);
     }
 
-    /** Asks every address and returns the answers in the order of the addresses. */
-    List<NodeAnswer> getAll(List<SocketAddress> addresses, String path) {
-        List<CompletableFuture<NodeAnswer>> answers =
+    /** Requests the path from every address and returns the responses in the order of the addresses. */
+    List<NodeResponse> getAll(List<SocketAddress> addresses, String path) {
+        List<CompletableFuture<NodeResponse>> responses =
                 addresses.stream().map(address -> start(address, path)).toList();
-        return answers.stream().map(CompletableFuture::join).toList();
+        return responses.stream().map(CompletableFuture::join).toList();
     }
 
     @Override
@@ -39,31 +39,31 @@
         client.connectionPool().evictAll();
     }
 
-    private CompletableFuture<NodeAnswer> start(SocketAddress address, String path) {
-        CompletableFuture<NodeAnswer> answer = new CompletableFuture<>();
+    private CompletableFuture<NodeResponse> start(SocketAddress address, String path) {
+        CompletableFuture<NodeResponse> result = new CompletableFuture<>();
         Request request = new Request.Builder().url("http://" + address + path).build();
         client.newCall(request).enqueue(new Callback() {
             @Override
             public void onFailure(Call call, IOException failure) {
-                answer.complete(NodeAnswer.failed(address, failure.getMessage()));
+                result.complete(NodeResponse.failed(address, failure.getMessage()));
             }
 
             @Override
             public void onResponse(Call call, Response response) {
-                answer.complete(read(address, response));
+                result.complete(read(address, response));
             }
         });
-        return answer;
+        return result;
     }
 
-    private NodeAnswer read(SocketAddress address, Response response) {
+    private NodeResponse read(SocketAddress address, Response response) {
         try (response) {
             String text = response.body().string();
             return response.isSuccessful()
-                    ? NodeAnswer.of(address, mapper.readTree(text))
-                    : NodeAnswer.failed(address, "status " + response.code() + " " + text.strip());
+                    ? NodeResponse.of(address, mapper.readTree(text))
+                    : NodeResponse.failed(address, "HTTP status " + response.code() + " " + text.strip());
         } catch (IOException e) {
-            return NodeAnswer.failed(address, e.getMessage());
+            return NodeResponse.failed(address, e.getMessage());
         }
     }
 }
--- a/ctl/src/main/java/org/turmericspan/ctl/ObjectChange.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/ObjectChange.java
@@ -3,33 +3,33 @@
 import java.util.List;
 
 /**
- * How one object differs between two sets.
+ * Difference of one object between two sets. The components are the keys of the JSON output.
  *
- * @param object kind and name
- * @param change what happened to it
- * @param fields its changed fields, empty unless it was changed
+ * @param object kind and name of the object
+ * @param change whether the object was added, removed or changed
+ * @param fields the changed fields; empty for an added or removed object
  */
 record ObjectChange(String object, Type change, List<FieldChange> fields) {
     ObjectChange {
         fields = List.copyOf(fields);
     }
 
-    /** What happened to an object. */
+    /** Kind of a difference; its name is part of the output. */
     enum Type {
-        /** Only the second set holds it. */
+        /** Only the second set contains the object. */
         ADDED,
-        /** Only the first set holds it. */
+        /** Only the first set contains the object. */
         REMOVED,
-        /** Both hold it with different fields. */
+        /** Both sets contain the object, with different fields. */
         CHANGED
     }
 
     /**
-     * One changed field.
+     * Difference of one field.
      *
-     * @param field its name
-     * @param before value in the first set as JSON, or {@code default}
-     * @param after value in the second set as JSON, or {@code default}
+     * @param field name of the field
+     * @param before value in the first set as JSON, or {@code default} if it is not set
+     * @param after value in the second set as JSON, or {@code default} if it is not set
      */
     record FieldChange(String field, String before, String after) {}
 }
--- a/ctl/src/main/java/org/turmericspan/ctl/Output.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/Output.java
@@ -4,15 +4,15 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.PrintStream;
 
-/** Where a command writes: results to one stream, complaints to the other. */
+/** Output of a command: results go to one stream, errors and other diagnostics to another. */
 final class Output {
     private final ObjectMapper mapper = new ObjectMapper();
     private final PrintStream results;
-    private final PrintStream complaints;
+    private final PrintStream diagnostics;
 
-    Output(PrintStream results, PrintStream complaints) {
+    Output(PrintStream results, PrintStream diagnostics) {
         this.results = results;
-        this.complaints = complaints;
+        this.diagnostics = diagnostics;
     }
 
     void line(String text) {
@@ -27,11 +27,11 @@
         try {
             results.println(mapper.writerWithDefaultPrettyPrinter().writeValueAsString(value));
         } catch (JsonProcessingException e) {
-            throw new IllegalStateException("Every result can be written as JSON", e);
+            throw new IllegalStateException("The result cannot be written as JSON", e);
         }
     }
 
-    void complain(String text) {
-        complaints.println(text);
+    void diagnostic(String text) {
+        diagnostics.println(text);
     }
 }
--- a/ctl/src/main/java/org/turmericspan/ctl/ProbesCommand.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/ProbesCommand.java
@@ -5,54 +5,54 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 
-/** Shows what probing costs the fleet against the budget of each service. */
+/** Compares the probe rate of all given nodes with the budget of each service. */
 final class ProbesCommand {
-    private static final String ROW = "%-24s %10s %14s %8s  %s";
+    private static final String ROW_FORMAT = "%-24s %10s %14s %8s  %s";
 
     private ProbesCommand() {}
 
     static void register(Subparsers commands) {
         Subparser parser = commands.addParser("probes")
-                .help("sum the probes of all nodes given and hold them against the budgets; 1 if one is exceeded");
-        Flags.addOperatorAddresses(parser);
-        Flags.addJson(parser);
+                .help("compare the summed probe rates of the given nodes with the budgets; exits with 1 if exceeded");
+        CommonArguments.addOperatorAddresses(parser);
+        CommonArguments.addJson(parser);
         parser.setDefault(Command.KEY, (Command) ProbesCommand::run);
     }
 
     private static ExitCode run(Namespace arguments, Output output) {
-        List<NodeAnswer> answers;
+        List<NodeResponse> responses;
         try (NodeClient client = new NodeClient()) {
-            answers = client.getAll(Flags.addresses(arguments), StateCommand.STATE_PATH);
+            responses = client.getAll(CommonArguments.addresses(arguments), StateCommand.STATE_PATH);
         }
-        List<ProbeCost> costs = ProbeCost.sum(answers);
-        if (Flags.isJson(arguments)) {
-            output.json(costs);
+        List<ProbeRate> rates = ProbeRate.sum(responses);
+        if (CommonArguments.isJson(arguments)) {
+            output.json(rates);
         } else {
-            print(costs, output);
+            print(rates, output);
         }
-        answers.stream()
-                .filter(answer -> !answer.isRead())
-                .forEach(answer -> output.complain(answer.address() + ": " + answer.failure()));
-        return judge(answers, costs);
+        responses.stream()
+                .filter(response -> !response.isSuccess())
+                .forEach(response -> output.diagnostic(response.address() + ": " + response.failure()));
+        return exitCode(responses, rates);
     }
 
-    private static ExitCode judge(List<NodeAnswer> answers, List<ProbeCost> costs) {
-        if (!answers.stream().allMatch(NodeAnswer::isRead)) {
+    private static ExitCode exitCode(List<NodeResponse> responses, List<ProbeRate> rates) {
+        if (!responses.stream().allMatch(NodeResponse::isSuccess)) {
             return ExitCode.UNREADABLE;
         }
-        return costs.stream().allMatch(ProbeCost::isWithinBudget) ? ExitCode.OK : ExitCode.NO;
+        return rates.stream().allMatch(ProbeRate::isWithinBudget) ? ExitCode.OK : ExitCode.NEGATIVE;
     }
 
-    private static void print(List<ProbeCost> costs, Output output) {
-        output.line(String.format(ROW, "SERVICE", "UPSTREAMS", "MOST_PER_S", "BUDGET", ""));
-        for (ProbeCost cost : costs) {
+    private static void print(List<ProbeRate> rates, Output output) {
+        output.line(String.format(ROW_FORMAT, "SERVICE", "UPSTREAMS", "MOST_PER_S", "BUDGET", ""));
+        for (ProbeRate rate : rates) {
             output.line(String.format(
-                    ROW,
-                    cost.service(),
-                    cost.upstreams(),
-                    String.format("%.2f", cost.mostPerSecond()),
-                    cost.budgetPerSecond(),
-                    cost.isWithinBudget() ? "within" : "EXCEEDED"));
+                    ROW_FORMAT,
+                    rate.service(),
+                    rate.upstreams(),
+                    String.format("%.2f", rate.maxPerSecond()),
+                    rate.budgetPerSecond(),
+                    rate.isWithinBudget() ? "within" : "EXCEEDED"));
         }
     }
 }
--- a/ctl/src/main/java/org/turmericspan/ctl/SetSource.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/SetSource.java
@@ -9,7 +9,7 @@
 import org.turmericspan.config.DirectoryLoader;
 import org.turmericspan.config.ObjectSet;
 
-/** Reads objects from a directory of YAML files or from a bundle. */
+/** Reads a configuration set from a directory of YAML files or from a bundle. */
 final class SetSource {
     private SetSource() {}
 
--- a/ctl/src/main/java/org/turmericspan/ctl/StateCommand.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/StateCommand.java
@@ -18,26 +18,26 @@
 
     static void register(Subparsers commands) {
         Subparser parser = commands.addParser("state").help("print the state dump of nodes as JSON");
-        Flags.addOperatorAddresses(parser);
-        parser.addArgument("--" + SECTION).metavar("NAME").help("print this part of the dump alone");
+        CommonArguments.addOperatorAddresses(parser);
+        parser.addArgument("--" + SECTION).metavar("NAME").help("print only this section of the dump");
         parser.setDefault(Command.KEY, (Command) StateCommand::run);
     }
 
     private static ExitCode run(Namespace arguments, Output output) {
-        List<NodeAnswer> answers;
+        List<NodeResponse> responses;
         try (NodeClient client = new NodeClient()) {
-            answers = client.getAll(Flags.addresses(arguments), STATE_PATH);
+            responses = client.getAll(CommonArguments.addresses(arguments), STATE_PATH);
         }
         Map<String, JsonNode> states = new LinkedHashMap<>();
-        for (NodeAnswer answer : answers) {
-            if (answer.isRead()) {
-                states.put(answer.address().toString(), section(answer.body(), arguments.getString(SECTION)));
+        for (NodeResponse response : responses) {
+            if (response.isSuccess()) {
+                states.put(response.address().toString(), section(response.body(), arguments.getString(SECTION)));
             } else {
-                output.complain(answer.address() + ": " + answer.failure());
+                output.diagnostic(response.address() + ": " + response.failure());
             }
         }
         output.json(states);
-        return states.size() == answers.size() ? ExitCode.OK : ExitCode.UNREADABLE;
+        return states.size() == responses.size() ? ExitCode.OK : ExitCode.UNREADABLE;
     }
 
     private static JsonNode section(JsonNode state, String name) {
--- a/ctl/src/main/java/org/turmericspan/ctl/VersionsCommand.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/VersionsCommand.java
@@ -7,36 +7,37 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 
-/** Shows which configuration each node has in force, and whether all have the same. */
+/** Shows the active configuration of each node and checks that all nodes have the same one. */
 final class VersionsCommand {
-    private static final String ROW = "%-22s %-20s %10s %10s  %s";
+    private static final String ROW_FORMAT = "%-22s %-20s %10s %10s  %s";
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private VersionsCommand() {}
 
     static void register(Subparsers commands) {
         Subparser parser = commands.addParser("versions")
-                .help("show which configuration each node has in force; 1 if they differ");
-        Flags.addOperatorAddresses(parser);
-        Flags.addJson(parser);
+                .help("show the active configuration of each node; exits with 1 if nodes differ");
+        CommonArguments.addOperatorAddresses(parser);
+        CommonArguments.addJson(parser);
         parser.setDefault(Command.KEY, (Command) VersionsCommand::run);
     }
 
     private static ExitCode run(Namespace arguments, Output output) {
-        List<NodeAnswer> answers;
+        List<NodeResponse> responses;
         try (NodeClient client = new NodeClient()) {
-            answers = client.getAll(Flags.addresses(arguments), StateCommand.STATE_PATH);
+            responses = client.getAll(CommonArguments.addresses(arguments), StateCommand.STATE_PATH);
         }
-        List<InForce> rows = answers.stream().map(InForce::of).toList();
-        if (Flags.isJson(arguments)) {
+        List<ActiveConfiguration> rows =
+                responses.stream().map(ActiveConfiguration::of).toList();
+        if (CommonArguments.isJson(arguments)) {
             output.json(rows);
         } else {
             print(rows, output);
         }
-        return judge(rows);
+        return exitCode(rows);
     }
 
-    static ExitCode judge(List<InForce> rows) {
+    static ExitCode exitCode(List<ActiveConfiguration> rows) {
         if (rows.stream().anyMatch(row -> !row.failure().isEmpty())) {
             return ExitCode.UNREADABLE;
         }
@@ -44,15 +45,15 @@
                 .map(row -> row.version() + row.digest())
                 .distinct()
                 .count();
-        return distinct <= 1 ? ExitCode.OK : ExitCode.NO;
+        return distinct <= 1 ? ExitCode.OK : ExitCode.NEGATIVE;
     }
 
-    private static void print(List<InForce> rows, Output output) {
-        output.line(String.format(ROW, "ADDRESS", "VM", "VERSION", "AGE_S", "DIGEST"));
-        for (InForce row : rows) {
+    private static void print(List<ActiveConfiguration> rows, Output output) {
+        output.line(String.format(ROW_FORMAT, "ADDRESS", "VM", "VERSION", "AGE_S", "DIGEST"));
+        for (ActiveConfiguration row : rows) {
             if (row.failure().isEmpty()) {
                 output.line(String.format(
-                        ROW,
+                        ROW_FORMAT,
                         row.address(),
                         row.vm(),
                         row.version(),
@@ -65,31 +66,31 @@
     }
 
     /**
-     * What one node has in force.
+     * Active configuration of one node. The components are the keys of the JSON output.
      *
-     * @param address address that was asked
+     * @param address address the request was sent to
      * @param vm name of the node's VM
-     * @param version number of the configuration
+     * @param version version number of the configuration
      * @param digest digest of the configuration
-     * @param ageMillis time since it came into force, in milliseconds
-     * @param failure why there is no answer, empty on success
+     * @param ageMillis time since the configuration became active, in milliseconds
+     * @param failure reason why the node could not be read, empty on success
      */
-    record InForce(
+    record ActiveConfiguration(
             String address,
             String vm,
             long version,
             String digest,
             @JsonProperty("age_ms") long ageMillis,
             String failure) {
-        static InForce of(NodeAnswer answer) {
-            JsonNode state = answer.body();
-            return new InForce(
-                    answer.address().toString(),
+        static ActiveConfiguration of(NodeResponse response) {
+            JsonNode state = response.body();
+            return new ActiveConfiguration(
+                    response.address().toString(),
                     state.at("/node/vm").asText(),
                     state.at("/configuration/version").asLong(),
                     state.at("/configuration/digest").asText(),
                     state.at("/configuration/age_ms").asLong(),
-                    answer.failure());
+                    response.failure());
         }
     }
 }
--- a/ctl/src/test/java/org/turmericspan/ctl/MainTest.java
+++ b/ctl/src/test/java/org/turmericspan/ctl/MainTest.java
@@ -21,13 +21,13 @@
             + "kind: Upstream\nname: m-1\nservice: mixing\navailability_zone: zone-a\naddress: 10.0.0.1:80\n";
 
     private final ByteArrayOutputStream results = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream complaints = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream diagnostics = new ByteArrayOutputStream();
 
     @TempDir
     private Path directory;
 
     @Test
-    void validSetIsCheckedWithCodeZero() throws IOException {
+    void validSetExitsWithZero() throws IOException {
         write("set.yaml", VALID);
 
         assertThat(run("check", directory.toString())).isEqualTo(ExitCode.OK);
@@ -35,26 +35,26 @@
     }
 
     @Test
-    void everyFaultIsNamedWithFileObjectAndField() throws IOException {
+    void everyFaultIsReportedWithFileObjectAndField() throws IOException {
         write("set.yaml", VALID.replace("service: mixing", "service: mixxing"));
         write("more.yaml", "kind: Vm\nname: One\n");
 
-        assertThat(run("check", directory.toString())).isEqualTo(ExitCode.NO);
-        assertThat(complaints.toString(StandardCharsets.UTF_8))
+        assertThat(run("check", directory.toString())).isEqualTo(ExitCode.NEGATIVE);
+        assertThat(diagnostics.toString(StandardCharsets.UTF_8))
                 .contains("set.yaml: Upstream m-1 field service: names mixxing, which is not in the set")
                 .contains("more.yaml: Vm One field name:");
     }
 
     @Test
-    void jsonCheckNamesTheFaults() throws IOException {
+    void jsonOutputListsFaults() throws IOException {
         write("set.yaml", "kind: Vm\n");
 
-        assertThat(run("check", "--json", directory.toString())).isEqualTo(ExitCode.NO);
+        assertThat(run("check", "--json", directory.toString())).isEqualTo(ExitCode.NEGATIVE);
         assertThat(results.toString(StandardCharsets.UTF_8)).contains("\"valid\" : false", "\"field\" : \"name\"");
     }
 
     @Test
-    void bundleIsAcceptedByCheckAndDiffersFromNothing() throws IOException {
+    void bundlePassesCheckAndEqualsItsDirectory() throws IOException {
         write("set.yaml", VALID);
         Path bundle = directory.resolve("bundle.json");
 
@@ -69,24 +69,24 @@
     void bundleOfInvalidSetWritesNothing() throws IOException {
         write("set.yaml", "kind: Vm\n");
 
-        assertThat(run("bundle", directory.toString(), "--version", "7")).isEqualTo(ExitCode.NO);
+        assertThat(run("bundle", directory.toString(), "--version", "7")).isEqualTo(ExitCode.NEGATIVE);
         assertThat(results.size()).isZero();
     }
 
     @Test
-    void diffNamesAddedRemovedAndChangedObjectsWithFields() throws IOException {
+    void diffListsAddedRemovedAndChangedObjectsWithFields() throws IOException {
         Path before = Files.createDirectory(directory.resolve("before"));
         Path after = Files.createDirectory(directory.resolve("after"));
         Files.writeString(before.resolve("a.yaml"), "kind: Vm\nname: one\n---\nkind: Vm\nname: two\n");
         Files.writeString(after.resolve("a.yaml"), "kind: Vm\nname: two\nstate: out\n---\nkind: Vm\nname: three\n");
 
-        assertThat(run("diff", before.toString(), after.toString())).isEqualTo(ExitCode.NO);
+        assertThat(run("diff", before.toString(), after.toString())).isEqualTo(ExitCode.NEGATIVE);
         assertThat(results.toString(StandardCharsets.UTF_8).lines())
                 .containsExactly("removed Vm one", "added Vm three", "changed Vm two", "    state: default -> \"out\"");
     }
 
     @Test
-    void wrongCommandLineAndMissingFileHaveTheirOwnCodes() {
+    void invalidCommandLineAndMissingFileHaveDistinctExitCodes() {
         assertThat(run("bundle", ".", "--version", "0")).isEqualTo(ExitCode.USAGE);
         assertThat(run("nonsense")).isEqualTo(ExitCode.USAGE);
         assertThat(run()).isEqualTo(ExitCode.USAGE);
@@ -95,42 +95,42 @@
     }
 
     @Test
-    void versionsDifferWhenOneDigestDiffers() throws IOException {
+    void versionsExitsWithOneWhenDigestsDiffer() throws IOException {
         try (FakeNode one = new FakeNode("aa");
                 FakeNode same = new FakeNode("aa");
                 FakeNode other = new FakeNode("bb")) {
             assertThat(run("versions", one.address(), same.address())).isEqualTo(ExitCode.OK);
             assertThat(run("versions", one.address(), other.address(), "--json"))
-                    .isEqualTo(ExitCode.NO);
+                    .isEqualTo(ExitCode.NEGATIVE);
         }
         assertThat(results.toString(StandardCharsets.UTF_8)).contains("\"digest\" : \"bb\"");
     }
 
     @Test
-    void probesOfAllNodesAreHeldAgainstTheBudget() throws IOException {
+    void sumOfProbeRatesIsComparedWithBudget() throws IOException {
         try (FakeNode one = new FakeNode("aa");
                 FakeNode other = new FakeNode("aa")) {
             assertThat(run("probes", one.address())).isEqualTo(ExitCode.OK);
-            assertThat(run("probes", one.address(), other.address())).isEqualTo(ExitCode.NO);
+            assertThat(run("probes", one.address(), other.address())).isEqualTo(ExitCode.NEGATIVE);
         }
         assertThat(results.toString(StandardCharsets.UTF_8)).contains("within", "EXCEEDED");
     }
 
     @Test
-    void unreachableNodeIsNamed() {
+    void unreachableNodeIsReportedWithItsAddress() {
         assertThat(run("state", "127.0.0.1:1")).isEqualTo(ExitCode.UNREADABLE);
-        assertThat(complaints.toString(StandardCharsets.UTF_8)).startsWith("127.0.0.1:1: ");
+        assertThat(diagnostics.toString(StandardCharsets.UTF_8)).startsWith("127.0.0.1:1: ");
     }
 
     private ExitCode run(String... arguments) {
-        return Main.run(new Output(new PrintStream(results), new PrintStream(complaints)), arguments);
+        return Main.run(new Output(new PrintStream(results), new PrintStream(diagnostics)), arguments);
     }
 
     private void write(String name, String text) throws IOException {
         Files.writeString(directory.resolve(name), text);
     }
 
-    /** Node that answers every request with a state dump. */
+    /** Node that returns the same state dump for every request. */
     private static final class FakeNode implements AutoCloseable {
         private final HttpServer server;
 
--- a/ctl/src/test/java/org/turmericspan/ctl/RequestStoryTest.java
+++ b/ctl/src/test/java/org/turmericspan/ctl/RequestStoryTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
+/** Tests {@link RequestTimeline} and {@link LogLine}. */
 class RequestStoryTest {
     private static final String CHOSEN = "  14.2 front-1 {\"t\":1000,\"node\":\"front-1\",\"part\":\"forward\","
             + "\"event\":\"Upstream chosen.\",\"request\":\"r1\",\"upstream\":\"u-1\",\"load\":2}";
@@ -19,17 +20,17 @@
                 + "\",\"part\":\"probe\",\"event\":\"Upstream does not answer.\",\"upstream\":\"" + upstream + "\"}";
     }
 
-    private static RequestStory story(String... texts) {
+    private static RequestTimeline timeline(String... texts) {
         List<LogLine> lines = List.of(texts).stream()
                 .map(LogLine::parse)
                 .flatMap(Optional::stream)
                 .toList();
-        return RequestStory.of("r1", lines);
+        return RequestTimeline.of("r1", lines);
     }
 
     @Test
-    void linesOfTheRequestAreToldInOrder() {
-        assertThat(story(CHOSEN, OTHER, REFUSED).text())
+    void linesOfRequestAreListedInOrder() {
+        assertThat(timeline(CHOSEN, OTHER, REFUSED).text())
                 .containsExactly(
                         "request on front-1, first line at 1000",
                         "     +0 ms  forward: Upstream chosen. load=2 request=r1 upstream=u-1",
@@ -37,25 +38,25 @@
     }
 
     @Test
-    void otherNodesAreHeardOnTheUpstreamsThatWereTried() {
-        assertThat(story(CHOSEN, REFUSED, probe(1020, "front-2", "u-1"), probe(1021, "front-2", "u-9"))
+    void stateChangesOfOtherNodesAreLimitedToTriedUpstreams() {
+        assertThat(timeline(CHOSEN, REFUSED, probe(1020, "front-2", "u-1"), probe(1021, "front-2", "u-9"))
                         .text())
                 .anyMatch(line -> line.contains("u-1") && line.contains("node=front-2"))
                 .noneMatch(line -> line.contains("u-9"));
     }
 
     @Test
-    void changesLongBeforeAreLeftOut() {
-        assertThat(story(probe(-9_000, "front-2", "u-1"), CHOSEN).text()).hasSize(2);
+    void stateChangesLongBeforeRequestAreOmitted() {
+        assertThat(timeline(probe(-9_000, "front-2", "u-1"), CHOSEN).text()).hasSize(2);
     }
 
     @Test
-    void unknownRequestHasNoStory() {
-        assertThat(story(OTHER).isKnown()).isFalse();
+    void unknownRequestIsNotFound() {
+        assertThat(timeline(OTHER).isFound()).isFalse();
     }
 
     @Test
-    void linesOfOtherProgramsArePassedOver() {
+    void linesOfOtherProgramsAreIgnored() {
         assertThat(LogLine.parse("OpenJDK warning: {x")).isEmpty();
         assertThat(LogLine.parse("plain text")).isEmpty();
     }
