--- a/forwarding/src/main/java/org/turmericspan/forwarding/Attempt.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/Attempt.java
@@ -3,7 +3,7 @@
 import org.turmericspan.balancing.Placement;
 import org.turmericspan.http.CallHandle;
 
-/** One attempt of a request that is under way. */
+/** One attempt of a request, which is in flight at an upstream. */
 final class Attempt {
     private final Placement placement;
     private CallHandle handle = () -> {};
@@ -17,15 +17,15 @@
         return placement;
     }
 
-    void started(CallHandle call) {
-        handle = call;
+    void setHandle(CallHandle callHandle) {
+        handle = callHandle;
     }
 
-    /** Marks its answer as overdue; returns whether this is news. */
+    /** Marks the response as overdue. Returns false when it was marked before. */
     boolean markOverdue() {
-        boolean isNews = !overdue;
+        boolean isFirstMark = !overdue;
         overdue = true;
-        return isNews;
+        return isFirstMark;
     }
 
     void cancel() {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/AttemptOptions.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/AttemptOptions.java
@@ -4,19 +4,19 @@
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.http.CallOptions;
 
-/** Chooses the connection of an attempt. */
+/** Builds the connection options of an attempt. */
 final class AttemptOptions {
-    /** Longest wait for a connection; round trips between zones take milliseconds. */
-    private static final long CONNECT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-    /** Idle time up to which an idempotent attempt uses a kept connection; the server's own limit is shorter. */
-    private static final long IDEMPOTENT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
-    /** The same for other attempts, whose loss with a silent connection cannot be repaired. */
-    private static final long ONCE_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    /** Maximum time to establish a connection; round trips between zones take milliseconds. */
+    private static final long CONNECT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    /** Maximum idle time of a pooled connection for an idempotent attempt; the server's own limit is shorter. */
+    private static final long IDEMPOTENT_MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
+    /** The same for a non-idempotent attempt, which cannot be retried when it is lost on an unresponsive connection. */
+    private static final long NON_IDEMPOTENT_MAX_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
     private AttemptOptions() {}
 
-    static CallOptions of(boolean idempotent, String echoHeader) {
-        long idleNanos = idempotent ? IDEMPOTENT_IDLE_NANOS : ONCE_IDLE_NANOS;
-        return new CallOptions(CONNECT_NANOS, idleNanos, false, Optional.of(echoHeader));
+    static CallOptions of(boolean idempotent, String correlationHeader) {
+        long maxIdleNanos = idempotent ? IDEMPOTENT_MAX_IDLE_NANOS : NON_IDEMPOTENT_MAX_IDLE_NANOS;
+        return new CallOptions(CONNECT_TIMEOUT_NANOS, maxIdleNanos, false, Optional.of(correlationHeader));
     }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
@@ -7,76 +7,77 @@
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.UpstreamId;
 
-/** Names and forms of the headers that callers, nodes and upstreams exchange. */
+/** Reads and writes the headers that callers, nodes and upstreams exchange. */
 public interface CallProtocol {
     /**
      * Returns the identifier of a request.
      *
      * @param headers headers of the request
-     * @return empty when the caller sent none
+     * @return the identifier, or empty when the caller sent none
      */
     Optional<String> requestId(HeaderList headers);
 
     /**
-     * Returns how long the caller waits.
+     * Returns the deadline that the caller set.
      *
      * @param headers headers of the request
-     * @return milliseconds from when the request was sent; empty when not stated
+     * @return milliseconds from the time at which the request was sent, or empty when the caller set none
      */
     OptionalLong deadlineMillis(HeaderList headers);
 
     /**
-     * Writes the headers of an attempt.
+     * Builds the headers of an attempt.
      *
      * @param headers end-to-end headers of the caller's request
-     * @param leftMillis time the upstream may take
-     * @param expected upstream that alone may run the request
+     * @param remainingMillis time the upstream may take
+     * @param expected the only upstream that may run the request
      * @return the headers to send
      */
-    HeaderList attemptHeaders(HeaderList headers, long leftMillis, UpstreamId expected);
+    HeaderList attemptHeaders(HeaderList headers, long remainingMillis, UpstreamId expected);
 
     /**
-     * Tells whether an upstream proved that it did not run the request.
+     * Returns whether an upstream proved that it did not run the request.
      *
      * @param response its response
-     * @return true only with proof
+     * @return true only if the response proves it
      */
     boolean provesNotExecuted(ResponseMessage response);
 
     /**
-     * Tells whether another upstream than the expected one answered.
+     * Returns whether the response came from another upstream than the expected one.
      *
      * @param response the response
-     * @return true when the request was turned away for that reason
+     * @return true when the request was rejected for that reason
      */
     boolean isWrongInstance(ResponseMessage response);
 
     /**
-     * Tells whether a response bears the mark of the upstream that made it. A success without it is spoiled.
+     * Returns whether a response carries the signature of the upstream that produced it. A successful response without
+     * one is not forwarded.
      *
      * @param response the response
-     * @return whether the mark is there
+     * @return true when the signature is present
      */
     boolean isSigned(ResponseMessage response);
 
     /**
-     * Reads the load that a response states.
+     * Reads the load that a response reports.
      *
      * @param response the response
-     * @return empty when it states none
+     * @return empty when it reports none
      */
     Optional<LoadReport> reportedLoad(ResponseMessage response);
 
     /**
-     * Reads the identifier of the upstream that answered a health check.
+     * Reads the identifier of the upstream that responded to a health check.
      *
      * @param response the response
-     * @return empty when it states none
+     * @return empty when it reports none
      */
     Optional<String> instanceId(ResponseMessage response);
 
     /**
-     * Reads how long the upstream says it stays cold.
+     * Reads how long the upstream remains cold.
      *
      * @param response the response to a health check
      * @return milliseconds, 0 when warm
@@ -84,7 +85,7 @@
     long warmupRemainingMillis(ResponseMessage response);
 
     /**
-     * Names the header that a response repeats from its request.
+     * Returns the name of the header that an upstream copies from the request to the response.
      *
      * @return the header's name
      */
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingDependencies.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingDependencies.java
@@ -5,15 +5,15 @@
 import org.turmericspan.ids.MonotonicClock;
 
 /**
- * What the path of a request uses.
+ * Dependencies of the request path.
  *
- * @param tables what decides
- * @param client client towards the upstreams
- * @param protocol header names and forms
- * @param loadProber asks upstreams for their load
- * @param metrics counts of what happened
- * @param clock monotonic time
- * @param log takes decisions
+ * @param tables shared tables that determine the upstream of a request
+ * @param client HTTP client that calls the upstreams
+ * @param protocol reads and writes headers
+ * @param loadProber requests load reports from upstreams
+ * @param metrics counts requests and attempts
+ * @param clock source of monotonic time
+ * @param log log of routing decisions
  */
 public record ForwardingDependencies(
         ForwardingTables tables,
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingMetrics.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingMetrics.java
@@ -3,39 +3,39 @@
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.ServiceId;
 
-/** Counts what happened to requests. */
+/** Metrics of requests and their attempts. */
 public interface ForwardingMetrics {
     /**
-     * Counts a request that was answered, by an upstream or by this node.
+     * Counts a request that received a response, from an upstream or from this node.
      *
-     * @param service service the request goes to
-     * @param status status of the answer
+     * @param service service of the request
+     * @param status HTTP status of the response
      * @param latencyNanos time since the request arrived
      */
     void answered(ServiceId service, int status, long latencyNanos);
 
     /**
-     * Counts a request that this node answered itself.
+     * Counts a request that received a local reply.
      *
-     * @param code why
+     * @param code reason for the local reply
      */
     void refused(ResultCode code);
 
     /**
-     * Counts an attempt at an upstream.
+     * Counts an attempt that is sent to an upstream.
      *
      * @param kind first, retry or hedge
-     * @param ageNanos age of the observation on which the choice rests
+     * @param ageNanos age of the observation on which the choice of the upstream is based
      */
     void attempted(AttemptKind kind, long ageNanos);
 
-    /** Why an attempt is made. */
+    /** Reason for an attempt. */
     enum AttemptKind {
         /** The first attempt of a request. */
         FIRST,
-        /** A further attempt after one that ended without an answer for the caller. */
+        /** An attempt after an earlier one that ended without a response for the caller. */
         RETRY,
-        /** A further attempt beside one that is late. */
+        /** An attempt in parallel with an earlier one that is late. */
         HEDGE
     }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -13,24 +13,24 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.StableHash;
 
-/** Finds the route of each request and forwards it to an upstream. */
+/** Determines the route of each request and forwards the request to an upstream. */
 public final class ForwardingService implements HttpService {
-    /** Time for which a starting node keeps requests until it knows the configuration and the upstreams. */
+    /** Maximum time for which a starting node delays requests until it has the configuration and upstream states. */
     private static final long START_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-    /** Pause between looks whether it does. */
-    private static final long START_STEP_MILLIS = 20;
-    /** Pause advised to a caller while no configuration is known; about the time a node takes to read one. */
-    private static final long NOT_READY_RETRY_MILLIS = 300;
-    /** Pause advised for a quarantined request. */
-    private static final long QUARANTINE_RETRY_MILLIS = 10_000;
+    /** Interval between readiness checks for a delayed request. */
+    private static final long START_POLL_MILLIS = 20;
+    /** Retry-After delay while there is no configuration; about the time a node takes to read one. */
+    private static final long NOT_READY_RETRY_AFTER_MILLIS = 300;
+    /** Retry-After delay for a quarantined request. */
+    private static final long QUARANTINE_RETRY_AFTER_MILLIS = 10_000;
 
     private final ForwardingDependencies dependencies;
-    private volatile boolean fleetKnown;
+    private volatile boolean ready;
 
     /**
      * Creates the service.
      *
-     * @param dependencies what the path of a request uses
+     * @param dependencies dependencies of the request path
      */
     public ForwardingService(ForwardingDependencies dependencies) {
         this.dependencies = dependencies;
@@ -39,42 +39,43 @@
     @Override
     public void handle(RequestMessage request, Reply reply) {
         long arrivedNanos = dependencies.clock().nowNanos();
-        if (knowsFleet()) {
+        if (isReady()) {
             forward(request, reply, arrivedNanos);
         } else {
-            AtomicBoolean gone = new AtomicBoolean();
-            reply.onCallerGone(() -> gone.set(true));
-            awaitConfiguration(request, reply, gone, arrivedNanos);
+            AtomicBoolean disconnected = new AtomicBoolean();
+            reply.onCallerGone(() -> disconnected.set(true));
+            awaitReady(request, reply, disconnected, arrivedNanos);
         }
     }
 
-    private void awaitConfiguration(RequestMessage request, Reply reply, AtomicBoolean gone, long arrivedNanos) {
-        if (gone.get()) {
+    private void awaitReady(RequestMessage request, Reply reply, AtomicBoolean disconnected, long arrivedNanos) {
+        if (disconnected.get()) {
             return;
         }
-        boolean hasWaited = dependencies.clock().nowNanos() - arrivedNanos >= START_WAIT_NANOS;
-        if (knowsFleet()
-                || hasWaited && dependencies.tables().configuration().current().isPresent()) {
+        boolean startWaitExpired = dependencies.clock().nowNanos() - arrivedNanos >= START_WAIT_NANOS;
+        if (isReady()
+                || startWaitExpired
+                        && dependencies.tables().configuration().current().isPresent()) {
             forward(request, reply, arrivedNanos);
-        } else if (hasWaited) {
-            refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, 0);
+        } else if (startWaitExpired) {
+            refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_AFTER_MILLIS, 0);
         } else {
             reply.worker()
                     .schedule(
-                            () -> awaitConfiguration(request, reply, gone, arrivedNanos),
-                            START_STEP_MILLIS,
+                            () -> awaitReady(request, reply, disconnected, arrivedNanos),
+                            START_POLL_MILLIS,
                             TimeUnit.MILLISECONDS);
         }
     }
 
-    private boolean knowsFleet() {
-        return fleetKnown || learnFleet();
+    private boolean isReady() {
+        return ready || updateReady();
     }
 
-    private boolean learnFleet() {
-        fleetKnown = dependencies.tables().configuration().current().isPresent()
+    private boolean updateReady() {
+        ready = dependencies.tables().configuration().current().isPresent()
                 && dependencies.tables().upstreams().hasRecentObservations();
-        return fleetKnown;
+        return ready;
     }
 
     private void forward(RequestMessage request, Reply reply, long arrivedNanos) {
@@ -88,26 +89,26 @@
         }
         long fingerprint = fingerprint(request);
         if (dependencies.tables().suspects().isQuarantined(fingerprint)) {
-            refuse(request, reply, ResultCode.QUARANTINED, QUARANTINE_RETRY_MILLIS, version);
+            refuse(request, reply, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER_MILLIS, version);
             return;
         }
         ServiceId service = dependencies.tables().roundRobin().next(route.get());
         dependencies.tables().retryBudget().recordRequest(service);
-        new RequestRun(
+        new ActiveRequest(
                         dependencies,
                         request,
                         reply,
-                        new RunTarget(route.get(), service, fingerprint, version),
+                        new RoutingDecision(route.get(), service, fingerprint, version),
                         arrivedNanos,
-                        arrivedNanos + waitNanos(request, route.get()))
+                        arrivedNanos + effectiveTimeoutNanos(request, route.get()))
                 .start();
     }
 
-    /** Returns how long the caller waits, from the arrival of its request. */
-    private long waitNanos(RequestMessage request, Route route) {
-        long statedMillis =
+    /** Returns the timeout of the route or of the caller, whichever is shorter, from the arrival of the request. */
+    private long effectiveTimeoutNanos(RequestMessage request, Route route) {
+        long callerTimeoutMillis =
                 dependencies.protocol().deadlineMillis(request.headers()).orElse(Long.MAX_VALUE);
-        return Math.min(route.timeoutNanos(), TimeUnit.MILLISECONDS.toNanos(statedMillis));
+        return Math.min(route.timeoutNanos(), TimeUnit.MILLISECONDS.toNanos(callerTimeoutMillis));
     }
 
     private static String hostOf(RequestMessage request) {
@@ -134,6 +135,6 @@
                         .with("target", request.target())
                         .with("version", version));
         dependencies.metrics().refused(code);
-        reply.send(Refusal.of(code, retryAfterMillis));
+        reply.send(LocalReply.of(code, retryAfterMillis));
     }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
@@ -7,13 +7,13 @@
 import org.turmericspan.balancing.WindowedRetryBudget;
 
 /**
- * Shared tables that decide where a request goes.
+ * Shared tables that determine the upstream of a request.
  *
- * @param configuration the configuration in force
- * @param upstreams beliefs about upstreams
- * @param roundRobin spreads requests over backends
- * @param retryBudget budget of repeats
- * @param suspects requests that took upstreams down
+ * @param configuration the active configuration
+ * @param upstreams observed states of the upstreams
+ * @param roundRobin distributes the requests of a route over its services
+ * @param retryBudget limits retries and hedged requests
+ * @param suspects request fingerprints suspected of crashing upstreams
  */
 public record ForwardingTables(
         ConfigurationHolder configuration,
--- a/forwarding/src/main/java/org/turmericspan/forwarding/HedgeRule.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/HedgeRule.java
@@ -1,39 +1,39 @@
 package org.turmericspan.forwarding;
 
 /**
- * Decides when a second attempt is worth making beside one that is under way. Times are in units of what the request
- * typically takes on an idle upstream, so that the rule suits any route.
+ * Decides when an attempt that is in flight is worth hedging. Ages are in units of the typical latency of the route on
+ * an idle upstream, so that the rule applies to any route.
  */
 final class HedgeRule {
-    /** Time of the first look at an attempt; a shorter one would see hardly more than the choice did. */
-    private static final double FIRST_LOOK = 0.3;
-    /** Pause between looks. */
-    private static final double LOOK_STEP = 0.25;
-    /** Time after which an attempt whose upstream has slowed down is better left to end by itself. */
-    private static final double TOO_FAR = 0.7;
-    /** Time after which an attempt is late if its upstream is slow. */
-    private static final double LATE_WHEN_SLOW = 1.35;
-    /** Time after which it is late though its upstream is fast: the request is long, or its answer is lost. */
-    private static final double LATE_WHEN_FAST = 1.9;
-    /** Slowness, in percent, at which an upstream counts as slow. */
-    private static final int SLOW_PERCENT = 180;
+    /** Age of an attempt at its first hedge check; an earlier check would hardly see more than the choice did. */
+    private static final double FIRST_CHECK_AGE = 0.3;
+    /** Interval between hedge checks. */
+    private static final double CHECK_INTERVAL = 0.25;
+    /** Age above which an attempt at a slow upstream is not hedged until it is late, because it will soon finish. */
+    private static final double MAX_EARLY_HEDGE_AGE = 0.7;
+    /** Age at which an attempt at a slow upstream is late. */
+    private static final double LATE_AGE_SLOW_UPSTREAM = 1.35;
+    /** Age at which an attempt at a fast upstream is late: the request takes long, or its response is lost. */
+    private static final double LATE_AGE_FAST_UPSTREAM = 1.9;
+    /** Slowdown at which an upstream counts as slow; 100 is normal. */
+    private static final int SLOW_UPSTREAM_PERCENT = 180;
 
     private HedgeRule() {}
 
-    static double firstLook() {
-        return FIRST_LOOK;
+    static double firstCheckAge() {
+        return FIRST_CHECK_AGE;
     }
 
-    /** Returns the time of the next look, after one that found no reason to hedge. */
-    static double nextLook(double elapsed) {
-        double next = elapsed + LOOK_STEP;
-        return next > TOO_FAR && next < LATE_WHEN_SLOW ? LATE_WHEN_SLOW : next;
+    /** Returns the age at the next check, after one at the given age that found no reason to hedge. */
+    static double nextCheckAge(double age) {
+        double next = age + CHECK_INTERVAL;
+        return next > MAX_EARLY_HEDGE_AGE && next < LATE_AGE_SLOW_UPSTREAM ? LATE_AGE_SLOW_UPSTREAM : next;
     }
 
-    static boolean isWorthwhile(double elapsed, int slowPercent) {
-        if (slowPercent >= SLOW_PERCENT) {
-            return elapsed <= TOO_FAR || elapsed >= LATE_WHEN_SLOW;
+    static boolean isWorthwhile(double age, int slowdownPercent) {
+        if (slowdownPercent >= SLOW_UPSTREAM_PERCENT) {
+            return age <= MAX_EARLY_HEDGE_AGE || age >= LATE_AGE_SLOW_UPSTREAM;
         }
-        return elapsed >= LATE_WHEN_FAST;
+        return age >= LATE_AGE_FAST_UPSTREAM;
     }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/LoadProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/LoadProber.java
@@ -2,15 +2,15 @@
 
 import org.turmericspan.balancing.Registration;
 
-/** Asks upstreams for their load at this moment. What they say is found in the table of upstreams. */
+/** Probes upstreams for their current load. The results are recorded in the upstream table. */
 @FunctionalInterface
 public interface LoadProber {
     /**
-     * Asks one upstream, or joins a question to it that is under way.
+     * Probes one upstream, or joins a probe of it that is in flight.
      *
-     * @param upstream whom to ask
-     * @param ended runs once, on any worker, when the upstream answered or failed, and at once when the budget of
-     *     probes is spent
+     * @param upstream the upstream
+     * @param onCompleted runs once, on any worker, when the upstream has responded or failed, and immediately when
+     *     the probe budget is exhausted
      */
-    void probe(Registration upstream, Runnable ended);
+    void probe(Registration upstream, Runnable onCompleted);
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/Refusal.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/LocalReply.java
@@ -4,21 +4,24 @@
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.http.ResponseMessage;
 
-/** Answers that the node gives itself. */
-final class Refusal {
+/** Builds the responses that the node generates itself. */
+final class LocalReply {
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
-    private Refusal() {}
+    private LocalReply() {}
 
-    /** Builds the answer of a code. What has not run is answered with a status that promises so. */
+    /**
+     * Builds the local reply for a code. A request that was not run gets status 503, which guarantees this to the
+     * caller, unless the status of the code is 404.
+     */
     static ResponseMessage of(ResultCode code, long retryAfterMillis) {
-        boolean promises = code.ran() == Ran.NO && code.httpStatus() != NOT_FOUND;
-        int status = promises ? UNAVAILABLE : code.httpStatus();
-        String text = "{\"code\":" + code.number() + ",\"message\":\"" + code.sentence() + "\"}";
-        ResponseMessage response = ResponseMessage.text(status, "application/json", text);
-        if (!promises) {
+        boolean guaranteesNotRun = code.ran() == Ran.NO && code.httpStatus() != NOT_FOUND;
+        int status = guaranteesNotRun ? UNAVAILABLE : code.httpStatus();
+        String json = "{\"code\":" + code.number() + ",\"message\":\"" + code.sentence() + "\"}";
+        ResponseMessage response = ResponseMessage.text(status, "application/json", json);
+        if (!guaranteesNotRun) {
             return response;
         }
         String seconds = Double.toString(retryAfterMillis / MILLIS_PER_SECOND);
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RunLog.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestLog.java
@@ -11,34 +11,34 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.UpstreamId;
 
-/** Writes the log lines of one request: each decision with what it rested on. */
-final class RunLog {
-    private static final String PART = "forward";
+/** Logs the decisions on one request, with the data on which each was based. */
+final class RequestLog {
+    private static final String LOG_PART = "forward";
     private static final double PERCENT = 100.0;
 
     private final EventLog log;
     private final MonotonicClock clock;
     private final String requestId;
-    private final RunTarget target;
+    private final RoutingDecision decision;
     private final long arrivedNanos;
     private int attempts;
 
-    RunLog(EventLog log, MonotonicClock clock, String requestId, RunTarget target, long arrivedNanos) {
+    RequestLog(EventLog log, MonotonicClock clock, String requestId, RoutingDecision decision, long arrivedNanos) {
         this.log = log;
         this.clock = clock;
         this.requestId = requestId;
-        this.target = target;
+        this.decision = decision;
         this.arrivedNanos = arrivedNanos;
     }
 
     void chosen(Placement placement, AttemptKind kind) {
         attempts++;
-        log.write(Event.routine(PART, "Upstream chosen.")
+        log.write(Event.routine(LOG_PART, "Upstream chosen.")
                 .with("request", requestId)
                 .with("kind", kind)
                 .with("upstream", placement.upstream())
-                .with("route", target.route().id())
-                .with("version", target.version())
+                .with("route", decision.route().id())
+                .with("version", decision.version())
                 .with("costPercent", Math.round(placement.cost() * PERCENT))
                 .with("slowPercent", placement.slowdownPercent())
                 .with("load", placement.load())
@@ -47,7 +47,7 @@
     }
 
     void failed(UpstreamId upstream, AttemptResult result, String reason) {
-        log.write(Event.failure(PART, "Attempt failed.")
+        log.write(Event.failure(LOG_PART, "Attempt failed.")
                 .with("request", requestId)
                 .with("upstream", upstream)
                 .with("result", result)
@@ -59,7 +59,7 @@
         log.write(refusal(code));
     }
 
-    /** Writes a refusal that the room in the service explains. */
+    /** Logs a refusal together with the capacity of the service that caused it. */
     void refused(ResultCode code, ServiceCapacity capacity) {
         log.write(refusal(code)
                 .with("registered", capacity.registered())
@@ -68,26 +68,26 @@
     }
 
     private Event refusal(ResultCode code) {
-        return Event.failure(PART, "Request refused.")
+        return Event.failure(LOG_PART, "Request refused.")
                 .with("request", requestId)
                 .with("code", code.number())
-                .with("route", target.route().id())
-                .with("version", target.version())
-                .with("service", target.service())
+                .with("route", decision.route().id())
+                .with("version", decision.version())
+                .with("service", decision.service())
                 .with("attempts", attempts)
                 .with("elapsedMs", elapsedMillis());
     }
 
     void answered(int status) {
-        log.write(Event.routine(PART, "Request answered.")
+        log.write(Event.routine(LOG_PART, "Request answered.")
                 .with("request", requestId)
                 .with("status", status)
                 .with("attempts", attempts)
                 .with("elapsedMs", elapsedMillis()));
     }
 
-    void callerLeft() {
-        log.write(Event.notice(PART, "Caller left.")
+    void callerDisconnected() {
+        log.write(Event.notice(LOG_PART, "Caller disconnected.")
                 .with("request", requestId)
                 .with("attempts", attempts)
                 .with("elapsedMs", elapsedMillis()));
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -28,17 +28,17 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.UpstreamId;
 
-/** Asks the upstreams that this node owns for their health, load and warmth. It runs on one worker. */
+/** Probes the upstreams that this node owns for their health, load and warm-up state. All probes run on one worker. */
 public final class UpstreamProber implements LoadProber {
-    /** Longest wait for an answer; probes are answered at once or not at all. */
+    /** Timeout of a probe; an upstream responds to a probe immediately or not at all. */
     private static final long TIMEOUT_MILLIS = 300;
-    /** Longest idle time of a connection that a probe uses; a probe that fails costs nothing but the connection. */
+    /** Maximum idle time of a pooled connection for a probe; a failed probe costs nothing but the connection. */
     private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
-    /** Probes unanswered in a row after which the upstream rests, not only its connections. */
-    private static final int SILENT_PROBES = 2;
+    /** Consecutive failed probes after which the upstream is ejected; fewer only close its idle connections. */
+    private static final int UNREACHABLE_AFTER_FAILURES = 2;
 
     private static final int OK = 200;
-    private static final String PART = "probe";
+    private static final String LOG_PART = "probe";
 
     private final UpstreamTable upstreams;
     private final ConfigurationHolder configuration;
@@ -49,22 +49,22 @@
     private final ScheduledExecutorService worker;
     private final MonotonicClock clock;
     private final EventLog log;
-    private final Map<UpstreamId, Probe> underWay = new HashMap<>();
-    private final Map<UpstreamId, Integer> failures = new HashMap<>();
-    private final Set<UpstreamId> cold = new HashSet<>();
+    private final Map<UpstreamId, Probe> inFlight = new HashMap<>();
+    private final Map<UpstreamId, Integer> consecutiveFailures = new HashMap<>();
+    private final Set<UpstreamId> coldUpstreams = new HashSet<>();
     private volatile boolean probeOwnedOnly;
     private volatile long probesSent;
 
     /**
-     * Creates a prober that has not begun.
+     * Creates a prober. Periodic probing begins with {@link #start}.
      *
-     * @param tables name the health paths, and take what probes show
-     * @param client client whose kept connections are proved alive by probes
-     * @param protocol header names and forms
-     * @param budget allows the probes that requests ask for
+     * @param tables shared tables with the health paths, which receive the results of the probes
+     * @param client HTTP client; probes verify its pooled connections
+     * @param protocol reads and writes headers
+     * @param budget limits the probes on demand
      * @param worker runs the probes
-     * @param clock monotonic time
-     * @param log takes changes of belief
+     * @param clock source of monotonic time
+     * @param log log of changes in the observed states
      */
     public UpstreamProber(
             ForwardingTables tables,
@@ -86,40 +86,40 @@
     }
 
     /**
-     * Starts probing all upstreams, until this node has joined the others.
+     * Starts periodic probes. They cover all upstreams of this node's zone until {@link #probeOwnedOnly} is called.
      *
-     * @param intervalMillis pause between probes of one upstream
+     * @param intervalMillis delay between probes of one upstream
      */
     public void start(long intervalMillis) {
-        worker.scheduleWithFixedDelay(this::probeOwned, 0, intervalMillis, TimeUnit.MILLISECONDS);
+        worker.scheduleWithFixedDelay(this::probeTargets, 0, intervalMillis, TimeUnit.MILLISECONDS);
     }
 
-    private void probeOwned() {
-        upstreams.probeTargets(!probeOwnedOnly).forEach(this::probe);
+    private void probeTargets() {
+        upstreams.probeTargets(!probeOwnedOnly).forEach(this::startOrJoin);
     }
 
-    /** Leaves the upstreams of other owners to them from now on. */
+    /** Restricts the periodic probes to upstreams that this node owns, from now on. */
     public void probeOwnedOnly() {
         probeOwnedOnly = true;
     }
 
     @Override
-    public void probe(Registration upstream, Runnable ended) {
+    public void probe(Registration upstream, Runnable onCompleted) {
         worker.execute(() -> {
-            Probe probe = underWay.get(upstream.id());
+            Probe probe = inFlight.get(upstream.id());
             if (probe == null && budget.tryAcquire()) {
-                probe = probe(upstream);
+                probe = startOrJoin(upstream);
             }
             if (probe == null || probe.done) {
-                ended.run();
+                onCompleted.run();
             } else {
-                probe.listeners.add(ended);
+                probe.listeners.add(onCompleted);
             }
         });
     }
 
     /**
-     * Counts the probes sent so far.
+     * Returns how many probes have been sent so far.
      *
      * @return the count
      */
@@ -127,64 +127,65 @@
         return probesSent;
     }
 
-    /** Starts a probe unless one is under way; returns the one that is, or null when the service has no health path. */
-    private Probe probe(Registration target) {
+    /** Returns the probe in flight, after starting one if necessary, or null when the service has no health path. */
+    private Probe startOrJoin(Registration target) {
         Optional<String> path = configuration
                 .current()
                 .flatMap(current -> current.service(target.service()))
                 .map(service -> service.healthPath());
-        if (path.isEmpty() || underWay.containsKey(target.id())) {
-            return underWay.get(target.id());
+        if (path.isEmpty() || inFlight.containsKey(target.id())) {
+            return inFlight.get(target.id());
         }
         probesSent++;
         CallOptions options =
                 new CallOptions(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), MAX_IDLE_NANOS, true, Optional.empty());
         RequestMessage request = RequestMessage.get(path.get(), target.address().toString());
         Probe probe = new Probe(target);
-        underWay.put(target.id(), probe);
-        probe.handle = client.call(target.address(), request, options, end -> worker.execute(() -> ended(probe, end)));
-        probe.limit = worker.schedule(() -> timedOut(probe), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        inFlight.put(target.id(), probe);
+        probe.handle =
+                client.call(target.address(), request, options, end -> worker.execute(() -> probeEnded(probe, end)));
+        probe.timeout = worker.schedule(() -> timedOut(probe), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         return probe;
     }
 
     private void timedOut(Probe probe) {
         if (!probe.done) {
             probe.handle.cancel();
-            ended(probe, new CallEnd.Broken("no answer within " + TIMEOUT_MILLIS + " ms"));
+            probeEnded(probe, new CallEnd.Broken("no response within " + TIMEOUT_MILLIS + " ms"));
         }
     }
 
-    private void ended(Probe probe, CallEnd end) {
+    private void probeEnded(Probe probe, CallEnd end) {
         if (probe.done) {
             return;
         }
         probe.done = true;
-        if (probe.limit != null) {
-            probe.limit.cancel(false);
+        if (probe.timeout != null) {
+            probe.timeout.cancel(false);
         }
-        underWay.remove(probe.target.id());
+        inFlight.remove(probe.target.id());
         if (end instanceof CallEnd.Answered answered) {
-            answered(probe.target, answered.response());
+            responseReceived(probe.target, answered.response());
         } else if (end instanceof CallEnd.NotSent notSent) {
-            failed(probe.target, notSent.reason(), true);
+            probeFailed(probe.target, notSent.reason(), true);
         } else if (end instanceof CallEnd.Broken broken) {
             client.dropIdle(probe.target.address());
-            failed(probe.target, broken.reason(), false);
+            probeFailed(probe.target, broken.reason(), false);
         }
         probe.listeners.forEach(Runnable::run);
     }
 
-    private void answered(Registration target, ResponseMessage response) {
+    private void responseReceived(Registration target, ResponseMessage response) {
         if (protocol.instanceId(response).filter(target.id().value()::equals).isEmpty()) {
-            failed(target, "another instance answers", true);
+            probeFailed(target, "another instance responded at the address", true);
             return;
         }
-        if (failures.remove(target.id()) != null) {
-            log.write(Event.notice(PART, "Upstream answers again.").with("upstream", target.id()));
+        if (consecutiveFailures.remove(target.id()) != null) {
+            log.write(Event.notice(LOG_PART, "Upstream responds again.").with("upstream", target.id()));
         }
         LoadReport load = protocol.reportedLoad(response).orElse(LoadReport.NORMAL);
-        long coldNanos = TimeUnit.MILLISECONDS.toNanos(protocol.warmupRemainingMillis(response));
-        noteWarmth(target.id(), coldNanos);
+        long coldRemainingNanos = TimeUnit.MILLISECONDS.toNanos(protocol.warmupRemainingMillis(response));
+        recordWarmup(target.id(), coldRemainingNanos);
         upstreams.recordReachability(target.id(), true);
         upstreams.observe(
                 target.id(),
@@ -193,29 +194,29 @@
                         load.running(),
                         load.waiting(),
                         load.slowdownPercent(),
-                        coldNanos,
+                        coldRemainingNanos,
                         response.status() == OK,
                         true));
     }
 
-    private void noteWarmth(UpstreamId id, long coldNanos) {
-        boolean changed = coldNanos > 0 ? cold.add(id) : cold.remove(id);
+    private void recordWarmup(UpstreamId id, long coldRemainingNanos) {
+        boolean changed = coldRemainingNanos > 0 ? coldUpstreams.add(id) : coldUpstreams.remove(id);
         if (changed) {
-            log.write(Event.notice(PART, coldNanos > 0 ? "Upstream is cold." : "Upstream is warm.")
+            log.write(Event.notice(LOG_PART, coldRemainingNanos > 0 ? "Upstream is cold." : "Upstream is warm.")
                     .with("upstream", id)
-                    .with("coldMs", TimeUnit.NANOSECONDS.toMillis(coldNanos)));
+                    .with("coldMs", TimeUnit.NANOSECONDS.toMillis(coldRemainingNanos)));
         }
     }
 
-    private void failed(Registration target, String reason, boolean unreachable) {
-        int count = failures.merge(target.id(), 1, Integer::sum);
-        if (unreachable || count >= SILENT_PROBES) {
+    private void probeFailed(Registration target, String reason, boolean unreachable) {
+        int count = consecutiveFailures.merge(target.id(), 1, Integer::sum);
+        if (unreachable || count >= UNREACHABLE_AFTER_FAILURES) {
             upstreams.recordReachability(target.id(), false);
             upstreams.observe(target.id(), Observation.unreachable(clock.nowNanos(), warmupNanos(target)));
             suspects.recordUpstreamLoss(target.id());
         }
         if (count == 1) {
-            log.write(Event.notice(PART, "Upstream does not answer.")
+            log.write(Event.notice(LOG_PART, "Upstream does not answer.")
                     .with("upstream", target.id())
                     .with("reason", reason)
                     .with("unreachable", unreachable));
@@ -234,7 +235,7 @@
         private final Registration target;
         private final List<Runnable> listeners = new ArrayList<>();
         private CallHandle handle = () -> {};
-        private ScheduledFuture<?> limit;
+        private ScheduledFuture<?> timeout;
         private boolean done;
 
         Probe(Registration target) {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/package-info.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/package-info.java
@@ -1,2 +1,2 @@
-/** Takes a request through its attempts to its one answer. */
+/** Forwards requests to upstreams, with retries and hedged requests. */
 package org.turmericspan.forwarding;
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeProtocol.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
@@ -7,9 +7,9 @@
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.UpstreamId;
 
-/** Headers with short names. */
-final class FakeProtocol implements CallProtocol {
-    static final String LEFT = "left";
+/** Call protocol with short header names. */
+final class FakeCallProtocol implements CallProtocol {
+    static final String REMAINING_MILLIS = "left";
     static final String EXPECTED = "expected";
 
     @Override
@@ -19,14 +19,14 @@
 
     @Override
     public OptionalLong deadlineMillis(HeaderList headers) {
-        return headers.first(LEFT)
+        return headers.first(REMAINING_MILLIS)
                 .map(text -> OptionalLong.of(Long.parseLong(text)))
                 .orElse(OptionalLong.empty());
     }
 
     @Override
-    public HeaderList attemptHeaders(HeaderList headers, long leftMillis, UpstreamId expected) {
-        return headers.with(LEFT, Long.toString(leftMillis)).with(EXPECTED, expected.value());
+    public HeaderList attemptHeaders(HeaderList headers, long remainingMillis, UpstreamId expected) {
+        return headers.with(REMAINING_MILLIS, Long.toString(remainingMillis)).with(EXPECTED, expected.value());
     }
 
     @Override
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeCaller.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeHttpCaller.java
@@ -12,33 +12,33 @@
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.SocketAddress;
 
-/** Keeps the calls, so that a test decides how each ends. */
-final class FakeCaller implements HttpCaller {
-    private final List<Sent> calls = new ArrayList<>();
+/** Records the calls, so that a test decides how each one ends. */
+final class FakeHttpCaller implements HttpCaller {
+    private final List<SentCall> calls = new ArrayList<>();
 
     @Override
     public CallHandle call(
             SocketAddress address, RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
-        Sent sent = new Sent(request, listener);
-        calls.add(sent);
-        return () -> sent.cancelled = true;
+        SentCall sentCall = new SentCall(request, listener);
+        calls.add(sentCall);
+        return () -> sentCall.cancelled = true;
     }
 
     int count() {
         return calls.size();
     }
 
-    Sent call(int index) {
+    SentCall call(int index) {
         return calls.get(index);
     }
 
-    /** One call. */
-    static final class Sent {
+    /** A recorded call, which the test completes. */
+    static final class SentCall {
         private final RequestMessage request;
         private final Consumer<CallEnd> listener;
         private boolean cancelled;
 
-        Sent(RequestMessage request, Consumer<CallEnd> listener) {
+        SentCall(RequestMessage request, Consumer<CallEnd> listener) {
             this.request = request;
             this.listener = listener;
         }
@@ -48,29 +48,29 @@
         }
 
         String upstream() {
-            return request.headers().first(FakeProtocol.EXPECTED).orElseThrow();
+            return request.headers().first(FakeCallProtocol.EXPECTED).orElseThrow();
         }
 
         boolean isCancelled() {
             return cancelled;
         }
 
-        void answer(int status) {
+        void respond(int status) {
             ResponseMessage plain = ResponseMessage.text(status, "text/plain", "answer " + status);
             listener.accept(new CallEnd.Answered(
                     new ResponseMessage(status, plain.headers().with("signed", "1"), plain.body())));
         }
 
-        void answerUnsigned(int status) {
+        void respondUnsigned(int status) {
             listener.accept(new CallEnd.Answered(ResponseMessage.text(status, "text/plain", "answer " + status)));
         }
 
-        void refuse(int status) {
+        void proveNotRun(int status) {
             listener.accept(new CallEnd.Answered(
                     new ResponseMessage(status, HeaderList.EMPTY.with("not-run", "1"), new byte[0])));
         }
 
-        void breakOff() {
+        void breakConnection() {
             listener.accept(new CallEnd.Broken("reset"));
         }
 
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeReply.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeReply.java
@@ -4,10 +4,10 @@
 import org.turmericspan.http.Reply;
 import org.turmericspan.http.ResponseMessage;
 
-/** Keeps the answer. */
+/** Records the response. */
 final class FakeReply implements Reply {
     private final ScheduledExecutorService worker;
-    private Runnable goneAction = () -> {};
+    private Runnable disconnectAction = () -> {};
     private ResponseMessage response;
 
     FakeReply(ScheduledExecutorService worker) {
@@ -15,16 +15,16 @@
     }
 
     @Override
-    public void send(ResponseMessage answer) {
+    public void send(ResponseMessage message) {
         if (response != null) {
-            throw new IllegalStateException("answered twice");
+            throw new IllegalStateException("The response was sent twice.");
         }
-        response = answer;
+        response = message;
     }
 
     @Override
     public void onCallerGone(Runnable action) {
-        goneAction = action;
+        disconnectAction = action;
     }
 
     @Override
@@ -32,11 +32,11 @@
         return worker;
     }
 
-    void leave() {
-        goneAction.run();
+    void disconnect() {
+        disconnectAction.run();
     }
 
-    boolean isAnswered() {
+    boolean hasResponse() {
         return response != null;
     }
 
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -40,8 +40,8 @@
 
     private final ManualClock clock = new ManualClock();
     private final ManualExecutor worker = new ManualExecutor(clock);
-    private final FakeCaller caller = new FakeCaller();
-    private final FakeLookup lookup = new FakeLookup();
+    private final FakeHttpCaller client = new FakeHttpCaller();
+    private final FakeLoadProber prober = new FakeLoadProber();
     private final FakeReply reply = new FakeReply(worker);
     private final ConfigurationHolder configuration = new ConfigurationHolder();
     private final SplittableRandom random = new SplittableRandom(1);
@@ -54,14 +54,14 @@
                     new WeightedRoundRobin(random),
                     new WindowedRetryBudget(RULES, () -> 1, clock),
                     new CrashSuspects(clock)),
-            caller,
-            new FakeProtocol(),
-            lookup,
-            new NoOutcomes(),
+            client,
+            new FakeCallProtocol(),
+            prober,
+            new NoMetrics(),
             clock,
             EventLog.none()));
 
-    private static final class NoOutcomes implements ForwardingMetrics {
+    private static final class NoMetrics implements ForwardingMetrics {
         @Override
         public void answered(ServiceId service, int status, long latencyNanos) {}
 
@@ -107,24 +107,27 @@
         send(path, "800", to);
     }
 
-    private void send(String path, String leftMillis, FakeReply to) {
-        HeaderList headers =
-                HeaderList.EMPTY.with("Host", "h:80").with("id", "r-1").with(FakeProtocol.LEFT, leftMillis);
+    private void send(String path, String remainingMillis, FakeReply to) {
+        HeaderList headers = HeaderList.EMPTY
+                .with("Host", "h:80")
+                .with("id", "r-1")
+                .with(FakeCallProtocol.REMAINING_MILLIS, remainingMillis);
         service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), to);
     }
 
     @Test
-    void answerIsPassedOnWhole() {
+    void completeResponseIsForwarded() {
         start(1, "/once/1");
-        caller.call(0).answer(200);
+        client.call(0).respond(200);
         assertThat(reply.status()).isEqualTo(200);
         assertThat(reply.response().body()).asString().isEqualTo("answer 200");
     }
 
     @Test
-    void upstreamGetsTheTimeThatIsLeft() {
+    void upstreamReceivesTheRemainingTime() {
         start(1, "/once/1");
-        assertThat(caller.call(0).request().headers().first(FakeProtocol.LEFT)).hasValue("800");
+        assertThat(client.call(0).request().headers().first(FakeCallProtocol.REMAINING_MILLIS))
+                .hasValue("800");
     }
 
     @Test
@@ -146,48 +149,48 @@
         send("/once/1");
         start(1, "/none");
         worker.advance(Duration.ofMillis(100));
-        assertThat(caller.count()).isEqualTo(1);
+        assertThat(client.count()).isEqualTo(1);
     }
 
     @Test
-    void nonIdempotentRequestIsNotRepeatedAfterABrokenConnection() {
+    void nonIdempotentRequestIsNotRetriedAfterABrokenConnection() {
         start(2, "/once/1");
-        caller.call(0).breakOff();
-        assertThat(caller.count()).isEqualTo(1);
+        client.call(0).breakConnection();
+        assertThat(client.count()).isEqualTo(1);
         assertThat(reply.status()).isEqualTo(502);
     }
 
     @Test
-    void nonIdempotentRequestIsRepeatedAfterProof() {
+    void nonIdempotentRequestIsRetriedWhenProvenNotRun() {
         start(2, "/once/1");
-        caller.call(0).refuse(503);
-        assertThat(caller.count()).isEqualTo(2);
-        assertThat(caller.call(1).upstream()).isNotEqualTo(caller.call(0).upstream());
-        caller.call(1).answer(200);
+        client.call(0).proveNotRun(503);
+        assertThat(client.count()).isEqualTo(2);
+        assertThat(client.call(1).upstream()).isNotEqualTo(client.call(0).upstream());
+        client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
     }
 
     @Test
-    void nonIdempotentFailureOfTheUpstreamIsItsAnswer() {
+    void serverErrorOfANonIdempotentRequestIsForwarded() {
         start(2, "/once/1");
-        caller.call(0).answer(500);
-        assertThat(caller.count()).isEqualTo(1);
+        client.call(0).respond(500);
+        assertThat(client.count()).isEqualTo(1);
         assertThat(reply.status()).isEqualTo(500);
     }
 
     @Test
     void successWithoutASignatureIsNeverPassedOn() {
         start(2, "/once/1");
-        caller.call(0).answerUnsigned(200);
-        assertThat(caller.count()).isEqualTo(1);
+        client.call(0).respondUnsigned(200);
+        assertThat(client.count()).isEqualTo(1);
         assertThat(reply.status()).isEqualTo(502);
     }
 
     @Test
     void idempotentRequestIsRepeatedAfterASuccessWithoutASignature() {
         start(2, "/safe/1");
-        caller.call(0).answerUnsigned(200);
-        caller.call(1).answer(200);
+        client.call(0).respondUnsigned(200);
+        client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
     }
 
@@ -195,7 +198,7 @@
     void nonIdempotentRequestIsNeverHedged() {
         start(2, "/once/1");
         worker.advance(Duration.ofMillis(700));
-        assertThat(caller.count()).isEqualTo(1);
+        assertThat(client.count()).isEqualTo(1);
     }
 
     @Test
@@ -203,89 +206,89 @@
         start(2, "/once/1");
         worker.advance(Duration.ofMillis(950));
         assertThat(reply.status()).isEqualTo(504);
-        assertThat(caller.call(0).isCancelled()).isFalse();
+        assertThat(client.call(0).isCancelled()).isFalse();
     }
 
     @Test
-    void idempotentRequestIsRepeatedAfterABrokenConnection() {
+    void idempotentRequestIsRetriedAfterABrokenConnection() {
         start(2, "/safe/1");
-        caller.call(0).breakOff();
-        caller.call(1).answer(200);
+        client.call(0).breakConnection();
+        client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
     }
 
     @Test
     void attemptsStayWithinTheRoutesMaximum() {
         start(4, "/safe/1");
-        caller.call(0).breakOff();
-        caller.call(1).breakOff();
-        assertThat(caller.count()).isEqualTo(2);
+        client.call(0).breakConnection();
+        client.call(1).breakConnection();
+        assertThat(client.count()).isEqualTo(2);
         assertThat(reply.status()).isEqualTo(502);
     }
 
     @Test
-    void refusedConnectionCountsAsNoAttempt() {
+    void refusedConnectionDoesNotCountAsAnAttempt() {
         start(4, "/once/1");
-        caller.call(0).failToConnect();
-        caller.call(1).failToConnect();
-        caller.call(2).answer(200);
+        client.call(0).failToConnect();
+        client.call(1).failToConnect();
+        client.call(2).respond(200);
         assertThat(reply.status()).isEqualTo(200);
     }
 
     @Test
-    void refusalByAllIsToldAsNotRun() {
+    void requestShedByAllUpstreamsIsReportedAsNotRun() {
         start(2, "/once/1");
-        caller.call(0).refuse(503);
-        caller.call(1).refuse(503);
+        client.call(0).proveNotRun(503);
+        client.call(1).proveNotRun(503);
         assertThat(reply.status()).isEqualTo(503);
         assertThat(reply.response().headers().first("Retry-After")).isPresent();
     }
 
     @Test
-    void lateIdempotentRequestIsHedgedAndTheLoserCancelled() {
+    void lateIdempotentRequestIsHedgedAndTheSlowerAttemptCancelled() {
         start(2, "/safe/1");
         worker.advance(Duration.ofMillis(400));
-        assertThat(caller.count()).isEqualTo(2);
-        caller.call(1).answer(200);
+        assertThat(client.count()).isEqualTo(2);
+        client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
-        assertThat(caller.call(0).isCancelled()).isTrue();
+        assertThat(client.call(0).isCancelled()).isTrue();
     }
 
     @Test
-    void upstreamThatTurnsSlowIsHedgedEarly() {
+    void requestIsHedgedEarlyWhenItsUpstreamSlowsDown() {
         start(2, "/safe/1");
         worker.advance(Duration.ofMillis(10));
         upstreams.observe(
-                new UpstreamId(caller.call(0).upstream()), new Observation(clock.nowNanos(), 1, 0, 400, 0, true, true));
+                new UpstreamId(client.call(0).upstream()), new Observation(clock.nowNanos(), 1, 0, 400, 0, true, true));
         worker.advance(Duration.ofMillis(100));
-        assertThat(caller.count()).isEqualTo(2);
+        assertThat(client.count()).isEqualTo(2);
     }
 
     @Test
-    void callerThatLeavesEndsAnIdempotentAttemptAtOnce() {
+    void callerDisconnectCancelsAnIdempotentAttemptImmediately() {
         start(2, "/safe/1");
-        reply.leave();
-        assertThat(caller.call(0).isCancelled()).isTrue();
+        reply.disconnect();
+        assertThat(client.call(0).isCancelled()).isTrue();
         worker.advance(Duration.ofSeconds(2));
-        assertThat(caller.count()).isEqualTo(1);
-        assertThat(reply.isAnswered()).isFalse();
+        assertThat(client.count()).isEqualTo(1);
+        assertThat(reply.hasResponse()).isFalse();
     }
 
     @Test
-    void noUpstreamIsToldSoonAsNotRun() {
+    void requestWithoutUpstreamsIsSoonReportedAsNotRun() {
         start(0, "/once/1");
         worker.advance(Duration.ofMillis(60));
         assertThat(reply.status()).isEqualTo(503);
     }
 
-    private void observe(String id, int slowPercent) {
-        upstreams.observe(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, slowPercent, 0, true, true));
+    private void observe(String id, int slowdownPercent) {
+        upstreams.observe(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, slowdownPercent, 0, true, true));
     }
 
-    /** Makes what is known of all upstreams old, and leaves questions to them open. */
-    private void ageKnowledge() {
+    /** Makes the load reports of all upstreams stale, and leaves probes of them in flight. */
+    private void makeLoadReportsStale() {
         worker.advance(Duration.ofMillis(200));
-        lookup.hold();
+        prober.hold();
     }
 
     @Test
@@ -293,195 +296,196 @@
         configure();
         add("u-0");
         add("u-1");
-        ageKnowledge();
+        makeLoadReportsStale();
         send("/once/1");
-        assertThat(caller.count()).isZero();
+        assertThat(client.count()).isZero();
         observe("u-0", 400);
-        lookup.end(new UpstreamId("u-0"));
+        prober.complete(new UpstreamId("u-0"));
         observe("u-1", 100);
-        lookup.end(new UpstreamId("u-1"));
-        assertThat(caller.call(0).upstream()).isEqualTo("u-1");
+        prober.complete(new UpstreamId("u-1"));
+        assertThat(client.call(0).upstream()).isEqualTo("u-1");
     }
 
     @Test
-    void firstGoodAnswerEndsTheWait() {
+    void firstGoodLoadReportEndsTheWait() {
         configure();
         add("u-0");
         add("u-1");
-        ageKnowledge();
+        makeLoadReportsStale();
         send("/once/1");
         observe("u-1", 100);
-        lookup.end(new UpstreamId("u-1"));
-        assertThat(caller.call(0).upstream()).isEqualTo("u-1");
-        lookup.end(new UpstreamId("u-0"));
-        assertThat(caller.count()).isEqualTo(1);
+        prober.complete(new UpstreamId("u-1"));
+        assertThat(client.call(0).upstream()).isEqualTo("u-1");
+        prober.complete(new UpstreamId("u-0"));
+        assertThat(client.count()).isEqualTo(1);
     }
 
     @Test
-    void silentUpstreamsDoNotHoldARequestUp() {
+    void unresponsiveUpstreamsDelayARequestOnlyBriefly() {
         configure();
         add("u-0");
-        ageKnowledge();
+        makeLoadReportsStale();
         send("/once/1");
         worker.advance(Duration.ofMillis(20));
-        assertThat(caller.count()).isEqualTo(1);
+        assertThat(client.count()).isEqualTo(1);
     }
 
     @Test
-    void callerThatLeavesWhileUpstreamsAreAskedCausesNoAttempt() {
+    void callerDisconnectDuringLoadProbesCausesNoAttempt() {
         configure();
         add("u-0");
-        ageKnowledge();
+        makeLoadReportsStale();
         send("/once/1");
-        reply.leave();
-        lookup.end(new UpstreamId("u-0"));
+        reply.disconnect();
+        prober.complete(new UpstreamId("u-0"));
         worker.advance(Duration.ofMillis(20));
-        assertThat(caller.count()).isZero();
+        assertThat(client.count()).isZero();
     }
 
     @Test
-    void requestWaitsAMomentForAnUpstreamThatIsInTime() {
+    void requestWaitsBrieflyForAnUpstreamThatRespondsInTime() {
         configure();
         add("u-0");
         worker.advance(Duration.ofMillis(1));
         observe("u-0", 900);
         send("/once/1");
-        assertThat(caller.count()).isZero();
+        assertThat(client.count()).isZero();
         worker.advance(Duration.ofMillis(1));
         observe("u-0", 100);
         worker.advance(Duration.ofMillis(10));
-        assertThat(caller.count()).isEqualTo(1);
+        assertThat(client.count()).isEqualTo(1);
     }
 
     @Test
-    void slowUpstreamIsUsedWhenNoOtherHasComeFree() {
+    void slowUpstreamIsUsedWhenNoOtherBecomesAvailable() {
         configure();
         add("u-0");
         worker.advance(Duration.ofMillis(1));
         observe("u-0", 900);
         send("/once/1");
         worker.advance(Duration.ofMillis(50));
-        assertThat(caller.count()).isEqualTo(1);
+        assertThat(client.count()).isEqualTo(1);
     }
 
     @Test
-    void timeSpentWaitingForTheConfigurationIsTakenFromTheDeadline() {
+    void waitForTheConfigurationIsSubtractedFromTheRemainingTime() {
         send("/once/1");
         worker.advance(Duration.ofMillis(100));
         configure();
         add("u-0");
         worker.advance(Duration.ofMillis(100));
-        assertThat(caller.call(0).request().headers().first(FakeProtocol.LEFT))
-                .hasValueSatisfying(left -> assertThat(Long.parseLong(left)).isLessThanOrEqualTo(700));
+        assertThat(client.call(0).request().headers().first(FakeCallProtocol.REMAINING_MILLIS))
+                .hasValueSatisfying(
+                        remaining -> assertThat(Long.parseLong(remaining)).isLessThanOrEqualTo(700));
     }
 
-    /** Sends another request, with an upstream beside the first that is up but slower, and returns who gets it. */
-    private String nextChoice(String path, int otherSlowPercent) {
+    /** Adds a second, slower upstream, sends another request and returns the upstream that receives it. */
+    private String upstreamOfNextRequest(String path, int otherSlowdownPercent) {
         add("u-1");
         clock.advance(Duration.ofMillis(1));
         observe("u-0", 100);
-        observe("u-1", otherSlowPercent);
-        int before = caller.count();
+        observe("u-1", otherSlowdownPercent);
+        int callsBefore = client.count();
         send(path);
         worker.advance(Duration.ofMillis(60));
-        return caller.call(before).upstream();
+        return client.call(callsBefore).upstream();
     }
 
     @Test
-    void upstreamWhoseAnswerWasOverdueWhenItsCallerLeftIsAvoided() {
+    void upstreamWithAnOverdueResponseAtCallerDisconnectIsAvoided() {
         start(1, "/safe/1");
         worker.advance(Duration.ofMillis(700));
-        reply.leave();
-        assertThat(nextChoice("/safe/2", 150)).isEqualTo("u-1");
+        reply.disconnect();
+        assertThat(upstreamOfNextRequest("/safe/2", 150)).isEqualTo("u-1");
     }
 
     @Test
-    void callerThatLeavesEarlySaysNothingOfTheUpstream() {
+    void earlyCallerDisconnectDoesNotCountAgainstTheUpstream() {
         start(1, "/safe/1");
         worker.advance(Duration.ofMillis(500));
-        reply.leave();
-        assertThat(nextChoice("/safe/2", 150)).isEqualTo("u-0");
+        reply.disconnect();
+        assertThat(upstreamOfNextRequest("/safe/2", 150)).isEqualTo("u-0");
     }
 
     @Test
-    void upstreamThatAnotherOneBeatsByFarIsAvoided() {
+    void upstreamOutrunByAnotherIsAvoided() {
         start(2, "/safe/1");
-        String beaten = caller.call(0).upstream();
+        String outrun = client.call(0).upstream();
         worker.advance(Duration.ofMillis(400));
-        caller.call(1).answer(200);
+        client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
         clock.advance(Duration.ofMillis(1));
-        observe("u-0", beaten.equals("u-0") ? 100 : 150);
-        observe("u-1", beaten.equals("u-1") ? 100 : 150);
+        observe("u-0", outrun.equals("u-0") ? 100 : 150);
+        observe("u-1", outrun.equals("u-1") ? 100 : 150);
         send("/safe/2");
-        assertThat(caller.call(2).upstream()).isNotEqualTo(beaten);
+        assertThat(client.call(2).upstream()).isNotEqualTo(outrun);
     }
 
     @Test
-    void upstreamThatOwesANonIdempotentAnswerIsAvoidedBeforeTheDeadline() {
+    void upstreamWithAnOverdueNonIdempotentResponseIsAvoidedBeforeTheDeadline() {
         start(1, "/once/1");
         worker.advance(Duration.ofMillis(650));
-        assertThat(reply.isAnswered()).isFalse();
-        assertThat(nextChoice("/once/2", 300)).isEqualTo("u-1");
+        assertThat(reply.hasResponse()).isFalse();
+        assertThat(upstreamOfNextRequest("/once/2", 300)).isEqualTo("u-1");
     }
 
     @Test
-    void lateAnswerOfAnOverdueAttemptIsDelivered() {
+    void lateResponseToAnOverdueAttemptIsForwarded() {
         start(1, "/once/1");
         worker.advance(Duration.ofMillis(700));
-        caller.call(0).answer(200);
+        client.call(0).respond(200);
         assertThat(reply.status()).isEqualTo(200);
     }
 
     @Test
-    void answerOfASlowUpstreamIsOverdueLater() {
+    void responseOfASlowUpstreamIsOverdueLater() {
         configure();
         add("u-0");
         worker.advance(Duration.ofMillis(1));
         observe("u-0", 200);
         send("/once/1");
         worker.advance(Duration.ofMillis(700));
-        assertThat(nextChoice("/once/2", 300)).isEqualTo("u-0");
+        assertThat(upstreamOfNextRequest("/once/2", 300)).isEqualTo("u-0");
     }
 
-    /** Lets the table learn that a request of the route takes 100 ms. */
-    private void learnLatency(String path) {
+    /** Records a typical latency of 100 ms for the route. */
+    private void recordTypicalLatency(String path) {
         start(1, path);
         worker.advance(Duration.ofMillis(100));
-        caller.call(0).answer(200);
+        client.call(0).respond(200);
     }
 
     @Test
-    void requestThatNoUpstreamCanEndBeforeItsDeadlineIsRefusedAsNotRun() {
-        learnLatency("/once/1");
+    void requestThatNoUpstreamCanCompleteBeforeItsDeadlineIsRefusedAsNotRun() {
+        recordTypicalLatency("/once/1");
         observe("u-0", 1_200);
         FakeReply second = new FakeReply(worker);
         send("/once/2", second);
         worker.advance(Duration.ofMillis(60));
-        assertThat(caller.count()).isEqualTo(1);
+        assertThat(client.count()).isEqualTo(1);
         assertThat(second.status()).isEqualTo(503);
         assertThat(second.response().headers().first("Retry-After")).isPresent();
     }
 
     @Test
-    void requestThatASlowUpstreamEndsBeforeItsDeadlineIsSent() {
-        learnLatency("/once/1");
+    void requestThatASlowUpstreamCanCompleteBeforeItsDeadlineIsSent() {
+        recordTypicalLatency("/once/1");
         observe("u-0", 600);
         send("/once/2", new FakeReply(worker));
         worker.advance(Duration.ofMillis(60));
-        assertThat(caller.count()).isEqualTo(2);
+        assertThat(client.count()).isEqualTo(2);
     }
 
     @Test
-    void upstreamAtItsUsualSpeedIsTriedThoughTheRouteWasSlowerThanTheDeadline() {
+    void upstreamAtItsBaselineLatencyIsTriedAlthoughTheRouteWasSlowerThanTheDeadline() {
         start(1, "/safe/1");
         worker.advance(Duration.ofMillis(790));
-        caller.call(0).answer(200);
+        client.call(0).respond(200);
         observe("u-0", 100);
         worker.advance(Duration.ofMillis(100));
         observe("u-0", 110);
         send("/safe/2", "400", new FakeReply(worker));
         worker.advance(Duration.ofMillis(60));
-        assertThat(caller.count()).isEqualTo(2);
+        assertThat(client.count()).isEqualTo(2);
     }
 }
--- a/forwarding/src/test/java/org/turmericspan/forwarding/HedgeRuleTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/HedgeRuleTest.java
@@ -9,12 +9,12 @@
     private static final int SLOW = 400;
 
     @Test
-    void upstreamThatTurnedSlowEarlyIsHedged() {
+    void earlyAttemptAtSlowUpstreamIsHedged() {
         assertThat(HedgeRule.isWorthwhile(0.3, SLOW)).isTrue();
     }
 
     @Test
-    void upstreamThatTurnedSlowNearTheEndIsLeftAlone() {
+    void nearlyFinishedAttemptAtSlowUpstreamIsNotHedged() {
         assertThat(HedgeRule.isWorthwhile(0.9, SLOW)).isFalse();
     }
 
@@ -24,19 +24,19 @@
     }
 
     @Test
-    void longRequestAtFastUpstreamIsLeftAlone() {
+    void longRequestAtFastUpstreamIsNotHedged() {
         assertThat(HedgeRule.isWorthwhile(1.4, FAST)).isFalse();
     }
 
     @Test
-    void answerThatIsFarTooLateIsHedgedThoughTheUpstreamIsFast() {
+    void veryLateAttemptAtFastUpstreamIsHedged() {
         assertThat(HedgeRule.isWorthwhile(2.0, FAST)).isTrue();
     }
 
     @Test
-    void looksPauseWhileAHedgeWouldNotBeWorthwhile() {
-        assertThat(HedgeRule.nextLook(0.3)).isEqualTo(0.55);
-        assertThat(HedgeRule.nextLook(0.55)).isEqualTo(1.35);
-        assertThat(HedgeRule.nextLook(1.35)).isGreaterThan(1.5);
+    void noCheckTakesPlaceWhileAHedgeIsNotWorthwhile() {
+        assertThat(HedgeRule.nextCheckAge(0.3)).isEqualTo(0.55);
+        assertThat(HedgeRule.nextCheckAge(0.55)).isEqualTo(1.35);
+        assertThat(HedgeRule.nextCheckAge(1.35)).isGreaterThan(1.5);
     }
 }
