Say in the terms of the field how retries are limited

Cause: the budget earned, saved and spent repeats, samples faded, upstreams died, requests were of a kind and ran alone or on trial by right, and nodes shared news.

Change, old -> new: - types: RetryShare -> RetryBudgetPercent, LatencyWindow -> LatencyHistogram - RetryBudgetTable: earn -> refill, savedPercent -> tokensPercent, MAX_SAVED_REPEATS -> MAX_TOKENS, spent, refused -> admitted, rejected - LatencyHistogram: fade -> decay, WINDOW -> MAX_SAMPLES - HedgePolicy: SHORTEST_STALL -> MIN_STALL, UNKNOWN_LATENCY -> DEFAULT_LATENCY - SuspectTable, Suspicion, LostConnections: makeRoom -> evictOldest, diedAlone -> crashedInIsolation, MOST_LOST -> QUARANTINE_CRASHES, MEMORY -> RETENTION, untilNanos -> expiresAtNanos - TrialPermit: its doc speaks of a permit that is held and released - test names say case and outcome

--- a/retry/src/main/java/org/turmericspan/retry/Fingerprint.java
+++ b/retry/src/main/java/org/turmericspan/retry/Fingerprint.java
@@ -7,9 +7,9 @@
 import org.turmericspan.calls.CallRequest;
 
 /**
- * Digest of what makes requests alike: service, method, path and body.
+ * Hash of the service, method, path and body of a request. Equal requests have equal fingerprints.
  *
- * @param value first 64 bits of a cryptographic digest, so that nobody can forge a likeness
+ * @param value first 64 bits of a cryptographic hash, so that a request cannot be crafted to match another
  */
 public record Fingerprint(long value) {
     private static final String ALGORITHM = "SHA-256";
@@ -19,7 +19,7 @@
      * Computes the fingerprint of a request.
      *
      * @param request the request
-     * @return equal for requests that are alike, on every node
+     * @return the fingerprint, which is the same on every node
      */
     public static Fingerprint of(CallRequest request) {
         MessageDigest digest = digest();
@@ -39,7 +39,7 @@
         try {
             return MessageDigest.getInstance(ALGORITHM);
         } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("Every Java platform has " + ALGORITHM, e);
+            throw new IllegalStateException("Every Java platform must support " + ALGORITHM, e);
         }
     }
 
--- a/retry/src/main/java/org/turmericspan/retry/HedgePolicy.java
+++ b/retry/src/main/java/org/turmericspan/retry/HedgePolicy.java
@@ -4,20 +4,20 @@
 import java.util.OptionalLong;
 import org.turmericspan.calls.CallRequest;
 
-/** Decides when a call that has no answer yet is sent to a second upstream as well. */
+/** Decides when a call without a response so far is also sent to a second upstream. */
 @FunctionalInterface
 public interface HedgePolicy {
-    /** Shortest time without an answer that counts as a stall. */
-    Duration SHORTEST_STALL = Duration.ofMillis(200);
+    /** Minimum time without a response after which an attempt counts as stalled. */
+    Duration MIN_STALL = Duration.ofMillis(200);
 
-    /** Latency assumed while too few calls were seen. */
-    Duration UNKNOWN_LATENCY = Duration.ofMillis(250);
+    /** Latency assumed until enough calls have been recorded. */
+    Duration DEFAULT_LATENCY = Duration.ofMillis(250);
 
-    /** Multiple of the usual latency that counts as a stall. */
+    /** Multiple of the latency quantile after which an attempt counts as stalled. */
     int STALL_FACTOR = 4;
 
     /**
-     * Decides at the moment the first attempt is sent. The budget is asked when the delay has passed.
+     * Returns the hedging delay of a call when its first attempt is sent. The retry budget is checked after the delay.
      *
      * @param request the call
      * @return nanoseconds after which to hedge, or empty for never
@@ -34,9 +34,9 @@
     }
 
     /**
-     * Returns the policy that hedges an idempotent call that is slower than most of its service.
+     * Returns the policy that hedges an idempotent call once it exceeds a latency quantile of its service.
      *
-     * @param quantile says what most are
+     * @param quantile the latency quantile after which to hedge
      * @return the policy
      */
     static HedgePolicy afterQuantile(LatencyQuantile quantile) {
@@ -46,10 +46,10 @@
     }
 
     /**
-     * Returns the policy that tries another upstream only when an idempotent call has had no answer for so long that
-     * its connection may be silent.
+     * Returns the policy that hedges an idempotent call only when it has had no response for so long that its
+     * connection may be unresponsive.
      *
-     * @param quantile latencies that hardly any call exceeds
+     * @param quantile a high latency quantile, which hardly any call exceeds
      * @return the policy
      */
     static HedgePolicy whenStalled(LatencyQuantile quantile) {
@@ -57,8 +57,8 @@
             if (!request.idempotent() || request.retried()) {
                 return OptionalLong.empty();
             }
-            long usualNanos = quantile.quantileNanos(request.service()).orElse(UNKNOWN_LATENCY.toNanos());
-            return OptionalLong.of(Math.max(SHORTEST_STALL.toNanos(), STALL_FACTOR * usualNanos));
+            long latencyNanos = quantile.quantileNanos(request.service()).orElse(DEFAULT_LATENCY.toNanos());
+            return OptionalLong.of(Math.max(MIN_STALL.toNanos(), STALL_FACTOR * latencyNanos));
         };
     }
 }
--- a/retry/src/main/java/org/turmericspan/retry/LatencyWindow.java
+++ b/retry/src/main/java/org/turmericspan/retry/LatencyHistogram.java
@@ -3,22 +3,22 @@
 import java.util.OptionalLong;
 
 /**
- * Histogram of recent latencies with buckets an eighth apart. Old samples fade: whenever the window is full, every
- * count is halved.
+ * Histogram of recent latencies, in which each power of two is divided into eight buckets. Old samples decay
+ * exponentially: whenever the histogram holds {@value #MAX_SAMPLES} samples, every count is halved.
  */
-final class LatencyWindow {
+final class LatencyHistogram {
     private static final int SUB_BITS = 3;
     private static final int SUB_BUCKETS = 1 << SUB_BITS;
     private static final int BUCKETS = (Long.SIZE - SUB_BITS) * SUB_BUCKETS;
-    private static final int WINDOW = 2_000;
+    private static final int MAX_SAMPLES = 2_000;
     private static final int MIN_SAMPLES = 100;
 
     private final int[] counts = new int[BUCKETS];
     private int total;
 
     void record(long nanos) {
-        if (total >= WINDOW) {
-            fade();
+        if (total >= MAX_SAMPLES) {
+            decay();
         }
         counts[bucket(Math.max(0, nanos))]++;
         total++;
@@ -39,7 +39,7 @@
         return OptionalLong.empty();
     }
 
-    private void fade() {
+    private void decay() {
         total = 0;
         for (int bucket = 0; bucket < BUCKETS; bucket++) {
             counts[bucket] /= 2;
@@ -52,8 +52,8 @@
             return (int) nanos;
         }
         int shift = Long.SIZE - 1 - SUB_BITS - Long.numberOfLeadingZeros(nanos);
-        int sub = (int) (nanos >>> shift) - SUB_BUCKETS;
-        return (shift + 1) * SUB_BUCKETS + sub;
+        int subBucket = (int) (nanos >>> shift) - SUB_BUCKETS;
+        return (shift + 1) * SUB_BUCKETS + subBucket;
     }
 
     private static long upperBound(int bucket) {
--- a/retry/src/main/java/org/turmericspan/retry/LatencyQuantile.java
+++ b/retry/src/main/java/org/turmericspan/retry/LatencyQuantile.java
@@ -3,14 +3,14 @@
 import java.util.OptionalLong;
 import org.turmericspan.ids.ServiceId;
 
-/** Tells a quantile of the recent latencies of a service. */
+/** Estimates a fixed quantile of the recent latencies of a service. */
 @FunctionalInterface
 public interface LatencyQuantile {
     /**
-     * Returns the quantile the source was built for.
+     * Returns the quantile.
      *
      * @param service the service
-     * @return nanoseconds from the first byte sent to the whole answer, or empty while too little is known
+     * @return nanoseconds from the first byte sent to the complete response, or empty while there are too few samples
      */
     OptionalLong quantileNanos(ServiceId service);
 }
--- a/retry/src/main/java/org/turmericspan/retry/LatencyTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/LatencyTable.java
@@ -8,33 +8,34 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Recent latencies of whole answers, per service. */
+/** Recent latencies of complete responses, per service. */
 public final class LatencyTable {
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
-    private final Map<ServiceId, LatencyWindow> windows = new HashMap<>();
+    private final Map<ServiceId, LatencyHistogram> histograms = new HashMap<>();
 
     /**
-     * Takes in one whole answer.
+     * Records the latency of one complete response.
      *
      * @param service service called
-     * @param elapsed from the first byte sent to the whole answer
+     * @param elapsed time from the first byte sent to the complete response
      */
     public void record(ServiceId service, Duration elapsed) {
         long nanos = elapsed.toNanos();
-        lock.run(() ->
-                windows.computeIfAbsent(service, key -> new LatencyWindow()).record(nanos));
+        lock.run(() -> histograms
+                .computeIfAbsent(service, key -> new LatencyHistogram())
+                .record(nanos));
     }
 
     /**
-     * Builds a source of one quantile.
+     * Returns an estimator of one quantile.
      *
-     * @param quantile between 0 and 1
-     * @return the source
+     * @param quantile the quantile, between 0 and 1
+     * @return the estimator, which reflects later samples too
      */
     public LatencyQuantile quantile(double quantile) {
         return service -> lock.compute(() -> {
-            LatencyWindow window = windows.get(service);
-            return window == null ? OptionalLong.empty() : window.quantileNanos(quantile);
+            LatencyHistogram histogram = histograms.get(service);
+            return histogram == null ? OptionalLong.empty() : histogram.quantileNanos(quantile);
         });
     }
 }
--- a/retry/src/main/java/org/turmericspan/retry/LostConnections.java
+++ b/retry/src/main/java/org/turmericspan/retry/LostConnections.java
@@ -11,10 +11,10 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Requests that lost their connection to an upstream of which it is not known yet whether it died. Bounded. */
+/** Bounded list of requests that lost the connection to their upstream, when it is not known whether it crashed. */
 public final class LostConnections {
-    private static final int MAX_LOST = 256;
-    private static final Duration MEMORY = Duration.ofSeconds(10);
+    private static final int MAX_ENTRIES = 256;
+    private static final Duration RETENTION = Duration.ofSeconds(10);
 
     private final RankedLock lock = new RankedLock(LockRank.SUSPECTS);
     private final List<Entry> entries = new LinkedList<>();
@@ -22,16 +22,16 @@
     private Optional<Fingerprint> onTrial = Optional.empty();
 
     /**
-     * Creates an empty memory.
+     * Creates an empty list.
      *
-     * @param clock measures age
+     * @param clock source of monotonic time
      */
     public LostConnections(MonotonicClock clock) {
         this.clock = clock;
     }
 
     /**
-     * Notes that a suspect runs alone from this node.
+     * Records that this node has started the isolated trial of a suspect.
      *
      * @param fingerprint the suspect
      */
@@ -39,70 +39,70 @@
         lock.run(() -> onTrial = Optional.of(fingerprint));
     }
 
-    /** Notes that the suspect has run. */
+    /** Records that the isolated trial has ended. */
     public void endTrial() {
         lock.run(() -> onTrial = Optional.empty());
     }
 
     /**
-     * Tells whether a suspect runs alone from this node.
+     * Returns whether this node runs the isolated trial of a suspect.
      *
      * @param fingerprint the suspect
-     * @return true between the begin and the end of its trial
+     * @return true between the start and the end of its trial
      */
     public boolean isOnTrial(Fingerprint fingerprint) {
         return lock.compute(() -> onTrial.filter(fingerprint::equals).isPresent());
     }
 
     /**
-     * Notes a lost connection.
+     * Records a lost connection.
      *
      * @param upstream the upstream
-     * @param fingerprint kind of the request that ran
+     * @param fingerprint fingerprint of the request that was running
      */
     public void add(UpstreamId upstream, Fingerprint fingerprint) {
         long nowNanos = clock.nowNanos();
         lock.run(() -> {
             boolean wasOnTrial = onTrial.filter(fingerprint::equals).isPresent();
-            entries.add(new Entry(upstream, new LostRequest(fingerprint, wasOnTrial), nowNanos + MEMORY.toNanos()));
-            if (entries.size() > MAX_LOST) {
+            entries.add(new Entry(upstream, new LostRequest(fingerprint, wasOnTrial), nowNanos + RETENTION.toNanos()));
+            if (entries.size() > MAX_ENTRIES) {
                 entries.remove(0);
             }
         });
     }
 
     /**
-     * Takes out what was lost on one upstream.
+     * Removes and returns the requests that lost their connection to an upstream.
      *
      * @param upstream the upstream
-     * @return requests lost there of late
+     * @return the requests that lost it within the retention time
      */
     public List<LostRequest> drain(UpstreamId upstream) {
         long nowNanos = clock.nowNanos();
         return lock.compute(() -> {
-            List<LostRequest> taken = new ArrayList<>();
+            List<LostRequest> drained = new ArrayList<>();
             Iterator<Entry> iterator = entries.iterator();
             while (iterator.hasNext()) {
                 Entry entry = iterator.next();
-                boolean isFresh = nowNanos < entry.untilNanos;
-                if (isFresh && entry.upstream.equals(upstream)) {
-                    taken.add(entry.lostRequest);
+                boolean isCurrent = nowNanos < entry.expiresAtNanos;
+                if (isCurrent && entry.upstream.equals(upstream)) {
+                    drained.add(entry.lostRequest);
                 }
-                if (!isFresh || entry.upstream.equals(upstream)) {
+                if (!isCurrent || entry.upstream.equals(upstream)) {
                     iterator.remove();
                 }
             }
-            return taken;
+            return drained;
         });
     }
 
     /**
-     * A request that lost its connection.
+     * A request that lost its connection to an upstream.
      *
-     * @param fingerprint its kind
-     * @param wasOnTrial whether it ran as a suspect
+     * @param fingerprint fingerprint of the request
+     * @param wasOnTrial whether the request ran in an isolated trial
      */
     public record LostRequest(Fingerprint fingerprint, boolean wasOnTrial) {}
 
-    private record Entry(UpstreamId upstream, LostRequest lostRequest, long untilNanos) {}
+    private record Entry(UpstreamId upstream, LostRequest lostRequest, long expiresAtNanos) {}
 }
--- a/retry/src/main/java/org/turmericspan/retry/RetryBudget.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryBudget.java
@@ -2,19 +2,19 @@
 
 import org.turmericspan.ids.ServiceId;
 
-/** Bounds retries and hedges to a share of the calls. */
+/** Limits retries and hedges to a percentage of the calls. */
 @FunctionalInterface
 public interface RetryBudget {
     /**
-     * Takes one repeat out of the budget.
+     * Acquires the permission for one retry or hedge.
      *
      * @param service service called
-     * @return false when the budget is used up
+     * @return false when the budget is exhausted
      */
     boolean tryAcquire(ServiceId service);
 
     /**
-     * Returns the budget without a bound, for tests and comparisons.
+     * Returns a budget without a limit, for tests and comparisons.
      *
      * @return the budget
      */
--- a/retry/src/main/java/org/turmericspan/retry/RetryShare.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryBudgetPercent.java
@@ -2,14 +2,14 @@
 
 import org.turmericspan.ids.ServiceId;
 
-/** Tells how many retries and hedges a service's operators allow. */
+/** Provides the configured retry budget of a service. */
 @FunctionalInterface
-public interface RetryShare {
+public interface RetryBudgetPercent {
     /**
-     * Returns the share.
+     * Returns the budget.
      *
      * @param service the service
-     * @return retries and hedges, in percent of calls
+     * @return maximum retries and hedges, in percent of calls
      */
     int percent(ServiceId service);
 }
--- a/retry/src/main/java/org/turmericspan/retry/RetryBudgetTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryBudgetTable.java
@@ -8,32 +8,36 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Token buckets of the services: each call earns the agreed share of a repeat, each repeat spends a whole one. */
+/**
+ * Token buckets, one per service. Each call adds the configured fraction of a token; each retry or hedge takes one
+ * token.
+ */
 public final class RetryBudgetTable implements RetryBudget {
     private static final int PERCENT = 100;
-    private static final int MAX_SAVED_REPEATS = 10;
+    private static final int MAX_TOKENS = 10;
 
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
     private final Map<ServiceId, Bucket> buckets = new HashMap<>();
-    private final RetryShare share;
+    private final RetryBudgetPercent budgetPercent;
 
     /**
-     * Creates a table without savings, so that repeats never exceed their share of the calls seen.
+     * Creates a table with empty buckets, so that retries and hedges never exceed the configured percentage of
+     * the calls.
      *
-     * @param share what the operators allow
+     * @param budgetPercent configured budget of each service
      */
-    public RetryBudgetTable(RetryShare share) {
-        this.share = share;
+    public RetryBudgetTable(RetryBudgetPercent budgetPercent) {
+        this.budgetPercent = budgetPercent;
     }
 
     /**
-     * Counts one call, which earns its share of a repeat.
+     * Records one call, which refills the bucket of its service by the configured fraction of a token.
      *
      * @param service service called
      */
     public void recordCall(ServiceId service) {
-        int percent = share.percent(service);
-        lock.run(() -> bucket(service).earn(percent));
+        int percent = budgetPercent.percent(service);
+        lock.run(() -> bucket(service).refill(percent));
     }
 
     @Override
@@ -42,9 +46,9 @@
     }
 
     /**
-     * Describes the buckets.
+     * Returns the state of the buckets.
      *
-     * @return state of each service, in the order of their names
+     * @return one state per service, ordered by name
      */
     public List<BudgetState> dump() {
         return lock.compute(() -> buckets.entrySet().stream()
@@ -58,39 +62,39 @@
     }
 
     /**
-     * State of one budget.
+     * State of the retry budget of one service.
      *
-     * @param service its service
-     * @param calls calls counted
-     * @param admitted repeats made
-     * @param rejected repeats refused because the budget was used up
-     * @param available repeats that could be made now
+     * @param service the service
+     * @param calls calls recorded
+     * @param admitted retries and hedges admitted
+     * @param rejected retries and hedges rejected because the budget was exhausted
+     * @param available tokens available
      */
     public record BudgetState(ServiceId service, long calls, long admitted, long rejected, double available) {}
 
     private static final class Bucket {
-        private long savedPercent;
+        private long tokensPercent;
         private long calls;
-        private long spent;
-        private long refused;
+        private long admitted;
+        private long rejected;
 
-        void earn(int percent) {
+        void refill(int percent) {
             calls++;
-            savedPercent = Math.min(savedPercent + percent, (long) MAX_SAVED_REPEATS * PERCENT);
+            tokensPercent = Math.min(tokensPercent + percent, (long) MAX_TOKENS * PERCENT);
         }
 
         boolean tryAcquire() {
-            if (savedPercent < PERCENT) {
-                refused++;
+            if (tokensPercent < PERCENT) {
+                rejected++;
                 return false;
             }
-            savedPercent -= PERCENT;
-            spent++;
+            tokensPercent -= PERCENT;
+            admitted++;
             return true;
         }
 
         BudgetState describe(ServiceId service) {
-            return new BudgetState(service, calls, spent, refused, (double) savedPercent / PERCENT);
+            return new BudgetState(service, calls, admitted, rejected, (double) tokensPercent / PERCENT);
         }
     }
 }
--- a/retry/src/main/java/org/turmericspan/retry/RetryPolicy.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryPolicy.java
@@ -2,17 +2,17 @@
 
 import org.turmericspan.calls.AttemptOutcome;
 
-/** Decides whether a failed attempt is tried again on another upstream, as far as the call itself allows. */
+/** Decides whether a call may be retried on another upstream after a failed attempt, apart from the retry budget. */
 @FunctionalInterface
 public interface RetryPolicy {
-    /** Retries and hedges one call may have. */
+    /** Maximum number of retries and hedges of one call. */
     int MAX_EXTRA_ATTEMPTS = 2;
 
     /**
-     * Decides on one failed attempt. The budget is asked afterwards.
+     * Decides on one failed attempt. The retry budget is checked afterwards.
      *
-     * @param failed the attempt
-     * @return true when another attempt is safe and of use
+     * @param failed the failed attempt
+     * @return true when another attempt is safe and useful
      */
     boolean allows(FailedAttempt failed);
 
@@ -26,11 +26,12 @@
     }
 
     /**
-     * Returns the policy that retries what cannot run twice by it: an idempotent request after any failure, another
-     * one only with proof that it did not run. A call retried above is not retried again, nor is one that failed on a
-     * cold upstream, since its next attempt would go where the cold upstream's share went.
+     * Returns the policy that retries a call only if this is safe: an idempotent request after any transient failure,
+     * any other request only with proof that it did not run. A call that was already retried at a higher level is not
+     * retried again. Neither is one that failed on a cold upstream, because the retry would go to the upstreams that
+     * already serve the cold upstream's share of the load.
      *
-     * @param quantile recent latencies, which say whether the time left is enough
+     * @param quantile latency for which the remaining time must be sufficient
      * @return the policy
      */
     static RetryPolicy whenSafe(LatencyQuantile quantile) {
@@ -42,8 +43,8 @@
     private static boolean isSafe(FailedAttempt failed) {
         AttemptOutcome outcome = failed.outcome();
         boolean isFirst = !failed.request().retried() && failed.extraAttempts() < MAX_EXTRA_ATTEMPTS;
-        boolean mayRepeat = failed.request().idempotent() || !outcome.mayHaveRun();
-        return isFirst && mayRepeat && !outcome.signals().cold() && isTransient(outcome.kind());
+        boolean mayRunAgain = failed.request().idempotent() || !outcome.mayHaveRun();
+        return isFirst && mayRunAgain && !outcome.signals().cold() && isTransient(outcome.kind());
     }
 
     private static boolean isTransient(AttemptOutcome.Kind kind) {
--- a/retry/src/main/java/org/turmericspan/retry/SuspectTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/SuspectTable.java
@@ -13,11 +13,11 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Kinds of requests suspected of crashing upstreams. Bounded: the oldest suspicion makes room for a new one. */
+/** Bounded table of request fingerprints suspected of crashing upstreams. A full table evicts its oldest entry. */
 public final class SuspectTable {
     private static final int MAX_SUSPECTS = 256;
-    private static final Duration SUSPICION = Duration.ofMinutes(1);
-    private static final Duration QUARANTINE = Duration.ofMinutes(10);
+    private static final Duration SUSPICION_DURATION = Duration.ofMinutes(1);
+    private static final Duration QUARANTINE_DURATION = Duration.ofMinutes(10);
 
     private final RankedLock lock = new RankedLock(LockRank.SUSPECTS);
     private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>();
@@ -27,14 +27,14 @@
     /**
      * Creates an empty table.
      *
-     * @param clock measures how long suspicions last
+     * @param clock source of monotonic time
      */
     public SuspectTable(MonotonicClock clock) {
         this.clock = clock;
     }
 
     /**
-     * Tells without a lock whether nothing is suspected, so that the usual call pays nothing.
+     * Returns whether there is no suspicion. It takes no lock, to keep the common case cheap.
      *
      * @return true when there is no suspicion
      */
@@ -43,9 +43,9 @@
     }
 
     /**
-     * Looks up a kind of request.
+     * Looks up a suspicion.
      *
-     * @param fingerprint the kind of request
+     * @param fingerprint fingerprint of the request
      * @return the suspicion, or empty when there is none
      */
     public Optional<Suspicion> find(Fingerprint fingerprint) {
@@ -57,28 +57,29 @@
     }
 
     /**
-     * Takes in the death of an upstream.
+     * Records the crash of an upstream.
      *
-     * @param fingerprint kind of a request that ran there
+     * @param fingerprint fingerprint of a request that was running there
      * @param upstream the upstream
-     * @param wasAlone whether the request was on trial
-     * @return the suspicion to share
+     * @param inIsolation whether the request ran in an isolated trial
+     * @return the suspicion to share with other nodes
      */
-    public Suspicion recordCrash(Fingerprint fingerprint, UpstreamId upstream, boolean wasAlone) {
-        return merge(new Suspicion(fingerprint, Set.of(upstream), wasAlone, SUSPICION))
+    public Suspicion recordCrash(Fingerprint fingerprint, UpstreamId upstream, boolean inIsolation) {
+        return merge(new Suspicion(fingerprint, Set.of(upstream), inIsolation, SUSPICION_DURATION))
                 .orElseThrow();
     }
 
     /**
-     * Takes in an answer to a suspected kind of request, which clears it unless an upstream died that ran it alone.
+     * Records a response to a suspected request, which clears the suspicion unless an upstream crashed in an isolated
+     * trial of the request.
      *
-     * @param fingerprint the kind of request
-     * @return the news to share, or empty when there is none
+     * @param fingerprint fingerprint of the request
+     * @return the update to share with other nodes, or empty when nothing changed
      */
     public Optional<Suspicion> recordResponse(Fingerprint fingerprint) {
         return lock.compute(() -> {
             Entry entry = entries.get(fingerprint);
-            if (entry == null || entry.diedAlone) {
+            if (entry == null || entry.crashedInIsolation) {
                 return Optional.empty();
             }
             entries.remove(fingerprint);
@@ -88,31 +89,31 @@
     }
 
     /**
-     * Takes in what another node shared.
+     * Merges an update from another node.
      *
-     * @param news a suspicion, or that one is cleared
-     * @return what is known now, or empty when nothing is suspected
+     * @param update a suspicion, or the clearing of one
+     * @return the resulting suspicion, or empty when it is cleared
      */
-    public Optional<Suspicion> merge(Suspicion news) {
-        if (news.isCleared()) {
-            recordResponse(news.fingerprint());
+    public Optional<Suspicion> merge(Suspicion update) {
+        if (update.isCleared()) {
+            recordResponse(update.fingerprint());
             return Optional.empty();
         }
         long nowNanos = clock.nowNanos();
         return lock.compute(() -> {
             expire(nowNanos);
-            Entry entry = entries.computeIfAbsent(news.fingerprint(), key -> new Entry());
-            entry.add(news, nowNanos);
-            makeRoom();
+            Entry entry = entries.computeIfAbsent(update.fingerprint(), key -> new Entry());
+            entry.add(update, nowNanos);
+            evictOldest();
             isEmpty = entries.isEmpty();
-            return Optional.of(entry.describe(news.fingerprint(), nowNanos));
+            return Optional.of(entry.describe(update.fingerprint(), nowNanos));
         });
     }
 
     /**
-     * Describes the table.
+     * Returns the contents of the table.
      *
-     * @return the suspicions, the oldest first
+     * @return the suspicions, oldest first
      */
     public List<Suspicion> dump() {
         long nowNanos = clock.nowNanos();
@@ -125,11 +126,11 @@
     }
 
     private void expire(long nowNanos) {
-        entries.values().removeIf(entry -> entry.untilNanos <= nowNanos);
+        entries.values().removeIf(entry -> entry.expiresAtNanos <= nowNanos);
         isEmpty = entries.isEmpty();
     }
 
-    private void makeRoom() {
+    private void evictOldest() {
         Iterator<Entry> oldest = entries.values().iterator();
         while (entries.size() > MAX_SUSPECTS) {
             oldest.next();
@@ -138,20 +139,28 @@
     }
 
     private static final class Entry {
-        private final Set<UpstreamId> lost = new HashSet<>();
-        private boolean diedAlone;
-        private long untilNanos = Long.MIN_VALUE;
-
-        void add(Suspicion news, long nowNanos) {
-            lost.addAll(news.crashedUpstreams());
-            diedAlone |= news.crashedInIsolation();
-            boolean isQuarantined = describe(news.fingerprint(), nowNanos).isQuarantined();
-            Duration span = isQuarantined && news.remaining().compareTo(SUSPICION) <= 0 ? QUARANTINE : news.remaining();
-            untilNanos = Math.max(untilNanos, nowNanos + min(span, QUARANTINE).toNanos());
+        private final Set<UpstreamId> crashedUpstreams = new HashSet<>();
+        private boolean crashedInIsolation;
+        private long expiresAtNanos = Long.MIN_VALUE;
+
+        void add(Suspicion update, long nowNanos) {
+            crashedUpstreams.addAll(update.crashedUpstreams());
+            crashedInIsolation |= update.crashedInIsolation();
+            boolean isQuarantined = describe(update.fingerprint(), nowNanos).isQuarantined();
+            Duration duration = isQuarantined && update.remaining().compareTo(SUSPICION_DURATION) <= 0
+                    ? QUARANTINE_DURATION
+                    : update.remaining();
+            expiresAtNanos = Math.max(
+                    expiresAtNanos,
+                    nowNanos + min(duration, QUARANTINE_DURATION).toNanos());
         }
 
         Suspicion describe(Fingerprint fingerprint, long nowNanos) {
-            return new Suspicion(fingerprint, lost, diedAlone, Duration.ofNanos(Math.max(0, untilNanos - nowNanos)));
+            return new Suspicion(
+                    fingerprint,
+                    crashedUpstreams,
+                    crashedInIsolation,
+                    Duration.ofNanos(Math.max(0, expiresAtNanos - nowNanos)));
         }
 
         private static Duration min(Duration one, Duration other) {
--- a/retry/src/main/java/org/turmericspan/retry/Suspicion.java
+++ b/retry/src/main/java/org/turmericspan/retry/Suspicion.java
@@ -5,16 +5,16 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * What is known of one suspected kind of request, as nodes share it.
+ * Suspicion that requests with one fingerprint crash upstreams, in the form in which nodes share it.
  *
- * @param fingerprint the kind of request
- * @param crashedUpstreams upstreams that died while they ran it; empty when it is cleared
- * @param crashedInIsolation whether an upstream died that ran it alone
- * @param remaining how long the suspicion lasts
+ * @param fingerprint fingerprint of the requests
+ * @param crashedUpstreams upstreams that crashed while they ran such a request; empty when the suspicion is cleared
+ * @param crashedInIsolation whether an upstream crashed in an isolated trial of the request
+ * @param remaining time until the suspicion expires
  */
 public record Suspicion(
         Fingerprint fingerprint, Set<UpstreamId> crashedUpstreams, boolean crashedInIsolation, Duration remaining) {
-    private static final int MOST_LOST = 2;
+    private static final int QUARANTINE_CRASHES = 2;
 
     /** Copies the set. */
     public Suspicion {
@@ -22,30 +22,30 @@
     }
 
     /**
-     * Builds the news that a kind of request ran fine.
+     * Returns the update that a request ran without a crash.
      *
-     * @param fingerprint the kind of request
-     * @return a suspicion without any upstream lost
+     * @param fingerprint fingerprint of the request
+     * @return a suspicion without crashed upstreams
      */
     public static Suspicion cleared(Fingerprint fingerprint) {
         return new Suspicion(fingerprint, Set.of(), false, Duration.ZERO);
     }
 
     /**
-     * Tells whether the suspicion is lifted.
+     * Returns whether the suspicion is cleared.
      *
-     * @return true when no upstream was lost
+     * @return true when no upstream crashed
      */
     public boolean isCleared() {
         return crashedUpstreams.isEmpty();
     }
 
     /**
-     * Tells whether such requests are refused.
+     * Returns whether such requests are refused.
      *
-     * @return true after the second death, or a death without company
+     * @return true after crashes of two upstreams, or after one crash in an isolated trial
      */
     public boolean isQuarantined() {
-        return crashedInIsolation || crashedUpstreams.size() >= MOST_LOST;
+        return crashedInIsolation || crashedUpstreams.size() >= QUARANTINE_CRASHES;
     }
 }
--- a/retry/src/main/java/org/turmericspan/retry/TrialPermit.java
+++ b/retry/src/main/java/org/turmericspan/retry/TrialPermit.java
@@ -6,49 +6,49 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * The one right of a region to run a suspected request, kept by one node. A second suspect that ran beside the first
- * could not be told from it.
+ * Permit for the isolated trial of a suspected request. One node grants the only permit of the region, because a crash
+ * could not be attributed to one of two suspects that ran at the same time.
  */
 public final class TrialPermit {
     private final RankedLock lock = new RankedLock(LockRank.SUSPECTS);
     private final MonotonicClock clock;
-    private Optional<Fingerprint> running = Optional.empty();
-    private long untilNanos;
+    private Optional<Fingerprint> holder = Optional.empty();
+    private long expiresAtNanos;
 
     /**
-     * Creates a right that nobody holds.
+     * Creates a permit that is not held.
      *
-     * @param clock measures how long the right is held
+     * @param clock source of monotonic time
      */
     public TrialPermit(MonotonicClock clock) {
         this.clock = clock;
     }
 
     /**
-     * Takes the right.
+     * Acquires the permit.
      *
      * @param fingerprint the suspect
-     * @param spanNanos how long it is held at most
-     * @return false when another trial runs
+     * @param maxHoldNanos time after which the permit expires if it is not released
+     * @return false when another trial holds the permit
      */
-    public boolean tryAcquire(Fingerprint fingerprint, long spanNanos) {
+    public boolean tryAcquire(Fingerprint fingerprint, long maxHoldNanos) {
         long nowNanos = clock.nowNanos();
         return lock.compute(() -> {
-            if (running.isPresent() && nowNanos < untilNanos) {
+            if (holder.isPresent() && nowNanos < expiresAtNanos) {
                 return false;
             }
-            running = Optional.of(fingerprint);
-            untilNanos = nowNanos + spanNanos;
+            holder = Optional.of(fingerprint);
+            expiresAtNanos = nowNanos + maxHoldNanos;
             return true;
         });
     }
 
     /**
-     * Gives the right back.
+     * Releases the permit.
      *
-     * @param fingerprint the suspect whose trial ended; another one changes nothing
+     * @param fingerprint the suspect whose trial ended; ignored if it does not hold the permit
      */
     public void release(Fingerprint fingerprint) {
-        lock.run(() -> running = running.filter(held -> !held.equals(fingerprint)));
+        lock.run(() -> holder = holder.filter(current -> !current.equals(fingerprint)));
     }
 }
--- a/retry/src/test/java/org/turmericspan/retry/LatencyTableTest.java
+++ b/retry/src/test/java/org/turmericspan/retry/LatencyTableTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.turmericspan.ids.ServiceId;
 
-/** Quantiles of recent latencies. */
+/** Tests the accuracy and the decay of latency quantiles. */
 final class LatencyTableTest {
     private static final ServiceId SERVICE = new ServiceId("ordering");
 
@@ -21,7 +21,7 @@
     }
 
     @Test
-    void quantileIsWithinAnEighth() {
+    void quantileIsAccurateToOneEighth() {
         for (int i = 1; i <= 1_000; i++) {
             table.record(SERVICE, Duration.ofMillis(i));
         }
@@ -31,7 +31,7 @@
     }
 
     @Test
-    void oldSamplesFade() {
+    void oldSamplesDecay() {
         for (int i = 0; i < 2_000; i++) {
             table.record(SERVICE, Duration.ofMillis(1));
         }
--- a/retry/src/test/java/org/turmericspan/retry/SuspectTableTest.java
+++ b/retry/src/test/java/org/turmericspan/retry/SuspectTableTest.java
@@ -8,9 +8,9 @@
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.testkit.ManualClock;
 
-/** What the table of suspects knows after deaths, answers and news. */
+/** Tests the effect of crashes, responses and updates from other nodes on the table of suspects. */
 final class SuspectTableTest {
-    private static final Fingerprint POISON = new Fingerprint(7);
+    private static final Fingerprint SUSPECT = new Fingerprint(7);
     private static final UpstreamId FIRST = new UpstreamId("first");
     private static final UpstreamId SECOND = new UpstreamId("second");
 
@@ -18,77 +18,77 @@
     private final SuspectTable table = new SuspectTable(clock);
 
     @Test
-    void firstDeathMakesASuspect() {
-        table.recordCrash(POISON, FIRST, false);
+    void firstCrashRaisesASuspicionWithoutQuarantine() {
+        table.recordCrash(SUSPECT, FIRST, false);
 
         assertThat(table.isEmpty()).isFalse();
-        assertThat(table.find(POISON))
+        assertThat(table.find(SUSPECT))
                 .hasValueSatisfying(known -> assertThat(known.isQuarantined()).isFalse());
     }
 
     @Test
-    void sameDeathSeenByTwoNodesCountsOnce() {
-        table.recordCrash(POISON, FIRST, false);
-        table.merge(new Suspicion(POISON, Set.of(FIRST), false, Duration.ofSeconds(60)));
+    void sameCrashReportedByTwoNodesCountsOnce() {
+        table.recordCrash(SUSPECT, FIRST, false);
+        table.merge(new Suspicion(SUSPECT, Set.of(FIRST), false, Duration.ofSeconds(60)));
 
-        assertThat(table.find(POISON).orElseThrow().isQuarantined()).isFalse();
+        assertThat(table.find(SUSPECT).orElseThrow().isQuarantined()).isFalse();
     }
 
     @Test
-    void secondUpstreamLostQuarantines() {
-        table.recordCrash(POISON, FIRST, false);
-        table.merge(new Suspicion(POISON, Set.of(SECOND), false, Duration.ofSeconds(60)));
+    void crashOfASecondUpstreamQuarantines() {
+        table.recordCrash(SUSPECT, FIRST, false);
+        table.merge(new Suspicion(SUSPECT, Set.of(SECOND), false, Duration.ofSeconds(60)));
 
-        assertThat(table.find(POISON).orElseThrow().isQuarantined()).isTrue();
+        assertThat(table.find(SUSPECT).orElseThrow().isQuarantined()).isTrue();
     }
 
     @Test
-    void deathOfTheSameUpstreamOnTrialQuarantines() {
-        table.recordCrash(POISON, FIRST, false);
-        table.recordCrash(POISON, FIRST, true);
+    void crashOfTheSameUpstreamInATrialQuarantines() {
+        table.recordCrash(SUSPECT, FIRST, false);
+        table.recordCrash(SUSPECT, FIRST, true);
 
-        assertThat(table.find(POISON).orElseThrow().isQuarantined()).isTrue();
+        assertThat(table.find(SUSPECT).orElseThrow().isQuarantined()).isTrue();
     }
 
     @Test
-    void suspectThatRunsFineIsCleared() {
-        table.recordCrash(POISON, FIRST, false);
+    void responseClearsASuspicion() {
+        table.recordCrash(SUSPECT, FIRST, false);
 
-        assertThat(table.recordResponse(POISON)).hasValue(Suspicion.cleared(POISON));
+        assertThat(table.recordResponse(SUSPECT)).hasValue(Suspicion.cleared(SUSPECT));
         assertThat(table.isEmpty()).isTrue();
     }
 
     @Test
-    void newsOfAClearedSuspectClearsItHere() {
-        table.recordCrash(POISON, FIRST, false);
-        table.merge(Suspicion.cleared(POISON));
+    void updateFromAnotherNodeClearsASuspicion() {
+        table.recordCrash(SUSPECT, FIRST, false);
+        table.merge(Suspicion.cleared(SUSPECT));
 
-        assertThat(table.find(POISON)).isEmpty();
+        assertThat(table.find(SUSPECT)).isEmpty();
     }
 
     @Test
-    void deathOnTrialIsNotClearedByALateAnswer() {
-        table.recordCrash(POISON, FIRST, true);
+    void crashInATrialIsNotClearedByALateResponse() {
+        table.recordCrash(SUSPECT, FIRST, true);
 
-        assertThat(table.recordResponse(POISON)).isEmpty();
-        assertThat(table.find(POISON)).isPresent();
+        assertThat(table.recordResponse(SUSPECT)).isEmpty();
+        assertThat(table.find(SUSPECT)).isPresent();
     }
 
     @Test
     void suspicionExpires() {
-        table.recordCrash(POISON, FIRST, false);
+        table.recordCrash(SUSPECT, FIRST, false);
         clock.advance(Duration.ofMinutes(2));
 
-        assertThat(table.find(POISON)).isEmpty();
+        assertThat(table.find(SUSPECT)).isEmpty();
         assertThat(table.isEmpty()).isTrue();
     }
 
     @Test
     void quarantineLastsLongerThanSuspicion() {
-        table.recordCrash(POISON, FIRST, true);
+        table.recordCrash(SUSPECT, FIRST, true);
         clock.advance(Duration.ofMinutes(2));
 
-        assertThat(table.find(POISON)).isPresent();
+        assertThat(table.find(SUSPECT)).isPresent();
     }
 
     @Test
