--- a/balancing/src/main/java/org/turmericspan/balancing/AttemptResult.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/AttemptResult.java
@@ -2,20 +2,20 @@
 
 /** How an attempt at an upstream ended. */
 public enum AttemptResult {
-    /** A whole answer that is not a failure. */
+    /** A complete response that is not a failure. */
     SUCCESS,
-    /** A whole answer with a failure of the upstream's own. */
+    /** A complete response that reports a server error. */
     SERVER_ERROR,
-    /** The upstream proved that it did not run the request because it has no room. */
+    /** The upstream rejected the request for lack of capacity and proved that it did not run it. */
     SHED,
     /** No connection could be made. */
     CONNECT_FAILED,
-    /** Another upstream listens at the address. */
+    /** A different upstream listens at the address. */
     WRONG_INSTANCE,
-    /** The connection ended, or the bytes made no sense, before a whole answer came. */
+    /** The connection closed, or malformed bytes arrived, before the response was complete. */
     BROKEN,
-    /** No answer has come in the time in which nearly all come; it may still come. */
+    /** The response is later than the expected latency allows; it may still arrive. */
     OVERDUE,
-    /** The attempt was given up because its caller left or another attempt was faster. */
+    /** The attempt was cancelled because its caller disconnected or another attempt was faster. */
     CANCELLED
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/BalancingRules.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/BalancingRules.java
@@ -1,13 +1,13 @@
 package org.turmericspan.balancing;
 
 /**
- * Agreed bounds that decisions keep.
+ * Configured limits for the fleet that every decision observes.
  *
- * @param coldOverage factor on the rate that a cold upstream bears, up to which the agreement holds
- * @param coldSlack requests a second allowed above that
- * @param retryRatio repeats allowed for each request of a service, over the window
- * @param retrySlack repeats allowed in a window beyond that, on all nodes together
- * @param retryWindowNanos length of the window
+ * @param coldOverage multiple of the rate a cold upstream sustains that the fleet may send to it
+ * @param coldSlack requests a second allowed on top of that
+ * @param retryRatio retries and hedges allowed for each request of a service within the window
+ * @param retrySlack retries and hedges allowed within a window beyond the ratio, on all nodes together
+ * @param retryWindowNanos length of the sliding window
  */
 public record BalancingRules(
         double coldOverage, double coldSlack, double retryRatio, double retrySlack, long retryWindowNanos) {}
--- a/balancing/src/main/java/org/turmericspan/balancing/ConfigurationHolder.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ConfigurationHolder.java
@@ -4,7 +4,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** The configuration in force. It only moves to higher versions within the life of a process. */
+/** Holds the active configuration. Within one process its version only increases. */
 public final class ConfigurationHolder {
     private final RankedLock lock = new RankedLock(LockRank.CONFIGURATION);
     private volatile RoutingConfiguration current;
@@ -13,10 +13,10 @@
     public ConfigurationHolder() {}
 
     /**
-     * Puts a configuration in force unless the one in force is as new.
+     * Activates a configuration if its version is higher than that of the active one.
      *
      * @param candidate the configuration
-     * @return whether it is now in force
+     * @return whether it was activated
      */
     public boolean accept(RoutingConfiguration candidate) {
         return lock.compute(() -> {
@@ -29,7 +29,7 @@
     }
 
     /**
-     * Returns the configuration in force.
+     * Returns the active configuration.
      *
      * @return empty until the first one is accepted
      */
--- a/balancing/src/main/java/org/turmericspan/balancing/CrashSuspects.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/CrashSuspects.java
@@ -14,22 +14,26 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * Requests whose attempts ended together with their upstream. A request that has done so on {@value #QUARANTINE_AT}
- * upstreams is quarantined: it is refused until its entry expires.
+ * Table of requests that are suspected of crashing upstreams ("queries of death"): an attempt lost its connection and
+ * the upstream was found down soon after. A request that is suspected on {@value #QUARANTINE_THRESHOLD} upstreams is
+ * quarantined: it is refused until its entry expires.
  */
 public final class CrashSuspects {
-    /** Upstreams a request may take down before it is refused; two may be chance when a zone fails. */
-    private static final int QUARANTINE_AT = 3;
-    /** How long an entry lives after its last crash; such requests come again within seconds. */
-    private static final long LIFE_NANOS = TimeUnit.SECONDS.toNanos(60);
-    /** How long after a broken attempt the loss of its upstream counts as its crash. */
-    private static final long BLAME_NANOS = TimeUnit.SECONDS.toNanos(2);
-    /** Entries kept; the oldest go first. */
+    /** Suspected crashes of different upstreams that lead to quarantine; two may coincide when a zone fails. */
+    private static final int QUARANTINE_THRESHOLD = 3;
+    /** Time to live of an entry after its last crash; such requests are sent again within seconds. */
+    private static final long ENTRY_TTL_NANOS = TimeUnit.SECONDS.toNanos(60);
+    /** Longest time between the loss of a connection and the loss of its upstream that counts as a crash. */
+    private static final long CRASH_ATTRIBUTION_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /**
+     * Limit on the number of suspects, of which the least recently updated one is evicted first. Also limits the
+     * upstreams with lost connections, which are all dropped when there are more.
+     */
     private static final int MAX_ENTRIES = 1_000;
 
     private final RankedLock lock = new RankedLock(LockRank.SUSPECTS);
     private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
-    private final Map<UpstreamId, Map<Long, Long>> broken = new HashMap<>();
+    private final Map<UpstreamId, Map<Long, Long>> lossesByUpstream = new HashMap<>();
     private final MonotonicClock clock;
 
     /**
@@ -42,70 +46,74 @@
     }
 
     /**
-     * Notes that an attempt ended with its connection.
+     * Records that an attempt lost its connection.
      *
      * @param fingerprint hash of the request
-     * @param upstream where it ran
+     * @param upstream upstream at which the attempt ran
      */
     public void recordConnectionLoss(long fingerprint, UpstreamId upstream) {
         long now = clock.nowNanos();
         lock.run(() -> {
-            if (broken.size() > MAX_ENTRIES) {
-                broken.clear();
+            if (lossesByUpstream.size() > MAX_ENTRIES) {
+                lossesByUpstream.clear();
             }
-            broken.computeIfAbsent(upstream, key -> new HashMap<>()).put(fingerprint, now);
+            lossesByUpstream.computeIfAbsent(upstream, key -> new HashMap<>()).put(fingerprint, now);
         });
     }
 
     /**
-     * Notes that an upstream is down: requests whose attempts just broke there are suspected.
+     * Records that an upstream is down. Requests that just lost their connection to it become suspects.
      *
      * @param upstream the upstream
-     * @return fingerprints that are now quarantined
+     * @return fingerprints of those requests that are quarantined
      */
     public List<Long> recordUpstreamLoss(UpstreamId upstream) {
         long now = clock.nowNanos();
         return lock.compute(() -> {
-            Map<Long, Long> ended = broken.remove(upstream);
-            if (ended == null) {
+            Map<Long, Long> lossNanosByRequest = lossesByUpstream.remove(upstream);
+            if (lossNanosByRequest == null) {
                 return List.of();
             }
-            ended.values().removeIf(brokenNanos -> now - brokenNanos > BLAME_NANOS);
-            ended.keySet().forEach(fingerprint -> blame(fingerprint, StableHash.of(upstream.value()), now));
-            return ended.keySet().stream().filter(this::isQuarantinedLocked).toList();
+            lossNanosByRequest.values().removeIf(lossNanos -> now - lossNanos > CRASH_ATTRIBUTION_NANOS);
+            lossNanosByRequest
+                    .keySet()
+                    .forEach(fingerprint -> recordCrash(fingerprint, StableHash.of(upstream.value()), now));
+            return lossNanosByRequest.keySet().stream()
+                    .filter(this::isQuarantinedLocked)
+                    .toList();
         });
     }
 
     /**
-     * Takes a crash that another node saw.
+     * Records a crash that another node reported.
      *
      * @param crash the crash
      */
     public void recordPeerCrash(Crash crash) {
         long now = clock.nowNanos();
-        lock.run(() -> blame(crash.fingerprint(), crash.upstreamHash(), now));
+        lock.run(() -> recordCrash(crash.fingerprint(), crash.upstreamHash(), now));
     }
 
-    private void blame(long fingerprint, long upstreamHash, long now) {
+    private void recordCrash(long fingerprint, long upstreamHash, long now) {
         Suspect suspect = suspects.remove(fingerprint);
         if (suspect == null) {
             suspect = new Suspect();
         }
         if (suspect.upstreams.add(upstreamHash)) {
-            suspect.lastNanos = now;
+            suspect.lastCrashNanos = now;
         }
         suspects.put(fingerprint, suspect);
-        suspects.values().removeIf(each -> now - each.lastNanos > LIFE_NANOS);
+        suspects.values().removeIf(each -> now - each.lastCrashNanos > ENTRY_TTL_NANOS);
         if (suspects.size() > MAX_ENTRIES) {
             suspects.remove(suspects.keySet().iterator().next());
         }
     }
 
     /**
-     * Tells whether a request is to be refused.
+     * Returns whether a request is quarantined and must be refused.
      *
      * @param fingerprint hash of the request
-     * @return true after crashes of {@value #QUARANTINE_AT} upstreams
+     * @return true after crashes of {@value #QUARANTINE_THRESHOLD} upstreams
      */
     public boolean isQuarantined(long fingerprint) {
         return lock.compute(() -> isQuarantinedLocked(fingerprint));
@@ -114,25 +122,25 @@
     private boolean isQuarantinedLocked(long fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
         return suspect != null
-                && suspect.upstreams.size() >= QUARANTINE_AT
-                && clock.nowNanos() - suspect.lastNanos <= LIFE_NANOS;
+                && suspect.upstreams.size() >= QUARANTINE_THRESHOLD
+                && clock.nowNanos() - suspect.lastCrashNanos <= ENTRY_TTL_NANOS;
     }
 
     /**
-     * Lists the newest crashes for other nodes.
+     * Lists crashes to report to other nodes.
      *
-     * @param most how many at most
-     * @return crashes, each a request and an upstream
+     * @param maxCount limit on the number of crashes
+     * @return at most that many crashes, the least recently updated requests first
      */
-    public List<Crash> recentCrashes(int most) {
+    public List<Crash> recentCrashes(int maxCount) {
         return lock.compute(() -> suspects.entrySet().stream()
                 .flatMap(entry -> entry.getValue().upstreams.stream().map(hash -> new Crash(entry.getKey(), hash)))
-                .limit(most)
+                .limit(maxCount)
                 .toList());
     }
 
     /**
-     * A request and an upstream that it took down.
+     * A request and an upstream that it is suspected of crashing.
      *
      * @param fingerprint hash of the request
      * @param upstreamHash stable hash of the upstream's identifier
@@ -141,6 +149,6 @@
 
     private static final class Suspect {
         private final Set<Long> upstreams = new HashSet<>();
-        private long lastNanos;
+        private long lastCrashNanos;
     }
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/FleetListener.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetListener.java
@@ -4,33 +4,33 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.UpstreamId;
 
-/** Takes what operators and upstreams publish. */
+/** Receives what operators and upstreams publish. */
 public interface FleetListener {
     /**
-     * Takes a published configuration.
+     * Receives a published configuration.
      *
-     * @param configuration the configuration, which may be older than the one in force
+     * @param configuration the configuration, which may be older than the active one
      */
     void onConfiguration(RoutingConfiguration configuration);
 
     /**
-     * Takes what an upstream published.
+     * Receives the registration that an upstream published.
      *
      * @param registration the newest registration
      */
     void onRegistration(Registration registration);
 
     /**
-     * Learns that an upstream is no longer registered.
+     * Handles the removal of an upstream that is no longer registered.
      *
      * @param id the upstream
      */
     void onRemoval(UpstreamId id);
 
     /**
-     * Learns which availability zones are to get nothing.
+     * Receives the availability zones that must get no requests.
      *
-     * @param zones all of them
+     * @param zones all evacuated zones; replaces the previous set
      */
     void onEvacuation(Set<AvailabilityZoneId> zones);
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/FleetUpdater.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetUpdater.java
@@ -6,7 +6,7 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.UpstreamId;
 
-/** Puts what was published into the tables and logs each change of belief. */
+/** Applies published configurations and registrations to the tables and logs each change. */
 public final class FleetUpdater implements FleetListener {
     private static final String PART = "fleet";
 
@@ -15,11 +15,11 @@
     private final EventLog log;
 
     /**
-     * Creates the state.
+     * Creates an updater.
      *
-     * @param configuration the configuration in force
-     * @param upstreams beliefs about upstreams
-     * @param log takes changes of belief
+     * @param configuration holds the active configuration
+     * @param upstreams table of the registered upstreams
+     * @param log receives an event for each change
      */
     public FleetUpdater(ConfigurationHolder configuration, UpstreamTable upstreams, EventLog log) {
         this.configuration = configuration;
@@ -37,7 +37,7 @@
     @Override
     public void onRegistration(Registration registration) {
         if (upstreams.register(registration)) {
-            log.write(Event.notice(PART, registration.draining() ? "Upstream drains." : "Upstream registered.")
+            log.write(Event.notice(PART, registration.draining() ? "Upstream draining." : "Upstream registered.")
                     .with("upstream", registration.id())
                     .with("service", registration.service())
                     .with("zone", registration.availabilityZone())
@@ -48,7 +48,7 @@
     @Override
     public void onRemoval(UpstreamId id) {
         if (upstreams.remove(id)) {
-            log.write(Event.notice(PART, "Upstream gone.").with("upstream", id));
+            log.write(Event.notice(PART, "Upstream removed.").with("upstream", id));
         }
     }
 
--- a/balancing/src/main/java/org/turmericspan/balancing/LoadReport.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/LoadReport.java
@@ -1,13 +1,13 @@
 package org.turmericspan.balancing;
 
 /**
- * Load that an upstream states in its answers.
+ * Load that an upstream reports in its responses.
  *
- * @param running requests running
- * @param waiting requests waiting
- * @param slowdownPercent how long work takes now, 100 as usual
+ * @param running requests being executed
+ * @param waiting requests queued
+ * @param slowdownPercent current service time relative to normal; 100 is normal
  */
 public record LoadReport(int running, int waiting, int slowdownPercent) {
-    /** Figures of an upstream that states none. */
+    /** Stands for an upstream that reports no load. */
     public static final LoadReport NORMAL = new LoadReport(0, 0, 100);
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/Observation.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Observation.java
@@ -1,15 +1,15 @@
 package org.turmericspan.balancing;
 
 /**
- * What an upstream showed of itself at one moment.
+ * Observed state of an upstream at one moment.
  *
  * @param atNanos monotonic time of the observation
- * @param running requests running
- * @param waiting requests waiting
- * @param slowdownPercent how long work takes now, 100 as usual
- * @param coldRemainingNanos how long it stays cold, 0 when warm
- * @param healthy whether its health check was good
- * @param reachable whether it answered at all
+ * @param running requests being executed
+ * @param waiting requests queued
+ * @param slowdownPercent current service time relative to normal; 100 is normal
+ * @param coldRemainingNanos time until it is warm; 0 when it is warm
+ * @param healthy whether its health check succeeded
+ * @param reachable whether it responded
  */
 public record Observation(
         long atNanos,
@@ -20,13 +20,13 @@
         boolean healthy,
         boolean reachable) {
     /**
-     * Describes an upstream that does not answer, or at whose address another one answers.
+     * Creates the observation of an upstream that does not respond, or at whose address a different one responds.
      *
      * @param atNanos monotonic time of the observation
-     * @param coldRemainingNanos how long it stays cold, since what returns has probably restarted
+     * @param coldRemainingNanos cold time to assume, since it has probably restarted when it becomes reachable
      * @return the observation
      */
-    public static Observation unreachable(long atNanos, long coldForNanos) {
-        return new Observation(atNanos, 0, 0, LoadReport.NORMAL.slowdownPercent(), coldForNanos, false, false);
+    public static Observation unreachable(long atNanos, long coldRemainingNanos) {
+        return new Observation(atNanos, 0, 0, LoadReport.NORMAL.slowdownPercent(), coldRemainingNanos, false, false);
     }
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/Ownership.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Ownership.java
@@ -1,13 +1,13 @@
 package org.turmericspan.balancing;
 
-/** Tells whether this node owns an upstream: owners probe it and alone send to it while it is cold. */
+/** Decides whether this node owns an upstream. The owner probes it and is the only node that sends to it while cold. */
 @FunctionalInterface
 public interface Ownership {
     /**
-     * Tells whether this node owns an upstream.
+     * Returns whether this node owns an upstream.
      *
      * @param registration the upstream
-     * @return true on the owner; during a split more than one node may say so
+     * @return true on the owner; during a network partition more than one node may be the owner
      */
     boolean owns(Registration registration);
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/PeerReport.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/PeerReport.java
@@ -1,11 +1,11 @@
 package org.turmericspan.balancing;
 
 /**
- * What another node knows of an upstream.
+ * Report of another node about an upstream.
  *
  * @param upstreamHash stable hash of the upstream's identifier, see {@link org.turmericspan.ids.StableHash}
- * @param observation newest observation it has; its time is given on the receiver's clock
- * @param inFlight requests the node itself has at the upstream
- * @param failurePercent share of its own recent attempts there that failed
+ * @param observation newest observation that the node has; its time is on the receiver's clock
+ * @param inFlight requests that the node itself has in flight at the upstream
+ * @param failurePercent failure rate of the node's own recent attempts at the upstream, in percent
  */
 public record PeerReport(long upstreamHash, Observation observation, int inFlight, int failurePercent) {}
--- a/balancing/src/main/java/org/turmericspan/balancing/Placement.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Placement.java
@@ -5,18 +5,18 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * One attempt's place at an upstream. It counts there until it is finished.
+ * Assignment of one attempt to an upstream. The attempt counts towards the upstream's load until it is finished.
  *
  * @param upstream the upstream
  * @param route route of the request
- * @param address where it listens
+ * @param address address at which the upstream listens
  * @param startedNanos monotonic time of the choice
- * @param cost predicted cost, 1 for a request on an idle upstream at its usual speed; what speaks against the upstream
- *     beside its speed counts too
+ * @param cost predicted cost, 1 for a request on an idle upstream with normal service time; includes the penalties for
+ *     failures, a failed health check, overdue requests and distance
  * @param relativeDuration predicted duration in units of the typical latency
- * @param slowdownPercent slowness on which the choice rests
- * @param load requests believed to be there
- * @param observationAgeNanos age of the observation on which the choice rests
+ * @param slowdownPercent observed slowdown on which the choice is based; 100 is normal
+ * @param load estimated number of requests at the upstream
+ * @param observationAgeNanos age of the observation on which the choice is based
  * @param cold whether the upstream was cold
  */
 public record Placement(
--- a/balancing/src/main/java/org/turmericspan/balancing/ProbeBudget.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ProbeBudget.java
@@ -7,56 +7,59 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * This node's part of the agreed probes, for probes that requests ask for. All nodes together stay within the agreed
- * number, whatever requests come, since each spends an equal part of it.
+ * Token bucket for the probes that requests trigger on demand. All nodes together stay within the configured probe rate
+ * under any load, since each node's bucket is refilled at an equal part of that rate.
  */
 public final class ProbeBudget {
-    /** Part of the agreed probes that requests may ask for; the rest is for the owners' regular probes. */
-    private static final double ASKED_PART = 0.6;
-    /** Seconds of its part that a node may save up, so that requests may come in bursts. */
+    /** Share of the configured probe rate for probes on demand; the rest is for the owners' periodic probes. */
+    private static final double ON_DEMAND_SHARE = 0.6;
+    /** Capacity of the bucket in seconds of its refill rate, which admits bursts. */
     private static final double BURST_SECONDS = 1;
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
-    private final double agreedPerSecond;
+    private final double maxProbesPerSecond;
     private final IntSupplier upstreams;
     private final IntSupplier nodes;
     private final MonotonicClock clock;
-    private double saved;
-    private long atNanos;
+    private double tokens;
+    private long refilledNanos;
 
     /**
-     * Creates a budget with nothing saved up.
+     * Creates an empty bucket.
      *
-     * @param agreedPerSecond most probes of one upstream a second, by all nodes together
-     * @param upstreams counts the upstreams known
-     * @param nodes counts the nodes that share the budget
+     * @param maxProbesPerSecond limit on the probes of one upstream a second, by all nodes together
+     * @param upstreams returns the number of known upstreams
+     * @param nodes returns the number of nodes that share the budget
      * @param clock monotonic time
      */
-    public ProbeBudget(double agreedPerSecond, IntSupplier upstreams, IntSupplier nodes, MonotonicClock clock) {
-        this.agreedPerSecond = agreedPerSecond;
+    public ProbeBudget(double maxProbesPerSecond, IntSupplier upstreams, IntSupplier nodes, MonotonicClock clock) {
+        this.maxProbesPerSecond = maxProbesPerSecond;
         this.upstreams = upstreams;
         this.nodes = nodes;
         this.clock = clock;
-        this.atNanos = clock.nowNanos();
+        this.refilledNanos = clock.nowNanos();
     }
 
     /**
-     * Spends one probe if the budget allows it.
+     * Acquires a token for one probe if there is one.
      *
      * @return whether the probe may be sent
      */
     public boolean tryAcquire() {
-        double perSecond = ASKED_PART * agreedPerSecond * upstreams.getAsInt() / Math.max(1, nodes.getAsInt());
+        double refillPerSecond =
+                ON_DEMAND_SHARE * maxProbesPerSecond * upstreams.getAsInt() / Math.max(1, nodes.getAsInt());
         long now = clock.nowNanos();
         return lock.compute(() -> {
-            saved = Math.min(BURST_SECONDS * perSecond, saved + perSecond * (now - atNanos) / NANOS_PER_SECOND);
-            atNanos = now;
-            if (saved < 1) {
+            tokens = Math.min(
+                    BURST_SECONDS * refillPerSecond,
+                    tokens + refillPerSecond * (now - refilledNanos) / NANOS_PER_SECOND);
+            refilledNanos = now;
+            if (tokens < 1) {
                 return false;
             }
-            saved--;
+            tokens--;
             return true;
         });
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/Registration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Registration.java
@@ -6,16 +6,16 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * What an upstream has published of itself.
+ * Registration that an upstream has published.
  *
- * @param id identifier of this life of the upstream, unless it restarts under the same one
+ * @param id identifier of this incarnation of the upstream, unless it restarts under the same one
  * @param service service it belongs to
- * @param address where it listens
- * @param availabilityZone where it runs
- * @param slots requests it runs at once
- * @param draining whether it is leaving
- * @param startedMillis Unix time of its start; 0 when it does not say
- * @param coldUntilNanos monotonic time until which it said it is cold
+ * @param address address at which it listens
+ * @param availabilityZone zone in which it runs
+ * @param slots requests that it runs concurrently
+ * @param draining whether it is shutting down and must get no new requests
+ * @param startedMillis Unix time of its start; 0 when not published
+ * @param coldUntilNanos monotonic time until which it reported to be cold
  */
 public record Registration(
         UpstreamId id,
@@ -27,10 +27,10 @@
         long startedMillis,
         long coldUntilNanos) {
     /**
-     * Compares everything but the warm-up time, which runs down by itself.
+     * Compares everything except the remaining warm-up time, which changes continuously.
      *
      * @param other another registration
-     * @return whether they say the same
+     * @return whether everything else is equal
      */
     public boolean equalsIgnoringWarmUp(Registration other) {
         return id.equals(other.id)
--- a/balancing/src/main/java/org/turmericspan/balancing/Route.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Route.java
@@ -7,14 +7,14 @@
  * One route of the configuration.
  *
  * @param id name, unique in the configuration
- * @param host host the route belongs to
+ * @param host host to which the route applies
  * @param prefix path prefix that begins and ends with a slash
- * @param services services that run the requests; at least one
+ * @param services services among which requests are distributed; at least one
  * @param idempotent whether a request may run more than once
- * @param maxAttempts most upstreams to which one request may be sent
- * @param timeoutNanos longest time a caller is kept waiting
- * @param targetLatencyNanos time within which an answer has its full worth
- * @param priority rank, 0 is the highest
+ * @param maxAttempts limit on the upstreams to which one request is sent
+ * @param timeoutNanos longest time until the caller gets a response
+ * @param targetLatencyNanos latency within which a response has its full value to the caller
+ * @param priority priority of its requests; 0 is the highest
  */
 public record Route(
         RouteId id,
@@ -26,7 +26,7 @@
         long timeoutNanos,
         long targetLatencyNanos,
         int priority) {
-    /** Copies the list. */
+    /** Copies the list of services. */
     public Route {
         services = List.copyOf(services);
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import org.turmericspan.ids.ServiceId;
 
-/** One accepted configuration. It never changes; a newer one replaces it as a whole. */
+/** Immutable routing configuration. A newer version replaces it as a whole. */
 public final class RoutingConfiguration {
     private final long version;
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
@@ -19,10 +19,10 @@
     /**
      * Creates a configuration.
      *
-     * @param version number that grows with each publication
+     * @param version number that increases with each publication
      * @param routes all routes
      * @param services all services by name
-     * @param limits bounds on requests
+     * @param limits limits on requests
      */
     public RoutingConfiguration(
             long version, List<Route> routes, Map<ServiceId, ServiceSpec> services, RequestLimits limits) {
@@ -40,7 +40,7 @@
     }
 
     /**
-     * Finds the route of a request: the longest prefix of the host that begins the path.
+     * Finds the route of a request: the one of the host with the longest prefix that matches the path.
      *
      * @param host host without a port
      * @param path path without its query
@@ -54,14 +54,14 @@
     /**
      * Returns the version.
      *
-     * @return a number that grows with each publication
+     * @return number that increases with each publication
      */
     public long version() {
         return version;
     }
 
     /**
-     * Returns the bounds on requests.
+     * Returns the limits on requests.
      *
      * @return the limits
      */
@@ -70,10 +70,10 @@
     }
 
     /**
-     * Looks a service up.
+     * Looks up a service.
      *
-     * @param service its name
-     * @return what the configuration says of it
+     * @param service name of the service
+     * @return its configuration; empty when there is none
      */
     public Optional<ServiceSpec> service(ServiceId service) {
         return Optional.ofNullable(services.get(service));
--- a/balancing/src/main/java/org/turmericspan/balancing/SelectionCriteria.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/SelectionCriteria.java
@@ -6,18 +6,18 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * What a choice of upstream must respect.
+ * Constraints on the choice of an upstream.
  *
  * @param route route of the request
  * @param service service of the request
- * @param excluded upstreams that were tried already
- * @param priority rank of the request, 0 is the highest; lower ranks find less room
- * @param maxCost highest predicted cost that is worth an attempt
- * @param maxSlowdown highest slowness at which the request is expected to end before its deadline; 1 as usual
+ * @param excluded upstreams that already had an attempt of the request
+ * @param priority priority of the request, 0 is the highest; lower priorities have lower concurrency limits
+ * @param maxCost exclusive limit on the predicted cost
+ * @param maxSlowdown highest slowdown at which the request is expected to complete before its deadline; 1 is normal
  */
 public record SelectionCriteria(
         RouteId route, ServiceId service, Set<UpstreamId> excluded, int priority, double maxCost, double maxSlowdown) {
-    /** Copies the set. */
+    /** Copies the set of excluded upstreams. */
     public SelectionCriteria {
         excluded = Set.copyOf(excluded);
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/ServiceCapacity.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ServiceCapacity.java
@@ -1,10 +1,10 @@
 package org.turmericspan.balancing;
 
 /**
- * What a service has to offer a request at one moment, to explain why the request found no upstream.
+ * Capacity of a service for a request at one moment, to explain why no upstream was selected.
  *
  * @param registered upstreams of the service
- * @param usable upstreams with room for the request
- * @param utilization share of the slots in use, of the upstreams that take requests; 0 to 1
+ * @param usable upstreams that can take the request
+ * @param utilization share of the slots in use, over the upstreams that take requests; 0 to 1
  */
 public record ServiceCapacity(int registered, int usable, double utilization) {}
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/TrackedUpstream.java
@@ -0,0 +1,193 @@
+package org.turmericspan.balancing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.turmericspan.ids.StableHash;
+
+/** Registered upstream with its observed and estimated state. Guarded by the lock of the upstream table. */
+final class TrackedUpstream {
+    /** Time for which the report of a peer is valid after its last gossip message. */
+    private static final long PEER_REPORT_TTL_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    /** Half-life of the failure rate; a few times the typical latency, so that a recovery is detected soon. */
+    private static final long FAILURE_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** Initial backoff after a failed connection. */
+    private static final long INITIAL_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** Limit on the exponential backoff after consecutive failed connections. */
+    private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final double PERCENT = 100.0;
+
+    private final Deque<Long> localStartsNanos = new ArrayDeque<>();
+    private final Map<String, PeerLoad> peers = new HashMap<>();
+    private final FailureRate localFailures = new FailureRate(FAILURE_HALF_LIFE_NANOS);
+    private final ColdRateLimiter coldRateLimiter = new ColdRateLimiter();
+    private final long hash;
+    private Registration registration;
+    private Observation observation;
+    private long locallyObservedNanos = Long.MIN_VALUE / 2;
+    private long coldUntilNanos;
+    private long backoffUntilNanos;
+    private long nextBackoffNanos = INITIAL_BACKOFF_NANOS;
+
+    TrackedUpstream(Registration registration) {
+        this.registration = registration;
+        this.hash = StableHash.of(registration.id().value());
+        this.coldUntilNanos = registration.coldUntilNanos();
+        this.backoffUntilNanos = Long.MIN_VALUE;
+    }
+
+    /** Returns the stable hash of the identifier. */
+    long hash() {
+        return hash;
+    }
+
+    Registration registration() {
+        return registration;
+    }
+
+    /** Replaces the registration; a restart under the same identifier discards the observation. */
+    void register(Registration newer) {
+        boolean isRestarted = newer.startedMillis() != registration.startedMillis();
+        registration = newer;
+        if (isRestarted) {
+            observation = null;
+            coldUntilNanos = newer.coldUntilNanos();
+        } else {
+            coldUntilNanos = Math.max(coldUntilNanos, newer.coldUntilNanos());
+        }
+    }
+
+    boolean observe(Observation newer) {
+        if (observation != null && newer.atNanos() - observation.atNanos() <= 0) {
+            return false;
+        }
+        observation = newer;
+        coldUntilNanos = newer.atNanos() + newer.coldRemainingNanos();
+        return true;
+    }
+
+    /** Records that this node itself observed the upstream. */
+    void recordLocalObservation(long atNanos) {
+        locallyObservedNanos = Math.max(locallyObservedNanos, atNanos);
+    }
+
+    long locallyObservedNanos() {
+        return locallyObservedNanos;
+    }
+
+    Observation withLoad(LoadReport report, long nowNanos) {
+        return new Observation(
+                nowNanos,
+                report.running(),
+                report.waiting(),
+                report.slowdownPercent(),
+                Math.max(0, coldUntilNanos - nowNanos),
+                observation.healthy(),
+                true);
+    }
+
+    Observation observation() {
+        return observation;
+    }
+
+    boolean isCold(long nowNanos) {
+        return coldUntilNanos - nowNanos > 0;
+    }
+
+    boolean isInBackoff(long nowNanos) {
+        return backoffUntilNanos != Long.MIN_VALUE && backoffUntilNanos - nowNanos > 0;
+    }
+
+    void recordPeerReport(String peer, int inFlight, int failurePercent, long nowNanos) {
+        peers.put(peer, new PeerLoad(inFlight, failurePercent, nowNanos));
+    }
+
+    void recordStart(long nowNanos) {
+        localStartsNanos.addLast(nowNanos);
+    }
+
+    void recordEnd(long startedNanos, AttemptResult result, long nowNanos) {
+        localStartsNanos.removeFirstOccurrence(startedNanos);
+        switch (result) {
+            case SUCCESS -> {
+                localFailures.record(false, nowNanos);
+                nextBackoffNanos = INITIAL_BACKOFF_NANOS;
+            }
+            case SERVER_ERROR, BROKEN, OVERDUE, SHED -> localFailures.record(true, nowNanos);
+            case CONNECT_FAILED, WRONG_INSTANCE -> startBackoff(nowNanos);
+            default -> {}
+        }
+    }
+
+    void startBackoff(long nowNanos) {
+        backoffUntilNanos = nowNanos + nextBackoffNanos;
+        nextBackoffNanos = Math.min(nextBackoffNanos * 2, MAX_BACKOFF_NANOS);
+    }
+
+    /** Ends the backoff after a successful connection. */
+    void endBackoff() {
+        backoffUntilNanos = Long.MIN_VALUE;
+        nextBackoffNanos = INITIAL_BACKOFF_NANOS;
+    }
+
+    int localInFlight() {
+        return localStartsNanos.size();
+    }
+
+    long oldestLocalAgeNanos(long nowNanos) {
+        return localStartsNanos.isEmpty() ? 0 : nowNanos - localStartsNanos.peekFirst();
+    }
+
+    /** Estimates the number of requests at the upstream from all sources, none of which is complete. */
+    int load(long nowNanos) {
+        int inFlight = localStartsNanos.size();
+        for (PeerLoad peer : peers.values()) {
+            if (nowNanos - peer.atNanos <= PEER_REPORT_TTL_NANOS) {
+                inFlight += peer.inFlight;
+            }
+        }
+        if (observation == null) {
+            return inFlight;
+        }
+        int startedSince = 0;
+        for (long startNanos : localStartsNanos) {
+            if (startNanos - observation.atNanos() > 0) {
+                startedSince++;
+            }
+        }
+        return Math.max(inFlight, observation.running() + observation.waiting() + startedSince);
+    }
+
+    double localFailureRate(long nowNanos) {
+        return localFailures.rate(nowNanos);
+    }
+
+    double worstFailureRate(long nowNanos) {
+        double worst = localFailures.rate(nowNanos);
+        for (PeerLoad peer : peers.values()) {
+            if (nowNanos - peer.atNanos <= PEER_REPORT_TTL_NANOS) {
+                worst = Math.max(worst, peer.failurePercent / PERCENT);
+            }
+        }
+        return worst;
+    }
+
+    /** Formats the state as one line of a state dump, in which "resting" means in backoff. */
+    String describe(long nowNanos) {
+        return registration.id() + " service=" + registration.service()
+                + " zone=" + registration.availabilityZone()
+                + " draining=" + registration.draining()
+                + " cold=" + isCold(nowNanos)
+                + " resting=" + isInBackoff(nowNanos)
+                + " load=" + load(nowNanos);
+    }
+
+    ColdRateLimiter coldRateLimiter() {
+        return coldRateLimiter;
+    }
+
+    private record PeerLoad(int inFlight, int failurePercent, long atNanos) {}
+}
--- a/balancing/src/main/java/org/turmericspan/balancing/TypicalLatencies.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/TypicalLatencies.java
@@ -4,20 +4,21 @@
 import java.util.Map;
 import org.turmericspan.ids.RouteId;
 
-/** Latency that an answer of each route usually takes at an idle upstream. The table's lock guards it. */
+/** Typical latency of each route at an idle upstream, a moving average. Guarded by the lock of the upstream table. */
 final class TypicalLatencies {
-    /** Weight of a new answer in the typical latency of a route. */
-    private static final double WEIGHT = 0.05;
+    /** Weight of a new sample in the exponentially weighted moving average of a route. */
+    private static final double EWMA_WEIGHT = 0.05;
 
     private final Map<RouteId, Double> nanosByRoute = new HashMap<>();
 
-    /** Takes in a whole answer. What its upstream's speed and load were expected to add does not count. */
-    void learn(Placement placement, long nowNanos) {
-        double usual = (nowNanos - placement.startedNanos()) / Math.max(1, placement.relativeDuration());
-        nanosByRoute.merge(placement.route(), usual, (old, fresh) -> old + WEIGHT * (fresh - old));
+    /** Adds the latency of a complete response, corrected for the slowdown and load that were predicted. */
+    void update(Placement placement, long nowNanos) {
+        double normalNanos = (nowNanos - placement.startedNanos()) / Math.max(1, placement.relativeDuration());
+        nanosByRoute.merge(
+                placement.route(), normalNanos, (average, sample) -> average + EWMA_WEIGHT * (sample - average));
     }
 
-    /** Returns the latency, 0 while none is known. */
+    /** Returns the latency; 0 when there is no sample. */
     long nanos(RouteId route) {
         return nanosByRoute.getOrDefault(route, 0.0).longValue();
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
@@ -3,62 +3,65 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Predicts how long a request takes at an upstream, in units of a request on an idle upstream at its usual speed. Lower
- * is better.
+ * Predicts the cost of a request at an upstream, in units of the duration on an idle upstream with normal service time.
+ * Lower is better.
  */
 final class UpstreamCost {
-    /** Time over which an observed speed loses its meaning; speeds change many times a second. */
-    private static final double SPEED_MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** Factor on the work of a request that makes an upstream nearly full. */
+    /** Time constant with which an observed slowdown decays; service times change many times a second. */
+    private static final double SLOWDOWN_DECAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    /** Factor on the duration of a request that makes an upstream nearly full. */
     private static final double NEARLY_FULL_FACTOR = 1.6;
-    /** Cost of each request already there, which keeps equal upstreams evenly loaded. */
-    private static final double NEIGHBOUR_COST = 0.04;
-    /** Factor for a cold upstream, which works slowly. */
+    /** Penalty for each request at the upstream, which spreads load evenly over equal upstreams. */
+    private static final double COST_PER_REQUEST = 0.04;
+    /** Factor for a cold upstream, which responds slowly. */
     private static final double COLD_FACTOR = 2.5;
-    /** Weight of failures: an upstream that fails a tenth of its requests costs twice as much. */
+    /** Weight of the failure rate: a rate of 10 percent doubles the cost. */
     private static final double FAILURE_WEIGHT = 10;
-    /** Factor for an upstream whose health check fails though it answers. */
+    /** Factor for an upstream that responds but fails its health check. */
     private static final double UNHEALTHY_FACTOR = 3;
-    /** Factor for an upstream at which a request of this node is overdue. */
+    /** Multiple of the expected latency at which a request of this node is overdue, and cost factor if one is. */
     private static final double OVERDUE_FACTOR = 2;
 
     private static final double PERCENT = 100.0;
 
     private UpstreamCost() {}
 
-    static double of(UpstreamState state, double meanSlowness, long typicalNanos, long nowNanos) {
-        double cost = duration(state, meanSlowness, nowNanos) * (1 + FAILURE_WEIGHT * state.failShare(nowNanos));
-        if (state.observation() != null && !state.observation().healthy()) {
+    static double predict(TrackedUpstream upstream, double meanSlowdown, long typicalLatencyNanos, long nowNanos) {
+        double cost =
+                duration(upstream, meanSlowdown, nowNanos) * (1 + FAILURE_WEIGHT * upstream.worstFailureRate(nowNanos));
+        if (upstream.observation() != null && !upstream.observation().healthy()) {
             cost *= UNHEALTHY_FACTOR;
         }
-        if (typicalNanos > 0 && state.oldestOwnAgeNanos(nowNanos) > OVERDUE_FACTOR * typicalNanos * meanSlowness) {
+        if (typicalLatencyNanos > 0
+                && upstream.oldestLocalAgeNanos(nowNanos) > OVERDUE_FACTOR * typicalLatencyNanos * meanSlowdown) {
             cost *= OVERDUE_FACTOR;
         }
         return cost;
     }
 
-    /** Predicts the duration alone, without what else speaks against an upstream. */
-    static double duration(UpstreamState state, double meanSlowness, long nowNanos) {
-        int slots = Math.max(1, state.registration().slots());
-        double duration = slowness(state, meanSlowness, nowNanos) * crowding(state.load(nowNanos), slots);
-        return state.isCold(nowNanos) ? duration * COLD_FACTOR : duration;
+    /** Predicts the relative duration alone, without the penalties for failures, health and overdue requests. */
+    static double duration(TrackedUpstream upstream, double meanSlowdown, long nowNanos) {
+        int slots = Math.max(1, upstream.registration().slots());
+        double duration = slowdown(upstream, meanSlowdown, nowNanos) * loadPenalty(upstream.load(nowNanos), slots);
+        return upstream.isCold(nowNanos) ? duration * COLD_FACTOR : duration;
     }
 
-    /** Moves an observed speed towards the mean as the observation ages. */
-    static double slowness(UpstreamState state, double meanSlowness, long nowNanos) {
-        Observation observation = state.observation();
+    /** Returns the slowdown, which decays from the observed one towards the mean as the observation ages. */
+    static double slowdown(TrackedUpstream upstream, double meanSlowdown, long nowNanos) {
+        Observation observation = upstream.observation();
         if (observation == null) {
-            return meanSlowness;
+            return meanSlowdown;
         }
-        double weight = Math.exp(-(nowNanos - observation.atNanos()) / SPEED_MEMORY_NANOS);
-        return weight * observation.slowdownPercent() / PERCENT + (1 - weight) * meanSlowness;
+        double weight = Math.exp(-(nowNanos - observation.atNanos()) / SLOWDOWN_DECAY_NANOS);
+        return weight * observation.slowdownPercent() / PERCENT + (1 - weight) * meanSlowdown;
     }
 
-    private static double crowding(int load, int slots) {
+    private static double loadPenalty(int load, int slots) {
         if (load >= slots) {
             return NEARLY_FULL_FACTOR * (1 + (load - slots + 1.0) / slots);
         }
-        double factor = load + 1 > RoomRule.NEARLY_FULL * slots && slots > 1 ? NEARLY_FULL_FACTOR : 1;
-        return factor + NEIGHBOUR_COST * load;
+        double factor =
+                load + 1 > ConcurrencyLimit.NEARLY_FULL_UTILIZATION * slots && slots > 1 ? NEARLY_FULL_FACTOR : 1;
+        return factor + COST_PER_REQUEST * load;
     }
 }
--- /dev/null
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
@@ -0,0 +1,254 @@
+package org.turmericspan.balancing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.RouteId;
+import org.turmericspan.ids.ServiceId;
+
+/** Selects upstreams by their estimated state, which is guarded by the lock of the upstream table. */
+final class UpstreamSelector {
+    /** Time to live of an observation; an older one no longer proves that an upstream is warm. */
+    private static final long OBSERVATION_TTL_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** Penalty for an upstream of the local zone that another node owns; makes nodes prefer different upstreams. */
+    private static final double NOT_OWNED_COST = 0.08;
+    /** Penalty for an upstream in a remote zone: network latency and the price of cross-zone traffic. */
+    private static final double OTHER_ZONE_COST = 0.3;
+    /** Candidates probed on demand before a choice; three are rarely all slowed down by other requests. */
+    private static final int MAX_PROBED_CANDIDATES = 3;
+    /** Age up to which no new probe is needed; service times change every few hundred milliseconds. */
+    private static final long JUST_OBSERVED_NANOS = TimeUnit.MILLISECONDS.toNanos(12);
+    /** Cost up to which no other upstream is probed: normal service time, and not nearly full. */
+    private static final double GOOD_COST = 1.25;
+    /** Least cost assumed for an upstream without a fresh observation; above the cost of a good one. */
+    private static final double UNOBSERVED_COST = 1.5;
+    /** Exclusive limit on a random cost that makes nodes break ties differently. */
+    private static final double MAX_TIE_BREAK_COST = 0.04;
+
+    private final AvailabilityZoneId localZone;
+    private final Ownership ownership;
+    private final BalancingRules rules;
+    private final ConfigurationHolder configuration;
+    private final RandomGenerator random;
+
+    UpstreamSelector(
+            AvailabilityZoneId localZone,
+            Ownership ownership,
+            BalancingRules rules,
+            ConfigurationHolder configuration,
+            RandomGenerator random) {
+        this.localZone = localZone;
+        this.ownership = ownership;
+        this.rules = rules;
+        this.configuration = configuration;
+        this.random = random;
+    }
+
+    /** Inputs of a choice beside the request and the upstream; utilization is 0 if the limit does not depend on it. */
+    record SelectionContext(
+            Set<AvailabilityZoneId> evacuated,
+            double utilization,
+            double meanSlowdown,
+            long typicalLatencyNanos,
+            long nowNanos) {}
+
+    /** Returns the share of a service's slots in use, over upstreams that take requests and were observed lately. */
+    static double utilization(
+            Collection<TrackedUpstream> upstreams, ServiceId service, Set<AvailabilityZoneId> evacuated, long now) {
+        int busySlots = 0;
+        int slots = 0;
+        for (TrackedUpstream upstream : upstreams) {
+            Registration registration = upstream.registration();
+            if (registration.service().equals(service)
+                    && takesRequests(registration, evacuated)
+                    && isFresh(upstream, now)
+                    && upstream.observation().reachable()) {
+                busySlots += Math.min(upstream.load(now), registration.slots());
+                slots += registration.slots();
+            }
+        }
+        return slots == 0 ? 0 : (double) busySlots / slots;
+    }
+
+    /** Counts the upstreams of a service that are registered, and those that can take a request. */
+    ServiceCapacity capacity(
+            Collection<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context) {
+        int registered = 0;
+        int usable = 0;
+        for (TrackedUpstream upstream : upstreams) {
+            registered += upstream.registration().service().equals(criteria.service()) ? 1 : 0;
+            usable += isUsable(upstream, criteria, context) ? 1 : 0;
+        }
+        double utilization = utilization(upstreams, criteria.service(), context.evacuated(), context.nowNanos());
+        return new ServiceCapacity(registered, usable, utilization);
+    }
+
+    /** An upstream and its predicted cost. */
+    record UpstreamCandidate(TrackedUpstream upstream, double cost) {
+        /** Creates the placement of an attempt that starts at the upstream now. */
+        Placement placement(RouteId route, SelectionContext context) {
+            long now = context.nowNanos();
+            return new Placement(
+                    upstream.registration().id(),
+                    route,
+                    upstream.registration().address(),
+                    now,
+                    cost,
+                    duration(upstream, context),
+                    upstream.observation().slowdownPercent(),
+                    upstream.load(now),
+                    now - upstream.observation().atNanos(),
+                    upstream.isCold(now));
+        }
+    }
+
+    /** Returns the predicted duration of a request at an upstream, in units of the typical latency. */
+    private static double duration(TrackedUpstream upstream, SelectionContext context) {
+        return UpstreamCost.duration(upstream, context.meanSlowdown(), context.nowNanos());
+    }
+
+    Optional<UpstreamCandidate> choose(
+            Collection<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context) {
+        TrackedUpstream best = null;
+        double bestCost = criteria.maxCost();
+        for (TrackedUpstream upstream : upstreams) {
+            if (!isUsable(upstream, criteria, context)) {
+                continue;
+            }
+            double cost = cost(upstream, context);
+            if (cost < bestCost) {
+                best = upstream;
+                bestCost = cost;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(new UpstreamCandidate(best, bestCost));
+    }
+
+    /**
+     * Lists the best candidates that were not observed just now, or none if the best of all was and has a good cost.
+     * Upstreams without a fresh observation are included and assumed to be nearly normal, so that a node that has just
+     * started finds those of other zones.
+     */
+    List<TrackedUpstream> candidatesToProbe(
+            Collection<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context) {
+        List<UpstreamCandidate> ranked = bestCandidates(upstreams, criteria, context);
+        if (!ranked.isEmpty()
+                && ranked.get(0).cost() <= GOOD_COST
+                && isJustObserved(ranked.get(0).upstream(), context.nowNanos())) {
+            return List.of();
+        }
+        return ranked.stream()
+                .map(UpstreamCandidate::upstream)
+                .filter(upstream -> !isJustObserved(upstream, context.nowNanos()))
+                .toList();
+    }
+
+    /** Lists the few candidates of lowest cost in ascending order, without sorting all of them. */
+    private List<UpstreamCandidate> bestCandidates(
+            Collection<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context) {
+        List<UpstreamCandidate> ranked = new ArrayList<>(MAX_PROBED_CANDIDATES + 1);
+        for (TrackedUpstream upstream : upstreams) {
+            if (isUsable(upstream, criteria, context) || isUnobservedCandidate(upstream, criteria, context)) {
+                double cost = rankingCost(upstream, context);
+                int position = ranked.size();
+                while (position > 0 && ranked.get(position - 1).cost() > cost) {
+                    position--;
+                }
+                ranked.add(position, new UpstreamCandidate(upstream, cost));
+                if (ranked.size() > MAX_PROBED_CANDIDATES) {
+                    ranked.remove(MAX_PROBED_CANDIDATES);
+                }
+            }
+        }
+        return ranked;
+    }
+
+    private static boolean isJustObserved(TrackedUpstream upstream, long now) {
+        return upstream.observation() != null && now - upstream.observation().atNanos() <= JUST_OBSERVED_NANOS;
+    }
+
+    private double cost(TrackedUpstream upstream, SelectionContext context) {
+        return UpstreamCost.predict(upstream, context.meanSlowdown(), context.typicalLatencyNanos(), context.nowNanos())
+                + localityCost(upstream.registration());
+    }
+
+    /** Returns the cost that ranks an upstream for a probe; without a fresh observation it is never a good cost. */
+    private double rankingCost(TrackedUpstream upstream, SelectionContext context) {
+        double cost = cost(upstream, context);
+        return isFresh(upstream, context.nowNanos()) ? cost : Math.max(cost, UNOBSERVED_COST);
+    }
+
+    private boolean isUsable(TrackedUpstream upstream, SelectionCriteria criteria, SelectionContext context) {
+        long now = context.nowNanos();
+        if (!isCandidate(upstream, criteria, context)
+                || !isFresh(upstream, now)
+                || !upstream.observation().reachable()) {
+            return false;
+        }
+        Registration registration = upstream.registration();
+        if (upstream.isCold(now)) {
+            return ownership.owns(registration)
+                    && upstream.load(now) < registration.slots()
+                    && upstream.coldRateLimiter().isAllowed(coldLimitPerSecond(registration.service()), now);
+        }
+        if (UpstreamCost.slowdown(upstream, context.meanSlowdown(), now) > criteria.maxSlowdown()) {
+            return false;
+        }
+        return upstream.load(now)
+                < ConcurrencyLimit.limit(registration.slots(), criteria.priority(), context.utilization());
+    }
+
+    /** Returns whether a probe may show that an upstream without a fresh observation is usable. */
+    private static boolean isUnobservedCandidate(
+            TrackedUpstream upstream, SelectionCriteria criteria, SelectionContext context) {
+        return isCandidate(upstream, criteria, context) && !isFresh(upstream, context.nowNanos());
+    }
+
+    private static boolean isCandidate(TrackedUpstream upstream, SelectionCriteria criteria, SelectionContext context) {
+        Registration registration = upstream.registration();
+        return registration.service().equals(criteria.service())
+                && takesRequests(registration, context.evacuated())
+                && !criteria.excluded().contains(registration.id())
+                && !upstream.isInBackoff(context.nowNanos());
+    }
+
+    private static boolean takesRequests(Registration registration, Set<AvailabilityZoneId> evacuated) {
+        return !registration.draining() && !evacuated.contains(registration.availabilityZone());
+    }
+
+    static boolean isFresh(TrackedUpstream upstream, long now) {
+        return upstream.observation() != null && now - upstream.observation().atNanos() <= OBSERVATION_TTL_NANOS;
+    }
+
+    private int coldLimitPerSecond(ServiceId service) {
+        double sustainablePerSecond = configuration
+                .current()
+                .flatMap(current -> current.service(service))
+                .map(ServiceSpec::warmupPerSecond)
+                .orElse(1.0);
+        return sustainablePerSecond <= 0
+                ? Integer.MAX_VALUE
+                : ColdRateLimiter.limitPerSecond(sustainablePerSecond, rules);
+    }
+
+    boolean isLocal(Registration registration) {
+        return registration.availabilityZone().equals(localZone);
+    }
+
+    boolean owns(Registration registration) {
+        return ownership.owns(registration);
+    }
+
+    private double localityCost(Registration registration) {
+        double tieBreak = random.nextDouble() * MAX_TIE_BREAK_COST;
+        if (!isLocal(registration)) {
+            return OTHER_ZONE_COST + tieBreak;
+        }
+        return owns(registration) ? 0 : NOT_OWNED_COST + tieBreak;
+    }
+}
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -10,8 +10,8 @@
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import org.turmericspan.balancing.UpstreamSelection.Choice;
-import org.turmericspan.balancing.UpstreamSelection.Circumstances;
+import org.turmericspan.balancing.UpstreamSelector.SelectionContext;
+import org.turmericspan.balancing.UpstreamSelector.UpstreamCandidate;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.RouteId;
@@ -19,104 +19,104 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Registered upstreams, what is believed of each, and the choice among them. */
+/** Table of the registered upstreams and the observed state of each, from which attempts are placed. */
 public final class UpstreamTable {
-    /** Weight of a new observation in the mean slowness. */
+    /** Weight of a new observation in the exponentially weighted moving average of the slowdown. */
     private static final double MEAN_WEIGHT = 0.02;
 
-    /** Share of failures from which on other nodes are told of it, also without a fresh observation. */
-    private static final double TOLD_FAIL_SHARE = 0.05;
+    /** Failure rate from which this node reports an upstream, even if it has not observed it lately itself. */
+    private static final double REPORTED_FAILURE_RATE = 0.05;
 
     private static final double PERCENT = 100.0;
 
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
-    private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
-    private final Map<Long, UpstreamId> byHash = new HashMap<>();
+    private final Map<UpstreamId, TrackedUpstream> upstreams = new HashMap<>();
+    private final Map<Long, UpstreamId> idsByHash = new HashMap<>();
     private final TypicalLatencies latencies = new TypicalLatencies();
-    private final UpstreamSelection selection;
+    private final UpstreamSelector selector;
     private final MonotonicClock clock;
     private Set<AvailabilityZoneId> evacuated = Set.of();
-    private double meanSlowness = 1;
+    private double meanSlowdown = 1;
 
     /**
      * Creates an empty table.
      *
-     * @param home availability zone of this node
-     * @param ownership tells which upstreams this node owns; called under the table's lock, must take none itself
-     * @param rules agreed bounds
-     * @param configuration names the services
+     * @param localZone availability zone of this node
+     * @param ownership decides which upstreams this node owns; called under the table's lock, must not take a lock
+     * @param rules configured limits for the fleet
+     * @param configuration holds the configuration of the services
      * @param clock monotonic time
      * @param random breaks ties
      */
     public UpstreamTable(
-            AvailabilityZoneId home,
+            AvailabilityZoneId localZone,
             Ownership ownership,
             BalancingRules rules,
             ConfigurationHolder configuration,
             MonotonicClock clock,
             RandomGenerator random) {
-        this.selection = new UpstreamSelection(home, ownership, rules, configuration, random);
+        this.selector = new UpstreamSelector(localZone, ownership, rules, configuration, random);
         this.clock = clock;
     }
 
     /**
-     * Takes what an upstream published.
+     * Adds or updates the registration of an upstream.
      *
      * @param registration the newest registration
-     * @return whether it is new or changed in more than its warm-up time
+     * @return whether it is new, or differs in more than its warm-up time
      */
     public boolean register(Registration registration) {
         return lock.compute(() -> {
-            UpstreamState state = states.get(registration.id());
-            if (state == null) {
-                UpstreamState added = new UpstreamState(registration);
-                states.put(registration.id(), added);
-                byHash.put(added.hash(), registration.id());
+            TrackedUpstream upstream = upstreams.get(registration.id());
+            if (upstream == null) {
+                TrackedUpstream added = new TrackedUpstream(registration);
+                upstreams.put(registration.id(), added);
+                idsByHash.put(added.hash(), registration.id());
                 return true;
             }
-            Registration old = state.registration();
-            state.register(registration);
+            Registration old = upstream.registration();
+            upstream.register(registration);
             return !registration.equalsIgnoringWarmUp(old);
         });
     }
 
     /**
-     * Forgets an upstream that is gone.
+     * Removes an upstream.
      *
      * @param id the upstream
-     * @return whether it was known
+     * @return whether it was registered
      */
     public boolean remove(UpstreamId id) {
         return lock.compute(() -> {
-            UpstreamState removed = states.remove(id);
+            TrackedUpstream removed = upstreams.remove(id);
             if (removed != null) {
-                byHash.remove(removed.hash());
+                idsByHash.remove(removed.hash());
             }
             return removed != null;
         });
     }
 
     /**
-     * Looks an upstream up.
+     * Looks up the registration of an upstream.
      *
      * @param id the upstream
-     * @return its registration; empty when it is gone
+     * @return its registration; empty when it is not registered
      */
     public Optional<Registration> registration(UpstreamId id) {
-        return lock.compute(() -> Optional.ofNullable(states.get(id)).map(UpstreamState::registration));
+        return lock.compute(() -> Optional.ofNullable(upstreams.get(id)).map(TrackedUpstream::registration));
     }
 
     /**
-     * Counts the registered upstreams.
+     * Returns the number of registered upstreams.
      *
-     * @return the count
+     * @return number of upstreams
      */
     public int size() {
-        return lock.compute(states::size);
+        return lock.compute(upstreams::size);
     }
 
     /**
-     * Sets the zones whose upstreams get nothing.
+     * Sets the zones whose upstreams get no requests.
      *
      * @param zones evacuated availability zones
      * @return whether the set changed
@@ -130,30 +130,30 @@
     }
 
     /**
-     * Takes an observation of an upstream.
+     * Records this node's own observation of an upstream.
      *
      * @param id the upstream
-     * @param observation what it showed
+     * @param observation the observation; does not replace a newer one
      */
     public void observe(UpstreamId id, Observation observation) {
-        lock.run(() -> observeOwn(states.get(id), observation));
+        lock.run(() -> observeLocally(upstreams.get(id), observation));
     }
 
-    private void observeOwn(UpstreamState state, Observation observation) {
-        if (state != null) {
-            state.ownObserved(observation.atNanos());
-            observeLocked(state, observation);
+    private void observeLocally(TrackedUpstream upstream, Observation observation) {
+        if (upstream != null) {
+            upstream.recordLocalObservation(observation.atNanos());
+            applyObservation(upstream, observation);
         }
     }
 
-    private void observeLocked(UpstreamState state, Observation observation) {
-        if (state != null && state.observe(observation) && observation.reachable()) {
-            meanSlowness += MEAN_WEIGHT * (observation.slowdownPercent() / PERCENT - meanSlowness);
+    private void applyObservation(TrackedUpstream upstream, Observation observation) {
+        if (upstream != null && upstream.observe(observation) && observation.reachable()) {
+            meanSlowdown += MEAN_WEIGHT * (observation.slowdownPercent() / PERCENT - meanSlowdown);
         }
     }
 
     /**
-     * Takes the load figures that came with an answer. They say nothing of warmth or health, which stay as they were.
+     * Records the load report of a response. Whether the upstream is cold or healthy remains as observed before.
      *
      * @param id the upstream
      * @param report its load at this moment
@@ -161,82 +161,82 @@
     public void observeLoad(UpstreamId id, LoadReport report) {
         long now = clock.nowNanos();
         lock.run(() -> {
-            UpstreamState state = states.get(id);
-            if (state != null
-                    && state.observation() != null
-                    && state.observation().reachable()) {
-                observeOwn(state, state.withLoad(report, now));
+            TrackedUpstream upstream = upstreams.get(id);
+            if (upstream != null
+                    && upstream.observation() != null
+                    && upstream.observation().reachable()) {
+                observeLocally(upstream, upstream.withLoad(report, now));
             }
         });
     }
 
     /**
-     * Notes that an upstream could be reached, or could not.
+     * Records whether a connection to an upstream succeeded. A failure starts a backoff, a success ends it.
      *
      * @param id the upstream
      * @param reached whether a connection succeeded
      */
     public void recordReachability(UpstreamId id, boolean reached) {
         lock.run(() -> {
-            UpstreamState state = states.get(id);
-            if (state != null && reached) {
-                state.reached();
-            } else if (state != null) {
-                state.rest(clock.nowNanos());
+            TrackedUpstream upstream = upstreams.get(id);
+            if (upstream != null && reached) {
+                upstream.endBackoff();
+            } else if (upstream != null) {
+                upstream.startBackoff(clock.nowNanos());
             }
         });
     }
 
     /**
-     * Takes what another node reports.
+     * Applies the reports of another node.
      *
      * @param peer the node
-     * @param reports one for each upstream that it speaks of
+     * @param reports one for each upstream; those about unknown upstreams are ignored
      */
     public void applyPeerReports(String peer, Collection<PeerReport> reports) {
-        lock.run(() -> reports.forEach(report -> acceptReport(peer, report)));
+        lock.run(() -> reports.forEach(report -> applyPeerReport(peer, report)));
     }
 
-    private void acceptReport(String peer, PeerReport report) {
-        UpstreamId id = byHash.get(report.upstreamHash());
+    private void applyPeerReport(String peer, PeerReport report) {
+        UpstreamId id = idsByHash.get(report.upstreamHash());
         if (id == null) {
             return;
         }
-        UpstreamState state = states.get(id);
-        observeLocked(state, report.observation());
-        state.peerReported(peer, report.inFlight(), report.failurePercent(), clock.nowNanos());
+        TrackedUpstream upstream = upstreams.get(id);
+        applyObservation(upstream, report.observation());
+        upstream.recordPeerReport(peer, report.inFlight(), report.failurePercent(), clock.nowNanos());
     }
 
     /**
-     * Lists what this node knows, for other nodes.
+     * Lists the state that this node knows from any source, to report it to other nodes.
      *
-     * @param filter chooses the upstreams to speak of
+     * @param filter selects the upstreams to report
      * @return one report for each upstream with a fresh observation
      */
     public List<PeerReport> reports(Predicate<Registration> filter) {
-        return reportsOf((state, now) -> filter.test(state.registration()));
+        return reportsOf((upstream, now) -> filter.test(upstream.registration()));
     }
 
     /**
-     * Lists what this node found out itself, for nodes that hear from the others directly.
+     * Lists the state that this node found itself, to report it to nodes that get the reports of the others directly.
      *
-     * @param maxAgeNanos age up to which its observations count
-     * @return one report for each upstream that it observed lately, or at which its requests run or failed
+     * @param maxAgeNanos age up to which its own observations are included
+     * @return one report for each upstream that it observed lately, or where its requests are in flight or failed
      */
     public List<PeerReport> localReports(long maxAgeNanos) {
-        return reportsOf((state, now) -> now - state.ownObservedNanos() <= maxAgeNanos
-                || state.ownInFlight() > 0
-                || state.ownFailShare(now) >= TOLD_FAIL_SHARE);
+        return reportsOf((upstream, now) -> now - upstream.locallyObservedNanos() <= maxAgeNanos
+                || upstream.localInFlight() > 0
+                || upstream.localFailureRate(now) >= REPORTED_FAILURE_RATE);
     }
 
-    private List<PeerReport> reportsOf(BiPredicate<UpstreamState, Long> filter) {
+    private List<PeerReport> reportsOf(BiPredicate<TrackedUpstream, Long> filter) {
         long now = clock.nowNanos();
         return lock.compute(() -> {
             List<PeerReport> reports = new ArrayList<>();
-            for (UpstreamState state : states.values()) {
-                if (UpstreamSelection.isFresh(state, now) && filter.test(state, now)) {
-                    reports.add(new PeerReport(state.hash(), state.observation(), state.ownInFlight(), (int)
-                            (PERCENT * state.ownFailShare(now))));
+            for (TrackedUpstream upstream : upstreams.values()) {
+                if (UpstreamSelector.isFresh(upstream, now) && filter.test(upstream, now)) {
+                    reports.add(new PeerReport(upstream.hash(), upstream.observation(), upstream.localInFlight(), (int)
+                            (PERCENT * upstream.localFailureRate(now))));
                 }
             }
             return reports;
@@ -244,147 +244,146 @@
     }
 
     /**
-     * Lists the upstreams that this node is to probe.
+     * Lists the upstreams that this node must probe.
      *
-     * @param starting whether this node has not joined yet and looks at its own zone, whoever owns what
+     * @param starting whether this node has not joined yet and therefore probes its whole zone instead of what it owns
      * @return registrations, draining ones left out
      */
     public List<Registration> probeTargets(boolean starting) {
-        return lock.compute(() -> states.values().stream()
-                .map(UpstreamState::registration)
+        return lock.compute(() -> upstreams.values().stream()
+                .map(TrackedUpstream::registration)
                 .filter(registration -> !registration.draining())
-                .filter(registration -> starting ? selection.isHome(registration) : selection.owns(registration))
+                .filter(registration -> starting ? selector.isLocal(registration) : selector.owns(registration))
                 .toList());
     }
 
     /**
-     * Tells whether most upstreams of this node's zone were observed lately.
+     * Returns whether at least half of the upstreams of the local zone were observed lately.
      *
      * @return true also when none is registered
      */
     public boolean hasRecentObservations() {
         long now = clock.nowNanos();
         return lock.compute(() -> {
-            List<UpstreamState> near = states.values().stream()
-                    .filter(state -> selection.isHome(state.registration()))
+            List<TrackedUpstream> localUpstreams = upstreams.values().stream()
+                    .filter(upstream -> selector.isLocal(upstream.registration()))
                     .toList();
-            long fresh = near.stream()
-                    .filter(state -> UpstreamSelection.isFresh(state, now))
+            long fresh = localUpstreams.stream()
+                    .filter(upstream -> UpstreamSelector.isFresh(upstream, now))
                     .count();
-            return 2 * fresh >= near.size();
+            return 2 * fresh >= localUpstreams.size();
         });
     }
 
     /**
-     * Chooses the upstream of lowest predicted cost and counts the attempt there.
+     * Selects the upstream of lowest predicted cost and adds the attempt to its load.
      *
-     * @param criteria what the choice must respect
-     * @return the place; empty when no upstream can take the request now
+     * @param criteria constraints on the choice
+     * @return the placement; empty when no upstream can take the request now
      */
     public Optional<Placement> choose(SelectionCriteria criteria) {
         long now = clock.nowNanos();
         return lock.compute(() -> {
-            Circumstances circumstances = circumstances(criteria, now);
-            return selection
-                    .choose(states.values(), criteria, circumstances)
-                    .map(choice -> place(choice, criteria.route(), circumstances));
+            SelectionContext context = selectionContext(criteria, now);
+            return selector.choose(upstreams.values(), criteria, context)
+                    .map(candidate -> place(candidate, criteria.route(), context));
         });
     }
 
     /**
-     * Tells what a service has to offer a request, whatever its cost.
+     * Returns the capacity of a service for a request, regardless of cost.
      *
-     * @param criteria what is needed
-     * @return the counts of this moment
+     * @param criteria constraints on the choice
+     * @return capacity at this moment
      */
     public ServiceCapacity capacity(SelectionCriteria criteria) {
         long now = clock.nowNanos();
-        return lock.compute(() -> selection.room(states.values(), criteria, circumstances(criteria, now)));
+        return lock.compute(() -> selector.capacity(upstreams.values(), criteria, selectionContext(criteria, now)));
     }
 
-    private Circumstances circumstances(SelectionCriteria criteria, long now) {
-        double busyShare = RoomRule.dependsOnBusyShare(criteria.priority())
-                ? UpstreamSelection.busyShare(states.values(), criteria.service(), evacuated, now)
+    private SelectionContext selectionContext(SelectionCriteria criteria, long now) {
+        double utilization = ConcurrencyLimit.dependsOnUtilization(criteria.priority())
+                ? UpstreamSelector.utilization(upstreams.values(), criteria.service(), evacuated, now)
                 : 0;
-        return new Circumstances(evacuated, busyShare, meanSlowness, latencies.nanos(criteria.route()), now);
+        return new SelectionContext(evacuated, utilization, meanSlowdown, latencies.nanos(criteria.route()), now);
     }
 
     /**
-     * Lists the upstreams whose load is worth asking for before {@link #choose}.
+     * Lists the upstreams to probe on demand before {@link #choose}.
      *
-     * @param criteria what the choice must respect
-     * @return the best candidates of which nothing fresh is known; empty when the choice is good as it stands
+     * @param criteria constraints on the choice
+     * @return the best candidates that were not observed just now; empty when the choice is good without a probe
      */
     public List<Registration> candidatesToProbe(SelectionCriteria criteria) {
         long now = clock.nowNanos();
         return lock.compute(
-                () -> selection.worthAsking(states.values(), criteria, circumstances(criteria, now)).stream()
-                        .map(UpstreamState::registration)
+                () -> selector.candidatesToProbe(upstreams.values(), criteria, selectionContext(criteria, now)).stream()
+                        .map(TrackedUpstream::registration)
                         .toList());
     }
 
-    private Placement place(Choice choice, RouteId route, Circumstances circumstances) {
-        Placement placement = choice.placement(route, circumstances);
-        choice.state().started(placement.startedNanos());
+    private Placement place(UpstreamCandidate candidate, RouteId route, SelectionContext context) {
+        Placement placement = candidate.placement(route, context);
+        candidate.upstream().recordStart(placement.startedNanos());
         if (placement.cold()) {
-            choice.state().coldPace().record(placement.startedNanos());
+            candidate.upstream().coldRateLimiter().record(placement.startedNanos());
         }
         return placement;
     }
 
     /**
-     * Ends an attempt.
+     * Removes an attempt from the load of its upstream and records its result.
      *
-     * @param placement its place
-     * @param result how it ended
+     * @param placement placement of the attempt
+     * @param result result of the attempt
      */
     public void finish(Placement placement, AttemptResult result) {
         long now = clock.nowNanos();
         lock.run(() -> {
-            UpstreamState state = states.get(placement.upstream());
-            if (state != null) {
-                state.finished(placement.startedNanos(), result, now);
+            TrackedUpstream upstream = upstreams.get(placement.upstream());
+            if (upstream != null) {
+                upstream.recordEnd(placement.startedNanos(), result, now);
             }
             if (result == AttemptResult.SUCCESS) {
-                latencies.learn(placement, now);
+                latencies.update(placement, now);
             }
         });
     }
 
     /**
-     * Returns how long a request of a route typically takes on an idle upstream.
+     * Returns the typical latency of a route at an idle upstream.
      *
      * @param route the route
-     * @return nanoseconds; 0 when nothing is known
+     * @return nanoseconds; 0 when there is no sample
      */
     public long typicalLatencyNanos(RouteId route) {
         return lock.compute(() -> latencies.nanos(route));
     }
 
     /**
-     * Returns how slow an upstream was last seen.
+     * Returns the last observed slowdown of an upstream.
      *
      * @param id the upstream
-     * @return percent, 100 as usual; 100 when nothing is known
+     * @return percent of the normal service time; 100 when there is no observation
      */
     public int slowdownPercent(UpstreamId id) {
         return lock.compute(() -> {
-            UpstreamState state = states.get(id);
-            return state == null || state.observation() == null
+            TrackedUpstream upstream = upstreams.get(id);
+            return upstream == null || upstream.observation() == null
                     ? LoadReport.NORMAL.slowdownPercent()
-                    : state.observation().slowdownPercent();
+                    : upstream.observation().slowdownPercent();
         });
     }
 
     /**
-     * Describes all upstreams.
+     * Formats all upstreams for a state dump.
      *
-     * @return one line each
+     * @return one line for each upstream, sorted
      */
     public List<String> describe() {
         long now = clock.nowNanos();
-        return lock.compute(() -> states.values().stream()
-                .map(state -> state.describe(now) + " owned=" + selection.owns(state.registration()))
+        return lock.compute(() -> upstreams.values().stream()
+                .map(upstream -> upstream.describe(now) + " owned=" + selector.owns(upstream.registration()))
                 .sorted()
                 .toList());
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/WeightedRoundRobin.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WeightedRoundRobin.java
@@ -9,54 +9,54 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * Spreads the requests of each route over its backends by smooth weighted round robin, so that every share is kept to
- * within one request on each node. The start is drawn, so that nodes do not all begin with the same backend.
+ * Distributes the requests of each route over its services by smooth weighted round robin, which keeps every share to
+ * within one request on each node. The initial weights are random, so that nodes start with different services.
  */
 public final class WeightedRoundRobin {
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
-    private final Map<List<WeightedService>, double[]> credits = new HashMap<>();
+    private final Map<List<WeightedService>, double[]> currentWeights = new HashMap<>();
     private final RandomGenerator random;
 
     /**
-     * Creates a rotation.
+     * Creates a round robin that has not selected a service yet.
      *
-     * @param random draws the start
+     * @param random draws the initial weights
      */
     public WeightedRoundRobin(RandomGenerator random) {
         this.random = random;
     }
 
     /**
-     * Chooses the backend of the next request of a route.
+     * Selects the service of the next request of a route.
      *
      * @param route the route
-     * @return service of the chosen backend
+     * @return the selected service
      */
     public ServiceId next(Route route) {
         List<WeightedService> services = route.services();
         if (services.size() == 1) {
             return services.get(0).service();
         }
-        return lock.compute(() -> advance(services, credits.computeIfAbsent(services, this::start)));
+        return lock.compute(() -> advance(services, currentWeights.computeIfAbsent(services, this::initialWeights)));
     }
 
-    private double[] start(List<WeightedService> backends) {
-        return backends.stream()
+    private double[] initialWeights(List<WeightedService> services) {
+        return services.stream()
                 .mapToDouble(weightedService -> random.nextDouble() * weightedService.weight())
                 .toArray();
     }
 
-    private static ServiceId advance(List<WeightedService> backends, double[] credit) {
+    private static ServiceId advance(List<WeightedService> services, double[] weights) {
         int best = 0;
         double total = 0;
-        for (int i = 0; i < credit.length; i++) {
-            credit[i] += backends.get(i).weight();
-            total += backends.get(i).weight();
-            if (credit[i] > credit[best]) {
+        for (int i = 0; i < weights.length; i++) {
+            weights[i] += services.get(i).weight();
+            total += services.get(i).weight();
+            if (weights[i] > weights[best]) {
                 best = i;
             }
         }
-        credit[best] -= total;
-        return backends.get(best).service();
+        weights[best] -= total;
+        return services.get(best).service();
     }
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/WeightedService.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WeightedService.java
@@ -3,9 +3,9 @@
 import org.turmericspan.ids.ServiceId;
 
 /**
- * One service of a route.
+ * Service of a route with its share of the requests.
  *
  * @param service service that runs the requests
- * @param weight share of the route's requests, relative to the other backends; above 0
+ * @param weight weight relative to the other services of the route; above 0
  */
 public record WeightedService(ServiceId service, double weight) {}
--- a/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
@@ -11,27 +11,27 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * This node's part of the repeats that the fleet may make within a sliding window: the agreed ratio of its own
- * requests, and an equal part of the slack.
+ * Retry budget of this node over a sliding window, for retries and hedges. It is the configured ratio of the node's own
+ * requests plus an equal part of the fixed allowance of the fleet, called slack.
  */
 public final class WindowedRetryBudget {
     /**
-     * Part of the agreed budget that requests of each priority may use up, so that what matters most still finds some
-     * when servers fail. The rest is a margin for requests at the window's edges.
+     * Share of the budget that requests of each priority may use, so that higher priorities can still retry when
+     * servers fail. What is left above the highest share is a margin for requests at the edges of the window.
      */
-    private static final double[] USED_PARTS = {0.9, 0.8, 0.65};
+    private static final double[] BUDGET_SHARES = {0.9, 0.8, 0.65};
 
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
-    private final Map<ServiceId, Counts> counts = new HashMap<>();
+    private final Map<ServiceId, Window> windows = new HashMap<>();
     private final BalancingRules rules;
     private final IntSupplier nodes;
     private final MonotonicClock clock;
 
     /**
-     * Creates a budget without history.
+     * Creates a budget with an empty window.
      *
-     * @param rules agreed bounds
-     * @param nodes nodes that share the slack
+     * @param rules configured limits for the fleet
+     * @param nodes returns the number of nodes that share the slack
      * @param clock monotonic time
      */
     public WindowedRetryBudget(BalancingRules rules, IntSupplier nodes, MonotonicClock clock) {
@@ -41,42 +41,42 @@
     }
 
     /**
-     * Counts a request.
+     * Records a request, which increases the budget of its service.
      *
-     * @param service service it goes to
+     * @param service service of the request
      */
     public void recordRequest(ServiceId service) {
         long now = clock.nowNanos();
-        lock.run(() -> countsOf(service, now).requests.addLast(now));
+        lock.run(() -> windowOf(service, now).requests.addLast(now));
     }
 
     /**
-     * Spends one repeat if the budget allows it.
+     * Acquires one retry or hedge if the budget allows it.
      *
-     * @param service service it goes to
-     * @param priority rank of the request, 0 is the highest
-     * @return whether the repeat may be made
+     * @param service service of the request
+     * @param priority priority of the request, 0 is the highest
+     * @return whether the extra attempt may be made
      */
     public boolean tryAcquire(ServiceId service, int priority) {
-        double part = USED_PARTS[Math.min(priority, USED_PARTS.length - 1)];
+        double share = BUDGET_SHARES[Math.min(priority, BUDGET_SHARES.length - 1)];
         long now = clock.nowNanos();
         double slack = rules.retrySlack() / Math.max(1, nodes.getAsInt());
         return lock.compute(() -> {
-            Counts current = countsOf(service, now);
-            double allowed = part * (rules.retryRatio() * current.requests.size() + slack);
-            if (current.repeats.size() + 1 > allowed) {
+            Window window = windowOf(service, now);
+            double allowed = share * (rules.retryRatio() * window.requests.size() + slack);
+            if (window.extraAttempts.size() + 1 > allowed) {
                 return false;
             }
-            current.repeats.addLast(now);
+            window.extraAttempts.addLast(now);
             return true;
         });
     }
 
-    private Counts countsOf(ServiceId service, long now) {
-        Counts current = counts.computeIfAbsent(service, key -> new Counts());
-        expire(current.requests, now);
-        expire(current.repeats, now);
-        return current;
+    private Window windowOf(ServiceId service, long now) {
+        Window window = windows.computeIfAbsent(service, key -> new Window());
+        expire(window.requests, now);
+        expire(window.extraAttempts, now);
+        return window;
     }
 
     private void expire(Deque<Long> times, long now) {
@@ -85,8 +85,8 @@
         }
     }
 
-    private static final class Counts {
+    private static final class Window {
         private final Deque<Long> requests = new ArrayDeque<>();
-        private final Deque<Long> repeats = new ArrayDeque<>();
+        private final Deque<Long> extraAttempts = new ArrayDeque<>();
     }
 }
--- a/balancing/src/main/java/org/turmericspan/balancing/package-info.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Decisions of the entry nodes: routes, beliefs about upstreams, choice, cold starts, repeat budgets and crash
- * suspects.
+ * Decisions of the entry nodes: routing, the state of upstreams, their selection, rate limits of cold upstreams, retry
+ * and probe budgets, and requests suspected of crashing upstreams.
  */
 package org.turmericspan.balancing;
--- a/balancing/src/test/java/org/turmericspan/balancing/CrashSuspectsTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/CrashSuspectsTest.java
@@ -19,7 +19,7 @@
     }
 
     @Test
-    void thirdUpstreamLostQuarantinesTheRequest() {
+    void lossOfThirdUpstreamQuarantinesTheRequest() {
         crash("u-1");
         crash("u-2");
         assertThat(suspects.isQuarantined(REQUEST)).isFalse();
@@ -28,7 +28,7 @@
     }
 
     @Test
-    void sameUpstreamCountsOnce() {
+    void repeatedCrashesOfOneUpstreamCountOnce() {
         crash("u-1");
         crash("u-1");
         crash("u-1");
@@ -36,7 +36,7 @@
     }
 
     @Test
-    void brokenConnectionAloneIsNoCrash() {
+    void lostConnectionAloneIsNoCrash() {
         for (int i = 0; i < 5; i++) {
             suspects.recordConnectionLoss(REQUEST, new UpstreamId("u-" + i));
         }
@@ -44,7 +44,7 @@
     }
 
     @Test
-    void crashesSeenByOtherNodesCount() {
+    void crashesReportedByOtherNodesCount() {
         crash("u-1");
         suspects.recordPeerCrash(new CrashSuspects.Crash(REQUEST, 7));
         suspects.recordPeerCrash(new CrashSuspects.Crash(REQUEST, 8));
@@ -52,7 +52,7 @@
     }
 
     @Test
-    void quarantineEnds() {
+    void quarantineEndsAfterItsTimeToLive() {
         crash("u-1");
         crash("u-2");
         crash("u-3");
--- a/balancing/src/test/java/org/turmericspan/balancing/ProbeBudgetTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/ProbeBudgetTest.java
@@ -7,41 +7,41 @@
 import org.turmericspan.testkit.ManualClock;
 
 class ProbeBudgetTest {
-    private static final double AGREED_PER_SECOND = 10;
+    private static final double PROBES_PER_SECOND = 10;
     private static final int UPSTREAMS = 6;
     private static final int NODES = 3;
 
     private final ManualClock clock = new ManualClock();
-    private final ProbeBudget budget = new ProbeBudget(AGREED_PER_SECOND, () -> UPSTREAMS, () -> NODES, clock);
+    private final ProbeBudget budget = new ProbeBudget(PROBES_PER_SECOND, () -> UPSTREAMS, () -> NODES, clock);
 
-    private int spendAll() {
-        int spent = 0;
+    private int acquireAll() {
+        int acquired = 0;
         while (budget.tryAcquire()) {
-            spent++;
+            acquired++;
         }
-        return spent;
+        return acquired;
     }
 
     @Test
-    void allNodesTogetherStayWithinTheAgreedProbes() {
-        int spent = 0;
+    void allNodesTogetherStayWithinTheConfiguredRate() {
+        int acquired = 0;
         for (int second = 0; second < 10; second++) {
             clock.advance(Duration.ofSeconds(1));
-            spent += spendAll();
+            acquired += acquireAll();
         }
-        assertThat(NODES * spent)
-                .isLessThanOrEqualTo((int) (AGREED_PER_SECOND * UPSTREAMS * 10))
+        assertThat(NODES * acquired)
+                .isLessThanOrEqualTo((int) (PROBES_PER_SECOND * UPSTREAMS * 10))
                 .isPositive();
     }
 
     @Test
-    void idleTimeSavesUpOneSecondOnly() {
+    void idleTimeRefillsOneSecondOnly() {
         clock.advance(Duration.ofSeconds(60));
-        assertThat(spendAll()).isEqualTo(12);
+        assertThat(acquireAll()).isEqualTo(12);
     }
 
     @Test
-    void nothingIsSavedUpAtTheStart() {
+    void bucketStartsEmpty() {
         assertThat(budget.tryAcquire()).isFalse();
     }
 }
--- a/balancing/src/test/java/org/turmericspan/balancing/RoutingConfigurationTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/RoutingConfigurationTest.java
@@ -11,21 +11,21 @@
             Samples.route("/a/b/", new WeightedService(Samples.SERVICE, 1)));
 
     @Test
-    void longestPrefixWins() {
+    void longestMatchingPrefixWins() {
         assertThat(configuration.findRoute("shop.example", "/a/b/c"))
                 .map(Route::prefix)
                 .hasValue("/a/b/");
     }
 
     @Test
-    void prefixEndsAtItsSlash() {
+    void prefixMatchesWholeSegmentsOnly() {
         assertThat(configuration.findRoute("shop.example", "/a/bc"))
                 .map(Route::prefix)
                 .hasValue("/a/");
     }
 
     @Test
-    void hostIsComparedWithoutCase() {
+    void hostIsCaseInsensitive() {
         assertThat(configuration.findRoute("SHOP.example", "/a/x")).isPresent();
     }
 
--- a/balancing/src/test/java/org/turmericspan/balancing/Samples.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/Samples.java
@@ -10,21 +10,21 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 
-/** Objects that tests share. */
+/** Creates objects that several tests use. */
 final class Samples {
     static final ServiceId SERVICE = new ServiceId("desk");
-    static final AvailabilityZoneId HOME = new AvailabilityZoneId("zone-a");
-    static final AvailabilityZoneId AWAY = new AvailabilityZoneId("zone-b");
+    static final AvailabilityZoneId LOCAL_ZONE = new AvailabilityZoneId("zone-a");
+    static final AvailabilityZoneId REMOTE_ZONE = new AvailabilityZoneId("zone-b");
     static final BalancingRules RULES = new BalancingRules(1.5, 5, 0.2, 60, TimeUnit.SECONDS.toNanos(10));
 
     private Samples() {}
 
-    static Route route(String prefix, WeightedService... backends) {
+    static Route route(String prefix, WeightedService... services) {
         return new Route(
                 new RouteId("r" + prefix),
                 "shop.example",
                 prefix,
-                List.of(backends),
+                List.of(services),
                 true,
                 3,
                 1_000_000_000L,
@@ -42,11 +42,11 @@
                 new UpstreamId(id), SERVICE, new SocketAddress("10.0.0.1", 80), zone, 3, false, 1, Long.MIN_VALUE / 2);
     }
 
-    static Observation observation(long atNanos, int slowPercent) {
-        return new Observation(atNanos, 0, 0, slowPercent, 0, true, true);
+    static Observation observation(long atNanos, int slowdownPercent) {
+        return new Observation(atNanos, 0, 0, slowdownPercent, 0, true, true);
     }
 
-    static SelectionCriteria choice() {
+    static SelectionCriteria criteria() {
         return new SelectionCriteria(new RouteId("r"), SERVICE, Set.of(), 2, Double.MAX_VALUE, Double.MAX_VALUE);
     }
 }
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -17,52 +17,52 @@
 class UpstreamTableTest {
     private final ManualClock clock = new ManualClock();
     private final ConfigurationHolder configuration = new ConfigurationHolder();
-    private boolean owner = true;
+    private boolean isOwner = true;
     private final UpstreamTable table = new UpstreamTable(
-            Samples.HOME, registration -> owner, Samples.RULES, configuration, clock, new SplittableRandom(1));
+            Samples.LOCAL_ZONE, registration -> isOwner, Samples.RULES, configuration, clock, new SplittableRandom(1));
 
     UpstreamTableTest() {
         configuration.accept(Samples.configuration(1));
     }
 
-    private UpstreamId add(String id, int slowPercent) {
-        Registration registration = Samples.registration(id, Samples.HOME);
+    private UpstreamId add(String id, int slowdownPercent) {
+        Registration registration = Samples.registration(id, Samples.LOCAL_ZONE);
         table.register(registration);
-        table.observe(registration.id(), Samples.observation(clock.nowNanos(), slowPercent));
+        table.observe(registration.id(), Samples.observation(clock.nowNanos(), slowdownPercent));
         return registration.id();
     }
 
     private Optional<UpstreamId> chosen() {
-        return table.choose(Samples.choice()).map(Placement::upstream);
+        return table.choose(Samples.criteria()).map(Placement::upstream);
     }
 
     @Test
-    void upstreamThatNobodyObservedGetsNothing() {
-        table.register(Samples.registration("u-1", Samples.HOME));
+    void upstreamThatNobodyObservedGetsNoRequests() {
+        table.register(Samples.registration("u-1", Samples.LOCAL_ZONE));
         assertThat(chosen()).isEmpty();
     }
 
     @Test
-    void upstreamThatNobodyObservedIsAskedWhereTheKnownAreFull() {
+    void upstreamThatNobodyObservedIsAskedIfTheObservedOnesAreFull() {
         UpstreamId full = add("u-full", 100);
         table.observe(full, new Observation(clock.nowNanos() + 1, 9, 9, 100, 0, true, true));
-        table.register(Samples.registration("u-unknown", Samples.HOME));
+        table.register(Samples.registration("u-unknown", Samples.LOCAL_ZONE));
 
-        assertThat(table.candidatesToProbe(Samples.choice()))
+        assertThat(table.candidatesToProbe(Samples.criteria()))
                 .extracting(Registration::id)
                 .containsExactly(new UpstreamId("u-unknown"));
     }
 
     @Test
-    void upstreamThatNobodyObservedIsNotAskedWhereAKnownOneIsFree() {
+    void upstreamThatNobodyObservedIsNotProbedIfAnObservedOneIsFree() {
         add("u-free", 100);
-        table.register(Samples.registration("u-unknown", Samples.HOME));
+        table.register(Samples.registration("u-unknown", Samples.LOCAL_ZONE));
 
-        assertThat(table.candidatesToProbe(Samples.choice())).isEmpty();
+        assertThat(table.candidatesToProbe(Samples.criteria())).isEmpty();
     }
 
     @Test
-    void slowUpstreamIsPassedOver() {
+    void fastUpstreamIsPreferredToASlowOne() {
         add("u-slow", 400);
         UpstreamId fast = add("u-fast", 100);
         assertThat(chosen()).hasValue(fast);
@@ -76,7 +76,7 @@
     }
 
     @Test
-    void lastSlotOfAFastUpstreamIsBetterThanASlowOneWhileTheServiceIsCalm() {
+    void lastSlotOfAFastUpstreamIsPreferredToASlowOneAtLowUtilization() {
         UpstreamId fast = add("u-fast", 100);
         add("u-slow-1", 400);
         add("u-slow-2", 400);
@@ -87,14 +87,14 @@
     }
 
     @Test
-    void evacuatedUpstreamsDoNotMakeABusyServiceLookCalm() {
+    void evacuatedUpstreamsDoNotLowerTheUtilizationOfAService() {
         UpstreamId busy = add("u-busy", 100);
         for (int i = 0; i < 3; i++) {
-            Registration away = Samples.registration("u-away-" + i, new AvailabilityZoneId("away"));
-            table.register(away);
-            table.observe(away.id(), Samples.observation(clock.nowNanos(), 100));
+            Registration remote = Samples.registration("u-remote-" + i, new AvailabilityZoneId("remote"));
+            table.register(remote);
+            table.observe(remote.id(), Samples.observation(clock.nowNanos(), 100));
         }
-        table.setEvacuated(Set.of(new AvailabilityZoneId("away")));
+        table.setEvacuated(Set.of(new AvailabilityZoneId("remote")));
         clock.advance(Duration.ofMillis(1));
         table.observe(busy, new Observation(clock.nowNanos(), 2, 0, 100, 0, true, true));
 
@@ -102,17 +102,17 @@
     }
 
     @Test
-    void roomTellsWhyARequestFindsNoUpstream() {
+    void capacityShowsWhyNoUpstreamIsSelected() {
         UpstreamId full = add("u-full", 100);
-        table.register(Samples.registration("u-unknown", Samples.HOME));
+        table.register(Samples.registration("u-unknown", Samples.LOCAL_ZONE));
         clock.advance(Duration.ofMillis(1));
         table.observe(full, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
 
-        assertThat(table.capacity(Samples.choice())).isEqualTo(new ServiceCapacity(2, 0, 1.0));
+        assertThat(table.capacity(Samples.criteria())).isEqualTo(new ServiceCapacity(2, 0, 1.0));
     }
 
     @Test
-    void drainingUpstreamGetsNothing() {
+    void drainingUpstreamGetsNoRequests() {
         UpstreamId id = add("u-1", 100);
         Registration old = table.registration(id).orElseThrow();
         table.register(new Registration(
@@ -121,33 +121,33 @@
     }
 
     @Test
-    void evacuatedZoneGetsNothingUntilItIsTakenBack() {
+    void evacuatedZoneGetsNoRequestsUntilTheEvacuationEnds() {
         UpstreamId id = add("u-1", 100);
-        table.setEvacuated(Set.of(Samples.HOME));
+        table.setEvacuated(Set.of(Samples.LOCAL_ZONE));
         assertThat(chosen()).isEmpty();
         table.setEvacuated(Set.of());
         assertThat(chosen()).hasValue(id);
     }
 
     @Test
-    void coldUpstreamIsLeftToItsOwner() {
+    void coldUpstreamGetsRequestsFromItsOwnerOnly() {
         UpstreamId id = add("u-1", 100);
         clock.advance(Duration.ofMillis(1));
         table.observe(id, new Observation(clock.nowNanos(), 0, 0, 100, 2_000_000_000L, true, true));
-        owner = false;
+        isOwner = false;
         assertThat(chosen()).isEmpty();
-        owner = true;
+        isOwner = true;
         assertThat(chosen()).hasValue(id);
     }
 
     @Test
-    void ownerKeepsHalfOfTheColdBoundInAnySecond() {
+    void ownerKeepsHalfOfTheColdRateLimitInAnySecond() {
         UpstreamId id = add("u-1", 100);
         int sent = 0;
         for (int i = 0; i < 100; i++) {
             clock.advance(Duration.ofMillis(10));
             table.observe(id, new Observation(clock.nowNanos(), 0, 0, 100, 2_000_000_000L, true, true));
-            Optional<Placement> placement = table.choose(Samples.choice());
+            Optional<Placement> placement = table.choose(Samples.criteria());
             sent += placement.isPresent() ? 1 : 0;
             placement.ifPresent(place -> table.finish(place, AttemptResult.SUCCESS));
         }
@@ -155,14 +155,14 @@
     }
 
     @Test
-    void observationThatAgedTooMuchNoLongerProvesWarmth() {
+    void upstreamWithAnExpiredObservationGetsNoRequests() {
         add("u-1", 100);
         clock.advance(Duration.ofSeconds(4));
         assertThat(chosen()).isEmpty();
     }
 
     @Test
-    void restartUnderTheSameIdentifierForgetsWhatWasKnown() {
+    void restartUnderTheSameIdentifierDiscardsTheObservation() {
         UpstreamId id = add("u-1", 100);
         Registration old = table.registration(id).orElseThrow();
         table.register(new Registration(
@@ -171,7 +171,7 @@
     }
 
     @Test
-    void upstreamThatCannotBeReachedRests() {
+    void unreachableUpstreamIsInBackoffUntilAConnectionSucceeds() {
         UpstreamId id = add("u-1", 100);
         table.recordReachability(id, false);
         assertThat(chosen()).isEmpty();
@@ -183,14 +183,14 @@
     void failingUpstreamIsAvoided() {
         UpstreamId bad = add("u-bad", 100);
         for (int i = 0; i < 5; i++) {
-            table.finish(table.choose(Samples.choice()).orElseThrow(), AttemptResult.SERVER_ERROR);
+            table.finish(table.choose(Samples.criteria()).orElseThrow(), AttemptResult.SERVER_ERROR);
         }
         UpstreamId good = add("u-good", 200);
         assertThat(chosen()).hasValue(good).isNotEqualTo(Optional.of(bad));
     }
 
     @Test
-    void upstreamThatItsOwnerCannotReachGetsNothing() {
+    void upstreamThatItsOwnerCannotReachGetsNoRequests() {
         UpstreamId id = add("u-1", 100);
         clock.advance(Duration.ofMillis(1));
         table.applyPeerReports(
@@ -214,9 +214,9 @@
     }
 
     @Test
-    void onlyOwnFindingsAreToldWithinTheZone() {
+    void onlyOwnFindingsAreInLocalReports() {
         UpstreamId own = add("u-own", 100);
-        Registration other = Samples.registration("u-other", Samples.HOME);
+        Registration other = Samples.registration("u-other", Samples.LOCAL_ZONE);
         table.register(other);
         table.applyPeerReports(
                 "peer",
@@ -229,8 +229,8 @@
     }
 
     @Test
-    void requestUnderWayIsToldThoughItsUpstreamWasSeenByOthersOnly() {
-        Registration other = Samples.registration("u-other", Samples.HOME);
+    void requestInFlightIsReportedThoughOnlyPeersObservedItsUpstream() {
+        Registration other = Samples.registration("u-other", Samples.LOCAL_ZONE);
         table.register(other);
         table.applyPeerReports(
                 "peer",
@@ -240,12 +240,12 @@
     }
 
     @Test
-    void failuresOfAnUpstreamDoNotMakeItsRouteLookQuick() {
+    void failedAttemptsDoNotCountTowardsTheTypicalLatency() {
         add("u-1", 100);
         for (int i = 0; i < 3; i++) {
-            table.finish(table.choose(Samples.choice()).orElseThrow(), AttemptResult.SERVER_ERROR);
+            table.finish(table.choose(Samples.criteria()).orElseThrow(), AttemptResult.SERVER_ERROR);
         }
-        Placement placement = table.choose(Samples.choice()).orElseThrow();
+        Placement placement = table.choose(Samples.criteria()).orElseThrow();
         clock.advance(Duration.ofMillis(100));
         table.finish(placement, AttemptResult.SUCCESS);
 
@@ -265,7 +265,7 @@
     }
 
     @Test
-    void upstreamTooSlowForTheDeadlineGetsNothing() {
+    void upstreamTooSlowForTheDeadlineGetsNoRequests() {
         add("u-1", 1_200);
         SelectionCriteria criteria =
                 new SelectionCriteria(new RouteId("r"), Samples.SERVICE, Set.of(), 0, Double.MAX_VALUE, 11);
