Use the terms of the field in probing

Comments spoke of keepers, of targets whose turn has come and of probes that "became" something. They now speak of owners, due times and probes in flight.

ProbeSchedule.takeDue -> pollDue, ended -> markCompleted; the test names follow. Log sentence: "probe: a tick failed" -> "probe: failed to refresh the targets or to send the due probes".

--- a/probing/src/main/java/org/turmericspan/probing/ProbeResult.java
+++ b/probing/src/main/java/org/turmericspan/probing/ProbeResult.java
@@ -5,9 +5,9 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * What became of one probe.
+ * Result of one probe.
  *
  * @param upstream upstream that was probed
- * @param report its answer, or empty when it gave none
+ * @param report report of the upstream; empty when there was none
  */
 public record ProbeResult(UpstreamId upstream, Optional<ProbeReport> report) {}
--- a/probing/src/main/java/org/turmericspan/probing/ProbeSchedule.java
+++ b/probing/src/main/java/org/turmericspan/probing/ProbeSchedule.java
@@ -11,8 +11,8 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * Decides when each upstream is probed: a token bucket an upstream that holds one token and starts empty, so that a new
- * keeper never adds a probe of its own at once. One probe of an upstream runs at a time.
+ * Decides when each upstream is probed. Each upstream has a token bucket that holds one token and starts empty, so that
+ * a new owner does not probe it immediately. At most one probe of an upstream is in flight.
  */
 public final class ProbeSchedule {
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
@@ -22,44 +22,44 @@
     /**
      * Creates an empty schedule.
      *
-     * @param random spreads the first probes
+     * @param random spreads the first probes over time
      */
     public ProbeSchedule(RandomGenerator random) {
         this.random = random;
     }
 
     /**
-     * Replaces the targets; those that stay keep their turn.
+     * Replaces the targets. Those that remain keep their due time and their probe in flight.
      *
-     * @param targets what is probed from now on
+     * @param targets upstreams to probe from now on
      * @param nowNanos monotonic time
      */
     public void setTargets(Collection<ProbeTarget> targets, long nowNanos) {
         lock.run(() -> {
-            Map<UpstreamId, Entry> before = new HashMap<>(entries);
+            Map<UpstreamId, Entry> previous = new HashMap<>(entries);
             entries.clear();
             for (ProbeTarget target : targets) {
-                Entry entry = before.get(target.upstream());
+                Entry entry = previous.get(target.upstream());
                 entries.put(
                         target.upstream(),
                         entry == null
                                 ? new Entry(target, firstDueNanos(target, nowNanos), false)
-                                : new Entry(target, entry.dueNanos, entry.isRunning));
+                                : new Entry(target, entry.dueNanos, entry.isInFlight));
             }
         });
     }
 
     /**
-     * Takes the targets whose turn has come and marks their probes as running.
+     * Returns the targets that are due and marks their probes as in flight.
      *
      * @param nowNanos monotonic time
      * @return targets to probe now
      */
-    public List<ProbeTarget> takeDue(long nowNanos) {
+    public List<ProbeTarget> pollDue(long nowNanos) {
         return lock.compute(() -> {
             List<ProbeTarget> due = new ArrayList<>();
             entries.replaceAll((upstream, entry) -> {
-                if (entry.isRunning || entry.dueNanos - nowNanos > 0) {
+                if (entry.isInFlight || entry.dueNanos - nowNanos > 0) {
                     return entry;
                 }
                 due.add(entry.target);
@@ -70,11 +70,11 @@
     }
 
     /**
-     * Marks a probe as ended.
+     * Marks the probe of an upstream as completed.
      *
      * @param upstream upstream that was probed
      */
-    public void ended(UpstreamId upstream) {
+    public void markCompleted(UpstreamId upstream) {
         lock.run(() ->
                 entries.computeIfPresent(upstream, (id, entry) -> new Entry(entry.target, entry.dueNanos, false)));
     }
@@ -82,7 +82,7 @@
     /**
      * Lists the targets.
      *
-     * @return in no order
+     * @return targets in no particular order
      */
     public List<ProbeTarget> targets() {
         return lock.compute(
@@ -94,5 +94,5 @@
         return nowNanos + periodNanos + random.nextLong(periodNanos);
     }
 
-    private record Entry(ProbeTarget target, long dueNanos, boolean isRunning) {}
+    private record Entry(ProbeTarget target, long dueNanos, boolean isInFlight) {}
 }
--- a/probing/src/main/java/org/turmericspan/probing/ProbeTarget.java
+++ b/probing/src/main/java/org/turmericspan/probing/ProbeTarget.java
@@ -8,9 +8,9 @@
 /**
  * An upstream that this node probes.
  *
- * @param upstream its name
- * @param service its service
- * @param address where it listens
- * @param period least time between two probes
+ * @param upstream identifier of the upstream
+ * @param service service of the upstream
+ * @param address address at which it listens
+ * @param period shortest time between the starts of two probes
  */
 public record ProbeTarget(UpstreamId upstream, ServiceId service, SocketAddress address, Duration period) {}
--- a/probing/src/main/java/org/turmericspan/probing/Prober.java
+++ b/probing/src/main/java/org/turmericspan/probing/Prober.java
@@ -12,30 +12,30 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.tables.WorkerPool;
 
-/** Sends the probes whose turn has come and hands the results on. */
+/** Sends the probes that are due and passes the results to a consumer. */
 public final class Prober implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration REFRESH_PERIOD = Duration.ofSeconds(1);
     private static final Duration TIMEOUT = Duration.ofMillis(500);
-    private static final int LOG_SECONDS = 10;
+    private static final int LOG_INTERVAL_SECONDS = 10;
 
     private final ProbeSchedule schedule;
     private final Supplier<List<ProbeTarget>> targets;
     private final UpstreamProbe probe;
     private final Consumer<ProbeResult> consumer;
     private final MonotonicClock clock;
-    private long refreshNanos;
+    private long nextRefreshNanos;
     private volatile boolean closed;
 
     /**
      * Creates a prober that does not run yet.
      *
      * @param schedule decides when each upstream is probed
-     * @param targets lists what is to be probed now
+     * @param targets supplies the current targets
      * @param probe sends one probe
-     * @param consumer takes each result, outside any lock
-     * @param clock tells whose turn has come
+     * @param consumer receives each result; called without a lock held
+     * @param clock monotonic time
      */
     public Prober(
             ProbeSchedule schedule,
@@ -48,13 +48,13 @@
         this.probe = probe;
         this.consumer = consumer;
         this.clock = clock;
-        this.refreshNanos = clock.nowNanos();
+        this.nextRefreshNanos = clock.nowNanos();
     }
 
     /**
-     * Starts to probe.
+     * Starts probing.
      *
-     * @param workerPool runs the prober
+     * @param workerPool runs the periodic task
      */
     public void start(WorkerPool workerPool) {
         workerPool.scheduleWithFixedDelay(TICK, this::tick);
@@ -65,29 +65,30 @@
         closed = true;
     }
 
-    /** Sends what is due now. */
+    /** Refreshes the targets when that is due, then sends the probes that are due. */
     void tick() {
         if (closed) {
             return;
         }
         try {
             long nowNanos = clock.nowNanos();
-            if (nowNanos - refreshNanos >= 0) {
-                refreshNanos = nowNanos + REFRESH_PERIOD.toNanos();
+            if (nowNanos - nextRefreshNanos >= 0) {
+                nextRefreshNanos = nowNanos + REFRESH_PERIOD.toNanos();
                 schedule.setTargets(targets.get(), nowNanos);
             }
-            schedule.takeDue(nowNanos).forEach(this::send);
+            schedule.pollDue(nowNanos).forEach(this::send);
         } catch (RuntimeException e) {
-            logger.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).withCause(e).log("probe: a tick failed");
+            logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).withCause(e).log(
+                    "probe: failed to refresh the targets or to send the due probes");
         }
     }
 
     private void send(ProbeTarget target) {
-        probe.send(target.address(), TIMEOUT).thenAccept(report -> end(target, report));
+        probe.send(target.address(), TIMEOUT).thenAccept(report -> complete(target, report));
     }
 
-    private void end(ProbeTarget target, Optional<ProbeReport> report) {
-        schedule.ended(target.upstream());
+    private void complete(ProbeTarget target, Optional<ProbeReport> report) {
+        schedule.markCompleted(target.upstream());
         consumer.accept(new ProbeResult(target.upstream(), report));
     }
 }
--- a/probing/src/main/java/org/turmericspan/probing/package-info.java
+++ b/probing/src/main/java/org/turmericspan/probing/package-info.java
@@ -1,2 +1,2 @@
-/** Probes of the upstreams that this node keeps, within the budget of each service. */
+/** Periodic probes of the upstreams that this node owns, within the probe budget of each service. */
 package org.turmericspan.probing;
--- a/probing/src/test/java/org/turmericspan/probing/ProbeScheduleTest.java
+++ b/probing/src/test/java/org/turmericspan/probing/ProbeScheduleTest.java
@@ -27,63 +27,63 @@
     private final ManualClock clock = new ManualClock();
     private final ProbeSchedule schedule = new ProbeSchedule(new SplittableRandom(11));
     private final Configuration configuration = new ConfigurationReader().read(document());
-    private final List<UpstreamId> all =
+    private final List<UpstreamId> allUpstreams =
             configuration.upstreams().keySet().stream().sorted().toList();
 
     @Test
-    void probesOfAServiceStayUnderItsBudget() {
+    void probesOfAServiceStayWithinItsBudget() {
         assertThat(probesInTenSeconds()).isBetween(BUDGET * 5, BUDGET * 10);
     }
 
     @Test
-    void newKeeperDoesNotProbeAtOnce() {
-        schedule.setTargets(ProbeAllocation.allocate(configuration, all), clock.nowNanos());
+    void newOwnerDoesNotProbeImmediately() {
+        schedule.setTargets(ProbeAllocation.allocate(configuration, allUpstreams), clock.nowNanos());
 
-        assertThat(schedule.takeDue(clock.nowNanos())).isEmpty();
+        assertThat(schedule.pollDue(clock.nowNanos())).isEmpty();
     }
 
     @Test
-    void keeperChangeEverySecondStaysUnderTheBudget() {
+    void ownerChangeEverySecondStaysWithinTheBudget() {
         int sent = 0;
         for (int second = 0; second < 10; second++) {
             schedule.setTargets(ProbeAllocation.allocate(configuration, List.of()), clock.nowNanos());
-            schedule.setTargets(ProbeAllocation.allocate(configuration, all), clock.nowNanos());
-            sent += probes(Duration.ofSeconds(1));
+            schedule.setTargets(ProbeAllocation.allocate(configuration, allUpstreams), clock.nowNanos());
+            sent += sendDueProbes(Duration.ofSeconds(1));
         }
         assertThat(sent).isLessThanOrEqualTo(BUDGET * 10);
     }
 
     @Test
-    void unansweredProbeIsNotFollowedByAnother() {
-        List<UpstreamId> one = all.subList(0, 1);
-        schedule.setTargets(ProbeAllocation.allocate(configuration, one), clock.nowNanos());
+    void noSecondProbeIsSentWhileOneIsInFlight() {
+        List<UpstreamId> single = allUpstreams.subList(0, 1);
+        schedule.setTargets(ProbeAllocation.allocate(configuration, single), clock.nowNanos());
         clock.advance(Duration.ofMinutes(1));
-        assertThat(schedule.takeDue(clock.nowNanos())).hasSize(1);
+        assertThat(schedule.pollDue(clock.nowNanos())).hasSize(1);
         clock.advance(Duration.ofMinutes(1));
 
-        assertThat(schedule.takeDue(clock.nowNanos())).isEmpty();
-        schedule.ended(one.get(0));
-        assertThat(schedule.takeDue(clock.nowNanos())).hasSize(1);
+        assertThat(schedule.pollDue(clock.nowNanos())).isEmpty();
+        schedule.markCompleted(single.get(0));
+        assertThat(schedule.pollDue(clock.nowNanos())).hasSize(1);
     }
 
     @Test
     void serviceWithoutBudgetIsNotProbed() {
-        Configuration none = new ConfigurationReader()
+        Configuration withoutBudget = new ConfigurationReader()
                 .read(document().replace("\"probes_per_second\": " + BUDGET, "\"probes_per_second\": 0"));
 
-        assertThat(ProbeAllocation.allocate(none, all)).isEmpty();
+        assertThat(ProbeAllocation.allocate(withoutBudget, allUpstreams)).isEmpty();
     }
 
     @Test
-    void proberHandsOnWhatWasAnswered() {
+    void proberPassesOnEmptyResults() {
         List<ProbeResult> results = new ArrayList<>();
         List<SocketAddress> probed = new ArrayList<>();
-        UpstreamProbe silent = (address, timeout) -> {
+        UpstreamProbe unresponsive = (address, timeout) -> {
             probed.add(address);
             return CompletableFuture.completedFuture(Optional.<ProbeReport>empty());
         };
-        List<ProbeTarget> allocate = ProbeAllocation.allocate(configuration, all);
-        Prober prober = new Prober(schedule, () -> allocate, silent, results::add, clock);
+        List<ProbeTarget> targets = ProbeAllocation.allocate(configuration, allUpstreams);
+        Prober prober = new Prober(schedule, () -> targets, unresponsive, results::add, clock);
 
         prober.tick();
         clock.advance(Duration.ofSeconds(10));
@@ -96,16 +96,16 @@
     }
 
     private int probesInTenSeconds() {
-        schedule.setTargets(ProbeAllocation.allocate(configuration, all), clock.nowNanos());
-        return probes(Duration.ofSeconds(10));
+        schedule.setTargets(ProbeAllocation.allocate(configuration, allUpstreams), clock.nowNanos());
+        return sendDueProbes(Duration.ofSeconds(10));
     }
 
-    private int probes(Duration span) {
+    private int sendDueProbes(Duration duration) {
         int sent = 0;
-        for (long tick = 0; tick < span.dividedBy(TICK); tick++) {
+        for (long tick = 0; tick < duration.dividedBy(TICK); tick++) {
             clock.advance(TICK);
-            List<ProbeTarget> due = schedule.takeDue(clock.nowNanos());
-            due.forEach(target -> schedule.ended(target.upstream()));
+            List<ProbeTarget> due = schedule.pollDue(clock.nowNanos());
+            due.forEach(target -> schedule.markCompleted(target.upstream()));
             sent += due.size();
         }
         return sent;
