Use the terms of the field in tables

RankedLock.enter/exit -> acquire/release; test names say case and outcome. The message "must not be taken while" stays, since a test compares it.

--- a/tables/src/main/java/org/turmericspan/tables/RankedLock.java
+++ b/tables/src/main/java/org/turmericspan/tables/RankedLock.java
@@ -6,11 +6,11 @@
 import java.util.function.Supplier;
 
 /**
- * Lock of one shared table. It refuses to be taken while the thread holds a lock of the same or a later rank, so that
- * a wrong order fails in the first test that runs it and never as a deadlock.
+ * Lock of one shared table. Acquiring it fails while the thread holds a lock of the same or a later rank, so that a
+ * wrong order fails in the first test that executes it instead of causing a deadlock.
  */
 public final class RankedLock {
-    private static final ThreadLocal<Deque<LockRank>> HELD = ThreadLocal.withInitial(ArrayDeque::new);
+    private static final ThreadLocal<Deque<LockRank>> HELD_RANKS = ThreadLocal.withInitial(ArrayDeque::new);
 
     private final LockRank rank;
     private final ReentrantLock lock = new ReentrantLock();
@@ -18,54 +18,54 @@
     /**
      * Creates a lock.
      *
-     * @param rank place of the table in the lock order
+     * @param rank position of the table in the lock order
      */
     public RankedLock(LockRank rank) {
         this.rank = rank;
     }
 
     /**
-     * Runs an action under the lock. The action must not call out of its table.
+     * Runs an action while holding the lock. The action must not call code outside its table.
      *
      * @param action reads or changes the table
      */
     public void run(Runnable action) {
-        enter();
+        acquire();
         try {
             action.run();
         } finally {
-            exit();
+            release();
         }
     }
 
     /**
-     * Computes a value under the lock. The action must not call out of its table.
+     * Computes a value while holding the lock. The action must not call code outside its table.
      *
      * @param action reads or changes the table
      * @param <T> type of the value
-     * @return what the action returned
+     * @return the value that the action returned
      */
     public <T> T compute(Supplier<T> action) {
-        enter();
+        acquire();
         try {
             return action.get();
         } finally {
-            exit();
+            release();
         }
     }
 
-    private void enter() {
-        Deque<LockRank> held = HELD.get();
-        LockRank last = held.peekLast();
-        if (last != null && last.compareTo(rank) >= 0) {
-            throw new IllegalStateException("Lock " + rank + " must not be taken while " + last + " is held");
+    private void acquire() {
+        Deque<LockRank> heldRanks = HELD_RANKS.get();
+        LockRank lastRank = heldRanks.peekLast();
+        if (lastRank != null && lastRank.compareTo(rank) >= 0) {
+            throw new IllegalStateException("Lock " + rank + " must not be taken while " + lastRank + " is held");
         }
         lock.lock();
-        held.addLast(rank);
+        heldRanks.addLast(rank);
     }
 
-    private void exit() {
-        HELD.get().removeLast();
+    private void release() {
+        HELD_RANKS.get().removeLast();
         lock.unlock();
     }
 }
--- a/tables/src/main/java/org/turmericspan/tables/WorkerPool.java
+++ b/tables/src/main/java/org/turmericspan/tables/WorkerPool.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** The node's one pool of workers. Tasks are short; waiting is parked state, never a blocked worker. */
+/** Pool of the worker threads of a node. Tasks are short and never block: what must wait is queued as state. */
 public final class WorkerPool implements AutoCloseable {
     private static final long STOP_TIMEOUT_SECONDS = 5;
 
@@ -17,7 +17,7 @@
     /**
      * Starts the pool.
      *
-     * @param threads number of worker threads, from 1
+     * @param threads number of worker threads, at least 1
      */
     public WorkerPool(int threads) {
         AtomicInteger sequence = new AtomicInteger();
@@ -32,7 +32,7 @@
     }
 
     /**
-     * Runs a task on a worker.
+     * Runs a task on a worker thread.
      *
      * @param task a short task that does not block
      */
@@ -43,7 +43,7 @@
     /**
      * Runs a task once after a delay.
      *
-     * @param delay time to wait
+     * @param delay time until the task runs
      * @param task a short task that does not block
      * @return handle that cancels the task
      */
@@ -52,14 +52,14 @@
     }
 
     /**
-     * Runs a task again and again with a pause between its end and its next start.
+     * Runs a task periodically with a fixed delay between the end of one run and the start of the next.
      *
-     * @param pause time between two runs
+     * @param delay time before the first run and between two runs
      * @param task a short task that does not block and does not throw
      * @return handle that cancels the task
      */
-    public ScheduledFuture<?> scheduleWithFixedDelay(Duration pause, Runnable task) {
-        return executor.scheduleWithFixedDelay(task, pause.toNanos(), pause.toNanos(), TimeUnit.NANOSECONDS);
+    public ScheduledFuture<?> scheduleWithFixedDelay(Duration delay, Runnable task) {
+        return executor.scheduleWithFixedDelay(task, delay.toNanos(), delay.toNanos(), TimeUnit.NANOSECONDS);
     }
 
     /** Stops the pool, drops tasks that are not yet due, and waits a few seconds for running ones. */
--- a/tables/src/main/java/org/turmericspan/tables/package-info.java
+++ b/tables/src/main/java/org/turmericspan/tables/package-info.java
@@ -1,2 +1,2 @@
-/** Ranked locks that guard the shared tables, and the pool of workers that use them. */
+/** Ranked locks that guard the shared tables, and the pool of worker threads that use them. */
 package org.turmericspan.tables;
--- a/tables/src/test/java/org/turmericspan/tables/RankedLockTest.java
+++ b/tables/src/test/java/org/turmericspan/tables/RankedLockTest.java
@@ -12,12 +12,15 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-/** Order of the locks. */
+/**
+ * Guards against deadlocks of threads that acquire the same two locks in different order: a lock can only be acquired
+ * after those of earlier ranks.
+ */
 final class RankedLockTest {
     private static final Pattern ROW = Pattern.compile("^\\| `([A-Z]+)` \\|.*", Pattern.MULTILINE);
 
     @Test
-    void laterRankMayBeTakenUnderAnEarlierOne() {
+    void laterRankCanBeAcquiredWhileAnEarlierOneIsHeld() {
         RankedLock view = new RankedLock(LockRank.VIEW);
         RankedLock slots = new RankedLock(LockRank.SLOTS);
 
@@ -25,7 +28,7 @@
     }
 
     @Test
-    void earlierRankIsRefusedUnderALaterOne() {
+    void earlierRankIsRejectedWhileALaterOneIsHeld() {
         RankedLock view = new RankedLock(LockRank.VIEW);
         RankedLock slots = new RankedLock(LockRank.SLOTS);
 
@@ -35,18 +38,18 @@
     }
 
     @Test
-    void sameRankIsRefused() {
+    void sameRankIsRejected() {
         RankedLock slots = new RankedLock(LockRank.SLOTS);
 
         assertThatThrownBy(() -> slots.run(() -> slots.run(() -> {}))).isInstanceOf(IllegalStateException.class);
     }
 
     @Test
-    void lockIsFreeAgainAfterItsActionThrew() {
+    void lockIsReleasedWhenItsActionThrows() {
         RankedLock slots = new RankedLock(LockRank.SLOTS);
 
         assertThatThrownBy(() -> slots.run(() -> {
-                    throw new IllegalArgumentException("the action's own");
+                    throw new IllegalArgumentException("thrown by the action");
                 }))
                 .isInstanceOf(IllegalArgumentException.class);
         assertThat(slots.<String>compute(() -> "taken")).isEqualTo("taken");
