Say in plain terms what dispatch does

Cause: names and comments of the module were figurative or private to this project (wish, death watch, gate, "tells the truth", "runs alone", "ran fine"), and CallRun, CallProgress and ReplyOutcome did not say what they are.

Change, old -> new: - CallProgress -> CallStateMachine, CallRun -> CallExecution, AttemptEvent -> CallEvent (Decided, Replied, HedgeDue -> SlotDecided, AttemptEnded, HedgeDelayElapsed), AttemptAction -> CallAction, ReplyOutcome -> AttemptOutcomeMapping - CallStateMachine: open -> pendingAttempts, repeats -> extraAttempts, worse -> preferUnknownOutcome, voidLeases -> invalidLeases, failed/decided/granted/replied/hedgeDue -> on... - SuspectHandler: judge -> handleSuspect, trial -> runTrial, keepDoubt -> preserveUnknownOutcome, waitForTurn -> retryTrialLater, ASK_AGAIN -> TRIAL_RETRY_DELAY; SuspectTracker: seen -> observeIncarnation, suspect -> reportCrash - tests: World -> Simulation, RandomDeaths -> RandomCrashDetector, CallProgressTest -> CallStateMachineTest - four log sentences of the parts attempts and suspects; same fields

The details of refusals, which reach callers, and the names that node uses stay.

--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptDependencies.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptDependencies.java
@@ -6,15 +6,15 @@
 import org.turmericspan.ids.MonotonicClock;
 
 /**
- * What attempts are made with.
+ * Collaborators of {@link AttemptHandler}.
  *
- * @param catalog limits of the services
+ * @param catalog provides the limits of the services
  * @param slots grants slots
  * @param sender sends attempts
- * @param crashDetector finds out whether an upstream died
- * @param timer delays hedges
- * @param metrics counts
- * @param clock measures deadlines
+ * @param crashDetector determines whether an upstream crashed during an attempt
+ * @param timer schedules hedge checks
+ * @param metrics records calls, responses, extra attempts and slot waits
+ * @param clock clock that deadlines refer to
  */
 public record AttemptDependencies(
         ServiceCatalog catalog,
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptHandler.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptHandler.java
@@ -7,7 +7,10 @@
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.errors.ResultCode;
 
-/** Makes the attempts of calls: takes a slot, sends under it, repeats where that is safe, and answers once. */
+/**
+ * Executes calls on upstreams. Each attempt runs under a slot lease, is retried or hedged only where that is safe, and
+ * each call gets exactly one result.
+ */
 public final class AttemptHandler implements CallHandler {
     private final AttemptDependencies dependencies;
     private final RetryPolicies policies;
@@ -15,8 +18,8 @@
     /**
      * Creates a handler.
      *
-     * @param dependencies what attempts are made with
-     * @param policies decides on repeats
+     * @param dependencies collaborators
+     * @param policies decide on retries and hedges
      */
     public AttemptHandler(AttemptDependencies dependencies, RetryPolicies policies) {
         this.dependencies = dependencies;
@@ -28,7 +31,7 @@
         return dependencies
                 .catalog()
                 .limits(request.service())
-                .map(limits -> new CallRun(dependencies, policies, request, limits.answerLimitBytes()).start())
+                .map(limits -> new CallExecution(dependencies, policies, request, limits.answerLimitBytes()).start())
                 .orElseGet(() -> CompletableFuture.completedFuture(
                         CallResult.Refused.of(ResultCode.NOT_CONFIGURED, "The service has gone.")));
     }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptMetrics.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptMetrics.java
@@ -3,30 +3,30 @@
 import java.time.Duration;
 import org.turmericspan.ids.ServiceId;
 
-/** Is told what calls cost. Its methods return at once. */
+/** Records measurements of calls and attempts. Implementations must not block. */
 public interface AttemptMetrics {
     /**
      * Counts a call that arrived.
      *
-     * @param service service called
+     * @param service called service
      */
     void recordCall(ServiceId service);
 
     /**
-     * Counts a whole answer.
+     * Records a complete response.
      *
-     * @param service service called
-     * @param elapsed from the first byte sent to the whole answer
+     * @param service called service
+     * @param elapsed time from the first byte sent to the complete response
      */
     void recordResponse(ServiceId service, Duration elapsed);
 
-    /** Counts a hedge or retry that was sent. */
+    /** Counts an extra attempt, that is a hedge or retry, that was sent. */
     void recordExtraAttempt();
 
     /**
-     * Counts a slot decision.
+     * Records a slot decision.
      *
-     * @param waited time from the wish to its decision
+     * @param waited time from the slot request to the decision
      */
     void recordSlotWait(Duration waited);
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/ReplyOutcome.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptOutcomeMapping.java
@@ -5,11 +5,11 @@
 import org.turmericspan.calls.SlotReturn;
 import org.turmericspan.errors.ResultCode;
 
-/** Says what a reply means for the caller and for the upstream's slots. */
-final class ReplyOutcome {
-    private ReplyOutcome() {}
+/** Maps the outcome of an attempt to the result of the call and to the outcome that is reported with the slot. */
+final class AttemptOutcomeMapping {
+    private AttemptOutcomeMapping() {}
 
-    static CallResult result(AttemptOutcome outcome) {
+    static CallResult toCallResult(AttemptOutcome outcome) {
         return switch (outcome.kind()) {
             case COMPLETE -> outcome.answer();
             case SHED -> refused(ResultCode.SHED_BY_UPSTREAM);
@@ -22,11 +22,11 @@
         };
     }
 
-    static SlotReturn slotReturn(AttemptOutcome outcome) {
-        return new SlotReturn(outcome(outcome.kind()), outcome.elapsed(), outcome.signals());
+    static SlotReturn toSlotReturn(AttemptOutcome outcome) {
+        return new SlotReturn(toSlotOutcome(outcome.kind()), outcome.elapsed(), outcome.signals());
     }
 
-    private static SlotReturn.Outcome outcome(AttemptOutcome.Kind kind) {
+    private static SlotReturn.Outcome toSlotOutcome(AttemptOutcome.Kind kind) {
         return switch (kind) {
             case COMPLETE, ANSWER_TOO_LARGE -> SlotReturn.Outcome.ANSWERED;
             case SHED -> SlotReturn.Outcome.SHED;
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptTimer.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptTimer.java
@@ -2,15 +2,15 @@
 
 import java.time.Duration;
 
-/** Runs a task later. */
+/** Runs tasks after a delay. */
 @FunctionalInterface
 public interface AttemptTimer {
     /**
      * Schedules a task.
      *
-     * @param delay time to wait
-     * @param task a short task that does not block
-     * @return cancels the task when run
+     * @param delay delay before the task runs
+     * @param task short task that does not block
+     * @return action that cancels the task
      */
     Runnable schedule(Duration delay, Runnable task);
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CallRun.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CallExecution.java
@@ -17,106 +17,107 @@
 import org.turmericspan.errors.ResultCode;
 
 /**
- * Carries out what {@link CallProgress} decides for one call. Events queue up and are handled one after another by
- * whichever thread brought the first, so no lock is held while other parts are called.
+ * Performs the actions that {@link CallStateMachine} requests for one call. Events are queued and handled one at a time
+ * by the thread that posted the first of them, so that no lock is held while collaborators are called.
  */
-final class CallRun {
+final class CallExecution {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Runnable NOTHING_SCHEDULED = () -> {};
 
     private final AttemptDependencies dependencies;
     private final CallRequest request;
-    private final int answerLimitBytes;
-    private final CallProgress progress;
-    private final Queue<AttemptEvent> events = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger pending = new AtomicInteger();
+    private final int maxResponseBytes;
+    private final CallStateMachine stateMachine;
+    private final Queue<CallEvent> events = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger pendingEvents = new AtomicInteger();
     private final Map<Integer, UpstreamExchange> exchanges = new HashMap<>();
     private final CompletableFuture<CallResult> result = new CompletableFuture<>();
     private Runnable cancelHedge = NOTHING_SCHEDULED;
 
-    CallRun(AttemptDependencies dependencies, RetryPolicies policies, CallRequest request, int answerLimitBytes) {
+    CallExecution(AttemptDependencies dependencies, RetryPolicies policies, CallRequest request, int maxResponseBytes) {
         this.dependencies = dependencies;
         this.request = request;
-        this.answerLimitBytes = answerLimitBytes;
-        this.progress = new CallProgress(request, policies);
+        this.maxResponseBytes = maxResponseBytes;
+        this.stateMachine = new CallStateMachine(request, policies);
     }
 
     CompletionStage<CallResult> start() {
         dependencies.metrics().recordCall(request.service());
-        post(new AttemptEvent.Started());
+        post(new CallEvent.Started());
         return result;
     }
 
-    private void post(AttemptEvent event) {
+    private void post(CallEvent event) {
         events.add(event);
-        if (pending.getAndIncrement() > 0) {
+        if (pendingEvents.getAndIncrement() > 0) {
             return;
         }
         do {
             handle(events.remove());
-        } while (pending.decrementAndGet() > 0);
+        } while (pendingEvents.decrementAndGet() > 0);
     }
 
-    private void handle(AttemptEvent event) {
+    private void handle(CallEvent event) {
         try {
-            progress.handle(event, dependencies.clock().nowNanos()).forEach(this::perform);
+            stateMachine.handle(event, dependencies.clock().nowNanos()).forEach(this::perform);
         } catch (RuntimeException e) {
-            logger.atSevere().withCause(e).log("attempts: a call failed inside the balancer");
+            logger.atSevere().withCause(e).log(
+                    "attempts: handling an event of a call failed, the call ends with an internal error");
             result.complete(
                     CallResult.Refused.of(ResultCode.INTERNAL, e.getClass().getSimpleName()));
         }
     }
 
-    private void perform(AttemptAction action) {
-        if (action instanceof AttemptAction.Acquire acquire) {
+    private void perform(CallAction action) {
+        if (action instanceof CallAction.Acquire acquire) {
             acquire(acquire.attempt(), acquire.slotRequest());
-        } else if (action instanceof AttemptAction.Send send) {
+        } else if (action instanceof CallAction.Send send) {
             send(send);
-        } else if (action instanceof AttemptAction.Release release) {
+        } else if (action instanceof CallAction.Release release) {
             release.lease().release(release.slotReturn());
-        } else if (action instanceof AttemptAction.Cancel cancel) {
+        } else if (action instanceof CallAction.Cancel cancel) {
             exchanges.get(cancel.attempt()).cancel();
-        } else if (action instanceof AttemptAction.ScheduleHedge hedge) {
+        } else if (action instanceof CallAction.ScheduleHedge hedge) {
             cancelHedge = dependencies
                     .timer()
-                    .schedule(Duration.ofNanos(hedge.delayNanos()), () -> post(new AttemptEvent.HedgeDue()));
-        } else if (action instanceof AttemptAction.Finish finish) {
+                    .schedule(Duration.ofNanos(hedge.delayNanos()), () -> post(new CallEvent.HedgeDelayElapsed()));
+        } else if (action instanceof CallAction.Finish finish) {
             cancelHedge.run();
             result.complete(finish.result());
         }
     }
 
     private void acquire(int attempt, SlotRequest request) {
-        long wishedNanos = dependencies.clock().nowNanos();
+        long requestedNanos = dependencies.clock().nowNanos();
         dependencies.slots().acquire(request).thenAccept(decision -> {
             dependencies
                     .metrics()
-                    .recordSlotWait(Duration.ofNanos(dependencies.clock().nowNanos() - wishedNanos));
-            post(new AttemptEvent.Decided(attempt, decision));
+                    .recordSlotWait(Duration.ofNanos(dependencies.clock().nowNanos() - requestedNanos));
+            post(new CallEvent.SlotDecided(attempt, decision));
         });
     }
 
-    private void send(AttemptAction.Send send) {
+    private void send(CallAction.Send send) {
         if (send.request() != request) {
             dependencies.metrics().recordExtraAttempt();
         }
-        UpstreamExchange exchange = dependencies.sender().send(send.lease(), send.request(), answerLimitBytes);
+        UpstreamExchange exchange = dependencies.sender().send(send.lease(), send.request(), maxResponseBytes);
         exchanges.put(send.attempt(), exchange);
-        exchange.outcome().thenAccept(outcome -> ended(send, outcome));
+        exchange.outcome().thenAccept(outcome -> onAttemptEnded(send, outcome));
     }
 
-    private void ended(AttemptAction.Send send, AttemptOutcome outcome) {
+    private void onAttemptEnded(CallAction.Send send, AttemptOutcome outcome) {
         if (outcome.kind() == AttemptOutcome.Kind.CONNECTION_LOST) {
             dependencies
                     .crashDetector()
                     .connectionLost(request, send.lease(), outcome)
-                    .thenAccept(died -> post(new AttemptEvent.Replied(send.attempt(), outcome, died)));
+                    .thenAccept(crashed -> post(new CallEvent.AttemptEnded(send.attempt(), outcome, crashed)));
             return;
         }
         if (outcome.kind() == AttemptOutcome.Kind.COMPLETE) {
             dependencies.metrics().recordResponse(request.service(), outcome.elapsed());
             dependencies.crashDetector().responseReceived(request, send.lease(), outcome);
         }
-        post(new AttemptEvent.Replied(send.attempt(), outcome, false));
+        post(new CallEvent.AttemptEnded(send.attempt(), outcome, false));
     }
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/ConnectionCheck.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/ConnectionCheck.java
@@ -3,13 +3,13 @@
 import java.util.concurrent.CompletionStage;
 import org.turmericspan.ids.SocketAddress;
 
-/** Finds out whether an upstream refuses connections. */
+/** Checks whether an upstream refuses connections. */
 @FunctionalInterface
 public interface ConnectionCheck {
     /**
-     * Tries to connect, and closes the connection at once.
+     * Attempts to connect, and closes an established connection at once.
      *
-     * @param address where the upstream listens
+     * @param address address on which the upstream listens
      * @return true when the connection was refused; the stage never completes exceptionally
      */
     CompletionStage<Boolean> isRefused(SocketAddress address);
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CrashDetector.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CrashDetector.java
@@ -6,31 +6,31 @@
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.SlotLease;
 
-/** Is told how attempts end, and finds out whether an upstream died under one. */
+/** Observes how attempts end, and determines whether an upstream crashed during one. */
 public interface CrashDetector {
     /**
-     * Takes in an attempt that lost its connection after bytes were sent.
+     * Records an attempt that lost its connection after bytes were sent.
      *
-     * @param request what was sent
-     * @param lease slot under which it ran
-     * @param outcome how it ended
-     * @return true when the upstream died; the stage never completes exceptionally
+     * @param request request that was sent
+     * @param lease slot that the attempt used
+     * @param outcome outcome of the attempt
+     * @return true when the upstream crashed; the stage never completes exceptionally
      */
     CompletionStage<Boolean> connectionLost(CallRequest request, SlotLease lease, AttemptOutcome outcome);
 
     /**
-     * Takes in an attempt that brought a whole answer.
+     * Records an attempt that ended with a complete response.
      *
-     * @param request what was sent
-     * @param lease slot under which it ran
-     * @param outcome the answer
+     * @param request request that was sent
+     * @param lease slot that the attempt used
+     * @param outcome outcome with the response
      */
     void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome);
 
     /**
-     * Returns the watch that suspects nothing, for tests and comparisons.
+     * Returns a detector that reports no crash, for tests and benchmarks that compare with it.
      *
-     * @return the watch
+     * @return the detector
      */
     static CrashDetector none() {
         return new CrashDetector() {
@@ -42,7 +42,7 @@
 
             @Override
             public void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome) {
-                // Nothing is suspected, so nothing is cleared.
+                // No request is ever suspected, so none has to be cleared.
             }
         };
     }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/RetryPolicies.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/RetryPolicies.java
@@ -5,11 +5,11 @@
 import org.turmericspan.retry.RetryPolicy;
 
 /**
- * Policies on repeats, chosen at wiring.
+ * Policies for extra attempts.
  *
- * @param retry which failures are tried again
- * @param hedge when a second upstream is tried beside the first
- * @param budget bounds both
+ * @param retry decides which failed attempts are retried
+ * @param hedge decides after which delay a hedged request is sent to a second upstream
+ * @param budget retry budget that limits retries and hedges together
  */
 public record RetryPolicies(RetryPolicy retry, HedgePolicy hedge, RetryBudget budget) {
     /**
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectCoordinator.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectCoordinator.java
@@ -5,39 +5,40 @@
 import org.turmericspan.retry.Fingerprint;
 import org.turmericspan.retry.Suspicion;
 
-/** Shares suspicions with the other nodes, and the right to run a suspected request. */
+/** Shares suspicions with the other nodes, and grants permits for isolated trials of suspected requests. */
 public interface SuspectCoordinator {
     /**
-     * Tells the other nodes.
+     * Sends a suspicion to the other nodes.
      *
-     * @param suspicion what is known now
-     * @return ends when every node that can be reached knows, or after a bounded wait; never exceptionally
+     * @param suspicion current suspicion
+     * @return stage that completes when every reachable node has the suspicion, or after a bounded wait; it never
+     *     completes exceptionally
      */
     CompletionStage<Void> share(Suspicion suspicion);
 
     /**
-     * Asks for the right to run a suspected request.
+     * Requests the permit to run a suspected request as an isolated trial.
      *
-     * @param fingerprint the suspect
-     * @param longest how long the run may take
-     * @return the answer; the stage never completes exceptionally
+     * @param fingerprint fingerprint of the suspected request
+     * @param maxDuration longest time that the trial may take
+     * @return the decision; the stage never completes exceptionally
      */
-    CompletionStage<TrialAnswer> requestTrial(Fingerprint fingerprint, Duration longest);
+    CompletionStage<TrialAnswer> requestTrial(Fingerprint fingerprint, Duration maxDuration);
 
     /**
-     * Gives the right back.
+     * Returns the trial permit.
      *
-     * @param fingerprint the suspect
+     * @param fingerprint fingerprint of the suspected request
      */
     void endTrial(Fingerprint fingerprint);
 
-    /** Answer to a request for a trial. */
+    /** Decision on a request for a trial permit. */
     enum TrialAnswer {
-        /** The suspect may run now. */
+        /** The suspected request may run now. */
         GRANTED,
-        /** Another suspect runs now. */
+        /** Another suspected request is on trial. */
         BUSY,
-        /** The node that keeps the right cannot be reached. */
+        /** The node that grants trial permits cannot be reached. */
         UNREACHABLE
     }
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectHandler.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectHandler.java
@@ -18,14 +18,15 @@
 import org.turmericspan.retry.Suspicion;
 
 /**
- * Lets suspected requests run one at a time in the region, and refuses quarantined ones. An idempotent request that
- * was on an upstream when it died is run again here, on trial, so that the innocent ones get their answers.
+ * Runs requests that are suspected of crashing upstreams ("queries of death") as isolated trials, one at a time in the
+ * region, and refuses quarantined ones. An idempotent request that was running on an upstream when the upstream
+ * crashed is run again as a trial, so that the requests that did not cause the crash get their responses.
  */
 public final class SuspectHandler implements CallHandler {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final int MAX_WAITING = 64;
-    private static final Duration ASK_AGAIN = Duration.ofMillis(20);
-    private static final Duration SHORT_RETRY_AFTER = Duration.ofSeconds(1);
+    private static final int MAX_DELAYED_TRIALS = 64;
+    private static final Duration TRIAL_RETRY_DELAY = Duration.ofMillis(20);
+    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final CallHandler next;
     private final SuspectTable table;
@@ -33,17 +34,17 @@
     private final SuspectCoordinator coordinator;
     private final AttemptTimer timer;
     private final MonotonicClock clock;
-    private final AtomicInteger waiting = new AtomicInteger();
+    private final AtomicInteger delayedTrials = new AtomicInteger();
 
     /**
-     * Creates a gate.
+     * Creates a handler.
      *
-     * @param next makes attempts
-     * @param table what is suspected
-     * @param lostConnections is told which suspect is on trial
-     * @param coordinator gives the right to run a suspect
-     * @param timer delays the next request for that right
-     * @param clock measures deadlines
+     * @param next next handler in the handler chain
+     * @param table table of suspected requests
+     * @param lostConnections records which suspected request is on trial
+     * @param coordinator grants trial permits
+     * @param timer delays the next request for a trial permit
+     * @param clock clock that deadlines refer to
      */
     public SuspectHandler(
             CallHandler next,
@@ -62,35 +63,36 @@
 
     @Override
     public CompletionStage<CallResult> handle(CallRequest request) {
-        Optional<Suspicion> suspicion = suspicion(request);
+        Optional<Suspicion> suspicion = findSuspicion(request);
         if (suspicion.isPresent()) {
-            return judge(request, suspicion.get());
+            return handleSuspect(request, suspicion.get());
         }
-        return next.handle(request).thenCompose(result -> runAgainIfSuspected(request, result));
+        return next.handle(request).thenCompose(result -> rerunIfSuspected(request, result));
     }
 
-    private Optional<Suspicion> suspicion(CallRequest request) {
+    private Optional<Suspicion> findSuspicion(CallRequest request) {
         return table.isEmpty() ? Optional.empty() : table.find(Fingerprint.of(request));
     }
 
-    private CompletionStage<CallResult> runAgainIfSuspected(CallRequest request, CallResult result) {
+    private CompletionStage<CallResult> rerunIfSuspected(CallRequest request, CallResult result) {
         boolean isUnknown =
                 result instanceof CallResult.Refused refused && refused.code() == ResultCode.OUTCOME_UNKNOWN;
-        boolean mayRepeat = isUnknown && request.idempotent() && !request.retried();
-        Optional<Suspicion> suspicion = mayRepeat ? suspicion(request) : Optional.empty();
+        boolean mayRerun = isUnknown && request.idempotent() && !request.retried();
+        Optional<Suspicion> suspicion = mayRerun ? findSuspicion(request) : Optional.empty();
         return suspicion
-                .map(known -> judge(request.asRetried(), known).thenApply(second -> keepDoubt(result, second)))
+                .map(known -> handleSuspect(request.asRetried(), known)
+                        .thenApply(second -> preserveUnknownOutcome(result, second)))
                 .orElseGet(() -> CompletableFuture.completedFuture(result));
     }
 
-    /** Keeps saying that the request may have run, whatever became of the second run. */
-    private static CallResult keepDoubt(CallResult first, CallResult second) {
-        boolean saysNotRun =
+    /** Returns the first result if the second one reports "not run", since the first attempt may have run. */
+    private static CallResult preserveUnknownOutcome(CallResult first, CallResult second) {
+        boolean isReportedAsNotRun =
                 second instanceof CallResult.Refused refused && refused.code().ran() == Ran.NO;
-        return saysNotRun ? first : second;
+        return isReportedAsNotRun ? first : second;
     }
 
-    private CompletionStage<CallResult> judge(CallRequest request, Suspicion suspicion) {
+    private CompletionStage<CallResult> handleSuspect(CallRequest request, Suspicion suspicion) {
         if (suspicion.isQuarantined()) {
             return refused("Such requests were running when upstreams died.", suspicion.remaining());
         }
@@ -102,48 +104,48 @@
         Fingerprint fingerprint = suspicion.fingerprint();
         return coordinator
                 .requestTrial(fingerprint, Duration.ofNanos(remainingNanos))
-                .thenCompose(answer -> answered(request, fingerprint, answer));
+                .thenCompose(decision -> onTrialDecision(request, fingerprint, decision));
     }
 
-    private CompletionStage<CallResult> answered(
-            CallRequest request, Fingerprint fingerprint, SuspectCoordinator.TrialAnswer answer) {
-        return switch (answer) {
-            case GRANTED -> trial(request, fingerprint);
-            case BUSY -> waitForTurn(request);
-            case UNREACHABLE -> refused("The node that clears suspects cannot be reached.", SHORT_RETRY_AFTER);
+    private CompletionStage<CallResult> onTrialDecision(
+            CallRequest request, Fingerprint fingerprint, SuspectCoordinator.TrialAnswer decision) {
+        return switch (decision) {
+            case GRANTED -> runTrial(request, fingerprint);
+            case BUSY -> retryTrialLater(request);
+            case UNREACHABLE -> refused("The node that clears suspects cannot be reached.", DEFAULT_RETRY_AFTER);
         };
     }
 
-    private CompletionStage<CallResult> trial(CallRequest request, Fingerprint fingerprint) {
+    private CompletionStage<CallResult> runTrial(CallRequest request, Fingerprint fingerprint) {
         Optional<Suspicion> suspicion = table.find(fingerprint);
         if (suspicion.isEmpty() || suspicion.get().isQuarantined()) {
             coordinator.endTrial(fingerprint);
             return handle(request);
         }
-        logger.atInfo().log("suspects: request %s runs alone", fingerprint);
+        logger.atInfo().log("suspects: request %s starts an isolated trial", fingerprint);
         lostConnections.beginTrial(fingerprint);
         return next.handle(request.asRetried()).thenCompose(result -> {
             lostConnections.endTrial();
             coordinator.endTrial(fingerprint);
-            return wasNotConnected(result) ? waitForTurn(request) : CompletableFuture.completedFuture(result);
+            return failedToConnect(result) ? retryTrialLater(request) : CompletableFuture.completedFuture(result);
         });
     }
 
-    private static boolean wasNotConnected(CallResult result) {
+    private static boolean failedToConnect(CallResult result) {
         return result instanceof CallResult.Refused refused && refused.code() == ResultCode.REFUSED_BEFORE_SEND;
     }
 
-    private CompletionStage<CallResult> waitForTurn(CallRequest request) {
-        if (waiting.incrementAndGet() > MAX_WAITING) {
-            waiting.decrementAndGet();
-            return refused("Too many suspects wait for their turn.", SHORT_RETRY_AFTER);
+    private CompletionStage<CallResult> retryTrialLater(CallRequest request) {
+        if (delayedTrials.incrementAndGet() > MAX_DELAYED_TRIALS) {
+            delayedTrials.decrementAndGet();
+            return refused("Too many suspects wait for their turn.", DEFAULT_RETRY_AFTER);
         }
-        CompletableFuture<CallRequest> turn = new CompletableFuture<>();
-        timer.schedule(ASK_AGAIN, () -> {
-            waiting.decrementAndGet();
-            turn.complete(request);
+        CompletableFuture<CallRequest> retry = new CompletableFuture<>();
+        timer.schedule(TRIAL_RETRY_DELAY, () -> {
+            delayedTrials.decrementAndGet();
+            retry.complete(request);
         });
-        return turn.thenCompose(this::handle);
+        return retry.thenCompose(this::handle);
     }
 
     private static CompletionStage<CallResult> refused(String detail, Duration retryAfter) {
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectTracker.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectTracker.java
@@ -17,8 +17,9 @@
 import org.turmericspan.retry.Suspicion;
 
 /**
- * Suspects the requests that ran on an upstream when it died. An upstream died when it broke connections and then
- * refuses new ones or shows a new incarnation; an answer that merely failed or came late suspects nothing.
+ * Suspects the requests that were running on an upstream when it crashed. An upstream is taken to have crashed when it
+ * lost connections and then refuses new ones or reports a new incarnation. A response that reports an error or comes
+ * late raises no suspicion.
  */
 public final class SuspectTracker implements CrashDetector {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -30,12 +31,12 @@
     private final Map<UpstreamId, String> incarnations = new ConcurrentHashMap<>();
 
     /**
-     * Creates a watch.
+     * Creates a tracker.
      *
-     * @param table what is suspected
-     * @param lostConnections requests whose upstream may have died
-     * @param coordinator tells the other nodes
-     * @param check finds out whether an upstream refuses connections
+     * @param table table of suspected requests
+     * @param lostConnections requests whose upstream may have crashed
+     * @param coordinator shares suspicions with the other nodes
+     * @param check checks whether an upstream refuses connections
      */
     public SuspectTracker(
             SuspectTable table,
@@ -53,7 +54,7 @@
         return check.isRefused(lease.address()).thenCompose(refused -> {
             Fingerprint fingerprint = Fingerprint.of(request);
             if (refused) {
-                return suspect(fingerprint, lease.upstream(), lostConnections.isOnTrial(fingerprint))
+                return reportCrash(fingerprint, lease.upstream(), lostConnections.isOnTrial(fingerprint))
                         .thenApply(shared -> true);
             }
             lostConnections.add(lease.upstream(), fingerprint);
@@ -63,35 +64,41 @@
 
     @Override
     public void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome) {
-        outcome.signals().incarnation().ifPresent(incarnation -> seen(lease.upstream(), incarnation));
+        outcome.signals().incarnation().ifPresent(incarnation -> observeIncarnation(lease.upstream(), incarnation));
         if (table.isEmpty()) {
             return;
         }
         Fingerprint fingerprint = Fingerprint.of(request);
-        Optional<Suspicion> news = table.recordResponse(fingerprint);
-        news.ifPresent(cleared -> {
-            logger.atInfo().log("suspects: request %s ran fine and is cleared", fingerprint);
+        Optional<Suspicion> update = table.recordResponse(fingerprint);
+        update.ifPresent(cleared -> {
+            logger.atInfo().log("suspects: request %s completed without a crash and is cleared", fingerprint);
             coordinator.share(cleared);
         });
     }
 
-    private void seen(UpstreamId upstream, String incarnation) {
+    private void observeIncarnation(UpstreamId upstream, String incarnation) {
         if (incarnation.equals(incarnations.get(upstream))) {
             return;
         }
-        String before = incarnations.put(upstream, incarnation);
-        List<LostConnections.LostRequest> lost = lostConnections.drain(upstream);
-        if (before != null) {
-            lost.forEach(one -> suspect(one.fingerprint(), upstream, one.wasOnTrial()));
+        String previous = incarnations.put(upstream, incarnation);
+        List<LostConnections.LostRequest> lostRequests = lostConnections.drain(upstream);
+        if (previous != null) {
+            lostRequests.forEach(
+                    lostRequest -> reportCrash(lostRequest.fingerprint(), upstream, lostRequest.wasOnTrial()));
         }
     }
 
-    /** Ends when the other nodes know, so that the caller cannot be quicker with the next try through one of them. */
-    private CompletionStage<Void> suspect(Fingerprint fingerprint, UpstreamId upstream, boolean wasAlone) {
-        Suspicion suspicion = table.recordCrash(fingerprint, upstream, wasAlone);
+    /**
+     * Records and shares a crash. The stage completes when the other nodes have the suspicion, so that the caller
+     * cannot retry through one of them before that node knows.
+     */
+    private CompletionStage<Void> reportCrash(Fingerprint fingerprint, UpstreamId upstream, boolean wasOnTrial) {
+        Suspicion suspicion = table.recordCrash(fingerprint, upstream, wasOnTrial);
         logger.atWarning().log(
-                "suspects: %s died while it ran request %s, %s",
-                upstream, fingerprint, suspicion.isQuarantined() ? "which is now quarantined" : "now suspected");
+                "suspects: upstream %s crashed while running request %s, %s",
+                upstream,
+                fingerprint,
+                suspicion.isQuarantined() ? "which is now quarantined" : "which is now suspected");
         return coordinator.share(suspicion);
     }
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/package-info.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/package-info.java
@@ -1,2 +1,2 @@
-/** Takes a call from its arrival through its attempts to its result. */
+/** Executes calls: attempts on upstreams, retries and hedges, and isolated trials of suspected requests. */
 package org.turmericspan.dispatch;
--- a/dispatch/src/test/java/org/turmericspan/dispatch/AttemptPropertyTest.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/AttemptPropertyTest.java
@@ -23,7 +23,11 @@
 import org.turmericspan.retry.RetryBudget;
 import org.turmericspan.retry.RetryPolicy;
 
-/** What holds for a call whatever its slots and upstreams do, over the code that runs in a node. */
+/**
+ * Drives the handler of a node with random slot decisions, outcomes and crashes, in random order. Guards against calls
+ * without a result, slots that are released twice or never, and calls reported as not run although an attempt may have
+ * run.
+ */
 final class AttemptPropertyTest {
     private static final RetryPolicies POLICIES = new RetryPolicies(
             RetryPolicy.whenSafe(service -> OptionalLong.empty()),
@@ -31,60 +35,62 @@
             RetryBudget.unbounded());
 
     @Property(tries = 2_000, seed = "20261204")
-    void everyCallEndsOnceGivesEverySlotBackAndTellsTheTruth(@ForAll boolean idempotent, @ForAll long seed) {
-        World world = new World(new Random(seed));
+    void everyCallEndsOnceReleasesEverySlotAndReportsNotRunOnlyIfItDidNotRun(
+            @ForAll boolean idempotent, @ForAll long seed) {
+        Simulation simulation = new Simulation(new Random(seed));
         CompletableFuture<CallResult> result =
-                world.run(TestCalls.request(idempotent)).toCompletableFuture();
+                simulation.run(TestCalls.request(idempotent)).toCompletableFuture();
 
         assertThat(result).isCompleted();
-        assertThat(world.leases).allSatisfy(lease -> assertThat(lease.returns()).hasSize(1));
-        boolean saysNotRun = result.join() instanceof CallResult.Refused refused
+        assertThat(simulation.leases)
+                .allSatisfy(lease -> assertThat(lease.returns()).hasSize(1));
+        boolean isReportedAsNotRun = result.join() instanceof CallResult.Refused refused
                 && refused.code().ran() == Ran.NO;
-        assertThat(saysNotRun && world.mayHaveRun > 0).isFalse();
-        assertThat(world.mayHaveRun).isLessThanOrEqualTo(idempotent ? 3 : 1);
+        assertThat(isReportedAsNotRun && simulation.mayHaveRun > 0).isFalse();
+        assertThat(simulation.mayHaveRun).isLessThanOrEqualTo(idempotent ? 3 : 1);
     }
 
-    /** Slots, upstreams and timers that answer at once or later, in any order. */
-    private static final class World {
+    /** Slot source, upstreams and timers whose stages complete at once or later, in random order. */
+    private static final class Simulation {
         private final Random random;
         private final List<TestCalls.FakeLease> leases = new ArrayList<>();
-        private final List<Runnable> later = new ArrayList<>();
+        private final List<Runnable> delayedTasks = new ArrayList<>();
         private int mayHaveRun;
 
-        World(Random random) {
+        Simulation(Random random) {
             this.random = random;
         }
 
         CompletionStage<CallResult> run(CallRequest request) {
             AttemptDependencies dependencies = new AttemptDependencies(
                     new FakeCatalog(),
-                    slotRequest -> answer(decision()),
-                    (lease, sent, limit) -> exchange(),
-                    new RandomDeaths(),
+                    slotRequest -> completeNowOrLater(randomDecision()),
+                    (lease, sent, limit) -> randomExchange(),
+                    new RandomCrashDetector(),
                     (delay, task) -> {
-                        later.add(task);
-                        return () -> later.remove(task);
+                        delayedTasks.add(task);
+                        return () -> delayedTasks.remove(task);
                     },
                     new FakeMetrics(),
                     () -> 0);
             CompletionStage<CallResult> result = new AttemptHandler(dependencies, POLICIES).handle(request);
-            while (!later.isEmpty()) {
-                later.remove(random.nextInt(later.size())).run();
+            while (!delayedTasks.isEmpty()) {
+                delayedTasks.remove(random.nextInt(delayedTasks.size())).run();
             }
             return result;
         }
 
-        private <T> CompletableFuture<T> answer(T value) {
+        private <T> CompletableFuture<T> completeNowOrLater(T value) {
             CompletableFuture<T> stage = new CompletableFuture<>();
             if (random.nextBoolean()) {
                 stage.complete(value);
             } else {
-                later.add(() -> stage.complete(value));
+                delayedTasks.add(() -> stage.complete(value));
             }
             return stage;
         }
 
-        private SlotDecision decision() {
+        private SlotDecision randomDecision() {
             if (random.nextInt(4) == 0) {
                 return new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.empty());
             }
@@ -93,11 +99,11 @@
             return new SlotDecision.Granted(lease);
         }
 
-        private UpstreamExchange exchange() {
+        private UpstreamExchange randomExchange() {
             AttemptOutcome.Kind[] kinds = AttemptOutcome.Kind.values();
-            AttemptOutcome outcome = TestCalls.reply(kinds[random.nextInt(kinds.length)]);
+            AttemptOutcome outcome = TestCalls.outcome(kinds[random.nextInt(kinds.length)]);
             mayHaveRun += outcome.mayHaveRun() ? 1 : 0;
-            CompletableFuture<AttemptOutcome> stage = answer(outcome);
+            CompletableFuture<AttemptOutcome> stage = completeNowOrLater(outcome);
             return new UpstreamExchange() {
                 @Override
                 public CompletionStage<AttemptOutcome> outcome() {
@@ -106,16 +112,16 @@
 
                 @Override
                 public void cancel() {
-                    // The reply chosen above comes all the same, late.
+                    // The outcome chosen above is still delivered, since a cancelled attempt may complete.
                 }
             };
         }
 
-        private final class RandomDeaths implements CrashDetector {
+        private final class RandomCrashDetector implements CrashDetector {
             @Override
             public CompletionStage<Boolean> connectionLost(
                     CallRequest request, SlotLease lease, AttemptOutcome outcome) {
-                return answer(random.nextBoolean());
+                return completeNowOrLater(random.nextBoolean());
             }
 
             @Override
--- a/dispatch/src/test/java/org/turmericspan/dispatch/FakeCatalog.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/FakeCatalog.java
@@ -6,7 +6,7 @@
 import org.turmericspan.calls.ServiceLimits;
 import org.turmericspan.ids.ServiceId;
 
-/** Knows every service. */
+/** Catalog that contains every service, with the same limits for all. */
 final class FakeCatalog implements ServiceCatalog {
     @Override
     public Optional<ServiceLimits> limits(ServiceId service) {
--- a/dispatch/src/test/java/org/turmericspan/dispatch/TestCalls.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/TestCalls.java
@@ -20,7 +20,7 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 
-/** Calls, leases and replies for tests. */
+/** Requests, attempt outcomes and leases for tests. */
 final class TestCalls {
     static final long DEADLINE_NANOS = 1_000_000_000;
 
@@ -47,12 +47,12 @@
                 Optional.empty());
     }
 
-    static AttemptOutcome reply(AttemptOutcome.Kind kind) {
+    static AttemptOutcome outcome(AttemptOutcome.Kind kind) {
         return new AttemptOutcome(
                 kind, new CallResult.Answered(200, List.of(), Payload.EMPTY), Duration.ZERO, UpstreamSignals.NONE);
     }
 
-    /** Lease that notes how it was given back. */
+    /** Lease that records how it was released. */
     static final class FakeLease implements SlotLease {
         private final List<SlotReturn> returns = new ArrayList<>();
         private final String upstream;
