Name the types of admission after fair queueing

Cause: Line, Rounds, WaitTicket, QueueOffer, EarlyRefusal and ServiceTimes are not terms of the field.

Change, old -> new: Line, CallerLine, OfficeLine, LineFactory -> FlowQueue, CallerQueue, OfficeQueue, FlowQueueFactory; Rounds -> RoundRobin; WaitTicket -> QueueEntry; QueueOffer -> OfferResult; EarlyRefusal -> DeadlineAdmission (and its test); ServiceTimes -> SlotHoldTimeAverage.

--- a/admission/src/main/java/org/turmericspan/admission/CallerLine.java
+++ b/admission/src/main/java/org/turmericspan/admission/CallerQueue.java
@@ -9,10 +9,10 @@
  *
  * @param <W> what the owner parks with a wish
  */
-final class CallerLine<W> extends Line<W> {
-    private final TreeSet<WaitTicket<W>> tickets = new TreeSet<>(WaitTicket.byRank());
+final class CallerQueue<W> extends FlowQueue<W> {
+    private final TreeSet<QueueEntry<W>> tickets = new TreeSet<>(QueueEntry.byRank());
 
-    CallerLine(long sequence, long turn) {
+    CallerQueue(long sequence, long turn) {
         super(sequence, turn);
     }
 
@@ -22,18 +22,18 @@
     }
 
     @Override
-    WaitTicket<W> first() {
+    QueueEntry<W> first() {
         return tickets.first();
     }
 
     @Override
-    WaitTicket<W> last() {
+    QueueEntry<W> last() {
         return tickets.last();
     }
 
     @Override
-    Optional<WaitTicket<W>> find(Predicate<WaitTicket<W>> accepts) {
-        for (WaitTicket<W> ticket : tickets) {
+    Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts) {
+        for (QueueEntry<W> ticket : tickets) {
             if (accepts.test(ticket)) {
                 return Optional.of(ticket);
             }
@@ -42,17 +42,17 @@
     }
 
     @Override
-    void add(WaitTicket<W> ticket) {
+    void add(QueueEntry<W> ticket) {
         tickets.add(ticket);
     }
 
     @Override
-    void serve(WaitTicket<W> ticket) {
+    void serve(QueueEntry<W> ticket) {
         tickets.remove(ticket);
     }
 
     @Override
-    void withdraw(WaitTicket<W> ticket) {
+    void withdraw(QueueEntry<W> ticket) {
         tickets.remove(ticket);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/EarlyRefusal.java
+++ b/admission/src/main/java/org/turmericspan/admission/DeadlineAdmission.java
@@ -6,10 +6,10 @@
 import org.turmericspan.errors.ResultCode;
 
 /** Refuses at once what could only wait in vain. The estimate is a hopeful one, so nothing is refused on a doubt. */
-public final class EarlyRefusal {
+public final class DeadlineAdmission {
     private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(10);
 
-    private EarlyRefusal() {}
+    private DeadlineAdmission() {}
 
     /**
      * Decides whether a wish may wait.
--- a/admission/src/main/java/org/turmericspan/admission/FairQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/FairQueue.java
@@ -21,9 +21,9 @@
  */
 public final class FairQueue<W> {
     private final int limit;
-    private final Rounds<OfficeId, W, OfficeLine<W>> offices = new Rounds<>(OfficeLine::new);
-    private final TreeSet<WaitTicket<W>> byDeadline = new TreeSet<>(WaitTicket.byDeadline());
-    private final Set<WaitTicket<W>> byArrival = new LinkedHashSet<>();
+    private final RoundRobin<OfficeId, W, OfficeQueue<W>> offices = new RoundRobin<>(OfficeQueue::new);
+    private final TreeSet<QueueEntry<W>> byDeadline = new TreeSet<>(QueueEntry.byDeadline());
+    private final Set<QueueEntry<W>> byArrival = new LinkedHashSet<>();
     private long nextSequence;
 
     /**
@@ -44,21 +44,21 @@
      * @param nowNanos current monotonic time
      * @return its place and what was displaced, or that the queue is full
      */
-    public QueueOffer<W> offer(SlotRequest request, W waiter, long nowNanos) {
-        Optional<WaitTicket<W>> displaced = Optional.empty();
+    public OfferResult<W> offer(SlotRequest request, W waiter, long nowNanos) {
+        Optional<QueueEntry<W>> displaced = Optional.empty();
         if (byArrival.size() >= limit) {
             displaced = victim(request);
             if (displaced.isEmpty()) {
-                return new QueueOffer.Full<>();
+                return new OfferResult.Full<>();
             }
             remove(displaced.get());
         }
-        WaitTicket<W> ticket = new WaitTicket<>(request, waiter, nowNanos, nextSequence);
+        QueueEntry<W> ticket = new QueueEntry<>(request, waiter, nowNanos, nextSequence);
         nextSequence++;
         offices.add(request.office(), ticket);
         byDeadline.add(ticket);
         byArrival.add(ticket);
-        return new QueueOffer.Queued<>(ticket, displaced);
+        return new OfferResult.Queued<>(ticket, displaced);
     }
 
     /**
@@ -67,8 +67,8 @@
      * @param accepts whether a wish can be served now; wishes that cannot are passed over and keep their places
      * @return the first accepted wish in order, or empty
      */
-    public Optional<WaitTicket<W>> poll(Predicate<WaitTicket<W>> accepts) {
-        Optional<WaitTicket<W>> found = offices.find(accepts);
+    public Optional<QueueEntry<W>> poll(Predicate<QueueEntry<W>> accepts) {
+        Optional<QueueEntry<W>> found = offices.find(accepts);
         found.ifPresent(ticket -> {
             forget(ticket);
             offices.serve(ticket.wish().office(), ticket);
@@ -82,7 +82,7 @@
      * @param ticket its place
      * @return false when it had left the queue before
      */
-    public boolean remove(WaitTicket<W> ticket) {
+    public boolean remove(QueueEntry<W> ticket) {
         if (!byArrival.contains(ticket)) {
             return false;
         }
@@ -97,10 +97,10 @@
      * @param nowNanos current monotonic time
      * @return the removed wishes, the earliest deadline first
      */
-    public List<WaitTicket<W>> expire(long nowNanos) {
-        List<WaitTicket<W>> expired = new ArrayList<>();
+    public List<QueueEntry<W>> expire(long nowNanos) {
+        List<QueueEntry<W>> expired = new ArrayList<>();
         while (!byDeadline.isEmpty() && byDeadline.first().wish().deadlineNanos() <= nowNanos) {
-            WaitTicket<W> ticket = byDeadline.first();
+            QueueEntry<W> ticket = byDeadline.first();
             remove(ticket);
             expired.add(ticket);
         }
@@ -151,12 +151,12 @@
         return offices.aheadInRounds(request.office(), aheadInOffice, size());
     }
 
-    private Optional<WaitTicket<W>> victim(SlotRequest request) {
+    private Optional<QueueEntry<W>> victim(SlotRequest request) {
         if (byArrival.isEmpty()) {
             return Optional.empty();
         }
-        Line<W> largest = offices.largest();
-        WaitTicket<W> last = largest.last();
+        FlowQueue<W> largest = offices.largest();
+        QueueEntry<W> last = largest.last();
         boolean isSmallerOffice = offices.sizeOf(request.office()) + 1 < largest.size();
         if (isSmallerOffice || last.wish().office().equals(request.office()) && outranks(request, last)) {
             return Optional.of(last);
@@ -164,13 +164,13 @@
         return Optional.empty();
     }
 
-    private boolean outranks(SlotRequest request, WaitTicket<W> last) {
-        OfficeLine<W> office = offices.line(request.office()).orElseThrow();
+    private boolean outranks(SlotRequest request, QueueEntry<W> last) {
+        OfficeQueue<W> office = offices.line(request.office()).orElseThrow();
         boolean isSmallerCaller = office.sizeOf(request.caller()) + 1 < office.largestCallerSize();
         return isSmallerCaller || request.depth() > last.wish().depth();
     }
 
-    private void forget(WaitTicket<W> ticket) {
+    private void forget(QueueEntry<W> ticket) {
         byArrival.remove(ticket);
         byDeadline.remove(ticket);
     }
--- a/admission/src/main/java/org/turmericspan/admission/Line.java
+++ b/admission/src/main/java/org/turmericspan/admission/FlowQueue.java
@@ -9,11 +9,11 @@
  *
  * @param <W> what the owner parks with a wish
  */
-abstract class Line<W> {
+abstract class FlowQueue<W> {
     private final long sequence;
     private long turn;
 
-    Line(long sequence, long turn) {
+    FlowQueue(long sequence, long turn) {
         this.sequence = sequence;
         this.turn = turn;
     }
@@ -30,31 +30,31 @@
     abstract int size();
 
     /** Returns the wish to serve next; the line is not empty. */
-    abstract WaitTicket<W> first();
+    abstract QueueEntry<W> first();
 
     /** Returns the wish to shed first; the line is not empty. */
-    abstract WaitTicket<W> last();
+    abstract QueueEntry<W> last();
 
     /** Finds the first wish in order that is accepted. */
-    abstract Optional<WaitTicket<W>> find(Predicate<WaitTicket<W>> accepts);
+    abstract Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts);
 
-    abstract void add(WaitTicket<W> ticket);
+    abstract void add(QueueEntry<W> ticket);
 
     /** Removes a wish that got its slot, which uses up a turn. */
-    abstract void serve(WaitTicket<W> ticket);
+    abstract void serve(QueueEntry<W> ticket);
 
     /** Removes a wish that got no slot. */
-    abstract void withdraw(WaitTicket<W> ticket);
+    abstract void withdraw(QueueEntry<W> ticket);
 
     /** Orders lines by turn, then by the rank of their first wishes. */
-    static <W> Comparator<Line<W>> byTurn() {
-        return Comparator.<Line<W>>comparingLong(line -> line.turn)
-                .thenComparing(Line::first, WaitTicket.byRank())
+    static <W> Comparator<FlowQueue<W>> byTurn() {
+        return Comparator.<FlowQueue<W>>comparingLong(line -> line.turn)
+                .thenComparing(FlowQueue::first, QueueEntry.byRank())
                 .thenComparingLong(line -> line.sequence);
     }
 
     /** Orders lines by the number of their wishes. */
-    static <W> Comparator<Line<W>> bySize() {
-        return Comparator.<Line<W>>comparingInt(Line::size).thenComparingLong(line -> line.sequence);
+    static <W> Comparator<FlowQueue<W>> bySize() {
+        return Comparator.<FlowQueue<W>>comparingInt(FlowQueue::size).thenComparingLong(line -> line.sequence);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/QueueOffer.java
+++ b/admission/src/main/java/org/turmericspan/admission/OfferResult.java
@@ -7,7 +7,7 @@
  *
  * @param <W> what the owner parks with a wish
  */
-public sealed interface QueueOffer<W> {
+public sealed interface OfferResult<W> {
     /**
      * The wish waits.
      *
@@ -15,12 +15,12 @@
      * @param displaced a wish of a larger line that lost its place and is to be refused, if any
      * @param <W> what the owner parks with a wish
      */
-    record Queued<W>(WaitTicket<W> ticket, Optional<WaitTicket<W>> displaced) implements QueueOffer<W> {}
+    record Queued<W>(QueueEntry<W> ticket, Optional<QueueEntry<W>> displaced) implements OfferResult<W> {}
 
     /**
      * The queue is full and no other line is larger.
      *
      * @param <W> what the owner parks with a wish
      */
-    record Full<W>() implements QueueOffer<W> {}
+    record Full<W>() implements OfferResult<W> {}
 }
--- a/admission/src/main/java/org/turmericspan/admission/OfficeLine.java
+++ b/admission/src/main/java/org/turmericspan/admission/OfficeQueue.java
@@ -9,11 +9,11 @@
  *
  * @param <W> what the owner parks with a wish
  */
-final class OfficeLine<W> extends Line<W> {
-    private final Rounds<CallerId, W, CallerLine<W>> callers = new Rounds<>(CallerLine::new);
+final class OfficeQueue<W> extends FlowQueue<W> {
+    private final RoundRobin<CallerId, W, CallerQueue<W>> callers = new RoundRobin<>(CallerQueue::new);
     private int size;
 
-    OfficeLine(long sequence, long turn) {
+    OfficeQueue(long sequence, long turn) {
         super(sequence, turn);
     }
 
@@ -23,34 +23,34 @@
     }
 
     @Override
-    WaitTicket<W> first() {
+    QueueEntry<W> first() {
         return callers.first().first();
     }
 
     @Override
-    WaitTicket<W> last() {
+    QueueEntry<W> last() {
         return callers.largest().last();
     }
 
     @Override
-    Optional<WaitTicket<W>> find(Predicate<WaitTicket<W>> accepts) {
+    Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts) {
         return callers.find(accepts);
     }
 
     @Override
-    void add(WaitTicket<W> ticket) {
+    void add(QueueEntry<W> ticket) {
         callers.add(ticket.wish().caller(), ticket);
         size++;
     }
 
     @Override
-    void serve(WaitTicket<W> ticket) {
+    void serve(QueueEntry<W> ticket) {
         callers.serve(ticket.wish().caller(), ticket);
         size--;
     }
 
     @Override
-    void withdraw(WaitTicket<W> ticket) {
+    void withdraw(QueueEntry<W> ticket) {
         callers.withdraw(ticket.wish().caller(), ticket);
         size--;
     }
--- a/admission/src/main/java/org/turmericspan/admission/WaitTicket.java
+++ b/admission/src/main/java/org/turmericspan/admission/QueueEntry.java
@@ -9,7 +9,7 @@
  *
  * @param <W> what the owner parks with the wish
  */
-public final class WaitTicket<W> {
+public final class QueueEntry<W> {
     /** Span by which a wish counts as older for each call above it, whose cost is already paid. */
     static final Duration DEPTH_CREDIT = Duration.ofMillis(20);
 
@@ -19,7 +19,7 @@
     private final long rankNanos;
     private final long sequence;
 
-    WaitTicket(SlotRequest request, W waiter, long enqueuedNanos, long sequence) {
+    QueueEntry(SlotRequest request, W waiter, long enqueuedNanos, long sequence) {
         this.request = request;
         this.waiter = waiter;
         this.enqueuedNanos = enqueuedNanos;
@@ -59,14 +59,14 @@
     }
 
     /** Orders tickets by age, with credit for depth. */
-    static <W> Comparator<WaitTicket<W>> byRank() {
-        return Comparator.<WaitTicket<W>>comparingLong(ticket -> ticket.rankNanos)
+    static <W> Comparator<QueueEntry<W>> byRank() {
+        return Comparator.<QueueEntry<W>>comparingLong(ticket -> ticket.rankNanos)
                 .thenComparingLong(ticket -> ticket.sequence);
     }
 
     /** Orders tickets by the deadline of their wishes. */
-    static <W> Comparator<WaitTicket<W>> byDeadline() {
-        return Comparator.<WaitTicket<W>>comparingLong(ticket -> ticket.request.deadlineNanos())
+    static <W> Comparator<QueueEntry<W>> byDeadline() {
+        return Comparator.<QueueEntry<W>>comparingLong(ticket -> ticket.request.deadlineNanos())
                 .thenComparingLong(ticket -> ticket.sequence);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/Rounds.java
+++ b/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
@@ -14,15 +14,15 @@
  * @param <W> what the owner parks with a wish
  * @param <L> line of one party
  */
-final class Rounds<K, W, L extends Line<W>> {
+final class RoundRobin<K, W, L extends FlowQueue<W>> {
     private final Map<K, L> lines = new HashMap<>();
-    private final TreeSet<Line<W>> byTurn = new TreeSet<>(Line.byTurn());
-    private final TreeSet<Line<W>> bySize = new TreeSet<>(Line.bySize());
-    private final LineFactory<L> factory;
+    private final TreeSet<FlowQueue<W>> byTurn = new TreeSet<>(FlowQueue.byTurn());
+    private final TreeSet<FlowQueue<W>> bySize = new TreeSet<>(FlowQueue.bySize());
+    private final FlowQueueFactory<L> factory;
     private long servedTurn;
     private long nextSequence;
 
-    Rounds(LineFactory<L> factory) {
+    RoundRobin(FlowQueueFactory<L> factory) {
         this.factory = factory;
     }
 
@@ -35,17 +35,17 @@
         return line == null ? 0 : line.size();
     }
 
-    Line<W> first() {
+    FlowQueue<W> first() {
         return byTurn.first();
     }
 
-    Line<W> largest() {
+    FlowQueue<W> largest() {
         return bySize.last();
     }
 
-    Optional<WaitTicket<W>> find(Predicate<WaitTicket<W>> accepts) {
-        for (Line<W> line : byTurn) {
-            Optional<WaitTicket<W>> found = line.find(accepts);
+    Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts) {
+        for (FlowQueue<W> line : byTurn) {
+            Optional<QueueEntry<W>> found = line.find(accepts);
             if (found.isPresent()) {
                 return found;
             }
@@ -53,7 +53,7 @@
         return Optional.empty();
     }
 
-    void add(K party, WaitTicket<W> ticket) {
+    void add(K party, QueueEntry<W> ticket) {
         L line = lines.get(party);
         if (line == null) {
             line = factory.create(nextSequence, servedTurn + 1);
@@ -66,7 +66,7 @@
         attach(line);
     }
 
-    void serve(K party, WaitTicket<W> ticket) {
+    void serve(K party, QueueEntry<W> ticket) {
         L line = lines.get(party);
         detach(line);
         line.serve(ticket);
@@ -75,7 +75,7 @@
         attachOrDrop(party, line);
     }
 
-    void withdraw(K party, WaitTicket<W> ticket) {
+    void withdraw(K party, QueueEntry<W> ticket) {
         L line = lines.get(party);
         detach(line);
         line.withdraw(ticket);
@@ -113,7 +113,7 @@
      * @param <L> line of one party
      */
     @FunctionalInterface
-    interface LineFactory<L> {
+    interface FlowQueueFactory<L> {
         /**
          * Creates an empty line.
          *
--- a/admission/src/main/java/org/turmericspan/admission/ServiceTimes.java
+++ b/admission/src/main/java/org/turmericspan/admission/SlotHoldTimeAverage.java
@@ -6,7 +6,7 @@
 /**
  * Moving average of how long requests of one service hold a slot. It has no lock: its owner guards it.
  */
-public final class ServiceTimes {
+public final class SlotHoldTimeAverage {
     private static final int WEIGHT_SHIFT = 4;
 
     private long meanNanos;
--- a/admission/src/test/java/org/turmericspan/admission/EarlyRefusalTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/DeadlineAdmissionTest.java
@@ -9,50 +9,51 @@
 import org.turmericspan.errors.ResultCode;
 
 /** What is refused before it waits. */
-final class EarlyRefusalTest {
+final class DeadlineAdmissionTest {
     private static final Optional<Duration> TEN_MILLIS = Optional.of(Duration.ofMillis(10));
     private static final long DEADLINE_NANOS = Duration.ofMillis(50).toNanos();
 
     @Test
     void passedDeadlineIsRefused() {
-        assertThat(EarlyRefusal.decide(0, 1, 0, 3, TEN_MILLIS))
+        assertThat(DeadlineAdmission.decide(0, 1, 0, 3, TEN_MILLIS))
                 .map(SlotDecision.Denied::code)
                 .hasValue(ResultCode.DEADLINE_BEFORE_SEND);
     }
 
     @Test
     void wishThatCanMakeItsDeadlineMayWait() {
-        assertThat(EarlyRefusal.decide(DEADLINE_NANOS, 0, 12, 3, TEN_MILLIS)).isEmpty();
+        assertThat(DeadlineAdmission.decide(DEADLINE_NANOS, 0, 12, 3, TEN_MILLIS))
+                .isEmpty();
     }
 
     @Test
     void wishThatCannotMakeItsDeadlineIsRefusedWithTheExpectedWait() {
-        assertThat(EarlyRefusal.decide(DEADLINE_NANOS, 0, 15, 3, TEN_MILLIS))
+        assertThat(DeadlineAdmission.decide(DEADLINE_NANOS, 0, 15, 3, TEN_MILLIS))
                 .hasValue(new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.of(Duration.ofMillis(50))));
     }
 
     @Test
     void wishWaitsWhileServiceTimesAreNotKnown() {
-        assertThat(EarlyRefusal.decide(DEADLINE_NANOS, 0, 1_000, 3, Optional.empty()))
+        assertThat(DeadlineAdmission.decide(DEADLINE_NANOS, 0, 1_000, 3, Optional.empty()))
                 .isEmpty();
     }
 
     @Test
     void wishIsRefusedWhenNoSlotIsExpected() {
-        assertThat(EarlyRefusal.decide(DEADLINE_NANOS, 0, 0, 0, TEN_MILLIS))
+        assertThat(DeadlineAdmission.decide(DEADLINE_NANOS, 0, 0, 0, TEN_MILLIS))
                 .map(SlotDecision.Denied::code)
                 .hasValue(ResultCode.NO_CAPACITY);
     }
 
     @Test
     void fullQueueIsRefusedWithTheTimeToDrainIt() {
-        assertThat(EarlyRefusal.queueFull(30, 3, TEN_MILLIS))
+        assertThat(DeadlineAdmission.queueFull(30, 3, TEN_MILLIS))
                 .isEqualTo(new SlotDecision.Denied(ResultCode.QUEUE_FULL, Optional.of(Duration.ofMillis(100))));
     }
 
     @Test
     void averageFollowsRecentRequests() {
-        ServiceTimes times = new ServiceTimes();
+        SlotHoldTimeAverage times = new SlotHoldTimeAverage();
         assertThat(times.mean()).isEmpty();
         times.record(Duration.ofMillis(16));
         times.record(Duration.ofMillis(32));
--- a/admission/src/test/java/org/turmericspan/admission/FairQueuePropertyTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/FairQueuePropertyTest.java
@@ -27,8 +27,8 @@
         Set<Integer> waiting = new HashSet<>();
         for (int now = 0; now < 400; now++) {
             if (random.nextInt(3) > 0) {
-                QueueOffer<Integer> offer = queue.offer(wish(random, now + random.nextInt(100)), now, now);
-                if (offer instanceof QueueOffer.Queued<Integer> queued) {
+                OfferResult<Integer> offer = queue.offer(wish(random, now + random.nextInt(100)), now, now);
+                if (offer instanceof OfferResult.Queued<Integer> queued) {
                     waiting.add(now);
                     queued.displaced()
                             .ifPresent(ticket ->
@@ -39,7 +39,7 @@
                         .ifPresent(ticket ->
                                 assertThat(waiting.remove(ticket.waiter())).isTrue());
             }
-            for (WaitTicket<Integer> ticket : queue.expire(now)) {
+            for (QueueEntry<Integer> ticket : queue.expire(now)) {
                 assertThat(waiting.remove(ticket.waiter())).isTrue();
             }
             assertThat(queue.size()).isEqualTo(waiting.size()).isLessThanOrEqualTo(LIMIT);
@@ -72,14 +72,14 @@
             queue.offer(wish(0, i % 4, 0, Long.MAX_VALUE), 0, i);
         }
         for (int i = 0; i < quietWishes; i++) {
-            QueueOffer<Integer> offer = queue.offer(wish(1, 0, 0, Long.MAX_VALUE), 1, 100);
-            assertThat(offer).isInstanceOf(QueueOffer.Queued.class);
+            OfferResult<Integer> offer = queue.offer(wish(1, 0, 0, Long.MAX_VALUE), 1, 100);
+            assertThat(offer).isInstanceOf(OfferResult.Queued.class);
         }
 
         assertThat(List.of(
                         queue.poll(any -> true).orElseThrow(),
                         queue.poll(any -> true).orElseThrow()))
-                .extracting(WaitTicket::waiter)
+                .extracting(QueueEntry::waiter)
                 .containsExactlyInAnyOrder(0, 1);
     }
 
--- a/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
@@ -60,7 +60,7 @@
     @Test
     void shallowWishThatWaitedLongGoesBeforeADeepOne() {
         offer("office", "shallow", 0, 0);
-        offer("office", "deep", 1, WaitTicket.DEPTH_CREDIT.toNanos() + 1);
+        offer("office", "deep", 1, QueueEntry.DEPTH_CREDIT.toNanos() + 1);
 
         assertThat(drain()).containsExactly("office/shallow", "office/deep");
     }
@@ -71,11 +71,11 @@
             offer("greedy", "g" + i, 0, i);
         }
 
-        QueueOffer<String> offer = offer("quiet", "q", 0, 20);
+        OfferResult<String> offer = offer("quiet", "q", 0, 20);
 
-        assertThat(offer).isInstanceOf(QueueOffer.Queued.class);
-        QueueOffer.Queued<String> queued = (QueueOffer.Queued<String>) offer;
-        assertThat(queued.displaced()).map(WaitTicket::waiter).hasValue("greedy/g9");
+        assertThat(offer).isInstanceOf(OfferResult.Queued.class);
+        OfferResult.Queued<String> queued = (OfferResult.Queued<String>) offer;
+        assertThat(queued.displaced()).map(QueueEntry::waiter).hasValue("greedy/g9");
         assertThat(queue.size()).isEqualTo(10);
     }
 
@@ -85,7 +85,7 @@
             offer("greedy", "g", 0, i);
         }
 
-        assertThat(offer("greedy", "g", 0, 20)).isInstanceOf(QueueOffer.Full.class);
+        assertThat(offer("greedy", "g", 0, 20)).isInstanceOf(OfferResult.Full.class);
     }
 
     @Test
@@ -94,7 +94,7 @@
             offer("greedy", "g", 0, i);
         }
 
-        assertThat(offer("greedy", "deep", 2, 20)).isInstanceOf(QueueOffer.Queued.class);
+        assertThat(offer("greedy", "deep", 2, 20)).isInstanceOf(OfferResult.Queued.class);
     }
 
     @Test
@@ -112,7 +112,7 @@
         queue.offer(wish("office", "early", 0, 10), "early", 0);
         queue.offer(wish("office", "middle", 0, 20), "middle", 0);
 
-        assertThat(queue.expire(20)).extracting(WaitTicket::waiter).containsExactly("early", "middle");
+        assertThat(queue.expire(20)).extracting(QueueEntry::waiter).containsExactly("early", "middle");
         assertThat(queue.nextDeadlineNanos()).hasValue(30);
         assertThat(queue.size()).isEqualTo(1);
     }
@@ -121,7 +121,7 @@
     void wishLeavesOnlyOnce() {
         offer("office", "a", 0, 7);
         assertThat(queue.oldestEnqueuedNanos()).hasValue(7);
-        WaitTicket<String> ticket = queue.poll(any -> true).orElseThrow();
+        QueueEntry<String> ticket = queue.poll(any -> true).orElseThrow();
 
         assertThat(queue.remove(ticket)).isFalse();
         assertThat(queue.oldestEnqueuedNanos()).isEmpty();
@@ -137,7 +137,7 @@
         assertThat(queue.aheadOf(wish("greedy", "g", 0, 100))).isEqualTo(5);
     }
 
-    private QueueOffer<String> offer(String office, String caller, int depth, long nowNanos) {
+    private OfferResult<String> offer(String office, String caller, int depth, long nowNanos) {
         return queue.offer(wish(office, caller, depth, Long.MAX_VALUE), office + "/" + caller, nowNanos);
     }
 
