Say in plain terms what admission does

Cause: comments and names spoke of wishes, turns, parties, lines, tickets, waiters that are parked, and of refusing "in vain".

No other module uses admission.

--- a/admission/src/main/java/org/turmericspan/admission/CallerQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/CallerQueue.java
@@ -5,54 +5,54 @@
 import java.util.function.Predicate;
 
 /**
- * Waiting wishes of one caller, in the order of age with credit for depth.
+ * Flow queue of one caller: its slot requests in the order of their priority.
  *
- * @param <W> what the owner parks with a wish
+ * @param <W> type of the attachment that is kept with each request
  */
 final class CallerQueue<W> extends FlowQueue<W> {
-    private final TreeSet<QueueEntry<W>> tickets = new TreeSet<>(QueueEntry.byRank());
+    private final TreeSet<QueueEntry<W>> entries = new TreeSet<>(QueueEntry.byPriority());
 
-    CallerQueue(long sequence, long turn) {
-        super(sequence, turn);
+    CallerQueue(long sequence, long round) {
+        super(sequence, round);
     }
 
     @Override
     int size() {
-        return tickets.size();
+        return entries.size();
     }
 
     @Override
     QueueEntry<W> first() {
-        return tickets.first();
+        return entries.first();
     }
 
     @Override
     QueueEntry<W> last() {
-        return tickets.last();
+        return entries.last();
     }
 
     @Override
     Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts) {
-        for (QueueEntry<W> ticket : tickets) {
-            if (accepts.test(ticket)) {
-                return Optional.of(ticket);
+        for (QueueEntry<W> entry : entries) {
+            if (accepts.test(entry)) {
+                return Optional.of(entry);
             }
         }
         return Optional.empty();
     }
 
     @Override
-    void add(QueueEntry<W> ticket) {
-        tickets.add(ticket);
+    void add(QueueEntry<W> entry) {
+        entries.add(entry);
     }
 
     @Override
-    void serve(QueueEntry<W> ticket) {
-        tickets.remove(ticket);
+    void removeServed(QueueEntry<W> entry) {
+        entries.remove(entry);
     }
 
     @Override
-    void withdraw(QueueEntry<W> ticket) {
-        tickets.remove(ticket);
+    void removeUnserved(QueueEntry<W> entry) {
+        entries.remove(entry);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/DeadlineAdmission.java
+++ b/admission/src/main/java/org/turmericspan/admission/DeadlineAdmission.java
@@ -5,57 +5,62 @@
 import org.turmericspan.calls.SlotDecision;
 import org.turmericspan.errors.ResultCode;
 
-/** Refuses at once what could only wait in vain. The estimate is a hopeful one, so nothing is refused on a doubt. */
+/**
+ * Deadline admission control: denies at once a slot request that would miss its deadline in the queue. The estimate of
+ * the wait is optimistic, so that a request that might still be served in time is not denied.
+ */
 public final class DeadlineAdmission {
-    private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(10);
+    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(10);
 
     private DeadlineAdmission() {}
 
     /**
-     * Decides whether a wish may wait.
+     * Decides whether a request may wait in the queue.
      *
-     * @param wishDeadlineNanos monotonic time after which the slot is of no use
+     * @param deadlineNanos monotonic time after which the slot is of no use
      * @param nowNanos current monotonic time
-     * @param ahead wishes that would be served before it
-     * @param slots slots that serve the queue; 0 when none is expected
-     * @param mean how long a request holds a slot, or empty when not known
-     * @return the refusal, or empty when the wish may wait
+     * @param requestsAhead number of requests that would be served before this one
+     * @param slots number of slots that serve the queue; 0 when none is expected
+     * @param meanHoldTime mean time for which a request holds a slot, or empty when it is unknown
+     * @return the denial, or empty when the request may wait
      */
     public static Optional<SlotDecision.Denied> decide(
-            long wishDeadlineNanos, long nowNanos, int ahead, int slots, Optional<Duration> mean) {
-        long remainingNanos = wishDeadlineNanos - nowNanos;
+            long deadlineNanos, long nowNanos, int requestsAhead, int slots, Optional<Duration> meanHoldTime) {
+        long remainingNanos = deadlineNanos - nowNanos;
         if (remainingNanos <= 0) {
             return Optional.of(new SlotDecision.Denied(ResultCode.DEADLINE_BEFORE_SEND, Optional.empty()));
         }
         if (slots <= 0) {
-            return Optional.of(denied(ResultCode.NO_CAPACITY, mean.orElse(SHORTEST_RETRY_AFTER)));
+            return Optional.of(denied(ResultCode.NO_CAPACITY, meanHoldTime.orElse(MIN_RETRY_AFTER)));
         }
-        if (mean.isEmpty()) {
+        if (meanHoldTime.isEmpty()) {
             return Optional.empty();
         }
-        Duration wait = expectedWait(ahead, slots, mean.get());
-        boolean isInVain = wait.plus(mean.get()).toNanos() > remainingNanos;
-        return isInVain ? Optional.of(denied(ResultCode.NO_CAPACITY, wait)) : Optional.empty();
+        Duration wait = expectedWait(requestsAhead, slots, meanHoldTime.get());
+        boolean missesDeadline = wait.plus(meanHoldTime.get()).toNanos() > remainingNanos;
+        return missesDeadline ? Optional.of(denied(ResultCode.NO_CAPACITY, wait)) : Optional.empty();
     }
 
     /**
-     * Builds the refusal of a wish for which the queue has no room.
+     * Builds the denial of a request for which the queue has no capacity.
      *
-     * @param size wishes that wait
-     * @param slots slots that serve the queue
-     * @param mean how long a request holds a slot, or empty when not known
-     * @return the refusal, with the time in which the queue would drain
+     * @param queueSize number of queued requests
+     * @param slots number of slots that serve the queue
+     * @param meanHoldTime mean time for which a request holds a slot, or empty when it is unknown
+     * @return the denial, to be retried after the time in which the queue is expected to drain
      */
-    public static SlotDecision.Denied queueFull(int size, int slots, Optional<Duration> mean) {
-        return denied(ResultCode.QUEUE_FULL, expectedWait(size, Math.max(1, slots), mean.orElse(SHORTEST_RETRY_AFTER)));
+    public static SlotDecision.Denied queueFull(int queueSize, int slots, Optional<Duration> meanHoldTime) {
+        return denied(
+                ResultCode.QUEUE_FULL,
+                expectedWait(queueSize, Math.max(1, slots), meanHoldTime.orElse(MIN_RETRY_AFTER)));
     }
 
-    private static Duration expectedWait(int ahead, int slots, Duration mean) {
-        return mean.multipliedBy(ahead).dividedBy(slots);
+    private static Duration expectedWait(int requestsAhead, int slots, Duration meanHoldTime) {
+        return meanHoldTime.multipliedBy(requestsAhead).dividedBy(slots);
     }
 
     private static SlotDecision.Denied denied(ResultCode code, Duration wait) {
-        Duration retryAfter = wait.compareTo(SHORTEST_RETRY_AFTER) < 0 ? SHORTEST_RETRY_AFTER : wait;
+        Duration retryAfter = wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
         return new SlotDecision.Denied(code, Optional.of(retryAfter));
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/FairQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/FairQueue.java
@@ -12,15 +12,15 @@
 import org.turmericspan.ids.OfficeId;
 
 /**
- * Bounded queue of the wishes of one service that wait for a slot. Offices take turns, and within an office its
- * callers; within one turn the older wish goes first, and a wish deep in a chain of calls counts as older. Every
- * operation takes logarithmic time, but for wishes that {@link #poll} passes over. The queue has no lock: its owner
- * guards it.
+ * Bounded fair queue of the slot requests of one service. Offices are served round robin, and so are the callers
+ * within an office. Within one round the older request is served first, and a request deep in a chain of calls counts
+ * as older. Every operation takes logarithmic time, except for the requests that {@link #poll} passes over. The class
+ * is not thread-safe: its users guard it by a lock.
  *
- * @param <W> what the owner parks with a wish
+ * @param <W> type of the attachment that is kept with each request
  */
 public final class FairQueue<W> {
-    private final int limit;
+    private final int maxRequests;
     private final RoundRobin<OfficeId, W, OfficeQueue<W>> offices = new RoundRobin<>(OfficeQueue::new);
     private final TreeSet<QueueEntry<W>> byDeadline = new TreeSet<>(QueueEntry.byDeadline());
     private final Set<QueueEntry<W>> byArrival = new LinkedHashSet<>();
@@ -29,97 +29,98 @@
     /**
      * Creates an empty queue.
      *
-     * @param limit largest number of waiting wishes
+     * @param maxRequests largest number of queued requests
      */
-    public FairQueue(int limit) {
-        this.limit = limit;
+    public FairQueue(int maxRequests) {
+        this.maxRequests = maxRequests;
     }
 
     /**
-     * Queues a wish. When the queue is full, the newest wish of the largest line makes room for one of a smaller line,
-     * or for a deeper one of the same office.
+     * Queues a request. When the queue is full, the last request of the largest flow queue is evicted for a request of
+     * a smaller flow, or for one of the same office with a greater call depth.
      *
-     * @param request what is wished for
-     * @param waiter what is parked with it
+     * @param request request to queue
+     * @param attachment object that is kept with the request
      * @param nowNanos current monotonic time
-     * @return its place and what was displaced, or that the queue is full
+     * @return the entry of the request and the evicted entry, if any; or that the queue is full
      */
-    public OfferResult<W> offer(SlotRequest request, W waiter, long nowNanos) {
-        Optional<QueueEntry<W>> displaced = Optional.empty();
-        if (byArrival.size() >= limit) {
-            displaced = victim(request);
-            if (displaced.isEmpty()) {
+    public OfferResult<W> offer(SlotRequest request, W attachment, long nowNanos) {
+        Optional<QueueEntry<W>> evicted = Optional.empty();
+        if (byArrival.size() >= maxRequests) {
+            evicted = findEvictable(request);
+            if (evicted.isEmpty()) {
                 return new OfferResult.Full<>();
             }
-            remove(displaced.get());
+            remove(evicted.get());
         }
-        QueueEntry<W> ticket = new QueueEntry<>(request, waiter, nowNanos, nextSequence);
+        QueueEntry<W> entry = new QueueEntry<>(request, attachment, nowNanos, nextSequence);
         nextSequence++;
-        offices.add(request.office(), ticket);
-        byDeadline.add(ticket);
-        byArrival.add(ticket);
-        return new OfferResult.Queued<>(ticket, displaced);
+        offices.add(request.office(), entry);
+        byDeadline.add(entry);
+        byArrival.add(entry);
+        return new OfferResult.Queued<>(entry, evicted);
     }
 
     /**
-     * Takes out the next wish.
+     * Removes the next request to serve.
      *
-     * @param accepts whether a wish can be served now; wishes that cannot are passed over and keep their places
-     * @return the first accepted wish in order, or empty
+     * @param accepts tests whether a request can be served now; requests that cannot are passed over and keep their
+     *     places
+     * @return the first accepted entry in service order, or empty
      */
     public Optional<QueueEntry<W>> poll(Predicate<QueueEntry<W>> accepts) {
         Optional<QueueEntry<W>> found = offices.find(accepts);
-        found.ifPresent(ticket -> {
-            forget(ticket);
-            offices.serve(ticket.wish().office(), ticket);
+        found.ifPresent(entry -> {
+            unindex(entry);
+            offices.removeServed(entry.request().office(), entry);
         });
         return found;
     }
 
     /**
-     * Removes a wish that is no longer wanted.
+     * Removes a request that is no longer needed.
      *
-     * @param ticket its place
-     * @return false when it had left the queue before
+     * @param entry entry of the request
+     * @return false when the entry has already left the queue
      */
-    public boolean remove(QueueEntry<W> ticket) {
-        if (!byArrival.contains(ticket)) {
+    public boolean remove(QueueEntry<W> entry) {
+        if (!byArrival.contains(entry)) {
             return false;
         }
-        forget(ticket);
-        offices.withdraw(ticket.wish().office(), ticket);
+        unindex(entry);
+        offices.removeUnserved(entry.request().office(), entry);
         return true;
     }
 
     /**
-     * Removes the wishes whose deadline has passed.
+     * Removes the requests whose deadline has passed.
      *
      * @param nowNanos current monotonic time
-     * @return the removed wishes, the earliest deadline first
+     * @return the removed entries, the earliest deadline first
      */
     public List<QueueEntry<W>> expire(long nowNanos) {
         List<QueueEntry<W>> expired = new ArrayList<>();
-        while (!byDeadline.isEmpty() && byDeadline.first().wish().deadlineNanos() <= nowNanos) {
-            QueueEntry<W> ticket = byDeadline.first();
-            remove(ticket);
-            expired.add(ticket);
+        while (!byDeadline.isEmpty() && byDeadline.first().request().deadlineNanos() <= nowNanos) {
+            QueueEntry<W> entry = byDeadline.first();
+            remove(entry);
+            expired.add(entry);
         }
         return expired;
     }
 
     /**
-     * Counts the waiting wishes.
+     * Counts the queued requests.
      *
-     * @return the size
+     * @return the number of requests
      */
     public int size() {
         return byArrival.size();
     }
 
     /**
-     * Tells since when the longest waiting wish waits.
+     * Returns when the oldest queued request was queued.
      *
-     * @return monotonic time, or empty when none waits
+     * @return monotonic time, or empty when no request is queued
      */
     public OptionalLong oldestEnqueuedNanos() {
         return byArrival.isEmpty()
@@ -128,50 +129,50 @@
     }
 
     /**
-     * Tells when the next deadline passes.
+     * Returns the earliest deadline of the queued requests.
      *
-     * @return monotonic time, or empty when none waits
+     * @return monotonic time, or empty when no request is queued
      */
     public OptionalLong nextDeadlineNanos() {
         return byDeadline.isEmpty()
                 ? OptionalLong.empty()
-                : OptionalLong.of(byDeadline.first().wish().deadlineNanos());
+                : OptionalLong.of(byDeadline.first().request().deadlineNanos());
     }
 
     /**
-     * Counts the waiting wishes that would be served before a new one, by the turns of offices and callers.
+     * Counts the queued requests that would be served before a new one, by the round robin of offices and callers.
      *
-     * @param request a wish that is not yet queued
-     * @return number of wishes ahead of it
+     * @param request request that is not yet queued
+     * @return number of requests ahead of it
      */
     public int aheadOf(SlotRequest request) {
-        int aheadInOffice = offices.line(request.office())
+        int aheadInOffice = offices.queue(request.office())
                 .map(office -> office.aheadOf(request.caller()))
                 .orElse(0);
-        return offices.aheadInRounds(request.office(), aheadInOffice, size());
+        return offices.countAhead(request.office(), aheadInOffice, size());
     }
 
-    private Optional<QueueEntry<W>> victim(SlotRequest request) {
+    private Optional<QueueEntry<W>> findEvictable(SlotRequest request) {
         if (byArrival.isEmpty()) {
             return Optional.empty();
         }
         FlowQueue<W> largest = offices.largest();
         QueueEntry<W> last = largest.last();
         boolean isSmallerOffice = offices.sizeOf(request.office()) + 1 < largest.size();
-        if (isSmallerOffice || last.wish().office().equals(request.office()) && outranks(request, last)) {
+        if (isSmallerOffice || last.request().office().equals(request.office()) && outranks(request, last)) {
             return Optional.of(last);
         }
         return Optional.empty();
     }
 
     private boolean outranks(SlotRequest request, QueueEntry<W> last) {
-        OfficeQueue<W> office = offices.line(request.office()).orElseThrow();
+        OfficeQueue<W> office = offices.queue(request.office()).orElseThrow();
         boolean isSmallerCaller = office.sizeOf(request.caller()) + 1 < office.largestCallerSize();
-        return isSmallerCaller || request.depth() > last.wish().depth();
+        return isSmallerCaller || request.depth() > last.request().depth();
     }
 
-    private void forget(QueueEntry<W> ticket) {
-        byArrival.remove(ticket);
-        byDeadline.remove(ticket);
+    private void unindex(QueueEntry<W> entry) {
+        byArrival.remove(entry);
+        byDeadline.remove(entry);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/FlowQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/FlowQueue.java
@@ -5,56 +5,57 @@
 import java.util.function.Predicate;
 
 /**
- * Waiting wishes of one party, which takes turns with other parties of its level.
+ * Queue of the slot requests of one flow. A flow is an office, or a caller within its office; the flows of one level
+ * are served round robin.
  *
- * @param <W> what the owner parks with a wish
+ * @param <W> type of the attachment that is kept with each request
  */
 abstract class FlowQueue<W> {
     private final long sequence;
-    private long turn;
+    private long round;
 
-    FlowQueue(long sequence, long turn) {
+    FlowQueue(long sequence, long round) {
         this.sequence = sequence;
-        this.turn = turn;
+        this.round = round;
     }
 
-    final long turn() {
-        return turn;
+    final long round() {
+        return round;
     }
 
-    final void setTurn(long newTurn) {
-        turn = newTurn;
+    final void setRound(long newRound) {
+        round = newRound;
     }
 
-    /** Counts the waiting wishes. */
+    /** Counts the queued requests. */
     abstract int size();
 
-    /** Returns the wish to serve next; the line is not empty. */
+    /** Returns the entry to serve next; the queue must not be empty. */
     abstract QueueEntry<W> first();
 
-    /** Returns the wish to shed first; the line is not empty. */
+    /** Returns the entry to evict first; the queue must not be empty. */
     abstract QueueEntry<W> last();
 
-    /** Finds the first wish in order that is accepted. */
+    /** Finds the first entry in service order that is accepted. */
     abstract Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts);
 
-    abstract void add(QueueEntry<W> ticket);
+    abstract void add(QueueEntry<W> entry);
 
-    /** Removes a wish that got its slot, which uses up a turn. */
-    abstract void serve(QueueEntry<W> ticket);
+    /** Removes an entry whose request was granted a slot, which counts as service in the current round. */
+    abstract void removeServed(QueueEntry<W> entry);
 
-    /** Removes a wish that got no slot. */
-    abstract void withdraw(QueueEntry<W> ticket);
+    /** Removes an entry whose request was not granted a slot. */
+    abstract void removeUnserved(QueueEntry<W> entry);
 
-    /** Orders lines by turn, then by the rank of their first wishes. */
-    static <W> Comparator<FlowQueue<W>> byTurn() {
-        return Comparator.<FlowQueue<W>>comparingLong(line -> line.turn)
-                .thenComparing(FlowQueue::first, QueueEntry.byRank())
-                .thenComparingLong(line -> line.sequence);
+    /** Orders queues by round, then by the priority of their first entries. */
+    static <W> Comparator<FlowQueue<W>> byRound() {
+        return Comparator.<FlowQueue<W>>comparingLong(queue -> queue.round)
+                .thenComparing(FlowQueue::first, QueueEntry.byPriority())
+                .thenComparingLong(queue -> queue.sequence);
     }
 
-    /** Orders lines by the number of their wishes. */
+    /** Orders queues by the number of their entries. */
     static <W> Comparator<FlowQueue<W>> bySize() {
-        return Comparator.<FlowQueue<W>>comparingInt(FlowQueue::size).thenComparingLong(line -> line.sequence);
+        return Comparator.<FlowQueue<W>>comparingInt(FlowQueue::size).thenComparingLong(queue -> queue.sequence);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/OfferResult.java
+++ b/admission/src/main/java/org/turmericspan/admission/OfferResult.java
@@ -3,24 +3,24 @@
 import java.util.Optional;
 
 /**
- * Answer of a {@link FairQueue} to an offered wish.
+ * Result of offering a slot request to a {@link FairQueue}.
  *
- * @param <W> what the owner parks with a wish
+ * @param <W> type of the attachment that is kept with each request
  */
 public sealed interface OfferResult<W> {
     /**
-     * The wish waits.
+     * The request was queued.
      *
-     * @param ticket its place
-     * @param displaced a wish of a larger line that lost its place and is to be refused, if any
-     * @param <W> what the owner parks with a wish
+     * @param entry entry of the request
+     * @param evicted entry that was evicted for it and whose request is to be denied, if any
+     * @param <W> type of the attachment that is kept with each request
      */
-    record Queued<W>(QueueEntry<W> ticket, Optional<QueueEntry<W>> displaced) implements OfferResult<W> {}
+    record Queued<W>(QueueEntry<W> entry, Optional<QueueEntry<W>> evicted) implements OfferResult<W> {}
 
     /**
-     * The queue is full and no other line is larger.
+     * The queue is full and has no entry that may be evicted for the request.
      *
-     * @param <W> what the owner parks with a wish
+     * @param <W> type of the attachment that is kept with each request
      */
     record Full<W>() implements OfferResult<W> {}
 }
--- a/admission/src/main/java/org/turmericspan/admission/OfficeQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/OfficeQueue.java
@@ -5,16 +5,16 @@
 import org.turmericspan.ids.CallerId;
 
 /**
- * Waiting wishes of one office, whose callers take turns.
+ * Flow queue of one office, whose callers are served round robin.
  *
- * @param <W> what the owner parks with a wish
+ * @param <W> type of the attachment that is kept with each request
  */
 final class OfficeQueue<W> extends FlowQueue<W> {
     private final RoundRobin<CallerId, W, CallerQueue<W>> callers = new RoundRobin<>(CallerQueue::new);
     private int size;
 
-    OfficeQueue(long sequence, long turn) {
-        super(sequence, turn);
+    OfficeQueue(long sequence, long round) {
+        super(sequence, round);
     }
 
     @Override
@@ -38,20 +38,20 @@
     }
 
     @Override
-    void add(QueueEntry<W> ticket) {
-        callers.add(ticket.wish().caller(), ticket);
+    void add(QueueEntry<W> entry) {
+        callers.add(entry.request().caller(), entry);
         size++;
     }
 
     @Override
-    void serve(QueueEntry<W> ticket) {
-        callers.serve(ticket.wish().caller(), ticket);
+    void removeServed(QueueEntry<W> entry) {
+        callers.removeServed(entry.request().caller(), entry);
         size--;
     }
 
     @Override
-    void withdraw(QueueEntry<W> ticket) {
-        callers.withdraw(ticket.wish().caller(), ticket);
+    void removeUnserved(QueueEntry<W> entry) {
+        callers.removeUnserved(entry.request().caller(), entry);
         size--;
     }
 
@@ -63,8 +63,8 @@
         return callers.largest().size();
     }
 
-    /** Counts the wishes of this office that would go before a new one of the caller. */
+    /** Counts the requests of this office that would be served before a new one of the caller. */
     int aheadOf(CallerId caller) {
-        return callers.aheadInRounds(caller, callers.sizeOf(caller), size);
+        return callers.countAhead(caller, callers.sizeOf(caller), size);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/QueueEntry.java
+++ b/admission/src/main/java/org/turmericspan/admission/QueueEntry.java
@@ -5,50 +5,50 @@
 import org.turmericspan.calls.SlotRequest;
 
 /**
- * Place of one waiting wish in a {@link FairQueue}; also the handle by which it is removed.
+ * Entry of one slot request in a {@link FairQueue}, by which the request is removed from the queue.
  *
- * @param <W> what the owner parks with the wish
+ * @param <W> type of the attachment that is kept with the request
  */
 public final class QueueEntry<W> {
-    /** Span by which a wish counts as older for each call above it, whose cost is already paid. */
-    static final Duration DEPTH_CREDIT = Duration.ofMillis(20);
+    /** Bonus in age for each call above the request, because the work of those calls is already spent. */
+    static final Duration DEPTH_BONUS = Duration.ofMillis(20);
 
     private final SlotRequest request;
-    private final W waiter;
+    private final W attachment;
     private final long enqueuedNanos;
-    private final long rankNanos;
+    private final long priorityNanos;
     private final long sequence;
 
-    QueueEntry(SlotRequest request, W waiter, long enqueuedNanos, long sequence) {
+    QueueEntry(SlotRequest request, W attachment, long enqueuedNanos, long sequence) {
         this.request = request;
-        this.waiter = waiter;
+        this.attachment = attachment;
         this.enqueuedNanos = enqueuedNanos;
-        this.rankNanos = enqueuedNanos - request.depth() * DEPTH_CREDIT.toNanos();
+        this.priorityNanos = enqueuedNanos - request.depth() * DEPTH_BONUS.toNanos();
         this.sequence = sequence;
     }
 
     /**
-     * Returns what is wished for.
+     * Returns the slot request.
      *
-     * @return the wish
+     * @return the request
      */
-    public SlotRequest wish() {
+    public SlotRequest request() {
         return request;
     }
 
     /**
-     * Returns what the owner parked with the wish.
+     * Returns the attachment that was passed when the request was offered.
      *
-     * @return the parked state
+     * @return the attachment
      */
-    public W waiter() {
-        return waiter;
+    public W attachment() {
+        return attachment;
     }
 
     /**
-     * Returns when the wish was queued.
+     * Returns when the request was queued.
      *
-     * @return monotonic time
+     * @return monotonic time in nanoseconds
      */
     public long enqueuedNanos() {
         return enqueuedNanos;
@@ -58,15 +58,15 @@
         return sequence;
     }
 
-    /** Orders tickets by age, with credit for depth. */
-    static <W> Comparator<QueueEntry<W>> byRank() {
-        return Comparator.<QueueEntry<W>>comparingLong(ticket -> ticket.rankNanos)
-                .thenComparingLong(ticket -> ticket.sequence);
+    /** Orders entries by age, the oldest first, with the depth bonus added to the age. */
+    static <W> Comparator<QueueEntry<W>> byPriority() {
+        return Comparator.<QueueEntry<W>>comparingLong(entry -> entry.priorityNanos)
+                .thenComparingLong(entry -> entry.sequence);
     }
 
-    /** Orders tickets by the deadline of their wishes. */
+    /** Orders entries by the deadlines of their requests, the earliest first. */
     static <W> Comparator<QueueEntry<W>> byDeadline() {
-        return Comparator.<QueueEntry<W>>comparingLong(ticket -> ticket.request.deadlineNanos())
-                .thenComparingLong(ticket -> ticket.sequence);
+        return Comparator.<QueueEntry<W>>comparingLong(entry -> entry.request.deadlineNanos())
+                .thenComparingLong(entry -> entry.sequence);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
+++ b/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
@@ -7,36 +7,37 @@
 import java.util.function.Predicate;
 
 /**
- * Lines that take turns. A line that comes new joins the round after the one being served, so coming back again and
- * again gains nothing over waiting; a line that was passed over does not catch up.
+ * Flow queues that are served round robin. A new queue joins the round after the current one, so that a flow whose
+ * queue is drained and filled again and again gains nothing over one that waits. A queue that was passed over does not
+ * catch up later.
  *
- * @param <K> names the parties
- * @param <W> what the owner parks with a wish
- * @param <L> line of one party
+ * @param <K> key of a flow
+ * @param <W> type of the attachment that is kept with each request
+ * @param <L> type of the flow queues
  */
 final class RoundRobin<K, W, L extends FlowQueue<W>> {
-    private final Map<K, L> lines = new HashMap<>();
-    private final TreeSet<FlowQueue<W>> byTurn = new TreeSet<>(FlowQueue.byTurn());
+    private final Map<K, L> queues = new HashMap<>();
+    private final TreeSet<FlowQueue<W>> byRound = new TreeSet<>(FlowQueue.byRound());
     private final TreeSet<FlowQueue<W>> bySize = new TreeSet<>(FlowQueue.bySize());
     private final FlowQueueFactory<L> factory;
-    private long servedTurn;
+    private long currentRound;
     private long nextSequence;
 
     RoundRobin(FlowQueueFactory<L> factory) {
         this.factory = factory;
     }
 
-    Optional<L> line(K party) {
-        return Optional.ofNullable(lines.get(party));
+    Optional<L> queue(K flow) {
+        return Optional.ofNullable(queues.get(flow));
     }
 
-    int sizeOf(K party) {
-        L line = lines.get(party);
-        return line == null ? 0 : line.size();
+    int sizeOf(K flow) {
+        L queue = queues.get(flow);
+        return queue == null ? 0 : queue.size();
     }
 
     FlowQueue<W> first() {
-        return byTurn.first();
+        return byRound.first();
     }
 
     FlowQueue<W> largest() {
@@ -44,8 +45,8 @@
     }
 
     Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts) {
-        for (FlowQueue<W> line : byTurn) {
-            Optional<QueueEntry<W>> found = line.find(accepts);
+        for (FlowQueue<W> queue : byRound) {
+            Optional<QueueEntry<W>> found = queue.find(accepts);
             if (found.isPresent()) {
                 return found;
             }
@@ -53,74 +54,74 @@
         return Optional.empty();
     }
 
-    void add(K party, QueueEntry<W> ticket) {
-        L line = lines.get(party);
-        if (line == null) {
-            line = factory.create(nextSequence, servedTurn + 1);
+    void add(K flow, QueueEntry<W> entry) {
+        L queue = queues.get(flow);
+        if (queue == null) {
+            queue = factory.create(nextSequence, currentRound + 1);
             nextSequence++;
-            lines.put(party, line);
+            queues.put(flow, queue);
         } else {
-            detach(line);
+            unindex(queue);
         }
-        line.add(ticket);
-        attach(line);
+        queue.add(entry);
+        index(queue);
     }
 
-    void serve(K party, QueueEntry<W> ticket) {
-        L line = lines.get(party);
-        detach(line);
-        line.serve(ticket);
-        servedTurn = Math.max(servedTurn, line.turn());
-        line.setTurn(servedTurn + 1);
-        attachOrDrop(party, line);
+    void removeServed(K flow, QueueEntry<W> entry) {
+        L queue = queues.get(flow);
+        unindex(queue);
+        queue.removeServed(entry);
+        currentRound = Math.max(currentRound, queue.round());
+        queue.setRound(currentRound + 1);
+        indexOrDrop(flow, queue);
     }
 
-    void withdraw(K party, QueueEntry<W> ticket) {
-        L line = lines.get(party);
-        detach(line);
-        line.withdraw(ticket);
-        attachOrDrop(party, line);
+    void removeUnserved(K flow, QueueEntry<W> entry) {
+        L queue = queues.get(flow);
+        unindex(queue);
+        queue.removeUnserved(entry);
+        indexOrDrop(flow, queue);
     }
 
-    /** Counts the wishes of the level served before one that has {@code before} wishes of its own line before it. */
-    int aheadInRounds(K party, int before, int total) {
-        long others = lines.containsKey(party) ? lines.size() - 1L : lines.size();
-        long ahead = (before + 1L) * others + before;
+    /** Counts the requests of all flows that are served before one with {@code aheadInFlow} of its own flow ahead. */
+    int countAhead(K flow, int aheadInFlow, int total) {
+        long others = queues.containsKey(flow) ? queues.size() - 1L : queues.size();
+        long ahead = (aheadInFlow + 1L) * others + aheadInFlow;
         return (int) Math.min(total, ahead);
     }
 
-    private void attachOrDrop(K party, L line) {
-        if (line.size() == 0) {
-            lines.remove(party);
+    private void indexOrDrop(K flow, L queue) {
+        if (queue.size() == 0) {
+            queues.remove(flow);
         } else {
-            attach(line);
+            index(queue);
         }
     }
 
-    private void attach(L line) {
-        byTurn.add(line);
-        bySize.add(line);
+    private void index(L queue) {
+        byRound.add(queue);
+        bySize.add(queue);
     }
 
-    private void detach(L line) {
-        byTurn.remove(line);
-        bySize.remove(line);
+    private void unindex(L queue) {
+        byRound.remove(queue);
+        bySize.remove(queue);
     }
 
     /**
-     * Creates lines.
+     * Creates flow queues.
      *
-     * @param <L> line of one party
+     * @param <L> type of the flow queues
      */
     @FunctionalInterface
     interface FlowQueueFactory<L> {
         /**
-         * Creates an empty line.
+         * Creates an empty queue.
          *
-         * @param sequence number that no other line of the level has
-         * @param turn its first turn
-         * @return the line
+         * @param sequence number that no other queue of the level has
+         * @param round first round in which the queue is served
+         * @return the queue
          */
-        L create(long sequence, long turn);
+        L create(long sequence, long round);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/SlotHoldTimeAverage.java
+++ b/admission/src/main/java/org/turmericspan/admission/SlotHoldTimeAverage.java
@@ -4,29 +4,31 @@
 import java.util.Optional;
 
 /**
- * Moving average of how long requests of one service hold a slot. It has no lock: its owner guards it.
+ * Exponentially weighted moving average of the time for which requests of one service hold a slot. The class is not
+ * thread-safe: its users guard it by a lock.
  */
 public final class SlotHoldTimeAverage {
-    private static final int WEIGHT_SHIFT = 4;
+    /** Binary logarithm of 16: a new sample has a weight of 1/16. */
+    private static final int SAMPLE_WEIGHT_SHIFT = 4;
 
     private long meanNanos;
     private boolean known;
 
     /**
-     * Takes in one request.
+     * Records the hold time of one request.
      *
-     * @param held how long it held its slot
+     * @param holdTime time for which the request held its slot
      */
-    public void record(Duration held) {
-        long sampleNanos = held.toNanos();
-        meanNanos = known ? meanNanos + (sampleNanos - meanNanos >> WEIGHT_SHIFT) : sampleNanos;
+    public void record(Duration holdTime) {
+        long sampleNanos = holdTime.toNanos();
+        meanNanos = known ? meanNanos + (sampleNanos - meanNanos >> SAMPLE_WEIGHT_SHIFT) : sampleNanos;
         known = true;
     }
 
     /**
      * Returns the average.
      *
-     * @return the mean of recent requests, or empty before the first
+     * @return the average, or empty before the first request is recorded
      */
     public Optional<Duration> mean() {
         return known ? Optional.of(Duration.ofNanos(meanNanos)) : Optional.empty();
--- a/admission/src/main/java/org/turmericspan/admission/package-info.java
+++ b/admission/src/main/java/org/turmericspan/admission/package-info.java
@@ -1,2 +1,2 @@
-/** Bounded fair queue of waiting requests, and the early refusal of what cannot make its deadline. */
+/** Bounded fair queue of slot requests, and admission control that denies requests that would miss their deadline. */
 package org.turmericspan.admission;
--- a/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
@@ -11,14 +11,14 @@
 import org.turmericspan.ids.OfficeId;
 import org.turmericspan.ids.ServiceId;
 
-/** Order, bounds and expiry of the fair queue. */
+/** Tests the service order, the bound and the expiry of the fair queue. */
 final class FairQueueTest {
-    private static final long MILLI = 1_000_000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final FairQueue<String> queue = new FairQueue<>(10);
 
     @Test
-    void officesTakeTurnsWhenOneHasManyWishes() {
+    void officesAreServedRoundRobinWhenOneHasManyRequests() {
         for (int i = 0; i < 4; i++) {
             offer("greedy", "g" + i, 0, i);
         }
@@ -28,7 +28,7 @@
     }
 
     @Test
-    void callersOfOneOfficeTakeTurns() {
+    void callersOfOneOfficeAreServedRoundRobin() {
         offer("office", "a", 0, 1);
         offer("office", "a", 0, 2);
         offer("office", "b", 0, 3);
@@ -37,36 +37,36 @@
     }
 
     @Test
-    void officeThatComesBackAtOnceDoesNotStarveAnother() {
+    void officeThatQueuesAgainAtOnceDoesNotStarveAnother() {
         offer("waiting", "w", 0, 0);
         offer("waiting", "w", 0, 0);
         List<String> served = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             offer("returning", "r", 0, i);
-            served.add(queue.poll(ticket -> true).orElseThrow().waiter());
+            served.add(queue.poll(entry -> true).orElseThrow().attachment());
         }
 
         assertThat(served.subList(0, 4)).containsExactly("waiting/w", "returning/r", "waiting/w", "returning/r");
     }
 
     @Test
-    void deepWishGoesBeforeAnOlderShallowOne() {
+    void deepRequestIsServedBeforeASlightlyOlderShallowOne() {
         offer("office", "shallow", 0, 0);
-        offer("office", "deep", 3, 5 * MILLI);
+        offer("office", "deep", 3, 5 * NANOS_PER_MILLI);
 
         assertThat(drain()).containsExactly("office/deep", "office/shallow");
     }
 
     @Test
-    void shallowWishThatWaitedLongGoesBeforeADeepOne() {
+    void shallowRequestThatWaitedLongerThanTheBonusIsServedBeforeADeepOne() {
         offer("office", "shallow", 0, 0);
-        offer("office", "deep", 1, QueueEntry.DEPTH_CREDIT.toNanos() + 1);
+        offer("office", "deep", 1, QueueEntry.DEPTH_BONUS.toNanos() + 1);
 
         assertThat(drain()).containsExactly("office/shallow", "office/deep");
     }
 
     @Test
-    void fullQueueDisplacesTheNewestOfTheLargestOffice() {
+    void fullQueueEvictsTheNewestRequestOfTheLargestOffice() {
         for (int i = 0; i < 10; i++) {
             offer("greedy", "g" + i, 0, i);
         }
@@ -75,12 +75,12 @@
 
         assertThat(offer).isInstanceOf(OfferResult.Queued.class);
         OfferResult.Queued<String> queued = (OfferResult.Queued<String>) offer;
-        assertThat(queued.displaced()).map(QueueEntry::waiter).hasValue("greedy/g9");
+        assertThat(queued.evicted()).map(QueueEntry::attachment).hasValue("greedy/g9");
         assertThat(queue.size()).isEqualTo(10);
     }
 
     @Test
-    void fullQueueRefusesTheLargestOffice() {
+    void fullQueueRejectsARequestOfTheLargestOffice() {
         for (int i = 0; i < 10; i++) {
             offer("greedy", "g", 0, i);
         }
@@ -89,7 +89,7 @@
     }
 
     @Test
-    void fullQueueTakesADeeperWishOfTheSameOffice() {
+    void fullQueueAcceptsADeeperRequestOfTheSameOffice() {
         for (int i = 0; i < 10; i++) {
             offer("greedy", "g", 0, i);
         }
@@ -98,50 +98,50 @@
     }
 
     @Test
-    void passedOverWishKeepsItsPlace() {
+    void requestThatPollPassesOverKeepsItsPlace() {
         offer("office", "a", 0, 0);
         offer("office", "b", 0, 1);
 
-        assertThat(queue.poll(ticket -> ticket.waiter().equals("office/b"))).isPresent();
+        assertThat(queue.poll(entry -> entry.attachment().equals("office/b"))).isPresent();
         assertThat(drain()).containsExactly("office/a");
     }
 
     @Test
-    void expiredWishesLeaveInTheOrderOfTheirDeadlines() {
-        queue.offer(wish("office", "late", 0, 30), "late", 0);
-        queue.offer(wish("office", "early", 0, 10), "early", 0);
-        queue.offer(wish("office", "middle", 0, 20), "middle", 0);
+    void expiredRequestsAreRemovedInTheOrderOfTheirDeadlines() {
+        queue.offer(request("office", "late", 0, 30), "late", 0);
+        queue.offer(request("office", "early", 0, 10), "early", 0);
+        queue.offer(request("office", "middle", 0, 20), "middle", 0);
 
-        assertThat(queue.expire(20)).extracting(QueueEntry::waiter).containsExactly("early", "middle");
+        assertThat(queue.expire(20)).extracting(QueueEntry::attachment).containsExactly("early", "middle");
         assertThat(queue.nextDeadlineNanos()).hasValue(30);
         assertThat(queue.size()).isEqualTo(1);
     }
 
     @Test
-    void wishLeavesOnlyOnce() {
+    void polledRequestCannotBeRemovedAgain() {
         offer("office", "a", 0, 7);
         assertThat(queue.oldestEnqueuedNanos()).hasValue(7);
-        QueueEntry<String> ticket = queue.poll(any -> true).orElseThrow();
+        QueueEntry<String> entry = queue.poll(any -> true).orElseThrow();
 
-        assertThat(queue.remove(ticket)).isFalse();
+        assertThat(queue.remove(entry)).isFalse();
         assertThat(queue.oldestEnqueuedNanos()).isEmpty();
     }
 
     @Test
-    void quietOfficeCountsOnlyOneWishOfEachOtherOfficeAheadOfIt() {
+    void smallOfficeHasOneRequestOfEachOtherOfficeAheadOfIt() {
         for (int i = 0; i < 5; i++) {
             offer("greedy", "g", 0, i);
         }
 
-        assertThat(queue.aheadOf(wish("quiet", "q", 0, 100))).isEqualTo(1);
-        assertThat(queue.aheadOf(wish("greedy", "g", 0, 100))).isEqualTo(5);
+        assertThat(queue.aheadOf(request("quiet", "q", 0, 100))).isEqualTo(1);
+        assertThat(queue.aheadOf(request("greedy", "g", 0, 100))).isEqualTo(5);
     }
 
     private OfferResult<String> offer(String office, String caller, int depth, long nowNanos) {
-        return queue.offer(wish(office, caller, depth, Long.MAX_VALUE), office + "/" + caller, nowNanos);
+        return queue.offer(request(office, caller, depth, Long.MAX_VALUE), office + "/" + caller, nowNanos);
     }
 
-    private static SlotRequest wish(String office, String caller, int depth, long deadlineNanos) {
+    private static SlotRequest request(String office, String caller, int depth, long deadlineNanos) {
         return new SlotRequest(
                 new ServiceId("ordering"),
                 new OfficeId(office),
@@ -156,7 +156,7 @@
     private List<String> drain() {
         List<String> served = new ArrayList<>();
         while (queue.size() > 0) {
-            served.add(queue.poll(ticket -> true).orElseThrow().waiter());
+            served.add(queue.poll(entry -> true).orElseThrow().attachment());
         }
         return served;
     }
