--- a/runs/src/main/java/org/turmericspan/runs/RefusedTokenFilter.java
+++ b/runs/src/main/java/org/turmericspan/runs/RefusedTokenFilter.java
@@ -3,17 +3,18 @@
 import org.turmericspan.ids.RunToken;
 
 /**
- * Bloom filter of refused run tokens. Its size is fixed, so remembering a refusal never fails. A token taken for a
- * refused one by mistake is refused as not run, which is true as well: its request does not run.
+ * Bloom filter of refused run tokens. Its size is fixed, so adding a token never fails. A false positive is safe: its
+ * request is refused as not run, and indeed does not run.
  */
 final class RefusedTokenFilter implements RefusedTokens {
     private static final int WORDS = 8_192;
     private static final int BIT_MASK = WORDS * Long.SIZE - 1;
-    private static final int PROBES = 4;
-    private static final int HALF_DIGITS = 16;
-    private static final int HEX = 16;
-    private static final long MIX_FIRST = 0xff51afd7ed558ccdL;
-    private static final long MIX_SECOND = 0xc4ceb9fe1a85ec53L;
+    private static final int HASH_COUNT = 4;
+    private static final int HALF_NONCE_DIGITS = 16;
+    private static final int HEX_RADIX = 16;
+    // Constants of the 64-bit finalizer of MurmurHash3.
+    private static final long MIX_FIRST_MULTIPLIER = 0xff51afd7ed558ccdL;
+    private static final long MIX_SECOND_MULTIPLIER = 0xc4ceb9fe1a85ec53L;
     private static final int MIX_SHIFT = 33;
 
     private long[] words = {};
@@ -25,7 +26,7 @@
         }
         long first = firstHash(token);
         long second = secondHash(token);
-        for (int i = 0; i < PROBES; i++) {
+        for (int i = 0; i < HASH_COUNT; i++) {
             int bit = bit(first, second, i);
             words[bit / Long.SIZE] |= 1L << bit;
         }
@@ -38,7 +39,7 @@
         }
         long first = firstHash(token);
         long second = secondHash(token);
-        for (int i = 0; i < PROBES; i++) {
+        for (int i = 0; i < HASH_COUNT; i++) {
             int bit = bit(first, second, i);
             if ((words[bit / Long.SIZE] & 1L << bit) == 0) {
                 return false;
@@ -47,23 +48,23 @@
         return true;
     }
 
-    private static int bit(long first, long second, int probe) {
-        return (int) (first + probe * second) & BIT_MASK;
+    private static int bit(long first, long second, int hashIndex) {
+        return (int) (first + hashIndex * second) & BIT_MASK;
     }
 
     private static long firstHash(RunToken token) {
-        long high = Long.parseUnsignedLong(token.nonce(), 0, HALF_DIGITS, HEX);
+        long high = Long.parseUnsignedLong(token.nonce(), 0, HALF_NONCE_DIGITS, HEX_RADIX);
         return mix(high ^ token.caller().hashCode());
     }
 
     private static long secondHash(RunToken token) {
-        long low = Long.parseUnsignedLong(token.nonce(), HALF_DIGITS, 2 * HALF_DIGITS, HEX);
+        long low = Long.parseUnsignedLong(token.nonce(), HALF_NONCE_DIGITS, 2 * HALF_NONCE_DIGITS, HEX_RADIX);
         return mix(low) | 1;
     }
 
     private static long mix(long value) {
-        long mixed = (value ^ value >>> MIX_SHIFT) * MIX_FIRST;
-        mixed = (mixed ^ mixed >>> MIX_SHIFT) * MIX_SECOND;
+        long mixed = (value ^ value >>> MIX_SHIFT) * MIX_FIRST_MULTIPLIER;
+        mixed = (mixed ^ mixed >>> MIX_SHIFT) * MIX_SECOND_MULTIPLIER;
         return mixed ^ mixed >>> MIX_SHIFT;
     }
 }
--- a/runs/src/main/java/org/turmericspan/runs/RefusedTokens.java
+++ b/runs/src/main/java/org/turmericspan/runs/RefusedTokens.java
@@ -2,7 +2,7 @@
 
 import org.turmericspan.ids.RunToken;
 
-/** Remembers run tokens whose request was refused as not run, so that a late copy of it cannot run after all. */
+/** Set of run tokens whose request was refused as not run, so that a late copy of the request cannot run after that. */
 interface RefusedTokens {
     /**
      * Adds a token.
@@ -12,10 +12,10 @@
     void add(RunToken token);
 
     /**
-     * Tells whether a token may have been added.
+     * Returns whether a token may have been added.
      *
-     * @param token token of a request that is not in the table
-     * @return true for every token that was added; seldom true for another
+     * @param token token of a request that has no entry in the run table
+     * @return true for every token that was added; false for most others
      */
     boolean mayContain(RunToken token);
 }
--- a/runs/src/main/java/org/turmericspan/runs/RelayedCallHandler.java
+++ b/runs/src/main/java/org/turmericspan/runs/RelayedCallHandler.java
@@ -11,17 +11,17 @@
 
 /** Handles calls that other nodes relay because this node owns their run token. */
 public final class RelayedCallHandler implements PeerHandler {
-    private final CallHandler owner;
+    private final CallHandler ownerHandler;
     private final MonotonicClock clock;
 
     /**
      * Creates a handler.
      *
-     * @param owner handles a call whose token this node should own, and never relays it again
-     * @param clock turns the span that remains into a deadline of this process
+     * @param ownerHandler handles a call whose token this node should own, and never relays it again
+     * @param clock converts the remaining time in the message into a deadline of this process
      */
-    public RelayedCallHandler(CallHandler owner, MonotonicClock clock) {
-        this.owner = owner;
+    public RelayedCallHandler(CallHandler ownerHandler, MonotonicClock clock) {
+        this.ownerHandler = ownerHandler;
         this.clock = clock;
     }
 
@@ -31,7 +31,8 @@
             return CompletableFuture.completedFuture(new PeerMessage.Done());
         }
         CallRequest request = relayed.request();
-        return owner.handle(request.withDeadline(clock.nowNanos() + request.deadlineNanos()))
+        return ownerHandler
+                .handle(request.withDeadline(clock.nowNanos() + request.deadlineNanos()))
                 .thenApply(PeerMessage.RelayResult::new);
     }
 }
--- a/runs/src/main/java/org/turmericspan/runs/RequestDigest.java
+++ b/runs/src/main/java/org/turmericspan/runs/RequestDigest.java
@@ -7,7 +7,8 @@
 import org.turmericspan.calls.CallRequest;
 
 /**
- * Digest of a request's service, method, path and body, by which a repeat is told from another request.
+ * SHA-256 digest of the service, method, path and body of a request. It distinguishes a duplicate request from another
+ * request with the same run token.
  *
  * @param first first 64 bits
  * @param second second 64 bits
@@ -36,7 +37,7 @@
         try {
             return MessageDigest.getInstance(ALGORITHM);
         } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("Every Java runtime offers " + ALGORITHM, e);
+            throw new IllegalStateException("The Java runtime does not provide the required digest " + ALGORITHM, e);
         }
     }
 }
--- a/runs/src/main/java/org/turmericspan/runs/Run.java
+++ b/runs/src/main/java/org/turmericspan/runs/Run.java
@@ -6,15 +6,15 @@
 import org.turmericspan.ids.RunToken;
 
 /**
- * One run in the table.
+ * One run in the run table.
  *
- * @param token right under which it was started
- * @param office account of the caller that started it
- * @param digest digest of its request
- * @param outcome completed once with its outcome, never under a lock
+ * @param token run token of the request
+ * @param office account of the caller that sent the request
+ * @param digest digest of the request
+ * @param outcome future that is completed once with the outcome, never while a lock is held
  */
 record Run(RunToken token, OfficeId office, RequestDigest digest, CompletableFuture<CallResult> outcome) {
-    static Run begin(RunToken token, OfficeId office, RequestDigest digest) {
+    static Run create(RunToken token, OfficeId office, RequestDigest digest) {
         return new Run(token, office, digest, new CompletableFuture<>());
     }
 }
--- a/runs/src/main/java/org/turmericspan/runs/RunRelay.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunRelay.java
@@ -13,11 +13,12 @@
 import org.turmericspan.messages.PeerMessage;
 
 /**
- * Relays requests to the node that owns their run token. Whatever fails on the way, the outcome is unknown and never
- * "not run": an earlier copy of the request may have reached the owner by another way.
+ * Relays requests to the node that owns their run token. If the relay fails, the outcome is unknown, never "not run",
+ * since an earlier copy of the request may have reached the owner through another node.
  */
 public final class RunRelay {
-    private static final Duration ANSWER_ALLOWANCE = Duration.ofMillis(100);
+    /** Time beyond the deadline in which the reply of the owner is still accepted. */
+    private static final Duration REPLY_GRACE = Duration.ofMillis(100);
 
     private final TokenOwnerLookup owners;
     private final PeerLinks links;
@@ -26,9 +27,9 @@
     /**
      * Creates a relay.
      *
-     * @param owners finds the owner of a token
-     * @param links links to the other nodes
-     * @param clock measures what remains of deadlines
+     * @param owners finds token owners
+     * @param links sends messages to the other nodes
+     * @param clock clock that deadlines refer to
      */
     public RunRelay(TokenOwnerLookup owners, PeerLinks links, MonotonicClock clock) {
         this.owners = owners;
@@ -38,21 +39,21 @@
 
     CompletionStage<CallResult> relay(CallRequest request, Incarnation owner) {
         return owners.find(owner)
-                .map(vm -> ask(vm, request))
+                .map(vm -> relayTo(vm, request))
                 .orElseGet(() -> refused(ResultCode.OWNER_UNREACHABLE, "No node with that incarnation is known."));
     }
 
-    private CompletionStage<CallResult> ask(VmId owner, CallRequest request) {
+    private CompletionStage<CallResult> relayTo(VmId owner, CallRequest request) {
         Duration remaining = Duration.ofNanos(request.deadlineNanos() - clock.nowNanos());
         if (remaining.isNegative() || remaining.isZero()) {
             return refused(ResultCode.DEADLINE_AFTER_SEND, "The deadline passed before the request was relayed.");
         }
         PeerMessage message = new PeerMessage.RelayCall(request.withDeadline(remaining.toNanos()));
-        return links.ask(owner, message, remaining.plus(ANSWER_ALLOWANCE)).thenApply(RunRelay::result);
+        return links.ask(owner, message, remaining.plus(REPLY_GRACE)).thenApply(RunRelay::toResult);
     }
 
-    private static CallResult result(PeerMessage answer) {
-        if (answer instanceof PeerMessage.RelayResult relayed) {
+    private static CallResult toResult(PeerMessage reply) {
+        if (reply instanceof PeerMessage.RelayResult relayed) {
             return relayed.result();
         }
         return CallResult.Refused.of(ResultCode.OWNER_UNREACHABLE, "The owner gave no answer.");
--- a/runs/src/main/java/org/turmericspan/runs/RunTable.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunTable.java
@@ -16,12 +16,13 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * Runs started under the tokens of this life of the node, and what became of them. A token leaves the table only with
- * its epoch; after that its outcome is unknown. A refusal as not run is final for its token.
+ * Table of the runs that were started under the run tokens of this incarnation of the node, with their outcomes. A
+ * token leaves the table only when its epoch expires; after that its outcome is unknown. A token whose request was
+ * refused as not run is never accepted again.
  */
 public final class RunTable {
-    private static final int RUN_BYTES = 512;
-    private static final int HEADER_BYTES = 64;
+    private static final int RUN_OVERHEAD_BYTES = 512;
+    private static final int HEADER_OVERHEAD_BYTES = 64;
 
     private final RankedLock lock = new RankedLock(LockRank.RUNS);
     private final TreeMap<Epoch, EpochRuns> epochs = new TreeMap<>();
@@ -36,8 +37,8 @@
     /**
      * Creates an empty table.
      *
-     * @param limits bounds of the table
-     * @param clock moves the epochs on
+     * @param limits limits of the table
+     * @param clock clock that epochs are derived from
      */
     public RunTable(RunTableLimits limits, MonotonicClock clock) {
         this(limits, clock, RefusedTokenFilter::new);
@@ -51,7 +52,7 @@
     }
 
     /**
-     * Returns the epoch in which new tokens are stamped.
+     * Returns the epoch in which new tokens are issued.
      *
      * @return the current epoch
      */
@@ -60,40 +61,41 @@
     }
 
     /**
-     * Describes the table.
+     * Returns statistics of the table.
      *
-     * @return counts, without tokens or callers' data
+     * @return counts, without tokens or data of callers
      */
     public RunTableStats stats() {
         return lock.compute(() -> {
             Epoch current = currentEpoch();
-            expireBefore(oldestLive(current));
-            return new RunTableStats(current, oldestLive(current), inFlight, entries - inFlight, storedBytes);
+            expireBefore(oldestValid(current));
+            return new RunTableStats(current, oldestValid(current), inFlight, entries - inFlight, storedBytes);
         });
     }
 
-    RunDecision admit(RunToken token, OfficeId office, RequestDigest digest) {
+    TokenDecision admit(RunToken token, OfficeId office, RequestDigest digest) {
         return lock.compute(() -> {
             Epoch current = currentEpoch();
-            Epoch oldest = oldestLive(current);
+            Epoch oldest = oldestValid(current);
             expireBefore(oldest);
             if (token.epoch().compareTo(oldest) < 0) {
-                return new RunDecision.Refuse(ResultCode.RUN_TOKEN_EXPIRED);
+                return new TokenDecision.Refuse(ResultCode.RUN_TOKEN_EXPIRED);
             }
             if (token.epoch().compareTo(current) > 0) {
-                return new RunDecision.Refuse(ResultCode.RUN_TOKEN_NOT_ISSUED);
+                return new TokenDecision.Refuse(ResultCode.RUN_TOKEN_NOT_ISSUED);
             }
             EpochRuns epoch = epochs.computeIfAbsent(token.epoch(), number -> new EpochRuns(newRefusedTokens.get()));
-            Run known = epoch.runs.get(token);
-            return known == null ? begin(epoch, token, office, digest) : repeat(known, office, digest);
+            Run existing = epoch.runs.get(token);
+            return existing == null ? startRun(epoch, token, office, digest) : joinRun(existing, office, digest);
         });
     }
 
     /**
-     * Stores the outcome of a run. The caller completes {@link Run#outcome()} with it afterwards, outside the lock.
+     * Stores the outcome of a run. The caller of this method completes {@link Run#outcome()} with it afterwards,
+     * outside the lock.
      *
-     * @param run a run that {@link #admit} started
-     * @param result its outcome
+     * @param run run that {@link #admit} started
+     * @param result outcome of the run
      */
     void finish(Run run, CallResult result) {
         lock.run(() -> {
@@ -108,7 +110,7 @@
                 epoch.refused.add(run.token());
                 entries--;
             } else {
-                store(epoch, run, result);
+                storeOutcome(epoch, run, result);
             }
         });
     }
@@ -117,56 +119,58 @@
         return result instanceof CallResult.Refused refused && refused.code().ran() == Ran.NO;
     }
 
-    private RunDecision begin(EpochRuns epoch, RunToken token, OfficeId office, RequestDigest digest) {
+    private TokenDecision startRun(EpochRuns epoch, RunToken token, OfficeId office, RequestDigest digest) {
         if (epoch.refused.mayContain(token)) {
-            return new RunDecision.Refuse(ResultCode.RUN_TOKEN_SPENT);
+            return new TokenDecision.Refuse(ResultCode.RUN_TOKEN_SPENT);
         }
         if (entries >= limits.maxEntries() || storedBytes >= limits.maxBytes()) {
             epoch.refused.add(token);
-            return new RunDecision.Refuse(ResultCode.RUN_TABLE_FULL);
+            return new TokenDecision.Refuse(ResultCode.RUN_TABLE_FULL);
         }
-        Run run = Run.begin(token, office, digest);
+        Run run = Run.create(token, office, digest);
         epoch.runs.put(token, run);
         epoch.inFlight++;
         entries++;
         inFlight++;
-        return new RunDecision.Start(run);
+        return new TokenDecision.Start(run);
     }
 
-    private static RunDecision repeat(Run known, OfficeId office, RequestDigest digest) {
-        if (!known.office().equals(office)) {
-            return new RunDecision.Refuse(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER);
+    private static TokenDecision joinRun(Run existing, OfficeId office, RequestDigest digest) {
+        if (!existing.office().equals(office)) {
+            return new TokenDecision.Refuse(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER);
         }
-        if (!known.digest().equals(digest)) {
-            return new RunDecision.Refuse(ResultCode.RUN_TOKEN_REUSED);
+        if (!existing.digest().equals(digest)) {
+            return new TokenDecision.Refuse(ResultCode.RUN_TOKEN_REUSED);
         }
-        return new RunDecision.Repeat(known.outcome());
+        return new TokenDecision.Duplicate(existing.outcome());
     }
 
-    private void store(EpochRuns epoch, Run run, CallResult result) {
+    private void storeOutcome(EpochRuns epoch, Run run, CallResult result) {
         if (storedBytes < limits.maxBytes()) {
-            long bytes = bytes(result);
+            long bytes = storedSizeBytes(result);
             epoch.storedBytes += bytes;
             storedBytes += bytes;
             return;
         }
-        Run withoutAnswer = Run.begin(run.token(), run.office(), run.digest());
-        withoutAnswer.outcome().complete(CallResult.Refused.of(ResultCode.ANSWER_NOT_STORED, ""));
-        epoch.runs.put(run.token(), withoutAnswer);
+        Run withoutResponse = Run.create(run.token(), run.office(), run.digest());
+        withoutResponse.outcome().complete(CallResult.Refused.of(ResultCode.ANSWER_NOT_STORED, ""));
+        epoch.runs.put(run.token(), withoutResponse);
     }
 
-    private static long bytes(CallResult result) {
+    private static long storedSizeBytes(CallResult result) {
         if (!(result instanceof CallResult.Answered answered)) {
-            return RUN_BYTES;
+            return RUN_OVERHEAD_BYTES;
         }
-        long bytes = RUN_BYTES + answered.body().length();
+        long bytes = RUN_OVERHEAD_BYTES + answered.body().length();
         for (Header header : answered.headers()) {
-            bytes += HEADER_BYTES + header.name().length() + header.value().length();
+            bytes += HEADER_OVERHEAD_BYTES
+                    + header.name().length()
+                    + header.value().length();
         }
         return bytes;
     }
 
-    private Epoch oldestLive(Epoch current) {
+    private Epoch oldestValid(Epoch current) {
         return new Epoch(Math.max(0, current.number() - limits.validEpochs() + 1));
     }
 
--- a/runs/src/main/java/org/turmericspan/runs/RunTokenHandler.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunTokenHandler.java
@@ -14,8 +14,8 @@
 import org.turmericspan.ids.RunToken;
 
 /**
- * Lets each request with a run token start at most once, and only on the node that owns the token. Idempotent requests
- * without a token pass untouched.
+ * Starts each request with a run token at most once, and only on the node that owns the token. The token works as an
+ * idempotency key that is bound to one incarnation of one node. Idempotent requests without a token pass unchanged.
  */
 public final class RunTokenHandler implements CallHandler {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -29,15 +29,15 @@
     private final TaskScheduler taskScheduler;
 
     /**
-     * Creates a gate.
+     * Creates a handler.
      *
-     * @param incarnation this life of the node
-     * @param catalog tells which requests need a token
-     * @param table runs of this life of the node
-     * @param relay relays requests to the owners of their tokens
-     * @param next starts a run
-     * @param clock measures deadlines
-     * @param taskScheduler ends the wait of a repeat at its deadline
+     * @param incarnation incarnation of this node
+     * @param catalog determines which requests require a token
+     * @param table runs of this incarnation of the node
+     * @param relay relays requests to the token owners
+     * @param next next handler in the handler chain, which executes the request
+     * @param clock clock that deadlines refer to
+     * @param taskScheduler ends the wait of a duplicate request at its deadline
      */
     public RunTokenHandler(
             Incarnation incarnation,
@@ -91,15 +91,15 @@
     }
 
     private CompletionStage<CallResult> runOnce(CallRequest request, RunToken token) {
-        RunDecision decision = table.admit(token, request.office(), RequestDigest.of(request));
-        if (decision instanceof RunDecision.Start start) {
+        TokenDecision decision = table.admit(token, request.office(), RequestDigest.of(request));
+        if (decision instanceof TokenDecision.Start start) {
             start(start.run(), request.asNonIdempotent());
             return start.run().outcome();
         }
-        if (decision instanceof RunDecision.Repeat repeat) {
-            return waitFor(repeat.outcome(), request.deadlineNanos());
+        if (decision instanceof TokenDecision.Duplicate duplicate) {
+            return awaitUntilDeadline(duplicate.outcome(), request.deadlineNanos());
         }
-        return refused(((RunDecision.Refuse) decision).code(), "");
+        return refused(((TokenDecision.Refuse) decision).code(), "");
     }
 
     private void start(Run run, CallRequest request) {
@@ -109,7 +109,7 @@
         } catch (RuntimeException e) {
             outcome = CompletableFuture.failedFuture(e);
         }
-        outcome.whenComplete((result, failure) -> finish(run, failure == null ? result : internal(failure)));
+        outcome.whenComplete((result, failure) -> finish(run, failure == null ? result : internalError(failure)));
     }
 
     private void finish(Run run, CallResult result) {
@@ -117,21 +117,22 @@
         run.outcome().complete(result);
     }
 
-    private static CallResult internal(Throwable failure) {
-        logger.atSevere().withCause(failure).log("runs: a run ended with an exception, its outcome is unknown");
+    private static CallResult internalError(Throwable failure) {
+        logger.atSevere().withCause(failure).log("runs: a run failed with an exception, its outcome is unknown");
         return CallResult.Refused.of(ResultCode.INTERNAL, failure.getClass().getSimpleName());
     }
 
-    private CompletionStage<CallResult> waitFor(CompletionStage<CallResult> outcome, long deadlineNanos) {
-        CompletableFuture<CallResult> waiting = outcome.toCompletableFuture().copy();
-        if (!waiting.isDone()) {
+    private CompletionStage<CallResult> awaitUntilDeadline(CompletionStage<CallResult> outcome, long deadlineNanos) {
+        CompletableFuture<CallResult> pendingResult =
+                outcome.toCompletableFuture().copy();
+        if (!pendingResult.isDone()) {
             Duration remaining = Duration.ofNanos(Math.max(0, deadlineNanos - clock.nowNanos()));
-            taskScheduler.schedule(remaining, () -> waiting.complete(deadlinePassed()));
+            taskScheduler.schedule(remaining, () -> pendingResult.complete(deadlineExceeded()));
         }
-        return waiting;
+        return pendingResult;
     }
 
-    private static CallResult deadlinePassed() {
+    private static CallResult deadlineExceeded() {
         return CallResult.Refused.of(ResultCode.DEADLINE_AFTER_SEND, "The request is still in flight.");
     }
 
--- a/runs/src/main/java/org/turmericspan/runs/TaskScheduler.java
+++ b/runs/src/main/java/org/turmericspan/runs/TaskScheduler.java
@@ -2,14 +2,14 @@
 
 import java.time.Duration;
 
-/** Runs tasks later on a worker. */
+/** Runs tasks on a worker thread after a delay. */
 @FunctionalInterface
 public interface TaskScheduler {
     /**
      * Runs a task once after a delay.
      *
-     * @param delay time to wait
-     * @param task a short task that does not block
+     * @param delay delay before the task runs
+     * @param task short task that does not block
      */
     void schedule(Duration delay, Runnable task);
 }
--- a/runs/src/main/java/org/turmericspan/runs/TokenOwnerLookup.java
+++ b/runs/src/main/java/org/turmericspan/runs/TokenOwnerLookup.java
@@ -8,10 +8,10 @@
 @FunctionalInterface
 public interface TokenOwnerLookup {
     /**
-     * Looks up a node by its life.
+     * Finds a node by its incarnation.
      *
-     * @param incarnation incarnation in the token
-     * @return VM of the node that runs with it, or empty when none is known
+     * @param incarnation incarnation that the token is bound to
+     * @return VM of the node with that incarnation, or empty when none is known
      */
     Optional<VmId> find(Incarnation incarnation);
 }
--- a/runs/src/main/java/org/turmericspan/runs/package-info.java
+++ b/runs/src/main/java/org/turmericspan/runs/package-info.java
@@ -1,2 +1,2 @@
-/** At most one run for each run token: the table of runs, the gate before it, and the relay to the owner of a token. */
+/** At most one run for each run token: the run table, the handler that uses it, and the relay to the token owner. */
 package org.turmericspan.runs;
--- a/runs/src/test/java/org/turmericspan/runs/RefusedTokenFilterTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RefusedTokenFilterTest.java
@@ -9,30 +9,31 @@
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.ids.RunToken;
 
+/** Tests that the filter contains every added token, and that false positives are rare. */
 final class RefusedTokenFilterTest {
     private static final int TOKENS = 20_000;
 
     private final Random random = new Random(5);
 
     @Test
-    void everyAddedTokenIsFoundAndFewOthersAre() {
+    void everyAddedTokenIsFoundAndFewerThanOneInAThousandOthersAre() {
         RefusedTokenFilter filter = new RefusedTokenFilter();
-        int foundBefore = 0;
+        int falsePositives = 0;
         for (int i = 0; i < TOKENS; i++) {
-            RunToken token = draw();
-            foundBefore += filter.mayContain(token) ? 1 : 0;
+            RunToken token = randomToken();
+            falsePositives += filter.mayContain(token) ? 1 : 0;
             filter.add(token);
             assertThat(filter.mayContain(token)).isTrue();
         }
-        assertThat(foundBefore).isLessThan(TOKENS / 1000);
+        assertThat(falsePositives).isLessThan(TOKENS / 1000);
     }
 
     @Test
-    void emptyFilterContainsNothing() {
-        assertThat(new RefusedTokenFilter().mayContain(draw())).isFalse();
+    void emptyFilterContainsNoToken() {
+        assertThat(new RefusedTokenFilter().mayContain(randomToken())).isFalse();
     }
 
-    private RunToken draw() {
+    private RunToken randomToken() {
         String nonce = String.format("%016x%016x", random.nextLong(), random.nextLong());
         return new RunToken(new Incarnation(7), new Epoch(0), new CallerId("mari"), nonce);
     }
--- a/runs/src/test/java/org/turmericspan/runs/RunModelTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunModelTest.java
@@ -23,95 +23,105 @@
 import org.turmericspan.ids.RunToken;
 import org.turmericspan.ids.ServiceId;
 
-/** Sends, crashes, restarts, relays, repeats, expiry and late messages in any order, over the real gate and table. */
+/**
+ * Model check of the real handler and run table: explores sends, duplicates, relays, restarts, epoch changes and late
+ * messages in any order. Guards against a request that runs twice and against a request that is reported as not run but
+ * ran. The tests with a changed call path show that the model finds these faults.
+ */
 final class RunModelTest {
     private static final int EXHAUSTIVE_DEPTH = 6;
     private static final int COPIES = 3;
     private static final int MANY_COPIES = 8;
 
     @Test
-    void noShortInterleavingBreaksARule() {
-        assertThat(firstViolation(RunModelTest::gate)).isEmpty();
+    void noShortInterleavingBreaksAnInvariant() {
+        assertThat(firstViolation(RunModelTest::tokenHandlerPath)).isEmpty();
     }
 
     @Property(tries = 20_000, seed = "5", edgeCases = EdgeCasesMode.NONE)
-    void noLongInterleavingBreaksARule(@ForAll @Size(min = 20, max = 60) List<@IntRange(max = 5039) Integer> choices) {
-        RunWorld world = new RunWorld(RunModelTest::gate, MANY_COPIES);
+    void noLongInterleavingBreaksAnInvariant(
+            @ForAll @Size(min = 20, max = 60) List<@IntRange(max = 5039) Integer> choices) {
+        RunSimulation simulation = new RunSimulation(RunModelTest::tokenHandlerPath, MANY_COPIES);
         for (int choice : choices) {
-            world.step(choice);
-            assertThat(world.violation()).isEmpty();
+            simulation.step(choice);
+            assertThat(simulation.violation()).isEmpty();
         }
     }
 
     @Test
-    void withoutAGateARepeatRunsTwice() {
-        RunWorld.GateFactory open =
-                parts -> new RunWorld.Gates(parts.next(), parts.next(), new RunTable(RunWorld.LIMITS, parts.clock()));
-        assertThat(firstViolation(open)).contains("ran twice");
+    void withoutTheTokenHandlerADuplicateRequestRunsTwice() {
+        RunSimulation.CallPathFactory withoutHandler = dependencies -> new RunSimulation.CallPath(
+                dependencies.next(), dependencies.next(), new RunTable(RunSimulation.LIMITS, dependencies.clock()));
+        assertThat(firstViolation(withoutHandler)).contains("ran twice");
     }
 
     @Test
     void whenARefusalFreesItsTokenALateCopyRunsAfterTheCallerWasToldNo() {
-        assertThat(firstViolation(parts -> gate(parts, ForgetfulTokens::new))).contains("told not run, but ran");
+        assertThat(firstViolation(dependencies -> tokenHandlerPath(dependencies, NoRefusedTokens::new)))
+                .contains("told not run, but ran");
     }
 
     @Test
-    void whenANodeRunsForAnUnreachableOwnerTheRequestRunsTwice() {
-        RunWorld.GateFactory eager = parts -> {
-            RunWorld.Gates real = gate(parts);
-            CallHandler eagerly =
-                    request -> real.callers().handle(request).thenCompose(result -> orRunHere(result, request, parts));
-            return new RunWorld.Gates(eagerly, real.relayed(), real.table());
+    void whenANodeRunsARequestOfAnUnreachableOwnerItRunsTwice() {
+        RunSimulation.CallPathFactory runningForOwner = dependencies -> {
+            RunSimulation.CallPath tokenPath = tokenHandlerPath(dependencies);
+            CallHandler callerHandler = request -> tokenPath
+                    .callerHandler()
+                    .handle(request)
+                    .thenCompose(result -> runHereIfUnreachable(result, request, dependencies));
+            return new RunSimulation.CallPath(callerHandler, tokenPath.relayedHandler(), tokenPath.table());
         };
-        assertThat(firstViolation(eager)).contains("ran twice");
+        assertThat(firstViolation(runningForOwner)).contains("ran twice");
     }
 
-    private static CompletionStage<CallResult> orRunHere(CallResult result, CallRequest request, RunWorld.Parts parts) {
+    private static CompletionStage<CallResult> runHereIfUnreachable(
+            CallResult result, CallRequest request, RunSimulation.Dependencies dependencies) {
         boolean unreachable =
                 result instanceof CallResult.Refused refused && refused.code() == ResultCode.OWNER_UNREACHABLE;
-        return unreachable ? parts.next().handle(request) : CompletableFuture.completedFuture(result);
+        return unreachable ? dependencies.next().handle(request) : CompletableFuture.completedFuture(result);
     }
 
-    private static RunWorld.Gates gate(RunWorld.Parts parts) {
-        return gate(parts, RefusedTokenFilter::new);
+    private static RunSimulation.CallPath tokenHandlerPath(RunSimulation.Dependencies dependencies) {
+        return tokenHandlerPath(dependencies, RefusedTokenFilter::new);
     }
 
-    private static RunWorld.Gates gate(RunWorld.Parts parts, Supplier<RefusedTokens> refusedTokens) {
-        RunTable table = new RunTable(RunWorld.LIMITS, parts.clock(), refusedTokens);
+    private static RunSimulation.CallPath tokenHandlerPath(
+            RunSimulation.Dependencies dependencies, Supplier<RefusedTokens> refusedTokens) {
+        RunTable table = new RunTable(RunSimulation.LIMITS, dependencies.clock(), refusedTokens);
         RunTokenHandler runTokenHandler = new RunTokenHandler(
-                parts.incarnation(),
+                dependencies.incarnation(),
                 new StrictCatalog(),
                 table,
-                parts.relay(),
-                parts.next(),
-                parts.clock(),
-                parts.taskScheduler());
-        return new RunWorld.Gates(runTokenHandler, runTokenHandler::handleRelayed, table);
+                dependencies.relay(),
+                dependencies.next(),
+                dependencies.clock(),
+                dependencies.taskScheduler());
+        return new RunSimulation.CallPath(runTokenHandler, runTokenHandler::handleRelayed, table);
     }
 
-    /** Replays every sequence of choices up to the depth, and returns the first broken rule. */
-    private static Optional<String> firstViolation(RunWorld.GateFactory gates) {
-        return explore(gates, new ArrayList<>());
+    /** Replays every sequence of choices up to the maximum depth, and returns the first violated invariant. */
+    private static Optional<String> firstViolation(RunSimulation.CallPathFactory callPathFactory) {
+        return explore(callPathFactory, new ArrayList<>());
     }
 
-    private static Optional<String> explore(RunWorld.GateFactory gates, List<Integer> choices) {
-        RunWorld world = new RunWorld(gates, COPIES);
-        choices.forEach(world::step);
-        Optional<String> violation = world.violation();
+    private static Optional<String> explore(RunSimulation.CallPathFactory callPathFactory, List<Integer> choices) {
+        RunSimulation simulation = new RunSimulation(callPathFactory, COPIES);
+        choices.forEach(simulation::step);
+        Optional<String> violation = simulation.violation();
         if (violation.isPresent() || choices.size() == EXHAUSTIVE_DEPTH) {
             return violation;
         }
-        int enabled = world.enabledCount();
+        int enabled = simulation.enabledCount();
         for (int choice = 0; choice < enabled && violation.isEmpty(); choice++) {
             choices.add(choice);
-            violation = explore(gates, choices);
+            violation = explore(callPathFactory, choices);
             choices.remove(choices.size() - 1);
         }
         return violation;
     }
 
-    /** Forgets every refusal, so that a token may be used again. */
-    private static final class ForgetfulTokens implements RefusedTokens {
+    /** Set that keeps no token, so that a refused token may be used again. */
+    private static final class NoRefusedTokens implements RefusedTokens {
         @Override
         public void add(RunToken token) {}
 
--- a/runs/src/test/java/org/turmericspan/runs/RunWorld.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunSimulation.java
@@ -26,10 +26,10 @@
 import org.turmericspan.testkit.ManualClock;
 
 /**
- * Two nodes with real gates and tables, and a network, callers and upstreams that do one thing at a time. Each step
- * picks one of the things that could happen next; after each the rules are checked.
+ * Simulation of two nodes with real handlers and run tables, and of a network, callers and upstreams. Each step
+ * executes one of the enabled actions; the invariants are checked after each step.
  */
-final class RunWorld {
+final class RunSimulation {
     static final RunTableLimits LIMITS = new RunTableLimits(Duration.ofSeconds(10), 2, 2, 1 << 20);
 
     private static final OfficeId OFFICE = new OfficeId("pressroom");
@@ -37,35 +37,35 @@
     private static final long DEADLINE_NANOS = Duration.ofSeconds(60).toNanos();
 
     private final ManualClock clock = new ManualClock();
-    private final GateFactory gates;
+    private final CallPathFactory callPathFactory;
     private final int maxCopies;
     private final List<TestNode> nodes = new ArrayList<>();
-    private final Map<Incarnation, VmId> lives = new HashMap<>();
+    private final Map<Incarnation, VmId> vmsByIncarnation = new HashMap<>();
     private final List<RunToken> tokens = new ArrayList<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private final List<Message> network = new ArrayList<>();
     private final List<Runnable> timers = new ArrayList<>();
     private final Map<RunToken, Integer> runs = new HashMap<>();
-    private final Map<RunToken, Boolean> toldNotRun = new HashMap<>();
+    private final Map<RunToken, Boolean> reportedNotRun = new HashMap<>();
     private int copies;
-    private long drawn;
+    private long lastNumber;
 
-    RunWorld(GateFactory gates, int maxCopies) {
-        this.gates = gates;
+    RunSimulation(CallPathFactory callPathFactory, int maxCopies) {
+        this.callPathFactory = callPathFactory;
         this.maxCopies = maxCopies;
         nodes.add(new TestNode(new VmId("entry-00")));
         nodes.add(new TestNode(new VmId("entry-01")));
-        tokens.add(stamp(nodes.get(0)));
+        tokens.add(issueToken(nodes.get(0)));
     }
 
-    /** Builds the call path of one life of a node. */
+    /** Builds the call path of one incarnation of a node. */
     @FunctionalInterface
-    interface GateFactory {
-        Gates build(Parts parts);
+    interface CallPathFactory {
+        CallPath build(Dependencies dependencies);
     }
 
-    /** What a gate is built from. */
-    record Parts(
+    /** Collaborators that a call path is built from. */
+    record Dependencies(
             Incarnation incarnation,
             ManualClock clock,
             RunRelay relay,
@@ -73,9 +73,9 @@
             TaskScheduler taskScheduler) {}
 
     /** Entry points of a call path: from callers and from other nodes. */
-    record Gates(CallHandler callers, CallHandler relayed, RunTable table) {}
+    record CallPath(CallHandler callerHandler, CallHandler relayedHandler, RunTable table) {}
 
-    /** Does one of the things that could happen next, and returns how many there were. */
+    /** Executes one of the enabled actions, and returns how many were enabled. */
     int step(int choice) {
         List<Runnable> enabled = enabled();
         enabled.get(Math.floorMod(choice, enabled.size())).run();
@@ -86,14 +86,14 @@
         return enabled().size();
     }
 
-    /** Returns the first broken rule, or empty. */
+    /** Returns the first violated invariant, or empty. */
     Optional<String> violation() {
         for (RunToken token : tokens) {
             int ran = runs.getOrDefault(token, 0);
             if (ran > 1) {
                 return Optional.of("ran twice");
             }
-            if (ran > 0 && toldNotRun.getOrDefault(token, false)) {
+            if (ran > 0 && reportedNotRun.getOrDefault(token, false)) {
                 return Optional.of("told not run, but ran");
             }
         }
@@ -110,30 +110,31 @@
         }
         for (Message message : network) {
             enabled.add(() -> deliver(message));
-            if (!message.answered.isDone()) {
-                enabled.add(() -> message.answered.complete(new PeerMessage.Unreachable(true)));
+            if (!message.reply.isDone()) {
+                enabled.add(() -> message.reply.complete(new PeerMessage.Unreachable(true)));
             }
         }
         attempts.forEach(attempt -> attempt.addEnabled(enabled));
         timers.forEach(timer -> enabled.add(() -> fire(timer)));
         if (tokens.size() < 2) {
-            enabled.add(() -> tokens.add(stamp(nodes.get(1))));
+            enabled.add(() -> tokens.add(issueToken(nodes.get(1))));
         }
         enabled.add(() -> clock.advance(LIMITS.epochLength()));
         return enabled;
     }
 
-    private RunToken stamp(TestNode node) {
-        drawn++;
-        return new RunToken(node.incarnation, node.gates.table().currentEpoch(), CALLER, String.format("%032x", drawn));
+    private RunToken issueToken(TestNode node) {
+        lastNumber++;
+        return new RunToken(
+                node.incarnation, node.callPath.table().currentEpoch(), CALLER, String.format("%032x", lastNumber));
     }
 
     private void send(TestNode node, RunToken token) {
         copies++;
-        Incarnation life = node.incarnation;
+        Incarnation incarnation = node.incarnation;
         CallRequest request = request(token, clock.nowNanos() + DEADLINE_NANOS);
-        node.gates.callers().handle(request).thenAccept(result -> {
-            if (node.incarnation.equals(life)) {
+        node.callPath.callerHandler().handle(request).thenAccept(result -> {
+            if (node.incarnation.equals(incarnation)) {
                 observe(token, result);
             }
         });
@@ -141,11 +142,11 @@
 
     private void observe(RunToken token, CallResult result) {
         if (result instanceof CallResult.Refused refused && refused.code().ran() == Ran.NO) {
-            toldNotRun.put(token, true);
+            reportedNotRun.put(token, true);
         }
         if (result instanceof CallResult.Answered answered
                 && !answered.body().equals(Payload.wrap(token.nonce().getBytes()))) {
-            throw new AssertionError("An answer of another request");
+            throw new AssertionError("The response belongs to another request");
         }
     }
 
@@ -155,11 +156,11 @@
                 .filter(node -> node.vm.equals(message.to))
                 .findFirst()
                 .orElseThrow();
-        Incarnation life = receiver.incarnation;
-        new RelayedCallHandler(receiver.gates.relayed(), clock)
+        Incarnation incarnation = receiver.incarnation;
+        new RelayedCallHandler(receiver.callPath.relayedHandler(), clock)
                 .handle(message.to, message.content)
-                .thenAccept(answer -> message.answered.complete(
-                        receiver.incarnation.equals(life) ? answer : new PeerMessage.Unreachable(true)));
+                .thenAccept(response -> message.reply.complete(
+                        receiver.incarnation.equals(incarnation) ? response : new PeerMessage.Unreachable(true)));
     }
 
     private void fire(Runnable timer) {
@@ -184,11 +185,11 @@
                 Optional.of(token));
     }
 
-    /** A node that can be restarted. */
+    /** Node that can be restarted. */
     private final class TestNode implements PeerLinks {
         private final VmId vm;
         private Incarnation incarnation;
-        private Gates gates;
+        private CallPath callPath;
 
         TestNode(VmId vm) {
             this.vm = vm;
@@ -196,12 +197,12 @@
         }
 
         void restart() {
-            drawn++;
-            incarnation = new Incarnation(drawn);
-            lives.put(incarnation, vm);
-            RunRelay relay = new RunRelay(owner -> Optional.ofNullable(lives.get(owner)), this, clock);
-            gates = RunWorld.this.gates.build(
-                    new Parts(incarnation, clock, relay, this::attempt, (delay, task) -> timers.add(task)));
+            lastNumber++;
+            incarnation = new Incarnation(lastNumber);
+            vmsByIncarnation.put(incarnation, vm);
+            RunRelay relay = new RunRelay(owner -> Optional.ofNullable(vmsByIncarnation.get(owner)), this, clock);
+            callPath = RunSimulation.this.callPathFactory.build(
+                    new Dependencies(incarnation, clock, relay, this::attempt, (delay, task) -> timers.add(task)));
         }
 
         @Override
@@ -213,7 +214,7 @@
         public CompletionStage<PeerMessage> ask(VmId peer, PeerMessage message, Duration timeout) {
             Message sent = new Message(peer, message, new CompletableFuture<>());
             network.add(sent);
-            return sent.answered;
+            return sent.reply;
         }
 
         private CompletionStage<CallResult> attempt(CallRequest request) {
@@ -223,9 +224,9 @@
         }
     }
 
-    private record Message(VmId to, PeerMessage content, CompletableFuture<PeerMessage> answered) {}
+    private record Message(VmId to, PeerMessage content, CompletableFuture<PeerMessage> reply) {}
 
-    /** An attempt whose bytes may reach the upstream, also after its node has restarted. */
+    /** Attempt whose bytes may still reach the upstream after its node has restarted. */
     private final class Attempt {
         private final RunToken token;
         private final CompletableFuture<CallResult> result = new CompletableFuture<>();
@@ -236,11 +237,11 @@
         }
 
         void addEnabled(List<Runnable> enabled) {
-            boolean refusedOrEnded = result.isDone();
+            boolean hasEnded = result.isDone();
             if (!started && !isNotRun()) {
                 enabled.add(this::start);
             }
-            if (refusedOrEnded) {
+            if (hasEnded) {
                 return;
             }
             enabled.add(() -> result.complete(CallResult.Refused.of(ResultCode.OUTCOME_UNKNOWN, "")));
--- a/runs/src/test/java/org/turmericspan/runs/RunTableTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunTableTest.java
@@ -15,10 +15,11 @@
 import org.turmericspan.ids.RunToken;
 import org.turmericspan.testkit.ManualClock;
 
+/** Tests which requests the run table starts, joins or refuses, and how it expires and limits its entries. */
 final class RunTableTest {
     private static final OfficeId OFFICE = new OfficeId("pressroom");
     private static final RequestDigest DIGEST = new RequestDigest(1, 2, 3, 4);
-    private static final CallResult ANSWER = new CallResult.Answered(200, List.of(), Payload.wrap(new byte[1000]));
+    private static final CallResult RESPONSE = new CallResult.Answered(200, List.of(), Payload.wrap(new byte[1000]));
     private static final CallResult NOT_RUN = CallResult.Refused.of(ResultCode.SHED_BY_UPSTREAM, "");
     private static final CallResult UNKNOWN = CallResult.Refused.of(ResultCode.OUTCOME_UNKNOWN, "");
 
@@ -26,28 +27,28 @@
     private final RunTable table = new RunTable(new RunTableLimits(Duration.ofSeconds(10), 3, 2, 1500), clock);
 
     @Test
-    void firstRequestOfATokenIsStarted() {
-        assertThat(admit(token(1))).isInstanceOf(RunDecision.Start.class);
+    void firstRequestWithATokenIsStarted() {
+        assertThat(admit(token(1))).isInstanceOf(TokenDecision.Start.class);
     }
 
     @Test
-    void repeatInFlightJoinsTheRun() {
+    void duplicateOfARunInFlightJoinsTheRun() {
         Run run = start(token(1));
-        RunDecision.Repeat repeat = (RunDecision.Repeat) admit(token(1));
-        assertThat(repeat.outcome()).isSameAs(run.outcome());
+        TokenDecision.Duplicate duplicate = (TokenDecision.Duplicate) admit(token(1));
+        assertThat(duplicate.outcome()).isSameAs(run.outcome());
     }
 
     @Test
-    void repeatAfterTheOutcomeGetsIt() {
+    void duplicateOfAFinishedRunGetsItsOutcome() {
         finish(start(token(1)), UNKNOWN);
-        RunDecision.Repeat repeat = (RunDecision.Repeat) admit(token(1));
-        assertThat(repeat.outcome().toCompletableFuture()).isCompletedWithValue(UNKNOWN);
+        TokenDecision.Duplicate duplicate = (TokenDecision.Duplicate) admit(token(1));
+        assertThat(duplicate.outcome().toCompletableFuture()).isCompletedWithValue(UNKNOWN);
     }
 
     @Test
-    void tokenOfARefusedRequestIsSpent() {
+    void tokenOfARefusedRequestCannotBeUsedAgain() {
         finish(start(token(1)), NOT_RUN);
-        assertThat(admit(token(1))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_SPENT));
+        assertThat(admit(token(1))).isEqualTo(new TokenDecision.Refuse(ResultCode.RUN_TOKEN_SPENT));
         assertThat(table.stats().stored()).isZero();
     }
 
@@ -55,51 +56,52 @@
     void tokenWithAnotherRequestIsRefused() {
         start(token(1));
         assertThat(table.admit(token(1), OFFICE, new RequestDigest(1, 2, 3, 5)))
-                .isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_REUSED));
+                .isEqualTo(new TokenDecision.Refuse(ResultCode.RUN_TOKEN_REUSED));
     }
 
     @Test
     void tokenFromAnotherOfficeIsRefused() {
         start(token(1));
         assertThat(table.admit(token(1), new OfficeId("workshop"), DIGEST))
-                .isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER));
+                .isEqualTo(new TokenDecision.Refuse(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER));
     }
 
     @Test
-    void fullTableRefusesAndTheTokenStaysRefusedWhenThereIsRoomAgain() {
+    void tokenRefusedByAFullTableStaysRefusedWhenThereIsCapacityAgain() {
         start(token(1));
         Run second = start(token(2));
-        assertThat(admit(token(3))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TABLE_FULL));
+        assertThat(admit(token(3))).isEqualTo(new TokenDecision.Refuse(ResultCode.RUN_TABLE_FULL));
         finish(second, NOT_RUN);
-        assertThat(admit(token(3))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_SPENT));
-        assertThat(admit(token(4))).isInstanceOf(RunDecision.Start.class);
+        assertThat(admit(token(3))).isEqualTo(new TokenDecision.Refuse(ResultCode.RUN_TOKEN_SPENT));
+        assertThat(admit(token(4))).isInstanceOf(TokenDecision.Start.class);
     }
 
     @Test
-    void tableFullOfBytesRefusesNewRunsAndStoresNoFurtherAnswer() {
-        RunTable wide = new RunTable(new RunTableLimits(Duration.ofSeconds(10), 3, 9, 1500), clock);
-        Run second = ((RunDecision.Start) wide.admit(token(2), OFFICE, DIGEST)).run();
-        wide.finish(((RunDecision.Start) wide.admit(token(1), OFFICE, DIGEST)).run(), ANSWER);
-        assertThat(wide.admit(token(3), OFFICE, DIGEST)).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TABLE_FULL));
-        wide.finish(second, ANSWER);
-        RunDecision.Repeat repeat = (RunDecision.Repeat) wide.admit(token(2), OFFICE, DIGEST);
-        assertThat(repeat.outcome().toCompletableFuture().join())
+    void tableAtItsByteLimitRefusesNewRunsAndStoresNoFurtherResponse() {
+        RunTable largerTable = new RunTable(new RunTableLimits(Duration.ofSeconds(10), 3, 9, 1500), clock);
+        Run second = ((TokenDecision.Start) largerTable.admit(token(2), OFFICE, DIGEST)).run();
+        largerTable.finish(((TokenDecision.Start) largerTable.admit(token(1), OFFICE, DIGEST)).run(), RESPONSE);
+        assertThat(largerTable.admit(token(3), OFFICE, DIGEST))
+                .isEqualTo(new TokenDecision.Refuse(ResultCode.RUN_TABLE_FULL));
+        largerTable.finish(second, RESPONSE);
+        TokenDecision.Duplicate duplicate = (TokenDecision.Duplicate) largerTable.admit(token(2), OFFICE, DIGEST);
+        assertThat(duplicate.outcome().toCompletableFuture().join())
                 .isEqualTo(CallResult.Refused.of(ResultCode.ANSWER_NOT_STORED, ""));
-        assertThat(wide.stats().storedBytes()).isBetween(1500L, 1600L);
+        assertThat(largerTable.stats().storedBytes()).isBetween(1500L, 1600L);
     }
 
     @Test
-    void tokenOfALiveEpochIsNeverForgotten() {
+    void tokenOfAValidEpochIsRemembered() {
         finish(start(token(1)), UNKNOWN);
         clock.advance(Duration.ofSeconds(29));
-        assertThat(admit(token(1))).isInstanceOf(RunDecision.Repeat.class);
+        assertThat(admit(token(1))).isInstanceOf(TokenDecision.Duplicate.class);
     }
 
     @Test
     void tokenOfAnExpiredEpochHasAnUnknownOutcome() {
         start(token(1));
         clock.advance(Duration.ofSeconds(30));
-        assertThat(admit(token(1))).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_EXPIRED));
+        assertThat(admit(token(1))).isEqualTo(new TokenDecision.Refuse(ResultCode.RUN_TOKEN_EXPIRED));
         RunTableStats stats = table.stats();
         assertThat(stats.inFlight() + stats.stored()).isZero();
         assertThat(stats.oldestEpoch()).isEqualTo(new Epoch(1));
@@ -110,22 +112,22 @@
         Run run = start(token(1));
         clock.advance(Duration.ofSeconds(30));
         table.stats();
-        finish(run, ANSWER);
+        finish(run, RESPONSE);
         assertThat(table.stats().storedBytes()).isZero();
     }
 
     @Test
     void tokenOfAFutureEpochIsRefused() {
         RunToken forged = new RunToken(new Incarnation(7), new Epoch(1), new CallerId("mari"), "0".repeat(32));
-        assertThat(admit(forged)).isEqualTo(new RunDecision.Refuse(ResultCode.RUN_TOKEN_NOT_ISSUED));
+        assertThat(admit(forged)).isEqualTo(new TokenDecision.Refuse(ResultCode.RUN_TOKEN_NOT_ISSUED));
     }
 
-    private RunDecision admit(RunToken token) {
+    private TokenDecision admit(RunToken token) {
         return table.admit(token, OFFICE, DIGEST);
     }
 
     private Run start(RunToken token) {
-        return ((RunDecision.Start) admit(token)).run();
+        return ((TokenDecision.Start) admit(token)).run();
     }
 
     private void finish(Run run, CallResult result) {
--- a/runs/src/test/java/org/turmericspan/runs/RunTokenHandlerTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunTokenHandlerTest.java
@@ -27,13 +27,14 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.testkit.ManualClock;
 
+/** Tests which requests are executed, wait for an earlier run, are relayed to the token owner, or are refused. */
 final class RunTokenHandlerTest {
     private static final Incarnation OWN = new Incarnation(1);
     private static final Incarnation OTHER = new Incarnation(2);
-    private static final Incarnation GONE = new Incarnation(3);
+    private static final Incarnation UNKNOWN_INCARNATION = new Incarnation(3);
     private static final CallerId MARI = new CallerId("mari");
     private static final Duration DEADLINE = Duration.ofSeconds(2);
-    private static final CallResult ANSWER = new CallResult.Answered(200, List.of(), Payload.EMPTY);
+    private static final CallResult RESPONSE = new CallResult.Answered(200, List.of(), Payload.EMPTY);
 
     private final ManualClock clock = new ManualClock();
     private final List<CallRequest> started = new ArrayList<>();
@@ -42,7 +43,7 @@
     private final RecordingLinks links = new RecordingLinks();
     private final RunTokenHandler runTokenHandler = new RunTokenHandler(
             OWN,
-            new OrdersNeedTokens(),
+            new OrdersRequireTokens(),
             new RunTable(new RunTableLimits(Duration.ofSeconds(10), 3, 5, 5_000), clock),
             new RunRelay(
                     owner -> owner.equals(OTHER) ? Optional.of(new VmId("entry-01")) : Optional.empty(), links, clock),
@@ -54,21 +55,21 @@
             (delay, task) -> timers.add(task));
 
     @Test
-    void idempotentRequestPassesUntouched() {
-        CallRequest lookup = request("GET", "/stock", true, Optional.empty());
-        assertThat(runTokenHandler.handle(lookup)).isSameAs(outcome);
-        assertThat(started).containsExactly(lookup);
+    void idempotentRequestWithoutTokenPassesUnchanged() {
+        CallRequest query = request("GET", "/stock", true, Optional.empty());
+        assertThat(runTokenHandler.handle(query)).isSameAs(outcome);
+        assertThat(started).containsExactly(query);
     }
 
     @Test
-    void orderWithoutTokenIsRefused() {
+    void nonIdempotentRequestWithoutTokenIsRefused() {
         assertThat(codeOf(runTokenHandler.handle(request("POST", "/orders", false, Optional.empty()))))
                 .isEqualTo(ResultCode.RUN_TOKEN_MISSING);
         assertThat(started).isEmpty();
     }
 
     @Test
-    void orderWithoutTokenPassesWhereARuleAllowsIt() {
+    void nonIdempotentRequestWithoutTokenPassesWhereTheCatalogAllowsIt() {
         runTokenHandler.handle(request("POST", "/drafts", false, Optional.empty()));
         assertThat(started).hasSize(1);
     }
@@ -80,12 +81,12 @@
     }
 
     @Test
-    void repeatsShareOneRunAndItsAnswer() {
+    void duplicatesShareOneRunAndItsResponse() {
         CompletionStage<CallResult> first = runTokenHandler.handle(order(token(OWN)));
         CompletionStage<CallResult> second = runTokenHandler.handle(order(token(OWN)));
-        outcome.complete(ANSWER);
+        outcome.complete(RESPONSE);
         CompletionStage<CallResult> third = runTokenHandler.handle(order(token(OWN)));
-        assertThat(List.of(first, second, third)).allMatch(stage -> join(stage).equals(ANSWER));
+        assertThat(List.of(first, second, third)).allMatch(stage -> join(stage).equals(RESPONSE));
         assertThat(started).hasSize(1);
     }
 
@@ -97,13 +98,13 @@
     }
 
     @Test
-    void repeatWaitsNoLongerThanItsOwnDeadline() {
+    void duplicateWaitsNoLongerThanItsOwnDeadline() {
         runTokenHandler.handle(order(token(OWN)));
-        CompletionStage<CallResult> repeat = runTokenHandler.handle(order(token(OWN)));
+        CompletionStage<CallResult> duplicate = runTokenHandler.handle(order(token(OWN)));
         timers.forEach(Runnable::run);
-        assertThat(codeOf(repeat)).isEqualTo(ResultCode.DEADLINE_AFTER_SEND);
-        outcome.complete(ANSWER);
-        assertThat(join(runTokenHandler.handle(order(token(OWN))))).isEqualTo(ANSWER);
+        assertThat(codeOf(duplicate)).isEqualTo(ResultCode.DEADLINE_AFTER_SEND);
+        outcome.complete(RESPONSE);
+        assertThat(join(runTokenHandler.handle(order(token(OWN))))).isEqualTo(RESPONSE);
     }
 
     @Test
@@ -115,42 +116,43 @@
     }
 
     @Test
-    void tokenOfAnotherNodeIsRelayedWithTheSpanThatRemains() {
+    void requestWithATokenOfAnotherNodeIsRelayedWithTheRemainingTime() {
         CompletionStage<CallResult> result = runTokenHandler.handle(order(token(OTHER)));
-        PeerMessage.RelayCall relayed = (PeerMessage.RelayCall) links.asked.get(0);
+        PeerMessage.RelayCall relayed = (PeerMessage.RelayCall) links.sentMessages.get(0);
         assertThat(relayed.request().deadlineNanos()).isEqualTo(DEADLINE.toNanos());
-        links.answer.complete(new PeerMessage.RelayResult(ANSWER));
-        assertThat(join(result)).isEqualTo(ANSWER);
+        links.reply.complete(new PeerMessage.RelayResult(RESPONSE));
+        assertThat(join(result)).isEqualTo(RESPONSE);
         assertThat(started).isEmpty();
     }
 
     @Test
-    void relayThatWasNotSentStillHasAnUnknownOutcome() {
+    void relayThatWasNotSentHasAnUnknownOutcome() {
         CompletionStage<CallResult> result = runTokenHandler.handle(order(token(OTHER)));
-        links.answer.complete(new PeerMessage.Unreachable(false));
+        links.reply.complete(new PeerMessage.Unreachable(false));
         assertThat(codeOf(result)).isEqualTo(ResultCode.OWNER_UNREACHABLE);
         assertThat(started).isEmpty();
     }
 
     @Test
-    void tokenOfALifeNobodyKnowsIsNeverRun() {
-        assertThat(codeOf(runTokenHandler.handle(order(token(GONE))))).isEqualTo(ResultCode.OWNER_UNREACHABLE);
+    void requestWithATokenOfAnUnknownIncarnationIsNotRun() {
+        assertThat(codeOf(runTokenHandler.handle(order(token(UNKNOWN_INCARNATION)))))
+                .isEqualTo(ResultCode.OWNER_UNREACHABLE);
         assertThat(started).isEmpty();
     }
 
     @Test
-    void relayedCallOfAnotherLifeIsNotRelayedAgain() {
+    void relayedCallOfAnotherIncarnationIsNotRelayedAgain() {
         RelayedCallHandler relayed = new RelayedCallHandler(runTokenHandler::handleRelayed, clock);
-        PeerMessage answer = relayed.handle(new VmId("entry-01"), new PeerMessage.RelayCall(order(token(OTHER))))
+        PeerMessage reply = relayed.handle(new VmId("entry-01"), new PeerMessage.RelayCall(order(token(OTHER))))
                 .toCompletableFuture()
                 .join();
-        assertThat(((PeerMessage.RelayResult) answer).result())
+        assertThat(((PeerMessage.RelayResult) reply).result())
                 .isEqualTo(CallResult.Refused.of(ResultCode.OWNER_UNREACHABLE, "The owner has restarted."));
-        assertThat(links.asked).isEmpty();
+        assertThat(links.sentMessages).isEmpty();
     }
 
     @Test
-    void relayedCallRunsUnderADeadlineOfThisProcess() {
+    void relayedCallGetsADeadlineOnTheClockOfThisProcess() {
         clock.advance(Duration.ofSeconds(25));
         CallRequest request = order(token(OWN)).withDeadline(DEADLINE.toNanos());
         new RelayedCallHandler(runTokenHandler::handleRelayed, clock)
@@ -193,8 +195,8 @@
     }
 
     private static final class RecordingLinks implements PeerLinks {
-        private final List<PeerMessage> asked = new ArrayList<>();
-        private final CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+        private final List<PeerMessage> sentMessages = new ArrayList<>();
+        private final CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
 
         @Override
         public void tell(VmId peer, PeerMessage message) {
@@ -203,12 +205,12 @@
 
         @Override
         public CompletionStage<PeerMessage> ask(VmId peer, PeerMessage message, Duration timeout) {
-            asked.add(message);
-            return answer;
+            sentMessages.add(message);
+            return reply;
         }
     }
 
-    private static final class OrdersNeedTokens implements ServiceCatalog {
+    private static final class OrdersRequireTokens implements ServiceCatalog {
         @Override
         public Optional<ServiceLimits> limits(ServiceId service) {
             return Optional.empty();
