--- /dev/null
+++ b/admission/src/main/java/org/turmericspan/admission/OfficeQueue.java
@@ -0,0 +1,70 @@
+package org.turmericspan.admission;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.turmericspan.ids.CallerId;
+
+/**
+ * Flow queue of one office, whose callers are served round robin.
+ *
+ * @param <W> type of the attachment that is kept with each request
+ */
+final class OfficeQueue<W> extends FlowQueue<W> {
+    private final RoundRobin<CallerId, W, CallerQueue<W>> callers = new RoundRobin<>(CallerQueue::new);
+    private int size;
+
+    OfficeQueue(long sequence, long round) {
+        super(sequence, round);
+    }
+
+    @Override
+    int size() {
+        return size;
+    }
+
+    @Override
+    QueueEntry<W> first() {
+        return callers.first().first();
+    }
+
+    @Override
+    QueueEntry<W> last() {
+        return callers.largest().last();
+    }
+
+    @Override
+    Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts) {
+        return callers.find(accepts);
+    }
+
+    @Override
+    void add(QueueEntry<W> entry) {
+        callers.add(entry.request().caller(), entry);
+        size++;
+    }
+
+    @Override
+    void removeServed(QueueEntry<W> entry) {
+        callers.removeServed(entry.request().caller(), entry);
+        size--;
+    }
+
+    @Override
+    void removeUnserved(QueueEntry<W> entry) {
+        callers.removeUnserved(entry.request().caller(), entry);
+        size--;
+    }
+
+    int sizeOf(CallerId caller) {
+        return callers.sizeOf(caller);
+    }
+
+    int largestCallerSize() {
+        return callers.largest().size();
+    }
+
+    /** Counts the requests of this office that would be served before a new one of the caller. */
+    int aheadOf(CallerId caller) {
+        return callers.countAhead(caller, callers.sizeOf(caller), size);
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
@@ -0,0 +1,127 @@
+package org.turmericspan.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * Flow queues that are served round robin. A new queue joins the round after the current one, so that a flow whose
+ * queue is drained and filled again and again gains nothing over one that waits. A queue that was passed over does not
+ * catch up later.
+ *
+ * @param <K> key of a flow
+ * @param <W> type of the attachment that is kept with each request
+ * @param <L> type of the flow queues
+ */
+final class RoundRobin<K, W, L extends FlowQueue<W>> {
+    private final Map<K, L> queues = new HashMap<>();
+    private final TreeSet<FlowQueue<W>> byRound = new TreeSet<>(FlowQueue.byRound());
+    private final TreeSet<FlowQueue<W>> bySize = new TreeSet<>(FlowQueue.bySize());
+    private final FlowQueueFactory<L> factory;
+    private long currentRound;
+    private long nextSequence;
+
+    RoundRobin(FlowQueueFactory<L> factory) {
+        this.factory = factory;
+    }
+
+    Optional<L> queue(K flow) {
+        return Optional.ofNullable(queues.get(flow));
+    }
+
+    int sizeOf(K flow) {
+        L queue = queues.get(flow);
+        return queue == null ? 0 : queue.size();
+    }
+
+    FlowQueue<W> first() {
+        return byRound.first();
+    }
+
+    FlowQueue<W> largest() {
+        return bySize.last();
+    }
+
+    Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts) {
+        for (FlowQueue<W> queue : byRound) {
+            Optional<QueueEntry<W>> found = queue.find(accepts);
+            if (found.isPresent()) {
+                return found;
+            }
+        }
+        return Optional.empty();
+    }
+
+    void add(K flow, QueueEntry<W> entry) {
+        L queue = queues.get(flow);
+        if (queue == null) {
+            queue = factory.create(nextSequence, currentRound + 1);
+            nextSequence++;
+            queues.put(flow, queue);
+        } else {
+            unindex(queue);
+        }
+        queue.add(entry);
+        index(queue);
+    }
+
+    void removeServed(K flow, QueueEntry<W> entry) {
+        L queue = queues.get(flow);
+        unindex(queue);
+        queue.removeServed(entry);
+        currentRound = Math.max(currentRound, queue.round());
+        queue.setRound(currentRound + 1);
+        indexOrDrop(flow, queue);
+    }
+
+    void removeUnserved(K flow, QueueEntry<W> entry) {
+        L queue = queues.get(flow);
+        unindex(queue);
+        queue.removeUnserved(entry);
+        indexOrDrop(flow, queue);
+    }
+
+    /** Counts the requests of all flows that are served before one with {@code aheadInFlow} of its own flow ahead. */
+    int countAhead(K flow, int aheadInFlow, int total) {
+        long others = queues.containsKey(flow) ? queues.size() - 1L : queues.size();
+        long ahead = (aheadInFlow + 1L) * others + aheadInFlow;
+        return (int) Math.min(total, ahead);
+    }
+
+    private void indexOrDrop(K flow, L queue) {
+        if (queue.size() == 0) {
+            queues.remove(flow);
+        } else {
+            index(queue);
+        }
+    }
+
+    private void index(L queue) {
+        byRound.add(queue);
+        bySize.add(queue);
+    }
+
+    private void unindex(L queue) {
+        byRound.remove(queue);
+        bySize.remove(queue);
+    }
+
+    /**
+     * Creates flow queues.
+     *
+     * @param <L> type of the flow queues
+     */
+    @FunctionalInterface
+    interface FlowQueueFactory<L> {
+        /**
+         * Creates an empty queue.
+         *
+         * @param sequence number that no other queue of the level has
+         * @param round first round in which the queue is served
+         * @return the queue
+         */
+        L create(long sequence, long round);
+    }
+}
