--- a/membership/src/main/java/org/turmericspan/membership/ConfigurationReceiver.java
+++ b/membership/src/main/java/org/turmericspan/membership/ConfigurationReceiver.java
@@ -15,168 +15,170 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * Checks every offered document as a whole before it may come into force, whichever way it came. Until the intake is
- * opened the highest checked document is held back, so that a fresh process can first ask its peers.
+ * Validates every offered configuration document as a whole before it can become active, whether it comes from a peer
+ * or from the platform. Until the receiver is activated, the newest valid document stays pending, so that a newly
+ * started process can first query its peers.
  */
 public final class ConfigurationReceiver {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final int REFUSALS_KEPT = 8;
+    private static final int MAX_REJECTED = 8;
 
     private final RankedLock lock = new RankedLock(LockRank.CONFIGURATION);
     private final ConfigurationReader reader = new ConfigurationReader();
     private final ConfigurationTable table;
     private final MonotonicClock clock;
-    private final Consumer<RejectedConfiguration> refusalListener;
+    private final Consumer<RejectedConfiguration> rejectionListener;
     private final Deque<RejectedConfiguration> rejected = new ArrayDeque<>();
-    private Configuration held = Configuration.EMPTY;
+    private Configuration pending = Configuration.EMPTY;
     private OptionalLong knownSinceNanos = OptionalLong.empty();
-    private boolean open;
+    private boolean active;
 
-    /** What became of an offered document. */
+    /** Result of offering a document. */
     public enum Outcome {
-        /** It came into force. */
+        /** The document is now the active configuration. */
         ACCEPTED,
-        /** It is checked and held back until the intake opens. */
-        HELD,
-        /** It is not higher than what is in force or held. */
-        NOT_HIGHER,
-        /** It was refused. */
-        REFUSED
+        /** The document is valid and stays pending until the receiver is activated. */
+        PENDING,
+        /** The document is not newer than the active or the pending configuration. */
+        NOT_NEWER,
+        /** The document is invalid. */
+        REJECTED
     }
 
     /**
-     * Creates a closed intake.
+     * Creates a receiver that is not active yet.
      *
-     * @param table takes what is accepted
-     * @param clock tells when something was refused
-     * @param refusalListener told of each document refused for the first time, outside any lock
+     * @param table table that stores accepted configurations
+     * @param clock source of the rejection times
+     * @param rejectionListener called outside any lock when a document is rejected for the first time
      */
     public ConfigurationReceiver(
-            ConfigurationTable table, MonotonicClock clock, Consumer<RejectedConfiguration> refusalListener) {
+            ConfigurationTable table, MonotonicClock clock, Consumer<RejectedConfiguration> rejectionListener) {
         this.table = table;
         this.clock = clock;
-        this.refusalListener = refusalListener;
+        this.rejectionListener = rejectionListener;
     }
 
     /**
      * Offers a document.
      *
      * @param document the document as published
-     * @param source where it came from, for the log
-     * @return what became of it
+     * @param source origin of the document, for the log
+     * @return the result
      */
     public Outcome offer(String document, String source) {
         String digest = ConfigurationReader.digest(document);
-        if (isRefused(digest)) {
-            return Outcome.REFUSED;
+        if (isRejected(digest)) {
+            return Outcome.REJECTED;
         }
-        if (digest.equals(highest().digest())) {
-            return Outcome.NOT_HIGHER;
+        if (digest.equals(newestVersion().digest())) {
+            return Outcome.NOT_NEWER;
         }
-        Configuration checked;
+        Configuration validated;
         try {
-            checked = reader.read(document);
+            validated = reader.read(document);
         } catch (InvalidConfigurationException e) {
-            refuse(new RejectedConfiguration(digest, source, e.getMessage(), clock.nowNanos()));
-            return Outcome.REFUSED;
+            reject(new RejectedConfiguration(digest, source, e.getMessage(), clock.nowNanos()));
+            return Outcome.REJECTED;
         }
-        return take(checked, source);
+        return accept(validated, source);
     }
 
-    /** Opens the intake; the document held back comes into force. */
-    public void open() {
-        Configuration released = lock.compute(() -> {
-            open = true;
-            return held;
+    /** Activates the receiver. The pending configuration becomes the active one. */
+    public void activate() {
+        Configuration activated = lock.compute(() -> {
+            active = true;
+            return pending;
         });
-        table.offer(released);
+        table.offer(activated);
     }
 
     /**
-     * Tells whether the intake is open.
+     * Returns whether the receiver is active.
      *
-     * @return true once a configuration may come into force
+     * @return true once an offered configuration may become active
      */
-    public boolean isOpen() {
-        return lock.compute(() -> open);
+    public boolean isActive() {
+        return lock.compute(() -> active);
     }
 
     /**
-     * Returns the highest version that is in force or held back.
+     * Returns the newest version that is active or pending.
      *
-     * @return {@link ConfigurationVersion#NONE} before the first
+     * @return {@link ConfigurationVersion#NONE} before the first valid document
      */
-    public ConfigurationVersion highest() {
-        ConfigurationVersion heldVersion = lock.compute(() -> held.version());
-        ConfigurationVersion inForce = table.version();
-        return heldVersion.isAfter(inForce) ? heldVersion : inForce;
+    public ConfigurationVersion newestVersion() {
+        ConfigurationVersion pendingVersion = lock.compute(() -> pending.version());
+        ConfigurationVersion activeVersion = table.version();
+        return pendingVersion.isAfter(activeVersion) ? pendingVersion : activeVersion;
     }
 
     /**
-     * Returns when the first checked document was known.
+     * Returns when the first valid document was received.
      *
-     * @return monotonic time, or empty before the first
+     * @return monotonic time, or empty before the first valid document
      */
     public OptionalLong knownSinceNanos() {
         return lock.compute(() -> knownSinceNanos);
     }
 
     /**
-     * Tells whether a document was refused.
+     * Returns whether a document was rejected.
      *
-     * @param digest its digest
-     * @return true when it is among the last documents refused
+     * @param digest digest of the document
+     * @return true when it is among the most recently rejected documents
      */
-    public boolean isRefused(String digest) {
+    public boolean isRejected(String digest) {
         return lock.compute(
-                () -> rejected.stream().anyMatch(refusal -> refusal.digest().equals(digest)));
+                () -> rejected.stream().anyMatch(rejection -> rejection.digest().equals(digest)));
     }
 
     /**
-     * Lists the last documents refused.
+     * Lists the most recently rejected documents.
      *
-     * @return the latest first
+     * @return the rejected documents, latest first
      */
     public List<RejectedConfiguration> rejected() {
         return lock.compute(() -> List.copyOf(rejected));
     }
 
-    private Outcome take(Configuration checked, String source) {
-        Outcome outcome = lock.compute(() -> holdUnlessOpen(checked));
+    private Outcome accept(Configuration validated, String source) {
+        Outcome outcome = lock.compute(() -> keepPendingUnlessActive(validated));
         if (outcome != Outcome.ACCEPTED) {
             return outcome;
         }
-        if (!table.offer(checked)) {
-            return Outcome.NOT_HIGHER;
+        if (!table.offer(validated)) {
+            return Outcome.NOT_NEWER;
         }
         logger.atInfo().log(
-                "membership: configuration %d from %s is in force",
-                checked.version().number(), source);
+                "membership: configuration %d from %s is now active",
+                validated.version().number(), source);
         return Outcome.ACCEPTED;
     }
 
-    private Outcome holdUnlessOpen(Configuration checked) {
+    private Outcome keepPendingUnlessActive(Configuration validated) {
         if (knownSinceNanos.isEmpty()) {
             knownSinceNanos = OptionalLong.of(clock.nowNanos());
         }
-        if (open) {
+        if (active) {
             return Outcome.ACCEPTED;
         }
-        if (!checked.version().isAfter(held.version())) {
-            return Outcome.NOT_HIGHER;
+        if (!validated.version().isAfter(pending.version())) {
+            return Outcome.NOT_NEWER;
         }
-        held = checked;
-        return Outcome.HELD;
+        pending = validated;
+        return Outcome.PENDING;
     }
 
-    private void refuse(RejectedConfiguration refusal) {
+    private void reject(RejectedConfiguration rejection) {
         lock.run(() -> {
-            rejected.addFirst(refusal);
-            if (rejected.size() > REFUSALS_KEPT) {
+            rejected.addFirst(rejection);
+            if (rejected.size() > MAX_REJECTED) {
                 rejected.removeLast();
             }
         });
-        logger.atWarning().log("membership: refused a configuration from %s: %s", refusal.source(), refusal.message());
-        refusalListener.accept(refusal);
+        logger.atWarning().log(
+                "membership: rejected configuration from %s: %s", rejection.source(), rejection.message());
+        rejectionListener.accept(rejection);
     }
 }
--- a/membership/src/main/java/org/turmericspan/membership/ConfigurationTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/ConfigurationTable.java
@@ -9,7 +9,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** The configuration in force. It only ever moves up in the total order. */
+/** Holds the active configuration. Only a newer version, in the total order of versions, replaces it. */
 public final class ConfigurationTable {
     private final RankedLock lock = new RankedLock(LockRank.CONFIGURATION);
     private final MonotonicClock clock;
@@ -20,7 +20,7 @@
     /**
      * Creates an empty table.
      *
-     * @param clock tells when a configuration was accepted
+     * @param clock source of the acceptance times
      */
     public ConfigurationTable(MonotonicClock clock) {
         this.clock = clock;
@@ -28,16 +28,16 @@
     }
 
     /**
-     * Returns the configuration in force.
+     * Returns the active configuration.
      *
-     * @return the highest configuration accepted so far
+     * @return the newest configuration accepted so far
      */
     public Configuration current() {
         return current;
     }
 
     /**
-     * Returns when the configuration in force was accepted.
+     * Returns when the active configuration was accepted.
      *
      * @return monotonic time
      */
@@ -46,19 +46,19 @@
     }
 
     /**
-     * Returns the version in force.
+     * Returns the active version.
      *
-     * @return {@link ConfigurationVersion#NONE} before the first
+     * @return {@link ConfigurationVersion#NONE} before the first configuration
      */
     public ConfigurationVersion version() {
         return current.version();
     }
 
     /**
-     * Offers a checked configuration. It comes into force only when it goes after the one in force.
+     * Offers a validated configuration. It becomes active only when its version is newer than the active one.
      *
-     * @param offered a checked configuration
-     * @return true when it came into force
+     * @param offered a validated configuration
+     * @return true when it became active
      */
     public boolean offer(Configuration offered) {
         boolean accepted = lock.compute(() -> replace(offered));
@@ -69,9 +69,9 @@
     }
 
     /**
-     * Adds a listener that is told of each configuration that comes into force, outside any lock.
+     * Adds a listener that receives each configuration that becomes active.
      *
-     * @param listener told on the thread that offered
+     * @param listener called outside any lock, on the thread that offered the configuration
      */
     public void addListener(Consumer<Configuration> listener) {
         listeners.add(listener);
--- a/membership/src/main/java/org/turmericspan/membership/FetchPlan.java
+++ b/membership/src/main/java/org/turmericspan/membership/FetchScheduler.java
@@ -11,35 +11,36 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * Decides when a document is fetched from a peer, and from which. One fetch runs at a time. A peer whose fetch brought
- * nothing higher rests for a while.
+ * Decides when a document is fetched from a peer, and from which one. One fetch runs at a time. A peer whose fetch
+ * brought no newer version is skipped for a backoff time.
  *
  * @param <V> version of the document
  */
-public final class FetchPlan<V extends Comparable<? super V>> {
-    static final Duration REST_AFTER_FAILURE = Duration.ofSeconds(10);
+public final class FetchScheduler<V extends Comparable<? super V>> {
+    static final Duration FAILURE_BACKOFF = Duration.ofSeconds(10);
 
     private final RankedLock lock = new RankedLock(LockRank.PEERS);
-    private final Map<VmId, Long> restUntilNanos = new HashMap<>();
+    private final Map<VmId, Long> backoffUntilNanos = new HashMap<>();
     private boolean running;
 
     /**
      * Chooses the peer to fetch from and marks the fetch as running.
      *
-     * @param current version in force here
-     * @param offers versions in force at the peers, in random order; of equal ones the first is taken
+     * @param current newest version known to this node
+     * @param offers versions of the peers
      * @param nowNanos monotonic time
-     * @return the peer with the highest version above the current one, or empty when there is nothing to fetch now
+     * @return the peer with the newest version, if newer than the current one; of several such peers the one whose
+     *     name sorts last; empty when there is nothing to fetch now
      */
-    public Optional<VmId> begin(V current, Collection<Offer<V>> offers, long nowNanos) {
+    public Optional<VmId> tryStart(V current, Collection<Offer<V>> offers, long nowNanos) {
         return lock.compute(() -> {
             if (running) {
                 return Optional.empty();
             }
-            restUntilNanos.values().removeIf(untilNanos -> untilNanos - nowNanos <= 0);
+            backoffUntilNanos.values().removeIf(untilNanos -> untilNanos - nowNanos <= 0);
             Optional<VmId> best = offers.stream()
                     .filter(offer -> offer.version().compareTo(current) > 0)
-                    .filter(offer -> !restUntilNanos.containsKey(offer.peer()))
+                    .filter(offer -> !backoffUntilNanos.containsKey(offer.peer()))
                     .max(Comparator.comparing((Offer<V> offer) -> offer.version())
                             .thenComparing(Offer::peer))
                     .map(Offer::peer);
@@ -49,23 +50,23 @@
     }
 
     /**
-     * Marks the running fetch as ended.
+     * Marks the running fetch as finished.
      *
-     * @param peer where it was fetched from
-     * @param succeeded whether it brought a higher version into force
+     * @param peer peer that was fetched from
+     * @param succeeded whether the fetch brought a newer version
      * @param nowNanos monotonic time
      */
-    public void end(VmId peer, boolean succeeded, long nowNanos) {
+    public void finish(VmId peer, boolean succeeded, long nowNanos) {
         lock.run(() -> {
             running = false;
             if (!succeeded) {
-                restUntilNanos.put(peer, nowNanos + REST_AFTER_FAILURE.toNanos());
+                backoffUntilNanos.put(peer, nowNanos + FAILURE_BACKOFF.toNanos());
             }
         });
     }
 
     /**
-     * A version that a peer has in force.
+     * The version of the document that a peer has.
      *
      * @param peer the peer
      * @param version its version
--- a/membership/src/main/java/org/turmericspan/membership/FleetView.java
+++ b/membership/src/main/java/org/turmericspan/membership/FleetView.java
@@ -9,13 +9,13 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * One published list of VMs.
+ * One version of the list of VMs that the platform publishes.
  *
- * @param revision grows with each change on the platform; 0 stands for no list
- * @param vms by name
+ * @param revision revision of the list, which grows with each change on the platform; 0 when there is no list
+ * @param vms the VMs by name
  */
 public record FleetView(long revision, Map<VmId, Vm> vms) {
-    /** View before any was accepted. */
+    /** The view of a node that has not accepted any list yet. */
     public static final FleetView EMPTY = new FleetView(0, Map.of());
 
     /** Copies the map. */
@@ -41,7 +41,7 @@
     /**
      * Returns the entry VMs in the order of their names.
      *
-     * @return the entry VMs, leaving ones among them
+     * @return the entry VMs, including those that are leaving
      */
     public List<Vm> entryVms() {
         return vms.values().stream()
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatExchange.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatExchange.java
@@ -14,14 +14,17 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.tables.WorkerPool;
 
-/** Exchanges heartbeats: with one node after the other, with a few at once after a change, with all at the start. */
+/**
+ * Exchanges heartbeats with other nodes: with all of them once at the start, then with one node per interval in
+ * randomized round-robin order, and immediately with a few random ones after a change.
+ */
 public final class HeartbeatExchange implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
-    private static final Duration IDLE_STEP = Duration.ofMillis(200);
-    private static final int TOLD_AT_ONCE = 3;
-    private static final double LEAST_JITTER = 0.8;
-    private static final double JITTER_RANGE = 0.4;
+    private static final Duration IDLE_INTERVAL = Duration.ofMillis(200);
+    private static final int ANNOUNCE_FANOUT = 3;
+    private static final double MIN_JITTER_FACTOR = 0.8;
+    private static final double JITTER_FACTOR_RANGE = 0.4;
 
     private final Plan plan;
     private final PeerTable peers;
@@ -29,20 +32,20 @@
     private final WorkerPool workerPool;
     private final RandomGenerator random;
     private final MonotonicClock clock;
-    private final HeartbeatRotation rotation;
-    private final AtomicBoolean greeted = new AtomicBoolean();
+    private final PeerRoundRobin roundRobin;
+    private final AtomicBoolean hasContactedAll = new AtomicBoolean();
     private volatile Runnable listener = () -> {};
     private volatile boolean closed;
 
     /**
-     * Creates an exchange that does not run yet.
+     * Creates an exchange that is not started yet.
      *
-     * @param plan what is exchanged with whom, and how often
-     * @param peers takes what the others say
-     * @param links links to them
-     * @param workerPool runs the exchange
-     * @param random spreads the exchanges
-     * @param clock tells when a node was asked
+     * @param plan what is exchanged with which nodes, and how often
+     * @param peers table that stores the received heartbeats
+     * @param links links to the other nodes
+     * @param workerPool pool that runs the exchange
+     * @param random source of the jitter and of the peer order
+     * @param clock measures when a request was sent
      */
     public HeartbeatExchange(
             Plan plan,
@@ -57,30 +60,30 @@
         this.workerPool = workerPool;
         this.random = random;
         this.clock = clock;
-        this.rotation = new HeartbeatRotation(random);
+        this.roundRobin = new PeerRoundRobin(random);
     }
 
     /**
      * Starts the exchange.
      *
-     * @param newsListener told after each heartbeat heard and at each step, outside any lock
+     * @param updateListener called after each received heartbeat and once per interval, outside any lock
      */
-    public void start(Runnable newsListener) {
-        listener = newsListener;
-        workerPool.schedule(IDLE_STEP, this::step);
+    public void start(Runnable updateListener) {
+        listener = updateListener;
+        workerPool.schedule(IDLE_INTERVAL, this::runOnce);
     }
 
-    /** Tells a few nodes of a change at once; the others follow in their turn or hear it from those. */
+    /** Announces a change to a few nodes immediately. The others learn it from those or from a later exchange. */
     public void exchangeWithSample() {
-        rotation.sample(plan.members().get(), TOLD_AT_ONCE).forEach(this::exchange);
+        roundRobin.sample(plan.members().get(), ANNOUNCE_FANOUT).forEach(this::exchange);
     }
 
     /**
      * Handles a heartbeat of another node.
      *
-     * @param from its VM
+     * @param from VM of the sender
      * @param message the heartbeat
-     * @return this node's own
+     * @return the heartbeat of this node
      */
     public CompletionStage<PeerMessage> handle(VmId from, PeerMessage message) {
         if (message instanceof PeerMessage.Heartbeat heartbeat) {
@@ -95,52 +98,55 @@
         closed = true;
     }
 
-    private void step() {
+    private void runOnce() {
         if (closed) {
             return;
         }
         try {
-            List<VmId> now = plan.members().get();
-            if (!now.isEmpty() && greeted.compareAndSet(false, true)) {
-                now.forEach(this::exchange);
+            List<VmId> currentMembers = plan.members().get();
+            if (!currentMembers.isEmpty() && hasContactedAll.compareAndSet(false, true)) {
+                currentMembers.forEach(this::exchange);
             } else {
-                rotation.next(now).ifPresent(this::exchange);
+                roundRobin.next(currentMembers).ifPresent(this::exchange);
             }
             listener.run();
         } catch (RuntimeException e) {
-            logger.atWarning().withCause(e).log("membership: a heartbeat failed");
+            logger.atWarning().withCause(e).log(
+                    "membership: heartbeat exchange failed, continuing at the next interval");
         }
-        workerPool.schedule(pause(), this::step);
+        workerPool.schedule(nextDelay(), this::runOnce);
     }
 
-    /** Returns the time to the next step, also when what it depends on cannot be read, so that the steps go on. */
-    private Duration pause() {
-        Duration step = IDLE_STEP;
+    /** Returns the delay until the next run, which is the idle interval when it cannot be computed. */
+    private Duration nextDelay() {
+        Duration interval = IDLE_INTERVAL;
         try {
             int count = plan.members().get().size();
             if (count > 0) {
-                step = plan.intervalPolicy().interval(count, plan.source().get());
+                interval = plan.intervalPolicy().interval(count, plan.source().get());
             }
         } catch (RuntimeException e) {
-            logger.atWarning().withCause(e).log("membership: no pace can be read");
+            logger.atWarning().withCause(e).log(
+                    "membership: cannot compute the heartbeat interval, using the idle interval");
         }
-        return Duration.ofNanos((long) (step.toNanos() * (LEAST_JITTER + JITTER_RANGE * random.nextDouble())));
+        return Duration.ofNanos(
+                (long) (interval.toNanos() * (MIN_JITTER_FACTOR + JITTER_FACTOR_RANGE * random.nextDouble())));
     }
 
     private void exchange(VmId peer) {
-        long askedNanos = clock.nowNanos();
-        links.ask(peer, plan.source().get(), TIMEOUT).thenAccept(answer -> {
-            if (answer instanceof PeerMessage.Heartbeat heartbeat) {
-                peers.recordReply(peer, heartbeat, askedNanos);
+        long requestSentNanos = clock.nowNanos();
+        links.ask(peer, plan.source().get(), TIMEOUT).thenAccept(reply -> {
+            if (reply instanceof PeerMessage.Heartbeat heartbeat) {
+                peers.recordReply(peer, heartbeat, requestSentNanos);
                 workerPool.execute(listener);
             }
         });
     }
 
     /**
-     * What is exchanged with whom, and how often.
+     * What is exchanged with which nodes, and how often.
      *
-     * @param source writes this node's heartbeat
+     * @param source supplies the heartbeat of this node
      * @param members lists the nodes to exchange with
      * @param intervalPolicy decides the time between two exchanges
      */
@@ -151,10 +157,10 @@
     @FunctionalInterface
     public interface IntervalPolicy {
         /**
-         * Computes the pause before the next exchange.
+         * Computes the time until the next exchange.
          *
-         * @param peers number of nodes to exchange with, from 1
-         * @param heartbeat what is sent now
+         * @param peers number of nodes to exchange with, at least 1
+         * @param heartbeat the current heartbeat of this node
          * @return time until the next exchange, before jitter
          */
         Duration interval(int peers, PeerMessage.Heartbeat heartbeat);
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatFactory.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatFactory.java
@@ -6,7 +6,7 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.messages.PeerMessage;
 
-/** Writes this node's heartbeat from its tables. */
+/** Creates the heartbeats of this node from its tables. */
 public final class HeartbeatFactory implements Supplier<PeerMessage.Heartbeat> {
     private final NodeIdentity identity;
     private final ConfigurationTable configurations;
@@ -16,14 +16,14 @@
     private final MonotonicClock clock;
 
     /**
-     * Creates a source.
+     * Creates a factory.
      *
-     * @param identity who this node is
-     * @param configurations the configuration in force
-     * @param views the accepted view
-     * @param nodeLifecycle whether this node is about to stop
-     * @param idleSlots slots idle at this node
-     * @param clock tells the age of the view
+     * @param identity identity of this node
+     * @param configurations table with the active configuration
+     * @param views table with the accepted view
+     * @param nodeLifecycle whether this node is leaving
+     * @param idleSlots idle slots of this node
+     * @param clock measures the age of the view
      */
     public HeartbeatFactory(
             NodeIdentity identity,
--- a/membership/src/main/java/org/turmericspan/membership/IdleSlotsReport.java
+++ b/membership/src/main/java/org/turmericspan/membership/IdleSlotsReport.java
@@ -9,7 +9,7 @@
     /**
      * Reads the report.
      *
-     * @return one entry for each service with something idle or waiting
+     * @return one entry for each service that has idle slots or queued calls
      */
     List<PeerMessage.IdleSlots> read();
 }
--- a/membership/src/main/java/org/turmericspan/membership/Membership.java
+++ b/membership/src/main/java/org/turmericspan/membership/Membership.java
@@ -16,7 +16,7 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.tables.WorkerPool;
 
-/** Spreads the configuration and the list of VMs between the nodes, and brings them into force. */
+/** Disseminates the configuration and the list of VMs between the nodes, and makes the newest ones active. */
 public final class Membership {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -24,19 +24,19 @@
     private final Documents documents;
     private final PeerTable peers;
     private final MonotonicClock clock;
-    private final DocumentFetch<ConfigurationVersion> configurationFetch;
-    private final DocumentFetch<Long> viewFetch;
+    private final DocumentFetcher<ConfigurationVersion> configurationFetcher;
+    private final DocumentFetcher<Long> viewFetcher;
 
     /**
-     * Creates the spreading of documents.
+     * Creates the membership of this node; nothing is fetched yet.
      *
-     * @param identity who this node is
-     * @param documents tables and intakes of documents
-     * @param peers what the other nodes last said
-     * @param links links to them
-     * @param workerPool runs the fetches
-     * @param random spreads the fetches
-     * @param clock measures waits
+     * @param identity identity of this node
+     * @param documents tables and receivers of the documents
+     * @param peers last reported states of the other nodes
+     * @param links links to the other nodes
+     * @param workerPool pool that runs the fetches
+     * @param random source of the fetch jitter
+     * @param clock measures waits and backoff
      */
     public Membership(
             NodeIdentity identity,
@@ -50,90 +50,96 @@
         this.documents = documents;
         this.peers = peers;
         this.clock = clock;
-        this.configurationFetch = new DocumentFetch<>(configurations(), links, workerPool, random, clock);
-        this.viewFetch = new DocumentFetch<>(views(), links, workerPool, random, clock);
+        this.configurationFetcher = new DocumentFetcher<>(configurationToFetch(), links, workerPool, random, clock);
+        this.viewFetcher = new DocumentFetcher<>(viewToFetch(), links, workerPool, random, clock);
     }
 
-    /** Fetches what is behind, and brings into force what has waited long enough. Called after each heartbeat. */
+    /**
+     * Fetches documents that are newer at a peer, confirms the view if all nodes agree on it, and activates a pending
+     * configuration once the startup synchronization is complete. To be called after each heartbeat.
+     */
     public void reconcile() {
-        configurationFetch.beginIfBehind();
-        viewFetch.beginIfBehind();
+        configurationFetcher.fetchIfBehind();
+        viewFetcher.fetchIfBehind();
         FleetView view = documents.views().current();
-        List<VmId> listed = PeerSelection.sameRegion(view, configuration(), identity);
-        ViewAgreement.agreedNanos(view.revision(), listed, peers).ifPresent(documents.views()::confirm);
-        if (!documents.configurationReceiver().isOpen()) {
-            openIfWaited(listed);
+        List<VmId> listedPeers = PeerSelection.sameRegion(view, activeConfiguration(), identity);
+        ViewAgreement.agreedNanos(view.revision(), listedPeers, peers).ifPresent(documents.views()::confirm);
+        if (!documents.configurationReceiver().isActive()) {
+            activateAfterSync(listedPeers);
         }
     }
 
     /**
-     * Answers a question for the configuration in force.
+     * Returns the reply to a request for the active configuration.
      *
-     * @return the document
+     * @return the reply, without a document when no configuration is active
      */
     public CompletionStage<PeerMessage> activeConfigurationDocument() {
-        String document = configuration().document();
+        String document = activeConfiguration().document();
         return CompletableFuture.completedFuture(
                 new PeerMessage.ConfigurationDocument(document.isEmpty() ? Optional.empty() : Optional.of(document)));
     }
 
     /**
-     * Answers a question for the accepted list of VMs.
+     * Returns the reply to a request for the accepted list of VMs.
      *
-     * @return the list
+     * @return the reply
      */
     public CompletionStage<PeerMessage> acceptedViewDocument() {
         return CompletableFuture.completedFuture(documents.viewReceiver().document());
     }
 
-    private void openIfWaited(List<VmId> listed) {
+    private void activateAfterSync(List<VmId> listedPeers) {
         ConfigurationReceiver receiver = documents.configurationReceiver();
-        if (StartupWait.isOver(receiver.highest(), receiver.knownSinceNanos(), listed, peers, clock.nowNanos())) {
+        if (StartupSync.isComplete(
+                receiver.newestVersion(), receiver.knownSinceNanos(), listedPeers, peers, clock.nowNanos())) {
             logger.atInfo().log(
-                    "membership: takes configuration %d as the highest known",
-                    receiver.highest().number());
-            receiver.open();
+                    "membership: activating configuration %d, the newest version known",
+                    receiver.newestVersion().number());
+            receiver.activate();
         }
     }
 
-    private Configuration configuration() {
+    private Configuration activeConfiguration() {
         return documents.configurations().current();
     }
 
-    private DocumentFetch.Document<ConfigurationVersion> configurations() {
+    private DocumentFetcher.Document<ConfigurationVersion> configurationToFetch() {
         ConfigurationReceiver receiver = documents.configurationReceiver();
-        return new DocumentFetch.Document<>(
+        return new DocumentFetcher.Document<>(
                 new PeerMessage.FetchConfiguration(),
-                receiver::highest,
+                receiver::newestVersion,
                 () -> peers.all().stream()
-                        .filter(peer -> !receiver.isRefused(peer.configuration().digest()))
-                        .map(peer -> new FetchPlan.Offer<>(peer.vm(), peer.configuration()))
+                        .filter(peer ->
+                                !receiver.isRejected(peer.configuration().digest()))
+                        .map(peer -> new FetchScheduler.Offer<>(peer.vm(), peer.configuration()))
                         .toList(),
-                this::takeConfiguration);
+                this::applyConfiguration);
     }
 
-    private DocumentFetch.Document<Long> views() {
-        return new DocumentFetch.Document<>(
+    private DocumentFetcher.Document<Long> viewToFetch() {
+        return new DocumentFetcher.Document<>(
                 new PeerMessage.FetchView(),
                 () -> documents.views().current().revision(),
                 () -> peers.all().stream()
-                        .map(peer -> new FetchPlan.Offer<>(peer.vm(), peer.viewRevision()))
+                        .map(peer -> new FetchScheduler.Offer<>(peer.vm(), peer.viewRevision()))
                         .toList(),
-                this::takeView);
+                this::applyView);
     }
 
-    private boolean takeConfiguration(VmId peer, PeerMessage answer) {
-        if (answer instanceof PeerMessage.ConfigurationDocument fetched
+    private boolean applyConfiguration(VmId peer, PeerMessage reply) {
+        if (reply instanceof PeerMessage.ConfigurationDocument fetched
                 && fetched.document().isPresent()) {
             ConfigurationReceiver.Outcome outcome =
                     documents.configurationReceiver().offer(fetched.document().get(), peer.value());
-            return outcome == ConfigurationReceiver.Outcome.ACCEPTED || outcome == ConfigurationReceiver.Outcome.HELD;
+            return outcome == ConfigurationReceiver.Outcome.ACCEPTED
+                    || outcome == ConfigurationReceiver.Outcome.PENDING;
         }
         return false;
     }
 
-    private boolean takeView(VmId peer, PeerMessage answer) {
-        if (!(answer instanceof PeerMessage.ViewDocument fetched)
+    private boolean applyView(VmId peer, PeerMessage reply) {
+        if (!(reply instanceof PeerMessage.ViewDocument fetched)
                 || fetched.text().isEmpty()) {
             return false;
         }
@@ -145,18 +151,18 @@
                     .viewReceiver()
                     .offer(fetched.revision(), fetched.text().get(), age);
         } catch (BalancerException e) {
-            logger.atWarning().log("membership: refused the list of VMs from %s: %s", peer, e.getMessage());
+            logger.atWarning().log("membership: rejected VM list from %s: %s", peer, e.getMessage());
             return false;
         }
     }
 
     /**
-     * Tables and intakes of documents.
+     * Tables and receivers of the documents.
      *
-     * @param configurations the configuration in force
-     * @param configurationReceiver checks offered configurations
-     * @param views the accepted view
-     * @param viewReceiver checks offered lists
+     * @param configurations table with the active configuration
+     * @param configurationReceiver validates offered configurations
+     * @param views table with the accepted view
+     * @param viewReceiver validates offered lists of VMs
      */
     public record Documents(
             ConfigurationTable configurations,
--- a/membership/src/main/java/org/turmericspan/membership/NodeIdentity.java
+++ b/membership/src/main/java/org/turmericspan/membership/NodeIdentity.java
@@ -5,10 +5,10 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * Who this node is.
+ * Identity of this node.
  *
- * @param vm VM it runs on
- * @param availabilityZone where it runs
- * @param incarnation this life of the process
+ * @param vm VM on which the node runs
+ * @param availabilityZone zone of the VM
+ * @param incarnation number drawn at each start of the process
  */
 public record NodeIdentity(VmId vm, AvailabilityZoneId availabilityZone, Incarnation incarnation) {}
--- a/membership/src/main/java/org/turmericspan/membership/NodeLifecycle.java
+++ b/membership/src/main/java/org/turmericspan/membership/NodeLifecycle.java
@@ -5,57 +5,58 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 
-/** Whether this node starts, serves or is about to stop. Heartbeats and locate answers read it. It never goes back. */
+/** Lifecycle phase of this node, as reported in heartbeats and used in locate responses. Phases only move forward. */
 public final class NodeLifecycle {
     private final List<Consumer<Phase>> listeners = new CopyOnWriteArrayList<>();
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
 
-    /** How far the life of the node has come. */
+    /** Phases in the order in which a node passes through them. */
     public enum Phase {
-        /** The node does not listen for callers yet. */
+        /** The node does not accept connections of callers yet. */
         STARTING,
-        /** The node takes calls. */
+        /** The node accepts calls. */
         SERVING,
-        /** The node takes calls until the locate answers that name it have expired. */
+        /** The node accepts calls until the locate responses that name it have expired. */
         LEAVING,
-        /** The node takes no new calls and finishes those in flight. */
+        /** The node accepts no new calls and finishes those in flight. */
         FINISHING
     }
 
     /**
-     * Moves on to a later phase and tells the listeners. A step back has no effect.
+     * Enters a later phase and notifies the listeners. An earlier phase has no effect.
      *
-     * @param next the phase that begins
+     * @param next the phase to enter
      */
     public void enter(Phase next) {
-        Phase before = phase.getAndAccumulate(next, (old, offered) -> offered.compareTo(old) > 0 ? offered : old);
-        if (next.compareTo(before) > 0) {
+        Phase previous =
+                phase.getAndAccumulate(next, (current, offered) -> offered.compareTo(current) > 0 ? offered : current);
+        if (next.compareTo(previous) > 0) {
             listeners.forEach(listener -> listener.accept(next));
         }
     }
 
     /**
-     * Adds a listener that is told of each phase that begins.
+     * Adds a listener that receives each phase that the node enters.
      *
-     * @param listener told on the thread that stops the node
+     * @param listener called on the thread that changes the phase
      */
     public void addListener(Consumer<Phase> listener) {
         listeners.add(listener);
     }
 
     /**
-     * Returns how far the life of the node has come.
+     * Returns the current phase.
      *
-     * @return the phase
+     * @return the current phase
      */
     public Phase phase() {
         return phase.get();
     }
 
     /**
-     * Tells whether locate answers must leave the node out.
+     * Returns whether locate responses must omit the node.
      *
-     * @return true before the node listens for callers and from the beginning of a planned stop
+     * @return true before the node accepts connections of callers and from the start of a planned stop
      */
     public boolean isLeaving() {
         return phase.get() != Phase.SERVING;
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatRotation.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerRoundRobin.java
@@ -13,31 +13,31 @@
 import java.util.random.RandomGenerator;
 import org.turmericspan.ids.VmId;
 
-/** Decides which peer comes next: each once a round, in an order drawn anew for each round. */
-public final class HeartbeatRotation {
+/** Randomized round-robin: chooses each peer once per round, and shuffles the peers for each round. */
+public final class PeerRoundRobin {
     private final RandomGenerator random;
     private final Deque<VmId> round = new ArrayDeque<>();
-    private Set<VmId> members = Set.of();
+    private Set<VmId> roundPeers = Set.of();
 
     /**
-     * Creates a rotation.
+     * Creates a round-robin without a current round.
      *
-     * @param random draws the order
+     * @param random source of the order
      */
-    public HeartbeatRotation(RandomGenerator random) {
+    public PeerRoundRobin(RandomGenerator random) {
         this.random = random;
     }
 
     /**
-     * Chooses the next peer.
+     * Chooses the next peer. A new round starts when the current one is over or when the peers have changed.
      *
-     * @param peers the peers now
+     * @param peers the current peers
      * @return the next peer, or empty when there is none
      */
     public Optional<VmId> next(Collection<VmId> peers) {
-        Set<VmId> now = new HashSet<>(peers);
-        if (round.isEmpty() || !now.equals(members)) {
-            members = now;
+        Set<VmId> currentPeers = new HashSet<>(peers);
+        if (round.isEmpty() || !currentPeers.equals(roundPeers)) {
+            roundPeers = currentPeers;
             round.clear();
             round.addAll(shuffled(peers));
         }
@@ -45,10 +45,10 @@
     }
 
     /**
-     * Chooses several different peers at random, without moving the rotation.
+     * Chooses several different peers at random. The current round is not affected.
      *
-     * @param peers the peers now
-     * @param count how many at most
+     * @param peers the current peers
+     * @param count maximum number of peers
      * @return the chosen peers
      */
     public List<VmId> sample(Collection<VmId> peers, int count) {
--- a/membership/src/main/java/org/turmericspan/membership/PeerSelection.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerSelection.java
@@ -8,16 +8,19 @@
 import org.turmericspan.ids.RegionId;
 import org.turmericspan.ids.VmId;
 
-/** Decides which nodes exchange heartbeats: all of the own region, and those of other regions for documents alone. */
+/**
+ * Selects the nodes with which this node exchanges heartbeats: those of its own region, and those of other
+ * regions, with which it exchanges documents only.
+ */
 public final class PeerSelection {
     private PeerSelection() {}
 
     /**
-     * Lists the other nodes of the own region. A node in an availability zone that the configuration does not name
+     * Lists the other nodes of this node's region. A node whose availability zone the configuration does not name
      * counts as one of them.
      *
      * @param view accepted view
-     * @param configuration configuration in force
+     * @param configuration active configuration
      * @param self this node
      * @return VMs in the order of their names
      */
@@ -29,7 +32,7 @@
      * Lists the nodes of other regions.
      *
      * @param view accepted view
-     * @param configuration configuration in force
+     * @param configuration active configuration
      * @param self this node
      * @return VMs in the order of their names
      */
@@ -38,17 +41,17 @@
     }
 
     private static List<VmId> select(
-            FleetView view, Configuration configuration, NodeIdentity self, boolean wantsOther) {
-        Optional<RegionId> own = region(configuration, self.availabilityZone());
+            FleetView view, Configuration configuration, NodeIdentity self, boolean selectsOther) {
+        Optional<RegionId> ownRegion = region(configuration, self.availabilityZone());
         return view.entryVms().stream()
                 .filter(vm -> !vm.id().equals(self.vm()) && vm.peerAddress().isPresent())
-                .filter(vm -> isOther(own, region(configuration, vm.availabilityZone())) == wantsOther)
+                .filter(vm -> isOther(ownRegion, region(configuration, vm.availabilityZone())) == selectsOther)
                 .map(Vm::id)
                 .toList();
     }
 
-    private static boolean isOther(Optional<RegionId> own, Optional<RegionId> region) {
-        return own.isPresent() && region.isPresent() && !own.equals(region);
+    private static boolean isOther(Optional<RegionId> ownRegion, Optional<RegionId> region) {
+        return ownRegion.isPresent() && region.isPresent() && !ownRegion.equals(region);
     }
 
     private static Optional<RegionId> region(Configuration configuration, AvailabilityZoneId zone) {
--- a/membership/src/main/java/org/turmericspan/membership/PeerState.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerState.java
@@ -8,18 +8,18 @@
 import org.turmericspan.messages.PeerMessage;
 
 /**
- * What another node last said of itself.
+ * Last state that another node reported in a heartbeat. All times are on the monotonic clock of this node.
  *
- * @param vm its VM
- * @param incarnation its life
- * @param configuration version in force there
- * @param viewRevision revision of the view accepted there
- * @param viewConfirmedNanos monotonic time here at which that view was known to be the newest, or earlier
- * @param leaving whether it is about to stop
- * @param idleSlots slots idle there, by service
- * @param lastHeardNanos monotonic time here at which it was last heard
- * @param answeredRequestNanos monotonic time here of the last question that it answered; what it said was true later
- *     than this
+ * @param vm VM of the node
+ * @param incarnation incarnation of the node's process
+ * @param configuration version of the node's active configuration
+ * @param viewRevision revision of the view that the node has accepted
+ * @param viewConfirmedNanos lower bound for the time at which that view was last confirmed to be current
+ * @param leaving whether the node is leaving
+ * @param idleSlots idle slots of the node, by service
+ * @param lastHeardNanos time at which the last heartbeat was received
+ * @param answeredRequestNanos time at which this node sent the last request that the node replied to; the reported
+ *     state is newer than that
  */
 public record PeerState(
         VmId vm,
@@ -36,16 +36,16 @@
         idleSlots = List.copyOf(idleSlots);
     }
 
-    static PeerState of(VmId vm, PeerMessage.Heartbeat heartbeat, long nowNanos, OptionalLong answeredNanos) {
+    static PeerState of(VmId vm, PeerMessage.Heartbeat heartbeat, long nowNanos, OptionalLong answeredRequestNanos) {
         return new PeerState(
                 vm,
                 heartbeat.incarnation(),
                 new ConfigurationVersion(heartbeat.configurationNumber(), heartbeat.configurationDigest()),
                 heartbeat.viewRevision(),
-                answeredNanos.orElse(nowNanos) - heartbeat.viewAge().toNanos(),
+                answeredRequestNanos.orElse(nowNanos) - heartbeat.viewAge().toNanos(),
                 heartbeat.leaving(),
                 heartbeat.idleSlots(),
                 nowNanos,
-                answeredNanos);
+                answeredRequestNanos);
     }
 }
--- a/membership/src/main/java/org/turmericspan/membership/PeerTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerTable.java
@@ -13,7 +13,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Table of the other nodes, filled by heartbeats. */
+/** Table of the other nodes, updated by heartbeats. */
 public final class PeerTable implements Peers {
     private final RankedLock lock = new RankedLock(LockRank.PEERS);
     private final MonotonicClock clock;
@@ -22,40 +22,44 @@
     /**
      * Creates an empty table.
      *
-     * @param clock tells when a node was heard
+     * @param clock source of the times at which heartbeats are received
      */
     public PeerTable(MonotonicClock clock) {
         this.clock = clock;
     }
 
     /**
-     * Notes a heartbeat that a node sent of itself. It may have waited in a buffer for long.
+     * Records a heartbeat that a node sent on its own initiative. It does not count as a reply, since it may have been
+     * buffered for a long time.
      *
      * @param from VM of the sender
-     * @param heartbeat what it said
+     * @param heartbeat the heartbeat
      */
     public void recordHeartbeat(VmId from, PeerMessage.Heartbeat heartbeat) {
         lock.run(() -> {
-            PeerState before = peers.get(from);
-            boolean isSameLife = before != null && before.incarnation().equals(heartbeat.incarnation());
-            OptionalLong answered = isSameLife ? before.answeredRequestNanos() : OptionalLong.empty();
-            peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), answered));
+            PeerState previous = peers.get(from);
+            boolean isSameIncarnation =
+                    previous != null && previous.incarnation().equals(heartbeat.incarnation());
+            OptionalLong answeredRequestNanos =
+                    isSameIncarnation ? previous.answeredRequestNanos() : OptionalLong.empty();
+            peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), answeredRequestNanos));
         });
     }
 
     /**
-     * Notes a heartbeat that answered one of this node's own.
+     * Records a heartbeat that a node sent in reply to a heartbeat of this node.
      *
      * @param from VM of the sender
-     * @param heartbeat what it said
-     * @param askedNanos monotonic time at which this node asked
+     * @param heartbeat the heartbeat
+     * @param requestSentNanos monotonic time at which this node sent its heartbeat
      */
-    public void recordReply(VmId from, PeerMessage.Heartbeat heartbeat, long askedNanos) {
-        lock.run(() -> peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), OptionalLong.of(askedNanos))));
+    public void recordReply(VmId from, PeerMessage.Heartbeat heartbeat, long requestSentNanos) {
+        lock.run(() ->
+                peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), OptionalLong.of(requestSentNanos))));
     }
 
     /**
-     * Forgets every node that is not listed any more.
+     * Removes every node that is not listed any more.
      *
      * @param listed VMs of the accepted view
      */
--- a/membership/src/main/java/org/turmericspan/membership/Peers.java
+++ b/membership/src/main/java/org/turmericspan/membership/Peers.java
@@ -6,30 +6,30 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * What the other nodes last said of themselves. It is always old by some moments; see
+ * Last reported states of the other nodes. They are always somewhat out of date; see
  * {@link PeerState#lastHeardNanos}.
  */
 public interface Peers {
     /**
      * Looks up one node.
      *
-     * @param vm its VM
-     * @return what it last said, or empty when it was never heard
+     * @param vm VM of the node
+     * @return its last reported state, or empty when no heartbeat of it was received
      */
     Optional<PeerState> find(VmId vm);
 
     /**
-     * Looks up one node by its life.
+     * Looks up one node by its incarnation.
      *
-     * @param incarnation a life
-     * @return VM of the node that last said to be in that life, or empty when none did
+     * @param incarnation an incarnation
+     * @return VM of the node that last reported this incarnation, or empty when there is none
      */
     Optional<VmId> findByIncarnation(Incarnation incarnation);
 
     /**
-     * Lists the nodes heard.
+     * Lists the nodes from which a heartbeat was received.
      *
-     * @return in the order of their names
+     * @return last reported states, in the order of the VM names
      */
     List<PeerState> all();
 }
--- a/membership/src/main/java/org/turmericspan/membership/RejectedConfiguration.java
+++ b/membership/src/main/java/org/turmericspan/membership/RejectedConfiguration.java
@@ -1,11 +1,11 @@
 package org.turmericspan.membership;
 
 /**
- * A configuration that was offered and not accepted.
+ * A configuration document that was offered and found invalid.
  *
  * @param digest digest of the document
- * @param source where it came from
- * @param message every fault found
- * @param rejectedNanos monotonic time of the refusal
+ * @param source origin of the document
+ * @param message all errors found in the document
+ * @param rejectedNanos monotonic time of the rejection
  */
 public record RejectedConfiguration(String digest, String source, String message, long rejectedNanos) {}
--- a/membership/src/main/java/org/turmericspan/membership/ViewAgreement.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewAgreement.java
@@ -5,32 +5,32 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * Decides since when a view is known to be the newest without the platform's word: no node can act on a newer view
- * while every listed one holds this one.
+ * Determines since when a view is known to be current without the platform: while every listed node holds this view, no
+ * node can act on a newer one.
  */
 public final class ViewAgreement {
     private ViewAgreement() {}
 
     /**
-     * Computes the latest time at which every listed node held the view.
+     * Computes the latest time at which every listed node is known to have held the view.
      *
      * @param revision revision of the view
-     * @param listed the other nodes of the view
-     * @param peers what they last said
-     * @return monotonic time, or empty when some node holds another view or never answered
+     * @param listedPeers the other nodes of the view
+     * @param peers last reported states of those nodes
+     * @return monotonic time, or empty when a node holds another view or has never replied
      */
-    public static OptionalLong agreedNanos(long revision, Collection<VmId> listed, Peers peers) {
+    public static OptionalLong agreedNanos(long revision, Collection<VmId> listedPeers, Peers peers) {
         long earliestNanos = Long.MAX_VALUE;
-        for (VmId vm : listed) {
-            OptionalLong answeredNanos = peers.find(vm)
+        for (VmId vm : listedPeers) {
+            OptionalLong answeredRequestNanos = peers.find(vm)
                     .filter(peer -> peer.viewRevision() == revision)
                     .map(PeerState::answeredRequestNanos)
                     .orElse(OptionalLong.empty());
-            if (answeredNanos.isEmpty()) {
+            if (answeredRequestNanos.isEmpty()) {
                 return OptionalLong.empty();
             }
-            earliestNanos = Math.min(earliestNanos, answeredNanos.getAsLong());
+            earliestNanos = Math.min(earliestNanos, answeredRequestNanos.getAsLong());
         }
-        return listed.isEmpty() ? OptionalLong.empty() : OptionalLong.of(earliestNanos);
+        return listedPeers.isEmpty() ? OptionalLong.empty() : OptionalLong.of(earliestNanos);
     }
 }
--- a/membership/src/main/java/org/turmericspan/membership/ViewReceiver.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewReceiver.java
@@ -5,21 +5,24 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.turmericspan.messages.PeerMessage;
 
-/** Checks every offered list of VMs, whichever way it came, and keeps the accepted one as published for the peers. */
+/**
+ * Validates every offered list of VMs, whether it comes from a peer or from the platform, and stores the accepted list
+ * as published, so that peers can fetch it.
+ */
 public final class ViewReceiver {
-    private final ViewReader reader;
+    private final ViewParser parser;
     private final ViewTable table;
     private final AtomicReference<PeerMessage.ViewDocument> document =
             new AtomicReference<>(new PeerMessage.ViewDocument(0, Optional.empty()));
 
     /**
-     * Creates an intake.
+     * Creates a receiver without a list.
      *
-     * @param reader reads lists
-     * @param table takes what is accepted
+     * @param parser parses the lists
+     * @param table table that stores the accepted view
      */
-    public ViewReceiver(ViewReader reader, ViewTable table) {
-        this.reader = reader;
+    public ViewReceiver(ViewParser parser, ViewTable table) {
+        this.parser = parser;
         this.table = table;
     }
 
@@ -27,17 +30,17 @@
      * Offers a list.
      *
      * @param revision revision of the list
-     * @param text the list as the platform holds it
-     * @param age time since the platform confirmed it
+     * @param text the list as published
+     * @param age time since the list was confirmed to be current
      * @return true when it was accepted
-     * @throws org.turmericspan.errors.BalancerException when the list has another form
+     * @throws org.turmericspan.errors.BalancerException when the list is malformed
      */
     public boolean offer(long revision, String text, Duration age) {
-        boolean accepted = table.offer(reader.read(revision, text), age);
+        boolean accepted = table.offer(parser.parse(revision, text), age);
         if (accepted) {
             document.accumulateAndGet(
                     new PeerMessage.ViewDocument(revision, Optional.of(text)),
-                    (kept, newer) -> newer.revision() > kept.revision() ? newer : kept);
+                    (current, newer) -> newer.revision() > current.revision() ? newer : current);
         }
         return accepted;
     }
@@ -45,7 +48,7 @@
     /**
      * Returns the accepted list as published.
      *
-     * @return the list with its revision
+     * @return the list with its revision; revision 0 and no text before the first
      */
     public PeerMessage.ViewDocument document() {
         return document.get();
--- a/membership/src/main/java/org/turmericspan/membership/ViewTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewTable.java
@@ -8,7 +8,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** The accepted view of VMs. It only ever moves to a higher revision. */
+/** Holds the accepted view of VMs. Only a view with a higher revision replaces it. */
 public final class ViewTable {
     private final RankedLock lock = new RankedLock(LockRank.VIEW);
     private final MonotonicClock clock;
@@ -19,7 +19,7 @@
     /**
      * Creates an empty table.
      *
-     * @param clock tells when a view was confirmed
+     * @param clock source of the confirmation times
      */
     public ViewTable(MonotonicClock clock) {
         this.clock = clock;
@@ -29,15 +29,15 @@
     /**
      * Returns the accepted view.
      *
-     * @return the highest view accepted so far
+     * @return the view with the highest revision accepted so far
      */
     public FleetView current() {
         return current;
     }
 
     /**
-     * Returns when the accepted view was last known to be the newest: the platform said so to this node or to one that
-     * told it, or every listed node held it.
+     * Returns when the accepted view was last confirmed to be current: by the platform, directly or through another
+     * node, or because every listed node held it.
      *
      * @return monotonic time
      */
@@ -46,19 +46,20 @@
     }
 
     /**
-     * Notes that the accepted view was the newest at some time.
+     * Records that the accepted view was current at the given time.
      *
-     * @param atNanos monotonic time; an earlier one than known has no effect
+     * @param atNanos monotonic time; no effect when it is earlier than the last confirmation
      */
     public void confirm(long atNanos) {
         lock.run(() -> confirmedNanos = Math.max(confirmedNanos, atNanos));
     }
 
     /**
-     * Offers a view. It is accepted only when its revision is higher than the accepted one's; an equal one confirms.
+     * Offers a view. It is accepted only when its revision is higher than that of the accepted view; an equal revision
+     * confirms the accepted view.
      *
      * @param offered a view
-     * @param age time since the platform confirmed the offered view
+     * @param age time since the offered view was confirmed to be current
      * @return true when it was accepted
      */
     public boolean offer(FleetView offered, Duration age) {
@@ -70,7 +71,7 @@
     }
 
     /**
-     * Offers a view that the platform holds now.
+     * Offers a view that is current now.
      *
      * @param offered a view
      * @return true when it was accepted
@@ -80,9 +81,9 @@
     }
 
     /**
-     * Adds a listener that is told of each accepted view, outside any lock.
+     * Adds a listener that receives each accepted view.
      *
-     * @param listener told on the thread that offered
+     * @param listener called outside any lock, on the thread that offered the view
      */
     public void addListener(Consumer<FleetView> listener) {
         listeners.add(listener);
--- a/membership/src/main/java/org/turmericspan/membership/Vm.java
+++ b/membership/src/main/java/org/turmericspan/membership/Vm.java
@@ -6,14 +6,14 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * One VM as the platform lists it.
+ * One VM of the list that the platform publishes.
  *
  * @param id name of the VM
- * @param availabilityZone where it runs
- * @param role what runs on it
- * @param leaving whether it is about to stop
- * @param callerAddress where callers connect, when it is an entry VM
- * @param peerAddress where other nodes connect, when it is an entry VM
+ * @param availabilityZone zone of the VM
+ * @param role what runs on the VM
+ * @param leaving whether the VM is about to stop
+ * @param callerAddress address for callers, present for an entry VM
+ * @param peerAddress address for other nodes, present for an entry VM
  */
 public record Vm(
         VmId id,
@@ -24,7 +24,7 @@
         Optional<SocketAddress> peerAddress) {
     /** What runs on a VM. */
     public enum Role {
-        /** A node of the balancer. */
+        /** A node of the load balancer. */
         ENTRY,
         /** An upstream. */
         UPSTREAM
--- a/membership/src/main/java/org/turmericspan/membership/package-info.java
+++ b/membership/src/main/java/org/turmericspan/membership/package-info.java
@@ -1,2 +1,2 @@
-/** The accepted view of VMs, the accepted configuration, and the rules by which they move up. */
+/** The accepted view of VMs, the active configuration, and the rules by which newer versions replace them. */
 package org.turmericspan.membership;
--- a/membership/src/test/java/org/turmericspan/membership/HeartbeatExchangeTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/HeartbeatExchangeTest.java
@@ -17,25 +17,25 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.tables.WorkerPool;
 
-/** What keeps the exchange of heartbeats going. */
+/** Guards against an exchange of heartbeats that stops because one run throws an exception. */
 final class HeartbeatExchangeTest {
-    private static final long LIMIT_SECONDS = 20;
+    private static final long TIMEOUT_SECONDS = 20;
 
     @Test
-    void exchangeGoesOnWhenNoPaceCanBeRead() throws InterruptedException {
+    void exchangeContinuesWhenIntervalPolicyThrows() throws InterruptedException {
         MonotonicClock clock = MonotonicClock.system();
         CountingLinks links = new CountingLinks();
         HeartbeatExchange.Plan plan = new HeartbeatExchange.Plan(
                 HeartbeatExchangeTest::heartbeat, () -> List.of(new VmId("entry-01")), (count, sent) -> {
-                    throw new IllegalStateException("no pace");
+                    throw new IllegalStateException("no interval");
                 });
         try (WorkerPool workerPool = new WorkerPool(1);
                 HeartbeatExchange heartbeatExchange = new HeartbeatExchange(
                         plan, new PeerTable(clock), links, workerPool, new SplittableRandom(7), clock)) {
             heartbeatExchange.start(() -> {});
 
-            assertThat(links.asked.await(LIMIT_SECONDS, TimeUnit.SECONDS))
-                    .as("asked again")
+            assertThat(links.requests.await(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                    .as("further heartbeats sent")
                     .isTrue();
         }
     }
@@ -45,16 +45,16 @@
                 Incarnation.draw(new SplittableRandom(1)), 1, "", 1, Duration.ZERO, false, List.of());
     }
 
-    /** Counts the questions and reaches nobody. */
+    /** Counts the requests and replies to each that the peer is unreachable. */
     private static final class CountingLinks implements PeerLinks {
-        private final CountDownLatch asked = new CountDownLatch(3);
+        private final CountDownLatch requests = new CountDownLatch(3);
 
         @Override
         public void tell(VmId peer, PeerMessage message) {}
 
         @Override
         public CompletionStage<PeerMessage> ask(VmId peer, PeerMessage message, Duration timeout) {
-            asked.countDown();
+            requests.countDown();
             return CompletableFuture.completedFuture(new PeerMessage.Unreachable(false));
         }
     }
--- a/membership/src/test/java/org/turmericspan/membership/HeartbeatIntervalTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/HeartbeatIntervalTest.java
@@ -11,18 +11,18 @@
 
 final class HeartbeatIntervalTest {
     @Test
-    void roundOfTodaysFleetEndsWithinOneAndAHalfSeconds() {
+    void roundOfEighteenPeersTakesLessThanOneAndAHalfSeconds() {
         assertThat(HeartbeatInterval.compute(18, heartbeat(2)).multipliedBy(18)).isLessThan(Duration.ofMillis(1_500));
     }
 
     @Test
-    void heartbeatWithManyServicesComesLater() {
+    void intervalGrowsWithNumberOfServices() {
         assertThat(HeartbeatInterval.compute(18, heartbeat(140)))
                 .isGreaterThan(HeartbeatInterval.compute(18, heartbeat(2)));
     }
 
     @Test
-    void fewPeersAreNotAskedWithoutPause() {
+    void singlePeerIsContactedAtMostOncePerMinimumRound() {
         assertThat(HeartbeatInterval.compute(1, heartbeat(0))).isGreaterThanOrEqualTo(Duration.ofMillis(400));
     }
 
--- a/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
@@ -12,7 +12,7 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.testkit.ManualClock;
 
-/** The peer table and the decisions that read it. */
+/** Tests the peer table, the view agreement and the startup synchronization, which read it. */
 final class PeerTableTest {
     private static final VmId FIRST = new VmId("entry-01");
     private static final VmId SECOND = new VmId("entry-02");
@@ -23,7 +23,7 @@
     private final PeerTable table = new PeerTable(clock);
 
     @Test
-    void nodeIsFoundByItsPresentLifeOnly() {
+    void nodeIsFoundByCurrentIncarnationOnly() {
         table.recordHeartbeat(FIRST, heartbeat(7, 4, 1));
         table.recordHeartbeat(FIRST, heartbeat(8, 4, 1));
 
@@ -32,7 +32,7 @@
     }
 
     @Test
-    void viewIsAgreedSinceTheEarliestAnswer() {
+    void viewIsAgreedSinceEarliestReply() {
         table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
         table.recordReply(SECOND, heartbeat(2, 4, 5), 200);
 
@@ -40,7 +40,7 @@
     }
 
     @Test
-    void viewIsNotAgreedWhileOneNodeHoldsAnother() {
+    void viewIsNotAgreedWhileOneNodeHoldsAnotherRevision() {
         table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
         table.recordReply(SECOND, heartbeat(2, 4, 6), 200);
 
@@ -48,7 +48,7 @@
     }
 
     @Test
-    void heartbeatThatAnsweredNothingDoesNotAgree() {
+    void unsolicitedHeartbeatDoesNotCountAsAgreement() {
         table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
         table.recordHeartbeat(SECOND, heartbeat(2, 4, 5));
 
@@ -56,45 +56,45 @@
     }
 
     @Test
-    void freshProcessWaitsForANodeThatHasNotAnswered() {
+    void syncWaitsForNodeThatHasNotReplied() {
         table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
 
-        assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isFalse();
+        assertThat(isSyncComplete(OptionalLong.of(clock.nowNanos()))).isFalse();
     }
 
     @Test
-    void freshProcessWaitsForAHigherVersionOfAPeer() {
+    void syncWaitsForNewerVersionOfPeer() {
         table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
         table.recordReply(SECOND, heartbeat(2, 5, 5), 100);
 
-        assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isFalse();
+        assertThat(isSyncComplete(OptionalLong.of(clock.nowNanos()))).isFalse();
     }
 
     @Test
-    void freshProcessGoesOnOnceAllHaveAnsweredAndNoneIsHigher() {
+    void syncCompletesWhenAllHaveRepliedAndNoneIsNewer() {
         table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
         table.recordReply(SECOND, heartbeat(2, 0, 5), 100);
 
-        assertThat(isWaitOver(OptionalLong.of(clock.nowNanos()))).isTrue();
+        assertThat(isSyncComplete(OptionalLong.of(clock.nowNanos()))).isTrue();
     }
 
     @Test
-    void freshProcessGoesOnAfterTheLimit() {
+    void syncCompletesAfterTimeout() {
         long sinceNanos = clock.nowNanos();
-        clock.advance(StartupWait.LIMIT);
+        clock.advance(StartupSync.TIMEOUT);
 
-        assertThat(isWaitOver(OptionalLong.of(sinceNanos))).isTrue();
+        assertThat(isSyncComplete(OptionalLong.of(sinceNanos))).isTrue();
     }
 
     @Test
-    void freshProcessThatKnowsNothingWaits() {
+    void syncWaitsWhileNoConfigurationIsKnown() {
         clock.advance(Duration.ofMinutes(1));
 
-        assertThat(isWaitOver(OptionalLong.empty())).isFalse();
+        assertThat(isSyncComplete(OptionalLong.empty())).isFalse();
     }
 
-    private boolean isWaitOver(OptionalLong knownSinceNanos) {
-        return StartupWait.isOver(KNOWN, knownSinceNanos, LISTED, table, clock.nowNanos());
+    private boolean isSyncComplete(OptionalLong knownSinceNanos) {
+        return StartupSync.isComplete(KNOWN, knownSinceNanos, LISTED, table, clock.nowNanos());
     }
 
     private static PeerMessage.Heartbeat heartbeat(long incarnation, long configuration, long revision) {
