Describe gossip in terms of messages, failure timeouts and zones

What read badly: messages were called digests and their entries rows, nodes were near or far, fell silent, were gone or forgotten, and took turns.

Main names: Digest -> GossipMessage, DigestFormat -> GossipCodec (write/read -> encode/decode), MemberTable.accept -> mergeAll, refresh -> detectFailures, rows -> selectForGossip, NEAR/FAR_SILENCE_NANOS -> DIRECT/INDIRECT_FAILURE_TIMEOUT_NANOS, FORGET_NANOS -> DEAD_MEMBER_RETENTION_NANOS, NEAR_FANOUT -> SAME_ZONE_FANOUT, Member.heardAt -> withHeardNanos. The components of Member stay, since /state prints them.

--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -10,22 +10,23 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * Tells other nodes what this one knows: often nodes of its zone, less often one node elsewhere, drawn at random. What
- * a node sends is bounded, whatever the size of its zone and of the fleet.
+ * Disseminates the state known to this node. In each round it sends messages to several nodes of its own zone, in
+ * round-robin order, and to one random node of another zone. What a node sends per round is bounded for any size of the
+ * zone and of the fleet.
  */
 public final class Gossip {
-    /** Nodes of the zone that are told in each round; in a small zone all of them. */
-    static final int NEAR_FANOUT = 5;
+    /** Nodes of the own zone that receive a message in each round; in a small zone, all of them. */
+    static final int SAME_ZONE_FANOUT = 5;
 
-    /** Pause between rounds; several must be lost before a node counts as gone. */
+    /** Interval between rounds; a node is considered failed only after several missed rounds. */
     private static final long ROUND_MILLIS = 200;
-    /** Other nodes named in a digest; the rest takes its turn. */
-    private static final int MAX_ROWS = 20;
-    /** Age up to which this node's own observations are told within the zone. */
-    private static final long OWN_REPORT_NANOS = TimeUnit.SECONDS.toNanos(1);
-    /** Rounds between digests to the seeds, which bring together parts of the fleet that lost each other. */
-    private static final int SEED_ROUNDS = 6;
-    /** Crashes told in each digest. */
+    /** Other nodes described in a message; a larger fleet is covered by successive messages. */
+    private static final int MAX_OTHER_MEMBERS = 20;
+    /** Age up to which this node's own observations are sent within the zone. */
+    private static final long MAX_OWN_REPORT_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Rounds between messages to the seeds, which reconnect parts of the fleet after a network partition. */
+    private static final int ROUNDS_BETWEEN_SEED_MESSAGES = 6;
+    /** Maximum number of crashes in a message. */
     private static final int MAX_CRASHES = 20;
 
     private final MemberTable members;
@@ -36,17 +37,17 @@
     private final RandomGenerator random;
     private GossipTransport transport;
     private long round;
-    private int nextNear;
+    private int nextSameZone;
 
     /**
-     * Creates a gossip that has not begun.
+     * Creates a gossip that is not started yet.
      *
-     * @param members nodes known
-     * @param upstreams beliefs to share
-     * @param suspects requests that took upstreams down
-     * @param seeds addresses to join through, which may be stale
-     * @param worker runs the rounds
-     * @param random draws nodes of other zones
+     * @param members nodes known to this node
+     * @param upstreams upstream states to send and to update
+     * @param suspects requests suspected of crashing upstreams
+     * @param seeds addresses through which to join the fleet, possibly outdated
+     * @param worker executor that runs the rounds
+     * @param random source of the choice among the nodes of other zones
      */
     public Gossip(
             MemberTable members,
@@ -66,31 +67,36 @@
     /**
      * Starts the rounds.
      *
-     * @param over sends the digests
+     * @param gossipTransport transport that sends the messages
      */
-    public void start(GossipTransport over) {
-        transport = over;
+    public void start(GossipTransport gossipTransport) {
+        transport = gossipTransport;
         worker.execute(this::runRound);
     }
 
     private void runRound() {
-        members.refresh();
+        members.detectFailures();
         List<Member> others = members.aliveMembers().stream()
                 .filter(member -> !member.address().equals(members.self().address()))
                 .toList();
-        List<Member> near = others.stream().filter(this::isNear).toList();
-        List<Member> far = others.stream().filter(member -> !isNear(member)).toList();
-        if (!near.isEmpty()) {
-            Digest digest = nearDigest();
-            for (int i = 0; i < Math.min(NEAR_FANOUT, near.size()); i++) {
-                transport.send(digest, near.get((nextNear + i) % near.size()).address());
+        List<Member> sameZone = others.stream().filter(this::isSameZone).toList();
+        List<Member> otherZone =
+                others.stream().filter(member -> !isSameZone(member)).toList();
+        if (!sameZone.isEmpty()) {
+            GossipMessage message = sameZoneMessage();
+            for (int i = 0; i < Math.min(SAME_ZONE_FANOUT, sameZone.size()); i++) {
+                transport.send(
+                        message,
+                        sameZone.get((nextSameZone + i) % sameZone.size()).address());
             }
-            nextNear = (nextNear + NEAR_FANOUT) % near.size();
+            nextSameZone = (nextSameZone + SAME_ZONE_FANOUT) % sameZone.size();
         }
-        if (!far.isEmpty()) {
-            transport.send(farDigest(), far.get(random.nextInt(far.size())).address());
+        if (!otherZone.isEmpty()) {
+            transport.send(
+                    otherZoneMessage(),
+                    otherZone.get(random.nextInt(otherZone.size())).address());
         }
-        if (round % SEED_ROUNDS == 0 || others.isEmpty()) {
+        if (round % ROUNDS_BETWEEN_SEED_MESSAGES == 0 || others.isEmpty()) {
             sendToSeeds();
         }
         round++;
@@ -98,55 +104,57 @@
     }
 
     private void sendToSeeds() {
-        Digest digest = new Digest(members.rows(MAX_ROWS), List.of(), List.of());
+        GossipMessage message = new GossipMessage(members.selectForGossip(MAX_OTHER_MEMBERS), List.of(), List.of());
         for (SocketAddress seed : seeds.get()) {
             boolean isKnown = members.aliveMembers().stream()
                     .anyMatch(member -> member.address().equals(seed));
             if (!isKnown) {
-                transport.send(digest, seed);
+                transport.send(message, seed);
             }
         }
     }
 
-    /** Tells everyone at once, because this node's own state changed. */
+    /** Sends this node's state to all nodes immediately. To be called when that state has changed. */
     public void broadcast() {
         worker.execute(() -> {
-            Digest digest = new Digest(members.rows(MAX_ROWS), List.of(), List.of());
+            GossipMessage message = new GossipMessage(members.selectForGossip(MAX_OTHER_MEMBERS), List.of(), List.of());
             members.aliveMembers().stream()
                     .filter(member -> !member.address().equals(members.self().address()))
-                    .forEach(member -> transport.send(digest, member.address()));
+                    .forEach(member -> transport.send(message, member.address()));
         });
     }
 
-    private boolean isNear(Member member) {
+    private boolean isSameZone(Member member) {
         return member.availabilityZone().equals(members.self().availabilityZone());
     }
 
-    private Digest nearDigest() {
-        return new Digest(
-                members.rows(MAX_ROWS), upstreams.localReports(OWN_REPORT_NANOS), suspects.recentCrashes(MAX_CRASHES));
+    private GossipMessage sameZoneMessage() {
+        return new GossipMessage(
+                members.selectForGossip(MAX_OTHER_MEMBERS),
+                upstreams.localReports(MAX_OWN_REPORT_AGE_NANOS),
+                suspects.recentCrashes(MAX_CRASHES));
     }
 
-    private Digest farDigest() {
-        return new Digest(
-                members.rows(MAX_ROWS),
+    private GossipMessage otherZoneMessage() {
+        return new GossipMessage(
+                members.selectForGossip(MAX_OTHER_MEMBERS),
                 upstreams.reports(registration ->
                         registration.availabilityZone().equals(members.self().availabilityZone())),
                 suspects.recentCrashes(MAX_CRASHES));
     }
 
     /**
-     * Takes a digest. A sender that was not known gets one back at once.
+     * Applies a received message. A sender that was not known as alive gets a reply immediately.
      *
-     * @param sender where it came from
-     * @param digest what it says
+     * @param sender address from which the message was received
+     * @param message the message
      */
-    public void receive(SocketAddress sender, Digest digest) {
-        boolean isNew = members.accept(digest.members());
-        upstreams.applyPeerReports(sender.toString(), digest.reports());
-        digest.crashes().forEach(suspects::recordPeerCrash);
-        if (isNew && transport != null) {
-            transport.send(nearDigest(), digest.members().get(0).address());
+    public void receive(SocketAddress sender, GossipMessage message) {
+        boolean isNewSender = members.mergeAll(message.members());
+        upstreams.applyPeerReports(sender.toString(), message.reports());
+        message.crashes().forEach(suspects::recordPeerCrash);
+        if (isNewSender && transport != null) {
+            transport.send(sameZoneMessage(), message.members().get(0).address());
         }
     }
 }
--- a/gossip/src/main/java/org/turmericspan/gossip/DigestFormat.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -16,40 +16,41 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * Encodes digests with the primitives of protobuf. Times travel as ages in milliseconds, because nodes share no clock.
+ * Encodes and decodes gossip messages with the primitives of protobuf. Times are sent as ages in milliseconds, because
+ * nodes do not share a clock.
  */
-final class DigestFormat {
-    private static final int FORMAT = 1;
+final class GossipCodec {
+    private static final int FORMAT_VERSION = 1;
     private static final int READY = 1;
     private static final int LEAVING = 2;
-    private static final int READING = 4;
+    private static final int READS_STORE = 4;
     private static final int HEALTHY = 1;
     private static final int REACHABLE = 2;
-    private static final int MAX_ROWS = 4_096;
-    private static final int OCTETS = 4;
-    private static final int OCTET_BITS = 8;
+    private static final int MAX_ENTRIES = 4_096;
+    private static final int OCTETS_PER_ADDRESS = 4;
+    private static final int BITS_PER_OCTET = 8;
     private static final int OCTET_MASK = 0xff;
-    private static final int DECIMAL = 10;
-    /** Text of the addresses seen, which come again in every digest. */
+    private static final int DECIMAL_BASE = 10;
+    /** Cache of decoded hosts by packed IPv4 address, since every message repeats them; bounded in size. */
     private static final Map<Integer, String> HOSTS = new ConcurrentHashMap<>();
 
-    private DigestFormat() {}
+    private GossipCodec() {}
 
-    static byte[] write(Digest digest, long nowNanos) {
+    static byte[] encode(GossipMessage message, long nowNanos) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         CodedOutputStream output = CodedOutputStream.newInstance(bytes);
         try {
-            output.writeUInt32NoTag(FORMAT);
-            writeMembers(digest.members(), output, nowNanos);
-            writeReports(digest.reports(), output, nowNanos);
-            output.writeUInt32NoTag(digest.crashes().size());
-            for (Crash crash : digest.crashes()) {
+            output.writeUInt32NoTag(FORMAT_VERSION);
+            writeMembers(message.members(), output, nowNanos);
+            writeReports(message.reports(), output, nowNanos);
+            output.writeUInt32NoTag(message.crashes().size());
+            for (Crash crash : message.crashes()) {
                 output.writeFixed64NoTag(crash.fingerprint());
                 output.writeFixed64NoTag(crash.upstreamHash());
             }
             output.flush();
         } catch (IOException e) {
-            throw new IllegalStateException("A byte array does not fail", e);
+            throw new IllegalStateException("Writing to a byte array failed", e);
         }
         return bytes.toByteArray();
     }
@@ -68,12 +69,12 @@
             output.writeUInt32NoTag(zones.indexOf(member.availabilityZone()));
             output.writeFixed32NoTag(member.incarnation());
             output.writeUInt32NoTag(flags(member));
-            output.writeUInt64NoTag(age(member.heardNanos(), nowNanos));
+            output.writeUInt64NoTag(ageMillis(member.heardNanos(), nowNanos));
         }
     }
 
     private static int flags(Member member) {
-        return (member.ready() ? READY : 0) | (member.leaving() ? LEAVING : 0) | (member.reading() ? READING : 0);
+        return (member.ready() ? READY : 0) | (member.leaving() ? LEAVING : 0) | (member.reading() ? READS_STORE : 0);
     }
 
     private static void writeReports(List<PeerReport> reports, CodedOutputStream output, long nowNanos)
@@ -82,7 +83,7 @@
         for (PeerReport report : reports) {
             Observation observation = report.observation();
             output.writeFixed64NoTag(report.upstreamHash());
-            output.writeUInt64NoTag(age(observation.atNanos(), nowNanos));
+            output.writeUInt64NoTag(ageMillis(observation.atNanos(), nowNanos));
             output.writeUInt32NoTag(observation.running());
             output.writeUInt32NoTag(observation.waiting());
             output.writeUInt32NoTag(observation.slowdownPercent());
@@ -93,21 +94,21 @@
         }
     }
 
-    /** Reads a digest. Whoever sends garbage gets an {@link IOException} and changes nothing. */
-    static Digest read(byte[] bytes, long nowNanos) throws IOException {
+    /** Decodes a message. Throws an {@link IOException} if the bytes are malformed. */
+    static GossipMessage decode(byte[] bytes, long nowNanos) throws IOException {
         CodedInputStream input = CodedInputStream.newInstance(bytes);
-        if (input.readUInt32() != FORMAT) {
-            throw new IOException("unknown format");
+        if (input.readUInt32() != FORMAT_VERSION) {
+            throw new IOException("unknown format version");
         }
         try {
             List<Member> members = readMembers(input, nowNanos);
             List<PeerReport> reports = readReports(input, nowNanos);
             List<Crash> crashes = new ArrayList<>();
-            int count = rows(input);
+            int count = readCount(input);
             for (int i = 0; i < count; i++) {
                 crashes.add(new Crash(input.readFixed64(), input.readFixed64()));
             }
-            return new Digest(members, reports, crashes);
+            return new GossipMessage(members, reports, crashes);
         } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new IOException("field out of range", e);
         }
@@ -115,19 +116,19 @@
 
     private static List<Member> readMembers(CodedInputStream input, long nowNanos) throws IOException {
         List<AvailabilityZoneId> zones = new ArrayList<>();
-        int zoneCount = rows(input);
+        int zoneCount = readCount(input);
         for (int i = 0; i < zoneCount; i++) {
             zones.add(new AvailabilityZoneId(input.readString()));
         }
         List<Member> members = new ArrayList<>();
-        int count = rows(input);
+        int count = readCount(input);
         for (int i = 0; i < count; i++) {
             SocketAddress address = readAddress(input);
             SocketAddress callerAddress = readAddress(input);
             AvailabilityZoneId zone = zones.get(input.readUInt32());
             int incarnation = input.readFixed32();
             int flags = input.readUInt32();
-            long heardNanos = moment(input.readUInt64(), nowNanos);
+            long heardNanos = timeNanos(input.readUInt64(), nowNanos);
             members.add(new Member(
                     address,
                     callerAddress,
@@ -135,53 +136,53 @@
                     incarnation,
                     (flags & READY) != 0,
                     (flags & LEAVING) != 0,
-                    (flags & READING) != 0,
+                    (flags & READS_STORE) != 0,
                     heardNanos));
         }
         if (members.isEmpty()) {
-            throw new IOException("no sender");
+            throw new IOException("no member entry for the sender");
         }
         return members;
     }
 
     private static List<PeerReport> readReports(CodedInputStream input, long nowNanos) throws IOException {
         List<PeerReport> reports = new ArrayList<>();
-        int count = rows(input);
+        int count = readCount(input);
         for (int i = 0; i < count; i++) {
-            long hash = input.readFixed64();
-            long atNanos = moment(input.readUInt64(), nowNanos);
+            long upstreamHash = input.readFixed64();
+            long atNanos = timeNanos(input.readUInt64(), nowNanos);
             int running = input.readUInt32();
             int waiting = input.readUInt32();
-            int slowPercent = input.readUInt32();
-            long coldNanos = TimeUnit.MILLISECONDS.toNanos(input.readUInt64());
+            int slowdownPercent = input.readUInt32();
+            long coldRemainingNanos = TimeUnit.MILLISECONDS.toNanos(input.readUInt64());
             int flags = input.readUInt32();
             Observation observation = new Observation(
                     atNanos,
                     running,
                     waiting,
-                    slowPercent,
-                    coldNanos,
+                    slowdownPercent,
+                    coldRemainingNanos,
                     (flags & HEALTHY) != 0,
                     (flags & REACHABLE) != 0);
-            reports.add(new PeerReport(hash, observation, input.readUInt32(), input.readUInt32()));
+            reports.add(new PeerReport(upstreamHash, observation, input.readUInt32(), input.readUInt32()));
         }
         return reports;
     }
 
-    private static int rows(CodedInputStream input) throws IOException {
+    private static int readCount(CodedInputStream input) throws IOException {
         int count = input.readUInt32();
-        if (count < 0 || count > MAX_ROWS) {
-            throw new IOException("too many rows");
+        if (count < 0 || count > MAX_ENTRIES) {
+            throw new IOException("too many entries");
         }
         return count;
     }
 
-    /** Returns an age in milliseconds, rounded up so that passing knowledge on never makes it look newer. */
-    private static long age(long atNanos, long nowNanos) {
+    /** Returns an age in milliseconds, rounded up so that state does not look newer when it is relayed. */
+    private static long ageMillis(long atNanos, long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - atNanos)) + 1;
     }
 
-    private static long moment(long ageMillis, long nowNanos) {
+    private static long timeNanos(long ageMillis, long nowNanos) {
         return nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis);
     }
 
@@ -196,13 +197,13 @@
         for (int i = 0; i < host.length(); i++) {
             char character = host.charAt(i);
             if (character == '.') {
-                packed = packed << OCTET_BITS | octet;
+                packed = packed << BITS_PER_OCTET | octet;
                 octet = 0;
             } else {
-                octet = octet * DECIMAL + character - '0';
+                octet = octet * DECIMAL_BASE + character - '0';
             }
         }
-        return packed << OCTET_BITS | octet;
+        return packed << BITS_PER_OCTET | octet;
     }
 
     private static SocketAddress readAddress(CodedInputStream input) throws IOException {
@@ -210,7 +211,7 @@
         String host = HOSTS.get(packed);
         if (host == null) {
             host = unpack(packed);
-            if (HOSTS.size() < MAX_ROWS) {
+            if (HOSTS.size() < MAX_ENTRIES) {
                 HOSTS.put(packed, host);
             }
         }
@@ -219,8 +220,8 @@
 
     private static String unpack(int packed) {
         StringBuilder host = new StringBuilder();
-        for (int i = OCTETS - 1; i >= 0; i--) {
-            host.append(packed >> i * OCTET_BITS & OCTET_MASK).append(i > 0 ? "." : "");
+        for (int i = OCTETS_PER_ADDRESS - 1; i >= 0; i--) {
+            host.append(packed >> i * BITS_PER_OCTET & OCTET_MASK).append(i > 0 ? "." : "");
         }
         return host.toString();
     }
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipTransport.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipTransport.java
@@ -19,7 +19,7 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.transport.InboundHandler;
 
-/** Sends and receives digests as datagrams. A lost one is made good by the next. */
+/** Sends and receives gossip messages as UDP datagrams. A lost message is not resent: the next one replaces it. */
 public final class GossipTransport implements AutoCloseable {
     private static final int MAX_DATAGRAM_BYTES = 65_507;
 
@@ -27,18 +27,18 @@
     private final MonotonicClock clock;
 
     /**
-     * Binds the address.
+     * Binds the address and starts to receive messages.
      *
-     * @param workers the worker pool
-     * @param address where to listen
-     * @param receiver takes the sender's address and its digest
-     * @param clock monotonic time
-     * @param log takes datagrams that cannot be read
+     * @param workers event loops that run the channel
+     * @param address address to bind
+     * @param receiver called with the address of the sender and the received message
+     * @param clock monotonic clock
+     * @param log log for malformed messages
      */
     public GossipTransport(
             EventLoopGroup workers,
             SocketAddress address,
-            BiConsumer<SocketAddress, Digest> receiver,
+            BiConsumer<SocketAddress, GossipMessage> receiver,
             MonotonicClock clock,
             EventLog log) {
         this.clock = clock;
@@ -53,13 +53,13 @@
     }
 
     /**
-     * Sends a digest.
+     * Sends a message.
      *
-     * @param digest what to tell
-     * @param target whom to tell
+     * @param message the message
+     * @param target address of the receiving node
      */
-    public void send(Digest digest, SocketAddress target) {
-        ByteBuf bytes = Unpooled.wrappedBuffer(DigestFormat.write(digest, clock.nowNanos()));
+    public void send(GossipMessage message, SocketAddress target) {
+        ByteBuf bytes = Unpooled.wrappedBuffer(GossipCodec.encode(message, clock.nowNanos()));
         channel.writeAndFlush(new DatagramPacket(bytes, new InetSocketAddress(target.host(), target.port())));
     }
 
@@ -69,11 +69,11 @@
     }
 
     private static final class Receiver implements InboundHandler {
-        private final BiConsumer<SocketAddress, Digest> receiver;
+        private final BiConsumer<SocketAddress, GossipMessage> receiver;
         private final MonotonicClock clock;
         private final EventLog log;
 
-        Receiver(BiConsumer<SocketAddress, Digest> receiver, MonotonicClock clock, EventLog log) {
+        Receiver(BiConsumer<SocketAddress, GossipMessage> receiver, MonotonicClock clock, EventLog log) {
             this.receiver = receiver;
             this.clock = clock;
             this.log = log;
@@ -95,9 +95,9 @@
             byte[] bytes = new byte[packet.content().readableBytes()];
             packet.content().readBytes(bytes);
             try {
-                receiver.accept(from, DigestFormat.read(bytes, clock.nowNanos()));
+                receiver.accept(from, GossipCodec.decode(bytes, clock.nowNanos()));
             } catch (IOException e) {
-                log.write(Event.notice("members", "Digest not readable.")
+                log.write(Event.notice("members", "Gossip message malformed.")
                         .with("from", from)
                         .with("reason", e.getMessage()));
             }
--- a/gossip/src/main/java/org/turmericspan/gossip/Member.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Member.java
@@ -4,16 +4,16 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * What is known of a node.
+ * Known state of a node.
  *
- * @param address where it listens for digests, which also identifies its VM
- * @param callerAddress where callers connect
- * @param availabilityZone where it runs
- * @param incarnation number drawn at its start
- * @param ready whether it can serve
- * @param leaving whether it is stopping; it stays so within an incarnation
- * @param reading whether it reads the platform's store itself and can pass on what it reads
- * @param heardNanos monotonic time, on this node's clock, at which anyone last heard of it
+ * @param address address at which the node receives gossip messages, which also identifies its VM
+ * @param callerAddress address at which callers connect
+ * @param availabilityZone zone of the node
+ * @param incarnation number drawn at random when the process starts
+ * @param ready whether the node can serve calls
+ * @param leaving whether the node is stopping; never reset within an incarnation
+ * @param reading whether the node is connected to the platform's store, so that other nodes can read from it
+ * @param heardNanos time, on the monotonic clock of this node, at which any node last received a message from it
  */
 public record Member(
         SocketAddress address,
@@ -25,22 +25,23 @@
         boolean reading,
         long heardNanos) {
     /**
-     * Copies the member with another time.
+     * Returns a copy with another time.
      *
-     * @param nanos when it was heard of
+     * @param newHeardNanos value of {@code heardNanos} in the copy
      * @return the copy
      */
-    Member heardAt(long nanos) {
-        return new Member(address, callerAddress, availabilityZone, incarnation, ready, leaving, reading, nanos);
+    Member withHeardNanos(long newHeardNanos) {
+        return new Member(
+                address, callerAddress, availabilityZone, incarnation, ready, leaving, reading, newHeardNanos);
     }
 
     /**
-     * Compares everything but the time.
+     * Compares all components except {@code heardNanos}.
      *
-     * @param other another row
-     * @return whether they say the same
+     * @param other the member to compare with
+     * @return true when these components are equal
      */
-    boolean isSameAs(Member other) {
+    boolean equalsIgnoringHeardNanos(Member other) {
         return address.equals(other.address)
                 && callerAddress.equals(other.callerAddress)
                 && availabilityZone.equals(other.availabilityZone)
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -20,14 +20,17 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Nodes of the fleet, learned from digests. A node that nobody has heard of lately counts as gone. */
+/**
+ * Nodes of the fleet, learned from gossip messages. A node is considered failed when no message of it was received by
+ * any node within the failure timeout.
+ */
 public final class MemberTable {
-    /** Silence after which a node of a small zone counts as gone; several digests must have been lost by then. */
-    private static final long NEAR_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
-    /** The same for nodes of large or other zones, of which this node hears less often and by others. */
-    private static final long FAR_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
-    /** Time after which a silent node is forgotten and no longer counted in the fleet's size. */
-    private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
+    /** Failure timeout for nodes of a small own zone; spans several gossip rounds to tolerate lost messages. */
+    private static final long DIRECT_FAILURE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+    /** Failure timeout for nodes of a large own zone or of another zone, whose state arrives later and indirectly. */
+    private static final long INDIRECT_FAILURE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    /** Time after the last message at which a node is removed and no longer counted in the fleet size. */
+    private static final long DEAD_MEMBER_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private static final String PART = "members";
     private static final Comparator<Member> BY_ADDRESS = (one, other) -> {
@@ -41,18 +44,18 @@
     private final Map<SocketAddress, Member> members = new HashMap<>();
     private final MonotonicClock clock;
     private final EventLog log;
-    private int nextRow;
+    private int nextOther;
     private volatile Member self;
     private volatile int zoneSize;
-    private volatile boolean joined;
+    private volatile boolean ownershipEnabled;
     private volatile Snapshot snapshot;
 
     /**
-     * Creates a table that knows this node only.
+     * Creates a table that contains only this node.
      *
      * @param self this node
-     * @param clock monotonic time
-     * @param log takes changes of belief
+     * @param clock monotonic clock
+     * @param log log for changes in the observed state of nodes
      */
     public MemberTable(Member self, MonotonicClock clock, EventLog log) {
         this.self = self;
@@ -62,84 +65,84 @@
     }
 
     /**
-     * Sets what this node says of itself.
+     * Updates the state that this node reports about itself.
      *
-     * @param ready whether it can serve
-     * @param leaving whether it is stopping
-     * @param reading whether it reads the platform's store itself
+     * @param ready whether this node can serve calls
+     * @param leaving whether this node is stopping
+     * @param readsStore whether this node is connected to the platform's store
      */
-    public void updateSelf(boolean ready, boolean leaving, boolean reading) {
-        Member old = self;
+    public void updateSelf(boolean ready, boolean leaving, boolean readsStore) {
+        Member previous = self;
         self = new Member(
-                old.address(),
-                old.callerAddress(),
-                old.availabilityZone(),
-                old.incarnation(),
+                previous.address(),
+                previous.callerAddress(),
+                previous.availabilityZone(),
+                previous.incarnation(),
                 ready,
                 leaving,
-                reading,
+                readsStore,
                 clock.nowNanos());
-        refresh();
+        detectFailures();
     }
 
     /**
      * Returns this node.
      *
-     * @return what it says of itself
+     * @return the state that this node reports about itself, as of now
      */
     public Member self() {
-        return self.heardAt(clock.nowNanos());
+        return self.withHeardNanos(clock.nowNanos());
     }
 
     /**
-     * Takes what a digest says of nodes.
+     * Merges the nodes of a gossip message into this table.
      *
-     * @param rows the nodes, the sender first
-     * @return whether the sender was not known as alive
+     * @param reported the nodes, starting with the sender
+     * @return true when the sender was not known as alive before
      */
-    public boolean accept(Collection<Member> rows) {
+    public boolean mergeAll(Collection<Member> reported) {
         List<Event> events = new ArrayList<>();
-        SocketAddress sender = rows.iterator().next().address();
-        boolean isNew = lock.compute(() -> {
-            Member old = members.get(sender);
-            rows.forEach(row -> merge(row, events));
-            return old == null || !isAlive(old);
+        SocketAddress sender = reported.iterator().next().address();
+        boolean isNewSender = lock.compute(() -> {
+            Member previous = members.get(sender);
+            reported.forEach(member -> merge(member, events));
+            return previous == null || !isAlive(previous);
         });
         if (!events.isEmpty()) {
-            refresh();
+            detectFailures();
         }
         events.forEach(log::write);
-        return isNew;
+        return isNewSender;
     }
 
-    private void merge(Member row, List<Event> events) {
-        if (row.address().equals(self.address())) {
+    private void merge(Member update, List<Event> events) {
+        if (update.address().equals(self.address())) {
             return;
         }
-        Member old = members.get(row.address());
-        if (old == null || old.incarnation() != row.incarnation()) {
-            if (old == null || row.heardNanos() - old.heardNanos() > 0) {
-                members.put(row.address(), row);
-                events.add(event("Node joined.", row));
+        Member previous = members.get(update.address());
+        if (previous == null || previous.incarnation() != update.incarnation()) {
+            if (previous == null || update.heardNanos() - previous.heardNanos() > 0) {
+                members.put(update.address(), update);
+                events.add(event("Node joined.", update));
             }
-        } else if (row.heardNanos() - old.heardNanos() > 0) {
-            boolean leaving = old.leaving() || row.leaving();
-            if (row.ready() != old.ready()) {
-                events.add(event(row.ready() ? "Node is ready." : "Node is not ready.", row));
+        } else if (update.heardNanos() - previous.heardNanos() > 0) {
+            boolean leaving = previous.leaving() || update.leaving();
+            if (update.ready() != previous.ready()) {
+                events.add(event(update.ready() ? "Node is ready." : "Node is not ready.", update));
             }
             members.put(
-                    row.address(),
+                    update.address(),
                     new Member(
-                            row.address(),
-                            row.callerAddress(),
-                            row.availabilityZone(),
-                            row.incarnation(),
-                            row.ready(),
+                            update.address(),
+                            update.callerAddress(),
+                            update.availabilityZone(),
+                            update.incarnation(),
+                            update.ready(),
                             leaving,
-                            row.reading(),
-                            row.heardNanos()));
-            if (leaving && !old.leaving()) {
-                events.add(event("Node is leaving.", row));
+                            update.reading(),
+                            update.heardNanos()));
+            if (leaving && !previous.leaving()) {
+                events.add(event("Node is leaving.", update));
             }
         }
     }
@@ -151,26 +154,26 @@
                 .with("ageMs", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - member.heardNanos()));
     }
 
-    /** Looks for nodes that fell silent. It is to be called a few times a second. */
-    public void refresh() {
+    /** Detects failed nodes. To be called several times per second. */
+    public void detectFailures() {
         List<Event> events = new ArrayList<>();
-        long now = clock.nowNanos();
+        long nowNanos = clock.nowNanos();
         lock.run(() -> {
-            members.values().removeIf(member -> now - member.heardNanos() > FORGET_NANOS);
+            members.values().removeIf(member -> nowNanos - member.heardNanos() > DEAD_MEMBER_RETENTION_NANOS);
             zoneSize = (int) members.values().stream()
                     .filter(member -> member.availabilityZone().equals(self.availabilityZone()))
-                    .filter(member -> now - member.heardNanos() <= FAR_SILENCE_NANOS)
+                    .filter(member -> nowNanos - member.heardNanos() <= INDIRECT_FAILURE_TIMEOUT_NANOS)
                     .count();
             List<Member> alive = new ArrayList<>(
                     members.values().stream().filter(this::isAlive).toList());
             alive.add(self);
             alive.sort(BY_ADDRESS);
-            Snapshot old = snapshot;
-            if (!old.isSame(alive)) {
-                old.alive.stream()
-                        .filter(member ->
-                                alive.stream().noneMatch(each -> each.address().equals(member.address())))
-                        .forEach(member -> events.add(event("Node fell silent.", member)));
+            Snapshot previous = snapshot;
+            if (!previous.hasSameMembers(alive)) {
+                previous.alive.stream()
+                        .filter(member -> alive.stream()
+                                .noneMatch(other -> other.address().equals(member.address())))
+                        .forEach(member -> events.add(event("Node failed by timeout.", member)));
                 snapshot = new Snapshot(alive);
             }
         });
@@ -179,13 +182,13 @@
 
     private boolean isAlive(Member member) {
         boolean isHeardDirectly =
-                member.availabilityZone().equals(self.availabilityZone()) && zoneSize <= Gossip.NEAR_FANOUT;
-        long limit = isHeardDirectly ? NEAR_SILENCE_NANOS : FAR_SILENCE_NANOS;
-        return clock.nowNanos() - member.heardNanos() <= limit;
+                member.availabilityZone().equals(self.availabilityZone()) && zoneSize <= Gossip.SAME_ZONE_FANOUT;
+        long timeoutNanos = isHeardDirectly ? DIRECT_FAILURE_TIMEOUT_NANOS : INDIRECT_FAILURE_TIMEOUT_NANOS;
+        return clock.nowNanos() - member.heardNanos() <= timeoutNanos;
     }
 
     /**
-     * Lists the nodes that are alive, this one included.
+     * Lists the nodes that are alive, including this one.
      *
      * @return nodes ordered by address
      */
@@ -194,61 +197,61 @@
     }
 
     /**
-     * Lists this node and some others with the time at which they were last heard of. Where there are more than fit,
-     * they take turns, so that each is told of in time.
+     * Selects the nodes to describe in a gossip message: this node and a bounded number of others. Successive calls
+     * select the others in round-robin order, so that each is included regularly.
      *
-     * @param most how many others at most
-     * @return this node first, then others that are alive
+     * @param maxOthers maximum number of other nodes
+     * @return this node, followed by other nodes that are alive
      */
-    public List<Member> rows(int most) {
-        List<Member> rows = new ArrayList<>();
-        rows.add(self());
+    public List<Member> selectForGossip(int maxOthers) {
+        List<Member> selected = new ArrayList<>();
+        selected.add(self());
         lock.run(() -> {
             List<Member> others =
                     members.values().stream().filter(this::isAlive).toList();
-            int count = Math.min(most, others.size());
+            int count = Math.min(maxOthers, others.size());
             for (int i = 0; i < count; i++) {
-                rows.add(others.get((nextRow + i) % others.size()));
+                selected.add(others.get((nextOther + i) % others.size()));
             }
-            nextRow = others.isEmpty() ? 0 : (nextRow + count) % others.size();
+            nextOther = others.isEmpty() ? 0 : (nextOther + count) % others.size();
         });
-        return rows;
+        return selected;
     }
 
     /**
-     * Counts the nodes heard of lately, alive or not.
+     * Returns the number of nodes in this table, including this one and failed ones that are not removed yet.
      *
-     * @return at least 1
+     * @return number of nodes, at least 1
      */
     public int fleetSize() {
         return 1 + lock.compute(members::size);
     }
 
     /**
-     * Tells whether this node owns an upstream: among the ready nodes of the upstream's zone, or of all zones when it
-     * has none, the one with the highest rendezvous score.
+     * Returns the rule that decides whether this node owns an upstream. The owner is the node with the highest
+     * rendezvous hash among the ready nodes of the upstream's zone, or of all zones when that zone has none.
      *
-     * @return the rule, which takes no lock
+     * @return the rule, which acquires no lock
      */
     public Ownership ownership() {
-        return registration -> joined && snapshot.owner(registration).equals(Optional.of(self.address()));
+        return registration -> ownershipEnabled && snapshot.owner(registration).equals(Optional.of(self.address()));
     }
 
-    /** Lets this node own upstreams, now that it has had time to hear of the other nodes. */
+    /** Allows this node to own upstreams. To be called once it has had time to learn of the other nodes. */
     public void enableOwnership() {
-        joined = true;
+        ownershipEnabled = true;
     }
 
     /**
-     * Chooses the node of this node's zone that reads the platform's store for the others.
+     * Returns the store reader of this node's zone: the node that reads the platform's store for the others.
      *
-     * @return the reader; empty while no node of the zone is ready
+     * @return the store reader; empty while no node of the zone is ready
      */
     public Optional<Member> storeReader() {
-        return snapshot.reader(self.availabilityZone());
+        return snapshot.storeReader(self.availabilityZone());
     }
 
-    /** The nodes alive at one moment, with the owners worked out so far. */
+    /** Immutable list of the nodes alive at one time, with a cache of the owners computed from it. */
     private static final class Snapshot {
         private final List<Member> alive;
         private final Map<String, Optional<SocketAddress>> owners = new ConcurrentHashMap<>();
@@ -257,12 +260,12 @@
             this.alive = List.copyOf(alive);
         }
 
-        boolean isSame(List<Member> others) {
+        boolean hasSameMembers(List<Member> others) {
             if (others.size() != alive.size()) {
                 return false;
             }
             for (int i = 0; i < others.size(); i++) {
-                if (!alive.get(i).isSameAs(others.get(i))) {
+                if (!alive.get(i).equalsIgnoringHeardNanos(others.get(i))) {
                     return false;
                 }
             }
@@ -272,29 +275,30 @@
         Optional<SocketAddress> owner(Registration registration) {
             String id = registration.id().value();
             AvailabilityZoneId zone = registration.availabilityZone();
-            return owners.computeIfAbsent(id + "/" + zone.value(), key -> compute(id, zone));
+            return owners.computeIfAbsent(id + "/" + zone.value(), key -> chooseOwner(id, zone));
         }
 
-        Optional<Member> reader(AvailabilityZoneId zone) {
+        Optional<Member> storeReader(AvailabilityZoneId zone) {
             return alive.stream()
                     .filter(member -> member.ready() && !member.leaving())
                     .filter(member -> member.availabilityZone().equals(zone))
-                    .max(byHash("reader/"));
+                    .max(byRendezvousHash("reader/"));
         }
 
-        private static Comparator<Member> byHash(String prefix) {
+        private static Comparator<Member> byRendezvousHash(String prefix) {
             return (one, other) ->
                     Long.compare(StableHash.of(prefix + one.address()), StableHash.of(prefix + other.address()));
         }
 
-        private Optional<SocketAddress> compute(String id, AvailabilityZoneId zone) {
-            List<Member> able = alive.stream()
+        private Optional<SocketAddress> chooseOwner(String id, AvailabilityZoneId zone) {
+            List<Member> eligible = alive.stream()
                     .filter(member -> member.ready() && !member.leaving())
                     .toList();
-            List<Member> near = able.stream()
+            List<Member> sameZone = eligible.stream()
                     .filter(member -> member.availabilityZone().equals(zone))
                     .toList();
-            return (near.isEmpty() ? able : near).stream().max(byHash(id + "/")).map(Member::address);
+            return (sameZone.isEmpty() ? eligible : sameZone)
+                    .stream().max(byRendezvousHash(id + "/")).map(Member::address);
         }
     }
 }
--- a/gossip/src/main/java/org/turmericspan/gossip/package-info.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/package-info.java
@@ -1,2 +1,2 @@
-/** Membership of the entry nodes and the digests by which they share what they know. */
+/** Membership of the entry nodes and the gossip messages by which they disseminate their state. */
 package org.turmericspan.gossip;
--- /dev/null
+++ b/gossip/src/test/java/org/turmericspan/gossip/GossipCodecTest.java
@@ -0,0 +1,76 @@
+package org.turmericspan.gossip;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.balancing.CrashSuspects.Crash;
+import org.turmericspan.balancing.Observation;
+import org.turmericspan.balancing.PeerReport;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.SocketAddress;
+
+class GossipCodecTest {
+    private static final long NOW_NANOS = TimeUnit.SECONDS.toNanos(100);
+
+    private static GossipMessage sample() {
+        Member member = new Member(
+                new SocketAddress("10.200.3.254", 7_700),
+                new SocketAddress("10.200.3.254", 8_161),
+                new AvailabilityZoneId("zone-a"),
+                -5,
+                true,
+                false,
+                true,
+                NOW_NANOS);
+        Observation observation =
+                new Observation(NOW_NANOS - TimeUnit.MILLISECONDS.toNanos(40), 2, 1, 400, 0, true, true);
+        return new GossipMessage(
+                List.of(member), List.of(new PeerReport(-9, observation, 2, 30)), List.of(new Crash(1, 2)));
+    }
+
+    @Test
+    void messageIsUnchangedAfterEncodingAndDecoding() throws IOException {
+        GossipMessage decoded = GossipCodec.decode(GossipCodec.encode(sample(), NOW_NANOS), NOW_NANOS);
+        assertThat(decoded.members().get(0).withHeardNanos(0))
+                .isEqualTo(sample().members().get(0).withHeardNanos(0));
+        assertThat(decoded.reports().get(0).inFlight()).isEqualTo(2);
+        assertThat(decoded.reports().get(0).observation().slowdownPercent()).isEqualTo(400);
+        assertThat(decoded.crashes()).isEqualTo(sample().crashes());
+    }
+
+    @Test
+    void relayingNeverMakesObservationNewer() throws IOException {
+        GossipMessage decoded = GossipCodec.decode(GossipCodec.encode(sample(), NOW_NANOS), NOW_NANOS);
+        long sentNanos = sample().reports().get(0).observation().atNanos();
+        assertThat(decoded.reports().get(0).observation().atNanos()).isLessThanOrEqualTo(sentNanos);
+    }
+
+    @Test
+    void malformedBytesAreRejected() {
+        byte[] bytes = GossipCodec.encode(sample(), NOW_NANOS);
+        for (int length = 0; length < bytes.length; length++) {
+            byte[] truncated = Arrays.copyOf(bytes, length);
+            assertThatThrownBy(() -> GossipCodec.decode(truncated, NOW_NANOS)).isInstanceOf(IOException.class);
+        }
+        SplittableRandom random = new SplittableRandom(11);
+        for (int i = 0; i < 2_000; i++) {
+            byte[] corrupted = bytes.clone();
+            corrupted[random.nextInt(corrupted.length)] = (byte) random.nextInt();
+            decodeOrReject(corrupted);
+        }
+    }
+
+    private static void decodeOrReject(byte[] corrupted) {
+        try {
+            assertThat(GossipCodec.decode(corrupted, NOW_NANOS).members()).isNotEmpty();
+        } catch (IOException e) {
+            assertThat(e).isNotNull();
+        }
+    }
+}
--- a/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
@@ -16,11 +16,11 @@
 import org.turmericspan.testkit.ManualClock;
 
 class MemberTableTest {
-    private static final AvailabilityZoneId HOME = new AvailabilityZoneId("zone-a");
-    private static final AvailabilityZoneId AWAY = new AvailabilityZoneId("zone-b");
+    private static final AvailabilityZoneId LOCAL_ZONE = new AvailabilityZoneId("zone-a");
+    private static final AvailabilityZoneId REMOTE_ZONE = new AvailabilityZoneId("zone-b");
 
     private final ManualClock clock = new ManualClock();
-    private final MemberTable table = new MemberTable(member("10.0.0.1", HOME, 1, true), clock, EventLog.none());
+    private final MemberTable table = new MemberTable(member("10.0.0.1", LOCAL_ZONE, 1, true), clock, EventLog.none());
 
     private Member member(String host, AvailabilityZoneId zone, int incarnation, boolean ready) {
         SocketAddress address = new SocketAddress(host, 7000);
@@ -29,28 +29,29 @@
     }
 
     private List<String> alive() {
-        table.refresh();
+        table.detectFailures();
         return table.aliveMembers().stream()
                 .map(member -> member.address().host())
                 .toList();
     }
 
     @Test
-    void joinsThroughADigest() {
-        assertThat(table.accept(List.of(member("10.0.0.2", HOME, 5, true)))).isTrue();
+    void nodeJoinsThroughGossipMessage() {
+        assertThat(table.mergeAll(List.of(member("10.0.0.2", LOCAL_ZONE, 5, true))))
+                .isTrue();
         assertThat(alive()).containsExactly("10.0.0.1", "10.0.0.2");
     }
 
     @Test
-    void silentNodeOfTheZoneIsGoneWithinASecond() {
-        table.accept(List.of(member("10.0.0.2", HOME, 5, true)));
+    void silentNodeOfSameZoneFailsWithinOneSecond() {
+        table.mergeAll(List.of(member("10.0.0.2", LOCAL_ZONE, 5, true)));
         clock.advance(Duration.ofSeconds(1));
         assertThat(alive()).containsExactly("10.0.0.1");
     }
 
     @Test
-    void silentNodeElsewhereIsGoneWithinThreeSeconds() {
-        table.accept(List.of(member("10.0.0.2", AWAY, 5, true)));
+    void silentNodeOfOtherZoneFailsWithinThreeSeconds() {
+        table.mergeAll(List.of(member("10.0.0.2", REMOTE_ZONE, 5, true)));
         clock.advance(Duration.ofSeconds(1));
         assertThat(alive()).hasSize(2);
         clock.advance(Duration.ofSeconds(2));
@@ -58,60 +59,62 @@
     }
 
     @Test
-    void oldNewsOfADeadNodeDoesNotReviveIt() {
-        Member old = member("10.0.0.2", HOME, 5, true);
-        table.accept(List.of(old));
+    void staleStateDoesNotReviveFailedNode() {
+        Member stale = member("10.0.0.2", LOCAL_ZONE, 5, true);
+        table.mergeAll(List.of(stale));
         clock.advance(Duration.ofSeconds(2));
-        table.accept(List.of(member("10.0.0.3", HOME, 6, true), old));
+        table.mergeAll(List.of(member("10.0.0.3", LOCAL_ZONE, 6, true), stale));
         assertThat(alive()).containsExactly("10.0.0.1", "10.0.0.3");
     }
 
     @Test
-    void leavingStaysWithinAnIncarnation() {
-        Member steady = member("10.0.0.2", HOME, 5, true);
+    void leavingIsNotResetWithinIncarnation() {
+        Member serving = member("10.0.0.2", LOCAL_ZONE, 5, true);
         clock.advance(Duration.ofMillis(1));
-        Member leaving =
-                new Member(steady.address(), steady.callerAddress(), HOME, 5, true, true, true, clock.nowNanos());
-        table.accept(List.of(leaving));
+        Member leaving = new Member(
+                serving.address(), serving.callerAddress(), LOCAL_ZONE, 5, true, true, true, clock.nowNanos());
+        table.mergeAll(List.of(leaving));
         clock.advance(Duration.ofMillis(1));
-        table.accept(List.of(member("10.0.0.2", HOME, 5, true)));
-        assertThat(table.rows(20)).anyMatch(Member::leaving);
+        table.mergeAll(List.of(member("10.0.0.2", LOCAL_ZONE, 5, true)));
+        assertThat(table.selectForGossip(20)).anyMatch(Member::leaving);
         clock.advance(Duration.ofMillis(1));
-        table.accept(List.of(member("10.0.0.2", HOME, 9, true)));
-        assertThat(table.rows(20)).noneMatch(Member::leaving);
+        table.mergeAll(List.of(member("10.0.0.2", LOCAL_ZONE, 9, true)));
+        assertThat(table.selectForGossip(20)).noneMatch(Member::leaving);
     }
 
     @Test
-    void exactlyOneReadyNodeOfTheZoneOwnsAnUpstream() {
-        table.accept(List.of(member("10.0.0.2", HOME, 5, true), member("10.0.0.3", AWAY, 5, true)));
+    void exactlyOneReadyNodeOfTheZoneOwnsEachUpstream() {
+        table.mergeAll(List.of(member("10.0.0.2", LOCAL_ZONE, 5, true), member("10.0.0.3", REMOTE_ZONE, 5, true)));
         table.enableOwnership();
-        MemberTable other = new MemberTable(member("10.0.0.2", HOME, 5, true), clock, EventLog.none());
+        MemberTable other = new MemberTable(member("10.0.0.2", LOCAL_ZONE, 5, true), clock, EventLog.none());
         other.enableOwnership();
-        other.accept(List.of(member("10.0.0.1", HOME, 1, true), member("10.0.0.3", AWAY, 5, true)));
-        table.refresh();
-        other.refresh();
+        other.mergeAll(List.of(member("10.0.0.1", LOCAL_ZONE, 1, true), member("10.0.0.3", REMOTE_ZONE, 5, true)));
+        table.detectFailures();
+        other.detectFailures();
         for (int i = 0; i < 50; i++) {
-            Registration registration = registration("u-" + i, HOME);
+            Registration registration = registration("u-" + i, LOCAL_ZONE);
             assertThat(table.ownership().owns(registration))
                     .isNotEqualTo(other.ownership().owns(registration));
-            assertThat(table.ownership().owns(registration("u-" + i, AWAY))).isFalse();
+            assertThat(table.ownership().owns(registration("u-" + i, REMOTE_ZONE)))
+                    .isFalse();
         }
     }
 
     @Test
-    void nodeOwnsNothingBeforeItHasJoined() {
-        table.refresh();
-        assertThat(table.ownership().owns(registration("u-1", HOME))).isFalse();
+    void nodeOwnsNothingBeforeOwnershipIsEnabled() {
+        table.detectFailures();
+        assertThat(table.ownership().owns(registration("u-1", LOCAL_ZONE))).isFalse();
         table.enableOwnership();
-        assertThat(table.ownership().owns(registration("u-1", HOME))).isTrue();
+        assertThat(table.ownership().owns(registration("u-1", LOCAL_ZONE))).isTrue();
     }
 
     @Test
     void nodeThatIsNotReadyOwnsNothing() {
         table.enableOwnership();
-        table.accept(List.of(member("10.0.0.2", HOME, 5, false)));
+        table.mergeAll(List.of(member("10.0.0.2", LOCAL_ZONE, 5, false)));
         for (int i = 0; i < 20; i++) {
-            assertThat(table.ownership().owns(registration("u-" + i, HOME))).isTrue();
+            assertThat(table.ownership().owns(registration("u-" + i, LOCAL_ZONE)))
+                    .isTrue();
         }
     }
 
@@ -122,27 +125,27 @@
 
     private void joinMany(AvailabilityZoneId zone, int count) {
         for (int i = 0; i < count; i++) {
-            table.accept(List.of(member("10.0.1." + i, zone, 5, true)));
+            table.mergeAll(List.of(member("10.0.1." + i, zone, 5, true)));
         }
-        table.refresh();
+        table.detectFailures();
     }
 
     @Test
-    void rowsAreBoundedAndTakeTurns() {
-        joinMany(AWAY, 30);
-        Set<String> told = new HashSet<>();
+    void rowsAreBoundedAndRotate() {
+        joinMany(REMOTE_ZONE, 30);
+        Set<String> selectedHosts = new HashSet<>();
         for (int call = 0; call < 3; call++) {
-            List<Member> rows = table.rows(10);
-            assertThat(rows).hasSize(11);
-            assertThat(rows.get(0).address().host()).isEqualTo("10.0.0.1");
-            rows.forEach(row -> told.add(row.address().host()));
+            List<Member> selected = table.selectForGossip(10);
+            assertThat(selected).hasSize(11);
+            assertThat(selected.get(0).address().host()).isEqualTo("10.0.0.1");
+            selected.forEach(member -> selectedHosts.add(member.address().host()));
         }
-        assertThat(told).hasSize(31);
+        assertThat(selectedHosts).hasSize(31);
     }
 
     @Test
-    void nodesOfALargeZoneAreHeardLessOftenBeforeTheyCountAsGone() {
-        joinMany(HOME, 30);
+    void nodesOfLargeZoneFailAfterLongerTimeout() {
+        joinMany(LOCAL_ZONE, 30);
         clock.advance(Duration.ofMillis(1_500));
         assertThat(alive()).hasSize(31);
         clock.advance(Duration.ofMillis(1_500));
