Describe the store feed in terms of lists, watches and grace periods

What read badly: everything was "read anew" when the "history" was "gone", entries "lapsed", contact was "regained", the node was "direct", and reads were "gathered".

Main names: PublicationDecoder -> StoreItemDecoder; StoreFeed: load -> listAll, remove -> removeAfterGracePeriod, lapsed -> pendingRemovals, GATHER_MILLIS -> BATCH_DELAY_MILLIS, DIRECT_NANOS -> STORE_CONTACT_TIMEOUT_NANOS, LAPSE_MILLIS -> REREGISTRATION_GRACE_MILLIS, OUTAGE_NANOS -> MIN_EXPIRY_OUTAGE_NANOS.

--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -19,70 +19,70 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 
-/** Follows the store: reads everything once, then watches, and starts anew when the history is gone. */
+/** Follows the store: lists all items once, then watches for changes, and lists again after a compaction. */
 public final class StoreFeed {
-    /** Pause after a watch that brought events, so that one read gathers many; small beside the agreed two seconds. */
-    private static final long GATHER_MILLIS = 500;
-    /** Longest wait of a watch; short enough that a silent connection is noticed within the agreed bounds. */
-    private static final long WATCH_MILLIS = 900;
-    /** The same for a read from another node, which may be gone and is quickly replaced. */
+    /** Delay after a watch that returned events, to batch further ones; well below the required two seconds. */
+    private static final long BATCH_DELAY_MILLIS = 500;
+    /** Longest wait of a watch of the store; short enough to detect a dead connection within the required bounds. */
+    private static final long STORE_WATCH_MILLIS = 900;
+    /** Longest wait of a watch of another node; shorter, since a failed node is quickly replaced by another source. */
     private static final long RELAY_WATCH_MILLIS = 400;
-    /** Age of the last answer of the store up to which this node may pass on what it read. */
-    private static final long DIRECT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
-    /** First pause after a failure; it doubles up to the longest. */
-    private static final long FIRST_BACKOFF_MILLIS = 100;
-    /** Longest pause after failures in a row. */
-    private static final long LONGEST_BACKOFF_MILLIS = 800;
-    /** Time after an outage in which servers whose entries lapsed meanwhile may register again. */
-    private static final long LAPSE_MILLIS = 2_000;
-    /** Length of an outage in which entries can lapse; shorter ones remove nothing by themselves. */
-    private static final long OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Age of the last response of the store up to which this node may serve other nodes. */
+    private static final long STORE_CONTACT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+    /** Backoff after the first failure; doubled after each further one. */
+    private static final long INITIAL_BACKOFF_MILLIS = 100;
+    /** Limit of the backoff after successive failures. */
+    private static final long MAX_BACKOFF_MILLIS = 800;
+    /** Grace period after an outage in which upstreams whose registrations expired meanwhile may register again. */
+    private static final long REREGISTRATION_GRACE_MILLIS = 2_000;
+    /** Shortest outage in which registrations can expire; no grace period follows a shorter one. */
+    private static final long MIN_EXPIRY_OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private static final String PART = "store";
 
     private final StoreReader reader;
-    private final PublicationDecoder decoder;
+    private final StoreItemDecoder decoder;
     private final SocketAddress store;
     private final StoreSourceSelector sourceSelector;
-    private final FleetListener sink;
+    private final FleetListener fleetListener;
     private final ScheduledExecutorService worker;
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final EventLog log;
     private final Set<AvailabilityZoneId> evacuated = new HashSet<>();
-    private final Set<UpstreamId> lapsed = new HashSet<>();
+    private final Set<UpstreamId> pendingRemovals = new HashSet<>();
     private final Map<UpstreamId, Registration> registrations = new HashMap<>();
     private final StoreMirror mirror = new StoreMirror();
-    private final Set<String> unreadable = new HashSet<>();
+    private final Set<String> malformedKeys = new HashSet<>();
     private long revision;
-    private long backoffMillis = FIRST_BACKOFF_MILLIS;
-    private long lastAnswerNanos;
-    private long lapseUntilNanos;
-    private boolean lost;
+    private long backoffMillis = INITIAL_BACKOFF_MILLIS;
+    private long lastResponseNanos;
+    private long graceUntilNanos;
+    private boolean isContactLost;
     private Runnable changeListener = () -> {};
-    private volatile long directNanos;
-    private volatile boolean hasBeenDirect;
+    private volatile long lastStoreResponseNanos;
+    private volatile boolean hasReachedStore;
     private volatile boolean complete;
     private volatile long calls;
 
     /**
-     * Creates a feed that has not begun.
+     * Creates a feed that is not started yet.
      *
-     * @param store where the store listens
-     * @param sourceSelector chooses between the store and nodes that read it
-     * @param reader reads the sources
-     * @param decoder tells what items say
-     * @param listener takes what was published, on the worker
-     * @param worker runs the feed
-     * @param clock monotonic time
-     * @param random spreads pauses
-     * @param log takes lost and regained contact and garbage
+     * @param store address of the store
+     * @param sourceSelector chooses between the store and the nodes that read it
+     * @param reader reads from the chosen source
+     * @param decoder decodes the items
+     * @param listener receives the updates, on the worker
+     * @param worker executor that runs the feed
+     * @param clock monotonic clock
+     * @param random source of the backoff jitter
+     * @param log log for lost and restored contact and for malformed items
      */
     public StoreFeed(
             SocketAddress store,
             StoreSourceSelector sourceSelector,
             StoreReader reader,
-            PublicationDecoder decoder,
+            StoreItemDecoder decoder,
             FleetListener listener,
             ScheduledExecutorService worker,
             MonotonicClock clock,
@@ -92,67 +92,67 @@
         this.decoder = decoder;
         this.store = store;
         this.sourceSelector = sourceSelector;
-        this.sink = listener;
+        this.fleetListener = listener;
         this.worker = worker;
         this.clock = clock;
         this.random = random;
         this.log = log;
-        this.lapseUntilNanos = clock.nowNanos();
+        this.graceUntilNanos = clock.nowNanos();
     }
 
-    /** Starts following. */
+    /** Starts to follow the store. */
     public void start() {
-        lastAnswerNanos = clock.nowNanos();
-        worker.execute(this::load);
+        lastResponseNanos = clock.nowNanos();
+        worker.execute(this::listAll);
     }
 
     /**
-     * Tells whether everything was read at least once.
+     * Returns whether all items were listed at least once.
      *
-     * @return whether the sink knows the fleet
+     * @return true once the listener has received the whole fleet
      */
     public boolean isComplete() {
         return complete;
     }
 
     /**
-     * Counts the calls made so far.
+     * Returns the number of reads sent to the store so far.
      *
-     * @return the count
+     * @return number of reads, without those from other nodes
      */
     public long calls() {
         return calls;
     }
 
     /**
-     * Tells whether this node has contact with the store itself.
+     * Returns whether this node is connected to the store and has listed all items.
      *
-     * @return whether the store answered lately
+     * @return true when the store itself has responded recently
      */
     public boolean hasStoreContact() {
-        return hasBeenDirect && complete && clock.nowNanos() - directNanos < DIRECT_NANOS;
+        return hasReachedStore && complete && clock.nowNanos() - lastStoreResponseNanos < STORE_CONTACT_TIMEOUT_NANOS;
     }
 
     /**
-     * Registers what happens after changes were read.
+     * Sets the listener to notify after changes were read.
      *
-     * @param listener runs on the worker
+     * @param listener called on the worker
      */
     public void onChange(Runnable listener) {
         changeListener = listener;
     }
 
     /**
-     * Returns what was read, for nodes that read from this one.
+     * Returns the replica of the store, for nodes that read from this one.
      *
-     * @return the mirror
+     * @return the replica
      */
     public StoreMirror mirror() {
         return mirror;
     }
 
-    private void load() {
-        loadPage("", new ArrayList<>(), 0);
+    private void listAll() {
+        listPage("", new ArrayList<>(), 0);
     }
 
     private SocketAddress chooseSource() {
@@ -163,111 +163,113 @@
         return source;
     }
 
-    private void loadPage(String after, List<StoreItem> items, long firstRevision) {
+    private void listPage(String after, List<StoreItem> items, long firstRevision) {
         SocketAddress source = chooseSource();
         reader.range(source, after, result -> {
             if (!(result instanceof StoreReadResult.Page read)) {
-                retryLater(source, result, this::load);
+                retryLater(source, result, this::listAll);
                 return;
             }
-            answered(source);
+            recordResponse(source);
             items.addAll(read.page().items());
-            // Pages are no snapshot, so the watch begins at the first of them.
-            long begin = after.isEmpty() ? read.page().revision() : firstRevision;
+            // The pages are not a consistent snapshot, so the watch starts at the revision of the first one.
+            long watchRevision = after.isEmpty() ? read.page().revision() : firstRevision;
             if (read.page().isTruncated() && !read.page().items().isEmpty()) {
-                loadPage(items.get(items.size() - 1).key(), items, begin);
+                listPage(items.get(items.size() - 1).key(), items, watchRevision);
             } else {
-                loaded(items, begin);
+                completeList(items, watchRevision);
             }
         });
     }
 
-    private void loaded(List<StoreItem> items, long begin) {
-        revision = begin;
-        mirror.clear(begin);
-        Set<UpstreamId> old = new HashSet<>(registrations.keySet());
+    private void completeList(List<StoreItem> items, long watchRevision) {
+        revision = watchRevision;
+        mirror.clear(watchRevision);
+        Set<UpstreamId> missing = new HashSet<>(registrations.keySet());
         registrations.clear();
-        Set<AvailabilityZoneId> oldZones = Set.copyOf(evacuated);
+        Set<AvailabilityZoneId> previousZones = Set.copyOf(evacuated);
         evacuated.clear();
         items.forEach(this::apply);
-        if (!oldZones.equals(evacuated)) {
-            sink.onEvacuation(Set.copyOf(evacuated));
+        if (!previousZones.equals(evacuated)) {
+            fleetListener.onEvacuation(Set.copyOf(evacuated));
         }
-        old.removeAll(registrations.keySet());
-        old.forEach(this::remove);
+        missing.removeAll(registrations.keySet());
+        missing.forEach(this::removeAfterGracePeriod);
         complete = true;
-        advance(begin);
+        advanceRevision(watchRevision);
         watch();
     }
 
     private void watch() {
         SocketAddress source = chooseSource();
-        boolean fromStore = source.equals(store);
-        reader.watch(source, revision, fromStore ? WATCH_MILLIS : RELAY_WATCH_MILLIS, result -> {
+        boolean isStore = source.equals(store);
+        reader.watch(source, revision, isStore ? STORE_WATCH_MILLIS : RELAY_WATCH_MILLIS, result -> {
             if (result instanceof StoreReadResult.Page read) {
-                answered(source);
+                recordResponse(source);
                 read.page().items().forEach(this::apply);
-                advance(read.page().revision());
-                long pauseMillis = fromStore && !read.page().items().isEmpty() ? GATHER_MILLIS : 0;
-                worker.schedule(this::watch, pauseMillis, TimeUnit.MILLISECONDS);
+                advanceRevision(read.page().revision());
+                long delayMillis = isStore && !read.page().items().isEmpty() ? BATCH_DELAY_MILLIS : 0;
+                worker.schedule(this::watch, delayMillis, TimeUnit.MILLISECONDS);
             } else if (result instanceof StoreReadResult.RevisionCompacted) {
-                log.write(Event.notice(PART, "History gone, reading anew.").with("revision", revision));
-                load();
+                log.write(
+                        Event.notice(PART, "Revision compacted, listing again.").with("revision", revision));
+                listAll();
             } else {
                 retryLater(source, result, this::watch);
             }
         });
     }
 
-    private void advance(long to) {
-        revision = Math.max(revision, to);
+    private void advanceRevision(long newRevision) {
+        revision = Math.max(revision, newRevision);
         mirror.advance(revision);
         changeListener.run();
     }
 
-    private void answered(SocketAddress source) {
-        long now = clock.nowNanos();
+    private void recordResponse(SocketAddress source) {
+        long nowNanos = clock.nowNanos();
         if (source.equals(store)) {
-            hasBeenDirect = true;
-            directNanos = now;
+            hasReachedStore = true;
+            lastStoreResponseNanos = nowNanos;
         }
-        if (lost) {
-            log.write(Event.notice(PART, "Contact regained.")
-                    .with("silentMs", TimeUnit.NANOSECONDS.toMillis(now - lastAnswerNanos)));
-            if (now - lastAnswerNanos > OUTAGE_NANOS) {
-                lapseUntilNanos = now + TimeUnit.MILLISECONDS.toNanos(LAPSE_MILLIS);
+        if (isContactLost) {
+            log.write(Event.notice(PART, "Store contact restored, directly or through a store reader.")
+                    .with("silentMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - lastResponseNanos)));
+            if (nowNanos - lastResponseNanos > MIN_EXPIRY_OUTAGE_NANOS) {
+                graceUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(REREGISTRATION_GRACE_MILLIS);
             }
         }
-        lost = false;
-        lastAnswerNanos = now;
-        backoffMillis = FIRST_BACKOFF_MILLIS;
+        isContactLost = false;
+        lastResponseNanos = nowNanos;
+        backoffMillis = INITIAL_BACKOFF_MILLIS;
     }
 
-    private void retryLater(SocketAddress source, StoreReadResult result, Runnable step) {
+    private void retryLater(SocketAddress source, StoreReadResult result, Runnable retry) {
         sourceSelector.reportFailure(source);
         if (!source.equals(store)) {
-            log.write(Event.notice(PART, "Reader gave no answer.")
+            log.write(Event.notice(PART, "Read from store reader failed, choosing another source.")
                     .with("reader", source)
                     .with("reason", result));
-            worker.execute(step);
+            worker.execute(retry);
             return;
         }
-        if (!lost) {
-            lost = true;
-            log.write(
-                    Event.failure(PART, "Contact lost.").with("reason", result).with("revision", revision));
+        if (!isContactLost) {
+            isContactLost = true;
+            log.write(Event.failure(PART, "Store contact lost.")
+                    .with("reason", result)
+                    .with("revision", revision));
         }
-        long pauseMillis = backoffMillis / 2 + random.nextLong(backoffMillis / 2 + 1);
-        backoffMillis = Math.min(backoffMillis * 2, LONGEST_BACKOFF_MILLIS);
-        worker.schedule(step, pauseMillis, TimeUnit.MILLISECONDS);
+        long delayMillis = backoffMillis / 2 + random.nextLong(backoffMillis / 2 + 1);
+        backoffMillis = Math.min(backoffMillis * 2, MAX_BACKOFF_MILLIS);
+        worker.schedule(retry, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void apply(StoreItem item) {
         try {
             apply(item, decoder.decode(item, clock.nowNanos()));
         } catch (IOException e) {
-            if (unreadable.add(item.key())) {
-                log.write(Event.notice(PART, "Item not readable, ignored.")
+            if (malformedKeys.add(item.key())) {
+                log.write(Event.notice(PART, "Item malformed, ignored.")
                         .with("key", item.key())
                         .with("reason", e.getMessage()));
             }
@@ -275,51 +277,51 @@
     }
 
     private void apply(StoreItem item, StoreUpdate update) {
-        if (update instanceof StoreUpdate.Configuration next) {
+        if (update instanceof StoreUpdate.Configuration published) {
             mirror.put(item, true);
-            sink.onConfiguration(next.configuration());
+            fleetListener.onConfiguration(published.configuration());
         } else if (update instanceof StoreUpdate.Evacuation evacuation) {
             mirror.put(item, true);
             evacuate(evacuation);
         } else if (update instanceof StoreUpdate.Registered registered) {
             register(item, registered.registration());
-        } else if (update instanceof StoreUpdate.Unregistered gone) {
-            registrations.remove(gone.upstream());
+        } else if (update instanceof StoreUpdate.Unregistered unregistered) {
+            registrations.remove(unregistered.upstream());
             mirror.put(item, true);
-            remove(gone.upstream());
+            removeAfterGracePeriod(unregistered.upstream());
         }
     }
 
     private void evacuate(StoreUpdate.Evacuation evacuation) {
-        boolean changed =
+        boolean hasChanged =
                 evacuation.isEvacuated() ? evacuated.add(evacuation.zone()) : evacuated.remove(evacuation.zone());
-        if (changed) {
-            sink.onEvacuation(Set.copyOf(evacuated));
+        if (hasChanged) {
+            fleetListener.onEvacuation(Set.copyOf(evacuated));
         }
     }
 
     private void register(StoreItem item, Registration registration) {
-        Registration old = registrations.put(registration.id(), registration);
-        mirror.put(item, old == null || !registration.equalsIgnoringWarmUp(old));
-        lapsed.remove(registration.id());
-        sink.onRegistration(registration);
+        Registration previous = registrations.put(registration.id(), registration);
+        mirror.put(item, previous == null || !registration.equalsIgnoringWarmUp(previous));
+        pendingRemovals.remove(registration.id());
+        fleetListener.onRegistration(registration);
     }
 
-    /** Removes a server, but after an outage only when it has not registered again within the agreed time. */
-    private void remove(UpstreamId id) {
-        long now = clock.nowNanos();
-        if (lapseUntilNanos - now <= 0) {
-            sink.onRemoval(id);
+    /** Removes an upstream, after an outage only when the grace period ends without a new registration. */
+    private void removeAfterGracePeriod(UpstreamId id) {
+        long nowNanos = clock.nowNanos();
+        if (graceUntilNanos - nowNanos <= 0) {
+            fleetListener.onRemoval(id);
             return;
         }
-        lapsed.add(id);
+        pendingRemovals.add(id);
         worker.schedule(
                 () -> {
-                    if (lapsed.remove(id)) {
-                        sink.onRemoval(id);
+                    if (pendingRemovals.remove(id)) {
+                        fleetListener.onRemoval(id);
                     }
                 },
-                lapseUntilNanos - now,
+                graceUntilNanos - nowNanos,
                 TimeUnit.NANOSECONDS);
     }
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreItem.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreItem.java
@@ -3,9 +3,9 @@
 /**
  * One item of the store, or its removal.
  *
- * @param key its key
- * @param value its bytes; empty when it was removed
- * @param revision the store's revision of its last change
- * @param isRemoved whether it was removed
+ * @param key key of the item
+ * @param value value of the item; empty when it was removed
+ * @param revision revision of the store at the last change of the item
+ * @param isRemoved whether the item was removed
  */
 public record StoreItem(String key, byte[] value, long revision, boolean isRemoved) {}
--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -7,11 +7,11 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Newest state of each item that was read, removals included, in the order of the store's revisions. */
+/** Local replica of the store: the newest state of each item that was read, including removed items. */
 public final class StoreMirror {
     private static final Comparator<StoreItem> BY_REVISION =
             (one, other) -> Long.compare(one.revision(), other.revision());
-    /** Removals kept for readers that lag; more than a fleet changes within the life of a watch. */
+    /** Maximum number of removals retained for lagging readers; exceeds the changes of a fleet during one watch. */
     private static final int MAX_REMOVALS = 1_000;
 
     private final RankedLock lock = new RankedLock(LockRank.VIEW);
@@ -19,31 +19,31 @@
     private long revision;
     private long oldestRevision;
 
-    /** Takes an item; one that changed nothing of importance keeps its old revision. */
-    void put(StoreItem item, boolean changed) {
+    /** Stores an item. Its revision is kept when nothing relevant has changed, so that readers do not get it again. */
+    void put(StoreItem item, boolean hasChanged) {
         lock.run(() -> {
-            StoreItem old = items.get(item.key());
-            long since = changed || old == null ? item.revision() : old.revision();
-            items.put(item.key(), new StoreItem(item.key(), item.value(), since, item.isRemoved()));
+            StoreItem previous = items.get(item.key());
+            long itemRevision = hasChanged || previous == null ? item.revision() : previous.revision();
+            items.put(item.key(), new StoreItem(item.key(), item.value(), itemRevision, item.isRemoved()));
         });
     }
 
-    /** Forgets everything before a whole reading. */
-    void clear(long begin) {
+    /** Discards all items before the items of a full list are stored. */
+    void clear(long firstRevision) {
         lock.run(() -> {
             items.clear();
-            oldestRevision = begin;
+            oldestRevision = firstRevision;
         });
     }
 
-    void advance(long to) {
+    void advance(long newRevision) {
         lock.run(() -> {
-            revision = Math.max(revision, to);
-            dropRemovals();
+            revision = Math.max(revision, newRevision);
+            trimRemovals();
         });
     }
 
-    private void dropRemovals() {
+    private void trimRemovals() {
         List<StoreItem> removals = items.values().stream()
                 .filter(StoreItem::isRemoved)
                 .sorted(BY_REVISION)
@@ -55,7 +55,7 @@
     }
 
     /**
-     * Returns the newest revision read.
+     * Returns the newest revision that was read.
      *
      * @return the revision
      */
@@ -64,10 +64,10 @@
     }
 
     /**
-     * Tells whether changes after a revision can be told one by one.
+     * Returns whether the history of changes after a revision is still complete.
      *
      * @param after the revision
-     * @return false when they are no longer known
+     * @return false when a reader has to list all items again
      */
     public boolean hasHistoryAfter(long after) {
         return lock.compute(() -> after >= oldestRevision);
@@ -77,7 +77,7 @@
      * Lists the changes after a revision.
      *
      * @param after the revision
-     * @return items and removals in the order of their revisions
+     * @return changed and removed items in the order of their revisions
      */
     public StorePage changesAfter(long after) {
         return lock.compute(() -> new StorePage(
@@ -92,7 +92,7 @@
     /**
      * Lists all items.
      *
-     * @return items, removals left out
+     * @return the items, without removed ones
      */
     public StorePage snapshot() {
         return lock.compute(() -> new StorePage(
--- a/feed/src/main/java/org/turmericspan/feed/StorePage.java
+++ b/feed/src/main/java/org/turmericspan/feed/StorePage.java
@@ -3,10 +3,10 @@
 import java.util.List;
 
 /**
- * One answer of the store.
+ * One page of items or events of the store.
  *
- * @param items items or events, in their order
- * @param revision the store's revision
+ * @param items items ordered by key, or events ordered by revision
+ * @param revision revision of the store at the time of the read
  * @param isTruncated whether more items follow after the last key
  */
 public record StorePage(List<StoreItem> items, long revision, boolean isTruncated) {}
--- a/feed/src/main/java/org/turmericspan/feed/StoreReadResult.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReadResult.java
@@ -1,24 +1,24 @@
 package org.turmericspan.feed;
 
-/** How a read of the store ended. */
+/** Result of a read from the store or from a node that reads it. */
 public sealed interface StoreReadResult {
     /**
-     * The store answered.
+     * The read succeeded.
      *
-     * @param page what it said
+     * @param page the items or events
      */
     record Page(StorePage page) implements StoreReadResult {}
 
-    /** The store no longer remembers the changes that were asked for, so everything has to be read anew. */
+    /** The changes after the requested revision were compacted, so that all items must be listed again. */
     record RevisionCompacted() implements StoreReadResult {}
 
     /**
-     * The store turned the read away.
+     * The source responded with an error.
      *
-     * @param status status of its answer
+     * @param status HTTP status of the response
      */
     record HttpError(int status) implements StoreReadResult {
-        // Written out because generated methods are linked at run time, which slows starts without the store down.
+        // Explicit, since the generated toString() is linked at run time, which slows down a start without the store.
         @Override
         public String toString() {
             return "status " + status;
@@ -26,9 +26,9 @@
     }
 
     /**
-     * No readable answer came.
+     * No valid response was received.
      *
-     * @param reason what went wrong
+     * @param reason description of the failure
      */
     record Failed(String reason) implements StoreReadResult {
         @Override
--- a/feed/src/main/java/org/turmericspan/feed/StoreReader.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReader.java
@@ -3,24 +3,24 @@
 import java.util.function.Consumer;
 import org.turmericspan.ids.SocketAddress;
 
-/** Reads a store, or a node that passes on what it read there. Each read ends in time, also when nobody answers. */
+/** Reads from the store or from a node that relays it. Each read ends after a bounded time, even without a response. */
 public interface StoreReader {
     /**
      * Reads items in the order of their keys.
      *
-     * @param source where to read
-     * @param after key after which to begin; empty for the first page
-     * @param listener takes the answer, on the feed's worker
+     * @param source address of the store or of the relay
+     * @param after key after which the page starts; empty for the first page
+     * @param listener called with the result, on the worker of the feed
      */
     void range(SocketAddress source, String after, Consumer<StoreReadResult> listener);
 
     /**
      * Waits for changes.
      *
-     * @param source where to read
-     * @param afterRevision revision after which changes are wanted
+     * @param source address of the store or of the relay
+     * @param afterRevision revision after which changes are requested
      * @param waitMillis longest wait for the first change
-     * @param listener takes the answer, on the feed's worker
+     * @param listener called with the result, on the worker of the feed
      */
     void watch(SocketAddress source, long afterRevision, long waitMillis, Consumer<StoreReadResult> listener);
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreSourceSelector.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreSourceSelector.java
@@ -2,19 +2,19 @@
 
 import org.turmericspan.ids.SocketAddress;
 
-/** Chooses from where the feed reads next: the store, or a node that reads it. */
+/** Selects the source of the next read of the feed: the store, or a node that relays it. */
 public interface StoreSourceSelector {
     /**
-     * Chooses a source.
+     * Selects a source.
      *
-     * @return address of the store or of a node's relay
+     * @return address of the store or of a relay
      */
     SocketAddress select();
 
     /**
-     * Learns that a source gave no answer.
+     * Reports that a read from a source failed.
      *
-     * @param source address that was read
+     * @param source address of the source
      */
     void reportFailure(SocketAddress source);
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreUpdate.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreUpdate.java
@@ -5,7 +5,7 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.UpstreamId;
 
-/** What an item of the store says. */
+/** Update decoded from an item of the store. */
 public sealed interface StoreUpdate {
     /**
      * Operators published a configuration.
@@ -15,17 +15,17 @@
     record Configuration(RoutingConfiguration configuration) implements StoreUpdate {}
 
     /**
-     * Operators evacuated an availability zone, or took it back.
+     * Operators evacuated an availability zone, or ended its evacuation.
      *
      * @param zone the zone
-     * @param isEvacuated whether its upstreams are to get nothing
+     * @param isEvacuated whether its upstreams must not get any requests
      */
     record Evacuation(AvailabilityZoneId zone, boolean isEvacuated) implements StoreUpdate {}
 
     /**
      * An upstream is registered.
      *
-     * @param registration what it says of itself
+     * @param registration the registration, as reported by the upstream
      */
     record Registered(Registration registration) implements StoreUpdate {}
 
@@ -36,6 +36,6 @@
      */
     record Unregistered(UpstreamId upstream) implements StoreUpdate {}
 
-    /** The item is of no concern here. */
+    /** The item is not relevant to the load balancer. */
     record Ignored() implements StoreUpdate {}
 }
--- a/feed/src/main/java/org/turmericspan/feed/package-info.java
+++ b/feed/src/main/java/org/turmericspan/feed/package-info.java
@@ -1,2 +1,2 @@
-/** Follows a store that can only be read: whole readings, watches, outages, and what other nodes may read from here. */
+/** Follows a read-only store: full lists, watches, outages, and the local replica from which other nodes may read. */
 package org.turmericspan.feed;
