--- a/routing/src/main/java/org/turmericspan/routing/BaselineSlotSource.java
+++ b/routing/src/main/java/org/turmericspan/routing/BaselineSlotSource.java
@@ -24,7 +24,10 @@
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.membership.Vm;
 
-/** Grants any upstream in service at once, by what this node alone knows: last reports and its own requests. */
+/**
+ * Grants any upstream in service at once, based only on this node's own state: the loads last reported to it and its
+ * own requests in flight.
+ */
 public final class BaselineSlotSource implements SlotSource {
     private final Supplier<OwnershipMap> map;
     private final Incarnation incarnation;
@@ -36,9 +39,9 @@
     /**
      * Creates a source.
      *
-     * @param map what is in service
-     * @param incarnation this life of the process, which marks the leases
-     * @param clock ends leases at their deadline
+     * @param map supplies the current ownership map
+     * @param incarnation incarnation of this process, part of each lease identifier
+     * @param clock expires leases at their deadline
      * @param choice chooses among the upstreams
      */
     public BaselineSlotSource(
--- a/routing/src/main/java/org/turmericspan/routing/Borrower.java
+++ b/routing/src/main/java/org/turmericspan/routing/Borrower.java
@@ -19,81 +19,81 @@
 import org.turmericspan.messages.PeerMessage;
 
 /**
- * Borrows slots from other keepers for wishes that wait here. A wish that is met withdraws its other requests; a slot
- * that comes too late serves another wish or goes back.
+ * Borrows slots from other owners for the requests of this node. Once a request is granted, its other
+ * borrow requests are cancelled; a slot that arrives too late serves another queued request or is returned.
  */
 final class Borrower {
-    private static final Duration ANSWER_MARGIN = Duration.ofSeconds(1);
-    private static final Duration RETRY = Duration.ofMillis(20);
-    private static final int MAX_REQUESTS = 64;
+    private static final Duration REPLY_TIMEOUT_MARGIN = Duration.ofSeconds(1);
+    private static final Duration RETRY_INTERVAL = Duration.ofMillis(20);
+    private static final int MAX_REQUESTS_IN_FLIGHT = 64;
 
     private final SlotTable table;
     private final SlotNetwork network;
-    private final LenderSelector board;
+    private final LenderSelector lenderSelector;
     private final MonotonicClock clock;
-    private final WishBook wishes;
+    private final PendingReplies pendingReplies;
     private final HeldLeases held;
-    private final Map<WishKey, Search> searches = new ConcurrentHashMap<>();
+    private final Map<SlotRequestId, BorrowAttempt> attempts = new ConcurrentHashMap<>();
     private final Map<LeaseId, UpstreamId> borrowed = new ConcurrentHashMap<>();
-    private final AtomicInteger requests = new AtomicInteger();
+    private final AtomicInteger requestsInFlight = new AtomicInteger();
     private final Meter borrowedMeter;
     private final Meter reusedMeter;
 
     Borrower(
             SlotTable table,
             SlotNetwork network,
-            LenderSelector board,
+            LenderSelector lenderSelector,
             MonotonicClock clock,
-            WishBook wishes,
+            PendingReplies pendingReplies,
             HeldLeases held,
             MetricRegistry metrics) {
         this.table = table;
         this.network = network;
-        this.board = board;
+        this.lenderSelector = lenderSelector;
         this.clock = clock;
-        this.wishes = wishes;
+        this.pendingReplies = pendingReplies;
         this.held = held;
         this.borrowedMeter = metrics.meter("slots.borrowed");
         this.reusedMeter = metrics.meter("slots.reused");
     }
 
-    /** Asks keepers on behalf of a wish that waits here. */
-    void borrow(WishKey key, SlotRequest request) {
-        Search search = new Search(key, request);
-        searches.put(key, search);
-        ask(search, board.lenders(request.service(), false));
+    /** Sends borrow requests for a request that is queued on this node. */
+    void borrow(SlotRequestId requestId, SlotRequest request) {
+        BorrowAttempt attempt = new BorrowAttempt(requestId, request);
+        attempts.put(requestId, attempt);
+        sendRequests(attempt, lenderSelector.lenders(request.service(), false));
     }
 
-    /** Asks keepers that reported idle slots on behalf of a wish that does not wait. */
-    void borrowIdle(WishKey key, SlotRequest request) {
-        Search search = new Search(key, request);
-        searches.put(key, search);
-        ask(search, board.lenders(request.service(), true));
-        denyWhenOver(search);
+    /** Sends borrow requests, only to owners that reported idle slots, for a request that is not queued. */
+    void borrowIdle(SlotRequestId requestId, SlotRequest request) {
+        BorrowAttempt attempt = new BorrowAttempt(requestId, request);
+        attempts.put(requestId, attempt);
+        sendRequests(attempt, lenderSelector.lenders(request.service(), true));
+        denyIfExhausted(attempt);
     }
 
-    /** Ends the search of a wish that was answered. */
-    void met(WishKey key) {
-        Search search = searches.remove(key);
-        if (search != null) {
-            search.asked.forEach(
-                    keeper -> network.links().tell(keeper, new PeerMessage.CancelSlotRequest(key.number())));
+    /** Ends the borrow attempt of a request that was granted or denied and cancels its borrow requests. */
+    void cancelRequests(SlotRequestId requestId) {
+        BorrowAttempt attempt = attempts.remove(requestId);
+        if (attempt != null) {
+            attempt.pendingLenders.forEach(
+                    lender -> network.links().tell(lender, new PeerMessage.CancelSlotRequest(requestId.number())));
         }
     }
 
     /**
-     * Asks again for wishes whose keepers have all said no, and ends searches whose wish was met on another thread
+     * Retries requests that every lender has denied, and ends attempts whose request was granted on another thread
      * before they began.
      */
     void tick() {
         long nowNanos = clock.nowNanos();
-        for (Search search : searches.values()) {
-            if (!wishes.waits(search.key)) {
-                met(search.key);
-            } else if (search.asked.isEmpty()
-                    && !search.request.idleOnly()
-                    && nowNanos - search.askedNanos >= RETRY.toNanos()) {
-                ask(search, board.lenders(search.request.service(), false));
+        for (BorrowAttempt attempt : attempts.values()) {
+            if (!pendingReplies.contains(attempt.requestId)) {
+                cancelRequests(attempt.requestId);
+            } else if (attempt.pendingLenders.isEmpty()
+                    && !attempt.request.idleOnly()
+                    && nowNanos - attempt.lastSentNanos >= RETRY_INTERVAL.toNanos()) {
+                sendRequests(attempt, lenderSelector.lenders(attempt.request.service(), false));
             }
         }
     }
@@ -102,94 +102,97 @@
         return borrowed.size();
     }
 
-    /** Lists those of the upstreams on which this node holds a borrowed lease. */
-    List<UpstreamId> holdsOf(List<UpstreamId> upstreams) {
-        Set<UpstreamId> now = Set.copyOf(borrowed.values());
-        return upstreams.stream().filter(now::contains).toList();
+    /** Returns those of the upstreams on which this node holds a borrowed lease. */
+    List<UpstreamId> filterHeld(List<UpstreamId> upstreams) {
+        Set<UpstreamId> borrowedUpstreams = Set.copyOf(borrowed.values());
+        return upstreams.stream().filter(borrowedUpstreams::contains).toList();
     }
 
-    private void ask(Search search, List<VmId> keepers) {
+    private void sendRequests(BorrowAttempt attempt, List<VmId> lenders) {
         long nowNanos = clock.nowNanos();
-        search.askedNanos = nowNanos;
-        if (requests.get() >= MAX_REQUESTS) {
+        attempt.lastSentNanos = nowNanos;
+        if (requestsInFlight.get() >= MAX_REQUESTS_IN_FLIGHT) {
             return;
         }
-        search.leaseDeadlineNanos = latestDeadlineNanos(search.request);
-        long remainingNanos = search.leaseDeadlineNanos - nowNanos;
+        attempt.leaseDeadlineNanos = latestDeadlineNanos(attempt.request);
+        long remainingNanos = attempt.leaseDeadlineNanos - nowNanos;
         if (remainingNanos <= 0) {
             return;
         }
-        PeerMessage message =
-                new PeerMessage.BorrowSlot(search.request.withDeadlineNanos(remainingNanos), search.key.number());
-        search.asked.addAll(keepers);
-        for (VmId keeper : keepers) {
-            requests.incrementAndGet();
+        PeerMessage message = new PeerMessage.BorrowSlot(
+                attempt.request.withDeadlineNanos(remainingNanos), attempt.requestId.number());
+        attempt.pendingLenders.addAll(lenders);
+        for (VmId lender : lenders) {
+            requestsInFlight.incrementAndGet();
             network.links()
-                    .ask(keeper, message, ANSWER_MARGIN.plusNanos(remainingNanos))
-                    .thenAccept(answer -> answered(search, keeper, answer));
+                    .ask(lender, message, REPLY_TIMEOUT_MARGIN.plusNanos(remainingNanos))
+                    .thenAccept(reply -> handleReply(attempt, lender, reply));
         }
     }
 
-    /** Finds the latest deadline among the wishes that the slot may serve. */
+    /** Returns the latest deadline among the requests that the slot may serve. */
     private long latestDeadlineNanos(SlotRequest request) {
         long latestNanos = request.deadlineNanos();
         if (request.idleOnly()) {
             return latestNanos;
         }
-        for (Search search : searches.values()) {
-            if (search.request.service().equals(request.service())) {
-                latestNanos = Math.max(latestNanos, search.request.deadlineNanos());
+        for (BorrowAttempt attempt : attempts.values()) {
+            if (attempt.request.service().equals(request.service())) {
+                latestNanos = Math.max(latestNanos, attempt.request.deadlineNanos());
             }
         }
         return latestNanos;
     }
 
-    private void answered(Search search, VmId keeper, PeerMessage answer) {
-        requests.decrementAndGet();
-        search.asked.remove(keeper);
-        if (answer instanceof PeerMessage.SlotLent lent) {
+    private void handleReply(BorrowAttempt attempt, VmId lender, PeerMessage reply) {
+        requestsInFlight.decrementAndGet();
+        attempt.pendingLenders.remove(lender);
+        if (reply instanceof PeerMessage.SlotLent lent) {
             borrowedMeter.mark();
-            take(search, keeper, lent);
+            useLentSlot(attempt, lender, lent);
         }
-        denyWhenOver(search);
+        denyIfExhausted(attempt);
     }
 
-    private void denyWhenOver(Search search) {
-        if (search.request.idleOnly() && search.asked.isEmpty()) {
-            wishes.take(search.key).ifPresent(reply -> reply.denied(ResultCode.NO_CAPACITY));
+    private void denyIfExhausted(BorrowAttempt attempt) {
+        if (attempt.request.idleOnly() && attempt.pendingLenders.isEmpty()) {
+            pendingReplies.take(attempt.requestId).ifPresent(reply -> reply.denied(ResultCode.NO_CAPACITY));
         }
     }
 
-    /** Uses a lent slot. It ends no later than the deadline told with the wish, by the clock of this node. */
-    private void take(Search search, VmId keeper, PeerMessage.SlotLent lent) {
+    /**
+     * Uses a lent slot. By this node's clock, the lease ends no later than the deadline of the request that it
+     * was borrowed for.
+     */
+    private void useLentSlot(BorrowAttempt attempt, VmId lender, PeerMessage.SlotLent lent) {
         long nowNanos = clock.nowNanos();
         long deadlineNanos = Math.min(
-                search.request.deadlineNanos(), nowNanos + lent.remaining().toNanos());
+                attempt.request.deadlineNanos(), nowNanos + lent.remaining().toNanos());
         GrantedSlot slot = new GrantedSlot(lent.lease(), lent.upstream(), lent.address(), deadlineNanos);
-        Loan loan = new Loan(keeper, search.request.service(), slot, nowNanos + LeaseReuse.WINDOW.toNanos());
+        Loan loan = new Loan(lender, attempt.request.service(), slot, nowNanos + LeaseReuse.WINDOW.toNanos());
         borrowed.put(lent.lease(), lent.upstream());
-        if (search.request.idleOnly()) {
-            var reply = wishes.take(search.key);
+        if (attempt.request.idleOnly()) {
+            var reply = pendingReplies.take(attempt.requestId);
             if (reply.isPresent()) {
-                met(search.key);
+                cancelRequests(attempt.requestId);
                 reply.get().granted(hold(loan));
             } else {
-                giveBack(loan, SlotReturn.unused());
+                returnSlot(loan, SlotReturn.unused());
             }
             return;
         }
-        if (!serve(loan, search.key)) {
-            giveBack(loan, SlotReturn.unused());
+        if (!assign(loan, attempt.requestId)) {
+            returnSlot(loan, SlotReturn.unused());
         }
     }
 
-    private boolean serve(Loan loan, WishKey preferred) {
-        List<SlotAction> matches = table.apply(
-                new SlotEvent.Offered(loan.service(), preferred, loan.slot().deadlineNanos()));
+    private boolean assign(Loan loan, SlotRequestId preferredId) {
+        List<SlotAction> matches = table.apply(new SlotEvent.BorrowedSlotAvailable(
+                loan.service(), preferredId, loan.slot().deadlineNanos()));
         for (SlotAction action : matches) {
-            if (action instanceof SlotAction.Match match) {
-                var reply = wishes.take(match.key());
-                met(match.key());
+            if (action instanceof SlotAction.AssignBorrowedSlot assignment) {
+                var reply = pendingReplies.take(assignment.requestId());
+                cancelRequests(assignment.requestId());
                 if (reply.isPresent()) {
                     reply.get().granted(hold(loan));
                     return true;
@@ -213,30 +216,30 @@
                 && !slotReturn.signals().cold()
                 && nowNanos < loan.reuseUntilNanos()
                 && nowNanos < loan.slot().deadlineNanos();
-        if (mayServeMore && serve(loan, new WishKey(network.self(), 0))) {
+        if (mayServeMore && assign(loan, new SlotRequestId(network.self(), 0))) {
             reusedMeter.mark();
             return;
         }
-        giveBack(loan, slotReturn);
+        returnSlot(loan, slotReturn);
     }
 
-    private void giveBack(Loan loan, SlotReturn slotReturn) {
+    private void returnSlot(Loan loan, SlotReturn slotReturn) {
         borrowed.remove(loan.slot().lease());
         network.links()
-                .tell(loan.keeper(), new PeerMessage.ReturnSlot(loan.slot().lease(), slotReturn));
+                .tell(loan.lender(), new PeerMessage.ReturnSlot(loan.slot().lease(), slotReturn));
     }
 
-    private record Loan(VmId keeper, ServiceId service, GrantedSlot slot, long reuseUntilNanos) {}
+    private record Loan(VmId lender, ServiceId service, GrantedSlot slot, long reuseUntilNanos) {}
 
-    private static final class Search {
-        private final WishKey key;
+    private static final class BorrowAttempt {
+        private final SlotRequestId requestId;
         private final SlotRequest request;
-        private final Set<VmId> asked = ConcurrentHashMap.newKeySet();
-        private volatile long askedNanos;
+        private final Set<VmId> pendingLenders = ConcurrentHashMap.newKeySet();
+        private volatile long lastSentNanos;
         private volatile long leaseDeadlineNanos;
 
-        Search(WishKey key, SlotRequest request) {
-            this.key = key;
+        BorrowAttempt(SlotRequestId requestId, SlotRequest request) {
+            this.requestId = requestId;
             this.request = request;
         }
     }
--- a/routing/src/main/java/org/turmericspan/routing/ColdReason.java
+++ b/routing/src/main/java/org/turmericspan/routing/ColdReason.java
@@ -1,21 +1,21 @@
 package org.turmericspan.routing;
 
-/** Why an upstream was last set cold. */
+/** Why an upstream was last marked cold. */
 public enum ColdReason {
-    /** It is new to this keeper, and nobody handed it over. */
+    /** It is new to this owner, and no handover was received. */
     NEW,
-    /** It came back into service. */
+    /** It returned to service. */
     RETURNED,
-    /** It told a new incarnation. */
+    /** It reported a new incarnation. */
     NEW_INCARNATION,
     /** It refused a connection. */
     CONNECTION_REFUSED,
-    /** A connection broke under a request. */
+    /** A connection was lost with a request in flight. */
     CONNECTION_LOST,
-    /** It said that it is cold. */
+    /** It reported that it is cold. */
     REPORTED_COLD,
-    /** It became many times slower. */
+    /** Its latency rose many times over the mean. */
     LATENCY_JUMP,
-    /** The keeper before said that it was cold. */
+    /** The previous owner handed it over as cold. */
     HANDED_OVER_COLD
 }
--- a/routing/src/main/java/org/turmericspan/routing/DepthRule.java
+++ b/routing/src/main/java/org/turmericspan/routing/ConcurrencyLimitRule.java
@@ -4,9 +4,12 @@
 
 /** Decides how many requests an upstream may hold at a time. */
 @FunctionalInterface
-public interface DepthRule {
-    /** A cold upstream holds what it bears, a ramping one its allowance, a warm one its slots and the extra depth. */
-    DepthRule BY_PHASE = (phase, allowance, service) -> switch (phase) {
+public interface ConcurrencyLimitRule {
+    /**
+     * Allows a cold upstream its configured cold requests, a ramping one its allowance, and a warm one its slots and
+     * the extra depth.
+     */
+    ConcurrencyLimitRule BY_PHASE = (phase, allowance, service) -> switch (phase) {
         case COLD -> service.coldRequests();
         case RAMPING -> allowance;
         case WARM -> service.slotsPerUpstream() + service.extraDepth();
@@ -14,11 +17,11 @@
     };
 
     /** Treats every upstream that may be granted as warm. */
-    DepthRule ALWAYS_WARM =
+    ConcurrencyLimitRule ALWAYS_WARM =
             (phase, allowance, service) -> phase.isGranting() ? service.slotsPerUpstream() + service.extraDepth() : 0;
 
     /**
-     * Decides.
+     * Returns the concurrency limit of an upstream.
      *
      * @param phase state of the upstream
      * @param allowance slots it has gained so far
--- a/routing/src/main/java/org/turmericspan/routing/GrantedSlot.java
+++ b/routing/src/main/java/org/turmericspan/routing/GrantedSlot.java
@@ -5,7 +5,7 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * A slot that a keeper granted.
+ * A slot that an owner granted.
  *
  * @param lease identifier of the lease
  * @param upstream upstream it belongs to
--- a/routing/src/main/java/org/turmericspan/routing/Handovers.java
+++ b/routing/src/main/java/org/turmericspan/routing/Handovers.java
@@ -10,32 +10,37 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
 
-/** Handovers that came before the view that explains them, and leases that run on after one was given. */
+/**
+ * Handovers received before the view that makes this node the owner, and leases that are still running after this node
+ * has handed over their upstream.
+ */
 final class Handovers {
-    private static final Duration KEPT = Duration.ofSeconds(30);
+    private static final Duration RETENTION = Duration.ofSeconds(30);
 
     private final VmId self;
-    private final Map<UpstreamId, Received> received = new HashMap<>();
-    private final Map<LeaseId, Given> given = new HashMap<>();
+    private final Map<UpstreamId, PendingHandover> pending = new HashMap<>();
+    private final Map<LeaseId, TransferredLease> transferred = new HashMap<>();
 
     Handovers(VmId self) {
         this.self = self;
     }
 
-    void received(PeerMessage.Handover handover, long nowNanos) {
-        received.put(handover.upstream(), new Received(handover, nowNanos));
+    void addPending(PeerMessage.Handover handover, long nowNanos) {
+        pending.put(handover.upstream(), new PendingHandover(handover, nowNanos));
     }
 
-    Optional<Received> take(UpstreamId upstream, long nowNanos) {
-        return Optional.ofNullable(received.remove(upstream)).filter(one -> nowNanos - one.atNanos() < KEPT.toNanos());
+    Optional<PendingHandover> takePending(UpstreamId upstream, long nowNanos) {
+        return Optional.ofNullable(pending.remove(upstream))
+                .filter(entry -> nowNanos - entry.receivedNanos() < RETENTION.toNanos());
     }
 
-    PeerMessage.Handover give(UpstreamSlots slots, List<Lease> running, VmId next, long nowNanos) {
+    PeerMessage.Handover handOver(UpstreamSlots slots, List<Lease> running, VmId newOwner, long nowNanos) {
         UpstreamId upstream = slots.upstream().id();
-        running.forEach(lease -> given.put(lease.id(), new Given(upstream, next, lease.deadlineNanos())));
+        running.forEach(
+                lease -> transferred.put(lease.id(), new TransferredLease(upstream, newOwner, lease.deadlineNanos())));
         return new PeerMessage.Handover(
                 upstream,
-                slots.isPlain(),
+                slots.isWarmOrRamping(),
                 slots.allowance(),
                 slots.incarnation(),
                 running.stream()
@@ -46,37 +51,39 @@
                         .toList());
     }
 
-    /** Returns the keeper to which the end of a lease is passed on, once. */
-    Optional<VmId> forward(LeaseId lease) {
-        return Optional.ofNullable(given.remove(lease)).map(Given::next).filter(next -> !next.equals(self));
+    /** Removes a transferred lease and returns the new owner, to which its return is forwarded. */
+    Optional<VmId> takeNewOwner(LeaseId lease) {
+        return Optional.ofNullable(transferred.remove(lease))
+                .map(TransferredLease::newOwner)
+                .filter(newOwner -> !newOwner.equals(self));
     }
 
-    boolean mayRun(UpstreamId upstream, long nowNanos) {
-        return given.values().stream()
-                .anyMatch(one -> one.upstream().equals(upstream) && nowNanos < one.deadlineNanos());
+    boolean mayHaveRunningRequests(UpstreamId upstream, long nowNanos) {
+        return transferred.values().stream()
+                .anyMatch(entry -> entry.upstream().equals(upstream) && nowNanos < entry.deadlineNanos());
     }
 
     void expire(long nowNanos) {
-        given.values().removeIf(one -> nowNanos >= one.deadlineNanos());
-        received.values().removeIf(one -> nowNanos - one.atNanos() >= KEPT.toNanos());
+        transferred.values().removeIf(entry -> nowNanos >= entry.deadlineNanos());
+        pending.values().removeIf(entry -> nowNanos - entry.receivedNanos() >= RETENTION.toNanos());
     }
 
-    /** A handover and when it came. */
-    record Received(PeerMessage.Handover handover, long atNanos) {
-        List<Lease> leases(long nowNanos, long life) {
+    /** A received handover and its time of arrival. */
+    record PendingHandover(PeerMessage.Handover handover, long receivedNanos) {
+        List<Lease> leases(long nowNanos, long generation) {
             return handover.leases().stream()
                     .map(lease -> new Lease(
                             lease.lease(),
                             handover.upstream(),
                             lease.holder(),
                             nowNanos,
-                            atNanos + lease.remaining().toNanos(),
-                            life))
+                            receivedNanos + lease.remaining().toNanos(),
+                            generation))
                     .toList();
         }
 
         PeerMessage.Handover remaining(long nowNanos) {
-            Duration passed = Duration.ofNanos(nowNanos - atNanos);
+            Duration elapsed = Duration.ofNanos(nowNanos - receivedNanos);
             return new PeerMessage.Handover(
                     handover.upstream(),
                     handover.warm(),
@@ -86,11 +93,11 @@
                             .map(lease -> new PeerMessage.RunningLease(
                                     lease.lease(),
                                     lease.holder(),
-                                    lease.remaining().minus(passed)))
+                                    lease.remaining().minus(elapsed)))
                             .filter(lease -> !lease.remaining().isNegative())
                             .toList());
         }
     }
 
-    private record Given(UpstreamId upstream, VmId next, long deadlineNanos) {}
+    private record TransferredLease(UpstreamId upstream, VmId newOwner, long deadlineNanos) {}
 }
--- a/routing/src/main/java/org/turmericspan/routing/HeldLease.java
+++ b/routing/src/main/java/org/turmericspan/routing/HeldLease.java
@@ -14,15 +14,15 @@
 final class HeldLease implements SlotLease {
     private final GrantedSlot slot;
     private final MonotonicClock clock;
-    private final BooleanSupplier awake;
+    private final BooleanSupplier tickingOnTime;
     private final Consumer<SlotReturn> onRelease;
     private final AtomicBoolean released = new AtomicBoolean();
     private volatile boolean recalled;
 
-    HeldLease(GrantedSlot slot, MonotonicClock clock, BooleanSupplier awake, Consumer<SlotReturn> onRelease) {
+    HeldLease(GrantedSlot slot, MonotonicClock clock, BooleanSupplier tickingOnTime, Consumer<SlotReturn> onRelease) {
         this.slot = slot;
         this.clock = clock;
-        this.awake = awake;
+        this.tickingOnTime = tickingOnTime;
         this.onRelease = onRelease;
     }
 
@@ -51,7 +51,7 @@
 
     @Override
     public boolean isValid() {
-        return !recalled && !released.get() && clock.nowNanos() < slot.deadlineNanos() && awake.getAsBoolean();
+        return !recalled && !released.get() && clock.nowNanos() < slot.deadlineNanos() && tickingOnTime.getAsBoolean();
     }
 
     @Override
--- a/routing/src/main/java/org/turmericspan/routing/HeldLeases.java
+++ b/routing/src/main/java/org/turmericspan/routing/HeldLeases.java
@@ -8,21 +8,21 @@
 import org.turmericspan.ids.LeaseId;
 import org.turmericspan.ids.MonotonicClock;
 
-/** The leases that this node holds now, and whether the process was awake enough to use them. */
+/** Leases that this node holds. They are invalid while ticks are overdue, since the process may have been paused. */
 final class HeldLeases {
     private final Map<LeaseId, HeldLease> held = new ConcurrentHashMap<>();
     private final MonotonicClock clock;
-    private final long pauseBoundNanos;
+    private final long maxTickGapNanos;
     private volatile long lastTickNanos;
 
-    HeldLeases(MonotonicClock clock, long pauseBoundNanos) {
+    HeldLeases(MonotonicClock clock, long maxTickGapNanos) {
         this.clock = clock;
-        this.pauseBoundNanos = pauseBoundNanos;
+        this.maxTickGapNanos = maxTickGapNanos;
         this.lastTickNanos = clock.nowNanos();
     }
 
     HeldLease hold(GrantedSlot slot, Consumer<SlotReturn> onRelease) {
-        HeldLease lease = new HeldLease(slot, clock, this::isAwake, slotReturn -> {
+        HeldLease lease = new HeldLease(slot, clock, this::isTickingOnTime, slotReturn -> {
             held.remove(slot.lease());
             onRelease.accept(slotReturn);
         });
@@ -37,14 +37,17 @@
         }
     }
 
-    /** Notes that a tick has come in time, or that all leases held before a late one have been recalled. */
-    void ticked() {
+    /** Records that a tick came in time, or that all leases held before a late tick have been recalled. */
+    void recordTick() {
         lastTickNanos = clock.nowNanos();
     }
 
-    /** Recalls every lease when the process has slept too long; the next tick then counts again. */
+    /**
+     * Recalls every lease if the process was paused for too long. Leases granted after the next recorded tick are valid
+     * again.
+     */
     void recallAfterPause() {
-        if (!isAwake()) {
+        if (!isTickingOnTime()) {
             held.values().forEach(HeldLease::recall);
         }
     }
@@ -53,7 +56,7 @@
         return held.values();
     }
 
-    private boolean isAwake() {
-        return clock.nowNanos() - lastTickNanos <= pauseBoundNanos;
+    private boolean isTickingOnTime() {
+        return clock.nowNanos() - lastTickNanos <= maxTickGapNanos;
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/LatencyEstimate.java
+++ b/routing/src/main/java/org/turmericspan/routing/LatencyEstimate.java
@@ -11,7 +11,7 @@
     /**
      * Adds a service time.
      *
-     * @param elapsedNanos from the first byte sent to the whole answer
+     * @param elapsedNanos time from the first byte sent to the complete response
      */
     public void add(long elapsedNanos) {
         if (meanNanos == 0) {
@@ -24,7 +24,7 @@
         deviationNanos += (Math.abs(error) - deviationNanos) / DEVIATION_WEIGHT;
     }
 
-    /** Forgets all service times. */
+    /** Clears the estimate. */
     public void clear() {
         meanNanos = 0;
         deviationNanos = 0;
--- a/routing/src/main/java/org/turmericspan/routing/LeaseReuse.java
+++ b/routing/src/main/java/org/turmericspan/routing/LeaseReuse.java
@@ -2,9 +2,9 @@
 
 import java.time.Duration;
 
-/** How long a borrower may use one lent slot for wishes that wait at it. */
+/** How long a borrower may reuse a lent slot for other requests in its queue. */
 final class LeaseReuse {
-    /** Time from the lending after which the slot goes back at the next end of a request. */
+    /** Time after the slot was lent; a request that ends later than this returns the slot. */
     static final Duration WINDOW = Duration.ofMillis(50);
 
     private LeaseReuse() {}
--- a/routing/src/main/java/org/turmericspan/routing/LenderSelector.java
+++ b/routing/src/main/java/org/turmericspan/routing/LenderSelector.java
@@ -17,11 +17,11 @@
 import org.turmericspan.membership.Peers;
 import org.turmericspan.messages.PeerMessage;
 
-/** What the other nodes last reported of their idle slots, and whom to ask for one. */
+/** Selects the owners to borrow a slot from, by the idle slots that they last reported. */
 public final class LenderSelector {
-    private static final Duration FRESH = Duration.ofSeconds(3);
-    private static final int ASKED_WITH_IDLE = 2;
-    private static final int ASKED_WITHOUT_IDLE = 3;
+    private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(3);
+    private static final int MAX_IDLE_LENDERS = 2;
+    private static final int MAX_BUSY_LENDERS = 3;
 
     private final VmId self;
     private final Supplier<OwnershipMap> map;
@@ -30,13 +30,13 @@
     private final RandomGenerator random;
 
     /**
-     * Creates a board.
+     * Creates a selector.
      *
-     * @param self VM of this node, which is never asked
-     * @param map who keeps what
-     * @param peers what the other nodes said of themselves
-     * @param clock tells how old a report is
-     * @param random spreads the wishes over equal nodes
+     * @param self VM of this node, which is never selected
+     * @param map supplies the current ownership map
+     * @param peers latest reports of the other nodes
+     * @param clock measures the age of a report
+     * @param random spreads the requests over equal nodes
      */
     public LenderSelector(
             VmId self, Supplier<OwnershipMap> map, Peers peers, MonotonicClock clock, RandomGenerator random) {
@@ -48,65 +48,65 @@
     }
 
     /**
-     * Chooses keepers to ask: one or two that reported idle slots, or else up to three keepers of the service.
+     * Selects lenders: up to two owners that reported idle slots, or else up to three owners of the service.
      *
      * @param service the service
-     * @param onlyIdle whether to ask only those that reported idle slots
-     * @return the keepers, best first
+     * @param onlyIdle whether to select only owners that reported idle slots
+     * @return VMs of the owners, best first
      */
     public List<VmId> lenders(ServiceId service, boolean onlyIdle) {
-        Set<VmId> keepers = keepersOf(service);
-        List<Offer> offers = new ArrayList<>();
+        Set<VmId> owners = ownersOf(service);
+        List<Lender> lenders = new ArrayList<>();
         long nowNanos = clock.nowNanos();
-        for (VmId keeper : keepers) {
-            offers.add(offer(keeper, service, nowNanos));
+        for (VmId owner : owners) {
+            lenders.add(lender(owner, service, nowNanos));
         }
-        shuffle(offers);
-        offers.sort(Offer.BEST_FIRST);
-        boolean hasIdle = !offers.isEmpty() && offers.get(0).idle() > 0;
+        shuffle(lenders);
+        lenders.sort(Lender.BEST_FIRST);
+        boolean hasIdle = !lenders.isEmpty() && lenders.get(0).idle() > 0;
         if (onlyIdle || hasIdle) {
-            return offers.stream()
-                    .filter(offer -> offer.idle() > 0)
-                    .limit(ASKED_WITH_IDLE)
-                    .map(Offer::keeper)
+            return lenders.stream()
+                    .filter(lender -> lender.idle() > 0)
+                    .limit(MAX_IDLE_LENDERS)
+                    .map(Lender::vm)
                     .toList();
         }
-        return offers.stream().limit(ASKED_WITHOUT_IDLE).map(Offer::keeper).toList();
+        return lenders.stream().limit(MAX_BUSY_LENDERS).map(Lender::vm).toList();
     }
 
-    private Set<VmId> keepersOf(ServiceId service) {
+    private Set<VmId> ownersOf(ServiceId service) {
         OwnershipMap current = map.get();
-        Set<VmId> keepers = new TreeSet<>();
+        Set<VmId> owners = new TreeSet<>();
         current.upstreamsOf(service).forEach(upstream -> {
-            VmId keeper = current.owners().get(upstream.id());
-            if (keeper != null && !keeper.equals(self) && current.sharesRegion(self, keeper)) {
-                keepers.add(keeper);
+            VmId owner = current.owners().get(upstream.id());
+            if (owner != null && !owner.equals(self) && current.sharesRegion(self, owner)) {
+                owners.add(owner);
             }
         });
-        return keepers;
+        return owners;
     }
 
-    private void shuffle(List<Offer> offers) {
-        for (int i = offers.size() - 1; i > 0; i--) {
-            Collections.swap(offers, i, random.nextInt(i + 1));
+    private void shuffle(List<Lender> lenders) {
+        for (int i = lenders.size() - 1; i > 0; i--) {
+            Collections.swap(lenders, i, random.nextInt(i + 1));
         }
     }
 
-    private Offer offer(VmId keeper, ServiceId service, long nowNanos) {
+    private Lender lender(VmId owner, ServiceId service, long nowNanos) {
         Optional<PeerState> report =
-                peers.find(keeper).filter(state -> nowNanos - state.lastHeardNanos() <= FRESH.toNanos());
+                peers.find(owner).filter(state -> nowNanos - state.lastHeardNanos() <= MAX_REPORT_AGE.toNanos());
         if (report.isPresent()) {
             for (PeerMessage.IdleSlots slots : report.get().idleSlots()) {
                 if (slots.service().equals(service)) {
-                    return new Offer(keeper, slots.idle(), slots.waiting());
+                    return new Lender(owner, slots.idle(), slots.waiting());
                 }
             }
         }
-        return new Offer(keeper, 0, 0);
+        return new Lender(owner, 0, 0);
     }
 
-    private record Offer(VmId keeper, int idle, int waiting) {
-        static final Comparator<Offer> BEST_FIRST =
-                Comparator.comparingInt(Offer::idle).reversed().thenComparingInt(Offer::waiting);
+    private record Lender(VmId vm, int idle, int waiting) {
+        static final Comparator<Lender> BEST_FIRST =
+                Comparator.comparingInt(Lender::idle).reversed().thenComparingInt(Lender::waiting);
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/OverdueRule.java
+++ b/routing/src/main/java/org/turmericspan/routing/OverdueRule.java
@@ -2,23 +2,25 @@
 
 import java.util.concurrent.TimeUnit;
 
-/** Decides whether the oldest request on an upstream has run so long that the upstream is passed over. */
+/** Decides whether the oldest request on an upstream has run so long that the upstream is skipped. */
 @FunctionalInterface
 public interface OverdueRule {
-    /** Passes over an upstream several deviations after its mean service time. */
+    /**
+     * Skips an upstream whose oldest request exceeds several times the mean and the mean plus several deviations.
+     */
     OverdueRule BY_DEVIATION = (ageNanos, latency) -> latency.meanNanos() > 0
             && ageNanos
                     > Math.max(
-                            TimeUnit.MILLISECONDS.toNanos(Limits.SHORTEST_OVERDUE_MILLIS),
+                            TimeUnit.MILLISECONDS.toNanos(Limits.MIN_OVERDUE_MILLIS),
                             Math.max(
-                                    Limits.MEANS * latency.meanNanos(),
-                                    latency.meanNanos() + Limits.DEVIATIONS * latency.deviationNanos()));
+                                    Limits.MEAN_FACTOR * latency.meanNanos(),
+                                    latency.meanNanos() + Limits.DEVIATION_FACTOR * latency.deviationNanos()));
 
-    /** Never passes over an upstream. */
+    /** Never skips an upstream. */
     OverdueRule NEVER = (ageNanos, latency) -> false;
 
     /**
-     * Decides.
+     * Returns whether the oldest request is overdue.
      *
      * @param ageNanos how long the oldest request has run
      * @param latency recent service times of the upstream
@@ -26,11 +28,11 @@
      */
     boolean isOverdue(long ageNanos, LatencyEstimate latency);
 
-    /** Limits of the usual rule. */
+    /** Limits of the default rule. */
     final class Limits {
-        static final long SHORTEST_OVERDUE_MILLIS = 5;
-        static final long MEANS = 3;
-        static final long DEVIATIONS = 4;
+        static final long MIN_OVERDUE_MILLIS = 5;
+        static final long MEAN_FACTOR = 3;
+        static final long DEVIATION_FACTOR = 4;
 
         private Limits() {}
     }
--- a/routing/src/main/java/org/turmericspan/routing/Candidates.java
+++ b/routing/src/main/java/org/turmericspan/routing/OwnerCandidates.java
@@ -5,16 +5,16 @@
 import org.turmericspan.membership.FleetView;
 import org.turmericspan.membership.Vm;
 
-/** Entry VMs that may keep upstreams and take new callers. */
-public final class Candidates {
-    private Candidates() {}
+/** Entry VMs that may own upstreams and accept new callers. */
+public final class OwnerCandidates {
+    private OwnerCandidates() {}
 
     /**
      * Lists the candidates.
      *
-     * @param configuration the configuration in force
+     * @param configuration the active configuration
      * @param view the accepted view
-     * @return entry VMs that neither leave nor are out of service, in the order of their names
+     * @return entry VMs that are neither leaving nor out of service, in the order of their names
      */
     public static List<Vm> of(Configuration configuration, FleetView view) {
         return view.entryVms().stream()
--- a/routing/src/main/java/org/turmericspan/routing/OwnerLocator.java
+++ b/routing/src/main/java/org/turmericspan/routing/OwnerLocator.java
@@ -20,28 +20,28 @@
 import org.turmericspan.membership.Vm;
 
 /**
- * Names the keepers of a service's upstreams, so that a call arrives where its slot is kept. Each answer is in a random
- * order in which a node comes first as often as its weight says, so that callers spread evenly. A node that has just
- * returned starts with a small weight that rises to its full one.
+ * Locates the owners of a service's upstreams, so that a call arrives at the node that grants its slot. Each result
+ * lists them in random order, in which a node comes first in proportion to its weight, so that callers spread evenly. A
+ * node that has just returned starts with a small weight and rises to its full one (slow start).
  */
 public final class OwnerLocator implements Locator {
-    private static final Duration FULL_WEIGHT_AFTER = Duration.ofSeconds(20);
-    private static final int RISE_STEPS = 4;
+    private static final Duration SLOW_START_WINDOW = Duration.ofSeconds(20);
+    private static final int SLOW_START_STEPS = 4;
 
     private final Supplier<OwnershipMap> map;
     private final Duration timeToLive;
     private final MonotonicClock clock;
     private final DoubleSupplier random;
     private final Map<VmId, Long> candidateSinceNanos = new ConcurrentHashMap<>();
-    private volatile Computed computed = new Computed(null, Map.of());
+    private volatile CachedOwners cachedOwners = new CachedOwners(null, Map.of());
 
     /**
      * Creates a locator.
      *
-     * @param map who keeps what
-     * @param timeToLive how long callers may keep an answer
-     * @param clock measures how long a node has been back
-     * @param random draws from 0 to 1
+     * @param map supplies the current ownership map
+     * @param timeToLive how long callers may cache a result
+     * @param clock measures how long a node has been a candidate
+     * @param random returns uniform numbers from 0 (inclusive) to 1 (exclusive)
      */
     public OwnerLocator(Supplier<OwnershipMap> map, Duration timeToLive, MonotonicClock clock, DoubleSupplier random) {
         this.map = map;
@@ -52,77 +52,78 @@
 
     @Override
     public Optional<LocateResult> locate(ServiceId service) {
-        Computed current = current();
-        List<Home> homes = current.homes().get(service);
-        if (homes == null) {
+        CachedOwners current = current();
+        List<WeightedOwner> owners = current.owners().get(service);
+        if (owners == null) {
             return Optional.empty();
         }
         long nowNanos = clock.nowNanos();
-        List<Drawn> drawn = new ArrayList<>(homes.size());
-        for (Home home : homes) {
-            int weight = home.fullWeight() * steps(home.sinceNanos(), nowNanos);
+        List<RankedEndpoint> ranked = new ArrayList<>(owners.size());
+        for (WeightedOwner owner : owners) {
+            int weight = owner.fullWeight() * slowStartSteps(owner.sinceNanos(), nowNanos);
             double key = Math.log(1 - random.getAsDouble()) / weight;
-            drawn.add(new Drawn(
+            ranked.add(new RankedEndpoint(
                     key,
                     new LocateResult.Endpoint(
-                            home.vm().id(), home.vm().callerAddress().orElseThrow(), weight)));
+                            owner.vm().id(), owner.vm().callerAddress().orElseThrow(), weight)));
         }
-        Collections.sort(drawn);
-        return Optional.of(new LocateResult(drawn.stream().map(Drawn::endpoint).toList(), timeToLive));
+        Collections.sort(ranked);
+        return Optional.of(
+                new LocateResult(ranked.stream().map(RankedEndpoint::endpoint).toList(), timeToLive));
     }
 
-    private Computed current() {
+    private CachedOwners current() {
         OwnershipMap now = map.get();
-        Computed current = computed;
+        CachedOwners current = cachedOwners;
         if (current.source() != now) {
             current = compute(current, now);
-            computed = current;
+            cachedOwners = current;
         }
         return current;
     }
 
-    private Computed compute(Computed previous, OwnershipMap now) {
+    private CachedOwners compute(CachedOwners previous, OwnershipMap now) {
         boolean isFirst =
                 previous.source() == null || previous.source().candidates().isEmpty();
-        long sinceNanos = isFirst ? clock.nowNanos() - FULL_WEIGHT_AFTER.toNanos() : clock.nowNanos();
+        long sinceNanos = isFirst ? clock.nowNanos() - SLOW_START_WINDOW.toNanos() : clock.nowNanos();
         candidateSinceNanos.keySet().retainAll(now.candidates().keySet());
         now.candidates().keySet().forEach(vm -> candidateSinceNanos.putIfAbsent(vm, sinceNanos));
-        Map<ServiceId, List<Home>> homes = new TreeMap<>();
+        Map<ServiceId, List<WeightedOwner>> owners = new TreeMap<>();
         for (Service service : now.configuration().services().values()) {
-            homes.put(service.id(), homesOf(now, service));
+            owners.put(service.id(), ownersOf(now, service));
         }
-        return new Computed(now, homes);
+        return new CachedOwners(now, owners);
     }
 
-    private List<Home> homesOf(OwnershipMap now, Service service) {
+    private List<WeightedOwner> ownersOf(OwnershipMap now, Service service) {
         Map<VmId, Integer> slots = new TreeMap<>();
         for (Upstream upstream : now.upstreamsOf(service.id())) {
-            VmId keeper = now.owners().get(upstream.id());
-            if (keeper != null) {
-                slots.merge(keeper, service.slotsPerUpstream(), Integer::sum);
+            VmId owner = now.owners().get(upstream.id());
+            if (owner != null) {
+                slots.merge(owner, service.slotsPerUpstream(), Integer::sum);
             }
         }
         if (slots.isEmpty()) {
             now.candidates().keySet().forEach(vm -> slots.put(vm, 1));
         }
-        List<Home> homes = new ArrayList<>();
-        slots.forEach((vm, weight) ->
-                homes.add(new Home(now.candidates().get(vm), weight, candidateSinceNanos.getOrDefault(vm, 0L))));
-        return homes;
+        List<WeightedOwner> owners = new ArrayList<>();
+        slots.forEach((vm, weight) -> owners.add(
+                new WeightedOwner(now.candidates().get(vm), weight, candidateSinceNanos.getOrDefault(vm, 0L))));
+        return owners;
     }
 
-    private static int steps(long sinceNanos, long nowNanos) {
-        long risen = (nowNanos - sinceNanos) * RISE_STEPS / FULL_WEIGHT_AFTER.toNanos();
-        return (int) Math.max(1, Math.min(RISE_STEPS, risen));
+    private static int slowStartSteps(long sinceNanos, long nowNanos) {
+        long steps = (nowNanos - sinceNanos) * SLOW_START_STEPS / SLOW_START_WINDOW.toNanos();
+        return (int) Math.max(1, Math.min(SLOW_START_STEPS, steps));
     }
 
-    private record Home(Vm vm, int fullWeight, long sinceNanos) {}
+    private record WeightedOwner(Vm vm, int fullWeight, long sinceNanos) {}
 
-    private record Computed(OwnershipMap source, Map<ServiceId, List<Home>> homes) {}
+    private record CachedOwners(OwnershipMap source, Map<ServiceId, List<WeightedOwner>> owners) {}
 
-    private record Drawn(double key, LocateResult.Endpoint endpoint) implements Comparable<Drawn> {
+    private record RankedEndpoint(double key, LocateResult.Endpoint endpoint) implements Comparable<RankedEndpoint> {
         @Override
-        public int compareTo(Drawn other) {
+        public int compareTo(RankedEndpoint other) {
             return Double.compare(other.key, key);
         }
     }
--- a/routing/src/main/java/org/turmericspan/routing/OwnershipMap.java
+++ b/routing/src/main/java/org/turmericspan/routing/OwnershipMap.java
@@ -16,12 +16,12 @@
 import org.turmericspan.membership.Vm;
 
 /**
- * Who keeps what, computed once for a configuration and a view.
+ * The owner of each upstream, computed once for a configuration and a view.
  *
- * @param configuration the configuration in force
+ * @param configuration the active configuration
  * @param view the accepted view
- * @param candidates entry VMs that may keep upstreams, by name
- * @param owners keeper by upstream, over all configured upstreams, so that taking some out moves no others
+ * @param candidates entry VMs that may own upstreams, by name
+ * @param owners owner by upstream, over all configured upstreams, so that taking some out of service moves no others
  * @param inService upstreams that are in service, by service
  */
 public record OwnershipMap(
@@ -35,27 +35,27 @@
     /**
      * Computes the map.
      *
-     * @param configuration the configuration in force
+     * @param configuration the active configuration
      * @param view the accepted view
      * @return the map
      */
     public static OwnershipMap of(Configuration configuration, FleetView view) {
         Map<VmId, Vm> candidates = new TreeMap<>();
-        Candidates.of(configuration, view).forEach(vm -> candidates.put(vm.id(), vm));
-        Map<UpstreamId, VmId> keepers = KeeperAssignment.assign(
+        OwnerCandidates.of(configuration, view).forEach(vm -> candidates.put(vm.id(), vm));
+        Map<UpstreamId, VmId> owners = OwnerAssignment.assign(
                 configuration.upstreams().values(), candidates.values(), zone -> region(configuration, zone));
         Map<ServiceId, List<Upstream>> inService = configuration.upstreams().values().stream()
                 .filter(upstream -> configuration.isInService(upstream.availabilityZone(), upstream.vm()))
                 .collect(Collectors.groupingBy(Upstream::service));
-        return new OwnershipMap(configuration, view, candidates, keepers, inService);
+        return new OwnershipMap(configuration, view, candidates, owners, inService);
     }
 
     /**
-     * Builds a source that computes the map anew only after the configuration or the view has changed.
+     * Returns a supplier that recomputes the map only after the configuration or the view has changed.
      *
-     * @param configuration the configuration in force
-     * @param view the accepted view
-     * @return the source
+     * @param configuration supplies the active configuration
+     * @param view supplies the accepted view
+     * @return the supplier
      */
     public static Supplier<OwnershipMap> cached(Supplier<Configuration> configuration, Supplier<FleetView> view) {
         return new Cache(configuration, view);
@@ -75,24 +75,25 @@
      * Finds the region of an availability zone.
      *
      * @param zone the availability zone
-     * @return its region, or a name that no region bears when the availability zone is unknown
+     * @return its region, or a name that no region has when the availability zone is unknown
      */
     public RegionId regionOf(AvailabilityZoneId zone) {
         return region(configuration, zone);
     }
 
     /**
-     * Tells whether two VMs run in one region.
+     * Returns whether two VMs run in the same region.
      *
      * @param first name of a VM
      * @param second name of a VM
      * @return true when both are in the same region or the first is not in the view
      */
     public boolean sharesRegion(VmId first, VmId second) {
-        Vm one = view.vms().get(first);
-        Vm other = view.vms().get(second);
-        return one == null
-                || (other != null && regionOf(one.availabilityZone()).equals(regionOf(other.availabilityZone())));
+        Vm firstVm = view.vms().get(first);
+        Vm secondVm = view.vms().get(second);
+        return firstVm == null
+                || (secondVm != null
+                        && regionOf(firstVm.availabilityZone()).equals(regionOf(secondVm.availabilityZone())));
     }
 
     private static RegionId region(Configuration configuration, AvailabilityZoneId zone) {
@@ -103,7 +104,7 @@
     private static final class Cache implements Supplier<OwnershipMap> {
         private final Supplier<Configuration> configuration;
         private final Supplier<FleetView> view;
-        private volatile OwnershipMap last;
+        private volatile OwnershipMap cached;
 
         Cache(Supplier<Configuration> configuration, Supplier<FleetView> view) {
             this.configuration = configuration;
@@ -112,12 +113,12 @@
 
         @Override
         public OwnershipMap get() {
-            OwnershipMap current = last;
-            Configuration inForce = configuration.get();
+            OwnershipMap current = cached;
+            Configuration active = configuration.get();
             FleetView accepted = view.get();
-            if (current == null || current.configuration() != inForce || current.view() != accepted) {
-                current = of(inForce, accepted);
-                last = current;
+            if (current == null || current.configuration() != active || current.view() != accepted) {
+                current = of(active, accepted);
+                cached = current;
             }
             return current;
         }
--- a/routing/src/main/java/org/turmericspan/routing/Phase.java
+++ b/routing/src/main/java/org/turmericspan/routing/Phase.java
@@ -1,10 +1,12 @@
 package org.turmericspan.routing;
 
-/** State of a kept upstream. */
+/** State of an owned upstream. */
 public enum Phase {
-    /** The keeper is new and does not yet know what others still run there; nothing is granted. */
+    /**
+     * The owner is new and other nodes may still hold leases; nothing is granted during this takeover grace period.
+     */
     RESTING,
-    /** It has just started or may have; as many requests as a cold upstream bears. */
+    /** It has restarted or may have; it is limited to the configured cold requests. */
     COLD,
     /** It gains one slot after each series of successes. */
     RAMPING,
@@ -16,7 +18,7 @@
     OUT;
 
     /**
-     * Tells whether slots may be granted at all.
+     * Returns whether slots may be granted at all.
      *
      * @return true for cold, ramping and warm upstreams
      */
--- a/routing/src/main/java/org/turmericspan/routing/RendezvousScore.java
+++ b/routing/src/main/java/org/turmericspan/routing/RendezvousScore.java
@@ -8,7 +8,7 @@
 final class RendezvousScore {
     private RendezvousScore() {}
 
-    /** Computes a well-mixed 64-bit number, equal on every node. */
+    /** Returns a uniformly distributed 64-bit number that is equal on every node. */
     static long of(UpstreamId upstream, VmId vm) {
         return StableHash.of(upstream.value() + "/" + vm.value());
     }
--- a/routing/src/main/java/org/turmericspan/routing/RestartRule.java
+++ b/routing/src/main/java/org/turmericspan/routing/RestartDetector.java
@@ -5,9 +5,9 @@
 
 /** Decides whether the end of an attempt shows that the upstream has restarted. */
 @FunctionalInterface
-public interface RestartRule {
-    /** Takes a refused or lost connection and the upstream's own word for a restart. */
-    RestartRule ANY_SIGN = slotReturn -> {
+public interface RestartDetector {
+    /** Detects a restart by a refused or lost connection or by the upstream's own report that it is cold. */
+    RestartDetector ANY_EVIDENCE = slotReturn -> {
         if (slotReturn.outcome() == SlotReturn.Outcome.CONNECTION_REFUSED) {
             return Optional.of(ColdReason.CONNECTION_REFUSED);
         }
@@ -17,14 +17,14 @@
         return slotReturn.signals().cold() ? Optional.of(ColdReason.REPORTED_COLD) : Optional.empty();
     };
 
-    /** Sees no restart. */
-    RestartRule NO_SIGN = slotReturn -> Optional.empty();
+    /** Never detects a restart. */
+    RestartDetector DISABLED = slotReturn -> Optional.empty();
 
     /**
-     * Decides.
+     * Examines the end of an attempt.
      *
      * @param slotReturn how the attempt ended
-     * @return why the upstream is taken for cold, or empty
+     * @return why the upstream is marked cold, or empty
      */
-    Optional<ColdReason> sign(SlotReturn slotReturn);
+    Optional<ColdReason> detect(SlotReturn slotReturn);
 }
--- a/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
@@ -7,37 +7,38 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** Kept upstreams of one service and the wishes that wait for them, oldest first. */
+/** Owned upstreams of one service and the queue of requests for their slots, oldest first. */
 final class ServiceSlots {
-    private static final Duration OVERDUE_PATIENCE = Duration.ofMillis(20);
+    private static final Duration OVERDUE_SKIP_LIMIT = Duration.ofMillis(20);
 
-    private final Map<WishKey, Waiter> waiters = new LinkedHashMap<>();
+    private final Map<SlotRequestId, QueuedRequest> queue = new LinkedHashMap<>();
     private List<UpstreamSlots> upstreams = new ArrayList<>();
 
-    Map<WishKey, Waiter> waiters() {
-        return waiters;
+    Map<SlotRequestId, QueuedRequest> queue() {
+        return queue;
     }
 
     List<UpstreamSlots> upstreams() {
         return upstreams;
     }
 
-    void replace(List<UpstreamSlots> kept) {
-        upstreams = kept;
+    void setUpstreams(List<UpstreamSlots> owned) {
+        upstreams = owned;
     }
 
     /**
-     * Chooses the upstream with the least cost for a wish, or null. One whose oldest request is overdue is passed over
-     * until the wish has waited for a while.
+     * Returns the upstream with the least cost for a request, or null. An upstream whose oldest request is overdue is
+     * skipped until the request has been queued for {@link #OVERDUE_SKIP_LIMIT}.
      */
-    UpstreamSlots best(Waiter waiter, boolean mayUseCold, long nowNanos) {
-        boolean isPatient = nowNanos - waiter.sinceNanos() >= OVERDUE_PATIENCE.toNanos();
-        boolean mayTakeCold = mayUseCold && !waiter.slotRequest().idleOnly() && (waiter.isOwn() || !hasPlain());
+    UpstreamSlots selectUpstream(QueuedRequest queued, boolean mayUseWarmingUp, long nowNanos) {
+        boolean mayUseOverdue = nowNanos - queued.enqueuedNanos() >= OVERDUE_SKIP_LIMIT.toNanos();
+        boolean mayUseCold =
+                mayUseWarmingUp && !queued.slotRequest().idleOnly() && (queued.isLocal() || !hasWarmOrRamping());
         UpstreamSlots best = null;
         long bestCost = Long.MAX_VALUE;
         for (UpstreamSlots slots : upstreams) {
-            if (!isEligible(slots, waiter, mayTakeCold, mayUseCold, nowNanos)
-                    || (!isPatient && slots.isOverdue(nowNanos))) {
+            if (!isEligible(slots, queued, mayUseCold, mayUseWarmingUp, nowNanos)
+                    || (!mayUseOverdue && slots.isOverdue(nowNanos))) {
                 continue;
             }
             long cost = slots.cost();
@@ -49,38 +50,41 @@
         return best;
     }
 
-    /** Removes and returns the wish that an offered slot serves: the preferred one, else this node's oldest. */
-    Optional<WishKey> takeWaiterFor(SlotEvent.Offered offered) {
-        if (waiters.remove(offered.preferred()) != null) {
-            return Optional.of(offered.preferred());
+    /**
+     * Removes and returns the request that an available borrowed slot serves: the preferred one, else the oldest of
+     * this node.
+     */
+    Optional<SlotRequestId> dequeueFor(SlotEvent.BorrowedSlotAvailable available) {
+        if (queue.remove(available.preferredId()) != null) {
+            return Optional.of(available.preferredId());
         }
-        for (Waiter waiter : waiters.values()) {
-            boolean endsInTime = waiter.slotRequest().deadlineNanos() <= offered.deadlineNanos();
-            if (waiter.isOwn() && waiter.takesAnyUpstream() && endsInTime) {
-                waiters.remove(waiter.key());
-                return Optional.of(waiter.key());
+        for (QueuedRequest queued : queue.values()) {
+            boolean endsInTime = queued.slotRequest().deadlineNanos() <= available.deadlineNanos();
+            if (queued.isLocal() && queued.acceptsAnyUpstream() && endsInTime) {
+                queue.remove(queued.requestId());
+                return Optional.of(queued.requestId());
             }
         }
         return Optional.empty();
     }
 
-    /** Removes and returns the wishes whose deadline has passed. */
-    List<WishKey> takeLateWaiters(long nowNanos) {
-        List<WishKey> late = new ArrayList<>();
-        waiters.values().removeIf(waiter -> {
-            boolean isLate = nowNanos >= waiter.slotRequest().deadlineNanos();
-            if (isLate) {
-                late.add(waiter.key());
+    /** Removes and returns the requests whose deadline has passed. */
+    List<SlotRequestId> removeExpired(long nowNanos) {
+        List<SlotRequestId> expired = new ArrayList<>();
+        queue.values().removeIf(queued -> {
+            boolean isExpired = nowNanos >= queued.slotRequest().deadlineNanos();
+            if (isExpired) {
+                expired.add(queued.requestId());
             }
-            return isLate;
+            return isExpired;
         });
-        return late;
+        return expired;
     }
 
-    int idle(long nowNanos) {
+    int countIdle(long nowNanos) {
         int idle = 0;
         for (UpstreamSlots slots : upstreams) {
-            if (slots.hasIdleSlot() && slots.hasRoom(nowNanos) && !slots.isOverdue(nowNanos)) {
+            if (slots.hasIdleSlot() && slots.hasCapacity(nowNanos) && !slots.isOverdue(nowNanos)) {
                 idle += slots.service().slotsPerUpstream() - slots.running().size();
             }
         }
@@ -88,26 +92,26 @@
     }
 
     private static boolean isEligible(
-            UpstreamSlots slots, Waiter waiter, boolean mayTakeCold, boolean mayUseCold, long nowNanos) {
-        if (!slots.hasRoom(nowNanos)
-                || waiter.slotRequest()
+            UpstreamSlots slots, QueuedRequest queued, boolean mayUseCold, boolean mayUseWarmingUp, long nowNanos) {
+        if (!slots.hasCapacity(nowNanos)
+                || queued.slotRequest()
                         .excludedUpstreams()
                         .contains(slots.upstream().id())) {
             return false;
         }
-        if (waiter.slotRequest().idleOnly() && !slots.hasIdleSlot()) {
+        if (queued.slotRequest().idleOnly() && !slots.hasIdleSlot()) {
             return false;
         }
         return switch (slots.phase()) {
-            case COLD -> mayTakeCold;
-            case RAMPING -> mayUseCold;
+            case COLD -> mayUseCold;
+            case RAMPING -> mayUseWarmingUp;
             default -> true;
         };
     }
 
-    private boolean hasPlain() {
+    private boolean hasWarmOrRamping() {
         for (UpstreamSlots slots : upstreams) {
-            if (slots.isPlain()) {
+            if (slots.isWarmOrRamping()) {
                 return true;
             }
         }
--- a/routing/src/main/java/org/turmericspan/routing/SlotAction.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotAction.java
@@ -9,41 +9,41 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
 
-/** What a keeper decided to do. */
+/** An action that an owner has decided on. */
 public sealed interface SlotAction {
     /**
      * Grants a slot.
      *
-     * @param key wish that is met
+     * @param requestId request that is granted
      * @param slot the slot
      */
-    record Grant(WishKey key, GrantedSlot slot) implements SlotAction {}
+    record Grant(SlotRequestId requestId, GrantedSlot slot) implements SlotAction {}
 
     /**
-     * Denies a wish.
+     * Denies a slot request.
      *
-     * @param key the wish
-     * @param code why
+     * @param requestId the request
+     * @param code the reason
      */
-    record Deny(WishKey key, ResultCode code) implements SlotAction {}
+    record Deny(SlotRequestId requestId, ResultCode code) implements SlotAction {}
 
     /**
-     * Lets a wish of this node wait; a slot may be borrowed for it.
+     * Tries to borrow a slot for a request of this node that is queued here.
      *
-     * @param key the wish
-     * @param slotRequest what is wished for
+     * @param requestId the request
+     * @param slotRequest what it asks for
      */
-    record Park(WishKey key, SlotRequest slotRequest) implements SlotAction {}
+    record TryBorrow(SlotRequestId requestId, SlotRequest slotRequest) implements SlotAction {}
 
     /**
-     * Gives an offered slot to a wish that waited here.
+     * Assigns a borrowed slot to a request that was queued here.
      *
-     * @param key the wish
+     * @param requestId the request
      */
-    record Match(WishKey key) implements SlotAction {}
+    record AssignBorrowedSlot(SlotRequestId requestId) implements SlotAction {}
 
     /**
-     * Calls a lease back: no request may start under it any more.
+     * Recalls a lease: no request may start under it any more.
      *
      * @param holder VM of the node that holds it
      * @param lease identifier of the lease
@@ -51,34 +51,34 @@
     record Recall(VmId holder, LeaseId lease) implements SlotAction {}
 
     /**
-     * Hands an upstream over.
+     * Hands an upstream over to its new owner.
      *
-     * @param to VM of the next keeper
-     * @param handover what this one knows
+     * @param to VM of the new owner
+     * @param handover the state of the upstream as this node knows it
      */
     record HandOver(VmId to, PeerMessage.Handover handover) implements SlotAction {}
 
     /**
-     * Passes the return of a lease on to the next keeper.
+     * Forwards the return of a lease to the new owner.
      *
-     * @param to VM of the next keeper
+     * @param to VM of the new owner
      * @param lease identifier of the lease
-     * @param slotReturn what the attempt showed
+     * @param slotReturn how the attempt ended
      */
-    record Forward(VmId to, LeaseId lease, SlotReturn slotReturn) implements SlotAction {}
+    record ForwardReturn(VmId to, LeaseId lease, SlotReturn slotReturn) implements SlotAction {}
 
     /**
-     * Asks another node whether leases may still run.
+     * Queries another node for leases that may still be in use.
      *
      * @param to VM of the node
      * @param upstreams the upstreams
      */
-    record Query(VmId to, List<UpstreamId> upstreams) implements SlotAction {}
+    record SendLeaseQuery(VmId to, List<UpstreamId> upstreams) implements SlotAction {}
 
     /**
-     * Answers a query.
+     * Replies to a lease query.
      *
-     * @param upstreams those on which a lease may still run
+     * @param upstreams those on which a lease may still be in use
      */
-    record Held(List<UpstreamId> upstreams) implements SlotAction {}
+    record ReportLeases(List<UpstreamId> upstreams) implements SlotAction {}
 }
--- a/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
@@ -24,54 +24,54 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
 
-/** Grants the slots kept here, borrows others, and carries out what the table decides. */
+/** Grants slots of owned upstreams, borrows others, and carries out the actions that the table decides on. */
 public final class SlotCoordinator implements SlotSource {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration QUERY_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration HANDOVER_PAUSE = Duration.ofMillis(100);
+    private static final Duration HANDOVER_RETRY_DELAY = Duration.ofMillis(100);
     private static final int HANDOVER_ATTEMPTS = 20;
 
     private final SlotTable table;
     private final SlotNetwork network;
     private final Supplier<OwnershipMap> map;
     private final LongSupplier viewConfirmedNanos;
-    private final WishBook wishes = new WishBook();
+    private final PendingReplies pendingReplies = new PendingReplies();
     private final HeldLeases held;
     private final Borrower borrower;
-    private final AtomicLong nextWish = new AtomicLong();
-    private final Meter granted;
-    private final Meter denied;
+    private final AtomicLong nextRequestNumber = new AtomicLong();
+    private final Meter grantedMeter;
+    private final Meter deniedMeter;
 
     /**
      * Creates a coordinator.
      *
-     * @param table slots of the kept upstreams
-     * @param network what it needs of the node
-     * @param map who keeps what
-     * @param board what the other nodes reported
+     * @param table slots of the owned upstreams
+     * @param network access to the other nodes and a timer
+     * @param map supplies the current ownership map
+     * @param lenderSelector selects the owners to borrow from
      * @param clock measures deadlines
-     * @param pauseBound longest gap between two ticks of a process that is awake
-     * @param viewConfirmedNanos tells when the view was last confirmed
-     * @param metrics takes the counts
+     * @param maxTickGap longest gap between two ticks of a process that is not paused
+     * @param viewConfirmedNanos supplies the monotonic time at which the view was last confirmed
+     * @param metrics registry of the slot meters
      */
     public SlotCoordinator(
             SlotTable table,
             SlotNetwork network,
             Supplier<OwnershipMap> map,
-            LenderSelector board,
+            LenderSelector lenderSelector,
             MonotonicClock clock,
-            Duration pauseBound,
+            Duration maxTickGap,
             LongSupplier viewConfirmedNanos,
             MetricRegistry metrics) {
         this.table = table;
         this.network = network;
         this.map = map;
         this.viewConfirmedNanos = viewConfirmedNanos;
-        this.held = new HeldLeases(clock, pauseBound.toNanos());
-        this.borrower = new Borrower(table, network, board, clock, wishes, held, metrics);
-        this.granted = metrics.meter("slots.granted");
-        this.denied = metrics.meter("slots.denied");
+        this.held = new HeldLeases(clock, maxTickGap.toNanos());
+        this.borrower = new Borrower(table, network, lenderSelector, clock, pendingReplies, held, metrics);
+        this.grantedMeter = metrics.meter("slots.granted");
+        this.deniedMeter = metrics.meter("slots.denied");
     }
 
     @Override
@@ -79,50 +79,53 @@
         if (map.get().upstreamsOf(request.service()).isEmpty()) {
             return CompletableFuture.completedFuture(new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.empty()));
         }
-        WishKey key = new WishKey(network.self(), nextWish.incrementAndGet());
-        OwnReply reply = new OwnReply(key, request);
-        wishes.put(key, reply);
-        apply(new SlotEvent.Wished(key, request));
+        SlotRequestId requestId = new SlotRequestId(network.self(), nextRequestNumber.incrementAndGet());
+        LocalReply reply = new LocalReply(requestId, request);
+        pendingReplies.put(requestId, reply);
+        apply(new SlotEvent.SlotRequested(requestId, request));
         return reply.decision;
     }
 
-    /** Lets time pass. It is to be called at short, even intervals. */
+    /**
+     * Expires leases and queued requests and retries borrowing. Must be called at short, regular intervals: a long gap
+     * counts as a process pause.
+     */
     public void tick() {
         held.recallAfterPause();
         apply(new SlotEvent.Ticked(viewConfirmedNanos.getAsLong()));
-        held.ticked();
+        held.recordTick();
         borrower.tick();
     }
 
-    /** Takes over a change of the configuration or the view. */
+    /** Applies a change of the configuration or the view. */
     public void onOwnershipChanged() {
-        apply(new SlotEvent.MapChanged(map.get()));
+        apply(new SlotEvent.OwnershipChanged(map.get()));
     }
 
     /**
-     * Takes what an upstream said of itself to a probe.
+     * Records what an upstream reported in its response to a probe.
      *
      * @param upstream the upstream
-     * @param signals its answer
+     * @param signals the reported signals
      */
     public void onProbeResult(UpstreamId upstream, UpstreamSignals signals) {
-        apply(new SlotEvent.Observed(upstream, signals));
+        apply(new SlotEvent.ProbeResultReceived(upstream, signals));
     }
 
     /**
-     * Notes the life of another node.
+     * Records the incarnation of another node.
      *
      * @param peer its VM
-     * @param incarnation the life it said it is in
+     * @param incarnation the incarnation it reported
      */
     public void onPeerIncarnation(VmId peer, Incarnation incarnation) {
-        apply(new SlotEvent.PeerSeen(peer, incarnation));
+        apply(new SlotEvent.PeerIncarnationSeen(peer, incarnation));
     }
 
     /**
      * Counts the slots this node has borrowed.
      *
-     * @return number of leases of other keepers held now
+     * @return number of leases of other owners held now
      */
     public int borrowedCount() {
         return borrower.borrowed();
@@ -142,11 +145,11 @@
         return actions;
     }
 
-    WishBook wishes() {
-        return wishes;
+    PendingReplies pendingReplies() {
+        return pendingReplies;
     }
 
-    /** Recalls a lease that this node holds of another keeper. */
+    /** Recalls a lease that this node holds from another owner. */
     void recallHeld(LeaseId lease) {
         held.recall(lease);
     }
@@ -159,24 +162,24 @@
         if (action instanceof SlotAction.Grant grant) {
             grant(grant);
         } else if (action instanceof SlotAction.Deny deny) {
-            wishes.take(deny.key()).ifPresent(reply -> reply.denied(deny.code()));
-        } else if (action instanceof SlotAction.Park park) {
-            borrower.borrow(park.key(), park.slotRequest());
+            pendingReplies.take(deny.requestId()).ifPresent(reply -> reply.denied(deny.code()));
+        } else if (action instanceof SlotAction.TryBorrow borrow) {
+            borrower.borrow(borrow.requestId(), borrow.slotRequest());
         } else if (action instanceof SlotAction.Recall recall) {
             recall(recall.holder(), recall.lease());
         } else if (action instanceof SlotAction.HandOver handOver) {
             handOver(handOver, HANDOVER_ATTEMPTS);
-        } else if (action instanceof SlotAction.Forward forward) {
+        } else if (action instanceof SlotAction.ForwardReturn forward) {
             network.links().tell(forward.to(), new PeerMessage.ReturnSlot(forward.lease(), forward.slotReturn()));
-        } else if (action instanceof SlotAction.Query query) {
+        } else if (action instanceof SlotAction.SendLeaseQuery query) {
             query(query);
         }
     }
 
     private void grant(SlotAction.Grant grant) {
-        Optional<WishReply> reply = wishes.take(grant.key());
+        Optional<SlotReply> reply = pendingReplies.take(grant.requestId());
         if (reply.isPresent()) {
-            granted.mark();
+            grantedMeter.mark();
             reply.get().granted(grant.slot());
         } else {
             apply(new SlotEvent.Returned(grant.slot().lease(), SlotReturn.unused()));
@@ -194,44 +197,44 @@
     private void handOver(SlotAction.HandOver handOver, int attemptsLeft) {
         network.links()
                 .ask(handOver.to(), handOver.handover(), HANDOVER_TIMEOUT)
-                .thenAccept(answer -> {
-                    if (answer instanceof PeerMessage.Done) {
+                .thenAccept(reply -> {
+                    if (reply instanceof PeerMessage.Done) {
                         return;
                     }
                     if (attemptsLeft == 0) {
                         logger.atWarning().log(
-                                "slots: %s did not take over %s",
+                                "slots: VM %s did not accept the handover of upstream %s; a grace period applies",
                                 handOver.to(), handOver.handover().upstream());
                     } else {
-                        network.timer().after(HANDOVER_PAUSE, () -> handOver(handOver, attemptsLeft - 1));
+                        network.timer().after(HANDOVER_RETRY_DELAY, () -> handOver(handOver, attemptsLeft - 1));
                     }
                 });
     }
 
-    private void query(SlotAction.Query query) {
+    private void query(SlotAction.SendLeaseQuery query) {
         network.links()
                 .ask(query.to(), new PeerMessage.QueryLeases(network.incarnation(), query.upstreams()), QUERY_TIMEOUT)
-                .thenAccept(answer -> {
-                    if (answer instanceof PeerMessage.LeasesHeld leases) {
-                        apply(new SlotEvent.LeasesAnswered(query.to(), query.upstreams(), leases.held()));
+                .thenAccept(reply -> {
+                    if (reply instanceof PeerMessage.LeasesHeld leases) {
+                        apply(new SlotEvent.LeaseReportReceived(query.to(), query.upstreams(), leases.held()));
                     }
                 });
     }
 
-    private final class OwnReply implements WishReply {
-        private final WishKey key;
+    private final class LocalReply implements SlotReply {
+        private final SlotRequestId requestId;
         private final SlotRequest request;
         private final CompletableFuture<SlotDecision> decision = new CompletableFuture<>();
-        private volatile boolean askedOthers;
+        private volatile boolean triedBorrowing;
 
-        OwnReply(WishKey key, SlotRequest request) {
-            this.key = key;
+        LocalReply(SlotRequestId requestId, SlotRequest request) {
+            this.requestId = requestId;
             this.request = request;
         }
 
         @Override
         public void granted(GrantedSlot slot) {
-            borrower.met(key);
+            borrower.cancelRequests(requestId);
             granted(held.hold(slot, slotReturn -> apply(new SlotEvent.Returned(slot.lease(), slotReturn))));
         }
 
@@ -242,14 +245,14 @@
 
         @Override
         public void denied(ResultCode code) {
-            if (request.idleOnly() && code == ResultCode.NO_CAPACITY && !askedOthers) {
-                askedOthers = true;
-                wishes.put(key, this);
-                borrower.borrowIdle(key, request);
+            if (request.idleOnly() && code == ResultCode.NO_CAPACITY && !triedBorrowing) {
+                triedBorrowing = true;
+                pendingReplies.put(requestId, this);
+                borrower.borrowIdle(requestId, request);
                 return;
             }
-            borrower.met(key);
-            denied.mark();
+            borrower.cancelRequests(requestId);
+            deniedMeter.mark();
             decision.complete(new SlotDecision.Denied(code, Optional.empty()));
         }
     }
--- a/routing/src/main/java/org/turmericspan/routing/SlotCounts.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotCounts.java
@@ -1,12 +1,12 @@
 package org.turmericspan.routing;
 
 /**
- * Counts over all kept upstreams.
+ * Counts over all owned upstreams.
  *
  * @param own leases that this node holds on its own upstreams
  * @param lent leases that other nodes hold on them
- * @param waiting wishes that wait here, of this node and of others
- * @param coldTransitions times an upstream was set cold
- * @param isSuspended whether nothing is granted until the view is confirmed after a late wake-up
+ * @param waiting requests in the queues of this node, its own and those of other nodes
+ * @param coldTransitions number of times an upstream was marked cold
+ * @param isSuspended whether nothing is granted until the view is confirmed after a process pause
  */
 public record SlotCounts(int own, int lent, int waiting, long coldTransitions, boolean isSuspended) {}
--- a/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
@@ -21,34 +21,34 @@
 import org.turmericspan.messages.PeerMessage;
 
 /**
- * Decisions of a keeper: an event goes in, a list of actions comes out. It calls nothing, reads no clock and is not
- * safe for threads; {@link SlotTable} puts its lock around it.
+ * Decision logic of an owner: takes an event and returns a list of actions. It calls nothing, reads no clock and is not
+ * thread-safe; {@link SlotTable} guards it with a lock.
  */
 public final class SlotEngine {
-    private static final long LENT_GRACE_NANOS = LeaseReuse.WINDOW.toNanos();
+    private static final long LENT_START_DELAY_NANOS = LeaseReuse.WINDOW.toNanos();
 
     private final VmId self;
     private final Incarnation incarnation;
     private final SlotRules rules;
-    private final Map<UpstreamId, UpstreamSlots> kept = new HashMap<>();
+    private final Map<UpstreamId, UpstreamSlots> owned = new HashMap<>();
     private final Map<ServiceId, ServiceSlots> services = new HashMap<>();
     private final Map<LeaseId, Lease> leases = new HashMap<>();
-    private final Guard guard = new Guard();
-    private final Departures departures = new Departures();
+    private final TakeoverGracePeriods gracePeriods = new TakeoverGracePeriods();
+    private final DepartedOwners departedOwners = new DepartedOwners();
     private final Handovers handovers;
-    private final Wakefulness wakefulness;
+    private final PauseDetector pauseDetector;
     private final List<SlotAction> actions = new ArrayList<>();
     private OwnershipMap map;
-    private Set<VmId> others = Set.of();
+    private Set<VmId> otherNodes = Set.of();
     private long nextSequence;
     private long nowNanos;
-    private long coldCount;
+    private long coldTransitions;
 
     /**
-     * Creates an engine that keeps nothing yet.
+     * Creates an engine that owns no upstream yet.
      *
      * @param self VM of this node
-     * @param incarnation this life of the process, which marks the leases
+     * @param incarnation incarnation of this process, part of each lease identifier
      * @param rules rules by which slots are granted
      */
     public SlotEngine(VmId self, Incarnation incarnation, SlotRules rules) {
@@ -56,7 +56,7 @@
         this.incarnation = incarnation;
         this.rules = rules;
         this.handovers = new Handovers(self);
-        this.wakefulness = new Wakefulness(rules);
+        this.pauseDetector = new PauseDetector(rules);
     }
 
     /**
@@ -66,56 +66,56 @@
      * @param atNanos monotonic time at which it happened
      * @return what to do, in this order
      */
-    public List<SlotAction> on(SlotEvent event, long atNanos) {
+    public List<SlotAction> handle(SlotEvent event, long atNanos) {
         nowNanos = atNanos;
         actions.clear();
-        if (event instanceof SlotEvent.Wished wished) {
-            wish(wished.key(), wished.slotRequest());
+        if (event instanceof SlotEvent.SlotRequested requested) {
+            requestSlot(requested.requestId(), requested.slotRequest());
         } else if (event instanceof SlotEvent.Returned returned) {
-            takeBack(returned);
+            returnSlot(returned);
         } else if (event instanceof SlotEvent.Ticked ticked) {
             tick(ticked.viewConfirmedNanos());
-        } else if (event instanceof SlotEvent.Withdrawn withdrawn) {
-            services.values().forEach(slots -> slots.waiters().remove(withdrawn.key()));
-        } else if (event instanceof SlotEvent.Offered offered) {
-            offer(offered);
-        } else if (event instanceof SlotEvent.Observed observed) {
-            observe(observed);
+        } else if (event instanceof SlotEvent.RequestCancelled cancelled) {
+            services.values().forEach(slots -> slots.queue().remove(cancelled.requestId()));
+        } else if (event instanceof SlotEvent.BorrowedSlotAvailable available) {
+            assignBorrowedSlot(available);
+        } else if (event instanceof SlotEvent.ProbeResultReceived result) {
+            recordProbeResult(result);
         } else {
-            onFleetEvent(event);
+            handleFleetEvent(event);
         }
         return List.copyOf(actions);
     }
 
     /**
-     * Describes the kept upstreams.
+     * Describes the owned upstreams.
      *
      * @param atNanos monotonic time
      * @return their states, in no order
      */
     public List<UpstreamState> describe(long atNanos) {
-        return kept.values().stream().map(slots -> slots.describe(atNanos)).toList();
+        return owned.values().stream().map(slots -> slots.describe(atNanos)).toList();
     }
 
     /**
      * Describes the idle slots for the other nodes.
      *
      * @param atNanos monotonic time
-     * @return one entry for each service of which this node keeps upstreams
+     * @return one entry for each service of which this node owns upstreams
      */
     public List<PeerMessage.IdleSlots> idleSlots(long atNanos) {
         List<PeerMessage.IdleSlots> idle = new ArrayList<>();
         services.forEach((service, slots) -> {
             if (!slots.upstreams().isEmpty()) {
                 idle.add(new PeerMessage.IdleSlots(
-                        service, slots.idle(atNanos), slots.waiters().size()));
+                        service, slots.countIdle(atNanos), slots.queue().size()));
             }
         });
         return idle;
     }
 
     /**
-     * Counts leases, waiting wishes and cold transitions.
+     * Counts leases, queued requests and cold transitions.
      *
      * @return the counts
      */
@@ -126,149 +126,160 @@
         }
         int waiting = 0;
         for (ServiceSlots slots : services.values()) {
-            waiting += slots.waiters().size();
+            waiting += slots.queue().size();
         }
-        return new SlotCounts(leases.size() - lent, lent, waiting, coldCount, wakefulness.isSuspended());
+        return new SlotCounts(leases.size() - lent, lent, waiting, coldTransitions, pauseDetector.isSuspended());
     }
 
-    private void onFleetEvent(SlotEvent event) {
-        if (event instanceof SlotEvent.MapChanged changed) {
-            changeMap(changed.map());
+    private void handleFleetEvent(SlotEvent event) {
+        if (event instanceof SlotEvent.OwnershipChanged changed) {
+            updateOwnership(changed.map());
         } else if (event instanceof SlotEvent.HandedOver handedOver) {
-            takeOver(handedOver);
-        } else if (event instanceof SlotEvent.PeerSeen seen && map != null) {
-            departures.seen(seen.peer(), seen.incarnation(), map, nowNanos);
-        } else if (event instanceof SlotEvent.LeasesQueried queried && map != null) {
-            departures.seen(queried.from(), queried.asker(), map, nowNanos);
-            actions.add(new SlotAction.Held(
-                    queried.upstreams().stream().filter(this::mayStillRun).toList()));
-        } else if (event instanceof SlotEvent.LeasesAnswered answered) {
-            guard.answered(answered.from(), answered.asked(), answered.held());
-            endRests();
+            acceptHandover(handedOver);
+        } else if (event instanceof SlotEvent.PeerIncarnationSeen seen && map != null) {
+            departedOwners.recordIncarnation(seen.peer(), seen.incarnation(), map, nowNanos);
+        } else if (event instanceof SlotEvent.LeaseQueryReceived query && map != null) {
+            departedOwners.recordIncarnation(query.from(), query.requesterIncarnation(), map, nowNanos);
+            actions.add(new SlotAction.ReportLeases(query.upstreams().stream()
+                    .filter(this::mayHaveRunningRequests)
+                    .toList()));
+        } else if (event instanceof SlotEvent.LeaseReportReceived report) {
+            gracePeriods.recordReport(report.from(), report.queried(), report.held());
+            endGracePeriods();
         }
     }
 
-    private void wish(WishKey key, SlotRequest request) {
+    private void requestSlot(SlotRequestId requestId, SlotRequest request) {
         ServiceSlots slots = services.computeIfAbsent(request.service(), service -> new ServiceSlots());
-        Waiter waiter = new Waiter(key, request, key.requester().equals(self), nowNanos);
-        UpstreamSlots best = slots.waiters().isEmpty() || request.idleOnly() ? choose(slots, waiter) : null;
+        QueuedRequest queued =
+                new QueuedRequest(requestId, request, requestId.requester().equals(self), nowNanos);
+        UpstreamSlots best = slots.queue().isEmpty() || request.idleOnly() ? choose(slots, queued) : null;
         if (best != null) {
-            grant(best, waiter);
-        } else if (request.idleOnly() || (!waiter.isOwn() && slots.upstreams().isEmpty())) {
-            actions.add(new SlotAction.Deny(key, ResultCode.NO_CAPACITY));
+            grant(best, queued);
+        } else if (request.idleOnly() || (!queued.isLocal() && slots.upstreams().isEmpty())) {
+            actions.add(new SlotAction.Deny(requestId, ResultCode.NO_CAPACITY));
         } else {
-            slots.waiters().put(key, waiter);
+            slots.queue().put(requestId, queued);
             dispatch(slots);
-            if (waiter.isOwn() && slots.waiters().containsKey(key)) {
-                actions.add(new SlotAction.Park(key, request));
+            if (queued.isLocal() && slots.queue().containsKey(requestId)) {
+                actions.add(new SlotAction.TryBorrow(requestId, request));
             }
         }
     }
 
-    private UpstreamSlots choose(ServiceSlots slots, Waiter waiter) {
-        if (wakefulness.isSuspended() || wakefulness.isLate(nowNanos)) {
+    private UpstreamSlots choose(ServiceSlots slots, QueuedRequest queued) {
+        if (pauseDetector.isSuspended() || pauseDetector.hasPaused(nowNanos)) {
             return null;
         }
-        return slots.best(waiter, others.isEmpty() || wakefulness.isViewFresh(nowNanos), nowNanos);
+        return slots.selectUpstream(queued, otherNodes.isEmpty() || pauseDetector.isViewFresh(nowNanos), nowNanos);
     }
 
     private void dispatch(ServiceSlots slots) {
-        Iterator<Waiter> waiting = slots.waiters().values().iterator();
-        boolean remoteFailed = false;
+        Iterator<QueuedRequest> waiting = slots.queue().values().iterator();
+        boolean remoteBlocked = false;
         while (waiting.hasNext()) {
-            Waiter waiter = waiting.next();
-            if (remoteFailed && !waiter.isOwn()) {
+            QueuedRequest queued = waiting.next();
+            if (remoteBlocked && !queued.isLocal()) {
                 continue;
             }
-            UpstreamSlots best = choose(slots, waiter);
+            UpstreamSlots best = choose(slots, queued);
             if (best != null) {
                 waiting.remove();
-                grant(best, waiter);
-            } else if (waiter.takesAnyUpstream()) {
-                if (waiter.isOwn()) {
+                grant(best, queued);
+            } else if (queued.acceptsAnyUpstream()) {
+                if (queued.isLocal()) {
                     return;
                 }
-                remoteFailed = true;
+                remoteBlocked = true;
             }
         }
     }
 
-    private void grant(UpstreamSlots slots, Waiter waiter) {
+    private void grant(UpstreamSlots slots, QueuedRequest queued) {
         nextSequence++;
         LeaseId id = new LeaseId(incarnation, nextSequence);
         long deadlineNanos = Math.min(
-                waiter.slotRequest().deadlineNanos(),
+                queued.slotRequest().deadlineNanos(),
                 nowNanos + slots.service().longestLease().toNanos());
-        long startedNanos = waiter.isOwn() ? nowNanos : nowNanos + LENT_GRACE_NANOS;
+        long startedNanos = queued.isLocal() ? nowNanos : nowNanos + LENT_START_DELAY_NANOS;
         Lease lease = new Lease(
-                id, slots.upstream().id(), waiter.key().requester(), startedNanos, deadlineNanos, slots.life());
+                id,
+                slots.upstream().id(),
+                queued.requestId().requester(),
+                startedNanos,
+                deadlineNanos,
+                slots.generation());
         slots.start(lease, nowNanos);
         leases.put(id, lease);
         actions.add(new SlotAction.Grant(
-                waiter.key(),
+                queued.requestId(),
                 new GrantedSlot(id, slots.upstream().id(), slots.upstream().address(), deadlineNanos)));
     }
 
-    private void offer(SlotEvent.Offered offered) {
-        ServiceSlots slots = services.get(offered.service());
+    private void assignBorrowedSlot(SlotEvent.BorrowedSlotAvailable available) {
+        ServiceSlots slots = services.get(available.service());
         if (slots != null) {
-            slots.takeWaiterFor(offered).ifPresent(key -> actions.add(new SlotAction.Match(key)));
+            slots.dequeueFor(available)
+                    .ifPresent(requestId -> actions.add(new SlotAction.AssignBorrowedSlot(requestId)));
         }
     }
 
-    private void takeBack(SlotEvent.Returned returned) {
+    private void returnSlot(SlotEvent.Returned returned) {
         Lease lease = leases.remove(returned.lease());
         if (lease == null) {
             handovers
-                    .forward(returned.lease())
-                    .ifPresent(
-                            next -> actions.add(new SlotAction.Forward(next, returned.lease(), returned.slotReturn())));
+                    .takeNewOwner(returned.lease())
+                    .ifPresent(newOwner -> actions.add(
+                            new SlotAction.ForwardReturn(newOwner, returned.lease(), returned.slotReturn())));
             return;
         }
-        UpstreamSlots slots = kept.get(lease.upstream());
+        UpstreamSlots slots = owned.get(lease.upstream());
         if (slots != null) {
             if (slots.finish(lease, returned.slotReturn(), nowNanos)) {
-                recallAll(slots);
+                handleColdTransition(slots);
             }
             dispatch(services.get(slots.upstream().service()));
         }
     }
 
-    private void observe(SlotEvent.Observed observed) {
-        UpstreamSlots slots = kept.get(observed.upstream());
-        if (slots != null && slots.observe(observed.signals(), true, nowNanos)) {
-            recallAll(slots);
+    private void recordProbeResult(SlotEvent.ProbeResultReceived result) {
+        UpstreamSlots slots = owned.get(result.upstream());
+        if (slots != null && slots.recordSignals(result.signals(), true, nowNanos)) {
+            handleColdTransition(slots);
         }
     }
 
-    private void recallAll(UpstreamSlots slots) {
-        coldCount++;
+    private void handleColdTransition(UpstreamSlots slots) {
+        coldTransitions++;
         for (Lease lease : slots.running()) {
             actions.add(new SlotAction.Recall(lease.holder(), lease.id()));
         }
     }
 
     private void tick(long viewConfirmedNanos) {
-        if (wakefulness.tick(nowNanos, viewConfirmedNanos, !others.isEmpty())) {
+        if (pauseDetector.tick(nowNanos, viewConfirmedNanos, !otherNodes.isEmpty())) {
             leases.values().forEach(lease -> actions.add(new SlotAction.Recall(lease.holder(), lease.id())));
         }
         expireLeases();
         services.values()
-                .forEach(slots -> slots.takeLateWaiters(nowNanos)
-                        .forEach(key -> actions.add(new SlotAction.Deny(key, ResultCode.DEADLINE_BEFORE_SEND))));
-        endRests();
+                .forEach(slots -> slots.removeExpired(nowNanos)
+                        .forEach(requestId ->
+                                actions.add(new SlotAction.Deny(requestId, ResultCode.DEADLINE_BEFORE_SEND))));
+        endGracePeriods();
         handovers.expire(nowNanos);
-        guard.dueQueries(nowNanos).forEach((vm, upstreams) -> actions.add(new SlotAction.Query(vm, upstreams)));
+        gracePeriods
+                .dueQueries(nowNanos)
+                .forEach((vm, upstreams) -> actions.add(new SlotAction.SendLeaseQuery(vm, upstreams)));
         services.values().forEach(this::dispatch);
     }
 
     private void expireLeases() {
-        Iterator<Lease> held = leases.values().iterator();
-        while (held.hasNext()) {
-            Lease lease = held.next();
+        Iterator<Lease> iterator = leases.values().iterator();
+        while (iterator.hasNext()) {
+            Lease lease = iterator.next();
             if (nowNanos >= lease.deadlineNanos()) {
-                held.remove();
-                UpstreamSlots slots = kept.get(lease.upstream());
+                iterator.remove();
+                UpstreamSlots slots = owned.get(lease.upstream());
                 if (slots != null) {
                     slots.expire(lease.id(), nowNanos);
                 }
@@ -276,97 +287,97 @@
         }
     }
 
-    private void endRests() {
-        for (UpstreamId upstream : guard.takeEnded(nowNanos)) {
-            UpstreamSlots slots = kept.get(upstream);
+    private void endGracePeriods() {
+        for (UpstreamId upstream : gracePeriods.removeEnded(nowNanos)) {
+            UpstreamSlots slots = owned.get(upstream);
             if (slots != null && slots.phase() == Phase.RESTING) {
-                slots.endRest(ColdReason.NEW, nowNanos);
-                coldCount++;
+                slots.endGracePeriod(ColdReason.NEW, nowNanos);
+                coldTransitions++;
                 dispatch(services.get(slots.upstream().service()));
             }
         }
     }
 
-    private boolean mayStillRun(UpstreamId upstream) {
-        UpstreamSlots slots = kept.get(upstream);
+    private boolean mayHaveRunningRequests(UpstreamId upstream) {
+        UpstreamSlots slots = owned.get(upstream);
         return (slots != null && slots.phase() != Phase.RESTING)
                 || leases.values().stream().anyMatch(lease -> lease.upstream().equals(upstream))
-                || handovers.mayRun(upstream, nowNanos)
-                || departures.mayRun(upstream, nowNanos);
+                || handovers.mayHaveRunningRequests(upstream, nowNanos)
+                || departedOwners.mayHaveRunningRequests(upstream, nowNanos);
     }
 
-    private void takeOver(SlotEvent.HandedOver event) {
+    private void acceptHandover(SlotEvent.HandedOver event) {
         UpstreamId id = event.handover().upstream();
-        handovers.received(event.handover(), nowNanos);
-        UpstreamSlots slots = kept.get(id);
+        handovers.addPending(event.handover(), nowNanos);
+        UpstreamSlots slots = owned.get(id);
         if (slots != null && slots.phase() == Phase.RESTING) {
-            handovers.take(id, nowNanos).ifPresent(received -> resume(slots, received));
-            guard.cancel(id);
+            handovers.takePending(id, nowNanos).ifPresent(pending -> restoreFrom(slots, pending));
+            gracePeriods.cancel(id);
             dispatch(services.get(slots.upstream().service()));
         }
     }
 
-    private void resume(UpstreamSlots slots, Handovers.Received received) {
-        List<Lease> running = received.leases(nowNanos, slots.life());
+    private void restoreFrom(UpstreamSlots slots, Handovers.PendingHandover pendingHandover) {
+        List<Lease> running = pendingHandover.leases(nowNanos, slots.generation());
         running.forEach(lease -> leases.put(lease.id(), lease));
-        PeerMessage.Handover handover = received.handover();
-        slots.takeOver(handover.warm(), handover.allowance(), handover.upstreamIncarnation(), running);
+        PeerMessage.Handover handover = pendingHandover.handover();
+        slots.restoreFromHandover(handover.warm(), handover.allowance(), handover.upstreamIncarnation(), running);
     }
 
-    private void changeMap(OwnershipMap next) {
+    private void updateOwnership(OwnershipMap newMap) {
         if (map != null) {
-            departures.listChanged(map, next, rules.viewLagBound(), nowNanos);
+            departedOwners.onOwnershipChanged(map, newMap, rules.viewLagBound(), nowNanos);
         }
-        map = next;
-        others = new HashSet<>();
-        next.view().entryVms().stream()
+        map = newMap;
+        otherNodes = new HashSet<>();
+        newMap.view().entryVms().stream()
                 .map(Vm::id)
-                .filter(vm -> next.sharesRegion(self, vm))
+                .filter(vm -> newMap.sharesRegion(self, vm))
                 .filter(vm -> !vm.equals(self))
-                .forEach(others::add);
-        for (UpstreamId id : List.copyOf(kept.keySet())) {
-            if (!self.equals(next.owners().get(id))) {
-                letGo(kept.remove(id), Optional.ofNullable(next.owners().get(id)));
+                .forEach(otherNodes::add);
+        for (UpstreamId id : List.copyOf(owned.keySet())) {
+            if (!self.equals(newMap.owners().get(id))) {
+                releaseOwnership(
+                        owned.remove(id), Optional.ofNullable(newMap.owners().get(id)));
             }
         }
-        next.owners().forEach((id, keeper) -> {
-            if (keeper.equals(self)) {
-                keep(next.configuration().upstreams().get(id));
+        newMap.owners().forEach((id, owner) -> {
+            if (owner.equals(self)) {
+                takeOwnership(newMap.configuration().upstreams().get(id));
             } else {
                 handovers
-                        .take(id, nowNanos)
-                        .ifPresent(
-                                received -> actions.add(new SlotAction.HandOver(keeper, received.remaining(nowNanos))));
+                        .takePending(id, nowNanos)
+                        .ifPresent(pending -> actions.add(new SlotAction.HandOver(owner, pending.remaining(nowNanos))));
             }
         });
-        regroup();
-        endRests();
+        groupByService();
+        endGracePeriods();
         services.values().forEach(this::dispatch);
     }
 
-    private void keep(Upstream upstream) {
+    private void takeOwnership(Upstream upstream) {
         UpstreamListing listing = UpstreamListing.of(map, upstream);
         var service = map.configuration().services().get(upstream.service());
-        UpstreamSlots known = kept.get(upstream.id());
-        if (known != null) {
-            if (known.update(upstream, service, listing, nowNanos)
-                    || !known.phase().isGranting()) {
-                recallLeases(known);
+        UpstreamSlots existing = owned.get(upstream.id());
+        if (existing != null) {
+            if (existing.update(upstream, service, listing, nowNanos)
+                    || !existing.phase().isGranting()) {
+                recallLeases(existing);
             }
             return;
         }
-        UpstreamSlots fresh = new UpstreamSlots(rules, upstream, service, Phase.RESTING);
-        fresh.list(listing);
-        kept.put(upstream.id(), fresh);
-        Optional<Handovers.Received> received = handovers.take(upstream.id(), nowNanos);
-        if (received.isPresent()) {
-            resume(fresh, received.get());
+        UpstreamSlots added = new UpstreamSlots(rules, upstream, service, Phase.RESTING);
+        added.setListing(listing);
+        owned.put(upstream.id(), added);
+        Optional<Handovers.PendingHandover> pending = handovers.takePending(upstream.id(), nowNanos);
+        if (pending.isPresent()) {
+            restoreFrom(added, pending.get());
         } else {
-            Duration wait = rules.viewLagBound().plus(service.longestLease());
-            guard.begin(
+            Duration gracePeriod = rules.viewLagBound().plus(service.longestLease());
+            gracePeriods.begin(
                     upstream.id(),
-                    nowNanos + (rules.guarded() ? wait.toNanos() : 0),
-                    rules.guarded() ? others : Set.of());
+                    nowNanos + (rules.hasGracePeriod() ? gracePeriod.toNanos() : 0),
+                    rules.hasGracePeriod() ? otherNodes : Set.of());
         }
     }
 
@@ -374,24 +385,24 @@
         slots.running().forEach(lease -> actions.add(new SlotAction.Recall(lease.holder(), lease.id())));
     }
 
-    private void letGo(UpstreamSlots slots, Optional<VmId> next) {
-        guard.cancel(slots.upstream().id());
+    private void releaseOwnership(UpstreamSlots slots, Optional<VmId> newOwner) {
+        gracePeriods.cancel(slots.upstream().id());
         List<Lease> running = slots.drain();
         running.forEach(lease -> leases.remove(lease.id()));
-        if (slots.phase() == Phase.RESTING || next.isEmpty()) {
+        if (slots.phase() == Phase.RESTING || newOwner.isEmpty()) {
             return;
         }
-        PeerMessage.Handover handover = handovers.give(slots, running, next.get(), nowNanos);
-        actions.add(new SlotAction.HandOver(next.get(), handover));
+        PeerMessage.Handover handover = handovers.handOver(slots, running, newOwner.get(), nowNanos);
+        actions.add(new SlotAction.HandOver(newOwner.get(), handover));
     }
 
-    private void regroup() {
+    private void groupByService() {
         Map<ServiceId, List<UpstreamSlots>> byService = new HashMap<>();
-        kept.values()
+        owned.values()
                 .forEach(slots -> byService
                         .computeIfAbsent(slots.upstream().service(), service -> new ArrayList<>())
                         .add(slots));
         byService.keySet().forEach(service -> services.computeIfAbsent(service, key -> new ServiceSlots()));
-        services.forEach((service, slots) -> slots.replace(byService.getOrDefault(service, new ArrayList<>())));
+        services.forEach((service, slots) -> slots.setUpstreams(byService.getOrDefault(service, new ArrayList<>())));
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/SlotEvent.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEvent.java
@@ -11,91 +11,93 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
 
-/** Something that a keeper's decisions depend on. */
+/** An event that the decisions of an owner depend on. */
 public sealed interface SlotEvent {
     /**
      * The configuration or the view changed.
      *
-     * @param map who keeps what now
+     * @param map the new ownership map
      */
-    record MapChanged(OwnershipMap map) implements SlotEvent {}
+    record OwnershipChanged(OwnershipMap map) implements SlotEvent {}
 
     /**
-     * A node wishes for a slot.
+     * A node requests a slot.
      *
-     * @param key identifies the wish
-     * @param slotRequest what is wished for
+     * @param requestId identifies the request
+     * @param slotRequest what it asks for
      */
-    record Wished(WishKey key, SlotRequest slotRequest) implements SlotEvent {}
+    record SlotRequested(SlotRequestId requestId, SlotRequest slotRequest) implements SlotEvent {}
 
     /**
-     * A wish is of no use any more.
+     * A slot request was cancelled.
      *
-     * @param key identifies the wish
+     * @param requestId identifies the request
      */
-    record Withdrawn(WishKey key) implements SlotEvent {}
+    record RequestCancelled(SlotRequestId requestId) implements SlotEvent {}
 
     /**
-     * A borrowed slot is free for a wish that waits here.
+     * A borrowed slot is available for a request that is queued here.
      *
      * @param service service of the slot
-     * @param preferred wish it was borrowed for
+     * @param preferredId request it was borrowed for
      * @param deadlineNanos monotonic time at which the lease ends
      */
-    record Offered(ServiceId service, WishKey preferred, long deadlineNanos) implements SlotEvent {}
+    record BorrowedSlotAvailable(ServiceId service, SlotRequestId preferredId, long deadlineNanos)
+            implements SlotEvent {}
 
     /**
-     * A slot was given back.
+     * A slot was returned.
      *
      * @param lease identifier of the lease
-     * @param slotReturn what the attempt showed
+     * @param slotReturn how the attempt ended
      */
     record Returned(LeaseId lease, SlotReturn slotReturn) implements SlotEvent {}
 
     /**
-     * A probe was answered.
+     * An upstream responded to a probe.
      *
      * @param upstream the upstream
-     * @param signals what it said of itself
+     * @param signals what it reported about itself
      */
-    record Observed(UpstreamId upstream, UpstreamSignals signals) implements SlotEvent {}
+    record ProbeResultReceived(UpstreamId upstream, UpstreamSignals signals) implements SlotEvent {}
 
     /**
-     * The keeper before handed an upstream over.
+     * The previous owner handed an upstream over.
      *
-     * @param from VM of the keeper before
-     * @param handover what it knows
+     * @param from VM of the previous owner
+     * @param handover the state of the upstream
      */
     record HandedOver(VmId from, PeerMessage.Handover handover) implements SlotEvent {}
 
     /**
-     * Another node was heard of.
+     * Another node reported its incarnation.
      *
      * @param peer its VM
-     * @param incarnation the life it is in
+     * @param incarnation its current incarnation
      */
-    record PeerSeen(VmId peer, Incarnation incarnation) implements SlotEvent {}
+    record PeerIncarnationSeen(VmId peer, Incarnation incarnation) implements SlotEvent {}
 
     /**
-     * Another node asks whether leases may still run on upstreams that it is to keep.
+     * Another node queries the leases that may still be in use on upstreams that it is about to own.
      *
      * @param from VM of the node
-     * @param asker life of the node
+     * @param requesterIncarnation incarnation of the node
      * @param upstreams the upstreams
      */
-    record LeasesQueried(VmId from, Incarnation asker, List<UpstreamId> upstreams) implements SlotEvent {}
+    record LeaseQueryReceived(VmId from, Incarnation requesterIncarnation, List<UpstreamId> upstreams)
+            implements SlotEvent {}
 
     /**
-     * Another node answered the query of this one.
+     * Another node replied to this node's lease query.
      *
      * @param from VM of the node
-     * @param asked the upstreams asked for
-     * @param held those on which a lease may still run
+     * @param queried the upstreams in the query
+     * @param held those on which a lease may still be in use
      */
-    record LeasesAnswered(VmId from, List<UpstreamId> asked, List<UpstreamId> held) implements SlotEvent {}
+    record LeaseReportReceived(VmId from, List<UpstreamId> queried, List<UpstreamId> held) implements SlotEvent {}
 
     /**
-     * Time has passed.
+     * A periodic tick.
      *
      * @param viewConfirmedNanos monotonic time at which the view was last confirmed
      */
--- a/routing/src/main/java/org/turmericspan/routing/SlotNetwork.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotNetwork.java
@@ -7,10 +7,10 @@
 import org.turmericspan.tables.WorkerPool;
 
 /**
- * What the parts of lending need of the node.
+ * The node's identity, its links to other nodes and its timer, as needed for lending and borrowing slots.
  *
  * @param self VM of this node
- * @param incarnation this life of the process
+ * @param incarnation incarnation of this process
  * @param links links to the other nodes
  * @param timer runs a task after a delay
  */
@@ -19,7 +19,7 @@
     @FunctionalInterface
     public interface Timer {
         /**
-         * Runs a task.
+         * Schedules a task.
          *
          * @param delay time to wait
          * @param task a short task
@@ -27,7 +27,7 @@
         void after(Duration delay, Runnable task);
 
         /**
-         * Builds a timer on the node's workers.
+         * Returns a timer that runs its tasks on the node's worker pool.
          *
          * @param workerPool runs the tasks
          * @return the timer
--- a/routing/src/main/java/org/turmericspan/routing/SlotPeerHandler.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotPeerHandler.java
@@ -13,7 +13,7 @@
 import org.turmericspan.messages.PeerHandler;
 import org.turmericspan.messages.PeerMessage;
 
-/** Answers the other nodes' messages about slots and leases. */
+/** Handles the other nodes' messages about slots and leases. */
 public final class SlotPeerHandler implements PeerHandler {
     private static final PeerMessage DONE = new PeerMessage.Done();
 
@@ -23,8 +23,8 @@
     /**
      * Creates a handler.
      *
-     * @param coordinator grants the slots kept here
-     * @param clock turns spans into deadlines
+     * @param coordinator grants the slots of owned upstreams
+     * @param clock turns remaining times into deadlines
      */
     public SlotPeerHandler(SlotCoordinator coordinator, MonotonicClock clock) {
         this.coordinator = coordinator;
@@ -37,12 +37,12 @@
             return lend(from, borrow);
         }
         if (message instanceof PeerMessage.QueryLeases query) {
-            return CompletableFuture.completedFuture(new PeerMessage.LeasesHeld(held(from, query)));
+            return CompletableFuture.completedFuture(new PeerMessage.LeasesHeld(leasesHeld(from, query)));
         }
-        if (message instanceof PeerMessage.CancelSlotRequest withdraw) {
-            WishKey key = new WishKey(from, withdraw.requestNumber());
-            coordinator.wishes().take(key).ifPresent(reply -> reply.denied(ResultCode.NO_CAPACITY));
-            coordinator.apply(new SlotEvent.Withdrawn(key));
+        if (message instanceof PeerMessage.CancelSlotRequest cancel) {
+            SlotRequestId requestId = new SlotRequestId(from, cancel.requestNumber());
+            coordinator.pendingReplies().take(requestId).ifPresent(reply -> reply.denied(ResultCode.NO_CAPACITY));
+            coordinator.apply(new SlotEvent.RequestCancelled(requestId));
         } else if (message instanceof PeerMessage.ReturnSlot returned) {
             coordinator.apply(new SlotEvent.Returned(returned.lease(), returned.slotReturn()));
         } else if (message instanceof PeerMessage.RecallSlot recall) {
@@ -54,48 +54,49 @@
     }
 
     private CompletionStage<PeerMessage> lend(VmId from, PeerMessage.BorrowSlot borrow) {
-        WishKey key = new WishKey(from, borrow.requestNumber());
-        CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-        coordinator.wishes().put(key, new LentReply(answer));
+        SlotRequestId requestId = new SlotRequestId(from, borrow.requestNumber());
+        CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+        coordinator.pendingReplies().put(requestId, new RemoteReply(reply));
         long deadlineNanos = clock.nowNanos() + borrow.request().deadlineNanos();
-        coordinator.apply(new SlotEvent.Wished(key, borrow.request().withDeadlineNanos(deadlineNanos)));
-        return answer;
+        coordinator.apply(
+                new SlotEvent.SlotRequested(requestId, borrow.request().withDeadlineNanos(deadlineNanos)));
+        return reply;
     }
 
-    private List<UpstreamId> held(VmId from, PeerMessage.QueryLeases query) {
-        List<UpstreamId> held = new ArrayList<>(coordinator.borrower().holdsOf(query.upstreams()));
-        SlotEvent event = new SlotEvent.LeasesQueried(from, query.requesterIncarnation(), query.upstreams());
+    private List<UpstreamId> leasesHeld(VmId from, PeerMessage.QueryLeases query) {
+        List<UpstreamId> held = new ArrayList<>(coordinator.borrower().filterHeld(query.upstreams()));
+        SlotEvent event = new SlotEvent.LeaseQueryReceived(from, query.requesterIncarnation(), query.upstreams());
         for (SlotAction action : coordinator.apply(event)) {
-            if (action instanceof SlotAction.Held known) {
-                held.addAll(known.upstreams());
+            if (action instanceof SlotAction.ReportLeases reported) {
+                held.addAll(reported.upstreams());
                 return held;
             }
         }
         return query.upstreams();
     }
 
-    private final class LentReply implements WishReply {
-        private final CompletableFuture<PeerMessage> answer;
+    private final class RemoteReply implements SlotReply {
+        private final CompletableFuture<PeerMessage> reply;
 
-        LentReply(CompletableFuture<PeerMessage> answer) {
-            this.answer = answer;
+        RemoteReply(CompletableFuture<PeerMessage> reply) {
+            this.reply = reply;
         }
 
         @Override
         public void granted(GrantedSlot slot) {
             Duration remaining = Duration.ofNanos(Math.max(0, slot.deadlineNanos() - clock.nowNanos()));
-            answer.complete(new PeerMessage.SlotLent(slot.lease(), slot.upstream(), slot.address(), remaining));
+            reply.complete(new PeerMessage.SlotLent(slot.lease(), slot.upstream(), slot.address(), remaining));
         }
 
         @Override
         public void granted(HeldLease lease) {
             lease.release(SlotReturn.unused());
-            answer.complete(new PeerMessage.SlotDenied(ResultCode.NO_CAPACITY));
+            reply.complete(new PeerMessage.SlotDenied(ResultCode.NO_CAPACITY));
         }
 
         @Override
         public void denied(ResultCode code) {
-            answer.complete(new PeerMessage.SlotDenied(code));
+            reply.complete(new PeerMessage.SlotDenied(code));
         }
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/SlotRules.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotRules.java
@@ -3,32 +3,37 @@
 import java.time.Duration;
 
 /**
- * Rules by which a keeper grants slots.
+ * Rules by which an owner grants slots.
  *
- * @param viewLagBound longest time by which the list of VMs may lag
- * @param guarded whether a new keeper waits until leases of others have ended
- * @param maxTickGap longest gap between two ticks of a process that is awake
- * @param overdue when an upstream is passed over
- * @param depth how much an upstream may hold
- * @param restart what shows a restart
+ * @param viewLagBound longest time by which the VM list may lag
+ * @param hasGracePeriod whether a new owner waits until leases of other nodes have ended
+ * @param maxTickGap longest gap between two ticks of a process that is not paused
+ * @param overdueRule when an upstream is skipped
+ * @param concurrencyLimitRule how many requests an upstream may hold
+ * @param restartDetector what counts as evidence of a restart
  */
 public record SlotRules(
         Duration viewLagBound,
-        boolean guarded,
+        boolean hasGracePeriod,
         Duration maxTickGap,
-        OverdueRule overdue,
-        DepthRule depth,
-        RestartRule restart) {
-    private static final Duration PAUSE_BOUND = Duration.ofSeconds(1);
+        OverdueRule overdueRule,
+        ConcurrencyLimitRule concurrencyLimitRule,
+        RestartDetector restartDetector) {
+    private static final Duration MAX_TICK_GAP = Duration.ofSeconds(1);
 
     /**
-     * Builds the usual rules.
+     * Returns the default rules.
      *
-     * @param viewLagBound longest time by which the list of VMs may lag
+     * @param viewLagBound longest time by which the VM list may lag
      * @return the rules
      */
     public static SlotRules defaults(Duration viewLagBound) {
         return new SlotRules(
-                viewLagBound, true, PAUSE_BOUND, OverdueRule.BY_DEVIATION, DepthRule.BY_PHASE, RestartRule.ANY_SIGN);
+                viewLagBound,
+                true,
+                MAX_TICK_GAP,
+                OverdueRule.BY_DEVIATION,
+                ConcurrencyLimitRule.BY_PHASE,
+                RestartDetector.ANY_EVIDENCE);
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/SlotTable.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotTable.java
@@ -7,7 +7,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Slots of the upstreams this node keeps: the one place that knows what runs on them now. */
+/** Slots of the upstreams that this node owns: the only place that knows every request in flight on them. */
 public final class SlotTable {
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
     private final SlotEngine engine;
@@ -16,8 +16,8 @@
     /**
      * Creates a table.
      *
-     * @param engine decisions of the keeper, used by this table alone
-     * @param clock tells when events happen
+     * @param engine decision logic, used by this table alone
+     * @param clock provides the time of each event
      */
     public SlotTable(SlotEngine engine, MonotonicClock clock) {
         this.engine = engine;
@@ -31,20 +31,20 @@
      * @return what to do, in this order, outside the lock
      */
     public List<SlotAction> apply(SlotEvent event) {
-        return lock.compute(() -> engine.on(event, clock.nowNanos()));
+        return lock.compute(() -> engine.handle(event, clock.nowNanos()));
     }
 
     /**
      * Describes the idle slots for the other nodes.
      *
-     * @return one entry for each service of which this node keeps upstreams
+     * @return one entry for each service of which this node owns upstreams
      */
     public List<PeerMessage.IdleSlots> idleSlots() {
         return lock.compute(() -> engine.idleSlots(clock.nowNanos()));
     }
 
     /**
-     * Describes the kept upstreams.
+     * Describes the owned upstreams.
      *
      * @return their states in the order of their names
      */
@@ -55,7 +55,7 @@
     }
 
     /**
-     * Counts leases, waiting wishes and cold transitions.
+     * Counts leases, queued requests and cold transitions.
      *
      * @return the counts
      */
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamChoice.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamChoice.java
@@ -10,18 +10,18 @@
 @FunctionalInterface
 public interface UpstreamChoice {
     /**
-     * Chooses.
+     * Chooses an upstream.
      *
      * @param candidates upstreams that may be chosen
-     * @param load tells the load of an upstream as far as it is known
+     * @param load returns the load of an upstream as far as it is known
      * @return the choice, or empty when there is no candidate
      */
     Optional<Upstream> choose(List<Upstream> candidates, ToIntFunction<Upstream> load);
 
     /**
-     * Builds the choice of the less loaded of two drawn at random.
+     * Returns a choice that draws two upstreams at random and takes the less loaded one.
      *
-     * @param random draws them
+     * @param random draws the two
      * @return the choice
      */
     static UpstreamChoice powerOfTwo(RandomGenerator random) {
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamListing.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamListing.java
@@ -4,11 +4,11 @@
 import org.turmericspan.membership.Vm;
 
 /**
- * What operators and the platform say of an upstream.
+ * State of an upstream according to the configuration and the platform's VM list.
  *
- * @param inService whether it and its availability zone take new work
+ * @param inService whether it and its availability zone accept new work
  * @param listed whether its VM is in the list
- * @param leaving whether the list says that its VM is about to stop
+ * @param leaving whether the list marks its VM as about to stop
  */
 record UpstreamListing(boolean inService, boolean listed, boolean leaving) {
     static UpstreamListing of(OwnershipMap map, Upstream upstream) {
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamSlots.java
@@ -13,15 +13,15 @@
 import org.turmericspan.config.Upstream;
 import org.turmericspan.ids.LeaseId;
 
-/** One kept upstream: what runs on it, how warm it is and how fast it has been. */
+/** One owned upstream: its running leases, warm-up state and latency. */
 final class UpstreamSlots {
-    private static final int JUMP_FACTOR = 10;
-    private static final int JUMPS_FOR_RESTART = 3;
-    private static final Duration SHORTEST_JUMP = Duration.ofMillis(50);
-    private static final Duration COLD_PAUSE = Duration.ofMillis(100);
-    private static final Duration PROOF_LIFETIME = Duration.ofMillis(100);
-    private static final Duration SHED_PAUSE = Duration.ofMillis(5);
-    private static final int MAX_DOUBLINGS = 4;
+    private static final int SPIKE_FACTOR = 10;
+    private static final int SPIKES_FOR_RESTART = 3;
+    private static final Duration MIN_SPIKE = Duration.ofMillis(50);
+    private static final Duration COLD_BACKOFF = Duration.ofMillis(100);
+    private static final Duration CONFIRMATION_TTL = Duration.ofMillis(100);
+    private static final Duration SHED_BACKOFF = Duration.ofMillis(5);
+    private static final int MAX_BACKOFF_DOUBLINGS = 4;
 
     private final SlotRules rules;
     private final Map<LeaseId, Lease> running = new LinkedHashMap<>();
@@ -31,19 +31,19 @@
     private Phase phase;
     private Optional<ColdReason> coldReason = Optional.empty();
     private Optional<String> incarnation = Optional.empty();
-    private boolean saidLeaving;
+    private boolean reportedLeaving;
     private boolean listedLeaving;
     private boolean listed;
     private boolean inService;
     private int allowance;
     private int successes;
-    private int jumps;
+    private int consecutiveSpikes;
     private int failures;
-    private int foreignLoad;
-    private long life;
-    private long notBeforeNanos;
-    private long provenNanos;
-    private boolean unproven;
+    private int externalLoad;
+    private long generation;
+    private long backoffUntilNanos;
+    private long confirmedNanos;
+    private boolean unconfirmed;
 
     UpstreamSlots(SlotRules rules, Upstream upstream, Service service, Phase phase) {
         this.rules = rules;
@@ -70,55 +70,55 @@
     }
 
     int limit() {
-        int limit = rules.depth().limit(phase, allowance, service);
-        return unproven ? Math.min(limit, service.coldRequests()) : limit;
+        int limit = rules.concurrencyLimitRule().limit(phase, allowance, service);
+        return unconfirmed ? Math.min(limit, service.coldRequests()) : limit;
     }
 
-    boolean isPlain() {
+    boolean isWarmOrRamping() {
         return phase == Phase.WARM || phase == Phase.RAMPING;
     }
 
-    /** Takes over what the configuration and the list of VMs say; returns whether it was set cold. */
+    /** Applies a change of the configuration or the VM list; returns whether the upstream was marked cold. */
     boolean update(Upstream newUpstream, Service newService, UpstreamListing listing, long nowNanos) {
         boolean moved = !newUpstream.address().equals(upstream.address());
         boolean returned = listing.inService() && !inService && phase == Phase.OUT;
         boolean relisted = listing.listed() && !listed && phase != Phase.RESTING;
-        boolean staysAfterAll = listedLeaving && !listing.leaving();
+        boolean leavingRevoked = listedLeaving && !listing.leaving();
         upstream = newUpstream;
         service = newService;
         allowance = Math.min(allowance, service.slotsPerUpstream());
         inService = listing.inService();
         listed = listing.listed();
         listedLeaving = listing.leaving();
-        if (moved || relisted || staysAfterAll) {
-            saidLeaving = false;
+        if (moved || relisted || leavingRevoked) {
+            reportedLeaving = false;
             incarnation = Optional.empty();
         }
         if (phase == Phase.RESTING) {
             return false;
         }
-        if (moved || returned || relisted || staysAfterAll) {
-            becomeCold(ColdReason.RETURNED, nowNanos);
+        if (moved || returned || relisted || leavingRevoked) {
+            markCold(ColdReason.RETURNED, nowNanos);
             return true;
         }
-        settlePhase();
+        updatePhase();
         return false;
     }
 
-    /** Sets what the list says of an upstream that is new to this keeper. */
-    void list(UpstreamListing listing) {
+    /** Sets the listing of an upstream that is new to this owner. */
+    void setListing(UpstreamListing listing) {
         inService = listing.inService();
         listed = listing.listed();
         listedLeaving = listing.leaving();
     }
 
-    /** Ends the rest of a new keeper. */
-    void endRest(ColdReason reason, long nowNanos) {
-        becomeCold(reason, nowNanos);
+    /** Ends the takeover grace period. */
+    void endGracePeriod(ColdReason reason, long nowNanos) {
+        markCold(reason, nowNanos);
     }
 
-    /** Takes over what the keeper before knew. */
-    void takeOver(boolean warm, int newAllowance, Optional<String> knownIncarnation, List<Lease> leases) {
+    /** Restores the state that the previous owner handed over. */
+    void restoreFromHandover(boolean warm, int newAllowance, Optional<String> knownIncarnation, List<Lease> leases) {
         incarnation = knownIncarnation;
         allowance = Math.max(service.coldRequests(), Math.min(newAllowance, service.slotsPerUpstream()));
         phase = warm ? Phase.WARM : Phase.COLD;
@@ -127,15 +127,15 @@
             allowance = service.coldRequests();
         }
         leases.forEach(lease -> running.put(lease.id(), lease));
-        settlePhase();
+        updatePhase();
     }
 
-    boolean hasRoom(long nowNanos) {
-        return phase.isGranting() && nowNanos >= notBeforeNanos && running.size() < limit();
+    boolean hasCapacity(long nowNanos) {
+        return phase.isGranting() && nowNanos >= backoffUntilNanos && running.size() < limit();
     }
 
     boolean hasIdleSlot() {
-        return isPlain() && running.size() < Math.min(limit(), service.slotsPerUpstream());
+        return isWarmOrRamping() && running.size() < Math.min(limit(), service.slotsPerUpstream());
     }
 
     boolean isOverdue(long nowNanos) {
@@ -143,87 +143,87 @@
             return false;
         }
         long startedNanos = running.values().iterator().next().startedNanos();
-        return rules.overdue().isOverdue(nowNanos - startedNanos, latency);
+        return rules.overdueRule().isOverdue(nowNanos - startedNanos, latency);
     }
 
-    /** Estimates the wait and service time of one more request; slots beyond the idle ones come last. */
+    /** Estimates the wait and service time of one more request; extra depth costs more than any idle slot. */
     long cost() {
-        int load = running.size() + foreignLoad;
+        int load = running.size() + externalLoad;
         long cost = (latency.meanNanos() + 1) * (load + 1);
         return running.size() < service.slotsPerUpstream() ? cost : cost + Long.MAX_VALUE / 2;
     }
 
     /**
-     * Notes a lease that starts. An upstream that was idle may have restarted without a broken connection to show it;
-     * it gets no more than a cold one bears until it answers.
+     * Records the start of a lease. An upstream that was idle may have restarted without a broken connection to show
+     * it, so it is limited to its cold requests until it responds.
      */
     void start(Lease lease, long nowNanos) {
-        boolean wasUnseen = running.isEmpty() && nowNanos - provenNanos > PROOF_LIFETIME.toNanos();
-        unproven = unproven || wasUnseen && rules.restart() != RestartRule.NO_SIGN;
+        boolean needsConfirmation = running.isEmpty() && nowNanos - confirmedNanos > CONFIRMATION_TTL.toNanos();
+        unconfirmed = unconfirmed || needsConfirmation && rules.restartDetector() != RestartDetector.DISABLED;
         running.put(lease.id(), lease);
     }
 
-    /** Forgets a lease whose deadline has passed. */
+    /** Removes a lease whose deadline has passed. */
     void expire(LeaseId lease, long nowNanos) {
         running.remove(lease);
-        rest(nowNanos);
+        backOffIfCold(nowNanos);
     }
 
-    /** Takes a slot back; returns whether the upstream was set cold. */
+    /** Takes a returned slot back; returns whether the upstream was marked cold. */
     boolean finish(Lease lease, SlotReturn slotReturn, long nowNanos) {
         running.remove(lease.id());
-        boolean isCurrent = lease.life() == life;
+        boolean isCurrent = lease.generation() == generation;
         UpstreamSignals signals = slotReturn.signals();
         if (!isCurrent && isOtherIncarnation(signals)) {
             return false;
         }
-        if (observe(signals, isCurrent, nowNanos)) {
+        if (recordSignals(signals, isCurrent, nowNanos)) {
             return true;
         }
         if (!isCurrent) {
             return false;
         }
-        Optional<ColdReason> sign = rules.restart().sign(slotReturn);
-        if (sign.isPresent()) {
-            fail(sign.get(), nowNanos);
+        Optional<ColdReason> evidence = rules.restartDetector().detect(slotReturn);
+        if (evidence.isPresent()) {
+            recordRestart(evidence.get(), nowNanos);
             return true;
         }
         if (slotReturn.outcome() == SlotReturn.Outcome.ANSWERED) {
-            prove(nowNanos);
+            confirm(nowNanos);
         }
         return switch (slotReturn.outcome()) {
-            case ANSWERED -> succeed(slotReturn.elapsed().toNanos(), nowNanos);
-            case SHED -> shed(nowNanos);
-            case TIMED_OUT, CANCELLED -> rest(nowNanos);
+            case ANSWERED -> recordSuccess(slotReturn.elapsed().toNanos(), nowNanos);
+            case SHED -> recordShed(nowNanos);
+            case TIMED_OUT, CANCELLED -> backOffIfCold(nowNanos);
             default -> false;
         };
     }
 
-    /** Takes the upstream's own word; returns whether it was set cold. */
-    boolean observe(UpstreamSignals signals, boolean isCurrent, long nowNanos) {
+    /** Records what the upstream reports about itself; returns whether it was marked cold. */
+    boolean recordSignals(UpstreamSignals signals, boolean isCurrent, long nowNanos) {
         boolean changed = isOtherIncarnation(signals);
         boolean wasKnown = incarnation.isPresent();
         if (signals.incarnation().isPresent()) {
             incarnation = signals.incarnation();
         }
-        signals.running().ifPresent(reported -> foreignLoad = Math.max(0, reported - running.size()));
+        signals.running().ifPresent(reported -> externalLoad = Math.max(0, reported - running.size()));
         if (signals.leaving()) {
-            saidLeaving = true;
-            settlePhase();
+            reportedLeaving = true;
+            updatePhase();
             return false;
         }
         if (changed && wasKnown) {
-            saidLeaving = false;
+            reportedLeaving = false;
             if (phase != Phase.RESTING) {
-                becomeCold(ColdReason.NEW_INCARNATION, nowNanos);
+                markCold(ColdReason.NEW_INCARNATION, nowNanos);
                 return true;
             }
         }
         if (isCurrent && signals.incarnation().isPresent()) {
-            prove(nowNanos);
+            confirm(nowNanos);
         }
-        if (isCurrent && signals.cold() && isPlain() && rules.restart() != RestartRule.NO_SIGN) {
-            becomeCold(ColdReason.REPORTED_COLD, nowNanos);
+        if (isCurrent && signals.cold() && isWarmOrRamping() && rules.restartDetector() != RestartDetector.DISABLED) {
+            markCold(ColdReason.REPORTED_COLD, nowNanos);
             return true;
         }
         return false;
@@ -245,8 +245,8 @@
                 incarnation);
     }
 
-    long life() {
-        return life;
+    long generation() {
+        return generation;
     }
 
     int allowance() {
@@ -263,27 +263,27 @@
         return leases;
     }
 
-    private void prove(long nowNanos) {
-        provenNanos = nowNanos;
-        unproven = false;
+    private void confirm(long nowNanos) {
+        confirmedNanos = nowNanos;
+        unconfirmed = false;
     }
 
     private boolean isOtherIncarnation(UpstreamSignals signals) {
         return signals.incarnation().isPresent() && !signals.incarnation().equals(incarnation);
     }
 
-    private void fail(ColdReason reason, long nowNanos) {
-        becomeCold(reason, nowNanos);
+    private void recordRestart(ColdReason reason, long nowNanos) {
+        markCold(reason, nowNanos);
         if (reason != ColdReason.REPORTED_COLD) {
-            notBeforeNanos = nowNanos + (COLD_PAUSE.toNanos() << Math.min(failures, MAX_DOUBLINGS));
+            backoffUntilNanos = nowNanos + (COLD_BACKOFF.toNanos() << Math.min(failures, MAX_BACKOFF_DOUBLINGS));
             failures++;
         }
     }
 
-    private boolean succeed(long elapsedNanos, long nowNanos) {
+    private boolean recordSuccess(long elapsedNanos, long nowNanos) {
         failures = 0;
-        if (isJump(elapsedNanos)) {
-            becomeCold(ColdReason.LATENCY_JUMP, nowNanos);
+        if (isLatencySpike(elapsedNanos)) {
+            markCold(ColdReason.LATENCY_JUMP, nowNanos);
             return true;
         }
         latency.add(elapsedNanos);
@@ -295,22 +295,22 @@
             successes = 0;
             allowance++;
             phase = allowance >= service.slotsPerUpstream() ? Phase.WARM : Phase.RAMPING;
-            settlePhase();
+            updatePhase();
         }
         return false;
     }
 
-    private boolean isJump(long elapsedNanos) {
+    private boolean isLatencySpike(long elapsedNanos) {
         boolean isSlow = latency.meanNanos() > 0
-                && elapsedNanos > SHORTEST_JUMP.toNanos()
-                && elapsedNanos > JUMP_FACTOR * latency.meanNanos();
-        jumps = isSlow ? jumps + 1 : 0;
-        return jumps >= JUMPS_FOR_RESTART && rules.restart() != RestartRule.NO_SIGN;
+                && elapsedNanos > MIN_SPIKE.toNanos()
+                && elapsedNanos > SPIKE_FACTOR * latency.meanNanos();
+        consecutiveSpikes = isSlow ? consecutiveSpikes + 1 : 0;
+        return consecutiveSpikes >= SPIKES_FOR_RESTART && rules.restartDetector() != RestartDetector.DISABLED;
     }
 
-    private boolean shed(long nowNanos) {
-        notBeforeNanos = nowNanos + SHED_PAUSE.toNanos();
-        if (isPlain()) {
+    private boolean recordShed(long nowNanos) {
+        backoffUntilNanos = nowNanos + SHED_BACKOFF.toNanos();
+        if (isWarmOrRamping()) {
             allowance = Math.max(service.coldRequests(), Math.min(allowance(), running.size()));
             successes = 0;
             phase = allowance >= service.slotsPerUpstream() ? Phase.WARM : Phase.RAMPING;
@@ -318,33 +318,33 @@
         return false;
     }
 
-    private boolean rest(long nowNanos) {
+    private boolean backOffIfCold(long nowNanos) {
         if (phase == Phase.COLD) {
-            notBeforeNanos = nowNanos + COLD_PAUSE.toNanos();
+            backoffUntilNanos = nowNanos + COLD_BACKOFF.toNanos();
         }
         return false;
     }
 
-    private void becomeCold(ColdReason reason, long nowNanos) {
-        life++;
+    private void markCold(ColdReason reason, long nowNanos) {
+        generation++;
         phase = Phase.COLD;
         coldReason = Optional.of(reason);
         allowance = service.coldRequests();
         successes = 0;
-        jumps = 0;
-        foreignLoad = 0;
-        notBeforeNanos = Math.max(notBeforeNanos, nowNanos);
+        consecutiveSpikes = 0;
+        externalLoad = 0;
+        backoffUntilNanos = Math.max(backoffUntilNanos, nowNanos);
         latency.clear();
-        settlePhase();
+        updatePhase();
     }
 
-    private void settlePhase() {
+    private void updatePhase() {
         if (phase == Phase.RESTING) {
             return;
         }
         if (!inService) {
             phase = Phase.OUT;
-        } else if (saidLeaving || listedLeaving) {
+        } else if (reportedLeaving || listedLeaving) {
             phase = Phase.LEAVING;
         } else if (phase == Phase.LEAVING || phase == Phase.OUT) {
             phase = Phase.COLD;
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamState.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamState.java
@@ -6,17 +6,17 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * State of one kept upstream, for the dump.
+ * State of one owned upstream, for the state dump.
  *
  * @param upstream its name
  * @param service its service
- * @param phase how warm it is
+ * @param phase its warm-up state
  * @param limit requests it may hold now
  * @param running requests it holds
  * @param oldest how long the oldest of them has run
  * @param latency smoothed service time
- * @param coldReason why it was last set cold
- * @param incarnation the life it said it is in
+ * @param coldReason why it was last marked cold
+ * @param incarnation the incarnation it last reported
  */
 public record UpstreamState(
         UpstreamId upstream,
--- a/routing/src/main/java/org/turmericspan/routing/package-info.java
+++ b/routing/src/main/java/org/turmericspan/routing/package-info.java
@@ -1,2 +1,2 @@
-/** Which node keeps an upstream, and which wish gets which slot. */
+/** Assigns upstreams to owner nodes and grants their slots to requests. */
 package org.turmericspan.routing;
--- a/routing/src/test/java/org/turmericspan/routing/BaselineSlotSourceTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/BaselineSlotSourceTest.java
@@ -16,7 +16,7 @@
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.testkit.ManualClock;
 
-/** The policy that the keepers are measured against. */
+/** The baseline policy, against which owners and leases are compared. */
 final class BaselineSlotSourceTest {
     private static final List<Upstream> UPSTREAMS = Fixtures.upstreams(2);
 
@@ -28,7 +28,7 @@
             new BaselineSlotSource(() -> map, new Incarnation(1), clock, UpstreamChoice.powerOfTwo(new Random(1)));
 
     @Test
-    void wishIsGrantedAtOnceWhateverRuns() {
+    void requestIsGrantedAtOnceAtAnyLoad() {
         for (int i = 0; i < 100; i++) {
             assertThat(acquire().isValid()).isTrue();
         }
@@ -58,8 +58,8 @@
     }
 
     private SlotLease acquire() {
-        SlotDecision decision = source.acquire(
-                        Fixtures.wish(clock.nowNanos() + Duration.ofSeconds(1).toNanos()))
+        SlotDecision decision = source.acquire(Fixtures.slotRequest(
+                        clock.nowNanos() + Duration.ofSeconds(1).toNanos()))
                 .toCompletableFuture()
                 .getNow(null);
         return ((SlotDecision.Granted) decision).lease();
--- a/routing/src/test/java/org/turmericspan/routing/EngineDriver.java
+++ b/routing/src/test/java/org/turmericspan/routing/EngineDriver.java
@@ -13,18 +13,18 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.membership.Vm;
 
-/** Drives the decisions of one keeper through events at chosen times. */
+/** Drives the slot engine of one node through events at chosen times. */
 final class EngineDriver {
     static final VmId SELF = new VmId("entry-0");
     static final VmId OTHER = new VmId("entry-1");
-    static final Duration LAG = Duration.ofSeconds(3);
+    static final Duration VIEW_LAG_BOUND = Duration.ofSeconds(3);
     private static final Duration TICK = Duration.ofMillis(10);
 
     private final SlotEngine engine;
     private final Service service;
     private long nowNanos = 1;
     private long confirmedNanos = 1;
-    private long nextNumber;
+    private long nextRequestNumber;
     private long revision;
 
     EngineDriver(SlotRules rules, Service service) {
@@ -32,80 +32,80 @@
         this.service = service;
     }
 
-    static EngineDriver usual() {
-        return new EngineDriver(SlotRules.defaults(LAG), Fixtures.service(3, 1));
+    static EngineDriver withDefaults() {
+        return new EngineDriver(SlotRules.defaults(VIEW_LAG_BOUND), Fixtures.service(3, 1));
     }
 
-    static EngineDriver with(SlotRules rules) {
+    static EngineDriver withRules(SlotRules rules) {
         return new EngineDriver(rules, Fixtures.service(3, 1));
     }
 
-    /** Sets the map: the upstreams and the entry VMs that are listed. */
-    List<SlotAction> map(List<Upstream> upstreams, List<Vm> entryVms) {
-        return map(upstreams, entryVms, Set.of(), Set.of());
+    /** Sets the configured upstreams and the listed entry VMs. */
+    List<SlotAction> setOwnership(List<Upstream> upstreams, List<Vm> entryVms) {
+        return setOwnership(upstreams, entryVms, Set.of(), Set.of());
     }
 
-    List<SlotAction> map(
+    List<SlotAction> setOwnership(
             List<Upstream> upstreams, List<Vm> entryVms, Set<VmId> outOfService, Set<VmId> leavingUpstreams) {
         revision++;
         List<Vm> vms = new ArrayList<>(entryVms);
         upstreams.forEach(upstream -> vms.add(Fixtures.upstreamVm(upstream, leavingUpstreams.contains(upstream.vm()))));
-        return on(new SlotEvent.MapChanged(OwnershipMap.of(
+        return handle(new SlotEvent.OwnershipChanged(OwnershipMap.of(
                 Fixtures.configuration(revision, upstreams, service, outOfService), Fixtures.view(revision, vms))));
     }
 
-    /** Keeps one warm upstream alone. */
-    EngineDriver warm(Upstream upstream) {
-        map(List.of(upstream), List.of(Fixtures.entryVm(SELF.value(), upstream.availabilityZone())));
+    /** Makes this node the only owner of an upstream and warms it up. */
+    EngineDriver ownWarm(Upstream upstream) {
+        setOwnership(List.of(upstream), List.of(Fixtures.entryVm(SELF.value(), upstream.availabilityZone())));
         while (state().phase() != Phase.WARM) {
-            finish(grantOf(wish()), Fixtures.answered(Duration.ofMillis(10)));
+            returnSlot(grantOf(request()), Fixtures.answered(Duration.ofMillis(10)));
         }
         return this;
     }
 
-    List<SlotAction> on(SlotEvent event) {
-        return engine.on(event, nowNanos);
+    List<SlotAction> handle(SlotEvent event) {
+        return engine.handle(event, nowNanos);
     }
 
-    /** Lets time pass in ticks, with the view confirmed at each; returns the actions of all of them. */
-    List<SlotAction> pass(Duration span) {
+    /** Advances time in ticks, with the view confirmed at each; returns the actions of all ticks. */
+    List<SlotAction> advance(Duration span) {
         List<SlotAction> actions = new ArrayList<>();
         long endNanos = nowNanos + span.toNanos();
         while (nowNanos < endNanos) {
             nowNanos = Math.min(endNanos, nowNanos + TICK.toNanos());
             confirmedNanos = nowNanos;
-            actions.addAll(on(new SlotEvent.Ticked(confirmedNanos)));
+            actions.addAll(handle(new SlotEvent.Ticked(confirmedNanos)));
         }
         return actions;
     }
 
-    /** Lets time pass in ticks without any word of the view. */
-    void passUnconfirmed(Duration span) {
+    /** Advances time in ticks without confirming the view. */
+    void advanceUnconfirmed(Duration span) {
         long endNanos = nowNanos + span.toNanos();
         while (nowNanos < endNanos) {
             nowNanos = Math.min(endNanos, nowNanos + TICK.toNanos());
-            on(new SlotEvent.Ticked(confirmedNanos));
+            handle(new SlotEvent.Ticked(confirmedNanos));
         }
     }
 
-    /** Lets the process sleep, without a tick. */
-    void sleep(Duration span) {
+    /** Advances time without a tick, as a process pause does. */
+    void pauseProcess(Duration span) {
         nowNanos += span.toNanos();
     }
 
-    List<SlotAction> wish() {
-        return wish(SELF, false);
+    List<SlotAction> request() {
+        return request(SELF, false);
     }
 
-    List<SlotAction> wish(VmId from, boolean idleOnly) {
-        nextNumber++;
-        return on(new SlotEvent.Wished(
-                new WishKey(from, nextNumber),
-                Fixtures.wish(nowNanos + Duration.ofSeconds(1).toNanos(), idleOnly)));
+    List<SlotAction> request(VmId from, boolean idleOnly) {
+        nextRequestNumber++;
+        return handle(new SlotEvent.SlotRequested(
+                new SlotRequestId(from, nextRequestNumber),
+                Fixtures.slotRequest(nowNanos + Duration.ofSeconds(1).toNanos(), idleOnly)));
     }
 
-    List<SlotAction> finish(LeaseId lease, SlotReturn slotReturn) {
-        return on(new SlotEvent.Returned(lease, slotReturn));
+    List<SlotAction> returnSlot(LeaseId lease, SlotReturn slotReturn) {
+        return handle(new SlotEvent.Returned(lease, slotReturn));
     }
 
     List<UpstreamState> states() {
--- a/routing/src/test/java/org/turmericspan/routing/Fixtures.java
+++ b/routing/src/test/java/org/turmericspan/routing/Fixtures.java
@@ -103,11 +103,11 @@
         return FleetView.of(revision, vms);
     }
 
-    static SlotRequest wish(long deadlineNanos) {
-        return wish(deadlineNanos, false);
+    static SlotRequest slotRequest(long deadlineNanos) {
+        return slotRequest(deadlineNanos, false);
     }
 
-    static SlotRequest wish(long deadlineNanos, boolean idleOnly) {
+    static SlotRequest slotRequest(long deadlineNanos, boolean idleOnly) {
         return new SlotRequest(
                 SERVICE, new OfficeId("pressroom"), new CallerId("mari"), deadlineNanos, 0, true, Set.of(), idleOnly);
     }
--- a/routing/src/test/java/org/turmericspan/routing/MemoryNode.java
+++ b/routing/src/test/java/org/turmericspan/routing/InMemoryNode.java
@@ -15,8 +15,8 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.testkit.ManualClock;
 
-/** The slots of one node, joined to others by links in memory. */
-final class MemoryNode {
+/** The slot components of one node, linked to other nodes by {@link LoopbackLinks}. */
+final class InMemoryNode {
     private final VmId vm;
     private final Incarnation incarnation;
     private final ManualClock clock;
@@ -25,20 +25,20 @@
     private final SlotCoordinator coordinator;
     private OwnershipMap map;
 
-    MemoryNode(VmId vm, long incarnation, ManualClock clock, LoopbackLinks links, OwnershipMap map) {
+    InMemoryNode(VmId vm, long incarnation, ManualClock clock, LoopbackLinks links, OwnershipMap map) {
         this.vm = vm;
         this.incarnation = new Incarnation(incarnation);
         this.clock = clock;
         this.map = map;
         this.peers = new PeerTable(clock);
-        SlotRules rules = SlotRules.defaults(EngineDriver.LAG);
+        SlotRules rules = SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND);
         this.table = new SlotTable(new SlotEngine(vm, this.incarnation, rules), clock);
-        LenderSelector board = new LenderSelector(vm, () -> this.map, peers, clock, new Random(1));
+        LenderSelector lenderSelector = new LenderSelector(vm, () -> this.map, peers, clock, new Random(1));
         this.coordinator = new SlotCoordinator(
                 table,
                 new SlotNetwork(vm, this.incarnation, links.of(vm), (delay, task) -> {}),
                 () -> this.map,
-                board,
+                lenderSelector,
                 clock,
                 rules.maxTickGap(),
                 clock::nowNanos,
@@ -46,7 +46,7 @@
         links.join(vm, new SlotPeerHandler(coordinator, clock));
     }
 
-    void change(OwnershipMap newMap) {
+    void setOwnership(OwnershipMap newMap) {
         map = newMap;
         coordinator.onOwnershipChanged();
     }
@@ -61,7 +61,8 @@
 
     CompletableFuture<SlotDecision> acquire(boolean idleOnly) {
         return coordinator
-                .acquire(Fixtures.wish(clock.nowNanos() + Duration.ofSeconds(1).toNanos(), idleOnly))
+                .acquire(Fixtures.slotRequest(
+                        clock.nowNanos() + Duration.ofSeconds(1).toNanos(), idleOnly))
                 .toCompletableFuture();
     }
 
@@ -74,12 +75,12 @@
         return ((SlotDecision.Granted) decision.getNow(null)).lease();
     }
 
-    void heartbeatTo(MemoryNode other) {
+    void heartbeatTo(InMemoryNode other) {
         other.peers.recordHeartbeat(
                 vm, new PeerMessage.Heartbeat(incarnation, 1, "", 1, Duration.ZERO, false, table.idleSlots()));
     }
 
-    /** Uses and returns slots one after the other until every kept upstream is warm. */
+    /** Uses and returns slots one after the other until every owned upstream is warm. */
     void warmUp() {
         while (table.upstreamStates().stream().anyMatch(state -> state.phase() != Phase.WARM)) {
             lease().release(new SlotReturn(SlotReturn.Outcome.ANSWERED, Duration.ofMillis(10), UpstreamSignals.NONE));
--- a/routing/src/test/java/org/turmericspan/routing/LendingTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/LendingTest.java
@@ -15,10 +15,13 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.testkit.ManualClock;
 
-/** Lending of slots between two nodes, of which the first keeps the only upstream. */
+/**
+ * Lending of slots between two nodes, of which the first owns the only upstream. Guards against overload of an upstream
+ * by requests of several nodes, and against leases that outlive a lost borrower, a restart or a process pause.
+ */
 final class LendingTest {
     private static final Upstream UPSTREAM = Fixtures.upstream("upstream-0", Fixtures.zone(0));
-    private static final Vm KEEPER = Fixtures.entryVm("entry-0", Fixtures.zone(0));
+    private static final Vm OWNER = Fixtures.entryVm("entry-0", Fixtures.zone(0));
     private static final Vm BORROWER = Fixtures.entryVm("entry-1", Fixtures.zone(1));
     private static final SlotReturn ANSWERED = Fixtures.answered(Duration.ofMillis(10));
 
@@ -26,31 +29,31 @@
     private final LoopbackLinks links = new LoopbackLinks();
     private final OwnershipMap map = OwnershipMap.of(
             Fixtures.configuration(1, List.of(UPSTREAM), Fixtures.service(3, 1)),
-            Fixtures.view(1, List.of(KEEPER, BORROWER, Fixtures.upstreamVm(UPSTREAM, false))));
-    private final MemoryNode keeper = new MemoryNode(KEEPER.id(), 1, clock, links, map);
-    private final MemoryNode borrower = new MemoryNode(BORROWER.id(), 2, clock, links, map);
+            Fixtures.view(1, List.of(OWNER, BORROWER, Fixtures.upstreamVm(UPSTREAM, false))));
+    private final InMemoryNode owner = new InMemoryNode(OWNER.id(), 1, clock, links, map);
+    private final InMemoryNode borrower = new InMemoryNode(BORROWER.id(), 2, clock, links, map);
 
     @Test
-    void fleetThatStartsAsAWholeServesAtOnce() {
+    void fleetThatStartsTogetherGrantsAtOnce() {
         start();
 
-        assertThat(keeper.states().get(0).phase()).isEqualTo(Phase.COLD);
+        assertThat(owner.states().get(0).phase()).isEqualTo(Phase.COLD);
     }
 
     @Test
-    void requestThatArrivesAwayFromHomeIsServedUnderALentSlot() {
+    void requestOnANodeThatDoesNotOwnTheUpstreamUsesALentSlot() {
         startWarm();
         SlotLease lease = borrower.lease();
 
         assertThat(lease.upstream()).isEqualTo(UPSTREAM.id());
         assertThat(lease.isValid()).isTrue();
-        assertThat(keeper.counts().lent()).isEqualTo(1);
+        assertThat(owner.counts().lent()).isEqualTo(1);
         lease.release(ANSWERED);
-        assertThat(keeper.counts().lent()).isZero();
+        assertThat(owner.counts().lent()).isZero();
     }
 
     @Test
-    void coldSlotIsLentWhenNothingWarmIsThereSoThatNoRequestIsRefused() {
+    void coldSlotIsLentWhenNoUpstreamIsWarmSoThatNoRequestIsRefused() {
         start();
 
         assertThat(borrower.lease().isValid()).isTrue();
@@ -58,37 +61,37 @@
     }
 
     @Test
-    void wishIsQueuedAtTheKeeperAndMetWhenASlotFrees() {
+    void requestIsQueuedAtTheOwnerAndGrantedWhenASlotFrees() {
         startWarm();
-        List<SlotLease> all = fill();
+        List<SlotLease> leases = takeAllSlots();
         CompletableFuture<SlotDecision> waiting = borrower.acquire();
         assertThat(waiting).isNotDone();
 
-        all.get(0).release(ANSWERED);
-        assertThat(MemoryNode.leaseOf(waiting).isValid()).isTrue();
-        assertThat(keeper.states().get(0).running()).isEqualTo(4);
+        leases.get(0).release(ANSWERED);
+        assertThat(InMemoryNode.leaseOf(waiting).isValid()).isTrue();
+        assertThat(owner.states().get(0).running()).isEqualTo(4);
     }
 
     @Test
-    void limitHoldsOverOwnAndLentSlotsTogether() {
+    void limitCoversOwnAndLentSlotsTogether() {
         startWarm();
         for (int i = 0; i < 20; i++) {
-            keeper.acquire();
+            owner.acquire();
             borrower.acquire();
         }
 
-        assertThat(keeper.states().get(0).running()).isEqualTo(4);
+        assertThat(owner.states().get(0).running()).isEqualTo(4);
     }
 
     @Test
-    void borrowerReusesALeaseForAWishThatWaits() {
+    void borrowerReusesALeaseForAQueuedRequest() {
         startWarm();
         CompletableFuture<SlotDecision> first = borrower.acquire();
-        fill();
+        takeAllSlots();
         borrower.acquire();
         borrower.acquire();
         long returnedBefore = links.count(PeerMessage.ReturnSlot.class);
-        SlotLease lease = MemoryNode.leaseOf(first);
+        SlotLease lease = InMemoryNode.leaseOf(first);
         lease.release(ANSWERED);
 
         assertThat(links.count(PeerMessage.ReturnSlot.class)).isEqualTo(returnedBefore);
@@ -100,7 +103,7 @@
     void borrowerReturnsALeaseAfterTheReuseWindow() {
         startWarm();
         SlotLease lease = borrower.lease();
-        fill();
+        takeAllSlots();
         borrower.acquire();
         clock.advance(LeaseReuse.WINDOW);
         lease.release(ANSWERED);
@@ -109,21 +112,21 @@
     }
 
     @Test
-    void lostBorrowerFreesItsSlotAtTheDeadline() {
+    void slotOfADisconnectedBorrowerIsFreedAtTheDeadline() {
         start();
         borrower.lease();
-        links.cut(BORROWER.id());
-        assertThat(keeper.acquire()).isNotDone();
+        links.disconnect(BORROWER.id());
+        assertThat(owner.acquire()).isNotDone();
 
-        passTicking(Duration.ofMillis(1_150));
-        assertThat(keeper.lease().isValid()).isTrue();
+        advanceTicking(Duration.ofMillis(1_150));
+        assertThat(owner.lease().isValid()).isTrue();
     }
 
     @Test
     void leaseEndsForTheBorrowerAtTheDeadlineOfItsRequest() {
         startWarm();
         SlotLease lease = borrower.lease();
-        passTicking(Duration.ofSeconds(1));
+        advanceTicking(Duration.ofSeconds(1));
 
         assertThat(lease.isValid()).isFalse();
     }
@@ -132,16 +135,16 @@
     void restartOfTheUpstreamRecallsLentLeases() {
         startWarm();
         SlotLease lent = borrower.lease();
-        SlotLease own = keeper.lease();
+        SlotLease own = owner.lease();
         own.release(Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
 
         assertThat(lent.isValid()).isFalse();
     }
 
     @Test
-    void leaseIsVoidAfterALateWakeUp() {
+    void leasesAreInvalidAfterAProcessPause() {
         startWarm();
-        SlotLease own = keeper.lease();
+        SlotLease own = owner.lease();
         SlotLease lent = borrower.lease();
         clock.advance(Duration.ofMillis(1_001));
 
@@ -152,50 +155,50 @@
     @Test
     void hedgeBorrowsOnlyAnIdleSlot() {
         startWarm();
-        keeper.heartbeatTo(borrower);
-        SlotLease lent = MemoryNode.leaseOf(borrower.acquire(true));
+        owner.heartbeatTo(borrower);
+        SlotLease lent = InMemoryNode.leaseOf(borrower.acquire(true));
         assertThat(lent.isValid()).isTrue();
-        fill();
+        takeAllSlots();
 
         assertThat(borrower.acquire(true).getNow(null)).isInstanceOf(SlotDecision.Denied.class);
     }
 
     @Test
-    void withdrawnWishGetsNothing() {
+    void cancelledRequestLeavesTheOwnersQueue() {
         startWarm();
-        List<SlotLease> all = fill();
+        List<SlotLease> leases = takeAllSlots();
         borrower.acquire();
-        assertThat(keeper.counts().waiting()).isEqualTo(1);
-        passTicking(Duration.ofMillis(1_010));
+        assertThat(owner.counts().waiting()).isEqualTo(1);
+        advanceTicking(Duration.ofMillis(1_010));
 
         assertThat(borrower.counts().waiting()).isZero();
-        assertThat(keeper.counts().waiting()).isZero();
-        assertThat(all).hasSize(4);
+        assertThat(owner.counts().waiting()).isZero();
+        assertThat(leases).hasSize(4);
     }
 
     private void start() {
-        keeper.change(map);
-        borrower.change(map);
-        passTicking(Duration.ofMillis(20));
+        owner.setOwnership(map);
+        borrower.setOwnership(map);
+        advanceTicking(Duration.ofMillis(20));
     }
 
     private void startWarm() {
         start();
-        keeper.warmUp();
+        owner.warmUp();
     }
 
-    private List<SlotLease> fill() {
+    private List<SlotLease> takeAllSlots() {
         List<SlotLease> leases = new ArrayList<>();
-        for (int i = keeper.states().get(0).running(); i < 4; i++) {
-            leases.add(keeper.lease());
+        for (int i = owner.states().get(0).running(); i < 4; i++) {
+            leases.add(owner.lease());
         }
         return leases;
     }
 
-    private void passTicking(Duration span) {
-        for (long passed = 0; passed < span.toMillis(); passed += 10) {
+    private void advanceTicking(Duration span) {
+        for (long elapsedMillis = 0; elapsedMillis < span.toMillis(); elapsedMillis += 10) {
             clock.advance(Duration.ofMillis(10));
-            keeper.tick();
+            owner.tick();
             borrower.tick();
         }
     }
--- a/routing/src/test/java/org/turmericspan/routing/LoopbackLinks.java
+++ b/routing/src/test/java/org/turmericspan/routing/LoopbackLinks.java
@@ -14,18 +14,18 @@
 import org.turmericspan.messages.PeerLinks;
 import org.turmericspan.messages.PeerMessage;
 
-/** Network in memory: hands messages over at once, notes them, and loses those to and from nodes that are cut off. */
+/** In-memory network that delivers messages at once, records them, and drops those to and from disconnected nodes. */
 final class LoopbackLinks {
     private final Map<VmId, PeerHandler> handlers = new HashMap<>();
-    private final Set<VmId> cut = new HashSet<>();
+    private final Set<VmId> disconnected = new HashSet<>();
     private final List<PeerMessage> sent = new ArrayList<>();
 
     void join(VmId vm, PeerHandler handler) {
         handlers.put(vm, handler);
     }
 
-    void cut(VmId vm) {
-        cut.add(vm);
+    void disconnect(VmId vm) {
+        disconnected.add(vm);
     }
 
     <T extends PeerMessage> long count(Class<T> type) {
@@ -42,7 +42,7 @@
             @Override
             public CompletionStage<PeerMessage> ask(VmId peer, PeerMessage message, Duration timeout) {
                 sent.add(message);
-                if (cut.contains(peer) || cut.contains(self) || !handlers.containsKey(peer)) {
+                if (disconnected.contains(peer) || disconnected.contains(self) || !handlers.containsKey(peer)) {
                     return CompletableFuture.completedFuture(new PeerMessage.Unreachable(false));
                 }
                 return handlers.get(peer).handle(self, message);
--- a/routing/src/test/java/org/turmericspan/routing/OwnerLocatorTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/OwnerLocatorTest.java
@@ -18,29 +18,29 @@
 import org.turmericspan.membership.Vm;
 import org.turmericspan.testkit.ManualClock;
 
-/** Which nodes an address answer names, in what order and with what weight. */
+/** Which nodes are located for a service, in what order and with what weight. */
 final class OwnerLocatorTest {
     private static final List<Upstream> UPSTREAMS = Fixtures.upstreams(8);
 
     private final ManualClock clock = new ManualClock();
     private final Random random = new Random(1);
     private OwnershipMap map = map(Fixtures.entryVms(4), Set.of());
-    private final OwnerLocator homes = new OwnerLocator(() -> map, Duration.ofSeconds(5), clock, random::nextDouble);
+    private final OwnerLocator locator = new OwnerLocator(() -> map, Duration.ofSeconds(5), clock, random::nextDouble);
 
     @Test
     void unknownServiceIsNotLocated() {
-        assertThat(homes.locate(new ServiceId("unknown"))).isEmpty();
+        assertThat(locator.locate(new ServiceId("unknown"))).isEmpty();
     }
 
     @Test
-    void everyKeeperIsNamedWithAWeightOfItsSlots() {
+    void everyOwnerIsReturnedWithItsSlotsAsWeight() {
         assertThat(locate()).hasSize(4).allMatch(endpoint -> endpoint.weight() > 0);
         assertThat(locate().stream().mapToInt(LocateResult.Endpoint::weight).sum())
                 .isEqualTo(8 * 3 * 4);
     }
 
     @Test
-    void nodeThatLeavesOrIsOutIsNotNamed() {
+    void nodeOutOfServiceIsNotReturned() {
         map = map(Fixtures.entryVms(4), Set.of(new VmId("entry-2")));
 
         assertThat(locate()).extracting(LocateResult.Endpoint::vm).doesNotContain(new VmId("entry-2"));
@@ -55,15 +55,15 @@
     }
 
     @Test
-    void weightOfANodeThatReturnsRises() {
+    void weightOfAReturnedNodeRisesDuringSlowStart() {
         map = map(Fixtures.entryVms(3), Set.of());
         locate();
         map = map(Fixtures.entryVms(4), Set.of());
-        VmId back = new VmId("entry-3");
-        int atReturn = weightOf(back);
+        VmId returned = new VmId("entry-3");
+        int atReturn = weightOf(returned);
         clock.advance(Duration.ofSeconds(20));
 
-        assertThat(weightOf(back)).isEqualTo(4 * atReturn);
+        assertThat(weightOf(returned)).isEqualTo(4 * atReturn);
     }
 
     @Test
@@ -78,7 +78,7 @@
     }
 
     @Test
-    void everyNodeIsNamedWhenNoUpstreamIsInService() {
+    void everyCandidateIsReturnedWhenNoUpstreamIsInService() {
         map = map(
                 Fixtures.entryVms(4),
                 Set.copyOf(UPSTREAMS.stream().map(Upstream::vm).toList()));
@@ -87,7 +87,7 @@
     }
 
     @Test
-    void mapIsComputedAnewOnlyAfterAChange() {
+    void ownershipMapIsRecomputedOnlyAfterAChange() {
         var configuration = Fixtures.configuration(1, UPSTREAMS, Fixtures.service(3, 1));
         List<FleetView> views = new ArrayList<>(List.of(Fixtures.view(1, Fixtures.entryVms(4))));
         var cached = OwnershipMap.cached(() -> configuration, () -> views.get(views.size() - 1));
@@ -99,7 +99,7 @@
     }
 
     private List<LocateResult.Endpoint> locate() {
-        return homes.locate(Fixtures.SERVICE).orElseThrow().addresses();
+        return locator.locate(Fixtures.SERVICE).orElseThrow().addresses();
     }
 
     private int weight() {
--- a/routing/src/test/java/org/turmericspan/routing/SlotEngineTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/SlotEngineTest.java
@@ -17,45 +17,45 @@
 import org.turmericspan.ids.LeaseId;
 import org.turmericspan.membership.Vm;
 
-/** Cold starts, limits and choice of one keeper that has no others to ask. */
+/** Cold starts, limits and choice of upstreams on a node that is the only owner. */
 final class SlotEngineTest {
     private static final Upstream UPSTREAM = Fixtures.upstream("upstream-0", Fixtures.zone(0));
     private static final Upstream SECOND = Fixtures.upstream("upstream-1", Fixtures.zone(0));
-    private static final Duration WORK = Duration.ofMillis(10);
-    private static final List<Vm> ALONE = List.of(Fixtures.entryVm("entry-0", Fixtures.zone(0)));
+    private static final Duration SERVICE_TIME = Duration.ofMillis(10);
+    private static final List<Vm> ONLY_SELF = List.of(Fixtures.entryVm("entry-0", Fixtures.zone(0)));
 
     @Test
     void coldUpstreamRunsOneRequestAtATime() {
-        EngineDriver driver = EngineDriver.usual();
-        driver.map(List.of(UPSTREAM), ALONE);
+        EngineDriver driver = EngineDriver.withDefaults();
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
 
-        assertThat(grants(driver.wish())).isEqualTo(1);
-        assertThat(grants(driver.wish())).isZero();
+        assertThat(grants(driver.request())).isEqualTo(1);
+        assertThat(grants(driver.request())).isZero();
         assertThat(driver.state().phase()).isEqualTo(Phase.COLD);
     }
 
     @Test
-    void coldUpstreamIsOverrunWhenTheDepthIgnoresThePhase() {
-        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
-        EngineDriver driver = EngineDriver.with(new SlotRules(
+    void coldUpstreamIsOverloadedWhenTheConcurrencyLimitIgnoresThePhase() {
+        SlotRules defaults = SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND);
+        EngineDriver driver = EngineDriver.withRules(new SlotRules(
                 defaults.viewLagBound(),
                 true,
                 defaults.maxTickGap(),
-                defaults.overdue(),
-                DepthRule.ALWAYS_WARM,
-                defaults.restart()));
-        driver.map(List.of(UPSTREAM), ALONE);
+                defaults.overdueRule(),
+                ConcurrencyLimitRule.ALWAYS_WARM,
+                defaults.restartDetector()));
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
 
-        assertThat(grants(driver.wish()) + grants(driver.wish())).isEqualTo(2);
+        assertThat(grants(driver.request()) + grants(driver.request())).isEqualTo(2);
     }
 
     @Test
     void upstreamGainsSlotsBySuccessesUntilItIsWarm() {
-        EngineDriver driver = EngineDriver.usual();
-        driver.map(List.of(UPSTREAM), ALONE);
+        EngineDriver driver = EngineDriver.withDefaults();
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
         List<Integer> limits = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            driver.finish(grantOf(driver.wish()), Fixtures.answered(WORK));
+            driver.returnSlot(grantOf(driver.request()), Fixtures.answered(SERVICE_TIME));
             limits.add(driver.state().limit());
         }
 
@@ -64,233 +64,235 @@
     }
 
     @Test
-    void upstreamThatSaysItIsColdStaysColdWhateverItsSuccesses() {
-        EngineDriver driver = EngineDriver.usual();
-        driver.map(List.of(UPSTREAM), ALONE);
+    void upstreamThatReportsColdStaysColdDespiteSuccesses() {
+        EngineDriver driver = EngineDriver.withDefaults();
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
         for (int i = 0; i < 10; i++) {
-            driver.finish(
-                    grantOf(driver.wish()),
-                    new SlotReturn(SlotReturn.Outcome.ANSWERED, WORK, Fixtures.signals(true, false, "a")));
+            driver.returnSlot(
+                    grantOf(driver.request()),
+                    new SlotReturn(SlotReturn.Outcome.ANSWERED, SERVICE_TIME, Fixtures.signals(true, false, "a")));
         }
 
         assertThat(driver.state().limit()).isEqualTo(1);
     }
 
     @Test
-    void newIncarnationSetsAWarmUpstreamCold() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
-        answerAs(driver, "a");
-        answerAs(driver, "b");
+    void newIncarnationMarksAWarmUpstreamCold() {
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
+        respondAs(driver, "a");
+        respondAs(driver, "b");
 
         assertThat(driver.state().phase()).isEqualTo(Phase.COLD);
         assertThat(driver.state().coldReason()).contains(ColdReason.NEW_INCARNATION);
     }
 
     @Test
-    void refusedConnectionSetsAWarmUpstreamColdAndPausesIt() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
-        driver.finish(grantOf(driver.wish()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_REFUSED));
+    void refusedConnectionMarksAWarmUpstreamColdAndBacksOff() {
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
+        driver.returnSlot(grantOf(driver.request()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_REFUSED));
 
-        assertThat(grants(driver.wish())).isZero();
-        assertThat(grants(driver.pass(Duration.ofMillis(150)))).isEqualTo(1);
+        assertThat(grants(driver.request())).isZero();
+        assertThat(grants(driver.advance(Duration.ofMillis(150)))).isEqualTo(1);
         assertThat(driver.state().limit()).isEqualTo(1);
     }
 
     @Test
-    void lostConnectionIsOverlookedWithoutTheRestartRule() {
-        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
-        EngineDriver driver = EngineDriver.with(new SlotRules(
+    void lostConnectionIsIgnoredWithoutRestartDetection() {
+        SlotRules defaults = SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND);
+        EngineDriver driver = EngineDriver.withRules(new SlotRules(
                         defaults.viewLagBound(),
                         true,
                         defaults.maxTickGap(),
-                        defaults.overdue(),
-                        defaults.depth(),
-                        RestartRule.NO_SIGN))
-                .warm(UPSTREAM);
-        driver.finish(grantOf(driver.wish()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
+                        defaults.overdueRule(),
+                        defaults.concurrencyLimitRule(),
+                        RestartDetector.DISABLED))
+                .ownWarm(UPSTREAM);
+        driver.returnSlot(grantOf(driver.request()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
 
         assertThat(driver.state().phase()).isEqualTo(Phase.WARM);
     }
 
     @Test
-    void idleWarmUpstreamGetsOneRequestUntilItAnswers() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
-        driver.pass(Duration.ofMillis(200));
-        LeaseId first = grantOf(driver.wish());
-
-        assertThat(grants(driver.wish())).isZero();
-        assertThat(grants(driver.finish(first, Fixtures.answered(WORK)))).isEqualTo(1);
-        assertThat(grants(driver.wish())).isEqualTo(1);
+    void idleWarmUpstreamGetsOneRequestUntilItResponds() {
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
+        driver.advance(Duration.ofMillis(200));
+        LeaseId first = grantOf(driver.request());
+
+        assertThat(grants(driver.request())).isZero();
+        assertThat(grants(driver.returnSlot(first, Fixtures.answered(SERVICE_TIME))))
+                .isEqualTo(1);
+        assertThat(grants(driver.request())).isEqualTo(1);
     }
 
     @Test
-    void idleWarmUpstreamGetsAllItsSlotsAtOnceWithoutTheRestartRule() {
-        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
-        EngineDriver driver = EngineDriver.with(new SlotRules(
+    void idleWarmUpstreamGetsAllItsSlotsAtOnceWithoutRestartDetection() {
+        SlotRules defaults = SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND);
+        EngineDriver driver = EngineDriver.withRules(new SlotRules(
                         defaults.viewLagBound(),
                         true,
                         defaults.maxTickGap(),
-                        defaults.overdue(),
-                        defaults.depth(),
-                        RestartRule.NO_SIGN))
-                .warm(UPSTREAM);
-        driver.pass(Duration.ofMillis(200));
+                        defaults.overdueRule(),
+                        defaults.concurrencyLimitRule(),
+                        RestartDetector.DISABLED))
+                .ownWarm(UPSTREAM);
+        driver.advance(Duration.ofMillis(200));
 
-        assertThat(grants(driver.wish()) + grants(driver.wish())).isEqualTo(2);
+        assertThat(grants(driver.request()) + grants(driver.request())).isEqualTo(2);
     }
 
     @Test
-    void requestsOfTheLifeBeforeDoNotWarmTheNextOne() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
-        LeaseId first = grantOf(driver.wish());
-        LeaseId second = grantOf(driver.wish());
-        driver.finish(first, Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
+    void requestsOfThePreviousIncarnationDoNotWarmUpTheNextOne() {
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
+        LeaseId first = grantOf(driver.request());
+        LeaseId second = grantOf(driver.request());
+        driver.returnSlot(first, Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
 
-        assertThat(driver.finish(second, Fixtures.answered(WORK))).isEmpty();
+        assertThat(driver.returnSlot(second, Fixtures.answered(SERVICE_TIME))).isEmpty();
         assertThat(driver.state().phase()).isEqualTo(Phase.COLD);
     }
 
     @Test
     void coldTransitionRecallsRunningLeases() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
-        LeaseId first = grantOf(driver.wish());
-        LeaseId second = grantOf(driver.wish());
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
+        LeaseId first = grantOf(driver.request());
+        LeaseId second = grantOf(driver.request());
 
-        assertThat(driver.finish(first, Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST)))
+        assertThat(driver.returnSlot(first, Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST)))
                 .contains(new SlotAction.Recall(EngineDriver.SELF, second));
     }
 
     @Test
-    void idleOnlyWishGetsNoColdSlotAndDoesNotWait() {
-        EngineDriver driver = EngineDriver.usual();
-        driver.map(List.of(UPSTREAM), ALONE);
+    void idleOnlyRequestGetsNoColdSlotAndIsNotQueued() {
+        EngineDriver driver = EngineDriver.withDefaults();
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
 
-        assertThat(driver.wish(EngineDriver.SELF, true)).singleElement().isInstanceOf(SlotAction.Deny.class);
+        assertThat(driver.request(EngineDriver.SELF, true)).singleElement().isInstanceOf(SlotAction.Deny.class);
     }
 
     @Test
-    void idleOnlyWishGetsNoExtraDepth() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
+    void idleOnlyRequestGetsNoExtraDepth() {
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
         for (int i = 0; i < 3; i++) {
-            assertThat(grants(driver.wish(EngineDriver.SELF, true))).isEqualTo(1);
+            assertThat(grants(driver.request(EngineDriver.SELF, true))).isEqualTo(1);
         }
 
-        assertThat(grants(driver.wish(EngineDriver.SELF, true))).isZero();
-        assertThat(grants(driver.wish())).isEqualTo(1);
+        assertThat(grants(driver.request(EngineDriver.SELF, true))).isZero();
+        assertThat(grants(driver.request())).isEqualTo(1);
     }
 
     @Test
-    void oldestWishGetsTheFreedSlot() {
-        EngineDriver driver = EngineDriver.usual();
-        driver.map(List.of(UPSTREAM), ALONE);
-        LeaseId lease = grantOf(driver.wish());
-        driver.wish();
-        driver.wish();
-
-        assertThat(EngineDriver.only(SlotAction.Grant.class, driver.finish(lease, Fixtures.answered(WORK))))
-                .extracting(grant -> grant.key().number())
+    void oldestRequestGetsTheFreedSlot() {
+        EngineDriver driver = EngineDriver.withDefaults();
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
+        LeaseId lease = grantOf(driver.request());
+        driver.request();
+        driver.request();
+
+        assertThat(EngineDriver.only(SlotAction.Grant.class, driver.returnSlot(lease, Fixtures.answered(SERVICE_TIME))))
+                .extracting(grant -> grant.requestId().number())
                 .containsExactly(2L);
     }
 
     @Test
-    void wishIsDeniedAtItsDeadline() {
-        EngineDriver driver = EngineDriver.usual();
-        driver.map(List.of(), ALONE);
-        driver.wish();
+    void queuedRequestIsDeniedAtItsDeadline() {
+        EngineDriver driver = EngineDriver.withDefaults();
+        driver.setOwnership(List.of(), ONLY_SELF);
+        driver.request();
 
-        assertThat(driver.pass(Duration.ofSeconds(1))).anyMatch(SlotAction.Deny.class::isInstance);
+        assertThat(driver.advance(Duration.ofSeconds(1))).anyMatch(SlotAction.Deny.class::isInstance);
     }
 
     @Test
-    void upstreamWithAnOverdueRequestIsPassedOver() {
-        EngineDriver driver = twoWarm(SlotRules.defaults(EngineDriver.LAG));
-        LeaseId stuck = grantOf(driver.wish());
-        driver.pass(Duration.ofMillis(100));
+    void upstreamWithAnOverdueRequestIsSkipped() {
+        EngineDriver driver = ownTwoWarm(SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND));
+        LeaseId stuck = grantOf(driver.request());
+        driver.advance(Duration.ofMillis(100));
 
         assertThat(upstreamsOfNext(driver, 4)).doesNotContain(upstreamOf(driver, stuck));
     }
 
     @Test
-    void upstreamWithAnOverdueRequestIsUsedWithoutTheRule() {
-        SlotRules defaults = SlotRules.defaults(EngineDriver.LAG);
-        EngineDriver driver = twoWarm(new SlotRules(
+    void upstreamWithAnOverdueRequestIsUsedWithoutTheOverdueRule() {
+        SlotRules defaults = SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND);
+        EngineDriver driver = ownTwoWarm(new SlotRules(
                 defaults.viewLagBound(),
                 true,
                 defaults.maxTickGap(),
                 OverdueRule.NEVER,
-                defaults.depth(),
-                defaults.restart()));
-        grantOf(driver.wish());
-        driver.pass(Duration.ofMillis(100));
+                defaults.concurrencyLimitRule(),
+                defaults.restartDetector()));
+        grantOf(driver.request());
+        driver.advance(Duration.ofMillis(100));
 
         assertThat(upstreamsOfNext(driver, 4)).hasSize(2);
     }
 
     @Test
-    void upstreamOutOfServiceGetsNothingAndReturnsCold() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
-        driver.map(List.of(UPSTREAM), ALONE, Set.of(UPSTREAM.vm()), Set.of());
-        assertThat(grants(driver.wish())).isZero();
+    void upstreamOutOfServiceGetsNoRequestsAndReturnsCold() {
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF, Set.of(UPSTREAM.vm()), Set.of());
+        assertThat(grants(driver.request())).isZero();
         assertThat(driver.state().phase()).isEqualTo(Phase.OUT);
 
-        assertThat(grants(driver.map(List.of(UPSTREAM), ALONE))).isEqualTo(1);
+        assertThat(grants(driver.setOwnership(List.of(UPSTREAM), ONLY_SELF))).isEqualTo(1);
         assertThat(driver.state().coldReason()).contains(ColdReason.RETURNED);
     }
 
     @Test
-    void upstreamThatTheListSaysIsLeavingGetsNothing() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
-        driver.map(List.of(UPSTREAM), ALONE, Set.of(), Set.of(UPSTREAM.vm()));
+    void upstreamListedAsLeavingGetsNoRequests() {
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF, Set.of(), Set.of(UPSTREAM.vm()));
 
-        assertThat(grants(driver.wish())).isZero();
+        assertThat(grants(driver.request())).isZero();
         assertThat(driver.state().phase()).isEqualTo(Phase.LEAVING);
     }
 
     @Test
-    void upstreamThatSaysItIsLeavingStaysSoUntilANewIncarnation() {
-        EngineDriver driver = EngineDriver.usual().warm(UPSTREAM);
-        LeaseId lease = grantOf(driver.wish());
-        driver.finish(lease, new SlotReturn(SlotReturn.Outcome.ANSWERED, WORK, Fixtures.signals(false, true, "a")));
-        driver.on(new SlotEvent.Observed(UPSTREAM.id(), Fixtures.signals(false, false, "a")));
+    void upstreamThatReportsLeavingStaysLeavingUntilANewIncarnation() {
+        EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
+        LeaseId lease = grantOf(driver.request());
+        driver.returnSlot(
+                lease, new SlotReturn(SlotReturn.Outcome.ANSWERED, SERVICE_TIME, Fixtures.signals(false, true, "a")));
+        driver.handle(new SlotEvent.ProbeResultReceived(UPSTREAM.id(), Fixtures.signals(false, false, "a")));
         assertThat(driver.state().phase()).isEqualTo(Phase.LEAVING);
 
-        driver.on(new SlotEvent.Observed(UPSTREAM.id(), Fixtures.signals(false, false, "b")));
+        driver.handle(new SlotEvent.ProbeResultReceived(UPSTREAM.id(), Fixtures.signals(false, false, "b")));
         assertThat(driver.state().phase()).isEqualTo(Phase.COLD);
     }
 
     @Test
     void leaseEndsAtItsDeadlineWhenItIsNotReturned() {
-        EngineDriver driver = EngineDriver.usual();
-        driver.map(List.of(UPSTREAM), ALONE);
-        grantOf(driver.wish());
-        driver.pass(Duration.ofMillis(1_150));
+        EngineDriver driver = EngineDriver.withDefaults();
+        driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
+        grantOf(driver.request());
+        driver.advance(Duration.ofMillis(1_150));
 
-        assertThat(grants(driver.wish())).isEqualTo(1);
+        assertThat(grants(driver.request())).isEqualTo(1);
     }
 
     @Test
-    void idleUpstreamThatReportsOthersWorkComesLast() {
-        EngineDriver driver = twoWarm(SlotRules.defaults(EngineDriver.LAG));
-        LeaseId lease = grantOf(driver.wish());
+    void idleUpstreamThatReportsExternalLoadIsChosenLast() {
+        EngineDriver driver = ownTwoWarm(SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND));
+        LeaseId lease = grantOf(driver.request());
         var busy = upstreamOf(driver, lease);
-        driver.finish(
+        driver.returnSlot(
                 lease,
                 new SlotReturn(
                         SlotReturn.Outcome.ANSWERED,
-                        WORK,
+                        SERVICE_TIME,
                         new UpstreamSignals(OptionalInt.of(9), false, false, Optional.empty())));
 
         assertThat(upstreamsOfNext(driver, 2)).doesNotContain(busy);
     }
 
-    private static EngineDriver twoWarm(SlotRules rules) {
-        EngineDriver driver = EngineDriver.with(rules);
-        driver.map(List.of(UPSTREAM, SECOND), ALONE);
+    private static EngineDriver ownTwoWarm(SlotRules rules) {
+        EngineDriver driver = EngineDriver.withRules(rules);
+        driver.setOwnership(List.of(UPSTREAM, SECOND), ONLY_SELF);
         for (int i = 0; i < 100 && !allWarm(driver); i++) {
-            LeaseId first = grantOf(driver.wish());
-            LeaseId second = grantOf(driver.wish());
-            driver.finish(first, Fixtures.answered(WORK));
-            driver.finish(second, Fixtures.answered(WORK));
+            LeaseId first = grantOf(driver.request());
+            LeaseId second = grantOf(driver.request());
+            driver.returnSlot(first, Fixtures.answered(SERVICE_TIME));
+            driver.returnSlot(second, Fixtures.answered(SERVICE_TIME));
         }
         assertThat(allWarm(driver)).isTrue();
         return driver;
@@ -311,15 +313,15 @@
     private static Set<Object> upstreamsOfNext(EngineDriver driver, int count) {
         List<Object> upstreams = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            EngineDriver.only(SlotAction.Grant.class, driver.wish())
+            EngineDriver.only(SlotAction.Grant.class, driver.request())
                     .forEach(grant -> upstreams.add(grant.slot().upstream()));
         }
         return Set.copyOf(upstreams);
     }
 
-    private static void answerAs(EngineDriver driver, String incarnation) {
-        driver.finish(
-                grantOf(driver.wish()),
-                new SlotReturn(SlotReturn.Outcome.ANSWERED, WORK, Fixtures.signals(false, false, incarnation)));
+    private static void respondAs(EngineDriver driver, String incarnation) {
+        driver.returnSlot(
+                grantOf(driver.request()),
+                new SlotReturn(SlotReturn.Outcome.ANSWERED, SERVICE_TIME, Fixtures.signals(false, false, incarnation)));
     }
 }
--- a/routing/src/test/java/org/turmericspan/routing/TraceReplay.java
+++ b/routing/src/test/java/org/turmericspan/routing/TraceReplay.java
@@ -28,8 +28,10 @@
 import org.turmericspan.messages.PeerMessage;
 
 /**
- * Replays recorded events, one JSON object a line, through the decisions of a keeper. A line with {@code expect} states
- * the wishes granted since the line before it that did, or the state of an upstream.
+ * Replays recorded events, one JSON object per line, through the slot engine of a node. A line with {@code expect}
+ * states the requests granted since the previous such line, or the state of an upstream.
+ *
+ * <p>The key {@code wish} holds the number of a slot request.
  */
 final class TraceReplay {
     private static final VmId SELF = new VmId("entry-0");
@@ -45,12 +47,12 @@
         this.engine = new SlotEngine(SELF, new Incarnation(1), rules);
     }
 
-    /** Replays a resource and returns where the outcome differs from the stated one. */
+    /** Replays a resource and returns the lines whose outcome differs from the expected one. */
     List<String> run(String resource) {
         try (var stream = TraceReplay.class.getResourceAsStream(resource)) {
             String text = new String(stream.readAllBytes(), StandardCharsets.UTF_8);
             for (String line : text.lines().toList()) {
-                step(mapper.readTree(line));
+                replayLine(mapper.readTree(line));
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -58,36 +60,37 @@
         return differences;
     }
 
-    private void step(JsonNode line) {
+    private void replayLine(JsonNode line) {
         long nowNanos = Duration.ofMillis(1 + line.path("at_ms").asLong()).toNanos();
         if (line.has("expect")) {
             check(line, nowNanos);
             return;
         }
-        for (SlotAction action : engine.on(event(line, nowNanos), nowNanos)) {
+        for (SlotAction action : engine.handle(event(line, nowNanos), nowNanos)) {
             if (action instanceof SlotAction.Grant grant) {
-                granted.add(grant.key().number());
-                leases.put(grant.key().number(), grant.slot().lease());
+                granted.add(grant.requestId().number());
+                leases.put(grant.requestId().number(), grant.slot().lease());
             }
         }
     }
 
     private SlotEvent event(JsonNode line, long nowNanos) {
         return switch (line.path("event").asText()) {
-            case "map" -> new SlotEvent.MapChanged(map(line));
+            case "map" -> new SlotEvent.OwnershipChanged(ownershipMap(line));
             case "wish" ->
-                new SlotEvent.Wished(
-                        new WishKey(
+                new SlotEvent.SlotRequested(
+                        new SlotRequestId(
                                 new VmId(line.path("from").asText("entry-0")),
                                 line.path("wish").asLong()),
-                        Fixtures.wish(
+                        Fixtures.slotRequest(
                                 nowNanos + Duration.ofSeconds(1).toNanos(),
                                 line.path("idle_only").asBoolean()));
             case "return" -> new SlotEvent.Returned(leases.get(line.path("wish").asLong()), slotReturn(line));
             case "probe" ->
-                new SlotEvent.Observed(new UpstreamId(line.path("upstream").asText()), signals(line));
+                new SlotEvent.ProbeResultReceived(
+                        new UpstreamId(line.path("upstream").asText()), signals(line));
             case "held" ->
-                new SlotEvent.LeasesAnswered(
+                new SlotEvent.LeaseReportReceived(
                         new VmId(line.path("from").asText()),
                         upstreamIds(line.path("asked")),
                         upstreamIds(line.path("held")));
@@ -107,9 +110,9 @@
         };
     }
 
-    private OwnershipMap map(JsonNode line) {
+    private OwnershipMap ownershipMap(JsonNode line) {
         revision++;
-        Set<VmId> out = vms(line.path("out"));
+        Set<VmId> outOfService = vms(line.path("out"));
         Set<VmId> leaving = vms(line.path("leaving"));
         List<Upstream> upstreams = new ArrayList<>();
         List<Vm> listed = new ArrayList<>();
@@ -117,7 +120,7 @@
         line.path("entry_vms").forEach(name -> listed.add(Fixtures.entryVm(name.asText(), zoneOf(name.asText()))));
         upstreams.forEach(upstream -> listed.add(Fixtures.upstreamVm(upstream, leaving.contains(upstream.vm()))));
         return OwnershipMap.of(
-                Fixtures.configuration(revision, upstreams, Fixtures.service(3, 1), out),
+                Fixtures.configuration(revision, upstreams, Fixtures.service(3, 1), outOfService),
                 Fixtures.view(revision, listed));
     }
 
@@ -145,22 +148,22 @@
         if (expected.has("granted")) {
             Set<Long> numbers = new TreeSet<>();
             expected.path("granted").forEach(number -> numbers.add(number.asLong()));
-            note(line, numbers.equals(granted), "granted " + granted);
+            recordDifference(line, numbers.equals(granted), "granted " + granted);
             granted.clear();
         }
         if (expected.has("phase")) {
             UpstreamId upstream = new UpstreamId(expected.path("upstream").asText());
             UpstreamState state = engine.describe(nowNanos).stream()
-                    .filter(one -> one.upstream().equals(upstream))
+                    .filter(described -> described.upstream().equals(upstream))
                     .findFirst()
                     .orElseThrow();
             boolean matches = state.phase().name().equals(expected.path("phase").asText())
                     && state.limit() == expected.path("limit").asInt();
-            note(line, matches, state.phase() + " with limit " + state.limit());
+            recordDifference(line, matches, state.phase() + " with limit " + state.limit());
         }
     }
 
-    private void note(JsonNode line, boolean matches, String found) {
+    private void recordDifference(JsonNode line, boolean matches, String found) {
         if (!matches) {
             differences.add(line + ": " + found);
         }
--- a/routing/src/test/java/org/turmericspan/routing/TraceReplayTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/TraceReplayTest.java
@@ -7,9 +7,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Recorded events lead to the stated outcomes, and to others when the mechanism is off. */
+/** Recorded events lead to the expected outcomes, and to others when the mechanism under test is disabled. */
 final class TraceReplayTest {
-    private static final SlotRules USUAL = SlotRules.defaults(Duration.ofSeconds(3));
+    private static final SlotRules DEFAULTS = SlotRules.defaults(Duration.ofSeconds(3));
 
     @ParameterizedTest
     @ValueSource(
@@ -20,23 +20,33 @@
                 "keeper-handover.jsonl",
                 "leaving-by-header.jsonl"
             })
-    void outcomeIsTheStatedOne(String trace) {
-        assertThat(new TraceReplay(USUAL).run(trace)).isEmpty();
+    void replayMatchesExpectations(String trace) {
+        assertThat(new TraceReplay(DEFAULTS).run(trace)).isEmpty();
     }
 
     @Test
-    void silentRestartOverrunsTheUpstreamWithoutTheRestartRule() {
-        SlotRules off = new SlotRules(
-                USUAL.viewLagBound(), true, USUAL.maxTickGap(), USUAL.overdue(), USUAL.depth(), RestartRule.NO_SIGN);
-
-        assertThat(new TraceReplay(off).run("silent-restart.jsonl")).isNotEmpty();
+    void silentRestartOverloadsTheUpstreamWithoutRestartDetection() {
+        SlotRules rules = new SlotRules(
+                DEFAULTS.viewLagBound(),
+                true,
+                DEFAULTS.maxTickGap(),
+                DEFAULTS.overdueRule(),
+                DEFAULTS.concurrencyLimitRule(),
+                RestartDetector.DISABLED);
+
+        assertThat(new TraceReplay(rules).run("silent-restart.jsonl")).isNotEmpty();
     }
 
     @Test
-    void lostKeepersUpstreamIsClaimedTooEarlyWithoutTheGuard() {
-        SlotRules off = new SlotRules(
-                USUAL.viewLagBound(), false, USUAL.maxTickGap(), USUAL.overdue(), USUAL.depth(), USUAL.restart());
-
-        assertThat(new TraceReplay(off).run("keeper-lost.jsonl")).isNotEmpty();
+    void upstreamOfALostOwnerIsGrantedTooEarlyWithoutTheGracePeriod() {
+        SlotRules rules = new SlotRules(
+                DEFAULTS.viewLagBound(),
+                false,
+                DEFAULTS.maxTickGap(),
+                DEFAULTS.overdueRule(),
+                DEFAULTS.concurrencyLimitRule(),
+                DEFAULTS.restartDetector());
+
+        assertThat(new TraceReplay(rules).run("keeper-lost.jsonl")).isNotEmpty();
     }
 }
