Say in the terms of the field how attempts are sent to upstreams

Cause: the HTTP client spoke of silent connections that are distrusted, of answers that show their end, and of refusals without saying that connections are meant. Comments used figures of speech.

Change, old -> new: - types: AnswerCheck -> ResponseCheck, RefusalCheck -> ConnectionRefusalCheck, LeaseVoidException -> LeaseInvalidException - HttpExchange: SILENCE -> UNRESPONSIVE_AFTER, HOP_HEADERS -> HEADERS_NOT_FORWARDED, NO_ANSWER -> NO_RESPONSE, mayBeSilent -> mayBeUnresponsive, finish -> completeWithoutResponse - UpstreamClients: fresh -> unpooled, reusing -> pooled, distrust -> dropPool, TOTAL_AGE_LIMIT -> MAX_POOL_AGE, IDLE_LIMIT -> IDLE_TIMEOUT - ResponseCheck: showsItsEnd -> isSelfDelimited; SendProof: beforeFirstByte -> checkAndMarkSent, holdRetryAfter -> hideRetryAfter - log: "a connection to %s may be silent; its pool is dropped" -> "a connection to %s may be unresponsive; dropping its connection pool" - tests: names say case and outcome; AnswerWholenessTest and RefusedConnectionTest now say which failure they guard against. SendProof, the test classes and upstreamThatDiesWhileItIsCheckedRefuses keep their names, because pages under docs name them.

--- a/upstream/src/main/java/org/turmericspan/upstream/RefusalCheck.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ConnectionRefusalCheck.java
@@ -9,18 +9,19 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * Checks whether nothing listens at an address any more.
+ * Checks whether an address refuses connections because no process listens there any more.
  *
- * @param holdMillis time for which an accepted connection must stay open
+ * @param minOpenMillis time that an accepted connection must stay open to count as held by a running process, in
+ *     milliseconds
  */
-record RefusalCheck(int holdMillis) {
+record ConnectionRefusalCheck(int minOpenMillis) {
     private static final int CONNECT_TIMEOUT_MILLIS = 200;
-    /** Connections of one check; each one that is broken off may have met the last moment of a process. */
-    private static final int CONNECTIONS = 3;
+    /** A process may accept a connection just before it exits, so a broken connection is tried again. */
+    private static final int CONNECTIONS_PER_CHECK = 3;
 
-    /** Returns whether the address refuses; false when it takes a connection or says nothing for a while. */
+    /** Returns true if the address refuses a connection; false if it keeps one open, times out or breaks each one. */
     boolean isRefused(SocketAddress address) {
-        for (int i = 0; i < CONNECTIONS; i++) {
+        for (int i = 0; i < CONNECTIONS_PER_CHECK; i++) {
             try (Socket socket = new Socket()) {
                 socket.connect(new InetSocketAddress(address.host(), address.port()), CONNECT_TIMEOUT_MILLIS);
                 if (staysOpen(socket)) {
@@ -35,9 +36,9 @@
         return false;
     }
 
-    /** Tells whether the other side keeps an accepted connection, which a process that is ending does not. */
+    /** Returns whether the peer keeps an accepted connection open; a process that exits closes it. */
     private boolean staysOpen(Socket socket) throws IOException {
-        socket.setSoTimeout(holdMillis);
+        socket.setSoTimeout(minOpenMillis);
         try {
             return socket.getInputStream().read() >= 0;
         } catch (SocketTimeoutException e) {
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -29,12 +29,13 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
-/** One attempt over HTTP. */
+/** Sends one attempt over HTTP and classifies its outcome. */
 final class HttpExchange implements UpstreamExchange, Callback {
-    private static final CallResult.Answered NO_ANSWER = new CallResult.Answered(0, List.of(), Payload.EMPTY);
-    private static final Duration SILENCE = Duration.ofMillis(200);
+    private static final CallResult.Answered NO_RESPONSE = new CallResult.Answered(0, List.of(), Payload.EMPTY);
+    private static final Duration UNRESPONSIVE_AFTER = Duration.ofMillis(200);
     private static final int STATUS_UNAVAILABLE = 503;
-    private static final Set<String> HOP_HEADERS = Set.of(
+    /** Header fields, in lower case, that belong to one connection or that the HTTP client writes itself. */
+    private static final Set<String> HEADERS_NOT_FORWARDED = Set.of(
             "connection",
             "transfer-encoding",
             "content-length",
@@ -43,6 +44,7 @@
             "te",
             "upgrade",
             "accept-encoding");
+
     private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
     private final UpstreamClients clients;
@@ -54,7 +56,7 @@
             Long.toHexString(ThreadLocalRandom.current().nextLong());
     private final long deadlineNanos;
     private final int answerLimitBytes;
-    private final CompletableFuture<AttemptOutcome> reply = new CompletableFuture<>();
+    private final CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
     private Call call;
     private volatile boolean cancelled;
 
@@ -74,11 +76,11 @@
         HttpExchange exchange = new HttpExchange(clients, clock, lease, request, answerLimitBytes);
         long remainingNanos = request.deadlineNanos() - clock.nowNanos();
         if (remainingNanos <= 0) {
-            exchange.finish(AttemptOutcome.Kind.CANCELLED_BEFORE_SEND, UpstreamSignals.NONE);
+            exchange.completeWithoutResponse(AttemptOutcome.Kind.CANCELLED_BEFORE_SEND, UpstreamSignals.NONE);
             return exchange;
         }
         boolean mayReuse = request.idempotent() && !request.retried();
-        OkHttpClient client = mayReuse ? clients.reusing(lease.address()) : clients.fresh();
+        OkHttpClient client = mayReuse ? clients.pooled(lease.address()) : clients.unpooled();
         exchange.call = client.newCall(exchange.encode(lease, request, remainingNanos));
         exchange.call.timeout().timeout(remainingNanos, TimeUnit.NANOSECONDS);
         exchange.call.enqueue(exchange);
@@ -87,7 +89,7 @@
 
     @Override
     public CompletionStage<AttemptOutcome> outcome() {
-        return reply;
+        return outcome;
     }
 
     @Override
@@ -101,18 +103,18 @@
     @Override
     public void onFailure(Call failedCall, IOException failure) {
         AttemptOutcome.Kind kind = classify(failure);
-        if (mayBeSilent(kind)) {
-            clients.distrust(address);
+        if (mayBeUnresponsive(kind)) {
+            clients.dropPool(address);
         }
-        finish(kind, UpstreamSignals.NONE);
+        completeWithoutResponse(kind, UpstreamSignals.NONE);
     }
 
     @Override
-    public void onResponse(Call answeredCall, Response response) {
+    public void onResponse(Call respondedCall, Response response) {
         try (response) {
-            read(response);
+            readResponse(response);
         } catch (IOException e) {
-            finish(classify(e), UpstreamSignals.NONE);
+            completeWithoutResponse(classify(e), UpstreamSignals.NONE);
         }
     }
 
@@ -122,7 +124,7 @@
                 .tag(SendProof.class, proof)
                 .header(UpstreamHeaders.ACCEPT_ENCODING, UpstreamHeaders.IDENTITY);
         for (Header header : request.headers()) {
-            if (!HOP_HEADERS.contains(header.name().toLowerCase(Locale.ROOT))) {
+            if (!HEADERS_NOT_FORWARDED.contains(header.name().toLowerCase(Locale.ROOT))) {
                 builder.addHeader(header.name(), header.value());
             }
         }
@@ -138,21 +140,21 @@
         return builder.method(request.method(), body).build();
     }
 
-    private void read(Response response) throws IOException {
+    private void readResponse(Response response) throws IOException {
         UpstreamSignals signals = UpstreamHeaders.signals(response);
-        if (!AnswerCheck.belongsTo(response, requestId, attemptId) || !AnswerCheck.showsItsEnd(response)) {
-            finish(AttemptOutcome.Kind.CONNECTION_LOST, signals);
+        if (!ResponseCheck.belongsTo(response, requestId, attemptId) || !ResponseCheck.isSelfDelimited(response)) {
+            completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
             return;
         }
-        boolean refused = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
-        if (refused && response.code() == STATUS_UNAVAILABLE) {
-            finish(AttemptOutcome.Kind.SHED, signals);
+        boolean notRun = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
+        if (notRun && response.code() == STATUS_UNAVAILABLE) {
+            completeWithoutResponse(AttemptOutcome.Kind.SHED, signals);
             return;
         }
         ResponseBody body = response.body();
         BufferedSource source = body.source();
         if (source.request(answerLimitBytes + 1L)) {
-            finish(AttemptOutcome.Kind.ANSWER_TOO_LARGE, signals);
+            completeWithoutResponse(AttemptOutcome.Kind.ANSWER_TOO_LARGE, signals);
             return;
         }
         Payload payload = Payload.wrap(source.readByteArray());
@@ -169,7 +171,7 @@
             String name = pair.getFirst();
             if (name.equalsIgnoreCase(UpstreamHeaders.HELD_RETRY_AFTER)) {
                 headers.add(new Header(UpstreamHeaders.RETRY_AFTER, pair.getSecond()));
-            } else if (!HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+            } else if (!HEADERS_NOT_FORWARDED.contains(name.toLowerCase(Locale.ROOT))) {
                 headers.add(new Header(name, pair.getSecond()));
             }
         });
@@ -177,7 +179,7 @@
     }
 
     private AttemptOutcome.Kind classify(IOException failure) {
-        if (failure instanceof SendProof.LeaseVoidException) {
+        if (failure instanceof SendProof.LeaseInvalidException) {
             return AttemptOutcome.Kind.LEASE_INVALID;
         }
         boolean pastDeadline = clock.nowNanos() >= deadlineNanos;
@@ -192,21 +194,22 @@
         return pastDeadline ? AttemptOutcome.Kind.TIMED_OUT : AttemptOutcome.Kind.CONNECTION_LOST;
     }
 
-    /** Tells whether no byte of an answer came for so long that the connection itself is in doubt. */
-    private boolean mayBeSilent(AttemptOutcome.Kind kind) {
-        boolean gaveUp = kind == AttemptOutcome.Kind.TIMED_OUT || kind == AttemptOutcome.Kind.CANCELLED_AFTER_SEND;
-        return gaveUp && elapsed().compareTo(SILENCE) >= 0;
+    /** Returns whether the attempt waited so long without a response that its connection may be unresponsive. */
+    private boolean mayBeUnresponsive(AttemptOutcome.Kind kind) {
+        boolean timedOutOrCancelled =
+                kind == AttemptOutcome.Kind.TIMED_OUT || kind == AttemptOutcome.Kind.CANCELLED_AFTER_SEND;
+        return timedOutOrCancelled && elapsed().compareTo(UNRESPONSIVE_AFTER) >= 0;
     }
 
     private Duration elapsed() {
         return proof.isSent() ? Duration.ofNanos(clock.nowNanos() - proof.sentNanos()) : Duration.ZERO;
     }
 
-    private void finish(AttemptOutcome.Kind kind, UpstreamSignals signals) {
-        complete(new AttemptOutcome(kind, NO_ANSWER, elapsed(), signals));
+    private void completeWithoutResponse(AttemptOutcome.Kind kind, UpstreamSignals signals) {
+        complete(new AttemptOutcome(kind, NO_RESPONSE, elapsed(), signals));
     }
 
     private void complete(AttemptOutcome result) {
-        reply.complete(result);
+        outcome.complete(result);
     }
 }
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamProbe.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamProbe.java
@@ -18,24 +18,24 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
-/** Sends probes as {@code GET /load}, on connections apart from those of the requests. */
+/** Sends probes as {@code GET /load}, on connections that requests do not use. */
 public final class HttpUpstreamProbe implements UpstreamProbe, AutoCloseable {
-    private static final String PATH = "load";
-    private static final int MAX_REQUESTS = 64;
+    private static final String LOAD_PATH_SEGMENT = "load";
+    private static final int MAX_CONCURRENT_REQUESTS = 64;
 
     private final MonotonicClock clock;
     private final OkHttpClient client;
 
     /**
-     * Creates a sender of probes.
+     * Creates a probe client.
      *
-     * @param clock measures latency
+     * @param clock clock that measures the latency of probes
      */
     public HttpUpstreamProbe(MonotonicClock clock) {
         this.clock = clock;
         Dispatcher dispatcher = new Dispatcher();
-        dispatcher.setMaxRequests(MAX_REQUESTS);
-        dispatcher.setMaxRequestsPerHost(MAX_REQUESTS);
+        dispatcher.setMaxRequests(MAX_CONCURRENT_REQUESTS);
+        dispatcher.setMaxRequestsPerHost(MAX_CONCURRENT_REQUESTS);
         this.client = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
                 .followRedirects(false)
@@ -49,7 +49,7 @@
                 .scheme("http")
                 .host(address.host())
                 .port(address.port())
-                .addPathSegment(PATH)
+                .addPathSegment(LOAD_PATH_SEGMENT)
                 .build();
         Call call = client.newCall(new Request.Builder().url(url).build());
         call.timeout().timeout(timeout.toNanos(), TimeUnit.NANOSECONDS);
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
@@ -15,13 +15,13 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
-/** Sends attempts over HTTP. Its thread pool is bounded by the slots, since each attempt needs one. */
+/** Sends attempts over HTTP. The slots bound its thread pool, because each attempt needs a slot. */
 public final class HttpUpstreamSender implements UpstreamSender, AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    /** Time for which an accepted check must stay open; a process that ends closes its sockets within less. */
-    private static final RefusalCheck REFUSAL_CHECK = new RefusalCheck(40);
+    /** Requires an accepted connection to stay open for 40 ms; a process that exits closes its sockets sooner. */
+    private static final ConnectionRefusalCheck REFUSAL_CHECK = new ConnectionRefusalCheck(40);
 
-    private static final int MAX_REQUESTS = 4_096;
+    private static final int MAX_CONCURRENT_REQUESTS = 4_096;
 
     private final MonotonicClock clock;
     private final ExecutorService executor;
@@ -31,7 +31,7 @@
     /**
      * Creates a sender.
      *
-     * @param clock measures attempts
+     * @param clock clock that measures the duration of attempts
      */
     public HttpUpstreamSender(MonotonicClock clock) {
         this.clock = clock;
@@ -42,8 +42,8 @@
             return thread;
         });
         this.dispatcher = new Dispatcher(executor);
-        dispatcher.setMaxRequests(MAX_REQUESTS);
-        dispatcher.setMaxRequestsPerHost(MAX_REQUESTS);
+        dispatcher.setMaxRequests(MAX_CONCURRENT_REQUESTS);
+        dispatcher.setMaxRequestsPerHost(MAX_CONCURRENT_REQUESTS);
         OkHttpClient template = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
                 .connectTimeout(CONNECT_TIMEOUT)
@@ -62,10 +62,10 @@
     }
 
     /**
-     * Finds out whether an upstream refuses connections.
+     * Checks whether an upstream refuses connections, without blocking the calling thread.
      *
      * @param address where the upstream listens
-     * @return true when it does; false when it takes one or says nothing for a while
+     * @return true if it refuses one; false if it keeps one open or does not respond in time
      */
     public CompletionStage<Boolean> isRefused(SocketAddress address) {
         CompletableFuture<Boolean> refused = new CompletableFuture<>();
--- a/upstream/src/main/java/org/turmericspan/upstream/AnswerCheck.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ResponseCheck.java
@@ -2,8 +2,8 @@
 
 import okhttp3.Response;
 
-/** Says whether an answer is this request's own, and whether its end can be told from a broken connection. */
-final class AnswerCheck {
+/** Checks that a response belongs to its attempt, and that a truncated body would be noticed. */
+final class ResponseCheck {
     private static final String HEAD = "HEAD";
     private static final String CONTENT_LENGTH = "Content-Length";
     private static final String TRANSFER_ENCODING = "Transfer-Encoding";
@@ -11,16 +11,16 @@
     private static final int STATUS_NO_CONTENT = 204;
     private static final int STATUS_NOT_MODIFIED = 304;
 
-    private AnswerCheck() {}
+    private ResponseCheck() {}
 
     /**
-     * Compares the identifiers that the upstream echoed. The request id comes from the caller, so two colleagues may
-     * use the same; the attempt id is the node's own and is checked wherever the upstream echoes it.
+     * Compares the identifiers that the upstream echoed. Callers choose the request id, so two callers of an office may
+     * use the same one. The node generates the attempt id, which is compared only if the upstream echoes it.
      *
-     * @param response the answer
-     * @param requestId identifier the caller gave the request
-     * @param attemptId identifier the node gave the attempt
-     * @return true when the answer belongs to the attempt
+     * @param response response of the upstream
+     * @param requestId identifier that the caller gave the request
+     * @param attemptId identifier that the node gave the attempt
+     * @return true if the response belongs to the attempt
      */
     static boolean belongsTo(Response response, String requestId, String attemptId) {
         String echoedAttempt = response.header(UpstreamHeaders.ATTEMPT_ID);
@@ -29,13 +29,13 @@
     }
 
     /**
-     * Checks that the body has a length or chunks. One that ends when the connection closes looks whole when it is
-     * short.
+     * Checks that the body has a declared length or is chunked. A body that is delimited by the close of the connection
+     * looks complete even if it is truncated.
      *
-     * @param response the answer
-     * @return false when a short body would look whole
+     * @param response response of the upstream
+     * @return false if a truncated body would look complete
      */
-    static boolean showsItsEnd(Response response) {
+    static boolean isSelfDelimited(Response response) {
         return hasNoBody(response)
                 || response.header(CONTENT_LENGTH) != null
                 || CHUNKED.equalsIgnoreCase(response.header(TRANSFER_ENCODING));
--- a/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
@@ -6,8 +6,8 @@
 import org.turmericspan.ids.MonotonicClock;
 
 /**
- * Knows whether bytes of one attempt were written. It is marked after the connection stands and the lease was checked
- * for the last time, immediately before the first byte.
+ * Records whether any byte of an attempt may have been written. It is marked as sent once the connection is established
+ * and the lease has been checked for the last time, immediately before the first byte.
  */
 final class SendProof {
     private final SlotLease lease;
@@ -28,37 +28,37 @@
         return sentNanos;
     }
 
-    private void beforeFirstByte() throws IOException {
+    private void checkAndMarkSent() throws IOException {
         if (sent) {
-            throw new IOException("An attempt is sent once");
+            throw new IOException("The attempt was already sent and must not be sent twice");
         }
         if (!lease.isValid()) {
-            throw new LeaseVoidException();
+            throw new LeaseInvalidException();
         }
         sentNanos = clock.nowNanos();
         sent = true;
     }
 
-    /** Says that the lease no longer held when the first byte was to be written. */
-    static final class LeaseVoidException extends IOException {
+    /** Thrown if the lease is no longer valid when the first byte is about to be written. */
+    static final class LeaseInvalidException extends IOException {
         private static final long serialVersionUID = 1L;
     }
 
     /**
-     * Runs on the connection that will carry the attempt. It holds the field {@code Retry-After} of an answer back from
-     * the client library, which would send the request again on its own when the field says 0.
+     * Marks the attempt as sent, on the connection that carries it. It also moves {@code Retry-After} of a response to
+     * another header field, because the HTTP library would resend the request by itself if the value were 0.
      */
     static final class Interceptor implements okhttp3.Interceptor {
         @Override
         public Response intercept(Chain chain) throws IOException {
             SendProof proof = chain.request().tag(SendProof.class);
             if (proof != null) {
-                proof.beforeFirstByte();
+                proof.checkAndMarkSent();
             }
-            return holdRetryAfter(chain.proceed(chain.request()));
+            return hideRetryAfter(chain.proceed(chain.request()));
         }
 
-        private static Response holdRetryAfter(Response response) {
+        private static Response hideRetryAfter(Response response) {
             String value = response.header(UpstreamHeaders.RETRY_AFTER);
             if (value == null) {
                 return response;
--- a/upstream/src/main/java/org/turmericspan/upstream/UpstreamClients.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/UpstreamClients.java
@@ -11,13 +11,14 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * One client with its own pool of connections for each upstream. A pool is dropped when one of its connections may
- * have gone silent, and when it has reached its total age. Connections that are in use then end with their request.
+ * Keeps one HTTP client with its own connection pool for each upstream. A pool is dropped when one of its connections
+ * may no longer respond, and when the pool reaches its maximum age. A connection in use is then closed after its
+ * request.
  */
 final class UpstreamClients implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration IDLE_LIMIT = Duration.ofSeconds(10);
-    private static final Duration TOTAL_AGE_LIMIT = Duration.ofMinutes(5);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration MAX_POOL_AGE = Duration.ofMinutes(5);
     private static final int MAX_IDLE_CONNECTIONS = 16;
     private static final int MAX_CLIENTS = 4_096;
 
@@ -32,25 +33,26 @@
                 .build();
     }
 
-    /** Returns a client that makes a new connection for each request. */
-    OkHttpClient fresh() {
+    /** Returns a client that opens a new connection for each request. */
+    OkHttpClient unpooled() {
         return unpooled;
     }
 
-    /** Returns the client that may reuse a connection to an upstream. */
-    OkHttpClient reusing(SocketAddress upstream) {
+    /** Returns the client that may reuse a pooled connection to an upstream. */
+    OkHttpClient pooled(SocketAddress upstream) {
         PooledClient pooled = clients.get(upstream);
-        if (pooled != null && clock.nowNanos() - pooled.createdNanos < TOTAL_AGE_LIMIT.toNanos()) {
+        if (pooled != null && clock.nowNanos() - pooled.createdNanos < MAX_POOL_AGE.toNanos()) {
             return pooled.client;
         }
         return replace(upstream, pooled);
     }
 
-    /** Drops the pool of an upstream, so that the next request there makes a new connection. */
-    void distrust(SocketAddress upstream) {
+    /** Drops the pool of an upstream, so that the next request to it opens a new connection. */
+    void dropPool(SocketAddress upstream) {
         PooledClient dropped = clients.remove(upstream);
         if (dropped != null) {
-            logger.atWarning().log("upstream: a connection to %s may be silent; its pool is dropped", upstream);
+            logger.atWarning().log(
+                    "upstream: a connection to %s may be unresponsive; dropping its connection pool", upstream);
             dropped.client.connectionPool().evictAll();
         }
     }
@@ -63,14 +65,14 @@
         unpooled.connectionPool().evictAll();
     }
 
-    private OkHttpClient replace(SocketAddress upstream, PooledClient old) {
-        if (old != null) {
-            old.client.connectionPool().evictAll();
+    private OkHttpClient replace(SocketAddress upstream, PooledClient expired) {
+        if (expired != null) {
+            expired.client.connectionPool().evictAll();
         }
         if (clients.size() >= MAX_CLIENTS) {
             close();
         }
-        ConnectionPool pool = new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_LIMIT.toSeconds(), TimeUnit.SECONDS);
+        ConnectionPool pool = new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
         PooledClient pooled =
                 new PooledClient(unpooled.newBuilder().connectionPool(pool).build(), clock.nowNanos());
         clients.put(upstream, pooled);
--- a/upstream/src/main/java/org/turmericspan/upstream/UpstreamHeaders.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/UpstreamHeaders.java
@@ -5,7 +5,7 @@
 import okhttp3.Response;
 import org.turmericspan.calls.UpstreamSignals;
 
-/** Header fields through which an upstream speaks of itself. */
+/** Header fields of requests to upstreams and of their responses, in which upstreams report their state. */
 final class UpstreamHeaders {
     static final String REQUEST_ID = "Turmericspan-Request-Id";
     static final String ATTEMPT_ID = "Turmericspan-Attempt-Id";
@@ -19,7 +19,9 @@
     static final String NOT_RUN = "Turmericspan-Not-Run";
     static final String YES = "1";
     static final String RETRY_AFTER = "Retry-After";
+    /** Carries {@code Retry-After} past the HTTP library; see {@link SendProof.Interceptor}. */
     static final String HELD_RETRY_AFTER = "Turmericspan-Held-Retry-After";
+
     static final String ACCEPT_ENCODING = "Accept-Encoding";
     static final String IDENTITY = "identity";
 
@@ -27,13 +29,13 @@
 
     static UpstreamSignals signals(Response response) {
         return new UpstreamSignals(
-                running(response.header(RUNNING)),
+                parseRunning(response.header(RUNNING)),
                 YES.equals(response.header(COLD)),
                 YES.equals(response.header(LEAVING)),
                 Optional.ofNullable(response.header(INCARNATION)));
     }
 
-    private static OptionalInt running(String value) {
+    private static OptionalInt parseRunning(String value) {
         if (value == null || !value.matches("[0-9]{1,9}")) {
             return OptionalInt.empty();
         }
--- a/upstream/src/main/java/org/turmericspan/upstream/package-info.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/package-info.java
@@ -1,2 +1,2 @@
-/** HTTP client towards the upstreams, which proves whether bytes were sent. */
+/** HTTP client for upstreams. It records whether any byte of an attempt was sent. */
 package org.turmericspan.upstream;
--- a/upstream/src/test/java/org/turmericspan/upstream/AnswerWholenessTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/AnswerWholenessTest.java
@@ -20,11 +20,15 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 
+/**
+ * Guards against a response that is taken for complete or for the caller's own although it is not: it is truncated, or
+ * it belongs to another request or attempt.
+ */
 final class AnswerWholenessTest {
     private static final String OK = "HTTP/1.1 200 OK\r\nTurmericspan-Request-Id: request-1\r\n";
     private static final String SHED = "HTTP/1.1 503 Busy\r\nTurmericspan-Not-Run: 1\r\nContent-Length: 0\r\n";
-    private static final int ANSWER_LIMIT = 100;
-    private static final long DEADLINE_NANOS = 5_000_000_000L;
+    private static final int RESPONSE_LIMIT_BYTES = 100;
+    private static final long TIMEOUT_NANOS = 5_000_000_000L;
 
     private final HttpUpstreamSender sender = new HttpUpstreamSender(MonotonicClock.system());
 
@@ -34,82 +38,83 @@
     }
 
     @Test
-    void answerWithItsLengthIsWhole() throws IOException {
-        AttemptOutcome outcome = replyTo(OK + "Content-Length: 5\r\n\r\nwhole");
+    void responseWithContentLengthIsComplete() throws IOException {
+        AttemptOutcome outcome = outcomeFor(OK + "Content-Length: 5\r\n\r\nwhole");
         assertThat(outcome.kind()).isEqualTo(AttemptOutcome.Kind.COMPLETE);
         assertThat(new String(outcome.answer().body().bytes())).isEqualTo("whole");
     }
 
     @Test
-    void chunkedAnswerWithItsEndIsWhole() throws IOException {
-        assertThat(kindOf(OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"))
+    void chunkedResponseWithLastChunkIsComplete() throws IOException {
+        assertThat(outcomeKindFor(OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"))
                 .isEqualTo(AttemptOutcome.Kind.COMPLETE);
     }
 
     @Test
-    void answerThatEndsWithItsConnectionIsRefused() throws IOException {
-        assertThat(kindOf(OK + "Connection: close\r\n\r\nsho")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
+    void closeDelimitedResponseCountsAsConnectionLost() throws IOException {
+        assertThat(outcomeKindFor(OK + "Connection: close\r\n\r\nsho")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
-    void answerShorterThanItsLengthIsRefused() throws IOException {
-        assertThat(kindOf(OK + "Content-Length: 5\r\n\r\nsho")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
+    void responseShorterThanContentLengthCountsAsConnectionLost() throws IOException {
+        assertThat(outcomeKindFor(OK + "Content-Length: 5\r\n\r\nsho")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
-    void chunkedAnswerWithoutItsEndIsRefused() throws IOException {
-        assertThat(kindOf(OK + "Transfer-Encoding: chunked\r\n\r\n3\r\nsho\r\n"))
+    void chunkedResponseWithoutLastChunkCountsAsConnectionLost() throws IOException {
+        assertThat(outcomeKindFor(OK + "Transfer-Encoding: chunked\r\n\r\n3\r\nsho\r\n"))
                 .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
-    void answerWithoutLengthToACallWithoutBodyStatusIsWhole() throws IOException {
-        assertThat(kindOf("HTTP/1.1 204 None\r\nTurmericspan-Request-Id: request-1\r\n\r\n"))
+    void noContentResponseWithoutLengthIsComplete() throws IOException {
+        assertThat(outcomeKindFor("HTTP/1.1 204 None\r\nTurmericspan-Request-Id: request-1\r\n\r\n"))
                 .isEqualTo(AttemptOutcome.Kind.COMPLETE);
     }
 
     @Test
-    void answerOfAnotherRequestIsRefused() throws IOException {
-        assertThat(kindOf("HTTP/1.1 200 OK\r\nTurmericspan-Request-Id: request-2\r\nContent-Length: 0\r\n\r\n"))
+    void responseWithOtherRequestIdCountsAsConnectionLost() throws IOException {
+        assertThat(outcomeKindFor("HTTP/1.1 200 OK\r\nTurmericspan-Request-Id: request-2\r\nContent-Length: 0\r\n\r\n"))
                 .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
-    void answerOfAnotherAttemptUnderTheSameRequestIdIsRefused() throws IOException {
-        assertThat(kindOf(OK + "Turmericspan-Attempt-Id: 0\r\nContent-Length: 0\r\n\r\n"))
+    void responseWithOtherAttemptIdCountsAsConnectionLost() throws IOException {
+        assertThat(outcomeKindFor(OK + "Turmericspan-Attempt-Id: 0\r\nContent-Length: 0\r\n\r\n"))
                 .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
-    void answerThatEchoesItsAttemptIsWhole() throws IOException {
+    void responseThatEchoesAttemptIdIsComplete() throws IOException {
         UnaryOperator<String> echo =
-                attempt -> OK + "Turmericspan-Attempt-Id: " + attempt + "\r\nContent-Length: 0\r\n\r\n";
+                attemptId -> OK + "Turmericspan-Attempt-Id: " + attemptId + "\r\nContent-Length: 0\r\n\r\n";
         try (ScriptedUpstream upstream = new ScriptedUpstream(echo)) {
             assertThat(send(upstream.address()).kind()).isEqualTo(AttemptOutcome.Kind.COMPLETE);
         }
     }
 
     @Test
-    void answerBeyondTheLimitIsRefused() throws IOException {
-        assertThat(kindOf(OK + "Content-Length: 101\r\n\r\n" + "x".repeat(101)))
+    void responseBeyondLimitIsTooLarge() throws IOException {
+        assertThat(outcomeKindFor(OK + "Content-Length: 101\r\n\r\n" + "x".repeat(101)))
                 .isEqualTo(AttemptOutcome.Kind.ANSWER_TOO_LARGE);
     }
 
     @Test
-    void refusalThatEchoesTheRequestWasNotRun() throws IOException {
-        assertThat(kindOf(SHED + "Turmericspan-Request-Id: request-1\r\n\r\n")).isEqualTo(AttemptOutcome.Kind.SHED);
+    void notRunResponseThatEchoesRequestIdIsShed() throws IOException {
+        assertThat(outcomeKindFor(SHED + "Turmericspan-Request-Id: request-1\r\n\r\n"))
+                .isEqualTo(AttemptOutcome.Kind.SHED);
     }
 
     @Test
-    void refusalOfAnotherRequestProvesNothing() throws IOException {
-        assertThat(kindOf(SHED + "\r\n")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
+    void notRunResponseWithoutRequestIdCountsAsConnectionLost() throws IOException {
+        assertThat(outcomeKindFor(SHED + "\r\n")).isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
     @Test
-    void unavailableWithRetryAfterZeroIsSentOnceAndPassedOn() throws IOException {
-        String answer = "HTTP/1.1 503 Busy\r\nTurmericspan-Request-Id: request-1\r\n"
+    void unavailableResponseWithRetryAfterZeroIsForwardedWithoutResending() throws IOException {
+        String response = "HTTP/1.1 503 Busy\r\nTurmericspan-Request-Id: request-1\r\n"
                 + "Retry-After: 0\r\nContent-Length: 0\r\n\r\n";
-        try (ScriptedUpstream upstream = new ScriptedUpstream(attempt -> answer)) {
+        try (ScriptedUpstream upstream = new ScriptedUpstream(attemptId -> response)) {
             AttemptOutcome outcome = send(upstream.address());
             assertThat(outcome.kind()).isEqualTo(AttemptOutcome.Kind.COMPLETE);
             assertThat(outcome.answer().headers()).contains(new Header("Retry-After", "0"));
@@ -118,7 +123,7 @@
     }
 
     @Test
-    void refusedConnectionSentNothing() throws IOException {
+    void requestOnRefusedConnectionDidNotRun() throws IOException {
         SocketAddress closed;
         try (ServerSocket socket = new ServerSocket(0)) {
             closed = new SocketAddress("127.0.0.1", socket.getLocalPort());
@@ -126,12 +131,12 @@
         assertThat(send(closed).mayHaveRun()).isFalse();
     }
 
-    private AttemptOutcome.Kind kindOf(String answer) throws IOException {
-        return replyTo(answer).kind();
+    private AttemptOutcome.Kind outcomeKindFor(String response) throws IOException {
+        return outcomeFor(response).kind();
     }
 
-    private AttemptOutcome replyTo(String answer) throws IOException {
-        try (ScriptedUpstream upstream = new ScriptedUpstream(attempt -> answer)) {
+    private AttemptOutcome outcomeFor(String response) throws IOException {
+        try (ScriptedUpstream upstream = new ScriptedUpstream(attemptId -> response)) {
             return send(upstream.address());
         }
     }
@@ -146,12 +151,12 @@
                 "/stock",
                 List.of(),
                 Payload.EMPTY,
-                System.nanoTime() + DEADLINE_NANOS,
+                System.nanoTime() + TIMEOUT_NANOS,
                 0,
                 false,
                 true,
                 Optional.empty());
-        return sender.send(new ValidLease(address), request, ANSWER_LIMIT)
+        return sender.send(new ValidLease(address), request, RESPONSE_LIMIT_BYTES)
                 .outcome()
                 .toCompletableFuture()
                 .join();
--- a/upstream/src/test/java/org/turmericspan/upstream/RefusedConnectionTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/RefusedConnectionTest.java
@@ -12,10 +12,14 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
+/**
+ * Guards against taking a crashing upstream for a running one, because it accepted a connection just before its process
+ * exited.
+ */
 final class RefusedConnectionTest {
     private static final String HOST = "127.0.0.1";
-    /** Waits for the death of the server for longer than a busy machine takes to run its thread. */
-    private static final RefusalCheck PATIENT = new RefusalCheck(20_000);
+    /** Waits for the server to close for longer than a busy machine takes to schedule its thread. */
+    private static final ConnectionRefusalCheck CHECK_WITH_LONG_WAIT = new ConnectionRefusalCheck(20_000);
 
     private final HttpUpstreamSender sender = new HttpUpstreamSender(MonotonicClock.system());
 
@@ -25,14 +29,14 @@
     }
 
     @Test
-    void upstreamThatListensDoesNotRefuse() throws IOException {
+    void listeningUpstreamIsNotRefused() throws IOException {
         try (ServerSocket server = listen()) {
             assertThat(isRefused(server.getLocalPort())).isFalse();
         }
     }
 
     @Test
-    void upstreamThatDoesNotListenRefuses() throws IOException {
+    void closedPortIsRefused() throws IOException {
         int port;
         try (ServerSocket server = listen()) {
             port = server.getLocalPort();
@@ -44,9 +48,9 @@
     @Test
     void upstreamThatDiesWhileItIsCheckedRefuses() throws IOException {
         try (ServerSocket server = listen()) {
-            CompletableFuture.runAsync(() -> acceptAndDie(server));
+            CompletableFuture.runAsync(() -> acceptAndCrash(server));
 
-            assertThat(PATIENT.isRefused(new SocketAddress(HOST, server.getLocalPort())))
+            assertThat(CHECK_WITH_LONG_WAIT.isRefused(new SocketAddress(HOST, server.getLocalPort())))
                     .isTrue();
         }
     }
@@ -61,8 +65,8 @@
         return new ServerSocket(0, 1, InetAddress.getByName(HOST));
     }
 
-    /** Takes one connection, stops listening, and then breaks the connection, as a process does that ends. */
-    private static void acceptAndDie(ServerSocket server) {
+    /** Accepts one connection, stops listening and then resets the connection, as a process that exits does. */
+    private static void acceptAndCrash(ServerSocket server) {
         try (Socket accepted = server.accept()) {
             accepted.setSoLinger(true, 0);
             server.close();
--- a/upstream/src/test/java/org/turmericspan/upstream/ScriptedUpstream.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/ScriptedUpstream.java
@@ -12,16 +12,16 @@
 import java.util.function.UnaryOperator;
 import org.turmericspan.ids.SocketAddress;
 
-/** Upstream that answers every request with the same bytes and then closes the connection. */
+/** Upstream that writes a scripted response to each request and then closes the connection. */
 final class ScriptedUpstream implements AutoCloseable {
-    private static final String ATTEMPT_PREFIX = "turmericspan-attempt-id: ";
+    private static final String ATTEMPT_ID_PREFIX = "turmericspan-attempt-id: ";
 
     private final ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
     private final AtomicInteger requests = new AtomicInteger();
-    private final UnaryOperator<String> answerByAttempt;
+    private final UnaryOperator<String> responseByAttemptId;
 
-    ScriptedUpstream(UnaryOperator<String> answerByAttempt) throws IOException {
-        this.answerByAttempt = answerByAttempt;
+    ScriptedUpstream(UnaryOperator<String> responseByAttemptId) throws IOException {
+        this.responseByAttemptId = responseByAttemptId;
         Thread thread = new Thread(this::serve, "scripted-upstream");
         thread.setDaemon(true);
         thread.start();
@@ -43,26 +43,26 @@
     private void serve() {
         while (!server.isClosed()) {
             try (Socket socket = server.accept()) {
-                answer(socket);
+                respond(socket);
             } catch (IOException e) {
-                // The test has ended or the client has gone.
+                // The test ended or the client disconnected.
                 continue;
             }
         }
     }
 
-    private void answer(Socket socket) throws IOException {
+    private void respond(Socket socket) throws IOException {
         BufferedReader reader =
                 new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-        String attempt = "";
+        String attemptId = "";
         String line = reader.readLine();
         while (line != null && !line.isEmpty()) {
-            if (line.toLowerCase(Locale.ROOT).startsWith(ATTEMPT_PREFIX)) {
-                attempt = line.substring(ATTEMPT_PREFIX.length());
+            if (line.toLowerCase(Locale.ROOT).startsWith(ATTEMPT_ID_PREFIX)) {
+                attemptId = line.substring(ATTEMPT_ID_PREFIX.length());
             }
             line = reader.readLine();
         }
         requests.incrementAndGet();
-        socket.getOutputStream().write(answerByAttempt.apply(attempt).getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().write(responseByAttemptId.apply(attemptId).getBytes(StandardCharsets.US_ASCII));
     }
 }
--- a/upstream/src/test/java/org/turmericspan/upstream/SilentConnectionTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/SilentConnectionTest.java
@@ -26,11 +26,14 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 
-/** Connections that answer once and are silent from then on, while new ones work. */
+/**
+ * Guards against requests that time out on a pooled connection which no longer responds, while a new connection to the
+ * same upstream would work. Each connection of the test server responds once and never again.
+ */
 final class SilentConnectionTest {
-    private static final String ANSWER =
+    private static final String RESPONSE =
             "HTTP/1.1 200 OK\r\nTurmericspan-Request-Id: request-1\r\nContent-Length: 0\r\n\r\n";
-    private static final Duration LONG = Duration.ofSeconds(20);
+    private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
 
     private final MonotonicClock clock = MonotonicClock.system();
     private final HttpUpstreamSender sender = new HttpUpstreamSender(clock);
@@ -40,7 +43,7 @@
     @BeforeEach
     void listen() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        daemon(this::accept);
+        startDaemon(this::accept);
     }
 
     @AfterEach
@@ -50,20 +53,20 @@
     }
 
     @Test
-    void requestThatMayRunOnlyOnceGoesOnANewConnection() {
-        assertThat(send(true, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+    void nonIdempotentRequestUsesNewConnection() {
+        assertThat(send(true, LONG_TIMEOUT)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
 
-        assertThat(send(false, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
-        assertThat(send(false, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+        assertThat(send(false, LONG_TIMEOUT)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+        assertThat(send(false, LONG_TIMEOUT)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
         assertThat(connections).hasValue(3);
     }
 
     @Test
-    void timeoutOnASilentConnectionDropsThePool() {
-        assertThat(send(true, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+    void timeoutOnUnresponsiveConnectionDropsPool() {
+        assertThat(send(true, LONG_TIMEOUT)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
         assertThat(send(true, Duration.ofMillis(500))).isEqualTo(AttemptOutcome.Kind.TIMED_OUT);
 
-        assertThat(send(true, LONG)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
+        assertThat(send(true, LONG_TIMEOUT)).isEqualTo(AttemptOutcome.Kind.COMPLETE);
         assertThat(connections).hasValue(2);
     }
 
@@ -95,15 +98,15 @@
             try {
                 Socket socket = server.accept();
                 connections.incrementAndGet();
-                daemon(() -> answerOnce(socket));
+                startDaemon(() -> respondOnce(socket));
             } catch (IOException e) {
-                // The test has ended.
+                // The test ended.
                 return;
             }
         }
     }
 
-    private static void answerOnce(Socket socket) {
+    private static void respondOnce(Socket socket) {
         try {
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
@@ -111,14 +114,14 @@
             while (line != null && !line.isEmpty()) {
                 line = reader.readLine();
             }
-            socket.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.US_ASCII));
         } catch (IOException e) {
-            // The client has gone.
+            // The client disconnected.
             return;
         }
     }
 
-    private static void daemon(Runnable task) {
+    private static void startDaemon(Runnable task) {
         Thread thread = new Thread(task, "silent-upstream");
         thread.setDaemon(true);
         thread.start();
--- a/upstream/src/test/java/org/turmericspan/upstream/ValidLease.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/ValidLease.java
@@ -7,7 +7,7 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 
-/** Lease that always holds. */
+/** Lease that is always valid. */
 record ValidLease(SocketAddress address) implements SlotLease {
     @Override
     public LeaseId id() {
