Say in the terms of the field how the front end decodes and encodes

Cause: the front end spoke of copies, spans, parts, odd paths, fields that are passed on and nodes that have a life. A refusal "early" or "of a request that was looked up" did not say that the run token is looked up.

Change, old -> new: - types: HttpRefusals -> HttpErrorHandler; in tests FrontEnd -> CallerServerHarness, OneService -> SingleServiceCatalog, FixedIssuer -> FixedTokenIssuer - ResultEncoder: refuse -> writeRefusal, refuseEarly -> writeRefusalBeforeLookup, otherCopiesMayRun -> duplicateMayHaveRun, wholeSeconds -> secondsRoundedUp - CallerServer: answer -> respond, body -> readBody, refusal -> toRefusal, LONGEST_BODY -> MAX_BODY_READ_TIME, RESPONSE_WRITE_LIMIT -> STOP_TIMEOUT - HeaderFields, CallerHeaders: passedOn -> forwarded, isPassedOn -> isForwarded, controls -> controlFields - RequestPath: requirePlain -> requireCanonical, isDots -> isDotSegment - logs: "a call failed" -> "a call failed unexpectedly; it is refused as an internal error", "the state of %s cannot be read" -> "cannot read state section %s; the state dump reports a failure in its place" - Header names, JSON keys, paths, codes and the details that callers receive stay letter for letter.

--- a/front/src/main/java/org/turmericspan/front/BodyReader.java
+++ b/front/src/main/java/org/turmericspan/front/BodyReader.java
@@ -11,7 +11,7 @@
 import org.turmericspan.errors.BalancerException;
 import org.turmericspan.errors.ResultCode;
 
-/** Reads a body as it arrives, up to a limit of bytes and time. A slow caller holds no thread. */
+/** Reads a request body as it arrives, within a size limit and a time limit. A slow caller blocks no thread. */
 final class BodyReader implements ReadListener {
     private static final int CHUNK_BYTES = 8_192;
 
@@ -27,16 +27,17 @@
     }
 
     /**
-     * Starts to read. The request must have been made asynchronous.
+     * Starts to read without blocking. The request must already be asynchronous.
      *
-     * @param stream bytes as they arrive
-     * @param limitBytes largest body
-     * @param limitTime longest time to read
-     * @return the whole body, or a failure with a code
+     * @param stream input stream of the request
+     * @param limitBytes maximum body size in bytes
+     * @param timeLimit maximum time to read the whole body
+     * @return the whole body; fails with a {@link BalancerException} if the body is too large or incomplete, and with a
+     *     {@link java.util.concurrent.TimeoutException} at the time limit
      */
-    static CompletableFuture<Payload> read(ServletInputStream stream, int limitBytes, Duration limitTime) {
+    static CompletableFuture<Payload> read(ServletInputStream stream, int limitBytes, Duration timeLimit) {
         BodyReader reader = new BodyReader(stream, limitBytes);
-        CompletableFuture<Payload> timed = reader.body.orTimeout(limitTime.toNanos(), TimeUnit.NANOSECONDS);
+        CompletableFuture<Payload> timed = reader.body.orTimeout(timeLimit.toNanos(), TimeUnit.NANOSECONDS);
         stream.setReadListener(reader);
         return timed;
     }
--- a/front/src/main/java/org/turmericspan/front/CallerHeaders.java
+++ b/front/src/main/java/org/turmericspan/front/CallerHeaders.java
@@ -2,7 +2,7 @@
 
 import java.util.Set;
 
-/** Header fields that callers send and get, in the spelling of responses and, for matching, in lower case. */
+/** Names of header fields that callers send and receive, as written in responses and, for matching, in lower case. */
 final class CallerHeaders {
     static final String REQUEST_ID = "Turmericspan-Request-Id";
     static final String RUN_TOKEN = "Turmericspan-Run-Token";
@@ -20,8 +20,8 @@
     static final String RETRIED_LOWER = "turmericspan-retried";
     static final String CONNECTION_LOWER = "connection";
 
-    /** Header fields, in lower case, that belong to the connection or are written anew towards the upstream. */
-    private static final Set<String> NOT_PASSED_ON = Set.of(
+    /** Header fields, in lower case, that belong to one connection or are written again for the upstream. */
+    private static final Set<String> NOT_FORWARDED = Set.of(
             CONNECTION_LOWER,
             "keep-alive",
             "proxy-connection",
@@ -37,10 +37,10 @@
 
     private CallerHeaders() {}
 
-    static boolean isPassedOn(String lowerName) {
+    static boolean isForwarded(String lowerName) {
         if (lowerName.startsWith(CONTROL_PREFIX)) {
             return lowerName.equals(OFFICE_LOWER) || lowerName.equals(CALLER_LOWER);
         }
-        return !NOT_PASSED_ON.contains(lowerName);
+        return !NOT_FORWARDED.contains(lowerName);
     }
 }
--- a/front/src/main/java/org/turmericspan/front/CallerServer.java
+++ b/front/src/main/java/org/turmericspan/front/CallerServer.java
@@ -32,8 +32,8 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final String SERVICE_ROUTE = "/v1/services/<path>";
     private static final int MAX_CONNECTIONS = 8_192;
-    private static final Duration LONGEST_BODY = Duration.ofSeconds(30);
-    private static final Duration RESPONSE_WRITE_LIMIT = Duration.ofSeconds(10);
+    private static final Duration MAX_BODY_READ_TIME = Duration.ofSeconds(30);
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
     private static final List<HandlerType> METHODS = List.of(
             HandlerType.GET,
             HandlerType.HEAD,
@@ -54,11 +54,11 @@
     /**
      * Creates a server that does not listen yet.
      *
-     * @param handler handles calls
-     * @param locator answers locate requests
-     * @param issuer tells what run tokens need
+     * @param handler handler of the calls
+     * @param locator resolves locate requests
+     * @param issuer incarnation and epoch for run tokens
      * @param catalog limits of the services
-     * @param clock measures deadlines
+     * @param clock clock that measures deadlines
      */
     public CallerServer(
             CallHandler handler, Locator locator, TokenIssuer issuer, ServiceCatalog catalog, MonotonicClock clock) {
@@ -73,13 +73,13 @@
     /**
      * Starts to listen.
      *
-     * @param address where to listen
+     * @param address address to listen on
      */
     public void start(SocketAddress address) {
         server.start(address.host(), address.port());
     }
 
-    /** Stops to accept connections, lets every response in flight end, and closes the rest. */
+    /** Stops accepting connections, waits for the responses in flight up to a time limit and closes what remains. */
     @Override
     public void close() {
         server.stop();
@@ -100,7 +100,7 @@
 
     private static void stopGracefully(Server jetty) {
         jetty.setHandler(new GracefulHandler());
-        jetty.setStopTimeout(RESPONSE_WRITE_LIMIT.toMillis());
+        jetty.setStopTimeout(STOP_TIMEOUT.toMillis());
     }
 
     private void locate(Context context) {
@@ -122,17 +122,17 @@
 
     private void call(Context context) {
         RequestHead head = decoder.decode(context.req());
-        context.future(() -> body(context, head)
+        context.future(() -> readBody(context, head)
                 .thenCompose(body -> handler.handle(head.withBody(body)))
-                .handle((result, failure) -> answer(context, head, result, failure)));
+                .handle((result, failure) -> respond(context, head, result, failure)));
     }
 
-    private CompletableFuture<Payload> body(Context context, RequestHead head) {
+    private CompletableFuture<Payload> readBody(Context context, RequestHead head) {
         if (!RequestDecoder.hasBody(context.req())) {
             return CompletableFuture.completedFuture(Payload.EMPTY);
         }
         Duration remaining = Duration.ofNanos(head.deadlineNanos() - clock.nowNanos());
-        Duration limit = remaining.compareTo(LONGEST_BODY) < 0 ? remaining : LONGEST_BODY;
+        Duration limit = remaining.compareTo(MAX_BODY_READ_TIME) < 0 ? remaining : MAX_BODY_READ_TIME;
         try {
             return BodyReader.read(context.req().getInputStream(), head.bodyLimitBytes(), limit);
         } catch (IOException e) {
@@ -140,39 +140,40 @@
         }
     }
 
-    private Void answer(Context context, RequestHead head, CallResult result, Throwable failure) {
+    private Void respond(Context context, RequestHead head, CallResult result, Throwable failure) {
         String requestId = head.requestId().value();
         if (failure == null) {
             encoder.encode(context, requestId, result);
             return null;
         }
-        CallResult.Refused refused = refusal(failure instanceof CompletionException ? failure.getCause() : failure);
+        CallResult.Refused refused = toRefusal(failure instanceof CompletionException ? failure.getCause() : failure);
         context.header(CallerHeaders.CONNECTION, CallerHeaders.CLOSE);
         context.header(CallerHeaders.REQUEST_ID, requestId);
-        encoder.refuseEarly(context, refused);
+        encoder.writeRefusalBeforeLookup(context, refused);
         return null;
     }
 
-    private static CallResult.Refused refusal(Throwable failure) {
-        if (failure instanceof BalancerException known) {
-            return CallResult.Refused.of(known.code(), known.detail());
+    private static CallResult.Refused toRefusal(Throwable failure) {
+        if (failure instanceof BalancerException balancerFailure) {
+            return CallResult.Refused.of(balancerFailure.code(), balancerFailure.detail());
         }
         if (failure instanceof TimeoutException) {
             return CallResult.Refused.of(ResultCode.SLOW_REQUEST, "The body was not whole in time");
         }
-        logger.atWarning().withCause(failure).log("front: a call failed");
+        logger.atWarning().withCause(failure).log(
+                "front: a call failed unexpectedly; it is refused as an internal error");
         return CallResult.Refused.of(ResultCode.INTERNAL, failure.getClass().getSimpleName());
     }
 
     private void refuse(HttpResponseException failure, Context context) {
-        encoder.refuseEarly(context, HttpRefusals.refusal(failure.getStatus()));
+        encoder.writeRefusalBeforeLookup(context, HttpErrorHandler.refusal(failure.getStatus()));
     }
 
     private void refuse(BalancerException failure, Context context) {
-        encoder.refuseEarly(context, refusal(failure));
+        encoder.writeRefusalBeforeLookup(context, toRefusal(failure));
     }
 
     private void fail(Exception failure, Context context) {
-        encoder.refuseEarly(context, refusal(failure));
+        encoder.writeRefusalBeforeLookup(context, toRefusal(failure));
     }
 }
--- a/front/src/main/java/org/turmericspan/front/HeaderFields.java
+++ b/front/src/main/java/org/turmericspan/front/HeaderFields.java
@@ -11,15 +11,15 @@
 import org.turmericspan.errors.BalancerException;
 import org.turmericspan.errors.ResultCode;
 
-/** Header fields of one request, checked in one pass: control fields apart from those that are passed on. */
+/** Header fields of one request, validated in one pass and split into control fields and forwarded fields. */
 final class HeaderFields {
     private static final int MAX_FIELDS = 64;
-    private static final char DELETE = '\u007f';
+    private static final char ASCII_DELETE = '\u007f';
 
-    private final Map<String, String> controls = new HashMap<>();
-    private final List<Header> passedOn = new ArrayList<>();
+    private final Map<String, String> controlFields = new HashMap<>();
+    private final List<Header> forwarded = new ArrayList<>();
     private String connectionOptions = "";
-    private int count;
+    private int fieldCount;
 
     private HeaderFields() {}
 
@@ -34,29 +34,29 @@
         return fields;
     }
 
-    /** Returns a control field, or null when it was not sent. */
+    /** Returns the value of a control field, or null if the caller did not send it. */
     String control(String lowerName) {
-        return controls.get(lowerName);
+        return controlFields.get(lowerName);
     }
 
     String requiredControl(String lowerName) {
-        String value = controls.get(lowerName);
+        String value = controlFields.get(lowerName);
         if (value == null) {
             throw malformed("Header " + lowerName + " is missing");
         }
         return value;
     }
 
-    List<Header> passedOn() {
-        return passedOn;
+    List<Header> forwarded() {
+        return forwarded;
     }
 
     private void addAll(String name, Enumeration<String> values) {
         String lowerName = name.toLowerCase(Locale.ROOT);
         while (values.hasMoreElements()) {
             String value = values.nextElement();
-            count++;
-            if (count > MAX_FIELDS) {
+            fieldCount++;
+            if (fieldCount > MAX_FIELDS) {
                 throw new BalancerException(ResultCode.TOO_LARGE, "More than " + MAX_FIELDS + " header fields");
             }
             add(name, lowerName, value);
@@ -67,18 +67,18 @@
         if (!isPlainText(value)) {
             throw malformed("A header field holds characters other than visible ASCII, space and tab");
         }
-        if (lowerName.startsWith(CallerHeaders.CONTROL_PREFIX) && controls.putIfAbsent(lowerName, value) != null) {
+        if (lowerName.startsWith(CallerHeaders.CONTROL_PREFIX) && controlFields.putIfAbsent(lowerName, value) != null) {
             throw malformed("A control header field is sent twice");
         }
         if (lowerName.equals(CallerHeaders.CONNECTION_LOWER)) {
             connectionOptions = connectionOptions + "," + value;
         }
-        if (CallerHeaders.isPassedOn(lowerName)) {
-            passedOn.add(new Header(name, value));
+        if (CallerHeaders.isForwarded(lowerName)) {
+            forwarded.add(new Header(name, value));
         }
     }
 
-    /** Drops the fields that the field Connection names, but never those that tell who calls. */
+    /** Removes the fields that {@code Connection} names, except control fields, because they identify the caller. */
     private void dropConnectionOptions() {
         if (connectionOptions.isEmpty()) {
             return;
@@ -86,7 +86,7 @@
         for (String option : connectionOptions.split(",")) {
             String lowerOption = option.strip().toLowerCase(Locale.ROOT);
             if (!lowerOption.startsWith(CallerHeaders.CONTROL_PREFIX)) {
-                passedOn.removeIf(header -> header.name().equalsIgnoreCase(lowerOption));
+                forwarded.removeIf(header -> header.name().equalsIgnoreCase(lowerOption));
             }
         }
     }
@@ -94,7 +94,7 @@
     private static boolean isPlainText(String value) {
         for (int i = 0; i < value.length(); i++) {
             char character = value.charAt(i);
-            if (character < ' ' && character != '\t' || character >= DELETE) {
+            if (character < ' ' && character != '\t' || character >= ASCII_DELETE) {
                 return false;
             }
         }
--- a/front/src/main/java/org/turmericspan/front/HttpRefusals.java
+++ b/front/src/main/java/org/turmericspan/front/HttpErrorHandler.java
@@ -14,15 +14,15 @@
 import org.turmericspan.errors.Ran;
 import org.turmericspan.errors.ResultCode;
 
-/** Gives refusals of the HTTP library the same JSON form and numbers as every other refusal. */
-final class HttpRefusals extends ErrorHandler {
+/** Writes errors of the HTTP library as JSON with a result code, like every other refusal. */
+final class HttpErrorHandler extends ErrorHandler {
     private static final int NOT_FOUND = 404;
     private static final int METHOD_NOT_ALLOWED = 405;
     private static final int TIMEOUT = 408;
     private static final int BODY_TOO_LARGE = 413;
     private static final int URI_TOO_LONG = 414;
     private static final int HEADERS_TOO_LARGE = 431;
-    private static final int SERVER_ERRORS = 500;
+    private static final int FIRST_SERVER_ERROR = 500;
     private static final HttpField JSON = new HttpField(HttpHeader.CONTENT_TYPE, "application/json");
 
     private final ObjectMapper mapper = new ObjectMapper();
@@ -33,7 +33,7 @@
             case METHOD_NOT_ALLOWED -> ResultCode.METHOD_NOT_ALLOWED;
             case TIMEOUT -> ResultCode.SLOW_REQUEST;
             case BODY_TOO_LARGE, URI_TOO_LONG, HEADERS_TOO_LARGE -> ResultCode.TOO_LARGE;
-            default -> status >= SERVER_ERRORS ? ResultCode.INTERNAL : ResultCode.MALFORMED_REQUEST;
+            default -> status >= FIRST_SERVER_ERROR ? ResultCode.INTERNAL : ResultCode.MALFORMED_REQUEST;
         };
     }
 
@@ -52,8 +52,8 @@
         CallResult.Refused refused = refusal(status);
         response.setStatus(refused.code().httpStatus());
         response.getHeaders().put(JSON);
-        boolean otherCopiesMayRun = request.getHeaders().contains(CallerHeaders.RUN_TOKEN);
-        Ran ran = otherCopiesMayRun ? Ran.UNKNOWN : refused.code().ran();
+        boolean duplicateMayHaveRun = request.getHeaders().contains(CallerHeaders.RUN_TOKEN);
+        Ran ran = duplicateMayHaveRun ? Ran.UNKNOWN : refused.code().ran();
         response.write(true, ByteBuffer.wrap(json(RefusalBody.of(refused, ran))), callback);
     }
 
@@ -61,7 +61,7 @@
         try {
             return mapper.writeValueAsString(body).getBytes(StandardCharsets.UTF_8);
         } catch (JsonProcessingException e) {
-            throw new IllegalStateException("Every refusal can be written as JSON", e);
+            throw new IllegalStateException("The refusal cannot be written as JSON", e);
         }
     }
 }
--- a/front/src/main/java/org/turmericspan/front/LocateBody.java
+++ b/front/src/main/java/org/turmericspan/front/LocateBody.java
@@ -5,13 +5,13 @@
 import org.turmericspan.calls.LocateResult;
 
 /**
- * Answer to a locate request as JSON.
+ * Response to a locate request, as JSON.
  *
- * @param service service asked for
+ * @param service requested service
  * @param addresses entry VMs in the order in which to try them
- * @param timeToLiveMillis how long the answer may be kept, in milliseconds
- * @param incarnation life of the node that answers, for run tokens
- * @param epoch epoch of the node that answers, for run tokens
+ * @param timeToLiveMillis time for which callers may cache the response, in milliseconds
+ * @param incarnation incarnation of the responding node, for run tokens
+ * @param epoch current epoch of the responding node, for run tokens
  */
 record LocateBody(
         @JsonProperty("service") String service,
@@ -29,11 +29,11 @@
     }
 
     /**
-     * One entry VM as JSON.
+     * One entry VM, as JSON.
      *
-     * @param vm its name
-     * @param address where callers connect
-     * @param weight share of the service's slots it keeps
+     * @param vm name of the VM
+     * @param address address that callers connect to
+     * @param weight share of the service's slots that the VM owns
      */
     record AddressBody(
             @JsonProperty("vm") String vm,
--- a/front/src/main/java/org/turmericspan/front/OperatorServer.java
+++ b/front/src/main/java/org/turmericspan/front/OperatorServer.java
@@ -35,9 +35,9 @@
     /**
      * Creates a server that does not listen yet.
      *
-     * @param sections parts of the state dump
+     * @param sections sections of the state dump
      * @param metrics metrics of the process
-     * @param ready whether the node takes calls
+     * @param ready whether the node accepts calls
      */
     public OperatorServer(Set<StateSection> sections, MetricRegistry metrics, BooleanSupplier ready) {
         this.sections = sections.stream()
@@ -51,7 +51,7 @@
     /**
      * Starts to listen.
      *
-     * @param address where to listen
+     * @param address address to listen on
      */
     public void start(SocketAddress address) {
         server.start(address.host(), address.port());
@@ -69,7 +69,7 @@
         config.routes.get("/v1/health", this::health);
         config.routes.exception(
                 HttpResponseException.class,
-                (failure, context) -> encoder.refuse(context, HttpRefusals.refusal(failure.getStatus())));
+                (failure, context) -> encoder.writeRefusal(context, HttpErrorHandler.refusal(failure.getStatus())));
     }
 
     private void state(Context context) {
@@ -78,12 +78,14 @@
         context.contentType(JSON).result(root.toPrettyString());
     }
 
-    /** Reads one part; a part that fails must not hide the others. */
+    /** Reads one section. A failure is reported in its place, so that the other sections are still returned. */
     private JsonNode read(StateSection section) {
         try {
             return mapper.valueToTree(section.read());
         } catch (RuntimeException e) {
-            logger.atWarning().withCause(e).log("front: the state of %s cannot be read", section.name());
+            logger.atWarning().withCause(e).log(
+                    "front: cannot read state section %s; the state dump reports a failure in its place",
+                    section.name());
             return mapper.createObjectNode().put("failure", e.getClass().getSimpleName());
         }
     }
--- a/front/src/main/java/org/turmericspan/front/RefusalBody.java
+++ b/front/src/main/java/org/turmericspan/front/RefusalBody.java
@@ -8,13 +8,13 @@
 import org.turmericspan.errors.Ran;
 
 /**
- * A refusal as JSON.
+ * Refusal of a request, as JSON.
  *
  * @param code stable number of the result code
  * @param ran whether the request ran: no, yes or unknown
- * @param message sentence of the code
- * @param detail particulars
- * @param retryAfterMillis when a new try makes sense, in milliseconds; left out when there is no advice
+ * @param message fixed sentence of the result code
+ * @param detail details of this refusal
+ * @param retryAfterMillis time to wait before a retry, in milliseconds; left out if there is no advice
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 record RefusalBody(
--- a/front/src/main/java/org/turmericspan/front/RequestDecoder.java
+++ b/front/src/main/java/org/turmericspan/front/RequestDecoder.java
@@ -15,12 +15,12 @@
 import org.turmericspan.ids.RunToken;
 import org.turmericspan.ids.ServiceId;
 
-/** Turns the head of an HTTP request into a {@link RequestHead}, or refuses it with a numbered code. */
+/** Decodes the head of an HTTP request into a {@link RequestHead}, or refuses the request with a result code. */
 final class RequestDecoder {
     private static final String YES = "1";
     private static final int MAX_DEPTH = 9;
     private static final int MAX_DIGITS = 9;
-    private static final int DECIMAL = 10;
+    private static final int DECIMAL_RADIX = 10;
     private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
 
     private final ServiceCatalog catalog;
@@ -57,7 +57,7 @@
                 new CallerId(fields.requiredControl(CallerHeaders.CALLER_LOWER)),
                 path,
                 method,
-                fields.passedOn(),
+                fields.forwarded(),
                 limits.bodyLimitBytes(),
                 clock.nowNanos() + deadline(fields, limits).toNanos(),
                 depth(fields),
@@ -76,7 +76,7 @@
     }
 
     private static int depth(HeaderFields fields) {
-        int depth = (int) number(fields, CallerHeaders.DEPTH_LOWER, 0);
+        int depth = (int) parseNumber(fields, CallerHeaders.DEPTH_LOWER, 0);
         if (depth >= MAX_DEPTH) {
             throw new BalancerException(ResultCode.TOO_DEEP, "The depth limit is " + MAX_DEPTH);
         }
@@ -84,14 +84,14 @@
     }
 
     private static Duration deadline(HeaderFields fields, ServiceLimits limits) {
-        Duration wanted = Duration.ofMillis(number(
+        Duration requested = Duration.ofMillis(parseNumber(
                 fields,
                 CallerHeaders.DEADLINE_MS_LOWER,
                 limits.defaultDeadline().toMillis()));
-        if (wanted.isZero()) {
+        if (requested.isZero()) {
             throw new BalancerException(ResultCode.DEADLINE_BEFORE_SEND, "The request came with a passed deadline");
         }
-        return wanted.compareTo(limits.maxDeadline()) < 0 ? wanted : limits.maxDeadline();
+        return requested.compareTo(limits.maxDeadline()) < 0 ? requested : limits.maxDeadline();
     }
 
     private static Optional<RunToken> token(HeaderFields fields) {
@@ -106,8 +106,8 @@
         }
     }
 
-    /** Reads up to nine digits; nothing else is a number. */
-    private static long number(HeaderFields fields, String name, long fallback) {
+    /** Parses one to nine decimal digits and rejects everything else, signs and spaces included. */
+    private static long parseNumber(HeaderFields fields, String name, long fallback) {
         String text = fields.control(name);
         if (text == null) {
             return fallback;
@@ -115,10 +115,10 @@
         long number = 0;
         for (int i = 0; i < text.length(); i++) {
             int digit = text.charAt(i) - '0';
-            if (digit < 0 || digit >= DECIMAL) {
+            if (digit < 0 || digit >= DECIMAL_RADIX) {
                 throw notANumber(name);
             }
-            number = number * DECIMAL + digit;
+            number = number * DECIMAL_RADIX + digit;
         }
         if (text.isEmpty() || text.length() > MAX_DIGITS) {
             throw notANumber(name);
--- a/front/src/main/java/org/turmericspan/front/RequestHead.java
+++ b/front/src/main/java/org/turmericspan/front/RequestHead.java
@@ -11,20 +11,20 @@
 import org.turmericspan.ids.RunToken;
 
 /**
- * A request without its body, checked.
+ * Validated request without its body.
  *
- * @param requestId identifier the answer must echo
- * @param office account the caller works under
- * @param caller the caller within the office
+ * @param requestId identifier that the response must echo
+ * @param office account that the caller works under
+ * @param caller caller within the office
  * @param path service and path
  * @param method HTTP method in capital letters
- * @param headers header fields to pass on
- * @param bodyLimitBytes largest body
- * @param deadlineNanos monotonic time after which the caller no longer waits
- * @param depth number of balanced calls above this one
- * @param retried whether this call or one above it was already retried
- * @param idempotent whether the request may be repeated
- * @param runToken right to run a non-idempotent request once
+ * @param headers header fields to forward
+ * @param bodyLimitBytes maximum body size in bytes
+ * @param deadlineNanos monotonic time in nanoseconds at which the caller stops waiting
+ * @param depth number of balanced calls above this one in the call chain
+ * @param retried whether this call or one above it in the call chain was already retried
+ * @param idempotent whether the request may run more than once
+ * @param runToken idempotency key that lets a non-idempotent request run once
  */
 record RequestHead(
         RequestId requestId,
--- a/front/src/main/java/org/turmericspan/front/RequestPath.java
+++ b/front/src/main/java/org/turmericspan/front/RequestPath.java
@@ -5,10 +5,10 @@
 import org.turmericspan.ids.ServiceId;
 
 /**
- * Service and path of a request. A path has one spelling: what a rule matches is what the upstream gets, so dot
- * segments, empty segments and escapes of plain characters are refused.
+ * Service and path of a request. Only the canonical spelling of a path is accepted, so that rules match exactly what
+ * the upstream receives: dot segments, empty segments and escapes of unreserved characters are refused.
  *
- * @param service service called
+ * @param service called service
  * @param path path and query within the service, beginning with a slash
  */
 record RequestPath(ServiceId service, String path) {
@@ -32,7 +32,7 @@
         int slash = uri.indexOf('/', PREFIX.length());
         String service = slash < 0 ? uri.substring(PREFIX.length()) : uri.substring(PREFIX.length(), slash);
         String path = slash < 0 ? "/" : uri.substring(slash);
-        requirePlain(path);
+        requireCanonical(path);
         if (query == null) {
             return new RequestPath(new ServiceId(service), path);
         }
@@ -40,19 +40,19 @@
         return new RequestPath(new ServiceId(service), path + "?" + query);
     }
 
-    private static void requirePlain(String path) {
-        requireCharacters(path, PATH_CHARACTERS);
+    private static void requireCanonical(String path) {
+        requirePathCharacters(path, PATH_CHARACTERS);
         for (int slash = path.indexOf('/'); slash >= 0; slash = path.indexOf('/', slash + 1)) {
             int next = path.indexOf('/', slash + 1);
             int end = next < 0 ? path.length() : next;
             boolean isInner = next >= 0;
-            if (isInner && end == slash + 1 || isDots(path, slash + 1, end)) {
+            if (isInner && end == slash + 1 || isDotSegment(path, slash + 1, end)) {
                 throw malformed("The path holds an empty or a dot segment");
             }
         }
     }
 
-    private static boolean isDots(String path, int start, int end) {
+    private static boolean isDotSegment(String path, int start, int end) {
         int length = end - start;
         return length == 1 && path.charAt(start) == '.' || length == 2 && path.startsWith("..", start);
     }
@@ -68,7 +68,7 @@
         }
     }
 
-    private static void requireCharacters(String path, boolean[] allowed) {
+    private static void requirePathCharacters(String path, boolean[] allowed) {
         for (int i = 0; i < path.length(); i++) {
             char character = path.charAt(i);
             if (character == '%') {
--- a/front/src/main/java/org/turmericspan/front/ResultEncoder.java
+++ b/front/src/main/java/org/turmericspan/front/ResultEncoder.java
@@ -8,7 +8,7 @@
 import org.turmericspan.calls.Header;
 import org.turmericspan.errors.Ran;
 
-/** Writes a result as an HTTP response. A refusal is JSON with its numbered code. */
+/** Writes the result of a call as an HTTP response. A refusal becomes JSON with the number of its result code. */
 final class ResultEncoder {
     private static final String JSON = "application/json";
 
@@ -22,27 +22,30 @@
             context.result(answered.body().bytes());
         } else if (result instanceof CallResult.Refused refused) {
             context.header(CallerHeaders.REQUEST_ID, requestId);
-            refuse(context, refused);
+            writeRefusal(context, refused);
         }
     }
 
-    /** Writes a refusal of a request that was looked up. */
-    void refuse(Context context, CallResult.Refused refused) {
+    /** Writes a refusal whose code says whether the request ran, because any run token was looked up. */
+    void writeRefusal(Context context, CallResult.Refused refused) {
         write(context, refused, refused.code().ran());
     }
 
     /**
-     * Writes a refusal of a request that was not looked up. When it carries a run token, another copy of it may have
-     * run, so nothing is known of whether it ran.
+     * Writes a refusal of a request whose run token was not looked up. If the request carries a run token, a duplicate
+     * of it may have run, so the response reports {@code ran} as unknown.
      */
-    void refuseEarly(Context context, CallResult.Refused refused) {
-        boolean otherCopiesMayRun = context.header(CallerHeaders.RUN_TOKEN) != null;
-        write(context, refused, otherCopiesMayRun ? Ran.UNKNOWN : refused.code().ran());
+    void writeRefusalBeforeLookup(Context context, CallResult.Refused refused) {
+        boolean duplicateMayHaveRun = context.header(CallerHeaders.RUN_TOKEN) != null;
+        write(
+                context,
+                refused,
+                duplicateMayHaveRun ? Ran.UNKNOWN : refused.code().ran());
     }
 
     private void write(Context context, CallResult.Refused refused, Ran ran) {
         refused.retryAfter()
-                .ifPresent(span -> context.header(CallerHeaders.RETRY_AFTER, Long.toString(wholeSeconds(span))));
+                .ifPresent(delay -> context.header(CallerHeaders.RETRY_AFTER, Long.toString(secondsRoundedUp(delay))));
         context.status(refused.code().httpStatus());
         context.contentType(JSON);
         context.result(json(RefusalBody.of(refused, ran)));
@@ -52,7 +55,7 @@
         try {
             return mapper.writeValueAsString(value);
         } catch (JsonProcessingException e) {
-            throw new IllegalStateException("Every value of the front end can be written as JSON", e);
+            throw new IllegalStateException("The response body cannot be written as JSON", e);
         }
     }
 
@@ -60,7 +63,7 @@
         context.res().addHeader(header.name(), header.value());
     }
 
-    private static long wholeSeconds(Duration span) {
-        return span.plusSeconds(1).minusNanos(1).toSeconds();
+    private static long secondsRoundedUp(Duration delay) {
+        return delay.plusSeconds(1).minusNanos(1).toSeconds();
     }
 }
--- a/front/src/main/java/org/turmericspan/front/StateSection.java
+++ b/front/src/main/java/org/turmericspan/front/StateSection.java
@@ -1,16 +1,16 @@
 package org.turmericspan.front;
 
-/** One part of the state dump. */
+/** One section of the state dump. */
 public interface StateSection {
     /**
-     * Returns the field name of the part.
+     * Returns the name of the field that holds this section.
      *
      * @return a name in lower case with underscores
      */
     String name();
 
     /**
-     * Reads the state now, without callers' data or tokens.
+     * Reads the current state, without data or run tokens of callers.
      *
      * @return a record that can be written as JSON
      */
--- a/front/src/main/java/org/turmericspan/front/TokenIssuer.java
+++ b/front/src/main/java/org/turmericspan/front/TokenIssuer.java
@@ -3,17 +3,17 @@
 import org.turmericspan.ids.Epoch;
 import org.turmericspan.ids.Incarnation;
 
-/** Tells what callers need to stamp run tokens for this node. */
+/** Supplies the values that callers put into run tokens for this node. */
 public interface TokenIssuer {
     /**
-     * Returns the life of this node.
+     * Returns the incarnation of this node.
      *
      * @return the incarnation
      */
     Incarnation incarnation();
 
     /**
-     * Returns the epoch in which new tokens are stamped.
+     * Returns the epoch in which new run tokens are issued.
      *
      * @return the current epoch
      */
--- a/front/src/main/java/org/turmericspan/front/package-info.java
+++ b/front/src/main/java/org/turmericspan/front/package-info.java
@@ -1,2 +1,2 @@
-/** HTTP front end towards callers and operators. It decodes and encodes, and decides nothing. */
+/** HTTP front end for callers and operators. It decodes requests and encodes responses, and makes no decisions. */
 package org.turmericspan.front;
--- a/front/src/test/java/org/turmericspan/front/FrontEnd.java
+++ b/front/src/test/java/org/turmericspan/front/CallerServerHarness.java
@@ -18,15 +18,15 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
-/** A caller server on loopback that records the calls it hands on, and a raw client. */
-final class FrontEnd implements AutoCloseable {
+/** Caller server on loopback that records the calls it decodes, with a client that sends raw bytes. */
+final class CallerServerHarness implements AutoCloseable {
     private static final int TIMEOUT_MILLIS = 20_000;
 
     private final List<CallRequest> calls = new CopyOnWriteArrayList<>();
     private final SocketAddress address = new SocketAddress("127.0.0.1", freePort());
     private final CallerServer server;
 
-    FrontEnd() {
+    CallerServerHarness() {
         TokenIssuer issuer = new TokenIssuer() {
             @Override
             public Incarnation incarnation() {
@@ -61,22 +61,22 @@
         return socket;
     }
 
-    /** Sends bytes as they are and reads until the server closes or answered once. */
+    /** Sends a request unchanged and reads until one response is complete or the server closes the connection. */
     String exchange(String request) throws IOException {
         try (Socket socket = connect()) {
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            return readAnswer(socket);
+            return readResponse(socket);
         }
     }
 
-    static String readAnswer(Socket socket) throws IOException {
+    static String readResponse(Socket socket) throws IOException {
         InputStream input = socket.getInputStream();
         StringBuilder text = new StringBuilder();
         byte[] chunk = new byte[8_192];
         int count = input.read(chunk);
         while (count > 0) {
             text.append(new String(chunk, 0, count, StandardCharsets.ISO_8859_1));
-            if (isWhole(text)) {
+            if (isComplete(text)) {
                 break;
             }
             count = input.read(chunk);
@@ -94,7 +94,7 @@
         server.close();
     }
 
-    private static boolean isWhole(StringBuilder text) {
+    private static boolean isComplete(StringBuilder text) {
         int end = text.indexOf("\r\n\r\n");
         if (end < 0) {
             return false;
--- a/front/src/test/java/org/turmericspan/front/CallerServerTest.java
+++ b/front/src/test/java/org/turmericspan/front/CallerServerTest.java
@@ -16,28 +16,28 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.turmericspan.calls.CallRequest;
 
-/** Sends hostile requests to a caller server on loopback. */
+/** Sends malformed, oversized and slow requests to a caller server on loopback. */
 final class CallerServerTest {
-    private static FrontEnd front;
+    private static CallerServerHarness harness;
 
     @BeforeAll
     static void start() {
-        front = new FrontEnd();
+        harness = new CallerServerHarness();
     }
 
     @AfterAll
     static void stop() {
-        front.close();
+        harness.close();
     }
 
     @BeforeEach
-    void forgetCalls() {
-        front.calls().clear();
+    void clearCalls() {
+        harness.calls().clear();
     }
 
     @Test
-    void bodyAndHeadersArePassedOnWhole() throws IOException {
-        String answer = front.exchange(FrontEnd.head(
+    void bodyAndHeadersAreForwarded() throws IOException {
+        String response = harness.exchange(CallerServerHarness.head(
                         "POST /v1/services/mixing/jobs?press=4",
                         "Content-Length: 5\r\n",
                         "Colour: teal\r\n",
@@ -47,8 +47,8 @@
                         "Turmericspan-Not-Run: 1\r\n")
                 + "press");
 
-        assertThat(answer).startsWith("HTTP/1.1 200").endsWith("ok").contains("Turmericspan-Request-Id: r-1");
-        CallRequest call = front.calls().get(0);
+        assertThat(response).startsWith("HTTP/1.1 200").endsWith("ok").contains("Turmericspan-Request-Id: r-1");
+        CallRequest call = harness.calls().get(0);
         assertThat(call.path()).isEqualTo("/jobs?press=4");
         assertThat(new String(call.body().bytes(), StandardCharsets.UTF_8)).isEqualTo("press");
         assertThat(call.depth()).isEqualTo(3);
@@ -77,8 +77,8 @@
         "GET /v1/services/, 1001, 404",
         "GET /v1/locate?service=../x, 1002, 400",
     })
-    void oddPathIsRefusedWithANumber(String line, int code, int status) throws IOException {
-        assertRefused(front.exchange(FrontEnd.head(line)), code, status);
+    void nonCanonicalOrUnknownPathIsRefusedWithCode(String line, int code, int status) throws IOException {
+        assertRefused(harness.exchange(CallerServerHarness.head(line)), code, status);
     }
 
     @ParameterizedTest
@@ -96,77 +96,85 @@
                 "Content-Length: -1\r\n",
                 "Bad Name: 1\r\n",
             })
-    void malformedHeaderIsRefusedWithANumber(String header) throws IOException {
-        assertRefused(front.exchange(FrontEnd.head("GET /v1/services/mixing/a", header)), 1002, 400);
+    void malformedHeaderIsRefusedWithCode(String header) throws IOException {
+        assertRefused(harness.exchange(CallerServerHarness.head("GET /v1/services/mixing/a", header)), 1002, 400);
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"nonsense", "1.x.00000000000000000000000000000000.c", "...", "1.1.zz.c"})
-    void malformedTokenIsRefusedAndSaysNothingOfOtherCopies(String token) throws IOException {
+    void malformedTokenIsRefusedWithUnknownRan(String token) throws IOException {
         String header = "Turmericspan-Run-Token: " + token + "\r\n";
 
-        assertThat(front.exchange(FrontEnd.head("POST /v1/services/mixing/a", header)))
+        assertThat(harness.exchange(CallerServerHarness.head("POST /v1/services/mixing/a", header)))
                 .startsWith("HTTP/1.1 400")
                 .contains("{\"code\":1002,\"ran\":\"unknown\"");
     }
 
     @Test
     void tooManyHeadersAreRefused() throws IOException {
-        assertRefused(front.exchange(FrontEnd.head("GET /v1/services/mixing/a", "A: 1\r\n".repeat(65))), 1003, 413);
+        assertRefused(
+                harness.exchange(CallerServerHarness.head("GET /v1/services/mixing/a", "A: 1\r\n".repeat(65))),
+                1003,
+                413);
     }
 
     @Test
     void tooLongHeadersAreRefused() throws IOException {
         String header = "A: " + "x".repeat(20_000) + "\r\n";
-        assertRefused(front.exchange(FrontEnd.head("GET /v1/services/mixing/a", header)), 1003, 413);
+        assertRefused(harness.exchange(CallerServerHarness.head("GET /v1/services/mixing/a", header)), 1003, 413);
     }
 
     @Test
     void tooLongPathIsRefused() throws IOException {
-        assertRefused(front.exchange(FrontEnd.head("GET /v1/services/mixing/" + "a".repeat(5_000))), 1003, 413);
+        assertRefused(
+                harness.exchange(CallerServerHarness.head("GET /v1/services/mixing/" + "a".repeat(5_000))), 1003, 413);
     }
 
     @Test
-    void tooLargeBodyIsRefusedByItsDeclaredLength() throws IOException {
+    void tooLargeBodyIsRefusedByDeclaredLength() throws IOException {
         assertRefused(
-                front.exchange(FrontEnd.head("POST /v1/services/mixing/a", "Content-Length: 1001\r\n")), 1003, 413);
+                harness.exchange(CallerServerHarness.head("POST /v1/services/mixing/a", "Content-Length: 1001\r\n")),
+                1003,
+                413);
     }
 
     @Test
     void tooLargeChunkedBodyIsRefused() throws IOException {
         String body = "5dc\r\n" + "x".repeat(1_500) + "\r\n0\r\n\r\n";
         assertRefused(
-                front.exchange(FrontEnd.head("POST /v1/services/mixing/a", "Transfer-Encoding: chunked\r\n") + body),
+                harness.exchange(
+                        CallerServerHarness.head("POST /v1/services/mixing/a", "Transfer-Encoding: chunked\r\n")
+                                + body),
                 1003,
                 413);
     }
 
     @Test
-    void slowBodiesHoldNoThreadAndAreRefusedAtTheirDeadline() throws IOException {
-        List<Socket> slow = new ArrayList<>();
+    void slowBodiesBlockNoThreadAndAreRefusedAtDeadline() throws IOException {
+        List<Socket> slowSockets = new ArrayList<>();
         try {
             for (int i = 0; i < 300; i++) {
-                Socket socket = front.connect();
-                slow.add(socket);
+                Socket socket = harness.connect();
+                slowSockets.add(socket);
                 socket.getOutputStream()
-                        .write((FrontEnd.head("POST /v1/services/mixing/a", "Content-Length: 9\r\n") + "x")
+                        .write((CallerServerHarness.head("POST /v1/services/mixing/a", "Content-Length: 9\r\n") + "x")
                                 .getBytes(StandardCharsets.ISO_8859_1));
             }
-            assertThat(front.exchange(FrontEnd.head("GET /v1/services/mixing/a")))
+            assertThat(harness.exchange(CallerServerHarness.head("GET /v1/services/mixing/a")))
                     .startsWith("HTTP/1.1 200");
-            for (Socket socket : slow) {
-                assertRefused(FrontEnd.readAnswer(socket), 1013, 408);
+            for (Socket socket : slowSockets) {
+                assertRefused(CallerServerHarness.readResponse(socket), 1013, 408);
             }
-            assertThat(front.calls()).hasSize(1);
+            assertThat(harness.calls()).hasSize(1);
         } finally {
-            for (Socket socket : slow) {
+            for (Socket socket : slowSockets) {
                 socket.close();
             }
         }
     }
 
-    private static void assertRefused(String answer, int code, int status) {
-        assertThat(answer)
+    private static void assertRefused(String response, int code, int status) {
+        assertThat(response)
                 .startsWith("HTTP/1.1 " + status)
                 .contains("{\"code\":" + code + ",\"ran\":\"no\"")
                 .containsIgnoringCase("content-type: application/json");
--- a/front/src/test/java/org/turmericspan/front/ErrorsPageTest.java
+++ b/front/src/test/java/org/turmericspan/front/ErrorsPageTest.java
@@ -11,10 +11,10 @@
 import org.junit.jupiter.api.Test;
 import org.turmericspan.errors.ResultCode;
 
-/** Compares the page of result codes with the code. */
+/** Checks that {@code docs/ERRORS.md} lists exactly the result codes of {@link ResultCode}, in order. */
 final class ErrorsPageTest {
     @Test
-    void pageListsEveryCodeWithWhatToDo() throws IOException {
+    void pageListsEveryCodeWithAdvice() throws IOException {
         List<String> expected =
                 Arrays.stream(ResultCode.values()).map(ErrorsPageTest::row).toList();
 
--- a/front/src/test/java/org/turmericspan/front/FakeCatalog.java
+++ b/front/src/test/java/org/turmericspan/front/FakeCatalog.java
@@ -6,7 +6,7 @@
 import org.turmericspan.calls.ServiceLimits;
 import org.turmericspan.ids.ServiceId;
 
-/** Catalog with the one service {@code mixing}. */
+/** Catalog that holds only the service {@code mixing}. */
 final class FakeCatalog implements ServiceCatalog {
     static final int BODY_LIMIT_BYTES = 1_000;
 
--- a/front/src/test/java/org/turmericspan/front/RefusalBeforeLookupTest.java
+++ b/front/src/test/java/org/turmericspan/front/RefusalBeforeLookupTest.java
@@ -19,16 +19,20 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 
+/**
+ * Guards against a refusal that tells the caller that a request did not run, although a duplicate with the same run
+ * token may have run. This can happen if the request is refused before its run token is looked up.
+ */
 final class RefusalBeforeLookupTest {
     private static final String TOKEN = "1.0." + "0".repeat(32) + ".mari";
 
     @Test
-    void refusalWithoutTokenIsNotRun() throws IOException, InterruptedException {
+    void refusalWithoutTokenReportsNotRun() throws IOException, InterruptedException {
         assertThat(refusal(Optional.empty())).contains("\"code\":1103").contains("\"ran\":\"no\"");
     }
 
     @Test
-    void refusalWithTokenSaysNothingOfOtherCopies() throws IOException, InterruptedException {
+    void refusalWithTokenReportsUnknownRan() throws IOException, InterruptedException {
         assertThat(refusal(Optional.of(TOKEN))).contains("\"code\":1103").contains("\"ran\":\"unknown\"");
     }
 
@@ -39,8 +43,8 @@
                     throw new AssertionError("The request is refused before it is handled");
                 },
                 service -> Optional.empty(),
-                new FixedIssuer(),
-                new OneService(),
+                new FixedTokenIssuer(),
+                new SingleServiceCatalog(),
                 MonotonicClock.system())) {
             server.start(address);
             HttpRequest.Builder request = HttpRequest.newBuilder(
@@ -62,7 +66,7 @@
         }
     }
 
-    private static final class OneService implements ServiceCatalog {
+    private static final class SingleServiceCatalog implements ServiceCatalog {
         @Override
         public Optional<ServiceLimits> limits(ServiceId service) {
             return Optional.of(new ServiceLimits(Duration.ofSeconds(1), Duration.ofSeconds(1), 1, 1));
@@ -79,7 +83,7 @@
         }
     }
 
-    private static final class FixedIssuer implements TokenIssuer {
+    private static final class FixedTokenIssuer implements TokenIssuer {
         @Override
         public Incarnation incarnation() {
             return new Incarnation(1);
--- a/front/src/test/java/org/turmericspan/front/RequestPathTest.java
+++ b/front/src/test/java/org/turmericspan/front/RequestPathTest.java
@@ -10,10 +10,10 @@
 import net.jqwik.api.Provide;
 import org.turmericspan.errors.BalancerException;
 
-/** Feeds paths: each is refused with a code, or has the one spelling that an upstream sees. */
+/** Checks on generated paths and queries that each is refused with a result code or reaches the upstream unchanged. */
 final class RequestPathTest {
     @Property(seed = "20261204", tries = 2_000)
-    void anyUriIsRefusedWithACodeOrKeepsItsSpelling(@ForAll("uris") String uri) {
+    void anyUriIsRefusedWithCodeOrStaysUnchanged(@ForAll("uris") String uri) {
         try {
             RequestPath path = RequestPath.parse(uri, null);
             assertThat("/v1/services/" + path.service() + path.path()).isIn(uri, uri + "/");
@@ -27,7 +27,7 @@
     }
 
     @Property(seed = "20261205", tries = 500)
-    void anyQueryIsRefusedWithACodeOrKeepsItsSpelling(@ForAll String query) {
+    void anyQueryIsRefusedWithCodeOrStaysUnchanged(@ForAll String query) {
         try {
             assertThat(RequestPath.parse("/v1/services/mixing/a", query).path()).isEqualTo("/a?" + query);
         } catch (BalancerException e) {
