--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -18,7 +18,7 @@
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.ids.MonotonicClock;
 
-/** Provides the tables and the decisions over them. */
+/** Provides the state of the fleet and the load-balancing policies that work on it. */
 @Module
 final class BalancingModule {
     private BalancingModule() {}
--- a/entry/src/main/java/org/turmericspan/entry/EntryCommandLine.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryCommandLine.java
@@ -12,17 +12,17 @@
 /** The command line of an entry node. */
 final class EntryCommandLine {
     private static final int EXIT_USAGE = 2;
-    private static final String FILE = "settings_file";
-    private static final String CHECK = "check";
+    private static final String SETTINGS_FILE = "settings_file";
+    private static final String CHECK_OPTION = "check";
 
     private EntryCommandLine() {}
 
-    static void run(String[] arguments, String defaultFile) throws IOException, InterruptedException {
+    static void run(String[] arguments, String defaultPath) throws IOException, InterruptedException {
         try {
             Namespace parsed = parser().parseArgs(arguments);
-            String path = parsed.getString(FILE);
-            SettingsFile file = new SettingsFile(Path.of(path == null ? defaultFile : path));
-            if (parsed.getBoolean(CHECK)) {
+            String path = parsed.getString(SETTINGS_FILE);
+            SettingsFile file = new SettingsFile(Path.of(path == null ? defaultPath : path));
+            if (parsed.getBoolean(CHECK_OPTION)) {
                 file.read();
                 System.out.println("The settings are valid.");
             } else {
@@ -37,18 +37,18 @@
     }
 
     private static ArgumentParser parser() {
-        // Detecting the terminal's width would start a process, which the platform forbids.
+        // Terminal width detection starts a process, which the platform forbids.
         ArgumentParser parser = ArgumentParsers.newFor("turmericspan entry")
                 .terminalWidthDetection(false)
                 .build()
                 .description("An entry node that reads its fleet from the platform's store.")
-                .epilog("Exit codes: 0 stopped as planned or settings valid, 1 failed, 2 invalid settings.");
+                .epilog("Exit codes: 0 planned stop or valid settings, 1 failure, 2 invalid settings.");
         parser.addArgument("--settings-file")
-                .dest(FILE)
+                .dest(SETTINGS_FILE)
                 .metavar("PATH")
-                .help("settings as name=value lines; the variable " + EntryMain.SETTINGS_VARIABLE
-                        + " names it otherwise");
-        parser.addArgument("--" + CHECK).action(Arguments.storeTrue()).help("check the settings and exit");
+                .help("file with settings as name=value lines; default: the file that the environment variable "
+                        + EntryMain.SETTINGS_VARIABLE + " names");
+        parser.addArgument("--" + CHECK_OPTION).action(Arguments.storeTrue()).help("check the settings and exit");
         return parser;
     }
 }
--- a/entry/src/main/java/org/turmericspan/entry/EntryComponent.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryComponent.java
@@ -5,7 +5,7 @@
 import javax.inject.Singleton;
 import org.turmericspan.events.EventLog;
 
-/** Wires an entry node. */
+/** Dagger component that creates an entry node. */
 @Singleton
 @Component(modules = {BalancingModule.class, TransportModule.class})
 interface EntryComponent {
@@ -13,7 +13,7 @@
 
     EventLog log();
 
-    /** Takes what the wiring cannot make itself. */
+    /** Creates the component from the settings, which Dagger cannot provide. */
     @Component.Factory
     interface Factory {
         EntryComponent create(@BindsInstance EntrySettings settings);
--- a/entry/src/main/java/org/turmericspan/entry/EntryMain.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMain.java
@@ -6,7 +6,7 @@
 
 /** Starts an entry node on the users' platform. */
 public final class EntryMain {
-    /** Variable that names the settings file. */
+    /** Environment variable with the path of the settings file. */
     static final String SETTINGS_VARIABLE = "TURMERICSPAN_SETTINGS_FILE";
 
     private static final int EXIT_USAGE = 2;
@@ -15,7 +15,7 @@
     private EntryMain() {}
 
     /**
-     * Runs a node until it is told to stop.
+     * Runs a node until the process receives a stop signal.
      *
      * @param arguments the command line
      * @throws InterruptedException when the main thread is interrupted
@@ -24,7 +24,7 @@
         try {
             String variable = System.getenv(SETTINGS_VARIABLE);
             if (arguments.length == 0 && variable != null) {
-                // The usual start spares the command line's library, which costs a tenth of a second.
+                // This start does not load the command-line library, which takes a tenth of a second.
                 run(new SettingsFile(Path.of(variable)));
             } else {
                 EntryCommandLine.run(arguments, variable == null ? "" : variable);
@@ -38,14 +38,14 @@
         }
     }
 
-    /** Runs a node until it is told to stop. */
+    /** Runs a node until the process receives a stop signal. */
     static void run(SettingsFile file) throws IOException, InterruptedException {
         EntryNode node = NodeLauncher.launch(file.read(), file);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
         new CountDownLatch(1).await();
     }
 
-    /** Ends the process with code 0, where a plain return would leave the code of the signal. */
+    /** Halts the process with exit code 0; a normal return would leave the exit code of the signal. */
     private static void stop(EntryNode node) {
         node.close();
         Runtime.getRuntime().halt(0);
--- a/entry/src/main/java/org/turmericspan/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMetrics.java
@@ -11,7 +11,7 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.metrics.MetricsText;
 
-/** Counters and latencies of an entry node. */
+/** Metrics of an entry node: counters, latencies and gauges. */
 @Singleton
 final class EntryMetrics implements ForwardingMetrics {
     private final MetricRegistry registry = new MetricRegistry();
@@ -36,9 +36,9 @@
         registry.timer("choice_age").update(ageNanos, TimeUnit.NANOSECONDS);
     }
 
-    /** Adds a figure that is read when the metrics are asked for. */
-    void watch(String name, Gauge<? extends Number> figure) {
-        registry.gauge(name, () -> figure);
+    /** Registers a gauge, which is read each time the metrics are requested. */
+    void registerGauge(String name, Gauge<? extends Number> gauge) {
+        registry.gauge(name, () -> gauge);
     }
 
     String text() {
--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -33,29 +33,29 @@
 import org.turmericspan.platform.DirectoryService;
 import org.turmericspan.platform.FeedRelay;
 
-/** An entry node: starts its parts, says when it is ready, and stops without cutting requests off. */
+/** An entry node: starts its components, reports when it is ready, and drains requests before it stops. */
 @Singleton
 final class EntryNode implements AutoCloseable {
-    /** Pause between looks at whether the node is ready. */
-    private static final long CHECK_MILLIS = 20;
-    /** Pause between looks at whether the node still reads the store itself. */
-    private static final long READING_MILLIS = 100;
-    /** Pause between looks at whether the settings file has changed without a signal. */
-    private static final long SETTINGS_MILLIS = 2_000;
-    /** Time after which a node serves although few upstreams answered its probes. */
-    private static final long OBSERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** Time after the first contact with another node in which news of the fleet arrives. */
-    private static final long JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-    /** Time after which a node that hears of no other begins alone. */
-    private static final long ALONE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-    /** Addresses named to a caller, if so many nodes are ready, before nodes of its own zone suffice. */
-    private static final int LEAST_NAMED = 2;
-    /** Most addresses a caller takes. */
-    private static final int MOST_NAMED = 64;
-    /** Time kept of the grace period for the end of the process itself. */
-    private static final long EXIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-    /** Time for which a stopping node keeps connections that callers may be about to use. */
-    private static final long KEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    /** Interval between checks of the readiness, and of open connections during a stop. */
+    private static final long POLL_INTERVAL_MILLIS = 20;
+    /** Interval between checks whether the node has contact with the store. */
+    private static final long STORE_CHECK_INTERVAL_MILLIS = 100;
+    /** Interval between checks of the settings file for changes that no signal announced. */
+    private static final long SETTINGS_CHECK_INTERVAL_MILLIS = 2_000;
+    /** Time after the first probes at which the node becomes ready although few upstreams have responded. */
+    private static final long MAX_PROBE_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    /** Time after the first contact with another node within which updates of the fleet arrive. */
+    private static final long JOIN_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** Time after the start at which a node that has discovered no other node continues alone. */
+    private static final long DISCOVERY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    /** Minimum number of addresses in a response; nodes of other zones fill it up if too few of the zone are ready. */
+    private static final int MIN_ADDRESSES = 2;
+    /** Maximum number of addresses that a caller accepts. */
+    private static final int MAX_ADDRESSES = 64;
+    /** Part of the grace period that is reserved for the exit of the process. */
+    private static final long EXIT_RESERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** Time for which a stopping node keeps idle connections open, since callers may be about to use them. */
+    private static final long IDLE_KEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
     private static final int OK = 200;
     private static final String PART = "node";
@@ -78,9 +78,9 @@
     private HttpListener callers;
     private ScheduledFuture<?> readinessCheck;
     private long startedNanos;
-    private long joinedNanos;
-    private long probingNanos;
-    private volatile boolean able;
+    private long firstContactNanos;
+    private long probingStartNanos;
+    private volatile boolean canServe;
     private volatile boolean leaving;
 
     @Inject
@@ -115,47 +115,48 @@
         this.log = log;
     }
 
-    /** Starts listening at once and becomes ready when the fleet is known. */
+    /** Starts listening immediately; the node becomes ready when it knows the fleet. */
     void start(SettingsFile file) {
         settingsFile = file;
         startedNanos = clock.nowNanos();
-        DirectoryService directory = new DirectoryService(this::locate, this::isReady, settings.answerLifeSeconds());
+        DirectoryService directory =
+                new DirectoryService(this::readyAddresses, this::isReady, settings.directoryTtlSeconds());
         listen(settings.directoryAddress(), directory);
         listen(settings.readinessAddress(), directory);
         listenForOperators();
         listen(settings.gossipAddress(), new FeedRelay(feed));
-        watchFigures();
+        registerGauges();
         callers = listen(settings.callerAddress(), new ForwardingService(forwarding));
         feed.start();
         gossip.start(new GossipTransport(workers, settings.gossipAddress(), gossip::receive, clock, log));
-        readinessCheck =
-                workers.scheduleWithFixedDelay(this::checkReadiness, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        readinessCheck = workers.scheduleWithFixedDelay(
+                this::checkReadiness, POLL_INTERVAL_MILLIS, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         log.write(Event.notice(PART, "Started.").with("callers", settings.callerAddress()));
     }
 
-    /** Serves the metrics and the state dump if it can; callers are served without them too. */
+    /** Starts the listener for metrics and the state dump. The node serves callers even if that fails. */
     private void listenForOperators() {
         try {
-            listen(settings.metricsAddress(), operators());
+            listen(settings.metricsAddress(), operatorService());
         } catch (Exception e) {
-            log.write(Event.failure(PART, "Metrics not served.")
+            log.write(Event.failure(PART, "Metrics listener not started, no metrics served.")
                     .with("address", settings.metricsAddress())
                     .with("cause", e));
         }
     }
 
-    private void watchFigures() {
-        metrics.watch("store_calls", feed::calls);
-        metrics.watch("probes", prober::probesSent);
-        metrics.watch("connections_opened", client::opened);
-        metrics.watch("members_alive", () -> members.aliveMembers().size());
-        metrics.watch("members_known", members::fleetSize);
-        metrics.watch("upstreams_known", upstreams::size);
-        metrics.watch("requests_under_way", () -> callers.requests());
-        metrics.watch(
+    private void registerGauges() {
+        metrics.registerGauge("store_calls", feed::calls);
+        metrics.registerGauge("probes", prober::probesSent);
+        metrics.registerGauge("connections_opened", client::opened);
+        metrics.registerGauge("members_alive", () -> members.aliveMembers().size());
+        metrics.registerGauge("members_known", members::fleetSize);
+        metrics.registerGauge("upstreams_known", upstreams::size);
+        metrics.registerGauge("requests_under_way", () -> callers.requests());
+        metrics.registerGauge(
                 "configuration_version",
                 () -> configuration.current().map(RoutingConfiguration::version).orElse(0L));
-        metrics.watch(
+        metrics.registerGauge(
                 "memory_used_bytes",
                 () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
     }
@@ -174,14 +175,14 @@
                 current.idleTimeoutNanos());
     }
 
-    private HttpService operators() {
+    private HttpService operatorService() {
         return (request, reply) -> reply.send(
                 request.path().endsWith("/state")
-                        ? ResponseMessage.text(OK, "text/plain", state())
+                        ? ResponseMessage.text(OK, "text/plain", describeState())
                         : ResponseMessage.text(OK, "text/plain", metrics.text()));
     }
 
-    private String state() {
+    private String describeState() {
         List<String> lines = new ArrayList<>();
         lines.add("version "
                 + configuration.current().map(RoutingConfiguration::version).orElse(0L));
@@ -190,77 +191,92 @@
         return String.join("\n", lines) + "\n";
     }
 
-    /** Takes the node through its start: it probes when it knows the fleet, serves when probes answer, then joins. */
+    /**
+     * Advances the startup: the node probes when it knows the fleet, becomes ready when upstreams respond to probes,
+     * and then joins the division of upstreams among owners.
+     */
     private void checkReadiness() {
-        long now = clock.nowNanos();
-        if (joinedNanos == 0 && members.aliveMembers().size() > 1) {
-            joinedNanos = now;
+        long nowNanos = clock.nowNanos();
+        if (firstContactNanos == 0 && members.aliveMembers().size() > 1) {
+            firstContactNanos = nowNanos;
         }
-        if (probingNanos == 0 && feed.isComplete() && configuration.current().isPresent()) {
-            probingNanos = now;
+        if (probingStartNanos == 0
+                && feed.isComplete()
+                && configuration.current().isPresent()) {
+            probingStartNanos = nowNanos;
             prober.start(settings.probeIntervalMillis());
         }
-        if (!able && probingNanos != 0 && (upstreams.hasRecentObservations() || now - probingNanos > OBSERVE_NANOS)) {
-            able = true;
+        if (!canServe
+                && probingStartNanos != 0
+                && (upstreams.hasRecentObservations() || nowNanos - probingStartNanos > MAX_PROBE_WAIT_NANOS)) {
+            canServe = true;
             members.updateSelf(true, leaving, feed.hasStoreContact());
             gossip.broadcast();
-            logStep("Ready.", now);
+            logStartupPhase("Ready.", nowNanos);
         }
-        boolean heard = joinedNanos != 0 && now - joinedNanos > JOIN_NANOS || now - startedNanos > ALONE_NANOS;
-        if (able && heard) {
+        boolean hasDiscoveryEnded = firstContactNanos != 0 && nowNanos - firstContactNanos > JOIN_DELAY_NANOS
+                || nowNanos - startedNanos > DISCOVERY_TIMEOUT_NANOS;
+        if (canServe && hasDiscoveryEnded) {
             members.enableOwnership();
             prober.probeOwnedOnly();
             readinessCheck.cancel(false);
-            workers.scheduleWithFixedDelay(this::publishReading, READING_MILLIS, READING_MILLIS, TimeUnit.MILLISECONDS);
             workers.scheduleWithFixedDelay(
-                    this::reloadIfChanged, SETTINGS_MILLIS, SETTINGS_MILLIS, TimeUnit.MILLISECONDS);
-            logStep("Joined.", now);
+                    this::publishStoreContact,
+                    STORE_CHECK_INTERVAL_MILLIS,
+                    STORE_CHECK_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            workers.scheduleWithFixedDelay(
+                    this::reloadIfChanged,
+                    SETTINGS_CHECK_INTERVAL_MILLIS,
+                    SETTINGS_CHECK_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            logStartupPhase("Joined.", nowNanos);
         }
     }
 
-    private void logStep(String message, long now) {
+    private void logStartupPhase(String message, long nowNanos) {
         log.write(Event.notice(PART, message)
                 .with("members", members.aliveMembers().size())
-                .with("afterMs", TimeUnit.NANOSECONDS.toMillis(now - startedNanos)));
+                .with("afterMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos)));
     }
 
-    /** Tells other nodes whether they can read from this one. */
-    private void publishReading() {
+    /** Announces to other nodes whether they can read the store through this node. */
+    private void publishStoreContact() {
         if (!leaving && members.self().reading() != feed.hasStoreContact()) {
             members.updateSelf(true, false, feed.hasStoreContact());
         }
     }
 
     private boolean isReady() {
-        return able && !leaving;
+        return canServe && !leaving;
     }
 
-    /** Names ready nodes of the caller's zone, and of others when it has too few. */
-    private List<SocketAddress> locate(String zone) {
+    /** Returns addresses of ready nodes in the caller's zone, and of other zones if that has too few. */
+    private List<SocketAddress> readyAddresses(String zone) {
         List<Member> ready = members.aliveMembers().stream()
                 .filter(member -> member.ready() && !member.leaving())
                 .toList();
-        List<Member> named = new ArrayList<>(ready.stream()
+        List<Member> listed = new ArrayList<>(ready.stream()
                 .filter(member -> member.availabilityZone().value().equals(zone))
                 .toList());
         for (Member member : ready) {
-            if (named.size() < LEAST_NAMED && !named.contains(member)) {
-                named.add(member);
+            if (listed.size() < MIN_ADDRESSES && !listed.contains(member)) {
+                listed.add(member);
             }
         }
-        return named.stream().limit(MOST_NAMED).map(Member::callerAddress).toList();
+        return listed.stream().limit(MAX_ADDRESSES).map(Member::callerAddress).toList();
     }
 
-    /** Reads the settings file anew and takes its seeds. Addresses and agreed bounds hold for the process's life. */
+    /** Reloads the settings file and applies its seeds. Changes of other settings need a restart of the process. */
     void reload() {
         try {
-            EntrySettings newer = settingsFile.read();
-            seeds.replace(newer);
+            EntrySettings reloaded = settingsFile.read();
+            seeds.replace(reloaded);
             log.write(Event.notice(PART, "Settings read.")
-                    .with("changed", !newer.equals(settings))
-                    .with("seeds", newer.seedHosts()));
+                    .with("changed", !reloaded.equals(settings))
+                    .with("seeds", reloaded.seedHosts()));
         } catch (IOException | InvalidEntrySettingsException e) {
-            log.write(Event.failure(PART, "Settings not readable, the old ones stay.")
+            log.write(Event.failure(PART, "Settings not read, previous settings stay active.")
                     .with("reason", e.getMessage()));
         }
     }
@@ -271,23 +287,24 @@
                 reload();
             }
         } catch (IOException e) {
-            log.write(Event.notice(PART, "Settings file not readable.").with("reason", e.getMessage()));
+            log.write(
+                    Event.notice(PART, "Settings file not checked for changes.").with("reason", e.getMessage()));
         }
     }
 
     @Override
     public void close() {
-        long deadlineNanos = clock.nowNanos() + settings.graceNanos() - EXIT_NANOS;
-        long keepUntilNanos = clock.nowNanos() + KEEP_NANOS;
+        long deadlineNanos = clock.nowNanos() + settings.graceNanos() - EXIT_RESERVE_NANOS;
+        long idleDeadlineNanos = clock.nowNanos() + IDLE_KEEP_NANOS;
         leaving = true;
-        members.updateSelf(able, true, false);
+        members.updateSelf(canServe, true, false);
         gossip.broadcast();
         callers.drain();
         log.write(Event.notice(PART, "Stopping.").with("requests", callers.requests()));
         while (deadlineNanos - clock.nowNanos() > 0
-                && (callers.connections() > 0 || keepUntilNanos - clock.nowNanos() > 0)) {
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(CHECK_MILLIS));
-            if (keepUntilNanos - clock.nowNanos() <= 0) {
+                && (callers.connections() > 0 || idleDeadlineNanos - clock.nowNanos() > 0)) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_INTERVAL_MILLIS));
+            if (idleDeadlineNanos - clock.nowNanos() <= 0) {
                 callers.closeIdle();
             }
         }
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -10,22 +10,22 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * Checked settings of an entry node.
+ * Validated settings of an entry node.
  *
- * @param vm name of the VM, written in each log line
- * @param availabilityZone where the node runs
- * @param callerAddress where callers connect
- * @param readinessAddress where the platform asks whether the node is ready
- * @param directoryAddress where callers ask for addresses
- * @param metricsAddress where metrics and the state dump are served
- * @param gossipAddress where other nodes send digests
- * @param seedHosts hosts of nodes to join through; may be empty or stale
- * @param storeAddress where the platform's store listens
- * @param rules agreed bounds that decisions keep
- * @param graceNanos time from the stop signal to the kill
- * @param answerLifeSeconds how long callers may keep a directory answer
- * @param probesPerSecond agreed probes of one upstream a second, by all nodes
- * @param probeIntervalMillis pause between probes of one upstream
+ * @param vm name of the VM, written to each log line
+ * @param availabilityZone availability zone of the node
+ * @param callerAddress address on which callers connect
+ * @param readinessAddress address of the platform's readiness check
+ * @param directoryAddress address on which callers resolve node addresses
+ * @param metricsAddress address of the metrics and the state dump
+ * @param gossipAddress address for gossip and store reads of other nodes
+ * @param seedHosts hosts of nodes through which this node joins the fleet; may be empty or stale
+ * @param storeAddress address of the platform's store
+ * @param rules configured limits for the fleet that balancing decisions observe
+ * @param graceNanos grace period from the stop signal until the platform kills the process, in nanoseconds
+ * @param directoryTtlSeconds time to live of directory responses, in seconds; setting {@code max-answer-life-seconds}
+ * @param probesPerSecond configured limit of probes per second of one upstream by all nodes together
+ * @param probeIntervalMillis interval between this node's probes of one upstream, in milliseconds
  */
 public record EntrySettings(
         String vm,
@@ -39,7 +39,7 @@
         SocketAddress storeAddress,
         BalancingRules rules,
         long graceNanos,
-        long answerLifeSeconds,
+        long directoryTtlSeconds,
         double probesPerSecond,
         long probeIntervalMillis) {
     private static final String COLD_OVERAGE = "cold-overage";
@@ -48,83 +48,84 @@
     private static final String RETRY_SLACK = "retry-slack";
     private static final String RETRY_WINDOW_SECONDS = "retry-window-seconds";
     private static final String GRACE_SECONDS = "grace-seconds";
-    private static final String MAX_ANSWER_LIFE_SECONDS = "max-answer-life-seconds";
+    private static final String DIRECTORY_TTL_SECONDS = "max-answer-life-seconds";
     private static final String PROBES_PER_SECOND = "probes-per-second";
-    /** Names of the settings whose numbers the operators agree on. */
-    static final List<String> AGREED_NUMBERS = List.of(
+    /** Names of the numeric settings, which state the configured limits for the fleet. */
+    static final List<String> NUMERIC_SETTINGS = List.of(
             COLD_OVERAGE,
             COLD_SLACK,
             RETRY_RATIO,
             RETRY_SLACK,
             RETRY_WINDOW_SECONDS,
             GRACE_SECONDS,
-            MAX_ANSWER_LIFE_SECONDS,
+            DIRECTORY_TTL_SECONDS,
             PROBES_PER_SECOND);
 
-    /** Pause between probes when the agreed budget allows it; requests ask for fresher load where they need it. */
-    private static final long PROBE_INTERVAL_MILLIS = 250;
-    /** Part of the agreed probes that owners spend, since two nodes may own an upstream for a moment. */
-    private static final double PROBE_PART = 0.2;
+    /** Probe interval if the probe limit allows it; requests that need more recent load data probe on demand. */
+    private static final long MIN_PROBE_INTERVAL_MILLIS = 250;
+    /** Share of the probe limit that the owner of an upstream uses, since two nodes may briefly own it. */
+    private static final double OWNER_PROBE_SHARE = 0.2;
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    /** Copies the list. */
+    /** Creates settings with a copy of the seed hosts. */
     public EntrySettings {
         seedHosts = List.copyOf(seedHosts);
     }
 
     /**
-     * Checks settings.
+     * Parses and validates settings.
      *
-     * @param values text by name
+     * @param values values by the names of the settings; unknown names are ignored
      * @return the settings
-     * @throws InvalidEntrySettingsException naming every fault
+     * @throws InvalidEntrySettingsException when settings are missing or invalid; it lists every error
      */
     public static EntrySettings of(Properties values) {
-        Reader reader = new Reader(values);
-        double probesPerSecond = reader.number(PROBES_PER_SECOND);
+        Parser parser = new Parser(values);
+        double probesPerSecond = parser.number(PROBES_PER_SECOND);
         EntrySettings settings = new EntrySettings(
-                reader.text("vm"),
-                reader.value("availability-zone", AvailabilityZoneId::new, new AvailabilityZoneId("none")),
-                reader.address("caller-address"),
-                reader.address("readiness-address"),
-                reader.address("directory-address"),
-                reader.address("metrics-address"),
-                reader.address("gossip-address"),
-                reader.hosts("seeds"),
-                reader.address("store-address"),
+                parser.text("vm"),
+                parser.value("availability-zone", AvailabilityZoneId::new, new AvailabilityZoneId("none")),
+                parser.address("caller-address"),
+                parser.address("readiness-address"),
+                parser.address("directory-address"),
+                parser.address("metrics-address"),
+                parser.address("gossip-address"),
+                parser.hosts("seeds"),
+                parser.address("store-address"),
                 new BalancingRules(
-                        reader.number(COLD_OVERAGE),
-                        reader.number(COLD_SLACK),
-                        reader.number(RETRY_RATIO),
-                        reader.number(RETRY_SLACK),
-                        (long) (reader.number(RETRY_WINDOW_SECONDS) * NANOS_PER_SECOND)),
-                (long) (reader.number(GRACE_SECONDS) * NANOS_PER_SECOND),
-                Math.max(1, (long) reader.number(MAX_ANSWER_LIFE_SECONDS)),
+                        parser.number(COLD_OVERAGE),
+                        parser.number(COLD_SLACK),
+                        parser.number(RETRY_RATIO),
+                        parser.number(RETRY_SLACK),
+                        (long) (parser.number(RETRY_WINDOW_SECONDS) * NANOS_PER_SECOND)),
+                (long) (parser.number(GRACE_SECONDS) * NANOS_PER_SECOND),
+                Math.max(1, (long) parser.number(DIRECTORY_TTL_SECONDS)),
                 probesPerSecond,
-                Math.max(PROBE_INTERVAL_MILLIS, (long) Math.ceil(MILLIS_PER_SECOND / (PROBE_PART * probesPerSecond))));
-        if (!reader.faults.isEmpty()) {
-            throw new InvalidEntrySettingsException(reader.faults);
+                Math.max(MIN_PROBE_INTERVAL_MILLIS, (long)
+                        Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))));
+        if (!parser.errors.isEmpty()) {
+            throw new InvalidEntrySettingsException(parser.errors);
         }
         return settings;
     }
 
-    /** Reads values and gathers the faults. */
-    private static final class Reader {
-        private static final SocketAddress NOWHERE = new SocketAddress("127.0.0.1", 1);
+    /** Parses values and collects the errors. */
+    private static final class Parser {
+        private static final SocketAddress PLACEHOLDER_ADDRESS = new SocketAddress("127.0.0.1", 1);
 
         private final Properties values;
-        private final List<String> faults = new ArrayList<>();
+        private final List<String> errors = new ArrayList<>();
 
-        Reader(Properties values) {
+        Parser(Properties values) {
             this.values = values;
         }
 
         String text(String name) {
             String text = values.getProperty(name, "").trim();
             if (text.isEmpty()) {
-                faults.add(name + " is missing");
+                errors.add(name + " is missing");
             }
             return text;
         }
@@ -137,28 +138,28 @@
             try {
                 return parser.apply(text);
             } catch (IllegalArgumentException e) {
-                faults.add(name + ": " + e.getMessage());
+                errors.add(name + ": " + e.getMessage());
                 return substitute;
             }
         }
 
         SocketAddress address(String name) {
-            return value(name, SocketAddress::parse, NOWHERE);
+            return value(name, SocketAddress::parse, PLACEHOLDER_ADDRESS);
         }
 
         double number(String name) {
             double number = value(name, Double::valueOf, 1.0);
             if (!(number >= 0)) {
-                faults.add(name + " must not be negative");
+                errors.add(name + " must not be negative");
             }
             return number;
         }
 
         List<String> hosts(String name) {
             List<String> hosts = new ArrayList<>();
-            for (String each : values.getProperty(name, "").split(",")) {
-                if (!each.isBlank()) {
-                    hosts.add(each.trim());
+            for (String host : values.getProperty(name, "").split(",")) {
+                if (!host.isBlank()) {
+                    hosts.add(host.trim());
                 }
             }
             try {
@@ -166,7 +167,7 @@
                         .map(host -> SocketAddress.parse(host).host())
                         .toList();
             } catch (IllegalArgumentException e) {
-                faults.add(name + ": " + e.getMessage());
+                errors.add(name + ": " + e.getMessage());
                 return List.of();
             }
         }
--- a/entry/src/main/java/org/turmericspan/entry/InvalidEntrySettingsException.java
+++ b/entry/src/main/java/org/turmericspan/entry/InvalidEntrySettingsException.java
@@ -2,14 +2,14 @@
 
 import java.util.List;
 
-/** Thrown when settings are missing or cannot be read; it names every fault. */
+/** Thrown when settings are missing or invalid. The message lists every error. */
 public final class InvalidEntrySettingsException extends RuntimeException {
     /**
-     * Creates an exception.
+     * Creates an exception with a list of errors.
      *
-     * @param faults one sentence each
+     * @param errors a description of each error, which names the setting
      */
-    public InvalidEntrySettingsException(List<String> faults) {
-        super(String.join("; ", faults));
+    public InvalidEntrySettingsException(List<String> errors) {
+        super(String.join("; ", errors));
     }
 }
--- a/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
+++ b/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
@@ -3,7 +3,7 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import org.turmericspan.transport.NettyLogFactory;
 
-/** Wires and starts a node. */
+/** Creates and starts a node, and reloads its settings at each SIGHUP. */
 final class NodeLauncher {
     private NodeLauncher() {}
 
--- a/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
+++ b/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
@@ -31,22 +31,22 @@
 import org.turmericspan.transport.NettyLogFactory;
 
 /**
- * Runs a small fleet of nodes against a platform of its own on loopback, so that the JDK can list the classes and
- * lambdas that a start and the first requests need. A start from an archive of them takes about half the processor
- * time; what the rehearsal leaves out is loaded in the slow way at run time.
+ * Runs a small fleet of nodes against a simulated platform on loopback, so that the JDK can list the classes and
+ * lambdas that a start and the first requests load. A start from an archive of them (class data sharing) takes about
+ * half the CPU time; classes that the rehearsal does not load are missing from the archive and load more slowly.
  */
 public final class Rehearsal {
-    /** Requests sent; enough for every class on the path to be loaded. */
+    /** Number of requests, enough to load every class on the request path. */
     private static final int REQUESTS = 50;
-    /** Longest time of the rehearsal. */
-    private static final long LIMIT_SECONDS = 20;
+    /** Maximum wait for outstanding requests after the last one was sent. */
+    private static final long RESULT_TIMEOUT_SECONDS = 20;
     /** Pause between requests. */
-    private static final long PAUSE_MILLIS = 40;
-    /** Time in which the nodes join each other and read the store. */
-    private static final long START_MILLIS = 1_500;
+    private static final long REQUEST_INTERVAL_MILLIS = 40;
+    /** Time for the nodes to join each other and to read the store. */
+    private static final long STARTUP_MILLIS = 1_500;
 
     private static final String LOOPBACK = "127.0.0.1";
-    /** Hosts of the other nodes, which share the first one's gossip port. */
+    /** Host of the second node; all nodes share a gossip port, so each needs its own host. */
     private static final String SECOND_HOST = "127.0.0.2";
 
     private static final String THIRD_HOST = "127.0.0.3";
@@ -58,10 +58,10 @@
     private Rehearsal() {}
 
     /**
-     * Rehearses and ends the process.
+     * Runs the rehearsal and exits with code 0 if at least one request was served.
      *
-     * @param arguments none
-     * @throws Exception when the rehearsal does not come to its end
+     * @param arguments ignored
+     * @throws Exception when the fleet cannot be started or the thread is interrupted
      */
     public static void main(String[] arguments) throws Exception {
         InternalLoggerFactory.setDefaultFactory(new NettyLogFactory(EventLog.none()));
@@ -81,7 +81,7 @@
         startNode(
                 values(platform, freeAddress(), new SocketAddress(SECOND_HOST, gossip.port()), RehearsalPlatform.ZONE));
         startNode(values(platform, freeAddress(), new SocketAddress(THIRD_HOST, gossip.port()), "elsewhere"));
-        TimeUnit.MILLISECONDS.sleep(START_MILLIS);
+        TimeUnit.MILLISECONDS.sleep(STARTUP_MILLIS);
         return sendRequests(callers);
     }
 
@@ -94,7 +94,7 @@
         new HttpListener(workers, address, service, () -> limits, clock, EventLog.none());
     }
 
-    /** Starts a node the way a process does, on a thread of its own. */
+    /** Starts a node as its process would, but on a daemon thread. */
     private static void startNode(Properties values) throws IOException {
         StringWriter text = new StringWriter();
         values.store(text, null);
@@ -129,10 +129,10 @@
                 }
                 ended.countDown();
             });
-            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            TimeUnit.MILLISECONDS.sleep(REQUEST_INTERVAL_MILLIS);
         }
-        if (!ended.await(LIMIT_SECONDS, TimeUnit.SECONDS)) {
-            System.err.println("rehearsal: " + ended.getCount() + " requests without an end");
+        if (!ended.await(RESULT_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+            System.err.println("rehearsal: " + ended.getCount() + " requests without a result");
         }
         return served.get();
     }
@@ -149,7 +149,7 @@
         values.setProperty("gossip-address", gossip.toString());
         values.setProperty("seeds", LOOPBACK + ":" + gossip.port());
         values.setProperty("store-address", platform.toString());
-        for (String name : EntrySettings.AGREED_NUMBERS) {
+        for (String name : EntrySettings.NUMERIC_SETTINGS) {
             values.setProperty(name, "10");
         }
         return values;
--- a/entry/src/main/java/org/turmericspan/entry/SeedList.java
+++ b/entry/src/main/java/org/turmericspan/entry/SeedList.java
@@ -6,7 +6,7 @@
 import javax.inject.Singleton;
 import org.turmericspan.ids.SocketAddress;
 
-/** Addresses to join through, which a reload of the settings may replace. */
+/** Gossip addresses of the seeds through which a node joins the fleet; a reload of the settings may replace them. */
 @Singleton
 final class SeedList implements Supplier<List<SocketAddress>> {
     private volatile List<SocketAddress> seeds;
@@ -16,7 +16,7 @@
         replace(settings);
     }
 
-    /** Takes the seeds of newer settings. Nodes share one gossip port, so only the hosts differ. */
+    /** Replaces the seeds by those of other settings. All nodes use the same gossip port, so only the hosts differ. */
     void replace(EntrySettings settings) {
         int port = settings.gossipAddress().port();
         seeds = settings.seedHosts().stream()
--- a/entry/src/main/java/org/turmericspan/entry/SettingsFile.java
+++ b/entry/src/main/java/org/turmericspan/entry/SettingsFile.java
@@ -6,25 +6,26 @@
 import java.nio.file.Path;
 import java.util.Properties;
 
-/** The file from which settings are read, at the start and whenever it changes. */
+/** The settings file, which is read at the start and after each change. */
 public final class SettingsFile {
     private final Path path;
     private String content = "";
 
     /**
-     * Names the file.
+     * Creates a settings file without reading it.
      *
-     * @param path where it is
+     * @param path path of the file
      */
     public SettingsFile(Path path) {
         this.path = path;
     }
 
     /**
-     * Reads and checks the file.
+     * Reads and validates the file.
      *
      * @return the settings
      * @throws IOException when the file cannot be read
+     * @throws InvalidEntrySettingsException when settings are missing or invalid
      */
     public EntrySettings read() throws IOException {
         content = Files.readString(path);
@@ -34,9 +35,9 @@
     }
 
     /**
-     * Tells whether the file has changed since it was read last.
+     * Returns whether the file has changed since it was last read.
      *
-     * @return whether its text differs
+     * @return true when its content differs
      * @throws IOException when the file cannot be read
      */
     public boolean hasChanged() throws IOException {
--- a/entry/src/main/java/org/turmericspan/entry/Signals.java
+++ b/entry/src/main/java/org/turmericspan/entry/Signals.java
@@ -1,10 +1,10 @@
 package org.turmericspan.entry;
 
-/** Handles signals for which the JDK has no other interface. */
+/** Registers handlers of signals, for which the JDK has no supported interface. */
 final class Signals {
     private Signals() {}
 
-    /** Runs an action at each hang-up signal, which would otherwise end the process. */
+    /** Runs an action on each SIGHUP, which would otherwise terminate the process. */
     static void onHangUp(Runnable action) {
         sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> action.run());
     }
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -28,11 +28,11 @@
 import org.turmericspan.platform.PlatformCallProtocol;
 import org.turmericspan.platform.StoreClient;
 
-/** Provides workers, clients and what runs over them. */
+/** Provides the event loops, clients, and the components that send and receive over the network. */
 @Module
 final class TransportModule {
-    /** Workers of the pool: the VMs of the users have one core. */
-    private static final int WORKERS = 1;
+    /** Threads of the worker pool; the users' VMs have one core. */
+    private static final int WORKER_THREADS = 1;
 
     private TransportModule() {}
 
@@ -57,7 +57,7 @@
     @Provides
     @Singleton
     static EventLoopGroup workers() {
-        return new MultiThreadIoEventLoopGroup(WORKERS, NioIoHandler.newFactory());
+        return new MultiThreadIoEventLoopGroup(WORKER_THREADS, NioIoHandler.newFactory());
     }
 
     @Provides
@@ -101,7 +101,7 @@
     @Singleton
     static StoreSourceSelector sources(
             EntrySettings settings, MemberTable members, MonotonicClock clock, RandomGenerator random) {
-        return new ReaderSelection(settings.storeAddress(), members, clock, random);
+        return new ZoneReaderSelector(settings.storeAddress(), members, clock, random);
     }
 
     @Provides
--- a/entry/src/main/java/org/turmericspan/entry/ReaderSelection.java
+++ b/entry/src/main/java/org/turmericspan/entry/ZoneReaderSelector.java
@@ -14,20 +14,21 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * Chooses from where this node learns what was published: one node a zone reads the store, the others read from it, and
- * read the store themselves when it does not answer. A node that the store turns away reads from any node it serves.
+ * Selects the source from which this node reads the store. One node per zone reads the store itself; the others read
+ * from this reader, or from the store when the reader does not respond. When reads of the store fail too, a node reads
+ * from any node with contact to the store, preferably of its own zone.
  */
-final class ReaderSelection implements StoreSourceSelector {
-    /** Time for which a source that gave no answer is passed over. */
-    private static final long AVOID_NANOS = TimeUnit.SECONDS.toNanos(2);
+final class ZoneReaderSelector implements StoreSourceSelector {
+    /** Time for which a source is not selected after a failed read. */
+    private static final long BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final SocketAddress store;
     private final MemberTable members;
     private final MonotonicClock clock;
     private final RandomGenerator random;
-    private final Map<SocketAddress, Long> failedNanos = new HashMap<>();
+    private final Map<SocketAddress, Long> lastFailuresNanos = new HashMap<>();
 
-    ReaderSelection(SocketAddress store, MemberTable members, MonotonicClock clock, RandomGenerator random) {
+    ZoneReaderSelector(SocketAddress store, MemberTable members, MonotonicClock clock, RandomGenerator random) {
         this.store = store;
         this.members = members;
         this.clock = clock;
@@ -39,24 +40,25 @@
         Optional<SocketAddress> reader = members.storeReader()
                 .filter(member -> !isSelf(member) && member.reading())
                 .map(Member::address)
-                .filter(this::isTrusted);
+                .filter(this::isOutsideBackoff);
         if (reader.isPresent()) {
             return reader.get();
         }
-        if (isTrusted(store)) {
+        if (isOutsideBackoff(store)) {
             return store;
         }
-        return other(member -> member.availabilityZone().equals(members.self().availabilityZone()))
-                .or(() -> other(member -> true))
+        return randomPeer(member ->
+                        member.availabilityZone().equals(members.self().availabilityZone()))
+                .or(() -> randomPeer(member -> true))
                 .orElse(store);
     }
 
-    private Optional<SocketAddress> other(Predicate<Member> filter) {
+    private Optional<SocketAddress> randomPeer(Predicate<Member> filter) {
         List<SocketAddress> candidates = members.aliveMembers().stream()
                 .filter(member -> !isSelf(member) && member.reading())
                 .filter(filter)
                 .map(Member::address)
-                .filter(this::isTrusted)
+                .filter(this::isOutsideBackoff)
                 .toList();
         return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(random.nextInt(candidates.size())));
     }
@@ -65,13 +67,13 @@
         return member.address().equals(members.self().address());
     }
 
-    private boolean isTrusted(SocketAddress source) {
-        Long failed = failedNanos.get(source);
-        return failed == null || clock.nowNanos() - failed > AVOID_NANOS;
+    private boolean isOutsideBackoff(SocketAddress source) {
+        Long lastFailureNanos = lastFailuresNanos.get(source);
+        return lastFailureNanos == null || clock.nowNanos() - lastFailureNanos > BACKOFF_NANOS;
     }
 
     @Override
     public void reportFailure(SocketAddress source) {
-        failedNanos.put(source, clock.nowNanos());
+        lastFailuresNanos.put(source, clock.nowNanos());
     }
 }
--- a/entry/src/main/java/org/turmericspan/entry/package-info.java
+++ b/entry/src/main/java/org/turmericspan/entry/package-info.java
@@ -1,2 +1,2 @@
-/** The entry node on the users' platform. */
+/** Entry node on the users' platform: its startup, settings and metrics. */
 package org.turmericspan.entry;
--- a/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryFleetTest.java
@@ -16,11 +16,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.turmericspan.entry.NodeProcess.Answer;
+import org.turmericspan.entry.NodeProcess.Response;
 
-/** Runs real nodes as processes against a stand-in platform. */
+/** Runs entry nodes as processes against a simulated platform on loopback. */
 class EntryFleetTest {
-    private static final long PATIENCE_MILLIS = 40_000;
+    private static final long TIMEOUT_MILLIS = 40_000;
     private static final int POLL_MILLIS = 20;
 
     private final List<NodeProcess> nodes = new ArrayList<>();
@@ -44,10 +44,10 @@
     }
 
     private void startNodes(int count) throws Exception {
-        int port = freePorts();
+        int gossipPort = firstPort();
         for (int i = 1; i <= count; i++) {
             String zone = i % 2 == 1 ? "zone-a" : "zone-b";
-            nodes.add(new NodeProcess("127.0.7." + i, zone, port, "127.0.7.1:1,127.0.7.99:1", platform.address())
+            nodes.add(new NodeProcess("127.0.7." + i, zone, gossipPort, "127.0.7.1:1,127.0.7.99:1", platform.address())
                     .start());
         }
         for (NodeProcess node : nodes) {
@@ -63,15 +63,15 @@
         }
     }
 
-    /** Finds a run of ports below the ephemeral range, so that no outgoing connection takes one of them. */
-    private static int freePorts() {
+    /** Returns the first of eight ports below the ephemeral range, so that no outgoing connection can occupy them. */
+    private static int firstPort() {
         return 20_000 + (int) (ProcessHandle.current().pid() % 1_000) * 8;
     }
 
-    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+    private static void await(String expectation, BooleanSupplier condition) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
         while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).as(what).isLessThan(endNanos);
+            assertThat(System.nanoTime()).as(expectation).isLessThan(endNanos);
             TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
         }
     }
@@ -83,11 +83,13 @@
     }
 
     @Test
-    void takenMetricsAddressDoesNotKeepANodeFromServing() throws Exception {
-        NodeProcess node = new NodeProcess("127.0.7.1", "zone-a", freePorts(), "127.0.7.1:1", platform.address());
+    void takenMetricsAddressDoesNotPreventANodeFromServing() throws Exception {
+        NodeProcess node = new NodeProcess("127.0.7.1", "zone-a", firstPort(), "127.0.7.1:1", platform.address());
         nodes.add(node);
         try (ServerSocket taken = new ServerSocket(
-                node.metrics().port(), 1, InetAddress.getByName(node.metrics().host()))) {
+                node.metricsAddress().port(),
+                1,
+                InetAddress.getByName(node.metricsAddress().host()))) {
             node.start();
 
             await("serves", () -> node.request("GET", "/a/1", "m").status() == 200);
@@ -96,10 +98,10 @@
     }
 
     @Test
-    void fleetServesAndNamesNodesOfTheCallersZone() throws Exception {
+    void fleetServesRequestsAndResolvesNodesOfTheCallersZone() throws Exception {
         startNodes(4);
-        Answer answer = nodes.get(3).request("GET", "/a/1", "q-1");
-        assertThat(answer.status()).isEqualTo(200);
+        Response response = nodes.get(3).request("GET", "/a/1", "q-1");
+        assertThat(response.status()).isEqualTo(200);
         assertThat(runsOf("q-1")).isEqualTo(1);
         assertThat(nodes.get(0).resolve("zone-b"))
                 .contains("127.0.7.2", "127.0.7.4")
@@ -118,15 +120,15 @@
     }
 
     @Test
-    void killedNodeIsNoLongerNamed() throws Exception {
+    void killedNodeIsNoLongerResolved() throws Exception {
         startNodes(4);
         nodes.get(1).kill();
-        await("no longer named", () -> !nodes.get(0).resolve("zone-b").contains("127.0.7.2:"));
+        await("no longer resolved", () -> !nodes.get(0).resolve("zone-b").contains("127.0.7.2:"));
         assertThat(nodes.get(0).resolve("zone-b")).contains("127.0.7.4");
     }
 
     @Test
-    void drainingServerGetsNothingMore() throws Exception {
+    void drainingServerGetsNoNewRequests() throws Exception {
         startNodes(2);
         platform.register(servers.get(0), "zone-a", "draining");
         for (NodeProcess node : nodes) {
@@ -138,78 +140,80 @@
     }
 
     @Test
-    void evacuatedZoneGetsNothingUntilItIsTakenBack() throws Exception {
+    void evacuatedZoneGetsNoRequestsUntilTheEvacuationEnds() throws Exception {
         startNodes(2);
         platform.put("op/evacuate/zone-a", "{}");
         await("evacuated", () -> nodes.get(0).logContains("Evacuated zones changed."));
-        await("everywhere", () -> nodes.get(1).logContains("Evacuated zones changed."));
+        await("evacuated on the second node", () -> nodes.get(1).logContains("Evacuated zones changed."));
         for (int i = 0; i < 20; i++) {
             assertThat(nodes.get(i % 2).request("GET", "/a/e", "e-" + i).body()).isEqualTo("i-2");
         }
         platform.remove("op/evacuate/zone-a");
         await(
-                "taken back",
+                "evacuation ended",
                 () -> nodes.get(0).request("GET", "/a/f", "f").body().equals("i-1"));
     }
 
     @Test
-    void plannedStopCutsNothingOff() throws Exception {
-        servers.forEach(server -> server.workFor(700));
+    void plannedStopCompletesRunningRequests() throws Exception {
+        servers.forEach(server -> server.setWorkMillis(700));
         startNodes(2);
-        List<CompletableFuture<Answer>> answers = new ArrayList<>();
+        List<CompletableFuture<Response>> responses = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             String id = "s-" + i;
-            answers.add(CompletableFuture.supplyAsync(() -> nodes.get(0).request("POST", "/a/s", id)));
+            responses.add(CompletableFuture.supplyAsync(() -> nodes.get(0).request("POST", "/a/s", id)));
         }
         await("running", () -> runsOf("s-0") + runsOf("s-1") + runsOf("s-2") + runsOf("s-3") > 0);
         nodes.get(0).terminate();
         await("not ready", () -> !nodes.get(0).isReady());
-        for (CompletableFuture<Answer> answer : answers) {
-            Answer told = answer.get(30, TimeUnit.SECONDS);
-            assertThat(told.status()).as(told.body()).isEqualTo(200);
+        for (CompletableFuture<Response> response : responses) {
+            Response received = response.get(30, TimeUnit.SECONDS);
+            assertThat(received.status()).as(received.body()).isEqualTo(200);
         }
         assertThat(nodes.get(0).awaitExit()).isTrue();
     }
 
     @Test
-    void storeThatIsAwayChangesNothingAndARestartedNodeLearnsFromItsPeers() throws Exception {
+    void storeThatIsAwayDoesNotInterruptServiceAndARestartedNodeServesAgain() throws Exception {
         startNodes(3);
-        platform.refuse(503);
+        platform.rejectReads(503);
         TimeUnit.SECONDS.sleep(3);
         for (NodeProcess node : nodes) {
             assertThat(node.request("GET", "/a/1", "x").status()).isEqualTo(200);
         }
-        platform.refuse(0);
+        platform.rejectReads(0);
         nodes.get(2).kill();
         assertThat(nodes.get(2).awaitExit()).isTrue();
         nodes.get(2).start();
-        await("back", () -> nodes.get(2).request("GET", "/a/1", "y").status() == 200);
+        await(
+                "restarted node serves",
+                () -> nodes.get(2).request("GET", "/a/1", "y").status() == 200);
     }
 
     @Test
     void nonIdempotentRequestsRunOnceWhileServersShedAndNodesDie() throws Exception {
         startNodes(3);
         platform.configure(5, "/a/", "unsafe");
-        List<CompletableFuture<Answer>> answers = new ArrayList<>();
-        // A server that does not shed bears four requests, so a slow machine sends more slowly and is not refused.
-        Semaphore underWay = new Semaphore(4);
+        List<CompletableFuture<Response>> responses = new ArrayList<>();
+        // A server that does not shed can run four requests; the limit slows the test down on a slow machine instead.
+        Semaphore inFlight = new Semaphore(4);
         for (int i = 0; i < 120; i++) {
-            assertThat(underWay.tryAcquire(40, TimeUnit.SECONDS)).isTrue();
+            assertThat(inFlight.tryAcquire(40, TimeUnit.SECONDS)).isTrue();
             String id = "u-" + i;
             NodeProcess node = nodes.get(i % 3);
-            servers.get(0).shed(i % 40 > 20);
+            servers.get(0).setShedding(i % 40 > 20);
             if (i == 60) {
                 nodes.get(2).kill();
             }
-            answers.add(CompletableFuture.supplyAsync(() -> node.request("POST", "/a/u", id))
-                    .whenComplete((answer, failure) -> underWay.release()));
+            responses.add(CompletableFuture.supplyAsync(() -> node.request("POST", "/a/u", id))
+                    .whenComplete((response, failure) -> inFlight.release()));
             TimeUnit.MILLISECONDS.sleep(10);
         }
         Map<String, Integer> statuses = new HashMap<>();
         for (int i = 0; i < 120; i++) {
-            Answer answer = answers.get(i).get(40, TimeUnit.SECONDS);
-            int status = answer.status();
-            statuses.merge(status == 503 ? "503 " + answer.body() : Integer.toString(status), 1, Integer::sum);
+            Response response = responses.get(i).get(40, TimeUnit.SECONDS);
+            int status = response.status();
+            statuses.merge(status == 503 ? "503 " + response.body() : Integer.toString(status), 1, Integer::sum);
             int runs = runsOf("u-" + i);
             assertThat(runs).as("runs of u-" + i).isLessThanOrEqualTo(1);
             if (status == 200) {
@@ -230,7 +234,7 @@
     }
 
     @Test
-    void settingsThatChangeWithoutASignalAreRead() throws Exception {
+    void changedSettingsAreReadWithoutASignal() throws Exception {
         startNodes(1);
         nodes.get(0).changeSeeds("127.0.7.50:1");
         await("read", () -> nodes.get(0).logContains("127.0.7.50"));
--- a/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
@@ -7,14 +7,14 @@
 import org.junit.jupiter.api.Test;
 
 class EntrySettingsTest {
-    private static Properties valid() {
+    private static Properties validSettings() {
         Properties values = new Properties();
         values.setProperty("vm", "front-1");
         values.setProperty("availability-zone", "zone-a");
         for (String name : new String[] {"caller", "readiness", "directory", "metrics", "gossip", "store"}) {
             values.setProperty(name + "-address", "10.0.0.1:80");
         }
-        for (String name : EntrySettings.AGREED_NUMBERS) {
+        for (String name : EntrySettings.NUMERIC_SETTINGS) {
             values.setProperty(name, "4");
         }
         values.setProperty("seeds", "10.0.0.7:1,10.0.0.8:1");
@@ -22,22 +22,22 @@
     }
 
     @Test
-    void seedsMayBeEmpty() {
-        Properties values = valid();
+    void emptySeedsAreAllowed() {
+        Properties values = validSettings();
         values.setProperty("seeds", "");
         assertThat(EntrySettings.of(values).seedHosts()).isEmpty();
     }
 
     @Test
-    void unknownNamesAreIgnored() {
-        Properties values = valid();
+    void unknownSettingsAreIgnored() {
+        Properties values = validSettings();
         values.setProperty("new-name", "x");
         assertThat(EntrySettings.of(values).seedHosts()).containsExactly("10.0.0.7", "10.0.0.8");
     }
 
     @Test
-    void everyFaultIsNamedAtOnce() {
-        Properties values = valid();
+    void exceptionListsEveryInvalidSetting() {
+        Properties values = validSettings();
         values.remove("vm");
         values.setProperty("grace-seconds", "soon");
         values.setProperty("store-address", "nowhere");
@@ -49,8 +49,8 @@
     }
 
     @Test
-    void probesStayWithinHalfOfTheAgreedRate() {
-        Properties values = valid();
+    void probesStayWithinHalfOfTheConfiguredRate() {
+        Properties values = validSettings();
         values.setProperty("probes-per-second", "10");
         assertThat(EntrySettings.of(values).probeIntervalMillis()).isGreaterThanOrEqualTo(200);
     }
--- a/entry/src/test/java/org/turmericspan/entry/EntrySoakTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySoakTest.java
@@ -8,84 +8,90 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.turmericspan.entry.SoakCallers.Told;
+import org.turmericspan.entry.SoakCallers.CompletedCall;
 
 /**
- * Runs real nodes under overlapping faults that a seed draws, and checks what callers and servers saw. {@code bin/soak}
- * runs it with other seeds and lengths.
+ * Runs nodes as processes under overlapping faults drawn from a seed, and checks the responses of callers against the
+ * executions on the servers. {@code bin/soak} runs it with other seeds and durations.
  */
 class EntrySoakTest {
-    private static final Set<Integer> PROMISES_NOT_RUN = Set.of(408, 421, 429, 503);
-    /** Agreed time from a server's leaving to its last request, and the longest faults that may keep the news away. */
-    private static final long DRAIN_NANOS = TimeUnit.SECONDS.toNanos(2 + 2 * 2 + 2);
-    /** Agreed time in which a fleet serves again. */
-    private static final Duration RECOVERY = Duration.ofSeconds(15);
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+    /**
+     * Maximum time from the start of draining to the last request of a server: the configured limit, plus the longest
+     * faults, which may delay the update.
+     */
+    private static final long MAX_DRAIN_NANOS = TimeUnit.SECONDS.toNanos(2 + 2 * 2 + 2);
+    /** Maximum time within which the fleet must serve again after the faults. */
+    private static final Duration MAX_RECOVERY = Duration.ofSeconds(15);
 
     private static final int RECOVERED_REQUESTS = 40;
     private static final int FIRST_PORT = 21_000;
-    private static final int PORTS = 8;
+    private static final int PORTS_PER_FLEET = 8;
     private static final int PORT_SETS = 500;
 
     /**
-     * Seeds that failed once. All three: a node was told to stop while it was frozen; the one thread that ended faults
-     * waited for its exit and so never ended the freeze, which left a stopped process behind.
+     * Seeds that once failed. With each, a node received SIGTERM while it was suspended by SIGSTOP. The only thread
+     * that ended faults waited for the exit of the node and so never resumed it, which left a suspended process behind.
      */
     private static final long[] FAILED_ONCE = {25, 31, 39};
 
     static LongStream seeds() {
-        String[] range = System.getProperty("soak.seeds", "1-2").split("-");
-        LongStream drawn = LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]));
-        return LongStream.concat(drawn, LongStream.of(FAILED_ONCE)).distinct();
+        String[] bounds = System.getProperty("soak.seeds", "1-2").split("-");
+        LongStream range = LongStream.rangeClosed(Long.parseLong(bounds[0]), Long.parseLong(bounds[bounds.length - 1]));
+        return LongStream.concat(range, LongStream.of(FAILED_ONCE)).distinct();
     }
 
     @ParameterizedTest
     @MethodSource("seeds")
-    void promisesHoldUnderFaults(long seed) throws Exception {
-        Duration length = Duration.ofSeconds(Long.getLong("soak.seconds", 8));
-        int port = FIRST_PORT + (int) ((ProcessHandle.current().pid() + seed) % PORT_SETS) * PORTS;
+    void executionGuaranteesHoldUnderFaults(long seed) throws Exception {
+        Duration duration = Duration.ofSeconds(Long.getLong("soak.seconds", 8));
+        int port = FIRST_PORT + (int) ((ProcessHandle.current().pid() + seed) % PORT_SETS) * PORTS_PER_FLEET;
         try (SoakFleet fleet = new SoakFleet(port)) {
             awaitServing(fleet, "start");
             SoakCallers callers = new SoakCallers(fleet, seed);
             SoakFaults faults = new SoakFaults(fleet, seed);
             callers.start();
-            faults.run(length);
+            faults.run(duration);
             callers.stop();
-            String story = "seed " + seed + ", " + callers.statuses() + ", " + faults.injected();
-            System.out.println("soak: " + story);
-            callers.told().forEach(told -> check(fleet, told, story));
-            for (SoakFaults.Drained drained : faults.drained()) {
-                assertThat(drained.member().server().lastRunNanos())
-                        .as("last run at drained " + drained.member().server().id() + ", " + story)
-                        .isLessThan(drained.atNanos() + DRAIN_NANOS);
+            String context = "seed " + seed + ", " + callers.statuses() + ", " + faults.injected();
+            System.out.println("soak: " + context);
+            callers.calls().forEach(call -> check(fleet, call, context));
+            for (SoakFaults.DrainedServer drained : faults.drained()) {
+                assertThat(drained.registered().server().lastRunNanos())
+                        .as("last run at drained "
+                                + drained.registered().server().id() + ", " + context)
+                        .isLessThan(drained.drainNanos() + MAX_DRAIN_NANOS);
             }
-            awaitServing(fleet, story);
-            serveAll(fleet, story);
+            awaitServing(fleet, context);
+            serveAll(fleet, context);
         }
     }
 
-    private static void check(SoakFleet fleet, Told told, String story) {
-        int runs = fleet.runsOf(told.request());
-        int status = told.answer().status();
-        if (!told.idempotent()) {
-            assertThat(runs).as("runs of " + told + ", " + story).isLessThanOrEqualTo(1);
+    private static void check(SoakFleet fleet, CompletedCall call, String context) {
+        int runs = fleet.runsOf(call.request());
+        int status = call.answer().status();
+        if (!call.idempotent()) {
+            assertThat(runs).as("runs of " + call + ", " + context).isLessThanOrEqualTo(1);
         }
-        if (!told.idempotent() && PROMISES_NOT_RUN.contains(status)) {
+        if (!call.idempotent() && NOT_RUN_STATUSES.contains(status)) {
             assertThat(runs)
-                    .as("runs after a promise to " + told + ", " + story)
+                    .as("runs of a request reported as not run, " + call + ", " + context)
                     .isZero();
         }
         if (status == 200) {
-            assertThat(runs).as("runs behind " + told + ", " + story).isPositive();
-            assertThat(told.answer().requestId()).as(story).isEqualTo(told.request());
+            assertThat(runs)
+                    .as("runs of a served request, " + call + ", " + context)
+                    .isPositive();
+            assertThat(call.answer().requestId()).as(context).isEqualTo(call.request());
         }
-        assertThat(status).as("every route is configured, " + story).isNotEqualTo(404);
+        assertThat(status).as("every route is configured, " + context).isNotEqualTo(404);
     }
 
-    private static void awaitServing(SoakFleet fleet, String story) throws InterruptedException {
-        long endNanos = System.nanoTime() + RECOVERY.toNanos();
+    private static void awaitServing(SoakFleet fleet, String context) throws InterruptedException {
+        long endNanos = System.nanoTime() + MAX_RECOVERY.toNanos();
         while (!fleet.nodes().stream().allMatch(node -> node.isReady() && serves(node, "w"))) {
             assertThat(System.nanoTime())
-                    .as("all nodes serve again after " + story)
+                    .as("all nodes serve again after " + context)
                     .isLessThan(endNanos);
             TimeUnit.MILLISECONDS.sleep(50);
         }
@@ -95,10 +101,10 @@
         return node.request("GET", "/safe/" + request, request).status() == 200;
     }
 
-    private static void serveAll(SoakFleet fleet, String story) {
+    private static void serveAll(SoakFleet fleet, String context) {
         for (int i = 0; i < RECOVERED_REQUESTS; i++) {
             NodeProcess node = fleet.nodes().get(i % fleet.nodes().size());
-            assertThat(serves(node, "r-" + i)).as("served after " + story).isTrue();
+            assertThat(serves(node, "r-" + i)).as("served after " + context).isTrue();
         }
     }
 }
--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -14,9 +14,9 @@
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.ids.SocketAddress;
 
-/** An entry node as a process of its own. */
+/** An entry node that runs as a separate process. */
 final class NodeProcess implements AutoCloseable {
-    private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final HttpClient CLIENT;
 
     static {
@@ -26,46 +26,46 @@
 
     private final String host;
     private final String zone;
-    private final SocketAddress callers;
-    private final SocketAddress readiness;
-    private final SocketAddress directory;
-    private final SocketAddress metrics;
-    private final Path settings;
-    private final Path output;
+    private final SocketAddress callerAddress;
+    private final SocketAddress readinessAddress;
+    private final SocketAddress directoryAddress;
+    private final SocketAddress metricsAddress;
+    private final Path settingsFile;
+    private final Path logFile;
     private Process process;
 
     /**
-     * Writes the settings of a node.
+     * Writes the settings file of a node without starting it.
      *
      * @param host loopback address of the node's VM
      * @param zone availability zone
-     * @param gossipPort port that all nodes of the test share
-     * @param seeds hosts to join through
+     * @param gossipPort gossip port of all nodes of a test; the next four ports are for the other addresses
+     * @param seeds hosts through which the node joins the fleet
      * @param store address of the store
      */
     NodeProcess(String host, String zone, int gossipPort, String seeds, SocketAddress store) throws IOException {
         this.host = host;
         this.zone = zone;
-        this.callers = new SocketAddress(host, gossipPort + 1);
-        this.readiness = new SocketAddress(host, gossipPort + 2);
-        this.directory = new SocketAddress(host, gossipPort + 3);
-        this.metrics = new SocketAddress(host, gossipPort + 4);
-        this.settings = Files.createTempFile("entry", ".properties");
-        this.output = Files.createTempFile("entry", ".log");
+        this.callerAddress = new SocketAddress(host, gossipPort + 1);
+        this.readinessAddress = new SocketAddress(host, gossipPort + 2);
+        this.directoryAddress = new SocketAddress(host, gossipPort + 3);
+        this.metricsAddress = new SocketAddress(host, gossipPort + 4);
+        this.settingsFile = Files.createTempFile("entry", ".properties");
+        this.logFile = Files.createTempFile("entry", ".log");
         List<String> lines = new ArrayList<>();
         lines.add("vm=" + host.replace('.', '-'));
         lines.add("availability-zone=" + zone);
-        lines.add("caller-address=" + callers);
-        lines.add("readiness-address=" + readiness);
-        lines.add("directory-address=" + directory);
-        lines.add("metrics-address=" + metrics);
+        lines.add("caller-address=" + callerAddress);
+        lines.add("readiness-address=" + readinessAddress);
+        lines.add("directory-address=" + directoryAddress);
+        lines.add("metrics-address=" + metricsAddress);
         lines.add("gossip-address=" + host + ":" + gossipPort);
         lines.add("seeds=" + seeds);
         lines.add("store-address=" + store);
         lines.addAll(List.of("cold-overage=1.5", "cold-slack=5", "retry-ratio=0.2", "retry-slack=60"));
         lines.addAll(List.of("retry-window-seconds=10", "grace-seconds=6"));
         lines.addAll(List.of("max-answer-life-seconds=5", "probes-per-second=60"));
-        Files.write(settings, lines);
+        Files.write(settingsFile, lines);
     }
 
     NodeProcess start(String... flags) throws IOException {
@@ -75,8 +75,8 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), EntryMain.class.getName()));
         ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()));
-        builder.environment().put("TURMERICSPAN_SETTINGS_FILE", settings.toString());
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()));
+        builder.environment().put("TURMERICSPAN_SETTINGS_FILE", settingsFile.toString());
         process = builder.start();
         return this;
     }
@@ -85,12 +85,12 @@
         return zone;
     }
 
-    SocketAddress callers() {
-        return callers;
+    SocketAddress callerAddress() {
+        return callerAddress;
     }
 
-    SocketAddress metrics() {
-        return metrics;
+    SocketAddress metricsAddress() {
+        return metricsAddress;
     }
 
     long pid() {
@@ -98,59 +98,60 @@
     }
 
     boolean isReady() {
-        return get("http://" + readiness + "/api/readyz").status() == 200;
+        return get("http://" + readinessAddress + "/api/readyz").status() == 200;
     }
 
     String resolve(String callerZone) {
-        return get("http://" + directory + "/api/resolve?Name=h.example&Region=r&Zone=" + callerZone)
+        return get("http://" + directoryAddress + "/api/resolve?Name=h.example&Region=r&Zone=" + callerZone)
                 .body();
     }
 
     String state() {
-        return get("http://" + metrics + "/state").body();
+        return get("http://" + metricsAddress + "/state").body();
     }
 
-    /** Sends a request that ends within the test's patience, whatever the node does. */
-    Answer request(String method, String path, String id) {
-        return request(method, path, id, PATIENCE);
+    /** Sends a request and waits for the response until a fixed timeout; a failure counts as status 0. */
+    Response request(String method, String path, String id) {
+        return request(method, path, id, TIMEOUT);
     }
 
-    Answer request(String method, String path, String id, Duration patience) {
+    Response request(String method, String path, String id, Duration timeout) {
         return send(
-                HttpRequest.newBuilder(URI.create("http://" + callers + path))
+                HttpRequest.newBuilder(URI.create("http://" + callerAddress + path))
                         .method(method, HttpRequest.BodyPublishers.ofString("GET".equals(method) ? "" : "body"))
                         .header("Host", "h.example")
                         .header("Turmericspan-Request-Id", id)
                         .header("Turmericspan-Deadline-Ms", "1500"),
-                patience);
+                timeout);
     }
 
-    private Answer get(String uri) {
-        return send(HttpRequest.newBuilder(URI.create(uri)), PATIENCE);
+    private Response get(String uri) {
+        return send(HttpRequest.newBuilder(URI.create(uri)), TIMEOUT);
     }
 
-    private static Answer send(HttpRequest.Builder request, Duration patience) {
+    private static Response send(HttpRequest.Builder request, Duration timeout) {
         try {
             HttpResponse<String> response =
-                    CLIENT.send(request.timeout(patience).build(), HttpResponse.BodyHandlers.ofString());
-            return new Answer(
+                    CLIENT.send(request.timeout(timeout).build(), HttpResponse.BodyHandlers.ofString());
+            return new Response(
                     response.statusCode(),
                     response.body(),
                     response.headers().firstValue("Turmericspan-Request-Id").orElse("-"));
         } catch (IOException e) {
-            return new Answer(0, e.toString(), "-");
+            return new Response(0, e.toString(), "-");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return new Answer(0, e.toString(), "-");
+            return new Response(0, e.toString(), "-");
         }
     }
 
-    record Answer(int status, String body, String requestId) {}
+    /** A response, or with status 0 a failure, whose description is the body. */
+    record Response(int status, String body, String requestId) {}
 
     void changeSeeds(String seeds) throws IOException {
-        List<String> lines = Files.readAllLines(settings);
+        List<String> lines = Files.readAllLines(settingsFile);
         lines.replaceAll(line -> line.startsWith("seeds=") ? "seeds=" + seeds : line);
-        Files.write(settings, lines);
+        Files.write(settingsFile, lines);
     }
 
     /** Sends a signal by its name, such as STOP. */
@@ -158,7 +159,7 @@
         signal(pid(), name);
     }
 
-    /** Sends a signal to a life of a node that may be over; then nothing happens. */
+    /** Sends a signal to a process; has no effect if the process has already ended. */
     static void signal(long pid, String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor();
     }
@@ -176,12 +177,12 @@
     }
 
     boolean awaitExit() throws InterruptedException {
-        return process.waitFor(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        return process.waitFor(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
     }
 
     boolean logContains(String text) {
         try {
-            return Files.readString(output).contains(text);
+            return Files.readString(logFile).contains(text);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -190,11 +191,11 @@
     @Override
     public void close() throws IOException {
         if (process != null) {
-            // The next test takes the same ports.
+            // The next test reuses the ports.
             process.destroyForcibly().onExit().join();
         }
-        Files.deleteIfExists(settings);
-        Files.deleteIfExists(output);
+        Files.deleteIfExists(settingsFile);
+        Files.deleteIfExists(logFile);
     }
 
     @Override
--- a/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
@@ -26,7 +26,7 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.transport.NettyLogFactory;
 
-/** The platform's store, as its published protocol describes it, on loopback. Tests write to it directly. */
+/** An in-memory store on loopback with the published protocol of the platform. Tests write to it directly. */
 final class PlatformStandIn implements AutoCloseable {
     private static final ListenerLimits LIMITS =
             new ListenerLimits(16_384, 1_048_576, TimeUnit.SECONDS.toNanos(30), TimeUnit.SECONDS.toNanos(30));
@@ -40,9 +40,9 @@
     private final Map<String, Item> items = new TreeMap<>();
     private final Map<String, ServerStandIn> servers = new ConcurrentHashMap<>();
     private final SocketAddress address = freeAddress();
-    private final HttpListener listener = listen(address, this::answer);
+    private final HttpListener listener = listen(address, this::handle);
     private long revision = 1;
-    private volatile int refusal;
+    private volatile int rejectionStatus;
 
     private record Item(String value, long revision) {
         boolean isRemoved() {
@@ -58,8 +58,9 @@
         }
     }
 
-    HttpListener listen(SocketAddress at, HttpService service) {
-        return new HttpListener(workers, at, service, () -> LIMITS, MonotonicClock.system(), EventLog.none());
+    HttpListener listen(SocketAddress listenAddress, HttpService service) {
+        return new HttpListener(
+                workers, listenAddress, service, () -> LIMITS, MonotonicClock.system(), EventLog.none());
     }
 
     SocketAddress address() {
@@ -78,9 +79,9 @@
         items.put(key, new Item(null, ++revision));
     }
 
-    /** Turns every read away with a status; 0 serves again. */
-    void refuse(int status) {
-        refusal = status;
+    /** Sets the status with which every read is rejected; 0 serves reads again. */
+    void rejectReads(int status) {
+        rejectionStatus = status;
     }
 
     void configure(long version, String prefix, String type) {
@@ -114,18 +115,18 @@
         register(server, server.address(), zone, state);
     }
 
-    /** Registers a server at another address than its own, such as a link to it. */
-    void register(ServerStandIn server, SocketAddress at, String zone, String state) {
+    /** Registers a server under another address than its own, such as that of a link to it. */
+    void register(ServerStandIn server, SocketAddress registeredAddress, String zone, String state) {
         put(
                 "servers/" + server.id(),
-                "{\"Service\":\"desk\",\"Address\":\"" + at + "\",\"Zone\":\"" + zone
+                "{\"Service\":\"desk\",\"Address\":\"" + registeredAddress + "\",\"Zone\":\"" + zone
                         + "\",\"Version\":\"v1\",\"Capacity\":3,\"State\":\"" + state
                         + "\",\"WarmupLeftS\":0,\"Sequence\":" + revision + ",\"born\":1}");
     }
 
-    private void answer(RequestMessage request, Reply reply) {
-        if (refusal != 0) {
-            reply.send(ResponseMessage.text(refusal, "application/json", "{}"));
+    private void handle(RequestMessage request, Reply reply) {
+        if (rejectionStatus != 0) {
+            reply.send(ResponseMessage.text(rejectionStatus, "application/json", "{}"));
         } else if (request.path().equals("/api/kv-range")) {
             reply.send(page("items", 0, false));
         } else {
@@ -135,12 +136,15 @@
         }
     }
 
-    private void watch(Reply reply, long after, long leftMillis) {
-        if (leftMillis <= 0 || hasChanged(after)) {
+    private void watch(Reply reply, long after, long remainingMillis) {
+        if (remainingMillis <= 0 || hasChanged(after)) {
             reply.send(page("events", after, true));
         } else {
             reply.worker()
-                    .schedule(() -> watch(reply, after, leftMillis - POLL_MILLIS), POLL_MILLIS, TimeUnit.MILLISECONDS);
+                    .schedule(
+                            () -> watch(reply, after, remainingMillis - POLL_MILLIS),
+                            POLL_MILLIS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
@@ -148,10 +152,10 @@
         return revision > after;
     }
 
-    private synchronized ResponseMessage page(String kind, long after, boolean withRemoved) {
+    private synchronized ResponseMessage page(String kind, long after, boolean includeRemoved) {
         String rows = items.entrySet().stream()
                 .filter(entry -> entry.getValue().revision() > after)
-                .filter(entry -> withRemoved || !entry.getValue().isRemoved())
+                .filter(entry -> includeRemoved || !entry.getValue().isRemoved())
                 .map(entry -> row(entry.getKey(), entry.getValue()))
                 .collect(Collectors.joining(","));
         return ResponseMessage.text(
--- a/entry/src/test/java/org/turmericspan/entry/ServerStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/ServerStandIn.java
@@ -12,7 +12,7 @@
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.SocketAddress;
 
-/** A server of the platform: runs requests for a while and counts, as a witness, what it ran. */
+/** A server of the platform that simulates the execution of requests and counts how often each one ran. */
 final class ServerStandIn implements AutoCloseable {
     private static final String REQUEST_ID = "Turmericspan-Request-Id";
 
@@ -23,13 +23,13 @@
     private volatile long lastRunNanos = Long.MIN_VALUE;
     private final AtomicInteger running = new AtomicInteger();
     private volatile long workMillis = 20;
-    private volatile long coldMillis;
-    private volatile boolean sheds;
+    private volatile long warmupMillis;
+    private volatile boolean shedding;
 
     ServerStandIn(String id, SocketAddress address, PlatformStandIn platform) {
         this.id = id;
         this.address = address;
-        this.listener = platform.listen(address, this::answer);
+        this.listener = platform.listen(address, this::handle);
     }
 
     String id() {
@@ -40,7 +40,7 @@
         return address;
     }
 
-    /** Returns how often each request ran. */
+    /** Returns the number of executions by request identifier. */
     Map<String, Integer> runs() {
         return runs;
     }
@@ -49,41 +49,41 @@
         return lastRunNanos;
     }
 
-    void workFor(long millis) {
+    void setWorkMillis(long millis) {
         workMillis = millis;
     }
 
-    void coldFor(long millis) {
-        coldMillis = millis;
+    void setWarmupMillis(long millis) {
+        warmupMillis = millis;
     }
 
-    void shed(boolean all) {
-        sheds = all;
+    void setShedding(boolean enabled) {
+        shedding = enabled;
     }
 
-    private void answer(RequestMessage request, Reply reply) {
+    private void handle(RequestMessage request, Reply reply) {
         HeaderList headers = HeaderList.EMPTY
                 .with("Turmericspan-Instance-Id", id)
                 .with("Turmericspan-Server-Load", running.get() + ",0,3,100")
                 .with("Keep-Alive", "timeout=10");
         if (request.path().equals("/healthz")) {
             reply.send(new ResponseMessage(
-                    200, headers.with("Turmericspan-Warmup-Ms", Long.toString(coldMillis)), new byte[0]));
+                    200, headers.with("Turmericspan-Warmup-Ms", Long.toString(warmupMillis)), new byte[0]));
             return;
         }
         String requestId = request.headers().first(REQUEST_ID).orElse("-");
-        HeaderList answerHeaders = headers.with(REQUEST_ID, requestId);
+        HeaderList responseHeaders = headers.with(REQUEST_ID, requestId);
         String expected =
                 request.headers().first("Turmericspan-Expect-Instance").orElse(id);
         if (!expected.equals(id)) {
-            reply.send(new ResponseMessage(421, answerHeaders, new byte[0]));
-        } else if (sheds) {
-            reply.send(new ResponseMessage(503, answerHeaders.with("Turmericspan-Not-Executed", "1"), new byte[0]));
+            reply.send(new ResponseMessage(421, responseHeaders, new byte[0]));
+        } else if (shedding) {
+            reply.send(new ResponseMessage(503, responseHeaders.with("Turmericspan-Not-Executed", "1"), new byte[0]));
         } else {
             runs.merge(requestId, 1, Integer::sum);
             lastRunNanos = System.nanoTime();
             running.incrementAndGet();
-            reply.worker().schedule(() -> finish(reply, answerHeaders), workMillis, TimeUnit.MILLISECONDS);
+            reply.worker().schedule(() -> finish(reply, responseHeaders), workMillis, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/entry/src/test/java/org/turmericspan/entry/SoakCallers.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakCallers.java
@@ -9,29 +9,29 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import org.turmericspan.entry.NodeProcess.Answer;
+import org.turmericspan.entry.NodeProcess.Response;
 
-/** Callers that send requests to any node without pause, on kept connections, and keep what they were told. */
+/** Callers that send requests to random nodes over persistent connections and record the responses. */
 final class SoakCallers {
     private static final int CALLERS = 8;
     private static final long PAUSE_MILLIS = 15;
-    /** Longest wait for an answer, beyond the deadline that the requests state. */
-    private static final Duration PATIENCE = Duration.ofSeconds(4);
+    /** Maximum wait for a response, longer than the deadline of the requests. */
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
 
     private final SoakFleet fleet;
     private final long seed;
-    private final Queue<Told> told = new ConcurrentLinkedQueue<>();
+    private final Queue<CompletedCall> completedCalls = new ConcurrentLinkedQueue<>();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean stopped;
 
     /**
-     * What a caller was told.
+     * A request with its response.
      *
-     * @param request identifier of its request
+     * @param request identifier of the request
      * @param idempotent whether the request may run more than once
-     * @param answer the answer
+     * @param answer the response
      */
-    record Told(String request, boolean idempotent, Answer answer) {}
+    record CompletedCall(String request, boolean idempotent, Response answer) {}
 
     SoakCallers(SoakFleet fleet, long seed) {
         this.fleet = fleet;
@@ -41,14 +41,14 @@
     void start() {
         for (int i = 0; i < CALLERS; i++) {
             int caller = i;
-            Thread thread = new Thread(() -> call(caller), "soak-caller-" + i);
+            Thread thread = new Thread(() -> sendRequests(caller), "soak-caller-" + i);
             thread.setDaemon(true);
             thread.start();
             threads.add(thread);
         }
     }
 
-    private void call(int caller) {
+    private void sendRequests(int caller) {
         SplittableRandom random = new SplittableRandom(seed * CALLERS + caller);
         try {
             for (int i = 0; !stopped; i++) {
@@ -56,12 +56,12 @@
                 String request = "q-" + caller + "-" + i;
                 NodeProcess node =
                         fleet.nodes().get(random.nextInt(fleet.nodes().size()));
-                told.add(new Told(
+                completedCalls.add(new CompletedCall(
                         request,
                         idempotent,
                         idempotent
-                                ? node.request("GET", "/safe/" + request, request, PATIENCE)
-                                : node.request("POST", "/once/" + request, request, PATIENCE)));
+                                ? node.request("GET", "/safe/" + request, request, RESPONSE_TIMEOUT)
+                                : node.request("POST", "/once/" + request, request, RESPONSE_TIMEOUT)));
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
             }
         } catch (InterruptedException e) {
@@ -69,7 +69,7 @@
         }
     }
 
-    /** Stops after the requests under way. */
+    /** Stops after the requests in flight. */
     void stop() throws InterruptedException {
         stopped = true;
         for (Thread thread : threads) {
@@ -77,14 +77,14 @@
         }
     }
 
-    List<Told> told() {
-        return List.copyOf(told);
+    List<CompletedCall> calls() {
+        return List.copyOf(completedCalls);
     }
 
-    /** Counts the answers by status; 0 stands for none. */
+    /** Returns the number of responses by status; 0 counts requests without a response. */
     Map<Integer, Integer> statuses() {
         Map<Integer, Integer> counts = new HashMap<>();
-        told.forEach(each -> counts.merge(each.answer().status(), 1, Integer::sum));
+        completedCalls.forEach(call -> counts.merge(call.answer().status(), 1, Integer::sum));
         return counts;
     }
 }
--- a/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
@@ -14,79 +14,79 @@
 import org.turmericspan.standins.network.Link;
 import org.turmericspan.standins.network.LinkFault;
 
-/** Draws faults from a seed and injects them one after the other; they overlap, and each ends by itself. */
+/** Draws faults from a seed and injects them one after another. Faults may overlap; each ends after its duration. */
 final class SoakFaults {
     private static final int TIMER_THREADS = 8;
-    private static final int FIRST_PAUSE_MILLIS = 150;
-    private static final int PAUSE_SPREAD_MILLIS = 600;
-    private static final int FIRST_LENGTH_MILLIS = 200;
-    private static final int LENGTH_SPREAD_MILLIS = 1_800;
-    private static final LinkFault REFUSES = new LinkFault(true, false, Duration.ZERO, 0);
-    private static final LinkFault SILENT = new LinkFault(false, true, Duration.ZERO, 0);
-    private static final LinkFault SLOW = new LinkFault(false, false, Duration.ofMillis(60), 0);
+    private static final int MIN_PAUSE_MILLIS = 150;
+    private static final int PAUSE_RANGE_MILLIS = 600;
+    private static final int MIN_DURATION_MILLIS = 200;
+    private static final int DURATION_RANGE_MILLIS = 1_800;
+    private static final LinkFault REFUSE_CONNECTIONS = new LinkFault(true, false, Duration.ZERO, 0);
+    private static final LinkFault NO_TRAFFIC = new LinkFault(false, true, Duration.ZERO, 0);
+    private static final LinkFault DELAYED = new LinkFault(false, false, Duration.ofMillis(60), 0);
     private static final long SLOW_WORK_MILLIS = 400;
-    private static final long USUAL_WORK_MILLIS = 20;
+    private static final long NORMAL_WORK_MILLIS = 20;
 
     private final SoakFleet fleet;
     private final SplittableRandom random;
-    /** Several threads, since the restart of a frozen node waits for the end of its freeze. */
+    /** Has several threads, since the restart of a suspended node blocks until another thread resumes the node. */
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
 
-    private final List<Future<?>> ends = new ArrayList<>();
+    private final List<Future<?>> faultEnds = new ArrayList<>();
     private final List<String> injected = new ArrayList<>();
-    private final Set<NodeProcess> down = ConcurrentHashMap.newKeySet();
-    private final List<Drained> drained = new ArrayList<>();
-    private final List<Fault> kinds = List.of(
+    private final Set<NodeProcess> stoppedNodes = ConcurrentHashMap.newKeySet();
+    private final List<DrainedServer> drained = new ArrayList<>();
+    private final List<FaultInjector> injectors = List.of(
             this::killNode,
-            this::freezeNode,
+            this::suspendNode,
             this::stopNode,
-            this::hangUpNode,
-            this::cutServer,
-            this::silenceServer,
-            this::refuseAtServer,
-            this::delayServer,
-            this::slowServer,
-            this::shedAtServer,
+            this::sendHangUp,
+            this::closeConnections,
+            this::stopTrafficOnOpenConnections,
+            this::refuseConnections,
+            this::delayTraffic,
+            this::slowExecution,
+            this::shedRequests,
             this::drainServer,
-            this::refuseAtStore,
-            this::silenceStore,
+            this::rejectStoreReads,
+            this::stopStoreTraffic,
             this::evacuateZone,
-            this::publish);
+            this::publishConfiguration);
 
-    /** One kind of fault. */
+    /** Injects one kind of fault. */
     @FunctionalInterface
-    private interface Fault {
-        void inject(long lengthMillis) throws IOException, InterruptedException;
+    private interface FaultInjector {
+        void inject(long durationMillis) throws IOException, InterruptedException;
     }
 
-    /** What ends a fault. */
+    /** Ends a fault. */
     @FunctionalInterface
-    private interface Ending {
+    private interface FaultEnd {
         void run() throws IOException, InterruptedException;
     }
 
     /**
-     * A server that was told to leave.
+     * A server that was set to draining.
      *
-     * @param member the server
-     * @param atNanos when its leaving was published
+     * @param registered the server
+     * @param drainNanos time at which the draining state was published
      */
-    record Drained(SoakFleet.Member member, long atNanos) {}
+    record DrainedServer(SoakFleet.RegisteredServer registered, long drainNanos) {}
 
     SoakFaults(SoakFleet fleet, long seed) {
         this.fleet = fleet;
         this.random = new SplittableRandom(seed);
     }
 
-    /** Injects faults for a while and waits until all have ended. */
-    void run(Duration length) throws Exception {
-        long endNanos = System.nanoTime() + length.toNanos();
+    /** Injects faults for a duration and waits until all have ended. */
+    void run(Duration duration) throws Exception {
+        long endNanos = System.nanoTime() + duration.toNanos();
         while (System.nanoTime() < endNanos) {
-            TimeUnit.MILLISECONDS.sleep(FIRST_PAUSE_MILLIS + random.nextInt(PAUSE_SPREAD_MILLIS));
-            long lengthMillis = FIRST_LENGTH_MILLIS + random.nextInt(LENGTH_SPREAD_MILLIS);
-            kinds.get(random.nextInt(kinds.size())).inject(lengthMillis);
+            TimeUnit.MILLISECONDS.sleep(MIN_PAUSE_MILLIS + random.nextInt(PAUSE_RANGE_MILLIS));
+            long durationMillis = MIN_DURATION_MILLIS + random.nextInt(DURATION_RANGE_MILLIS);
+            injectors.get(random.nextInt(injectors.size())).inject(durationMillis);
         }
-        for (Future<?> end : ends) {
+        for (Future<?> end : faultEnds) {
             end.get();
         }
         timer.shutdown();
@@ -96,147 +96,147 @@
         return injected;
     }
 
-    List<Drained> drained() {
+    List<DrainedServer> drained() {
         return drained;
     }
 
-    private void note(String text, long lengthMillis) {
-        injected.add(text + " " + lengthMillis + " ms");
+    private void recordFault(String text, long durationMillis) {
+        injected.add(text + " " + durationMillis + " ms");
     }
 
-    private void after(long millis, Ending ending) {
-        ends.add(timer.schedule(
+    private void scheduleEnd(long millis, FaultEnd faultEnd) {
+        faultEnds.add(timer.schedule(
                 () -> {
-                    ending.run();
+                    faultEnd.run();
                     return null;
                 },
                 millis,
                 TimeUnit.MILLISECONDS));
     }
 
-    private NodeProcess node() {
+    private NodeProcess randomNode() {
         return fleet.nodes().get(random.nextInt(fleet.nodes().size()));
     }
 
-    private SoakFleet.Member server() {
-        List<SoakFleet.Member> servers = fleet.servers();
+    private SoakFleet.RegisteredServer randomServer() {
+        List<SoakFleet.RegisteredServer> servers = fleet.servers();
         return servers.get(random.nextInt(servers.size()));
     }
 
-    private void killNode(long lengthMillis) {
-        NodeProcess node = node();
-        if (!down.add(node)) {
+    private void killNode(long durationMillis) {
+        NodeProcess node = randomNode();
+        if (!stoppedNodes.add(node)) {
             return;
         }
-        note("kill " + node, lengthMillis);
+        recordFault("kill " + node, durationMillis);
         node.kill();
-        after(lengthMillis, () -> restart(node));
+        scheduleEnd(durationMillis, () -> restart(node));
     }
 
     private void restart(NodeProcess node) throws IOException, InterruptedException {
         node.awaitExit();
         node.start();
-        down.remove(node);
+        stoppedNodes.remove(node);
     }
 
-    private void freezeNode(long lengthMillis) throws IOException, InterruptedException {
-        NodeProcess node = node();
-        note("freeze " + node, lengthMillis);
+    private void suspendNode(long durationMillis) throws IOException, InterruptedException {
+        NodeProcess node = randomNode();
+        recordFault("suspend " + node, durationMillis);
         long pid = node.pid();
         NodeProcess.signal(pid, "STOP");
-        after(lengthMillis, () -> NodeProcess.signal(pid, "CONT"));
+        scheduleEnd(durationMillis, () -> NodeProcess.signal(pid, "CONT"));
     }
 
-    private void stopNode(long lengthMillis) {
-        NodeProcess node = node();
-        if (!down.add(node)) {
+    private void stopNode(long durationMillis) {
+        NodeProcess node = randomNode();
+        if (!stoppedNodes.add(node)) {
             return;
         }
-        note("terminate " + node, lengthMillis);
+        recordFault("terminate " + node, durationMillis);
         node.terminate();
-        after(lengthMillis, () -> restart(node));
+        scheduleEnd(durationMillis, () -> restart(node));
     }
 
-    private void hangUpNode(long lengthMillis) throws IOException, InterruptedException {
-        NodeProcess node = node();
-        note("hang up " + node, 0);
+    private void sendHangUp(long durationMillis) throws IOException, InterruptedException {
+        NodeProcess node = randomNode();
+        recordFault("send SIGHUP to " + node, 0);
         if (node.isAlive() && node.isReady()) {
             node.signal("HUP");
         }
     }
 
-    private void cutServer(long lengthMillis) {
-        SoakFleet.Member member = server();
-        note("cut " + member.server().id(), 0);
-        member.link().cut();
+    private void closeConnections(long durationMillis) {
+        SoakFleet.RegisteredServer registered = randomServer();
+        recordFault("close connections of " + registered.server().id(), 0);
+        registered.link().cut();
     }
 
-    private void silenceServer(long lengthMillis) {
-        SoakFleet.Member member = server();
-        note("silence open connections of " + member.server().id(), 0);
-        member.link().silenceOpen();
+    private void stopTrafficOnOpenConnections(long durationMillis) {
+        SoakFleet.RegisteredServer registered = randomServer();
+        recordFault("stop traffic on open connections of " + registered.server().id(), 0);
+        registered.link().silenceOpen();
     }
 
-    private void refuseAtServer(long lengthMillis) {
-        SoakFleet.Member member = server();
-        note("refuse at " + member.server().id(), lengthMillis);
-        fault(member.link(), REFUSES, lengthMillis);
+    private void refuseConnections(long durationMillis) {
+        SoakFleet.RegisteredServer registered = randomServer();
+        recordFault("refuse connections to " + registered.server().id(), durationMillis);
+        setLinkFault(registered.link(), REFUSE_CONNECTIONS, durationMillis);
     }
 
-    private void delayServer(long lengthMillis) {
-        SoakFleet.Member member = server();
-        note("delay " + member.server().id(), lengthMillis);
-        fault(member.link(), SLOW, lengthMillis);
+    private void delayTraffic(long durationMillis) {
+        SoakFleet.RegisteredServer registered = randomServer();
+        recordFault("network delay of " + registered.server().id(), durationMillis);
+        setLinkFault(registered.link(), DELAYED, durationMillis);
     }
 
-    private void fault(Link link, LinkFault kind, long lengthMillis) {
+    private void setLinkFault(Link link, LinkFault kind, long durationMillis) {
         link.setFault(kind);
-        after(lengthMillis, () -> link.setFault(LinkFault.NONE));
+        scheduleEnd(durationMillis, () -> link.setFault(LinkFault.NONE));
     }
 
-    private void slowServer(long lengthMillis) {
-        SoakFleet.Member member = server();
-        note("slow " + member.server().id(), lengthMillis);
-        member.server().workFor(SLOW_WORK_MILLIS);
-        after(lengthMillis, () -> member.server().workFor(USUAL_WORK_MILLIS));
+    private void slowExecution(long durationMillis) {
+        SoakFleet.RegisteredServer registered = randomServer();
+        recordFault("slow execution on " + registered.server().id(), durationMillis);
+        registered.server().setWorkMillis(SLOW_WORK_MILLIS);
+        scheduleEnd(durationMillis, () -> registered.server().setWorkMillis(NORMAL_WORK_MILLIS));
     }
 
-    private void shedAtServer(long lengthMillis) {
-        SoakFleet.Member member = server();
-        note("shed at " + member.server().id(), lengthMillis);
-        member.server().shed(true);
-        after(lengthMillis, () -> member.server().shed(false));
+    private void shedRequests(long durationMillis) {
+        SoakFleet.RegisteredServer registered = randomServer();
+        recordFault("shedding of " + registered.server().id(), durationMillis);
+        registered.server().setShedding(true);
+        scheduleEnd(durationMillis, () -> registered.server().setShedding(false));
     }
 
-    private void drainServer(long lengthMillis) throws IOException, InterruptedException {
-        SoakFleet.Member member = server();
-        note("drain " + member.server().id(), lengthMillis);
+    private void drainServer(long durationMillis) throws IOException, InterruptedException {
+        SoakFleet.RegisteredServer registered = randomServer();
+        recordFault("draining of " + registered.server().id(), durationMillis);
         fleet.addServer();
-        fleet.drain(member);
-        drained.add(new Drained(member, System.nanoTime()));
+        fleet.drain(registered);
+        drained.add(new DrainedServer(registered, System.nanoTime()));
     }
 
-    private void refuseAtStore(long lengthMillis) {
-        note("store refuses", lengthMillis);
-        fleet.platform().refuse(random.nextBoolean() ? 503 : 429);
-        after(lengthMillis, () -> fleet.platform().refuse(0));
+    private void rejectStoreReads(long durationMillis) {
+        recordFault("store rejects reads", durationMillis);
+        fleet.platform().rejectReads(random.nextBoolean() ? 503 : 429);
+        scheduleEnd(durationMillis, () -> fleet.platform().rejectReads(0));
     }
 
-    private void silenceStore(long lengthMillis) {
-        note("store silent", lengthMillis);
+    private void stopStoreTraffic(long durationMillis) {
+        recordFault("store does not respond", durationMillis);
         fleet.storeLink().silenceOpen();
-        fault(fleet.storeLink(), SILENT, lengthMillis);
+        setLinkFault(fleet.storeLink(), NO_TRAFFIC, durationMillis);
     }
 
-    private void evacuateZone(long lengthMillis) {
+    private void evacuateZone(long durationMillis) {
         String zone = random.nextBoolean() ? "zone-a" : "zone-b";
-        note("evacuate " + zone, lengthMillis);
+        recordFault("evacuation of " + zone, durationMillis);
         fleet.evacuate(zone, true);
-        after(lengthMillis, () -> fleet.evacuate(zone, false));
+        scheduleEnd(durationMillis, () -> fleet.evacuate(zone, false));
     }
 
-    private void publish(long lengthMillis) {
-        note("publish", 0);
-        fleet.publish();
+    private void publishConfiguration(long durationMillis) {
+        recordFault("publish configuration", 0);
+        fleet.publishConfiguration();
     }
 }
--- a/entry/src/test/java/org/turmericspan/entry/SoakFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakFleet.java
@@ -6,7 +6,7 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.standins.network.Link;
 
-/** Nodes as processes, and servers and a store that they reach through links with faults. */
+/** Node processes that reach their servers and the store through links, which can inject faults. */
 final class SoakFleet implements AutoCloseable {
     private static final List<String> ZONES = List.of("zone-a", "zone-b");
     private static final int NODES = 4;
@@ -14,60 +14,61 @@
 
     private final PlatformStandIn platform = new PlatformStandIn();
     private final List<NodeProcess> nodes = new ArrayList<>();
-    private final List<Member> servers = new ArrayList<>();
+    private final List<RegisteredServer> servers = new ArrayList<>();
     private final Link storeLink;
-    private int lastServer;
+    private int serverCount;
     private long version;
 
     /**
-     * A server behind its link.
+     * A server that is registered under the address of its link.
      *
      * @param server the server
-     * @param link the link, at whose port it is registered
-     * @param at where nodes reach it
-     * @param zone its availability zone
+     * @param link link to the server
+     * @param linkAddress address of the link, at which nodes connect
+     * @param zone availability zone of the server
      */
-    record Member(ServerStandIn server, Link link, SocketAddress at, String zone) {}
+    record RegisteredServer(ServerStandIn server, Link link, SocketAddress linkAddress, String zone) {}
 
-    SoakFleet(int port) throws IOException, InterruptedException {
-        SocketAddress storeAt = PlatformStandIn.freeAddress();
-        storeLink = new Link(storeAt.port(), platform.address(), platform.workers());
+    SoakFleet(int gossipPort) throws IOException, InterruptedException {
+        SocketAddress storeLinkAddress = PlatformStandIn.freeAddress();
+        storeLink = new Link(storeLinkAddress.port(), platform.address(), platform.workers());
         storeLink.start();
-        publish();
+        publishConfiguration();
         for (int i = 0; i < SERVERS; i++) {
             addServer();
         }
         for (int i = 1; i <= NODES; i++) {
             String zone = ZONES.get(i % ZONES.size());
-            nodes.add(new NodeProcess("127.0.8." + i, zone, port, "127.0.8.1:1,127.0.8.2:1", storeAt).start());
+            nodes.add(new NodeProcess("127.0.8." + i, zone, gossipPort, "127.0.8.1:1,127.0.8.2:1", storeLinkAddress)
+                    .start());
         }
     }
 
-    /** Publishes a newer configuration with the same routes; versions grow in uneven steps. */
-    void publish() {
+    /** Publishes a new version of the configuration with the same routes; the version increases in uneven steps. */
+    void publishConfiguration() {
         version += 1 + version % 3;
         platform.configure(
                 version, List.of(PlatformStandIn.route("/safe/", "safe"), PlatformStandIn.route("/once/", "unsafe")));
     }
 
-    Member addServer() throws IOException, InterruptedException {
-        String zone = ZONES.get(lastServer % ZONES.size());
-        ServerStandIn server = new ServerStandIn("i-" + ++lastServer, PlatformStandIn.freeAddress(), platform);
-        SocketAddress at = PlatformStandIn.freeAddress();
-        Link link = new Link(at.port(), server.address(), platform.workers());
+    RegisteredServer addServer() throws IOException, InterruptedException {
+        String zone = ZONES.get(serverCount % ZONES.size());
+        ServerStandIn server = new ServerStandIn("i-" + ++serverCount, PlatformStandIn.freeAddress(), platform);
+        SocketAddress linkAddress = PlatformStandIn.freeAddress();
+        Link link = new Link(linkAddress.port(), server.address(), platform.workers());
         link.start();
-        Member member = new Member(server, link, at, zone);
-        platform.register(server, at, zone, "ready");
-        servers.add(member);
-        return member;
+        RegisteredServer registered = new RegisteredServer(server, link, linkAddress, zone);
+        platform.register(server, linkAddress, zone, "ready");
+        servers.add(registered);
+        return registered;
     }
 
-    void drain(Member member) {
-        platform.register(member.server(), member.at(), member.zone(), "draining");
+    void drain(RegisteredServer registered) {
+        platform.register(registered.server(), registered.linkAddress(), registered.zone(), "draining");
     }
 
-    void evacuate(String zone, boolean out) {
-        if (out) {
+    void evacuate(String zone, boolean evacuated) {
+        if (evacuated) {
             platform.put("op/evacuate/" + zone, "{}");
         } else {
             platform.remove("op/evacuate/" + zone);
@@ -86,14 +87,14 @@
         return nodes;
     }
 
-    /** Returns every server that ever was, since each stays a witness. */
-    List<Member> servers() {
+    /** Returns all servers, also drained ones, since each knows which requests it ran. */
+    List<RegisteredServer> servers() {
         return List.copyOf(servers);
     }
 
-    int runsOf(String request) {
+    int runsOf(String requestId) {
         return servers().stream()
-                .mapToInt(member -> member.server().runs().getOrDefault(request, 0))
+                .mapToInt(registered -> registered.server().runs().getOrDefault(requestId, 0))
                 .sum();
     }
 
@@ -102,8 +103,8 @@
         for (NodeProcess node : nodes) {
             node.close();
         }
-        servers.forEach(member -> member.link().close());
-        servers.forEach(member -> member.server().close());
+        servers.forEach(registered -> registered.link().close());
+        servers.forEach(registered -> registered.server().close());
         storeLink.close();
         platform.close();
     }
