--- a/node/src/main/java/org/turmericspan/node/AttemptModule.java
+++ b/node/src/main/java/org/turmericspan/node/AttemptModule.java
@@ -25,14 +25,14 @@
 import org.turmericspan.tables.WorkerPool;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
-/** Wires the attempts of calls: the client towards upstreams, retries and hedges within their budget. */
+/** Wires the attempts of calls: the HTTP client for upstreams, and retries and hedges within the retry budget. */
 @Module
 final class AttemptModule {
-    private static final String NO_REPEATS = "none";
+    private static final String NO_RETRIES = "none";
     private static final String HEDGES = "hedges";
-    private static final double TYPICAL = 0.5;
-    private static final double HEDGE_AFTER = 0.95;
-    private static final double STALLED_BEYOND = 0.99;
+    private static final double RETRY_LATENCY_QUANTILE = 0.5;
+    private static final double HEDGE_QUANTILE = 0.95;
+    private static final double STALL_QUANTILE = 0.99;
 
     private AttemptModule() {}
 
@@ -44,7 +44,7 @@
 
     @Provides
     @Singleton
-    static RetryBudgetTable repeatBudgets(ConfigurationTable configurations) {
+    static RetryBudgetTable retryBudgets(ConfigurationTable configurations) {
         return new RetryBudgetTable(service -> Optional.ofNullable(
                         configurations.current().services().get(service))
                 .map(Service::retryPercent)
@@ -59,14 +59,14 @@
 
     @Provides
     @Singleton
-    static RetryPolicies repeatPolicies(NodeSettings settings, RetryBudgetTable budgets, LatencyTable latencies) {
-        if (settings.repeatPolicy().equals(NO_REPEATS)) {
+    static RetryPolicies retryPolicies(NodeSettings settings, RetryBudgetTable retryBudgets, LatencyTable latencies) {
+        if (settings.retryPolicy().equals(NO_RETRIES)) {
             return RetryPolicies.none();
         }
-        HedgePolicy hedge = settings.repeatPolicy().equals(HEDGES)
-                ? HedgePolicy.afterQuantile(latencies.quantile(HEDGE_AFTER))
-                : HedgePolicy.whenStalled(latencies.quantile(STALLED_BEYOND));
-        return new RetryPolicies(RetryPolicy.whenSafe(latencies.quantile(TYPICAL)), hedge, budgets);
+        HedgePolicy hedge = settings.retryPolicy().equals(HEDGES)
+                ? HedgePolicy.afterQuantile(latencies.quantile(HEDGE_QUANTILE))
+                : HedgePolicy.whenStalled(latencies.quantile(STALL_QUANTILE));
+        return new RetryPolicies(RetryPolicy.whenSafe(latencies.quantile(RETRY_LATENCY_QUANTILE)), hedge, retryBudgets);
     }
 
     @Provides
@@ -95,26 +95,27 @@
 
     @Provides
     @Singleton
-    static CallMetrics callMetrics(MetricRegistry metrics, RetryBudgetTable budgets, LatencyTable latencies) {
-        return new CallMetrics(metrics, budgets, latencies);
+    static CallMetrics callMetrics(MetricRegistry metrics, RetryBudgetTable retryBudgets, LatencyTable latencies) {
+        return new CallMetrics(metrics, retryBudgets, latencies);
     }
 
     @Provides
     @IntoSet
-    static StateSection budgets(RetryBudgetTable table) {
+    static StateSection retryBudgetSection(RetryBudgetTable table) {
         return NamedSection.of(
                 "repeat_budgets",
-                () -> table.dump().stream().map(BudgetState::of).toList());
+                () -> table.dump().stream().map(RetryBudgetDump::of).toList());
     }
 
-    private record BudgetState(
+    /** Retry budget of one service. The state dump calls retries and hedges repeats. */
+    private record RetryBudgetDump(
             String service,
             long calls,
             long repeats,
-            @JsonProperty("refused_repeats") long refusedRepeats,
-            @JsonProperty("repeats_left") double repeatsLeft) {
-        static BudgetState of(RetryBudgetTable.BudgetState state) {
-            return new BudgetState(
+            @JsonProperty("refused_repeats") long rejectedExtraAttempts,
+            @JsonProperty("repeats_left") double availableExtraAttempts) {
+        static RetryBudgetDump of(RetryBudgetTable.BudgetState state) {
+            return new RetryBudgetDump(
                     state.service().value(), state.calls(), state.admitted(), state.rejected(), state.available());
         }
     }
--- a/node/src/main/java/org/turmericspan/node/CallMetrics.java
+++ b/node/src/main/java/org/turmericspan/node/CallMetrics.java
@@ -9,21 +9,24 @@
 import org.turmericspan.retry.LatencyTable;
 import org.turmericspan.retry.RetryBudgetTable;
 
-/** Counts calls into the metrics, the budgets of repeats and the recent latencies. */
+/**
+ * Records calls in the metrics, the retry budgets and the latency table. The meter {@code repeats} counts retries and
+ * hedges.
+ */
 final class CallMetrics implements AttemptMetrics {
     private final RetryBudgetTable budgets;
     private final LatencyTable latencies;
     private final Meter calls;
-    private final Meter repeats;
-    private final Timer answers;
+    private final Meter extraAttempts;
+    private final Timer responses;
     private final Timer slotWaits;
 
     CallMetrics(MetricRegistry metrics, RetryBudgetTable budgets, LatencyTable latencies) {
         this.budgets = budgets;
         this.latencies = latencies;
         this.calls = metrics.meter("calls");
-        this.repeats = metrics.meter("repeats");
-        this.answers = metrics.timer("upstream.answers");
+        this.extraAttempts = metrics.meter("repeats");
+        this.responses = metrics.timer("upstream.answers");
         this.slotWaits = metrics.timer("slot.waits");
     }
 
@@ -35,13 +38,13 @@
 
     @Override
     public void recordResponse(ServiceId service, Duration elapsed) {
-        answers.update(elapsed);
+        responses.update(elapsed);
         latencies.record(service, elapsed);
     }
 
     @Override
     public void recordExtraAttempt() {
-        repeats.mark();
+        extraAttempts.mark();
     }
 
     @Override
--- a/node/src/main/java/org/turmericspan/node/CallModule.java
+++ b/node/src/main/java/org/turmericspan/node/CallModule.java
@@ -8,7 +8,7 @@
 import org.turmericspan.front.TokenIssuer;
 import org.turmericspan.ids.MonotonicClock;
 
-/** Wires the path of a call: front end, attempts, slots, upstream client. */
+/** Wires the server that accepts calls. */
 @Module
 final class CallModule {
     private CallModule() {}
--- a/node/src/main/java/org/turmericspan/node/CommandLine.java
+++ b/node/src/main/java/org/turmericspan/node/CommandLine.java
@@ -11,11 +11,11 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 
 /**
- * The command line, parsed but not yet checked.
+ * The command line, parsed but not yet validated.
  *
- * @param flags text of each setting that was given
- * @param unknown arguments that belong to no setting
- * @param checkOnly whether only the settings are to be checked
+ * @param flags text of each setting given as a flag
+ * @param unknown arguments that match no setting
+ * @param checkOnly whether to validate the settings and exit
  */
 record CommandLine(Map<Setting, String> flags, List<String> unknown, boolean checkOnly) {
     private static final String CHECK = "check";
@@ -30,7 +30,7 @@
         Namespace parsed = parser().parseKnownArgs(arguments, unknown);
         Map<Setting, String> flags = new EnumMap<>(Setting.class);
         for (Setting setting : Setting.values()) {
-            String text = parsed.getString(setting.destination());
+            String text = parsed.getString(setting.parserKey());
             if (text != null) {
                 flags.put(setting, text);
             }
@@ -42,11 +42,11 @@
         ArgumentParser parser = ArgumentParsers.newFor("turmericspan")
                 .build()
                 .description("A load balancer for servers whose load shifts in milliseconds. "
-                        + "A flag goes before its environment variable.")
+                        + "A flag overrides its environment variable.")
                 .epilog("Exit codes: 0 stopped as planned or settings valid, 1 failed, 2 invalid settings.");
         for (Setting setting : Setting.values()) {
             parser.addArgument(setting.flag())
-                    .dest(setting.destination())
+                    .dest(setting.parserKey())
                     .metavar("VALUE")
                     .help(help(setting));
         }
--- a/node/src/main/java/org/turmericspan/node/ConfiguredCatalog.java
+++ b/node/src/main/java/org/turmericspan/node/ConfiguredCatalog.java
@@ -10,7 +10,7 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.membership.ConfigurationTable;
 
-/** Answers a call's questions from the configuration in force. */
+/** Service catalog that reads the active configuration. */
 @Singleton
 final class ConfiguredCatalog implements ServiceCatalog {
     private final ConfigurationTable configurations;
--- a/node/src/main/java/org/turmericspan/node/CoreModule.java
+++ b/node/src/main/java/org/turmericspan/node/CoreModule.java
@@ -14,7 +14,7 @@
 import org.turmericspan.publication.HttpPlatformReader;
 import org.turmericspan.tables.WorkerPool;
 
-/** Wires identity, time, workers and the tables of accepted knowledge. */
+/** Wires identity, clock, worker pool, platform reader and the tables of the accepted configuration and view. */
 @Module
 final class CoreModule {
     private CoreModule() {}
@@ -47,7 +47,7 @@
 
     @Provides
     @Singleton
-    static WorkerPool workers(NodeSettings settings) {
+    static WorkerPool workerPool(NodeSettings settings) {
         return new WorkerPool(settings.workerThreads());
     }
 
@@ -65,7 +65,7 @@
 
     @Provides
     @Singleton
-    static HttpPlatformReader platform(NodeSettings settings) {
+    static HttpPlatformReader platformReader(NodeSettings settings) {
         return new HttpPlatformReader(settings.platformAddress());
     }
 }
--- a/node/src/main/java/org/turmericspan/node/InFlightCalls.java
+++ b/node/src/main/java/org/turmericspan/node/InFlightCalls.java
@@ -8,11 +8,11 @@
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.CallResult;
 
-/** Counts the calls in flight, so that a planned stop can wait for the last of them. */
+/** Counts the calls in flight, so that a planned stop can wait until all of them have completed. */
 final class InFlightCalls implements CallHandler {
     private final CallHandler next;
     private final AtomicInteger inFlight = new AtomicInteger();
-    private volatile CompletableFuture<Void> idle;
+    private volatile CompletableFuture<Void> idleSignal;
 
     InFlightCalls(CallHandler next) {
         this.next = next;
@@ -24,10 +24,10 @@
     }
 
     /**
-     * Wraps another handler whose calls count as well.
+     * Wraps another handler, so that its calls are counted too.
      *
      * @param other a handler
-     * @return the handler, with its calls counted
+     * @return a handler that counts each call and passes it on
      */
     CallHandler counting(CallHandler other) {
         return request -> count(() -> other.handle(request));
@@ -38,33 +38,34 @@
     }
 
     /**
-     * Waits without blocking until no call is in flight.
+     * Returns a stage that completes when no call is in flight. Only the latest stage returned is completed by later
+     * calls, so one waiter at a time is supported.
      *
-     * @return complete as soon as the count is zero
+     * @return stage that completes as soon as the count is zero
      */
     CompletionStage<Void> whenIdle() {
-        CompletableFuture<Void> waiting = new CompletableFuture<>();
-        idle = waiting;
+        CompletableFuture<Void> signal = new CompletableFuture<>();
+        idleSignal = signal;
         if (inFlight.get() == 0) {
-            waiting.complete(null);
+            signal.complete(null);
         }
-        return waiting;
+        return signal;
     }
 
     private CompletionStage<CallResult> count(Supplier<CompletionStage<CallResult>> call) {
         inFlight.incrementAndGet();
         try {
-            return call.get().whenComplete((result, failure) -> end());
+            return call.get().whenComplete((result, failure) -> recordEnd());
         } catch (RuntimeException e) {
-            end();
+            recordEnd();
             throw e;
         }
     }
 
-    private void end() {
-        CompletableFuture<Void> waiting = inFlight.decrementAndGet() == 0 ? idle : null;
-        if (waiting != null) {
-            waiting.complete(null);
+    private void recordEnd() {
+        CompletableFuture<Void> signal = inFlight.decrementAndGet() == 0 ? idleSignal : null;
+        if (signal != null) {
+            signal.complete(null);
         }
     }
 }
--- a/node/src/main/java/org/turmericspan/node/InvalidSettingsException.java
+++ b/node/src/main/java/org/turmericspan/node/InvalidSettingsException.java
@@ -4,19 +4,19 @@
 import java.util.stream.Collectors;
 import org.turmericspan.errors.ResultCode;
 
-/** Says that the settings are not accepted, with every fault found. */
+/** Thrown when settings are invalid; lists every error found. */
 final class InvalidSettingsException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    private final transient List<SettingFault> faults;
+    private final transient List<SettingError> errors;
 
-    InvalidSettingsException(List<SettingFault> faults) {
-        super(faults.stream().map(SettingFault::toString).collect(Collectors.joining("; ")));
-        this.faults = List.copyOf(faults);
+    InvalidSettingsException(List<SettingError> errors) {
+        super(errors.stream().map(SettingError::toString).collect(Collectors.joining("; ")));
+        this.errors = List.copyOf(errors);
     }
 
-    List<SettingFault> faults() {
-        return faults;
+    List<SettingError> errors() {
+        return errors;
     }
 
     ResultCode code() {
--- a/node/src/main/java/org/turmericspan/node/JvmGauges.java
+++ b/node/src/main/java/org/turmericspan/node/JvmGauges.java
@@ -7,7 +7,7 @@
 import java.lang.management.MemoryMXBean;
 import java.util.concurrent.TimeUnit;
 
-/** Registers what the process costs: memory, garbage collection, processor time and threads. */
+/** Registers gauges of the process: memory, garbage collection, CPU time and threads. */
 final class JvmGauges {
     private JvmGauges() {}
 
@@ -25,9 +25,10 @@
                 () -> memory.getNonHeapMemoryUsage().getUsed());
         gauge(metrics, "jvm.threads", ManagementFactory.getThreadMXBean()::getThreadCount);
         gauge(metrics, "jvm.gc_seconds", JvmGauges::collectionSeconds);
-        gauge(metrics, "jvm.gc_count", JvmGauges::collections);
-        if (ManagementFactory.getOperatingSystemMXBean() instanceof com.sun.management.OperatingSystemMXBean system) {
-            gauge(metrics, "process.cpu_seconds", () -> seconds(system.getProcessCpuTime()));
+        gauge(metrics, "jvm.gc_count", JvmGauges::collectionCount);
+        if (ManagementFactory.getOperatingSystemMXBean()
+                instanceof com.sun.management.OperatingSystemMXBean operatingSystem) {
+            gauge(metrics, "process.cpu_seconds", () -> seconds(operatingSystem.getProcessCpuTime()));
         }
     }
 
@@ -39,7 +40,7 @@
         return seconds(TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
-    private static long collections() {
+    private static long collectionCount() {
         long count = 0;
         for (GarbageCollectorMXBean collector : ManagementFactory.getGarbageCollectorMXBeans()) {
             count += Math.max(0, collector.getCollectionCount());
--- a/node/src/main/java/org/turmericspan/node/StoppingLocator.java
+++ b/node/src/main/java/org/turmericspan/node/LeavingNodeFilter.java
@@ -8,12 +8,12 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.VmId;
 
-/** Leaves out of locate answers the nodes that are about to stop, before the platform's list does. */
-final class StoppingLocator implements Locator {
+/** Removes leaving nodes from locate responses, before the platform's list of VMs marks them as leaving. */
+final class LeavingNodeFilter implements Locator {
     private final Locator next;
     private final Predicate<VmId> isLeaving;
 
-    StoppingLocator(Locator next, Predicate<VmId> isLeaving) {
+    LeavingNodeFilter(Locator next, Predicate<VmId> isLeaving) {
         this.next = next;
         this.isLeaving = isLeaving;
     }
@@ -24,9 +24,9 @@
     }
 
     private LocateResult withoutLeaving(LocateResult locateResult) {
-        List<LocateResult.Endpoint> staying = locateResult.addresses().stream()
+        List<LocateResult.Endpoint> remaining = locateResult.addresses().stream()
                 .filter(endpoint -> !isLeaving.test(endpoint.vm()))
                 .toList();
-        return new LocateResult(staying, locateResult.timeToLive());
+        return new LocateResult(remaining, locateResult.timeToLive());
     }
 }
--- a/node/src/main/java/org/turmericspan/node/LogSettings.java
+++ b/node/src/main/java/org/turmericspan/node/LogSettings.java
@@ -1,6 +1,9 @@
 package org.turmericspan.node;
 
-/** Hands the logging settings to the logging library, before its first use. */
+/**
+ * Passes the logging settings to Logback as system properties. It must run before the first logger is created, since
+ * Logback reads its configuration only then.
+ */
 final class LogSettings {
     private static final String FORMAT_PROPERTY = "turmericspan.log.format";
     private static final String LEVEL_PROPERTY = "turmericspan.log.level";
--- a/node/src/main/java/org/turmericspan/node/Main.java
+++ b/node/src/main/java/org/turmericspan/node/Main.java
@@ -13,9 +13,9 @@
     private Main() {}
 
     /**
-     * Runs a node until it is told to stop.
+     * Runs a node until the process receives a stop signal.
      *
-     * @param arguments the command line
+     * @param arguments command line arguments
      * @throws InterruptedException when the main thread is interrupted
      */
     public static void main(String[] arguments) throws InterruptedException {
@@ -34,7 +34,7 @@
             e.getParser().handleError(e);
             System.exit(EXIT_USAGE);
         } catch (InvalidSettingsException e) {
-            e.faults().forEach(System.err::println);
+            e.errors().forEach(System.err::println);
             System.exit(EXIT_USAGE);
         } catch (RuntimeException e) {
             System.err.println("node: cannot run: " + e.getMessage());
@@ -49,7 +49,7 @@
         new CountDownLatch(1).await();
     }
 
-    /** Ends the process with code 0, where a plain return would leave the code of the signal. */
+    /** Ends the process with exit code 0; without the halt the exit code would be that of the signal. */
     private static void stop(Node node) {
         node.close();
         Runtime.getRuntime().halt(0);
--- a/node/src/main/java/org/turmericspan/node/MembershipModule.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipModule.java
@@ -30,7 +30,7 @@
 import org.turmericspan.publication.VmListParser;
 import org.turmericspan.tables.WorkerPool;
 
-/** Wires the exchange of heartbeats and documents between nodes. */
+/** Wires the exchange of heartbeats and documents between nodes, and their sections of the state dump. */
 @Module
 final class MembershipModule {
     private MembershipModule() {}
@@ -49,7 +49,7 @@
 
     @Provides
     @Singleton
-    static HeartbeatFactory heartbeatSource(
+    static HeartbeatFactory heartbeatFactory(
             NodeIdentity identity,
             ConfigurationTable configurations,
             ViewTable views,
@@ -61,22 +61,22 @@
 
     @Provides
     @Singleton
-    static ConfigurationReceiver configurationIntake(
+    static ConfigurationReceiver configurationReceiver(
             ConfigurationTable table, MonotonicClock clock, MetricRegistry metrics) {
-        Counter refused = metrics.counter("configuration.refused");
-        return new ConfigurationReceiver(table, clock, rejected -> refused.inc());
+        Counter rejectedCounter = metrics.counter("configuration.refused");
+        return new ConfigurationReceiver(table, clock, rejected -> rejectedCounter.inc());
     }
 
     @Provides
     @Singleton
-    static ViewReceiver viewIntake(ViewTable views) {
+    static ViewReceiver viewReceiver(ViewTable views) {
         VmListParser parser = new VmListParser();
         return new ViewReceiver((revision, text) -> parser.parse(new PlatformValue(revision, text)), views);
     }
 
     @Provides
     @Singleton
-    static Membership.Documents accepted(
+    static Membership.Documents documents(
             ConfigurationTable configurations,
             ConfigurationReceiver receiver,
             ViewTable views,
@@ -103,17 +103,17 @@
         return NamedSection.of(
                 "peers",
                 () -> peers.all().stream()
-                        .map(peer -> PeerLine.of(peer, clock.nowNanos()))
+                        .map(peer -> PeerDump.of(peer, clock.nowNanos()))
                         .toList());
     }
 
     @Provides
     @IntoSet
-    static StateSection refusals(ConfigurationReceiver receiver, MonotonicClock clock) {
+    static StateSection rejectedConfigurations(ConfigurationReceiver receiver, MonotonicClock clock) {
         return NamedSection.of(
                 "refused_configurations",
                 () -> receiver.rejected().stream()
-                        .map(rejected -> RefusalLine.of(rejected, clock.nowNanos()))
+                        .map(rejected -> RejectedConfigurationDump.of(rejected, clock.nowNanos()))
                         .toList());
     }
 
@@ -122,22 +122,22 @@
     static StateSection platform(MembershipRunner runner) {
         return NamedSection.of(
                 "platform",
-                () -> runner.platformStatus().stream().map(PlatformLine::of).toList());
+                () -> runner.platformStatus().stream().map(PlatformDump::of).toList());
     }
 
-    private static long millisSince(long thenNanos, long nowNanos) {
-        return Duration.ofNanos(nowNanos - thenNanos).toMillis();
+    private static long millisSince(long sinceNanos, long nowNanos) {
+        return Duration.ofNanos(nowNanos - sinceNanos).toMillis();
     }
 
-    private record PeerLine(
+    private record PeerDump(
             String vm,
             String incarnation,
             long configuration,
             @JsonProperty("view_revision") long viewRevision,
             boolean leaving,
-            @JsonProperty("heard_age_ms") long heardAgeMillis) {
-        static PeerLine of(PeerState peer, long nowNanos) {
-            return new PeerLine(
+            @JsonProperty("heard_age_ms") long lastHeardAgeMillis) {
+        static PeerDump of(PeerState peer, long nowNanos) {
+            return new PeerDump(
                     peer.vm().value(),
                     peer.incarnation().toString(),
                     peer.configuration().number(),
@@ -147,13 +147,13 @@
         }
     }
 
-    private record RefusalLine(
+    private record RejectedConfigurationDump(
             String digest,
             String source,
             String message,
             @JsonProperty("age_ms") long ageMillis) {
-        static RefusalLine of(RejectedConfiguration rejected, long nowNanos) {
-            return new RefusalLine(
+        static RejectedConfigurationDump of(RejectedConfiguration rejected, long nowNanos) {
+            return new RejectedConfigurationDump(
                     rejected.digest(),
                     rejected.source(),
                     rejected.message(),
@@ -161,13 +161,13 @@
         }
     }
 
-    private record PlatformLine(
+    private record PlatformDump(
             String key,
             boolean failing,
             boolean regressed,
             @JsonProperty("confirmed_age_ms") long confirmedAgeMillis) {
-        static PlatformLine of(PlatformFeed.Status status) {
-            return new PlatformLine(status.key(), status.failing(), status.regressed(), status.confirmedAgeMillis());
+        static PlatformDump of(PlatformFeed.Status status) {
+            return new PlatformDump(status.key(), status.failing(), status.regressed(), status.confirmedAgeMillis());
         }
     }
 }
--- a/node/src/main/java/org/turmericspan/node/MembershipRunner.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipRunner.java
@@ -24,12 +24,15 @@
 import org.turmericspan.publication.ReadBudget;
 import org.turmericspan.tables.WorkerPool;
 
-/** Keeps the configuration and the view up to date while the node runs: from the platform and from the other nodes. */
+/**
+ * Keeps the configuration and the view current while the node runs, by watching the platform and by exchanging
+ * heartbeats with the other nodes.
+ */
 @Singleton
 final class MembershipRunner implements AutoCloseable {
     private static final String CONFIGURATION_KEY = "configuration";
     private static final String VMS_KEY = "vms";
-    private static final Duration OTHER_REGION_STEP = Duration.ofSeconds(1);
+    private static final Duration OTHER_REGION_INTERVAL = Duration.ofSeconds(1);
 
     private final Membership membership;
     private final Membership.Documents documents;
@@ -37,7 +40,7 @@
     private final NodeLifecycle nodeLifecycle;
     private final PeerHandlers handlers;
     private final HeartbeatExchange heartbeatExchange;
-    private final HeartbeatExchange otherRegions;
+    private final HeartbeatExchange otherRegionsExchange;
     private final PlatformFeed configurationFeed;
     private final PlatformFeed viewFeed;
 
@@ -46,7 +49,7 @@
             NodeIdentity identity,
             Membership membership,
             Membership.Documents documents,
-            HeartbeatFactory source,
+            HeartbeatFactory heartbeatFactory,
             PeerTable peers,
             NodeLifecycle nodeLifecycle,
             PeerHandlers handlers,
@@ -62,7 +65,7 @@
         this.handlers = handlers;
         this.heartbeatExchange = new HeartbeatExchange(
                 new HeartbeatExchange.Plan(
-                        source,
+                        heartbeatFactory,
                         () -> PeerSelection.sameRegion(
                                 documents.views().current(),
                                 documents.configurations().current(),
@@ -73,24 +76,24 @@
                 workerPool,
                 random,
                 clock);
-        this.otherRegions = new HeartbeatExchange(
+        this.otherRegionsExchange = new HeartbeatExchange(
                 new HeartbeatExchange.Plan(
-                        () -> source.get().withoutIdleSlots(),
+                        () -> heartbeatFactory.get().withoutIdleSlots(),
                         () -> PeerSelection.otherRegions(
                                 documents.views().current(),
                                 documents.configurations().current(),
                                 identity),
-                        (count, heartbeat) -> OTHER_REGION_STEP),
+                        (count, heartbeat) -> OTHER_REGION_INTERVAL),
                 peers,
                 links,
                 workerPool,
                 random,
                 clock);
-        ReadBudget budget = new ReadBudget(clock);
+        ReadBudget readBudget = new ReadBudget(clock);
         this.configurationFeed = new PlatformFeed(
-                CONFIGURATION_KEY, platform, configurationSink(documents), budget, workerPool, random, clock);
+                CONFIGURATION_KEY, platform, configurationSink(documents), readBudget, workerPool, random, clock);
         this.viewFeed =
-                new PlatformFeed(VMS_KEY, platform, viewSink(documents, clock), budget, workerPool, random, clock);
+                new PlatformFeed(VMS_KEY, platform, viewSink(documents, clock), readBudget, workerPool, random, clock);
     }
 
     void start() {
@@ -105,7 +108,7 @@
         documents.configurations().addListener(configuration -> heartbeatExchange.exchangeWithSample());
         nodeLifecycle.addListener(phase -> heartbeatExchange.exchangeWithSample());
         heartbeatExchange.start(membership::reconcile);
-        otherRegions.start(membership::reconcile);
+        otherRegionsExchange.start(membership::reconcile);
         configurationFeed.start();
         viewFeed.start();
     }
@@ -115,10 +118,10 @@
         configurationFeed.close();
         viewFeed.close();
         heartbeatExchange.close();
-        otherRegions.close();
+        otherRegionsExchange.close();
     }
 
-    /** Returns the state of the watches of the platform. */
+    /** Returns the status of each watch of the platform. */
     List<PlatformFeed.Status> platformStatus() {
         return List.of(configurationFeed.status(), viewFeed.status());
     }
@@ -126,27 +129,27 @@
     private static PlatformSink configurationSink(Membership.Documents documents) {
         return new PlatformSink() {
             @Override
-            public void value(PlatformValue value, long askedNanos) {
+            public void value(PlatformValue value, long requestedNanos) {
                 documents.configurationReceiver().offer(value.text(), "the platform");
             }
 
             @Override
-            public void confirmed(long revision, long atNanos) {}
+            public void confirmed(long revision, long confirmedNanos) {}
         };
     }
 
     private static PlatformSink viewSink(Membership.Documents documents, MonotonicClock clock) {
         return new PlatformSink() {
             @Override
-            public void value(PlatformValue value, long askedNanos) {
-                Duration age = Duration.ofNanos(clock.nowNanos() - askedNanos);
+            public void value(PlatformValue value, long requestedNanos) {
+                Duration age = Duration.ofNanos(clock.nowNanos() - requestedNanos);
                 documents.viewReceiver().offer(value.revision(), value.text(), age);
             }
 
             @Override
-            public void confirmed(long revision, long atNanos) {
+            public void confirmed(long revision, long confirmedNanos) {
                 if (revision >= documents.views().current().revision()) {
-                    documents.views().confirm(atNanos);
+                    documents.views().confirm(confirmedNanos);
                 }
             }
         };
--- a/node/src/main/java/org/turmericspan/node/NamedSection.java
+++ b/node/src/main/java/org/turmericspan/node/NamedSection.java
@@ -6,8 +6,8 @@
 /**
  * A state section built from a supplier.
  *
- * @param name field name of the section
- * @param source reads the state
+ * @param name field name of the section in the state dump
+ * @param source returns the current state, to be encoded as JSON
  */
 record NamedSection(String name, Supplier<Object> source) implements StateSection {
     static StateSection of(String name, Supplier<Object> source) {
--- a/node/src/main/java/org/turmericspan/node/Node.java
+++ b/node/src/main/java/org/turmericspan/node/Node.java
@@ -13,7 +13,7 @@
 import org.turmericspan.upstream.HttpUpstreamProbe;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
-/** One running node: starts its parts in order and stops them in reverse. */
+/** A running node: starts its components in order and closes them after a planned stop. */
 @Singleton
 final class Node implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -28,7 +28,7 @@
     private final MembershipRunner membership;
     private final Prober prober;
     private final HttpUpstreamProbe probe;
-    private final SlotUpkeep slotUpkeep;
+    private final SlotMaintenance slotMaintenance;
     private final PlannedStop plannedStop;
     private final NodeLifecycle nodeLifecycle;
 
@@ -44,7 +44,7 @@
             MembershipRunner membership,
             Prober prober,
             HttpUpstreamProbe probe,
-            SlotUpkeep slotUpkeep,
+            SlotMaintenance slotMaintenance,
             PlannedStop plannedStop,
             NodeLifecycle nodeLifecycle) {
         this.settings = settings;
@@ -57,13 +57,13 @@
         this.membership = membership;
         this.prober = prober;
         this.probe = probe;
-        this.slotUpkeep = slotUpkeep;
+        this.slotMaintenance = slotMaintenance;
         this.plannedStop = plannedStop;
         this.nodeLifecycle = nodeLifecycle;
     }
 
     void start() {
-        slotUpkeep.start();
+        slotMaintenance.start();
         links.start();
         membership.start();
         prober.start(workerPool);
@@ -73,21 +73,21 @@
         logger.atInfo().log("node: %s serves callers on %s", settings.vm(), settings.callerAddress());
     }
 
-    /** Stops the node as planned: it cuts off no request in flight unless the limit of the stop passes. */
+    /** Performs a planned stop: requests in flight complete unless the limit of the stop expires first. */
     @Override
     public void close() {
-        logger.atInfo().log("node: %s stops", settings.vm());
+        logger.atInfo().log("node: %s is stopping", settings.vm());
         plannedStop.run().join();
         callers.close();
         membership.close();
         prober.close();
         probe.close();
         operators.close();
-        slotUpkeep.close();
+        slotMaintenance.close();
         links.close();
         platform.close();
         upstreams.close();
         workerPool.close();
-        logger.atInfo().log("node: %s has stopped", settings.vm());
+        logger.atInfo().log("node: %s stopped", settings.vm());
     }
 }
--- a/node/src/main/java/org/turmericspan/node/NodeComponent.java
+++ b/node/src/main/java/org/turmericspan/node/NodeComponent.java
@@ -33,7 +33,7 @@
         /**
          * Sets the settings.
          *
-         * @param settings checked settings
+         * @param settings validated settings
          * @return this builder
          */
         @BindsInstance
--- a/node/src/main/java/org/turmericspan/node/NodeSettings.java
+++ b/node/src/main/java/org/turmericspan/node/NodeSettings.java
@@ -10,21 +10,21 @@
  * Settings of a node.
  *
  * @param vm name of the VM the node runs on
- * @param availabilityZone where the VM runs
- * @param callerAddress where the node listens for callers
- * @param operatorAddress where the node listens for operators
- * @param peerAddress where the node listens for other nodes
- * @param platformAddress where the platform listens
- * @param deploymentKey shared key that tells this deployment's nodes from others
+ * @param availabilityZone availability zone of the VM
+ * @param callerAddress address on which the node accepts connections of callers
+ * @param operatorAddress address on which the node accepts connections of operators
+ * @param peerAddress address on which the node accepts connections of other nodes
+ * @param platformAddress address of the platform service
+ * @param deploymentKey key with which the nodes of a deployment authenticate one another
  * @param workerThreads threads of the worker pool
- * @param slotPolicy keepers or baseline
- * @param viewLagBound longest time by which the list of VMs may lag
- * @param locateTimeToLive how long callers may keep a locate answer
- * @param stopLimit longest planned stop
- * @param runTableLimits bounds of the table of runs
- * @param repeatPolicy which repeats of calls are made
- * @param suspectPolicy what happens to requests that crash upstreams
- * @param logFormat plain or json
+ * @param slotPolicy {@code keepers}, which grants slots through the owners of upstreams, or {@code baseline}
+ * @param viewLagBound maximum lag of the list of VMs
+ * @param locateTimeToLive how long callers may cache a locate response
+ * @param stopLimit maximum duration of a planned stop
+ * @param runTableLimits limits of the run table
+ * @param retryPolicy which extra attempts are made; the setting is {@code repeat-policy}
+ * @param suspectPolicy whether requests that crash upstreams are quarantined
+ * @param logFormat {@code plain} or {@code json}
  * @param logLevel least severe level that is logged
  */
 public record NodeSettings(
@@ -41,11 +41,11 @@
         Duration locateTimeToLive,
         Duration stopLimit,
         RunTableLimits runTableLimits,
-        String repeatPolicy,
+        String retryPolicy,
         String suspectPolicy,
         String logFormat,
         String logLevel) {
-    private static final int LIVE_EPOCHS = 10;
+    private static final int VALID_EPOCHS = 10;
     private static final int MEGABYTE_SHIFT = 20;
 
     static NodeSettings of(SettingValues values) {
@@ -62,22 +62,22 @@
                 Duration.ofMillis(values.get(Setting.VIEW_LAG_BOUND, Integer.class)),
                 Duration.ofSeconds(values.get(Setting.LOCATE_TIME_TO_LIVE, Integer.class)),
                 Duration.ofSeconds(values.get(Setting.STOP_LIMIT, Integer.class)),
-                runLimits(values),
-                values.get(Setting.REPEAT_POLICY, String.class),
+                runTableLimits(values),
+                values.get(Setting.RETRY_POLICY, String.class),
                 values.get(Setting.SUSPECT_POLICY, String.class),
                 values.get(Setting.LOG_FORMAT, String.class),
                 values.get(Setting.LOG_LEVEL, String.class));
     }
 
-    private static RunTableLimits runLimits(SettingValues values) {
+    private static RunTableLimits runTableLimits(SettingValues values) {
         return new RunTableLimits(
                 Duration.ofSeconds(values.get(Setting.RUN_EPOCH, Integer.class)),
-                LIVE_EPOCHS,
+                VALID_EPOCHS,
                 values.get(Setting.RUN_TABLE_ENTRIES, Integer.class),
                 (long) values.get(Setting.RUN_TABLE_SIZE, Integer.class) << MEGABYTE_SHIFT);
     }
 
-    /** Leaves the deployment key out. */
+    /** Omits the deployment key, which is secret. */
     @Override
     public String toString() {
         return "NodeSettings of " + vm + " in " + availabilityZone;
--- a/node/src/main/java/org/turmericspan/node/PeerModule.java
+++ b/node/src/main/java/org/turmericspan/node/PeerModule.java
@@ -20,7 +20,7 @@
 import org.turmericspan.peer.PeerTraffic;
 import org.turmericspan.tables.WorkerPool;
 
-/** Wires the links between nodes. */
+/** Wires the links between nodes and their traffic metrics. */
 @Module
 final class PeerModule {
     private PeerModule() {}
--- a/node/src/main/java/org/turmericspan/node/PeerSuspects.java
+++ b/node/src/main/java/org/turmericspan/node/PeerSuspects.java
@@ -20,11 +20,12 @@
 import org.turmericspan.retry.TrialPermit;
 
 /**
- * Shares suspicions over the links between nodes. The right to run a suspect is kept by the first entry VM of the
- * accepted view by name, so every node asks the same one.
+ * Shares suspicions over the links between nodes and requests trial permits. The owner of the trial permit is the
+ * entry VM whose name sorts first among those of the accepted view that are not leaving, so nodes with the same view
+ * ask the same owner.
  */
 final class PeerSuspects implements SuspectCoordinator, PeerHandler {
-    private static final Duration ASK_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration PERMIT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration SHARE_TIMEOUT = Duration.ofSeconds(1);
     private static final PeerMessage DONE = new PeerMessage.Done();
 
@@ -45,38 +46,39 @@
     @Override
     public CompletionStage<Void> share(Suspicion suspicion) {
         PeerMessage message = new PeerMessage.ShareSuspects(List.of(encode(suspicion)));
-        CompletableFuture<?>[] answers = view.get().entryVms().stream()
+        CompletableFuture<?>[] replies = view.get().entryVms().stream()
                 .map(Vm::id)
                 .filter(vm -> !vm.equals(self))
-                .map(vm -> tellSurely(vm, message).toCompletableFuture())
+                .map(vm -> shareWithRetry(vm, message).toCompletableFuture())
                 .toArray(CompletableFuture<?>[]::new);
-        return CompletableFuture.allOf(answers);
+        return CompletableFuture.allOf(replies);
     }
 
-    private CompletionStage<PeerMessage> tellSurely(VmId vm, PeerMessage message) {
+    private CompletionStage<PeerMessage> shareWithRetry(VmId vm, PeerMessage message) {
         return links.ask(vm, message, SHARE_TIMEOUT)
-                .thenCompose(answer -> answer instanceof PeerMessage.Unreachable
+                .thenCompose(reply -> reply instanceof PeerMessage.Unreachable
                         ? links.ask(vm, message, SHARE_TIMEOUT)
-                        : CompletableFuture.completedFuture(answer));
+                        : CompletableFuture.completedFuture(reply));
     }
 
     @Override
-    public CompletionStage<TrialAnswer> requestTrial(Fingerprint fingerprint, Duration longest) {
-        VmId keeper = keeper();
-        if (keeper.equals(self)) {
-            return CompletableFuture.completedFuture(answer(permit.tryAcquire(fingerprint, longest.toNanos())));
+    public CompletionStage<TrialAnswer> requestTrial(Fingerprint fingerprint, Duration maxDuration) {
+        VmId permitOwner = permitOwner();
+        if (permitOwner.equals(self)) {
+            return CompletableFuture.completedFuture(
+                    toTrialAnswer(permit.tryAcquire(fingerprint, maxDuration.toNanos())));
         }
-        return links.ask(keeper, new PeerMessage.BeginTrial(fingerprint.value(), longest), ASK_TIMEOUT)
-                .thenApply(PeerSuspects::answer);
+        return links.ask(permitOwner, new PeerMessage.BeginTrial(fingerprint.value(), maxDuration), PERMIT_TIMEOUT)
+                .thenApply(PeerSuspects::toTrialAnswer);
     }
 
     @Override
     public void endTrial(Fingerprint fingerprint) {
-        VmId keeper = keeper();
-        if (keeper.equals(self)) {
+        VmId permitOwner = permitOwner();
+        if (permitOwner.equals(self)) {
             permit.release(fingerprint);
         } else {
-            links.tell(keeper, new PeerMessage.EndTrial(fingerprint.value()));
+            links.tell(permitOwner, new PeerMessage.EndTrial(fingerprint.value()));
         }
     }
 
@@ -94,7 +96,7 @@
         return CompletableFuture.completedFuture(DONE);
     }
 
-    private VmId keeper() {
+    private VmId permitOwner() {
         return view.get().entryVms().stream()
                 .filter(vm -> !vm.leaving())
                 .map(Vm::id)
@@ -102,13 +104,13 @@
                 .orElse(self);
     }
 
-    private static TrialAnswer answer(boolean granted) {
+    private static TrialAnswer toTrialAnswer(boolean granted) {
         return granted ? TrialAnswer.GRANTED : TrialAnswer.BUSY;
     }
 
-    private static TrialAnswer answer(PeerMessage message) {
+    private static TrialAnswer toTrialAnswer(PeerMessage message) {
         return message instanceof PeerMessage.TrialDecision decision
-                ? answer(decision.granted())
+                ? toTrialAnswer(decision.granted())
                 : TrialAnswer.UNREACHABLE;
     }
 
--- a/node/src/main/java/org/turmericspan/node/PlannedStop.java
+++ b/node/src/main/java/org/turmericspan/node/PlannedStop.java
@@ -9,8 +9,8 @@
 import org.turmericspan.runs.TaskScheduler;
 
 /**
- * Order of a planned stop: leave the locate answers, serve until those already given have expired, finish the calls in
- * flight, do what the others need, and end. A limit bounds the whole.
+ * Runs a planned stop, that is a graceful shutdown. The node leaves the locate responses, serves until those already
+ * returned have expired, waits for the calls in flight, and runs the stop steps. A limit bounds the total duration.
  */
 final class PlannedStop {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -19,7 +19,7 @@
     private final InFlightCalls calls;
     private final Set<StopStep> steps;
     private final TaskScheduler taskScheduler;
-    private final Duration serveLocated;
+    private final Duration leavingDuration;
     private final Duration limit;
 
     PlannedStop(
@@ -27,49 +27,50 @@
             InFlightCalls calls,
             Set<StopStep> steps,
             TaskScheduler taskScheduler,
-            Duration serveLocated,
+            Duration leavingDuration,
             Duration limit) {
         this.lifecycle = lifecycle;
         this.calls = calls;
         this.steps = Set.copyOf(steps);
         this.taskScheduler = taskScheduler;
-        this.serveLocated = serveLocated;
+        this.leavingDuration = leavingDuration;
         this.limit = limit;
     }
 
     /**
-     * Begins the stop.
+     * Starts the stop.
      *
-     * @return complete when the node may exit; never exceptionally
+     * @return completes when the node may exit; never completes exceptionally
      */
     CompletableFuture<Void> run() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         lifecycle.enter(NodeLifecycle.Phase.LEAVING);
-        taskScheduler.schedule(serveLocated, () -> finishCalls(stopped));
-        taskScheduler.schedule(limit, () -> giveUp(stopped));
+        taskScheduler.schedule(leavingDuration, () -> finishCalls(stopped));
+        taskScheduler.schedule(limit, () -> stopAtLimit(stopped));
         return stopped;
     }
 
     private void finishCalls(CompletableFuture<Void> stopped) {
         lifecycle.enter(NodeLifecycle.Phase.FINISHING);
-        logger.atInfo().log("node: finishes %s calls in flight", calls.inFlight());
-        calls.whenIdle().thenCompose(idle -> takeSteps()).whenComplete((done, failure) -> {
+        logger.atInfo().log("node: waiting for %s calls in flight", calls.inFlight());
+        calls.whenIdle().thenCompose(idle -> runSteps()).whenComplete((ignored, failure) -> {
             if (failure != null) {
-                logger.atWarning().withCause(failure).log("node: a step of the stop failed");
+                logger.atWarning().withCause(failure).log("node: a stop step failed; the stop continues");
             }
             stopped.complete(null);
         });
     }
 
-    private CompletionStage<Void> takeSteps() {
+    private CompletionStage<Void> runSteps() {
         return CompletableFuture.allOf(
                 steps.stream().map(step -> step.begin().toCompletableFuture()).toArray(CompletableFuture[]::new));
     }
 
-    private void giveUp(CompletableFuture<Void> stopped) {
-        int cut = calls.inFlight();
+    private void stopAtLimit(CompletableFuture<Void> stopped) {
+        int unfinished = calls.inFlight();
         if (stopped.complete(null)) {
-            logger.atWarning().log("node: the stop took longer than %s and cuts off %s calls", limit, cut);
+            logger.atWarning().log(
+                    "node: the stop exceeded its limit of %s; %s calls in flight are aborted", limit, unfinished);
         }
     }
 }
--- a/node/src/main/java/org/turmericspan/node/ProbeModule.java
+++ b/node/src/main/java/org/turmericspan/node/ProbeModule.java
@@ -31,7 +31,7 @@
 import org.turmericspan.routing.UpstreamState;
 import org.turmericspan.upstream.HttpUpstreamProbe;
 
-/** Wires the probes of kept upstreams. */
+/** Wires the probes of the upstreams that this node owns. */
 @Module
 final class ProbeModule {
     private ProbeModule() {}
@@ -67,35 +67,35 @@
         Supplier<List<ProbeTarget>> targets = () -> ProbeAllocation.allocate(
                 configurations.current(),
                 slots.upstreamStates().stream().map(UpstreamState::upstream).toList());
-        Consumer<ProbeResult> counting = counting(metrics);
-        return new Prober(schedule, targets, probe, counting.andThen(results), clock);
+        Consumer<ProbeResult> countingConsumer = countingConsumer(metrics);
+        return new Prober(schedule, targets, probe, countingConsumer.andThen(results), clock);
     }
 
     @Provides
     @IntoSet
     static StateSection probing(ProbeSchedule schedule, ConfigurationTable configurations) {
-        return NamedSection.of("probing", () -> serviceLines(schedule, configurations.current()));
+        return NamedSection.of("probing", () -> probingDump(schedule, configurations.current()));
     }
 
-    private static List<ServiceLine> serviceLines(ProbeSchedule schedule, Configuration configuration) {
+    private static List<ServiceProbingDump> probingDump(ProbeSchedule schedule, Configuration configuration) {
         Map<ServiceId, List<ProbeTarget>> byService =
                 schedule.targets().stream().collect(Collectors.groupingBy(ProbeTarget::service));
         return configuration.services().values().stream()
                 .filter(service -> byService.containsKey(service.id()))
-                .map(service -> ServiceLine.of(service, byService.get(service.id())))
+                .map(service -> ServiceProbingDump.of(service, byService.get(service.id())))
                 .toList();
     }
 
-    /** Counts what probes cost, so that the sum over all nodes can be held against the budget. */
-    private static Consumer<ProbeResult> counting(MetricRegistry metrics) {
+    /** Counts probes and their cost, so that the sum over all nodes can be compared with the probe budget. */
+    private static Consumer<ProbeResult> countingConsumer(MetricRegistry metrics) {
         Meter probes = metrics.meter("probe.calls");
-        Meter unanswered = metrics.meter("probe.unanswered");
+        Meter failedProbes = metrics.meter("probe.unanswered");
         Meter bytes = metrics.meter("probe.bytes");
         Meter upstreamMicros = metrics.meter("probe.upstream_us");
         return result -> {
             probes.mark();
             if (result.report().isEmpty()) {
-                unanswered.mark();
+                failedProbes.mark();
             }
             result.report().ifPresent(report -> {
                 bytes.mark(report.bytes());
@@ -105,17 +105,18 @@
         };
     }
 
-    private record ServiceLine(
+    private record ServiceProbingDump(
             String service,
             int upstreams,
-            @JsonProperty("most_per_second") double mostPerSecond,
+            @JsonProperty("most_per_second") double maxProbesPerSecond,
             @JsonProperty("service_budget_per_second") int serviceBudgetPerSecond) {
-        static ServiceLine of(Service service, List<ProbeTarget> targets) {
+        static ServiceProbingDump of(Service service, List<ProbeTarget> targets) {
             double nanosPerSecond = Duration.ofSeconds(1).toNanos();
-            double most = targets.stream()
+            double maxPerSecond = targets.stream()
                     .mapToDouble(target -> nanosPerSecond / target.period().toNanos())
                     .sum();
-            return new ServiceLine(service.id().value(), targets.size(), most, service.probesPerSecond());
+            return new ServiceProbingDump(
+                    service.id().value(), targets.size(), maxPerSecond, service.probesPerSecond());
         }
     }
 }
--- a/node/src/main/java/org/turmericspan/node/RunModule.java
+++ b/node/src/main/java/org/turmericspan/node/RunModule.java
@@ -36,10 +36,11 @@
 import org.turmericspan.runs.TokenOwnerLookup;
 import org.turmericspan.tables.WorkerPool;
 
-/** Wires run tokens and the planned stop. */
+/** Wires run tokens, the count of calls in flight and the planned stop. */
 @Module
 abstract class RunModule {
-    private static final Duration SPREAD_ALLOWANCE = Duration.ofSeconds(1);
+    /** Time until the other nodes have received that this node is leaving and stop returning its address. */
+    private static final Duration LEAVING_PROPAGATION = Duration.ofSeconds(1);
 
     private RunModule() {}
 
@@ -48,7 +49,7 @@
 
     @Provides
     @Singleton
-    static NodeLifecycle stopState() {
+    static NodeLifecycle nodeLifecycle() {
         return new NodeLifecycle();
     }
 
@@ -64,13 +65,13 @@
 
     @Provides
     @Singleton
-    static TaskScheduler delayedTasks(WorkerPool workerPool) {
+    static TaskScheduler taskScheduler(WorkerPool workerPool) {
         return workerPool::schedule;
     }
 
     @Provides
     @Singleton
-    static TokenOwnerLookup tokenOwners(Peers peers) {
+    static TokenOwnerLookup tokenOwnerLookup(Peers peers) {
         return peers::findByIncarnation;
     }
 
@@ -82,7 +83,7 @@
 
     @Provides
     @Singleton
-    static RunTokenHandler runGate(
+    static RunTokenHandler runTokenHandler(
             NodeIdentity identity,
             ConfiguredCatalog catalog,
             RunTable table,
@@ -91,10 +92,10 @@
             NodeLifecycle nodeLifecycle,
             MonotonicClock clock,
             TaskScheduler taskScheduler) {
-        CallHandler unlessFinishing = request ->
-                nodeLifecycle.phase() == NodeLifecycle.Phase.FINISHING ? stopping() : attempts.handle(request);
+        CallHandler attemptsUnlessFinishing = request ->
+                nodeLifecycle.phase() == NodeLifecycle.Phase.FINISHING ? stoppingResult() : attempts.handle(request);
         return new RunTokenHandler(
-                identity.incarnation(), catalog, table, relay, unlessFinishing, clock, taskScheduler);
+                identity.incarnation(), catalog, table, relay, attemptsUnlessFinishing, clock, taskScheduler);
     }
 
     @Provides
@@ -122,7 +123,7 @@
                 calls,
                 steps,
                 taskScheduler,
-                settings.locateTimeToLive().plus(SPREAD_ALLOWANCE),
+                settings.locateTimeToLive().plus(LEAVING_PROPAGATION),
                 settings.stopLimit());
     }
 
@@ -145,31 +146,31 @@
     @Provides
     @IntoSet
     static StateSection runs(RunTable table) {
-        return NamedSection.of("runs", () -> RunState.of(table.stats()));
+        return NamedSection.of("runs", () -> RunTableDump.of(table.stats()));
     }
 
     @Provides
     @IntoSet
     static StateSection stop(NodeLifecycle lifecycle, InFlightCalls calls) {
         return NamedSection.of(
-                "stop", () -> new StopSection(lifecycle.phase().name().toLowerCase(Locale.ROOT), calls.inFlight()));
+                "stop", () -> new StopDump(lifecycle.phase().name().toLowerCase(Locale.ROOT), calls.inFlight()));
     }
 
-    private static CompletableFuture<CallResult> stopping() {
+    private static CompletableFuture<CallResult> stoppingResult() {
         return CompletableFuture.completedFuture(CallResult.Refused.of(ResultCode.STOPPING, ""));
     }
 
-    private record StopSection(
+    private record StopDump(
             String phase, @JsonProperty("calls_in_flight") int callsInFlight) {}
 
-    private record RunState(
+    private record RunTableDump(
             @JsonProperty("current_epoch") long currentEpoch,
             @JsonProperty("oldest_epoch") long oldestEpoch,
             @JsonProperty("in_flight") int inFlight,
             int stored,
             @JsonProperty("stored_bytes") long storedBytes) {
-        static RunState of(RunTableStats stats) {
-            return new RunState(
+        static RunTableDump of(RunTableStats stats) {
+            return new RunTableDump(
                     stats.currentEpoch().number(),
                     stats.oldestEpoch().number(),
                     stats.inFlight(),
--- a/node/src/main/java/org/turmericspan/node/SettingFault.java
+++ b/node/src/main/java/org/turmericspan/node/SettingError.java
@@ -3,32 +3,32 @@
 import org.turmericspan.errors.ResultCode;
 
 /**
- * One fault in the settings.
+ * One error in the settings.
  *
- * @param name flag and variable, or the argument at fault
- * @param value the value as it may be shown
- * @param allowed what is allowed
+ * @param name flag and environment variable, or the invalid argument
+ * @param value description of the value, which hides secrets
+ * @param allowed which values are allowed
  */
-record SettingFault(String name, String value, String allowed) {
+record SettingError(String name, String value, String allowed) {
     private static final String HIDDEN = "hidden";
 
-    static SettingFault notAllowed(Setting setting, String text) {
+    static SettingError notAllowed(Setting setting, String text) {
         String shown = setting.type().secret() ? HIDDEN : "'" + text + "'";
-        return new SettingFault(title(setting), shown, "takes " + setting.type().allowed());
+        return new SettingError(title(setting), shown, "takes " + setting.type().allowed());
     }
 
-    static SettingFault missing(Setting setting) {
-        return new SettingFault(
+    static SettingError missing(Setting setting) {
+        return new SettingError(
                 title(setting), "missing", "takes " + setting.type().allowed());
     }
 
-    static SettingFault unknownArgument(String argument) {
+    static SettingError unknownArgument(String argument) {
         int end = argument.indexOf('=');
-        return new SettingFault(end < 0 ? argument : argument.substring(0, end), "not a setting", "see --help");
+        return new SettingError(end < 0 ? argument : argument.substring(0, end), "not a setting", "see --help");
     }
 
-    static SettingFault sameAddress(Setting first, Setting second) {
-        return new SettingFault(title(second), "the same as " + first.flag(), "takes an address of its own");
+    static SettingError sameAddress(Setting first, Setting second) {
+        return new SettingError(title(second), "the same as " + first.flag(), "takes an address of its own");
     }
 
     private static String title(Setting setting) {
--- a/node/src/main/java/org/turmericspan/node/SettingValues.java
+++ b/node/src/main/java/org/turmericspan/node/SettingValues.java
@@ -3,9 +3,9 @@
 import java.util.Map;
 
 /**
- * Checked values of all settings.
+ * Validated values of all settings.
  *
- * @param values one value a setting, of the class its type names
+ * @param values value of each setting, of the class given by {@link SettingType#type()}
  */
 record SettingValues(Map<Setting, Object> values) {
     SettingValues {
--- a/node/src/main/java/org/turmericspan/node/SettingsReader.java
+++ b/node/src/main/java/org/turmericspan/node/SettingsReader.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads and checks settings from the command line and the environment. A flag goes before its variable. */
+/** Reads and validates settings from the command line and the environment. A flag overrides its variable. */
 final class SettingsReader {
-    private static final List<Setting> LISTENING =
+    private static final List<Setting> LISTEN_ADDRESSES =
             List.of(Setting.CALLER_ADDRESS, Setting.OPERATOR_ADDRESS, Setting.PEER_ADDRESS);
 
     private final Map<String, String> environment;
@@ -18,52 +18,52 @@
     }
 
     /**
-     * Reads and checks all settings.
+     * Reads and validates all settings.
      *
      * @param commandLine the parsed command line
-     * @return checked settings
-     * @throws InvalidSettingsException with every fault found
+     * @return validated settings
+     * @throws InvalidSettingsException if any setting is invalid; lists every error
      */
     NodeSettings read(CommandLine commandLine) {
-        List<SettingFault> faults = new ArrayList<>();
+        List<SettingError> errors = new ArrayList<>();
         Map<Setting, Object> values = new EnumMap<>(Setting.class);
         for (Setting setting : Setting.values()) {
-            readOne(setting, commandLine, values, faults);
+            readSetting(setting, commandLine, values, errors);
         }
-        requireDistinctAddresses(values, faults);
-        commandLine.unknown().forEach(argument -> faults.add(SettingFault.unknownArgument(argument)));
-        if (!faults.isEmpty()) {
-            throw new InvalidSettingsException(faults);
+        requireDistinctAddresses(values, errors);
+        commandLine.unknown().forEach(argument -> errors.add(SettingError.unknownArgument(argument)));
+        if (!errors.isEmpty()) {
+            throw new InvalidSettingsException(errors);
         }
         return NodeSettings.of(new SettingValues(values));
     }
 
-    private void readOne(
-            Setting setting, CommandLine commandLine, Map<Setting, Object> values, List<SettingFault> faults) {
-        String text = text(setting, commandLine);
-        if (text.isEmpty()) {
-            faults.add(SettingFault.missing(setting));
+    private void readSetting(
+            Setting setting, CommandLine commandLine, Map<Setting, Object> values, List<SettingError> errors) {
+        String valueText = valueText(setting, commandLine);
+        if (valueText.isEmpty()) {
+            errors.add(SettingError.missing(setting));
             return;
         }
         try {
-            values.put(setting, setting.type().parse().apply(text));
+            values.put(setting, setting.type().parse().apply(valueText));
         } catch (IllegalArgumentException e) {
-            faults.add(SettingFault.notAllowed(setting, text));
+            errors.add(SettingError.notAllowed(setting, valueText));
         }
     }
 
-    private String text(Setting setting, CommandLine commandLine) {
+    private String valueText(Setting setting, CommandLine commandLine) {
         String flag = commandLine.flags().get(setting);
         return flag != null ? flag : environment.getOrDefault(setting.environmentVariable(), setting.defaultValue());
     }
 
-    private static void requireDistinctAddresses(Map<Setting, Object> values, List<SettingFault> faults) {
-        Map<Object, Setting> users = new HashMap<>();
-        for (Setting setting : LISTENING) {
+    private static void requireDistinctAddresses(Map<Setting, Object> values, List<SettingError> errors) {
+        Map<Object, Setting> settingsByAddress = new HashMap<>();
+        for (Setting setting : LISTEN_ADDRESSES) {
             Object address = values.get(setting);
-            Setting first = address == null ? null : users.putIfAbsent(address, setting);
+            Setting first = address == null ? null : settingsByAddress.putIfAbsent(address, setting);
             if (first != null) {
-                faults.add(SettingFault.sameAddress(first, setting));
+                errors.add(SettingError.sameAddress(first, setting));
             }
         }
     }
--- a/node/src/main/java/org/turmericspan/node/SlotDump.java
+++ b/node/src/main/java/org/turmericspan/node/SlotDump.java
@@ -10,15 +10,15 @@
 import org.turmericspan.routing.UpstreamState;
 
 /**
- * Slots of this node in the state dump.
+ * Section of the state dump on the slots of this node. Its component names are the field names of the dump.
  *
- * @param policy keepers or baseline
- * @param own leases that this node holds on upstreams it keeps
+ * @param policy {@code keepers} or {@code baseline}
+ * @param own leases that this node holds on upstreams it owns
  * @param lent leases that other nodes hold on them
- * @param borrowed leases that this node holds on upstreams that others keep
- * @param waiting wishes that wait here
- * @param coldTransitions times an upstream was set cold
- * @param isSuspended whether nothing is granted until the view is confirmed after a late wake-up
+ * @param borrowed leases that this node holds on upstreams that other nodes own
+ * @param waiting slot requests queued at this node
+ * @param coldTransitions number of times that an upstream became cold
+ * @param isSuspended whether no slot is granted until the view is confirmed after a process pause
  */
 record SlotDump(
         String policy,
@@ -40,23 +40,23 @@
                 counts.isSuspended());
     }
 
-    static List<UpstreamEntry> upstreams(SlotTable table) {
-        return table.upstreamStates().stream().map(UpstreamEntry::of).toList();
+    static List<UpstreamDump> upstreams(SlotTable table) {
+        return table.upstreamStates().stream().map(UpstreamDump::of).toList();
     }
 
     /**
-     * One upstream that this node keeps.
+     * State of one upstream that this node owns.
      *
-     * @param upstream its name
-     * @param service its service
-     * @param state how warm it is, in lower case
-     * @param limit requests it may hold now
-     * @param running requests it holds
-     * @param oldestMillis how long the oldest of them has run
+     * @param upstream name of the upstream
+     * @param service name of its service
+     * @param state warm-up phase, in lower case
+     * @param limit current concurrency limit
+     * @param running number of requests in progress
+     * @param oldestMillis age of the oldest request in progress
      * @param latencyMicros smoothed service time
-     * @param coldReason why it was last set cold, or empty
+     * @param coldReason why it last became cold, in lower case, or empty
      */
-    record UpstreamEntry(
+    record UpstreamDump(
             String upstream,
             String service,
             String state,
@@ -65,8 +65,8 @@
             @JsonProperty("oldest_ms") long oldestMillis,
             @JsonProperty("latency_us") long latencyMicros,
             @JsonProperty("cold_reason") String coldReason) {
-        private static UpstreamEntry of(UpstreamState state) {
-            return new UpstreamEntry(
+        private static UpstreamDump of(UpstreamState state) {
+            return new UpstreamDump(
                     state.upstream().value(),
                     state.service().value(),
                     lower(state.phase()),
@@ -74,7 +74,7 @@
                     state.running(),
                     state.oldest().toMillis(),
                     TimeUnit.NANOSECONDS.toMicros(state.latency().toNanos()),
-                    state.coldReason().map(UpstreamEntry::lower).orElse(""));
+                    state.coldReason().map(UpstreamDump::lower).orElse(""));
         }
 
         private static String lower(Enum<?> value) {
--- a/node/src/main/java/org/turmericspan/node/SlotUpkeep.java
+++ b/node/src/main/java/org/turmericspan/node/SlotMaintenance.java
@@ -15,13 +15,13 @@
 import org.turmericspan.routing.SlotPeerHandler;
 import org.turmericspan.tables.WorkerPool;
 
-/** Lets the slots know of time, of changes of the configuration and the view, and of the other nodes' messages. */
+/** Drives the slots: with periodic ticks, changes of the configuration and the view, and messages of other nodes. */
 @Singleton
-final class SlotUpkeep implements AutoCloseable {
+final class SlotMaintenance implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration TICK = Duration.ofMillis(10);
-    private static final Duration SIGHTING = Duration.ofMillis(500);
-    private static final List<Class<? extends PeerMessage>> MESSAGES = List.of(
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
+    private static final Duration INCARNATION_CHECK_INTERVAL = Duration.ofMillis(500);
+    private static final List<Class<? extends PeerMessage>> HANDLED_MESSAGES = List.of(
             PeerMessage.BorrowSlot.class,
             PeerMessage.CancelSlotRequest.class,
             PeerMessage.ReturnSlot.class,
@@ -37,10 +37,10 @@
     private final Peers peers;
     private final WorkerPool workerPool;
     private ScheduledFuture<?> ticks;
-    private ScheduledFuture<?> sightings;
+    private ScheduledFuture<?> incarnationChecks;
 
     @Inject
-    SlotUpkeep(
+    SlotMaintenance(
             ConfigurationTable configurations,
             ViewTable views,
             SlotCoordinator slots,
@@ -58,22 +58,22 @@
     }
 
     void start() {
-        MESSAGES.forEach(type -> handlers.register(type, handler));
+        HANDLED_MESSAGES.forEach(type -> handlers.register(type, handler));
         configurations.addListener(configuration -> slots.onOwnershipChanged());
         views.addListener(view -> slots.onOwnershipChanged());
-        ticks = workerPool.scheduleWithFixedDelay(TICK, this::tick);
-        sightings = workerPool.scheduleWithFixedDelay(SIGHTING, this::notePeers);
+        ticks = workerPool.scheduleWithFixedDelay(TICK_INTERVAL, this::tick);
+        incarnationChecks = workerPool.scheduleWithFixedDelay(INCARNATION_CHECK_INTERVAL, this::reportPeerIncarnations);
     }
 
     @Override
     public void close() {
         if (ticks != null) {
             ticks.cancel(false);
-            sightings.cancel(false);
+            incarnationChecks.cancel(false);
         }
     }
 
-    private void notePeers() {
+    private void reportPeerIncarnations() {
         peers.all().forEach(peer -> slots.onPeerIncarnation(peer.vm(), peer.incarnation()));
     }
 
@@ -81,7 +81,7 @@
         try {
             slots.tick();
         } catch (RuntimeException e) {
-            logger.atSevere().withCause(e).log("slots: a tick failed");
+            logger.atSevere().withCause(e).log("slots: a tick failed; the next tick follows");
         }
     }
 }
--- a/node/src/main/java/org/turmericspan/node/SlotModule.java
+++ b/node/src/main/java/org/turmericspan/node/SlotModule.java
@@ -34,7 +34,7 @@
 import org.turmericspan.routing.UpstreamChoice;
 import org.turmericspan.tables.WorkerPool;
 
-/** Wires keepers, slots and address answers. */
+/** Wires upstream ownership, slots and the locator. */
 @Module
 final class SlotModule {
     private static final String BASELINE = "baseline";
@@ -43,7 +43,7 @@
 
     @Provides
     @Singleton
-    static Supplier<OwnershipMap> fleetMap(ConfigurationTable configurations, ViewTable views) {
+    static Supplier<OwnershipMap> ownershipMap(ConfigurationTable configurations, ViewTable views) {
         return OwnershipMap.cached(configurations::current, views::current);
     }
 
@@ -67,7 +67,7 @@
 
     @Provides
     @Singleton
-    static LenderSelector idleBoard(
+    static LenderSelector lenderSelector(
             NodeIdentity identity,
             Supplier<OwnershipMap> map,
             Peers peers,
@@ -89,12 +89,12 @@
             SlotRules rules,
             SlotNetwork network,
             Supplier<OwnershipMap> map,
-            LenderSelector board,
+            LenderSelector lenderSelector,
             MonotonicClock clock,
             ViewTable views,
             MetricRegistry metrics) {
         return new SlotCoordinator(
-                table, network, map, board, clock, rules.maxTickGap(), views::confirmedNanos, metrics);
+                table, network, map, lenderSelector, clock, rules.maxTickGap(), views::confirmedNanos, metrics);
     }
 
     @Provides
@@ -133,13 +133,13 @@
             MonotonicClock clock,
             NodeLifecycle nodeLifecycle,
             Peers peers) {
-        Locator homeSets = new OwnerLocator(
+        Locator ownerLocator = new OwnerLocator(
                 map,
                 settings.locateTimeToLive(),
                 clock,
                 () -> ThreadLocalRandom.current().nextDouble());
-        return new StoppingLocator(
-                homeSets,
+        return new LeavingNodeFilter(
+                ownerLocator,
                 vm -> vm.equals(identity.vm())
                         ? nodeLifecycle.isLeaving()
                         : peers.find(vm).filter(PeerState::leaving).isPresent());
--- a/node/src/main/java/org/turmericspan/node/StateModule.java
+++ b/node/src/main/java/org/turmericspan/node/StateModule.java
@@ -17,7 +17,7 @@
 import org.turmericspan.membership.NodeLifecycle;
 import org.turmericspan.membership.ViewTable;
 
-/** Wires the operator port and the parts of the state dump. */
+/** Wires the operator server and the sections of the state dump that belong to no other module. */
 @Module
 final class StateModule {
     private StateModule() {}
@@ -41,7 +41,7 @@
     static StateSection node(NodeIdentity identity) {
         return NamedSection.of(
                 "node",
-                () -> new NodeState(
+                () -> new NodeDump(
                         identity.vm().value(),
                         identity.availabilityZone().value(),
                         identity.incarnation().toString()));
@@ -52,7 +52,7 @@
     static StateSection configuration(ConfigurationTable table, MonotonicClock clock) {
         return NamedSection.of(
                 "configuration",
-                () -> new ConfigurationState(
+                () -> new ConfigurationDump(
                         table.version().number(),
                         table.version().digest(),
                         Duration.ofNanos(clock.nowNanos() - table.acceptedNanos())
@@ -64,22 +64,22 @@
     static StateSection view(ViewTable table, MonotonicClock clock) {
         return NamedSection.of(
                 "view",
-                () -> new ViewState(
+                () -> new ViewDump(
                         table.current().revision(),
                         table.current().vms().size(),
                         Duration.ofNanos(clock.nowNanos() - table.confirmedNanos())
                                 .toMillis()));
     }
 
-    private record NodeState(
+    private record NodeDump(
             String vm, @JsonProperty("availability_zone") String availabilityZone, String incarnation) {}
 
-    private record ConfigurationState(
+    private record ConfigurationDump(
             long version,
             String digest,
             @JsonProperty("age_ms") long ageMillis) {}
 
-    private record ViewState(
+    private record ViewDump(
             long revision,
             int vms,
             @JsonProperty("confirmed_age_ms") long confirmedAgeMillis) {}
--- a/node/src/main/java/org/turmericspan/node/StopStep.java
+++ b/node/src/main/java/org/turmericspan/node/StopStep.java
@@ -2,13 +2,13 @@
 
 import java.util.concurrent.CompletionStage;
 
-/** Something a node does for the others after its last call has ended and before it exits. */
+/** Action of a planned stop that runs after the last call has completed and before the node exits. */
 @FunctionalInterface
 interface StopStep {
     /**
-     * Begins the step.
+     * Starts the step.
      *
-     * @return complete when the step is done
+     * @return stage that completes when the step is done
      */
     CompletionStage<Void> begin();
 }
--- a/node/src/main/java/org/turmericspan/node/SuspectModule.java
+++ b/node/src/main/java/org/turmericspan/node/SuspectModule.java
@@ -28,19 +28,19 @@
 import org.turmericspan.retry.TrialPermit;
 import org.turmericspan.upstream.HttpUpstreamSender;
 
-/** Wires what is done about requests that crash upstreams. */
+/** Wires the detection and quarantine of requests that crash upstreams. */
 @Module
 final class SuspectModule {
-    /** Name of the handler that makes attempts. */
+    /** Qualifier of the handler that makes attempts, with isolated trials of suspects unless they are disabled. */
     static final String ATTEMPTS = "attempts";
 
-    private static final String NO_SUSPECTS = "none";
+    private static final String DISABLED = "none";
 
     private SuspectModule() {}
 
     @Provides
     @Singleton
-    static SuspectTable suspects(MonotonicClock clock, MetricRegistry metrics) {
+    static SuspectTable suspectTable(MonotonicClock clock, MetricRegistry metrics) {
         SuspectTable table = new SuspectTable(clock);
         metrics.register("suspects", (Gauge<Integer>) () -> table.dump().size());
         metrics.register("suspects.quarantined", (Gauge<Long>) () -> quarantined(table));
@@ -62,24 +62,25 @@
             PeerHandlers handlers,
             SuspectTable table,
             MonotonicClock clock) {
-        PeerSuspects peers = new PeerSuspects(identity.vm(), views::current, links, table, new TrialPermit(clock));
-        handlers.register(PeerMessage.ShareSuspects.class, peers);
-        handlers.register(PeerMessage.BeginTrial.class, peers);
-        handlers.register(PeerMessage.EndTrial.class, peers);
-        return peers;
+        PeerSuspects peerSuspects =
+                new PeerSuspects(identity.vm(), views::current, links, table, new TrialPermit(clock));
+        handlers.register(PeerMessage.ShareSuspects.class, peerSuspects);
+        handlers.register(PeerMessage.BeginTrial.class, peerSuspects);
+        handlers.register(PeerMessage.EndTrial.class, peerSuspects);
+        return peerSuspects;
     }
 
     @Provides
     @Singleton
-    static CrashDetector deathWatch(
+    static CrashDetector crashDetector(
             NodeSettings settings,
             SuspectTable table,
             LostConnections lostConnections,
-            PeerSuspects peers,
+            PeerSuspects peerSuspects,
             HttpUpstreamSender sender) {
-        return settings.suspectPolicy().equals(NO_SUSPECTS)
+        return settings.suspectPolicy().equals(DISABLED)
                 ? CrashDetector.none()
-                : new SuspectTracker(table, lostConnections, peers, sender::isRefused);
+                : new SuspectTracker(table, lostConnections, peerSuspects, sender::isRefused);
     }
 
     @Provides
@@ -90,19 +91,19 @@
             AttemptHandler attempts,
             SuspectTable table,
             LostConnections lostConnections,
-            PeerSuspects peers,
+            PeerSuspects peerSuspects,
             AttemptTimer timer,
             MonotonicClock clock) {
-        return settings.suspectPolicy().equals(NO_SUSPECTS)
+        return settings.suspectPolicy().equals(DISABLED)
                 ? attempts
-                : new SuspectHandler(attempts, table, lostConnections, peers, timer, clock);
+                : new SuspectHandler(attempts, table, lostConnections, peerSuspects, timer, clock);
     }
 
     @Provides
     @IntoSet
     static StateSection suspectSection(SuspectTable table) {
         Supplier<Object> source =
-                () -> table.dump().stream().map(SuspectState::of).toList();
+                () -> table.dump().stream().map(SuspectDump::of).toList();
         return NamedSection.of("suspects", source);
     }
 
@@ -110,13 +111,13 @@
         return table.dump().stream().filter(Suspicion::isQuarantined).count();
     }
 
-    private record SuspectState(
+    private record SuspectDump(
             String fingerprint,
-            @JsonProperty("upstreams_lost") int upstreamsLost,
+            @JsonProperty("upstreams_lost") int crashedUpstreams,
             boolean quarantined,
             @JsonProperty("expires_in_ms") long expiresInMillis) {
-        static SuspectState of(Suspicion suspicion) {
-            return new SuspectState(
+        static SuspectDump of(Suspicion suspicion) {
+            return new SuspectDump(
                     suspicion.fingerprint().toString(),
                     suspicion.crashedUpstreams().size(),
                     suspicion.isQuarantined(),
--- a/node/src/main/java/org/turmericspan/node/package-info.java
+++ b/node/src/main/java/org/turmericspan/node/package-info.java
@@ -1,2 +1,2 @@
-/** The node: its settings, its wiring and its life from start to planned stop. */
+/** The node program: settings, Dagger wiring, state dump, start and planned stop. */
 package org.turmericspan.node;
--- a/node/src/test/java/org/turmericspan/node/PlannedStopTest.java
+++ b/node/src/test/java/org/turmericspan/node/PlannedStopTest.java
@@ -17,70 +17,74 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.membership.NodeLifecycle;
 
+/**
+ * Tests the order of a planned stop. A node that stopped earlier would fail calls in flight and calls of callers that
+ * still use a cached locate response; one that waited without limit would never exit.
+ */
 final class PlannedStopTest {
-    private static final Duration SERVE_LOCATED = Duration.ofSeconds(6);
+    private static final Duration LEAVING_DURATION = Duration.ofSeconds(6);
     private static final Duration LIMIT = Duration.ofSeconds(60);
 
     private final NodeLifecycle lifecycle = new NodeLifecycle();
-    private final CompletableFuture<CallResult> call = new CompletableFuture<>();
-    private final InFlightCalls calls = new InFlightCalls(request -> call);
-    private final CompletableFuture<Void> step = new CompletableFuture<>();
-    private final List<Runnable> timers = new ArrayList<>();
+    private final CompletableFuture<CallResult> callResult = new CompletableFuture<>();
+    private final InFlightCalls calls = new InFlightCalls(request -> callResult);
+    private final CompletableFuture<Void> stepResult = new CompletableFuture<>();
+    private final List<Runnable> scheduledTasks = new ArrayList<>();
     private final List<Duration> delays = new ArrayList<>();
-    private final List<String> begun = new ArrayList<>();
+    private final List<String> startedSteps = new ArrayList<>();
 
     @Test
-    void nodeServesUntilItsLocateAnswersHaveExpired() {
-        CompletableFuture<Void> stopped = stop();
+    void leavingNodeServesUntilItsLocateResponsesHaveExpired() {
+        CompletableFuture<Void> stopped = startStop();
         assertThat(lifecycle.phase()).isEqualTo(NodeLifecycle.Phase.LEAVING);
-        assertThat(delays).containsExactly(SERVE_LOCATED, LIMIT);
+        assertThat(delays).containsExactly(LEAVING_DURATION, LIMIT);
         assertThat(stopped).isNotDone();
     }
 
     @Test
-    void stopWaitsForTheLastCallAndThenForItsSteps() {
+    void stopWaitsForCallsInFlightAndThenForItsSteps() {
         calls.handle(null);
-        CompletableFuture<Void> stopped = stop();
-        timers.get(0).run();
+        CompletableFuture<Void> stopped = startStop();
+        scheduledTasks.get(0).run();
         assertThat(lifecycle.phase()).isEqualTo(NodeLifecycle.Phase.FINISHING);
-        assertThat(begun).isEmpty();
-        call.complete(new CallResult.Answered(200, List.of(), Payload.EMPTY));
-        assertThat(begun).hasSize(1);
+        assertThat(startedSteps).isEmpty();
+        callResult.complete(new CallResult.Answered(200, List.of(), Payload.EMPTY));
+        assertThat(startedSteps).hasSize(1);
         assertThat(stopped).isNotDone();
-        step.complete(null);
+        stepResult.complete(null);
         assertThat(stopped).isCompleted();
     }
 
     @Test
-    void limitEndsAStopThatHangs() {
+    void hangingStopEndsAtItsLimit() {
         calls.handle(null);
-        CompletableFuture<Void> stopped = stop();
-        timers.get(0).run();
-        timers.get(1).run();
+        CompletableFuture<Void> stopped = startStop();
+        scheduledTasks.get(0).run();
+        scheduledTasks.get(1).run();
         assertThat(stopped).isCompleted();
     }
 
     @Test
-    void failedStepDoesNotHoldTheStopUp() {
-        step.completeExceptionally(new IllegalStateException("no peer"));
-        CompletableFuture<Void> stopped = stop();
-        timers.get(0).run();
+    void failedStepDoesNotBlockTheStop() {
+        stepResult.completeExceptionally(new IllegalStateException("no peer"));
+        CompletableFuture<Void> stopped = startStop();
+        scheduledTasks.get(0).run();
         assertThat(stopped).isCompletedWithValue(null);
     }
 
     @Test
-    void leavingNodeIsNotInLocateAnswers() {
-        LocateResult.Endpoint leaving = address("entry-00");
-        LocateResult.Endpoint staying = address("entry-01");
-        StoppingLocator locator = new StoppingLocator(
-                service -> Optional.of(new LocateResult(List.of(leaving, staying), Duration.ofSeconds(5))),
+    void leavingNodeIsLeftOutOfLocateResponses() {
+        LocateResult.Endpoint leaving = endpoint("entry-00");
+        LocateResult.Endpoint remaining = endpoint("entry-01");
+        LeavingNodeFilter locator = new LeavingNodeFilter(
+                service -> Optional.of(new LocateResult(List.of(leaving, remaining), Duration.ofSeconds(5))),
                 vm -> vm.equals(leaving.vm()));
         assertThat(locator.locate(new ServiceId("ordering")).orElseThrow().addresses())
-                .containsExactly(staying);
+                .containsExactly(remaining);
     }
 
     @Test
-    void stopStateNeverGoesBack() {
+    void lifecycleNeverReturnsToAnEarlierPhase() {
         List<NodeLifecycle.Phase> seen = new ArrayList<>();
         lifecycle.addListener(seen::add);
         lifecycle.enter(NodeLifecycle.Phase.FINISHING);
@@ -89,25 +93,25 @@
         assertThat(lifecycle.phase()).isEqualTo(NodeLifecycle.Phase.FINISHING);
     }
 
-    private CompletableFuture<Void> stop() {
-        StopStep recorded = () -> {
-            begun.add("step");
-            return step;
+    private CompletableFuture<Void> startStop() {
+        StopStep recordingStep = () -> {
+            startedSteps.add("step");
+            return stepResult;
         };
         PlannedStop plannedStop = new PlannedStop(
                 lifecycle,
                 calls,
-                Set.of(recorded),
+                Set.of(recordingStep),
                 (delay, task) -> {
                     delays.add(delay);
-                    timers.add(task);
+                    scheduledTasks.add(task);
                 },
-                SERVE_LOCATED,
+                LEAVING_DURATION,
                 LIMIT);
         return plannedStop.run();
     }
 
-    private static LocateResult.Endpoint address(String vm) {
+    private static LocateResult.Endpoint endpoint(String vm) {
         return new LocateResult.Endpoint(new VmId(vm), new SocketAddress("127.0.0.1", 1), 1);
     }
 }
--- a/node/src/test/java/org/turmericspan/node/SettingsPageTest.java
+++ b/node/src/test/java/org/turmericspan/node/SettingsPageTest.java
@@ -9,22 +9,23 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Compares the page of settings with the code. */
+/** Tests that the settings page lists every setting with the flag, variable, values and description of the code. */
 final class SettingsPageTest {
     @Test
-    void pageListsEverySettingAsTheCodeReadsIt() throws IOException {
+    void pageMatchesSettingsOfCode() throws IOException {
         List<String> expected =
-                Arrays.stream(Setting.values()).map(SettingsPageTest::row).toList();
+                Arrays.stream(Setting.values()).map(SettingsPageTest::tableRow).toList();
 
         Path page = Path.of(System.getProperty("turmericspan.root"), "docs", "SETTINGS.md");
         assertThat(Files.readAllLines(page).stream().filter(line -> line.startsWith("| `--")))
                 .containsExactlyElementsOf(expected);
     }
 
-    private static String row(Setting setting) {
+    private static String tableRow(Setting setting) {
         SettingType<?> type = setting.type();
-        String value = setting.isRequired() ? "required" : "`" + setting.defaultValue() + "`";
+        String defaultText = setting.isRequired() ? "required" : "`" + setting.defaultValue() + "`";
         return "| `" + setting.flag() + "` | `" + setting.environmentVariable() + "` | " + type.allowed() + " | "
-                + (type.unit().isEmpty() ? "-" : type.unit()) + " | " + value + " | " + setting.description() + " |";
+                + (type.unit().isEmpty() ? "-" : type.unit()) + " | " + defaultText + " | " + setting.description()
+                + " |";
     }
 }
--- a/node/src/test/java/org/turmericspan/node/SettingsReaderTest.java
+++ b/node/src/test/java/org/turmericspan/node/SettingsReaderTest.java
@@ -7,12 +7,12 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import org.junit.jupiter.api.Test;
 
-/** Tests how settings are read and refused. */
+/** Tests precedence and validation of settings, and that error messages never contain secrets. */
 final class SettingsReaderTest {
     private static final String KEY = "a-key-of-twenty-chars";
 
     @Test
-    void flagGoesBeforeVariable() throws ArgumentParserException {
+    void flagOverridesEnvironmentVariable() throws ArgumentParserException {
         NodeSettings settings = new SettingsReader(Map.of("TURMERICSPAN_WORKER_THREADS", "7", "TURMERICSPAN_VM", "two"))
                 .read(CommandLine.parse("--vm", "one", "--availability-zone", "zone-a", "--deployment-key", KEY));
 
@@ -22,11 +22,11 @@
     }
 
     @Test
-    void everyFaultIsListedAtOnceWithNameValueAndWhatIsAllowed() {
-        InvalidSettingsException refusal = refusal(
+    void allErrorsAreReportedTogetherWithNameValueAndAllowedValues() {
+        InvalidSettingsException exception = readInvalid(
                 "--vm=One", "--worker-threads=0", "--log-format=xml", "--caller-address=example.org:80", "--speed=9");
 
-        assertThat(refusal.faults().stream().map(SettingFault::toString))
+        assertThat(exception.errors().stream().map(SettingError::toString))
                 .containsExactly(
                         "2001 --vm (TURMERICSPAN_VM) is 'One': takes 1 to 63 lower-case letters, digits and hyphens",
                         "2001 --availability-zone (TURMERICSPAN_AVAILABILITY_ZONE) is missing: "
@@ -41,18 +41,18 @@
 
     @Test
     void secretIsNeverPrinted() {
-        assertThat(refusal("--deployment-key", "hush").getMessage())
+        assertThat(readInvalid("--deployment-key", "hush").getMessage())
                 .contains("is hidden")
                 .doesNotContain("hush");
     }
 
     @Test
-    void twoPortsAtOneAddressAreRefused() {
-        assertThat(refusal("--operator-address=127.0.0.1:8080").getMessage())
+    void duplicateListenAddressIsRejected() {
+        assertThat(readInvalid("--operator-address=127.0.0.1:8080").getMessage())
                 .contains("--operator-address (TURMERICSPAN_OPERATOR_ADDRESS) is the same as --caller-address");
     }
 
-    private static InvalidSettingsException refusal(String... arguments) {
+    private static InvalidSettingsException readInvalid(String... arguments) {
         return catchThrowableOfType(
                 InvalidSettingsException.class, () -> new SettingsReader(Map.of()).read(CommandLine.parse(arguments)));
     }
