Describe calls and slots in the terms of the field

Cause: the doc comments spoke of answers, wishes, keepers, lives and what an upstream said of itself.

Change: doc comments only, and one parameter that its own doc comment already called otherwise: SlotRequest.forExtraAttempt and of: avoid -> excludedUpstreams. Names of records and constants stay, since other folders, the log and the wire use them.

--- a/calls/src/main/java/org/turmericspan/calls/AttemptOutcome.java
+++ b/calls/src/main/java/org/turmericspan/calls/AttemptOutcome.java
@@ -3,40 +3,40 @@
 import java.time.Duration;
 
 /**
- * How one attempt on one upstream ended.
+ * Outcome of one attempt at one upstream.
  *
- * @param kind what came back
- * @param answer the whole answer when {@code kind} is {@link Kind#COMPLETE}, else an empty one
- * @param elapsed from the first byte sent; zero when nothing was sent
- * @param signals what the upstream said of itself
+ * @param kind how the attempt ended
+ * @param answer complete response when {@code kind} is {@link Kind#COMPLETE}, otherwise an empty one
+ * @param elapsed time since the first byte was sent; zero when nothing was sent
+ * @param signals state that the upstream reported
  */
 public record AttemptOutcome(Kind kind, CallResult.Answered answer, Duration elapsed, UpstreamSignals signals) {
-    /** What came back. */
+    /** How an attempt can end. */
     public enum Kind {
-        /** A whole answer. */
+        /** A complete response was received. */
         COMPLETE,
-        /** The upstream said that it did not run the request. */
+        /** The upstream shed the request and reported that it did not run it. */
         SHED,
-        /** The connection was refused or could not be made; no byte was sent. */
+        /** The connection was refused or could not be established; no byte was sent. */
         CONNECT_FAILED,
-        /** The lease no longer held when the first byte was to be written; no byte was sent. */
+        /** The lease was no longer valid when the first byte was due; no byte was sent. */
         LEASE_INVALID,
-        /** Bytes were sent and no whole answer came back. */
+        /** The connection broke after bytes were sent and before the response was complete. */
         CONNECTION_LOST,
-        /** Bytes were sent and the deadline passed. */
+        /** The deadline passed after bytes were sent. */
         TIMED_OUT,
         /** The deadline passed or the attempt was cancelled before any byte was sent. */
         CANCELLED_BEFORE_SEND,
         /** The attempt was cancelled by the balancer after bytes were sent. */
         CANCELLED_AFTER_SEND,
-        /** The answer exceeded the limit. */
+        /** The response exceeded the size limit. */
         ANSWER_TOO_LARGE
     }
 
     /**
-     * Tells whether any byte of the request may have reached the upstream and started work.
+     * Returns whether the upstream may have run the request.
      *
-     * @return false only with proof
+     * @return false only when it is certain that the request did not run
      */
     public boolean mayHaveRun() {
         return switch (kind) {
--- a/calls/src/main/java/org/turmericspan/calls/CallHandler.java
+++ b/calls/src/main/java/org/turmericspan/calls/CallHandler.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.CompletionStage;
 
-/** One step of a call's path. Steps wrap one another. */
+/** Handler in the handler chain of a call. Each handler wraps the next one. */
 @FunctionalInterface
 public interface CallHandler {
     /**
--- a/calls/src/main/java/org/turmericspan/calls/CallRequest.java
+++ b/calls/src/main/java/org/turmericspan/calls/CallRequest.java
@@ -9,21 +9,21 @@
 import org.turmericspan.ids.ServiceId;
 
 /**
- * One request of a caller, whole.
+ * Complete request of a caller.
  *
- * @param requestId identifier the answer must echo
- * @param office account the caller works under
- * @param caller the caller within the office
- * @param service service called
- * @param method HTTP method in capital letters
+ * @param requestId identifier that the response must repeat
+ * @param office account that the caller shares with others
+ * @param caller caller within the office
+ * @param service called service
+ * @param method HTTP method in upper case
  * @param path path and query within the service, beginning with a slash
- * @param headers header fields to pass on
- * @param body the whole body
+ * @param headers header fields to forward
+ * @param body complete body
  * @param deadlineNanos monotonic time after which the caller no longer waits
- * @param depth number of balanced calls above this one
- * @param retried whether this call or one above it was already retried
- * @param idempotent whether the request may be repeated
- * @param runToken right to run a non-idempotent request once
+ * @param depth number of balanced calls above this one in the call chain
+ * @param retried whether this call or one above it in the call chain was already retried
+ * @param idempotent whether the request may be sent more than once
+ * @param runToken idempotency key under which a non-idempotent request runs at most once
  */
 public record CallRequest(
         RequestId requestId,
@@ -45,7 +45,7 @@
     }
 
     /**
-     * Returns the same call marked as a repeat.
+     * Returns the same call marked as retried.
      *
      * @return a copy whose {@code retried} is true
      */
@@ -64,7 +64,7 @@
     }
 
     /**
-     * Returns the same call marked as one that must not be repeated.
+     * Returns the same call marked as one that must not be sent more than once.
      *
      * @return a copy whose {@code idempotent} is false
      */
--- a/calls/src/main/java/org/turmericspan/calls/CallResult.java
+++ b/calls/src/main/java/org/turmericspan/calls/CallResult.java
@@ -5,14 +5,14 @@
 import java.util.Optional;
 import org.turmericspan.errors.ResultCode;
 
-/** How a call ended: a whole answer of the upstream, or a refusal with a numbered code. */
+/** Result of a call: the complete response of the upstream, or a local reply with a numbered code. */
 public sealed interface CallResult {
     /**
-     * A whole answer of the upstream.
+     * Complete response of the upstream.
      *
      * @param status HTTP status
-     * @param headers header fields to pass on
-     * @param body the whole body
+     * @param headers header fields to forward
+     * @param body complete body
      */
     record Answered(int status, List<Header> headers, Payload body) implements CallResult {
         /** Copies the header fields. */
@@ -22,19 +22,19 @@
     }
 
     /**
-     * A refusal or failure reported by the balancer.
+     * Local reply: the balancer refused the call or reports its failure.
      *
      * @param code what happened and whether the request ran
-     * @param detail particulars, without callers' data or tokens
-     * @param retryAfter when a new try makes sense
+     * @param detail further information, without callers' data or tokens
+     * @param retryAfter time after which a retry makes sense
      */
     record Refused(ResultCode code, String detail, Optional<Duration> retryAfter) implements CallResult {
         /**
-         * Creates a refusal without advice on a new try.
+         * Creates a local reply that does not suggest when to retry.
          *
          * @param code what happened
-         * @param detail particulars
-         * @return the refusal
+         * @param detail further information
+         * @return the local reply
          */
         public static Refused of(ResultCode code, String detail) {
             return new Refused(code, detail, Optional.empty());
--- a/calls/src/main/java/org/turmericspan/calls/Header.java
+++ b/calls/src/main/java/org/turmericspan/calls/Header.java
@@ -1,9 +1,9 @@
 package org.turmericspan.calls;
 
 /**
- * One header field.
+ * HTTP header field.
  *
- * @param name as it came
- * @param value as it came
+ * @param name field name as received
+ * @param value field value as received
  */
 public record Header(String name, String value) {}
--- a/calls/src/main/java/org/turmericspan/calls/LocateResult.java
+++ b/calls/src/main/java/org/turmericspan/calls/LocateResult.java
@@ -6,10 +6,10 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * Entry VMs to use for a service, in the order in which to try them.
+ * Entry VMs that a caller should use for a service.
  *
- * @param addresses in order of preference
- * @param timeToLive how long the caller may keep the answer
+ * @param addresses entry VMs in the order in which to try them
+ * @param timeToLive how long the caller may cache the result
  */
 public record LocateResult(List<Endpoint> addresses, Duration timeToLive) {
     /** Copies the list. */
@@ -18,11 +18,11 @@
     }
 
     /**
-     * One entry VM.
+     * Entry VM.
      *
-     * @param vm its name
-     * @param address where callers connect
-     * @param weight share of the service's slots it keeps
+     * @param vm name of the VM
+     * @param address address that callers connect to
+     * @param weight relative share of the service's slots that the VM owns
      */
     public record Endpoint(VmId vm, SocketAddress address, int weight) {}
 }
--- a/calls/src/main/java/org/turmericspan/calls/Payload.java
+++ b/calls/src/main/java/org/turmericspan/calls/Payload.java
@@ -14,7 +14,7 @@
     }
 
     /**
-     * Wraps bytes. The caller gives the array away and must not change it.
+     * Wraps an array without copying it. The array must not be changed afterwards.
      *
      * @param bytes the bytes
      * @return the payload
--- a/calls/src/main/java/org/turmericspan/calls/ProbeReport.java
+++ b/calls/src/main/java/org/turmericspan/calls/ProbeReport.java
@@ -3,10 +3,10 @@
 import java.time.Duration;
 
 /**
- * Answer of an upstream to a probe.
+ * Response of an upstream to a probe.
  *
- * @param signals what the upstream said of itself
- * @param latency time from sending to the whole answer
- * @param bytes size of the probe and its answer
+ * @param signals state that the upstream reported
+ * @param latency time from sending the probe to receiving the complete response
+ * @param bytes size of the probe and its response
  */
 public record ProbeReport(UpstreamSignals signals, Duration latency, long bytes) {}
--- a/calls/src/main/java/org/turmericspan/calls/ServiceCatalog.java
+++ b/calls/src/main/java/org/turmericspan/calls/ServiceCatalog.java
@@ -3,31 +3,31 @@
 import java.util.Optional;
 import org.turmericspan.ids.ServiceId;
 
-/** What the configuration in force says of services, as far as a call's path needs it. */
+/** Per-service settings of the active configuration that the handler chain needs. */
 public interface ServiceCatalog {
     /**
      * Looks up a service.
      *
-     * @param service its name
+     * @param service name of the service
      * @return its limits, or empty when it is not configured
      */
     Optional<ServiceLimits> limits(ServiceId service);
 
     /**
-     * Tells whether a request may be repeated.
+     * Returns whether a request may be sent more than once.
      *
-     * @param service service called
-     * @param method HTTP method in capital letters
+     * @param service called service
+     * @param method HTTP method in upper case
      * @param path path within the service
      * @return true when the request is idempotent
      */
     boolean isIdempotent(ServiceId service, String method, String path);
 
     /**
-     * Tells whether a non-idempotent request without a run token is refused.
+     * Returns whether a non-idempotent request without a run token is refused.
      *
-     * @param service service called
-     * @param method HTTP method in capital letters
+     * @param service called service
+     * @param method HTTP method in upper case
      * @param path path within the service
      * @return true unless a rule allows it
      */
--- a/calls/src/main/java/org/turmericspan/calls/ServiceLimits.java
+++ b/calls/src/main/java/org/turmericspan/calls/ServiceLimits.java
@@ -5,9 +5,9 @@
 /**
  * Limits on the requests of one service.
  *
- * @param defaultDeadline deadline of a request that names none
- * @param maxDeadline longest deadline a request may name
- * @param bodyLimitBytes largest request body
- * @param answerLimitBytes largest answer
+ * @param defaultDeadline time allowed for a request that specifies no deadline
+ * @param maxDeadline longest time that a request may specify
+ * @param bodyLimitBytes maximum size of a request body
+ * @param answerLimitBytes maximum size of a response
  */
 public record ServiceLimits(Duration defaultDeadline, Duration maxDeadline, int bodyLimitBytes, int answerLimitBytes) {}
--- a/calls/src/main/java/org/turmericspan/calls/SlotDecision.java
+++ b/calls/src/main/java/org/turmericspan/calls/SlotDecision.java
@@ -4,20 +4,20 @@
 import java.util.Optional;
 import org.turmericspan.errors.ResultCode;
 
-/** Answer to a {@link SlotRequest}. */
+/** Decision on a {@link SlotRequest}. */
 public sealed interface SlotDecision {
     /**
-     * A slot was granted.
+     * The request was granted a slot.
      *
      * @param lease right to run one request now
      */
     record Granted(SlotLease lease) implements SlotDecision {}
 
     /**
-     * No slot was granted.
+     * The request was denied.
      *
-     * @param code why
-     * @param retryAfter when a new try makes sense
+     * @param code reason
+     * @param retryAfter time after which a retry makes sense
      */
     record Denied(ResultCode code, Optional<Duration> retryAfter) implements SlotDecision {}
 }
--- a/calls/src/main/java/org/turmericspan/calls/SlotLease.java
+++ b/calls/src/main/java/org/turmericspan/calls/SlotLease.java
@@ -4,12 +4,12 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 
-/** Right to run one request on one upstream now. It is given back exactly once. */
+/** Lease of a slot: the right to run one request on one upstream. It is released exactly once. */
 public interface SlotLease {
     /**
      * Returns the identifier of the lease.
      *
-     * @return unique over all keepers
+     * @return identifier that is unique across all owners
      */
     LeaseId id();
 
@@ -21,23 +21,23 @@
     UpstreamId upstream();
 
     /**
-     * Returns where the upstream listens.
+     * Returns the address at which the upstream listens.
      *
-     * @return its address
+     * @return address of the upstream
      */
     SocketAddress address();
 
     /**
-     * Tells whether the lease still holds. It is asked immediately before the first byte is written.
+     * Returns whether the lease is still valid. This is checked immediately before the first byte is written.
      *
-     * @return false after a late wake-up, a withdrawal or the lease's deadline
+     * @return false after a process pause, a recall or the expiry of the lease
      */
     boolean isValid();
 
     /**
-     * Gives the slot back. Later calls have no effect.
+     * Releases the slot. Later calls have no effect.
      *
-     * @param slotReturn what the attempt showed of the upstream
+     * @param slotReturn what the attempt revealed about the upstream
      */
     void release(SlotReturn slotReturn);
 }
--- a/calls/src/main/java/org/turmericspan/calls/SlotRequest.java
+++ b/calls/src/main/java/org/turmericspan/calls/SlotRequest.java
@@ -7,16 +7,16 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * Wish for one slot on any upstream of a service.
+ * Request for one slot on any upstream of a service.
  *
- * @param service service called
- * @param office account the caller works under
- * @param caller the caller
+ * @param service called service
+ * @param office account that the caller shares with others
+ * @param caller caller within the office
  * @param deadlineNanos monotonic time after which the slot is of no use
- * @param depth number of balanced calls above this one
- * @param idempotent whether the request may be repeated
+ * @param depth number of balanced calls above this one in the call chain
+ * @param idempotent whether the request may be sent more than once
  * @param excludedUpstreams upstreams that must not be chosen
- * @param idleOnly whether only a slot idle now will do, as for a hedge or a retry
+ * @param idleOnly whether the request is denied unless a slot is idle now, as for a hedge or a retry
  */
 public record SlotRequest(
         ServiceId service,
@@ -33,38 +33,38 @@
     }
 
     /**
-     * Builds the wish of a first attempt.
+     * Creates the slot request of a first attempt.
      *
      * @param request the call
-     * @return a wish that may wait
+     * @return a slot request that may wait in a queue
      */
     public static SlotRequest forFirstAttempt(CallRequest request) {
         return of(request, Set.of(), false);
     }
 
     /**
-     * Builds the wish of a retry or hedge, which takes idle slots only.
+     * Creates the slot request of a retry or hedge, which takes only an idle slot.
      *
      * @param request the call
      * @param excludedUpstreams upstreams already tried
-     * @return a wish that does not wait
+     * @return a slot request that does not wait
      */
-    public static SlotRequest forExtraAttempt(CallRequest request, Set<UpstreamId> avoid) {
-        return of(request, avoid, true);
+    public static SlotRequest forExtraAttempt(CallRequest request, Set<UpstreamId> excludedUpstreams) {
+        return of(request, excludedUpstreams, true);
     }
 
     /**
-     * Returns the same wish with another deadline.
+     * Returns the same slot request with another deadline.
      *
-     * @param newDeadlineNanos monotonic time, or the remaining span inside a message between nodes
-     * @return a copy
+     * @param newDeadlineNanos monotonic time; inside a message between nodes, the remaining time
+     * @return a copy with that deadline
      */
     public SlotRequest withDeadlineNanos(long newDeadlineNanos) {
         return new SlotRequest(
                 service, office, caller, newDeadlineNanos, depth, idempotent, excludedUpstreams, idleOnly);
     }
 
-    private static SlotRequest of(CallRequest request, Set<UpstreamId> avoid, boolean idleOnly) {
+    private static SlotRequest of(CallRequest request, Set<UpstreamId> excludedUpstreams, boolean idleOnly) {
         return new SlotRequest(
                 request.service(),
                 request.office(),
@@ -72,7 +72,7 @@
                 request.deadlineNanos(),
                 request.depth(),
                 request.idempotent(),
-                avoid,
+                excludedUpstreams,
                 idleOnly);
     }
 }
--- a/calls/src/main/java/org/turmericspan/calls/SlotSource.java
+++ b/calls/src/main/java/org/turmericspan/calls/SlotSource.java
@@ -2,13 +2,13 @@
 
 import java.util.concurrent.CompletionStage;
 
-/** Grants slots, its own or lent by other nodes. */
+/** Source of slots that belong to this node or are borrowed from other nodes. */
 @FunctionalInterface
 public interface SlotSource {
     /**
-     * Asks for a slot without blocking; the wish waits as parked state.
+     * Requests a slot without blocking; a request that must wait is queued.
      *
-     * @param request what is wished for
+     * @param request the slot request
      * @return the decision; the stage never completes exceptionally
      */
     CompletionStage<SlotDecision> acquire(SlotRequest request);
--- a/calls/src/main/java/org/turmericspan/calls/UpstreamExchange.java
+++ b/calls/src/main/java/org/turmericspan/calls/UpstreamExchange.java
@@ -2,15 +2,15 @@
 
 import java.util.concurrent.CompletionStage;
 
-/** One attempt under way. */
+/** Attempt in progress. */
 public interface UpstreamExchange {
     /**
-     * Returns how the attempt ends.
+     * Returns the outcome of the attempt.
      *
-     * @return the reply; the stage never completes exceptionally
+     * @return the outcome; the stage never completes exceptionally
      */
     CompletionStage<AttemptOutcome> outcome();
 
-    /** Cancels the attempt; the reply then tells whether bytes were sent. */
+    /** Cancels the attempt; the outcome then indicates whether bytes were sent. */
     void cancel();
 }
--- a/calls/src/main/java/org/turmericspan/calls/UpstreamProbe.java
+++ b/calls/src/main/java/org/turmericspan/calls/UpstreamProbe.java
@@ -5,15 +5,15 @@
 import java.util.concurrent.CompletionStage;
 import org.turmericspan.ids.SocketAddress;
 
-/** Asks upstreams how loaded they are. */
+/** Probes upstreams for their load. */
 @FunctionalInterface
 public interface UpstreamProbe {
     /**
      * Sends one probe without blocking.
      *
-     * @param address where the upstream listens
-     * @param timeout how long to wait
-     * @return the report, or empty when there was none; the stage never completes exceptionally
+     * @param address address at which the upstream listens
+     * @param timeout maximum time to wait for the report
+     * @return the report, or empty when none arrived in time; the stage never completes exceptionally
      */
     CompletionStage<Optional<ProbeReport>> send(SocketAddress address, Duration timeout);
 }
--- a/calls/src/main/java/org/turmericspan/calls/UpstreamSignals.java
+++ b/calls/src/main/java/org/turmericspan/calls/UpstreamSignals.java
@@ -4,14 +4,14 @@
 import java.util.OptionalInt;
 
 /**
- * What an upstream said of itself in an answer or to a probe. All of it may be stale.
+ * State that an upstream reported in a response or to a probe. Any of it may be stale.
  *
- * @param running requests it says it runs
- * @param cold whether it says it is cold
- * @param leaving whether it says it is leaving
- * @param incarnation the life it says it is in
+ * @param running number of requests that the upstream runs
+ * @param cold whether the upstream is cold
+ * @param leaving whether the upstream is about to stop
+ * @param incarnation incarnation of the upstream
  */
 public record UpstreamSignals(OptionalInt running, boolean cold, boolean leaving, Optional<String> incarnation) {
-    /** Signals of an upstream that said nothing. */
+    /** Signals of an upstream that reported nothing. */
     public static final UpstreamSignals NONE = new UpstreamSignals(OptionalInt.empty(), false, false, Optional.empty());
 }
--- a/calls/src/main/java/org/turmericspan/calls/package-info.java
+++ b/calls/src/main/java/org/turmericspan/calls/package-info.java
@@ -1,2 +1,2 @@
-/** A call, its answer and the narrow interfaces it passes through, free of any encoding. */
+/** Calls, their results and the interfaces that handle them, independent of any encoding. */
 package org.turmericspan.calls;
