Describe the peer messages in the terms of the field

Cause: the doc comments spoke of answers, wishes, keepers, lives and rights that are kept and given back.

Change: doc comments only. CancelSlotRequest says that it is called WithdrawWish on the wire.

--- a/messages/src/main/java/org/turmericspan/messages/PeerHandler.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerHandler.java
@@ -9,9 +9,9 @@
     /**
      * Handles a message without blocking.
      *
-     * @param from VM of the node that sent it
+     * @param from VM of the sender
      * @param message the message
-     * @return the answer; {@link PeerMessage.Done} when there is nothing to say
+     * @return the reply; {@link PeerMessage.Done} when there is nothing to report
      */
     CompletionStage<PeerMessage> handle(VmId from, PeerMessage message);
 }
--- a/messages/src/main/java/org/turmericspan/messages/PeerLinks.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerLinks.java
@@ -4,10 +4,10 @@
 import java.util.concurrent.CompletionStage;
 import org.turmericspan.ids.VmId;
 
-/** Links to the other nodes. */
+/** Links over which a node sends messages to other nodes. */
 public interface PeerLinks {
     /**
-     * Sends a message that needs no answer. It may be lost.
+     * Sends a message that needs no reply. It may be lost.
      *
      * @param peer VM of the other node
      * @param message the message
@@ -15,12 +15,12 @@
     void tell(VmId peer, PeerMessage message);
 
     /**
-     * Sends a message and waits for its answer without blocking.
+     * Sends a message and returns its reply without blocking.
      *
      * @param peer VM of the other node
      * @param message the message
-     * @param timeout how long to wait
-     * @return the answer, or {@link PeerMessage.Unreachable}; the stage never completes exceptionally
+     * @param timeout maximum time to wait for the reply
+     * @return the reply, or {@link PeerMessage.Unreachable}; the stage never completes exceptionally
      */
     CompletionStage<PeerMessage> ask(VmId peer, PeerMessage message, Duration timeout);
 }
--- a/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
+++ b/messages/src/main/java/org/turmericspan/messages/PeerMessage.java
@@ -16,30 +16,30 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * A message between two nodes. Monotonic clocks of two nodes have nothing in common, so every time in a message is a
- * span; a {@code deadlineNanos} inside a nested record holds the span that remains.
+ * Message between two nodes. The monotonic clocks of two nodes are unrelated, so every time in a message is a duration;
+ * a {@code deadlineNanos} inside a nested record holds the remaining time in nanoseconds.
  */
 public sealed interface PeerMessage {
-    /** Answer that says no more than that the message was handled. */
+    /** Reply without content: the message was handled. */
     record Done() implements PeerMessage {}
 
     /**
-     * Answer made up by the sender's own link when the peer gave none in time.
+     * Reply that the sender's own link creates when the peer did not reply in time.
      *
      * @param sent whether the message may have reached the peer
      */
     record Unreachable(boolean sent) implements PeerMessage {}
 
     /**
-     * State that every node sends to its peers at short intervals, and answers with.
+     * State of a node, which it sends to its peers at short intervals and also sends as the reply.
      *
-     * @param incarnation life of the sender
-     * @param configurationNumber number of the configuration in force at the sender
-     * @param configurationDigest digest of the configuration in force at the sender
+     * @param incarnation incarnation of the sender
+     * @param configurationNumber number of the configuration that is active at the sender
+     * @param configurationDigest digest of the configuration that is active at the sender, in hexadecimal
      * @param viewRevision revision of the sender's view
-     * @param viewAge time since the platform confirmed that view, to the sender or to one that told it
+     * @param viewAge time since the platform confirmed that view, to the sender or to a node it was received from
      * @param leaving whether the sender is about to stop
-     * @param idleSlots slots idle at the sender, per service it keeps upstreams of
+     * @param idleSlots idle slots at the sender, for each service of which it owns upstreams
      */
     record Heartbeat(
             Incarnation incarnation,
@@ -51,7 +51,7 @@
             List<IdleSlots> idleSlots)
             implements PeerMessage {
         /**
-         * Leaves out what other regions have no use for.
+         * Returns the same state without what is irrelevant in other regions.
          *
          * @return a copy without idle slots
          */
@@ -62,29 +62,29 @@
     }
 
     /**
-     * Slots that are idle at a keeper.
+     * Idle slots of a service at one owner.
      *
      * @param service service of the upstreams
      * @param idle number of slots that could be granted now
-     * @param waiting number of wishes that wait there
+     * @param waiting number of slot requests that are queued there
      */
     record IdleSlots(ServiceId service, int idle, int waiting) {}
 
-    /** Asks for the configuration in force. */
+    /** Requests the active configuration. */
     record FetchConfiguration() implements PeerMessage {}
 
     /**
-     * Answer to {@link FetchConfiguration}.
+     * Reply to {@link FetchConfiguration}.
      *
-     * @param document the document, or empty when none is in force
+     * @param document the document, or empty when none is active
      */
     record ConfigurationDocument(Optional<String> document) implements PeerMessage {}
 
-    /** Asks for the accepted list of VMs. */
+    /** Requests the accepted list of VMs. */
     record FetchView() implements PeerMessage {}
 
     /**
-     * Answer to {@link FetchView}.
+     * Reply to {@link FetchView}.
      *
      * @param revision revision of the list; 0 when none was accepted
      * @param text the list as the platform holds it, or empty when none was accepted
@@ -92,61 +92,61 @@
     record ViewDocument(long revision, Optional<String> text) implements PeerMessage {}
 
     /**
-     * Asks a keeper for a slot.
+     * Requests a slot from an owner.
      *
-     * @param request what is wished for
-     * @param requestNumber number by which the borrower can withdraw the wish
+     * @param request the slot request
+     * @param requestNumber number by which the borrower can cancel the request
      */
     record BorrowSlot(SlotRequest request, long requestNumber) implements PeerMessage {}
 
     /**
-     * Withdraws a wish that was met elsewhere.
+     * Cancels a slot request that was granted elsewhere. It is called {@code WithdrawWish} on the wire.
      *
-     * @param requestNumber number of the wish
+     * @param requestNumber number of the slot request
      */
     record CancelSlotRequest(long requestNumber) implements PeerMessage {}
 
     /**
-     * Answer to {@link BorrowSlot} with a lent slot.
+     * Reply to {@link BorrowSlot} that lends a slot.
      *
      * @param lease identifier of the lease
      * @param upstream upstream the slot belongs to
-     * @param address where the upstream listens
-     * @param remaining how long the lease holds
+     * @param address address at which the upstream listens
+     * @param remaining time until the lease expires
      */
     record SlotLent(LeaseId lease, UpstreamId upstream, SocketAddress address, Duration remaining)
             implements PeerMessage {}
 
     /**
-     * Answer to {@link BorrowSlot} without a slot.
+     * Reply to {@link BorrowSlot} that denies the request.
      *
-     * @param code why
+     * @param code reason
      */
     record SlotDenied(ResultCode code) implements PeerMessage {}
 
     /**
-     * Gives a lent slot back.
+     * Returns a lent slot.
      *
      * @param lease identifier of the lease
-     * @param slotReturn what the attempt showed of the upstream
+     * @param slotReturn what the attempt revealed about the upstream
      */
     record ReturnSlot(LeaseId lease, SlotReturn slotReturn) implements PeerMessage {}
 
     /**
-     * Calls a lent slot back: no request may start under it any more.
+     * Recalls a lent slot: no further request may start under it.
      *
      * @param lease identifier of the lease
      */
     record RecallSlot(LeaseId lease) implements PeerMessage {}
 
     /**
-     * Hands an upstream over to its next keeper.
+     * Hands an upstream over to its next owner.
      *
      * @param upstream the upstream
-     * @param warm whether it was warm
-     * @param allowance requests it was allowed at a time
-     * @param upstreamIncarnation the life it said it was in
-     * @param leases leases that still run
+     * @param warm whether the upstream was warm
+     * @param allowance concurrency limit that the upstream has reached during slow start
+     * @param upstreamIncarnation incarnation that the upstream reported
+     * @param leases leases that are not released yet
      */
     record Handover(
             UpstreamId upstream,
@@ -157,26 +157,26 @@
             implements PeerMessage {}
 
     /**
-     * A lease that still runs when its upstream is handed over.
+     * Lease that is not released yet when its upstream is handed over.
      *
      * @param lease identifier of the lease
      * @param holder VM of the node that holds it
-     * @param remaining how long it holds at most
+     * @param remaining longest time until the lease expires
      */
     record RunningLease(LeaseId lease, VmId holder, Duration remaining) {}
 
     /**
-     * Asks whether a node holds or has granted leases on upstreams.
+     * Queries whether a node holds or has granted leases on upstreams.
      *
-     * @param requesterIncarnation life of the sender, by which the other node tells a restart
+     * @param requesterIncarnation incarnation of the sender, by which the receiver detects a restart
      * @param upstreams the upstreams
      */
     record QueryLeases(Incarnation requesterIncarnation, List<UpstreamId> upstreams) implements PeerMessage {}
 
     /**
-     * Answer to {@link QueryLeases}.
+     * Reply to {@link QueryLeases}.
      *
-     * @param held upstreams on which a lease may still run
+     * @param held upstreams on which a lease may still be in use
      */
     record LeasesHeld(List<UpstreamId> held) implements PeerMessage {}
 
@@ -188,47 +188,47 @@
     record RelayCall(CallRequest request) implements PeerMessage {}
 
     /**
-     * Answer to {@link RelayCall}.
+     * Reply to {@link RelayCall}.
      *
-     * @param result the result
+     * @param result result of the call
      */
     record RelayResult(CallResult result) implements PeerMessage {}
 
     /**
-     * Shares requests suspected of crashing upstreams.
+     * Shares the requests that are suspected of crashing upstreams.
      *
      * @param suspects the suspects
      */
     record ShareSuspects(List<Suspect> suspects) implements PeerMessage {}
 
     /**
-     * One suspected kind of request.
+     * Request fingerprint that is suspected of crashing upstreams.
      *
      * @param fingerprint digest of service, method, path and body
-     * @param crashedUpstreams upstreams that died while they ran it; empty when it is cleared
-     * @param crashedInIsolation whether an upstream died that ran it alone
-     * @param remaining how long the suspicion lasts
+     * @param crashedUpstreams upstreams that crashed while they ran the request; empty when it is no longer suspected
+     * @param crashedInIsolation whether an upstream crashed while it ran no other request
+     * @param remaining time until the suspicion expires
      */
     record Suspect(
             long fingerprint, List<UpstreamId> crashedUpstreams, boolean crashedInIsolation, Duration remaining) {}
 
     /**
-     * Asks the node that keeps the right for the right to run a suspected request alone.
+     * Requests the trial permit, under which a suspected request runs in isolation, from the node that grants it.
      *
      * @param fingerprint digest of the request
-     * @param longest how long the run may take
+     * @param longest longest time that the trial may take
      */
     record BeginTrial(long fingerprint, Duration longest) implements PeerMessage {}
 
     /**
-     * Answer to {@link BeginTrial}.
+     * Reply to {@link BeginTrial}.
      *
-     * @param granted false when another suspect runs
+     * @param granted whether the permit is granted; false while another trial runs
      */
     record TrialDecision(boolean granted) implements PeerMessage {}
 
     /**
-     * Gives the right of {@link BeginTrial} back.
+     * Returns the permit of {@link BeginTrial}.
      *
      * @param fingerprint digest of the request
      */
--- a/messages/src/main/java/org/turmericspan/messages/package-info.java
+++ b/messages/src/main/java/org/turmericspan/messages/package-info.java
@@ -1,2 +1,2 @@
-/** Typed messages between nodes and the interface of the links, free of any encoding. */
+/** Typed messages between nodes and the interface of the links, independent of any encoding. */
 package org.turmericspan.messages;
