Name the links between nodes in the terms of the field

Cause: lanes, silence that is watched, signs of life that are owed, parts that end, ends that are trusted or given up, and answers hid a keepalive, a traffic class and an authenticated connection.

Change, old -> new: - types: SilenceWatch -> KeepaliveMonitor (with its test), Lane -> TrafficClass, Outgoing -> OutgoingMessage, FrameChannel -> FrameCodecHandler, SerialTasks -> SerialExecutor - KeepaliveMonitor: written, read, owed -> onWrite, onRead, readExpected - OutgoingMessage: end, endUnanswered, endUnsent -> complete, completeWithoutReply, completeUnsent; NO_ANSWER -> NO_REPLY - PeerLink: opened, tick, drop, mustPause -> authenticated, check, disconnect, isBackingOff; TICK, RETRY_PAUSE -> CHECK_INTERVAL, RECONNECT_BACKOFF - FrameCodecHandler: SPLITTER, admitLargeFrames -> FRAME_DECODER, raiseFrameLimit - handlers: trusted, check, giveUp -> authenticated, verify, closeUnlessAuthenticated; PeerTraffic.IGNORED -> NO_OP - six log sentences and two error messages, and test names that say case and outcome

--- a/peer/src/main/java/org/turmericspan/peer/AcceptingHandler.java
+++ b/peer/src/main/java/org/turmericspan/peer/AcceptingHandler.java
@@ -13,41 +13,42 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.wire.PeerFrame;
 
-/** Accepting end of a connection: checks the other end, then hands its messages to the handlers in order. */
+/** Accepting end of a connection: authenticates the other end, then passes its messages to the handlers in order. */
 final class AcceptingHandler extends SimpleChannelInboundHandler<PeerFrame> {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final int LOG_EVERY_SECONDS = 10;
+    private static final int LOG_INTERVAL_SECONDS = 10;
     private static final long HANDSHAKE_TIMEOUT_SECONDS = 2;
     private static final PeerMessage NOT_HANDLED = new PeerMessage.Unreachable(true);
 
     private final LinkContext context;
     private final Handshake handshake;
-    private final SerialTasks tasks;
+    private final SerialExecutor executor;
     private PeerFrame.Hello hello;
     private PeerFrame.Welcome welcome;
-    private boolean trusted;
+    private boolean authenticated;
 
     AcceptingHandler(LinkContext context) {
         this.context = context;
         this.handshake = context.handshake();
-        this.tasks = new SerialTasks(context.workers());
+        this.executor = new SerialExecutor(context.workers());
     }
 
     @Override
     public void channelActive(ChannelHandlerContext channel) {
-        channel.executor().schedule(() -> giveUp(channel), HANDSHAKE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        channel.executor()
+                .schedule(() -> closeUnlessAuthenticated(channel), HANDSHAKE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext channel, PeerFrame frame) {
-        if (trusted) {
+        if (authenticated) {
             receive(channel.channel(), frame);
         } else if (hello == null && frame instanceof PeerFrame.Hello first) {
             hello = first;
             welcome = handshake.welcome(first);
             channel.writeAndFlush(welcome);
         } else if (hello != null && frame instanceof PeerFrame.Proof proof) {
-            check(channel, proof);
+            verify(channel, proof);
         } else {
             channel.close();
         }
@@ -67,29 +68,30 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
-        logger.atWarning().atMostEvery(LOG_EVERY_SECONDS, TimeUnit.SECONDS).log(
-                "peer: a connection from %s failed: %s", channel.channel().remoteAddress(), cause.getMessage());
+        logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                "peer: the connection from %s failed and is closed: %s",
+                channel.channel().remoteAddress(), cause.getMessage());
         channel.close();
     }
 
-    private void check(ChannelHandlerContext channel, PeerFrame.Proof proof) {
+    private void verify(ChannelHandlerContext channel, PeerFrame.Proof proof) {
         if (!handshake.accepts(hello, welcome, proof)) {
-            logger.atWarning().atMostEvery(LOG_EVERY_SECONDS, TimeUnit.SECONDS).log(
-                    "peer: %d refused a connection from %s",
+            logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                    "peer: %d closed the connection from %s, which failed authentication",
                     ResultCode.PEER_NOT_TRUSTED.number(), channel.channel().remoteAddress());
             channel.close();
             return;
         }
-        trusted = true;
-        FrameChannel.admitLargeFrames(channel.pipeline());
+        authenticated = true;
+        FrameCodecHandler.raiseFrameLimit(channel.pipeline());
     }
 
     private void receive(Channel channel, PeerFrame frame) {
         if (frame instanceof PeerFrame.Tell tell) {
-            tasks.add(() -> handle(hello.vm(), tell.message()));
+            executor.execute(() -> handle(hello.vm(), tell.message()));
         } else if (frame instanceof PeerFrame.Ask ask) {
-            tasks.add(() -> handle(hello.vm(), ask.message())
-                    .thenAccept(answer -> channel.writeAndFlush(new PeerFrame.Answer(ask.correlation(), answer))));
+            executor.execute(() -> handle(hello.vm(), ask.message())
+                    .thenAccept(reply -> channel.writeAndFlush(new PeerFrame.Answer(ask.correlation(), reply))));
         } else if (frame instanceof PeerFrame.Ping) {
             channel.writeAndFlush(new PeerFrame.Pong());
         } else {
@@ -98,24 +100,24 @@
     }
 
     private CompletionStage<PeerMessage> handle(VmId from, PeerMessage message) {
-        CompletionStage<PeerMessage> answer;
+        CompletionStage<PeerMessage> reply;
         try {
-            answer = context.handlers()
+            reply = context.handlers()
                     .find(message)
                     .map(handler -> handler.handle(from, message))
                     .orElseGet(() -> CompletableFuture.completedFuture(NOT_HANDLED));
         } catch (RuntimeException e) {
-            answer = CompletableFuture.failedFuture(e);
+            reply = CompletableFuture.failedFuture(e);
         }
-        return answer.exceptionally(failure -> {
-            logger.atWarning().atMostEvery(LOG_EVERY_SECONDS, TimeUnit.SECONDS).withCause(failure).log(
-                    "peer: a message from %s could not be handled", from);
+        return reply.exceptionally(failure -> {
+            logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).withCause(failure).log(
+                    "peer: the handler of a message from %s failed", from);
             return NOT_HANDLED;
         });
     }
 
-    private void giveUp(ChannelHandlerContext channel) {
-        if (!trusted) {
+    private void closeUnlessAuthenticated(ChannelHandlerContext channel) {
+        if (!authenticated) {
             channel.close();
         }
     }
--- a/peer/src/main/java/org/turmericspan/peer/FrameChannel.java
+++ b/peer/src/main/java/org/turmericspan/peer/FrameCodecHandler.java
@@ -13,37 +13,37 @@
 import org.turmericspan.wire.PeerFrame;
 import org.turmericspan.wire.PeerFrameCodec;
 
-/** Turns bytes into frames and back, with a length before each frame and a limit on it. */
-final class FrameChannel extends MessageToMessageCodec<ByteBuf, PeerFrame> {
-    /** Largest frame before both ends have proved that they hold the key. */
-    static final int HANDSHAKE_LIMIT_BYTES = 512;
+/** Encodes and decodes frames, each preceded by its length, and limits their size. */
+final class FrameCodecHandler extends MessageToMessageCodec<ByteBuf, PeerFrame> {
+    /** Maximum size of a frame until the other end is authenticated. */
+    static final int HANDSHAKE_FRAME_LIMIT_BYTES = 512;
 
-    /** Largest frame afterwards: the largest body with its header fields. */
+    /** Maximum size of a frame afterwards: the largest body with its header fields. */
     static final int FRAME_LIMIT_BYTES = 17 * 1024 * 1024;
 
     private static final int LENGTH_BYTES = 4;
-    private static final String SPLITTER = "splitter";
+    private static final String FRAME_DECODER = "frame-decoder";
 
     private final PeerFrameCodec codec = new PeerFrameCodec();
     private final PeerTraffic traffic;
 
-    private FrameChannel(PeerTraffic traffic) {
+    private FrameCodecHandler(PeerTraffic traffic) {
         super(ByteBuf.class, PeerFrame.class);
         this.traffic = traffic;
     }
 
     static void install(ChannelPipeline pipeline, PeerTraffic traffic) {
-        pipeline.addLast(SPLITTER, splitter(HANDSHAKE_LIMIT_BYTES));
+        pipeline.addLast(FRAME_DECODER, frameDecoder(HANDSHAKE_FRAME_LIMIT_BYTES));
         pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
-        pipeline.addLast(new FrameChannel(traffic));
+        pipeline.addLast(new FrameCodecHandler(traffic));
     }
 
-    /** Admits frames of full size once the other end has proved that it holds the key. */
-    static void admitLargeFrames(ChannelPipeline pipeline) {
-        pipeline.replace(SPLITTER, SPLITTER, splitter(FRAME_LIMIT_BYTES));
+    /** Raises the frame limit to its full size once the other end is authenticated. */
+    static void raiseFrameLimit(ChannelPipeline pipeline) {
+        pipeline.replace(FRAME_DECODER, FRAME_DECODER, frameDecoder(FRAME_LIMIT_BYTES));
     }
 
-    private static LengthFieldBasedFrameDecoder splitter(int limitBytes) {
+    private static LengthFieldBasedFrameDecoder frameDecoder(int limitBytes) {
         return new LengthFieldBasedFrameDecoder(limitBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
     }
 
@@ -51,7 +51,8 @@
     protected void encode(ChannelHandlerContext context, PeerFrame frame, List<Object> out) {
         byte[] bytes = codec.encode(frame);
         if (bytes.length > FRAME_LIMIT_BYTES) {
-            throw new BalancerException(ResultCode.TOO_LARGE, bytes.length + " bytes in one frame");
+            throw new BalancerException(
+                    ResultCode.TOO_LARGE, bytes.length + " bytes in one frame, more than the limit");
         }
         traffic.sent(bytes.length + LENGTH_BYTES);
         out.add(context.alloc().buffer(bytes.length).writeBytes(bytes));
--- a/peer/src/main/java/org/turmericspan/peer/Handshake.java
+++ b/peer/src/main/java/org/turmericspan/peer/Handshake.java
@@ -13,9 +13,9 @@
 import org.turmericspan.wire.PeerFrame;
 
 /**
- * Mutual proof that both ends hold the deployment key. Each end answers for the other's fresh nonce with an
- * HMAC-SHA256 over both nonces, both names and both incarnations, and the two ends sign different labels, so that
- * neither a recorded nor a reflected frame proves anything.
+ * Mutual authentication by the deployment key. Each end sends a fresh nonce, and each signs both nonces, both names and
+ * both incarnations with HMAC-SHA256. The two ends sign different labels, so that neither a replayed nor a reflected
+ * frame is accepted.
  */
 final class Handshake {
     static final int NONCE_BYTES = 32;
@@ -40,7 +40,7 @@
         return new PeerFrame.Hello(vm, incarnation, nonce());
     }
 
-    /** Answers a hello; the Mac proves the key to the connecting node. */
+    /** Creates the reply to a hello; its MAC authenticates this node to the connecting one. */
     PeerFrame.Welcome welcome(PeerFrame.Hello hello) {
         PeerFrame.Welcome unsigned = new PeerFrame.Welcome(vm, incarnation, nonce(), Payload.EMPTY);
         Payload mac = sign(ACCEPTING_LABEL, hello, unsigned);
@@ -71,24 +71,24 @@
             mac.init(key);
             add(mac, label.getBytes(StandardCharsets.UTF_8));
             add(mac, hello.vm().value().getBytes(StandardCharsets.UTF_8));
-            add(mac, number(hello.incarnation().value()));
+            add(mac, toBytes(hello.incarnation().value()));
             add(mac, hello.nonce().bytes());
             add(mac, welcome.vm().value().getBytes(StandardCharsets.UTF_8));
-            add(mac, number(welcome.incarnation().value()));
+            add(mac, toBytes(welcome.incarnation().value()));
             add(mac, welcome.nonce().bytes());
             return Payload.wrap(mac.doFinal());
         } catch (GeneralSecurityException e) {
-            throw new IllegalStateException("Every Java runtime has " + ALGORITHM, e);
+            throw new IllegalStateException("Every Java runtime must provide " + ALGORITHM, e);
         }
     }
 
-    /** Adds a part after its length, so that no two lists of parts give the same bytes. */
+    /** Adds a part preceded by its length, so that different lists of parts never yield the same bytes. */
     private static void add(Mac mac, byte[] part) {
         mac.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).array());
         mac.update(part);
     }
 
-    private static byte[] number(long value) {
+    private static byte[] toBytes(long value) {
         return ByteBuffer.allocate(Long.BYTES).putLong(value).array();
     }
 
--- a/peer/src/main/java/org/turmericspan/peer/LinkContext.java
+++ b/peer/src/main/java/org/turmericspan/peer/LinkContext.java
@@ -5,15 +5,15 @@
 import org.turmericspan.ids.MonotonicClock;
 
 /**
- * What every link of a node shares.
+ * Objects that all links of a node share.
  *
  * @param settings settings of the node
- * @param directory tells where peers listen
+ * @param directory looks up the addresses of peers
  * @param handlers handlers of incoming messages
- * @param workers run handlers and complete answers
- * @param clock measures silence
- * @param random draws nonces and spreads reconnects; safe for use by many threads
- * @param traffic counts what passes
+ * @param workers runs handlers and completes replies
+ * @param clock measures the time without traffic
+ * @param random generates nonces and the jitter of reconnects; thread-safe
+ * @param traffic counts sent and received frames
  */
 public record LinkContext(
         PeerSettings settings,
--- a/peer/src/main/java/org/turmericspan/peer/NettyPeerLinks.java
+++ b/peer/src/main/java/org/turmericspan/peer/NettyPeerLinks.java
@@ -21,24 +21,24 @@
 import org.turmericspan.messages.PeerMessage;
 
 /**
- * Links over TCP. Each node opens its own connections to a peer, one a lane, on demand; the peer's messages come over
- * the peer's connections. Messages of one lane to one peer are handled in the order in which they were sent; an answer
- * has no order with respect to other messages.
+ * Links over TCP. Each node opens its own connections to a peer on demand, one for each traffic class; the messages of
+ * the peer arrive over the connections that the peer opened. Messages of one traffic class to one peer are handled in
+ * the order in which they were sent; replies are not ordered with respect to other messages.
  */
 public final class NettyPeerLinks implements PeerLinks, AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final int THREADS = 2;
-    private static final int IDLE_LIMIT_SECONDS = 90;
-    private static final long STOP_TIMEOUT_SECONDS = 2;
+    private static final int EVENT_LOOP_THREADS = 2;
+    private static final int IDLE_TIMEOUT_SECONDS = 90;
+    private static final long SHUTDOWN_TIMEOUT_SECONDS = 2;
 
     private final LinkContext context;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS, NioIoHandler.newFactory());
     private final Map<LinkKey, PeerLink> links = new ConcurrentHashMap<>();
 
     /**
      * Creates links that do not listen yet.
      *
-     * @param context what the links share
+     * @param context objects that the links share
      */
     public NettyPeerLinks(LinkContext context) {
         this.context = context;
@@ -55,8 +55,8 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
-                        accepted.pipeline().addLast(new IdleStateHandler(IDLE_LIMIT_SECONDS, 0, 0));
-                        FrameChannel.install(accepted.pipeline(), context.traffic());
+                        accepted.pipeline().addLast(new IdleStateHandler(IDLE_TIMEOUT_SECONDS, 0, 0));
+                        FrameCodecHandler.install(accepted.pipeline(), context.traffic());
                         accepted.pipeline().addLast(new AcceptingHandler(context));
                     }
                 })
@@ -76,18 +76,18 @@
         return link(peer, message).ask(message, timeout);
     }
 
-    /** Closes every connection; messages without an answer end as unreachable. */
+    /** Closes every connection; messages still without a reply end as {@link PeerMessage.Unreachable}. */
     @Override
     public void close() {
         links.values().forEach(PeerLink::close);
-        group.shutdownGracefully(0, STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+        group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
     private PeerLink link(VmId peer, PeerMessage message) {
         return links.computeIfAbsent(
-                new LinkKey(peer, Lane.of(message)),
-                key -> new PeerLink(key.peer(), key.lane(), context, group.next()));
+                new LinkKey(peer, TrafficClass.of(message)),
+                key -> new PeerLink(key.peer(), key.trafficClass(), context, group.next()));
     }
 
-    private record LinkKey(VmId peer, Lane lane) {}
+    private record LinkKey(VmId peer, TrafficClass trafficClass) {}
 }
--- a/peer/src/main/java/org/turmericspan/peer/PeerDirectory.java
+++ b/peer/src/main/java/org/turmericspan/peer/PeerDirectory.java
@@ -4,14 +4,14 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.VmId;
 
-/** Tells where other nodes listen. */
+/** Looks up the addresses of other nodes. */
 @FunctionalInterface
 public interface PeerDirectory {
     /**
      * Looks up a node.
      *
      * @param peer VM of the node
-     * @return where it listens for other nodes, or empty when it is not listed
+     * @return address at which the node listens for other nodes, or empty when the node is not listed
      */
     Optional<SocketAddress> addressOf(VmId peer);
 }
--- a/peer/src/main/java/org/turmericspan/peer/PeerHandlers.java
+++ b/peer/src/main/java/org/turmericspan/peer/PeerHandlers.java
@@ -6,16 +6,16 @@
 import org.turmericspan.messages.PeerHandler;
 import org.turmericspan.messages.PeerMessage;
 
-/** Handlers of the messages that other nodes send, by the class of the message. */
+/** Handlers for the messages of other nodes, by the class of the message. */
 public final class PeerHandlers {
     private final Map<Class<? extends PeerMessage>, PeerHandler> handlers = new ConcurrentHashMap<>();
 
     /**
-     * Registers the handler of one kind of message.
+     * Registers the handler for one type of message.
      *
      * @param type class of the message
-     * @param handler called on a worker, in the order in which one peer sent messages of the same lane
-     * @throws IllegalStateException when the kind already has a handler
+     * @param handler called on a worker thread, in the order in which a peer sent messages of the same traffic class
+     * @throws IllegalStateException when the type already has a handler
      */
     public void register(Class<? extends PeerMessage> type, PeerHandler handler) {
         if (handlers.putIfAbsent(type, handler) != null) {
--- a/peer/src/main/java/org/turmericspan/peer/PeerLink.java
+++ b/peer/src/main/java/org/turmericspan/peer/PeerLink.java
@@ -24,43 +24,44 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.wire.PeerFrame;
 
-/** The outgoing connection of one lane to one peer, opened on demand. All its state stays on one event loop. */
+/** Outgoing connection of one traffic class to one peer, opened on demand. One event loop owns all its state. */
 final class PeerLink {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-    private static final Duration TICK = Duration.ofMillis(500);
-    private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
-    private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration RECONNECT_BACKOFF = Duration.ofMillis(250);
     private static final int MAX_QUEUED = 1_024;
     private static final int MAX_PENDING = 16_384;
-    private static final WriteBufferWaterMark WRITE_BUFFER = new WriteBufferWaterMark(1024 * 1024, 4 * 1024 * 1024);
+    private static final WriteBufferWaterMark WRITE_WATER_MARKS =
+            new WriteBufferWaterMark(1024 * 1024, 4 * 1024 * 1024);
 
     private final VmId peer;
-    private final Lane lane;
+    private final TrafficClass trafficClass;
     private final LinkContext context;
     private final EventLoop loop;
-    private final Queue<Outgoing> queue = new ArrayDeque<>();
-    private final Map<Long, Outgoing> pending = new HashMap<>();
-    private final SilenceWatch silence = new SilenceWatch();
+    private final Queue<OutgoingMessage> queue = new ArrayDeque<>();
+    private final Map<Long, OutgoingMessage> pending = new HashMap<>();
+    private final KeepaliveMonitor keepalive = new KeepaliveMonitor();
     private Channel channel;
     private SocketAddress channelAddress;
     private boolean ready;
     private long lastUseNanos;
-    private long nextCorrelation = Outgoing.NO_ANSWER;
-    private long retryAtNanos;
+    private long nextCorrelation = OutgoingMessage.NO_REPLY;
+    private long reconnectAtNanos;
     private boolean closed;
 
-    PeerLink(VmId peer, Lane lane, LinkContext context, EventLoop loop) {
+    PeerLink(VmId peer, TrafficClass trafficClass, LinkContext context, EventLoop loop) {
         this.peer = peer;
-        this.lane = lane;
+        this.trafficClass = trafficClass;
         this.context = context;
         this.loop = loop;
-        this.retryAtNanos = context.clock().nowNanos();
+        this.reconnectAtNanos = context.clock().nowNanos();
     }
 
     void tell(PeerMessage message) {
         if (!loop.isShuttingDown()) {
-            loop.execute(() -> send(new Outgoing(Outgoing.NO_ANSWER, message)));
+            loop.execute(() -> send(new OutgoingMessage(OutgoingMessage.NO_REPLY, message)));
         }
     }
 
@@ -72,10 +73,10 @@
         }
         loop.execute(() -> {
             nextCorrelation++;
-            Outgoing ask = new Outgoing(nextCorrelation, message);
-            ask.answer().thenAccept(result::complete);
-            ask.setTimeout(loop.schedule(() -> timeOut(ask), timeout.toNanos(), TimeUnit.NANOSECONDS));
-            send(ask);
+            OutgoingMessage request = new OutgoingMessage(nextCorrelation, message);
+            request.reply().thenAccept(result::complete);
+            request.setTimeout(loop.schedule(() -> timeOut(request), timeout.toNanos(), TimeUnit.NANOSECONDS));
+            send(request);
         });
         return result;
     }
@@ -83,20 +84,20 @@
     void close() {
         loop.execute(() -> {
             closed = true;
-            drop();
+            disconnect();
         });
     }
 
-    private void send(Outgoing outgoing) {
+    private void send(OutgoingMessage outgoing) {
         Optional<SocketAddress> address = context.directory().addressOf(peer);
         if (channel != null && !address.equals(Optional.of(channelAddress))) {
-            logger.atInfo().log("peer: %s moved, its connection is closed", peer);
-            drop();
+            logger.atInfo().log("peer: the address of %s changed; the connection to the old one is closed", peer);
+            disconnect();
         }
         if (ready) {
             write(outgoing);
-        } else if (closed || address.isEmpty() || queue.size() >= MAX_QUEUED || mustPause()) {
-            outgoing.endUnsent(context.workers());
+        } else if (closed || address.isEmpty() || queue.size() >= MAX_QUEUED || isBackingOff()) {
+            outgoing.completeUnsent(context.workers());
         } else {
             queue.add(outgoing);
             if (channel == null) {
@@ -105,32 +106,32 @@
         }
     }
 
-    private boolean mustPause() {
-        return channel == null && context.clock().nowNanos() - retryAtNanos < 0;
+    private boolean isBackingOff() {
+        return channel == null && context.clock().nowNanos() - reconnectAtNanos < 0;
     }
 
-    private void write(Outgoing outgoing) {
+    private void write(OutgoingMessage outgoing) {
         if (!channel.isWritable() || pending.size() >= MAX_PENDING) {
-            outgoing.endUnsent(context.workers());
+            outgoing.completeUnsent(context.workers());
             return;
         }
         outgoing.markSent();
-        if (outgoing.needsAnswer()) {
+        if (outgoing.needsReply()) {
             pending.put(outgoing.correlation(), outgoing);
         }
         lastUseNanos = context.clock().nowNanos();
-        silence.written(lastUseNanos);
+        keepalive.onWrite(lastUseNanos);
         channel.writeAndFlush(outgoing.frame()).addListener(written -> {
             if (written.cause() instanceof EncoderException) {
                 pending.remove(outgoing.correlation());
-                outgoing.endUnsent(context.workers());
+                outgoing.completeUnsent(context.workers());
             }
         });
     }
 
-    private void timeOut(Outgoing ask) {
-        pending.remove(ask.correlation());
-        ask.endUnanswered(context.workers());
+    private void timeOut(OutgoingMessage request) {
+        pending.remove(request.correlation());
+        request.completeWithoutReply(context.workers());
     }
 
     private void connect(SocketAddress address) {
@@ -140,12 +141,12 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARKS)
                 .localAddress(context.settings().address().host(), 0)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel opened) {
-                        FrameChannel.install(opened.pipeline(), context.traffic());
+                        FrameCodecHandler.install(opened.pipeline(), context.traffic());
                         opened.pipeline().addLast(new ConnectingHandler(PeerLink.this, peer, context.handshake()));
                     }
                 })
@@ -155,80 +156,82 @@
         opening.closeFuture().addListener(ignored -> closed(opening));
     }
 
-    /** Takes over the connection once both ends have proved that they hold the key. */
-    void opened(Channel trusted) {
-        if (trusted != channel) {
-            trusted.close();
+    /** Uses a connection for messages once both of its ends are authenticated. */
+    void authenticated(Channel opened) {
+        if (opened != channel) {
+            opened.close();
             return;
         }
         ready = true;
         lastUseNanos = context.clock().nowNanos();
-        silence.read(lastUseNanos, false);
-        tickLater(trusted);
+        keepalive.onRead(lastUseNanos, false);
+        scheduleCheck(opened);
         while (ready && !queue.isEmpty()) {
-            Outgoing next = queue.remove();
-            if (!next.hasEnded()) {
+            OutgoingMessage next = queue.remove();
+            if (!next.isCompleted()) {
                 write(next);
             }
         }
     }
 
     void received(PeerFrame frame) {
-        if (frame instanceof PeerFrame.Answer answer) {
-            Outgoing ask = pending.remove(answer.correlation());
-            if (ask != null) {
-                ask.end(answer.message(), context.workers());
+        if (frame instanceof PeerFrame.Answer reply) {
+            OutgoingMessage request = pending.remove(reply.correlation());
+            if (request != null) {
+                request.complete(reply.message(), context.workers());
             }
         }
-        silence.read(context.clock().nowNanos(), !pending.isEmpty());
+        keepalive.onRead(context.clock().nowNanos(), !pending.isEmpty());
     }
 
-    private void tickLater(Channel ticking) {
-        loop.schedule(() -> tick(ticking), TICK.toNanos(), TimeUnit.NANOSECONDS);
+    private void scheduleCheck(Channel checked) {
+        loop.schedule(() -> check(checked), CHECK_INTERVAL.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    private void tick(Channel ticking) {
-        if (ticking != channel) {
+    private void check(Channel checked) {
+        if (checked != channel) {
             return;
         }
         long nowNanos = context.clock().nowNanos();
-        SilenceWatch.Action action = silence.check(nowNanos);
-        if (action == SilenceWatch.Action.CLOSE) {
-            logger.atWarning().log("peer: the %s connection to %s went silent and is closed", lane, peer);
-            drop();
+        KeepaliveMonitor.Action action = keepalive.check(nowNanos);
+        if (action == KeepaliveMonitor.Action.CLOSE) {
+            logger.atWarning().log(
+                    "peer: the %s connection to %s received nothing in time and is closed", trafficClass, peer);
+            disconnect();
             return;
         }
-        if (action == SilenceWatch.Action.PING) {
+        if (action == KeepaliveMonitor.Action.PING) {
             channel.writeAndFlush(new PeerFrame.Ping());
         }
-        if (pending.isEmpty() && nowNanos - lastUseNanos > IDLE_LIMIT.toNanos()) {
-            drop();
+        if (pending.isEmpty() && nowNanos - lastUseNanos > IDLE_TIMEOUT.toNanos()) {
+            disconnect();
             return;
         }
-        tickLater(ticking);
+        scheduleCheck(checked);
     }
 
-    private void closed(Channel gone) {
-        if (gone == channel) {
-            drop();
+    private void closed(Channel ended) {
+        if (ended == channel) {
+            disconnect();
         }
     }
 
-    /** Closes the connection; messages that left may have arrived, queued ones have not. */
-    private void drop() {
-        Channel dropped = channel;
+    /** Closes the connection; messages already written may have arrived, queued ones have not. */
+    private void disconnect() {
+        Channel closing = channel;
         channel = null;
         if (!ready) {
-            long pauseNanos = RETRY_PAUSE.toNanos() / 2 + context.random().nextLong(RETRY_PAUSE.toNanos());
-            retryAtNanos = context.clock().nowNanos() + pauseNanos;
+            long backoffNanos =
+                    RECONNECT_BACKOFF.toNanos() / 2 + context.random().nextLong(RECONNECT_BACKOFF.toNanos());
+            reconnectAtNanos = context.clock().nowNanos() + backoffNanos;
         }
         ready = false;
-        if (dropped != null) {
-            dropped.close();
+        if (closing != null) {
+            closing.close();
         }
-        new ArrayList<>(queue).forEach(outgoing -> outgoing.endUnsent(context.workers()));
+        new ArrayList<>(queue).forEach(outgoing -> outgoing.completeUnsent(context.workers()));
         queue.clear();
-        new ArrayList<>(pending.values()).forEach(outgoing -> outgoing.endUnanswered(context.workers()));
+        new ArrayList<>(pending.values()).forEach(outgoing -> outgoing.completeWithoutReply(context.workers()));
         pending.clear();
     }
 }
--- a/peer/src/main/java/org/turmericspan/peer/PeerTraffic.java
+++ b/peer/src/main/java/org/turmericspan/peer/PeerTraffic.java
@@ -1,9 +1,9 @@
 package org.turmericspan.peer;
 
-/** Counts what passes over the links. Called on the network threads. */
+/** Counts the traffic of the links. Called by the event loop threads. */
 public interface PeerTraffic {
-    /** Counter that counts nothing. */
-    PeerTraffic IGNORED = new PeerTraffic() {
+    /** Counter that ignores all traffic. */
+    PeerTraffic NO_OP = new PeerTraffic() {
         @Override
         public void sent(int bytes) {}
 
@@ -14,14 +14,14 @@
     /**
      * Counts a frame that was sent.
      *
-     * @param bytes its size with the length before it
+     * @param bytes size of the frame including its length prefix
      */
     void sent(int bytes);
 
     /**
      * Counts a frame that was received.
      *
-     * @param bytes its size with the length before it
+     * @param bytes size of the frame including its length prefix
      */
     void received(int bytes);
 }
--- a/peer/src/main/java/org/turmericspan/peer/SerialTasks.java
+++ b/peer/src/main/java/org/turmericspan/peer/SerialExecutor.java
@@ -4,17 +4,17 @@
 import java.util.Queue;
 import java.util.concurrent.Executor;
 
-/** Runs the tasks of one connection one after the other, in order, on whichever worker is free. */
-final class SerialTasks {
+/** Runs the tasks of one connection on the workers, one at a time and in order. */
+final class SerialExecutor {
     private final Executor workers;
     private final Queue<Runnable> tasks = new ArrayDeque<>();
     private boolean running;
 
-    SerialTasks(Executor workers) {
+    SerialExecutor(Executor workers) {
         this.workers = workers;
     }
 
-    void add(Runnable task) {
+    void execute(Runnable task) {
         synchronized (tasks) {
             tasks.add(task);
             if (running) {
--- a/peer/src/main/java/org/turmericspan/peer/Lane.java
+++ b/peer/src/main/java/org/turmericspan/peer/TrafficClass.java
@@ -2,14 +2,14 @@
 
 import org.turmericspan.messages.PeerMessage;
 
-/** Connections to one peer, apart from each other so that large messages never hold up small ones. */
-enum Lane {
-    /** Small messages. */
+/** Class of messages that has its own connection to each peer, so that large messages never delay small ones. */
+enum TrafficClass {
+    /** Small messages, such as heartbeats and slot requests. */
     CONTROL,
-    /** Calls and documents. */
+    /** Relayed calls and requests for documents. */
     BULK;
 
-    static Lane of(PeerMessage message) {
+    static TrafficClass of(PeerMessage message) {
         boolean isBulk = message instanceof PeerMessage.RelayCall
                 || message instanceof PeerMessage.FetchConfiguration
                 || message instanceof PeerMessage.FetchView;
--- a/peer/src/test/java/org/turmericspan/peer/NettyPeerLinksTest.java
+++ b/peer/src/test/java/org/turmericspan/peer/NettyPeerLinksTest.java
@@ -32,8 +32,8 @@
     private static final String KEY = "sixteen-characters-and-more";
     private static final VmId FIRST = new VmId("entry-00");
     private static final VmId SECOND = new VmId("entry-01");
-    private static final Duration LONG = Duration.ofSeconds(20);
-    private static final PeerMessage QUESTION = new PeerMessage.CancelSlotRequest(1);
+    private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
+    private static final PeerMessage REQUEST = new PeerMessage.CancelSlotRequest(1);
 
     private final WorkerPool workerPool = new WorkerPool(4);
     private final Map<VmId, SocketAddress> addresses = new ConcurrentHashMap<>();
@@ -47,19 +47,19 @@
     }
 
     @Test
-    void questionGetsTheHandlersAnswer() throws IOException {
+    void askReturnsTheReplyOfTheHandler() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
         handlers.get(SECOND).register(PeerMessage.CancelSlotRequest.class, (from, message) -> {
-            boolean isRight = from.equals(FIRST) && message.equals(QUESTION);
-            return CompletableFuture.completedFuture(new PeerMessage.CancelSlotRequest(isRight ? 2 : 0));
+            boolean isExpected = from.equals(FIRST) && message.equals(REQUEST);
+            return CompletableFuture.completedFuture(new PeerMessage.CancelSlotRequest(isExpected ? 2 : 0));
         });
 
         assertThat(ask(links)).isEqualTo(new PeerMessage.CancelSlotRequest(2));
     }
 
     @Test
-    void messagesOfOneLaneAreHandledInOrder() throws IOException {
+    void messagesOfOneTrafficClassAreHandledInOrder() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
         List<Long> seen = Collections.synchronizedList(new ArrayList<>());
@@ -68,7 +68,7 @@
             return CompletableFuture.completedFuture(new PeerMessage.Done());
         });
         LongStream.range(0, 500).forEach(number -> links.tell(SECOND, new PeerMessage.CancelSlotRequest(number)));
-        links.ask(SECOND, new PeerMessage.CancelSlotRequest(500), LONG)
+        links.ask(SECOND, new PeerMessage.CancelSlotRequest(500), LONG_TIMEOUT)
                 .toCompletableFuture()
                 .join();
 
@@ -78,7 +78,7 @@
     }
 
     @Test
-    void messageWithoutHandlerMayHaveArrived() throws IOException {
+    void messageWithoutHandlerIsReportedAsPossiblyReceived() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
 
@@ -86,21 +86,21 @@
     }
 
     @Test
-    void lateAnswerEndsAsMayHaveArrived() throws IOException {
+    void messageWithoutReplyInTimeIsReportedAsPossiblyReceived() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
         handlers.get(SECOND)
                 .register(PeerMessage.CancelSlotRequest.class, (from, message) -> new CompletableFuture<>());
 
-        PeerMessage answer = links.ask(SECOND, QUESTION, Duration.ofMillis(300))
+        PeerMessage reply = links.ask(SECOND, REQUEST, Duration.ofMillis(300))
                 .toCompletableFuture()
                 .join();
 
-        assertThat(answer).isEqualTo(new PeerMessage.Unreachable(true));
+        assertThat(reply).isEqualTo(new PeerMessage.Unreachable(true));
     }
 
     @Test
-    void peerThatStopsWhileItOwesAnAnswerMayHaveGotTheQuestion() throws IOException {
+    void messageIsReportedAsPossiblyReceivedWhenThePeerStopsBeforeItsReply() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         NettyPeerLinks second = open(SECOND, KEY);
         CompletableFuture<Void> arrived = new CompletableFuture<>();
@@ -108,21 +108,21 @@
             arrived.complete(null);
             return new CompletableFuture<>();
         });
-        CompletableFuture<PeerMessage> answer =
-                links.ask(SECOND, QUESTION, LONG).toCompletableFuture();
+        CompletableFuture<PeerMessage> reply =
+                links.ask(SECOND, REQUEST, LONG_TIMEOUT).toCompletableFuture();
         arrived.join();
         second.close();
 
-        assertThat(answer.join()).isEqualTo(new PeerMessage.Unreachable(true));
+        assertThat(reply.join()).isEqualTo(new PeerMessage.Unreachable(true));
     }
 
     @Test
-    void unlistedPeerGetsNothing() throws IOException {
+    void messageToUnlistedPeerIsReportedAsNotSent() throws IOException {
         assertThat(ask(open(FIRST, KEY))).isEqualTo(new PeerMessage.Unreachable(false));
     }
 
     @Test
-    void refusedConnectionCarriesNothing() throws IOException {
+    void messageOverRefusedConnectionIsReportedAsNotSent() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         addresses.put(SECOND, new SocketAddress("127.0.0.1", freePort()));
 
@@ -130,17 +130,17 @@
     }
 
     @Test
-    void silentListenerGetsNoMessage() throws IOException {
+    void messageToListenerWithoutHandshakeIsReportedAsNotSent() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
-        try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            addresses.put(SECOND, new SocketAddress("127.0.0.1", silent.getLocalPort()));
+        try (ServerSocket listener = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            addresses.put(SECOND, new SocketAddress("127.0.0.1", listener.getLocalPort()));
 
             assertThat(ask(links)).isEqualTo(new PeerMessage.Unreachable(false));
         }
     }
 
     @Test
-    void nodeWithAnotherKeyIsRefusedAndHandlesNothing() throws IOException {
+    void nodeWithDifferentKeyIsRejectedAndHandlesNoMessage() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, "another-deployment-altogether");
         handlers.get(SECOND).register(PeerMessage.CancelSlotRequest.class, (from, message) -> {
@@ -151,7 +151,7 @@
     }
 
     @Test
-    void anotherNodeAtThePeersAddressIsRefused() throws IOException {
+    void differentNodeAtTheAddressOfThePeerIsRejected() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         VmId third = new VmId("entry-02");
         open(third, KEY);
@@ -161,24 +161,27 @@
     }
 
     @Test
-    void messageBeyondTheLimitIsNotSentAndTheLinkGoesOn() throws IOException {
+    void oversizedMessageIsNotSentAndTheLinkStaysUsable() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
         handlers.get(SECOND)
                 .register(
                         PeerMessage.ConfigurationDocument.class,
                         (from, message) -> CompletableFuture.completedFuture(new PeerMessage.Done()));
-        PeerMessage huge =
-                new PeerMessage.ConfigurationDocument(Optional.of("x".repeat(FrameChannel.FRAME_LIMIT_BYTES + 1)));
+        PeerMessage oversized =
+                new PeerMessage.ConfigurationDocument(Optional.of("x".repeat(FrameCodecHandler.FRAME_LIMIT_BYTES + 1)));
         PeerMessage small = new PeerMessage.ConfigurationDocument(Optional.of("x"));
 
-        assertThat(links.ask(SECOND, huge, LONG).toCompletableFuture().join())
+        assertThat(links.ask(SECOND, oversized, LONG_TIMEOUT)
+                        .toCompletableFuture()
+                        .join())
                 .isEqualTo(new PeerMessage.Unreachable(false));
-        assertThat(links.ask(SECOND, small, LONG).toCompletableFuture().join()).isEqualTo(new PeerMessage.Done());
+        assertThat(links.ask(SECOND, small, LONG_TIMEOUT).toCompletableFuture().join())
+                .isEqualTo(new PeerMessage.Done());
     }
 
     @Test
-    void strangersBytesCloseTheirConnectionAlone() throws IOException {
+    void unauthenticatedBytesCloseOnlyTheirOwnConnection() throws IOException {
         NettyPeerLinks links = open(FIRST, KEY);
         open(SECOND, KEY);
         handlers.get(SECOND)
@@ -191,7 +194,7 @@
             random.nextBytes(bytes);
             try (Socket socket = new Socket(
                     addresses.get(SECOND).host(), addresses.get(SECOND).port())) {
-                socket.setSoTimeout((int) LONG.toMillis());
+                socket.setSoTimeout((int) LONG_TIMEOUT.toMillis());
                 socket.getOutputStream().write(bytes);
                 assertThat(readsEnd(socket)).isTrue();
             }
@@ -211,7 +214,7 @@
     }
 
     private PeerMessage ask(NettyPeerLinks links) {
-        return links.ask(SECOND, QUESTION, LONG).toCompletableFuture().join();
+        return links.ask(SECOND, REQUEST, LONG_TIMEOUT).toCompletableFuture().join();
     }
 
     private NettyPeerLinks open(VmId vm, String key) throws IOException {
@@ -225,7 +228,7 @@
                 workerPool::execute,
                 MonotonicClock.system(),
                 new SecureRandom(),
-                PeerTraffic.IGNORED));
+                PeerTraffic.NO_OP));
         links.start();
         opened.add(links);
         return links;
