Name the reads of the platform in the terms of the field

Cause: the feed asked, was told, took what was learned, noted that there was no news and went on; its pauses were longest or whole.

Change, old -> new: - WatchState: value, noNews -> recordValue, recordUnchanged; WHOLE_READ_PERIOD -> UNCONDITIONAL_READ_INTERVAL - ReadBackoff: afterAnswer -> afterResponse; PAUSE, LONGEST -> MAX_DELAY_AFTER_RESPONSE, MAX_BACKOFF - PlatformFeed: watchAfter, succeed, fail, tell -> scheduleWatch, onSuccess, onFailure, notifySink; WAIT -> LONG_POLL_WAIT - HttpPlatformReader: GRACE -> TIMEOUT_MARGIN; askedNanos -> requestedNanos - one log sentence and three error messages; "platform: refused" and "platform: cannot read" stay, since the operators' page names them - ReadPaceTest -> ReadSchedulingTest; test names say case and outcome

--- a/publication/src/main/java/org/turmericspan/publication/HttpPlatformReader.java
+++ b/publication/src/main/java/org/turmericspan/publication/HttpPlatformReader.java
@@ -17,11 +17,11 @@
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.SocketAddress;
 
-/** Reads the platform over HTTP: {@code GET /v1/values/KEY?after=REVISION&wait_ms=N}. */
+/** Reads values from the platform by HTTP long polling: {@code GET /v1/values/KEY?after=REVISION&wait_ms=N}. */
 public final class HttpPlatformReader implements PlatformReader, AutoCloseable {
     private static final int STATUS_OK = 200;
     private static final int STATUS_NOT_MODIFIED = 304;
-    private static final Duration GRACE = Duration.ofSeconds(5);
+    private static final Duration TIMEOUT_MARGIN = Duration.ofSeconds(5);
 
     private final SocketAddress platform;
     private final ObjectMapper mapper = new ObjectMapper();
@@ -30,7 +30,7 @@
     /**
      * Creates a reader.
      *
-     * @param platform where the platform listens
+     * @param platform address of the platform
      */
     public HttpPlatformReader(SocketAddress platform) {
         this.platform = platform;
@@ -52,7 +52,7 @@
                 .addQueryParameter("wait_ms", Long.toString(wait.toMillis()))
                 .build();
         Call call = client.newCall(new Request.Builder().url(url).build());
-        call.timeout().timeout(wait.plus(GRACE).toNanos(), java.util.concurrent.TimeUnit.NANOSECONDS);
+        call.timeout().timeout(wait.plus(TIMEOUT_MARGIN).toNanos(), java.util.concurrent.TimeUnit.NANOSECONDS);
         CompletableFuture<Optional<PlatformValue>> result = new CompletableFuture<>();
         call.enqueue(new ValueCallback(result));
         return result;
@@ -70,11 +70,11 @@
             return Optional.empty();
         }
         if (response.code() != STATUS_OK) {
-            throw new BalancerException(ResultCode.PLATFORM_FAILURE, "Status " + response.code());
+            throw new BalancerException(ResultCode.PLATFORM_FAILURE, "Unexpected status " + response.code());
         }
         JsonNode root = mapper.readTree(response.body().byteStream());
         if (!root.path("revision").isIntegralNumber() || !root.path("value").isTextual()) {
-            throw new BalancerException(ResultCode.PLATFORM_FAILURE, "The answer lacks revision or value");
+            throw new BalancerException(ResultCode.PLATFORM_FAILURE, "The response lacks the revision or the value");
         }
         return Optional.of(new PlatformValue(
                 root.path("revision").longValue(), root.path("value").textValue()));
@@ -89,7 +89,7 @@
 
         @Override
         public void onFailure(Call call, IOException failure) {
-            result.completeExceptionally(new BalancerException(ResultCode.PLATFORM_FAILURE, "No answer", failure));
+            result.completeExceptionally(new BalancerException(ResultCode.PLATFORM_FAILURE, "No response", failure));
         }
 
         @Override
--- a/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
@@ -7,10 +7,10 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.tables.WorkerPool;
 
-/** Keeps one watch open on one key and hands every newer value on. */
+/** Watches one key by long polling and passes every newer value to a sink. */
 public final class PlatformFeed implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration WAIT = Duration.ofMillis(2_500);
+    private static final Duration LONG_POLL_WAIT = Duration.ofMillis(2_500);
 
     private final String key;
     private final PlatformReader reader;
@@ -26,13 +26,13 @@
     /**
      * Creates a feed.
      *
-     * @param key name of the value
+     * @param key key of the value
      * @param reader reads the platform
-     * @param sink takes what is learned; its exceptions are logged and the value is skipped
-     * @param budget bounds the reads of all feeds of this node
+     * @param sink receives values and confirmations; when it throws, the exception is logged and the value is skipped
+     * @param budget limits the rate of reads by all feeds of this node
      * @param workerPool runs the feed
-     * @param random spreads the reads of many nodes
-     * @param clock measures the reads
+     * @param random generates the jitter that spreads the reads of many nodes
+     * @param clock monotonic clock that times the reads
      */
     public PlatformFeed(
             String key,
@@ -52,15 +52,15 @@
         this.backoff = new ReadBackoff(random);
     }
 
-    /** Starts to watch. */
+    /** Starts the watch. */
     public void start() {
-        watchAfter(Duration.ZERO);
+        scheduleWatch(Duration.ZERO);
     }
 
     /**
-     * Describes the feed.
+     * Returns the state of the feed.
      *
-     * @return its state now
+     * @return current state
      */
     public Status status() {
         return new Status(
@@ -75,9 +75,9 @@
         closed = true;
     }
 
-    private void watchAfter(Duration pause) {
+    private void scheduleWatch(Duration delay) {
         if (!closed) {
-            workerPool.schedule(pause.plus(budget.take()), this::watch);
+            workerPool.schedule(delay.plus(budget.take()), this::watch);
         }
     }
 
@@ -85,26 +85,26 @@
         if (closed) {
             return;
         }
-        long askedNanos = clock.nowNanos();
-        reader.watch(key, state.nextRevision(), WAIT)
-                .whenComplete(
-                        (value, failure) -> watchAfter(failure == null ? succeed(value, askedNanos) : fail(failure)));
+        long requestedNanos = clock.nowNanos();
+        reader.watch(key, state.nextRevision(), LONG_POLL_WAIT)
+                .whenComplete((value, failure) ->
+                        scheduleWatch(failure == null ? onSuccess(value, requestedNanos) : onFailure(failure)));
     }
 
-    private Duration succeed(Optional<PlatformValue> value, long askedNanos) {
+    private Duration onSuccess(Optional<PlatformValue> value, long requestedNanos) {
         failing = false;
         if (value.isPresent()) {
-            state.value(value.get(), askedNanos);
+            state.recordValue(value.get(), requestedNanos);
             reportRegression();
-            tell("value", () -> sink.value(value.get(), askedNanos));
+            notifySink("value", () -> sink.value(value.get(), requestedNanos));
         } else {
-            state.noNews(askedNanos, WAIT);
-            tell("confirmation", () -> sink.confirmed(state.revision(), state.confirmedNanos()));
+            state.recordUnchanged(requestedNanos, LONG_POLL_WAIT);
+            notifySink("confirmation", () -> sink.confirmed(state.revision(), state.confirmedNanos()));
         }
-        return backoff.afterAnswer();
+        return backoff.afterResponse();
     }
 
-    private Duration fail(Throwable failure) {
+    private Duration onFailure(Throwable failure) {
         failing = true;
         logger.atWarning().log("platform: cannot read %s: %s", key, failure.getMessage());
         return backoff.afterFailure();
@@ -112,14 +112,14 @@
 
     private void reportRegression() {
         if (state.isRegressed()) {
-            logger.atWarning().log("platform: %s went back to revision %d", key, state.revision());
+            logger.atWarning().log("platform: the revision of %s decreased to %d", key, state.revision());
         }
     }
 
-    /** Tells the sink; one that fails must not end the watch. */
-    private void tell(String what, Runnable telling) {
+    /** Notifies the sink. A failure of the sink is logged and does not end the watch. */
+    private void notifySink(String what, Runnable notification) {
         try {
-            telling.run();
+            notification.run();
         } catch (RuntimeException e) {
             logger.atWarning().log(
                     "platform: refused the %s of %s at revision %d: %s", what, key, state.revision(), e.getMessage());
@@ -129,10 +129,10 @@
     /**
      * State of a feed.
      *
-     * @param key name of the value
+     * @param key key of the value
      * @param failing whether the last read failed
-     * @param regressed whether the platform last showed a lower revision than before
-     * @param confirmedAgeMillis time since the last value was known to be the newest
+     * @param regressed whether the revision of the last value was lower than that of the one before
+     * @param confirmedAgeMillis time since the platform last confirmed that the value was current
      */
     public record Status(String key, boolean failing, boolean regressed, long confirmedAgeMillis) {}
 }
--- a/publication/src/main/java/org/turmericspan/publication/PlatformSink.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformSink.java
@@ -1,20 +1,20 @@
 package org.turmericspan.publication;
 
-/** Takes what a watch of one key learns. */
+/** Receives the updates of the watch of one key. */
 public interface PlatformSink {
     /**
-     * Takes a value.
+     * Receives a value.
      *
      * @param value the value; its revision may be lower than that of an earlier one after a restart of the platform
-     * @param askedNanos monotonic time at which it was asked for
+     * @param requestedNanos monotonic time at which the value was requested
      */
-    void value(PlatformValue value, long askedNanos);
+    void value(PlatformValue value, long requestedNanos);
 
     /**
-     * Learns that the last value is still the newest.
+     * Receives the confirmation that the last value is still current.
      *
      * @param revision revision of the last value
-     * @param atNanos monotonic time at which it was the newest
+     * @param atNanos monotonic time at which the value was known to be current
      */
     void confirmed(long revision, long atNanos);
 }
--- a/publication/src/main/java/org/turmericspan/publication/PlatformValue.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformValue.java
@@ -1,9 +1,9 @@
 package org.turmericspan.publication;
 
 /**
- * One value as the platform holds it.
+ * Value stored by the platform, with its revision.
  *
- * @param revision grows with each change
+ * @param revision number that increases with each change
  * @param text the value
  */
 public record PlatformValue(long revision, String text) {}
--- a/publication/src/main/java/org/turmericspan/publication/ReadBackoff.java
+++ b/publication/src/main/java/org/turmericspan/publication/ReadBackoff.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.random.RandomGenerator;
 
-/** Decides the pause between two reads of one key: short after an answer, with full jitter after failures. */
+/**
+ * Computes the delay between two reads of one key: short after a response, growing exponentially after failures. Both
+ * delays have full jitter.
+ */
 final class ReadBackoff {
-    /** Longest pause after an answer. */
-    static final Duration PAUSE = Duration.ofMillis(200);
-    /** Longest pause after failures. */
-    static final Duration LONGEST = Duration.ofSeconds(10);
+    /** Maximum delay after a response. */
+    static final Duration MAX_DELAY_AFTER_RESPONSE = Duration.ofMillis(200);
+    /** Maximum delay after failures. */
+    static final Duration MAX_BACKOFF = Duration.ofSeconds(10);
 
     private static final int MAX_DOUBLINGS = 10;
 
@@ -19,15 +22,15 @@
         this.random = random;
     }
 
-    Duration afterAnswer() {
+    Duration afterResponse() {
         failures = 0;
-        return jitter(PAUSE);
+        return jitter(MAX_DELAY_AFTER_RESPONSE);
     }
 
     Duration afterFailure() {
         failures = Math.min(failures + 1, MAX_DOUBLINGS);
-        Duration limit = PAUSE.multipliedBy(1L << failures);
-        return jitter(limit.compareTo(LONGEST) < 0 ? limit : LONGEST);
+        Duration limit = MAX_DELAY_AFTER_RESPONSE.multipliedBy(1L << failures);
+        return jitter(limit.compareTo(MAX_BACKOFF) < 0 ? limit : MAX_BACKOFF);
     }
 
     private Duration jitter(Duration limit) {
--- a/publication/src/main/java/org/turmericspan/publication/ReadBudget.java
+++ b/publication/src/main/java/org/turmericspan/publication/ReadBudget.java
@@ -5,7 +5,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Token bucket over all reads of the platform by this node. A read that finds no token is told how long to wait. */
+/** Token bucket that limits the rate at which this node reads the platform. A read without a token must wait. */
 public final class ReadBudget {
     private static final Duration TOKEN_PERIOD = Duration.ofSeconds(1);
     private static final int BURST = 4;
@@ -17,7 +17,7 @@
     /**
      * Creates a full bucket.
      *
-     * @param clock refills the bucket
+     * @param clock monotonic clock by which the bucket is refilled
      */
     public ReadBudget(MonotonicClock clock) {
         this.clock = clock;
@@ -25,9 +25,9 @@
     }
 
     /**
-     * Takes one token, also one that is still to come.
+     * Takes one token, or reserves the next one when the bucket is empty.
      *
-     * @return time to wait before the read; zero when a token was there
+     * @return time to wait before the read; zero when a token was available
      */
     public Duration take() {
         return lock.compute(() -> {
--- a/publication/src/main/java/org/turmericspan/publication/VmListParser.java
+++ b/publication/src/main/java/org/turmericspan/publication/VmListParser.java
@@ -14,7 +14,7 @@
 import org.turmericspan.membership.FleetView;
 import org.turmericspan.membership.Vm;
 
-/** Reads the platform's list of live and leaving VMs. */
+/** Parses the list of live and leaving VMs that the platform publishes. */
 public final class VmListParser {
     private static final String STATE_LEAVING = "leaving";
     private static final String ROLE_ENTRY = "entry";
@@ -22,11 +22,11 @@
     private final ObjectMapper mapper = new ObjectMapper();
 
     /**
-     * Reads a list.
+     * Parses a list.
      *
-     * @param value the list as the platform holds it: JSON with the field {@code vms}
-     * @return the view
-     * @throws BalancerException when the list has another form
+     * @param value value of the platform: a JSON object with the array {@code vms}
+     * @return view with the revision of the value
+     * @throws BalancerException when the list is malformed
      */
     public FleetView parse(PlatformValue value) {
         try {
--- a/publication/src/main/java/org/turmericspan/publication/WatchState.java
+++ b/publication/src/main/java/org/turmericspan/publication/WatchState.java
@@ -4,49 +4,49 @@
 import org.turmericspan.ids.MonotonicClock;
 
 /**
- * What a watch of one key knows: the revision to ask after, and since when it is known to be the newest. From time to
- * time it asks for the whole value, since a platform that restarted may count revisions anew.
+ * State of the watch of one key: the last revision and the time at which it was last known to be current. The watch
+ * periodically reads the value unconditionally, since a platform that restarted may number its revisions anew.
  */
 final class WatchState {
-    /** Time between two reads of the whole value. */
-    static final Duration WHOLE_READ_PERIOD = Duration.ofMinutes(10);
+    /** Interval between two unconditional reads of the value. */
+    static final Duration UNCONDITIONAL_READ_INTERVAL = Duration.ofMinutes(10);
 
     private final MonotonicClock clock;
     private volatile long revision;
-    private volatile long wholeReadNanos;
+    private volatile long unconditionalReadNanos;
     private volatile long confirmedNanos;
     private volatile boolean regressed;
 
     WatchState(MonotonicClock clock) {
         this.clock = clock;
-        this.wholeReadNanos = clock.nowNanos();
+        this.unconditionalReadNanos = clock.nowNanos();
         this.confirmedNanos = clock.nowNanos();
     }
 
-    /** Returns the revision to ask after; 0 asks for the whole value at once. */
+    /** Returns the revision that a newer value must exceed; 0 reads the value at once. */
     long nextRevision() {
         long nowNanos = clock.nowNanos();
-        if (nowNanos - wholeReadNanos < WHOLE_READ_PERIOD.toNanos()) {
+        if (nowNanos - unconditionalReadNanos < UNCONDITIONAL_READ_INTERVAL.toNanos()) {
             return revision;
         }
-        wholeReadNanos = nowNanos;
+        unconditionalReadNanos = nowNanos;
         return 0;
     }
 
-    /** Notes a value; a lower revision than before means that the platform restarted or is stale. */
-    void value(PlatformValue value, long askedNanos) {
+    /** Records a value; a lower revision than before means that the platform restarted or is stale. */
+    void recordValue(PlatformValue value, long requestedNanos) {
         regressed = value.revision() < revision;
         revision = value.revision();
-        confirm(askedNanos);
+        confirm(requestedNanos);
     }
 
     /**
-     * Notes that there was no newer value. An answer that took the whole wait was true at its end; it may have been
-     * read much later.
+     * Records that there was no newer value. A response after the full wait was valid at the end of the wait; it may
+     * have been read much later.
      */
-    void noNews(long askedNanos, Duration wait) {
-        boolean isWholeWait = clock.nowNanos() - askedNanos >= wait.toNanos();
-        confirm(isWholeWait ? askedNanos + wait.toNanos() : askedNanos);
+    void recordUnchanged(long requestedNanos, Duration wait) {
+        boolean isFullWait = clock.nowNanos() - requestedNanos >= wait.toNanos();
+        confirm(isFullWait ? requestedNanos + wait.toNanos() : requestedNanos);
     }
 
     long revision() {
--- a/publication/src/main/java/org/turmericspan/publication/package-info.java
+++ b/publication/src/main/java/org/turmericspan/publication/package-info.java
@@ -1,2 +1,2 @@
-/** Reads what operators publish through the project's own interface, for the node binary. */
+/** Reads what operators publish through the project's own platform interface, for the node binary. */
 package org.turmericspan.publication;
--- a/publication/src/test/java/org/turmericspan/publication/PlatformFeedTest.java
+++ b/publication/src/test/java/org/turmericspan/publication/PlatformFeedTest.java
@@ -11,32 +11,32 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.tables.WorkerPool;
 
-/** What keeps a feed watching. */
+/** Guards against a feed that stops watching because its sink threw an exception. */
 final class PlatformFeedTest {
-    private static final long LIMIT_SECONDS = 20;
+    private static final long TIMEOUT_SECONDS = 20;
 
     @Test
-    void feedGoesOnAfterItsSinkFailedOnAConfirmation() throws InterruptedException {
-        assertThat(watches(Optional.empty())).as("watched again").isTrue();
+    void feedContinuesAfterSinkThrowsOnConfirmation() throws InterruptedException {
+        assertThat(keepsWatching(Optional.empty())).as("watched again").isTrue();
     }
 
     @Test
-    void feedGoesOnAfterItsSinkRefusedAValue() throws InterruptedException {
-        assertThat(watches(Optional.of(new PlatformValue(1, ""))))
+    void feedContinuesAfterSinkThrowsOnValue() throws InterruptedException {
+        assertThat(keepsWatching(Optional.of(new PlatformValue(1, ""))))
                 .as("watched again")
                 .isTrue();
     }
 
-    private static boolean watches(Optional<PlatformValue> answer) throws InterruptedException {
+    private static boolean keepsWatching(Optional<PlatformValue> response) throws InterruptedException {
         CountDownLatch watches = new CountDownLatch(3);
         PlatformReader reader = (key, afterRevision, wait) -> {
             watches.countDown();
-            return CompletableFuture.completedFuture(answer);
+            return CompletableFuture.completedFuture(response);
         };
         try (WorkerPool workerPool = new WorkerPool(1);
                 PlatformFeed feed = feed(reader, workerPool)) {
             feed.start();
-            return watches.await(LIMIT_SECONDS, TimeUnit.SECONDS);
+            return watches.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         }
     }
 
@@ -52,10 +52,10 @@
                 clock);
     }
 
-    /** Fails on whatever it is told. */
+    /** Throws an exception on every notification. */
     private static final class FailingSink implements PlatformSink {
         @Override
-        public void value(PlatformValue value, long askedNanos) {
+        public void value(PlatformValue value, long requestedNanos) {
             throw new IllegalStateException("no value");
         }
 
--- a/publication/src/test/java/org/turmericspan/publication/ReadPaceTest.java
+++ b/publication/src/test/java/org/turmericspan/publication/ReadSchedulingTest.java
@@ -7,14 +7,14 @@
 import org.junit.jupiter.api.Test;
 import org.turmericspan.testkit.ManualClock;
 
-/** How often a node reads the platform, and what its answers confirm. */
-final class ReadPaceTest {
+/** Tests the rate at which a node reads the platform, and the time up to which a response confirms a value. */
+final class ReadSchedulingTest {
     private static final Duration WAIT = Duration.ofSeconds(10);
 
     private final ManualClock clock = new ManualClock();
 
     @Test
-    void readsBeyondTheBurstComeOneASecond() {
+    void readsBeyondTheBurstAreLimitedToOnePerSecond() {
         ReadBudget budget = new ReadBudget(clock);
         for (int i = 0; i < 4; i++) {
             assertThat(budget.take()).isZero();
@@ -25,7 +25,7 @@
     }
 
     @Test
-    void failuresSpreadTheReadsOverTheWholeBackoff() {
+    void readsAfterFailuresAreSpreadOverTheFullBackoff() {
         ReadBackoff backoff = new ReadBackoff(new SplittableRandom(7));
         for (int i = 0; i < 20; i++) {
             backoff.afterFailure();
@@ -36,39 +36,39 @@
         }
 
         assertThat(sum.dividedBy(1_000)).isBetween(Duration.ofMillis(4_500), Duration.ofMillis(5_500));
-        assertThat(backoff.afterAnswer()).isLessThanOrEqualTo(ReadBackoff.PAUSE);
+        assertThat(backoff.afterResponse()).isLessThanOrEqualTo(ReadBackoff.MAX_DELAY_AFTER_RESPONSE);
     }
 
     @Test
-    void answerReadLateConfirmsNoMoreThanTheWait() {
+    void responseReadLateConfirmsTheValueOnlyUpToTheEndOfTheWait() {
         WatchState state = new WatchState(clock);
-        long askedNanos = clock.nowNanos();
+        long requestedNanos = clock.nowNanos();
         clock.advance(Duration.ofMinutes(5));
 
-        state.noNews(askedNanos, WAIT);
+        state.recordUnchanged(requestedNanos, WAIT);
 
-        assertThat(state.confirmedNanos()).isEqualTo(askedNanos + WAIT.toNanos());
+        assertThat(state.confirmedNanos()).isEqualTo(requestedNanos + WAIT.toNanos());
     }
 
     @Test
-    void earlyAnswerConfirmsTheTimeOfTheQuestion() {
+    void earlyResponseConfirmsTheValueAtTheTimeOfTheRequest() {
         WatchState state = new WatchState(clock);
-        long askedNanos = clock.nowNanos();
+        long requestedNanos = clock.nowNanos();
         clock.advance(Duration.ofSeconds(1));
 
-        state.noNews(askedNanos, WAIT);
+        state.recordUnchanged(requestedNanos, WAIT);
 
-        assertThat(state.confirmedNanos()).isEqualTo(askedNanos);
+        assertThat(state.confirmedNanos()).isEqualTo(requestedNanos);
     }
 
     @Test
-    void lowerRevisionIsReportedAndWatchedFromThere() {
+    void lowerRevisionIsReportedAndWatchContinuesFromIt() {
         WatchState state = new WatchState(clock);
-        state.value(new PlatformValue(9, ""), clock.nowNanos());
-        clock.advance(WatchState.WHOLE_READ_PERIOD);
+        state.recordValue(new PlatformValue(9, ""), clock.nowNanos());
+        clock.advance(WatchState.UNCONDITIONAL_READ_INTERVAL);
         assertThat(state.nextRevision()).isZero();
 
-        state.value(new PlatformValue(2, ""), clock.nowNanos());
+        state.recordValue(new PlatformValue(2, ""), clock.nowNanos());
 
         assertThat(state.isRegressed()).isTrue();
         assertThat(state.nextRevision()).isEqualTo(2);
