Describe the wire format in the terms of the field

Cause: comments spoke of answers, lives, signs of life and nonces that an end answers for; code outside the generated names spoke of wishes and of upstreams that were lost.

Change: doc comments; SlotFormat.withdrawWish -> cancelSlotRequest, local names wish, lost, span -> request, crashedUpstreams, retryAfter; two error messages; test names that say case and outcome. SlotFormat and SuspectFormat say once which names differ on the wire. peer.proto and the generated sources are untouched.

--- a/wire/src/main/java/org/turmericspan/wire/CallFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/CallFormat.java
@@ -18,7 +18,7 @@
 import org.turmericspan.wire.proto.PeerProto;
 import org.turmericspan.wire.proto.PeerProto.Message;
 
-/** Format of the messages that carry calls and their results. */
+/** Encoding of the messages that carry calls and their results. */
 final class CallFormat {
     Message.Builder encode(Message.Builder builder, PeerMessage.RelayCall message) {
         CallRequest request = message.request();
@@ -67,7 +67,7 @@
         } else if (message.result() instanceof CallResult.Refused refused) {
             PeerProto.Refused.Builder encoded =
                     result.getRefusedBuilder().setCode(refused.code().number()).setDetail(refused.detail());
-            refused.retryAfter().ifPresent(span -> encoded.setRetryAfterNanos(span.toNanos()));
+            refused.retryAfter().ifPresent(retryAfter -> encoded.setRetryAfterNanos(retryAfter.toNanos()));
         }
         return builder;
     }
@@ -89,7 +89,7 @@
                                         ? Optional.of(Duration.ofNanos(
                                                 result.getRefused().getRetryAfterNanos()))
                                         : Optional.empty());
-                    case RESULT_NOT_SET -> throw new IllegalArgumentException("The result is missing");
+                    case RESULT_NOT_SET -> throw new IllegalArgumentException("The message has no result");
                 });
     }
 
--- a/wire/src/main/java/org/turmericspan/wire/PeerFrame.java
+++ b/wire/src/main/java/org/turmericspan/wire/PeerFrame.java
@@ -5,60 +5,60 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
 
-/** One frame on a connection between two nodes. */
+/** Frame on a connection between two nodes. */
 public sealed interface PeerFrame {
     /**
-     * First frame of the node that connects.
+     * First frame of the connecting node.
      *
      * @param vm VM of the sender
-     * @param incarnation life of the sender
-     * @param nonce random bytes that the other side must answer for
+     * @param incarnation incarnation of the sender
+     * @param nonce random bytes that the accepting node must sign
      */
     record Hello(VmId vm, Incarnation incarnation, Payload nonce) implements PeerFrame {}
 
     /**
-     * Answer to {@link Hello}.
+     * Reply to {@link Hello}.
      *
      * @param vm VM of the sender
-     * @param incarnation life of the sender
-     * @param nonce random bytes that the connecting node must answer for
-     * @param mac proof that the sender holds the deployment key
+     * @param incarnation incarnation of the sender
+     * @param nonce random bytes that the connecting node must sign
+     * @param mac message authentication code, which proves that the sender holds the deployment key
      */
     record Welcome(VmId vm, Incarnation incarnation, Payload nonce, Payload mac) implements PeerFrame {}
 
     /**
-     * Answer to {@link Welcome}.
+     * Reply to {@link Welcome}.
      *
-     * @param mac proof that the sender holds the deployment key
+     * @param mac message authentication code, which proves that the sender holds the deployment key
      */
     record Proof(Payload mac) implements PeerFrame {}
 
     /**
-     * A message that needs no answer.
+     * Message that needs no reply.
      *
      * @param message the message
      */
     record Tell(PeerMessage message) implements PeerFrame {}
 
     /**
-     * A message that needs an answer.
+     * Message that needs a reply.
      *
-     * @param correlation number that the answer repeats
+     * @param correlation number that the reply repeats
      * @param message the message
      */
     record Ask(long correlation, PeerMessage message) implements PeerFrame {}
 
     /**
-     * Answer to {@link Ask}.
+     * Reply to {@link Ask}.
      *
-     * @param correlation number of the question
-     * @param message the answer
+     * @param correlation number of the message that is replied to
+     * @param message the reply
      */
     record Answer(long correlation, PeerMessage message) implements PeerFrame {}
 
-    /** Asks for a sign of life. */
+    /** Checks whether the other node still receives and replies. */
     record Ping() implements PeerFrame {}
 
-    /** Answer to {@link Ping}. */
+    /** Reply to {@link Ping}. */
     record Pong() implements PeerFrame {}
 }
--- a/wire/src/main/java/org/turmericspan/wire/PeerFrameCodec.java
+++ b/wire/src/main/java/org/turmericspan/wire/PeerFrameCodec.java
@@ -17,7 +17,7 @@
      * Encodes a frame.
      *
      * @param frame the frame
-     * @return its bytes, without a length before them
+     * @return bytes of the frame, without a length prefix
      */
     public byte[] encode(PeerFrame frame) {
         PeerProto.Frame.Builder builder = PeerProto.Frame.newBuilder();
@@ -38,9 +38,9 @@
     /**
      * Decodes a frame.
      *
-     * @param bytes what {@link #encode} wrote, or anything else
+     * @param bytes output of {@link #encode}, or arbitrary bytes
      * @return the frame
-     * @throws BalancerException with {@link ResultCode#MALFORMED_PEER_MESSAGE} when the bytes are not a whole frame
+     * @throws BalancerException with {@link ResultCode#MALFORMED_PEER_MESSAGE} when the bytes are not a complete frame
      */
     public PeerFrame decode(byte[] bytes) {
         try {
--- a/wire/src/main/java/org/turmericspan/wire/PeerMessageFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/PeerMessageFormat.java
@@ -9,7 +9,7 @@
 import org.turmericspan.wire.proto.PeerProto.Message;
 import org.turmericspan.wire.proto.PeerProto.Message.BodyCase;
 
-/** Table of the formats of all messages. A new message needs one line here. */
+/** Encoders and decoders of all messages. Every new message type must be added here. */
 final class PeerMessageFormat {
     private final Map<Class<? extends PeerMessage>, Function<PeerMessage, Message>> encoders = new HashMap<>();
     private final Map<BodyCase, Function<Message, PeerMessage>> decoders = new EnumMap<>(BodyCase.class);
@@ -23,7 +23,7 @@
     Message encode(PeerMessage message) {
         Function<PeerMessage, Message> encoder = encoders.get(message.getClass());
         if (encoder == null) {
-            throw new IllegalArgumentException(message.getClass().getSimpleName() + " has no format");
+            throw new IllegalArgumentException(message.getClass().getSimpleName() + " has no encoder");
         }
         return encoder.apply(message);
     }
@@ -58,7 +58,7 @@
     private void addSlots() {
         SlotFormat slots = new SlotFormat();
         add(PeerMessage.BorrowSlot.class, BodyCase.BORROW_SLOT, slots::encode, slots::borrowSlot);
-        add(PeerMessage.CancelSlotRequest.class, BodyCase.WITHDRAW_WISH, slots::encode, slots::withdrawWish);
+        add(PeerMessage.CancelSlotRequest.class, BodyCase.WITHDRAW_WISH, slots::encode, slots::cancelSlotRequest);
         add(PeerMessage.SlotLent.class, BodyCase.SLOT_LENT, slots::encode, slots::slotLent);
         add(PeerMessage.SlotDenied.class, BodyCase.SLOT_DENIED, slots::encode, slots::slotDenied);
         add(PeerMessage.ReturnSlot.class, BodyCase.RETURN_SLOT, slots::encode, slots::returnSlot);
--- a/wire/src/main/java/org/turmericspan/wire/SlotFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/SlotFormat.java
@@ -20,7 +20,10 @@
 import org.turmericspan.wire.proto.PeerProto;
 import org.turmericspan.wire.proto.PeerProto.Message;
 
-/** Format of the messages about slots and leases. */
+/**
+ * Encoding of the messages about slots and leases. On the wire a slot request is called a wish, its cancellation a
+ * withdrawal, its excluded upstreams {@code avoid}, its sender the asker, and the owner of a lease the keeper.
+ */
 final class SlotFormat {
     Message.Builder encode(Message.Builder builder, PeerMessage.BorrowSlot message) {
         SlotRequest request = message.request();
@@ -38,17 +41,17 @@
     }
 
     PeerMessage.BorrowSlot borrowSlot(Message message) {
-        PeerProto.SlotWish wish = message.getBorrowSlot().getWish();
+        PeerProto.SlotWish request = message.getBorrowSlot().getWish();
         return new PeerMessage.BorrowSlot(
                 new SlotRequest(
-                        new ServiceId(wish.getService()),
-                        new OfficeId(wish.getOffice()),
-                        new CallerId(wish.getCaller()),
-                        wish.getRemainingNanos(),
-                        wish.getDepth(),
-                        wish.getIdempotent(),
-                        wish.getAvoidList().stream().map(UpstreamId::new).collect(Collectors.toSet()),
-                        wish.getIdleOnly()),
+                        new ServiceId(request.getService()),
+                        new OfficeId(request.getOffice()),
+                        new CallerId(request.getCaller()),
+                        request.getRemainingNanos(),
+                        request.getDepth(),
+                        request.getIdempotent(),
+                        request.getAvoidList().stream().map(UpstreamId::new).collect(Collectors.toSet()),
+                        request.getIdleOnly()),
                 message.getBorrowSlot().getWishNumber());
     }
 
@@ -57,7 +60,7 @@
         return builder;
     }
 
-    PeerMessage.CancelSlotRequest withdrawWish(Message message) {
+    PeerMessage.CancelSlotRequest cancelSlotRequest(Message message) {
         return new PeerMessage.CancelSlotRequest(message.getWithdrawWish().getWishNumber());
     }
 
--- a/wire/src/main/java/org/turmericspan/wire/StateFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/StateFormat.java
@@ -10,7 +10,7 @@
 import org.turmericspan.wire.proto.PeerProto;
 import org.turmericspan.wire.proto.PeerProto.Message;
 
-/** Format of the messages about a node's state and the published documents. */
+/** Encoding of the messages about the state of a node and about published documents. */
 final class StateFormat {
     private static final HexFormat HEX = HexFormat.of();
 
--- a/wire/src/main/java/org/turmericspan/wire/SuspectFormat.java
+++ b/wire/src/main/java/org/turmericspan/wire/SuspectFormat.java
@@ -7,7 +7,10 @@
 import org.turmericspan.wire.proto.PeerProto;
 import org.turmericspan.wire.proto.PeerProto.Message;
 
-/** Format of the messages about requests suspected of crashing upstreams. */
+/**
+ * Encoding of the messages about requests suspected of crashing upstreams. On the wire the crashed upstreams are called
+ * {@code lost}, and a crash in isolation is called {@code died_alone}.
+ */
 final class SuspectFormat {
     Message.Builder encode(Message.Builder builder, PeerMessage.ShareSuspects message) {
         PeerProto.ShareSuspects.Builder share = builder.getShareSuspectsBuilder();
@@ -63,9 +66,12 @@
     }
 
     private static PeerMessage.Suspect decode(PeerProto.Suspect suspect) {
-        List<UpstreamId> lost =
+        List<UpstreamId> crashedUpstreams =
                 suspect.getLostList().stream().map(UpstreamId::new).toList();
         return new PeerMessage.Suspect(
-                suspect.getFingerprint(), lost, suspect.getDiedAlone(), Duration.ofNanos(suspect.getRemainingNanos()));
+                suspect.getFingerprint(),
+                crashedUpstreams,
+                suspect.getDiedAlone(),
+                Duration.ofNanos(suspect.getRemainingNanos()));
     }
 }
--- a/wire/src/test/java/org/turmericspan/wire/PeerFrameCodecTest.java
+++ b/wire/src/test/java/org/turmericspan/wire/PeerFrameCodecTest.java
@@ -148,7 +148,7 @@
 
     @ParameterizedTest
     @MethodSource("messages")
-    void messageComesBackAsItWas(PeerMessage message) {
+    void decodingAnEncodedMessageReturnsAnEqualMessage(PeerMessage message) {
         PeerFrame frame = new PeerFrame.Answer(Long.MAX_VALUE, message);
 
         assertThat(codec.decode(codec.encode(frame))).isEqualTo(frame);
@@ -156,19 +156,19 @@
 
     @ParameterizedTest
     @MethodSource("controlFrames")
-    void frameComesBackAsItWas(PeerFrame frame) {
+    void decodingAnEncodedFrameReturnsAnEqualFrame(PeerFrame frame) {
         assertThat(codec.decode(codec.encode(frame))).isEqualTo(frame);
     }
 
     @Test
-    void everyMessageHasAFormat() {
+    void everyMessageTypeIsTested() {
         Set<Class<?>> tested = messages().stream().map(Object::getClass).collect(Collectors.toSet());
 
         assertThat(tested).containsExactlyInAnyOrder(PeerMessage.class.getPermittedSubclasses());
     }
 
     @Test
-    void frameWithoutKindIsRefused() {
+    void frameWithoutKindIsRejected() {
         assertThatThrownBy(() -> codec.decode(new byte[0]))
                 .isInstanceOfSatisfying(
                         BalancerException.class,
@@ -176,21 +176,21 @@
     }
 
     @Property(seed = SEED)
-    void anyBytesAreDecodedOrRefusedWithTheCode(@ForAll byte[] bytes) {
-        assertDecodedOrRefused(bytes);
+    void arbitraryBytesAreDecodedOrRejectedWithTheCode(@ForAll byte[] bytes) {
+        assertDecodedOrRejected(bytes);
     }
 
     @Property(seed = SEED)
-    void damagedFrameIsDecodedOrRefusedWithTheCode(
-            @ForAll @IntRange(max = 22) int index, @ForAll int position, @ForAll byte damage) {
+    void corruptedFrameIsDecodedOrRejectedWithTheCode(
+            @ForAll @IntRange(max = 22) int index, @ForAll int position, @ForAll byte corruptedByte) {
         byte[] bytes = codec.encode(new PeerFrame.Ask(1, messages().get(index)));
         Assume.that(bytes.length > 0);
-        bytes[Math.floorMod(position, bytes.length)] = damage;
-        assertDecodedOrRefused(bytes);
-        assertDecodedOrRefused(Arrays.copyOf(bytes, Math.floorMod(position, bytes.length)));
+        bytes[Math.floorMod(position, bytes.length)] = corruptedByte;
+        assertDecodedOrRejected(bytes);
+        assertDecodedOrRejected(Arrays.copyOf(bytes, Math.floorMod(position, bytes.length)));
     }
 
-    private void assertDecodedOrRefused(byte[] bytes) {
+    private void assertDecodedOrRejected(byte[] bytes) {
         try {
             assertThat(codec.decode(bytes)).isNotNull();
         } catch (BalancerException e) {
