--- a/standins/src/main/java/org/turmericspan/standins/Main.java
+++ b/standins/src/main/java/org/turmericspan/standins/Main.java
@@ -6,14 +6,14 @@
 import org.turmericspan.standins.platform.PlatformMain;
 import org.turmericspan.standins.upstream.UpstreamMain;
 
-/** Entry point of the stand-ins: {@code platform}, {@code upstream} or {@code proxy}, then its flags. */
+/** Entry point of the stand-ins. The first argument selects {@code platform}, {@code upstream} or {@code proxy}. */
 public final class Main {
     private static final int EXIT_USAGE = 2;
 
     private Main() {}
 
     /**
-     * Runs one stand-in until the process is ended.
+     * Runs one stand-in until the process is terminated.
      *
      * @param arguments name of the stand-in and its flags
      * @throws Exception when the stand-in cannot start
--- a/standins/src/main/java/org/turmericspan/standins/demo/DemoCaller.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/DemoCaller.java
@@ -12,7 +12,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 
-/** One member of a shared office: it asks which addresses to use, keeps the answer a while, and sends requests. */
+/** One caller of a shared office. It caches the located addresses of a service for their TTL and sends requests. */
 final class DemoCaller implements Runnable {
     private static final int REQUESTS_PER_ORDER = 5;
     private static final int NONCE_BYTES = 16;
@@ -25,8 +25,8 @@
     private final String locateUrl;
     private final Random random;
     private final AtomicReference<Phase> phase;
-    private JsonNode located;
-    private long locatedUntilNanos;
+    private JsonNode cachedLocateResponse;
+    private long cacheExpiryNanos;
     private long sequence;
 
     DemoCaller(OkHttpClient client, String service, String name, String nodeUrl, AtomicReference<Phase> phase) {
@@ -38,7 +38,7 @@
         this.phase = phase;
     }
 
-    /** Sends one request when a phase is on. */
+    /** Sends one request if a phase is in progress. */
     @Override
     public void run() {
         Phase current = phase.get();
@@ -53,32 +53,33 @@
         long startNanos = System.nanoTime();
         try (Response response = client.newCall(isOrder ? order() : lookup()).execute()) {
             if (response.isSuccessful() && response.body().string().startsWith(requestId() + "\n")) {
-                counts.answer(System.nanoTime() - startNanos);
+                counts.recordSuccess(System.nanoTime() - startNanos);
             } else {
-                counts.refuse();
+                counts.recordRefusal();
             }
         } catch (IOException e) {
-            locatedUntilNanos = 0;
-            counts.fail();
+            cacheExpiryNanos = 0;
+            counts.recordFailure();
         }
     }
 
     private Request lookup() throws IOException {
         JsonNode addresses = locate().path("addresses");
-        int choice = random.nextInt(Math.min(MAX_ADDRESSES, Math.max(1, addresses.size())));
-        return request(addresses.path(choice).path("address").asText(), "/stock?work_ms=4&size=300")
+        int index = random.nextInt(Math.min(MAX_ADDRESSES, Math.max(1, addresses.size())));
+        return request(addresses.path(index).path("address").asText(), "/stock?work_ms=4&size=300")
                 .build();
     }
 
-    /** Builds an order with a fresh run token of the node that answered the locate request. */
+    /** Builds an order with a new run token of the node incarnation that sent the locate response. */
     private Request order() throws IOException {
-        JsonNode answer = locate();
+        JsonNode locateResponse = locate();
         byte[] nonce = new byte[NONCE_BYTES];
         random.nextBytes(nonce);
-        String token = answer.path("incarnation").asText() + "."
-                + answer.path("epoch").asText() + "."
+        String token = locateResponse.path("incarnation").asText() + "."
+                + locateResponse.path("epoch").asText() + "."
                 + HexFormat.of().formatHex(nonce) + "." + name;
-        String address = answer.path("addresses").path(0).path("address").asText();
+        String address =
+                locateResponse.path("addresses").path(0).path("address").asText();
         return request(address, "/orders?work_ms=8")
                 .header("Turmericspan-Run-Token", token)
                 .header("Order-Id", requestId())
@@ -99,14 +100,14 @@
     }
 
     private JsonNode locate() throws IOException {
-        if (located == null || System.nanoTime() - locatedUntilNanos >= 0) {
+        if (cachedLocateResponse == null || System.nanoTime() - cacheExpiryNanos >= 0) {
             try (Response response =
                     client.newCall(new Request.Builder().url(locateUrl).build()).execute()) {
-                located = mapper.readTree(response.body().string());
+                cachedLocateResponse = mapper.readTree(response.body().string());
             }
-            long keepMillis = located.path("ttl_ms").asLong();
-            locatedUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(keepMillis);
+            long ttlMillis = cachedLocateResponse.path("ttl_ms").asLong();
+            cacheExpiryNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ttlMillis);
         }
-        return located;
+        return cachedLocateResponse;
     }
 }
--- a/standins/src/main/java/org/turmericspan/standins/demo/Main.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/Main.java
@@ -14,23 +14,23 @@
 import org.turmericspan.standins.fleet.FleetPlan;
 import org.turmericspan.standins.fleet.FleetUpstream;
 
-/** Entry point of {@code bin/demo}. It leaves no process running, also when it is interrupted. */
+/** Entry point of {@code bin/demo}. It leaves no process running, even when it is interrupted. */
 public final class Main {
     private static final String ZONE = "zone-b";
     private static final int NODES = 4;
     private static final int ORDERING_UPSTREAMS = 8;
     private static final int MIXING_UPSTREAMS = 4;
     private static final int CALLERS_PER_SERVICE = 4;
-    private static final Duration PHASE = Duration.ofSeconds(4);
-    private static final Duration SETTLE = Duration.ofSeconds(1);
+    private static final Duration PHASE_DURATION = Duration.ofSeconds(4);
+    private static final Duration SETTLE_TIME = Duration.ofSeconds(1);
     private static final Duration THINK_TIME = Duration.ofMillis(20);
-    private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(30);
+    private static final Duration CONFIGURATION_TIMEOUT = Duration.ofSeconds(30);
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
     private static final int EXIT_FAILED = 1;
 
     private final Fleet fleet;
     private final AtomicReference<Phase> phase = new AtomicReference<>();
-    private final CountDownLatch never = new CountDownLatch(1);
+    private final CountDownLatch neverReleased = new CountDownLatch(1);
     private final ScheduledExecutorService callers = Executors.newScheduledThreadPool(2 * CALLERS_PER_SERVICE);
 
     private Main(Fleet fleet) {
@@ -46,13 +46,13 @@
     public static void main(String[] arguments) throws InterruptedException {
         Runtime.getRuntime().addShutdownHook(new Thread(ChildProcess::endAll, "end-children"));
         System.out.println("Starting a platform, 12 upstreams of 2 services in 4 availability zones, and 4 nodes ...");
-        boolean isSound;
+        boolean hasPassed;
         FleetPlan plan = FleetPlan.simple(NODES, ORDERING_UPSTREAMS)
                 .with(new FleetPlan.ServicePlan("mixing", MIXING_UPSTREAMS, List.of()));
         try (Fleet fleet = Fleet.start(plan)) {
-            isSound = new Main(fleet).run();
+            hasPassed = new Main(fleet).run();
         }
-        System.exit(isSound ? 0 : EXIT_FAILED);
+        System.exit(hasPassed ? 0 : EXIT_FAILED);
     }
 
     private boolean run() throws InterruptedException {
@@ -60,26 +60,26 @@
                 new OkHttpClient.Builder().callTimeout(CALL_TIMEOUT).build();
         startCallers(client);
         DemoTable table = new DemoTable(System.out);
-        table.head();
-        table.row(runPhase("all zones in"), startedIn(ZONE));
+        table.printHeader();
+        table.printRows(runPhase("all zones in"), requestsStartedIn(ZONE));
         fleet.setZone(ZONE, false);
-        fleet.awaitInForce(IN_FORCE_LIMIT);
-        pause(SETTLE);
-        long before = startedIn(ZONE);
-        table.row(runPhase(ZONE + " out"), startedIn(ZONE) - before);
-        boolean isLeft = startedIn(ZONE) == before;
+        fleet.awaitInForce(CONFIGURATION_TIMEOUT);
+        pause(SETTLE_TIME);
+        long startedBeforeOut = requestsStartedIn(ZONE);
+        table.printRows(runPhase(ZONE + " out"), requestsStartedIn(ZONE) - startedBeforeOut);
+        boolean isZoneUnused = requestsStartedIn(ZONE) == startedBeforeOut;
         fleet.setZone(ZONE, true);
-        fleet.awaitInForce(IN_FORCE_LIMIT);
-        long atReturn = startedIn(ZONE);
-        table.row(runPhase(ZONE + " back"), startedIn(ZONE) - atReturn);
+        fleet.awaitInForce(CONFIGURATION_TIMEOUT);
+        long startedBeforeReturn = requestsStartedIn(ZONE);
+        table.printRows(runPhase(ZONE + " back"), requestsStartedIn(ZONE) - startedBeforeReturn);
         stopCallers();
         client.dispatcher().executorService().shutdown();
         client.connectionPool().evictAll();
-        boolean isOnce = ordersRunTwice() == 0;
-        table.verdict("no new work in " + ZONE + " while it was out", isLeft);
-        table.verdict("no order ran twice", isOnce);
-        table.verdict("every lookup was answered", table.allLookupsAnswered());
-        return isLeft && isOnce && table.allLookupsAnswered();
+        boolean hasNoRepeatedOrder = ordersRunTwice() == 0;
+        table.printCheck("no new work in " + ZONE + " while it was out", isZoneUnused);
+        table.printCheck("no order ran twice", hasNoRepeatedOrder);
+        table.printCheck("every lookup was answered", table.allLookupsSucceeded());
+        return isZoneUnused && hasNoRepeatedOrder && table.allLookupsSucceeded();
     }
 
     private void startCallers(OkHttpClient client) {
@@ -95,14 +95,14 @@
     private Phase runPhase(String name) throws InterruptedException {
         Phase current = Phase.named(name);
         phase.set(current);
-        pause(PHASE);
+        pause(PHASE_DURATION);
         phase.set(null);
-        pause(SETTLE);
+        pause(SETTLE_TIME);
         return current;
     }
 
-    private void pause(Duration span) throws InterruptedException {
-        never.await(span.toMillis(), TimeUnit.MILLISECONDS);
+    private void pause(Duration duration) throws InterruptedException {
+        neverReleased.await(duration.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void stopCallers() throws InterruptedException {
@@ -110,12 +110,13 @@
         callers.awaitTermination(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private long startedIn(String zone) {
-        JsonNode witness = fleet.witness();
+    private long requestsStartedIn(String zone) {
+        JsonNode statistics = fleet.witness();
         long started = 0;
         for (FleetUpstream upstream : fleet.upstreams()) {
             if (upstream.zone().equals(zone)) {
-                started += witness.path(Integer.toString(upstream.port()))
+                started += statistics
+                        .path(Integer.toString(upstream.port()))
                         .path("started")
                         .asLong();
             }
@@ -124,14 +125,12 @@
     }
 
     private long ordersRunTwice() {
-        long twice = 0;
+        long duplicates = 0;
         for (JsonNode runs : fleet.http().getJson(fleet.upstreamControlUrl() + "/control/orders")) {
             if (runs.asInt() > 1) {
-                twice++;
+                duplicates++;
             }
         }
-        return twice;
+        return duplicates;
     }
-
-    /** Ends the processes that this one started. */
 }
--- a/standins/src/main/java/org/turmericspan/standins/demo/Phase.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/Phase.java
@@ -3,9 +3,9 @@
 /**
  * One phase of the demonstration.
  *
- * @param name what operators did before it
- * @param lookups idempotent requests
- * @param orders non-idempotent requests
+ * @param name state of the zones during the phase, as printed
+ * @param lookups results of the idempotent requests
+ * @param orders results of the non-idempotent requests
  */
 record Phase(String name, PhaseCounts lookups, PhaseCounts orders) {
     static Phase named(String name) {
--- a/standins/src/main/java/org/turmericspan/standins/demo/PhaseCounts.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/PhaseCounts.java
@@ -3,31 +3,31 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 
-/** What callers saw during one phase, for one kind of request. */
+/** Results that callers saw for one kind of request during one phase. A success is printed as ANSWERED. */
 final class PhaseCounts {
-    private static final long LONGEST_MICROS = TimeUnit.MINUTES.toMicros(1);
-    private static final int DIGITS = 3;
-    private static final double MEDIAN = 50;
-    private static final double P99 = 99;
+    private static final long MAX_LATENCY_MICROS = TimeUnit.MINUTES.toMicros(1);
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final double MEDIAN_PERCENTILE = 50;
+    private static final double P99_PERCENTILE = 99;
     private static final double MICROS_PER_MILLI = 1_000;
 
-    private final Histogram latencyMicros = new Histogram(LONGEST_MICROS, DIGITS);
+    private final Histogram latencyMicros = new Histogram(MAX_LATENCY_MICROS, SIGNIFICANT_DIGITS);
     private long sent;
-    private long answered;
+    private long succeeded;
     private long refused;
 
-    synchronized void answer(long nanos) {
+    synchronized void recordSuccess(long latencyNanos) {
         sent++;
-        answered++;
-        latencyMicros.recordValue(Math.min(LONGEST_MICROS, TimeUnit.NANOSECONDS.toMicros(nanos)));
+        succeeded++;
+        latencyMicros.recordValue(Math.min(MAX_LATENCY_MICROS, TimeUnit.NANOSECONDS.toMicros(latencyNanos)));
     }
 
-    synchronized void refuse() {
+    synchronized void recordRefusal() {
         sent++;
         refused++;
     }
 
-    synchronized void fail() {
+    synchronized void recordFailure() {
         sent++;
     }
 
@@ -35,8 +35,8 @@
         return sent;
     }
 
-    synchronized long answered() {
-        return answered;
+    synchronized long succeeded() {
+        return succeeded;
     }
 
     synchronized long refused() {
@@ -44,14 +44,14 @@
     }
 
     synchronized long failed() {
-        return sent - answered - refused;
+        return sent - succeeded - refused;
     }
 
     synchronized double medianMillis() {
-        return latencyMicros.getValueAtPercentile(MEDIAN) / MICROS_PER_MILLI;
+        return latencyMicros.getValueAtPercentile(MEDIAN_PERCENTILE) / MICROS_PER_MILLI;
     }
 
     synchronized double p99Millis() {
-        return latencyMicros.getValueAtPercentile(P99) / MICROS_PER_MILLI;
+        return latencyMicros.getValueAtPercentile(P99_PERCENTILE) / MICROS_PER_MILLI;
     }
 }
--- a/standins/src/main/java/org/turmericspan/standins/demo/package-info.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/package-info.java
@@ -1,2 +1,2 @@
-/** The demonstration: a small fleet on loopback that serves while an availability zone leaves and returns. */
+/** Demonstration: a small fleet on loopback serves while an availability zone is taken out of service and back in. */
 package org.turmericspan.standins.demo;
--- a/standins/src/main/java/org/turmericspan/standins/fleet/Await.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/Await.java
@@ -4,26 +4,27 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
-/** Waits for a state with a generous deadline. */
+/** Polls a condition until it holds or a time limit passes. */
 public final class Await {
-    private static final Duration PAUSE = Duration.ofMillis(20);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
     private Await() {}
 
     /**
-     * Waits until a condition holds; an exception counts as not yet.
+     * Waits until a condition holds; an exception from it counts as not yet met.
      *
-     * @param what names the condition in the failure
-     * @param limit how long to wait
-     * @param condition asked again and again
+     * @param what description of the condition for the error message
+     * @param limit maximum time to wait
+     * @param condition polled until it returns true
+     * @throws IllegalStateException when the condition does not hold within the limit
      */
     public static void until(String what, Duration limit, BooleanSupplier condition) {
-        long endNanos = System.nanoTime() + limit.toNanos();
+        long deadlineNanos = System.nanoTime() + limit.toNanos();
         while (!holds(condition)) {
-            if (System.nanoTime() > endNanos) {
-                throw new IllegalStateException("Not within " + limit + ": " + what);
+            if (System.nanoTime() > deadlineNanos) {
+                throw new IllegalStateException("Condition not met within " + limit + ": " + what);
             }
-            LockSupport.parkNanos(PAUSE.toNanos());
+            LockSupport.parkNanos(POLL_INTERVAL.toNanos());
         }
     }
 
--- a/standins/src/main/java/org/turmericspan/standins/fleet/ChildProcess.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/ChildProcess.java
@@ -9,11 +9,11 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** One process of the fleet, started on the class path of this one. It is ended by its own id and no other. */
+/** One process of the fleet, started on the class path of the current process. Signals go to its process id only. */
 public final class ChildProcess implements AutoCloseable {
     private static final long STOP_TIMEOUT_SECONDS = 20;
-    private static final String HEAP = "-Xmx128m";
-    /** Lines of a log that a diagnosis shows; enough for a stack trace and what led to it. */
+    private static final String MAX_HEAP_FLAG = "-Xmx128m";
+    /** Log lines shown in a diagnosis; enough for a stack trace and the events before it. */
     private static final int DIAGNOSIS_LINES = 40;
 
     private final String name;
@@ -28,17 +28,17 @@
     }
 
     /**
-     * Plans a Java process without starting it.
+     * Prepares a Java process without starting it.
      *
-     * @param name name of its log file
+     * @param name name of the process, which begins the name of its log file
      * @param mainClass class with the main method
-     * @param arguments the command line
-     * @return the planned process
+     * @param arguments command line arguments
+     * @return a process that has not been started
      */
-    public static ChildProcess planned(String name, String mainClass, List<String> arguments) {
+    public static ChildProcess create(String name, String mainClass, List<String> arguments) {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                HEAP,
+                MAX_HEAP_FLAG,
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=" + System.getProperty("turmericspan.tier", "4"),
                 "-cp",
@@ -48,12 +48,12 @@
         return new ChildProcess(name, command, logFile(name));
     }
 
-    /** Ends every process that this one has started, for use in a shutdown hook. */
+    /** Kills all descendants of the current process, for use in a shutdown hook. */
     public static void endAll() {
         ProcessHandle.current().descendants().forEach(ProcessHandle::destroyForcibly);
     }
 
-    /** Starts the process, or starts it again with the same command line after it has ended. */
+    /** Starts the process, or restarts it with the same command line after it has exited. */
     public void start() {
         try {
             process = new ProcessBuilder(command)
@@ -68,25 +68,25 @@
     /**
      * Returns the process id.
      *
-     * @return the id
+     * @return process id
      */
     public long pid() {
         return process.pid();
     }
 
     /**
-     * Returns whether the process runs.
+     * Returns whether the process is running.
      *
-     * @return false after it has ended
+     * @return false after it has exited
      */
     public boolean isAlive() {
         return process.isAlive();
     }
 
     /**
-     * Returns how the process ended.
+     * Returns the exit code of a process that has exited.
      *
-     * @return its exit code
+     * @return exit code
      */
     public int exitCode() {
         return process.exitValue();
@@ -95,42 +95,42 @@
     /**
      * Describes the process for the message of a failed test.
      *
-     * @return whether it runs or how it ended, and the last lines of its log
+     * @return whether it is running or its exit code, and the last lines of its log
      */
     public String diagnosis() {
-        String state = process.isAlive() ? "runs" : "ended with code " + process.exitValue();
+        String status = process.isAlive() ? "is running" : "exited with code " + process.exitValue();
         try {
             List<String> lines = Files.readAllLines(log);
             List<String> last = lines.subList(Math.max(0, lines.size() - DIAGNOSIS_LINES), lines.size());
-            return name + " " + state + ", its log ends:\n" + String.join("\n", last);
+            return name + " " + status + "; last lines of its log:\n" + String.join("\n", last);
         } catch (IOException e) {
-            return name + " " + state + ", its log cannot be read: " + e;
+            return name + " " + status + "; its log cannot be read: " + e;
         }
     }
 
-    /** Asks the process to stop as planned, and waits until it has. */
+    /** Requests a graceful stop with SIGTERM and waits until the process exits; kills it on a timeout. */
     public void stop() {
         process.destroy();
-        await();
+        awaitExit();
     }
 
-    /** Asks the process to stop as planned, and does not wait. */
-    public void askToStop() {
+    /** Requests a graceful stop with SIGTERM without waiting. */
+    public void requestStop() {
         process.destroy();
     }
 
-    /** Ends the process without notice. */
+    /** Kills the process with SIGKILL and waits until it has exited. */
     public void kill() {
         process.destroyForcibly();
-        await();
+        awaitExit();
     }
 
-    /** Freezes the process where it stands. */
+    /** Suspends the process with SIGSTOP. */
     public void freeze() {
         signal("-STOP");
     }
 
-    /** Lets a frozen process go on. */
+    /** Resumes a suspended process with SIGCONT. */
     public void thaw() {
         signal("-CONT");
     }
@@ -140,7 +140,7 @@
         if (process != null && process.isAlive()) {
             thaw();
             process.destroyForcibly();
-            await();
+            awaitExit();
         }
     }
 
@@ -161,7 +161,7 @@
         }
     }
 
-    private void await() {
+    private void awaitExit() {
         try {
             if (!process.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
                 process.destroyForcibly().waitFor();
@@ -173,8 +173,8 @@
 
     private static Path logFile(String name) {
         try {
-            Path folder = Files.createDirectories(Path.of("target", "fleet"));
-            return folder.resolve(name + "-" + ProcessHandle.current().pid() + ".log");
+            Path directory = Files.createDirectories(Path.of("target", "fleet"));
+            return directory.resolve(name + "-" + ProcessHandle.current().pid() + ".log");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/standins/src/main/java/org/turmericspan/standins/fleet/Fleet.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/Fleet.java
@@ -9,24 +9,26 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
-/** A running fleet of processes: the platform, the upstreams in one process, the fault proxy and the nodes. */
+/** A running fleet: processes for the platform, all upstreams, the fault proxy if it is planned, and each node. */
 public final class Fleet implements AutoCloseable {
-    /** Key shared by the nodes of every test fleet. */
+    /** Deployment key of the nodes in every test fleet. */
     public static final String DEPLOYMENT_KEY = "loopback-test-deployment-key";
 
     private static final String STANDINS_MAIN = "org.turmericspan.standins.Main";
     private static final String NODE_MAIN = "org.turmericspan.node.Main";
-    private static final String LOCAL = "127.0.0.1:";
-    private static final Duration START_LIMIT = Duration.ofSeconds(60);
-    private static final int COMMON_PORTS = 3;
+    private static final String LOOPBACK_PREFIX = "127.0.0.1:";
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+    /** Ports of the platform, the control port of the upstreams and the control port of the proxy. */
+    private static final int SHARED_PORTS = 3;
+    /** Ports of a node for callers, operators and peers, and of its links to peers and the platform. */
     private static final int PORTS_PER_NODE = 5;
 
     private final FleetPlan plan;
     private final Http http = new Http();
-    private final PublishedSet published = new PublishedSet();
+    private final FleetConfiguration configuration = new FleetConfiguration();
     private final List<FleetNode> nodes = new ArrayList<>();
     private final List<FleetUpstream> upstreams = new ArrayList<>();
-    private final List<ChildProcess> children = new ArrayList<>();
+    private final List<ChildProcess> processes = new ArrayList<>();
     private final Set<String> leavingVms = new HashSet<>();
     private final Iterator<Integer> ports;
     private final int platformPort;
@@ -39,7 +41,7 @@
         int upstreamCount = plan.services().stream()
                 .mapToInt(FleetPlan.ServicePlan::upstreams)
                 .sum();
-        this.ports = Ports.free(COMMON_PORTS + 2 * upstreamCount + PORTS_PER_NODE * plan.nodes())
+        this.ports = Ports.free(SHARED_PORTS + 2 * upstreamCount + PORTS_PER_NODE * plan.nodes())
                 .iterator();
         this.platformPort = ports.next();
         this.upstreamControlPort = ports.next();
@@ -47,9 +49,9 @@
     }
 
     /**
-     * Starts a fleet and waits until every node serves.
+     * Starts a fleet and waits until every node is ready.
      *
-     * @param plan what it is made of
+     * @param plan processes and services of the fleet
      * @return the running fleet
      */
     public static Fleet start(FleetPlan plan) {
@@ -84,31 +86,31 @@
     /**
      * Returns the client for control and operator ports.
      *
-     * @return a client that lives as long as the fleet
+     * @return client that is closed with the fleet
      */
     public Http http() {
         return http;
     }
 
     /**
-     * Returns the set of published objects, to be changed and published again.
+     * Returns the configuration objects, which take effect after {@link #publish()}.
      *
-     * @return the set
+     * @return mutable configuration of the fleet
      */
-    public PublishedSet published() {
-        return published;
+    public FleetConfiguration published() {
+        return configuration;
     }
 
     /** Publishes the next version of the configuration. */
     public void publish() {
-        http.put(platformUrl() + "/control/values/configuration", published.nextDocument());
+        http.put(platformUrl() + "/control/values/configuration", configuration.nextDocument());
     }
 
     /**
-     * Takes an availability zone out or back in, and publishes.
+     * Takes an availability zone out of service or back in, and publishes the configuration.
      *
      * @param zone name of the availability zone
-     * @param inService whether it takes new work
+     * @param inService whether the zone receives new requests
      */
     public void setZone(String zone, boolean inService) {
         putZone(zone, inService);
@@ -116,7 +118,7 @@
     }
 
     /**
-     * Marks a VM as leaving or live in the platform's list.
+     * Marks a VM as leaving or live in the platform's list of VMs, and publishes the list.
      *
      * @param vm name of the VM
      * @param leaving whether it is about to stop
@@ -133,30 +135,31 @@
     /** Publishes the list of VMs. */
     public void publishVms() {
         List<String> entries = new ArrayList<>();
-        nodes.forEach(node -> entries.add(entryVm(node)));
-        upstreams.forEach(upstream -> entries.add(upstreamVm(upstream)));
+        nodes.forEach(node -> entries.add(entryVmJson(node)));
+        upstreams.forEach(upstream -> entries.add(upstreamVmJson(upstream)));
         http.put(platformUrl() + "/control/values/vms", "{\"vms\": [" + String.join(",\n", entries) + "]}");
     }
 
     /**
-     * Waits until every node has the last published configuration in force.
+     * Waits until the last published configuration is active at every node.
      *
-     * @param limit how long to wait
+     * @param limit maximum time to wait
      */
     public void awaitInForce(Duration limit) {
         for (FleetNode node : nodes) {
             Await.until(
-                    node.name() + " has version " + published.version(),
+                    node.name() + " has version " + configuration.version(),
                     limit,
-                    () -> versionAt(node) >= published.version());
+                    () -> versionAt(node) >= configuration.version());
         }
     }
 
     /**
-     * Waits until a node says that it is ready; a failure tells what became of its process and its last log lines.
+     * Waits until a node reports that it is ready. The exception on a timeout contains the status of its process
+     * and the last lines of its log.
      *
      * @param node the node
-     * @param limit how long to wait
+     * @param limit maximum time to wait
      */
     public void awaitReady(FleetNode node, Duration limit) {
         try {
@@ -171,7 +174,7 @@
     }
 
     /**
-     * Reads the number of the configuration in force at a node.
+     * Reads the version of the active configuration of a node.
      *
      * @param node the node
      * @return the version number
@@ -183,24 +186,24 @@
     }
 
     /**
-     * Reads what the upstreams saw.
+     * Reads the statistics of the upstreams.
      *
-     * @return witness by port
+     * @return statistics by port
      */
     public JsonNode witness() {
         return http.getJson(upstreamControlUrl() + "/control/witness");
     }
 
     /**
-     * Sums one field of the witnesses.
+     * Sums one field of the statistics of all upstreams.
      *
-     * @param field name of the field
+     * @param field JSON name of the field
      * @return the sum over all upstreams
      */
     public long witnessSum(String field) {
         long sum = 0;
-        for (JsonNode one : witness()) {
-            sum += one.path(field).asLong();
+        for (JsonNode statistics : witness()) {
+            sum += statistics.path(field).asLong();
         }
         return sum;
     }
@@ -211,9 +214,9 @@
     }
 
     /**
-     * Counts the reads that the platform saw, waiting watches among them.
+     * Reads how many read requests the platform has received, including watches that are still waiting.
      *
-     * @return reads since its start
+     * @return number of requests since its start
      */
     public long platformReads() {
         return Long.parseLong(http.get(platformUrl() + "/control/reads"));
@@ -222,42 +225,42 @@
     /**
      * Returns the base URL of the platform.
      *
-     * @return URL without a slash at the end
+     * @return URL without a trailing slash
      */
     public String platformUrl() {
-        return "http://" + LOCAL + platformPort;
+        return "http://" + LOOPBACK_PREFIX + platformPort;
     }
 
     /**
      * Returns the base URL of the upstreams' control port.
      *
-     * @return URL without a slash at the end
+     * @return URL without a trailing slash
      */
     public String upstreamControlUrl() {
-        return "http://" + LOCAL + upstreamControlPort;
+        return "http://" + LOOPBACK_PREFIX + upstreamControlPort;
     }
 
     /**
      * Returns the base URL of the fault proxy's control port.
      *
-     * @return URL without a slash at the end
+     * @return URL without a trailing slash
      */
     public String proxyControlUrl() {
-        return "http://" + LOCAL + proxyControlPort;
+        return "http://" + LOOPBACK_PREFIX + proxyControlPort;
     }
 
     @Override
     public void close() {
-        children.forEach(ChildProcess::close);
+        processes.forEach(ChildProcess::close);
         http.close();
     }
 
     private void startAll() {
         launch("platform", STANDINS_MAIN, List.of("platform", "--port", Integer.toString(platformPort)));
-        planObjects();
+        addConfigurationObjects();
         launchUpstreams();
         for (int i = 0; i < plan.nodes(); i++) {
-            planNode(i);
+            addNode(i);
         }
         if (plan.isProxied()) {
             launch(
@@ -271,21 +274,21 @@
                             Integer.toString(proxyControlPort)));
         }
         Await.until(
-                "platform answers",
-                START_LIMIT,
+                "platform responds",
+                START_TIMEOUT,
                 () -> !http.get(platformUrl() + "/control/reads").isEmpty());
         publish();
         publishVms();
         nodes.forEach(node -> node.process().start());
-        Await.until("upstreams answer", START_LIMIT, () -> witness() != null);
-        nodes.forEach(node -> awaitReady(node, START_LIMIT));
+        Await.until("upstreams respond", START_TIMEOUT, () -> witness() != null);
+        nodes.forEach(node -> awaitReady(node, START_TIMEOUT));
     }
 
-    private void planObjects() {
+    private void addConfigurationObjects() {
         plan.zones().forEach(zone -> putZone(zone, true));
         for (FleetPlan.ServicePlan service : plan.services()) {
-            published.put("Service", service.name(), service.fields());
-            published.put(
+            configuration.put("Service", service.name(), service.fields());
+            configuration.put(
                     "Rule",
                     service.name() + "-orders",
                     List.of(
@@ -293,62 +296,62 @@
                             "\"method\": \"POST\"",
                             "\"path_prefix\": \"/orders\""));
             for (int i = 0; i < service.upstreams(); i++) {
-                planUpstream(service.name(), i);
+                addUpstream(service.name(), i);
             }
         }
     }
 
     private void putZone(String zone, boolean inService) {
-        published.put(
+        configuration.put(
                 "AvailabilityZone",
                 zone,
                 List.of("\"region\": \"region-one\"", "\"state\": \"" + (inService ? "in" : "out") + "\""));
     }
 
-    private void planUpstream(String service, int index) {
+    private void addUpstream(String service, int index) {
         String zone = plan.zones().get(index % plan.zones().size());
         int port = ports.next();
-        int linkPort = link(port);
+        int linkPort = addLink(port);
         String name = String.format("%s-%03d", service, index);
         upstreams.add(new FleetUpstream(name, service, zone, port, linkPort));
-        published.put(
+        configuration.put(
                 "Upstream",
                 name,
                 List.of(
                         "\"service\": \"" + service + "\"",
                         "\"availability_zone\": \"" + zone + "\"",
-                        "\"address\": \"" + LOCAL + linkPort + "\""));
+                        "\"address\": \"" + LOOPBACK_PREFIX + linkPort + "\""));
     }
 
-    private void planNode(int index) {
+    private void addNode(int index) {
         String name = String.format("entry-%02d", index);
         String zone = plan.zones().get(index % plan.zones().size());
         int callerPort = ports.next();
         int operatorPort = ports.next();
         int peerPort = ports.next();
-        int peerLinkPort = link(peerPort);
-        int platformLinkPort = link(platformPort);
+        int peerLinkPort = addLink(peerPort);
+        int platformLinkPort = addLink(platformPort);
         List<String> flags = new ArrayList<>(List.of(
                 "--vm", name,
                 "--availability-zone", zone,
-                "--caller-address", LOCAL + callerPort,
-                "--operator-address", LOCAL + operatorPort,
-                "--peer-address", LOCAL + peerPort,
-                "--platform-address", LOCAL + platformLinkPort,
+                "--caller-address", LOOPBACK_PREFIX + callerPort,
+                "--operator-address", LOOPBACK_PREFIX + operatorPort,
+                "--peer-address", LOOPBACK_PREFIX + peerPort,
+                "--platform-address", LOOPBACK_PREFIX + platformLinkPort,
                 "--deployment-key", DEPLOYMENT_KEY));
         flags.addAll(plan.nodeFlags());
-        ChildProcess process = ChildProcess.planned(name, NODE_MAIN, flags);
-        children.add(process);
+        ChildProcess process = ChildProcess.create(name, NODE_MAIN, flags);
+        processes.add(process);
         nodes.add(
                 new FleetNode(name, zone, callerPort, operatorPort, peerPort, peerLinkPort, platformLinkPort, process));
     }
 
-    private int link(int targetPort) {
+    private int addLink(int targetPort) {
         if (!plan.isProxied()) {
             return targetPort;
         }
         int linkPort = ports.next();
-        links.add(linkPort + "=" + LOCAL + targetPort);
+        links.add(linkPort + "=" + LOOPBACK_PREFIX + targetPort);
         return linkPort;
     }
 
@@ -363,23 +366,23 @@
     }
 
     private void launch(String name, String mainClass, List<String> arguments) {
-        ChildProcess child = ChildProcess.planned(name, mainClass, arguments);
-        children.add(child);
-        child.start();
+        ChildProcess process = ChildProcess.create(name, mainClass, arguments);
+        processes.add(process);
+        process.start();
     }
 
-    private String entryVm(FleetNode node) {
+    private String entryVmJson(FleetNode node) {
         return "{\"name\": \"" + node.name() + "\", \"availability_zone\": \"" + node.zone() + "\", \"role\": \"entry\""
-                + state(node.name()) + ", \"caller_address\": \"" + LOCAL + node.callerPort()
-                + "\", \"peer_address\": \"" + LOCAL + node.peerLinkPort() + "\"}";
+                + stateField(node.name()) + ", \"caller_address\": \"" + LOOPBACK_PREFIX + node.callerPort()
+                + "\", \"peer_address\": \"" + LOOPBACK_PREFIX + node.peerLinkPort() + "\"}";
     }
 
-    private String upstreamVm(FleetUpstream upstream) {
+    private String upstreamVmJson(FleetUpstream upstream) {
         return "{\"name\": \"" + upstream.name() + "\", \"availability_zone\": \"" + upstream.zone()
-                + "\", \"role\": \"upstream\"" + state(upstream.name()) + "}";
+                + "\", \"role\": \"upstream\"" + stateField(upstream.name()) + "}";
     }
 
-    private String state(String vm) {
+    private String stateField(String vm) {
         return ", \"state\": \"" + (leavingVms.contains(vm) ? "leaving" : "live") + "\"";
     }
 }
--- a/standins/src/main/java/org/turmericspan/standins/fleet/PublishedSet.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/FleetConfiguration.java
@@ -5,17 +5,17 @@
 import java.util.List;
 import java.util.Map;
 
-/** The objects of a fleet as its operators publish them. */
-public final class PublishedSet {
+/** Configuration objects of a fleet, which are published together as one numbered document. */
+public final class FleetConfiguration {
     private final Map<String, String> objects = new LinkedHashMap<>();
     private long version;
 
     /**
-     * Adds or replaces an object.
+     * Adds an object or replaces the one of the same kind and name.
      *
-     * @param kind its kind
-     * @param name its name
-     * @param fields its other fields, each as {@code "name": value}
+     * @param kind kind of the object
+     * @param name name of the object
+     * @param fields other fields of the object, each as {@code "name": value}
      */
     public void put(String kind, String name, List<String> fields) {
         List<String> all = new ArrayList<>(List.of("\"kind\": \"" + kind + "\"", "\"name\": \"" + name + "\""));
@@ -26,15 +26,15 @@
     /**
      * Removes an object.
      *
-     * @param kind its kind
-     * @param name its name
+     * @param kind kind of the object
+     * @param name name of the object
      */
     public void remove(String kind, String name) {
         objects.remove(kind + "/" + name);
     }
 
     /**
-     * Writes the next version of the document.
+     * Increments the version and returns the document.
      *
      * @return JSON as {@code turmericspanctl bundle} writes it
      */
@@ -44,9 +44,9 @@
     }
 
     /**
-     * Returns the number of the last document written.
+     * Returns the version of the last document.
      *
-     * @return the version number
+     * @return version number, or 0 before the first document
      */
     public long version() {
         return version;
--- a/standins/src/main/java/org/turmericspan/standins/fleet/FleetNode.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/FleetNode.java
@@ -5,12 +5,12 @@
  *
  * @param name name of its VM
  * @param zone its availability zone
- * @param callerPort where callers connect
- * @param operatorPort where operators connect
- * @param peerPort where other nodes connect
- * @param peerLinkPort port of the proxy before the peer port, or the peer port itself
- * @param platformLinkPort port of the proxy before the platform, or the platform's own port
- * @param process the running process
+ * @param callerPort port for callers
+ * @param operatorPort port for operators
+ * @param peerPort port for other nodes
+ * @param peerLinkPort port of the fault proxy in front of the peer port, or the peer port without a proxy
+ * @param platformLinkPort port of the fault proxy in front of the platform, or the platform's port without a proxy
+ * @param process process that runs the node
  */
 public record FleetNode(
         String name,
@@ -24,7 +24,7 @@
     /**
      * Returns the base URL for callers.
      *
-     * @return URL without a slash at the end
+     * @return URL without a trailing slash
      */
     public String callerUrl() {
         return "http://127.0.0.1:" + callerPort;
@@ -33,7 +33,7 @@
     /**
      * Returns the base URL for operators.
      *
-     * @return URL without a slash at the end
+     * @return URL without a trailing slash
      */
     public String operatorUrl() {
         return "http://127.0.0.1:" + operatorPort;
--- a/standins/src/main/java/org/turmericspan/standins/fleet/FleetPlan.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/FleetPlan.java
@@ -4,13 +4,13 @@
 import java.util.List;
 
 /**
- * What a fleet is made of.
+ * Describes the processes and services of a fleet.
  *
  * @param zones names of the availability zones
  * @param nodes number of nodes, spread over the availability zones
  * @param services the services
- * @param isProxied whether the fault proxy stands before upstreams, peers and platform
- * @param nodeFlags further flags of each node
+ * @param isProxied whether nodes reach upstreams, peers and the platform through the fault proxy
+ * @param nodeFlags additional command line flags of each node
  */
 public record FleetPlan(
         List<String> zones, int nodes, List<ServicePlan> services, boolean isProxied, List<String> nodeFlags) {
@@ -24,11 +24,11 @@
     }
 
     /**
-     * Plans one service over four availability zones.
+     * Describes a fleet with the service {@code ordering} over four availability zones.
      *
      * @param nodes number of nodes
      * @param upstreams number of upstreams
-     * @return a plan without fault proxy
+     * @return a plan without the fault proxy
      */
     public static FleetPlan simple(int nodes, int upstreams) {
         return new FleetPlan(
@@ -48,19 +48,19 @@
      * Adds a service.
      *
      * @param service the service
-     * @return a copy with it
+     * @return a copy with the service
      */
     public FleetPlan with(ServicePlan service) {
-        List<ServicePlan> more = new ArrayList<>(services);
-        more.add(service);
-        return new FleetPlan(zones, nodes, more, isProxied, nodeFlags);
+        List<ServicePlan> extended = new ArrayList<>(services);
+        extended.add(service);
+        return new FleetPlan(zones, nodes, extended, isProxied, nodeFlags);
     }
 
     /**
-     * Adds flags to each node.
+     * Replaces the additional flags of each node.
      *
      * @param flags command line flags
-     * @return a copy with them
+     * @return a copy with these flags
      */
     public FleetPlan withNodeFlags(List<String> flags) {
         return new FleetPlan(zones, nodes, services, isProxied, flags);
@@ -69,9 +69,9 @@
     /**
      * One service of the plan.
      *
-     * @param name its name
+     * @param name name of the service
      * @param upstreams number of its upstreams, spread over the availability zones
-     * @param fields further fields of its configuration object, each as {@code "name": value}
+     * @param fields additional fields of its configuration object, each as {@code "name": value}
      */
     public record ServicePlan(String name, int upstreams, List<String> fields) {
         /** Copies the list. */
--- a/standins/src/main/java/org/turmericspan/standins/fleet/Http.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/Http.java
@@ -10,7 +10,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 
-/** Small blocking client for control ports and operator ports. */
+/** Blocking HTTP client for control ports and operator ports. It throws when the response status is not 2xx. */
 public final class Http implements AutoCloseable {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
@@ -19,10 +19,10 @@
             new OkHttpClient.Builder().callTimeout(TIMEOUT).build();
 
     /**
-     * Reads JSON.
+     * Sends a GET request and parses the response as JSON.
      *
-     * @param url where from
-     * @return the body
+     * @param url URL to read
+     * @return body of the response
      */
     public JsonNode getJson(String url) {
         try {
@@ -33,20 +33,20 @@
     }
 
     /**
-     * Reads text.
+     * Sends a GET request.
      *
-     * @param url where from
-     * @return the body
+     * @param url URL to read
+     * @return body of the response
      */
     public String get(String url) {
         return call(new Request.Builder().url(url).build());
     }
 
     /**
-     * Posts an empty body.
+     * Sends a POST request with an empty body.
      *
-     * @param url where to
-     * @return the answer's body
+     * @param url URL to post to
+     * @return body of the response
      */
     public String post(String url) {
         return call(new Request.Builder()
@@ -56,11 +56,11 @@
     }
 
     /**
-     * Puts a text.
+     * Sends a PUT request.
      *
-     * @param url where to
-     * @param text the body
-     * @return the answer's body
+     * @param url URL to write
+     * @param text request body
+     * @return body of the response
      */
     public String put(String url, String text) {
         return call(new Request.Builder()
@@ -78,7 +78,7 @@
     private String call(Request request) {
         try (Response response = client.newCall(request).execute()) {
             if (!response.isSuccessful()) {
-                throw new IOException("Status " + response.code() + " from " + request.url());
+                throw new IOException("HTTP status " + response.code() + " from " + request.url());
             }
             return response.body().string();
         } catch (IOException e) {
--- a/standins/src/main/java/org/turmericspan/standins/fleet/package-info.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/package-info.java
@@ -1,2 +1,2 @@
-/** Starts a whole fleet of real processes on loopback for tests, the bench and the demo. */
+/** Runs a fleet of separate processes on loopback for tests, the benchmark and the demo. */
 package org.turmericspan.standins.fleet;
--- a/standins/src/main/java/org/turmericspan/standins/network/FaultProxyMain.java
+++ b/standins/src/main/java/org/turmericspan/standins/network/FaultProxyMain.java
@@ -16,9 +16,9 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.turmericspan.ids.SocketAddress;
 
-/** Command line and control port of the fault proxy. */
+/** Command line and control port of the fault proxy, which runs one link per forwarded port. */
 public final class FaultProxyMain {
-    private static final int THREADS = 2;
+    private static final int EVENT_LOOP_THREADS = 2;
 
     private final Map<Integer, Link> links = new TreeMap<>();
 
@@ -32,12 +32,12 @@
      */
     public static void start(String... flags) throws InterruptedException {
         ArgumentParser parser = ArgumentParsers.newFor("proxy").build();
-        parser.addArgument("--links").required(true).help("PORT=HOST:PORT, separated by commas");
+        parser.addArgument("--links").required(true).help("comma-separated links, each LISTEN_PORT=HOST:PORT");
         parser.addArgument("--control-port").type(Integer.class).required(true);
-        Namespace settings = parser.parseArgsOrFail(flags);
+        Namespace options = parser.parseArgsOrFail(flags);
         FaultProxyMain proxy = new FaultProxyMain();
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
-        for (String link : settings.getString("links").split(",")) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(EVENT_LOOP_THREADS, NioIoHandler.newFactory());
+        for (String link : options.getString("links").split(",")) {
             String[] parts = link.split("=");
             int port = Integer.parseInt(parts[0]);
             proxy.links.put(port, new Link(port, SocketAddress.parse(parts[1]), group));
@@ -45,7 +45,7 @@
         for (Link link : proxy.links.values()) {
             link.start();
         }
-        Javalin.create(proxy::configure).start("127.0.0.1", settings.getInt("control_port"));
+        Javalin.create(proxy::configure).start("127.0.0.1", options.getInt("control_port"));
     }
 
     private void configure(JavalinConfig config) {
@@ -65,14 +65,15 @@
                 Boolean.parseBoolean(context.queryParam("refuse")),
                 Boolean.parseBoolean(context.queryParam("silent")),
                 delay(context),
-                (int) number(context, "bytes_per_second"));
+                (int) numberParameter(context, "bytes_per_second"));
     }
 
     private static Duration delay(Context context) {
-        return Duration.ofMillis(number(context, "delay_ms")).plus(number(context, "delay_us"), ChronoUnit.MICROS);
+        return Duration.ofMillis(numberParameter(context, "delay_ms"))
+                .plus(numberParameter(context, "delay_us"), ChronoUnit.MICROS);
     }
 
-    private static long number(Context context, String name) {
+    private static long numberParameter(Context context, String name) {
         return Optional.ofNullable(context.queryParam(name))
                 .map(Long::parseLong)
                 .orElse(0L);
--- a/standins/src/main/java/org/turmericspan/standins/network/Link.java
+++ b/standins/src/main/java/org/turmericspan/standins/network/Link.java
@@ -12,23 +12,23 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.turmericspan.ids.SocketAddress;
 
-/** One forwarded port on loopback, whose faults are set while it runs. */
+/** Forwards one loopback port to a target, with a fault that can be changed while it runs. */
 public final class Link implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
 
     private final int listenPort;
     private final SocketAddress target;
     private final EventLoopGroup group;
-    private final Set<LinkPipe> pipes = ConcurrentHashMap.newKeySet();
+    private final Set<LinkConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile LinkFault fault = LinkFault.NONE;
     private Channel listener;
 
     /**
-     * Names the two ends.
+     * Creates a link that does not listen yet.
      *
      * @param listenPort port on loopback to listen on
-     * @param target where bytes go
-     * @param group runs the link
+     * @param target address to which connections are forwarded
+     * @param group event loops that run the link
      */
     public Link(int listenPort, SocketAddress target, EventLoopGroup group) {
         this.listenPort = listenPort;
@@ -59,9 +59,9 @@
     }
 
     /**
-     * Sets what happens to bytes and new connections from now on.
+     * Replaces the fault; its delay and bandwidth also apply to open connections.
      *
-     * @param newFault the fault
+     * @param newFault fault to inject from now on
      */
     public void setFault(LinkFault newFault) {
         fault = newFault;
@@ -69,12 +69,12 @@
 
     /** Closes every open connection. */
     public void cut() {
-        pipes.forEach(LinkPipe::close);
+        connections.forEach(LinkConnection::close);
     }
 
-    /** Makes every open connection carry nothing from now on, while new ones work. */
+    /** Makes every open connection drop all bytes from now on; new connections are not affected. */
     public void silenceOpen() {
-        pipes.forEach(LinkPipe::silence);
+        connections.forEach(LinkConnection::blackhole);
     }
 
     @Override
@@ -84,17 +84,17 @@
     }
 
     private void accept(Channel inbound) {
-        LinkFault current = fault;
-        if (current.refuseNew()) {
+        LinkFault currentFault = fault;
+        if (currentFault.refuseNew()) {
             inbound.close();
             return;
         }
-        LinkPipe pipe = new LinkPipe(() -> fault);
-        if (current.silentNew()) {
-            pipe.silence();
+        LinkConnection connection = new LinkConnection(() -> fault);
+        if (currentFault.blackholeNew()) {
+            connection.blackhole();
         }
-        pipes.add(pipe);
-        inbound.closeFuture().addListener(closed -> pipes.remove(pipe));
+        connections.add(connection);
+        inbound.closeFuture().addListener(closed -> connections.remove(connection));
         new Bootstrap()
                 .group(inbound.eventLoop())
                 .channel(NioSocketChannel.class)
@@ -103,13 +103,13 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel outbound) {
-                        pipe.join(inbound, outbound);
+                        connection.attach(inbound, outbound);
                     }
                 })
                 .connect(target.host(), target.port())
                 .addListener(connected -> {
                     if (connected.isSuccess()) {
-                        pipe.open();
+                        connection.startReading();
                     } else {
                         inbound.close();
                     }
--- a/standins/src/main/java/org/turmericspan/standins/network/LinkPipe.java
+++ b/standins/src/main/java/org/turmericspan/standins/network/LinkConnection.java
@@ -8,31 +8,31 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-/** One forwarded connection, both directions of it on one event loop. */
-final class LinkPipe {
+/** One forwarded connection; both directions run on one event loop. */
+final class LinkConnection {
     private final Supplier<LinkFault> fault;
-    private volatile boolean silent;
+    private volatile boolean isBlackholed;
     private Channel inbound;
     private Channel outbound;
 
-    LinkPipe(Supplier<LinkFault> fault) {
+    LinkConnection(Supplier<LinkFault> fault) {
         this.fault = fault;
     }
 
-    void join(Channel newInbound, Channel newOutbound) {
+    void attach(Channel newInbound, Channel newOutbound) {
         inbound = newInbound;
         outbound = newOutbound;
         inbound.pipeline().addLast(new Forwarder(outbound));
         outbound.pipeline().addLast(new Forwarder(inbound));
     }
 
-    void open() {
+    void startReading() {
         inbound.config().setAutoRead(true);
         outbound.config().setAutoRead(true);
     }
 
-    void silence() {
-        silent = true;
+    void blackhole() {
+        isBlackholed = true;
     }
 
     void close() {
@@ -44,24 +44,24 @@
         }
     }
 
-    /** Forwards what it reads to the other side, late or slowly as the fault says, and in order. */
+    /** Forwards bytes to the other channel in order, with the delay and the bandwidth of the current fault. */
     private final class Forwarder extends ChannelInboundHandlerAdapter {
-        private final Channel other;
-        private long dueNanos = System.nanoTime();
+        private final Channel destination;
+        private long deliveryNanos = System.nanoTime();
 
-        Forwarder(Channel other) {
-            this.other = other;
+        Forwarder(Channel destination) {
+            this.destination = destination;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            if (silent) {
+            if (isBlackholed) {
                 ReferenceCountUtil.release(message);
                 return;
             }
-            long delayNanos = delayNanos((ByteBuf) message);
+            long delayNanos = reserveDelayNanos((ByteBuf) message);
             if (delayNanos <= 0) {
-                other.writeAndFlush(message);
+                destination.writeAndFlush(message);
             } else {
                 context.executor().schedule(() -> forward(message), delayNanos, TimeUnit.NANOSECONDS);
             }
@@ -69,9 +69,9 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            if (!silent) {
-                long delayNanos = Math.max(0, dueNanos - System.nanoTime());
-                context.executor().schedule(() -> other.close(), delayNanos, TimeUnit.NANOSECONDS);
+            if (!isBlackholed) {
+                long delayNanos = Math.max(0, deliveryNanos - System.nanoTime());
+                context.executor().schedule(() -> destination.close(), delayNanos, TimeUnit.NANOSECONDS);
             }
         }
 
@@ -81,21 +81,21 @@
         }
 
         private void forward(Object message) {
-            if (silent) {
+            if (isBlackholed) {
                 ReferenceCountUtil.release(message);
             } else {
-                other.writeAndFlush(message);
+                destination.writeAndFlush(message);
             }
         }
 
-        private long delayNanos(ByteBuf bytes) {
+        private long reserveDelayNanos(ByteBuf bytes) {
             LinkFault current = fault.get();
             long nowNanos = System.nanoTime();
             long transferNanos = current.bytesPerSecond() == 0
                     ? 0
                     : TimeUnit.SECONDS.toNanos(bytes.readableBytes()) / current.bytesPerSecond();
-            dueNanos = Math.max(dueNanos, nowNanos + current.delay().toNanos()) + transferNanos;
-            return dueNanos - nowNanos;
+            deliveryNanos = Math.max(deliveryNanos, nowNanos + current.delay().toNanos()) + transferNanos;
+            return deliveryNanos - nowNanos;
         }
     }
 }
--- a/standins/src/main/java/org/turmericspan/standins/package-info.java
+++ b/standins/src/main/java/org/turmericspan/standins/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-ins for the platform, the upstreams and the network between them. Never shipped. */
+/** Test stand-ins for the platform, the upstreams and the network between processes. Never shipped. */
 package org.turmericspan.standins;
--- a/standins/src/main/java/org/turmericspan/standins/platform/PlatformMain.java
+++ b/standins/src/main/java/org/turmericspan/standins/platform/PlatformMain.java
@@ -9,14 +9,14 @@
     private PlatformMain() {}
 
     /**
-     * Starts the stand-in.
+     * Starts the platform stand-in.
      *
      * @param flags {@code --port N}
      */
     public static void start(String... flags) {
         ArgumentParser parser = ArgumentParsers.newFor("platform").build();
         parser.addArgument("--port").type(Integer.class).required(true);
-        Namespace settings = parser.parseArgsOrFail(flags);
-        new PlatformServer(new ValueStore()).start(settings.getInt("port"));
+        Namespace options = parser.parseArgsOrFail(flags);
+        new PlatformServer(new ValueStore()).start(options.getInt("port"));
     }
 }
--- a/standins/src/main/java/org/turmericspan/standins/platform/PlatformServer.java
+++ b/standins/src/main/java/org/turmericspan/standins/platform/PlatformServer.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** HTTP face of the platform stand-in. Everything under {@code /control} is for the test alone. */
+/** HTTP server of the platform stand-in. The paths under {@code /control} are for tests only. */
 final class PlatformServer {
     private static final long MAX_VALUE_BYTES = 4_194_304;
     private static final int STATUS_NOT_MODIFIED = 304;
@@ -17,7 +17,7 @@
     private final ObjectMapper mapper = new ObjectMapper();
     private final ValueStore store;
     private final AtomicLong reads = new AtomicLong();
-    private volatile boolean down;
+    private volatile boolean isDown;
 
     PlatformServer(ValueStore store) {
         this.store = store;
@@ -34,26 +34,26 @@
         config.http.maxRequestSize = MAX_VALUE_BYTES;
         config.routes.get("/v1/values/{key}", this::read);
         config.routes.put("/control/values/{key}", this::write);
-        config.routes.post("/control/lag", this::lag);
-        config.routes.post("/control/frozen", context -> store.setFrozen(flag(context)));
-        config.routes.post("/control/down", context -> down = flag(context));
+        config.routes.post("/control/lag", this::setLag);
+        config.routes.post("/control/frozen", context -> store.setFrozen(isOn(context)));
+        config.routes.post("/control/down", context -> isDown = isOn(context));
         config.routes.get("/control/reads", context -> context.result(Long.toString(reads.get())));
     }
 
     private void read(Context context) {
         reads.incrementAndGet();
-        if (down) {
+        if (isDown) {
             context.status(STATUS_UNAVAILABLE);
             return;
         }
-        long after = Long.parseLong(context.queryParam("after"));
-        Duration wait = Duration.ofMillis(Long.parseLong(context.queryParam("wait_ms")));
-        context.future(
-                () -> store.watch(context.pathParam("key"), after, wait).thenAccept(value -> answer(context, value)));
+        long afterRevision = Long.parseLong(context.queryParam("after"));
+        Duration timeout = Duration.ofMillis(Long.parseLong(context.queryParam("wait_ms")));
+        context.future(() -> store.watch(context.pathParam("key"), afterRevision, timeout)
+                .thenAccept(value -> sendValue(context, value)));
     }
 
-    private void answer(Context context, Optional<ValueStore.Value> value) {
-        if (down) {
+    private void sendValue(Context context, Optional<ValueStore.Value> value) {
+        if (isDown) {
             context.status(STATUS_UNAVAILABLE);
         } else if (value.isEmpty()) {
             context.status(STATUS_NOT_MODIFIED);
@@ -70,12 +70,12 @@
         context.result(Long.toString(store.write(context.pathParam("key"), context.body())));
     }
 
-    private void lag(Context context) {
+    private void setLag(Context context) {
         Duration lag = Duration.ofMillis(Long.parseLong(context.queryParam("ms")));
         store.setLag(context.queryParam("key"), lag);
     }
 
-    private static boolean flag(Context context) {
+    private static boolean isOn(Context context) {
         return Boolean.parseBoolean(context.queryParam("on"));
     }
 }
--- a/standins/src/main/java/org/turmericspan/standins/platform/ValueStore.java
+++ b/standins/src/main/java/org/turmericspan/standins/platform/ValueStore.java
@@ -9,7 +9,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-/** Values with revisions. A written value becomes visible after the lag of its key; a frozen store shows no news. */
+/**
+ * Stores values with revisions. A written value becomes visible after the lag of its key; while the store is frozen, no
+ * new value becomes visible.
+ */
 final class ValueStore {
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "platform-timer");
@@ -19,7 +22,7 @@
     private final Map<String, Value> written = new HashMap<>();
     private final Map<String, Value> visible = new HashMap<>();
     private final Map<String, Duration> lags = new HashMap<>();
-    private CompletableFuture<Void> news = new CompletableFuture<>();
+    private CompletableFuture<Void> nextUpdate = new CompletableFuture<>();
     private boolean frozen;
 
     synchronized long write(String key, String text) {
@@ -28,10 +31,10 @@
         written.put(key, new Value(revision, text));
         Duration lag = lags.getOrDefault(key, Duration.ZERO);
         if (lag.isZero()) {
-            show();
+            makeAllWithoutLagVisible();
         } else {
             Value value = written.get(key);
-            timer.schedule(() -> show(key, value), lag.toMillis(), TimeUnit.MILLISECONDS);
+            timer.schedule(() -> makeVisible(key, value), lag.toMillis(), TimeUnit.MILLISECONDS);
         }
         return revision;
     }
@@ -42,18 +45,18 @@
 
     synchronized void setFrozen(boolean newFrozen) {
         frozen = newFrozen;
-        show();
+        makeAllWithoutLagVisible();
     }
 
-    /** Waits for a value after a revision; the future always completes, empty after the wait. */
-    CompletableFuture<Optional<Value>> watch(String key, long afterRevision, Duration wait) {
+    /** Waits for a value newer than a revision; the future always completes, and is empty after the timeout. */
+    CompletableFuture<Optional<Value>> watch(String key, long afterRevision, Duration timeout) {
         CompletableFuture<Optional<Value>> result = new CompletableFuture<>();
-        timer.schedule(() -> result.complete(Optional.empty()), wait.toMillis(), TimeUnit.MILLISECONDS);
-        awaitNews(key, afterRevision, result);
+        timer.schedule(() -> result.complete(Optional.empty()), timeout.toMillis(), TimeUnit.MILLISECONDS);
+        awaitUpdate(key, afterRevision, result);
         return result;
     }
 
-    private synchronized void awaitNews(String key, long afterRevision, CompletableFuture<Optional<Value>> result) {
+    private synchronized void awaitUpdate(String key, long afterRevision, CompletableFuture<Optional<Value>> result) {
         if (result.isDone()) {
             return;
         }
@@ -62,35 +65,35 @@
             result.complete(Optional.of(value));
             return;
         }
-        news.thenRunAsync(() -> awaitNews(key, afterRevision, result), timer);
+        nextUpdate.thenRunAsync(() -> awaitUpdate(key, afterRevision, result), timer);
     }
 
-    private synchronized void show(String key, Value value) {
-        Value shown = visible.get(key);
-        if (!frozen && (shown == null || shown.revision() < value.revision())) {
+    private synchronized void makeVisible(String key, Value value) {
+        Value current = visible.get(key);
+        if (!frozen && (current == null || current.revision() < value.revision())) {
             visible.put(key, value);
-            announce();
+            notifyWatchers();
         }
     }
 
-    private void show() {
+    private void makeAllWithoutLagVisible() {
         written.forEach((key, value) -> {
             if (lags.getOrDefault(key, Duration.ZERO).isZero()) {
-                show(key, value);
+                makeVisible(key, value);
             }
         });
     }
 
-    private void announce() {
-        CompletableFuture<Void> announced = news;
-        news = new CompletableFuture<>();
-        announced.complete(null);
+    private void notifyWatchers() {
+        CompletableFuture<Void> completedUpdate = nextUpdate;
+        nextUpdate = new CompletableFuture<>();
+        completedUpdate.complete(null);
     }
 
     /**
-     * A value and its revision.
+     * A value with its revision.
      *
-     * @param revision counted from 1
+     * @param revision number of writes to the key, from 1
      * @param text the value
      */
     record Value(long revision, String text) {}
--- a/standins/src/main/java/org/turmericspan/standins/platform/package-info.java
+++ b/standins/src/main/java/org/turmericspan/standins/platform/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-in for the platform: values that can be read and watched, with lag, staleness and outage at will. */
+/** Stand-in for the platform: values to be read and watched, with lag, staleness and outages that a test injects. */
 package org.turmericspan.standins.platform;
--- a/standins/src/main/java/org/turmericspan/standins/upstream/CrashableConnector.java
+++ b/standins/src/main/java/org/turmericspan/standins/upstream/CrashableConnector.java
@@ -6,21 +6,21 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.ServerConnector;
 
-/** Port of one upstream that can break off all its connections, refuse new ones for a while, and come back. */
+/** Listening port of one upstream. A crash closes all its connections and refuses new ones for the restart delay. */
 final class CrashableConnector {
     private final ServerConnector connector;
     private final ScheduledExecutorService timer;
-    private final Duration restartTime;
+    private final Duration restartDelay;
 
-    CrashableConnector(ServerConnector connector, ScheduledExecutorService timer, Duration restartTime) {
+    CrashableConnector(ServerConnector connector, ScheduledExecutorService timer, Duration restartDelay) {
         this.connector = connector;
         this.timer = timer;
-        this.restartTime = restartTime;
+        this.restartDelay = restartDelay;
     }
 
     void crash() {
         timer.execute(this::stop);
-        timer.schedule(this::restart, restartTime.toMillis(), TimeUnit.MILLISECONDS);
+        timer.schedule(this::restart, restartDelay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void stop() {
@@ -33,7 +33,7 @@
             connector.stop();
             connector.start();
         } catch (Exception e) {
-            System.err.println("upstream: cannot listen again: " + e.getMessage());
+            System.err.println("upstream: cannot listen again after a crash: " + e.getMessage());
         }
     }
 }
--- a/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamModel.java
+++ b/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamModel.java
@@ -9,14 +9,17 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
-/** One upstream: it runs as many requests as it has slots, queues a few, sheds the rest, and falls over when cold. */
+/**
+ * Models one upstream. It runs one request per slot, queues a limited number and sheds the rest. While cold, it crashes
+ * when more requests are in flight than its cold limit.
+ */
 final class UpstreamModel {
     private final UpstreamSettings settings;
     private final ScheduledExecutorService timer;
-    private final Runnable fallOver;
+    private final Runnable onCrash;
     private final Queue<Job> queue = new ArrayDeque<>();
-    private final Map<String, Integer> runsByOrder = new HashMap<>();
-    private long incarnation = drawIncarnation();
+    private final Map<String, Integer> runsByOrderId = new HashMap<>();
+    private long incarnation = randomIncarnation();
     private int running;
     private int finishedSinceStart;
     private boolean leaving;
@@ -24,35 +27,35 @@
     private long slowUntilNanos;
     private long started;
     private long finished;
-    private int maxHeld;
+    private int maxInFlight;
     private long coldOverruns;
     private long probes;
     private long shed;
     private long crashes;
     private long lastStartedMillis;
 
-    UpstreamModel(UpstreamSettings settings, ScheduledExecutorService timer, Runnable fallOver) {
+    UpstreamModel(UpstreamSettings settings, ScheduledExecutorService timer, Runnable onCrash) {
         this.settings = settings;
         this.timer = timer;
-        this.fallOver = fallOver;
+        this.onCrash = onCrash;
     }
 
-    /** Takes a request or returns false when it is shed. */
-    boolean arrive(Job job) {
-        boolean overrun;
+    /** Runs or queues a request, or returns false when it is shed. Exceeding the cold limit crashes the upstream. */
+    boolean submit(Job job) {
+        boolean isOverrun;
         synchronized (this) {
             if (leaving || running + queue.size() >= settings.slots() + settings.queueLimit()) {
                 shed++;
                 return false;
             }
             queue.add(job);
-            maxHeld = Math.max(maxHeld, held());
-            overrun = isCold() && held() > settings.coldRequests();
-            if (overrun) {
+            maxInFlight = Math.max(maxInFlight, inFlight());
+            isOverrun = isCold() && inFlight() > settings.coldRequestLimit();
+            if (isOverrun) {
                 coldOverruns++;
             }
         }
-        if (overrun) {
+        if (isOverrun) {
             crash();
             return true;
         }
@@ -67,25 +70,25 @@
             queue.clear();
             running = 0;
         }
-        fallOver.run();
+        onCrash.run();
     }
 
     synchronized void becomeCold() {
         finishedSinceStart = 0;
-        incarnation = drawIncarnation();
+        incarnation = randomIncarnation();
     }
 
-    synchronized void warm() {
-        finishedSinceStart = settings.warmAfter();
+    synchronized void becomeWarm() {
+        finishedSinceStart = settings.warmAfterRequests();
     }
 
     synchronized void setLeaving(boolean newLeaving) {
         leaving = newLeaving;
     }
 
-    synchronized void slowDown(double factor, Duration span) {
+    synchronized void slowDown(double factor, Duration duration) {
         slowFactor = factor;
-        slowUntilNanos = System.nanoTime() + span.toNanos();
+        slowUntilNanos = System.nanoTime() + duration.toNanos();
     }
 
     synchronized void countProbe() {
@@ -93,16 +96,16 @@
     }
 
     synchronized Report report() {
-        return new Report(held(), isCold(), leaving, Long.toHexString(incarnation));
+        return new Report(inFlight(), isCold(), leaving, Long.toHexString(incarnation));
     }
 
-    synchronized Witness witness() {
-        return new Witness(
-                started, finished, maxHeld, coldOverruns, probes, shed, crashes, lastStartedMillis, isCold());
+    synchronized UpstreamStatistics statistics() {
+        return new UpstreamStatistics(
+                started, finished, maxInFlight, coldOverruns, probes, shed, crashes, lastStartedMillis, isCold());
     }
 
-    synchronized Map<String, Integer> runsByOrder() {
-        return Map.copyOf(runsByOrder);
+    synchronized Map<String, Integer> runsByOrderId() {
+        return Map.copyOf(runsByOrderId);
     }
 
     private void startNext() {
@@ -116,12 +119,12 @@
             running++;
             started++;
             lastStartedMillis = System.currentTimeMillis();
-            if (!job.order().isEmpty()) {
-                runsByOrder.merge(job.order(), 1, Integer::sum);
+            if (!job.orderId().isEmpty()) {
+                runsByOrderId.merge(job.orderId(), 1, Integer::sum);
             }
             incarnationAtStart = incarnation;
         }
-        timer.schedule(() -> finish(job, incarnationAtStart), workNanos(job), TimeUnit.NANOSECONDS);
+        timer.schedule(() -> finish(job, incarnationAtStart), serviceTimeNanos(job), TimeUnit.NANOSECONDS);
     }
 
     private void finish(Job job, long incarnationAtStart) {
@@ -133,43 +136,43 @@
             finished++;
             finishedSinceStart++;
         }
-        job.done().run();
+        job.onFinished().run();
         startNext();
     }
 
-    private synchronized long workNanos(Job job) {
+    private synchronized long serviceTimeNanos(Job job) {
         double factor = System.nanoTime() < slowUntilNanos ? slowFactor : 1;
-        return (long) (job.work().toNanos() * factor);
+        return (long) (job.serviceTime().toNanos() * factor);
     }
 
-    private int held() {
+    private int inFlight() {
         return running + queue.size();
     }
 
     private boolean isCold() {
-        return finishedSinceStart < settings.warmAfter();
+        return finishedSinceStart < settings.warmAfterRequests();
     }
 
-    private static long drawIncarnation() {
+    private static long randomIncarnation() {
         return ThreadLocalRandom.current().nextLong();
     }
 
     /**
-     * One request.
+     * A request to run.
      *
-     * @param order order number whose runs are counted, or empty
-     * @param work how long it takes on a slot
-     * @param done answers it
+     * @param orderId id of the order whose runs are counted, or empty
+     * @param serviceTime time that it occupies a slot at normal speed
+     * @param onFinished sends the response
      */
-    record Job(String order, Duration work, Runnable done) {}
+    record Job(String orderId, Duration serviceTime, Runnable onFinished) {}
 
     /**
-     * What the upstream says of itself.
+     * State that the upstream reports with each response.
      *
-     * @param running requests held
-     * @param cold whether it is cold
-     * @param leaving whether it is leaving
-     * @param incarnation life of the upstream
+     * @param inFlight number of requests that are running or queued, sent as {@code Turmericspan-Running}
+     * @param cold whether the upstream is cold
+     * @param leaving whether the upstream is about to stop
+     * @param incarnation id that changes with each crash or cold start, in hexadecimal
      */
-    record Report(int running, boolean cold, boolean leaving, String incarnation) {}
+    record Report(int inFlight, boolean cold, boolean leaving, String incarnation) {}
 }
--- a/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamServer.java
+++ b/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamServer.java
@@ -19,15 +19,15 @@
 import org.eclipse.jetty.server.ServerConnector;
 
 /**
- * HTTP face of the stand-in upstreams: one port for each, and one control port. A request may say how long it works
- * ({@code work_ms}) and how large its answer is ({@code size}); a body that contains {@code poison} crashes its
- * upstream.
+ * HTTP server of the stand-in upstreams, with one port per upstream and one control port. The query parameters of a
+ * request set its service time ({@code work_ms}) and the size of its response ({@code size}). A body that contains
+ * {@code poison} crashes the upstream.
  */
 final class UpstreamServer {
     private static final String HOST = "127.0.0.1";
-    private static final String REQUEST_ID = "Turmericspan-Request-Id";
-    private static final String ATTEMPT_ID = "Turmericspan-Attempt-Id";
-    private static final String POISON = "poison";
+    private static final String REQUEST_ID_HEADER = "Turmericspan-Request-Id";
+    private static final String ATTEMPT_ID_HEADER = "Turmericspan-Attempt-Id";
+    private static final String CRASH_MARKER = "poison";
     private static final int STATUS_UNAVAILABLE = 503;
     private static final int TIMER_THREADS = 2;
 
@@ -61,26 +61,26 @@
     }
 
     private void configureUpstreams(JavalinConfig config) {
-        quiet(config);
+        applyCommonSettings(config);
         ports.forEach(port -> config.jetty.addConnector((server, http) -> connector(server, http, port)));
-        config.routes.get("/load", this::load);
-        config.routes.get("/<path>", this::run);
-        config.routes.post("/<path>", this::run);
-        config.routes.put("/<path>", this::run);
+        config.routes.get("/load", this::handleProbe);
+        config.routes.get("/<path>", this::handleRequest);
+        config.routes.post("/<path>", this::handleRequest);
+        config.routes.put("/<path>", this::handleRequest);
     }
 
     private void configureControl(JavalinConfig config) {
-        quiet(config);
-        config.routes.get("/control/witness", context -> json(context, witnesses()));
-        config.routes.get("/control/orders", context -> json(context, orders()));
+        applyCommonSettings(config);
+        config.routes.get("/control/witness", context -> sendJson(context, statisticsByPort()));
+        config.routes.get("/control/orders", context -> sendJson(context, runsByOrderId()));
         config.routes.post("/control/crash", context -> model(context).crash());
         config.routes.post("/control/cold", context -> model(context).becomeCold());
-        config.routes.post("/control/warm", context -> models.values().forEach(UpstreamModel::warm));
-        config.routes.post("/control/leaving", this::leaving);
-        config.routes.post("/control/slow", this::slow);
+        config.routes.post("/control/warm", context -> models.values().forEach(UpstreamModel::becomeWarm));
+        config.routes.post("/control/leaving", this::setLeaving);
+        config.routes.post("/control/slow", this::slowDown);
     }
 
-    private static void quiet(JavalinConfig config) {
+    private static void applyCommonSettings(JavalinConfig config) {
         config.startup.showJavalinBanner = false;
         config.startup.showOldJavalinVersionWarning = false;
         config.http.asyncTimeout = 0;
@@ -90,46 +90,47 @@
         ServerConnector connector = new ServerConnector(server, new HttpConnectionFactory(http));
         connector.setHost(HOST);
         connector.setPort(port);
-        connectors.put(port, new CrashableConnector(connector, timer, settings.restartTime()));
+        connectors.put(port, new CrashableConnector(connector, timer, settings.restartDelay()));
         return connector;
     }
 
-    private void load(Context context) {
+    private void handleProbe(Context context) {
         UpstreamModel model = models.get(context.req().getLocalPort());
         model.countProbe();
-        describe(context, model);
+        addStateHeaders(context, model);
         context.result("ok");
     }
 
-    private void run(Context context) {
+    private void handleRequest(Context context) {
         UpstreamModel model = models.get(context.req().getLocalPort());
         String body = context.body();
-        String requestId = Optional.ofNullable(context.header(REQUEST_ID)).orElse("none");
-        context.header(REQUEST_ID, requestId);
-        Optional.ofNullable(context.header(ATTEMPT_ID)).ifPresent(id -> context.header(ATTEMPT_ID, id));
-        Duration work = Duration.ofMillis(number(context, "work_ms", 0));
-        int size = (int) number(context, "size", 0);
-        if (body.contains(POISON)) {
+        String requestId =
+                Optional.ofNullable(context.header(REQUEST_ID_HEADER)).orElse("none");
+        context.header(REQUEST_ID_HEADER, requestId);
+        Optional.ofNullable(context.header(ATTEMPT_ID_HEADER)).ifPresent(id -> context.header(ATTEMPT_ID_HEADER, id));
+        Duration serviceTime = Duration.ofMillis(numberParameter(context, "work_ms", 0));
+        int size = (int) numberParameter(context, "size", 0);
+        if (body.contains(CRASH_MARKER)) {
             model.crash();
             context.future(CompletableFuture::new);
             return;
         }
-        String order = Optional.ofNullable(context.header("Order-Id")).orElse("");
+        String orderId = Optional.ofNullable(context.header("Order-Id")).orElse("");
         CompletableFuture<Void> finished = new CompletableFuture<>();
-        boolean taken = model.arrive(new UpstreamModel.Job(order, work, () -> finished.complete(null)));
-        if (!taken) {
-            describe(context, model);
+        boolean isAccepted = model.submit(new UpstreamModel.Job(orderId, serviceTime, () -> finished.complete(null)));
+        if (!isAccepted) {
+            addStateHeaders(context, model);
             context.header("Turmericspan-Not-Run", "1").status(STATUS_UNAVAILABLE);
             return;
         }
         context.future(() -> finished.thenRun(() -> {
-            describe(context, model);
-            context.result(answer(requestId, size));
+            addStateHeaders(context, model);
+            context.result(responseBody(requestId, size));
         }));
     }
 
-    /** Builds an answer that begins with the request's id and whose length and bytes follow from it. */
-    private static String answer(String requestId, int size) {
+    /** Builds a body that starts with the request id and follows from id and size, so that a caller can verify it. */
+    private static String responseBody(String requestId, int size) {
         StringBuilder text = new StringBuilder(requestId).append('\n');
         while (text.length() < size) {
             text.append(requestId).append(' ');
@@ -138,9 +139,9 @@
         return text.toString();
     }
 
-    private static void describe(Context context, UpstreamModel model) {
+    private static void addStateHeaders(Context context, UpstreamModel model) {
         UpstreamModel.Report report = model.report();
-        context.header("Turmericspan-Running", Integer.toString(report.running()));
+        context.header("Turmericspan-Running", Integer.toString(report.inFlight()));
         context.header("Turmericspan-Incarnation", report.incarnation());
         if (report.cold()) {
             context.header("Turmericspan-Cold", "1");
@@ -150,39 +151,40 @@
         }
     }
 
-    private Map<Integer, Witness> witnesses() {
-        Map<Integer, Witness> all = new TreeMap<>();
-        models.forEach((port, model) -> all.put(port, model.witness()));
+    private Map<Integer, UpstreamStatistics> statisticsByPort() {
+        Map<Integer, UpstreamStatistics> all = new TreeMap<>();
+        models.forEach((port, model) -> all.put(port, model.statistics()));
         return all;
     }
 
-    private Map<String, Integer> orders() {
+    private Map<String, Integer> runsByOrderId() {
         Map<String, Integer> all = new TreeMap<>();
         models.values()
-                .forEach(model -> model.runsByOrder().forEach((order, runs) -> all.merge(order, runs, Integer::sum)));
+                .forEach(model ->
+                        model.runsByOrderId().forEach((orderId, runs) -> all.merge(orderId, runs, Integer::sum)));
         return all;
     }
 
-    private void leaving(Context context) {
+    private void setLeaving(Context context) {
         model(context).setLeaving(Boolean.parseBoolean(context.queryParam("on")));
     }
 
-    private void slow(Context context) {
+    private void slowDown(Context context) {
         double factor = Double.parseDouble(context.queryParam("factor"));
-        model(context).slowDown(factor, Duration.ofMillis(number(context, "ms", 0)));
+        model(context).slowDown(factor, Duration.ofMillis(numberParameter(context, "ms", 0)));
     }
 
     private UpstreamModel model(Context context) {
-        return models.get((int) number(context, "port", 0));
+        return models.get((int) numberParameter(context, "port", 0));
     }
 
-    private static long number(Context context, String name, long fallback) {
+    private static long numberParameter(Context context, String name, long defaultValue) {
         return Optional.ofNullable(context.queryParam(name))
                 .map(Long::parseLong)
-                .orElse(fallback);
+                .orElse(defaultValue);
     }
 
-    private void json(Context context, Object value) throws JsonProcessingException {
+    private void sendJson(Context context, Object value) throws JsonProcessingException {
         context.contentType("application/json").result(mapper.writeValueAsString(value));
     }
 }
--- a/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamSettings.java
+++ b/standins/src/main/java/org/turmericspan/standins/upstream/UpstreamSettings.java
@@ -3,12 +3,13 @@
 import java.time.Duration;
 
 /**
- * How a stand-in upstream behaves.
+ * Behavior of a stand-in upstream.
  *
- * @param slots requests it runs at a time when warm
- * @param queueLimit requests it queues beyond its slots before it sheds
- * @param coldRequests requests it bears at a time when cold
- * @param warmAfter requests finished after which it is warm
- * @param restartTime how long it is gone after a crash
+ * @param slots maximum number of requests that run at a time
+ * @param queueLimit maximum number of requests queued beyond the slots; further ones are shed
+ * @param coldRequestLimit maximum number of requests in flight that a cold upstream survives; one more crashes it
+ * @param warmAfterRequests number of requests finished since the start after which it is warm
+ * @param restartDelay time from a crash until it listens again
  */
-record UpstreamSettings(int slots, int queueLimit, int coldRequests, int warmAfter, Duration restartTime) {}
+record UpstreamSettings(
+        int slots, int queueLimit, int coldRequestLimit, int warmAfterRequests, Duration restartDelay) {}
--- a/standins/src/main/java/org/turmericspan/standins/upstream/package-info.java
+++ b/standins/src/main/java/org/turmericspan/standins/upstream/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-in for the upstreams: slots, cold start, load reports, and a witness of all that ran. */
+/** Stand-in for the upstreams, with slots, cold start and load reports; it counts the requests that ran. */
 package org.turmericspan.standins.upstream;
