--- a/routing/src/main/java/org/turmericspan/routing/BaselineSlotSource.java
+++ b/routing/src/main/java/org/turmericspan/routing/BaselineSlotSource.java
@@ -25,28 +25,28 @@
 import org.turmericspan.membership.Vm;
 
 /**
- * Grants any upstream in service at once, based only on this node's own state: the loads last reported to it and its
- * own requests in flight.
+ * Slot source without owners and concurrency limits, for comparison: grants an upstream in service at once. The choice
+ * depends only on this node's own state: the loads last reported to it and its own requests in flight.
  */
 public final class BaselineSlotSource implements SlotSource {
-    private final Supplier<OwnershipMap> map;
+    private final Supplier<OwnershipMap> ownershipMap;
     private final Incarnation incarnation;
     private final MonotonicClock clock;
     private final UpstreamChoice choice;
     private final Map<UpstreamId, Load> loads = new ConcurrentHashMap<>();
-    private final AtomicLong nextSequence = new AtomicLong();
+    private final AtomicLong lastSequence = new AtomicLong();
 
     /**
      * Creates a source.
      *
-     * @param map supplies the current ownership map
+     * @param ownershipMap supplies the current ownership map
      * @param incarnation incarnation of this process, part of each lease identifier
      * @param clock expires leases at their deadline
      * @param choice chooses among the upstreams
      */
     public BaselineSlotSource(
-            Supplier<OwnershipMap> map, Incarnation incarnation, MonotonicClock clock, UpstreamChoice choice) {
-        this.map = map;
+            Supplier<OwnershipMap> ownershipMap, Incarnation incarnation, MonotonicClock clock, UpstreamChoice choice) {
+        this.ownershipMap = ownershipMap;
         this.incarnation = incarnation;
         this.clock = clock;
         this.choice = choice;
@@ -54,7 +54,7 @@
 
     @Override
     public CompletionStage<SlotDecision> acquire(SlotRequest request) {
-        OwnershipMap current = map.get();
+        OwnershipMap current = ownershipMap.get();
         List<Upstream> candidates = current.upstreamsOf(request.service()).stream()
                 .filter(upstream -> !request.excludedUpstreams().contains(upstream.id()))
                 .filter(upstream -> !isLeaving(current, upstream))
@@ -66,8 +66,8 @@
         return CompletableFuture.completedFuture(decision);
     }
 
-    private static boolean isLeaving(OwnershipMap map, Upstream upstream) {
-        Vm vm = map.view().vms().get(upstream.vm());
+    private static boolean isLeaving(OwnershipMap ownershipMap, Upstream upstream) {
+        Vm vm = ownershipMap.view().vms().get(upstream.vm());
         return vm != null && vm.leaving();
     }
 
@@ -75,6 +75,7 @@
         return loads.computeIfAbsent(upstream, id -> new Load(new AtomicInteger(), new AtomicInteger()));
     }
 
+    /** Requests of this node in flight on an upstream, and the running requests that the upstream last reported. */
     private record Load(AtomicInteger inFlight, AtomicInteger reported) {
         int total() {
             return inFlight.get() + reported.get();
@@ -84,7 +85,7 @@
     private final class CountedLease implements SlotLease {
         private final Upstream upstream;
         private final long deadlineNanos;
-        private final LeaseId id = new LeaseId(incarnation, nextSequence.incrementAndGet());
+        private final LeaseId id = new LeaseId(incarnation, lastSequence.incrementAndGet());
         private final AtomicBoolean released = new AtomicBoolean();
 
         CountedLease(Upstream upstream, SlotRequest request) {
--- a/routing/src/main/java/org/turmericspan/routing/Borrower.java
+++ b/routing/src/main/java/org/turmericspan/routing/Borrower.java
@@ -23,8 +23,11 @@
  * borrow requests are cancelled; a slot that arrives too late serves another queued request or is returned.
  */
 final class Borrower {
+    /** Time after the deadline of a borrow request for which the lender's reply is awaited. */
     private static final Duration REPLY_TIMEOUT_MARGIN = Duration.ofSeconds(1);
+    /** Shortest time between two rounds of borrow requests for one queued request. */
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(20);
+    /** Borrow requests of this node without a reply, from which on no further round is sent. */
     private static final int MAX_REQUESTS_IN_FLIGHT = 64;
 
     private final SlotTable table;
@@ -32,9 +35,9 @@
     private final LenderSelector lenderSelector;
     private final MonotonicClock clock;
     private final PendingReplies pendingReplies;
-    private final HeldLeases held;
+    private final HeldLeases heldLeases;
     private final Map<SlotRequestId, BorrowAttempt> attempts = new ConcurrentHashMap<>();
-    private final Map<LeaseId, UpstreamId> borrowed = new ConcurrentHashMap<>();
+    private final Map<LeaseId, UpstreamId> upstreamsByBorrowedLease = new ConcurrentHashMap<>();
     private final AtomicInteger requestsInFlight = new AtomicInteger();
     private final Meter borrowedMeter;
     private final Meter reusedMeter;
@@ -45,14 +48,14 @@
             LenderSelector lenderSelector,
             MonotonicClock clock,
             PendingReplies pendingReplies,
-            HeldLeases held,
+            HeldLeases heldLeases,
             MetricRegistry metrics) {
         this.table = table;
         this.network = network;
         this.lenderSelector = lenderSelector;
         this.clock = clock;
         this.pendingReplies = pendingReplies;
-        this.held = held;
+        this.heldLeases = heldLeases;
         this.borrowedMeter = metrics.meter("slots.borrowed");
         this.reusedMeter = metrics.meter("slots.reused");
     }
@@ -98,13 +101,13 @@
         }
     }
 
-    int borrowed() {
-        return borrowed.size();
+    int borrowedCount() {
+        return upstreamsByBorrowedLease.size();
     }
 
     /** Returns those of the upstreams on which this node holds a borrowed lease. */
     List<UpstreamId> filterHeld(List<UpstreamId> upstreams) {
-        Set<UpstreamId> borrowedUpstreams = Set.copyOf(borrowed.values());
+        Set<UpstreamId> borrowedUpstreams = Set.copyOf(upstreamsByBorrowedLease.values());
         return upstreams.stream().filter(borrowedUpstreams::contains).toList();
     }
 
@@ -161,8 +164,9 @@
     }
 
     /**
-     * Uses a lent slot. By this node's clock, the lease ends no later than the deadline of the request that it
-     * was borrowed for.
+     * Uses a lent slot. The lease ends after the remaining time that the lender reported, counted from the arrival of
+     * the reply, but no later than the deadline of the request that the slot was borrowed for: a delayed reply does not
+     * extend it past that deadline.
      */
     private void useLentSlot(BorrowAttempt attempt, VmId lender, PeerMessage.SlotLent lent) {
         long nowNanos = clock.nowNanos();
@@ -170,7 +174,7 @@
                 attempt.request.deadlineNanos(), nowNanos + lent.remaining().toNanos());
         GrantedSlot slot = new GrantedSlot(lent.lease(), lent.upstream(), lent.address(), deadlineNanos);
         Loan loan = new Loan(lender, attempt.request.service(), slot, nowNanos + LeaseReuse.WINDOW.toNanos());
-        borrowed.put(lent.lease(), lent.upstream());
+        upstreamsByBorrowedLease.put(lent.lease(), lent.upstream());
         if (attempt.request.idleOnly()) {
             var reply = pendingReplies.take(attempt.requestId);
             if (reply.isPresent()) {
@@ -204,7 +208,7 @@
 
     private HeldLease hold(Loan loan) {
         HeldLease[] lease = new HeldLease[1];
-        lease[0] = held.hold(loan.slot(), slotReturn -> finish(loan, lease[0].isRecalled(), slotReturn));
+        lease[0] = heldLeases.hold(loan.slot(), slotReturn -> finish(loan, lease[0].isRecalled(), slotReturn));
         return lease[0];
     }
 
@@ -224,13 +228,15 @@
     }
 
     private void returnSlot(Loan loan, SlotReturn slotReturn) {
-        borrowed.remove(loan.slot().lease());
+        upstreamsByBorrowedLease.remove(loan.slot().lease());
         network.links()
                 .tell(loan.lender(), new PeerMessage.ReturnSlot(loan.slot().lease(), slotReturn));
     }
 
+    /** A borrowed slot, and the monotonic time up to which it may be passed on to another queued request. */
     private record Loan(VmId lender, ServiceId service, GrantedSlot slot, long reuseUntilNanos) {}
 
+    /** A request of this node for which other owners are asked to lend a slot. */
     private static final class BorrowAttempt {
         private final SlotRequestId requestId;
         private final SlotRequest request;
--- a/routing/src/main/java/org/turmericspan/routing/ConcurrencyLimitRule.java
+++ b/routing/src/main/java/org/turmericspan/routing/ConcurrencyLimitRule.java
@@ -6,8 +6,9 @@
 @FunctionalInterface
 public interface ConcurrencyLimitRule {
     /**
-     * Allows a cold upstream its configured cold requests, a ramping one its allowance, and a warm one its slots and
-     * the extra depth.
+     * Limits an upstream by its phase: the configured number of requests when cold, the slots that its slow start has
+     * opened so far when ramping, and when warm all slots plus the configured extra depth, which is the number of
+     * requests that it may hold beyond its slots. The limit is 0 in the other phases.
      */
     ConcurrencyLimitRule BY_PHASE = (phase, allowance, service) -> switch (phase) {
         case COLD -> service.coldRequests();
@@ -16,17 +17,17 @@
         case RESTING, LEAVING, OUT -> 0;
     };
 
-    /** Treats every upstream that may be granted as warm. */
+    /** Gives every upstream whose slots may be granted the limit of a warm one. */
     ConcurrencyLimitRule ALWAYS_WARM =
             (phase, allowance, service) -> phase.isGranting() ? service.slotsPerUpstream() + service.extraDepth() : 0;
 
     /**
      * Returns the concurrency limit of an upstream.
      *
-     * @param phase state of the upstream
-     * @param allowance slots it has gained so far
+     * @param phase warm-up phase of the upstream
+     * @param allowance slots that its slow start has opened so far, at least the configured number for a cold upstream
      * @param service limits of its service
-     * @return the limit
+     * @return number of requests, 0 when it must not get any
      */
     int limit(Phase phase, int allowance, Service service);
 }
--- a/routing/src/main/java/org/turmericspan/routing/DepartedOwners.java
+++ b/routing/src/main/java/org/turmericspan/routing/DepartedOwners.java
@@ -11,21 +11,21 @@
 
 /**
  * Tracks owners that departed without a handover, for as long as requests under their leases may still run. Until then,
- * a node that queries the leases on such an upstream is not told that it is free.
+ * this node reports the upstream as possibly in use to a node that queries its leases.
  */
 final class DepartedOwners {
     private final Map<VmId, Incarnation> incarnations = new HashMap<>();
     private final Map<UpstreamId, Long> mayRunUntilNanos = new HashMap<>();
 
     /** Records the incarnation of a node; a new incarnation means that the previous one has ended. */
-    void recordIncarnation(VmId peer, Incarnation incarnation, OwnershipMap map, long nowNanos) {
+    void recordIncarnation(VmId peer, Incarnation incarnation, OwnershipMap ownershipMap, long nowNanos) {
         Incarnation previous = incarnations.put(peer, incarnation);
         if (previous != null && !previous.equals(incarnation)) {
-            recordDeparture(peer, map, Duration.ZERO, nowNanos);
+            recordDeparture(peer, ownershipMap, Duration.ZERO, nowNanos);
         }
     }
 
-    /** Records the owners that are no longer in the VM list. */
+    /** Records the owners that the new VM list no longer contains, and drops entries whose time has passed. */
     void onOwnershipChanged(OwnershipMap previous, OwnershipMap current, Duration viewLagBound, long nowNanos) {
         previous.view().entryVms().forEach(vm -> {
             if (!current.view().vms().containsKey(vm.id())) {
@@ -42,11 +42,12 @@
         return untilNanos != null && nowNanos < untilNanos;
     }
 
-    private void recordDeparture(VmId departed, OwnershipMap map, Duration viewLag, long nowNanos) {
-        map.owners().forEach((upstream, owner) -> {
+    private void recordDeparture(VmId departed, OwnershipMap ownershipMap, Duration viewLagBound, long nowNanos) {
+        ownershipMap.owners().forEach((upstream, owner) -> {
             if (owner.equals(departed)) {
                 long untilNanos = nowNanos
-                        + viewLag.plus(longestLease(map.configuration(), upstream))
+                        + viewLagBound
+                                .plus(longestLease(ownershipMap.configuration(), upstream))
                                 .toNanos();
                 mayRunUntilNanos.merge(upstream, untilNanos, Math::max);
             }
--- a/routing/src/main/java/org/turmericspan/routing/Handovers.java
+++ b/routing/src/main/java/org/turmericspan/routing/Handovers.java
@@ -15,7 +15,8 @@
  * has handed over their upstream.
  */
 final class Handovers {
-    private static final Duration RETENTION = Duration.ofSeconds(30);
+    /** Time for which a handover is kept for the view that makes this node the owner. */
+    private static final Duration PENDING_RETENTION = Duration.ofSeconds(30);
 
     private final VmId self;
     private final Map<UpstreamId, PendingHandover> pending = new HashMap<>();
@@ -31,9 +32,13 @@
 
     Optional<PendingHandover> takePending(UpstreamId upstream, long nowNanos) {
         return Optional.ofNullable(pending.remove(upstream))
-                .filter(entry -> nowNanos - entry.receivedNanos() < RETENTION.toNanos());
+                .filter(entry -> nowNanos - entry.receivedNanos() < PENDING_RETENTION.toNanos());
     }
 
+    /**
+     * Creates the message that hands an upstream over, and records its running leases, whose returns are forwarded to
+     * the new owner.
+     */
     PeerMessage.Handover handOver(UpstreamSlots slots, List<Lease> running, VmId newOwner, long nowNanos) {
         UpstreamId upstream = slots.upstream().id();
         running.forEach(
@@ -58,6 +63,7 @@
                 .filter(newOwner -> !newOwner.equals(self));
     }
 
+    /** Returns whether a request may still run under a lease that this node has handed over. */
     boolean mayHaveRunningRequests(UpstreamId upstream, long nowNanos) {
         return transferred.values().stream()
                 .anyMatch(entry -> entry.upstream().equals(upstream) && nowNanos < entry.deadlineNanos());
@@ -65,24 +71,25 @@
 
     void expire(long nowNanos) {
         transferred.values().removeIf(entry -> nowNanos >= entry.deadlineNanos());
-        pending.values().removeIf(entry -> nowNanos - entry.receivedNanos() >= RETENTION.toNanos());
+        pending.values().removeIf(entry -> nowNanos - entry.receivedNanos() >= PENDING_RETENTION.toNanos());
     }
 
-    /** A received handover and its time of arrival. */
+    /** Handover that waits for the view by which this node becomes the owner. */
     record PendingHandover(PeerMessage.Handover handover, long receivedNanos) {
         List<Lease> leases(long nowNanos, long generation) {
             return handover.leases().stream()
-                    .map(lease -> new Lease(
-                            lease.lease(),
+                    .map(runningLease -> new Lease(
+                            runningLease.lease(),
                             handover.upstream(),
-                            lease.holder(),
+                            runningLease.holder(),
                             nowNanos,
-                            receivedNanos + lease.remaining().toNanos(),
+                            receivedNanos + runningLease.remaining().toNanos(),
                             generation))
                     .toList();
         }
 
-        PeerMessage.Handover remaining(long nowNanos) {
+        /** Returns the handover for another owner, with the remaining times of its leases as of now. */
+        PeerMessage.Handover withElapsedTime(long nowNanos) {
             Duration elapsed = Duration.ofNanos(nowNanos - receivedNanos);
             return new PeerMessage.Handover(
                     handover.upstream(),
@@ -90,14 +97,15 @@
                     handover.allowance(),
                     handover.upstreamIncarnation(),
                     handover.leases().stream()
-                            .map(lease -> new PeerMessage.RunningLease(
-                                    lease.lease(),
-                                    lease.holder(),
-                                    lease.remaining().minus(elapsed)))
-                            .filter(lease -> !lease.remaining().isNegative())
+                            .map(runningLease -> new PeerMessage.RunningLease(
+                                    runningLease.lease(),
+                                    runningLease.holder(),
+                                    runningLease.remaining().minus(elapsed)))
+                            .filter(runningLease -> !runningLease.remaining().isNegative())
                             .toList());
         }
     }
 
+    /** A lease that still ran when this node handed over its upstream. */
     private record TransferredLease(UpstreamId upstream, VmId newOwner, long deadlineNanos) {}
 }
--- a/routing/src/main/java/org/turmericspan/routing/HeldLease.java
+++ b/routing/src/main/java/org/turmericspan/routing/HeldLease.java
@@ -10,7 +10,10 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 
-/** A lease that this node holds, on an upstream of its own or a borrowed one. */
+/**
+ * A lease that this node holds, on an upstream of its own or a borrowed one. It is invalid once it was recalled or
+ * released or has expired, and while this node's ticks are overdue.
+ */
 final class HeldLease implements SlotLease {
     private final GrantedSlot slot;
     private final MonotonicClock clock;
--- a/routing/src/main/java/org/turmericspan/routing/HeldLeases.java
+++ b/routing/src/main/java/org/turmericspan/routing/HeldLeases.java
@@ -10,7 +10,7 @@
 
 /** Leases that this node holds. They are invalid while ticks are overdue, since the process may have been paused. */
 final class HeldLeases {
-    private final Map<LeaseId, HeldLease> held = new ConcurrentHashMap<>();
+    private final Map<LeaseId, HeldLease> leasesById = new ConcurrentHashMap<>();
     private final MonotonicClock clock;
     private final long maxTickGapNanos;
     private volatile long lastTickNanos;
@@ -23,15 +23,15 @@
 
     HeldLease hold(GrantedSlot slot, Consumer<SlotReturn> onRelease) {
         HeldLease lease = new HeldLease(slot, clock, this::isTickingOnTime, slotReturn -> {
-            held.remove(slot.lease());
+            leasesById.remove(slot.lease());
             onRelease.accept(slotReturn);
         });
-        held.put(slot.lease(), lease);
+        leasesById.put(slot.lease(), lease);
         return lease;
     }
 
     void recall(LeaseId id) {
-        HeldLease lease = held.get(id);
+        HeldLease lease = leasesById.get(id);
         if (lease != null) {
             lease.recall();
         }
@@ -48,12 +48,12 @@
      */
     void recallAfterPause() {
         if (!isTickingOnTime()) {
-            held.values().forEach(HeldLease::recall);
+            leasesById.values().forEach(HeldLease::recall);
         }
     }
 
     Collection<HeldLease> all() {
-        return held.values();
+        return leasesById.values();
     }
 
     private boolean isTickingOnTime() {
--- a/routing/src/main/java/org/turmericspan/routing/LatencyEstimate.java
+++ b/routing/src/main/java/org/turmericspan/routing/LatencyEstimate.java
@@ -1,9 +1,14 @@
 package org.turmericspan.routing;
 
-/** Smoothed mean and deviation of an upstream's recent service times. */
+/**
+ * Smoothed mean and deviation of an upstream's recent service times, computed as TCP estimates the round-trip time (RFC
+ * 6298).
+ */
 public final class LatencyEstimate {
-    private static final int MEAN_WEIGHT = 8;
-    private static final int DEVIATION_WEIGHT = 4;
+    /** A new service time counts one eighth in the mean. */
+    private static final int MEAN_SMOOTHING_DIVISOR = 8;
+    /** The error of a new service time counts one quarter in the deviation. */
+    private static final int DEVIATION_SMOOTHING_DIVISOR = 4;
 
     private long meanNanos;
     private long deviationNanos;
@@ -20,11 +25,11 @@
             return;
         }
         long error = elapsedNanos - meanNanos;
-        meanNanos = Math.max(1, meanNanos + error / MEAN_WEIGHT);
-        deviationNanos += (Math.abs(error) - deviationNanos) / DEVIATION_WEIGHT;
+        meanNanos = Math.max(1, meanNanos + error / MEAN_SMOOTHING_DIVISOR);
+        deviationNanos += (Math.abs(error) - deviationNanos) / DEVIATION_SMOOTHING_DIVISOR;
     }
 
-    /** Clears the estimate. */
+    /** Discards all service times added so far. */
     public void clear() {
         meanNanos = 0;
         deviationNanos = 0;
@@ -40,9 +45,9 @@
     }
 
     /**
-     * Returns the mean deviation.
+     * Returns the mean deviation from the mean.
      *
-     * @return nanoseconds
+     * @return nanoseconds, 0 before the first service time
      */
     public long deviationNanos() {
         return deviationNanos;
--- a/routing/src/main/java/org/turmericspan/routing/LenderSelector.java
+++ b/routing/src/main/java/org/turmericspan/routing/LenderSelector.java
@@ -19,12 +19,14 @@
 
 /** Selects the owners to borrow a slot from, by the idle slots that they last reported. */
 public final class LenderSelector {
+    /** Age of the last heartbeat up to which the idle slots in it are used. */
     private static final Duration MAX_REPORT_AGE = Duration.ofSeconds(3);
+
     private static final int MAX_IDLE_LENDERS = 2;
     private static final int MAX_BUSY_LENDERS = 3;
 
     private final VmId self;
-    private final Supplier<OwnershipMap> map;
+    private final Supplier<OwnershipMap> ownershipMap;
     private final Peers peers;
     private final MonotonicClock clock;
     private final RandomGenerator random;
@@ -33,15 +35,15 @@
      * Creates a selector.
      *
      * @param self VM of this node, which is never selected
-     * @param map supplies the current ownership map
+     * @param ownershipMap supplies the current ownership map
      * @param peers latest reports of the other nodes
      * @param clock measures the age of a report
      * @param random spreads the requests over equal nodes
      */
     public LenderSelector(
-            VmId self, Supplier<OwnershipMap> map, Peers peers, MonotonicClock clock, RandomGenerator random) {
+            VmId self, Supplier<OwnershipMap> ownershipMap, Peers peers, MonotonicClock clock, RandomGenerator random) {
         this.self = self;
-        this.map = map;
+        this.ownershipMap = ownershipMap;
         this.peers = peers;
         this.clock = clock;
         this.random = random;
@@ -52,7 +54,7 @@
      *
      * @param service the service
      * @param onlyIdle whether to select only owners that reported idle slots
-     * @return VMs of the owners, best first
+     * @return VMs of the owners, those with the most idle slots first, then those with the fewest queued requests
      */
     public List<VmId> lenders(ServiceId service, boolean onlyIdle) {
         Set<VmId> owners = ownersOf(service);
@@ -75,7 +77,7 @@
     }
 
     private Set<VmId> ownersOf(ServiceId service) {
-        OwnershipMap current = map.get();
+        OwnershipMap current = ownershipMap.get();
         Set<VmId> owners = new TreeSet<>();
         current.upstreamsOf(service).forEach(upstream -> {
             VmId owner = current.owners().get(upstream.id());
@@ -105,8 +107,8 @@
         return new Lender(owner, 0, 0);
     }
 
-    private record Lender(VmId vm, int idle, int waiting) {
+    private record Lender(VmId vm, int idle, int queued) {
         static final Comparator<Lender> BEST_FIRST =
-                Comparator.comparingInt(Lender::idle).reversed().thenComparingInt(Lender::waiting);
+                Comparator.comparingInt(Lender::idle).reversed().thenComparingInt(Lender::queued);
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/OverdueRule.java
+++ b/routing/src/main/java/org/turmericspan/routing/OverdueRule.java
@@ -6,7 +6,8 @@
 @FunctionalInterface
 public interface OverdueRule {
     /**
-     * Skips an upstream whose oldest request exceeds several times the mean and the mean plus several deviations.
+     * Skips an upstream whose oldest request has run longer than a minimum, a multiple of the mean service time, and
+     * the mean plus a multiple of the mean deviation. Never skips it before the first service time.
      */
     OverdueRule BY_DEVIATION = (ageNanos, latency) -> latency.meanNanos() > 0
             && ageNanos
--- a/routing/src/main/java/org/turmericspan/routing/OwnerCandidates.java
+++ b/routing/src/main/java/org/turmericspan/routing/OwnerCandidates.java
@@ -10,11 +10,12 @@
     private OwnerCandidates() {}
 
     /**
-     * Lists the candidates.
+     * Lists the entry VMs that may own upstreams.
      *
      * @param configuration the active configuration
      * @param view the accepted view
-     * @return entry VMs that are neither leaving nor out of service, in the order of their names
+     * @return entry VMs with an address for callers that are neither leaving nor out of service, in the order of their
+     *     names
      */
     public static List<Vm> of(Configuration configuration, FleetView view) {
         return view.entryVms().stream()
--- a/routing/src/main/java/org/turmericspan/routing/OwnerLocator.java
+++ b/routing/src/main/java/org/turmericspan/routing/OwnerLocator.java
@@ -28,7 +28,7 @@
     private static final Duration SLOW_START_WINDOW = Duration.ofSeconds(20);
     private static final int SLOW_START_STEPS = 4;
 
-    private final Supplier<OwnershipMap> map;
+    private final Supplier<OwnershipMap> ownershipMap;
     private final Duration timeToLive;
     private final MonotonicClock clock;
     private final DoubleSupplier random;
@@ -38,13 +38,14 @@
     /**
      * Creates a locator.
      *
-     * @param map supplies the current ownership map
+     * @param ownershipMap supplies the current ownership map
      * @param timeToLive how long callers may cache a result
      * @param clock measures how long a node has been a candidate
      * @param random returns uniform numbers from 0 (inclusive) to 1 (exclusive)
      */
-    public OwnerLocator(Supplier<OwnershipMap> map, Duration timeToLive, MonotonicClock clock, DoubleSupplier random) {
-        this.map = map;
+    public OwnerLocator(
+            Supplier<OwnershipMap> ownershipMap, Duration timeToLive, MonotonicClock clock, DoubleSupplier random) {
+        this.ownershipMap = ownershipMap;
         this.timeToLive = timeToLive;
         this.clock = clock;
         this.random = random;
@@ -61,6 +62,7 @@
         List<RankedEndpoint> ranked = new ArrayList<>(owners.size());
         for (WeightedOwner owner : owners) {
             int weight = owner.fullWeight() * slowStartSteps(owner.sinceNanos(), nowNanos);
+            // Weighted random order (Efraimidis and Spirakis): the chance to come first is proportional to the weight.
             double key = Math.log(1 - random.getAsDouble()) / weight;
             ranked.add(new RankedEndpoint(
                     key,
@@ -73,42 +75,42 @@
     }
 
     private CachedOwners current() {
-        OwnershipMap now = map.get();
+        OwnershipMap newMap = ownershipMap.get();
         CachedOwners current = cachedOwners;
-        if (current.source() != now) {
-            current = compute(current, now);
+        if (current.source() != newMap) {
+            current = compute(current, newMap);
             cachedOwners = current;
         }
         return current;
     }
 
-    private CachedOwners compute(CachedOwners previous, OwnershipMap now) {
+    private CachedOwners compute(CachedOwners previous, OwnershipMap newMap) {
         boolean isFirst =
                 previous.source() == null || previous.source().candidates().isEmpty();
         long sinceNanos = isFirst ? clock.nowNanos() - SLOW_START_WINDOW.toNanos() : clock.nowNanos();
-        candidateSinceNanos.keySet().retainAll(now.candidates().keySet());
-        now.candidates().keySet().forEach(vm -> candidateSinceNanos.putIfAbsent(vm, sinceNanos));
+        candidateSinceNanos.keySet().retainAll(newMap.candidates().keySet());
+        newMap.candidates().keySet().forEach(vm -> candidateSinceNanos.putIfAbsent(vm, sinceNanos));
         Map<ServiceId, List<WeightedOwner>> owners = new TreeMap<>();
-        for (Service service : now.configuration().services().values()) {
-            owners.put(service.id(), ownersOf(now, service));
+        for (Service service : newMap.configuration().services().values()) {
+            owners.put(service.id(), ownersOf(newMap, service));
         }
-        return new CachedOwners(now, owners);
+        return new CachedOwners(newMap, owners);
     }
 
-    private List<WeightedOwner> ownersOf(OwnershipMap now, Service service) {
+    private List<WeightedOwner> ownersOf(OwnershipMap newMap, Service service) {
         Map<VmId, Integer> slots = new TreeMap<>();
-        for (Upstream upstream : now.upstreamsOf(service.id())) {
-            VmId owner = now.owners().get(upstream.id());
+        for (Upstream upstream : newMap.upstreamsOf(service.id())) {
+            VmId owner = newMap.owners().get(upstream.id());
             if (owner != null) {
                 slots.merge(owner, service.slotsPerUpstream(), Integer::sum);
             }
         }
         if (slots.isEmpty()) {
-            now.candidates().keySet().forEach(vm -> slots.put(vm, 1));
+            newMap.candidates().keySet().forEach(vm -> slots.put(vm, 1));
         }
         List<WeightedOwner> owners = new ArrayList<>();
         slots.forEach((vm, weight) -> owners.add(
-                new WeightedOwner(now.candidates().get(vm), weight, candidateSinceNanos.getOrDefault(vm, 0L))));
+                new WeightedOwner(newMap.candidates().get(vm), weight, candidateSinceNanos.getOrDefault(vm, 0L))));
         return owners;
     }
 
@@ -117,6 +119,7 @@
         return (int) Math.max(1, Math.min(SLOW_START_STEPS, steps));
     }
 
+    /** An owner, its weight after slow start, and the monotonic time since when it has been a candidate. */
     private record WeightedOwner(Vm vm, int fullWeight, long sinceNanos) {}
 
     private record CachedOwners(OwnershipMap source, Map<ServiceId, List<WeightedOwner>> owners) {}
--- a/routing/src/main/java/org/turmericspan/routing/OwnershipMap.java
+++ b/routing/src/main/java/org/turmericspan/routing/OwnershipMap.java
@@ -33,11 +33,11 @@
     private static final RegionId NO_REGION = new RegionId("none");
 
     /**
-     * Computes the map.
+     * Computes the owners and the upstreams in service.
      *
      * @param configuration the active configuration
      * @param view the accepted view
-     * @return the map
+     * @return the owners and the upstreams in service for this configuration and view
      */
     public static OwnershipMap of(Configuration configuration, FleetView view) {
         Map<VmId, Vm> candidates = new TreeMap<>();
@@ -55,7 +55,7 @@
      *
      * @param configuration supplies the active configuration
      * @param view supplies the accepted view
-     * @return the supplier
+     * @return supplier of the current map, which may be called by any thread
      */
     public static Supplier<OwnershipMap> cached(Supplier<Configuration> configuration, Supplier<FleetView> view) {
         return new Cache(configuration, view);
--- a/routing/src/main/java/org/turmericspan/routing/PauseDetector.java
+++ b/routing/src/main/java/org/turmericspan/routing/PauseDetector.java
@@ -7,6 +7,7 @@
  * again some time after the process resumed, so that messages received before the pause do not count as confirmation.
  */
 final class PauseDetector {
+    /** Time after the process has resumed before which a confirmation of the view does not count. */
     private static final Duration VIEW_CONFIRMATION_DELAY = Duration.ofMillis(300);
 
     private final SlotRules rules;
@@ -20,15 +21,15 @@
     }
 
     /** Records a tick and returns whether the process has just resumed from a pause. */
-    boolean tick(long nowNanos, long confirmedNanos, boolean hasOtherNodes) {
+    boolean tick(long nowNanos, long newViewConfirmedNanos, boolean hasOtherNodes) {
         boolean justResumed = hasPaused(nowNanos);
         lastTickNanos = nowNanos;
-        viewConfirmedNanos = confirmedNanos;
+        viewConfirmedNanos = newViewConfirmedNanos;
         if (justResumed) {
             suspended = hasOtherNodes;
             resumedNanos = nowNanos;
         } else if (suspended) {
-            suspended = hasOtherNodes && confirmedNanos - resumedNanos < VIEW_CONFIRMATION_DELAY.toNanos();
+            suspended = hasOtherNodes && newViewConfirmedNanos - resumedNanos < VIEW_CONFIRMATION_DELAY.toNanos();
         }
         return justResumed;
     }
--- a/routing/src/main/java/org/turmericspan/routing/Phase.java
+++ b/routing/src/main/java/org/turmericspan/routing/Phase.java
@@ -1,20 +1,27 @@
 package org.turmericspan.routing;
 
-/** State of an owned upstream. */
+/** Warm-up phase of an owned upstream, which limits the slots that may be granted. */
 public enum Phase {
     /**
-     * The owner is new and other nodes may still hold leases; nothing is granted during this takeover grace period.
+     * Takeover grace period: this node has just become the owner, and other nodes may still hold leases; nothing is
+     * granted.
      */
     RESTING,
-    /** It has restarted or may have; it is limited to the configured cold requests. */
+    /**
+     * The upstream has or may have restarted; it gets only the configured number of concurrent requests for a cold
+     * upstream.
+     */
     COLD,
-    /** It gains one slot after each series of successes. */
+    /** Slow start: the upstream gains one slot after each configured number of successes. */
     RAMPING,
-    /** All slots and the extra depth are granted. */
+    /** All slots may be granted, and the configured number of requests beyond them. */
     WARM,
-    /** It is about to stop; nothing is granted until a new incarnation. */
+    /**
+     * The upstream is about to stop; nothing is granted until it reports a new incarnation or the VM list no longer
+     * marks its VM as leaving.
+     */
     LEAVING,
-    /** It or its availability zone is out of service; nothing is granted. */
+    /** The upstream or its availability zone is out of service; nothing is granted. */
     OUT;
 
     /**
--- a/routing/src/main/java/org/turmericspan/routing/RendezvousScore.java
+++ b/routing/src/main/java/org/turmericspan/routing/RendezvousScore.java
@@ -4,7 +4,7 @@
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.ids.VmId;
 
-/** Computes the rendezvous score of an upstream and a VM. */
+/** Rendezvous hashing: of the eligible VMs, an upstream prefers the one with the highest score as its owner. */
 final class RendezvousScore {
     private RendezvousScore() {}
 
--- a/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/ServiceSlots.java
@@ -9,6 +9,7 @@
 
 /** Owned upstreams of one service and the queue of requests for their slots, oldest first. */
 final class ServiceSlots {
+    /** Time in the queue after which a request may be sent to an upstream with an overdue request. */
     private static final Duration OVERDUE_SKIP_LIMIT = Duration.ofMillis(20);
 
     private final Map<SlotRequestId, QueuedRequest> queue = new LinkedHashMap<>();
@@ -28,7 +29,10 @@
 
     /**
      * Returns the upstream with the least cost for a request, or null. An upstream whose oldest request is overdue is
-     * skipped until the request has been queued for {@link #OVERDUE_SKIP_LIMIT}.
+     * skipped until the request has been queued for {@link #OVERDUE_SKIP_LIMIT}. A cold upstream is not used for
+     * idle-only requests (hedges), and for requests of other nodes only when no upstream is warm or ramping.
+     *
+     * @param mayUseWarmingUp whether cold and ramping upstreams may be used
      */
     UpstreamSlots selectUpstream(QueuedRequest queued, boolean mayUseWarmingUp, long nowNanos) {
         boolean mayUseOverdue = nowNanos - queued.enqueuedNanos() >= OVERDUE_SKIP_LIMIT.toNanos();
@@ -81,11 +85,13 @@
         return expired;
     }
 
+    /** Counts the idle slots that could be granted now. */
     int countIdle(long nowNanos) {
         int idle = 0;
         for (UpstreamSlots slots : upstreams) {
             if (slots.hasIdleSlot() && slots.hasCapacity(nowNanos) && !slots.isOverdue(nowNanos)) {
-                idle += slots.service().slotsPerUpstream() - slots.running().size();
+                idle += slots.service().slotsPerUpstream()
+                        - slots.runningLeases().size();
             }
         }
         return idle;
--- a/routing/src/main/java/org/turmericspan/routing/SlotAction.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotAction.java
@@ -9,7 +9,7 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
 
-/** An action that an owner has decided on. */
+/** An action that the slot engine has decided on and leaves to its caller, which sends messages and replies. */
 public sealed interface SlotAction {
     /**
      * Grants a slot.
--- a/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotCoordinator.java
@@ -24,22 +24,23 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
 
-/** Grants slots of owned upstreams, borrows others, and carries out the actions that the table decides on. */
+/** Grants slots of owned upstreams, borrows those of other owners, and carries out the actions of the slot table. */
 public final class SlotCoordinator implements SlotSource {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration QUERY_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration HANDOVER_RETRY_DELAY = Duration.ofMillis(100);
-    private static final int HANDOVER_ATTEMPTS = 20;
+    /** Retries of a handover, after which the new owner grants nothing until its grace period ends. */
+    private static final int HANDOVER_RETRIES = 20;
 
     private final SlotTable table;
     private final SlotNetwork network;
-    private final Supplier<OwnershipMap> map;
+    private final Supplier<OwnershipMap> ownershipMap;
     private final LongSupplier viewConfirmedNanos;
     private final PendingReplies pendingReplies = new PendingReplies();
-    private final HeldLeases held;
+    private final HeldLeases heldLeases;
     private final Borrower borrower;
-    private final AtomicLong nextRequestNumber = new AtomicLong();
+    private final AtomicLong lastRequestNumber = new AtomicLong();
     private final Meter grantedMeter;
     private final Meter deniedMeter;
 
@@ -48,17 +49,17 @@
      *
      * @param table slots of the owned upstreams
      * @param network access to the other nodes and a timer
-     * @param map supplies the current ownership map
+     * @param ownershipMap supplies the current ownership map
      * @param lenderSelector selects the owners to borrow from
      * @param clock measures deadlines
-     * @param maxTickGap longest gap between two ticks of a process that is not paused
+     * @param maxTickGap gap between two ticks above which the process counts as paused
      * @param viewConfirmedNanos supplies the monotonic time at which the view was last confirmed
      * @param metrics registry of the slot meters
      */
     public SlotCoordinator(
             SlotTable table,
             SlotNetwork network,
-            Supplier<OwnershipMap> map,
+            Supplier<OwnershipMap> ownershipMap,
             LenderSelector lenderSelector,
             MonotonicClock clock,
             Duration maxTickGap,
@@ -66,20 +67,20 @@
             MetricRegistry metrics) {
         this.table = table;
         this.network = network;
-        this.map = map;
+        this.ownershipMap = ownershipMap;
         this.viewConfirmedNanos = viewConfirmedNanos;
-        this.held = new HeldLeases(clock, maxTickGap.toNanos());
-        this.borrower = new Borrower(table, network, lenderSelector, clock, pendingReplies, held, metrics);
+        this.heldLeases = new HeldLeases(clock, maxTickGap.toNanos());
+        this.borrower = new Borrower(table, network, lenderSelector, clock, pendingReplies, heldLeases, metrics);
         this.grantedMeter = metrics.meter("slots.granted");
         this.deniedMeter = metrics.meter("slots.denied");
     }
 
     @Override
     public CompletionStage<SlotDecision> acquire(SlotRequest request) {
-        if (map.get().upstreamsOf(request.service()).isEmpty()) {
+        if (ownershipMap.get().upstreamsOf(request.service()).isEmpty()) {
             return CompletableFuture.completedFuture(new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.empty()));
         }
-        SlotRequestId requestId = new SlotRequestId(network.self(), nextRequestNumber.incrementAndGet());
+        SlotRequestId requestId = new SlotRequestId(network.self(), lastRequestNumber.incrementAndGet());
         LocalReply reply = new LocalReply(requestId, request);
         pendingReplies.put(requestId, reply);
         apply(new SlotEvent.SlotRequested(requestId, request));
@@ -91,15 +92,15 @@
      * counts as a process pause.
      */
     public void tick() {
-        held.recallAfterPause();
+        heldLeases.recallAfterPause();
         apply(new SlotEvent.Ticked(viewConfirmedNanos.getAsLong()));
-        held.recordTick();
+        heldLeases.recordTick();
         borrower.tick();
     }
 
     /** Applies a change of the configuration or the view. */
     public void onOwnershipChanged() {
-        apply(new SlotEvent.OwnershipChanged(map.get()));
+        apply(new SlotEvent.OwnershipChanged(ownershipMap.get()));
     }
 
     /**
@@ -128,14 +129,14 @@
      * @return number of leases of other owners held now
      */
     public int borrowedCount() {
-        return borrower.borrowed();
+        return borrower.borrowedCount();
     }
 
     /**
-     * Decides on an event and carries out the decision.
+     * Applies an event to the table and carries out the resulting actions.
      *
      * @param event what happened
-     * @return the decision
+     * @return the actions, for callers that need a result contained in one of them
      */
     List<SlotAction> apply(SlotEvent event) {
         List<SlotAction> actions = table.apply(event);
@@ -151,7 +152,7 @@
 
     /** Recalls a lease that this node holds from another owner. */
     void recallHeld(LeaseId lease) {
-        held.recall(lease);
+        heldLeases.recall(lease);
     }
 
     Borrower borrower() {
@@ -168,7 +169,7 @@
         } else if (action instanceof SlotAction.Recall recall) {
             recall(recall.holder(), recall.lease());
         } else if (action instanceof SlotAction.HandOver handOver) {
-            handOver(handOver, HANDOVER_ATTEMPTS);
+            handOver(handOver, HANDOVER_RETRIES);
         } else if (action instanceof SlotAction.ForwardReturn forward) {
             network.links().tell(forward.to(), new PeerMessage.ReturnSlot(forward.lease(), forward.slotReturn()));
         } else if (action instanceof SlotAction.SendLeaseQuery query) {
@@ -188,25 +189,25 @@
 
     private void recall(VmId holder, LeaseId lease) {
         if (holder.equals(network.self())) {
-            held.recall(lease);
+            heldLeases.recall(lease);
         } else {
             network.links().tell(holder, new PeerMessage.RecallSlot(lease));
         }
     }
 
-    private void handOver(SlotAction.HandOver handOver, int attemptsLeft) {
+    private void handOver(SlotAction.HandOver handOver, int retriesLeft) {
         network.links()
                 .ask(handOver.to(), handOver.handover(), HANDOVER_TIMEOUT)
                 .thenAccept(reply -> {
                     if (reply instanceof PeerMessage.Done) {
                         return;
                     }
-                    if (attemptsLeft == 0) {
+                    if (retriesLeft == 0) {
                         logger.atWarning().log(
                                 "slots: VM %s did not accept the handover of upstream %s; a grace period applies",
                                 handOver.to(), handOver.handover().upstream());
                     } else {
-                        network.timer().after(HANDOVER_RETRY_DELAY, () -> handOver(handOver, attemptsLeft - 1));
+                        network.timer().after(HANDOVER_RETRY_DELAY, () -> handOver(handOver, retriesLeft - 1));
                     }
                 });
     }
@@ -235,7 +236,7 @@
         @Override
         public void granted(GrantedSlot slot) {
             borrower.cancelRequests(requestId);
-            granted(held.hold(slot, slotReturn -> apply(new SlotEvent.Returned(slot.lease(), slotReturn))));
+            granted(heldLeases.hold(slot, slotReturn -> apply(new SlotEvent.Returned(slot.lease(), slotReturn))));
         }
 
         @Override
--- a/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEngine.java
@@ -25,6 +25,7 @@
  * thread-safe; {@link SlotTable} guards it with a lock.
  */
 public final class SlotEngine {
+    /** Assumed delay until a request starts under a lent slot, since the borrower may pass it on within this time. */
     private static final long LENT_START_DELAY_NANOS = LeaseReuse.WINDOW.toNanos();
 
     private final VmId self;
@@ -38,9 +39,9 @@
     private final Handovers handovers;
     private final PauseDetector pauseDetector;
     private final List<SlotAction> actions = new ArrayList<>();
-    private OwnershipMap map;
+    private OwnershipMap ownershipMap;
     private Set<VmId> otherNodes = Set.of();
-    private long nextSequence;
+    private long lastSequence;
     private long nowNanos;
     private long coldTransitions;
 
@@ -91,7 +92,7 @@
      * Describes the owned upstreams.
      *
      * @param atNanos monotonic time
-     * @return their states, in no order
+     * @return their states, in no particular order
      */
     public List<UpstreamState> describe(long atNanos) {
         return owned.values().stream().map(slots -> slots.describe(atNanos)).toList();
@@ -133,13 +134,13 @@
 
     private void handleFleetEvent(SlotEvent event) {
         if (event instanceof SlotEvent.OwnershipChanged changed) {
-            updateOwnership(changed.map());
+            updateOwnership(changed.ownershipMap());
         } else if (event instanceof SlotEvent.HandedOver handedOver) {
             acceptHandover(handedOver);
-        } else if (event instanceof SlotEvent.PeerIncarnationSeen seen && map != null) {
-            departedOwners.recordIncarnation(seen.peer(), seen.incarnation(), map, nowNanos);
-        } else if (event instanceof SlotEvent.LeaseQueryReceived query && map != null) {
-            departedOwners.recordIncarnation(query.from(), query.requesterIncarnation(), map, nowNanos);
+        } else if (event instanceof SlotEvent.PeerIncarnationSeen seen && ownershipMap != null) {
+            departedOwners.recordIncarnation(seen.peer(), seen.incarnation(), ownershipMap, nowNanos);
+        } else if (event instanceof SlotEvent.LeaseQueryReceived query && ownershipMap != null) {
+            departedOwners.recordIncarnation(query.from(), query.requesterIncarnation(), ownershipMap, nowNanos);
             actions.add(new SlotAction.ReportLeases(query.upstreams().stream()
                     .filter(this::mayHaveRunningRequests)
                     .toList()));
@@ -174,12 +175,17 @@
         return slots.selectUpstream(queued, otherNodes.isEmpty() || pauseDetector.isViewFresh(nowNanos), nowNanos);
     }
 
+    /**
+     * Grants slots to queued requests, oldest first. Once a request that accepts any upstream finds no slot, later ones
+     * are not tried: none at all when it is local, and no remote one otherwise, since cold upstreams may be open to
+     * local requests only.
+     */
     private void dispatch(ServiceSlots slots) {
         Iterator<QueuedRequest> waiting = slots.queue().values().iterator();
-        boolean remoteBlocked = false;
+        boolean remoteRequestsBlocked = false;
         while (waiting.hasNext()) {
             QueuedRequest queued = waiting.next();
-            if (remoteBlocked && !queued.isLocal()) {
+            if (remoteRequestsBlocked && !queued.isLocal()) {
                 continue;
             }
             UpstreamSlots best = choose(slots, queued);
@@ -190,14 +196,14 @@
                 if (queued.isLocal()) {
                     return;
                 }
-                remoteBlocked = true;
+                remoteRequestsBlocked = true;
             }
         }
     }
 
     private void grant(UpstreamSlots slots, QueuedRequest queued) {
-        nextSequence++;
-        LeaseId id = new LeaseId(incarnation, nextSequence);
+        lastSequence++;
+        LeaseId id = new LeaseId(incarnation, lastSequence);
         long deadlineNanos = Math.min(
                 queued.slotRequest().deadlineNanos(),
                 nowNanos + slots.service().longestLease().toNanos());
@@ -251,7 +257,7 @@
 
     private void handleColdTransition(UpstreamSlots slots) {
         coldTransitions++;
-        for (Lease lease : slots.running()) {
+        for (Lease lease : slots.runningLeases()) {
             actions.add(new SlotAction.Recall(lease.holder(), lease.id()));
         }
     }
@@ -325,10 +331,10 @@
     }
 
     private void updateOwnership(OwnershipMap newMap) {
-        if (map != null) {
-            departedOwners.onOwnershipChanged(map, newMap, rules.viewLagBound(), nowNanos);
+        if (ownershipMap != null) {
+            departedOwners.onOwnershipChanged(ownershipMap, newMap, rules.viewLagBound(), nowNanos);
         }
-        map = newMap;
+        ownershipMap = newMap;
         otherNodes = new HashSet<>();
         newMap.view().entryVms().stream()
                 .map(Vm::id)
@@ -347,7 +353,8 @@
             } else {
                 handovers
                         .takePending(id, nowNanos)
-                        .ifPresent(pending -> actions.add(new SlotAction.HandOver(owner, pending.remaining(nowNanos))));
+                        .ifPresent(pending ->
+                                actions.add(new SlotAction.HandOver(owner, pending.withElapsedTime(nowNanos))));
             }
         });
         groupByService();
@@ -356,11 +363,11 @@
     }
 
     private void takeOwnership(Upstream upstream) {
-        UpstreamListing listing = UpstreamListing.of(map, upstream);
-        var service = map.configuration().services().get(upstream.service());
+        UpstreamListing listing = UpstreamListing.of(ownershipMap, upstream);
+        var service = ownershipMap.configuration().services().get(upstream.service());
         UpstreamSlots existing = owned.get(upstream.id());
         if (existing != null) {
-            if (existing.update(upstream, service, listing, nowNanos)
+            if (existing.applyConfiguration(upstream, service, listing, nowNanos)
                     || !existing.phase().isGranting()) {
                 recallLeases(existing);
             }
@@ -382,12 +389,12 @@
     }
 
     private void recallLeases(UpstreamSlots slots) {
-        slots.running().forEach(lease -> actions.add(new SlotAction.Recall(lease.holder(), lease.id())));
+        slots.runningLeases().forEach(lease -> actions.add(new SlotAction.Recall(lease.holder(), lease.id())));
     }
 
     private void releaseOwnership(UpstreamSlots slots, Optional<VmId> newOwner) {
         gracePeriods.cancel(slots.upstream().id());
-        List<Lease> running = slots.drain();
+        List<Lease> running = slots.removeLeases();
         running.forEach(lease -> leases.remove(lease.id()));
         if (slots.phase() == Phase.RESTING || newOwner.isEmpty()) {
             return;
--- a/routing/src/main/java/org/turmericspan/routing/SlotEvent.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotEvent.java
@@ -11,14 +11,14 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.messages.PeerMessage;
 
-/** An event that the decisions of an owner depend on. */
+/** An event that the slot engine handles, such as a slot request or the return of a slot. */
 public sealed interface SlotEvent {
     /**
      * The configuration or the view changed.
      *
-     * @param map the new ownership map
+     * @param ownershipMap the new ownership map
      */
-    record OwnershipChanged(OwnershipMap map) implements SlotEvent {}
+    record OwnershipChanged(OwnershipMap ownershipMap) implements SlotEvent {}
 
     /**
      * A node requests a slot.
--- a/routing/src/main/java/org/turmericspan/routing/SlotPeerHandler.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotPeerHandler.java
@@ -57,6 +57,7 @@
         SlotRequestId requestId = new SlotRequestId(from, borrow.requestNumber());
         CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
         coordinator.pendingReplies().put(requestId, new RemoteReply(reply));
+        // In this message, the deadline is the remaining time, since nodes do not share a clock.
         long deadlineNanos = clock.nowNanos() + borrow.request().deadlineNanos();
         coordinator.apply(
                 new SlotEvent.SlotRequested(requestId, borrow.request().withDeadlineNanos(deadlineNanos)));
--- a/routing/src/main/java/org/turmericspan/routing/SlotTable.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotTable.java
@@ -7,7 +7,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Slots of the upstreams that this node owns: the only place that knows every request in flight on them. */
+/** Slots of the upstreams that this node owns, with all leases on them and the queued requests; thread-safe. */
 public final class SlotTable {
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
     private final SlotEngine engine;
--- a/routing/src/main/java/org/turmericspan/routing/TakeoverGracePeriods.java
+++ b/routing/src/main/java/org/turmericspan/routing/TakeoverGracePeriods.java
@@ -22,12 +22,12 @@
 
     private final Map<UpstreamId, GracePeriod> gracePeriods = new HashMap<>();
 
-    /** Begins a grace period. */
+    /** Begins a grace period, which ends early once all the other nodes have reported that they hold no lease. */
     void begin(UpstreamId upstream, long untilNanos, Collection<VmId> otherNodes) {
         gracePeriods.put(upstream, new GracePeriod(untilNanos, new HashSet<>(otherNodes)));
     }
 
-    /** Cancels a grace period. */
+    /** Cancels the grace period of an upstream that was handed over or has another owner now, if there is one. */
     void cancel(UpstreamId upstream) {
         gracePeriods.remove(upstream);
     }
@@ -37,7 +37,7 @@
         for (UpstreamId upstream : queried) {
             GracePeriod gracePeriod = gracePeriods.get(upstream);
             if (gracePeriod != null && !held.contains(upstream)) {
-                gracePeriod.unconfirmedNodes.remove(from);
+                gracePeriod.possibleLeaseHolders.remove(from);
             }
         }
     }
@@ -49,7 +49,7 @@
         }
         List<UpstreamId> ended = new ArrayList<>();
         gracePeriods.forEach((upstream, gracePeriod) -> {
-            if (gracePeriod.unconfirmedNodes.isEmpty() || nowNanos >= gracePeriod.untilNanos) {
+            if (gracePeriod.possibleLeaseHolders.isEmpty() || nowNanos >= gracePeriod.untilNanos) {
                 ended.add(upstream);
             }
         });
@@ -63,7 +63,7 @@
         gracePeriods.forEach((upstream, gracePeriod) -> {
             if (nowNanos >= gracePeriod.nextQueryNanos) {
                 gracePeriod.nextQueryNanos = nowNanos + QUERY_INTERVAL.toNanos();
-                gracePeriod.unconfirmedNodes.forEach(
+                gracePeriod.possibleLeaseHolders.forEach(
                         vm -> due.computeIfAbsent(vm, key -> new ArrayList<>()).add(upstream));
             }
         });
@@ -72,12 +72,12 @@
 
     private static final class GracePeriod {
         private final long untilNanos;
-        private final Set<VmId> unconfirmedNodes;
+        private final Set<VmId> possibleLeaseHolders;
         private long nextQueryNanos = Long.MIN_VALUE;
 
-        GracePeriod(long untilNanos, Set<VmId> unconfirmedNodes) {
+        GracePeriod(long untilNanos, Set<VmId> possibleLeaseHolders) {
             this.untilNanos = untilNanos;
-            this.unconfirmedNodes = unconfirmedNodes;
+            this.possibleLeaseHolders = possibleLeaseHolders;
         }
     }
 }
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamChoice.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamChoice.java
@@ -6,7 +6,7 @@
 import java.util.random.RandomGenerator;
 import org.turmericspan.config.Upstream;
 
-/** Chooses one of several upstreams. */
+/** Policy by which one of several upstreams is chosen. */
 @FunctionalInterface
 public interface UpstreamChoice {
     /**
@@ -14,15 +14,15 @@
      *
      * @param candidates upstreams that may be chosen
      * @param load returns the load of an upstream as far as it is known
-     * @return the choice, or empty when there is no candidate
+     * @return the chosen upstream, or empty when there is no candidate
      */
     Optional<Upstream> choose(List<Upstream> candidates, ToIntFunction<Upstream> load);
 
     /**
-     * Returns a choice that draws two upstreams at random and takes the less loaded one.
+     * Returns a policy that draws two upstreams at random and chooses the less loaded one.
      *
      * @param random draws the two
-     * @return the choice
+     * @return the policy
      */
     static UpstreamChoice powerOfTwo(RandomGenerator random) {
         return (candidates, load) -> {
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamListing.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamListing.java
@@ -11,10 +11,10 @@
  * @param leaving whether the list marks its VM as about to stop
  */
 record UpstreamListing(boolean inService, boolean listed, boolean leaving) {
-    static UpstreamListing of(OwnershipMap map, Upstream upstream) {
-        Vm vm = map.view().vms().get(upstream.vm());
+    static UpstreamListing of(OwnershipMap ownershipMap, Upstream upstream) {
+        Vm vm = ownershipMap.view().vms().get(upstream.vm());
         return new UpstreamListing(
-                map.configuration().isInService(upstream.availabilityZone(), upstream.vm()),
+                ownershipMap.configuration().isInService(upstream.availabilityZone(), upstream.vm()),
                 vm != null,
                 vm != null && vm.leaving());
     }
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamSlots.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamSlots.java
@@ -13,37 +13,55 @@
 import org.turmericspan.config.Upstream;
 import org.turmericspan.ids.LeaseId;
 
-/** One owned upstream: its running leases, warm-up state and latency. */
+/** One owned upstream: its running leases, warm-up state and service times. */
 final class UpstreamSlots {
+    /** Multiple of the mean service time above which a service time counts as a spike. */
     private static final int SPIKE_FACTOR = 10;
+    /** Successive spikes that count as evidence of a restart. */
     private static final int SPIKES_FOR_RESTART = 3;
+    /** Service time up to which nothing counts as a spike. */
     private static final Duration MIN_SPIKE = Duration.ofMillis(50);
+    /** Backoff of a cold upstream after a failure; doubled for each successive refused or lost connection. */
     private static final Duration COLD_BACKOFF = Duration.ofMillis(100);
-    private static final Duration CONFIRMATION_TTL = Duration.ofMillis(100);
+    /** Time after a response for which an idle upstream is assumed not to have restarted. */
+    private static final Duration INCARNATION_CONFIRMATION_TTL = Duration.ofMillis(100);
+    /** Backoff after the upstream has shed a request. */
     private static final Duration SHED_BACKOFF = Duration.ofMillis(5);
+
     private static final int MAX_BACKOFF_DOUBLINGS = 4;
 
     private final SlotRules rules;
-    private final Map<LeaseId, Lease> running = new LinkedHashMap<>();
+    private final Map<LeaseId, Lease> runningLeases = new LinkedHashMap<>();
     private final LatencyEstimate latency = new LatencyEstimate();
     private Upstream upstream;
     private Service service;
     private Phase phase;
     private Optional<ColdReason> coldReason = Optional.empty();
     private Optional<String> incarnation = Optional.empty();
+    /** Whether the upstream itself reported that it is about to stop. */
     private boolean reportedLeaving;
+    /** Whether the VM list marks the upstream's VM as about to stop. */
     private boolean listedLeaving;
+
     private boolean listed;
     private boolean inService;
+    /** Slots that slow start has opened so far, from the configured number for a cold upstream to all. */
     private int allowance;
+    /** Successful requests since a slot was last gained. */
     private int successes;
+
     private int consecutiveSpikes;
+    /** Refused and lost connections since the last success. */
     private int failures;
-    private int externalLoad;
+    /** Requests that the upstream reported as running, minus the leases counted here; at least 0. */
+    private int requestsWithoutLease;
+    /** Increases each time the upstream is marked cold, so that older leases are told apart. */
     private long generation;
+
     private long backoffUntilNanos;
-    private long confirmedNanos;
-    private boolean unconfirmed;
+    private long incarnationConfirmedNanos;
+    /** Whether the upstream may have restarted while it was idle and has not responded since. */
+    private boolean incarnationUnconfirmed;
 
     UpstreamSlots(SlotRules rules, Upstream upstream, Service service, Phase phase) {
         this.rules = rules;
@@ -65,13 +83,13 @@
         return phase;
     }
 
-    Collection<Lease> running() {
-        return running.values();
+    Collection<Lease> runningLeases() {
+        return runningLeases.values();
     }
 
     int limit() {
         int limit = rules.concurrencyLimitRule().limit(phase, allowance, service);
-        return unconfirmed ? Math.min(limit, service.coldRequests()) : limit;
+        return incarnationUnconfirmed ? Math.min(limit, service.coldRequests()) : limit;
     }
 
     boolean isWarmOrRamping() {
@@ -79,7 +97,7 @@
     }
 
     /** Applies a change of the configuration or the VM list; returns whether the upstream was marked cold. */
-    boolean update(Upstream newUpstream, Service newService, UpstreamListing listing, long nowNanos) {
+    boolean applyConfiguration(Upstream newUpstream, Service newService, UpstreamListing listing, long nowNanos) {
         boolean moved = !newUpstream.address().equals(upstream.address());
         boolean returned = listing.inService() && !inService && phase == Phase.OUT;
         boolean relisted = listing.listed() && !listed && phase != Phase.RESTING;
@@ -112,7 +130,7 @@
         listedLeaving = listing.leaving();
     }
 
-    /** Ends the takeover grace period. */
+    /** Ends the takeover grace period; the upstream starts cold. */
     void endGracePeriod(ColdReason reason, long nowNanos) {
         markCold(reason, nowNanos);
     }
@@ -126,52 +144,57 @@
             coldReason = Optional.of(ColdReason.HANDED_OVER_COLD);
             allowance = service.coldRequests();
         }
-        leases.forEach(lease -> running.put(lease.id(), lease));
+        leases.forEach(lease -> runningLeases.put(lease.id(), lease));
         updatePhase();
     }
 
     boolean hasCapacity(long nowNanos) {
-        return phase.isGranting() && nowNanos >= backoffUntilNanos && running.size() < limit();
+        return phase.isGranting() && nowNanos >= backoffUntilNanos && runningLeases.size() < limit();
     }
 
     boolean hasIdleSlot() {
-        return isWarmOrRamping() && running.size() < Math.min(limit(), service.slotsPerUpstream());
+        return isWarmOrRamping() && runningLeases.size() < Math.min(limit(), service.slotsPerUpstream());
     }
 
     boolean isOverdue(long nowNanos) {
-        if (running.isEmpty()) {
+        if (runningLeases.isEmpty()) {
             return false;
         }
-        long startedNanos = running.values().iterator().next().startedNanos();
+        long startedNanos = runningLeases.values().iterator().next().startedNanos();
         return rules.overdueRule().isOverdue(nowNanos - startedNanos, latency);
     }
 
-    /** Estimates the wait and service time of one more request; extra depth costs more than any idle slot. */
+    /**
+     * Estimates the wait and service time of one more request, in nanoseconds. A request beyond the slots of the
+     * upstream costs more than any request on an idle slot.
+     */
     long cost() {
-        int load = running.size() + externalLoad;
+        int load = runningLeases.size() + requestsWithoutLease;
         long cost = (latency.meanNanos() + 1) * (load + 1);
-        return running.size() < service.slotsPerUpstream() ? cost : cost + Long.MAX_VALUE / 2;
+        return runningLeases.size() < service.slotsPerUpstream() ? cost : cost + Long.MAX_VALUE / 2;
     }
 
     /**
      * Records the start of a lease. An upstream that was idle may have restarted without a broken connection to show
-     * it, so it is limited to its cold requests until it responds.
+     * it, so it is limited like a cold one until it responds.
      */
     void start(Lease lease, long nowNanos) {
-        boolean needsConfirmation = running.isEmpty() && nowNanos - confirmedNanos > CONFIRMATION_TTL.toNanos();
-        unconfirmed = unconfirmed || needsConfirmation && rules.restartDetector() != RestartDetector.DISABLED;
-        running.put(lease.id(), lease);
+        boolean needsConfirmation = runningLeases.isEmpty()
+                && nowNanos - incarnationConfirmedNanos > INCARNATION_CONFIRMATION_TTL.toNanos();
+        incarnationUnconfirmed =
+                incarnationUnconfirmed || needsConfirmation && rules.restartDetector() != RestartDetector.DISABLED;
+        runningLeases.put(lease.id(), lease);
     }
 
     /** Removes a lease whose deadline has passed. */
     void expire(LeaseId lease, long nowNanos) {
-        running.remove(lease);
+        runningLeases.remove(lease);
         backOffIfCold(nowNanos);
     }
 
     /** Takes a returned slot back; returns whether the upstream was marked cold. */
     boolean finish(Lease lease, SlotReturn slotReturn, long nowNanos) {
-        running.remove(lease.id());
+        runningLeases.remove(lease.id());
         boolean isCurrent = lease.generation() == generation;
         UpstreamSignals signals = slotReturn.signals();
         if (!isCurrent && isOtherIncarnation(signals)) {
@@ -189,7 +212,7 @@
             return true;
         }
         if (slotReturn.outcome() == SlotReturn.Outcome.ANSWERED) {
-            confirm(nowNanos);
+            confirmIncarnation(nowNanos);
         }
         return switch (slotReturn.outcome()) {
             case ANSWERED -> recordSuccess(slotReturn.elapsed().toNanos(), nowNanos);
@@ -199,14 +222,18 @@
         };
     }
 
-    /** Records what the upstream reports about itself; returns whether it was marked cold. */
+    /**
+     * Records what the upstream reports about itself; returns whether it was marked cold.
+     *
+     * @param isCurrent whether the report comes from a request sent since the upstream was last marked cold, or a probe
+     */
     boolean recordSignals(UpstreamSignals signals, boolean isCurrent, long nowNanos) {
         boolean changed = isOtherIncarnation(signals);
         boolean wasKnown = incarnation.isPresent();
         if (signals.incarnation().isPresent()) {
             incarnation = signals.incarnation();
         }
-        signals.running().ifPresent(reported -> externalLoad = Math.max(0, reported - running.size()));
+        signals.running().ifPresent(reported -> requestsWithoutLease = Math.max(0, reported - runningLeases.size()));
         if (signals.leaving()) {
             reportedLeaving = true;
             updatePhase();
@@ -220,7 +247,7 @@
             }
         }
         if (isCurrent && signals.incarnation().isPresent()) {
-            confirm(nowNanos);
+            confirmIncarnation(nowNanos);
         }
         if (isCurrent && signals.cold() && isWarmOrRamping() && rules.restartDetector() != RestartDetector.DISABLED) {
             markCold(ColdReason.REPORTED_COLD, nowNanos);
@@ -230,15 +257,16 @@
     }
 
     UpstreamState describe(long nowNanos) {
-        long oldestNanos = running.isEmpty()
+        long oldestNanos = runningLeases.isEmpty()
                 ? 0
-                : Math.max(0, nowNanos - running.values().iterator().next().startedNanos());
+                : Math.max(
+                        0, nowNanos - runningLeases.values().iterator().next().startedNanos());
         return new UpstreamState(
                 upstream.id(),
                 upstream.service(),
                 phase,
                 limit(),
-                running.size(),
+                runningLeases.size(),
                 Duration.ofNanos(oldestNanos),
                 Duration.ofNanos(latency.meanNanos()),
                 coldReason,
@@ -257,15 +285,17 @@
         return incarnation;
     }
 
-    List<Lease> drain() {
-        List<Lease> leases = new ArrayList<>(running.values());
-        running.clear();
+    /** Removes and returns all leases, when another node becomes the owner. */
+    List<Lease> removeLeases() {
+        List<Lease> leases = new ArrayList<>(runningLeases.values());
+        runningLeases.clear();
         return leases;
     }
 
-    private void confirm(long nowNanos) {
-        confirmedNanos = nowNanos;
-        unconfirmed = false;
+    /** Records that the upstream has responded, so that it has not restarted unnoticed. */
+    private void confirmIncarnation(long nowNanos) {
+        incarnationConfirmedNanos = nowNanos;
+        incarnationUnconfirmed = false;
     }
 
     private boolean isOtherIncarnation(UpstreamSignals signals) {
@@ -311,7 +341,7 @@
     private boolean recordShed(long nowNanos) {
         backoffUntilNanos = nowNanos + SHED_BACKOFF.toNanos();
         if (isWarmOrRamping()) {
-            allowance = Math.max(service.coldRequests(), Math.min(allowance(), running.size()));
+            allowance = Math.max(service.coldRequests(), Math.min(allowance(), runningLeases.size()));
             successes = 0;
             phase = allowance >= service.slotsPerUpstream() ? Phase.WARM : Phase.RAMPING;
         }
@@ -332,7 +362,7 @@
         allowance = service.coldRequests();
         successes = 0;
         consecutiveSpikes = 0;
-        externalLoad = 0;
+        requestsWithoutLease = 0;
         backoffUntilNanos = Math.max(backoffUntilNanos, nowNanos);
         latency.clear();
         updatePhase();
--- a/routing/src/main/java/org/turmericspan/routing/UpstreamState.java
+++ b/routing/src/main/java/org/turmericspan/routing/UpstreamState.java
@@ -10,13 +10,13 @@
  *
  * @param upstream its name
  * @param service its service
- * @param phase its warm-up state
+ * @param phase its warm-up phase
  * @param limit requests it may hold now
- * @param running requests it holds
- * @param oldest how long the oldest of them has run
- * @param latency smoothed service time
- * @param coldReason why it was last marked cold
- * @param incarnation the incarnation it last reported
+ * @param running leases on it
+ * @param oldest how long the request of the oldest lease has run; zero without a lease
+ * @param latency smoothed mean of its service times; zero before the first one
+ * @param coldReason why it was last marked cold; empty if it never was
+ * @param incarnation the incarnation it last reported, if any
  */
 public record UpstreamState(
         UpstreamId upstream,
--- a/routing/src/test/java/org/turmericspan/routing/BaselineSlotSourceTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/BaselineSlotSourceTest.java
@@ -16,16 +16,16 @@
 import org.turmericspan.ids.Incarnation;
 import org.turmericspan.testkit.ManualClock;
 
-/** The baseline policy, against which owners and leases are compared. */
+/** Tests the slot source without owners, with which the slots of owners are compared. */
 final class BaselineSlotSourceTest {
     private static final List<Upstream> UPSTREAMS = Fixtures.upstreams(2);
 
     private final ManualClock clock = new ManualClock();
-    private final OwnershipMap map = OwnershipMap.of(
+    private final OwnershipMap ownershipMap = OwnershipMap.of(
             Fixtures.configuration(1, UPSTREAMS, Fixtures.service(3, 1)),
             Fixtures.view(1, List.of(Fixtures.upstreamVm(UPSTREAMS.get(0), false))));
-    private final BaselineSlotSource source =
-            new BaselineSlotSource(() -> map, new Incarnation(1), clock, UpstreamChoice.powerOfTwo(new Random(1)));
+    private final BaselineSlotSource source = new BaselineSlotSource(
+            () -> ownershipMap, new Incarnation(1), clock, UpstreamChoice.powerOfTwo(new Random(1)));
 
     @Test
     void requestIsGrantedAtOnceAtAnyLoad() {
--- a/routing/src/test/java/org/turmericspan/routing/EngineDriver.java
+++ b/routing/src/test/java/org/turmericspan/routing/EngineDriver.java
@@ -18,13 +18,13 @@
     static final VmId SELF = new VmId("entry-0");
     static final VmId OTHER = new VmId("entry-1");
     static final Duration VIEW_LAG_BOUND = Duration.ofSeconds(3);
-    private static final Duration TICK = Duration.ofMillis(10);
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
 
     private final SlotEngine engine;
     private final Service service;
     private long nowNanos = 1;
-    private long confirmedNanos = 1;
-    private long nextRequestNumber;
+    private long viewConfirmedNanos = 1;
+    private long lastRequestNumber;
     private long revision;
 
     EngineDriver(SlotRules rules, Service service) {
@@ -58,7 +58,7 @@
     EngineDriver ownWarm(Upstream upstream) {
         setOwnership(List.of(upstream), List.of(Fixtures.entryVm(SELF.value(), upstream.availabilityZone())));
         while (state().phase() != Phase.WARM) {
-            returnSlot(grantOf(request()), Fixtures.answered(Duration.ofMillis(10)));
+            returnSlot(grantedLease(request()), Fixtures.answered(Duration.ofMillis(10)));
         }
         return this;
     }
@@ -72,9 +72,9 @@
         List<SlotAction> actions = new ArrayList<>();
         long endNanos = nowNanos + span.toNanos();
         while (nowNanos < endNanos) {
-            nowNanos = Math.min(endNanos, nowNanos + TICK.toNanos());
-            confirmedNanos = nowNanos;
-            actions.addAll(handle(new SlotEvent.Ticked(confirmedNanos)));
+            nowNanos = Math.min(endNanos, nowNanos + TICK_INTERVAL.toNanos());
+            viewConfirmedNanos = nowNanos;
+            actions.addAll(handle(new SlotEvent.Ticked(viewConfirmedNanos)));
         }
         return actions;
     }
@@ -83,8 +83,8 @@
     void advanceUnconfirmed(Duration span) {
         long endNanos = nowNanos + span.toNanos();
         while (nowNanos < endNanos) {
-            nowNanos = Math.min(endNanos, nowNanos + TICK.toNanos());
-            handle(new SlotEvent.Ticked(confirmedNanos));
+            nowNanos = Math.min(endNanos, nowNanos + TICK_INTERVAL.toNanos());
+            handle(new SlotEvent.Ticked(viewConfirmedNanos));
         }
     }
 
@@ -98,9 +98,9 @@
     }
 
     List<SlotAction> request(VmId from, boolean idleOnly) {
-        nextRequestNumber++;
+        lastRequestNumber++;
         return handle(new SlotEvent.SlotRequested(
-                new SlotRequestId(from, nextRequestNumber),
+                new SlotRequestId(from, lastRequestNumber),
                 Fixtures.slotRequest(nowNanos + Duration.ofSeconds(1).toNanos(), idleOnly)));
     }
 
@@ -120,19 +120,19 @@
         return nowNanos;
     }
 
-    static <T extends SlotAction> Stream<T> only(Class<T> type, List<SlotAction> actions) {
+    static <T extends SlotAction> Stream<T> ofType(Class<T> type, List<SlotAction> actions) {
         return actions.stream().filter(type::isInstance).map(type::cast);
     }
 
-    static LeaseId grantOf(List<SlotAction> actions) {
-        return only(SlotAction.Grant.class, actions)
+    static LeaseId grantedLease(List<SlotAction> actions) {
+        return ofType(SlotAction.Grant.class, actions)
                 .findFirst()
                 .orElseThrow(() -> new AssertionError("No grant in " + actions))
                 .slot()
                 .lease();
     }
 
-    static long grants(List<SlotAction> actions) {
-        return only(SlotAction.Grant.class, actions).count();
+    static long numberOfGrants(List<SlotAction> actions) {
+        return ofType(SlotAction.Grant.class, actions).count();
     }
 }
--- a/routing/src/test/java/org/turmericspan/routing/InMemoryNode.java
+++ b/routing/src/test/java/org/turmericspan/routing/InMemoryNode.java
@@ -23,21 +23,21 @@
     private final PeerTable peers;
     private final SlotTable table;
     private final SlotCoordinator coordinator;
-    private OwnershipMap map;
+    private OwnershipMap ownershipMap;
 
-    InMemoryNode(VmId vm, long incarnation, ManualClock clock, LoopbackLinks links, OwnershipMap map) {
+    InMemoryNode(VmId vm, long incarnation, ManualClock clock, LoopbackLinks links, OwnershipMap ownershipMap) {
         this.vm = vm;
         this.incarnation = new Incarnation(incarnation);
         this.clock = clock;
-        this.map = map;
+        this.ownershipMap = ownershipMap;
         this.peers = new PeerTable(clock);
         SlotRules rules = SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND);
         this.table = new SlotTable(new SlotEngine(vm, this.incarnation, rules), clock);
-        LenderSelector lenderSelector = new LenderSelector(vm, () -> this.map, peers, clock, new Random(1));
+        LenderSelector lenderSelector = new LenderSelector(vm, () -> this.ownershipMap, peers, clock, new Random(1));
         this.coordinator = new SlotCoordinator(
                 table,
                 new SlotNetwork(vm, this.incarnation, links.of(vm), (delay, task) -> {}),
-                () -> this.map,
+                () -> this.ownershipMap,
                 lenderSelector,
                 clock,
                 rules.maxTickGap(),
@@ -47,7 +47,7 @@
     }
 
     void setOwnership(OwnershipMap newMap) {
-        map = newMap;
+        ownershipMap = newMap;
         coordinator.onOwnershipChanged();
     }
 
@@ -95,7 +95,7 @@
         return table.counts();
     }
 
-    int borrowed() {
+    int borrowedCount() {
         return coordinator.borrowedCount();
     }
 }
--- a/routing/src/test/java/org/turmericspan/routing/LendingTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/LendingTest.java
@@ -27,11 +27,11 @@
 
     private final ManualClock clock = new ManualClock();
     private final LoopbackLinks links = new LoopbackLinks();
-    private final OwnershipMap map = OwnershipMap.of(
+    private final OwnershipMap ownershipMap = OwnershipMap.of(
             Fixtures.configuration(1, List.of(UPSTREAM), Fixtures.service(3, 1)),
             Fixtures.view(1, List.of(OWNER, BORROWER, Fixtures.upstreamVm(UPSTREAM, false))));
-    private final InMemoryNode owner = new InMemoryNode(OWNER.id(), 1, clock, links, map);
-    private final InMemoryNode borrower = new InMemoryNode(BORROWER.id(), 2, clock, links, map);
+    private final InMemoryNode owner = new InMemoryNode(OWNER.id(), 1, clock, links, ownershipMap);
+    private final InMemoryNode borrower = new InMemoryNode(BORROWER.id(), 2, clock, links, ownershipMap);
 
     @Test
     void fleetThatStartsTogetherGrantsAtOnce() {
@@ -90,12 +90,12 @@
         takeAllSlots();
         borrower.acquire();
         borrower.acquire();
-        long returnedBefore = links.count(PeerMessage.ReturnSlot.class);
+        long returnedBefore = links.countSent(PeerMessage.ReturnSlot.class);
         SlotLease lease = InMemoryNode.leaseOf(first);
         lease.release(ANSWERED);
 
-        assertThat(links.count(PeerMessage.ReturnSlot.class)).isEqualTo(returnedBefore);
-        assertThat(borrower.borrowed()).isEqualTo(1);
+        assertThat(links.countSent(PeerMessage.ReturnSlot.class)).isEqualTo(returnedBefore);
+        assertThat(borrower.borrowedCount()).isEqualTo(1);
         assertThat(lease.isValid()).isFalse();
     }
 
@@ -108,7 +108,7 @@
         clock.advance(LeaseReuse.WINDOW);
         lease.release(ANSWERED);
 
-        assertThat(links.count(PeerMessage.ReturnSlot.class)).isEqualTo(1);
+        assertThat(links.countSent(PeerMessage.ReturnSlot.class)).isEqualTo(1);
     }
 
     @Test
@@ -177,8 +177,8 @@
     }
 
     private void start() {
-        owner.setOwnership(map);
-        borrower.setOwnership(map);
+        owner.setOwnership(ownershipMap);
+        borrower.setOwnership(ownershipMap);
         advanceTicking(Duration.ofMillis(20));
     }
 
--- a/routing/src/test/java/org/turmericspan/routing/LoopbackLinks.java
+++ b/routing/src/test/java/org/turmericspan/routing/LoopbackLinks.java
@@ -28,7 +28,7 @@
         disconnected.add(vm);
     }
 
-    <T extends PeerMessage> long count(Class<T> type) {
+    <T extends PeerMessage> long countSent(Class<T> type) {
         return sent.stream().filter(type::isInstance).count();
     }
 
--- a/routing/src/test/java/org/turmericspan/routing/OwnerAssignmentTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/OwnerAssignmentTest.java
@@ -17,7 +17,7 @@
 import org.turmericspan.ids.VmId;
 import org.turmericspan.membership.Vm;
 
-/** Properties of the assignment of upstreams to owners. */
+/** Tests properties of the assignment of upstreams to owners, for generated numbers of upstreams and VMs. */
 final class OwnerAssignmentTest {
     @Property(seed = "1", tries = 200)
     void noVmOwnsMoreThanTheCapacityBound(
--- a/routing/src/test/java/org/turmericspan/routing/OwnerChangeTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/OwnerChangeTest.java
@@ -1,9 +1,9 @@
 package org.turmericspan.routing;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.turmericspan.routing.EngineDriver.grantOf;
-import static org.turmericspan.routing.EngineDriver.grants;
-import static org.turmericspan.routing.EngineDriver.only;
+import static org.turmericspan.routing.EngineDriver.grantedLease;
+import static org.turmericspan.routing.EngineDriver.numberOfGrants;
+import static org.turmericspan.routing.EngineDriver.ofType;
 
 import java.time.Duration;
 import java.util.List;
@@ -38,9 +38,9 @@
         driver.setOwnership(List.of(UPSTREAM), List.of(SELF, OTHER));
 
         driver.advance(GRACE_PERIOD.minusMillis(20));
-        assertThat(grants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.request())).isZero();
         assertThat(driver.state().phase()).isEqualTo(Phase.RESTING);
-        assertThat(grants(driver.advance(Duration.ofMillis(20)))).isEqualTo(1);
+        assertThat(numberOfGrants(driver.advance(Duration.ofMillis(20)))).isEqualTo(1);
     }
 
     @Test
@@ -55,7 +55,7 @@
                 defaults.restartDetector()));
         driver.setOwnership(List.of(UPSTREAM), List.of(SELF, OTHER));
 
-        assertThat(grants(driver.request())).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request())).isEqualTo(1);
     }
 
     @Test
@@ -66,8 +66,9 @@
         driver.request();
 
         assertThat(ticked).contains(new SlotAction.SendLeaseQuery(EngineDriver.OTHER, List.of(UPSTREAM.id())));
-        assertThat(grants(driver.handle(leaseReport(List.of(UPSTREAM.id()))))).isZero();
-        assertThat(grants(driver.handle(leaseReport(List.of())))).isEqualTo(1);
+        assertThat(numberOfGrants(driver.handle(leaseReport(List.of(UPSTREAM.id())))))
+                .isZero();
+        assertThat(numberOfGrants(driver.handle(leaseReport(List.of())))).isEqualTo(1);
     }
 
     @Test
@@ -88,7 +89,7 @@
         driver.request();
         driver.request();
 
-        assertThat(grants(driver.returnSlot(LEASE_OF_OTHER, Fixtures.answered(Duration.ofMillis(10)))))
+        assertThat(numberOfGrants(driver.returnSlot(LEASE_OF_OTHER, Fixtures.answered(Duration.ofMillis(10)))))
                 .isEqualTo(1);
     }
 
@@ -105,17 +106,17 @@
     @Test
     void previousOwnerHandsOverAndForwardsReturns() {
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
-        LeaseId lease = grantOf(driver.request());
+        LeaseId lease = grantedLease(driver.request());
         List<SlotAction> actions = driver.setOwnership(List.of(UPSTREAM), List.of(OTHER));
 
-        assertThat(only(SlotAction.HandOver.class, actions)).singleElement().satisfies(handOver -> {
+        assertThat(ofType(SlotAction.HandOver.class, actions)).singleElement().satisfies(handOver -> {
             assertThat(handOver.to()).isEqualTo(EngineDriver.OTHER);
             assertThat(handOver.handover().warm()).isTrue();
             assertThat(handOver.handover().leases()).hasSize(1);
         });
         assertThat(driver.returnSlot(lease, SlotReturn.unused()))
                 .containsExactly(new SlotAction.ForwardReturn(EngineDriver.OTHER, lease, SlotReturn.unused()));
-        assertThat(grants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.request())).isZero();
     }
 
     @Test
@@ -156,16 +157,16 @@
         driver.setOwnership(List.of(UPSTREAM), List.of(SELF, OTHER));
         driver.handle(new SlotEvent.HandedOver(EngineDriver.OTHER, handover(true)));
         driver.advance(Duration.ofSeconds(1));
-        LeaseId lease = grantOf(driver.request());
+        LeaseId lease = grantedLease(driver.request());
         driver.pauseProcess(Duration.ofSeconds(2));
 
-        assertThat(grants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.request())).isZero();
         assertThat(driver.handle(new SlotEvent.Ticked(1))).contains(new SlotAction.Recall(EngineDriver.SELF, lease));
         driver.advanceUnconfirmed(Duration.ofMillis(500));
-        assertThat(grants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.request())).isZero();
         List<SlotAction> confirmed = driver.advance(Duration.ofMillis(400));
-        assertThat(grants(confirmed)).isEqualTo(1);
-        assertThat(grants(driver.returnSlot(grantOf(confirmed), Fixtures.answered(Duration.ofMillis(10)))))
+        assertThat(numberOfGrants(confirmed)).isEqualTo(1);
+        assertThat(numberOfGrants(driver.returnSlot(grantedLease(confirmed), Fixtures.answered(Duration.ofMillis(10)))))
                 .isEqualTo(1);
     }
 
@@ -184,7 +185,7 @@
         driver.advance(Duration.ofSeconds(1));
         driver.pauseProcess(Duration.ofSeconds(2));
 
-        assertThat(grants(driver.request())).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request())).isEqualTo(1);
     }
 
     @Test
@@ -194,8 +195,8 @@
         driver.handle(new SlotEvent.HandedOver(EngineDriver.OTHER, handover(false)));
         driver.advanceUnconfirmed(EngineDriver.VIEW_LAG_BOUND.plusMillis(100));
 
-        assertThat(grants(driver.request())).isZero();
-        assertThat(grants(driver.advance(Duration.ofMillis(10)))).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.advance(Duration.ofMillis(10)))).isEqualTo(1);
     }
 
     @Test
@@ -205,7 +206,7 @@
         driver.handle(new SlotEvent.HandedOver(EngineDriver.OTHER, handover(true)));
         driver.advanceUnconfirmed(EngineDriver.VIEW_LAG_BOUND.plusMillis(100));
 
-        assertThat(grants(driver.request())).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request())).isEqualTo(1);
     }
 
     private static SlotEvent leaseReport(List<UpstreamId> held) {
@@ -213,7 +214,7 @@
     }
 
     private static List<UpstreamId> queryLeases(EngineDriver driver, Incarnation requesterIncarnation) {
-        return only(
+        return ofType(
                         SlotAction.ReportLeases.class,
                         driver.handle(new SlotEvent.LeaseQueryReceived(
                                 EngineDriver.OTHER, requesterIncarnation, List.of(UPSTREAM.id()))))
--- a/routing/src/test/java/org/turmericspan/routing/OwnerLocatorTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/OwnerLocatorTest.java
@@ -18,14 +18,15 @@
 import org.turmericspan.membership.Vm;
 import org.turmericspan.testkit.ManualClock;
 
-/** Which nodes are located for a service, in what order and with what weight. */
+/** Tests which nodes are located for a service, in which order and with which weight. */
 final class OwnerLocatorTest {
     private static final List<Upstream> UPSTREAMS = Fixtures.upstreams(8);
 
     private final ManualClock clock = new ManualClock();
     private final Random random = new Random(1);
-    private OwnershipMap map = map(Fixtures.entryVms(4), Set.of());
-    private final OwnerLocator locator = new OwnerLocator(() -> map, Duration.ofSeconds(5), clock, random::nextDouble);
+    private OwnershipMap ownershipMap = ownershipMap(Fixtures.entryVms(4), Set.of());
+    private final OwnerLocator locator =
+            new OwnerLocator(() -> ownershipMap, Duration.ofSeconds(5), clock, random::nextDouble);
 
     @Test
     void unknownServiceIsNotLocated() {
@@ -41,7 +42,7 @@
 
     @Test
     void nodeOutOfServiceIsNotReturned() {
-        map = map(Fixtures.entryVms(4), Set.of(new VmId("entry-2")));
+        ownershipMap = ownershipMap(Fixtures.entryVms(4), Set.of(new VmId("entry-2")));
 
         assertThat(locate()).extracting(LocateResult.Endpoint::vm).doesNotContain(new VmId("entry-2"));
     }
@@ -49,16 +50,17 @@
     @Test
     void upstreamsOutOfServiceAddNoWeight() {
         int before = weight();
-        map = map(Fixtures.entryVms(4), Set.of(UPSTREAMS.get(0).vm()));
+        ownershipMap =
+                ownershipMap(Fixtures.entryVms(4), Set.of(UPSTREAMS.get(0).vm()));
 
         assertThat(weight()).isEqualTo(before - 3 * 4);
     }
 
     @Test
     void weightOfAReturnedNodeRisesDuringSlowStart() {
-        map = map(Fixtures.entryVms(3), Set.of());
+        ownershipMap = ownershipMap(Fixtures.entryVms(3), Set.of());
         locate();
-        map = map(Fixtures.entryVms(4), Set.of());
+        ownershipMap = ownershipMap(Fixtures.entryVms(4), Set.of());
         VmId returned = new VmId("entry-3");
         int atReturn = weightOf(returned);
         clock.advance(Duration.ofSeconds(20));
@@ -79,7 +81,7 @@
 
     @Test
     void everyCandidateIsReturnedWhenNoUpstreamIsInService() {
-        map = map(
+        ownershipMap = ownershipMap(
                 Fixtures.entryVms(4),
                 Set.copyOf(UPSTREAMS.stream().map(Upstream::vm).toList()));
 
@@ -113,7 +115,7 @@
                 .sum();
     }
 
-    private static OwnershipMap map(List<Vm> entryVms, Set<VmId> outOfService) {
+    private static OwnershipMap ownershipMap(List<Vm> entryVms, Set<VmId> outOfService) {
         return OwnershipMap.of(
                 Fixtures.configuration(1, UPSTREAMS, Fixtures.service(3, 1), outOfService), Fixtures.view(1, entryVms));
     }
--- a/routing/src/test/java/org/turmericspan/routing/SlotEngineTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/SlotEngineTest.java
@@ -1,8 +1,8 @@
 package org.turmericspan.routing;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.turmericspan.routing.EngineDriver.grantOf;
-import static org.turmericspan.routing.EngineDriver.grants;
+import static org.turmericspan.routing.EngineDriver.grantedLease;
+import static org.turmericspan.routing.EngineDriver.numberOfGrants;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -17,10 +17,10 @@
 import org.turmericspan.ids.LeaseId;
 import org.turmericspan.membership.Vm;
 
-/** Cold starts, limits and choice of upstreams on a node that is the only owner. */
+/** Tests cold starts, limits and the choice of upstreams on a node that is the only owner. */
 final class SlotEngineTest {
     private static final Upstream UPSTREAM = Fixtures.upstream("upstream-0", Fixtures.zone(0));
-    private static final Upstream SECOND = Fixtures.upstream("upstream-1", Fixtures.zone(0));
+    private static final Upstream SECOND_UPSTREAM = Fixtures.upstream("upstream-1", Fixtures.zone(0));
     private static final Duration SERVICE_TIME = Duration.ofMillis(10);
     private static final List<Vm> ONLY_SELF = List.of(Fixtures.entryVm("entry-0", Fixtures.zone(0)));
 
@@ -29,8 +29,8 @@
         EngineDriver driver = EngineDriver.withDefaults();
         driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
 
-        assertThat(grants(driver.request())).isEqualTo(1);
-        assertThat(grants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.request())).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request())).isZero();
         assertThat(driver.state().phase()).isEqualTo(Phase.COLD);
     }
 
@@ -46,7 +46,8 @@
                 defaults.restartDetector()));
         driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
 
-        assertThat(grants(driver.request()) + grants(driver.request())).isEqualTo(2);
+        assertThat(numberOfGrants(driver.request()) + numberOfGrants(driver.request()))
+                .isEqualTo(2);
     }
 
     @Test
@@ -55,7 +56,7 @@
         driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
         List<Integer> limits = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            driver.returnSlot(grantOf(driver.request()), Fixtures.answered(SERVICE_TIME));
+            driver.returnSlot(grantedLease(driver.request()), Fixtures.answered(SERVICE_TIME));
             limits.add(driver.state().limit());
         }
 
@@ -69,7 +70,7 @@
         driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
         for (int i = 0; i < 10; i++) {
             driver.returnSlot(
-                    grantOf(driver.request()),
+                    grantedLease(driver.request()),
                     new SlotReturn(SlotReturn.Outcome.ANSWERED, SERVICE_TIME, Fixtures.signals(true, false, "a")));
         }
 
@@ -89,10 +90,10 @@
     @Test
     void refusedConnectionMarksAWarmUpstreamColdAndBacksOff() {
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
-        driver.returnSlot(grantOf(driver.request()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_REFUSED));
+        driver.returnSlot(grantedLease(driver.request()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_REFUSED));
 
-        assertThat(grants(driver.request())).isZero();
-        assertThat(grants(driver.advance(Duration.ofMillis(150)))).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.advance(Duration.ofMillis(150)))).isEqualTo(1);
         assertThat(driver.state().limit()).isEqualTo(1);
     }
 
@@ -107,7 +108,7 @@
                         defaults.concurrencyLimitRule(),
                         RestartDetector.DISABLED))
                 .ownWarm(UPSTREAM);
-        driver.returnSlot(grantOf(driver.request()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
+        driver.returnSlot(grantedLease(driver.request()), Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
 
         assertThat(driver.state().phase()).isEqualTo(Phase.WARM);
     }
@@ -116,12 +117,12 @@
     void idleWarmUpstreamGetsOneRequestUntilItResponds() {
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
         driver.advance(Duration.ofMillis(200));
-        LeaseId first = grantOf(driver.request());
+        LeaseId first = grantedLease(driver.request());
 
-        assertThat(grants(driver.request())).isZero();
-        assertThat(grants(driver.returnSlot(first, Fixtures.answered(SERVICE_TIME))))
+        assertThat(numberOfGrants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.returnSlot(first, Fixtures.answered(SERVICE_TIME))))
                 .isEqualTo(1);
-        assertThat(grants(driver.request())).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request())).isEqualTo(1);
     }
 
     @Test
@@ -137,14 +138,15 @@
                 .ownWarm(UPSTREAM);
         driver.advance(Duration.ofMillis(200));
 
-        assertThat(grants(driver.request()) + grants(driver.request())).isEqualTo(2);
+        assertThat(numberOfGrants(driver.request()) + numberOfGrants(driver.request()))
+                .isEqualTo(2);
     }
 
     @Test
     void requestsOfThePreviousIncarnationDoNotWarmUpTheNextOne() {
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
-        LeaseId first = grantOf(driver.request());
-        LeaseId second = grantOf(driver.request());
+        LeaseId first = grantedLease(driver.request());
+        LeaseId second = grantedLease(driver.request());
         driver.returnSlot(first, Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST));
 
         assertThat(driver.returnSlot(second, Fixtures.answered(SERVICE_TIME))).isEmpty();
@@ -154,8 +156,8 @@
     @Test
     void coldTransitionRecallsRunningLeases() {
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
-        LeaseId first = grantOf(driver.request());
-        LeaseId second = grantOf(driver.request());
+        LeaseId first = grantedLease(driver.request());
+        LeaseId second = grantedLease(driver.request());
 
         assertThat(driver.returnSlot(first, Fixtures.ended(SlotReturn.Outcome.CONNECTION_LOST)))
                 .contains(new SlotAction.Recall(EngineDriver.SELF, second));
@@ -173,22 +175,23 @@
     void idleOnlyRequestGetsNoExtraDepth() {
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
         for (int i = 0; i < 3; i++) {
-            assertThat(grants(driver.request(EngineDriver.SELF, true))).isEqualTo(1);
+            assertThat(numberOfGrants(driver.request(EngineDriver.SELF, true))).isEqualTo(1);
         }
 
-        assertThat(grants(driver.request(EngineDriver.SELF, true))).isZero();
-        assertThat(grants(driver.request())).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request(EngineDriver.SELF, true))).isZero();
+        assertThat(numberOfGrants(driver.request())).isEqualTo(1);
     }
 
     @Test
     void oldestRequestGetsTheFreedSlot() {
         EngineDriver driver = EngineDriver.withDefaults();
         driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
-        LeaseId lease = grantOf(driver.request());
+        LeaseId lease = grantedLease(driver.request());
         driver.request();
         driver.request();
 
-        assertThat(EngineDriver.only(SlotAction.Grant.class, driver.returnSlot(lease, Fixtures.answered(SERVICE_TIME))))
+        assertThat(EngineDriver.ofType(
+                        SlotAction.Grant.class, driver.returnSlot(lease, Fixtures.answered(SERVICE_TIME))))
                 .extracting(grant -> grant.requestId().number())
                 .containsExactly(2L);
     }
@@ -205,7 +208,7 @@
     @Test
     void upstreamWithAnOverdueRequestIsSkipped() {
         EngineDriver driver = ownTwoWarm(SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND));
-        LeaseId stuck = grantOf(driver.request());
+        LeaseId stuck = grantedLease(driver.request());
         driver.advance(Duration.ofMillis(100));
 
         assertThat(upstreamsOfNext(driver, 4)).doesNotContain(upstreamOf(driver, stuck));
@@ -221,7 +224,7 @@
                 OverdueRule.NEVER,
                 defaults.concurrencyLimitRule(),
                 defaults.restartDetector()));
-        grantOf(driver.request());
+        grantedLease(driver.request());
         driver.advance(Duration.ofMillis(100));
 
         assertThat(upstreamsOfNext(driver, 4)).hasSize(2);
@@ -231,10 +234,11 @@
     void upstreamOutOfServiceGetsNoRequestsAndReturnsCold() {
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
         driver.setOwnership(List.of(UPSTREAM), ONLY_SELF, Set.of(UPSTREAM.vm()), Set.of());
-        assertThat(grants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.request())).isZero();
         assertThat(driver.state().phase()).isEqualTo(Phase.OUT);
 
-        assertThat(grants(driver.setOwnership(List.of(UPSTREAM), ONLY_SELF))).isEqualTo(1);
+        assertThat(numberOfGrants(driver.setOwnership(List.of(UPSTREAM), ONLY_SELF)))
+                .isEqualTo(1);
         assertThat(driver.state().coldReason()).contains(ColdReason.RETURNED);
     }
 
@@ -243,14 +247,14 @@
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
         driver.setOwnership(List.of(UPSTREAM), ONLY_SELF, Set.of(), Set.of(UPSTREAM.vm()));
 
-        assertThat(grants(driver.request())).isZero();
+        assertThat(numberOfGrants(driver.request())).isZero();
         assertThat(driver.state().phase()).isEqualTo(Phase.LEAVING);
     }
 
     @Test
     void upstreamThatReportsLeavingStaysLeavingUntilANewIncarnation() {
         EngineDriver driver = EngineDriver.withDefaults().ownWarm(UPSTREAM);
-        LeaseId lease = grantOf(driver.request());
+        LeaseId lease = grantedLease(driver.request());
         driver.returnSlot(
                 lease, new SlotReturn(SlotReturn.Outcome.ANSWERED, SERVICE_TIME, Fixtures.signals(false, true, "a")));
         driver.handle(new SlotEvent.ProbeResultReceived(UPSTREAM.id(), Fixtures.signals(false, false, "a")));
@@ -264,16 +268,16 @@
     void leaseEndsAtItsDeadlineWhenItIsNotReturned() {
         EngineDriver driver = EngineDriver.withDefaults();
         driver.setOwnership(List.of(UPSTREAM), ONLY_SELF);
-        grantOf(driver.request());
+        grantedLease(driver.request());
         driver.advance(Duration.ofMillis(1_150));
 
-        assertThat(grants(driver.request())).isEqualTo(1);
+        assertThat(numberOfGrants(driver.request())).isEqualTo(1);
     }
 
     @Test
-    void idleUpstreamThatReportsExternalLoadIsChosenLast() {
+    void idleUpstreamThatReportsRequestsWithoutLeaseIsChosenLast() {
         EngineDriver driver = ownTwoWarm(SlotRules.defaults(EngineDriver.VIEW_LAG_BOUND));
-        LeaseId lease = grantOf(driver.request());
+        LeaseId lease = grantedLease(driver.request());
         var busy = upstreamOf(driver, lease);
         driver.returnSlot(
                 lease,
@@ -287,10 +291,10 @@
 
     private static EngineDriver ownTwoWarm(SlotRules rules) {
         EngineDriver driver = EngineDriver.withRules(rules);
-        driver.setOwnership(List.of(UPSTREAM, SECOND), ONLY_SELF);
+        driver.setOwnership(List.of(UPSTREAM, SECOND_UPSTREAM), ONLY_SELF);
         for (int i = 0; i < 100 && !allWarm(driver); i++) {
-            LeaseId first = grantOf(driver.request());
-            LeaseId second = grantOf(driver.request());
+            LeaseId first = grantedLease(driver.request());
+            LeaseId second = grantedLease(driver.request());
             driver.returnSlot(first, Fixtures.answered(SERVICE_TIME));
             driver.returnSlot(second, Fixtures.answered(SERVICE_TIME));
         }
@@ -313,7 +317,7 @@
     private static Set<Object> upstreamsOfNext(EngineDriver driver, int count) {
         List<Object> upstreams = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            EngineDriver.only(SlotAction.Grant.class, driver.request())
+            EngineDriver.ofType(SlotAction.Grant.class, driver.request())
                     .forEach(grant -> upstreams.add(grant.slot().upstream()));
         }
         return Set.copyOf(upstreams);
@@ -321,7 +325,7 @@
 
     private static void respondAs(EngineDriver driver, String incarnation) {
         driver.returnSlot(
-                grantOf(driver.request()),
+                grantedLease(driver.request()),
                 new SlotReturn(SlotReturn.Outcome.ANSWERED, SERVICE_TIME, Fixtures.signals(false, false, incarnation)));
     }
 }
--- a/routing/src/test/java/org/turmericspan/routing/TraceReplay.java
+++ b/routing/src/test/java/org/turmericspan/routing/TraceReplay.java
@@ -31,7 +31,8 @@
  * Replays recorded events, one JSON object per line, through the slot engine of a node. A line with {@code expect}
  * states the requests granted since the previous such line, or the state of an upstream.
  *
- * <p>The key {@code wish} holds the number of a slot request.
+ * <p>The event and the key {@code wish} denote a slot request and its number; the key {@code asked} lists the upstreams
+ * of a lease query.
  */
 final class TraceReplay {
     private static final VmId SELF = new VmId("entry-0");
--- a/routing/src/test/java/org/turmericspan/routing/TraceReplayTest.java
+++ b/routing/src/test/java/org/turmericspan/routing/TraceReplayTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Recorded events lead to the expected outcomes, and to others when the mechanism under test is disabled. */
+/** Tests that recorded events lead to the expected outcomes, and to others when a mechanism is disabled. */
 final class TraceReplayTest {
     private static final SlotRules DEFAULTS = SlotRules.defaults(Duration.ofSeconds(3));
 
