Say in membership what is active, accepted and confirmed

Cause: the head of Membership said that lists become active, documents were named as if they were views, and several comments restated the name.

Change: the configuration is activated, the view accepted; constants of the heartbeat have their meaning; IdleSlotsReport describes what it returns, an entry for each service of which the node owns upstreams (the comment promised only services with idle slots or queued calls).

--- a/membership/src/main/java/org/turmericspan/membership/ConfigurationReceiver.java
+++ b/membership/src/main/java/org/turmericspan/membership/ConfigurationReceiver.java
@@ -21,6 +21,7 @@
  */
 public final class ConfigurationReceiver {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Number of rejected documents that are remembered, so that they are neither validated nor logged again. */
     private static final int MAX_REJECTED = 8;
 
     private final RankedLock lock = new RankedLock(LockRank.CONFIGURATION);
@@ -48,7 +49,7 @@
     /**
      * Creates a receiver that is not active yet.
      *
-     * @param table table that stores accepted configurations
+     * @param table table of the active configuration
      * @param clock source of the rejection times
      * @param rejectionListener called outside any lock when a document is rejected for the first time
      */
@@ -63,8 +64,8 @@
      * Offers a document.
      *
      * @param document the document as published
-     * @param source origin of the document, for the log
-     * @return the result
+     * @param source origin of the document, such as a peer or the platform, for the log
+     * @return what became of the document
      */
     public Outcome offer(String document, String source) {
         String digest = ConfigurationReader.digest(document);
--- a/membership/src/main/java/org/turmericspan/membership/ConfigurationTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/ConfigurationTable.java
@@ -57,7 +57,7 @@
     /**
      * Offers a validated configuration. It becomes active only when its version is newer than the active one.
      *
-     * @param offered a validated configuration
+     * @param offered a validated configuration of any version
      * @return true when it became active
      */
     public boolean offer(Configuration offered) {
--- a/membership/src/main/java/org/turmericspan/membership/DocumentFetcher.java
+++ b/membership/src/main/java/org/turmericspan/membership/DocumentFetcher.java
@@ -23,7 +23,9 @@
  */
 public final class DocumentFetcher<V extends Comparable<? super V>> {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Upper bound of the random delay before a fetch. */
     private static final Duration MAX_JITTER = Duration.ofMillis(150);
+    /** Longest wait for the document from a peer. */
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     private final FetchScheduler<V> scheduler = new FetchScheduler<>();
@@ -87,7 +89,7 @@
     }
 
     /**
-     * One kind of document.
+     * Describes how one kind of document, the configuration or the view, is fetched and applied.
      *
      * @param request message that requests the document from a peer
      * @param current newest version known to this node
--- a/membership/src/main/java/org/turmericspan/membership/FetchScheduler.java
+++ b/membership/src/main/java/org/turmericspan/membership/FetchScheduler.java
@@ -17,24 +17,25 @@
  * @param <V> version of the document
  */
 public final class FetchScheduler<V extends Comparable<? super V>> {
+    /** Time for which a peer is skipped after a fetch that brought no newer version. */
     static final Duration FAILURE_BACKOFF = Duration.ofSeconds(10);
 
     private final RankedLock lock = new RankedLock(LockRank.PEERS);
     private final Map<VmId, Long> backoffUntilNanos = new HashMap<>();
-    private boolean running;
+    private boolean fetchRunning;
 
     /**
      * Chooses the peer to fetch from and marks the fetch as running.
      *
      * @param current newest version known to this node
-     * @param offers versions of the peers
+     * @param offers versions of the document that the peers have
      * @param nowNanos monotonic time
      * @return the peer with the newest version, if newer than the current one; of several such peers the one whose
      *     name sorts last; empty when there is nothing to fetch now
      */
     public Optional<VmId> tryStart(V current, Collection<Offer<V>> offers, long nowNanos) {
         return lock.compute(() -> {
-            if (running) {
+            if (fetchRunning) {
                 return Optional.empty();
             }
             backoffUntilNanos.values().removeIf(untilNanos -> untilNanos - nowNanos <= 0);
@@ -44,7 +45,7 @@
                     .max(Comparator.comparing((Offer<V> offer) -> offer.version())
                             .thenComparing(Offer::peer))
                     .map(Offer::peer);
-            running = best.isPresent();
+            fetchRunning = best.isPresent();
             return best;
         });
     }
@@ -58,7 +59,7 @@
      */
     public void finish(VmId peer, boolean succeeded, long nowNanos) {
         lock.run(() -> {
-            running = false;
+            fetchRunning = false;
             if (!succeeded) {
                 backoffUntilNanos.put(peer, nowNanos + FAILURE_BACKOFF.toNanos());
             }
--- a/membership/src/main/java/org/turmericspan/membership/FleetView.java
+++ b/membership/src/main/java/org/turmericspan/membership/FleetView.java
@@ -18,7 +18,7 @@
     /** The view of a node that has not accepted any list yet. */
     public static final FleetView EMPTY = new FleetView(0, Map.of());
 
-    /** Copies the map. */
+    /** Makes an immutable copy of the map. */
     public FleetView {
         vms = Map.copyOf(vms);
     }
@@ -28,7 +28,7 @@
      *
      * @param revision revision of the list
      * @param vms the VMs
-     * @return the view
+     * @return the view; of two VMs with the same name it contains the later one
      */
     public static FleetView of(long revision, List<Vm> vms) {
         return new FleetView(
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatExchange.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatExchange.java
@@ -21,9 +21,13 @@
 public final class HeartbeatExchange implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    /** Interval until the first run, and while there is no other node or the interval cannot be computed. */
     private static final Duration IDLE_INTERVAL = Duration.ofMillis(200);
+    /** Nodes that get a heartbeat immediately after a change. */
     private static final int ANNOUNCE_FANOUT = 3;
+    /** Lower bound of the random factor on the interval, which keeps nodes from sending at the same time. */
     private static final double MIN_JITTER_FACTOR = 0.8;
+
     private static final double JITTER_FACTOR_RANGE = 0.4;
 
     private final Plan plan;
@@ -45,7 +49,7 @@
      * @param links links to the other nodes
      * @param workerPool pool that runs the exchange
      * @param random source of the jitter and of the peer order
-     * @param clock measures when a request was sent
+     * @param clock provides the time at which a heartbeat was sent
      */
     public HeartbeatExchange(
             Plan plan,
@@ -146,7 +150,7 @@
     /**
      * What is exchanged with which nodes, and how often.
      *
-     * @param source supplies the heartbeat of this node
+     * @param source supplies the heartbeat of this node as of now
      * @param members lists the nodes to exchange with
      * @param intervalPolicy decides the time between two exchanges
      */
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatInterval.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatInterval.java
@@ -11,10 +11,15 @@
     /** Limit on the bytes per second of the heartbeats of one node, sent and received together. */
     static final int MAX_BYTES_PER_SECOND = 9_000;
 
+    /** Shortest time in which a node contacts each of its peers once. */
     private static final Duration MIN_ROUND = Duration.ofMillis(400);
+    /** Shortest time between two exchanges, for any number of peers. */
     private static final Duration MIN_INTERVAL = Duration.ofMillis(50);
+    /** Estimated size of a heartbeat without idle slots. */
     private static final int BASE_HEARTBEAT_BYTES = 80;
+    /** Estimated size of the idle slots of one service, without its name. */
     private static final int BYTES_PER_SERVICE = 12;
+    /** A heartbeat and the reply to it. */
     private static final int MESSAGES_PER_EXCHANGE = 2;
     /** The exchange that this node starts, and on average one that a peer starts. */
     private static final int EXCHANGES_PER_INTERVAL = 2;
--- a/membership/src/main/java/org/turmericspan/membership/IdleSlotsReport.java
+++ b/membership/src/main/java/org/turmericspan/membership/IdleSlotsReport.java
@@ -3,13 +3,13 @@
 import java.util.List;
 import org.turmericspan.messages.PeerMessage;
 
-/** Reports the slots that are idle at this node. */
+/** Supplies the numbers of idle slots and queued requests of this node, which its heartbeats report. */
 @FunctionalInterface
 public interface IdleSlotsReport {
     /**
-     * Reads the report.
+     * Returns the current numbers.
      *
-     * @return one entry for each service that has idle slots or queued calls
+     * @return one entry for each service of which this node owns upstreams
      */
     List<PeerMessage.IdleSlots> read();
 }
--- a/membership/src/main/java/org/turmericspan/membership/Membership.java
+++ b/membership/src/main/java/org/turmericspan/membership/Membership.java
@@ -16,7 +16,10 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.tables.WorkerPool;
 
-/** Disseminates the configuration and the list of VMs between the nodes, and makes the newest ones active. */
+/**
+ * Distributes the configuration and the view (list of VMs) between the nodes, activates the newest configuration and
+ * accepts the newest view.
+ */
 public final class Membership {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
@@ -31,7 +34,7 @@
      * Creates the membership of this node; nothing is fetched yet.
      *
      * @param identity identity of this node
-     * @param documents tables and receivers of the documents
+     * @param documents tables and receivers of the configuration and the view
      * @param peers last reported states of the other nodes
      * @param links links to the other nodes
      * @param workerPool pool that runs the fetches
@@ -50,13 +53,14 @@
         this.documents = documents;
         this.peers = peers;
         this.clock = clock;
-        this.configurationFetcher = new DocumentFetcher<>(configurationToFetch(), links, workerPool, random, clock);
-        this.viewFetcher = new DocumentFetcher<>(viewToFetch(), links, workerPool, random, clock);
+        this.configurationFetcher = new DocumentFetcher<>(configurationDocument(), links, workerPool, random, clock);
+        this.viewFetcher = new DocumentFetcher<>(viewDocument(), links, workerPool, random, clock);
     }
 
     /**
-     * Fetches documents that are newer at a peer, confirms the view if all nodes agree on it, and activates a pending
-     * configuration once the startup synchronization is complete. To be called after each heartbeat.
+     * Fetches a configuration or view that is newer at a peer, confirms the view as current if all nodes agree on it,
+     * and activates a pending configuration once the startup synchronization is complete. To be called after each
+     * heartbeat.
      */
     public void reconcile() {
         configurationFetcher.fetchIfBehind();
@@ -81,9 +85,9 @@
     }
 
     /**
-     * Returns the reply to a request for the accepted list of VMs.
+     * Returns the reply to a request for the accepted view.
      *
-     * @return the reply
+     * @return the reply, with revision 0 and no text when no view is accepted
      */
     public CompletionStage<PeerMessage> acceptedViewDocument() {
         return CompletableFuture.completedFuture(documents.viewReceiver().document());
@@ -104,7 +108,7 @@
         return documents.configurations().current();
     }
 
-    private DocumentFetcher.Document<ConfigurationVersion> configurationToFetch() {
+    private DocumentFetcher.Document<ConfigurationVersion> configurationDocument() {
         ConfigurationReceiver receiver = documents.configurationReceiver();
         return new DocumentFetcher.Document<>(
                 new PeerMessage.FetchConfiguration(),
@@ -117,7 +121,7 @@
                 this::applyConfiguration);
     }
 
-    private DocumentFetcher.Document<Long> viewToFetch() {
+    private DocumentFetcher.Document<Long> viewDocument() {
         return new DocumentFetcher.Document<>(
                 new PeerMessage.FetchView(),
                 () -> documents.views().current().revision(),
@@ -157,7 +161,7 @@
     }
 
     /**
-     * Tables and receivers of the documents.
+     * Tables and receivers of the configuration and the view.
      *
      * @param configurations table with the active configuration
      * @param configurationReceiver validates offered configurations
--- a/membership/src/main/java/org/turmericspan/membership/NodeIdentity.java
+++ b/membership/src/main/java/org/turmericspan/membership/NodeIdentity.java
@@ -5,7 +5,7 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * Identity of this node.
+ * The VM and process by which other nodes know this node.
  *
  * @param vm VM on which the node runs
  * @param availabilityZone zone of the VM
--- a/membership/src/main/java/org/turmericspan/membership/NodeLifecycle.java
+++ b/membership/src/main/java/org/turmericspan/membership/NodeLifecycle.java
@@ -5,7 +5,10 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 
-/** Lifecycle phase of this node, as reported in heartbeats and used in locate responses. Phases only move forward. */
+/**
+ * Lifecycle phase of this node, from start to stop. It is reported in heartbeats and decides whether locate responses,
+ * which tell callers the nodes to connect to, include this node. Phases only move forward.
+ */
 public final class NodeLifecycle {
     private final List<Consumer<Phase>> listeners = new CopyOnWriteArrayList<>();
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
@@ -16,7 +19,7 @@
         STARTING,
         /** The node accepts calls. */
         SERVING,
-        /** The node accepts calls until the locate responses that name it have expired. */
+        /** The node is stopping, but accepts calls until the locate responses that name it have expired. */
         LEAVING,
         /** The node accepts no new calls and finishes those in flight. */
         FINISHING
@@ -47,14 +50,14 @@
     /**
      * Returns the current phase.
      *
-     * @return the current phase
+     * @return {@link Phase#STARTING} until another one is entered
      */
     public Phase phase() {
         return phase.get();
     }
 
     /**
-     * Returns whether locate responses must omit the node.
+     * Returns whether callers must not be directed to this node.
      *
      * @return true before the node accepts connections of callers and from the start of a planned stop
      */
--- a/membership/src/main/java/org/turmericspan/membership/PeerSelection.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerSelection.java
@@ -9,8 +9,8 @@
 import org.turmericspan.ids.VmId;
 
 /**
- * Selects the nodes with which this node exchanges heartbeats: those of its own region, and those of other
- * regions, with which it exchanges documents only.
+ * Selects the nodes with which this node exchanges heartbeats: those of its own region, and those of other regions,
+ * from which it gets newer configurations and views, but borrows no slots.
  */
 public final class PeerSelection {
     private PeerSelection() {}
--- a/membership/src/main/java/org/turmericspan/membership/PeerState.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerState.java
@@ -31,7 +31,7 @@
         List<PeerMessage.IdleSlots> idleSlots,
         long lastHeardNanos,
         OptionalLong answeredRequestNanos) {
-    /** Copies the list. */
+    /** Makes an immutable copy of the list. */
     public PeerState {
         idleSlots = List.copyOf(idleSlots);
     }
--- a/membership/src/main/java/org/turmericspan/membership/PeerTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerTable.java
@@ -13,7 +13,7 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Table of the other nodes, updated by heartbeats. */
+/** Table of the other nodes and the states that they reported in their last heartbeats. */
 public final class PeerTable implements Peers {
     private final RankedLock lock = new RankedLock(LockRank.PEERS);
     private final MonotonicClock clock;
--- a/membership/src/main/java/org/turmericspan/membership/StartupSync.java
+++ b/membership/src/main/java/org/turmericspan/membership/StartupSync.java
@@ -17,14 +17,15 @@
     private StartupSync() {}
 
     /**
-     * Returns whether the synchronization is complete.
+     * Returns whether this node may activate the newest configuration that it knows.
      *
      * @param known newest version known to this node, active or pending
-     * @param knownSinceNanos monotonic time at which this node received the first valid configuration; empty before
+     * @param knownSinceNanos monotonic time at which this node received its first valid configuration; empty while it
+     *     has received none
      * @param listedPeers the other nodes of the view
      * @param peers last reported states of those nodes
      * @param nowNanos monotonic time
-     * @return true when the newest known configuration may be activated
+     * @return true when every listed node has replied without a newer version, or after the timeout
      */
     public static boolean isComplete(
             ConfigurationVersion known,
--- a/membership/src/main/java/org/turmericspan/membership/ViewParser.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewParser.java
@@ -8,7 +8,7 @@
      *
      * @param revision revision of the list
      * @param text the list as published
-     * @return the view
+     * @return the VMs of the list as a view with the given revision
      * @throws org.turmericspan.errors.BalancerException when the list is malformed
      */
     FleetView parse(long revision, String text);
--- a/membership/src/main/java/org/turmericspan/membership/ViewReceiver.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewReceiver.java
@@ -27,7 +27,7 @@
     }
 
     /**
-     * Offers a list.
+     * Validates a list and offers it to the table, which accepts it only when its revision is newer.
      *
      * @param revision revision of the list
      * @param text the list as published
--- a/membership/src/main/java/org/turmericspan/membership/ViewTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewTable.java
@@ -46,19 +46,20 @@
     }
 
     /**
-     * Records that the accepted view was current at the given time.
+     * Confirms that the accepted view was current at the given time.
      *
-     * @param atNanos monotonic time; no effect when it is earlier than the last confirmation
+     * @param newConfirmedNanos monotonic time at which the view was current; no effect when it is earlier than the last
+     *     confirmation
      */
-    public void confirm(long atNanos) {
-        lock.run(() -> confirmedNanos = Math.max(confirmedNanos, atNanos));
+    public void confirm(long newConfirmedNanos) {
+        lock.run(() -> confirmedNanos = Math.max(confirmedNanos, newConfirmedNanos));
     }
 
     /**
      * Offers a view. It is accepted only when its revision is higher than that of the accepted view; an equal revision
      * confirms the accepted view.
      *
-     * @param offered a view
+     * @param offered a view of any revision
      * @param age time since the offered view was confirmed to be current
      * @return true when it was accepted
      */
@@ -89,11 +90,11 @@
         listeners.add(listener);
     }
 
-    private boolean replace(FleetView offered, long atNanos) {
+    private boolean replace(FleetView offered, long newConfirmedNanos) {
         if (offered.revision() < current.revision()) {
             return false;
         }
-        confirmedNanos = Math.max(confirmedNanos, atNanos);
+        confirmedNanos = Math.max(confirmedNanos, newConfirmedNanos);
         if (offered.revision() == current.revision()) {
             return false;
         }
--- a/membership/src/test/java/org/turmericspan/membership/FetchSchedulerTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/FetchSchedulerTest.java
@@ -8,49 +8,49 @@
 import org.turmericspan.testkit.ManualClock;
 
 final class FetchSchedulerTest {
-    private static final VmId FIRST = new VmId("entry-01");
-    private static final VmId SECOND = new VmId("entry-02");
+    private static final VmId FIRST_PEER = new VmId("entry-01");
+    private static final VmId SECOND_PEER = new VmId("entry-02");
 
     private final ManualClock clock = new ManualClock();
     private final FetchScheduler<Long> scheduler = new FetchScheduler<>();
 
     @Test
     void theHighestVersionAboveTheCurrentOneIsFetched() {
-        assertThat(scheduler.tryStart(3L, List.of(offer(FIRST, 4), offer(SECOND, 5)), clock.nowNanos()))
-                .contains(SECOND);
+        assertThat(scheduler.tryStart(3L, List.of(offer(FIRST_PEER, 4), offer(SECOND_PEER, 5)), clock.nowNanos()))
+                .contains(SECOND_PEER);
     }
 
     @Test
     void nothingIsFetchedWhenNoPeerIsAhead() {
-        assertThat(scheduler.tryStart(5L, List.of(offer(FIRST, 4), offer(SECOND, 5)), clock.nowNanos()))
+        assertThat(scheduler.tryStart(5L, List.of(offer(FIRST_PEER, 4), offer(SECOND_PEER, 5)), clock.nowNanos()))
                 .isEmpty();
     }
 
     @Test
     void secondFetchWaitsForTheFirst() {
-        scheduler.tryStart(3L, List.of(offer(FIRST, 4)), clock.nowNanos());
+        scheduler.tryStart(3L, List.of(offer(FIRST_PEER, 4)), clock.nowNanos());
 
-        assertThat(scheduler.tryStart(3L, List.of(offer(FIRST, 4)), clock.nowNanos()))
+        assertThat(scheduler.tryStart(3L, List.of(offer(FIRST_PEER, 4)), clock.nowNanos()))
                 .isEmpty();
     }
 
     @Test
     void otherPeerIsChosenDuringBackoffOfFailingPeer() {
-        scheduler.tryStart(3L, List.of(offer(FIRST, 4), offer(SECOND, 4)), clock.nowNanos());
-        scheduler.finish(FIRST, false, clock.nowNanos());
+        scheduler.tryStart(3L, List.of(offer(FIRST_PEER, 4), offer(SECOND_PEER, 4)), clock.nowNanos());
+        scheduler.finish(FIRST_PEER, false, clock.nowNanos());
 
-        assertThat(scheduler.tryStart(3L, List.of(offer(FIRST, 4), offer(SECOND, 4)), clock.nowNanos()))
-                .contains(SECOND);
+        assertThat(scheduler.tryStart(3L, List.of(offer(FIRST_PEER, 4), offer(SECOND_PEER, 4)), clock.nowNanos()))
+                .contains(SECOND_PEER);
     }
 
     @Test
     void failingPeerIsChosenAgainAfterBackoff() {
-        scheduler.tryStart(3L, List.of(offer(FIRST, 4)), clock.nowNanos());
-        scheduler.finish(FIRST, false, clock.nowNanos());
+        scheduler.tryStart(3L, List.of(offer(FIRST_PEER, 4)), clock.nowNanos());
+        scheduler.finish(FIRST_PEER, false, clock.nowNanos());
         clock.advance(FetchScheduler.FAILURE_BACKOFF);
 
-        assertThat(scheduler.tryStart(3L, List.of(offer(FIRST, 4)), clock.nowNanos()))
-                .contains(FIRST);
+        assertThat(scheduler.tryStart(3L, List.of(offer(FIRST_PEER, 4)), clock.nowNanos()))
+                .contains(FIRST_PEER);
     }
 
     private static FetchScheduler.Offer<Long> offer(VmId peer, long version) {
--- a/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
@@ -14,9 +14,9 @@
 
 /** Tests the peer table, the view agreement and the startup synchronization, which read it. */
 final class PeerTableTest {
-    private static final VmId FIRST = new VmId("entry-01");
-    private static final VmId SECOND = new VmId("entry-02");
-    private static final List<VmId> LISTED = List.of(FIRST, SECOND);
+    private static final VmId FIRST_PEER = new VmId("entry-01");
+    private static final VmId SECOND_PEER = new VmId("entry-02");
+    private static final List<VmId> LISTED = List.of(FIRST_PEER, SECOND_PEER);
     private static final ConfigurationVersion KNOWN = new ConfigurationVersion(4, "a");
 
     private final ManualClock clock = new ManualClock();
@@ -24,56 +24,56 @@
 
     @Test
     void nodeIsFoundByCurrentIncarnationOnly() {
-        table.recordHeartbeat(FIRST, heartbeat(7, 4, 1));
-        table.recordHeartbeat(FIRST, heartbeat(8, 4, 1));
+        table.recordHeartbeat(FIRST_PEER, heartbeat(7, 4, 1));
+        table.recordHeartbeat(FIRST_PEER, heartbeat(8, 4, 1));
 
-        assertThat(table.findByIncarnation(new Incarnation(8))).contains(FIRST);
+        assertThat(table.findByIncarnation(new Incarnation(8))).contains(FIRST_PEER);
         assertThat(table.findByIncarnation(new Incarnation(7))).isEmpty();
     }
 
     @Test
     void viewIsAgreedSinceEarliestReply() {
-        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
-        table.recordReply(SECOND, heartbeat(2, 4, 5), 200);
+        table.recordReply(FIRST_PEER, heartbeat(1, 4, 5), 100);
+        table.recordReply(SECOND_PEER, heartbeat(2, 4, 5), 200);
 
         assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEqualTo(OptionalLong.of(100));
     }
 
     @Test
     void viewIsNotAgreedWhileOneNodeHoldsAnotherRevision() {
-        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
-        table.recordReply(SECOND, heartbeat(2, 4, 6), 200);
+        table.recordReply(FIRST_PEER, heartbeat(1, 4, 5), 100);
+        table.recordReply(SECOND_PEER, heartbeat(2, 4, 6), 200);
 
         assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEmpty();
     }
 
     @Test
     void unsolicitedHeartbeatDoesNotCountAsAgreement() {
-        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
-        table.recordHeartbeat(SECOND, heartbeat(2, 4, 5));
+        table.recordReply(FIRST_PEER, heartbeat(1, 4, 5), 100);
+        table.recordHeartbeat(SECOND_PEER, heartbeat(2, 4, 5));
 
         assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEmpty();
     }
 
     @Test
     void syncWaitsForNodeThatHasNotReplied() {
-        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
+        table.recordReply(FIRST_PEER, heartbeat(1, 4, 5), 100);
 
         assertThat(isSyncComplete(OptionalLong.of(clock.nowNanos()))).isFalse();
     }
 
     @Test
     void syncWaitsForNewerVersionOfPeer() {
-        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
-        table.recordReply(SECOND, heartbeat(2, 5, 5), 100);
+        table.recordReply(FIRST_PEER, heartbeat(1, 4, 5), 100);
+        table.recordReply(SECOND_PEER, heartbeat(2, 5, 5), 100);
 
         assertThat(isSyncComplete(OptionalLong.of(clock.nowNanos()))).isFalse();
     }
 
     @Test
     void syncCompletesWhenAllHaveRepliedAndNoneIsNewer() {
-        table.recordReply(FIRST, heartbeat(1, 4, 5), 100);
-        table.recordReply(SECOND, heartbeat(2, 0, 5), 100);
+        table.recordReply(FIRST_PEER, heartbeat(1, 4, 5), 100);
+        table.recordReply(SECOND_PEER, heartbeat(2, 0, 5), 100);
 
         assertThat(isSyncComplete(OptionalLong.of(clock.nowNanos()))).isTrue();
     }
