Tell gossip's failure timeouts and flag bits apart by name

Cause: the failure timeout of "a small own zone" did not say how small, the bits of two flag fields shared names without a prefix, and lambda parameters and times were called one, update and atNanos.

Change: the timeout names the fan-out that it depends on. Renamed: READY, LEAVING, READS_STORE -> MEMBER_*, HEALTHY, REACHABLE -> REPORT_*, HOSTS -> HOSTS_BY_PACKED_ADDRESS, atNanos -> observedNanos, target -> recipient, nextSameZone and nextOther -> *Index, decodeOrReject -> assertDecodedOrRejected, rowsAreBoundedAndRotate -> selectionIsBoundedAndCoversAllNodesInTurn. Components of Member stay, since /state prints them.

--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -15,18 +15,18 @@
  * zone and of the fleet.
  */
 public final class Gossip {
-    /** Nodes of the own zone that receive a message in each round; in a small zone, all of them. */
+    /** Maximum number of nodes of the own zone to which a message is sent in each round. */
     static final int SAME_ZONE_FANOUT = 5;
 
     /** Interval between rounds; a node is considered failed only after several missed rounds. */
     private static final long ROUND_MILLIS = 200;
-    /** Other nodes described in a message; a larger fleet is covered by successive messages. */
+    /** Maximum number of other nodes described in a message; a larger fleet is covered by successive messages. */
     private static final int MAX_OTHER_MEMBERS = 20;
-    /** Age up to which this node's own observations are sent within the zone. */
+    /** Age up to which the upstream states that this node observed itself are sent within the zone. */
     private static final long MAX_OWN_REPORT_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** Rounds between messages to the seeds, which reconnect parts of the fleet after a network partition. */
     private static final int ROUNDS_BETWEEN_SEED_MESSAGES = 6;
-    /** Maximum number of crashes in a message. */
+    /** Maximum number of suspected crashes reported in one message. */
     private static final int MAX_CRASHES = 20;
 
     private final MemberTable members;
@@ -37,17 +37,17 @@
     private final RandomGenerator random;
     private GossipTransport transport;
     private long round;
-    private int nextSameZone;
+    private int nextSameZoneIndex;
 
     /**
-     * Creates a gossip that is not started yet.
+     * Creates the gossip of this node, which sends nothing until it is started.
      *
      * @param members nodes known to this node
      * @param upstreams upstream states to send and to update
      * @param suspects requests suspected of crashing upstreams
      * @param seeds addresses through which to join the fleet, possibly outdated
      * @param worker executor that runs the rounds
-     * @param random source of the choice among the nodes of other zones
+     * @param random chooses among the nodes of other zones
      */
     public Gossip(
             MemberTable members,
@@ -65,7 +65,7 @@
     }
 
     /**
-     * Starts the rounds.
+     * Starts to send messages, one round after another.
      *
      * @param gossipTransport transport that sends the messages
      */
@@ -87,9 +87,9 @@
             for (int i = 0; i < Math.min(SAME_ZONE_FANOUT, sameZone.size()); i++) {
                 transport.send(
                         message,
-                        sameZone.get((nextSameZone + i) % sameZone.size()).address());
+                        sameZone.get((nextSameZoneIndex + i) % sameZone.size()).address());
             }
-            nextSameZone = (nextSameZone + SAME_ZONE_FANOUT) % sameZone.size();
+            nextSameZoneIndex = (nextSameZoneIndex + SAME_ZONE_FANOUT) % sameZone.size();
         }
         if (!otherZone.isEmpty()) {
             transport.send(
@@ -114,7 +114,7 @@
         }
     }
 
-    /** Sends this node's state to all nodes immediately. To be called when that state has changed. */
+    /** Sends this node's state to all alive nodes now instead of in the next rounds, for use when it has changed. */
     public void broadcast() {
         worker.execute(() -> {
             GossipMessage message = new GossipMessage(members.selectForGossip(MAX_OTHER_MEMBERS), List.of(), List.of());
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -21,18 +21,20 @@
  */
 final class GossipCodec {
     private static final int FORMAT_VERSION = 1;
-    private static final int READY = 1;
-    private static final int LEAVING = 2;
-    private static final int READS_STORE = 4;
-    private static final int HEALTHY = 1;
-    private static final int REACHABLE = 2;
+    private static final int MEMBER_READY = 1;
+    private static final int MEMBER_LEAVING = 2;
+    private static final int MEMBER_READS_STORE = 4;
+    private static final int REPORT_HEALTHY = 1;
+    private static final int REPORT_REACHABLE = 2;
+    /** Maximum length of a list in a message, and maximum size of the cache of hosts. */
     private static final int MAX_ENTRIES = 4_096;
+
     private static final int OCTETS_PER_ADDRESS = 4;
     private static final int BITS_PER_OCTET = 8;
     private static final int OCTET_MASK = 0xff;
     private static final int DECIMAL_BASE = 10;
     /** Cache of decoded hosts by packed IPv4 address, since every message repeats them; bounded in size. */
-    private static final Map<Integer, String> HOSTS = new ConcurrentHashMap<>();
+    private static final Map<Integer, String> HOSTS_BY_PACKED_ADDRESS = new ConcurrentHashMap<>();
 
     private GossipCodec() {}
 
@@ -74,7 +76,9 @@
     }
 
     private static int flags(Member member) {
-        return (member.ready() ? READY : 0) | (member.leaving() ? LEAVING : 0) | (member.reading() ? READS_STORE : 0);
+        return (member.ready() ? MEMBER_READY : 0)
+                | (member.leaving() ? MEMBER_LEAVING : 0)
+                | (member.reading() ? MEMBER_READS_STORE : 0);
     }
 
     private static void writeReports(List<PeerReport> reports, CodedOutputStream output, long nowNanos)
@@ -88,7 +92,8 @@
             output.writeUInt32NoTag(observation.waiting());
             output.writeUInt32NoTag(observation.slowdownPercent());
             output.writeUInt64NoTag(TimeUnit.NANOSECONDS.toMillis(observation.coldRemainingNanos()));
-            output.writeUInt32NoTag((observation.healthy() ? HEALTHY : 0) | (observation.reachable() ? REACHABLE : 0));
+            output.writeUInt32NoTag(
+                    (observation.healthy() ? REPORT_HEALTHY : 0) | (observation.reachable() ? REPORT_REACHABLE : 0));
             output.writeUInt32NoTag(report.inFlight());
             output.writeUInt32NoTag(report.failurePercent());
         }
@@ -134,9 +139,9 @@
                     callerAddress,
                     zone,
                     incarnation,
-                    (flags & READY) != 0,
-                    (flags & LEAVING) != 0,
-                    (flags & READS_STORE) != 0,
+                    (flags & MEMBER_READY) != 0,
+                    (flags & MEMBER_LEAVING) != 0,
+                    (flags & MEMBER_READS_STORE) != 0,
                     heardNanos));
         }
         if (members.isEmpty()) {
@@ -150,20 +155,20 @@
         int count = readCount(input);
         for (int i = 0; i < count; i++) {
             long upstreamHash = input.readFixed64();
-            long atNanos = timeNanos(input.readUInt64(), nowNanos);
+            long observedNanos = timeNanos(input.readUInt64(), nowNanos);
             int running = input.readUInt32();
             int waiting = input.readUInt32();
             int slowdownPercent = input.readUInt32();
             long coldRemainingNanos = TimeUnit.MILLISECONDS.toNanos(input.readUInt64());
             int flags = input.readUInt32();
             Observation observation = new Observation(
-                    atNanos,
+                    observedNanos,
                     running,
                     waiting,
                     slowdownPercent,
                     coldRemainingNanos,
-                    (flags & HEALTHY) != 0,
-                    (flags & REACHABLE) != 0);
+                    (flags & REPORT_HEALTHY) != 0,
+                    (flags & REPORT_REACHABLE) != 0);
             reports.add(new PeerReport(upstreamHash, observation, input.readUInt32(), input.readUInt32()));
         }
         return reports;
@@ -177,9 +182,9 @@
         return count;
     }
 
-    /** Returns an age in milliseconds, rounded up so that state does not look newer when it is relayed. */
-    private static long ageMillis(long atNanos, long nowNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - atNanos)) + 1;
+    /** Returns the age of a past time in milliseconds, rounded up so that relayed state does not look newer. */
+    private static long ageMillis(long pastNanos, long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - pastNanos)) + 1;
     }
 
     private static long timeNanos(long ageMillis, long nowNanos) {
@@ -208,11 +213,11 @@
 
     private static SocketAddress readAddress(CodedInputStream input) throws IOException {
         int packed = input.readFixed32();
-        String host = HOSTS.get(packed);
+        String host = HOSTS_BY_PACKED_ADDRESS.get(packed);
         if (host == null) {
             host = unpack(packed);
-            if (HOSTS.size() < MAX_ENTRIES) {
-                HOSTS.put(packed, host);
+            if (HOSTS_BY_PACKED_ADDRESS.size() < MAX_ENTRIES) {
+                HOSTS_BY_PACKED_ADDRESS.put(packed, host);
             }
         }
         return new SocketAddress(host, input.readUInt32());
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipTransport.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipTransport.java
@@ -29,7 +29,7 @@
     /**
      * Binds the address and starts to receive messages.
      *
-     * @param workers event loops that run the channel
+     * @param workers event loops on which messages are sent and received
      * @param address address to bind
      * @param receiver called with the address of the sender and the received message
      * @param clock monotonic clock
@@ -53,14 +53,14 @@
     }
 
     /**
-     * Sends a message.
+     * Sends a message once, without confirmation that it arrives.
      *
      * @param message the message
-     * @param target address of the receiving node
+     * @param recipient address of the receiving node
      */
-    public void send(GossipMessage message, SocketAddress target) {
+    public void send(GossipMessage message, SocketAddress recipient) {
         ByteBuf bytes = Unpooled.wrappedBuffer(GossipCodec.encode(message, clock.nowNanos()));
-        channel.writeAndFlush(new DatagramPacket(bytes, new InetSocketAddress(target.host(), target.port())));
+        channel.writeAndFlush(new DatagramPacket(bytes, new InetSocketAddress(recipient.host(), recipient.port())));
     }
 
     @Override
--- a/gossip/src/main/java/org/turmericspan/gossip/Member.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Member.java
@@ -4,7 +4,7 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * Known state of a node.
+ * State of a node as this node knows it, from the newest gossip message.
  *
  * @param address address at which the node receives gossip messages, which also identifies its VM
  * @param callerAddress address at which callers connect
@@ -12,7 +12,8 @@
  * @param incarnation number drawn at random when the process starts
  * @param ready whether the node can serve calls
  * @param leaving whether the node is stopping; never reset within an incarnation
- * @param reading whether the node is connected to the platform's store, so that other nodes can read from it
+ * @param reading whether the node is connected to the platform's store, so that other nodes can read the store's items
+ *     from it
  * @param heardNanos time, on the monotonic clock of this node, at which any node last received a message from it
  */
 public record Member(
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -25,28 +25,33 @@
  * any node within the failure timeout.
  */
 public final class MemberTable {
-    /** Failure timeout for nodes of a small own zone; spans several gossip rounds to tolerate lost messages. */
+    /**
+     * Failure timeout for nodes that send to this node in every round: those of its own zone, if it has at most
+     * {@link Gossip#SAME_ZONE_FANOUT} others. Spans several gossip rounds to tolerate lost messages.
+     */
     private static final long DIRECT_FAILURE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
-    /** Failure timeout for nodes of a large own zone or of another zone, whose state arrives later and indirectly. */
+    /** Failure timeout for all other nodes, whose state arrives later, mostly relayed by other nodes. */
     private static final long INDIRECT_FAILURE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
     /** Time after the last message at which a node is removed and no longer counted in the fleet size. */
     private static final long DEAD_MEMBER_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private static final String PART = "members";
-    private static final Comparator<Member> BY_ADDRESS = (one, other) -> {
-        int byHost = one.address().host().compareTo(other.address().host());
+    private static final Comparator<Member> BY_ADDRESS = (first, second) -> {
+        int byHost = first.address().host().compareTo(second.address().host());
         return byHost != 0
                 ? byHost
-                : Integer.compare(one.address().port(), other.address().port());
+                : Integer.compare(first.address().port(), second.address().port());
     };
 
     private final RankedLock lock = new RankedLock(LockRank.PEERS);
     private final Map<SocketAddress, Member> members = new HashMap<>();
     private final MonotonicClock clock;
     private final EventLog log;
-    private int nextOther;
+    private int nextOtherIndex;
     private volatile Member self;
+    /** Number of other nodes of this node's zone that have not failed by the longer timeout. */
     private volatile int zoneSize;
+
     private volatile boolean ownershipEnabled;
     private volatile Snapshot snapshot;
 
@@ -115,34 +120,34 @@
         return isNewSender;
     }
 
-    private void merge(Member update, List<Event> events) {
-        if (update.address().equals(self.address())) {
+    private void merge(Member received, List<Event> events) {
+        if (received.address().equals(self.address())) {
             return;
         }
-        Member previous = members.get(update.address());
-        if (previous == null || previous.incarnation() != update.incarnation()) {
-            if (previous == null || update.heardNanos() - previous.heardNanos() > 0) {
-                members.put(update.address(), update);
-                events.add(event("Node joined.", update));
+        Member previous = members.get(received.address());
+        if (previous == null || previous.incarnation() != received.incarnation()) {
+            if (previous == null || received.heardNanos() - previous.heardNanos() > 0) {
+                members.put(received.address(), received);
+                events.add(event("Node joined.", received));
             }
-        } else if (update.heardNanos() - previous.heardNanos() > 0) {
-            boolean leaving = previous.leaving() || update.leaving();
-            if (update.ready() != previous.ready()) {
-                events.add(event(update.ready() ? "Node is ready." : "Node is not ready.", update));
+        } else if (received.heardNanos() - previous.heardNanos() > 0) {
+            boolean leaving = previous.leaving() || received.leaving();
+            if (received.ready() != previous.ready()) {
+                events.add(event(received.ready() ? "Node is ready." : "Node is not ready.", received));
             }
             members.put(
-                    update.address(),
+                    received.address(),
                     new Member(
-                            update.address(),
-                            update.callerAddress(),
-                            update.availabilityZone(),
-                            update.incarnation(),
-                            update.ready(),
+                            received.address(),
+                            received.callerAddress(),
+                            received.availabilityZone(),
+                            received.incarnation(),
+                            received.ready(),
                             leaving,
-                            update.reading(),
-                            update.heardNanos()));
+                            received.reading(),
+                            received.heardNanos()));
             if (leaving && !previous.leaving()) {
-                events.add(event("Node is leaving.", update));
+                events.add(event("Node is leaving.", received));
             }
         }
     }
@@ -154,7 +159,7 @@
                 .with("ageMs", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - member.heardNanos()));
     }
 
-    /** Detects failed nodes. To be called several times per second. */
+    /** Updates the list of alive nodes and logs those that have failed. To be called several times per second. */
     public void detectFailures() {
         List<Event> events = new ArrayList<>();
         long nowNanos = clock.nowNanos();
@@ -211,9 +216,9 @@
                     members.values().stream().filter(this::isAlive).toList();
             int count = Math.min(maxOthers, others.size());
             for (int i = 0; i < count; i++) {
-                selected.add(others.get((nextOther + i) % others.size()));
+                selected.add(others.get((nextOtherIndex + i) % others.size()));
             }
-            nextOther = others.isEmpty() ? 0 : (nextOther + count) % others.size();
+            nextOtherIndex = others.isEmpty() ? 0 : (nextOtherIndex + count) % others.size();
         });
         return selected;
     }
@@ -286,8 +291,8 @@
         }
 
         private static Comparator<Member> byRendezvousHash(String prefix) {
-            return (one, other) ->
-                    Long.compare(StableHash.of(prefix + one.address()), StableHash.of(prefix + other.address()));
+            return (first, second) ->
+                    Long.compare(StableHash.of(prefix + first.address()), StableHash.of(prefix + second.address()));
         }
 
         private Optional<SocketAddress> chooseOwner(String id, AvailabilityZoneId zone) {
--- a/gossip/src/test/java/org/turmericspan/gossip/GossipCodecTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/GossipCodecTest.java
@@ -62,11 +62,11 @@
         for (int i = 0; i < 2_000; i++) {
             byte[] corrupted = bytes.clone();
             corrupted[random.nextInt(corrupted.length)] = (byte) random.nextInt();
-            decodeOrReject(corrupted);
+            assertDecodedOrRejected(corrupted);
         }
     }
 
-    private static void decodeOrReject(byte[] corrupted) {
+    private static void assertDecodedOrRejected(byte[] corrupted) {
         try {
             assertThat(GossipCodec.decode(corrupted, NOW_NANOS).members()).isNotEmpty();
         } catch (IOException e) {
--- a/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
@@ -131,7 +131,7 @@
     }
 
     @Test
-    void rowsAreBoundedAndRotate() {
+    void selectionIsBoundedAndCoversAllNodesInTurn() {
         joinMany(REMOTE_ZONE, 30);
         Set<String> selectedHosts = new HashSet<>();
         for (int call = 0; call < 3; call++) {
