Call feed's replica and addresses by what they are

Cause: an address was called store, a set of zones evacuated, and comments referred to bounds that are not stated.

Change: one word for the replica of the store; the constants state their bounds; onChange says that it is called after each successful read, also without changes, as the code does. Renamed: store -> storeAddress, evacuated -> evacuatedZones, retryLater -> retryAfterFailure (it retries at once after the failure of a store reader).

--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -21,13 +21,13 @@
 
 /** Follows the store: lists all items once, then watches for changes, and lists again after a compaction. */
 public final class StoreFeed {
-    /** Delay after a watch that returned events, to batch further ones; well below the required two seconds. */
+    /** Delay after a watch that returned events, to read further ones in a batch; a change must be read within 2 s. */
     private static final long BATCH_DELAY_MILLIS = 500;
-    /** Longest wait of a watch of the store; short enough to detect a dead connection within the required bounds. */
+    /** Longest wait of a watch of the store; bounds the time until a dead connection is detected. */
     private static final long STORE_WATCH_MILLIS = 900;
     /** Longest wait of a watch of another node; shorter, since a failed node is quickly replaced by another source. */
     private static final long RELAY_WATCH_MILLIS = 400;
-    /** Age of the last response of the store up to which this node may serve other nodes. */
+    /** Age of the last response of the store up to which this node counts as connected to it. */
     private static final long STORE_CONTACT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
     /** Backoff after the first failure; doubled after each further one. */
     private static final long INITIAL_BACKOFF_MILLIS = 100;
@@ -42,14 +42,14 @@
 
     private final StoreReader reader;
     private final StoreItemDecoder decoder;
-    private final SocketAddress store;
+    private final SocketAddress storeAddress;
     private final StoreSourceSelector sourceSelector;
     private final FleetListener fleetListener;
     private final ScheduledExecutorService worker;
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final EventLog log;
-    private final Set<AvailabilityZoneId> evacuated = new HashSet<>();
+    private final Set<AvailabilityZoneId> evacuatedZones = new HashSet<>();
     private final Set<UpstreamId> pendingRemovals = new HashSet<>();
     private final Map<UpstreamId, Registration> registrations = new HashMap<>();
     private final StoreMirror mirror = new StoreMirror();
@@ -68,18 +68,18 @@
     /**
      * Creates a feed that is not started yet.
      *
-     * @param store address of the store
+     * @param storeAddress address of the store
      * @param sourceSelector chooses between the store and the nodes that read it
      * @param reader reads from the chosen source
      * @param decoder decodes the items
-     * @param listener receives the updates, on the worker
+     * @param listener receives the changes of the fleet, on the worker
      * @param worker executor that runs the feed
      * @param clock monotonic clock
      * @param random source of the backoff jitter
      * @param log log for lost and restored contact and for malformed items
      */
     public StoreFeed(
-            SocketAddress store,
+            SocketAddress storeAddress,
             StoreSourceSelector sourceSelector,
             StoreReader reader,
             StoreItemDecoder decoder,
@@ -90,7 +90,7 @@
             EventLog log) {
         this.reader = reader;
         this.decoder = decoder;
-        this.store = store;
+        this.storeAddress = storeAddress;
         this.sourceSelector = sourceSelector;
         this.fleetListener = listener;
         this.worker = worker;
@@ -100,7 +100,7 @@
         this.graceUntilNanos = clock.nowNanos();
     }
 
-    /** Starts to follow the store. */
+    /** Starts to list all items and then to watch for changes. */
     public void start() {
         lastResponseNanos = clock.nowNanos();
         worker.execute(this::listAll);
@@ -116,9 +116,9 @@
     }
 
     /**
-     * Returns the number of reads sent to the store so far.
+     * Returns the number of reads that this node has sent to the store itself.
      *
-     * @return number of reads, without those from other nodes
+     * @return number of reads, without those sent to other nodes
      */
     public long calls() {
         return calls;
@@ -134,7 +134,7 @@
     }
 
     /**
-     * Sets the listener to notify after changes were read.
+     * Sets the listener to notify after each successful list or watch, with or without changes.
      *
      * @param listener called on the worker
      */
@@ -143,9 +143,9 @@
     }
 
     /**
-     * Returns the replica of the store, for nodes that read from this one.
+     * Returns the local replica of the store, from which other nodes read.
      *
-     * @return the replica
+     * @return the replica, empty before all items were listed
      */
     public StoreMirror mirror() {
         return mirror;
@@ -157,7 +157,7 @@
 
     private SocketAddress chooseSource() {
         SocketAddress source = sourceSelector.select();
-        if (source.equals(store)) {
+        if (source.equals(storeAddress)) {
             calls++;
         }
         return source;
@@ -167,7 +167,7 @@
         SocketAddress source = chooseSource();
         reader.range(source, after, result -> {
             if (!(result instanceof StoreReadResult.Page read)) {
-                retryLater(source, result, this::listAll);
+                retryAfterFailure(source, result, this::listAll);
                 return;
             }
             recordResponse(source);
@@ -187,11 +187,11 @@
         mirror.clear(watchRevision);
         Set<UpstreamId> missing = new HashSet<>(registrations.keySet());
         registrations.clear();
-        Set<AvailabilityZoneId> previousZones = Set.copyOf(evacuated);
-        evacuated.clear();
+        Set<AvailabilityZoneId> previousZones = Set.copyOf(evacuatedZones);
+        evacuatedZones.clear();
         items.forEach(this::apply);
-        if (!previousZones.equals(evacuated)) {
-            fleetListener.onEvacuation(Set.copyOf(evacuated));
+        if (!previousZones.equals(evacuatedZones)) {
+            fleetListener.onEvacuation(Set.copyOf(evacuatedZones));
         }
         missing.removeAll(registrations.keySet());
         missing.forEach(this::removeAfterGracePeriod);
@@ -202,7 +202,7 @@
 
     private void watch() {
         SocketAddress source = chooseSource();
-        boolean isStore = source.equals(store);
+        boolean isStore = source.equals(storeAddress);
         reader.watch(source, revision, isStore ? STORE_WATCH_MILLIS : RELAY_WATCH_MILLIS, result -> {
             if (result instanceof StoreReadResult.Page read) {
                 recordResponse(source);
@@ -215,7 +215,7 @@
                         Event.notice(PART, "Revision compacted, listing again.").with("revision", revision));
                 listAll();
             } else {
-                retryLater(source, result, this::watch);
+                retryAfterFailure(source, result, this::watch);
             }
         });
     }
@@ -228,7 +228,7 @@
 
     private void recordResponse(SocketAddress source) {
         long nowNanos = clock.nowNanos();
-        if (source.equals(store)) {
+        if (source.equals(storeAddress)) {
             hasReachedStore = true;
             lastStoreResponseNanos = nowNanos;
         }
@@ -244,9 +244,9 @@
         backoffMillis = INITIAL_BACKOFF_MILLIS;
     }
 
-    private void retryLater(SocketAddress source, StoreReadResult result, Runnable retry) {
+    private void retryAfterFailure(SocketAddress source, StoreReadResult result, Runnable retry) {
         sourceSelector.reportFailure(source);
-        if (!source.equals(store)) {
+        if (!source.equals(storeAddress)) {
             log.write(Event.notice(PART, "Read from store reader failed, choosing another source.")
                     .with("reader", source)
                     .with("reason", result));
@@ -293,10 +293,11 @@
     }
 
     private void evacuate(StoreUpdate.Evacuation evacuation) {
-        boolean hasChanged =
-                evacuation.isEvacuated() ? evacuated.add(evacuation.zone()) : evacuated.remove(evacuation.zone());
+        boolean hasChanged = evacuation.isEvacuated()
+                ? evacuatedZones.add(evacuation.zone())
+                : evacuatedZones.remove(evacuation.zone());
         if (hasChanged) {
-            fleetListener.onEvacuation(Set.copyOf(evacuated));
+            fleetListener.onEvacuation(Set.copyOf(evacuatedZones));
         }
     }
 
--- a/feed/src/main/java/org/turmericspan/feed/StoreItemDecoder.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreItemDecoder.java
@@ -10,7 +10,7 @@
      *
      * @param item the item, or its removal
      * @param nowNanos current monotonic time, to which the durations in the item are relative
-     * @return the update
+     * @return the update, {@link StoreUpdate.Ignored} for an item that the load balancer does not use
      * @throws IOException when the item is malformed; the caller then ignores it
      */
     StoreUpdate decode(StoreItem item, long nowNanos) throws IOException;
--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -10,13 +10,14 @@
 /** Local replica of the store: the newest state of each item that was read, including removed items. */
 public final class StoreMirror {
     private static final Comparator<StoreItem> BY_REVISION =
-            (one, other) -> Long.compare(one.revision(), other.revision());
+            (first, second) -> Long.compare(first.revision(), second.revision());
     /** Maximum number of removals retained for lagging readers; exceeds the changes of a fleet during one watch. */
     private static final int MAX_REMOVALS = 1_000;
 
     private final RankedLock lock = new RankedLock(LockRank.VIEW);
     private final Map<String, StoreItem> items = new HashMap<>();
     private long revision;
+    /** Oldest revision after which every change is still known. */
     private long oldestRevision;
 
     /** Stores an item. Its revision is kept when nothing relevant has changed, so that readers do not get it again. */
@@ -36,6 +37,7 @@
         });
     }
 
+    /** Raises the revision of the replica after a read, and drops the oldest removals beyond the maximum. */
     void advance(long newRevision) {
         lock.run(() -> {
             revision = Math.max(revision, newRevision);
@@ -57,7 +59,7 @@
     /**
      * Returns the newest revision that was read.
      *
-     * @return the revision
+     * @return revision of the store, 0 before the first read
      */
     public long revision() {
         return lock.compute(() -> revision);
--- a/feed/src/main/java/org/turmericspan/feed/StoreReadResult.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReadResult.java
@@ -18,7 +18,8 @@
      * @param status HTTP status of the response
      */
     record HttpError(int status) implements StoreReadResult {
-        // Explicit, since the generated toString() is linked at run time, which slows down a start without the store.
+        // Explicit, since the toString() generated for a record uses invokedynamic, whose linkage at the first call
+        // delays a start without the store.
         @Override
         public String toString() {
             return "status " + status;
--- a/feed/src/main/java/org/turmericspan/feed/StoreUpdate.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreUpdate.java
@@ -10,14 +10,14 @@
     /**
      * Operators published a configuration.
      *
-     * @param configuration the configuration
+     * @param configuration the published routing configuration
      */
     record Configuration(RoutingConfiguration configuration) implements StoreUpdate {}
 
     /**
      * Operators evacuated an availability zone, or ended its evacuation.
      *
-     * @param zone the zone
+     * @param zone the availability zone
      * @param isEvacuated whether its upstreams must not get any requests
      */
     record Evacuation(AvailabilityZoneId zone, boolean isEvacuated) implements StoreUpdate {}
