Explain admission without opening another file

Cause: an outside reader could not tell what the queue's "priority" is (balancing uses the word for a class of requests), which entry "last" returns, nor that the number of requests ahead is an estimate that is high rather than low; the comment of DeadlineAdmission called the wait optimistic, which that estimate contradicts. It now says what the wait counts.

Change, old -> new: byPriority, priorityNanos -> byAdjustedAge, adjustedEnqueuedNanos; FlowQueue.last -> evictionCandidate; outranks -> mayEvictWithinOffice; aheadOf, countAhead -> estimateAhead; known -> hasSample; tests: LIMIT -> MAX_REQUESTS, waiting -> pending, drain -> pollAll, two test names. The rule of eviction, FlowQueue.round and the two uses of MIN_RETRY_AFTER are written down; "request" is said to be the slot request.

--- a/admission/src/main/java/org/turmericspan/admission/CallerQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/CallerQueue.java
@@ -5,12 +5,13 @@
 import java.util.function.Predicate;
 
 /**
- * Flow queue of one caller: its slot requests in the order of their priority.
+ * Flow queue of one caller: its slot requests by age, the oldest first. A request deep in a chain of calls counts as
+ * older than it is.
  *
  * @param <W> type of the attachment that is kept with each request
  */
 final class CallerQueue<W> extends FlowQueue<W> {
-    private final TreeSet<QueueEntry<W>> entries = new TreeSet<>(QueueEntry.byPriority());
+    private final TreeSet<QueueEntry<W>> entries = new TreeSet<>(QueueEntry.byAdjustedAge());
 
     CallerQueue(long sequence, long round) {
         super(sequence, round);
@@ -27,7 +28,7 @@
     }
 
     @Override
-    QueueEntry<W> last() {
+    QueueEntry<W> evictionCandidate() {
         return entries.last();
     }
 
--- a/admission/src/main/java/org/turmericspan/admission/DeadlineAdmission.java
+++ b/admission/src/main/java/org/turmericspan/admission/DeadlineAdmission.java
@@ -6,10 +6,12 @@
 import org.turmericspan.errors.ResultCode;
 
 /**
- * Deadline admission control: denies at once a slot request that would miss its deadline in the queue. The estimate of
- * the wait is optimistic, so that a request that might still be served in time is not denied.
+ * Deadline admission control: denies at once a slot request that is expected to miss its deadline in the queue. The
+ * expected wait is the time in which the slots serve the requests ahead, each for the mean hold time. Requests that may
+ * arrive later and be served earlier are not counted, so as not to deny a request that might still be served in time.
  */
 public final class DeadlineAdmission {
+    /** Shortest retry time of a denial; also the hold time that is assumed while the mean is unknown. */
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(10);
 
     private DeadlineAdmission() {}
@@ -19,8 +21,8 @@
      *
      * @param deadlineNanos monotonic time after which the slot is of no use
      * @param nowNanos current monotonic time
-     * @param requestsAhead number of requests that would be served before this one
-     * @param slots number of slots that serve the queue; 0 when none is expected
+     * @param requestsAhead number of queued requests that are expected to be served before this one
+     * @param slots number of slots that are granted to requests of the queue; 0 when none is expected
      * @param meanHoldTime mean time for which a request holds a slot, or empty when it is unknown
      * @return the denial, or empty when the request may wait
      */
@@ -45,9 +47,9 @@
      * Builds the denial of a request for which the queue has no capacity.
      *
      * @param queueSize number of queued requests
-     * @param slots number of slots that serve the queue
+     * @param slots number of slots that are granted to requests of the queue; 0 counts as 1
      * @param meanHoldTime mean time for which a request holds a slot, or empty when it is unknown
-     * @return the denial, to be retried after the time in which the queue is expected to drain
+     * @return the denial, to be retried after the time in which the queued requests are expected to be served
      */
     public static SlotDecision.Denied queueFull(int queueSize, int slots, Optional<Duration> meanHoldTime) {
         return denied(
--- a/admission/src/main/java/org/turmericspan/admission/FairQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/FairQueue.java
@@ -12,10 +12,11 @@
 import org.turmericspan.ids.OfficeId;
 
 /**
- * Bounded fair queue of the slot requests of one service. Offices are served round robin, and so are the callers
+ * Bounded fair queue of the slot requests of one service, by each of which an attempt waits for a slot of an upstream.
+ * "Request" means slot request throughout this package. Offices are served round robin, and so are the callers
  * within an office. Within one round the older request is served first, and a request deep in a chain of calls counts
- * as older. Every operation takes logarithmic time, except for the requests that {@link #poll} passes over. The class
- * is not thread-safe: its users guard it by a lock.
+ * as older than it is. Adding or removing a request takes logarithmic time; {@link #poll} also visits each request that
+ * it passes over. The class is not thread-safe: its users guard it by a lock.
  *
  * @param <W> type of the attachment that is kept with each request
  */
@@ -36,11 +37,12 @@
     }
 
     /**
-     * Queues a request. When the queue is full, the last request of the largest flow queue is evicted for a request of
-     * a smaller flow, or for one of the same office with a greater call depth.
+     * Queues a request. When the queue is full, the last request in service order of the largest caller in the largest
+     * office may be evicted: for a request of an office with at least two requests fewer, and within the office for a
+     * request of a caller with at least two requests fewer or for one that is deeper in its chain of calls.
      *
      * @param request request to queue
-     * @param attachment object that is kept with the request
+     * @param attachment object that {@link QueueEntry#attachment} returns
      * @param nowNanos current monotonic time
      * @return the entry of the request and the evicted entry, if any; or that the queue is full
      */
@@ -62,7 +64,8 @@
     }
 
     /**
-     * Removes the next request to serve.
+     * Removes the next request that can be served. The removal counts as service of its office and caller in the
+     * current round.
      *
      * @param accepts tests whether a request can be served now; requests that cannot are passed over and keep their
      *     places
@@ -78,10 +81,10 @@
     }
 
     /**
-     * Removes a request that is no longer needed.
+     * Removes a request that is not to be served any more. This does not count as service of its office and caller.
      *
      * @param entry entry of the request
-     * @return false when the entry has already left the queue
+     * @return false when the entry had already been polled, evicted, expired or removed
      */
     public boolean remove(QueueEntry<W> entry) {
         if (!byArrival.contains(entry)) {
@@ -93,7 +96,7 @@
     }
 
     /**
-     * Removes the requests whose deadline has passed.
+     * Removes the requests whose deadline has been reached.
      *
      * @param nowNanos current monotonic time
      * @return the removed entries, the earliest deadline first
@@ -109,9 +112,9 @@
     }
 
     /**
-     * Counts the queued requests.
+     * Returns the number of queued requests of all offices.
      *
-     * @return the number of requests
+     * @return number from 0 to the largest number of queued requests
      */
     public int size() {
         return byArrival.size();
@@ -140,16 +143,18 @@
     }
 
     /**
-     * Counts the queued requests that would be served before a new one, by the round robin of offices and callers.
+     * Estimates how many queued requests are served before a new one. The estimate is high rather than low: it assumes
+     * that every other office and caller has a request for each round until then. Ages and call depths are not
+     * considered.
      *
      * @param request request that is not yet queued
-     * @return number of requests ahead of it
+     * @return number of requests ahead of it, at most the size of the queue
      */
-    public int aheadOf(SlotRequest request) {
+    public int estimateAhead(SlotRequest request) {
         int aheadInOffice = offices.queue(request.office())
-                .map(office -> office.aheadOf(request.caller()))
+                .map(office -> office.estimateAhead(request.caller()))
                 .orElse(0);
-        return offices.countAhead(request.office(), aheadInOffice, size());
+        return offices.estimateAhead(request.office(), aheadInOffice, size());
     }
 
     private Optional<QueueEntry<W>> findEvictable(SlotRequest request) {
@@ -157,18 +162,19 @@
             return Optional.empty();
         }
         FlowQueue<W> largest = offices.largest();
-        QueueEntry<W> last = largest.last();
+        QueueEntry<W> candidate = largest.evictionCandidate();
         boolean isSmallerOffice = offices.sizeOf(request.office()) + 1 < largest.size();
-        if (isSmallerOffice || last.request().office().equals(request.office()) && outranks(request, last)) {
-            return Optional.of(last);
+        if (isSmallerOffice
+                || candidate.request().office().equals(request.office()) && mayEvictWithinOffice(request, candidate)) {
+            return Optional.of(candidate);
         }
         return Optional.empty();
     }
 
-    private boolean outranks(SlotRequest request, QueueEntry<W> last) {
+    private boolean mayEvictWithinOffice(SlotRequest request, QueueEntry<W> candidate) {
         OfficeQueue<W> office = offices.queue(request.office()).orElseThrow();
         boolean isSmallerCaller = office.sizeOf(request.caller()) + 1 < office.largestCallerSize();
-        return isSmallerCaller || request.depth() > last.request().depth();
+        return isSmallerCaller || request.depth() > candidate.request().depth();
     }
 
     private void unindex(QueueEntry<W> entry) {
--- a/admission/src/main/java/org/turmericspan/admission/FlowQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/FlowQueue.java
@@ -19,6 +19,7 @@
         this.round = round;
     }
 
+    /** Returns the earliest round in which the flow may be served next. */
     final long round() {
         return round;
     }
@@ -27,16 +28,16 @@
         round = newRound;
     }
 
-    /** Counts the queued requests. */
+    /** Returns the number of queued requests; for an office, those of all its callers. */
     abstract int size();
 
     /** Returns the entry to serve next; the queue must not be empty. */
     abstract QueueEntry<W> first();
 
-    /** Returns the entry to evict first; the queue must not be empty. */
-    abstract QueueEntry<W> last();
+    /** Returns the entry to evict when the fair queue is full; the queue must not be empty. */
+    abstract QueueEntry<W> evictionCandidate();
 
-    /** Finds the first entry in service order that is accepted. */
+    /** Finds the first entry in service order that is accepted, and leaves it in the queue. */
     abstract Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts);
 
     abstract void add(QueueEntry<W> entry);
@@ -47,14 +48,14 @@
     /** Removes an entry whose request was not granted a slot. */
     abstract void removeUnserved(QueueEntry<W> entry);
 
-    /** Orders queues by round, then by the priority of their first entries. */
+    /** Orders queues by the round in which they are served next, then by the ages of their first entries. */
     static <W> Comparator<FlowQueue<W>> byRound() {
         return Comparator.<FlowQueue<W>>comparingLong(queue -> queue.round)
-                .thenComparing(FlowQueue::first, QueueEntry.byPriority())
+                .thenComparing(FlowQueue::first, QueueEntry.byAdjustedAge())
                 .thenComparingLong(queue -> queue.sequence);
     }
 
-    /** Orders queues by the number of their entries. */
+    /** Orders queues by the number of their requests, the smallest first. */
     static <W> Comparator<FlowQueue<W>> bySize() {
         return Comparator.<FlowQueue<W>>comparingInt(FlowQueue::size).thenComparingLong(queue -> queue.sequence);
     }
--- a/admission/src/main/java/org/turmericspan/admission/OfferResult.java
+++ b/admission/src/main/java/org/turmericspan/admission/OfferResult.java
@@ -9,7 +9,7 @@
  */
 public sealed interface OfferResult<W> {
     /**
-     * The request was queued.
+     * The request was added to the queue.
      *
      * @param entry entry of the request
      * @param evicted entry that was evicted for it and whose request is to be denied, if any
--- a/admission/src/main/java/org/turmericspan/admission/OfficeQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/OfficeQueue.java
@@ -28,8 +28,8 @@
     }
 
     @Override
-    QueueEntry<W> last() {
-        return callers.largest().last();
+    QueueEntry<W> evictionCandidate() {
+        return callers.largest().evictionCandidate();
     }
 
     @Override
@@ -63,8 +63,8 @@
         return callers.largest().size();
     }
 
-    /** Counts the requests of this office that would be served before a new one of the caller. */
-    int aheadOf(CallerId caller) {
-        return callers.countAhead(caller, callers.sizeOf(caller), size);
+    /** Estimates how many requests of this office are served before a new one of the caller, rather high than low. */
+    int estimateAhead(CallerId caller) {
+        return callers.estimateAhead(caller, callers.sizeOf(caller), size);
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/QueueEntry.java
+++ b/admission/src/main/java/org/turmericspan/admission/QueueEntry.java
@@ -5,39 +5,42 @@
 import org.turmericspan.calls.SlotRequest;
 
 /**
- * Entry of one slot request in a {@link FairQueue}, by which the request is removed from the queue.
+ * Entry of one slot request in a {@link FairQueue}; passed to {@link FairQueue#remove} to remove the request.
  *
  * @param <W> type of the attachment that is kept with the request
  */
 public final class QueueEntry<W> {
-    /** Bonus in age for each call above the request, because the work of those calls is already spent. */
+    /** Added to the age of a request for each enclosing call in its chain, as work was already spent on that call. */
     static final Duration DEPTH_BONUS = Duration.ofMillis(20);
 
     private final SlotRequest request;
     private final W attachment;
     private final long enqueuedNanos;
-    private final long priorityNanos;
+
+    /** Time at which the request was queued, less the depth bonus. */
+    private final long adjustedEnqueuedNanos;
+
     private final long sequence;
 
     QueueEntry(SlotRequest request, W attachment, long enqueuedNanos, long sequence) {
         this.request = request;
         this.attachment = attachment;
         this.enqueuedNanos = enqueuedNanos;
-        this.priorityNanos = enqueuedNanos - request.depth() * DEPTH_BONUS.toNanos();
+        this.adjustedEnqueuedNanos = enqueuedNanos - request.depth() * DEPTH_BONUS.toNanos();
         this.sequence = sequence;
     }
 
     /**
-     * Returns the slot request.
+     * Returns the slot request that was passed to {@link FairQueue#offer}.
      *
-     * @return the request
+     * @return the slot request
      */
     public SlotRequest request() {
         return request;
     }
 
     /**
-     * Returns the attachment that was passed when the request was offered.
+     * Returns the object that was passed to {@link FairQueue#offer} with the slot request.
      *
      * @return the attachment
      */
@@ -46,7 +49,7 @@
     }
 
     /**
-     * Returns when the request was queued.
+     * Returns when the request was queued, without the depth bonus.
      *
      * @return monotonic time in nanoseconds
      */
@@ -59,8 +62,8 @@
     }
 
     /** Orders entries by age, the oldest first, with the depth bonus added to the age. */
-    static <W> Comparator<QueueEntry<W>> byPriority() {
-        return Comparator.<QueueEntry<W>>comparingLong(entry -> entry.priorityNanos)
+    static <W> Comparator<QueueEntry<W>> byAdjustedAge() {
+        return Comparator.<QueueEntry<W>>comparingLong(entry -> entry.adjustedEnqueuedNanos)
                 .thenComparingLong(entry -> entry.sequence);
     }
 
--- a/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
+++ b/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
@@ -7,9 +7,10 @@
 import java.util.function.Predicate;
 
 /**
- * Flow queues that are served round robin. A new queue joins the round after the current one, so that a flow whose
- * queue is drained and filled again and again gains nothing over one that waits. A queue that was passed over does not
- * catch up later.
+ * Flow queues that are served round robin, one request of each in a round. A new queue joins the round after the
+ * current one, so that a flow whose queue is emptied and filled again and again gains nothing over one whose requests
+ * stay queued. A queue that was not served in a round, since none of its requests was accepted, is not served more
+ * often later.
  *
  * @param <K> key of a flow
  * @param <W> type of the attachment that is kept with each request
@@ -83,8 +84,16 @@
         indexOrDrop(flow, queue);
     }
 
-    /** Counts the requests of all flows that are served before one with {@code aheadInFlow} of its own flow ahead. */
-    int countAhead(K flow, int aheadInFlow, int total) {
+    /**
+     * Estimates how many requests of all flows are served before a new one of a flow. Assumes that every other flow has
+     * a request for each round until then, so that the estimate is high rather than low.
+     *
+     * @param flow key of the flow
+     * @param aheadInFlow number of requests of the same flow that are served before
+     * @param total number of queued requests of all flows, which limits the estimate
+     * @return estimated number of requests
+     */
+    int estimateAhead(K flow, int aheadInFlow, int total) {
         long others = queues.containsKey(flow) ? queues.size() - 1L : queues.size();
         long ahead = (aheadInFlow + 1L) * others + aheadInFlow;
         return (int) Math.min(total, ahead);
@@ -109,7 +118,7 @@
     }
 
     /**
-     * Creates flow queues.
+     * Constructor of {@link OfficeQueue} or {@link CallerQueue}, by level.
      *
      * @param <L> type of the flow queues
      */
@@ -118,7 +127,7 @@
         /**
          * Creates an empty queue.
          *
-         * @param sequence number that no other queue of the level has
+         * @param sequence number that no other queue of the level has, which orders queues that are otherwise equal
          * @param round first round in which the queue is served
          * @return the queue
          */
--- a/admission/src/main/java/org/turmericspan/admission/SlotHoldTimeAverage.java
+++ b/admission/src/main/java/org/turmericspan/admission/SlotHoldTimeAverage.java
@@ -12,7 +12,7 @@
     private static final int SAMPLE_WEIGHT_SHIFT = 4;
 
     private long meanNanos;
-    private boolean known;
+    private boolean hasSample;
 
     /**
      * Records the hold time of one request.
@@ -21,8 +21,8 @@
      */
     public void record(Duration holdTime) {
         long sampleNanos = holdTime.toNanos();
-        meanNanos = known ? meanNanos + (sampleNanos - meanNanos >> SAMPLE_WEIGHT_SHIFT) : sampleNanos;
-        known = true;
+        meanNanos = hasSample ? meanNanos + (sampleNanos - meanNanos >> SAMPLE_WEIGHT_SHIFT) : sampleNanos;
+        hasSample = true;
     }
 
     /**
@@ -31,6 +31,6 @@
      * @return the average, or empty before the first request is recorded
      */
     public Optional<Duration> mean() {
-        return known ? Optional.of(Duration.ofNanos(meanNanos)) : Optional.empty();
+        return hasSample ? Optional.of(Duration.ofNanos(meanNanos)) : Optional.empty();
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/package-info.java
+++ b/admission/src/main/java/org/turmericspan/admission/package-info.java
@@ -1,2 +1,2 @@
-/** Bounded fair queue of slot requests, and admission control that denies requests that would miss their deadline. */
+/** Bounded fair queue of slot requests, and admission control that denies requests expected to miss their deadline. */
 package org.turmericspan.admission;
--- a/admission/src/test/java/org/turmericspan/admission/DeadlineAdmissionTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/DeadlineAdmissionTest.java
@@ -46,7 +46,7 @@
     }
 
     @Test
-    void requestToAFullQueueIsDeniedWithTheTimeToDrainIt() {
+    void requestToAFullQueueIsDeniedWithTheTimeToServeTheQueue() {
         assertThat(DeadlineAdmission.queueFull(30, 3, MEAN_HOLD_TIME))
                 .isEqualTo(new SlotDecision.Denied(ResultCode.QUEUE_FULL, Optional.of(Duration.ofMillis(100))));
     }
--- a/admission/src/test/java/org/turmericspan/admission/FairQueuePropertyTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/FairQueuePropertyTest.java
@@ -21,31 +21,31 @@
  * offices that gain service by queueing more requests than others.
  */
 final class FairQueuePropertyTest {
-    private static final int LIMIT = 20;
+    private static final int MAX_REQUESTS = 20;
 
     @Property(tries = 200, seed = "20261204")
     void everyQueuedRequestLeavesTheQueueExactlyOnce(@ForAll long seed) {
         Random random = new Random(seed);
-        FairQueue<Integer> queue = new FairQueue<>(LIMIT);
-        Set<Integer> waiting = new HashSet<>();
+        FairQueue<Integer> queue = new FairQueue<>(MAX_REQUESTS);
+        Set<Integer> pending = new HashSet<>();
         for (int now = 0; now < 400; now++) {
             if (random.nextInt(3) > 0) {
                 OfferResult<Integer> offer = queue.offer(request(random, now + random.nextInt(100)), now, now);
                 if (offer instanceof OfferResult.Queued<Integer> queued) {
-                    waiting.add(now);
+                    pending.add(now);
                     queued.evicted()
-                            .ifPresent(entry -> assertThat(waiting.remove(entry.attachment()))
+                            .ifPresent(entry -> assertThat(pending.remove(entry.attachment()))
                                     .isTrue());
                 }
             } else {
                 queue.poll(entry -> random.nextBoolean())
                         .ifPresent(entry ->
-                                assertThat(waiting.remove(entry.attachment())).isTrue());
+                                assertThat(pending.remove(entry.attachment())).isTrue());
             }
             for (QueueEntry<Integer> entry : queue.expire(now)) {
-                assertThat(waiting.remove(entry.attachment())).isTrue();
+                assertThat(pending.remove(entry.attachment())).isTrue();
             }
-            assertThat(queue.size()).isEqualTo(waiting.size()).isLessThanOrEqualTo(LIMIT);
+            assertThat(queue.size()).isEqualTo(pending.size()).isLessThanOrEqualTo(MAX_REQUESTS);
         }
     }
 
@@ -70,8 +70,8 @@
 
     @Property(tries = 100, seed = "20261204")
     void officeThatFillsTheQueueDoesNotKeepASmallerOneOut(@ForAll @IntRange(min = 1, max = 9) int smallOfficeRequests) {
-        FairQueue<Integer> queue = new FairQueue<>(LIMIT);
-        for (int i = 0; i < 3 * LIMIT; i++) {
+        FairQueue<Integer> queue = new FairQueue<>(MAX_REQUESTS);
+        for (int i = 0; i < 3 * MAX_REQUESTS; i++) {
             queue.offer(request(0, i % 4, 0, Long.MAX_VALUE), 0, i);
         }
         for (int i = 0; i < smallOfficeRequests; i++) {
@@ -80,8 +80,8 @@
         }
 
         assertThat(List.of(
-                        queue.poll(any -> true).orElseThrow(),
-                        queue.poll(any -> true).orElseThrow()))
+                        queue.poll(entry -> true).orElseThrow(),
+                        queue.poll(entry -> true).orElseThrow()))
                 .extracting(QueueEntry::attachment)
                 .containsExactlyInAnyOrder(0, 1);
     }
--- a/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
+++ b/admission/src/test/java/org/turmericspan/admission/FairQueueTest.java
@@ -11,7 +11,7 @@
 import org.turmericspan.ids.OfficeId;
 import org.turmericspan.ids.ServiceId;
 
-/** Tests the service order, the bound and the expiry of the fair queue. */
+/** Tests the order of service, the eviction when the queue is full, the expiry and the estimate of requests ahead. */
 final class FairQueueTest {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -24,7 +24,7 @@
         }
         offer("quiet", "q", 0, 10);
 
-        assertThat(drain()).containsExactly("greedy/g0", "quiet/q", "greedy/g1", "greedy/g2", "greedy/g3");
+        assertThat(pollAll()).containsExactly("greedy/g0", "quiet/q", "greedy/g1", "greedy/g2", "greedy/g3");
     }
 
     @Test
@@ -33,7 +33,7 @@
         offer("office", "a", 0, 2);
         offer("office", "b", 0, 3);
 
-        assertThat(drain()).containsExactly("office/a", "office/b", "office/a");
+        assertThat(pollAll()).containsExactly("office/a", "office/b", "office/a");
     }
 
     @Test
@@ -54,7 +54,7 @@
         offer("office", "shallow", 0, 0);
         offer("office", "deep", 3, 5 * NANOS_PER_MILLI);
 
-        assertThat(drain()).containsExactly("office/deep", "office/shallow");
+        assertThat(pollAll()).containsExactly("office/deep", "office/shallow");
     }
 
     @Test
@@ -62,7 +62,7 @@
         offer("office", "shallow", 0, 0);
         offer("office", "deep", 1, QueueEntry.DEPTH_BONUS.toNanos() + 1);
 
-        assertThat(drain()).containsExactly("office/shallow", "office/deep");
+        assertThat(pollAll()).containsExactly("office/shallow", "office/deep");
     }
 
     @Test
@@ -103,7 +103,7 @@
         offer("office", "b", 0, 1);
 
         assertThat(queue.poll(entry -> entry.attachment().equals("office/b"))).isPresent();
-        assertThat(drain()).containsExactly("office/a");
+        assertThat(pollAll()).containsExactly("office/a");
     }
 
     @Test
@@ -128,13 +128,13 @@
     }
 
     @Test
-    void smallOfficeHasOneRequestOfEachOtherOfficeAheadOfIt() {
+    void emptyOfficeIsEstimatedToHaveOneRequestOfEachOtherOfficeAhead() {
         for (int i = 0; i < 5; i++) {
             offer("greedy", "g", 0, i);
         }
 
-        assertThat(queue.aheadOf(request("quiet", "q", 0, 100))).isEqualTo(1);
-        assertThat(queue.aheadOf(request("greedy", "g", 0, 100))).isEqualTo(5);
+        assertThat(queue.estimateAhead(request("quiet", "q", 0, 100))).isEqualTo(1);
+        assertThat(queue.estimateAhead(request("greedy", "g", 0, 100))).isEqualTo(5);
     }
 
     private OfferResult<String> offer(String office, String caller, int depth, long nowNanos) {
@@ -153,7 +153,7 @@
                 false);
     }
 
-    private List<String> drain() {
+    private List<String> pollAll() {
         List<String> served = new ArrayList<>();
         while (queue.size() > 0) {
             served.add(queue.poll(entry -> true).orElseThrow().attachment());
