Explain dispatch without opening another file

Change, old -> new: ConnectionCheck -> ConnectionRefusalCheck (upstream has a RefusalCheck already); table, check, incarnations, observeIncarnation, update -> suspectTable, refusalCheck, incarnationByUpstream, recordIncarnation, clearedSuspicion; delayedTrials, pendingEvents -> ...Count; exchanges -> exchangeByAttempt; acquireExtraAttempt -> tryAcquireExtraAttempt; isFirstAttemptRunning -> isFirstAttemptInFlight; tests: code -> refusalCode, policies -> retrying, HEDGE -> HEDGE_AFTER_DELAY, one test name. Comments say what a call, a trial and a new incarnation are.

--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptDependencies.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptDependencies.java
@@ -11,8 +11,8 @@
  * @param catalog provides the limits of the services
  * @param slots grants slots
  * @param sender sends attempts
- * @param crashDetector determines whether an upstream crashed during an attempt
- * @param timer schedules hedge checks
+ * @param crashDetector determines whether an upstream crashed while it ran a request
+ * @param timer schedules the check whether a call that is still in flight is hedged
  * @param metrics records calls, responses, extra attempts and slot waits
  * @param clock clock that deadlines refer to
  */
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptHandler.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptHandler.java
@@ -8,8 +8,8 @@
 import org.turmericspan.errors.ResultCode;
 
 /**
- * Executes calls on upstreams. Each attempt runs under a slot lease, is retried or hedged only where that is safe, and
- * each call gets exactly one result.
+ * Sends calls to upstreams. Each attempt needs the lease of a slot of its upstream. A call is retried or hedged only
+ * where that is safe, and each call gets exactly one result.
  */
 public final class AttemptHandler implements CallHandler {
     private final AttemptDependencies dependencies;
@@ -19,7 +19,7 @@
      * Creates a handler.
      *
      * @param dependencies collaborators
-     * @param policies decide on retries and hedges
+     * @param policies policies that decide on retries and hedges
      */
     public AttemptHandler(AttemptDependencies dependencies, RetryPolicies policies) {
         this.dependencies = dependencies;
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptMetrics.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptMetrics.java
@@ -13,20 +13,20 @@
     void recordCall(ServiceId service);
 
     /**
-     * Records a complete response.
+     * Records the complete response to an attempt, also when another attempt has already decided the call.
      *
      * @param service called service
      * @param elapsed time from the first byte sent to the complete response
      */
     void recordResponse(ServiceId service, Duration elapsed);
 
-    /** Counts an extra attempt, that is a hedge or retry, that was sent. */
+    /** Counts an attempt that is sent after the first one of its call, as a retry or hedge. */
     void recordExtraAttempt();
 
     /**
-     * Records a slot decision.
+     * Records that a slot request was granted or denied.
      *
-     * @param waited time from the slot request to the decision
+     * @param waited time from the slot request until it was granted or denied
      */
     void recordSlotWait(Duration waited);
 }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptOutcomeMapping.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptOutcomeMapping.java
@@ -5,7 +5,7 @@
 import org.turmericspan.calls.SlotReturn;
 import org.turmericspan.errors.ResultCode;
 
-/** Maps the outcome of an attempt to the result of the call and to the outcome that is reported with the slot. */
+/** Maps the outcome of an attempt to the result of its call, and to what is reported when its slot is released. */
 final class AttemptOutcomeMapping {
     private AttemptOutcomeMapping() {}
 
--- a/dispatch/src/main/java/org/turmericspan/dispatch/AttemptTimer.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/AttemptTimer.java
@@ -6,9 +6,9 @@
 @FunctionalInterface
 public interface AttemptTimer {
     /**
-     * Schedules a task.
+     * Schedules a task to run once.
      *
-     * @param delay delay before the task runs
+     * @param delay time from now until the task runs
      * @param task short task that does not block
      * @return action that cancels the task
      */
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CallExecution.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CallExecution.java
@@ -18,7 +18,7 @@
 
 /**
  * Performs the actions that {@link CallStateMachine} requests for one call. Events are queued and handled one at a time
- * by the thread that posted the first of them, so that no lock is held while collaborators are called.
+ * by the thread that posted an event when none was pending, so that no lock is held while collaborators are called.
  */
 final class CallExecution {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -29,10 +29,13 @@
     private final int maxResponseBytes;
     private final CallStateMachine stateMachine;
     private final Queue<CallEvent> events = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger pendingEvents = new AtomicInteger();
-    private final Map<Integer, UpstreamExchange> exchanges = new HashMap<>();
+
+    /** Number of events that are queued or being handled. The thread that raises it from 0 handles all of them. */
+    private final AtomicInteger pendingEventCount = new AtomicInteger();
+
+    private final Map<Integer, UpstreamExchange> exchangeByAttempt = new HashMap<>();
     private final CompletableFuture<CallResult> result = new CompletableFuture<>();
-    private Runnable cancelHedge = NOTHING_SCHEDULED;
+    private Runnable cancelHedgeCheck = NOTHING_SCHEDULED;
 
     CallExecution(AttemptDependencies dependencies, RetryPolicies policies, CallRequest request, int maxResponseBytes) {
         this.dependencies = dependencies;
@@ -49,12 +52,12 @@
 
     private void post(CallEvent event) {
         events.add(event);
-        if (pendingEvents.getAndIncrement() > 0) {
+        if (pendingEventCount.getAndIncrement() > 0) {
             return;
         }
         do {
             handle(events.remove());
-        } while (pendingEvents.decrementAndGet() > 0);
+        } while (pendingEventCount.decrementAndGet() > 0);
     }
 
     private void handle(CallEvent event) {
@@ -76,20 +79,20 @@
         } else if (action instanceof CallAction.Release release) {
             release.lease().release(release.slotReturn());
         } else if (action instanceof CallAction.Cancel cancel) {
-            exchanges.get(cancel.attempt()).cancel();
+            exchangeByAttempt.get(cancel.attempt()).cancel();
         } else if (action instanceof CallAction.ScheduleHedge hedge) {
-            cancelHedge = dependencies
+            cancelHedgeCheck = dependencies
                     .timer()
                     .schedule(Duration.ofNanos(hedge.delayNanos()), () -> post(new CallEvent.HedgeDelayElapsed()));
         } else if (action instanceof CallAction.Finish finish) {
-            cancelHedge.run();
+            cancelHedgeCheck.run();
             result.complete(finish.result());
         }
     }
 
-    private void acquire(int attempt, SlotRequest request) {
+    private void acquire(int attempt, SlotRequest slotRequest) {
         long requestedNanos = dependencies.clock().nowNanos();
-        dependencies.slots().acquire(request).thenAccept(decision -> {
+        dependencies.slots().acquire(slotRequest).thenAccept(decision -> {
             dependencies
                     .metrics()
                     .recordSlotWait(Duration.ofNanos(dependencies.clock().nowNanos() - requestedNanos));
@@ -102,7 +105,7 @@
             dependencies.metrics().recordExtraAttempt();
         }
         UpstreamExchange exchange = dependencies.sender().send(send.lease(), send.request(), maxResponseBytes);
-        exchanges.put(send.attempt(), exchange);
+        exchangeByAttempt.put(send.attempt(), exchange);
         exchange.outcome().thenAccept(outcome -> onAttemptEnded(send, outcome));
     }
 
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CallStateMachine.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CallStateMachine.java
@@ -17,22 +17,31 @@
 import org.turmericspan.retry.FailedAttempt;
 
 /**
- * State machine of one call: consumes events and returns the actions to perform. It sends a call again only where that
+ * State machine of one call: handles events and returns the actions to perform. It sends a call again only where that
  * is safe, produces exactly one result, and never reports a call as not run if any attempt may have run. The class is
  * not thread-safe: the caller of {@link #handle} passes one event at a time.
  */
 final class CallStateMachine {
+    /** Number of leases found invalid before sending that a call replaces without use of the retry budget. */
     private static final int MAX_INVALID_LEASES = 2;
 
     private final CallRequest request;
     private final RetryPolicies policies;
     private final List<Attempt> attempts = new ArrayList<>(1);
     private final Set<UpstreamId> triedUpstreams = new HashSet<>();
+
+    /** Failure that becomes the result if no attempt completes; empty while no attempt with a valid lease failed. */
     private Optional<AttemptOutcome> reportedFailure = Optional.empty();
+
     private boolean finished;
     private boolean upstreamCrashed;
+
+    /** Number of attempts that wait for a slot or are in flight. */
     private int pendingAttempts;
+
+    /** Number of retries and hedges for which the retry budget was used, also those that got no slot. */
     private int extraAttempts;
+
     private int invalidLeases;
 
     CallStateMachine(CallRequest request, RetryPolicies policies) {
@@ -45,7 +54,7 @@
      *
      * @param event event to handle
      * @param nowNanos current monotonic time
-     * @return actions to perform, in this order
+     * @return actions to perform, in the order of the list
      */
     List<CallAction> handle(CallEvent event, long nowNanos) {
         if (event instanceof CallEvent.Started) {
@@ -85,16 +94,16 @@
                 .orElseGet(() -> new CallResult.Refused(denied.code(), "No slot was granted.", denied.retryAfter()))));
     }
 
-    private List<CallAction> onSlotGranted(int number, Attempt attempt, SlotLease lease) {
+    private List<CallAction> onSlotGranted(int attemptNumber, Attempt attempt, SlotLease lease) {
         if (finished) {
             pendingAttempts--;
             return List.of(new CallAction.Release(lease, SlotReturn.unused()));
         }
         attempt.lease = Optional.of(lease);
         triedUpstreams.add(lease.upstream());
-        CallRequest sent = attempt.kind == Kind.FIRST ? request : request.asRetried();
+        CallRequest sentRequest = attempt.kind == Kind.FIRST ? request : request.asRetried();
         List<CallAction> actions = new ArrayList<>(2);
-        actions.add(new CallAction.Send(number, lease, sent));
+        actions.add(new CallAction.Send(attemptNumber, lease, sentRequest));
         if (attempt.kind == Kind.FIRST) {
             OptionalLong delayNanos = policies.hedge().delayNanos(request);
             delayNanos.ifPresent(nanos -> actions.add(new CallAction.ScheduleHedge(nanos)));
@@ -103,26 +112,26 @@
     }
 
     private List<CallAction> onHedgeDelayElapsed(long nowNanos) {
-        boolean canHedge = !finished && pendingAttempts == 1 && extraAttempts == 0 && isFirstAttemptRunning();
+        boolean canHedge = !finished && pendingAttempts == 1 && extraAttempts == 0 && isFirstAttemptInFlight();
         if (!canHedge || request.deadlineNanos() <= nowNanos) {
             return List.of();
         }
-        return acquireExtraAttempt()
+        return tryAcquireExtraAttempt()
                 ? List.of(acquire(SlotRequest.forExtraAttempt(request, triedUpstreams), Kind.EXTRA))
                 : List.of();
     }
 
-    private boolean isFirstAttemptRunning() {
-        Attempt last = attempts.get(attempts.size() - 1);
-        return last.kind == Kind.FIRST && last.lease.isPresent();
+    private boolean isFirstAttemptInFlight() {
+        Attempt latest = attempts.get(attempts.size() - 1);
+        return latest.kind == Kind.FIRST && latest.lease.isPresent();
     }
 
-    private boolean acquireExtraAttempt() {
-        boolean granted = policies.budget().tryAcquire(request.service());
-        if (granted) {
+    private boolean tryAcquireExtraAttempt() {
+        boolean acquired = policies.budget().tryAcquire(request.service());
+        if (acquired) {
             extraAttempts++;
         }
-        return granted;
+        return acquired;
     }
 
     private List<CallAction> onAttemptEnded(CallEvent.AttemptEnded event, long nowNanos) {
@@ -176,7 +185,7 @@
         }
     }
 
-    /** Keeps an earlier failure that may have run, so that a later one that did not run cannot hide it. */
+    /** Keeps an earlier failure if only that attempt may have run, so that the call is not reported as not run. */
     private AttemptOutcome preferUnknownOutcome(AttemptOutcome outcome) {
         return reportedFailure
                 .filter(AttemptOutcome::mayHaveRun)
@@ -190,7 +199,7 @@
                 && remainingNanos > 0
                 && (request.idempotent() || reportedFailure.stream().noneMatch(AttemptOutcome::mayHaveRun))
                 && policies.retry().allows(failed)
-                && acquireExtraAttempt();
+                && tryAcquireExtraAttempt();
     }
 
     private CallAction finish(CallResult result) {
@@ -199,12 +208,16 @@
     }
 
     private enum Kind {
+        /** First attempt of the call, or its replacement after an invalid lease. */
         FIRST,
+        /** Retry or hedge, which draws on the retry budget. */
         EXTRA
     }
 
     private static final class Attempt {
         private final Kind kind;
+
+        /** Lease of the slot while the attempt is in flight; empty before and after. */
         private Optional<SlotLease> lease = Optional.empty();
 
         Attempt(Kind kind) {
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CrashDetector.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CrashDetector.java
@@ -6,15 +6,15 @@
 import org.turmericspan.calls.CallRequest;
 import org.turmericspan.calls.SlotLease;
 
-/** Observes how attempts end, and determines whether an upstream crashed during one. */
+/** Determines from the outcomes of attempts whether an upstream crashed while it ran a request. */
 public interface CrashDetector {
     /**
      * Records an attempt that lost its connection after bytes were sent.
      *
      * @param request request that was sent
-     * @param lease slot that the attempt used
+     * @param lease lease of the slot that the attempt used
      * @param outcome outcome of the attempt
-     * @return true when the upstream crashed; the stage never completes exceptionally
+     * @return true when the upstream is known to have crashed; the stage never completes exceptionally
      */
     CompletionStage<Boolean> connectionLost(CallRequest request, SlotLease lease, AttemptOutcome outcome);
 
@@ -22,15 +22,15 @@
      * Records an attempt that ended with a complete response.
      *
      * @param request request that was sent
-     * @param lease slot that the attempt used
+     * @param lease lease of the slot that the attempt used
      * @param outcome outcome with the response
      */
     void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome);
 
     /**
-     * Returns a detector that reports no crash, for tests and benchmarks that compare with it.
+     * Returns a detector that never reports a crash, for tests and for benchmarks without crash detection.
      *
-     * @return the detector
+     * @return detector without state
      */
     static CrashDetector none() {
         return new CrashDetector() {
@@ -42,7 +42,7 @@
 
             @Override
             public void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome) {
-                // No request is ever suspected, so none has to be cleared.
+                // Without crashes no request is suspected, so a response clears none.
             }
         };
     }
--- a/dispatch/src/main/java/org/turmericspan/dispatch/RetryPolicies.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/RetryPolicies.java
@@ -5,7 +5,7 @@
 import org.turmericspan.retry.RetryPolicy;
 
 /**
- * Policies for extra attempts.
+ * Policies for extra attempts, which are retries and hedges.
  *
  * @param retry decides which failed attempts are retried
  * @param hedge decides after which delay a hedged request is sent to a second upstream
@@ -13,9 +13,9 @@
  */
 public record RetryPolicies(RetryPolicy retry, HedgePolicy hedge, RetryBudget budget) {
     /**
-     * Returns the policies that send every call at most once.
+     * Returns policies without extra attempts.
      *
-     * @return the policies
+     * @return policies that allow no retry and no hedge
      */
     public static RetryPolicies none() {
         return new RetryPolicies(RetryPolicy.none(), HedgePolicy.none(), RetryBudget.unbounded());
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectCoordinator.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectCoordinator.java
@@ -5,12 +5,15 @@
 import org.turmericspan.retry.Fingerprint;
 import org.turmericspan.retry.Suspicion;
 
-/** Shares suspicions with the other nodes, and grants permits for isolated trials of suspected requests. */
+/**
+ * Shares with the other nodes which requests are suspected of crashing upstreams, and grants permits for isolated
+ * trials. A trial sends one suspected request while no other one is on trial, so that a crash can be attributed to it.
+ */
 public interface SuspectCoordinator {
     /**
      * Sends a suspicion to the other nodes.
      *
-     * @param suspicion current suspicion
+     * @param suspicion current suspicion, also one that a response has just cleared
      * @return stage that completes when every reachable node has the suspicion, or after a bounded wait; it never
      *     completes exceptionally
      */
@@ -26,7 +29,7 @@
     CompletionStage<TrialAnswer> requestTrial(Fingerprint fingerprint, Duration maxDuration);
 
     /**
-     * Returns the trial permit.
+     * Gives the trial permit back after a trial, or when the trial is not started.
      *
      * @param fingerprint fingerprint of the suspected request
      */
@@ -34,7 +37,7 @@
 
     /** Decision on a request for a trial permit. */
     enum TrialAnswer {
-        /** The suspected request may run now. */
+        /** The permit was granted; the suspected request may be sent now. */
         GRANTED,
         /** Another suspected request is on trial. */
         BUSY,
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectHandler.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectHandler.java
@@ -18,43 +18,49 @@
 import org.turmericspan.retry.Suspicion;
 
 /**
- * Runs requests that are suspected of crashing upstreams ("queries of death") as isolated trials, one at a time in the
- * region, and refuses quarantined ones. An idempotent request that was running on an upstream when the upstream
- * crashed is run again as a trial, so that the requests that did not cause the crash get their responses.
+ * Sends requests that are suspected of crashing upstreams as isolated trials, one at a time in the region, and refuses
+ * quarantined ones. An idempotent request that was running on an upstream when the upstream crashed is sent again as a
+ * trial, so that the requests that did not cause the crash get their responses.
  */
 public final class SuspectHandler implements CallHandler {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    /** Number of suspected requests on this node that may wait until they request a trial permit again. */
     private static final int MAX_DELAYED_TRIALS = 64;
+
+    /** Delay after which a trial permit is requested again. */
     private static final Duration TRIAL_RETRY_DELAY = Duration.ofMillis(20);
+
+    /** Retry time of the refusal of a suspect that is not quarantined; the quarantine has its own remaining time. */
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final CallHandler next;
-    private final SuspectTable table;
+    private final SuspectTable suspectTable;
     private final LostConnections lostConnections;
     private final SuspectCoordinator coordinator;
     private final AttemptTimer timer;
     private final MonotonicClock clock;
-    private final AtomicInteger delayedTrials = new AtomicInteger();
+    private final AtomicInteger delayedTrialCount = new AtomicInteger();
 
     /**
      * Creates a handler.
      *
-     * @param next next handler in the handler chain
-     * @param table table of suspected requests
-     * @param lostConnections records which suspected request is on trial
+     * @param next next handler in the handler chain, which sends the request to an upstream
+     * @param suspectTable suspected and quarantined requests
+     * @param lostConnections keeps which suspected request this node has on trial
      * @param coordinator grants trial permits
-     * @param timer delays the next request for a trial permit
+     * @param timer schedules the next request for a trial permit
      * @param clock clock that deadlines refer to
      */
     public SuspectHandler(
             CallHandler next,
-            SuspectTable table,
+            SuspectTable suspectTable,
             LostConnections lostConnections,
             SuspectCoordinator coordinator,
             AttemptTimer timer,
             MonotonicClock clock) {
         this.next = next;
-        this.table = table;
+        this.suspectTable = suspectTable;
         this.lostConnections = lostConnections;
         this.coordinator = coordinator;
         this.timer = timer;
@@ -71,7 +77,7 @@
     }
 
     private Optional<Suspicion> findSuspicion(CallRequest request) {
-        return table.isEmpty() ? Optional.empty() : table.find(Fingerprint.of(request));
+        return suspectTable.isEmpty() ? Optional.empty() : suspectTable.find(Fingerprint.of(request));
     }
 
     private CompletionStage<CallResult> rerunIfSuspected(CallRequest request, CallResult result) {
@@ -80,12 +86,12 @@
         boolean mayRerun = isUnknown && request.idempotent() && !request.retried();
         Optional<Suspicion> suspicion = mayRerun ? findSuspicion(request) : Optional.empty();
         return suspicion
-                .map(known -> handleSuspect(request.asRetried(), known)
+                .map(found -> handleSuspect(request.asRetried(), found)
                         .thenApply(second -> preserveUnknownOutcome(result, second)))
                 .orElseGet(() -> CompletableFuture.completedFuture(result));
     }
 
-    /** Returns the first result if the second one reports "not run", since the first attempt may have run. */
+    /** Returns the first result if the second one reports the call as not run, since the first attempt may have run. */
     private static CallResult preserveUnknownOutcome(CallResult first, CallResult second) {
         boolean isReportedAsNotRun =
                 second instanceof CallResult.Refused refused && refused.code().ran() == Ran.NO;
@@ -117,7 +123,7 @@
     }
 
     private CompletionStage<CallResult> runTrial(CallRequest request, Fingerprint fingerprint) {
-        Optional<Suspicion> suspicion = table.find(fingerprint);
+        Optional<Suspicion> suspicion = suspectTable.find(fingerprint);
         if (suspicion.isEmpty() || suspicion.get().isQuarantined()) {
             coordinator.endTrial(fingerprint);
             return handle(request);
@@ -136,13 +142,13 @@
     }
 
     private CompletionStage<CallResult> retryTrialLater(CallRequest request) {
-        if (delayedTrials.incrementAndGet() > MAX_DELAYED_TRIALS) {
-            delayedTrials.decrementAndGet();
+        if (delayedTrialCount.incrementAndGet() > MAX_DELAYED_TRIALS) {
+            delayedTrialCount.decrementAndGet();
             return refused("Too many suspects wait for their turn.", DEFAULT_RETRY_AFTER);
         }
         CompletableFuture<CallRequest> retry = new CompletableFuture<>();
         timer.schedule(TRIAL_RETRY_DELAY, () -> {
-            delayedTrials.decrementAndGet();
+            delayedTrialCount.decrementAndGet();
             retry.complete(request);
         });
         return retry.thenCompose(this::handle);
--- a/dispatch/src/main/java/org/turmericspan/dispatch/SuspectTracker.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/SuspectTracker.java
@@ -17,41 +17,43 @@
 import org.turmericspan.retry.Suspicion;
 
 /**
- * Suspects the requests that were running on an upstream when it crashed. An upstream is taken to have crashed when it
- * lost connections and then refuses new ones or reports a new incarnation. A response that reports an error or comes
- * late raises no suspicion.
+ * Suspects the requests that were running on an upstream when it crashed. An upstream is taken to have crashed when
+ * connections to it were lost and it then refuses new ones, or reports a new incarnation, that is a restart of its
+ * process. A response that reports an error or comes late raises no suspicion.
  */
 public final class SuspectTracker implements CrashDetector {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    private final SuspectTable table;
+    private final SuspectTable suspectTable;
     private final LostConnections lostConnections;
     private final SuspectCoordinator coordinator;
-    private final ConnectionCheck check;
-    private final Map<UpstreamId, String> incarnations = new ConcurrentHashMap<>();
+    private final ConnectionRefusalCheck refusalCheck;
+
+    /** Incarnation that each upstream reported last. */
+    private final Map<UpstreamId, String> incarnationByUpstream = new ConcurrentHashMap<>();
 
     /**
      * Creates a tracker.
      *
-     * @param table table of suspected requests
-     * @param lostConnections requests whose upstream may have crashed
+     * @param suspectTable suspected and quarantined requests
+     * @param lostConnections requests that lost their connection to an upstream that may have crashed
      * @param coordinator shares suspicions with the other nodes
-     * @param check checks whether an upstream refuses connections
+     * @param refusalCheck checks whether an upstream refuses connections
      */
     public SuspectTracker(
-            SuspectTable table,
+            SuspectTable suspectTable,
             LostConnections lostConnections,
             SuspectCoordinator coordinator,
-            ConnectionCheck check) {
-        this.table = table;
+            ConnectionRefusalCheck refusalCheck) {
+        this.suspectTable = suspectTable;
         this.lostConnections = lostConnections;
         this.coordinator = coordinator;
-        this.check = check;
+        this.refusalCheck = refusalCheck;
     }
 
     @Override
     public CompletionStage<Boolean> connectionLost(CallRequest request, SlotLease lease, AttemptOutcome outcome) {
-        return check.isRefused(lease.address()).thenCompose(refused -> {
+        return refusalCheck.isRefused(lease.address()).thenCompose(refused -> {
             Fingerprint fingerprint = Fingerprint.of(request);
             if (refused) {
                 return reportCrash(fingerprint, lease.upstream(), lostConnections.isOnTrial(fingerprint))
@@ -64,23 +66,23 @@
 
     @Override
     public void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome) {
-        outcome.signals().incarnation().ifPresent(incarnation -> observeIncarnation(lease.upstream(), incarnation));
-        if (table.isEmpty()) {
+        outcome.signals().incarnation().ifPresent(incarnation -> recordIncarnation(lease.upstream(), incarnation));
+        if (suspectTable.isEmpty()) {
             return;
         }
         Fingerprint fingerprint = Fingerprint.of(request);
-        Optional<Suspicion> update = table.recordResponse(fingerprint);
-        update.ifPresent(cleared -> {
+        Optional<Suspicion> clearedSuspicion = suspectTable.recordResponse(fingerprint);
+        clearedSuspicion.ifPresent(cleared -> {
             logger.atInfo().log("suspects: request %s completed without a crash and is cleared", fingerprint);
             coordinator.share(cleared);
         });
     }
 
-    private void observeIncarnation(UpstreamId upstream, String incarnation) {
-        if (incarnation.equals(incarnations.get(upstream))) {
+    private void recordIncarnation(UpstreamId upstream, String incarnation) {
+        if (incarnation.equals(incarnationByUpstream.get(upstream))) {
             return;
         }
-        String previous = incarnations.put(upstream, incarnation);
+        String previous = incarnationByUpstream.put(upstream, incarnation);
         List<LostConnections.LostRequest> lostRequests = lostConnections.drain(upstream);
         if (previous != null) {
             lostRequests.forEach(
@@ -89,11 +91,12 @@
     }
 
     /**
-     * Records and shares a crash. The stage completes when the other nodes have the suspicion, so that the caller
-     * cannot retry through one of them before that node knows.
+     * Records a crash, and shares the suspicion of the request that was running. {@link #connectionLost} waits for the
+     * stage, so that the caller does not get its result, and retry through another node, before that node has the
+     * suspicion.
      */
     private CompletionStage<Void> reportCrash(Fingerprint fingerprint, UpstreamId upstream, boolean wasOnTrial) {
-        Suspicion suspicion = table.recordCrash(fingerprint, upstream, wasOnTrial);
+        Suspicion suspicion = suspectTable.recordCrash(fingerprint, upstream, wasOnTrial);
         logger.atWarning().log(
                 "suspects: upstream %s crashed while running request %s, %s",
                 upstream,
--- a/dispatch/src/main/java/org/turmericspan/dispatch/package-info.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/package-info.java
@@ -1,2 +1,5 @@
-/** Executes calls: attempts on upstreams, retries and hedges, and isolated trials of suspected requests. */
+/**
+ * Carries out calls, each of which is one request of a caller: its attempts on upstreams (the first one, retries and
+ * hedges), and isolated trials of requests that are suspected of crashing upstreams.
+ */
 package org.turmericspan.dispatch;
--- a/dispatch/src/test/java/org/turmericspan/dispatch/AttemptPropertyTest.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/AttemptPropertyTest.java
@@ -24,9 +24,9 @@
 import org.turmericspan.retry.RetryPolicy;
 
 /**
- * Drives the handler of a node with random slot decisions, outcomes and crashes, in random order. Guards against calls
- * without a result, slots that are released twice or never, and calls reported as not run although an attempt may have
- * run.
+ * Passes calls to the handler with random slot decisions, attempt outcomes and crashes, in random order. Guards against
+ * calls without a result, slots that are released twice or never, and calls reported as not run although an attempt may
+ * have run.
  */
 final class AttemptPropertyTest {
     private static final RetryPolicies POLICIES = new RetryPolicies(
@@ -46,16 +46,16 @@
                 .allSatisfy(lease -> assertThat(lease.returns()).hasSize(1));
         boolean isReportedAsNotRun = result.join() instanceof CallResult.Refused refused
                 && refused.code().ran() == Ran.NO;
-        assertThat(isReportedAsNotRun && simulation.mayHaveRun > 0).isFalse();
-        assertThat(simulation.mayHaveRun).isLessThanOrEqualTo(idempotent ? 3 : 1);
+        assertThat(isReportedAsNotRun && simulation.mayHaveRunCount > 0).isFalse();
+        assertThat(simulation.mayHaveRunCount).isLessThanOrEqualTo(idempotent ? 3 : 1);
     }
 
-    /** Slot source, upstreams and timers whose stages complete at once or later, in random order. */
+    /** Slots, upstreams and crash detector that complete stages at once or later, and tasks run in random order. */
     private static final class Simulation {
         private final Random random;
         private final List<TestCalls.FakeLease> leases = new ArrayList<>();
         private final List<Runnable> delayedTasks = new ArrayList<>();
-        private int mayHaveRun;
+        private int mayHaveRunCount;
 
         Simulation(Random random) {
             this.random = random;
@@ -102,7 +102,7 @@
         private UpstreamExchange randomExchange() {
             AttemptOutcome.Kind[] kinds = AttemptOutcome.Kind.values();
             AttemptOutcome outcome = TestCalls.outcome(kinds[random.nextInt(kinds.length)]);
-            mayHaveRun += outcome.mayHaveRun() ? 1 : 0;
+            mayHaveRunCount += outcome.mayHaveRun() ? 1 : 0;
             CompletableFuture<AttemptOutcome> stage = completeNowOrLater(outcome);
             return new UpstreamExchange() {
                 @Override
--- a/dispatch/src/test/java/org/turmericspan/dispatch/CallStateMachineTest.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/CallStateMachineTest.java
@@ -17,18 +17,19 @@
 import org.turmericspan.retry.RetryBudget;
 import org.turmericspan.retry.RetryPolicy;
 
-/** What a call does after each event. */
+/** Tests which actions a call takes after each event. */
 final class CallStateMachineTest {
     private static final RetryPolicy RETRY_WHEN_SAFE = RetryPolicy.whenSafe(service -> OptionalLong.empty());
-    private static final HedgePolicy HEDGE = HedgePolicy.afterQuantile(service -> OptionalLong.of(5));
+    private static final HedgePolicy HEDGE_AFTER_DELAY = HedgePolicy.afterQuantile(service -> OptionalLong.of(5));
 
-    private final RetryPolicies policies =
+    private final RetryPolicies retrying =
             new RetryPolicies(RETRY_WHEN_SAFE, HedgePolicy.none(), RetryBudget.unbounded());
-    private final RetryPolicies hedging = new RetryPolicies(RETRY_WHEN_SAFE, HEDGE, RetryBudget.unbounded());
+    private final RetryPolicies hedging =
+            new RetryPolicies(RETRY_WHEN_SAFE, HEDGE_AFTER_DELAY, RetryBudget.unbounded());
 
     @Test
-    void idempotentCallIsRetriedOnAnotherUpstreamAndMarked() {
-        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(true), policies);
+    void idempotentCallIsRetriedOnAnotherUpstreamAndMarkedAsRetried() {
+        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(true), retrying);
 
         List<CallAction> actions = endAttempt(stateMachine, 0, Kind.CONNECTION_LOST);
 
@@ -46,23 +47,24 @@
 
     @Test
     void nonIdempotentCallThatMayHaveRunIsNotRetried() {
-        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(false), policies);
+        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(false), retrying);
 
-        assertThat(code(endAttempt(stateMachine, 0, Kind.CONNECTION_LOST))).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        assertThat(refusalCode(endAttempt(stateMachine, 0, Kind.CONNECTION_LOST)))
+                .isEqualTo(ResultCode.OUTCOME_UNKNOWN);
     }
 
     @Test
     void nonIdempotentCallThatDidNotRunIsRetried() {
-        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(false), policies);
+        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(false), retrying);
 
         assertThat(acquires(endAttempt(stateMachine, 0, Kind.SHED))).hasSize(1);
     }
 
     @Test
     void callThatIsAlreadyARetryIsNotRetriedAgain() {
-        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(true).asRetried(), policies);
+        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(true).asRetried(), retrying);
 
-        assertThat(code(endAttempt(stateMachine, 0, Kind.SHED))).isEqualTo(ResultCode.SHED_BY_UPSTREAM);
+        assertThat(refusalCode(endAttempt(stateMachine, 0, Kind.SHED))).isEqualTo(ResultCode.SHED_BY_UPSTREAM);
     }
 
     @Test
@@ -70,27 +72,27 @@
         CallStateMachine stateMachine = afterFirstSend(
                 TestCalls.request(true), new RetryPolicies(RETRY_WHEN_SAFE, HedgePolicy.none(), service -> false));
 
-        assertThat(code(endAttempt(stateMachine, 0, Kind.SHED))).isEqualTo(ResultCode.SHED_BY_UPSTREAM);
+        assertThat(refusalCode(endAttempt(stateMachine, 0, Kind.SHED))).isEqualTo(ResultCode.SHED_BY_UPSTREAM);
     }
 
     @Test
     void callIsNotRetriedAfterItsUpstreamCrashed() {
-        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(true), policies);
+        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(true), retrying);
         List<CallAction> actions =
                 stateMachine.handle(new CallEvent.AttemptEnded(0, TestCalls.outcome(Kind.CONNECTION_LOST), true), 10);
 
-        assertThat(code(actions)).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        assertThat(refusalCode(actions)).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
     }
 
     @Test
     void deniedRetryDoesNotTurnAnUnknownOutcomeIntoNotRun() {
-        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(true), policies);
+        CallStateMachine stateMachine = afterFirstSend(TestCalls.request(true), retrying);
         endAttempt(stateMachine, 0, Kind.CONNECTION_LOST);
         grantSlot(stateMachine, 1, "second");
         endAttempt(stateMachine, 1, Kind.SHED);
         SlotDecision denied = new SlotDecision.Denied(ResultCode.NO_CAPACITY, Optional.empty());
 
-        assertThat(code(stateMachine.handle(new CallEvent.SlotDecided(2, denied), 10)))
+        assertThat(refusalCode(stateMachine.handle(new CallEvent.SlotDecided(2, denied), 10)))
                 .isEqualTo(ResultCode.OUTCOME_UNKNOWN);
     }
 
@@ -180,7 +182,7 @@
                 .orElseThrow();
     }
 
-    private static ResultCode code(List<CallAction> actions) {
+    private static ResultCode refusalCode(List<CallAction> actions) {
         return ((CallResult.Refused) result(actions)).code();
     }
 }
--- a/dispatch/src/test/java/org/turmericspan/dispatch/FakeMetrics.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/FakeMetrics.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import org.turmericspan.ids.ServiceId;
 
-/** Metrics that are discarded. */
+/** Discards all metrics. */
 final class FakeMetrics implements AttemptMetrics {
     @Override
     public void recordCall(ServiceId service) {}
--- a/dispatch/src/test/java/org/turmericspan/dispatch/TestCalls.java
+++ b/dispatch/src/test/java/org/turmericspan/dispatch/TestCalls.java
@@ -20,8 +20,9 @@
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 
-/** Requests, attempt outcomes and leases for tests. */
+/** Builds the requests, attempt outcomes and leases that the tests use. */
 final class TestCalls {
+    /** Deadline of each request, a point in time; the clock of the tests stays near 0. */
     static final long DEADLINE_NANOS = 1_000_000_000;
 
     private TestCalls() {}
