Explain runs without opening another file

Cause: an outside reader could not explain "call path", the length of an epoch "in which its tokens are issued", the size of the filter of refused tokens, nor what the overheads in bytes stand for.

--- a/runs/src/main/java/org/turmericspan/runs/RefusedTokens.java
+++ b/runs/src/main/java/org/turmericspan/runs/RefusedTokens.java
@@ -2,7 +2,10 @@
 
 import org.turmericspan.ids.RunToken;
 
-/** Set of run tokens whose request was refused as not run, so that a late copy of the request cannot run after that. */
+/**
+ * Set of run tokens whose request was refused as not run. A late copy of such a request, with the same token, must not
+ * run after the caller was told so.
+ */
 interface RefusedTokens {
     /**
      * Adds a token.
--- a/runs/src/main/java/org/turmericspan/runs/RelayedCallHandler.java
+++ b/runs/src/main/java/org/turmericspan/runs/RelayedCallHandler.java
@@ -9,7 +9,7 @@
 import org.turmericspan.messages.PeerHandler;
 import org.turmericspan.messages.PeerMessage;
 
-/** Handles calls that other nodes relay because this node owns their run token. */
+/** Handles calls that other nodes relay to this node as the owner of their run token. */
 public final class RelayedCallHandler implements PeerHandler {
     private final CallHandler ownerHandler;
     private final MonotonicClock clock;
@@ -17,7 +17,7 @@
     /**
      * Creates a handler.
      *
-     * @param ownerHandler handles a call whose token this node should own, and never relays it again
+     * @param ownerHandler handles a relayed call, and refuses it when this node does not own the token
      * @param clock converts the remaining time in the message into a deadline of this process
      */
     public RelayedCallHandler(CallHandler ownerHandler, MonotonicClock clock) {
--- a/runs/src/main/java/org/turmericspan/runs/RequestDigest.java
+++ b/runs/src/main/java/org/turmericspan/runs/RequestDigest.java
@@ -17,18 +17,20 @@
  */
 record RequestDigest(long first, long second, long third, long fourth) {
     private static final String ALGORITHM = "SHA-256";
+
+    /** Ends each text, so that texts with the same concatenation have different digests. */
     private static final byte SEPARATOR = 0;
 
     static RequestDigest of(CallRequest request) {
         MessageDigest digest = newDigest();
-        update(digest, request.service().value());
-        update(digest, request.method());
-        update(digest, request.path());
+        addText(digest, request.service().value());
+        addText(digest, request.method());
+        addText(digest, request.path());
         ByteBuffer bytes = ByteBuffer.wrap(digest.digest(request.body().bytes()));
         return new RequestDigest(bytes.getLong(), bytes.getLong(), bytes.getLong(), bytes.getLong());
     }
 
-    private static void update(MessageDigest digest, String text) {
+    private static void addText(MessageDigest digest, String text) {
         digest.update(text.getBytes(StandardCharsets.UTF_8));
         digest.update(SEPARATOR);
     }
--- a/runs/src/main/java/org/turmericspan/runs/Run.java
+++ b/runs/src/main/java/org/turmericspan/runs/Run.java
@@ -6,11 +6,11 @@
 import org.turmericspan.ids.RunToken;
 
 /**
- * One run in the run table.
+ * Request that was started under a run token, in flight or ended.
  *
  * @param token run token of the request
  * @param office account of the caller that sent the request
- * @param digest digest of the request
+ * @param digest digest that identifies the request among others with the same token
  * @param outcome future that is completed once with the outcome, never while a lock is held
  */
 record Run(RunToken token, OfficeId office, RequestDigest digest, CompletableFuture<CallResult> outcome) {
--- a/runs/src/main/java/org/turmericspan/runs/RunRelay.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunRelay.java
@@ -20,25 +20,27 @@
     /** Time beyond the deadline in which the reply of the owner is still accepted. */
     private static final Duration REPLY_GRACE = Duration.ofMillis(100);
 
-    private final TokenOwnerLookup owners;
+    private final TokenOwnerLookup ownerLookup;
     private final PeerLinks links;
     private final MonotonicClock clock;
 
     /**
      * Creates a relay.
      *
-     * @param owners finds token owners
+     * @param ownerLookup finds the node that owns a token
      * @param links sends messages to the other nodes
      * @param clock clock that deadlines refer to
      */
-    public RunRelay(TokenOwnerLookup owners, PeerLinks links, MonotonicClock clock) {
-        this.owners = owners;
+    public RunRelay(TokenOwnerLookup ownerLookup, PeerLinks links, MonotonicClock clock) {
+        this.ownerLookup = ownerLookup;
         this.links = links;
         this.clock = clock;
     }
 
+    /** Relays a request to the owner; completes with the result in its reply, or with a refusal if there is none. */
     CompletionStage<CallResult> relay(CallRequest request, Incarnation owner) {
-        return owners.find(owner)
+        return ownerLookup
+                .find(owner)
                 .map(vm -> relayTo(vm, request))
                 .orElseGet(() -> refused(ResultCode.OWNER_UNREACHABLE, "No node with that incarnation is known."));
     }
--- a/runs/src/main/java/org/turmericspan/runs/RunTable.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunTable.java
@@ -16,12 +16,15 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * Table of the runs that were started under the run tokens of this incarnation of the node, with their outcomes. A
- * token leaves the table only when its epoch expires; after that its outcome is unknown. A token whose request was
- * refused as not run is never accepted again.
+ * Table of the runs that were started under the run tokens of this incarnation of the node, with their outcomes. Each
+ * token belongs to the epoch, a time span of fixed length, in which it was issued. The table knows a token until its
+ * epoch expires; after that the outcome is unknown. A token whose request was refused as not run is not accepted again.
  */
 public final class RunTable {
+    /** Assumed memory of a stored outcome besides headers and body. */
     private static final int RUN_OVERHEAD_BYTES = 512;
+
+    /** Assumed memory of a header besides its name and value. */
     private static final int HEADER_OVERHEAD_BYTES = 64;
 
     private final RankedLock lock = new RankedLock(LockRank.RUNS);
@@ -29,8 +32,11 @@
     private final RunTableLimits limits;
     private final MonotonicClock clock;
     private final long startNanos;
-    private final Supplier<RefusedTokens> newRefusedTokens;
-    private int entries;
+    private final Supplier<RefusedTokens> refusedTokensFactory;
+
+    /** Number of runs in the table, in flight or ended. */
+    private int entryCount;
+
     private int inFlight;
     private long storedBytes;
 
@@ -38,45 +44,53 @@
      * Creates an empty table.
      *
      * @param limits limits of the table
-     * @param clock clock that epochs are derived from
+     * @param clock monotonic clock; the first epoch begins now
      */
     public RunTable(RunTableLimits limits, MonotonicClock clock) {
         this(limits, clock, RefusedTokenFilter::new);
     }
 
-    RunTable(RunTableLimits limits, MonotonicClock clock, Supplier<RefusedTokens> newRefusedTokens) {
+    RunTable(RunTableLimits limits, MonotonicClock clock, Supplier<RefusedTokens> refusedTokensFactory) {
         this.limits = limits;
         this.clock = clock;
         this.startNanos = clock.nowNanos();
-        this.newRefusedTokens = newRefusedTokens;
+        this.refusedTokensFactory = refusedTokensFactory;
     }
 
     /**
-     * Returns the epoch in which new tokens are issued.
+     * Returns the epoch to which newly issued tokens belong.
      *
-     * @return the current epoch
+     * @return the current epoch; the first one is 0
      */
     public Epoch currentEpoch() {
         return new Epoch((clock.nowNanos() - startNanos) / limits.epochLength().toNanos());
     }
 
     /**
-     * Returns statistics of the table.
+     * Returns statistics of the table, after the expired epochs were removed.
      *
      * @return counts, without tokens or data of callers
      */
     public RunTableStats stats() {
         return lock.compute(() -> {
             Epoch current = currentEpoch();
-            expireBefore(oldestValid(current));
-            return new RunTableStats(current, oldestValid(current), inFlight, entries - inFlight, storedBytes);
+            expireBefore(oldestValidEpoch(current));
+            return new RunTableStats(current, oldestValidEpoch(current), inFlight, entryCount - inFlight, storedBytes);
         });
     }
 
+    /**
+     * Decides on a request with a run token of this incarnation, and registers its run when it is to be started.
+     *
+     * @param token run token of the request
+     * @param office account of the caller that sent the request
+     * @param digest digest of the request
+     * @return whether to start the request, to wait for the run of an earlier copy, or to refuse the request
+     */
     TokenDecision admit(RunToken token, OfficeId office, RequestDigest digest) {
         return lock.compute(() -> {
             Epoch current = currentEpoch();
-            Epoch oldest = oldestValid(current);
+            Epoch oldest = oldestValidEpoch(current);
             expireBefore(oldest);
             if (token.epoch().compareTo(oldest) < 0) {
                 return new TokenDecision.Refuse(ResultCode.RUN_TOKEN_EXPIRED);
@@ -84,15 +98,17 @@
             if (token.epoch().compareTo(current) > 0) {
                 return new TokenDecision.Refuse(ResultCode.RUN_TOKEN_NOT_ISSUED);
             }
-            EpochRuns epoch = epochs.computeIfAbsent(token.epoch(), number -> new EpochRuns(newRefusedTokens.get()));
+            EpochRuns epoch =
+                    epochs.computeIfAbsent(token.epoch(), number -> new EpochRuns(refusedTokensFactory.get()));
             Run existing = epoch.runs.get(token);
             return existing == null ? startRun(epoch, token, office, digest) : joinRun(existing, office, digest);
         });
     }
 
     /**
-     * Stores the outcome of a run. The caller of this method completes {@link Run#outcome()} with it afterwards,
-     * outside the lock.
+     * Records the outcome of a run: stores it for duplicates of the request or, if the request was refused as not run,
+     * adds the token to the refused ones. The caller of this method completes {@link Run#outcome()} afterwards, outside
+     * the lock.
      *
      * @param run run that {@link #admit} started
      * @param result outcome of the run
@@ -108,7 +124,7 @@
             if (isNotRun(result)) {
                 epoch.runs.remove(run.token());
                 epoch.refused.add(run.token());
-                entries--;
+                entryCount--;
             } else {
                 storeOutcome(epoch, run, result);
             }
@@ -123,14 +139,14 @@
         if (epoch.refused.mayContain(token)) {
             return new TokenDecision.Refuse(ResultCode.RUN_TOKEN_SPENT);
         }
-        if (entries >= limits.maxEntries() || storedBytes >= limits.maxBytes()) {
+        if (entryCount >= limits.maxEntries() || storedBytes >= limits.maxBytes()) {
             epoch.refused.add(token);
             return new TokenDecision.Refuse(ResultCode.RUN_TABLE_FULL);
         }
         Run run = Run.create(token, office, digest);
         epoch.runs.put(token, run);
         epoch.inFlight++;
-        entries++;
+        entryCount++;
         inFlight++;
         return new TokenDecision.Start(run);
     }
@@ -170,14 +186,14 @@
         return bytes;
     }
 
-    private Epoch oldestValid(Epoch current) {
+    private Epoch oldestValidEpoch(Epoch current) {
         return new Epoch(Math.max(0, current.number() - limits.validEpochs() + 1));
     }
 
     private void expireBefore(Epoch oldest) {
         Map<Epoch, EpochRuns> expired = epochs.headMap(oldest);
         for (EpochRuns epoch : expired.values()) {
-            entries -= epoch.runs.size();
+            entryCount -= epoch.runs.size();
             inFlight -= epoch.inFlight;
             storedBytes -= epoch.storedBytes;
         }
--- a/runs/src/main/java/org/turmericspan/runs/RunTokenHandler.java
+++ b/runs/src/main/java/org/turmericspan/runs/RunTokenHandler.java
@@ -15,7 +15,8 @@
 
 /**
  * Starts each request with a run token at most once, and only on the node that owns the token. The token works as an
- * idempotency key that is bound to one incarnation of one node. Idempotent requests without a token pass unchanged.
+ * idempotency key that is bound to one incarnation of one node, that is to one start of its process. A request without
+ * a token passes unchanged, unless it is not idempotent and the catalog requires a token for it.
  */
 public final class RunTokenHandler implements CallHandler {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -31,13 +32,13 @@
     /**
      * Creates a handler.
      *
-     * @param incarnation incarnation of this node
+     * @param incarnation incarnation of this node, which the tokens that it owns are bound to
      * @param catalog determines which requests require a token
      * @param table runs of this incarnation of the node
      * @param relay relays requests to the token owners
-     * @param next next handler in the handler chain, which executes the request
+     * @param next next handler in the handler chain, which sends the request to an upstream
      * @param clock clock that deadlines refer to
-     * @param taskScheduler ends the wait of a duplicate request at its deadline
+     * @param taskScheduler schedules the end of the wait of a duplicate request, at its deadline
      */
     public RunTokenHandler(
             Incarnation incarnation,
@@ -71,9 +72,10 @@
     }
 
     /**
-     * Handles a call that another node relayed. It is never relayed again.
+     * Handles a call that another node relayed. It is never relayed again, but refused when this node does not own its
+     * token.
      *
-     * @param request the call
+     * @param request call whose deadline refers to the clock of this process
      * @return the result; the stage never completes exceptionally
      */
     public CompletionStage<CallResult> handleRelayed(CallRequest request) {
--- a/runs/src/main/java/org/turmericspan/runs/TaskScheduler.java
+++ b/runs/src/main/java/org/turmericspan/runs/TaskScheduler.java
@@ -8,7 +8,7 @@
     /**
      * Runs a task once after a delay.
      *
-     * @param delay delay before the task runs
+     * @param delay time from now until the task runs
      * @param task short task that does not block
      */
     void schedule(Duration delay, Runnable task);
--- a/runs/src/main/java/org/turmericspan/runs/TokenDecision.java
+++ b/runs/src/main/java/org/turmericspan/runs/TokenDecision.java
@@ -4,12 +4,12 @@
 import org.turmericspan.calls.CallResult;
 import org.turmericspan.errors.ResultCode;
 
-/** Decision of the run table on a request with a run token. */
+/** Decision of the run table whether a request with a run token is started, joined to an earlier run, or refused. */
 sealed interface TokenDecision {
     /**
      * The request must be started now. The table decides so only once for a token.
      *
-     * @param run run of the request
+     * @param run new entry of the run table, to be completed with the outcome
      */
     record Start(Run run) implements TokenDecision {}
 
@@ -23,7 +23,7 @@
     /**
      * The request must not be started.
      *
-     * @param code reason
+     * @param code result code of the refusal, which the caller receives
      */
     record Refuse(ResultCode code) implements TokenDecision {}
 }
--- a/runs/src/test/java/org/turmericspan/runs/RefusedTokenFilterTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RefusedTokenFilterTest.java
@@ -11,7 +11,7 @@
 
 /** Tests that the filter contains every added token, and that false positives are rare. */
 final class RefusedTokenFilterTest {
-    private static final int TOKENS = 20_000;
+    private static final int TOKEN_COUNT = 20_000;
 
     private final Random random = new Random(5);
 
@@ -19,13 +19,13 @@
     void everyAddedTokenIsFoundAndFewerThanOneInAThousandOthersAre() {
         RefusedTokenFilter filter = new RefusedTokenFilter();
         int falsePositives = 0;
-        for (int i = 0; i < TOKENS; i++) {
+        for (int i = 0; i < TOKEN_COUNT; i++) {
             RunToken token = randomToken();
             falsePositives += filter.mayContain(token) ? 1 : 0;
             filter.add(token);
             assertThat(filter.mayContain(token)).isTrue();
         }
-        assertThat(falsePositives).isLessThan(TOKENS / 1000);
+        assertThat(falsePositives).isLessThan(TOKEN_COUNT / 1000);
     }
 
     @Test
--- a/runs/src/test/java/org/turmericspan/runs/RunModelTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunModelTest.java
@@ -26,22 +26,22 @@
 /**
  * Model check of the real handler and run table: explores sends, duplicates, relays, restarts, epoch changes and late
  * messages in any order. Guards against a request that runs twice and against a request that is reported as not run but
- * ran. The tests with a changed call path show that the model finds these faults.
+ * ran. The tests whose handler chain has one of these faults show that the model finds it.
  */
 final class RunModelTest {
-    private static final int EXHAUSTIVE_DEPTH = 6;
-    private static final int COPIES = 3;
-    private static final int MANY_COPIES = 8;
+    private static final int EXHAUSTIVE_STEPS = 6;
+    private static final int MAX_COPIES_EXHAUSTIVE = 3;
+    private static final int MAX_COPIES_RANDOM = 8;
 
     @Test
     void noShortInterleavingBreaksAnInvariant() {
-        assertThat(firstViolation(RunModelTest::tokenHandlerPath)).isEmpty();
+        assertThat(firstViolation(RunModelTest::tokenHandlerChain)).isEmpty();
     }
 
     @Property(tries = 20_000, seed = "5", edgeCases = EdgeCasesMode.NONE)
     void noLongInterleavingBreaksAnInvariant(
             @ForAll @Size(min = 20, max = 60) List<@IntRange(max = 5039) Integer> choices) {
-        RunSimulation simulation = new RunSimulation(RunModelTest::tokenHandlerPath, MANY_COPIES);
+        RunSimulation simulation = new RunSimulation(RunModelTest::tokenHandlerChain, MAX_COPIES_RANDOM);
         for (int choice : choices) {
             simulation.step(choice);
             assertThat(simulation.violation()).isEmpty();
@@ -50,26 +50,26 @@
 
     @Test
     void withoutTheTokenHandlerADuplicateRequestRunsTwice() {
-        RunSimulation.CallPathFactory withoutHandler = dependencies -> new RunSimulation.CallPath(
+        RunSimulation.HandlerChainFactory withoutHandler = dependencies -> new RunSimulation.HandlerChain(
                 dependencies.next(), dependencies.next(), new RunTable(RunSimulation.LIMITS, dependencies.clock()));
         assertThat(firstViolation(withoutHandler)).contains("ran twice");
     }
 
     @Test
     void whenARefusalFreesItsTokenALateCopyRunsAfterTheCallerWasToldNo() {
-        assertThat(firstViolation(dependencies -> tokenHandlerPath(dependencies, NoRefusedTokens::new)))
+        assertThat(firstViolation(dependencies -> tokenHandlerChain(dependencies, NoRefusedTokens::new)))
                 .contains("told not run, but ran");
     }
 
     @Test
     void whenANodeRunsARequestOfAnUnreachableOwnerItRunsTwice() {
-        RunSimulation.CallPathFactory runningForOwner = dependencies -> {
-            RunSimulation.CallPath tokenPath = tokenHandlerPath(dependencies);
-            CallHandler callerHandler = request -> tokenPath
+        RunSimulation.HandlerChainFactory runningForOwner = dependencies -> {
+            RunSimulation.HandlerChain tokenChain = tokenHandlerChain(dependencies);
+            CallHandler callerHandler = request -> tokenChain
                     .callerHandler()
                     .handle(request)
                     .thenCompose(result -> runHereIfUnreachable(result, request, dependencies));
-            return new RunSimulation.CallPath(callerHandler, tokenPath.relayedHandler(), tokenPath.table());
+            return new RunSimulation.HandlerChain(callerHandler, tokenChain.relayedHandler(), tokenChain.table());
         };
         assertThat(firstViolation(runningForOwner)).contains("ran twice");
     }
@@ -81,11 +81,11 @@
         return unreachable ? dependencies.next().handle(request) : CompletableFuture.completedFuture(result);
     }
 
-    private static RunSimulation.CallPath tokenHandlerPath(RunSimulation.Dependencies dependencies) {
-        return tokenHandlerPath(dependencies, RefusedTokenFilter::new);
+    private static RunSimulation.HandlerChain tokenHandlerChain(RunSimulation.Dependencies dependencies) {
+        return tokenHandlerChain(dependencies, RefusedTokenFilter::new);
     }
 
-    private static RunSimulation.CallPath tokenHandlerPath(
+    private static RunSimulation.HandlerChain tokenHandlerChain(
             RunSimulation.Dependencies dependencies, Supplier<RefusedTokens> refusedTokens) {
         RunTable table = new RunTable(RunSimulation.LIMITS, dependencies.clock(), refusedTokens);
         RunTokenHandler runTokenHandler = new RunTokenHandler(
@@ -96,25 +96,26 @@
                 dependencies.next(),
                 dependencies.clock(),
                 dependencies.taskScheduler());
-        return new RunSimulation.CallPath(runTokenHandler, runTokenHandler::handleRelayed, table);
+        return new RunSimulation.HandlerChain(runTokenHandler, runTokenHandler::handleRelayed, table);
     }
 
-    /** Replays every sequence of choices up to the maximum depth, and returns the first violated invariant. */
-    private static Optional<String> firstViolation(RunSimulation.CallPathFactory callPathFactory) {
-        return explore(callPathFactory, new ArrayList<>());
+    /** Replays every sequence of up to {@link #EXHAUSTIVE_STEPS} choices, and returns the first violated invariant. */
+    private static Optional<String> firstViolation(RunSimulation.HandlerChainFactory handlerChainFactory) {
+        return explore(handlerChainFactory, new ArrayList<>());
     }
 
-    private static Optional<String> explore(RunSimulation.CallPathFactory callPathFactory, List<Integer> choices) {
-        RunSimulation simulation = new RunSimulation(callPathFactory, COPIES);
+    private static Optional<String> explore(
+            RunSimulation.HandlerChainFactory handlerChainFactory, List<Integer> choices) {
+        RunSimulation simulation = new RunSimulation(handlerChainFactory, MAX_COPIES_EXHAUSTIVE);
         choices.forEach(simulation::step);
         Optional<String> violation = simulation.violation();
-        if (violation.isPresent() || choices.size() == EXHAUSTIVE_DEPTH) {
+        if (violation.isPresent() || choices.size() == EXHAUSTIVE_STEPS) {
             return violation;
         }
         int enabled = simulation.enabledCount();
         for (int choice = 0; choice < enabled && violation.isEmpty(); choice++) {
             choices.add(choice);
-            violation = explore(callPathFactory, choices);
+            violation = explore(handlerChainFactory, choices);
             choices.remove(choices.size() - 1);
         }
         return violation;
--- a/runs/src/test/java/org/turmericspan/runs/RunSimulation.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunSimulation.java
@@ -27,44 +27,45 @@
 
 /**
  * Simulation of two nodes with real handlers and run tables, and of a network, callers and upstreams. Each step
- * executes one of the enabled actions; the invariants are checked after each step.
+ * performs one of the actions that are enabled, that is possible in the current state; the test checks the invariants
+ * after each step.
  */
 final class RunSimulation {
     static final RunTableLimits LIMITS = new RunTableLimits(Duration.ofSeconds(10), 2, 2, 1 << 20);
 
     private static final OfficeId OFFICE = new OfficeId("pressroom");
     private static final CallerId CALLER = new CallerId("mari");
-    private static final long DEADLINE_NANOS = Duration.ofSeconds(60).toNanos();
+    private static final long TIMEOUT_NANOS = Duration.ofSeconds(60).toNanos();
 
     private final ManualClock clock = new ManualClock();
-    private final CallPathFactory callPathFactory;
-    private final int maxCopies;
+    private final HandlerChainFactory handlerChainFactory;
+    private final int maxSentCopies;
     private final List<TestNode> nodes = new ArrayList<>();
-    private final Map<Incarnation, VmId> vmsByIncarnation = new HashMap<>();
+    private final Map<Incarnation, VmId> vmByIncarnation = new HashMap<>();
     private final List<RunToken> tokens = new ArrayList<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private final List<Message> network = new ArrayList<>();
     private final List<Runnable> timers = new ArrayList<>();
-    private final Map<RunToken, Integer> runs = new HashMap<>();
+    private final Map<RunToken, Integer> runsByToken = new HashMap<>();
     private final Map<RunToken, Boolean> reportedNotRun = new HashMap<>();
-    private int copies;
-    private long lastNumber;
+    private int sentCopies;
+    private long lastIssuedNumber;
 
-    RunSimulation(CallPathFactory callPathFactory, int maxCopies) {
-        this.callPathFactory = callPathFactory;
-        this.maxCopies = maxCopies;
+    RunSimulation(HandlerChainFactory handlerChainFactory, int maxSentCopies) {
+        this.handlerChainFactory = handlerChainFactory;
+        this.maxSentCopies = maxSentCopies;
         nodes.add(new TestNode(new VmId("entry-00")));
         nodes.add(new TestNode(new VmId("entry-01")));
         tokens.add(issueToken(nodes.get(0)));
     }
 
-    /** Builds the call path of one incarnation of a node. */
+    /** Builds the components that handle the requests of one incarnation of a node, that is from start to restart. */
     @FunctionalInterface
-    interface CallPathFactory {
-        CallPath build(Dependencies dependencies);
+    interface HandlerChainFactory {
+        HandlerChain build(Dependencies dependencies);
     }
 
-    /** Collaborators that a call path is built from. */
+    /** Collaborators of the handlers of one incarnation; {@code next} sends requests to the simulated upstreams. */
     record Dependencies(
             Incarnation incarnation,
             ManualClock clock,
@@ -72,24 +73,24 @@
             CallHandler next,
             TaskScheduler taskScheduler) {}
 
-    /** Entry points of a call path: from callers and from other nodes. */
-    record CallPath(CallHandler callerHandler, CallHandler relayedHandler, RunTable table) {}
+    /** Handlers for requests from callers and from other nodes, and the run table that both use. */
+    record HandlerChain(CallHandler callerHandler, CallHandler relayedHandler, RunTable table) {}
 
-    /** Executes one of the enabled actions, and returns how many were enabled. */
+    /** Performs the enabled action that the choice selects, modulo their number, and returns how many were enabled. */
     int step(int choice) {
-        List<Runnable> enabled = enabled();
+        List<Runnable> enabled = enabledActions();
         enabled.get(Math.floorMod(choice, enabled.size())).run();
         return enabled.size();
     }
 
     int enabledCount() {
-        return enabled().size();
+        return enabledActions().size();
     }
 
-    /** Returns the first violated invariant, or empty. */
+    /** Returns the first violated invariant, or empty: no request runs twice, and none reported as not run runs. */
     Optional<String> violation() {
         for (RunToken token : tokens) {
-            int ran = runs.getOrDefault(token, 0);
+            int ran = runsByToken.getOrDefault(token, 0);
             if (ran > 1) {
                 return Optional.of("ran twice");
             }
@@ -100,10 +101,10 @@
         return Optional.empty();
     }
 
-    private List<Runnable> enabled() {
+    private List<Runnable> enabledActions() {
         List<Runnable> enabled = new ArrayList<>();
         for (TestNode node : nodes) {
-            if (copies < maxCopies) {
+            if (sentCopies < maxSentCopies) {
                 tokens.forEach(token -> enabled.add(() -> send(node, token)));
             }
             enabled.add(node::restart);
@@ -114,8 +115,8 @@
                 enabled.add(() -> message.reply.complete(new PeerMessage.Unreachable(true)));
             }
         }
-        attempts.forEach(attempt -> attempt.addEnabled(enabled));
-        timers.forEach(timer -> enabled.add(() -> fire(timer)));
+        attempts.forEach(attempt -> attempt.addEnabledActions(enabled));
+        timers.forEach(timer -> enabled.add(() -> runTimer(timer)));
         if (tokens.size() < 2) {
             enabled.add(() -> tokens.add(issueToken(nodes.get(1))));
         }
@@ -124,23 +125,26 @@
     }
 
     private RunToken issueToken(TestNode node) {
-        lastNumber++;
+        lastIssuedNumber++;
         return new RunToken(
-                node.incarnation, node.callPath.table().currentEpoch(), CALLER, String.format("%032x", lastNumber));
+                node.incarnation,
+                node.handlerChain.table().currentEpoch(),
+                CALLER,
+                String.format("%032x", lastIssuedNumber));
     }
 
     private void send(TestNode node, RunToken token) {
-        copies++;
+        sentCopies++;
         Incarnation incarnation = node.incarnation;
-        CallRequest request = request(token, clock.nowNanos() + DEADLINE_NANOS);
-        node.callPath.callerHandler().handle(request).thenAccept(result -> {
+        CallRequest request = request(token, clock.nowNanos() + TIMEOUT_NANOS);
+        node.handlerChain.callerHandler().handle(request).thenAccept(result -> {
             if (node.incarnation.equals(incarnation)) {
-                observe(token, result);
+                recordResult(token, result);
             }
         });
     }
 
-    private void observe(RunToken token, CallResult result) {
+    private void recordResult(RunToken token, CallResult result) {
         if (result instanceof CallResult.Refused refused && refused.code().ran() == Ran.NO) {
             reportedNotRun.put(token, true);
         }
@@ -157,13 +161,13 @@
                 .findFirst()
                 .orElseThrow();
         Incarnation incarnation = receiver.incarnation;
-        new RelayedCallHandler(receiver.callPath.relayedHandler(), clock)
+        new RelayedCallHandler(receiver.handlerChain.relayedHandler(), clock)
                 .handle(message.to, message.content)
                 .thenAccept(response -> message.reply.complete(
                         receiver.incarnation.equals(incarnation) ? response : new PeerMessage.Unreachable(true)));
     }
 
-    private void fire(Runnable timer) {
+    private void runTimer(Runnable timer) {
         timers.remove(timer);
         timer.run();
     }
@@ -185,11 +189,11 @@
                 Optional.of(token));
     }
 
-    /** Node that can be restarted. */
+    /** Node whose run table and handlers are new after each restart, while the messages to it stay in the network. */
     private final class TestNode implements PeerLinks {
         private final VmId vm;
         private Incarnation incarnation;
-        private CallPath callPath;
+        private HandlerChain handlerChain;
 
         TestNode(VmId vm) {
             this.vm = vm;
@@ -197,11 +201,11 @@
         }
 
         void restart() {
-            lastNumber++;
-            incarnation = new Incarnation(lastNumber);
-            vmsByIncarnation.put(incarnation, vm);
-            RunRelay relay = new RunRelay(owner -> Optional.ofNullable(vmsByIncarnation.get(owner)), this, clock);
-            callPath = RunSimulation.this.callPathFactory.build(
+            lastIssuedNumber++;
+            incarnation = new Incarnation(lastIssuedNumber);
+            vmByIncarnation.put(incarnation, vm);
+            RunRelay relay = new RunRelay(owner -> Optional.ofNullable(vmByIncarnation.get(owner)), this, clock);
+            handlerChain = RunSimulation.this.handlerChainFactory.build(
                     new Dependencies(incarnation, clock, relay, this::attempt, (delay, task) -> timers.add(task)));
         }
 
@@ -226,19 +230,19 @@
 
     private record Message(VmId to, PeerMessage content, CompletableFuture<PeerMessage> reply) {}
 
-    /** Attempt whose bytes may still reach the upstream after its node has restarted. */
+    /** Attempt on an upstream. The upstream may start the request even after the node that sent it has restarted. */
     private final class Attempt {
         private final RunToken token;
         private final CompletableFuture<CallResult> result = new CompletableFuture<>();
-        private boolean started;
+        private boolean hasStarted;
 
         Attempt(RunToken token) {
             this.token = token;
         }
 
-        void addEnabled(List<Runnable> enabled) {
+        void addEnabledActions(List<Runnable> enabled) {
             boolean hasEnded = result.isDone();
-            if (!started && !isNotRun()) {
+            if (!hasStarted && !isNotRun()) {
                 enabled.add(this::start);
             }
             if (hasEnded) {
@@ -246,14 +250,14 @@
             }
             enabled.add(() -> result.complete(CallResult.Refused.of(ResultCode.OUTCOME_UNKNOWN, "")));
             enabled.add(
-                    started
+                    hasStarted
                             ? () -> result.complete(new CallResult.Answered(200, List.of(), payload()))
                             : () -> result.complete(CallResult.Refused.of(ResultCode.SHED_BY_UPSTREAM, "")));
         }
 
         private void start() {
-            started = true;
-            runs.merge(token, 1, Integer::sum);
+            hasStarted = true;
+            runsByToken.merge(token, 1, Integer::sum);
         }
 
         private Payload payload() {
--- a/runs/src/test/java/org/turmericspan/runs/RunTokenHandlerTest.java
+++ b/runs/src/test/java/org/turmericspan/runs/RunTokenHandlerTest.java
@@ -27,19 +27,19 @@
 import org.turmericspan.messages.PeerMessage;
 import org.turmericspan.testkit.ManualClock;
 
-/** Tests which requests are executed, wait for an earlier run, are relayed to the token owner, or are refused. */
+/** Tests which requests are started, wait for an earlier run, are relayed to the token owner, or are refused. */
 final class RunTokenHandlerTest {
     private static final Incarnation OWN = new Incarnation(1);
     private static final Incarnation OTHER = new Incarnation(2);
     private static final Incarnation UNKNOWN_INCARNATION = new Incarnation(3);
     private static final CallerId MARI = new CallerId("mari");
-    private static final Duration DEADLINE = Duration.ofSeconds(2);
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final CallResult RESPONSE = new CallResult.Answered(200, List.of(), Payload.EMPTY);
 
     private final ManualClock clock = new ManualClock();
-    private final List<CallRequest> started = new ArrayList<>();
-    private final CompletableFuture<CallResult> outcome = new CompletableFuture<>();
-    private final List<Runnable> timers = new ArrayList<>();
+    private final List<CallRequest> startedRequests = new ArrayList<>();
+    private final CompletableFuture<CallResult> runOutcome = new CompletableFuture<>();
+    private final List<Runnable> scheduledTasks = new ArrayList<>();
     private final RecordingLinks links = new RecordingLinks();
     private final RunTokenHandler runTokenHandler = new RunTokenHandler(
             OWN,
@@ -48,96 +48,97 @@
             new RunRelay(
                     owner -> owner.equals(OTHER) ? Optional.of(new VmId("entry-01")) : Optional.empty(), links, clock),
             request -> {
-                started.add(request);
-                return outcome;
+                startedRequests.add(request);
+                return runOutcome;
             },
             clock,
-            (delay, task) -> timers.add(task));
+            (delay, task) -> scheduledTasks.add(task));
 
     @Test
     void idempotentRequestWithoutTokenPassesUnchanged() {
         CallRequest query = request("GET", "/stock", true, Optional.empty());
-        assertThat(runTokenHandler.handle(query)).isSameAs(outcome);
-        assertThat(started).containsExactly(query);
+        assertThat(runTokenHandler.handle(query)).isSameAs(runOutcome);
+        assertThat(startedRequests).containsExactly(query);
     }
 
     @Test
     void nonIdempotentRequestWithoutTokenIsRefused() {
-        assertThat(codeOf(runTokenHandler.handle(request("POST", "/orders", false, Optional.empty()))))
+        assertThat(refusalCodeOf(runTokenHandler.handle(request("POST", "/orders", false, Optional.empty()))))
                 .isEqualTo(ResultCode.RUN_TOKEN_MISSING);
-        assertThat(started).isEmpty();
+        assertThat(startedRequests).isEmpty();
     }
 
     @Test
     void nonIdempotentRequestWithoutTokenPassesWhereTheCatalogAllowsIt() {
         runTokenHandler.handle(request("POST", "/drafts", false, Optional.empty()));
-        assertThat(started).hasSize(1);
+        assertThat(startedRequests).hasSize(1);
     }
 
     @Test
     void tokenOfAnotherCallerIsRefused() {
         RunToken token = new RunToken(OWN, new Epoch(0), new CallerId("jaan"), "0".repeat(32));
-        assertThat(codeOf(runTokenHandler.handle(order(token)))).isEqualTo(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER);
+        assertThat(refusalCodeOf(runTokenHandler.handle(order(token))))
+                .isEqualTo(ResultCode.RUN_TOKEN_OF_ANOTHER_CALLER);
     }
 
     @Test
     void duplicatesShareOneRunAndItsResponse() {
         CompletionStage<CallResult> first = runTokenHandler.handle(order(token(OWN)));
         CompletionStage<CallResult> second = runTokenHandler.handle(order(token(OWN)));
-        outcome.complete(RESPONSE);
+        runOutcome.complete(RESPONSE);
         CompletionStage<CallResult> third = runTokenHandler.handle(order(token(OWN)));
         assertThat(List.of(first, second, third)).allMatch(stage -> join(stage).equals(RESPONSE));
-        assertThat(started).hasSize(1);
+        assertThat(startedRequests).hasSize(1);
     }
 
     @Test
     void tokenOnAnIdempotentRequestMakesItRunOnce() {
         runTokenHandler.handle(request("GET", "/stock", true, Optional.of(token(OWN))));
         runTokenHandler.handle(request("GET", "/stock", true, Optional.of(token(OWN))));
-        assertThat(started).hasSize(1).noneMatch(CallRequest::idempotent);
+        assertThat(startedRequests).hasSize(1).noneMatch(CallRequest::idempotent);
     }
 
     @Test
     void duplicateWaitsNoLongerThanItsOwnDeadline() {
         runTokenHandler.handle(order(token(OWN)));
         CompletionStage<CallResult> duplicate = runTokenHandler.handle(order(token(OWN)));
-        timers.forEach(Runnable::run);
-        assertThat(codeOf(duplicate)).isEqualTo(ResultCode.DEADLINE_AFTER_SEND);
-        outcome.complete(RESPONSE);
+        scheduledTasks.forEach(Runnable::run);
+        assertThat(refusalCodeOf(duplicate)).isEqualTo(ResultCode.DEADLINE_AFTER_SEND);
+        runOutcome.complete(RESPONSE);
         assertThat(join(runTokenHandler.handle(order(token(OWN))))).isEqualTo(RESPONSE);
     }
 
     @Test
     void runThatEndsWithAnExceptionHasAnUnknownOutcome() {
         CompletionStage<CallResult> first = runTokenHandler.handle(order(token(OWN)));
-        outcome.completeExceptionally(new IllegalStateException("broken"));
-        assertThat(codeOf(first)).isEqualTo(ResultCode.INTERNAL);
-        assertThat(codeOf(runTokenHandler.handle(order(token(OWN))))).isEqualTo(ResultCode.INTERNAL);
+        runOutcome.completeExceptionally(new IllegalStateException("broken"));
+        assertThat(refusalCodeOf(first)).isEqualTo(ResultCode.INTERNAL);
+        assertThat(refusalCodeOf(runTokenHandler.handle(order(token(OWN))))).isEqualTo(ResultCode.INTERNAL);
     }
 
     @Test
     void requestWithATokenOfAnotherNodeIsRelayedWithTheRemainingTime() {
         CompletionStage<CallResult> result = runTokenHandler.handle(order(token(OTHER)));
         PeerMessage.RelayCall relayed = (PeerMessage.RelayCall) links.sentMessages.get(0);
-        assertThat(relayed.request().deadlineNanos()).isEqualTo(DEADLINE.toNanos());
+        assertThat(relayed.request().deadlineNanos()).isEqualTo(TIMEOUT.toNanos());
         links.reply.complete(new PeerMessage.RelayResult(RESPONSE));
         assertThat(join(result)).isEqualTo(RESPONSE);
-        assertThat(started).isEmpty();
+        assertThat(startedRequests).isEmpty();
     }
 
     @Test
     void relayThatWasNotSentHasAnUnknownOutcome() {
         CompletionStage<CallResult> result = runTokenHandler.handle(order(token(OTHER)));
         links.reply.complete(new PeerMessage.Unreachable(false));
-        assertThat(codeOf(result)).isEqualTo(ResultCode.OWNER_UNREACHABLE);
-        assertThat(started).isEmpty();
+        assertThat(refusalCodeOf(result)).isEqualTo(ResultCode.OWNER_UNREACHABLE);
+        assertThat(startedRequests).isEmpty();
     }
 
     @Test
     void requestWithATokenOfAnUnknownIncarnationIsNotRun() {
-        assertThat(codeOf(runTokenHandler.handle(order(token(UNKNOWN_INCARNATION)))))
+        assertThat(refusalCodeOf(runTokenHandler.handle(order(token(UNKNOWN_INCARNATION)))))
                 .isEqualTo(ResultCode.OWNER_UNREACHABLE);
-        assertThat(started).isEmpty();
+        assertThat(startedRequests).isEmpty();
     }
 
     @Test
@@ -154,10 +155,10 @@
     @Test
     void relayedCallGetsADeadlineOnTheClockOfThisProcess() {
         clock.advance(Duration.ofSeconds(25));
-        CallRequest request = order(token(OWN)).withDeadline(DEADLINE.toNanos());
+        CallRequest request = order(token(OWN)).withDeadline(TIMEOUT.toNanos());
         new RelayedCallHandler(runTokenHandler::handleRelayed, clock)
                 .handle(new VmId("entry-01"), new PeerMessage.RelayCall(request));
-        assertThat(started.get(0).deadlineNanos()).isEqualTo(clock.nowNanos() + DEADLINE.toNanos());
+        assertThat(startedRequests.get(0).deadlineNanos()).isEqualTo(clock.nowNanos() + TIMEOUT.toNanos());
     }
 
     private CallRequest order(RunToken token) {
@@ -174,7 +175,7 @@
                 path,
                 List.of(),
                 Payload.EMPTY,
-                clock.nowNanos() + DEADLINE.toNanos(),
+                clock.nowNanos() + TIMEOUT.toNanos(),
                 0,
                 false,
                 idempotent,
@@ -190,7 +191,7 @@
         return stage.toCompletableFuture().join();
     }
 
-    private static ResultCode codeOf(CompletionStage<CallResult> stage) {
+    private static ResultCode refusalCodeOf(CompletionStage<CallResult> stage) {
         return ((CallResult.Refused) join(stage)).code();
     }
 
