--- a/balancing/src/main/java/org/turmericspan/balancing/BalancingRules.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/BalancingRules.java
@@ -1,13 +1,15 @@
 package org.turmericspan.balancing;
 
 /**
- * Configured limits for the fleet that every decision observes.
+ * Limits that all nodes of the fleet keep together.
  *
- * @param coldOverage multiple of the rate a cold upstream sustains that the fleet may send to it
- * @param coldSlack requests a second allowed on top of that
- * @param retryRatio retries and hedges allowed for each request of a service within the window
- * @param retrySlack retries and hedges allowed within a window beyond the ratio, on all nodes together
- * @param retryWindowNanos length of the sliding window
+ * @param coldOverage factor on the request rate that a cold upstream sustains; the fleet sends at most the product
+ *     plus coldSlack to it
+ * @param coldSlack requests per second allowed in addition to that product
+ * @param retryRatio retries and hedges allowed per request of a service, counted over the window; 0.2 is one for five
+ *     requests
+ * @param retrySlack retries and hedges allowed per service and window in addition to the ratio, by all nodes together
+ * @param retryWindowNanos length of the sliding window over which requests, retries and hedges are counted
  */
 public record BalancingRules(
         double coldOverage, double coldSlack, double retryRatio, double retrySlack, long retryWindowNanos) {}
--- a/balancing/src/main/java/org/turmericspan/balancing/ColdRateLimiter.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ColdRateLimiter.java
@@ -18,6 +18,7 @@
         return sentNanos.size() < limitPerSecond;
     }
 
+    /** Records that a request is sent to the upstream. */
     void record(long nowNanos) {
         sentNanos.addLast(nowNanos);
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/ConcurrencyLimit.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ConcurrencyLimit.java
@@ -6,18 +6,22 @@
  * requests of the lowest are queued or refused.
  */
 final class ConcurrencyLimit {
-    /** Utilization of an upstream above which upstreams of many kinds slow down. */
+    /** Share of an upstream's slots above which its service time rises; the rest is reserved at high utilization. */
     static final double NEARLY_FULL_UTILIZATION = 0.8;
-    /** Utilization of a service from which last slots are reserved; below it, an upstream is nearly full by chance. */
+    /**
+     * Utilization of a service from which the last slots of its upstreams are reserved. Below it other upstreams have
+     * free slots, even when a single one is nearly full.
+     */
     private static final double HIGH_UTILIZATION = 0.6;
 
     private ConcurrencyLimit() {}
 
-    /** Returns whether the limit for a priority depends on the utilization of the service. */
+    /** Returns whether the limit for a priority depends on the utilization of the service; true from priority 2. */
     static boolean dependsOnUtilization(int priority) {
         return priority > 1;
     }
 
+    /** Returns the limit. Priority 0, the highest, may exceed the slots by one request. */
     static int limit(int slots, int priority, double utilization) {
         return switch (priority) {
             case 0 -> slots + 1;
--- a/balancing/src/main/java/org/turmericspan/balancing/ConfigurationHolder.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ConfigurationHolder.java
@@ -31,7 +31,7 @@
     /**
      * Returns the active configuration.
      *
-     * @return empty until the first one is accepted
+     * @return empty until the first one is activated
      */
     public Optional<RoutingConfiguration> current() {
         return Optional.ofNullable(current);
--- a/balancing/src/main/java/org/turmericspan/balancing/CrashSuspects.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/CrashSuspects.java
@@ -14,20 +14,23 @@
 import org.turmericspan.tables.RankedLock;
 
 /**
- * Table of requests that are suspected of crashing upstreams ("queries of death"): an attempt lost its connection and
- * the upstream was found down soon after. A request that is suspected on {@value #QUARANTINE_THRESHOLD} upstreams is
+ * Table of requests that are suspected of crashing upstreams: an attempt lost its connection, and the upstream was
+ * found to be down soon after. A request that is suspected of crashing {@value #QUARANTINE_THRESHOLD} upstreams is
  * quarantined: it is refused until its entry expires.
  */
 public final class CrashSuspects {
-    /** Suspected crashes of different upstreams that lead to quarantine; two may coincide when a zone fails. */
+    /**
+     * Number of upstreams that a request must be suspected of crashing before it is quarantined. Two is too few: both
+     * attempts of a request can fail by chance when their zone fails.
+     */
     private static final int QUARANTINE_THRESHOLD = 3;
-    /** Time to live of an entry after its last crash; such requests are sent again within seconds. */
+    /** Time after the last crash at which a suspect is dropped; callers retry a failing request within seconds. */
     private static final long ENTRY_TTL_NANOS = TimeUnit.SECONDS.toNanos(60);
-    /** Longest time between the loss of a connection and the loss of its upstream that counts as a crash. */
+    /** Maximum time from the loss of a connection to the loss of its upstream that makes the request a suspect. */
     private static final long CRASH_ATTRIBUTION_NANOS = TimeUnit.SECONDS.toNanos(2);
     /**
-     * Limit on the number of suspects, of which the least recently updated one is evicted first. Also limits the
-     * upstreams with lost connections, which are all dropped when there are more.
+     * Maximum number of suspects; a new one evicts the least recently updated one. The same maximum holds for the
+     * number of upstreams whose lost connections are remembered; beyond it, all of these are dropped.
      */
     private static final int MAX_ENTRIES = 1_000;
 
@@ -48,8 +51,8 @@
     /**
      * Records that an attempt lost its connection.
      *
-     * @param fingerprint hash of the request
-     * @param upstream upstream at which the attempt ran
+     * @param fingerprint hash of the method, target and body of the request
+     * @param upstream upstream to which the attempt was sent
      */
     public void recordConnectionLoss(long fingerprint, UpstreamId upstream) {
         long now = clock.nowNanos();
@@ -62,10 +65,10 @@
     }
 
     /**
-     * Records that an upstream is down. Requests that just lost their connection to it become suspects.
+     * Records that an upstream is down. Requests that lost their connection to it shortly before become suspects.
      *
      * @param upstream the upstream
-     * @return fingerprints of those requests that are quarantined
+     * @return fingerprints of those requests that are quarantined now; empty when there are none
      */
     public List<Long> recordUpstreamLoss(UpstreamId upstream) {
         long now = clock.nowNanos();
@@ -85,9 +88,9 @@
     }
 
     /**
-     * Records a crash that another node reported.
+     * Records a suspected crash that another node reported.
      *
-     * @param crash the crash
+     * @param crash the suspected request and the upstream that it may have crashed
      */
     public void recordPeerCrash(Crash crash) {
         long now = clock.nowNanos();
@@ -113,7 +116,7 @@
      * Returns whether a request is quarantined and must be refused.
      *
      * @param fingerprint hash of the request
-     * @return true after crashes of {@value #QUARANTINE_THRESHOLD} upstreams
+     * @return true after suspected crashes of {@value #QUARANTINE_THRESHOLD} upstreams, until the entry expires
      */
     public boolean isQuarantined(long fingerprint) {
         return lock.compute(() -> isQuarantinedLocked(fingerprint));
@@ -127,10 +130,10 @@
     }
 
     /**
-     * Lists crashes to report to other nodes.
+     * Lists suspected crashes to report to other nodes.
      *
-     * @param maxCount limit on the number of crashes
-     * @return at most that many crashes, the least recently updated requests first
+     * @param maxCount maximum number of entries to return
+     * @return suspected crashes, those of the least recently updated requests first
      */
     public List<Crash> recentCrashes(int maxCount) {
         return lock.compute(() -> suspects.entrySet().stream()
--- a/balancing/src/main/java/org/turmericspan/balancing/FleetListener.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetListener.java
@@ -4,7 +4,7 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.UpstreamId;
 
-/** Receives what operators and upstreams publish. */
+/** Receives the configurations and evacuations that operators publish, and the registrations of upstreams. */
 public interface FleetListener {
     /**
      * Receives a published configuration.
@@ -16,19 +16,19 @@
     /**
      * Receives the registration that an upstream published.
      *
-     * @param registration the newest registration
+     * @param registration the newest registration, which may be equal to the previous one
      */
     void onRegistration(Registration registration);
 
     /**
-     * Handles the removal of an upstream that is no longer registered.
+     * Receives the identifier of an upstream that is no longer registered.
      *
      * @param id the upstream
      */
     void onRemoval(UpstreamId id);
 
     /**
-     * Receives the availability zones that must get no requests.
+     * Receives the evacuated availability zones, whose upstreams must get no requests.
      *
      * @param zones all evacuated zones; replaces the previous set
      */
--- a/balancing/src/main/java/org/turmericspan/balancing/Observation.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Observation.java
@@ -4,12 +4,12 @@
  * Observed state of an upstream at one moment.
  *
  * @param atNanos monotonic time of the observation
- * @param running requests being executed
- * @param waiting requests queued
+ * @param running requests that the upstream runs
+ * @param waiting requests queued at the upstream
  * @param slowdownPercent current service time relative to normal; 100 is normal
- * @param coldRemainingNanos time until it is warm; 0 when it is warm
+ * @param coldRemainingNanos remaining warm-up time; 0 when it is warm
  * @param healthy whether its health check succeeded
- * @param reachable whether it responded
+ * @param reachable whether it responded, and as the expected upstream
  */
 public record Observation(
         long atNanos,
--- a/balancing/src/main/java/org/turmericspan/balancing/Ownership.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Ownership.java
@@ -1,6 +1,9 @@
 package org.turmericspan.balancing;
 
-/** Decides whether this node owns an upstream. The owner probes it and is the only node that sends to it while cold. */
+/**
+ * Decides whether this node owns an upstream. The owner probes it, and is the only node that sends to it while it is
+ * cold, that is, until its warm-up time after a start has passed.
+ */
 @FunctionalInterface
 public interface Ownership {
     /**
--- a/balancing/src/main/java/org/turmericspan/balancing/Placement.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Placement.java
@@ -12,10 +12,10 @@
  * @param address address at which the upstream listens
  * @param startedNanos monotonic time of the choice
  * @param cost predicted cost, 1 for a request on an idle upstream with normal service time; includes the penalties for
- *     failures, a failed health check, overdue requests and distance
+ *     failures, a failed health check, overdue requests, a remote zone and another owner
  * @param relativeDuration predicted duration in units of the typical latency
  * @param slowdownPercent observed slowdown on which the choice is based; 100 is normal
- * @param load estimated number of requests at the upstream
+ * @param load estimated number of requests at the upstream before this one
  * @param observationAgeNanos age of the observation on which the choice is based
  * @param cold whether the upstream was cold
  */
--- a/balancing/src/main/java/org/turmericspan/balancing/ProbeBudget.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ProbeBudget.java
@@ -20,8 +20,8 @@
 
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
     private final double maxProbesPerSecond;
-    private final IntSupplier upstreams;
-    private final IntSupplier nodes;
+    private final IntSupplier upstreamCount;
+    private final IntSupplier nodeCount;
     private final MonotonicClock clock;
     private double tokens;
     private long refilledNanos;
@@ -30,14 +30,15 @@
      * Creates an empty bucket.
      *
      * @param maxProbesPerSecond limit on the probes of one upstream a second, by all nodes together
-     * @param upstreams returns the number of known upstreams
-     * @param nodes returns the number of nodes that share the budget
+     * @param upstreamCount returns the number of known upstreams
+     * @param nodeCount returns the number of nodes that share the budget
      * @param clock monotonic time
      */
-    public ProbeBudget(double maxProbesPerSecond, IntSupplier upstreams, IntSupplier nodes, MonotonicClock clock) {
+    public ProbeBudget(
+            double maxProbesPerSecond, IntSupplier upstreamCount, IntSupplier nodeCount, MonotonicClock clock) {
         this.maxProbesPerSecond = maxProbesPerSecond;
-        this.upstreams = upstreams;
-        this.nodes = nodes;
+        this.upstreamCount = upstreamCount;
+        this.nodeCount = nodeCount;
         this.clock = clock;
         this.refilledNanos = clock.nowNanos();
     }
@@ -49,7 +50,7 @@
      */
     public boolean tryAcquire() {
         double refillPerSecond =
-                ON_DEMAND_SHARE * maxProbesPerSecond * upstreams.getAsInt() / Math.max(1, nodes.getAsInt());
+                ON_DEMAND_SHARE * maxProbesPerSecond * upstreamCount.getAsInt() / Math.max(1, nodeCount.getAsInt());
         long now = clock.nowNanos();
         return lock.compute(() -> {
             tokens = Math.min(
--- a/balancing/src/main/java/org/turmericspan/balancing/Registration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Registration.java
@@ -8,14 +8,14 @@
 /**
  * Registration that an upstream has published.
  *
- * @param id identifier of this incarnation of the upstream, unless it restarts under the same one
+ * @param id identifier of the upstream, normally a new one after each start
  * @param service service it belongs to
  * @param address address at which it listens
  * @param availabilityZone zone in which it runs
  * @param slots requests that it runs concurrently
  * @param draining whether it is shutting down and must get no new requests
- * @param startedMillis Unix time of its start; 0 when not published
- * @param coldUntilNanos monotonic time until which it reported to be cold
+ * @param startedMillis Unix time of its start, which shows a restart under the same identifier; 0 when not published
+ * @param coldUntilNanos monotonic time at which it becomes warm, as it reported; in the past when it is warm
  */
 public record Registration(
         UpstreamId id,
--- a/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
@@ -20,9 +20,9 @@
      * Creates a configuration.
      *
      * @param version number that increases with each publication
-     * @param routes all routes
+     * @param routes routes of all hosts, in any order
      * @param services all services by name
-     * @param limits limits on requests
+     * @param limits limits on the requests of callers
      */
     public RoutingConfiguration(
             long version, List<Route> routes, Map<ServiceId, ServiceSpec> services, RequestLimits limits) {
@@ -34,9 +34,9 @@
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
                     .add(route);
         }
-        Comparator<Route> longestFirst = (one, other) ->
-                Integer.compare(other.prefix().length(), one.prefix().length());
-        routesByHost.values().forEach(list -> list.sort(longestFirst));
+        Comparator<Route> longestFirst = (first, second) ->
+                Integer.compare(second.prefix().length(), first.prefix().length());
+        routesByHost.values().forEach(routesOfHost -> routesOfHost.sort(longestFirst));
     }
 
     /**
@@ -52,7 +52,7 @@
     }
 
     /**
-     * Returns the version.
+     * Returns the version, by which nodes tell which of two configurations is newer.
      *
      * @return number that increases with each publication
      */
@@ -63,7 +63,7 @@
     /**
      * Returns the limits on requests.
      *
-     * @return the limits
+     * @return limits that apply to all routes
      */
     public RequestLimits limits() {
         return limits;
@@ -73,7 +73,7 @@
      * Looks up a service.
      *
      * @param service name of the service
-     * @return its configuration; empty when there is none
+     * @return its configuration; empty when the service is not configured
      */
     public Optional<ServiceSpec> service(ServiceId service) {
         return Optional.ofNullable(services.get(service));
--- a/balancing/src/main/java/org/turmericspan/balancing/TrackedUpstream.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/TrackedUpstream.java
@@ -9,19 +9,19 @@
 
 /** Registered upstream with its observed and estimated state. Guarded by the lock of the upstream table. */
 final class TrackedUpstream {
-    /** Time for which the report of a peer is valid after its last gossip message. */
+    /** Time for which the report of another node is valid after it was received. */
     private static final long PEER_REPORT_TTL_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
     /** Half-life of the failure rate; a few times the typical latency, so that a recovery is detected soon. */
     private static final long FAILURE_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(3);
-    /** Initial backoff after a failed connection. */
+    /** Backoff after a first failed connection, during which the upstream gets no requests. */
     private static final long INITIAL_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-    /** Limit on the exponential backoff after consecutive failed connections. */
+    /** Maximum backoff; it doubles with each consecutive failed connection. */
     private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private static final double PERCENT = 100.0;
 
     private final Deque<Long> localStartsNanos = new ArrayDeque<>();
-    private final Map<String, PeerLoad> peers = new HashMap<>();
+    private final Map<String, PeerLoad> peerLoads = new HashMap<>();
     private final FailureRate localFailures = new FailureRate(FAILURE_HALF_LIFE_NANOS);
     private final ColdRateLimiter coldRateLimiter = new ColdRateLimiter();
     private final long hash;
@@ -60,7 +60,8 @@
         }
     }
 
-    boolean observe(Observation newer) {
+    /** Replaces the observation unless it is at least as recent as the given one; returns whether it was replaced. */
+    boolean replaceObservation(Observation newer) {
         if (observation != null && newer.atNanos() - observation.atNanos() <= 0) {
             return false;
         }
@@ -78,6 +79,7 @@
         return locallyObservedNanos;
     }
 
+    /** Returns the last observation with a newer load, as of now. There must be an observation. */
     Observation withLoad(LoadReport report, long nowNanos) {
         return new Observation(
                 nowNanos,
@@ -102,7 +104,7 @@
     }
 
     void recordPeerReport(String peer, int inFlight, int failurePercent, long nowNanos) {
-        peers.put(peer, new PeerLoad(inFlight, failurePercent, nowNanos));
+        peerLoads.put(peer, new PeerLoad(inFlight, failurePercent, nowNanos));
     }
 
     void recordStart(long nowNanos) {
@@ -137,14 +139,18 @@
         return localStartsNanos.size();
     }
 
+    /** Returns the age of this node's oldest request in flight at the upstream; 0 when there is none. */
     long oldestLocalAgeNanos(long nowNanos) {
         return localStartsNanos.isEmpty() ? 0 : nowNanos - localStartsNanos.peekFirst();
     }
 
-    /** Estimates the number of requests at the upstream from all sources, none of which is complete. */
+    /**
+     * Estimates the number of requests at the upstream: what this node and its peers have in flight there, or what was
+     * last observed plus what this node has sent since, whichever is higher.
+     */
     int load(long nowNanos) {
         int inFlight = localStartsNanos.size();
-        for (PeerLoad peer : peers.values()) {
+        for (PeerLoad peer : peerLoads.values()) {
             if (nowNanos - peer.atNanos <= PEER_REPORT_TTL_NANOS) {
                 inFlight += peer.inFlight;
             }
@@ -152,22 +158,23 @@
         if (observation == null) {
             return inFlight;
         }
-        int startedSince = 0;
+        int startedSinceObservation = 0;
         for (long startNanos : localStartsNanos) {
             if (startNanos - observation.atNanos() > 0) {
-                startedSince++;
+                startedSinceObservation++;
             }
         }
-        return Math.max(inFlight, observation.running() + observation.waiting() + startedSince);
+        return Math.max(inFlight, observation.running() + observation.waiting() + startedSinceObservation);
     }
 
     double localFailureRate(long nowNanos) {
         return localFailures.rate(nowNanos);
     }
 
+    /** Returns the highest of the failure rates that this node measured and that other nodes reported. */
     double worstFailureRate(long nowNanos) {
         double worst = localFailures.rate(nowNanos);
-        for (PeerLoad peer : peers.values()) {
+        for (PeerLoad peer : peerLoads.values()) {
             if (nowNanos - peer.atNanos <= PEER_REPORT_TTL_NANOS) {
                 worst = Math.max(worst, peer.failurePercent / PERCENT);
             }
--- a/balancing/src/main/java/org/turmericspan/balancing/TypicalLatencies.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/TypicalLatencies.java
@@ -11,14 +11,14 @@
 
     private final Map<RouteId, Double> nanosByRoute = new HashMap<>();
 
-    /** Adds the latency of a complete response, corrected for the slowdown and load that were predicted. */
-    void update(Placement placement, long nowNanos) {
+    /** Adds the latency of a complete response, divided by the relative duration predicted for its upstream. */
+    void addSample(Placement placement, long nowNanos) {
         double normalNanos = (nowNanos - placement.startedNanos()) / Math.max(1, placement.relativeDuration());
         nanosByRoute.merge(
                 placement.route(), normalNanos, (average, sample) -> average + EWMA_WEIGHT * (sample - average));
     }
 
-    /** Returns the latency; 0 when there is no sample. */
+    /** Returns the typical latency; 0 when there is no sample. */
     long nanos(RouteId route) {
         return nanosByRoute.getOrDefault(route, 0.0).longValue();
     }
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamCost.java
@@ -7,19 +7,22 @@
  * Lower is better.
  */
 final class UpstreamCost {
-    /** Time constant with which an observed slowdown decays; service times change many times a second. */
+    /** Time constant of the decay of an observed slowdown to the mean; service times change many times a second. */
     private static final double SLOWDOWN_DECAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** Factor on the duration of a request that makes an upstream nearly full. */
+    /** Factor on the duration of a request that takes its upstream above the nearly full utilization. */
     private static final double NEARLY_FULL_FACTOR = 1.6;
-    /** Penalty for each request at the upstream, which spreads load evenly over equal upstreams. */
+    /** Added to the load penalty for each request at the upstream, so that load spreads evenly over equal upstreams. */
     private static final double COST_PER_REQUEST = 0.04;
-    /** Factor for a cold upstream, which responds slowly. */
+    /** Factor on the duration at a cold upstream, that is, one that has started recently. */
     private static final double COLD_FACTOR = 2.5;
-    /** Weight of the failure rate: a rate of 10 percent doubles the cost. */
+    /** Weight of the failure rate in the cost: a rate of 10 percent doubles it. */
     private static final double FAILURE_WEIGHT = 10;
-    /** Factor for an upstream that responds but fails its health check. */
+    /** Factor on the cost of an upstream that responds but fails its health check. */
     private static final double UNHEALTHY_FACTOR = 3;
-    /** Multiple of the expected latency at which a request of this node is overdue, and cost factor if one is. */
+    /**
+     * Multiple of the expected latency beyond which a request of this node is overdue. The cost of an upstream with an
+     * overdue request is multiplied by the same number.
+     */
     private static final double OVERDUE_FACTOR = 2;
 
     private static final double PERCENT = 100.0;
@@ -27,8 +30,8 @@
     private UpstreamCost() {}
 
     static double predict(TrackedUpstream upstream, double meanSlowdown, long typicalLatencyNanos, long nowNanos) {
-        double cost =
-                duration(upstream, meanSlowdown, nowNanos) * (1 + FAILURE_WEIGHT * upstream.worstFailureRate(nowNanos));
+        double cost = relativeDuration(upstream, meanSlowdown, nowNanos)
+                * (1 + FAILURE_WEIGHT * upstream.worstFailureRate(nowNanos));
         if (upstream.observation() != null && !upstream.observation().healthy()) {
             cost *= UNHEALTHY_FACTOR;
         }
@@ -39,11 +42,12 @@
         return cost;
     }
 
-    /** Predicts the relative duration alone, without the penalties for failures, health and overdue requests. */
-    static double duration(TrackedUpstream upstream, double meanSlowdown, long nowNanos) {
+    /** Predicts the duration as a multiple of the one on an idle upstream, without the penalties that the cost has. */
+    static double relativeDuration(TrackedUpstream upstream, double meanSlowdown, long nowNanos) {
         int slots = Math.max(1, upstream.registration().slots());
-        double duration = slowdown(upstream, meanSlowdown, nowNanos) * loadPenalty(upstream.load(nowNanos), slots);
-        return upstream.isCold(nowNanos) ? duration * COLD_FACTOR : duration;
+        double relativeDuration =
+                slowdown(upstream, meanSlowdown, nowNanos) * loadPenalty(upstream.load(nowNanos), slots);
+        return upstream.isCold(nowNanos) ? relativeDuration * COLD_FACTOR : relativeDuration;
     }
 
     /** Returns the slowdown, which decays from the observed one towards the mean as the observation ages. */
@@ -56,6 +60,7 @@
         return weight * observation.slowdownPercent() / PERCENT + (1 - weight) * meanSlowdown;
     }
 
+    /** Returns the factor on the duration for the requests already at an upstream; 1 when it is idle. */
     private static double loadPenalty(int load, int slots) {
         if (load >= slots) {
             return NEARLY_FULL_FACTOR * (1 + (load - slots + 1.0) / slots);
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
@@ -13,21 +13,21 @@
 
 /** Selects upstreams by their estimated state, which is guarded by the lock of the upstream table. */
 final class UpstreamSelector {
-    /** Time to live of an observation; an older one no longer proves that an upstream is warm. */
+    /** Age up to which an observation is fresh; an older one does not prove that the upstream is still warm. */
     private static final long OBSERVATION_TTL_NANOS = TimeUnit.SECONDS.toNanos(3);
-    /** Penalty for an upstream of the local zone that another node owns; makes nodes prefer different upstreams. */
+    /** Cost added to an upstream of the local zone that another node owns, so that nodes prefer different upstreams. */
     private static final double NOT_OWNED_COST = 0.08;
-    /** Penalty for an upstream in a remote zone: network latency and the price of cross-zone traffic. */
+    /** Cost added to an upstream in a remote zone, for network latency and the price of cross-zone traffic. */
     private static final double OTHER_ZONE_COST = 0.3;
-    /** Candidates probed on demand before a choice; three are rarely all slowed down by other requests. */
+    /** Maximum number of candidates probed on demand before a choice; at least one of them is usually not slow. */
     private static final int MAX_PROBED_CANDIDATES = 3;
-    /** Age up to which no new probe is needed; service times change every few hundred milliseconds. */
+    /** Maximum age of an observation for which an upstream is not probed again before a choice. */
     private static final long JUST_OBSERVED_NANOS = TimeUnit.MILLISECONDS.toNanos(12);
-    /** Cost up to which no other upstream is probed: normal service time, and not nearly full. */
+    /** Cost up to which the cheapest upstream is used without a probe: normal service time, and not nearly full. */
     private static final double GOOD_COST = 1.25;
-    /** Least cost assumed for an upstream without a fresh observation; above the cost of a good one. */
+    /** Minimum cost assumed for an upstream without a fresh observation; above {@link #GOOD_COST}. */
     private static final double UNOBSERVED_COST = 1.5;
-    /** Exclusive limit on a random cost that makes nodes break ties differently. */
+    /** Exclusive upper bound of the random cost that breaks ties, so that nodes prefer different upstreams. */
     private static final double MAX_TIE_BREAK_COST = 0.04;
 
     private final AvailabilityZoneId localZone;
@@ -49,23 +49,34 @@
         this.random = random;
     }
 
-    /** Inputs of a choice beside the request and the upstream; utilization is 0 if the limit does not depend on it. */
+    /**
+     * State on which a choice depends beside the request and the upstreams.
+     *
+     * @param evacuatedZones zones whose upstreams get no requests
+     * @param utilization share of the slots of the service in use; 0 if the priority's limit does not depend on it
+     * @param meanSlowdown moving average over all upstreams; 1 is normal
+     * @param typicalLatencyNanos latency of the route on an idle upstream; 0 while unknown
+     * @param nowNanos monotonic time of the choice
+     */
     record SelectionContext(
-            Set<AvailabilityZoneId> evacuated,
+            Set<AvailabilityZoneId> evacuatedZones,
             double utilization,
             double meanSlowdown,
             long typicalLatencyNanos,
             long nowNanos) {}
 
-    /** Returns the share of a service's slots in use, over upstreams that take requests and were observed lately. */
+    /** Returns the share of a service's slots in use, over upstreams with a fresh observation that take requests. */
     static double utilization(
-            Collection<TrackedUpstream> upstreams, ServiceId service, Set<AvailabilityZoneId> evacuated, long now) {
+            Collection<TrackedUpstream> upstreams,
+            ServiceId service,
+            Set<AvailabilityZoneId> evacuatedZones,
+            long now) {
         int busySlots = 0;
         int slots = 0;
         for (TrackedUpstream upstream : upstreams) {
             Registration registration = upstream.registration();
             if (registration.service().equals(service)
-                    && takesRequests(registration, evacuated)
+                    && takesRequests(registration, evacuatedZones)
                     && isFresh(upstream, now)
                     && upstream.observation().reachable()) {
                 busySlots += Math.min(upstream.load(now), registration.slots());
@@ -75,7 +86,7 @@
         return slots == 0 ? 0 : (double) busySlots / slots;
     }
 
-    /** Counts the upstreams of a service that are registered, and those that can take a request. */
+    /** Counts the registered and the usable upstreams of a service, whatever their cost. */
     ServiceCapacity capacity(
             Collection<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context) {
         int registered = 0;
@@ -84,7 +95,7 @@
             registered += upstream.registration().service().equals(criteria.service()) ? 1 : 0;
             usable += isUsable(upstream, criteria, context) ? 1 : 0;
         }
-        double utilization = utilization(upstreams, criteria.service(), context.evacuated(), context.nowNanos());
+        double utilization = utilization(upstreams, criteria.service(), context.evacuatedZones(), context.nowNanos());
         return new ServiceCapacity(registered, usable, utilization);
     }
 
@@ -99,7 +110,7 @@
                     upstream.registration().address(),
                     now,
                     cost,
-                    duration(upstream, context),
+                    relativeDuration(upstream, context),
                     upstream.observation().slowdownPercent(),
                     upstream.load(now),
                     now - upstream.observation().atNanos(),
@@ -107,11 +118,12 @@
         }
     }
 
-    /** Returns the predicted duration of a request at an upstream, in units of the typical latency. */
-    private static double duration(TrackedUpstream upstream, SelectionContext context) {
-        return UpstreamCost.duration(upstream, context.meanSlowdown(), context.nowNanos());
+    /** Returns the predicted duration of a request at an upstream as a multiple of the typical latency. */
+    private static double relativeDuration(TrackedUpstream upstream, SelectionContext context) {
+        return UpstreamCost.relativeDuration(upstream, context.meanSlowdown(), context.nowNanos());
     }
 
+    /** Returns the usable upstream of lowest cost; empty when none costs less than the maximum of the criteria. */
     Optional<UpstreamCandidate> choose(
             Collection<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context) {
         TrackedUpstream best = null;
@@ -130,9 +142,9 @@
     }
 
     /**
-     * Lists the best candidates that were not observed just now, or none if the best of all was and has a good cost.
-     * Upstreams without a fresh observation are included and assumed to be nearly normal, so that a node that has just
-     * started finds those of other zones.
+     * Lists the cheapest candidates, without those that were observed within the last few milliseconds. Returns none if
+     * the cheapest upstream was, and its cost is good. An upstream without a fresh observation is a candidate with an
+     * assumed cost, since a node that has just started has observed no other zone.
      */
     List<TrackedUpstream> candidatesToProbe(
             Collection<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context) {
@@ -148,7 +160,7 @@
                 .toList();
     }
 
-    /** Lists the few candidates of lowest cost in ascending order, without sorting all of them. */
+    /** Lists up to {@link #MAX_PROBED_CANDIDATES} upstreams in ascending order of cost, without sorting all of them. */
     private List<UpstreamCandidate> bestCandidates(
             Collection<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context) {
         List<UpstreamCandidate> ranked = new ArrayList<>(MAX_PROBED_CANDIDATES + 1);
@@ -177,12 +189,13 @@
                 + localityCost(upstream.registration());
     }
 
-    /** Returns the cost that ranks an upstream for a probe; without a fresh observation it is never a good cost. */
+    /** Returns the cost that ranks an upstream for a probe; above {@link #GOOD_COST} without a fresh observation. */
     private double rankingCost(TrackedUpstream upstream, SelectionContext context) {
         double cost = cost(upstream, context);
         return isFresh(upstream, context.nowNanos()) ? cost : Math.max(cost, UNOBSERVED_COST);
     }
 
+    /** Returns whether an upstream can take the request now, whatever its cost. */
     private boolean isUsable(TrackedUpstream upstream, SelectionCriteria criteria, SelectionContext context) {
         long now = context.nowNanos();
         if (!isCandidate(upstream, criteria, context)
@@ -209,18 +222,20 @@
         return isCandidate(upstream, criteria, context) && !isFresh(upstream, context.nowNanos());
     }
 
+    /** Returns whether an upstream may get the request if its observation permits. */
     private static boolean isCandidate(TrackedUpstream upstream, SelectionCriteria criteria, SelectionContext context) {
         Registration registration = upstream.registration();
         return registration.service().equals(criteria.service())
-                && takesRequests(registration, context.evacuated())
+                && takesRequests(registration, context.evacuatedZones())
                 && !criteria.excluded().contains(registration.id())
                 && !upstream.isInBackoff(context.nowNanos());
     }
 
-    private static boolean takesRequests(Registration registration, Set<AvailabilityZoneId> evacuated) {
-        return !registration.draining() && !evacuated.contains(registration.availabilityZone());
+    private static boolean takesRequests(Registration registration, Set<AvailabilityZoneId> evacuatedZones) {
+        return !registration.draining() && !evacuatedZones.contains(registration.availabilityZone());
     }
 
+    /** Returns whether an upstream has an observation of the last few seconds. */
     static boolean isFresh(TrackedUpstream upstream, long now) {
         return upstream.observation() != null && now - upstream.observation().atNanos() <= OBSERVATION_TTL_NANOS;
     }
@@ -244,6 +259,7 @@
         return ownership.owns(registration);
     }
 
+    /** Returns the cost added for the zone and the owner of an upstream, and a random part that breaks ties. */
     private double localityCost(Registration registration) {
         double tieBreak = random.nextDouble() * MAX_TIE_BREAK_COST;
         if (!isLocal(registration)) {
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -19,12 +19,12 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Table of the registered upstreams and the observed state of each, from which attempts are placed. */
+/** Table of the registered upstreams and the observed state of each, from which each attempt gets its upstream. */
 public final class UpstreamTable {
-    /** Weight of a new observation in the exponentially weighted moving average of the slowdown. */
+    /** Weight of a new observation in the exponentially weighted moving average of the slowdown of all upstreams. */
     private static final double MEAN_WEIGHT = 0.02;
 
-    /** Failure rate from which this node reports an upstream, even if it has not observed it lately itself. */
+    /** Failure rate of its own attempts from which this node reports an upstream that it has not observed lately. */
     private static final double REPORTED_FAILURE_RATE = 0.05;
 
     private static final double PERCENT = 100.0;
@@ -35,7 +35,7 @@
     private final TypicalLatencies latencies = new TypicalLatencies();
     private final UpstreamSelector selector;
     private final MonotonicClock clock;
-    private Set<AvailabilityZoneId> evacuated = Set.of();
+    private Set<AvailabilityZoneId> evacuatedZones = Set.of();
     private double meanSlowdown = 1;
 
     /**
@@ -97,7 +97,7 @@
     }
 
     /**
-     * Looks up the registration of an upstream.
+     * Returns the registration of an upstream.
      *
      * @param id the upstream
      * @return its registration; empty when it is not registered
@@ -109,7 +109,7 @@
     /**
      * Returns the number of registered upstreams.
      *
-     * @return number of upstreams
+     * @return number of upstreams of all services and zones
      */
     public int size() {
         return lock.compute(upstreams::size);
@@ -123,8 +123,8 @@
      */
     public boolean setEvacuated(Set<AvailabilityZoneId> zones) {
         return lock.compute(() -> {
-            boolean changed = !evacuated.equals(zones);
-            evacuated = Set.copyOf(zones);
+            boolean changed = !evacuatedZones.equals(zones);
+            evacuatedZones = Set.copyOf(zones);
             return changed;
         });
     }
@@ -135,11 +135,11 @@
      * @param id the upstream
      * @param observation the observation; does not replace a newer one
      */
-    public void observe(UpstreamId id, Observation observation) {
-        lock.run(() -> observeLocally(upstreams.get(id), observation));
+    public void recordObservation(UpstreamId id, Observation observation) {
+        lock.run(() -> applyLocalObservation(upstreams.get(id), observation));
     }
 
-    private void observeLocally(TrackedUpstream upstream, Observation observation) {
+    private void applyLocalObservation(TrackedUpstream upstream, Observation observation) {
         if (upstream != null) {
             upstream.recordLocalObservation(observation.atNanos());
             applyObservation(upstream, observation);
@@ -147,25 +147,26 @@
     }
 
     private void applyObservation(TrackedUpstream upstream, Observation observation) {
-        if (upstream != null && upstream.observe(observation) && observation.reachable()) {
+        if (upstream != null && upstream.replaceObservation(observation) && observation.reachable()) {
             meanSlowdown += MEAN_WEIGHT * (observation.slowdownPercent() / PERCENT - meanSlowdown);
         }
     }
 
     /**
-     * Records the load report of a response. Whether the upstream is cold or healthy remains as observed before.
+     * Records the load that a response reports; health and warm-up remain as last observed. Ignored while there is no
+     * observation, or the last one found the upstream unreachable.
      *
      * @param id the upstream
      * @param report its load at this moment
      */
-    public void observeLoad(UpstreamId id, LoadReport report) {
+    public void recordLoad(UpstreamId id, LoadReport report) {
         long now = clock.nowNanos();
         lock.run(() -> {
             TrackedUpstream upstream = upstreams.get(id);
             if (upstream != null
                     && upstream.observation() != null
                     && upstream.observation().reachable()) {
-                observeLocally(upstream, upstream.withLoad(report, now));
+                applyLocalObservation(upstream, upstream.withLoad(report, now));
             }
         });
     }
@@ -174,7 +175,7 @@
      * Records whether a connection to an upstream succeeded. A failure starts a backoff, a success ends it.
      *
      * @param id the upstream
-     * @param reached whether a connection succeeded
+     * @param reached true when a connection succeeded, false when none could be made
      */
     public void recordReachability(UpstreamId id, boolean reached) {
         lock.run(() -> {
@@ -208,20 +209,22 @@
     }
 
     /**
-     * Lists the state that this node knows from any source, to report it to other nodes.
+     * Lists the state that this node has observed or received, to report it to other nodes.
      *
      * @param filter selects the upstreams to report
-     * @return one report for each upstream with a fresh observation
+     * @return one report for each selected upstream with an observation of the last few seconds
      */
     public List<PeerReport> reports(Predicate<Registration> filter) {
         return reportsOf((upstream, now) -> filter.test(upstream.registration()));
     }
 
     /**
-     * Lists the state that this node found itself, to report it to nodes that get the reports of the others directly.
+     * Lists the state that this node observed itself. For nodes of the own zone, which receive the reports of every
+     * node of the zone first-hand.
      *
-     * @param maxAgeNanos age up to which its own observations are included
-     * @return one report for each upstream that it observed lately, or where its requests are in flight or failed
+     * @param maxAgeNanos age up to which this node's own observations are included
+     * @return one report for each upstream that this node observed within that age, or at which requests of this node
+     *     are in flight or failed lately; only upstreams with a fresh observation from any node
      */
     public List<PeerReport> localReports(long maxAgeNanos) {
         return reportsOf((upstream, now) -> now - upstream.locallyObservedNanos() <= maxAgeNanos
@@ -247,7 +250,7 @@
      * Lists the upstreams that this node must probe.
      *
      * @param starting whether this node has not joined yet and therefore probes its whole zone instead of what it owns
-     * @return registrations, draining ones left out
+     * @return registrations of upstreams that are not draining
      */
     public List<Registration> probeTargets(boolean starting) {
         return lock.compute(() -> upstreams.values().stream()
@@ -258,7 +261,7 @@
     }
 
     /**
-     * Returns whether at least half of the upstreams of the local zone were observed lately.
+     * Returns whether at least half of the upstreams of the local zone have an observation of the last few seconds.
      *
      * @return true also when none is registered
      */
@@ -303,16 +306,17 @@
 
     private SelectionContext selectionContext(SelectionCriteria criteria, long now) {
         double utilization = ConcurrencyLimit.dependsOnUtilization(criteria.priority())
-                ? UpstreamSelector.utilization(upstreams.values(), criteria.service(), evacuated, now)
+                ? UpstreamSelector.utilization(upstreams.values(), criteria.service(), evacuatedZones, now)
                 : 0;
-        return new SelectionContext(evacuated, utilization, meanSlowdown, latencies.nanos(criteria.route()), now);
+        return new SelectionContext(evacuatedZones, utilization, meanSlowdown, latencies.nanos(criteria.route()), now);
     }
 
     /**
      * Lists the upstreams to probe on demand before {@link #choose}.
      *
      * @param criteria constraints on the choice
-     * @return the best candidates that were not observed just now; empty when the choice is good without a probe
+     * @return the cheapest candidates that were not observed within the last milliseconds; empty when the cheapest was
+     *     and its cost is good
      */
     public List<Registration> candidatesToProbe(SelectionCriteria criteria) {
         long now = clock.nowNanos();
@@ -345,7 +349,7 @@
                 upstream.recordEnd(placement.startedNanos(), result, now);
             }
             if (result == AttemptResult.SUCCESS) {
-                latencies.update(placement, now);
+                latencies.addSample(placement, now);
             }
         });
     }
@@ -364,7 +368,7 @@
      * Returns the last observed slowdown of an upstream.
      *
      * @param id the upstream
-     * @return percent of the normal service time; 100 when there is no observation
+     * @return current service time in percent of the normal one; 100 when there is no observation
      */
     public int slowdownPercent(UpstreamId id) {
         return lock.compute(() -> {
--- a/balancing/src/main/java/org/turmericspan/balancing/WeightedRoundRobin.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WeightedRoundRobin.java
@@ -30,7 +30,7 @@
      * Selects the service of the next request of a route.
      *
      * @param route the route
-     * @return the selected service
+     * @return one of the services of the route
      */
     public ServiceId next(Route route) {
         List<WeightedService> services = route.services();
@@ -46,6 +46,7 @@
                 .toArray();
     }
 
+    /** Adds to each weight, selects the highest and subtracts the total from it, so that the sum stays the same. */
     private static ServiceId advance(List<WeightedService> services, double[] weights) {
         int best = 0;
         double total = 0;
--- a/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
@@ -17,26 +17,27 @@
 public final class WindowedRetryBudget {
     /**
      * Share of the budget that requests of each priority may use, so that higher priorities can still retry when
-     * servers fail. What is left above the highest share is a margin for requests at the edges of the window.
+     * servers fail. The highest share is below 1, because a window that begins at another time can contain the same
+     * retries and hedges, but fewer requests.
      */
     private static final double[] BUDGET_SHARES = {0.9, 0.8, 0.65};
 
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
     private final Map<ServiceId, Window> windows = new HashMap<>();
     private final BalancingRules rules;
-    private final IntSupplier nodes;
+    private final IntSupplier nodeCount;
     private final MonotonicClock clock;
 
     /**
      * Creates a budget with an empty window.
      *
      * @param rules configured limits for the fleet
-     * @param nodes returns the number of nodes that share the slack
+     * @param nodeCount returns the number of nodes that share the slack
      * @param clock monotonic time
      */
-    public WindowedRetryBudget(BalancingRules rules, IntSupplier nodes, MonotonicClock clock) {
+    public WindowedRetryBudget(BalancingRules rules, IntSupplier nodeCount, MonotonicClock clock) {
         this.rules = rules;
-        this.nodes = nodes;
+        this.nodeCount = nodeCount;
         this.clock = clock;
     }
 
@@ -60,7 +61,7 @@
     public boolean tryAcquire(ServiceId service, int priority) {
         double share = BUDGET_SHARES[Math.min(priority, BUDGET_SHARES.length - 1)];
         long now = clock.nowNanos();
-        double slack = rules.retrySlack() / Math.max(1, nodes.getAsInt());
+        double slack = rules.retrySlack() / Math.max(1, nodeCount.getAsInt());
         return lock.compute(() -> {
             Window window = windowOf(service, now);
             double allowed = share * (rules.retryRatio() * window.requests.size() + slack);
--- a/balancing/src/test/java/org/turmericspan/balancing/ProbeBudgetTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/ProbeBudgetTest.java
@@ -8,11 +8,12 @@
 
 class ProbeBudgetTest {
     private static final double PROBES_PER_SECOND = 10;
-    private static final int UPSTREAMS = 6;
-    private static final int NODES = 3;
+    private static final int UPSTREAM_COUNT = 6;
+    private static final int NODE_COUNT = 3;
 
     private final ManualClock clock = new ManualClock();
-    private final ProbeBudget budget = new ProbeBudget(PROBES_PER_SECOND, () -> UPSTREAMS, () -> NODES, clock);
+    private final ProbeBudget budget =
+            new ProbeBudget(PROBES_PER_SECOND, () -> UPSTREAM_COUNT, () -> NODE_COUNT, clock);
 
     private int acquireAll() {
         int acquired = 0;
@@ -29,8 +30,8 @@
             clock.advance(Duration.ofSeconds(1));
             acquired += acquireAll();
         }
-        assertThat(NODES * acquired)
-                .isLessThanOrEqualTo((int) (PROBES_PER_SECOND * UPSTREAMS * 10))
+        assertThat(NODE_COUNT * acquired)
+                .isLessThanOrEqualTo((int) (PROBES_PER_SECOND * UPSTREAM_COUNT * 10))
                 .isPositive();
     }
 
--- a/balancing/src/test/java/org/turmericspan/balancing/Samples.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/Samples.java
@@ -46,6 +46,7 @@
         return new Observation(atNanos, 0, 0, slowdownPercent, 0, true, true);
     }
 
+    /** Creates criteria of the lowest priority without limits on cost and slowdown. */
     static SelectionCriteria criteria() {
         return new SelectionCriteria(new RouteId("r"), SERVICE, Set.of(), 2, Double.MAX_VALUE, Double.MAX_VALUE);
     }
--- a/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/UpstreamTableTest.java
@@ -28,7 +28,7 @@
     private UpstreamId add(String id, int slowdownPercent) {
         Registration registration = Samples.registration(id, Samples.LOCAL_ZONE);
         table.register(registration);
-        table.observe(registration.id(), Samples.observation(clock.nowNanos(), slowdownPercent));
+        table.recordObservation(registration.id(), Samples.observation(clock.nowNanos(), slowdownPercent));
         return registration.id();
     }
 
@@ -43,9 +43,9 @@
     }
 
     @Test
-    void upstreamThatNobodyObservedIsAskedIfTheObservedOnesAreFull() {
+    void upstreamThatNobodyObservedIsProbedIfTheObservedOnesAreFull() {
         UpstreamId full = add("u-full", 100);
-        table.observe(full, new Observation(clock.nowNanos() + 1, 9, 9, 100, 0, true, true));
+        table.recordObservation(full, new Observation(clock.nowNanos() + 1, 9, 9, 100, 0, true, true));
         table.register(Samples.registration("u-unknown", Samples.LOCAL_ZONE));
 
         assertThat(table.candidatesToProbe(Samples.criteria()))
@@ -81,7 +81,7 @@
         add("u-slow-1", 400);
         add("u-slow-2", 400);
         clock.advance(Duration.ofMillis(1));
-        table.observe(fast, new Observation(clock.nowNanos(), 2, 0, 100, 0, true, true));
+        table.recordObservation(fast, new Observation(clock.nowNanos(), 2, 0, 100, 0, true, true));
 
         assertThat(chosen()).hasValue(fast);
     }
@@ -92,11 +92,11 @@
         for (int i = 0; i < 3; i++) {
             Registration remote = Samples.registration("u-remote-" + i, new AvailabilityZoneId("remote"));
             table.register(remote);
-            table.observe(remote.id(), Samples.observation(clock.nowNanos(), 100));
+            table.recordObservation(remote.id(), Samples.observation(clock.nowNanos(), 100));
         }
         table.setEvacuated(Set.of(new AvailabilityZoneId("remote")));
         clock.advance(Duration.ofMillis(1));
-        table.observe(busy, new Observation(clock.nowNanos(), 2, 0, 100, 0, true, true));
+        table.recordObservation(busy, new Observation(clock.nowNanos(), 2, 0, 100, 0, true, true));
 
         assertThat(chosen()).isEmpty();
     }
@@ -106,7 +106,7 @@
         UpstreamId full = add("u-full", 100);
         table.register(Samples.registration("u-unknown", Samples.LOCAL_ZONE));
         clock.advance(Duration.ofMillis(1));
-        table.observe(full, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
+        table.recordObservation(full, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
 
         assertThat(table.capacity(Samples.criteria())).isEqualTo(new ServiceCapacity(2, 0, 1.0));
     }
@@ -133,7 +133,7 @@
     void coldUpstreamGetsRequestsFromItsOwnerOnly() {
         UpstreamId id = add("u-1", 100);
         clock.advance(Duration.ofMillis(1));
-        table.observe(id, new Observation(clock.nowNanos(), 0, 0, 100, 2_000_000_000L, true, true));
+        table.recordObservation(id, new Observation(clock.nowNanos(), 0, 0, 100, 2_000_000_000L, true, true));
         isOwner = false;
         assertThat(chosen()).isEmpty();
         isOwner = true;
@@ -146,7 +146,7 @@
         int sent = 0;
         for (int i = 0; i < 100; i++) {
             clock.advance(Duration.ofMillis(10));
-            table.observe(id, new Observation(clock.nowNanos(), 0, 0, 100, 2_000_000_000L, true, true));
+            table.recordObservation(id, new Observation(clock.nowNanos(), 0, 0, 100, 2_000_000_000L, true, true));
             Optional<Placement> placement = table.choose(Samples.criteria());
             sent += placement.isPresent() ? 1 : 0;
             placement.ifPresent(place -> table.finish(place, AttemptResult.SUCCESS));
@@ -198,7 +198,7 @@
                 List.of(new PeerReport(StableHash.of(id.value()), Observation.unreachable(clock.nowNanos(), 0), 0, 0)));
         assertThat(chosen()).isEmpty();
         clock.advance(Duration.ofMillis(1));
-        table.observe(id, Samples.observation(clock.nowNanos(), 100));
+        table.recordObservation(id, Samples.observation(clock.nowNanos(), 100));
         assertThat(chosen()).hasValue(id);
     }
 
@@ -214,7 +214,7 @@
     }
 
     @Test
-    void onlyOwnFindingsAreInLocalReports() {
+    void onlyOwnObservationsAreInLocalReports() {
         UpstreamId own = add("u-own", 100);
         Registration other = Samples.registration("u-other", Samples.LOCAL_ZONE);
         table.register(other);
@@ -257,7 +257,7 @@
     void fullUpstreamIsNoSlowOne() {
         UpstreamId id = add("u-1", 100);
         clock.advance(Duration.ofMillis(1));
-        table.observe(id, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
+        table.recordObservation(id, new Observation(clock.nowNanos(), 3, 0, 100, 0, true, true));
         SelectionCriteria urgent =
                 new SelectionCriteria(new RouteId("r"), Samples.SERVICE, Set.of(), 0, Double.MAX_VALUE, 1.5);
 
--- a/balancing/src/test/java/org/turmericspan/balancing/WeightedRoundRobinTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/WeightedRoundRobinTest.java
@@ -9,13 +9,14 @@
 class WeightedRoundRobinTest {
     @Test
     void sharesAreKeptToWithinOneRequest() {
-        ServiceId other = new ServiceId("floor");
-        Route route = Samples.route("/a/", new WeightedService(Samples.SERVICE, 7), new WeightedService(other, 3));
+        ServiceId otherService = new ServiceId("floor");
+        Route route =
+                Samples.route("/a/", new WeightedService(Samples.SERVICE, 7), new WeightedService(otherService, 3));
         WeightedRoundRobin roundRobin = new WeightedRoundRobin(new SplittableRandom(3));
-        int count = 0;
+        int otherCount = 0;
         for (int i = 1; i <= 100; i++) {
-            count += roundRobin.next(route).equals(other) ? 1 : 0;
-            assertThat(Math.abs(count - 0.3 * i)).isLessThanOrEqualTo(1.5);
+            otherCount += roundRobin.next(route).equals(otherService) ? 1 : 0;
+            assertThat(Math.abs(otherCount - 0.3 * i)).isLessThanOrEqualTo(1.5);
         }
     }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -247,7 +247,7 @@
         dependencies
                 .protocol()
                 .reportedLoad(response)
-                .ifPresent(load -> upstreams.observeLoad(attempt.placement().upstream(), load));
+                .ifPresent(load -> upstreams.recordLoad(attempt.placement().upstream(), load));
         if (dependencies.protocol().isWrongInstance(response)) {
             recordFailure(attempt, AttemptResult.WRONG_INSTANCE, "another upstream responded at the address");
             retryOrFail(true);
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -187,7 +187,7 @@
         long coldRemainingNanos = TimeUnit.MILLISECONDS.toNanos(protocol.warmupRemainingMillis(response));
         recordWarmup(target.id(), coldRemainingNanos);
         upstreams.recordReachability(target.id(), true);
-        upstreams.observe(
+        upstreams.recordObservation(
                 target.id(),
                 new Observation(
                         clock.nowNanos(),
@@ -212,7 +212,7 @@
         int count = consecutiveFailures.merge(target.id(), 1, Integer::sum);
         if (unreachable || count >= UNREACHABLE_AFTER_FAILURES) {
             upstreams.recordReachability(target.id(), false);
-            upstreams.observe(target.id(), Observation.unreachable(clock.nowNanos(), warmupNanos(target)));
+            upstreams.recordObservation(target.id(), Observation.unreachable(clock.nowNanos(), warmupNanos(target)));
             suspects.recordUpstreamLoss(target.id());
         }
         if (count == 1) {
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -96,7 +96,7 @@
     private void add(String id) {
         upstreams.register(new Registration(
                 new UpstreamId(id), SERVICE, new SocketAddress("10.0.0.1", 80), ZONE, 3, false, 1, Long.MIN_VALUE / 2));
-        upstreams.observe(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, 100, 0, true, true));
+        upstreams.recordObservation(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, 100, 0, true, true));
     }
 
     private void send(String path) {
@@ -258,7 +258,7 @@
     void requestIsHedgedEarlyWhenItsUpstreamSlowsDown() {
         start(2, "/safe/1");
         worker.advance(Duration.ofMillis(10));
-        upstreams.observe(
+        upstreams.recordObservation(
                 new UpstreamId(client.call(0).upstream()), new Observation(clock.nowNanos(), 1, 0, 400, 0, true, true));
         worker.advance(Duration.ofMillis(100));
         assertThat(client.count()).isEqualTo(2);
@@ -282,7 +282,8 @@
     }
 
     private void observe(String id, int slowdownPercent) {
-        upstreams.observe(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, slowdownPercent, 0, true, true));
+        upstreams.recordObservation(
+                new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, slowdownPercent, 0, true, true));
     }
 
     /** Makes the load reports of all upstreams stale, and leaves probes of them in flight. */
