Explain forwarding's timing and metrics without other files

Cause: constants told their tuning, "baseline latency" is no longer a term, and decision, active, done and target were vague. Change: decision -> routingDecision, active -> attemptsInFlight, tried -> triedUpstreams, RequestLog.answered -> responded, OVERDUE_FACTOR -> OVERDUE_AGE, NEAR_BASELINE_SLOWDOWN -> MAX_NEARLY_NORMAL_SLOWDOWN, Probe.done -> completed, target (an upstream) -> upstream. The reason in the log "another instance responded at the address" says "another upstream", as the one of an attempt does. ForwardingMetrics.refused says that it counts in addition to answered. Test route /safe/ -> /retry/, since "safe" has another meaning in HTTP.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -24,31 +24,34 @@
  * connection.
  */
 final class ActiveRequest {
-    /** Divisor of the target latency that yields the maximum wait for an upstream; then the request is refused. */
+    /**
+     * Divisor of the target latency that yields the maximum wait for an upstream that is fast enough. After it, the
+     * request is sent to any usable upstream, or refused if there is none.
+     */
     private static final int MAX_WAIT_DIVISOR = 8;
     /** Interval at which a waiting request tries again to select an upstream. */
     private static final long SELECTION_INTERVAL_MILLIS = 10;
-    /** Grace period after the deadline for responses in transit, well below the delay that callers treat as a fault. */
+    /** Time after the deadline for responses in transit; callers do not yet treat such a delay as a failure. */
     private static final long DEADLINE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-    /** Time after which a detached attempt of a non-idempotent request is cancelled. */
+    /** Time for which a non-idempotent attempt may go on after its request has ended for the caller. */
     private static final long DETACHED_ATTEMPT_MILLIS = 1_000;
-    /** Minimum remaining time for which an attempt is started. */
+    /** Minimum time until the deadline with which an attempt is started. */
     private static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
-    /** Fraction of the target latency for the expected duration; the rest covers its variance and the network. */
+    /** Fraction of the target latency that the expected duration may take; the rest is for variance and the network. */
     private static final double EXPECTED_DURATION_FRACTION = 0.85;
-    /** Divisor of the target latency that yields the maximum wait of a choice for load reports of upstreams. */
+    /** Divisor of the target latency that yields the maximum wait for load reports before an upstream is chosen. */
     private static final int LOAD_REFRESH_DIVISOR = 16;
-    /** Maximum predicted cost of an upstream for a hedged request: the upstream is fast now and nearly idle. */
+    /** Maximum predicted cost of an upstream for a hedged attempt: only a fast and nearly idle one is below it. */
     private static final double MAX_HEDGE_COST = 1.6;
-    /** Divisor of the target latency that yields the Retry-After delay of a request that found no capacity. */
+    /** Divisor of the target latency that yields the Retry-After delay of a refused request, unless it was shed. */
     private static final int RETRY_AFTER_DIVISOR = 4;
-    /** Retry-After delay after upstreams shed the request, which hardly predicts whether they shed the next one. */
+    /** Retry-After delay after upstreams shed the request; short, because they may well accept the next one. */
     private static final long SHED_RETRY_AFTER_MILLIS = 20;
 
     private final ForwardingDependencies dependencies;
     private final RequestMessage request;
     private final Reply reply;
-    private final RoutingDecision decision;
+    private final RoutingDecision routingDecision;
     private final Route route;
     private final long deadlineNanos;
     private final long arrivedNanos;
@@ -57,8 +60,8 @@
     private final HeaderList headers;
     private final LoadRefresher loadRefresher;
     private final AttemptTiming timing;
-    private final Set<UpstreamId> tried = new HashSet<>();
-    private final Set<Attempt> active = new HashSet<>();
+    private final Set<UpstreamId> triedUpstreams = new HashSet<>();
+    private final Set<Attempt> attemptsInFlight = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
     private ScheduledFuture<?> checkTimer;
     private ResponseMessage serverError;
@@ -70,18 +73,18 @@
             ForwardingDependencies dependencies,
             RequestMessage request,
             Reply reply,
-            RoutingDecision decision,
+            RoutingDecision routingDecision,
             long arrivedNanos,
             long deadlineNanos) {
         this.dependencies = dependencies;
         this.request = request;
         this.reply = reply;
-        this.decision = decision;
-        this.route = decision.route();
+        this.routingDecision = routingDecision;
+        this.route = routingDecision.route();
         this.deadlineNanos = deadlineNanos;
         this.arrivedNanos = arrivedNanos;
         String requestId = dependencies.protocol().requestId(request.headers()).orElse("-");
-        this.log = new RequestLog(dependencies.log(), dependencies.clock(), requestId, decision, arrivedNanos);
+        this.log = new RequestLog(dependencies.log(), dependencies.clock(), requestId, routingDecision, arrivedNanos);
         this.upstreams = dependencies.tables().upstreams();
         this.headers = request.headers().endToEnd();
         this.loadRefresher = new LoadRefresher(upstreams, dependencies.loadProber(), reply.worker());
@@ -104,7 +107,8 @@
     private SelectionCriteria selectionCriteria(double maxCost) {
         double maxSlowdown =
                 timing.maxSlowdown(deadlineNanos - dependencies.clock().nowNanos());
-        return new SelectionCriteria(route.id(), decision.service(), tried, route.priority(), maxCost, maxSlowdown);
+        return new SelectionCriteria(
+                route.id(), routingDecision.service(), triedUpstreams, route.priority(), maxCost, maxSlowdown);
     }
 
     /**
@@ -140,8 +144,8 @@
 
     private void startAttempt(Placement placement, AttemptKind kind) {
         Attempt attempt = new Attempt(placement);
-        active.add(attempt);
-        tried.add(placement.upstream());
+        attemptsInFlight.add(attempt);
+        triedUpstreams.add(placement.upstream());
         sentAttempts++;
         dependencies.metrics().attempted(kind, placement.observationAgeNanos());
         log.chosen(placement, kind);
@@ -188,7 +192,7 @@
      * upstream may have slowed down since the attempt started.
      */
     private void checkOverdue(Attempt attempt) {
-        if (!closed && active.contains(attempt) && !timing.recordIfOverdue(attempt)) {
+        if (!closed && attemptsInFlight.contains(attempt) && !timing.recordIfOverdue(attempt)) {
             scheduleOverdueCheck(attempt);
         }
     }
@@ -202,7 +206,7 @@
     private boolean mayHedge(Attempt attempt) {
         return !closed
                 && sentAttempts < route.maxAttempts()
-                && active.contains(attempt)
+                && attemptsInFlight.contains(attempt)
                 && deadlineNanos - dependencies.clock().nowNanos() >= MIN_REMAINING_NANOS;
     }
 
@@ -225,7 +229,7 @@
         Optional<Placement> placement = upstreams.choose(selectionCriteria(MAX_HEDGE_COST));
         if (placement.isEmpty()) {
             scheduleHedgeCheck(attempt, HedgeRule.nextCheckAge(age));
-        } else if (dependencies.tables().retryBudget().tryAcquire(decision.service(), route.priority())) {
+        } else if (dependencies.tables().retryBudget().tryAcquire(routingDecision.service(), route.priority())) {
             startAttempt(placement.get(), AttemptKind.HEDGE);
         } else {
             upstreams.finish(placement.get(), AttemptResult.CANCELLED);
@@ -233,7 +237,7 @@
     }
 
     private void attemptEnded(Attempt attempt, CallEnd end) {
-        active.remove(attempt);
+        attemptsInFlight.remove(attempt);
         if (end instanceof CallEnd.Answered answered) {
             responseReceived(attempt, answered.response());
         } else if (end instanceof CallEnd.NotSent notSent) {
@@ -263,7 +267,7 @@
             connectionBroken(attempt, new CallEnd.Broken("success without a signature"));
         } else {
             upstreams.finish(attempt.placement(), AttemptResult.SUCCESS);
-            active.forEach(other -> timing.recordIfOutrun(other, attempt));
+            attemptsInFlight.forEach(other -> timing.recordIfOutrun(other, attempt));
             respond(response);
         }
     }
@@ -272,7 +276,7 @@
         sentAttempts--;
         recordFailure(attempt, AttemptResult.CONNECT_FAILED, end.reason());
         dependencies.tables().suspects().recordUpstreamLoss(attempt.placement().upstream());
-        if (!closed && active.isEmpty()) {
+        if (!closed && attemptsInFlight.isEmpty()) {
             selectUpstream(AttemptKind.RETRY);
         }
     }
@@ -284,7 +288,7 @@
                 .tables()
                 .suspects()
                 .recordConnectionLoss(
-                        decision.fingerprint(), attempt.placement().upstream());
+                        routingDecision.fingerprint(), attempt.placement().upstream());
         loadRefresher.refreshInBackground(attempt.placement().upstream());
         retryOrFail(route.idempotent());
     }
@@ -296,13 +300,13 @@
 
     /** Retries the request at another upstream if this is permitted, and fails it otherwise. */
     private void retryOrFail(boolean permitted) {
-        if (closed || !active.isEmpty()) {
+        if (closed || !attemptsInFlight.isEmpty()) {
             return;
         }
         if (permitted
                 && sentAttempts < route.maxAttempts()
-                && !dependencies.tables().suspects().isQuarantined(decision.fingerprint())
-                && dependencies.tables().retryBudget().tryAcquire(decision.service(), route.priority())) {
+                && !dependencies.tables().suspects().isQuarantined(routingDecision.fingerprint())
+                && dependencies.tables().retryBudget().tryAcquire(routingDecision.service(), route.priority())) {
             selectUpstream(AttemptKind.RETRY);
         } else {
             fail(ResultCode.SHED_BY_UPSTREAM);
@@ -310,7 +314,7 @@
     }
 
     private void fail(ResultCode codeIfNotRun) {
-        if (!active.isEmpty()) {
+        if (!attemptsInFlight.isEmpty()) {
             return;
         }
         if (serverError != null) {
@@ -326,7 +330,7 @@
         if (closed) {
             return;
         }
-        if (active.isEmpty() && !mayHaveRun) {
+        if (attemptsInFlight.isEmpty() && !mayHaveRun) {
             refuse(ResultCode.DEADLINE_BEFORE_SEND);
         } else {
             refuse(ResultCode.DEADLINE_AFTER_SEND);
@@ -350,7 +354,7 @@
         if (closed) {
             return;
         }
-        log.answered(response.status());
+        log.responded(response.status());
         complete(new ResponseMessage(response.status(), response.headers().endToEnd(), response.body()));
     }
 
@@ -359,7 +363,7 @@
         dependencies
                 .metrics()
                 .answered(
-                        decision.service(),
+                        routingDecision.service(),
                         response.status(),
                         dependencies.clock().nowNanos() - arrivedNanos);
         reply.send(response);
@@ -376,7 +380,7 @@
         closed = true;
         cancelTimer(deadlineTimer);
         cancelTimer(checkTimer);
-        for (Attempt attempt : Set.copyOf(active)) {
+        for (Attempt attempt : Set.copyOf(attemptsInFlight)) {
             timing.recordIfOverdue(attempt);
             detach(attempt);
         }
@@ -392,7 +396,7 @@
     }
 
     private void cancelAttempt(Attempt attempt) {
-        if (active.remove(attempt)) {
+        if (attemptsInFlight.remove(attempt)) {
             upstreams.finish(attempt.placement(), AttemptResult.CANCELLED);
             attempt.cancel();
         }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/Attempt.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/Attempt.java
@@ -3,7 +3,7 @@
 import org.turmericspan.balancing.Placement;
 import org.turmericspan.http.CallHandle;
 
-/** One attempt of a request, which is in flight at an upstream. */
+/** One attempt of a request, from its start until it ends or is cancelled. */
 final class Attempt {
     private final Placement placement;
     private CallHandle handle = () -> {};
--- a/forwarding/src/main/java/org/turmericspan/forwarding/AttemptTiming.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/AttemptTiming.java
@@ -11,8 +11,8 @@
  * and records an overdue response as a failure of its upstream. All methods run on the worker of the request.
  */
 final class AttemptTiming {
-    /** Slowdown up to which an upstream counts as near its baseline latency; slow ones take several times as long. */
-    private static final double NEAR_BASELINE_SLOWDOWN = 2;
+    /** Highest slowdown of an upstream that counts as nearly normal; 1 is normal. */
+    private static final double MAX_NEARLY_NORMAL_SLOWDOWN = 2;
 
     private final UpstreamTable upstreams;
     private final Route route;
@@ -31,18 +31,20 @@
      * attempt.
      */
     long typicalLatencyNanos() {
-        long typical = upstreams.typicalLatencyNanos(route.id());
-        return typical == 0 ? route.targetLatencyNanos() / 2 : typical;
+        long typicalNanos = upstreams.typicalLatencyNanos(route.id());
+        return typicalNanos == 0 ? route.targetLatencyNanos() / 2 : typicalNanos;
     }
 
     /**
      * Returns the highest slowdown at which an upstream can still respond in the remaining time. There is no limit
-     * while the latency of the route is unknown. An upstream near its baseline latency is always eligible, because a
-     * route that was slow once would otherwise never be tried again.
+     * while the latency of the route is unknown. An upstream with nearly normal service time is always eligible,
+     * because a route that was slow once would otherwise never be tried again.
      */
     double maxSlowdown(long remainingNanos) {
-        long typical = upstreams.typicalLatencyNanos(route.id());
-        return typical == 0 ? Double.MAX_VALUE : Math.max(NEAR_BASELINE_SLOWDOWN, (double) remainingNanos / typical);
+        long typicalNanos = upstreams.typicalLatencyNanos(route.id());
+        return typicalNanos == 0
+                ? Double.MAX_VALUE
+                : Math.max(MAX_NEARLY_NORMAL_SLOWDOWN, (double) remainingNanos / typicalNanos);
     }
 
     /** Returns the age of an attempt in units of the typical latency. */
--- a/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
@@ -10,7 +10,7 @@
 /** Reads and writes the headers that callers, nodes and upstreams exchange. */
 public interface CallProtocol {
     /**
-     * Returns the identifier of a request.
+     * Returns the identifier of a request, which appears in the log.
      *
      * @param headers headers of the request
      * @return the identifier, or empty when the caller sent none
@@ -29,25 +29,26 @@
      * Builds the headers of an attempt.
      *
      * @param headers end-to-end headers of the caller's request
-     * @param remainingMillis time the upstream may take
+     * @param remainingMillis time until the deadline of the request
      * @param expected the only upstream that may run the request
      * @return the headers to send
      */
     HeaderList attemptHeaders(HeaderList headers, long remainingMillis, UpstreamId expected);
 
     /**
-     * Returns whether an upstream proved that it did not run the request.
+     * Returns whether a response states that the upstream did not run the request, so that any request may be sent
+     * again.
      *
-     * @param response its response
-     * @return true only if the response proves it
+     * @param response response of the upstream
+     * @return true if it states this; false if the request ran or may have run
      */
     boolean provesNotExecuted(ResponseMessage response);
 
     /**
-     * Returns whether the response came from another upstream than the expected one.
+     * Returns whether another upstream than the one to which the request was addressed responded.
      *
      * @param response the response
-     * @return true when the request was rejected for that reason
+     * @return true when that upstream rejected the request for this reason
      */
     boolean isWrongInstance(ResponseMessage response);
 
@@ -71,7 +72,7 @@
     /**
      * Reads the identifier of the upstream that responded to a health check.
      *
-     * @param response the response
+     * @param response the response to a health check
      * @return empty when it reports none
      */
     Optional<String> instanceId(ResponseMessage response);
@@ -85,7 +86,8 @@
     long warmupRemainingMillis(ResponseMessage response);
 
     /**
-     * Returns the name of the header that an upstream copies from the request to the response.
+     * Returns the name of the header that an upstream copies from the request to the response, which shows that the two
+     * belong together.
      *
      * @return the header's name
      */
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingDependencies.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingDependencies.java
@@ -5,15 +5,15 @@
 import org.turmericspan.ids.MonotonicClock;
 
 /**
- * Dependencies of the request path.
+ * Objects that handle or record every request.
  *
  * @param tables shared tables that determine the upstream of a request
  * @param client HTTP client that calls the upstreams
- * @param protocol reads and writes headers
+ * @param protocol reads and writes the headers that callers, nodes and upstreams exchange
  * @param loadProber requests load reports from upstreams
  * @param metrics counts requests and attempts
  * @param clock source of monotonic time
- * @param log log of routing decisions
+ * @param log receives an event for each choice, failure and refusal
  */
 public record ForwardingDependencies(
         ForwardingTables tables,
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingMetrics.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingMetrics.java
@@ -6,7 +6,7 @@
 /** Metrics of requests and their attempts. */
 public interface ForwardingMetrics {
     /**
-     * Counts a request that received a response, from an upstream or from this node.
+     * Counts a response to a request whose service was chosen, from an upstream or from this node.
      *
      * @param service service of the request
      * @param status HTTP status of the response
@@ -15,9 +15,9 @@
     void answered(ServiceId service, int status, long latencyNanos);
 
     /**
-     * Counts a request that received a local reply.
+     * Counts a request that this node refused, in addition to {@link #answered} if its service was chosen before.
      *
-     * @param code reason for the local reply
+     * @param code code in the local reply
      */
     void refused(ResultCode code);
 
@@ -29,7 +29,7 @@
      */
     void attempted(AttemptKind kind, long ageNanos);
 
-    /** Reason for an attempt. */
+    /** Kind of an attempt, by what preceded it. */
     enum AttemptKind {
         /** The first attempt of a request. */
         FIRST,
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -25,6 +25,7 @@
     private static final long QUARANTINE_RETRY_AFTER_MILLIS = 10_000;
 
     private final ForwardingDependencies dependencies;
+    /** Whether this node once had a configuration and upstream states; not checked again after that. */
     private volatile boolean ready;
 
     /**
--- a/forwarding/src/main/java/org/turmericspan/forwarding/HedgeRule.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/HedgeRule.java
@@ -5,9 +5,9 @@
  * an idle upstream, so that the rule applies to any route.
  */
 final class HedgeRule {
-    /** Age of an attempt at its first hedge check; an earlier check would hardly see more than the choice did. */
+    /** Age of an attempt at its first hedge check; earlier, the load has hardly changed since the choice. */
     private static final double FIRST_CHECK_AGE = 0.3;
-    /** Interval between hedge checks. */
+    /** Time between hedge checks, in units of the typical latency. */
     private static final double CHECK_INTERVAL = 0.25;
     /** Age above which an attempt at a slow upstream is not hedged until it is late, because it will soon finish. */
     private static final double MAX_EARLY_HEDGE_AGE = 0.7;
@@ -30,6 +30,7 @@
         return next > MAX_EARLY_HEDGE_AGE && next < LATE_AGE_SLOW_UPSTREAM ? LATE_AGE_SLOW_UPSTREAM : next;
     }
 
+    /** Returns whether to hedge an attempt of the given age at an upstream with the given slowdown; 100 is normal. */
     static boolean isWorthwhile(double age, int slowdownPercent) {
         if (slowdownPercent >= SLOW_UPSTREAM_PERCENT) {
             return age <= MAX_EARLY_HEDGE_AGE || age >= LATE_AGE_SLOW_UPSTREAM;
--- a/forwarding/src/main/java/org/turmericspan/forwarding/LoadRefresher.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/LoadRefresher.java
@@ -57,15 +57,15 @@
 
     /** Runs the action once, when no further probe result is needed or after the timeout. */
     private final class PendingRefresh {
-        private final BooleanSupplier sufficient;
+        private final BooleanSupplier isSufficient;
         private final Runnable action;
         private ScheduledFuture<?> timeout;
         private int pendingProbes;
         private boolean finished;
 
-        PendingRefresh(int pendingProbes, BooleanSupplier sufficient, Runnable action) {
+        PendingRefresh(int pendingProbes, BooleanSupplier isSufficient, Runnable action) {
             this.pendingProbes = pendingProbes;
-            this.sufficient = sufficient;
+            this.isSufficient = isSufficient;
             this.action = action;
         }
 
@@ -76,7 +76,7 @@
 
         private void probeCompleted() {
             pendingProbes--;
-            if (!finished && (pendingProbes == 0 || sufficient.getAsBoolean())) {
+            if (!finished && (pendingProbes == 0 || isSufficient.getAsBoolean())) {
                 finish();
             }
         }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/OverdueThresholds.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/OverdueThresholds.java
@@ -6,11 +6,11 @@
  */
 final class OverdueThresholds {
     /**
-     * Age within which an upstream at its baseline latency responds: 99 % of responses arrive within 2.5 under normal
-     * load, and an upstream that is nearly at capacity takes 1.6 times as long.
+     * Age at which the response of an upstream with normal service time is overdue. Leaves room for the latency of a
+     * nearly full upstream.
      */
-    private static final double OVERDUE_FACTOR = 4;
-    /** An attempt is overdue when it has run this many times as long as another attempt that succeeded. */
+    private static final double OVERDUE_AGE = 4;
+    /** Multiple of the duration of a successful attempt at which another attempt of the same request is overdue. */
     private static final double OUTRUN_FACTOR = 2.5;
 
     private static final double NORMAL_PERCENT = 100.0;
@@ -19,7 +19,7 @@
 
     /** Returns the age at which a response is overdue, given the slowdown of its upstream in percent. */
     static double overdueAge(int slowdownPercent) {
-        return OVERDUE_FACTOR * slowdownFactor(slowdownPercent);
+        return OVERDUE_AGE * slowdownFactor(slowdownPercent);
     }
 
     /** Returns whether an attempt is overdue because another attempt of the same request was much faster. */
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestLog.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestLog.java
@@ -11,7 +11,7 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.UpstreamId;
 
-/** Logs the decisions on one request, with the data on which each was based. */
+/** Logs the choice of an upstream for each attempt of one request, and how the attempts and the request ended. */
 final class RequestLog {
     private static final String LOG_PART = "forward";
     private static final double PERCENT = 100.0;
@@ -19,15 +19,16 @@
     private final EventLog log;
     private final MonotonicClock clock;
     private final String requestId;
-    private final RoutingDecision decision;
+    private final RoutingDecision routingDecision;
     private final long arrivedNanos;
     private int attempts;
 
-    RequestLog(EventLog log, MonotonicClock clock, String requestId, RoutingDecision decision, long arrivedNanos) {
+    RequestLog(
+            EventLog log, MonotonicClock clock, String requestId, RoutingDecision routingDecision, long arrivedNanos) {
         this.log = log;
         this.clock = clock;
         this.requestId = requestId;
-        this.decision = decision;
+        this.routingDecision = routingDecision;
         this.arrivedNanos = arrivedNanos;
     }
 
@@ -37,8 +38,8 @@
                 .with("request", requestId)
                 .with("kind", kind)
                 .with("upstream", placement.upstream())
-                .with("route", decision.route().id())
-                .with("version", decision.version())
+                .with("route", routingDecision.route().id())
+                .with("version", routingDecision.version())
                 .with("costPercent", Math.round(placement.cost() * PERCENT))
                 .with("slowPercent", placement.slowdownPercent())
                 .with("load", placement.load())
@@ -71,14 +72,14 @@
         return Event.failure(LOG_PART, "Request refused.")
                 .with("request", requestId)
                 .with("code", code.number())
-                .with("route", decision.route().id())
-                .with("version", decision.version())
-                .with("service", decision.service())
+                .with("route", routingDecision.route().id())
+                .with("version", routingDecision.version())
+                .with("service", routingDecision.service())
                 .with("attempts", attempts)
                 .with("elapsedMs", elapsedMillis());
     }
 
-    void answered(int status) {
+    void responded(int status) {
         log.write(Event.routine(LOG_PART, "Request answered.")
                 .with("request", requestId)
                 .with("status", status)
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -32,9 +32,12 @@
 public final class UpstreamProber implements LoadProber {
     /** Timeout of a probe; an upstream responds to a probe immediately or not at all. */
     private static final long TIMEOUT_MILLIS = 300;
-    /** Maximum idle time of a pooled connection for a probe; a failed probe costs nothing but the connection. */
+    /** Maximum idle time of a pooled connection for a probe; long, because no request is lost when a probe fails. */
     private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
-    /** Consecutive failed probes after which the upstream is ejected; fewer only close its idle connections. */
+    /**
+     * Consecutive failed probes after which an upstream counts as unreachable although it accepts connections. It
+     * counts as unreachable at once when it accepts none, or when another upstream responds at its address.
+     */
     private static final int UNREACHABLE_AFTER_FAILURES = 2;
 
     private static final int OK = 200;
@@ -110,7 +113,7 @@
             if (probe == null && budget.tryAcquire()) {
                 probe = startOrJoin(upstream);
             }
-            if (probe == null || probe.done) {
+            if (probe == null || probe.completed) {
                 onCompleted.run();
             } else {
                 probe.listeners.add(onCompleted);
@@ -121,74 +124,75 @@
     /**
      * Returns how many probes have been sent so far.
      *
-     * @return the count
+     * @return number of periodic probes and probes on demand since this object was created
      */
     public long probesSent() {
         return probesSent;
     }
 
     /** Returns the probe in flight, after starting one if necessary, or null when the service has no health path. */
-    private Probe startOrJoin(Registration target) {
+    private Probe startOrJoin(Registration upstream) {
         Optional<String> path = configuration
                 .current()
-                .flatMap(current -> current.service(target.service()))
+                .flatMap(current -> current.service(upstream.service()))
                 .map(service -> service.healthPath());
-        if (path.isEmpty() || inFlight.containsKey(target.id())) {
-            return inFlight.get(target.id());
+        if (path.isEmpty() || inFlight.containsKey(upstream.id())) {
+            return inFlight.get(upstream.id());
         }
         probesSent++;
         CallOptions options =
                 new CallOptions(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), MAX_IDLE_NANOS, true, Optional.empty());
-        RequestMessage request = RequestMessage.get(path.get(), target.address().toString());
-        Probe probe = new Probe(target);
-        inFlight.put(target.id(), probe);
+        RequestMessage request =
+                RequestMessage.get(path.get(), upstream.address().toString());
+        Probe probe = new Probe(upstream);
+        inFlight.put(upstream.id(), probe);
         probe.handle =
-                client.call(target.address(), request, options, end -> worker.execute(() -> probeEnded(probe, end)));
+                client.call(upstream.address(), request, options, end -> worker.execute(() -> probeEnded(probe, end)));
         probe.timeout = worker.schedule(() -> timedOut(probe), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         return probe;
     }
 
     private void timedOut(Probe probe) {
-        if (!probe.done) {
+        if (!probe.completed) {
             probe.handle.cancel();
             probeEnded(probe, new CallEnd.Broken("no response within " + TIMEOUT_MILLIS + " ms"));
         }
     }
 
     private void probeEnded(Probe probe, CallEnd end) {
-        if (probe.done) {
+        if (probe.completed) {
             return;
         }
-        probe.done = true;
+        probe.completed = true;
         if (probe.timeout != null) {
             probe.timeout.cancel(false);
         }
-        inFlight.remove(probe.target.id());
+        inFlight.remove(probe.upstream.id());
         if (end instanceof CallEnd.Answered answered) {
-            responseReceived(probe.target, answered.response());
+            responseReceived(probe.upstream, answered.response());
         } else if (end instanceof CallEnd.NotSent notSent) {
-            probeFailed(probe.target, notSent.reason(), true);
+            probeFailed(probe.upstream, notSent.reason(), true);
         } else if (end instanceof CallEnd.Broken broken) {
-            client.dropIdle(probe.target.address());
-            probeFailed(probe.target, broken.reason(), false);
+            client.dropIdle(probe.upstream.address());
+            probeFailed(probe.upstream, broken.reason(), false);
         }
         probe.listeners.forEach(Runnable::run);
     }
 
-    private void responseReceived(Registration target, ResponseMessage response) {
-        if (protocol.instanceId(response).filter(target.id().value()::equals).isEmpty()) {
-            probeFailed(target, "another instance responded at the address", true);
+    private void responseReceived(Registration upstream, ResponseMessage response) {
+        if (protocol.instanceId(response).filter(upstream.id().value()::equals).isEmpty()) {
+            probeFailed(upstream, "another upstream responded at the address", true);
             return;
         }
-        if (consecutiveFailures.remove(target.id()) != null) {
-            log.write(Event.notice(LOG_PART, "Upstream responds again.").with("upstream", target.id()));
+        if (consecutiveFailures.remove(upstream.id()) != null) {
+            log.write(Event.notice(LOG_PART, "Upstream responds again.").with("upstream", upstream.id()));
         }
         LoadReport load = protocol.reportedLoad(response).orElse(LoadReport.NORMAL);
         long coldRemainingNanos = TimeUnit.MILLISECONDS.toNanos(protocol.warmupRemainingMillis(response));
-        recordWarmup(target.id(), coldRemainingNanos);
-        upstreams.recordReachability(target.id(), true);
+        recordWarmup(upstream.id(), coldRemainingNanos);
+        upstreams.recordReachability(upstream.id(), true);
         upstreams.recordObservation(
-                target.id(),
+                upstream.id(),
                 new Observation(
                         clock.nowNanos(),
                         load.running(),
@@ -208,38 +212,39 @@
         }
     }
 
-    private void probeFailed(Registration target, String reason, boolean unreachable) {
-        int count = consecutiveFailures.merge(target.id(), 1, Integer::sum);
+    private void probeFailed(Registration upstream, String reason, boolean unreachable) {
+        int count = consecutiveFailures.merge(upstream.id(), 1, Integer::sum);
         if (unreachable || count >= UNREACHABLE_AFTER_FAILURES) {
-            upstreams.recordReachability(target.id(), false);
-            upstreams.recordObservation(target.id(), Observation.unreachable(clock.nowNanos(), warmupNanos(target)));
-            suspects.recordUpstreamLoss(target.id());
+            upstreams.recordReachability(upstream.id(), false);
+            upstreams.recordObservation(
+                    upstream.id(), Observation.unreachable(clock.nowNanos(), warmupNanos(upstream)));
+            suspects.recordUpstreamLoss(upstream.id());
         }
         if (count == 1) {
             log.write(Event.notice(LOG_PART, "Upstream does not answer.")
-                    .with("upstream", target.id())
+                    .with("upstream", upstream.id())
                     .with("reason", reason)
                     .with("unreachable", unreachable));
         }
     }
 
-    private long warmupNanos(Registration target) {
+    private long warmupNanos(Registration upstream) {
         return configuration
                 .current()
-                .flatMap(current -> current.service(target.service()))
+                .flatMap(current -> current.service(upstream.service()))
                 .map(service -> service.warmupNanos())
                 .orElse(0L);
     }
 
     private static final class Probe {
-        private final Registration target;
+        private final Registration upstream;
         private final List<Runnable> listeners = new ArrayList<>();
         private CallHandle handle = () -> {};
         private ScheduledFuture<?> timeout;
-        private boolean done;
+        private boolean completed;
 
-        Probe(Registration target) {
-            this.target = target;
+        Probe(Registration upstream) {
+            this.upstream = upstream;
         }
     }
 }
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
@@ -7,7 +7,7 @@
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.UpstreamId;
 
-/** Call protocol with short header names. */
+/** Call protocol with one plain header for each item; no response reports load or warm-up. */
 final class FakeCallProtocol implements CallProtocol {
     static final String REMAINING_MILLIS = "left";
     static final String EXPECTED = "expected";
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeHttpCaller.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeHttpCaller.java
@@ -24,7 +24,7 @@
         return () -> sentCall.cancelled = true;
     }
 
-    int count() {
+    int callCount() {
         return calls.size();
     }
 
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeReply.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeReply.java
@@ -4,7 +4,7 @@
 import org.turmericspan.http.Reply;
 import org.turmericspan.http.ResponseMessage;
 
-/** Records the response. */
+/** Records the response, rejects a second one, and lets a test disconnect the caller. */
 final class FakeReply implements Reply {
     private final ScheduledExecutorService worker;
     private Runnable disconnectAction = () -> {};
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -72,15 +72,17 @@
         public void attempted(AttemptKind kind, long ageNanos) {}
     }
 
+    /** Configures the route /retry/ for idempotent requests and the route /once/ for all others. */
     private void configure() {
-        List<WeightedService> backends = List.of(new WeightedService(SERVICE, 1));
-        long timeout = TimeUnit.SECONDS.toNanos(1);
-        long target = TimeUnit.MILLISECONDS.toNanos(300);
+        List<WeightedService> desk = List.of(new WeightedService(SERVICE, 1));
+        long timeoutNanos = TimeUnit.SECONDS.toNanos(1);
+        long targetLatencyNanos = TimeUnit.MILLISECONDS.toNanos(300);
         configuration.accept(new RoutingConfiguration(
                 1,
                 List.of(
-                        new Route(new RouteId("s"), "h", "/safe/", backends, true, 2, timeout, target, 0),
-                        new Route(new RouteId("o"), "h", "/once/", backends, false, 2, timeout, target, 0)),
+                        new Route(new RouteId("r"), "h", "/retry/", desk, true, 2, timeoutNanos, targetLatencyNanos, 0),
+                        new Route(
+                                new RouteId("o"), "h", "/once/", desk, false, 2, timeoutNanos, targetLatencyNanos, 0)),
                 Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 10, 0, 8)),
                 RequestLimits.DEFAULT));
     }
@@ -103,16 +105,17 @@
         send(path, reply);
     }
 
-    private void send(String path, FakeReply to) {
-        send(path, "800", to);
+    /** Sends a request whose caller allows 800 ms. */
+    private void send(String path, FakeReply callerReply) {
+        send(path, "800", callerReply);
     }
 
-    private void send(String path, String remainingMillis, FakeReply to) {
+    private void send(String path, String remainingMillis, FakeReply callerReply) {
         HeaderList headers = HeaderList.EMPTY
                 .with("Host", "h:80")
                 .with("id", "r-1")
                 .with(FakeCallProtocol.REMAINING_MILLIS, remainingMillis);
-        service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), to);
+        service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), callerReply);
     }
 
     @Test
@@ -149,14 +152,14 @@
         send("/once/1");
         start(1, "/none");
         worker.advance(Duration.ofMillis(100));
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
     }
 
     @Test
     void nonIdempotentRequestIsNotRetriedAfterABrokenConnection() {
         start(2, "/once/1");
         client.call(0).breakConnection();
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
         assertThat(reply.status()).isEqualTo(502);
     }
 
@@ -164,7 +167,7 @@
     void nonIdempotentRequestIsRetriedWhenProvenNotRun() {
         start(2, "/once/1");
         client.call(0).proveNotRun(503);
-        assertThat(client.count()).isEqualTo(2);
+        assertThat(client.callCount()).isEqualTo(2);
         assertThat(client.call(1).upstream()).isNotEqualTo(client.call(0).upstream());
         client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
@@ -174,7 +177,7 @@
     void serverErrorOfANonIdempotentRequestIsForwarded() {
         start(2, "/once/1");
         client.call(0).respond(500);
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
         assertThat(reply.status()).isEqualTo(500);
     }
 
@@ -182,13 +185,13 @@
     void successWithoutASignatureIsNeverPassedOn() {
         start(2, "/once/1");
         client.call(0).respondUnsigned(200);
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
         assertThat(reply.status()).isEqualTo(502);
     }
 
     @Test
     void idempotentRequestIsRepeatedAfterASuccessWithoutASignature() {
-        start(2, "/safe/1");
+        start(2, "/retry/1");
         client.call(0).respondUnsigned(200);
         client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
@@ -198,7 +201,7 @@
     void nonIdempotentRequestIsNeverHedged() {
         start(2, "/once/1");
         worker.advance(Duration.ofMillis(700));
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
     }
 
     @Test
@@ -211,7 +214,7 @@
 
     @Test
     void idempotentRequestIsRetriedAfterABrokenConnection() {
-        start(2, "/safe/1");
+        start(2, "/retry/1");
         client.call(0).breakConnection();
         client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
@@ -219,10 +222,10 @@
 
     @Test
     void attemptsStayWithinTheRoutesMaximum() {
-        start(4, "/safe/1");
+        start(4, "/retry/1");
         client.call(0).breakConnection();
         client.call(1).breakConnection();
-        assertThat(client.count()).isEqualTo(2);
+        assertThat(client.callCount()).isEqualTo(2);
         assertThat(reply.status()).isEqualTo(502);
     }
 
@@ -246,9 +249,9 @@
 
     @Test
     void lateIdempotentRequestIsHedgedAndTheSlowerAttemptCancelled() {
-        start(2, "/safe/1");
+        start(2, "/retry/1");
         worker.advance(Duration.ofMillis(400));
-        assertThat(client.count()).isEqualTo(2);
+        assertThat(client.callCount()).isEqualTo(2);
         client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
         assertThat(client.call(0).isCancelled()).isTrue();
@@ -256,21 +259,21 @@
 
     @Test
     void requestIsHedgedEarlyWhenItsUpstreamSlowsDown() {
-        start(2, "/safe/1");
+        start(2, "/retry/1");
         worker.advance(Duration.ofMillis(10));
         upstreams.recordObservation(
                 new UpstreamId(client.call(0).upstream()), new Observation(clock.nowNanos(), 1, 0, 400, 0, true, true));
         worker.advance(Duration.ofMillis(100));
-        assertThat(client.count()).isEqualTo(2);
+        assertThat(client.callCount()).isEqualTo(2);
     }
 
     @Test
     void callerDisconnectCancelsAnIdempotentAttemptImmediately() {
-        start(2, "/safe/1");
+        start(2, "/retry/1");
         reply.disconnect();
         assertThat(client.call(0).isCancelled()).isTrue();
         worker.advance(Duration.ofSeconds(2));
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
         assertThat(reply.hasResponse()).isFalse();
     }
 
@@ -281,7 +284,7 @@
         assertThat(reply.status()).isEqualTo(503);
     }
 
-    private void observe(String id, int slowdownPercent) {
+    private void observeSlowdown(String id, int slowdownPercent) {
         upstreams.recordObservation(
                 new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, slowdownPercent, 0, true, true));
     }
@@ -299,10 +302,10 @@
         add("u-1");
         makeLoadReportsStale();
         send("/once/1");
-        assertThat(client.count()).isZero();
-        observe("u-0", 400);
+        assertThat(client.callCount()).isZero();
+        observeSlowdown("u-0", 400);
         prober.complete(new UpstreamId("u-0"));
-        observe("u-1", 100);
+        observeSlowdown("u-1", 100);
         prober.complete(new UpstreamId("u-1"));
         assertThat(client.call(0).upstream()).isEqualTo("u-1");
     }
@@ -314,11 +317,11 @@
         add("u-1");
         makeLoadReportsStale();
         send("/once/1");
-        observe("u-1", 100);
+        observeSlowdown("u-1", 100);
         prober.complete(new UpstreamId("u-1"));
         assertThat(client.call(0).upstream()).isEqualTo("u-1");
         prober.complete(new UpstreamId("u-0"));
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
     }
 
     @Test
@@ -328,7 +331,7 @@
         makeLoadReportsStale();
         send("/once/1");
         worker.advance(Duration.ofMillis(20));
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
     }
 
     @Test
@@ -340,7 +343,7 @@
         reply.disconnect();
         prober.complete(new UpstreamId("u-0"));
         worker.advance(Duration.ofMillis(20));
-        assertThat(client.count()).isZero();
+        assertThat(client.callCount()).isZero();
     }
 
     @Test
@@ -348,13 +351,13 @@
         configure();
         add("u-0");
         worker.advance(Duration.ofMillis(1));
-        observe("u-0", 900);
+        observeSlowdown("u-0", 900);
         send("/once/1");
-        assertThat(client.count()).isZero();
+        assertThat(client.callCount()).isZero();
         worker.advance(Duration.ofMillis(1));
-        observe("u-0", 100);
+        observeSlowdown("u-0", 100);
         worker.advance(Duration.ofMillis(10));
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
     }
 
     @Test
@@ -362,10 +365,10 @@
         configure();
         add("u-0");
         worker.advance(Duration.ofMillis(1));
-        observe("u-0", 900);
+        observeSlowdown("u-0", 900);
         send("/once/1");
         worker.advance(Duration.ofMillis(50));
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
     }
 
     @Test
@@ -384,9 +387,9 @@
     private String upstreamOfNextRequest(String path, int otherSlowdownPercent) {
         add("u-1");
         clock.advance(Duration.ofMillis(1));
-        observe("u-0", 100);
-        observe("u-1", otherSlowdownPercent);
-        int callsBefore = client.count();
+        observeSlowdown("u-0", 100);
+        observeSlowdown("u-1", otherSlowdownPercent);
+        int callsBefore = client.callCount();
         send(path);
         worker.advance(Duration.ofMillis(60));
         return client.call(callsBefore).upstream();
@@ -394,31 +397,31 @@
 
     @Test
     void upstreamWithAnOverdueResponseAtCallerDisconnectIsAvoided() {
-        start(1, "/safe/1");
+        start(1, "/retry/1");
         worker.advance(Duration.ofMillis(700));
         reply.disconnect();
-        assertThat(upstreamOfNextRequest("/safe/2", 150)).isEqualTo("u-1");
+        assertThat(upstreamOfNextRequest("/retry/2", 150)).isEqualTo("u-1");
     }
 
     @Test
     void earlyCallerDisconnectDoesNotCountAgainstTheUpstream() {
-        start(1, "/safe/1");
+        start(1, "/retry/1");
         worker.advance(Duration.ofMillis(500));
         reply.disconnect();
-        assertThat(upstreamOfNextRequest("/safe/2", 150)).isEqualTo("u-0");
+        assertThat(upstreamOfNextRequest("/retry/2", 150)).isEqualTo("u-0");
     }
 
     @Test
     void upstreamOutrunByAnotherIsAvoided() {
-        start(2, "/safe/1");
+        start(2, "/retry/1");
         String outrun = client.call(0).upstream();
         worker.advance(Duration.ofMillis(400));
         client.call(1).respond(200);
         assertThat(reply.status()).isEqualTo(200);
         clock.advance(Duration.ofMillis(1));
-        observe("u-0", outrun.equals("u-0") ? 100 : 150);
-        observe("u-1", outrun.equals("u-1") ? 100 : 150);
-        send("/safe/2");
+        observeSlowdown("u-0", outrun.equals("u-0") ? 100 : 150);
+        observeSlowdown("u-1", outrun.equals("u-1") ? 100 : 150);
+        send("/retry/2");
         assertThat(client.call(2).upstream()).isNotEqualTo(outrun);
     }
 
@@ -443,7 +446,7 @@
         configure();
         add("u-0");
         worker.advance(Duration.ofMillis(1));
-        observe("u-0", 200);
+        observeSlowdown("u-0", 200);
         send("/once/1");
         worker.advance(Duration.ofMillis(700));
         assertThat(upstreamOfNextRequest("/once/2", 300)).isEqualTo("u-0");
@@ -459,11 +462,11 @@
     @Test
     void requestThatNoUpstreamCanCompleteBeforeItsDeadlineIsRefusedAsNotRun() {
         recordTypicalLatency("/once/1");
-        observe("u-0", 1_200);
+        observeSlowdown("u-0", 1_200);
         FakeReply second = new FakeReply(worker);
         send("/once/2", second);
         worker.advance(Duration.ofMillis(60));
-        assertThat(client.count()).isEqualTo(1);
+        assertThat(client.callCount()).isEqualTo(1);
         assertThat(second.status()).isEqualTo(503);
         assertThat(second.response().headers().first("Retry-After")).isPresent();
     }
@@ -471,22 +474,22 @@
     @Test
     void requestThatASlowUpstreamCanCompleteBeforeItsDeadlineIsSent() {
         recordTypicalLatency("/once/1");
-        observe("u-0", 600);
+        observeSlowdown("u-0", 600);
         send("/once/2", new FakeReply(worker));
         worker.advance(Duration.ofMillis(60));
-        assertThat(client.count()).isEqualTo(2);
+        assertThat(client.callCount()).isEqualTo(2);
     }
 
     @Test
-    void upstreamAtItsBaselineLatencyIsTriedAlthoughTheRouteWasSlowerThanTheDeadline() {
-        start(1, "/safe/1");
+    void upstreamWithoutSlowdownIsTriedAlthoughTheRouteWasSlowerThanTheDeadline() {
+        start(1, "/retry/1");
         worker.advance(Duration.ofMillis(790));
         client.call(0).respond(200);
-        observe("u-0", 100);
+        observeSlowdown("u-0", 100);
         worker.advance(Duration.ofMillis(100));
-        observe("u-0", 110);
-        send("/safe/2", "400", new FakeReply(worker));
+        observeSlowdown("u-0", 110);
+        send("/retry/2", "400", new FakeReply(worker));
         worker.advance(Duration.ofMillis(60));
-        assertThat(client.count()).isEqualTo(2);
+        assertThat(client.callCount()).isEqualTo(2);
     }
 }
--- a/forwarding/src/test/java/org/turmericspan/forwarding/HedgeRuleTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/HedgeRuleTest.java
@@ -5,32 +5,32 @@
 import org.junit.jupiter.api.Test;
 
 class HedgeRuleTest {
-    private static final int FAST = 100;
-    private static final int SLOW = 400;
+    private static final int NORMAL_PERCENT = 100;
+    private static final int SLOW_PERCENT = 400;
 
     @Test
     void earlyAttemptAtSlowUpstreamIsHedged() {
-        assertThat(HedgeRule.isWorthwhile(0.3, SLOW)).isTrue();
+        assertThat(HedgeRule.isWorthwhile(0.3, SLOW_PERCENT)).isTrue();
     }
 
     @Test
     void nearlyFinishedAttemptAtSlowUpstreamIsNotHedged() {
-        assertThat(HedgeRule.isWorthwhile(0.9, SLOW)).isFalse();
+        assertThat(HedgeRule.isWorthwhile(0.9, SLOW_PERCENT)).isFalse();
     }
 
     @Test
     void lateAttemptAtSlowUpstreamIsHedged() {
-        assertThat(HedgeRule.isWorthwhile(1.4, SLOW)).isTrue();
+        assertThat(HedgeRule.isWorthwhile(1.4, SLOW_PERCENT)).isTrue();
     }
 
     @Test
     void longRequestAtFastUpstreamIsNotHedged() {
-        assertThat(HedgeRule.isWorthwhile(1.4, FAST)).isFalse();
+        assertThat(HedgeRule.isWorthwhile(1.4, NORMAL_PERCENT)).isFalse();
     }
 
     @Test
     void veryLateAttemptAtFastUpstreamIsHedged() {
-        assertThat(HedgeRule.isWorthwhile(2.0, FAST)).isTrue();
+        assertThat(HedgeRule.isWorthwhile(2.0, NORMAL_PERCENT)).isTrue();
     }
 
     @Test
