Name units and limits in retry

Cause: limits had no comment, tokensPercent read as a fill level, onTrial did not say what it holds, and policies were described by their use in tests. RetryPolicy.whenSafe says that the remaining time counts.

--- a/retry/src/main/java/org/turmericspan/retry/HedgePolicy.java
+++ b/retry/src/main/java/org/turmericspan/retry/HedgePolicy.java
@@ -10,7 +10,7 @@
     /** Minimum time without a response after which an attempt counts as stalled. */
     Duration MIN_STALL = Duration.ofMillis(200);
 
-    /** Latency assumed until enough calls have been recorded. */
+    /** Latency quantile assumed until enough calls have been recorded. */
     Duration DEFAULT_LATENCY = Duration.ofMillis(250);
 
     /** Multiple of the latency quantile after which an attempt counts as stalled. */
--- a/retry/src/main/java/org/turmericspan/retry/LatencyHistogram.java
+++ b/retry/src/main/java/org/turmericspan/retry/LatencyHistogram.java
@@ -7,10 +7,13 @@
  * exponentially: whenever the histogram holds {@value #MAX_SAMPLES} samples, every count is halved.
  */
 final class LatencyHistogram {
+    /** Binary logarithm of the number of buckets per power of two. */
     private static final int SUB_BITS = 3;
+
     private static final int SUB_BUCKETS = 1 << SUB_BITS;
     private static final int BUCKETS = (Long.SIZE - SUB_BITS) * SUB_BUCKETS;
     private static final int MAX_SAMPLES = 2_000;
+    /** Number of samples below which no quantile is known. */
     private static final int MIN_SAMPLES = 100;
 
     private final int[] counts = new int[BUCKETS];
@@ -24,15 +27,16 @@
         total++;
     }
 
+    /** Returns the upper bound of the bucket with the quantile, at most one eighth above it; empty if unknown. */
     OptionalLong quantileNanos(double quantile) {
         if (total < MIN_SAMPLES) {
             return OptionalLong.empty();
         }
         long rank = (long) Math.ceil(total * quantile);
-        long seen = 0;
+        long cumulativeCount = 0;
         for (int bucket = 0; bucket < BUCKETS; bucket++) {
-            seen += counts[bucket];
-            if (seen >= rank) {
+            cumulativeCount += counts[bucket];
+            if (cumulativeCount >= rank) {
                 return OptionalLong.of(upperBound(bucket));
             }
         }
--- a/retry/src/main/java/org/turmericspan/retry/LatencyTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/LatencyTable.java
@@ -29,7 +29,7 @@
     /**
      * Returns an estimator of one quantile.
      *
-     * @param quantile the quantile, between 0 and 1
+     * @param quantile the quantile, between 0 and 1; 0.95 is the latency that 95 percent of the responses do not exceed
      * @return the estimator, which reflects later samples too
      */
     public LatencyQuantile quantile(double quantile) {
--- a/retry/src/main/java/org/turmericspan/retry/LostConnections.java
+++ b/retry/src/main/java/org/turmericspan/retry/LostConnections.java
@@ -11,15 +11,18 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Bounded list of requests that lost the connection to their upstream, when it is not known whether it crashed. */
+/** Bounded list of requests that lost their connection, until it is known whether their upstream crashed. */
 public final class LostConnections {
+    /** Maximum number of entries; a new one evicts the oldest. */
     private static final int MAX_ENTRIES = 256;
+    /** Time within which a crash of the upstream is attributed to a lost request. */
     private static final Duration RETENTION = Duration.ofSeconds(10);
 
     private final RankedLock lock = new RankedLock(LockRank.SUSPECTS);
     private final List<Entry> entries = new LinkedList<>();
     private final MonotonicClock clock;
-    private Optional<Fingerprint> onTrial = Optional.empty();
+    /** The suspect whose isolated trial this node runs; empty when it runs none. */
+    private Optional<Fingerprint> trialSuspect = Optional.empty();
 
     /**
      * Creates an empty list.
@@ -36,12 +39,12 @@
      * @param fingerprint the suspect
      */
     public void beginTrial(Fingerprint fingerprint) {
-        lock.run(() -> onTrial = Optional.of(fingerprint));
+        lock.run(() -> trialSuspect = Optional.of(fingerprint));
     }
 
     /** Records that the isolated trial has ended. */
     public void endTrial() {
-        lock.run(() -> onTrial = Optional.empty());
+        lock.run(() -> trialSuspect = Optional.empty());
     }
 
     /**
@@ -51,19 +54,19 @@
      * @return true between the start and the end of its trial
      */
     public boolean isOnTrial(Fingerprint fingerprint) {
-        return lock.compute(() -> onTrial.filter(fingerprint::equals).isPresent());
+        return lock.compute(() -> trialSuspect.filter(fingerprint::equals).isPresent());
     }
 
     /**
-     * Records a lost connection.
+     * Records that a request lost its connection.
      *
-     * @param upstream the upstream
-     * @param fingerprint fingerprint of the request that was running
+     * @param upstream upstream to which the connection was lost
+     * @param fingerprint fingerprint of the request that it was running
      */
     public void add(UpstreamId upstream, Fingerprint fingerprint) {
         long nowNanos = clock.nowNanos();
         lock.run(() -> {
-            boolean wasOnTrial = onTrial.filter(fingerprint::equals).isPresent();
+            boolean wasOnTrial = trialSuspect.filter(fingerprint::equals).isPresent();
             entries.add(new Entry(upstream, new LostRequest(fingerprint, wasOnTrial), nowNanos + RETENTION.toNanos()));
             if (entries.size() > MAX_ENTRIES) {
                 entries.remove(0);
--- a/retry/src/main/java/org/turmericspan/retry/RetryBudget.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryBudget.java
@@ -14,9 +14,9 @@
     boolean tryAcquire(ServiceId service);
 
     /**
-     * Returns a budget without a limit, for tests and comparisons.
+     * Returns a budget without a limit.
      *
-     * @return the budget
+     * @return a budget that admits every retry and hedge
      */
     static RetryBudget unbounded() {
         return service -> true;
--- a/retry/src/main/java/org/turmericspan/retry/RetryBudgetTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryBudgetTable.java
@@ -13,7 +13,8 @@
  * token.
  */
 public final class RetryBudgetTable implements RetryBudget {
-    private static final int PERCENT = 100;
+    private static final int HUNDREDTHS_PER_TOKEN = 100;
+    /** Capacity of a bucket, which limits a burst of retries and hedges. */
     private static final int MAX_TOKENS = 10;
 
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
@@ -46,7 +47,7 @@
     }
 
     /**
-     * Returns the state of the buckets.
+     * Returns the state of each bucket that was used so far, for a state dump.
      *
      * @return one state per service, ordered by name
      */
@@ -73,28 +74,28 @@
     public record BudgetState(ServiceId service, long calls, long admitted, long rejected, double available) {}
 
     private static final class Bucket {
-        private long tokensPercent;
+        private long tokenHundredths;
         private long calls;
         private long admitted;
         private long rejected;
 
         void refill(int percent) {
             calls++;
-            tokensPercent = Math.min(tokensPercent + percent, (long) MAX_TOKENS * PERCENT);
+            tokenHundredths = Math.min(tokenHundredths + percent, (long) MAX_TOKENS * HUNDREDTHS_PER_TOKEN);
         }
 
         boolean tryAcquire() {
-            if (tokensPercent < PERCENT) {
+            if (tokenHundredths < HUNDREDTHS_PER_TOKEN) {
                 rejected++;
                 return false;
             }
-            tokensPercent -= PERCENT;
+            tokenHundredths -= HUNDREDTHS_PER_TOKEN;
             admitted++;
             return true;
         }
 
         BudgetState describe(ServiceId service) {
-            return new BudgetState(service, calls, admitted, rejected, (double) tokensPercent / PERCENT);
+            return new BudgetState(service, calls, admitted, rejected, (double) tokenHundredths / HUNDREDTHS_PER_TOKEN);
         }
     }
 }
--- a/retry/src/main/java/org/turmericspan/retry/RetryPolicy.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryPolicy.java
@@ -19,19 +19,19 @@
     /**
      * Returns the policy that never retries.
      *
-     * @return a policy for tests and comparisons
+     * @return a policy that allows no retry, whatever the failure
      */
     static RetryPolicy none() {
         return failed -> false;
     }
 
     /**
-     * Returns the policy that retries a call only if this is safe: an idempotent request after any transient failure,
-     * any other request only with proof that it did not run. A call that was already retried at a higher level is not
-     * retried again. Neither is one that failed on a cold upstream, because the retry would go to the upstreams that
-     * already serve the cold upstream's share of the load.
+     * Returns the policy that retries a call only if the remaining time is likely to suffice and a retry is safe. It is
+     * safe for an idempotent request after any transient failure, and for any other request if it certainly did not
+     * run. A call that was already retried at a higher level is not retried again. Neither is one that failed on a cold
+     * upstream, because the retry would go to the upstreams that already serve the cold upstream's share of the load.
      *
-     * @param quantile latency for which the remaining time must be sufficient
+     * @param quantile latency that the remaining time must exceed; while it is unknown, any remaining time suffices
      * @return the policy
      */
     static RetryPolicy whenSafe(LatencyQuantile quantile) {
@@ -42,9 +42,9 @@
 
     private static boolean isSafe(FailedAttempt failed) {
         AttemptOutcome outcome = failed.outcome();
-        boolean isFirst = !failed.request().retried() && failed.extraAttempts() < MAX_EXTRA_ATTEMPTS;
+        boolean isWithinLimit = !failed.request().retried() && failed.extraAttempts() < MAX_EXTRA_ATTEMPTS;
         boolean mayRunAgain = failed.request().idempotent() || !outcome.mayHaveRun();
-        return isFirst && mayRunAgain && !outcome.signals().cold() && isTransient(outcome.kind());
+        return isWithinLimit && mayRunAgain && !outcome.signals().cold() && isTransient(outcome.kind());
     }
 
     private static boolean isTransient(AttemptOutcome.Kind kind) {
--- a/retry/src/main/java/org/turmericspan/retry/SuspectTable.java
+++ b/retry/src/main/java/org/turmericspan/retry/SuspectTable.java
@@ -15,8 +15,11 @@
 
 /** Bounded table of request fingerprints suspected of crashing upstreams. A full table evicts its oldest entry. */
 public final class SuspectTable {
+    /** Maximum number of suspected fingerprints. */
     private static final int MAX_SUSPECTS = 256;
+    /** Time for which a request is suspected after a crash. */
     private static final Duration SUSPICION_DURATION = Duration.ofMinutes(1);
+    /** Time for which a quarantined request is refused. */
     private static final Duration QUARANTINE_DURATION = Duration.ofMinutes(10);
 
     private final RankedLock lock = new RankedLock(LockRank.SUSPECTS);
@@ -43,7 +46,7 @@
     }
 
     /**
-     * Looks up a suspicion.
+     * Returns the suspicion against a request.
      *
      * @param fingerprint fingerprint of the request
      * @return the suspicion, or empty when there is none
@@ -57,10 +60,10 @@
     }
 
     /**
-     * Records the crash of an upstream.
+     * Records that an upstream crashed while it was running a request.
      *
      * @param fingerprint fingerprint of a request that was running there
-     * @param upstream the upstream
+     * @param upstream upstream that crashed
      * @param inIsolation whether the request ran in an isolated trial
      * @return the suspicion to share with other nodes
      */
@@ -111,7 +114,7 @@
     }
 
     /**
-     * Returns the contents of the table.
+     * Returns all suspicions, for a state dump.
      *
      * @return the suspicions, oldest first
      */
@@ -163,8 +166,8 @@
                     Duration.ofNanos(Math.max(0, expiresAtNanos - nowNanos)));
         }
 
-        private static Duration min(Duration one, Duration other) {
-            return one.compareTo(other) < 0 ? one : other;
+        private static Duration min(Duration first, Duration second) {
+            return first.compareTo(second) < 0 ? first : second;
         }
     }
 }
--- a/retry/src/main/java/org/turmericspan/retry/Suspicion.java
+++ b/retry/src/main/java/org/turmericspan/retry/Suspicion.java
@@ -14,6 +14,7 @@
  */
 public record Suspicion(
         Fingerprint fingerprint, Set<UpstreamId> crashedUpstreams, boolean crashedInIsolation, Duration remaining) {
+    /** Number of crashed upstreams at which requests are quarantined. */
     private static final int QUARANTINE_CRASHES = 2;
 
     /** Copies the set. */
