--- a/probing/src/main/java/org/turmericspan/probing/ProbeAllocation.java
+++ b/probing/src/main/java/org/turmericspan/probing/ProbeAllocation.java
@@ -13,11 +13,13 @@
 import org.turmericspan.ids.UpstreamId;
 
 /**
- * Divides the probe budget of each service evenly over its upstreams. Part of the budget stays unallocated for view
- * changes, during which the old owner of an upstream may still probe it in addition to the new one.
+ * Divides the configured probes per second of each service evenly over its upstreams. Part of them stays unallocated:
+ * when the list of VMs changes, the old owner of an upstream may still probe it in addition to the new one.
  */
 public final class ProbeAllocation {
+    /** Percentage of the configured probes that is divided over the upstreams. */
     private static final int ALLOCATED_PERCENT = 80;
+
     private static final int WHOLE_PERCENT = 100;
     private static final long NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
@@ -28,7 +30,7 @@
      *
      * @param configuration active configuration
      * @param owned upstreams that the node owns
-     * @return one target for each owned upstream whose service has a probe budget
+     * @return one target for each owned upstream of a service with a configured probe rate above 0
      */
     public static List<ProbeTarget> allocate(Configuration configuration, Collection<UpstreamId> owned) {
         Map<ServiceId, Integer> upstreamCounts = new HashMap<>();
--- a/probing/src/main/java/org/turmericspan/probing/Prober.java
+++ b/probing/src/main/java/org/turmericspan/probing/Prober.java
@@ -15,9 +15,13 @@
 /** Sends the probes that are due and passes the results to a consumer. */
 public final class Prober implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Interval between checks for due probes. */
     private static final Duration TICK = Duration.ofMillis(50);
+    /** Interval at which the targets are read again. */
     private static final Duration REFRESH_PERIOD = Duration.ofSeconds(1);
+    /** Time without a response after which a probe has failed. */
     private static final Duration TIMEOUT = Duration.ofMillis(500);
+
     private static final int LOG_INTERVAL_SECONDS = 10;
 
     private final ProbeSchedule schedule;
--- a/probing/src/test/java/org/turmericspan/probing/ProbeScheduleTest.java
+++ b/probing/src/test/java/org/turmericspan/probing/ProbeScheduleTest.java
@@ -21,8 +21,8 @@
 
 final class ProbeScheduleTest {
     private static final Duration TICK = Duration.ofMillis(50);
-    private static final int BUDGET = 20;
-    private static final int UPSTREAMS = 30;
+    private static final int PROBES_PER_SECOND = 20;
+    private static final int UPSTREAM_COUNT = 30;
 
     private final ManualClock clock = new ManualClock();
     private final ProbeSchedule schedule = new ProbeSchedule(new SplittableRandom(11));
@@ -32,7 +32,7 @@
 
     @Test
     void probesOfAServiceStayWithinItsBudget() {
-        assertThat(probesInTenSeconds()).isBetween(BUDGET * 5, BUDGET * 10);
+        assertThat(probesInTenSeconds()).isBetween(PROBES_PER_SECOND * 5, PROBES_PER_SECOND * 10);
     }
 
     @Test
@@ -50,7 +50,7 @@
             schedule.setTargets(ProbeAllocation.allocate(configuration, allUpstreams), clock.nowNanos());
             sent += sendDueProbes(Duration.ofSeconds(1));
         }
-        assertThat(sent).isLessThanOrEqualTo(BUDGET * 10);
+        assertThat(sent).isLessThanOrEqualTo(PROBES_PER_SECOND * 10);
     }
 
     @Test
@@ -69,7 +69,7 @@
     @Test
     void serviceWithoutBudgetIsNotProbed() {
         Configuration withoutBudget = new ConfigurationReader()
-                .read(document().replace("\"probes_per_second\": " + BUDGET, "\"probes_per_second\": 0"));
+                .read(document().replace("\"probes_per_second\": " + PROBES_PER_SECOND, "\"probes_per_second\": 0"));
 
         assertThat(ProbeAllocation.allocate(withoutBudget, allUpstreams)).isEmpty();
     }
@@ -89,9 +89,9 @@
         clock.advance(Duration.ofSeconds(10));
         prober.tick();
 
-        assertThat(probed).hasSize(UPSTREAMS);
+        assertThat(probed).hasSize(UPSTREAM_COUNT);
         assertThat(results)
-                .hasSize(UPSTREAMS)
+                .hasSize(UPSTREAM_COUNT)
                 .allMatch(result -> result.report().isEmpty());
     }
 
@@ -112,12 +112,12 @@
     }
 
     private static String document() {
-        String upstreams = IntStream.range(0, UPSTREAMS)
+        String upstreams = IntStream.range(0, UPSTREAM_COUNT)
                 .mapToObj(i -> "{\"kind\": \"Upstream\", \"name\": \"u-" + i + "\", \"service\": \"ordering\","
                         + " \"availability_zone\": \"zone-a\", \"address\": \"127.0.0.1:" + (10_000 + i) + "\"}")
                 .collect(Collectors.joining(","));
         return "{\"version\": 1, \"objects\": [{\"kind\": \"AvailabilityZone\", \"name\": \"zone-a\","
                 + " \"region\": \"region-one\"}, {\"kind\": \"Service\", \"name\": \"ordering\","
-                + " \"probes_per_second\": " + BUDGET + "}," + upstreams + "]}";
+                + " \"probes_per_second\": " + PROBES_PER_SECOND + "}," + upstreams + "]}";
     }
 }
