--- a/tables/src/main/java/org/turmericspan/tables/RankedLock.java
+++ b/tables/src/main/java/org/turmericspan/tables/RankedLock.java
@@ -10,6 +10,7 @@
  * wrong order fails in the first test that executes it instead of causing a deadlock.
  */
 public final class RankedLock {
+    /** Ranks of the locks that the current thread holds, in the order in which it acquired them. */
     private static final ThreadLocal<Deque<LockRank>> HELD_RANKS = ThreadLocal.withInitial(ArrayDeque::new);
 
     private final LockRank rank;
@@ -25,7 +26,7 @@
     }
 
     /**
-     * Runs an action while holding the lock. The action must not call code outside its table.
+     * Runs an action while holding the lock. The action must not call code outside the table that the lock guards.
      *
      * @param action reads or changes the table
      */
@@ -39,7 +40,7 @@
     }
 
     /**
-     * Computes a value while holding the lock. The action must not call code outside its table.
+     * Computes a value while holding the lock. The action must not call code outside the table that the lock guards.
      *
      * @param action reads or changes the table
      * @param <T> type of the value
--- a/tables/src/main/java/org/turmericspan/tables/WorkerPool.java
+++ b/tables/src/main/java/org/turmericspan/tables/WorkerPool.java
@@ -8,8 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Pool of the worker threads of a node. Tasks are short and never block: what must wait is queued as state. */
+/** Pool of the worker threads of a node. Tasks are short and never block; work that has to wait is scheduled again. */
 public final class WorkerPool implements AutoCloseable {
+    /** Maximum time for which closing the pool waits for running tasks. */
     private static final long STOP_TIMEOUT_SECONDS = 5;
 
     private final ScheduledExecutorService executor;
