--- a/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
@@ -24,19 +24,19 @@
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
     private final Map<ServiceId, Window> windows = new HashMap<>();
     private final BalancingRules rules;
-    private final IntSupplier nodes;
+    private final IntSupplier nodeCount;
     private final MonotonicClock clock;
 
     /**
      * Creates a budget with an empty window.
      *
      * @param rules configured limits for the fleet
-     * @param nodes returns the number of nodes that share the slack
+     * @param nodeCount returns the number of nodes that share the slack
      * @param clock monotonic time
      */
-    public WindowedRetryBudget(BalancingRules rules, IntSupplier nodes, MonotonicClock clock) {
+    public WindowedRetryBudget(BalancingRules rules, IntSupplier nodeCount, MonotonicClock clock) {
         this.rules = rules;
-        this.nodes = nodes;
+        this.nodeCount = nodeCount;
         this.clock = clock;
     }
 
@@ -60,7 +60,7 @@
     public boolean tryAcquire(ServiceId service, int priority) {
         double share = BUDGET_SHARES[Math.min(priority, BUDGET_SHARES.length - 1)];
         long now = clock.nowNanos();
-        double slack = rules.retrySlack() / Math.max(1, nodes.getAsInt());
+        double slack = rules.retrySlack() / Math.max(1, nodeCount.getAsInt());
         return lock.compute(() -> {
             Window window = windowOf(service, now);
             double allowed = share * (rules.retryRatio() * window.requests.size() + slack);
--- a/retry/src/main/java/org/turmericspan/retry/RetryBudget.java
+++ b/retry/src/main/java/org/turmericspan/retry/RetryBudget.java
@@ -16,7 +16,7 @@
     /**
      * Returns a budget without a limit, for tests and comparisons.
      *
-     * @return the budget
+     * @return a budget that admits every retry and hedge
      */
     static RetryBudget unbounded() {
         return service -> true;
