--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -21,13 +21,18 @@
 
 /** Follows the store: lists all items once, then watches for changes, and lists again after a compaction. */
 public final class StoreFeed {
-    /** Delay after a watch that returned events, to read further ones in a batch; a change must be read within 2 s. */
+    /**
+     * Delay after a watch that returned events, so that one read returns many of them; short compared with the agreed
+     * limit of 2 s.
+     */
     private static final long BATCH_DELAY_MILLIS = 500;
-    /** Longest wait of a watch of the store; bounds the time until a dead connection is detected. */
+    /** Longest wait of a watch of the store; short enough to detect a dead connection within the required bounds. */
     private static final long STORE_WATCH_MILLIS = 900;
-    /** Longest wait of a watch of another node; shorter, since a failed node is quickly replaced by another source. */
+    /** Longest wait of a watch of another node; shorter, since that node may have failed and is quickly replaced. */
     private static final long RELAY_WATCH_MILLIS = 400;
-    /** Age of the last response of the store up to which this node counts as connected to it. */
+    /**
+     * Age of the last response of the store up to which this node counts as connected to it and may relay what it read.
+     */
     private static final long STORE_CONTACT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
     /** Backoff after the first failure; doubled after each further one. */
     private static final long INITIAL_BACKOFF_MILLIS = 100;
@@ -35,7 +40,10 @@
     private static final long MAX_BACKOFF_MILLIS = 800;
     /** Grace period after an outage in which upstreams whose registrations expired meanwhile may register again. */
     private static final long REREGISTRATION_GRACE_MILLIS = 2_000;
-    /** Shortest outage in which registrations can expire; no grace period follows a shorter one. */
+    /**
+     * Shortest outage in which registrations can expire. A shorter one removes no upstream by itself, so no grace
+     * period follows it.
+     */
     private static final long MIN_EXPIRY_OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private static final String PART = "store";
--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -7,7 +7,10 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Local replica of the store: the newest state of each item that was read, including removed items. */
+/**
+ * Local replica of the store: the newest state of each item that was read, including removed items. Changes are listed
+ * in the order of the store's revisions.
+ */
 public final class StoreMirror {
     private static final Comparator<StoreItem> BY_REVISION =
             (first, second) -> Long.compare(first.revision(), second.revision());
--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -15,7 +15,9 @@
  * zone and of the fleet.
  */
 public final class Gossip {
-    /** Maximum number of nodes of the own zone to which a message is sent in each round. */
+    /**
+     * Maximum number of nodes of the own zone to which a message is sent in each round; in a small zone, all get one.
+     */
     static final int SAME_ZONE_FANOUT = 5;
 
     /** Interval between rounds; a node is considered failed only after several missed rounds. */
@@ -24,7 +26,9 @@
     private static final int MAX_OTHER_MEMBERS = 20;
     /** Age up to which the upstream states that this node observed itself are sent within the zone. */
     private static final long MAX_OWN_REPORT_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
-    /** Rounds between messages to the seeds, which reconnect parts of the fleet after a network partition. */
+    /**
+     * Rounds between messages to the seeds, which reconnect parts of the fleet that have lost contact with each other.
+     */
     private static final int ROUNDS_BETWEEN_SEED_MESSAGES = 6;
     /** Maximum number of suspected crashes reported in one message. */
     private static final int MAX_CRASHES = 20;
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -99,7 +99,7 @@
         }
     }
 
-    /** Decodes a message. Throws an {@link IOException} if the bytes are malformed. */
+    /** Decodes a message. Malformed bytes cause an {@link IOException}, and nothing of them is applied. */
     static GossipMessage decode(byte[] bytes, long nowNanos) throws IOException {
         CodedInputStream input = CodedInputStream.newInstance(bytes);
         if (input.readUInt32() != FORMAT_VERSION) {
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -30,7 +30,7 @@
      * {@link Gossip#SAME_ZONE_FANOUT} others. Spans several gossip rounds to tolerate lost messages.
      */
     private static final long DIRECT_FAILURE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
-    /** Failure timeout for all other nodes, whose state arrives later, mostly relayed by other nodes. */
+    /** Failure timeout for all other nodes, of which this node hears less often and through other nodes. */
     private static final long INDIRECT_FAILURE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
     /** Time after the last message at which a node is removed and no longer counted in the fleet size. */
     private static final long DEAD_MEMBER_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -203,7 +203,7 @@
 
     /**
      * Selects the nodes to describe in a gossip message: this node and a bounded number of others. Successive calls
-     * select the others in round-robin order, so that each is included regularly.
+     * select the others in round-robin order, so that each is included in time.
      *
      * @param maxOthers maximum number of other nodes
      * @return this node, followed by other nodes that are alive
--- a/membership/src/main/java/org/turmericspan/membership/HeartbeatExchange.java
+++ b/membership/src/main/java/org/turmericspan/membership/HeartbeatExchange.java
@@ -121,7 +121,10 @@
         workerPool.schedule(nextDelay(), this::runOnce);
     }
 
-    /** Returns the delay until the next run, which is the idle interval when it cannot be computed. */
+    /**
+     * Returns the delay until the next run, which is the idle interval when it cannot be computed, so that the exchange
+     * continues.
+     */
     private Duration nextDelay() {
         Duration interval = IDLE_INTERVAL;
         try {
--- a/membership/src/main/java/org/turmericspan/membership/ViewTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewTable.java
@@ -72,7 +72,7 @@
     }
 
     /**
-     * Offers a view that is current now.
+     * Offers a view that the platform publishes now.
      *
      * @param offered a view
      * @return true when it was accepted
--- a/routing/src/main/java/org/turmericspan/routing/Borrower.java
+++ b/routing/src/main/java/org/turmericspan/routing/Borrower.java
@@ -165,8 +165,8 @@
 
     /**
      * Uses a lent slot. The lease ends after the remaining time that the lender reported, counted from the arrival of
-     * the reply, but no later than the deadline of the request that the slot was borrowed for: a delayed reply does not
-     * extend it past that deadline.
+     * the reply on the clock of this node, but no later than the deadline of the request that the slot was borrowed
+     * for: a delayed reply does not extend it past that deadline.
      */
     private void useLentSlot(BorrowAttempt attempt, VmId lender, PeerMessage.SlotLent lent) {
         long nowNanos = clock.nowNanos();
--- a/routing/src/main/java/org/turmericspan/routing/SlotTable.java
+++ b/routing/src/main/java/org/turmericspan/routing/SlotTable.java
@@ -7,7 +7,10 @@
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
-/** Slots of the upstreams that this node owns, with all leases on them and the queued requests; thread-safe. */
+/**
+ * Slots of the upstreams that this node owns, with all leases on them and the queued requests; thread-safe. It is the
+ * only place that knows what is running on these upstreams now.
+ */
 public final class SlotTable {
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
     private final SlotEngine engine;
