--- a/admission/src/main/java/org/turmericspan/admission/DeadlineAdmission.java
+++ b/admission/src/main/java/org/turmericspan/admission/DeadlineAdmission.java
@@ -7,8 +7,9 @@
 
 /**
  * Deadline admission control: denies at once a slot request that is expected to miss its deadline in the queue. The
- * expected wait is the time in which the slots serve the requests ahead, each for the mean hold time. Requests that may
- * arrive later and be served earlier are not counted, so as not to deny a request that might still be served in time.
+ * expected wait is the time in which the slots serve the requests ahead, each for the mean hold time. The estimate
+ * is optimistic, so that no request is denied in case of doubt: requests that may arrive later and be served earlier
+ * are not counted.
  */
 public final class DeadlineAdmission {
     /** Shortest retry time of a denial; also the hold time that is assumed while the mean is unknown. */
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CrashDetector.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CrashDetector.java
@@ -28,7 +28,7 @@
     void responseReceived(CallRequest request, SlotLease lease, AttemptOutcome outcome);
 
     /**
-     * Returns a detector that never reports a crash, for tests and for benchmarks without crash detection.
+     * Returns a detector that never reports a crash, for tests and comparisons.
      *
      * @return detector without state
      */
--- a/entry/src/main/java/org/turmericspan/entry/EntryMain.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMain.java
@@ -24,7 +24,7 @@
         try {
             String variable = System.getenv(SETTINGS_VARIABLE);
             if (arguments.length == 0 && variable != null) {
-                // This start does not load the command-line library, which takes a tenth of a second.
+                // The usual start does not load the command-line library, which takes a tenth of a second.
                 run(new SettingsFile(Path.of(variable)));
             } else {
                 EntryCommandLine.run(arguments, variable == null ? "" : variable);
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -50,7 +50,7 @@
     private static final String GRACE_SECONDS = "grace-seconds";
     private static final String DIRECTORY_TTL_SECONDS = "max-answer-life-seconds";
     private static final String PROBES_PER_SECOND = "probes-per-second";
-    /** Names of the numeric settings, which state the configured limits for the fleet. */
+    /** Names of the settings whose numbers the operators have agreed on. */
     static final List<String> NUMERIC_SETTINGS = List.of(
             COLD_OVERAGE,
             COLD_SLACK,
--- a/http/src/main/java/org/turmericspan/http/CallEnd.java
+++ b/http/src/main/java/org/turmericspan/http/CallEnd.java
@@ -10,7 +10,7 @@
     record Answered(ResponseMessage response) implements CallEnd {}
 
     /**
-     * No byte of the request was sent: the connection was closed before use, or could not be established.
+     * No byte of the request was sent: any pooled connection was closed before use, and no new one could be used.
      *
      * @param reason why the request was not sent
      */
--- a/node/src/main/java/org/turmericspan/node/StopStep.java
+++ b/node/src/main/java/org/turmericspan/node/StopStep.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.CompletionStage;
 
-/** Action of a planned stop that runs after the last call has completed and before the node exits. */
+/** Action that a stopping node performs for the other nodes after its last call has completed and before it exits. */
 @FunctionalInterface
 interface StopStep {
     /**
--- a/runs/src/main/java/org/turmericspan/runs/RefusedTokens.java
+++ b/runs/src/main/java/org/turmericspan/runs/RefusedTokens.java
@@ -18,7 +18,7 @@
      * Returns whether a token may have been added.
      *
      * @param token token of a request that has no entry in the run table
-     * @return true for every token that was added; false for most others
+     * @return true for every token that was added; rarely true for another
      */
     boolean mayContain(RunToken token);
 }
