Say in the integration tests which failure each guards against

Change: each test class states the failure and how it comes about. TestCaller.Told -> ObservedOutcome (constants stay), stampToken -> createToken, Traffic.awaitAnswers -> awaitResponses, LIMIT, GENEROUS, DEADLINE -> WAIT_LIMIT, DEPARTURE_MILLIS -> NEW_WORK_LIMIT_MILLIS, IN_FORCE_LIMIT -> ACTIVATION_LIMIT, sendRepeatedly -> sendDuplicates. Assertions are unchanged.

--- a/integration/src/test/java/org/turmericspan/integration/CallerExamplesTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/CallerExamplesTest.java
@@ -15,20 +15,23 @@
 import org.turmericspan.standins.fleet.Fleet;
 import org.turmericspan.standins.fleet.FleetPlan;
 
-/** The examples of the page for callers run as they stand there. */
+/**
+ * Runs the shell examples of the callers' documentation against a fleet. Guards against examples that no longer work
+ * because the interface changed and the page did not.
+ */
 final class CallerExamplesTest {
     private static final Pattern EXAMPLE = Pattern.compile("```bash\n(.*?)```", Pattern.DOTALL);
-    private static final String NODE_OF_THE_PAGE = "127.0.0.1:8080";
+    private static final String DOCUMENTED_NODE_ADDRESS = "127.0.0.1:8080";
 
     @Test
-    void examplesShowALookupAnOrderItsRepeatAndARefusal() throws IOException {
+    void examplesRunALookupAnOrderItsDuplicateAndARefusedCall() throws IOException {
         try (Fleet fleet = Fleet.start(FleetPlan.simple(1, 2))) {
-            String node = "127.0.0.1:" + fleet.nodes().get(0).callerPort();
-            String output = run(examples().replace(NODE_OF_THE_PAGE, node));
+            String nodeAddress = "127.0.0.1:" + fleet.nodes().get(0).callerPort();
+            String output = run(examples().replace(DOCUMENTED_NODE_ADDRESS, nodeAddress));
 
             assertThat(output).contains("\"incarnation\":").contains("lookup-1\n");
             assertThat(output.split("order-1\n", -1))
-                    .as("two answers of one order")
+                    .as("two responses to one order")
                     .hasSize(3);
             assertThat(output).contains("\"code\":1004,\"ran\":\"no\"");
             JsonNode runs = fleet.http().getJson(fleet.upstreamControlUrl() + "/control/orders");
--- a/integration/src/test/java/org/turmericspan/integration/ColdUpstreamTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/ColdUpstreamTest.java
@@ -11,22 +11,26 @@
 import org.turmericspan.standins.fleet.FleetNode;
 import org.turmericspan.standins.fleet.FleetPlan;
 
-/** No cold upstream gets more than it bears, and nothing new starts where it must not. */
+/**
+ * Guards against overloading cold upstreams and against new work on upstreams that are leaving. Both come about when
+ * nodes act on an outdated list: after a restart, after a process pause, or while the platform's list lags, two nodes
+ * may each believe that they own the same upstream.
+ */
 final class ColdUpstreamTest {
-    private static final Duration LIMIT = Duration.ofSeconds(30);
-    private static final long DEPARTURE_MILLIS = 3_000;
+    private static final Duration WAIT_LIMIT = Duration.ofSeconds(30);
+    private static final long NEW_WORK_LIMIT_MILLIS = 3_000;
 
     @Test
     void coldUpstreamsAreNotOverrunWhileAllNodesAreReplacedAndTheListLags() {
         try (Fleet fleet = Fleet.start(plan("keepers"));
                 Traffic traffic = Traffic.start(fleet)) {
-            traffic.awaitAnswers(100, LIMIT);
+            traffic.awaitResponses(100, WAIT_LIMIT);
             for (FleetNode node : fleet.nodes()) {
                 node.process().kill();
                 node.process().start();
-                fleet.awaitReady(node, LIMIT);
+                fleet.awaitReady(node, WAIT_LIMIT);
             }
-            traffic.awaitAnswers(100, LIMIT);
+            traffic.awaitResponses(100, WAIT_LIMIT);
 
             assertThat(fleet.witnessSum("cold_overruns")).isZero();
             assertThat(fleet.witnessSum("crashes")).isZero();
@@ -37,7 +41,7 @@
     void coldUpstreamsAreOverrunByTheBaseline() {
         try (Fleet fleet = Fleet.start(plan("baseline"));
                 Traffic traffic = Traffic.start(fleet)) {
-            Await.until("an upstream falls over", LIMIT, () -> fleet.witnessSum("cold_overruns") > 0);
+            Await.until("a cold upstream is overrun", WAIT_LIMIT, () -> fleet.witnessSum("cold_overruns") > 0);
             assertThat(traffic.sent()).isPositive();
         }
     }
@@ -46,19 +50,19 @@
     void nothingStartsInAnAvailabilityZoneThreeSecondsAfterItWasTakenOut() {
         try (Fleet fleet = Fleet.start(plan("keepers"));
                 Traffic traffic = Traffic.start(fleet)) {
-            traffic.awaitAnswers(100, LIMIT);
-            long outMillis = System.currentTimeMillis();
+            traffic.awaitResponses(100, WAIT_LIMIT);
+            long removedMillis = System.currentTimeMillis();
             fleet.setZone("zone-a", false);
-            fleet.awaitInForce(LIMIT);
-            traffic.awaitUntil(outMillis + 2 * DEPARTURE_MILLIS);
-            traffic.awaitAnswers(100, LIMIT);
+            fleet.awaitInForce(WAIT_LIMIT);
+            traffic.awaitUntil(removedMillis + 2 * NEW_WORK_LIMIT_MILLIS);
+            traffic.awaitResponses(100, WAIT_LIMIT);
 
-            assertThat(lastStartedMillis(fleet, "zone-a")).isLessThan(outMillis + DEPARTURE_MILLIS);
+            assertThat(lastStartedMillis(fleet, "zone-a")).isLessThan(removedMillis + NEW_WORK_LIMIT_MILLIS);
             fleet.setZone("zone-a", true);
             Await.until(
-                    "the zone serves again",
-                    LIMIT,
-                    () -> lastStartedMillis(fleet, "zone-a") > outMillis + 2 * DEPARTURE_MILLIS);
+                    "the zone starts requests again",
+                    WAIT_LIMIT,
+                    () -> lastStartedMillis(fleet, "zone-a") > removedMillis + 2 * NEW_WORK_LIMIT_MILLIS);
             assertThat(fleet.witnessSum("cold_overruns")).isZero();
         }
     }
@@ -67,39 +71,39 @@
     void nothingStartsOnAnUpstreamThreeSecondsAfterItSaysThatItLeaves() {
         try (Fleet fleet = Fleet.start(plan("keepers"));
                 Traffic traffic = Traffic.start(fleet)) {
-            traffic.awaitAnswers(100, LIMIT);
+            traffic.awaitResponses(100, WAIT_LIMIT);
             int port = fleet.upstreams().get(0).port();
             long shedBefore = witness(fleet, port).path("shed").asLong();
             long leavingMillis = System.currentTimeMillis();
             fleet.http().post(fleet.upstreamControlUrl() + "/control/leaving?on=true&port=" + port);
-            traffic.awaitUntil(leavingMillis + DEPARTURE_MILLIS);
-            long shedAtBound = witness(fleet, port).path("shed").asLong();
-            traffic.awaitAnswers(100, LIMIT);
+            traffic.awaitUntil(leavingMillis + NEW_WORK_LIMIT_MILLIS);
+            long shedAtLimit = witness(fleet, port).path("shed").asLong();
+            traffic.awaitResponses(100, WAIT_LIMIT);
 
-            assertThat(shedAtBound).isLessThanOrEqualTo(shedBefore + 4);
-            assertThat(witness(fleet, port).path("shed").asLong()).isEqualTo(shedAtBound);
+            assertThat(shedAtLimit).isLessThanOrEqualTo(shedBefore + 4);
+            assertThat(witness(fleet, port).path("shed").asLong()).isEqualTo(shedAtLimit);
             assertThat(witness(fleet, port).path("last_started_ms").asLong())
-                    .isLessThan(leavingMillis + DEPARTURE_MILLIS);
+                    .isLessThan(leavingMillis + NEW_WORK_LIMIT_MILLIS);
         }
     }
 
     @Test
-    void frozenNodeThatWakesLateStartsNothingOnUpstreamsItNoLongerKeeps() {
+    void frozenNodeStartsNothingAfterResumingOnUpstreamsItNoLongerOwns() {
         try (Fleet fleet = Fleet.start(plan("keepers"));
                 Traffic traffic = Traffic.start(fleet)) {
-            traffic.awaitAnswers(100, LIMIT);
+            traffic.awaitResponses(100, WAIT_LIMIT);
             FleetNode frozen = fleet.nodes().get(0);
             frozen.process().freeze();
             fleet.setLeaving(frozen.name(), true);
             long frozenMillis = System.currentTimeMillis();
-            traffic.awaitUntil(frozenMillis + 2 * DEPARTURE_MILLIS);
+            traffic.awaitUntil(frozenMillis + 2 * NEW_WORK_LIMIT_MILLIS);
             frozen.process().thaw();
-            traffic.awaitUntil(frozenMillis + 3 * DEPARTURE_MILLIS);
+            traffic.awaitUntil(frozenMillis + 3 * NEW_WORK_LIMIT_MILLIS);
 
             assertThat(fleet.witnessSum("cold_overruns")).isZero();
             Await.until(
-                    "the node keeps nothing",
-                    LIMIT,
+                    "the node owns no upstream",
+                    WAIT_LIMIT,
                     () -> fleet.http()
                             .getJson(frozen.operatorUrl() + "/v1/state")
                             .path("upstreams")
--- a/integration/src/test/java/org/turmericspan/integration/ConfigurationSpreadTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/ConfigurationSpreadTest.java
@@ -12,10 +12,14 @@
 import org.turmericspan.standins.fleet.FleetNode;
 import org.turmericspan.standins.fleet.FleetPlan;
 
-/** Configurations reach every node and never go back, whatever the platform does. */
+/**
+ * Guards against nodes that miss a configuration or revert to an older one. That comes about when a node cannot reach
+ * the platform, when the platform serves a stale document after a restart of the node, when the node was paused during
+ * the publication, or when the published document is invalid.
+ */
 final class ConfigurationSpreadTest {
-    private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(5);
-    private static final Duration GENEROUS = Duration.ofSeconds(20);
+    private static final Duration ACTIVATION_LIMIT = Duration.ofSeconds(5);
+    private static final Duration WAIT_LIMIT = Duration.ofSeconds(20);
     private static final int NODES = 5;
 
     private static Fleet fleet;
@@ -31,44 +35,44 @@
     }
 
     @Test
-    void nodesCutFromThePlatformFollowWithinFiveSecondsThroughTheirPeersAndNotWithoutThem() {
-        List<FleetNode> cut = fleet.nodes().subList(0, 2);
-        List<FleetNode> reached = fleet.nodes().subList(2, NODES);
-        cut.forEach(node -> fault(node.platformLinkPort(), "refuse=true"));
-        fleet.nodes().forEach(node -> fault(node.peerLinkPort(), "refuse=true"));
+    void nodesWithoutThePlatformGetTheConfigurationWithinFiveSecondsFromPeersAndNotWithoutThem() {
+        List<FleetNode> isolated = fleet.nodes().subList(0, 2);
+        List<FleetNode> connected = fleet.nodes().subList(2, NODES);
+        isolated.forEach(node -> setLinkFault(node.platformLinkPort(), "refuse=true"));
+        fleet.nodes().forEach(node -> setLinkFault(node.peerLinkPort(), "refuse=true"));
         fleet.publish();
         long version = fleet.published().version();
-        reached.forEach(node -> awaitVersion(node, version, GENEROUS));
-        assertThat(cut).allMatch(node -> fleet.versionAt(node) < version);
+        connected.forEach(node -> awaitVersion(node, version, WAIT_LIMIT));
+        assertThat(isolated).allMatch(node -> fleet.versionAt(node) < version);
 
-        fleet.nodes().forEach(node -> fault(node.peerLinkPort(), "refuse=false"));
-        cut.forEach(node -> awaitVersion(node, version, IN_FORCE_LIMIT));
+        fleet.nodes().forEach(node -> setLinkFault(node.peerLinkPort(), "refuse=false"));
+        isolated.forEach(node -> awaitVersion(node, version, ACTIVATION_LIMIT));
 
         fleet.publish();
-        fleet.awaitInForce(IN_FORCE_LIMIT);
-        cut.forEach(node -> fault(node.platformLinkPort(), "refuse=false"));
+        fleet.awaitInForce(ACTIVATION_LIMIT);
+        isolated.forEach(node -> setLinkFault(node.platformLinkPort(), "refuse=false"));
     }
 
     @Test
-    void freshProcessDoesNotGoBackToAStalePlatform() {
-        FleetNode fresh = fleet.nodes().get(NODES - 1);
-        String old = fleet.published().nextDocument();
-        put(old);
-        fleet.awaitInForce(GENEROUS);
+    void restartedNodeDoesNotRevertToTheOlderVersionOfAStalePlatform() {
+        FleetNode restarted = fleet.nodes().get(NODES - 1);
+        String oldDocument = fleet.published().nextDocument();
+        storeDocument(oldDocument);
+        fleet.awaitInForce(WAIT_LIMIT);
         fleet.publish();
-        fleet.awaitInForce(GENEROUS);
-        long newest = fleet.published().version();
-        put(old);
+        fleet.awaitInForce(WAIT_LIMIT);
+        long newestVersion = fleet.published().version();
+        storeDocument(oldDocument);
 
-        fresh.process().kill();
-        fresh.process().start();
-        Await.until("the first version in force", GENEROUS, () -> fleet.versionAt(fresh) > 0);
+        restarted.process().kill();
+        restarted.process().start();
+        Await.until("the first version is active", WAIT_LIMIT, () -> fleet.versionAt(restarted) > 0);
 
-        assertThat(fleet.versionAt(fresh)).isEqualTo(newest);
+        assertThat(fleet.versionAt(restarted)).isEqualTo(newestVersion);
     }
 
     @Test
-    void frozenNodeFollowsWithinFiveSecondsOfItsWakeUp() {
+    void frozenNodeActivatesTheConfigurationWithinFiveSecondsOfResuming() {
         FleetNode frozen = fleet.nodes().get(1);
         frozen.process().freeze();
         try {
@@ -76,24 +80,24 @@
             long version = fleet.published().version();
             fleet.nodes().stream()
                     .filter(node -> !node.equals(frozen))
-                    .forEach(node -> awaitVersion(node, version, GENEROUS));
+                    .forEach(node -> awaitVersion(node, version, WAIT_LIMIT));
         } finally {
             frozen.process().thaw();
         }
-        fleet.awaitInForce(IN_FORCE_LIMIT);
+        fleet.awaitInForce(ACTIVATION_LIMIT);
     }
 
     @Test
-    void brokenDocumentIsRefusedEverywhereAndTheOldStays() {
+    void invalidDocumentIsRejectedByEveryNodeAndTheActiveVersionStays() {
         fleet.publish();
-        fleet.awaitInForce(GENEROUS);
+        fleet.awaitInForce(WAIT_LIMIT);
         long version = fleet.published().version();
-        put("{\"version\": 1000, \"objects\": [{\"kind\": \"Upstream\", \"name\": \"lost\"}]}");
+        storeDocument("{\"version\": 1000, \"objects\": [{\"kind\": \"Upstream\", \"name\": \"lost\"}]}");
 
         fleet.nodes()
                 .forEach(node -> Await.until(
-                        node.name() + " reports the refusal",
-                        GENEROUS,
+                        node.name() + " reports the rejected document",
+                        WAIT_LIMIT,
                         () -> fleet.http()
                                         .getJson(node.operatorUrl() + "/v1/state")
                                         .path("refused_configurations")
@@ -106,11 +110,11 @@
         Await.until(node.name() + " has version " + version, limit, () -> fleet.versionAt(node) >= version);
     }
 
-    private static void put(String document) {
+    private static void storeDocument(String document) {
         fleet.http().put(fleet.platformUrl() + "/control/values/configuration", document);
     }
 
-    private static void fault(int port, String query) {
+    private static void setLinkFault(int port, String query) {
         fleet.http().post(fleet.proxyControlUrl() + "/control/fault?port=" + port + "&" + query);
         fleet.http().post(fleet.proxyControlUrl() + "/control/cut?port=" + port);
     }
--- a/integration/src/test/java/org/turmericspan/integration/DemoTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/DemoTest.java
@@ -10,9 +10,12 @@
 import org.junit.jupiter.api.Test;
 import org.turmericspan.standins.fleet.Await;
 
-/** Runs the demonstration as a process. */
+/**
+ * Runs the demonstration as a process. Guards against a demonstration that fails or leaves child processes behind, also
+ * when it is interrupted.
+ */
 final class DemoTest {
-    private static final Duration LIMIT = Duration.ofSeconds(60);
+    private static final Duration WAIT_LIMIT = Duration.ofSeconds(60);
 
     @Test
     void demoServesAndExitsWithZeroAndLeavesNoProcess() throws IOException, InterruptedException {
@@ -33,7 +36,10 @@
         demo.destroy();
         demo.waitFor();
 
-        Await.until("children have ended", LIMIT, () -> children.stream().noneMatch(ProcessHandle::isAlive));
+        Await.until(
+                "child processes have ended",
+                WAIT_LIMIT,
+                () -> children.stream().noneMatch(ProcessHandle::isAlive));
     }
 
     private static Process start() throws IOException {
@@ -46,9 +52,9 @@
                 .start();
     }
 
-    /** Waits until the fleet's processes have been started. */
+    /** Waits until the processes of the fleet have started and returns them. */
     private static List<ProcessHandle> children(Process demo) {
-        Await.until("children run", LIMIT, () -> demo.descendants().count() >= 6);
+        Await.until("child processes run", WAIT_LIMIT, () -> demo.descendants().count() >= 6);
         return demo.descendants().toList();
     }
 }
--- a/integration/src/test/java/org/turmericspan/integration/MeasuringCostTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/MeasuringCostTest.java
@@ -20,14 +20,18 @@
 import org.turmericspan.standins.fleet.FleetNode;
 import org.turmericspan.standins.fleet.FleetPlan;
 
-/** What the fleet costs upstreams and the platform, counted where it arrives. */
+/**
+ * Guards against a fleet that overloads upstreams with probes or the platform with reads. That comes about when probes
+ * grow with the number of nodes or when failed reads are retried without a rate limit. Both are counted at the
+ * receiver.
+ */
 final class MeasuringCostTest {
     private static final int NODES = 4;
     private static final int UPSTREAMS = 8;
     private static final int PROBES_PER_SECOND = 20;
     private static final int CALLS = 400;
     private static final int READ_BURST = 4;
-    private static final Duration GENEROUS = Duration.ofSeconds(40);
+    private static final Duration WAIT_LIMIT = Duration.ofSeconds(40);
 
     private static final OkHttpClient CLIENT = new OkHttpClient();
 
@@ -49,31 +53,34 @@
     void probesStayWithinTheBudgetWhileCallersAreBusy() {
         fleet.warmUpstreams();
         long startNanos = System.nanoTime();
-        long before = fleet.witnessSum("probes");
-        List<CompletableFuture<Integer>> answers = new ArrayList<>();
+        long earlierCount = fleet.witnessSum("probes");
+        List<CompletableFuture<Integer>> statuses = new ArrayList<>();
         for (int i = 0; i < CALLS; i++) {
-            answers.add(call(fleet.nodes().get(i % NODES), "request-" + i));
+            statuses.add(call(fleet.nodes().get(i % NODES), "request-" + i));
         }
-        answers.forEach(CompletableFuture::join);
-        Await.until("some probes", GENEROUS, () -> fleet.witnessSum("probes") - before >= 2 * PROBES_PER_SECOND);
+        statuses.forEach(CompletableFuture::join);
+        Await.until(
+                "upstreams receive probes",
+                WAIT_LIMIT,
+                () -> fleet.witnessSum("probes") - earlierCount >= 2 * PROBES_PER_SECOND);
 
         assertThat(fleet.witnessSum("started")).isPositive();
-        long probes = fleet.witnessSum("probes") - before;
+        long probes = fleet.witnessSum("probes") - earlierCount;
         assertThat((double) probes).isLessThanOrEqualTo(PROBES_PER_SECOND * secondsSince(startNanos) + UPSTREAMS);
     }
 
     @Test
-    void readsStayBoundedWhileThePlatformIsDownAndRightAfter() {
+    void platformReadsStayWithinTheLimitDuringAnOutageAndAfterIt() {
         long startNanos = System.nanoTime();
-        long before = reads();
+        long earlierCount = platformReads();
         fleet.http().post(fleet.platformUrl() + "/control/down?on=true");
-        Await.until("failing reads", GENEROUS, () -> reads() - before >= 4 * NODES);
+        Await.until("nodes retry reads of the platform", WAIT_LIMIT, () -> platformReads() - earlierCount >= 4 * NODES);
         fleet.http().post(fleet.platformUrl() + "/control/down?on=false");
         fleet.publish();
-        fleet.awaitInForce(GENEROUS);
+        fleet.awaitInForce(WAIT_LIMIT);
 
-        double bound = NODES * (READ_BURST + secondsSince(startNanos) + 1);
-        assertThat((double) (reads() - before)).isLessThanOrEqualTo(bound);
+        double readLimit = NODES * (READ_BURST + secondsSince(startNanos) + 1);
+        assertThat((double) (platformReads() - earlierCount)).isLessThanOrEqualTo(readLimit);
     }
 
     private static CompletableFuture<Integer> call(FleetNode node, String requestId) {
@@ -99,7 +106,7 @@
         return status;
     }
 
-    private static long reads() {
+    private static long platformReads() {
         return Long.parseLong(fleet.http().get(fleet.platformUrl() + "/control/reads"));
     }
 
--- a/integration/src/test/java/org/turmericspan/integration/OperatorCommandTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/OperatorCommandTest.java
@@ -12,34 +12,38 @@
 import org.turmericspan.standins.fleet.Fleet;
 import org.turmericspan.standins.fleet.FleetPlan;
 
-/** Runs the operators' command against a small fleet. */
+/**
+ * Runs the operators' command as a process against a small fleet. Guards against a command that no longer understands
+ * the responses of the nodes.
+ */
 final class OperatorCommandTest {
-    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final Duration WAIT_LIMIT = Duration.ofSeconds(30);
 
     @Test
     void commandReadsVersionsStateAndAddressesOfARunningFleet() throws IOException, InterruptedException {
         try (Fleet fleet = Fleet.start(FleetPlan.simple(2, 4))) {
             fleet.setZone("zone-b", false);
-            fleet.awaitInForce(LIMIT);
-            List<String> operators = fleet.nodes().stream()
+            fleet.awaitInForce(WAIT_LIMIT);
+            List<String> operatorAddresses = fleet.nodes().stream()
                     .map(node -> "127.0.0.1:" + node.operatorPort())
                     .toList();
 
-            Run versions = run("versions", operators.get(0), operators.get(1));
-            assertThat(versions.code()).as(versions.output()).isZero();
+            CommandResult versions = run("versions", operatorAddresses.get(0), operatorAddresses.get(1));
+            assertThat(versions.exitCode()).as(versions.output()).isZero();
             assertThat(versions.output()).contains("entry-00", "entry-01");
 
-            Run state = run("state", operators.get(0), "--section", "configuration");
-            assertThat(state.code()).as(state.output()).isZero();
+            CommandResult state = run("state", operatorAddresses.get(0), "--section", "configuration");
+            assertThat(state.exitCode()).as(state.output()).isZero();
             assertThat(state.output()).contains("\"version\" : 2");
 
-            Run locate = run("locate", "127.0.0.1:" + fleet.nodes().get(0).callerPort(), "ordering");
-            assertThat(locate.code()).as(locate.output()).isZero();
+            CommandResult locate =
+                    run("locate", "127.0.0.1:" + fleet.nodes().get(0).callerPort(), "ordering");
+            assertThat(locate.exitCode()).as(locate.output()).isZero();
             assertThat(locate.output()).contains("weight").contains("keep for");
         }
     }
 
-    private static Run run(String... arguments) throws IOException, InterruptedException {
+    private static CommandResult run(String... arguments) throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp",
@@ -48,9 +52,9 @@
         command.addAll(List.of(arguments));
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        return new Run(process.waitFor(), output);
+        return new CommandResult(process.waitFor(), output);
     }
 
-    /** How one command ended. */
-    private record Run(int code, String output) {}
+    /** Exit code and output of one command. */
+    private record CommandResult(int exitCode, String output) {}
 }
--- a/integration/src/test/java/org/turmericspan/integration/OrdersUnderFaultsTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/OrdersUnderFaultsTest.java
@@ -23,44 +23,50 @@
 import org.turmericspan.standins.fleet.FleetPlan;
 import org.turmericspan.standins.fleet.FleetUpstream;
 
-/** Orders are repeated through all nodes while nodes are killed and frozen and links are cut. */
+/**
+ * Guards against orders that run twice and against orders that ran although a node reported that they did not. Both
+ * come about when a caller sends the same order again through other nodes while nodes crash or pause and connections
+ * are cut or go silent.
+ */
 final class OrdersUnderFaultsTest {
     private static final long SEED = 5;
     private static final int CALLERS = 12;
-    private static final int MAX_SENDS = 4;
-    private static final Duration FAULTS_FOR = Duration.ofSeconds(12);
-    private static final Duration FAULT_PAUSE = Duration.ofMillis(300);
-    private static final Duration FREEZE = Duration.ofMillis(600);
-    private static final Duration DEADLINE = Duration.ofSeconds(60);
+    private static final int SENDS_PER_ORDER = 4;
+    private static final Duration FAULT_INJECTION_TIME = Duration.ofSeconds(12);
+    private static final Duration FAULT_INTERVAL = Duration.ofMillis(300);
+    private static final Duration FREEZE_TIME = Duration.ofMillis(600);
+    private static final Duration WAIT_LIMIT = Duration.ofSeconds(60);
 
-    private final Map<String, Set<TestCaller.Told>> toldByOrder = new ConcurrentHashMap<>();
+    private final Map<String, Set<TestCaller.ObservedOutcome>> outcomesByOrder = new ConcurrentHashMap<>();
     private volatile boolean done;
 
     @Test
-    void noOrderRunsTwiceAndNoneToldNotRunRan() throws InterruptedException {
+    void noOrderRunsTwiceAndNoneReportedAsNotRunHasRun() throws InterruptedException {
         try (Fleet fleet = Fleet.start(FleetPlan.simple(4, 8).proxied());
                 TestCaller caller = new TestCaller()) {
             fleet.warmUpstreams();
             ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
             for (int i = 0; i < CALLERS; i++) {
-                String name = "order-" + i + "-";
+                String orderPrefix = "order-" + i + "-";
                 Random random = new Random(SEED + i);
-                callers.execute(() -> sendOrders(fleet, caller, name, random));
+                callers.execute(() -> sendOrders(fleet, caller, orderPrefix, random));
             }
             injectFaults(fleet, new Random(SEED));
             done = true;
             callers.shutdown();
-            assertThat(callers.awaitTermination(DEADLINE.toSeconds(), TimeUnit.SECONDS))
+            assertThat(callers.awaitTermination(WAIT_LIMIT.toSeconds(), TimeUnit.SECONDS))
                     .isTrue();
             Await.until(
-                    "all runs have ended", DEADLINE, () -> fleet.witnessSum("started") >= fleet.witnessSum("finished"));
-            verify(runs(fleet));
+                    "upstreams report no more finished than started runs",
+                    WAIT_LIMIT,
+                    () -> fleet.witnessSum("started") >= fleet.witnessSum("finished"));
+            verifyOutcomes(runsByOrder(fleet));
         }
     }
 
-    /** Shows that the witness sees a second run where nothing prevents it. */
+    /** Verifies the check itself: without run tokens nothing prevents a second run, and the upstreams count it. */
     @Test
-    void withoutTokensARepeatedOrderRunsTwice() {
+    void duplicateOrderWithoutRunTokenRunsTwice() {
         try (Fleet fleet = Fleet.start(FleetPlan.simple(2, 4));
                 TestCaller caller = new TestCaller()) {
             fleet.published()
@@ -73,44 +79,44 @@
                                     "\"path_prefix\": \"/drafts\"",
                                     "\"token_required\": false"));
             fleet.publish();
-            fleet.awaitInForce(DEADLINE);
+            fleet.awaitInForce(WAIT_LIMIT);
             fleet.warmUpstreams();
             for (FleetNode node : fleet.nodes()) {
                 Await.until(
                         "the draft is answered",
-                        DEADLINE,
+                        WAIT_LIMIT,
                         () -> caller.order(node.callerUrl(), "/drafts", "draft", Optional.empty())
-                                == TestCaller.Told.ANSWERED);
+                                == TestCaller.ObservedOutcome.ANSWERED);
             }
-            assertThat(runs(fleet).path("draft").asInt()).isEqualTo(2);
+            assertThat(runsByOrder(fleet).path("draft").asInt()).isEqualTo(2);
         }
     }
 
-    private void sendOrders(Fleet fleet, TestCaller caller, String name, Random random) {
+    private void sendOrders(Fleet fleet, TestCaller caller, String orderPrefix, Random random) {
         List<FleetNode> nodes = fleet.nodes();
         for (int i = 0; !done; i++) {
-            Optional<String> token = caller.stampToken(nodes.get(random.nextInt(nodes.size())));
+            Optional<String> token = caller.createToken(nodes.get(random.nextInt(nodes.size())));
             if (token.isPresent()) {
-                sendRepeatedly(nodes, caller, name + i, token, random);
+                sendDuplicates(nodes, caller, orderPrefix + i, token, random);
             }
         }
     }
 
-    /** Sends copies one after the other through any nodes, also after the answer, as an impatient caller does. */
-    private void sendRepeatedly(
+    /** Sends the same order several times through random nodes, also after a response, as an impatient caller does. */
+    private void sendDuplicates(
             List<FleetNode> nodes, TestCaller caller, String order, Optional<String> token, Random random) {
-        Set<TestCaller.Told> told = EnumSet.noneOf(TestCaller.Told.class);
-        toldByOrder.put(order, told);
-        for (int send = 0; send < MAX_SENDS; send++) {
+        Set<TestCaller.ObservedOutcome> outcomes = EnumSet.noneOf(TestCaller.ObservedOutcome.class);
+        outcomesByOrder.put(order, outcomes);
+        for (int send = 0; send < SENDS_PER_ORDER; send++) {
             FleetNode node = nodes.get(random.nextInt(nodes.size()));
-            told.add(caller.order(node.callerUrl(), "/orders?work_ms=5", order, token));
+            outcomes.add(caller.order(node.callerUrl(), "/orders?work_ms=5", order, token));
         }
     }
 
     private static void injectFaults(Fleet fleet, Random random) {
-        long endNanos = System.nanoTime() + FAULTS_FOR.toNanos();
+        long endNanos = System.nanoTime() + FAULT_INJECTION_TIME.toNanos();
         while (System.nanoTime() < endNanos) {
-            LockSupport.parkNanos(FAULT_PAUSE.toNanos());
+            LockSupport.parkNanos(FAULT_INTERVAL.toNanos());
             FleetNode node = fleet.nodes().get(random.nextInt(fleet.nodes().size()));
             FleetUpstream upstream =
                     fleet.upstreams().get(random.nextInt(fleet.upstreams().size()));
@@ -121,7 +127,7 @@
                 }
                 case 1 -> {
                     node.process().freeze();
-                    LockSupport.parkNanos(FREEZE.toNanos());
+                    LockSupport.parkNanos(FREEZE_TIME.toNanos());
                     node.process().thaw();
                 }
                 case 2 -> fleet.http().post(fleet.proxyControlUrl() + "/control/cut?port=" + upstream.linkPort());
@@ -131,32 +137,33 @@
         }
     }
 
-    private void verify(JsonNode runs) {
+    private void verifyOutcomes(JsonNode runsByOrder) {
         List<String> ranTwice = new ArrayList<>();
-        List<String> toldNotRunButRan = new ArrayList<>();
+        List<String> reportedNotRunButRan = new ArrayList<>();
         List<String> answeredButDidNotRun = new ArrayList<>();
-        Map<TestCaller.Told, Integer> counts = new ConcurrentHashMap<>();
-        toldByOrder.forEach((order, told) -> {
-            int ran = runs.path(order).asInt();
-            told.forEach(one -> counts.merge(one, 1, Integer::sum));
+        Map<TestCaller.ObservedOutcome, Integer> counts = new ConcurrentHashMap<>();
+        outcomesByOrder.forEach((order, outcomes) -> {
+            int ran = runsByOrder.path(order).asInt();
+            outcomes.forEach(outcome -> counts.merge(outcome, 1, Integer::sum));
             if (ran > 1) {
                 ranTwice.add(order);
             }
-            if (ran > 0 && told.contains(TestCaller.Told.NOT_RUN)) {
-                toldNotRunButRan.add(order);
+            if (ran > 0 && outcomes.contains(TestCaller.ObservedOutcome.NOT_RUN)) {
+                reportedNotRunButRan.add(order);
             }
-            if (ran == 0 && told.contains(TestCaller.Told.ANSWERED)) {
+            if (ran == 0 && outcomes.contains(TestCaller.ObservedOutcome.ANSWERED)) {
                 answeredButDidNotRun.add(order);
             }
         });
-        System.out.println("orders: " + toldByOrder.size() + " sent, " + runs.size() + " ran, told " + counts);
+        System.out.println(
+                "orders: " + outcomesByOrder.size() + " sent, " + runsByOrder.size() + " ran, outcomes " + counts);
         assertThat(ranTwice).as("ran twice").isEmpty();
-        assertThat(toldNotRunButRan).as("told not run, but ran").isEmpty();
-        assertThat(answeredButDidNotRun).as("answered without a run").isEmpty();
-        assertThat(counts).containsKeys(TestCaller.Told.ANSWERED, TestCaller.Told.UNKNOWN);
+        assertThat(reportedNotRunButRan).as("reported as not run, but ran").isEmpty();
+        assertThat(answeredButDidNotRun).as("answered, but did not run").isEmpty();
+        assertThat(counts).containsKeys(TestCaller.ObservedOutcome.ANSWERED, TestCaller.ObservedOutcome.UNKNOWN);
     }
 
-    private static JsonNode runs(Fleet fleet) {
+    private static JsonNode runsByOrder(Fleet fleet) {
         return fleet.http().getJson(fleet.upstreamControlUrl() + "/control/orders");
     }
 }
--- a/integration/src/test/java/org/turmericspan/integration/PlannedStopUnderLoadTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/PlannedStopUnderLoadTest.java
@@ -19,60 +19,66 @@
 import org.turmericspan.standins.fleet.FleetPlan;
 
 /**
- * Each node in turn is stopped as planned while callers that keep locate answers have long requests in flight. The
- * platform's list never says so: the nodes tell one another.
+ * Guards against requests that a planned stop of a node breaks off. That comes about when callers still use cached
+ * locate responses and have long requests in flight. The platform's list does not announce the stop: the nodes learn
+ * of it only from one another.
  */
 final class PlannedStopUnderLoadTest {
     private static final int CALLERS = 6;
     private static final int WORK_MILLIS = 400;
     private static final int LONG_WORK_MILLIS = 3000;
-    private static final Duration DEADLINE = Duration.ofSeconds(60);
+    private static final Duration WAIT_LIMIT = Duration.ofSeconds(60);
 
-    private final Map<TestCaller.Told, Integer> told = new ConcurrentHashMap<>();
+    private final Map<TestCaller.ObservedOutcome, Integer> outcomes = new ConcurrentHashMap<>();
     private volatile boolean done;
 
     @Test
-    void noRequestIsCutByThePlannedStopOfEachNodeInTurn() throws InterruptedException {
+    void noRequestIsLostByThePlannedStopOfEachNodeInTurn() throws InterruptedException {
         FleetPlan plan = FleetPlan.simple(3, 6).withNodeFlags(List.of("--locate-ttl", "1"));
         try (Fleet fleet = Fleet.start(plan);
                 TestCaller caller = new TestCaller()) {
             fleet.warmUpstreams();
             ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
             for (int i = 0; i < CALLERS; i++) {
-                callers.execute(() -> lookUp(fleet, caller));
+                callers.execute(() -> sendLookups(fleet, caller));
             }
             for (FleetNode node : fleet.nodes()) {
-                replace(fleet, caller, node);
+                restartDuringCall(fleet, caller, node);
             }
             done = true;
             callers.shutdown();
-            assertThat(callers.awaitTermination(DEADLINE.toSeconds(), TimeUnit.SECONDS))
+            assertThat(callers.awaitTermination(WAIT_LIMIT.toSeconds(), TimeUnit.SECONDS))
                     .isTrue();
-            System.out.println("planned stops: told " + told);
-            assertThat(told).containsKey(TestCaller.Told.ANSWERED);
-            assertThat(told).doesNotContainKeys(TestCaller.Told.NOTHING, TestCaller.Told.UNKNOWN, TestCaller.Told.RAN);
-            assertThat(killUnder(fleet, caller, fleet.nodes().get(0))).isEqualTo(TestCaller.Told.NOTHING);
+            System.out.println("planned stops: outcomes " + outcomes);
+            assertThat(outcomes).containsKey(TestCaller.ObservedOutcome.ANSWERED);
+            assertThat(outcomes)
+                    .doesNotContainKeys(
+                            TestCaller.ObservedOutcome.NOTHING,
+                            TestCaller.ObservedOutcome.UNKNOWN,
+                            TestCaller.ObservedOutcome.RAN);
+            assertThat(killDuringCall(fleet, caller, fleet.nodes().get(0)))
+                    .isEqualTo(TestCaller.ObservedOutcome.NOTHING);
         }
     }
 
-    /** Shows that the caller sees a cut where the node does not stop as planned. */
-    private static TestCaller.Told killUnder(Fleet fleet, TestCaller caller, FleetNode node) {
-        CompletableFuture<TestCaller.Told> longCall =
+    /** Verifies the check itself: the caller loses the response when the node is killed instead of stopped. */
+    private static TestCaller.ObservedOutcome killDuringCall(Fleet fleet, TestCaller caller, FleetNode node) {
+        CompletableFuture<TestCaller.ObservedOutcome> longCall =
                 CompletableFuture.supplyAsync(() -> caller.lookup(node.callerUrl(), LONG_WORK_MILLIS));
-        Await.until("the call is in flight", DEADLINE, () -> inFlight(fleet, node) > 0);
+        Await.until("the call is in flight", WAIT_LIMIT, () -> inFlight(fleet, node) > 0);
         node.process().kill();
         return longCall.join();
     }
 
-    private static void replace(Fleet fleet, TestCaller caller, FleetNode node) {
-        CompletableFuture<TestCaller.Told> longCall =
+    private static void restartDuringCall(Fleet fleet, TestCaller caller, FleetNode node) {
+        CompletableFuture<TestCaller.ObservedOutcome> longCall =
                 CompletableFuture.supplyAsync(() -> caller.lookup(node.callerUrl(), LONG_WORK_MILLIS));
-        Await.until("calls are in flight", DEADLINE, () -> inFlight(fleet, node) > 0);
+        Await.until("calls are in flight", WAIT_LIMIT, () -> inFlight(fleet, node) > 0);
         node.process().stop();
-        assertThat(longCall.join()).isIn(TestCaller.Told.ANSWERED, TestCaller.Told.NOT_RUN);
+        assertThat(longCall.join()).isIn(TestCaller.ObservedOutcome.ANSWERED, TestCaller.ObservedOutcome.NOT_RUN);
         assertThat(node.process().exitCode()).isZero();
         node.process().start();
-        fleet.awaitReady(node, DEADLINE);
+        fleet.awaitReady(node, WAIT_LIMIT);
     }
 
     private static int inFlight(Fleet fleet, FleetNode node) {
@@ -80,28 +86,28 @@
         return state.at("/stop/calls_in_flight").asInt();
     }
 
-    private void lookUp(Fleet fleet, TestCaller caller) {
+    private void sendLookups(Fleet fleet, TestCaller caller) {
         List<String> located = new ArrayList<>();
         long locatedUntilNanos = System.nanoTime();
-        int turn = 0;
+        int callNumber = 0;
         while (!done) {
             if (System.nanoTime() >= locatedUntilNanos) {
-                long askedNanos = System.nanoTime();
-                JsonNode answer = locate(fleet);
+                long requestedNanos = System.nanoTime();
+                JsonNode response = locate(fleet);
                 located = new ArrayList<>();
-                for (JsonNode address : answer.path("addresses")) {
+                for (JsonNode address : response.path("addresses")) {
                     located.add(address.path("address").asText());
                 }
-                locatedUntilNanos = askedNanos
-                        + Duration.ofMillis(answer.path("ttl_ms").asLong()).toNanos();
+                locatedUntilNanos = requestedNanos
+                        + Duration.ofMillis(response.path("ttl_ms").asLong()).toNanos();
             }
-            turn++;
-            String address = located.get(turn % located.size());
-            told.merge(caller.lookup("http://" + address, WORK_MILLIS), 1, Integer::sum);
+            callNumber++;
+            String address = located.get(callNumber % located.size());
+            outcomes.merge(caller.lookup("http://" + address, WORK_MILLIS), 1, Integer::sum);
         }
     }
 
-    /** Asks the first node that answers, as a caller does that knows several. */
+    /** Returns the locate response of the first node that responds, as a caller does that knows several nodes. */
     private static JsonNode locate(Fleet fleet) {
         for (FleetNode node : fleet.nodes()) {
             try {
@@ -110,6 +116,6 @@
                 continue;
             }
         }
-        throw new IllegalStateException("No node answers");
+        throw new IllegalStateException("No node responded to the locate request");
     }
 }
--- a/integration/src/test/java/org/turmericspan/integration/PoisonTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/PoisonTest.java
@@ -14,23 +14,26 @@
 import org.turmericspan.standins.fleet.FleetNode;
 import org.turmericspan.standins.fleet.FleetPlan;
 
-/** One request that crashes each upstream that runs it is sent again and again through different nodes. */
+/**
+ * Guards against a query of death: a request that crashes every upstream that runs it and that callers send again and
+ * again through different nodes, so that retries spread the crashes over the fleet.
+ */
 final class PoisonTest {
     private static final int SENDS = 50;
-    private static final int EARLIER_CALLS_PER_NODE = 30;
-    private static final int QUARANTINED = 1106;
+    private static final int BUDGET_CALLS_PER_NODE = 30;
+    private static final int QUARANTINED_CODE = 1106;
 
     private final OkHttpClient client = new OkHttpClient();
 
     @Test
-    void poisonCostsAtMostTwoUpstreamsAndInnocentRequestsAreAnswered() throws IOException {
+    void crashingRequestCrashesAtMostTwoUpstreamsAndOtherRequestsAreAnswered() throws IOException {
         try (Fleet fleet = start("quarantine")) {
-            sendGoodOnes(fleet, 4 * EARLIER_CALLS_PER_NODE);
+            fillRetryBudgets(fleet, 4 * BUDGET_CALLS_PER_NODE);
             int refused = 0;
             int answered = 0;
             for (int i = 0; i < SENDS; i++) {
                 FleetNode node = fleet.nodes().get(i % fleet.nodes().size());
-                refused += send(node, "poison-" + i, "a poison") == QUARANTINED ? 1 : 0;
+                refused += send(node, "poison-" + i, "a poison") == QUARANTINED_CODE ? 1 : 0;
                 answered += send(node, "good-" + i, "a good one") == 0 ? 1 : 0;
             }
 
@@ -41,7 +44,7 @@
     }
 
     @Test
-    void poisonCostsManyUpstreamsWithoutTheMechanism() throws IOException {
+    void crashingRequestCrashesManyUpstreamsWithoutQuarantine() throws IOException {
         try (Fleet fleet = start("none")) {
             for (int i = 0; i < SENDS; i++) {
                 send(fleet.nodes().get(i % fleet.nodes().size()), "poison-" + i, "a poison");
@@ -51,8 +54,8 @@
         }
     }
 
-    /** Lets every node earn the budget of a few retries. */
-    private void sendGoodOnes(Fleet fleet, int count) throws IOException {
+    /** Sends harmless requests, so that every node has tokens in its retry budget. */
+    private void fillRetryBudgets(Fleet fleet, int count) throws IOException {
         for (int i = 0; i < count; i++) {
             send(fleet.nodes().get(i % fleet.nodes().size()), "earlier-" + i, "a good one");
         }
@@ -75,7 +78,7 @@
         return fleet;
     }
 
-    /** Sends a search and returns the code of its refusal, or 0 when it was answered. */
+    /** Sends a search and returns the code with which it was refused, or 0 when it was answered. */
     private int send(FleetNode node, String requestId, String body) throws IOException {
         Request request = new Request.Builder()
                 .url(node.callerUrl() + "/v1/services/ordering/search")
@@ -85,8 +88,10 @@
                 .post(RequestBody.create(body, null))
                 .build();
         try (Response response = client.newCall(request).execute()) {
-            String text = response.body().string();
-            return response.isSuccessful() ? 0 : Integer.parseInt(text.replaceAll(".*\"code\":([0-9]+).*", "$1"));
+            String responseBody = response.body().string();
+            return response.isSuccessful()
+                    ? 0
+                    : Integer.parseInt(responseBody.replaceAll(".*\"code\":([0-9]+).*", "$1"));
         }
     }
 }
--- a/integration/src/test/java/org/turmericspan/integration/SilentConnectionTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/SilentConnectionTest.java
@@ -15,7 +15,10 @@
 import org.turmericspan.standins.fleet.FleetPlan;
 import org.turmericspan.standins.fleet.FleetUpstream;
 
-/** Every open connection between nodes and upstreams goes silent, while new ones work. */
+/**
+ * Guards against requests that wait for their deadline on a connection that stays open but carries no more bytes. Every
+ * open connection between nodes and upstreams goes silent, while new connections work.
+ */
 final class SilentConnectionTest {
     private static final int EARLIER_CALLS_PER_NODE = 60;
     private static final String DEADLINE_MS = "20000";
@@ -36,7 +39,7 @@
             for (int i = 0; i < fleet.nodes().size(); i++) {
                 assertThat(lookup(fleet, i, "after-" + i)).isEqualTo(200);
             }
-            assertThat(repeats(fleet)).isBetween(1L, 2L);
+            assertThat(extraAttempts(fleet)).isBetween(1L, 2L);
         }
     }
 
@@ -54,7 +57,7 @@
         }
     }
 
-    private static long repeats(Fleet fleet) {
+    private static long extraAttempts(Fleet fleet) {
         long sum = 0;
         for (FleetNode node : fleet.nodes()) {
             JsonNode budgets =
--- a/integration/src/test/java/org/turmericspan/integration/TestCaller.java
+++ b/integration/src/test/java/org/turmericspan/integration/TestCaller.java
@@ -13,7 +13,7 @@
 import okhttp3.Response;
 import org.turmericspan.standins.fleet.FleetNode;
 
-/** Caller that sends lookups and orders to chosen nodes and reads what it is told. */
+/** Caller that sends lookups and orders to chosen nodes and classifies the responses. */
 final class TestCaller implements AutoCloseable {
     private static final String CALLER = "mari";
     private static final String ORDER_DEADLINE_MILLIS = "4000";
@@ -21,29 +21,29 @@
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(25);
 
     private final ObjectMapper mapper = new ObjectMapper();
-    private final AtomicLong requests = new AtomicLong();
+    private final AtomicLong requestCount = new AtomicLong();
     private final OkHttpClient client = new OkHttpClient.Builder()
             .callTimeout(CALL_TIMEOUT)
             .readTimeout(Duration.ZERO)
             .retryOnConnectionFailure(false)
             .build();
 
-    /** What a caller was told. */
-    enum Told {
-        /** The whole answer to its own request. */
+    /** Outcome of a request as its caller sees it. */
+    enum ObservedOutcome {
+        /** The complete response to its own request arrived. */
         ANSWERED,
-        /** The request was not run. */
+        /** The node reported that the request was not run. */
         NOT_RUN,
-        /** The request ran, without its answer. */
+        /** The node reported that the request ran, but its response was lost. */
         RAN,
-        /** The outcome is unknown. */
+        /** The node reported that the outcome is unknown. */
         UNKNOWN,
-        /** Nothing, or not the answer to its own request. */
+        /** No response arrived, or one that does not belong to the request. */
         NOTHING
     }
 
-    /** Stamps a token at the node that will own it, or returns empty when the node does not answer. */
-    Optional<String> stampToken(FleetNode owner) {
+    /** Creates a run token bound to the node that will own it, or returns empty when the node does not respond. */
+    Optional<String> createToken(FleetNode owner) {
         Request request = new Request.Builder()
                 .url(owner.callerUrl() + "/v1/locate?service=ordering")
                 .build();
@@ -58,7 +58,7 @@
         }
     }
 
-    Told order(String baseUrl, String path, String orderId, Optional<String> token) {
+    ObservedOutcome order(String baseUrl, String path, String orderId, Optional<String> token) {
         Request.Builder request = request(baseUrl + "/v1/services/ordering" + path, ORDER_DEADLINE_MILLIS)
                 .header("Order-Id", orderId)
                 .post(RequestBody.create(orderId.getBytes(), null));
@@ -66,7 +66,7 @@
         return send(request);
     }
 
-    Told lookup(String baseUrl, int workMillis) {
+    ObservedOutcome lookup(String baseUrl, int workMillis) {
         return send(request(
                 baseUrl + "/v1/services/ordering/stock?size=2000&work_ms=" + workMillis, LOOKUP_DEADLINE_MILLIS));
     }
@@ -83,29 +83,29 @@
                 .header("Turmericspan-Office", "pressroom")
                 .header("Turmericspan-Caller", CALLER)
                 .header("Turmericspan-Deadline-Ms", deadlineMillis)
-                .header("Turmericspan-Request-Id", "request-" + requests.incrementAndGet());
+                .header("Turmericspan-Request-Id", "request-" + requestCount.incrementAndGet());
     }
 
-    private Told send(Request.Builder builder) {
+    private ObservedOutcome send(Request.Builder builder) {
         Request request = builder.build();
         try (Response response = client.newCall(request).execute()) {
             String body = response.body().string();
             return response.isSuccessful() ? answered(body) : refused(mapper.readTree(body));
         } catch (IOException e) {
-            return Told.NOTHING;
+            return ObservedOutcome.NOTHING;
         }
     }
 
-    private static Told answered(String body) {
-        return body.startsWith("request-") ? Told.ANSWERED : Told.NOTHING;
+    private static ObservedOutcome answered(String body) {
+        return body.startsWith("request-") ? ObservedOutcome.ANSWERED : ObservedOutcome.NOTHING;
     }
 
-    private static Told refused(JsonNode refusal) {
+    private static ObservedOutcome refused(JsonNode refusal) {
         return switch (refusal.path("ran").asText()) {
-            case "no" -> Told.NOT_RUN;
-            case "yes" -> Told.RAN;
-            case "unknown" -> Told.UNKNOWN;
-            default -> Told.NOTHING;
+            case "no" -> ObservedOutcome.NOT_RUN;
+            case "yes" -> ObservedOutcome.RAN;
+            case "unknown" -> ObservedOutcome.UNKNOWN;
+            default -> ObservedOutcome.NOTHING;
         };
     }
 }
--- a/integration/src/test/java/org/turmericspan/integration/Traffic.java
+++ b/integration/src/test/java/org/turmericspan/integration/Traffic.java
@@ -14,9 +14,9 @@
 import org.turmericspan.standins.fleet.Fleet;
 import org.turmericspan.standins.fleet.FleetNode;
 
-/** Callers that each send one lookup after the other to the nodes in turn, until closed. */
+/** Background load: several callers that send lookups to the nodes, round robin, until closed. */
 final class Traffic implements AutoCloseable {
-    private static final int CALLERS = 12;
+    private static final int CALLER_COUNT = 12;
     private static final int STATUS_OK = 200;
     private static final Duration RETRY_PAUSE = Duration.ofMillis(20);
 
@@ -27,7 +27,7 @@
             .build();
     private final AtomicLong sent = new AtomicLong();
     private final AtomicLong answered = new AtomicLong();
-    private final AtomicInteger alive = new AtomicInteger(CALLERS);
+    private final AtomicInteger activeCallers = new AtomicInteger(CALLER_COUNT);
     private volatile boolean closed;
 
     private Traffic(Fleet fleet) {
@@ -36,8 +36,8 @@
 
     static Traffic start(Fleet fleet) {
         Traffic traffic = new Traffic(fleet);
-        for (int i = 0; i < CALLERS; i++) {
-            Thread caller = new Thread(traffic::call, "caller-" + i);
+        for (int i = 0; i < CALLER_COUNT; i++) {
+            Thread caller = new Thread(traffic::sendLookups, "caller-" + i);
             caller.setDaemon(true);
             caller.start();
         }
@@ -48,22 +48,25 @@
         return sent.get();
     }
 
-    void awaitAnswers(int more, Duration limit) {
-        long goal = answered.get() + more;
-        Await.until(more + " more answers", limit, () -> answered.get() >= goal);
+    void awaitResponses(int more, Duration limit) {
+        long target = answered.get() + more;
+        Await.until(more + " more responses", limit, () -> answered.get() >= target);
     }
 
     void awaitUntil(long wallMillis) {
-        Await.until("the time has come", Duration.ofMinutes(1), () -> System.currentTimeMillis() >= wallMillis);
+        Await.until(
+                "the wall clock reaches the given time",
+                Duration.ofMinutes(1),
+                () -> System.currentTimeMillis() >= wallMillis);
     }
 
     @Override
     public void close() {
         closed = true;
-        Await.until("callers stop", Duration.ofSeconds(10), () -> alive.get() == 0);
+        Await.until("callers stop", Duration.ofSeconds(10), () -> activeCallers.get() == 0);
     }
 
-    private void call() {
+    private void sendLookups() {
         while (!closed) {
             long number = sent.incrementAndGet();
             FleetNode node = nodes.get((int) (number % nodes.size()));
@@ -81,6 +84,6 @@
                 LockSupport.parkNanos(RETRY_PAUSE.toNanos());
             }
         }
-        alive.decrementAndGet();
+        activeCallers.decrementAndGet();
     }
 }
--- a/integration/src/test/java/org/turmericspan/integration/WholePathTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/WholePathTest.java
@@ -11,7 +11,9 @@
 import org.turmericspan.standins.fleet.Fleet;
 import org.turmericspan.standins.fleet.FleetPlan;
 
-/** A request goes from a caller through a node to an upstream and back. */
+/**
+ * Sends one request from a caller through a node to an upstream. Guards against parts that work alone but not together.
+ */
 final class WholePathTest {
     @Test
     void lookupIsAnsweredByAnUpstreamThroughTheLocatedNode() throws IOException {
