Describe the experiments in the terms of load testing

Cause: doc comments paraphrased (what came of it, as every caller does, bears, told), and names were vague or figurative (Sidework, Witnesses, AddressBook, note, better, LARGEST_LOSS); CallEnd and http's CallEnd shared a name. Flags, presets, policies, scenarios, measures, notes, bound texts and table titles stay. The module has no tests; it compiles with formatter and linter, no experiment was run.

--- a/bench/src/main/java/org/turmericspan/bench/Bound.java
+++ b/bench/src/main/java/org/turmericspan/bench/Bound.java
@@ -1,20 +1,20 @@
 package org.turmericspan.bench;
 
 /**
- * A bound that a scenario checks.
+ * An upper or lower bound that a scenario checks, with the measured value.
  *
- * @param text what must hold
+ * @param text the measured quantity, as it is printed
  * @param limit the bound
- * @param actual what was measured
- * @param isMet whether it holds
+ * @param actual the measured value
+ * @param isMet whether the measured value is within the bound
  */
 public record Bound(String text, double limit, double actual, boolean isMet) {
     /**
      * Checks that a value is at or under a limit.
      *
-     * @param text what must hold
+     * @param text the measured quantity, as it is printed
      * @param limit the bound
-     * @param actual what was measured
+     * @param actual the measured value
      * @return the checked bound
      */
     public static Bound atMost(String text, double limit, double actual) {
@@ -24,9 +24,9 @@
     /**
      * Checks that a value is at or above a limit.
      *
-     * @param text what must hold
+     * @param text the measured quantity, as it is printed
      * @param limit the bound
-     * @param actual what was measured
+     * @param actual the measured value
      * @return the checked bound
      */
     public static Bound atLeast(String text, double limit, double actual) {
--- a/bench/src/main/java/org/turmericspan/bench/LatencyPlot.java
+++ b/bench/src/main/java/org/turmericspan/bench/LatencyPlot.java
@@ -11,7 +11,7 @@
 import org.knowm.xchart.style.markers.SeriesMarkers;
 import org.turmericspan.bench.load.Timeline;
 
-/** Plots the 99th percentile over time with the events marked. */
+/** Plots the 99th percentile of latency over time and marks the events of the scenario. */
 final class LatencyPlot {
     private static final int WIDTH = 1_000;
     private static final int HEIGHT = 500;
--- a/bench/src/main/java/org/turmericspan/bench/Main.java
+++ b/bench/src/main/java/org/turmericspan/bench/Main.java
@@ -10,7 +10,7 @@
 import org.turmericspan.bench.scenario.Scenarios;
 import org.turmericspan.standins.fleet.ChildProcess;
 
-/** Command line of the bench. It exits 0 when all bounds are met, 1 when one is missed, 2 when it could not run. */
+/** Command line of the benchmark tool. Exits with 0 if all bounds are met, 1 if one is missed, 2 if the run failed. */
 public final class Main {
     private static final int EXIT_BOUND_MISSED = 1;
     private static final int EXIT_COULD_NOT_RUN = 2;
--- a/bench/src/main/java/org/turmericspan/bench/Measures.java
+++ b/bench/src/main/java/org/turmericspan/bench/Measures.java
@@ -6,7 +6,7 @@
 import org.turmericspan.bench.load.CallOutcome;
 import org.turmericspan.bench.load.LoadResult;
 
-/** What one policy showed in one scenario. A measure that was not taken is absent. */
+/** Measured values of one policy in one scenario. A measure that was not taken is absent. */
 public final class Measures {
     private static final double P50 = 50.0;
     private static final double P99 = 99.0;
@@ -17,17 +17,17 @@
     /**
      * Sets a measure.
      *
-     * @param measure which one
-     * @param value its value in the measure's unit
+     * @param measure the measured quantity
+     * @param value the value in the unit of the measure
      */
     public void put(Measure measure, double value) {
         values.put(measure, value);
     }
 
     /**
-     * Sets the latencies and outcomes of a stream.
+     * Sets the latencies and outcomes of a request stream.
      *
-     * @param result the stream's result
+     * @param result the result of the stream
      */
     public void put(LoadResult result) {
         put(Measure.P50_US, result.micros(P50));
@@ -44,7 +44,7 @@
     /**
      * Returns a measure.
      *
-     * @param measure which one
+     * @param measure the measured quantity
      * @return its value, or empty when it was not taken
      */
     public OptionalDouble get(Measure measure) {
@@ -55,7 +55,7 @@
     /**
      * Returns all measures taken.
      *
-     * @return by measure, in their order
+     * @return values by measure, in the order of the enum
      */
     public Map<Measure, Double> values() {
         return new EnumMap<>(values);
--- a/bench/src/main/java/org/turmericspan/bench/Preset.java
+++ b/bench/src/main/java/org/turmericspan/bench/Preset.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** Sizes and latencies of the known deployments. */
+/** Fleet sizes and network latencies of the deployments that the experiments model. */
 public enum Preset {
     /** A small fleet without added latency. */
     SMALL(6, 12, Duration.ZERO),
@@ -24,7 +24,7 @@
     /**
      * Returns the number of nodes.
      *
-     * @return from 1
+     * @return at least 1
      */
     public int nodes() {
         return nodes;
@@ -33,7 +33,7 @@
     /**
      * Returns the number of upstreams of the measured service.
      *
-     * @return from 1
+     * @return at least 1
      */
     public int upstreams() {
         return upstreams;
--- a/bench/src/main/java/org/turmericspan/bench/Report.java
+++ b/bench/src/main/java/org/turmericspan/bench/Report.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import org.turmericspan.bench.load.Timeline;
 
-/** What a scenario measured, by policy, with the bounds it checked. */
+/** Measured values of a scenario by policy, with the bounds that it checked. */
 public final class Report {
     private final Map<String, Measures> policies = new LinkedHashMap<>();
     private final Map<String, Timeline> timelines = new LinkedHashMap<>();
@@ -15,9 +15,9 @@
     private final List<String> notes = new ArrayList<>();
 
     /**
-     * Returns the measures of a policy, made at the first call.
+     * Returns the measures of a policy and creates them at the first call.
      *
-     * @param policy its name
+     * @param policy name of the policy
      * @return measures to add to
      */
     public Measures of(String policy) {
@@ -35,9 +35,9 @@
     }
 
     /**
-     * Adds a moment to be marked in the plot.
+     * Adds an event to be marked in the plot.
      *
-     * @param seconds from the start of the stream
+     * @param seconds time from the start of the stream
      * @param text what happened
      */
     public void addEvent(double seconds, String text) {
@@ -54,7 +54,7 @@
     }
 
     /**
-     * Adds a remark on how the figures were taken.
+     * Adds a note on how the values were measured.
      *
      * @param note one sentence
      */
@@ -87,9 +87,9 @@
     }
 
     /**
-     * A moment marked in the plot.
+     * An event marked in the plot.
      *
-     * @param seconds from the start of the stream
+     * @param seconds time from the start of the stream
      * @param text what happened
      */
     record Event(double seconds, String text) {}
--- a/bench/src/main/java/org/turmericspan/bench/ReportPrinter.java
+++ b/bench/src/main/java/org/turmericspan/bench/ReportPrinter.java
@@ -4,7 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** Prints a report as a table for people. */
+/** Prints a report as a human-readable table. */
 final class ReportPrinter {
     private ReportPrinter() {}
 
--- a/bench/src/main/java/org/turmericspan/bench/Scenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/Scenario.java
@@ -7,7 +7,7 @@
      * Runs the experiment.
      *
      * @param settings settings of the run
-     * @return what it measured
+     * @return the measured values and checked bounds
      */
     Report run(BenchSettings settings);
 }
--- a/bench/src/main/java/org/turmericspan/bench/load/CallOutcome.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/CallOutcome.java
@@ -2,16 +2,16 @@
 
 /** How one request ended for its caller. */
 public enum CallOutcome {
-    /** The whole right answer came. */
+    /** The complete and correct response arrived. */
     SERVED,
-    /** The balancer said that the request was not run. */
+    /** The load balancer reported that the request was not run. */
     REFUSED,
-    /** The balancer said that the outcome is unknown. */
+    /** The load balancer reported that the outcome is unknown. */
     UNKNOWN,
-    /** No answer of the balancer came. */
+    /** No response of the load balancer arrived. */
     FAILED,
-    /** An answer came that was another caller's. */
+    /** A response to another request arrived. */
     CROSSED,
-    /** An answer came that looked whole and was not. */
+    /** A truncated response arrived that looked complete. */
     SHORT
 }
--- a/bench/src/main/java/org/turmericspan/bench/load/CallSpec.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/CallSpec.java
@@ -5,13 +5,13 @@
 /**
  * One request to be sent.
  *
- * @param number number of the request within its run, which makes its identifiers
- * @param service service called
- * @param isOrder whether it is non-idempotent
+ * @param number number of the request within the run; its identifiers are derived from it
+ * @param service name of the called service
+ * @param isOrder whether the request is a non-idempotent order
  * @param office number of the office
  * @param caller number of the caller within the office
  * @param work how long the upstream works
- * @param answerBytes size of the answer
+ * @param responseBytes size of the response
  * @param deadline deadline sent with the request
  * @param body the body of an order
  */
@@ -22,6 +22,6 @@
         int office,
         int caller,
         Duration work,
-        int answerBytes,
+        int responseBytes,
         Duration deadline,
         String body) {}
--- a/bench/src/main/java/org/turmericspan/bench/load/Caller.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/Caller.java
@@ -2,14 +2,14 @@
 
 import java.util.concurrent.CompletableFuture;
 
-/** Sends requests as a caller would. */
+/** Sends requests in place of a real caller. */
 @FunctionalInterface
 public interface Caller {
     /**
      * Sends one request without blocking.
      *
      * @param spec the request
-     * @return its end; the future never completes exceptionally
+     * @return the result; the future never completes exceptionally
      */
-    CompletableFuture<CallEnd> call(CallSpec spec);
+    CompletableFuture<RequestResult> call(CallSpec spec);
 }
--- a/bench/src/main/java/org/turmericspan/bench/load/HttpCalls.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/HttpCalls.java
@@ -17,12 +17,12 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 
-/** Sends single requests over HTTP and judges the answers. */
+/** Sends single requests over HTTP and classifies the responses. */
 public final class HttpCalls implements AutoCloseable {
     private static final int MAX_REQUESTS = 20_000;
     private static final int MAX_IDLE_CONNECTIONS = 2_000;
-    private static final int CLIENT_ERROR = 400;
-    private static final Duration GRACE = Duration.ofSeconds(2);
+    private static final int STATUS_CLIENT_ERROR = 400;
+    private static final Duration TIMEOUT_MARGIN = Duration.ofSeconds(2);
 
     private final ObjectMapper mapper = new ObjectMapper();
     private final ExecutorService executor = Executors.newCachedThreadPool(task -> {
@@ -32,7 +32,7 @@
     });
     private final OkHttpClient client;
 
-    /** Creates a client whose connections are kept. */
+    /** Creates a client that keeps its connections open for reuse. */
     public HttpCalls() {
         Dispatcher dispatcher = new Dispatcher(executor);
         dispatcher.setMaxRequests(MAX_REQUESTS);
@@ -46,16 +46,16 @@
     }
 
     /**
-     * Reads JSON.
+     * Requests a JSON document.
      *
-     * @param url where from
-     * @return the body; the future fails when there is none
+     * @param url URL of the document
+     * @return the parsed body; the future fails if no readable body arrives
      */
     public CompletableFuture<JsonNode> getJson(String url) {
         CompletableFuture<JsonNode> result = new CompletableFuture<>();
         Call call = client.newCall(new Request.Builder().url(url).build());
-        call.timeout().timeout(GRACE.toMillis(), TimeUnit.MILLISECONDS);
-        call.enqueue(new AnswerCallback<>(
+        call.timeout().timeout(TIMEOUT_MARGIN.toMillis(), TimeUnit.MILLISECONDS);
+        call.enqueue(new ResponseCallback<>(
                 result, response -> mapper.readTree(response.body().byteStream())));
         return result;
     }
@@ -63,16 +63,16 @@
     /**
      * Sends one request to a base URL.
      *
-     * @param baseUrl URL under which the service's paths stand, without a slash at the end
+     * @param baseUrl URL that is the prefix of the service's paths, without a trailing slash
      * @param spec the request
      * @param runToken run token of an order, or empty
-     * @return its end
+     * @return the result of the request
      */
-    public CompletableFuture<CallEnd> send(String baseUrl, CallSpec spec, String runToken) {
+    public CompletableFuture<RequestResult> send(String baseUrl, CallSpec spec, String runToken) {
         String requestId = requestId(spec);
         Request.Builder request = new Request.Builder()
                 .url(baseUrl + (spec.isOrder() ? "/orders" : "/stock") + "?work_ms="
-                        + spec.work().toMillis() + "&size=" + spec.answerBytes())
+                        + spec.work().toMillis() + "&size=" + spec.responseBytes())
                 .header("Turmericspan-Office", "office-" + spec.office())
                 .header("Turmericspan-Caller", "caller-" + spec.caller())
                 .header("Turmericspan-Request-Id", requestId)
@@ -85,18 +85,18 @@
         if (!runToken.isEmpty()) {
             request.header("Turmericspan-Run-Token", runToken);
         }
-        CompletableFuture<CallEnd> end = new CompletableFuture<>();
+        CompletableFuture<RequestResult> callResult = new CompletableFuture<>();
         Call call = client.newCall(request.build());
-        call.timeout().timeout(spec.deadline().plus(GRACE).toMillis(), TimeUnit.MILLISECONDS);
-        call.enqueue(new AnswerCallback<>(end, response -> judge(requestId, spec, response)));
-        return end.exceptionally(failure -> CallEnd.FAILED);
+        call.timeout().timeout(spec.deadline().plus(TIMEOUT_MARGIN).toMillis(), TimeUnit.MILLISECONDS);
+        call.enqueue(new ResponseCallback<>(callResult, response -> classify(requestId, spec, response)));
+        return callResult.exceptionally(failure -> RequestResult.FAILED);
     }
 
     /**
      * Builds the identifier by which the stand-in upstream counts the runs of an order.
      *
      * @param spec the request
-     * @return the order's identifier
+     * @return the identifier of the order
      */
     public static String orderId(CallSpec spec) {
         return "order-" + spec.number();
@@ -113,24 +113,24 @@
         return "request-" + spec.office() + "-" + spec.caller() + "-" + spec.number();
     }
 
-    private CallEnd judge(String requestId, CallSpec spec, Response response) throws IOException {
+    private RequestResult classify(String requestId, CallSpec spec, Response response) throws IOException {
         byte[] body = response.body().bytes();
-        if (response.code() < CLIENT_ERROR) {
-            return new CallEnd(ExpectedAnswer.check(requestId, spec.answerBytes(), body), 0);
+        if (response.code() < STATUS_CLIENT_ERROR) {
+            return new RequestResult(ResponseVerifier.check(requestId, spec.responseBytes(), body), 0);
         }
         JsonNode refusal = mapper.readTree(body);
         int code = refusal == null ? 0 : refusal.path("code").asInt();
         boolean isNotRun = refusal != null && refusal.path("ran").asText().equals("no");
-        return new CallEnd(isNotRun ? CallOutcome.REFUSED : CallOutcome.UNKNOWN, code);
+        return new RequestResult(isNotRun ? CallOutcome.REFUSED : CallOutcome.UNKNOWN, code);
     }
 
-    /** Reads an answer. */
+    /** Reads a response into a value. */
     @FunctionalInterface
-    private interface Reading<T> {
+    private interface ResponseReader<T> {
         T read(Response response) throws IOException;
     }
 
-    private record AnswerCallback<T>(CompletableFuture<T> result, Reading<T> reading) implements Callback {
+    private record ResponseCallback<T>(CompletableFuture<T> result, ResponseReader<T> reader) implements Callback {
         @Override
         public void onFailure(Call call, IOException failure) {
             result.completeExceptionally(failure);
@@ -139,7 +139,7 @@
         @Override
         public void onResponse(Call call, Response response) {
             try (response) {
-                result.complete(reading.read(response));
+                result.complete(reader.read(response));
             } catch (IOException | RuntimeException e) {
                 result.completeExceptionally(e);
             }
--- a/bench/src/main/java/org/turmericspan/bench/load/LoadPlan.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/LoadPlan.java
@@ -3,43 +3,43 @@
 import java.time.Duration;
 
 /**
- * A stream of requests.
+ * Describes a stream of requests.
  *
- * @param service service called
- * @param ratePerSecond requests a second, at random moments
- * @param duration how long it lasts
- * @param work how long an upstream works on one request on average
- * @param answerBytes size of an answer
+ * @param service name of the called service
+ * @param ratePerSecond requests per second on average, at random times
+ * @param duration length of the stream
+ * @param work average time that an upstream works on one request
+ * @param responseBytes size of a response
  * @param deadline deadline of a request
- * @param ordersPercent share of non-idempotent requests
+ * @param ordersPercent percentage of non-idempotent requests
  * @param offices number of offices
- * @param callersPerOffice number of callers in each
- * @param seed makes the stream the same in every run
+ * @param callersPerOffice number of callers in each office
+ * @param seed seed of the random stream; equal seeds give equal streams
  */
 public record LoadPlan(
         String service,
         double ratePerSecond,
         Duration duration,
         Duration work,
-        int answerBytes,
+        int responseBytes,
         Duration deadline,
         int ordersPercent,
         int offices,
         int callersPerOffice,
         long seed) {
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(5);
-    private static final int DEFAULT_ANSWER_BYTES = 400;
+    private static final int DEFAULT_RESPONSE_BYTES = 400;
     private static final int DEFAULT_OFFICES = 6;
-    private static final int DEFAULT_CALLERS = 5;
+    private static final int DEFAULT_CALLERS_PER_OFFICE = 5;
 
     /**
-     * Plans lookups of many offices.
+     * Creates a plan of lookups from several offices.
      *
-     * @param service service called
-     * @param ratePerSecond requests a second
-     * @param duration how long it lasts
-     * @param work how long an upstream works on one
-     * @param seed makes the stream the same in every run
+     * @param service name of the called service
+     * @param ratePerSecond requests per second on average
+     * @param duration length of the stream
+     * @param work average time that an upstream works on one request
+     * @param seed seed of the random stream; equal seeds give equal streams
      * @return a plan without orders
      */
     public static LoadPlan lookups(String service, double ratePerSecond, Duration duration, Duration work, long seed) {
@@ -48,19 +48,19 @@
                 ratePerSecond,
                 duration,
                 work,
-                DEFAULT_ANSWER_BYTES,
+                DEFAULT_RESPONSE_BYTES,
                 DEFAULT_DEADLINE,
                 0,
                 DEFAULT_OFFICES,
-                DEFAULT_CALLERS,
+                DEFAULT_CALLERS_PER_OFFICE,
                 seed);
     }
 
     /**
-     * Mixes orders in.
+     * Returns a copy with a share of orders.
      *
-     * @param percent share of non-idempotent requests
-     * @return a copy with them
+     * @param percent percentage of non-idempotent requests
+     * @return the copy
      */
     public LoadPlan withOrders(int percent) {
         return new LoadPlan(
@@ -68,7 +68,7 @@
                 ratePerSecond,
                 duration,
                 work,
-                answerBytes,
+                responseBytes,
                 deadline,
                 percent,
                 offices,
@@ -77,10 +77,10 @@
     }
 
     /**
-     * Sets the deadline.
+     * Returns a copy with another deadline.
      *
      * @param newDeadline deadline of a request
-     * @return a copy with it
+     * @return the copy
      */
     public LoadPlan withDeadline(Duration newDeadline) {
         return new LoadPlan(
@@ -88,7 +88,7 @@
                 ratePerSecond,
                 duration,
                 work,
-                answerBytes,
+                responseBytes,
                 newDeadline,
                 ordersPercent,
                 offices,
--- a/bench/src/main/java/org/turmericspan/bench/load/LoadResult.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/LoadResult.java
@@ -6,29 +6,29 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 
-/** Latencies and outcomes of one stream of requests. Latency counts from the moment a request was due. */
+/** Latencies and outcomes of one stream of requests. Latency is measured from the time a request was due. */
 public final class LoadResult {
     private static final long HIGHEST_MICROS = 120_000_000;
-    private static final int DIGITS = 3;
+    private static final int SIGNIFICANT_DIGITS = 3;
 
-    private final Histogram servedMicros = new Histogram(HIGHEST_MICROS, DIGITS);
+    private final Histogram servedMicros = new Histogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
     private final Map<CallOutcome, Long> outcomes = new EnumMap<>(CallOutcome.class);
     private final Map<Integer, Long> codes = new TreeMap<>();
     private final Timeline timeline = new Timeline();
 
     /**
-     * Adds the end of one request.
+     * Adds the result of one request.
      *
-     * @param end how it ended
-     * @param dueOffsetNanos when it was due, from the start of the stream
-     * @param latencyNanos from then to its end
+     * @param callResult the result
+     * @param dueOffsetNanos time at which the request was due, from the start of the stream
+     * @param latencyNanos time from then until the request ended
      */
-    public synchronized void add(CallEnd end, long dueOffsetNanos, long latencyNanos) {
-        outcomes.merge(end.outcome(), 1L, Long::sum);
-        if (end.code() != 0) {
-            codes.merge(end.code(), 1L, Long::sum);
+    public synchronized void add(RequestResult callResult, long dueOffsetNanos, long latencyNanos) {
+        outcomes.merge(callResult.outcome(), 1L, Long::sum);
+        if (callResult.code() != 0) {
+            codes.merge(callResult.code(), 1L, Long::sum);
         }
-        if (end.outcome() == CallOutcome.SERVED) {
+        if (callResult.outcome() == CallOutcome.SERVED) {
             long micros = Math.min(TimeUnit.NANOSECONDS.toMicros(latencyNanos), HIGHEST_MICROS);
             servedMicros.recordValue(micros);
             timeline.add(dueOffsetNanos, micros);
@@ -36,7 +36,7 @@
     }
 
     /**
-     * Adds all of another result.
+     * Adds outcomes, codes and latencies of another result, without its timeline.
      *
      * @param other a result that no longer changes
      */
@@ -47,10 +47,10 @@
     }
 
     /**
-     * Counts the requests that ended in one way.
+     * Counts the requests with one outcome.
      *
-     * @param outcome how
-     * @return how many
+     * @param outcome the outcome
+     * @return number of requests
      */
     public synchronized long count(CallOutcome outcome) {
         return outcomes.getOrDefault(outcome, 0L);
@@ -59,14 +59,14 @@
     /**
      * Counts all requests.
      *
-     * @return how many ended
+     * @return number of requests that ended
      */
     public synchronized long total() {
         return outcomes.values().stream().mapToLong(Long::longValue).sum();
     }
 
     /**
-     * Returns a percentile of the served requests.
+     * Returns a latency percentile of the served requests.
      *
      * @param percentile 0 to 100
      * @return latency in microseconds
--- a/bench/src/main/java/org/turmericspan/bench/load/LocatingCaller.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/LocatingCaller.java
@@ -5,53 +5,53 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.turmericspan.standins.fleet.FleetNode;
 
-/** Asks which address to use, keeps the answer for its lifetime, and sends there. */
+/** Locates the addresses of a service, caches them for their TTL, and sends its requests there. */
 public final class LocatingCaller implements Caller {
     private static final String NONCE_FORMAT = "%016x%016x";
 
     private final HttpCalls calls;
-    private final AddressBook addresses;
+    private final LocateCache locateCache;
 
     /**
      * Creates a caller.
      *
      * @param calls sends the requests
-     * @param nodes nodes that may be asked first
+     * @param nodes nodes to which locate requests are sent
      */
     public LocatingCaller(HttpCalls calls, List<FleetNode> nodes) {
         this.calls = calls;
-        this.addresses = new AddressBook(calls, nodes);
+        this.locateCache = new LocateCache(calls, nodes);
     }
 
     @Override
-    public CompletableFuture<CallEnd> call(CallSpec spec) {
-        return addresses
+    public CompletableFuture<RequestResult> call(CallSpec spec) {
+        return locateCache
                 .choose(spec.service(), "office-" + spec.office())
                 .thenCompose(address -> send(address, spec))
-                .exceptionally(failure -> CallEnd.FAILED);
+                .exceptionally(failure -> RequestResult.FAILED);
     }
 
     /**
-     * Draws a run token for one node.
+     * Creates a run token for one node.
      *
-     * @param baseUrl node that shall own the run
+     * @param baseUrl base URL of the node that will own the token
      * @param spec the order
      * @return the token
      */
-    public CompletableFuture<String> drawToken(String baseUrl, CallSpec spec) {
-        return addresses
-                .ask(baseUrl, spec.service())
-                .thenApply(answer ->
-                        answer.incarnation() + "." + answer.epoch() + "." + nonce() + ".caller-" + spec.caller());
+    public CompletableFuture<String> createToken(String baseUrl, CallSpec spec) {
+        return locateCache
+                .locateAt(baseUrl, spec.service())
+                .thenApply(located ->
+                        located.incarnation() + "." + located.epoch() + "." + nonce() + ".caller-" + spec.caller());
     }
 
-    private CompletableFuture<CallEnd> send(String address, CallSpec spec) {
+    private CompletableFuture<RequestResult> send(String address, CallSpec spec) {
         CompletableFuture<String> token =
-                spec.isOrder() ? drawToken(address, spec) : CompletableFuture.completedFuture("");
-        return token.thenCompose(drawn -> calls.send(address + "/v1/services/" + spec.service(), spec, drawn))
-                .whenComplete((end, failure) -> {
-                    if (failure != null || end.outcome() == CallOutcome.FAILED) {
-                        addresses.forget(address);
+                spec.isOrder() ? createToken(address, spec) : CompletableFuture.completedFuture("");
+        return token.thenCompose(runToken -> calls.send(address + "/v1/services/" + spec.service(), spec, runToken))
+                .whenComplete((result, failure) -> {
+                    if (failure != null || result.outcome() == CallOutcome.FAILED) {
+                        locateCache.invalidate(address);
                     }
                 });
     }
--- a/bench/src/main/java/org/turmericspan/bench/load/OpenLoop.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/OpenLoop.java
@@ -7,35 +7,35 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
-/** Sends requests at random moments that do not depend on the answers, so that a slow answer hides nothing. */
+/** Sends requests at random times that do not depend on responses, so that slow responses do not reduce the load. */
 public final class OpenLoop {
     private static final AtomicLong NEXT_NUMBER = new AtomicLong();
-    private static final long DRAIN_SECONDS = 30;
+    private static final long DRAIN_TIMEOUT_SECONDS = 30;
     private static final int PERCENT = 100;
-    private static final double SHORTEST_WORK_SHARE = 0.5;
+    private static final double MIN_WORK_RATIO = 0.5;
 
     private OpenLoop() {}
 
     /**
-     * Runs a stream to its end and waits for the last answer.
+     * Runs a stream to its end and waits for the last response.
      *
      * @param plan the stream
      * @param caller sends the requests
-     * @return what came of it
+     * @return latencies and outcomes
      */
     public static LoadResult run(LoadPlan plan, Caller caller) {
-        return run(plan, caller, (spec, end) -> {});
+        return run(plan, caller, (spec, callResult) -> {});
     }
 
     /**
-     * Runs a stream to its end, waits for the last answer, and tells an observer of each end.
+     * Runs a stream to its end, waits for the last response, and reports each result to an observer.
      *
      * @param plan the stream
      * @param caller sends the requests
-     * @param observer told of each end on the thread that got the answer
-     * @return what came of it
+     * @param observer called with each result on the thread that received the response
+     * @return latencies and outcomes
      */
-    public static LoadResult run(LoadPlan plan, Caller caller, EndObserver observer) {
+    public static LoadResult run(LoadPlan plan, Caller caller, ResultObserver observer) {
         LoadResult result = new LoadResult();
         Random random = new Random(plan.seed());
         Semaphore ended = new Semaphore(0);
@@ -59,14 +59,14 @@
             LoadPlan plan,
             CallSpec spec,
             Caller caller,
-            EndObserver observer,
+            ResultObserver observer,
             LoadResult result,
             long dueNanos,
             long startNanos,
             Semaphore ended) {
-        caller.call(spec).thenAccept(end -> {
-            result.add(end, dueNanos - startNanos, System.nanoTime() - dueNanos);
-            observer.ended(spec, end);
+        caller.call(spec).thenAccept(callResult -> {
+            result.add(callResult, dueNanos - startNanos, System.nanoTime() - dueNanos);
+            observer.onResult(spec, callResult);
             ended.release();
         });
     }
@@ -79,14 +79,14 @@
                 random.nextInt(plan.offices()),
                 random.nextInt(plan.callersPerOffice()),
                 workTime(random, plan.work()),
-                plan.answerBytes(),
+                plan.responseBytes(),
                 plan.deadline(),
                 "order");
     }
 
-    /** Draws a work time between half and one and a half times the average. */
+    /** Returns a random work time between half and one and a half times the average. */
     private static Duration workTime(Random random, Duration average) {
-        return Duration.ofNanos((long) (average.toNanos() * (SHORTEST_WORK_SHARE + random.nextDouble())));
+        return Duration.ofNanos((long) (average.toNanos() * (MIN_WORK_RATIO + random.nextDouble())));
     }
 
     private static long interval(Random random, double ratePerSecond) {
@@ -103,8 +103,8 @@
 
     private static void awaitAll(Semaphore ended, int sent) {
         try {
-            if (!ended.tryAcquire(sent, DRAIN_SECONDS, TimeUnit.SECONDS)) {
-                throw new IllegalStateException("Some requests never ended");
+            if (!ended.tryAcquire(sent, DRAIN_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+                throw new IllegalStateException("Some requests did not end in the time allowed after the load");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -112,15 +112,15 @@
         }
     }
 
-    /** Is told of the end of each request. */
+    /** Receives the result of each request. */
     @FunctionalInterface
-    public interface EndObserver {
+    public interface ResultObserver {
         /**
-         * Takes the end of a request.
+         * Called when a request has ended.
          *
          * @param spec the request
-         * @param end its end
+         * @param callResult the result
          */
-        void ended(CallSpec spec, CallEnd end);
+        void onResult(CallSpec spec, RequestResult callResult);
     }
 }
--- a/bench/src/main/java/org/turmericspan/bench/load/Timeline.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/Timeline.java
@@ -7,26 +7,26 @@
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
-/** Latencies in short spans of time. */
+/** Latency histograms of consecutive short time spans. */
 public final class Timeline {
-    /** Length of one span. */
+    /** Length of one time span. */
     public static final Duration SPAN = Duration.ofMillis(250);
 
     private static final double P99 = 99.0;
     private static final double MILLIS_PER_SECOND = 1_000.0;
-    private static final int DIGITS = 2;
+    private static final int SIGNIFICANT_DIGITS = 2;
 
     private final Map<Long, Histogram> spans = new TreeMap<>();
 
     synchronized void add(long dueOffsetNanos, long micros) {
-        spans.computeIfAbsent(dueOffsetNanos / SPAN.toNanos(), span -> new Histogram(DIGITS))
+        spans.computeIfAbsent(dueOffsetNanos / SPAN.toNanos(), span -> new Histogram(SIGNIFICANT_DIGITS))
                 .recordValue(micros);
     }
 
     /**
-     * Returns the 99th percentile of each span.
+     * Returns the 99th percentile of latency in each time span.
      *
-     * @return points in the order of time
+     * @return points in chronological order
      */
     public synchronized List<Point> p99() {
         List<Point> points = new ArrayList<>();
@@ -44,7 +44,7 @@
      * @return latency in microseconds; 0 when none was due
      */
     public synchronized long micros(Duration from, Duration to, double percentile) {
-        Histogram sum = new Histogram(DIGITS);
+        Histogram sum = new Histogram(SIGNIFICANT_DIGITS);
         spans.forEach((span, histogram) -> {
             if (span >= from.toNanos() / SPAN.toNanos() && span < to.toNanos() / SPAN.toNanos()) {
                 sum.add(histogram);
@@ -56,8 +56,8 @@
     /**
      * One point of the timeline.
      *
-     * @param seconds from the start of the stream
-     * @param millis latency
+     * @param seconds time from the start of the stream
+     * @param millis latency in milliseconds
      */
     public record Point(double seconds, double millis) {}
 }
--- a/bench/src/main/java/org/turmericspan/bench/load/package-info.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/package-info.java
@@ -1,2 +1,2 @@
-/** Callers that send an open stream of requests and check every answer. */
+/** Open-loop load generator whose callers check every response. */
 package org.turmericspan.bench.load;
--- a/bench/src/main/java/org/turmericspan/bench/scenario/AlternatingRuns.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/AlternatingRuns.java
@@ -10,13 +10,13 @@
 import org.turmericspan.bench.load.LoadResult;
 import org.turmericspan.bench.load.OpenLoop;
 
-/** Runs the same load on one fleet a policy, in turns, so that what else the machine does falls on all alike. */
+/** Runs the same load on one fleet per policy in alternation, so that other load on the machine affects all alike. */
 final class AlternatingRuns {
     private static final int ROUNDS = 4;
 
     private AlternatingRuns() {}
 
-    /** Runs the rounds and sums the results by policy. */
+    /** Runs all rounds and returns the summed results by policy. */
     static Map<String, LoadResult> run(
             BenchSettings settings,
             List<PolicyFleet> fleets,
@@ -26,11 +26,12 @@
         Map<String, LoadResult> sums = new LinkedHashMap<>();
         fleets.forEach(fleet -> sums.put(fleet.policy(), new LoadResult()));
         fleets.forEach(fleet -> fleet.warmUp(ratePerSecond, work));
-        Duration turn = settings.duration().dividedBy(ROUNDS);
+        Duration roundDuration = settings.duration().dividedBy(ROUNDS);
         for (int round = 0; round < ROUNDS; round++) {
-            LoadPlan plan = LoadPlan.lookups(PolicyFleet.SERVICE, ratePerSecond, turn, work, settings.seed() + round);
+            LoadPlan plan =
+                    LoadPlan.lookups(PolicyFleet.SERVICE, ratePerSecond, roundDuration, work, settings.seed() + round);
             for (PolicyFleet fleet : fleets) {
-                try (AutoCloseableQuietly ignored = disturbance.start(fleet, settings.seed() + round)) {
+                try (UncheckedCloseable ignored = disturbance.start(fleet, settings.seed() + round)) {
                     sums.get(fleet.policy()).add(OpenLoop.run(plan, fleet.caller()));
                 }
             }
@@ -38,7 +39,7 @@
         return sums;
     }
 
-    /** Starts one fleet a policy. */
+    /** Starts one fleet per policy. */
     static List<PolicyFleet> start(BenchSettings settings) {
         List<PolicyFleet> fleets = new ArrayList<>();
         try {
@@ -50,19 +51,19 @@
         }
     }
 
-    /** Disturbs a fleet while a turn runs. */
+    /** Disturbs a fleet during one run of the load. */
     @FunctionalInterface
     interface Disturbance {
         /** Disturbance that does nothing. */
         Disturbance NONE = (fleet, seed) -> () -> {};
 
-        /** Starts to disturb; closing the returned handle ends it. */
-        AutoCloseableQuietly start(PolicyFleet fleet, long seed);
+        /** Starts the disturbance; closing the returned handle ends it. */
+        UncheckedCloseable start(PolicyFleet fleet, long seed);
     }
 
-    /** Handle whose closing throws nothing checked. */
+    /** Handle whose {@code close} throws no checked exception. */
     @FunctionalInterface
-    interface AutoCloseableQuietly extends AutoCloseable {
+    interface UncheckedCloseable extends AutoCloseable {
         @Override
         void close();
     }
--- a/bench/src/main/java/org/turmericspan/bench/scenario/ColdScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/ColdScenario.java
@@ -12,23 +12,23 @@
 import org.turmericspan.bench.load.OpenLoop;
 import org.turmericspan.standins.fleet.FleetUpstream;
 
-/** Restarts upstreams without notice under load, and counts how often a cold one got more than it bears. */
+/** Crashes upstreams under load and counts how often a restarted, cold one held more requests than its capacity. */
 final class ColdScenario {
     private static final double LOAD_SHARE = 0.5;
     private static final Duration WORK = Duration.ofMillis(20);
-    private static final Duration PAUSE = Duration.ofMillis(500);
+    private static final Duration CRASH_INTERVAL = Duration.ofMillis(500);
 
     Report run(BenchSettings settings) {
         Report report = new Report();
         double rate = PolicyFleet.rateFor(settings, LOAD_SHARE, WORK);
         report.addNote("load " + Math.round(rate) + " requests/s; an upstream crashes and comes back cold every "
-                + PAUSE.toMillis() + " ms");
+                + CRASH_INTERVAL.toMillis() + " ms");
         for (String policy : settings.policies()) {
             try (PolicyFleet fleet = PolicyFleet.start(settings, policy);
-                    Sidework events = new Sidework()) {
+                    EventSchedule events = new EventSchedule()) {
                 fleet.warmUp(rate, WORK);
                 long overrunsBefore = fleet.fleet().witnessSum("cold_overruns");
-                planCrashes(settings, fleet, events);
+                scheduleCrashes(settings, fleet, events);
                 LoadResult result = OpenLoop.run(
                         LoadPlan.lookups(PolicyFleet.SERVICE, rate, settings.duration(), WORK, settings.seed()),
                         fleet.caller());
@@ -45,10 +45,10 @@
         return report;
     }
 
-    private static void planCrashes(BenchSettings settings, PolicyFleet fleet, Sidework events) {
+    private static void scheduleCrashes(BenchSettings settings, PolicyFleet fleet, EventSchedule events) {
         Random random = new Random(settings.seed());
         List<FleetUpstream> upstreams = fleet.fleet().upstreams();
-        Duration offset = PAUSE;
+        Duration offset = CRASH_INTERVAL;
         while (offset.compareTo(settings.duration()) < 0) {
             int port = upstreams.get(random.nextInt(upstreams.size())).port();
             events.at(
@@ -56,7 +56,7 @@
                     () -> fleet.fleet()
                             .http()
                             .post(fleet.fleet().upstreamControlUrl() + "/control/crash?port=" + port));
-            offset = offset.plus(PAUSE);
+            offset = offset.plus(CRASH_INTERVAL);
         }
     }
 }
--- a/bench/src/main/java/org/turmericspan/bench/scenario/ControlScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/ControlScenario.java
@@ -9,14 +9,14 @@
 import org.turmericspan.bench.Measures;
 import org.turmericspan.bench.Report;
 
-/** Measures what one node spends without calls, at several sizes of the fleet. */
+/** Measures the resource usage of one node without calls, at several fleet sizes. */
 final class ControlScenario {
-    private static final double LARGEST_CPU_PERCENT = 1.5;
-    private static final double LARGEST_BYTES_PER_SECOND = 18_000;
-    private static final Duration SETTLE = Duration.ofSeconds(30);
+    private static final double MAX_CPU_PERCENT = 1.5;
+    private static final double MAX_BYTES_PER_SECOND = 18_000;
+    private static final Duration SETTLE_TIME = Duration.ofSeconds(30);
     private static final double PERCENT = 100;
     private static final int SIZES = 3;
-    private static final Duration PARK = Duration.ofMillis(100);
+    private static final Duration PARK_INTERVAL = Duration.ofMillis(100);
 
     Report run(BenchSettings settings) {
         Report report = new Report();
@@ -24,12 +24,12 @@
         for (int part = 1; part <= SIZES; part++) {
             int nodes = Math.max(2, settings.nodes() * part / SIZES);
             int upstreams = Math.max(2, settings.upstreams() * part / SIZES);
-            measure(sized(settings, nodes, upstreams), nodes + "x" + upstreams, report);
+            measure(withSize(settings, nodes, upstreams), nodes + "x" + upstreams, report);
         }
         return report;
     }
 
-    private static BenchSettings sized(BenchSettings settings, int nodes, int upstreams) {
+    private static BenchSettings withSize(BenchSettings settings, int nodes, int upstreams) {
         return new BenchSettings(
                 settings.scenario(),
                 settings.duration(),
@@ -43,7 +43,7 @@
 
     private static void measure(BenchSettings settings, String title, Report report) {
         try (PolicyFleet fleet = PolicyFleet.start(settings, settings.policies().get(0))) {
-            park(SETTLE);
+            park(SETTLE_TIME);
             Duration processorBefore = ProcessorTime.of(fleet.fleet());
             double bytesBefore = peerBytes(fleet);
             double probesBefore = fleet.fleet().witnessSum("probes");
@@ -53,15 +53,16 @@
             double nodes = settings.nodes();
             Measures measures = report.of(title);
             Duration processor = ProcessorTime.of(fleet.fleet()).minus(processorBefore);
-            double cpu = PERCENT * processor.toNanos() / settings.duration().toNanos() / nodes;
-            double bytes = (peerBytes(fleet) - bytesBefore) / seconds / nodes;
-            measures.put(Measure.CONTROL_CPU_PCT, cpu);
-            measures.put(Measure.CONTROL_BYTES_PER_S, bytes);
+            double cpuPercent =
+                    PERCENT * processor.toNanos() / settings.duration().toNanos() / nodes;
+            double bytesPerSecond = (peerBytes(fleet) - bytesBefore) / seconds / nodes;
+            measures.put(Measure.CONTROL_CPU_PCT, cpuPercent);
+            measures.put(Measure.CONTROL_BYTES_PER_S, bytesPerSecond);
             measures.put(Measure.CONTROL_HEAP_BYTES, heapBytes(fleet) / nodes);
             measures.put(Measure.PROBES_PER_S, (fleet.fleet().witnessSum("probes") - probesBefore) / seconds);
             measures.put(Measure.PLATFORM_READS_PER_S, (fleet.fleet().platformReads() - readsBefore) / seconds);
-            report.addBound(Bound.atMost(title + ": processor, % of a core", LARGEST_CPU_PERCENT, cpu));
-            report.addBound(Bound.atMost(title + ": bytes/s to and from peers", LARGEST_BYTES_PER_SECOND, bytes));
+            report.addBound(Bound.atMost(title + ": processor, % of a core", MAX_CPU_PERCENT, cpuPercent));
+            report.addBound(Bound.atMost(title + ": bytes/s to and from peers", MAX_BYTES_PER_SECOND, bytesPerSecond));
         }
     }
 
@@ -87,7 +88,7 @@
     private static void park(Duration span) {
         long endNanos = System.nanoTime() + span.toNanos();
         while (System.nanoTime() < endNanos) {
-            LockSupport.parkNanos(PARK.toNanos());
+            LockSupport.parkNanos(PARK_INTERVAL.toNanos());
         }
     }
 }
--- a/bench/src/main/java/org/turmericspan/bench/scenario/Sidework.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/EventSchedule.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-/** Runs events at set moments while a load runs. */
-final class Sidework implements AutoCloseable {
+/** Runs scheduled events while a load runs. */
+final class EventSchedule implements AutoCloseable {
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
 
     void at(Duration offset, Runnable event) {
--- a/bench/src/main/java/org/turmericspan/bench/scenario/LiveHeap.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/LiveHeap.java
@@ -5,13 +5,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 
-/** Measures the live heap of a process after a full collection, with the JDK's own diagnostic command. */
+/** Measures the live heap of a process after a full garbage collection, with the JDK's {@code jcmd}. */
 final class LiveHeap {
     private static final String TOTAL = "Total";
 
     private LiveHeap() {}
 
-    /** Collects the garbage of a process and sums its live objects. */
+    /** Triggers a garbage collection in a process and returns the total size of its live objects. */
     static double bytes(long pid) {
         String tool = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
         try {
@@ -32,6 +32,6 @@
                 .map(line -> line.trim().split("\\s+"))
                 .mapToDouble(fields -> Double.parseDouble(fields[2]))
                 .findFirst()
-                .orElseThrow(() -> new IllegalStateException("No histogram: " + histogram));
+                .orElseThrow(() -> new IllegalStateException("jcmd printed no class histogram: " + histogram));
     }
 }
--- a/bench/src/main/java/org/turmericspan/bench/scenario/PoisonScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/PoisonScenario.java
@@ -10,12 +10,12 @@
 import org.turmericspan.bench.load.LoadResult;
 import org.turmericspan.bench.load.OpenLoop;
 
-/** Sends one request that crashes its upstream again and again among good requests. */
+/** Repeatedly sends a request that crashes its upstream (a query of death) among harmless requests. */
 final class PoisonScenario {
     private static final double LOAD_SHARE = 0.3;
     private static final Duration WORK = Duration.ofMillis(20);
     private static final int POISON_REQUESTS = 50;
-    private static final int LARGEST_LOSS = 2;
+    private static final int MAX_CRASHES = 2;
     private static final Duration DEADLINE = Duration.ofSeconds(2);
 
     Report run(BenchSettings settings) {
@@ -25,21 +25,21 @@
         report.addNote("load " + Math.round(rate) + " requests/s, and one order that crashes its upstream, sent "
                 + POISON_REQUESTS + " times");
         try (PolicyFleet fleet = PolicyFleet.start(settings, policy);
-                Sidework events = new Sidework()) {
+                EventSchedule events = new EventSchedule()) {
             fleet.warmUp(rate, WORK);
-            Duration pause = settings.duration().dividedBy(POISON_REQUESTS);
+            Duration interval = settings.duration().dividedBy(POISON_REQUESTS);
             for (int i = 0; i < POISON_REQUESTS; i++) {
                 CallSpec poison = poison(-i);
-                events.at(pause.multipliedBy(i), () -> fleet.caller().call(poison));
+                events.at(interval.multipliedBy(i), () -> fleet.caller().call(poison));
             }
             LoadResult result = OpenLoop.run(
                     LoadPlan.lookups(PolicyFleet.SERVICE, rate, settings.duration(), WORK, settings.seed()),
                     fleet.caller());
-            double lost = fleet.fleet().witnessSum("crashes");
+            double crashes = fleet.fleet().witnessSum("crashes");
             report.of(policy).put(result);
-            report.of(policy).put(Measure.UPSTREAMS_LOST, lost);
+            report.of(policy).put(Measure.UPSTREAMS_LOST, crashes);
             report.of(policy).put(Measure.COLD_OVERRUNS, fleet.fleet().witnessSum("cold_overruns"));
-            report.addBound(Bound.atMost(policy + ": upstreams lost", LARGEST_LOSS, lost));
+            report.addBound(Bound.atMost(policy + ": upstreams lost", MAX_CRASHES, crashes));
         }
         return report;
     }
--- a/bench/src/main/java/org/turmericspan/bench/scenario/PolicyFleet.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/PolicyFleet.java
@@ -10,7 +10,7 @@
 import org.turmericspan.standins.fleet.Fleet;
 import org.turmericspan.standins.fleet.FleetPlan;
 
-/** A fleet that runs one slot policy, with callers of its own. */
+/** A fleet that runs one slot policy, with its own callers. */
 final class PolicyFleet implements AutoCloseable {
     /** Service that the experiments call. */
     static final String SERVICE = "ordering";
@@ -70,21 +70,23 @@
         return caller;
     }
 
-    /** Runs a short unmeasured load, so that code is compiled, connections stand and upstreams are warm. */
+    /** Runs an unmeasured load, so that code is compiled, connections are open and upstreams are warm. */
     void warmUp(double ratePerSecond, Duration work) {
         fleet.warmUpstreams();
         OpenLoop.run(LoadPlan.lookups(SERVICE, ratePerSecond / 2, WARM_UP, work, 0), caller);
         OpenLoop.run(LoadPlan.lookups(SERVICE, ratePerSecond, WARM_UP, work, 0), caller);
     }
 
-    /** Returns the node flags of a policy; {@code hedges} stands for the keepers with hedges. */
+    /**
+     * Returns the node flags of a policy; {@code hedges} stands for the policy {@code keepers} with hedged requests.
+     */
     private static List<String> flags(String policy) {
         return policy.equals(HEDGES)
                 ? List.of("--slot-policy", "keepers", "--repeat-policy", HEDGES)
                 : List.of("--slot-policy", policy);
     }
 
-    /** Computes the rate that keeps a share of all slots busy. */
+    /** Computes the rate, in requests per second, that keeps a share of all slots busy. */
     static double rateFor(BenchSettings settings, double share, Duration work) {
         double slots = (double) settings.upstreams() * SLOTS;
         return share * slots * Duration.ofSeconds(1).toNanos() / work.toNanos();
--- a/bench/src/main/java/org/turmericspan/bench/scenario/ProcessorTime.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/ProcessorTime.java
@@ -8,7 +8,7 @@
 import org.turmericspan.standins.fleet.Fleet;
 import org.turmericspan.standins.fleet.FleetNode;
 
-/** Reads how much processor time the nodes of a fleet have used. */
+/** Reads the processor time that the nodes of a fleet have used, from {@code /proc}. */
 final class ProcessorTime {
     private static final Duration TICK = Duration.ofMillis(10);
     private static final int USER_TICKS_FIELD = 11;
--- a/bench/src/main/java/org/turmericspan/bench/scenario/Scenarios.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/Scenarios.java
@@ -25,7 +25,7 @@
     /**
      * Lists the names.
      *
-     * @return in alphabetic order
+     * @return names in alphabetic order
      */
     public static Set<String> names() {
         return ALL.keySet();
--- a/bench/src/main/java/org/turmericspan/bench/scenario/StopScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/StopScenario.java
@@ -12,7 +12,7 @@
 import org.turmericspan.bench.load.OpenLoop;
 import org.turmericspan.standins.fleet.FleetNode;
 
-/** Stops each node in turn as planned and starts it again, under load with long requests in flight. */
+/** Gracefully stops and restarts each node in turn, under load with long requests in flight. */
 final class StopScenario {
     private static final double LOAD_SHARE = 0.4;
     private static final Duration WORK = Duration.ofMillis(300);
@@ -24,13 +24,13 @@
         report.addNote("load " + Math.round(rate) + " requests/s of " + WORK.toMillis()
                 + " ms; each node is stopped as planned and started again, one after the other");
         try (PolicyFleet fleet = PolicyFleet.start(settings, policy);
-                Sidework events = new Sidework()) {
+                EventSchedule events = new EventSchedule()) {
             fleet.warmUp(rate, WORK);
             List<FleetNode> nodes = fleet.fleet().nodes();
-            Duration turn = settings.duration().dividedBy(nodes.size() + 1L);
+            Duration restartInterval = settings.duration().dividedBy(nodes.size() + 1L);
             for (int i = 0; i < nodes.size(); i++) {
                 FleetNode node = nodes.get(i);
-                events.at(turn.multipliedBy(i), () -> replace(fleet, node));
+                events.at(restartInterval.multipliedBy(i), () -> restart(fleet, node));
             }
             LoadResult result = OpenLoop.run(
                     LoadPlan.lookups(PolicyFleet.SERVICE, rate, settings.duration(), WORK, settings.seed()),
@@ -46,7 +46,7 @@
         return report;
     }
 
-    private static void replace(PolicyFleet fleet, FleetNode node) {
+    private static void restart(PolicyFleet fleet, FleetNode node) {
         fleet.fleet().setLeaving(node.name(), true);
         node.process().stop();
         node.process().start();
--- a/bench/src/main/java/org/turmericspan/bench/scenario/Witnesses.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/UpstreamCounters.java
@@ -3,14 +3,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.turmericspan.standins.fleet.Fleet;
 
-/** Reads what the stand-in upstreams saw. */
-final class Witnesses {
-    private Witnesses() {}
+/** Aggregates the counters of the stand-in upstreams. */
+final class UpstreamCounters {
+    private UpstreamCounters() {}
 
     static long max(Fleet fleet, String field) {
         long max = 0;
-        for (JsonNode one : fleet.witness()) {
-            max = Math.max(max, one.path(field).asLong());
+        for (JsonNode upstream : fleet.witness()) {
+            max = Math.max(max, upstream.path(field).asLong());
         }
         return max;
     }
--- a/bench/src/main/java/org/turmericspan/bench/scenario/ZoneScenario.java
+++ b/bench/src/main/java/org/turmericspan/bench/scenario/ZoneScenario.java
@@ -11,15 +11,15 @@
 import org.turmericspan.bench.load.LoadResult;
 import org.turmericspan.bench.load.OpenLoop;
 
-/** Takes an availability zone out and back under load, and compares the tail with the time before. */
+/** Takes an availability zone out and back under load, and compares the p99 with the time before. */
 final class ZoneScenario {
     private static final double LOAD_SHARE = 0.5;
     private static final Duration WORK = Duration.ofMillis(20);
     private static final String ZONE = "zone-b";
     private static final int PARTS = 3;
     private static final double P99 = 99.0;
-    private static final double LARGEST_RATIO = 1.5;
-    private static final double LATEST_NEW_WORK_MILLIS = 3_000;
+    private static final double MAX_P99_RATIO = 1.5;
+    private static final double MAX_NEW_WORK_MILLIS = 3_000;
     private static final long MILLIS_PER_SECOND = 1_000;
 
     Report run(BenchSettings settings) {
@@ -36,13 +36,13 @@
 
     private static void runPolicy(BenchSettings settings, String policy, double rate, Report report) {
         Duration part = settings.duration().dividedBy(PARTS);
-        AtomicLong outMillis = new AtomicLong();
+        AtomicLong removedMillis = new AtomicLong();
         AtomicLong lastStartedMillis = new AtomicLong();
         try (PolicyFleet fleet = PolicyFleet.start(settings, policy);
-                Sidework events = new Sidework()) {
+                EventSchedule events = new EventSchedule()) {
             fleet.warmUp(rate, WORK);
             events.at(part, () -> {
-                outMillis.set(System.currentTimeMillis());
+                removedMillis.set(System.currentTimeMillis());
                 fleet.fleet().setZone(ZONE, false);
             });
             events.at(part.multipliedBy(2), () -> {
@@ -54,12 +54,12 @@
                     fleet.caller());
             report.of(policy).put(result);
             report.of(policy).put(Measure.COLD_OVERRUNS, fleet.fleet().witnessSum("cold_overruns"));
-            double late = Math.max(0, lastStartedMillis.get() - outMillis.get());
-            report.of(policy).put(Measure.LATE_NEW_WORK_MS, late);
+            double newWorkMillis = Math.max(0, lastStartedMillis.get() - removedMillis.get());
+            report.of(policy).put(Measure.LATE_NEW_WORK_MS, newWorkMillis);
             double ratio = ratio(settings, result, part);
             report.of(policy).put(Measure.P99_RATIO_EVENT, ratio);
             report.addTimeline(policy, result.timeline());
-            addBounds(report, policy, result, late, ratio);
+            addBounds(report, policy, result, newWorkMillis, ratio);
         }
     }
 
@@ -69,9 +69,9 @@
         return during / before;
     }
 
-    private static void addBounds(Report report, String policy, LoadResult result, double late, double ratio) {
-        report.addBound(Bound.atMost(policy + ": latest new work in the zone, ms", LATEST_NEW_WORK_MILLIS, late));
-        report.addBound(Bound.atMost(policy + ": p99 after the zone left against before", LARGEST_RATIO, ratio));
+    private static void addBounds(Report report, String policy, LoadResult result, double newWorkMillis, double ratio) {
+        report.addBound(Bound.atMost(policy + ": latest new work in the zone, ms", MAX_NEW_WORK_MILLIS, newWorkMillis));
+        report.addBound(Bound.atMost(policy + ": p99 after the zone left against before", MAX_P99_RATIO, ratio));
         report.addBound(Bound.atMost(
                 policy + ": idempotent requests lost", 0, result.total() - result.count(CallOutcome.SERVED)));
     }
