Complete comments that fresh readers did not understand

RequestPath now lists the escapes that are refused in the path, and says that an empty last segment is accepted. No other token or string.

--- a/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
+++ b/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
@@ -118,7 +118,8 @@
     }
 
     /**
-     * Constructor of {@link OfficeQueue} or {@link CallerQueue}, by level.
+     * Constructor of {@link OfficeQueue} or {@link CallerQueue}, for the level of offices or of the callers of one
+     * office.
      *
      * @param <L> type of the flow queues
      */
--- a/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/WindowedRetryBudget.java
@@ -17,7 +17,7 @@
 public final class WindowedRetryBudget {
     /**
      * Share of the budget that requests of each priority may use, so that higher priorities can still retry when
-     * servers fail. What is left above the highest share is a margin for requests at the edges of the window.
+     * upstreams fail. What is left above the highest share is a margin for requests at the edges of the window.
      */
     private static final double[] BUDGET_SHARES = {0.9, 0.8, 0.65};
 
--- a/config/src/main/java/org/turmericspan/config/ObjectKind.java
+++ b/config/src/main/java/org/turmericspan/config/ObjectKind.java
@@ -12,7 +12,7 @@
     SERVICE("Service"),
     /** An upstream. */
     UPSTREAM("Upstream"),
-    /** A rule for requests to a service. */
+    /** A rule that states whether some requests of a service are idempotent. */
     RULE("Rule"),
     /** A VM that operators may take out of service. */
     VM("Vm");
--- a/ctl/src/test/java/org/turmericspan/ctl/RequestStoryTest.java
+++ b/ctl/src/test/java/org/turmericspan/ctl/RequestTimelineTest.java
@@ -6,8 +6,11 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
-/** Tests {@link RequestTimeline} and {@link LogLine}. */
-class RequestStoryTest {
+/**
+ * Tests that the log lines of a request and the state changes around it, also of other nodes, are put into one
+ * timeline, and that lines of other programs are ignored.
+ */
+class RequestTimelineTest {
     private static final String CHOSEN = "  14.2 front-1 {\"t\":1000,\"node\":\"front-1\",\"part\":\"forward\","
             + "\"event\":\"Upstream chosen.\",\"request\":\"r1\",\"upstream\":\"u-1\",\"load\":2}";
     private static final String REFUSED = "{\"t\":1040,\"node\":\"front-1\",\"part\":\"forward\","
--- a/dispatch/src/main/java/org/turmericspan/dispatch/CallAction.java
+++ b/dispatch/src/main/java/org/turmericspan/dispatch/CallAction.java
@@ -21,7 +21,7 @@
      *
      * @param attempt number of the attempt
      * @param lease lease of the slot that the attempt uses
-     * @param request request to send, marked as retried for an extra attempt
+     * @param request request to send, marked as retried if the attempt is a retry or hedge
      */
     record Send(int attempt, SlotLease lease, CallRequest request) implements CallAction {}
 
--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -32,7 +32,7 @@
         });
     }
 
-    /** Discards all items before the items of a full list are stored. */
+    /** Discards all items; called before those of a full list are stored. */
     void clear(long firstRevision) {
         lock.run(() -> {
             items.clear();
--- a/front/src/main/java/org/turmericspan/front/RequestPath.java
+++ b/front/src/main/java/org/turmericspan/front/RequestPath.java
@@ -6,7 +6,8 @@
 
 /**
  * Service and path of a request. Only the canonical spelling of a path is accepted, so that rules match exactly what
- * the upstream receives: dot segments, empty segments and escapes of unreserved characters are refused.
+ * the upstream receives: dot segments, empty segments before the last and, in the path, escapes of unreserved
+ * characters, of control characters below the space, and of slash, backslash and percent sign are refused.
  *
  * @param service called service
  * @param path path and query within the service, beginning with a slash
--- a/node/src/main/java/org/turmericspan/node/SlotDump.java
+++ b/node/src/main/java/org/turmericspan/node/SlotDump.java
@@ -12,7 +12,8 @@
 /**
  * Section of the state dump on the slots of this node. Its component names are the field names of the dump.
  *
- * @param policy {@code keepers} or {@code baseline}
+ * @param policy {@code keepers}, by which the owner of an upstream grants its slots, or {@code baseline}, by which each
+ *     node takes the less loaded of two upstreams
  * @param own leases that this node holds on upstreams it owns
  * @param lent leases that other nodes hold on them
  * @param borrowed leases that this node holds on upstreams that other nodes own
--- a/routing/src/main/java/org/turmericspan/routing/PauseDetector.java
+++ b/routing/src/main/java/org/turmericspan/routing/PauseDetector.java
@@ -44,7 +44,10 @@
         return suspended;
     }
 
-    /** Returns whether the view was confirmed recently enough to use upstreams that are not warm. */
+    /**
+     * Returns whether the view was confirmed recently enough to use upstreams that are not warm. Also true before the
+     * first tick.
+     */
     boolean isViewFresh(long nowNanos) {
         return lastTickNanos == 0
                 || nowNanos - viewConfirmedNanos <= rules.viewLagBound().toNanos();
