Close a connection on which bytes follow a response

Cause: a connection was pooled when a response was complete, without regard to bytes behind it. A part of a message stayed in the decoder, which continued it with the next response: "HTTP/1.1 503 St" became a head with status 503 and the headers of the 200, among them the echoed identifier.

Why it works: a connection whose decoder holds undecoded bytes is not reused; bytes without a call in progress close their connection; a head in which a status line stands within another line breaks the call, for bytes that cross the next request. HttpClientCodec does not show its undecoded bytes, so a subclass of HttpResponseDecoder takes its place; it keeps the rule for HEAD responses.

--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -1,13 +1,10 @@
 package org.turmericspan.http;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -17,14 +14,9 @@
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.transport.ChannelSetup;
-import org.turmericspan.transport.InboundHandler;
 
 /** HTTP/1.1 client with a connection pool. Reports whether any byte of a request may have been sent. */
 public final class HttpClient implements HttpCaller {
-    private static final int MAX_LINE_BYTES = 4_096;
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     private final EventLoopGroup workers;
     private final MonotonicClock clock;
     private final ConnectionPool pool;
@@ -90,9 +82,7 @@
                 .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         Math.max(1, TimeUnit.NANOSECONDS.toMillis(options.connectTimeoutNanos())))
-                .handler(new ChannelSetup(pipeline -> pipeline.addLast(new ReceiveCounter(connection))
-                        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                        .addLast(connection)))
+                .handler(new ChannelSetup(connection::addHandlers))
                 .connect(new InetSocketAddress(address.host(), address.port()));
     }
 
@@ -114,15 +104,6 @@
         return opened.get();
     }
 
-    /** Tells the connection of received bytes before they are decoded. */
-    private record ReceiveCounter(ServerConnection connection) implements InboundHandler {
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            connection.onBytesReceived(((ByteBuf) message).readableBytes());
-            context.fireChannelRead(message);
-        }
-    }
-
     /** Returns the memory that unfinished responses take. */
     long responseBytes() {
         return memory.reservedBytes();
--- /dev/null
+++ b/http/src/main/java/org/turmericspan/http/ResponseDecoder.java
@@ -0,0 +1,32 @@
+package org.turmericspan.http;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.function.BooleanSupplier;
+
+/** Decodes the responses on one connection, and shows whether bytes follow the last decoded message. */
+final class ResponseDecoder extends HttpResponseDecoder {
+    private final BooleanSupplier isHeadRequest;
+
+    /**
+     * Creates a decoder.
+     *
+     * @param config size limits of a response
+     * @param isHeadRequest returns whether the request in progress is a HEAD request, whose response has no body
+     */
+    ResponseDecoder(HttpDecoderConfig config, BooleanSupplier isHeadRequest) {
+        super(config);
+        this.isHeadRequest = isHeadRequest;
+    }
+
+    /** Returns whether bytes were received that belong to no decoded message. */
+    boolean hasUndecodedBytes() {
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
+    }
+}
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -1,15 +1,19 @@
 package org.turmericspan.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -34,6 +38,10 @@
     /** Maximum idle time of a connection whose server sends no Keep-Alive timeout. */
     private static final long DEFAULT_IDLE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    private static final int MAX_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})");
     private static final int MIN_FINAL_STATUS = 200;
     /** Messages that are not the expected response, informational or late ones, after which the call is broken. */
@@ -45,6 +53,12 @@
     private final ConnectionPool pool;
     private final ResponseMemory memory;
     private final MonotonicClock clock;
+    private final ResponseDecoder decoder = new ResponseDecoder(
+            new HttpDecoderConfig()
+                    .setMaxInitialLineLength(MAX_LINE_BYTES)
+                    .setMaxHeaderSize(MAX_HEADER_BYTES)
+                    .setMaxChunkSize(MAX_CHUNK_BYTES),
+            this::isHeadRequest);
     private Channel channel;
     private Exchange exchange;
     private volatile long idleSinceNanos;
@@ -63,6 +77,18 @@
         return address;
     }
 
+    /** Adds the handlers of the connection to its pipeline. */
+    void addHandlers(ChannelPipeline pipeline) {
+        pipeline.addLast(new ReceiveCounter(this))
+                .addLast(decoder)
+                .addLast(new HttpRequestEncoder())
+                .addLast(this);
+    }
+
+    private boolean isHeadRequest() {
+        return exchange != null && exchange.isHeadRequest;
+    }
+
     void onConnected(Channel active) {
         channel = active;
         idleSinceNanos = clock.nowNanos();
@@ -94,7 +120,12 @@
         }
         Optional<String> correlationId =
                 options.correlationHeader().flatMap(name -> request.headers().first(name));
-        exchange = new Exchange(listener, options.correlationHeader().orElse(""), correlationId, memory);
+        exchange = new Exchange(
+                listener,
+                HttpMethod.HEAD.name().equals(request.method()),
+                options.correlationHeader().orElse(""),
+                correlationId,
+                memory);
         bytesWithoutMessage = 0;
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -122,8 +153,15 @@
         });
     }
 
-    /** Counts received bytes before they are decoded, of which a faulty server may send any number to no end. */
-    void onBytesReceived(int bytes) {
+    /**
+     * Checks received bytes before they are decoded. Bytes without a call in progress belong to no response, and would
+     * become part of the next one. During a call, a faulty server may send any number of bytes without end.
+     */
+    private void onBytesReceived(int bytes) {
+        if (exchange == null) {
+            closeUnusable();
+            return;
+        }
         bytesWithoutMessage += bytes;
         if (bytesWithoutMessage > MAX_BYTES_WITHOUT_MESSAGE) {
             fail("bytes that are no response");
@@ -135,9 +173,7 @@
         bytesWithoutMessage = 0;
         try {
             if (exchange == null) {
-                notReusable = true;
-                pool.remove(this);
-                context.close();
+                closeUnusable();
             } else {
                 handle((HttpObject) message);
             }
@@ -146,12 +182,22 @@
         }
     }
 
+    private void closeUnusable() {
+        notReusable = true;
+        pool.remove(this);
+        channel.close();
+    }
+
     private void handle(HttpObject message) {
         if (message.decoderResult().isFailure()) {
             fail("malformed response: " + message.decoderResult().cause());
             return;
         }
         if (message instanceof HttpResponse response) {
+            if (ResponseHeads.containStatusLine(response)) {
+                fail("response head contains the start of another response");
+                return;
+            }
             exchange.beginResponse(response);
         }
         if (message instanceof HttpContent content) {
@@ -180,7 +226,8 @@
         boolean isReusable = !notReusable
                 && HttpUtil.isKeepAlive(head)
                 && completed.writeFuture.isSuccess()
-                && hasSelfDefinedLength(head);
+                && hasSelfDefinedLength(head)
+                && !decoder.hasUndecodedBytes();
         if (isReusable) {
             returnToPool(response);
         } else {
@@ -237,9 +284,19 @@
         fail("connection failed: " + cause.getMessage());
     }
 
+    /** Notifies the connection of received bytes before they are decoded. */
+    private record ReceiveCounter(ServerConnection connection) implements InboundHandler {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.onBytesReceived(((ByteBuf) message).readableBytes());
+            context.fireChannelRead(message);
+        }
+    }
+
     /** The call in progress and the part of its response that was received. */
     private static final class Exchange {
         private final Consumer<CallEnd> listener;
+        private final boolean isHeadRequest;
         private final String correlationHeader;
         private final Optional<String> correlationId;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -251,11 +308,13 @@
 
         Exchange(
                 Consumer<CallEnd> listener,
+                boolean isHeadRequest,
                 String correlationHeader,
                 Optional<String> correlationId,
                 ResponseMemory memory) {
             this.memory = memory;
             this.listener = listener;
+            this.isHeadRequest = isHeadRequest;
             this.correlationHeader = correlationHeader;
             this.correlationId = correlationId;
         }
--- a/http/src/test/java/org/turmericspan/http/HttpClientTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpClientTest.java
@@ -118,6 +118,20 @@
         }
     }
 
+    @Test
+    void responseToHeadRequestHasNoBody() throws Exception {
+        try (RawServer server = new RawServer(RawServer.sending("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"))) {
+            for (int i = 0; i < 2; i++) {
+                CompletableFuture<CallEnd> end = new CompletableFuture<>();
+                RequestMessage get = RequestMessage.get("/x", "host");
+                RequestMessage head = new RequestMessage("HEAD", "/x", get.headers(), get.body());
+                client.call(server.address(), head, OPTIONS, end::complete);
+                assertThat(bodyOf(end.get(20, TimeUnit.SECONDS))).isEmpty();
+            }
+            assertThat(server.connections()).isEqualTo(1);
+        }
+    }
+
     @Test
     void refusedConnectionIsReportedAsNotSent() throws Exception {
         int port;
