Do not pass on a request whose connection is about to close

What callers saw: a request that a caller had sent behind another one on the same connection was passed on to an upstream and never answered, when the response before it closed the connection, as each response of a stopping node does.

Cause: CallerConnection.handleNext took the next received request without regard to the close that the response before it had announced.

Evidence: HttpListenerTest#requestBehindTheLastResponseIsNotHandled failed before (both requests were handled); in it the second request arrives before the first response is sent.

Why it works: a connection that is closing drops the requests that wait. Their caller sees the close without an answer, and knows from HTTP that they were not processed.

--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -143,6 +143,11 @@
     }
 
     private void handleNext() {
+        if (closing) {
+            // The last response closes the connection, so a request behind it could not be answered.
+            pipelined.clear();
+            return;
+        }
         if (currentReply == null && !pipelined.isEmpty()) {
             RequestMessage request = pipelined.removeFirst();
             currentReply = new CurrentReply(request);
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -9,7 +9,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -140,6 +142,21 @@
         }
     }
 
+    /** Guards against a request that is passed on although its connection closes with the response before it. */
+    @Test
+    void requestBehindTheLastResponseIsNotHandled() throws IOException {
+        List<String> handled = new CopyOnWriteArrayList<>();
+        try (Socket socket = connect((request, reply) -> {
+            handled.add(request.target());
+            // The second request is received before the first response is sent.
+            reply.worker().schedule(() -> echo(request, reply), 200, TimeUnit.MILLISECONDS);
+        })) {
+            String responses = sendAndReadAll(socket, requestWithConnectionClose("POST /1", "a") + GET);
+            assertThat(responses).contains("/1=a;");
+            assertThat(handled).containsExactly("/1");
+        }
+    }
+
     @Test
     void conflictingContentLengthsAreRejected() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
