Let tests of the request path share a fixture

The tables, fakes and configured routes of ForwardingServiceTest move to ForwardingFixture, so that tests of another topic can use them. No test changes what it sends or checks; the fields are read through accessors.

--- /dev/null
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingFixture.java
@@ -0,0 +1,145 @@
+package org.turmericspan.forwarding;
+
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.turmericspan.balancing.BalancingRules;
+import org.turmericspan.balancing.ConfigurationHolder;
+import org.turmericspan.balancing.CrashSuspects;
+import org.turmericspan.balancing.Observation;
+import org.turmericspan.balancing.Registration;
+import org.turmericspan.balancing.RequestLimits;
+import org.turmericspan.balancing.Route;
+import org.turmericspan.balancing.RoutingConfiguration;
+import org.turmericspan.balancing.ServiceSpec;
+import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.balancing.WeightedRoundRobin;
+import org.turmericspan.balancing.WeightedService;
+import org.turmericspan.balancing.WindowedRetryBudget;
+import org.turmericspan.errors.ResultCode;
+import org.turmericspan.events.EventLog;
+import org.turmericspan.http.HeaderList;
+import org.turmericspan.http.RequestMessage;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.RouteId;
+import org.turmericspan.ids.ServiceId;
+import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.testkit.ManualClock;
+import org.turmericspan.testkit.ManualExecutor;
+
+/** A service with configured routes, hand-written fakes and a manual clock, for tests of the request path. */
+abstract class ForwardingFixture {
+    static final ServiceId SERVICE = new ServiceId("desk");
+    static final AvailabilityZoneId ZONE = new AvailabilityZoneId("zone-a");
+    private static final BalancingRules RULES = new BalancingRules(1.5, 5, 0.2, 60, TimeUnit.SECONDS.toNanos(10));
+
+    private final ManualClock clock = new ManualClock();
+    private final ManualExecutor worker = new ManualExecutor(clock);
+    private final FakeHttpCaller client = new FakeHttpCaller();
+    private final FakeLoadProber prober = new FakeLoadProber();
+    private final FakeReply reply = new FakeReply(worker);
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+    private final SplittableRandom random = new SplittableRandom(1);
+    private final UpstreamTable upstreams =
+            new UpstreamTable(ZONE, registration -> true, RULES, configuration, clock, random);
+    private final ForwardingService service = new ForwardingService(new ForwardingDependencies(
+            new ForwardingTables(
+                    configuration,
+                    upstreams,
+                    new WeightedRoundRobin(random),
+                    new WindowedRetryBudget(RULES, () -> 1, clock),
+                    new CrashSuspects(clock)),
+            client,
+            new FakeCallProtocol(),
+            prober,
+            new NoMetrics(),
+            clock,
+            EventLog.none()));
+
+    final ManualClock clock() {
+        return clock;
+    }
+
+    final ManualExecutor worker() {
+        return worker;
+    }
+
+    final FakeHttpCaller client() {
+        return client;
+    }
+
+    final FakeLoadProber prober() {
+        return prober;
+    }
+
+    final FakeReply reply() {
+        return reply;
+    }
+
+    final UpstreamTable upstreams() {
+        return upstreams;
+    }
+
+    final ForwardingService service() {
+        return service;
+    }
+
+    private static final class NoMetrics implements ForwardingMetrics {
+        @Override
+        public void answered(ServiceId service, int status, long latencyNanos) {}
+
+        @Override
+        public void refused(ResultCode code) {}
+
+        @Override
+        public void attempted(AttemptKind kind, long ageNanos) {}
+    }
+
+    /** Configures the route /retry/ for idempotent requests and the route /once/ for all others. */
+    final void configure() {
+        List<WeightedService> desk = List.of(new WeightedService(SERVICE, 1));
+        long timeoutNanos = TimeUnit.SECONDS.toNanos(1);
+        long targetLatencyNanos = TimeUnit.MILLISECONDS.toNanos(300);
+        configuration.accept(new RoutingConfiguration(
+                1,
+                List.of(
+                        new Route(new RouteId("r"), "h", "/retry/", desk, true, 2, timeoutNanos, targetLatencyNanos, 0),
+                        new Route(
+                                new RouteId("o"), "h", "/once/", desk, false, 2, timeoutNanos, targetLatencyNanos, 0)),
+                Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 10, 0, 8)),
+                RequestLimits.DEFAULT));
+    }
+
+    final void start(int upstreamCount, String path) {
+        configure();
+        for (int i = 0; i < upstreamCount; i++) {
+            add("u-" + i);
+        }
+        send(path);
+    }
+
+    final void add(String id) {
+        upstreams.register(new Registration(
+                new UpstreamId(id), SERVICE, new SocketAddress("10.0.0.1", 80), ZONE, 3, false, 1, Long.MIN_VALUE / 2));
+        upstreams.recordObservation(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, 100, 0, true, true));
+    }
+
+    final void send(String path) {
+        send(path, reply);
+    }
+
+    /** Sends a request whose caller allows 800 ms. */
+    final void send(String path, FakeReply callerReply) {
+        send(path, "800", callerReply);
+    }
+
+    final void send(String path, String remainingMillis, FakeReply callerReply) {
+        HeaderList headers = HeaderList.EMPTY
+                .with("Host", "h:80")
+                .with("id", "r-1")
+                .with(FakeCallProtocol.REMAINING_MILLIS, remainingMillis);
+        service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), callerReply);
+    }
+}
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -3,296 +3,189 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
-import org.turmericspan.balancing.BalancingRules;
-import org.turmericspan.balancing.ConfigurationHolder;
-import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.Observation;
-import org.turmericspan.balancing.Registration;
-import org.turmericspan.balancing.RequestLimits;
-import org.turmericspan.balancing.Route;
-import org.turmericspan.balancing.RoutingConfiguration;
-import org.turmericspan.balancing.ServiceSpec;
-import org.turmericspan.balancing.UpstreamTable;
-import org.turmericspan.balancing.WeightedRoundRobin;
-import org.turmericspan.balancing.WeightedService;
-import org.turmericspan.balancing.WindowedRetryBudget;
-import org.turmericspan.errors.ResultCode;
-import org.turmericspan.events.EventLog;
-import org.turmericspan.http.HeaderList;
-import org.turmericspan.http.RequestMessage;
-import org.turmericspan.ids.AvailabilityZoneId;
-import org.turmericspan.ids.RouteId;
-import org.turmericspan.ids.ServiceId;
-import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
-import org.turmericspan.testkit.ManualClock;
-import org.turmericspan.testkit.ManualExecutor;
-
-class ForwardingServiceTest {
-    private static final ServiceId SERVICE = new ServiceId("desk");
-    private static final AvailabilityZoneId ZONE = new AvailabilityZoneId("zone-a");
-    private static final BalancingRules RULES = new BalancingRules(1.5, 5, 0.2, 60, TimeUnit.SECONDS.toNanos(10));
-
-    private final ManualClock clock = new ManualClock();
-    private final ManualExecutor worker = new ManualExecutor(clock);
-    private final FakeHttpCaller client = new FakeHttpCaller();
-    private final FakeLoadProber prober = new FakeLoadProber();
-    private final FakeReply reply = new FakeReply(worker);
-    private final ConfigurationHolder configuration = new ConfigurationHolder();
-    private final SplittableRandom random = new SplittableRandom(1);
-    private final UpstreamTable upstreams =
-            new UpstreamTable(ZONE, registration -> true, RULES, configuration, clock, random);
-    private final ForwardingService service = new ForwardingService(new ForwardingDependencies(
-            new ForwardingTables(
-                    configuration,
-                    upstreams,
-                    new WeightedRoundRobin(random),
-                    new WindowedRetryBudget(RULES, () -> 1, clock),
-                    new CrashSuspects(clock)),
-            client,
-            new FakeCallProtocol(),
-            prober,
-            new NoMetrics(),
-            clock,
-            EventLog.none()));
-
-    private static final class NoMetrics implements ForwardingMetrics {
-        @Override
-        public void answered(ServiceId service, int status, long latencyNanos) {}
-
-        @Override
-        public void refused(ResultCode code) {}
-
-        @Override
-        public void attempted(AttemptKind kind, long ageNanos) {}
-    }
-
-    /** Configures the route /retry/ for idempotent requests and the route /once/ for all others. */
-    private void configure() {
-        List<WeightedService> desk = List.of(new WeightedService(SERVICE, 1));
-        long timeoutNanos = TimeUnit.SECONDS.toNanos(1);
-        long targetLatencyNanos = TimeUnit.MILLISECONDS.toNanos(300);
-        configuration.accept(new RoutingConfiguration(
-                1,
-                List.of(
-                        new Route(new RouteId("r"), "h", "/retry/", desk, true, 2, timeoutNanos, targetLatencyNanos, 0),
-                        new Route(
-                                new RouteId("o"), "h", "/once/", desk, false, 2, timeoutNanos, targetLatencyNanos, 0)),
-                Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 10, 0, 8)),
-                RequestLimits.DEFAULT));
-    }
-
-    private void start(int upstreamCount, String path) {
-        configure();
-        for (int i = 0; i < upstreamCount; i++) {
-            add("u-" + i);
-        }
-        send(path);
-    }
-
-    private void add(String id) {
-        upstreams.register(new Registration(
-                new UpstreamId(id), SERVICE, new SocketAddress("10.0.0.1", 80), ZONE, 3, false, 1, Long.MIN_VALUE / 2));
-        upstreams.recordObservation(new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, 100, 0, true, true));
-    }
-
-    private void send(String path) {
-        send(path, reply);
-    }
-
-    /** Sends a request whose caller allows 800 ms. */
-    private void send(String path, FakeReply callerReply) {
-        send(path, "800", callerReply);
-    }
-
-    private void send(String path, String remainingMillis, FakeReply callerReply) {
-        HeaderList headers = HeaderList.EMPTY
-                .with("Host", "h:80")
-                .with("id", "r-1")
-                .with(FakeCallProtocol.REMAINING_MILLIS, remainingMillis);
-        service.handle(new RequestMessage("POST", path, headers, new byte[] {1}), callerReply);
-    }
 
+class ForwardingServiceTest extends ForwardingFixture {
     @Test
     void completeResponseIsForwarded() {
         start(1, "/once/1");
-        client.call(0).respond(200);
-        assertThat(reply.status()).isEqualTo(200);
-        assertThat(reply.response().body()).asString().isEqualTo("answer 200");
+        client().call(0).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
+        assertThat(reply().response().body()).asString().isEqualTo("answer 200");
     }
 
     @Test
     void upstreamReceivesTheRemainingTime() {
         start(1, "/once/1");
-        assertThat(client.call(0).request().headers().first(FakeCallProtocol.REMAINING_MILLIS))
+        assertThat(client().call(0).request().headers().first(FakeCallProtocol.REMAINING_MILLIS))
                 .hasValue("800");
     }
 
     @Test
     void unknownRouteIsNotFound() {
         start(1, "/other/1");
-        assertThat(reply.status()).isEqualTo(404);
+        assertThat(reply().status()).isEqualTo(404);
     }
 
     @Test
     void withoutConfigurationNothingIsDenied() {
         send("/once/1");
-        worker.advance(Duration.ofSeconds(1));
-        assertThat(reply.status()).isEqualTo(503);
-        assertThat(reply.response().headers().first("Retry-After")).isPresent();
+        worker().advance(Duration.ofSeconds(1));
+        assertThat(reply().status()).isEqualTo(503);
+        assertThat(reply().response().headers().first("Retry-After")).isPresent();
     }
 
     @Test
     void requestThatArrivesBeforeTheConfigurationWaitsForIt() {
         send("/once/1");
         start(1, "/none");
-        worker.advance(Duration.ofMillis(100));
-        assertThat(client.callCount()).isEqualTo(1);
+        worker().advance(Duration.ofMillis(100));
+        assertThat(client().callCount()).isEqualTo(1);
     }
 
     @Test
     void nonIdempotentRequestIsNotRetriedAfterABrokenConnection() {
         start(2, "/once/1");
-        client.call(0).breakConnection();
-        assertThat(client.callCount()).isEqualTo(1);
-        assertThat(reply.status()).isEqualTo(502);
+        client().call(0).breakConnection();
+        assertThat(client().callCount()).isEqualTo(1);
+        assertThat(reply().status()).isEqualTo(502);
     }
 
     @Test
     void nonIdempotentRequestIsRetriedWhenProvenNotRun() {
         start(2, "/once/1");
-        client.call(0).proveNotRun(503);
-        assertThat(client.callCount()).isEqualTo(2);
-        assertThat(client.call(1).upstream()).isNotEqualTo(client.call(0).upstream());
-        client.call(1).respond(200);
-        assertThat(reply.status()).isEqualTo(200);
+        client().call(0).proveNotRun(503);
+        assertThat(client().callCount()).isEqualTo(2);
+        assertThat(client().call(1).upstream()).isNotEqualTo(client().call(0).upstream());
+        client().call(1).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
     }
 
     @Test
     void serverErrorOfANonIdempotentRequestIsForwarded() {
         start(2, "/once/1");
-        client.call(0).respond(500);
-        assertThat(client.callCount()).isEqualTo(1);
-        assertThat(reply.status()).isEqualTo(500);
+        client().call(0).respond(500);
+        assertThat(client().callCount()).isEqualTo(1);
+        assertThat(reply().status()).isEqualTo(500);
     }
 
     @Test
     void successWithoutASignatureIsNeverPassedOn() {
         start(2, "/once/1");
-        client.call(0).respondUnsigned(200);
-        assertThat(client.callCount()).isEqualTo(1);
-        assertThat(reply.status()).isEqualTo(502);
+        client().call(0).respondUnsigned(200);
+        assertThat(client().callCount()).isEqualTo(1);
+        assertThat(reply().status()).isEqualTo(502);
     }
 
     @Test
     void idempotentRequestIsRepeatedAfterASuccessWithoutASignature() {
         start(2, "/retry/1");
-        client.call(0).respondUnsigned(200);
-        client.call(1).respond(200);
-        assertThat(reply.status()).isEqualTo(200);
+        client().call(0).respondUnsigned(200);
+        client().call(1).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
     }
 
     @Test
     void nonIdempotentRequestIsNeverHedged() {
         start(2, "/once/1");
-        worker.advance(Duration.ofMillis(700));
-        assertThat(client.callCount()).isEqualTo(1);
+        worker().advance(Duration.ofMillis(700));
+        assertThat(client().callCount()).isEqualTo(1);
     }
 
     @Test
     void nonIdempotentRequestThatTimesOutHasAnUnknownOutcome() {
         start(2, "/once/1");
-        worker.advance(Duration.ofMillis(950));
-        assertThat(reply.status()).isEqualTo(504);
-        assertThat(client.call(0).isCancelled()).isFalse();
+        worker().advance(Duration.ofMillis(950));
+        assertThat(reply().status()).isEqualTo(504);
+        assertThat(client().call(0).isCancelled()).isFalse();
     }
 
     @Test
     void idempotentRequestIsRetriedAfterABrokenConnection() {
         start(2, "/retry/1");
-        client.call(0).breakConnection();
-        client.call(1).respond(200);
-        assertThat(reply.status()).isEqualTo(200);
+        client().call(0).breakConnection();
+        client().call(1).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
     }
 
     @Test
     void attemptsStayWithinTheRoutesMaximum() {
         start(4, "/retry/1");
-        client.call(0).breakConnection();
-        client.call(1).breakConnection();
-        assertThat(client.callCount()).isEqualTo(2);
-        assertThat(reply.status()).isEqualTo(502);
+        client().call(0).breakConnection();
+        client().call(1).breakConnection();
+        assertThat(client().callCount()).isEqualTo(2);
+        assertThat(reply().status()).isEqualTo(502);
     }
 
     @Test
     void refusedConnectionDoesNotCountAsAnAttempt() {
         start(4, "/once/1");
-        client.call(0).failToConnect();
-        client.call(1).failToConnect();
-        client.call(2).respond(200);
-        assertThat(reply.status()).isEqualTo(200);
+        client().call(0).failToConnect();
+        client().call(1).failToConnect();
+        client().call(2).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
     }
 
     @Test
     void requestShedByAllUpstreamsIsReportedAsNotRun() {
         start(2, "/once/1");
-        client.call(0).proveNotRun(503);
-        client.call(1).proveNotRun(503);
-        assertThat(reply.status()).isEqualTo(503);
-        assertThat(reply.response().headers().first("Retry-After")).isPresent();
+        client().call(0).proveNotRun(503);
+        client().call(1).proveNotRun(503);
+        assertThat(reply().status()).isEqualTo(503);
+        assertThat(reply().response().headers().first("Retry-After")).isPresent();
     }
 
     @Test
     void lateIdempotentRequestIsHedgedAndTheSlowerAttemptCancelled() {
         start(2, "/retry/1");
-        worker.advance(Duration.ofMillis(400));
-        assertThat(client.callCount()).isEqualTo(2);
-        client.call(1).respond(200);
-        assertThat(reply.status()).isEqualTo(200);
-        assertThat(client.call(0).isCancelled()).isTrue();
+        worker().advance(Duration.ofMillis(400));
+        assertThat(client().callCount()).isEqualTo(2);
+        client().call(1).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
+        assertThat(client().call(0).isCancelled()).isTrue();
     }
 
     @Test
     void requestIsHedgedEarlyWhenItsUpstreamSlowsDown() {
         start(2, "/retry/1");
-        worker.advance(Duration.ofMillis(10));
-        upstreams.recordObservation(
-                new UpstreamId(client.call(0).upstream()), new Observation(clock.nowNanos(), 1, 0, 400, 0, true, true));
-        worker.advance(Duration.ofMillis(100));
-        assertThat(client.callCount()).isEqualTo(2);
+        worker().advance(Duration.ofMillis(10));
+        upstreams()
+                .recordObservation(
+                        new UpstreamId(client().call(0).upstream()),
+                        new Observation(clock().nowNanos(), 1, 0, 400, 0, true, true));
+        worker().advance(Duration.ofMillis(100));
+        assertThat(client().callCount()).isEqualTo(2);
     }
 
     @Test
     void callerDisconnectCancelsAnIdempotentAttemptImmediately() {
         start(2, "/retry/1");
-        reply.disconnect();
-        assertThat(client.call(0).isCancelled()).isTrue();
-        worker.advance(Duration.ofSeconds(2));
-        assertThat(client.callCount()).isEqualTo(1);
-        assertThat(reply.hasResponse()).isFalse();
+        reply().disconnect();
+        assertThat(client().call(0).isCancelled()).isTrue();
+        worker().advance(Duration.ofSeconds(2));
+        assertThat(client().callCount()).isEqualTo(1);
+        assertThat(reply().hasResponse()).isFalse();
     }
 
     @Test
     void requestWithoutUpstreamsIsSoonReportedAsNotRun() {
         start(0, "/once/1");
-        worker.advance(Duration.ofMillis(60));
-        assertThat(reply.status()).isEqualTo(503);
+        worker().advance(Duration.ofMillis(60));
+        assertThat(reply().status()).isEqualTo(503);
     }
 
     private void observeSlowdown(String id, int slowdownPercent) {
-        upstreams.recordObservation(
-                new UpstreamId(id), new Observation(clock.nowNanos(), 0, 0, slowdownPercent, 0, true, true));
+        upstreams()
+                .recordObservation(
+                        new UpstreamId(id), new Observation(clock().nowNanos(), 0, 0, slowdownPercent, 0, true, true));
     }
 
     /** Makes the load reports of all upstreams stale, and leaves probes of them in flight. */
     private void makeLoadReportsStale() {
-        worker.advance(Duration.ofMillis(200));
-        prober.hold();
+        worker().advance(Duration.ofMillis(200));
+        prober().hold();
     }
 
     @Test
@@ -302,12 +195,12 @@
         add("u-1");
         makeLoadReportsStale();
         send("/once/1");
-        assertThat(client.callCount()).isZero();
+        assertThat(client().callCount()).isZero();
         observeSlowdown("u-0", 400);
-        prober.complete(new UpstreamId("u-0"));
+        prober().complete(new UpstreamId("u-0"));
         observeSlowdown("u-1", 100);
-        prober.complete(new UpstreamId("u-1"));
-        assertThat(client.call(0).upstream()).isEqualTo("u-1");
+        prober().complete(new UpstreamId("u-1"));
+        assertThat(client().call(0).upstream()).isEqualTo("u-1");
     }
 
     @Test
@@ -318,10 +211,10 @@
         makeLoadReportsStale();
         send("/once/1");
         observeSlowdown("u-1", 100);
-        prober.complete(new UpstreamId("u-1"));
-        assertThat(client.call(0).upstream()).isEqualTo("u-1");
-        prober.complete(new UpstreamId("u-0"));
-        assertThat(client.callCount()).isEqualTo(1);
+        prober().complete(new UpstreamId("u-1"));
+        assertThat(client().call(0).upstream()).isEqualTo("u-1");
+        prober().complete(new UpstreamId("u-0"));
+        assertThat(client().callCount()).isEqualTo(1);
     }
 
     @Test
@@ -330,8 +223,8 @@
         add("u-0");
         makeLoadReportsStale();
         send("/once/1");
-        worker.advance(Duration.ofMillis(20));
-        assertThat(client.callCount()).isEqualTo(1);
+        worker().advance(Duration.ofMillis(20));
+        assertThat(client().callCount()).isEqualTo(1);
     }
 
     @Test
@@ -340,45 +233,45 @@
         add("u-0");
         makeLoadReportsStale();
         send("/once/1");
-        reply.disconnect();
-        prober.complete(new UpstreamId("u-0"));
-        worker.advance(Duration.ofMillis(20));
-        assertThat(client.callCount()).isZero();
+        reply().disconnect();
+        prober().complete(new UpstreamId("u-0"));
+        worker().advance(Duration.ofMillis(20));
+        assertThat(client().callCount()).isZero();
     }
 
     @Test
     void requestWaitsBrieflyForAnUpstreamThatRespondsInTime() {
         configure();
         add("u-0");
-        worker.advance(Duration.ofMillis(1));
+        worker().advance(Duration.ofMillis(1));
         observeSlowdown("u-0", 900);
         send("/once/1");
-        assertThat(client.callCount()).isZero();
-        worker.advance(Duration.ofMillis(1));
+        assertThat(client().callCount()).isZero();
+        worker().advance(Duration.ofMillis(1));
         observeSlowdown("u-0", 100);
-        worker.advance(Duration.ofMillis(10));
-        assertThat(client.callCount()).isEqualTo(1);
+        worker().advance(Duration.ofMillis(10));
+        assertThat(client().callCount()).isEqualTo(1);
     }
 
     @Test
     void slowUpstreamIsUsedWhenNoOtherBecomesAvailable() {
         configure();
         add("u-0");
-        worker.advance(Duration.ofMillis(1));
+        worker().advance(Duration.ofMillis(1));
         observeSlowdown("u-0", 900);
         send("/once/1");
-        worker.advance(Duration.ofMillis(50));
-        assertThat(client.callCount()).isEqualTo(1);
+        worker().advance(Duration.ofMillis(50));
+        assertThat(client().callCount()).isEqualTo(1);
     }
 
     @Test
     void waitForTheConfigurationIsSubtractedFromTheRemainingTime() {
         send("/once/1");
-        worker.advance(Duration.ofMillis(100));
+        worker().advance(Duration.ofMillis(100));
         configure();
         add("u-0");
-        worker.advance(Duration.ofMillis(100));
-        assertThat(client.call(0).request().headers().first(FakeCallProtocol.REMAINING_MILLIS))
+        worker().advance(Duration.ofMillis(100));
+        assertThat(client().call(0).request().headers().first(FakeCallProtocol.REMAINING_MILLIS))
                 .hasValueSatisfying(
                         remaining -> assertThat(Long.parseLong(remaining)).isLessThanOrEqualTo(700));
     }
@@ -386,87 +279,87 @@
     /** Adds a second, slower upstream, sends another request and returns the upstream that receives it. */
     private String upstreamOfNextRequest(String path, int otherSlowdownPercent) {
         add("u-1");
-        clock.advance(Duration.ofMillis(1));
+        clock().advance(Duration.ofMillis(1));
         observeSlowdown("u-0", 100);
         observeSlowdown("u-1", otherSlowdownPercent);
-        int callsBefore = client.callCount();
+        int callsBefore = client().callCount();
         send(path);
-        worker.advance(Duration.ofMillis(60));
-        return client.call(callsBefore).upstream();
+        worker().advance(Duration.ofMillis(60));
+        return client().call(callsBefore).upstream();
     }
 
     @Test
     void upstreamWithAnOverdueResponseAtCallerDisconnectIsAvoided() {
         start(1, "/retry/1");
-        worker.advance(Duration.ofMillis(700));
-        reply.disconnect();
+        worker().advance(Duration.ofMillis(700));
+        reply().disconnect();
         assertThat(upstreamOfNextRequest("/retry/2", 150)).isEqualTo("u-1");
     }
 
     @Test
     void earlyCallerDisconnectDoesNotCountAgainstTheUpstream() {
         start(1, "/retry/1");
-        worker.advance(Duration.ofMillis(500));
-        reply.disconnect();
+        worker().advance(Duration.ofMillis(500));
+        reply().disconnect();
         assertThat(upstreamOfNextRequest("/retry/2", 150)).isEqualTo("u-0");
     }
 
     @Test
     void upstreamOutrunByAnotherIsAvoided() {
         start(2, "/retry/1");
-        String outrun = client.call(0).upstream();
-        worker.advance(Duration.ofMillis(400));
-        client.call(1).respond(200);
-        assertThat(reply.status()).isEqualTo(200);
-        clock.advance(Duration.ofMillis(1));
+        String outrun = client().call(0).upstream();
+        worker().advance(Duration.ofMillis(400));
+        client().call(1).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
+        clock().advance(Duration.ofMillis(1));
         observeSlowdown("u-0", outrun.equals("u-0") ? 100 : 150);
         observeSlowdown("u-1", outrun.equals("u-1") ? 100 : 150);
         send("/retry/2");
-        assertThat(client.call(2).upstream()).isNotEqualTo(outrun);
+        assertThat(client().call(2).upstream()).isNotEqualTo(outrun);
     }
 
     @Test
     void upstreamWithAnOverdueNonIdempotentResponseIsAvoidedBeforeTheDeadline() {
         start(1, "/once/1");
-        worker.advance(Duration.ofMillis(650));
-        assertThat(reply.hasResponse()).isFalse();
+        worker().advance(Duration.ofMillis(650));
+        assertThat(reply().hasResponse()).isFalse();
         assertThat(upstreamOfNextRequest("/once/2", 300)).isEqualTo("u-1");
     }
 
     @Test
     void lateResponseToAnOverdueAttemptIsForwarded() {
         start(1, "/once/1");
-        worker.advance(Duration.ofMillis(700));
-        client.call(0).respond(200);
-        assertThat(reply.status()).isEqualTo(200);
+        worker().advance(Duration.ofMillis(700));
+        client().call(0).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
     }
 
     @Test
     void responseOfASlowUpstreamIsOverdueLater() {
         configure();
         add("u-0");
-        worker.advance(Duration.ofMillis(1));
+        worker().advance(Duration.ofMillis(1));
         observeSlowdown("u-0", 200);
         send("/once/1");
-        worker.advance(Duration.ofMillis(700));
+        worker().advance(Duration.ofMillis(700));
         assertThat(upstreamOfNextRequest("/once/2", 300)).isEqualTo("u-0");
     }
 
     /** Records a typical latency of 100 ms for the route. */
     private void recordTypicalLatency(String path) {
         start(1, path);
-        worker.advance(Duration.ofMillis(100));
-        client.call(0).respond(200);
+        worker().advance(Duration.ofMillis(100));
+        client().call(0).respond(200);
     }
 
     @Test
     void requestThatNoUpstreamCanCompleteBeforeItsDeadlineIsRefusedAsNotRun() {
         recordTypicalLatency("/once/1");
         observeSlowdown("u-0", 1_200);
-        FakeReply second = new FakeReply(worker);
+        FakeReply second = new FakeReply(worker());
         send("/once/2", second);
-        worker.advance(Duration.ofMillis(60));
-        assertThat(client.callCount()).isEqualTo(1);
+        worker().advance(Duration.ofMillis(60));
+        assertThat(client().callCount()).isEqualTo(1);
         assertThat(second.status()).isEqualTo(503);
         assertThat(second.response().headers().first("Retry-After")).isPresent();
     }
@@ -475,21 +368,21 @@
     void requestThatASlowUpstreamCanCompleteBeforeItsDeadlineIsSent() {
         recordTypicalLatency("/once/1");
         observeSlowdown("u-0", 600);
-        send("/once/2", new FakeReply(worker));
-        worker.advance(Duration.ofMillis(60));
-        assertThat(client.callCount()).isEqualTo(2);
+        send("/once/2", new FakeReply(worker()));
+        worker().advance(Duration.ofMillis(60));
+        assertThat(client().callCount()).isEqualTo(2);
     }
 
     @Test
     void upstreamWithoutSlowdownIsTriedAlthoughTheRouteWasSlowerThanTheDeadline() {
         start(1, "/retry/1");
-        worker.advance(Duration.ofMillis(790));
-        client.call(0).respond(200);
+        worker().advance(Duration.ofMillis(790));
+        client().call(0).respond(200);
         observeSlowdown("u-0", 100);
-        worker.advance(Duration.ofMillis(100));
+        worker().advance(Duration.ofMillis(100));
         observeSlowdown("u-0", 110);
-        send("/retry/2", "400", new FakeReply(worker));
-        worker.advance(Duration.ofMillis(60));
-        assertThat(client.callCount()).isEqualTo(2);
+        send("/retry/2", "400", new FakeReply(worker()));
+        worker().advance(Duration.ofMillis(60));
+        assertThat(client().callCount()).isEqualTo(2);
     }
 }
