Refuse requests that a stopping node cannot answer in time

Cause: EntryNode.close waited until no connection was open, or until 7/8 of the grace period, and meanwhile passed on each request as before. With steady arrivals, from callers that go on using known addresses, the number of connections never reaches 0, so the process ended with requests in progress.

The process ends early once no request is in progress and none was accepted for 300 ms; callers with old addresses then fail to connect, which tells them more than a refusal. At the end it refuses what arrives and responds to what is left. The Retry-After delays move to RetryAfterRule.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.turmericspan.balancing.ConfigurationHolder;
@@ -58,6 +59,8 @@
     private static final int EXIT_RESERVE_DIVISOR = 8;
     /** Time for which a stopping node keeps idle connections open, since callers may be about to use them. */
     private static final long IDLE_KEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    /** Time to send the responses to requests that are in progress when the process ends. */
+    private static final long LAST_RESPONSES_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** Number of nodes above which periodic probes are sent less often. */
     private static final int LARGE_FLEET = 32;
@@ -81,6 +84,7 @@
     private final EventLog log;
     private SettingsFile settingsFile;
     private HttpListener callers;
+    private ForwardingService service;
     private ScheduledFuture<?> readinessCheck;
     private long startedNanos;
     private long firstContactNanos;
@@ -131,7 +135,8 @@
         listenForOperators();
         listen(settings.gossipAddress(), new FeedRelay(feed));
         registerGauges();
-        callers = listen(settings.callerAddress(), new ForwardingService(forwarding));
+        service = new ForwardingService(forwarding);
+        callers = listen(settings.callerAddress(), service);
         feed.start();
         gossip.start(new GossipTransport(workers, settings.gossipAddress(), gossip::receive, clock, log));
         readinessCheck = workers.scheduleWithFixedDelay(
@@ -299,22 +304,38 @@
 
     @Override
     public void close() {
-        long deadlineNanos = clock.nowNanos() + settings.graceNanos() - settings.graceNanos() / EXIT_RESERVE_DIVISOR;
-        long idleDeadlineNanos = clock.nowNanos() + IDLE_KEEP_NANOS;
+        long stopNanos = clock.nowNanos();
+        long endNanos = stopNanos + settings.graceNanos() - settings.graceNanos() / EXIT_RESERVE_DIVISOR;
         leaving = true;
         members.updateSelf(canServe, true, false);
         gossip.broadcast();
+        service.stopAt(endNanos);
         callers.drain();
         log.write(Event.notice(PART, "Stopping.").with("requests", callers.requests()));
-        while (deadlineNanos - clock.nowNanos() > 0
-                && (callers.connections() > 0 || idleDeadlineNanos - clock.nowNanos() > 0)) {
+        pollUntil(Math.min(stopNanos + IDLE_KEEP_NANOS, endNanos), () -> false);
+        pollUntil(endNanos, () -> {
+            callers.closeIdle();
+            return callers.connections() == 0 || !callers.isReceiving() && service.isQuiet();
+        });
+        endRequests(endNanos);
+        log.write(Event.notice(PART, "Stopped."));
+        closeLog();
+    }
+
+    /** Accepts no more requests, and responds to those that are left when the time is over. */
+    private void endRequests(long endNanos) {
+        callers.close();
+        service.stopAt(clock.nowNanos());
+        pollUntil(endNanos, () -> callers.requests() == 0);
+        log.write(Event.notice(PART, "Ending requests in progress.").with("requests", callers.requests()));
+        service.endRequests();
+        pollUntil(clock.nowNanos() + LAST_RESPONSES_NANOS, () -> callers.connections() == 0);
+    }
+
+    private void pollUntil(long endNanos, BooleanSupplier condition) {
+        while (endNanos - clock.nowNanos() > 0 && !condition.getAsBoolean()) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_INTERVAL_MILLIS));
-            if (idleDeadlineNanos - clock.nowNanos() <= 0) {
-                callers.closeIdle();
-            }
         }
-        log.write(Event.notice(PART, "Stopped.").with("requests", callers.requests()));
-        closeLog();
     }
 
     private void closeLog() {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.turmericspan.balancing.AttemptResult;
 import org.turmericspan.balancing.Placement;
 import org.turmericspan.balancing.Route;
@@ -43,10 +44,6 @@
     private static final int LOAD_REFRESH_DIVISOR = 16;
     /** Maximum predicted cost of an upstream for a hedged attempt: only a fast and nearly idle one is below it. */
     private static final double MAX_HEDGE_COST = 1.6;
-    /** Divisor of the target latency that yields the Retry-After delay of a refused request, unless it was shed. */
-    private static final int RETRY_AFTER_DIVISOR = 4;
-    /** Retry-After delay after upstreams shed the request, which says little about whether the next one is shed. */
-    private static final long SHED_RETRY_AFTER_MILLIS = 20;
 
     private final ForwardingDependencies dependencies;
     private final RequestMessage request;
@@ -58,6 +55,7 @@
     private final RequestLog log;
     private final UpstreamTable upstreams;
     private final HeaderList headers;
+    private final Consumer<ActiveRequest> closedListener;
     private final LoadRefresher loadRefresher;
     private final AttemptTiming timing;
     private final Set<UpstreamId> triedUpstreams = new HashSet<>();
@@ -75,7 +73,8 @@
             Reply reply,
             RoutingDecision routingDecision,
             long arrivedNanos,
-            long deadlineNanos) {
+            long deadlineNanos,
+            Consumer<ActiveRequest> closedListener) {
         this.dependencies = dependencies;
         this.request = request;
         this.reply = reply;
@@ -83,6 +82,7 @@
         this.route = routingDecision.route();
         this.deadlineNanos = deadlineNanos;
         this.arrivedNanos = arrivedNanos;
+        this.closedListener = closedListener;
         String requestId = dependencies.protocol().requestId(request.headers()).orElse("-");
         this.log = new RequestLog(dependencies.log(), dependencies.clock(), requestId, routingDecision, arrivedNanos);
         this.upstreams = dependencies.tables().upstreams();
@@ -327,6 +327,15 @@
         }
     }
 
+    /** Ends the request because the process ends. */
+    void endBeforeProcess() {
+        reply.worker().execute(() -> {
+            if (!closed) {
+                refuse(attemptsInFlight.isEmpty() && !mayHaveRun ? ResultCode.STOPPING : ResultCode.OUTCOME_UNKNOWN);
+            }
+        });
+    }
+
     private void deadlinePassed() {
         if (closed) {
             return;
@@ -345,10 +354,7 @@
         } else {
             log.refused(code);
         }
-        long retryAfterMillis = code == ResultCode.SHED_BY_UPSTREAM
-                ? SHED_RETRY_AFTER_MILLIS
-                : TimeUnit.NANOSECONDS.toMillis(route.targetLatencyNanos() / RETRY_AFTER_DIVISOR);
-        complete(LocalReply.of(code, retryAfterMillis));
+        complete(LocalReply.of(code, RetryAfterRule.delayMillis(code, route)));
     }
 
     private void respond(ResponseMessage response) {
@@ -379,6 +385,7 @@
 
     private void close() {
         closed = true;
+        closedListener.accept(this);
         cancelTimer(deadlineTimer);
         cancelTimer(checkTimer);
         for (Attempt attempt : Set.copyOf(attemptsInFlight)) {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -1,6 +1,8 @@
 package org.turmericspan.forwarding;
 
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.turmericspan.balancing.Route;
@@ -24,7 +26,13 @@
     /** Retry-After delay for a quarantined request. */
     private static final long QUARANTINE_RETRY_AFTER_MILLIS = 10_000;
 
+    /** Time without an accepted request after which a stopping node expects no more of them. */
+    private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     private final ForwardingDependencies dependencies;
+    private final StopAdmission stopAdmission = new StopAdmission();
+    private final Set<ActiveRequest> activeRequests = ConcurrentHashMap.newKeySet();
+    private volatile long lastAcceptedNanos;
     /** Whether this node once had a configuration and upstream states; not checked again after that. */
     private volatile boolean ready;
 
@@ -35,6 +43,30 @@
      */
     public ForwardingService(ForwardingDependencies dependencies) {
         this.dependencies = dependencies;
+        this.lastAcceptedNanos = dependencies.clock().nowNanos();
+    }
+
+    /**
+     * Refuses from now on each request that may not be answered before the process ends.
+     *
+     * @param processEndNanos time at which the process ends
+     */
+    public void stopAt(long processEndNanos) {
+        stopAdmission.stopAt(processEndNanos);
+    }
+
+    /**
+     * Returns whether no request is in progress and none was accepted for some time.
+     *
+     * @return true if so
+     */
+    public boolean isQuiet() {
+        return activeRequests.isEmpty() && dependencies.clock().nowNanos() - lastAcceptedNanos > QUIET_NANOS;
+    }
+
+    /** Responds to all requests in progress, whose outcome is unknown unless they were not passed on. */
+    public void endRequests() {
+        activeRequests.forEach(ActiveRequest::endBeforeProcess);
     }
 
     @Override
@@ -88,6 +120,16 @@
             refuse(request, reply, ResultCode.NOT_CONFIGURED, 0, version);
             return;
         }
+        long deadlineNanos = arrivedNanos + effectiveTimeoutNanos(request, route.get());
+        if (!stopAdmission.admits(deadlineNanos)) {
+            refuse(
+                    request,
+                    reply,
+                    ResultCode.STOPPING,
+                    RetryAfterRule.delayMillis(ResultCode.STOPPING, route.get()),
+                    version);
+            return;
+        }
         long fingerprint = fingerprint(request);
         if (dependencies.tables().suspects().isQuarantined(fingerprint)) {
             refuse(request, reply, ResultCode.QUARANTINED, QUARANTINE_RETRY_AFTER_MILLIS, version);
@@ -95,14 +137,17 @@
         }
         ServiceId service = dependencies.tables().roundRobin().next(route.get());
         dependencies.tables().retryBudget().recordRequest(service);
-        new ActiveRequest(
-                        dependencies,
-                        request,
-                        reply,
-                        new RoutingDecision(route.get(), service, fingerprint, version),
-                        arrivedNanos,
-                        arrivedNanos + effectiveTimeoutNanos(request, route.get()))
-                .start();
+        ActiveRequest activeRequest = new ActiveRequest(
+                dependencies,
+                request,
+                reply,
+                new RoutingDecision(route.get(), service, fingerprint, version),
+                arrivedNanos,
+                deadlineNanos,
+                activeRequests::remove);
+        lastAcceptedNanos = arrivedNanos;
+        activeRequests.add(activeRequest);
+        activeRequest.start();
     }
 
     /** Returns the timeout of the route or of the caller, whichever is shorter, from the arrival of the request. */
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -48,10 +48,10 @@
     private HttpRequest head;
     private ByteArrayOutputStream body;
     private CurrentReply currentReply;
-    private boolean closing;
+    private volatile boolean closing;
     private long idleSinceNanos;
     private long messageStartNanos;
-    private boolean receivingMessage;
+    private volatile boolean receivingMessage;
 
     CallerConnection(
             HttpService service, ListenerLimits limits, ListenerState state, MonotonicClock clock, EventLog log) {
@@ -207,6 +207,10 @@
         }
     }
 
+    boolean isReceiving() {
+        return receivingMessage && !closing;
+    }
+
     /** Closes the connection if it has no request in progress. */
     void closeIfIdle() {
         if (currentReply == null && pipelined.isEmpty() && !receivingMessage) {
--- a/http/src/main/java/org/turmericspan/http/HttpListener.java
+++ b/http/src/main/java/org/turmericspan/http/HttpListener.java
@@ -111,6 +111,15 @@
         return state.requests();
     }
 
+    /**
+     * Returns whether a request is being received on any connection.
+     *
+     * @return true if a part of a request has arrived, but not all of it
+     */
+    public boolean isReceiving() {
+        return state.connections().stream().anyMatch(CallerConnection::isReceiving);
+    }
+
     /**
      * Counts the open connections.
      *
