Accept only responses that echo the identifier of the request

Cause: a response without the echoed identifier counted as the expected one. A late copy of the response to a rejected probe has none; it arrived on a pooled connection when the next request was sent there, and its statement that nothing had run was taken for one about the request.

Why it works: a response counts only if each identifier that it echoes is that of the request, and there is one. Requests without an identifier, as probes, expect a response without one; so a late copy of the response to a request no longer makes a probe report another upstream at the address.

Tests: three scripted servers of HttpClientTest echoed no identifier, which the protocol asks of a server; they echo it now, and check the same.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -162,8 +162,11 @@
             return inFlight.get(upstream.id());
         }
         probesSent++;
-        CallOptions options =
-                new CallOptions(TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS), MAX_IDLE_NANOS, true, Optional.empty());
+        CallOptions options = new CallOptions(
+                TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS),
+                MAX_IDLE_NANOS,
+                true,
+                Optional.of(protocol.echoHeader()));
         RequestMessage request =
                 RequestMessage.get(path.get(), upstream.address().toString());
         Probe probe = new Probe(upstream);
--- a/http/src/main/java/org/turmericspan/http/CallOptions.java
+++ b/http/src/main/java/org/turmericspan/http/CallOptions.java
@@ -11,7 +11,7 @@
  * @param preferOldest whether to use the connection that has been idle longest, which verifies that it still works,
  *     instead of the most recently used one
  * @param correlationHeader header that the server copies from the request to the response; a response with
- *     another value is skipped
+ *     another value, or without one although the request has one, is skipped
  */
 public record CallOptions(
         long connectTimeoutNanos, long maxIdleNanos, boolean preferOldest, Optional<String> correlationHeader) {
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -20,7 +20,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
@@ -118,13 +117,10 @@
             listener.accept(new CallEnd.NotSent("connection closed before use"));
             return;
         }
-        Optional<String> correlationId =
-                options.correlationHeader().flatMap(name -> request.headers().first(name));
         exchange = new Exchange(
                 listener,
                 HttpMethod.HEAD.name().equals(request.method()),
-                options.correlationHeader().orElse(""),
-                correlationId,
+                new Correlation(options.correlationHeader(), request.headers()),
                 memory);
         bytesWithoutMessage = 0;
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
@@ -297,8 +293,7 @@
     private static final class Exchange {
         private final Consumer<CallEnd> listener;
         private final boolean isHeadRequest;
-        private final String correlationHeader;
-        private final Optional<String> correlationId;
+        private final Correlation correlation;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private final ResponseMemory memory;
         private long reservedBytes;
@@ -306,17 +301,11 @@
         private ChannelFuture writeFuture;
         private HttpResponse head;
 
-        Exchange(
-                Consumer<CallEnd> listener,
-                boolean isHeadRequest,
-                String correlationHeader,
-                Optional<String> correlationId,
-                ResponseMemory memory) {
+        Exchange(Consumer<CallEnd> listener, boolean isHeadRequest, Correlation correlation, ResponseMemory memory) {
             this.memory = memory;
             this.listener = listener;
             this.isHeadRequest = isHeadRequest;
-            this.correlationHeader = correlationHeader;
-            this.correlationId = correlationId;
+            this.correlation = correlation;
         }
 
         void beginResponse(HttpResponse response) {
@@ -345,11 +334,7 @@
 
         /** Returns whether the message is informational or the response to another request. */
         boolean isNotExpected() {
-            if (head.status().code() < MIN_FINAL_STATUS) {
-                return true;
-            }
-            String receivedId = head.headers().get(correlationHeader);
-            return correlationId.isPresent() && receivedId != null && !receivedId.equals(correlationId.get());
+            return head.status().code() < MIN_FINAL_STATUS || !correlation.matches(head.headers());
         }
     }
 }
--- a/http/src/test/java/org/turmericspan/http/HttpClientTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpClientTest.java
@@ -38,13 +38,13 @@
     }
 
     private CallEnd call(SocketAddress address) throws Exception {
-        CompletableFuture<CallEnd> end = new CompletableFuture<>();
         RequestMessage request = RequestMessage.get("/x", "host");
-        client.call(
-                address,
-                new RequestMessage("GET", "/x", request.headers().with("X-Id", "1"), request.body()),
-                OPTIONS,
-                end::complete);
+        return send(address, new RequestMessage("GET", "/x", request.headers().with("X-Id", "1"), request.body()));
+    }
+
+    private CallEnd send(SocketAddress address, RequestMessage request) throws Exception {
+        CompletableFuture<CallEnd> end = new CompletableFuture<>();
+        client.call(address, request, OPTIONS, end::complete);
         return end.get(20, TimeUnit.SECONDS);
     }
 
@@ -64,7 +64,8 @@
     @Test
     void truncatedResponseIsBroken() throws Exception {
         try (RawServer server = new RawServer((head, connection) -> {
-            RawServer.sending("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok").respond(head, connection);
+            RawServer.sending("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nok")
+                    .respond(head, connection);
             connection.close();
         })) {
             assertThat(call(server.address())).isInstanceOf(CallEnd.Broken.class);
@@ -74,7 +75,7 @@
     @Test
     void responseWithoutLengthEndsWithConnection() throws Exception {
         try (RawServer server = new RawServer((head, connection) -> {
-            RawServer.sending("HTTP/1.1 200 OK\r\n\r\nwhole").respond(head, connection);
+            RawServer.sending("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole").respond(head, connection);
             connection.close();
         })) {
             assertThat(bodyOf(call(server.address()))).isEqualTo("whole");
@@ -84,7 +85,7 @@
     @Test
     void responseWithoutLengthIsBrokenAfterReset() throws Exception {
         try (RawServer server = new RawServer((head, connection) -> {
-            RawServer.sending("HTTP/1.1 200 OK\r\n\r\npart").respond(head, connection);
+            RawServer.sending("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart").respond(head, connection);
             connection.setSoLinger(true, 0);
             connection.close();
         })) {
@@ -109,6 +110,37 @@
         }
     }
 
+    /** Guards against a late copy of the response to a probe that is taken for the response to a request. */
+    @Test
+    void responseWithoutCorrelationIdIsSkipped() throws Exception {
+        String lateCopy = "HTTP/1.1 503 Full\r\nX-Instance: i\r\nContent-Length: 0\r\n\r\n";
+        try (RawServer server = new RawServer(RawServer.sending(lateCopy + OK))) {
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+            assertThat(server.connections()).isEqualTo(2);
+        }
+    }
+
+    /** Guards against a late copy of the response to a request that is taken for the response to a probe. */
+    @Test
+    void responseWithUnexpectedCorrelationIdIsSkipped() throws Exception {
+        String lateCopy = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 5\r\n\r\nstale";
+        String response = "HTTP/1.1 200 OK\r\nX-Instance: i\r\nContent-Length: 2\r\n\r\nok";
+        try (RawServer server = new RawServer(RawServer.sending(lateCopy + response))) {
+            assertThat(bodyOf(send(server.address(), RequestMessage.get("/x", "host"))))
+                    .isEqualTo("ok");
+        }
+    }
+
+    /** Guards against a response that two others form together and that bears the identifiers of both. */
+    @Test
+    void responseWithTwoCorrelationIdsIsSkipped() throws Exception {
+        String joined = "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Id: 0\r\nContent-Length: 0\r\n\r\n";
+        try (RawServer server = new RawServer(RawServer.sending(joined + OK))) {
+            assertThat(bodyOf(call(server.address()))).isEqualTo("ok");
+        }
+    }
+
     @Test
     void bytesAfterResponseCloseConnection() throws Exception {
         try (RawServer server = new RawServer(RawServer.sending(OK + OK))) {
@@ -122,11 +154,9 @@
     void responseToHeadRequestHasNoBody() throws Exception {
         try (RawServer server = new RawServer(RawServer.sending("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"))) {
             for (int i = 0; i < 2; i++) {
-                CompletableFuture<CallEnd> end = new CompletableFuture<>();
                 RequestMessage get = RequestMessage.get("/x", "host");
                 RequestMessage head = new RequestMessage("HEAD", "/x", get.headers(), get.body());
-                client.call(server.address(), head, OPTIONS, end::complete);
-                assertThat(bodyOf(end.get(20, TimeUnit.SECONDS))).isEmpty();
+                assertThat(bodyOf(send(server.address(), head))).isEmpty();
             }
             assertThat(server.connections()).isEqualTo(1);
         }
