End the process when a worker has ended

The platform did not start it again, since the process lived.

Cause: an Error outside all handlers ends Netty's event loop. An entry node has one worker; nothing noticed its end.

Errors within a handler still only close their connection.

--- a/entry/src/main/java/org/turmericspan/entry/EntryMain.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMain.java
@@ -42,6 +42,7 @@
     static void run(SettingsFile file) throws IOException, InterruptedException {
         EntryNode node = NodeLauncher.launch(file.read(), file);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
+        node.watchWorkers(() -> Runtime.getRuntime().halt(EXIT_FAILED));
         new CountDownLatch(1).await();
     }
 
--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -277,6 +277,14 @@
         return listed.stream().limit(MAX_ADDRESSES).map(Member::callerAddress).toList();
     }
 
+    /** Runs an action, which is to end the process, when a worker has ended. */
+    void watchWorkers(Runnable action) {
+        WorkerWatch.start(workers, log, () -> {
+            closeLog();
+            action.run();
+        });
+    }
+
     /** Reloads the settings file and applies its seeds. Changes of other settings need a restart of the process. */
     void reload() {
         try {
