Limit the memory of all bodies together

Another operator reported that endless responses exhausted the memory of a VM.

Cause: each body was collected up to its own limit, in a buffer that doubles and is copied at its end, without a limit for all connections together; the heap has 96 MB. The limit of responses did not count them while they were sent, so a caller that sends requests and reads nothing made a node keep all its responses.

Why it works: BodyMemory gives the bodies of requests an eighth of the heap, and those of responses another. A body of known length is reserved before it is read and allocated once; a request that finds no memory for its body or its response is refused with 503 and Retry-After before it runs, and a part is kept for small bodies. A request waits until the response before it on its connection is sent. A refused caller that goes on sending is no longer reset after a second, so that it can read the refusal.

Tests: EndlessResponseTest reads the memory of responses from the account, with the same bound as before.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -24,6 +24,7 @@
 import org.turmericspan.gossip.GossipTransport;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
+import org.turmericspan.http.BodyMemory;
 import org.turmericspan.http.HttpClient;
 import org.turmericspan.http.HttpListener;
 import org.turmericspan.http.HttpService;
@@ -77,6 +78,7 @@
     private final StoreFeed feed;
     private final UpstreamProber prober;
     private final HttpClient client;
+    private final BodyMemory memory;
     private final ForwardingDependencies forwarding;
     private final EntryMetrics metrics;
     private final EventLoopGroup workers;
@@ -103,6 +105,7 @@
             StoreFeed feed,
             UpstreamProber prober,
             HttpClient client,
+            BodyMemory memory,
             ForwardingDependencies forwarding,
             EntryMetrics metrics,
             EventLoopGroup workers,
@@ -117,6 +120,7 @@
         this.feed = feed;
         this.prober = prober;
         this.client = client;
+        this.memory = memory;
         this.forwarding = forwarding;
         this.metrics = metrics;
         this.workers = workers;
@@ -166,13 +170,15 @@
         metrics.registerGauge(
                 "configuration_version",
                 () -> configuration.current().map(RoutingConfiguration::version).orElse(0L));
+        metrics.registerGauge("request_body_bytes", memory::requestBytes);
+        metrics.registerGauge("response_body_bytes", memory::responseBytes);
         metrics.registerGauge(
                 "memory_used_bytes",
                 () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
     }
 
     private HttpListener listen(SocketAddress address, HttpService service) {
-        return new HttpListener(workers, address, service, this::limits, clock, log);
+        return new HttpListener(workers, address, service, this::limits, memory, clock, log);
     }
 
     private ListenerLimits limits() {
@@ -323,7 +329,7 @@
         pollUntil(Math.min(stopNanos + IDLE_KEEP_NANOS, endNanos), () -> false);
         pollUntil(endNanos, () -> {
             callers.closeIdle();
-            return callers.connections() == 0 || !callers.isReceiving() && service.isQuiet();
+            return callers.connections() == 0 || !callers.isTransferring() && service.isQuiet();
         });
         endRequests(endNanos);
         log.write(Event.notice(PART, "Stopped."));
--- a/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
+++ b/entry/src/main/java/org/turmericspan/entry/Rehearsal.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.turmericspan.balancing.RequestLimits;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.http.BodyMemory;
 import org.turmericspan.http.CallEnd;
 import org.turmericspan.http.CallOptions;
 import org.turmericspan.http.HttpClient;
@@ -91,7 +92,7 @@
                 RequestLimits.DEFAULT.maxBodyBytes(),
                 RequestLimits.DEFAULT.headerTimeoutNanos(),
                 RequestLimits.DEFAULT.idleTimeoutNanos());
-        new HttpListener(workers, address, service, () -> limits, clock, EventLog.none());
+        new HttpListener(workers, address, service, () -> limits, BodyMemory.ofHeap(), clock, EventLog.none());
     }
 
     /** Starts a node as its process would, but on a daemon thread. */
@@ -116,7 +117,7 @@
     }
 
     private int sendRequests(SocketAddress callers) throws InterruptedException {
-        HttpClient client = new HttpClient(workers, clock);
+        HttpClient client = new HttpClient(workers, BodyMemory.ofHeap(), clock);
         CountDownLatch ended = new CountDownLatch(REQUESTS);
         AtomicInteger served = new AtomicInteger();
         for (int i = 0; i < REQUESTS; i++) {
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -22,6 +22,7 @@
 import org.turmericspan.forwarding.UpstreamProber;
 import org.turmericspan.gossip.Gossip;
 import org.turmericspan.gossip.MemberTable;
+import org.turmericspan.http.BodyMemory;
 import org.turmericspan.http.HttpClient;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.platform.DocumentDecoder;
@@ -62,8 +63,14 @@
 
     @Provides
     @Singleton
-    static HttpClient client(EventLoopGroup workers, MonotonicClock clock) {
-        return new HttpClient(workers, clock);
+    static BodyMemory bodyMemory() {
+        return BodyMemory.ofHeap();
+    }
+
+    @Provides
+    @Singleton
+    static HttpClient client(EventLoopGroup workers, BodyMemory memory, MonotonicClock clock) {
+        return new HttpClient(workers, memory, clock);
     }
 
     @Provides
--- a/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.http.BodyMemory;
 import org.turmericspan.http.HttpListener;
 import org.turmericspan.http.HttpService;
 import org.turmericspan.http.ListenerLimits;
@@ -31,6 +32,7 @@
     private static final ListenerLimits LIMITS =
             new ListenerLimits(16_384, 1_048_576, TimeUnit.SECONDS.toNanos(30), TimeUnit.SECONDS.toNanos(30));
     private static final int POLL_MILLIS = 10;
+    private static final int DEFAULT_MAX_BODY_BYTES = 65_536;
 
     static {
         InternalLoggerFactory.setDefaultFactory(new NettyLogFactory(EventLog.none()));
@@ -60,7 +62,13 @@
 
     HttpListener listen(SocketAddress listenAddress, HttpService service) {
         return new HttpListener(
-                workers, listenAddress, service, () -> LIMITS, MonotonicClock.system(), EventLog.none());
+                workers,
+                listenAddress,
+                service,
+                () -> LIMITS,
+                BodyMemory.ofHeap(),
+                MonotonicClock.system(),
+                EventLog.none());
     }
 
     SocketAddress address() {
@@ -95,12 +103,17 @@
     }
 
     void configure(long version, List<String> routes) {
+        configure(version, routes, DEFAULT_MAX_BODY_BYTES);
+    }
+
+    void configure(long version, List<String> routes, int maxBodyBytes) {
         put(
                 "op/config",
                 "{\"Version\":" + version + ",\"Routes\":[" + String.join(",", routes) + "],"
                         + "\"Services\":[{\"Name\":\"desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":100,"
                         + "\"WarmupS\":1,\"WarmupPerS\":5}],"
-                        + "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":65536,\"HeaderTimeoutS\":5,"
+                        + "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":" + maxBodyBytes
+                        + ",\"HeaderTimeoutS\":5,"
                         + "\"IdleTimeoutS\":30}}");
     }
 
@@ -117,8 +130,12 @@
 
     /** Registers a server under another address than its own, such as that of a link to it. */
     void register(ServerStandIn server, SocketAddress registeredAddress, String zone, String state) {
+        register(server.id(), registeredAddress, zone, state);
+    }
+
+    void register(String id, SocketAddress registeredAddress, String zone, String state) {
         put(
-                "servers/" + server.id(),
+                "servers/" + id,
                 "{\"Service\":\"desk\",\"Address\":\"" + registeredAddress + "\",\"Zone\":\"" + zone
                         + "\",\"Version\":\"v1\",\"Capacity\":3,\"State\":\"" + state
                         + "\",\"WarmupLeftS\":0,\"Sequence\":" + revision + ",\"born\":1}");
--- /dev/null
+++ b/http/src/main/java/org/turmericspan/http/BodyBuffer.java
@@ -0,0 +1,74 @@
+package org.turmericspan.http;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Arrays;
+import java.util.function.LongConsumer;
+import java.util.function.LongPredicate;
+
+/** Collects the bytes of one body in memory that is reserved before it is allocated. */
+final class BodyBuffer implements AutoCloseable {
+    private static final byte[] EMPTY = new byte[0];
+    private static final int MIN_CAPACITY = 512;
+
+    private final LongPredicate tryReserve;
+    private final LongConsumer release;
+    private byte[] bytes = EMPTY;
+    private int size;
+
+    private BodyBuffer(LongPredicate tryReserve, LongConsumer release) {
+        this.tryReserve = tryReserve;
+        this.release = release;
+    }
+
+    static BodyBuffer ofRequest(BodyMemory memory) {
+        return new BodyBuffer(memory::tryReserveForRequest, memory::releaseRequest);
+    }
+
+    static BodyBuffer ofResponse(BodyMemory memory) {
+        return new BodyBuffer(memory::tryReserveForResponse, memory::releaseResponse);
+    }
+
+    int size() {
+        return size;
+    }
+
+    /** Makes room for a body of known length; returns whether the memory for it is available. */
+    boolean tryExpect(int length) {
+        return length <= bytes.length || tryResize(length);
+    }
+
+    /** Appends and consumes content; returns whether the memory for it is available. */
+    boolean tryAppend(ByteBuf content) {
+        int length = content.readableBytes();
+        if (size + length > bytes.length
+                && !tryResize(Math.max(Math.max(size + length, 2 * bytes.length), MIN_CAPACITY))) {
+            return false;
+        }
+        content.readBytes(bytes, size, length);
+        size += length;
+        return true;
+    }
+
+    private boolean tryResize(int capacity) {
+        if (!tryReserve.test(capacity)) {
+            return false;
+        }
+        int previousCapacity = bytes.length;
+        bytes = Arrays.copyOf(bytes, capacity);
+        release.accept(previousCapacity);
+        return true;
+    }
+
+    /** Returns the body. The memory stays reserved until the buffer is closed. */
+    byte[] toByteArray() {
+        return size == bytes.length ? bytes : Arrays.copyOf(bytes, size);
+    }
+
+    /** Drops the body and releases its memory. */
+    @Override
+    public void close() {
+        release.accept(bytes.length);
+        bytes = EMPTY;
+        size = 0;
+    }
+}
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.ScheduledExecutorService;
@@ -33,31 +32,45 @@
 final class CallerConnection implements InboundHandler {
     /** Number of queued pipelined requests at which reading from the connection pauses. */
     private static final int MAX_PIPELINED = 8;
-    /** Time that the caller has to read the last response before the connection is closed. */
+    /** Time without bytes of the caller after which a connection is closed behind the last response. */
     private static final long LINGER_MILLIS = 1_000;
+    /** Maximum time for which the rest of a refused request is received and dropped. */
+    private static final long MAX_LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     private static final String PART = "front";
 
-    private final Deque<RequestMessage> pipelined = new ArrayDeque<>();
+    private final Deque<ReceivedRequest> pipelined = new ArrayDeque<>();
     private final HttpService service;
     private final ListenerLimits limits;
     private final ListenerState state;
+    private final BodyMemory memory;
     private final MonotonicClock clock;
     private final EventLog log;
     private ChannelHandlerContext context;
     private HttpRequest head;
-    private ByteArrayOutputStream body;
+    private BodyBuffer body;
     private CurrentReply currentReply;
+    private volatile boolean sendingResponse;
     private volatile boolean closing;
     private long idleSinceNanos;
     private long messageStartNanos;
+    private long lastReceivedNanos;
     private volatile boolean receivingMessage;
 
+    /** A complete request, whose body takes memory until the request has its response. */
+    private record ReceivedRequest(RequestMessage message, BodyBuffer body) {}
+
     CallerConnection(
-            HttpService service, ListenerLimits limits, ListenerState state, MonotonicClock clock, EventLog log) {
+            HttpService service,
+            ListenerLimits limits,
+            ListenerState state,
+            BodyMemory memory,
+            MonotonicClock clock,
+            EventLog log) {
         this.service = service;
         this.limits = limits;
         this.state = state;
+        this.memory = memory;
         this.clock = clock;
         this.log = log;
         this.idleSinceNanos = clock.nowNanos();
@@ -71,9 +84,10 @@
 
     /** Records the start of a message. Called for received bytes before they are decoded. */
     void onBytesReceived() {
+        lastReceivedNanos = clock.nowNanos();
         if (!receivingMessage) {
             receivingMessage = true;
-            messageStartNanos = clock.nowNanos();
+            messageStartNanos = lastReceivedNanos;
         }
     }
 
@@ -108,9 +122,12 @@
             return;
         }
         head = request;
-        body = new ByteArrayOutputStream();
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+        body = BodyBuffer.ofRequest(memory);
+        long contentLength = HttpUtil.getContentLength(request, 0L);
+        if (contentLength > limits.maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "Content-Length exceeds the body limit");
+        } else if (!body.tryExpect((int) contentLength)) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the body");
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -129,13 +146,15 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body");
             return;
         }
-        byte[] chunk = new byte[bytes.readableBytes()];
-        bytes.readBytes(chunk);
-        body.writeBytes(chunk);
+        if (!body.tryAppend(bytes)) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the body");
+            return;
+        }
         if (content instanceof LastHttpContent) {
             receivingMessage = false;
-            pipelined.addLast(new RequestMessage(
-                    head.method().name(), head.uri(), NettyHeaders.read(head.headers()), body.toByteArray()));
+            RequestMessage message = new RequestMessage(
+                    head.method().name(), head.uri(), NettyHeaders.read(head.headers()), body.toByteArray());
+            pipelined.addLast(new ReceivedRequest(message, body));
             head = null;
             body = null;
             handleNext();
@@ -145,40 +164,69 @@
     private void handleNext() {
         if (closing) {
             // The last response closes the connection, so a request behind it could not be answered.
-            pipelined.clear();
+            dropReceived();
+            context.channel().config().setAutoRead(true);
             return;
         }
-        if (currentReply == null && !pipelined.isEmpty()) {
-            RequestMessage request = pipelined.removeFirst();
+        if (currentReply == null && !sendingResponse && !pipelined.isEmpty()) {
+            if (!memory.hasRoomForResponses()) {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the response");
+                return;
+            }
+            ReceivedRequest request = pipelined.removeFirst();
             currentReply = new CurrentReply(request);
-            service.handle(request, currentReply);
+            service.handle(request.message(), currentReply);
         }
         context.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED);
     }
 
+    /** Drops the requests that no service has handled, and releases their memory. */
+    private void dropReceived() {
+        pipelined.forEach(request -> request.body().close());
+        pipelined.clear();
+        if (body != null) {
+            body.close();
+            body = null;
+        }
+        head = null;
+    }
+
     private void reject(HttpResponseStatus status, String reason) {
         log.write(Event.notice(PART, "Request not accepted.")
                 .with("status", status.code())
                 .with("reason", reason));
-        head = null;
-        pipelined.clear();
+        dropReceived();
+        context.channel().config().setAutoRead(true);
         if (currentReply == null) {
-            write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status), true);
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+            if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, state.nextRetryAfter());
+            }
+            write(response, true);
         } else {
             closing = true;
         }
     }
 
+    /** Sends a response. The next request is handled when it is sent, so that a caller which reads none stops. */
     private void write(FullHttpResponse response, boolean close) {
-        HttpUtil.setContentLength(response, response.content().readableBytes());
+        int length = response.content().readableBytes();
+        HttpUtil.setContentLength(response, length);
         if (close) {
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.writeAndFlush(response)
-                    .addListener((ChannelFutureListener) sent -> closeGracefully(sent.channel()));
-        } else {
-            context.writeAndFlush(response);
         }
+        memory.addResponse(length);
+        sendingResponse = true;
+        context.writeAndFlush(response).addListener((ChannelFutureListener) sent -> {
+            memory.releaseResponse(length);
+            sendingResponse = false;
+            if (close) {
+                closeGracefully(sent.channel());
+            } else {
+                handleNext();
+            }
+        });
     }
 
     /**
@@ -188,12 +236,30 @@
     private void closeGracefully(Channel channel) {
         if (channel instanceof SocketChannel socket && socket.isActive()) {
             socket.shutdownOutput();
-            channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+            closeWhenSilent(channel, clock.nowNanos());
         } else {
             channel.close();
         }
     }
 
+    /** Closes the connection when the caller sends no more, as it may do until it reads the response. */
+    private void closeWhenSilent(Channel channel, long startNanos) {
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            long nowNanos = clock.nowNanos();
+                            boolean isSilent =
+                                    nowNanos - lastReceivedNanos >= TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS);
+                            if (isSilent || nowNanos - startNanos >= MAX_LINGER_NANOS) {
+                                channel.close();
+                            } else {
+                                closeWhenSilent(channel, startNanos);
+                            }
+                        },
+                        LINGER_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     /** Rejects a request head that exceeded its timeout; closes a connection that was idle or receiving too long. */
     void checkTimeouts(long nowNanos) {
         if (closing || currentReply != null) {
@@ -207,13 +273,14 @@
         }
     }
 
-    boolean isReceiving() {
-        return receivingMessage && !closing;
+    /** Returns whether a request is being received, or a response is being sent. */
+    boolean isTransferring() {
+        return sendingResponse || receivingMessage && !closing;
     }
 
     /** Closes the connection if it has no request in progress. */
     void closeIfIdle() {
-        if (currentReply == null && pipelined.isEmpty() && !receivingMessage) {
+        if (currentReply == null && pipelined.isEmpty() && !receivingMessage && !sendingResponse) {
             closing = true;
             closeGracefully(context.channel());
         }
@@ -227,6 +294,7 @@
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
         state.remove(this);
+        dropReceived();
         if (currentReply != null) {
             currentReply.onDisconnect();
         }
@@ -240,11 +308,11 @@
 
     /** Reply to the request in progress. */
     private final class CurrentReply implements Reply {
-        private final RequestMessage request;
+        private final ReceivedRequest request;
         private Runnable disconnectAction = () -> {};
         private boolean completed;
 
-        CurrentReply(RequestMessage request) {
+        CurrentReply(ReceivedRequest request) {
             this.request = request;
             state.requestStarted();
         }
@@ -260,17 +328,18 @@
                     HttpResponseStatus.valueOf(response.status()),
                     Unpooled.wrappedBuffer(response.body()));
             NettyHeaders.write(response.headers(), message.headers());
-            boolean keepAlive = request.headers()
+            boolean keepAlive = request.message()
+                    .headers()
                     .first("Connection")
                     .map(value -> !value.equalsIgnoreCase("close"))
                     .orElse(true);
             write(message, closing || !keepAlive || state.isDraining());
-            handleNext();
         }
 
         private void complete() {
             completed = true;
             currentReply = null;
+            request.body().close();
             idleSinceNanos = clock.nowNanos();
             state.requestEnded();
         }
--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -20,17 +20,19 @@
     private final EventLoopGroup workers;
     private final MonotonicClock clock;
     private final ConnectionPool pool;
-    private final ResponseMemory memory = ResponseMemory.ofHeap();
+    private final BodyMemory memory;
     private final AtomicLong opened = new AtomicLong();
 
     /**
      * Creates a client with an empty connection pool.
      *
      * @param workers the worker pool
+     * @param memory limits the memory of responses
      * @param clock source of monotonic time
      */
-    public HttpClient(EventLoopGroup workers, MonotonicClock clock) {
+    public HttpClient(EventLoopGroup workers, BodyMemory memory, MonotonicClock clock) {
         this.workers = workers;
+        this.memory = memory;
         this.clock = clock;
         this.pool = new ConnectionPool(clock);
     }
@@ -104,11 +106,6 @@
         return opened.get();
     }
 
-    /** Returns the memory that unfinished responses take. */
-    long responseBytes() {
-        return memory.reservedBytes();
-    }
-
     /** Passes at most one outcome to the listener, and none after a cancellation. */
     private static final class OneShotListener implements Consumer<CallEnd> {
         private final Consumer<CallEnd> listener;
--- a/http/src/main/java/org/turmericspan/http/HttpListener.java
+++ b/http/src/main/java/org/turmericspan/http/HttpListener.java
@@ -25,6 +25,7 @@
     private final ListenerState state = new ListenerState();
     private final Channel channel;
     private final EventLoopGroup workers;
+    private final BodyMemory memory;
     private final MonotonicClock clock;
     private final AtomicBoolean isCheckScheduled = new AtomicBoolean();
     private volatile boolean closed;
@@ -36,6 +37,7 @@
      * @param address the address to listen on
      * @param service handles the requests
      * @param limits supplies the limits; read once for each accepted connection
+     * @param memory limits the memory of requests; responses are accounted for while they are sent
      * @param clock source of monotonic time
      * @param log receives rejected requests and failed connections
      */
@@ -44,9 +46,11 @@
             SocketAddress address,
             HttpService service,
             Supplier<ListenerLimits> limits,
+            BodyMemory memory,
             MonotonicClock clock,
             EventLog log) {
         this.workers = workers;
+        this.memory = memory;
         this.clock = clock;
         channel = ServerSocketBinder.bind(
                 workers, address, pipeline -> addHandlers(pipeline, service, limits.get(), clock, log), log);
@@ -57,7 +61,7 @@
         HttpDecoderConfig decoder = new HttpDecoderConfig()
                 .setMaxHeaderSize(limits.maxHeaderBytes())
                 .setMaxInitialLineLength(limits.maxHeaderBytes());
-        CallerConnection connection = new CallerConnection(service, limits, state, clock, log);
+        CallerConnection connection = new CallerConnection(service, limits, state, memory, clock, log);
         scheduleCheck();
         pipeline.addLast(new ReceiveNotifier(connection))
                 .addLast(new HttpServerCodec(decoder))
@@ -112,12 +116,12 @@
     }
 
     /**
-     * Returns whether a request is being received on any connection.
+     * Returns whether a request is being received, or a response is being sent, on any connection.
      *
-     * @return true if a part of a request has arrived, but not all of it
+     * @return true if a part of a request has arrived, or of a response was sent, but not all of it
      */
-    public boolean isReceiving() {
-        return state.connections().stream().anyMatch(CallerConnection::isReceiving);
+    public boolean isTransferring() {
+        return state.connections().stream().anyMatch(CallerConnection::isTransferring);
     }
 
     /**
--- a/http/src/main/java/org/turmericspan/http/ListenerState.java
+++ b/http/src/main/java/org/turmericspan/http/ListenerState.java
@@ -7,8 +7,13 @@
 
 /** Open connections, requests in progress and drain state of one listener. */
 final class ListenerState {
+    private static final int MIN_RETRY_AFTER_TENTHS = 3;
+    private static final int RETRY_AFTER_STEPS = 8;
+    private static final double TENTHS_PER_SECOND = 10.0;
+
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger requests = new AtomicInteger();
+    private final AtomicInteger refusals = new AtomicInteger();
     private volatile boolean draining;
 
     void add(CallerConnection connection) {
@@ -35,6 +40,12 @@
         return requests.get();
     }
 
+    /** Returns the Retry-After delay in seconds of a request without memory; callers refused together return apart. */
+    String nextRetryAfter() {
+        int step = Math.floorMod(refusals.getAndIncrement(), RETRY_AFTER_STEPS);
+        return Double.toString((MIN_RETRY_AFTER_TENTHS + step) / TENTHS_PER_SECOND);
+    }
+
     void drain() {
         draining = true;
     }
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
@@ -50,7 +49,7 @@
 
     private final SocketAddress address;
     private final ConnectionPool pool;
-    private final ResponseMemory memory;
+    private final BodyMemory memory;
     private final MonotonicClock clock;
     private final ResponseDecoder decoder = new ResponseDecoder(
             new HttpDecoderConfig()
@@ -65,7 +64,7 @@
     private volatile boolean notReusable;
     private int bytesWithoutMessage;
 
-    ServerConnection(SocketAddress address, ConnectionPool pool, ResponseMemory memory, MonotonicClock clock) {
+    ServerConnection(SocketAddress address, ConnectionPool pool, BodyMemory memory, MonotonicClock clock) {
         this.address = address;
         this.pool = pool;
         this.memory = memory;
@@ -215,10 +214,10 @@
             }
             return;
         }
-        Exchange completed = endExchange();
-        HttpResponse head = completed.head;
+        HttpResponse head = exchange.head;
         ResponseMessage response = new ResponseMessage(
-                head.status().code(), NettyHeaders.read(head.headers()), completed.body.toByteArray());
+                head.status().code(), NettyHeaders.read(head.headers()), exchange.body.toByteArray());
+        Exchange completed = endExchange();
         boolean isReusable = !notReusable
                 && HttpUtil.isKeepAlive(head)
                 && completed.writeFuture.isSuccess()
@@ -254,7 +253,7 @@
         Exchange ended = exchange;
         exchange = null;
         if (ended != null) {
-            ended.releaseMemory();
+            ended.body.close();
         }
         return ended;
     }
@@ -294,15 +293,13 @@
         private final Consumer<CallEnd> listener;
         private final boolean isHeadRequest;
         private final Correlation correlation;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private final ResponseMemory memory;
-        private long reservedBytes;
+        private final BodyBuffer body;
         private int unexpectedMessages;
         private ChannelFuture writeFuture;
         private HttpResponse head;
 
-        Exchange(Consumer<CallEnd> listener, boolean isHeadRequest, Correlation correlation, ResponseMemory memory) {
-            this.memory = memory;
+        Exchange(Consumer<CallEnd> listener, boolean isHeadRequest, Correlation correlation, BodyMemory memory) {
+            this.body = BodyBuffer.ofResponse(memory);
             this.listener = listener;
             this.isHeadRequest = isHeadRequest;
             this.correlation = correlation;
@@ -310,26 +307,13 @@
 
         void beginResponse(HttpResponse response) {
             head = response;
-            body.reset();
-            releaseMemory();
+            body.close();
         }
 
         /** Appends a part of the body; returns false when it exceeds the limit of a response or of all. */
         boolean append(HttpContent content) {
-            int length = content.content().readableBytes();
-            if (body.size() + length > MAX_BODY_BYTES || !memory.tryReserve(length)) {
-                return false;
-            }
-            reservedBytes += length;
-            byte[] bytes = new byte[length];
-            content.content().readBytes(bytes);
-            body.writeBytes(bytes);
-            return true;
-        }
-
-        void releaseMemory() {
-            memory.release(reservedBytes);
-            reservedBytes = 0;
+            return body.size() + content.content().readableBytes() <= MAX_BODY_BYTES
+                    && body.tryAppend(content.content());
         }
 
         /** Returns whether the message is informational or the response to another request. */
--- a/http/src/test/java/org/turmericspan/http/EndlessResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/EndlessResponseTest.java
@@ -26,7 +26,8 @@
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final HttpClient client = new HttpClient(workers, MonotonicClock.system());
+    private final BodyMemory memory = BodyMemory.ofHeap();
+    private final HttpClient client = new HttpClient(workers, memory, MonotonicClock.system());
 
     @AfterEach
     void stopWorkers() {
@@ -65,7 +66,7 @@
                 TimeUnit.MILLISECONDS.sleep(20);
             }
             assertThat(closed).isTrue();
-            assertThat(client.responseBytes()).isZero();
+            assertThat(memory.responseBytes()).isZero();
         }
     }
 
@@ -120,13 +121,13 @@
                 ends.add(call(server.address()));
             }
             while (ends.stream().anyMatch(end -> !end.isDone())) {
-                assertThat(client.responseBytes()).isLessThanOrEqualTo(limit + 1_000_000);
+                assertThat(memory.responseBytes()).isLessThanOrEqualTo(limit + 1_000_000);
                 TimeUnit.MILLISECONDS.sleep(5);
             }
             for (CompletableFuture<CallEnd> end : ends) {
                 assertThat(end.get()).isInstanceOf(CallEnd.Broken.class);
             }
-            assertThat(client.responseBytes()).isZero();
+            assertThat(memory.responseBytes()).isZero();
         }
     }
 
--- a/http/src/test/java/org/turmericspan/http/HttpClientTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpClientTest.java
@@ -30,7 +30,7 @@
             new CallOptions(TimeUnit.SECONDS.toNanos(5), TimeUnit.SECONDS.toNanos(60), false, Optional.of("X-Id"));
 
     private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final HttpClient client = new HttpClient(workers, MonotonicClock.system());
+    private final HttpClient client = new HttpClient(workers, BodyMemory.ofHeap(), MonotonicClock.system());
 
     @AfterEach
     void stopWorkers() {
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -43,6 +43,7 @@
                 new SocketAddress("127.0.0.1", port),
                 service,
                 () -> LIMITS,
+                BodyMemory.ofHeap(),
                 MonotonicClock.system(),
                 EventLog.none());
         Socket socket = new Socket("127.0.0.1", listener.port());
--- a/http/src/test/java/org/turmericspan/http/LeftoverBytesTest.java
+++ b/http/src/test/java/org/turmericspan/http/LeftoverBytesTest.java
@@ -22,7 +22,7 @@
     private static final String PARTIAL_STATUS_LINE = "HTTP/1.1 503 St";
 
     private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final HttpClient client = new HttpClient(workers, MonotonicClock.system());
+    private final HttpClient client = new HttpClient(workers, BodyMemory.ofHeap(), MonotonicClock.system());
     private final AtomicInteger requests = new AtomicInteger();
 
     @AfterEach
