Let a cancellation end only the call that it is for

What callers saw: nothing that was observed.

Cause: ServerConnection.cancel runs later on the worker and ended whatever call the connection carried then. Between the two, the call may end and its connection may be taken from the pool by another one.

Why it works: start returns a handle that compares the call in progress with its own. A cancellation that is requested before the handle is set is carried out when it is set; before, it was lost.

--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -43,8 +43,7 @@
         OneShotListener oneShot = new OneShotListener(listener);
         Optional<ServerConnection> pooled = pool.take(address, options);
         if (pooled.isPresent()) {
-            oneShot.setCancelAction(pooled.get()::cancel);
-            pooled.get().start(request, options, end -> {
+            oneShot.setCancelAction(pooled.get().start(request, options, end -> {
                 if (end instanceof CallEnd.NotSent) {
                     // The server closed the pooled connection before it was used. Nothing was sent, so a new one is
                     // opened.
@@ -52,7 +51,7 @@
                 } else {
                     oneShot.accept(end);
                 }
-            });
+            }));
         } else {
             callOnNewConnection(address, request, options, oneShot);
         }
@@ -72,8 +71,7 @@
             } else {
                 opened.incrementAndGet();
                 connection.onConnected(connectFuture.channel());
-                oneShot.setCancelAction(connection::cancel);
-                connection.start(request, options, oneShot);
+                oneShot.setCancelAction(connection.start(request, options, oneShot));
             }
         });
     }
@@ -110,14 +108,18 @@
     private static final class OneShotListener implements Consumer<CallEnd> {
         private final Consumer<CallEnd> listener;
         private final AtomicBoolean done = new AtomicBoolean();
-        private volatile Runnable cancelAction = () -> {};
+        private volatile CallHandle cancelAction = () -> {};
 
         OneShotListener(Consumer<CallEnd> listener) {
             this.listener = listener;
         }
 
-        void setCancelAction(Runnable action) {
+        /** Sets how to cancel the call from now on, and cancels it if that was requested before. */
+        void setCancelAction(CallHandle action) {
             cancelAction = action;
+            if (done.get()) {
+                action.cancel();
+            }
         }
 
         boolean isDone() {
@@ -126,7 +128,7 @@
 
         void cancel() {
             if (done.compareAndSet(false, true)) {
-                cancelAction.run();
+                cancelAction.cancel();
             }
         }
 
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -102,25 +102,27 @@
         channel.eventLoop().execute(() -> channel.close());
     }
 
-    /** Starts a call on the worker of the connection. */
-    void start(RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
+    /** Starts a call on the worker of the connection, and returns a handle that cancels no other call. */
+    CallHandle start(RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
+        Exchange started = new Exchange(
+                listener,
+                HttpMethod.HEAD.name().equals(request.method()),
+                new Correlation(options.correlationHeader(), request.headers()),
+                memory);
         if (channel.eventLoop().inEventLoop()) {
-            startOnWorker(request, options, listener);
+            startOnWorker(request, started);
         } else {
-            channel.eventLoop().execute(() -> startOnWorker(request, options, listener));
+            channel.eventLoop().execute(() -> startOnWorker(request, started));
         }
+        return () -> channel.eventLoop().execute(() -> cancelOnWorker(started));
     }
 
-    private void startOnWorker(RequestMessage request, CallOptions options, Consumer<CallEnd> listener) {
+    private void startOnWorker(RequestMessage request, Exchange started) {
         if (notReusable || !channel.isActive()) {
-            listener.accept(new CallEnd.NotSent("connection closed before use"));
+            started.listener.accept(new CallEnd.NotSent("connection closed before use"));
             return;
         }
-        exchange = new Exchange(
-                listener,
-                HttpMethod.HEAD.name().equals(request.method()),
-                new Correlation(options.correlationHeader(), request.headers()),
-                memory);
+        exchange = started;
         bytesWithoutMessage = 0;
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -138,14 +140,17 @@
         return "GET".equals(method) || "HEAD".equals(method) || "DELETE".equals(method);
     }
 
-    /** Cancels the current call and resets the connection, so that bytes delayed in the network are not delivered. */
-    void cancel() {
-        channel.eventLoop().execute(() -> {
+    /**
+     * Ends a call that is still in progress, and resets the connection, so that bytes delayed in the network are not
+     * delivered. The call may have ended before this runs, and the connection may carry another one.
+     */
+    private void cancelOnWorker(Exchange cancelled) {
+        if (exchange == cancelled) {
             endExchange();
             notReusable = true;
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
-        });
+        }
     }
 
     /**
