Handle SIGHUP from the first statement of a process

Cause: the handler was set at the end of the start, after the listeners.

Why it works: HangUpSignals registers the handler first in main, remembers a signal that comes before the node can handle it, and reads the settings again then. What remains is the start of the JVM itself, before main.

--- a/entry/src/main/java/org/turmericspan/entry/EntryMain.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMain.java
@@ -40,7 +40,9 @@
 
     /** Runs a node until the process receives a stop signal. */
     static void run(SettingsFile file) throws IOException, InterruptedException {
+        HangUpSignals signals = HangUpSignals.register();
         EntryNode node = NodeLauncher.launch(file.read(), file);
+        signals.handleWith(node::reload);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "stop"));
         node.watchWorkers(() -> Runtime.getRuntime().halt(EXIT_FAILED));
         new CountDownLatch(1).await();
--- a/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
+++ b/entry/src/main/java/org/turmericspan/entry/NodeLauncher.java
@@ -3,7 +3,7 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import org.turmericspan.transport.NettyLogFactory;
 
-/** Creates and starts a node, and reloads its settings at each SIGHUP. */
+/** Creates and starts a node. */
 final class NodeLauncher {
     private NodeLauncher() {}
 
@@ -12,7 +12,6 @@
         InternalLoggerFactory.setDefaultFactory(new NettyLogFactory(component.log()));
         EntryNode node = component.node();
         node.start(file);
-        Signals.onHangUp(node::reload);
         return node;
     }
 }
