Reject request targets with bytes outside ASCII

Cause: the codec decodes a target as ASCII and replaces all other bytes.

Evidence: HttpListenerTest#targetWithBytesOutsideAsciiIsRejected failed before: the request was handled.

Why it works: such a target is not a valid one; callers have to encode these bytes. It is answered 400 at once and not passed on, and so cannot reach an upstream changed.

Measured: the tests of http pass.

--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -37,6 +37,7 @@
     /** Maximum time for which the rest of a refused request is received and dropped. */
     private static final long MAX_LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    private static final int MAX_ASCII = 127;
     private static final String PART = "front";
 
     private final Deque<ReceivedRequest> pipelined = new ArrayDeque<>();
@@ -121,6 +122,10 @@
             reject(status, cause.toString());
             return;
         }
+        if (!isAscii(request.uri())) {
+            reject(HttpResponseStatus.BAD_REQUEST, "request target contains bytes outside ASCII");
+            return;
+        }
         head = request;
         body = BodyBuffer.ofRequest(memory);
         long contentLength = HttpUtil.getContentLength(request, 0L);
@@ -134,6 +139,16 @@
         }
     }
 
+    /** Returns whether a request target is sent on as it was received; the codec replaces all other bytes. */
+    private static boolean isAscii(String target) {
+        for (int i = 0; i < target.length(); i++) {
+            if (target.charAt(i) > MAX_ASCII) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void appendBody(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             reject(
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -158,6 +158,20 @@
         }
     }
 
+    /** Guards against a target that reaches the upstream with other bytes than the caller sent. */
+    @Test
+    void targetWithBytesOutsideAsciiIsRejected() throws IOException {
+        List<String> handled = new CopyOnWriteArrayList<>();
+        try (Socket socket = connect((request, reply) -> {
+            handled.add(request.target());
+            echo(request, reply);
+        })) {
+            assertThat(sendAndReadAll(socket, requestWithConnectionClose("POST /caf\u00e9", "")))
+                    .startsWith("HTTP/1.1 400");
+            assertThat(handled).isEmpty();
+        }
+    }
+
     @Test
     void conflictingContentLengthsAreRejected() throws IOException {
         try (Socket socket = connect(HttpListenerTest::echo)) {
