Look for upstreams that may return only when none was chosen

Cause: the check whether waiting is worthwhile scanned the upstreams of the service before each choice, also when one was chosen.

Change: it runs only when no upstream was chosen.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -131,20 +131,25 @@
         long now = dependencies.clock().nowNanos();
         long waitedNanos = now - arrivedNanos;
         long remainingWaitNanos = route.targetLatencyNanos() / MAX_WAIT_DIVISOR - waitedNanos;
-        boolean mayWait = remainingWaitNanos > 0
-                && upstreams.untilAdmissionNanos(selectionCriteria(Double.MAX_VALUE)) < remainingWaitNanos;
         Optional<Placement> placement = deadlineNanos - now < MIN_REMAINING_NANOS
                 ? Optional.empty()
-                : upstreams.choose(selectionCriteria(mayWait ? maxInTimeCost(waitedNanos) : Double.MAX_VALUE));
+                : upstreams.choose(
+                        selectionCriteria(remainingWaitNanos > 0 ? maxInTimeCost(waitedNanos) : Double.MAX_VALUE));
         if (placement.isPresent()) {
             startAttempt(placement.get(), kind);
-        } else if (mayWait && deadlineNanos - now > MIN_REMAINING_NANOS) {
+        } else if (deadlineNanos - now > MIN_REMAINING_NANOS && isWaitWorthwhile(remainingWaitNanos)) {
             reply.worker().schedule(() -> selectUpstream(kind), SELECTION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             fail(ResultCode.NO_CAPACITY);
         }
     }
 
+    /** Returns whether an upstream may take the request within the remaining wait, by what the upstreams said. */
+    private boolean isWaitWorthwhile(long remainingWaitNanos) {
+        return remainingWaitNanos > 0
+                && upstreams.untilAdmissionNanos(selectionCriteria(Double.MAX_VALUE)) < remainingWaitNanos;
+    }
+
     private void startAttempt(Placement placement, AttemptKind kind) {
         Attempt attempt = new Attempt(placement);
         attemptsInFlight.add(attempt);
