Let a body grow up to the whole limit

Cause: a growing body reserved its new buffer while the old one was still reserved, and only doubled sizes, so that a response of unknown length was broken from two thirds of the limit on. Found by reading the diff.

Change: a buffer reserves what it grows by, and tries the exact size where a doubled one finds no memory.

Measured: BodyMemoryTest, with a new case for a body of exactly the limit, and the other tests of http pass.

--- a/http/src/main/java/org/turmericspan/http/BodyBuffer.java
+++ b/http/src/main/java/org/turmericspan/http/BodyBuffer.java
@@ -3,29 +3,35 @@
 import io.netty.buffer.ByteBuf;
 import java.util.Arrays;
 import java.util.function.LongConsumer;
-import java.util.function.LongPredicate;
 
 /** Collects the bytes of one body in memory that is reserved before it is allocated. */
 final class BodyBuffer implements AutoCloseable {
     private static final byte[] EMPTY = new byte[0];
     private static final int MIN_CAPACITY = 512;
 
-    private final LongPredicate tryReserve;
+    private final Growth growth;
     private final LongConsumer release;
     private byte[] bytes = EMPTY;
     private int size;
 
-    private BodyBuffer(LongPredicate tryReserve, LongConsumer release) {
-        this.tryReserve = tryReserve;
+    /** Reserves memory for a buffer that grows. */
+    @FunctionalInterface
+    private interface Growth {
+        /** Returns whether the memory is available, and then reserves it. */
+        boolean tryGrow(long fromBytes, long toBytes);
+    }
+
+    private BodyBuffer(Growth growth, LongConsumer release) {
+        this.growth = growth;
         this.release = release;
     }
 
     static BodyBuffer ofRequest(BodyMemory memory) {
-        return new BodyBuffer(memory::tryReserveForRequest, memory::releaseRequest);
+        return new BodyBuffer(memory::tryGrowRequest, memory::releaseRequest);
     }
 
     static BodyBuffer ofResponse(BodyMemory memory) {
-        return new BodyBuffer(memory::tryReserveForResponse, memory::releaseResponse);
+        return new BodyBuffer(memory::tryGrowResponse, memory::releaseResponse);
     }
 
     int size() {
@@ -40,8 +46,10 @@
     /** Appends and consumes content; returns whether the memory for it is available. */
     boolean tryAppend(ByteBuf content) {
         int length = content.readableBytes();
-        if (size + length > bytes.length
-                && !tryResize(Math.max(Math.max(size + length, 2 * bytes.length), MIN_CAPACITY))) {
+        int needed = size + length;
+        if (needed > bytes.length
+                && !tryResize(Math.max(Math.max(needed, 2 * bytes.length), MIN_CAPACITY))
+                && !tryResize(needed)) {
             return false;
         }
         content.readBytes(bytes, size, length);
@@ -50,12 +58,10 @@
     }
 
     private boolean tryResize(int capacity) {
-        if (!tryReserve.test(capacity)) {
+        if (!growth.tryGrow(bytes.length, capacity)) {
             return false;
         }
-        int previousCapacity = bytes.length;
         bytes = Arrays.copyOf(bytes, capacity);
-        release.accept(previousCapacity);
         return true;
     }
 
--- a/http/src/main/java/org/turmericspan/http/BodyMemory.java
+++ b/http/src/main/java/org/turmericspan/http/BodyMemory.java
@@ -56,19 +56,19 @@
         return responseBytes.get();
     }
 
-    /** Reserves memory for the body of a request; returns whether the limit allows it. */
-    boolean tryReserveForRequest(long bytes) {
-        long limit = bytes <= MAX_SMALL_BYTES ? maxBytes : maxBytes - maxBytes / SMALL_DIVISOR;
-        return tryReserve(requestBytes, bytes, limit);
+    /** Reserves memory for the body of a request that grows; returns whether the limit allows its new size. */
+    boolean tryGrowRequest(long fromBytes, long toBytes) {
+        long limit = toBytes <= MAX_SMALL_BYTES ? maxBytes : maxBytes - maxBytes / SMALL_DIVISOR;
+        return tryReserve(requestBytes, toBytes - fromBytes, limit);
     }
 
     void releaseRequest(long bytes) {
         requestBytes.addAndGet(-bytes);
     }
 
-    /** Reserves memory for the body of a response; returns whether the limit allows it. */
-    boolean tryReserveForResponse(long bytes) {
-        return tryReserve(responseBytes, bytes, maxBytes);
+    /** Reserves memory for the body of a response that grows; returns whether the limit allows its new size. */
+    boolean tryGrowResponse(long fromBytes, long toBytes) {
+        return tryReserve(responseBytes, toBytes - fromBytes, maxBytes);
     }
 
     /** Accounts for a response that already takes memory, while it is sent. */
--- a/http/src/test/java/org/turmericspan/http/BodyMemoryTest.java
+++ b/http/src/test/java/org/turmericspan/http/BodyMemoryTest.java
@@ -12,17 +12,17 @@
 
     @Test
     void largeBodiesLeaveRoomForSmallRequests() {
-        assertThat(memory.tryReserveForRequest(700_000)).isTrue();
-        assertThat(memory.tryReserveForRequest(200_000)).isFalse();
-        assertThat(memory.tryReserveForRequest(60_000)).isTrue();
+        assertThat(memory.tryGrowRequest(0, 700_000)).isTrue();
+        assertThat(memory.tryGrowRequest(0, 200_000)).isFalse();
+        assertThat(memory.tryGrowRequest(0, 60_000)).isTrue();
         assertThat(memory.requestBytes()).isEqualTo(760_000);
     }
 
     @Test
     void requestsDoNotTakeTheMemoryOfResponses() {
-        assertThat(memory.tryReserveForRequest(700_000)).isTrue();
-        assertThat(memory.tryReserveForResponse(LIMIT_BYTES)).isTrue();
-        assertThat(memory.tryReserveForResponse(1)).isFalse();
+        assertThat(memory.tryGrowRequest(0, 700_000)).isTrue();
+        assertThat(memory.tryGrowResponse(0, LIMIT_BYTES)).isTrue();
+        assertThat(memory.tryGrowResponse(0, 1)).isFalse();
     }
 
     @Test
@@ -48,6 +48,19 @@
         assertThat(memory.requestBytes()).isZero();
     }
 
+    @Test
+    void bufferGrowsUpToTheLimit() {
+        try (BodyBuffer body = BodyBuffer.ofResponse(memory)) {
+            for (int i = 0; i < 1_000; i++) {
+                assertThat(body.tryAppend(Unpooled.wrappedBuffer(new byte[1_000])))
+                        .as("part %s", i)
+                        .isTrue();
+            }
+            assertThat(body.tryAppend(Unpooled.wrappedBuffer(new byte[1]))).isFalse();
+            assertThat(body.toByteArray()).hasSize(LIMIT_BYTES);
+        }
+    }
+
     @Test
     void bufferOfKnownLengthReservesNoMore() {
         try (BodyBuffer body = BodyBuffer.ofRequest(memory)) {
