--- a/entry/src/test/java/org/turmericspan/entry/SoakFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakFleet.java
@@ -9,7 +9,7 @@
 /** Node processes that reach their servers and the store through links, which can inject faults. */
 final class SoakFleet implements AutoCloseable {
     private static final List<String> ZONES = List.of("zone-a", "zone-b");
-    private static final int NODES = 4;
+    private static final int NODES = Integer.getInteger("soak.nodes", 4);
     private static final int SERVERS = 6;
 
     private final PlatformStandIn platform = new PlatformStandIn();
