Count a response as lost whose head two responses form together

What callers saw: nothing that was observed.

Cause: the HTTP library continues a line of the first with the status line of the second; the headers, with the echoed identifiers, are those of the second.

Why it works: a status line within the reason or a header shows such a head; the response counts as lost, with an unknown outcome.

--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -142,7 +142,9 @@
 
     private void readResponse(Response response) throws IOException {
         UpstreamSignals signals = UpstreamHeaders.signals(response);
-        if (!ResponseCheck.belongsTo(response, requestId, attemptId) || !ResponseCheck.isSelfDelimited(response)) {
+        if (!ResponseCheck.belongsTo(response, requestId, attemptId)
+                || !ResponseCheck.isSelfDelimited(response)
+                || !ResponseCheck.hasOneStatusLine(response)) {
             completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
             return;
         }
--- a/upstream/src/main/java/org/turmericspan/upstream/ResponseCheck.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ResponseCheck.java
@@ -1,9 +1,11 @@
 package org.turmericspan.upstream;
 
+import java.util.regex.Pattern;
 import okhttp3.Response;
 
 /** Checks that a response belongs to its attempt, and that a truncated body would be noticed. */
 final class ResponseCheck {
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] [0-9]{3}");
     private static final String HEAD = "HEAD";
     private static final String CONTENT_LENGTH = "Content-Length";
     private static final String TRANSFER_ENCODING = "Transfer-Encoding";
@@ -41,6 +43,22 @@
                 || CHUNKED.equalsIgnoreCase(response.header(TRANSFER_ENCODING));
     }
 
+    /**
+     * Checks that the head is not formed by two responses. If an upstream sends a part of a response and then a whole
+     * one, the status line of the second continues a line of the first, and the response has the status of the first.
+     *
+     * @param response response of the upstream
+     * @return false if a status line stands within the status line or a header
+     */
+    static boolean hasOneStatusLine(Response response) {
+        for (int i = 0; i < response.headers().size(); i++) {
+            if (STATUS_LINE.matcher(response.headers().value(i)).find()) {
+                return false;
+            }
+        }
+        return !STATUS_LINE.matcher(response.message()).find();
+    }
+
     private static boolean hasNoBody(Response response) {
         return HEAD.equals(response.request().method())
                 || response.code() == STATUS_NO_CONTENT
--- a/upstream/src/test/java/org/turmericspan/upstream/AnswerWholenessTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/AnswerWholenessTest.java
@@ -84,6 +84,20 @@
                 .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
     }
 
+    /** Guards against a status that is that of an earlier response, of which a part arrived before this one. */
+    @Test
+    void statusLineWithinAnotherCountsAsConnectionLost() throws IOException {
+        assertThat(outcomeKindFor("HTTP/1.1 503 Bu" + OK + "Content-Length: 5\r\n\r\nwhole"))
+                .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
+    }
+
+    /** Guards against the same where the part ends within a header value. */
+    @Test
+    void statusLineWithinAHeaderCountsAsConnectionLost() throws IOException {
+        assertThat(outcomeKindFor("HTTP/1.1 503 Busy\r\nX-Why: fu" + OK + "Content-Length: 0\r\n\r\n"))
+                .isEqualTo(AttemptOutcome.Kind.CONNECTION_LOST);
+    }
+
     @Test
     void responseThatEchoesAttemptIdIsComplete() throws IOException {
         UnaryOperator<String> echo =
