Break calls whose response body two responses form together

Callers got a success where the upstream had answered another status: an upstream sent the head of a 200 with a length and the first bytes of the body, stopped, and sent a whole 504 for the same request. The first bytes of the 504 filled the declared length, and 200 was passed on with a body such as "whoHTTP/1.1 504 Gateway ".

Cause: only heads were checked for the start of another response. A body was complete when its declared length was filled, whatever filled it, and bytes left in the decoder only kept the connection from being reused.

Module http now asks module integrity whether the body is one: a second head with the echo header in it, or a status line that continues in the bytes behind the body, ends the call as Broken and closes the connection. A body that ends within what may be a head is held for 100 ms on a timer of the worker; bytes that continue it break the call, otherwise it is delivered. Correlation and ResponseHeads move to integrity, so that there is one place. ResponseFaults counts skipped responses, bytes outside calls and behind responses, held bodies, and heads and bodies that two responses form.

The eight tests of holds and counters use new methods and did not run before. ServerConnectionTest passes the counters to the constructor, nothing else.

Shown by: SplicedResponseTest, 14 tests, 0 failures, 10.5 s; before the last eight tests were added, all tests of http (67) and integrity (12), 0 failures.

--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -22,6 +22,7 @@
     private final ConnectionPool pool;
     private final BodyMemory memory;
     private final AtomicLong opened = new AtomicLong();
+    private final ResponseFaults faults = new ResponseFaults();
 
     /**
      * Creates a client with an empty connection pool.
@@ -60,7 +61,7 @@
 
     private void callOnNewConnection(
             SocketAddress address, RequestMessage request, CallOptions options, OneShotListener oneShot) {
-        ServerConnection connection = new ServerConnection(address, pool, memory, clock);
+        ServerConnection connection = new ServerConnection(address, pool, memory, faults, clock);
         ChannelFuture connectFuture = connect(address, connection, options);
         oneShot.setCancelAction(() -> connectFuture.channel().close());
         connectFuture.addListener(done -> {
@@ -104,6 +105,15 @@
         return opened.get();
     }
 
+    /**
+     * Returns the counters of what servers sent besides whole responses.
+     *
+     * @return the counters
+     */
+    public ResponseFaults faults() {
+        return faults;
+    }
+
     /** Passes at most one outcome to the listener, and none after a cancellation. */
     private static final class OneShotListener implements Consumer<CallEnd> {
         private final Consumer<CallEnd> listener;
--- a/http/src/main/java/org/turmericspan/http/ResponseDecoder.java
+++ b/http/src/main/java/org/turmericspan/http/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.turmericspan.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -25,6 +26,18 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns a copy of the bytes that were received and belong to no decoded message, up to a limit. */
+    byte[] undecodedBytes(int maxBytes) {
+        return firstBytes(internalBuffer(), maxBytes);
+    }
+
+    /** Returns a copy of the first bytes of a buffer, up to a limit, and consumes none. */
+    static byte[] firstBytes(ByteBuf buffer, int maxBytes) {
+        byte[] bytes = new byte[Math.min(buffer.readableBytes(), maxBytes)];
+        buffer.getBytes(buffer.readerIndex(), bytes);
+        return bytes;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -19,12 +19,19 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.integrity.BodyCheck;
+import org.turmericspan.integrity.BodyVerdict;
+import org.turmericspan.integrity.Correlation;
+import org.turmericspan.integrity.ResponseHeads;
 import org.turmericspan.transport.InboundHandler;
 
 /** One connection to a server. Carries one call at a time and is reused only after a complete response. */
@@ -46,10 +53,19 @@
     private static final int MAX_UNEXPECTED_MESSAGES = 16;
     /** Bytes received without any message or part of one among them, after which the call is broken. */
     private static final int MAX_BYTES_WITHOUT_MESSAGE = 131_072;
+    /** Time for which bytes are awaited that may continue another response which begins within the body. */
+    private static final long HOLD_MILLIS = 100;
+    /** Bytes behind a body that are sufficient to decide whether they continue it. */
+    private static final int MAX_FOLLOWING_BYTES = 8_192;
+
+    private static final byte[] NO_BYTES = new byte[0];
+
+    private static final String SPLICED_BODY = "response body contains the start of another response";
 
     private final SocketAddress address;
     private final ConnectionPool pool;
     private final BodyMemory memory;
+    private final ResponseFaults faults;
     private final MonotonicClock clock;
     private final ResponseDecoder decoder = new ResponseDecoder(
             new HttpDecoderConfig()
@@ -64,10 +80,16 @@
     private volatile boolean notReusable;
     private int bytesWithoutMessage;
 
-    ServerConnection(SocketAddress address, ConnectionPool pool, BodyMemory memory, MonotonicClock clock) {
+    ServerConnection(
+            SocketAddress address,
+            ConnectionPool pool,
+            BodyMemory memory,
+            ResponseFaults faults,
+            MonotonicClock clock) {
         this.address = address;
         this.pool = pool;
         this.memory = memory;
+        this.faults = faults;
         this.clock = clock;
     }
 
@@ -107,7 +129,8 @@
         Exchange started = new Exchange(
                 listener,
                 HttpMethod.HEAD.name().equals(request.method()),
-                new Correlation(options.correlationHeader(), request.headers()),
+                new Correlation(
+                        options.correlationHeader(), options.correlationHeader().flatMap(request.headers()::first)),
                 memory);
         if (channel.eventLoop().inEventLoop()) {
             startOnWorker(request, started);
@@ -157,12 +180,19 @@
      * Checks received bytes before they are decoded. Bytes without a call in progress belong to no response, and would
      * become part of the next one. During a call, a faulty server may send any number of bytes without end.
      */
-    private void onBytesReceived(int bytes) {
+    private void onBytesReceived(ByteBuf bytes) {
         if (exchange == null) {
+            if (!notReusable) {
+                faults.onBytesOutsideCall();
+            }
             closeUnusable();
             return;
         }
-        bytesWithoutMessage += bytes;
+        if (exchange.held != null) {
+            endHold(exchange, ResponseDecoder.firstBytes(bytes, MAX_FOLLOWING_BYTES));
+            return;
+        }
+        bytesWithoutMessage += bytes.readableBytes();
         if (bytesWithoutMessage > MAX_BYTES_WITHOUT_MESSAGE) {
             fail("bytes that are no response");
         }
@@ -194,7 +224,8 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            if (ResponseHeads.containStatusLine(response)) {
+            if (isSpliced(response)) {
+                faults.onSplicedHead();
                 fail("response head contains the start of another response");
                 return;
             }
@@ -209,25 +240,64 @@
         }
     }
 
+    /** Returns whether a status line stands within a line of the head. */
+    private static boolean isSpliced(HttpResponse head) {
+        if (ResponseHeads.containStatusLine(head.status().reasonPhrase())) {
+            return true;
+        }
+        for (Map.Entry<String, String> header : head.headers()) {
+            if (ResponseHeads.containStatusLine(header.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void completeResponse() {
+        byte[] body = exchange.body.toByteArray();
+        BodyCheck check = new BodyCheck(body, exchange.correlation.echoHeader());
+        BodyVerdict verdict = check.verdict();
+        if (verdict == BodyVerdict.SPLICED
+                || verdict != BodyVerdict.SOUND && check.isContinuedBy(decoder.undecodedBytes(MAX_FOLLOWING_BYTES))) {
+            faults.onSplicedBody();
+            fail(SPLICED_BODY);
+            return;
+        }
         if (exchange.isNotExpected()) {
-            // An informational response, or one to an earlier request; the expected response may still follow.
-            notReusable = true;
-            exchange.unexpectedMessages++;
-            if (exchange.unexpectedMessages > MAX_UNEXPECTED_MESSAGES) {
-                fail("too many messages that are not the response");
-            }
+            skipResponse();
             return;
         }
         HttpResponse head = exchange.head;
-        ResponseMessage response = new ResponseMessage(
-                head.status().code(), NettyHeaders.read(head.headers()), exchange.body.toByteArray());
-        Exchange completed = endExchange();
+        ResponseMessage response = new ResponseMessage(head.status().code(), NettyHeaders.read(head.headers()), body);
+        if (verdict == BodyVerdict.ENDS_IN_HEAD && !decoder.hasUndecodedBytes() && channel.isActive()) {
+            hold(response, check);
+            return;
+        }
         boolean isReusable = !notReusable
                 && HttpUtil.isKeepAlive(head)
-                && completed.writeFuture.isSuccess()
+                && exchange.writeFuture.isSuccess()
                 && hasSelfDefinedLength(head)
                 && !decoder.hasUndecodedBytes();
+        if (decoder.hasUndecodedBytes()) {
+            faults.onBytesAfterResponse();
+        }
+        deliver(response, isReusable);
+    }
+
+    /** Drops an informational response, or one to an earlier request; the expected response may still follow. */
+    private void skipResponse() {
+        notReusable = true;
+        if (exchange.head.status().code() >= MIN_FINAL_STATUS) {
+            faults.onSkippedResponse();
+        }
+        exchange.unexpectedMessages++;
+        if (exchange.unexpectedMessages > MAX_UNEXPECTED_MESSAGES) {
+            fail("too many messages that are not the response");
+        }
+    }
+
+    private void deliver(ResponseMessage response, boolean isReusable) {
+        Exchange completed = endExchange();
         if (isReusable) {
             returnToPool(response);
         } else {
@@ -237,6 +307,32 @@
         completed.listener.accept(new CallEnd.Answered(response));
     }
 
+    /** Keeps a response whose body ends within what may be another head, until the next bytes or the end of a time. */
+    private void hold(ResponseMessage response, BodyCheck check) {
+        faults.onHeldBody();
+        notReusable = true;
+        Exchange holding = exchange;
+        holding.held = new HeldResponse(response, check);
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            if (exchange == holding) {
+                                endHold(holding, NO_BYTES);
+                            }
+                        },
+                        HOLD_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void endHold(Exchange holding, byte[] following) {
+        if (holding.held.check.isContinuedBy(following)) {
+            faults.onSplicedBody();
+            fail(SPLICED_BODY);
+        } else {
+            deliver(holding.held.response, false);
+        }
+    }
+
     /** Returns whether the response states where it ends; otherwise it ends with its connection. */
     private static boolean hasSelfDefinedLength(HttpResponse head) {
         return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
@@ -275,7 +371,11 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.remove(this);
-        fail("connection closed");
+        if (exchange != null && exchange.held != null) {
+            endHold(exchange, NO_BYTES);
+        } else {
+            fail("connection closed");
+        }
     }
 
     @Override
@@ -288,11 +388,14 @@
     private record ReceiveCounter(ServerConnection connection) implements InboundHandler {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            connection.onBytesReceived(((ByteBuf) message).readableBytes());
+            connection.onBytesReceived((ByteBuf) message);
             context.fireChannelRead(message);
         }
     }
 
+    /** A response whose body ends within what may be the head of another one. */
+    private record HeldResponse(ResponseMessage response, BodyCheck check) {}
+
     /** The call in progress and the part of its response that was received. */
     private static final class Exchange {
         private final Consumer<CallEnd> listener;
@@ -302,6 +405,7 @@
         private int unexpectedMessages;
         private ChannelFuture writeFuture;
         private HttpResponse head;
+        private HeldResponse held;
 
         Exchange(Consumer<CallEnd> listener, boolean isHeadRequest, Correlation correlation, BodyMemory memory) {
             this.body = BodyBuffer.ofResponse(memory);
@@ -323,7 +427,12 @@
 
         /** Returns whether the message is informational or the response to another request. */
         boolean isNotExpected() {
-            return head.status().code() < MIN_FINAL_STATUS || !correlation.matches(head.headers());
+            return head.status().code() < MIN_FINAL_STATUS || !isOwn();
+        }
+
+        private boolean isOwn() {
+            Optional<String> echoHeader = correlation.echoHeader();
+            return correlation.matches(echoHeader.isPresent() ? head.headers().getAll(echoHeader.get()) : List.of());
         }
     }
 }
--- a/http/src/test/java/org/turmericspan/http/ServerConnectionTest.java
+++ b/http/src/test/java/org/turmericspan/http/ServerConnectionTest.java
@@ -20,7 +20,7 @@
     private final ManualClock clock = new ManualClock();
     private final ConnectionPool pool = new ConnectionPool(clock);
     private final ServerConnection connection =
-            new ServerConnection(ADDRESS, pool, new BodyMemory(Long.MAX_VALUE), clock);
+            new ServerConnection(ADDRESS, pool, new BodyMemory(Long.MAX_VALUE), new ResponseFaults(), clock);
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final List<CallEnd> secondEnds = new ArrayList<>();
 
