Log the source of each configuration that a node reads

The lines of an outage named the versions in force, but not the source, its distance from the store, the age of its contact, or the time since contact was regained, so that a slow tree could not be told from a stale relay. One line for each read item of the configuration, under the rate limit of the log.

--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -72,6 +72,8 @@
     private long revision;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private long lastResponseNanos;
+    private long contactRestoredNanos;
+    private StoreSource lastSource;
     private boolean isContactLost;
     private boolean isListStale;
     private int relayFailures;
@@ -116,6 +118,7 @@
     /** Starts to list all items and then to watch for changes. */
     public void start() {
         lastResponseNanos = clock.nowNanos();
+        contactRestoredNanos = lastResponseNanos;
         worker.execute(this::listAll);
     }
 
@@ -214,7 +217,7 @@
                 retryAfterFailure(source, result, this::listAll);
                 return;
             }
-            recordResponse(read.page());
+            recordResponse(source, read.page());
             items.addAll(read.page().items());
             // The pages are not a consistent snapshot, so the watch starts at the lowest of their revisions.
             long watchRevision = Math.min(lowestRevision, read.page().revision());
@@ -254,7 +257,7 @@
         boolean isStore = source.isStore();
         reader.watch(source, revision, isStore ? STORE_WATCH_MILLIS : RELAY_WATCH_MILLIS, guarded(result -> {
             if (result instanceof StoreReadResult.Page read) {
-                recordResponse(read.page());
+                recordResponse(source, read.page());
                 read.page().items().forEach(this::apply);
                 advanceRevision(read.page().revision());
                 long delayMillis = isStore && !read.page().items().isEmpty() ? BATCH_DELAY_MILLIS : 0;
@@ -288,8 +291,9 @@
         changeListener.run();
     }
 
-    private void recordResponse(StorePage page) {
+    private void recordResponse(StoreSource source, StorePage page) {
         long nowNanos = clock.nowNanos();
+        lastSource = source;
         contact.recordResponse(page.status());
         if (isContactLost) {
             log.write(Event.notice(PART, "Store contact restored, directly or through a store reader.")
@@ -297,6 +301,7 @@
             if (nowNanos - lastResponseNanos > MIN_EXPIRY_OUTAGE_NANOS) {
                 contact.extendGracePeriod(REREGISTRATION_GRACE_MILLIS);
             }
+            contactRestoredNanos = nowNanos;
         }
         isContactLost = false;
         relayFailures = 0;
@@ -352,6 +357,7 @@
     private void apply(StoreItem item, StoreUpdate update) {
         if (update instanceof StoreUpdate.Configuration published) {
             mirror.put(item, true);
+            logConfiguration(published);
             fleetListener.onConfiguration(published.configuration());
         } else if (update instanceof StoreUpdate.Evacuation evacuation) {
             mirror.put(item, true);
@@ -365,6 +371,16 @@
         }
     }
 
+    private void logConfiguration(StoreUpdate.Configuration published) {
+        RelayStatus status = contact.status();
+        log.write(Event.notice(PART, "Configuration read.")
+                .with("version", published.configuration().version())
+                .with("source", lastSource)
+                .with("distance", status.distance())
+                .with("contactAgeMs", status.contactAgeMillis())
+                .with("contactForMs", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - contactRestoredNanos)));
+    }
+
     private void evacuate(StoreUpdate.Evacuation evacuation) {
         boolean hasChanged = evacuation.isEvacuated()
                 ? evacuatedZones.add(evacuation.zone())
