Ask relays and the store again after each round without contact

Cause: a relay that responded that it has no contact was treated like one that does not respond, and was not asked for 2 s, also when it had regained contact; each read after the fourth failure waited for up to 0.8 s besides, and the store itself was asked only when its own 2 s were over. The waits of the three steps of the tree added up.

Now a node tries each source once, without a pause between them, and waits once, for at most 0.4 s; then it asks the relays without contact and the store again. Sources that do not respond keep their 2 s. A node without contact asks the store for changes without a wait, so that a store that does not respond is noticed after 0.6 s instead of 1.5 s.

--- a/entry/src/main/java/org/turmericspan/entry/ReaderTreeSelector.java
+++ b/entry/src/main/java/org/turmericspan/entry/ReaderTreeSelector.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.turmericspan.feed.SourceFailure;
 import org.turmericspan.feed.StoreSource;
 import org.turmericspan.feed.StoreSource.Kind;
 import org.turmericspan.feed.StoreSourceSelector;
@@ -18,7 +21,8 @@
 /**
  * Selects the source from which this node reads the store, so that the reads of the store do not grow with the fleet.
  * One node of the fleet reads the store itself, the first reader of each zone reads from that node, and the others of a
- * zone from its first reader. Whoever is next in the order replaces a reader that does not respond. The load patterns
+ * zone from its first reader. Whoever is next in the order replaces a reader that does not respond. When no source is
+ * left, relays that responded without contact, and the store, are tried again after one delay. The load patterns
  * are a fleet that grows, one that starts at once, and a store that rejects some nodes or all of them.
  */
 final class ReaderTreeSelector implements StoreSourceSelector {
@@ -35,6 +39,10 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final Map<SocketAddress, Long> lastFailuresNanos = new HashMap<>();
+    /** Relays that responded without contact since the last delay; they may regain it at any time. */
+    private final Set<SocketAddress> relaysWithoutContact = new HashSet<>();
+
+    private boolean isStoreTried;
 
     ReaderTreeSelector(SocketAddress store, MemberTable members, MonotonicClock clock, RandomGenerator random) {
         this.store = store;
@@ -121,7 +129,25 @@
     }
 
     @Override
-    public void reportFailure(StoreSource source) {
+    public boolean reportFailure(StoreSource source, SourceFailure failure) {
         lastFailuresNanos.put(source.address(), clock.nowNanos());
+        if (source.isStore()) {
+            isStoreTried = true;
+        } else if (failure == SourceFailure.REJECTED) {
+            relaysWithoutContact.add(source.address());
+        } else {
+            relaysWithoutContact.remove(source.address());
+        }
+        if (isUntried(select())) {
+            return true;
+        }
+        lastFailuresNanos.keySet().removeAll(relaysWithoutContact);
+        relaysWithoutContact.clear();
+        isStoreTried = false;
+        return false;
+    }
+
+    private boolean isUntried(StoreSource source) {
+        return isOutsideBackoff(source.address()) || source.isStore() && !isStoreTried;
     }
 }
--- a/entry/src/test/java/org/turmericspan/entry/ReaderTreeSelectorTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/ReaderTreeSelectorTest.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.feed.SourceFailure;
 import org.turmericspan.feed.StoreSource;
 import org.turmericspan.feed.StoreSource.Kind;
 import org.turmericspan.gossip.Member;
@@ -71,7 +72,7 @@
                 .findFirst()
                 .orElseThrow();
         StoreSource first = node.select();
-        node.reportFailure(first);
+        node.reportFailure(first, SourceFailure.UNRESPONSIVE);
         assertThat(node.select()).isNotEqualTo(first);
         clock.advance(Duration.ofMillis(2_001));
         assertThat(node.select()).isEqualTo(first);
@@ -84,25 +85,59 @@
                 .filter(each -> each.select().isStore())
                 .findFirst()
                 .orElseThrow();
-        reader.reportFailure(reader.select());
+        reader.reportFailure(reader.select(), SourceFailure.REJECTED);
         assertThat(reader.select().kind()).isEqualTo(Kind.STORE_READER);
     }
 
     @Test
     void nodesThatDoNotReadForTheirZoneNeverTurnToTheStore() {
-        List<ReaderTreeSelector> fleet = fleet(152, 6);
-        long turned = fleet.stream()
-                .filter(node -> {
-                    for (int attempt = 0; attempt < 40; attempt++) {
-                        StoreSource source = node.select();
-                        if (source.isStore()) {
-                            return true;
+        for (SourceFailure failure : SourceFailure.values()) {
+            List<ReaderTreeSelector> fleet = fleet(152, 6);
+            long turned = fleet.stream()
+                    .filter(node -> {
+                        for (int attempt = 0; attempt < 40; attempt++) {
+                            StoreSource source = node.select();
+                            if (source.isStore()) {
+                                return true;
+                            }
+                            node.reportFailure(source, failure);
                         }
-                        node.reportFailure(source);
-                    }
-                    return false;
-                })
-                .count();
-        assertThat(turned).isLessThanOrEqualTo(2 * 6);
+                        return false;
+                    })
+                    .count();
+            assertThat(turned).as(failure.name()).isLessThanOrEqualTo(2 * 6);
+        }
+    }
+
+    /** Fails each source in turn until the node delays its next read; returns the sources. */
+    private static List<StoreSource> failAll(ReaderTreeSelector node, SourceFailure failure) {
+        List<StoreSource> failed = new ArrayList<>();
+        do {
+            failed.add(node.select());
+        } while (node.reportFailure(failed.get(failed.size() - 1), failure));
+        return failed;
+    }
+
+    @Test
+    void relaysWithoutContactAndTheStoreAreTriedAgainAfterEachDelay() {
+        for (ReaderTreeSelector node : fleet(152, 6)) {
+            List<StoreSource> first = failAll(node, SourceFailure.REJECTED);
+            clock.advance(Duration.ofMillis(100));
+            assertThat(failAll(node, SourceFailure.REJECTED)).containsExactlyInAnyOrderElementsOf(first);
+            assertThat(first).doesNotHaveDuplicates().hasSizeLessThanOrEqualTo(2 + 6 + 1);
+        }
+    }
+
+    @Test
+    void relayThatDidNotRespondIsNotTriedAgainAfterADelay() {
+        ReaderTreeSelector node = fleet(16, 4).stream()
+                .filter(each -> each.select().kind() == Kind.ZONE_READER)
+                .findFirst()
+                .orElseThrow();
+        StoreSource unresponsive = node.select();
+        node.reportFailure(unresponsive, SourceFailure.UNRESPONSIVE);
+        failAll(node, SourceFailure.REJECTED);
+        clock.advance(Duration.ofMillis(100));
+        assertThat(failAll(node, SourceFailure.REJECTED)).doesNotContain(unresponsive);
     }
 }
--- /dev/null
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -0,0 +1,342 @@
+package org.turmericspan.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.turmericspan.balancing.FleetListener;
+import org.turmericspan.balancing.Registration;
+import org.turmericspan.balancing.RoutingConfiguration;
+import org.turmericspan.events.EventLog;
+import org.turmericspan.feed.StoreFeed;
+import org.turmericspan.gossip.Member;
+import org.turmericspan.gossip.MemberTable;
+import org.turmericspan.http.CallEnd;
+import org.turmericspan.http.CallHandle;
+import org.turmericspan.http.HttpService;
+import org.turmericspan.http.Reply;
+import org.turmericspan.http.RequestMessage;
+import org.turmericspan.http.ResponseMessage;
+import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.platform.DocumentDecoder;
+import org.turmericspan.platform.FeedRelay;
+import org.turmericspan.platform.StoreClient;
+import org.turmericspan.testkit.ManualClock;
+import org.turmericspan.testkit.ManualExecutor;
+
+/** Nodes of several zones that read one store through each other, in memory and in simulated time. */
+final class RelayFleet {
+    /** How a party treats the reads that it receives. */
+    enum Link {
+        SERVING,
+        REJECTING,
+        REFUSING,
+        SILENT
+    }
+
+    private static final SocketAddress STORE = new SocketAddress("10.9.9.9", 8_169);
+    private static final long MAX_LATENCY_MILLIS = 4;
+    private static final long GOSSIP_INTERVAL_MILLIS = 200;
+    private static final long STORE_CHECK_INTERVAL_MILLIS = 1_000;
+    private static final long HEARTBEAT_INTERVAL_MILLIS = 70;
+
+    private final ManualClock clock = new ManualClock();
+    private final ManualExecutor executor = new ManualExecutor(clock);
+    private final SplittableRandom random;
+    private final FakeStore store = new FakeStore();
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<SocketAddress, Node> nodesByAddress = new HashMap<>();
+    private Predicate<Node> storeServes = node -> true;
+    private Link storeFailure = Link.REFUSING;
+    private long storeReads;
+    private long relayReads;
+
+    RelayFleet(int size, int zones, long seed) {
+        random = new SplittableRandom(seed);
+        store.put("op/config", configuration(1));
+        for (int i = 0; i < size; i++) {
+            Node node = new Node(i, "zone-" + i % zones);
+            nodes.add(node);
+            nodesByAddress.put(node.address, node);
+        }
+        nodes.forEach(Node::start);
+        executor.scheduleWithFixedDelay(this::gossip, 0, GOSSIP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(
+                () -> store.put("servers/i-1", registration(clock.nowNanos())),
+                0,
+                HEARTBEAT_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    static String configuration(long version) {
+        return "{\"Version\":" + version + ",\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\",\"Prefix\":\"/a" + version
+                + "/\",\"Backends\":[{\"Service\":\"desk\",\"Weight\":3}],\"Type\":\"safe\",\"TimeoutS\":1.5,"
+                + "\"TargetLatencyS\":0.25,\"MaxAttempts\":2,\"Priority\":1}],\"Services\":[{\"Name\":\"desk\","
+                + "\"HealthPath\":\"/h\",\"MaxConns\":9,\"WarmupS\":3,\"WarmupPerS\":7.3}]}";
+    }
+
+    private static String registration(long sequence) {
+        return "{\"Service\":\"desk\",\"Address\":\"10.0.0.5:80\",\"Zone\":\"zone-0\",\"Version\":\"v1\","
+                + "\"Capacity\":3,\"State\":\"ready\",\"WarmupLeftS\":0,\"Sequence\":" + sequence
+                + ",\"born\":1700000000000}";
+    }
+
+    private void gossip() {
+        List<Member> reported = nodes.stream()
+                .filter(node -> node.link == Link.SERVING)
+                .map(node -> node.table.self())
+                .toList();
+        nodes.forEach(node -> {
+            node.table.mergeAll(reported);
+            node.table.detectFailures();
+        });
+    }
+
+    void advance(Duration duration) {
+        executor.advance(duration);
+    }
+
+    /** Returns the number of reads that nodes have sent to the store, served or not. */
+    long storeReads() {
+        return storeReads;
+    }
+
+    /** Returns the number of reads that nodes have sent to each other. */
+    long relayReads() {
+        return relayReads;
+    }
+
+    List<Node> nodes() {
+        return nodes;
+    }
+
+    /** Makes the store fail for all nodes but those that it serves. */
+    void storeServes(Predicate<Node> served, Link failure) {
+        storeServes = served;
+        storeFailure = failure;
+    }
+
+    /** Confirms a version, as the store does to the operator. */
+    void confirm(long version) {
+        store.put("op/config", configuration(version));
+    }
+
+    /** Lists the nodes in the order in which the fleet reads the store through them. */
+    List<Node> inReaderOrder() {
+        return nodes.stream()
+                .sorted((first, second) -> MemberTable.readerOrder().compare(first.table.self(), second.table.self()))
+                .toList();
+    }
+
+    private Link linkTo(Node caller, SocketAddress address) {
+        if (caller.link != Link.SERVING) {
+            return Link.SILENT;
+        }
+        if (address.equals(STORE)) {
+            return storeServes.test(caller) ? Link.SERVING : storeFailure;
+        }
+        return nodesByAddress.get(address).link;
+    }
+
+    /** Delivers a request after a latency; the connection breaks or falls silent as the link then does. */
+    private CallHandle call(Node caller, SocketAddress address, RequestMessage request, Consumer<CallEnd> listener) {
+        Exchange exchange = new Exchange(caller, address, listener);
+        later(() -> exchange.deliver(request));
+        return exchange::cancel;
+    }
+
+    private void later(Runnable task) {
+        executor.schedule(task, 1 + random.nextLong(MAX_LATENCY_MILLIS), TimeUnit.MILLISECONDS);
+    }
+
+    /** One request and its response. */
+    private final class Exchange implements Reply {
+        private final Node caller;
+        private final SocketAddress address;
+        private final int incarnation;
+        private final Consumer<CallEnd> listener;
+        private Runnable callerGone = () -> {};
+        private boolean ended;
+        private boolean sent;
+
+        Exchange(Node caller, SocketAddress address, Consumer<CallEnd> listener) {
+            this.caller = caller;
+            this.address = address;
+            this.incarnation = address.equals(STORE) ? 0 : nodesByAddress.get(address).incarnation;
+            this.listener = listener;
+        }
+
+        void deliver(RequestMessage request) {
+            if (address.equals(STORE)) {
+                storeReads++;
+            } else {
+                relayReads++;
+            }
+            switch (linkTo(caller, address)) {
+                case SERVING -> service().handle(request, this);
+                case REJECTING -> send(FakeStore.rejection());
+                case REFUSING -> end(new CallEnd.NotSent("connection refused"));
+                default -> {
+                    // No response.
+                }
+            }
+        }
+
+        private HttpService service() {
+            return address.equals(STORE) ? store : nodesByAddress.get(address).relay;
+        }
+
+        @Override
+        public void send(ResponseMessage response) {
+            if (!sent) {
+                sent = true;
+                later(() -> {
+                    Link link = linkTo(caller, address);
+                    if (link == Link.SERVING || link == Link.REJECTING) {
+                        end(new CallEnd.Answered(response));
+                    } else if (link == Link.REFUSING) {
+                        end(new CallEnd.Broken("connection reset"));
+                    }
+                });
+            }
+        }
+
+        private void end(CallEnd result) {
+            if (!ended) {
+                ended = true;
+                listener.accept(result);
+            }
+        }
+
+        void cancel() {
+            ended = true;
+            later(callerGone);
+        }
+
+        @Override
+        public void onCallerGone(Runnable action) {
+            callerGone = action;
+        }
+
+        @Override
+        public ScheduledExecutorService worker() {
+            return executor;
+        }
+    }
+
+    /** A node: what it knows of the others, its feed and its relay. */
+    final class Node {
+        private final SocketAddress address;
+        private final List<Long> versions = new ArrayList<>();
+        private final MemberTable table;
+        private int incarnation;
+        private Link link = Link.SERVING;
+        private StoreFeed feed;
+        private FeedRelay relay;
+
+        Node(int index, String zone) {
+            address = new SocketAddress("10.0." + index / 200 + "." + (1 + index % 200), 7_000);
+            table = new MemberTable(
+                    new Member(
+                            address,
+                            new SocketAddress(address.host(), 8_000),
+                            new AvailabilityZoneId(zone),
+                            1 + index,
+                            true,
+                            false,
+                            false,
+                            clock.nowNanos()),
+                    clock,
+                    EventLog.none());
+            executor.scheduleWithFixedDelay(
+                    () -> table.updateSelf(true, table.self().leaving(), feed.hasStoreContact()),
+                    STORE_CHECK_INTERVAL_MILLIS,
+                    STORE_CHECK_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+
+        /** Starts the node, again with nothing known if it ran before. */
+        void start() {
+            incarnation++;
+            link = Link.SERVING;
+            versions.clear();
+            int current = incarnation;
+            StoreClient client = new StoreClient(
+                    (target, request, options, listener) -> call(this, target, request, listener), executor);
+            feed = new StoreFeed(
+                    new ReaderTreeSelector(STORE, table, clock, random.split()),
+                    client,
+                    DocumentDecoder::decode,
+                    new VersionRecorder(current),
+                    executor,
+                    clock,
+                    random.split(),
+                    EventLog.none());
+            relay = new FeedRelay(feed);
+            feed.start();
+        }
+
+        /** Ends the node's part in the fleet: others get no response, or a refused connection. */
+        void fail(Link failure) {
+            link = failure;
+        }
+
+        void leave() {
+            table.updateSelf(true, true, false);
+        }
+
+        boolean isInTouch() {
+            return link == Link.SERVING && !table.self().leaving();
+        }
+
+        String zone() {
+            return table.self().availabilityZone().value();
+        }
+
+        List<Long> versions() {
+            return versions;
+        }
+
+        long version() {
+            return versions.isEmpty() ? 0 : versions.get(versions.size() - 1);
+        }
+
+        @Override
+        public String toString() {
+            return zone() + "/" + address.host();
+        }
+
+        private final class VersionRecorder implements FleetListener {
+            private final int recordedIncarnation;
+
+            VersionRecorder(int recordedIncarnation) {
+                this.recordedIncarnation = recordedIncarnation;
+            }
+
+            @Override
+            public void onConfiguration(RoutingConfiguration configuration) {
+                if (incarnation == recordedIncarnation) {
+                    versions.add(configuration.version());
+                }
+            }
+
+            @Override
+            public void onRegistration(Registration registration) {}
+
+            @Override
+            public void onRemoval(UpstreamId id) {}
+
+            @Override
+            public void onEvacuation(Set<AvailabilityZoneId> zones) {}
+        }
+    }
+}
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -32,6 +32,8 @@
     private static final long BATCH_DELAY_MILLIS = 500;
     /** Longest wait of a watch of the store; short enough to detect a dead connection within the required bounds. */
     private static final long STORE_WATCH_MILLIS = 900;
+    /** Wait of a watch of the store without contact; none, so that a store that does not respond is noticed sooner. */
+    private static final long STORE_PROBE_MILLIS = 0;
     /** Longest wait of a watch of another node; shorter, since that node may have failed and is quickly replaced. */
     private static final long RELAY_WATCH_MILLIS = 400;
     /**
@@ -39,12 +41,10 @@
      * find each other within it, and need not all watch the store.
      */
     private static final long FIRST_WATCH_DELAY_MILLIS = 400;
-    /** Successive failures of relays after which further reads are delayed as those of the store are. */
-    private static final int IMMEDIATE_RELAY_RETRIES = 4;
-    /** Backoff after the first failure; doubled after each further one. */
+    /** Backoff after the first time that all sources failed; doubled after each further one. */
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     /** Limit of the backoff after successive failures. */
-    private static final long MAX_BACKOFF_MILLIS = 800;
+    private static final long MAX_BACKOFF_MILLIS = 400;
     /** Grace period after an outage in which upstreams whose registrations expired meanwhile may register again. */
     private static final long REREGISTRATION_GRACE_MILLIS = 2_000;
     /**
@@ -76,7 +76,6 @@
     private StoreSource lastSource;
     private boolean isContactLost;
     private boolean isListStale;
-    private int relayFailures;
     private Runnable changeListener = () -> {};
     private Runnable contactLostListener = () -> {};
     private volatile boolean complete;
@@ -255,7 +254,8 @@
     private void watch() {
         StoreSource source = chooseSource();
         boolean isStore = source.isStore();
-        reader.watch(source, revision, isStore ? STORE_WATCH_MILLIS : RELAY_WATCH_MILLIS, guarded(result -> {
+        long storeWatchMillis = contact.isCurrent(0) ? STORE_WATCH_MILLIS : STORE_PROBE_MILLIS;
+        reader.watch(source, revision, isStore ? storeWatchMillis : RELAY_WATCH_MILLIS, guarded(result -> {
             if (result instanceof StoreReadResult.Page read) {
                 recordResponse(source, read.page());
                 read.page().items().forEach(this::apply);
@@ -304,27 +304,25 @@
             contactRestoredNanos = nowNanos;
         }
         isContactLost = false;
-        relayFailures = 0;
         lastResponseNanos = nowNanos;
         backoffMillis = INITIAL_BACKOFF_MILLIS;
     }
 
     private void retryAfterFailure(StoreSource source, StoreReadResult result, Runnable retry) {
-        sourceSelector.reportFailure(source);
+        boolean isOtherDue = sourceSelector.reportFailure(source, SourceFailure.of(result));
         if (source.isStore()) {
             loseStoreContact(result);
         } else {
-            relayFailures++;
             log.write(Event.notice(PART, "Read from store reader failed, choosing another source.")
                     .with("reader", source.address())
                     .with("reason", result));
-            if (relayFailures <= IMMEDIATE_RELAY_RETRIES) {
-                worker.execute(retry);
-                return;
-            }
+        }
+        if (isOtherDue) {
+            worker.execute(retry);
+        } else {
             isContactLost = true;
+            worker.schedule(retry, nextBackoffMillis(), TimeUnit.MILLISECONDS);
         }
-        worker.schedule(retry, nextBackoffMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void loseStoreContact(StoreReadResult result) {
--- a/feed/src/main/java/org/turmericspan/feed/StoreSourceSelector.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreSourceSelector.java
@@ -13,6 +13,8 @@
      * Reports that a read from a source failed.
      *
      * @param source the source
+     * @param failure how the read failed
+     * @return whether another source is to be read at once; otherwise the next read is delayed
      */
-    void reportFailure(StoreSource source);
+    boolean reportFailure(StoreSource source, SourceFailure failure);
 }
