--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -32,6 +32,8 @@
     private static final long BATCH_DELAY_MILLIS = 500;
     /** Longest wait of a watch of the store; short enough to detect a dead connection within the required bounds. */
     private static final long STORE_WATCH_MILLIS = 900;
+    /** Wait of a watch of the store without contact; none, so that a store that does not respond is noticed sooner. */
+    private static final long STORE_PROBE_MILLIS = 0;
     /** Longest wait of a watch of another node; shorter, since that node may have failed and is quickly replaced. */
     private static final long RELAY_WATCH_MILLIS = 400;
     /**
@@ -39,12 +41,10 @@
      * find each other within it, and need not all watch the store.
      */
     private static final long FIRST_WATCH_DELAY_MILLIS = 400;
-    /** Successive failures of relays after which further reads are delayed as those of the store are. */
-    private static final int IMMEDIATE_RELAY_RETRIES = 4;
-    /** Backoff after the first failure; doubled after each further one. */
+    /** Backoff after the first time that all sources failed; doubled after each further one. */
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     /** Limit of the backoff after successive failures. */
-    private static final long MAX_BACKOFF_MILLIS = 800;
+    private static final long MAX_BACKOFF_MILLIS = 400;
     /** Grace period after an outage in which upstreams whose registrations expired meanwhile may register again. */
     private static final long REREGISTRATION_GRACE_MILLIS = 2_000;
     /**
@@ -72,9 +72,10 @@
     private long revision;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private long lastResponseNanos;
+    private long contactRestoredNanos;
+    private StoreSource lastSource;
     private boolean isContactLost;
     private boolean isListStale;
-    private int relayFailures;
     private Runnable changeListener = () -> {};
     private Runnable contactLostListener = () -> {};
     private volatile boolean complete;
@@ -116,6 +117,7 @@
     /** Starts to list all items and then to watch for changes. */
     public void start() {
         lastResponseNanos = clock.nowNanos();
+        contactRestoredNanos = lastResponseNanos;
         worker.execute(this::listAll);
     }
 
@@ -214,7 +216,7 @@
                 retryAfterFailure(source, result, this::listAll);
                 return;
             }
-            recordResponse(read.page());
+            recordResponse(source, read.page());
             items.addAll(read.page().items());
             // The pages are not a consistent snapshot, so the watch starts at the lowest of their revisions.
             long watchRevision = Math.min(lowestRevision, read.page().revision());
@@ -252,9 +254,10 @@
     private void watch() {
         StoreSource source = chooseSource();
         boolean isStore = source.isStore();
-        reader.watch(source, revision, isStore ? STORE_WATCH_MILLIS : RELAY_WATCH_MILLIS, guarded(result -> {
+        long storeWatchMillis = contact.isCurrent(0) ? STORE_WATCH_MILLIS : STORE_PROBE_MILLIS;
+        reader.watch(source, revision, isStore ? storeWatchMillis : RELAY_WATCH_MILLIS, guarded(result -> {
             if (result instanceof StoreReadResult.Page read) {
-                recordResponse(read.page());
+                recordResponse(source, read.page());
                 read.page().items().forEach(this::apply);
                 advanceRevision(read.page().revision());
                 long delayMillis = isStore && !read.page().items().isEmpty() ? BATCH_DELAY_MILLIS : 0;
@@ -288,8 +291,9 @@
         changeListener.run();
     }
 
-    private void recordResponse(StorePage page) {
+    private void recordResponse(StoreSource source, StorePage page) {
         long nowNanos = clock.nowNanos();
+        lastSource = source;
         contact.recordResponse(page.status());
         if (isContactLost) {
             log.write(Event.notice(PART, "Store contact restored, directly or through a store reader.")
@@ -297,29 +301,28 @@
             if (nowNanos - lastResponseNanos > MIN_EXPIRY_OUTAGE_NANOS) {
                 contact.extendGracePeriod(REREGISTRATION_GRACE_MILLIS);
             }
+            contactRestoredNanos = nowNanos;
         }
         isContactLost = false;
-        relayFailures = 0;
         lastResponseNanos = nowNanos;
         backoffMillis = INITIAL_BACKOFF_MILLIS;
     }
 
     private void retryAfterFailure(StoreSource source, StoreReadResult result, Runnable retry) {
-        sourceSelector.reportFailure(source);
+        boolean isOtherDue = sourceSelector.reportFailure(source, SourceFailure.of(result));
         if (source.isStore()) {
             loseStoreContact(result);
         } else {
-            relayFailures++;
             log.write(Event.notice(PART, "Read from store reader failed, choosing another source.")
                     .with("reader", source.address())
                     .with("reason", result));
-            if (relayFailures <= IMMEDIATE_RELAY_RETRIES) {
-                worker.execute(retry);
-                return;
-            }
+        }
+        if (isOtherDue) {
+            worker.execute(retry);
+        } else {
             isContactLost = true;
+            worker.schedule(retry, nextBackoffMillis(), TimeUnit.MILLISECONDS);
         }
-        worker.schedule(retry, nextBackoffMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void loseStoreContact(StoreReadResult result) {
@@ -352,6 +355,7 @@
     private void apply(StoreItem item, StoreUpdate update) {
         if (update instanceof StoreUpdate.Configuration published) {
             mirror.put(item, true);
+            logConfiguration(published);
             fleetListener.onConfiguration(published.configuration());
         } else if (update instanceof StoreUpdate.Evacuation evacuation) {
             mirror.put(item, true);
@@ -365,6 +369,16 @@
         }
     }
 
+    private void logConfiguration(StoreUpdate.Configuration published) {
+        RelayStatus status = contact.status();
+        log.write(Event.notice(PART, "Configuration read.")
+                .with("version", published.configuration().version())
+                .with("source", lastSource)
+                .with("distance", status.distance())
+                .with("contactAgeMs", status.contactAgeMillis())
+                .with("contactForMs", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - contactRestoredNanos)));
+    }
+
     private void evacuate(StoreUpdate.Evacuation evacuation) {
         boolean hasChanged = evacuation.isEvacuated()
                 ? evacuatedZones.add(evacuation.zone())
