Count a response without a length as whole only if the server ended it

What callers saw: none is known to have seen it. A response without a length ends with its connection; one that was cut off could be passed on as a whole 200 with a part of its body.

Cause: the decoder ends such a response at each close of the connection, also after a failed write and when the workers of the node stop. A failed write takes the reset from the socket, so that no failed read shows it.

Why this works: the end of the server's bytes is now an event of its own, and is decoded while the connection is still open. A response that is completed after the connection was closed is broken, as is one without a length whose request was not sent completely, since its server resets the connection.

--- a/http/src/main/java/org/turmericspan/http/HttpClient.java
+++ b/http/src/main/java/org/turmericspan/http/HttpClient.java
@@ -82,6 +82,8 @@
                 .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         Math.max(1, TimeUnit.NANOSECONDS.toMillis(options.connectTimeoutNanos())))
+                // The end of the server's bytes is an event of its own, apart from each other close of the connection.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelSetup(connection::addHandlers))
                 .connect(new InetSocketAddress(address.host(), address.port()));
     }
--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -220,6 +222,10 @@
             return;
         }
         HttpResponse head = exchange.head;
+        if (isTruncated(head)) {
+            fail("connection closed within the response");
+            return;
+        }
         ResponseMessage response = new ResponseMessage(
                 head.status().code(), NettyHeaders.read(head.headers()), exchange.body.toByteArray());
         Exchange completed = endExchange();
@@ -237,6 +243,17 @@
         completed.listener.accept(new CallEnd.Answered(response));
     }
 
+    /**
+     * Returns whether the connection ended otherwise than by the server's end of the response. The decoder also ends a
+     * response without a length when a failed write or a stop of the workers closes the connection; the end that the
+     * server sent is decoded before the connection is closed. A server that ends its connection before it has read the
+     * request resets it, which the end of the bytes alone does not show.
+     */
+    private boolean isTruncated(HttpResponse head) {
+        boolean endsWithConnection = !hasSelfDefinedLength(head) && !exchange.isWithoutBody();
+        return !channel.isActive() || endsWithConnection && !exchange.writeFuture.isSuccess();
+    }
+
     /** Returns whether the response states where it ends; otherwise it ends with its connection. */
     private static boolean hasSelfDefinedLength(HttpResponse head) {
         return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
@@ -272,6 +289,15 @@
         }
     }
 
+    /** Closes the connection when the server has ended it, after the decoder has ended a response without a length. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            pool.remove(this);
+            fail("connection closed by the server");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.remove(this);
@@ -321,6 +347,13 @@
                     && body.tryAppend(content.content());
         }
 
+        /** Returns whether the response ends with its head. */
+        boolean isWithoutBody() {
+            return isHeadRequest
+                    || head.status().equals(HttpResponseStatus.NO_CONTENT)
+                    || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        }
+
         /** Returns whether the message is informational or the response to another request. */
         boolean isNotExpected() {
             return head.status().code() < MIN_FINAL_STATUS || !correlation.matches(head.headers());
--- a/http/src/test/java/org/turmericspan/http/CutResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/CutResponseTest.java
@@ -86,7 +86,7 @@
         };
     }
 
-    private static void reset(Socket connection) throws IOException {
+    static void reset(Socket connection) throws IOException {
         connection.setSoLinger(true, 0);
         connection.close();
     }
