Keep a connection whose next head came with the last request

A stopping node closes connections on which nothing is received. A connection counted as idle when the head of a request had arrived in one read with the end of the request before it, until the next bytes came. The caller lost the request although it was still sending the body. The start of a message is now recorded at the head too.

HttpListenerTest#connectionIsNotIdleWhileTheBodyBehindAPipelinedHeadIsReceived failed before: the connection ended without a response. It passes now. A head of which only a part arrived in such a read is not covered: the decoder does not tell that it holds bytes.

--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -86,6 +86,10 @@
     /** Records the start of a message. Called for received bytes before they are decoded. */
     void onBytesReceived() {
         lastReceivedNanos = clock.nowNanos();
+        startMessage();
+    }
+
+    private void startMessage() {
         if (!receivingMessage) {
             receivingMessage = true;
             messageStartNanos = lastReceivedNanos;
@@ -113,6 +117,8 @@
     }
 
     private void beginRequest(HttpRequest request) {
+        // The head may have arrived with the end of the message before it.
+        startMessage();
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -158,6 +158,19 @@
         }
     }
 
+    /** Guards against closing a connection on which the caller has sent the head of a request, but not its body yet. */
+    @Test
+    void connectionIsNotIdleWhileTheBodyBehindAPipelinedHeadIsReceived() throws Exception {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            String head = "POST /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+            socket.getOutputStream().write((GET + head).getBytes(StandardCharsets.UTF_8));
+            assertThat(new String(socket.getInputStream().readNBytes(12), StandardCharsets.UTF_8))
+                    .isEqualTo("HTTP/1.1 200");
+            listener.closeIdle();
+            assertThat(sendAndReadAll(socket, "1\r\nb\r\n0\r\n\r\n")).contains("/2=b;");
+        }
+    }
+
     /** Guards against a target that reaches the upstream with other bytes than the caller sent. */
     @Test
     void targetWithBytesOutsideAsciiIsRejected() throws IOException {
