Drop requests behind a response that cannot be written

When a caller reset its connection while a response was written, the listener handled the next request of that connection before it saw the close: a request, which may have to run at most once, ran for a caller that was gone. A failed write closes the connection now and drops the requests behind it, with a line for the cause.

HttpListenerTest#requestBehindAResponseThatCannotBeWrittenIsNotHandled failed before: the second request was handled. It passes now.

--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -242,7 +242,9 @@
         context.writeAndFlush(response).addListener((ChannelFutureListener) sent -> {
             memory.releaseResponse(length);
             sendingResponse = false;
-            if (close) {
+            if (!sent.isSuccess()) {
+                abandon(sent.cause());
+            } else if (close) {
                 closeGracefully(sent.channel());
             } else {
                 handleNext();
@@ -250,6 +252,14 @@
         });
     }
 
+    /** Closes a connection that takes no response, before a request behind it is handled. */
+    private void abandon(Throwable cause) {
+        log.write(Event.notice(PART, "Response not sent.").with("cause", cause));
+        closing = true;
+        dropReceived();
+        context.close();
+    }
+
     /**
      * Shuts down output before closing, since closing with input still arriving would reset the connection, and the
      * response could be lost.
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -171,6 +171,34 @@
         }
     }
 
+    /** Guards against a request that is passed on although its caller has reset the connection. */
+    @Test
+    void requestBehindAResponseThatCannotBeWrittenIsNotHandled() throws Exception {
+        List<String> handled = new CopyOnWriteArrayList<>();
+        CompletableFuture<Boolean> sent = new CompletableFuture<>();
+        try (Socket socket = connect((request, reply) -> {
+            handled.add(request.target());
+            // Exceeds the send buffers, so that the write is still in progress when the caller resets.
+            reply.send(ResponseMessage.text(200, "text/plain", "a".repeat(32_000_000)));
+            sent.complete(true);
+        })) {
+            socket.getOutputStream()
+                    .write((GET + requestWithConnectionClose("POST /2", "b")).getBytes(StandardCharsets.UTF_8));
+            sent.get(20, TimeUnit.SECONDS);
+            socket.setSoLinger(true, 0);
+        }
+        awaitConnections(0);
+        assertThat(handled).containsExactly("/x");
+    }
+
+    private void awaitConnections(int count) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (listener.connections() != count) {
+            assertThat(System.nanoTime()).as("connections").isLessThan(endNanos);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
     /** Guards against a target that reaches the upstream with other bytes than the caller sent. */
     @Test
     void targetWithBytesOutsideAsciiIsRejected() throws IOException {
