Respond to requests that a draining node has received

A stopping node sent each response with Connection: close, also when a further request had been received on the same connection. That request was read, waited for the response before it, and was dropped with the connection. The node now closes a connection with the response behind which no request has begun to arrive.

HttpListenerTest#drainingListenerRespondsToPipelinedRequests failed before: the second request had no response. It passes now, and requestBehindTheLastResponseIsNotHandled still holds for callers that ask for the close.

--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -201,6 +201,11 @@
         context.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED);
     }
 
+    /** Returns whether the head of the next request, or all of it, has been received. */
+    private boolean hasReceivedNext() {
+        return head != null || !pipelined.isEmpty();
+    }
+
     /** Drops the requests that no service has handled, and releases their memory. */
     private void dropReceived() {
         pipelined.forEach(request -> request.body().close());
@@ -364,7 +369,7 @@
                     .first("Connection")
                     .map(value -> !value.equalsIgnoreCase("close"))
                     .orElse(true);
-            write(message, closing || !keepAlive || state.isDraining());
+            write(message, closing || !keepAlive || state.isDraining() && !hasReceivedNext());
         }
 
         private void complete() {
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -199,6 +199,18 @@
         }
     }
 
+    /** Guards against a complete request that is dropped behind the response to the request before it. */
+    @Test
+    void drainingListenerRespondsToPipelinedRequests() throws IOException {
+        try (Socket socket = connect(
+                (request, reply) -> reply.worker().schedule(() -> echo(request, reply), 200, TimeUnit.MILLISECONDS))) {
+            listener.drain();
+            String first = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na";
+            String second = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb";
+            assertThat(sendAndReadAll(socket, first + second)).contains("/1=a;").contains("/2=b;");
+        }
+    }
+
     /** Guards against a target that reaches the upstream with other bytes than the caller sent. */
     @Test
     void targetWithBytesOutsideAsciiIsRejected() throws IOException {
