--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -86,6 +86,10 @@
     /** Records the start of a message. Called for received bytes before they are decoded. */
     void onBytesReceived() {
         lastReceivedNanos = clock.nowNanos();
+        startMessage();
+    }
+
+    private void startMessage() {
         if (!receivingMessage) {
             receivingMessage = true;
             messageStartNanos = lastReceivedNanos;
@@ -113,6 +117,8 @@
     }
 
     private void beginRequest(HttpRequest request) {
+        // The head may have arrived with the end of the message before it.
+        startMessage();
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
@@ -195,6 +201,11 @@
         context.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED);
     }
 
+    /** Returns whether the head of the next request, or all of it, has been received. */
+    private boolean hasReceivedNext() {
+        return head != null || !pipelined.isEmpty();
+    }
+
     /** Drops the requests that no service has handled, and releases their memory. */
     private void dropReceived() {
         pipelined.forEach(request -> request.body().close());
@@ -236,7 +247,9 @@
         context.writeAndFlush(response).addListener((ChannelFutureListener) sent -> {
             memory.releaseResponse(length);
             sendingResponse = false;
-            if (close) {
+            if (!sent.isSuccess()) {
+                abandon(sent.cause());
+            } else if (close) {
                 closeGracefully(sent.channel());
             } else {
                 handleNext();
@@ -244,6 +257,14 @@
         });
     }
 
+    /** Closes a connection that takes no response, before a request behind it is handled. */
+    private void abandon(Throwable cause) {
+        log.write(Event.notice(PART, "Response not sent.").with("cause", cause));
+        closing = true;
+        dropReceived();
+        context.close();
+    }
+
     /**
      * Shuts down output before closing, since closing with input still arriving would reset the connection, and the
      * response could be lost.
@@ -348,7 +369,7 @@
                     .first("Connection")
                     .map(value -> !value.equalsIgnoreCase("close"))
                     .orElse(true);
-            write(message, closing || !keepAlive || state.isDraining());
+            write(message, closing || !keepAlive || state.isDraining() && !hasReceivedNext());
         }
 
         private void complete() {
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -158,6 +158,59 @@
         }
     }
 
+    /** Guards against closing a connection on which the caller has sent the head of a request, but not its body yet. */
+    @Test
+    void connectionIsNotIdleWhileTheBodyBehindAPipelinedHeadIsReceived() throws Exception {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            String head = "POST /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+            socket.getOutputStream().write((GET + head).getBytes(StandardCharsets.UTF_8));
+            assertThat(new String(socket.getInputStream().readNBytes(12), StandardCharsets.UTF_8))
+                    .isEqualTo("HTTP/1.1 200");
+            listener.closeIdle();
+            assertThat(sendAndReadAll(socket, "1\r\nb\r\n0\r\n\r\n")).contains("/2=b;");
+        }
+    }
+
+    /** Guards against a request that is passed on although its caller has reset the connection. */
+    @Test
+    void requestBehindAResponseThatCannotBeWrittenIsNotHandled() throws Exception {
+        List<String> handled = new CopyOnWriteArrayList<>();
+        CompletableFuture<Boolean> sent = new CompletableFuture<>();
+        try (Socket socket = connect((request, reply) -> {
+            handled.add(request.target());
+            // Exceeds the send buffers, so that the write is still in progress when the caller resets.
+            reply.send(ResponseMessage.text(200, "text/plain", "a".repeat(32_000_000)));
+            sent.complete(true);
+        })) {
+            socket.getOutputStream()
+                    .write((GET + requestWithConnectionClose("POST /2", "b")).getBytes(StandardCharsets.UTF_8));
+            sent.get(20, TimeUnit.SECONDS);
+            socket.setSoLinger(true, 0);
+        }
+        awaitConnections(0);
+        assertThat(handled).containsExactly("/x");
+    }
+
+    private void awaitConnections(int count) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (listener.connections() != count) {
+            assertThat(System.nanoTime()).as("connections").isLessThan(endNanos);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    /** Guards against a complete request that is dropped behind the response to the request before it. */
+    @Test
+    void drainingListenerRespondsToPipelinedRequests() throws IOException {
+        try (Socket socket = connect(
+                (request, reply) -> reply.worker().schedule(() -> echo(request, reply), 200, TimeUnit.MILLISECONDS))) {
+            listener.drain();
+            String first = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na";
+            String second = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb";
+            assertThat(sendAndReadAll(socket, first + second)).contains("/1=a;").contains("/2=b;");
+        }
+    }
+
     /** Guards against a target that reaches the upstream with other bytes than the caller sent. */
     @Test
     void targetWithBytesOutsideAsciiIsRejected() throws IOException {
