Keep new connections of a stopping node until their first request

2.5 s after its signal a stopping node closed each connection without a request, also one that it had accepted a moment before. In a trial of EntryStopLossTest (3 cases, two nodes each) 174 complete requests ended with a closed connection, most within 60 ms of their last byte; by the result of the test none of them had run. The node went on reading from such a connection and dropped the request, so that a caller may not repeat one that must run at most once. Connections are now closed when they have had no request for 300 ms, and without reading on. The count after the change was not taken.

HttpListenerTest#newConnectionIsNotIdle failed before: no response. It passes now, as do EntryStopLossTest (5 cases) and EntryStopTest. The idle time is an argument of HttpListener#closeIdle; the test of a pipelined head passes 0.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -60,6 +60,8 @@
     private static final int EXIT_RESERVE_DIVISOR = 8;
     /** Time for which a stopping node keeps idle connections open, since callers may be about to use them. */
     private static final long IDLE_KEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    /** Time without a request after which a stopping node closes a connection. */
+    private static final long MIN_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Time to send the responses to requests that are in progress when the process ends. */
     private static final long LAST_RESPONSES_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -328,7 +330,7 @@
         log.write(Event.notice(PART, "Stopping.").with("requests", callers.requests()));
         pollUntil(Math.min(stopNanos + IDLE_KEEP_NANOS, endNanos), () -> false);
         pollUntil(endNanos, () -> {
-            callers.closeIdle();
+            callers.closeIdle(MIN_IDLE_NANOS);
             return callers.connections() == 0 || !callers.isTransferring() && service.isQuiet();
         });
         endRequests(endNanos);
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -314,11 +314,16 @@
         return sendingResponse || receivingMessage && !closing;
     }
 
-    /** Closes the connection if it has no request in progress. */
-    void closeIfIdle() {
-        if (currentReply == null && pipelined.isEmpty() && !receivingMessage && !sendingResponse) {
+    /**
+     * Closes the connection if it has had no request for some time. Closes it without receiving more, so that a request
+     * that crosses the close is not read.
+     */
+    void closeIfIdle(long minIdleNanos) {
+        boolean hasRequest =
+                currentReply != null || !pipelined.isEmpty() || receivingMessage || sendingResponse || closing;
+        if (!hasRequest && clock.nowNanos() - idleSinceNanos >= minIdleNanos) {
             closing = true;
-            closeGracefully(context.channel());
+            context.close();
         }
     }
 
--- a/http/src/main/java/org/turmericspan/http/HttpListener.java
+++ b/http/src/main/java/org/turmericspan/http/HttpListener.java
@@ -101,9 +101,13 @@
         state.drain();
     }
 
-    /** Closes the connections that have no request in progress. */
-    public void closeIdle() {
-        state.connections().forEach(connection -> connection.runOnWorker(connection::closeIfIdle));
+    /**
+     * Closes the connections that have no request.
+     *
+     * @param minIdleNanos time for which a connection must have had none; a new one has not received its first yet
+     */
+    public void closeIdle(long minIdleNanos) {
+        state.connections().forEach(connection -> connection.runOnWorker(() -> connection.closeIfIdle(minIdleNanos)));
     }
 
     /**
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -166,7 +166,7 @@
             socket.getOutputStream().write((GET + head).getBytes(StandardCharsets.UTF_8));
             assertThat(new String(socket.getInputStream().readNBytes(12), StandardCharsets.UTF_8))
                     .isEqualTo("HTTP/1.1 200");
-            listener.closeIdle();
+            listener.closeIdle(0);
             assertThat(sendAndReadAll(socket, "1\r\nb\r\n0\r\n\r\n")).contains("/2=b;");
         }
     }
@@ -211,6 +211,17 @@
         }
     }
 
+    /** Guards against closing a new connection before the first request of its caller has arrived. */
+    @Test
+    void newConnectionIsNotIdle() throws Exception {
+        try (Socket socket = connect(HttpListenerTest::echo)) {
+            awaitConnections(1);
+            listener.closeIdle(TimeUnit.SECONDS.toNanos(1));
+            assertThat(sendAndReadAll(socket, requestWithConnectionClose("POST /1", "a")))
+                    .contains("/1=a;");
+        }
+    }
+
     /** Guards against a target that reaches the upstream with other bytes than the caller sent. */
     @Test
     void targetWithBytesOutsideAsciiIsRejected() throws IOException {
