Return the error of an upstream when a request ends during its retry

A request whose first attempt an upstream had responded to with 500 ended with a response of the node, 502 at the end of the process and 504 at its deadline, if the retry was still in progress. The response at hand told more: the request had run and failed. Both ends now return it.

StoppingServiceTest#errorOfTheUpstreamIsReturnedWhenTheProcessEndsDuringTheRetry (was 502) and ForwardingServiceTest#errorOfTheUpstreamIsReturnedWhenTheRetryTimesOut (was 504) failed before. The tests of the module pass now.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -342,19 +342,23 @@
     void endBeforeProcess() {
         reply.worker().execute(() -> {
             if (!closed) {
-                refuse(attemptsInFlight.isEmpty() && !mayHaveRun ? ResultCode.STOPPING : ResultCode.OUTCOME_UNKNOWN);
+                endWith(ResultCode.STOPPING, ResultCode.OUTCOME_UNKNOWN);
             }
         });
     }
 
     private void deadlinePassed() {
-        if (closed) {
-            return;
+        if (!closed) {
+            endWith(ResultCode.DEADLINE_BEFORE_SEND, ResultCode.DEADLINE_AFTER_SEND);
         }
-        if (attemptsInFlight.isEmpty() && !mayHaveRun) {
-            refuse(ResultCode.DEADLINE_BEFORE_SEND);
+    }
+
+    /** Ends the request without waiting for its attempts. An error that an upstream responded with takes precedence. */
+    private void endWith(ResultCode codeIfNotRun, ResultCode codeIfMayHaveRun) {
+        if (serverError != null) {
+            respond(serverError);
         } else {
-            refuse(ResultCode.DEADLINE_AFTER_SEND);
+            refuse(attemptsInFlight.isEmpty() && !mayHaveRun ? codeIfNotRun : codeIfMayHaveRun);
         }
     }
 
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingServiceTest.java
@@ -94,6 +94,15 @@
         assertThat(client().callCount()).isEqualTo(1);
     }
 
+    /** Guards against a response of an upstream that the deadline of a retry replaces by one of the node. */
+    @Test
+    void errorOfTheUpstreamIsReturnedWhenTheRetryTimesOut() {
+        start(2, "/retry/1");
+        client().call(0).respond(500);
+        worker().advance(Duration.ofMillis(950));
+        assertThat(reply().status()).isEqualTo(500);
+    }
+
     @Test
     void nonIdempotentRequestThatTimesOutHasAnUnknownOutcome() {
         start(2, "/once/1");
--- a/forwarding/src/test/java/org/turmericspan/forwarding/StoppingServiceTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/StoppingServiceTest.java
@@ -73,6 +73,16 @@
         assertThat(reply().status()).isEqualTo(503);
     }
 
+    /** Guards against a response of an upstream that the end of the process replaces by one of the node. */
+    @Test
+    void errorOfTheUpstreamIsReturnedWhenTheProcessEndsDuringTheRetry() {
+        start(2, "/retry/1");
+        client().call(0).respond(500);
+        service().endRequests();
+        worker().advance(Duration.ZERO);
+        assertThat(reply().status()).isEqualTo(500);
+    }
+
     @Test
     void serviceIsQuietSomeTimeAfterTheLastRequest() {
         start(1, "/once/1");
