Do not take the list of a relay that lags

A node that listed again from a relay with an older replica dropped what had changed since, and kept its own higher revision for the readers of its replica. Such a reader continued from that revision and never got the changes between: a configuration could be missing until the next one, and an upstream be gone until its next change.

Cause: completeList replaced the replica by the list whatever its revision was.

Now such a relay counts as one that cannot serve the read, and the next source is asked.

--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -213,7 +213,16 @@
         Freshness freshness = isListStale ? Freshness.STALE_ALLOWED : Freshness.CURRENT;
         reader.range(source, after, freshness, guarded(result -> {
             if (!(result instanceof StoreReadResult.Page read)) {
-                retryAfterFailure(source, result, this::listAll);
+                retryAfterFailure(source, SourceFailure.of(result), result, this::listAll);
+                return;
+            }
+            if (!source.isStore() && read.page().revision() < revision) {
+                // What changed in between would look removed, here and at the nodes that read from this one.
+                retryAfterFailure(
+                        source,
+                        SourceFailure.REJECTED,
+                        "revision " + read.page().revision(),
+                        this::listAll);
                 return;
             }
             recordResponse(source, read.page());
@@ -267,7 +276,7 @@
                         Event.notice(PART, "Revision compacted, listing again.").with("revision", revision));
                 listAll();
             } else {
-                retryAfterFailure(source, result, this::watch);
+                retryAfterFailure(source, SourceFailure.of(result), result, this::watch);
             }
         }));
     }
@@ -308,14 +317,14 @@
         backoffMillis = INITIAL_BACKOFF_MILLIS;
     }
 
-    private void retryAfterFailure(StoreSource source, StoreReadResult result, Runnable retry) {
-        boolean isOtherDue = sourceSelector.reportFailure(source, SourceFailure.of(result));
+    private void retryAfterFailure(StoreSource source, SourceFailure failure, Object reason, Runnable retry) {
+        boolean isOtherDue = sourceSelector.reportFailure(source, failure);
         if (source.isStore()) {
-            loseStoreContact(result);
+            loseStoreContact(reason);
         } else {
             log.write(Event.notice(PART, "Read from store reader failed, choosing another source.")
                     .with("reader", source.address())
-                    .with("reason", result));
+                    .with("reason", reason));
         }
         if (isOtherDue) {
             worker.execute(retry);
@@ -325,14 +334,14 @@
         }
     }
 
-    private void loseStoreContact(StoreReadResult result) {
+    private void loseStoreContact(Object reason) {
         if (contact.lose()) {
             contactLostListener.run();
         }
         if (!isContactLost) {
             isContactLost = true;
             log.write(Event.failure(PART, "Store contact lost.")
-                    .with("reason", result)
+                    .with("reason", reason)
                     .with("revision", revision));
         }
     }
