End a connection in one place, whoever closed it

The end of the server's bytes is handled as the close of the connection is, so that both report the same reason.

--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -293,8 +293,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
-            pool.remove(this);
-            fail("connection closed by the server");
+            channelInactive(context);
         }
     }
 
