--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -389,22 +389,18 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
-            endWithConnection("connection closed by the server");
+            channelInactive(context);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        endWithConnection("connection closed");
-    }
-
-    /** Ends the call in progress; no more bytes can follow a response that is held. */
-    private void endWithConnection(String reason) {
         pool.remove(this);
         if (exchange != null && exchange.held != null) {
+            // No more bytes can follow the response.
             endHold(exchange, NO_BYTES);
         } else {
-            fail(reason);
+            fail("connection closed");
         }
     }
 
