--- a/entry/src/test/java/org/turmericspan/entry/EntrySpliceTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySpliceTest.java
@@ -73,6 +73,15 @@
         assertThat(run).isGreaterThan(REQUESTS / 2);
         assertThat(node.logContains("response body contains the start of another response"))
                 .isTrue();
+        assertThat(Double.parseDouble(node.metric("response_bodies_spliced"))).isGreaterThanOrEqualTo(run);
+        for (String metric : List.of(
+                "response_heads_spliced",
+                "responses_held",
+                "responses_skipped",
+                "responses_with_bytes_after",
+                "connections_with_unexpected_bytes")) {
+            assertThat(node.metric(metric)).as(metric).isNotEmpty();
+        }
     }
 
     @Test
--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -110,6 +110,18 @@
         return get("http://" + metricsAddress + "/state").body();
     }
 
+    /** Returns the value of a metric without labels, as text; empty if there is none of that name. */
+    String metric(String name) {
+        String start = "turmericspan_" + name + " ";
+        return get("http://" + metricsAddress + "/metrics")
+                .body()
+                .lines()
+                .filter(line -> line.startsWith(start))
+                .map(line -> line.substring(start.length()))
+                .findFirst()
+                .orElse("");
+    }
+
     /** Sends a request and waits for the response until a fixed timeout; a failure counts as status 0. */
     Response request(String method, String path, String id) {
         return request(method, path, id, TIMEOUT);
