Do not complete a body by the end of a connection that a write failed on

A response without a length ends with its connection. When the write of a request fails, Netty closes the connection without an exception in the inbound pipeline, and the decoder then emits the end of such a body: a truncated one counted as a complete response. Such a call ends as Broken now.

ServerConnectionTest#bodyWithoutLengthIsNotCompleteWhenTheRequestCouldNotBeWritten failed before (the call ended as Answered) and passes now; with it, 3 tests of ServerConnectionTest and 2 of EntrySpliceTest, 0 failures. Not seen with real sockets: the test fails the write itself.

--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -268,6 +268,11 @@
             return;
         }
         HttpResponse head = exchange.head;
+        if (!hasSelfDefinedLength(head) && exchange.writeFuture.cause() != null) {
+            // The failed write closed the connection, whose end is then not the end of the body.
+            fail("connection failed: " + exchange.writeFuture.cause().getMessage());
+            return;
+        }
         ResponseMessage response = new ResponseMessage(head.status().code(), NettyHeaders.read(head.headers()), body);
         if (verdict == BodyVerdict.ENDS_IN_HEAD && !decoder.hasUndecodedBytes() && channel.isActive()) {
             hold(response, check);
--- a/http/src/test/java/org/turmericspan/http/ServerConnectionTest.java
+++ b/http/src/test/java/org/turmericspan/http/ServerConnectionTest.java
@@ -3,7 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -57,4 +62,32 @@
         assertThat(secondEnds).isEmpty();
         assertThat(channel.isActive()).isFalse();
     }
+
+    /** Guards against a truncated body that looks complete, since a write that failed closed the connection. */
+    @Test
+    void bodyWithoutLengthIsNotCompleteWhenTheRequestCouldNotBeWritten() {
+        List<ChannelPromise> writes = new ArrayList<>();
+        channel.pipeline().addFirst(new PendingWrites(writes));
+        connection.start(REQUEST, OPTIONS, secondEnds::add);
+        channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\n\r\ntrunc", StandardCharsets.US_ASCII));
+        writes.forEach(write -> write.setFailure(new IOException("Broken pipe")));
+        channel.close();
+
+        assertThat(secondEnds).hasSize(1).first().isInstanceOf(CallEnd.Broken.class);
+    }
+
+    /** Keeps writes pending, as a socket does whose peer receives nothing. */
+    private static final class PendingWrites extends ChannelOutboundHandlerAdapter {
+        private final List<ChannelPromise> writes;
+
+        PendingWrites(List<ChannelPromise> writes) {
+            this.writes = writes;
+        }
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            ReferenceCountUtil.release(message);
+            writes.add(promise);
+        }
+    }
 }
