Show a body filled by a second response without the echo header

Fails on: the caller gets 200 with 100 bytes of its body and a 504 head and a part of the body of it, though the 504 runs past the end of the declared body into bytes that are left in the decoder. A whole head in the body without the echo header counts as sound, and following bytes are not considered.

--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -288,4 +288,14 @@
             assertThat(client.faults().bytesOutsideCalls()).isEqualTo(1);
         }
     }
+
+    /** Guards against a second response without the echo header that begins within the body and runs past its end. */
+    @Test
+    void secondResponseWithoutEchoHeaderThatRunsPastTheBodyBreaksCall() throws Exception {
+        String body = "a".repeat(200);
+        String first = response(200, "1", true, Framing.LENGTH, body);
+        String second = "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 300\r\n\r\n" + "b".repeat(300);
+        assertThat(callReceiving(0, first.substring(0, first.length() - 100) + second))
+                .isInstanceOf(CallEnd.Broken.class);
+    }
 }
