Show a whole response lost by a reset during the hold

Fails on: the call ends as broken ("connection failed") although the whole response had arrived 30 ms before the reset. exceptionCaught does not deliver a held response, unlike channelInactive.

--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -298,4 +298,20 @@
         assertThat(callReceiving(0, first.substring(0, first.length() - 100) + second))
                 .isInstanceOf(CallEnd.Broken.class);
     }
+
+    /** Guards against a sound response that is lost because its server resets the connection during the hold. */
+    @Test
+    void heldBodyIsDeliveredWhenTheServerResetsTheConnection() throws Exception {
+        String body = "HTTP/1.1 504 Gateway Timeout";
+        String text = response(200, "1", true, Framing.LENGTH, body);
+        try (RawServer server = new RawServer((head, connection) -> {
+            RawServer.sending(text).respond(head, connection);
+            pause(30);
+            connection.setSoLinger(true, 0);
+            connection.close();
+        })) {
+            CallEnd end = call(server, new Splice("1", "", 0, "", 0, null)).get(20, TimeUnit.SECONDS);
+            assertThat(end).isInstanceOf(CallEnd.Answered.class);
+        }
+    }
 }
