Show a second head with a folded line before the echo header

Fails on: 200 with a spliced body. The decoder accepts the folded line, as the test shows; the head reader takes the head for malformed and stops before the echo header.

--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -314,4 +314,16 @@
             assertThat(end).isInstanceOf(CallEnd.Answered.class);
         }
     }
+
+    /** Guards against a second head that is not recognized because a line before the echo header is folded. */
+    @Test
+    void secondHeadWithAFoldedLineBreaksCall() throws Exception {
+        String body = "a".repeat(200);
+        String first = response(200, "1", true, Framing.LENGTH, body);
+        String second = "HTTP/1.1 504 Gateway Timeout\r\nX-Note: one\r\n two\r\nX-Id: 1\r\nContent-Length: 300\r\n\r\n"
+                + "b".repeat(300);
+        assertThat(callReceiving(0, second)).isInstanceOf(CallEnd.Answered.class);
+        assertThat(callReceiving(0, first.substring(0, first.length() - 150) + second))
+                .isInstanceOf(CallEnd.Broken.class);
+    }
 }
