Show a status line in small letters that passes both checks

The decoder accepts the status line, as the test shows. BodyCheckTest lists a body with such a head as sound.

--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -349,4 +349,16 @@
             assertThat(end).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
         }
     }
+
+    /** Guards against a status line in small letters, which the decoder accepts and the check does not know. */
+    @Test
+    void secondHeadInSmallLettersBreaksCall() throws Exception {
+        String first = response(200, "1", true, Framing.LENGTH, BODY);
+        String second = "http/1.1 504 Gateway Timeout\r\nX-Id: 1\r\nContent-Length: 8\r\n\r\n" + LATE_BODY;
+        assertThat(callReceiving(0, second)).isInstanceOf(CallEnd.Answered.class);
+        for (int cut = "HTTP/1.1 200 ".length(); cut < first.length(); cut++) {
+            CallEnd end = callReceiving(0, first.substring(0, cut) + second);
+            assertThat(end).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
 }
