Show a second response that continues the trailers of the first

Fails on at a cut within the trailers: the call is answered although the first response never ended. Trailers are not checked for a status line.

--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -361,4 +361,17 @@
             assertThat(end).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
         }
     }
+
+    /** Guards against a response whose trailers are cut by another response. */
+    @Test
+    void secondResponseWithinTheTrailersBreaksCall() throws Exception {
+        String trailers = "X-Checksum: abc\r\n\r\n";
+        String chunked = response(200, "1", true, Framing.CHUNKED, BODY);
+        String first = chunked.substring(0, chunked.length() - 2) + trailers;
+        String second = response(504, "1", true, Framing.LENGTH, LATE_BODY);
+        for (int cut = first.length() - trailers.length(); cut < first.length(); cut++) {
+            CallEnd end = callReceiving(0, first.substring(0, cut) + second);
+            assertThat(end).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
 }
