--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -374,4 +374,16 @@
             assertThat(end).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
         }
     }
+
+    /** Guards against the first two bytes of a second response at the end of a body, when one read ends behind them. */
+    @Test
+    void shortStartOfASecondHeadAtTheEndOfAReadBreaksCall() throws Exception {
+        String second = response(504, "1", true, Framing.LENGTH, LATE_BODY);
+        for (int length = 1; length <= 2; length++) {
+            String head = response(200, "1", true, Framing.LENGTH, "a".repeat(1_900));
+            String first = response(200, "1", true, Framing.LENGTH, "a".repeat(1_900 + 2_048 - head.length()));
+            CallEnd end = callReceiving(0, first.substring(0, first.length() - length) + second);
+            assertThat(end).as("%s bytes", length).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
 }
