Show a sound response broken by a copy behind it

Fails on: the body ends with a status line, and a copy of the response follows. The bytes behind the body begin a message of their own, and the issue counts them as extra bytes; the call ends as broken.

--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -386,4 +386,12 @@
             assertThat(end).as("%s bytes", length).isInstanceOf(CallEnd.Broken.class);
         }
     }
+
+    /** Guards against a whole response that is broken by a late copy behind a body that ends with a status line. */
+    @Test
+    void copyBehindABodyThatEndsWithAStatusLineIsDropped() throws Exception {
+        String body = "HTTP/1.1 504 Gateway Timeout";
+        String first = response(200, "1", true, Framing.LENGTH, body);
+        assertThat(callReceiving(0, first + first)).isInstanceOf(CallEnd.Answered.class);
+    }
 }
