Show a second head across the limit of an earlier status line

A second head whose status line lies before the limit and whose echo header lies behind it is not seen. Found by reading; needs a body with a long line.

--- a/integrity/src/test/java/org/turmericspan/integrity/BodyCheckTest.java
+++ b/integrity/src/test/java/org/turmericspan/integrity/BodyCheckTest.java
@@ -128,4 +128,13 @@
         assertThat(check("HTTP/1.1 200 OK\r\n".repeat(200_000) + "-\r\n").verdict())
                 .isEqualTo(BodyVerdict.SOUND);
     }
+
+    /** Guards against a second head that is skipped since a status line was mentioned up to 64 KiB before it. */
+    @Test
+    void secondHeadAcrossTheLimitOfAnEarlierOneIsSpliced() {
+        for (int distance = 65_400; distance <= 65_600; distance++) {
+            String body = "HTTP/1.1 200 " + "a".repeat(distance) + SECOND;
+            assertThat(check(body).verdict()).as("%s bytes before", distance).isEqualTo(BodyVerdict.SPLICED);
+        }
+    }
 }
