--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -288,4 +288,110 @@
             assertThat(client.faults().bytesOutsideCalls()).isEqualTo(1);
         }
     }
+
+    /** Guards against a second response without the echo header that begins within the body and runs past its end. */
+    @Test
+    void secondResponseWithoutEchoHeaderThatRunsPastTheBodyBreaksCall() throws Exception {
+        String body = "a".repeat(200);
+        String first = response(200, "1", true, Framing.LENGTH, body);
+        String second = "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 300\r\n\r\n" + "b".repeat(300);
+        assertThat(callReceiving(0, first.substring(0, first.length() - 100) + second))
+                .isInstanceOf(CallEnd.Broken.class);
+    }
+
+    /** Guards against a sound response that is lost because its server resets the connection during the hold. */
+    @Test
+    void heldBodyIsDeliveredWhenTheServerResetsTheConnection() throws Exception {
+        String body = "HTTP/1.1 504 Gateway Timeout";
+        String text = response(200, "1", true, Framing.LENGTH, body);
+        try (RawServer server = new RawServer((head, connection) -> {
+            RawServer.sending(text).respond(head, connection);
+            pause(30);
+            connection.setSoLinger(true, 0);
+            connection.close();
+        })) {
+            CallEnd end = call(server, new Splice("1", "", 0, "", 0, null)).get(20, TimeUnit.SECONDS);
+            assertThat(end).isInstanceOf(CallEnd.Answered.class);
+        }
+    }
+
+    /** Guards against a second head that is not recognized because a line before the echo header is folded. */
+    @Test
+    void secondHeadWithAFoldedLineBreaksCall() throws Exception {
+        String body = "a".repeat(200);
+        String first = response(200, "1", true, Framing.LENGTH, body);
+        String second = "HTTP/1.1 504 Gateway Timeout\r\nX-Note: one\r\n two\r\nX-Id: 1\r\nContent-Length: 300\r\n\r\n"
+                + "b".repeat(300);
+        assertThat(callReceiving(0, second)).isInstanceOf(CallEnd.Answered.class);
+        assertThat(callReceiving(0, first.substring(0, first.length() - 150) + second))
+                .isInstanceOf(CallEnd.Broken.class);
+    }
+
+    /** Guards against a second head whose echo header is not recognized because of a space before the colon. */
+    @Test
+    void secondHeadWithASpaceBeforeTheColonBreaksCall() throws Exception {
+        String body = "a".repeat(200);
+        String first = response(200, "1", true, Framing.LENGTH, body);
+        String second = "HTTP/1.1 504 Gateway Timeout\r\nX-Id : 1\r\nContent-Length: 300\r\n\r\n" + "b".repeat(300);
+        assertThat(callReceiving(0, second)).isInstanceOf(CallEnd.Answered.class);
+        assertThat(callReceiving(0, first.substring(0, first.length() - 150) + second))
+                .isInstanceOf(CallEnd.Broken.class);
+    }
+
+    /** Guards against a status line with further spaces, which the decoder accepts and the check does not know. */
+    @Test
+    void secondHeadWithTwoSpacesBeforeTheStatusCodeBreaksCall() throws Exception {
+        String first = response(200, "1", true, Framing.LENGTH, BODY);
+        String second = "HTTP/1.1  504 Gateway Timeout\r\nX-Id: 1\r\nContent-Length: 8\r\n\r\n" + LATE_BODY;
+        assertThat(callReceiving(0, second)).isInstanceOf(CallEnd.Answered.class);
+        for (int cut = "HTTP/1.1 200 ".length(); cut < first.length(); cut++) {
+            CallEnd end = callReceiving(0, first.substring(0, cut) + second);
+            assertThat(end).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
+
+    /** Guards against a status line in small letters, which the decoder accepts and the check does not know. */
+    @Test
+    void secondHeadInSmallLettersBreaksCall() throws Exception {
+        String first = response(200, "1", true, Framing.LENGTH, BODY);
+        String second = "http/1.1 504 Gateway Timeout\r\nX-Id: 1\r\nContent-Length: 8\r\n\r\n" + LATE_BODY;
+        assertThat(callReceiving(0, second)).isInstanceOf(CallEnd.Answered.class);
+        for (int cut = "HTTP/1.1 200 ".length(); cut < first.length(); cut++) {
+            CallEnd end = callReceiving(0, first.substring(0, cut) + second);
+            assertThat(end).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
+
+    /** Guards against a response whose trailers are cut by another response. */
+    @Test
+    void secondResponseWithinTheTrailersBreaksCall() throws Exception {
+        String trailers = "X-Checksum: abc\r\n\r\n";
+        String chunked = response(200, "1", true, Framing.CHUNKED, BODY);
+        String first = chunked.substring(0, chunked.length() - 2) + trailers;
+        String second = response(504, "1", true, Framing.LENGTH, LATE_BODY);
+        for (int cut = first.length() - trailers.length(); cut < first.length(); cut++) {
+            CallEnd end = callReceiving(0, first.substring(0, cut) + second);
+            assertThat(end).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
+
+    /** Guards against the first two bytes of a second response at the end of a body, when one read ends behind them. */
+    @Test
+    void shortStartOfASecondHeadAtTheEndOfAReadBreaksCall() throws Exception {
+        String second = response(504, "1", true, Framing.LENGTH, LATE_BODY);
+        for (int length = 1; length <= 2; length++) {
+            String head = response(200, "1", true, Framing.LENGTH, "a".repeat(1_900));
+            String first = response(200, "1", true, Framing.LENGTH, "a".repeat(1_900 + 2_048 - head.length()));
+            CallEnd end = callReceiving(0, first.substring(0, first.length() - length) + second);
+            assertThat(end).as("%s bytes", length).isInstanceOf(CallEnd.Broken.class);
+        }
+    }
+
+    /** Guards against a whole response that is broken by a late copy behind a body that ends with a status line. */
+    @Test
+    void copyBehindABodyThatEndsWithAStatusLineIsDropped() throws Exception {
+        String body = "HTTP/1.1 504 Gateway Timeout";
+        String first = response(200, "1", true, Framing.LENGTH, body);
+        assertThat(callReceiving(0, first + first)).isInstanceOf(CallEnd.Answered.class);
+    }
 }
