Read a body once for the heads of other responses

An independent review of the check found splices that passed it: callers got a success with a part of another response. Two sound responses were broken: one whose server resets the connection during the hold, and one that ends with a status line and has a copy behind it.

Cause: the body was read from each status line up to the end of its head and again from the next one, with rules stricter than those of the decoder. It is read once now, byte by byte, and a status line begins a new head wherever it stands. The start of a status line at the end of a read holds the response until the read is complete; only longer ones wait for a time. A held response is delivered whoever ends the connection, and its connection is reused.

BodyCheckTest counted a head in small letters with the echo header as sound. The decoder accepts it, so that it counts as a second head, as it does in capitals; the case stands among those now, and one without the echo header took its place.

--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -62,6 +63,7 @@
 
     private static final byte[] NO_BYTES = new byte[0];
 
+    private static final String SPLICED_HEAD = "response head contains the start of another response";
     private static final String SPLICED_BODY = "response body contains the start of another response";
 
     private final SocketAddress address;
@@ -226,9 +228,9 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            if (isSpliced(response)) {
+            if (ResponseHeads.containStatusLine(response.status().reasonPhrase()) || isSpliced(response.headers())) {
                 faults.onSplicedHead();
-                fail("response head contains the start of another response");
+                fail(SPLICED_HEAD);
                 return;
             }
             exchange.beginResponse(response);
@@ -236,18 +238,20 @@
         if (message instanceof HttpContent content) {
             if (!exchange.append(content)) {
                 fail("response body exceeds the size limit");
-            } else if (content instanceof LastHttpContent) {
-                completeResponse();
+            } else if (content instanceof LastHttpContent last) {
+                if (isSpliced(last.trailingHeaders()) || exchange.hasEchoHeader(last.trailingHeaders())) {
+                    faults.onSplicedHead();
+                    fail(SPLICED_HEAD);
+                } else {
+                    completeResponse();
+                }
             }
         }
     }
 
-    /** Returns whether a status line stands within a line of the head. */
-    private static boolean isSpliced(HttpResponse head) {
-        if (ResponseHeads.containStatusLine(head.status().reasonPhrase())) {
-            return true;
-        }
-        for (Map.Entry<String, String> header : head.headers()) {
+    /** Returns whether a status line stands within a line of a head or of trailers. */
+    private static boolean isSpliced(HttpHeaders headers) {
+        for (Map.Entry<String, String> header : headers) {
             if (ResponseHeads.containStatusLine(header.getValue())) {
                 return true;
             }
@@ -260,7 +264,7 @@
         BodyCheck check = new BodyCheck(body, exchange.correlation.echoHeader());
         BodyVerdict verdict = check.verdict();
         if (verdict == BodyVerdict.SPLICED
-                || verdict != BodyVerdict.SOUND && check.isContinuedBy(decoder.undecodedBytes(MAX_FOLLOWING_BYTES))) {
+                || decoder.hasUndecodedBytes() && check.isContinuedBy(decoder.undecodedBytes(MAX_FOLLOWING_BYTES))) {
             faults.onSplicedBody();
             fail(SPLICED_BODY);
             return;
@@ -275,10 +279,6 @@
             return;
         }
         ResponseMessage response = new ResponseMessage(head.status().code(), NettyHeaders.read(head.headers()), body);
-        if (verdict == BodyVerdict.ENDS_IN_HEAD && !decoder.hasUndecodedBytes()) {
-            hold(response, check);
-            return;
-        }
         boolean isReusable = !notReusable
                 && HttpUtil.isKeepAlive(head)
                 && exchange.writeFuture.isSuccess()
@@ -286,6 +286,9 @@
                 && !decoder.hasUndecodedBytes();
         if (decoder.hasUndecodedBytes()) {
             faults.onBytesAfterResponse();
+        } else if (verdict != BodyVerdict.SOUND) {
+            hold(new HeldResponse(response, check, isReusable, verdict == BodyVerdict.ENDS_IN_HEAD));
+            return;
         }
         deliver(response, isReusable);
     }
@@ -313,21 +316,30 @@
         completed.listener.accept(new CallEnd.Answered(response));
     }
 
-    /** Keeps a response whose body ends within what may be another head, until the next bytes or the end of a time. */
-    private void hold(ResponseMessage response, BodyCheck check) {
-        faults.onHeldBody();
-        notReusable = true;
+    /**
+     * Keeps a response whose body ends within what may be another head, until the next bytes or the end of a time. The
+     * first bytes of a status line end many sound bodies, so that only bytes that have arrived already are awaited.
+     */
+    private void hold(HeldResponse held) {
         Exchange holding = exchange;
-        holding.held = new HeldResponse(response, check);
-        channel.eventLoop()
-                .schedule(
-                        () -> {
-                            if (exchange == holding) {
-                                endHold(holding, NO_BYTES);
-                            }
-                        },
-                        HOLD_MILLIS,
-                        TimeUnit.MILLISECONDS);
+        holding.held = held;
+        if (held.isTimed) {
+            faults.onHeldBody();
+            channel.eventLoop().schedule(() -> endHoldOf(holding), HOLD_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void endHoldOf(Exchange holding) {
+        if (exchange == holding) {
+            endHold(holding, NO_BYTES);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (exchange != null && exchange.held != null && !exchange.held.isTimed) {
+            endHold(exchange, NO_BYTES);
+        }
     }
 
     private void endHold(Exchange holding, byte[] following) {
@@ -335,7 +347,7 @@
             faults.onSplicedBody();
             fail(SPLICED_BODY);
         } else {
-            deliver(holding.held.response, false);
+            deliver(holding.held.response, holding.held.isReusable && !notReusable && following.length == 0);
         }
     }
 
@@ -395,21 +407,25 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        endWithConnection("connection closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        endWithConnection("connection failed: " + cause.getMessage());
+    }
+
+    private void endWithConnection(String reason) {
         pool.remove(this);
+        notReusable = true;
         if (exchange != null && exchange.held != null) {
             // No more bytes can follow the response.
             endHold(exchange, NO_BYTES);
         } else {
-            fail("connection closed");
+            fail(reason);
         }
     }
 
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        pool.remove(this);
-        fail("connection failed: " + cause.getMessage());
-    }
-
     /** Notifies the connection of received bytes before they are decoded. */
     private record ReceiveCounter(ServerConnection connection) implements InboundHandler {
         @Override
@@ -420,7 +436,7 @@
     }
 
     /** A response whose body ends within what may be the head of another one. */
-    private record HeldResponse(ResponseMessage response, BodyCheck check) {}
+    private record HeldResponse(ResponseMessage response, BodyCheck check, boolean isReusable, boolean isTimed) {}
 
     /** The call in progress and the part of its response that was received. */
     private static final class Exchange {
@@ -463,6 +479,12 @@
             return head.status().code() < MIN_FINAL_STATUS || !isOwn();
         }
 
+        /** Returns whether a header with which a second head would begin another response stands in trailers. */
+        boolean hasEchoHeader(HttpHeaders trailers) {
+            return correlation.echoHeader().isPresent()
+                    && trailers.contains(correlation.echoHeader().get());
+        }
+
         private boolean isOwn() {
             Optional<String> echoHeader = correlation.echoHeader();
             return correlation.matches(echoHeader.isPresent() ? head.headers().getAll(echoHeader.get()) : List.of());
--- a/integrity/src/main/java/org/turmericspan/integrity/BodyCheck.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/BodyCheck.java
@@ -1,6 +1,5 @@
 package org.turmericspan.integrity;
 
-import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -15,10 +14,8 @@
     /** Shortest start of a status line at the end of a body that is rare enough in sound bodies to wait. */
     private static final int MIN_PREFIX_TO_HOLD = 3;
 
-    private final byte[] body;
-    private final Optional<String> echoHeader;
+    private final HeadScanner scanner;
     private final BodyVerdict verdict;
-    private int openHeadStart;
 
     /**
      * Checks a body that was received up to its end.
@@ -27,9 +24,8 @@
      * @param echoHeader header that servers copy from the request to the response, if any
      */
     public BodyCheck(byte[] body, Optional<String> echoHeader) {
-        this.body = body;
-        this.echoHeader = echoHeader;
-        this.verdict = scan();
+        this.scanner = new HeadScanner(echoHeader);
+        this.verdict = scan(body);
     }
 
     /**
@@ -42,51 +38,55 @@
     }
 
     /**
-     * Returns whether another response begins within the body and continues in the bytes behind it.
+     * Returns whether another response begins within the body and continues in the bytes behind it. Called once.
      *
      * @param following bytes that were received after the end of the body
      * @return false if there are none, or if they begin a message of their own
      */
     public boolean isContinuedBy(byte[] following) {
-        if (following.length == 0 || verdict == BodyVerdict.SOUND || verdict == BodyVerdict.SPLICED) {
+        if (following.length == 0 || beginsMessage(following)) {
             return false;
         }
-        int openLength = body.length - openHeadStart;
-        byte[] joined = Arrays.copyOfRange(body, openHeadStart, body.length + following.length);
-        System.arraycopy(following, 0, joined, openLength, following.length);
-        int matched = StatusLine.matchedLength(joined, 0);
-        if (matched < StatusLine.LENGTH) {
-            return matched == joined.length;
+        if (!scanner.isInHead() && scanner.prefixBytes() == 0) {
+            return scanner.hasWholeHead();
         }
-        return openLength < StatusLine.LENGTH || !new HeadReader(joined, matched, echoHeader).isMalformed();
+        for (byte next : following) {
+            int prefixBytes = scanner.prefixBytes();
+            scanner.accept(next);
+            if (!scanner.isInHead() && scanner.prefixBytes() <= prefixBytes) {
+                return scanner.hasWholeHead();
+            }
+        }
+        return true;
     }
 
-    private BodyVerdict scan() {
-        int position = 0;
-        while (position < body.length) {
-            if (body[position] != 'H') {
-                position++;
-                continue;
+    private static boolean beginsMessage(byte[] bytes) {
+        int state = StatusLine.NONE;
+        for (byte next : bytes) {
+            int nextState = StatusLine.next(state, next);
+            if (nextState == StatusLine.COMPLETE) {
+                return true;
             }
-            int matched = StatusLine.matchedLength(body, position);
-            if (matched < StatusLine.LENGTH) {
-                if (position + matched == body.length) {
-                    openHeadStart = position;
-                    return matched < MIN_PREFIX_TO_HOLD ? BodyVerdict.ENDS_IN_SHORT_PREFIX : BodyVerdict.ENDS_IN_HEAD;
-                }
-                position++;
-                continue;
+            if (nextState < Math.max(state, 1) || nextState == 1 && state > StatusLine.NONE) {
+                return false;
             }
-            HeadReader head = new HeadReader(body, position + matched, echoHeader);
-            if (head.hasEchoHeader()) {
-                return BodyVerdict.SPLICED;
-            }
-            if (head.isUnfinished()) {
-                openHeadStart = position;
-                return BodyVerdict.ENDS_IN_HEAD;
+            state = nextState;
+        }
+        return false;
+    }
+
+    private BodyVerdict scan(byte[] body) {
+        for (int i = 0; i < body.length; i++) {
+            if (!scanner.isIdle() || StatusLine.mayBeginWith(body[i])) {
+                scanner.accept(body[i]);
+                if (scanner.hasEchoHeader()) {
+                    return BodyVerdict.SPLICED;
+                }
             }
-            position = head.resumeAt();
         }
-        return BodyVerdict.SOUND;
+        if (scanner.isInHead() || scanner.prefixBytes() >= MIN_PREFIX_TO_HOLD) {
+            return BodyVerdict.ENDS_IN_HEAD;
+        }
+        return scanner.prefixBytes() > 0 ? BodyVerdict.ENDS_IN_SHORT_PREFIX : BodyVerdict.SOUND;
     }
 }
--- a/integrity/src/main/java/org/turmericspan/integrity/ResponseHeads.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/ResponseHeads.java
@@ -15,11 +15,10 @@
      * @return whether it contains a protocol version that is followed by a status code
      */
     public static boolean containStatusLine(String text) {
-        for (int i = text.indexOf('H'); i >= 0; i = text.indexOf('H', i + 1)) {
-            if (StatusLine.isAt(text, i)) {
-                return true;
-            }
+        int state = StatusLine.NONE;
+        for (int i = 0; i < text.length() && state != StatusLine.COMPLETE; i++) {
+            state = StatusLine.next(state, text.charAt(i));
         }
-        return false;
+        return state == StatusLine.COMPLETE;
     }
 }
--- a/integrity/src/main/java/org/turmericspan/integrity/StatusLine.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/StatusLine.java
@@ -1,40 +1,67 @@
 package org.turmericspan.integrity;
 
-/** The start of a response: protocol version and status code. */
+/**
+ * Matches the start of a response, protocol version and status code, one character after another. Accepts each form
+ * that a decoder accepts: either case, and several blanks before the status code.
+ */
 final class StatusLine {
-    /** Form of the start, in which {@code d} stands for a digit. */
-    private static final String FORM = "HTTP/1.d ddd";
+    /** State in which nothing has matched. */
+    static final int NONE = 0;
+    /** State in which the start has matched up to the last digit of the status code. */
+    static final int COMPLETE = 12;
 
-    /** Length of the start. */
-    static final int LENGTH = FORM.length();
+    private static final String VERSION = "http/1.";
+    private static final int MINOR_VERSION = VERSION.length();
+    private static final int FIRST_BLANK = MINOR_VERSION + 1;
+    private static final int FIRST_DIGIT = FIRST_BLANK + 1;
+    private static final int VERTICAL_TAB = 0x0b;
+    private static final int FORM_FEED = 0x0c;
 
     private StatusLine() {}
 
-    /** Returns whether the start stands at an index of a text. */
-    static boolean isAt(String text, int index) {
-        if (index + LENGTH > text.length()) {
-            return false;
+    /**
+     * Returns the state after a character.
+     *
+     * @param state the state before it
+     * @param character the character
+     * @return the next state; {@link #NONE} or the first one if the character does not continue the match
+     */
+    static int next(int state, int character) {
+        boolean matches;
+        if (state < MINOR_VERSION) {
+            matches = toLowerCase(character) == VERSION.charAt(state);
+        } else if (state == FIRST_BLANK) {
+            matches = isBlank(character);
+        } else if (state == FIRST_DIGIT && isBlank(character)) {
+            return FIRST_DIGIT;
+        } else {
+            matches = state < COMPLETE && isDigit(character);
         }
-        for (int i = 0; i < LENGTH; i++) {
-            if (!allows(i, text.charAt(index + i))) {
-                return false;
-            }
+        if (matches) {
+            return state + 1;
         }
-        return true;
+        return mayBeginWith(character) ? 1 : NONE;
     }
 
-    /** Returns how many bytes from an index match the start. */
-    static int matchedLength(byte[] bytes, int index) {
-        int length = Math.min(LENGTH, bytes.length - index);
-        int matched = 0;
-        while (matched < length && allows(matched, bytes[index + matched])) {
-            matched++;
-        }
-        return matched;
+    /** Returns whether a character is the first one of a status line. */
+    static boolean mayBeginWith(int character) {
+        return toLowerCase(character) == VERSION.charAt(0);
+    }
+
+    /** Returns whether a character separates the parts of the status line. */
+    static boolean isBlank(int character) {
+        return character == ' '
+                || character == '\t'
+                || character == '\r'
+                || character == VERTICAL_TAB
+                || character == FORM_FEED;
+    }
+
+    private static boolean isDigit(int character) {
+        return character >= '0' && character <= '9';
     }
 
-    private static boolean allows(int position, int character) {
-        char expected = FORM.charAt(position);
-        return expected == 'd' ? character >= '0' && character <= '9' : character == expected;
+    private static int toLowerCase(int character) {
+        return character >= 'A' && character <= 'Z' ? character - 'A' + 'a' : character;
     }
 }
--- a/integrity/src/test/java/org/turmericspan/integrity/BodyCheckTest.java
+++ b/integrity/src/test/java/org/turmericspan/integrity/BodyCheckTest.java
@@ -42,7 +42,7 @@
             "HTTP/1.1 200 OK\r\nthe server then sent:\r\nX-Id: 1\r\n\r\n",
             "HTTP/1.1 200 OK\r\n\r\nX-Id: 1\r\n\r\n",
             "HTTP/1.1 200 OK\r\n\u0001\u0002X-Id: 1\r\n",
-            "http/1.1 200 ok\r\nx-id: 1\r\n\r\n",
+            "http/1.1 200 ok\r\nx-other-id: 1\r\n\r\n",
             "X-Id: 1\r\nHTTP/1.1 200 OK\r\n\r\n",
             "HHTTHTTPHTTP/HTTP/1HTTP/1.x",
             "HTTP/1.1 200 OK\r\nX-Id-Other: 1\r\nOther-X-Id: 1\r\n\r\n");
@@ -73,6 +73,7 @@
     void headWithEchoHeaderInBodyIsSpliced() {
         assertThat(check("who" + SECOND).verdict()).isEqualTo(BodyVerdict.SPLICED);
         assertThat(check(SECOND.replace("X-Id", "x-iD")).verdict()).isEqualTo(BodyVerdict.SPLICED);
+        assertThat(check("http/1.1 200 ok\r\nx-id: 1\r\n\r\n").verdict()).isEqualTo(BodyVerdict.SPLICED);
         assertThat(check("HTTP/1.1 200 OK\r\n\r\n" + SECOND).verdict()).isEqualTo(BodyVerdict.SPLICED);
         assertThat(check("HTTP/1.1 200 OK\r\n" + SECOND).verdict()).isEqualTo(BodyVerdict.SPLICED);
         assertThat(check("HTTP/1.1 20HTTP/1.0 503\nX-Id: 2").verdict()).isEqualTo(BodyVerdict.SPLICED);
