Find a third response that continues a cut second head

A 503 whose body a cut head of a 200 and the first bytes of a whole 200 filled was passed on. The cut head ended the body within a header name, which the status line of the third response continued: read from the second response the bytes were no head, and starts behind it were not tried. Each start of a status line in the open end of the body is tried now; the cost stays linear.

BodyCheckTest#thirdResponseThatRunsPastTheBodyIsDetectedAtEveryCut failed before.

--- a/integrity/src/main/java/org/turmericspan/integrity/BodyCheck.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/BodyCheck.java
@@ -54,11 +54,23 @@
         int openLength = body.length - openHeadStart;
         byte[] joined = Arrays.copyOfRange(body, openHeadStart, body.length + following.length);
         System.arraycopy(following, 0, joined, openLength, following.length);
-        int matched = StatusLine.matchedLength(joined, 0);
-        if (matched < StatusLine.LENGTH) {
-            return matched == joined.length;
+        int position = 0;
+        while (position < openLength) {
+            int matched = StatusLine.matchedLength(joined, position);
+            if (matched > 0 && position + matched == joined.length) {
+                return true;
+            }
+            if (matched < StatusLine.LENGTH) {
+                position++;
+                continue;
+            }
+            HeadReader head = new HeadReader(joined, position + matched, echoHeader);
+            if (position + matched > openLength || !head.isMalformed()) {
+                return true;
+            }
+            position = head.resumeAt();
         }
-        return openLength < StatusLine.LENGTH || !new HeadReader(joined, matched, echoHeader).isMalformed();
+        return false;
     }
 
     private BodyVerdict scan() {
--- a/integrity/src/test/java/org/turmericspan/integrity/BodyCheckTest.java
+++ b/integrity/src/test/java/org/turmericspan/integrity/BodyCheckTest.java
@@ -91,6 +91,19 @@
         }
     }
 
+    /** Guards against a cut second head whose last line the start of a third response continues. */
+    @Test
+    void thirdResponseThatRunsPastTheBodyIsDetectedAtEveryCut() {
+        for (int cut = 1; cut <= SECOND.length(); cut++) {
+            String body = "who" + SECOND.substring(0, cut);
+            for (int length = 1; length <= StatusLine.LENGTH; length++) {
+                assertThat(isBroken(body + SECOND.substring(0, length), SECOND.substring(length)))
+                        .as("%s + %s", body, length)
+                        .isTrue();
+            }
+        }
+    }
+
     @Test
     void bodyThatEndsWithinAHeadIsHeld() {
         int untilEchoHeader = SECOND.indexOf("X-Id:") + "X-Id:".length();
