Scan bodies for the first two bytes of a status line

A plain loop over the check of a body of 1 KB of random text, the check alone: 1,748 ns before, 527 ns after (one run each, beside other work on the VM). Not a JMH run, and not the whole path of a response.

Shown by: all tests of integrity, SplicedResponseTest and MutatedExchangeTest (10 s), 0 failures.

--- a/integrity/src/main/java/org/turmericspan/integrity/BodyCheck.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/BodyCheck.java
@@ -74,19 +74,15 @@
     }
 
     private BodyVerdict scan() {
-        int position = 0;
+        int position = nextStart(0);
         while (position < body.length) {
-            if (body[position] != 'H') {
-                position++;
-                continue;
-            }
             int matched = StatusLine.matchedLength(body, position);
+            if (position + matched == body.length) {
+                openHeadStart = position;
+                return matched < MIN_PREFIX_TO_HOLD ? BodyVerdict.ENDS_IN_SHORT_PREFIX : BodyVerdict.ENDS_IN_HEAD;
+            }
             if (matched < StatusLine.LENGTH) {
-                if (position + matched == body.length) {
-                    openHeadStart = position;
-                    return matched < MIN_PREFIX_TO_HOLD ? BodyVerdict.ENDS_IN_SHORT_PREFIX : BodyVerdict.ENDS_IN_HEAD;
-                }
-                position++;
+                position = nextStart(position + 1);
                 continue;
             }
             HeadReader head = new HeadReader(body, position + matched, echoHeader);
@@ -97,8 +93,20 @@
                 openHeadStart = position;
                 return BodyVerdict.ENDS_IN_HEAD;
             }
-            position = head.resumeAt();
+            position = nextStart(head.resumeAt());
         }
         return BodyVerdict.SOUND;
     }
+
+    /** Returns the first index at which a status line may begin; the length of the body if there is none. */
+    private int nextStart(int from) {
+        byte[] bytes = body;
+        int last = bytes.length - 1;
+        for (int i = from; i < last; i++) {
+            if (bytes[i] == 'H' && bytes[i + 1] == 'T') {
+                return i;
+            }
+        }
+        return from <= last && bytes[last] == 'H' ? last : bytes.length;
+    }
 }
