--- a/integrity/src/test/java/org/turmericspan/integrity/BodyCheckTest.java
+++ b/integrity/src/test/java/org/turmericspan/integrity/BodyCheckTest.java
@@ -13,6 +13,7 @@
     private static final Optional<String> ECHO_HEADER = Optional.of("X-Id");
     private static final String SECOND =
             "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 8\r\nX-Id: 1\r\nX-Signature: s\r\n\r\ntoo late";
+    private static final int STATUS_LINE_LENGTH = "HTTP/1.1 504".length();
     private static final int MAX_SHORT_PREFIX = 2;
 
     /** Bodies that servers may send and that speak of HTTP. */
@@ -92,6 +93,19 @@
         }
     }
 
+    /** Guards against a cut second head whose last line the start of a third response continues. */
+    @Test
+    void thirdResponseThatRunsPastTheBodyIsDetectedAtEveryCut() {
+        for (int cut = 1; cut <= SECOND.length(); cut++) {
+            String body = "who" + SECOND.substring(0, cut);
+            for (int length = 1; length <= STATUS_LINE_LENGTH; length++) {
+                assertThat(isBroken(body + SECOND.substring(0, length), SECOND.substring(length)))
+                        .as("%s + %s", body, length)
+                        .isTrue();
+            }
+        }
+    }
+
     @Test
     void bodyThatEndsWithinAHeadIsHeld() {
         int untilEchoHeader = SECOND.indexOf("X-Id:") + "X-Id:".length();
