Count a response of module upstream as lost whose body two form

Cause: only heads were checked for the start of another response. The HTTP library gives no access to the bytes behind a body, which tell a second response from a sound body that ends like one.

Why this works: module integrity decides, as in the entry node; its ResponseHeads replaces the pattern in ResponseCheck. The sockets of module upstream keep the last bytes that were received, so that the bytes behind the body are known. Bytes that arrive only after the body was read are not waited for.

--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -159,7 +159,12 @@
             completeWithoutResponse(AttemptOutcome.Kind.ANSWER_TOO_LARGE, signals);
             return;
         }
-        Payload payload = Payload.wrap(source.readByteArray());
+        byte[] bytes = source.readByteArray();
+        if (!ResponseCheck.hasOneBody(response, bytes, proof.received())) {
+            completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
+            return;
+        }
+        Payload payload = Payload.wrap(bytes);
         complete(new AttemptOutcome(
                 AttemptOutcome.Kind.COMPLETE,
                 new CallResult.Answered(response.code(), headers(response), payload),
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
@@ -46,6 +46,7 @@
         dispatcher.setMaxRequestsPerHost(MAX_CONCURRENT_REQUESTS);
         OkHttpClient template = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
+                .socketFactory(new ObservedSockets())
                 .connectTimeout(CONNECT_TIMEOUT)
                 .readTimeout(Duration.ZERO)
                 .writeTimeout(Duration.ZERO)
--- a/upstream/src/main/java/org/turmericspan/upstream/ResponseCheck.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ResponseCheck.java
@@ -1,11 +1,13 @@
 package org.turmericspan.upstream;
 
-import java.util.regex.Pattern;
+import java.util.Optional;
 import okhttp3.Response;
+import org.turmericspan.integrity.BodyCheck;
+import org.turmericspan.integrity.BodyVerdict;
+import org.turmericspan.integrity.ResponseHeads;
 
 /** Checks that a response belongs to its attempt, and that a truncated body would be noticed. */
 final class ResponseCheck {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[0-9] [0-9]{3}");
     private static final String HEAD = "HEAD";
     private static final String CONTENT_LENGTH = "Content-Length";
     private static final String TRANSFER_ENCODING = "Transfer-Encoding";
@@ -52,11 +54,26 @@
      */
     static boolean hasOneStatusLine(Response response) {
         for (int i = 0; i < response.headers().size(); i++) {
-            if (STATUS_LINE.matcher(response.headers().value(i)).find()) {
+            if (ResponseHeads.containStatusLine(response.headers().value(i))) {
                 return false;
             }
         }
-        return !STATUS_LINE.matcher(response.message()).find();
+        return !ResponseHeads.containStatusLine(response.message());
+    }
+
+    /**
+     * Checks that the body is not formed by two responses.
+     *
+     * @param response response of the upstream
+     * @param body its body
+     * @param received what was received on the connection
+     * @return false if another response begins within the body
+     */
+    static boolean hasOneBody(Response response, byte[] body, ReceivedBytes received) {
+        BodyCheck check = new BodyCheck(body, Optional.of(UpstreamHeaders.REQUEST_ID));
+        boolean isContinued =
+                response.header(CONTENT_LENGTH) != null && check.isContinuedBy(received.following(body.length));
+        return check.verdict() != BodyVerdict.SPLICED && !isContinued;
     }
 
     private static boolean hasNoBody(Response response) {
--- a/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
@@ -1,6 +1,7 @@
 package org.turmericspan.upstream;
 
 import java.io.IOException;
+import okhttp3.Connection;
 import okhttp3.Response;
 import org.turmericspan.calls.SlotLease;
 import org.turmericspan.ids.MonotonicClock;
@@ -13,6 +14,7 @@
     private final SlotLease lease;
     private final MonotonicClock clock;
     private volatile boolean sent;
+    private volatile ReceivedBytes received;
     private volatile long sentNanos;
 
     SendProof(SlotLease lease, MonotonicClock clock) {
@@ -28,6 +30,17 @@
         return sentNanos;
     }
 
+    /** Returns what was received on the connection of the attempt since it was sent. */
+    ReceivedBytes received() {
+        return received;
+    }
+
+    private void sendOn(Connection connection) throws IOException {
+        checkAndMarkSent();
+        received = ((ObservedSocket) connection.socket()).received();
+        received.beginResponse();
+    }
+
     private void checkAndMarkSent() throws IOException {
         if (sent) {
             throw new IOException("The attempt was already sent and must not be sent twice");
@@ -53,7 +66,7 @@
         public Response intercept(Chain chain) throws IOException {
             SendProof proof = chain.request().tag(SendProof.class);
             if (proof != null) {
-                proof.checkAndMarkSent();
+                proof.sendOn(chain.connection());
             }
             return hideRetryAfter(chain.proceed(chain.request()));
         }
