Promise that a request did not run only for a whole response

What callers saw: none is known to have seen it. With the program turmericspan a 503 that promises that the request did not run counted as such before its body was read, also if the body was cut off or formed by another response.

Cause: the promise was read from the head.

Evidence: CutResponseTest#cutBodyOfRefusalPromisesNothing failed before with SHED instead of CONNECTION_LOST after 101 bytes, the length of the head.

Why this works: the promise counts once the body was read to its end and checked, as any other response.

--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -148,11 +148,6 @@
             completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
             return;
         }
-        boolean notRun = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
-        if (notRun && response.code() == STATUS_UNAVAILABLE) {
-            completeWithoutResponse(AttemptOutcome.Kind.SHED, signals);
-            return;
-        }
         ResponseBody body = response.body();
         BufferedSource source = body.source();
         if (source.request(answerLimitBytes + 1L)) {
@@ -164,6 +159,11 @@
             completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
             return;
         }
+        boolean notRun = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
+        if (notRun && response.code() == STATUS_UNAVAILABLE) {
+            completeWithoutResponse(AttemptOutcome.Kind.SHED, signals);
+            return;
+        }
         Payload payload = Payload.wrap(bytes);
         complete(new AttemptOutcome(
                 AttemptOutcome.Kind.COMPLETE,
--- a/upstream/src/test/java/org/turmericspan/upstream/CutResponseTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/CutResponseTest.java
@@ -120,6 +120,12 @@
         expectLostAtEachCut("GET", SHED);
     }
 
+    /** Guards against the same where the head is whole and the body is not. */
+    @Test
+    void cutBodyOfRefusalPromisesNothing() throws IOException {
+        expectLostAtEachCut("GET", SHED.replace("Content-Length: 0", "Content-Length: 4") + "busy");
+    }
+
     @Test
     void cutProbeResponseReportsNothing() throws IOException {
         String response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
