Read no signals from a probe response whose head two responses form

The probe of module upstream took the load and the warm-up state from any head with a success status, also from one that holds a second status line.

Evidence: CutResponseTest#probeResponseWithTwoStatusLinesReportsNothing failed before, with a report instead of none. The check is that of other responses.

--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamProbe.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamProbe.java
@@ -88,7 +88,8 @@
                         + response.networkResponse().request().headers().byteCount();
                 ProbeReport report =
                         new ProbeReport(UpstreamHeaders.signals(response), latency, headerBytes + bodyBytes);
-                result.complete(response.isSuccessful() ? Optional.of(report) : Optional.empty());
+                boolean isReport = response.isSuccessful() && ResponseCheck.hasOneStatusLine(response);
+                result.complete(isReport ? Optional.of(report) : Optional.empty());
             } catch (IOException | RuntimeException e) {
                 result.complete(Optional.empty());
             }
--- a/upstream/src/test/java/org/turmericspan/upstream/CutResponseTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/CutResponseTest.java
@@ -126,6 +126,19 @@
         expectLostAtEachCut("GET", SHED.replace("Content-Length: 0", "Content-Length: 4") + "busy");
     }
 
+    /** Guards against the signals of a probe response that are those of another response. */
+    @Test
+    void probeResponseWithTwoStatusLinesReportsNothing() throws IOException {
+        String response = "HTTP/1.1 200 OK\r\nX-Why: HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        try (HttpUpstreamProbe probe = new HttpUpstreamProbe(clock);
+                ScriptedUpstream upstream = new ScriptedUpstream(attemptId -> response)) {
+            assertThat(probe.send(upstream.address(), Duration.ofSeconds(5))
+                            .toCompletableFuture()
+                            .join())
+                    .isEmpty();
+        }
+    }
+
     @Test
     void cutProbeResponseReportsNothing() throws IOException {
         String response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
