Reuse no connection behind whose response bytes were received

Cause: the library returns a connection to its pool when the body was read, whatever follows in its buffer or in the socket.

Why this works: the length of each response is kept with the bytes received for it. A connection with bytes behind a response is closed, and one is checked again before the next request is sent on it; that request then counts as not sent. Behind a chunked response this cannot be told, so that its connection is closed, too.

--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -155,7 +155,8 @@
             return;
         }
         byte[] bytes = source.readByteArray();
-        if (!ResponseCheck.hasOneBody(response, bytes, proof.received())) {
+        proof.closeUnlessReusable();
+        if (!ResponseCheck.hasOneBody(bytes, proof.received())) {
             completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
             return;
         }
--- a/upstream/src/main/java/org/turmericspan/upstream/ObservedSocket.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ObservedSocket.java
@@ -7,23 +7,31 @@
 
 /** Socket that shows what was received on it. */
 final class ObservedSocket extends Socket {
-    private final ReceivedBytes received = new ReceivedBytes();
-
-    ReceivedBytes received() {
+    private volatile ReceivedBytes received = new ReceivedBytes();
+
+    /**
+     * Begins to observe the response to the next request.
+     *
+     * @return the bytes received from now on, up to the next call
+     * @throws IOException if bytes that belong to no response would become part of this one; the socket is then closed
+     */
+    ReceivedBytes beginResponse() throws IOException {
+        if (received.mayHaveFollowing() || getInputStream().available() > 0) {
+            close();
+            throw new IOException("Bytes were received that belong to no response");
+        }
+        received = new ReceivedBytes();
         return received;
     }
 
     @Override
     public InputStream getInputStream() throws IOException {
-        return new ObservedStream(super.getInputStream(), received);
+        return new ObservedStream(super.getInputStream());
     }
 
-    private static final class ObservedStream extends FilterInputStream {
-        private final ReceivedBytes received;
-
-        ObservedStream(InputStream input, ReceivedBytes received) {
+    private final class ObservedStream extends FilterInputStream {
+        ObservedStream(InputStream input) {
             super(input);
-            this.received = received;
         }
 
         @Override
--- a/upstream/src/main/java/org/turmericspan/upstream/ReceivedBytes.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ReceivedBytes.java
@@ -1,7 +1,7 @@
 package org.turmericspan.upstream;
 
 /**
- * Finds the bytes that were received behind the body of a response, which the HTTP library does not show. Counts the
+ * Finds the bytes that were received behind the body of one response, which the HTTP library does not show. Counts the
  * bytes of the heads, informational ones included, and keeps the last bytes.
  */
 final class ReceivedBytes {
@@ -14,17 +14,14 @@
     private long count;
     private long headStart;
     private long headEnd;
+    private long bodyLength;
     private boolean isInHead = true;
     private boolean isInformational;
     private boolean isLineEmpty;
 
-    /** Starts to count the bytes of the next response on the connection. */
-    synchronized void beginResponse() {
-        count = 0;
-        headStart = 0;
-        headEnd = 0;
-        isInHead = true;
-        isLineEmpty = false;
+    /** Sets the length of the body, once the head was read; -1 if the response declares none. */
+    synchronized void setBodyLength(long length) {
+        bodyLength = length;
     }
 
     synchronized void add(byte[] bytes, int offset, int length) {
@@ -53,12 +50,17 @@
         }
     }
 
-    /** Returns the bytes behind a body of this length, as far as they have been received. */
-    synchronized byte[] following(long bodyLength) {
-        int length = (int) Math.max(0, Math.min(count - headEnd - bodyLength, last.length));
-        byte[] following = new byte[length];
-        for (int i = 0; i < length; i++) {
-            following[i] = last[(int) ((count - length + i) % last.length)];
+    /** Returns whether bytes were received behind the body, or whether that cannot be told. */
+    synchronized boolean mayHaveFollowing() {
+        return bodyLength < 0 || count > headEnd + bodyLength;
+    }
+
+    /** Returns the bytes behind the body, as far as they have been received; none if it declares no length. */
+    synchronized byte[] following() {
+        long received = bodyLength < 0 ? 0 : count - headEnd - bodyLength;
+        byte[] following = new byte[(int) Math.max(0, Math.min(received, last.length))];
+        for (int i = 0; i < following.length; i++) {
+            following[i] = last[(int) ((count - following.length + i) % last.length)];
         }
         return following;
     }
--- a/upstream/src/main/java/org/turmericspan/upstream/ResponseCheck.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ResponseCheck.java
@@ -64,16 +64,26 @@
     /**
      * Checks that the body is not formed by two responses.
      *
-     * @param response response of the upstream
-     * @param body its body
+     * @param body body of the response
      * @param received what was received on the connection
      * @return false if another response begins within the body
      */
-    static boolean hasOneBody(Response response, byte[] body, ReceivedBytes received) {
+    static boolean hasOneBody(byte[] body, ReceivedBytes received) {
         BodyCheck check = new BodyCheck(body, Optional.of(UpstreamHeaders.REQUEST_ID));
-        boolean isContinued =
-                response.header(CONTENT_LENGTH) != null && check.isContinuedBy(received.following(body.length));
-        return check.verdict() != BodyVerdict.SPLICED && !isContinued;
+        return check.verdict() != BodyVerdict.SPLICED && !check.isContinuedBy(received.following());
+    }
+
+    /**
+     * Returns the length of the body as far as the head states it.
+     *
+     * @param response response of the upstream
+     * @return 0 if it has no body, -1 if the length shows only at the end of the body
+     */
+    static long declaredLength(Response response) {
+        if (hasNoBody(response)) {
+            return 0;
+        }
+        return response.header(TRANSFER_ENCODING) == null ? response.body().contentLength() : -1;
     }
 
     private static boolean hasNoBody(Response response) {
--- a/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
@@ -1,5 +1,6 @@
 package org.turmericspan.upstream;
 
+import java.io.Closeable;
 import java.io.IOException;
 import okhttp3.Connection;
 import okhttp3.Response;
@@ -15,6 +16,7 @@
     private final MonotonicClock clock;
     private volatile boolean sent;
     private volatile ReceivedBytes received;
+    private volatile Closeable closeConnection = () -> {};
     private volatile long sentNanos;
 
     SendProof(SlotLease lease, MonotonicClock clock) {
@@ -36,9 +38,17 @@
     }
 
     private void sendOn(Connection connection) throws IOException {
+        ObservedSocket socket = (ObservedSocket) connection.socket();
+        received = socket.beginResponse();
+        closeConnection = socket::close;
         checkAndMarkSent();
-        received = ((ObservedSocket) connection.socket()).received();
-        received.beginResponse();
+    }
+
+    /** Closes the connection of the attempt if bytes of no response may become part of the next one on it. */
+    void closeUnlessReusable() throws IOException {
+        if (received.mayHaveFollowing()) {
+            closeConnection.close();
+        }
     }
 
     private void checkAndMarkSent() throws IOException {
@@ -68,7 +78,11 @@
             if (proof != null) {
                 proof.sendOn(chain.connection());
             }
-            return hideRetryAfter(chain.proceed(chain.request()));
+            Response response = chain.proceed(chain.request());
+            if (proof != null) {
+                proof.received().setBodyLength(ResponseCheck.declaredLength(response));
+            }
+            return hideRetryAfter(response);
         }
 
         private static Response hideRetryAfter(Response response) {
