--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -148,18 +148,24 @@
             completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
             return;
         }
-        boolean notRun = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
-        if (notRun && response.code() == STATUS_UNAVAILABLE) {
-            completeWithoutResponse(AttemptOutcome.Kind.SHED, signals);
-            return;
-        }
         ResponseBody body = response.body();
         BufferedSource source = body.source();
         if (source.request(answerLimitBytes + 1L)) {
             completeWithoutResponse(AttemptOutcome.Kind.ANSWER_TOO_LARGE, signals);
             return;
         }
-        Payload payload = Payload.wrap(source.readByteArray());
+        byte[] bytes = source.readByteArray();
+        proof.closeUnlessReusable();
+        if (!ResponseCheck.hasOneBody(bytes, proof.received())) {
+            completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
+            return;
+        }
+        boolean notRun = UpstreamHeaders.YES.equals(response.header(UpstreamHeaders.NOT_RUN));
+        if (notRun && response.code() == STATUS_UNAVAILABLE) {
+            completeWithoutResponse(AttemptOutcome.Kind.SHED, signals);
+            return;
+        }
+        Payload payload = Payload.wrap(bytes);
         complete(new AttemptOutcome(
                 AttemptOutcome.Kind.COMPLETE,
                 new CallResult.Answered(response.code(), headers(response), payload),
--- a/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/SendProof.java
@@ -1,6 +1,8 @@
 package org.turmericspan.upstream;
 
+import java.io.Closeable;
 import java.io.IOException;
+import okhttp3.Connection;
 import okhttp3.Response;
 import org.turmericspan.calls.SlotLease;
 import org.turmericspan.ids.MonotonicClock;
@@ -13,6 +15,8 @@
     private final SlotLease lease;
     private final MonotonicClock clock;
     private volatile boolean sent;
+    private volatile ReceivedBytes received;
+    private volatile Closeable closeConnection = () -> {};
     private volatile long sentNanos;
 
     SendProof(SlotLease lease, MonotonicClock clock) {
@@ -28,6 +32,25 @@
         return sentNanos;
     }
 
+    /** Returns what was received on the connection of the attempt since it was sent. */
+    ReceivedBytes received() {
+        return received;
+    }
+
+    private void sendOn(Connection connection) throws IOException {
+        ObservedSocket socket = (ObservedSocket) connection.socket();
+        received = socket.beginResponse();
+        closeConnection = socket::close;
+        checkAndMarkSent();
+    }
+
+    /** Closes the connection of the attempt if bytes of no response may become part of the next one on it. */
+    void closeUnlessReusable() throws IOException {
+        if (received.mayHaveFollowing()) {
+            closeConnection.close();
+        }
+    }
+
     private void checkAndMarkSent() throws IOException {
         if (sent) {
             throw new IOException("The attempt was already sent and must not be sent twice");
@@ -53,9 +76,13 @@
         public Response intercept(Chain chain) throws IOException {
             SendProof proof = chain.request().tag(SendProof.class);
             if (proof != null) {
-                proof.checkAndMarkSent();
+                proof.sendOn(chain.connection());
+            }
+            Response response = chain.proceed(chain.request());
+            if (proof != null) {
+                proof.received().setBodyLength(ResponseCheck.declaredLength(response));
             }
-            return hideRetryAfter(chain.proceed(chain.request()));
+            return hideRetryAfter(response);
         }
 
         private static Response hideRetryAfter(Response response) {
