Use the rest of the grace period for the last responses

A stopping node halted 100 ms after it had ended the last requests, although an eighth of the grace period, 750 ms of 6 s, is reserved for that. A response that its caller had not read by then was cut: of 12 MB, 3,992,731 bytes arrived. The node now waits until its connections are closed, for a sixteenth of the grace period at most, and closes those without a request meanwhile. A process that leaves no bytes unread does not reset its connections either.

EntryStopTest#largeResponseIsSentBeforeTheProcessEnds failed before and passes now (one run each); the caller begins to read 5.42 s after the signal.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -62,8 +62,8 @@
     private static final long IDLE_KEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
     /** Time without a request after which a stopping node closes a connection. */
     private static final long MIN_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    /** Time to send the responses to requests that are in progress when the process ends. */
-    private static final long LAST_RESPONSES_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Divisor of the grace period that yields the maximum time to send the last responses; within the reserve. */
+    private static final int LAST_RESPONSES_DIVISOR = 16;
 
     /** Number of nodes above which periodic probes are sent less often. */
     private static final int LARGE_FLEET = 32;
@@ -345,7 +345,10 @@
         pollUntil(endNanos, () -> callers.requests() == 0);
         log.write(Event.notice(PART, "Ending requests in progress.").with("requests", callers.requests()));
         service.endRequests();
-        pollUntil(clock.nowNanos() + LAST_RESPONSES_NANOS, () -> callers.connections() == 0);
+        pollUntil(clock.nowNanos() + settings.graceNanos() / LAST_RESPONSES_DIVISOR, () -> {
+            callers.closeIdle(0);
+            return callers.connections() == 0;
+        });
     }
 
     private void pollUntil(long endNanos, BooleanSupplier condition) {
--- a/entry/src/test/java/org/turmericspan/entry/EntryStopTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryStopTest.java
@@ -3,6 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +21,12 @@
 class EntryStopTest {
     private static final int CALLERS = 16;
     private static final long WORK_MILLIS = 300;
+    /** Time from the signal to the request, before a node without requests ends. */
+    private static final long LATE_MILLIS = 2_000;
+    /** Time from the signal until the caller reads, in the part of the grace period that is left for responses. */
+    private static final long READ_START_NANOS = TimeUnit.MILLISECONDS.toNanos(5_420);
+
+    private static final int RECEIVE_BUFFER_BYTES = 65_536;
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
     private static final long READY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(40);
 
@@ -105,4 +114,26 @@
                 .as("requests served during the stop")
                 .isGreaterThan(CALLERS);
     }
+
+    /** Guards against a response that is cut because its caller reads it when the process is about to end. */
+    @Test
+    void largeResponseIsSentBeforeTheProcessEnds() throws Exception {
+        int length = 12_000_000;
+        servers.forEach(server -> server.setResponseBytes(length));
+        long stopNanos = System.nanoTime();
+        node.terminate();
+        TimeUnit.MILLISECONDS.sleep(LATE_MILLIS);
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+            socket.setSoTimeout((int) RESPONSE_TIMEOUT.toMillis());
+            socket.connect(new InetSocketAddress(
+                    node.callerAddress().host(), node.callerAddress().port()));
+            socket.getOutputStream()
+                    .write(("GET /a/large HTTP/1.1\r\nHost: h.example\r\nTurmericspan-Request-Id: large\r\n"
+                                    + "Turmericspan-Deadline-Ms: 1500\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.NANOSECONDS.sleep(stopNanos + READ_START_NANOS - System.nanoTime());
+            assertThat(socket.getInputStream().readAllBytes().length).isGreaterThan(length);
+        }
+    }
 }
--- a/entry/src/test/java/org/turmericspan/entry/ServerStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/ServerStandIn.java
@@ -26,6 +26,7 @@
     private volatile long lastRunNanos = Long.MIN_VALUE;
     private final AtomicInteger running = new AtomicInteger();
     private volatile long workMillis = 20;
+    private volatile int responseBytes;
     private volatile long warmupMillis;
     private volatile boolean shedding;
     private volatile boolean leaving;
@@ -68,6 +69,11 @@
         workMillis = millis;
     }
 
+    /** Sets the length of the response bodies; 0 stands for the identifier of the server. */
+    void setResponseBytes(int bytes) {
+        responseBytes = bytes;
+    }
+
     void setWarmupMillis(long millis) {
         warmupMillis = millis;
     }
@@ -138,8 +144,8 @@
 
     private void finish(Reply reply, HeaderList headers) {
         running.decrementAndGet();
-        reply.send(new ResponseMessage(
-                200, headers.with("Turmericspan-Response-Signature", "s"), id.getBytes(StandardCharsets.UTF_8)));
+        byte[] body = responseBytes > 0 ? new byte[responseBytes] : id.getBytes(StandardCharsets.UTF_8);
+        reply.send(new ResponseMessage(200, headers.with("Turmericspan-Response-Signature", "s"), body));
     }
 
     @Override
