Tell what a stopping node leaves behind

The line "Stopped." has the number of requests without a response, of connections on which a request is being received or a response is being sent, and of connections that were closed idle. It is one line per stop.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -334,7 +334,11 @@
             return callers.connections() == 0 || !callers.isTransferring() && service.isQuiet();
         });
         endRequests(endNanos);
-        log.write(Event.notice(PART, "Stopped."));
+        log.write(Event.notice(PART, "Stopped.")
+                .with("requests", callers.requests())
+                .with("receiving", callers.receiving())
+                .with("sending", callers.sending())
+                .with("idleClosed", callers.idleClosed()));
         closeLog();
     }
 
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -311,7 +311,15 @@
 
     /** Returns whether a request is being received, or a response is being sent. */
     boolean isTransferring() {
-        return sendingResponse || receivingMessage && !closing;
+        return sendingResponse || isReceiving();
+    }
+
+    boolean isReceiving() {
+        return receivingMessage && !closing;
+    }
+
+    boolean isSending() {
+        return sendingResponse;
     }
 
     /**
@@ -323,6 +331,7 @@
                 currentReply != null || !pipelined.isEmpty() || receivingMessage || sendingResponse || closing;
         if (!hasRequest && clock.nowNanos() - idleSinceNanos >= minIdleNanos) {
             closing = true;
+            state.closedIdle();
             context.close();
         }
     }
--- a/http/src/main/java/org/turmericspan/http/HttpListener.java
+++ b/http/src/main/java/org/turmericspan/http/HttpListener.java
@@ -128,6 +128,36 @@
         return state.connections().stream().anyMatch(CallerConnection::isTransferring);
     }
 
+    /**
+     * Counts the connections that {@link #closeIdle} has closed.
+     *
+     * @return the count
+     */
+    public int idleClosed() {
+        return state.idleClosed();
+    }
+
+    /**
+     * Counts the connections on which a part of a request has arrived, but not all of it.
+     *
+     * @return the count
+     */
+    public int receiving() {
+        return (int) state.connections().stream()
+                .filter(CallerConnection::isReceiving)
+                .count();
+    }
+
+    /**
+     * Counts the connections on which a response is being sent.
+     *
+     * @return the count
+     */
+    public int sending() {
+        return (int)
+                state.connections().stream().filter(CallerConnection::isSending).count();
+    }
+
     /**
      * Counts the open connections.
      *
--- a/http/src/main/java/org/turmericspan/http/ListenerState.java
+++ b/http/src/main/java/org/turmericspan/http/ListenerState.java
@@ -14,6 +14,7 @@
     private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger refusals = new AtomicInteger();
+    private final AtomicInteger idleClosed = new AtomicInteger();
     private volatile boolean draining;
 
     void add(CallerConnection connection) {
@@ -40,6 +41,14 @@
         return requests.get();
     }
 
+    void closedIdle() {
+        idleClosed.incrementAndGet();
+    }
+
+    int idleClosed() {
+        return idleClosed.get();
+    }
+
     /** Returns the Retry-After delay in seconds of a request without memory; callers refused together return apart. */
     String nextRetryAfter() {
         int step = Math.floorMod(refusals.getAndIncrement(), RETRY_AFTER_STEPS);
--- a/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
+++ b/http/src/test/java/org/turmericspan/http/HttpListenerTest.java
@@ -211,6 +211,25 @@
         }
     }
 
+    @Test
+    void connectionsAreCountedByWhatTheyWaitFor() throws Exception {
+        try (Socket receiving = connect(HttpListenerTest::echo);
+                Socket idle = new Socket("127.0.0.1", listener.port())) {
+            receiving.getOutputStream().write("GET /x HTTP/1.1\r\nHo".getBytes(StandardCharsets.UTF_8));
+            awaitConnections(2);
+            while (listener.receiving() == 0) {
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+            listener.closeIdle(0);
+            assertThat(idle.getInputStream().read()).isEqualTo(-1);
+            awaitConnections(1);
+            assertThat(listener.idleClosed()).isEqualTo(1);
+            assertThat(listener.receiving()).isEqualTo(1);
+            assertThat(listener.sending()).isZero();
+            assertThat(listener.requests()).isZero();
+        }
+    }
+
     /** Guards against closing a new connection before the first request of its caller has arrived. */
     @Test
     void newConnectionIsNotIdle() throws Exception {
