Check in the soak that stops lose no request

A caller of each node keeps its connection while the node stops, and sends half of its requests slowly in chunks. Two nodes are stopped in series, each with SIGHUP, SIGTERM and a second SIGTERM. A request that was complete and that an upstream ran must have a response, unless its node was killed or suspended within a second of it.

--- a/entry/src/test/java/org/turmericspan/entry/EntrySoakTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySoakTest.java
@@ -8,7 +8,9 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.turmericspan.entry.PersistentCaller.Exchange;
 import org.turmericspan.entry.SoakCallers.CompletedCall;
+import org.turmericspan.entry.SoakCallers.NodeExchange;
 
 /**
  * Runs nodes as processes under overlapping faults drawn from a seed, and checks the responses of callers against the
@@ -53,9 +55,11 @@
             callers.start();
             faults.run(duration);
             callers.stop();
-            String context = "seed " + seed + ", " + callers.statuses() + ", " + faults.injected();
+            String context = "seed " + seed + ", " + callers.statuses() + ", "
+                    + callers.exchanges().size() + " on kept connections, " + faults.injected();
             System.out.println("soak: " + context);
             callers.calls().forEach(call -> check(fleet, call, context));
+            callers.exchanges().forEach(exchange -> check(fleet, faults, exchange, context));
             for (SoakFaults.DrainedServer drained : faults.drained()) {
                 assertThat(drained.registered().server().lastRunNanos())
                         .as("last run at drained "
@@ -87,6 +91,25 @@
         assertThat(status).as("every route is configured, " + context).isNotEqualTo(404);
     }
 
+    /** Checks that a node loses no request that it passed on, except around an unplanned disruption. */
+    private static void check(SoakFleet fleet, SoakFaults faults, NodeExchange sent, String context) {
+        Exchange exchange = sent.exchange();
+        int runs = fleet.runsOf(exchange.id());
+        if (!sent.idempotent()) {
+            assertThat(runs).as("runs of " + sent + ", " + context).isLessThanOrEqualTo(1);
+        }
+        if (!sent.idempotent() && NOT_RUN_STATUSES.contains(exchange.status())) {
+            assertThat(runs)
+                    .as("runs of a request reported as not run, " + sent + ", " + context)
+                    .isZero();
+        }
+        if (exchange.isUnanswered() && !faults.isDisrupted(sent.node(), exchange.sentNanos(), exchange.endNanos())) {
+            assertThat(runs)
+                    .as("runs of a lost request, " + sent + ", " + context)
+                    .isZero();
+        }
+    }
+
     private static void awaitServing(SoakFleet fleet, String context) throws InterruptedException {
         long endNanos = System.nanoTime() + MAX_RECOVERY.toNanos();
         while (!fleet.nodes().stream().allMatch(node -> node.isReady() && serves(node, "w"))) {
--- a/entry/src/test/java/org/turmericspan/entry/SoakCallers.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakCallers.java
@@ -10,16 +10,20 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.entry.NodeProcess.Response;
+import org.turmericspan.entry.PersistentCaller.Exchange;
 
 /** Callers that send requests to random nodes over persistent connections and record the responses. */
 final class SoakCallers {
     private static final int CALLERS = 8;
     private static final long PAUSE_MILLIS = 15;
+    /** Maximum pause within a body. */
+    private static final int MAX_BODY_PAUSE_MILLIS = 400;
     /** Maximum wait for a response, longer than the deadline of the requests. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(4);
 
     private final SoakFleet fleet;
     private final long seed;
+    private final Queue<NodeExchange> exchanges = new ConcurrentLinkedQueue<>();
     private final Queue<CompletedCall> completedCalls = new ConcurrentLinkedQueue<>();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean stopped;
@@ -33,6 +37,15 @@
      */
     record CompletedCall(String request, boolean idempotent, Response answer) {}
 
+    /**
+     * A request on a kept connection.
+     *
+     * @param node node that received it
+     * @param idempotent whether the request may run more than once
+     * @param exchange the request and its end
+     */
+    record NodeExchange(NodeProcess node, boolean idempotent, Exchange exchange) {}
+
     SoakCallers(SoakFleet fleet, long seed) {
         this.fleet = fleet;
         this.seed = seed;
@@ -46,6 +59,35 @@
             thread.start();
             threads.add(thread);
         }
+        for (NodeProcess node : fleet.nodes()) {
+            Thread thread = new Thread(() -> sendOnKeptConnection(node), "soak-kept-" + node);
+            thread.setDaemon(true);
+            thread.start();
+            threads.add(thread);
+        }
+    }
+
+    /** Sends requests to one node, also while it stops. Half of them have a body that is sent slowly in chunks. */
+    private void sendOnKeptConnection(NodeProcess node) {
+        SplittableRandom random =
+                new SplittableRandom(seed * CALLERS + node.toString().hashCode());
+        try (PersistentCaller caller = new PersistentCaller(node.callerAddress())) {
+            for (int i = 0; !stopped; i++) {
+                String request = "k-" + node + "-" + i;
+                boolean idempotent = random.nextBoolean();
+                Exchange exchange = idempotent
+                        ? caller.get("/safe/" + request, request)
+                        : caller.postChunks(
+                                "/once/" + request,
+                                request,
+                                random.nextInt(MAX_BODY_PAUSE_MILLIS),
+                                random.nextInt(MAX_BODY_PAUSE_MILLIS));
+                exchanges.add(new NodeExchange(node, idempotent, exchange));
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void sendRequests(int caller) {
@@ -77,6 +119,10 @@
         }
     }
 
+    List<NodeExchange> exchanges() {
+        return List.copyOf(exchanges);
+    }
+
     List<CompletedCall> calls() {
         return List.copyOf(completedCalls);
     }
--- a/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -17,6 +19,9 @@
 /** Draws faults from a seed and injects them one after another. Faults may overlap; each ends after its duration. */
 final class SoakFaults {
     private static final int TIMER_THREADS = 8;
+    /** Number of nodes that are stopped together. */
+    private static final int SERIES = 2;
+
     private static final int MIN_PAUSE_MILLIS = 150;
     private static final int PAUSE_RANGE_MILLIS = 600;
     private static final int MIN_DURATION_MILLIS = 200;
@@ -24,6 +29,9 @@
     private static final LinkFault REFUSE_CONNECTIONS = new LinkFault(true, false, Duration.ZERO, 0);
     private static final LinkFault NO_TRAFFIC = new LinkFault(false, true, Duration.ZERO, 0);
     private static final LinkFault DELAYED = new LinkFault(false, false, Duration.ofMillis(60), 0);
+    /** Time around a kill or a suspension that counts as part of it. */
+    private static final long DISRUPTION_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private static final long SLOW_WORK_MILLIS = 400;
     private static final long NORMAL_WORK_MILLIS = 20;
 
@@ -34,12 +42,14 @@
 
     private final List<Future<?>> faultEnds = new ArrayList<>();
     private final List<String> injected = new ArrayList<>();
+    private final Queue<Disruption> disruptions = new ConcurrentLinkedQueue<>();
     private final Set<NodeProcess> stoppedNodes = ConcurrentHashMap.newKeySet();
     private final List<DrainedServer> drained = new ArrayList<>();
     private final List<FaultInjector> injectors = List.of(
             this::killNode,
             this::suspendNode,
             this::stopNode,
+            this::stopNodesInSeries,
             this::sendHangUp,
             this::closeConnections,
             this::stopTrafficOnOpenConnections,
@@ -73,6 +83,15 @@
      */
     record DrainedServer(SoakFleet.RegisteredServer registered, long drainNanos) {}
 
+    /**
+     * A kill or a suspension of a node, which excuses requests that it does not answer.
+     *
+     * @param node the node
+     * @param startNanos time at which the disruption began
+     * @param endNanos time at which the node had recovered
+     */
+    private record Disruption(NodeProcess node, long startNanos, long endNanos) {}
+
     SoakFaults(SoakFleet fleet, long seed) {
         this.fleet = fleet;
         this.random = new SplittableRandom(seed);
@@ -96,6 +115,22 @@
         return injected;
     }
 
+    /** Returns whether a node was killed or suspended at some time of an interval, or shortly before or after it. */
+    boolean isDisrupted(NodeProcess node, long startNanos, long endNanos) {
+        return disruptions.stream()
+                .anyMatch(disruption -> disruption.node() == node
+                        && disruption.startNanos() - endNanos <= 0
+                        && startNanos - disruption.endNanos() <= 0);
+    }
+
+    private void recordDisruption(NodeProcess node, long durationMillis) {
+        long nowNanos = System.nanoTime();
+        disruptions.add(new Disruption(
+                node,
+                nowNanos - DISRUPTION_MARGIN_NANOS,
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(durationMillis) + DISRUPTION_MARGIN_NANOS));
+    }
+
     List<DrainedServer> drained() {
         return drained;
     }
@@ -129,6 +164,7 @@
             return;
         }
         recordFault("kill " + node, durationMillis);
+        recordDisruption(node, durationMillis);
         node.kill();
         scheduleEnd(durationMillis, () -> restart(node));
     }
@@ -142,6 +178,7 @@
     private void suspendNode(long durationMillis) throws IOException, InterruptedException {
         NodeProcess node = randomNode();
         recordFault("suspend " + node, durationMillis);
+        recordDisruption(node, durationMillis);
         long pid = node.pid();
         NodeProcess.signal(pid, "STOP");
         scheduleEnd(durationMillis, () -> NodeProcess.signal(pid, "CONT"));
@@ -157,6 +194,24 @@
         scheduleEnd(durationMillis, () -> restart(node));
     }
 
+    /** Sends overlapping signals to a node, and stops the next while the first still stops. */
+    private void stopNodesInSeries(long durationMillis) throws IOException, InterruptedException {
+        int first = random.nextInt(fleet.nodes().size());
+        for (int i = 0; i < SERIES; i++) {
+            NodeProcess node = fleet.nodes().get((first + i) % fleet.nodes().size());
+            if (stoppedNodes.add(node)) {
+                recordFault("send signals to " + node, durationMillis);
+                if (node.isReady()) {
+                    node.signal("HUP");
+                }
+                long pid = node.pid();
+                node.terminate();
+                scheduleEnd(durationMillis / 2, () -> NodeProcess.signal(pid, "TERM"));
+                scheduleEnd(durationMillis, () -> restart(node));
+            }
+        }
+    }
+
     private void sendHangUp(long durationMillis) throws IOException, InterruptedException {
         NodeProcess node = randomNode();
         recordFault("send SIGHUP to " + node, 0);
