Let a relay without news of the store end its readers' watches in time

A node could have a configuration late by half a second or more while its zone's first reader reached only the nodes of the zone: that relay answered watches without changes until its last contact was 2.5 s old, while a change has to be in force after 2 s.

Cause: the age up to which a replica counts as current covered the replacement of an unresponsive source as well. It now covers one watch of the store and one of a relay, 1.6 s; the readers then ask another node.

Tried first: to lose contact at each failed read of a source.

--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
@@ -35,7 +35,7 @@
     private static void assertInForce(RelayFleet fleet, long version, String description) {
         List<String> late = fleet.nodes().stream()
                 .filter(Node::isInTouch)
-                .filter(node -> node.version() != version)
+                .filter(node -> node.version() != version || !node.hasRouteOf(version))
                 .map(node -> node + " at version " + node.version())
                 .toList();
         assertThat(late).as(description).isEmpty();
@@ -119,6 +119,20 @@
         changeAfterARelayFailed(node -> node.fail(Link.SILENT), "cut");
     }
 
+    @Test
+    void changeIsInForceInTimeWhenARelayReachesOnlyItsZone() {
+        forEachSeed(seed -> {
+            for (int index = 0; index < ZONES; index++) {
+                RelayFleet fleet = startedFleet(seed);
+                fleet.inReaderOrder().get(index).confineToZone();
+                fleet.advance(Duration.ofMillis(10 * seed));
+                fleet.confirm(2);
+                fleet.advance(APPLY);
+                assertInForce(fleet, 2, "relay " + index + ", seed " + seed);
+            }
+        });
+    }
+
     @Test
     void changeIsInForceInTimeWhenARelayLeaves() {
         changeAfterARelayFailed(Node::leave, "SIGTERM");
@@ -148,6 +162,20 @@
         });
     }
 
+    @Test
+    void invalidConfigurationIsNotTakenAndTheNextValidOneIs() {
+        RelayFleet fleet = startedFleet(1);
+        for (String invalid :
+                List.of("", "not json", "{}", "{\"Version\":\"2\",\"Routes\":[]}", "{\"Version\":2,\"Routes\":[{}]}")) {
+            fleet.putConfiguration(invalid);
+            fleet.advance(APPLY);
+            assertInForce(fleet, 1, "after '" + invalid + "'");
+        }
+        fleet.confirm(3);
+        fleet.advance(APPLY);
+        assertInForce(fleet, 3, "after invalid ones");
+    }
+
     @Test
     void outageFloodsNeitherTheStoreNorTheRelays() {
         int size = 152;
--- a/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -130,6 +130,11 @@
         store.put("op/config", configuration(version));
     }
 
+    /** Writes a configuration that the store should have rejected. */
+    void putConfiguration(String value) {
+        store.put("op/config", value);
+    }
+
     /** Lists the nodes in the order in which the fleet reads the store through them. */
     List<Node> inReaderOrder() {
         return nodes.stream()
@@ -138,13 +143,16 @@
     }
 
     private Link linkTo(Node caller, SocketAddress address) {
-        if (caller.link != Link.SERVING) {
+        if (caller.link != Link.SERVING || caller.confinedToZone && address.equals(STORE)) {
             return Link.SILENT;
         }
         if (address.equals(STORE)) {
             return storeServes.test(caller) ? Link.SERVING : storeFailure;
         }
-        return nodesByAddress.get(address).link;
+        Node node = nodesByAddress.get(address);
+        boolean isCutOff =
+                (caller.confinedToZone || node.confinedToZone) && !caller.zone().equals(node.zone());
+        return isCutOff ? Link.SILENT : node.link;
     }
 
     /** Delivers a request after a latency; the connection breaks or falls silent as the link then does. */
@@ -238,8 +246,10 @@
         private final SocketAddress address;
         private final List<Long> versions = new ArrayList<>();
         private final MemberTable table;
+        private RoutingConfiguration newest;
         private int incarnation;
         private Link link = Link.SERVING;
+        private boolean confinedToZone;
         private StoreFeed feed;
         private FeedRelay relay;
 
@@ -290,12 +300,17 @@
             link = failure;
         }
 
+        /** Cuts the node off from the store and the nodes of other zones. */
+        void confineToZone() {
+            confinedToZone = true;
+        }
+
         void leave() {
             table.updateSelf(true, true, false);
         }
 
         boolean isInTouch() {
-            return link == Link.SERVING && !table.self().leaving();
+            return link == Link.SERVING && !confinedToZone && !table.self().leaving();
         }
 
         String zone() {
@@ -306,6 +321,11 @@
             return versions;
         }
 
+        /** Returns whether the newest configuration has the route that only this version has. */
+        boolean hasRouteOf(long version) {
+            return newest.findRoute("h", "/a" + version + "/x").isPresent();
+        }
+
         long version() {
             return versions.isEmpty() ? 0 : versions.get(versions.size() - 1);
         }
@@ -326,6 +346,7 @@
             public void onConfiguration(RoutingConfiguration configuration) {
                 if (incarnation == recordedIncarnation) {
                     versions.add(configuration.version());
+                    newest = configuration;
                 }
             }
 
--- a/feed/src/main/java/org/turmericspan/feed/StoreContact.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreContact.java
@@ -10,9 +10,10 @@
 final class StoreContact {
     /**
      * Age of the last response of the store, to this node or to the one it reads through, up to which this node may
-     * relay what it read. Covers one watch at each step and the replacement of an unresponsive relay.
+     * relay what it read. Covers one watch of the store and one of a relay. Readers of a relay whose source does not
+     * respond have to find another one in time.
      */
-    private static final long TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    private static final long TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
     /** Distance from the store of a node that has no contact with it. */
     private static final int NO_DISTANCE = Integer.MAX_VALUE;
 
