Show nodes that follow late when two readers of the fleet lose the store

A relay answers watches without changes until its own read of the store has timed out, and the next in the order then waits for the store anew.

--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
@@ -171,4 +171,26 @@
                     .isBetween(1L, 10L * size * seconds);
         }
     }
+
+    /** Guards against nodes that wait for one reader after the other while only these have lost the store. */
+    @Test
+    void changeIsInForceInTimeWhenTheFirstTwoReadersLoseTheStore() {
+        forEachSeed(seed -> {
+            RelayFleet fleet = startedFleet(seed);
+            Node first = fleet.inReaderOrder().get(0);
+            Node second = fleet.inReaderOrder().stream()
+                    .filter(node -> !node.zone().equals(first.zone()))
+                    .findFirst()
+                    .orElseThrow();
+            fleet.advance(Duration.ofMillis(70 * seed));
+            fleet.storeServes(node -> node != first && node != second, Link.SILENT);
+            fleet.confirm(2);
+            fleet.advance(APPLY);
+            List<String> late = fleet.nodes().stream()
+                    .filter(node -> node != first && node != second && node.version() != 2)
+                    .map(Node::toString)
+                    .toList();
+            assertThat(late).as("seed " + seed).isEmpty();
+        });
+    }
 }
