Show nodes that follow late when one reader of the fleet loses the store

By the constants: 0.5 s of batch delay, a watch of 0.9 s and 0.6 s of waiting add up to 2.0 s before the first reader notices, and its relay answers watches without changes meanwhile, since its contact is less than 2.5 s old.

--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
@@ -193,4 +193,22 @@
             assertThat(late).as("seed " + seed).isEmpty();
         });
     }
+
+    /** Guards against a first reader that reads the store only after a delay and then waits for it to time out. */
+    @Test
+    void changeIsInForceInTimeWhenTheFirstReaderAloneLosesTheStore() {
+        for (int phaseMillis = 0; phaseMillis < 600; phaseMillis += 4) {
+            RelayFleet fleet = startedFleet(1);
+            Node first = fleet.inReaderOrder().get(0);
+            fleet.advance(Duration.ofMillis(phaseMillis));
+            fleet.storeServes(node -> node != first, Link.SILENT);
+            fleet.confirm(2);
+            fleet.advance(APPLY);
+            List<String> late = fleet.nodes().stream()
+                    .filter(node -> node != first && node.version() != 2)
+                    .map(Node::toString)
+                    .toList();
+            assertThat(late).as("phase %s ms", phaseMillis).isEmpty();
+        }
+    }
 }
