--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
@@ -199,4 +199,44 @@
                     .isBetween(1L, 10L * size * seconds);
         }
     }
+
+    /** Guards against nodes that wait for one reader after the other while only these have lost the store. */
+    @Test
+    void changeIsInForceInTimeWhenTheFirstTwoReadersLoseTheStore() {
+        forEachSeed(seed -> {
+            RelayFleet fleet = startedFleet(seed);
+            Node first = fleet.inReaderOrder().get(0);
+            Node second = fleet.inReaderOrder().stream()
+                    .filter(node -> !node.zone().equals(first.zone()))
+                    .findFirst()
+                    .orElseThrow();
+            fleet.advance(Duration.ofMillis(70 * seed));
+            fleet.storeServes(node -> node != first && node != second, Link.SILENT);
+            fleet.confirm(2);
+            fleet.advance(APPLY);
+            List<String> late = fleet.nodes().stream()
+                    .filter(node -> node != first && node != second && node.version() != 2)
+                    .map(Node::toString)
+                    .toList();
+            assertThat(late).as("seed " + seed).isEmpty();
+        });
+    }
+
+    /** Guards against a first reader that reads the store only after a delay and then waits for it to time out. */
+    @Test
+    void changeIsInForceInTimeWhenTheFirstReaderAloneLosesTheStore() {
+        for (int phaseMillis = 0; phaseMillis < 600; phaseMillis += 4) {
+            RelayFleet fleet = startedFleet(1);
+            Node first = fleet.inReaderOrder().get(0);
+            fleet.advance(Duration.ofMillis(phaseMillis));
+            fleet.storeServes(node -> node != first, Link.SILENT);
+            fleet.confirm(2);
+            fleet.advance(APPLY);
+            List<String> late = fleet.nodes().stream()
+                    .filter(node -> node != first && node.version() != 2)
+                    .map(Node::toString)
+                    .toList();
+            assertThat(late).as("phase %s ms", phaseMillis).isEmpty();
+        }
+    }
 }
