Test cut responses to requests without an identifier

Responses to probes echo no identifier, so that only a second head which runs on behind the body tells that two responses form it.

--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -288,4 +288,18 @@
             assertThat(client.faults().bytesOutsideCalls()).isEqualTo(1);
         }
     }
+
+    /** Guards against the same for probes, whose requests and responses bear no identifier. */
+    @Test
+    void cutResponseToARequestWithoutIdentifierBreaksCall() throws Exception {
+        String first = response(200, "1", true, Framing.LENGTH, BODY).replace("X-Id: 1\r\n", "");
+        String second = response(503, "1", true, Framing.LENGTH, "").replace("X-Id: 1\r\n", "");
+        for (int cut = first.length() - BODY.length(); cut < first.length(); cut++) {
+            CompletableFuture<CallEnd> end = new CompletableFuture<>();
+            try (RawServer server = new RawServer(RawServer.sending(first.substring(0, cut) + second))) {
+                client.call(server.address(), RequestMessage.get("/healthz", "host"), OPTIONS, end::complete);
+                assertThat(end.get(20, TimeUnit.SECONDS)).as("cut at %s", cut).isInstanceOf(CallEnd.Broken.class);
+            }
+        }
+    }
 }
