Show the previous items of a replica until a new list is whole

Nodes that listed all items through a relay while it replaced its own could get a part of them, under the revision of the earlier ones, since the items of a list were stored one by one and relays respond on other workers.

--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -239,12 +239,13 @@
 
     private void completeList(StoreSource source, List<StoreItem> items, long watchRevision) {
         revision = watchRevision;
-        mirror.clear(watchRevision);
+        mirror.beginReplacement();
         Set<UpstreamId> missing = new HashSet<>(registrations.keySet());
         registrations.clear();
         Set<AvailabilityZoneId> previousZones = Set.copyOf(evacuatedZones);
         evacuatedZones.clear();
         items.forEach(this::apply);
+        mirror.completeReplacement(watchRevision);
         if (!previousZones.equals(evacuatedZones)) {
             fleetListener.onEvacuation(Set.copyOf(evacuatedZones));
         }
--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -18,7 +18,10 @@
     private static final int MAX_REMOVALS = 1_000;
 
     private final RankedLock lock = new RankedLock(LockRank.VIEW);
-    private final Map<String, StoreItem> items = new HashMap<>();
+    private Map<String, StoreItem> items = new HashMap<>();
+    /** Items of a full list that is being stored, null if none is; readers get the previous items until it is whole. */
+    private Map<String, StoreItem> replacement;
+
     private long revision;
     /** Highest revision of an item; none is newer, though some may have been removed again. */
     private long newestItemRevision;
@@ -28,17 +31,24 @@
     /** Stores an item. Its revision is kept when nothing relevant has changed, so that readers do not get it again. */
     void put(StoreItem item, boolean hasChanged) {
         lock.run(() -> {
-            StoreItem previous = items.get(item.key());
+            Map<String, StoreItem> written = replacement == null ? items : replacement;
+            StoreItem previous = written.get(item.key());
             long itemRevision = hasChanged || previous == null ? item.revision() : previous.revision();
             newestItemRevision = Math.max(newestItemRevision, itemRevision);
-            items.put(item.key(), new StoreItem(item.key(), item.value(), itemRevision, item.isRemoved()));
+            written.put(item.key(), new StoreItem(item.key(), item.value(), itemRevision, item.isRemoved()));
         });
     }
 
-    /** Discards all items; called before those of a full list are stored. */
-    void clear(long firstRevision) {
+    /** Begins to store a full list, which replaces all items when it is complete. */
+    void beginReplacement() {
+        lock.run(() -> replacement = new HashMap<>());
+    }
+
+    /** Replaces all items by those stored since the replacement began. */
+    void completeReplacement(long firstRevision) {
         lock.run(() -> {
-            items.clear();
+            items = replacement;
+            replacement = null;
             oldestRevision = firstRevision;
         });
     }
