Watch the store for at most 0.6 s

Nodes of several zones had a configuration late when the path of the fleet's first reader to the store fell silent: after a batch delay of 0.5 s, a watch of 0.9 s and a wait of 0.6 s it noticed 2.0 s after its last response. Since a replica counts as current for 1.6 s, a reader of that node could also take it for one without contact while all was well, 0.5 + 0.9 + 0.4 s after a change (by calculation).

One node of the fleet reads the store 1.7 instead of 1.1 times a second while nothing changes (by calculation).

--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -31,7 +31,7 @@
      */
     private static final long BATCH_DELAY_MILLIS = 500;
     /** Longest wait of a watch of the store; short enough to detect a dead connection within the required bounds. */
-    private static final long STORE_WATCH_MILLIS = 900;
+    private static final long STORE_WATCH_MILLIS = 600;
     /** Wait of a watch of the store without contact; none, so that a store that does not respond is noticed sooner. */
     private static final long STORE_PROBE_MILLIS = 0;
     /** Longest wait of a watch of another node; shorter, since that node may have failed and is quickly replaced. */
