Draw the series of stops of a soak apart from its other faults

The series changed what every seed draws, also the seeds that once failed and are kept as cases. It has a random generator of its own, so that a seed draws its other faults as before.

--- a/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
@@ -37,6 +37,9 @@
 
     private final SoakFleet fleet;
     private final SplittableRandom random;
+    /** Draws the series of stops, so that a seed draws the other faults as it did without them. */
+    private final SplittableRandom seriesRandom;
+
     /** Has several threads, since the restart of a suspended node blocks until another thread resumes the node. */
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
 
@@ -49,7 +52,6 @@
             this::killNode,
             this::suspendNode,
             this::stopNode,
-            this::stopNodesInSeries,
             this::sendHangUp,
             this::closeConnections,
             this::stopTrafficOnOpenConnections,
@@ -95,6 +97,7 @@
     SoakFaults(SoakFleet fleet, long seed) {
         this.fleet = fleet;
         this.random = new SplittableRandom(seed);
+        this.seriesRandom = new SplittableRandom(~seed);
     }
 
     /** Injects faults for a duration and waits until all have ended. */
@@ -104,6 +107,9 @@
             TimeUnit.MILLISECONDS.sleep(MIN_PAUSE_MILLIS + random.nextInt(PAUSE_RANGE_MILLIS));
             long durationMillis = MIN_DURATION_MILLIS + random.nextInt(DURATION_RANGE_MILLIS);
             injectors.get(random.nextInt(injectors.size())).inject(durationMillis);
+            if (seriesRandom.nextInt(injectors.size()) == 0) {
+                stopNodesInSeries(durationMillis);
+            }
         }
         for (Future<?> end : faultEnds) {
             end.get();
@@ -196,7 +202,7 @@
 
     /** Sends overlapping signals to a node, and stops the next while the first still stops. */
     private void stopNodesInSeries(long durationMillis) throws IOException, InterruptedException {
-        int first = random.nextInt(fleet.nodes().size());
+        int first = seriesRandom.nextInt(fleet.nodes().size());
         for (int i = 0; i < SERIES; i++) {
             NodeProcess node = fleet.nodes().get((first + i) % fleet.nodes().size());
             if (stoppedNodes.add(node)) {
