--- a/entry/src/main/java/org/turmericspan/entry/ReaderTreeSelector.java
+++ b/entry/src/main/java/org/turmericspan/entry/ReaderTreeSelector.java
@@ -26,7 +26,7 @@
  * are a fleet that grows, one that starts at once, and a store that rejects some nodes or all of them.
  */
 final class ReaderTreeSelector implements StoreSourceSelector {
-    /** Time for which a source is not selected after a failed read. */
+    /** Time for which a source that does not respond is not selected. */
     private static final long BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(2);
     /**
      * Readers of a zone, in their order, that may read for it. Others do not turn to the store, which would have to
--- a/integrity/src/main/java/org/turmericspan/integrity/StatusLine.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/StatusLine.java
@@ -1,8 +1,8 @@
 package org.turmericspan.integrity;
 
 /**
- * Matches the start of a response, protocol version and status code, one character after another. Accepts each form
- * that a decoder accepts: either case, and several blanks before the status code.
+ * Matches the start of a response, protocol version and status code, one character after another. Accepts either
+ * case, and several blanks before the status code, since decoders do.
  */
 final class StatusLine {
     /** State in which nothing has matched. */
