Show late configurations in fleets whose members are not all known

The in-memory fleet knew its members by an oracle and kept them over a restart. It now runs the gossip of production over a network that delays and loses datagrams, a node that starts knows only the seeds, and a process that has ended runs nothing further.

--- a/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,11 +12,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.turmericspan.balancing.BalancingRules;
+import org.turmericspan.balancing.ConfigurationHolder;
+import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.FleetListener;
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.balancing.RoutingConfiguration;
+import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.feed.StoreFeed;
+import org.turmericspan.gossip.Gossip;
+import org.turmericspan.gossip.GossipMessage;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.http.CallEnd;
@@ -33,7 +40,11 @@
 import org.turmericspan.testkit.ManualClock;
 import org.turmericspan.testkit.ManualExecutor;
 
-/** Nodes of several zones that read one store through each other, in memory and in simulated time. */
+/**
+ * Nodes of several zones that read one store through each other, in memory and in simulated time. They know each other
+ * by the gossip that they run in production, over a network that delays and loses datagrams, and a node that starts
+ * knows only the seeds.
+ */
 final class RelayFleet {
     /** How a party treats the reads that it receives. */
     enum Link {
@@ -45,7 +56,10 @@
 
     private static final SocketAddress STORE = new SocketAddress("10.9.9.9", 8_169);
     private static final long MAX_LATENCY_MILLIS = 4;
-    private static final long GOSSIP_INTERVAL_MILLIS = 200;
+    private static final double DATAGRAM_LOSS = 0.01;
+    private static final int SEED_NODES = 3;
+    private static final long START_SPREAD_MILLIS = 300;
+    private static final long READINESS_CHECK_INTERVAL_MILLIS = 20;
     private static final long STORE_CHECK_INTERVAL_MILLIS = 1_000;
     private static final long HEARTBEAT_INTERVAL_MILLIS = 70;
 
@@ -68,8 +82,8 @@
             nodes.add(node);
             nodesByAddress.put(node.address, node);
         }
-        nodes.forEach(Node::start);
-        executor.scheduleWithFixedDelay(this::gossip, 0, GOSSIP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        nodes.forEach(
+                node -> executor.schedule(node::start, random.nextLong(START_SPREAD_MILLIS), TimeUnit.MILLISECONDS));
         executor.scheduleWithFixedDelay(
                 () -> store.put("servers/i-1", registration(clock.nowNanos())),
                 0,
@@ -90,15 +104,8 @@
                 + ",\"born\":1700000000000}";
     }
 
-    private void gossip() {
-        List<Member> reported = nodes.stream()
-                .filter(node -> node.link == Link.SERVING)
-                .map(node -> node.table.self())
-                .toList();
-        nodes.forEach(node -> {
-            node.table.mergeAll(reported);
-            node.table.detectFailures();
-        });
+    private List<SocketAddress> seeds() {
+        return nodes.stream().limit(SEED_NODES).map(node -> node.address).toList();
     }
 
     void advance(Duration duration) {
@@ -138,10 +145,15 @@
     /** Lists the nodes in the order in which the fleet reads the store through them. */
     List<Node> inReaderOrder() {
         return nodes.stream()
-                .sorted((first, second) -> MemberTable.readerOrder().compare(first.table.self(), second.table.self()))
+                .sorted((first, second) -> MemberTable.readerOrder().compare(first.self(), second.self()))
                 .toList();
     }
 
+    /** Delays all that these nodes receive by up to a time, as on a VM whose processor is busy. */
+    void slowDown(Predicate<Node> slow, Duration maxDelay) {
+        nodes.stream().filter(slow).forEach(node -> node.maxDelayMillis = maxDelay.toMillis());
+    }
+
     private Link linkTo(Node caller, SocketAddress address) {
         if (caller.link != Link.SERVING || caller.confinedToZone && address.equals(STORE)) {
             return Link.SILENT;
@@ -149,7 +161,10 @@
         if (address.equals(STORE)) {
             return storeServes.test(caller) ? Link.SERVING : storeFailure;
         }
-        Node node = nodesByAddress.get(address);
+        return linkTo(caller, nodesByAddress.get(address));
+    }
+
+    private static Link linkTo(Node caller, Node node) {
         boolean isCutOff =
                 (caller.confinedToZone || node.confinedToZone) && !caller.zone().equals(node.zone());
         return isCutOff ? Link.SILENT : node.link;
@@ -158,12 +173,13 @@
     /** Delivers a request after a latency; the connection breaks or falls silent as the link then does. */
     private CallHandle call(Node caller, SocketAddress address, RequestMessage request, Consumer<CallEnd> listener) {
         Exchange exchange = new Exchange(caller, address, listener);
-        later(() -> exchange.deliver(request));
+        later(address.equals(STORE) ? 0 : nodesByAddress.get(address).maxDelayMillis, () -> exchange.deliver(request));
         return exchange::cancel;
     }
 
-    private void later(Runnable task) {
-        executor.schedule(task, 1 + random.nextLong(MAX_LATENCY_MILLIS), TimeUnit.MILLISECONDS);
+    private void later(long maxDelayMillis, Runnable task) {
+        long delayMillis = maxDelayMillis == 0 ? 0 : random.nextLong(maxDelayMillis);
+        executor.schedule(task, 1 + random.nextLong(MAX_LATENCY_MILLIS) + delayMillis, TimeUnit.MILLISECONDS);
     }
 
     /** One request and its response. */
@@ -207,7 +223,7 @@
         public void send(ResponseMessage response) {
             if (!sent) {
                 sent = true;
-                later(() -> {
+                later(caller.maxDelayMillis, () -> {
                     Link link = linkTo(caller, address);
                     if (link == Link.SERVING || link == Link.REJECTING) {
                         end(new CallEnd.Answered(response));
@@ -227,7 +243,7 @@
 
         void cancel() {
             ended = true;
-            later(callerGone);
+            later(0, callerGone);
         }
 
         @Override
@@ -245,59 +261,133 @@
     final class Node {
         private final SocketAddress address;
         private final List<Long> versions = new ArrayList<>();
-        private final MemberTable table;
+        private final AvailabilityZoneId zone;
+        private MemberTable table;
         private RoutingConfiguration newest;
         private int incarnation;
-        private Link link = Link.SERVING;
+        private Link link = Link.SILENT;
         private boolean confinedToZone;
+        private long maxDelayMillis;
+        private long undisturbedSinceNanos;
+        private NodeLifetime lifetime = new NodeLifetime(executor);
+        private Gossip gossip;
         private StoreFeed feed;
         private FeedRelay relay;
 
         Node(int index, String zone) {
             address = new SocketAddress("10.0." + index / 200 + "." + (1 + index % 200), 7_000);
-            table = new MemberTable(
-                    new Member(
-                            address,
-                            new SocketAddress(address.host(), 8_000),
-                            new AvailabilityZoneId(zone),
-                            1 + index,
-                            true,
-                            false,
-                            false,
-                            clock.nowNanos()),
-                    clock,
-                    EventLog.none());
-            executor.scheduleWithFixedDelay(
-                    () -> table.updateSelf(true, table.self().leaving(), feed.hasStoreContact()),
-                    STORE_CHECK_INTERVAL_MILLIS,
-                    STORE_CHECK_INTERVAL_MILLIS,
-                    TimeUnit.MILLISECONDS);
+            this.zone = new AvailabilityZoneId(zone);
+            table = createTable();
+        }
+
+        private MemberTable createTable() {
+            Member self = new Member(
+                    address,
+                    new SocketAddress(address.host(), 8_000),
+                    zone,
+                    random.nextInt(),
+                    false,
+                    false,
+                    false,
+                    clock.nowNanos());
+            return new MemberTable(self, clock, EventLog.none());
         }
 
         /** Starts the node, again with nothing known if it ran before. */
         void start() {
+            lifetime.close();
+            lifetime = new NodeLifetime(executor);
             incarnation++;
             link = Link.SERVING;
+            undisturbedSinceNanos = clock.nowNanos();
             versions.clear();
-            int current = incarnation;
+            table = createTable();
+            BalancingRules rules = new BalancingRules(1.5, 5, 0.2, 60, TimeUnit.SECONDS.toNanos(10));
+            UpstreamTable upstreams =
+                    new UpstreamTable(zone, table.ownership(), rules, new ConfigurationHolder(), clock, random.split());
+            gossip = new Gossip(
+                    table, upstreams, new CrashSuspects(clock), RelayFleet.this::seeds, lifetime, random.split());
             StoreClient client = new StoreClient(
-                    (target, request, options, listener) -> call(this, target, request, listener), executor);
+                    (target, request, options, listener) -> call(this, target, request, listener), lifetime);
             feed = new StoreFeed(
                     new ReaderTreeSelector(STORE, table, clock, random.split()),
                     client,
                     DocumentDecoder::decode,
-                    new VersionRecorder(current),
-                    executor,
+                    new VersionRecorder(incarnation),
+                    lifetime,
                     clock,
                     random.split(),
                     EventLog.none());
             relay = new FeedRelay(feed);
             feed.start();
+            int started = incarnation;
+            gossip.start((message, recipients) -> send(started, message, recipients));
+            lifetime.scheduleWithFixedDelay(
+                    this::checkReadiness,
+                    READINESS_CHECK_INTERVAL_MILLIS,
+                    READINESS_CHECK_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            lifetime.scheduleWithFixedDelay(
+                    this::publishStoreContact,
+                    STORE_CHECK_INTERVAL_MILLIS,
+                    STORE_CHECK_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+
+        private void checkReadiness() {
+            if (!table.self().ready() && feed.isComplete()) {
+                table.updateSelf(true, table.self().leaving(), feed.hasStoreContact());
+                gossip.broadcast();
+            }
+        }
+
+        private void publishStoreContact() {
+            table.updateSelf(table.self().ready(), table.self().leaving(), feed.hasStoreContact());
+        }
+
+        private void send(int sender, GossipMessage message, Collection<SocketAddress> recipients) {
+            for (SocketAddress recipient : recipients) {
+                Node receiver = nodesByAddress.get(recipient);
+                int started = receiver.incarnation;
+                if (sender == incarnation
+                        && link == Link.SERVING
+                        && linkTo(this, receiver) == Link.SERVING
+                        && random.nextDouble() >= DATAGRAM_LOSS) {
+                    later(receiver.maxDelayMillis, () -> receiver.receive(started, address, message));
+                }
+            }
+        }
+
+        private void receive(int receiver, SocketAddress from, GossipMessage message) {
+            if (receiver == incarnation && link == Link.SERVING) {
+                gossip.receive(from, message);
+            }
         }
 
         /** Ends the node's part in the fleet: others get no response, or a refused connection. */
         void fail(Link failure) {
             link = failure;
+            undisturbedSinceNanos = clock.nowNanos();
+            if (failure == Link.REFUSING) {
+                lifetime.close();
+            }
+        }
+
+        /** Ends the process with its VM: others get no response. */
+        void losePower() {
+            fail(Link.SILENT);
+            lifetime.close();
+        }
+
+        /** Starts the node again after a time. */
+        void startAfter(Duration delay) {
+            executor.schedule(this::start, delay.toMillis(), TimeUnit.MILLISECONDS);
+        }
+
+        /** Ends a cut of the node from all others. */
+        void reconnect() {
+            link = Link.SERVING;
+            undisturbedSinceNanos = clock.nowNanos();
         }
 
         /** Cuts the node off from the store and the nodes of other zones. */
@@ -313,8 +403,17 @@
             return link == Link.SERVING && !confinedToZone && !table.self().leaving();
         }
 
+        /** Returns whether nothing has happened to the node itself for a time. */
+        boolean isInTouchFor(Duration duration) {
+            return isInTouch() && clock.nowNanos() - undisturbedSinceNanos >= duration.toNanos();
+        }
+
+        Member self() {
+            return table.self();
+        }
+
         String zone() {
-            return table.self().availabilityZone().value();
+            return zone.value();
         }
 
         List<Long> versions() {
