Tell the state of the store's replica in each gossip message

Each message now ends with the revision of the newest change that the sender has, the revision of the list its replica began with, and the age of its last confirmation by the store. announceNews tells some nodes at once: 3 of each zone for news from the store, 4 of the own zone for news from another node.

A flag of the first member says that the state follows. Nodes of the version before ignore both, and a message of theirs decodes without it (GossipCodecTest#messageOfAnEarlierVersion...), so that both run side by side during an upgrade.

--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -36,6 +37,11 @@
     /** Nodes of each other zone to which a change of this node's own state is sent at once. */
     private static final int BROADCAST_NODES_PER_OTHER_ZONE = 5;
 
+    /** Nodes of this node's zone that are told at once of news that this node has read from another one. */
+    private static final int NEWS_NODES_SAME_ZONE = 4;
+    /** Nodes of each zone that are told at once of news that this node has read from the store. */
+    private static final int NEWS_NODES_PER_ZONE = 3;
+
     private static final int MAX_FIRST_ROUND = 64;
 
     private final MemberTable members;
@@ -44,6 +50,8 @@
     private final Supplier<List<SocketAddress>> seeds;
     private final ScheduledExecutorService worker;
     private final RandomGenerator random;
+    private Supplier<ReplicaState> replica = () -> ReplicaState.NONE;
+    private BiConsumer<SocketAddress, ReplicaState> replicaListener = (node, state) -> {};
     private GossipSender sender;
     private long round;
     private int nextSameZoneIndex;
@@ -73,6 +81,24 @@
         this.random = random;
     }
 
+    /**
+     * Sets what messages tell of this node's replica of the store.
+     *
+     * @param state returns the current state
+     */
+    public void describeReplica(Supplier<ReplicaState> state) {
+        replica = state;
+    }
+
+    /**
+     * Sets the listener to notify of the state of another node's replica.
+     *
+     * @param listener called with the address of the node for each message received
+     */
+    public void onReplicaState(BiConsumer<SocketAddress, ReplicaState> listener) {
+        replicaListener = listener;
+    }
+
     /**
      * Starts to send messages, one round after another.
      *
@@ -153,10 +179,35 @@
             }
             GossipPace pace = new GossipPace(0, recipients.size());
             List<Member> described = members.selectForGossip(pace.sameZoneSelection(), pace.otherZonesSelection());
-            sender.send(new GossipMessage(described, List.of(), List.of()), recipients);
+            sender.send(new GossipMessage(described, List.of(), List.of(), replica.get()), recipients);
         });
     }
 
+    /**
+     * Tells some nodes at once that this node's replica has news. They read it if their own sources do not deliver it.
+     *
+     * @param isFirstHand whether the news comes from the store, so that other zones may not have it either
+     */
+    public void announceNews(boolean isFirstHand) {
+        if (sender == null) {
+            return;
+        }
+        Map<AvailabilityZoneId, Integer> sentByZone = new HashMap<>();
+        List<SocketAddress> recipients = new ArrayList<>();
+        List<Member> peers = peers(isFirstHand ? member -> true : this::isSameZone);
+        int first = peers.isEmpty() ? 0 : random.nextInt(peers.size());
+        int maxPerZone = isFirstHand ? NEWS_NODES_PER_ZONE : NEWS_NODES_SAME_ZONE;
+        for (int i = 0; i < peers.size(); i++) {
+            Member member = peers.get((first + i) % peers.size());
+            if (sentByZone.merge(member.availabilityZone(), 1, Integer::sum) <= maxPerZone) {
+                recipients.add(member.address());
+            }
+        }
+        if (!recipients.isEmpty()) {
+            sender.send(new GossipMessage(List.of(members.self()), List.of(), List.of(), replica.get()), recipients);
+        }
+    }
+
     private boolean isSameZone(Member member) {
         return member.availabilityZone().equals(members.self().availabilityZone());
     }
@@ -165,7 +216,8 @@
         return new GossipMessage(
                 members.selectForGossip(pace.sameZoneSelection(), pace.otherZonesSelection()),
                 limited(upstreams.localReports(MAX_OWN_REPORT_AGE_NANOS)),
-                suspects.recentCrashes(MAX_CRASHES));
+                suspects.recentCrashes(MAX_CRASHES),
+                replica.get());
     }
 
     private GossipMessage otherZoneMessage(GossipPace pace) {
@@ -173,7 +225,8 @@
                 members.selectForGossip(pace.crossZoneSelection(), pace.otherZonesSelection()),
                 limited(upstreams.reports(registration ->
                         registration.availabilityZone().equals(members.self().availabilityZone()))),
-                suspects.recentCrashes(MAX_CRASHES));
+                suspects.recentCrashes(MAX_CRASHES),
+                replica.get());
     }
 
     private static List<PeerReport> limited(List<PeerReport> reports) {
@@ -191,6 +244,7 @@
         boolean isNewSender = members.mergeAll(message.members());
         upstreams.applyPeerReports(from.toString(), message.reports());
         message.crashes().forEach(suspects::recordPeerCrash);
+        replicaListener.accept(message.members().get(0).address(), message.replica());
         if (isNewSender && message.members().size() <= MAX_KNOWN_FOR_REPLY && sender != null) {
             GossipPace pace = new GossipPace(0, members.aliveMembers().size());
             sender.send(sameZoneMessage(pace), List.of(message.members().get(0).address()));
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -24,6 +24,9 @@
     private static final int MEMBER_READY = 1;
     private static final int MEMBER_LEAVING = 2;
     private static final int MEMBER_READS_STORE = 4;
+    /** Flag of the first member, which earlier versions ignore: the state of the sender's replica ends the message. */
+    private static final int SENDER_TELLS_REPLICA = 8;
+
     private static final int REPORT_HEALTHY = 1;
     private static final int REPORT_REACHABLE = 2;
     /** Maximum length of a list in a message, and maximum size of the cache of hosts. */
@@ -50,6 +53,7 @@
                 output.writeFixed64NoTag(crash.fingerprint());
                 output.writeFixed64NoTag(crash.upstreamHash());
             }
+            writeReplica(message.replica(), output);
             output.flush();
         } catch (IOException e) {
             throw new IllegalStateException("Writing to a byte array failed", e);
@@ -70,7 +74,7 @@
             writeAddress(member.callerAddress(), output);
             output.writeUInt32NoTag(zones.indexOf(member.availabilityZone()));
             output.writeFixed32NoTag(member.incarnation());
-            output.writeUInt32NoTag(flags(member));
+            output.writeUInt32NoTag(flags(member) | (member == members.get(0) ? SENDER_TELLS_REPLICA : 0));
             output.writeUInt64NoTag(ageMillis(member.heardNanos(), nowNanos));
         }
     }
@@ -106,26 +110,28 @@
             throw new IOException("unknown format version");
         }
         try {
-            List<Member> members = readMembers(input, nowNanos);
+            DecodedMembers decoded = readMembers(input, nowNanos);
             List<PeerReport> reports = readReports(input, nowNanos);
             List<Crash> crashes = new ArrayList<>();
             int count = readCount(input);
             for (int i = 0; i < count; i++) {
                 crashes.add(new Crash(input.readFixed64(), input.readFixed64()));
             }
-            return new GossipMessage(members, reports, crashes);
+            ReplicaState replica = decoded.isReplicaTold() ? readReplica(input) : ReplicaState.NONE;
+            return new GossipMessage(decoded.members(), reports, crashes, replica);
         } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new IOException("field out of range", e);
         }
     }
 
-    private static List<Member> readMembers(CodedInputStream input, long nowNanos) throws IOException {
+    private static DecodedMembers readMembers(CodedInputStream input, long nowNanos) throws IOException {
         List<AvailabilityZoneId> zones = new ArrayList<>();
         int zoneCount = readCount(input);
         for (int i = 0; i < zoneCount; i++) {
             zones.add(new AvailabilityZoneId(input.readString()));
         }
         List<Member> members = new ArrayList<>();
+        boolean isReplicaTold = false;
         int count = readCount(input);
         for (int i = 0; i < count; i++) {
             SocketAddress address = readAddress(input);
@@ -134,6 +140,7 @@
             int incarnation = input.readFixed32();
             int flags = input.readUInt32();
             long heardNanos = timeNanos(input.readUInt64(), nowNanos);
+            isReplicaTold |= i == 0 && (flags & SENDER_TELLS_REPLICA) != 0;
             members.add(new Member(
                     address,
                     callerAddress,
@@ -147,7 +154,7 @@
         if (members.isEmpty()) {
             throw new IOException("no member entry for the sender");
         }
-        return members;
+        return new DecodedMembers(members, isReplicaTold);
     }
 
     private static List<PeerReport> readReports(CodedInputStream input, long nowNanos) throws IOException {
@@ -174,6 +181,20 @@
         return reports;
     }
 
+    private static void writeReplica(ReplicaState replica, CodedOutputStream output) throws IOException {
+        output.writeUInt64NoTag(replica.changeRevision());
+        output.writeUInt64NoTag(replica.listRevision());
+        output.writeUInt64NoTag(replica.confirmedAgeMillis());
+    }
+
+    private static ReplicaState readReplica(CodedInputStream input) throws IOException {
+        ReplicaState replica = new ReplicaState(input.readUInt64(), input.readUInt64(), input.readUInt64());
+        if (replica.changeRevision() < 0 || replica.listRevision() < 0 || replica.confirmedAgeMillis() < 0) {
+            throw new IOException("negative state of a replica");
+        }
+        return replica;
+    }
+
     private static int readCount(CodedInputStream input) throws IOException {
         int count = input.readUInt32();
         if (count < 0 || count > MAX_ENTRIES) {
@@ -230,4 +251,7 @@
         }
         return host.toString();
     }
+
+    /** Members of a message, and whether it ends with the state of the sender's replica. */
+    private record DecodedMembers(List<Member> members, boolean isReplicaTold) {}
 }
--- a/gossip/src/test/java/org/turmericspan/gossip/GossipCodecTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/GossipCodecTest.java
@@ -18,6 +18,10 @@
 class GossipCodecTest {
     private static final long NOW_NANOS = TimeUnit.SECONDS.toNanos(100);
 
+    private static final int SENDER_TELLS_REPLICA = 8;
+    /** Two bytes each for 700 and 300, one for 45. */
+    private static final int ENCODED_REPLICA_BYTES = 5;
+
     private static GossipMessage sample() {
         Member member = new Member(
                 new SocketAddress("10.200.3.254", 7_700),
@@ -31,7 +35,10 @@
         Observation observation =
                 new Observation(NOW_NANOS - TimeUnit.MILLISECONDS.toNanos(40), 2, 1, 400, 0, true, true);
         return new GossipMessage(
-                List.of(member), List.of(new PeerReport(-9, observation, 2, 30)), List.of(new Crash(1, 2)));
+                List.of(member),
+                List.of(new PeerReport(-9, observation, 2, 30)),
+                List.of(new Crash(1, 2)),
+                new ReplicaState(700, 300, 45));
     }
 
     @Test
@@ -42,6 +49,29 @@
         assertThat(decoded.reports().get(0).inFlight()).isEqualTo(2);
         assertThat(decoded.reports().get(0).observation().slowdownPercent()).isEqualTo(400);
         assertThat(decoded.crashes()).isEqualTo(sample().crashes());
+        assertThat(decoded.replica()).isEqualTo(sample().replica());
+    }
+
+    /** Nodes of different versions run side by side during an upgrade. */
+    @Test
+    void messageOfAnEarlierVersionTellsNothingOfTheReplica() throws IOException {
+        byte[] bytes = GossipCodec.encode(sample(), NOW_NANOS);
+        int flagsIndex = indexOfSenderFlags(bytes);
+        byte[] earlier = Arrays.copyOf(bytes, bytes.length - ENCODED_REPLICA_BYTES);
+        earlier[flagsIndex] &= ~SENDER_TELLS_REPLICA;
+        GossipMessage decoded = GossipCodec.decode(earlier, NOW_NANOS);
+        assertThat(decoded.replica()).isEqualTo(ReplicaState.NONE);
+        assertThat(decoded.crashes()).isEqualTo(sample().crashes());
+    }
+
+    /** Returns the index behind the incarnation of the first member, which is -5. */
+    private static int indexOfSenderFlags(byte[] bytes) {
+        for (int i = 0; i + 4 < bytes.length; i++) {
+            if (bytes[i] == -5 && bytes[i + 1] == -1 && bytes[i + 2] == -1 && bytes[i + 3] == -1) {
+                return i + 4;
+            }
+        }
+        throw new IllegalStateException("no incarnation");
     }
 
     @Test
