Bound the whole path of a change, and add a second path beside the relays

Cause: a change reached a node only through the tree of relays, whose links detect failures one after the other, each by its own constant. No limit held for the sum, and only the failed source could have told a node that it lagged.

Change: the operators' limit is a setting (change-limit-seconds), and each wait a share of it (ChangeLimits). A node reads changes from any node that gossip shows to be ahead (CatchUp), and takes over confirmations by the store from gossip. A node whose replica nobody has confirmed for 55% of the limit reads the store itself, in groups that double each 5%, then ten reads a second for the whole fleet (StoreProbes). Neither depends on the order of members or on a source that does not respond. Pages that began before are applied only as far as they are newer. A relay that is behind, and a list that may be stale, confirm nothing.

The decisions stand in module feed: ReaderTreeSelector moves there from entry, ReplicaRelay takes the decisions of FeedRelay, StoreReplica the state of StoreFeed. platform only translates.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -16,7 +16,9 @@
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.feed.CatchUp;
 import org.turmericspan.feed.StoreFeed;
+import org.turmericspan.feed.StoreProbes;
 import org.turmericspan.forwarding.ForwardingDependencies;
 import org.turmericspan.forwarding.ForwardingService;
 import org.turmericspan.forwarding.UpstreamProber;
@@ -24,6 +26,7 @@
 import org.turmericspan.gossip.GossipTransport;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.http.BodyMemory;
 import org.turmericspan.http.HttpClient;
 import org.turmericspan.http.HttpListener;
@@ -79,6 +82,8 @@
     private final MemberTable members;
     private final Gossip gossip;
     private final StoreFeed feed;
+    private final StoreProbes storeProbes;
+    private final CatchUp catchUp;
     private final UpstreamProber prober;
     private final HttpClient client;
     private final BodyMemory memory;
@@ -106,6 +111,8 @@
             MemberTable members,
             Gossip gossip,
             StoreFeed feed,
+            StoreProbes storeProbes,
+            CatchUp catchUp,
             UpstreamProber prober,
             HttpClient client,
             BodyMemory memory,
@@ -121,6 +128,8 @@
         this.members = members;
         this.gossip = gossip;
         this.feed = feed;
+        this.storeProbes = storeProbes;
+        this.catchUp = catchUp;
         this.prober = prober;
         this.client = client;
         this.memory = memory;
@@ -144,13 +153,24 @@
         registerGauges();
         service = new ForwardingService(forwarding);
         callers = listen(settings.callerAddress(), service);
+        feed.onNews(source -> gossip.announceNews(source.isStore()));
         feed.start();
+        storeProbes.start();
+        gossip.describeReplica(this::replicaState);
+        gossip.onReplicaState((node, state) -> catchUp.compare(
+                node, state.changeRevision(), state.listRevision(), state.confirmedAgeMillis()));
         gossip.start(new GossipTransport(workers, settings.gossipAddress(), gossip::receive, clock, log));
         readinessCheck = workers.scheduleWithFixedDelay(
                 this::checkReadiness, POLL_INTERVAL_MILLIS, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         log.write(Event.notice(PART, "Started.").with("callers", settings.callerAddress()));
     }
 
+    private ReplicaState replicaState() {
+        return feed.isComplete()
+                ? new ReplicaState(feed.changeRevision(), feed.listRevision(), feed.confirmedAgeMillis())
+                : ReplicaState.NONE;
+    }
+
     /** Starts the listener for metrics and the state dump. The node serves callers even if that fails. */
     private void listenForOperators() {
         try {
@@ -164,6 +184,9 @@
 
     private void registerGauges() {
         metrics.registerGauge("store_calls", feed::calls);
+        metrics.registerGauge("store_revision", feed::revision);
+        metrics.registerGauge("store_confirmed_age_ms", feed::confirmedAgeMillis);
+        metrics.registerGauge("store_catch_up_reads", catchUp::reads);
         metrics.registerGauge("probes", prober::probesSent);
         metrics.registerGauge("connections_opened", client::opened);
         ResponseFaults faults = client.faults();
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -1,11 +1,13 @@
 package org.turmericspan.entry;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Properties;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.turmericspan.balancing.BalancingRules;
+import org.turmericspan.feed.ChangeLimits;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
 
@@ -22,6 +24,8 @@
  * @param seedHosts hosts of nodes through which this node joins the fleet; may be empty or stale
  * @param storeAddress address of the platform's store
  * @param rules configured limits for the fleet that balancing decisions observe
+ * @param changeLimits time within which a confirmed change of the store is in force on each node, and the waits on its
+ *     way; setting {@code change-limit-seconds}
  * @param graceNanos grace period from the stop signal until the platform kills the process, in nanoseconds
  * @param directoryTtlSeconds time to live of directory responses, in seconds; setting {@code max-answer-life-seconds}
  * @param probesPerSecond configured limit of probes per second of one upstream by all nodes together
@@ -38,6 +42,7 @@
         List<String> seedHosts,
         SocketAddress storeAddress,
         BalancingRules rules,
+        ChangeLimits changeLimits,
         long graceNanos,
         long directoryTtlSeconds,
         double probesPerSecond,
@@ -47,6 +52,7 @@
     private static final String RETRY_RATIO = "retry-ratio";
     private static final String RETRY_SLACK = "retry-slack";
     private static final String RETRY_WINDOW_SECONDS = "retry-window-seconds";
+    private static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
     private static final String GRACE_SECONDS = "grace-seconds";
     private static final String DIRECTORY_TTL_SECONDS = "max-answer-life-seconds";
     private static final String PROBES_PER_SECOND = "probes-per-second";
@@ -66,6 +72,11 @@
     /** Share of the probe limit that the owner of an upstream uses, since two nodes may briefly own it. */
     private static final double OWNER_PROBE_SHARE = 0.2;
 
+    /** Change limit of settings files that do not state one. */
+    private static final double DEFAULT_CHANGE_LIMIT_SECONDS = 2;
+    /** Least change limit; shorter waits would end before responses arrive. */
+    private static final double MIN_CHANGE_LIMIT_SECONDS = 1;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -100,6 +111,7 @@
                         parser.number(RETRY_RATIO),
                         parser.number(RETRY_SLACK),
                         (long) (parser.number(RETRY_WINDOW_SECONDS) * NANOS_PER_SECOND)),
+                new ChangeLimits(parser.changeLimit()),
                 (long) (parser.number(GRACE_SECONDS) * NANOS_PER_SECOND),
                 Math.max(1, (long) parser.number(DIRECTORY_TTL_SECONDS)),
                 probesPerSecond,
@@ -155,6 +167,17 @@
             return number;
         }
 
+        Duration changeLimit() {
+            double seconds = values.containsKey(CHANGE_LIMIT_SECONDS)
+                    ? number(CHANGE_LIMIT_SECONDS)
+                    : DEFAULT_CHANGE_LIMIT_SECONDS;
+            if (seconds < MIN_CHANGE_LIMIT_SECONDS) {
+                errors.add(CHANGE_LIMIT_SECONDS + " must be at least " + MIN_CHANGE_LIMIT_SECONDS);
+                return Duration.ofSeconds(1);
+            }
+            return Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND));
+        }
+
         List<String> hosts(String name) {
             List<String> hosts = new ArrayList<>();
             for (String host : values.getProperty(name, "").split(",")) {
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -14,8 +14,10 @@
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.events.JsonEventLog;
+import org.turmericspan.feed.CatchUp;
+import org.turmericspan.feed.ReaderTreeSelector;
 import org.turmericspan.feed.StoreFeed;
-import org.turmericspan.feed.StoreSourceSelector;
+import org.turmericspan.feed.StoreProbes;
 import org.turmericspan.forwarding.CallProtocol;
 import org.turmericspan.forwarding.ForwardingDependencies;
 import org.turmericspan.forwarding.ForwardingTables;
@@ -114,7 +116,7 @@
 
     @Provides
     @Singleton
-    static StoreSourceSelector sources(
+    static ReaderTreeSelector sources(
             EntrySettings settings, MemberTable members, MonotonicClock clock, RandomGenerator random) {
         return new ReaderTreeSelector(settings.storeAddress(), members, clock, random);
     }
@@ -122,7 +124,8 @@
     @Provides
     @Singleton
     static StoreFeed feed(
-            StoreSourceSelector sourceSelector,
+            EntrySettings settings,
+            ReaderTreeSelector sourceSelector,
             HttpClient client,
             FleetListener listener,
             EventLoopGroup workers,
@@ -131,15 +134,41 @@
             EventLog log) {
         return new StoreFeed(
                 sourceSelector,
-                new StoreClient(client, workers.next()),
+                new StoreClient(client, settings.changeLimits(), workers.next()),
                 DocumentDecoder::decode,
                 listener,
+                settings.changeLimits(),
                 workers.next(),
                 clock,
                 random,
                 log);
     }
 
+    @Provides
+    @Singleton
+    static StoreProbes storeProbes(
+            EntrySettings settings,
+            StoreFeed feed,
+            ReaderTreeSelector sourceSelector,
+            EventLoopGroup workers,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        return new StoreProbes(
+                feed,
+                sourceSelector.store(),
+                sourceSelector::position,
+                settings.changeLimits(),
+                workers.next(),
+                clock,
+                random);
+    }
+
+    @Provides
+    @Singleton
+    static CatchUp catchUp(EntrySettings settings, StoreFeed feed, EventLoopGroup workers) {
+        return new CatchUp(feed, settings.changeLimits(), workers.next());
+    }
+
     @Provides
     @Singleton
     static ForwardingDependencies forwarding(
--- a/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.time.Duration;
 import java.util.Properties;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.feed.ChangeLimits;
 
 class EntrySettingsTest {
     private static Properties validSettings() {
@@ -48,6 +50,18 @@
                 .hasMessageContaining("store-address");
     }
 
+    @Test
+    void changeLimitIsTwoSecondsUnlessStatedAndAtLeastOne() {
+        Properties values = validSettings();
+        assertThat(EntrySettings.of(values).changeLimits()).isEqualTo(new ChangeLimits(Duration.ofSeconds(2)));
+        values.setProperty("change-limit-seconds", "2.5");
+        assertThat(EntrySettings.of(values).changeLimits()).isEqualTo(new ChangeLimits(Duration.ofMillis(2_500)));
+        values.setProperty("change-limit-seconds", "0.9");
+        assertThatThrownBy(() -> EntrySettings.of(values))
+                .isInstanceOf(InvalidEntrySettingsException.class)
+                .hasMessageContaining("change-limit-seconds");
+    }
+
     @Test
     void probesStayWithinHalfOfTheConfiguredRate() {
         Properties values = validSettings();
--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationAtScaleTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationAtScaleTest.java
@@ -37,7 +37,7 @@
         for (FleetShape shape : SHAPES) {
             int seeds = shape.size() < SMALL_FLEET ? SMALL_FLEET_SEEDS * SEEDS : SEEDS;
             LongStream.rangeClosed(1, seeds).forEach(seed -> {
-                RelayFleet fleet = new RelayFleet(shape.size(), shape.zones(), seed);
+                RelayFleet fleet = new RelayFleet(shape, seed);
                 fleet.advance(START);
                 long version = scenario.play(fleet, shape, new Random(seed));
                 List<String> lateNodes = fleet.nodes().stream()
--- a/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -20,11 +20,16 @@
 import org.turmericspan.balancing.RoutingConfiguration;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.feed.CatchUp;
+import org.turmericspan.feed.ChangeLimits;
+import org.turmericspan.feed.ReaderTreeSelector;
 import org.turmericspan.feed.StoreFeed;
+import org.turmericspan.feed.StoreProbes;
 import org.turmericspan.gossip.Gossip;
 import org.turmericspan.gossip.GossipMessage;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.http.CallEnd;
 import org.turmericspan.http.CallHandle;
 import org.turmericspan.http.HttpService;
@@ -56,6 +61,7 @@
 
     private static final SocketAddress STORE = new SocketAddress("10.9.9.9", 8_169);
     private static final long MAX_LATENCY_MILLIS = 4;
+    private static final Duration DEFAULT_LIMIT = Duration.ofSeconds(2);
     private static final double DATAGRAM_LOSS = 0.01;
     private static final int SEED_NODES = 3;
     private static final long START_SPREAD_MILLIS = 300;
@@ -66,6 +72,7 @@
     private final ManualClock clock = new ManualClock();
     private final ManualExecutor executor = new ManualExecutor(clock);
     private final SplittableRandom random;
+    private final ChangeLimits limits;
     private final FakeStore store = new FakeStore();
     private final List<Node> nodes = new ArrayList<>();
     private final Map<SocketAddress, Node> nodesByAddress = new HashMap<>();
@@ -75,10 +82,15 @@
     private long relayReads;
 
     RelayFleet(int size, int zones, long seed) {
+        this(new FleetShape(size, zones, DEFAULT_LIMIT, DEFAULT_LIMIT), seed);
+    }
+
+    RelayFleet(FleetShape shape, long seed) {
+        limits = new ChangeLimits(shape.apply());
         random = new SplittableRandom(seed);
         store.put("op/config", configuration(1));
-        for (int i = 0; i < size; i++) {
-            Node node = new Node(i, "zone-" + i % zones);
+        for (int i = 0; i < shape.size(); i++) {
+            Node node = new Node(i, "zone-" + i % shape.zones());
             nodes.add(node);
             nodesByAddress.put(node.address, node);
         }
@@ -308,18 +320,26 @@
             gossip = new Gossip(
                     table, upstreams, new CrashSuspects(clock), RelayFleet.this::seeds, lifetime, random.split());
             StoreClient client = new StoreClient(
-                    (target, request, options, listener) -> call(this, target, request, listener), lifetime);
+                    (target, request, options, listener) -> call(this, target, request, listener), limits, lifetime);
+            ReaderTreeSelector sources = new ReaderTreeSelector(STORE, table, clock, random.split());
             feed = new StoreFeed(
-                    new ReaderTreeSelector(STORE, table, clock, random.split()),
+                    sources,
                     client,
                     DocumentDecoder::decode,
                     new VersionRecorder(incarnation),
+                    limits,
                     lifetime,
                     clock,
                     random.split(),
                     EventLog.none());
             relay = new FeedRelay(feed);
+            feed.onNews(source -> gossip.announceNews(source.isStore()));
             feed.start();
+            new StoreProbes(feed, sources.store(), sources::position, limits, lifetime, clock, random.split()).start();
+            CatchUp catchUp = new CatchUp(feed, limits, lifetime);
+            gossip.describeReplica(this::replicaState);
+            gossip.onReplicaState((node, state) -> catchUp.compare(
+                    node, state.changeRevision(), state.listRevision(), state.confirmedAgeMillis()));
             int started = incarnation;
             gossip.start((message, recipients) -> send(started, message, recipients));
             lifetime.scheduleWithFixedDelay(
@@ -334,6 +354,12 @@
                     TimeUnit.MILLISECONDS);
         }
 
+        private ReplicaState replicaState() {
+            return feed.isComplete()
+                    ? new ReplicaState(feed.changeRevision(), feed.listRevision(), feed.confirmedAgeMillis())
+                    : ReplicaState.NONE;
+        }
+
         private void checkReadiness() {
             if (!table.self().ready() && feed.isComplete()) {
                 table.updateSelf(true, table.self().leaving(), feed.hasStoreContact());
--- /dev/null
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -0,0 +1,113 @@
+package org.turmericspan.feed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.turmericspan.ids.SocketAddress;
+
+/**
+ * Reads changes from nodes that are known to have them, when the source of the feed does not deliver them. The load
+ * pattern is a relay that has stopped responding while the rest of the fleet goes on.
+ */
+public final class CatchUp {
+    /** Nodes remembered as having more; those that were heard of last are asked first. */
+    private static final int MAX_NODES_AHEAD = 4;
+
+    private static final int MAX_READS = 2;
+
+    private final StoreFeed feed;
+    private final ChangeLimits limits;
+    private final ScheduledExecutorService worker;
+    private final List<NodeAhead> nodesAhead = new ArrayList<>();
+    private boolean isCheckPending;
+    private int readsInProgress;
+    private volatile long reads;
+
+    /**
+     * Creates an object that knows of no node that is ahead.
+     *
+     * @param feed feed that gets the changes
+     * @param limits limit of the whole path of a change
+     * @param worker executor that runs the feed
+     */
+    public CatchUp(StoreFeed feed, ChangeLimits limits, ScheduledExecutorService worker) {
+        this.feed = feed;
+        this.limits = limits;
+        this.worker = worker;
+    }
+
+    /**
+     * Returns the number of reads of other nodes that were known to have more.
+     *
+     * @return number of reads, successful or not
+     */
+    public long reads() {
+        return reads;
+    }
+
+    /**
+     * Compares the replica of another node with that of this one: reads from it later if it is ahead, and takes over
+     * the confirmation by the store if it is not.
+     *
+     * @param node address at which the node relays
+     * @param changeRevision revision of the newest change that the node has
+     * @param listRevision revision of the list with which the node's replica began
+     * @param confirmedAgeMillis time since the store has confirmed the node's replica, in milliseconds
+     */
+    public void compare(SocketAddress node, long changeRevision, long listRevision, long confirmedAgeMillis) {
+        worker.execute(() -> compareNow(node, changeRevision, listRevision, confirmedAgeMillis));
+    }
+
+    private void compareNow(SocketAddress node, long changeRevision, long listRevision, long confirmedAgeMillis) {
+        if (!feed.isComplete()) {
+            return;
+        }
+        if (changeRevision > feed.revision()) {
+            nodesAhead.removeIf(known -> known.address().equals(node));
+            nodesAhead.add(0, new NodeAhead(node, changeRevision));
+            if (nodesAhead.size() > MAX_NODES_AHEAD) {
+                nodesAhead.remove(MAX_NODES_AHEAD);
+            }
+            checkLater();
+        } else if (listRevision <= feed.revision()) {
+            feed.confirm(confirmedAgeMillis);
+        }
+    }
+
+    private void checkLater() {
+        if (!isCheckPending) {
+            isCheckPending = true;
+            worker.schedule(
+                    () -> {
+                        isCheckPending = false;
+                        check();
+                    },
+                    limits.catchUpDelayMillis(),
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void check() {
+        nodesAhead.removeIf(node -> node.changeRevision() <= feed.revision());
+        if (nodesAhead.isEmpty()) {
+            return;
+        }
+        if (readsInProgress < MAX_READS) {
+            readFrom(nodesAhead.remove(0));
+        }
+        checkLater();
+    }
+
+    private void readFrom(NodeAhead node) {
+        readsInProgress++;
+        reads++;
+        feed.readOnce(new StoreSource(node.address(), StoreSource.Kind.NODE_AHEAD), succeeded -> {
+            readsInProgress--;
+            check();
+        });
+    }
+
+    /** A node that has a change which this one has not. */
+    private record NodeAhead(SocketAddress address, long changeRevision) {}
+}
--- a/feed/src/main/java/org/turmericspan/feed/ReaderTreeSelector.java
+++ b/feed/src/main/java/org/turmericspan/feed/ReaderTreeSelector.java
@@ -1,4 +1,4 @@
-package org.turmericspan.entry;
+package org.turmericspan.feed;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,10 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.turmericspan.feed.SourceFailure;
-import org.turmericspan.feed.StoreSource;
 import org.turmericspan.feed.StoreSource.Kind;
-import org.turmericspan.feed.StoreSourceSelector;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.ids.MonotonicClock;
@@ -25,7 +22,7 @@
  * left, relays that responded without contact, and the store, are tried again after one delay. The load patterns
  * are a fleet that grows, one that starts at once, and a store that rejects some nodes or all of them.
  */
-final class ReaderTreeSelector implements StoreSourceSelector {
+public final class ReaderTreeSelector implements StoreSourceSelector {
     /** Time for which a source that does not respond is not selected. */
     private static final long BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(2);
     /**
@@ -44,7 +41,15 @@
 
     private boolean isStoreTried;
 
-    ReaderTreeSelector(SocketAddress store, MemberTable members, MonotonicClock clock, RandomGenerator random) {
+    /**
+     * Creates a selector to which no source has failed yet.
+     *
+     * @param store address of the store
+     * @param members nodes known to this node
+     * @param clock monotonic clock
+     * @param random chooses among nodes that read the store
+     */
+    public ReaderTreeSelector(SocketAddress store, MemberTable members, MonotonicClock clock, RandomGenerator random) {
         this.store = store;
         this.members = members;
         this.clock = clock;
@@ -128,6 +133,34 @@
         return lastFailureNanos == null || clock.nowNanos() - lastFailureNanos > BACKOFF_NANOS;
     }
 
+    /**
+     * Returns the store.
+     *
+     * @return the store as a source
+     */
+    public StoreSource store() {
+        return new StoreSource(store, Kind.STORE);
+    }
+
+    /**
+     * Returns the position of this node among those that it knows to be ready, in the order in which they read the store.
+     *
+     * @return the position as of now
+     */
+    public FleetPosition position() {
+        Member self = members.self();
+        List<Member> alive = members.aliveMembers();
+        int rank = 0;
+        for (Member member : alive) {
+            if (member.ready()
+                    && !member.leaving()
+                    && MemberTable.readerOrder().compare(member, self) < 0) {
+                rank++;
+            }
+        }
+        return new FleetPosition(rank, alive.size());
+    }
+
     @Override
     public boolean reportFailure(StoreSource source, SourceFailure failure) {
         lastFailuresNanos.put(source.address(), clock.nowNanos());
--- /dev/null
+++ b/feed/src/main/java/org/turmericspan/feed/ReplicaRelay.java
@@ -0,0 +1,71 @@
+package org.turmericspan.feed;
+
+/**
+ * Decides how this node responds to reads of its replica, so that no node takes data for current that may be outdated.
+ */
+public final class ReplicaRelay {
+    /** Longest wait of a watch while this node cannot relay; a reader may have to ask several nodes in turn. */
+    private static final long MAX_WAIT_WITHOUT_CONTACT_MILLIS = 100;
+
+    private final StoreFeed feed;
+
+    /** Responses to a read. */
+    public enum Response {
+        /** The changes, of which there may be none. */
+        CHANGES,
+        /** The replica does not have all changes that were requested; the reader has to list all items. */
+        HISTORY_GONE,
+        /** The replica may be outdated. */
+        UNAVAILABLE
+    }
+
+    /**
+     * Creates a relay.
+     *
+     * @param feed feed from which this node reads the store
+     */
+    public ReplicaRelay(StoreFeed feed) {
+        this.feed = feed;
+    }
+
+    /**
+     * Returns whether a read is to be responded to before its wait ends.
+     *
+     * @param read the read
+     * @return true when there is something to respond with, or nothing to wait for
+     */
+    public boolean isDue(ReplicaRead read) {
+        return read.isFromBehind()
+                || feed.canRelay(read.maxDistance())
+                        && (!feed.mirror().hasHistoryAfter(read.afterRevision())
+                                || feed.mirror().hasChangesAfter(read.afterRevision()));
+    }
+
+    /**
+     * Returns how long a read may wait.
+     *
+     * @param read the read
+     * @return time in milliseconds
+     */
+    public long waitMillis(ReplicaRead read) {
+        return feed.canRelay(read.maxDistance())
+                ? read.waitMillis()
+                : Math.min(read.waitMillis(), MAX_WAIT_WITHOUT_CONTACT_MILLIS);
+    }
+
+    /**
+     * Decides on the response to a read, as of now.
+     *
+     * @param read the read
+     * @return the response
+     */
+    public Response response(ReplicaRead read) {
+        boolean canServe = read.isFromBehind()
+                ? feed.isComplete() && feed.revision() > read.afterRevision()
+                : feed.canRelay(read.maxDistance());
+        if (!canServe) {
+            return Response.UNAVAILABLE;
+        }
+        return feed.mirror().hasHistoryAfter(read.afterRevision()) ? Response.CHANGES : Response.HISTORY_GONE;
+    }
+}
--- a/feed/src/main/java/org/turmericspan/feed/StoreContact.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreContact.java
@@ -8,28 +8,28 @@
  * and how long expired registrations may return after an outage. Written by the worker of the feed, read by any thread.
  */
 final class StoreContact {
-    /**
-     * Age of the last response of the store, to this node or to the one it reads through, up to which this node may
-     * relay what it read. Covers one watch of the store and one of a relay. Readers of a relay whose source does not
-     * respond have to find another one in time.
-     */
-    private static final long TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
     /** Distance from the store of a node that has no contact with it. */
     private static final int NO_DISTANCE = Integer.MAX_VALUE;
 
+    private final ChangeLimits limits;
     private final MonotonicClock clock;
     private volatile int distance = NO_DISTANCE;
     private volatile long contactNanos;
+    private volatile long confirmedNanos;
     private volatile long graceUntilNanos;
+    private volatile long contactRestoredNanos;
 
-    StoreContact(MonotonicClock clock) {
+    StoreContact(ChangeLimits limits, MonotonicClock clock) {
+        this.limits = limits;
         this.clock = clock;
         this.graceUntilNanos = clock.nowNanos();
+        this.confirmedNanos = clock.nowNanos();
+        this.contactRestoredNanos = clock.nowNanos();
     }
 
-    /** Returns whether the store responded lately to a node at most this many nodes away. */
+    /** Returns whether the store responded lately to a node at most this many nodes away, so that others may read here. */
     boolean isCurrent(int maxDistance) {
-        return distance <= maxDistance && clock.nowNanos() - contactNanos < TIMEOUT_NANOS;
+        return distance <= maxDistance && clock.nowNanos() - contactNanos < limits.currencyNanos();
     }
 
     RelayStatus status() {
@@ -48,6 +48,22 @@
         extendGracePeriod(status.graceMillis());
     }
 
+    /**
+     * Records that the replica has every change that the store had some time ago, which any node may tell, whether
+     * others may read from it or not.
+     */
+    void confirm(long ageMillis) {
+        long nanos = clock.nowNanos() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+        if (nanos - confirmedNanos > 0) {
+            confirmedNanos = nanos;
+        }
+    }
+
+    /** Returns the time since the store has confirmed that the replica has every change. */
+    long confirmedAgeMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - confirmedNanos);
+    }
+
     /** Records that the store did not respond; returns whether this node read the store itself until now. */
     boolean lose() {
         boolean wasDirect = distance == 0;
@@ -57,6 +73,16 @@
         return wasDirect;
     }
 
+    /** Records that contact, directly or through other nodes, was lost before and is back. */
+    void restore() {
+        contactRestoredNanos = clock.nowNanos();
+    }
+
+    /** Returns for how long there has been contact. */
+    long contactForMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - contactRestoredNanos);
+    }
+
     void extendGracePeriod(long millis) {
         long untilNanos = clock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(millis);
         if (untilNanos - graceUntilNanos > 0) {
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -1,41 +1,24 @@
 package org.turmericspan.feed;
 
-import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.turmericspan.balancing.FleetListener;
-import org.turmericspan.balancing.Registration;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.feed.StoreReader.Freshness;
-import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.ids.UpstreamId;
 
 /**
  * Follows the store: lists all items once, then watches for changes, and lists again after a compaction. Reads through
  * a relay as well as from the store, and tells how current its replica is, so that other nodes can read through it.
  */
 public final class StoreFeed {
-    /**
-     * Delay after a watch that returned events, so that one read returns many of them; short compared with the agreed
-     * limit of 2 s.
-     */
-    private static final long BATCH_DELAY_MILLIS = 500;
-    /** Longest wait of a watch of the store; short enough to detect a dead connection within the required bounds. */
-    private static final long STORE_WATCH_MILLIS = 600;
     /** Wait of a watch of the store without contact; none, so that a store that does not respond is noticed sooner. */
     private static final long STORE_PROBE_MILLIS = 0;
-    /** Longest wait of a watch of another node; shorter, since that node may have failed and is quickly replaced. */
-    private static final long RELAY_WATCH_MILLIS = 400;
     /**
      * Delay of the first watch of a node that has listed the store and knows no relay yet. Nodes that start together
      * find each other within it, and need not all watch the store.
@@ -43,8 +26,6 @@
     private static final long FIRST_WATCH_DELAY_MILLIS = 400;
     /** Backoff after the first time that all sources failed; doubled after each further one. */
     private static final long INITIAL_BACKOFF_MILLIS = 100;
-    /** Limit of the backoff after successive failures. */
-    private static final long MAX_BACKOFF_MILLIS = 400;
     /** Grace period after an outage in which upstreams whose registrations expired meanwhile may register again. */
     private static final long REREGISTRATION_GRACE_MILLIS = 2_000;
     /**
@@ -56,29 +37,21 @@
     private static final String PART = "store";
 
     private final StoreReader reader;
-    private final StoreItemDecoder decoder;
     private final StoreSourceSelector sourceSelector;
-    private final FleetListener fleetListener;
+    private final ChangeLimits limits;
     private final ScheduledExecutorService worker;
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final EventLog log;
-    private final Set<AvailabilityZoneId> evacuatedZones = new HashSet<>();
-    private final Set<UpstreamId> pendingRemovals = new HashSet<>();
-    private final Map<UpstreamId, Registration> registrations = new HashMap<>();
-    private final StoreMirror mirror = new StoreMirror();
     private final StoreContact contact;
-    private final MalformedItems malformedItems;
-    private long revision;
+    private final StoreReplica replica;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private long lastResponseNanos;
-    private long contactRestoredNanos;
-    private StoreSource lastSource;
     private boolean isContactLost;
     private boolean isListStale;
     private Runnable changeListener = () -> {};
     private Runnable contactLostListener = () -> {};
-    private volatile boolean complete;
+    private Consumer<StoreSource> newsListener = source -> {};
     private volatile long calls;
 
     /**
@@ -88,6 +61,7 @@
      * @param reader reads from the chosen source
      * @param decoder decodes the items
      * @param listener receives the changes of the fleet, on the worker
+     * @param limits limit of the whole path of a change
      * @param worker executor that runs the feed
      * @param clock monotonic clock
      * @param random source of the backoff jitter
@@ -98,26 +72,25 @@
             StoreReader reader,
             StoreItemDecoder decoder,
             FleetListener listener,
+            ChangeLimits limits,
             ScheduledExecutorService worker,
             MonotonicClock clock,
             RandomGenerator random,
             EventLog log) {
         this.reader = reader;
-        this.decoder = decoder;
         this.sourceSelector = sourceSelector;
-        this.fleetListener = listener;
+        this.limits = limits;
         this.worker = worker;
         this.clock = clock;
         this.random = random;
         this.log = log;
-        this.contact = new StoreContact(clock);
-        this.malformedItems = new MalformedItems(log);
+        this.contact = new StoreContact(limits, clock);
+        this.replica = new StoreReplica(decoder, listener, contact, worker, clock, log);
     }
 
     /** Starts to list all items and then to watch for changes. */
     public void start() {
         lastResponseNanos = clock.nowNanos();
-        contactRestoredNanos = lastResponseNanos;
         worker.execute(this::listAll);
     }
 
@@ -127,7 +100,48 @@
      * @return true once the listener has received the whole fleet
      */
     public boolean isComplete() {
-        return complete;
+        return replica.isComplete();
+    }
+
+    /**
+     * Returns the revision up to which this node has every change of the store.
+     *
+     * @return revision of the store, 0 before all items were listed
+     */
+    public long revision() {
+        return replica.revision();
+    }
+
+    /**
+     * Returns the revision of the newest change that this node has.
+     *
+     * @return revision of the store, 0 when there is none
+     */
+    public long changeRevision() {
+        return replica.changeRevision();
+    }
+
+    /**
+     * Returns the revision of the last full list. What that list changed is not part of {@link #changeRevision}.
+     *
+     * @return revision of the store, 0 before all items were listed
+     */
+    public long listRevision() {
+        return replica.listRevision();
+    }
+
+    /**
+     * Returns how long ago the store confirmed, directly or through other nodes, that this node has every change.
+     *
+     * @return age in milliseconds; since the start of this node when there was no confirmation
+     */
+    public long confirmedAgeMillis() {
+        return contact.confirmedAgeMillis();
+    }
+
+    /** Records that this node has every change that the store had some time ago. */
+    void confirm(long ageMillis) {
+        contact.confirm(ageMillis);
     }
 
     /**
@@ -155,7 +169,7 @@
      * @return true when the store has responded lately to the node that reads it
      */
     public boolean canRelay(int maxDistance) {
-        return complete && contact.isCurrent(maxDistance);
+        return replica.isComplete() && contact.isCurrent(maxDistance);
     }
 
     /**
@@ -185,27 +199,81 @@
         contactLostListener = listener;
     }
 
+    /**
+     * Sets the listener to notify of changes that other nodes may not have yet: those that this node has read from the
+     * store itself, or from a node that was ahead of it.
+     *
+     * @param listener called on the worker with the source of the changes
+     */
+    public void onNews(Consumer<StoreSource> listener) {
+        newsListener = listener;
+    }
+
     /**
      * Returns the local replica of the store, from which other nodes read.
      *
      * @return the replica, empty before all items were listed
      */
     public StoreMirror mirror() {
-        return mirror;
+        return replica.mirror();
+    }
+
+    /**
+     * Reads the changes that a source has now, beside the reads of this feed.
+     *
+     * @param source the store, or a node that is ahead of this one
+     * @param listener called on the worker with whether the source responded with its changes
+     */
+    void readOnce(StoreSource source, Consumer<Boolean> listener) {
+        countCall(source);
+        reader.watch(source, replica.revision(), 0, result -> {
+            boolean succeeded = result instanceof StoreReadResult.Page;
+            if (result instanceof StoreReadResult.Page read) {
+                applyReadBeside(source, read.page());
+            } else {
+                log.write(Event.notice(PART, "Read beside the feed failed.")
+                        .with("source", source)
+                        .with("reason", result)
+                        .with("confirmedAgeMs", contact.confirmedAgeMillis()));
+            }
+            listener.accept(succeeded);
+        });
+    }
+
+    private void applyReadBeside(StoreSource source, StorePage page) {
+        try {
+            if (source.isStore()) {
+                recordResponse(page);
+            }
+            recordConfirmation(page);
+            boolean hasNews = applyChanges(source, page);
+            // Others are about to read the store, too, since nobody has confirmed their replicas.
+            if (hasNews || source.isStore()) {
+                newsListener.accept(source);
+            }
+        } catch (RuntimeException e) {
+            log.write(Event.failure(PART, "Read beside the feed not applied.")
+                    .with("source", source)
+                    .with("cause", e));
+        }
     }
 
     private void listAll() {
         // A fleet that starts at once would read much; what has changed since comes with the first watch.
-        isListStale = !complete;
+        isListStale = !replica.isComplete();
         listPage("", new ArrayList<>(), Long.MAX_VALUE);
     }
 
     private StoreSource chooseSource() {
         StoreSource source = sourceSelector.select();
+        countCall(source);
+        return source;
+    }
+
+    private void countCall(StoreSource source) {
         if (source.isStore()) {
             calls++;
         }
-        return source;
     }
 
     private void listPage(String after, List<StoreItem> items, long lowestRevision) {
@@ -216,7 +284,7 @@
                 retryAfterFailure(source, SourceFailure.of(result), result, this::listAll);
                 return;
             }
-            if (!source.isStore() && read.page().revision() < revision) {
+            if (!source.isStore() && read.page().revision() < replica.revision()) {
                 // What changed in between would look removed, here and at the nodes that read from this one.
                 retryAfterFailure(
                         source,
@@ -225,7 +293,10 @@
                         this::listAll);
                 return;
             }
-            recordResponse(source, read.page());
+            recordResponse(read.page());
+            if (freshness == Freshness.CURRENT) {
+                recordConfirmation(read.page());
+            }
             items.addAll(read.page().items());
             // The pages are not a consistent snapshot, so the watch starts at the lowest of their revisions.
             long watchRevision = Math.min(lowestRevision, read.page().revision());
@@ -237,23 +308,13 @@
         }));
     }
 
-    private void completeList(StoreSource source, List<StoreItem> items, long watchRevision) {
-        revision = watchRevision;
-        mirror.beginReplacement();
-        Set<UpstreamId> missing = new HashSet<>(registrations.keySet());
-        registrations.clear();
-        Set<AvailabilityZoneId> previousZones = Set.copyOf(evacuatedZones);
-        evacuatedZones.clear();
-        items.forEach(this::apply);
-        mirror.completeReplacement(watchRevision);
-        if (!previousZones.equals(evacuatedZones)) {
-            fleetListener.onEvacuation(Set.copyOf(evacuatedZones));
+    private void completeList(StoreSource source, List<StoreItem> items, long listRevision) {
+        boolean isFirst = !replica.isComplete();
+        // A node that was ahead may have delivered all changes up to a later revision meanwhile.
+        if (isFirst || listRevision >= replica.revision()) {
+            replica.replace(source, items, listRevision);
+            changeListener.run();
         }
-        missing.removeAll(registrations.keySet());
-        missing.forEach(this::removeAfterGracePeriod);
-        boolean isFirst = !complete;
-        complete = true;
-        advanceRevision(watchRevision);
         if (isFirst && source.isStore()) {
             worker.schedule(this::watch, FIRST_WATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         } else {
@@ -264,17 +325,20 @@
     private void watch() {
         StoreSource source = chooseSource();
         boolean isStore = source.isStore();
-        long storeWatchMillis = contact.isCurrent(0) ? STORE_WATCH_MILLIS : STORE_PROBE_MILLIS;
-        reader.watch(source, revision, isStore ? storeWatchMillis : RELAY_WATCH_MILLIS, guarded(result -> {
+        long storeWatchMillis = contact.isCurrent(0) ? limits.storeWatchMillis() : STORE_PROBE_MILLIS;
+        long waitMillis = isStore ? storeWatchMillis : limits.relayWatchMillis();
+        reader.watch(source, replica.revision(), waitMillis, guarded(result -> {
             if (result instanceof StoreReadResult.Page read) {
-                recordResponse(source, read.page());
-                read.page().items().forEach(this::apply);
-                advanceRevision(read.page().revision());
-                long delayMillis = isStore && !read.page().items().isEmpty() ? BATCH_DELAY_MILLIS : 0;
+                recordResponse(read.page());
+                recordConfirmation(read.page());
+                if (applyChanges(source, read.page()) && isStore) {
+                    newsListener.accept(source);
+                }
+                long delayMillis = isStore && !read.page().items().isEmpty() ? limits.batchDelayMillis() : 0;
                 worker.schedule(this::watch, delayMillis, TimeUnit.MILLISECONDS);
             } else if (result instanceof StoreReadResult.RevisionCompacted) {
-                log.write(
-                        Event.notice(PART, "Revision compacted, listing again.").with("revision", revision));
+                log.write(Event.notice(PART, "Revision compacted, listing again.")
+                        .with("revision", replica.revision()));
                 listAll();
             } else {
                 retryAfterFailure(source, SourceFailure.of(result), result, this::watch);
@@ -282,6 +346,14 @@
         }));
     }
 
+    /** Applies the changes of a page; returns whether there were any besides repeated registrations. */
+    private boolean applyChanges(StoreSource source, StorePage page) {
+        long previousRevision = replica.changeRevision();
+        replica.apply(source, page);
+        changeListener.run();
+        return replica.changeRevision() > previousRevision;
+    }
+
     /** Returns a listener after whose unexpected failure the feed goes on with a new list. */
     private Consumer<StoreReadResult> guarded(Consumer<StoreReadResult> listener) {
         return result -> {
@@ -295,15 +367,8 @@
         };
     }
 
-    private void advanceRevision(long newRevision) {
-        revision = Math.max(revision, newRevision);
-        mirror.advance(revision);
-        changeListener.run();
-    }
-
-    private void recordResponse(StoreSource source, StorePage page) {
+    private void recordResponse(StorePage page) {
         long nowNanos = clock.nowNanos();
-        lastSource = source;
         contact.recordResponse(page.status());
         if (isContactLost) {
             log.write(Event.notice(PART, "Store contact restored, directly or through a store reader.")
@@ -311,13 +376,20 @@
             if (nowNanos - lastResponseNanos > MIN_EXPIRY_OUTAGE_NANOS) {
                 contact.extendGracePeriod(REREGISTRATION_GRACE_MILLIS);
             }
-            contactRestoredNanos = nowNanos;
+            contact.restore();
         }
         isContactLost = false;
         lastResponseNanos = nowNanos;
         backoffMillis = INITIAL_BACKOFF_MILLIS;
     }
 
+    /** Records that a source is current, unless this node knows more than the source. */
+    private void recordConfirmation(StorePage page) {
+        if (page.revision() >= replica.revision()) {
+            contact.confirm(page.status().contactAgeMillis());
+        }
+    }
+
     private void retryAfterFailure(StoreSource source, SourceFailure failure, Object reason, Runnable retry) {
         boolean isOtherDue = sourceSelector.reportFailure(source, failure);
         if (source.isStore()) {
@@ -325,7 +397,8 @@
         } else {
             log.write(Event.notice(PART, "Read from store reader failed, choosing another source.")
                     .with("reader", source.address())
-                    .with("reason", reason));
+                    .with("reason", reason)
+                    .with("confirmedAgeMs", contact.confirmedAgeMillis()));
         }
         if (isOtherDue) {
             worker.execute(retry);
@@ -343,83 +416,14 @@
             isContactLost = true;
             log.write(Event.failure(PART, "Store contact lost.")
                     .with("reason", reason)
-                    .with("revision", revision));
+                    .with("revision", replica.revision())
+                    .with("confirmedAgeMs", contact.confirmedAgeMillis()));
         }
     }
 
     private long nextBackoffMillis() {
         long delayMillis = backoffMillis / 2 + random.nextLong(backoffMillis / 2 + 1);
-        backoffMillis = Math.min(backoffMillis * 2, MAX_BACKOFF_MILLIS);
+        backoffMillis = Math.min(backoffMillis * 2, limits.maxBackoffMillis());
         return delayMillis;
     }
-
-    private void apply(StoreItem item) {
-        try {
-            apply(item, decoder.decode(item, clock.nowNanos()));
-        } catch (IOException | RuntimeException e) {
-            // One item must not end the feed, whatever is wrong with it.
-            malformedItems.record(item, e);
-        }
-    }
-
-    private void apply(StoreItem item, StoreUpdate update) {
-        if (update instanceof StoreUpdate.Configuration published) {
-            mirror.put(item, true);
-            logConfiguration(published);
-            fleetListener.onConfiguration(published.configuration());
-        } else if (update instanceof StoreUpdate.Evacuation evacuation) {
-            mirror.put(item, true);
-            evacuate(evacuation);
-        } else if (update instanceof StoreUpdate.Registered registered) {
-            register(item, registered.registration());
-        } else if (update instanceof StoreUpdate.Unregistered unregistered) {
-            registrations.remove(unregistered.upstream());
-            mirror.put(item, true);
-            removeAfterGracePeriod(unregistered.upstream());
-        }
-    }
-
-    private void logConfiguration(StoreUpdate.Configuration published) {
-        RelayStatus status = contact.status();
-        log.write(Event.notice(PART, "Configuration read.")
-                .with("version", published.configuration().version())
-                .with("source", lastSource)
-                .with("distance", status.distance())
-                .with("contactAgeMs", status.contactAgeMillis())
-                .with("contactForMs", TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - contactRestoredNanos)));
-    }
-
-    private void evacuate(StoreUpdate.Evacuation evacuation) {
-        boolean hasChanged = evacuation.isEvacuated()
-                ? evacuatedZones.add(evacuation.zone())
-                : evacuatedZones.remove(evacuation.zone());
-        if (hasChanged) {
-            fleetListener.onEvacuation(Set.copyOf(evacuatedZones));
-        }
-    }
-
-    private void register(StoreItem item, Registration registration) {
-        Registration previous = registrations.put(registration.id(), registration);
-        mirror.put(item, previous == null || !registration.equalsIgnoringWarmUp(previous));
-        pendingRemovals.remove(registration.id());
-        fleetListener.onRegistration(registration);
-    }
-
-    /** Removes an upstream, after an outage only when the grace period ends without a new registration. */
-    private void removeAfterGracePeriod(UpstreamId id) {
-        long graceNanos = contact.remainingGraceNanos();
-        if (graceNanos <= 0) {
-            fleetListener.onRemoval(id);
-            return;
-        }
-        pendingRemovals.add(id);
-        worker.schedule(
-                () -> {
-                    if (pendingRemovals.remove(id)) {
-                        fleetListener.onRemoval(id);
-                    }
-                },
-                graceNanos,
-                TimeUnit.NANOSECONDS);
-    }
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreSource.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreSource.java
@@ -16,7 +16,9 @@
         /** A node that must read the store itself. */
         STORE_READER(0),
         /** A node that reads the store itself or through a {@link #STORE_READER}. */
-        ZONE_READER(1);
+        ZONE_READER(1),
+        /** A node that has changes which this one has not, wherever it has them from. */
+        NODE_AHEAD(Integer.MAX_VALUE);
 
         private final int maxDistance;
 
--- a/feed/src/test/java/org/turmericspan/feed/ReaderTreeSelectorTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/ReaderTreeSelectorTest.java
@@ -1,4 +1,4 @@
-package org.turmericspan.entry;
+package org.turmericspan.feed;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -8,8 +8,6 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.turmericspan.events.EventLog;
-import org.turmericspan.feed.SourceFailure;
-import org.turmericspan.feed.StoreSource;
 import org.turmericspan.feed.StoreSource.Kind;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
