Keep the history of a replica across a list, so that its readers need none

Cause: the store forgot its history, so that the node that reads it listed all items. Its replica then dropped its own history as well, and responded with 410 to each reader, which listed in full and did the same to its own readers: 170 lists of some 50 kB, 25 at a time over links of 10 Mbit/s. A list that took longer than 0.6 s was thrown away and begun at the next relay. In that load relays lost the store and each other.

Change: a later list replaces the items, and what is missing from it counts as removed at its revision. Readers from before get the difference. Only a reader whose revision lies between the last one before the list and the list has to list, since what was added and removed there is unknown.

--- a/entry/src/test/java/org/turmericspan/entry/FakeStore.java
+++ b/entry/src/test/java/org/turmericspan/entry/FakeStore.java
@@ -15,14 +15,16 @@
 import org.turmericspan.http.RequestMessage;
 import org.turmericspan.http.ResponseMessage;
 
-/** A store that keeps its whole history and completes watches as soon as an item changes. */
+/** A store that keeps its history until it is compacted, and completes watches as soon as an item changes. */
 final class FakeStore implements HttpService {
     private static final int OK = 200;
+    private static final int GONE = 410;
 
     private final Map<String, String> items = new TreeMap<>();
     private final Map<String, Long> revisions = new TreeMap<>();
     private final List<PendingWatch> watches = new ArrayList<>();
     private long revision = 1;
+    private long compactedRevision;
 
     /** Writes an item; its watches are completed at once. */
     void put(String key, String value) {
@@ -34,11 +36,18 @@
         due.forEach(watch -> watch.reply.send(pageAfter(watch.after)));
     }
 
+    /** Forgets the history up to now, so that watches of earlier revisions fail. */
+    void compact() {
+        compactedRevision = revision;
+    }
+
     @Override
     public void handle(RequestMessage request, Reply reply) {
         long after = parameter(request.target(), "after");
         if (request.path().endsWith("kv-range")) {
             reply.send(page("items", 0));
+        } else if (after < compactedRevision) {
+            reply.send(new ResponseMessage(GONE, HeaderList.EMPTY, new byte[0]));
         } else if (after < revision) {
             reply.send(pageAfter(after));
         } else {
--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationAtScaleTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationAtScaleTest.java
@@ -20,6 +20,8 @@
             new FleetShape(137, 5, Duration.ofMillis(2_500), Duration.ofSeconds(3)),
             new FleetShape(152, 6, Duration.ofMillis(3_000), Duration.ofSeconds(4)));
     private static final Duration START = Duration.ofSeconds(6);
+    /** Time after which each node has read from its source. */
+    private static final Duration LEAD = Duration.ofSeconds(15);
     /** Number of seeds for each large fleet, more when a run by hand asks for them. */
     private static final int SEEDS = Integer.getInteger("late.seeds", 1);
     /** Number of seeds for a small fleet, as a multiple of the others. */
@@ -187,6 +189,21 @@
         });
     }
 
+    /** A full list of each node takes longer than the limit where relays have narrow links. */
+    @Test
+    void compactionOfTheStoreMakesOnlyItsReadersListAgain() {
+        for (FleetShape shape : SHAPES) {
+            RelayFleet fleet = new RelayFleet(shape, 1);
+            fleet.advance(LEAD);
+            long lists = fleet.lists();
+            fleet.compactStore();
+            fleet.confirm(2);
+            fleet.advance(shape.apply());
+            assertThat(fleet.nodes()).as(shape.toString()).allMatch(node -> node.version() == 2);
+            assertThat(fleet.lists() - lists).as(shape.toString()).isBetween(1L, 3L);
+        }
+    }
+
     @Test
     void changeIsInForceInTimeOnBusyNodesWhenTheFirstReaderFallsSilent() {
         forEachFleet((fleet, shape, random) -> {
--- a/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -80,6 +80,7 @@
     private Link storeFailure = Link.REFUSING;
     private long storeReads;
     private long relayReads;
+    private long lists;
 
     RelayFleet(int size, int zones, long seed) {
         this(new FleetShape(size, zones, DEFAULT_LIMIT, DEFAULT_LIMIT), seed);
@@ -134,6 +135,16 @@
         return relayReads;
     }
 
+    /** Returns the number of reads of full lists, of the store and of relays. */
+    long lists() {
+        return lists;
+    }
+
+    /** Makes the store forget its history. */
+    void compactStore() {
+        store.compact();
+    }
+
     List<Node> nodes() {
         return nodes;
     }
@@ -217,6 +228,9 @@
             } else {
                 relayReads++;
             }
+            if (request.path().endsWith("kv-range")) {
+                lists++;
+            }
             switch (linkTo(caller, address)) {
                 case SERVING -> service().handle(request, this);
                 case REJECTING -> send(FakeStore.rejection());
@@ -335,7 +349,7 @@
             relay = new FeedRelay(feed);
             feed.onNews(source -> gossip.announceNews(source.isStore()));
             feed.start();
-            new StoreProbes(feed, sources.store(), sources::position, limits, lifetime, clock, random.split()).start();
+            new StoreProbes(feed, sources.store(), sources::position, limits, lifetime, clock, random.split(), EventLog.none()).start();
             CatchUp catchUp = new CatchUp(feed, limits, lifetime);
             gossip.describeReplica(this::replicaState);
             gossip.onReplicaState((node, state) -> catchUp.compare(
@@ -356,7 +370,7 @@
 
         private ReplicaState replicaState() {
             return feed.isComplete()
-                    ? new ReplicaState(feed.changeRevision(), feed.listRevision(), feed.confirmedAgeMillis())
+                    ? new ReplicaState(feed.changeRevision(), feed.listRevision(), feed.ownConfirmedAgeMillis())
                     : ReplicaState.NONE;
         }
 
--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -17,6 +17,8 @@
     /** Maximum number of removals retained for lagging readers; exceeds the changes of a fleet during one watch. */
     private static final int MAX_REMOVALS = 1_000;
 
+    private static final byte[] NO_VALUE = new byte[0];
+
     private final RankedLock lock = new RankedLock(LockRank.VIEW);
     private Map<String, StoreItem> items = new HashMap<>();
     /** Items of a full list that is being stored, null if none is; readers get the previous items until it is whole. */
@@ -25,15 +27,21 @@
     private long revision;
     /** Highest revision of an item; none is newer, though some may have been removed again. */
     private long newestItemRevision;
-    /** Oldest revision after which every change is still known. */
+    /** Oldest revision after which every change is still known, but for the gap. */
     private long oldestRevision;
+    /** Last revision before a later list, which does not tell what was added and removed again before it. */
+    private long gapStartRevision;
+    /** Revision of the last later list; the changes after a revision within the gap are not known. */
+    private long gapEndRevision;
+    private boolean hasList;
 
     /** Stores an item. Its revision is kept when nothing relevant has changed, so that readers do not get it again. */
     void put(StoreItem item, boolean hasChanged) {
         lock.run(() -> {
             Map<String, StoreItem> written = replacement == null ? items : replacement;
-            StoreItem previous = written.get(item.key());
-            long itemRevision = hasChanged || previous == null ? item.revision() : previous.revision();
+            StoreItem previous = items.get(item.key());
+            boolean isNew = hasChanged || previous == null || previous.isRemoved();
+            long itemRevision = isNew ? item.revision() : previous.revision();
             newestItemRevision = Math.max(newestItemRevision, itemRevision);
             written.put(item.key(), new StoreItem(item.key(), item.value(), itemRevision, item.isRemoved()));
         });
@@ -44,15 +52,47 @@
         lock.run(() -> replacement = new HashMap<>());
     }
 
-    /** Replaces all items by those stored since the replacement began. */
-    void completeReplacement(long firstRevision) {
-        lock.run(() -> {
+    /**
+     * Replaces all items by those stored since the replacement began. Items that are missing from a later list count as
+     * removed at its revision, so that readers get its differences and need no list themselves.
+     *
+     * @param listRevision revision of the list
+     * @return whether items of earlier lists or watches are missing
+     */
+    boolean completeReplacement(long listRevision) {
+        return lock.compute(() -> {
+            boolean hasRemovals = false;
+            for (StoreItem item : items.values()) {
+                if (!replacement.containsKey(item.key())) {
+                    hasRemovals |= !item.isRemoved();
+                    replacement.put(item.key(), item.isRemoved() ? item : removed(item.key(), listRevision));
+                }
+            }
             items = replacement;
             replacement = null;
-            oldestRevision = firstRevision;
+            recordList(listRevision);
+            if (hasRemovals) {
+                newestItemRevision = Math.max(newestItemRevision, listRevision);
+            }
+            return hasRemovals;
         });
     }
 
+    private static StoreItem removed(String key, long removedRevision) {
+        return new StoreItem(key, NO_VALUE, removedRevision, true);
+    }
+
+    private void recordList(long listRevision) {
+        if (hasList) {
+            oldestRevision = Math.max(oldestRevision, gapEndRevision);
+            gapStartRevision = revision;
+            gapEndRevision = listRevision;
+        } else {
+            hasList = true;
+            oldestRevision = listRevision;
+        }
+    }
+
     /** Raises the revision of the replica after a read, and drops the oldest removals beyond the maximum. */
     void advance(long newRevision) {
         lock.run(() -> {
@@ -84,6 +124,14 @@
         return lock.compute(() -> revision);
     }
 
+    /** Returns the revision of the newest change of an item, 0 when it is not known. */
+    long revisionOf(String key) {
+        return lock.compute(() -> {
+            StoreItem item = items.get(key);
+            return item == null ? 0L : item.revision();
+        });
+    }
+
     /**
      * Returns whether the history of changes after a revision is still complete.
      *
@@ -91,7 +139,8 @@
      * @return false when a reader has to list all items again
      */
     public boolean hasHistoryAfter(long after) {
-        return lock.compute(() -> after >= oldestRevision);
+        return lock.compute(
+                () -> after >= oldestRevision && (after <= gapStartRevision || after >= gapEndRevision));
     }
 
     /**
