--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationAtScaleTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationAtScaleTest.java
@@ -28,6 +28,8 @@
     private static final int SMALL_FLEET_SEEDS = 4;
 
     private static final int SMALL_FLEET = 30;
+    /** A link of 10 Mbit/s. */
+    private static final long LINK_BYTES_PER_SECOND = 1_250_000;
 
     /** What happens to a started fleet; confirms versions and returns the newest. */
     private interface Scenario {
@@ -204,6 +206,18 @@
         }
     }
 
+    /** Guards against relays whose links are busy with copies of one page for longer than the limit. */
+    @Test
+    void changeOfManyRoutesIsInForceInTimeOverNarrowLinks() {
+        forEachFleet((fleet, shape, random) -> {
+            fleet.advance(LEAD);
+            fleet.limitLinks(LINK_BYTES_PER_SECOND);
+            fleet.confirmLarge(2, shape.size() < SMALL_FLEET ? 350 : 1_400);
+            fleet.advance(shape.apply());
+            return 2;
+        });
+    }
+
     @Test
     void changeIsInForceInTimeOnBusyNodesWhenTheFirstReaderFallsSilent() {
         forEachFleet((fleet, shape, random) -> {
--- a/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -15,9 +14,6 @@
 import org.turmericspan.balancing.BalancingRules;
 import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
-import org.turmericspan.balancing.FleetListener;
-import org.turmericspan.balancing.Registration;
-import org.turmericspan.balancing.RoutingConfiguration;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.feed.CatchUp;
@@ -38,7 +34,6 @@
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
-import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.platform.DocumentDecoder;
 import org.turmericspan.platform.FeedRelay;
 import org.turmericspan.platform.StoreClient;
@@ -81,6 +76,8 @@
     private long storeReads;
     private long relayReads;
     private long lists;
+    /** Bandwidth of the link of each node; 0 for one without a limit. */
+    private long linkBytesPerSecond;
 
     RelayFleet(int size, int zones, long seed) {
         this(new FleetShape(size, zones, DEFAULT_LIMIT, DEFAULT_LIMIT), seed);
@@ -89,7 +86,7 @@
     RelayFleet(FleetShape shape, long seed) {
         limits = new ChangeLimits(shape.apply());
         random = new SplittableRandom(seed);
-        store.put("op/config", configuration(1));
+        store.put("op/config", StoreDocuments.configuration(1));
         for (int i = 0; i < shape.size(); i++) {
             Node node = new Node(i, "zone-" + i % shape.zones());
             nodes.add(node);
@@ -98,25 +95,12 @@
         nodes.forEach(
                 node -> executor.schedule(node::start, random.nextLong(START_SPREAD_MILLIS), TimeUnit.MILLISECONDS));
         executor.scheduleWithFixedDelay(
-                () -> store.put("servers/i-1", registration(clock.nowNanos())),
+                () -> store.put("servers/i-1", StoreDocuments.registration(clock.nowNanos())),
                 0,
                 HEARTBEAT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
-    static String configuration(long version) {
-        return "{\"Version\":" + version + ",\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\",\"Prefix\":\"/a" + version
-                + "/\",\"Backends\":[{\"Service\":\"desk\",\"Weight\":3}],\"Type\":\"safe\",\"TimeoutS\":1.5,"
-                + "\"TargetLatencyS\":0.25,\"MaxAttempts\":2,\"Priority\":1}],\"Services\":[{\"Name\":\"desk\","
-                + "\"HealthPath\":\"/h\",\"MaxConns\":9,\"WarmupS\":3,\"WarmupPerS\":7.3}]}";
-    }
-
-    private static String registration(long sequence) {
-        return "{\"Service\":\"desk\",\"Address\":\"10.0.0.5:80\",\"Zone\":\"zone-0\",\"Version\":\"v1\","
-                + "\"Capacity\":3,\"State\":\"ready\",\"WarmupLeftS\":0,\"Sequence\":" + sequence
-                + ",\"born\":1700000000000}";
-    }
-
     private List<SocketAddress> seeds() {
         return nodes.stream().limit(SEED_NODES).map(node -> node.address).toList();
     }
@@ -157,7 +141,7 @@
 
     /** Confirms a version, as the store does to the operator. */
     void confirm(long version) {
-        store.put("op/config", configuration(version));
+        store.put("op/config", StoreDocuments.configuration(version));
     }
 
     /** Writes a configuration that the store should have rejected. */
@@ -172,6 +156,16 @@
                 .toList();
     }
 
+    /** Gives each node a link of its own, through which its responses leave one after the other. */
+    void limitLinks(long bytesPerSecond) {
+        linkBytesPerSecond = bytesPerSecond;
+    }
+
+    /** Confirms a version with many routes beside the one that {@link Node#hasRouteOf} looks for. */
+    void confirmLarge(long version, int routes) {
+        store.put("op/config", StoreDocuments.largeConfiguration(version, routes, random));
+    }
+
     /** Delays all that these nodes receive by up to a time, as on a VM whose processor is busy. */
     void slowDown(Predicate<Node> slow, Duration maxDelay) {
         nodes.stream().filter(slow).forEach(node -> node.maxDelayMillis = maxDelay.toMillis());
@@ -201,8 +195,13 @@
     }
 
     private void later(long maxDelayMillis, Runnable task) {
+        later(maxDelayMillis, 0, task);
+    }
+
+    private void later(long maxDelayMillis, long transferMillis, Runnable task) {
         long delayMillis = maxDelayMillis == 0 ? 0 : random.nextLong(maxDelayMillis);
-        executor.schedule(task, 1 + random.nextLong(MAX_LATENCY_MILLIS) + delayMillis, TimeUnit.MILLISECONDS);
+        executor.schedule(
+                task, 1 + random.nextLong(MAX_LATENCY_MILLIS) + delayMillis + transferMillis, TimeUnit.MILLISECONDS);
     }
 
     /** One request and its response. */
@@ -249,7 +248,7 @@
         public void send(ResponseMessage response) {
             if (!sent) {
                 sent = true;
-                later(caller.maxDelayMillis, () -> {
+                later(caller.maxDelayMillis, transferMillis(response.body().length), () -> {
                     Link link = linkTo(caller, address);
                     if (link == Link.SERVING || link == Link.REJECTING) {
                         end(new CallEnd.Answered(response));
@@ -260,6 +259,18 @@
             }
         }
 
+        /** Returns the time until the link of the responding node has sent this response behind all earlier ones. */
+        private long transferMillis(int bytes) {
+            if (address.equals(STORE) || linkBytesPerSecond == 0) {
+                return 0;
+            }
+            Node sender = nodesByAddress.get(address);
+            long nowNanos = clock.nowNanos();
+            long startNanos = Math.max(nowNanos, sender.linkFreeNanos);
+            sender.linkFreeNanos = startNanos + TimeUnit.SECONDS.toNanos(bytes) / linkBytesPerSecond;
+            return TimeUnit.NANOSECONDS.toMillis(sender.linkFreeNanos - nowNanos);
+        }
+
         private void end(CallEnd result) {
             if (!ended) {
                 ended = true;
@@ -286,14 +297,14 @@
     /** A node: what it knows of the others, its feed and its relay. */
     final class Node {
         private final SocketAddress address;
-        private final List<Long> versions = new ArrayList<>();
         private final AvailabilityZoneId zone;
         private MemberTable table;
-        private RoutingConfiguration newest;
+        private VersionRecorder recorder = new VersionRecorder();
         private int incarnation;
         private Link link = Link.SILENT;
         private boolean confinedToZone;
         private long maxDelayMillis;
+        private long linkFreeNanos;
         private long undisturbedSinceNanos;
         private NodeLifetime lifetime = new NodeLifetime(executor);
         private Gossip gossip;
@@ -326,7 +337,7 @@
             incarnation++;
             link = Link.SERVING;
             undisturbedSinceNanos = clock.nowNanos();
-            versions.clear();
+            recorder = new VersionRecorder();
             table = createTable();
             BalancingRules rules = new BalancingRules(1.5, 5, 0.2, 60, TimeUnit.SECONDS.toNanos(10));
             UpstreamTable upstreams =
@@ -340,7 +351,7 @@
                     sources,
                     client,
                     DocumentDecoder::decode,
-                    new VersionRecorder(incarnation),
+                    recorder,
                     limits,
                     lifetime,
                     clock,
@@ -466,46 +477,21 @@
         }
 
         List<Long> versions() {
-            return versions;
+            return recorder.versions();
         }
 
         /** Returns whether the newest configuration has the route that only this version has. */
         boolean hasRouteOf(long version) {
-            return newest.findRoute("h", "/a" + version + "/x").isPresent();
+            return recorder.hasRouteOf(version);
         }
 
         long version() {
-            return versions.isEmpty() ? 0 : versions.get(versions.size() - 1);
+            return versions().isEmpty() ? 0 : versions().get(versions().size() - 1);
         }
 
         @Override
         public String toString() {
             return zone() + "/" + address.host();
         }
-
-        private final class VersionRecorder implements FleetListener {
-            private final int recordedIncarnation;
-
-            VersionRecorder(int recordedIncarnation) {
-                this.recordedIncarnation = recordedIncarnation;
-            }
-
-            @Override
-            public void onConfiguration(RoutingConfiguration configuration) {
-                if (incarnation == recordedIncarnation) {
-                    versions.add(configuration.version());
-                    newest = configuration;
-                }
-            }
-
-            @Override
-            public void onRegistration(Registration registration) {}
-
-            @Override
-            public void onRemoval(UpstreamId id) {}
-
-            @Override
-            public void onEvacuation(Set<AvailabilityZoneId> zones) {}
-        }
     }
 }
