--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -294,10 +294,10 @@
     void applyList(ListRead list, long elapsedMillis) {
         RelayStatus status = list.status().olderBy(elapsedMillis);
         boolean isStale = list.source().isStore() && list.freshness() == Freshness.STALE_ALLOWED;
-        if (isStale) {
-            recordResponse(status.olderBy(limits.staleListMillis()));
-        } else {
-            recordResponse(status);
+        if (list.source().kind() != StoreSource.Kind.NODE_AHEAD) {
+            recordResponse(isStale ? status.olderBy(limits.staleListMillis()) : status);
+        }
+        if (!isStale) {
             recordConfirmation(list.lowestRevision(), status);
         }
         if (replica.isComplete() && list.lowestRevision() < replica.revision()) {
