--- /dev/null
+++ b/feed/src/test/java/org/turmericspan/feed/LaterListTest.java
@@ -0,0 +1,74 @@
+package org.turmericspan.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the readers of a replica get after it was listed again, since the store had forgotten its history. */
+class LaterListTest {
+    private final FeedFixture node = new FeedFixture();
+
+    /** Lists zone-a at revision 12 and zone-b at 13 before, and zone-b and zone-c in the list of revision 20. */
+    @BeforeEach
+    void listAgain() {
+        node.start(10);
+        node.reader()
+                .complete(
+                        FeedFixture.RELAY,
+                        FeedFixture.page(
+                                13, 0, FeedFixture.evacuation("zone-a", 12), FeedFixture.evacuation("zone-b", 13)));
+        node.worker().advance(node.limits().limit());
+        node.reader().complete(FeedFixture.RELAY, new StoreReadResult.RevisionCompacted());
+        node.reader()
+                .complete(
+                        FeedFixture.RELAY,
+                        FeedFixture.page(
+                                20, 0, FeedFixture.evacuation("zone-b", 13), FeedFixture.evacuation("zone-c", 18)));
+    }
+
+    private List<String> changesAfter(long revision) {
+        return node.feed().mirror().changesAfter(revision, RelayStatus.STORE).items().stream()
+                .map(item -> item.key() + (item.isRemoved() ? " removed" : "") + " at " + item.revision())
+                .toList();
+    }
+
+    @Test
+    void readerFromBeforeTheListGetsTheDifference() {
+        assertThat(node.feed().mirror().hasHistoryAfter(13)).isTrue();
+        assertThat(changesAfter(13)).containsExactly("zone-c at 18", "zone-a removed at 20");
+        assertThat(node.feed().mirror().hasHistoryAfter(10)).isTrue();
+        assertThat(changesAfter(10)).containsExactly("zone-b at 13", "zone-c at 18", "zone-a removed at 20");
+    }
+
+    /** What was added after 13 and removed before 20 is in no list. */
+    @Test
+    void readerFromBetweenHasToListAgain() {
+        assertThat(node.feed().mirror().hasHistoryAfter(14)).isFalse();
+        assertThat(node.feed().mirror().hasHistoryAfter(19)).isFalse();
+        assertThat(node.feed().mirror().hasHistoryAfter(20)).isTrue();
+    }
+
+    @Test
+    void readerFromBeforeTheFirstListHasToListAgain() {
+        assertThat(node.feed().mirror().hasHistoryAfter(9)).isFalse();
+    }
+
+    @Test
+    void differencesCountAmongTheChangesThatTheNodeTells() {
+        assertThat(node.feed().changeRevision()).isEqualTo(20);
+        assertThat(node.feed().listRevision()).isEqualTo(10);
+    }
+
+    /** A second list has a gap of its own; readers from the first gap and before no longer get a difference. */
+    @Test
+    void historyBeforeAnEarlierGapIsDropped() {
+        node.reader().complete(FeedFixture.RELAY, new StoreReadResult.RevisionCompacted());
+        node.reader().complete(FeedFixture.RELAY, FeedFixture.page(30, 0, FeedFixture.evacuation("zone-b", 13)));
+        assertThat(node.feed().mirror().hasHistoryAfter(13)).isFalse();
+        assertThat(node.feed().mirror().hasHistoryAfter(20)).isTrue();
+        assertThat(node.feed().mirror().hasHistoryAfter(25)).isFalse();
+        assertThat(changesAfter(20)).containsExactly("zone-c removed at 30");
+    }
+}
