--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -26,7 +26,6 @@
 import org.turmericspan.gossip.GossipTransport;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
-import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.http.BodyMemory;
 import org.turmericspan.http.HttpClient;
 import org.turmericspan.http.HttpListener;
@@ -156,21 +155,14 @@
         feed.onNews(source -> gossip.announceNews(source.isStore()));
         feed.start();
         storeProbes.start();
-        gossip.describeReplica(this::replicaState);
-        gossip.onReplicaState((node, state) ->
-                catchUp.compare(node, state.changeRevision(), state.listRevision(), state.confirmedAgeMillis()));
+        gossip.describeReplica(feed::replicaState);
+        gossip.onReplicaState(catchUp::compare);
         gossip.start(new GossipTransport(workers, settings.gossipAddress(), gossip::receive, clock, log));
         readinessCheck = workers.scheduleWithFixedDelay(
                 this::checkReadiness, POLL_INTERVAL_MILLIS, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         log.write(Event.notice(PART, "Started.").with("callers", settings.callerAddress()));
     }
 
-    private ReplicaState replicaState() {
-        return feed.isComplete()
-                ? new ReplicaState(feed.changeRevision(), feed.listRevision(), feed.ownConfirmedAgeMillis())
-                : ReplicaState.NONE;
-    }
-
     /** Starts the listener for metrics and the state dump. The node serves callers even if that fails. */
     private void listenForOperators() {
         try {
--- a/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -25,7 +25,6 @@
 import org.turmericspan.gossip.GossipMessage;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
-import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.http.CallEnd;
 import org.turmericspan.http.CallHandle;
 import org.turmericspan.http.HttpService;
@@ -371,9 +370,8 @@
                             EventLog.none())
                     .start();
             CatchUp catchUp = new CatchUp(feed, limits, lifetime);
-            gossip.describeReplica(this::replicaState);
-            gossip.onReplicaState((node, state) ->
-                    catchUp.compare(node, state.changeRevision(), state.listRevision(), state.confirmedAgeMillis()));
+            gossip.describeReplica(feed::replicaState);
+            gossip.onReplicaState(catchUp::compare);
             int started = incarnation;
             gossip.start((message, recipients) -> send(started, message, recipients));
             lifetime.scheduleWithFixedDelay(
@@ -388,12 +386,6 @@
                     TimeUnit.MILLISECONDS);
         }
 
-        private ReplicaState replicaState() {
-            return feed.isComplete()
-                    ? new ReplicaState(feed.changeRevision(), feed.listRevision(), feed.ownConfirmedAgeMillis())
-                    : ReplicaState.NONE;
-        }
-
         private void checkReadiness() {
             if (!table.self().ready() && feed.isComplete()) {
                 table.updateSelf(true, table.self().leaving(), feed.hasStoreContact());
--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.SocketAddress;
 
 /**
@@ -51,27 +52,25 @@
      * the confirmation by the store if it is not.
      *
      * @param node address at which the node relays
-     * @param changeRevision revision of the newest change that the node has
-     * @param listRevision revision of the list with which the node's replica began
-     * @param confirmedAgeMillis time since a source of the node has confirmed its replica, in milliseconds
+     * @param state what the node tells of its replica
      */
-    public void compare(SocketAddress node, long changeRevision, long listRevision, long confirmedAgeMillis) {
-        worker.execute(() -> compareNow(node, changeRevision, listRevision, confirmedAgeMillis));
+    public void compare(SocketAddress node, ReplicaState state) {
+        worker.execute(() -> compareNow(node, state));
     }
 
-    private void compareNow(SocketAddress node, long changeRevision, long listRevision, long confirmedAgeMillis) {
+    private void compareNow(SocketAddress node, ReplicaState state) {
         if (!feed.isComplete()) {
             return;
         }
-        if (changeRevision > feed.revision()) {
+        if (state.changeRevision() > feed.revision()) {
             nodesAhead.removeIf(known -> known.address().equals(node));
-            nodesAhead.add(0, new NodeAhead(node, changeRevision));
+            nodesAhead.add(0, new NodeAhead(node, state.changeRevision()));
             if (nodesAhead.size() > MAX_NODES_AHEAD) {
                 nodesAhead.remove(MAX_NODES_AHEAD);
             }
             checkLater();
-        } else if (listRevision <= feed.revision()) {
-            feed.confirm(confirmedAgeMillis + limits.messageMillis());
+        } else if (state.listRevision() <= feed.revision()) {
+            feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
         }
     }
 
@@ -107,12 +106,12 @@
         readsInProgress++;
         reads++;
         StoreSource source = new StoreSource(node.address(), StoreSource.Kind.NODE_AHEAD);
-        feed.beside().readChanges(source, result -> {
+        feed.outOfBandReads().readChanges(source, result -> {
             readsInProgress--;
             removeNodesNotAhead();
             boolean isBehind = node.changeRevision() > feed.revision();
             if (isBehind && nodesAhead.isEmpty() && result instanceof StoreReadResult.RevisionCompacted) {
-                feed.beside().list(source);
+                feed.outOfBandReads().list(source);
             }
             check();
         });
--- a/feed/src/main/java/org/turmericspan/feed/BesideReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -8,10 +8,10 @@
 import org.turmericspan.ids.MonotonicClock;
 
 /**
- * Reads beside those of a feed, which may be waiting for a source that does not respond. An unexpected failure of one
- * is logged and ends nothing else. Used by the worker of the feed.
+ * Reads besides the one that a feed has pending, which may wait for a source that does not respond. An unexpected
+ * failure of one is logged and ends nothing else. Used by the worker of the feed.
  */
-final class BesideReads {
+final class OutOfBandReads {
     private static final String PART = "store";
 
     private final StoreFeed feed;
@@ -20,7 +20,7 @@
     private final EventLog log;
     private boolean isListing;
 
-    BesideReads(StoreFeed feed, StoreReader reader, MonotonicClock clock, EventLog log) {
+    OutOfBandReads(StoreFeed feed, StoreReader reader, MonotonicClock clock, EventLog log) {
         this.feed = feed;
         this.reader = reader;
         this.clock = clock;
@@ -38,7 +38,7 @@
         long sentNanos = clock.nowNanos();
         reader.watch(source, feed.revision(), 0, result -> {
             if (result instanceof StoreReadResult.Page read) {
-                guarded(source, () -> feed.applyBeside(source, read.page().olderBy(elapsedMillis(sentNanos))));
+                guarded(source, () -> feed.applyOutOfBand(source, read.page().olderBy(elapsedMillis(sentNanos))));
             } else {
                 logFailure(source, result);
             }
@@ -81,14 +81,14 @@
         try {
             action.run();
         } catch (RuntimeException e) {
-            log.write(Event.failure(PART, "Read beside the feed not applied.")
+            log.write(Event.failure(PART, "Out-of-band read not applied.")
                     .with("source", source)
                     .with("cause", e));
         }
     }
 
     private void logFailure(StoreSource source, StoreReadResult result) {
-        log.write(Event.notice(PART, "Read beside the feed failed.")
+        log.write(Event.notice(PART, "Out-of-band read failed.")
                 .with("source", source)
                 .with("reason", result)
                 .with("confirmedAgeMs", feed.confirmedAgeMillis()));
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -8,6 +8,7 @@
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.feed.StoreReader.Freshness;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.MonotonicClock;
 
 /**
@@ -45,7 +46,7 @@
     private final EventLog log;
     private final StoreContact contact;
     private final StoreReplica replica;
-    private final BesideReads besideReads;
+    private final OutOfBandReads outOfBandReads;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private long lastResponseNanos;
     private boolean isContactLost;
@@ -89,7 +90,7 @@
         this.log = log;
         this.contact = new StoreContact(limits, clock);
         this.replica = new StoreReplica(decoder, listener, contact, worker, clock, log);
-        this.besideReads = new BesideReads(this, reader, clock, log);
+        this.outOfBandReads = new OutOfBandReads(this, reader, clock, log);
     }
 
     /** Starts to list all items and then to watch for changes. */
@@ -116,22 +117,26 @@
         return replica.revision();
     }
 
-    /**
-     * Returns the revision of the newest change that this node has.
-     *
-     * @return revision of the store, 0 when there is none
-     */
-    public long changeRevision() {
+    /** Returns the revision of the newest change that this node has; what the first list changed is not part of it. */
+    long changeRevision() {
         return replica.changeRevision();
     }
 
+    /** Returns the revision of the first list, 0 before it. */
+    long listRevision() {
+        return replica.listRevision();
+    }
+
     /**
-     * Returns the revision of the first list. What that list changed is not part of {@link #changeRevision}.
+     * Returns what this node tells others of its replica. The age is that of the last confirmation by a source that
+     * this node has read, so that it does not get younger by the time that messages take on their way.
      *
-     * @return revision of the store, 0 before all items were listed
+     * @return the state as of now
      */
-    public long listRevision() {
-        return replica.listRevision();
+    public ReplicaState replicaState() {
+        return isComplete()
+                ? new ReplicaState(changeRevision(), listRevision(), ownConfirmedAgeMillis())
+                : ReplicaState.NONE;
     }
 
     /**
@@ -144,13 +149,8 @@
         return contact.confirmedAgeMillis();
     }
 
-    /**
-     * Returns how long ago a source that this node has read confirmed that it has every change. Only this age is told
-     * to others, so that an age does not get younger by the time that messages take on their way through many nodes.
-     *
-     * @return age in milliseconds; an hour when there was no such confirmation
-     */
-    public long ownConfirmedAgeMillis() {
+    /** Returns how long ago a source that this node has read confirmed that it has every change. */
+    long ownConfirmedAgeMillis() {
         return contact.ownConfirmedAgeMillis();
     }
 
@@ -234,16 +234,16 @@
     }
 
     /**
-     * Returns the reads beside those of this feed.
+     * Returns the reads besides the one that this feed has pending.
      *
      * @return reads whose changes this feed applies
      */
-    BesideReads beside() {
-        return besideReads;
+    OutOfBandReads outOfBandReads() {
+        return outOfBandReads;
     }
 
-    /** Applies what a source has responded with beside the reads of this feed. */
-    void applyBeside(StoreSource source, StorePage page) {
+    /** Applies the changes of an out-of-band read. */
+    void applyOutOfBand(StoreSource source, StorePage page) {
         if (source.isStore()) {
             recordResponse(page.status());
         }
--- a/feed/src/main/java/org/turmericspan/feed/StoreProbes.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreProbes.java
@@ -101,12 +101,12 @@
 
     private void probe() {
         pause(positions.get().size());
-        feed.beside().readChanges(store, result -> {
+        feed.outOfBandReads().readChanges(store, result -> {
             if (result instanceof StoreReadResult.Page) {
                 hasSucceeded = true;
                 lastSuccessNanos = clock.nowNanos();
             } else if (result instanceof StoreReadResult.RevisionCompacted) {
-                feed.beside().list(store);
+                feed.outOfBandReads().list(store);
             }
         });
     }
--- a/feed/src/test/java/org/turmericspan/feed/CatchUpTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/CatchUpTest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
 
@@ -31,7 +32,7 @@
 
     @Test
     void changeThatTheRelayDoesNotDeliverIsReadFromANodeThatHasIt() {
-        catchUp.compare(FIRST, 12, 5, 0);
+        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
         assertThat(node.reader().pending()).containsExactly(FeedFixture.RELAY);
         node.worker().advance(DELAY);
         assertThat(node.reader().pending()).containsExactly(FeedFixture.RELAY, ahead(FIRST));
@@ -44,7 +45,7 @@
 
     @Test
     void changeThatTheRelayDeliversInTimeIsNotReadAgain() {
-        catchUp.compare(FIRST, 12, 5, 0);
+        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
         node.reader().complete(FeedFixture.RELAY, FeedFixture.page(12, 0, FeedFixture.evacuation("zone-a", 12)));
         node.worker().advance(DELAY);
         assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
@@ -53,9 +54,9 @@
 
     @Test
     void secondNodeIsReadWhileTheFirstDoesNotRespondAndNoThirdBesideThem() {
-        catchUp.compare(FIRST, 12, 5, 0);
-        catchUp.compare(SECOND, 12, 5, 0);
-        catchUp.compare(THIRD, 12, 5, 0);
+        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
+        catchUp.compare(SECOND, new ReplicaState(12, 5, 0));
+        catchUp.compare(THIRD, new ReplicaState(12, 5, 0));
         node.worker().advance(DELAY);
         assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isEqualTo(1);
         node.worker().advance(DELAY);
@@ -66,8 +67,8 @@
 
     @Test
     void nextNodeIsReadAtOnceWhenARequestFails() {
-        catchUp.compare(SECOND, 12, 5, 0);
-        catchUp.compare(FIRST, 12, 5, 0);
+        catchUp.compare(SECOND, new ReplicaState(12, 5, 0));
+        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
         node.worker().advance(DELAY);
         node.reader().complete(ahead(FIRST), new StoreReadResult.Failed("connection refused"));
         assertThat(node.reader().pending()).contains(ahead(SECOND));
@@ -75,7 +76,7 @@
 
     @Test
     void changesOfAWatchThatBeganBeforeAreNotAppliedAgain() {
-        catchUp.compare(FIRST, 12, 5, 0);
+        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
         node.worker().advance(DELAY);
         StoreItem removed = new StoreItem("zone-a", new byte[0], 12, true);
         node.reader().complete(ahead(FIRST), FeedFixture.page(12, 0, FeedFixture.evacuation("zone-a", 11), removed));
@@ -87,7 +88,7 @@
     @Test
     void nodeThatHasNothingMoreConfirmsTheReplica() {
         node.worker().advance(Duration.ofMillis(700));
-        catchUp.compare(FIRST, 9, 5, 60);
+        catchUp.compare(FIRST, new ReplicaState(9, 5, 60));
         assertThat(node.feed().confirmedAgeMillis()).isEqualTo(100);
         node.worker().advance(DELAY);
         assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
@@ -97,7 +98,7 @@
     @Test
     void nodeWhoseListIsNewerThanTheReplicaDoesNotConfirmIt() {
         node.worker().advance(Duration.ofMillis(700));
-        catchUp.compare(FIRST, 9, 11, 60);
+        catchUp.compare(FIRST, new ReplicaState(9, 11, 60));
         assertThat(node.feed().confirmedAgeMillis()).isEqualTo(700);
     }
 
@@ -112,7 +113,7 @@
     void nodeWithoutItsFirstListReadsFromNoOther() {
         FeedFixture starting = new FeedFixture();
         starting.feed().start();
-        new CatchUp(starting.feed(), starting.limits(), starting.worker()).compare(FIRST, 12, 5, 0);
+        new CatchUp(starting.feed(), starting.limits(), starting.worker()).compare(FIRST, new ReplicaState(12, 5, 0));
         starting.worker().advance(DELAY);
         assertThat(starting.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
     }
--- a/feed/src/test/java/org/turmericspan/feed/FalseConfirmationTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/FalseConfirmationTest.java
@@ -12,6 +12,7 @@
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.balancing.RoutingConfiguration;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
@@ -22,7 +23,7 @@
 
     private static void compare(FeedFixture receiver, long changeRevision, long listRevision, long ageMillis) {
         new CatchUp(receiver.feed(), receiver.limits(), receiver.worker())
-                .compare(OTHER, changeRevision, listRevision, ageMillis);
+                .compare(OTHER, new ReplicaState(changeRevision, listRevision, ageMillis));
     }
 
     private static FeedFixture confirmedNode() {
--- a/feed/src/test/java/org/turmericspan/feed/ListPagesTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/ListPagesTest.java
@@ -12,6 +12,7 @@
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.balancing.RoutingConfiguration;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
@@ -75,7 +76,7 @@
     @Test
     void drainingServerOfALaterPageDoesNotBecomeReadyAgain() {
         listInTwoPages();
-        new CatchUp(feed, limits, worker).compare(OTHER, 25, 0, 0);
+        new CatchUp(feed, limits, worker).compare(OTHER, new ReplicaState(25, 0, 0));
         worker.advance(Duration.ofMillis(101));
         reader.complete(AHEAD, FeedFixture.page(26, 0, server("i-2", 25, false)));
         assertThat(draining).isNotEmpty().doesNotContain(false);
