--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -47,12 +47,14 @@
         long directoryTtlSeconds,
         double probesPerSecond,
         long probeIntervalMillis) {
+    /** Name of the setting of the change limit, which the environment may state in place of the file. */
+    static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
+
     private static final String COLD_OVERAGE = "cold-overage";
     private static final String COLD_SLACK = "cold-slack";
     private static final String RETRY_RATIO = "retry-ratio";
     private static final String RETRY_SLACK = "retry-slack";
     private static final String RETRY_WINDOW_SECONDS = "retry-window-seconds";
-    private static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
     private static final String GRACE_SECONDS = "grace-seconds";
     private static final String DIRECTORY_TTL_SECONDS = "max-answer-life-seconds";
     private static final String PROBES_PER_SECOND = "probes-per-second";
--- a/entry/src/main/java/org/turmericspan/entry/SettingsFile.java
+++ b/entry/src/main/java/org/turmericspan/entry/SettingsFile.java
@@ -5,10 +5,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Properties;
+import java.util.function.UnaryOperator;
 
 /** The settings file, which is read at the start and after each change. */
 public final class SettingsFile {
+    /** Environment variable that states the change limit if the file does not. */
+    static final String CHANGE_LIMIT_VARIABLE = "TURMERICSPAN_CHANGE_LIMIT_SECONDS";
+
     private final Path path;
+    private final UnaryOperator<String> environment;
     private String content = "";
 
     /**
@@ -17,7 +22,18 @@
      * @param path path of the file
      */
     public SettingsFile(Path path) {
+        this(path, System::getenv);
+    }
+
+    /**
+     * Creates a settings file with an environment, without reading the file.
+     *
+     * @param path path of the file
+     * @param environment returns the value of an environment variable, or null
+     */
+    SettingsFile(Path path, UnaryOperator<String> environment) {
         this.path = path;
+        this.environment = environment;
     }
 
     /**
@@ -31,6 +47,10 @@
         content = Files.readString(path);
         Properties values = new Properties();
         values.load(new StringReader(content));
+        String changeLimit = environment.apply(CHANGE_LIMIT_VARIABLE);
+        if (changeLimit != null) {
+            values.putIfAbsent(EntrySettings.CHANGE_LIMIT_SECONDS, changeLimit);
+        }
         return EntrySettings.of(values);
     }
 
--- a/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
@@ -3,9 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Properties;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.turmericspan.feed.ChangeLimits;
 
 class EntrySettingsTest {
@@ -62,6 +67,24 @@
                 .hasMessageContaining("change-limit-seconds");
     }
 
+    /** The deploy file passes the limit of the site, whose name the template of the settings does not have. */
+    @Test
+    void changeLimitOfTheEnvironmentCountsIfTheFileStatesNone(@TempDir Path folder) throws IOException {
+        Path path = folder.resolve("settings");
+        Properties values = validSettings();
+        SettingsFile file =
+                new SettingsFile(path, variable -> variable.equals("TURMERICSPAN_CHANGE_LIMIT_SECONDS") ? "2.5" : null);
+        try (Writer writer = Files.newBufferedWriter(path)) {
+            values.store(writer, null);
+        }
+        assertThat(file.read().changeLimits()).isEqualTo(new ChangeLimits(Duration.ofMillis(2_500)));
+        values.setProperty("change-limit-seconds", "3");
+        try (Writer writer = Files.newBufferedWriter(path)) {
+            values.store(writer, null);
+        }
+        assertThat(file.read().changeLimits()).isEqualTo(new ChangeLimits(Duration.ofSeconds(3)));
+    }
+
     @Test
     void probesStayWithinHalfOfTheConfiguredRate() {
         Properties values = validSettings();
