--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -15,6 +15,7 @@
     /** Nodes remembered as having more; those that were heard of last are asked first. */
     private static final int MAX_NODES_AHEAD = 4;
 
+    /** Reads at a time; another node is asked while the first has not responded. */
     private static final int MAX_READS = 2;
 
     private final StoreFeed feed;
--- a/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
+++ b/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
@@ -4,9 +4,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The time within which a confirmed change of the store has to be in force on each node, and every wait on the way of a
- * change, each a share of it. When no source responds, the share until the first node asks the store by itself and the
- * steps until the last group has asked are 73%; the rest is for the response and the way from node to node.
+ * The time within which a confirmed change of the store has to be in force on each node, and the waits and timeouts of
+ * the reads that bring it there, each a share of it. When no source responds, the share until the first node asks the
+ * store by itself and the steps until the last group has asked are 73%; the rest is for the response and the way from
+ * node to node.
  *
  * @param limit time from the confirmation of a change until it is in force on each node
  */
