Break a call at once whose response has no valid status

What callers saw: an upstream in trouble that had run a request answered it with status 000. The entry node took that for an informational response and waited on. Callers got whatever came next on the connection, such as a 503 that promises that the request did not run, or 504 at the deadline. Statuses from 600 reached them unchanged, 0200 and 00503 as 200 and 503, and with the header that proves that nothing ran, the request ran at a second upstream.

Cause: the decoder of the HTTP library accepts any integer as a status code, and ServerConnection treats each one below 200 as informational.

Why this works: ResponseDecoder asks HeadSyntax, module integrity, before it makes a message of a status line. What is not three digits from 100 to 599 is a malformed response, which already ends the call as broken, closes the connection, and proves nothing. No other code sees such a status any more.

--- a/http/src/main/java/org/turmericspan/http/ResponseDecoder.java
+++ b/http/src/main/java/org/turmericspan/http/ResponseDecoder.java
@@ -5,9 +5,15 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.function.BooleanSupplier;
+import org.turmericspan.integrity.HeadSyntax;
 
-/** Decodes the responses on one connection, and shows whether bytes follow the last decoded message. */
+/**
+ * Decodes the responses on one connection, and shows whether bytes follow the last decoded message. Stricter than the
+ * library, which accepts any number as a status.
+ */
 final class ResponseDecoder extends HttpResponseDecoder {
+    private static final int STATUS = 1;
+
     private final BooleanSupplier isHeadRequest;
 
     /**
@@ -38,6 +44,14 @@
         return bytes;
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!HeadSyntax.isStatus(statusLine[STATUS])) {
+            throw new IllegalArgumentException("status line without a valid status code");
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
--- /dev/null
+++ b/http/src/test/java/org/turmericspan/http/BrokenHeadTest.java
@@ -0,0 +1,189 @@
+package org.turmericspan.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.MonotonicClock;
+
+/** Servers whose response has a malformed head or trailers: the call is broken at once, whatever follows. */
+class BrokenHeadTest {
+    private static final CallOptions OPTIONS =
+            new CallOptions(TimeUnit.SECONDS.toNanos(5), 0, false, Optional.of("X-Id"));
+    private static final String NOT_EXECUTED = "Not-Executed: 1\r\n";
+    private static final String BODY = "abc";
+    private static final long FOLLOWING_DELAY_MILLIS = 20;
+    /** Time within which a broken response ends its call; no case ends its connection or sends more after it. */
+    private static final long AT_ONCE_MILLIS = 2_000;
+
+    private static final int CONCURRENT_CALLS = 40;
+
+    private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpClient client = new HttpClient(workers, BodyMemory.ofHeap(), MonotonicClock.system());
+    private final Map<String, Case> cases = new ConcurrentHashMap<>();
+
+    /** What follows the broken response on its connection, a short time later. */
+    private enum Following {
+        NOTHING(""),
+        REJECTION("HTTP/1.1 503 Full\r\nX-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+        SUCCESS("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok");
+
+        private final String text;
+
+        Following(String text) {
+            this.text = text;
+        }
+    }
+
+    private record Case(String response, Following following, boolean isClosed) {}
+
+    @AfterEach
+    void stopWorkers() {
+        workers.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void respond(String head, Socket connection) throws IOException {
+        String id = head.replaceAll("(?s).*X-Id: (\\S+).*", "$1");
+        Case test = cases.get(id);
+        connection.setTcpNoDelay(true);
+        send(test.response.replace("%s", id), connection);
+        if (test.following != Following.NOTHING) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(FOLLOWING_DELAY_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            send(test.following.text.replace("%s", id), connection);
+        }
+        if (test.isClosed) {
+            connection.close();
+        }
+    }
+
+    private static void send(String text, Socket connection) throws IOException {
+        connection.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private CompletableFuture<CallEnd> call(RawServer server, String id, Case test) {
+        cases.put(id, test);
+        CompletableFuture<CallEnd> end = new CompletableFuture<>();
+        RequestMessage request = RequestMessage.get("/x", "host");
+        client.call(
+                server.address(),
+                new RequestMessage("GET", "/x", request.headers().with("X-Id", id), request.body()),
+                OPTIONS,
+                end::complete);
+        return end.completeOnTimeout(new CallEnd.NotSent("still waits"), AT_ONCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends each response with each ending of its connection, and returns what did not break the call. */
+    private List<String> violations(Map<String, String> responses) throws Exception {
+        List<String> names = new ArrayList<>();
+        List<Case> tests = new ArrayList<>();
+        responses.forEach((name, response) -> {
+            for (Following following : Following.values()) {
+                for (boolean isClosed : new boolean[] {false, true}) {
+                    names.add("%s, then %s%s".formatted(name, following, isClosed ? ", closed" : ""));
+                    tests.add(new Case(response, following, isClosed));
+                }
+            }
+        });
+        List<String> violations = new ArrayList<>();
+        try (RawServer server = new RawServer(this::respond)) {
+            for (int start = 0; start < tests.size(); start += CONCURRENT_CALLS) {
+                List<CompletableFuture<CallEnd>> ends = new ArrayList<>();
+                for (int i = start; i < Math.min(tests.size(), start + CONCURRENT_CALLS); i++) {
+                    ends.add(call(server, "c" + i, tests.get(i)));
+                }
+                for (int i = 0; i < ends.size(); i++) {
+                    CallEnd end = ends.get(i).get(20, TimeUnit.SECONDS);
+                    if (!(end instanceof CallEnd.Broken)) {
+                        violations.add(names.get(start + i) + ": " + describe(end));
+                    }
+                }
+            }
+        }
+        return violations;
+    }
+
+    private static String describe(CallEnd end) {
+        if (end instanceof CallEnd.Answered answered) {
+            return answered.response().status() + " " + answered.response().headers();
+        }
+        return end.toString();
+    }
+
+    private void assertBroken(Map<String, String> responses) throws Exception {
+        List<String> violations = violations(responses);
+        assertThat(violations).as("%s cases", violations.size()).isEmpty();
+    }
+
+    private static Map<String, String> responsesWithStatusLine(List<String> statusLines) {
+        Map<String, String> responses = new LinkedHashMap<>();
+        for (String statusLine : statusLines) {
+            for (String fields : List.of("X-Id: %s\r\n", "", "X-Id: %s\r\n" + NOT_EXECUTED)) {
+                String head = statusLine + "\r\n" + fields;
+                String name = statusLine
+                        + (fields.isEmpty() ? " without identifier" : "")
+                        + (fields.endsWith(NOT_EXECUTED) ? " with proof" : "");
+                responses.put(name + ", length", head + "Content-Length: 3\r\n\r\n" + BODY);
+                responses.put(name + ", chunked", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+                responses.put(name + ", bare", head + "\r\n");
+            }
+        }
+        return responses;
+    }
+
+    /** Guards against a response whose status the protocol does not know, and against the one that follows it. */
+    @Test
+    void statusOutsideOfTheProtocolBreaksCall() throws Exception {
+        List<String> statusLines = new ArrayList<>();
+        for (String status : List.of("000", "001", "050", "099", "600", "799", "999")) {
+            statusLines.add("HTTP/1.1 " + status + " Odd");
+        }
+        assertBroken(responsesWithStatusLine(statusLines));
+    }
+
+    /** Guards against a status that the number of its digits hides. */
+    @Test
+    void statusWithoutThreeDigitsBreaksCall() throws Exception {
+        List<String> statusLines = new ArrayList<>();
+        for (String status : List.of(
+                "0",
+                "5",
+                "20",
+                "50",
+                "0200",
+                "0503",
+                "00503",
+                "000503",
+                "1000",
+                "2000",
+                "2001",
+                "429000",
+                "+20",
+                "-20",
+                "+200",
+                "2x0",
+                "0x1",
+                "20\u00b2",
+                "")) {
+            statusLines.add("HTTP/1.1 " + status + " Odd");
+        }
+        assertBroken(responsesWithStatusLine(statusLines));
+    }
+}
