Break a call whose response has a malformed field name

What callers saw: an upstream in trouble sent a response in whose head or trailers the name of a field held a blank or a tab ("X A: 1", "X-A : 1"). Callers got it as a response: the line was taken under the part of the name before the blank, so that "Content-Length X: 3" cut the body, and "Not-Executed X: 1" was taken as proof that nothing had run.

Cause: the decoder of the HTTP library ends a field name at its first blank when it reads a response, and then searches for the colon. What it checks is the shortened name.

Why this works: ResponseDecoder takes over where the library has cut out the name, for heads and trailers alike. A name is everything before the colon, and HeadSyntax says what it may hold; HeadScanner, which looks for heads in bodies, now asks the same method.

SplicedResponseTest#secondHeadWithASpaceBeforeTheColonBreaksCall expected that a response with "X-Id : 1" is delivered, to show that the scan of bodies must be as wide as the decoder. That response is malformed, so the test now expects that the call breaks, and still that the splice does.

--- a/http/src/main/java/org/turmericspan/http/ResponseDecoder.java
+++ b/http/src/main/java/org/turmericspan/http/ResponseDecoder.java
@@ -4,12 +4,13 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import java.util.function.BooleanSupplier;
 import org.turmericspan.integrity.HeadSyntax;
 
 /**
  * Decodes the responses on one connection, and shows whether bytes follow the last decoded message. Stricter than the
- * library, which accepts any number as a status.
+ * library, which accepts any number as a status, and ends a field name at its first blank.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final int STATUS = 1;
@@ -52,6 +53,18 @@
         return super.createMessage(statusLine);
     }
 
+    /** Reads the name of a header or trailer field, which is all that stands before the colon. */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        AsciiString name = super.splitHeaderName(line, start, length);
+        int end = start + length;
+        boolean isBeforeColon = end < line.length && line[end] == ':';
+        if (!isBeforeColon || !HeadSyntax.isFieldName(name)) {
+            throw new IllegalArgumentException("malformed field name");
+        }
+        return name;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
--- a/http/src/test/java/org/turmericspan/http/BrokenHeadTest.java
+++ b/http/src/test/java/org/turmericspan/http/BrokenHeadTest.java
@@ -186,4 +186,88 @@
         }
         assertBroken(responsesWithStatusLine(statusLines));
     }
+
+    /** Returns field lines with a name that holds a blank, a control byte or another byte that no name has. */
+    private static List<String> malformedLines() {
+        List<String> lines = new ArrayList<>(List.of(
+                "X A: 1",
+                "X\tA: 1",
+                "X-A : 1",
+                "X-A\t: 1",
+                "X-A  \t: 1",
+                "Not-Executed : 1",
+                "Not-Executed X: 1",
+                "Signature X: other",
+                "Content-Length : 3",
+                "Content-Length X: 3",
+                "Transfer-Encoding : chunked",
+                "X-Id : %s",
+                ": 1",
+                "nocolon",
+                "no colon",
+                "X(A): 1",
+                "X\u00e4: 1"));
+        for (char control = 0; control < 0x20; control++) {
+            // A line feed ends the line, and a tab stands above. Both parts of the line would be well-formed.
+            if (control != '\n' && control != '\t') {
+                lines.add("X" + control + "A: 1");
+                lines.add("X-A" + control + ": 1");
+            }
+        }
+        lines.add("X\u007fA: 1");
+        lines.add("X-A\u007f: 1");
+        return lines;
+    }
+
+    private static String printable(String line) {
+        StringBuilder text = new StringBuilder();
+        for (char next : line.toCharArray()) {
+            text.append(next > ' ' && next <= '~' ? next : "<%02x>".formatted((int) next));
+        }
+        return text.toString();
+    }
+
+    /** Guards against a line that is taken under the part of its name before a blank. */
+    @Test
+    void malformedNameInHeadBreaksCall() throws Exception {
+        Map<String, String> responses = new LinkedHashMap<>();
+        for (String line : malformedLines()) {
+            for (int status : new int[] {103, 200, 503}) {
+                String proof = status == 503 ? NOT_EXECUTED : "";
+                String end = status < 200 ? "\r\n" : "Content-Length: 3\r\n\r\nabc";
+                String statusLine = "HTTP/1.1 " + status + " Some\r\n";
+                String name = status + " " + printable(line);
+                responses.put(name + ", last", statusLine + "X-Id: %s\r\n" + proof + line + "\r\n" + end);
+                responses.put(name + ", first", statusLine + line + "\r\n" + proof + "X-Id: %s\r\n" + end);
+            }
+        }
+        assertBroken(responses);
+    }
+
+    @Test
+    void blankBeforeFirstFieldBreaksCall() throws Exception {
+        assertBroken(Map.of(
+                "blank", "HTTP/1.1 200 OK\r\n X-A: 1\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+                "tab", "HTTP/1.1 200 OK\r\n\tX-A: 1\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n"));
+    }
+
+    @Test
+    void malformedNameInTrailersBreaksCall() throws Exception {
+        Map<String, String> responses = new LinkedHashMap<>();
+        for (String line : malformedLines()) {
+            String head = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n";
+            responses.put(printable(line), head + line + "\r\n\r\n");
+            responses.put(printable(line) + " behind another", head + "X-B: 1\r\n" + line + "\r\n\r\n");
+        }
+        assertBroken(responses);
+    }
+
+    /** The end of the line decides, not the end of the head. */
+    @Test
+    void headThatStopsBehindMalformedLineBreaksCall() throws Exception {
+        assertBroken(Map.of(
+                "status line", "HTTP/1.1 000 Odd\r\n",
+                "field", "HTTP/1.1 200 OK\r\nX A: 1\r\n",
+                "trailer", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX A: 1\r\n"));
+    }
 }
--- a/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
+++ b/http/src/test/java/org/turmericspan/http/SplicedResponseTest.java
@@ -327,13 +327,16 @@
                 .isInstanceOf(CallEnd.Broken.class);
     }
 
-    /** Guards against a second head whose echo header is not recognized because of a space before the colon. */
+    /**
+     * Guards against a second head whose echo header is not recognized because of a space before the colon. Such a head
+     * is malformed by itself, but within a body the decoder does not see it.
+     */
     @Test
     void secondHeadWithASpaceBeforeTheColonBreaksCall() throws Exception {
         String body = "a".repeat(200);
         String first = response(200, "1", true, Framing.LENGTH, body);
         String second = "HTTP/1.1 504 Gateway Timeout\r\nX-Id : 1\r\nContent-Length: 300\r\n\r\n" + "b".repeat(300);
-        assertThat(callReceiving(0, second)).isInstanceOf(CallEnd.Answered.class);
+        assertThat(callReceiving(0, second)).isInstanceOf(CallEnd.Broken.class);
         assertThat(callReceiving(0, first.substring(0, first.length() - 150) + second))
                 .isInstanceOf(CallEnd.Broken.class);
     }
--- a/integrity/src/main/java/org/turmericspan/integrity/HeadScanner.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/HeadScanner.java
@@ -11,8 +11,6 @@
     private static final int MAX_HEAD_BYTES = 65_536;
 
     private static final int FIRST_PRINTABLE = 0x20;
-    private static final int LAST_PRINTABLE = 0x7e;
-    private static final String SEPARATORS = "\"(),/:;<=>?@[\\]{}";
 
     private final Optional<String> echoHeader;
     private Part part = Part.NO_HEAD;
@@ -119,7 +117,7 @@
         if (next == ':' || StatusLine.isBlank(next)) {
             return nameLength == 0 ? Part.NO_HEAD : partAfterName(next);
         }
-        if (next <= ' ' || next > LAST_PRINTABLE || SEPARATORS.indexOf(next) >= 0) {
+        if (!HeadSyntax.isNameCharacter(next)) {
             return Part.NO_HEAD;
         }
         nameMatches = nameMatches
--- a/integrity/src/main/java/org/turmericspan/integrity/HeadSyntax.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/HeadSyntax.java
@@ -9,6 +9,8 @@
     private static final int MAX_STATUS = 599;
     private static final int STATUS_DIGITS = 3;
     private static final int DECIMAL = 10;
+    private static final int LAST_PRINTABLE = 0x7e;
+    private static final String SEPARATORS = "\"(),/:;<=>?@[\\]{}";
 
     private HeadSyntax() {}
 
@@ -32,4 +34,24 @@
         }
         return status >= MIN_STATUS && status <= MAX_STATUS;
     }
+
+    /**
+     * Returns whether a text is the name of a header or trailer field.
+     *
+     * @param text everything before the colon
+     * @return true if it has one character or more, none of which is a blank, a control character or a separator
+     */
+    public static boolean isFieldName(CharSequence text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (!isNameCharacter(text.charAt(i))) {
+                return false;
+            }
+        }
+        return text.length() > 0;
+    }
+
+    /** Returns whether a character may be a part of a field name. */
+    static boolean isNameCharacter(int character) {
+        return character > ' ' && character <= LAST_PRINTABLE && SEPARATORS.indexOf(character) < 0;
+    }
 }
