Break a call after an informational response with a body

What callers saw: an upstream that sent an informational response which states a body had that body read as the next response. With a body of line ends or blanks, callers got whatever followed; with one that holds a whole response, that one; else 504 at the deadline. A switch of protocols that nobody had requested was waited on until the deadline, too.

Cause: the decoder knows that informational responses have no body and skips none, and ServerConnection took each status below 200 as a sound one.

Why this works: an informational response that states a transfer coding or a length other than 0, or switches protocols, breaks the call when its head is complete.

--- a/http/src/main/java/org/turmericspan/http/ServerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/ServerConnection.java
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -34,7 +33,6 @@
 import org.turmericspan.integrity.BodyCheck;
 import org.turmericspan.integrity.BodyVerdict;
 import org.turmericspan.integrity.Correlation;
-import org.turmericspan.integrity.ResponseHeads;
 import org.turmericspan.transport.InboundHandler;
 
 /** One connection to a server. Carries one call at a time and is reused only after a complete response. */
@@ -64,6 +62,8 @@
     private static final byte[] NO_BYTES = new byte[0];
 
     private static final String SPLICED_HEAD = "response head contains the start of another response";
+    private static final String MALFORMED_INFORMATIONAL =
+            "malformed response: informational with a body, or an unrequested switch of protocols";
     private static final String SPLICED_BODY = "response body contains the start of another response";
 
     private final SocketAddress address;
@@ -228,18 +228,22 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            if (ResponseHeads.containStatusLine(response.status().reasonPhrase()) || isSpliced(response.headers())) {
+            if (HeadChecks.isSpliced(response)) {
                 faults.onSplicedHead();
                 fail(SPLICED_HEAD);
                 return;
             }
+            if (HeadChecks.isMalformedInformational(response)) {
+                fail(MALFORMED_INFORMATIONAL);
+                return;
+            }
             exchange.beginResponse(response);
         }
         if (message instanceof HttpContent content) {
             if (!exchange.append(content)) {
                 fail("response body exceeds the size limit");
             } else if (content instanceof LastHttpContent last) {
-                if (isSpliced(last.trailingHeaders()) || exchange.hasEchoHeader(last.trailingHeaders())) {
+                if (HeadChecks.isSpliced(last.trailingHeaders()) || exchange.hasEchoHeader(last.trailingHeaders())) {
                     faults.onSplicedHead();
                     fail(SPLICED_HEAD);
                 } else {
@@ -249,16 +253,6 @@
         }
     }
 
-    /** Returns whether a status line stands within a line of a head or of trailers. */
-    private static boolean isSpliced(HttpHeaders headers) {
-        for (Map.Entry<String, String> header : headers) {
-            if (ResponseHeads.containStatusLine(header.getValue())) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private void completeResponse() {
         byte[] body = exchange.body.toByteArray();
         BodyCheck check = new BodyCheck(body, exchange.correlation.echoHeader());
--- a/http/src/test/java/org/turmericspan/http/BrokenHeadTest.java
+++ b/http/src/test/java/org/turmericspan/http/BrokenHeadTest.java
@@ -187,6 +187,29 @@
         assertBroken(responsesWithStatusLine(statusLines));
     }
 
+    /** Guards against a switch of protocols that was not requested, behind which bytes are no responses. */
+    @Test
+    void unrequestedSwitchOfProtocolsBreaksCall() throws Exception {
+        assertBroken(responsesWithStatusLine(List.of("HTTP/1.1 101 Switching Protocols")));
+    }
+
+    /** Guards against an informational response whose body is taken for the next message. */
+    @Test
+    void informationalResponseWithBodyBreaksCall() throws Exception {
+        Map<String, String> responses = new LinkedHashMap<>();
+        for (String status : List.of("100", "102", "103", "199")) {
+            String head = "HTTP/1.1 " + status + " Odd\r\n";
+            for (String body :
+                    List.of("abc", "   ", "\r\n\r", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n")) {
+                responses.put(
+                        status + " with length and " + printable(body),
+                        head + "Content-Length: " + body.replace("%s", "c000").length() + "\r\n\r\n" + body);
+            }
+            responses.put(status + " chunked", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        }
+        assertBroken(responses);
+    }
+
     /** Returns field lines with a name that holds a blank, a control byte or another byte that no name has. */
     private static List<String> malformedLines() {
         List<String> lines = new ArrayList<>(List.of(
