Fail calls of the other HTTP client after a malformed head

What callers saw: in the program turmericspan an attempt was complete whose response had status 000, 099, 600 or 999, or a blank or a control byte in a field name, and its response went on to the caller. A 503 with such a name and the header that proves that nothing ran counted as a refusal, after which the request may run again. Shown at the sender; no program was started for it.

Cause: OkHttp takes any integer of three characters as a status, and any text before the colon as a name. HttpExchange did not check either.

Why this works: StrictHeads, a network interceptor in the new module heads, asks HeadSyntax about the status and the names and fails the call with a ProtocolException, which the library does not retry and which closes the connection. The sender and the probe also check the trailers, which only show behind the body. All users of OkHttp have the interceptor: sender, probe, publication, ctl, and the test side in standins and bench.

What it does not see, since the library does not show it: informational responses, which it drops, and a head that stops behind a malformed line, which ends at the deadline as any head that stops.

--- a/bench/src/main/java/org/turmericspan/bench/load/HttpCalls.java
+++ b/bench/src/main/java/org/turmericspan/bench/load/HttpCalls.java
@@ -16,6 +16,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.turmericspan.heads.StrictHeads;
 
 /** Sends single requests over HTTP and classifies the responses. */
 public final class HttpCalls implements AutoCloseable {
@@ -42,6 +43,7 @@
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, 1, TimeUnit.MINUTES))
                 .readTimeout(Duration.ZERO)
                 .retryOnConnectionFailure(false)
+                .addNetworkInterceptor(new StrictHeads())
                 .build();
     }
 
--- a/ctl/src/main/java/org/turmericspan/ctl/NodeClient.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/NodeClient.java
@@ -10,6 +10,7 @@
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
+import org.turmericspan.heads.StrictHeads;
 import org.turmericspan.ids.SocketAddress;
 
 /** Sends HTTP requests to several nodes in parallel, each with a timeout. */
@@ -20,6 +21,7 @@
     private final OkHttpClient client = new OkHttpClient.Builder()
             .callTimeout(REQUEST_TIMEOUT)
             .followRedirects(false)
+            .addNetworkInterceptor(new StrictHeads())
             .build();
 
     NodeResponse get(SocketAddress address, String path) {
--- a/integrity/src/main/java/org/turmericspan/integrity/HeadSyntax.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/HeadSyntax.java
@@ -6,6 +6,7 @@
  */
 public final class HeadSyntax {
     private static final int MIN_STATUS = 100;
+    private static final int MIN_FINAL_STATUS = 200;
     private static final int MAX_STATUS = 599;
     private static final int STATUS_DIGITS = 3;
     private static final int DECIMAL = 10;
@@ -35,6 +36,16 @@
         return status >= MIN_STATUS && status <= MAX_STATUS;
     }
 
+    /**
+     * Returns whether a status code is that of a final response.
+     *
+     * @param status the status code
+     * @return true from 200 to 599
+     */
+    public static boolean isFinalStatus(int status) {
+        return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+    }
+
     /**
      * Returns whether a text is the name of a header or trailer field.
      *
--- a/publication/src/main/java/org/turmericspan/publication/HttpPlatformReader.java
+++ b/publication/src/main/java/org/turmericspan/publication/HttpPlatformReader.java
@@ -15,6 +15,7 @@
 import okhttp3.Response;
 import org.turmericspan.errors.BalancerException;
 import org.turmericspan.errors.ResultCode;
+import org.turmericspan.heads.StrictHeads;
 import org.turmericspan.ids.SocketAddress;
 
 /** Reads values from the platform by HTTP long polling: {@code GET /v1/values/KEY?after=REVISION&wait_ms=N}. */
@@ -37,6 +38,7 @@
         this.client = new OkHttpClient.Builder()
                 .readTimeout(Duration.ZERO)
                 .retryOnConnectionFailure(false)
+                .addNetworkInterceptor(new StrictHeads())
                 .build();
     }
 
--- a/standins/src/main/java/org/turmericspan/standins/demo/Main.java
+++ b/standins/src/main/java/org/turmericspan/standins/demo/Main.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import okhttp3.OkHttpClient;
+import org.turmericspan.heads.StrictHeads;
 import org.turmericspan.standins.fleet.ChildProcess;
 import org.turmericspan.standins.fleet.Fleet;
 import org.turmericspan.standins.fleet.FleetPlan;
@@ -56,8 +57,10 @@
     }
 
     private boolean run() throws InterruptedException {
-        OkHttpClient client =
-                new OkHttpClient.Builder().callTimeout(CALL_TIMEOUT).build();
+        OkHttpClient client = new OkHttpClient.Builder()
+                .callTimeout(CALL_TIMEOUT)
+                .addNetworkInterceptor(new StrictHeads())
+                .build();
         startCallers(client);
         DemoTable table = new DemoTable(System.out);
         table.printHeader();
--- a/standins/src/main/java/org/turmericspan/standins/fleet/Http.java
+++ b/standins/src/main/java/org/turmericspan/standins/fleet/Http.java
@@ -9,14 +9,17 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.turmericspan.heads.StrictHeads;
 
 /** Blocking HTTP client for control ports and operator ports. It throws when the response status is not 2xx. */
 public final class Http implements AutoCloseable {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     private final ObjectMapper mapper = new ObjectMapper();
-    private final OkHttpClient client =
-            new OkHttpClient.Builder().callTimeout(TIMEOUT).build();
+    private final OkHttpClient client = new OkHttpClient.Builder()
+            .callTimeout(TIMEOUT)
+            .addNetworkInterceptor(new StrictHeads())
+            .build();
 
     /**
      * Sends a GET request and parses the response as JSON.
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpExchange.java
@@ -26,6 +26,7 @@
 import org.turmericspan.calls.SlotLease;
 import org.turmericspan.calls.UpstreamExchange;
 import org.turmericspan.calls.UpstreamSignals;
+import org.turmericspan.heads.StrictHeads;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
@@ -156,7 +157,8 @@
         }
         byte[] bytes = source.readByteArray();
         proof.closeUnlessReusable();
-        if (!ResponseCheck.hasOneBody(bytes, proof.received())) {
+        if (!StrictHeads.areFieldsWellFormed(response.trailers())
+                || !ResponseCheck.hasOneBody(bytes, proof.received())) {
             completeWithoutResponse(AttemptOutcome.Kind.CONNECTION_LOST, signals);
             return;
         }
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamProbe.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamProbe.java
@@ -15,6 +15,7 @@
 import okhttp3.Response;
 import org.turmericspan.calls.ProbeReport;
 import org.turmericspan.calls.UpstreamProbe;
+import org.turmericspan.heads.StrictHeads;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
@@ -40,6 +41,7 @@
                 .dispatcher(dispatcher)
                 .followRedirects(false)
                 .retryOnConnectionFailure(false)
+                .addNetworkInterceptor(new StrictHeads())
                 .build();
     }
 
@@ -88,7 +90,9 @@
                         + response.networkResponse().request().headers().byteCount();
                 ProbeReport report =
                         new ProbeReport(UpstreamHeaders.signals(response), latency, headerBytes + bodyBytes);
-                boolean isReport = response.isSuccessful() && ResponseCheck.hasOneStatusLine(response);
+                boolean isReport = response.isSuccessful()
+                        && ResponseCheck.hasOneStatusLine(response)
+                        && StrictHeads.areFieldsWellFormed(response.trailers());
                 result.complete(isReport ? Optional.of(report) : Optional.empty());
             } catch (IOException | RuntimeException e) {
                 result.complete(Optional.empty());
--- a/upstream/src/test/java/org/turmericspan/upstream/ScriptedUpstream.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/ScriptedUpstream.java
@@ -12,16 +12,28 @@
 import java.util.function.UnaryOperator;
 import org.turmericspan.ids.SocketAddress;
 
-/** Upstream that writes a scripted response to each request and then closes the connection. */
+/** Upstream that writes a scripted response to each request, and then closes the connection or keeps it open. */
 final class ScriptedUpstream implements AutoCloseable {
     private static final String ATTEMPT_ID_PREFIX = "turmericspan-attempt-id: ";
 
     private final ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
     private final AtomicInteger requests = new AtomicInteger();
     private final UnaryOperator<String> responseByAttemptId;
+    private final boolean keepsOpen;
 
     ScriptedUpstream(UnaryOperator<String> responseByAttemptId) throws IOException {
+        this(responseByAttemptId, false);
+    }
+
+    /**
+     * Starts an upstream.
+     *
+     * @param responseByAttemptId returns the response to an attempt
+     * @param keepsOpen whether the client ends each connection; no other connection is accepted before
+     */
+    ScriptedUpstream(UnaryOperator<String> responseByAttemptId, boolean keepsOpen) throws IOException {
         this.responseByAttemptId = responseByAttemptId;
+        this.keepsOpen = keepsOpen;
         Thread thread = new Thread(this::serve, "scripted-upstream");
         thread.setDaemon(true);
         thread.start();
@@ -64,5 +76,8 @@
         }
         requests.incrementAndGet();
         socket.getOutputStream().write(responseByAttemptId.apply(attemptId).getBytes(StandardCharsets.US_ASCII));
+        if (keepsOpen) {
+            reader.readLine();
+        }
     }
 }
