Notice a malformed line of a head at its end in module upstream

What callers saw: in the program turmericspan an attempt whose response stopped behind a malformed line of its head ended at the deadline, though it was known to be broken. A malformed informational response was dropped and the next message taken, also where it was the body that the first one stated.

Why this works: the sockets of the sender show each byte already. Their ReceivedBytes reads heads with HeadReader, which asks HeadSyntax about each line at its end and replaces the search for the end of the head; the read that brings a malformed line fails. The sender no longer needs the interceptor. Probes and tools keep it: they have plain sockets.

--- a/integrity/src/main/java/org/turmericspan/integrity/HeadSyntax.java
+++ b/integrity/src/main/java/org/turmericspan/integrity/HeadSyntax.java
@@ -5,7 +5,12 @@
  * no response: a library would drop or change a part of it.
  */
 public final class HeadSyntax {
+    private static final String VERSION = "HTTP/1.";
+    /** Position of the status code in a status line, behind a minor version of one digit and a blank. */
+    private static final int STATUS_START = VERSION.length() + 2;
+
     private static final int MIN_STATUS = 100;
+    private static final int SWITCHING_PROTOCOLS = 101;
     private static final int MIN_FINAL_STATUS = 200;
     private static final int MAX_STATUS = 599;
     private static final int STATUS_DIGITS = 3;
@@ -28,7 +33,7 @@
         int status = 0;
         for (int i = 0; i < STATUS_DIGITS; i++) {
             char digit = text.charAt(i);
-            if (digit < '0' || digit > '9') {
+            if (!isDigit(digit)) {
                 return false;
             }
             status = status * DECIMAL + digit - '0';
@@ -46,6 +51,37 @@
         return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
     }
 
+    /** Returns whether a line begins a final response. */
+    static boolean isFinalStatusLine(String line) {
+        return isFinalStatus(statusOf(line));
+    }
+
+    /** Returns whether a line begins an informational response, but no switch of protocols, which nobody requests. */
+    static boolean isInformationalStatusLine(String line) {
+        int status = statusOf(line);
+        return status >= MIN_STATUS && status < MIN_FINAL_STATUS && status != SWITCHING_PROTOCOLS;
+    }
+
+    /** Returns the status code of a status line, or -1 if it is malformed. */
+    private static int statusOf(String line) {
+        int statusEnd = STATUS_START + STATUS_DIGITS;
+        if (line.length() < statusEnd
+                || !line.startsWith(VERSION)
+                || !isDigit(line.charAt(VERSION.length()))
+                || line.charAt(STATUS_START - 1) != ' '
+                || line.length() > statusEnd && line.charAt(statusEnd) != ' ') {
+            return -1;
+        }
+        String status = line.substring(STATUS_START, statusEnd);
+        return isStatus(status) ? Integer.parseInt(status) : -1;
+    }
+
+    /** Returns whether a field of a head states that a body follows. */
+    static boolean statesBody(String name, String value) {
+        return name.equalsIgnoreCase("Transfer-Encoding")
+                || name.equalsIgnoreCase("Content-Length") && !value.trim().equals("0");
+    }
+
     /**
      * Returns whether a text is the name of a header or trailer field.
      *
@@ -61,6 +97,10 @@
         return text.length() > 0;
     }
 
+    private static boolean isDigit(char character) {
+        return character >= '0' && character <= '9';
+    }
+
     /** Returns whether a character may be a part of a field name. */
     static boolean isNameCharacter(int character) {
         return character > ' ' && character <= LAST_PRINTABLE && SEPARATORS.indexOf(character) < 0;
--- a/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/HttpUpstreamSender.java
@@ -12,7 +12,6 @@
 import org.turmericspan.calls.SlotLease;
 import org.turmericspan.calls.UpstreamExchange;
 import org.turmericspan.calls.UpstreamSender;
-import org.turmericspan.heads.StrictHeads;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 
@@ -54,7 +53,6 @@
                 .followRedirects(false)
                 .retryOnConnectionFailure(false)
                 .addNetworkInterceptor(new SendProof.Interceptor())
-                .addNetworkInterceptor(new StrictHeads())
                 .build();
         this.clients = new UpstreamClients(template, clock);
     }
--- a/upstream/src/main/java/org/turmericspan/upstream/ObservedSocket.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ObservedSocket.java
@@ -3,9 +3,10 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ProtocolException;
 import java.net.Socket;
 
-/** Socket that shows what was received on it. */
+/** Socket that shows what was received on it, and fails at the first malformed line of a response head. */
 final class ObservedSocket extends Socket {
     private volatile ReceivedBytes received = new ReceivedBytes();
 
@@ -45,6 +46,9 @@
             int count = super.read(bytes, offset, length);
             if (count > 0) {
                 received.add(bytes, offset, count);
+                if (received.hasMalformedHead()) {
+                    throw new ProtocolException("Malformed response head");
+                }
             }
             return count;
         }
--- a/upstream/src/main/java/org/turmericspan/upstream/ReceivedBytes.java
+++ b/upstream/src/main/java/org/turmericspan/upstream/ReceivedBytes.java
@@ -1,23 +1,20 @@
 package org.turmericspan.upstream;
 
+import org.turmericspan.integrity.HeadReader;
+
 /**
- * Finds the bytes that were received behind the body of one response, which the HTTP library does not show. Counts the
- * bytes of the heads, informational ones included, and keeps the last bytes.
+ * Finds the bytes that were received behind the body of one response, and malformed lines of its head, which the
+ * HTTP library does not show. Counts the bytes of the heads, informational ones included, and keeps the last bytes.
  */
 final class ReceivedBytes {
     /** The HTTP library reads no more bytes than this at once, and reads none before it needs them. */
     private static final int MAX_FOLLOWING_BYTES = 8_192;
-    /** Position of the first digit of the status code in a status line. */
-    private static final int STATUS_CLASS_POSITION = 9;
 
+    private final HeadReader head = new HeadReader();
     private final byte[] last = new byte[MAX_FOLLOWING_BYTES];
     private long count;
-    private long headStart;
     private long headEnd;
     private long bodyLength;
-    private boolean isInHead = true;
-    private boolean isInformational;
-    private boolean isLineEmpty;
 
     /** Sets the length of the body, once the head was read; -1 if the response declares none. */
     synchronized void setBodyLength(long length) {
@@ -26,28 +23,18 @@
 
     synchronized void add(byte[] bytes, int offset, int length) {
         for (int i = offset; i < offset + length; i++) {
-            if (isInHead) {
-                readHead(bytes[i]);
-            }
             last[(int) (count % last.length)] = bytes[i];
             count++;
+            if (!head.isComplete()) {
+                head.accept(bytes[i]);
+                headEnd = head.isComplete() ? count : 0;
+            }
         }
     }
 
-    private void readHead(byte next) {
-        if (count - headStart == STATUS_CLASS_POSITION) {
-            isInformational = next == '1';
-        }
-        if (next != '\n') {
-            isLineEmpty &= next == '\r';
-        } else if (!isLineEmpty) {
-            isLineEmpty = true;
-        } else {
-            headEnd = count + 1;
-            headStart = headEnd;
-            isInHead = isInformational;
-            isLineEmpty = false;
-        }
+    /** Returns whether a line of the head was malformed, so that the bytes are no response. */
+    synchronized boolean hasMalformedHead() {
+        return head.isMalformed();
     }
 
     /** Returns whether bytes were received behind the body, or whether that cannot be told. */
--- a/upstream/src/test/java/org/turmericspan/upstream/BrokenHeadTest.java
+++ b/upstream/src/test/java/org/turmericspan/upstream/BrokenHeadTest.java
@@ -124,6 +124,28 @@
         expectLostAtOnce(responses);
     }
 
+    /** Guards against a wait for the rest of a head. */
+    @Test
+    void headThatStopsBehindMalformedLineCountsAsLost() throws IOException {
+        expectLostAtOnce(List.of(
+                "HTTP/1.1 000 Odd\r\n",
+                "HTTP/1.1 0200 OK\r\n" + ID,
+                "HTTP/1.1 200 OK\r\n" + ID + "X A: 1\r\n",
+                "ICY 200 OK\r\n"));
+    }
+
+    /** Guards against a malformed informational response, which the library drops without showing it. */
+    @Test
+    void malformedInformationalResponseCountsAsLost() throws IOException {
+        String ok = "HTTP/1.1 200 OK\r\n" + ID + "Content-Length: 5\r\n\r\nwhole";
+        expectLostAtOnce(List.of(
+                "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\n" + ok,
+                "HTTP/1.1 103 Early Hints\r\nContent-Length: " + ok.length() + "\r\n\r\n" + ok,
+                "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n" + ok,
+                "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok,
+                "ICY 200 OK\r\n" + ID + "Content-Length: 5\r\n\r\nwhole"));
+    }
+
     @Test
     void malformedProbeResponseReportsNothing() throws IOException {
         for (String response : List.of(
@@ -153,6 +175,7 @@
                 "HTTP/1.1 204 No Content\r\n" + ID + "\r\n",
                 "HTTP/1.1 304 Not Modified\r\n" + ID + "\r\n",
                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + ID + length,
+                "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + ID + length,
                 "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + ID + length,
                 "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09AZaz:\t1 \r\nX-Empty:\r\n" + ID + length,
                 "HTTP/1.1 200 OK\r\n" + ID + CHUNKED + "\r\n",
