--- a/balancing/src/main/java/org/turmericspan/balancing/FleetUpdater.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/FleetUpdater.java
@@ -30,7 +30,9 @@
     @Override
     public void onConfiguration(RoutingConfiguration candidate) {
         if (configuration.accept(candidate)) {
-            log.write(Event.notice(PART, "Configuration in force.").with("version", candidate.version()));
+            log.write(Event.notice(PART, "Configuration in force.")
+                    .with("version", candidate.version())
+                    .with("tenants", candidate.tenants().tenants().size()));
         }
     }
 
--- a/balancing/src/main/java/org/turmericspan/balancing/Route.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/Route.java
@@ -15,6 +15,7 @@
  * @param timeoutNanos longest time until the caller gets a response
  * @param targetLatencyNanos latency within which a response has its full value to the caller
  * @param priority priority of its requests; 0 is the highest
+ * @param isPublic whether callers need no key although tenants are configured
  */
 public record Route(
         RouteId id,
@@ -25,7 +26,8 @@
         int maxAttempts,
         long timeoutNanos,
         long targetLatencyNanos,
-        int priority) {
+        int priority,
+        boolean isPublic) {
     /** Copies the list of services. */
     public Route {
         services = List.copyOf(services);
--- a/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/RoutingConfiguration.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.turmericspan.ids.ServiceId;
+import org.turmericspan.tenancy.TenantDirectory;
 
 /** Immutable routing configuration. A newer version replaces it as a whole. */
 public final class RoutingConfiguration {
@@ -15,6 +16,7 @@
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<ServiceId, ServiceSpec> services;
     private final RequestLimits limits;
+    private final TenantDirectory tenants;
 
     /**
      * Creates a configuration.
@@ -23,12 +25,18 @@
      * @param routes routes of all hosts, in any order
      * @param services all services by name
      * @param limits limits on the requests of callers
+     * @param tenants tenants, whose keys callers present
      */
     public RoutingConfiguration(
-            long version, List<Route> routes, Map<ServiceId, ServiceSpec> services, RequestLimits limits) {
+            long version,
+            List<Route> routes,
+            Map<ServiceId, ServiceSpec> services,
+            RequestLimits limits,
+            TenantDirectory tenants) {
         this.version = version;
         this.services = Map.copyOf(services);
         this.limits = limits;
+        this.tenants = tenants;
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
@@ -69,6 +77,15 @@
         return limits;
     }
 
+    /**
+     * Returns the tenants.
+     *
+     * @return {@link TenantDirectory#NONE} when callers need no keys
+     */
+    public TenantDirectory tenants() {
+        return tenants;
+    }
+
     /**
      * Looks up a service.
      *
--- a/balancing/src/test/java/org/turmericspan/balancing/Samples.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/Samples.java
@@ -9,6 +9,7 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.tenancy.TenantDirectory;
 
 /** Creates objects that several tests use. */
 final class Samples {
@@ -29,12 +30,14 @@
                 3,
                 1_000_000_000L,
                 300_000_000L,
-                1);
+                1,
+                false);
     }
 
     static RoutingConfiguration configuration(long version, Route... routes) {
         ServiceSpec service = new ServiceSpec(SERVICE, "/health", 100, TimeUnit.SECONDS.toNanos(3), 8);
-        return new RoutingConfiguration(version, List.of(routes), Map.of(SERVICE, service), RequestLimits.DEFAULT);
+        return new RoutingConfiguration(
+                version, List.of(routes), Map.of(SERVICE, service), RequestLimits.DEFAULT, TenantDirectory.NONE);
     }
 
     static Registration registration(String id, AvailabilityZoneId zone) {
--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -13,6 +13,7 @@
 import org.turmericspan.balancing.WeightedRoundRobin;
 import org.turmericspan.balancing.WindowedRetryBudget;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.forwarding.CallerAccess;
 import org.turmericspan.forwarding.ForwardingTables;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
@@ -85,11 +86,12 @@
     @Singleton
     static ForwardingTables tables(
             ConfigurationHolder configuration,
+            CallerAccess access,
             UpstreamTable upstreams,
             WeightedRoundRobin roundRobin,
             WindowedRetryBudget repeats,
             CrashSuspects suspects) {
-        return new ForwardingTables(configuration, upstreams, roundRobin, repeats, suspects);
+        return new ForwardingTables(configuration, access, upstreams, roundRobin, repeats, suspects);
     }
 
     @Provides
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -12,6 +12,7 @@
 import org.turmericspan.balancing.FleetListener;
 import org.turmericspan.balancing.ProbeBudget;
 import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.caps.CapGate;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.events.JsonEventLog;
 import org.turmericspan.feed.CatchUp;
@@ -19,6 +20,7 @@
 import org.turmericspan.feed.StoreFeed;
 import org.turmericspan.feed.StoreProbes;
 import org.turmericspan.forwarding.CallProtocol;
+import org.turmericspan.forwarding.CallerAccess;
 import org.turmericspan.forwarding.ForwardingDependencies;
 import org.turmericspan.forwarding.ForwardingTables;
 import org.turmericspan.forwarding.NoticeRecorder;
@@ -31,6 +33,7 @@
 import org.turmericspan.platform.DocumentDecoder;
 import org.turmericspan.platform.PlatformCallProtocol;
 import org.turmericspan.platform.StoreClient;
+import org.turmericspan.tenancy.KeyCheck;
 
 /** Provides the event loops, clients, and the components that send and receive over the network. */
 @Module
@@ -171,6 +174,13 @@
         return new CatchUp(feed, settings.changeLimits(), workers.next());
     }
 
+    @Provides
+    @Singleton
+    static CallerAccess access(EntrySettings settings, StoreFeed feed) {
+        long limitMillis = settings.changeLimits().changeLimitMillis();
+        return new CallerAccess(new KeyCheck(() -> feed.confirmedAgeMillis() <= limitMillis), CapGate.OPEN);
+    }
+
     @Provides
     @Singleton
     static ForwardingDependencies forwarding(
--- a/errors/src/main/java/org/turmericspan/errors/ResultCode.java
+++ b/errors/src/main/java/org/turmericspan/errors/ResultCode.java
@@ -31,6 +31,12 @@
     METHOD_NOT_ALLOWED(1012, Ran.NO, 405, "The path does not take this method."),
     /** The request was not received completely in time. */
     SLOW_REQUEST(1013, Ran.NO, 408, "The request arrived too slowly."),
+    /** The request needs a key and has none. */
+    KEY_MISSING(1014, Ran.NO, 401, "The request needs a key."),
+    /** No tenant of the newest configuration holds the key. */
+    KEY_UNKNOWN(1015, Ran.NO, 401, "The key is unknown."),
+    /** The request has several credentials, of which none is preferred. */
+    KEY_AMBIGUOUS(1016, Ran.NO, 401, "The request has several credentials."),
     /** No upstream has a free slot, or none is expected to serve the request before its deadline. */
     NO_CAPACITY(1101, Ran.NO, 503, "No upstream has capacity."),
     /** The admission queue is full. */
@@ -49,6 +55,14 @@
     TOO_DEEP(1108, Ran.NO, 508, "The call chain is too deep."),
     /** The node has no accepted configuration yet. */
     NOT_READY(1109, Ran.NO, 503, "The node has no configuration yet."),
+    /** The tenant of the request has used up its cap. */
+    OVER_CAP(1110, Ran.NO, 429, "The tenant is over its cap."),
+    /** No node that may decide on the cap of the tenant has answered in time. */
+    CAP_UNDECIDED(1111, Ran.NO, 503, "The cap of the tenant could not be checked."),
+    /** The key is unknown to this node, which may lack the newest configuration. */
+    KEY_UNCONFIRMED(1112, Ran.NO, 503, "The key could not be checked against the newest configuration."),
+    /** The key was moved to another tenant while the request waited. */
+    KEY_MOVED(1113, Ran.NO, 503, "The key belongs to another tenant now."),
     /** The request was sent, but no complete response was received. */
     OUTCOME_UNKNOWN(1201, Ran.UNKNOWN, 502, "The outcome of the request is unknown."),
     /** The deadline passed after the request was sent. */
--- a/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
+++ b/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
@@ -39,6 +39,15 @@
     /** Age that others take a list for which may be stale, until it is watched; nobody is confirmed by it. */
     private static final int STALE_LIST_PERCENT = 50;
 
+    /**
+     * Returns the limit itself.
+     *
+     * @return time within which a confirmed change is in force on each node
+     */
+    public long changeLimitMillis() {
+        return limit.toMillis();
+    }
+
     private long millis(int percent) {
         return limit.toMillis() * percent / PERCENT;
     }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -11,6 +11,7 @@
 import org.turmericspan.balancing.Route;
 import org.turmericspan.balancing.SelectionCriteria;
 import org.turmericspan.balancing.UpstreamTable;
+import org.turmericspan.caps.CapDecision;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.forwarding.ForwardingMetrics.AttemptKind;
 import org.turmericspan.http.CallEnd;
@@ -57,6 +58,7 @@
     private final UpstreamTable upstreams;
     private final HeaderList headers;
     private final Consumer<ActiveRequest> closedListener;
+    private final Entitlement entitlement;
     private final LoadRefresher loadRefresher;
     private final AttemptTiming timing;
     private final Set<UpstreamId> triedUpstreams = new HashSet<>();
@@ -87,7 +89,9 @@
         this.requestId = dependencies.protocol().requestId(request.headers()).orElse("-");
         this.log = new RequestLog(dependencies.log(), dependencies.clock(), requestId, routingDecision, arrivedNanos);
         this.upstreams = dependencies.tables().upstreams();
-        this.headers = request.headers().endToEnd();
+        this.headers =
+                dependencies.protocol().identifiedHeaders(request.headers().endToEnd(), routingDecision.identity());
+        this.entitlement = new Entitlement(dependencies, request.headers(), routingDecision);
         this.loadRefresher = new LoadRefresher(upstreams, dependencies.loadProber(), reply.worker());
         this.timing = new AttemptTiming(upstreams, route, dependencies.clock(), log);
     }
@@ -97,6 +101,24 @@
         long remainingNanos =
                 deadlineNanos + DEADLINE_GRACE_NANOS - dependencies.clock().nowNanos();
         deadlineTimer = reply.worker().schedule(this::deadlinePassed, remainingNanos, TimeUnit.NANOSECONDS);
+        entitlement.charge(decision -> reply.worker().execute(() -> capDecided(decision)), this::beginAttempts);
+    }
+
+    private void capDecided(CapDecision decision) {
+        log.capDecided(decision);
+        if (closed) {
+            return;
+        }
+        if (decision.isAdmitted()) {
+            beginAttempts();
+        } else {
+            refuse(
+                    decision.outcome() == CapDecision.Outcome.OVER_CAP ? ResultCode.OVER_CAP : ResultCode.CAP_UNDECIDED,
+                    decision.retryAfterMillis());
+        }
+    }
+
+    private void beginAttempts() {
         selectUpstream(AttemptKind.FIRST);
     }
 
@@ -109,7 +131,12 @@
         double maxSlowdown =
                 timing.maxSlowdown(deadlineNanos - dependencies.clock().nowNanos());
         return new SelectionCriteria(
-                route.id(), routingDecision.service(), triedUpstreams, route.priority(), maxCost, maxSlowdown);
+                route.id(),
+                routingDecision.service(),
+                triedUpstreams,
+                routingDecision.priority(),
+                maxCost,
+                maxSlowdown);
     }
 
     /**
@@ -128,6 +155,11 @@
         if (closed) {
             return;
         }
+        Optional<ResultCode> withdrawal = entitlement.withdrawal();
+        if (withdrawal.isPresent()) {
+            fail(withdrawal.get());
+            return;
+        }
         long now = dependencies.clock().nowNanos();
         long waitedNanos = now - arrivedNanos;
         long remainingWaitNanos = route.targetLatencyNanos() / MAX_WAIT_DIVISOR - waitedNanos;
@@ -216,6 +248,7 @@
         return !closed
                 && sentAttempts < route.maxAttempts()
                 && attemptsInFlight.contains(attempt)
+                && entitlement.withdrawal().isEmpty()
                 && deadlineNanos - dependencies.clock().nowNanos() >= MIN_REMAINING_NANOS;
     }
 
@@ -238,7 +271,10 @@
         Optional<Placement> placement = upstreams.choose(selectionCriteria(MAX_HEDGE_COST));
         if (placement.isEmpty()) {
             scheduleHedgeCheck(attempt, HedgeRule.nextCheckAge(age));
-        } else if (dependencies.tables().retryBudget().tryAcquire(routingDecision.service(), route.priority())) {
+        } else if (dependencies
+                .tables()
+                .retryBudget()
+                .tryAcquire(routingDecision.service(), routingDecision.priority())) {
             startAttempt(placement.get(), AttemptKind.HEDGE);
         } else {
             upstreams.finish(placement.get(), AttemptResult.CANCELLED);
@@ -318,7 +354,10 @@
         if (permitted
                 && sentAttempts < route.maxAttempts()
                 && !dependencies.tables().suspects().isQuarantined(routingDecision.fingerprint())
-                && dependencies.tables().retryBudget().tryAcquire(routingDecision.service(), route.priority())) {
+                && dependencies
+                        .tables()
+                        .retryBudget()
+                        .tryAcquire(routingDecision.service(), routingDecision.priority())) {
             selectUpstream(AttemptKind.RETRY);
         } else {
             fail(ResultCode.SHED_BY_UPSTREAM);
@@ -374,6 +413,12 @@
         complete(LocalReply.of(code, RetryAfterRule.delayMillis(code, route, untilAdmissionNanos, requestId)));
     }
 
+    private void refuse(ResultCode code, long retryAfterMillis) {
+        dependencies.metrics().refused(code);
+        log.refused(code);
+        complete(LocalReply.of(code, retryAfterMillis));
+    }
+
     private void respond(ResponseMessage response) {
         if (closed) {
             return;
--- a/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
@@ -1,5 +1,6 @@
 package org.turmericspan.forwarding;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.turmericspan.balancing.LoadReport;
@@ -7,6 +8,7 @@
 import org.turmericspan.http.HeaderList;
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.tenancy.Identity;
 
 /** Reads and writes the headers that callers, nodes and upstreams exchange. */
 public interface CallProtocol {
@@ -27,9 +29,27 @@
     OptionalLong deadlineMillis(HeaderList headers);
 
     /**
-     * Builds the headers of an attempt.
+     * Reads where a caller may present a key.
+     *
+     * @param headers headers of the request
+     * @return values of all such fields, in their order
+     */
+    List<String> credentials(HeaderList headers);
+
+    /**
+     * Builds the headers that tell an upstream who the caller is, in place of what the caller itself said of that. No
+     * header shows the caller's key. Headers of an unchecked caller stay as they are.
      *
      * @param headers end-to-end headers of the caller's request
+     * @param identity identity of the caller
+     * @return the headers of which those of each attempt are built
+     */
+    HeaderList identifiedHeaders(HeaderList headers, Identity identity);
+
+    /**
+     * Builds the headers of an attempt.
+     *
+     * @param headers end-to-end headers of the request, with the identity of the caller
      * @param remainingMillis time until the deadline of the request
      * @param expected the only upstream that may run the request
      * @return the headers to send
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -14,6 +14,7 @@
 import org.turmericspan.http.RequestMessage;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.StableHash;
+import org.turmericspan.tenancy.Identity;
 
 /** Determines the route of each request and forwards the request to an upstream. */
 public final class ForwardingService implements HttpService {
@@ -120,6 +121,18 @@
             refuse(request, reply, ResultCode.NOT_CONFIGURED, 0, version);
             return;
         }
+        Identity identity = dependencies
+                .tables()
+                .access()
+                .keys()
+                .identify(
+                        configuration.get().tenants(),
+                        route.get().isPublic(),
+                        dependencies.protocol().credentials(request.headers()));
+        if (identity instanceof Identity.Refused refused) {
+            refuse(request, reply, refused.code(), NOT_READY_RETRY_AFTER_MILLIS, version);
+            return;
+        }
         long deadlineNanos = arrivedNanos + effectiveTimeoutNanos(request, route.get());
         if (!stopAdmission.admits(deadlineNanos)) {
             refuse(request, reply, ResultCode.STOPPING, RetryAfterRule.STOPPING_MILLIS, version);
@@ -136,7 +149,7 @@
                 dependencies,
                 request,
                 reply,
-                new RoutingDecision(route.get(), service, fingerprint, version),
+                new RoutingDecision(route.get(), service, fingerprint, version, identity),
                 arrivedNanos,
                 deadlineNanos,
                 activeRequests::remove);
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
@@ -7,9 +7,10 @@
 import org.turmericspan.balancing.WindowedRetryBudget;
 
 /**
- * Shared tables that determine the upstream of a request.
+ * Shared tables that determine whether a request is served, and by which upstream.
  *
  * @param configuration the active configuration
+ * @param access decides which callers are served
  * @param upstreams observed states of the upstreams
  * @param roundRobin distributes the requests of a route over its services
  * @param retryBudget limits retries and hedged requests
@@ -17,6 +18,7 @@
  */
 public record ForwardingTables(
         ConfigurationHolder configuration,
+        CallerAccess access,
         UpstreamTable upstreams,
         WeightedRoundRobin roundRobin,
         WindowedRetryBudget retryBudget,
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestLog.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestLog.java
@@ -4,12 +4,14 @@
 import org.turmericspan.balancing.AttemptResult;
 import org.turmericspan.balancing.Placement;
 import org.turmericspan.balancing.ServiceCapacity;
+import org.turmericspan.caps.CapDecision;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.forwarding.ForwardingMetrics.AttemptKind;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.tenancy.Identity;
 
 /**
  * Logs the choice of an upstream for each attempt of one request, and how the attempts and the request ended, with the
@@ -59,6 +61,22 @@
                 .with("elapsedMs", elapsedMillis()));
     }
 
+    void capDecided(CapDecision decision) {
+        log.write(Event.routine(LOG_PART, "Cap checked.")
+                .with("request", requestId)
+                .with("tenant", tenant())
+                .with("outcome", decision.outcome())
+                .with("grantor", decision.grantor())
+                .with("ageMs", decision.ageMillis()));
+    }
+
+    /** Returns the name of the caller's tenant; a dash if it has none. */
+    private String tenant() {
+        return routingDecision.identity() instanceof Identity.Known known
+                ? known.tenant().id().value()
+                : "-";
+    }
+
     void refused(ResultCode code) {
         log.write(refusal(code));
     }
@@ -78,6 +96,7 @@
                 .with("route", routingDecision.route().id())
                 .with("version", routingDecision.version())
                 .with("service", routingDecision.service())
+                .with("tenant", tenant())
                 .with("attempts", attempts)
                 .with("elapsedMs", elapsedMillis());
     }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RetryAfterRule.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RetryAfterRule.java
@@ -10,6 +10,9 @@
     /** Delay at a stopping node, since another one can serve the request at once. */
     static final long STOPPING_MILLIS = 0;
 
+    /** Delay of a request that is one of another tenant when it comes back. */
+    private static final long KEY_MOVED_MILLIS = 0;
+
     /** Divisor of the target latency that yields the usual delay. */
     private static final int TARGET_LATENCY_DIVISOR = 4;
     /** Delay after upstreams shed the request, which says little about whether the next one is shed. */
@@ -32,6 +35,9 @@
         if (code == ResultCode.STOPPING) {
             return STOPPING_MILLIS;
         }
+        if (code == ResultCode.KEY_MOVED) {
+            return KEY_MOVED_MILLIS;
+        }
         if (code == ResultCode.SHED_BY_UPSTREAM) {
             return SHED_MILLIS;
         }
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
@@ -1,18 +1,23 @@
 package org.turmericspan.forwarding;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.balancing.LoadReport;
 import org.turmericspan.balancing.ServingNotice;
+import org.turmericspan.http.HeaderField;
 import org.turmericspan.http.HeaderList;
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.tenancy.Identity;
 
 /** Call protocol with one plain header for each item; no response reports load or warm-up. */
 final class FakeCallProtocol implements CallProtocol {
     static final String REMAINING_MILLIS = "left";
     static final String EXPECTED = "expected";
+    static final String KEY = "key";
+    static final String TENANT = "tenant";
 
     @Override
     public Optional<String> requestId(HeaderList headers) {
@@ -26,6 +31,25 @@
                 .orElse(OptionalLong.empty());
     }
 
+    @Override
+    public List<String> credentials(HeaderList headers) {
+        return headers.fields().stream()
+                .filter(field -> field.name().equals(KEY))
+                .map(HeaderField::value)
+                .toList();
+    }
+
+    @Override
+    public HeaderList identifiedHeaders(HeaderList headers, Identity identity) {
+        if (identity instanceof Identity.Unchecked) {
+            return headers;
+        }
+        HeaderList withoutKey = headers.without(KEY).without(TENANT);
+        return identity instanceof Identity.Known known
+                ? withoutKey.with(TENANT, known.tenant().id().value())
+                : withoutKey;
+    }
+
     @Override
     public HeaderList attemptHeaders(HeaderList headers, long remainingMillis, UpstreamId expected) {
         return headers.with(REMAINING_MILLIS, Long.toString(remainingMillis)).with(EXPECTED, expected.value());
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingFixture.java
@@ -17,6 +17,7 @@
 import org.turmericspan.balancing.WeightedRoundRobin;
 import org.turmericspan.balancing.WeightedService;
 import org.turmericspan.balancing.WindowedRetryBudget;
+import org.turmericspan.caps.CapGate;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.http.HeaderList;
@@ -26,6 +27,8 @@
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.tenancy.KeyCheck;
+import org.turmericspan.tenancy.TenantDirectory;
 import org.turmericspan.testkit.ManualClock;
 import org.turmericspan.testkit.ManualExecutor;
 
@@ -48,6 +51,7 @@
     private final ForwardingService service = new ForwardingService(new ForwardingDependencies(
             new ForwardingTables(
                     configuration,
+                    new CallerAccess(new KeyCheck(() -> true), CapGate.OPEN),
                     upstreams,
                     new WeightedRoundRobin(random),
                     new WindowedRetryBudget(RULES, () -> 1, clock),
@@ -110,11 +114,31 @@
         configuration.accept(new RoutingConfiguration(
                 1,
                 List.of(
-                        new Route(new RouteId("r"), "h", "/retry/", desk, true, 2, timeoutNanos, targetLatencyNanos, 0),
                         new Route(
-                                new RouteId("o"), "h", "/once/", desk, false, 2, timeoutNanos, targetLatencyNanos, 0)),
+                                new RouteId("r"),
+                                "h",
+                                "/retry/",
+                                desk,
+                                true,
+                                2,
+                                timeoutNanos,
+                                targetLatencyNanos,
+                                0,
+                                false),
+                        new Route(
+                                new RouteId("o"),
+                                "h",
+                                "/once/",
+                                desk,
+                                false,
+                                2,
+                                timeoutNanos,
+                                targetLatencyNanos,
+                                0,
+                                false)),
                 Map.of(SERVICE, new ServiceSpec(SERVICE, "/health", 10, 0, 8)),
-                RequestLimits.DEFAULT));
+                RequestLimits.DEFAULT,
+                TenantDirectory.NONE));
     }
 
     final void start(int upstreamCount, String path) {
