--- a/tenancy/src/main/java/org/turmericspan/tenancy/KeyCheck.java
+++ b/tenancy/src/main/java/org/turmericspan/tenancy/KeyCheck.java
@@ -54,12 +54,29 @@
 
     /** Returns the key of a credential; empty when it has another scheme or no key. The scheme may be in any case. */
     private static Optional<ApiKey> parse(String credential) {
-        String text = credential.trim();
+        String text = withoutOuterSpaces(credential);
         int end = text.indexOf(' ');
         if (end < 0 || !text.substring(0, end).equalsIgnoreCase(SCHEME)) {
             return Optional.empty();
         }
-        String key = text.substring(end).trim();
+        String key = withoutOuterSpaces(text.substring(end));
         return ApiKey.isWellFormed(key) ? Optional.of(new ApiKey(key)) : Optional.empty();
     }
+
+    /** Removes spaces and tabs only, because other control characters make a key another one. */
+    private static String withoutOuterSpaces(String text) {
+        int start = 0;
+        int end = text.length();
+        while (start < end && isSpace(text.charAt(start))) {
+            start++;
+        }
+        while (end > start && isSpace(text.charAt(end - 1))) {
+            end--;
+        }
+        return text.substring(start, end);
+    }
+
+    private static boolean isSpace(char character) {
+        return character == ' ' || character == '\t';
+    }
 }
