--- a/entry/src/test/java/org/turmericspan/entry/EntryKeyTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryKeyTest.java
@@ -30,7 +30,7 @@
     @BeforeEach
     void start() throws Exception {
         platform = new PlatformStandIn();
-        publish(3, tenant("press", KEY), tenant("mill", OTHER_KEY));
+        publish(3, PlatformStandIn.tenant("press", KEY), PlatformStandIn.tenant("mill", OTHER_KEY));
         server = platform.addServer("i-1", "zone-a");
         int gossipPort = 20_000 + (int) (ProcessHandle.current().pid() % 1_000) * 8;
         for (int i = 1; i <= 2; i++) {
@@ -50,11 +50,6 @@
         platform.close();
     }
 
-    private static String tenant(String name, String... keys) {
-        List<String> quoted = List.of(keys).stream().map(key -> '"' + key + '"').toList();
-        return "{\"Name\":\"" + name + "\",\"ApiKeys\":[" + String.join(",", quoted) + "]}";
-    }
-
     private void publish(long version, String... tenants) {
         platform.configure(
                 version, List.of(PlatformStandIn.route("/a/", "safe")), "[" + String.join(",", tenants) + "]");
@@ -106,7 +101,7 @@
             }
             callers.forEach(
                     caller -> assertThat(caller.get("/a/before", "b").status()).isEqualTo(200));
-            publish(4, tenant("press"), tenant("mill", OTHER_KEY));
+            publish(4, PlatformStandIn.tenant("press"), PlatformStandIn.tenant("mill", OTHER_KEY));
             long publishedNanos = System.nanoTime();
             for (PersistentCaller caller : callers) {
                 Exchange exchange = caller.get("/a/after", "a");
@@ -124,7 +119,11 @@
 
     @Test
     void keyMovedToAnotherTenantCountsForThatOne() throws Exception {
-        publish(4, tenant("press"), tenant("foundry", KEY), tenant("mill", OTHER_KEY));
+        publish(
+                4,
+                PlatformStandIn.tenant("press"),
+                PlatformStandIn.tenant("foundry", KEY),
+                PlatformStandIn.tenant("mill", OTHER_KEY));
         await("moved", () -> {
             get(nodes.get(0), KEY, "/a/moved");
             List<Arrival> arrivals = server.arrivals();
@@ -138,7 +137,7 @@
 
     @Test
     void configurationInWhichTwoTenantsShareAKeyIsNotTaken() throws Exception {
-        publish(4, tenant("press", KEY), tenant("foundry", KEY));
+        publish(4, PlatformStandIn.tenant("press", KEY), PlatformStandIn.tenant("foundry", KEY));
         // Only a node that reads the store itself gets the document; it does not pass it on.
         await("rejected", () -> nodes.stream().anyMatch(node -> node.logContains("share a key")));
         for (NodeProcess node : nodes) {
--- a/entry/src/test/java/org/turmericspan/entry/EntrySoakTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySoakTest.java
@@ -60,6 +60,11 @@
             System.out.println("soak: " + context);
             callers.calls().forEach(call -> check(fleet, call, context));
             callers.exchanges().forEach(exchange -> check(fleet, faults, exchange, context));
+            assertThat(callers.steadyKeyStatuses())
+                    .as("a key that is held is never unknown, " + context)
+                    .contains(200)
+                    .doesNotContain(401);
+            checkTenants(fleet, context);
             for (SoakFaults.DrainedServer drained : faults.drained()) {
                 assertThat(drained.registered().server().lastRunNanos())
                         .as("last run at drained "
@@ -110,6 +115,22 @@
         }
     }
 
+    /** Checks that servers saw the tenant that holds the key of each request, and no key. */
+    private static void checkTenants(SoakFleet fleet, String context) {
+        fleet.servers().stream()
+                .flatMap(registered -> registered.server().arrivals().stream())
+                .filter(arrival -> arrival.path().startsWith("/keyed/"))
+                .forEach(arrival -> {
+                    String holder = arrival.path().endsWith(SoakFleet.STEADY_KEY)
+                            ? SoakFleet.STEADY_TENANT
+                            : SoakFleet.CHANGING_TENANT;
+                    assertThat(arrival.headers().first("Turmericspan-Tenant-Id"))
+                            .as("tenant of a request, " + context)
+                            .hasValue(holder);
+                    assertThat(arrival.headers().toString()).as(context).doesNotContain("secret");
+                });
+    }
+
     private static void awaitServing(SoakFleet fleet, String context) throws InterruptedException {
         long endNanos = System.nanoTime() + MAX_RECOVERY.toNanos();
         while (!fleet.nodes().stream().allMatch(node -> node.isReady() && serves(node, "w"))) {
--- a/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
@@ -102,6 +102,18 @@
                 + "\"TargetLatencyS\":0.5,\"MaxAttempts\":3,\"Priority\":0}";
     }
 
+    /** Returns a route for which callers need no key although there are tenants. */
+    static String publicRoute(String prefix, String type) {
+        String route = route(prefix, type);
+        return route.substring(0, route.length() - 1) + ",\"Public\":true}";
+    }
+
+    /** Returns a tenant with its keys. */
+    static String tenant(String name, String... keys) {
+        List<String> quoted = List.of(keys).stream().map(key -> '"' + key + '"').toList();
+        return "{\"Name\":\"" + name + "\",\"ApiKeys\":[" + String.join(",", quoted) + "]}";
+    }
+
     void configure(long version, List<String> routes) {
         configure(version, routes, DEFAULT_MAX_BODY_BYTES);
     }
--- a/entry/src/test/java/org/turmericspan/entry/SoakCallers.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakCallers.java
@@ -24,6 +24,7 @@
     private final SoakFleet fleet;
     private final long seed;
     private final Queue<NodeExchange> exchanges = new ConcurrentLinkedQueue<>();
+    private final Queue<Integer> steadyKeyStatuses = new ConcurrentLinkedQueue<>();
     private final Queue<CompletedCall> completedCalls = new ConcurrentLinkedQueue<>();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean stopped;
@@ -65,6 +66,32 @@
             thread.start();
             threads.add(thread);
         }
+        for (String key : List.of(SoakFleet.STEADY_KEY, SoakFleet.CHANGING_KEY)) {
+            Thread thread = new Thread(() -> sendWithKey(key), "soak-" + key);
+            thread.setDaemon(true);
+            thread.start();
+            threads.add(thread);
+        }
+    }
+
+    /** Sends requests with a key to each node in turn. */
+    private void sendWithKey(String key) {
+        List<PersistentCaller> callers = fleet.nodes().stream()
+                .map(node -> new PersistentCaller(node.callerAddress(), "Authorization: Token " + key + "\r\n"))
+                .toList();
+        try {
+            for (int i = 0; !stopped; i++) {
+                Exchange exchange = callers.get(i % callers.size()).get("/keyed/" + key, "key-" + i);
+                if (key.equals(SoakFleet.STEADY_KEY)) {
+                    steadyKeyStatuses.add(exchange.status());
+                }
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            callers.forEach(PersistentCaller::close);
+        }
     }
 
     /** Sends requests to one node, also while it stops. Half of them have a body that is sent slowly in chunks. */
@@ -123,6 +150,11 @@
         return List.copyOf(exchanges);
     }
 
+    /** Returns the statuses of requests with the key that every configuration holds. */
+    List<Integer> steadyKeyStatuses() {
+        return List.copyOf(steadyKeyStatuses);
+    }
+
     List<CompletedCall> calls() {
         return List.copyOf(completedCalls);
     }
--- a/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
@@ -40,6 +40,9 @@
     /** Draws the series of stops, so that a seed draws the other faults as it did without them. */
     private final SplittableRandom seriesRandom;
 
+    /** Draws when a key is taken away, likewise. */
+    private final SplittableRandom keyRandom;
+
     /** Has several threads, since the restart of a suspended node blocks until another thread resumes the node. */
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
 
@@ -98,6 +101,7 @@
         this.fleet = fleet;
         this.random = new SplittableRandom(seed);
         this.seriesRandom = new SplittableRandom(~seed);
+        this.keyRandom = new SplittableRandom(Long.reverse(seed));
     }
 
     /** Injects faults for a duration and waits until all have ended. */
@@ -110,6 +114,9 @@
             if (seriesRandom.nextInt(injectors.size()) == 0) {
                 stopNodesInSeries(durationMillis);
             }
+            if (keyRandom.nextInt(injectors.size()) == 0) {
+                takeKey(durationMillis);
+            }
         }
         for (Future<?> end : faultEnds) {
             end.get();
@@ -296,6 +303,12 @@
         scheduleEnd(durationMillis, () -> fleet.evacuate(zone, false));
     }
 
+    private void takeKey(long durationMillis) {
+        recordFault("take a key away", durationMillis);
+        fleet.takeKey(true);
+        scheduleEnd(durationMillis, () -> fleet.takeKey(false));
+    }
+
     private void publishConfiguration(long durationMillis) {
         recordFault("publish configuration", 0);
         fleet.publishConfiguration();
--- a/entry/src/test/java/org/turmericspan/entry/SoakFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakFleet.java
@@ -8,6 +8,15 @@
 
 /** Node processes that reach their servers and the store through links, which can inject faults. */
 final class SoakFleet implements AutoCloseable {
+    /** Tenant whose key every configuration holds, and that key. */
+    static final String STEADY_TENANT = "steady";
+
+    static final String STEADY_KEY = "secret-of-steady";
+    /** Tenant whose key is taken away at times, and that key. */
+    static final String CHANGING_TENANT = "changing";
+
+    static final String CHANGING_KEY = "secret-of-changing";
+
     private static final List<String> ZONES = List.of("zone-a", "zone-b");
     private static final int NODES = Integer.getInteger("soak.nodes", 4);
     private static final int SERVERS = 6;
@@ -18,6 +27,7 @@
     private final Link storeLink;
     private int serverCount;
     private long version;
+    private boolean isKeyTaken;
 
     /**
      * A server that is registered under the address of its link.
@@ -44,11 +54,26 @@
         }
     }
 
+    /** Takes the key of a tenant away, or gives it back, with a new version of the configuration. */
+    void takeKey(boolean isTaken) {
+        isKeyTaken = isTaken;
+        publishConfiguration();
+    }
+
     /** Publishes a new version of the configuration with the same routes; the version increases in uneven steps. */
-    void publishConfiguration() {
+    synchronized void publishConfiguration() {
         version += 1 + version % 3;
         platform.configure(
-                version, List.of(PlatformStandIn.route("/safe/", "safe"), PlatformStandIn.route("/once/", "unsafe")));
+                version,
+                List.of(
+                        PlatformStandIn.publicRoute("/safe/", "safe"),
+                        PlatformStandIn.publicRoute("/once/", "unsafe"),
+                        PlatformStandIn.route("/keyed/", "safe")),
+                "[" + PlatformStandIn.tenant(STEADY_TENANT, STEADY_KEY) + ","
+                        + (isKeyTaken
+                                ? PlatformStandIn.tenant(CHANGING_TENANT)
+                                : PlatformStandIn.tenant(CHANGING_TENANT, CHANGING_KEY))
+                        + "]");
     }
 
     RegisteredServer addServer() throws IOException, InterruptedException {
