--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -2,10 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -19,28 +18,20 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.transport.InboundHandler;
 
-/** Connection of one caller. Handles requests sequentially; pipelined requests wait in a bounded queue. */
+/** Input and output of the connection of one caller; {@link RequestPipeline} decides which requests start. */
 final class CallerConnection implements InboundHandler {
-    /** Number of queued pipelined requests at which reading from the connection pauses. */
-    private static final int MAX_PIPELINED = 8;
-    /** Time without bytes of the caller after which a connection is closed behind the last response. */
-    private static final long LINGER_MILLIS = 1_000;
-    /** Maximum time for which the rest of a refused request is received and dropped. */
-    private static final long MAX_LINGER_NANOS = TimeUnit.SECONDS.toNanos(10);
-
     private static final int MAX_ASCII = 127;
     private static final String PART = "front";
+    private static final byte[] NO_BODY = new byte[0];
 
-    private final Deque<ReceivedRequest> pipelined = new ArrayDeque<>();
+    private final RequestPipeline<CallerExchange> pipeline =
+            new RequestPipeline<>(this::isRepeatable, this::hasRoomAhead);
     private final HttpService service;
     private final ListenerLimits limits;
     private final ListenerState state;
@@ -50,7 +41,9 @@
     private ChannelHandlerContext context;
     private HttpRequest head;
     private BodyBuffer body;
-    private CurrentReply currentReply;
+    private CallerExchange.Owner owner;
+    private boolean expectsContinue;
+    private boolean advancing;
     private volatile boolean sendingResponse;
     private volatile boolean closing;
     private long idleSinceNanos;
@@ -58,9 +51,6 @@
     private long lastReceivedNanos;
     private volatile boolean receivingMessage;
 
-    /** A complete request, whose body takes memory until the request has its response. */
-    private record ReceivedRequest(RequestMessage message, BodyBuffer body) {}
-
     CallerConnection(
             HttpService service,
             ListenerLimits limits,
@@ -80,6 +70,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext handlerContext) {
         context = handlerContext;
+        owner = new CallerExchange.Owner(clock, context.executor(), this::answered);
         state.add(this);
     }
 
@@ -99,7 +90,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
         try {
-            if (!closing) {
+            if (!closing && !pipeline.isEnding()) {
                 handle(message);
             }
         } finally {
@@ -140,6 +131,15 @@
         } else if (!body.tryExpect((int) contentLength)) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the body");
         } else if (HttpUtil.is100ContinueExpected(request)) {
+            expectsContinue = true;
+            sendContinueIfDue();
+        }
+    }
+
+    /** Sends the interim response to the head that is being received, when all responses before it are sent. */
+    private void sendContinueIfDue() {
+        if (expectsContinue && pipeline.isEmpty()) {
+            expectsContinue = false;
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
@@ -163,6 +163,7 @@
             return;
         }
         ByteBuf bytes = content.content();
+        expectsContinue &= !bytes.isReadable();
         if (body.size() + bytes.readableBytes() > limits.maxBodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body");
             return;
@@ -175,133 +176,167 @@
             receivingMessage = false;
             RequestMessage message = new RequestMessage(
                     head.method().name(), head.uri(), NettyHeaders.read(head.headers()), body.toByteArray());
-            pipelined.addLast(new ReceivedRequest(message, body));
+            CallerExchange exchange = CallerExchange.ofRequest(message, body, owner, lastReceivedNanos);
             head = null;
             body = null;
-            handleNext();
+            expectsContinue = false;
+            add(exchange);
+        }
+    }
+
+    private void add(CallerExchange exchange) {
+        boolean last = exchange.isLast();
+        if (last && !exchange.isRejection() && !pipeline.isEmpty()) {
+            // A caller that has said so may send the end of its bytes before it has all responses.
+            context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         }
+        pipeline.add(exchange, last);
+        advance();
     }
 
-    private void handleNext() {
-        if (closing) {
-            // The last response closes the connection, so a request behind it could not be answered.
-            dropReceived();
-            context.channel().config().setAutoRead(true);
+    /** Sends the responses and starts the requests whose turn it is. A nested call leaves them to the outer one. */
+    private void advance() {
+        if (advancing) {
             return;
         }
-        if (currentReply == null && !sendingResponse && !pipelined.isEmpty()) {
-            if (!memory.hasRoomForResponses()) {
-                reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the response");
-                return;
+        advancing = true;
+        try {
+            boolean moved = true;
+            while (moved) {
+                moved = sendNext() || startNext();
             }
-            ReceivedRequest request = pipelined.removeFirst();
-            currentReply = new CurrentReply(request);
-            service.handle(request.message(), currentReply);
+        } finally {
+            advancing = false;
+        }
+        sendingResponse = pipeline.isSending();
+        sendContinueIfDue();
+        context.channel().config().setAutoRead(pipeline.mayReceive());
+    }
+
+    private boolean sendNext() {
+        Optional<CallerExchange> next = pipeline.sendNext();
+        next.ifPresent(this::write);
+        return next.isPresent();
+    }
+
+    private boolean startNext() {
+        Optional<CallerExchange> next = pipeline.startNext();
+        next.ifPresent(this::start);
+        return next.isPresent();
+    }
+
+    private boolean isRepeatable(CallerExchange exchange) {
+        return !exchange.isRejection() && service.isRepeatable(exchange.message());
+    }
+
+    private boolean hasRoomAhead(CallerExchange exchange) {
+        return memory.hasRoomForResponses() && service.hasRoom(exchange.message());
+    }
+
+    private void start(CallerExchange exchange) {
+        if (exchange.isRejection()) {
+            pipeline.answer(exchange);
+        } else if (memory.hasRoomForResponses()) {
+            state.requestStarted();
+            service.handle(exchange.message(), exchange);
+        } else {
+            exchange.refuse(rejection(HttpResponseStatus.SERVICE_UNAVAILABLE, "no memory for the response"));
+            pipeline.answer(exchange);
+            dropReceiving();
+            giveUp(pipeline.endBehind(exchange));
         }
-        context.channel().config().setAutoRead(pipelined.size() < MAX_PIPELINED);
     }
 
-    /** Returns whether the head of the next request, or all of it, has been received. */
-    private boolean hasReceivedNext() {
-        return head != null || !pipelined.isEmpty();
+    private void answered(CallerExchange exchange) {
+        idleSinceNanos = clock.nowNanos();
+        memory.addResponse(exchange.responseBytes());
+        pipeline.answer(exchange);
+        state.requestEnded();
+        advance();
     }
 
-    /** Drops the requests that no service has handled, and releases their memory. */
-    private void dropReceived() {
-        pipelined.forEach(request -> request.body().close());
-        pipelined.clear();
+    private void giveUp(RequestPipeline.Dropped<CallerExchange> dropped) {
+        dropped.waiting().forEach(CallerExchange::drop);
+        dropped.answered().forEach(exchange -> memory.releaseResponse(exchange.responseBytes()));
+        dropped.inProgress().forEach(exchange -> {
+            state.requestEnded();
+            exchange.cancel();
+        });
+    }
+
+    /** Drops the request that is being received, and releases its memory. */
+    private void dropReceiving() {
         if (body != null) {
             body.close();
             body = null;
         }
         head = null;
+        expectsContinue = false;
     }
 
+    /** Responds to bytes that are not accepted, behind the responses to the requests before them. */
     private void reject(HttpResponseStatus status, String reason) {
+        dropReceiving();
+        add(CallerExchange.ofRejection(rejection(status, reason)));
+    }
+
+    private ResponseMessage rejection(HttpResponseStatus status, String reason) {
         log.write(Event.notice(PART, "Request not accepted.")
                 .with("status", status.code())
                 .with("reason", reason));
-        dropReceived();
-        context.channel().config().setAutoRead(true);
-        if (currentReply == null) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
-            if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER, state.nextRetryAfter());
-            }
-            write(response, true);
-        } else {
-            closing = true;
-        }
+        HeaderList headers = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                ? HeaderList.EMPTY.with("Retry-After", state.nextRetryAfter())
+                : HeaderList.EMPTY;
+        return new ResponseMessage(status.code(), headers, NO_BODY);
     }
 
-    /** Sends a response. The next request is handled when it is sent, so that a caller which reads none stops. */
-    private void write(FullHttpResponse response, boolean close) {
-        int length = response.content().readableBytes();
-        HttpUtil.setContentLength(response, length);
+    /** Sends a response. The next one is sent when it is sent, so that a caller which reads none stops. */
+    private void write(CallerExchange exchange) {
+        ResponseMessage response = exchange.response();
+        FullHttpResponse message = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(response.status()),
+                Unpooled.wrappedBuffer(response.body()));
+        NettyHeaders.write(response.headers(), message.headers());
+        HttpUtil.setContentLength(message, exchange.responseBytes());
+        // The last response is the one that the caller asked to be, or any without a request behind it in a stop.
+        boolean close = pipeline.isFirstLast() || state.isDraining() && head == null && pipeline.hasNoneBehindFirst();
         if (close) {
             closing = true;
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        memory.addResponse(length);
         sendingResponse = true;
-        context.writeAndFlush(response).addListener((ChannelFutureListener) sent -> {
-            memory.releaseResponse(length);
-            sendingResponse = false;
+        context.writeAndFlush(message).addListener((ChannelFutureListener) sent -> {
+            memory.releaseResponse(exchange.responseBytes());
+            pipeline.sent();
             if (!sent.isSuccess()) {
                 abandon(sent.cause());
             } else if (close) {
-                closeGracefully(sent.channel());
+                sendingResponse = false;
+                new LingeringClose(sent.channel(), clock, () -> lastReceivedNanos).start();
             } else {
-                handleNext();
+                advance();
             }
         });
     }
 
-    /** Closes a connection that takes no response, before a request behind it is handled. */
+    /** Closes a connection that takes no response, and cancels the requests behind it. */
     private void abandon(Throwable cause) {
         log.write(Event.notice(PART, "Response not sent.").with("cause", cause));
         closing = true;
-        dropReceived();
+        sendingResponse = false;
+        dropReceiving();
+        giveUp(pipeline.close());
         context.close();
     }
 
-    /**
-     * Shuts down output before closing, since closing with input still arriving would reset the connection, and the
-     * response could be lost.
-     */
-    private void closeGracefully(Channel channel) {
-        if (channel instanceof SocketChannel socket && socket.isActive()) {
-            socket.shutdownOutput();
-            closeWhenSilent(channel, clock.nowNanos());
-        } else {
-            channel.close();
-        }
-    }
-
-    /** Closes the connection when the caller sends no more, as it may do until it reads the response. */
-    private void closeWhenSilent(Channel channel, long startNanos) {
-        channel.eventLoop()
-                .schedule(
-                        () -> {
-                            long nowNanos = clock.nowNanos();
-                            boolean isSilent =
-                                    nowNanos - lastReceivedNanos >= TimeUnit.MILLISECONDS.toNanos(LINGER_MILLIS);
-                            if (isSilent || nowNanos - startNanos >= MAX_LINGER_NANOS) {
-                                channel.close();
-                            } else {
-                                closeWhenSilent(channel, startNanos);
-                            }
-                        },
-                        LINGER_MILLIS,
-                        TimeUnit.MILLISECONDS);
-    }
-
     /** Rejects a request head that exceeded its timeout; closes a connection that was idle or receiving too long. */
     void checkTimeouts(long nowNanos) {
-        if (closing || currentReply != null) {
+        if (closing || pipeline.hasInProgress()) {
             return;
         }
-        if (receivingMessage && head == null && nowNanos - messageStartNanos > limits.headTimeoutNanos()) {
+        boolean receivingHead = receivingMessage && head == null && pipeline.isEmpty();
+        if (receivingHead && nowNanos - messageStartNanos > limits.headTimeoutNanos()) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "request head not complete within its timeout");
         } else if (nowNanos - Math.max(idleSinceNanos, messageStartNanos) > limits.idleTimeoutNanos()) {
             closing = true;
@@ -327,8 +362,7 @@
      * that crosses the close is not read.
      */
     void closeIfIdle(long minIdleNanos) {
-        boolean hasRequest =
-                currentReply != null || !pipelined.isEmpty() || receivingMessage || sendingResponse || closing;
+        boolean hasRequest = !pipeline.isEmpty() || receivingMessage || closing;
         if (!hasRequest && clock.nowNanos() - idleSinceNanos >= minIdleNanos) {
             closing = true;
             state.closedIdle();
@@ -344,10 +378,8 @@
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
         state.remove(this);
-        dropReceived();
-        if (currentReply != null) {
-            currentReply.onDisconnect();
-        }
+        dropReceiving();
+        giveUp(pipeline.close());
     }
 
     @Override
@@ -355,60 +387,4 @@
         log.write(Event.notice(PART, "Caller connection failed.").with("cause", cause));
         context.close();
     }
-
-    /** Reply to the request in progress. */
-    private final class CurrentReply implements Reply {
-        private final ReceivedRequest request;
-        private Runnable disconnectAction = () -> {};
-        private boolean completed;
-
-        CurrentReply(ReceivedRequest request) {
-            this.request = request;
-            state.requestStarted();
-        }
-
-        @Override
-        public void send(ResponseMessage response) {
-            if (completed) {
-                return;
-            }
-            complete();
-            FullHttpResponse message = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(response.status()),
-                    Unpooled.wrappedBuffer(response.body()));
-            NettyHeaders.write(response.headers(), message.headers());
-            boolean keepAlive = request.message()
-                    .headers()
-                    .first("Connection")
-                    .map(value -> !value.equalsIgnoreCase("close"))
-                    .orElse(true);
-            write(message, closing || !keepAlive || state.isDraining() && !hasReceivedNext());
-        }
-
-        private void complete() {
-            completed = true;
-            currentReply = null;
-            request.body().close();
-            idleSinceNanos = clock.nowNanos();
-            state.requestEnded();
-        }
-
-        void onDisconnect() {
-            if (!completed) {
-                complete();
-                disconnectAction.run();
-            }
-        }
-
-        @Override
-        public void onCallerGone(Runnable action) {
-            disconnectAction = action;
-        }
-
-        @Override
-        public ScheduledExecutorService worker() {
-            return context.executor();
-        }
-    }
 }
--- a/http/src/main/java/org/turmericspan/http/Reply.java
+++ b/http/src/main/java/org/turmericspan/http/Reply.java
@@ -18,6 +18,15 @@
      */
     void onCallerGone(Runnable action);
 
+    /**
+     * Returns how long the request has waited on its connection since it was received.
+     *
+     * @return time in nanoseconds, which counts towards the deadline of the request
+     */
+    default long waitedNanos() {
+        return 0;
+    }
+
     /**
      * Returns the worker of the connection, which runs all events of the request sequentially.
      *
