--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.turmericspan.balancing.Route;
 import org.turmericspan.balancing.RoutingConfiguration;
+import org.turmericspan.balancing.SelectionCriteria;
+import org.turmericspan.balancing.WeightedService;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.events.Event;
 import org.turmericspan.http.HttpService;
@@ -72,7 +74,7 @@
 
     @Override
     public void handle(RequestMessage request, Reply reply) {
-        long arrivedNanos = dependencies.clock().nowNanos();
+        long arrivedNanos = dependencies.clock().nowNanos() - reply.waitedNanos();
         if (isReady()) {
             forward(request, reply, arrivedNanos);
         } else {
@@ -82,6 +84,36 @@
         }
     }
 
+    @Override
+    public boolean isRepeatable(RequestMessage request) {
+        return findRoute(request).filter(Route::idempotent).isPresent();
+    }
+
+    @Override
+    public boolean hasRoom(RequestMessage request) {
+        return findRoute(request).filter(this::admitsNow).isPresent();
+    }
+
+    /** Returns whether an upstream of one of the services of the route takes a request now, by what they said. */
+    private boolean admitsNow(Route route) {
+        for (WeightedService candidate : route.services()) {
+            SelectionCriteria criteria = new SelectionCriteria(
+                    route.id(), candidate.service(), Set.of(), route.priority(), Double.MAX_VALUE, Double.MAX_VALUE);
+            if (dependencies.tables().upstreams().untilAdmissionNanos(criteria) == 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Optional<Route> findRoute(RequestMessage request) {
+        return dependencies
+                .tables()
+                .configuration()
+                .current()
+                .flatMap(configuration -> configuration.findRoute(hostOf(request), request.path()));
+    }
+
     private void awaitReady(RequestMessage request, Reply reply, AtomicBoolean disconnected, long arrivedNanos) {
         if (disconnected.get()) {
             return;
@@ -153,7 +185,7 @@
                 arrivedNanos,
                 deadlineNanos,
                 activeRequests::remove);
-        lastAcceptedNanos = arrivedNanos;
+        lastAcceptedNanos = dependencies.clock().nowNanos();
         activeRequests.add(activeRequest);
         activeRequest.start();
     }
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeReply.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeReply.java
@@ -4,11 +4,12 @@
 import org.turmericspan.http.Reply;
 import org.turmericspan.http.ResponseMessage;
 
-/** Records the response, rejects a second one, and lets a test disconnect the caller. */
+/** Records the response, rejects a second one, and lets a test disconnect the caller or delay its request. */
 final class FakeReply implements Reply {
     private final ScheduledExecutorService worker;
     private Runnable disconnectAction = () -> {};
     private ResponseMessage response;
+    private long waitedNanos;
 
     FakeReply(ScheduledExecutorService worker) {
         this.worker = worker;
@@ -32,6 +33,16 @@
         return worker;
     }
 
+    @Override
+    public long waitedNanos() {
+        return waitedNanos;
+    }
+
+    /** Sets how long the request has waited on its connection. */
+    void setWaitedNanos(long nanos) {
+        waitedNanos = nanos;
+    }
+
     void disconnect() {
         disconnectAction.run();
     }
