--- a/http/src/main/java/org/turmericspan/http/HttpListener.java
+++ b/http/src/main/java/org/turmericspan/http/HttpListener.java
@@ -21,6 +21,8 @@
 public final class HttpListener implements AutoCloseable {
     /** Interval between two checks of the connection timeouts. */
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 1_000;
+    /** Maximum number of decoded heads without a response on one connection; the bytes of one read hold fewer. */
+    private static final int MAX_PIPELINE_DEPTH = 8_192;
 
     private final ListenerState state = new ListenerState();
     private final Channel channel;
@@ -64,7 +66,7 @@
         CallerConnection connection = new CallerConnection(service, limits, state, memory, clock, log);
         scheduleCheck();
         pipeline.addLast(new ReceiveNotifier(connection))
-                .addLast(new HttpServerCodec(decoder))
+                .addLast(new HttpServerCodec(decoder, MAX_PIPELINE_DEPTH))
                 .addLast(connection);
     }
 
