--- a/entry/src/test/java/org/turmericspan/entry/EntrySoakTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySoakTest.java
@@ -56,10 +56,12 @@
             faults.run(duration);
             callers.stop();
             String context = "seed " + seed + ", " + callers.statuses() + ", "
-                    + callers.exchanges().size() + " on kept connections, " + faults.injected();
+                    + callers.exchanges().size() + " on kept connections, " + callers.servedAhead()
+                    + " served of those sent ahead, " + faults.injected();
             System.out.println("soak: " + context);
             callers.calls().forEach(call -> check(fleet, call, context));
             callers.exchanges().forEach(exchange -> check(fleet, faults, exchange, context));
+            assertThat(callers.servedAhead()).as(context).isPositive();
             for (SoakFaults.DrainedServer drained : faults.drained()) {
                 assertThat(drained.registered().server().lastRunNanos())
                         .as("last run at drained "
@@ -103,6 +105,11 @@
                     .as("runs of a request reported as not run, " + sent + ", " + context)
                     .isZero();
         }
+        if (exchange.status() == 200) {
+            assertThat(exchange.answeredId())
+                    .as("response to the own request, " + sent + ", " + context)
+                    .isEqualTo(exchange.id());
+        }
         if (exchange.isUnanswered() && !faults.isDisrupted(sent.node(), exchange.sentNanos(), exchange.endNanos())) {
             assertThat(runs)
                     .as("runs of a lost request, " + sent + ", " + context)
--- a/entry/src/test/java/org/turmericspan/entry/PersistentCaller.java
+++ b/entry/src/test/java/org/turmericspan/entry/PersistentCaller.java
@@ -9,11 +9,13 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.ids.SocketAddress;
 
-/** A caller that keeps its connection, can send a body slowly in chunks, and records how each request ended. */
+/** A caller that keeps its connection, sends bodies slowly or requests ahead, and records how each request ended. */
 final class PersistentCaller implements AutoCloseable {
     private static final int TIMEOUT_MILLIS = 8_000;
     private static final String CHUNK = "4\r\nbody\r\n";
@@ -31,8 +33,9 @@
      * @param status status of the response, or 0 if the connection ended without a complete response
      * @param sentNanos time at which the last byte was sent
      * @param endNanos time at which the response was complete, or the connection ended
+     * @param answeredId request id that the response echoed; empty if there is none
      */
-    record Exchange(String id, boolean complete, int status, long sentNanos, long endNanos) {
+    record Exchange(String id, boolean complete, int status, long sentNanos, long endNanos, String answeredId) {
         boolean isUnanswered() {
             return complete && status == 0;
         }
@@ -42,6 +45,23 @@
         }
     }
 
+    /**
+     * A request that is sent before the responses to those before it.
+     *
+     * @param id identifier of the request
+     * @param idempotent whether it is sent to the route whose requests may be repeated
+     */
+    record AheadRequest(String id, boolean idempotent) {
+        String text() {
+            return idempotent
+                    ? "GET /safe/" + id + headers(id) + "\r\n"
+                    : "POST /once/" + id + headers(id) + "Content-Length: 4\r\n\r\nbody";
+        }
+    }
+
+    /** Status and echoed request id of a response. */
+    private record Answer(int status, String id) {}
+
     PersistentCaller(SocketAddress node) {
         this.node = node;
     }
@@ -65,7 +85,7 @@
     private Exchange exchange(String head, String chunk, long headPauseMillis, long chunkPauseMillis) {
         boolean complete = false;
         long sentNanos = System.nanoTime();
-        int status = 0;
+        Answer answer = new Answer(0, "");
         try {
             connect();
             send(head);
@@ -77,11 +97,38 @@
             }
             complete = true;
             sentNanos = System.nanoTime();
-            status = readResponse();
+            answer = readResponse();
+        } catch (IOException e) {
+            close();
+        }
+        return new Exchange(id(head), complete, answer.status(), sentNanos, System.nanoTime(), answer.id());
+    }
+
+    /** Sends requests at once, and then reads their responses, up to one that closes the connection. */
+    List<Exchange> sendAhead(List<AheadRequest> requests) {
+        StringBuilder text = new StringBuilder();
+        requests.forEach(request -> text.append(request.text()));
+        List<Exchange> exchanges = new ArrayList<>();
+        boolean complete = false;
+        long sentNanos = System.nanoTime();
+        try {
+            connect();
+            send(text.toString());
+            complete = true;
+            sentNanos = System.nanoTime();
+            while (exchanges.size() < requests.size()) {
+                Answer answer = readResponse();
+                String id = requests.get(exchanges.size()).id();
+                exchanges.add(new Exchange(id, true, answer.status(), sentNanos, System.nanoTime(), answer.id()));
+            }
         } catch (IOException e) {
             close();
         }
-        return new Exchange(id(head), complete, status, sentNanos, System.nanoTime());
+        while (exchanges.size() < requests.size()) {
+            String id = requests.get(exchanges.size()).id();
+            exchanges.add(new Exchange(id, complete, 0, sentNanos, System.nanoTime(), ""));
+        }
+        return exchanges;
     }
 
     private static String id(String head) {
@@ -119,11 +166,12 @@
         }
     }
 
-    private int readResponse() throws IOException {
+    private Answer readResponse() throws IOException {
         socket.setSoTimeout(TIMEOUT_MILLIS);
         String statusLine = readLine();
         int length = 0;
         boolean close = false;
+        String id = "";
         for (String line = readLine(); !line.isEmpty(); line = readLine()) {
             String lowerCase = line.toLowerCase(Locale.ROOT);
             if (lowerCase.startsWith("content-length:")) {
@@ -131,6 +179,9 @@
                         lowerCase.substring(lowerCase.indexOf(':') + 1).trim());
             }
             close |= lowerCase.equals("connection: close");
+            if (lowerCase.startsWith("turmericspan-request-id:")) {
+                id = line.substring(line.indexOf(':') + 1).trim();
+            }
         }
         if (input.readNBytes(length).length < length) {
             throw new IOException("response not complete");
@@ -138,7 +189,7 @@
         if (close) {
             close();
         }
-        return Integer.parseInt(statusLine.split(" ")[1]);
+        return new Answer(Integer.parseInt(statusLine.split(" ")[1]), id);
     }
 
     private String readLine() throws IOException {
--- a/entry/src/test/java/org/turmericspan/entry/SoakCallers.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakCallers.java
@@ -9,13 +9,23 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.turmericspan.entry.NodeProcess.Response;
+import org.turmericspan.entry.PersistentCaller.AheadRequest;
 import org.turmericspan.entry.PersistentCaller.Exchange;
 
 /** Callers that send requests to random nodes over persistent connections and record the responses. */
 final class SoakCallers {
     private static final int CALLERS = 8;
     private static final long PAUSE_MILLIS = 15;
+    /** One in so many times a caller that keeps its connection sends several requests at once. */
+    private static final int AHEAD_ODDS = 4;
+    /** Maximum number of requests sent at once. */
+    private static final int MAX_AHEAD = 5;
+    /** One in so many requests that are sent ahead may not be repeated. */
+    private static final int ORDER_ODDS = 5;
+
+    private static final int OK = 200;
     /** Maximum pause within a body. */
     private static final int MAX_BODY_PAUSE_MILLIS = 400;
     /** Maximum wait for a response, longer than the deadline of the requests. */
@@ -26,6 +36,7 @@
     private final Queue<NodeExchange> exchanges = new ConcurrentLinkedQueue<>();
     private final Queue<CompletedCall> completedCalls = new ConcurrentLinkedQueue<>();
     private final List<Thread> threads = new ArrayList<>();
+    private final AtomicInteger servedAhead = new AtomicInteger();
     private volatile boolean stopped;
 
     /**
@@ -67,13 +78,21 @@
         }
     }
 
-    /** Sends requests to one node, also while it stops. Half of them have a body that is sent slowly in chunks. */
+    /**
+     * Sends requests to one node, also while it stops. Half of them have a body that is sent slowly in chunks. Now and
+     * then it sends some requests ahead.
+     */
     private void sendOnKeptConnection(NodeProcess node) {
         SplittableRandom random =
                 new SplittableRandom(seed * CALLERS + node.toString().hashCode());
         try (PersistentCaller caller = new PersistentCaller(node.callerAddress())) {
             for (int i = 0; !stopped; i++) {
                 String request = "k-" + node + "-" + i;
+                if (random.nextInt(AHEAD_ODDS) == 0) {
+                    sendAhead(node, caller, request, random);
+                    TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+                    continue;
+                }
                 boolean idempotent = random.nextBoolean();
                 Exchange exchange = idempotent
                         ? caller.get("/safe/" + request, request)
@@ -90,6 +109,21 @@
         }
     }
 
+    private void sendAhead(NodeProcess node, PersistentCaller caller, String name, SplittableRandom random) {
+        List<AheadRequest> requests = new ArrayList<>();
+        int count = 2 + random.nextInt(MAX_AHEAD - 1);
+        for (int i = 0; i < count; i++) {
+            requests.add(new AheadRequest(name + "-" + i, random.nextInt(ORDER_ODDS) > 0));
+        }
+        List<Exchange> ends = caller.sendAhead(requests);
+        for (int i = 0; i < count; i++) {
+            exchanges.add(new NodeExchange(node, requests.get(i).idempotent(), ends.get(i)));
+            if (i > 0 && ends.get(i).status() == OK) {
+                servedAhead.incrementAndGet();
+            }
+        }
+    }
+
     private void sendRequests(int caller) {
         SplittableRandom random = new SplittableRandom(seed * CALLERS + caller);
         try {
@@ -119,6 +153,11 @@
         }
     }
 
+    /** Returns the number of requests that were sent behind an unanswered one and were served. */
+    int servedAhead() {
+        return servedAhead.get();
+    }
+
     List<NodeExchange> exchanges() {
         return List.copyOf(exchanges);
     }
