--- a/http/src/test/java/org/turmericspan/http/PipelinedConnectionTest.java
+++ b/http/src/test/java/org/turmericspan/http/PipelinedConnectionTest.java
@@ -169,4 +169,17 @@
     }
 
     /** Guards against a stack that grows with the requests that wait, when each has its response at once. */
+
+    /** Guards against a request hidden in the body of another one, and against the loss of those before it. */
+    @Test
+    void requestWithTwoLengthsIsRejectedBehindTheRequestsBeforeIt() throws Exception {
+        try (Socket socket = connect()) {
+            String head = "POST /safe/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+            send(socket, get("/safe/1") + head + "1\r\nb\r\n0\r\n\r\n" + get("/safe/3"));
+            awaitStarted("/safe/1");
+            service().respond("/safe/1");
+            assertThat(readAll(socket)).containsSubsequence("HTTP/1.1 200", "/safe/1;", "HTTP/1.1 400");
+            assertThat(service().started()).hasSize(1);
+        }
+    }
 }
