--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -189,6 +189,7 @@
         if (last && !exchange.isRejection() && !pipeline.isEmpty()) {
             // A caller that has said so may send the end of its bytes before it has all responses.
             context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+            context.pipeline().addLast(new HalfClosedLimit());
         }
         pipeline.add(exchange, last);
         advance();
--- a/http/src/test/java/org/turmericspan/http/PipelinedConnectionTest.java
+++ b/http/src/test/java/org/turmericspan/http/PipelinedConnectionTest.java
@@ -168,8 +168,6 @@
         }
     }
 
-    /** Guards against a stack that grows with the requests that wait, when each has its response at once. */
-
     /** Guards against a request hidden in the body of another one, and against the loss of those before it. */
     @Test
     void requestWithTwoLengthsIsRejectedBehindTheRequestsBeforeIt() throws Exception {
