--- a/http/src/main/java/org/turmericspan/http/BodyMemory.java
+++ b/http/src/main/java/org/turmericspan/http/BodyMemory.java
@@ -15,6 +15,8 @@
     private static final int SMALL_DIVISOR = 4;
     /** Divisor of the share of responses that yields the part which must be free when a request is accepted. */
     private static final int RESPONSE_RESERVE_DIVISOR = 4;
+    /** Divisor of the share of responses that yields the part up to which requests are started ahead. */
+    private static final int AHEAD_DIVISOR = 2;
 
     private final long maxBytes;
     private final AtomicLong requestBytes = new AtomicLong();
@@ -85,6 +87,14 @@
         return responseBytes.get() <= maxBytes - maxBytes / RESPONSE_RESERVE_DIVISOR;
     }
 
+    /**
+     * Returns whether a request may be started ahead of the responses before it. Its response may wait for them, and
+     * must leave the room in which first requests are accepted.
+     */
+    boolean hasRoomForResponsesAhead() {
+        return responseBytes.get() <= maxBytes / AHEAD_DIVISOR;
+    }
+
     private static boolean tryReserve(AtomicLong reserved, long bytes, long limit) {
         if (reserved.addAndGet(bytes) <= limit) {
             return true;
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -231,7 +231,7 @@
     }
 
     private boolean hasRoomAhead(CallerExchange exchange) {
-        return memory.hasRoomForResponses() && service.hasRoom(exchange.message());
+        return memory.hasRoomForResponsesAhead() && service.hasRoom(exchange.message());
     }
 
     private void start(CallerExchange exchange) {
--- a/http/src/test/java/org/turmericspan/http/PipelinedLimitsTest.java
+++ b/http/src/test/java/org/turmericspan/http/PipelinedLimitsTest.java
@@ -110,6 +110,21 @@
         }
     }
 
+    /** Guards against responses that wait behind a slow one and have the requests of other callers refused. */
+    @Test
+    void requestsAreNotStartedAheadInTheMemoryThatIsKeptForFirstRequests() throws Exception {
+        memory().addResponse(MEMORY_BYTES * 6L / 10);
+        try (Socket socket = connect();
+                Socket other = connect()) {
+            send(socket, get("/safe/1") + get("/safe/2"));
+            expectNothingReceived(socket);
+            send(other, get("/once/3"));
+            awaitStarted("/safe/1", "/once/3");
+            service().respond("/safe/1");
+            awaitStarted("/safe/1", "/once/3", "/safe/2");
+        }
+    }
+
     @Test
     void withoutMemoryTheFirstIsRefusedAndThoseBehindItAreNotStarted() throws Exception {
         try (Socket socket = connect()) {
