--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamIndex.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamIndex.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.ServiceId;
 
@@ -43,6 +44,10 @@
         return upstream.registration().availabilityZone().equals(localZone);
     }
 
+    void forEach(BiConsumer<ServiceId, ServiceUpstreams> action) {
+        byService.forEach(action);
+    }
+
     ServiceUpstreams of(ServiceId service) {
         return byService.getOrDefault(service, NONE);
     }
@@ -70,6 +75,16 @@
             return remote;
         }
 
+        List<TrackedUpstream> remote(AvailabilityZoneId zone) {
+            List<TrackedUpstream> ofZone = new ArrayList<>();
+            for (TrackedUpstream upstream : remote) {
+                if (upstream.registration().availabilityZone().equals(zone)) {
+                    ofZone.add(upstream);
+                }
+            }
+            return ofZone;
+        }
+
         /** Returns whether the utilization was set within a time before now. */
         boolean hasUtilization(long maxAgeNanos, long nowNanos) {
             return utilizationNanos != Long.MIN_VALUE && nowNanos - utilizationNanos <= maxAgeNanos;
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
@@ -11,6 +11,8 @@
 import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.StableHash;
+import org.turmericspan.zones.ZonePreference;
+import org.turmericspan.zones.ZoneShares;
 
 /** Selects upstreams by their estimated state, which is guarded by the lock of the upstream table. */
 final class UpstreamSelector {
@@ -32,6 +34,10 @@
     private static final long JUST_OBSERVED_NANOS = TimeUnit.MILLISECONDS.toNanos(12);
     /** Cost up to which the cheapest upstream is used without a probe: normal service time, and not nearly full. */
     private static final double GOOD_COST = 1.25;
+    /** Cost up to which an upstream of the remote zone of a request that leaves is used. */
+    private static final double GOOD_REMOTE_COST = GOOD_COST + OTHER_ZONE_COST;
+    /** Cost up to which a request that stays is served in the local zone: nearly full, but not queued. */
+    private static final double MAX_STAY_COST = 2;
     /** Minimum cost assumed for an upstream without a fresh observation; above {@link #GOOD_COST}. */
     private static final double UNOBSERVED_COST = 1.5;
     /** Exclusive upper bound of the cost that breaks ties, so that nodes prefer different upstreams. */
@@ -45,6 +51,7 @@
     private final BalancingRules rules;
     private final ConfigurationHolder configuration;
     private final long tieBreakSeed;
+    private ZoneShares zoneShares = ZoneShares.none();
 
     UpstreamSelector(
             AvailabilityZoneId localZone,
@@ -59,6 +66,10 @@
         this.tieBreakSeed = random.nextLong();
     }
 
+    void shareZones(ZoneShares shares) {
+        zoneShares = shares;
+    }
+
     /**
      * State on which a choice depends beside the request and the upstreams.
      *
@@ -181,14 +192,27 @@
 
     /** Returns the usable upstream of lowest cost; empty when none costs less than the maximum of the criteria. */
     Optional<UpstreamCandidate> choose(ServiceUpstreams service, SelectionCriteria criteria, SelectionContext context) {
+        ZonePreference preference = preference(criteria);
+        if (preference.remoteZone().isPresent()) {
+            List<TrackedUpstream> preferred =
+                    service.remote(preference.remoteZone().get());
+            Optional<UpstreamCandidate> remote = cheapest(preferred, criteria, context, criteria.maxCost());
+            if (remote.isPresent() && remote.get().cost() <= GOOD_REMOTE_COST) {
+                return remote;
+            }
+        }
         Optional<UpstreamCandidate> local = cheapest(service.local(), criteria, context, criteria.maxCost());
-        if (local.isPresent() && local.get().cost() <= GOOD_COST) {
+        if (local.isPresent() && local.get().cost() <= (preference.isStay() ? MAX_STAY_COST : GOOD_COST)) {
             return local;
         }
         double maxCost = local.map(UpstreamCandidate::cost).orElse(criteria.maxCost());
         return cheapest(service.remote(), criteria, context, maxCost).or(() -> local);
     }
 
+    private ZonePreference preference(SelectionCriteria criteria) {
+        return zoneShares.preference(criteria.service(), criteria.route(), criteria.zoneDraw());
+    }
+
     private Optional<UpstreamCandidate> cheapest(
             List<TrackedUpstream> upstreams, SelectionCriteria criteria, SelectionContext context, double maxCost) {
         UpstreamCandidate best = null;
@@ -226,6 +250,13 @@
     private List<UpstreamCandidate> bestCandidates(
             ServiceUpstreams service, SelectionCriteria criteria, SelectionContext context) {
         List<UpstreamCandidate> ranked = new ArrayList<>(MAX_PROBED_CANDIDATES + 1);
+        Optional<AvailabilityZoneId> preferred = preference(criteria).remoteZone();
+        if (preferred.isPresent()) {
+            rank(service.remote(preferred.get()), criteria, context, ranked);
+            if (!ranked.isEmpty()) {
+                return ranked;
+            }
+        }
         rank(service.local(), criteria, context, ranked);
         boolean isLocalSufficient = ranked.size() == MAX_PROBED_CANDIDATES
                 && ranked.get(MAX_PROBED_CANDIDATES - 1).cost() <= GOOD_COST;
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -20,6 +20,8 @@
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
+import org.turmericspan.zones.ServiceRoom;
+import org.turmericspan.zones.ZoneShares;
 
 /** Table of the registered upstreams and the observed state of each, from which each attempt gets its upstream. */
 public final class UpstreamTable {
@@ -146,6 +148,31 @@
         });
     }
 
+    /**
+     * Sets which requests leave the local zone. Without it the cost of the upstreams decides alone.
+     *
+     * @param shares asked under the table's lock for each choice
+     */
+    public void shareZones(ZoneShares shares) {
+        lock.run(() -> selector.shareZones(shares));
+    }
+
+    /**
+     * Lists the room of the services in the local zone.
+     *
+     * @return one element for each registered service of whose upstreams in the zone this node has observed enough
+     */
+    public List<ServiceRoom> localRooms() {
+        long now = clock.nowNanos();
+        return lock.compute(() -> {
+            ZoneRoom room = new ZoneRoom(evacuatedZones, meanSlowdown, now);
+            List<ServiceRoom> rooms = new ArrayList<>();
+            index.forEach((service, ofService) ->
+                    room.slots(ofService.local()).ifPresent(slots -> rooms.add(new ServiceRoom(service, slots))));
+            return rooms;
+        });
+    }
+
     /**
      * Records this node's own observation of an upstream.
      *
--- a/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/Gossip.java
@@ -15,6 +15,7 @@
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.zones.ZoneExchange;
 
 /**
  * Disseminates the state known to this node. In each round it sends messages to several nodes of its own zone, in
@@ -50,6 +51,7 @@
     private final Supplier<List<SocketAddress>> seeds;
     private final ScheduledExecutorService worker;
     private final RandomGenerator random;
+    private ZoneExchange zones = ZoneExchange.none();
     private Supplier<ReplicaState> replica = () -> ReplicaState.NONE;
     private BiConsumer<SocketAddress, ReplicaState> replicaListener = (node, state) -> {};
     private GossipSender sender;
@@ -99,6 +101,15 @@
         replicaListener = listener;
     }
 
+    /**
+     * Sets the exchange of demand and room, which decides anew in each round.
+     *
+     * @param exchange tells and hears of demand and room
+     */
+    public void shareZones(ZoneExchange exchange) {
+        zones = exchange;
+    }
+
     /**
      * Starts to send messages, one round after another.
      *
@@ -113,6 +124,7 @@
 
     private void runRound() {
         members.detectFailures();
+        zones.refresh();
         List<Member> sameZone = peers(this::isSameZone);
         List<Member> otherZones = peers(member -> !isSameZone(member));
         GossipPace pace = new GossipPace(sameZone.size(), 1 + sameZone.size() + otherZones.size());
@@ -217,7 +229,8 @@
                 members.selectForGossip(pace.sameZoneSelection(), pace.otherZonesSelection()),
                 limited(upstreams.localReports(MAX_OWN_REPORT_AGE_NANOS)),
                 suspects.recentCrashes(MAX_CRASHES),
-                replica.get());
+                replica.get(),
+                zones.summary());
     }
 
     private GossipMessage otherZoneMessage(GossipPace pace) {
@@ -226,7 +239,8 @@
                 limited(upstreams.reports(registration ->
                         registration.availabilityZone().equals(members.self().availabilityZone()))),
                 suspects.recentCrashes(MAX_CRASHES),
-                replica.get());
+                replica.get(),
+                zones.summary());
     }
 
     private static List<PeerReport> limited(List<PeerReport> reports) {
@@ -244,7 +258,9 @@
         boolean isNewSender = members.mergeAll(message.members());
         upstreams.applyPeerReports(from.toString(), message.reports());
         message.crashes().forEach(suspects::recordPeerCrash);
-        replicaListener.accept(message.members().get(0).address(), message.replica());
+        Member messageSender = message.members().get(0);
+        replicaListener.accept(messageSender.address(), message.replica());
+        zones.receive(messageSender.address(), messageSender.availabilityZone(), message.zones());
         if (isNewSender && message.members().size() <= MAX_KNOWN_FOR_REPLY && sender != null) {
             GossipPace pace = new GossipPace(0, members.aliveMembers().size());
             sender.send(sameZoneMessage(pace), List.of(message.members().get(0).address()));
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -14,6 +14,7 @@
 import org.turmericspan.balancing.PeerReport;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.zones.ZoneSummary;
 
 /**
  * Encodes and decodes gossip messages with the primitives of protobuf. Times are sent as ages in milliseconds, because
@@ -27,6 +28,9 @@
     /** Flag of the first member, which earlier versions ignore: the state of the sender's replica ends the message. */
     private static final int SENDER_TELLS_REPLICA = 8;
 
+    /** Flag of the first member, which earlier versions ignore: a summary of demand and room ends the message. */
+    private static final int SENDER_TELLS_ZONES = 16;
+
     private static final int REPORT_HEALTHY = 1;
     private static final int REPORT_REACHABLE = 2;
     /** Maximum length of a list in a message, and maximum size of the cache of hosts. */
@@ -46,7 +50,8 @@
         CodedOutputStream output = CodedOutputStream.newInstance(bytes);
         try {
             output.writeUInt32NoTag(FORMAT_VERSION);
-            writeMembers(message.members(), output, nowNanos);
+            List<AvailabilityZoneId> zones = zonesOf(message.members());
+            writeMembers(message, zones, output, nowNanos);
             writeReports(message.reports(), output, nowNanos);
             output.writeUInt32NoTag(message.crashes().size());
             for (Crash crash : message.crashes()) {
@@ -54,6 +59,9 @@
                 output.writeFixed64NoTag(crash.upstreamHash());
             }
             writeReplica(message.replica(), output);
+            if (!message.zones().isEmpty()) {
+                ZoneSummaryCodec.write(message.zones(), zones, output, nowNanos);
+            }
             output.flush();
         } catch (IOException e) {
             throw new IllegalStateException("Writing to a byte array failed", e);
@@ -61,9 +69,15 @@
         return bytes.toByteArray();
     }
 
-    private static void writeMembers(List<Member> members, CodedOutputStream output, long nowNanos) throws IOException {
-        List<AvailabilityZoneId> zones =
-                members.stream().map(Member::availabilityZone).distinct().toList();
+    private static List<AvailabilityZoneId> zonesOf(List<Member> members) {
+        return members.stream().map(Member::availabilityZone).distinct().toList();
+    }
+
+    private static void writeMembers(
+            GossipMessage message, List<AvailabilityZoneId> zones, CodedOutputStream output, long nowNanos)
+            throws IOException {
+        List<Member> members = message.members();
+        int senderFlags = SENDER_TELLS_REPLICA | (message.zones().isEmpty() ? 0 : SENDER_TELLS_ZONES);
         output.writeUInt32NoTag(zones.size());
         for (AvailabilityZoneId zone : zones) {
             output.writeStringNoTag(zone.value());
@@ -74,7 +88,7 @@
             writeAddress(member.callerAddress(), output);
             output.writeUInt32NoTag(zones.indexOf(member.availabilityZone()));
             output.writeFixed32NoTag(member.incarnation());
-            output.writeUInt32NoTag(flags(member) | (member == members.get(0) ? SENDER_TELLS_REPLICA : 0));
+            output.writeUInt32NoTag(flags(member) | (member == members.get(0) ? senderFlags : 0));
             output.writeUInt64NoTag(ageMillis(member.heardNanos(), nowNanos));
         }
     }
@@ -117,8 +131,11 @@
             for (int i = 0; i < count; i++) {
                 crashes.add(new Crash(input.readFixed64(), input.readFixed64()));
             }
-            ReplicaState replica = decoded.isReplicaTold() ? readReplica(input) : ReplicaState.NONE;
-            return new GossipMessage(decoded.members(), reports, crashes, replica);
+            ReplicaState replica = decoded.tells(SENDER_TELLS_REPLICA) ? readReplica(input) : ReplicaState.NONE;
+            ZoneSummary zones = decoded.tells(SENDER_TELLS_ZONES)
+                    ? ZoneSummaryCodec.read(input, decoded.zones(), nowNanos)
+                    : ZoneSummary.NONE;
+            return new GossipMessage(decoded.members(), reports, crashes, replica, zones);
         } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new IOException("field out of range", e);
         }
@@ -131,7 +148,7 @@
             zones.add(new AvailabilityZoneId(input.readString()));
         }
         List<Member> members = new ArrayList<>();
-        boolean isReplicaTold = false;
+        int senderFlags = 0;
         int count = readCount(input);
         for (int i = 0; i < count; i++) {
             SocketAddress address = readAddress(input);
@@ -140,7 +157,7 @@
             int incarnation = input.readFixed32();
             int flags = input.readUInt32();
             long heardNanos = timeNanos(input.readUInt64(), nowNanos);
-            isReplicaTold |= i == 0 && (flags & SENDER_TELLS_REPLICA) != 0;
+            senderFlags = i == 0 ? flags : senderFlags;
             members.add(new Member(
                     address,
                     callerAddress,
@@ -154,7 +171,7 @@
         if (members.isEmpty()) {
             throw new IOException("no member entry for the sender");
         }
-        return new DecodedMembers(members, isReplicaTold);
+        return new DecodedMembers(members, zones, senderFlags);
     }
 
     private static List<PeerReport> readReports(CodedInputStream input, long nowNanos) throws IOException {
@@ -204,7 +221,7 @@
     }
 
     /** Returns the age of a past time in milliseconds, rounded up so that relayed state does not look newer. */
-    private static long ageMillis(long pastNanos, long nowNanos) {
+    static long ageMillis(long pastNanos, long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - pastNanos)) + 1;
     }
 
@@ -252,6 +269,10 @@
         return host.toString();
     }
 
-    /** Members of a message, and whether it ends with the state of the sender's replica. */
-    private record DecodedMembers(List<Member> members, boolean isReplicaTold) {}
+    /** Members of a message, their zones, and the flags of the first, which tell what ends the message. */
+    private record DecodedMembers(List<Member> members, List<AvailabilityZoneId> zones, int senderFlags) {
+        boolean tells(int flag) {
+            return (senderFlags & flag) != 0;
+        }
+    }
 }
