--- a/zones/src/main/java/org/turmericspan/zones/RequestObserver.java
+++ b/zones/src/main/java/org/turmericspan/zones/RequestObserver.java
@@ -1,5 +1,6 @@
 package org.turmericspan.zones;
 
+import java.util.function.Supplier;
 import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.ServiceId;
 
@@ -9,9 +10,9 @@
      * Records that a request begins. Called once a request, not for each of its attempts, and without a lock.
      *
      * @param service service of the request
-     * @param kind what the request is like
+     * @param kind returns what the request is like; called at most once, and not without zone sharing
      */
-    void begun(ServiceId service, RequestKind kind);
+    void begun(ServiceId service, Supplier<RequestKind> kind);
 
     /**
      * Records the complete answer to a request.
@@ -30,7 +31,7 @@
     static RequestObserver none() {
         return new RequestObserver() {
             @Override
-            public void begun(ServiceId service, RequestKind kind) {}
+            public void begun(ServiceId service, Supplier<RequestKind> kind) {}
 
             @Override
             public void answered(ServiceId service, RouteId route, long bodyBytes) {}
--- a/zones/src/main/java/org/turmericspan/zones/SmoothedShares.java
+++ b/zones/src/main/java/org/turmericspan/zones/SmoothedShares.java
@@ -23,9 +23,9 @@
     private static final double REACHED_CHANGE = 0.005;
 
     /** Difference from the targets, summed over the zones, from which it is a change and not noise. */
-    private static final double CLEAR_CHANGE = 0.15;
+    private static final double CLEAR_CHANGE = 0.1;
     /** Time constant with which the shares follow a clear change. */
-    private static final double FAST_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    private static final double FAST_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Time constant with which they follow a small one. */
     private static final double SLOW_NANOS = TimeUnit.SECONDS.toNanos(2);
 
--- a/zones/src/main/java/org/turmericspan/zones/ZoneDemand.java
+++ b/zones/src/main/java/org/turmericspan/zones/ZoneDemand.java
@@ -6,16 +6,14 @@
 import org.turmericspan.ids.SocketAddress;
 
 /**
- * Demand of a service in the local zone: the sum of what its nodes tell. Nodes that are silent count as the mean of the
- * others. Guarded by its user's lock.
+ * Demand of a service in the local zone: what its nodes tell, the newer the more, times the number of nodes. So nodes
+ * that are silent count as the mean of the others. Guarded by its user's lock.
  */
 final class ZoneDemand {
-    /** Age up to which what a node tells is current. */
-    private static final long CURRENT_NANOS = TimeUnit.SECONDS.toNanos(1);
-    /** Age from which it is dropped; nodes of a large zone hear from each other every few seconds. */
+    /** Age at which what a node tells counts a third; nodes of a large zone hear from each other every few seconds. */
+    private static final double AGE_SCALE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    /** Age from which it is dropped. */
     private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(6);
-    /** Number of current demands from which older ones do not count. */
-    private static final int SUFFICIENT_NODES = 12;
     /** Maximum number of nodes whose demand is kept. */
     private static final int MAX_NODES = 1_024;
 
@@ -44,20 +42,14 @@
      */
     double zoneSlots(int nodes, long nowNanos) {
         others.values().removeIf(node -> nowNanos - node.atNanos > MAX_AGE_NANOS);
-        double ownSlots = ownSlots(nowNanos);
-        double sum = ownSlots;
-        double currentSum = ownSlots;
-        int current = 1;
+        double sum = ownSlots(nowNanos);
+        double weights = 1;
         for (NodeDemand node : others.values()) {
-            sum += node.slots;
-            if (nowNanos - node.atNanos <= CURRENT_NANOS) {
-                currentSum += node.slots;
-                current++;
-            }
+            double weight = Math.exp(-(nowNanos - node.atNanos) / AGE_SCALE_NANOS);
+            sum += weight * node.slots;
+            weights += weight;
         }
-        return current >= SUFFICIENT_NODES
-                ? currentSum * Math.max(1, nodes) / current
-                : sum * Math.max(1, nodes) / (1 + others.size());
+        return sum * Math.max(1, nodes) / weights;
     }
 
     /** Returns whether no node of the zone asks for the service. */
--- a/zones/src/main/java/org/turmericspan/zones/ZoneSharing.java
+++ b/zones/src/main/java/org/turmericspan/zones/ZoneSharing.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.AvailabilityZoneId;
@@ -59,9 +60,10 @@
     }
 
     @Override
-    public void begun(ServiceId service, RequestKind kind) {
+    public void begun(ServiceId service, Supplier<RequestKind> kind) {
+        RequestKind request = kind.get();
         long now = clock.nowNanos();
-        lock.run(() -> find(service).ifPresent(zones -> zones.begun(kind, now)));
+        lock.run(() -> find(service).ifPresent(zones -> zones.begun(request, now)));
     }
 
     @Override
