--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -2,6 +2,7 @@
 
 import dagger.Module;
 import dagger.Provides;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
 import org.turmericspan.balancing.ConfigurationHolder;
@@ -18,6 +19,8 @@
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.zones.RequestObserver;
+import org.turmericspan.zones.ZoneSharing;
 
 /** Provides the state of the fleet and the load-balancing policies that work on it. */
 @Module
@@ -57,6 +60,31 @@
                 settings.availabilityZone(), members.ownership(), settings.rules(), configuration, clock, random);
     }
 
+    /** Provides the sharing of work between zones; empty unless the settings switch it on. */
+    @Provides
+    @Singleton
+    static Optional<ZoneSharing> zones(
+            EntrySettings settings,
+            UpstreamTable upstreams,
+            MemberTable members,
+            EntryMetrics metrics,
+            MonotonicClock clock,
+            EventLog log) {
+        if (settings.crossingCost().isEmpty()) {
+            return Optional.empty();
+        }
+        ZoneSharing zones = new ZoneSharing(
+                settings.availabilityZone(),
+                settings.crossingCost().get(),
+                new FleetZone(upstreams, members),
+                clock,
+                log);
+        upstreams.shareZones(zones);
+        metrics.registerGauges("zone_leaving_percent_", zones::leavingPercents);
+        metrics.registerGauges("zone_report_age_ms_", zones::reportAgesMillis);
+        return Optional.of(zones);
+    }
+
     @Provides
     @Singleton
     static WindowedRetryBudget repeats(EntrySettings settings, MemberTable members, MonotonicClock clock) {
@@ -90,8 +118,10 @@
             UpstreamTable upstreams,
             WeightedRoundRobin roundRobin,
             WindowedRetryBudget repeats,
-            CrashSuspects suspects) {
-        return new ForwardingTables(configuration, access, upstreams, roundRobin, repeats, suspects);
+            CrashSuspects suspects,
+            Optional<ZoneSharing> zones) {
+        RequestObserver observer = zones.isPresent() ? zones.get() : RequestObserver.none();
+        return new ForwardingTables(configuration, access, upstreams, roundRobin, repeats, suspects, observer);
     }
 
     @Provides
--- a/entry/src/main/java/org/turmericspan/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMetrics.java
@@ -3,7 +3,10 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.turmericspan.errors.ResultCode;
@@ -15,6 +18,8 @@
 @Singleton
 final class EntryMetrics implements ForwardingMetrics {
     private final MetricRegistry registry = new MetricRegistry();
+    private final Map<String, Supplier<? extends Map<String, ? extends Number>>> gaugesByPrefix =
+            new ConcurrentHashMap<>();
 
     @Inject
     EntryMetrics() {}
@@ -47,7 +52,21 @@
         registry.gauge(name, () -> gauge);
     }
 
+    /**
+     * Registers gauges whose names depend on the state of the node.
+     *
+     * @param prefix start of the name of each gauge
+     * @param values returns the values by the ends of the names
+     */
+    void registerGauges(String prefix, Supplier<? extends Map<String, ? extends Number>> values) {
+        gaugesByPrefix.put(prefix, values);
+    }
+
     String text() {
+        gaugesByPrefix.forEach((prefix, values) -> values.get()
+                .keySet()
+                .forEach(name ->
+                        registry.gauge(prefix + name, () -> () -> values.get().get(name))));
         return MetricsText.format(registry);
     }
 }
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Properties;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -10,6 +11,7 @@
 import org.turmericspan.feed.ChangeLimits;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.zones.CrossingCost;
 
 /**
  * Validated settings of an entry node.
@@ -30,6 +32,8 @@
  * @param directoryTtlSeconds time to live of directory responses, in seconds; setting {@code max-answer-life-seconds}
  * @param probesPerSecond configured limit of probes per second of one upstream by all nodes together
  * @param probeIntervalMillis interval between this node's probes of one upstream, in milliseconds
+ * @param crossingCost cost of serving a request in another zone; empty unless zones share work, which the setting
+ *     {@code zone-sharing} switches on
  */
 public record EntrySettings(
         String vm,
@@ -46,7 +50,8 @@
         long graceNanos,
         long directoryTtlSeconds,
         double probesPerSecond,
-        long probeIntervalMillis) {
+        long probeIntervalMillis,
+        Optional<CrossingCost> crossingCost) {
     /** Name of the setting of the change limit, which the environment may state in place of the file. */
     static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
 
@@ -79,6 +84,14 @@
     /** Least change limit; shorter waits would end before responses arrive. */
     private static final double MIN_CHANGE_LIMIT_SECONDS = 1;
 
+    private static final String ZONE_SHARING = "zone-sharing";
+    private static final String CROSS_ZONE_COST_PERCENT = "cross-zone-cost-percent";
+    private static final String CROSS_ZONE_ROUND_TRIP_MILLIS = "cross-zone-round-trip-ms";
+    /** Cost of crossing of settings files that do not state one, in percent of the usual work of a request. */
+    private static final double DEFAULT_CROSS_ZONE_COST_PERCENT = 30;
+    /** Round trip between zones of settings files that do not state one. */
+    private static final double DEFAULT_CROSS_ZONE_ROUND_TRIP_MILLIS = 4;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -118,7 +131,8 @@
                 Math.max(1, (long) parser.number(DIRECTORY_TTL_SECONDS)),
                 probesPerSecond,
                 Math.max(MIN_PROBE_INTERVAL_MILLIS, (long)
-                        Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))));
+                        Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))),
+                parser.crossingCost());
         if (!parser.errors.isEmpty()) {
             throw new InvalidEntrySettingsException(parser.errors);
         }
@@ -180,6 +194,25 @@
             return Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND));
         }
 
+        double number(String name, double defaultNumber) {
+            return values.containsKey(name) ? number(name) : defaultNumber;
+        }
+
+        Optional<CrossingCost> crossingCost() {
+            double percent = number(CROSS_ZONE_COST_PERCENT, DEFAULT_CROSS_ZONE_COST_PERCENT);
+            double roundTripMillis = number(CROSS_ZONE_ROUND_TRIP_MILLIS, DEFAULT_CROSS_ZONE_ROUND_TRIP_MILLIS);
+            switch (values.getProperty(ZONE_SHARING, "off").trim()) {
+                case "on":
+                    long roundTripNanos = (long) (roundTripMillis * TimeUnit.MILLISECONDS.toNanos(1));
+                    return Optional.of(new CrossingCost(percent, roundTripNanos));
+                case "off":
+                    return Optional.empty();
+                default:
+                    errors.add(ZONE_SHARING + " must be on or off");
+                    return Optional.empty();
+            }
+        }
+
         List<String> hosts(String name) {
             List<String> hosts = new ArrayList<>();
             for (String host : values.getProperty(name, "").split(",")) {
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
@@ -34,6 +35,7 @@
 import org.turmericspan.platform.PlatformCallProtocol;
 import org.turmericspan.platform.StoreClient;
 import org.turmericspan.tenancy.KeyCheck;
+import org.turmericspan.zones.ZoneSharing;
 
 /** Provides the event loops, clients, and the components that send and receive over the network. */
 @Module
@@ -112,9 +114,12 @@
             UpstreamTable upstreams,
             CrashSuspects suspects,
             SeedList seeds,
+            Optional<ZoneSharing> zones,
             EventLoopGroup workers,
             RandomGenerator random) {
-        return new Gossip(members, upstreams, suspects, seeds, workers.next(), random);
+        Gossip gossip = new Gossip(members, upstreams, suspects, seeds, workers.next(), random);
+        zones.ifPresent(gossip::shareZones);
+        return gossip;
     }
 
     @Provides
--- a/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.turmericspan.feed.ChangeLimits;
+import org.turmericspan.zones.CrossingCost;
 
 class EntrySettingsTest {
     private static Properties validSettings() {
@@ -85,6 +86,33 @@
         assertThat(file.read().changeLimits()).isEqualTo(new ChangeLimits(Duration.ofSeconds(3)));
     }
 
+    @Test
+    void zonesShareNoWorkUnlessTheSettingSaysSo() {
+        Properties values = validSettings();
+        assertThat(EntrySettings.of(values).crossingCost()).isEmpty();
+        values.setProperty("zone-sharing", "off");
+        assertThat(EntrySettings.of(values).crossingCost()).isEmpty();
+        values.setProperty("zone-sharing", "on");
+        assertThat(EntrySettings.of(values).crossingCost())
+                .contains(new CrossingCost(30, Duration.ofMillis(4).toNanos()));
+        values.setProperty("cross-zone-cost-percent", "80");
+        values.setProperty("cross-zone-round-trip-ms", "7.8");
+        assertThat(EntrySettings.of(values).crossingCost()).contains(new CrossingCost(80, 7_800_000));
+    }
+
+    @Test
+    void invalidSettingsOfTheSharingOfWorkAreListed() {
+        Properties values = validSettings();
+        values.setProperty("zone-sharing", "yes");
+        values.setProperty("cross-zone-cost-percent", "-1");
+        values.setProperty("cross-zone-round-trip-ms", "soon");
+        assertThatThrownBy(() -> EntrySettings.of(values))
+                .isInstanceOf(InvalidEntrySettingsException.class)
+                .hasMessageContaining("zone-sharing")
+                .hasMessageContaining("cross-zone-cost-percent")
+                .hasMessageContaining("cross-zone-round-trip-ms");
+    }
+
     @Test
     void probesStayWithinHalfOfTheConfiguredRate() {
         Properties values = validSettings();
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -19,7 +19,9 @@
 import org.turmericspan.http.Reply;
 import org.turmericspan.http.RequestMessage;
 import org.turmericspan.http.ResponseMessage;
+import org.turmericspan.ids.StableHash;
 import org.turmericspan.ids.UpstreamId;
+import org.turmericspan.zones.RequestKind;
 
 /**
  * Handles one request from its arrival to its single response. All methods run on the worker of the caller's
@@ -61,6 +63,7 @@
     private final Entitlement entitlement;
     private final LoadRefresher loadRefresher;
     private final AttemptTiming timing;
+    private final double zoneDraw;
     private final Set<UpstreamId> triedUpstreams = new HashSet<>();
     private final Set<Attempt> attemptsInFlight = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
@@ -94,6 +97,7 @@
         this.entitlement = new Entitlement(dependencies, request.headers(), routingDecision);
         this.loadRefresher = new LoadRefresher(upstreams, dependencies.loadProber(), reply.worker());
         this.timing = new AttemptTiming(upstreams, route, dependencies.clock(), log);
+        this.zoneDraw = StableHash.fraction(StableHash.combine(StableHash.of(requestId), arrivedNanos));
     }
 
     void start() {
@@ -119,6 +123,7 @@
     }
 
     private void beginAttempts() {
+        dependencies.tables().observer().begun(routingDecision.service(), this::kind);
         selectUpstream(AttemptKind.FIRST);
     }
 
@@ -136,7 +141,13 @@
                 triedUpstreams,
                 routingDecision.priority(),
                 maxCost,
-                maxSlowdown);
+                maxSlowdown,
+                zoneDraw);
+    }
+
+    private RequestKind kind() {
+        long workNanos = upstreams.typicalLatencyNanos(route.id());
+        return new RequestKind(route.id(), workNanos, route.targetLatencyNanos(), request.body().length);
     }
 
     /**
@@ -424,6 +435,7 @@
             return;
         }
         log.responded(response.status());
+        dependencies.tables().observer().answered(routingDecision.service(), route.id(), response.body().length);
         complete(new ResponseMessage(response.status(), response.headers().endToEnd(), response.body()));
     }
 
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
@@ -5,6 +5,7 @@
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.balancing.WeightedRoundRobin;
 import org.turmericspan.balancing.WindowedRetryBudget;
+import org.turmericspan.zones.RequestObserver;
 
 /**
  * Shared tables that determine whether a request is served, and by which upstream.
@@ -15,6 +16,7 @@
  * @param roundRobin distributes the requests of a route over its services
  * @param retryBudget limits retries and hedged requests
  * @param suspects request fingerprints suspected of crashing upstreams
+ * @param observer measures the demand of the callers of this node
  */
 public record ForwardingTables(
         ConfigurationHolder configuration,
@@ -22,4 +24,25 @@
         UpstreamTable upstreams,
         WeightedRoundRobin roundRobin,
         WindowedRetryBudget retryBudget,
-        CrashSuspects suspects) {}
+        CrashSuspects suspects,
+        RequestObserver observer) {
+    /**
+     * Creates the tables of a node that does not measure the demand of its callers.
+     *
+     * @param configuration the active configuration
+     * @param access decides which callers are served
+     * @param upstreams observed states of the upstreams
+     * @param roundRobin distributes the requests of a route over its services
+     * @param retryBudget limits retries and hedged requests
+     * @param suspects request fingerprints suspected of crashing upstreams
+     */
+    public ForwardingTables(
+            ConfigurationHolder configuration,
+            CallerAccess access,
+            UpstreamTable upstreams,
+            WeightedRoundRobin roundRobin,
+            WindowedRetryBudget retryBudget,
+            CrashSuspects suspects) {
+        this(configuration, access, upstreams, roundRobin, retryBudget, suspects, RequestObserver.none());
+    }
+}
--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingFixture.java
@@ -47,6 +47,7 @@
     private final SplittableRandom random = new SplittableRandom(1);
     private final UpstreamTable upstreams =
             new UpstreamTable(ZONE, registration -> true, RULES, configuration, clock, random);
+    private final FakeRequestObserver observer = new FakeRequestObserver();
     private final FakeCallProtocol protocol = new FakeCallProtocol();
     private final ForwardingService service = new ForwardingService(new ForwardingDependencies(
             new ForwardingTables(
@@ -55,7 +56,8 @@
                     upstreams,
                     new WeightedRoundRobin(random),
                     new WindowedRetryBudget(RULES, () -> 1, clock),
-                    new CrashSuspects(clock)),
+                    new CrashSuspects(clock),
+                    observer),
             client,
             protocol,
             prober,
@@ -84,6 +86,10 @@
         return reply;
     }
 
+    final FakeRequestObserver observer() {
+        return observer;
+    }
+
     final UpstreamTable upstreams() {
         return upstreams;
     }
--- a/gossip/src/test/java/org/turmericspan/gossip/GossipFleet.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/GossipFleet.java
@@ -16,11 +16,17 @@
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.AvailabilityZoneId;
+import org.turmericspan.ids.RouteId;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.testkit.ManualClock;
 import org.turmericspan.testkit.ManualExecutor;
+import org.turmericspan.zones.CrossingCost;
+import org.turmericspan.zones.LocalZone;
+import org.turmericspan.zones.RequestKind;
+import org.turmericspan.zones.ServiceRoom;
+import org.turmericspan.zones.ZoneSharing;
 
 /** A fleet of the real gossip and member tables over an in-memory network that delays and loses datagrams. */
 final class GossipFleet {
@@ -32,6 +38,10 @@
     /** Time after which a node takes part in the division of upstreams, as a real one does. */
     private static final long JOIN_MILLIS = 700;
 
+    private static final ServiceId SERVICE = new ServiceId("desk");
+    private static final RouteId ROUTE = new RouteId("place");
+    private static final long DEMAND_INTERVAL_MILLIS = 100;
+    private static final CrossingCost CROSSING_COST = new CrossingCost(30, TimeUnit.MILLISECONDS.toNanos(3));
     private static final long OBSERVATION_INTERVAL_MILLIS = 250;
     /** Size of the headers of a datagram over IPv4. */
     private static final int HEADER_BYTES = 28;
@@ -69,7 +79,7 @@
     private static Registration registration(int index, int zones) {
         return new Registration(
                 new UpstreamId("u-" + index),
-                new ServiceId("desk"),
+                SERVICE,
                 new SocketAddress("10.9.0.1", 80),
                 new AvailabilityZoneId("zone-" + index % zones),
                 3,
@@ -82,6 +92,39 @@
         return order.size();
     }
 
+    /** Makes all nodes share work between zones, with a demand that {@link #demand} sets. */
+    void shareZones() {
+        order.forEach(Node::shareZones);
+    }
+
+    /** Sets the demand of the callers of a zone, in slots, which its nodes divide. */
+    void demand(int zone, double slots) {
+        List<Node> ofZone = order.stream()
+                .filter(node -> node.zone().value().equals("zone-" + zone))
+                .toList();
+        ofZone.forEach(node -> node.demandSlots = slots / ofZone.size());
+    }
+
+    /** Returns the share that leaves, in percent, at each running node of a zone. */
+    List<Double> leavingPercents(int zone) {
+        return order.stream()
+                .filter(node -> !node.killed && node.zone().value().equals("zone-" + zone))
+                .map(node -> node.sharing.leavingPercents().getOrDefault(SERVICE.value(), 0.0))
+                .toList();
+    }
+
+    /** Returns the age of the oldest of the youngest reports that any running node has of each zone. */
+    long oldestReportMillis(int zones) {
+        long oldestMillis = 0;
+        for (Node node : order) {
+            for (int zone = 0; zone < zones && !node.killed; zone++) {
+                long ageMillis = node.sharing.reportAgesMillis().getOrDefault("zone-" + zone, Long.MAX_VALUE);
+                oldestMillis = Math.max(oldestMillis, ageMillis);
+            }
+        }
+        return oldestMillis;
+    }
+
     void run(Duration duration) {
         executor.advance(duration);
     }
@@ -154,6 +197,8 @@
         private final MemberTable members;
         private final UpstreamTable upstreams;
         private final Gossip gossip;
+        private ZoneSharing sharing;
+        private double demandSlots;
         private boolean killed;
 
         Node(SocketAddress address, AvailabilityZoneId zone, List<SocketAddress> seeds) {
@@ -188,6 +233,32 @@
             executor.schedule(this::observe, OBSERVATION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
 
+        void shareZones() {
+            LocalZone localZone = new LocalZone() {
+                @Override
+                public List<ServiceRoom> rooms() {
+                    return upstreams.localRooms();
+                }
+
+                @Override
+                public int nodes() {
+                    return (int) members.aliveMembers().stream()
+                            .filter(member -> member.availabilityZone().equals(zone()))
+                            .count();
+                }
+            };
+            sharing = new ZoneSharing(zone(), CROSSING_COST, localZone, clock, EventLog.none());
+            gossip.shareZones(sharing);
+            executor.schedule(this::beginRequests, random.nextLong(DEMAND_INTERVAL_MILLIS), TimeUnit.MILLISECONDS);
+        }
+
+        /** Begins one request, whose work is the demand of the time until the next. */
+        private void beginRequests() {
+            long workNanos = (long) (demandSlots * TimeUnit.MILLISECONDS.toNanos(DEMAND_INTERVAL_MILLIS));
+            sharing.begun(SERVICE, () -> new RequestKind(ROUTE, workNanos, TimeUnit.SECONDS.toNanos(1), 0));
+            executor.schedule(this::beginRequests, DEMAND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
         int view() {
             return members.aliveMembers().size();
         }
--- a/ids/src/main/java/org/turmericspan/ids/StableHash.java
+++ b/ids/src/main/java/org/turmericspan/ids/StableHash.java
@@ -9,6 +9,9 @@
     private static final long FNV_PRIME = 0x100000001b3L;
     private static final long FMIX64_FIRST_MULTIPLIER = 0xff51afd7ed558ccdL;
     private static final long FMIX64_SECOND_MULTIPLIER = 0xc4ceb9fe1a85ec53L;
+    /** Bits of a hash that a fraction holds exactly. */
+    private static final int FRACTION_BITS = 53;
+
     private static final int FMIX64_SHIFT = 33;
 
     private StableHash() {}
@@ -53,6 +56,16 @@
         return fmix64(first * FNV_PRIME ^ second);
     }
 
+    /**
+     * Returns the position of a hash among all hashes.
+     *
+     * @param hash the hash
+     * @return number from 0 to 1, exclusive
+     */
+    public static double fraction(long hash) {
+        return (hash >>> Long.SIZE - FRACTION_BITS) / (double) (1L << FRACTION_BITS);
+    }
+
     private static long fmix64(long value) {
         long mixed = (value ^ value >>> FMIX64_SHIFT) * FMIX64_FIRST_MULTIPLIER;
         mixed = (mixed ^ mixed >>> FMIX64_SHIFT) * FMIX64_SECOND_MULTIPLIER;
