--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -160,6 +160,14 @@
     /** A response, or with status 0 a failure, whose description is the body. */
     record Response(int status, String body, String requestId) {}
 
+    /** Adds a line to the settings file. */
+    NodeProcess with(String setting) throws IOException {
+        List<String> lines = Files.readAllLines(settingsFile);
+        lines.add(setting);
+        Files.write(settingsFile, lines);
+        return this;
+    }
+
     void changeSeeds(String seeds) throws IOException {
         List<String> lines = Files.readAllLines(settingsFile);
         lines.replaceAll(line -> line.startsWith("seeds=") ? "seeds=" + seeds : line);
--- a/zones/src/main/java/org/turmericspan/zones/ZoneSharing.java
+++ b/zones/src/main/java/org/turmericspan/zones/ZoneSharing.java
@@ -108,7 +108,7 @@
         List<Event> changes = new ArrayList<>();
         servicesById.forEach((service, zones) -> {
             if (zones.isChangeToLog(LOGGED_CHANGE)) {
-                changes.add(Event.notice("zones", "share of work that leaves the zone changed")
+                changes.add(Event.notice("zones", "Share of work that leaves the zone changed.")
                         .with("service", service)
                         .with("leavingPercent", Math.round(PERCENT * zones.leaving()))
                         .with("reports", describe(zones, now)));
