--- a/zones/src/main/java/org/turmericspan/zones/KindOrder.java
+++ b/zones/src/main/java/org/turmericspan/zones/KindOrder.java
@@ -17,6 +17,8 @@
     private static final double SAMPLE_WEIGHT = 0.05;
     /** Time in which the weight of the work of a kind fades to a third. */
     private static final double FADE_NANOS = TimeUnit.SECONDS.toNanos(5);
+    /** Faded work below which a kind is forgotten, some half a minute after its last request. */
+    private static final double FORGOTTEN_WORK_NANOS = TimeUnit.MICROSECONDS.toNanos(100);
     /** Maximum number of kinds; the requests of others stay. */
     private static final int MAX_KINDS = 256;
 
@@ -62,6 +64,7 @@
             workSum += kind.work;
             bytesSum += kind.work * kind.bytes();
         }
+        kinds.values().removeIf(kind -> kind.work < FORGOTTEN_WORK_NANOS);
         if (leaving <= 0 || workSum <= 0) {
             leavingByRoute = Map.of();
             return;
--- a/zones/src/test/java/org/turmericspan/zones/KindOrderTest.java
+++ b/zones/src/test/java/org/turmericspan/zones/KindOrderTest.java
@@ -77,4 +77,17 @@
         kinds.divide(0.5, 0.7, NOW_NANOS);
         assertThat(kinds.leaving(LONG_WORK)).isZero();
     }
+
+    /** Configurations replace routes; those that are gone must not keep new ones from leaving. */
+    @Test
+    void routesWithoutRequestsAreForgotten() {
+        for (int i = 0; i < 1_000; i++) {
+            begin(new RouteId("old-" + i), 100, 1_000, 1_000, 1);
+        }
+        long laterNanos = NOW_NANOS + TimeUnit.MINUTES.toNanos(1);
+        kinds.divide(0.5, FULL, laterNanos);
+        kinds.begun(new RequestKind(LONG_WORK, 300_000_000, 1_500_000_000, 1_000), laterNanos);
+        kinds.divide(0.5, FULL, laterNanos);
+        assertThat(kinds.leaving(LONG_WORK)).isCloseTo(0.5, within(1e-6));
+    }
 }
