--- a/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingFixture.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/ForwardingFixture.java
@@ -48,6 +48,7 @@
             new UpstreamTable(ZONE, registration -> true, RULES, configuration, clock, random);
     private final FakeCapGate caps = new FakeCapGate();
     private boolean isConfigurationCurrent = true;
+    private final FakeRequestObserver observer = new FakeRequestObserver();
     private final FakeCallProtocol protocol = new FakeCallProtocol();
     private final ForwardingService service = new ForwardingService(new ForwardingDependencies(
             new ForwardingTables(
@@ -56,7 +57,8 @@
                     upstreams,
                     new WeightedRoundRobin(random),
                     new WindowedRetryBudget(RULES, () -> 1, clock),
-                    new CrashSuspects(clock)),
+                    new CrashSuspects(clock),
+                    observer),
             client,
             protocol,
             prober,
@@ -94,6 +96,10 @@
         return reply;
     }
 
+    final FakeRequestObserver observer() {
+        return observer;
+    }
+
     final UpstreamTable upstreams() {
         return upstreams;
     }
