--- a/admission/src/main/java/org/turmericspan/admission/FairQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/FairQueue.java
@@ -22,7 +22,8 @@
  */
 public final class FairQueue<W> {
     private final int maxRequests;
-    private final RoundRobin<OfficeId, W, OfficeQueue<W>> offices = new RoundRobin<>(OfficeQueue::new);
+    private final RoundRobin<OfficeId, QueueEntry<W>, OfficeQueue<W>> offices =
+            new RoundRobin<>(OfficeQueue::new, QueueEntry.byAdjustedAge());
     private final TreeSet<QueueEntry<W>> byDeadline = new TreeSet<>(QueueEntry.byDeadline());
     private final Set<QueueEntry<W>> byArrival = new LinkedHashSet<>();
     private long nextSequence;
@@ -161,7 +162,7 @@
         if (byArrival.isEmpty()) {
             return Optional.empty();
         }
-        FlowQueue<W> largest = offices.largest();
+        FlowQueue<QueueEntry<W>> largest = offices.largest();
         QueueEntry<W> candidate = largest.evictionCandidate();
         boolean isSmallerOffice = offices.sizeOf(request.office()) + 1 < largest.size();
         if (isSmallerOffice
--- a/admission/src/main/java/org/turmericspan/admission/FlowQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/FlowQueue.java
@@ -5,12 +5,12 @@
 import java.util.function.Predicate;
 
 /**
- * Queue of the slot requests of one flow. A flow is an office, or a caller within its office; the flows of one level
- * are served round robin.
+ * Queue of the requests of one flow. A flow is an office, a caller within its office, or all that share a key in a
+ * waiting room; the flows of one level are served round robin.
  *
- * @param <W> type of the attachment that is kept with each request
+ * @param <E> type of the entries, one for each request
  */
-abstract class FlowQueue<W> {
+abstract class FlowQueue<E> {
     private final long sequence;
     private long round;
 
@@ -32,31 +32,38 @@
     abstract int size();
 
     /** Returns the entry to serve next; the queue must not be empty. */
-    abstract QueueEntry<W> first();
+    abstract E first();
 
     /** Returns the entry to evict when the fair queue is full; the queue must not be empty. */
-    abstract QueueEntry<W> evictionCandidate();
+    abstract E evictionCandidate();
 
     /** Finds the first entry in service order that is accepted, and leaves it in the queue. */
-    abstract Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts);
+    abstract Optional<E> find(Predicate<E> accepts);
 
-    abstract void add(QueueEntry<W> entry);
+    abstract void add(E entry);
 
     /** Removes an entry whose request was granted a slot, which counts as service in the current round. */
-    abstract void removeServed(QueueEntry<W> entry);
+    abstract void removeServed(E entry);
 
     /** Removes an entry whose request was not granted a slot. */
-    abstract void removeUnserved(QueueEntry<W> entry);
+    abstract void removeUnserved(E entry);
 
-    /** Orders queues by the round in which they are served next, then by the ages of their first entries. */
-    static <W> Comparator<FlowQueue<W>> byRound() {
-        return Comparator.<FlowQueue<W>>comparingLong(queue -> queue.round)
-                .thenComparing(FlowQueue::first, QueueEntry.byAdjustedAge())
-                .thenComparingLong(queue -> queue.sequence);
+    /** Orders queues by the round in which they are served next, then by their first entries. */
+    static <E> Comparator<FlowQueue<E>> byRound(Comparator<E> entryOrder) {
+        return (one, other) -> {
+            int order = Long.compare(one.round, other.round);
+            if (order == 0) {
+                order = entryOrder.compare(one.first(), other.first());
+            }
+            return order == 0 ? Long.compare(one.sequence, other.sequence) : order;
+        };
     }
 
     /** Orders queues by the number of their requests, the smallest first. */
-    static <W> Comparator<FlowQueue<W>> bySize() {
-        return Comparator.<FlowQueue<W>>comparingInt(FlowQueue::size).thenComparingLong(queue -> queue.sequence);
+    static <E> Comparator<FlowQueue<E>> bySize() {
+        return (one, other) -> {
+            int order = Integer.compare(one.size(), other.size());
+            return order == 0 ? Long.compare(one.sequence, other.sequence) : order;
+        };
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/OfficeQueue.java
+++ b/admission/src/main/java/org/turmericspan/admission/OfficeQueue.java
@@ -9,8 +9,10 @@
  *
  * @param <W> type of the attachment that is kept with each request
  */
-final class OfficeQueue<W> extends FlowQueue<W> {
-    private final RoundRobin<CallerId, W, CallerQueue<W>> callers = new RoundRobin<>(CallerQueue::new);
+final class OfficeQueue<W> extends FlowQueue<QueueEntry<W>> {
+    private final RoundRobin<CallerId, QueueEntry<W>, OrderedQueue<QueueEntry<W>>> callers = new RoundRobin<>(
+            (sequence, round) -> new OrderedQueue<>(sequence, round, QueueEntry.byAdjustedAge()),
+            QueueEntry.byAdjustedAge());
     private int size;
 
     OfficeQueue(long sequence, long round) {
--- /dev/null
+++ b/admission/src/main/java/org/turmericspan/admission/RefusedCaller.java
@@ -0,0 +1,12 @@
+package org.turmericspan.admission;
+
+/**
+ * A request that is refused, and whose caller is told when to return.
+ *
+ * @param priority priority of the request; 0 is the highest
+ * @param arrivedNanos monotonic time at which the request arrived
+ * @param leftNanos time until the deadline of the caller
+ * @param usualNanos delay when nothing is known of the service
+ * @param spread number from 0 to 1, the same for the same request, which tells callers apart that would return together
+ */
+public record RefusedCaller(int priority, long arrivedNanos, long leftNanos, long usualNanos, double spread) {}
--- a/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
+++ b/admission/src/main/java/org/turmericspan/admission/RoundRobin.java
@@ -1,5 +1,6 @@
 package org.turmericspan.admission;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -13,19 +14,20 @@
  * often later.
  *
  * @param <K> key of a flow
- * @param <W> type of the attachment that is kept with each request
+ * @param <E> type of the entries, one for each request
  * @param <L> type of the flow queues
  */
-final class RoundRobin<K, W, L extends FlowQueue<W>> {
+final class RoundRobin<K, E, L extends FlowQueue<E>> {
     private final Map<K, L> queues = new HashMap<>();
-    private final TreeSet<FlowQueue<W>> byRound = new TreeSet<>(FlowQueue.byRound());
-    private final TreeSet<FlowQueue<W>> bySize = new TreeSet<>(FlowQueue.bySize());
+    private final TreeSet<FlowQueue<E>> byRound;
+    private final TreeSet<FlowQueue<E>> bySize = new TreeSet<>(FlowQueue.bySize());
     private final FlowQueueFactory<L> factory;
     private long currentRound;
     private long nextSequence;
 
-    RoundRobin(FlowQueueFactory<L> factory) {
+    RoundRobin(FlowQueueFactory<L> factory, Comparator<E> entryOrder) {
         this.factory = factory;
+        this.byRound = new TreeSet<>(FlowQueue.byRound(entryOrder));
     }
 
     Optional<L> queue(K flow) {
@@ -37,17 +39,21 @@
         return queue == null ? 0 : queue.size();
     }
 
-    FlowQueue<W> first() {
+    boolean isEmpty() {
+        return queues.isEmpty();
+    }
+
+    FlowQueue<E> first() {
         return byRound.first();
     }
 
-    FlowQueue<W> largest() {
+    FlowQueue<E> largest() {
         return bySize.last();
     }
 
-    Optional<QueueEntry<W>> find(Predicate<QueueEntry<W>> accepts) {
-        for (FlowQueue<W> queue : byRound) {
-            Optional<QueueEntry<W>> found = queue.find(accepts);
+    Optional<E> find(Predicate<E> accepts) {
+        for (FlowQueue<E> queue : byRound) {
+            Optional<E> found = queue.find(accepts);
             if (found.isPresent()) {
                 return found;
             }
@@ -55,7 +61,7 @@
         return Optional.empty();
     }
 
-    void add(K flow, QueueEntry<W> entry) {
+    void add(K flow, E entry) {
         L queue = queues.get(flow);
         if (queue == null) {
             queue = factory.create(nextSequence, currentRound + 1);
@@ -68,7 +74,7 @@
         index(queue);
     }
 
-    void removeServed(K flow, QueueEntry<W> entry) {
+    void removeServed(K flow, E entry) {
         L queue = queues.get(flow);
         unindex(queue);
         queue.removeServed(entry);
@@ -77,7 +83,7 @@
         indexOrDrop(flow, queue);
     }
 
-    void removeUnserved(K flow, QueueEntry<W> entry) {
+    void removeUnserved(K flow, E entry) {
         L queue = queues.get(flow);
         unindex(queue);
         queue.removeUnserved(entry);
@@ -118,8 +124,7 @@
     }
 
     /**
-     * Constructor of {@link OfficeQueue} or {@link CallerQueue}, for the level of offices or of the callers of one
-     * office.
+     * Constructor of the flow queues of one level.
      *
      * @param <L> type of the flow queues
      */
