--- a/balancing/src/main/java/org/turmericspan/balancing/ServingState.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/ServingState.java
@@ -52,6 +52,15 @@
         return isPaused(nowNanos) ? pausedUntilNanos - nowNanos : 0;
     }
 
+    /** Returns the time until the end of the pause, or until the next step of the return after it; 0 if neither. */
+    long untilNextAdmissionNanos(long nowNanos) {
+        long sincePauseNanos = nowNanos - pausedUntilNanos;
+        if (!hasPaused || sincePauseNanos >= RETURN_NANOS) {
+            return 0;
+        }
+        return sincePauseNanos < 0 ? -sincePauseNanos : RETURN_STEP_NANOS - sincePauseNanos % RETURN_STEP_NANOS;
+    }
+
     /** Returns whether the upstream may get a request, or be probed, at all. */
     boolean takesRequests(long nowNanos) {
         return !leaving && !isPaused(nowNanos);
--- a/balancing/src/main/java/org/turmericspan/balancing/TrackedUpstream.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/TrackedUpstream.java
@@ -121,6 +121,11 @@
         return backoffUntilNanos != Long.MIN_VALUE && backoffUntilNanos - nowNanos > 0;
     }
 
+    /** Returns the time until the end of the backoff; 0 when there is none. */
+    long remainingBackoffNanos(long nowNanos) {
+        return isInBackoff(nowNanos) ? backoffUntilNanos - nowNanos : 0;
+    }
+
     /** Records the report of another node; only of those with requests or failures at the upstream one is kept. */
     void recordPeerReport(String peer, int inFlight, int failurePercent, long nowNanos) {
         if (inFlight == 0 && failurePercent == 0) {
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
@@ -77,10 +77,32 @@
 
     /** Returns the share of a service's slots in use, over upstreams with a fresh observation that take requests. */
     static double utilization(ServiceUpstreams service, Set<AvailabilityZoneId> evacuatedZones, long now) {
+        return slots(service, evacuatedZones, now).utilization();
+    }
+
+    /** Returns a service's slots, over upstreams with a fresh observation that take requests. */
+    static ServiceSlots slots(ServiceUpstreams service, Set<AvailabilityZoneId> evacuatedZones, long now) {
         SlotCount count = new SlotCount();
         service.local().forEach(upstream -> count.add(upstream, evacuatedZones, now));
         service.remote().forEach(upstream -> count.add(upstream, evacuatedZones, now));
-        return count.utilization();
+        return new ServiceSlots(count.slots, count.busySlots);
+    }
+
+    /** Returns the time until the next known end of a backoff or pause; {@link Long#MAX_VALUE} if none is known. */
+    static long untilNextReturnNanos(ServiceUpstreams service, long now) {
+        return Math.min(untilNextReturnNanos(service.local(), now), untilNextReturnNanos(service.remote(), now));
+    }
+
+    private static long untilNextReturnNanos(List<TrackedUpstream> upstreams, long now) {
+        long shortestNanos = Long.MAX_VALUE;
+        for (TrackedUpstream upstream : upstreams) {
+            long untilNanos = Math.max(
+                    upstream.remainingBackoffNanos(now), upstream.serving().untilNextAdmissionNanos(now));
+            if (untilNanos > 0 && !upstream.serving().isLeaving()) {
+                shortestNanos = Math.min(shortestNanos, untilNanos);
+            }
+        }
+        return shortestNanos;
     }
 
     /**
@@ -138,10 +160,6 @@
                 slots += registration.slots();
             }
         }
-
-        double utilization() {
-            return slots == 0 ? 0 : (double) busySlots / slots;
-        }
     }
 
     /** An upstream and its predicted cost. */
--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.RouteId;
+import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
@@ -38,6 +40,7 @@
     private final Map<Long, UpstreamId> idsByHash = new HashMap<>();
     private final ServingStates servingStates = new ServingStates();
     private final UpstreamIndex index;
+    private final RoomOutlook outlook;
     private final TypicalLatencies latencies = new TypicalLatencies();
     private final UpstreamSelector selector;
     private final MonotonicClock clock;
@@ -64,6 +67,16 @@
         this.index = new UpstreamIndex(localZone);
         this.selector = new UpstreamSelector(localZone, ownership, rules, configuration, random);
         this.clock = clock;
+        this.outlook = new RoomOutlook(lock, index, () -> evacuatedZones, clock);
+    }
+
+    /**
+     * Returns what the table knows of the room of each service.
+     *
+     * @return a view of the table
+     */
+    public RoomOutlook outlook() {
+        return outlook;
     }
 
     /**
@@ -73,27 +86,31 @@
      * @return whether it is new, or differs in more than its warm-up time
      */
     public boolean register(Registration registration) {
-        return lock.compute(() -> {
-            TrackedUpstream upstream = upstreams.get(registration.id());
-            if (upstream == null) {
-                TrackedUpstream added = new TrackedUpstream(registration, servingStates.of(registration));
-                upstreams.put(registration.id(), added);
-                index.add(added);
-                idsByHash.put(added.hash(), registration.id());
-                return true;
-            }
-            Registration old = upstream.registration();
-            boolean isMoved = !old.service().equals(registration.service())
-                    || !old.availabilityZone().equals(registration.availabilityZone());
-            if (isMoved) {
-                index.remove(upstream);
-            }
-            upstream.register(registration);
-            if (isMoved) {
-                index.add(upstream);
-            }
-            return !registration.equalsIgnoringWarmUp(old);
-        });
+        boolean isChanged = lock.compute(() -> registerLocked(registration));
+        outlook.report(registration.service());
+        return isChanged;
+    }
+
+    private boolean registerLocked(Registration registration) {
+        TrackedUpstream upstream = upstreams.get(registration.id());
+        if (upstream == null) {
+            TrackedUpstream added = new TrackedUpstream(registration, servingStates.of(registration));
+            upstreams.put(registration.id(), added);
+            index.add(added);
+            idsByHash.put(added.hash(), registration.id());
+            return true;
+        }
+        Registration old = upstream.registration();
+        boolean isMoved = !old.service().equals(registration.service())
+                || !old.availabilityZone().equals(registration.availabilityZone());
+        if (isMoved) {
+            index.remove(upstream);
+        }
+        upstream.register(registration);
+        if (isMoved) {
+            index.add(upstream);
+        }
+        return !registration.equalsIgnoringWarmUp(old);
     }
 
     /**
@@ -139,11 +156,17 @@
      * @return whether the set changed
      */
     public boolean setEvacuated(Set<AvailabilityZoneId> zones) {
-        return lock.compute(() -> {
+        Set<ServiceId> services = new HashSet<>();
+        boolean isChanged = lock.compute(() -> {
             boolean changed = !evacuatedZones.equals(zones);
             evacuatedZones = Set.copyOf(zones);
+            upstreams
+                    .values()
+                    .forEach(upstream -> services.add(upstream.registration().service()));
             return changed;
         });
+        services.forEach(outlook::report);
+        return isChanged;
     }
 
     /**
@@ -153,13 +176,14 @@
      * @param observation the observation; does not replace a newer one
      */
     public void recordObservation(UpstreamId id, Observation observation) {
-        lock.run(() -> {
+        outlook.report(lock.compute(() -> {
             TrackedUpstream upstream = upstreams.get(id);
             applyLocalObservation(upstream, observation);
             if (upstream != null) {
                 upstream.recordProbe(observation.atNanos());
             }
-        });
+            return upstream;
+        }));
     }
 
     private void applyLocalObservation(TrackedUpstream upstream, Observation observation) {
@@ -184,14 +208,15 @@
      */
     public void recordLoad(UpstreamId id, LoadReport report) {
         long now = clock.nowNanos();
-        lock.run(() -> {
+        outlook.report(lock.compute(() -> {
             TrackedUpstream upstream = upstreams.get(id);
             if (upstream != null
                     && upstream.observation() != null
                     && upstream.observation().reachable()) {
                 applyLocalObservation(upstream, upstream.withLoad(report, now));
             }
-        });
+            return upstream;
+        }));
     }
 
     /**
@@ -201,14 +226,15 @@
      * @param reached true when a connection succeeded, false when none could be made
      */
     public void recordReachability(UpstreamId id, boolean reached) {
-        lock.run(() -> {
+        outlook.report(lock.compute(() -> {
             TrackedUpstream upstream = upstreams.get(id);
             if (upstream != null && reached) {
                 upstream.endBackoff();
             } else if (upstream != null) {
                 upstream.startBackoff(clock.nowNanos());
             }
-        });
+            return reached ? upstream : null;
+        }));
     }
 
     /**
@@ -264,15 +290,18 @@
      * @param reports one for each upstream; those about unknown upstreams are ignored
      */
     public void applyPeerReports(String peer, Collection<PeerReport> reports) {
-        lock.run(() -> reports.forEach(report -> applyPeerReport(peer, report)));
+        Set<ServiceId> services = new HashSet<>();
+        lock.run(() -> reports.forEach(report -> applyPeerReport(peer, report, services)));
+        services.forEach(outlook::report);
     }
 
-    private void applyPeerReport(String peer, PeerReport report) {
+    private void applyPeerReport(String peer, PeerReport report, Set<ServiceId> services) {
         UpstreamId id = idsByHash.get(report.upstreamHash());
         if (id == null) {
             return;
         }
         TrackedUpstream upstream = upstreams.get(id);
+        services.add(upstream.registration().service());
         applyObservation(upstream, report.observation());
         upstream.recordPeerReport(peer, report.inFlight(), report.failurePercent(), clock.nowNanos());
     }
@@ -416,7 +445,7 @@
      */
     public void finish(Placement placement, AttemptResult result) {
         long now = clock.nowNanos();
-        lock.run(() -> {
+        outlook.report(lock.compute(() -> {
             TrackedUpstream upstream = upstreams.get(placement.upstream());
             if (upstream != null) {
                 upstream.recordEnd(placement.startedNanos(), result, now);
@@ -424,7 +453,8 @@
             if (result == AttemptResult.SUCCESS) {
                 latencies.addSample(placement, now);
             }
-        });
+            return upstream;
+        }));
     }
 
     /**
