--- a/admission/src/main/java/org/turmericspan/admission/DrainRate.java
+++ b/admission/src/main/java/org/turmericspan/admission/DrainRate.java
@@ -13,6 +13,9 @@
     /** Time without a waiting request after which the rate of an earlier shortage says nothing more. */
     private static final long TTL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** Divisor of the part of the present interval beyond the mean that is added to the mean. */
+    private static final int OPEN_INTERVAL_DIVISOR = 4;
+
     private SlotHoldTimeAverage interval = new SlotHoldTimeAverage();
     private long lastNanos;
     private boolean isWaiting;
@@ -39,15 +42,17 @@
     }
 
     /**
-     * Returns the mean time between two starts, or the time since the last start if that is longer; empty before the
-     * first start of a shortage.
+     * Returns the mean time between two starts; empty before the first start of a shortage. The time since the last
+     * start raises the mean once it is longer, but counts for a part only, since single intervals vary widely.
      */
     Optional<Duration> interval(long nowNanos) {
         long sinceNanos = nowNanos - lastNanos;
         if (!isWaiting && sinceNanos > TTL_NANOS) {
             return Optional.empty();
         }
-        return interval.mean()
-                .map(mean -> isWaiting && sinceNanos > mean.toNanos() ? Duration.ofNanos(sinceNanos) : mean);
+        return interval.mean().map(mean -> {
+            long excessNanos = isWaiting ? Math.max(0, sinceNanos - mean.toNanos()) : 0;
+            return mean.plusNanos(excessNanos / OPEN_INTERVAL_DIVISOR);
+        });
     }
 }
--- a/admission/src/main/java/org/turmericspan/admission/ReturnSchedule.java
+++ b/admission/src/main/java/org/turmericspan/admission/ReturnSchedule.java
@@ -9,8 +9,9 @@
  * Schedule on which the refused callers of one service return. Answers the load of many callers that were refused
  * together, in a burst or after a loss of all nodes, and would return together: each returns when room is expected for
  * it, behind the requests that wait, urgent ones and earlier arrivals first, and never later than a third of the time
- * it has left. While no upstream takes requests, callers are spread over that time. The class is not
- * thread-safe: its users guard it by a lock.
+ * it has left. A caller that will be late anyway gives way: it returns in the second half of that time. While no
+ * upstream takes requests, callers are spread over that time. The class is not thread-safe: its users guard it by a
+ * lock.
  */
 public final class ReturnSchedule {
     /** Divisor of the time that a caller has left which yields the latest return. */
@@ -59,7 +60,7 @@
         } else {
             long ahead = byUrgency.headSet(place).size();
             delayNanos = startInterval.get().multipliedBy(1L + waiting + ahead).toNanos();
-            if (delayNanos > maxNanos) {
+            if (delayNanos > Math.min(maxNanos, caller.inTimeLeftNanos())) {
                 delayNanos = spread(maxNanos / SPREAD_START_DIVISOR, maxNanos, caller.spread());
             }
         }
--- a/admission/src/main/java/org/turmericspan/admission/WaitRefusal.java
+++ b/admission/src/main/java/org/turmericspan/admission/WaitRefusal.java
@@ -24,6 +24,8 @@
         NO_UPSTREAM(true),
         /** The request gave its place to one that goes first. */
         YIELDED(false),
+        /** Requests that came later and go first make the request too late. */
+        OVERTAKEN(false),
         /** The time in which a start was of use is over. */
         EXPIRED(false);
 
--- a/admission/src/main/java/org/turmericspan/admission/WaitingClass.java
+++ b/admission/src/main/java/org/turmericspan/admission/WaitingClass.java
@@ -1,5 +1,6 @@
 package org.turmericspan.admission;
 
+import java.util.Optional;
 import java.util.TreeSet;
 
 /**
@@ -24,6 +25,10 @@
         return byInTimeUntil.size() + lateCount;
     }
 
+    boolean hasInTime() {
+        return !byInTimeUntil.isEmpty();
+    }
+
     /** Moves the requests that can no longer start in time behind those that can. */
     void update(long nowNanos) {
         while (!byInTimeUntil.isEmpty() && !byInTimeUntil.first().request().isInTime(nowNanos)) {
@@ -64,6 +69,13 @@
         return group(inTime.isEmpty()).first().first();
     }
 
+    /** Returns the request with the most time in which to start, if it is not the next one anyway. */
+    Optional<Waiter<W>> freshest() {
+        return byInTimeUntil.isEmpty() || byInTimeUntil.last() == first()
+                ? Optional.empty()
+                : Optional.of(byInTimeUntil.last());
+    }
+
     /** Returns the last request in the order, of the share with the most requests; there must be one. */
     Waiter<W> last() {
         return group(!late.isEmpty()).largest().evictionCandidate();
--- a/admission/src/main/java/org/turmericspan/admission/WaitingRoom.java
+++ b/admission/src/main/java/org/turmericspan/admission/WaitingRoom.java
@@ -52,7 +52,7 @@
         Waiter<W> arriving = new Waiter<>(request, attachment, now, nextSequence);
         nextSequence++;
         int ahead = estimateAhead(arriving);
-        if (request.waitUntilNanos() - now <= 0 || isHopeless(request.usefulUntilNanos(now), ahead, now)) {
+        if (request.waitUntilNanos() - now <= 0 || isHopeless(admissionUntilNanos(arriving, now), ahead, now)) {
             return new WaitDecision.Refused<>(refusal(Reason.HOPELESS, request, ahead, now));
         }
         List<Departure<W>> departures = new ArrayList<>();
@@ -90,7 +90,7 @@
             if (!isHopeless(last.request().waitUntilNanos(), size() - 1, now)) {
                 break;
             }
-            departures.add(depart(last, Reason.HOPELESS, now));
+            departures.add(depart(last, Reason.OVERTAKEN, now));
         }
         return departures;
     }
@@ -107,6 +107,18 @@
                 .map(entry -> entry.getValue().first());
     }
 
+    /**
+     * Returns the request of a priority with the most time left, which may use an upstream that is too slow for the
+     * first one.
+     *
+     * @param priority the priority
+     * @return the request, which stays in the room; empty when no other than the first one can be in time
+     */
+    public Optional<Waiter<W>> freshest(int priority) {
+        update(clock.nowNanos());
+        return Optional.ofNullable(classes.get(priority)).flatMap(WaitingClass::freshest);
+    }
+
     /**
      * Removes a request that starts.
      *
@@ -191,6 +203,19 @@
         return new WaitRefusal(reason, size(), ahead, drainRate.interval(now), request.usefulUntilNanos(now) - now);
     }
 
+    /**
+     * Returns the time by which the requests ahead of an arriving one must be served. While others wait that can be in
+     * time, more of them come and pass a late request by, so that its wait is longer than that for those ahead now.
+     */
+    private long admissionUntilNanos(Waiter<W> arriving, long now) {
+        boolean isPassedBy = false;
+        for (WaitingClass<W> ahead :
+                classes.headMap(arriving.request().priority(), true).values()) {
+            isPassedBy |= arriving.isLate() && ahead.hasInTime();
+        }
+        return arriving.request().admissionUntilNanos(now, isPassedBy);
+    }
+
     /** The request at the head is never hopeless by the drain rate, since the next room is its own. */
     private boolean isHopeless(long usefulUntilNanos, int ahead, long now) {
         return ahead > 0
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingMetrics.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingMetrics.java
@@ -1,5 +1,6 @@
 package org.turmericspan.forwarding;
 
+import org.turmericspan.admission.WaitRefusal;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.ids.ServiceId;
 
@@ -36,6 +37,29 @@
      */
     void noticed(NoticeKind kind);
 
+    /**
+     * Counts a request that begins to wait for an upstream in a waiting room.
+     *
+     * @param service service of the request
+     */
+    default void waitBegan(ServiceId service) {}
+
+    /**
+     * Counts a request that waits no more, whatever the reason.
+     *
+     * @param service service of the request
+     * @param waitedNanos time for which it waited
+     */
+    default void waitEnded(ServiceId service, long waitedNanos) {}
+
+    /**
+     * Counts a request that a waiting room refused.
+     *
+     * @param service service of the request
+     * @param reason reason of the refusal
+     */
+    default void waitRefused(ServiceId service, WaitRefusal.Reason reason) {}
+
     /** What an upstream asks for. */
     enum NoticeKind {
         /** It has begun to leave. */
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingService.java
@@ -92,7 +92,7 @@
                         && dependencies.tables().configuration().current().isPresent()) {
             forward(request, reply, arrivedNanos);
         } else if (startWaitExpired) {
-            refuse(request, reply, ResultCode.NOT_READY, NOT_READY_RETRY_AFTER_MILLIS, 0);
+            refuse(request, reply, ResultCode.NOT_READY, notReadyRetryAfterMillis(request), 0);
         } else {
             reply.worker()
                     .schedule(
@@ -102,6 +102,11 @@
         }
     }
 
+    private long notReadyRetryAfterMillis(RequestMessage request) {
+        String requestId = dependencies.protocol().requestId(request.headers()).orElse("-");
+        return dependencies.tables().waits().notReadyRetryAfterMillis(requestId, NOT_READY_RETRY_AFTER_MILLIS);
+    }
+
     private boolean isReady() {
         return ready || updateReady();
     }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
@@ -15,6 +15,7 @@
  * @param roundRobin distributes the requests of a route over its services
  * @param retryBudget limits retries and hedged requests
  * @param suspects request fingerprints suspected of crashing upstreams
+ * @param waits decides how requests wait for an upstream
  */
 public record ForwardingTables(
         ConfigurationHolder configuration,
@@ -22,4 +23,25 @@
         UpstreamTable upstreams,
         WeightedRoundRobin roundRobin,
         WindowedRetryBudget retryBudget,
-        CrashSuspects suspects) {}
+        CrashSuspects suspects,
+        UpstreamWaits waits) {
+    /**
+     * Creates tables of a node without a waiting room.
+     *
+     * @param configuration the active configuration
+     * @param access decides which callers are served
+     * @param upstreams observed states of the upstreams
+     * @param roundRobin distributes the requests of a route over its services
+     * @param retryBudget limits retries and hedged requests
+     * @param suspects request fingerprints suspected of crashing upstreams
+     */
+    public ForwardingTables(
+            ConfigurationHolder configuration,
+            CallerAccess access,
+            UpstreamTable upstreams,
+            WeightedRoundRobin roundRobin,
+            WindowedRetryBudget retryBudget,
+            CrashSuspects suspects) {
+        this(configuration, access, upstreams, roundRobin, retryBudget, suspects, new PollingWaits(upstreams));
+    }
+}
--- a/forwarding/src/main/java/org/turmericspan/forwarding/RequestLog.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/RequestLog.java
@@ -1,6 +1,8 @@
 package org.turmericspan.forwarding;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.turmericspan.admission.WaitRefusal;
 import org.turmericspan.balancing.AttemptResult;
 import org.turmericspan.balancing.Placement;
 import org.turmericspan.balancing.ServiceCapacity;
@@ -26,6 +28,7 @@
     private final String requestId;
     private final RoutingDecision routingDecision;
     private final long arrivedNanos;
+    private WaitRefusal waitRefusal;
     private int attempts;
 
     RequestLog(
@@ -77,6 +80,11 @@
                 : "-";
     }
 
+    /** Keeps why the request does not wait any more, for the line of its refusal. */
+    void waitRefused(WaitRefusal refusal) {
+        waitRefusal = refusal;
+    }
+
     void refused(ResultCode code) {
         log.write(refusal(code));
     }
@@ -90,7 +98,7 @@
     }
 
     private Event refusal(ResultCode code) {
-        return Event.failure(LOG_PART, "Request refused.")
+        Event event = Event.failure(LOG_PART, "Request refused.")
                 .with("request", requestId)
                 .with("code", code.number())
                 .with("route", routingDecision.route().id())
@@ -99,6 +107,19 @@
                 .with("tenant", tenant())
                 .with("attempts", attempts)
                 .with("elapsedMs", elapsedMillis());
+        return waitRefusal == null
+                ? event
+                : event.with("wait", waitRefusal.reason())
+                        .with("priority", routingDecision.priority())
+                        .with("waiting", waitRefusal.waiting())
+                        .with("ahead", waitRefusal.ahead())
+                        .with(
+                                "startIntervalMs",
+                                waitRefusal
+                                        .startInterval()
+                                        .map(Duration::toMillis)
+                                        .orElse(-1L))
+                        .with("leftMs", TimeUnit.NANOSECONDS.toMillis(waitRefusal.remainingNanos()));
     }
 
     void responded(int status) {
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.ScheduledExecutorService;
@@ -406,6 +407,13 @@
             disconnectAction = action;
         }
 
+        @Override
+        public String callerAddress() {
+            return context.channel().remoteAddress() instanceof InetSocketAddress address
+                    ? address.getAddress().getHostAddress()
+                    : "";
+        }
+
         @Override
         public ScheduledExecutorService worker() {
             return context.executor();
--- a/http/src/main/java/org/turmericspan/http/Reply.java
+++ b/http/src/main/java/org/turmericspan/http/Reply.java
@@ -24,4 +24,13 @@
      * @return the worker
      */
     ScheduledExecutorService worker();
+
+    /**
+     * Returns the address of the caller, without a port.
+     *
+     * @return the address; empty if it is unknown
+     */
+    default String callerAddress() {
+        return "";
+    }
 }
