--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -15,6 +15,9 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.forwarding.CallerAccess;
 import org.turmericspan.forwarding.ForwardingTables;
+import org.turmericspan.forwarding.PollingWaits;
+import org.turmericspan.forwarding.QueuedWaits;
+import org.turmericspan.forwarding.UpstreamWaits;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.ids.MonotonicClock;
@@ -82,6 +85,18 @@
         return new WeightedRoundRobin(random);
     }
 
+    @Provides
+    @Singleton
+    static UpstreamWaits waits(
+            EntrySettings settings, UpstreamTable upstreams, EntryMetrics metrics, MonotonicClock clock) {
+        if (settings.waitingRoomRequests() == 0) {
+            return new PollingWaits(upstreams);
+        }
+        QueuedWaits waits = new QueuedWaits(settings.waitingRoomRequests(), upstreams, metrics, clock);
+        upstreams.outlook().setListener(waits);
+        return waits;
+    }
+
     @Provides
     @Singleton
     static ForwardingTables tables(
@@ -90,8 +105,9 @@
             UpstreamTable upstreams,
             WeightedRoundRobin roundRobin,
             WindowedRetryBudget repeats,
-            CrashSuspects suspects) {
-        return new ForwardingTables(configuration, access, upstreams, roundRobin, repeats, suspects);
+            CrashSuspects suspects,
+            UpstreamWaits waits) {
+        return new ForwardingTables(configuration, access, upstreams, roundRobin, repeats, suspects, waits);
     }
 
     @Provides
--- a/entry/src/main/java/org/turmericspan/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryMetrics.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.turmericspan.admission.WaitRefusal;
 import org.turmericspan.errors.ResultCode;
 import org.turmericspan.forwarding.ForwardingMetrics;
 import org.turmericspan.ids.ServiceId;
@@ -42,6 +43,23 @@
                 .mark();
     }
 
+    @Override
+    public void waitBegan(ServiceId service) {
+        registry.counter("waiting_" + service).inc();
+    }
+
+    @Override
+    public void waitEnded(ServiceId service, long waitedNanos) {
+        registry.counter("waiting_" + service).dec();
+        registry.timer("waited_" + service).update(waitedNanos, TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void waitRefused(ServiceId service, WaitRefusal.Reason reason) {
+        registry.meter("wait_refused_" + service + "_" + reason.name().toLowerCase(Locale.ROOT))
+                .mark();
+    }
+
     /** Registers a gauge, which is read each time the metrics are requested. */
     void registerGauge(String name, Gauge<? extends Number> gauge) {
         registry.gauge(name, () -> gauge);
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -30,6 +30,7 @@
  * @param directoryTtlSeconds time to live of directory responses, in seconds; setting {@code max-answer-life-seconds}
  * @param probesPerSecond configured limit of probes per second of one upstream by all nodes together
  * @param probeIntervalMillis interval between this node's probes of one upstream, in milliseconds
+ * @param waitingRoomRequests largest number of requests that wait for one service; 0 if there is no waiting room
  */
 public record EntrySettings(
         String vm,
@@ -46,10 +47,14 @@
         long graceNanos,
         long directoryTtlSeconds,
         double probesPerSecond,
-        long probeIntervalMillis) {
+        long probeIntervalMillis,
+        int waitingRoomRequests) {
     /** Name of the setting of the change limit, which the environment may state in place of the file. */
     static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
 
+    /** Name of the setting of the largest number of requests that wait for one service. */
+    static final String WAITING_ROOM_REQUESTS = "waiting-room-requests";
+
     private static final String COLD_OVERAGE = "cold-overage";
     private static final String COLD_SLACK = "cold-slack";
     private static final String RETRY_RATIO = "retry-ratio";
@@ -79,6 +84,9 @@
     /** Least change limit; shorter waits would end before responses arrive. */
     private static final double MIN_CHANGE_LIMIT_SECONDS = 1;
 
+    /** Largest bound of a waiting room; a longer one would hold requests that nobody waits for any more. */
+    private static final int MAX_WAITING_ROOM_REQUESTS = 4_096;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -118,7 +126,8 @@
                 Math.max(1, (long) parser.number(DIRECTORY_TTL_SECONDS)),
                 probesPerSecond,
                 Math.max(MIN_PROBE_INTERVAL_MILLIS, (long)
-                        Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))));
+                        Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))),
+                parser.waitingRoomRequests());
         if (!parser.errors.isEmpty()) {
             throw new InvalidEntrySettingsException(parser.errors);
         }
@@ -180,6 +189,17 @@
             return Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND));
         }
 
+        int waitingRoomRequests() {
+            if (!values.containsKey(WAITING_ROOM_REQUESTS)) {
+                return 0;
+            }
+            int requests = value(WAITING_ROOM_REQUESTS, Integer::valueOf, 1);
+            if (requests < 1 || requests > MAX_WAITING_ROOM_REQUESTS) {
+                errors.add(WAITING_ROOM_REQUESTS + " must be from 1 to " + MAX_WAITING_ROOM_REQUESTS);
+            }
+            return requests;
+        }
+
         List<String> hosts(String name) {
             List<String> hosts = new ArrayList<>();
             for (String host : values.getProperty(name, "").split(",")) {
--- a/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Properties;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -91,4 +92,18 @@
         values.setProperty("probes-per-second", "10");
         assertThat(EntrySettings.of(values).probeIntervalMillis()).isGreaterThanOrEqualTo(200);
     }
+
+    @Test
+    void nodeHasAWaitingRoomOnlyIfItsBoundIsStated() {
+        Properties values = validSettings();
+        assertThat(EntrySettings.of(values).waitingRoomRequests()).isZero();
+        values.setProperty("waiting-room-requests", "64");
+        assertThat(EntrySettings.of(values).waitingRoomRequests()).isEqualTo(64);
+        for (String refused : List.of("0", "-1", "4097", "many")) {
+            values.setProperty("waiting-room-requests", refused);
+            assertThatThrownBy(() -> EntrySettings.of(values))
+                    .isInstanceOf(InvalidEntrySettingsException.class)
+                    .hasMessageContaining("waiting-room-requests");
+        }
+    }
 }
--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -68,6 +69,12 @@
         Files.write(settingsFile, lines);
     }
 
+    /** Adds a line to the settings; takes effect at the next start. */
+    NodeProcess withSetting(String line) throws IOException {
+        Files.write(settingsFile, List.of(line), StandardOpenOption.APPEND);
+        return this;
+    }
+
     NodeProcess start(String... flags) throws IOException {
         List<String> command =
                 new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx96m", "-XX:+UseSerialGC"));
