--- a/forwarding/src/main/java/org/turmericspan/forwarding/ServiceRoom.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ServiceRoom.java
@@ -1,6 +1,6 @@
 package org.turmericspan.forwarding;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,6 +36,8 @@
  * Beside these changes at most one timer wakes the room, at the next known time.
  */
 final class ServiceRoom {
+    /** Maximum number of routes of the service whose callers are known; the first ones are forgotten. */
+    private static final int MAX_ROUTES = 1_024;
     /** Divisor of the time that a request has which yields how long it waits when it will be late. */
     private static final int LATE_WAIT_DIVISOR = 2;
 
@@ -43,7 +45,14 @@
     private final WaitingRoom<UpstreamSearch> room;
     private final PriorityReserve reserve;
     private final ReturnSchedule returns;
-    private final Map<RouteId, CallerAge> callerAges = new HashMap<>();
+    private final Map<RouteId, CallerAge> callerAges = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RouteId, CallerAge> eldest) {
+            return size() > MAX_ROUTES;
+        }
+    };
     private final ServiceId service;
     private final UpstreamTable upstreams;
     private final ForwardingMetrics metrics;
