--- a/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/BalancingModule.java
@@ -16,6 +16,9 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.forwarding.CallerAccess;
 import org.turmericspan.forwarding.ForwardingTables;
+import org.turmericspan.forwarding.PollingWaits;
+import org.turmericspan.forwarding.QueuedWaits;
+import org.turmericspan.forwarding.UpstreamWaits;
 import org.turmericspan.gossip.Member;
 import org.turmericspan.gossip.MemberTable;
 import org.turmericspan.ids.MonotonicClock;
@@ -110,6 +113,18 @@
         return new WeightedRoundRobin(random);
     }
 
+    @Provides
+    @Singleton
+    static UpstreamWaits waits(
+            EntrySettings settings, UpstreamTable upstreams, EntryMetrics metrics, MonotonicClock clock) {
+        if (settings.waitingRoomRequests() == 0) {
+            return new PollingWaits(upstreams);
+        }
+        QueuedWaits waits = new QueuedWaits(settings.waitingRoomRequests(), upstreams, metrics, clock);
+        upstreams.outlook().setListener(waits);
+        return waits;
+    }
+
     @Provides
     @Singleton
     static ForwardingTables tables(
@@ -119,9 +134,10 @@
             WeightedRoundRobin roundRobin,
             WindowedRetryBudget repeats,
             CrashSuspects suspects,
-            Optional<ZoneSharing> zones) {
+            Optional<ZoneSharing> zones,
+            UpstreamWaits waits) {
         RequestObserver observer = zones.isPresent() ? zones.get() : RequestObserver.none();
-        return new ForwardingTables(configuration, access, upstreams, roundRobin, repeats, suspects, observer);
+        return new ForwardingTables(configuration, access, upstreams, roundRobin, repeats, suspects, observer, waits);
     }
 
     @Provides
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -34,6 +34,7 @@
  * @param probeIntervalMillis interval between this node's probes of one upstream, in milliseconds
  * @param crossingCost cost of serving a request in another zone; empty unless zones share work, which the setting
  *     {@code zone-sharing} switches on
+ * @param waitingRoomRequests largest number of requests that wait for one service; 0 if there is no waiting room
  */
 public record EntrySettings(
         String vm,
@@ -51,10 +52,14 @@
         long directoryTtlSeconds,
         double probesPerSecond,
         long probeIntervalMillis,
-        Optional<CrossingCost> crossingCost) {
+        Optional<CrossingCost> crossingCost,
+        int waitingRoomRequests) {
     /** Name of the setting of the change limit, which the environment may state in place of the file. */
     static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
 
+    /** Name of the setting of the largest number of requests that wait for one service. */
+    static final String WAITING_ROOM_REQUESTS = "waiting-room-requests";
+
     private static final String COLD_OVERAGE = "cold-overage";
     private static final String COLD_SLACK = "cold-slack";
     private static final String RETRY_RATIO = "retry-ratio";
@@ -91,6 +96,8 @@
     private static final double DEFAULT_CROSS_ZONE_COST_PERCENT = 30;
     /** Round trip between zones of settings files that do not state one. */
     private static final double DEFAULT_CROSS_ZONE_ROUND_TRIP_MILLIS = 4;
+    /** Largest bound of a waiting room; a longer one would hold requests that nobody waits for any more. */
+    private static final int MAX_WAITING_ROOM_REQUESTS = 4_096;
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -132,7 +139,8 @@
                 probesPerSecond,
                 Math.max(MIN_PROBE_INTERVAL_MILLIS, (long)
                         Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))),
-                parser.crossingCost());
+                parser.crossingCost(),
+                parser.waitingRoomRequests());
         if (!parser.errors.isEmpty()) {
             throw new InvalidEntrySettingsException(parser.errors);
         }
@@ -213,6 +221,17 @@
             }
         }
 
+        int waitingRoomRequests() {
+            if (!values.containsKey(WAITING_ROOM_REQUESTS)) {
+                return 0;
+            }
+            int requests = value(WAITING_ROOM_REQUESTS, Integer::valueOf, 1);
+            if (requests < 1 || requests > MAX_WAITING_ROOM_REQUESTS) {
+                errors.add(WAITING_ROOM_REQUESTS + " must be from 1 to " + MAX_WAITING_ROOM_REQUESTS);
+            }
+            return requests;
+        }
+
         List<String> hosts(String name) {
             List<String> hosts = new ArrayList<>();
             for (String host : values.getProperty(name, "").split(",")) {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ForwardingTables.java
@@ -17,6 +17,7 @@
  * @param retryBudget limits retries and hedged requests
  * @param suspects request fingerprints suspected of crashing upstreams
  * @param observer measures the demand of the callers of this node
+ * @param waits decides how requests wait for an upstream
  */
 public record ForwardingTables(
         ConfigurationHolder configuration,
@@ -25,9 +26,10 @@
         WeightedRoundRobin roundRobin,
         WindowedRetryBudget retryBudget,
         CrashSuspects suspects,
-        RequestObserver observer) {
+        RequestObserver observer,
+        UpstreamWaits waits) {
     /**
-     * Creates the tables of a node that does not measure the demand of its callers.
+     * Creates the tables of a node that measures no demand and has no waiting room.
      *
      * @param configuration the active configuration
      * @param access decides which callers are served
@@ -43,6 +45,14 @@
             WeightedRoundRobin roundRobin,
             WindowedRetryBudget retryBudget,
             CrashSuspects suspects) {
-        this(configuration, access, upstreams, roundRobin, retryBudget, suspects, RequestObserver.none());
+        this(
+                configuration,
+                access,
+                upstreams,
+                roundRobin,
+                retryBudget,
+                suspects,
+                RequestObserver.none(),
+                new PollingWaits(upstreams));
     }
 }
--- a/http/src/main/java/org/turmericspan/http/CallerConnection.java
+++ b/http/src/main/java/org/turmericspan/http/CallerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
@@ -70,7 +71,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext handlerContext) {
         context = handlerContext;
-        owner = new CallerExchange.Owner(clock, context.executor(), this::answered);
+        owner = new CallerExchange.Owner(clock, context.executor(), this::callerAddress, this::answered);
         state.add(this);
     }
 
@@ -371,6 +372,12 @@
         }
     }
 
+    private String callerAddress() {
+        return context.channel().remoteAddress() instanceof InetSocketAddress address
+                ? address.getAddress().getHostAddress()
+                : "";
+    }
+
     void runOnWorker(Runnable action) {
         context.executor().execute(action);
     }
--- a/http/src/main/java/org/turmericspan/http/CallerExchange.java
+++ b/http/src/main/java/org/turmericspan/http/CallerExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.turmericspan.ids.MonotonicClock;
 
 /**
@@ -22,9 +23,14 @@
      *
      * @param clock source of monotonic time
      * @param worker runs all events of the connection
+     * @param callerAddress returns the address of the caller; empty if it is unknown
      * @param answered called once for a request whose response is ready
      */
-    record Owner(MonotonicClock clock, ScheduledExecutorService worker, Consumer<CallerExchange> answered) {}
+    record Owner(
+            MonotonicClock clock,
+            ScheduledExecutorService worker,
+            Supplier<String> callerAddress,
+            Consumer<CallerExchange> answered) {}
 
     private CallerExchange(RequestMessage message, BodyBuffer body, Owner owner, long receivedNanos) {
         this.message = message;
@@ -113,6 +119,11 @@
         return owner.clock().nowNanos() - receivedNanos;
     }
 
+    @Override
+    public String callerAddress() {
+        return owner.callerAddress().get();
+    }
+
     @Override
     public ScheduledExecutorService worker() {
         return owner.worker();
