--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamTable.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -38,10 +36,8 @@
     private static final long MAX_UTILIZATION_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
     private final RankedLock lock = new RankedLock(LockRank.SLOTS);
-    private final Map<UpstreamId, TrackedUpstream> upstreams = new HashMap<>();
-    private final Map<Long, UpstreamId> idsByHash = new HashMap<>();
-    private final ServingStates servingStates = new ServingStates();
     private final UpstreamIndex index;
+    private final UpstreamRegistry upstreams;
     private final RoomOutlook outlook;
     private final TypicalLatencies latencies = new TypicalLatencies();
     private final UpstreamSelector selector;
@@ -67,6 +63,7 @@
             MonotonicClock clock,
             RandomGenerator random) {
         this.index = new UpstreamIndex(localZone);
+        this.upstreams = new UpstreamRegistry(index);
         this.selector = new UpstreamSelector(localZone, ownership, rules, configuration, random);
         this.clock = clock;
         this.outlook = new RoomOutlook(lock, index, () -> evacuatedZones, clock);
@@ -88,33 +85,11 @@
      * @return whether it is new, or differs in more than its warm-up time
      */
     public boolean register(Registration registration) {
-        boolean isChanged = lock.compute(() -> registerLocked(registration));
+        boolean isChanged = lock.compute(() -> upstreams.register(registration));
         outlook.report(registration.service());
         return isChanged;
     }
 
-    private boolean registerLocked(Registration registration) {
-        TrackedUpstream upstream = upstreams.get(registration.id());
-        if (upstream == null) {
-            TrackedUpstream added = new TrackedUpstream(registration, servingStates.of(registration));
-            upstreams.put(registration.id(), added);
-            index.add(added);
-            idsByHash.put(added.hash(), registration.id());
-            return true;
-        }
-        Registration old = upstream.registration();
-        boolean isMoved = !old.service().equals(registration.service())
-                || !old.availabilityZone().equals(registration.availabilityZone());
-        if (isMoved) {
-            index.remove(upstream);
-        }
-        upstream.register(registration);
-        if (isMoved) {
-            index.add(upstream);
-        }
-        return !registration.equalsIgnoringWarmUp(old);
-    }
-
     /**
      * Removes an upstream.
      *
@@ -122,14 +97,7 @@
      * @return whether it was registered
      */
     public boolean remove(UpstreamId id) {
-        return lock.compute(() -> {
-            TrackedUpstream removed = upstreams.remove(id);
-            if (removed != null) {
-                idsByHash.remove(removed.hash());
-                index.remove(removed);
-            }
-            return removed != null;
-        });
+        return lock.compute(() -> upstreams.remove(id));
     }
 
     /**
@@ -148,7 +116,7 @@
      * @return number of upstreams of all services and zones
      */
     public int size() {
-        return lock.compute(upstreams::size);
+        return lock.compute(() -> upstreams.all().size());
     }
 
     /**
@@ -163,7 +131,7 @@
             boolean changed = !evacuatedZones.equals(zones);
             evacuatedZones = Set.copyOf(zones);
             upstreams
-                    .values()
+                    .all()
                     .forEach(upstream -> services.add(upstream.registration().service()));
             return changed;
         });
@@ -276,7 +244,7 @@
         long now = clock.nowNanos();
         return lock.compute(() -> {
             TrackedUpstream upstream = upstreams.get(id);
-            return upstream != null && servingStates.apply(upstream, notice, now);
+            return upstream != null && upstreams.apply(upstream, notice, now);
         });
     }
 
@@ -323,11 +291,10 @@
     }
 
     private void applyPeerReport(String peer, PeerReport report, Set<ServiceId> services) {
-        UpstreamId id = idsByHash.get(report.upstreamHash());
-        if (id == null) {
+        TrackedUpstream upstream = upstreams.withHash(report.upstreamHash());
+        if (upstream == null) {
             return;
         }
-        TrackedUpstream upstream = upstreams.get(id);
         services.add(upstream.registration().service());
         applyObservation(upstream, report.observation());
         upstream.recordPeerReport(peer, report.inFlight(), report.failurePercent(), clock.nowNanos());
@@ -361,7 +328,7 @@
         long now = clock.nowNanos();
         return lock.compute(() -> {
             List<PeerReport> reports = new ArrayList<>();
-            for (TrackedUpstream upstream : upstreams.values()) {
+            for (TrackedUpstream upstream : upstreams.all()) {
                 if (UpstreamSelector.isFresh(upstream, now) && filter.test(upstream, now)) {
                     reports.add(new PeerReport(upstream.hash(), upstream.observation(), upstream.localInFlight(), (int)
                             (PERCENT * upstream.localFailureRate(now))));
@@ -383,7 +350,7 @@
      */
     public List<Registration> probeTargets(boolean starting, long maxAgeNanos, long maxHealthAgeNanos) {
         ProbeTargets targets = new ProbeTargets(selector, index, clock.nowNanos());
-        return lock.compute(() -> targets.select(upstreams.values(), starting, maxAgeNanos, maxHealthAgeNanos));
+        return lock.compute(() -> targets.select(upstreams.all(), starting, maxAgeNanos, maxHealthAgeNanos));
     }
 
     /**
@@ -394,7 +361,7 @@
      */
     public boolean hasRecentObservations() {
         ProbeTargets targets = new ProbeTargets(selector, index, clock.nowNanos());
-        return lock.compute(() -> targets.isStartSufficient(upstreams.values()));
+        return lock.compute(() -> targets.isStartSufficient(upstreams.all()));
     }
 
     /**
@@ -516,7 +483,7 @@
      */
     public List<String> describe() {
         long now = clock.nowNanos();
-        return lock.compute(() -> upstreams.values().stream()
+        return lock.compute(() -> upstreams.all().stream()
                 .map(upstream -> upstream.describe(now) + " owned=" + selector.owns(upstream.registration()))
                 .sorted()
                 .toList());
