--- /dev/null
+++ b/caps/src/main/java/org/turmericspan/caps/CapSender.java
@@ -0,0 +1,15 @@
+package org.turmericspan.caps;
+
+import org.turmericspan.ids.SocketAddress;
+
+/** Sends cap messages to other nodes. */
+@FunctionalInterface
+public interface CapSender {
+    /**
+     * Sends a message once, without confirmation that it arrives.
+     *
+     * @param message the message
+     * @param recipient address of the receiving node
+     */
+    void send(CapMessage message, SocketAddress recipient);
+}
--- /dev/null
+++ b/caps/src/test/java/org/turmericspan/caps/CapSumPropertyTest.java
@@ -0,0 +1,150 @@
+package org.turmericspan.caps;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.turmericspan.tenancy.RequestCap;
+
+/**
+ * Tests that in any window the requests of a tenant that are admitted by all nodes together are within the formula that
+ * the users state, over random joins, kills, freezes, splits, lost, late and repeated messages and changes of the cap.
+ */
+final class CapSumPropertyTest {
+    private static final String TENANT = "t";
+    private static final long DAY_SECONDS = 14;
+
+    private final List<CapChange> changes = new ArrayList<>();
+
+    @Property(seed = "20261207", tries = 1_000, shrinking = ShrinkingMode.OFF)
+    void sumIsWithinTheFormulaInAnyWindow(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        InMemoryFleet fleet = new InMemoryFleet(InMemoryFleet.LIMITS, seed, Duration.ofMillis(2_000));
+        changes.clear();
+        int nodes = 1 + random.nextInt(24);
+        int zones = 1 + random.nextInt(4);
+        setCap(fleet, randomCap(random));
+        for (int i = 0; i < nodes; i++) {
+            fleet.add(i % zones);
+        }
+        fleet.disturbMessages(
+                random.nextBoolean() ? 0 : random.nextDouble(0.3),
+                random.nextBoolean() ? 0 : random.nextDouble(0.2),
+                random.nextBoolean() ? 0 : random.nextDouble(0.2));
+        fleet.run(Duration.ofSeconds(random.nextInt(12)));
+        planTroubles(fleet, random, zones);
+        planRequests(fleet, random);
+        fleet.run(Duration.ofSeconds(DAY_SECONDS + 1));
+        assertWithinFormula(fleet, seed);
+    }
+
+    private static RequestCap randomCap(SplittableRandom random) {
+        return new RequestCap(0.2 + Math.pow(10, random.nextDouble(2.2)), random.nextInt(60));
+    }
+
+    private void setCap(InMemoryFleet fleet, RequestCap cap) {
+        changes.add(new CapChange(fleet.clock().nowNanos(), cap));
+        fleet.setDirectory(Tenants.one(TENANT, cap.perSecond(), cap.burst()));
+    }
+
+    private void planTroubles(InMemoryFleet fleet, SplittableRandom random, int zones) {
+        int troubles = random.nextInt(8);
+        for (int i = 0; i < troubles; i++) {
+            long atNanos =
+                    fleet.clock().nowNanos() + TimeUnit.MILLISECONDS.toNanos(random.nextLong(DAY_SECONDS * 1_000));
+            int kind = random.nextInt(7);
+            fleet.at(atNanos, () -> trouble(fleet, random, kind, zones));
+        }
+    }
+
+    private void trouble(InMemoryFleet fleet, SplittableRandom random, int kind, int zones) {
+        InMemoryFleet.Node node = fleet.nodes().get(random.nextInt(fleet.nodes().size()));
+        switch (kind) {
+            case 0 -> {
+                if (fleet.nodes().size() < 40) {
+                    fleet.add(random.nextInt(zones));
+                }
+            }
+            case 1 -> restart(fleet, node, random);
+            case 2 -> {
+                double share = random.nextDouble();
+                fleet.nodes().stream()
+                        .filter(each -> random.nextDouble() < share)
+                        .forEach(each -> restart(fleet, each, random));
+            }
+            case 3 -> node.freeze(TimeUnit.MILLISECONDS.toNanos(random.nextLong(6_000)));
+            case 4 -> {
+                int zone = random.nextInt(zones);
+                fleet.cut((first, second) -> (first.zone() == zone) == (second.zone() == zone));
+            }
+            case 5 -> {
+                int modulus = 2 + random.nextInt(4);
+                fleet.cut((first, second) -> first.index() % modulus == second.index() % modulus);
+                fleet.at(
+                        fleet.clock().nowNanos() + TimeUnit.MILLISECONDS.toNanos(random.nextLong(5_000)),
+                        () -> fleet.cut((first, second) -> true));
+            }
+            default -> setCap(fleet, randomCap(random));
+        }
+    }
+
+    private static void restart(InMemoryFleet fleet, InMemoryFleet.Node node, SplittableRandom random) {
+        if (node.isDead()) {
+            return;
+        }
+        node.kill();
+        if (random.nextInt(4) > 0) {
+            fleet.at(fleet.clock().nowNanos() + TimeUnit.MILLISECONDS.toNanos(random.nextLong(4_000)), node::start);
+        }
+    }
+
+    /** Plans idle times, steady demand and bursts, evenly or at few nodes, mostly above the cap. */
+    private static void planRequests(InMemoryFleet fleet, SplittableRandom random) {
+        double perSecond = 5 + random.nextDouble(300);
+        boolean isConcentrated = random.nextInt(3) == 0;
+        long startNanos = fleet.clock().nowNanos();
+        double atSeconds = 0;
+        while (atSeconds < DAY_SECONDS) {
+            atSeconds += -Math.log(1 - random.nextDouble()) / perSecond;
+            if (random.nextInt(500) == 0) {
+                atSeconds += random.nextDouble(5);
+            }
+            int target = isConcentrated ? random.nextInt(2) : random.nextInt(1_000);
+            fleet.at(
+                    startNanos + (long) (atSeconds * TimeUnit.SECONDS.toNanos(1)),
+                    () -> fleet.nodes().get(target % fleet.nodes().size()).request(TENANT));
+        }
+    }
+
+    /** Compares each window with the highest cap that was in force within it or one window before. */
+    private void assertWithinFormula(InMemoryFleet fleet, long seed) {
+        long windowNanos = InMemoryFleet.LIMITS.windowNanos();
+        for (long endNanos : fleet.admittedNanos(TENANT)) {
+            long startNanos = endNanos - windowNanos;
+            double bound = 0;
+            for (int i = 0; i < changes.size(); i++) {
+                long untilNanos = i + 1 < changes.size() ? changes.get(i + 1).atNanos() : Long.MAX_VALUE;
+                if (changes.get(i).atNanos() <= endNanos && untilNanos >= startNanos - windowNanos) {
+                    bound = Math.max(bound, bound(changes.get(i).cap()));
+                }
+            }
+            int admitted = fleet.mostAdmitted(TENANT, startNanos, endNanos);
+            assertThat(admitted).as("seed %s", seed).isLessThanOrEqualTo((int) bound);
+        }
+    }
+
+    private static double bound(RequestCap cap) {
+        double seconds = InMemoryFleet.LIMITS.windowNanos() / (double) TimeUnit.SECONDS.toNanos(1);
+        return (cap.perSecond() * seconds + cap.burst()) * (1 + InMemoryFleet.LIMITS.overage())
+                + InMemoryFleet.LIMITS.slack();
+    }
+
+    /** A cap and the time from which it is in force. */
+    private record CapChange(long atNanos, RequestCap cap) {}
+}
