--- a/caps/src/main/java/org/turmericspan/caps/wire/CapTransport.java
+++ b/caps/src/main/java/org/turmericspan/caps/wire/CapTransport.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -11,7 +12,9 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.turmericspan.caps.CapMessage;
 import org.turmericspan.caps.CapSender;
 import org.turmericspan.events.Event;
@@ -28,27 +31,41 @@
 
     private final Channel channel;
 
+    private CapTransport(Channel channel) {
+        this.channel = channel;
+    }
+
     /**
-     * Binds the address and starts to receive messages.
+     * Binds the address and starts to receive messages. May be called on an event loop, since it does not wait.
      *
      * @param workers event loops on which messages are sent and received
      * @param address address to bind
      * @param receiver called with the address of the sender and the received message
-     * @param log log for malformed messages
+     * @param log log for malformed messages and for a failure to bind
+     * @param listener called once, on an event loop, with the transport; empty when the address could not be bound
      */
-    public CapTransport(
+    public static void open(
             EventLoopGroup workers,
             SocketAddress address,
             BiConsumer<SocketAddress, CapMessage> receiver,
-            EventLog log) {
-        this.channel = new Bootstrap()
+            EventLog log,
+            Consumer<Optional<CapTransport>> listener) {
+        ChannelFuture bound = new Bootstrap()
                 .group(workers)
                 .channelFactory(NioDatagramChannel::new)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(new Receiver(receiver, log))
-                .bind(new InetSocketAddress(address.host(), address.port()))
-                .syncUninterruptibly()
-                .channel();
+                .bind(new InetSocketAddress(address.host(), address.port()));
+        bound.addListener(future -> {
+            if (future.isSuccess()) {
+                listener.accept(Optional.of(new CapTransport(bound.channel())));
+            } else {
+                log.write(Event.failure(PART, "Cap address not bound, caps kept without other nodes.")
+                        .with("address", address)
+                        .with("cause", future.cause()));
+                listener.accept(Optional.empty());
+            }
+        });
     }
 
     @Override
--- /dev/null
+++ b/entry/src/main/java/org/turmericspan/entry/CapSettings.java
@@ -0,0 +1,12 @@
+package org.turmericspan.entry;
+
+import org.turmericspan.caps.CapLimits;
+import org.turmericspan.ids.SocketAddress;
+
+/**
+ * Settings of the caps on the requests of tenants.
+ *
+ * @param address address of cap messages; its port is the same on all nodes
+ * @param limits what the operators have agreed on
+ */
+record CapSettings(SocketAddress address, CapLimits limits) {}
--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -31,7 +31,6 @@
 import org.turmericspan.http.HttpListener;
 import org.turmericspan.http.HttpService;
 import org.turmericspan.http.ListenerLimits;
-import org.turmericspan.http.ResponseFaults;
 import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
@@ -87,6 +86,7 @@
     private final HttpClient client;
     private final BodyMemory memory;
     private final ForwardingDependencies forwarding;
+    private final CapService caps;
     private final EntryMetrics metrics;
     private final EventLoopGroup workers;
     private final MonotonicClock clock;
@@ -116,6 +116,7 @@
             HttpClient client,
             BodyMemory memory,
             ForwardingDependencies forwarding,
+            CapService caps,
             EntryMetrics metrics,
             EventLoopGroup workers,
             MonotonicClock clock,
@@ -133,6 +134,7 @@
         this.client = client;
         this.memory = memory;
         this.forwarding = forwarding;
+        this.caps = caps;
         this.metrics = metrics;
         this.workers = workers;
         this.clock = clock;
@@ -181,13 +183,7 @@
         metrics.registerGauge("store_catch_up_reads", catchUp::reads);
         metrics.registerGauge("probes", prober::probesSent);
         metrics.registerGauge("connections_opened", client::opened);
-        ResponseFaults faults = client.faults();
-        metrics.registerGauge("responses_skipped", faults::skippedResponses);
-        metrics.registerGauge("responses_with_bytes_after", faults::bytesAfterResponses);
-        metrics.registerGauge("responses_held", faults::heldBodies);
-        metrics.registerGauge("connections_with_unexpected_bytes", faults::bytesOutsideCalls);
-        metrics.registerGauge("response_heads_spliced", faults::splicedHeads);
-        metrics.registerGauge("response_bodies_spliced", faults::splicedBodies);
+        metrics.registerFaults(client.faults());
         metrics.registerGauge("members_alive", () -> members.aliveMembers().size());
         metrics.registerGauge("members_known", members::fleetSize);
         metrics.registerGauge("upstreams_known", upstreams::size);
@@ -229,6 +225,7 @@
                 + configuration.current().map(RoutingConfiguration::version).orElse(0L));
         members.aliveMembers().forEach(member -> lines.add("member " + member));
         upstreams.describe().forEach(line -> lines.add("upstream " + line));
+        caps.describe().forEach(line -> lines.add("tenant " + line));
         return String.join("\n", lines) + "\n";
     }
 
@@ -238,6 +235,7 @@
      */
     private void checkReadiness() {
         long nowNanos = clock.nowNanos();
+        caps.refresh();
         if (firstContactNanos == 0 && members.aliveMembers().size() > 1) {
             firstContactNanos = nowNanos;
         }
@@ -281,8 +279,9 @@
                 .with("afterMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos)));
     }
 
-    /** Announces to other nodes whether they can read the store through this node. */
+    /** Announces whether other nodes can read the store through this node; the caps read the fleet and the tenants. */
     private void publishStoreContact() {
+        caps.refresh();
         if (!leaving && members.self().reading() != feed.hasStoreContact()) {
             members.updateSelf(true, false, feed.hasStoreContact());
         }
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Properties;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.turmericspan.balancing.BalancingRules;
+import org.turmericspan.caps.CapLimits;
 import org.turmericspan.feed.ChangeLimits;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
@@ -30,6 +32,7 @@
  * @param directoryTtlSeconds time to live of directory responses, in seconds; setting {@code max-answer-life-seconds}
  * @param probesPerSecond configured limit of probes per second of one upstream by all nodes together
  * @param probeIntervalMillis interval between this node's probes of one upstream, in milliseconds
+ * @param caps settings of the caps on the requests of tenants; empty when the deployment has none
  */
 public record EntrySettings(
         String vm,
@@ -46,7 +49,8 @@
         long graceNanos,
         long directoryTtlSeconds,
         double probesPerSecond,
-        long probeIntervalMillis) {
+        long probeIntervalMillis,
+        Optional<CapSettings> caps) {
     /** Name of the setting of the change limit, which the environment may state in place of the file. */
     static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
 
@@ -69,6 +73,11 @@
             DIRECTORY_TTL_SECONDS,
             PROBES_PER_SECOND);
 
+    private static final String CAP_ADDRESS = "cap-address";
+    private static final String CAP_WINDOW_SECONDS = "cap-window-seconds";
+    private static final String CAP_OVERAGE = "cap-overage";
+    private static final String CAP_SLACK = "cap-slack";
+
     /** Probe interval if the probe limit allows it; requests that need more recent load data probe on demand. */
     private static final long MIN_PROBE_INTERVAL_MILLIS = 250;
     /** Share of the probe limit that the owner of an upstream uses, since two nodes may briefly own it. */
@@ -118,7 +127,8 @@
                 Math.max(1, (long) parser.number(DIRECTORY_TTL_SECONDS)),
                 probesPerSecond,
                 Math.max(MIN_PROBE_INTERVAL_MILLIS, (long)
-                        Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))));
+                        Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))),
+                parser.caps());
         if (!parser.errors.isEmpty()) {
             throw new InvalidEntrySettingsException(parser.errors);
         }
@@ -180,6 +190,20 @@
             return Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND));
         }
 
+        /** Parses the settings of caps, if the window is stated; the platform leaves it empty where there are none. */
+        Optional<CapSettings> caps() {
+            if (values.getProperty(CAP_WINDOW_SECONDS, "").isBlank()) {
+                return Optional.empty();
+            }
+            long windowNanos = (long) (number(CAP_WINDOW_SECONDS) * NANOS_PER_SECOND);
+            if (windowNanos <= 0) {
+                errors.add(CAP_WINDOW_SECONDS + " must be above 0");
+            }
+            CapLimits limits = new CapLimits(
+                    Math.max(1, windowNanos), Math.max(0, number(CAP_OVERAGE)), Math.max(0, number(CAP_SLACK)));
+            return Optional.of(new CapSettings(address(CAP_ADDRESS), limits));
+        }
+
         List<String> hosts(String name) {
             List<String> hosts = new ArrayList<>();
             for (String host : values.getProperty(name, "").split(",")) {
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -8,11 +8,11 @@
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import javax.inject.Singleton;
+import org.turmericspan.balancing.ConfigurationHolder;
 import org.turmericspan.balancing.CrashSuspects;
 import org.turmericspan.balancing.FleetListener;
 import org.turmericspan.balancing.ProbeBudget;
 import org.turmericspan.balancing.UpstreamTable;
-import org.turmericspan.caps.CapGate;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.events.JsonEventLog;
 import org.turmericspan.feed.CatchUp;
@@ -176,9 +176,23 @@
 
     @Provides
     @Singleton
-    static CallerAccess access(EntrySettings settings, StoreFeed feed) {
+    static CapService caps(
+            EntrySettings settings,
+            MemberTable members,
+            ConfigurationHolder configuration,
+            EntryMetrics metrics,
+            EventLoopGroup workers,
+            RandomGenerator random,
+            MonotonicClock clock,
+            EventLog log) {
+        return new CapService(settings, members, configuration, metrics, workers, random, clock, log);
+    }
+
+    @Provides
+    @Singleton
+    static CallerAccess access(EntrySettings settings, StoreFeed feed, CapService caps) {
         long limitMillis = settings.changeLimits().changeLimitMillis();
-        return new CallerAccess(new KeyCheck(() -> feed.confirmedAgeMillis() <= limitMillis), CapGate.OPEN);
+        return new CallerAccess(new KeyCheck(() -> feed.confirmedAgeMillis() <= limitMillis), caps.gate());
     }
 
     @Provides
--- a/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
@@ -11,7 +11,9 @@
 import java.util.Properties;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.turmericspan.caps.CapLimits;
 import org.turmericspan.feed.ChangeLimits;
+import org.turmericspan.ids.SocketAddress;
 
 class EntrySettingsTest {
     private static Properties validSettings() {
@@ -55,6 +57,36 @@
                 .hasMessageContaining("store-address");
     }
 
+    @Test
+    void capsAreOptionalAndStatedByTheirWindow() {
+        Properties values = validSettings();
+        assertThat(EntrySettings.of(values).caps()).isEmpty();
+        values.setProperty("cap-address", "10.0.0.1:81");
+        values.setProperty("cap-window-seconds", "");
+        values.setProperty("cap-overage", "");
+        values.setProperty("cap-slack", "");
+        assertThat(EntrySettings.of(values).caps()).isEmpty();
+        values.setProperty("cap-window-seconds", "5");
+        values.setProperty("cap-overage", "0.25");
+        values.setProperty("cap-slack", "20");
+        CapSettings caps = EntrySettings.of(values).caps().orElseThrow();
+        assertThat(caps.address()).isEqualTo(new SocketAddress("10.0.0.1", 81));
+        assertThat(caps.limits()).isEqualTo(new CapLimits(5_000_000_000L, 0.25, 20));
+    }
+
+    @Test
+    void capsWithoutAllSettingsAreInvalid() {
+        Properties values = validSettings();
+        values.setProperty("cap-window-seconds", "0");
+        values.setProperty("cap-slack", "-1");
+        assertThatThrownBy(() -> EntrySettings.of(values))
+                .isInstanceOf(InvalidEntrySettingsException.class)
+                .hasMessageContaining("cap-window-seconds")
+                .hasMessageContaining("cap-overage")
+                .hasMessageContaining("cap-slack")
+                .hasMessageContaining("cap-address");
+    }
+
     @Test
     void changeLimitIsTwoSecondsUnlessStatedAndAtLeastOne() {
         Properties values = validSettings();
--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -68,6 +69,12 @@
         Files.write(settingsFile, lines);
     }
 
+    /** Adds lines to the settings file of a node that is not started yet. */
+    NodeProcess withSettings(List<String> lines) throws IOException {
+        Files.write(settingsFile, lines, StandardOpenOption.APPEND);
+        return this;
+    }
+
     NodeProcess start(String... flags) throws IOException {
         List<String> command =
                 new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx96m", "-XX:+UseSerialGC"));
@@ -137,6 +144,18 @@
                 timeout);
     }
 
+    /** Sends a request to read something with the key of a tenant. */
+    Response requestWithKey(String path, String id, String key) {
+        return send(
+                HttpRequest.newBuilder(URI.create("http://" + callerAddress + path))
+                        .GET()
+                        .header("Host", "h.example")
+                        .header("Authorization", "Token " + key)
+                        .header("Turmericspan-Request-Id", id)
+                        .header("Turmericspan-Deadline-Ms", "1500"),
+                TIMEOUT);
+    }
+
     private Response get(String uri) {
         return send(HttpRequest.newBuilder(URI.create(uri)), TIMEOUT);
     }
--- a/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/MemberTable.java
@@ -216,6 +216,19 @@
         return snapshot.alive();
     }
 
+    /**
+     * Lists the nodes in this table, including this one and failed ones that are not removed yet. To be used where all
+     * nodes have to agree whoever is in touch with whom.
+     *
+     * @return nodes in no particular order
+     */
+    public List<Member> knownMembers() {
+        List<Member> known = new ArrayList<>();
+        known.add(self());
+        lock.run(() -> known.addAll(members.values()));
+        return known;
+    }
+
     /**
      * Lists the nodes that are alive and were heard of lately. To be used where naming a failed node is worse than
      * leaving out one that is alive, because the failure timeout of nodes of other zones is long.
--- a/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/MemberTableTest.java
@@ -49,6 +49,17 @@
         assertThat(alive()).containsExactly("10.0.0.1");
     }
 
+    @Test
+    void failedNodeStaysKnownForOneMinute() {
+        table.mergeAll(List.of(member("10.0.0.2", LOCAL_ZONE, 5, true)));
+        clock.advance(Duration.ofSeconds(59));
+        assertThat(alive()).containsExactly("10.0.0.1");
+        assertThat(table.knownMembers()).hasSize(2);
+        clock.advance(Duration.ofSeconds(2));
+        table.detectFailures();
+        assertThat(table.knownMembers()).hasSize(1);
+    }
+
     @Test
     void silentNodeOfOtherZoneFailsWithinThreeSeconds() {
         table.mergeAll(List.of(member("10.0.0.2", REMOTE_ZONE, 5, true)));
--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -569,6 +569,10 @@
             values.put("Bounds.GraceS", "6");
             values.put("Bounds.ttl_max_s", "5");
             values.put("Bounds.ProbesPerS", "60");
+            values.put("PortRange.1", Integer.toString(BASE_PORT + 6));
+            values.put("Bounds.QuotaWindowS", "");
+            values.put("Bounds.QuotaOverage", "");
+            values.put("Bounds.QuotaSlack", "");
             writeSettings();
         }
 
