--- a/caps/src/main/java/org/turmericspan/caps/CapNode.java
+++ b/caps/src/main/java/org/turmericspan/caps/CapNode.java
@@ -37,8 +37,9 @@
     private final CapMetrics metrics;
     private final MonotonicClock clock;
     private final ShardTable shards;
+    private final FleetContact contact;
     private volatile CapKnowledge knowledge;
-    private volatile CapSender sender = (message, recipient) -> {};
+    private volatile CapSender sender = (datagram, recipient) -> {};
 
     /**
      * Creates the caps of a node, which has no contact with others until it is started.
@@ -70,9 +71,15 @@
         this.metrics = metrics;
         this.clock = clock;
         this.shards = new ShardTable(self.address(), limits);
+        this.contact = new FleetContact(clock.nowNanos());
         this.knowledge = CapKnowledge.none(clock.nowNanos());
     }
 
+    /** Lets this node give permits at once. To be called when the whole fleet starts for the first time. */
+    public void establish() {
+        lock.run(contact::establish);
+    }
+
     /**
      * Begins to ask other nodes.
      *
@@ -135,15 +142,15 @@
      * Handles a message.
      *
      * @param from address of the sender
-     * @param message the message
+     * @param datagram the message
      */
-    public void receive(SocketAddress from, CapMessage message) {
+    public void receive(SocketAddress from, CapDatagram datagram) {
         refresh();
         long nowNanos = clock.nowNanos();
-        if (message instanceof CapAsk ask) {
-            CapAnswer answer = lock.compute(() -> take(ask, nowNanos));
-            sender.send(answer, from);
-        } else if (message instanceof CapAnswer answer) {
+        lock.run(() -> contact.heard(datagram.fleetSize(), nowNanos));
+        if (datagram.message() instanceof CapAsk ask) {
+            send(lock.compute(() -> take(ask, nowNanos)), from);
+        } else if (datagram.message() instanceof CapAnswer answer) {
             Turn turn = new Turn();
             lock.run(() -> {
                 turn.desk = desksByTenant.get(answer.tenantHash());
@@ -155,6 +162,11 @@
         }
     }
 
+    private void send(CapMessage message, SocketAddress recipient) {
+        int fleetSize = lock.compute(() -> contact.sizeToTell(knowledge.view().size(), clock.nowNanos()));
+        sender.send(new CapDatagram(fleetSize, message), recipient);
+    }
+
     private void timedOut(TenantDesk desk, long number) {
         long nowNanos = clock.nowNanos();
         Turn turn = new Turn();
@@ -173,6 +185,9 @@
     }
 
     private CapAnswer take(CapAsk ask, long nowNanos) {
+        if (!contact.mayHold(knowledge.view().size(), nowNanos)) {
+            return CapAnswer.notHeld(ask);
+        }
         return shards.take(ask, knowledge.tenantsByHash().get(ask.tenantHash()), nowNanos);
     }
 
@@ -222,7 +237,7 @@
             timer.schedule(
                     TenantDesk.ASK_TIMEOUT_NANOS,
                     () -> timedOut(desk, pending.ask().number()));
-            sender.send(pending.ask(), pending.holder());
+            send(pending.ask(), pending.holder());
         });
         for (TenantDesk.Told each : turn.told) {
             metrics.decided(turn.desk.id(), each.decision().outcome());
--- a/caps/src/main/java/org/turmericspan/caps/CapSender.java
+++ b/caps/src/main/java/org/turmericspan/caps/CapSender.java
@@ -8,8 +8,8 @@
     /**
      * Sends a message once, without confirmation that it arrives.
      *
-     * @param message the message
+     * @param datagram the message
      * @param recipient address of the receiving node
      */
-    void send(CapMessage message, SocketAddress recipient);
+    void send(CapDatagram datagram, SocketAddress recipient);
 }
--- a/caps/src/main/java/org/turmericspan/caps/FleetView.java
+++ b/caps/src/main/java/org/turmericspan/caps/FleetView.java
@@ -62,6 +62,10 @@
         return peers.isEmpty();
     }
 
+    int size() {
+        return peers.size();
+    }
+
     /** Returns whether the set of nodes has not changed since another view. */
     boolean hasNodesOf(FleetView other) {
         return holdersByTenant == other.holdersByTenant;
--- a/caps/src/main/java/org/turmericspan/caps/wire/CapCodec.java
+++ b/caps/src/main/java/org/turmericspan/caps/wire/CapCodec.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import org.turmericspan.caps.CapAnswer;
 import org.turmericspan.caps.CapAsk;
+import org.turmericspan.caps.CapDatagram;
 import org.turmericspan.caps.CapMessage;
 
 /** Encodes and decodes cap messages with the primitives of protobuf. */
@@ -13,6 +14,8 @@
     private static final int FORMAT_VERSION = 1;
     private static final int KIND_ASK = 1;
     private static final int KIND_ANSWER = 2;
+    /** Most nodes in a message. */
+    private static final int MAX_FLEET_SIZE = 100_000;
     /** Most permits in a message. */
     private static final int MAX_PERMITS = 4_096;
     /** Longest time in a message. */
@@ -22,14 +25,15 @@
 
     private CapCodec() {}
 
-    static byte[] encode(CapMessage message) {
+    static byte[] encode(CapDatagram datagram) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         CodedOutputStream output = CodedOutputStream.newInstance(bytes);
         try {
             output.writeUInt32NoTag(FORMAT_VERSION);
-            if (message instanceof CapAsk ask) {
+            output.writeUInt32NoTag(datagram.fleetSize());
+            if (datagram.message() instanceof CapAsk ask) {
                 writeAsk(ask, output);
-            } else if (message instanceof CapAnswer answer) {
+            } else if (datagram.message() instanceof CapAnswer answer) {
                 writeAnswer(answer, output);
             }
             output.flush();
@@ -62,11 +66,15 @@
     }
 
     /** Decodes a message. Malformed bytes cause an {@link IOException}. */
-    static CapMessage decode(byte[] bytes) throws IOException {
+    static CapDatagram decode(byte[] bytes) throws IOException {
         CodedInputStream input = CodedInputStream.newInstance(bytes);
         if (input.readUInt32() != FORMAT_VERSION) {
             throw new IOException("unknown format version");
         }
+        int fleetSize = input.readUInt32();
+        if (fleetSize < 0 || fleetSize > MAX_FLEET_SIZE) {
+            throw new IOException("size of the fleet out of range");
+        }
         int kind = input.readUInt32();
         CapMessage message;
         if (kind == KIND_ASK) {
@@ -93,7 +101,7 @@
         if (!input.isAtEnd()) {
             throw new IOException("bytes after the message");
         }
-        return message;
+        return new CapDatagram(fleetSize, message);
     }
 
     private static CapAnswer.Verdict readVerdict(CodedInputStream input) throws IOException {
--- a/caps/src/main/java/org/turmericspan/caps/wire/CapTransport.java
+++ b/caps/src/main/java/org/turmericspan/caps/wire/CapTransport.java
@@ -15,7 +15,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import org.turmericspan.caps.CapMessage;
+import org.turmericspan.caps.CapDatagram;
 import org.turmericspan.caps.CapSender;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
@@ -47,7 +47,7 @@
     public static void open(
             EventLoopGroup workers,
             SocketAddress address,
-            BiConsumer<SocketAddress, CapMessage> receiver,
+            BiConsumer<SocketAddress, CapDatagram> receiver,
             EventLog log,
             Consumer<Optional<CapTransport>> listener) {
         ChannelFuture bound = new Bootstrap()
@@ -69,9 +69,9 @@
     }
 
     @Override
-    public void send(CapMessage message, SocketAddress recipient) {
+    public void send(CapDatagram datagram, SocketAddress recipient) {
         channel.writeAndFlush(new DatagramPacket(
-                Unpooled.wrappedBuffer(CapCodec.encode(message)),
+                Unpooled.wrappedBuffer(CapCodec.encode(datagram)),
                 new InetSocketAddress(recipient.host(), recipient.port())));
     }
 
@@ -81,10 +81,10 @@
     }
 
     private static final class Receiver implements InboundHandler {
-        private final BiConsumer<SocketAddress, CapMessage> receiver;
+        private final BiConsumer<SocketAddress, CapDatagram> receiver;
         private final EventLog log;
 
-        Receiver(BiConsumer<SocketAddress, CapMessage> receiver, EventLog log) {
+        Receiver(BiConsumer<SocketAddress, CapDatagram> receiver, EventLog log) {
             this.receiver = receiver;
             this.log = log;
         }
@@ -104,16 +104,16 @@
             SocketAddress from = new SocketAddress(sender.getAddress().getHostAddress(), sender.getPort());
             byte[] bytes = new byte[packet.content().readableBytes()];
             packet.content().readBytes(bytes);
-            CapMessage message;
+            CapDatagram datagram;
             try {
-                message = CapCodec.decode(bytes);
+                datagram = CapCodec.decode(bytes);
             } catch (IOException e) {
                 log.write(Event.notice(PART, "Cap message malformed.")
                         .with("from", from)
                         .with("reason", e.getMessage()));
                 return;
             }
-            receiver.accept(from, message);
+            receiver.accept(from, datagram);
         }
 
         @Override
--- a/caps/src/test/java/org/turmericspan/caps/CapNodeTest.java
+++ b/caps/src/test/java/org/turmericspan/caps/CapNodeTest.java
@@ -118,6 +118,27 @@
         assertThat(decide(0, 5)).noneMatch(CapDecision::isAdmitted);
     }
 
+    @Test
+    void nodeThatRestartsOutOfTouchGrantsNothing() {
+        start(NODES);
+        fleet.cut((first, second) -> first == second);
+        fleet.nodes().get(0).kill();
+        fleet.nodes().get(0).start();
+        fleet.run(Duration.ofSeconds(10));
+        assertThat(decide(0, 5)).noneMatch(CapDecision::isAdmitted);
+    }
+
+    @Test
+    void nodeThatRestartsInTouchGrantsAgain() {
+        start(NODES);
+        fleet.nodes().forEach(InMemoryFleet.Node::kill);
+        fleet.nodes().subList(1, NODES).forEach(InMemoryFleet.Node::start);
+        fleet.nodes().get(0).start();
+        fleet.nodes().get(0).caps().establish();
+        fleet.run(SETTLED);
+        assertThat(decide(1, 12)).allMatch(CapDecision::isAdmitted);
+    }
+
     @Test
     void shardsOfTenantThatLosesAndRegainsItsCapBeginEmpty() {
         start(NODES);
--- a/caps/src/test/java/org/turmericspan/caps/CapSumPropertyTest.java
+++ b/caps/src/test/java/org/turmericspan/caps/CapSumPropertyTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -44,6 +45,12 @@
         assertWithinFormula(fleet, seed);
     }
 
+    /** Half the nodes restarted behind a cut and held shards that the other side held too. */
+    @Example
+    void restartBehindCut() {
+        sumIsWithinTheFormulaInAnyWindow(-7294187584552015697L);
+    }
+
     private static RequestCap randomCap(SplittableRandom random) {
         return new RequestCap(0.2 + Math.pow(10, random.nextDouble(2.2)), random.nextInt(60));
     }
@@ -68,7 +75,7 @@
         switch (kind) {
             case 0 -> {
                 if (fleet.nodes().size() < 40) {
-                    fleet.add(random.nextInt(zones));
+                    fleet.join(random.nextInt(zones));
                 }
             }
             case 1 -> restart(fleet, node, random);
--- a/caps/src/test/java/org/turmericspan/caps/InMemoryFleet.java
+++ b/caps/src/test/java/org/turmericspan/caps/InMemoryFleet.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
@@ -102,8 +104,15 @@
         return maxWaitNanos;
     }
 
-    /** Starts a node that the others learn of within the time for news. */
+    /** Starts a node of a fleet that starts for the first time. */
     Node add(int zone) {
+        Node node = join(zone);
+        node.caps.establish();
+        return node;
+    }
+
+    /** Starts a node that joins the others; they learn of it within the time for news. */
+    Node join(int zone) {
         Node node = new Node(nodes.size(), zone);
         nodes.add(node);
         node.start();
@@ -171,17 +180,17 @@
         private CapNode caps;
         private boolean isDead;
         private long diedNanos;
-        private long joinedNanos;
+        private long startedNanos;
         private long sentBytes;
         private long asks;
         private long frozenUntilNanos;
         private int incarnation;
+        private final Set<Node> known = new HashSet<>();
 
         Node(int index, int zone) {
             this.index = index;
             this.zone = zone;
             this.address = new SocketAddress("10.0." + index / 200 + "." + (1 + index % 200), 7000);
-            this.joinedNanos = clock.nowNanos();
             this.frozenUntilNanos = clock.nowNanos();
         }
 
@@ -205,6 +214,8 @@
         void start() {
             isDead = false;
             incarnation++;
+            startedNanos = clock.nowNanos();
+            known.clear();
             int started = incarnation;
             CapPeer self = new CapPeer(address, new AvailabilityZoneId("zone-" + zone), true);
             caps = new CapNode(
@@ -270,9 +281,9 @@
             });
         }
 
-        private void send(CapMessage message, SocketAddress recipient) {
+        private void send(CapDatagram datagram, SocketAddress recipient) {
             sentBytes += HEADER_BYTES + MESSAGE_BYTES;
-            asks += message instanceof CapAsk ? 1 : 0;
+            asks += datagram.message() instanceof CapAsk ? 1 : 0;
             Node target = nodes.stream()
                     .filter(node -> node.address.equals(recipient))
                     .findFirst()
@@ -287,16 +298,21 @@
                     delayNanos += random.nextLong(MAX_LATE_NANOS);
                 }
                 target.perform(
-                        target.incarnation, clock.nowNanos() + delayNanos, () -> target.caps.receive(address, message));
+                        target.incarnation,
+                        clock.nowNanos() + delayNanos,
+                        () -> target.caps.receive(address, datagram));
             }
         }
 
+        /** Lists the nodes that this process has been in touch with since it started, and itself. */
         private List<CapPeer> peers() {
             List<CapPeer> peers = new ArrayList<>();
             for (Node node : nodes) {
-                boolean isKnown =
-                        node == this || clock.nowNanos() - Math.max(node.joinedNanos, joinedNanos) >= newsNanos(node);
-                if (isKnown) {
+                long sinceNanos = clock.nowNanos() - Math.max(node.startedNanos, startedNanos);
+                if (node == this || !node.isDead && inTouch.test(this, node) && sinceNanos >= newsNanos(node)) {
+                    known.add(node);
+                }
+                if (known.contains(node)) {
                     peers.add(new CapPeer(
                             node.address,
                             new AvailabilityZoneId("zone-" + node.zone),
--- a/caps/src/test/java/org/turmericspan/caps/wire/CapCodecTest.java
+++ b/caps/src/test/java/org/turmericspan/caps/wire/CapCodecTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.constraints.LongRange;
 import org.turmericspan.caps.CapAnswer;
 import org.turmericspan.caps.CapAsk;
+import org.turmericspan.caps.CapDatagram;
 import org.turmericspan.caps.InMemoryFleet;
 
 final class CapCodecTest {
@@ -25,7 +26,8 @@
             @ForAll @IntRange(max = 4_096) int returned)
             throws IOException {
         CapAsk ask = new CapAsk(tenant, asker, number, waiting, ahead, returned);
-        assertThat(CapCodec.decode(CapCodec.encode(ask))).isEqualTo(ask);
+        CapDatagram datagram = new CapDatagram(waiting, ask);
+        assertThat(CapCodec.decode(CapCodec.encode(datagram))).isEqualTo(datagram);
     }
 
     @Property(seed = "20261207", tries = 500)
@@ -38,7 +40,8 @@
             @ForAll @LongRange(max = 600_000) long retryMillis)
             throws IOException {
         CapAnswer answer = new CapAnswer(tenant, number, verdict, granted, granted, granted, emptyMillis, retryMillis);
-        assertThat(CapCodec.decode(CapCodec.encode(answer))).isEqualTo(answer);
+        CapDatagram datagram = new CapDatagram(granted, answer);
+        assertThat(CapCodec.decode(CapCodec.encode(datagram))).isEqualTo(datagram);
     }
 
     @Property(seed = "20261207", tries = 2_000)
@@ -48,7 +51,7 @@
 
     @Property(seed = "20261207", tries = 2_000)
     void damagedMessageIsDecodedOrRejected(@ForAll @IntRange(max = 40) int index, @ForAll byte value) {
-        byte[] bytes = CapCodec.encode(new CapAsk(1, 2, 3, 4, 5, 6));
+        byte[] bytes = CapCodec.encode(new CapDatagram(7, new CapAsk(1, 2, 3, 4, 5, 6)));
         bytes[index % bytes.length] = value;
         decodeOrReject(bytes);
     }
@@ -63,7 +66,7 @@
 
     @Example
     void truncatedAndProlongedMessagesAreRejected() {
-        byte[] bytes = CapCodec.encode(new CapAsk(1, 2, 3, 4, 5, 6));
+        byte[] bytes = CapCodec.encode(new CapDatagram(7, new CapAsk(1, 2, 3, 4, 5, 6)));
         for (int length = 0; length < bytes.length; length++) {
             byte[] truncated = Arrays.copyOf(bytes, length);
             assertThatThrownBy(() -> CapCodec.decode(truncated)).isInstanceOf(IOException.class);
@@ -74,9 +77,9 @@
 
     @Example
     void messagesAreAsSmallAsTheFleetInMemoryAssumes() {
-        byte[] ask = CapCodec.encode(new CapAsk(-1, -1, 1_000_000, 256, 256, 256));
-        byte[] answer =
-                CapCodec.encode(new CapAnswer(-1, 1_000_000, CapAnswer.Verdict.NOT_HELD, 256, 256, 256, 2_000, 2_000));
+        byte[] ask = CapCodec.encode(new CapDatagram(689, new CapAsk(-1, -1, 1_000_000, 256, 256, 256)));
+        byte[] answer = CapCodec.encode(new CapDatagram(
+                689, new CapAnswer(-1, 1_000_000, CapAnswer.Verdict.NOT_HELD, 256, 256, 256, 2_000, 2_000)));
         assertThat(ask).hasSizeLessThanOrEqualTo(InMemoryFleet.MESSAGE_BYTES);
         assertThat(answer).hasSizeLessThanOrEqualTo(InMemoryFleet.MESSAGE_BYTES);
     }
--- a/caps/src/test/java/org/turmericspan/caps/wire/CapTransportTest.java
+++ b/caps/src/test/java/org/turmericspan/caps/wire/CapTransportTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.turmericspan.caps.CapAsk;
-import org.turmericspan.caps.CapMessage;
+import org.turmericspan.caps.CapDatagram;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.SocketAddress;
@@ -27,7 +27,7 @@
     private static final long TIMEOUT_SECONDS = 10;
 
     private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final BlockingQueue<CapMessage> received = new LinkedBlockingQueue<>();
+    private final BlockingQueue<CapDatagram> received = new LinkedBlockingQueue<>();
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
 
     @AfterEach
@@ -60,7 +60,7 @@
                     malformed, malformed.length, new InetSocketAddress(address.host(), address.port())));
         }
         assertThat(events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isNotNull();
-        CapAsk ask = new CapAsk(1, 2, 3, 4, 5, 6);
+        CapDatagram ask = new CapDatagram(7, new CapAsk(1, 2, 3, 4, 5, 6));
         transport.send(ask, address);
         assertThat(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(ask);
         transport.close();
--- a/entry/src/main/java/org/turmericspan/entry/CapService.java
+++ b/entry/src/main/java/org/turmericspan/entry/CapService.java
@@ -102,6 +102,9 @@
 
     private void open(CapNode capNode) {
         if (isOpen.compareAndSet(false, true)) {
+            if (settings.isFirstStart()) {
+                capNode.establish();
+            }
             CapTransport.open(workers, settings.address(), capNode::receive, log, transport -> {
                 transport.ifPresent(capNode::start);
                 isOpen.set(transport.isPresent());
--- a/entry/src/main/java/org/turmericspan/entry/CapSettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/CapSettings.java
@@ -8,5 +8,6 @@
  *
  * @param address address of cap messages; its port is the same on all nodes
  * @param limits what the operators have agreed on
+ * @param isFirstStart whether the whole fleet starts for the first time; setting {@code first-start}
  */
-record CapSettings(SocketAddress address, CapLimits limits) {}
+record CapSettings(SocketAddress address, CapLimits limits, boolean isFirstStart) {}
--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -76,6 +76,7 @@
     private static final String CAP_ADDRESS = "cap-address";
     private static final String CAP_WINDOW_SECONDS = "cap-window-seconds";
     private static final String CAP_OVERAGE = "cap-overage";
+    private static final String FIRST_START = "first-start";
     private static final String CAP_SLACK = "cap-slack";
 
     /** Probe interval if the probe limit allows it; requests that need more recent load data probe on demand. */
@@ -201,7 +202,9 @@
             }
             CapLimits limits = new CapLimits(
                     Math.max(1, windowNanos), Math.max(0, number(CAP_OVERAGE)), Math.max(0, number(CAP_SLACK)));
-            return Optional.of(new CapSettings(address(CAP_ADDRESS), limits));
+            boolean isFirstStart =
+                    Boolean.parseBoolean(values.getProperty(FIRST_START, "").trim());
+            return Optional.of(new CapSettings(address(CAP_ADDRESS), limits, isFirstStart));
         }
 
         List<String> hosts(String name) {
--- a/entry/src/test/java/org/turmericspan/entry/EntryCapTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryCapTest.java
@@ -90,7 +90,7 @@
     @Test
     void nodesTogetherKeepTheCapAndTellCallersWhenToReturn() throws Exception {
         configureCap(4);
-        startNodes(3, List.of("cap-window-seconds=5", "cap-overage=0.25", "cap-slack=0"));
+        startNodes(3, List.of("cap-window-seconds=5", "cap-overage=0.25", "cap-slack=0", "first-start=true"));
         TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
 
         int served = 0;
