--- a/ctl/src/main/java/org/turmericspan/ctl/Main.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/Main.java
@@ -60,6 +60,7 @@
         DiffCommand.register(commands);
         StateCommand.register(commands);
         VersionsCommand.register(commands);
+        TenantsCommand.register(commands);
         LocateCommand.register(commands);
         ProbesCommand.register(commands);
         ExplainCommand.register(commands);
--- a/ctl/src/main/java/org/turmericspan/ctl/NodeClient.java
+++ b/ctl/src/main/java/org/turmericspan/ctl/NodeClient.java
@@ -1,6 +1,8 @@
 package org.turmericspan.ctl;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.TextNode;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -30,8 +32,17 @@
 
     /** Requests the path from every address and returns the responses in the order of the addresses. */
     List<NodeResponse> getAll(List<SocketAddress> addresses, String path) {
+        return getAll(addresses, path, mapper::readTree);
+    }
+
+    /** Requests plain text from every address; the body of each response is a text node. */
+    List<NodeResponse> getAllText(List<SocketAddress> addresses, String path) {
+        return getAll(addresses, path, TextNode::valueOf);
+    }
+
+    private List<NodeResponse> getAll(List<SocketAddress> addresses, String path, BodyReader reader) {
         List<CompletableFuture<NodeResponse>> responses =
-                addresses.stream().map(address -> start(address, path)).toList();
+                addresses.stream().map(address -> start(address, path, reader)).toList();
         return responses.stream().map(CompletableFuture::join).toList();
     }
 
@@ -41,7 +52,7 @@
         client.connectionPool().evictAll();
     }
 
-    private CompletableFuture<NodeResponse> start(SocketAddress address, String path) {
+    private CompletableFuture<NodeResponse> start(SocketAddress address, String path, BodyReader reader) {
         CompletableFuture<NodeResponse> result = new CompletableFuture<>();
         Request request = new Request.Builder().url("http://" + address + path).build();
         client.newCall(request).enqueue(new Callback() {
@@ -52,20 +63,26 @@
 
             @Override
             public void onResponse(Call call, Response response) {
-                result.complete(read(address, response));
+                result.complete(read(address, response, reader));
             }
         });
         return result;
     }
 
-    private NodeResponse read(SocketAddress address, Response response) {
+    private NodeResponse read(SocketAddress address, Response response, BodyReader reader) {
         try (response) {
             String text = response.body().string();
             return response.isSuccessful()
-                    ? NodeResponse.of(address, mapper.readTree(text))
+                    ? NodeResponse.of(address, reader.read(text))
                     : NodeResponse.failed(address, "HTTP status " + response.code() + " " + text.strip());
         } catch (IOException e) {
             return NodeResponse.failed(address, e.getMessage());
         }
     }
+
+    /** Reads the body of a successful response. */
+    @FunctionalInterface
+    private interface BodyReader {
+        JsonNode read(String text) throws IOException;
+    }
 }
