--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.turmericspan.balancing.BalancingRules;
+import org.turmericspan.caps.CapLimits;
 import org.turmericspan.feed.ChangeLimits;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
@@ -35,6 +36,7 @@
  * @param crossingCost cost of serving a request in another zone; empty unless zones share work, which the setting
  *     {@code zone-sharing} switches on
  * @param waitingRoomRequests largest number of requests that wait for one service; 0 if there is no waiting room
+ * @param caps settings of the caps on the requests of tenants; empty when the deployment has none
  */
 public record EntrySettings(
         String vm,
@@ -53,7 +55,8 @@
         double probesPerSecond,
         long probeIntervalMillis,
         Optional<CrossingCost> crossingCost,
-        int waitingRoomRequests) {
+        int waitingRoomRequests,
+        Optional<CapSettings> caps) {
     /** Name of the setting of the change limit, which the environment may state in place of the file. */
     static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
 
@@ -79,6 +82,12 @@
             DIRECTORY_TTL_SECONDS,
             PROBES_PER_SECOND);
 
+    private static final String CAP_ADDRESS = "cap-address";
+    private static final String CAP_WINDOW_SECONDS = "cap-window-seconds";
+    private static final String CAP_OVERAGE = "cap-overage";
+    private static final String FIRST_START = "first-start";
+    private static final String CAP_SLACK = "cap-slack";
+
     /** Probe interval if the probe limit allows it; requests that need more recent load data probe on demand. */
     private static final long MIN_PROBE_INTERVAL_MILLIS = 250;
     /** Share of the probe limit that the owner of an upstream uses, since two nodes may briefly own it. */
@@ -140,7 +149,8 @@
                 Math.max(MIN_PROBE_INTERVAL_MILLIS, (long)
                         Math.ceil(MILLIS_PER_SECOND / (OWNER_PROBE_SHARE * probesPerSecond))),
                 parser.crossingCost(),
-                parser.waitingRoomRequests());
+                parser.waitingRoomRequests(),
+                parser.caps());
         if (!parser.errors.isEmpty()) {
             throw new InvalidEntrySettingsException(parser.errors);
         }
@@ -232,6 +242,22 @@
             return requests;
         }
 
+        /** Parses the settings of caps, if the window is stated; the platform leaves it empty where there are none. */
+        Optional<CapSettings> caps() {
+            if (values.getProperty(CAP_WINDOW_SECONDS, "").isBlank()) {
+                return Optional.empty();
+            }
+            long windowNanos = (long) (number(CAP_WINDOW_SECONDS) * NANOS_PER_SECOND);
+            if (windowNanos <= 0) {
+                errors.add(CAP_WINDOW_SECONDS + " must be above 0");
+            }
+            CapLimits limits = new CapLimits(
+                    Math.max(1, windowNanos), Math.max(0, number(CAP_OVERAGE)), Math.max(0, number(CAP_SLACK)));
+            boolean isFirstStart =
+                    Boolean.parseBoolean(values.getProperty(FIRST_START, "").trim());
+            return Optional.of(new CapSettings(address(CAP_ADDRESS), limits, isFirstStart));
+        }
+
         List<String> hosts(String name) {
             List<String> hosts = new ArrayList<>();
             for (String host : values.getProperty(name, "").split(",")) {
--- a/entry/src/test/java/org/turmericspan/entry/EntryWaitingRoomTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryWaitingRoomTest.java
@@ -33,7 +33,7 @@
         platform.addServer("i-0", "zone-a").setWorkMillis(WORK_MILLIS);
         int port = 29_004 + (int) (ProcessHandle.current().pid() % 400) * 8;
         node = new NodeProcess("127.0.9.1", "zone-a", port, "127.0.9.1:1", platform.address())
-                .withSetting("waiting-room-requests=32")
+                .withSettings(List.of("waiting-room-requests=32"))
                 .start();
         long endNanos = System.nanoTime() + READY_TIMEOUT_NANOS;
         while (!node.isReady() || node.request("POST", "/a/warm", "w").status() != 200) {
--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -69,9 +69,9 @@
         Files.write(settingsFile, lines);
     }
 
-    /** Adds a line to the settings; takes effect at the next start. */
-    NodeProcess withSetting(String line) throws IOException {
-        Files.write(settingsFile, List.of(line), StandardOpenOption.APPEND);
+    /** Adds lines to the settings; they take effect at the next start. */
+    NodeProcess withSettings(List<String> lines) throws IOException {
+        Files.write(settingsFile, lines, StandardOpenOption.APPEND);
         return this;
     }
 
@@ -147,6 +147,18 @@
                 timeout);
     }
 
+    /** Sends a request to read something with the key of a tenant. */
+    Response requestWithKey(String path, String id, String key) {
+        return send(
+                HttpRequest.newBuilder(URI.create("http://" + callerAddress + path))
+                        .GET()
+                        .header("Host", "h.example")
+                        .header("Authorization", "Token " + key)
+                        .header("Turmericspan-Request-Id", id)
+                        .header("Turmericspan-Deadline-Ms", "1500"),
+                TIMEOUT);
+    }
+
     private Response get(String uri) {
         return send(HttpRequest.newBuilder(URI.create(uri)), TIMEOUT);
     }
--- a/forwarding/src/test/java/org/turmericspan/forwarding/Replay.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/Replay.java
@@ -37,6 +37,7 @@
 import org.turmericspan.tenancy.TenantDirectory;
 import org.turmericspan.testkit.ManualClock;
 import org.turmericspan.testkit.ManualExecutor;
+import org.turmericspan.zones.RequestObserver;
 
 /**
  * One node with a waiting room, or with the polling of deployments without one, and the arrivals of a file: a line has
@@ -83,6 +84,7 @@
                         new WeightedRoundRobin(random),
                         new WindowedRetryBudget(RULES, () -> 1, clock),
                         new CrashSuspects(clock),
+                        RequestObserver.none(),
                         waits),
                 upstreams,
                 protocol,
