--- a/caps/src/main/java/org/turmericspan/caps/CapNode.java
+++ b/caps/src/main/java/org/turmericspan/caps/CapNode.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.ids.StableHash;
@@ -26,6 +28,9 @@
     /** Age up to which the list of nodes is used without being read again. */
     private static final long MAX_VIEW_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /** Stands for no tenant in asks that only learn about a node. */
+    private static final long GREETING_HASH = 0;
+
     private final RankedLock lock = new RankedLock(LockRank.BUDGETS);
     private final Map<Long, TenantDesk> desksByTenant = new HashMap<>();
     private final CapPeer self;
@@ -80,6 +85,17 @@
         lock.run(contact::establish);
     }
 
+    /**
+     * Lets this node give permits early if it finds that all nodes have restarted: all seeds are new, and a node of
+     * each zone is in touch.
+     *
+     * @param seeds addresses of the cap messages of the seeds; without this node
+     * @param zones all zones of the fleet
+     */
+    public void expect(Set<SocketAddress> seeds, Set<AvailabilityZoneId> zones) {
+        lock.run(() -> contact.expect(seeds, zones));
+    }
+
     /**
      * Begins to ask other nodes.
      *
@@ -102,13 +118,21 @@
         }
         List<CapPeer> newPeers = isViewDue ? peers.get() : List.of();
         lock.run(() -> {
-            CapKnowledge next = knowledge;
+            if (knowledge != current) {
+                return;
+            }
+            CapKnowledge next = current;
             FleetView previous = next.view();
             next = isViewDue ? next.withPeers(newPeers, nowNanos) : next;
             boolean isDirectoryNew = newDirectory != next.directory();
             next = isDirectoryNew ? next.withDirectory(newDirectory, limits, nowNanos) : next;
             knowledge = next;
-            if (isDirectoryNew || !next.view().hasNodesOf(previous)) {
+            contact.knows(next.view().size(), nowNanos);
+            boolean isStartTogether = contact.startTogether(next.view(), nowNanos);
+            if (isStartTogether) {
+                shards.startTogether(nowNanos);
+            }
+            if (isStartTogether || isDirectoryNew || !next.view().hasNodesOf(previous)) {
                 shards.update(next.tenantsByHash(), next.view());
             }
             if (isDirectoryNew) {
@@ -119,6 +143,16 @@
                                 && entry.getValue().isIdle());
             }
         });
+        if (isViewDue) {
+            greetSeeds(nowNanos);
+        }
+    }
+
+    /** Asks the seeds whether they are new too, by asks for no permit. */
+    private void greetSeeds(long nowNanos) {
+        for (SocketAddress seed : lock.compute(() -> contact.seedsToAsk(nowNanos))) {
+            send(new CapAsk(GREETING_HASH, asker, 1, 0, 0, 0), seed);
+        }
     }
 
     @Override
@@ -147,7 +181,16 @@
     public void receive(SocketAddress from, CapDatagram datagram) {
         refresh();
         long nowNanos = clock.nowNanos();
-        lock.run(() -> contact.heard(datagram.fleetSize(), nowNanos));
+        lock.run(() -> {
+            if (datagram.fleetSize() == 0) {
+                contact.heardNew(from);
+            }
+            if (datagram.isStartOfAll() && contact.heardStartOfAll(nowNanos)) {
+                shards.startTogether(nowNanos);
+                shards.update(knowledge.tenantsByHash(), knowledge.view());
+            }
+            contact.heard(datagram.fleetSize(), nowNanos);
+        });
         if (datagram.message() instanceof CapAsk ask) {
             send(lock.compute(() -> take(ask, nowNanos)), from);
         } else if (datagram.message() instanceof CapAnswer answer) {
@@ -163,8 +206,13 @@
     }
 
     private void send(CapMessage message, SocketAddress recipient) {
-        int fleetSize = lock.compute(() -> contact.sizeToTell(knowledge.view().size(), clock.nowNanos()));
-        sender.send(new CapDatagram(fleetSize, message), recipient);
+        long nowNanos = clock.nowNanos();
+        sender.send(
+                lock.compute(() -> new CapDatagram(
+                        contact.sizeToTell(knowledge.view().size(), nowNanos),
+                        contact.isStartOfAll(nowNanos),
+                        message)),
+                recipient);
     }
 
     private void timedOut(TenantDesk desk, long number) {
--- a/caps/src/main/java/org/turmericspan/caps/FleetView.java
+++ b/caps/src/main/java/org/turmericspan/caps/FleetView.java
@@ -21,6 +21,7 @@
 
     private final List<CapPeer> peers;
     private final Map<SocketAddress, CapPeer> peersByAddress = new HashMap<>();
+    private final Map<SocketAddress, Long> hashesByAddress = new HashMap<>();
     private final Map<Long, List<SocketAddress>> holdersByTenant;
     private final long builtNanos;
     private final long changedNanos;
@@ -29,6 +30,8 @@
             List<CapPeer> peers, Map<Long, List<SocketAddress>> holdersByTenant, long builtNanos, long changedNanos) {
         this.peers = List.copyOf(peers);
         this.peers.forEach(peer -> peersByAddress.put(peer.address(), peer));
+        this.peers.forEach(peer ->
+                hashesByAddress.put(peer.address(), StableHash.of(peer.address().toString())));
         this.holdersByTenant = holdersByTenant;
         this.builtNanos = builtNanos;
         this.changedNanos = changedNanos;
@@ -90,6 +93,12 @@
         return peer != null && peer.availabilityZone().equals(zone);
     }
 
+    /** Returns whether a node of a zone is alive. */
+    boolean isInTouchWith(AvailabilityZoneId zone) {
+        return peers.stream()
+                .anyMatch(peer -> peer.isAlive() && peer.availabilityZone().equals(zone));
+    }
+
     /**
      * Lists the nodes that hold the shards of a cap, one each from the first on. All nodes that know the same others
      * list the same.
@@ -101,8 +110,7 @@
     private List<SocketAddress> chooseHolders(long tenantHash) {
         List<Ranked> ranked = new ArrayList<>();
         for (CapPeer peer : peers) {
-            long hash =
-                    StableHash.combine(tenantHash, StableHash.of(peer.address().toString()));
+            long hash = StableHash.combine(tenantHash, hashesByAddress.get(peer.address()));
             ranked.add(new Ranked(peer, hash));
         }
         ranked.sort(HIGHEST_FIRST);
--- a/caps/src/main/java/org/turmericspan/caps/ShardTable.java
+++ b/caps/src/main/java/org/turmericspan/caps/ShardTable.java
@@ -13,15 +13,37 @@
     /** Time after a change of the nodes within which others may still ask the previous holder of a shard. */
     static final long TAKEOVER_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+    /** Time after a start of all nodes within which changes of the nodes need no wait. */
+    private static final long TOGETHER_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
     private final SocketAddress self;
     private final CapLimits limits;
     private final Map<Long, PermitShard> shards = new HashMap<>();
+    private boolean isTogether;
+    private long togetherNanos;
 
     ShardTable(SocketAddress self, CapLimits limits) {
         this.self = self;
         this.limits = limits;
     }
 
+    /**
+     * Begins all shards anew and lets them gain at once, since all nodes have restarted and no earlier holder gives
+     * permits. To be followed by an update.
+     */
+    void startTogether(long nowNanos) {
+        shards.clear();
+        isTogether = true;
+        togetherNanos = nowNanos;
+    }
+
+    private long heldSinceNanos(CappedTenant tenant, FleetView view) {
+        boolean isEarly = isTogether && view.changedNanos() - togetherNanos <= TOGETHER_NANOS;
+        long settledNanos =
+                isEarly ? Math.max(togetherNanos, view.changedNanos()) : view.changedNanos() + TAKEOVER_NANOS;
+        return Math.max(settledNanos, tenant.sinceNanos());
+    }
+
     /** Decides on an ask, by the cap that this node knows; it knows none of the tenant when that is null. */
     CapAnswer take(CapAsk ask, CappedTenant tenant, long nowNanos) {
         PermitShard shard = shards.get(ask.tenantHash());
@@ -38,7 +60,7 @@
         shards.keySet().removeIf(hash -> !isHeld(hash, tenantsByHash.get(hash), view));
         tenantsByHash.forEach((hash, tenant) -> {
             if (isHeld(hash, tenant, view)) {
-                long heldSinceNanos = Math.max(view.changedNanos() + TAKEOVER_NANOS, tenant.sinceNanos());
+                long heldSinceNanos = heldSinceNanos(tenant, view);
                 shards.computeIfAbsent(hash, key -> new PermitShard(heldSinceNanos));
             }
         });
--- a/caps/src/main/java/org/turmericspan/caps/wire/CapCodec.java
+++ b/caps/src/main/java/org/turmericspan/caps/wire/CapCodec.java
@@ -30,7 +30,7 @@
         CodedOutputStream output = CodedOutputStream.newInstance(bytes);
         try {
             output.writeUInt32NoTag(FORMAT_VERSION);
-            output.writeUInt32NoTag(datagram.fleetSize());
+            output.writeUInt32NoTag(2 * datagram.fleetSize() + (datagram.isStartOfAll() ? 1 : 0));
             if (datagram.message() instanceof CapAsk ask) {
                 writeAsk(ask, output);
             } else if (datagram.message() instanceof CapAnswer answer) {
@@ -71,7 +71,8 @@
         if (input.readUInt32() != FORMAT_VERSION) {
             throw new IOException("unknown format version");
         }
-        int fleetSize = input.readUInt32();
+        int sizeAndStart = input.readUInt32();
+        int fleetSize = sizeAndStart >> 1;
         if (fleetSize < 0 || fleetSize > MAX_FLEET_SIZE) {
             throw new IOException("size of the fleet out of range");
         }
@@ -101,7 +102,7 @@
         if (!input.isAtEnd()) {
             throw new IOException("bytes after the message");
         }
-        return new CapDatagram(fleetSize, message);
+        return new CapDatagram(fleetSize, (sizeAndStart & 1) != 0, message);
     }
 
     private static CapAnswer.Verdict readVerdict(CodedInputStream input) throws IOException {
--- a/caps/src/test/java/org/turmericspan/caps/CapSumPropertyTest.java
+++ b/caps/src/test/java/org/turmericspan/caps/CapSumPropertyTest.java
@@ -25,8 +25,21 @@
 
     @Property(seed = "20261207", tries = 1_000, shrinking = ShrinkingMode.OFF)
     void sumIsWithinTheFormulaInAnyWindow(@ForAll long seed) {
+        play(seed, true, 0);
+    }
+
+    /** Loses all nodes together once or twice in each day, besides the other troubles. */
+    @Property(seed = "20261208", tries = 1_000, shrinking = ShrinkingMode.OFF)
+    void sumIsWithinTheFormulaAfterTheLossOfAllNodes(@ForAll long seed) {
+        play(seed, true, 2);
+    }
+
+    private void play(long seed, boolean hasSeeds, int maxLosses) {
         SplittableRandom random = new SplittableRandom(seed);
         InMemoryFleet fleet = new InMemoryFleet(InMemoryFleet.LIMITS, seed, Duration.ofMillis(2_000));
+        if (!hasSeeds) {
+            fleet.withholdSeeds();
+        }
         changes.clear();
         int nodes = 1 + random.nextInt(24);
         int zones = 1 + random.nextInt(4);
@@ -41,6 +54,9 @@
         fleet.run(Duration.ofSeconds(random.nextInt(12)));
         planTroubles(fleet, random, zones);
         planRequests(fleet, random);
+        if (maxLosses > 0) {
+            planLosses(fleet, new SplittableRandom(~seed), maxLosses);
+        }
         fleet.run(Duration.ofSeconds(DAY_SECONDS + 1));
         assertWithinFormula(fleet, seed);
     }
@@ -48,7 +64,29 @@
     /** Half the nodes restarted behind a cut and held shards that the other side held too. */
     @Example
     void restartBehindCut() {
-        sumIsWithinTheFormulaInAnyWindow(-7294187584552015697L);
+        play(-7294187584552015697L, false, 0);
+        play(-7294187584552015697L, true, 0);
+    }
+
+    /** Plans that all nodes are killed at once and start again within some time of each other. */
+    private static void planLosses(InMemoryFleet fleet, SplittableRandom random, int maxLosses) {
+        int losses = 1 + random.nextInt(maxLosses);
+        for (int i = 0; i < losses; i++) {
+            long atNanos = fleet.clock().nowNanos() + TimeUnit.MILLISECONDS.toNanos(random.nextLong(DAY_SECONDS * 800));
+            long downMillis = random.nextLong(2_000);
+            long spreadMillis = 1 + random.nextLong(2_000);
+            fleet.at(
+                    atNanos,
+                    () -> fleet.nodes().forEach(node -> {
+                        node.kill();
+                        long startMillis = downMillis + random.nextLong(spreadMillis);
+                        fleet.at(fleet.clock().nowNanos() + TimeUnit.MILLISECONDS.toNanos(startMillis), () -> {
+                            if (node.isDead()) {
+                                node.start();
+                            }
+                        });
+                    }));
+        }
     }
 
     private static RequestCap randomCap(SplittableRandom random) {
--- a/caps/src/test/java/org/turmericspan/caps/CapTroubleTest.java
+++ b/caps/src/test/java/org/turmericspan/caps/CapTroubleTest.java
@@ -77,6 +77,56 @@
         assertThat(fleet.maxWaitNanos()).isLessThanOrEqualTo(MAX_WAIT_NANOS);
     }
 
+    /** A zone is lost for good; when its nodes are forgotten a minute later, the others keep giving permits. */
+    @ParameterizedTest
+    @ValueSource(ints = {16, 119})
+    void zoneLostForGoodIsForgottenWithoutRefusals(int nodes) {
+        start(nodes);
+        fleet.setDirectory(Tenants.many(TENANTS, PER_SECOND, BURST));
+        fleet.nodes().stream().filter(node -> node.zone() == 0).forEach(InMemoryFleet.Node::kill);
+        fleet.run(Duration.ofSeconds(50));
+        for (int i = 0; i < TENANTS; i++) {
+            demand("t" + i, 0.6 * PER_SECOND, 25);
+        }
+        fleet.forgetFigures();
+        fleet.run(Duration.ofSeconds(25));
+        System.out.println("zone forgotten: nodes=" + nodes + " " + fleet.outcomes() + " admitted=" + admittedShare());
+        assertThat(admittedShare()).isGreaterThan(0.97);
+    }
+
+    /** All nodes lose power and start within 2 s of each other; their tenants are served within some seconds. */
+    @ParameterizedTest
+    @ValueSource(ints = {16, 119})
+    void lossOfAllNodes(int nodes) {
+        start(nodes);
+        fleet.setDirectory(Tenants.many(TENANTS, PER_SECOND, BURST));
+        fleet.run(Duration.ofSeconds(15));
+        fleet.nodes().forEach(InMemoryFleet.Node::kill);
+        fleet.run(Duration.ofSeconds(1));
+        for (InMemoryFleet.Node node : fleet.nodes()) {
+            long delayNanos = fleet.random().nextLong(TimeUnit.SECONDS.toNanos(2));
+            fleet.at(fleet.clock().nowNanos() + delayNanos, node::start);
+        }
+        for (int i = 0; i < TENANTS; i++) {
+            demand("t" + i, 0.6 * PER_SECOND, 12);
+        }
+        double last = 0;
+        for (int second = 1; second <= 12; second++) {
+            fleet.forgetFigures();
+            fleet.run(Duration.ofSeconds(1));
+            last = admittedShare();
+            System.out.println(
+                    "all lost: nodes=" + nodes + " second=" + second + " " + fleet.outcomes() + " admitted=" + last);
+            if (second == 5) {
+                assertThat(last).isGreaterThan(0.9);
+            }
+        }
+        assertThat(last).isGreaterThan(0.97);
+        for (int i = 0; i < TENANTS; i++) {
+            assertThat(fleet.mostAdmitted("t" + i, 0, Long.MAX_VALUE)).isLessThanOrEqualTo(BOUND);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {16, 119})
     void zoneCutOffWithDemandFarOverTheCapOnBothSides(int nodes) {
--- a/caps/src/test/java/org/turmericspan/caps/InMemoryFleet.java
+++ b/caps/src/test/java/org/turmericspan/caps/InMemoryFleet.java
@@ -33,6 +33,16 @@
     /** Bytes of the headers of IP and UDP. */
     private static final int HEADER_BYTES = 28;
 
+    /** Time after which a dead node is forgotten. */
+    private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
+    /** Pause between two refreshes of a node that has not joined; later it is a second. */
+    private static final long JOINING_REFRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** Time within which a node joins. */
+    private static final long JOINING_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+    /** Nodes that each node is told of when it starts. */
+    private static final int SEEDS = 3;
+
     private static final Comparator<Task> EARLIEST_FIRST = (first, second) -> {
         int byTime = Long.compare(first.atNanos(), second.atNanos());
         return byTime != 0 ? byTime : Long.compare(first.order(), second.order());
@@ -54,6 +64,7 @@
     private BiPredicate<Node, Node> inTouch = (first, second) -> true;
     private long cutNanos;
     private long order;
+    private boolean hasSeeds = true;
 
     InMemoryFleet(CapLimits limits, long seed, Duration maxNews) {
         this.limits = limits;
@@ -77,6 +88,11 @@
         directory = newDirectory;
     }
 
+    /** Starts nodes from now on without the addresses of seeds. */
+    void withholdSeeds() {
+        hasSeeds = false;
+    }
+
     /** Sets the shares of messages that are lost, late and repeated. */
     void disturbMessages(double newLossShare, double newLateShare, double newRepeatShare) {
         lossShare = newLossShare;
@@ -227,12 +243,25 @@
                     (delayNanos, action) -> perform(started, clock.nowNanos() + delayNanos, action),
                     (tenant, outcome) -> outcomes.merge(outcome, 1, Integer::sum),
                     clock);
+            Set<SocketAddress> seeds = new HashSet<>();
+            Set<AvailabilityZoneId> zones = new HashSet<>();
+            for (Node other : nodes) {
+                zones.add(new AvailabilityZoneId("zone-" + other.zone));
+                if (other != this && other.index < SEEDS) {
+                    seeds.add(other.address);
+                }
+            }
+            if (hasSeeds) {
+                caps.expect(seeds, zones);
+            }
             caps.start(this::send);
             refreshLater(started);
         }
 
         private void refreshLater(int started) {
-            perform(started, clock.nowNanos() + TimeUnit.SECONDS.toNanos(1), () -> {
+            boolean isJoining = clock.nowNanos() - startedNanos < JOINING_NANOS;
+            long pauseNanos = isJoining ? JOINING_REFRESH_NANOS : TimeUnit.SECONDS.toNanos(1);
+            perform(started, clock.nowNanos() + pauseNanos, () -> {
                 caps.refresh();
                 refreshLater(started);
             });
@@ -312,6 +341,9 @@
                 if (node == this || !node.isDead && inTouch.test(this, node) && sinceNanos >= newsNanos(node)) {
                     known.add(node);
                 }
+                if (node.isDead && clock.nowNanos() - node.diedNanos > RETENTION_NANOS + newsNanos(node)) {
+                    known.remove(node);
+                }
                 if (known.contains(node)) {
                     peers.add(new CapPeer(
                             node.address,
--- a/caps/src/test/java/org/turmericspan/caps/wire/CapCodecTest.java
+++ b/caps/src/test/java/org/turmericspan/caps/wire/CapCodecTest.java
@@ -26,7 +26,7 @@
             @ForAll @IntRange(max = 4_096) int returned)
             throws IOException {
         CapAsk ask = new CapAsk(tenant, asker, number, waiting, ahead, returned);
-        CapDatagram datagram = new CapDatagram(waiting, ask);
+        CapDatagram datagram = new CapDatagram(waiting, true, ask);
         assertThat(CapCodec.decode(CapCodec.encode(datagram))).isEqualTo(datagram);
     }
 
@@ -40,7 +40,7 @@
             @ForAll @LongRange(max = 600_000) long retryMillis)
             throws IOException {
         CapAnswer answer = new CapAnswer(tenant, number, verdict, granted, granted, granted, emptyMillis, retryMillis);
-        CapDatagram datagram = new CapDatagram(granted, answer);
+        CapDatagram datagram = new CapDatagram(granted, false, answer);
         assertThat(CapCodec.decode(CapCodec.encode(datagram))).isEqualTo(datagram);
     }
 
@@ -51,7 +51,7 @@
 
     @Property(seed = "20261207", tries = 2_000)
     void damagedMessageIsDecodedOrRejected(@ForAll @IntRange(max = 40) int index, @ForAll byte value) {
-        byte[] bytes = CapCodec.encode(new CapDatagram(7, new CapAsk(1, 2, 3, 4, 5, 6)));
+        byte[] bytes = CapCodec.encode(new CapDatagram(7, false, new CapAsk(1, 2, 3, 4, 5, 6)));
         bytes[index % bytes.length] = value;
         decodeOrReject(bytes);
     }
@@ -66,7 +66,7 @@
 
     @Example
     void truncatedAndProlongedMessagesAreRejected() {
-        byte[] bytes = CapCodec.encode(new CapDatagram(7, new CapAsk(1, 2, 3, 4, 5, 6)));
+        byte[] bytes = CapCodec.encode(new CapDatagram(7, false, new CapAsk(1, 2, 3, 4, 5, 6)));
         for (int length = 0; length < bytes.length; length++) {
             byte[] truncated = Arrays.copyOf(bytes, length);
             assertThatThrownBy(() -> CapCodec.decode(truncated)).isInstanceOf(IOException.class);
@@ -77,9 +77,9 @@
 
     @Example
     void messagesAreAsSmallAsTheFleetInMemoryAssumes() {
-        byte[] ask = CapCodec.encode(new CapDatagram(689, new CapAsk(-1, -1, 1_000_000, 256, 256, 256)));
+        byte[] ask = CapCodec.encode(new CapDatagram(689, false, new CapAsk(-1, -1, 1_000_000, 256, 256, 256)));
         byte[] answer = CapCodec.encode(new CapDatagram(
-                689, new CapAnswer(-1, 1_000_000, CapAnswer.Verdict.NOT_HELD, 256, 256, 256, 2_000, 2_000)));
+                689, true, new CapAnswer(-1, 1_000_000, CapAnswer.Verdict.NOT_HELD, 256, 256, 256, 2_000, 2_000)));
         assertThat(ask).hasSizeLessThanOrEqualTo(InMemoryFleet.MESSAGE_BYTES);
         assertThat(answer).hasSizeLessThanOrEqualTo(InMemoryFleet.MESSAGE_BYTES);
     }
--- a/caps/src/test/java/org/turmericspan/caps/wire/CapTransportTest.java
+++ b/caps/src/test/java/org/turmericspan/caps/wire/CapTransportTest.java
@@ -60,7 +60,7 @@
                     malformed, malformed.length, new InetSocketAddress(address.host(), address.port())));
         }
         assertThat(events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isNotNull();
-        CapDatagram ask = new CapDatagram(7, new CapAsk(1, 2, 3, 4, 5, 6));
+        CapDatagram ask = new CapDatagram(7, false, new CapAsk(1, 2, 3, 4, 5, 6));
         transport.send(ask, address);
         assertThat(received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(ask);
         transport.close();
