--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -231,6 +231,11 @@
         if (dependencies.protocol().provesNotExecuted(response)) {
             recordFailure(attempt, AttemptResult.SHED, "not executed, status " + response.status());
             retryOrFail(true);
+        } else if (!route.idempotent() && dependencies.protocol().promisesNotRun(response.status())) {
+            // The status would promise the caller what the upstream has not proved.
+            recordFailure(attempt, AttemptResult.SERVER_ERROR, "unproven refusal, status " + response.status());
+            mayHaveRun = true;
+            retryOrFail(false);
         } else if (response.isServerError()) {
             recordFailure(attempt, AttemptResult.SERVER_ERROR, "status " + response.status());
             serverError = response;
--- a/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/CallProtocol.java
@@ -65,6 +65,14 @@
      */
     boolean provesNotExecuted(ResponseMessage response);
 
+    /**
+     * Returns whether callers take a status as the promise that their request has not run and never will.
+     *
+     * @param status status of a response
+     * @return true when the status is one of those
+     */
+    boolean promisesNotRun(int status);
+
     /**
      * Returns whether another upstream than the one to which the request was addressed responded.
      *
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
@@ -60,6 +60,11 @@
         return response.headers().first("not-run").isPresent();
     }
 
+    @Override
+    public boolean promisesNotRun(int status) {
+        return status == 408 || status == 429 || status == 503;
+    }
+
     @Override
     public boolean isWrongInstance(ResponseMessage response) {
         return response.status() == 421;
--- /dev/null
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/UnprovenRefusalTest.java
@@ -0,0 +1,35 @@
+package org.turmericspan.forwarding;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Responses whose status promises callers that nothing ran, from upstreams that do not prove it. */
+class UnprovenRefusalTest extends ForwardingFixture {
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void nonIdempotentRequestIsAnsweredWithAnUnknownOutcomeAndNotRepeated(int status) {
+        start(2, "/once/1");
+        client().call(0).respond(status);
+        assertThat(reply().status()).isEqualTo(502);
+        assertThat(reply().response().headers().first("signed")).isEmpty();
+        assertThat(client().callCount()).isEqualTo(1);
+    }
+
+    @Test
+    void idempotentRequestGetsTheStatusSinceItMayBeRepeatedAnyway() {
+        start(2, "/retry/1");
+        client().call(0).respond(429);
+        assertThat(reply().status()).isEqualTo(429);
+    }
+
+    @Test
+    void provenRefusalIsStillRepeatedElsewhere() {
+        start(2, "/once/1");
+        client().call(0).proveNotRun(503);
+        client().call(1).respond(200);
+        assertThat(reply().status()).isEqualTo(200);
+    }
+}
