--- a/zones/src/main/java/org/turmericspan/zones/ZoneSharing.java
+++ b/zones/src/main/java/org/turmericspan/zones/ZoneSharing.java
@@ -39,7 +39,7 @@
     private final LocalZone localZone;
     private final MonotonicClock clock;
     private final EventLog log;
-    private int nextTold;
+    private long messagesTold;
 
     /**
      * Creates the sharing of a node.
@@ -138,15 +138,27 @@
         return lock.compute(() -> {
             List<ServiceZones> known = new ArrayList<>(servicesByHash.values());
             int told = Math.min(ZoneSummary.MAX_SERVICES, known.size());
+            int firstTold = firstTold(known.size());
             List<ServiceSummary> services = new ArrayList<>(told);
             for (int i = 0; i < told; i++) {
-                services.add(known.get((nextTold + i) % known.size()).summary(now));
+                services.add(known.get((firstTold + i) % known.size()).summary(now));
             }
-            nextTold = known.isEmpty() ? 0 : (nextTold + told) % known.size();
             return new ZoneSummary(services);
         });
     }
 
+    /**
+     * Returns the position of the first service of a message. All services are told in turn, each turn in another
+     * order, so that messages of a kind that is every second or third one tell of all services too.
+     */
+    private int firstTold(int services) {
+        int messages = Math.max(1, (services + ZoneSummary.MAX_SERVICES - 1) / ZoneSummary.MAX_SERVICES);
+        long order = StableHash.combine(messagesTold / messages, services);
+        long position = (messagesTold % messages + Math.floorMod(order, messages)) % messages;
+        messagesTold++;
+        return (int) position * ZoneSummary.MAX_SERVICES;
+    }
+
     /**
      * Returns the share of the work of each service that leaves the zone.
      *
--- a/zones/src/test/java/org/turmericspan/zones/ZoneSharingTest.java
+++ b/zones/src/test/java/org/turmericspan/zones/ZoneSharingTest.java
@@ -70,6 +70,27 @@
         assertThat(sharing.reportAgesMillis()).containsEntry(REMOTE.value(), 0L);
     }
 
+    /** A node that sends one message inside its zone and one to another zone in each round, as in small zones. */
+    @Test
+    void eachKindOfMessageTellsOfAllServices() {
+        int count = 2 * ZoneSummary.MAX_SERVICES;
+        List<ServiceRoom> rooms = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            rooms.add(new ServiceRoom(new ServiceId("service-" + i), 10));
+        }
+        zone.rooms = rooms;
+        Set<Long> toldInside = new HashSet<>();
+        Set<Long> toldOutside = new HashSet<>();
+        for (int round = 0; round < count; round++) {
+            clock.advance(Duration.ofMillis(200));
+            sharing.refresh();
+            sharing.summary().services().forEach(service -> toldInside.add(service.serviceHash()));
+            sharing.summary().services().forEach(service -> toldOutside.add(service.serviceHash()));
+        }
+        assertThat(toldInside).hasSize(count);
+        assertThat(toldOutside).hasSize(count);
+    }
+
     @Test
     void summaryIsBoundedAndTellsOfAllServicesByTurns() {
         List<ServiceRoom> rooms = new ArrayList<>();
