--- a/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
+++ b/balancing/src/main/java/org/turmericspan/balancing/UpstreamSelector.java
@@ -234,9 +234,10 @@
      */
     List<TrackedUpstream> candidatesToProbe(
             ServiceUpstreams service, SelectionCriteria criteria, SelectionContext context) {
-        List<UpstreamCandidate> ranked = bestCandidates(service, criteria, context);
+        Optional<AvailabilityZoneId> remoteZone = preference(criteria).remoteZone();
+        List<UpstreamCandidate> ranked = bestCandidates(service, remoteZone, criteria, context);
         if (!ranked.isEmpty()
-                && ranked.get(0).cost() <= GOOD_COST
+                && ranked.get(0).cost() <= (remoteZone.isPresent() ? GOOD_REMOTE_COST : GOOD_COST)
                 && isJustObserved(ranked.get(0).upstream(), context.nowNanos())) {
             return List.of();
         }
@@ -248,13 +249,15 @@
 
     /** Lists up to {@link #MAX_PROBED_CANDIDATES} upstreams in ascending order of cost, without sorting all of them. */
     private List<UpstreamCandidate> bestCandidates(
-            ServiceUpstreams service, SelectionCriteria criteria, SelectionContext context) {
+            ServiceUpstreams service,
+            Optional<AvailabilityZoneId> remoteZone,
+            SelectionCriteria criteria,
+            SelectionContext context) {
         List<UpstreamCandidate> ranked = new ArrayList<>(MAX_PROBED_CANDIDATES + 1);
-        Optional<AvailabilityZoneId> preferred = preference(criteria).remoteZone();
-        if (preferred.isPresent()) {
-            rank(service.remote(preferred.get()), criteria, context, ranked);
+        if (remoteZone.isPresent()) {
+            rank(service.remote(remoteZone.get()), criteria, context, ranked);
             if (!ranked.isEmpty()) {
-                return ranked;
+                return withLocal(ranked, service.local(), criteria, context);
             }
         }
         rank(service.local(), criteria, context, ranked);
@@ -266,6 +269,23 @@
         return ranked;
     }
 
+    /** Replaces the last candidate by the best local one, unless the first is known to be good. */
+    private List<UpstreamCandidate> withLocal(
+            List<UpstreamCandidate> ranked,
+            List<TrackedUpstream> local,
+            SelectionCriteria criteria,
+            SelectionContext context) {
+        UpstreamCandidate best = ranked.get(0);
+        if (best.cost() > GOOD_REMOTE_COST || !isFresh(best.upstream(), context.nowNanos())) {
+            List<UpstreamCandidate> rankedLocal = new ArrayList<>(MAX_PROBED_CANDIDATES + 1);
+            rank(local, criteria, context, rankedLocal);
+            if (!rankedLocal.isEmpty()) {
+                ranked.add(Math.min(ranked.size(), MAX_PROBED_CANDIDATES - 1), rankedLocal.get(0));
+            }
+        }
+        return ranked.subList(0, Math.min(ranked.size(), MAX_PROBED_CANDIDATES));
+    }
+
     private void rank(
             List<TrackedUpstream> upstreams,
             SelectionCriteria criteria,
--- a/balancing/src/test/java/org/turmericspan/balancing/ZoneChoiceTest.java
+++ b/balancing/src/test/java/org/turmericspan/balancing/ZoneChoiceTest.java
@@ -110,6 +110,30 @@
                 .containsExactly(third);
     }
 
+    @Test
+    void goodCandidateOfTheZoneThatWasJustObservedNeedsNoProbes() {
+        add("u-third", THIRD_ZONE, 0, NORMAL);
+        preference = ZonePreference.leave(THIRD_ZONE);
+        clock.advance(Duration.ofMillis(500));
+        add("u-third-2", THIRD_ZONE, 0, NORMAL);
+        assertThat(table.candidatesToProbe(Samples.criteria())).isEmpty();
+    }
+
+    /** A node that has just started knows no load; the zone to which the request leaves may be full. */
+    @Test
+    void localCandidateIsProbedBesideAZoneThatIsNotKnownToBeGood() {
+        Registration local = Samples.registration("u-local", Samples.LOCAL_ZONE);
+        table.register(local);
+        for (int i = 0; i < 3; i++) {
+            table.register(Samples.registration("u-third-" + i, THIRD_ZONE));
+        }
+        preference = ZonePreference.leave(THIRD_ZONE);
+        assertThat(table.candidatesToProbe(Samples.criteria()))
+                .extracting(Registration::id)
+                .contains(local.id())
+                .hasSizeGreaterThan(1);
+    }
+
     @Test
     void drawOfTheRequestReachesTheShares() {
         add("u-local", Samples.LOCAL_ZONE, 0, NORMAL);
