--- a/zones/src/main/java/org/turmericspan/zones/SmoothedShares.java
+++ b/zones/src/main/java/org/turmericspan/zones/SmoothedShares.java
@@ -24,6 +24,8 @@
 
     /** Difference from the targets, summed over the zones, from which it is a change and not noise. */
     private static final double CLEAR_CHANGE = 0.1;
+    /** Share of a zone by its target from which it is too large, however small it is: the zone may be small as well. */
+    private static final double MAX_EXCESS_FACTOR = 1.25;
     /** Time constant with which the shares follow a clear change. */
     private static final double FAST_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Time constant with which they follow a small one. */
@@ -42,12 +44,14 @@
         double distance = distance(wanted);
         isMoving = distance > (isMoving ? REACHED_CHANGE : HOLD_CHANGE);
         double fastWeight = weight(elapsedNanos, FAST_NANOS);
-        double weight = distance > CLEAR_CHANGE ? fastWeight : isMoving ? weight(elapsedNanos, SLOW_NANOS) : 0;
+        double slowWeight = weight(elapsedNanos, SLOW_NANOS);
+        double weight = distance > CLEAR_CHANGE ? fastWeight : isMoving ? slowWeight : 0;
         Map<AvailabilityZoneId, Double> moved = new HashMap<>();
         for (AvailabilityZoneId zone : zones(wanted)) {
             double old = share(zone);
             double target = wanted.getOrDefault(zone, 0.0);
-            double share = old + (target > 0 ? weight : fastWeight) * (target - old);
+            double leastWeight = old > MAX_EXCESS_FACTOR * target ? slowWeight : 0;
+            double share = old + (target > 0 ? Math.max(weight, leastWeight) : fastWeight) * (target - old);
             if (target > 0 || share > REACHED_CHANGE) {
                 moved.put(zone, share);
             }
--- a/zones/src/test/java/org/turmericspan/zones/SmoothedSharesTest.java
+++ b/zones/src/test/java/org/turmericspan/zones/SmoothedSharesTest.java
@@ -60,4 +60,12 @@
         follow(Map.of(), 15);
         assertThat(shares.leaving()).isZero();
     }
+
+    /** Of a large zone, four in 100 are more than a small one can take. */
+    @Test
+    void guestsOfASmallZoneFollowItsRoom() {
+        follow(Map.of(B, 0.27, C, 0.015), 100);
+        follow(Map.of(B, 0.284, C, 0.001), 50);
+        assertThat(shares.shares().get(C)).isLessThan(0.005);
+    }
 }
