--- a/admission/src/main/java/org/turmericspan/admission/DrainRate.java
+++ b/admission/src/main/java/org/turmericspan/admission/DrainRate.java
@@ -16,14 +16,19 @@
     /** Divisor of the part of the present interval beyond the mean that is added to the mean. */
     private static final int OPEN_INTERVAL_DIVISOR = 4;
 
-    private SlotHoldTimeAverage interval = new SlotHoldTimeAverage();
+    /** Number of starts that weigh the same; from then on a new one has a weight of one to this number. */
+    private static final int MEAN_STARTS = 16;
+
+    private long meanNanos;
+    private int starts;
     private long lastNanos;
     private boolean isWaiting;
 
     /** Records that a request waits where none did. */
     void waitBegan(long nowNanos) {
         if (nowNanos - lastNanos > TTL_NANOS) {
-            interval = new SlotHoldTimeAverage();
+            starts = 0;
+            meanNanos = 0;
         }
         isWaiting = true;
         lastNanos = nowNanos;
@@ -35,9 +40,13 @@
         lastNanos = nowNanos;
     }
 
-    /** Records that a waiting request has started. */
+    /**
+     * Records that a waiting request has started. The first starts weigh the same, so that the first one after a loss
+     * of all upstreams, which ends a long interval, does not stand for those that follow.
+     */
     void started(long nowNanos) {
-        interval.record(Duration.ofNanos(nowNanos - lastNanos));
+        starts = Math.min(MEAN_STARTS, starts + 1);
+        meanNanos += (nowNanos - lastNanos - meanNanos) / starts;
         lastNanos = nowNanos;
     }
 
@@ -47,12 +56,10 @@
      */
     Optional<Duration> interval(long nowNanos) {
         long sinceNanos = nowNanos - lastNanos;
-        if (!isWaiting && sinceNanos > TTL_NANOS) {
+        if (starts == 0 || !isWaiting && sinceNanos > TTL_NANOS) {
             return Optional.empty();
         }
-        return interval.mean().map(mean -> {
-            long excessNanos = isWaiting ? Math.max(0, sinceNanos - mean.toNanos()) : 0;
-            return mean.plusNanos(excessNanos / OPEN_INTERVAL_DIVISOR);
-        });
+        long excessNanos = isWaiting ? Math.max(0, sinceNanos - meanNanos) : 0;
+        return Optional.of(Duration.ofNanos(meanNanos + excessNanos / OPEN_INTERVAL_DIVISOR));
     }
 }
