--- a/forwarding/src/main/java/org/turmericspan/forwarding/ServiceRoom.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ServiceRoom.java
@@ -220,11 +220,13 @@
     /**
      * Offers room to the requests of a priority: to the first if it will be in time, then to the one with the most time
      * left, which may be in time at a slower upstream, and then to the first again, if it takes any upstream by now.
-     * Returns whether one of them started.
+     * Returns whether one of them started. The reserve holds a head up only until it takes any upstream, so that it
+     * shuts out no priority.
      */
     private boolean offerTo(Waiter<UpstreamSearch> head, int priority) {
         if (isReservedFrom(priority)) {
-            return false;
+            return head.attachment().remainingFastWaitNanos() <= 0
+                    && startAt(head, head.attachment().choose());
         }
         Optional<Waiter<UpstreamSearch>> freshest = lock.compute(() -> room.freshest(priority));
         boolean isStarted = freshest.isPresent()
