--- a/admission/src/main/java/org/turmericspan/admission/WaitingClass.java
+++ b/admission/src/main/java/org/turmericspan/admission/WaitingClass.java
@@ -13,7 +13,7 @@
     private final RoundRobin<String, Waiter<W>, OrderedQueue<Waiter<W>>> inTime = newGroup();
     private final RoundRobin<String, Waiter<W>, OrderedQueue<Waiter<W>>> late = newGroup();
     private final TreeSet<Waiter<W>> byInTimeUntil = new TreeSet<>(Waiter.byInTimeUntil());
-    private int lateCount;
+    private final TreeSet<Waiter<W>> lateByWaitUntil = new TreeSet<>(Waiter.byWaitUntil());
 
     private static <W> RoundRobin<String, Waiter<W>, OrderedQueue<Waiter<W>>> newGroup() {
         return new RoundRobin<>(
@@ -22,7 +22,7 @@
     }
 
     int size() {
-        return byInTimeUntil.size() + lateCount;
+        return byInTimeUntil.size() + lateByWaitUntil.size();
     }
 
     boolean hasInTime() {
@@ -36,14 +36,14 @@
             inTime.removeUnserved(waiter.request().shareKey(), waiter);
             waiter.markLate();
             late.add(waiter.request().shareKey(), waiter);
-            lateCount++;
+            lateByWaitUntil.add(waiter);
         }
     }
 
     void add(Waiter<W> waiter) {
         group(waiter.isLate()).add(waiter.request().shareKey(), waiter);
         if (waiter.isLate()) {
-            lateCount++;
+            lateByWaitUntil.add(waiter);
         } else {
             byInTimeUntil.add(waiter);
         }
@@ -58,7 +58,7 @@
             group.removeUnserved(waiter.request().shareKey(), waiter);
         }
         if (waiter.isLate()) {
-            lateCount--;
+            lateByWaitUntil.remove(waiter);
         } else {
             byInTimeUntil.remove(waiter);
         }
@@ -69,11 +69,13 @@
         return group(inTime.isEmpty()).first().first();
     }
 
-    /** Returns the request with the most time in which to start, if it is not the next one anyway. */
+    /**
+     * Returns the request with the most time in which to start, or if none can be in time, the one with the most time
+     * left, if it is not the next one anyway.
+     */
     Optional<Waiter<W>> freshest() {
-        return byInTimeUntil.isEmpty() || byInTimeUntil.last() == first()
-                ? Optional.empty()
-                : Optional.of(byInTimeUntil.last());
+        TreeSet<Waiter<W>> group = byInTimeUntil.isEmpty() ? lateByWaitUntil : byInTimeUntil;
+        return group.last() == first() ? Optional.empty() : Optional.of(group.last());
     }
 
     /** Returns the last request in the order, of the share with the most requests; there must be one. */
@@ -101,7 +103,7 @@
         RoundRobin<String, Waiter<W>, OrderedQueue<Waiter<W>>> group = group(arriving.isLate());
         int aheadInShare =
                 group.queue(shareKey).map(share -> share.countBefore(arriving)).orElse(0);
-        int groupSize = arriving.isLate() ? lateCount : byInTimeUntil.size();
+        int groupSize = arriving.isLate() ? lateByWaitUntil.size() : byInTimeUntil.size();
         int ahead = group.estimateAhead(shareKey, aheadInShare, groupSize);
         return arriving.isLate() ? byInTimeUntil.size() + ahead : ahead;
     }
--- a/admission/src/main/java/org/turmericspan/admission/WaitingRoom.java
+++ b/admission/src/main/java/org/turmericspan/admission/WaitingRoom.java
@@ -112,7 +112,7 @@
      * first one.
      *
      * @param priority the priority
-     * @return the request, which stays in the room; empty when no other than the first one can be in time
+     * @return the request, which stays in the room; empty when it is the first one
      */
     public Optional<Waiter<W>> freshest(int priority) {
         update(clock.nowNanos());
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ServiceRoom.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ServiceRoom.java
@@ -219,14 +219,13 @@
 
     /**
      * Offers room to the requests of a priority: to the first if it will be in time, then to the one with the most time
-     * left, which may be in time at a slower upstream, and then to the first again, if it takes any upstream by now.
+     * left, which may be in time at a slower upstream, and then to both again, if they take any upstream by now.
      * Returns whether one of them started. The reserve holds a head up only until it takes any upstream, so that it
      * shuts out no priority.
      */
     private boolean offerTo(Waiter<UpstreamSearch> head, int priority) {
         if (isReservedFrom(priority)) {
-            return head.attachment().remainingFastWaitNanos() <= 0
-                    && startAt(head, head.attachment().choose());
+            return startAtAny(head);
         }
         Optional<Waiter<UpstreamSearch>> freshest = lock.compute(() -> room.freshest(priority));
         boolean isStarted = freshest.isPresent()
@@ -234,13 +233,19 @@
                                 || startAt(
                                         freshest.get(),
                                         freshest.get().attachment().chooseInTime()))
-                || startAt(head, head.attachment().choose());
+                || startAt(head, head.attachment().choose())
+                || freshest.isPresent() && startAtAny(freshest.get());
         if (!isStarted) {
             refreshOnce(head.attachment());
         }
         return isStarted;
     }
 
+    private boolean startAtAny(Waiter<UpstreamSearch> waiter) {
+        return waiter.attachment().remainingFastWaitNanos() <= 0
+                && startAt(waiter, waiter.attachment().choose());
+    }
+
     private boolean startAt(Waiter<UpstreamSearch> waiter, Optional<Placement> placement) {
         placement.ifPresent(chosen -> start(waiter, chosen));
         return placement.isPresent();
@@ -302,12 +307,20 @@
         for (Optional<Waiter<UpstreamSearch>> head = head(0);
                 head.isPresent();
                 head = head(head.get().request().priority() + 1)) {
-            long fastWaitNanos = head.get().attachment().remainingFastWaitNanos();
-            untilNanos = fastWaitNanos > 0 ? Math.min(untilNanos, fastWaitNanos) : untilNanos;
+            untilNanos = untilAny(head.get(), untilNanos);
+            int priority = head.get().request().priority();
+            Optional<Waiter<UpstreamSearch>> freshest = lock.compute(() -> room.freshest(priority));
+            untilNanos = freshest.isPresent() ? untilAny(freshest.get(), untilNanos) : untilNanos;
         }
         timer.set(now + untilNanos, untilNanos, worker);
     }
 
+    /** Returns the time until a request takes any upstream, if that is to come sooner than another time. */
+    private static long untilAny(Waiter<UpstreamSearch> waiter, long otherNanos) {
+        long fastWaitNanos = waiter.attachment().remainingFastWaitNanos();
+        return fastWaitNanos > 0 ? Math.min(otherNanos, fastWaitNanos) : otherNanos;
+    }
+
     private void depart(Departure<UpstreamSearch> departure) {
         waitEnded(departure.waiter());
         UpstreamSearch search = departure.waiter().attachment();
