--- a/zones/src/test/java/org/turmericspan/zones/ZoneLoopTest.java
+++ b/zones/src/test/java/org/turmericspan/zones/ZoneLoopTest.java
@@ -52,8 +52,6 @@
         loop.run(SETTLE);
         Samples leaving = watch(loop, 0, WATCH);
         double need = (1 - 1 / 1.6) * loop.zone(0).sentRequests();
-        System.out.println(
-                "surge " + leaving.swing() + " " + (double) loop.refused() / loop.sent() + " " + loop.crossed() / need);
         assertThat(leaving.swing()).isLessThanOrEqualTo(MAX_SWING);
         assertThat(loop.refused()).isLessThanOrEqualTo((int) (MAX_REFUSED * loop.sent()));
         assertThat(loop.crossed()).isLessThanOrEqualTo((int) (MAX_CROSSED_BY_NEED * need));
