--- a/entry/src/test/java/org/turmericspan/entry/PersistentCaller.java
+++ b/entry/src/test/java/org/turmericspan/entry/PersistentCaller.java
@@ -55,8 +55,8 @@
     record AheadRequest(String id, boolean idempotent) {
         String text() {
             return idempotent
-                    ? "GET /safe/" + id + headers(id) + "\r\n"
-                    : "POST /once/" + id + headers(id) + "Content-Length: 4\r\n\r\nbody";
+                    ? "GET /safe/" + id + commonHeaders(id) + "\r\n"
+                    : "POST /once/" + id + commonHeaders(id) + "Content-Length: 4\r\n\r\nbody";
         }
     }
 
@@ -85,8 +85,12 @@
     }
 
     private String headers(String id) {
+        return commonHeaders(id) + ownHeaders;
+    }
+
+    private static String commonHeaders(String id) {
         return " HTTP/1.1\r\nHost: h.example\r\nTurmericspan-Request-Id: " + id
-                + "\r\nTurmericspan-Deadline-Ms: 1500\r\n" + ownHeaders;
+                + "\r\nTurmericspan-Deadline-Ms: 1500\r\n";
     }
 
     private Exchange exchange(String head, String chunk, long headPauseMillis, long chunkPauseMillis) {
