--- a/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntrySettings.java
@@ -59,7 +59,7 @@
         Optional<CrossingCost> crossingCost,
         int waitingRoomRequests,
         Optional<CapSettings> caps) {
-    /** Name of the setting of the change limit, which the environment may state in place of the file. */
+    /** Name of the setting of the change limit. */
     static final String CHANGE_LIMIT_SECONDS = "change-limit-seconds";
 
     /** Name of the setting of the largest number of requests that wait for one service. */
@@ -91,6 +91,10 @@
     private static final String ZONES = "zones";
     private static final String CAP_SLACK = "cap-slack";
 
+    /** Names of the settings that the environment may state in place of the file. */
+    static final List<String> ENVIRONMENT_SETTINGS =
+            List.of(CHANGE_LIMIT_SECONDS, CAP_ADDRESS, CAP_WINDOW_SECONDS, CAP_OVERAGE, CAP_SLACK, ZONES);
+
     /** Probe interval if the probe limit allows it; requests that need more recent load data probe on demand. */
     private static final long MIN_PROBE_INTERVAL_MILLIS = 250;
     /** Share of the probe limit that the owner of an upstream uses, since two nodes may briefly own it. */
--- a/entry/src/main/java/org/turmericspan/entry/SettingsFile.java
+++ b/entry/src/main/java/org/turmericspan/entry/SettingsFile.java
@@ -4,13 +4,14 @@
 import java.io.StringReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Locale;
 import java.util.Properties;
 import java.util.function.UnaryOperator;
 
 /** The settings file, which is read at the start and after each change. */
 public final class SettingsFile {
-    /** Environment variable that states the change limit if the file does not. */
-    static final String CHANGE_LIMIT_VARIABLE = "TURMERICSPAN_CHANGE_LIMIT_SECONDS";
+    /** Begins the environment variables that state settings which the file does not. */
+    private static final String VARIABLE_PREFIX = "TURMERICSPAN_";
 
     private final Path path;
     private final UnaryOperator<String> environment;
@@ -47,13 +48,19 @@
         content = Files.readString(path);
         Properties values = new Properties();
         values.load(new StringReader(content));
-        String changeLimit = environment.apply(CHANGE_LIMIT_VARIABLE);
-        if (changeLimit != null) {
-            values.putIfAbsent(EntrySettings.CHANGE_LIMIT_SECONDS, changeLimit);
+        for (String name : EntrySettings.ENVIRONMENT_SETTINGS) {
+            String value = environment.apply(variableOf(name));
+            if (value != null && !value.isBlank()) {
+                values.putIfAbsent(name, value);
+            }
         }
         return EntrySettings.of(values);
     }
 
+    private static String variableOf(String setting) {
+        return VARIABLE_PREFIX + setting.toUpperCase(Locale.ROOT).replace('-', '_');
+    }
+
     /**
      * Returns whether the file has changed since it was last read.
      *
--- a/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntrySettingsTest.java
@@ -9,11 +9,15 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Properties;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.turmericspan.caps.CapLimits;
 import org.turmericspan.feed.ChangeLimits;
+import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.zones.CrossingCost;
 
@@ -119,6 +123,31 @@
         assertThat(file.read().changeLimits()).isEqualTo(new ChangeLimits(Duration.ofSeconds(3)));
     }
 
+    /** Where a deployment has no caps, the deploy file passes them empty. */
+    @Test
+    void capsOfTheEnvironmentCountUnlessTheyAreEmpty(@TempDir Path folder) throws IOException {
+        Path path = folder.resolve("settings");
+        try (Writer writer = Files.newBufferedWriter(path)) {
+            validSettings().store(writer, null);
+        }
+        assertThat(new SettingsFile(path, variable -> variable.contains("_CAP_") ? "" : null)
+                        .read()
+                        .caps())
+                .isEmpty();
+        Map<String, String> environment = Map.of(
+                "TURMERICSPAN_CAP_ADDRESS", "10.0.0.1:7215",
+                "TURMERICSPAN_CAP_WINDOW_SECONDS", "5",
+                "TURMERICSPAN_CAP_OVERAGE", "0.25",
+                "TURMERICSPAN_CAP_SLACK", "20",
+                "TURMERICSPAN_ZONES", "a,b");
+        assertThat(new SettingsFile(path, environment::get).read().caps())
+                .contains(new CapSettings(
+                        new SocketAddress("10.0.0.1", 7_215),
+                        new CapLimits(TimeUnit.SECONDS.toNanos(5), 0.25, 20),
+                        Set.of(new AvailabilityZoneId("a"), new AvailabilityZoneId("b")),
+                        false));
+    }
+
     @Test
     void zonesShareNoWorkUnlessTheSettingSaysSo() {
         Properties values = validSettings();
--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -569,15 +569,6 @@
             values.put("Bounds.GraceS", "6");
             values.put("Bounds.ttl_max_s", "5");
             values.put("Bounds.ProbesPerS", "60");
-            values.put("Bootstrap", "true");
-            values.put("PortRange.1", Integer.toString(BASE_PORT + 6));
-            values.put("Bounds.QuotaWindowS", "");
-            values.put("Bounds.QuotaOverage", "");
-            values.put("Bounds.QuotaSlack", "");
-            values.put("#Zones", "");
-            values.put("@", "");
-            values.put(",", "");
-            values.put("/Zones", "");
             writeSettings();
         }
 
