Log and count the lists that a node reads of its sources

Each list is now a line with source, items, its revision and the replica's; the metrics store_lists and store_lists_refused count them, and a failed out-of-band read tells the replica's revision. No logic changed.

--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -178,6 +178,8 @@
 
     private void registerGauges() {
         metrics.registerGauge("store_calls", feed::calls);
+        metrics.registerGauge("store_lists", feed::lists);
+        metrics.registerGauge("store_lists_refused", feed::refusedLists);
         metrics.registerGauge("store_revision", feed::revision);
         metrics.registerGauge("store_confirmed_age_ms", feed::confirmedAgeMillis);
         metrics.registerGauge("store_catch_up_reads", catchUp::reads);
--- a/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -91,6 +91,7 @@
         log.write(Event.notice(PART, "Out-of-band read failed.")
                 .with("source", source)
                 .with("reason", result)
+                .with("revision", feed.revision())
                 .with("confirmedAgeMs", feed.confirmedAgeMillis()));
     }
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -57,6 +57,8 @@
     private Runnable contactLostListener = () -> {};
     private Consumer<StoreSource> newsListener = source -> {};
     private volatile long calls;
+    private volatile long lists;
+    private volatile long refusedLists;
 
     /**
      * Creates a feed that is not started yet.
@@ -168,6 +170,24 @@
         return calls;
     }
 
+    /**
+     * Returns the number of full lists that this node has received, of the store and of other nodes.
+     *
+     * @return number of complete lists, refused ones among them
+     */
+    public long lists() {
+        return lists;
+    }
+
+    /**
+     * Returns the number of full lists that were not taken, since this node has later changes.
+     *
+     * @return number of refused lists
+     */
+    public long refusedLists() {
+        return refusedLists;
+    }
+
     /**
      * Returns whether this node reads the store itself, has listed all items and got a response lately.
      *
@@ -276,6 +296,7 @@
 
     private void completeList(ListRead list, long elapsedMillis) {
         if (!list.source().isStore() && list.lowestRevision() < replica.revision()) {
+            recordList(list, false);
             // What changed in between would look removed, here and at the nodes that read from this one.
             retryAfterFailure(
                     list.source(), SourceFailure.REJECTED, "revision " + list.lowestRevision(), this::listAll);
@@ -300,7 +321,9 @@
         if (!isStale) {
             recordConfirmation(list.lowestRevision(), status);
         }
-        if (replica.isComplete() && list.lowestRevision() < replica.revision()) {
+        boolean isTaken = !replica.isComplete() || list.lowestRevision() >= replica.revision();
+        recordList(list, isTaken);
+        if (!isTaken) {
             return;
         }
         boolean isFirst = !replica.isComplete();
@@ -312,6 +335,18 @@
         }
     }
 
+    private void recordList(ListRead list, boolean isTaken) {
+        lists++;
+        if (!isTaken) {
+            refusedLists++;
+        }
+        log.write(Event.notice(PART, isTaken ? "Items listed." : "List refused, older than the replica.")
+                .with("source", list.source())
+                .with("items", list.items().size())
+                .with("listRevision", list.lowestRevision())
+                .with("revision", replica.revision()));
+    }
+
     private StoreSource chooseSource() {
         StoreSource source = sourceSelector.select();
         countCall(source);
