--- a/entry/src/main/java/org/turmericspan/entry/EntryNode.java
+++ b/entry/src/main/java/org/turmericspan/entry/EntryNode.java
@@ -178,9 +178,10 @@
 
     private void registerGauges() {
         metrics.registerGauge("store_calls", feed::calls);
-        metrics.registerGauge("store_lists", feed::lists);
-        metrics.registerGauge("store_lists_refused", feed::refusedLists);
-        metrics.registerGauge("store_revision", feed::revision);
+        metrics.registerGauge("store_lists", feed.lists()::lists);
+        metrics.registerGauge("store_lists_refused", feed.lists()::refusedLists);
+        metrics.registerGauge("store_era", () -> feed.position().era());
+        metrics.registerGauge("store_revision", () -> feed.position().revision());
         metrics.registerGauge("store_confirmed_age_ms", feed::confirmedAgeMillis);
         metrics.registerGauge("store_catch_up_reads", catchUp::reads);
         metrics.registerGauge("probes", prober::probesSent);
--- a/entry/src/main/java/org/turmericspan/entry/TransportModule.java
+++ b/entry/src/main/java/org/turmericspan/entry/TransportModule.java
@@ -142,7 +142,7 @@
             EventLog log) {
         return new StoreFeed(
                 sourceSelector,
-                new StoreClient(client, settings.changeLimits(), workers.next()),
+                new StoreClient(client, settings.changeLimits(), workers.next(), log),
                 DocumentDecoder::decode,
                 listener,
                 settings.changeLimits(),
--- a/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -344,7 +344,10 @@
             gossip = new Gossip(
                     table, upstreams, new CrashSuspects(clock), RelayFleet.this::seeds, lifetime, random.split());
             StoreClient client = new StoreClient(
-                    (target, request, options, listener) -> call(this, target, request, listener), limits, lifetime);
+                    (target, request, options, listener) -> call(this, target, request, listener),
+                    limits,
+                    lifetime,
+                    EventLog.none());
             ReaderTreeSelector sources = new ReaderTreeSelector(STORE, table, clock, random.split());
             feed = new StoreFeed(
                     sources,
--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 
 /**
  * Reads changes from nodes that are known to have them, when the source of the feed does not deliver them. The load
@@ -63,18 +64,31 @@
         if (!feed.isComplete()) {
             return;
         }
-        if (state.changeRevision() > feed.revision()) {
+        StorePosition newest = newestPosition(state);
+        if (newest.isAfter(feed.position())) {
             nodesAhead.removeIf(known -> known.address().equals(node));
-            nodesAhead.add(0, new NodeAhead(node, state.changeRevision()));
+            nodesAhead.add(0, new NodeAhead(node, newest));
             if (nodesAhead.size() > MAX_NODES_AHEAD) {
                 nodesAhead.remove(MAX_NODES_AHEAD);
             }
             checkLater();
-        } else if (state.listRevision() <= feed.revision()) {
+            return;
+        }
+        if (state.configurationVersion() > feed.configurationVersion()) {
+            feed.outOfBandReads().list(new StoreSource(node, StoreSource.Kind.NODE_AHEAD));
+        }
+        if (state.era() == feed.position().era() && !state.listPosition().isAfter(feed.position())) {
             feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
         }
     }
 
+    /** Returns the position of the newest change of a replica; in a later era, all that it has is one. */
+    private StorePosition newestPosition(ReplicaState state) {
+        return state.listPosition().isInLaterEra(feed.position())
+                ? state.changePosition().max(state.listPosition())
+                : state.changePosition();
+    }
+
     private void checkLater() {
         if (!isCheckPending) {
             isCheckPending = true;
@@ -100,7 +114,7 @@
     }
 
     private void removeNodesNotAhead() {
-        nodesAhead.removeIf(node -> node.changeRevision() <= feed.revision());
+        nodesAhead.removeIf(node -> !node.position().isAfter(feed.position()));
     }
 
     private void readFrom(NodeAhead node) {
@@ -110,7 +124,7 @@
         feed.outOfBandReads().readChanges(source, result -> {
             readsInProgress--;
             removeNodesNotAhead();
-            boolean isBehind = node.changeRevision() > feed.revision();
+            boolean isBehind = node.position().isAfter(feed.position());
             if (isBehind && nodesAhead.isEmpty() && result instanceof StoreReadResult.RevisionCompacted) {
                 feed.outOfBandReads().list(source);
             }
@@ -119,5 +133,5 @@
     }
 
     /** A node that has a change which this one has not. */
-    private record NodeAhead(SocketAddress address, long changeRevision) {}
+    private record NodeAhead(SocketAddress address, StorePosition position) {}
 }
--- a/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
+++ b/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
@@ -39,6 +39,11 @@
     /** Age that others take a list for which may be stale, until it is watched; nobody is confirmed by it. */
     private static final int STALE_LIST_PERCENT = 50;
 
+    /** Shortest and longest pause between two lists by which a node recovers. */
+    private static final int MIN_LIST_PAUSE_PERCENT = 5;
+
+    private static final int MAX_LIST_PAUSE_PERCENT = 50;
+
     /**
      * Returns the limit itself.
      *
@@ -84,6 +89,14 @@
         return millis(STALE_LIST_PERCENT);
     }
 
+    long minListPauseMillis() {
+        return millis(MIN_LIST_PAUSE_PERCENT);
+    }
+
+    long maxListPauseMillis() {
+        return millis(MAX_LIST_PAUSE_PERCENT);
+    }
+
     long messageMillis() {
         return millis(MESSAGE_PERCENT);
     }
--- a/feed/src/main/java/org/turmericspan/feed/ListRead.java
+++ b/feed/src/main/java/org/turmericspan/feed/ListRead.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.turmericspan.feed.StoreReader.Freshness;
+import org.turmericspan.ids.StorePosition;
 
 /** Read of all items of one source, page by page. */
 final class ListRead {
@@ -14,8 +15,8 @@
     private final Consumer<StoreReadResult> failureListener;
     private final Consumer<ListRead> listener;
     private final List<StoreItem> items = new ArrayList<>();
-    private long lowestRevision = Long.MAX_VALUE;
-    private long highestRevision;
+    private StorePosition lowest;
+    private StorePosition highest;
     private RelayStatus status = RelayStatus.STORE;
 
     /**
@@ -60,9 +61,13 @@
     }
 
     private void add(StorePage page) {
+        if (lowest != null && page.position().era() != lowest.era()) {
+            failureListener.accept(new StoreReadResult.Failed("store restored between two pages"));
+            return;
+        }
         items.addAll(page.items());
-        lowestRevision = Math.min(lowestRevision, page.revision());
-        highestRevision = Math.max(highestRevision, page.revision());
+        lowest = lowest == null ? page.position() : lowest.min(page.position());
+        highest = highest == null ? page.position() : highest.max(page.position());
         status = page.status();
         if (page.isTruncated() && !page.items().isEmpty()) {
             readPage(items.get(items.size() - 1).key());
@@ -75,22 +80,23 @@
         return source;
     }
 
-    Freshness freshness() {
-        return freshness;
-    }
-
     List<StoreItem> items() {
         return items;
     }
 
-    /** Returns the revision up to which the list has every change; the pages are not a consistent snapshot. */
-    long lowestRevision() {
-        return lowestRevision;
+    /** Returns the position up to which the list has every change; the pages are not a consistent snapshot. */
+    StorePosition lowestPosition() {
+        return lowest;
+    }
+
+    /** Returns the position of the newest page. */
+    StorePosition highestPosition() {
+        return highest;
     }
 
-    /** Returns the revision of the newest page. */
-    long highestRevision() {
-        return highestRevision;
+    /** Returns whether the items may be seconds old. */
+    boolean isStale() {
+        return source.isStore() && freshness == Freshness.STALE_ALLOWED;
     }
 
     /** Returns how current the source was. */
--- a/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -6,6 +6,7 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.feed.StoreReader.Freshness;
 import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.StorePosition;
 
 /**
  * Reads besides the one that a feed has pending, which may wait for a source that does not respond. An unexpected
@@ -16,13 +17,15 @@
 
     private final StoreFeed feed;
     private final StoreReader reader;
+    private final ListPace pace;
     private final MonotonicClock clock;
     private final EventLog log;
     private boolean isListing;
 
-    OutOfBandReads(StoreFeed feed, StoreReader reader, MonotonicClock clock, EventLog log) {
+    OutOfBandReads(StoreFeed feed, StoreReader reader, ListPace pace, MonotonicClock clock, EventLog log) {
         this.feed = feed;
         this.reader = reader;
+        this.pace = pace;
         this.clock = clock;
         this.log = log;
     }
@@ -35,10 +38,11 @@
      */
     void readChanges(StoreSource source, Consumer<StoreReadResult> listener) {
         feed.countCall(source);
+        StorePosition after = feed.position();
         long sentNanos = clock.nowNanos();
-        reader.watch(source, feed.revision(), 0, result -> {
+        reader.watch(source, after, 0, result -> {
             if (result instanceof StoreReadResult.Page read) {
-                guarded(source, () -> feed.applyOutOfBand(source, read.page().olderBy(elapsedMillis(sentNanos))));
+                guarded(source, () -> apply(source, after, read.page().olderBy(elapsedMillis(sentNanos))));
             } else {
                 logFailure(source, result);
             }
@@ -46,13 +50,28 @@
         });
     }
 
+    private void apply(StoreSource source, StorePosition after, StorePage page) {
+        PageUse use = PageUse.of(source, after, page, feed.position());
+        if (use == PageUse.CHANGES) {
+            feed.applyOutOfBand(source, page);
+        } else if (use == PageUse.LIST_NEEDED) {
+            list(source);
+        } else {
+            log.write(Event.notice(PART, "Out-of-band read not applied.")
+                    .with("source", source)
+                    .with("reason", use)
+                    .with("era", page.position().era())
+                    .with("revision", page.position().revision()));
+        }
+    }
+
     /**
-     * Lists all items of a source, unless another such list is being read.
+     * Lists all items of a source, unless another such list is being read or the last one was just before.
      *
      * @param source the store, or a node that is ahead of this one, without the changes since this node's revision
      */
     void list(StoreSource source) {
-        if (isListing) {
+        if (isListing || pace.delayMillis() > 0) {
             return;
         }
         isListing = true;
@@ -91,7 +110,8 @@
         log.write(Event.notice(PART, "Out-of-band read failed.")
                 .with("source", source)
                 .with("reason", result)
-                .with("revision", feed.revision())
+                .with("era", feed.position().era())
+                .with("revision", feed.position().revision())
                 .with("confirmedAgeMs", feed.confirmedAgeMillis()));
     }
 }
--- a/feed/src/main/java/org/turmericspan/feed/ReplicaRelay.java
+++ b/feed/src/main/java/org/turmericspan/feed/ReplicaRelay.java
@@ -31,7 +31,7 @@
     /**
      * Returns whether this node may respond with a full list.
      *
-     * @param read the reader and what it expects; its revision does not matter
+     * @param read the reader and what it expects; its position does not matter
      * @return false while the replica may be outdated
      */
     public boolean canList(ReplicaRead read) {
@@ -47,8 +47,8 @@
     public boolean isDue(ReplicaRead read) {
         return read.isFromBehind()
                 || feed.canRelay(read.maxDistance())
-                        && (!feed.mirror().hasHistoryAfter(read.afterRevision())
-                                || feed.mirror().hasChangesAfter(read.afterRevision()));
+                        && (!feed.mirror().hasHistoryAfter(read.after())
+                                || feed.mirror().hasChangesAfter(read.after()));
     }
 
     /**
@@ -71,11 +71,11 @@
      */
     public Response response(ReplicaRead read) {
         boolean canServe = read.isFromBehind()
-                ? feed.isComplete() && feed.revision() > read.afterRevision()
+                ? feed.isComplete() && feed.position().isAfter(read.after())
                 : feed.canRelay(read.maxDistance());
         if (!canServe) {
             return Response.UNAVAILABLE;
         }
-        return feed.mirror().hasHistoryAfter(read.afterRevision()) ? Response.CHANGES : Response.HISTORY_GONE;
+        return feed.mirror().hasHistoryAfter(read.after()) ? Response.CHANGES : Response.HISTORY_GONE;
     }
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreContact.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreContact.java
@@ -8,6 +8,9 @@
  * and how long expired registrations may return after an outage. Written by the worker of the feed, read by any thread.
  */
 final class StoreContact {
+    /** Grace period in which upstreams whose registrations expired, or were lost, may register again. */
+    static final long REREGISTRATION_GRACE_MILLIS = 2_000;
+
     /** Age of a confirmation that there never was. */
     private static final long NO_CONFIRMATION_MILLIS = TimeUnit.HOURS.toMillis(1);
     /** Distance from the store of a node that has no contact with it. */
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -10,6 +10,7 @@
 import org.turmericspan.feed.StoreReader.Freshness;
 import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.StorePosition;
 
 /**
  * Follows the store: lists all items once, then watches for changes, and lists again after a compaction. Reads through
@@ -27,8 +28,6 @@
     private static final int MAX_COMPACTED_SOURCES = 3;
     /** Backoff after the first time that all sources failed; doubled after each further one. */
     private static final long INITIAL_BACKOFF_MILLIS = 100;
-    /** Grace period after an outage in which upstreams whose registrations expired meanwhile may register again. */
-    private static final long REREGISTRATION_GRACE_MILLIS = 2_000;
     /**
      * Shortest outage in which registrations can expire. A shorter one removes no upstream by itself, so no grace
      * period follows it.
@@ -47,6 +46,8 @@
     private final StoreContact contact;
     private final StoreReplica replica;
     private final OutOfBandReads outOfBandReads;
+    private final ListPace pace;
+    private final ListLog lists;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
     private long lastResponseNanos;
     private boolean isContactLost;
@@ -57,8 +58,6 @@
     private Runnable contactLostListener = () -> {};
     private Consumer<StoreSource> newsListener = source -> {};
     private volatile long calls;
-    private volatile long lists;
-    private volatile long refusedLists;
 
     /**
      * Creates a feed that is not started yet.
@@ -92,7 +91,9 @@
         this.log = log;
         this.contact = new StoreContact(limits, clock);
         this.replica = new StoreReplica(decoder, listener, contact, worker, clock, log);
-        this.outOfBandReads = new OutOfBandReads(this, reader, clock, log);
+        this.pace = new ListPace(limits, clock);
+        this.lists = new ListLog(log);
+        this.outOfBandReads = new OutOfBandReads(this, reader, pace, clock, log);
     }
 
     /** Starts to list all items and then to watch for changes. */
@@ -111,22 +112,27 @@
     }
 
     /**
-     * Returns the revision up to which this node has every change of the store.
+     * Returns the position up to which this node has every change of the store.
      *
-     * @return revision of the store, 0 before all items were listed
+     * @return position of the store, the start before all items were listed
      */
-    public long revision() {
-        return replica.revision();
+    public StorePosition position() {
+        return replica.position();
     }
 
-    /** Returns the revision of the newest change that this node has; what the first list changed is not part of it. */
-    long changeRevision() {
-        return replica.changeRevision();
+    /** Returns the position of the newest change that this node has; what the first list changed is not part of it. */
+    StorePosition changePosition() {
+        return replica.changePosition();
     }
 
-    /** Returns the revision of the first list, 0 before it. */
-    long listRevision() {
-        return replica.listRevision();
+    /** Returns the position of the first list, the start before it. */
+    StorePosition listPosition() {
+        return replica.listPosition();
+    }
+
+    /** Returns the version of the newest configuration that this node has, 0 before the first one. */
+    long configurationVersion() {
+        return replica.configurationVersion();
     }
 
     /**
@@ -137,7 +143,8 @@
      */
     public ReplicaState replicaState() {
         return isComplete()
-                ? new ReplicaState(changeRevision(), listRevision(), ownConfirmedAgeMillis())
+                ? new ReplicaState(
+                        changePosition(), listPosition(), ownConfirmedAgeMillis(), replica.configurationVersion())
                 : ReplicaState.NONE;
     }
 
@@ -171,23 +178,14 @@
     }
 
     /**
-     * Returns the number of full lists that this node has received, of the store and of other nodes.
+     * Returns the full lists that this node has received.
      *
-     * @return number of complete lists, refused ones among them
+     * @return their counts
      */
-    public long lists() {
+    public ListLog lists() {
         return lists;
     }
 
-    /**
-     * Returns the number of full lists that were not taken, since this node has later changes.
-     *
-     * @return number of refused lists
-     */
-    public long refusedLists() {
-        return refusedLists;
-    }
-
     /**
      * Returns whether this node reads the store itself, has listed all items and got a response lately.
      *
@@ -267,7 +265,7 @@
         if (source.isStore()) {
             recordResponse(page.status());
         }
-        recordConfirmation(page.revision(), page.status());
+        recordConfirmation(page.position(), page.status());
         boolean hasNews = applyChanges(source, page);
         // Others are about to read the store, too, since nobody has confirmed their replicas.
         if (hasNews || source.isStore()) {
@@ -281,70 +279,63 @@
 
     /** Lists all items. The first list may be stale; what has changed since comes with the first watch. */
     private void listAll() {
+        long delayMillis = replica.isComplete() ? pace.delayMillis() : 0;
+        if (delayMillis > 0) {
+            worker.schedule(this::listAll, delayMillis, TimeUnit.MILLISECONDS);
+            return;
+        }
         StoreSource source = sourceSelector.select();
         Freshness freshness = replica.isComplete() ? Freshness.CURRENT : Freshness.STALE_ALLOWED;
+        StorePosition sentPosition = replica.position();
         long sentNanos = clock.nowNanos();
         new ListRead(
                         reader,
                         source,
                         freshness,
                         () -> countCall(source),
-                        guarded(list -> completeList(list, elapsedMillis(sentNanos))),
+                        guarded(list -> completeList(list, sentPosition, elapsedMillis(sentNanos))),
                         guarded(result -> retryAfterFailure(source, SourceFailure.of(result), result, this::listAll)))
                 .start();
     }
 
-    private void completeList(ListRead list, long elapsedMillis) {
-        if (!list.source().isStore() && list.lowestRevision() < replica.revision()) {
-            recordList(list, false);
+    private void completeList(ListRead list, StorePosition sentPosition, long elapsedMillis) {
+        boolean isFirst = !replica.isComplete();
+        boolean isTaken = applyList(list, elapsedMillis);
+        boolean isOvertaken = list.source().isStore() && !sentPosition.isAfter(list.lowestPosition());
+        if (!isTaken && !isOvertaken) {
             // What changed in between would look removed, here and at the nodes that read from this one.
             retryAfterFailure(
-                    list.source(), SourceFailure.REJECTED, "revision " + list.lowestRevision(), this::listAll);
-            return;
-        }
-        boolean isFirst = !replica.isComplete();
-        applyList(list, elapsedMillis);
-        if (isFirst && list.source().isStore()) {
+                    list.source(), SourceFailure.REJECTED, "position " + list.lowestPosition(), this::listAll);
+        } else if (isFirst && list.source().isStore()) {
             worker.schedule(this::watch, FIRST_WATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         } else {
             watch();
         }
     }
 
-    /** Applies a list, unless this node has got all changes up to a later revision meanwhile. */
-    void applyList(ListRead list, long elapsedMillis) {
+    /** Applies a list, unless this node has all changes up to a later position; returns whether it was applied. */
+    boolean applyList(ListRead list, long elapsedMillis) {
+        boolean isTaken = replica.canTake(list);
+        lists.record(list, isTaken, replica.position());
+        pace.recordList();
+        if (!isTaken) {
+            return false;
+        }
         RelayStatus status = list.status().olderBy(elapsedMillis);
-        boolean isStale = list.source().isStore() && list.freshness() == Freshness.STALE_ALLOWED;
         if (list.source().kind() != StoreSource.Kind.NODE_AHEAD) {
-            recordResponse(isStale ? status.olderBy(limits.staleListMillis()) : status);
-        }
-        if (!isStale) {
-            recordConfirmation(list.lowestRevision(), status);
-        }
-        boolean isTaken = !replica.isComplete() || list.lowestRevision() >= replica.revision();
-        recordList(list, isTaken);
-        if (!isTaken) {
-            return;
+            recordResponse(list.isStale() ? status.olderBy(limits.staleListMillis()) : status);
         }
         boolean isFirst = !replica.isComplete();
-        long previousRevision = replica.changeRevision();
+        StorePosition previousChange = replica.changePosition();
         replica.replace(list);
+        if (!list.isStale()) {
+            recordConfirmation(list.lowestPosition(), status);
+        }
         changeListener.run();
-        if (!isFirst && replica.changeRevision() > previousRevision) {
+        if (!isFirst && replica.changePosition().isAfter(previousChange)) {
             newsListener.accept(list.source());
         }
-    }
-
-    private void recordList(ListRead list, boolean isTaken) {
-        lists++;
-        if (!isTaken) {
-            refusedLists++;
-        }
-        log.write(Event.notice(PART, isTaken ? "Items listed." : "List refused, older than the replica.")
-                .with("source", list.source())
-                .with("items", list.items().size())
-                .with("listRevision", list.lowestRevision())
-                .with("revision", replica.revision()));
+        return true;
     }
 
     private StoreSource chooseSource() {
@@ -365,18 +356,11 @@
         boolean isStore = source.isStore();
         long storeWatchMillis = contact.isCurrent(0) ? limits.storeWatchMillis() : STORE_PROBE_MILLIS;
         long waitMillis = isStore ? storeWatchMillis : limits.relayWatchMillis();
+        StorePosition after = replica.position();
         long sentNanos = clock.nowNanos();
-        reader.watch(source, replica.revision(), waitMillis, guarded(result -> {
+        reader.watch(source, after, waitMillis, guarded(result -> {
             if (result instanceof StoreReadResult.Page read) {
-                compactedSources = 0;
-                StorePage page = read.page().olderBy(elapsedMillis(sentNanos) - waitMillis);
-                recordResponse(page.status());
-                recordConfirmation(page.revision(), page.status());
-                if (applyChanges(source, page) && isStore) {
-                    newsListener.accept(source);
-                }
-                long delayMillis = isStore && !read.page().items().isEmpty() ? limits.batchDelayMillis() : 0;
-                worker.schedule(this::watch, delayMillis, TimeUnit.MILLISECONDS);
+                completeWatch(source, after, read.page().olderBy(elapsedMillis(sentNanos) - waitMillis));
             } else if (result instanceof StoreReadResult.RevisionCompacted) {
                 recoverFromCompaction(source);
             } else {
@@ -385,13 +369,35 @@
         }));
     }
 
+    private void completeWatch(StoreSource source, StorePosition after, StorePage page) {
+        compactedSources = 0;
+        switch (PageUse.of(source, after, page, replica.position())) {
+            case CHANGES -> {
+                pace.recordChanges();
+                recordResponse(page.status());
+                recordConfirmation(page.position(), page.status());
+                if (applyChanges(source, page) && source.isStore()) {
+                    newsListener.accept(source);
+                }
+                long delayMillis = source.isStore() && !page.items().isEmpty() ? limits.batchDelayMillis() : 0;
+                worker.schedule(this::watch, delayMillis, TimeUnit.MILLISECONDS);
+            }
+            case OVERTAKEN -> worker.execute(this::watch);
+            case EARLIER_ERA ->
+                retryAfterFailure(source, SourceFailure.REJECTED, "earlier era " + page.position(), this::watch);
+            default -> listAll();
+        }
+    }
+
     /**
      * Goes on when a source does not have the changes after this node's revision. A relay may have started later than
      * others; a full list is read only after the store, or some relays in turn, have responded so.
      */
     private void recoverFromCompaction(StoreSource source) {
-        log.write(
-                Event.notice(PART, "Revision compacted.").with("source", source).with("revision", replica.revision()));
+        log.write(Event.notice(PART, "Revision compacted.")
+                .with("source", source)
+                .with("era", replica.position().era())
+                .with("revision", replica.position().revision()));
         compactedSources++;
         boolean isRelayLeft = !source.isStore()
                 && compactedSources < MAX_COMPACTED_SOURCES
@@ -406,10 +412,10 @@
 
     /** Applies the changes of a page; returns whether there were any besides repeated registrations. */
     private boolean applyChanges(StoreSource source, StorePage page) {
-        long previousRevision = replica.changeRevision();
+        StorePosition previousChange = replica.changePosition();
         replica.apply(source, page);
         changeListener.run();
-        return replica.changeRevision() > previousRevision;
+        return replica.changePosition().isAfter(previousChange);
     }
 
     /** Returns a listener after whose unexpected failure the feed goes on with a new list. */
@@ -432,7 +438,7 @@
             log.write(Event.notice(PART, "Store contact restored, directly or through a store reader.")
                     .with("silentMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - lastResponseNanos)));
             if (nowNanos - lastResponseNanos > MIN_EXPIRY_OUTAGE_NANOS) {
-                contact.extendGracePeriod(REREGISTRATION_GRACE_MILLIS);
+                contact.extendGracePeriod(StoreContact.REREGISTRATION_GRACE_MILLIS);
             }
             contact.restore();
         }
@@ -442,8 +448,8 @@
     }
 
     /** Records that a source is current, unless this node knows more than the source. */
-    private void recordConfirmation(long sourceRevision, RelayStatus status) {
-        if (sourceRevision >= replica.revision()) {
+    private void recordConfirmation(StorePosition sourcePosition, RelayStatus status) {
+        if (!replica.position().isAfter(sourcePosition)) {
             contact.confirm(status.contactAgeMillis());
         }
     }
@@ -474,7 +480,8 @@
             isContactLost = true;
             log.write(Event.failure(PART, "Store contact lost.")
                     .with("reason", reason)
-                    .with("revision", replica.revision())
+                    .with("era", replica.position().era())
+                    .with("revision", replica.position().revision())
                     .with("confirmedAgeMs", contact.confirmedAgeMillis()));
         }
     }
--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -1,21 +1,27 @@
 package org.turmericspan.feed;
 
+import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.turmericspan.ids.StorePosition;
 import org.turmericspan.tables.LockRank;
 import org.turmericspan.tables.RankedLock;
 
 /**
  * Local replica of the store: the newest state of each item that was read, including removed items. Changes are listed
- * in the order of the store's revisions.
+ * in the order of the store's positions, also across a restoration of the store.
  */
 public final class StoreMirror {
-    private static final Comparator<StoreItem> BY_REVISION =
-            (first, second) -> Long.compare(first.revision(), second.revision());
+    private static final Comparator<StoreItem> BY_POSITION =
+            (first, second) -> first.position().compareTo(second.position());
     /** Maximum number of removals retained for lagging readers; exceeds the changes of a fleet during one watch. */
     private static final int MAX_REMOVALS = 1_000;
+    /** Maximum number of gaps in the history; readers from before an older one have to list all items. */
+    private static final int MAX_GAPS = 8;
 
     private static final byte[] NO_VALUE = new byte[0];
 
@@ -24,27 +30,67 @@
     /** Items of a full list that is being stored, null if none is; readers get the previous items until it is whole. */
     private Map<String, StoreItem> replacement;
 
-    private long revision;
-    /** Highest revision of an item; none is newer, though some may have been removed again. */
-    private long newestItemRevision;
-    /** Oldest revision after which every change is still known, but for the gap. */
-    private long oldestRevision;
-    /** Last revision before a later list, which does not tell what was added and removed again before it. */
-    private long gapStartRevision;
-    /** Revision of the last later list; the changes after a revision within the gap are not known. */
-    private long gapEndRevision;
+    private StorePosition position = StorePosition.START;
+    /** Highest position of an item; none is newer, though some may have been removed again. */
+    private StorePosition newestItemPosition = StorePosition.START;
+    /** Oldest position after which every change is still known, but for the gaps. */
+    private StorePosition oldestPosition = StorePosition.START;
+    /** Parts of the history whose changes are known only as a whole, oldest first. */
+    private final Deque<Gap> gaps = new ArrayDeque<>();
 
     private boolean hasList;
 
-    /** Stores an item. Its revision is kept when nothing relevant has changed, so that readers do not get it again. */
+    /** Stores an item. Its position is kept when nothing relevant has changed, so that readers do not get it again. */
     void put(StoreItem item, boolean hasChanged) {
         lock.run(() -> {
-            Map<String, StoreItem> written = replacement == null ? items : replacement;
             StoreItem previous = items.get(item.key());
             boolean isNew = hasChanged || previous == null || previous.isRemoved();
-            long itemRevision = isNew ? item.revision() : previous.revision();
-            newestItemRevision = Math.max(newestItemRevision, itemRevision);
-            written.put(item.key(), new StoreItem(item.key(), item.value(), itemRevision, item.isRemoved()));
+            StorePosition itemPosition = isNew ? item.position() : previous.position();
+            newestItemPosition = newestItemPosition.max(itemPosition);
+            written().put(item.key(), new StoreItem(item.key(), item.value(), itemPosition, item.isRemoved()));
+        });
+    }
+
+    /** Keeps the present state of an item, which a read does not replace. */
+    void retain(StoreItem item) {
+        lock.run(() -> written().put(item.key(), items.getOrDefault(item.key(), item)));
+    }
+
+    private Map<String, StoreItem> written() {
+        return replacement == null ? items : replacement;
+    }
+
+    /** Returns whether an item is known to have been removed. */
+    boolean isRemoved(String key) {
+        return lock.compute(() -> {
+            StoreItem item = items.get(key);
+            return item != null && item.isRemoved();
+        });
+    }
+
+    /** Returns whether an item is present with the value of another one. */
+    boolean hasValueOf(StoreItem other) {
+        return lock.compute(() -> {
+            StoreItem item = items.get(other.key());
+            return item != null && item.isRemoved() == other.isRemoved() && Arrays.equals(item.value(), other.value());
+        });
+    }
+
+    /** Forgets all but one item, since they turned out not to be of the history of the store. */
+    void restart(String retainedKey) {
+        lock.run(() -> {
+            StoreItem retained = items.get(retainedKey);
+            items = new HashMap<>();
+            if (retained != null) {
+                items.put(
+                        retainedKey,
+                        new StoreItem(retainedKey, retained.value(), StorePosition.START, retained.isRemoved()));
+            }
+            gaps.clear();
+            hasList = false;
+            position = StorePosition.START;
+            newestItemPosition = StorePosition.START;
+            oldestPosition = StorePosition.START;
         });
     }
 
@@ -55,49 +101,65 @@
 
     /**
      * Replaces all items by those stored since the replacement began. Items that are missing from a later list count as
-     * removed at its revision, so that readers get its differences and need no list themselves.
+     * removed at its position, so that readers get its differences and need no list themselves.
      *
-     * @param listRevision revision of the list
+     * @param listPosition position of the list
      * @return whether items of earlier lists or watches are missing
      */
-    boolean completeReplacement(long listRevision) {
+    boolean completeReplacement(StorePosition listPosition) {
         return lock.compute(() -> {
             boolean hasRemovals = false;
             for (StoreItem item : items.values()) {
                 if (!replacement.containsKey(item.key())) {
                     hasRemovals |= !item.isRemoved();
-                    replacement.put(item.key(), item.isRemoved() ? item : removed(item.key(), listRevision));
+                    replacement.put(item.key(), item.isRemoved() ? item : removed(item.key(), listPosition));
                 }
             }
             items = replacement;
             replacement = null;
-            recordList(listRevision);
+            recordList(listPosition);
             if (hasRemovals) {
-                newestItemRevision = Math.max(newestItemRevision, listRevision);
+                newestItemPosition = newestItemPosition.max(listPosition);
             }
             return hasRemovals;
         });
     }
 
-    private static StoreItem removed(String key, long removedRevision) {
-        return new StoreItem(key, NO_VALUE, removedRevision, true);
+    private static StoreItem removed(String key, StorePosition removedPosition) {
+        return new StoreItem(key, NO_VALUE, removedPosition, true);
     }
 
-    private void recordList(long listRevision) {
+    /** A later list does not tell what was added and removed again before it. */
+    private void recordList(StorePosition listPosition) {
         if (hasList) {
-            oldestRevision = Math.max(oldestRevision, gapEndRevision);
-            gapStartRevision = revision;
-            gapEndRevision = listRevision;
+            recordGap(listPosition);
         } else {
             hasList = true;
-            oldestRevision = listRevision;
+            oldestPosition = listPosition;
+        }
+        position = position.max(listPosition);
+    }
+
+    private void recordGap(StorePosition end) {
+        if (!end.isAfter(position)) {
+            return;
+        }
+        gaps.addLast(new Gap(position, end));
+        if (gaps.size() > MAX_GAPS) {
+            oldestPosition = oldestPosition.max(gaps.removeFirst().end());
         }
     }
 
-    /** Raises the revision of the replica after a read, and drops the oldest removals beyond the maximum. */
-    void advance(long newRevision) {
+    /**
+     * Raises the position of the replica after a read, and drops the oldest removals beyond the maximum. A reader that
+     * had later changes of an era which the store has lost does not get by its differences to the next one.
+     */
+    void advance(StorePosition newPosition) {
         lock.run(() -> {
-            revision = Math.max(revision, newRevision);
+            if (newPosition.isInLaterEra(position)) {
+                recordGap(newPosition);
+            }
+            position = position.max(newPosition);
             trimRemovals();
         });
     }
@@ -108,54 +170,55 @@
         }
         List<StoreItem> removals = items.values().stream()
                 .filter(StoreItem::isRemoved)
-                .sorted(BY_REVISION)
+                .sorted(BY_POSITION)
                 .toList();
         for (int i = 0; i < removals.size() - MAX_REMOVALS; i++) {
             items.remove(removals.get(i).key());
-            oldestRevision = removals.get(i).revision();
+            oldestPosition = oldestPosition.max(removals.get(i).position());
         }
     }
 
-    /**
-     * Returns the newest revision that was read.
-     *
-     * @return revision of the store, 0 before the first read
-     */
-    public long revision() {
-        return lock.compute(() -> revision);
-    }
-
-    /** Returns the revision of the newest change of an item, 0 when it is not known. */
-    long revisionOf(String key) {
+    /** Returns the position of the newest change of an item, the start when it is not known. */
+    StorePosition positionOf(String key) {
         return lock.compute(() -> {
             StoreItem item = items.get(key);
-            return item == null ? 0L : item.revision();
+            return item == null ? StorePosition.START : item.position();
         });
     }
 
     /**
-     * Returns whether the history of changes after a revision is still complete.
+     * Returns whether the history of changes after a position is still complete.
      *
-     * @param after the revision
+     * @param after the position
      * @return false when a reader has to list all items again
      */
-    public boolean hasHistoryAfter(long after) {
-        return lock.compute(() -> after >= oldestRevision && (after <= gapStartRevision || after >= gapEndRevision));
+    public boolean hasHistoryAfter(StorePosition after) {
+        return lock.compute(() -> {
+            if (oldestPosition.isAfter(after)) {
+                return false;
+            }
+            for (Gap gap : gaps) {
+                if (gap.contains(after)) {
+                    return false;
+                }
+            }
+            return true;
+        });
     }
 
     /**
-     * Returns whether there are changes after a revision.
+     * Returns whether there are changes after a position.
      *
-     * @param after the revision
+     * @param after the position
      * @return true when {@link #changesAfter} lists any item
      */
-    public boolean hasChangesAfter(long after) {
+    public boolean hasChangesAfter(StorePosition after) {
         return lock.compute(() -> {
-            if (newestItemRevision <= after) {
+            if (!newestItemPosition.isAfter(after)) {
                 return false;
             }
             for (StoreItem item : items.values()) {
-                if (item.revision() > after) {
+                if (item.position().isAfter(after)) {
                     return true;
                 }
             }
@@ -164,19 +227,19 @@
     }
 
     /**
-     * Lists the changes after a revision.
+     * Lists the changes after a position.
      *
-     * @param after the revision
+     * @param after the position
      * @param status status of this node's replica
-     * @return changed and removed items in the order of their revisions
+     * @return changed and removed items in the order of their positions
      */
-    public StorePage changesAfter(long after, RelayStatus status) {
+    public StorePage changesAfter(StorePosition after, RelayStatus status) {
         return lock.compute(() -> new StorePage(
                 items.values().stream()
-                        .filter(item -> item.revision() > after)
-                        .sorted(BY_REVISION)
+                        .filter(item -> item.position().isAfter(after))
+                        .sorted(BY_POSITION)
                         .toList(),
-                revision,
+                position,
                 false,
                 status));
     }
@@ -189,6 +252,13 @@
      */
     public StorePage snapshot(RelayStatus status) {
         return lock.compute(() -> new StorePage(
-                items.values().stream().filter(item -> !item.isRemoved()).toList(), revision, false, status));
+                items.values().stream().filter(item -> !item.isRemoved()).toList(), position, false, status));
+    }
+
+    /** Part of the history between two positions, of which only the changes from start to end are known. */
+    private record Gap(StorePosition start, StorePosition end) {
+        boolean contains(StorePosition after) {
+            return after.isAfter(start) && end.isAfter(after);
+        }
     }
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreReader.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReader.java
@@ -1,6 +1,7 @@
 package org.turmericspan.feed;
 
 import java.util.function.Consumer;
+import org.turmericspan.ids.StorePosition;
 
 /** Reads from the store or from a node that relays it. Each read ends after a bounded time, even without a response. */
 public interface StoreReader {
@@ -26,9 +27,9 @@
      * Waits for changes.
      *
      * @param source the store or a relay
-     * @param afterRevision revision after which changes are requested
+     * @param after position after which changes are requested
      * @param waitMillis longest wait for the first change
      * @param listener called with the result, on the worker of the feed
      */
-    void watch(StoreSource source, long afterRevision, long waitMillis, Consumer<StoreReadResult> listener);
+    void watch(StoreSource source, StorePosition after, long waitMillis, Consumer<StoreReadResult> listener);
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -13,6 +13,7 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
+import org.turmericspan.ids.StorePosition;
 import org.turmericspan.ids.UpstreamId;
 
 /**
@@ -30,16 +31,29 @@
     private final EventLog log;
     private final MalformedItems malformedItems;
     private final StoreMirror mirror = new StoreMirror();
-    private final Set<AvailabilityZoneId> evacuatedZones = new HashSet<>();
-    private final Set<UpstreamId> pendingRemovals = new HashSet<>();
+    private final RestorationHold hold;
+    /** Evacuated zones with the keys of their items. */
+    private final Map<AvailabilityZoneId, String> evacuatedZones = new HashMap<>();
+    /** Removals at the end of a grace period, with the time of its end. */
+    private final Map<UpstreamId, Long> pendingRemovalNanos = new HashMap<>();
+    /** Registrations that the store has. */
     private final Map<UpstreamId, Registration> registrations = new HashMap<>();
-    /** Upstreams of the list that is being applied. */
+    /** Upstreams and zones of the list that is being applied. */
     private final Set<UpstreamId> listedUpstreams = new HashSet<>();
 
+    private final Set<AvailabilityZoneId> listedZones = new HashSet<>();
+
     private StoreSource lastSource;
-    private volatile long revision;
-    private volatile long changeRevision;
-    private volatile long listRevision;
+    /** Whether the item that is being applied comes with a restoration of the store. */
+    private boolean isRestored;
+    /** Whether this replica has only a list that may be stale, of a history that the store may have lost. */
+    private boolean isProvisional;
+
+    private volatile StorePosition position = StorePosition.START;
+    private volatile StorePosition changePosition = StorePosition.START;
+    private volatile StorePosition listPosition = StorePosition.START;
+    private volatile long configurationVersion;
+    private String configurationKey = "";
     private volatile boolean complete;
 
     StoreReplica(
@@ -56,6 +70,7 @@
         this.clock = clock;
         this.log = log;
         this.malformedItems = new MalformedItems(log);
+        this.hold = new RestorationHold(worker);
     }
 
     StoreMirror mirror() {
@@ -67,65 +82,138 @@
         return complete;
     }
 
-    /** Returns the revision of the store up to which this replica has every change. */
-    long revision() {
-        return revision;
+    /** Returns the position of the store up to which this replica has every change. */
+    StorePosition position() {
+        return position;
     }
 
     /**
-     * Returns the revision of the newest change, other than repeated registrations. Registrations of the first list do
-     * not count, since their revisions are those of the last repetition.
+     * Returns the position of the newest change, other than repeated registrations. Registrations of the first list do
+     * not count, since their positions are those of the last repetition.
      */
-    long changeRevision() {
-        return changeRevision;
+    StorePosition changePosition() {
+        return changePosition;
+    }
+
+    /** Returns the highest position of the first list, the start before it. */
+    StorePosition listPosition() {
+        return listPosition;
     }
 
-    /** Returns the highest revision of the first list, 0 before it. */
-    long listRevision() {
-        return listRevision;
+    /** Returns the version of the newest configuration, 0 before the first one. */
+    long configurationVersion() {
+        return configurationVersion;
     }
 
-    /** Applies the changes of a page that this replica does not have yet, and advances to the revision of the page. */
+    /** Returns whether a list may be taken: it is not older than this replica, or this replica may be of no history. */
+    boolean canTake(ListRead list) {
+        return !complete || !position.isAfter(list.lowestPosition()) || isDisproved(list);
+    }
+
+    /** Returns whether the store itself shows that the stale list with which this replica began was not its history. */
+    private boolean isDisproved(ListRead list) {
+        return isProvisional
+                && list.source().isStore()
+                && !list.isStale()
+                && list.lowestPosition().era() == position.era();
+    }
+
+    /** Applies the changes of a page that this replica does not have yet, and advances to the position of the page. */
     void apply(StoreSource source, StorePage page) {
         lastSource = source;
-        long appliedRevision = revision;
+        isProvisional = false;
+        StorePosition applied = position;
+        boolean isLaterEra = beginEra(source, page.position());
         for (StoreItem item : page.items()) {
-            // A later page of a list may hold an item that is newer than the revision of the list.
-            if (item.revision() > Math.max(appliedRevision, mirror.revisionOf(item.key()))) {
+            // A later page of a list may hold an item that is newer than the position of the list.
+            if (item.position().isAfter(applied.max(mirror.positionOf(item.key())))) {
+                isRestored = isLaterEra && item.position().isInLaterEra(applied);
                 apply(item, false);
             }
         }
-        advance(page.revision());
+        isRestored = false;
+        if (isLaterEra) {
+            changePosition = changePosition.max(page.position());
+        }
+        advance(page.position());
     }
 
     /** Replaces all items by those of a list; of a later one only the differences count as changes. */
     void replace(ListRead list) {
         lastSource = list.source();
+        if (complete && position.isAfter(list.lowestPosition())) {
+            restart();
+        }
+        isProvisional = !complete && list.isStale();
+        isRestored = beginEra(list.source(), list.lowestPosition());
         mirror.beginReplacement();
-        Set<AvailabilityZoneId> previousZones = Set.copyOf(evacuatedZones);
-        evacuatedZones.clear();
+        listedZones.clear();
         listedUpstreams.clear();
         list.items().forEach(item -> apply(item, true));
-        if (mirror.completeReplacement(list.lowestRevision())) {
-            changeRevision = Math.max(changeRevision, list.lowestRevision());
+        if (mirror.completeReplacement(list.lowestPosition()) || isRestored) {
+            changePosition = changePosition.max(list.lowestPosition());
+        }
+        removeMissingZones(list);
+        removeMissingUpstreams();
+        isRestored = false;
+        if (!complete) {
+            listPosition = list.highestPosition();
+            complete = true;
         }
-        if (!previousZones.equals(evacuatedZones)) {
-            fleetListener.onEvacuation(Set.copyOf(evacuatedZones));
+        advance(list.lowestPosition());
+    }
+
+    /** Begins anew with the next list, whose position is lower; what is in force stays so until then. */
+    private void restart() {
+        log.write(Event.notice(PART, "Stale list was no part of the store's history.")
+                .with("era", position.era())
+                .with("revision", position.revision()));
+        mirror.restart(configurationKey);
+        position = StorePosition.START;
+        changePosition = StorePosition.START;
+        listPosition = StorePosition.START;
+        complete = false;
+    }
+
+    /** Notes a restoration of the store; returns whether there was one since the last read. */
+    private boolean beginEra(StoreSource source, StorePosition newPosition) {
+        if (!complete || !newPosition.isInLaterEra(position)) {
+            return false;
         }
+        log.write(Event.notice(PART, "Store restored from an older copy.")
+                .with("source", source)
+                .with("era", newPosition.era())
+                .with("revision", newPosition.revision())
+                .with("previousEra", position.era())
+                .with("previousRevision", position.revision()));
+        return true;
+    }
+
+    private void removeMissingZones(ListRead list) {
+        Map<AvailabilityZoneId, String> missing = new HashMap<>(evacuatedZones);
+        missing.keySet().removeAll(listedZones);
+        missing.forEach((zone, key) -> {
+            if (isRestored) {
+                hold.hold(key, () -> setEvacuated(zone, key, false));
+            } else if (!hold.isHeld(key)) {
+                setEvacuated(zone, key, false);
+            }
+        });
+        Set<String> heldKeys = new HashSet<>(missing.values());
+        list.items().forEach(item -> heldKeys.add(item.key()));
+        hold.retainAll(heldKeys);
+    }
+
+    private void removeMissingUpstreams() {
         Set<UpstreamId> missing = new HashSet<>(registrations.keySet());
         missing.removeAll(listedUpstreams);
         registrations.keySet().removeAll(missing);
         missing.forEach(this::removeAfterGracePeriod);
-        if (!complete) {
-            listRevision = list.highestRevision();
-            complete = true;
-        }
-        advance(list.lowestRevision());
     }
 
-    private void advance(long newRevision) {
-        revision = Math.max(revision, newRevision);
-        mirror.advance(revision);
+    private void advance(StorePosition newPosition) {
+        position = position.max(newPosition);
+        mirror.advance(position);
     }
 
     private void apply(StoreItem item, boolean isListed) {
@@ -139,24 +227,43 @@
 
     private void apply(StoreItem item, StoreUpdate update, boolean isListed) {
         if (update instanceof StoreUpdate.Configuration published) {
-            recordChange(item);
-            logConfiguration(published);
-            fleetListener.onConfiguration(published.configuration());
+            configure(item, published);
         } else if (update instanceof StoreUpdate.Evacuation evacuation) {
-            recordChange(item);
-            evacuate(evacuation);
+            evacuate(item, evacuation, isListed);
         } else if (update instanceof StoreUpdate.Registered registered) {
             register(item, registered.registration(), isListed);
         } else if (update instanceof StoreUpdate.Unregistered unregistered) {
             recordChange(item);
             registrations.remove(unregistered.upstream());
+            hold.end(item.key());
             removeAfterGracePeriod(unregistered.upstream());
         }
     }
 
     private void recordChange(StoreItem item) {
-        mirror.put(item, true);
-        changeRevision = Math.max(changeRevision, item.revision());
+        boolean hasChanged = !mirror.hasValueOf(item);
+        mirror.put(item, hasChanged);
+        if (hasChanged) {
+            changePosition = changePosition.max(item.position());
+        }
+    }
+
+    /** Takes a configuration over, unless it is older than the one that this replica has. */
+    private void configure(StoreItem item, StoreUpdate.Configuration published) {
+        long version = published.configuration().version();
+        if (version < configurationVersion) {
+            mirror.retain(item);
+            log.write(Event.notice(PART, "Older configuration ignored.")
+                    .with("version", version)
+                    .with("newestVersion", configurationVersion)
+                    .with("source", lastSource));
+            return;
+        }
+        configurationVersion = version;
+        configurationKey = item.key();
+        recordChange(item);
+        logConfiguration(published);
+        fleetListener.onConfiguration(published.configuration());
     }
 
     private void logConfiguration(StoreUpdate.Configuration published) {
@@ -170,12 +277,30 @@
                 .with("confirmedAgeMs", contact.confirmedAgeMillis()));
     }
 
-    private void evacuate(StoreUpdate.Evacuation evacuation) {
-        boolean hasChanged = evacuation.isEvacuated()
-                ? evacuatedZones.add(evacuation.zone())
-                : evacuatedZones.remove(evacuation.zone());
+    private void evacuate(StoreItem item, StoreUpdate.Evacuation evacuation, boolean isListed) {
+        AvailabilityZoneId zone = evacuation.zone();
+        if (isListed) {
+            listedZones.add(zone);
+            if (!isRestored && hold.isHeld(item.key()) && mirror.hasValueOf(item)) {
+                mirror.retain(item);
+                return;
+            }
+        }
+        boolean isTakenBack = isRestored
+                && (evacuation.isEvacuated() ? mirror.isRemoved(item.key()) : evacuatedZones.containsKey(zone));
+        recordChange(item);
+        if (isTakenBack && evacuation.isEvacuated() != evacuatedZones.containsKey(zone)) {
+            hold.hold(item.key(), () -> setEvacuated(zone, item.key(), evacuation.isEvacuated()));
+        } else {
+            hold.end(item.key());
+            setEvacuated(zone, item.key(), evacuation.isEvacuated());
+        }
+    }
+
+    private void setEvacuated(AvailabilityZoneId zone, String key, boolean isEvacuated) {
+        boolean hasChanged = isEvacuated ? evacuatedZones.put(zone, key) == null : evacuatedZones.remove(zone) != null;
         if (hasChanged) {
-            fleetListener.onEvacuation(Set.copyOf(evacuatedZones));
+            fleetListener.onEvacuation(Set.copyOf(evacuatedZones.keySet()));
         }
     }
 
@@ -186,26 +311,53 @@
             listedUpstreams.add(registration.id());
         }
         if (hasChanged && complete) {
-            recordChange(item);
+            mirror.put(item, true);
+            changePosition = changePosition.max(item.position());
         } else {
             mirror.put(item, hasChanged);
         }
-        pendingRemovals.remove(registration.id());
+        pendingRemovalNanos.remove(registration.id());
+        if (isRestored && hold.isTakenBack(registration)) {
+            hold.hold(item.key(), () -> putInForce(registration));
+            return;
+        }
+        if (isListed && !isRestored && !hasChanged && hold.isHeld(item.key())) {
+            return;
+        }
+        hold.end(item.key());
+        // A copy of the registration that is in force tells a warm-up that has gone on since.
+        if (!isRestored || !hold.isInForce(registration)) {
+            putInForce(registration);
+        }
+    }
+
+    private void putInForce(Registration registration) {
+        hold.recordRegistration(registration);
         fleetListener.onRegistration(registration);
     }
 
-    /** Removes an upstream, after an outage only when the grace period ends without a new registration. */
+    private void remove(UpstreamId id) {
+        hold.recordRemoval(id);
+        fleetListener.onRemoval(id);
+    }
+
+    /**
+     * Removes an upstream, after an outage or a restoration only when the grace period ends without a new registration.
+     */
     private void removeAfterGracePeriod(UpstreamId id) {
-        long graceNanos = contact.remainingGraceNanos();
+        long graceNanos = Math.max(
+                contact.remainingGraceNanos(),
+                isRestored ? TimeUnit.MILLISECONDS.toNanos(StoreContact.REREGISTRATION_GRACE_MILLIS) : 0);
         if (graceNanos <= 0) {
-            fleetListener.onRemoval(id);
+            remove(id);
             return;
         }
-        pendingRemovals.add(id);
+        long untilNanos = clock.nowNanos() + graceNanos;
+        pendingRemovalNanos.put(id, untilNanos);
         worker.schedule(
                 () -> {
-                    if (pendingRemovals.remove(id)) {
-                        fleetListener.onRemoval(id);
+                    if (pendingRemovalNanos.remove(id, untilNanos)) {
+                        remove(id);
                     }
                 },
                 graceNanos,
--- a/feed/src/test/java/org/turmericspan/feed/CatchUpTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/CatchUpTest.java
@@ -10,6 +10,7 @@
 import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 
 /** When a node reads from another one that is ahead, and what it believes of the others. */
 class CatchUpTest {
@@ -32,20 +33,20 @@
 
     @Test
     void changeThatTheRelayDoesNotDeliverIsReadFromANodeThatHasIt() {
-        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
+        catchUp.compare(FIRST, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
         assertThat(node.reader().pending()).containsExactly(FeedFixture.RELAY);
         node.worker().advance(DELAY);
         assertThat(node.reader().pending()).containsExactly(FeedFixture.RELAY, ahead(FIRST));
         node.reader().complete(ahead(FIRST), FeedFixture.page(13, 40, FeedFixture.evacuation("zone-a", 12)));
         assertThat(node.evacuations()).containsExactly(Set.of(new AvailabilityZoneId("zone-a")));
-        assertThat(node.feed().revision()).isEqualTo(13);
+        assertThat(node.feed().position().revision()).isEqualTo(13);
         assertThat(node.feed().confirmedAgeMillis()).isEqualTo(40);
         assertThat(node.news()).containsExactly(ahead(FIRST));
     }
 
     @Test
     void changeThatTheRelayDeliversInTimeIsNotReadAgain() {
-        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
+        catchUp.compare(FIRST, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
         node.reader().complete(FeedFixture.RELAY, FeedFixture.page(12, 0, FeedFixture.evacuation("zone-a", 12)));
         node.worker().advance(DELAY);
         assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
@@ -54,9 +55,9 @@
 
     @Test
     void secondNodeIsReadWhileTheFirstDoesNotRespondAndNoThirdBesideThem() {
-        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
-        catchUp.compare(SECOND, new ReplicaState(12, 5, 0));
-        catchUp.compare(THIRD, new ReplicaState(12, 5, 0));
+        catchUp.compare(FIRST, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
+        catchUp.compare(SECOND, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
+        catchUp.compare(THIRD, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
         node.worker().advance(DELAY);
         assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isEqualTo(1);
         node.worker().advance(DELAY);
@@ -67,8 +68,8 @@
 
     @Test
     void nextNodeIsReadAtOnceWhenARequestFails() {
-        catchUp.compare(SECOND, new ReplicaState(12, 5, 0));
-        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
+        catchUp.compare(SECOND, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
+        catchUp.compare(FIRST, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
         node.worker().advance(DELAY);
         node.reader().complete(ahead(FIRST), new StoreReadResult.Failed("connection refused"));
         assertThat(node.reader().pending()).contains(ahead(SECOND));
@@ -76,19 +77,19 @@
 
     @Test
     void changesOfAWatchThatBeganBeforeAreNotAppliedAgain() {
-        catchUp.compare(FIRST, new ReplicaState(12, 5, 0));
+        catchUp.compare(FIRST, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
         node.worker().advance(DELAY);
-        StoreItem removed = new StoreItem("zone-a", new byte[0], 12, true);
+        StoreItem removed = new StoreItem("zone-a", new byte[0], new StorePosition(0, 12), true);
         node.reader().complete(ahead(FIRST), FeedFixture.page(12, 0, FeedFixture.evacuation("zone-a", 11), removed));
         node.reader().complete(FeedFixture.RELAY, FeedFixture.page(11, 0, FeedFixture.evacuation("zone-a", 11)));
         assertThat(node.evacuations()).isEqualTo(List.of(Set.of(new AvailabilityZoneId("zone-a")), Set.of()));
-        assertThat(node.feed().revision()).isEqualTo(12);
+        assertThat(node.feed().position().revision()).isEqualTo(12);
     }
 
     @Test
     void nodeThatHasNothingMoreConfirmsTheReplica() {
         node.worker().advance(Duration.ofMillis(700));
-        catchUp.compare(FIRST, new ReplicaState(9, 5, 60));
+        catchUp.compare(FIRST, new ReplicaState(new StorePosition(0, 9), new StorePosition(0, 5), 60, 0));
         assertThat(node.feed().confirmedAgeMillis()).isEqualTo(100);
         node.worker().advance(DELAY);
         assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
@@ -98,7 +99,7 @@
     @Test
     void nodeWhoseListIsNewerThanTheReplicaDoesNotConfirmIt() {
         node.worker().advance(Duration.ofMillis(700));
-        catchUp.compare(FIRST, new ReplicaState(9, 11, 60));
+        catchUp.compare(FIRST, new ReplicaState(new StorePosition(0, 9), new StorePosition(0, 11), 60, 0));
         assertThat(node.feed().confirmedAgeMillis()).isEqualTo(700);
     }
 
@@ -113,7 +114,8 @@
     void nodeWithoutItsFirstListReadsFromNoOther() {
         FeedFixture starting = new FeedFixture();
         starting.feed().start();
-        new CatchUp(starting.feed(), starting.limits(), starting.worker()).compare(FIRST, new ReplicaState(12, 5, 0));
+        new CatchUp(starting.feed(), starting.limits(), starting.worker())
+                .compare(FIRST, new ReplicaState(new StorePosition(0, 12), new StorePosition(0, 5), 0, 0));
         starting.worker().advance(DELAY);
         assertThat(starting.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
     }
--- a/feed/src/test/java/org/turmericspan/feed/CompactionBesideTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/CompactionBesideTest.java
@@ -8,6 +8,7 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 
 /** A node whose relay is silent gets a change within the limit, though the history that it needs is gone. */
 class CompactionBesideTest {
@@ -43,7 +44,8 @@
         FeedFixture node = new FeedFixture();
         node.start(10);
         node.feed().confirm(0);
-        new CatchUp(node.feed(), node.limits(), node.worker()).compare(OTHER, new ReplicaState(14, 13, 0));
+        new CatchUp(node.feed(), node.limits(), node.worker())
+                .compare(OTHER, new ReplicaState(new StorePosition(0, 14), new StorePosition(0, 13), 0, 0));
         node.worker().advance(Duration.ofMillis(101));
         node.reader().complete(AHEAD, new StoreReadResult.RevisionCompacted());
         node.worker().advance(Duration.ofMillis(300));
--- a/feed/src/test/java/org/turmericspan/feed/FakeReader.java
+++ b/feed/src/test/java/org/turmericspan/feed/FakeReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.turmericspan.ids.StorePosition;
 
 /** Reader that records its reads and completes them when a test says how. */
 final class FakeReader implements StoreReader {
@@ -14,7 +15,7 @@
     }
 
     @Override
-    public void watch(StoreSource source, long afterRevision, long waitMillis, Consumer<StoreReadResult> listener) {
+    public void watch(StoreSource source, StorePosition after, long waitMillis, Consumer<StoreReadResult> listener) {
         reads.add(new Read(source, listener));
     }
 
--- a/feed/src/test/java/org/turmericspan/feed/FalseConfirmationTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/FalseConfirmationTest.java
@@ -15,6 +15,7 @@
 import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 import org.turmericspan.ids.UpstreamId;
 
 /** A replica counts as confirmed only by what the store has said of it, and never as newer than that. */
@@ -23,7 +24,13 @@
 
     private static void compare(FeedFixture receiver, long changeRevision, long listRevision, long ageMillis) {
         new CatchUp(receiver.feed(), receiver.limits(), receiver.worker())
-                .compare(OTHER, new ReplicaState(changeRevision, listRevision, ageMillis));
+                .compare(
+                        OTHER,
+                        new ReplicaState(
+                                new StorePosition(0, changeRevision),
+                                new StorePosition(0, listRevision),
+                                ageMillis,
+                                0));
     }
 
     private static FeedFixture confirmedNode() {
@@ -58,7 +65,11 @@
         FeedFixture machine = new FeedFixture();
         StoreFeed restarted = startedWithAStaleList(machine, 8);
         machine.worker().advance(Duration.ofMillis(100));
-        compare(survivor, restarted.changeRevision(), restarted.listRevision(), restarted.ownConfirmedAgeMillis());
+        compare(
+                survivor,
+                restarted.changePosition().revision(),
+                restarted.listPosition().revision(),
+                restarted.ownConfirmedAgeMillis());
         assertThat(survivor.feed().confirmedAgeMillis()).isGreaterThanOrEqualTo(1_000);
     }
 
@@ -67,9 +78,10 @@
         FeedFixture survivor = confirmedNode();
         survivor.worker().advance(Duration.ofMillis(1_000));
         StoreFeed restarted = startedWithAStaleList(new FeedFixture(), 10);
-        ReplicaRead read = new ReplicaRead(10, 400, StoreSource.Kind.ZONE_READER.maxDistance(), false);
+        ReplicaRead read =
+                new ReplicaRead(new StorePosition(0, 10), 400, StoreSource.Kind.ZONE_READER.maxDistance(), false);
         if (new ReplicaRelay(restarted).response(read) == ReplicaRelay.Response.CHANGES) {
-            StorePage page = restarted.mirror().changesAfter(10, restarted.status());
+            StorePage page = restarted.mirror().changesAfter(new StorePosition(0, 10), restarted.status());
             survivor.reader().complete(FeedFixture.RELAY, new StoreReadResult.Page(page));
         }
         assertThat(survivor.feed().confirmedAgeMillis()).isGreaterThanOrEqualTo(1_000);
--- a/feed/src/test/java/org/turmericspan/feed/FeedFixture.java
+++ b/feed/src/test/java/org/turmericspan/feed/FeedFixture.java
@@ -11,6 +11,7 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.testkit.ManualClock;
 import org.turmericspan.testkit.ManualExecutor;
@@ -79,16 +80,17 @@
     }
 
     static StoreItem evacuation(String zone, long revision) {
-        return new StoreItem(zone, new byte[0], revision, false);
+        return new StoreItem(zone, new byte[0], new StorePosition(0, revision), false);
     }
 
     static StoreReadResult page(long revision, long contactAgeMillis, StoreItem... items) {
-        return new StoreReadResult.Page(
-                new StorePage(List.of(items), revision, false, new RelayStatus(0, contactAgeMillis, 0)));
+        return new StoreReadResult.Page(new StorePage(
+                List.of(items), new StorePosition(0, revision), false, new RelayStatus(0, contactAgeMillis, 0)));
     }
 
     static StoreReadResult storePage(long revision, StoreItem... items) {
-        return new StoreReadResult.Page(new StorePage(List.of(items), revision, false, RelayStatus.STORE));
+        return new StoreReadResult.Page(
+                new StorePage(List.of(items), new StorePosition(0, revision), false, RelayStatus.STORE));
     }
 
     private static final class RelayOnly implements StoreSourceSelector {
--- a/feed/src/test/java/org/turmericspan/feed/LaterListTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/LaterListTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.ids.StorePosition;
 
 /** What the readers of a replica get after it was listed again, since the store had forgotten its history. */
 class LaterListTest {
@@ -29,36 +30,43 @@
     }
 
     private List<String> changesAfter(long revision) {
-        return node.feed().mirror().changesAfter(revision, RelayStatus.STORE).items().stream()
-                .map(item -> item.key() + (item.isRemoved() ? " removed" : "") + " at " + item.revision())
+        return node.feed().mirror().changesAfter(new StorePosition(0, revision), RelayStatus.STORE).items().stream()
+                .map(item -> item.key() + (item.isRemoved() ? " removed" : "") + " at "
+                        + item.position().revision())
                 .toList();
     }
 
     @Test
     void readerFromBeforeTheListGetsTheDifference() {
-        assertThat(node.feed().mirror().hasHistoryAfter(13)).isTrue();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 13)))
+                .isTrue();
         assertThat(changesAfter(13)).containsExactly("zone-c at 18", "zone-a removed at 20");
-        assertThat(node.feed().mirror().hasHistoryAfter(10)).isTrue();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 10)))
+                .isTrue();
         assertThat(changesAfter(10)).containsExactly("zone-b at 13", "zone-c at 18", "zone-a removed at 20");
     }
 
     /** What was added after 13 and removed before 20 is in no list. */
     @Test
     void readerFromBetweenHasToListAgain() {
-        assertThat(node.feed().mirror().hasHistoryAfter(14)).isFalse();
-        assertThat(node.feed().mirror().hasHistoryAfter(19)).isFalse();
-        assertThat(node.feed().mirror().hasHistoryAfter(20)).isTrue();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 14)))
+                .isFalse();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 19)))
+                .isFalse();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 20)))
+                .isTrue();
     }
 
     @Test
     void readerFromBeforeTheFirstListHasToListAgain() {
-        assertThat(node.feed().mirror().hasHistoryAfter(9)).isFalse();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 9)))
+                .isFalse();
     }
 
     @Test
     void differencesCountAmongTheChangesThatTheNodeTells() {
-        assertThat(node.feed().changeRevision()).isEqualTo(20);
-        assertThat(node.feed().listRevision()).isEqualTo(10);
+        assertThat(node.feed().changePosition().revision()).isEqualTo(20);
+        assertThat(node.feed().listPosition().revision()).isEqualTo(10);
     }
 
     /** A second list has a gap of its own; readers from the first gap and before no longer get a difference. */
@@ -66,9 +74,12 @@
     void historyBeforeAnEarlierGapIsDropped() {
         node.reader().complete(FeedFixture.RELAY, new StoreReadResult.RevisionCompacted());
         node.reader().complete(FeedFixture.RELAY, FeedFixture.page(30, 0, FeedFixture.evacuation("zone-b", 13)));
-        assertThat(node.feed().mirror().hasHistoryAfter(13)).isFalse();
-        assertThat(node.feed().mirror().hasHistoryAfter(20)).isTrue();
-        assertThat(node.feed().mirror().hasHistoryAfter(25)).isFalse();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 13)))
+                .isFalse();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 20)))
+                .isTrue();
+        assertThat(node.feed().mirror().hasHistoryAfter(new StorePosition(0, 25)))
+                .isFalse();
         assertThat(changesAfter(20)).containsExactly("zone-c removed at 30");
     }
 }
--- a/feed/src/test/java/org/turmericspan/feed/ListPagesTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/ListPagesTest.java
@@ -16,6 +16,7 @@
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.ServiceId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.testkit.ManualClock;
 import org.turmericspan.testkit.ManualExecutor;
@@ -54,14 +55,15 @@
     }
 
     private static StoreItem server(String key, long revision, boolean isDraining) {
-        return new StoreItem(key, new byte[isDraining ? 1 : 0], revision, false);
+        return new StoreItem(key, new byte[isDraining ? 1 : 0], new StorePosition(0, revision), false);
     }
 
     private void listInTwoPages() {
         feed.start();
         reader.complete(
                 FeedFixture.STORE,
-                new StoreReadResult.Page(new StorePage(List.of(server("i-1", 5, false)), 20, true, RelayStatus.STORE)));
+                new StoreReadResult.Page(new StorePage(
+                        List.of(server("i-1", 5, false)), new StorePosition(0, 20), true, RelayStatus.STORE)));
         reader.complete(FeedFixture.STORE, FeedFixture.storePage(30, server("i-2", 28, true)));
     }
 
@@ -69,14 +71,17 @@
     @Test
     void changeOfALaterPageCountsAmongTheChangesThatTheNodeTells() {
         listInTwoPages();
-        assertThat(Math.max(feed.changeRevision(), feed.listRevision())).isGreaterThanOrEqualTo(28);
+        assertThat(Math.max(
+                        feed.changePosition().revision(), feed.listPosition().revision()))
+                .isGreaterThanOrEqualTo(28);
     }
 
     /** The node has read that the server drains; a node ahead of its list still has the state before. */
     @Test
     void drainingServerOfALaterPageDoesNotBecomeReadyAgain() {
         listInTwoPages();
-        new CatchUp(feed, limits, worker).compare(OTHER, new ReplicaState(25, 0, 0));
+        new CatchUp(feed, limits, worker)
+                .compare(OTHER, new ReplicaState(new StorePosition(0, 25), new StorePosition(0, 0), 0, 0));
         worker.advance(Duration.ofMillis(101));
         reader.complete(AHEAD, FeedFixture.page(26, 0, server("i-2", 25, false)));
         assertThat(draining).isNotEmpty().doesNotContain(false);
--- a/feed/src/test/java/org/turmericspan/feed/ReplicaRelayTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/ReplicaRelayTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.turmericspan.feed.ReplicaRelay.Response;
+import org.turmericspan.ids.StorePosition;
 
 /** What a node responds with when others read its replica. */
 class ReplicaRelayTest {
@@ -12,11 +13,11 @@
     private final ReplicaRelay relay = new ReplicaRelay(node.feed());
 
     private static ReplicaRead watch(long afterRevision) {
-        return new ReplicaRead(afterRevision, 400, 1, false);
+        return new ReplicaRead(new StorePosition(0, afterRevision), 400, 1, false);
     }
 
     private static ReplicaRead fromBehind(long afterRevision) {
-        return new ReplicaRead(afterRevision, 0, 0, true);
+        return new ReplicaRead(new StorePosition(0, afterRevision), 0, 0, true);
     }
 
     @Test
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -14,6 +14,7 @@
 import org.turmericspan.balancing.PeerReport;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 import org.turmericspan.zones.ZoneSummary;
 
 /**
@@ -30,6 +31,8 @@
 
     /** Flag of the first member, which earlier versions ignore: a summary of demand and room ends the message. */
     private static final int SENDER_TELLS_ZONES = 16;
+    /** Flag of the first member, which earlier versions ignore: the eras and the version of its replica end it. */
+    private static final int SENDER_TELLS_ERAS = 32;
 
     private static final int REPORT_HEALTHY = 1;
     private static final int REPORT_REACHABLE = 2;
@@ -62,6 +65,9 @@
             if (!message.zones().isEmpty()) {
                 ZoneSummaryCodec.write(message.zones(), zones, output, nowNanos);
             }
+            if (tellsEras(message.replica())) {
+                writeEras(message.replica(), output);
+            }
             output.flush();
         } catch (IOException e) {
             throw new IllegalStateException("Writing to a byte array failed", e);
@@ -77,7 +83,8 @@
             GossipMessage message, List<AvailabilityZoneId> zones, CodedOutputStream output, long nowNanos)
             throws IOException {
         List<Member> members = message.members();
-        int senderFlags = SENDER_TELLS_REPLICA | (message.zones().isEmpty() ? 0 : SENDER_TELLS_ZONES);
+        int senderFlags =
+                SENDER_TELLS_REPLICA | SENDER_TELLS_ERAS | (message.zones().isEmpty() ? 0 : SENDER_TELLS_ZONES);
         output.writeUInt32NoTag(zones.size());
         for (AvailabilityZoneId zone : zones) {
             output.writeStringNoTag(zone.value());
@@ -135,7 +142,8 @@
             ZoneSummary zones = decoded.tells(SENDER_TELLS_ZONES)
                     ? ZoneSummaryCodec.read(input, decoded.zones(), nowNanos)
                     : ZoneSummary.NONE;
-            return new GossipMessage(decoded.members(), reports, crashes, replica, zones);
+            ReplicaState replicaInEra = decoded.tells(SENDER_TELLS_ERAS) ? readEras(input, replica) : replica;
+            return new GossipMessage(decoded.members(), reports, crashes, replicaInEra, zones);
         } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new IOException("field out of range", e);
         }
@@ -199,17 +207,38 @@
     }
 
     private static void writeReplica(ReplicaState replica, CodedOutputStream output) throws IOException {
-        output.writeUInt64NoTag(replica.changeRevision());
-        output.writeUInt64NoTag(replica.listRevision());
+        output.writeUInt64NoTag(replica.changePosition().revision());
+        output.writeUInt64NoTag(replica.listPosition().revision());
         output.writeUInt64NoTag(replica.confirmedAgeMillis());
     }
 
     private static ReplicaState readReplica(CodedInputStream input) throws IOException {
-        ReplicaState replica = new ReplicaState(input.readUInt64(), input.readUInt64(), input.readUInt64());
-        if (replica.changeRevision() < 0 || replica.listRevision() < 0 || replica.confirmedAgeMillis() < 0) {
-            throw new IOException("negative state of a replica");
+        StorePosition change = new StorePosition(0, input.readUInt64());
+        StorePosition list = new StorePosition(0, input.readUInt64());
+        long confirmedAgeMillis = input.readUInt64();
+        if (confirmedAgeMillis < 0) {
+            throw new IOException("negative age of a replica");
         }
-        return replica;
+        return new ReplicaState(change, list, confirmedAgeMillis, 0);
+    }
+
+    private static boolean tellsEras(ReplicaState replica) {
+        return replica.era() > 0 || replica.configurationVersion() > 0;
+    }
+
+    /** Writes what earlier versions do not tell of a replica. */
+    private static void writeEras(ReplicaState replica, CodedOutputStream output) throws IOException {
+        output.writeUInt64NoTag(replica.changePosition().era());
+        output.writeUInt64NoTag(replica.listPosition().era());
+        output.writeUInt64NoTag(replica.configurationVersion());
+    }
+
+    private static ReplicaState readEras(CodedInputStream input, ReplicaState replica) throws IOException {
+        return new ReplicaState(
+                new StorePosition(input.readUInt64(), replica.changePosition().revision()),
+                new StorePosition(input.readUInt64(), replica.listPosition().revision()),
+                replica.confirmedAgeMillis(),
+                Math.max(0, input.readUInt64()));
     }
 
     private static int readCount(CodedInputStream input) throws IOException {
--- a/gossip/src/main/java/org/turmericspan/gossip/ReplicaState.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/ReplicaState.java
@@ -1,16 +1,29 @@
 package org.turmericspan.gossip;
 
 import java.util.concurrent.TimeUnit;
+import org.turmericspan.ids.StorePosition;
 
 /**
  * State of a node's replica of the store, by which another node can tell whether its own replica lags, and whether it
  * is confirmed.
  *
- * @param changeRevision revision of the newest change that the replica has
- * @param listRevision revision of the list with which the replica began; its changes are not part of the other revision
+ * @param changePosition position of the newest change that the replica has
+ * @param listPosition position of the list with which the replica began; its changes are not part of the other position
  * @param confirmedAgeMillis time since the store has confirmed that the replica has every change, in milliseconds
+ * @param configurationVersion version of the newest configuration that the replica has, 0 when it has none
  */
-public record ReplicaState(long changeRevision, long listRevision, long confirmedAgeMillis) {
+public record ReplicaState(
+        StorePosition changePosition, StorePosition listPosition, long confirmedAgeMillis, long configurationVersion) {
     /** State of a node that has no replica, or does not tell. */
-    public static final ReplicaState NONE = new ReplicaState(0, 0, TimeUnit.HOURS.toMillis(1));
+    public static final ReplicaState NONE =
+            new ReplicaState(StorePosition.START, StorePosition.START, TimeUnit.HOURS.toMillis(1), 0);
+
+    /**
+     * Returns the era of the store that the replica belongs to.
+     *
+     * @return 0 when it is not known
+     */
+    public long era() {
+        return Math.max(changePosition.era(), listPosition.era());
+    }
 }
--- a/gossip/src/test/java/org/turmericspan/gossip/GossipCodecTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/GossipCodecTest.java
@@ -14,6 +14,7 @@
 import org.turmericspan.balancing.PeerReport;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 
 class GossipCodecTest {
     private static final long NOW_NANOS = TimeUnit.SECONDS.toNanos(100);
@@ -38,7 +39,7 @@
                 List.of(member),
                 List.of(new PeerReport(-9, observation, 2, 30)),
                 List.of(new Crash(1, 2)),
-                new ReplicaState(700, 300, 45));
+                new ReplicaState(new StorePosition(0, 700), new StorePosition(0, 300), 45, 0));
     }
 
     @Test
--- a/gossip/src/test/java/org/turmericspan/gossip/NewsTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/NewsTest.java
@@ -17,6 +17,7 @@
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 import org.turmericspan.testkit.ManualClock;
 import org.turmericspan.testkit.ManualExecutor;
 
@@ -64,7 +65,7 @@
         }
         members.mergeAll(others);
         members.detectFailures();
-        gossip.describeReplica(() -> new ReplicaState(7, 3, 45));
+        gossip.describeReplica(() -> new ReplicaState(new StorePosition(0, 7), new StorePosition(0, 3), 45, 0));
         gossip.start((message, addresses) -> {
             sent.add(message.replica());
             recipients.addAll(addresses);
@@ -105,7 +106,9 @@
         start();
         executor.advance(Duration.ofSeconds(5));
         gossip.broadcast();
-        assertThat(sent).hasSizeGreaterThan(5).allMatch(new ReplicaState(7, 3, 45)::equals);
+        assertThat(sent)
+                .hasSizeGreaterThan(5)
+                .allMatch(new ReplicaState(new StorePosition(0, 7), new StorePosition(0, 3), 45, 0)::equals);
     }
 
     @Test
@@ -114,7 +117,7 @@
         Map<SocketAddress, ReplicaState> received = new HashMap<>();
         gossip.onReplicaState(received::put);
         Member sender = member(9);
-        ReplicaState state = new ReplicaState(8, 2, 10);
+        ReplicaState state = new ReplicaState(new StorePosition(0, 8), new StorePosition(0, 2), 10, 0);
         gossip.receive(sender.address(), new GossipMessage(List.of(sender), List.of(), List.of(), state));
         assertThat(received).isEqualTo(Map.of(sender.address(), state));
     }
--- a/gossip/src/test/java/org/turmericspan/gossip/ZoneSummaryCodecTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/ZoneSummaryCodecTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.SocketAddress;
+import org.turmericspan.ids.StorePosition;
 import org.turmericspan.zones.ServiceSummary;
 import org.turmericspan.zones.ZoneReport;
 import org.turmericspan.zones.ZoneSummary;
@@ -44,7 +45,12 @@
         for (int i = 0; i < zones; i++) {
             members.add(member(i));
         }
-        return new GossipMessage(members, List.of(), List.of(), new ReplicaState(700, 300, 45), summary);
+        return new GossipMessage(
+                members,
+                List.of(),
+                List.of(),
+                new ReplicaState(new StorePosition(0, 700), new StorePosition(0, 300), 45, 0),
+                summary);
     }
 
     private static ZoneSummary summary(int services, int zones) {
@@ -95,7 +101,8 @@
         GossipMessage decoded = GossipCodec.decode(bytes, NOW_NANOS);
         assertThat(decoded.zones().isEmpty()).isTrue();
         assertThat(decoded.members()).hasSize(2);
-        assertThat(decoded.replica()).isEqualTo(new ReplicaState(700, 300, 45));
+        assertThat(decoded.replica())
+                .isEqualTo(new ReplicaState(new StorePosition(0, 700), new StorePosition(0, 300), 45, 0));
     }
 
     private static int indexOfSenderFlags(byte[] bytes) {
