Announce the eras of a replica only in messages that tell them

A message set the flag of the eras even when its replica was of the first era and had no configuration, and then left the eras out. The receiver read past the end and dropped the message, so nodes without a configuration did not hear of each other.

--- a/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -83,8 +83,9 @@
             GossipMessage message, List<AvailabilityZoneId> zones, CodedOutputStream output, long nowNanos)
             throws IOException {
         List<Member> members = message.members();
-        int senderFlags =
-                SENDER_TELLS_REPLICA | SENDER_TELLS_ERAS | (message.zones().isEmpty() ? 0 : SENDER_TELLS_ZONES);
+        int senderFlags = SENDER_TELLS_REPLICA
+                | (message.zones().isEmpty() ? 0 : SENDER_TELLS_ZONES)
+                | (tellsEras(message.replica()) ? SENDER_TELLS_ERAS : 0);
         output.writeUInt32NoTag(zones.size());
         for (AvailabilityZoneId zone : zones) {
             output.writeStringNoTag(zone.value());
