Keep grace and hold when another relay tells the same removal

Trace: a node reads the differences of a restoration through relay A, which has listed the store at 1/80 and tells a missing server and a missing evacuation as removed at 1/80; both are kept, for 2 s and 10 s. The node goes on with relay B, which has listed at 1/84 and tells the same removals at 1/84. They were of the node's own era by then, so that they counted as written: the server was removed and the zone was used again at once.

A removal of an item that is known as removed is no write. It changes nothing outside a restoration.

--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -233,19 +233,26 @@
         } else if (update instanceof StoreUpdate.Registered registered) {
             register(item, registered.registration(), isListed);
         } else if (update instanceof StoreUpdate.Unregistered unregistered) {
-            recordChange(item);
-            registrations.remove(unregistered.upstream());
+            unregister(item, unregistered.upstream());
+        }
+    }
+
+    private void unregister(StoreItem item, UpstreamId id) {
+        // Each node that has listed the restored store tells what is missing at the position of its own list.
+        if (recordChange(item) || isRestored) {
+            registrations.remove(id);
             hold.end(item.key());
-            removeAfterGracePeriod(unregistered.upstream());
+            removeAfterGracePeriod(id);
         }
     }
 
-    private void recordChange(StoreItem item) {
+    private boolean recordChange(StoreItem item) {
         boolean hasChanged = !mirror.hasValueOf(item);
         mirror.put(item, hasChanged);
         if (hasChanged) {
             changePosition = changePosition.max(item.position());
         }
+        return hasChanged;
     }
 
     /** Takes a configuration over, unless it is older than the one that this replica has. */
@@ -288,7 +295,9 @@
         }
         boolean isTakenBack = isRestored
                 && (evacuation.isEvacuated() ? mirror.isRemoved(item.key()) : evacuatedZones.containsKey(zone));
-        recordChange(item);
+        if (!recordChange(item) && item.isRemoved() && !isRestored) {
+            return;
+        }
         if (isTakenBack && evacuation.isEvacuated() != evacuatedZones.containsKey(zone)) {
             hold.hold(item.key(), () -> setEvacuated(zone, item.key(), evacuation.isEvacuated()));
         } else {
