Keep relaying the configuration when a restored store has none

Trace: the copy is from before the first configuration (or before op/config was written again). The node keeps its configuration in force, but the list marked the item as removed in the mirror, so that nodes which start then and list from this one had no configuration at all.

--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -56,6 +56,16 @@
         lock.run(() -> written().put(item.key(), items.getOrDefault(item.key(), item)));
     }
 
+    /** Keeps the present state of an item that a full list does not have. */
+    void retainMissing(String key) {
+        lock.run(() -> {
+            StoreItem item = items.get(key);
+            if (item != null) {
+                written().putIfAbsent(key, item);
+            }
+        });
+    }
+
     private Map<String, StoreItem> written() {
         return replacement == null ? items : replacement;
     }
--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -150,6 +150,7 @@
         listedZones.clear();
         listedUpstreams.clear();
         list.items().forEach(item -> apply(item, true));
+        mirror.retainMissing(configurationKey);
         if (mirror.completeReplacement(list.lowestPosition()) || isRestored) {
             changePosition = changePosition.max(list.lowestPosition());
         }
--- a/feed/src/test/java/org/turmericspan/feed/RestoredConfigurationTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RestoredConfigurationTest.java
@@ -69,4 +69,11 @@
         assertThat(starting.feed().position()).isEqualTo(at(1, 82));
         assertThat(starting.feed().configurationVersion()).isEqualTo(78);
     }
+
+    @Test
+    void listWithoutAConfigurationIsNotRelayedSo() {
+        node.restore(at(1, 80));
+        assertThat(node.versions()).containsExactly(78L);
+        assertThat(relayedVersions()).containsExactly("78");
+    }
 }
