Begin the grace of missing upstreams anew at each restoration

Trace: a server that the first copy lacks is removed 2 s after the node has read that copy. When the store is away once more and comes back in a further era 1.9 s later, the server could not register meanwhile, and was removed 0.1 s after the second return, though it has about two seconds from then.

--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -131,10 +131,12 @@
                 apply(item, false);
             }
         }
-        isRestored = false;
         if (isLaterEra) {
+            isRestored = true;
+            pendingRemovals().forEach(this::removeAfterGracePeriod);
             changePosition = changePosition.max(page.position());
         }
+        isRestored = false;
         advance(page.position());
     }
 
@@ -209,9 +211,17 @@
         Set<UpstreamId> missing = new HashSet<>(registrations.keySet());
         missing.removeAll(listedUpstreams);
         registrations.keySet().removeAll(missing);
+        if (isRestored) {
+            missing.addAll(pendingRemovals());
+        }
         missing.forEach(this::removeAfterGracePeriod);
     }
 
+    /** Returns the upstreams in their grace period; they could not register while the store was away once more. */
+    private Set<UpstreamId> pendingRemovals() {
+        return Set.copyOf(pendingRemovalNanos.keySet());
+    }
+
     private void advance(StorePosition newPosition) {
         position = position.max(newPosition);
         mirror.advance(position);
--- a/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
@@ -156,4 +156,29 @@
         node.advance(HOLD);
         assertThat(node.takeSeenUpstreamStates()).doesNotContain("b removed");
     }
+
+    /** The upstream could not register while the store was away for the second time. */
+    @Test
+    void secondRestorationBeginsANewGrace() {
+        node.restore(at(1, 80), ready("a", at(1, 10)), draining("c", at(1, 75)));
+        node.advance(GRACE.minusMillis(100));
+        node.restore(at(2, 78), ready("a", at(2, 10)), draining("c", at(2, 75)));
+        node.complete(at(2, 79), ready("a", at(2, 79)));
+        node.advance(GRACE.minusMillis(600));
+        assertThat(node.upstreams()).containsEntry("b", "ready");
+        node.advance(Duration.ofMillis(700));
+        assertThat(node.upstreams()).doesNotContainKey("b");
+    }
+
+    @Test
+    void secondRestorationThatARelayTellsBeginsANewGrace() {
+        node.switchTo(FeedFixture.RELAY);
+        node.complete(at(1, 80), upstreamRemoval("b", at(1, 80)));
+        node.advance(GRACE.minusMillis(100));
+        node.complete(at(2, 78));
+        node.advance(GRACE.minusMillis(100));
+        assertThat(node.upstreams()).containsEntry("b", "ready");
+        node.advance(Duration.ofMillis(100));
+        assertThat(node.upstreams()).doesNotContainKey("b");
+    }
 }
