--- a/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -84,8 +84,8 @@
             throws IOException {
         List<Member> members = message.members();
         int senderFlags = SENDER_TELLS_REPLICA
-                | (message.zones().isEmpty() ? 0 : SENDER_TELLS_ZONES)
-                | (tellsEras(message.replica()) ? SENDER_TELLS_ERAS : 0);
+                | (tellsEras(message.replica()) ? SENDER_TELLS_ERAS : 0)
+                | (message.zones().isEmpty() ? 0 : SENDER_TELLS_ZONES);
         output.writeUInt32NoTag(zones.size());
         for (AvailabilityZoneId zone : zones) {
             output.writeStringNoTag(zone.value());
