--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -131,10 +131,12 @@
                 apply(item, false);
             }
         }
-        isRestored = false;
         if (isLaterEra) {
+            isRestored = true;
+            pendingRemovals().forEach(this::removeAfterGracePeriod);
             changePosition = changePosition.max(page.position());
         }
+        isRestored = false;
         advance(page.position());
     }
 
@@ -150,6 +152,7 @@
         listedZones.clear();
         listedUpstreams.clear();
         list.items().forEach(item -> apply(item, true));
+        mirror.retainMissing(configurationKey);
         if (mirror.completeReplacement(list.lowestPosition()) || isRestored) {
             changePosition = changePosition.max(list.lowestPosition());
         }
@@ -208,9 +211,17 @@
         Set<UpstreamId> missing = new HashSet<>(registrations.keySet());
         missing.removeAll(listedUpstreams);
         registrations.keySet().removeAll(missing);
+        if (isRestored) {
+            missing.addAll(pendingRemovals());
+        }
         missing.forEach(this::removeAfterGracePeriod);
     }
 
+    /** Returns the upstreams in their grace period; they could not register while the store was away once more. */
+    private Set<UpstreamId> pendingRemovals() {
+        return Set.copyOf(pendingRemovalNanos.keySet());
+    }
+
     private void advance(StorePosition newPosition) {
         position = position.max(newPosition);
         mirror.advance(position);
@@ -233,19 +244,26 @@
         } else if (update instanceof StoreUpdate.Registered registered) {
             register(item, registered.registration(), isListed);
         } else if (update instanceof StoreUpdate.Unregistered unregistered) {
-            recordChange(item);
-            registrations.remove(unregistered.upstream());
+            unregister(item, unregistered.upstream());
+        }
+    }
+
+    private void unregister(StoreItem item, UpstreamId id) {
+        // Each node that has listed the restored store tells what is missing at the position of its own list.
+        if (recordChange(item) || isRestored) {
+            registrations.remove(id);
             hold.end(item.key());
-            removeAfterGracePeriod(unregistered.upstream());
+            removeAfterGracePeriod(id);
         }
     }
 
-    private void recordChange(StoreItem item) {
+    private boolean recordChange(StoreItem item) {
         boolean hasChanged = !mirror.hasValueOf(item);
         mirror.put(item, hasChanged);
         if (hasChanged) {
             changePosition = changePosition.max(item.position());
         }
+        return hasChanged;
     }
 
     /** Takes a configuration over, unless it is older than the one that this replica has. */
@@ -288,7 +306,9 @@
         }
         boolean isTakenBack = isRestored
                 && (evacuation.isEvacuated() ? mirror.isRemoved(item.key()) : evacuatedZones.containsKey(zone));
-        recordChange(item);
+        if (!recordChange(item) && item.isRemoved() && !isRestored) {
+            return;
+        }
         if (isTakenBack && evacuation.isEvacuated() != evacuatedZones.containsKey(zone)) {
             hold.hold(item.key(), () -> setEvacuated(zone, item.key(), evacuation.isEvacuated()));
         } else {
