Treat a first list that proves no history like a restoration

Trace: a node starts while the store is restored; its first, stale list is of the history that the store has lost, and bears the store's new era. The store's own list shows it and replaces it. Until then a draining server was in force as draining and a server that registered last as ready; the replacement made the first ready and removed the second at once, although both write themselves again.

--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -143,17 +143,19 @@
     /** Replaces all items by those of a list; of a later one only the differences count as changes. */
     void replace(ListRead list) {
         lastSource = list.source();
-        if (complete && position.isAfter(list.lowestPosition())) {
+        boolean isNewBeginning = complete && position.isAfter(list.lowestPosition());
+        if (isNewBeginning) {
             restart();
         }
         isProvisional = !complete && list.isStale();
-        isRestored = beginEra(list.source(), list.lowestPosition());
+        boolean isLaterEra = beginEra(list.source(), list.lowestPosition());
+        isRestored = isLaterEra || isNewBeginning;
         mirror.beginReplacement();
         listedZones.clear();
         listedUpstreams.clear();
         list.items().forEach(item -> apply(item, true));
         mirror.retainMissing(configurationKey);
-        if (mirror.completeReplacement(list.lowestPosition()) || isRestored) {
+        if (mirror.completeReplacement(list.lowestPosition()) || isLaterEra) {
             changePosition = changePosition.max(list.lowestPosition());
         }
         removeMissingZones(list);
--- a/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
@@ -181,4 +181,21 @@
         node.advance(Duration.ofMillis(100));
         assertThat(node.upstreams()).doesNotContainKey("b");
     }
+
+    /** A stale list of the older era need not tell so; the store's own positions show it. */
+    @Test
+    void firstListThatIsNoPartOfTheHistoryIsTakenBackLikeARestoration() {
+        FleetFixture starting = new FleetFixture();
+        starting.start(at(1, 100), ready("a", at(1, 10)), ready("b", at(1, 90)), draining("c", at(1, 95)));
+        starting.takeSeenUpstreamStates();
+        starting.complete(at(1, 82));
+        starting.complete(at(1, 82), ready("a", at(1, 10)), ready("c", at(1, 70)));
+        assertThat(starting.upstreams())
+                .containsEntry("a", "ready")
+                .containsEntry("b", "ready")
+                .containsEntry("c", "draining");
+        starting.complete(at(1, 83), ready("b", at(1, 83)));
+        starting.advance(GRACE);
+        assertThat(starting.takeSeenUpstreamStates()).doesNotContain("b removed", "c ready");
+    }
 }
