Keep a stale first list in doubt until a source has reached it

Trace: a node starts while the store is restored and lists 1/100 of the lost history, stale. It first reads a relay, which is at 1/82 and tells no change. That page counted as proof that 1/100 is of the store's history, so that the store's own list at 1/85 was refused as older, and again until the revisions had passed 100.

Seen: firstListAheadOfTheRestoredStoreIsReplacedAfterAReadOfARelay fails without the change. EraCrossingTest covers the other ways from one era to the next, which passed before.

--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -121,7 +121,7 @@
     /** Applies the changes of a page that this replica does not have yet, and advances to the position of the page. */
     void apply(StoreSource source, StorePage page) {
         lastSource = source;
-        isProvisional = false;
+        isProvisional &= position.isAfter(page.position());
         StorePosition applied = position;
         boolean isLaterEra = beginEra(source, page.position());
         for (StoreItem item : page.items()) {
--- a/feed/src/test/java/org/turmericspan/feed/FleetFixture.java
+++ b/feed/src/test/java/org/turmericspan/feed/FleetFixture.java
@@ -92,6 +92,11 @@
         worker.advance(duration);
     }
 
+    /** Chooses the source of the reads that begin from now on. */
+    void choose(StoreSource chosen) {
+        source = chosen;
+    }
+
     /** Goes on with another source after the pending read has ended without changes. */
     void switchTo(StoreSource next) {
         StoreSource previous = source;
