Put in force at once what was written after the restoration

Trace: a zone's evacuation ended at 0/101. The store comes back from a copy, goes on to 110, and the operator evacuates the zone again at 1/105 before the node has read the later era. The node took the evacuation for that of the copy and held it back for 10 s, during which it went on to send requests to the zone. A server whose entry had expired and that registered again at 1/105 got no requests for 10 s in the same way.

An older copy up to a revision has all changes before it. An item whose revision is not below that of the change it would take back was therefore written after the restoration.

--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -307,7 +307,9 @@
             }
         }
         boolean isTakenBack = isRestored
-                && (evacuation.isEvacuated() ? mirror.isRemoved(item.key()) : evacuatedZones.containsKey(zone));
+                && (evacuation.isEvacuated()
+                        ? mirror.isRemoved(item.key()) && isOlderThanKnown(item)
+                        : evacuatedZones.containsKey(zone));
         if (!recordChange(item) && item.isRemoved() && !isRestored) {
             return;
         }
@@ -326,7 +328,18 @@
         }
     }
 
+    /**
+     * Returns whether an item of the restored store is older than what was known. One whose revision is not below was
+     * written after the restoration: an older copy up to that revision would have the known change, too.
+     */
+    private boolean isOlderThanKnown(StoreItem item) {
+        StorePosition known = mirror.positionOf(item.key());
+        return known.equals(StorePosition.START) || item.position().revision() < known.revision();
+    }
+
     private void register(StoreItem item, Registration registration, boolean isListed) {
+        boolean isTakenBack =
+                isRestored && hold.isTakenBack(registration) && (hold.isHeld(item.key()) || isOlderThanKnown(item));
         Registration previous = registrations.put(registration.id(), registration);
         boolean hasChanged = previous == null || !registration.equalsIgnoringWarmUp(previous);
         if (isListed) {
@@ -339,7 +352,7 @@
             mirror.put(item, hasChanged);
         }
         pendingRemovalNanos.remove(registration.id());
-        if (isRestored && hold.isTakenBack(registration)) {
+        if (isTakenBack) {
             hold.hold(item.key(), () -> putInForce(registration));
             return;
         }
--- a/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
@@ -82,7 +82,7 @@
 
     @Test
     void earlierStartOfAnUpstreamIsNotUsed() {
-        node.restore(at(1, 80), upstream("a", "draining", 500, at(1, 10)), ready("b", at(1, 60)));
+        node.restore(at(1, 80), upstream("a", "draining", 500, at(1, 5)), ready("b", at(1, 60)));
         assertThat(node.upstreams()).containsEntry("a", "ready");
     }
 
@@ -198,4 +198,12 @@
         starting.advance(GRACE);
         assertThat(starting.takeSeenUpstreamStates()).doesNotContain("b removed", "c ready");
     }
+
+    /** A copy with the registration at this revision would lack the removal and not the other way round. */
+    @Test
+    void registrationAboveTheRevisionOfTheRemovalIsNoCopy() {
+        node.complete(at(0, 101), upstreamRemoval("b", at(0, 101)));
+        node.restore(at(1, 110), ready("a", at(1, 10)), ready("b", at(1, 105)), draining("c", at(1, 95)));
+        assertInForce("a", "ready", "b", "ready", "c", "draining");
+    }
 }
--- a/feed/src/test/java/org/turmericspan/feed/RestoredZonesTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RestoredZonesTest.java
@@ -128,4 +128,12 @@
         node.complete(at(1, 84), evacuationRemoval("a", at(1, 84)));
         assertThat(node.evacuatedZones()).containsExactly("a");
     }
+
+    /** A copy up to this revision would have the end of the first evacuation, too. */
+    @Test
+    void evacuationAboveTheRevisionOfItsEndIsInForceAtOnce() {
+        node.complete(at(0, 101), evacuationRemoval("a", at(0, 101)));
+        node.restore(at(1, 110), evacuation("a", at(1, 105)));
+        assertThat(node.evacuatedZones()).containsExactly("a");
+    }
 }
