Relay the differences of a later era only as a whole

Trace: a relay applies the differences between two eras item by item on the feed's worker, while other workers respond to its readers. A watch that ended in between got the first of them, of era 1, on a page that was still at 0/100. The reader was not told of a restoration, took a draining server that the copy has as ready for one that had registered so, and used it again; a missing evacuation ended at once.

The mirror now withholds items of an era that it has not reached.

The race itself was not run.

--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -228,7 +228,7 @@
                 return false;
             }
             for (StoreItem item : items.values()) {
-                if (item.position().isAfter(after)) {
+                if (isReadableAfter(item, after)) {
                     return true;
                 }
             }
@@ -246,7 +246,7 @@
     public StorePage changesAfter(StorePosition after, RelayStatus status) {
         return lock.compute(() -> new StorePage(
                 items.values().stream()
-                        .filter(item -> item.position().isAfter(after))
+                        .filter(item -> isReadableAfter(item, after))
                         .sorted(BY_POSITION)
                         .toList(),
                 position,
@@ -254,6 +254,11 @@
                 status));
     }
 
+    /** Returns whether an item is a change after a position; not while only a part of the next era is stored. */
+    private boolean isReadableAfter(StoreItem item, StorePosition after) {
+        return item.position().isAfter(after) && !item.position().isInLaterEra(position);
+    }
+
     /**
      * Lists all items.
      *
