--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationAtScaleTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationAtScaleTest.java
@@ -9,7 +9,6 @@
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import org.turmericspan.entry.RelayFleet.Link;
 import org.turmericspan.entry.RelayFleet.Node;
 
 /** A confirmed configuration is in force on time in fleets of hundreds of nodes whose members are not all known. */
@@ -198,7 +197,7 @@
             RelayFleet fleet = new RelayFleet(shape, 1);
             fleet.advance(LEAD);
             long lists = fleet.lists();
-            fleet.compactStore();
+            fleet.store().compact();
             fleet.confirm(2);
             fleet.advance(shape.apply());
             assertThat(fleet.nodes()).as(shape.toString()).allMatch(node -> node.version() == 2);
--- a/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/LateConfigurationTest.java
@@ -7,7 +7,6 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
-import org.turmericspan.entry.RelayFleet.Link;
 import org.turmericspan.entry.RelayFleet.Node;
 
 /** A confirmed configuration is in force on time on each node in touch, whatever happened to the store and relays. */
--- a/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
+++ b/entry/src/test/java/org/turmericspan/entry/RelayFleet.java
@@ -45,14 +45,6 @@
  * knows only the seeds.
  */
 final class RelayFleet {
-    /** How a party treats the reads that it receives. */
-    enum Link {
-        SERVING,
-        REJECTING,
-        REFUSING,
-        SILENT
-    }
-
     private static final SocketAddress STORE = new SocketAddress("10.9.9.9", 8_169);
     private static final long MAX_LATENCY_MILLIS = 4;
     private static final Duration DEFAULT_LIMIT = Duration.ofSeconds(2);
@@ -61,28 +53,31 @@
     private static final long START_SPREAD_MILLIS = 300;
     private static final long READINESS_CHECK_INTERVAL_MILLIS = 20;
     private static final long STORE_CHECK_INTERVAL_MILLIS = 1_000;
-    private static final long HEARTBEAT_INTERVAL_MILLIS = 70;
+    private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(70);
 
     private final ManualClock clock = new ManualClock();
     private final ManualExecutor executor = new ManualExecutor(clock);
     private final SplittableRandom random;
     private final ChangeLimits limits;
-    private final FakeStore store = new FakeStore();
+    private final FakeStore store = new FakeStore(clock);
     private final List<Node> nodes = new ArrayList<>();
     private final Map<SocketAddress, Node> nodesByAddress = new HashMap<>();
     private Predicate<Node> storeServes = node -> true;
     private Link storeFailure = Link.REFUSING;
+    private Duration storeMaxDelay = Duration.ZERO;
     private long storeReads;
     private long relayReads;
     private long lists;
-    /** Bandwidth of the link of each node; 0 for one without a limit. */
-    private long linkBytesPerSecond;
 
     RelayFleet(int size, int zones, long seed) {
         this(new FleetShape(size, zones, DEFAULT_LIMIT, DEFAULT_LIMIT), seed);
     }
 
     RelayFleet(FleetShape shape, long seed) {
+        this(shape, seed, HEARTBEAT_INTERVAL);
+    }
+
+    RelayFleet(FleetShape shape, long seed, Duration heartbeatInterval) {
         limits = new ChangeLimits(shape.apply());
         random = new SplittableRandom(seed);
         store.put("op/config", StoreDocuments.configuration(1));
@@ -96,7 +91,7 @@
         executor.scheduleWithFixedDelay(
                 () -> store.put("servers/i-1", StoreDocuments.registration(clock.nowNanos())),
                 0,
-                HEARTBEAT_INTERVAL_MILLIS,
+                heartbeatInterval.toMillis(),
                 TimeUnit.MILLISECONDS);
     }
 
@@ -108,6 +103,20 @@
         executor.advance(duration);
     }
 
+    /** Runs a task after a time. */
+    void after(Duration delay, Runnable task) {
+        executor.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    FakeStore store() {
+        return store;
+    }
+
+    /** Delays all that the store receives by up to a time. */
+    void slowDownStore(Duration maxDelay) {
+        storeMaxDelay = maxDelay;
+    }
+
     /** Returns the number of reads that nodes have sent to the store, served or not. */
     long storeReads() {
         return storeReads;
@@ -123,11 +132,6 @@
         return lists;
     }
 
-    /** Makes the store forget its history. */
-    void compactStore() {
-        store.compact();
-    }
-
     List<Node> nodes() {
         return nodes;
     }
@@ -157,7 +161,7 @@
 
     /** Gives each node a link of its own, through which its responses leave one after the other. */
     void limitLinks(long bytesPerSecond) {
-        linkBytesPerSecond = bytesPerSecond;
+        nodes.forEach(node -> node.outboundLink.limit(bytesPerSecond));
     }
 
     /** Confirms a version with many routes beside the one that {@link Node#hasRouteOf} looks for. */
@@ -189,7 +193,9 @@
     /** Delivers a request after a latency; the connection breaks or falls silent as the link then does. */
     private CallHandle call(Node caller, SocketAddress address, RequestMessage request, Consumer<CallEnd> listener) {
         Exchange exchange = new Exchange(caller, address, listener);
-        later(address.equals(STORE) ? 0 : nodesByAddress.get(address).maxDelayMillis, () -> exchange.deliver(request));
+        later(
+                address.equals(STORE) ? storeMaxDelay.toMillis() : nodesByAddress.get(address).maxDelayMillis,
+                () -> exchange.deliver(request));
         return exchange::cancel;
     }
 
@@ -231,7 +237,7 @@
             }
             switch (linkTo(caller, address)) {
                 case SERVING -> service().handle(request, this);
-                case REJECTING -> send(FakeStore.rejection());
+                case REJECTING -> send(store.rejection());
                 case REFUSING -> end(new CallEnd.NotSent("connection refused"));
                 default -> {
                     // No response.
@@ -258,16 +264,10 @@
             }
         }
 
-        /** Returns the time until the link of the responding node has sent this response behind all earlier ones. */
         private long transferMillis(int bytes) {
-            if (address.equals(STORE) || linkBytesPerSecond == 0) {
-                return 0;
-            }
-            Node sender = nodesByAddress.get(address);
-            long nowNanos = clock.nowNanos();
-            long startNanos = Math.max(nowNanos, sender.linkFreeNanos);
-            sender.linkFreeNanos = startNanos + TimeUnit.SECONDS.toNanos(bytes) / linkBytesPerSecond;
-            return TimeUnit.NANOSECONDS.toMillis(sender.linkFreeNanos - nowNanos);
+            return address.equals(STORE)
+                    ? 0
+                    : nodesByAddress.get(address).outboundLink.transferMillis(bytes, clock.nowNanos());
         }
 
         private void end(CallEnd result) {
@@ -303,7 +303,7 @@
         private Link link = Link.SILENT;
         private boolean confinedToZone;
         private long maxDelayMillis;
-        private long linkFreeNanos;
+        private final OutboundLink outboundLink = new OutboundLink();
         private long undisturbedSinceNanos;
         private NodeLifetime lifetime = new NodeLifetime(executor);
         private Gossip gossip;
@@ -468,6 +468,10 @@
             return zone.value();
         }
 
+        VersionRecorder recorder() {
+            return recorder;
+        }
+
         List<Long> versions() {
             return recorder.versions();
         }
--- a/entry/src/test/java/org/turmericspan/entry/StoreDocuments.java
+++ b/entry/src/test/java/org/turmericspan/entry/StoreDocuments.java
@@ -32,8 +32,13 @@
     }
 
     static String registration(long sequence) {
+        return registration(sequence, "ready");
+    }
+
+    /** Returns the registration of an upstream in a state, with the number of its report. */
+    static String registration(long sequence, String state) {
         return "{\"Service\":\"desk\",\"Address\":\"10.0.0.5:80\",\"Zone\":\"zone-0\",\"Version\":\"v1\","
-                + "\"Capacity\":3,\"State\":\"ready\",\"WarmupLeftS\":0,\"Sequence\":" + sequence
+                + "\"Capacity\":3,\"State\":\"" + state + "\",\"WarmupLeftS\":0,\"Sequence\":" + sequence
                 + ",\"born\":1700000000000}";
     }
 }
