Keep restored upstreams until their registration can have arrived

A registration that the restored store lacked was removed 2 s after the first list of the new era.

What a restored store lacks is now removed after the 2 s and the limit of a change.

--- a/feed/src/main/java/org/turmericspan/feed/StoreContact.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreContact.java
@@ -115,4 +115,12 @@
     long remainingGraceNanos() {
         return graceUntilNanos - clock.nowNanos();
     }
+
+    /**
+     * Returns the time after which a registration that a restored store does not have counts as removed: it may be
+     * written again until the grace period ends, and takes up to the limit of a change from there.
+     */
+    long restorationGraceNanos() {
+        return TimeUnit.MILLISECONDS.toNanos(REREGISTRATION_GRACE_MILLIS + limits.changeLimitMillis());
+    }
 }
--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -365,9 +365,7 @@
      * Removes an upstream, after an outage or a restoration only when the grace period ends without a new registration.
      */
     private void removeAfterGracePeriod(UpstreamId id) {
-        long graceNanos = Math.max(
-                contact.remainingGraceNanos(),
-                isRestored ? TimeUnit.MILLISECONDS.toNanos(StoreContact.REREGISTRATION_GRACE_MILLIS) : 0);
+        long graceNanos = Math.max(contact.remainingGraceNanos(), isRestored ? contact.restorationGraceNanos() : 0);
         if (graceNanos <= 0) {
             remove(id);
             return;
