--- a/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
+++ b/entry/src/test/java/org/turmericspan/entry/PlatformStandIn.java
@@ -7,22 +7,16 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
-import java.util.Base64;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
+import java.util.concurrent.atomic.AtomicLong;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.http.BodyMemory;
 import org.turmericspan.http.HttpListener;
 import org.turmericspan.http.HttpService;
 import org.turmericspan.http.ListenerLimits;
-import org.turmericspan.http.Reply;
-import org.turmericspan.http.RequestMessage;
-import org.turmericspan.http.ResponseMessage;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.SocketAddress;
 import org.turmericspan.transport.NettyLogFactory;
@@ -31,7 +25,6 @@
 final class PlatformStandIn implements AutoCloseable {
     private static final ListenerLimits LIMITS =
             new ListenerLimits(16_384, 1_048_576, TimeUnit.SECONDS.toNanos(30), TimeUnit.SECONDS.toNanos(30));
-    private static final int POLL_MILLIS = 10;
     private static final int DEFAULT_MAX_BODY_BYTES = 65_536;
 
     static {
@@ -39,18 +32,11 @@
     }
 
     private final EventLoopGroup workers = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-    private final Map<String, Item> items = new TreeMap<>();
+    private final StoreStandIn store = new StoreStandIn();
     private final Map<String, ServerStandIn> servers = new ConcurrentHashMap<>();
     private final SocketAddress address = freeAddress();
-    private final HttpListener listener = listen(address, this::handle);
-    private long revision = 1;
-    private volatile int rejectionStatus;
-
-    private record Item(String value, long revision) {
-        boolean isRemoved() {
-            return value == null;
-        }
-    }
+    private final HttpListener listener = listen(address, store);
+    private final AtomicLong sequence = new AtomicLong();
 
     PlatformStandIn() throws IOException {}
 
@@ -79,17 +65,21 @@
         return workers;
     }
 
-    synchronized void put(String key, String value) {
-        items.put(key, new Item(value, ++revision));
+    StoreStandIn store() {
+        return store;
+    }
+
+    void put(String key, String value) {
+        store.put(key, value);
     }
 
-    synchronized void remove(String key) {
-        items.put(key, new Item(null, ++revision));
+    void remove(String key) {
+        store.remove(key);
     }
 
     /** Sets the status with which every read is rejected; 0 serves reads again. */
     void rejectReads(int status) {
-        rejectionStatus = status;
+        store.rejectReads(status);
     }
 
     void configure(long version, String prefix, String type) {
@@ -159,62 +149,7 @@
                 "servers/" + id,
                 "{\"Service\":\"desk\",\"Address\":\"" + registeredAddress + "\",\"Zone\":\"" + zone
                         + "\",\"Version\":\"v1\",\"Capacity\":3,\"State\":\"" + state
-                        + "\",\"WarmupLeftS\":0,\"Sequence\":" + revision + ",\"born\":1}");
-    }
-
-    private void handle(RequestMessage request, Reply reply) {
-        if (rejectionStatus != 0) {
-            reply.send(ResponseMessage.text(rejectionStatus, "application/json", "{}"));
-        } else if (request.path().equals("/api/kv-range")) {
-            reply.send(page("items", 0, false));
-        } else {
-            long after = Long.parseLong(parameter(request.target(), "after"));
-            long waitMillis = Long.parseLong(parameter(request.target(), "WaitMs"));
-            watch(reply, after, waitMillis);
-        }
-    }
-
-    private void watch(Reply reply, long after, long remainingMillis) {
-        if (remainingMillis <= 0 || hasChanged(after)) {
-            reply.send(page("events", after, true));
-        } else {
-            reply.worker()
-                    .schedule(
-                            () -> watch(reply, after, remainingMillis - POLL_MILLIS),
-                            POLL_MILLIS,
-                            TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private synchronized boolean hasChanged(long after) {
-        return revision > after;
-    }
-
-    private synchronized ResponseMessage page(String kind, long after, boolean includeRemoved) {
-        String rows = items.entrySet().stream()
-                .filter(entry -> entry.getValue().revision() > after)
-                .filter(entry -> includeRemoved || !entry.getValue().isRemoved())
-                .map(entry -> row(entry.getKey(), entry.getValue()))
-                .collect(Collectors.joining(","));
-        return ResponseMessage.text(
-                200,
-                "application/json",
-                "{\"" + kind + "\":[" + rows + "],\"StoreRevision\":" + revision + ",\"Truncated\":false}");
-    }
-
-    private static String row(String key, Item item) {
-        String start = "{\"Key\":\"" + key + "\",\"Revision\":" + item.revision();
-        if (item.isRemoved()) {
-            return start + ",\"Deleted\":true}";
-        }
-        byte[] value = item.value().getBytes(StandardCharsets.UTF_8);
-        return start + ",\"Value\":\"" + Base64.getEncoder().encodeToString(value) + "\"}";
-    }
-
-    private static String parameter(String target, String name) {
-        String rest = target.substring(target.indexOf(name + "=") + name.length() + 1);
-        int end = rest.indexOf('&');
-        return end < 0 ? rest : rest.substring(0, end);
+                        + "\",\"WarmupLeftS\":0,\"Sequence\":" + sequence.incrementAndGet() + ",\"born\":1}");
     }
 
     @Override
