--- a/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
+++ b/entry/src/test/java/org/turmericspan/entry/SoakFaults.java
@@ -43,12 +43,16 @@
     /** Draws when a key is taken away, likewise. */
     private final SplittableRandom keyRandom;
 
+    /** Draws from a random stream of its own, likewise. */
+    private final SoakRestorations restorations;
+
     /** Has several threads, since the restart of a suspended node blocks until another thread resumes the node. */
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
 
     private final List<Future<?>> faultEnds = new ArrayList<>();
     private final List<String> injected = new ArrayList<>();
     private final Queue<Disruption> disruptions = new ConcurrentLinkedQueue<>();
+    private final Queue<Long> interruptionsNanos = new ConcurrentLinkedQueue<>();
     private final Set<NodeProcess> stoppedNodes = ConcurrentHashMap.newKeySet();
     private final List<DrainedServer> drained = new ArrayList<>();
     private final List<FaultInjector> injectors = List.of(
@@ -102,6 +106,7 @@
         this.random = new SplittableRandom(seed);
         this.seriesRandom = new SplittableRandom(~seed);
         this.keyRandom = new SplittableRandom(Long.reverse(seed));
+        this.restorations = new SoakRestorations(fleet, new SplittableRandom(~Long.reverse(seed)));
     }
 
     /** Injects faults for a duration and waits until all have ended. */
@@ -117,6 +122,7 @@
             if (keyRandom.nextInt(injectors.size()) == 0) {
                 takeKey(durationMillis);
             }
+            restoreStore(restorations.draw());
         }
         for (Future<?> end : faultEnds) {
             end.get();
@@ -136,8 +142,16 @@
                         && startNanos - disruption.endNanos() <= 0);
     }
 
+    /** Returns whether a change that was written to the store may be unknown to a node at a later time. */
+    boolean mayBeUnknown(long writtenNanos, long atNanos, Duration limit) {
+        boolean isInterrupted = interruptionsNanos.stream()
+                .anyMatch(interruption -> interruption - writtenNanos >= 0 && interruption - atNanos <= 0);
+        return restorations.mayBeUnknown(writtenNanos, atNanos, limit, isInterrupted);
+    }
+
     private void recordDisruption(NodeProcess node, long durationMillis) {
         long nowNanos = System.nanoTime();
+        interruptionsNanos.add(nowNanos);
         disruptions.add(new Disruption(
                 node,
                 nowNanos - DISRUPTION_MARGIN_NANOS,
@@ -184,6 +198,7 @@
 
     private void restart(NodeProcess node) throws IOException, InterruptedException {
         node.awaitExit();
+        interruptionsNanos.add(System.nanoTime());
         node.start();
         stoppedNodes.remove(node);
     }
@@ -309,6 +324,13 @@
         scheduleEnd(durationMillis, () -> fleet.takeKey(false));
     }
 
+    private void restoreStore(List<SoakRestorations.Restoration> series) {
+        if (!series.isEmpty()) {
+            series.forEach(restoration -> injected.add(restoration.toString()));
+            scheduleEnd(0, () -> restorations.run(series));
+        }
+    }
+
     private void publishConfiguration(long durationMillis) {
         recordFault("publish configuration", 0);
         fleet.publishConfiguration();
