--- a/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
+++ b/entry/src/test/java/org/turmericspan/entry/NodeProcess.java
@@ -18,6 +18,9 @@
 /** An entry node that runs as a separate process. */
 final class NodeProcess implements AutoCloseable {
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
+    /** Folder that receives the logs of closed nodes; empty if they are deleted. */
+    private static final String KEPT_LOGS = System.getProperty("entry.logs", "");
+
     private static final HttpClient CLIENT;
 
     static {
@@ -237,7 +240,11 @@
             process.destroyForcibly().onExit().join();
         }
         Files.deleteIfExists(settingsFile);
-        Files.deleteIfExists(logFile);
+        if (KEPT_LOGS.isEmpty()) {
+            Files.deleteIfExists(logFile);
+        } else {
+            Files.move(logFile, Path.of(KEPT_LOGS, host + "-" + logFile.getFileName()));
+        }
     }
 
     @Override
