Let few nodes list a restored store, and replace stale first lists

Trace, RestoredStoreTest on: after a restoration each probe that found its revision compacted listed the store at once, 7 to 15 lists a fleet in place of a handful; and nodes that began with a stale list of the time before the restoration, which bears the new era, missed the changes between (134 nodes: 34 nodes lacked an evacuation that was written again).

Gossip tells how long ago a node went on to its era; a node whose stale first list may be older lists from it.

--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -64,6 +64,10 @@
         if (!feed.isComplete()) {
             return;
         }
+        StoreSource source = new StoreSource(node, StoreSource.Kind.NODE_AHEAD);
+        if (state.era() == feed.position().era()) {
+            feed.outOfBandReads().resolveDoubt(source, state.eraAgeMillis());
+        }
         StorePosition newest = newestPosition(state);
         if (newest.isAfter(feed.position())) {
             nodesAhead.removeIf(known -> known.address().equals(node));
@@ -71,11 +75,16 @@
             if (nodesAhead.size() > MAX_NODES_AHEAD) {
                 nodesAhead.remove(MAX_NODES_AHEAD);
             }
-            checkLater();
+            if (newest.isInLaterEra(feed.position())) {
+                // The sources of the feed do not deliver what a restored store has instead.
+                check();
+            } else {
+                checkLater();
+            }
             return;
         }
         if (state.configurationVersion() > feed.configurationVersion()) {
-            feed.outOfBandReads().list(new StoreSource(node, StoreSource.Kind.NODE_AHEAD));
+            feed.outOfBandReads().list(source);
         }
         if (state.era() == feed.position().era() && !state.listPosition().isAfter(feed.position())) {
             feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
--- a/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
+++ b/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
@@ -39,10 +39,12 @@
     /** Age that others take a list for which may be stale, until it is watched; nobody is confirmed by it. */
     private static final int STALE_LIST_PERCENT = 50;
 
-    /** Shortest and longest pause between two lists by which a node recovers. */
+    /** Shortest pause between two lists by which a node recovers. */
     private static final int MIN_LIST_PAUSE_PERCENT = 5;
-
-    private static final int MAX_LIST_PAUSE_PERCENT = 50;
+    /** Longest one; below the age at which other nodes ask the store, so that the lists of one node confirm them. */
+    private static final int MAX_LIST_PAUSE_PERCENT = 40;
+    /** Longest delay of a list after a probe, in which another node may have read one. */
+    private static final int PROBE_LIST_DELAY_PERCENT = 10;
 
     /**
      * Returns the limit itself.
@@ -97,6 +99,10 @@
         return millis(MAX_LIST_PAUSE_PERCENT);
     }
 
+    long probeListDelayMillis() {
+        return millis(PROBE_LIST_DELAY_PERCENT);
+    }
+
     long messageMillis() {
         return millis(MESSAGE_PERCENT);
     }
--- a/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -16,14 +16,22 @@
     private static final String PART = "store";
 
     private final StoreFeed feed;
+    private final StoreReplica replica;
     private final StoreReader reader;
     private final ListPace pace;
     private final MonotonicClock clock;
     private final EventLog log;
     private boolean isListing;
 
-    OutOfBandReads(StoreFeed feed, StoreReader reader, ListPace pace, MonotonicClock clock, EventLog log) {
+    OutOfBandReads(
+            StoreFeed feed,
+            StoreReplica replica,
+            StoreReader reader,
+            ListPace pace,
+            MonotonicClock clock,
+            EventLog log) {
         this.feed = feed;
+        this.replica = replica;
         this.reader = reader;
         this.pace = pace;
         this.clock = clock;
@@ -34,7 +42,8 @@
      * Reads the changes that a source has now.
      *
      * @param source the store, or a node that is ahead of this one
-     * @param listener called on the worker with the result, after its changes were applied
+     * @param listener called on the worker with the result, after its changes were applied; a page that does not
+     *     continue this node's position counts as compacted
      */
     void readChanges(StoreSource source, Consumer<StoreReadResult> listener) {
         feed.countCall(source);
@@ -42,20 +51,23 @@
         long sentNanos = clock.nowNanos();
         reader.watch(source, after, 0, result -> {
             if (result instanceof StoreReadResult.Page read) {
-                guarded(source, () -> apply(source, after, read.page().olderBy(elapsedMillis(sentNanos))));
+                StorePage page = read.page().olderBy(elapsedMillis(sentNanos));
+                PageUse use = PageUse.of(source, after, page, feed.position());
+                guarded(source, () -> apply(source, use, page));
+                guarded(
+                        source,
+                        () -> listener.accept(
+                                use == PageUse.LIST_NEEDED ? new StoreReadResult.RevisionCompacted() : result));
             } else {
                 logFailure(source, result);
+                guarded(source, () -> listener.accept(result));
             }
-            guarded(source, () -> listener.accept(result));
         });
     }
 
-    private void apply(StoreSource source, StorePosition after, StorePage page) {
-        PageUse use = PageUse.of(source, after, page, feed.position());
+    private void apply(StoreSource source, PageUse use, StorePage page) {
         if (use == PageUse.CHANGES) {
             feed.applyOutOfBand(source, page);
-        } else if (use == PageUse.LIST_NEEDED) {
-            list(source);
         } else {
             log.write(Event.notice(PART, "Out-of-band read not applied.")
                     .with("source", source)
@@ -71,7 +83,7 @@
      * @param source the store, or a node that is ahead of this one, without the changes since this node's revision
      */
     void list(StoreSource source) {
-        if (isListing || pace.delayMillis() > 0) {
+        if (!canList()) {
             return;
         }
         isListing = true;
@@ -92,6 +104,21 @@
                 .start();
     }
 
+    /**
+     * Lists the items of a node that has gone through the restoration of the store, if the stale list with which this
+     * node began may be of a time before it.
+     */
+    void resolveDoubt(StoreSource node, long eraAgeMillis) {
+        if (replica.isInDoubt(eraAgeMillis) && canList()) {
+            replica.expectProof(node);
+            list(node);
+        }
+    }
+
+    private boolean canList() {
+        return !isListing && pace.delayMillis() == 0;
+    }
+
     private long elapsedMillis(long sinceNanos) {
         return TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - sinceNanos);
     }
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -93,7 +93,7 @@
         this.replica = new StoreReplica(decoder, listener, contact, worker, clock, log);
         this.pace = new ListPace(limits, clock);
         this.lists = new ListLog(log);
-        this.outOfBandReads = new OutOfBandReads(this, reader, pace, clock, log);
+        this.outOfBandReads = new OutOfBandReads(this, replica, reader, pace, clock, log);
     }
 
     /** Starts to list all items and then to watch for changes. */
@@ -144,7 +144,11 @@
     public ReplicaState replicaState() {
         return isComplete()
                 ? new ReplicaState(
-                        changePosition(), listPosition(), ownConfirmedAgeMillis(), replica.configurationVersion())
+                        changePosition(),
+                        listPosition(),
+                        ownConfirmedAgeMillis(),
+                        replica.configurationVersion(),
+                        replica.eraAgeMillis())
                 : ReplicaState.NONE;
     }
 
--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -11,6 +11,7 @@
 import org.turmericspan.balancing.Registration;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.AvailabilityZoneId;
 import org.turmericspan.ids.MonotonicClock;
 import org.turmericspan.ids.StorePosition;
@@ -22,6 +23,8 @@
  */
 final class StoreReplica {
     private static final String PART = "store";
+    /** Greatest age of the items of a list that may be stale. */
+    private static final long MAX_LIST_AGE_MILLIS = 10_000;
 
     private final StoreItemDecoder decoder;
     private final FleetListener fleetListener;
@@ -53,6 +56,13 @@
     private volatile StorePosition changePosition = StorePosition.START;
     private volatile StorePosition listPosition = StorePosition.START;
     private volatile long configurationVersion;
+    private volatile boolean hasBegunEra;
+    private volatile long eraBegunNanos;
+    /** Source whose list is taken in place of the stale one with which this replica began, null if there is none. */
+    private StoreSource provenSource;
+
+    private boolean hasBegunStale;
+    private long begunNanos;
     private String configurationKey = "";
     private volatile boolean complete;
 
@@ -105,9 +115,40 @@
         return configurationVersion;
     }
 
+    /** Returns the time since this replica has gone on to its era, an hour if it began with it. */
+    long eraAgeMillis() {
+        return hasBegunEra
+                ? Math.min(
+                        ReplicaState.UNKNOWN_AGE_MILLIS,
+                        TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - eraBegunNanos))
+                : ReplicaState.UNKNOWN_AGE_MILLIS;
+    }
+
+    /**
+     * Returns whether the list with which this replica began may be of a time before the restoration of the store.
+     *
+     * @param otherEraAgeMillis time since another replica has gone on to the same era
+     */
+    boolean isInDoubt(long otherEraAgeMillis) {
+        return hasBegunStale
+                && otherEraAgeMillis
+                        < TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - begunNanos) + MAX_LIST_AGE_MILLIS;
+    }
+
+    /** Expects a list of a source that has gone through the restoration, in place of one that is in doubt. */
+    void expectProof(StoreSource source) {
+        provenSource = source;
+    }
+
     /** Returns whether a list may be taken: it is not older than this replica, or this replica may be of no history. */
     boolean canTake(ListRead list) {
-        return !complete || !position.isAfter(list.lowestPosition()) || isDisproved(list);
+        return !complete || !position.isAfter(list.lowestPosition()) || isDisproved(list) || isProof(list);
+    }
+
+    private boolean isProof(ListRead list) {
+        return hasBegunStale
+                && list.source().equals(provenSource)
+                && list.lowestPosition().era() == position.era();
     }
 
     /** Returns whether the store itself shows that the stale list with which this replica began was not its history. */
@@ -147,9 +188,12 @@
         if (isNewBeginning) {
             restart();
         }
-        isProvisional = !complete && list.isStale();
         boolean isLaterEra = beginEra(list.source(), list.lowestPosition());
-        isRestored = isLaterEra || isNewBeginning;
+        isRestored = isLaterEra || isNewBeginning || isProof(list);
+        isProvisional = !complete && list.isStale();
+        hasBegunStale = isProvisional;
+        provenSource = null;
+        begunNanos = clock.nowNanos();
         mirror.beginReplacement();
         listedZones.clear();
         listedUpstreams.clear();
@@ -185,6 +229,8 @@
         if (!complete || !newPosition.isInLaterEra(position)) {
             return false;
         }
+        hasBegunEra = true;
+        eraBegunNanos = clock.nowNanos();
         log.write(Event.notice(PART, "Store restored from an older copy.")
                 .with("source", source)
                 .with("era", newPosition.era())
--- a/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
+++ b/gossip/src/main/java/org/turmericspan/gossip/GossipCodec.java
@@ -232,6 +232,7 @@
         output.writeUInt64NoTag(replica.changePosition().era());
         output.writeUInt64NoTag(replica.listPosition().era());
         output.writeUInt64NoTag(replica.configurationVersion());
+        output.writeUInt64NoTag(replica.eraAgeMillis());
     }
 
     private static ReplicaState readEras(CodedInputStream input, ReplicaState replica) throws IOException {
@@ -239,6 +240,7 @@
                 new StorePosition(input.readUInt64(), replica.changePosition().revision()),
                 new StorePosition(input.readUInt64(), replica.listPosition().revision()),
                 replica.confirmedAgeMillis(),
+                Math.max(0, input.readUInt64()),
                 Math.max(0, input.readUInt64()));
     }
 
