Read differences of a later era from nodes that went through the restoration

A node that began after the restoration has no differences. Nodes that heard of the era from one listed it at once; they now wait for a node that has gone on to the era, and list only if none has delivered.

--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -75,8 +75,8 @@
             if (nodesAhead.size() > MAX_NODES_AHEAD) {
                 nodesAhead.remove(MAX_NODES_AHEAD);
             }
-            if (newest.isInLaterEra(feed.position())) {
-                // The sources of the feed do not deliver what a restored store has instead.
+            if (newest.isInLaterEra(feed.position()) && state.eraAgeMillis() < ReplicaState.UNKNOWN_AGE_MILLIS) {
+                // It has gone on to the era itself, so that it has the differences.
                 check();
             } else {
                 checkLater();
@@ -135,7 +135,7 @@
             removeNodesNotAhead();
             boolean isBehind = node.position().isAfter(feed.position());
             if (isBehind && nodesAhead.isEmpty() && result instanceof StoreReadResult.RevisionCompacted) {
-                feed.outOfBandReads().list(source);
+                feed.outOfBandReads().listUnlessOthersDo(source, 0);
             }
             check();
         });
--- a/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
+++ b/feed/src/main/java/org/turmericspan/feed/ChangeLimits.java
@@ -43,8 +43,8 @@
     private static final int MIN_LIST_PAUSE_PERCENT = 5;
     /** Longest one; below the age at which other nodes ask the store, so that the lists of one node confirm them. */
     private static final int MAX_LIST_PAUSE_PERCENT = 40;
-    /** Longest delay of a list after a probe, in which another node may have read one. */
-    private static final int PROBE_LIST_DELAY_PERCENT = 10;
+    /** Longest delay of an out-of-band list, in which another node may have read one. */
+    private static final int OUT_OF_BAND_LIST_DELAY_PERCENT = 10;
 
     /**
      * Returns the limit itself.
@@ -99,8 +99,8 @@
         return millis(MAX_LIST_PAUSE_PERCENT);
     }
 
-    long probeListDelayMillis() {
-        return millis(PROBE_LIST_DELAY_PERCENT);
+    long outOfBandListDelayMillis() {
+        return millis(OUT_OF_BAND_LIST_DELAY_PERCENT);
     }
 
     long messageMillis() {
--- a/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -1,7 +1,9 @@
 package org.turmericspan.feed;
 
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.feed.StoreReader.Freshness;
@@ -19,6 +21,9 @@
     private final StoreReplica replica;
     private final StoreReader reader;
     private final ListPace pace;
+    private final ChangeLimits limits;
+    private final ScheduledExecutorService worker;
+    private final RandomGenerator random;
     private final MonotonicClock clock;
     private final EventLog log;
     private boolean isListing;
@@ -28,12 +33,18 @@
             StoreReplica replica,
             StoreReader reader,
             ListPace pace,
+            ChangeLimits limits,
+            ScheduledExecutorService worker,
             MonotonicClock clock,
+            RandomGenerator random,
             EventLog log) {
         this.feed = feed;
         this.replica = replica;
         this.reader = reader;
         this.pace = pace;
+        this.limits = limits;
+        this.worker = worker;
+        this.random = random;
         this.clock = clock;
         this.log = log;
     }
@@ -77,6 +88,25 @@
         }
     }
 
+    /**
+     * Lists all items of a source after a random delay, unless another node has done so and this one has read the
+     * differences meanwhile. The delay is longer for a source that responds slowly, whose lists take as long.
+     *
+     * @param source the store, or a node that is ahead of this one, without the changes since this node's position
+     * @param responseMillis time that the source took for its last response
+     */
+    void listUnlessOthersDo(StoreSource source, long responseMillis) {
+        StorePosition position = feed.position();
+        worker.schedule(
+                () -> {
+                    if (feed.position().equals(position)) {
+                        list(source);
+                    }
+                },
+                random.nextLong(limits.outOfBandListDelayMillis() + 2 * responseMillis + 1),
+                TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Lists all items of a source, unless another such list is being read or the last one was just before.
      *
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -93,7 +93,7 @@
         this.replica = new StoreReplica(decoder, listener, contact, worker, clock, log);
         this.pace = new ListPace(limits, clock);
         this.lists = new ListLog(log);
-        this.outOfBandReads = new OutOfBandReads(this, replica, reader, pace, clock, log);
+        this.outOfBandReads = new OutOfBandReads(this, replica, reader, pace, limits, worker, clock, random, log);
     }
 
     /** Starts to list all items and then to watch for changes. */
--- a/feed/src/main/java/org/turmericspan/feed/StoreProbes.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreProbes.java
@@ -7,7 +7,6 @@
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.ids.MonotonicClock;
-import org.turmericspan.ids.StorePosition;
 
 /**
  * Reads the store itself when nobody has confirmed this node's replica for too long, whatever the sources of the feed
@@ -108,27 +107,12 @@
                 hasSucceeded = true;
                 lastSuccessNanos = clock.nowNanos();
             } else if (result instanceof StoreReadResult.RevisionCompacted) {
-                listUnlessOthersDo(TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - sentNanos));
+                long responseMillis = TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - sentNanos);
+                feed.outOfBandReads().listUnlessOthersDo(store, responseMillis);
             }
         });
     }
 
-    /**
-     * Lists after a random delay, unless another node has read a list meanwhile and this one its differences. The delay
-     * is longer for a store that responds slowly, whose lists take as long.
-     */
-    private void listUnlessOthersDo(long responseMillis) {
-        StorePosition position = feed.position();
-        worker.schedule(
-                () -> {
-                    if (feed.position().equals(position)) {
-                        feed.outOfBandReads().list(store);
-                    }
-                },
-                random.nextLong(limits.probeListDelayMillis() + 2 * responseMillis + 1),
-                TimeUnit.MILLISECONDS);
-    }
-
     /** Returns the time until this node asks the store, unless a confirmation comes first; 0 or less when it is due. */
     private long delayMillis(long confirmedAgeMillis) {
         FleetPosition position = positions.get();
