List for a newer configuration only when no change is left to read

Trace, RestoredStoreTest with most of 152 nodes restarted: a node that began with a list that had the newest configuration told its version, and each node that was about to read the change by its own source listed from it, 82 lists in 250 ms.

--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -83,12 +83,14 @@
             }
             return;
         }
+        if (state.era() != feed.position().era() || state.listPosition().isAfter(feed.position())) {
+            return;
+        }
         if (state.configurationVersion() > feed.configurationVersion()) {
+            // A restored store has lost the newer configuration; it is no change that this node has yet to read.
             feed.outOfBandReads().list(source);
         }
-        if (state.era() == feed.position().era() && !state.listPosition().isAfter(feed.position())) {
-            feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
-        }
+        feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
     }
 
     /** Returns the position of the newest change of a replica; in a later era, all that it has is one. */
