Read the platform's value again after lost contact

Nodes of the product's own interface did not put a change in force, and counted the old list of VMs as current, after the platform had come back from an older copy.

Cause: the watch asks for a revision above the last one. A restored platform goes on from a lower revision, has nothing above, and answers 304, which the feed took for a confirmation. Only a read every 10 minutes was unconditional; when that read failed, the next one came 10 minutes later. A revision that was given out again for another value was missed in the same way.

Change: the first read after a failed one is unconditional, until one succeeds, and an empty response to it confirms nothing. Without a failed read the value is read every 6 s, which with one pending long poll leaves a second of the 10 s of the target. Periodic reads take at most 3,000 bytes a second and key, since control has 18 KB a second. Reads stay within the token bucket of one a second. `regressed` holds until the highest revision is passed, and covers a reused revision; it was reset by the next value. Configurations are ordered by their own version as before, so that an older one is not taken.

ReadSchedulingTest names the renamed constant, otherwise unchanged, and has two cases more.

Not covered: a restart that fails no read of any node, with values above 18 KB, may be found later than 10 s (200 KB: after 67 s by calculation).

--- a/integration/src/test/java/org/turmericspan/integration/ConfigurationSpreadTest.java
+++ b/integration/src/test/java/org/turmericspan/integration/ConfigurationSpreadTest.java
@@ -19,6 +19,7 @@
  */
 final class ConfigurationSpreadTest {
     private static final Duration ACTIVATION_LIMIT = Duration.ofSeconds(5);
+    private static final Duration CHANGE_LIMIT = Duration.ofSeconds(10);
     private static final Duration WAIT_LIMIT = Duration.ofSeconds(20);
     private static final int NODES = 5;
 
@@ -71,6 +72,23 @@
         assertThat(fleet.versionAt(restarted)).isEqualTo(newestVersion);
     }
 
+    @Test
+    void changeAfterThePlatformCameBackFromAnOlderCopyIsInForceOnEveryNode() {
+        String copy = fleet.published().nextDocument();
+        storeDocument(copy);
+        for (int i = 0; i < 5; i++) {
+            fleet.publish();
+        }
+        fleet.awaitInForce(WAIT_LIMIT);
+
+        post("/control/down?on=true");
+        fleet.http().put(fleet.platformUrl() + "/control/restored/configuration?revision=1", copy);
+        post("/control/down?on=false");
+        fleet.publish();
+
+        fleet.awaitInForce(CHANGE_LIMIT);
+    }
+
     @Test
     void frozenNodeActivatesTheConfigurationWithinFiveSecondsOfResuming() {
         FleetNode frozen = fleet.nodes().get(1);
@@ -110,6 +128,10 @@
         Await.until(node.name() + " has version " + version, limit, () -> fleet.versionAt(node) >= version);
     }
 
+    private static void post(String path) {
+        fleet.http().post(fleet.platformUrl() + path);
+    }
+
     private static void storeDocument(String document) {
         fleet.http().put(fleet.platformUrl() + "/control/values/configuration", document);
     }
--- a/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
+++ b/publication/src/main/java/org/turmericspan/publication/PlatformFeed.java
@@ -94,11 +94,11 @@
     private Duration onSuccess(Optional<PlatformValue> value, long requestedNanos) {
         failing = false;
         if (value.isPresent()) {
+            boolean wasRegressed = state.isRegressed();
             state.recordValue(value.get(), requestedNanos);
-            reportRegression();
+            reportRegression(wasRegressed);
             notifySink("value", () -> sink.value(value.get(), requestedNanos));
-        } else {
-            state.recordUnchanged(requestedNanos, LONG_POLL_WAIT);
+        } else if (state.recordUnchanged(requestedNanos, LONG_POLL_WAIT)) {
             notifySink("confirmation", () -> sink.confirmed(state.revision(), state.confirmedNanos()));
         }
         return backoff.afterResponse();
@@ -106,13 +106,15 @@
 
     private Duration onFailure(Throwable failure) {
         failing = true;
+        state.recordFailure();
         logger.atWarning().log("platform: cannot read %s: %s", key, failure.getMessage());
         return backoff.afterFailure();
     }
 
-    private void reportRegression() {
-        if (state.isRegressed()) {
-            logger.atWarning().log("platform: the revision of %s decreased to %d", key, state.revision());
+    private void reportRegression(boolean wasRegressed) {
+        if (state.isRegressed() && !wasRegressed) {
+            logger.atWarning().log(
+                    "platform: the revision of %s decreased to %d, or was given out again", key, state.revision());
         }
     }
 
@@ -131,7 +133,7 @@
      *
      * @param key key of the value
      * @param failing whether the last read failed
-     * @param regressed whether the revision of the last value was lower than that of the one before
+     * @param regressed whether the last value has a lower revision than an earlier one, or the revision of another one
      * @param confirmedAgeMillis time since the platform last confirmed that the value was current
      */
     public record Status(String key, boolean failing, boolean regressed, long confirmedAgeMillis) {}
--- a/publication/src/test/java/org/turmericspan/publication/ReadSchedulingTest.java
+++ b/publication/src/test/java/org/turmericspan/publication/ReadSchedulingTest.java
@@ -65,7 +65,7 @@
     void lowerRevisionIsReportedAndWatchContinuesFromIt() {
         WatchState state = new WatchState(clock);
         state.recordValue(new PlatformValue(9, ""), clock.nowNanos());
-        clock.advance(WatchState.UNCONDITIONAL_READ_INTERVAL);
+        clock.advance(WatchState.MIN_UNCONDITIONAL_READ_INTERVAL);
         assertThat(state.nextRevision()).isZero();
 
         state.recordValue(new PlatformValue(2, ""), clock.nowNanos());
@@ -73,4 +73,28 @@
         assertThat(state.isRegressed()).isTrue();
         assertThat(state.nextRevision()).isEqualTo(2);
     }
+
+    @Test
+    void periodicReadsOfLargeValueStayWithinTheirBytes() {
+        WatchState state = new WatchState(clock);
+        int bytes = 60 * WatchState.MAX_UNCONDITIONAL_READ_BYTES_PER_SECOND;
+        state.recordValue(new PlatformValue(9, "x".repeat(bytes)), clock.nowNanos());
+
+        clock.advance(Duration.ofSeconds(59));
+        assertThat(state.nextRevision()).isEqualTo(9);
+        clock.advance(Duration.ofSeconds(1));
+        assertThat(state.nextRevision()).isZero();
+    }
+
+    @Test
+    void failedUnconditionalReadIsRepeated() {
+        WatchState state = new WatchState(clock);
+        state.recordValue(new PlatformValue(9, ""), clock.nowNanos());
+        clock.advance(WatchState.MIN_UNCONDITIONAL_READ_INTERVAL);
+        assertThat(state.nextRevision()).isZero();
+
+        state.recordFailure();
+
+        assertThat(state.nextRevision()).isZero();
+    }
 }
--- a/standins/src/main/java/org/turmericspan/standins/platform/PlatformServer.java
+++ b/standins/src/main/java/org/turmericspan/standins/platform/PlatformServer.java
@@ -34,6 +34,7 @@
         config.http.maxRequestSize = MAX_VALUE_BYTES;
         config.routes.get("/v1/values/{key}", this::read);
         config.routes.put("/control/values/{key}", this::write);
+        config.routes.put("/control/restored/{key}", this::restore);
         config.routes.post("/control/lag", this::setLag);
         config.routes.post("/control/frozen", context -> store.setFrozen(isOn(context)));
         config.routes.post("/control/down", context -> isDown = isOn(context));
@@ -70,6 +71,11 @@
         context.result(Long.toString(store.write(context.pathParam("key"), context.body())));
     }
 
+    private void restore(Context context) {
+        long revision = Long.parseLong(context.queryParam("revision"));
+        store.restore(context.pathParam("key"), new ValueStore.Value(revision, context.body()));
+    }
+
     private void setLag(Context context) {
         Duration lag = Duration.ofMillis(Long.parseLong(context.queryParam("ms")));
         store.setLag(context.queryParam("key"), lag);
--- a/standins/src/main/java/org/turmericspan/standins/platform/ValueStore.java
+++ b/standins/src/main/java/org/turmericspan/standins/platform/ValueStore.java
@@ -39,6 +39,13 @@
         return revision;
     }
 
+    /** Replaces a value by that of an older copy, from whose revision the next writes go on. */
+    synchronized void restore(String key, Value copy) {
+        written.put(key, copy);
+        visible.put(key, copy);
+        notifyWatchers();
+    }
+
     synchronized void setLag(String key, Duration lag) {
         lags.put(key, lag);
     }
@@ -93,7 +100,7 @@
     /**
      * A value with its revision.
      *
-     * @param revision number of writes to the key, from 1
+     * @param revision number of writes to the key, from 1, or from that of the copy that was restored
      * @param text the value
      */
     record Value(long revision, String text) {}
