Confirm the list of VMs only while the platform has the same one

A node counted its list of VMs as current while the platform had another one: after a restoration that gave its revision out again, and while a list of a higher revision was refused as malformed. Its age, the alarm above `--view-lag-bound`, stayed at 0, and the node went on to grant cold upstreams by the old list.

Cause: ViewTable took any list of the accepted revision for the accepted one, and the sink of the feed confirmed it whenever the feed's revision was not below it.

Change: an equal list confirms, another one of its revision does not. The sink, now ViewSink in publication, so that it can be tested, confirms only while the last list of the platform is the accepted one as published. Which list is accepted stays as it was: that of the highest revision.

--- a/membership/src/main/java/org/turmericspan/membership/ViewTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/ViewTable.java
@@ -56,8 +56,8 @@
     }
 
     /**
-     * Offers a view. It is accepted only when its revision is higher than that of the accepted view; an equal revision
-     * confirms the accepted view.
+     * Offers a view. It is accepted only when its revision is higher than that of the accepted view. An equal view
+     * confirms the accepted one; another view of its revision, which a restored platform may publish, does not.
      *
      * @param offered a view of any revision
      * @param age time since the offered view was confirmed to be current
@@ -91,14 +91,13 @@
     }
 
     private boolean replace(FleetView offered, long newConfirmedNanos) {
-        if (offered.revision() < current.revision()) {
-            return false;
+        boolean accepted = offered.revision() > current.revision();
+        if (accepted) {
+            current = offered;
         }
-        confirmedNanos = Math.max(confirmedNanos, newConfirmedNanos);
-        if (offered.revision() == current.revision()) {
-            return false;
+        if (offered.equals(current)) {
+            confirmedNanos = Math.max(confirmedNanos, newConfirmedNanos);
         }
-        current = offered;
-        return true;
+        return accepted;
     }
 }
--- a/node/src/main/java/org/turmericspan/node/MembershipRunner.java
+++ b/node/src/main/java/org/turmericspan/node/MembershipRunner.java
@@ -22,6 +22,7 @@
 import org.turmericspan.publication.PlatformSink;
 import org.turmericspan.publication.PlatformValue;
 import org.turmericspan.publication.ReadBudget;
+import org.turmericspan.publication.ViewSink;
 import org.turmericspan.tables.WorkerPool;
 
 /**
@@ -92,8 +93,14 @@
         ReadBudget readBudget = new ReadBudget(clock);
         this.configurationFeed = new PlatformFeed(
                 CONFIGURATION_KEY, platform, configurationSink(documents), readBudget, workerPool, random, clock);
-        this.viewFeed =
-                new PlatformFeed(VMS_KEY, platform, viewSink(documents, clock), readBudget, workerPool, random, clock);
+        this.viewFeed = new PlatformFeed(
+                VMS_KEY,
+                platform,
+                new ViewSink(documents.viewReceiver(), documents.views(), clock),
+                readBudget,
+                workerPool,
+                random,
+                clock);
     }
 
     void start() {
@@ -137,21 +144,4 @@
             public void confirmed(long revision, long confirmedNanos) {}
         };
     }
-
-    private static PlatformSink viewSink(Membership.Documents documents, MonotonicClock clock) {
-        return new PlatformSink() {
-            @Override
-            public void value(PlatformValue value, long requestedNanos) {
-                Duration age = Duration.ofNanos(clock.nowNanos() - requestedNanos);
-                documents.viewReceiver().offer(value.revision(), value.text(), age);
-            }
-
-            @Override
-            public void confirmed(long revision, long confirmedNanos) {
-                if (revision >= documents.views().current().revision()) {
-                    documents.views().confirm(confirmedNanos);
-                }
-            }
-        };
-    }
 }
