Keep a peer's newer state when an older heartbeat arrives late

A heartbeat that a node sends by itself comes over another connection than its replies, and may have been buffered for longer. Recorded over a later reply of the same process it took the peer's view and configuration back and kept the time of the reply, so that the peer counted as having held the older view at that time: the old list of VMs was confirmed, and a starting node activated its configuration although a newer one was known to it, until the peer's next heartbeat.

Change: within one process neither view nor configuration goes back, so that a heartbeat with a lower one was sent earlier and has no effect.

Shown in the unit test only; no run of real nodes showed it.

--- a/membership/src/main/java/org/turmericspan/membership/PeerState.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerState.java
@@ -36,6 +36,11 @@
         idleSlots = List.copyOf(idleSlots);
     }
 
+    /** Returns whether this state was sent before another one of the same process, which never goes back. */
+    boolean isOlderThan(PeerState other) {
+        return viewRevision < other.viewRevision || other.configuration.isAfter(configuration);
+    }
+
     static PeerState of(VmId vm, PeerMessage.Heartbeat heartbeat, long nowNanos, OptionalLong answeredRequestNanos) {
         return new PeerState(
                 vm,
--- a/membership/src/main/java/org/turmericspan/membership/PeerTable.java
+++ b/membership/src/main/java/org/turmericspan/membership/PeerTable.java
@@ -30,7 +30,7 @@
 
     /**
      * Records a heartbeat that a node sent on its own initiative. It does not count as a reply, since it may have been
-     * buffered for a long time.
+     * buffered for a long time; one that is older than the recorded state of its process has no effect.
      *
      * @param from VM of the sender
      * @param heartbeat the heartbeat
@@ -42,7 +42,10 @@
                     previous != null && previous.incarnation().equals(heartbeat.incarnation());
             OptionalLong answeredRequestNanos =
                     isSameIncarnation ? previous.answeredRequestNanos() : OptionalLong.empty();
-            peers.put(from, PeerState.of(from, heartbeat, clock.nowNanos(), answeredRequestNanos));
+            PeerState state = PeerState.of(from, heartbeat, clock.nowNanos(), answeredRequestNanos);
+            if (!isSameIncarnation || !state.isOlderThan(previous)) {
+                peers.put(from, state);
+            }
         });
     }
 
--- a/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
+++ b/membership/src/test/java/org/turmericspan/membership/PeerTableTest.java
@@ -55,6 +55,26 @@
         assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEmpty();
     }
 
+    @Test
+    void heartbeatThatWasBufferedLongerThanAReplyDoesNotTakeItsViewBack() {
+        table.recordReply(FIRST_PEER, heartbeat(1, 4, 6), 100);
+        table.recordReply(SECOND_PEER, heartbeat(2, 4, 5), 200);
+
+        table.recordHeartbeat(FIRST_PEER, heartbeat(1, 4, 5));
+
+        assertThat(ViewAgreement.agreedNanos(5, LISTED, table)).isEmpty();
+    }
+
+    @Test
+    void heartbeatThatWasBufferedLongerThanAReplyDoesNotTakeItsConfigurationBack() {
+        table.recordReply(FIRST_PEER, heartbeat(1, 5, 5), 100);
+        table.recordReply(SECOND_PEER, heartbeat(2, 4, 5), 100);
+
+        table.recordHeartbeat(FIRST_PEER, heartbeat(1, 4, 5));
+
+        assertThat(isSyncComplete(OptionalLong.of(clock.nowNanos()))).isFalse();
+    }
+
     @Test
     void syncWaitsForNodeThatHasNotReplied() {
         table.recordReply(FIRST_PEER, heartbeat(1, 4, 5), 100);
