Never promise that a request did not run whose response was not handled

Callers of an entry node got 503, code 1103, at their deadline for a request that an upstream had run and answered with a signed 200. 503 promises that it did not run, so an unsafe request came again and could run twice.

Cause: the outcome "may have run" was recorded at the end of the handling of a response, after the attempt was no longer in flight. A header that the node could not read (Turmericspan-Server-Load: "," is split into no parts) threw between the two, so at the deadline the request seemed never sent. The slot of the attempt stayed taken, and probes with such a header were never recorded.

Now an attempt counts as one that may have run from its start until it is proven not to have run, so that no way out depends on what was recorded last. What an upstream reports beside its response is read where a failure is logged, counted as a malformed notice, and changes nothing about the response.

--- a/entry/src/test/java/org/turmericspan/entry/BrokenHeadServer.java
+++ b/entry/src/test/java/org/turmericspan/entry/BrokenHeadServer.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -52,6 +53,7 @@
     private final AtomicInteger responses = new AtomicInteger();
     private final AtomicInteger healthChecks = new AtomicInteger();
     private volatile String healthStatusLine = "HTTP/1.1 200 OK";
+    private volatile Optional<String> loadReport = Optional.empty();
 
     BrokenHeadServer(String id) throws IOException {
         this.id = id;
@@ -81,6 +83,11 @@
         healthStatusLine = statusLine;
     }
 
+    /** Makes all further responses to requests whole ones, with a report of the load. */
+    void respondWithLoad(String report) {
+        loadReport = Optional.of(report);
+    }
+
     private void accept() {
         try {
             while (true) {
@@ -129,6 +136,14 @@
     }
 
     private void respond(OutputStream output, String requestId) throws IOException, InterruptedException {
+        Optional<String> load = loadReport;
+        if (load.isPresent()) {
+            send(
+                    output,
+                    "HTTP/1.1 200 OK\r\nTurmericspan-Server-Load: " + load.get() + "\r\n" + REQUEST_ID + requestId
+                            + "\r\n" + SIGNATURE + "Content-Length: 4\r\n\r\ndone");
+            return;
+        }
         int number = responses.getAndIncrement();
         int kind = number % (HEADS.size() + 1);
         String echo = REQUEST_ID + requestId + "\r\n";
--- a/entry/src/test/java/org/turmericspan/entry/EntryBrokenHeadTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryBrokenHeadTest.java
@@ -108,6 +108,17 @@
         assertThat(retried).isPositive();
     }
 
+    /** Guards against the promise, at the deadline, that a request did not run whose response could not be read. */
+    @Test
+    void requestWhoseResponseReportsNoReadableLoadIsNotReportedAsNotRun() {
+        servers.forEach(server -> server.respondWithLoad(","));
+        long startNanos = System.nanoTime();
+        Response response = node.request("POST", "/unsafe/load", "load");
+        assertThat(runs("load")).isEqualTo(1);
+        assertThat(response.status()).as(response.body()).isEqualTo(200);
+        assertThat(System.nanoTime() - startNanos).isLessThan(AT_ONCE_NANOS);
+    }
+
     /** Guards against a health check that passes although its response has no valid head. */
     @Test
     void serverWithMalformedHealthResponsesGetsNoRequests() throws Exception {
--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -49,11 +49,13 @@
     private final AttemptChecks checks;
     private final Set<UpstreamId> triedUpstreams = new HashSet<>();
     private final Set<Attempt> attemptsInFlight = new HashSet<>();
+    /** Attempts that are in flight or have ended, except those that are proven not to have run. */
+    private final Set<Attempt> unprovenAttempts = new HashSet<>();
+
     private ScheduledFuture<?> deadlineTimer;
     private AttemptKind searchedKind = AttemptKind.FIRST;
     private ResponseMessage serverError;
     private int sentAttempts;
-    private boolean mayHaveRun;
     private boolean closed;
 
     ActiveRequest(
@@ -176,6 +178,7 @@
     private void startAttempt(Placement placement, AttemptKind kind) {
         Attempt attempt = new Attempt(placement);
         attemptsInFlight.add(attempt);
+        unprovenAttempts.add(attempt);
         waits.attemptStarted(search);
         triedUpstreams.add(placement.upstream());
         sentAttempts++;
@@ -218,28 +221,29 @@
     }
 
     private void responseReceived(Attempt attempt, ResponseMessage response) {
+        UpstreamId upstream = attempt.placement().upstream();
         dependencies
-                .protocol()
-                .reportedLoad(response)
-                .ifPresent(load -> upstreams.recordLoad(attempt.placement().upstream(), load));
+                .notices()
+                .load(upstream, response, context.requestId())
+                .ifPresent(load -> upstreams.recordLoad(upstream, load));
         if (dependencies.protocol().isWrongInstance(response)) {
+            unprovenAttempts.remove(attempt);
             recordFailure(attempt, AttemptResult.WRONG_INSTANCE, "another upstream responded at the address");
             retryOrFail(true);
             return;
         }
-        dependencies.notices().record(attempt.placement().upstream(), response, context.requestId());
+        dependencies.notices().record(upstream, response, context.requestId());
         if (dependencies.protocol().provesNotExecuted(response)) {
+            unprovenAttempts.remove(attempt);
             recordFailure(attempt, AttemptResult.SHED, "not executed, status " + response.status());
             retryOrFail(true);
         } else if (!route.idempotent() && dependencies.protocol().promisesNotRun(response.status())) {
             // The status would promise the caller what the upstream has not proved.
             recordFailure(attempt, AttemptResult.SERVER_ERROR, "unproven refusal, status " + response.status());
-            mayHaveRun = true;
             retryOrFail(false);
         } else if (response.isServerError()) {
             recordFailure(attempt, AttemptResult.SERVER_ERROR, "status " + response.status());
             serverError = response;
-            mayHaveRun = true;
             retryOrFail(route.idempotent());
         } else if (response.isSuccess() && !dependencies.protocol().isSigned(response)) {
             connectionBroken(attempt, new CallEnd.Broken("success without a signature"));
@@ -252,6 +256,7 @@
 
     private void requestNotSent(Attempt attempt, CallEnd.NotSent end) {
         sentAttempts--;
+        unprovenAttempts.remove(attempt);
         recordFailure(attempt, AttemptResult.CONNECT_FAILED, end.reason());
         dependencies.tables().suspects().recordUpstreamLoss(attempt.placement().upstream());
         if (!closed && attemptsInFlight.isEmpty()) {
@@ -261,7 +266,6 @@
 
     private void connectionBroken(Attempt attempt, CallEnd.Broken end) {
         recordFailure(attempt, AttemptResult.BROKEN, end.reason());
-        mayHaveRun = true;
         dependencies
                 .tables()
                 .suspects()
@@ -300,10 +304,8 @@
         }
         if (serverError != null) {
             respond(serverError);
-        } else if (mayHaveRun) {
-            refuse(ResultCode.OUTCOME_UNKNOWN);
         } else {
-            refuse(codeIfNotRun);
+            refuse(unprovenAttempts.isEmpty() ? codeIfNotRun : ResultCode.OUTCOME_UNKNOWN);
         }
     }
 
@@ -327,7 +329,7 @@
         if (serverError != null) {
             respond(serverError);
         } else {
-            refuse(attemptsInFlight.isEmpty() && !mayHaveRun ? codeIfNotRun : codeIfMayHaveRun);
+            refuse(unprovenAttempts.isEmpty() ? codeIfNotRun : codeIfMayHaveRun);
         }
     }
 
--- a/forwarding/src/main/java/org/turmericspan/forwarding/NoticeRecorder.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/NoticeRecorder.java
@@ -1,6 +1,9 @@
 package org.turmericspan.forwarding;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.turmericspan.balancing.LoadReport;
 import org.turmericspan.balancing.ServingNotice;
 import org.turmericspan.balancing.UpstreamTable;
 import org.turmericspan.events.Event;
@@ -39,7 +42,7 @@
      * @param cause identifier of the request, or what the response belongs to
      */
     void record(UpstreamId upstream, ResponseMessage response, String cause) {
-        ServingNotice notice = protocol.servingNotice(response);
+        ServingNotice notice = read(() -> protocol.servingNotice(response), ServingNotice.NONE, upstream, cause);
         if (notice.malformed()) {
             metrics.noticed(NoticeKind.MALFORMED);
         }
@@ -52,4 +55,30 @@
                     .with("pauseMs", TimeUnit.NANOSECONDS.toMillis(notice.pauseNanos())));
         }
     }
+
+    /**
+     * Reads the load that a response reports.
+     *
+     * @param upstream the upstream that sent the response
+     * @param response response that belongs to a request or probe of this node
+     * @param cause identifier of the request, or what the response belongs to
+     * @return empty when it reports none that can be read
+     */
+    Optional<LoadReport> load(UpstreamId upstream, ResponseMessage response, String cause) {
+        return read(() -> protocol.reportedLoad(response), Optional.empty(), upstream, cause);
+    }
+
+    /** Reads a part of a response without which the response is still valid, whatever an upstream has put there. */
+    private <T> T read(Supplier<T> reader, T ifUnreadable, UpstreamId upstream, String cause) {
+        try {
+            return reader.get();
+        } catch (RuntimeException e) {
+            metrics.noticed(NoticeKind.MALFORMED);
+            log.write(Event.failure("notice", "Notice not readable.")
+                    .with("request", cause)
+                    .with("upstream", upstream)
+                    .with("reason", e));
+            return ifUnreadable;
+        }
+    }
 }
--- a/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/UpstreamProber.java
@@ -217,7 +217,7 @@
             log.write(Event.notice(LOG_PART, "Upstream responds again.").with("upstream", upstream.id()));
         }
         notices.record(upstream.id(), response, "probe");
-        LoadReport load = protocol.reportedLoad(response).orElse(LoadReport.NORMAL);
+        LoadReport load = notices.load(upstream.id(), response, "probe").orElse(LoadReport.NORMAL);
         long coldRemainingNanos = TimeUnit.MILLISECONDS.toNanos(protocol.warmupRemainingMillis(response));
         recordWarmup(upstream.id(), coldRemainingNanos);
         upstreams.recordReachability(upstream.id(), true);
--- a/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/FakeCallProtocol.java
@@ -12,7 +12,7 @@
 import org.turmericspan.ids.UpstreamId;
 import org.turmericspan.tenancy.Identity;
 
-/** Call protocol with one plain header for each item; no response reports load or warm-up. */
+/** Call protocol with one plain header for each item; no response reports warm-up, or a load that can be read. */
 final class FakeCallProtocol implements CallProtocol {
     static final String REMAINING_MILLIS = "left";
     static final String EXPECTED = "expected";
@@ -67,6 +67,9 @@
 
     @Override
     public boolean isWrongInstance(ResponseMessage response) {
+        if (response.headers().first("fault").isPresent()) {
+            throw new IllegalStateException("The protocol has a fault.");
+        }
         return response.status() == 421;
     }
 
@@ -77,6 +80,9 @@
 
     @Override
     public Optional<LoadReport> reportedLoad(ResponseMessage response) {
+        if (response.headers().first("load").isPresent()) {
+            throw new IllegalStateException("The reader of the load has a fault.");
+        }
         return Optional.empty();
     }
 
