Pass on no refusal as a promise when another attempt may have run

Callers of an idempotent request got 408, 429 or 503, which promise that it did not run, although another attempt of it had run, failed with 500, broken off or was still in flight: the status came from an upstream that spoke only for itself, and without the proof of no execution.

Cause: such a status was passed on, or kept as the error to respond with, by the kind of the request alone; only proofs and the node's own refusals asked for the other attempts.

Now a status that promises this is passed on only while its attempt is the only one that may have run. Otherwise the request is retried within the budget, gets the error of the upstream that ran it, or 502 or 504. The refusal of a single attempt is passed on as before.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -237,10 +237,9 @@
             unprovenAttempts.remove(attempt);
             recordFailure(attempt, AttemptResult.SHED, "not executed, status " + response.status());
             retryOrFail(true);
-        } else if (!route.idempotent() && dependencies.protocol().promisesNotRun(response.status())) {
-            // The status would promise the caller what the upstream has not proved.
+        } else if (promisesTooMuch(response) || !route.idempotent() && promisesNotRun(response)) {
             recordFailure(attempt, AttemptResult.SERVER_ERROR, "unproven refusal, status " + response.status());
-            retryOrFail(false);
+            retryOrFail(route.idempotent());
         } else if (response.isServerError()) {
             recordFailure(attempt, AttemptResult.SERVER_ERROR, "status " + response.status());
             serverError = response;
@@ -254,6 +253,15 @@
         }
     }
 
+    private boolean promisesNotRun(ResponseMessage response) {
+        return dependencies.protocol().promisesNotRun(response.status());
+    }
+
+    /** Returns whether the status of a response promises that nothing ran though another attempt may have run. */
+    private boolean promisesTooMuch(ResponseMessage response) {
+        return promisesNotRun(response) && unprovenAttempts.size() > 1;
+    }
+
     private void requestNotSent(Attempt attempt, CallEnd.NotSent end) {
         sentAttempts--;
         unprovenAttempts.remove(attempt);
@@ -302,11 +310,7 @@
         if (!attemptsInFlight.isEmpty()) {
             return;
         }
-        if (serverError != null) {
-            respond(serverError);
-        } else {
-            refuse(unprovenAttempts.isEmpty() ? codeIfNotRun : ResultCode.OUTCOME_UNKNOWN);
-        }
+        endWith(codeIfNotRun, ResultCode.OUTCOME_UNKNOWN);
     }
 
     /** Ends the request because the process ends. */
@@ -324,9 +328,9 @@
         }
     }
 
-    /** Ends the request without waiting for its attempts. An error that an upstream responded with takes precedence. */
+    /** Ends the request without a success. An error that an upstream responded with takes precedence. */
     private void endWith(ResultCode codeIfNotRun, ResultCode codeIfMayHaveRun) {
-        if (serverError != null) {
+        if (serverError != null && !promisesTooMuch(serverError)) {
             respond(serverError);
         } else {
             refuse(unprovenAttempts.isEmpty() ? codeIfNotRun : codeIfMayHaveRun);
