Take the proof of no execution from refusals only

A request that may not be repeated was sent to a second upstream after a 2xx, 500, 502 or 504 that carried Turmericspan-Not-Executed, though these statuses say that it ran. If no upstream was left, its caller got 503, a promise.

Cause: the header alone was the proof, whatever response it stood in. The protocol states it for refusals (400, 421, 429, 503), and counts a server's own 500 and 504 as run. A server in trouble that mixes the two proves nothing.

Evidence: UnprovenRefusalTest, four cases that contradict themselves failed before; refusals with the proof are still repeated.

Now the proof counts with a 4xx or a status that itself promises that nothing ran. An error with it is passed on as any other error, and a success with it breaks the call: outcome unknown.

--- a/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
+++ b/forwarding/src/main/java/org/turmericspan/forwarding/ActiveRequest.java
@@ -233,7 +233,7 @@
             return;
         }
         dependencies.notices().record(upstream, response, context.requestId());
-        if (dependencies.protocol().provesNotExecuted(response)) {
+        if (provesNotExecuted(response)) {
             unprovenAttempts.remove(attempt);
             recordFailure(attempt, AttemptResult.SHED, "not executed, status " + response.status());
             retryOrFail(true);
@@ -244,6 +244,8 @@
             recordFailure(attempt, AttemptResult.SERVER_ERROR, "status " + response.status());
             serverError = response;
             retryOrFail(route.idempotent());
+        } else if (response.isSuccess() && dependencies.protocol().provesNotExecuted(response)) {
+            connectionBroken(attempt, new CallEnd.Broken("success that states that it was not executed"));
         } else if (response.isSuccess() && !dependencies.protocol().isSigned(response)) {
             connectionBroken(attempt, new CallEnd.Broken("success without a signature"));
         } else {
@@ -253,6 +255,12 @@
         }
     }
 
+    /** Returns whether a refusal proves that the request did not run; any other status contradicts the proof. */
+    private boolean provesNotExecuted(ResponseMessage response) {
+        return (response.isClientError() || promisesNotRun(response))
+                && dependencies.protocol().provesNotExecuted(response);
+    }
+
     private boolean promisesNotRun(ResponseMessage response) {
         return dependencies.protocol().promisesNotRun(response.status());
     }
--- a/forwarding/src/test/java/org/turmericspan/forwarding/UnprovenRefusalTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/UnprovenRefusalTest.java
@@ -32,4 +32,30 @@
         client().call(1).respond(200);
         assertThat(reply().status()).isEqualTo(200);
     }
+
+    /** Guards against a second run of a request whose response says that it ran, beside the proof that it did not. */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 502, 504})
+    void errorOfARunIsNoProofWhateverItsHeaders(int status) {
+        start(2, "/once/1");
+        client().call(0).respondWith(status, "not-run", "1");
+        assertThat(reply().status()).isEqualTo(status);
+        assertThat(client().callCount()).isEqualTo(1);
+    }
+
+    @Test
+    void successWithTheProofThatItDidNotRunHasAnUnknownOutcome() {
+        start(2, "/once/1");
+        client().call(0).respondWith(200, "not-run", "1");
+        assertThat(reply().status()).isEqualTo(502);
+        assertThat(client().callCount()).isEqualTo(1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {400, 408, 429, 503})
+    void refusalWithTheProofIsRepeatedElsewhere(int status) {
+        start(2, "/once/1");
+        client().call(0).proveNotRun(status);
+        assertThat(client().callCount()).isEqualTo(2);
+    }
 }
--- a/http/src/main/java/org/turmericspan/http/ResponseMessage.java
+++ b/http/src/main/java/org/turmericspan/http/ResponseMessage.java
@@ -12,6 +12,8 @@
 public record ResponseMessage(int status, HeaderList headers, byte[] body) {
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MAX_SUCCESS_STATUS = 299;
+    private static final int MIN_CLIENT_ERROR_STATUS = 400;
+    private static final int MAX_CLIENT_ERROR_STATUS = 499;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final int MAX_SERVER_ERROR_STATUS = 599;
 
@@ -37,6 +39,15 @@
         return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
     }
 
+    /**
+     * Returns whether the status is a client error.
+     *
+     * @return true for 400 to 499
+     */
+    public boolean isClientError() {
+        return status >= MIN_CLIENT_ERROR_STATUS && status <= MAX_CLIENT_ERROR_STATUS;
+    }
+
     /**
      * Returns whether the status is a server error.
      *
