--- a/forwarding/src/test/java/org/turmericspan/forwarding/WaitingRoomRequestTest.java
+++ b/forwarding/src/test/java/org/turmericspan/forwarding/WaitingRoomRequestTest.java
@@ -181,4 +181,16 @@
         assertThat(refused.refusedAfterMillis()).hasSize(1);
         assertThat(refused.status()).isEqualTo(503);
     }
+
+    /** Guards against the promise that a request did not run which the room refuses after an attempt of it was lost. */
+    @Test
+    void requestThatTheRoomRefusesAfterALostAttemptHasAnUnknownOutcome() {
+        replay.upstreams().add("u-0", Replay.SERVICE, Replay.ZONE, 1);
+        ReplayedRequest read = replay.send(Kind.READ, "r", 2_000);
+        replay.advance(20);
+        replay.upstreams().setAllReachable(false);
+        replay.advance(2_000);
+        assertThat(read.status()).isEqualTo(502);
+        assertThat(replay.refusals(reason -> true)).isEqualTo(1);
+    }
 }
