List a newer configuration from other nodes at a bounded rate

Trace: a node that hears of a newer configuration version than its own lists the items of that node. Only lists that succeed are spaced by the pace of recovery, so that a node whose lists are refused or time out sent one with each message of each node that has the version: 1,000 for 1,000 messages in 10 s of simulated time.

--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -24,6 +24,7 @@
     private final ScheduledExecutorService worker;
     private final List<NodeAhead> nodesAhead = new ArrayList<>();
     private boolean isCheckPending;
+    private boolean isListPaused;
     private int readsInProgress;
     private volatile long reads;
 
@@ -75,13 +76,25 @@
             return;
         }
         if (state.configurationVersion() > feed.configurationVersion()) {
-            feed.outOfBandReads().list(new StoreSource(node, StoreSource.Kind.NODE_AHEAD));
+            listNewerConfiguration(node);
         }
         if (state.era() == feed.position().era() && !state.listPosition().isAfter(feed.position())) {
             feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
         }
     }
 
+    /** Lists from a node with a newer configuration; each node may tell of it with each message while lists fail. */
+    private void listNewerConfiguration(SocketAddress node) {
+        if (!isListPaused && feed.outOfBandReads().list(new StoreSource(node, StoreSource.Kind.NODE_AHEAD))) {
+            isListPaused = true;
+            worker.schedule(this::endListPause, limits.maxListPauseMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void endListPause() {
+        isListPaused = false;
+    }
+
     /** Returns the position of the newest change of a replica; in a later era, all that it has is one. */
     private StorePosition newestPosition(ReplicaState state) {
         return state.listPosition().isInLaterEra(feed.position())
--- a/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -69,10 +69,11 @@
      * Lists all items of a source, unless another such list is being read or the last one was just before.
      *
      * @param source the store, or a node that is ahead of this one, without the changes since this node's revision
+     * @return whether a list began
      */
-    void list(StoreSource source) {
+    boolean list(StoreSource source) {
         if (isListing || pace.delayMillis() > 0) {
-            return;
+            return false;
         }
         isListing = true;
         long sentNanos = clock.nowNanos();
@@ -90,6 +91,7 @@
                             logFailure(source, result);
                         })
                 .start();
+        return true;
     }
 
     private long elapsedMillis(long sinceNanos) {
