--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -65,6 +65,12 @@
         if (!feed.isComplete()) {
             return;
         }
+        StoreSource source = new StoreSource(node, StoreSource.Kind.NODE_AHEAD);
+        if (state.era() == feed.position().era()
+                && !isListPaused
+                && feed.outOfBandReads().resolveDoubt(source, state.eraAgeMillis())) {
+            pauseLists();
+        }
         StorePosition newest = newestPosition(state);
         if (newest.isAfter(feed.position())) {
             nodesAhead.removeIf(known -> known.address().equals(node));
@@ -72,25 +78,34 @@
             if (nodesAhead.size() > MAX_NODES_AHEAD) {
                 nodesAhead.remove(MAX_NODES_AHEAD);
             }
-            checkLater();
+            if (newest.isInLaterEra(feed.position())) {
+                // The sources of the feed do not deliver what a restored store has instead.
+                check();
+            } else {
+                checkLater();
+            }
             return;
         }
         if (state.configurationVersion() > feed.configurationVersion()) {
-            listNewerConfiguration(node);
+            listBesides(source);
         }
         if (state.era() == feed.position().era() && !state.listPosition().isAfter(feed.position())) {
             feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
         }
     }
 
-    /** Lists from a node with a newer configuration; each node may tell of it with each message while lists fail. */
-    private void listNewerConfiguration(SocketAddress node) {
-        if (!isListPaused && feed.outOfBandReads().list(new StoreSource(node, StoreSource.Kind.NODE_AHEAD))) {
-            isListPaused = true;
-            worker.schedule(this::endListPause, limits.maxListPauseMillis(), TimeUnit.MILLISECONDS);
+    /** Lists all items of a node; each node may call for it with each message, while the lists fail. */
+    private void listBesides(StoreSource source) {
+        if (!isListPaused && feed.outOfBandReads().list(source)) {
+            pauseLists();
         }
     }
 
+    private void pauseLists() {
+        isListPaused = true;
+        worker.schedule(this::endListPause, limits.maxListPauseMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private void endListPause() {
         isListPaused = false;
     }
--- a/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
@@ -20,6 +20,7 @@
             new StoreSource(new SocketAddress("10.0.0.7", 7_000), StoreSource.Kind.ZONE_READER);
     /** Two seconds for a live server to register again, and the limit of a change until the node knows. */
     private static final Duration GRACE = Duration.ofSeconds(4);
+
     private static final Duration HOLD = Duration.ofSeconds(10);
     private static final Duration INSTANT = Duration.ofMillis(10);
 
