Drop differences to an era that the replica has left meanwhile

Differences to an earlier era hold only for a replica that is still in it. Otherwise they are dropped, and the next watch asks after the replica's own position, to which the relay responds with its gap.

--- a/feed/src/main/java/org/turmericspan/feed/PageUse.java
+++ b/feed/src/main/java/org/turmericspan/feed/PageUse.java
@@ -28,7 +28,8 @@
             return OVERTAKEN;
         }
         if (!source.isStore()) {
-            return CHANGES;
+            // The differences to an earlier era leave out what was lost and written again.
+            return replica.isInLaterEra(after) ? OVERTAKEN : CHANGES;
         }
         if (page.position().isInLaterEra(replica)) {
             return LIST_NEEDED;
