Relay what a list brings back at the position of the list

An item that a source had all along keeps its old position there. A node that had it as removed and listed it got it at that position, below its own, so that its readers of the same position, which had it as removed, too, were not told.

The mirror now gives an item that a later list changes, and whose position it has passed, the position of the list; the news by gossip follow that position.

--- a/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreMirror.java
@@ -30,6 +30,8 @@
     /** Items of a full list that is being stored, null if none is; readers get the previous items until it is whole. */
     private Map<String, StoreItem> replacement;
 
+    private StorePosition replacementPosition = StorePosition.START;
+
     private StorePosition position = StorePosition.START;
     /** Highest position of an item; none is newer, though some may have been removed again. */
     private StorePosition newestItemPosition = StorePosition.START;
@@ -40,17 +42,28 @@
 
     private boolean hasList;
 
-    /** Stores an item. Its position is kept when nothing relevant has changed, so that readers do not get it again. */
-    void put(StoreItem item, boolean hasChanged) {
-        lock.run(() -> {
+    /**
+     * Stores an item; returns its position here, which is kept when nothing relevant has changed, so that readers do
+     * not get it again.
+     */
+    StorePosition put(StoreItem item, boolean hasChanged) {
+        return lock.compute(() -> {
             StoreItem previous = items.get(item.key());
             boolean isNew = hasChanged || previous == null || previous.isRemoved();
-            StorePosition itemPosition = isNew ? item.position() : previous.position();
+            StorePosition itemPosition = isNew ? changePosition(item) : previous.position();
             newestItemPosition = newestItemPosition.max(itemPosition);
             written().put(item.key(), new StoreItem(item.key(), item.value(), itemPosition, item.isRemoved()));
+            return itemPosition;
         });
     }
 
+    /** Returns the position at which this replica changes: a list may bring what its source has had for longer. */
+    private StorePosition changePosition(StoreItem item) {
+        return replacement == null || !hasList || item.position().isAfter(position)
+                ? item.position()
+                : replacementPosition;
+    }
+
     /** Keeps the present state of an item, which a read does not replace. */
     void retain(StoreItem item) {
         lock.run(() -> written().put(item.key(), items.getOrDefault(item.key(), item)));
@@ -105,8 +118,11 @@
     }
 
     /** Begins to store a full list, which replaces all items when it is complete. */
-    void beginReplacement() {
-        lock.run(() -> replacement = new HashMap<>());
+    void beginReplacement(StorePosition listPosition) {
+        lock.run(() -> {
+            replacement = new HashMap<>();
+            replacementPosition = listPosition;
+        });
     }
 
     /**
--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -150,7 +150,7 @@
         isProvisional = !complete && list.isStale();
         boolean isLaterEra = beginEra(list.source(), list.lowestPosition());
         isRestored = isLaterEra || isNewBeginning;
-        mirror.beginReplacement();
+        mirror.beginReplacement(list.lowestPosition());
         listedZones.clear();
         listedUpstreams.clear();
         list.items().forEach(item -> apply(item, true));
@@ -261,9 +261,9 @@
 
     private boolean recordChange(StoreItem item) {
         boolean hasChanged = !mirror.hasValueOf(item);
-        mirror.put(item, hasChanged);
+        StorePosition itemPosition = mirror.put(item, hasChanged);
         if (hasChanged) {
-            changePosition = changePosition.max(item.position());
+            changePosition = changePosition.max(itemPosition);
         }
         return hasChanged;
     }
@@ -345,11 +345,9 @@
         if (isListed) {
             listedUpstreams.add(registration.id());
         }
+        StorePosition itemPosition = mirror.put(item, hasChanged);
         if (hasChanged && complete) {
-            mirror.put(item, true);
-            changePosition = changePosition.max(item.position());
-        } else {
-            mirror.put(item, hasChanged);
+            changePosition = changePosition.max(itemPosition);
         }
         pendingRemovalNanos.remove(registration.id());
         if (isTakenBack) {
--- a/feed/src/test/java/org/turmericspan/feed/MirrorErasTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/MirrorErasTest.java
@@ -20,7 +20,7 @@
     }
 
     private void list(StorePosition position, StoreItem... items) {
-        mirror.beginReplacement();
+        mirror.beginReplacement(position);
         for (StoreItem item : items) {
             mirror.put(item, !mirror.hasValueOf(item));
         }
@@ -108,7 +108,7 @@
     @Test
     void replicaThatCrossedByTheDifferencesOfAnotherHasTheSameGap() {
         StoreMirror second = new StoreMirror();
-        second.beginReplacement();
+        second.beginReplacement(at(0, 100));
         second.completeReplacement(at(0, 100));
         second.advance(at(0, 104));
         second.put(item("d", 1, 93), true);
@@ -138,4 +138,13 @@
         assertHistory(false, at(0, 112), at(1, 79));
         assertHistory(true, at(1, 80));
     }
+
+    /** A reader of the same position had the item as removed, too, and must not miss that it is back. */
+    @Test
+    void itemThatAListBringsBackIsAChangeThoughItsSourceHadItAllAlong() {
+        list(at(2, 50));
+        list(at(2, 60), item("a", 1, 10));
+        assertThat(changesAfter(at(2, 50))).containsExactly("a at 2/60");
+        assertThat(changesAfter(at(2, 60))).isEmpty();
+    }
 }
