--- a/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -1,7 +1,9 @@
 package org.turmericspan.feed;
 
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.turmericspan.events.Event;
 import org.turmericspan.events.EventLog;
 import org.turmericspan.feed.StoreReader.Freshness;
@@ -16,16 +18,33 @@
     private static final String PART = "store";
 
     private final StoreFeed feed;
+    private final StoreReplica replica;
     private final StoreReader reader;
     private final ListPace pace;
+    private final ChangeLimits limits;
+    private final ScheduledExecutorService worker;
+    private final RandomGenerator random;
     private final MonotonicClock clock;
     private final EventLog log;
     private boolean isListing;
 
-    OutOfBandReads(StoreFeed feed, StoreReader reader, ListPace pace, MonotonicClock clock, EventLog log) {
+    OutOfBandReads(
+            StoreFeed feed,
+            StoreReplica replica,
+            StoreReader reader,
+            ListPace pace,
+            ChangeLimits limits,
+            ScheduledExecutorService worker,
+            MonotonicClock clock,
+            RandomGenerator random,
+            EventLog log) {
         this.feed = feed;
+        this.replica = replica;
         this.reader = reader;
         this.pace = pace;
+        this.limits = limits;
+        this.worker = worker;
+        this.random = random;
         this.clock = clock;
         this.log = log;
     }
@@ -34,7 +53,8 @@
      * Reads the changes that a source has now.
      *
      * @param source the store, or a node that is ahead of this one
-     * @param listener called on the worker with the result, after its changes were applied
+     * @param listener called on the worker with the result, after its changes were applied; a page that does not
+     *     continue this node's position counts as compacted
      */
     void readChanges(StoreSource source, Consumer<StoreReadResult> listener) {
         feed.countCall(source);
@@ -42,20 +62,23 @@
         long sentNanos = clock.nowNanos();
         reader.watch(source, after, 0, result -> {
             if (result instanceof StoreReadResult.Page read) {
-                guarded(source, () -> apply(source, after, read.page().olderBy(elapsedMillis(sentNanos))));
+                StorePage page = read.page().olderBy(elapsedMillis(sentNanos));
+                PageUse use = PageUse.of(source, after, page, feed.position());
+                guarded(source, () -> apply(source, use, page));
+                guarded(
+                        source,
+                        () -> listener.accept(
+                                use == PageUse.LIST_NEEDED ? new StoreReadResult.RevisionCompacted() : result));
             } else {
                 logFailure(source, result);
+                guarded(source, () -> listener.accept(result));
             }
-            guarded(source, () -> listener.accept(result));
         });
     }
 
-    private void apply(StoreSource source, StorePosition after, StorePage page) {
-        PageUse use = PageUse.of(source, after, page, feed.position());
+    private void apply(StoreSource source, PageUse use, StorePage page) {
         if (use == PageUse.CHANGES) {
             feed.applyOutOfBand(source, page);
-        } else if (use == PageUse.LIST_NEEDED) {
-            list(source);
         } else {
             log.write(Event.notice(PART, "Out-of-band read not applied.")
                     .with("source", source)
@@ -65,13 +88,32 @@
         }
     }
 
+    /**
+     * Lists all items of a source after a random delay, unless another node has done so and this one has read the
+     * differences meanwhile. The delay is longer for a source that responds slowly, whose lists take as long.
+     *
+     * @param source the store, or a node that is ahead of this one, without the changes since this node's position
+     * @param responseMillis time that the source took for its last response
+     */
+    void listUnlessOthersDo(StoreSource source, long responseMillis) {
+        StorePosition position = feed.position();
+        worker.schedule(
+                () -> {
+                    if (feed.position().equals(position)) {
+                        list(source);
+                    }
+                },
+                random.nextLong(limits.outOfBandListDelayMillis() + 2 * responseMillis + 1),
+                TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Lists all items of a source, unless another such list is being read or the last one was just before.
      *
      * @param source the store, or a node that is ahead of this one, without the changes since this node's revision
      */
     void list(StoreSource source) {
-        if (isListing || pace.delayMillis() > 0) {
+        if (!canList()) {
             return;
         }
         isListing = true;
@@ -92,6 +134,21 @@
                 .start();
     }
 
+    /**
+     * Lists the items of a node that has gone through the restoration of the store, if the stale list with which this
+     * node began may be of a time before it.
+     */
+    void resolveDoubt(StoreSource node, long eraAgeMillis) {
+        if (replica.isInDoubt(eraAgeMillis) && canList()) {
+            replica.expectProof(node);
+            list(node);
+        }
+    }
+
+    private boolean canList() {
+        return !isListing && pace.delayMillis() == 0;
+    }
+
     private long elapsedMillis(long sinceNanos) {
         return TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - sinceNanos);
     }
--- a/feed/src/main/java/org/turmericspan/feed/StoreProbes.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreProbes.java
@@ -101,12 +101,14 @@
 
     private void probe() {
         pause(positions.get().size());
+        long sentNanos = clock.nowNanos();
         feed.outOfBandReads().readChanges(store, result -> {
             if (result instanceof StoreReadResult.Page) {
                 hasSucceeded = true;
                 lastSuccessNanos = clock.nowNanos();
             } else if (result instanceof StoreReadResult.RevisionCompacted) {
-                feed.outOfBandReads().list(store);
+                long responseMillis = TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - sentNanos);
+                feed.outOfBandReads().listUnlessOthersDo(store, responseMillis);
             }
         });
     }
