--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -194,7 +194,7 @@
         hasBegunStale = isProvisional;
         provenSource = null;
         begunNanos = clock.nowNanos();
-        mirror.beginReplacement();
+        mirror.beginReplacement(list.lowestPosition());
         listedZones.clear();
         listedUpstreams.clear();
         list.items().forEach(item -> apply(item, true));
@@ -307,9 +307,9 @@
 
     private boolean recordChange(StoreItem item) {
         boolean hasChanged = !mirror.hasValueOf(item);
-        mirror.put(item, hasChanged);
+        StorePosition itemPosition = mirror.put(item, hasChanged);
         if (hasChanged) {
-            changePosition = changePosition.max(item.position());
+            changePosition = changePosition.max(itemPosition);
         }
         return hasChanged;
     }
@@ -391,11 +391,9 @@
         if (isListed) {
             listedUpstreams.add(registration.id());
         }
+        StorePosition itemPosition = mirror.put(item, hasChanged);
         if (hasChanged && complete) {
-            mirror.put(item, true);
-            changePosition = changePosition.max(item.position());
-        } else {
-            mirror.put(item, hasChanged);
+            changePosition = changePosition.max(itemPosition);
         }
         pendingRemovalNanos.remove(registration.id());
         if (isTakenBack) {
