Keep a replica that may be of a lost history to itself

Trace: a node starts while the store is restored, and its first list is stale: 1/100 of the lost history, with the era of the restored store, which is at 1/82. The others tell changes up to 1/81, which is not after 1/100, so that it counted as confirmed by each of them, did not probe the store, and missed the changes from 1/82 on while it read through a relay. It also told 1/100 by gossip, so that nodes of era 0 would have listed from it instead of from a node that has the restored store.

It now counts as confirmed by others, and tells of its replica, only after a source has reached the position of the list, which the first watch shows in the normal case.

Seen: nodeWhoseFirstListMayBeOfALostHistoryIsNotConfirmedByOthers (age 41 ms in place of over 1,000) and staleFirstListDoesNotTakeNodesOfTheOlderEraAcross failed on.

--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -137,12 +137,13 @@
 
     /**
      * Returns what this node tells others of its replica. The age is that of the last confirmation by a source that
-     * this node has read, so that it does not get younger by the time that messages take on their way.
+     * this node has read, so that it does not get younger by the time that messages take on their way. Nothing is
+     * told of a replica that may be of a lost history, since nodes of an older era would read from it.
      *
      * @return the state as of now
      */
     public ReplicaState replicaState() {
-        return isComplete()
+        return isComplete() && !replica.isProvisional()
                 ? new ReplicaState(
                         changePosition(), listPosition(), ownConfirmedAgeMillis(), replica.configurationVersion())
                 : ReplicaState.NONE;
@@ -163,9 +164,11 @@
         return contact.ownConfirmedAgeMillis();
     }
 
-    /** Records that another node is current and has no change that this node does not have. */
+    /** Records that another node is current and has no change that this node does not have, if of the same history. */
     void confirm(long ageMillis) {
-        contact.confirmByOther(ageMillis);
+        if (!replica.isProvisional()) {
+            contact.confirmByOther(ageMillis);
+        }
     }
 
     /**
--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -47,7 +47,7 @@
     /** Whether the item that is being applied comes with a restoration of the store. */
     private boolean isRestored;
     /** Whether this replica has only a list that may be stale, of a history that the store may have lost. */
-    private boolean isProvisional;
+    private volatile boolean isProvisional;
 
     private volatile StorePosition position = StorePosition.START;
     private volatile StorePosition changePosition = StorePosition.START;
@@ -100,6 +100,11 @@
         return listPosition;
     }
 
+    /** Returns whether this replica has only a list that the store may have lost, which no source has reached yet. */
+    boolean isProvisional() {
+        return isProvisional;
+    }
+
     /** Returns the version of the newest configuration, 0 before the first one. */
     long configurationVersion() {
         return configurationVersion;
--- a/feed/src/test/java/org/turmericspan/feed/EraCrossingTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/EraCrossingTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.gossip.ReplicaState;
 import org.turmericspan.ids.SocketAddress;
 
 /** How a node's reads cross from one era of the store to the next. */
@@ -188,4 +189,16 @@
         assertThat(starting.feed().position()).isEqualTo(at(1, 85));
         assertThat(starting.evacuatedZones()).containsExactly("z");
     }
+
+    /** A starting node may have listed the lost history, stale and with the era of the restored store. */
+    @Test
+    void staleFirstListDoesNotTakeNodesOfTheOlderEraAcross() {
+        FleetFixture starting = new FleetFixture();
+        starting.feed().start();
+        starting.complete(at(1, 100), ready("a", at(1, 10)));
+        assertThat(starting.feed().replicaState()).isEqualTo(ReplicaState.NONE);
+        starting.advance(Duration.ofMillis(400));
+        starting.complete(at(1, 101));
+        assertThat(starting.feed().replicaState().listPosition()).isEqualTo(at(1, 100));
+    }
 }
--- a/feed/src/test/java/org/turmericspan/feed/FalseConfirmationTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/FalseConfirmationTest.java
@@ -87,6 +87,22 @@
         assertThat(survivor.feed().confirmedAgeMillis()).isGreaterThanOrEqualTo(1_000);
     }
 
+    /** What the stale list lacks are changes of the restored store, which the other nodes have. */
+    @Test
+    void nodeWhoseFirstListMayBeOfALostHistoryIsNotConfirmedByOthers() {
+        FleetFixture starting = new FleetFixture();
+        starting.feed().start();
+        starting.complete(FleetFixture.at(1, 100));
+        starting.choose(FeedFixture.RELAY);
+        starting.advance(Duration.ofMillis(400));
+        starting.complete(FleetFixture.at(1, 82));
+        starting.advance(Duration.ofMillis(600));
+        new CatchUp(starting.feed(), starting.limits(), starting.worker())
+                .compare(OTHER, new ReplicaState(FleetFixture.at(1, 81), FleetFixture.at(1, 70), 0, 0));
+        starting.advance(Duration.ofMillis(1));
+        assertThat(starting.feed().confirmedAgeMillis()).isGreaterThanOrEqualTo(1_000);
+    }
+
     /** The response waited in the socket of a process that did not run. */
     @Test
     void responseReadAfterASuspensionDoesNotConfirmTheTimeOfItsReading() {
