List no node of an earlier era for its configuration

Trace: a node of era 0 has version 80, this one is in era 1 with 78. Each gossip message of the other led to a list of all its items, which was refused since it is older than the replica, up to once a second from each node of the fleet until the other had the later era. Each refused list also doubled the pause before the next list that this node needed itself.

Only nodes of the same era are listed for their version now.

Seen: nodeOfAnEarlierEraIsNotListedForItsVersion failed on (1 list in place of none).

--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -74,10 +74,14 @@
             checkLater();
             return;
         }
+        if (state.era() != feed.position().era()) {
+            // A list of an earlier era would not be taken.
+            return;
+        }
         if (state.configurationVersion() > feed.configurationVersion()) {
             feed.outOfBandReads().list(new StoreSource(node, StoreSource.Kind.NODE_AHEAD));
         }
-        if (state.era() == feed.position().era() && !state.listPosition().isAfter(feed.position())) {
+        if (!state.listPosition().isAfter(feed.position())) {
             feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
         }
     }
--- a/feed/src/test/java/org/turmericspan/feed/RestoredConfigurationTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RestoredConfigurationTest.java
@@ -5,9 +5,12 @@
 import static org.turmericspan.feed.FleetFixture.configuration;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.turmericspan.gossip.ReplicaState;
+import org.turmericspan.ids.SocketAddress;
 
 /** Guards against a configuration that a restoration of the store takes back to an older version. */
 class RestoredConfigurationTest {
@@ -76,4 +79,19 @@
         assertThat(node.versions()).containsExactly(78L);
         assertThat(relayedVersions()).containsExactly("78");
     }
+
+    /** Its list is older whatever its version, and each node of the fleet would read it again and again. */
+    @Test
+    void nodeOfAnEarlierEraIsNotListedForItsVersion() {
+        node.restore(at(1, 80), configuration(78, at(1, 60)));
+        node.advance(node.limits().limit());
+        CatchUp catchUp = new CatchUp(node.feed(), node.limits(), node.worker());
+        SocketAddress other = new SocketAddress("10.0.0.1", 7_000);
+        catchUp.compare(other, new ReplicaState(at(0, 102), at(0, 90), 0, 80));
+        node.advance(Duration.ofMillis(1));
+        assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
+        catchUp.compare(other, new ReplicaState(at(1, 80), at(0, 90), 0, 80));
+        node.advance(Duration.ofMillis(1));
+        assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isEqualTo(1);
+    }
 }
