Hold what a copy from before the last restoration takes back

Trace: the store is restored at 0/101 to 1/80, and an upstream reports there at 1/82 that it drains. 5 s later the store is restored again, from a copy that was made at 0/98, before the first restoration, and has the upstream as ready at 97. 97 is not below 82, so that the registration counted as written after the restoration, and the draining upstream got requests again; one that was removed at 1/84 was used again in the same way.

The revisions of two such copies cannot be compared. When two restorations follow each other within the hold, as long as a copy may be old, a registration that takes back is held whatever its revision, until it is written again. Evacuations are not, since they have to take effect.

--- a/feed/src/main/java/org/turmericspan/feed/RestorationHold.java
+++ b/feed/src/main/java/org/turmericspan/feed/RestorationHold.java
@@ -22,6 +22,7 @@
     static final long HOLD_MILLIS = 10_000;
 
     private static final int MAX_REMOVED = 1_000;
+    private static final long HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(HOLD_MILLIS);
 
     private final ScheduledExecutorService worker;
     private final Map<UpstreamId, Registration> inForce = new HashMap<>();
@@ -35,10 +36,26 @@
 
     private final Map<String, Runnable> heldChanges = new HashMap<>();
 
+    private boolean isRestored;
+    private boolean isRestoredTwice;
+    private long restoredNanos;
+
     RestorationHold(ScheduledExecutorService worker) {
         this.worker = worker;
     }
 
+    /** Records that the store was restored. */
+    void recordRestoration(long nowNanos) {
+        isRestoredTwice = isRestored && nowNanos - restoredNanos < HOLD_NANOS;
+        isRestored = true;
+        restoredNanos = nowNanos;
+    }
+
+    /** Returns whether the copy of the last restoration may be from before the restoration before it. */
+    boolean isRestoredTwice() {
+        return isRestoredTwice;
+    }
+
     /** Records a registration that is in force from now on. */
     void recordRegistration(Registration registration) {
         inForce.put(registration.id(), registration);
--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -190,6 +190,7 @@
         if (!complete || !newPosition.isInLaterEra(position)) {
             return false;
         }
+        hold.recordRestoration(clock.nowNanos());
         log.write(Event.notice(PART, "Store restored from an older copy.")
                 .with("source", source)
                 .with("era", newPosition.era())
@@ -342,9 +343,14 @@
         return known.equals(StorePosition.START) || item.position().revision() < known.revision();
     }
 
+    /** A copy from before the restoration before this one lacks what was written since, whatever the revision. */
+    private boolean isOlderRegistration(StoreItem item) {
+        return isOlderThanKnown(item) || hold.isRestoredTwice();
+    }
+
     private void register(StoreItem item, Registration registration, boolean isListed) {
         boolean isTakenBack =
-                isRestored && hold.isTakenBack(registration) && (hold.isHeld(item.key()) || isOlderThanKnown(item));
+                isRestored && hold.isTakenBack(registration) && (hold.isHeld(item.key()) || isOlderRegistration(item));
         Registration previous = registrations.put(registration.id(), registration);
         boolean hasChanged = previous == null || !registration.equalsIgnoringWarmUp(previous);
         if (isListed) {
--- a/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RestoredUpstreamsTest.java
@@ -206,4 +206,15 @@
         node.restore(at(1, 110), ready("a", at(1, 10)), ready("b", at(1, 105)), draining("c", at(1, 95)));
         assertInForce("a", "ready", "b", "ready", "c", "draining");
     }
+
+    /** The second copy was made before the first restoration, and has revisions above those given out since. */
+    @Test
+    void secondCopyOfTheLostHistoryTakesBackNeitherDrainingNorRemoval() {
+        node.restore(at(1, 80), ready("a", at(1, 10)), ready("b", at(1, 60)), ready("c", at(1, 70)));
+        node.complete(at(1, 84), draining("c", at(1, 82)), ready("b", at(1, 83)), upstreamRemoval("b", at(1, 84)));
+        assertThat(node.upstreams()).containsEntry("c", "draining").doesNotContainKey("b");
+        node.advance(HOLD.dividedBy(2));
+        node.restore(at(2, 98), ready("a", at(2, 10)), ready("b", at(2, 90)), ready("c", at(2, 97)));
+        assertThat(node.upstreams()).containsEntry("c", "draining").doesNotContainKey("b");
+    }
 }
