--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -64,6 +64,10 @@
         if (!feed.isComplete()) {
             return;
         }
+        StoreSource source = new StoreSource(node, StoreSource.Kind.NODE_AHEAD);
+        if (state.era() == feed.position().era()) {
+            feed.outOfBandReads().resolveDoubt(source, state.eraAgeMillis());
+        }
         StorePosition newest = newestPosition(state);
         if (newest.isAfter(feed.position())) {
             nodesAhead.removeIf(known -> known.address().equals(node));
@@ -71,7 +75,12 @@
             if (nodesAhead.size() > MAX_NODES_AHEAD) {
                 nodesAhead.remove(MAX_NODES_AHEAD);
             }
-            checkLater();
+            if (newest.isInLaterEra(feed.position()) && state.eraAgeMillis() < ReplicaState.UNKNOWN_AGE_MILLIS) {
+                // It has gone on to the era itself, so that it has the differences.
+                check();
+            } else {
+                checkLater();
+            }
             return;
         }
         if (state.era() != feed.position().era()) {
@@ -79,7 +88,7 @@
             return;
         }
         if (state.configurationVersion() > feed.configurationVersion()) {
-            feed.outOfBandReads().list(new StoreSource(node, StoreSource.Kind.NODE_AHEAD));
+            feed.outOfBandReads().list(source);
         }
         if (!state.listPosition().isAfter(feed.position())) {
             feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
@@ -130,7 +139,7 @@
             removeNodesNotAhead();
             boolean isBehind = node.position().isAfter(feed.position());
             if (isBehind && nodesAhead.isEmpty() && result instanceof StoreReadResult.RevisionCompacted) {
-                feed.outOfBandReads().list(source);
+                feed.outOfBandReads().listUnlessOthersDo(source, 0);
             }
             check();
         });
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -93,7 +93,7 @@
         this.replica = new StoreReplica(decoder, listener, contact, worker, clock, log);
         this.pace = new ListPace(limits, clock);
         this.lists = new ListLog(log);
-        this.outOfBandReads = new OutOfBandReads(this, reader, pace, clock, log);
+        this.outOfBandReads = new OutOfBandReads(this, replica, reader, pace, limits, worker, clock, random, log);
     }
 
     /** Starts to list all items and then to watch for changes. */
@@ -136,16 +136,19 @@
     }
 
     /**
-     * Returns what this node tells others of its replica. The age is that of the last confirmation by a source that
-     * this node has read, so that it does not get younger by the time that messages take on their way. Nothing is
-     * told of a replica that may be of a lost history, since nodes of an older era would read from it.
+     * Returns what this node tells others of its replica: nothing while it may be of a lost history. The age is that of
+     * the last confirmation by a source that this node has read, so that it does not get younger on the way.
      *
      * @return the state as of now
      */
     public ReplicaState replicaState() {
         return isComplete() && !replica.isProvisional()
                 ? new ReplicaState(
-                        changePosition(), listPosition(), ownConfirmedAgeMillis(), replica.configurationVersion())
+                        changePosition(),
+                        listPosition(),
+                        ownConfirmedAgeMillis(),
+                        replica.configurationVersion(),
+                        replica.eraAgeMillis())
                 : ReplicaState.NONE;
     }
 
