--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -50,7 +50,7 @@
     /** Whether the item that is being applied comes with a restoration of the store. */
     private boolean isRestored;
     /** Whether this replica has only a list that may be stale, of a history that the store may have lost. */
-    private boolean isProvisional;
+    private volatile boolean isProvisional;
 
     private volatile StorePosition position = StorePosition.START;
     private volatile StorePosition changePosition = StorePosition.START;
@@ -110,6 +110,11 @@
         return listPosition;
     }
 
+    /** Returns whether this replica has only a list that the store may have lost, which no source has reached yet. */
+    boolean isProvisional() {
+        return isProvisional;
+    }
+
     /** Returns the version of the newest configuration, 0 before the first one. */
     long configurationVersion() {
         return configurationVersion;
@@ -231,6 +236,7 @@
         }
         hasBegunEra = true;
         eraBegunNanos = clock.nowNanos();
+        hold.recordRestoration(eraBegunNanos);
         log.write(Event.notice(PART, "Store restored from an older copy.")
                 .with("source", source)
                 .with("era", newPosition.era())
@@ -383,9 +389,14 @@
         return known.equals(StorePosition.START) || item.position().revision() < known.revision();
     }
 
+    /** A copy from before the restoration before this one lacks what was written since, whatever the revision. */
+    private boolean isOlderRegistration(StoreItem item) {
+        return isOlderThanKnown(item) || hold.isRestoredTwice();
+    }
+
     private void register(StoreItem item, Registration registration, boolean isListed) {
         boolean isTakenBack =
-                isRestored && hold.isTakenBack(registration) && (hold.isHeld(item.key()) || isOlderThanKnown(item));
+                isRestored && hold.isTakenBack(registration) && (hold.isHeld(item.key()) || isOlderRegistration(item));
         Registration previous = registrations.put(registration.id(), registration);
         boolean hasChanged = previous == null || !registration.equalsIgnoringWarmUp(previous);
         if (isListed) {
