Keep callers of the soak after a response that closes its connection

A caller that had sent requests ahead went on to read after a response with Connection: close, and its thread ended with a NullPointerException, so that nothing was checked on the kept connections of that node from then on. The requests behind such a response now count as unanswered, and the check that none of them ran covers them.

--- a/entry/src/test/java/org/turmericspan/entry/PersistentCaller.java
+++ b/entry/src/test/java/org/turmericspan/entry/PersistentCaller.java
@@ -127,7 +127,7 @@
             send(text.toString());
             complete = true;
             sentNanos = System.nanoTime();
-            while (exchanges.size() < requests.size()) {
+            while (socket != null && exchanges.size() < requests.size()) {
                 Answer answer = readResponse();
                 String id = requests.get(exchanges.size()).id();
                 exchanges.add(new Exchange(id, true, answer.status(), sentNanos, System.nanoTime(), answer.id()));
