Call the newest route while the store is restored from an older copy

The callers of EntryRestoredStoreTest used a route that the copy has. They now use one that was published after the copy was taken, so that a node that takes its configuration back answers 404, which the test rejects.

--- a/entry/src/test/java/org/turmericspan/entry/EntryRestoredStoreTest.java
+++ b/entry/src/test/java/org/turmericspan/entry/EntryRestoredStoreTest.java
@@ -38,7 +38,7 @@
 
     private static final int CHANGES = 3;
     private static final int MAX_LISTS = 50;
-    private static final String KEPT_ROUTE = "/kept/";
+    private static final String FIRST_ROUTE = "/first/";
 
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<ServerStandIn> servers = new ArrayList<>();
@@ -48,6 +48,9 @@
     private final SoftAssertions softly = new SoftAssertions();
     private final Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
     private volatile boolean isStopped;
+    /** Route of the requests, which is in force on all nodes. */
+    private volatile String calledRoute = FIRST_ROUTE;
+
     private PlatformStandIn platform;
     private StorePort storePort;
     private long version;
@@ -57,7 +60,7 @@
         platform = new PlatformStandIn();
         platform.store().announceEra();
         storePort = new StorePort(platform);
-        addRoute(KEPT_ROUTE);
+        addRoute(FIRST_ROUTE);
         for (int i = 0; i < SERVERS; i++) {
             addServer();
         }
@@ -71,7 +74,7 @@
         for (NodeProcess node : nodes) {
             await("ready", node::isReady);
             await("joined", () -> countLines(node.state(), "member") == NODES);
-            await("serves", () -> serves(node, KEPT_ROUTE));
+            await("serves", () -> serves(node, FIRST_ROUTE));
         }
     }
 
@@ -131,7 +134,7 @@
     private void sendRequests(NodeProcess node) {
         try {
             while (!isStopped) {
-                Response response = node.request("GET", KEPT_ROUTE + "c", "c");
+                Response response = node.request("GET", calledRoute + "c", "c");
                 statuses.merge(response.status(), 1, Integer::sum);
                 TimeUnit.MILLISECONDS.sleep(CALL_PAUSE_MILLIS);
             }
@@ -154,10 +157,12 @@
             }
             TimeUnit.MILLISECONDS.sleep(durationMillis / count);
         }
+        String route = "/before" + drainingIndex + "/";
         for (NodeProcess node : nodes) {
-            await("change before", () -> serves(node, "/before" + drainingIndex + "/"));
+            await("change before", () -> serves(node, route));
             await("draining", () -> countDraining(node) == drainingIndex + 1);
         }
+        calledRoute = route;
     }
 
     private static long countDraining(NodeProcess node) {
