--- a/feed/src/test/java/org/turmericspan/feed/RecoveryLoadTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/RecoveryLoadTest.java
@@ -84,7 +84,7 @@
         assertThatListsAreSpaced();
     }
 
-    /** The longest pause leaves more than half of the limit for the list itself and for the way to the readers of this node. */
+    /** The longest pause leaves more than half of the limit for the list and the way to the readers of this node. */
     @Test
     void changeIsInForceWithinTheLimitWhileTheStoreCanOnlyBeListed() {
         start(() -> START_REVISION + clock.nowNanos() / 1_000_000);
--- a/gossip/src/test/java/org/turmericspan/gossip/ReplicaEraCodecTest.java
+++ b/gossip/src/test/java/org/turmericspan/gossip/ReplicaEraCodecTest.java
@@ -1,6 +1,7 @@
 package org.turmericspan.gossip;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.util.Arrays;
@@ -19,8 +20,9 @@
     private static final long NOW_NANOS = TimeUnit.SECONDS.toNanos(100);
     private static final int SENDER_TELLS_ERAS = 32;
     private static final ReplicaState RESTORED =
-            new ReplicaState(new StorePosition(2, 700), new StorePosition(1, 300), 45, 78);
-    private static final int ENCODED_ERAS_BYTES = 3;
+            new ReplicaState(new StorePosition(2, 700), new StorePosition(1, 300), 45, 78, 300);
+    /** One byte each for the eras and the version, two for the age of the era. */
+    private static final int ENCODED_ERAS_BYTES = 5;
 
     private static GossipMessage message(ReplicaState replica, ZoneSummary zones) {
         Member member = new Member(
@@ -98,6 +100,38 @@
         assertThat(read.confirmedAgeMillis()).isEqualTo(45);
     }
 
+    @Test
+    void messageThatIsCutWithinTheErasIsRejected() {
+        byte[] bytes = encode(RESTORED);
+        for (int cut = 1; cut <= ENCODED_ERAS_BYTES; cut++) {
+            byte[] truncated = Arrays.copyOf(bytes, bytes.length - cut);
+            assertThatThrownBy(() -> GossipCodec.decode(truncated, NOW_NANOS)).isInstanceOf(IOException.class);
+        }
+    }
+
+    /** A varint of ten bytes may stand for a negative number. */
+    @Test
+    void negativeNumbersAreRejectedOrCountAsUnknown() {
+        byte[] bytes = encode(RESTORED);
+        for (int field = 0; field < 4; field++) {
+            int start = bytes.length - ENCODED_ERAS_BYTES + field;
+            byte[] negative = Arrays.copyOf(bytes, start + 10 + 4);
+            Arrays.fill(negative, start, start + 9, (byte) -1);
+            negative[start + 9] = 1;
+            assertNothingNegative(negative);
+        }
+    }
+
+    private static void assertNothingNegative(byte[] bytes) {
+        try {
+            ReplicaState replica = GossipCodec.decode(bytes, NOW_NANOS).replica();
+            assertThat(replica.configurationVersion()).isNotNegative();
+            assertThat(replica.eraAgeMillis()).isNotNegative();
+        } catch (IOException e) {
+            assertThat(e).isNotNull();
+        }
+    }
+
     @Test
     void eraOfAReplicaIsTheLaterOne() {
         assertThat(RESTORED.era()).isEqualTo(2);
