--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -78,20 +78,22 @@
             if (nodesAhead.size() > MAX_NODES_AHEAD) {
                 nodesAhead.remove(MAX_NODES_AHEAD);
             }
-            if (newest.isInLaterEra(feed.position())) {
-                // The sources of the feed do not deliver what a restored store has instead.
+            if (newest.isInLaterEra(feed.position()) && state.eraAgeMillis() < ReplicaState.UNKNOWN_AGE_MILLIS) {
+                // It has gone on to the era itself, so that it has the differences.
                 check();
             } else {
                 checkLater();
             }
             return;
         }
+        if (state.era() != feed.position().era() || state.listPosition().isAfter(feed.position())) {
+            return;
+        }
         if (state.configurationVersion() > feed.configurationVersion()) {
+            // A restored store has lost the newer configuration; it is no change that this node has yet to read.
             listBesides(source);
         }
-        if (state.era() == feed.position().era() && !state.listPosition().isAfter(feed.position())) {
-            feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
-        }
+        feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
     }
 
     /** Lists all items of a node; each node may call for it with each message, while the lists fail. */
@@ -154,7 +156,7 @@
             removeNodesNotAhead();
             boolean isBehind = node.position().isAfter(feed.position());
             if (isBehind && nodesAhead.isEmpty() && result instanceof StoreReadResult.RevisionCompacted) {
-                feed.outOfBandReads().list(source);
+                feed.outOfBandReads().listUnlessOthersDo(source, 0);
             }
             check();
         });
--- a/feed/src/test/java/org/turmericspan/feed/CatchUpErasTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/CatchUpErasTest.java
@@ -19,6 +19,9 @@
     private static final SocketAddress OTHER = new SocketAddress("10.0.0.1", 7_000);
     private static final StoreSource AHEAD = new StoreSource(OTHER, StoreSource.Kind.NODE_AHEAD);
     private static final Duration DELAY = Duration.ofMillis(101);
+    /** Longest delay of a list of another node, 10% of the limit. */
+    private static final Duration LIST_DELAY = Duration.ofMillis(201);
+
     private static final Duration AGE = Duration.ofMillis(700);
 
     private final FleetFixture node = new FleetFixture();
@@ -57,6 +60,7 @@
         node.advance(DELAY);
         assertThat(readsOfOther()).isEqualTo(1);
         node.reader().complete(AHEAD, new StoreReadResult.RevisionCompacted());
+        node.advance(LIST_DELAY);
         node.reader().complete(AHEAD, page(FeedFixture.RELAY, at(1, 65), ready("a", at(1, 10)), ready("b", at(1, 55))));
         assertThat(node.feed().position()).isEqualTo(at(1, 65));
         assertThat(node.upstreams()).containsOnlyKeys("a", "b");
