--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -105,7 +105,7 @@
 
     private void pauseLists() {
         isListPaused = true;
-        worker.schedule(this::endListPause, limits.maxListPauseMillis(), TimeUnit.MILLISECONDS);
+        worker.schedule(this::endListPause, limits.changeLimitMillis() / 2, TimeUnit.MILLISECONDS);
     }
 
     private void endListPause() {
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -136,13 +136,13 @@
     }
 
     /**
-     * Returns what this node tells others of its replica. The age is that of the last confirmation by a source that
-     * this node has read, so that it does not get younger by the time that messages take on their way.
+     * Returns what this node tells others of its replica: nothing while it may be of a lost history. The age is that of
+     * the last confirmation by a source that this node has read, so that it does not get younger on the way.
      *
      * @return the state as of now
      */
     public ReplicaState replicaState() {
-        return isComplete()
+        return isComplete() && !replica.isProvisional()
                 ? new ReplicaState(
                         changePosition(),
                         listPosition(),
@@ -167,9 +167,11 @@
         return contact.ownConfirmedAgeMillis();
     }
 
-    /** Records that another node is current and has no change that this node does not have. */
+    /** Records that another node is current and has no change that this node does not have, if of the same history. */
     void confirm(long ageMillis) {
-        contact.confirmByOther(ageMillis);
+        if (!replica.isProvisional()) {
+            contact.confirmByOther(ageMillis);
+        }
     }
 
     /**
