--- a/feed/src/test/java/org/turmericspan/feed/CatchUpErasTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/CatchUpErasTest.java
@@ -105,6 +105,10 @@
 
     @Test
     void stateThatANodeTellsIsOfItsEra() {
+        assertThat(node.feed().replicaState())
+                .as("while its first list may be of a lost history")
+                .isEqualTo(ReplicaState.NONE);
+        node.complete(at(0, 100));
         assertThat(node.feed().replicaState().era()).isZero();
         assertThat(node.feed().replicaState().configurationVersion()).isEqualTo(78);
         node.restore(at(1, 60), ready("a", at(1, 10)), configuration(77, at(1, 50)));
