End the doubt about a stale first list when the store is restored later

Each node begins with a list that may be stale, and stays in doubt about it for the era in which it began.

--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -178,6 +178,8 @@
             }
         }
         if (isLaterEra) {
+            // The doubt was about the era in which this replica began.
+            hasBegunStale = false;
             isRestored = true;
             pendingRemovals().forEach(this::removeAfterGracePeriod);
             changePosition = changePosition.max(page.position());
