Do not list again for a first list of an earlier era

Trace: all nodes begin with a list that may be stale. One goes on to the next era by the differences of its relay; the gossip of each other node then says that it went on to the era less than the age of the first list and 10 s ago, so that the first list counted as in doubt. Each node of the fleet listed all items of another one once after the first restoration of its life, in place of differences.

The doubt is about a list of the present era only, and ends with the era.

--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -234,6 +234,7 @@
         if (!complete || !newPosition.isInLaterEra(position)) {
             return false;
         }
+        hasBegunStale = false;
         hasBegunEra = true;
         eraBegunNanos = clock.nowNanos();
         hold.recordRestoration(eraBegunNanos);
--- a/feed/src/test/java/org/turmericspan/feed/EraCrossingTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/EraCrossingTest.java
@@ -201,4 +201,14 @@
         starting.complete(at(1, 101));
         assertThat(starting.feed().replicaState().listPosition()).isEqualTo(at(1, 100));
     }
+
+    /** All nodes begin with a list that may be stale; the differences of a later era leave nothing of it in doubt. */
+    @Test
+    void nodeThatHasGoneOnToTheLaterEraDoesNotListAgain() {
+        node.switchTo(FeedFixture.RELAY);
+        node.complete(at(1, 80), ready("b", at(1, 70)));
+        node.advance(LIST_PAUSE);
+        node.feed().outOfBandReads().resolveDoubt(AHEAD, LIST_PAUSE.toMillis());
+        assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
+    }
 }
