Ask no late node about a first list of long after the restoration

Trace: the store was restored, and nodes started a minute later, whose stale first lists are of the restored store. A node that was cut off since goes on to the era now and tells an age of 1 s. This put the first list of each of those nodes in doubt, however old, and each listed all items of the returned node, and took them even if they were older than its own.

A list can be in doubt only through a node that went on to the era at about the time of the list, within the greatest age of a stale list.

--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -130,14 +130,14 @@
     }
 
     /**
-     * Returns whether the list with which this replica began may be of a time before the restoration of the store.
+     * Returns whether the list with which this replica began may be of a time before the restoration of the store. A
+     * replica that has gone on to the era much later was cut off, and tells nothing of the time of the restoration.
      *
      * @param otherEraAgeMillis time since another replica has gone on to the same era
      */
     boolean isInDoubt(long otherEraAgeMillis) {
-        return hasBegunStale
-                && otherEraAgeMillis
-                        < TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - begunNanos) + MAX_LIST_AGE_MILLIS;
+        long ageMillis = TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - begunNanos);
+        return hasBegunStale && Math.abs(otherEraAgeMillis - ageMillis) < MAX_LIST_AGE_MILLIS;
     }
 
     /** Expects a list of a source that has gone through the restoration, in place of one that is in doubt. */
--- a/feed/src/test/java/org/turmericspan/feed/EraCrossingTest.java
+++ b/feed/src/test/java/org/turmericspan/feed/EraCrossingTest.java
@@ -211,4 +211,19 @@
         node.feed().outOfBandReads().resolveDoubt(AHEAD, LIST_PAUSE.toMillis());
         assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
     }
+
+    /** That a node was cut off does not make the lists older with which others began long after the restoration. */
+    @Test
+    void nodeThatGoesOnToTheEraLateCausesNoListsOfTheOthers() {
+        node.advance(Duration.ofMinutes(1));
+        node.feed().outOfBandReads().resolveDoubt(AHEAD, LIST_PAUSE.toMillis());
+        assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isZero();
+    }
+
+    @Test
+    void nodeThatBeganBesideTheRestorationListsFromOneThatWentThroughIt() {
+        node.advance(LIST_PAUSE);
+        node.feed().outOfBandReads().resolveDoubt(AHEAD, LIST_PAUSE.toMillis());
+        assertThat(node.reader().count(StoreSource.Kind.NODE_AHEAD)).isEqualTo(1);
+    }
 }
