--- a/feed/src/main/java/org/turmericspan/feed/CatchUp.java
+++ b/feed/src/main/java/org/turmericspan/feed/CatchUp.java
@@ -24,6 +24,7 @@
     private final ScheduledExecutorService worker;
     private final List<NodeAhead> nodesAhead = new ArrayList<>();
     private boolean isCheckPending;
+    private boolean isListPaused;
     private int readsInProgress;
     private volatile long reads;
 
@@ -65,8 +66,10 @@
             return;
         }
         StoreSource source = new StoreSource(node, StoreSource.Kind.NODE_AHEAD);
-        if (state.era() == feed.position().era()) {
-            feed.outOfBandReads().resolveDoubt(source, state.eraAgeMillis());
+        if (state.era() == feed.position().era()
+                && !isListPaused
+                && feed.outOfBandReads().resolveDoubt(source, state.eraAgeMillis())) {
+            pauseLists();
         }
         StorePosition newest = newestPosition(state);
         if (newest.isAfter(feed.position())) {
@@ -88,11 +91,27 @@
         }
         if (state.configurationVersion() > feed.configurationVersion()) {
             // A restored store has lost the newer configuration; it is no change that this node has yet to read.
-            feed.outOfBandReads().list(source);
+            listBesides(source);
         }
         feed.confirm(state.confirmedAgeMillis() + limits.messageMillis());
     }
 
+    /** Lists all items of a node; each node may call for it with each message, while the lists fail. */
+    private void listBesides(StoreSource source) {
+        if (!isListPaused && feed.outOfBandReads().list(source)) {
+            pauseLists();
+        }
+    }
+
+    private void pauseLists() {
+        isListPaused = true;
+        worker.schedule(this::endListPause, limits.changeLimitMillis() / 2, TimeUnit.MILLISECONDS);
+    }
+
+    private void endListPause() {
+        isListPaused = false;
+    }
+
     /** Returns the position of the newest change of a replica; in a later era, all that it has is one. */
     private StorePosition newestPosition(ReplicaState state) {
         return state.listPosition().isInLaterEra(feed.position())
--- a/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -111,10 +111,11 @@
      * Lists all items of a source, unless another such list is being read or the last one was just before.
      *
      * @param source the store, or a node that is ahead of this one, without the changes since this node's revision
+     * @return whether a list began
      */
-    void list(StoreSource source) {
+    boolean list(StoreSource source) {
         if (!canList()) {
-            return;
+            return false;
         }
         isListing = true;
         long sentNanos = clock.nowNanos();
@@ -132,17 +133,19 @@
                             logFailure(source, result);
                         })
                 .start();
+        return true;
     }
 
     /**
      * Lists the items of a node that has gone through the restoration of the store, if the stale list with which this
-     * node began may be of a time before it.
+     * node began may be of a time before it. Returns whether a list began.
      */
-    void resolveDoubt(StoreSource node, long eraAgeMillis) {
-        if (replica.isInDoubt(eraAgeMillis) && canList()) {
-            replica.expectProof(node);
-            list(node);
+    boolean resolveDoubt(StoreSource node, long eraAgeMillis) {
+        if (!replica.isInDoubt(eraAgeMillis) || !canList()) {
+            return false;
         }
+        replica.expectProof(node);
+        return list(node);
     }
 
     private boolean canList() {
