Wait for the cancellations that follow the end of a connection

Cause: CallerConnection#channelInactive takes the connection out of the listener's state before it gives up the requests, and the test looked between the two. It now waits for both cancellations, within the same time limit, and then checks the same content. A request that is not cancelled still fails it.

--- a/http/src/test/java/org/turmericspan/http/PipelinedConnectionTest.java
+++ b/http/src/test/java/org/turmericspan/http/PipelinedConnectionTest.java
@@ -38,6 +38,7 @@
             await(() -> memory().responseBytes() == LARGE_BYTES);
         }
         await(() -> listener().connections() == 0);
+        await(() -> service().cancelled().size() == 2);
         assertThat(service().cancelled()).containsExactlyInAnyOrder("/safe/1", "/safe/3");
         assertThat(service().started()).hasSize(3);
         assertThat(listener().requests()).isZero();
