--- a/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
+++ b/feed/src/main/java/org/turmericspan/feed/OutOfBandReads.java
@@ -141,10 +141,10 @@
      * node began may be of a time before it. Returns whether a list began.
      */
     boolean resolveDoubt(StoreSource node, long eraAgeMillis) {
-        if (!replica.isInDoubt(eraAgeMillis) || !canList()) {
+        if (!replica.doubt().isJustified(eraAgeMillis) || !canList()) {
             return false;
         }
-        replica.expectProof(node);
+        replica.doubt().expectProof(node);
         return list(node);
     }
 
--- a/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreFeed.java
@@ -142,7 +142,7 @@
      * @return the state as of now
      */
     public ReplicaState replicaState() {
-        return isComplete() && !replica.isProvisional()
+        return isComplete() && !replica.doubt().isProvisional()
                 ? new ReplicaState(
                         changePosition(),
                         listPosition(),
@@ -169,7 +169,7 @@
 
     /** Records that another node is current and has no change that this node does not have, if of the same history. */
     void confirm(long ageMillis) {
-        if (!replica.isProvisional()) {
+        if (!replica.doubt().isProvisional()) {
             contact.confirmByOther(ageMillis);
         }
     }
--- a/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
+++ b/feed/src/main/java/org/turmericspan/feed/StoreReplica.java
@@ -23,8 +23,6 @@
  */
 final class StoreReplica {
     private static final String PART = "store";
-    /** Greatest age of the items of a list that may be stale. */
-    private static final long MAX_LIST_AGE_MILLIS = 10_000;
 
     private final StoreItemDecoder decoder;
     private final FleetListener fleetListener;
@@ -35,6 +33,7 @@
     private final MalformedItems malformedItems;
     private final StoreMirror mirror = new StoreMirror();
     private final RestorationHold hold;
+    private final FirstListDoubt doubt;
     /** Evacuated zones with the keys of their items. */
     private final Map<AvailabilityZoneId, String> evacuatedZones = new HashMap<>();
     /** Removals at the end of a grace period, with the time of its end. */
@@ -49,8 +48,6 @@
     private StoreSource lastSource;
     /** Whether the item that is being applied comes with a restoration of the store. */
     private boolean isRestored;
-    /** Whether this replica has only a list that may be stale, of a history that the store may have lost. */
-    private volatile boolean isProvisional;
 
     private volatile StorePosition position = StorePosition.START;
     private volatile StorePosition changePosition = StorePosition.START;
@@ -58,11 +55,6 @@
     private volatile long configurationVersion;
     private volatile boolean hasBegunEra;
     private volatile long eraBegunNanos;
-    /** Source whose list is taken in place of the stale one with which this replica began, null if there is none. */
-    private StoreSource provenSource;
-
-    private boolean hasBegunStale;
-    private long begunNanos;
     private String configurationKey = "";
     private volatile boolean complete;
 
@@ -81,6 +73,7 @@
         this.log = log;
         this.malformedItems = new MalformedItems(log);
         this.hold = new RestorationHold(worker);
+        this.doubt = new FirstListDoubt(clock);
     }
 
     StoreMirror mirror() {
@@ -110,9 +103,9 @@
         return listPosition;
     }
 
-    /** Returns whether this replica has only a list that the store may have lost, which no source has reached yet. */
-    boolean isProvisional() {
-        return isProvisional;
+    /** Returns the doubt about the list with which this replica began. */
+    FirstListDoubt doubt() {
+        return doubt;
     }
 
     /** Returns the version of the newest configuration, 0 before the first one. */
@@ -129,45 +122,18 @@
                 : ReplicaState.UNKNOWN_AGE_MILLIS;
     }
 
-    /**
-     * Returns whether the list with which this replica began may be of a time before the restoration of the store. A
-     * replica that has gone on to the era much later was cut off, and tells nothing of the time of the restoration.
-     *
-     * @param otherEraAgeMillis time since another replica has gone on to the same era
-     */
-    boolean isInDoubt(long otherEraAgeMillis) {
-        long ageMillis = TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - begunNanos);
-        return hasBegunStale && Math.abs(otherEraAgeMillis - ageMillis) < MAX_LIST_AGE_MILLIS;
-    }
-
-    /** Expects a list of a source that has gone through the restoration, in place of one that is in doubt. */
-    void expectProof(StoreSource source) {
-        provenSource = source;
-    }
-
-    /** Returns whether a list may be taken: it is not older than this replica, or this replica may be of no history. */
+    /** Returns whether a list may be taken: it is not older than this replica, or shows the store's history instead. */
     boolean canTake(ListRead list) {
-        return !complete || !position.isAfter(list.lowestPosition()) || isDisproved(list) || isProof(list);
-    }
-
-    private boolean isProof(ListRead list) {
-        return hasBegunStale
-                && list.source().equals(provenSource)
-                && list.lowestPosition().era() == position.era();
-    }
-
-    /** Returns whether the store itself shows that the stale list with which this replica began was not its history. */
-    private boolean isDisproved(ListRead list) {
-        return isProvisional
-                && list.source().isStore()
-                && !list.isStale()
-                && list.lowestPosition().era() == position.era();
+        return !complete
+                || !position.isAfter(list.lowestPosition())
+                || doubt.isDisproof(list, position)
+                || doubt.isProof(list, position);
     }
 
     /** Applies the changes of a page that this replica does not have yet, and advances to the position of the page. */
     void apply(StoreSource source, StorePage page) {
         lastSource = source;
-        isProvisional &= position.isAfter(page.position());
+        doubt.recordSource(page.position(), position);
         StorePosition applied = position;
         boolean isLaterEra = beginEra(source, page.position());
         for (StoreItem item : page.items()) {
@@ -178,8 +144,6 @@
             }
         }
         if (isLaterEra) {
-            // The doubt was about the era in which this replica began.
-            hasBegunStale = false;
             isRestored = true;
             pendingRemovals().forEach(this::removeAfterGracePeriod);
             changePosition = changePosition.max(page.position());
@@ -196,11 +160,8 @@
             restart();
         }
         boolean isLaterEra = beginEra(list.source(), list.lowestPosition());
-        isRestored = isLaterEra || isNewBeginning || isProof(list);
-        isProvisional = !complete && list.isStale();
-        hasBegunStale = isProvisional;
-        provenSource = null;
-        begunNanos = clock.nowNanos();
+        isRestored = isLaterEra || isNewBeginning || doubt.isProof(list, position);
+        doubt.recordList(!complete && list.isStale());
         mirror.beginReplacement(list.lowestPosition());
         listedZones.clear();
         listedUpstreams.clear();
@@ -236,7 +197,7 @@
         if (!complete || !newPosition.isInLaterEra(position)) {
             return false;
         }
-        hasBegunStale = false;
+        doubt.recordRestoration();
         hasBegunEra = true;
         eraBegunNanos = clock.nowNanos();
         hold.recordRestoration(eraBegunNanos);
